--- /dev/null
+++ b/simhost/src/wire.rs
@@ -0,0 +1,365 @@
+//! Translation between the pipe's frames and the module's events and actions. It decides nothing.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::io::{self, Read};
+
+use linnetcart::{
+    Action, Class, Courier, Ending, Endpoint, Event, Kind, Listing, Outcome, Rates, Repeat, Settings, Taken,
+};
+use serde_json::Value;
+
+/// Input that cannot be read.
+#[derive(Debug)]
+pub struct Bad(String);
+
+impl fmt::Display for Bad {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl From<io::Error> for Bad {
+    fn from(e: io::Error) -> Self {
+        Bad(format!("pipe: {e}"))
+    }
+}
+
+fn bad<T>(what: impl Into<String>) -> Result<T, Bad> {
+    Err(Bad(what.into()))
+}
+
+/// Header of a batch.
+pub struct Head {
+    number: u32,
+    records: u32,
+    clock: u64,
+}
+
+/// Reads one batch; `None` at the end of input.
+pub fn read_batch(input: &mut impl Read) -> Result<Option<(Head, Vec<u8>)>, Bad> {
+    let mut head = [0u8; 12];
+    let mut got = 0;
+    while got < head.len() {
+        match input.read(&mut head[got..]) {
+            Ok(0) if got == 0 => return Ok(None),
+            Ok(0) => return bad("input ends within a batch's header"),
+            Ok(n) => got += n,
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            Err(e) => return Err(e.into()),
+        }
+    }
+    let mut fields = Fields::new(&head);
+    let (number, records, length) = (fields.u32()?, fields.u32()?, fields.u32()?);
+    if length < 8 {
+        return bad(format!("batch {number}: length {length} leaves no room for the clock"));
+    }
+    let mut body = Vec::new();
+    input.take(u64::from(length)).read_to_end(&mut body)?;
+    if body.len() != length as usize {
+        return bad(format!("batch {number}: {} bytes instead of {length}", body.len()));
+    }
+    let clock = Fields::new(&body).u64()?;
+    Ok(Some((Head { number, records, clock }, body.split_off(8))))
+}
+
+/// Little-endian fields, read in turn.
+struct Fields<'a> {
+    rest: &'a [u8],
+}
+
+impl<'a> Fields<'a> {
+    fn new(rest: &'a [u8]) -> Self {
+        Fields { rest }
+    }
+
+    fn bytes(&mut self, n: usize) -> Result<&'a [u8], Bad> {
+        if self.rest.len() < n {
+            return bad(format!("record too short: {n} bytes wanted, {} left", self.rest.len()));
+        }
+        let (now, rest) = self.rest.split_at(n);
+        self.rest = rest;
+        Ok(now)
+    }
+
+    fn array<const N: usize>(&mut self) -> Result<[u8; N], Bad> {
+        let mut a = [0; N];
+        a.copy_from_slice(self.bytes(N)?);
+        Ok(a)
+    }
+
+    fn u8(&mut self) -> Result<u8, Bad> {
+        Ok(u8::from_le_bytes(self.array()?))
+    }
+
+    fn u16(&mut self) -> Result<u16, Bad> {
+        Ok(u16::from_le_bytes(self.array()?))
+    }
+
+    fn u32(&mut self) -> Result<u32, Bad> {
+        Ok(u32::from_le_bytes(self.array()?))
+    }
+
+    fn u64(&mut self) -> Result<u64, Bad> {
+        Ok(u64::from_le_bytes(self.array()?))
+    }
+
+    fn f32(&mut self) -> Result<f32, Bad> {
+        Ok(f32::from_le_bytes(self.array()?))
+    }
+}
+
+/// One running instance.
+struct Instance {
+    courier: Courier,
+    left_at: Option<usize>,
+    limit_at: Option<usize>,
+}
+
+/// All instances of this process; they share the numbered lists, as the wire has it, and nothing else.
+#[derive(Default)]
+pub struct Host {
+    instances: BTreeMap<u32, Instance>,
+    lists: BTreeMap<u16, Vec<Endpoint>>,
+}
+
+impl Host {
+    /// Hands a batch to the instances and returns the reply's frame.
+    pub fn batch(&mut self, head: &Head, body: &[u8]) -> Result<Vec<u8>, Bad> {
+        let mut order: Vec<u32> = Vec::new();
+        let mut events: BTreeMap<u32, Vec<Event>> = BTreeMap::new();
+        let mut fields = Fields::new(body);
+        for n in 0..head.records {
+            let code = fields.u8()?;
+            let length = fields.u32()? as usize;
+            let record = fields.bytes(length)?;
+            self.record(code, Fields::new(record), &mut order, &mut events)
+                .map_err(|e| Bad(format!("batch {}, record {n} (code {code}): {e}", head.number)))?;
+        }
+        if !fields.rest.is_empty() {
+            return bad(format!("batch {}: {} bytes after the last record", head.number, fields.rest.len()));
+        }
+        let mut out = Vec::new();
+        for i in order {
+            let Some(instance) = self.instances.get_mut(&i) else { continue };
+            let Some(round) = events.remove(&i) else { continue };
+            for action in instance.courier.round(head.clock, round) {
+                write_action(&mut out, i, head.clock, &action);
+            }
+        }
+        let mut reply = Vec::with_capacity(out.len() + 8);
+        reply.extend(head.number.to_le_bytes());
+        reply.extend((out.len() as u32).to_le_bytes());
+        reply.extend(out);
+        Ok(reply)
+    }
+
+    fn record(
+        &mut self,
+        code: u8,
+        mut f: Fields,
+        order: &mut Vec<u32>,
+        events: &mut BTreeMap<u32, Vec<Event>>,
+    ) -> Result<(), Bad> {
+        if code == 110 {
+            let list = f.u16()?;
+            let count = f.u32()?;
+            let mut entries = Vec::new();
+            for _ in 0..count {
+                entries.push(read_entry(&mut f)?);
+            }
+            self.lists.insert(list, entries);
+            return Ok(());
+        }
+        if !matches!(code, 10 | 20 | 30 | 40 | 50 | 60 | 70 | 80 | 90 | 100) {
+            return Ok(());
+        }
+        let i = f.u32()?;
+        let event = match code {
+            10 => {
+                let seed = f.u64()?;
+                let n = f.u32()? as usize;
+                let facts: Value =
+                    serde_json::from_slice(f.bytes(n)?).map_err(|e| Bad(format!("facts: {e}")))?;
+                let place = |name: &str| list(&facts["stats"]["names"]).iter().position(|v| v == name);
+                let instance = Instance {
+                    courier: Courier::new(settings(&facts)?, seed),
+                    left_at: place("x0"),
+                    limit_at: place("x1"),
+                };
+                self.instances.insert(i, instance);
+                events.insert(i, Vec::new());
+                Event::Woken
+            }
+            100 => {
+                self.instances.remove(&i);
+                events.remove(&i);
+                return Ok(());
+            }
+            20 => match f.u8()? {
+                3 => Event::ListFailed,
+                how @ 0..=2 => {
+                    let number = f.u16()?;
+                    let Some(entries) = self.lists.get(&number) else {
+                        return bad(format!("list {number} was never given"));
+                    };
+                    Event::List { whole: how != 0, entries: entries.clone() }
+                }
+                how => return bad(format!("news of kind {how} is unknown")),
+            },
+            30 => {
+                let (id, time_left, class) = (f.u32()?, f.u64()?, f.u8()?);
+                let (_attrs, _effort) = (f.u8()?, f.u64()?);
+                let (key, destination) = (f.u64()?, f.f32()? as u32);
+                let tenant = if f.rest.is_empty() { 0 } else { f.u32()? };
+                Event::Taken(Taken { id, destination, class, time_left, key, tenant })
+            }
+            50 => {
+                let (message, attempt, endpoint) = (f.u32()?, f.u16()?, f.u32()?);
+                let (status, took, over, note) = (f.u8()?, f.u64()?, f.u8()? != 0, f.u32()?);
+                let ending = match status {
+                    0 => Ending::Served,
+                    1 => Ending::Error,
+                    2 => Ending::Full { wait: u64::from(note) * 1_000_000 },
+                    3 => Ending::TimedOut,
+                    4 => Ending::NoConnection,
+                    5 => Ending::Reset,
+                    6 => Ending::Cancelled,
+                    7 => Ending::NotSent { no_slot: note == 1 },
+                    _ => return bad(format!("outcome {status} is unknown")),
+                };
+                let n = if f.rest.is_empty() { 0 } else { f.u8()? };
+                let mut report = Vec::new();
+                for _ in 0..n {
+                    report.push(f64::from(f.f32()?));
+                }
+                let told = |at: Option<usize>| at.and_then(|at| report.get(at).copied());
+                let instance = self.instances.get(&i);
+                let left = told(instance.and_then(|x| x.left_at));
+                let limit = told(instance.and_then(|x| x.limit_at));
+                Event::Ended(Outcome { message, attempt, endpoint, ending, took, over, left, limit })
+            }
+            60 => Event::Withdrawn { message: f.u32()? },
+            _ => Event::Woken,
+        };
+        if !order.contains(&i) {
+            order.push(i);
+        }
+        events.entry(i).or_default().push(event);
+        Ok(())
+    }
+}
+
+fn read_entry(f: &mut Fields) -> Result<Endpoint, Bad> {
+    let listing = match f.u8()? {
+        1 => Listing::Ready,
+        2 => Listing::Gone,
+        3 => Listing::Draining,
+        other => return bad(format!("phase {other} is unknown")),
+    };
+    let (kind, rate, destination) = (f.u8()?, f64::from(f.f32()?), u32::from(f.u16()?));
+    let (id, _launched, zone) = (f.u32()?, f.u64()?, f.u8()?);
+    Ok(Endpoint { id, destination, kind, zone, rate, listing })
+}
+
+fn write_action(out: &mut Vec<u8>, i: u32, clock: u64, action: &Action) {
+    let (code, fields) = match action {
+        Action::Send { message, endpoint, until } => {
+            (90, [&message.to_le_bytes()[..], &until.to_le_bytes(), &endpoint.to_le_bytes()].concat())
+        }
+        Action::Cancel { message, attempt } => {
+            (40, [&message.to_le_bytes()[..], &attempt.to_le_bytes()].concat())
+        }
+        Action::Refuse { message, come_back } => {
+            (70, [&message.to_le_bytes()[..], &come_back.to_le_bytes()].concat())
+        }
+        Action::Fail { message } => (110, message.to_le_bytes().to_vec()),
+        Action::Watch => (20, vec![1]),
+        Action::Wake { at } => (50, [at.saturating_sub(clock).to_le_bytes(), at.to_le_bytes()].concat()),
+        Action::Log(text) => {
+            let mut end = text.len().min(usize::from(u16::MAX));
+            while !text.is_char_boundary(end) {
+                end -= 1;
+            }
+            (10, [&(end as u16).to_le_bytes()[..], &text.as_bytes()[..end]].concat())
+        }
+    };
+    out.push(code);
+    out.extend((fields.len() as u32 + 4).to_le_bytes());
+    out.extend(i.to_le_bytes());
+    out.extend(fields);
+}
+
+fn list(v: &Value) -> &[Value] {
+    v.as_array().map_or(&[], Vec::as_slice)
+}
+
+/// Reads the settings; an absent figure gets the meaning that the wire's page gives to absence (zero).
+fn settings(v: &Value) -> Result<Settings, Bad> {
+    let int = |v: &Value| v.as_u64().or_else(|| v.as_f64().map(|x| x as u64)).unwrap_or(0);
+    let num = |v: &Value| v.as_f64().unwrap_or(0.0);
+    let yes = |v: &Value| v.as_bool().unwrap_or(false);
+    let (bounds, contract, family, prices) = (&v["bounds"], &v["contract"], &v["family_info"], &v["prices"]);
+    let mut classes = Vec::new();
+    for c in list(&v["services"]) {
+        let repeat = match c["idempotency"].as_str() {
+            Some("pure") => Repeat::Safe,
+            Some("token") => Repeat::Keyed { window: int(&c["key_ttl_ns"]), by_zone: c["group"] != "all" },
+            Some("side_effect") => Repeat::Unsafe,
+            other => return bad(format!("facts: a class of unknown kind {other:?}")),
+        };
+        classes.push(Class {
+            aim: int(&c["slo_ns"]),
+            deadline: int(&c["hard_limit_ns"]),
+            worth: num(&c["worth"]),
+            late_worth: num(&c["late_worth"]),
+            repeat,
+            ordered: yes(&c["fifo_by_key"]),
+        });
+    }
+    let (apart, per_call) = (list(&family["kind_apart"]), list(&family["per_call"]));
+    let kinds = (0..list(&v["kinds"]).len().max(apart.len()).max(per_call.len()))
+        .map(|k| Kind {
+            routes_apart: apart.get(k).is_some_and(yes),
+            per_call: per_call.get(k).map_or(1, int) as u32,
+        })
+        .collect();
+    Ok(Settings {
+        couriers: int(&v["balancers"]) as u32,
+        me: int(&v["me"]) as u32,
+        zone: int(&v["my_zone"]) as u8,
+        classes,
+        kinds,
+        tenants: list(&v["accounts"]).iter().map(|a| num(&a["quota_per_s"])).collect(),
+        over_share_worth: num(&v["over_share_worth"]),
+        worth_halves: family["loses_worth"] == "halving",
+        slots: int(&family["max_calls"]) as u32,
+        max_held: int(&bounds["max_open"]) as u32,
+        max_attempts: int(&bounds["max_attempts"]) as u32,
+        may_cancel: yes(&bounds["may_cancel"]),
+        may_copy: yes(&bounds["parallel_tries"]),
+        max_come_back: if yes(&bounds["retry_after"]) { int(&bounds["max_retry_after_ns"]) } else { 0 },
+        calls_per_connection: int(&bounds["streams_per_conn"]) as u32,
+        connection_idle: int(&bounds["conn_idle_ns"]),
+        connect_timeout: int(&bounds["connect_timeout_ns"]),
+        answer_slack: int(&contract["grace_to_answer_ns"]),
+        cold_share: num(&contract["cold_from"]),
+        warm_after: int(&contract["ramp_time_ns"]),
+        fall_multiple: num(&contract["fall_multiple"]),
+        fall_span: int(&contract["fall_ns"]),
+        key_rest: int(&contract["turn_gap_ns"]),
+        list_asked: v["registry_mode"] == "ask",
+        ask_within: int(&contract["ask_within_ns"]),
+        rates: match v["weight_source"].as_str() {
+            Some("nominal") => Rates::Exact,
+            Some("rough") => Rates::Rough,
+            _ => Rates::Untold,
+        },
+        tick: int(&v["tick_ns"]),
+        connection_price: num(&prices["handshake"]),
+        crossing_price: num(&prices["cross_zone"]),
+        waste_price: num(&prices["waste"]),
+        refused_price: num(&family["refusal_cost"]),
+        route_fees: list(&family["route_fee"]).iter().map(num).collect(),
+    })
+}
--- /dev/null
+++ b/src/choice.rs
@@ -0,0 +1,1074 @@
+//! Every decision of the courier. Its types, events and actions are in `src/interface.rs`.
+//!
+//! Reading order: values, state, one round, the list, messages, outcomes, sending, the gate, copies, health.
+
+use crate::interface::*;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+// ---- Values. Spans in seconds are turned into settings' terms where a setting gives the measure.
+
+/// "Not until something happens": no clock time helps.
+const NEVER: Time = Time::MAX;
+/// Nanoseconds in a second.
+const SECOND: f64 = 1e9;
+/// Tokens of a full bucket. A courier sees a few calls a second at a destination: ten are some seconds of them.
+const BUCKET: f64 = 10.0;
+/// Tokens that a failure costs: two failures in a row close a full bucket to extras.
+const BUCKET_RATIO: f64 = 3.0;
+/// Served latencies kept for the resend time; a twentieth of 40 is two samples, the least for a 95th percentile.
+const LATENCIES: usize = 40;
+/// Samples from which the percentile is used instead of the aim.
+const ENOUGH: usize = 5;
+/// A call is overdue after this many resend times: by then one in hundreds would still be due.
+const OVERDUE: u64 = 2;
+/// A call overtaken by later ones is lost after this many resend times.
+const LOST: u64 = 4;
+/// Weight of the newest outcome in the failing share: a handful of outcomes settle it.
+const NEWEST: f64 = 0.3;
+/// Failing share at which a limit counts as out: three failures in a row, or most calls of late.
+const OUT_AT: f64 = 0.6;
+/// The same for one endpoint of several, where others can serve: two in a row.
+const OUT_AT_ENDPOINT: f64 = 0.5;
+/// Failing share from which messages that have no second chance are held back: above chance errors.
+const RISKY: f64 = 0.25;
+/// Refusals in a row that may mean "shut".
+const SHUT_RUN: u32 = 3;
+/// Part of the fall budget that is used: other couriers and travel may add the rest.
+const BUDGET_PART: f64 = 0.6;
+/// Pace kept after a refusal above a limit, of what was sent lately.
+const PACE_CUT: f64 = 0.8;
+/// Growth of the pace with each call served.
+const PACE_GROWTH: f64 = 1.04;
+/// First pace, over an even part of a told limit: couriers are loaded unevenly.
+const PACE_START: f64 = 1.5;
+/// A burst may take the pace of this many seconds; destinations queue about as much.
+const BURST: f64 = 0.5;
+/// Share of the limit still free, as told, at which no pace is kept.
+const ROOMY: f64 = 0.3;
+/// Share of `max_held` from which messages are handed back rather than turned away unseen.
+const CROWDED: f64 = 0.9;
+
+// ---- State
+
+/// Health of a limit or an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Health {
+    Up,
+    /// Out since; `told` when a call failed or was refused, not only silence.
+    Out {
+        since: Time,
+        told: bool,
+    },
+    /// Back: capacity grows since.
+    Back {
+        since: Time,
+    },
+}
+
+/// What is known of one limit: a destination, a route apart, or one endpoint of several.
+#[derive(Clone, Debug)]
+struct Node {
+    health: Health,
+    out_at: f64,
+    wait_until: Time,
+    /// Failing share of late, failures or refusals in a row, and whether the last one proved not to run.
+    bad: f64,
+    run: u32,
+    harmless: bool,
+    last_ok: Time,
+    last_answer: Time,
+    /// Latest sending time among calls answered.
+    answered_sent: Time,
+    trial_gap: Time,
+    next_trial: Time,
+    /// Calls of the last fall span.
+    sent: VecDeque<Time>,
+    /// Calls served in the running span, and the most served in one.
+    span_start: Time,
+    served: f64,
+    peak: f64,
+    /// Limit told, calls a second from all couriers; 0 for none.
+    limit: f64,
+    left: f64,
+    left_at: Time,
+    rate: f64,
+    tokens: f64,
+    filled: Time,
+}
+
+#[derive(Debug)]
+struct Dest {
+    node: Node,
+    kind: u8,
+    endpoints: BTreeSet<u32>,
+    /// Messages held, oldest first.
+    waiting: BTreeSet<(u64, u32)>,
+    last_slot: Time,
+    calls: u32,
+    bucket: f64,
+    latencies: VecDeque<Time>,
+    usual: f64,
+    recent: f64,
+}
+
+#[derive(Debug)]
+struct Site {
+    node: Node,
+    dest: u32,
+    zone: u8,
+    listing: Listing,
+    calls: u32,
+    connections: u32,
+    used: Time,
+    room: f64,
+    /// The call that sends of this round may join, and the sends in it.
+    joined: (u64, Time, u32),
+}
+
+#[derive(Debug)]
+struct Msg {
+    dest: u32,
+    class: usize,
+    key: u64,
+    tenant: u32,
+    seq: u64,
+    taken: Time,
+    due: Time,
+    attempts: u16,
+    live: u32,
+    /// Attempts that are out or may have run: when sent, number, zone.
+    maybe: Vec<(Time, u16, u8)>,
+    over: bool,
+}
+
+#[derive(Debug)]
+struct Out {
+    endpoint: u32,
+    sent: Time,
+    call: u64,
+    cancelled: bool,
+}
+
+#[derive(Debug, Default)]
+struct Line {
+    queue: VecDeque<u32>,
+    rest: Time,
+}
+
+/// The decisions of one courier.
+#[derive(Debug)]
+pub struct Courier {
+    set: Settings,
+    seed: u64,
+    now: Time,
+    wake: Time,
+    pending: Time,
+    seq: u64,
+    dests: BTreeMap<u32, Dest>,
+    sites: BTreeMap<u32, Site>,
+    msgs: BTreeMap<u32, Msg>,
+    outs: BTreeMap<(u32, u16), Out>,
+    /// Sends in each running call.
+    calls: BTreeMap<u64, u32>,
+    lines: BTreeMap<u64, Line>,
+    ask_at: Time,
+    ask_gap: Time,
+    actions: Vec<Action>,
+}
+
+// ---- One round
+
+impl Courier {
+    /// A courier that knows its settings and nothing else.
+    pub fn new(set: Settings, seed: u64) -> Self {
+        let ask_at = if set.list_asked { 0 } else { NEVER };
+        Courier {
+            set,
+            seed,
+            now: 0,
+            wake: NEVER,
+            pending: NEVER,
+            seq: 0,
+            dests: BTreeMap::new(),
+            sites: BTreeMap::new(),
+            msgs: BTreeMap::new(),
+            outs: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            lines: BTreeMap::new(),
+            ask_at,
+            ask_gap: 0,
+            actions: Vec::new(),
+        }
+    }
+
+    /// Takes all events of a round at clock time `now` and says what is to be done.
+    pub fn round(&mut self, now: Time, events: Vec<Event>) -> Vec<Action> {
+        self.now = self.now.max(now);
+        self.wake = NEVER;
+        for event in events {
+            match event {
+                Event::List { whole, entries } => self.listed(whole, entries),
+                Event::ListFailed => self.list_failed(),
+                Event::Taken(taken) => self.take(taken),
+                Event::Withdrawn { message } => self.end(message),
+                Event::Ended(outcome) => self.ended(outcome),
+                Event::Woken => {}
+            }
+        }
+        self.ask();
+        self.answer_due();
+        self.look_for_silence();
+        self.shed();
+        self.dispatch();
+        self.copy();
+        if self.pending <= self.now || self.wake < self.pending {
+            self.pending = self.wake.max(self.now + 1);
+            if self.wake != NEVER {
+                self.actions.push(Action::Wake { at: self.pending });
+            } else {
+                self.pending = NEVER;
+            }
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    fn wake_at(&mut self, at: Time) {
+        self.wake = self.wake.min(at);
+    }
+
+    /// A number in [0, 1) from the seed (splitmix64).
+    fn random(&mut self) -> f64 {
+        self.seed = self.seed.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut z = self.seed;
+        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        ((z ^ (z >> 31)) >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    // ---- The list
+
+    fn listed(&mut self, whole: bool, entries: Vec<Endpoint>) {
+        if self.ask_at != NEVER && self.ask_gap > 0 {
+            (self.ask_at, self.ask_gap) = (NEVER, 0);
+        }
+        if whole {
+            self.sites.values_mut().for_each(|s| s.listing = Listing::Gone);
+        }
+        for e in entries {
+            if e.listing == Listing::Gone && !self.sites.contains_key(&e.id) {
+                continue;
+            }
+            let dest = self.dests.entry(e.destination).or_insert_with(|| Dest::new(e.kind));
+            dest.kind = e.kind;
+            dest.endpoints.insert(e.id);
+            let apart = self.set.kinds.get(usize::from(e.kind)).is_some_and(|k| k.routes_apart);
+            let site = self.sites.entry(e.id).or_insert_with(|| Site {
+                node: Node::new(if apart { OUT_AT } else { OUT_AT_ENDPOINT }),
+                dest: e.destination,
+                zone: e.zone,
+                listing: e.listing,
+                calls: 0,
+                connections: 0,
+                used: 0,
+                room: f64::INFINITY,
+                joined: (0, 0, 0),
+            });
+            site.listing = e.listing;
+            if self.set.rates != Rates::Untold && e.rate > 0.0 {
+                let node = if apart { &mut site.node } else { &mut dest.node };
+                if node.limit == 0.0 {
+                    node.rate = e.rate * PACE_START / f64::from(self.set.couriers.max(1));
+                }
+                node.limit = e.rate;
+            }
+        }
+        let dests = &mut self.dests;
+        self.sites.retain(|id, s| {
+            let keep = s.listing != Listing::Gone || s.calls > 0;
+            if !keep {
+                if let Some(d) = dests.get_mut(&s.dest) {
+                    d.endpoints.remove(id);
+                }
+            }
+            keep
+        });
+    }
+
+    /// The list or its watch failed: ask again, each time later, so that many couriers do not jam it.
+    fn list_failed(&mut self) {
+        self.ask_gap = (self.ask_gap * 2).clamp(self.set.ask_within / 20, self.set.ask_within / 3);
+        self.ask_at = self.now + (self.ask_gap as f64 * (0.5 + self.random())) as Time;
+    }
+
+    fn ask(&mut self) {
+        if self.ask_at <= self.now {
+            self.actions.push(Action::Watch);
+            // Should no answer come at all, ask again well before the list counts as told.
+            self.ask_gap = self.ask_gap.max(1);
+            self.ask_at = self.now + self.set.ask_within / 2;
+        }
+        self.wake_at(self.ask_at);
+    }
+
+    // ---- Messages
+
+    fn take(&mut self, t: Taken) {
+        let class = usize::from(t.class);
+        if class >= self.set.classes.len() || self.msgs.contains_key(&t.id) {
+            return;
+        }
+        let deadline = self.set.classes[class].deadline;
+        let due = self.now + t.time_left;
+        let key = if self.set.classes[class].ordered { t.key } else { 0 };
+        self.seq += 1;
+        let msg = Msg {
+            dest: t.destination,
+            class,
+            key,
+            tenant: t.tenant,
+            seq: self.seq,
+            taken: due.saturating_sub(deadline),
+            due,
+            attempts: 0,
+            live: 0,
+            maybe: Vec::new(),
+            over: false,
+        };
+        if key != 0 {
+            self.lines.entry(key).or_default().queue.push_back(t.id);
+        }
+        let dest = self.dests.entry(t.destination).or_insert_with(|| Dest::new(0));
+        dest.waiting.insert((msg.seq, t.id));
+        self.msgs.insert(t.id, msg);
+    }
+
+    /// The message has its answer: nothing more goes out for it, and what is out is called off.
+    fn end(&mut self, id: u32) {
+        let Some(m) = self.msgs.get_mut(&id) else { return };
+        m.over = true;
+        if let Some(d) = self.dests.get_mut(&m.dest) {
+            d.waiting.remove(&(m.seq, id));
+        }
+        if self.set.may_cancel {
+            for (&(_, attempt), out) in self.outs.range_mut((id, 0)..=(id, u16::MAX)) {
+                if !std::mem::replace(&mut out.cancelled, true) {
+                    self.actions.push(Action::Cancel { message: id, attempt });
+                }
+            }
+        }
+        self.forget(id);
+    }
+
+    /// Drops a message that is over and has nothing out; its key's line moves on.
+    fn forget(&mut self, id: u32) {
+        let Some(m) = self.msgs.get(&id) else { return };
+        if !m.over || m.live > 0 {
+            return;
+        }
+        let key = m.key;
+        self.msgs.remove(&id);
+        if let Some(line) = self.lines.get_mut(&key) {
+            line.queue.retain(|&x| x != id);
+            if line.queue.is_empty() && line.rest <= self.now {
+                self.lines.remove(&key);
+            }
+        }
+    }
+
+    /// Handing back is harmless when nothing may have run, or when a repeat does no harm wherever it goes.
+    fn may_refuse(&self, m: &Msg) -> bool {
+        match self.set.classes[m.class].repeat {
+            Repeat::Safe | Repeat::Keyed { by_zone: false, .. } => true,
+            _ => m.maybe.is_empty(),
+        }
+    }
+
+    fn give_up(&mut self, id: u32, come_back: Time) {
+        let Some(m) = self.msgs.get(&id).filter(|m| !m.over) else { return };
+        self.actions.push(if self.may_refuse(m) {
+            Action::Refuse { message: id, come_back: come_back.min(self.set.max_come_back) }
+        } else {
+            Action::Fail { message: id }
+        });
+        self.end(id);
+    }
+
+    /// Rule 1: whatever is still open is answered two rounds before its time is up.
+    fn answer_due(&mut self) {
+        let margin = 2 * self.set.tick;
+        let due: Vec<u32> = self
+            .msgs
+            .iter()
+            .filter(|(_, m)| !m.over && m.due <= self.now + margin)
+            .map(|(&id, _)| id)
+            .collect();
+        for id in due {
+            self.give_up(id, 0);
+        }
+        let next = self.msgs.values().filter(|m| !m.over).map(|m| m.due - margin).min();
+        self.wake_at(next.unwrap_or(NEVER));
+    }
+
+    /// A crowded hold turns messages away unseen, whatever they are; so the least worth of the longest line
+    /// go first. Guards a sick or overloaded destination from filling the hold for the others.
+    fn shed(&mut self) {
+        let open = |c: &Self| c.msgs.values().filter(|m| !m.over).count() as f64;
+        while open(self) > CROWDED * f64::from(self.set.max_held) {
+            let Some(d) = self.dests.values().max_by_key(|d| d.waiting.len()) else { return };
+            let least = d
+                .waiting
+                .iter()
+                .filter(|(_, id)| self.may_refuse(&self.msgs[id]))
+                .min_by(|a, b| self.worth(&self.msgs[&a.1]).total_cmp(&self.worth(&self.msgs[&b.1])));
+            let Some(&(_, id)) = least else { return };
+            self.give_up(id, self.set.max_come_back);
+        }
+    }
+
+    fn worth(&self, m: &Msg) -> f64 {
+        let class = &self.set.classes[m.class];
+        let age = self.now.saturating_sub(m.taken) as f64;
+        let late = (age - class.aim as f64).max(0.0);
+        let kept = if self.set.worth_halves {
+            0.5f64.powf(late / class.aim.max(1) as f64).max(class.late_worth)
+        } else {
+            1.0 - (1.0 - class.late_worth) * late / (class.deadline.saturating_sub(class.aim)).max(1) as f64
+        };
+        class.worth * kept
+    }
+
+    // ---- Outcomes
+
+    fn ended(&mut self, o: Outcome) {
+        let Some(out) = self.outs.remove(&(o.message, o.attempt)) else { return };
+        if let Some(sends) = self.calls.get_mut(&out.call) {
+            *sends -= 1;
+            if *sends == 0 {
+                self.calls.remove(&out.call);
+            }
+        }
+        self.learn(&o, &out);
+        let Some(m) = self.msgs.get_mut(&o.message) else { return };
+        m.live -= 1;
+        let never_ran =
+            matches!(o.ending, Ending::Full { .. } | Ending::NoConnection | Ending::NotSent { .. });
+        if never_ran {
+            m.maybe.retain(|&(_, attempt, _)| attempt != o.attempt);
+        }
+        if matches!(o.ending, Ending::TimedOut | Ending::Reset | Ending::Cancelled) {
+            if let Some(line) = self.lines.get_mut(&m.key) {
+                line.rest = line.rest.max(self.now + self.set.key_rest);
+            }
+        }
+        if o.over {
+            m.over = true;
+            self.end(o.message);
+            return;
+        }
+        let (seq, dest) = (m.seq, m.dest);
+        if m.over || m.live > 0 {
+            self.forget(o.message);
+            return;
+        }
+        if self.may_resend(&self.msgs[&o.message], None) {
+            if let Some(d) = self.dests.get_mut(&dest) {
+                d.waiting.insert((seq, o.message));
+            }
+        } else {
+            self.give_up(o.message, 0);
+        }
+    }
+
+    /// Rule 2: another attempt, at an endpoint of `zone` or anywhere (`None`).
+    fn may_resend(&self, m: &Msg, zone: Option<u8>) -> bool {
+        if u32::from(m.attempts) >= self.set.max_attempts {
+            return false;
+        }
+        let Some(&(at, _, first_zone)) = m.maybe.iter().min() else { return true };
+        match self.set.classes[m.class].repeat {
+            Repeat::Safe => true,
+            // Room for travel: a connection may have to be made first.
+            Repeat::Keyed { window, by_zone } => {
+                self.now + self.set.connect_timeout < at + window
+                    && !(by_zone && zone.is_some_and(|z| z != first_zone))
+            }
+            Repeat::Unsafe => false,
+        }
+    }
+
+    /// What an outcome tells of the limits that it went through.
+    fn learn(&mut self, o: &Outcome, out: &Out) {
+        let (now, set) = (self.now, &self.set);
+        let Some(site) = self.sites.get_mut(&o.endpoint) else { return };
+        let Some(dest) = self.dests.get_mut(&site.dest) else { return };
+        let apart = set.kinds.get(usize::from(dest.kind)).is_some_and(|k| k.routes_apart);
+        site.calls = site.calls.saturating_sub(1);
+        dest.calls = dest.calls.saturating_sub(1);
+        site.used = now;
+        let gate = if apart { &mut site.node } else { &mut dest.node };
+        gate.report(now, o);
+        match o.ending {
+            Ending::Served => {
+                dest.served(o.took);
+                dest.bucket = (dest.bucket + 1.0).min(BUCKET);
+                site.room += 1.0 / site.room.max(1.0);
+            }
+            Ending::NotSent { .. } | Ending::Cancelled => return,
+            Ending::NoConnection if site.calls > 0 && site.node.last_ok + set.fall_span > now => {
+                // Connections are capped there: fewer at once, and no word on its health.
+                site.room = f64::from(site.calls);
+                dest.bucket = (dest.bucket - BUCKET_RATIO).max(0.0);
+                return;
+            }
+            Ending::NoConnection | Ending::Reset => site.connections = site.calls,
+            _ => {}
+        }
+        if o.ending != Ending::Served {
+            dest.bucket = (dest.bucket - BUCKET_RATIO).max(0.0);
+        }
+        let was = if apart { site.node.health } else { dest.node.health };
+        site.node.outcome(now, out.sent, o.ending, apart, set);
+        if !apart {
+            dest.node.outcome(now, out.sent, o.ending, true, set);
+        }
+        let node = if apart { &site.node } else { &dest.node };
+        if std::mem::discriminant(&was) != std::mem::discriminant(&node.health) {
+            let text = format!(
+                "destination {} endpoint {}: {:?} -> {:?} on {:?}, failing {:.2}, run {}",
+                site.dest, o.endpoint, was, node.health, o.ending, node.bad, node.run
+            );
+            self.actions.push(Action::Log(text));
+        }
+    }
+
+    // ---- Sending
+
+    /// Free slots go to the waiting destination with the least recent slot time, within it to the oldest
+    /// message that may go.
+    fn dispatch(&mut self) {
+        let mut order: Vec<(Time, u32)> = self
+            .dests
+            .iter()
+            .filter(|(_, d)| !d.waiting.is_empty())
+            .map(|(&id, d)| (d.last_slot, id))
+            .collect();
+        order.sort_unstable();
+        let mut order = VecDeque::from(order);
+        while let Some((_, id)) = order.pop_front() {
+            if self.calls.len() >= self.set.slots as usize {
+                return;
+            }
+            if let Some((message, endpoint)) = self.pick(id) {
+                self.send(message, endpoint);
+                order.push_back((self.now, id));
+            }
+        }
+    }
+
+    fn pick(&mut self, id: u32) -> Option<(u32, u32)> {
+        let dest = self.dests.get(&id)?;
+        let mut held: Vec<(u32, u64, u32)> = dest.waiting.iter().map(|&(seq, m)| (0, seq, m)).collect();
+        if dest.endpoints.iter().any(|e| !matches!(self.node(*e).map(|n| n.health), Some(Health::Up))) {
+            // A trial may fail: the class that loses least goes first.
+            for h in &mut held {
+                h.0 = match self.set.classes[self.msgs[&h.2].class].repeat {
+                    Repeat::Safe => 0,
+                    Repeat::Keyed { .. } => 1,
+                    Repeat::Unsafe => 2,
+                };
+            }
+            held.sort_unstable();
+        }
+        let mut wake = NEVER;
+        let mut found = None;
+        for (_, _, m) in held {
+            match self.choose(m, &[]) {
+                Ok(endpoint) => {
+                    found = Some((m, endpoint));
+                    break;
+                }
+                Err(at) => wake = wake.min(at),
+            }
+        }
+        self.wake_at(wake);
+        found
+    }
+
+    /// The best endpoint that the gate lets the message go to, or when to look again.
+    fn choose(&self, message: u32, but: &[u32]) -> Result<u32, Time> {
+        let mut wake = NEVER;
+        let mut best: Option<(f64, u32)> = None;
+        let m = &self.msgs[&message];
+        for &e in self.dests.get(&m.dest).iter().flat_map(|d| &d.endpoints) {
+            if but.contains(&e) {
+                continue;
+            }
+            match self.gate(m, message, e).and_then(|()| self.courtesy(m, e)) {
+                Ok(()) => {
+                    let cost = self.cost(e);
+                    if best.is_none_or(|(c, _)| cost < c) {
+                        best = Some((cost, e));
+                    }
+                }
+                Err(at) => wake = wake.min(at),
+            }
+        }
+        best.map(|(_, e)| e).ok_or(wake)
+    }
+
+    /// Calls out there, its failing share, and the prices of reaching it, in calls.
+    fn cost(&self, endpoint: u32) -> f64 {
+        let (s, set) = (&self.sites[&endpoint], &self.set);
+        let mut price = 0.0;
+        if !s.connected(self.now, set) {
+            price += set.connection_price;
+        }
+        if s.zone != set.zone {
+            price += set.crossing_price;
+        }
+        if self.apart(s.dest) {
+            price += set.route_fees.get(usize::from(s.zone)).copied().unwrap_or(0.0);
+        }
+        f64::from(s.calls) + 4.0 * s.node.bad + 10.0 * price
+    }
+
+    fn apart(&self, dest: u32) -> bool {
+        let kind = self.dests.get(&dest).map_or(0, |d| usize::from(d.kind));
+        self.set.kinds.get(kind).is_some_and(|k| k.routes_apart)
+    }
+
+    /// The limit that a send to this endpoint comes under.
+    fn node(&self, endpoint: u32) -> Option<&Node> {
+        let site = self.sites.get(&endpoint)?;
+        if self.apart(site.dest) {
+            Some(&site.node)
+        } else {
+            self.dests.get(&site.dest).map(|d| &d.node)
+        }
+    }
+
+    /// Every send passes here, and only here: the six rules and the caps. `Err` tells when to look again.
+    fn gate(&self, m: &Msg, id: u32, endpoint: u32) -> Result<(), Time> {
+        let (now, set) = (self.now, &self.set);
+        let (Some(site), Some(dest)) = (self.sites.get(&endpoint), self.dests.get(&m.dest)) else {
+            return Err(NEVER);
+        };
+        // Rule 1: nothing for a message that is over or about to be.
+        if m.over || m.due <= now + 2 * set.tick || u32::from(m.attempts) >= set.max_attempts {
+            return Err(NEVER);
+        }
+        // Rule 2: no second effect; two at once only where that is allowed.
+        if !self.may_resend(m, Some(site.zone)) || (m.live > 0 && !set.may_copy) {
+            return Err(NEVER);
+        }
+        // Rule 3: nothing to an endpoint that drains or is gone, from the round that told it.
+        if site.listing != Listing::Ready {
+            return Err(NEVER);
+        }
+        // Rule 6: one at a time for a key, in turn, and rested.
+        if let Some(line) = self.lines.get(&m.key).filter(|_| m.key != 0) {
+            if line.queue.front() != Some(&id) {
+                return Err(NEVER);
+            }
+            if line.rest > now && m.attempts == 0 {
+                return Err(line.rest);
+            }
+        }
+        // Rule 5: a wait binds the whole limit. Rule 4: trials while out, a budget until warm.
+        let couriers = f64::from(set.couriers.max(1));
+        let told = |n: &Node| n.limit / couriers / if set.rates == Rates::Rough { 1.5 } else { 1.0 };
+        site.node.open(now, told(&site.node), set)?;
+        dest.node.open(now, told(&dest.node), set)?;
+        // Caps: three quarters of the slots for one destination, half while it fails or runs slow.
+        let joins = self.joins(site, dest);
+        let sick = dest.sick(now) || site.node.health != Health::Up;
+        let cap = if sick { set.slots / 2 } else { set.slots * 3 / 4 }.max(1);
+        let spent = !joins && (self.calls.len() >= set.slots as usize || dest.calls >= cap);
+        if spent || f64::from(site.calls) >= site.room.max(1.0) {
+            return Err(NEVER);
+        }
+        Ok(())
+    }
+
+    /// A send of this round to an endpoint may join the call that an earlier one started.
+    fn joins(&self, site: &Site, dest: &Dest) -> bool {
+        let most = self.set.kinds.get(usize::from(dest.kind)).map_or(1, |k| k.per_call);
+        site.joined.1 == self.now && site.joined.2 > 0 && site.joined.2 < most
+    }
+
+    /// Pace under a shared limit, the bucket for extras, and messages that have no second chance.
+    fn courtesy(&self, m: &Msg, endpoint: u32) -> Result<(), Time> {
+        let (now, site, dest) = (self.now, &self.sites[&endpoint], &self.dests[&m.dest]);
+        let node = self.node(endpoint).unwrap_or(&dest.node);
+        // Where calls fail, an unsafe message that fails is lost: it is held for half its time first, unless
+        // failures there prove that nothing ran.
+        let half = m.taken + (m.due - m.taken) / 2;
+        let risky = node.bad > RISKY || site.node.bad > RISKY || node.health != Health::Up;
+        if self.set.classes[m.class].repeat == Repeat::Unsafe && risky && !node.harmless && now < half {
+            return Err(half);
+        }
+        // An extra needs the bucket; with nothing else out one may go, or an empty bucket could never fill.
+        if !m.maybe.is_empty() && dest.bucket <= BUCKET / 2.0 && (m.live > 0 || dest.calls > 0) {
+            return Err(NEVER);
+        }
+        node.paced(now)
+    }
+
+    fn send(&mut self, message: u32, endpoint: u32) {
+        let now = self.now;
+        let jitter = 0.8 + 0.4 * self.random();
+        let apart = self.sites.get(&endpoint).is_some_and(|s| self.apart(s.dest));
+        let Some(m) = self.msgs.get_mut(&message) else { return };
+        let (Some(site), Some(dest)) = (self.sites.get_mut(&endpoint), self.dests.get_mut(&m.dest)) else {
+            return;
+        };
+        let most = self.set.kinds.get(usize::from(dest.kind)).map_or(1, |k| k.per_call);
+        if site.joined.1 == now && site.joined.2 > 0 && site.joined.2 < most {
+            site.joined.2 += 1;
+        } else {
+            self.seq += 1;
+            site.joined = (self.seq, now, 1);
+        }
+        let call = site.joined.0;
+        *self.calls.entry(call).or_default() += 1;
+        let attempt = m.attempts;
+        m.attempts += 1;
+        m.live += 1;
+        m.maybe.push((now, attempt, site.zone));
+        dest.waiting.remove(&(m.seq, message));
+        dest.last_slot = now;
+        dest.calls += 1;
+        if !site.connected(now, &self.set) {
+            site.connections = site.connections.max(site.calls / self.set.calls_per_connection.max(1)) + 1;
+        }
+        site.calls += 1;
+        site.used = now;
+        site.node.note_sent(now, jitter, &self.set);
+        if !apart {
+            dest.node.note_sent(now, jitter, &self.set);
+        }
+        self.outs.insert((message, attempt), Out { endpoint, sent: now, call, cancelled: false });
+        self.actions.push(Action::Send { message, endpoint, until: 0 });
+    }
+
+    // ---- Copies, lost calls, silence
+
+    /// The resend time: the 95th percentile of the destination's recent latencies, at first the aim.
+    fn resend(&self, dest: &Dest, class: usize) -> Time {
+        dest.percentile().unwrap_or(self.set.classes[class].aim)
+    }
+
+    /// A copy goes to another endpoint when the resend time has passed; never for the last slot while
+    /// others wait, nor to a limit that is out, told to wait or over its pace.
+    fn copy(&mut self) {
+        let list: Vec<(u32, u32, Time)> = self
+            .outs
+            .iter()
+            .filter(|(_, o)| !o.cancelled)
+            .map(|(&(m, _), o)| (m, o.endpoint, o.sent))
+            .collect();
+        for (id, endpoint, sent) in list {
+            let Some(m) = self.msgs.get(&id).filter(|m| !m.over && m.live == 1) else { continue };
+            let Some(dest) = self.dests.get(&m.dest).filter(|d| d.endpoints.len() > 1) else { continue };
+            let at = sent + self.resend(dest, m.class);
+            if at > self.now {
+                if at < m.due {
+                    self.wake_at(at);
+                }
+                continue;
+            }
+            let out = self.node(endpoint).is_some_and(|n| matches!(n.health, Health::Out { .. }));
+            let crowded = self.calls.len() + 1 >= self.set.slots as usize
+                && self.dests.values().any(|d| !d.waiting.is_empty());
+            if dest.bucket <= BUCKET / 2.0 || crowded || (out && !self.apart(m.dest)) {
+                continue;
+            }
+            if let Ok(other) = self.choose(id, &[endpoint]) {
+                self.send(id, other);
+            }
+        }
+    }
+
+    /// Calls overdue with nothing answered since they were sent are evidence at once: the limit counts as
+    /// out. A call that later ones have overtaken is lost, as is one that hangs while others want its slot:
+    /// where the class allows a repeat it is called off.
+    fn look_for_silence(&mut self) {
+        let now = self.now;
+        let full =
+            self.calls.len() >= self.set.slots as usize && self.dests.values().any(|d| !d.waiting.is_empty());
+        let mut off = Vec::new();
+        let list: Vec<(u32, u16, u32, Time)> = self
+            .outs
+            .iter()
+            .filter(|(_, o)| !o.cancelled)
+            .map(|(&(m, a), o)| (m, a, o.endpoint, o.sent))
+            .collect();
+        for (id, attempt, endpoint, sent) in list {
+            let Some(m) = self.msgs.get(&id) else { continue };
+            let Some(dest) = self.dests.get(&m.dest) else { continue };
+            let resend = self.resend(dest, m.class);
+            let (class, apart) = (m.class, self.apart(m.dest));
+            let Some(node) = self.node(endpoint) else { continue };
+            let (overdue, lost) = (sent + OVERDUE * resend, sent + LOST * resend);
+            let silent = overdue <= now && node.last_answer < sent;
+            if (lost <= now && node.answered_sent > sent) || (full && silent) {
+                let repeat = self.set.classes[class].repeat != Repeat::Unsafe;
+                if self.set.may_cancel && repeat && self.may_resend(m, None) {
+                    off.push((id, attempt));
+                    continue;
+                }
+            }
+            if silent {
+                let dest_id = m.dest;
+                let quiet = |n: &mut Node| {
+                    let up = !matches!(n.health, Health::Out { .. }) && n.last_answer < sent;
+                    if up {
+                        n.go_out(now, false, &self.set);
+                    }
+                    up
+                };
+                let mut news = self.sites.get_mut(&endpoint).is_some_and(|s| quiet(&mut s.node));
+                if !apart {
+                    news |= self.dests.get_mut(&dest_id).is_some_and(|d| quiet(&mut d.node));
+                }
+                if news {
+                    let text = format!("destination {dest_id} endpoint {endpoint}: silent");
+                    self.actions.push(Action::Log(text));
+                }
+            } else {
+                let next = if overdue > now { overdue } else { lost };
+                if next > now {
+                    self.wake_at(next);
+                }
+            }
+        }
+        for (message, attempt) in off {
+            if let Some(out) = self.outs.get_mut(&(message, attempt)) {
+                out.cancelled = true;
+                self.actions.push(Action::Cancel { message, attempt });
+            }
+        }
+    }
+}
+
+// ---- Destinations and endpoints
+
+impl Dest {
+    fn new(kind: u8) -> Self {
+        Dest {
+            node: Node::new(OUT_AT),
+            kind,
+            endpoints: BTreeSet::new(),
+            waiting: BTreeSet::new(),
+            last_slot: 0,
+            calls: 0,
+            bucket: BUCKET,
+            latencies: VecDeque::new(),
+            usual: 0.0,
+            recent: 0.0,
+        }
+    }
+
+    fn served(&mut self, took: Time) {
+        self.latencies.push_back(took);
+        if self.latencies.len() > LATENCIES {
+            self.latencies.pop_front();
+        }
+        let took = took as f64;
+        if self.usual == 0.0 {
+            (self.usual, self.recent) = (took, took);
+        }
+        self.recent += NEWEST * (took - self.recent);
+        self.usual += (took - self.usual) / LATENCIES as f64;
+    }
+
+    fn percentile(&self) -> Option<Time> {
+        if self.latencies.len() < ENOUGH {
+            return None;
+        }
+        let mut sorted: Vec<Time> = self.latencies.iter().copied().collect();
+        sorted.sort_unstable();
+        Some(sorted[(sorted.len() * 95 / 100).min(sorted.len() - 1)])
+    }
+
+    /// It fails, or runs at a multiple of its usual latency.
+    fn sick(&self, _now: Time) -> bool {
+        self.node.health != Health::Up || self.node.bad > RISKY || self.recent > 3.0 * self.usual
+    }
+}
+
+impl Site {
+    fn connected(&self, now: Time, set: &Settings) -> bool {
+        let streams = set.calls_per_connection.max(1);
+        (self.calls < self.connections * streams) && (self.calls > 0 || self.used + set.connection_idle > now)
+    }
+}
+
+// ---- Health, return budget, waits and pace of one limit
+
+impl Node {
+    fn new(out_at: f64) -> Self {
+        Node {
+            health: Health::Up,
+            out_at,
+            wait_until: 0,
+            bad: 0.0,
+            run: 0,
+            harmless: false,
+            last_ok: 0,
+            last_answer: 0,
+            answered_sent: 0,
+            trial_gap: 0,
+            next_trial: 0,
+            sent: VecDeque::new(),
+            span_start: 0,
+            served: 0.0,
+            peak: 0.0,
+            limit: 0.0,
+            left: 0.0,
+            left_at: 0,
+            rate: f64::INFINITY,
+            tokens: 1.0,
+            filled: 0,
+        }
+    }
+
+    fn report(&mut self, now: Time, o: &Outcome) {
+        if let Some(limit) = o.limit.filter(|&l| l > 0.0) {
+            self.limit = limit;
+            if let Some(left) = o.left {
+                (self.left, self.left_at) = (left, now);
+            }
+        }
+    }
+
+    fn outcome(&mut self, now: Time, sent: Time, ending: Ending, limits: bool, set: &Settings) {
+        if ending != Ending::TimedOut {
+            self.last_answer = now;
+            self.answered_sent = self.answered_sent.max(sent);
+        }
+        match ending {
+            Ending::Served => self.ok(now, sent, set),
+            Ending::Full { wait } => {
+                if wait > 0 {
+                    self.wait_until = self.wait_until.max(now + wait);
+                }
+                self.run += 1;
+                self.harmless = true;
+                let quiet = now.saturating_sub(self.last_ok) > set.fall_span / 2;
+                if matches!(self.health, Health::Out { .. })
+                    || (self.run >= SHUT_RUN && quiet)
+                    || wait > set.fall_span
+                {
+                    self.go_out(now, true, set);
+                } else if limits {
+                    self.slow_down(now, set);
+                }
+            }
+            _ => {
+                self.run += 1;
+                self.harmless = ending == Ending::NoConnection;
+                self.bad += NEWEST * (1.0 - self.bad);
+                if self.bad > self.out_at || matches!(self.health, Health::Out { .. }) {
+                    self.go_out(now, true, set);
+                }
+            }
+        }
+    }
+
+    fn ok(&mut self, now: Time, sent: Time, set: &Settings) {
+        self.last_ok = now;
+        self.run = 0;
+        self.bad -= NEWEST * self.bad;
+        self.rate *= PACE_GROWTH;
+        if self.span_start + set.fall_span <= now {
+            (self.span_start, self.served) = (now, 0.0);
+        }
+        self.served += 1.0;
+        self.peak = self.peak.max(self.served / (set.fall_span.max(1) as f64 / SECOND));
+        self.health = match self.health {
+            // It was slow, not gone: what was sent before is answered, and nothing failed since.
+            Health::Out { since, told: false } if sent < since => Health::Up,
+            Health::Out { .. } => Health::Back { since: now },
+            // A lucky answer amid failures is no return.
+            Health::Back { .. } if self.bad > RISKY => Health::Back { since: now },
+            Health::Back { since } if now > since + set.warm_after => Health::Up,
+            other => other,
+        };
+    }
+
+    fn go_out(&mut self, now: Time, told: bool, set: &Settings) {
+        let gap = set.fall_span / 2;
+        if let Health::Out { told: before, since } = self.health {
+            self.health = Health::Out { since, told: told || before };
+        } else {
+            self.trial_gap = gap;
+            self.next_trial = now + gap;
+            self.health = Health::Out { since: now, told };
+        }
+    }
+
+    fn slow_down(&mut self, now: Time, set: &Settings) {
+        let span = set.fall_span.max(1) as f64 / SECOND;
+        let sent = self.sent.len() as f64 / span;
+        let least = (0.3 * self.limit / f64::from(set.couriers.max(1))).max(1.0 / span);
+        self.rate = (self.rate.min(sent) * PACE_CUT).max(least);
+        (self.tokens, self.filled) = (0.0, now);
+        self.left = 0.0;
+    }
+
+    fn tokens(&self, now: Time) -> f64 {
+        let grown = self.tokens + self.rate * (now - self.filled) as f64 / SECOND;
+        grown.min((self.rate * BURST).max(1.0))
+    }
+
+    fn paced(&self, now: Time) -> Result<(), Time> {
+        let roomy = self.left > ROOMY && now < self.left_at + SECOND as Time;
+        let tokens = if self.rate.is_finite() { self.tokens(now) } else { 1.0 };
+        if roomy || tokens >= 1.0 {
+            return Ok(());
+        }
+        Err(now + ((1.0 - tokens) / self.rate * SECOND) as Time + 1)
+    }
+
+    fn note_sent(&mut self, now: Time, jitter: f64, set: &Settings) {
+        while self.sent.front().is_some_and(|&t| t + set.fall_span <= now) {
+            self.sent.pop_front();
+        }
+        self.sent.push_back(now);
+        if self.rate.is_finite() {
+            (self.tokens, self.filled) = ((self.tokens(now) - 1.0).max(-1.0), now);
+        }
+        if matches!(self.health, Health::Out { .. }) {
+            self.next_trial = now + (self.trial_gap as f64 * jitter) as Time;
+            self.trial_gap = (self.trial_gap * 3 / 2).min(set.fall_span * 5 / 4);
+        }
+    }
+
+    /// Waits, trials and the return budget. `told` is this courier's part of the told limit.
+    fn open(&self, now: Time, told: f64, set: &Settings) -> Result<(), Time> {
+        if self.wait_until > now {
+            return Err(self.wait_until);
+        }
+        let since = match self.health {
+            Health::Out { .. } if self.next_trial > now => return Err(self.next_trial),
+            Health::Out { .. } => return Ok(()),
+            Health::Back { since } => since,
+            // One failure may be the first sight of an outage that ends unseen: cold until a success.
+            Health::Up if self.run > u32::from(self.harmless) => now,
+            Health::Up => return Ok(()),
+        };
+        let warm = (now - since) as f64 / set.warm_after.max(1) as f64;
+        if warm >= 1.0 {
+            return Ok(());
+        }
+        let share = set.cold_share + (1.0 - set.cold_share) * warm;
+        let span = set.fall_span as f64 / SECOND;
+        let most = (BUDGET_PART * set.fall_multiple * share * told.max(self.peak) * span).max(1.0) as usize;
+        let recent: Vec<Time> = self.sent.iter().copied().filter(|&t| t + set.fall_span > now).collect();
+        if recent.len() < most {
+            return Ok(());
+        }
+        Err(recent[recent.len() - most] + set.fall_span)
+    }
+}
