--- a/src/choice.rs
+++ b/src/choice.rs
@@ -221,7 +221,8 @@
         self.shed();
         self.dispatch();
         self.copy();
-        if self.pending <= self.now || self.wake < self.pending {
+        // A wake-up may come rounded down: one that is due within a tick counts as used.
+        if self.pending <= self.now + self.set.tick || self.wake < self.pending {
             self.pending = self.wake.max(self.now + 1);
             if self.wake != NEVER {
                 self.actions.push(Action::Wake { at: self.pending });
