Incidents: false outages and a crawling pace

Cause: three refusals with no success for a second counted as shut; a pace cut to what had been sent lately left lightly asked destinations at half a call a second. Now shut needs a fall span of refusals, and the pace is cut from itself and grows by time.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -11,11 +11,11 @@
 const NEVER: Time = Time::MAX;
 /// Nanoseconds in a second.
 const SECOND: f64 = 1e9;
-/// Tokens of a full bucket. A courier sees a few calls a second at a destination: ten are some seconds of them.
+/// Tokens of a full bucket. A courier sees a few calls a second at a destination: ten are seconds of it.
 const BUCKET: f64 = 10.0;
 /// Tokens that a failure costs: two failures in a row close a full bucket to extras.
 const BUCKET_RATIO: f64 = 3.0;
-/// Served latencies kept for the resend time; a twentieth of 40 is two samples, the least for a 95th percentile.
+/// Served latencies kept for the resend time; a twentieth of 40 is two.
 const LATENCIES: usize = 40;
 /// Samples from which the percentile is used instead of the aim.
 const ENOUGH: usize = 5;
@@ -37,8 +37,10 @@
 const BUDGET_PART: f64 = 0.6;
 /// Pace kept after a refusal above a limit, of what was sent lately.
 const PACE_CUT: f64 = 0.8;
-/// Growth of the pace with each call served.
-const PACE_GROWTH: f64 = 1.04;
+/// Growth of the pace in a second with calls served.
+const PACE_GROWTH: f64 = 0.15;
+/// Least pace, of an even part of the limit or of the most served: the others may need less than theirs.
+const PACE_LEAST: f64 = 0.5;
 /// First pace, over an even part of a told limit: couriers are loaded unevenly.
 const PACE_START: f64 = 1.5;
 /// A burst may take the pace of this many seconds; destinations queue about as much.
@@ -51,22 +53,18 @@
 // ---- State
 
 /// Health of a limit or an endpoint.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 enum Health {
+    #[default]
     Up,
     /// Out since; `told` when a call failed or was refused, not only silence.
-    Out {
-        since: Time,
-        told: bool,
-    },
+    Out { since: Time, told: bool },
     /// Back: capacity grows since.
-    Back {
-        since: Time,
-    },
+    Back { since: Time },
 }
 
 /// What is known of one limit: a destination, a route apart, or one endpoint of several.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 struct Node {
     health: Health,
     out_at: f64,
@@ -74,6 +72,7 @@
     /// Failing share of late, failures or refusals in a row, and whether the last one proved not to run.
     bad: f64,
     run: u32,
+    run_since: Time,
     harmless: bool,
     last_ok: Time,
     last_answer: Time,
@@ -94,9 +93,11 @@
     rate: f64,
     tokens: f64,
     filled: Time,
+    grown: Time,
+    cut: Time,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Dest {
     node: Node,
     kind: u8,
@@ -111,7 +112,7 @@
     recent: f64,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Site {
     node: Node,
     dest: u32,
@@ -156,7 +157,7 @@
 }
 
 /// The decisions of one courier.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Courier {
     set: Settings,
     seed: u64,
@@ -173,6 +174,8 @@
     lines: BTreeMap<u64, Line>,
     ask_at: Time,
     ask_gap: Time,
+    /// Calls out to destinations that fail or run slow.
+    sick_calls: u32,
     actions: Vec<Action>,
 }
 
@@ -182,23 +185,7 @@
     /// A courier that knows its settings and nothing else.
     pub fn new(set: Settings, seed: u64) -> Self {
         let ask_at = if set.list_asked { 0 } else { NEVER };
-        Courier {
-            set,
-            seed,
-            now: 0,
-            wake: NEVER,
-            pending: NEVER,
-            seq: 0,
-            dests: BTreeMap::new(),
-            sites: BTreeMap::new(),
-            msgs: BTreeMap::new(),
-            outs: BTreeMap::new(),
-            calls: BTreeMap::new(),
-            lines: BTreeMap::new(),
-            ask_at,
-            ask_gap: 0,
-            actions: Vec::new(),
-        }
+        Courier { set, seed, pending: NEVER, ask_at, ..Courier::default() }
     }
 
     /// Takes all events of a round at clock time `now` and says what is to be done.
@@ -219,6 +206,7 @@
         self.answer_due();
         self.look_for_silence();
         self.shed();
+        self.sick_calls = self.dests.values().filter(|d| d.sick()).map(|d| d.calls).sum();
         self.dispatch();
         self.copy();
         // A wake-up may come rounded down: one that is due within a tick counts as used.
@@ -263,16 +251,13 @@
             dest.kind = e.kind;
             dest.endpoints.insert(e.id);
             let apart = self.set.kinds.get(usize::from(e.kind)).is_some_and(|k| k.routes_apart);
+            let out_at = if apart { OUT_AT } else { OUT_AT_ENDPOINT };
             let site = self.sites.entry(e.id).or_insert_with(|| Site {
-                node: Node::new(if apart { OUT_AT } else { OUT_AT_ENDPOINT }),
+                node: Node::new(out_at),
                 dest: e.destination,
                 zone: e.zone,
-                listing: e.listing,
-                calls: 0,
-                connections: 0,
-                used: 0,
                 room: f64::INFINITY,
-                joined: (0, 0, 0),
+                ..Site::default()
             });
             site.listing = e.listing;
             if self.set.rates != Rates::Untold && e.rate > 0.0 {
@@ -682,9 +667,11 @@
         dest.node.open(now, told(&dest.node), set)?;
         // Caps: three quarters of the slots for one destination, half while it fails or runs slow.
         let joins = self.joins(site, dest);
-        let sick = dest.sick(now) || site.node.health != Health::Up;
+        let sick = dest.sick() || site.node.health != Health::Up;
         let cap = if sick { set.slots / 2 } else { set.slots * 3 / 4 }.max(1);
-        let spent = !joins && (self.calls.len() >= set.slots as usize || dest.calls >= cap);
+        // Sick destinations together hold no more than one may: two of them would take all the slots.
+        let held = if sick { self.sick_calls } else { dest.calls };
+        let spent = !joins && (self.calls.len() >= set.slots as usize || held.max(dest.calls) >= cap);
         if spent || f64::from(site.calls) >= site.room.max(1.0) {
             return Err(NEVER);
         }
@@ -739,6 +726,7 @@
         dest.waiting.remove(&(m.seq, message));
         dest.last_slot = now;
         dest.calls += 1;
+        self.sick_calls += u32::from(dest.sick());
         if !site.connected(now, &self.set) {
             site.connections = site.connections.max(site.calls / self.set.calls_per_connection.max(1)) + 1;
         }
@@ -798,6 +786,7 @@
         let full =
             self.calls.len() >= self.set.slots as usize && self.dests.values().any(|d| !d.waiting.is_empty());
         let mut off = Vec::new();
+        let mut late: BTreeMap<u32, u32> = BTreeMap::new();
         let list: Vec<(u32, u16, u32, Time)> = self
             .outs
             .iter()
@@ -810,7 +799,11 @@
             let resend = self.resend(dest, m.class);
             let (class, apart) = (m.class, self.apart(m.dest));
             let Some(node) = self.node(endpoint) else { continue };
-            let (overdue, lost) = (sent + OVERDUE * resend, sent + LOST * resend);
+            // Two calls overdue, or one by far: a single long call among few is chance.
+            let count = late.entry(if apart { endpoint } else { m.dest }).or_default();
+            *count += u32::from(sent + resend <= now && node.last_answer < sent);
+            let overdue = sent + OVERDUE * resend;
+            let lost = sent + LOST * resend;
             let silent = overdue <= now && node.last_answer < sent;
             if (lost <= now && node.answered_sent > sent) || (full && silent) {
                 let repeat = self.set.classes[class].repeat != Repeat::Unsafe;
@@ -856,18 +849,7 @@
 
 impl Dest {
     fn new(kind: u8) -> Self {
-        Dest {
-            node: Node::new(OUT_AT),
-            kind,
-            endpoints: BTreeSet::new(),
-            waiting: BTreeSet::new(),
-            last_slot: 0,
-            calls: 0,
-            bucket: BUCKET,
-            latencies: VecDeque::new(),
-            usual: 0.0,
-            recent: 0.0,
-        }
+        Dest { node: Node::new(OUT_AT), kind, bucket: BUCKET, ..Dest::default() }
     }
 
     fn served(&mut self, took: Time) {
@@ -893,7 +875,7 @@
     }
 
     /// It fails, or runs at a multiple of its usual latency.
-    fn sick(&self, _now: Time) -> bool {
+    fn sick(&self) -> bool {
         self.node.health != Health::Up || self.node.bad > RISKY || self.recent > 3.0 * self.usual
     }
 }
@@ -909,29 +891,7 @@
 
 impl Node {
     fn new(out_at: f64) -> Self {
-        Node {
-            health: Health::Up,
-            out_at,
-            wait_until: 0,
-            bad: 0.0,
-            run: 0,
-            harmless: false,
-            last_ok: 0,
-            last_answer: 0,
-            answered_sent: 0,
-            trial_gap: 0,
-            next_trial: 0,
-            sent: VecDeque::new(),
-            span_start: 0,
-            served: 0.0,
-            peak: 0.0,
-            limit: 0.0,
-            left: 0.0,
-            left_at: 0,
-            rate: f64::INFINITY,
-            tokens: 1.0,
-            filled: 0,
-        }
+        Node { out_at, rate: f64::INFINITY, tokens: 1.0, ..Node::default() }
     }
 
     fn report(&mut self, now: Time, o: &Outcome) {
@@ -954,19 +914,27 @@
                 if wait > 0 {
                     self.wait_until = self.wait_until.max(now + wait);
                 }
+                if self.run == 0 {
+                    self.run_since = now;
+                }
                 self.run += 1;
                 self.harmless = true;
-                let quiet = now.saturating_sub(self.last_ok) > set.fall_span / 2;
-                if matches!(self.health, Health::Out { .. })
-                    || (self.run >= SHUT_RUN && quiet)
-                    || wait > set.fall_span
-                {
+                // Shut, not over the limit: refusals and no success for as long as a destination may take to
+                // fall, or a wait as long as that. After a told wait it is open, and cold.
+                let shut = self.run_since + set.fall_span <= now || wait > set.fall_span / 2;
+                let out = matches!(self.health, Health::Out { .. });
+                if wait > 0 && (shut || out) {
+                    self.health = Health::Back { since: self.wait_until };
+                } else if out || (shut && self.run >= SHUT_RUN) {
                     self.go_out(now, true, set);
                 } else if limits {
                     self.slow_down(now, set);
                 }
             }
             _ => {
+                if self.run == 0 {
+                    self.run_since = now;
+                }
                 self.run += 1;
                 self.harmless = ending == Ending::NoConnection;
                 self.bad += NEWEST * (1.0 - self.bad);
@@ -981,7 +949,8 @@
         self.last_ok = now;
         self.run = 0;
         self.bad -= NEWEST * self.bad;
-        self.rate *= PACE_GROWTH;
+        self.rate *= 1.0 + PACE_GROWTH * ((now - self.grown) as f64 / SECOND).min(1.0);
+        self.grown = now;
         if self.span_start + set.fall_span <= now {
             (self.span_start, self.served) = (now, 0.0);
         }
@@ -1009,12 +978,20 @@
         }
     }
 
+    /// A refusal above a limit. The even part of the limit, or the most ever served, gives the scale: what was
+    /// sent lately may have been little only because little was asked for.
     fn slow_down(&mut self, now: Time, set: &Settings) {
         let span = set.fall_span.max(1) as f64 / SECOND;
-        let sent = self.sent.len() as f64 / span;
-        let least = (0.3 * self.limit / f64::from(set.couriers.max(1))).max(1.0 / span);
-        self.rate = (self.rate.min(sent) * PACE_CUT).max(least);
-        (self.tokens, self.filled) = (0.0, now);
+        let even = self.limit / f64::from(set.couriers.max(1));
+        let scale = if even > 0.0 { even } else { self.peak };
+        if self.rate.is_infinite() {
+            self.rate = PACE_START * scale.max(self.sent.len() as f64 / span);
+        }
+        if self.cut + (BURST * SECOND) as Time <= now {
+            (self.rate, self.cut) = (self.rate * PACE_CUT, now);
+        }
+        self.rate = self.rate.max(PACE_LEAST * scale).max(1.0 / span);
+        (self.tokens, self.filled, self.grown) = (0.0, now, now);
         self.left = 0.0;
     }
 
@@ -1024,7 +1001,7 @@
     }
 
     fn paced(&self, now: Time) -> Result<(), Time> {
-        let roomy = self.left > ROOMY && now < self.left_at + SECOND as Time;
+        let roomy = self.run == 0 && self.left > ROOMY && now < self.left_at + SECOND as Time;
         let tokens = if self.rate.is_finite() { self.tokens(now) } else { 1.0 };
         if roomy || tokens >= 1.0 {
             return Ok(());
@@ -1056,10 +1033,10 @@
             Health::Out { .. } => return Ok(()),
             Health::Back { since } => since,
             // One failure may be the first sight of an outage that ends unseen: cold until a success.
-            Health::Up if self.run > u32::from(self.harmless) => now,
+            Health::Up if self.run > 0 && !self.harmless => now,
             Health::Up => return Ok(()),
         };
-        let warm = (now - since) as f64 / set.warm_after.max(1) as f64;
+        let warm = now.saturating_sub(since) as f64 / set.warm_after.max(1) as f64;
         if warm >= 1.0 {
             return Ok(());
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -127,13 +127,14 @@
 }
 
 /// State of an endpoint in the list; it tells nothing of health.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Listing {
     /// In service.
     Ready,
     /// To be left.
     Draining,
     /// Out of the list.
+    #[default]
     Gone,
 }
 
