Return budget only for whole limits; a short silence needs no ramp

Cause: most held messages waited for the ramp after false silences and for each endpoint's own ramp. Harm: a single endpoint that returns cold is sent its full part.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -34,7 +34,7 @@
 /// Refusals in a row that may mean "shut".
 const SHUT_RUN: u32 = 3;
 /// Part of the fall budget that is used: other couriers and travel may add the rest.
-const BUDGET_PART: f64 = 0.6;
+const BUDGET_PART: f64 = 0.9;
 /// Pace kept after a refusal above a limit, of what was sent lately.
 const PACE_CUT: f64 = 0.8;
 /// Growth of the pace in a second with calls served.
@@ -663,8 +663,8 @@
         // Rule 5: a wait binds the whole limit. Rule 4: trials while out, a budget until warm.
         let couriers = f64::from(set.couriers.max(1));
         let told = |n: &Node| n.limit / couriers / if set.rates == Rates::Rough { 1.5 } else { 1.0 };
-        site.node.open(now, told(&site.node), set)?;
-        dest.node.open(now, told(&dest.node), set)?;
+        site.node.open(now, told(&site.node), self.apart(m.dest), set)?;
+        dest.node.open(now, told(&dest.node), true, set)?;
         // Caps: three quarters of the slots for one destination, half while it fails or runs slow.
         let joins = self.joins(site, dest);
         let sick = dest.sick() || site.node.health != Health::Up;
@@ -957,8 +957,9 @@
         self.served += 1.0;
         self.peak = self.peak.max(self.served / (set.fall_span.max(1) as f64 / SECOND));
         self.health = match self.health {
-            // It was slow, not gone: what was sent before is answered, and nothing failed since.
-            Health::Out { since, told: false } if sent < since => Health::Up,
+            // It was slow or paused, not gone: nothing failed, and what was sent before is answered or the
+            // silence was short.
+            Health::Out { since, told: false } if sent < since || now < since + set.fall_span => Health::Up,
             Health::Out { .. } => Health::Back { since: now },
             // A lucky answer amid failures is no return.
             Health::Back { .. } if self.bad > RISKY => Health::Back { since: now },
@@ -1023,8 +1024,8 @@
         }
     }
 
-    /// Waits, trials and the return budget. `told` is this courier's part of the told limit.
-    fn open(&self, now: Time, told: f64, set: &Settings) -> Result<(), Time> {
+    /// Waits, trials and, for a whole limit, the return budget. `told` is this courier's part of the limit.
+    fn open(&self, now: Time, told: f64, whole: bool, set: &Settings) -> Result<(), Time> {
         if self.wait_until > now {
             return Err(self.wait_until);
         }
@@ -1036,6 +1037,9 @@
             Health::Up if self.run > 0 && !self.harmless => now,
             Health::Up => return Ok(()),
         };
+        if !whole {
+            return Ok(());
+        }
         let warm = now.saturating_sub(since) as f64 / set.warm_after.max(1) as f64;
         if warm >= 1.0 {
             return Ok(());
