Silence judged at the endpoint; trials share a quarter of the slots

Symptom: slots full, holds full, few bad outcomes. Cause: calls to hung endpoints of destinations that answer elsewhere were never silent and held 65 percent of slot time (38 calls of 4 s mean). Told from slowness: nothing came from that endpoint since they were sent, while the destination answered. Also guards against one dead route or a cut link. Harm: a single very long call is called off early.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -174,8 +174,8 @@
     lines: BTreeMap<u64, Line>,
     ask_at: Time,
     ask_gap: Time,
-    /// Calls out to destinations that fail or run slow.
-    sick_calls: u32,
+    /// Calls out to where only trials go.
+    trials: u32,
     actions: Vec<Action>,
 }
 
@@ -206,7 +206,7 @@
         self.answer_due();
         self.look_for_silence();
         self.shed();
-        self.sick_calls = self.dests.values().filter(|d| d.sick()).map(|d| d.calls).sum();
+        self.trials = self.outs.values().filter(|o| self.is_out(o.endpoint)).count() as u32;
         self.dispatch();
         self.copy();
         // A wake-up may come rounded down: one that is due within a tick counts as used.
@@ -633,6 +633,11 @@
         }
     }
 
+    fn is_out(&self, endpoint: u32) -> bool {
+        let site = self.sites.get(&endpoint);
+        site.is_some_and(|s| s.node.out() || self.dests.get(&s.dest).is_some_and(|d| d.node.out()))
+    }
+
     /// Every send passes here, and only here: the six rules and the caps. `Err` tells when to look again.
     fn gate(&self, m: &Msg, id: u32, endpoint: u32) -> Result<(), Time> {
         let (now, set) = (self.now, &self.set);
@@ -669,9 +674,10 @@
         let joins = self.joins(site, dest);
         let sick = dest.sick() || site.node.health != Health::Up;
         let cap = if sick { set.slots / 2 } else { set.slots * 3 / 4 }.max(1);
-        // Sick destinations together hold no more than one may: two of them would take all the slots.
-        let held = if sick { self.sick_calls } else { dest.calls };
-        let spent = !joins && (self.calls.len() >= set.slots as usize || held.max(dest.calls) >= cap);
+        // Trials together take a quarter at most: where a whole zone hangs they would take every slot.
+        let trial = site.node.out() || dest.node.out();
+        let full = self.calls.len() >= set.slots as usize || (trial && self.trials >= (set.slots / 4).max(1));
+        let spent = !joins && (full || dest.calls >= cap);
         if spent || f64::from(site.calls) >= site.room.max(1.0) {
             return Err(NEVER);
         }
@@ -726,7 +732,7 @@
         dest.waiting.remove(&(m.seq, message));
         dest.last_slot = now;
         dest.calls += 1;
-        self.sick_calls += u32::from(dest.sick());
+        self.trials += u32::from(site.node.out() || dest.node.out());
         if !site.connected(now, &self.set) {
             site.connections = site.connections.max(site.calls / self.set.calls_per_connection.max(1)) + 1;
         }
@@ -766,7 +772,7 @@
                 }
                 continue;
             }
-            let out = self.node(endpoint).is_some_and(|n| matches!(n.health, Health::Out { .. }));
+            let out = self.node(endpoint).is_some_and(Node::out);
             let crowded = self.calls.len() + 1 >= self.set.slots as usize
                 && self.dests.values().any(|d| !d.waiting.is_empty());
             if dest.bucket <= BUCKET / 2.0 || crowded || (out && !self.apart(m.dest)) {
@@ -786,7 +792,6 @@
         let full =
             self.calls.len() >= self.set.slots as usize && self.dests.values().any(|d| !d.waiting.is_empty());
         let mut off = Vec::new();
-        let mut late: BTreeMap<u32, u32> = BTreeMap::new();
         let list: Vec<(u32, u16, u32, Time)> = self
             .outs
             .iter()
@@ -794,46 +799,32 @@
             .map(|(&(m, a), o)| (m, a, o.endpoint, o.sent))
             .collect();
         for (id, attempt, endpoint, sent) in list {
-            let Some(m) = self.msgs.get(&id) else { continue };
-            let Some(dest) = self.dests.get(&m.dest) else { continue };
-            let resend = self.resend(dest, m.class);
-            let (class, apart) = (m.class, self.apart(m.dest));
-            let Some(node) = self.node(endpoint) else { continue };
-            // Two calls overdue, or one by far: a single long call among few is chance.
-            let count = late.entry(if apart { endpoint } else { m.dest }).or_default();
-            *count += u32::from(sent + resend <= now && node.last_answer < sent);
-            let overdue = sent + OVERDUE * resend;
-            let lost = sent + LOST * resend;
-            let silent = overdue <= now && node.last_answer < sent;
-            if (lost <= now && node.answered_sent > sent) || (full && silent) {
-                let repeat = self.set.classes[class].repeat != Repeat::Unsafe;
-                if self.set.may_cancel && repeat && self.may_resend(m, None) {
-                    off.push((id, attempt));
-                    continue;
-                }
+            let (Some(m), Some(site)) = (self.msgs.get(&id), self.sites.get_mut(&endpoint)) else { continue };
+            let Some(dest) = self.dests.get_mut(&m.dest) else { continue };
+            let resend = dest.percentile().unwrap_or(self.set.classes[m.class].aim);
+            let (overdue, lost) = (sent + OVERDUE * resend, sent + LOST * resend);
+            if overdue > now {
+                self.wake = self.wake.min(overdue);
+                continue;
             }
-            if silent {
-                let dest_id = m.dest;
-                let quiet = |n: &mut Node| {
-                    let up = !matches!(n.health, Health::Out { .. }) && n.last_answer < sent;
-                    if up {
-                        n.go_out(now, false, &self.set);
-                    }
-                    up
-                };
-                let mut news = self.sites.get_mut(&endpoint).is_some_and(|s| quiet(&mut s.node));
-                if !apart {
-                    news |= self.dests.get_mut(&dest_id).is_some_and(|d| quiet(&mut d.node));
-                }
-                if news {
-                    let text = format!("destination {dest_id} endpoint {endpoint}: silent");
-                    self.actions.push(Action::Log(text));
-                }
-            } else {
-                let next = if overdue > now { overdue } else { lost };
-                if next > now {
-                    self.wake_at(next);
-                }
+            self.wake = if lost > now { self.wake.min(lost) } else { self.wake };
+            let silent = site.node.last_answer < sent;
+            let elsewhere = dest.node.last_answer >= sent;
+            let mut news = silent && site.node.quiet(now, &self.set);
+            if silent
+                && !elsewhere
+                && !self.set.kinds.get(usize::from(dest.kind)).is_some_and(|k| k.routes_apart)
+            {
+                news |= dest.node.quiet(now, &self.set);
+            }
+            if news {
+                let text = format!("destination {} endpoint {endpoint}: silent", m.dest);
+                self.actions.push(Action::Log(text));
+            }
+            let hopeless = silent && (full || elsewhere) || lost <= now && site.node.answered_sent > sent;
+            let repeat = self.set.classes[m.class].repeat != Repeat::Unsafe;
+            if hopeless && self.set.may_cancel && repeat && self.may_resend(&self.msgs[&id], None) {
+                off.push((id, attempt));
             }
         }
         for (message, attempt) in off {
@@ -894,6 +885,10 @@
         Node { out_at, rate: f64::INFINITY, tokens: 1.0, ..Node::default() }
     }
 
+    fn out(&self) -> bool {
+        matches!(self.health, Health::Out { .. })
+    }
+
     fn report(&mut self, now: Time, o: &Outcome) {
         if let Some(limit) = o.limit.filter(|&l| l > 0.0) {
             self.limit = limit;
@@ -922,7 +917,7 @@
                 // Shut, not over the limit: refusals and no success for as long as a destination may take to
                 // fall, or a wait as long as that. After a told wait it is open, and cold.
                 let shut = self.run_since + set.fall_span <= now || wait > set.fall_span / 2;
-                let out = matches!(self.health, Health::Out { .. });
+                let out = self.out();
                 if wait > 0 && (shut || out) {
                     self.health = Health::Back { since: self.wait_until };
                 } else if out || (shut && self.run >= SHUT_RUN) {
@@ -938,7 +933,7 @@
                 self.run += 1;
                 self.harmless = ending == Ending::NoConnection;
                 self.bad += NEWEST * (1.0 - self.bad);
-                if self.bad > self.out_at || matches!(self.health, Health::Out { .. }) {
+                if self.bad > self.out_at || self.out() {
                     self.go_out(now, true, set);
                 }
             }
@@ -981,6 +976,14 @@
 
     /// A refusal above a limit. The even part of the limit, or the most ever served, gives the scale: what was
     /// sent lately may have been little only because little was asked for.
+    fn quiet(&mut self, now: Time, set: &Settings) -> bool {
+        let news = !self.out();
+        if news {
+            self.go_out(now, false, set);
+        }
+        news
+    }
+
     fn slow_down(&mut self, now: Time, set: &Settings) {
         let span = set.fall_span.max(1) as f64 / SECOND;
         let even = self.limit / f64::from(set.couriers.max(1));
@@ -1018,7 +1021,7 @@
         if self.rate.is_finite() {
             (self.tokens, self.filled) = ((self.tokens(now) - 1.0).max(-1.0), now);
         }
-        if matches!(self.health, Health::Out { .. }) {
+        if self.out() {
             self.next_trial = now + (self.trial_gap as f64 * jitter) as Time;
             self.trial_gap = (self.trial_gap * 3 / 2).min(set.fall_span * 5 / 4);
         }
