Pace at the even part of a told limit plus the share told to be left

Symptom: a third of the attempts refused from the start, waits growing, no outage, nothing in the change log. Cause: a pace above the even part, freed wholly by one report of room; where refused calls use up the limit the couriers starved each other, and the refusals looked like shut destinations (ramps of 10 s). Told from an outage: successes between the refusals, reports of room. Now the own pace is at most the even part, plus the told free share. Harm: with reports off, an uneven courier gets no more than the even part until its refusals stay away.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -41,12 +41,12 @@
 const PACE_GROWTH: f64 = 0.15;
 /// Least pace, of an even part of the limit or of the most served: the others may need less than theirs.
 const PACE_LEAST: f64 = 0.5;
-/// First pace, over an even part of a told limit: couriers are loaded unevenly.
+/// First pace after a refusal where none is told, over the most that was sent or served.
 const PACE_START: f64 = 1.5;
+/// Most pace under a rough limit, of its even part: the limit may be twice as high as told.
+const PACE_ROUGH: f64 = 2.0;
 /// A burst may take the pace of this many seconds; destinations queue about as much.
 const BURST: f64 = 0.5;
-/// Share of the limit still free, as told, at which no pace is kept.
-const ROOMY: f64 = 0.3;
 /// Share of `max_held` from which messages are handed back rather than turned away unseen.
 const CROWDED: f64 = 0.9;
 
@@ -88,6 +88,8 @@
     peak: f64,
     /// Limit told, calls a second from all couriers; 0 for none.
     limit: f64,
+    /// Most that the pace may be of an even part of the limit.
+    most: f64,
     left: f64,
     left_at: Time,
     rate: f64,
@@ -262,8 +264,9 @@
             site.listing = e.listing;
             if self.set.rates != Rates::Untold && e.rate > 0.0 {
                 let node = if apart { &mut site.node } else { &mut dest.node };
+                node.most = if self.set.rates == Rates::Rough { PACE_ROUGH } else { 1.0 };
                 if node.limit == 0.0 {
-                    node.rate = e.rate * PACE_START / f64::from(self.set.couriers.max(1));
+                    node.rate = e.rate * node.most / f64::from(self.set.couriers.max(1));
                 }
                 node.limit = e.rate;
             }
@@ -891,7 +894,7 @@
 
     fn report(&mut self, now: Time, o: &Outcome) {
         if let Some(limit) = o.limit.filter(|&l| l > 0.0) {
-            self.limit = limit;
+            (self.limit, self.most) = (limit, 1.0);
             if let Some(left) = o.left {
                 (self.left, self.left_at) = (left, now);
             }
@@ -914,9 +917,9 @@
                 }
                 self.run += 1;
                 self.harmless = true;
-                // Shut, not over the limit: refusals and no success for as long as a destination may take to
-                // fall, or a wait as long as that. After a told wait it is open, and cold.
-                let shut = self.run_since + set.fall_span <= now || wait > set.fall_span / 2;
+                // Shut, not over the limit: refusals and told waits without a success for longer than a limit's
+                // span lasts. After a told wait it is open, and cold.
+                let shut = self.run_since + set.fall_span * 3 / 2 <= now + wait;
                 let out = self.out();
                 if wait > 0 && (shut || out) {
                     self.health = Health::Back { since: self.wait_until };
@@ -944,6 +947,9 @@
         self.last_ok = now;
         self.run = 0;
         self.bad -= NEWEST * self.bad;
+        if self.limit > 0.0 {
+            self.rate = self.rate.min(self.most * self.limit / f64::from(set.couriers.max(1)));
+        }
         self.rate *= 1.0 + PACE_GROWTH * ((now - self.grown) as f64 / SECOND).min(1.0);
         self.grown = now;
         if self.span_start + set.fall_span <= now {
@@ -999,18 +1005,23 @@
         self.left = 0.0;
     }
 
+    /// The pace now: the own part, and of the others' parts the share that is told to be left.
+    fn pace(&self, now: Time) -> f64 {
+        let left = if self.run == 0 && now < self.left_at + SECOND as Time { self.left } else { 0.0 };
+        self.rate + left * self.limit
+    }
+
     fn tokens(&self, now: Time) -> f64 {
-        let grown = self.tokens + self.rate * (now - self.filled) as f64 / SECOND;
-        grown.min((self.rate * BURST).max(1.0))
+        let pace = self.pace(now);
+        let grown = self.tokens + pace * (now - self.filled) as f64 / SECOND;
+        grown.min((pace * BURST).max(1.0))
     }
 
     fn paced(&self, now: Time) -> Result<(), Time> {
-        let roomy = self.run == 0 && self.left > ROOMY && now < self.left_at + SECOND as Time;
-        let tokens = if self.rate.is_finite() { self.tokens(now) } else { 1.0 };
-        if roomy || tokens >= 1.0 {
+        if self.rate.is_infinite() || self.tokens(now) >= 1.0 {
             return Ok(());
         }
-        Err(now + ((1.0 - tokens) / self.rate * SECOND) as Time + 1)
+        Err(now + ((1.0 - self.tokens(now)) / self.pace(now) * SECOND) as Time + 1)
     }
 
     fn note_sent(&mut self, now: Time, jitter: f64, set: &Settings) {
