--- a/simhost/src/wire.rs
+++ b/simhost/src/wire.rs
@@ -363,3 +363,6 @@
         route_fees: list(&family["route_fee"]).iter().map(num).collect(),
     })
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -3,7 +3,8 @@
 //! Reading order: values, state, one round, the list, messages, outcomes, sending, the gate, copies, health.
 
 use crate::interface::*;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use crate::state::{Dest, Health, Line, Msg, Node, Out, Random, Site};
+use std::collections::{BTreeMap, VecDeque};
 
 // ---- Values. Spans in seconds are turned into settings' terms where a setting gives the measure.
 
@@ -47,122 +48,18 @@
 const PACE_ROUGH: f64 = 2.0;
 /// A burst may take the pace of this many seconds; destinations queue about as much.
 const BURST: f64 = 0.5;
+/// Seconds of its share that a tenant may save up: shares are meant over a while.
+const SAVED: f64 = 5.0;
 /// Share of `max_held` from which messages are handed back rather than turned away unseen.
 const CROWDED: f64 = 0.9;
 
-// ---- State
-
-/// Health of a limit or an endpoint.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-enum Health {
-    #[default]
-    Up,
-    /// Out since; `told` when a call failed or was refused, not only silence.
-    Out { since: Time, told: bool },
-    /// Back: capacity grows since.
-    Back { since: Time },
-}
-
-/// What is known of one limit: a destination, a route apart, or one endpoint of several.
-#[derive(Clone, Debug, Default)]
-struct Node {
-    health: Health,
-    out_at: f64,
-    wait_until: Time,
-    /// Failing share of late, failures or refusals in a row, and whether the last one proved not to run.
-    bad: f64,
-    run: u32,
-    run_since: Time,
-    harmless: bool,
-    last_ok: Time,
-    last_answer: Time,
-    /// Latest sending time among calls answered.
-    answered_sent: Time,
-    trial_gap: Time,
-    next_trial: Time,
-    /// Calls of the last fall span.
-    sent: VecDeque<Time>,
-    /// Calls served in the running span, and the most served in one.
-    span_start: Time,
-    served: f64,
-    peak: f64,
-    /// Limit told, calls a second from all couriers; 0 for none.
-    limit: f64,
-    /// Most that the pace may be of an even part of the limit.
-    most: f64,
-    left: f64,
-    left_at: Time,
-    rate: f64,
-    tokens: f64,
-    filled: Time,
-    grown: Time,
-    cut: Time,
-}
-
-#[derive(Debug, Default)]
-struct Dest {
-    node: Node,
-    kind: u8,
-    endpoints: BTreeSet<u32>,
-    /// Messages held, oldest first.
-    waiting: BTreeSet<(u64, u32)>,
-    last_slot: Time,
-    calls: u32,
-    bucket: f64,
-    latencies: VecDeque<Time>,
-    usual: f64,
-    recent: f64,
-}
-
-#[derive(Debug, Default)]
-struct Site {
-    node: Node,
-    dest: u32,
-    zone: u8,
-    listing: Listing,
-    calls: u32,
-    connections: u32,
-    used: Time,
-    room: f64,
-    /// The call that sends of this round may join, and the sends in it.
-    joined: (u64, Time, u32),
-}
-
-#[derive(Debug)]
-struct Msg {
-    dest: u32,
-    class: usize,
-    key: u64,
-    tenant: u32,
-    seq: u64,
-    taken: Time,
-    due: Time,
-    attempts: u16,
-    live: u32,
-    /// Attempts that are out or may have run: when sent, number, zone.
-    maybe: Vec<(Time, u16, u8)>,
-    over: bool,
-}
-
-#[derive(Debug)]
-struct Out {
-    endpoint: u32,
-    sent: Time,
-    call: u64,
-    cancelled: bool,
-}
-
-#[derive(Debug, Default)]
-struct Line {
-    queue: VecDeque<u32>,
-    rest: Time,
-}
+// ---- State of a courier; that of a destination, endpoint, limit and message is in `src/state.rs`
 
 /// The decisions of one courier.
 #[derive(Debug, Default)]
 pub struct Courier {
     set: Settings,
-    seed: u64,
+    random: Random,
     now: Time,
     wake: Time,
     pending: Time,
@@ -174,6 +71,8 @@
     /// Sends in each running call.
     calls: BTreeMap<u64, u32>,
     lines: BTreeMap<u64, Line>,
+    /// What each tenant has left of its share, and since when.
+    shares: BTreeMap<usize, (f64, Time)>,
     ask_at: Time,
     ask_gap: Time,
     /// Calls out to where only trials go.
@@ -187,7 +86,7 @@
     /// A courier that knows its settings and nothing else.
     pub fn new(set: Settings, seed: u64) -> Self {
         let ask_at = if set.list_asked { 0 } else { NEVER };
-        Courier { set, seed, pending: NEVER, ask_at, ..Courier::default() }
+        Courier { set, random: Random(seed), pending: NEVER, ask_at, ..Courier::default() }
     }
 
     /// Takes all events of a round at clock time `now` and says what is to be done.
@@ -214,10 +113,8 @@
         // A wake-up may come rounded down: one that is due within a tick counts as used.
         if self.pending <= self.now + self.set.tick || self.wake < self.pending {
             self.pending = self.wake.max(self.now + 1);
-            if self.wake != NEVER {
+            if self.pending != NEVER {
                 self.actions.push(Action::Wake { at: self.pending });
-            } else {
-                self.pending = NEVER;
             }
         }
         std::mem::take(&mut self.actions)
@@ -227,15 +124,6 @@
         self.wake = self.wake.min(at);
     }
 
-    /// A number in [0, 1) from the seed (splitmix64).
-    fn random(&mut self) -> f64 {
-        self.seed = self.seed.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mut z = self.seed;
-        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        ((z ^ (z >> 31)) >> 11) as f64 / (1u64 << 53) as f64
-    }
-
     // ---- The list
 
     fn listed(&mut self, whole: bool, entries: Vec<Endpoint>) {
@@ -252,7 +140,7 @@
             let dest = self.dests.entry(e.destination).or_insert_with(|| Dest::new(e.kind));
             dest.kind = e.kind;
             dest.endpoints.insert(e.id);
-            let apart = self.set.kinds.get(usize::from(e.kind)).is_some_and(|k| k.routes_apart);
+            let apart = apart_kind(&self.set, e.kind);
             let out_at = if apart { OUT_AT } else { OUT_AT_ENDPOINT };
             let site = self.sites.entry(e.id).or_insert_with(|| Site {
                 node: Node::new(out_at),
@@ -272,21 +160,15 @@
             }
         }
         let dests = &mut self.dests;
-        self.sites.retain(|id, s| {
-            let keep = s.listing != Listing::Gone || s.calls > 0;
-            if !keep {
-                if let Some(d) = dests.get_mut(&s.dest) {
-                    d.endpoints.remove(id);
-                }
-            }
-            keep
-        });
+        self.sites.retain(|_, s| s.listing != Listing::Gone || s.calls > 0);
+        let sites = &self.sites;
+        dests.values_mut().for_each(|d| d.endpoints.retain(|e| sites.contains_key(e)));
     }
 
     /// The list or its watch failed: ask again, each time later, so that many couriers do not jam it.
     fn list_failed(&mut self) {
         self.ask_gap = (self.ask_gap * 2).clamp(self.set.ask_within / 20, self.set.ask_within / 3);
-        self.ask_at = self.now + (self.ask_gap as f64 * (0.5 + self.random())) as Time;
+        self.ask_at = self.now + (self.ask_gap as f64 * (0.5 + self.random.draw())) as Time;
     }
 
     fn ask(&mut self) {
@@ -309,19 +191,17 @@
         let deadline = self.set.classes[class].deadline;
         let due = self.now + t.time_left;
         let key = if self.set.classes[class].ordered { t.key } else { 0 };
+        let beyond = self.beyond_share(t.tenant as usize);
         self.seq += 1;
         let msg = Msg {
             dest: t.destination,
             class,
             key,
-            tenant: t.tenant,
+            beyond,
             seq: self.seq,
             taken: due.saturating_sub(deadline),
             due,
-            attempts: 0,
-            live: 0,
-            maybe: Vec::new(),
-            over: false,
+            ..Msg::default()
         };
         if key != 0 {
             self.lines.entry(key).or_default().queue.push_back(t.id);
@@ -331,6 +211,18 @@
         self.msgs.insert(t.id, msg);
     }
 
+    /// Whether a tenant has handed in more than this courier's part of its share.
+    fn beyond_share(&mut self, tenant: usize) -> bool {
+        let Some(&quota) = self.set.tenants.get(tenant).filter(|&&q| q > 0.0) else { return false };
+        let part = quota / f64::from(self.set.couriers.max(1));
+        let (saved, since) = self.shares.entry(tenant).or_insert((part * SAVED, self.now));
+        let grown = *saved + part * (self.now - *since) as f64 / SECOND;
+        (*saved, *since) = (grown.min(part * SAVED), self.now);
+        let beyond = *saved < 1.0;
+        *saved -= if beyond { 0.0 } else { 1.0 };
+        beyond
+    }
+
     /// The message has its answer: nothing more goes out for it, and what is out is called off.
     fn end(&mut self, id: u32) {
         let Some(m) = self.msgs.get_mut(&id) else { return };
@@ -382,19 +274,15 @@
         self.end(id);
     }
 
-    /// Rule 1: whatever is still open is answered two rounds before its time is up.
+    /// Rule 1: whatever is still open is answered two rounds before its time is up; at once when it may have
+    /// run and may not go again.
     fn answer_due(&mut self) {
-        let margin = 2 * self.set.tick;
-        let due: Vec<u32> = self
-            .msgs
-            .iter()
-            .filter(|(_, m)| !m.over && m.due <= self.now + margin)
-            .map(|(&id, _)| id)
-            .collect();
-        for id in due {
-            self.give_up(id, 0);
-        }
-        let next = self.msgs.values().filter(|m| !m.over).map(|m| m.due - margin).min();
+        let at = self.now + 2 * self.set.tick;
+        let hopeless = |m: &Msg| m.due <= at || (m.live == 0 && !self.may_resend(m, None));
+        let open = self.msgs.iter().filter(|(_, m)| !m.over);
+        let due: Vec<u32> = open.filter_map(|(&id, m)| hopeless(m).then_some(id)).collect();
+        due.iter().for_each(|&id| self.give_up(id, 0));
+        let next = self.msgs.values().filter(|m| !m.over).map(|m| m.due - 2 * self.set.tick).min();
         self.wake_at(next.unwrap_or(NEVER));
     }
 
@@ -423,7 +311,7 @@
         } else {
             1.0 - (1.0 - class.late_worth) * late / (class.deadline.saturating_sub(class.aim)).max(1) as f64
         };
-        class.worth * kept
+        class.worth * kept * if m.beyond { self.set.over_share_worth } else { 1.0 }
     }
 
     // ---- Outcomes
@@ -432,10 +320,8 @@
         let Some(out) = self.outs.remove(&(o.message, o.attempt)) else { return };
         if let Some(sends) = self.calls.get_mut(&out.call) {
             *sends -= 1;
-            if *sends == 0 {
-                self.calls.remove(&out.call);
-            }
         }
+        self.calls.retain(|_, sends| *sends > 0);
         self.learn(&o, &out);
         let Some(m) = self.msgs.get_mut(&o.message) else { return };
         m.live -= 1;
@@ -449,17 +335,12 @@
                 line.rest = line.rest.max(self.now + self.set.key_rest);
             }
         }
+        let (seq, dest) = (m.seq, m.dest);
         if o.over {
-            m.over = true;
             self.end(o.message);
-            return;
-        }
-        let (seq, dest) = (m.seq, m.dest);
-        if m.over || m.live > 0 {
+        } else if m.over || m.live > 0 {
             self.forget(o.message);
-            return;
-        }
-        if self.may_resend(&self.msgs[&o.message], None) {
+        } else if self.may_resend(&self.msgs[&o.message], None) {
             if let Some(d) = self.dests.get_mut(&dest) {
                 d.waiting.insert((seq, o.message));
             }
@@ -490,7 +371,7 @@
         let (now, set) = (self.now, &self.set);
         let Some(site) = self.sites.get_mut(&o.endpoint) else { return };
         let Some(dest) = self.dests.get_mut(&site.dest) else { return };
-        let apart = set.kinds.get(usize::from(dest.kind)).is_some_and(|k| k.routes_apart);
+        let apart = apart_kind(set, dest.kind);
         site.calls = site.calls.saturating_sub(1);
         dest.calls = dest.calls.saturating_sub(1);
         site.used = now;
@@ -503,17 +384,15 @@
                 site.room += 1.0 / site.room.max(1.0);
             }
             Ending::NotSent { .. } | Ending::Cancelled => return,
-            Ending::NoConnection if site.calls > 0 && site.node.last_ok + set.fall_span > now => {
+            _ => dest.bucket = (dest.bucket - BUCKET_RATIO).max(0.0),
+        }
+        if matches!(o.ending, Ending::NoConnection | Ending::Reset) {
+            site.connections = site.calls;
+            if site.calls > 0 && o.ending == Ending::NoConnection && site.node.last_ok + set.fall_span > now {
                 // Connections are capped there: fewer at once, and no word on its health.
                 site.room = f64::from(site.calls);
-                dest.bucket = (dest.bucket - BUCKET_RATIO).max(0.0);
                 return;
             }
-            Ending::NoConnection | Ending::Reset => site.connections = site.calls,
-            _ => {}
-        }
-        if o.ending != Ending::Served {
-            dest.bucket = (dest.bucket - BUCKET_RATIO).max(0.0);
         }
         let was = if apart { site.node.health } else { dest.node.health };
         site.node.outcome(now, out.sent, o.ending, apart, set);
@@ -538,8 +417,7 @@
         let mut order: Vec<(Time, u32)> = self
             .dests
             .iter()
-            .filter(|(_, d)| !d.waiting.is_empty())
-            .map(|(&id, d)| (d.last_slot, id))
+            .filter_map(|(&id, d)| (!d.waiting.is_empty()).then_some((d.last_slot, id)))
             .collect();
         order.sort_unstable();
         let mut order = VecDeque::from(order);
@@ -568,19 +446,13 @@
             }
             held.sort_unstable();
         }
-        let mut wake = NEVER;
-        let mut found = None;
         for (_, _, m) in held {
             match self.choose(m, &[]) {
-                Ok(endpoint) => {
-                    found = Some((m, endpoint));
-                    break;
-                }
-                Err(at) => wake = wake.min(at),
+                Ok(endpoint) => return Some((m, endpoint)),
+                Err(at) => self.wake_at(at),
             }
         }
-        self.wake_at(wake);
-        found
+        None
     }
 
     /// The best endpoint that the gate lets the message go to, or when to look again.
@@ -608,22 +480,15 @@
     /// Calls out there, its failing share, and the prices of reaching it, in calls.
     fn cost(&self, endpoint: u32) -> f64 {
         let (s, set) = (&self.sites[&endpoint], &self.set);
-        let mut price = 0.0;
-        if !s.connected(self.now, set) {
-            price += set.connection_price;
-        }
-        if s.zone != set.zone {
-            price += set.crossing_price;
-        }
-        if self.apart(s.dest) {
-            price += set.route_fees.get(usize::from(s.zone)).copied().unwrap_or(0.0);
-        }
+        let connecting = if s.connected(self.now, set) { 0.0 } else { set.connection_price };
+        let crossing = if s.zone == set.zone { 0.0 } else { set.crossing_price };
+        let fee = set.route_fees.get(usize::from(s.zone)).filter(|_| self.apart(s.dest));
+        let price = connecting + crossing + fee.unwrap_or(&0.0);
         f64::from(s.calls) + 4.0 * s.node.bad + 10.0 * price
     }
 
     fn apart(&self, dest: u32) -> bool {
-        let kind = self.dests.get(&dest).map_or(0, |d| usize::from(d.kind));
-        self.set.kinds.get(kind).is_some_and(|k| k.routes_apart)
+        self.dests.get(&dest).is_some_and(|d| apart_kind(&self.set, d.kind))
     }
 
     /// The limit that a send to this endpoint comes under.
@@ -647,26 +512,21 @@
         let (Some(site), Some(dest)) = (self.sites.get(&endpoint), self.dests.get(&m.dest)) else {
             return Err(NEVER);
         };
-        // Rule 1: nothing for a message that is over or about to be.
-        if m.over || m.due <= now + 2 * set.tick || u32::from(m.attempts) >= set.max_attempts {
-            return Err(NEVER);
-        }
-        // Rule 2: no second effect; two at once only where that is allowed.
-        if !self.may_resend(m, Some(site.zone)) || (m.live > 0 && !set.may_copy) {
-            return Err(NEVER);
-        }
-        // Rule 3: nothing to an endpoint that drains or is gone, from the round that told it.
-        if site.listing != Listing::Ready {
+        // Rule 1: nothing for a message that is over or about to be. Rule 2: no second effect, and two at once
+        // only where that is allowed. Rule 3: nothing to an endpoint that drains or is gone.
+        if m.over
+            || m.due <= now + 2 * set.tick
+            || !self.may_resend(m, Some(site.zone))
+            || (m.live > 0 && !set.may_copy)
+            || site.listing != Listing::Ready
+        {
             return Err(NEVER);
         }
         // Rule 6: one at a time for a key, in turn, and rested.
-        if let Some(line) = self.lines.get(&m.key).filter(|_| m.key != 0) {
-            if line.queue.front() != Some(&id) {
-                return Err(NEVER);
-            }
-            if line.rest > now && m.attempts == 0 {
-                return Err(line.rest);
-            }
+        match self.lines.get(&m.key).filter(|_| m.key != 0) {
+            Some(line) if line.queue.front() != Some(&id) => return Err(NEVER),
+            Some(line) if line.rest > now && m.attempts == 0 => return Err(line.rest),
+            _ => {}
         }
         // Rule 5: a wait binds the whole limit. Rule 4: trials while out, a budget until warm.
         let couriers = f64::from(set.couriers.max(1));
@@ -674,25 +534,18 @@
         site.node.open(now, told(&site.node), self.apart(m.dest), set)?;
         dest.node.open(now, told(&dest.node), true, set)?;
         // Caps: three quarters of the slots for one destination, half while it fails or runs slow.
-        let joins = self.joins(site, dest);
         let sick = dest.sick() || site.node.health != Health::Up;
         let cap = if sick { set.slots / 2 } else { set.slots * 3 / 4 }.max(1);
         // Trials together take a quarter at most: where a whole zone hangs they would take every slot.
         let trial = site.node.out() || dest.node.out();
         let full = self.calls.len() >= set.slots as usize || (trial && self.trials >= (set.slots / 4).max(1));
-        let spent = !joins && (full || dest.calls >= cap);
+        let spent = site.joins(now, set, dest.kind).is_none() && (full || dest.calls >= cap);
         if spent || f64::from(site.calls) >= site.room.max(1.0) {
             return Err(NEVER);
         }
         Ok(())
     }
 
-    /// A send of this round to an endpoint may join the call that an earlier one started.
-    fn joins(&self, site: &Site, dest: &Dest) -> bool {
-        let most = self.set.kinds.get(usize::from(dest.kind)).map_or(1, |k| k.per_call);
-        site.joined.1 == self.now && site.joined.2 > 0 && site.joined.2 < most
-    }
-
     /// Pace under a shared limit, the bucket for extras, and messages that have no second chance.
     fn courtesy(&self, m: &Msg, endpoint: u32) -> Result<(), Time> {
         let (now, site, dest) = (self.now, &self.sites[&endpoint], &self.dests[&m.dest]);
@@ -713,20 +566,18 @@
 
     fn send(&mut self, message: u32, endpoint: u32) {
         let now = self.now;
-        let jitter = 0.8 + 0.4 * self.random();
+        let jitter = 0.8 + 0.4 * self.random.draw();
         let apart = self.sites.get(&endpoint).is_some_and(|s| self.apart(s.dest));
         let Some(m) = self.msgs.get_mut(&message) else { return };
         let (Some(site), Some(dest)) = (self.sites.get_mut(&endpoint), self.dests.get_mut(&m.dest)) else {
             return;
         };
-        let most = self.set.kinds.get(usize::from(dest.kind)).map_or(1, |k| k.per_call);
-        if site.joined.1 == now && site.joined.2 > 0 && site.joined.2 < most {
-            site.joined.2 += 1;
-        } else {
+        let call = site.joins(now, &self.set, dest.kind).unwrap_or_else(|| {
             self.seq += 1;
-            site.joined = (self.seq, now, 1);
-        }
-        let call = site.joined.0;
+            site.joined = (self.seq, now, 0);
+            self.seq
+        });
+        site.joined.2 += 1;
         *self.calls.entry(call).or_default() += 1;
         let attempt = m.attempts;
         m.attempts += 1;
@@ -751,24 +602,25 @@
 
     // ---- Copies, lost calls, silence
 
-    /// The resend time: the 95th percentile of the destination's recent latencies, at first the aim.
-    fn resend(&self, dest: &Dest, class: usize) -> Time {
-        dest.percentile().unwrap_or(self.set.classes[class].aim)
+    /// Attempts out and not called off: message, attempt, endpoint, when sent.
+    fn running(&self) -> Vec<(u32, u16, u32, Time)> {
+        let on = self.outs.iter().filter(|(_, o)| !o.cancelled);
+        on.map(|(&(m, a), o)| (m, a, o.endpoint, o.sent)).collect()
+    }
+
+    /// So many slots are free, or fewer, and messages wait.
+    fn crowded(&self, free: usize) -> bool {
+        self.calls.len() + free >= self.set.slots as usize
+            && self.dests.values().any(|d| !d.waiting.is_empty())
     }
 
     /// A copy goes to another endpoint when the resend time has passed; never for the last slot while
     /// others wait, nor to a limit that is out, told to wait or over its pace.
     fn copy(&mut self) {
-        let list: Vec<(u32, u32, Time)> = self
-            .outs
-            .iter()
-            .filter(|(_, o)| !o.cancelled)
-            .map(|(&(m, _), o)| (m, o.endpoint, o.sent))
-            .collect();
-        for (id, endpoint, sent) in list {
+        for (id, _, endpoint, sent) in self.running() {
             let Some(m) = self.msgs.get(&id).filter(|m| !m.over && m.live == 1) else { continue };
             let Some(dest) = self.dests.get(&m.dest).filter(|d| d.endpoints.len() > 1) else { continue };
-            let at = sent + self.resend(dest, m.class);
+            let at = sent + dest.resend(self.set.classes[m.class].aim);
             if at > self.now {
                 if at < m.due {
                     self.wake_at(at);
@@ -776,9 +628,7 @@
                 continue;
             }
             let out = self.node(endpoint).is_some_and(Node::out);
-            let crowded = self.calls.len() + 1 >= self.set.slots as usize
-                && self.dests.values().any(|d| !d.waiting.is_empty());
-            if dest.bucket <= BUCKET / 2.0 || crowded || (out && !self.apart(m.dest)) {
+            if dest.bucket <= BUCKET / 2.0 || self.crowded(1) || (out && !self.apart(m.dest)) {
                 continue;
             }
             if let Ok(other) = self.choose(id, &[endpoint]) {
@@ -792,19 +642,12 @@
     /// where the class allows a repeat it is called off.
     fn look_for_silence(&mut self) {
         let now = self.now;
-        let full =
-            self.calls.len() >= self.set.slots as usize && self.dests.values().any(|d| !d.waiting.is_empty());
+        let full = self.crowded(0);
         let mut off = Vec::new();
-        let list: Vec<(u32, u16, u32, Time)> = self
-            .outs
-            .iter()
-            .filter(|(_, o)| !o.cancelled)
-            .map(|(&(m, a), o)| (m, a, o.endpoint, o.sent))
-            .collect();
-        for (id, attempt, endpoint, sent) in list {
+        for (id, attempt, endpoint, sent) in self.running() {
             let (Some(m), Some(site)) = (self.msgs.get(&id), self.sites.get_mut(&endpoint)) else { continue };
             let Some(dest) = self.dests.get_mut(&m.dest) else { continue };
-            let resend = dest.percentile().unwrap_or(self.set.classes[m.class].aim);
+            let resend = dest.resend(self.set.classes[m.class].aim);
             let (overdue, lost) = (sent + OVERDUE * resend, sent + LOST * resend);
             if overdue > now {
                 self.wake = self.wake.min(overdue);
@@ -813,12 +656,9 @@
             self.wake = if lost > now { self.wake.min(lost) } else { self.wake };
             let silent = site.node.last_answer < sent;
             let elsewhere = dest.node.last_answer >= sent;
-            let mut news = silent && site.node.quiet(now, &self.set);
-            if silent
-                && !elsewhere
-                && !self.set.kinds.get(usize::from(dest.kind)).is_some_and(|k| k.routes_apart)
-            {
-                news |= dest.node.quiet(now, &self.set);
+            let mut news = silent && site.node.go_out(now, false, &self.set);
+            if silent && !elsewhere && !apart_kind(&self.set, dest.kind) {
+                news |= dest.node.go_out(now, false, &self.set);
             }
             if news {
                 let text = format!("destination {} endpoint {endpoint}: silent", m.dest);
@@ -841,6 +681,10 @@
 
 // ---- Destinations and endpoints
 
+fn apart_kind(set: &Settings, kind: u8) -> bool {
+    set.kinds.get(usize::from(kind)).is_some_and(|k| k.routes_apart)
+}
+
 impl Dest {
     fn new(kind: u8) -> Self {
         Dest { node: Node::new(OUT_AT), kind, bucket: BUCKET, ..Dest::default() }
@@ -859,13 +703,11 @@
         self.usual += (took - self.usual) / LATENCIES as f64;
     }
 
-    fn percentile(&self) -> Option<Time> {
-        if self.latencies.len() < ENOUGH {
-            return None;
-        }
+    /// The resend time: the 95th percentile of recent latencies, the aim until there are enough.
+    fn resend(&self, aim: Time) -> Time {
         let mut sorted: Vec<Time> = self.latencies.iter().copied().collect();
         sorted.sort_unstable();
-        Some(sorted[(sorted.len() * 95 / 100).min(sorted.len() - 1)])
+        sorted.get(sorted.len() * 95 / 100).filter(|_| sorted.len() >= ENOUGH).copied().unwrap_or(aim)
     }
 
     /// It fails, or runs at a multiple of its usual latency.
@@ -875,6 +717,12 @@
 }
 
 impl Site {
+    /// The call of this round that another send to this endpoint may join.
+    fn joins(&self, now: Time, set: &Settings, kind: u8) -> Option<u64> {
+        let most = set.kinds.get(usize::from(kind)).map_or(1, |k| k.per_call);
+        (self.joined.1 == now && self.joined.2 > 0 && self.joined.2 < most).then_some(self.joined.0)
+    }
+
     fn connected(&self, now: Time, set: &Settings) -> bool {
         let streams = set.calls_per_connection.max(1);
         (self.calls < self.connections * streams) && (self.calls > 0 || self.used + set.connection_idle > now)
@@ -906,15 +754,15 @@
             self.last_answer = now;
             self.answered_sent = self.answered_sent.max(sent);
         }
+        if self.run == 0 {
+            self.run_since = now;
+        }
         match ending {
             Ending::Served => self.ok(now, sent, set),
             Ending::Full { wait } => {
                 if wait > 0 {
                     self.wait_until = self.wait_until.max(now + wait);
                 }
-                if self.run == 0 {
-                    self.run_since = now;
-                }
                 self.run += 1;
                 self.harmless = true;
                 // Shut, not over the limit: refusals and told waits without a success for longer than a limit's
@@ -930,9 +778,6 @@
                 }
             }
             _ => {
-                if self.run == 0 {
-                    self.run_since = now;
-                }
                 self.run += 1;
                 self.harmless = ending == Ending::NoConnection;
                 self.bad += NEWEST * (1.0 - self.bad);
@@ -969,27 +814,20 @@
         };
     }
 
-    fn go_out(&mut self, now: Time, told: bool, set: &Settings) {
-        let gap = set.fall_span / 2;
+    /// Only spaced trials from now on; true if that is news.
+    fn go_out(&mut self, now: Time, told: bool, set: &Settings) -> bool {
         if let Health::Out { told: before, since } = self.health {
             self.health = Health::Out { since, told: told || before };
-        } else {
-            self.trial_gap = gap;
-            self.next_trial = now + gap;
-            self.health = Health::Out { since: now, told };
+            return false;
         }
+        self.trial_gap = set.fall_span / 2;
+        self.next_trial = now + self.trial_gap;
+        self.health = Health::Out { since: now, told };
+        true
     }
 
     /// A refusal above a limit. The even part of the limit, or the most ever served, gives the scale: what was
     /// sent lately may have been little only because little was asked for.
-    fn quiet(&mut self, now: Time, set: &Settings) -> bool {
-        let news = !self.out();
-        if news {
-            self.go_out(now, false, set);
-        }
-        news
-    }
-
     fn slow_down(&mut self, now: Time, set: &Settings) {
         let span = set.fall_span.max(1) as f64 / SECOND;
         let even = self.limit / f64::from(set.couriers.max(1));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -37,6 +37,7 @@
 
 mod choice;
 mod interface;
+mod state;
 
 pub use choice::Courier;
 pub use interface::*;
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,126 @@
+//! What the decision module keeps in mind; it decides nothing here.
+
+use crate::interface::{Listing, Time};
+use std::collections::{BTreeSet, VecDeque};
+
+/// Health of a limit or an endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) enum Health {
+    #[default]
+    Up,
+    /// Out since; `told` when a call failed or was refused, not only silence.
+    Out { since: Time, told: bool },
+    /// Back: capacity grows since.
+    Back { since: Time },
+}
+
+/// What is known of one limit: a destination, a route apart, or one endpoint of several.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Node {
+    pub(crate) health: Health,
+    pub(crate) out_at: f64,
+    pub(crate) wait_until: Time,
+    /// Failing share of late, failures or refusals in a row, and whether the last one proved not to run.
+    pub(crate) bad: f64,
+    pub(crate) run: u32,
+    pub(crate) run_since: Time,
+    pub(crate) harmless: bool,
+    pub(crate) last_ok: Time,
+    pub(crate) last_answer: Time,
+    /// Latest sending time among calls answered.
+    pub(crate) answered_sent: Time,
+    pub(crate) trial_gap: Time,
+    pub(crate) next_trial: Time,
+    /// Calls of the last fall span.
+    pub(crate) sent: VecDeque<Time>,
+    /// Calls served in the running span, and the most served in one.
+    pub(crate) span_start: Time,
+    pub(crate) served: f64,
+    pub(crate) peak: f64,
+    /// Limit told, calls a second from all couriers; 0 for none.
+    pub(crate) limit: f64,
+    /// Most that the pace may be of an even part of the limit.
+    pub(crate) most: f64,
+    pub(crate) left: f64,
+    pub(crate) left_at: Time,
+    pub(crate) rate: f64,
+    pub(crate) tokens: f64,
+    pub(crate) filled: Time,
+    pub(crate) grown: Time,
+    pub(crate) cut: Time,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct Dest {
+    pub(crate) node: Node,
+    pub(crate) kind: u8,
+    pub(crate) endpoints: BTreeSet<u32>,
+    /// Messages held, oldest first.
+    pub(crate) waiting: BTreeSet<(u64, u32)>,
+    pub(crate) last_slot: Time,
+    pub(crate) calls: u32,
+    pub(crate) bucket: f64,
+    pub(crate) latencies: VecDeque<Time>,
+    pub(crate) usual: f64,
+    pub(crate) recent: f64,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct Site {
+    pub(crate) node: Node,
+    pub(crate) dest: u32,
+    pub(crate) zone: u8,
+    pub(crate) listing: Listing,
+    pub(crate) calls: u32,
+    pub(crate) connections: u32,
+    pub(crate) used: Time,
+    pub(crate) room: f64,
+    /// The call that sends of this round may join, and the sends in it.
+    pub(crate) joined: (u64, Time, u32),
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct Msg {
+    pub(crate) dest: u32,
+    pub(crate) class: usize,
+    pub(crate) key: u64,
+    /// Handed in beyond its tenant's share.
+    pub(crate) beyond: bool,
+    pub(crate) seq: u64,
+    pub(crate) taken: Time,
+    pub(crate) due: Time,
+    pub(crate) attempts: u16,
+    pub(crate) live: u32,
+    /// Attempts that are out or may have run: when sent, number, zone.
+    pub(crate) maybe: Vec<(Time, u16, u8)>,
+    pub(crate) over: bool,
+}
+
+#[derive(Debug)]
+pub(crate) struct Out {
+    pub(crate) endpoint: u32,
+    pub(crate) sent: Time,
+    pub(crate) call: u64,
+    pub(crate) cancelled: bool,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct Line {
+    pub(crate) queue: VecDeque<u32>,
+    pub(crate) rest: Time,
+}
+
+/// Random numbers from a seed (splitmix64).
+#[derive(Debug, Default)]
+pub(crate) struct Random(pub(crate) u64);
+
+impl Random {
+    /// A number in [0, 1).
+    pub(crate) fn draw(&mut self) -> f64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut z = self.0;
+        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        ((z ^ (z >> 31)) >> 11) as f64 / (1u64 << 53) as f64
+    }
+}
--- /dev/null
+++ b/tests/courier.rs
@@ -0,0 +1,555 @@
+//! Tests of the module through its interface.
+
+use linnetcart::*;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+const MS: Time = 1_000_000;
+const S: Time = 1_000 * MS;
+
+fn settings() -> Settings {
+    let class = |repeat, ordered| Class {
+        aim: 3 * S,
+        deadline: 20 * S,
+        worth: 1.0,
+        late_worth: 0.5,
+        repeat,
+        ordered,
+    };
+    Settings {
+        couriers: 2,
+        classes: vec![
+            class(Repeat::Safe, false),
+            class(Repeat::Keyed { window: 8 * S, by_zone: false }, false),
+            class(Repeat::Unsafe, false),
+            class(Repeat::Safe, true),
+            class(Repeat::Keyed { window: 8 * S, by_zone: true }, false),
+        ],
+        kinds: vec![
+            Kind { routes_apart: false, per_call: 1 },
+            Kind { routes_apart: true, per_call: 1 },
+            Kind { routes_apart: false, per_call: 3 },
+        ],
+        slots: 8,
+        max_held: 60,
+        max_attempts: 6,
+        may_cancel: true,
+        may_copy: true,
+        max_come_back: 3 * S,
+        calls_per_connection: 1,
+        connection_idle: 10 * S,
+        connect_timeout: S,
+        answer_slack: 20 * MS,
+        cold_share: 0.2,
+        warm_after: 10 * S,
+        fall_multiple: 2.0,
+        fall_span: 2 * S,
+        key_rest: 100 * MS,
+        ask_within: 10 * S,
+        tick: 5 * MS,
+        ..Settings::default()
+    }
+}
+
+fn entry(id: u32, destination: u32, kind: u8, listing: Listing) -> Endpoint {
+    Endpoint { id, destination, kind, zone: (id % 2) as u8, rate: 0.0, listing }
+}
+
+/// Destinations 1 (shared limit) and 2 (routes apart) and 3 (calls of three), two endpoints each.
+fn list() -> Event {
+    let entries = (1..=3)
+        .flat_map(|d| {
+            [entry(d * 10, d, d as u8 - 1, Listing::Ready), entry(d * 10 + 1, d, d as u8 - 1, Listing::Ready)]
+        })
+        .collect();
+    Event::List { whole: true, entries }
+}
+
+fn taken(id: u32, destination: u32, class: u8, key: u64) -> Event {
+    Event::Taken(Taken { id, destination, class, time_left: 20 * S, key, tenant: 0 })
+}
+
+fn ended(message: u32, attempt: u16, endpoint: u32, ending: Ending) -> Event {
+    let over = ending == Ending::Served;
+    let took = 100 * MS;
+    Event::Ended(Outcome { message, attempt, endpoint, ending, took, over, left: None, limit: None })
+}
+
+fn sends(actions: &[Action]) -> Vec<(u32, u32)> {
+    actions
+        .iter()
+        .filter_map(|a| match a {
+            Action::Send { message, endpoint, .. } => Some((*message, *endpoint)),
+            _ => None,
+        })
+        .collect()
+}
+
+/// Serves `n` messages at a destination, 100 ms each, and returns the clock after them.
+fn warm_up(c: &mut Courier, destination: u32, n: u32, mut now: Time) -> Time {
+    for id in 1_000_000..1_000_000 + n {
+        let sent = sends(&c.round(now, vec![taken(id, destination, 0, 0)]));
+        assert_eq!(sent.len(), 1, "message {id} goes at once");
+        now += 100 * MS;
+        c.round(now, vec![ended(id, 0, sent[0].1, Ending::Served)]);
+    }
+    now
+}
+
+fn ready() -> (Courier, Time) {
+    let mut c = Courier::new(settings(), 1);
+    c.round(S, vec![list()]);
+    let now = warm_up(&mut c, 1, 20, S);
+    (c, now)
+}
+
+#[test]
+fn a_copy_goes_elsewhere_after_the_resend_time_and_the_loser_is_cancelled() {
+    let (mut c, now) = ready();
+    let first = sends(&c.round(now, vec![taken(1, 1, 0, 0)]));
+    assert_eq!(first.len(), 1);
+    assert!(sends(&c.round(now + 90 * MS, vec![Event::Woken])).is_empty(), "not before the percentile");
+    let copy = sends(&c.round(now + 101 * MS, vec![Event::Woken]));
+    assert_eq!(copy.len(), 1);
+    assert_ne!(copy[0].1, first[0].1);
+    let end = c.round(now + 150 * MS, vec![ended(1, 1, copy[0].1, Ending::Served)]);
+    assert!(end.contains(&Action::Cancel { message: 1, attempt: 0 }));
+}
+
+#[test]
+fn the_aim_is_the_resend_time_until_enough_was_served() {
+    let mut c = Courier::new(settings(), 1);
+    c.round(S, vec![list(), taken(1, 1, 0, 0)]);
+    assert!(sends(&c.round(S + 2 * S, vec![Event::Woken])).is_empty());
+    assert_eq!(sends(&c.round(S + 3 * S, vec![Event::Woken])).len(), 1);
+}
+
+#[test]
+fn unsafe_messages_get_no_copy_and_fail_after_an_error() {
+    let (mut c, now) = ready();
+    let first = sends(&c.round(now, vec![taken(1, 1, 2, 0)]));
+    assert!(sends(&c.round(now + S, vec![Event::Woken])).is_empty());
+    let end = c.round(now + S, vec![ended(1, 0, first[0].1, Ending::Error)]);
+    assert!(end.contains(&Action::Fail { message: 1 }));
+}
+
+#[test]
+fn an_unsafe_message_that_never_ran_goes_again() {
+    let (mut c, now) = ready();
+    let first = sends(&c.round(now, vec![taken(1, 1, 2, 0)]));
+    let mut again = sends(&c.round(now + 10 * MS, vec![ended(1, 0, first[0].1, Ending::NoConnection)]));
+    for k in 1..400 {
+        again.extend(sends(&c.round(now + k * 10 * MS, vec![Event::Woken])));
+    }
+    assert_eq!(again.len(), 1);
+}
+
+#[test]
+fn the_bucket_closes_after_failures() {
+    let (mut c, mut now) = ready();
+    let mut copies = 0;
+    for id in 1..=3 {
+        let first = sends(&c.round(now, vec![taken(id, 1, 2, 0)]));
+        now += 20 * MS;
+        for (m, e) in first {
+            c.round(now, vec![ended(m, 0, e, Ending::Reset)]);
+        }
+    }
+    c.round(now, vec![taken(10, 1, 0, 0)]);
+    for k in 1..20 {
+        copies += sends(&c.round(now + k * 20 * MS, vec![Event::Woken])).len();
+    }
+    assert!(copies <= 1, "{copies} sends with an empty bucket");
+}
+
+#[test]
+fn a_destination_holds_at_most_three_quarters_of_the_slots() {
+    let mut c = Courier::new(settings(), 1);
+    c.round(S, vec![list()]);
+    let burst = (0..20).map(|id| taken(id, 1, 0, 0)).collect();
+    assert_eq!(sends(&c.round(S, burst)).len(), 6);
+    assert_eq!(sends(&c.round(S, vec![taken(50, 2, 0, 0), taken(51, 2, 0, 0), taken(52, 2, 0, 0)])).len(), 2);
+}
+
+#[test]
+fn the_oldest_goes_first_and_destinations_take_turns() {
+    let mut c = Courier::new(settings(), 1);
+    c.round(S, vec![list()]);
+    let actions =
+        c.round(S, vec![taken(1, 1, 0, 0), taken(2, 1, 0, 0), taken(3, 2, 0, 0), taken(4, 2, 0, 0)]);
+    let order: Vec<u32> = sends(&actions).iter().map(|s| s.0).collect();
+    assert_eq!(order, [1, 3, 2, 4]);
+}
+
+#[test]
+fn a_told_wait_binds_the_destination_or_only_the_route() {
+    let mut c = Courier::new(settings(), 1);
+    c.round(S, vec![list()]);
+    let first = sends(&c.round(S, vec![taken(1, 1, 0, 0)]));
+    let wait = Ending::Full { wait: S };
+    assert!(sends(&c.round(S, vec![ended(1, 0, first[0].1, wait), taken(2, 1, 0, 0)])).is_empty());
+    assert!(sends(&c.round(S + 990 * MS, vec![Event::Woken])).is_empty());
+    let first = sends(&c.round(S, vec![taken(3, 2, 0, 0)]));
+    let apart = sends(&c.round(2 * S, vec![ended(3, 0, first[0].1, wait), taken(4, 2, 0, 0)]));
+    assert!(apart.iter().any(|s| s.0 == 4 && s.1 != first[0].1));
+}
+
+#[test]
+fn nothing_goes_to_a_draining_endpoint() {
+    let mut c = Courier::new(settings(), 1);
+    c.round(S, vec![list()]);
+    let change = Event::List { whole: false, entries: vec![entry(10, 1, 0, Listing::Draining)] };
+    let burst = (0..6).map(|id| taken(id, 1, 0, 0));
+    let sent = sends(&c.round(S, std::iter::once(change).chain(burst).collect()));
+    assert!(!sent.is_empty() && sent.iter().all(|s| s.1 == 11));
+}
+
+#[test]
+fn a_silent_destination_gets_trials_only() {
+    let (mut c, now) = ready();
+    c.round(now, vec![taken(1, 1, 2, 0)]);
+    c.round(now + S, vec![Event::Woken]);
+    let mut sent = 0;
+    for k in 0..100 {
+        let t = now + S + k * 10 * MS;
+        sent += sends(&c.round(t, vec![taken(100 + k as u32, 1, 0, 0)])).len();
+    }
+    assert!(sent <= 6, "{sent} calls to a silent destination in a second");
+}
+
+#[test]
+fn one_hung_endpoint_does_not_silence_its_destination() {
+    // Incident ieff6fd: endpoints in one zone hung while the others of the same destinations answered.
+    let (mut c, now) = ready();
+    let hung = sends(&c.round(now, vec![taken(1, 1, 0, 0)]))[0].1;
+    let mut served = 0;
+    let mut cancelled = false;
+    for k in 1..60u32 {
+        let t = now + Time::from(k) * 50 * MS;
+        let mut actions = c.round(t, vec![taken(100 + k, 1, 0, 0)]);
+        for (m, e) in sends(&actions) {
+            if e != hung {
+                served += 1;
+                actions.extend(
+                    c.round(t + 20 * MS, vec![ended(m, if m == 1 { 1 } else { 0 }, e, Ending::Served)]),
+                );
+            }
+        }
+        cancelled |= actions.contains(&Action::Cancel { message: 1, attempt: 0 });
+    }
+    assert!(served > 40 && cancelled, "{served} served, first call called off: {cancelled}");
+}
+
+#[test]
+fn refusals_between_successes_are_a_limit_and_not_an_outage() {
+    // Incident id478a3: a limit shared with others looked like a shut destination.
+    let (mut c, mut now) = ready();
+    let mut logs = 0;
+    for id in 1..40 {
+        now += 300 * MS;
+        let actions = c.round(now, vec![taken(id, 1, 0, 0)]);
+        for (m, e) in sends(&actions) {
+            let ending = if id % 2 == 0 { Ending::Full { wait: 0 } } else { Ending::Served };
+            let end = c.round(now + 20 * MS, vec![ended(m, 0, e, ending)]);
+            logs += end.iter().filter(|a| matches!(a, Action::Log(_))).count();
+        }
+    }
+    assert_eq!(logs, 0);
+}
+
+#[test]
+fn the_list_is_asked_for_again_after_a_failure() {
+    let mut c = Courier::new(Settings { list_asked: true, ..settings() }, 1);
+    assert!(c.round(S, vec![list()]).contains(&Action::Watch));
+    assert!(!c.round(2 * S, vec![Event::ListFailed]).contains(&Action::Watch));
+    assert!(c.round(4 * S, vec![Event::Woken]).contains(&Action::Watch));
+    c.round(5 * S, vec![list()]);
+    assert!(!c.round(30 * S, vec![Event::Woken]).contains(&Action::Watch));
+}
+
+#[test]
+fn sends_of_a_round_share_a_call_where_the_kind_takes_several() {
+    let mut c = Courier::new(Settings { slots: 2, ..settings() }, 1);
+    c.round(S, vec![list()]);
+    let sent = sends(&c.round(S, (0..6).map(|id| taken(id, 3, 0, 0)).collect()));
+    assert_eq!(sent.len(), 3, "one call of three under a cap of one slot");
+}
+
+#[test]
+fn a_keyed_message_stays_in_its_zone_where_only_the_zone_knows_the_key() {
+    let (mut c, now) = ready();
+    c.round(now, vec![taken(1, 1, 4, 0)]);
+    for k in 1..50 {
+        assert!(sends(&c.round(now + k * 20 * MS, vec![Event::Woken])).is_empty());
+    }
+}
+
+#[test]
+fn without_leave_to_cancel_nothing_is_cancelled() {
+    let mut c = Courier::new(Settings { may_cancel: false, ..settings() }, 1);
+    c.round(S, vec![list(), taken(1, 1, 0, 0)]);
+    for k in 0..300 {
+        let actions = c.round(S + k * 100 * MS, vec![Event::Woken]);
+        assert!(!actions.iter().any(|a| matches!(a, Action::Cancel { .. })));
+    }
+}
+
+#[test]
+fn the_module_keeps_its_size() {
+    let text = include_str!("../src/choice.rs");
+    let lines = text.lines().filter(|l| !l.trim().is_empty()).count();
+    assert!(lines <= 850, "{lines} lines");
+    assert!(text.lines().all(|l| l.chars().count() <= 110));
+}
+
+/// A world of its own for the walk: it keeps the books of the rules apart from the module.
+struct World {
+    set: Settings,
+    now: Time,
+    rng: u64,
+    open: BTreeMap<u32, (Taken, Time)>,
+    over: BTreeSet<u32>,
+    attempts: BTreeMap<u32, u16>,
+    out: BTreeMap<(u32, u16), (u32, Time)>,
+    maybe: BTreeMap<u32, Vec<(Time, u16, u32)>>,
+    waits: BTreeMap<u32, Time>,
+    gone: BTreeSet<u32>,
+    lines: BTreeMap<u64, VecDeque<u32>>,
+    rests: BTreeMap<u64, Time>,
+    sends: usize,
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        World {
+            set: settings(),
+            now: S,
+            rng: seed,
+            open: BTreeMap::new(),
+            over: BTreeSet::new(),
+            attempts: BTreeMap::new(),
+            out: BTreeMap::new(),
+            maybe: BTreeMap::new(),
+            waits: BTreeMap::new(),
+            gone: BTreeSet::new(),
+            lines: BTreeMap::new(),
+            rests: BTreeMap::new(),
+            sends: 0,
+        }
+    }
+
+    fn draw(&mut self, n: u64) -> u64 {
+        self.rng = self.rng.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+        (self.rng >> 33) % n
+    }
+
+    fn limit_of(endpoint: u32) -> u32 {
+        if endpoint / 10 == 2 {
+            endpoint
+        } else {
+            endpoint / 10
+        }
+    }
+
+    fn finish(&mut self, id: u32) {
+        self.open.remove(&id);
+        self.over.insert(id);
+        self.settle(id);
+    }
+
+    fn settle(&mut self, id: u32) {
+        if self.over.contains(&id) && !self.out.keys().any(|k| k.0 == id) {
+            self.lines.values_mut().for_each(|l| l.retain(|&x| x != id));
+        }
+    }
+
+    fn events(&mut self, next: &mut u32) -> Vec<Event> {
+        let mut events = vec![Event::Woken];
+        for _ in 0..self.draw(3) {
+            *next += 1;
+            let class = self.draw(5) as u8;
+            let key = if class == 3 { self.draw(4) } else { 0 };
+            let time_left = S + self.draw(19_000) * MS;
+            let t =
+                Taken { id: *next, destination: 1 + self.draw(3) as u32, class, time_left, key, tenant: 0 };
+            if key != 0 {
+                self.lines.entry(key).or_default().push_back(t.id);
+            }
+            self.open.insert(t.id, (t.clone(), self.now + time_left));
+            events.push(Event::Taken(t));
+        }
+        let running: Vec<((u32, u16), (u32, Time))> = self.out.iter().map(|(&k, &v)| (k, v)).collect();
+        for ((id, attempt), (endpoint, _)) in running {
+            if self.draw(6) > 0 {
+                continue;
+            }
+            let ending = match self.draw(40) {
+                0 => Ending::Error,
+                1 => Ending::Full { wait: 0 },
+                2 => Ending::Full { wait: 300 * MS },
+                3 => Ending::TimedOut,
+                4 => Ending::NoConnection,
+                5 => Ending::Reset,
+                6 => Ending::NotSent { no_slot: true },
+                _ => Ending::Served,
+            };
+            self.end_attempt(id, attempt, endpoint, ending, &mut events);
+        }
+        if self.draw(40) == 0 {
+            let id = [10, 11, 20, 21, 30, 31][self.draw(6) as usize];
+            let listing = if self.gone.remove(&id) { Listing::Ready } else { Listing::Draining };
+            if listing == Listing::Draining {
+                self.gone.insert(id);
+            }
+            events.push(Event::List {
+                whole: false,
+                entries: vec![entry(id, id / 10, (id / 10 - 1) as u8, listing)],
+            });
+        }
+        if self.draw(50) == 0 {
+            if let Some(&id) = self.open.keys().next() {
+                self.finish(id);
+                events.push(Event::Withdrawn { message: id });
+            }
+        }
+        if self.draw(20) == 0 {
+            // Stale and unknown ids are passed over.
+            events.push(Event::Withdrawn { message: 1 });
+            events.push(ended(1, 0, 10, Ending::Served));
+            events.push(ended(999_999_999, 3, 12345, Ending::Error));
+        }
+        events
+    }
+
+    fn end_attempt(&mut self, id: u32, attempt: u16, endpoint: u32, ending: Ending, events: &mut Vec<Event>) {
+        self.out.remove(&(id, attempt));
+        if let Ending::Full { wait } = ending {
+            let until = self.waits.entry(Self::limit_of(endpoint)).or_default();
+            *until = (*until).max(self.now + wait);
+        }
+        if matches!(ending, Ending::Full { .. } | Ending::NoConnection | Ending::NotSent { .. }) {
+            self.maybe.entry(id).or_default().retain(|m| m.1 != attempt);
+        }
+        if matches!(ending, Ending::TimedOut | Ending::Reset | Ending::Cancelled) {
+            for (key, line) in &self.lines {
+                if line.contains(&id) {
+                    self.rests.insert(*key, self.now + self.set.key_rest);
+                }
+            }
+        }
+        let over = self.over.contains(&id) || ending == Ending::Served;
+        let took = 50 * MS;
+        events.push(Event::Ended(Outcome {
+            message: id,
+            attempt,
+            endpoint,
+            ending,
+            took,
+            over,
+            left: Some(0.4),
+            limit: Some(5.0),
+        }));
+        if over {
+            self.finish(id);
+        }
+    }
+
+    fn check(&mut self, actions: &[Action]) -> Vec<Event> {
+        let mut back = Vec::new();
+        for action in actions {
+            match *action {
+                Action::Send { message, endpoint, .. } => self.check_send(message, endpoint),
+                Action::Cancel { message, attempt } => {
+                    if let Some(&(endpoint, _)) = self.out.get(&(message, attempt)) {
+                        self.end_attempt(message, attempt, endpoint, Ending::Cancelled, &mut back);
+                    }
+                }
+                Action::Refuse { message, .. } => {
+                    let (t, _) = self.open.get(&message).expect("rule 1: one answer").clone();
+                    let clean = self.maybe.get(&message).is_none_or(|m| m.is_empty());
+                    let harmless = matches!(t.class, 0 | 1 | 3);
+                    assert!(clean || harmless, "rule 2: refused {message} though it may have run");
+                    self.finish(message);
+                }
+                Action::Fail { message } => {
+                    assert!(self.open.contains_key(&message), "rule 1: one answer");
+                    self.finish(message);
+                }
+                _ => {}
+            }
+        }
+        for (id, (_, due)) in &self.open {
+            assert!(*due + self.set.answer_slack > self.now, "rule 1: {id} unanswered");
+        }
+        back
+    }
+
+    fn check_send(&mut self, id: u32, endpoint: u32) {
+        self.sends += 1;
+        let (t, _) = self.open.get(&id).expect("rule 1: sends only what is open").clone();
+        assert_eq!(endpoint / 10, t.destination);
+        let maybe = self.maybe.entry(id).or_default();
+        if let Some(&(first, _, at)) = maybe.iter().min() {
+            match self.set.classes[usize::from(t.class)].repeat {
+                Repeat::Safe => {}
+                Repeat::Keyed { window, by_zone } => {
+                    assert!(self.now < first + window, "rule 2: window");
+                    assert!(!by_zone || at % 2 == endpoint % 2, "rule 2: zone");
+                }
+                Repeat::Unsafe => panic!("rule 2: {id} sent twice"),
+            }
+        }
+        assert!(!self.gone.contains(&endpoint), "rule 3");
+        let wait = self.waits.get(&Self::limit_of(endpoint)).copied().unwrap_or(0);
+        assert!(wait <= self.now, "rule 5: sent during a wait");
+        if t.class == 3 && t.key != 0 {
+            assert_eq!(self.lines[&t.key].front(), Some(&id), "rule 6: out of turn");
+            let first = !self.attempts.contains_key(&id);
+            let rest = self.rests.get(&t.key).copied().unwrap_or(0);
+            assert!(!first || rest <= self.now, "rule 6: key not rested");
+        }
+        let attempt = self.attempts.entry(id).or_default();
+        assert!(u32::from(*attempt) < self.set.max_attempts);
+        maybe.push((self.now, *attempt, endpoint));
+        self.out.insert((id, *attempt), (endpoint, self.now));
+        *attempt += 1;
+    }
+}
+
+fn walk(seed: u64) -> (usize, Vec<Vec<Action>>) {
+    let mut world = World::new(seed);
+    let mut courier = Courier::new(world.set.clone(), seed);
+    let mut next = 1;
+    let mut log = vec![courier.round(world.now, vec![list()])];
+    let mut carried = Vec::new();
+    for _ in 0..3000 {
+        world.now += 10 * MS;
+        let mut events = std::mem::take(&mut carried);
+        events.extend(world.events(&mut next));
+        let actions = courier.round(world.now, events);
+        carried = world.check(&actions);
+        log.push(actions);
+    }
+    (world.sends, log)
+}
+
+#[test]
+fn a_random_walk_keeps_the_rules() {
+    for seed in 1..=12 {
+        let (sends, _) = walk(seed);
+        assert!(sends > 150, "the walk of seed {seed} made {sends} sends");
+    }
+}
+
+#[test]
+fn identical_events_give_identical_actions_also_when_interleaved() {
+    assert_eq!(walk(5).1, walk(5).1);
+    let (mut a, mut b) = (Courier::new(settings(), 1), Courier::new(settings(), 1));
+    let mut other = Courier::new(settings(), 9);
+    for k in 0..50u32 {
+        let now = S + Time::from(k) * 40 * MS;
+        let events = if k == 0 { vec![list()] } else { vec![taken(k, 1 + k % 3, 0, 0)] };
+        let alone = a.round(now, events.clone());
+        other.round(now, vec![list(), taken(1000 + k, 1, 2, 0)]);
+        assert_eq!(alone, b.round(now, events));
+    }
+}
