--- a/src/choice.rs
+++ b/src/choice.rs
@@ -41,13 +41,15 @@
 /// Growth of the pace in a second with calls served.
 const PACE_GROWTH: f64 = 0.15;
 /// Least pace, of an even part of the limit or of the most served: the others may need less than theirs.
-const PACE_LEAST: f64 = 0.5;
+const PACE_LEAST: f64 = 0.15;
 /// First pace after a refusal where none is told, over the most that was sent or served.
 const PACE_START: f64 = 1.5;
 /// Most pace under a rough limit, of its even part: the limit may be twice as high as told.
 const PACE_ROUGH: f64 = 2.0;
 /// A burst may take the pace of this many seconds; destinations queue about as much.
 const BURST: f64 = 0.5;
+/// Couriers of all that may use the told room: shared among two, in what they ask for at a time.
+const ROOM_USERS: f64 = 2.0;
 /// Seconds of its share that a tenant may save up: shares are meant over a while.
 const SAVED: f64 = 5.0;
 /// Share of `max_held` from which messages are handed back rather than turned away unseen.
@@ -376,7 +378,7 @@
         dest.calls = dest.calls.saturating_sub(1);
         site.used = now;
         let gate = if apart { &mut site.node } else { &mut dest.node };
-        gate.report(now, o);
+        gate.report(now, o, set);
         match o.ending {
             Ending::Served => {
                 dest.served(o.took);
@@ -512,8 +514,8 @@
         let (Some(site), Some(dest)) = (self.sites.get(&endpoint), self.dests.get(&m.dest)) else {
             return Err(NEVER);
         };
-        // Rule 1: nothing for a message that is over or about to be. Rule 2: no second effect, and two at once
-        // only where that is allowed. Rule 3: nothing to an endpoint that drains or is gone.
+        // Rule 1: nothing for a message that is over or about to be. Rule 2: no second effect, and two at
+        // once only where that is allowed. Rule 3: nothing to an endpoint that drains or is gone.
         if m.over
             || m.due <= now + 2 * set.tick
             || !self.may_resend(m, Some(site.zone))
@@ -740,10 +742,12 @@
         matches!(self.health, Health::Out { .. })
     }
 
-    fn report(&mut self, now: Time, o: &Outcome) {
+    fn report(&mut self, now: Time, o: &Outcome, set: &Settings) {
         if let Some(limit) = o.limit.filter(|&l| l > 0.0) {
             (self.limit, self.most) = (limit, 1.0);
             if let Some(left) = o.left {
+                // All couriers read the same room and several will use it: each takes a part.
+                self.free = limit * (ROOM_USERS / f64::from(set.couriers.max(1))).min(1.0);
                 (self.left, self.left_at) = (left, now);
             }
         }
@@ -765,8 +769,8 @@
                 }
                 self.run += 1;
                 self.harmless = true;
-                // Shut, not over the limit: refusals and told waits without a success for longer than a limit's
-                // span lasts. After a told wait it is open, and cold.
+                // Shut, not over the limit: refusals and told waits without a success for longer than a
+                // limit's span lasts. After a told wait it is open, and cold.
                 let shut = self.run_since + set.fall_span * 3 / 2 <= now + wait;
                 let out = self.out();
                 if wait > 0 && (shut || out) {
@@ -826,8 +830,8 @@
         true
     }
 
-    /// A refusal above a limit. The even part of the limit, or the most ever served, gives the scale: what was
-    /// sent lately may have been little only because little was asked for.
+    /// A refusal above a limit. The even part of the limit, or the most ever served, gives the scale: what
+    /// was sent lately may have been little only because little was asked for.
     fn slow_down(&mut self, now: Time, set: &Settings) {
         let span = set.fall_span.max(1) as f64 / SECOND;
         let even = self.limit / f64::from(set.couriers.max(1));
@@ -846,7 +850,7 @@
     /// The pace now: the own part, and of the others' parts the share that is told to be left.
     fn pace(&self, now: Time) -> f64 {
         let left = if self.run == 0 && now < self.left_at + SECOND as Time { self.left } else { 0.0 };
-        self.rate + left * self.limit
+        self.rate + left * self.free
     }
 
     fn tokens(&self, now: Time) -> f64 {
--- a/src/state.rs
+++ b/src/state.rs
@@ -41,6 +41,8 @@
     pub(crate) limit: f64,
     /// Most that the pace may be of an even part of the limit.
     pub(crate) most: f64,
+    /// Calls a second that this courier takes of a wholly free limit, and the share told to be left.
+    pub(crate) free: f64,
     pub(crate) left: f64,
     pub(crate) left_at: Time,
     pub(crate) rate: f64,
