--- a/src/choice.rs
+++ b/src/choice.rs
@@ -48,8 +48,6 @@
 const PACE_ROUGH: f64 = 2.0;
 /// A burst may take the pace of this many seconds; destinations queue about as much.
 const BURST: f64 = 0.5;
-/// Couriers of all that may use the told room: shared among two, in what they ask for at a time.
-const ROOM_USERS: f64 = 2.0;
 /// Seconds of its share that a tenant may save up: shares are meant over a while.
 const SAVED: f64 = 5.0;
 /// Share of `max_held` from which messages are handed back rather than turned away unseen.
@@ -155,10 +153,11 @@
             if self.set.rates != Rates::Untold && e.rate > 0.0 {
                 let node = if apart { &mut site.node } else { &mut dest.node };
                 node.most = if self.set.rates == Rates::Rough { PACE_ROUGH } else { 1.0 };
-                if node.limit == 0.0 {
-                    node.rate = e.rate * node.most / f64::from(self.set.couriers.max(1));
+                let even = e.rate / f64::from(self.set.couriers.max(1));
+                if node.even == 0.0 {
+                    node.rate = even * node.most;
                 }
-                node.limit = e.rate;
+                node.even = even;
             }
         }
         let dests = &mut self.dests;
@@ -531,10 +530,8 @@
             _ => {}
         }
         // Rule 5: a wait binds the whole limit. Rule 4: trials while out, a budget until warm.
-        let couriers = f64::from(set.couriers.max(1));
-        let told = |n: &Node| n.limit / couriers / if set.rates == Rates::Rough { 1.5 } else { 1.0 };
-        site.node.open(now, told(&site.node), self.apart(m.dest), set)?;
-        dest.node.open(now, told(&dest.node), true, set)?;
+        site.node.open(now, self.apart(m.dest), set)?;
+        dest.node.open(now, true, set)?;
         // Caps: three quarters of the slots for one destination, half while it fails or runs slow.
         let sick = dest.sick() || site.node.health != Health::Up;
         let cap = if sick { set.slots / 2 } else { set.slots * 3 / 4 }.max(1);
@@ -744,10 +741,8 @@
 
     fn report(&mut self, now: Time, o: &Outcome, set: &Settings) {
         if let Some(limit) = o.limit.filter(|&l| l > 0.0) {
-            (self.limit, self.most) = (limit, 1.0);
+            (self.even, self.most) = (limit / f64::from(set.couriers.max(1)), 1.0);
             if let Some(left) = o.left {
-                // All couriers read the same room and several will use it: each takes a part.
-                self.free = limit * (ROOM_USERS / f64::from(set.couriers.max(1))).min(1.0);
                 (self.left, self.left_at) = (left, now);
             }
         }
@@ -796,8 +791,8 @@
         self.last_ok = now;
         self.run = 0;
         self.bad -= NEWEST * self.bad;
-        if self.limit > 0.0 {
-            self.rate = self.rate.min(self.most * self.limit / f64::from(set.couriers.max(1)));
+        if self.even > 0.0 {
+            self.rate = self.rate.min(self.most * self.even);
         }
         self.rate *= 1.0 + PACE_GROWTH * ((now - self.grown) as f64 / SECOND).min(1.0);
         self.grown = now;
@@ -834,8 +829,7 @@
     /// was sent lately may have been little only because little was asked for.
     fn slow_down(&mut self, now: Time, set: &Settings) {
         let span = set.fall_span.max(1) as f64 / SECOND;
-        let even = self.limit / f64::from(set.couriers.max(1));
-        let scale = if even > 0.0 { even } else { self.peak };
+        let scale = if self.even > 0.0 { self.even } else { self.peak };
         if self.rate.is_infinite() {
             self.rate = PACE_START * scale.max(self.sent.len() as f64 / span);
         }
@@ -847,10 +841,11 @@
         self.left = 0.0;
     }
 
-    /// The pace now: the own part, and of the others' parts the share that is told to be left.
+    /// The pace now: the own part, and an even part of the share of the limit that is told to be left: all
+    /// couriers read the same room and several will use it.
     fn pace(&self, now: Time) -> f64 {
         let left = if self.run == 0 && now < self.left_at + SECOND as Time { self.left } else { 0.0 };
-        self.rate + left * self.free
+        self.rate + left * self.even
     }
 
     fn tokens(&self, now: Time) -> f64 {
@@ -880,8 +875,8 @@
         }
     }
 
-    /// Waits, trials and, for a whole limit, the return budget. `told` is this courier's part of the limit.
-    fn open(&self, now: Time, told: f64, whole: bool, set: &Settings) -> Result<(), Time> {
+    /// Waits, trials and, for a whole limit, the return budget.
+    fn open(&self, now: Time, whole: bool, set: &Settings) -> Result<(), Time> {
         if self.wait_until > now {
             return Err(self.wait_until);
         }
@@ -902,6 +897,8 @@
         }
         let share = set.cold_share + (1.0 - set.cold_share) * warm;
         let span = set.fall_span as f64 / SECOND;
+        // A rough figure may be half too high.
+        let told = if set.rates == Rates::Rough { self.even / 1.5 } else { self.even };
         let most = (BUDGET_PART * set.fall_multiple * share * told.max(self.peak) * span).max(1.0) as usize;
         let recent: Vec<Time> = self.sent.iter().copied().filter(|&t| t + set.fall_span > now).collect();
         if recent.len() < most {
--- a/src/state.rs
+++ b/src/state.rs
@@ -37,12 +37,10 @@
     pub(crate) span_start: Time,
     pub(crate) served: f64,
     pub(crate) peak: f64,
-    /// Limit told, calls a second from all couriers; 0 for none.
-    pub(crate) limit: f64,
+    /// This courier's even part of the told limit, calls a second; 0 for none.
+    pub(crate) even: f64,
     /// Most that the pace may be of an even part of the limit.
     pub(crate) most: f64,
-    /// Calls a second that this courier takes of a wholly free limit, and the share told to be left.
-    pub(crate) free: f64,
     pub(crate) left: f64,
     pub(crate) left_at: Time,
     pub(crate) rate: f64,
