--- a/src/choice.rs
+++ b/src/choice.rs
@@ -805,7 +805,10 @@
             // It was slow or paused, not gone: nothing failed, and what was sent before is answered or the
             // silence was short.
             Health::Out { since, told: false } if sent < since || now < since + set.fall_span => Health::Up,
-            Health::Out { .. } => Health::Back { since: now },
+            Health::Out { .. } => {
+                self.bad = self.bad.min(2.0 * RISKY);
+                Health::Back { since: now }
+            }
             // A lucky answer amid failures is no return.
             Health::Back { .. } if self.bad > RISKY => Health::Back { since: now },
             Health::Back { since } if now > since + set.warm_after => Health::Up,
