--- a/src/choice.rs
+++ b/src/choice.rs
@@ -887,8 +887,8 @@
             Health::Out { .. } if self.next_trial > now => return Err(self.next_trial),
             Health::Out { .. } => return Ok(()),
             Health::Back { since } => since,
-            // Two failures may be the first sight of an outage that ends unseen: cold until a success.
-            Health::Up if self.run > 1 && !self.harmless => now,
+            // One failure may be the first sight of an outage that ends unseen: cold until a success.
+            Health::Up if self.run > 0 && !self.harmless => now,
             Health::Up => return Ok(()),
         };
         if !whole {
