--- a/src/choice.rs
+++ b/src/choice.rs
@@ -642,7 +642,7 @@
     fn look_for_silence(&mut self) {
         let now = self.now;
         let full = self.crowded(0);
-        let (mut off, mut gone) = (Vec::new(), Vec::new());
+        let mut off = Vec::new();
         for (id, attempt, endpoint, sent) in self.running() {
             let (Some(m), Some(site)) = (self.msgs.get(&id), self.sites.get_mut(&endpoint)) else { continue };
             let Some(dest) = self.dests.get_mut(&m.dest) else { continue };
@@ -667,8 +667,6 @@
             let repeat = self.set.classes[m.class].repeat != Repeat::Unsafe;
             if hopeless && self.set.may_cancel && repeat && self.may_resend(&self.msgs[&id], None) {
                 off.push((id, attempt));
-            } else if silent && full && lost <= now && !self.msgs[&id].over {
-                gone.push(id);
             }
         }
         for (message, attempt) in off {
@@ -677,8 +675,6 @@
                 self.actions.push(Action::Cancel { message, attempt });
             }
         }
-        // Hung calls without a second chance keep a quarter of the slots at most when others want them.
-        gone.iter().skip(self.set.slots as usize / 4).for_each(|&id| self.give_up(id, 0));
     }
 }
 
