Silence: drop a check that may_resend already makes

A running attempt always counts as one that may have run, so may_resend refuses unsafe messages by itself.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -664,8 +664,7 @@
                 self.actions.push(Action::Log(text));
             }
             let hopeless = silent && (full || elsewhere) || lost <= now && site.node.answered_sent > sent;
-            let repeat = self.set.classes[m.class].repeat != Repeat::Unsafe;
-            if hopeless && self.set.may_cancel && repeat && self.may_resend(&self.msgs[&id], None) {
+            if hopeless && self.set.may_cancel && self.may_resend(&self.msgs[&id], None) {
                 off.push((id, attempt));
             }
         }
