--- a/src/choice.rs
+++ b/src/choice.rs
@@ -34,8 +34,20 @@
 const RISKY: f64 = 0.25;
 /// Refusals in a row that may mean "shut".
 const SHUT_RUN: u32 = 3;
-/// Part of the fall budget that is used: other couriers and travel may add the rest.
+/// Told room at which a refusal means "shut": above a limit there is none, as far as reports are fresh.
+const SHUT_ROOM: f64 = 0.75;
+/// Part of the fall budget that is used where a courier's part is several calls: travel may add the rest.
 const BUDGET_PART: f64 = 0.9;
+/// The same where it is less than one call: chance brings several couriers together.
+const BUDGET_RANDOM: f64 = 0.5;
+/// Fall spans before the first trouble seen here in which others may have seen it.
+const KNOWN_BEFORE: f64 = 4.0;
+/// Seconds over which the usual rate is taken at least.
+const USUAL_OVER: f64 = 10.0;
+/// Seconds since the last growth that count at once, for couriers that seldom send.
+const PACE_AGES: f64 = 10.0;
+/// Least pace, of one call in a fall span.
+const PACE_FLOOR: f64 = 0.5;
 /// Pace kept after a refusal above a limit, of what was sent lately.
 const PACE_CUT: f64 = 0.8;
 /// Growth of the pace in a second with calls served.
@@ -137,13 +149,13 @@
             if e.listing == Listing::Gone && !self.sites.contains_key(&e.id) {
                 continue;
             }
-            let dest = self.dests.entry(e.destination).or_insert_with(|| Dest::new(e.kind));
+            let dest = self.dests.entry(e.destination).or_insert_with(|| Dest::new(e.kind, self.now));
             dest.kind = e.kind;
             dest.endpoints.insert(e.id);
             let apart = apart_kind(&self.set, e.kind);
             let out_at = if apart { OUT_AT } else { OUT_AT_ENDPOINT };
             let site = self.sites.entry(e.id).or_insert_with(|| Site {
-                node: Node::new(out_at),
+                node: Node::new(out_at, self.now),
                 dest: e.destination,
                 zone: e.zone,
                 room: f64::INFINITY,
@@ -153,11 +165,11 @@
             if self.set.rates != Rates::Untold && e.rate > 0.0 {
                 let node = if apart { &mut site.node } else { &mut dest.node };
                 node.most = if self.set.rates == Rates::Rough { PACE_ROUGH } else { 1.0 };
-                let even = e.rate / f64::from(self.set.couriers.max(1));
-                if node.even == 0.0 {
-                    node.rate = even * node.most;
+                let new = node.limit == 0.0;
+                node.limit = e.rate;
+                if new {
+                    node.rate = node.even(&self.set) * node.most;
                 }
-                node.even = even;
             }
         }
         let dests = &mut self.dests;
@@ -207,7 +219,7 @@
         if key != 0 {
             self.lines.entry(key).or_default().queue.push_back(t.id);
         }
-        let dest = self.dests.entry(t.destination).or_insert_with(|| Dest::new(0));
+        let dest = self.dests.entry(t.destination).or_insert_with(|| Dest::new(0, self.now));
         dest.waiting.insert((msg.seq, t.id));
         self.msgs.insert(t.id, msg);
     }
@@ -377,7 +389,7 @@
         dest.calls = dest.calls.saturating_sub(1);
         site.used = now;
         let gate = if apart { &mut site.node } else { &mut dest.node };
-        gate.report(now, o, set);
+        gate.report(now, o);
         match o.ending {
             Ending::Served => {
                 dest.served(o.took);
@@ -396,9 +408,12 @@
             }
         }
         let was = if apart { site.node.health } else { dest.node.health };
-        site.node.outcome(now, out.sent, o.ending, apart, set);
-        if !apart {
-            dest.node.outcome(now, out.sent, o.ending, true, set);
+        let chance = self.random.draw();
+        if site.node.outcome(now, out.sent, o.ending, apart, set) {
+            site.node.owe(now, apart, chance, set);
+        }
+        if !apart && dest.node.outcome(now, out.sent, o.ending, true, set) {
+            dest.node.owe(now, true, chance, set);
         }
         let node = if apart { &site.node } else { &dest.node };
         if std::mem::discriminant(&was) != std::mem::discriminant(&node.health) {
@@ -560,12 +575,12 @@
         if !m.maybe.is_empty() && dest.bucket <= BUCKET / 2.0 && (m.live > 0 || dest.calls > 0) {
             return Err(NEVER);
         }
-        node.paced(now)
+        Ok(())
     }
 
     fn send(&mut self, message: u32, endpoint: u32) {
         let now = self.now;
-        let jitter = 0.8 + 0.4 * self.random.draw();
+        let chance = self.random.draw();
         let apart = self.sites.get(&endpoint).is_some_and(|s| self.apart(s.dest));
         let Some(m) = self.msgs.get_mut(&message) else { return };
         let (Some(site), Some(dest)) = (self.sites.get_mut(&endpoint), self.dests.get_mut(&m.dest)) else {
@@ -591,9 +606,9 @@
         }
         site.calls += 1;
         site.used = now;
-        site.node.note_sent(now, jitter, &self.set);
+        site.node.note_sent(now, apart, chance, &self.set);
         if !apart {
-            dest.node.note_sent(now, jitter, &self.set);
+            dest.node.note_sent(now, true, chance, &self.set);
         }
         self.outs.insert((message, attempt), Out { endpoint, sent: now, call, cancelled: false });
         self.actions.push(Action::Send { message, endpoint, until: 0 });
@@ -655,11 +670,17 @@
             self.wake = if lost > now { self.wake.min(lost) } else { self.wake };
             let silent = site.node.last_answer < sent;
             let elsewhere = dest.node.last_answer >= sent;
-            let mut news = silent && site.node.go_out(now, false, &self.set);
-            if silent && !elsewhere && !apart_kind(&self.set, dest.kind) {
-                news |= dest.node.go_out(now, false, &self.set);
-            }
+            let apart = apart_kind(&self.set, dest.kind);
+            let news = silent && site.node.go_out(now, false);
+            let all = silent && !elsewhere && !apart && dest.node.go_out(now, false);
+            let chance = self.random.draw();
             if news {
+                site.node.owe(now, apart, chance, &self.set);
+            }
+            if all {
+                dest.node.owe(now, true, chance, &self.set);
+            }
+            if news || all {
                 let text = format!("destination {} endpoint {endpoint}: silent", m.dest);
                 self.actions.push(Action::Log(text));
             }
@@ -684,8 +705,8 @@
 }
 
 impl Dest {
-    fn new(kind: u8) -> Self {
-        Dest { node: Node::new(OUT_AT), kind, bucket: BUCKET, ..Dest::default() }
+    fn new(kind: u8, now: Time) -> Self {
+        Dest { node: Node::new(OUT_AT, now), kind, bucket: BUCKET, ..Dest::default() }
     }
 
     fn served(&mut self, took: Time) {
@@ -730,47 +751,52 @@
 // ---- Health, return budget, waits and pace of one limit
 
 impl Node {
-    fn new(out_at: f64) -> Self {
-        Node { out_at, rate: f64::INFINITY, tokens: 1.0, ..Node::default() }
+    fn new(out_at: f64, known: Time) -> Self {
+        Node { out_at, known, rate: f64::INFINITY, credit: 1.0, ..Node::default() }
     }
 
     fn out(&self) -> bool {
         matches!(self.health, Health::Out { .. })
     }
 
-    fn report(&mut self, now: Time, o: &Outcome, set: &Settings) {
+    fn report(&mut self, now: Time, o: &Outcome) {
         if let Some(limit) = o.limit.filter(|&l| l > 0.0) {
-            (self.even, self.most) = (limit / f64::from(set.couriers.max(1)), 1.0);
+            (self.limit, self.most) = (limit, 1.0);
             if let Some(left) = o.left {
                 (self.left, self.left_at) = (left, now);
             }
         }
     }
 
-    fn outcome(&mut self, now: Time, sent: Time, ending: Ending, limits: bool, set: &Settings) {
+    /// Whether anything of a call's outcome makes this limit more cautious.
+    fn outcome(&mut self, now: Time, sent: Time, ending: Ending, limits: bool, set: &Settings) -> bool {
         if ending != Ending::TimedOut {
             self.last_answer = now;
             self.answered_sent = self.answered_sent.max(sent);
         }
-        if self.run == 0 {
+        if self.run == 0 && self.health == Health::Up {
             self.run_since = now;
         }
         match ending {
-            Ending::Served => self.ok(now, sent, set),
+            Ending::Served => {
+                self.ok(now, sent, set);
+                return false;
+            }
             Ending::Full { wait } => {
-                if wait > 0 {
-                    self.wait_until = self.wait_until.max(now + wait);
-                }
+                self.wait_until = if wait > 0 { self.wait_until.max(now + wait) } else { self.wait_until };
                 self.run += 1;
                 self.harmless = true;
-                // Shut, not over the limit: refusals and told waits without a success for longer than a
-                // limit's span lasts. After a told wait it is open, and cold.
-                let shut = self.run_since + set.fall_span * 3 / 2 <= now + wait;
+                // Shut, not over the limit: a wait longer than limits are counted, or refused with room told
+                // to be left. With nothing told, refusals without a success for longer than a limit's span.
+                let told = self.left_at == now;
+                let long = self.run_since + set.fall_span * 3 / 2 <= now + wait;
+                let shut = wait > set.fall_span
+                    || if told { self.left > SHUT_ROOM } else { long && (wait > 0 || self.run >= SHUT_RUN) };
                 let out = self.out();
                 if wait > 0 && (shut || out) {
                     self.health = Health::Back { since: self.wait_until };
-                } else if out || (shut && self.run >= SHUT_RUN) {
-                    self.go_out(now, true, set);
+                } else if out || shut {
+                    self.go_out(now, true);
                 } else if limits {
                     self.slow_down(now, set);
                 }
@@ -780,26 +806,23 @@
                 self.harmless = ending == Ending::NoConnection;
                 self.bad += NEWEST * (1.0 - self.bad);
                 if self.bad > self.out_at || self.out() {
-                    self.go_out(now, true, set);
+                    self.go_out(now, true);
                 }
             }
         }
+        true
     }
 
     fn ok(&mut self, now: Time, sent: Time, set: &Settings) {
         self.last_ok = now;
         self.run = 0;
         self.bad -= NEWEST * self.bad;
-        if self.even > 0.0 {
-            self.rate = self.rate.min(self.most * self.even);
+        if self.limit > 0.0 {
+            self.rate = self.rate.min(self.most * self.even(set));
         }
-        self.rate *= 1.0 + PACE_GROWTH * ((now - self.grown) as f64 / SECOND).min(1.0);
+        self.rate *= 1.0 + PACE_GROWTH * seconds(now - self.grown).min(PACE_AGES);
         self.grown = now;
-        if self.span_start + set.fall_span <= now {
-            (self.span_start, self.served) = (now, 0.0);
-        }
         self.served += 1.0;
-        self.peak = self.peak.max(self.served / (set.fall_span.max(1) as f64 / SECOND));
         self.health = match self.health {
             // It was slow or paused, not gone: nothing failed, and what was sent before is answered or the
             // silence was short.
@@ -816,96 +839,116 @@
     }
 
     /// Only spaced trials from now on; true if that is news.
-    fn go_out(&mut self, now: Time, told: bool, set: &Settings) -> bool {
+    fn go_out(&mut self, now: Time, told: bool) -> bool {
         if let Health::Out { told: before, since } = self.health {
             self.health = Health::Out { since, told: told || before };
             return false;
         }
-        self.trial_gap = set.fall_span / 2;
-        self.next_trial = now + self.trial_gap;
+        if self.run == 0 {
+            self.run_since = now;
+        }
         self.health = Health::Out { since: now, told };
         true
     }
 
-    /// A refusal above a limit. The even part of the limit, or the most ever served, gives the scale: what
+    /// This courier's part of the limit among those that want it at once: all of them where there are few;
+    /// where they are many, only as many as there are calls in a fall span have anything to send.
+    fn even(&self, set: &Settings) -> f64 {
+        let all = self.limit / f64::from(set.couriers.max(1));
+        if self.limit > 0.0 { all.max(1.0 / seconds(set.fall_span)) } else { 0.0 }
+    }
+
+    /// A refusal above a limit. The even part of the limit, or what was served here, gives the scale: what
     /// was sent lately may have been little only because little was asked for.
     fn slow_down(&mut self, now: Time, set: &Settings) {
-        let span = set.fall_span.max(1) as f64 / SECOND;
-        let scale = if self.even > 0.0 { self.even } else { self.peak };
+        let span = seconds(set.fall_span);
+        let scale = self.even(set).max(self.usual_rate(now)).max(1.0 / span);
         if self.rate.is_infinite() {
-            self.rate = PACE_START * scale.max(self.sent.len() as f64 / span);
+            self.rate = PACE_START * scale;
         }
         if self.cut + (BURST * SECOND) as Time <= now {
             (self.rate, self.cut) = (self.rate * PACE_CUT, now);
         }
-        self.rate = self.rate.max(PACE_LEAST * scale).max(1.0 / span);
-        (self.tokens, self.filled, self.grown) = (0.0, now, now);
-        self.left = 0.0;
+        self.rate = self.rate.max(PACE_LEAST * scale).max(PACE_FLOOR / span);
+        (self.grown, self.left) = (now, 0.0);
     }
 
-    /// The pace now: the own part, and an even part of the share of the limit that is told to be left: all
-    /// couriers read the same room and several will use it.
-    fn pace(&self, now: Time) -> f64 {
-        let left = if self.run == 0 && now < self.left_at + SECOND as Time { self.left } else { 0.0 };
-        self.rate + left * self.even
+    /// Calls served a second, over all the time that this limit is known.
+    fn usual_rate(&self, now: Time) -> f64 {
+        self.served / seconds(now - self.known).max(USUAL_OVER)
+    }
+
+    /// The pace now. Up: the own part, and an even part of the share of the limit that is told to be left:
+    /// all couriers read the same room and several will use it. Otherwise rule 4, as a budget over all
+    /// couriers that know of the outage: each message for it since then has told one courier at most, and
+    /// none knows of more couriers than there are. `None`: no bound.
+    fn pace(&self, now: Time, whole: bool, set: &Settings) -> Option<f64> {
+        let (share, trial) = match self.health {
+            Health::Out { .. } => (set.cold_share, true),
+            // One failure may be the first sight of an outage that ends unseen: cold until a success.
+            Health::Up if self.run > 0 && !self.harmless => (set.cold_share, false),
+            Health::Back { since } if now < since + set.warm_after => {
+                let warm = now.saturating_sub(since) as f64 / set.warm_after.max(1) as f64;
+                (set.cold_share + (1.0 - set.cold_share) * warm, false)
+            }
+            _ => {
+                let told = self.run == 0 && now < self.left_at + SECOND as Time;
+                let left = if told { self.left } else { 0.0 };
+                return (self.rate.is_finite()).then(|| self.rate + left * self.even(set));
+            }
+        };
+        let span = seconds(set.fall_span);
+        if !whole {
+            return trial.then_some(1.0 / span);
+        }
+        let couriers = f64::from(set.couriers.max(1));
+        // A rough figure may be half too high.
+        let told = if set.rates == Rates::Rough { self.limit / 1.5 } else { self.limit };
+        let capacity = told.max(self.usual_rate(now) * couriers).max(1.0 / span);
+        let known = seconds(now.saturating_sub(self.run_since)) + KNOWN_BEFORE * span;
+        let own = set.fall_multiple * share * capacity / couriers.min((capacity * known).max(1.0));
+        let pace = own * (BUDGET_RANDOM + (BUDGET_PART - BUDGET_RANDOM) * (own * span).min(1.0));
+        Some(if trial { pace.min(1.0 / span) } else { pace })
     }
 
-    fn tokens(&self, now: Time) -> f64 {
-        let pace = self.pace(now);
-        let grown = self.tokens + pace * (now - self.filled) as f64 / SECOND;
-        grown.min((pace * BURST).max(1.0))
+    fn credit(&self, now: Time, whole: bool, set: &Settings) -> f64 {
+        let pace = self.pace(now, whole, set).unwrap_or(f64::INFINITY);
+        (self.credit + pace * seconds(now.saturating_sub(self.filled))).min((pace * BURST).max(1.0))
     }
 
-    fn paced(&self, now: Time) -> Result<(), Time> {
-        if self.rate.is_infinite() || self.tokens(now) >= 1.0 {
-            return Ok(());
-        }
-        Err(now + ((1.0 - self.tokens(now)) / self.pace(now) * SECOND) as Time + 1)
+    /// What a call costs: one, spaced evenly, where a span holds several; where it holds less than one, by
+    /// chance up to two, so that couriers that learned the same thing at one moment do not return as one.
+    fn cost(&self, now: Time, whole: bool, chance: f64, set: &Settings) -> f64 {
+        let pace = self.pace(now, whole, set).unwrap_or(f64::INFINITY);
+        1.0 + (1.0 - (pace * seconds(set.fall_span)).min(1.0)) * (2.0 * chance - 1.0)
     }
 
-    fn note_sent(&mut self, now: Time, jitter: f64, set: &Settings) {
-        while self.sent.front().is_some_and(|&t| t + set.fall_span <= now) {
-            self.sent.pop_front();
-        }
-        self.sent.push_back(now);
-        if self.rate.is_finite() {
-            (self.tokens, self.filled) = ((self.tokens(now) - 1.0).max(-1.0), now);
-        }
-        if self.out() {
-            self.next_trial = now + (self.trial_gap as f64 * jitter) as Time;
-            self.trial_gap = (self.trial_gap * 3 / 2).min(set.fall_span * 5 / 4);
-        }
+    /// After trouble nothing is saved up, and a told wait is no credit.
+    fn owe(&mut self, now: Time, whole: bool, chance: f64, set: &Settings) {
+        (self.credit, self.filled) = (1.0 - self.cost(now, whole, chance, set), now.max(self.wait_until));
     }
 
-    /// Waits, trials and, for a whole limit, the return budget.
+    /// Rule 5, then the pace.
     fn open(&self, now: Time, whole: bool, set: &Settings) -> Result<(), Time> {
         if self.wait_until > now {
             return Err(self.wait_until);
         }
-        let since = match self.health {
-            Health::Out { .. } if self.next_trial > now => return Err(self.next_trial),
-            Health::Out { .. } => return Ok(()),
-            Health::Back { since } => since,
-            // One failure may be the first sight of an outage that ends unseen: cold until a success.
-            Health::Up if self.run > 0 && !self.harmless => now,
-            Health::Up => return Ok(()),
-        };
-        if !whole {
-            return Ok(());
-        }
-        let warm = now.saturating_sub(since) as f64 / set.warm_after.max(1) as f64;
-        if warm >= 1.0 {
+        let Some(pace) = self.pace(now, whole, set) else { return Ok(()) };
+        let credit = self.credit(now, whole, set);
+        if credit >= 1.0 {
             return Ok(());
         }
-        let share = set.cold_share + (1.0 - set.cold_share) * warm;
-        let span = set.fall_span as f64 / SECOND;
-        // A rough figure may be half too high.
-        let told = if set.rates == Rates::Rough { self.even / 1.5 } else { self.even };
-        let most = (BUDGET_PART * set.fall_multiple * share * told.max(self.peak) * span).max(1.0) as usize;
-        let recent: Vec<Time> = self.sent.iter().copied().filter(|&t| t + set.fall_span > now).collect();
-        if recent.len() < most {
-            return Ok(());
-        }
-        Err(recent[recent.len() - most] + set.fall_span)
+        // The pace of a return grows: look again before long.
+        let wait = ((1.0 - credit) / pace.max(1e-9)).min(seconds(set.fall_span));
+        Err(now + (wait * SECOND) as Time + 1)
+    }
+
+    fn note_sent(&mut self, now: Time, whole: bool, chance: f64, set: &Settings) {
+        let left = self.credit(now, whole, set) - self.cost(now, whole, chance, set);
+        (self.credit, self.filled) = (left.max(-1.0), now);
     }
 }
+
+fn seconds(span: Time) -> f64 {
+    span as f64 / SECOND
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -29,22 +29,18 @@
     pub(crate) last_answer: Time,
     /// Latest sending time among calls answered.
     pub(crate) answered_sent: Time,
-    pub(crate) trial_gap: Time,
-    pub(crate) next_trial: Time,
-    /// Calls of the last fall span.
-    pub(crate) sent: VecDeque<Time>,
-    /// Calls served in the running span, and the most served in one.
-    pub(crate) span_start: Time,
+    /// Since when it is known, and the calls served since.
+    pub(crate) known: Time,
     pub(crate) served: f64,
-    pub(crate) peak: f64,
-    /// This courier's even part of the told limit, calls a second; 0 for none.
-    pub(crate) even: f64,
+    /// The limit over all couriers, calls a second; 0 for none told.
+    pub(crate) limit: f64,
     /// Most that the pace may be of an even part of the limit.
     pub(crate) most: f64,
     pub(crate) left: f64,
     pub(crate) left_at: Time,
     pub(crate) rate: f64,
-    pub(crate) tokens: f64,
+    /// Calls saved up; one is needed to send.
+    pub(crate) credit: f64,
     pub(crate) filled: Time,
     pub(crate) grown: Time,
     pub(crate) cut: Time,
