--- a/simhost/src/wire.rs
+++ b/simhost/src/wire.rs
@@ -274,6 +274,7 @@
             (70, [&message.to_le_bytes()[..], &come_back.to_le_bytes()].concat())
         }
         Action::Fail { message } => (110, message.to_le_bytes().to_vec()),
+        Action::Close { endpoint } => (100, endpoint.to_le_bytes().to_vec()),
         Action::Watch => (20, vec![1]),
         Action::Wake { at } => (50, [at.saturating_sub(clock).to_le_bytes(), at.to_le_bytes()].concat()),
         Action::Log(text) => {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -399,6 +399,12 @@
             Ending::NotSent { .. } | Ending::Cancelled => return,
             _ => dest.bucket = (dest.bucket - BUCKET_RATIO).max(0.0),
         }
+        // A connection that will hardly be used again takes the place of another courier's.
+        let used_again = site.node.usual_rate(now, set) * seconds(set.connection_idle) >= 1.0;
+        if site.calls == 0 && !used_again {
+            site.connections = 0;
+            self.actions.push(Action::Close { endpoint: o.endpoint });
+        }
         if matches!(o.ending, Ending::NoConnection | Ending::Reset) {
             site.connections = site.calls;
             if site.calls > 0 && o.ending == Ending::NoConnection && site.node.last_ok + set.fall_span > now {
@@ -822,6 +828,11 @@
         }
         self.rate *= 1.0 + PACE_GROWTH * seconds(now - self.grown).min(PACE_AGES);
         self.grown = now;
+        if self.span_start + set.fall_span <= now {
+            (self.span_start, self.in_span) = (now, 0.0);
+        }
+        self.in_span += 1.0;
+        self.peak = self.peak.max(self.in_span);
         self.served += 1.0;
         self.health = match self.health {
             // It was slow or paused, not gone: nothing failed, and what was sent before is answered or the
@@ -862,7 +873,7 @@
     /// was sent lately may have been little only because little was asked for.
     fn slow_down(&mut self, now: Time, set: &Settings) {
         let span = seconds(set.fall_span);
-        let scale = self.even(set).max(self.usual_rate(now)).max(1.0 / span);
+        let scale = self.even(set).max(self.peak / span).max(1.0 / span);
         if self.rate.is_infinite() {
             self.rate = PACE_START * scale;
         }
@@ -873,9 +884,11 @@
         (self.grown, self.left) = (now, 0.0);
     }
 
-    /// Calls served a second, over all the time that this limit is known.
-    fn usual_rate(&self, now: Time) -> f64 {
-        self.served / seconds(now - self.known).max(USUAL_OVER)
+    /// Calls served a second: over all the time that this limit is known, or the most in one fall span less
+    /// what chance may have brought there.
+    fn usual_rate(&self, now: Time, set: &Settings) -> f64 {
+        let mean = self.served / seconds(now - self.known).max(USUAL_OVER);
+        mean.max((self.peak - self.peak.sqrt()) / seconds(set.fall_span))
     }
 
     /// The pace now. Up: the own part, and an even part of the share of the limit that is told to be left:
@@ -904,10 +917,10 @@
         let couriers = f64::from(set.couriers.max(1));
         // A rough figure may be half too high.
         let told = if set.rates == Rates::Rough { self.limit / 1.5 } else { self.limit };
-        let capacity = told.max(self.usual_rate(now) * couriers).max(1.0 / span);
+        let capacity = told.max(self.usual_rate(now, set) * couriers).max(1.0 / span);
         let known = seconds(now.saturating_sub(self.run_since)) + KNOWN_BEFORE * span;
         let own = set.fall_multiple * share * capacity / couriers.min((capacity * known).max(1.0));
-        let pace = own * (BUDGET_RANDOM + (BUDGET_PART - BUDGET_RANDOM) * (own * span).min(1.0));
+        let pace = own * (BUDGET_RANDOM + (BUDGET_PART - BUDGET_RANDOM) * (2.0 * own * span).min(1.0));
         Some(if trial { pace.min(1.0 / span) } else { pace })
     }
 
@@ -916,16 +929,20 @@
         (self.credit + pace * seconds(now.saturating_sub(self.filled))).min((pace * BURST).max(1.0))
     }
 
-    /// What a call costs: one, spaced evenly, where a span holds several; where it holds less than one, by
-    /// chance up to two, so that couriers that learned the same thing at one moment do not return as one.
-    fn cost(&self, now: Time, whole: bool, chance: f64, set: &Settings) -> f64 {
+    /// How much of a call's cost is left to chance: nothing where a fall span holds several calls. Where it
+    /// holds less than one, couriers that learned the same thing at one moment must not return as one.
+    fn random(&self, now: Time, whole: bool, set: &Settings) -> f64 {
         let pace = self.pace(now, whole, set).unwrap_or(f64::INFINITY);
-        1.0 + (1.0 - (pace * seconds(set.fall_span)).min(1.0)) * (2.0 * chance - 1.0)
+        1.0 - (pace * seconds(set.fall_span)).min(1.0)
     }
 
     /// After trouble nothing is saved up, and a told wait is no credit.
     fn owe(&mut self, now: Time, whole: bool, chance: f64, set: &Settings) {
-        (self.credit, self.filled) = (1.0 - self.cost(now, whole, chance, set), now.max(self.wait_until));
+        let random = self.random(now, whole, set);
+        let refused = self.harmless && self.health == Health::Up;
+        let kept = if refused { 0.0 } else { self.credit(now, whole, set).min(1.0) };
+        let credit = (1.0 - random) * kept + random * (1.0 - 2.0 * chance);
+        (self.credit, self.filled) = (credit, now.max(self.wait_until));
     }
 
     /// Rule 5, then the pace.
@@ -944,7 +961,8 @@
     }
 
     fn note_sent(&mut self, now: Time, whole: bool, chance: f64, set: &Settings) {
-        let left = self.credit(now, whole, set) - self.cost(now, whole, chance, set);
+        let cost = 1.0 + self.random(now, whole, set) * (2.0 * chance - 1.0);
+        let left = self.credit(now, whole, set) - cost;
         (self.credit, self.filled) = (left.max(-1.0), now);
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -276,6 +276,11 @@
         /// The message.
         message: u32,
     },
+    /// Close the connections to an endpoint that no call is using.
+    Close {
+        /// The endpoint.
+        endpoint: u32,
+    },
     /// Watch the list from now on.
     Watch,
     /// A round is wanted at this clock time at the latest.
--- a/src/state.rs
+++ b/src/state.rs
@@ -32,6 +32,10 @@
     /// Since when it is known, and the calls served since.
     pub(crate) known: Time,
     pub(crate) served: f64,
+    /// Calls served in the running fall span, and the most in one.
+    pub(crate) span_start: Time,
+    pub(crate) in_span: f64,
+    pub(crate) peak: f64,
     /// The limit over all couriers, calls a second; 0 for none told.
     pub(crate) limit: f64,
     /// Most that the pace may be of an even part of the limit.
