--- a/src/choice.rs
+++ b/src/choice.rs
@@ -46,8 +46,9 @@
 const USUAL_OVER: f64 = 10.0;
 /// Seconds since the last growth that count at once, for couriers that seldom send.
 const PACE_AGES: f64 = 10.0;
-/// Least pace, of one call in a fall span.
-const PACE_FLOOR: f64 = 0.5;
+/// Growth, with the time that refusals last, of the time over which couriers that want a limit are counted:
+/// their tries together must stay under the limit, as tries that are refused may use it up.
+const TROUBLE: f64 = 3.0;
 /// Pace kept after a refusal above a limit, of what was sent lately.
 const PACE_CUT: f64 = 0.8;
 /// Growth of the pace in a second with calls served.
@@ -168,7 +169,7 @@
                 let new = node.limit == 0.0;
                 node.limit = e.rate;
                 if new {
-                    node.rate = node.even(&self.set) * node.most;
+                    node.rate = node.even(self.now, &self.set) * node.most;
                 }
             }
         }
@@ -824,7 +825,7 @@
         self.run = 0;
         self.bad -= NEWEST * self.bad;
         if self.limit > 0.0 {
-            self.rate = self.rate.min(self.most * self.even(set));
+            self.rate = self.rate.min(self.most * self.even(now, set));
         }
         self.rate *= 1.0 + PACE_GROWTH * seconds(now - self.grown).min(PACE_AGES);
         self.grown = now;
@@ -862,32 +863,37 @@
         true
     }
 
-    /// This courier's part of the limit among those that want it at once: all of them where there are few;
-    /// where they are many, only as many as there are calls in a fall span have anything to send.
-    fn even(&self, set: &Settings) -> f64 {
-        let all = self.limit / f64::from(set.couriers.max(1));
-        if self.limit > 0.0 { all.max(1.0 / seconds(set.fall_span)) } else { 0.0 }
+    /// This courier's part of the limit among those that want it at once: all of them where they are few. Where
+    /// they are many, only those with something to send: as many as there are calls in a fall span, and more
+    /// with the time that refusals last, since every message turned away since then is held by one.
+    fn even(&self, now: Time, set: &Settings) -> f64 {
+        let trouble = if self.run > 0 { seconds(now.saturating_sub(self.run_since)) } else { 0.0 };
+        let few = if self.limit > 0.0 {
+            self.limit / f64::from(set.couriers.max(1))
+        } else {
+            (self.peak - self.peak.sqrt()) / seconds(set.fall_span)
+        };
+        few.max(1.0 / (seconds(set.fall_span) + TROUBLE * trouble))
     }
 
     /// A refusal above a limit. The even part of the limit, or what was served here, gives the scale: what
     /// was sent lately may have been little only because little was asked for.
     fn slow_down(&mut self, now: Time, set: &Settings) {
-        let span = seconds(set.fall_span);
-        let scale = self.even(set).max(self.peak / span).max(1.0 / span);
+        let scale = self.even(now, set);
         if self.rate.is_infinite() {
             self.rate = PACE_START * scale;
         }
         if self.cut + (BURST * SECOND) as Time <= now {
             (self.rate, self.cut) = (self.rate * PACE_CUT, now);
         }
-        self.rate = self.rate.max(PACE_LEAST * scale).max(PACE_FLOOR / span);
+        self.rate = self.rate.max(PACE_LEAST * scale);
         (self.grown, self.left) = (now, 0.0);
     }
 
     /// Calls served a second: over all the time that this limit is known, or the most in one fall span less
     /// what chance may have brought there.
     fn usual_rate(&self, now: Time, set: &Settings) -> f64 {
-        let mean = self.served / seconds(now - self.known).max(USUAL_OVER);
+        let mean = self.served / seconds(now.saturating_sub(self.known)).max(USUAL_OVER);
         mean.max((self.peak - self.peak.sqrt()) / seconds(set.fall_span))
     }
 
@@ -907,7 +913,9 @@
             _ => {
                 let told = self.run == 0 && now < self.left_at + SECOND as Time;
                 let left = if told { self.left } else { 0.0 };
-                return (self.rate.is_finite()).then(|| self.rate + left * self.even(set));
+                let even = self.even(now, set);
+                let most = if self.run > 0 { self.most.max(1.0) * even } else { f64::INFINITY };
+                return (self.rate.is_finite()).then(|| self.rate.min(most) + left * even);
             }
         };
         let span = seconds(set.fall_span);
