--- a/src/choice.rs
+++ b/src/choice.rs
@@ -41,11 +41,15 @@
 /// The same where it is less than one call: chance brings several couriers together.
 const BUDGET_RANDOM: f64 = 0.5;
 /// Fall spans before the first trouble seen here in which others may have seen it.
-const KNOWN_BEFORE: f64 = 4.0;
+const KNOWN_BEFORE: f64 = 2.0;
+/// What couriers that know of an outage may send together, of what those send that do not.
+const BESIDE: f64 = 0.5;
 /// Seconds over which the usual rate is taken at least.
 const USUAL_OVER: f64 = 10.0;
 /// Seconds since the last growth that count at once, for couriers that seldom send.
 const PACE_AGES: f64 = 10.0;
+/// Fall spans by which the time over which couriers that want a limit are counted grows at the first refusal.
+const FIRST_REFUSED: f64 = 2.0;
 /// Growth, with the time that refusals last, of the time over which couriers that want a limit are counted:
 /// their tries together must stay under the limit, as tries that are refused may use it up.
 const TROUBLE: f64 = 3.0;
@@ -169,7 +173,7 @@
                 let new = node.limit == 0.0;
                 node.limit = e.rate;
                 if new {
-                    node.rate = node.even(self.now, &self.set) * node.most;
+                    node.rate = node.even(&self.set) * node.most;
                 }
             }
         }
@@ -784,11 +788,12 @@
         if self.run == 0 && self.health == Health::Up {
             self.run_since = now;
         }
+        if ending == Ending::Served {
+            self.ok(now, sent, set);
+            return false;
+        }
+        self.last_bad = now;
         match ending {
-            Ending::Served => {
-                self.ok(now, sent, set);
-                return false;
-            }
             Ending::Full { wait } => {
                 self.wait_until = if wait > 0 { self.wait_until.max(now + wait) } else { self.wait_until };
                 self.run += 1;
@@ -798,7 +803,7 @@
                 let told = self.left_at == now;
                 let long = self.run_since + set.fall_span * 3 / 2 <= now + wait;
                 let shut = wait > set.fall_span
-                    || if told { self.left > SHUT_ROOM } else { long && (wait > 0 || self.run >= SHUT_RUN) };
+                    || if told { self.left > SHUT_ROOM && self.run >= 2 } else { long && (wait > 0 || self.run >= SHUT_RUN) };
                 let out = self.out();
                 if wait > 0 && (shut || out) {
                     self.health = Health::Back { since: self.wait_until };
@@ -825,7 +830,7 @@
         self.run = 0;
         self.bad -= NEWEST * self.bad;
         if self.limit > 0.0 {
-            self.rate = self.rate.min(self.most * self.even(now, set));
+            self.rate = self.rate.min(self.most * self.even(set));
         }
         self.rate *= 1.0 + PACE_GROWTH * seconds(now - self.grown).min(PACE_AGES);
         self.grown = now;
@@ -856,6 +861,7 @@
             self.health = Health::Out { since, told: told || before };
             return false;
         }
+        self.last_bad = now;
         if self.run == 0 {
             self.run_since = now;
         }
@@ -866,20 +872,21 @@
     /// This courier's part of the limit among those that want it at once: all of them where they are few. Where
     /// they are many, only those with something to send: as many as there are calls in a fall span, and more
     /// with the time that refusals last, since every message turned away since then is held by one.
-    fn even(&self, now: Time, set: &Settings) -> f64 {
-        let trouble = if self.run > 0 { seconds(now.saturating_sub(self.run_since)) } else { 0.0 };
+    fn even(&self, set: &Settings) -> f64 {
+        let refused = FIRST_REFUSED * seconds(set.fall_span) + TROUBLE * self.trouble();
+        let trouble = if self.run > 0 { refused } else { 0.0 };
         let few = if self.limit > 0.0 {
             self.limit / f64::from(set.couriers.max(1))
         } else {
             (self.peak - self.peak.sqrt()) / seconds(set.fall_span)
         };
-        few.max(1.0 / (seconds(set.fall_span) + TROUBLE * trouble))
+        few.max(1.0 / (seconds(set.fall_span) + trouble))
     }
 
     /// A refusal above a limit. The even part of the limit, or what was served here, gives the scale: what
     /// was sent lately may have been little only because little was asked for.
     fn slow_down(&mut self, now: Time, set: &Settings) {
-        let scale = self.even(now, set);
+        let scale = self.even(set);
         if self.rate.is_infinite() {
             self.rate = PACE_START * scale;
         }
@@ -890,6 +897,11 @@
         (self.grown, self.left) = (now, 0.0);
     }
 
+    /// Seconds from the first failure or refusal of the running trouble to the last.
+    fn trouble(&self) -> f64 {
+        seconds(self.last_bad.saturating_sub(self.run_since))
+    }
+
     /// Calls served a second: over all the time that this limit is known, or the most in one fall span less
     /// what chance may have brought there.
     fn usual_rate(&self, now: Time, set: &Settings) -> f64 {
@@ -913,7 +925,7 @@
             _ => {
                 let told = self.run == 0 && now < self.left_at + SECOND as Time;
                 let left = if told { self.left } else { 0.0 };
-                let even = self.even(now, set);
+                let even = self.even(set);
                 let most = if self.run > 0 { self.most.max(1.0) * even } else { f64::INFINITY };
                 return (self.rate.is_finite()).then(|| self.rate.min(most) + left * even);
             }
@@ -926,9 +938,11 @@
         // A rough figure may be half too high.
         let told = if set.rates == Rates::Rough { self.limit / 1.5 } else { self.limit };
         let capacity = told.max(self.usual_rate(now, set) * couriers).max(1.0 / span);
-        let known = seconds(now.saturating_sub(self.run_since)) + KNOWN_BEFORE * span;
-        let own = set.fall_multiple * share * capacity / couriers.min((capacity * known).max(1.0));
+        let know = couriers.min((capacity * (self.trouble() + KNOWN_BEFORE * span)).max(1.0));
+        let own = set.fall_multiple * share * capacity / know;
         let pace = own * (BUDGET_RANDOM + (BUDGET_PART - BUDGET_RANDOM) * (2.0 * own * span).min(1.0));
+        // Those that know nothing send as ever; beside them those that know stay well under two thirds.
+        let pace = pace.max(BESIDE * capacity / know * (1.0 - know / couriers));
         Some(if trial { pace.min(1.0 / span) } else { pace })
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -25,6 +25,7 @@
     pub(crate) run: u32,
     pub(crate) run_since: Time,
     pub(crate) harmless: bool,
+    pub(crate) last_bad: Time,
     pub(crate) last_ok: Time,
     pub(crate) last_answer: Time,
     /// Latest sending time among calls answered.
