--- a/src/choice.rs
+++ b/src/choice.rs
@@ -49,10 +49,10 @@
 /// Seconds since the last growth that count at once, for couriers that seldom send.
 const PACE_AGES: f64 = 10.0;
 /// Fall spans by which the time over which couriers that want a limit are counted grows at the first refusal.
-const FIRST_REFUSED: f64 = 2.0;
+const FIRST_REFUSED: f64 = 3.0;
 /// Growth, with the time that refusals last, of the time over which couriers that want a limit are counted:
 /// their tries together must stay under the limit, as tries that are refused may use it up.
-const TROUBLE: f64 = 3.0;
+const TROUBLE: f64 = 4.0;
 /// Pace kept after a refusal above a limit, of what was sent lately.
 const PACE_CUT: f64 = 0.8;
 /// Growth of the pace in a second with calls served.
@@ -460,6 +460,13 @@
     }
 
     fn pick(&mut self, id: u32) -> Option<(u32, u32)> {
+        let dest = self.dests.get_mut(&id)?;
+        dest.node.waiting = dest.waiting.len() as f64;
+        for e in &dest.endpoints {
+            if let Some(site) = self.sites.get_mut(e) {
+                site.node.waiting = dest.node.waiting;
+            }
+        }
         let dest = self.dests.get(&id)?;
         let mut held: Vec<(u32, u64, u32)> = dest.waiting.iter().map(|&(seq, m)| (0, seq, m)).collect();
         if dest.endpoints.iter().any(|e| !matches!(self.node(*e).map(|n| n.health), Some(Health::Up))) {
@@ -880,7 +887,8 @@
         } else {
             (self.peak - self.peak.sqrt()) / seconds(set.fall_span)
         };
-        few.max(1.0 / (seconds(set.fall_span) + trouble))
+        let over = seconds(set.fall_span) + trouble;
+        few.max(self.wants(few * over) / over)
     }
 
     /// A refusal above a limit. The even part of the limit, or what was served here, gives the scale: what
@@ -897,6 +905,12 @@
         (self.grown, self.left) = (now, 0.0);
     }
 
+    /// Messages held here that count, where `each` is the mean over couriers. Where that is one or more, all
+    /// are taken to hold as many; where it is less, most hold none, and one that holds several needs more.
+    fn wants(&self, each: f64) -> f64 {
+        1.0 + (self.waiting - 1.0).max(0.0) * (1.0 - each).max(0.0)
+    }
+
     /// Seconds from the first failure or refusal of the running trouble to the last.
     fn trouble(&self) -> f64 {
         seconds(self.last_bad.saturating_sub(self.run_since))
@@ -943,7 +957,7 @@
         let pace = own * (BUDGET_RANDOM + (BUDGET_PART - BUDGET_RANDOM) * (2.0 * own * span).min(1.0));
         // Those that know nothing send as ever; beside them those that know stay well under two thirds.
         let pace = pace.max(BESIDE * capacity / know * (1.0 - know / couriers));
-        Some(if trial { pace.min(1.0 / span) } else { pace })
+        Some(if trial { pace.min(1.0 / span) } else { pace * self.wants(know / couriers) })
     }
 
     fn credit(&self, now: Time, whole: bool, set: &Settings) -> f64 {
