--- a/src/choice.rs
+++ b/src/choice.rs
@@ -882,11 +882,7 @@
     fn even(&self, set: &Settings) -> f64 {
         let refused = FIRST_REFUSED * seconds(set.fall_span) + TROUBLE * self.trouble();
         let trouble = if self.run > 0 { refused } else { 0.0 };
-        let few = if self.limit > 0.0 {
-            self.limit / f64::from(set.couriers.max(1))
-        } else {
-            (self.peak - self.peak.sqrt()) / seconds(set.fall_span)
-        };
+        let few = self.few(set);
         let over = seconds(set.fall_span) + trouble;
         few.max(self.wants(few * over) / over)
     }
@@ -901,10 +897,20 @@
         if self.cut + (BURST * SECOND) as Time <= now {
             (self.rate, self.cut) = (self.rate * PACE_CUT, now);
         }
-        self.rate = self.rate.max(PACE_LEAST * scale);
+        // Few couriers may send one call each in a fall span without using up a limit by it.
+        let least = (PACE_LEAST * scale).max(self.few(set).min(1.0 / seconds(set.fall_span)));
+        self.rate = self.rate.max(least);
         (self.grown, self.left) = (now, 0.0);
     }
 
+    /// An even part over all couriers: of the limit if told, or else what was served in one fall span at most.
+    fn few(&self, set: &Settings) -> f64 {
+        if self.limit > 0.0 {
+            return self.limit / f64::from(set.couriers.max(1));
+        }
+        (self.peak - 1.0).max(0.0) / seconds(set.fall_span)
+    }
+
     /// Messages held here that count, where `each` is the mean over couriers. Where that is one or more, all
     /// are taken to hold as many; where it is less, most hold none, and one that holds several needs more.
     fn wants(&self, each: f64) -> f64 {
@@ -920,7 +926,7 @@
     /// what chance may have brought there.
     fn usual_rate(&self, now: Time, set: &Settings) -> f64 {
         let mean = self.served / seconds(now.saturating_sub(self.known)).max(USUAL_OVER);
-        mean.max((self.peak - self.peak.sqrt()) / seconds(set.fall_span))
+        mean.max((self.peak - 1.0) / seconds(set.fall_span))
     }
 
     /// The pace now. Up: the own part, and an even part of the share of the limit that is told to be left:
