--- a/src/choice.rs
+++ b/src/choice.rs
@@ -67,6 +67,8 @@
 const BURST: f64 = 0.5;
 /// Seconds of its share that a tenant may save up: shares are meant over a while.
 const SAVED: f64 = 5.0;
+/// Weight of the lot by which couriers differ in the endpoint that they like best, in calls.
+const LOT: f64 = 0.5;
 /// Share of `max_held` from which messages are handed back rather than turned away unseen.
 const CROWDED: f64 = 0.9;
 
@@ -159,7 +161,9 @@
             dest.endpoints.insert(e.id);
             let apart = apart_kind(&self.set, e.kind);
             let out_at = if apart { OUT_AT } else { OUT_AT_ENDPOINT };
+            let lot = -(1.0 - self.random.draw()).ln();
             let site = self.sites.entry(e.id).or_insert_with(|| Site {
+                lot,
                 node: Node::new(out_at, self.now),
                 dest: e.destination,
                 zone: e.zone,
@@ -511,14 +515,25 @@
         best.map(|(_, e)| e).ok_or(wake)
     }
 
-    /// Calls out there, its failing share, and the prices of reaching it, in calls.
+    /// Calls out there, its failing share, and the prices of reaching it, in calls. Where an even part is less
+    /// than a call in a burst, a lot of its own for each courier, by the limit where routes are apart: with
+    /// nothing else to go by, hundreds of couriers would all take the same endpoint.
     fn cost(&self, endpoint: u32) -> f64 {
         let (s, set) = (&self.sites[&endpoint], &self.set);
         let connecting = if s.connected(self.now, set) { 0.0 } else { set.connection_price };
         let crossing = if s.zone == set.zone { 0.0 } else { set.crossing_price };
         let fee = set.route_fees.get(usize::from(s.zone)).filter(|_| self.apart(s.dest));
         let price = connecting + crossing + fee.unwrap_or(&0.0);
-        f64::from(s.calls) + 4.0 * s.node.bad + 10.0 * price
+        let each = self.node(endpoint).map_or(0.0, |n| n.few(set)) * BURST;
+        let sparse = (1.0 - each).max(0.0).powi(3);
+        let share = if s.node.limit > 0.0 && self.apart(s.dest) {
+            let limit = |e: &u32| self.sites.get(e).map_or(0.0, |s| s.node.limit);
+            let all = &self.dests[&s.dest].endpoints;
+            s.node.limit * all.len() as f64 / all.iter().map(limit).sum::<f64>()
+        } else {
+            1.0
+        };
+        f64::from(s.calls) + 4.0 * s.node.bad + 10.0 * price + LOT * sparse * s.lot / share
     }
 
     fn apart(&self, dest: u32) -> bool {
--- a/src/state.rs
+++ b/src/state.rs
@@ -78,6 +78,8 @@
     pub(crate) connections: u32,
     pub(crate) used: Time,
     pub(crate) room: f64,
+    /// How little this courier likes it.
+    pub(crate) lot: f64,
     /// The call that sends of this round may join, and the sends in it.
     pub(crate) joined: (u64, Time, u32),
 }
