--- a/src/choice.rs
+++ b/src/choice.rs
@@ -46,8 +46,6 @@
 const BESIDE: f64 = 0.5;
 /// Seconds over which the usual rate is taken at least.
 const USUAL_OVER: f64 = 10.0;
-/// Seconds since the last growth that count at once, for couriers that seldom send.
-const PACE_AGES: f64 = 10.0;
 /// Fall spans by which the time over which couriers that want a limit are counted grows at the first refusal.
 const FIRST_REFUSED: f64 = 3.0;
 /// Growth, with the time that refusals last, of the time over which couriers that want a limit are counted:
@@ -825,7 +823,7 @@
                 let told = self.left_at == now;
                 let long = self.run_since + set.fall_span * 3 / 2 <= now + wait;
                 let shut = wait > set.fall_span
-                    || if told { self.left > SHUT_ROOM && self.run >= 2 } else { long && (wait > 0 || self.run >= SHUT_RUN) };
+                    || if told { self.left > SHUT_ROOM && sent >= self.run_since } else { long && (wait > 0 || self.run >= SHUT_RUN) };
                 let out = self.out();
                 if wait > 0 && (shut || out) {
                     self.health = Health::Back { since: self.wait_until };
@@ -854,7 +852,7 @@
         if self.limit > 0.0 {
             self.rate = self.rate.min(self.most * self.even(set));
         }
-        self.rate *= 1.0 + PACE_GROWTH * seconds(now - self.grown).min(PACE_AGES);
+        self.rate *= 1.0 + PACE_GROWTH * seconds(now - self.grown).min(1.0);
         self.grown = now;
         if self.span_start + set.fall_span <= now {
             (self.span_start, self.in_span) = (now, 0.0);
