--- a/src/choice.rs
+++ b/src/choice.rs
@@ -47,10 +47,10 @@
 /// Seconds over which the usual rate is taken at least.
 const USUAL_OVER: f64 = 10.0;
 /// Fall spans by which the time over which couriers that want a limit are counted grows at the first refusal.
-const FIRST_REFUSED: f64 = 3.0;
+const FIRST_REFUSED: f64 = 8.0;
 /// Growth, with the time that refusals last, of the time over which couriers that want a limit are counted:
 /// their tries together must stay under the limit, as tries that are refused may use it up.
-const TROUBLE: f64 = 4.0;
+const TROUBLE: f64 = 10.0;
 /// Pace kept after a refusal above a limit, of what was sent lately.
 const PACE_CUT: f64 = 0.8;
 /// Growth of the pace in a second with calls served.
