--- a/src/choice.rs
+++ b/src/choice.rs
@@ -92,9 +92,6 @@
     shares: BTreeMap<usize, (f64, Time)>,
     ask_at: Time,
     ask_gap: Time,
-    /// Served latencies of late at all destinations, and their 95th percentile.
-    latencies: VecDeque<Time>,
-    anywhere: Option<Time>,
     /// Calls out to where only trials go.
     trials: u32,
     actions: Vec<Action>,
@@ -403,11 +400,6 @@
         match o.ending {
             Ending::Served => {
                 dest.served(o.took);
-                self.latencies.push_back(o.took);
-                if self.latencies.len() > LATENCIES {
-                    self.latencies.pop_front();
-                }
-                self.anywhere = late(&self.latencies);
                 dest.bucket = (dest.bucket + 1.0).min(BUCKET);
                 site.room += 1.0 / site.room.max(1.0);
             }
@@ -673,7 +665,7 @@
         for (id, _, endpoint, sent) in self.running() {
             let Some(m) = self.msgs.get(&id).filter(|m| !m.over && m.live == 1) else { continue };
             let Some(dest) = self.dests.get(&m.dest).filter(|d| d.endpoints.len() > 1) else { continue };
-            let at = sent + dest.resend(self.set.classes[m.class].aim, self.anywhere);
+            let at = sent + dest.resend(self.set.classes[m.class].aim);
             if at > self.now {
                 if at < m.due {
                     self.wake_at(at);
@@ -700,7 +692,7 @@
         for (id, attempt, endpoint, sent) in self.running() {
             let (Some(m), Some(site)) = (self.msgs.get(&id), self.sites.get_mut(&endpoint)) else { continue };
             let Some(dest) = self.dests.get_mut(&m.dest) else { continue };
-            let resend = dest.resend(self.set.classes[m.class].aim, None);
+            let resend = dest.resend(self.set.classes[m.class].aim);
             let (overdue, lost) = (sent + OVERDUE * resend, sent + LOST * resend);
             if overdue > now {
                 self.wake = self.wake.min(overdue);
@@ -761,14 +753,11 @@
         self.usual += (took - self.usual) / LATENCIES as f64;
     }
 
-    /// The resend time: the 95th percentile of recent latencies here. Until there are enough, that of all
-    /// destinations, or the longest here; the aim when there are too few of these as well, or sooner.
-    fn resend(&self, aim: Time, anywhere: Option<Time>) -> Time {
-        if self.latencies.len() >= ENOUGH {
-            return late(&self.latencies).unwrap_or(aim);
-        }
-        let longest = self.latencies.iter().copied().max().unwrap_or(0);
-        anywhere.map_or(aim, |t| t.max(longest).min(aim))
+    /// The resend time: the 95th percentile of recent latencies, the aim until there are enough.
+    fn resend(&self, aim: Time) -> Time {
+        let mut sorted: Vec<Time> = self.latencies.iter().copied().collect();
+        sorted.sort_unstable();
+        sorted.get(sorted.len() * 95 / 100).filter(|_| sorted.len() >= ENOUGH).copied().unwrap_or(aim)
     }
 
     /// It fails, or runs at a multiple of its usual latency.
@@ -777,13 +766,6 @@
     }
 }
 
-/// The 95th percentile of latencies, if there are enough.
-fn late(latencies: &VecDeque<Time>) -> Option<Time> {
-    let mut sorted: Vec<Time> = latencies.iter().copied().collect();
-    sorted.sort_unstable();
-    sorted.get(sorted.len() * 95 / 100).filter(|_| sorted.len() >= ENOUGH).copied()
-}
-
 impl Site {
     /// The call of this round that another send to this endpoint may join.
     fn joins(&self, now: Time, set: &Settings, kind: u8) -> Option<u64> {
