--- a/src/choice.rs
+++ b/src/choice.rs
@@ -407,7 +407,7 @@
             _ => dest.bucket = (dest.bucket - BUCKET_RATIO).max(0.0),
         }
         // A connection that will hardly be used again takes the place of another courier's.
-        let used_again = site.node.usual_rate(now, set) * seconds(set.connection_idle) >= 1.0;
+        let used_again = site.node.usual_rate(now) * seconds(set.connection_idle) >= 1.0;
         if site.calls == 0 && !used_again {
             site.connections = 0;
             self.actions.push(Action::Close { endpoint: o.endpoint });
@@ -935,11 +935,9 @@
         seconds(self.last_bad.saturating_sub(self.run_since))
     }
 
-    /// Calls served a second: over all the time that this limit is known, or the most in one fall span less
-    /// what chance may have brought there.
-    fn usual_rate(&self, now: Time, set: &Settings) -> f64 {
-        let mean = self.served / seconds(now.saturating_sub(self.known)).max(USUAL_OVER);
-        mean.max((self.peak - 1.0) / seconds(set.fall_span))
+    /// Calls served a second, over all the time that this limit is known.
+    fn usual_rate(&self, now: Time) -> f64 {
+        self.served / seconds(now.saturating_sub(self.known)).max(USUAL_OVER)
     }
 
     /// The pace now. Up: the own part, and an even part of the share of the limit that is told to be left:
@@ -970,7 +968,7 @@
         let couriers = f64::from(set.couriers.max(1));
         // A rough figure may be half too high.
         let told = if set.rates == Rates::Rough { self.limit / 1.5 } else { self.limit };
-        let capacity = told.max(self.usual_rate(now, set) * couriers).max(1.0 / span);
+        let capacity = told.max(self.usual_rate(now) * couriers).max(1.0 / span);
         let know = couriers.min((capacity * (self.trouble() + KNOWN_BEFORE * span)).max(1.0));
         let own = set.fall_multiple * share * capacity / know;
         let pace = own * (BUDGET_RANDOM + (BUDGET_PART - BUDGET_RANDOM) * (2.0 * own * span).min(1.0));
