--- a/src/choice.rs
+++ b/src/choice.rs
@@ -42,6 +42,8 @@
 const BUDGET_RANDOM: f64 = 0.5;
 /// Fall spans before the first trouble seen here in which others may have seen it.
 const KNOWN_BEFORE: f64 = 2.0;
+/// Calls in a fall span that any destination bears from all couriers together.
+const LEAST_CALLS: f64 = 4.0;
 /// What couriers that know of an outage may send together, of what those send that do not.
 const BESIDE: f64 = 0.5;
 /// Seconds over which the usual rate is taken at least.
@@ -407,7 +409,8 @@
             _ => dest.bucket = (dest.bucket - BUCKET_RATIO).max(0.0),
         }
         // A connection that will hardly be used again takes the place of another courier's.
-        let used_again = site.node.usual_rate(now) * seconds(set.connection_idle) >= 1.0;
+        let each = site.node.served / seconds(now - site.node.known).max(USUAL_OVER);
+        let used_again = each * seconds(set.connection_idle) >= 1.0;
         if site.calls == 0 && !used_again {
             site.connections = 0;
             self.actions.push(Action::Close { endpoint: o.endpoint });
@@ -935,9 +938,16 @@
         seconds(self.last_bad.saturating_sub(self.run_since))
     }
 
-    /// Calls served a second, over all the time that this limit is known.
-    fn usual_rate(&self, now: Time) -> f64 {
-        self.served / seconds(now.saturating_sub(self.known)).max(USUAL_OVER)
+    /// What it can take from all couriers, calls a second, as far as is known: told, or what this one had
+    /// served in the mean, or at most in a fall span: then others may have had as much, but no more of them
+    /// than that, as a courier that never saw more than two calls in a span is one of many.
+    fn capacity(&self, now: Time, set: &Settings) -> f64 {
+        let (span, couriers) = (seconds(set.fall_span), f64::from(set.couriers.max(1)));
+        // A rough figure may be half too high.
+        let told = if set.rates == Rates::Rough { self.limit / 1.5 } else { self.limit };
+        let mean = couriers * self.served / seconds(now.saturating_sub(self.known)).max(USUAL_OVER);
+        let most = couriers.min(self.peak) * (self.peak - 1.0) / span;
+        told.max(mean).max(most).max(1.0 / span)
     }
 
     /// The pace now. Up: the own part, and an even part of the share of the limit that is told to be left:
@@ -947,8 +957,9 @@
     fn pace(&self, now: Time, whole: bool, set: &Settings) -> Option<f64> {
         let (share, trial) = match self.health {
             Health::Out { .. } => (set.cold_share, true),
-            // One failure may be the first sight of an outage that ends unseen: cold until a success.
-            Health::Up if self.run > 0 && !self.harmless => (set.cold_share, false),
+            // One failure may be the first sight of an outage that ends unseen: cold until a success. A failed
+            // connection may mean one endpoint; the second in a row, most likely at another, does not.
+            Health::Up if self.run > 0 && (!self.harmless || self.bad > OUT_AT_ENDPOINT) => (set.cold_share, false),
             Health::Back { since } if now < since + set.warm_after => {
                 let warm = now.saturating_sub(since) as f64 / set.warm_after.max(1) as f64;
                 (set.cold_share + (1.0 - set.cold_share) * warm, false)
@@ -966,14 +977,13 @@
             return trial.then_some(1.0 / span);
         }
         let couriers = f64::from(set.couriers.max(1));
-        // A rough figure may be half too high.
-        let told = if set.rates == Rates::Rough { self.limit / 1.5 } else { self.limit };
-        let capacity = told.max(self.usual_rate(now) * couriers).max(1.0 / span);
+        let capacity = self.capacity(now, set);
         let know = couriers.min((capacity * (self.trouble() + KNOWN_BEFORE * span)).max(1.0));
         let own = set.fall_multiple * share * capacity / know;
         let pace = own * (BUDGET_RANDOM + (BUDGET_PART - BUDGET_RANDOM) * (2.0 * own * span).min(1.0));
         // Those that know nothing send as ever; beside them those that know stay well under two thirds.
-        let pace = pace.max(BESIDE * capacity / know * (1.0 - know / couriers));
+        let least = (LEAST_CALLS / couriers).min(1.0) / span;
+        let pace = pace.max(BESIDE * capacity / know * (1.0 - know / couriers)).max(least);
         Some(if trial { pace.min(1.0 / span) } else { pace * self.wants(know / couriers) })
     }
 
