--- a/src/choice.rs
+++ b/src/choice.rs
@@ -65,8 +65,6 @@
 const PACE_ROUGH: f64 = 2.0;
 /// A burst may take the pace of this many seconds; destinations queue about as much.
 const BURST: f64 = 0.5;
-/// Seconds of its share that a tenant may save up: shares are meant over a while.
-const SAVED: f64 = 5.0;
 /// Weight of the lot by which couriers differ in the endpoint that they like best, in calls.
 const LOT: f64 = 0.5;
 /// Share of `max_held` from which messages are handed back rather than turned away unseen.
@@ -90,8 +88,6 @@
     /// Sends in each running call.
     calls: BTreeMap<u64, u32>,
     lines: BTreeMap<u64, Line>,
-    /// What each tenant has left of its share, and since when.
-    shares: BTreeMap<usize, (f64, Time)>,
     ask_at: Time,
     ask_gap: Time,
     actions: Vec<Action>,
@@ -209,13 +205,11 @@
         let deadline = self.set.classes[class].deadline;
         let due = self.now + t.time_left;
         let key = if self.set.classes[class].ordered { t.key } else { 0 };
-        let beyond = self.beyond_share(t.tenant as usize);
         self.seq += 1;
         let msg = Msg {
             dest: t.destination,
             class,
             key,
-            beyond,
             seq: self.seq,
             taken: due.saturating_sub(deadline),
             due,
@@ -229,18 +223,6 @@
         self.msgs.insert(t.id, msg);
     }
 
-    /// Whether a tenant has handed in more than this courier's part of its share.
-    fn beyond_share(&mut self, tenant: usize) -> bool {
-        let Some(&quota) = self.set.tenants.get(tenant).filter(|&&q| q > 0.0) else { return false };
-        let part = quota / f64::from(self.set.couriers.max(1));
-        let (saved, since) = self.shares.entry(tenant).or_insert((part * SAVED, self.now));
-        let grown = *saved + part * (self.now - *since) as f64 / SECOND;
-        (*saved, *since) = (grown.min(part * SAVED), self.now);
-        let beyond = *saved < 1.0;
-        *saved -= if beyond { 0.0 } else { 1.0 };
-        beyond
-    }
-
     /// The message has its answer: nothing more goes out for it, and what is out is called off.
     fn end(&mut self, id: u32) {
         let Some(m) = self.msgs.get_mut(&id) else { return };
@@ -329,7 +311,7 @@
         } else {
             1.0 - (1.0 - class.late_worth) * late / (class.deadline.saturating_sub(class.aim)).max(1) as f64
         };
-        class.worth * kept * if m.beyond { self.set.over_share_worth } else { 1.0 }
+        class.worth * kept
     }
 
     // ---- Outcomes
@@ -392,7 +374,6 @@
         let apart = apart_kind(set, dest.kind);
         site.calls = site.calls.saturating_sub(1);
         dest.calls = dest.calls.saturating_sub(1);
-        site.used = now;
         let gate = if apart { &mut site.node } else { &mut dest.node };
         gate.report(now, o);
         match o.ending {
@@ -407,12 +388,8 @@
         let each = site.node.served / seconds(now - site.node.known).max(USUAL_OVER);
         let used_again = each * seconds(set.connection_idle) >= 1.0;
         if site.calls == 0 && !used_again {
-            site.connections = 0;
             self.actions.push(Action::Close { endpoint: o.endpoint });
         }
-        if matches!(o.ending, Ending::NoConnection | Ending::Reset) {
-            site.connections = site.calls;
-        }
         let was = if apart { site.node.health } else { dest.node.health };
         let chance = self.random.draw();
         if site.node.outcome(now, out.sent, o.ending, apart, set) {
@@ -500,10 +477,9 @@
     /// nothing else to go by, hundreds of couriers would all take the same endpoint.
     fn cost(&self, endpoint: u32) -> f64 {
         let (s, set) = (&self.sites[&endpoint], &self.set);
-        let connecting = if s.connected(self.now, set) { 0.0 } else { set.connection_price };
         let crossing = if s.zone == set.zone { 0.0 } else { set.crossing_price };
         let fee = set.route_fees.get(usize::from(s.zone)).filter(|_| self.apart(s.dest));
-        let price = connecting + crossing + fee.unwrap_or(&0.0);
+        let price = crossing + fee.unwrap_or(&0.0);
         let each = self.node(endpoint).map_or(0.0, |n| n.few(set)) * BURST;
         let sparse = (1.0 - each).max(0.0).powi(3);
         f64::from(s.calls) + 4.0 * s.node.bad + 10.0 * price + LOT * sparse * s.lot
@@ -599,11 +575,7 @@
         dest.waiting.remove(&(m.seq, message));
         dest.last_slot = now;
         dest.calls += 1;
-        if !site.connected(now, &self.set) {
-            site.connections = site.connections.max(site.calls / self.set.calls_per_connection.max(1)) + 1;
-        }
         site.calls += 1;
-        site.used = now;
         site.node.note_sent(now, apart, chance, &self.set);
         if !apart {
             dest.node.note_sent(now, true, chance, &self.set);
@@ -740,10 +712,6 @@
         (self.joined.1 == now && self.joined.2 > 0 && self.joined.2 < most).then_some(self.joined.0)
     }
 
-    fn connected(&self, now: Time, set: &Settings) -> bool {
-        let streams = set.calls_per_connection.max(1);
-        (self.calls < self.connections * streams) && (self.calls > 0 || self.used + set.connection_idle > now)
-    }
 }
 
 // ---- Health, return budget, waits and pace of one limit
--- a/src/state.rs
+++ b/src/state.rs
@@ -75,8 +75,6 @@
     pub(crate) zone: u8,
     pub(crate) listing: Listing,
     pub(crate) calls: u32,
-    pub(crate) connections: u32,
-    pub(crate) used: Time,
     /// How little this courier likes it.
     pub(crate) lot: f64,
     /// The call that sends of this round may join, and the sends in it.
@@ -88,8 +86,6 @@
     pub(crate) dest: u32,
     pub(crate) class: usize,
     pub(crate) key: u64,
-    /// Handed in beyond its tenant's share.
-    pub(crate) beyond: bool,
     pub(crate) seq: u64,
     pub(crate) taken: Time,
     pub(crate) due: Time,
