--- a/src/choice.rs
+++ b/src/choice.rs
@@ -22,8 +22,6 @@
 const ENOUGH: usize = 5;
 /// A call is overdue after this many resend times: by then one in hundreds would still be due.
 const OVERDUE: u64 = 2;
-/// A call overtaken by later ones is lost after this many resend times.
-const LOST: u64 = 4;
 /// Weight of the newest outcome in the failing share: a handful of outcomes settle it.
 const NEWEST: f64 = 0.3;
 /// Failing share at which a limit counts as out: three failures in a row, or most calls of late.
@@ -48,10 +46,8 @@
 const BESIDE: f64 = 0.5;
 /// Seconds over which the usual rate is taken at least.
 const USUAL_OVER: f64 = 10.0;
-/// Fall spans by which the time over which couriers that want a limit are counted grows at the first refusal.
-const FIRST_REFUSED: f64 = 8.0;
-/// Growth, with the time that refusals last, of the time over which couriers that want a limit are counted:
-/// their tries together must stay under the limit, as tries that are refused may use it up.
+/// Growth of the time over which couriers that want a limit are counted, with the time that refusals last and
+/// the fall span before: tries must stay under the limit together, as those that are refused may use it up.
 const TROUBLE: f64 = 10.0;
 /// Pace kept after a refusal above a limit, of what was sent lately.
 const PACE_CUT: f64 = 0.8;
@@ -59,10 +55,6 @@
 const PACE_GROWTH: f64 = 0.15;
 /// Least pace, of an even part of the limit or of the most served: the others may need less than theirs.
 const PACE_LEAST: f64 = 0.15;
-/// First pace after a refusal where none is told, over the most that was sent or served.
-const PACE_START: f64 = 1.5;
-/// Most pace under a rough limit, of its even part: the limit may be twice as high as told.
-const PACE_ROUGH: f64 = 2.0;
 /// A burst may take the pace of this many seconds; destinations queue about as much.
 const BURST: f64 = 0.5;
 /// Weight of the lot by which couriers differ in the endpoint that they like best, in calls.
@@ -165,12 +157,9 @@
             site.listing = e.listing;
             if self.set.rates != Rates::Untold && e.rate > 0.0 {
                 let node = if apart { &mut site.node } else { &mut dest.node };
-                node.most = if self.set.rates == Rates::Rough { PACE_ROUGH } else { 1.0 };
                 let new = node.limit == 0.0;
                 node.limit = e.rate;
-                if new {
-                    node.rate = node.even(&self.set) * node.most;
-                }
+                node.rate = if new { node.even(&self.set) } else { node.rate };
             }
         }
         let dests = &mut self.dests;
@@ -439,7 +428,6 @@
                 site.node.waiting = dest.node.waiting;
             }
         }
-        let dest = self.dests.get(&id)?;
         let held: Vec<u32> = dest.waiting.iter().map(|&(_, m)| m).collect();
         for m in held {
             match self.choose(m, &[]) {
@@ -453,36 +441,31 @@
     /// The best endpoint that the gate lets the message go to, or when to look again.
     fn choose(&self, message: u32, but: &[u32]) -> Result<u32, Time> {
         let mut wake = NEVER;
-        let mut best: Option<(f64, u32)> = None;
+        let mut open = Vec::new();
         let m = &self.msgs[&message];
         for &e in self.dests.get(&m.dest).iter().flat_map(|d| &d.endpoints) {
             if but.contains(&e) {
                 continue;
             }
             match self.gate(m, message, e).and_then(|()| self.courtesy(m, e)) {
-                Ok(()) => {
-                    let cost = self.cost(e);
-                    if best.is_none_or(|(c, _)| cost < c) {
-                        best = Some((cost, e));
-                    }
-                }
+                Ok(()) => open.push((self.cost(e), e)),
                 Err(at) => wake = wake.min(at),
             }
         }
-        best.map(|(_, e)| e).ok_or(wake)
+        open.into_iter().min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, e)| e).ok_or(wake)
     }
 
     /// Calls out there, its failing share, and the prices of reaching it, in calls. Where an even part is less
-    /// than a call in a burst, a lot of its own for each courier, by the limit where routes are apart: with
-    /// nothing else to go by, hundreds of couriers would all take the same endpoint.
+    /// than a call in a burst, a lot of its own for each courier: with nothing else to go by, hundreds of
+    /// couriers would all take the same endpoint.
     fn cost(&self, endpoint: u32) -> f64 {
         let (s, set) = (&self.sites[&endpoint], &self.set);
         let crossing = if s.zone == set.zone { 0.0 } else { set.crossing_price };
         let fee = set.route_fees.get(usize::from(s.zone)).filter(|_| self.apart(s.dest));
         let price = crossing + fee.unwrap_or(&0.0);
-        let each = self.node(endpoint).map_or(0.0, |n| n.few(set)) * BURST;
-        let sparse = (1.0 - each).max(0.0).powi(3);
-        f64::from(s.calls) + 4.0 * s.node.bad + 10.0 * price + LOT * sparse * s.lot
+        let sparse = 1.0 - self.node(endpoint).map_or(0.0, |n| n.few(set)) * BURST;
+        let lot = LOT * sparse.max(0.0).powi(3) * s.lot;
+        f64::from(s.calls) + 4.0 * s.node.bad + 10.0 * price + lot
     }
 
     fn apart(&self, dest: u32) -> bool {
@@ -527,12 +510,12 @@
         // Caps: three quarters of the slots for one destination, half while it fails or runs slow.
         let sick = dest.sick() || site.node.health != Health::Up;
         let cap = if sick { set.slots / 2 } else { set.slots * 3 / 4 }.max(1);
-        let full = self.calls.len() >= set.slots as usize;
-        let spent = site.joins(now, set, dest.kind).is_none() && (full || dest.calls >= cap);
-        if spent {
-            return Err(NEVER);
+        let spent = self.calls.len() >= set.slots as usize || dest.calls >= cap;
+        if spent && site.joins(now, set, dest.kind).is_none() {
+            Err(NEVER)
+        } else {
+            Ok(())
         }
-        Ok(())
     }
 
     /// Pace under a shared limit, the bucket for extras, and messages that have no second chance.
@@ -622,8 +605,8 @@
     }
 
     /// Calls overdue with nothing answered since they were sent are evidence at once: the limit counts as
-    /// out. A call that later ones have overtaken is lost, as is one that hangs while others want its slot:
-    /// where the class allows a repeat it is called off.
+    /// out. One that hangs while others want its slot, or while its siblings answer, is called off where the
+    /// class allows a repeat.
     fn look_for_silence(&mut self) {
         let now = self.now;
         let full = self.crowded(0);
@@ -631,31 +614,21 @@
         for (id, attempt, endpoint, sent) in self.running() {
             let (Some(m), Some(site)) = (self.msgs.get(&id), self.sites.get_mut(&endpoint)) else { continue };
             let Some(dest) = self.dests.get_mut(&m.dest) else { continue };
-            let resend = dest.resend(self.set.classes[m.class].aim);
-            let (overdue, lost) = (sent + OVERDUE * resend, sent + LOST * resend);
+            let overdue = sent + OVERDUE * dest.resend(self.set.classes[m.class].aim);
             if overdue > now {
                 self.wake = self.wake.min(overdue);
                 continue;
             }
-            self.wake = if lost > now { self.wake.min(lost) } else { self.wake };
             let silent = site.node.last_answer < sent;
             let elsewhere = dest.node.last_answer >= sent;
-            let apart = apart_kind(&self.set, dest.kind);
-            let news = silent && site.node.go_out(now, false);
-            let all = silent && !elsewhere && !apart && dest.node.go_out(now, false);
-            let chance = self.random.draw();
-            if news {
-                site.node.owe(now, apart, chance, &self.set);
-            }
-            if all {
-                dest.node.owe(now, true, chance, &self.set);
-            }
-            if news || all {
+            let (apart, chance) = (apart_kind(&self.set, dest.kind), self.random.draw());
+            let news = silent && site.node.silent(now, apart, chance, &self.set);
+            if silent && !elsewhere && !apart && dest.node.silent(now, true, chance, &self.set) || news {
                 let text = format!("destination {} endpoint {endpoint}: silent", m.dest);
                 self.actions.push(Action::Log(text));
             }
-            let hopeless = silent && (full || elsewhere) || lost <= now && site.node.answered_sent > sent;
-            if hopeless && self.set.may_cancel && self.may_resend(&self.msgs[&id], None) {
+            if silent && (full || elsewhere) && self.set.may_cancel && self.may_resend(&self.msgs[&id], None)
+            {
                 off.push((id, attempt));
             }
         }
@@ -711,7 +684,6 @@
         let most = set.kinds.get(usize::from(kind)).map_or(1, |k| k.per_call);
         (self.joined.1 == now && self.joined.2 > 0 && self.joined.2 < most).then_some(self.joined.0)
     }
-
 }
 
 // ---- Health, return budget, waits and pace of one limit
@@ -727,7 +699,7 @@
 
     fn report(&mut self, now: Time, o: &Outcome) {
         if let Some(limit) = o.limit.filter(|&l| l > 0.0) {
-            (self.limit, self.most) = (limit, 1.0);
+            self.limit = limit;
             if let Some(left) = o.left {
                 (self.left, self.left_at) = (left, now);
             }
@@ -738,7 +710,6 @@
     fn outcome(&mut self, now: Time, sent: Time, ending: Ending, limits: bool, set: &Settings) -> bool {
         if ending != Ending::TimedOut {
             self.last_answer = now;
-            self.answered_sent = self.answered_sent.max(sent);
         }
         if self.run == 0 && self.health == Health::Up {
             self.run_since = now;
@@ -761,8 +732,9 @@
                 // to be left. With nothing told, refusals without a success for longer than a limit's span.
                 let told = self.left_at == now;
                 let long = self.run_since + set.fall_span * 3 / 2 <= now + wait;
-                let shut = wait > set.fall_span
-                    || if told { self.left > SHUT_ROOM && sent >= self.run_since } else { long && (wait > 0 || self.run >= SHUT_RUN) };
+                let room = self.left > SHUT_ROOM && sent >= self.run_since;
+                let silent = long && (wait > 0 || self.run >= SHUT_RUN);
+                let shut = wait > set.fall_span || if told { room } else { silent };
                 let out = self.out();
                 if wait > 0 && (shut || out) {
                     self.health = Health::Back { since: self.wait_until };
@@ -785,11 +757,10 @@
     }
 
     fn ok(&mut self, now: Time, sent: Time, set: &Settings) {
-        self.last_ok = now;
         self.run = 0;
         self.bad -= NEWEST * self.bad;
         if self.limit > 0.0 {
-            self.rate = self.rate.min(self.most * self.even(set));
+            self.rate = self.rate.min(self.even(set));
         }
         self.rate *= 1.0 + PACE_GROWTH * seconds(now - self.grown).min(1.0);
         self.grown = now;
@@ -828,14 +799,20 @@
         true
     }
 
-    /// This courier's part of the limit among those that want it at once: all of them where they are few. Where
-    /// they are many, only those with something to send: as many as there are calls in a fall span, and more
+    fn silent(&mut self, now: Time, whole: bool, chance: f64, set: &Settings) -> bool {
+        let news = self.go_out(now, false);
+        if news {
+            self.owe(now, whole, chance, set);
+        }
+        news
+    }
+
+    /// This courier's part of the limit among those that want it at once: all where they are few. Where they
+    /// are many, only those with something to send: as many as there are calls in a fall span, and more
     /// with the time that refusals last, since every message turned away since then is held by one.
     fn even(&self, set: &Settings) -> f64 {
-        let refused = FIRST_REFUSED * seconds(set.fall_span) + TROUBLE * self.trouble();
-        let trouble = if self.run > 0 { refused } else { 0.0 };
-        let few = self.few(set);
-        let over = seconds(set.fall_span) + trouble;
+        let (few, span) = (self.few(set), seconds(set.fall_span));
+        let over = if self.run > 0 { TROUBLE * (span + self.trouble()) } else { span };
         few.max(self.wants(few * over) / over)
     }
 
@@ -843,9 +820,7 @@
     /// was sent lately may have been little only because little was asked for.
     fn slow_down(&mut self, now: Time, set: &Settings) {
         let scale = self.even(set);
-        if self.rate.is_infinite() {
-            self.rate = PACE_START * scale;
-        }
+        self.rate = if self.rate.is_finite() { self.rate } else { scale };
         if self.cut + (BURST * SECOND) as Time <= now {
             (self.rate, self.cut) = (self.rate * PACE_CUT, now);
         }
@@ -895,7 +870,9 @@
             Health::Out { .. } => (set.cold_share, true),
             // One failure may be the first sight of an outage that ends unseen: cold until a success. A failed
             // connection may mean one endpoint; the second in a row, most likely at another, does not.
-            Health::Up if self.run > 0 && (!self.harmless || self.bad > OUT_AT_ENDPOINT) => (set.cold_share, false),
+            Health::Up if self.run > 0 && (!self.harmless || self.bad > OUT_AT_ENDPOINT) => {
+                (set.cold_share, false)
+            }
             Health::Back { since } if now < since + set.warm_after => {
                 let warm = now.saturating_sub(since) as f64 / set.warm_after.max(1) as f64;
                 (set.cold_share + (1.0 - set.cold_share) * warm, false)
@@ -904,7 +881,7 @@
                 let told = self.run == 0 && now < self.left_at + SECOND as Time;
                 let left = if told { self.left } else { 0.0 };
                 let even = self.even(set);
-                let most = if self.run > 0 { self.most.max(1.0) * even } else { f64::INFINITY };
+                let most = if self.run > 0 { even } else { f64::INFINITY };
                 return (self.rate.is_finite()).then(|| self.rate.min(most) + left * even);
             }
         };
--- a/src/state.rs
+++ b/src/state.rs
@@ -26,10 +26,7 @@
     pub(crate) run_since: Time,
     pub(crate) harmless: bool,
     pub(crate) last_bad: Time,
-    pub(crate) last_ok: Time,
     pub(crate) last_answer: Time,
-    /// Latest sending time among calls answered.
-    pub(crate) answered_sent: Time,
     /// Since when it is known, and the calls served since.
     pub(crate) known: Time,
     pub(crate) served: f64,
@@ -41,8 +38,6 @@
     pub(crate) waiting: f64,
     /// The limit over all couriers, calls a second; 0 for none told.
     pub(crate) limit: f64,
-    /// Most that the pace may be of an even part of the limit.
-    pub(crate) most: f64,
     pub(crate) left: f64,
     pub(crate) left_at: Time,
     pub(crate) rate: f64,
--- a/tests/courier.rs
+++ b/tests/courier.rs
@@ -790,4 +790,3 @@
     let third = c.round(now + 50 * MS, vec![ended(1, 1, second[0].1, Ending::NoConnection)]);
     assert!(sends(&third).is_empty());
 }
-
