--- a/src/choice.rs
+++ b/src/choice.rs
@@ -757,7 +757,7 @@
     }
 
     fn ok(&mut self, now: Time, sent: Time, set: &Settings) {
-        self.run = 0;
+        (self.run, self.jammed) = (0, false);
         self.bad -= NEWEST * self.bad;
         if self.limit > 0.0 {
             self.rate = self.rate.min(self.even(set));
@@ -812,7 +812,7 @@
     /// with the time that refusals last, since every message turned away since then is held by one.
     fn even(&self, set: &Settings) -> f64 {
         let (few, span) = (self.few(set), seconds(set.fall_span));
-        let over = if self.run > 0 { TROUBLE * (span + self.trouble()) } else { span };
+        let over = if self.jammed { TROUBLE * (span + self.trouble()) } else { span };
         few.max(self.wants(few * over) / over)
     }
 
@@ -826,7 +826,7 @@
         }
         // Few couriers may send one call each in a fall span without using up a limit by it.
         let least = (PACE_LEAST * scale).max(self.few(set).min(1.0 / seconds(set.fall_span)));
-        self.rate = self.rate.max(least);
+        (self.rate, self.jammed) = (self.rate.max(least), true);
         (self.grown, self.filled, self.left, self.credit) = (now, now, 0.0, 0.0);
     }
 
@@ -881,7 +881,7 @@
                 let told = self.run == 0 && now < self.left_at + SECOND as Time;
                 let left = if told { self.left } else { 0.0 };
                 let even = self.even(set);
-                let most = if self.run > 0 { even } else { f64::INFINITY };
+                let most = if self.jammed { even } else { f64::INFINITY };
                 return (self.rate.is_finite()).then(|| self.rate.min(most) + left * even);
             }
         };
--- a/src/state.rs
+++ b/src/state.rs
@@ -40,6 +40,8 @@
     pub(crate) limit: f64,
     pub(crate) left: f64,
     pub(crate) left_at: Time,
+    /// Refused above the limit, and nothing served since.
+    pub(crate) jammed: bool,
     pub(crate) rate: f64,
     /// Calls saved up; one is needed to send.
     pub(crate) credit: f64,
