--- a/src/choice.rs
+++ b/src/choice.rs
@@ -159,7 +159,9 @@
                 let node = if apart { &mut site.node } else { &mut dest.node };
                 let new = node.limit == 0.0;
                 node.limit = e.rate;
-                node.rate = if new { node.even(&self.set) } else { node.rate };
+                // A rough figure, or none of a limit at all, is no reason to hold anything back unrefused.
+                let exact = self.set.rates == Rates::Exact;
+                node.rate = if new && exact { node.even(&self.set) } else { node.rate };
             }
         }
         let dests = &mut self.dests;
@@ -759,7 +761,7 @@
     fn ok(&mut self, now: Time, sent: Time, set: &Settings) {
         (self.run, self.jammed) = (0, false);
         self.bad -= NEWEST * self.bad;
-        if self.limit > 0.0 {
+        if self.limit > 0.0 && set.rates != Rates::Rough {
             self.rate = self.rate.min(self.even(set));
         }
         self.rate *= 1.0 + PACE_GROWTH * seconds(now - self.grown).min(1.0);
