--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,6 +1,6 @@
 //! Every decision of the courier. Its types, events and actions are in `src/interface.rs`.
 //!
-//! Reading order: values, state, one round, the list, messages, outcomes, sending, the gate, copies, health.
+//! In order: values, state, a round, the list, messages, outcomes, sending, the gate, copies, health.
 
 use crate::interface::*;
 use crate::state::{Dest, Health, Line, Msg, Node, Out, Random, Site};
@@ -449,7 +449,7 @@
             if but.contains(&e) {
                 continue;
             }
-            match self.gate(m, message, e).and_then(|()| self.courtesy(m, e)) {
+            match self.gate(m, message, e).and_then(|()| self.courtesy(m)) {
                 Ok(()) => open.push((self.cost(e), e)),
                 Err(at) => wake = wake.min(at),
             }
@@ -457,9 +457,8 @@
         open.into_iter().min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, e)| e).ok_or(wake)
     }
 
-    /// Calls out there, its failing share, and the prices of reaching it, in calls. Where an even part is less
-    /// than a call in a burst, a lot of its own for each courier: with nothing else to go by, hundreds of
-    /// couriers would all take the same endpoint.
+    /// Calls out there, its failing share, and the prices of reaching it, in calls; and, where an even part is
+    /// less than a call in a burst, a lot of each courier's own, or hundreds would all take the same endpoint.
     fn cost(&self, endpoint: u32) -> f64 {
         let (s, set) = (&self.sites[&endpoint], &self.set);
         let crossing = if s.zone == set.zone { 0.0 } else { set.crossing_price };
@@ -520,22 +519,16 @@
         }
     }
 
-    /// Pace under a shared limit, the bucket for extras, and messages that have no second chance.
-    fn courtesy(&self, m: &Msg, endpoint: u32) -> Result<(), Time> {
-        let (now, site, dest) = (self.now, &self.sites[&endpoint], &self.dests[&m.dest]);
-        let node = self.node(endpoint).unwrap_or(&dest.node);
-        // Where calls fail, an unsafe message that fails is lost: it is held for half its time first, unless
-        // failures there prove that nothing ran.
-        let half = m.taken + (m.due - m.taken) / 2;
-        let risky = node.bad > RISKY || site.node.bad > RISKY || node.health != Health::Up;
-        if self.set.classes[m.class].repeat == Repeat::Unsafe && risky && !node.harmless && now < half {
-            return Err(half);
-        }
-        // An extra needs the bucket; with nothing else out one may go, or an empty bucket could never fill.
-        if !m.maybe.is_empty() && dest.bucket <= BUCKET / 2.0 && (m.live > 0 || dest.calls > 0) {
-            return Err(NEVER);
+    /// Not a rule: an extra needs the bucket; with nothing else out one may go, or an empty bucket could never
+    /// fill.
+    fn courtesy(&self, m: &Msg) -> Result<(), Time> {
+        let dest = &self.dests[&m.dest];
+        let extra = !m.maybe.is_empty() && (m.live > 0 || dest.calls > 0);
+        if extra && dest.bucket <= BUCKET / 2.0 {
+            Err(NEVER)
+        } else {
+            Ok(())
         }
-        Ok(())
     }
 
     fn send(&mut self, message: u32, endpoint: u32) {
@@ -832,7 +825,7 @@
         (self.grown, self.filled, self.left, self.credit) = (now, now, 0.0, 0.0);
     }
 
-    /// An even part over all couriers: of the limit if told, or else what was served in one fall span at most.
+    /// An even part over all couriers: of the limit if told, or else the most served in a fall span.
     fn few(&self, set: &Settings) -> f64 {
         if self.limit > 0.0 {
             return self.limit / f64::from(set.couriers.max(1));
@@ -870,8 +863,8 @@
     fn pace(&self, now: Time, whole: bool, set: &Settings) -> Option<f64> {
         let (share, trial) = match self.health {
             Health::Out { .. } => (set.cold_share, true),
-            // One failure may be the first sight of an outage that ends unseen: cold until a success. A failed
-            // connection may mean one endpoint; the second in a row, most likely at another, does not.
+            // One failure may be the first sight of an outage that ends unseen: cold until a success. Failed
+            // connections only from the second on: one may mean one endpoint.
             Health::Up if self.run > 0 && (!self.harmless || self.bad > OUT_AT_ENDPOINT) => {
                 (set.cold_share, false)
             }
