--- a/src/choice.rs
+++ b/src/choice.rs
@@ -49,12 +49,6 @@
 /// Growth of the time over which couriers that want a limit are counted, with the time that refusals last and
 /// the fall span before: tries must stay under the limit together, as those that are refused may use it up.
 const TROUBLE: f64 = 10.0;
-/// Pace kept after a refusal above a limit, of what was sent lately.
-const PACE_CUT: f64 = 0.8;
-/// Growth of the pace in a second with calls served.
-const PACE_GROWTH: f64 = 0.15;
-/// Least pace, of an even part of the limit or of the most served: the others may need less than theirs.
-const PACE_LEAST: f64 = 0.15;
 /// A burst may take the pace of this many seconds; destinations queue about as much.
 const BURST: f64 = 0.5;
 /// Weight of the lot by which couriers differ in the endpoint that they like best, in calls.
@@ -157,11 +151,8 @@
             site.listing = e.listing;
             if self.set.rates != Rates::Untold && e.rate > 0.0 {
                 let node = if apart { &mut site.node } else { &mut dest.node };
-                let new = node.limit == 0.0;
-                node.limit = e.rate;
                 // A rough figure, or none of a limit at all, is no reason to hold anything back unrefused.
-                let exact = self.set.rates == Rates::Exact;
-                node.rate = if new && exact { node.even(&self.set) } else { node.rate };
+                (node.limit, node.exact) = (e.rate, self.set.rates == Rates::Exact);
             }
         }
         let dests = &mut self.dests;
@@ -685,7 +676,7 @@
 
 impl Node {
     fn new(out_at: f64, known: Time) -> Self {
-        Node { out_at, known, rate: f64::INFINITY, credit: 1.0, ..Node::default() }
+        Node { out_at, known, credit: 1.0, ..Node::default() }
     }
 
     fn out(&self) -> bool {
@@ -694,7 +685,7 @@
 
     fn report(&mut self, now: Time, o: &Outcome) {
         if let Some(limit) = o.limit.filter(|&l| l > 0.0) {
-            self.limit = limit;
+            (self.limit, self.exact) = (limit, true);
             if let Some(left) = o.left {
                 (self.left, self.left_at) = (left, now);
             }
@@ -736,7 +727,8 @@
                 } else if out || shut {
                     self.go_out(now, true);
                 } else if limits {
-                    self.slow_down(now, set);
+                    // Above the limit: nothing is saved up, and no room is believed.
+                    (self.jammed, self.filled, self.left, self.credit) = (true, now, 0.0, 0.0);
                 }
             }
             _ => {
@@ -754,11 +746,6 @@
     fn ok(&mut self, now: Time, sent: Time, set: &Settings) {
         (self.run, self.jammed) = (0, false);
         self.bad -= NEWEST * self.bad;
-        if self.limit > 0.0 && set.rates != Rates::Rough {
-            self.rate = self.rate.min(self.even(set));
-        }
-        self.rate *= 1.0 + PACE_GROWTH * seconds(now - self.grown).min(1.0);
-        self.grown = now;
         if self.span_start + set.fall_span <= now {
             (self.span_start, self.in_span) = (now, 0.0);
         }
@@ -811,20 +798,6 @@
         few.max(self.wants(few * over) / over)
     }
 
-    /// A refusal above a limit. The even part of the limit, or what was served here, gives the scale: what
-    /// was sent lately may have been little only because little was asked for.
-    fn slow_down(&mut self, now: Time, set: &Settings) {
-        let scale = self.even(set);
-        self.rate = if self.rate.is_finite() { self.rate } else { scale };
-        if self.cut + (BURST * SECOND) as Time <= now {
-            (self.rate, self.cut) = (self.rate * PACE_CUT, now);
-        }
-        // Few couriers may send one call each in a fall span without using up a limit by it.
-        let least = (PACE_LEAST * scale).max(self.few(set).min(1.0 / seconds(set.fall_span)));
-        (self.rate, self.jammed) = (self.rate.max(least), true);
-        (self.grown, self.filled, self.left, self.credit) = (now, now, 0.0, 0.0);
-    }
-
     /// An even part over all couriers: of the limit if told, or else the most served in a fall span.
     fn few(&self, set: &Settings) -> f64 {
         if self.limit > 0.0 {
@@ -875,9 +848,7 @@
             _ => {
                 let told = self.run == 0 && now < self.left_at + SECOND as Time;
                 let left = if told { self.left } else { 0.0 };
-                let even = self.even(set);
-                let most = if self.jammed { even } else { f64::INFINITY };
-                return (self.rate.is_finite()).then(|| self.rate.min(most) + left * even);
+                return (self.exact || self.jammed).then(|| (1.0 + left) * self.even(set));
             }
         };
         let span = seconds(set.fall_span);
--- a/src/state.rs
+++ b/src/state.rs
@@ -38,16 +38,15 @@
     pub(crate) waiting: f64,
     /// The limit over all couriers, calls a second; 0 for none told.
     pub(crate) limit: f64,
+    /// It is told exactly, not roughly.
+    pub(crate) exact: bool,
     pub(crate) left: f64,
     pub(crate) left_at: Time,
     /// Refused above the limit, and nothing served since.
     pub(crate) jammed: bool,
-    pub(crate) rate: f64,
     /// Calls saved up; one is needed to send.
     pub(crate) credit: f64,
     pub(crate) filled: Time,
-    pub(crate) grown: Time,
-    pub(crate) cut: Time,
 }
 
 #[derive(Debug, Default)]
