--- a/src/choice.rs
+++ b/src/choice.rs
@@ -49,8 +49,6 @@
 /// Growth of the time over which couriers that want a limit are counted, with the time that refusals last and
 /// the fall span before: tries must stay under the limit together, as those that are refused may use it up.
 const TROUBLE: f64 = 10.0;
-/// Part of the even part that is sent after a refusal until a success.
-const JAMMED: f64 = 0.6;
 /// A burst may take the pace of this many seconds; destinations queue about as much.
 const BURST: f64 = 0.5;
 /// Weight of the lot by which couriers differ in the endpoint that they like best, in calls.
@@ -850,8 +848,7 @@
             _ => {
                 let told = self.run == 0 && now < self.left_at + SECOND as Time;
                 let left = if told { self.left } else { 0.0 };
-                let part = if self.jammed { JAMMED } else { 1.0 + left };
-                return (self.exact || self.jammed).then(|| part * self.even(set));
+                return (self.exact || self.jammed).then(|| (1.0 + left) * self.even(set));
             }
         };
         let span = seconds(set.fall_span);
