--- a/src/choice.rs
+++ b/src/choice.rs
@@ -705,9 +705,9 @@
             return false;
         }
         self.last_bad = now;
-        // It never came under the limit: a sibling may be tried at once.
-        if ending == Ending::NoConnection && self.health == Health::Up {
-            self.credit = (self.credit + 1.0).min(1.0);
+        // The first failed connection may mean one endpoint: a sibling may be tried, but only at once.
+        if ending == Ending::NoConnection && self.health == Health::Up && self.run == 0 {
+            self.free_until = now + (BURST * SECOND) as Time;
         }
         match ending {
             Ending::Full { wait } => {
@@ -836,11 +836,8 @@
     fn pace(&self, now: Time, whole: bool, set: &Settings) -> Option<f64> {
         let (share, trial) = match self.health {
             Health::Out { .. } => (set.cold_share, true),
-            // One failure may be the first sight of an outage that ends unseen: cold until a success. Failed
-            // connections only from the second on: one may mean one endpoint.
-            Health::Up if self.run > 0 && (!self.harmless || self.bad > OUT_AT_ENDPOINT) => {
-                (set.cold_share, false)
-            }
+            // One failure may be the first sight of an outage that ends unseen: cold until a success.
+            Health::Up if self.run > 0 && (!self.harmless || self.bad > RISKY) => (set.cold_share, false),
             Health::Back { since } if now < since + set.warm_after => {
                 let warm = now.saturating_sub(since) as f64 / set.warm_after.max(1) as f64;
                 (set.cold_share + (1.0 - set.cold_share) * warm, false)
@@ -857,7 +854,8 @@
         }
         let couriers = f64::from(set.couriers.max(1));
         let capacity = self.capacity(now, set);
-        let know = couriers.min((capacity * (self.trouble() + KNOWN_BEFORE * span)).max(1.0));
+        let since = seconds(now.saturating_sub(self.run_since)) + KNOWN_BEFORE * span;
+        let know = couriers.min((capacity * since).max(1.0));
         let own = set.fall_multiple * share * capacity / know;
         let pace = own * (BUDGET_RANDOM + (BUDGET_PART - BUDGET_RANDOM) * (2.0 * own * span).min(1.0));
         // Those that know nothing send as ever; beside them those that know stay well under two thirds.
@@ -893,7 +891,7 @@
         }
         let Some(pace) = self.pace(now, whole, set) else { return Ok(()) };
         let credit = self.credit(now, whole, set);
-        if credit >= 1.0 {
+        if credit >= 1.0 || now < self.free_until {
             return Ok(());
         }
         // The pace of a return grows: look again before long.
@@ -904,7 +902,7 @@
     fn note_sent(&mut self, now: Time, whole: bool, chance: f64, set: &Settings) {
         let cost = 1.0 + self.random(now, whole, set) * (2.0 * chance - 1.0);
         let left = self.credit(now, whole, set) - cost;
-        (self.credit, self.filled) = (left.max(-1.0), now);
+        (self.credit, self.filled, self.free_until) = (left.max(-1.0), now, 0);
     }
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -47,6 +47,8 @@
     /// Calls saved up; one is needed to send.
     pub(crate) credit: f64,
     pub(crate) filled: Time,
+    /// Until then one call needs none.
+    pub(crate) free_until: Time,
 }
 
 #[derive(Debug, Default)]
