--- a/src/choice.rs
+++ b/src/choice.rs
@@ -448,8 +448,8 @@
         open.into_iter().min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, e)| e).ok_or(wake)
     }
 
-    /// Calls out there, its failing share, and the prices of reaching it, in calls; and, where an even part is
-    /// less than a call in a burst, a lot of each courier's own, or hundreds would all take the same endpoint.
+    /// Calls out there, its failing share, and the prices of reaching it, in calls. Where an even part is
+    /// less than a call in a burst, a lot of its own for each: or hundreds would all take the same endpoint.
     fn cost(&self, endpoint: u32) -> f64 {
         let (s, set) = (&self.sites[&endpoint], &self.set);
         let crossing = if s.zone == set.zone { 0.0 } else { set.crossing_price };
@@ -510,8 +510,7 @@
         }
     }
 
-    /// Not a rule: an extra needs the bucket; with nothing else out one may go, or an empty bucket could never
-    /// fill.
+    /// An extra needs the bucket; with nothing else out one may go, or an empty bucket could never fill.
     fn courtesy(&self, m: &Msg) -> Result<(), Time> {
         let dest = &self.dests[&m.dest];
         let extra = !m.maybe.is_empty() && (m.live > 0 || dest.calls > 0);
@@ -854,13 +853,14 @@
         }
         let couriers = f64::from(set.couriers.max(1));
         let capacity = self.capacity(now, set);
-        let since = seconds(now.saturating_sub(self.run_since)) + KNOWN_BEFORE * span;
-        let know = couriers.min((capacity * since).max(1.0));
+        let told = |since: f64| couriers.min((capacity * (since + KNOWN_BEFORE * span)).max(1.0));
+        let know = told(seconds(now.saturating_sub(self.run_since)));
         let own = set.fall_multiple * share * capacity / know;
         let pace = own * (BUDGET_RANDOM + (BUDGET_PART - BUDGET_RANDOM) * (2.0 * own * span).min(1.0));
         // Those that know nothing send as ever; beside them those that know stay well under two thirds.
         let least = (LEAST_CALLS / couriers).min(1.0) / span;
-        let pace = pace.max(BESIDE * capacity / know * (1.0 - know / couriers)).max(least);
+        let beside = BESIDE * capacity / told(self.trouble()) * (1.0 - know / couriers);
+        let pace = pace.max(beside).max(least);
         Some(if trial { pace.min(1.0 / span) } else { pace * self.wants(know / couriers) })
     }
 
