--- a/src/choice.rs
+++ b/src/choice.rs
@@ -74,6 +74,8 @@
     /// Sends in each running call.
     calls: BTreeMap<u64, u32>,
     lines: BTreeMap<u64, Line>,
+    /// Until then connections count as scarce.
+    scarce: Time,
     ask_at: Time,
     ask_gap: Time,
     actions: Vec<Action>,
@@ -366,10 +368,11 @@
             Ending::NotSent { .. } | Ending::Cancelled => return,
             _ => dest.bucket = (dest.bucket - BUCKET_RATIO).max(0.0),
         }
-        // A connection that will hardly be used again takes the place of another courier's.
+        // Where connections fail, one that will hardly be used again may take the place of another courier's.
+        self.scarce = if o.ending == Ending::NoConnection { now + set.connection_idle } else { self.scarce };
         let each = site.node.served / seconds(now - site.node.known).max(USUAL_OVER);
         let used_again = each * seconds(set.connection_idle) >= 1.0;
-        if site.calls == 0 && !used_again {
+        if site.calls == 0 && !used_again && now < self.scarce {
             self.actions.push(Action::Close { endpoint: o.endpoint });
         }
         let was = if apart { site.node.health } else { dest.node.health };
