--- a/src/choice.rs
+++ b/src/choice.rs
@@ -369,7 +369,8 @@
             _ => dest.bucket = (dest.bucket - BUCKET_RATIO).max(0.0),
         }
         // Where connections fail, one that will hardly be used again may take the place of another courier's.
-        self.scarce = if o.ending == Ending::NoConnection { now + set.connection_idle } else { self.scarce };
+        self.scarce =
+            if o.ending == Ending::NoConnection { now + 4 * set.connection_idle } else { self.scarce };
         let each = site.node.served / seconds(now - site.node.known).max(USUAL_OVER);
         let used_again = each * seconds(set.connection_idle) >= 1.0;
         if site.calls == 0 && !used_again && now < self.scarce {
