--- a/src/choice.rs
+++ b/src/choice.rs
@@ -757,8 +757,8 @@
         self.served += 1.0;
         self.health = match self.health {
             // It was slow or paused, not gone: nothing failed, and what was sent before is answered or the
-            // silence was short.
-            Health::Out { since, told: false } if sent < since || now < since + set.fall_span => Health::Up,
+            // silence was short. If it was coming back before, it still is.
+            Health::Out { since, told: false } if sent < since || now < since + set.fall_span => self.before,
             Health::Out { .. } => {
                 self.bad = self.bad.min(2.0 * RISKY);
                 Health::Back { since: now }
@@ -780,7 +780,7 @@
         if self.run == 0 {
             self.run_since = now;
         }
-        self.health = Health::Out { since: now, told };
+        self.before = std::mem::replace(&mut self.health, Health::Out { since: now, told });
         true
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -18,6 +18,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Node {
     pub(crate) health: Health,
+    /// Health before it went out.
+    pub(crate) before: Health,
     pub(crate) out_at: f64,
     pub(crate) wait_until: Time,
     /// Failing share of late, failures or refusals in a row, and whether the last one proved not to run.
