--- a/tests/courier.rs
+++ b/tests/courier.rs
@@ -798,3 +798,46 @@
     let third = c.round(now + 50 * MS, vec![ended(1, 1, second[0].1, Ending::NoConnection)]);
     assert!(sends(&third).is_empty());
 }
+
+#[test]
+fn a_short_silence_while_coming_back_does_not_end_the_ramp() {
+    // Rule day h504b7c: the answer of an overdue call was taken for proof that it had only been slow.
+    let (mut c, mut now) = ready();
+    let mut logs = Vec::new();
+    let mut round = |c: &mut Courier, now: Time, events: Vec<Event>| -> Vec<(u32, u32)> {
+        let actions = c.round(now, events);
+        let text = |a: &Action| if let Action::Log(t) = a { Some(t.clone()) } else { None };
+        logs.extend(actions.iter().filter_map(text));
+        sends(&actions)
+    };
+    // Three failed connections, then a trial that is served: it is coming back.
+    let (mut attempt, mut events) = (0, vec![taken(1, 1, 2, 0)]);
+    let mut served = false;
+    while !served {
+        now += 20 * MS;
+        assert!(now < 60 * S, "a trial comes");
+        for (m, e) in round(&mut c, now, std::mem::take(&mut events)) {
+            served = attempt >= 4;
+            let ending = if served { Ending::Served } else { Ending::NoConnection };
+            events.push(ended(m, attempt, e, ending));
+            attempt += 1;
+        }
+    }
+    now += 100 * MS;
+    round(&mut c, now, events);
+    // A call that is overdue, and answered after all.
+    let mut late = Vec::new();
+    let mut events = vec![taken(2, 1, 2, 0)];
+    while late.is_empty() {
+        now += 20 * MS;
+        assert!(now < 80 * S, "a call goes out in the ramp");
+        late = round(&mut c, now, std::mem::take(&mut events));
+    }
+    for _ in 0..20 {
+        now += 20 * MS;
+        round(&mut c, now, vec![Event::Woken]);
+    }
+    round(&mut c, now, vec![ended(2, 0, late[0].1, Ending::Served)]);
+    assert!(logs.iter().any(|t| t.contains("silent")), "{logs:?}");
+    assert!(logs.last().is_some_and(|t| t.contains("-> Back")), "{logs:?}");
+}
