--- a/simhost/src/wire/tests.rs
+++ b/simhost/src/wire/tests.rs
@@ -118,6 +118,7 @@
     );
     assert_eq!(written(Action::Fail { message: 9 }), hex("6e 08000000 03000000 09000000"));
     assert_eq!(written(Action::Watch), hex("14 05000000 03000000 01"));
+    assert_eq!(written(Action::Close { endpoint: 8 }), hex("64 08000000 03000000 08000000"));
     assert_eq!(written(Action::Log("two".into())), hex("0a 09000000 03000000 0300 74776f"));
     let send = Action::Send { message: 9, endpoint: 8, until: 7 };
     assert_eq!(written(send), hex("5a 14000000 03000000 09000000 0700000000000000 08000000"));
