--- a/src/choice.rs
+++ b/src/choice.rs
@@ -371,8 +371,7 @@
         // Where connections fail, one that will hardly be used again may take the place of another courier's.
         self.scarce =
             if o.ending == Ending::NoConnection { now + 4 * set.connection_idle } else { self.scarce };
-        let each = site.node.served / seconds(now - site.node.known).max(USUAL_OVER);
-        let used_again = each * seconds(set.connection_idle) >= 1.0;
+        let used_again = site.node.usual_rate(now) * seconds(set.connection_idle) >= 1.0;
         if site.calls == 0 && !used_again && now < self.scarce {
             self.actions.push(Action::Close { endpoint: o.endpoint });
         }
@@ -556,7 +555,7 @@
         self.actions.push(Action::Send { message, endpoint, until: 0 });
     }
 
-    // ---- Copies, lost calls, silence
+    // ---- Copies, silence
 
     /// Attempts out and not called off: message, attempt, endpoint, when sent.
     fn running(&self) -> Vec<(u32, u16, u32, Time)> {
@@ -712,10 +711,10 @@
         if ending == Ending::NoConnection && self.health == Health::Up && self.run == 0 {
             self.free_until = now + (BURST * SECOND) as Time;
         }
+        self.run += 1;
         match ending {
             Ending::Full { wait } => {
                 self.wait_until = if wait > 0 { self.wait_until.max(now + wait) } else { self.wait_until };
-                self.run += 1;
                 self.harmless = true;
                 // Shut, not over the limit: a wait longer than limits are counted, or refused with room told
                 // to be left. With nothing told, refusals without a success for longer than a limit's span.
@@ -735,7 +734,6 @@
                 }
             }
             _ => {
-                self.run += 1;
                 self.harmless = ending == Ending::NoConnection;
                 self.bad += NEWEST * (1.0 - self.bad);
                 if self.bad > self.out_at || self.out() {
@@ -820,6 +818,11 @@
         seconds(self.last_bad.saturating_sub(self.run_since))
     }
 
+    /// Calls served here a second, in the mean since it is known.
+    fn usual_rate(&self, now: Time) -> f64 {
+        self.served / seconds(now.saturating_sub(self.known)).max(USUAL_OVER)
+    }
+
     /// What it can take from all couriers, calls a second, as far as is known: told, or what this one had
     /// served in the mean, or at most in a fall span: then others may have had as much, but no more of them
     /// than that, as a courier that never saw more than two calls in a span is one of many.
@@ -827,7 +830,7 @@
         let (span, couriers) = (seconds(set.fall_span), f64::from(set.couriers.max(1)));
         // A rough figure may be half too high.
         let told = if set.rates == Rates::Rough { self.limit / 1.5 } else { self.limit };
-        let mean = couriers * self.served / seconds(now.saturating_sub(self.known)).max(USUAL_OVER);
+        let mean = couriers * self.usual_rate(now);
         let most = couriers.min(self.peak) * (self.peak - 1.0) / span;
         told.max(mean).max(most).max(1.0 / span)
     }
