--- a/simhost/src/wire.rs
+++ b/simhost/src/wire.rs
@@ -5,7 +5,8 @@
 use std::io::{self, Read};
 
 use linnetcart::{
-    Action, Class, Courier, Ending, Endpoint, Event, Kind, Listing, Outcome, Rates, Repeat, Settings, Taken,
+    Action, Class, Courier, Ending, Endpoint, Event, Kind, Listing, Outcome, Probed, Rates, Repeat, Settings,
+    Taken,
 };
 use serde_json::Value;
 
@@ -217,29 +218,21 @@
             50 => {
                 let (message, attempt, endpoint) = (f.u32()?, f.u16()?, f.u32()?);
                 let (status, took, over, note) = (f.u8()?, f.u64()?, f.u8()? != 0, f.u32()?);
-                let ending = match status {
-                    0 => Ending::Served,
-                    1 => Ending::Error,
-                    2 => Ending::Full { wait: u64::from(note) * 1_000_000 },
-                    3 => Ending::TimedOut,
-                    4 => Ending::NoConnection,
-                    5 => Ending::Reset,
-                    6 => Ending::Cancelled,
-                    7 => Ending::NotSent { no_slot: note == 1 },
-                    _ => return bad(format!("outcome {status} is unknown")),
-                };
-                let n = if f.rest.is_empty() { 0 } else { f.u8()? };
-                let mut report = Vec::new();
-                for _ in 0..n {
-                    report.push(f64::from(f.f32()?));
-                }
-                let told = |at: Option<usize>| at.and_then(|at| report.get(at).copied());
-                let instance = self.instances.get(&i);
-                let left = told(instance.and_then(|x| x.left_at));
-                let limit = told(instance.and_then(|x| x.limit_at));
+                let ending = ending(status, note)?;
+                let (left, limit) = self.told(i, &mut f)?;
                 Event::Ended(Outcome { message, attempt, endpoint, ending, took, over, left, limit })
             }
             60 => Event::Withdrawn { message: f.u32()? },
+            80 => {
+                let (status, took, endpoint) = (f.u8()?, f.u64()?, f.u32()?);
+                let ending = ending(status, 0)?;
+                let (left, limit) = self.told(i, &mut f)?;
+                Event::Probed(Probed { endpoint, ending, took, left, limit })
+            }
+            90 => {
+                let (from, n) = (f.u16()?, f.u16()?);
+                Event::Note { from: u32::from(from), body: f.bytes(usize::from(n))?.to_vec() }
+            }
             _ => Event::Woken,
         };
         if !order.contains(&i) {
@@ -248,6 +241,30 @@
         events.entry(i).or_default().push(event);
         Ok(())
     }
+
+    /// A load report: the share that is left and the limit, as far as this instance's settings name them.
+    fn told(&self, i: u32, f: &mut Fields) -> Result<(Option<f64>, Option<f64>), Bad> {
+        let n = if f.rest.is_empty() { 0 } else { f.u8()? };
+        let report = (0..n).map(|_| f.f32().map(f64::from)).collect::<Result<Vec<f64>, Bad>>()?;
+        let at = |place: fn(&Instance) -> Option<usize>| {
+            self.instances.get(&i).and_then(place).and_then(|at| report.get(at).copied())
+        };
+        Ok((at(|x| x.left_at), at(|x| x.limit_at)))
+    }
+}
+
+fn ending(status: u8, note: u32) -> Result<Ending, Bad> {
+    Ok(match status {
+        0 => Ending::Served,
+        1 => Ending::Error,
+        2 => Ending::Full { wait: u64::from(note) * 1_000_000 },
+        3 => Ending::TimedOut,
+        4 => Ending::NoConnection,
+        5 => Ending::Reset,
+        6 => Ending::Cancelled,
+        7 => Ending::NotSent { no_slot: note == 1 },
+        _ => return bad(format!("outcome {status} is unknown")),
+    })
 }
 
 fn read_entry(f: &mut Fields) -> Result<Endpoint, Bad> {
@@ -274,6 +291,11 @@
             (70, [&message.to_le_bytes()[..], &come_back.to_le_bytes()].concat())
         }
         Action::Fail { message } => (110, message.to_le_bytes().to_vec()),
+        Action::Probe { endpoint } => (60, endpoint.to_le_bytes().to_vec()),
+        Action::Note { to, body } => {
+            let length = (body.len() as u16).to_le_bytes();
+            (120, [&to.unwrap_or(u32::MAX).to_le_bytes()[..], &length, body].concat())
+        }
         Action::Close { endpoint } => (100, endpoint.to_le_bytes().to_vec()),
         Action::Watch => (20, vec![1]),
         Action::Wake { at } => (50, [at.saturating_sub(clock).to_le_bytes(), at.to_le_bytes()].concat()),
@@ -339,6 +361,8 @@
         max_attempts: int(&bounds["max_attempts"]) as u32,
         may_cancel: yes(&bounds["may_cancel"]),
         may_copy: yes(&bounds["parallel_tries"]),
+        may_probe: yes(&bounds["probing"]),
+        may_note: yes(&bounds["peers"]),
         max_come_back: if yes(&bounds["retry_after"]) { int(&bounds["max_retry_after_ns"]) } else { 0 },
         calls_per_connection: int(&bounds["streams_per_conn"]) as u32,
         connection_idle: int(&bounds["conn_idle_ns"]),
@@ -360,6 +384,9 @@
         connection_price: num(&prices["handshake"]),
         crossing_price: num(&prices["cross_zone"]),
         waste_price: num(&prices["waste"]),
+        late_price: num(&prices["late_fail"]),
+        probe_price: num(&prices["probe"]),
+        note_price: num(&prices["peer"]),
         refused_price: num(&family["refusal_cost"]),
         route_fees: list(&family["route_fee"]).iter().map(num).collect(),
     })
--- a/simhost/src/wire/tests.rs
+++ b/simhost/src/wire/tests.rs
@@ -118,6 +118,10 @@
     );
     assert_eq!(written(Action::Fail { message: 9 }), hex("6e 08000000 03000000 09000000"));
     assert_eq!(written(Action::Watch), hex("14 05000000 03000000 01"));
+    assert_eq!(written(Action::Probe { endpoint: 8 }), hex("3c 08000000 03000000 08000000"));
+    let note = |to| Action::Note { to, body: b"hi 7".to_vec() };
+    assert_eq!(written(note(None)), hex("78 0e000000 03000000 ffffffff 0400 68692037"));
+    assert_eq!(written(note(Some(5))), hex("78 0e000000 03000000 05000000 0400 68692037"));
     assert_eq!(written(Action::Close { endpoint: 8 }), hex("64 08000000 03000000 08000000"));
     assert_eq!(written(Action::Log("two".into())), hex("0a 09000000 03000000 0300 74776f"));
     let send = Action::Send { message: 9, endpoint: 8, until: 7 };
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -101,7 +101,7 @@
                 Event::Taken(taken) => self.take(taken),
                 Event::Withdrawn { message } => self.end(message),
                 Event::Ended(outcome) => self.ended(outcome),
-                Event::Woken => {}
+                Event::Probed(_) | Event::Note { .. } | Event::Woken => {}
             }
         }
         self.ask();
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -32,6 +32,10 @@
     pub may_cancel: bool,
     /// A message may have two attempts out at once.
     pub may_copy: bool,
+    /// Endpoints may be probed.
+    pub may_probe: bool,
+    /// Couriers may send each other notes.
+    pub may_note: bool,
     /// The longest wait that clients heed after a refusal; 0 where they heed none.
     pub max_come_back: Time,
     /// Calls that one connection carries at once.
@@ -66,6 +70,12 @@
     pub crossing_price: f64,
     /// Price of work that served nothing.
     pub waste_price: f64,
+    /// Price of worth left unserved after its aim.
+    pub late_price: f64,
+    /// Price of a probe for each message.
+    pub probe_price: f64,
+    /// Price of a full note for each message.
+    pub note_price: f64,
     /// Price of a call refused above a limit.
     pub refused_price: f64,
     /// For each zone: price of a message that a route apart takes on there.
@@ -220,6 +230,21 @@
     pub limit: Option<f64>,
 }
 
+/// The end of a probe.
+#[derive(Clone, Debug)]
+pub struct Probed {
+    /// The endpoint.
+    pub endpoint: u32,
+    /// How it ended.
+    pub ending: Ending,
+    /// How long it took.
+    pub took: Time,
+    /// Share of the limit that is left, if told.
+    pub left: Option<f64>,
+    /// The limit in calls a second, if told; 0 for none.
+    pub limit: Option<f64>,
+}
+
 /// What happened.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -241,6 +266,15 @@
     },
     /// An attempt ended.
     Ended(Outcome),
+    /// A probe ended.
+    Probed(Probed),
+    /// A note from another courier.
+    Note {
+        /// Its number.
+        from: u32,
+        /// What it wrote.
+        body: Vec<u8>,
+    },
     /// A wake-up, perhaps an old one.
     Woken,
 }
@@ -276,6 +310,18 @@
         /// The message.
         message: u32,
     },
+    /// Probe an endpoint; it counts as a call there and takes no slot.
+    Probe {
+        /// The endpoint.
+        endpoint: u32,
+    },
+    /// Send a note to another courier or, without one, to all.
+    Note {
+        /// Its number.
+        to: Option<u32>,
+        /// At most 256 bytes.
+        body: Vec<u8>,
+    },
     /// Close the connections to an endpoint that no call is using.
     Close {
         /// The endpoint.
