--- a/src/choice.rs
+++ b/src/choice.rs
@@ -371,8 +371,9 @@
         // Where connections fail, one that will hardly be used again may take the place of another courier's.
         self.scarce =
             if o.ending == Ending::NoConnection { now + 4 * set.connection_idle } else { self.scarce };
-        let used_again = site.node.usual_rate(now) * seconds(set.connection_idle) >= 1.0;
-        if site.calls == 0 && !used_again && now < self.scarce {
+        // Scarce, it is worth keeping no longer than a call takes; caps are a small multiple of running calls.
+        let keep = if now < self.scarce { 2.0 * dest.usual / SECOND } else { seconds(set.connection_idle) };
+        if site.calls == 0 && site.node.usual_rate(now) * keep < 1.0 {
             self.actions.push(Action::Close { endpoint: o.endpoint });
         }
         let was = if apart { site.node.health } else { dest.node.health };
