--- a/src/choice.rs
+++ b/src/choice.rs
@@ -367,10 +367,13 @@
         dest.calls = dest.calls.saturating_sub(u32::from(over));
         let gate = if apart { &mut site.node } else { &mut dest.node };
         gate.report(now, o);
+        if let Ending::Full { wait } = o.ending {
+            gate.wait_until = gate.wait_until.max(if wait > 0 { now + wait } else { 0 });
+        }
         // Where connections fail, one that will hardly be used again may take the place of another courier's.
         self.scarce =
             if o.ending == Ending::NoConnection { now + 4 * set.connection_idle } else { self.scarce };
-        // Scarce, it is worth keeping no longer than a call takes; caps are a small multiple of running calls.
+        // Then it is worth keeping no longer than two calls take: caps are a small multiple of running calls.
         let keep = if now < self.scarce { 2.0 * dest.usual / SECOND } else { seconds(set.connection_idle) };
         if site.calls == 0 && site.node.usual_rate(now) * keep < 1.0 {
             self.actions.push(Action::Close { endpoint: o.endpoint });
@@ -744,7 +747,6 @@
         self.run += 1;
         match ending {
             Ending::Full { wait } => {
-                self.wait_until = if wait > 0 { self.wait_until.max(now + wait) } else { self.wait_until };
                 self.harmless = true;
                 // Shut, not over the limit: a wait longer than limits are counted, or refused with room told
                 // to be left. With nothing told, refusals without a success for longer than a limit's span.
