Overdue calls give up their slot where slots are short, whatever their class; what may go again does so once its endpoint answers others

An endpoint that hangs for one class answers the others, so nothing counted as silent; and unsafe messages kept their slot to their deadline. Ruled out: pace (4 messages a courier), outage (under one). Overdue is two resend times, from all latencies until a destination has its own. Also guards against lost answers, hangs and idle connections dropped unseen. Harm: an unsafe message that is only slow is given up when slots are short.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -73,6 +73,8 @@
     outs: BTreeMap<(u32, u16), Out>,
     calls: BTreeMap<u64, Call>,
     lines: BTreeMap<u64, Line>,
+    /// Served latencies of late, whatever the destination.
+    latencies: VecDeque<Time>,
     /// Until then connections count as scarce.
     scarce: Time,
     ask_at: Time,
@@ -384,6 +386,7 @@
         match o.ending {
             Ending::Served => {
                 dest.served(o.took);
+                note_latency(&mut self.latencies, o.took);
                 dest.bucket = (dest.bucket + 1.0).min(BUCKET);
             }
             _ => dest.bucket = (dest.bucket - BUCKET_RATIO).max(0.0),
@@ -639,11 +642,12 @@
     fn look_for_silence(&mut self) {
         let now = self.now;
         let full = self.crowded(0);
+        let usual = percentile(&self.latencies);
         let mut off = Vec::new();
         for (id, attempt, endpoint, sent) in self.running() {
             let (Some(m), Some(site)) = (self.msgs.get(&id), self.sites.get_mut(&endpoint)) else { continue };
             let Some(dest) = self.dests.get_mut(&m.dest) else { continue };
-            let overdue = sent + OVERDUE * dest.resend(self.set.classes[m.class].aim);
+            let overdue = sent + OVERDUE * dest.resend(usual.unwrap_or(self.set.classes[m.class].aim));
             if overdue > now {
                 self.wake = self.wake.min(overdue);
                 continue;
@@ -656,8 +660,8 @@
                 let text = format!("destination {} endpoint {endpoint}: silent", m.dest);
                 self.actions.push(Action::Log(text));
             }
-            if silent && (full || elsewhere) && self.set.may_cancel && self.may_resend(&self.msgs[&id], None)
-            {
+            let again = (!silent || elsewhere) && self.may_resend(&self.msgs[&id], None);
+            if self.set.may_cancel && (full || again) {
                 off.push((id, attempt));
             }
         }
@@ -676,16 +680,27 @@
     set.kinds.get(usize::from(kind)).is_some_and(|k| k.routes_apart)
 }
 
+fn note_latency(latencies: &mut VecDeque<Time>, took: Time) {
+    latencies.push_back(took);
+    if latencies.len() > LATENCIES {
+        latencies.pop_front();
+    }
+}
+
+/// The 95th percentile, if there are enough.
+fn percentile(latencies: &VecDeque<Time>) -> Option<Time> {
+    let mut sorted: Vec<Time> = latencies.iter().copied().collect();
+    sorted.sort_unstable();
+    sorted.get(sorted.len() * 95 / 100).filter(|_| sorted.len() >= ENOUGH).copied()
+}
+
 impl Dest {
     fn new(kind: u8, now: Time) -> Self {
         Dest { node: Node::new(OUT_AT, now), kind, bucket: BUCKET, ..Dest::default() }
     }
 
     fn served(&mut self, took: Time) {
-        self.latencies.push_back(took);
-        if self.latencies.len() > LATENCIES {
-            self.latencies.pop_front();
-        }
+        note_latency(&mut self.latencies, took);
         let took = took as f64;
         if self.usual == 0.0 {
             (self.usual, self.recent) = (took, took);
@@ -696,9 +711,7 @@
 
     /// The resend time: the 95th percentile of recent latencies, the aim until there are enough.
     fn resend(&self, aim: Time) -> Time {
-        let mut sorted: Vec<Time> = self.latencies.iter().copied().collect();
-        sorted.sort_unstable();
-        sorted.get(sorted.len() * 95 / 100).filter(|_| sorted.len() >= ENOUGH).copied().unwrap_or(aim)
+        percentile(&self.latencies).unwrap_or(aim)
     }
 
     /// It fails, or runs at a multiple of its usual latency.
--- a/tests/courier.rs
+++ b/tests/courier.rs
@@ -861,3 +861,21 @@
     assert!(logs.iter().any(|t| t.contains("silent")), "{logs:?}");
     assert!(logs.last().is_some_and(|t| t.contains("-> Back")), "{logs:?}");
 }
+
+#[test]
+fn an_overdue_call_gives_up_its_slot_where_slots_are_short() {
+    // One class of messages hangs at an endpoint that answers the others: hung calls filled all slots.
+    for couriers in [2, 400] {
+        let mut c = Courier::new(Settings { couriers, slots: 2, ..settings() }, 1);
+        c.round(S, vec![list()]);
+        let now = warm_up(&mut c, 1, 20, S);
+        assert_eq!(
+            sends(&c.round(now, vec![taken(1, 1, 2, 0), taken(2, 2, 2, 0), taken(3, 1, 2, 0)])).len(),
+            2
+        );
+        let said = c.round(now + S, vec![Event::Woken]);
+        assert!(said.contains(&Action::Cancel { message: 1, attempt: 0 }), "{said:?}");
+        let said = c.round(now + S, vec![ended(1, 0, 10, Ending::Cancelled)]);
+        assert!(said.contains(&Action::Fail { message: 1 }), "it may have run and may not go again");
+    }
+}
