--- a/src/choice.rs
+++ b/src/choice.rs
@@ -607,10 +607,15 @@
         on.map(|(&(m, a), o)| (m, a, o.endpoint, o.sent)).collect()
     }
 
-    /// So many slots are free, or fewer, and messages wait.
+    /// So many slots are free, or fewer, and messages wait for one and nothing else.
     fn crowded(&self, free: usize) -> bool {
-        self.calls.len() + free >= self.set.slots as usize
-            && self.dests.values().any(|d| !d.waiting.is_empty())
+        let (now, set) = (self.now, &self.set);
+        self.calls.len() + free >= set.slots as usize
+            && self.dests.values().filter(|d| !d.waiting.is_empty()).any(|d| {
+                let mut nodes = d.endpoints.iter().map(|e| &self.sites[e].node);
+                let apart = apart_kind(set, d.kind);
+                d.node.open(now, true, set).is_ok() && nodes.any(|n| n.open(now, apart, set).is_ok())
+            })
     }
 
     /// A copy goes to another endpoint when the resend time has passed; never for the last slot while
