--- a/src/choice.rs
+++ b/src/choice.rs
@@ -659,15 +659,14 @@
             }
             let silent = site.node.last_answer < sent;
             let elsewhere = dest.node.last_answer >= sent;
-            let dest_single = dest.endpoints.len() == 1;
             let (apart, chance) = (apart_kind(&self.set, dest.kind), self.random.draw());
             let news = silent && site.node.silent(now, apart, chance, &self.set);
             if silent && !elsewhere && !apart && dest.node.silent(now, true, chance, &self.set) || news {
                 let text = format!("destination {} endpoint {endpoint}: silent", m.dest);
                 self.actions.push(Action::Log(text));
             }
-            let again = (silent == elsewhere) && self.may_resend(&self.msgs[&id], None); let again = again && (silent || dest_single) && self.may_resend(&self.msgs[&id], None);
-            if self.set.may_cancel && (full || again) {
+            let again = silent && elsewhere && self.may_resend(&self.msgs[&id], None);
+            if self.set.may_cancel && (full && self.may_resend(&self.msgs[&id], None) || again) {
                 off.push((id, attempt));
             }
         }
