--- a/src/choice.rs
+++ b/src/choice.rs
@@ -666,7 +666,10 @@
                 self.actions.push(Action::Log(text));
             }
             let again = silent && elsewhere && self.may_resend(&self.msgs[&id], None);
-            if self.set.may_cancel && (full && self.may_resend(&self.msgs[&id], None) || again) {
+            if self.set.may_cancel
+                && (full && (self.may_resend(&self.msgs[&id], None) || now > overdue + (overdue - sent))
+                    || again)
+            {
                 off.push((id, attempt));
             }
         }
