--- a/src/choice.rs
+++ b/src/choice.rs
@@ -652,7 +652,9 @@
         for (id, attempt, endpoint, sent) in self.running() {
             let (Some(m), Some(site)) = (self.msgs.get(&id), self.sites.get_mut(&endpoint)) else { continue };
             let Some(dest) = self.dests.get_mut(&m.dest) else { continue };
-            let overdue = sent + OVERDUE * dest.resend(usual.unwrap_or(self.set.classes[m.class].aim));
+            // Past its aim a message loses worth: a latency grown beyond that is no reason to wait on.
+            let aim = self.set.classes[m.class].aim;
+            let overdue = sent + OVERDUE * dest.resend(usual.unwrap_or(aim)).min(aim);
             if overdue > now {
                 self.wake = self.wake.min(overdue);
                 continue;
