--- a/src/choice.rs
+++ b/src/choice.rs
@@ -48,7 +48,7 @@
 const USUAL_OVER: f64 = 10.0;
 /// Growth of the time over which couriers that want a limit are counted, with the time that refusals last and
 /// the fall span before: tries must stay under the limit together, as those that are refused may use it up.
-const TROUBLE: f64 = 3.0;
+const TROUBLE: f64 = 10.0;
 /// A burst may take the pace of this many seconds; destinations queue about as much.
 const BURST: f64 = 0.5;
 /// Weight of the lot by which couriers differ in the endpoint that they like best, in calls.
