--- a/src/choice.rs
+++ b/src/choice.rs
@@ -464,19 +464,11 @@
                 site.node.waiting = dest.node.waiting;
             }
         }
-        let ahead = self.set.kinds.get(usize::from(dest.kind)).map_or(1, |k| k.per_call.max(1));
         let held: Vec<u32> = dest.waiting.iter().map(|&(_, m)| m).collect();
-        for (k, m) in held.into_iter().enumerate() {
+        for m in held {
             match self.choose(m, &[]) {
                 Ok(endpoint) => return Some((m, endpoint)),
-                Err(at) => {
-                    self.wake_at(at);
-                    let wait = at.saturating_sub(self.now).saturating_mul(k as u64 / u64::from(ahead) + 1);
-                    let message = &self.msgs[&m];
-                    if at != NEVER && self.now + wait > message.due && self.may_refuse(message) {
-                        self.give_up(m, wait);
-                    }
-                }
+                Err(at) => self.wake_at(at),
             }
         }
         None
@@ -965,8 +957,8 @@
             return Ok(());
         }
         // The pace of a return grows: look again before long.
-        let most = if self.health == Health::Up { f64::INFINITY } else { seconds(set.fall_span) };
-        Err(now + (((1.0 - credit) / pace.max(1e-9)).min(most) * SECOND) as Time + 1)
+        let wait = ((1.0 - credit) / pace.max(1e-9)).min(seconds(set.fall_span));
+        Err(now + (wait * SECOND) as Time + 1)
     }
 
     fn note_sent(&mut self, now: Time, whole: bool, chance: f64, set: &Settings) {
