A class lost at an endpoint goes to the others for its deadline; the free try at a sibling is out

Cause: class_fail: one endpoint loses one class by silence and serves the others, so no evidence of the endpoint as a whole gathers; unsafe messages went there again and again. Harm: one lost answer sends a class elsewhere for its deadline. Log lines name the state in words.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -305,13 +305,10 @@
         let Some(out) = self.outs.remove(&(o.message, o.attempt)) else { return };
         // A call with several messages is taken, refused or lost as one: its first outcome tells.
         let called_off = matches!(o.ending, Ending::NotSent { .. } | Ending::Cancelled);
-        let (mut over, mut first) = (false, false);
-        if let Some(call) = self.calls.get_mut(&out.call) {
-            call.sends -= 1;
-            first = !called_off && !call.told;
-            call.told |= first;
-            over = call.sends == 0;
-        }
+        let call = self.calls.entry(out.call).or_default();
+        call.sends = call.sends.saturating_sub(1);
+        let (over, first) = (call.sends == 0, !called_off && !call.told);
+        call.told |= first;
         if over {
             self.calls.remove(&out.call);
         }
@@ -380,6 +377,12 @@
         if site.calls == 0 && site.node.usual_rate(now) * keep < 1.0 {
             self.actions.push(Action::Close { endpoint: o.endpoint });
         }
+        let class = self.msgs.get(&o.message).map_or(0, |m| m.class);
+        match o.ending {
+            Ending::Served => site.shunned.remove(&class),
+            Ending::Error | Ending::TimedOut => site.shunned.insert(class, now + set.classes[class].deadline),
+            _ => None,
+        };
         if !first {
             return;
         }
@@ -401,10 +404,7 @@
         }
         let node = if apart { &site.node } else { &dest.node };
         if std::mem::discriminant(&was) != std::mem::discriminant(&node.health) {
-            let text = format!(
-                "destination {} endpoint {}: {:?} -> {:?} on {:?}, failing {:.2}, run {}",
-                site.dest, o.endpoint, was, node.health, o.ending, node.bad, node.run
-            );
+            let text = format!("destination {} endpoint {}: {}", site.dest, o.endpoint, node.line(o.ending));
             self.actions.push(Action::Log(text));
         }
     }
@@ -480,7 +480,7 @@
         let mut open = Vec::new();
         let m = &self.msgs[&message];
         for &e in self.dests.get(&m.dest).iter().flat_map(|d| &d.endpoints) {
-            if but.contains(&e) {
+            if but.contains(&e) || (self.shuns(m, e) && self.has_other(m, e)) {
                 continue;
             }
             match self.gate(m, message, e).and_then(|()| self.courtesy(m)) {
@@ -491,6 +491,19 @@
         open.into_iter().min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, e)| e).ok_or(wake)
     }
 
+    /// Messages of this class were lost here of late: one class may fail where the others are served.
+    fn shuns(&self, m: &Msg, endpoint: u32) -> bool {
+        self.sites[&endpoint].shunned.get(&m.class).is_some_and(|&until| until > self.now)
+    }
+
+    /// Another endpoint is in service and neither out nor shunned.
+    fn has_other(&self, m: &Msg, endpoint: u32) -> bool {
+        self.dests[&m.dest].endpoints.iter().any(|e| {
+            let site = &self.sites[e];
+            *e != endpoint && site.listing == Listing::Ready && !site.node.out() && !self.shuns(m, *e)
+        })
+    }
+
     /// Calls out there, its failing share, and the prices of reaching it, in calls. Where an even part is
     /// less than a call in a burst, a lot of its own for each: or hundreds would all take the same endpoint.
     fn cost(&self, endpoint: u32) -> f64 {
@@ -659,13 +672,13 @@
                 self.wake = self.wake.min(overdue);
                 continue;
             }
+            site.shunned.insert(m.class, sent + self.set.classes[m.class].deadline);
             let silent = site.node.last_answer < sent;
             let elsewhere = dest.node.last_answer >= sent;
             let (apart, chance) = (apart_kind(&self.set, dest.kind), self.random.draw());
             let news = silent && site.node.silent(now, apart, chance, &self.set);
             if silent && !elsewhere && !apart && dest.node.silent(now, true, chance, &self.set) || news {
-                let text = format!("destination {} endpoint {endpoint}: silent", m.dest);
-                self.actions.push(Action::Log(text));
+                self.actions.push(Action::Log(format!("destination {} endpoint {endpoint}: silent", m.dest)));
             }
             let again = silent && elsewhere && self.may_resend(&self.msgs[&id], None);
             if self.set.may_cancel
@@ -763,10 +776,6 @@
             return false;
         }
         self.last_bad = now;
-        // The first failed connection may mean one endpoint: a sibling may be tried, but only at once.
-        if ending == Ending::NoConnection && self.health == Health::Up && self.run == 0 {
-            self.free_until = now + (BURST * SECOND) as Time;
-        }
         self.run += 1;
         match ending {
             Ending::Full { wait } => {
@@ -953,7 +962,7 @@
         }
         let Some(pace) = self.pace(now, whole, set) else { return Ok(()) };
         let credit = self.credit(now, whole, set);
-        if credit >= 1.0 || now < self.free_until {
+        if credit >= 1.0 {
             return Ok(());
         }
         // The pace of a return grows: look again before long.
@@ -963,8 +972,8 @@
 
     fn note_sent(&mut self, now: Time, whole: bool, chance: f64, set: &Settings) {
         let cost = 1.0 + self.random(now, whole, set) * (2.0 * chance - 1.0);
-        let left = self.credit(now, whole, set) - cost;
-        (self.credit, self.filled, self.free_until) = (left.max(-1.0), now, 0);
+        self.credit = (self.credit(now, whole, set) - cost).max(-1.0);
+        self.filled = now;
     }
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,7 @@
 //! What the decision module keeps in mind; it decides nothing here.
 
-use crate::interface::{Listing, Time};
-use std::collections::{BTreeSet, VecDeque};
+use crate::interface::{Ending, Listing, Time};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Health of a limit or an endpoint.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -49,8 +49,18 @@
     /// Calls saved up; one is needed to send.
     pub(crate) credit: f64,
     pub(crate) filled: Time,
-    /// Until then one call needs none.
-    pub(crate) free_until: Time,
+}
+
+impl Node {
+    /// Its state and why, for those on call.
+    pub(crate) fn line(&self, ending: Ending) -> String {
+        let state = match self.health {
+            Health::Up => "in service",
+            Health::Out { .. } => "out, trials only",
+            Health::Back { .. } => "back, warming up",
+        };
+        format!("{state} after {ending:?}, failing share {:.2}, {} in a row", self.bad, self.run)
+    }
 }
 
 #[derive(Debug, Default)]
@@ -75,6 +85,8 @@
     pub(crate) zone: u8,
     pub(crate) listing: Listing,
     pub(crate) calls: u32,
+    /// For classes whose last call here was not answered: until when they go elsewhere.
+    pub(crate) shunned: BTreeMap<usize, Time>,
     /// How little this courier likes it.
     pub(crate) lot: f64,
     /// The call that sends of this round may join, and the sends in it.
