--- a/src/choice.rs
+++ b/src/choice.rs
@@ -205,7 +205,6 @@
         }
         let dest = self.dests.entry(t.destination).or_insert_with(|| Dest::new(0, self.now));
         dest.waiting.insert((msg.seq, t.id));
-        dest.node.asked += 1.0;
         self.msgs.insert(t.id, msg);
     }
 
@@ -462,7 +461,7 @@
         dest.node.waiting = dest.waiting.len() as f64;
         for e in &dest.endpoints {
             if let Some(site) = self.sites.get_mut(e) {
-                (site.node.waiting, site.node.asked) = (dest.node.waiting, dest.node.asked);
+                site.node.waiting = dest.node.waiting;
             }
         }
         let held: Vec<u32> = dest.waiting.iter().map(|&(_, m)| m).collect();
@@ -858,16 +857,10 @@
     /// This courier's part of the limit among those that want it at once: all where they are few. Where they
     /// are many, only those with something to send: as many as there are calls in a fall span, and more
     /// with the time that refusals last, since every message turned away since then is held by one.
-    fn even(&self, now: Time, set: &Settings) -> f64 {
+    fn even(&self, set: &Settings) -> f64 {
         let (few, span) = (self.few(set), seconds(set.fall_span));
-        if !self.jammed {
-            return few.max(self.wants(few * span) / span);
-        }
-        let over = TROUBLE * (span + self.trouble());
-        // Where this courier is asked for it often, so are the others, and most hold something.
-        let hold = self.asked * USUAL_OVER / seconds(now.saturating_sub(self.known)).max(USUAL_OVER);
-        let pace = self.wants(few * over) / over;
-        few.max(if few > 0.0 { pace.min(few / hold.min(1.0)) } else { pace })
+        let over = if self.jammed { TROUBLE * (span + self.trouble()) } else { span };
+        few.max(self.wants(few * over) / over)
     }
 
     /// An even part over all couriers: of the limit if told, or else the most served in a fall span.
@@ -922,7 +915,7 @@
             _ => {
                 let told = self.run == 0 && now < self.left_at + SECOND as Time;
                 let left = if told { self.left } else { 0.0 };
-                return (self.exact || self.jammed).then(|| (1.0 + left) * self.even(now, set));
+                return (self.exact || self.jammed).then(|| (1.0 + left) * self.even(set));
             }
         };
         let span = seconds(set.fall_span);
--- a/src/state.rs
+++ b/src/state.rs
@@ -36,8 +36,7 @@
     pub(crate) span_start: Time,
     pub(crate) in_span: f64,
     pub(crate) peak: f64,
-    /// Messages taken for it since it is known, and those that wait now.
-    pub(crate) asked: f64,
+    /// Messages that wait for it.
     pub(crate) waiting: f64,
     /// The limit over all couriers, calls a second; 0 for none told.
     pub(crate) limit: f64,
