--- a/src/choice.rs
+++ b/src/choice.rs
@@ -48,7 +48,7 @@
 const USUAL_OVER: f64 = 10.0;
 /// Growth of the time over which couriers that want a limit are counted, with the time that refusals last and
 /// the fall span before: tries must stay under the limit together, as those that are refused may use it up.
-const TROUBLE: f64 = 20.0;
+const TROUBLE: f64 = 10.0;
 /// A burst may take the pace of this many seconds; destinations queue about as much.
 const BURST: f64 = 0.5;
 /// Weight of the lot by which couriers differ in the endpoint that they like best, in calls.
@@ -75,8 +75,6 @@
     lines: BTreeMap<u64, Line>,
     /// Served latencies of late, whatever the destination.
     latencies: VecDeque<Time>,
-    /// Share of calls refused of late, by kind of destination.
-    refused: BTreeMap<u8, f64>,
     /// Until then connections count as scarce.
     scarce: Time,
     ask_at: Time,
@@ -396,11 +394,6 @@
             }
             _ => dest.bucket = (dest.bucket - BUCKET_RATIO).max(0.0),
         }
-        // Refusals of late at all destinations of the kind, for each call that was taken.
-        let refused = self.refused.entry(dest.kind).or_default();
-        *refused += (f64::from(matches!(o.ending, Ending::Full { .. })) - *refused) / LATENCIES as f64;
-        let pressure = *refused / (1.0 - refused.min(0.95));
-        (site.node.pressure, dest.node.pressure) = (pressure, pressure);
         let was = if apart { site.node.health } else { dest.node.health };
         let chance = self.random.draw();
         if site.node.outcome(now, out.sent, o.ending, apart, set) {
@@ -866,8 +859,7 @@
     /// with the time that refusals last, since every message turned away since then is held by one.
     fn even(&self, set: &Settings) -> f64 {
         let (few, span) = (self.few(set), seconds(set.fall_span));
-        let over =
-            if self.jammed { (TROUBLE * self.pressure).max(1.0) * (span + self.trouble()) } else { span };
+        let over = if self.jammed { TROUBLE * (span + self.trouble()) } else { span };
         few.max(self.wants(few * over) / over)
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -36,8 +36,6 @@
     pub(crate) span_start: Time,
     pub(crate) in_span: f64,
     pub(crate) peak: f64,
-    /// Calls refused for each one taken, at all limits of its kind, when it was last used.
-    pub(crate) pressure: f64,
     /// Messages that wait for it.
     pub(crate) waiting: f64,
     /// The limit over all couriers, calls a second; 0 for none told.
