--- a/src/choice.rs
+++ b/src/choice.rs
@@ -272,21 +272,33 @@
     }
 
     /// A crowded hold turns messages away unseen, whatever they are; so the least worth of the longest line
-    /// go first. Guards a sick or overloaded destination from filling the hold for the others.
+    /// go first. Guards a sick or overloaded destination from filling the hold for the others. And what
+    /// waits for a slot only is held to what the slots serve within an aim: beyond that the oldest first
+    /// would have all of them late.
     fn shed(&mut self) {
-        let open = |c: &Self| c.msgs.values().filter(|m| !m.over).count() as f64;
-        while open(self) > CROWDED * f64::from(self.set.max_held) {
-            let Some(d) = self.dests.values().max_by_key(|d| d.waiting.len()) else { return };
-            let least = d
-                .waiting
-                .iter()
-                .filter(|(_, id)| self.may_refuse(&self.msgs[id]))
-                .min_by(|a, b| self.worth(&self.msgs[&a.1]).total_cmp(&self.worth(&self.msgs[&b.1])));
-            let Some(&(_, id)) = least else { return };
-            self.give_up(id, self.set.max_come_back);
+        let open = self.msgs.values().filter(|m| !m.over).count() as f64;
+        let most = CROWDED * f64::from(self.set.max_held);
+        let longest = self.dests.values().max_by_key(|d| d.waiting.len());
+        let line = longest.map_or(vec![], |d| d.waiting.iter().map(|w| w.1).collect());
+        self.hand_back(line, (open - most).ceil());
+        if self.calls.len() >= self.set.slots as usize && self.latencies.len() >= ENOUGH {
+            let blocked = self.dests.values().filter(|d| self.lacks_slot(d)).flat_map(|d| &d.waiting);
+            let blocked: Vec<u32> = blocked.map(|w| w.1).collect();
+            let took = self.latencies.iter().sum::<Time>() as f64 / self.latencies.len() as f64;
+            let aim = self.set.classes.iter().map(|c| c.aim).max().unwrap_or(0) as f64;
+            let served = 0.5 * f64::from(self.set.slots) * aim / took.max(1.0);
+            let extra = blocked.len() as f64 - served;
+            self.hand_back(blocked, extra.floor());
         }
     }
 
+    /// Hands back so many of these, those of least worth first.
+    fn hand_back(&mut self, mut from: Vec<u32>, count: f64) {
+        from.retain(|id| self.may_refuse(&self.msgs[id]));
+        from.sort_by(|a, b| self.worth(&self.msgs[a]).total_cmp(&self.worth(&self.msgs[b])));
+        from.iter().take(count.max(0.0) as usize).for_each(|&id| self.give_up(id, self.set.max_come_back));
+    }
+
     fn worth(&self, m: &Msg) -> f64 {
         let class = &self.set.classes[m.class];
         let age = self.now.saturating_sub(m.taken) as f64;
@@ -622,13 +634,14 @@
 
     /// So many slots are free, or fewer, and messages wait for one and nothing else.
     fn crowded(&self, free: usize) -> bool {
-        let (now, set) = (self.now, &self.set);
-        self.calls.len() + free >= set.slots as usize
-            && self.dests.values().filter(|d| !d.waiting.is_empty()).any(|d| {
-                let mut nodes = d.endpoints.iter().map(|e| &self.sites[e].node);
-                let apart = apart_kind(set, d.kind);
-                d.node.open(now, true, set).is_ok() && nodes.any(|n| n.open(now, apart, set).is_ok())
-            })
+        self.calls.len() + free >= self.set.slots as usize && self.dests.values().any(|d| self.lacks_slot(d))
+    }
+
+    fn lacks_slot(&self, d: &Dest) -> bool {
+        let (now, set, apart) = (self.now, &self.set, apart_kind(&self.set, d.kind));
+        let mut nodes = d.endpoints.iter().map(|e| &self.sites[e].node);
+        let open = d.node.open(now, true, set).is_ok() && nodes.any(|n| n.open(now, apart, set).is_ok());
+        !d.waiting.is_empty() && open
     }
 
     /// A copy goes to another endpoint when the resend time has passed; never for the last slot while
