--- a/src/choice.rs
+++ b/src/choice.rs
@@ -283,20 +283,26 @@
         self.hand_back(line, (open - most).ceil());
         if self.calls.len() >= self.set.slots as usize && self.latencies.len() >= ENOUGH {
             let blocked = self.dests.values().filter(|d| self.lacks_slot(d)).flat_map(|d| &d.waiting);
-            let blocked: Vec<u32> = blocked.map(|w| w.1).collect();
+            let mut blocked: Vec<u32> = blocked.map(|w| w.1).collect();
             let took = self.latencies.iter().sum::<Time>() as f64 / self.latencies.len() as f64;
             let aim = self.set.classes.iter().map(|c| c.aim).max().unwrap_or(0) as f64;
             let served = 0.5 * f64::from(self.set.slots) * aim / took.max(1.0);
             let extra = blocked.len() as f64 - served;
+            // After a courier's own pause all comes at once: what is fresh may still be served in time.
+            let aim = |m: &Msg| self.set.classes[m.class].aim;
+            blocked.retain(|id| self.now > self.msgs[id].taken + aim(&self.msgs[id]) / 2);
             self.hand_back(blocked, extra.floor());
         }
     }
 
     /// Hands back so many of these, those of least worth first.
     fn hand_back(&mut self, mut from: Vec<u32>, count: f64) {
+        if count < 1.0 {
+            return;
+        }
         from.retain(|id| self.may_refuse(&self.msgs[id]));
         from.sort_by(|a, b| self.worth(&self.msgs[a]).total_cmp(&self.worth(&self.msgs[b])));
-        from.iter().take(count.max(0.0) as usize).for_each(|&id| self.give_up(id, self.set.max_come_back));
+        from.iter().take(count as usize).for_each(|&id| self.give_up(id, self.set.max_come_back));
     }
 
     fn worth(&self, m: &Msg) -> f64 {
