--- a/src/choice.rs
+++ b/src/choice.rs
@@ -271,27 +271,23 @@
         self.wake_at(next.unwrap_or(NEVER));
     }
 
-    /// A crowded hold turns messages away unseen, whatever they are; so the least worth of the longest line
-    /// go first. Guards a sick or overloaded destination from filling the hold for the others. And what
-    /// waits for a slot only is held to what the slots serve within an aim: beyond that the oldest first
-    /// would have all of them late.
+    /// A crowded hold turns messages away unseen, whatever they are; so those of least worth go first. And
+    /// what waits for a slot only is held to what the slots serve within an aim at the 95th percentile of
+    /// latency: beyond that the oldest first would have all of them late.
     fn shed(&mut self) {
+        let waiting = |c: &Self, all: bool| -> Vec<u32> {
+            let dests = c.dests.values().filter(|d| all || c.lacks_slot(d));
+            dests.flat_map(|d| &d.waiting).map(|w| w.1).collect()
+        };
         let open = self.msgs.values().filter(|m| !m.over).count() as f64;
-        let most = CROWDED * f64::from(self.set.max_held);
-        let longest = self.dests.values().max_by_key(|d| d.waiting.len());
-        let line = longest.map_or(vec![], |d| d.waiting.iter().map(|w| w.1).collect());
-        self.hand_back(line, (open - most).ceil());
-        if self.calls.len() >= self.set.slots as usize && self.latencies.len() >= ENOUGH {
-            let blocked = self.dests.values().filter(|d| self.lacks_slot(d)).flat_map(|d| &d.waiting);
-            let mut blocked: Vec<u32> = blocked.map(|w| w.1).collect();
-            let took = self.latencies.iter().sum::<Time>() as f64 / self.latencies.len() as f64;
-            let aim = self.set.classes.iter().map(|c| c.aim).max().unwrap_or(0) as f64;
-            let served = 0.5 * f64::from(self.set.slots) * aim / took.max(1.0);
+        self.hand_back(waiting(self, true), open - CROWDED * f64::from(self.set.max_held));
+        let full = self.calls.len() >= self.set.slots as usize;
+        if let Some(took) = percentile(&self.latencies).filter(|_| full) {
+            let aim = self.set.classes.iter().map(|c| c.aim).max().unwrap_or(0);
+            let served = f64::from(self.set.slots) * aim as f64 / took.max(1) as f64;
+            let blocked = waiting(self, false);
             let extra = blocked.len() as f64 - served;
-            // After a courier's own pause all comes at once: what is fresh may still be served in time.
-            let aim = |m: &Msg| self.set.classes[m.class].aim;
-            blocked.retain(|id| self.now > self.msgs[id].taken + aim(&self.msgs[id]) / 2);
-            self.hand_back(blocked, extra.floor());
+            self.hand_back(blocked, extra);
         }
     }
 
