--- a/src/choice.rs
+++ b/src/choice.rs
@@ -66,6 +66,8 @@
     now: Time,
     wake: Time,
     pending: Time,
+    /// How much later than wanted this round came.
+    late: Time,
     seq: u64,
     dests: BTreeMap<u32, Dest>,
     sites: BTreeMap<u32, Site>,
@@ -94,7 +96,7 @@
     /// Takes all events of a round at clock time `now` and says what is to be done.
     pub fn round(&mut self, now: Time, events: Vec<Event>) -> Vec<Action> {
         self.now = self.now.max(now);
-        self.wake = NEVER;
+        (self.wake, self.late) = (NEVER, self.now.saturating_sub(self.pending));
         for event in events {
             match event {
                 Event::List { whole, entries } => self.listed(whole, entries),
@@ -402,8 +404,11 @@
         }
         match o.ending {
             Ending::Served => {
-                dest.served(o.took);
-                note_latency(&mut self.latencies, o.took);
+                // What a pause of this courier made late is no latency.
+                if self.late <= 2 * set.tick {
+                    dest.served(o.took);
+                    note_latency(&mut self.latencies, o.took);
+                }
                 dest.bucket = (dest.bucket + 1.0).min(BUCKET);
             }
             _ => dest.bucket = (dest.bucket - BUCKET_RATIO).max(0.0),
@@ -494,15 +499,16 @@
         let mut open = Vec::new();
         let m = &self.msgs[&message];
         for &e in self.dests.get(&m.dest).iter().flat_map(|d| &d.endpoints) {
-            if but.contains(&e) || (self.shuns(m, e) && self.has_other(m, e)) {
+            if but.contains(&e) {
                 continue;
             }
             match self.gate(m, message, e).and_then(|()| self.courtesy(m)) {
-                Ok(()) => open.push((self.cost(e), e)),
+                Ok(()) => open.push((self.shuns(m, e), self.cost(e), e)),
                 Err(at) => wake = wake.min(at),
             }
         }
-        open.into_iter().min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, e)| e).ok_or(wake)
+        let best = open.into_iter().min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        best.map(|(_, _, e)| e).ok_or(wake)
     }
 
     /// Messages of this class were lost here of late: one class may fail where the others are served.
@@ -510,14 +516,6 @@
         self.sites[&endpoint].shunned.get(&m.class).is_some_and(|&until| until > self.now)
     }
 
-    /// Another endpoint is in service and neither out nor shunned.
-    fn has_other(&self, m: &Msg, endpoint: u32) -> bool {
-        self.dests[&m.dest].endpoints.iter().any(|e| {
-            let site = &self.sites[e];
-            *e != endpoint && site.listing == Listing::Ready && !site.node.out() && !self.shuns(m, *e)
-        })
-    }
-
     /// Calls out there, its failing share, and the prices of reaching it, in calls. Where an even part is
     /// less than a call in a burst, a lot of its own for each: or hundreds would all take the same endpoint.
     fn cost(&self, endpoint: u32) -> f64 {
