--- a/src/choice.rs
+++ b/src/choice.rs
@@ -695,8 +695,7 @@
             }
             let again = silent && elsewhere && self.may_resend(&self.msgs[&id], None);
             if self.set.may_cancel
-                && (full && (self.may_resend(&self.msgs[&id], None) || now > overdue + (overdue - sent))
-                    || again)
+                && (full && (self.may_resend(&self.msgs[&id], None) || now > sent + OVERDUE * aim) || again)
             {
                 off.push((id, attempt));
             }
