--- a/src/choice.rs
+++ b/src/choice.rs
@@ -51,8 +51,6 @@
 const TROUBLE: f64 = 10.0;
 /// A burst may take the pace of this many seconds; destinations queue about as much.
 const BURST: f64 = 0.5;
-/// Weight of the lot by which couriers differ in the endpoint that they like best, in calls.
-const LOT: f64 = 0.5;
 /// Share of `max_held` from which messages are handed back rather than turned away unseen.
 const CROWDED: f64 = 0.9;
 
@@ -145,9 +143,7 @@
             dest.endpoints.insert(e.id);
             let apart = apart_kind(&self.set, e.kind);
             let out_at = if apart { OUT_AT } else { OUT_AT_ENDPOINT };
-            let lot = -(1.0 - self.random.draw()).ln();
             let site = self.sites.entry(e.id).or_insert_with(|| Site {
-                lot,
                 node: Node::new(out_at, self.now),
                 dest: e.destination,
                 zone: e.zone,
@@ -282,7 +278,10 @@
             dests.flat_map(|d| &d.waiting).map(|w| w.1).collect()
         };
         let open = self.msgs.values().filter(|m| !m.over).count() as f64;
-        self.hand_back(waiting(self, true), open - CROWDED * f64::from(self.set.max_held));
+        let over = open - CROWDED * f64::from(self.set.max_held);
+        if over >= 1.0 {
+            self.hand_back(waiting(self, true), over);
+        }
         let full = self.calls.len() >= self.set.slots as usize;
         if let Some(took) = percentile(&self.latencies).filter(|_| full) {
             let aim = self.set.classes.iter().map(|c| c.aim).max().unwrap_or(0);
@@ -523,9 +522,7 @@
         let crossing = if s.zone == set.zone { 0.0 } else { set.crossing_price };
         let fee = set.route_fees.get(usize::from(s.zone)).filter(|_| self.apart(s.dest));
         let price = crossing + fee.unwrap_or(&0.0);
-        let sparse = 1.0 - self.node(endpoint).map_or(0.0, |n| n.few(set)) * BURST;
-        let lot = LOT * sparse.max(0.0).powi(3) * s.lot;
-        f64::from(s.calls) + 4.0 * s.node.bad + 10.0 * price + lot
+        f64::from(s.calls) + 4.0 * s.node.bad + 10.0 * price
     }
 
     fn apart(&self, dest: u32) -> bool {
@@ -695,7 +692,8 @@
             }
             let again = silent && elsewhere && self.may_resend(&self.msgs[&id], None);
             if self.set.may_cancel
-                && (full && (self.may_resend(&self.msgs[&id], None) || now > sent + OVERDUE * aim) || again)
+                && (full && (self.may_resend(&self.msgs[&id], None) || now > overdue + (overdue - sent))
+                    || again)
             {
                 off.push((id, attempt));
             }
