--- a/src/choice.rs
+++ b/src/choice.rs
@@ -51,6 +51,8 @@
 const TROUBLE: f64 = 10.0;
 /// A burst may take the pace of this many seconds; destinations queue about as much.
 const BURST: f64 = 0.5;
+/// Weight of the lot by which couriers differ in the endpoint that they like best, in calls.
+const LOT: f64 = 0.5;
 /// Share of `max_held` from which messages are handed back rather than turned away unseen.
 const CROWDED: f64 = 0.9;
 
@@ -75,8 +77,6 @@
     lines: BTreeMap<u64, Line>,
     /// Served latencies of late, whatever the destination.
     latencies: VecDeque<Time>,
-    /// Until then connections count as scarce.
-    scarce: Time,
     ask_at: Time,
     ask_gap: Time,
     actions: Vec<Action>,
@@ -143,7 +143,9 @@
             dest.endpoints.insert(e.id);
             let apart = apart_kind(&self.set, e.kind);
             let out_at = if apart { OUT_AT } else { OUT_AT_ENDPOINT };
+            let lot = -(1.0 - self.random.draw()).ln();
             let site = self.sites.entry(e.id).or_insert_with(|| Site {
+                lot,
                 node: Node::new(out_at, self.now),
                 dest: e.destination,
                 zone: e.zone,
@@ -384,11 +386,9 @@
         if let Ending::Full { wait } = o.ending {
             gate.wait_until = gate.wait_until.max(if wait > 0 { now + wait } else { 0 });
         }
-        // Where connections fail, one that will hardly be used again may take the place of another courier's.
-        self.scarce =
-            if o.ending == Ending::NoConnection { now + 4 * set.connection_idle } else { self.scarce };
-        // Then it is worth keeping no longer than two calls take: caps are a small multiple of running calls.
-        let keep = if now < self.scarce { 2.0 * dest.usual / SECOND } else { seconds(set.connection_idle) };
+        // An idle connection is kept for as long as two calls take: caps on connections are a small multiple of
+        // running calls, filled by the idle ones of hundreds of couriers; and those kept long fail unseen.
+        let keep = 2.0 * dest.usual / SECOND;
         if site.calls == 0 && site.node.usual_rate(now) * keep < 1.0 {
             self.actions.push(Action::Close { endpoint: o.endpoint });
         }
@@ -522,7 +522,9 @@
         let crossing = if s.zone == set.zone { 0.0 } else { set.crossing_price };
         let fee = set.route_fees.get(usize::from(s.zone)).filter(|_| self.apart(s.dest));
         let price = crossing + fee.unwrap_or(&0.0);
-        f64::from(s.calls) + 4.0 * s.node.bad + 10.0 * price
+        let sparse = 1.0 - self.node(endpoint).map_or(0.0, |n| n.few(set)) * BURST;
+        let lot = LOT * sparse.max(0.0).powi(3) * s.lot;
+        f64::from(s.calls) + 4.0 * s.node.bad + 10.0 * price + lot
     }
 
     fn apart(&self, dest: u32) -> bool {
