--- a/src/choice.rs
+++ b/src/choice.rs
@@ -77,6 +77,8 @@
     lines: BTreeMap<u64, Line>,
     /// Served latencies of late, whatever the destination.
     latencies: VecDeque<Time>,
+    /// Until then connections count as scarce.
+    scarce: Time,
     ask_at: Time,
     ask_gap: Time,
     actions: Vec<Action>,
@@ -281,9 +283,8 @@
         };
         let open = self.msgs.values().filter(|m| !m.over).count() as f64;
         let over = open - CROWDED * f64::from(self.set.max_held);
-        if over >= 1.0 {
-            self.hand_back(waiting(self, true), over);
-        }
+        let all = if over >= 1.0 { waiting(self, true) } else { Vec::new() };
+        self.hand_back(all, over);
         let full = self.calls.len() >= self.set.slots as usize;
         if let Some(took) = percentile(&self.latencies).filter(|_| full) {
             let aim = self.set.classes.iter().map(|c| c.aim).max().unwrap_or(0);
@@ -386,9 +387,11 @@
         if let Ending::Full { wait } = o.ending {
             gate.wait_until = gate.wait_until.max(if wait > 0 { now + wait } else { 0 });
         }
-        // An idle connection is kept for as long as two calls take: caps on connections are a small multiple of
-        // running calls, filled by the idle ones of hundreds of couriers; and those kept long fail unseen.
-        let keep = 2.0 * dest.usual / SECOND;
+        // Where connections fail, one that will hardly be used again may take the place of another courier's.
+        self.scarce =
+            if o.ending == Ending::NoConnection { now + 4 * set.connection_idle } else { self.scarce };
+        // Then it is worth keeping no longer than two calls take: caps are a small multiple of running calls.
+        let keep = if now < self.scarce { 2.0 * dest.usual / SECOND } else { seconds(set.connection_idle) };
         if site.calls == 0 && site.node.usual_rate(now) * keep < 1.0 {
             self.actions.push(Action::Close { endpoint: o.endpoint });
         }
@@ -432,11 +435,8 @@
     /// Free slots go to the waiting destination with the least recent slot time, within it to the oldest
     /// message that may go.
     fn dispatch(&mut self) {
-        let mut order: Vec<(Time, u32)> = self
-            .dests
-            .iter()
-            .filter_map(|(&id, d)| (!d.waiting.is_empty()).then_some((d.last_slot, id)))
-            .collect();
+        let waiting = self.dests.iter().filter(|(_, d)| !d.waiting.is_empty());
+        let mut order: Vec<(Time, u32)> = waiting.map(|(&id, d)| (d.last_slot, id)).collect();
         order.sort_unstable();
         let mut order = VecDeque::from(order);
         while let Some((_, id)) = order.pop_front() {
@@ -573,22 +573,14 @@
         // Caps: three quarters of the slots for one destination, half while it fails or runs slow.
         let sick = dest.sick() || site.node.health != Health::Up;
         let cap = if sick { set.slots / 2 } else { set.slots * 3 / 4 }.max(1);
-        if self.calls.len() >= set.slots as usize || dest.calls >= cap {
-            Err(NEVER)
-        } else {
-            Ok(())
-        }
+        (self.calls.len() < set.slots as usize && dest.calls < cap).then_some(()).ok_or(NEVER)
     }
 
     /// An extra needs the bucket; with nothing else out one may go, or an empty bucket could never fill.
     fn courtesy(&self, m: &Msg) -> Result<(), Time> {
         let dest = &self.dests[&m.dest];
         let extra = !m.maybe.is_empty() && (m.live > 0 || dest.calls > 0);
-        if extra && dest.bucket <= BUCKET / 2.0 {
-            Err(NEVER)
-        } else {
-            Ok(())
-        }
+        (!extra || dest.bucket > BUCKET / 2.0).then_some(()).ok_or(NEVER)
     }
 
     fn send(&mut self, message: u32, endpoint: u32) {
@@ -651,9 +643,7 @@
             let Some(dest) = self.dests.get(&m.dest).filter(|d| d.endpoints.len() > 1) else { continue };
             let at = sent + dest.resend(self.set.classes[m.class].aim);
             if at > self.now {
-                if at < m.due {
-                    self.wake_at(at);
-                }
+                self.wake_at(at);
                 continue;
             }
             let out = self.node(endpoint).is_some_and(Node::out);
@@ -686,6 +676,8 @@
             }
             site.shunned.insert(m.class, sent + self.set.classes[m.class].deadline);
             let silent = site.node.last_answer < sent;
+            // Lost where others are answered: the connection may have been dropped unseen while it was idle.
+            self.scarce = self.scarce.max(if silent { 0 } else { sent + 4 * self.set.connection_idle });
             let elsewhere = dest.node.last_answer >= sent;
             let (apart, chance) = (apart_kind(&self.set, dest.kind), self.random.draw());
             let news = silent && site.node.silent(now, apart, chance, &self.set);
