An idle connection is kept for its even part of the idle time (eight over the couriers), or as long as two calls take

Cause: whether a connection failed lately told little: caps fill before one fails, connections dropped unseen fail in silence, and closing costs small fleets that crowd nobody. One formula from the couriers in the settings takes the place of the span in which connections counted as scarce. Guards against caps filled by idle connections and against idle connections dropped unseen. Harm: handshakes where neither is so.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -49,6 +49,8 @@
 /// Growth of the time over which couriers that want a limit are counted, with the time that refusals last and
 /// the fall span before: tries must stay under the limit together, as those that are refused may use it up.
 const TROUBLE: f64 = 10.0;
+/// Connections that any endpoint takes from all couriers together.
+const LEAST_CONNECTIONS: f64 = 8.0;
 /// A burst may take the pace of this many seconds; destinations queue about as much.
 const BURST: f64 = 0.5;
 /// Weight of the lot by which couriers differ in the endpoint that they like best, in calls.
@@ -77,8 +79,6 @@
     lines: BTreeMap<u64, Line>,
     /// Served latencies of late, whatever the destination.
     latencies: VecDeque<Time>,
-    /// Until then connections count as scarce.
-    scarce: Time,
     ask_at: Time,
     ask_gap: Time,
     actions: Vec<Action>,
@@ -387,11 +387,10 @@
         if let Ending::Full { wait } = o.ending {
             gate.wait_until = gate.wait_until.max(if wait > 0 { now + wait } else { 0 });
         }
-        // Where connections fail, one that will hardly be used again may take the place of another courier's.
-        self.scarce =
-            if o.ending == Ending::NoConnection { now + 4 * set.connection_idle } else { self.scarce };
-        // Then it is worth keeping no longer than two calls take: caps are a small multiple of running calls.
-        let keep = if now < self.scarce { 2.0 * dest.usual / SECOND } else { seconds(set.connection_idle) };
+        // An idle connection takes the place of another courier and may be dropped unseen: it is kept for its
+        // even part of the idle time, or as long as two calls take.
+        let part = LEAST_CONNECTIONS / f64::from(set.couriers.max(1));
+        let keep = (part * seconds(set.connection_idle)).max(2.0 * dest.usual / SECOND);
         if site.calls == 0 && site.node.usual_rate(now) * keep < 1.0 {
             self.actions.push(Action::Close { endpoint: o.endpoint });
         }
@@ -676,8 +675,6 @@
             }
             site.shunned.insert(m.class, sent + self.set.classes[m.class].deadline);
             let silent = site.node.last_answer < sent;
-            // Lost where others are answered: the connection may have been dropped unseen while it was idle.
-            self.scarce = self.scarce.max(if silent { 0 } else { sent + 4 * self.set.connection_idle });
             let elsewhere = dest.node.last_answer >= sent;
             let (apart, chance) = (apart_kind(&self.set, dest.kind), self.random.draw());
             let news = silent && site.node.silent(now, apart, chance, &self.set);
