--- a/src/choice.rs
+++ b/src/choice.rs
@@ -681,11 +681,11 @@
             if silent && !elsewhere && !apart && dest.node.silent(now, true, chance, &self.set) || news {
                 self.actions.push(Action::Log(format!("destination {} endpoint {endpoint}: silent", m.dest)));
             }
-            let again = silent && elsewhere && self.may_resend(&self.msgs[&id], None);
-            if self.set.may_cancel
-                && (full && (self.may_resend(&self.msgs[&id], None) || now > overdue + (overdue - sent))
-                    || again)
-            {
+            // Silent where answers were due, an endpoint is out and may yet answer: what may not go again waits.
+            let due = site.node.usual_rate(now) * seconds(now - sent) >= 1.0;
+            let lost = now > overdue + (overdue - sent) && !(silent && due);
+            let again = self.may_resend(&self.msgs[&id], None);
+            if self.set.may_cancel && (full && (again || lost) || again && silent && elsewhere) {
                 off.push((id, attempt));
             }
         }
