--- a/src/choice.rs
+++ b/src/choice.rs
@@ -387,8 +387,8 @@
         if let Ending::Full { wait } = o.ending {
             gate.wait_until = gate.wait_until.max(if wait > 0 { now + wait } else { 0 });
         }
-        // An idle connection takes the place of another courier and may be dropped unseen: it is kept for its
-        // even part of the idle time, or as long as two calls take.
+        // An idle connection takes the place of another courier's and may be dropped unseen: it is kept for
+        // its even part of the idle time, or as long as two calls take.
         let part = LEAST_CONNECTIONS / f64::from(set.couriers.max(1));
         let keep = (part * seconds(set.connection_idle)).max(2.0 * dest.usual / SECOND);
         if site.calls == 0 && site.node.usual_rate(now) * keep < 1.0 {
@@ -681,11 +681,11 @@
             if silent && !elsewhere && !apart && dest.node.silent(now, true, chance, &self.set) || news {
                 self.actions.push(Action::Log(format!("destination {} endpoint {endpoint}: silent", m.dest)));
             }
-            // Silent where answers were due, an endpoint is out and may yet answer: what may not go again waits.
-            let due = site.node.usual_rate(now) * seconds(now - sent) >= 1.0;
-            let lost = now > overdue + (overdue - sent) && !(silent && due);
-            let again = self.may_resend(&self.msgs[&id], None);
-            if self.set.may_cancel && (full && (again || lost) || again && silent && elsewhere) {
+            let again = silent && elsewhere && self.may_resend(&self.msgs[&id], None);
+            if self.set.may_cancel
+                && (full && (self.may_resend(&self.msgs[&id], None) || now > overdue + (overdue - sent))
+                    || again)
+            {
                 off.push((id, attempt));
             }
         }
