--- a/tests/courier.rs
+++ b/tests/courier.rs
@@ -892,3 +892,67 @@
         assert!(sends(&c.round(at + 9 * S, ids)).iter().any(|s| s.1 == bad), "other classes go on there");
     }
 }
+
+#[test]
+fn what_waits_for_a_slot_is_held_to_what_slots_serve_in_an_aim() {
+    // Incident i898dc2: all slots taken, the oldest first, and each message served after its aim.
+    for couriers in [2, 400] {
+        let mut c = Courier::new(Settings { couriers, slots: 2, max_held: 1000, ..settings() }, 1);
+        c.round(S, vec![list()]);
+        let now = warm_up(&mut c, 1, 20, S);
+        // Two slots serve 60 in an aim of 3 s at 0.1 s each.
+        let said = c.round(now, (0..55).map(|id| taken(id, 1, 0, 0)).collect());
+        assert!(!said.iter().any(|a| matches!(a, Action::Refuse { .. })), "these can be served in time");
+        let mut c = Courier::new(Settings { couriers, slots: 2, max_held: 1000, ..settings() }, 1);
+        c.round(S, vec![list()]);
+        let now = warm_up(&mut c, 1, 20, S);
+        c.round(now, (0..100).map(|id| taken(id, 1 + id % 2, 0, 0)).collect());
+        let said = c.round(now + 10 * MS, vec![Event::Woken]);
+        let back = said.iter().filter(|a| matches!(a, Action::Refuse { come_back, .. } if *come_back > 0));
+        assert!((30..=45).contains(&back.count()), "the rest is handed back with a time to come back");
+    }
+}
+
+#[test]
+fn answers_made_late_by_a_pause_of_the_courier_are_no_latency() {
+    for couriers in [2, 400] {
+        let mut c = Courier::new(Settings { couriers, slots: 20, ..settings() }, 1);
+        c.round(S, vec![list()]);
+        let now = warm_up(&mut c, 1, 20, S);
+        let sent = sends(&c.round(now, (1..9).map(|id| taken(id, 1, 2, 0)).collect()));
+        let late: Vec<Event> = sent
+            .iter()
+            .map(|s| match ended(s.0, 0, s.1, Ending::Served) {
+                Event::Ended(o) => Event::Ended(Outcome { took: 2 * S, ..o }),
+                other => other,
+            })
+            .collect();
+        c.round(now + 2 * S, late);
+        let now = now + 3 * S;
+        let first = sends(&c.round(now, vec![taken(50, 1, 0, 0)]));
+        let copy = sends(&c.round(now + 150 * MS, vec![Event::Woken]));
+        assert_eq!((first.len(), copy.len()), (1, 1), "the resend time is still 0.1 s");
+    }
+}
+
+#[test]
+fn overdue_is_bounded_by_the_aim_where_latencies_have_grown() {
+    // Slow destinations: their own latency made their calls hold slots for many aims.
+    let mut c = Courier::new(Settings { slots: 1, ..settings() }, 1);
+    let mut now = S;
+    c.round(now, vec![list()]);
+    for id in 100..110 {
+        let sent = sends(&c.round(now, vec![taken(id, 1, 0, 0)]));
+        for step in 1..50 {
+            c.round(now + step * 100 * MS, vec![Event::Woken]);
+        }
+        now += 5 * S;
+        if let Event::Ended(o) = ended(id, 0, sent[0].1, Ending::Served) {
+            c.round(now, vec![Event::Ended(Outcome { took: 5 * S, ..o })]);
+        }
+    }
+    c.round(now, vec![taken(1, 1, 0, 0)]);
+    c.round(now, vec![taken(2, 2, 0, 0)]);
+    let said: Vec<Action> = (1..70).flat_map(|k| c.round(now + k * 100 * MS, vec![Event::Woken])).collect();
+    assert!(said.contains(&Action::Cancel { message: 1, attempt: 0 }), "two aims are 6 s: {said:?}");
+}
