--- a/src/choice.rs
+++ b/src/choice.rs
@@ -50,7 +50,7 @@
 /// the fall span before: tries must stay under the limit together, as those that are refused may use it up.
 const TROUBLE: f64 = 10.0;
 /// Connections that any endpoint takes from all couriers together.
-const LEAST_CONNECTIONS: f64 = 8.0;
+const LEAST_CONNECTIONS: f64 = 30.0;
 /// A burst may take the pace of this many seconds; destinations queue about as much.
 const BURST: f64 = 0.5;
 /// Weight of the lot by which couriers differ in the endpoint that they like best, in calls.
