--- a/src/choice.rs
+++ b/src/choice.rs
@@ -79,8 +79,6 @@
     lines: BTreeMap<u64, Line>,
     /// Served latencies of late, whatever the destination.
     latencies: VecDeque<Time>,
-    /// Until then connections count as scarce.
-    scarce: Time,
     ask_at: Time,
     ask_gap: Time,
     actions: Vec<Action>,
@@ -389,13 +387,11 @@
         if let Ending::Full { wait } = o.ending {
             gate.wait_until = gate.wait_until.max(if wait > 0 { now + wait } else { 0 });
         }
-        // Where connections fail or calls are lost of late, an idle connection takes another courier's place or
-        // was dropped unseen: it is kept for its even part of the idle time, or as long as two calls take.
-        let failed = o.ending == Ending::NoConnection;
-        self.scarce = if failed { now + 4 * set.connection_idle } else { self.scarce };
-        let part = LEAST_CONNECTIONS / f64::from(set.couriers.max(1)) * seconds(set.connection_idle);
-        let keep = part.max(2.0 * dest.usual / SECOND);
-        if site.calls == 0 && now < self.scarce && site.node.usual_rate(now) * keep < 1.0 {
+        // An idle connection takes the place of another courier's and may be dropped unseen: it is kept for
+        // its even part of the idle time, or as long as two calls take.
+        let part = LEAST_CONNECTIONS / f64::from(set.couriers.max(1));
+        let keep = (part * seconds(set.connection_idle)).max(2.0 * dest.usual / SECOND);
+        if site.calls == 0 && site.node.usual_rate(now) * keep < 1.0 {
             self.actions.push(Action::Close { endpoint: o.endpoint });
         }
         let class = self.msgs.get(&o.message).map_or(0, |m| m.class);
@@ -679,7 +675,6 @@
             }
             site.shunned.insert(m.class, sent + self.set.classes[m.class].deadline);
             let silent = site.node.last_answer < sent;
-            self.scarce = now + 4 * self.set.connection_idle;
             let elsewhere = dest.node.last_answer >= sent;
             let (apart, chance) = (apart_kind(&self.set, dest.kind), self.random.draw());
             let news = silent && site.node.silent(now, apart, chance, &self.set);
