--- a/src/choice.rs
+++ b/src/choice.rs
@@ -43,7 +43,7 @@
 /// Calls in a fall span that any destination bears from all couriers together.
 const LEAST_CALLS: f64 = 4.0;
 /// What couriers that know of an outage may send together, of what those send that do not.
-const BESIDE: f64 = 0.5;
+const BESIDE: f64 = 0.2;
 /// Seconds over which the usual rate is taken at least.
 const USUAL_OVER: f64 = 10.0;
 /// Growth of the time over which couriers that want a limit are counted, with the time that refusals last and
