The edge: a core free of I/O around the decision library, and its calloop shell

Need: a real courier on sockets that takes messages over Kafka, delivers them over Kafka and decides nothing that the library decides. Change: crates/edge.

--- /dev/null
+++ b/crates/edge/src/core/delivery.rs
@@ -0,0 +1,586 @@
+//! Calls to endpoints and the connections that carry them.
+//!
+//! A call is one Produce request with one or more messages. It holds a slot until each of them has its outcome.
+//! What is still running then, because it was called off or its time was up, holds its connection only: nothing
+//! new goes there until the answer came or the idle time has passed, after which it is closed.
+//!
+//! A new connection first asks which versions the endpoint offers. An endpoint that takes no more connections
+//! closes them after it has accepted; so only the answer shows that it is there, and a message that waited for
+//! it is known not to have run.
+
+use bytes::Bytes;
+use linnetcart::{Ending, Time};
+use linnetcart_kafka::{client, codes, Frames, Load, Record, PRODUCE};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+/// A connection to an endpoint, as the shell numbers them back.
+pub type LinkId = u64;
+
+/// The number of the request that opens a connection; calls are numbered from 1.
+const GREETING: i32 = 0;
+
+/// What a message is to an endpoint.
+#[derive(Clone, Debug)]
+pub(crate) struct Parcel {
+    pub(crate) message: u32,
+    pub(crate) attempt: u16,
+    pub(crate) topic: u8,
+    pub(crate) destination: u32,
+    pub(crate) record: Record,
+    /// When its time is up.
+    pub(crate) until: Time,
+}
+
+/// The end of one attempt.
+#[derive(Clone, Debug)]
+pub(crate) struct Done {
+    pub(crate) message: u32,
+    pub(crate) attempt: u16,
+    pub(crate) endpoint: u32,
+    pub(crate) ending: Ending,
+    pub(crate) sent: Time,
+    pub(crate) load: Option<Load>,
+}
+
+/// What the shell is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Do {
+    Connect(LinkId, SocketAddr),
+    Write(LinkId, Bytes),
+    Close(LinkId),
+}
+
+#[derive(Debug)]
+struct Call {
+    endpoint: u32,
+    link: LinkId,
+    /// What is not over yet.
+    parcels: Vec<Parcel>,
+    /// Its number on the link and the bytes queued there before it, once it is written.
+    written: Option<(i32, u64)>,
+    sent: Time,
+}
+
+#[derive(Debug)]
+struct Link {
+    endpoint: u32,
+    addr: SocketAddr,
+    /// The endpoint has answered; calls go in this version of Produce.
+    up: bool,
+    version: i16,
+    frames: Frames,
+    /// Bytes handed to the shell.
+    queued: u64,
+    correlation: i32,
+    /// Calls on it, by number; those not written yet apart.
+    calls: BTreeMap<i32, u64>,
+    unwritten: Vec<u64>,
+    /// Calls on it that nobody waits for any more.
+    abandoned: usize,
+    since: Time,
+    /// When to look at it again.
+    timer: Time,
+}
+
+/// Bounds and spans.
+#[derive(Clone, Debug)]
+pub(crate) struct Bounds {
+    pub(crate) slots: usize,
+    pub(crate) calls_per_link: usize,
+    pub(crate) idle: Time,
+    pub(crate) connect: Time,
+    pub(crate) frame: usize,
+    /// What this courier calls itself.
+    pub(crate) name: String,
+    /// Topics by class.
+    pub(crate) topics: Vec<String>,
+}
+
+#[derive(Debug)]
+pub(crate) struct Delivery {
+    bounds: Bounds,
+    now: Time,
+    next: u64,
+    calls: BTreeMap<u64, Call>,
+    /// Calls with a message that waits for its outcome.
+    running: usize,
+    links: BTreeMap<LinkId, Link>,
+    by_endpoint: BTreeMap<u32, BTreeSet<LinkId>>,
+    /// The running call of each attempt.
+    attempts: BTreeMap<(u32, u16), u64>,
+    times: BTreeSet<(Time, u32, u16)>,
+    timers: BTreeSet<(Time, LinkId)>,
+    /// The call that sends of this turn may join, by endpoint.
+    joining: BTreeMap<u32, u64>,
+    fresh: Vec<u64>,
+    pub(crate) done: Vec<Done>,
+    pub(crate) todo: Vec<Do>,
+    /// Endpoints that did not keep to the protocol, and how.
+    pub(crate) faults: Vec<(u32, String)>,
+}
+
+impl Delivery {
+    pub(crate) fn new(bounds: Bounds) -> Self {
+        Delivery {
+            bounds,
+            now: 0,
+            next: 1,
+            calls: BTreeMap::new(),
+            running: 0,
+            links: BTreeMap::new(),
+            by_endpoint: BTreeMap::new(),
+            attempts: BTreeMap::new(),
+            times: BTreeSet::new(),
+            timers: BTreeSet::new(),
+            joining: BTreeMap::new(),
+            fresh: Vec::new(),
+            done: Vec::new(),
+            todo: Vec::new(),
+            faults: Vec::new(),
+        }
+    }
+
+    pub(crate) fn clock(&mut self, now: Time) {
+        self.now = now;
+    }
+
+    /// Calls out that hold a slot.
+    pub(crate) fn running(&self) -> usize {
+        self.running
+    }
+
+    /// Connections open or being made, and those of them held by calls that nobody waits for.
+    pub(crate) fn links(&self) -> (usize, usize) {
+        (self.links.len(), self.links.values().filter(|l| l.abandoned > 0).count())
+    }
+
+    pub(crate) fn next_timer(&self) -> Option<Time> {
+        let time = self.times.first().map(|t| t.0);
+        let timer = self.timers.first().map(|t| t.0);
+        time.into_iter().chain(timer).min()
+    }
+
+    fn number(&mut self) -> u64 {
+        self.next += 1;
+        self.next
+    }
+
+    // ---- Sending
+
+    /// Starts an attempt, in the call of this turn to the endpoint if that takes more. Nothing is written
+    /// before [`Delivery::depart`].
+    pub(crate) fn send(&mut self, endpoint: u32, parcel: Parcel, per_call: usize) {
+        let key = (parcel.message, parcel.attempt);
+        let open = self.joining.get(&endpoint).copied();
+        let open = open.filter(|id| self.calls.get(id).is_some_and(|c| c.parcels.len() < per_call));
+        if open.is_none() && self.running >= self.bounds.slots {
+            self.done.push(Done {
+                message: parcel.message,
+                attempt: parcel.attempt,
+                endpoint,
+                ending: Ending::NotSent { no_slot: true },
+                sent: self.now,
+                load: None,
+            });
+            return;
+        }
+        let id = open.unwrap_or_else(|| {
+            let id = self.number();
+            let call = Call { endpoint, link: 0, parcels: Vec::new(), written: None, sent: self.now };
+            self.calls.insert(id, call);
+            self.running += 1;
+            self.joining.insert(endpoint, id);
+            self.fresh.push(id);
+            id
+        });
+        self.attempts.insert(key, id);
+        self.times.insert((parcel.until, key.0, key.1));
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.parcels.push(parcel);
+        }
+    }
+
+    /// An attempt that was never begun.
+    pub(crate) fn not_sent(&mut self, message: u32, attempt: u16, endpoint: u32) {
+        let ending = Ending::NotSent { no_slot: false };
+        self.done.push(Done { message, attempt, endpoint, ending, sent: self.now, load: None });
+    }
+
+    /// Puts the calls of this turn on connections. `address`: where an endpoint listens.
+    pub(crate) fn depart(&mut self, address: impl Fn(u32) -> Option<SocketAddr>) {
+        self.joining.clear();
+        for id in std::mem::take(&mut self.fresh) {
+            let Some(endpoint) = self.calls.get(&id).filter(|c| !c.parcels.is_empty()).map(|c| c.endpoint)
+            else {
+                continue;
+            };
+            let Some(addr) = address(endpoint) else {
+                self.end_call(id, Ending::NotSent { no_slot: false }, None);
+                continue;
+            };
+            let link = self.link(endpoint, addr);
+            if let (Some(call), Some(l)) = (self.calls.get_mut(&id), self.links.get_mut(&link)) {
+                call.link = link;
+                l.unwritten.push(id);
+                l.since = self.now;
+                if l.up {
+                    self.write(link);
+                }
+            }
+        }
+    }
+
+    /// A connection with room: an open one, the last used first, so that those not needed grow old; then one
+    /// that is being made; else a new one.
+    fn link(&mut self, endpoint: u32, addr: SocketAddr) -> LinkId {
+        let ids = self.by_endpoint.get(&endpoint).into_iter().flatten();
+        let room = ids.filter_map(|&id| {
+            let l = self.links.get(&id)?;
+            let fits = l.calls.len() + l.unwritten.len() < self.bounds.calls_per_link;
+            (fits && l.abandoned == 0 && l.addr == addr).then_some((l.up, l.since, id))
+        });
+        if let Some((_, _, id)) = room.max() {
+            return id;
+        }
+        let id = self.number();
+        let timer = self.now + self.bounds.connect;
+        let link = Link {
+            endpoint,
+            addr,
+            up: false,
+            version: 0,
+            frames: Frames::new(self.bounds.frame),
+            queued: 0,
+            correlation: 0,
+            calls: BTreeMap::new(),
+            unwritten: Vec::new(),
+            abandoned: 0,
+            since: self.now,
+            timer,
+        };
+        self.links.insert(id, link);
+        self.timers.insert((timer, id));
+        self.by_endpoint.entry(endpoint).or_default().insert(id);
+        self.todo.push(Do::Connect(id, addr));
+        id
+    }
+
+    fn set_timer(&mut self, id: LinkId, at: Time) {
+        if let Some(l) = self.links.get_mut(&id) {
+            self.timers.remove(&(l.timer, id));
+            l.timer = at;
+            self.timers.insert((at, id));
+        }
+    }
+
+    /// Writes the calls that wait for this connection.
+    fn write(&mut self, link: LinkId) {
+        let waiting = self.links.get_mut(&link).map(|l| std::mem::take(&mut l.unwritten));
+        for id in waiting.unwrap_or_default() {
+            let (Some(call), Some(l)) = (self.calls.get_mut(&id), self.links.get_mut(&link)) else {
+                continue;
+            };
+            l.correlation = l.correlation % i32::MAX + 1;
+            match encode(&self.bounds, (l.correlation, l.version), call, self.now) {
+                Ok(bytes) => {
+                    call.written = Some((l.correlation, l.queued));
+                    l.queued += bytes.len() as u64;
+                    l.calls.insert(l.correlation, id);
+                    self.todo.push(Do::Write(link, bytes));
+                }
+                Err(_) => self.end_call(id, Ending::NotSent { no_slot: false }, None),
+            }
+        }
+    }
+
+    // ---- Endings
+
+    /// Ends one attempt of a call.
+    fn end_attempt(&mut self, id: u64, key: (u32, u16), ending: Ending, load: Option<Load>) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let Some(at) = call.parcels.iter().position(|p| (p.message, p.attempt) == key) else { return };
+        let parcel = call.parcels.remove(at);
+        let (endpoint, sent, left, written) = (call.endpoint, call.sent, call.parcels.len(), call.written);
+        let link = call.link;
+        self.attempts.remove(&key);
+        self.times.remove(&(parcel.until, key.0, key.1));
+        self.done.push(Done { message: key.0, attempt: key.1, endpoint, ending, sent, load });
+        if left > 0 {
+            return;
+        }
+        self.running -= 1;
+        match written {
+            // It may still run: the connection waits for its answer.
+            Some(_) => {
+                if let Some(l) = self.links.get_mut(&link) {
+                    l.abandoned += 1;
+                }
+                self.settle(link);
+                self.shed_abandoned(endpoint);
+            }
+            None => {
+                self.calls.remove(&id);
+                if let Some(l) = self.links.get_mut(&link) {
+                    l.unwritten.retain(|&x| x != id);
+                }
+                self.settle(link);
+            }
+        }
+    }
+
+    /// Ends what is left of a call and forgets it.
+    fn end_call(&mut self, id: u64, ending: Ending, load: Option<Load>) {
+        let Some(call) = self.calls.remove(&id) else { return };
+        if !call.parcels.is_empty() {
+            self.running -= 1;
+        }
+        for p in call.parcels {
+            self.attempts.remove(&(p.message, p.attempt));
+            self.times.remove(&(p.until, p.message, p.attempt));
+            let (message, attempt) = (p.message, p.attempt);
+            self.done.push(Done { message, attempt, endpoint: call.endpoint, ending, sent: call.sent, load });
+        }
+    }
+
+    /// A connection that nobody waits for anything on is idle from now on.
+    fn settle(&mut self, id: LinkId) {
+        if let Some(l) = self.links.get_mut(&id) {
+            if l.up && l.unwritten.is_empty() && l.calls.len() <= l.abandoned {
+                l.since = self.now;
+                self.set_timer(id, self.now + self.bounds.idle);
+            }
+        }
+    }
+
+    /// Calls that nobody waits for hold at most as many connections to an endpoint as there are slots.
+    fn shed_abandoned(&mut self, endpoint: u32) {
+        let ids = self.by_endpoint.get(&endpoint).into_iter().flatten();
+        let held =
+            ids.filter_map(|id| self.links.get(id).filter(|l| l.abandoned > 0).map(|l| (l.since, *id)));
+        let mut held: Vec<(Time, LinkId)> = held.collect();
+        if held.len() > self.bounds.slots {
+            held.sort_unstable();
+            self.drop_link(held[0].1, Ending::Reset);
+        }
+    }
+
+    /// Called off. What never left is known not to have run.
+    pub(crate) fn cancel(&mut self, message: u32, attempt: u16) {
+        let Some(&id) = self.attempts.get(&(message, attempt)) else { return };
+        let left = self.calls.get(&id).is_some_and(|c| c.written.is_some());
+        let ending = if left { Ending::Cancelled } else { Ending::NotSent { no_slot: false } };
+        self.end_attempt(id, (message, attempt), ending, None);
+    }
+
+    /// Ends attempts and connections whose time is up.
+    pub(crate) fn expire(&mut self) {
+        while let Some(&(at, message, attempt)) = self.times.first().filter(|t| t.0 <= self.now) {
+            let Some(&id) = self.attempts.get(&(message, attempt)) else {
+                self.times.remove(&(at, message, attempt));
+                continue;
+            };
+            let left = self.calls.get(&id).is_some_and(|c| c.written.is_some());
+            let ending = if left { Ending::TimedOut } else { Ending::NoConnection };
+            self.end_attempt(id, (message, attempt), ending, None);
+        }
+        while let Some(&(at, id)) = self.timers.first().filter(|t| t.0 <= self.now) {
+            self.timers.remove(&(at, id));
+            let Some(l) = self.links.get(&id) else { continue };
+            let busy = l.calls.len() > l.abandoned || !l.unwritten.is_empty();
+            if l.up && busy {
+                continue;
+            }
+            self.drop_link(id, Ending::NoConnection);
+        }
+    }
+
+    /// Closes a connection; what was on it ends like this, unless it is known not to have left.
+    fn drop_link(&mut self, id: LinkId, written: Ending) {
+        if self.links.contains_key(&id) {
+            self.todo.push(Do::Close(id));
+            self.lost(id, u64::MAX, written);
+        }
+    }
+
+    /// The connection is no more. The system took `bytes` of what was queued there.
+    fn lost(&mut self, id: LinkId, bytes: u64, written: Ending) {
+        let Some(l) = self.links.remove(&id) else { return };
+        self.timers.remove(&(l.timer, id));
+        if let Some(ids) = self.by_endpoint.get_mut(&l.endpoint) {
+            ids.remove(&id);
+            if ids.is_empty() {
+                self.by_endpoint.remove(&l.endpoint);
+            }
+        }
+        for call in l.calls.into_values() {
+            let from = self.calls.get(&call).and_then(|c| c.written).map_or(0, |w| w.1);
+            let ending = if from >= bytes { Ending::NoConnection } else { written };
+            self.end_call(call, ending, None);
+        }
+        for call in l.unwritten {
+            self.end_call(call, Ending::NoConnection, None);
+        }
+    }
+
+    // ---- What the shell tells
+
+    /// The connection is there: ask what the endpoint offers.
+    pub(crate) fn connected(&mut self, id: LinkId) {
+        let Some(l) = self.links.get_mut(&id) else { return };
+        match client::api_versions(GREETING, &self.bounds.name, 0) {
+            Ok(bytes) => {
+                l.queued += bytes.len() as u64;
+                self.todo.push(Do::Write(id, bytes));
+            }
+            Err(_) => self.drop_link(id, Ending::NoConnection),
+        }
+    }
+
+    /// The endpoint has said what it offers. Before a message leaves, `may` says whether it still may: it can
+    /// have ended, its endpoint can drain, and a wait can have been told while the connection was made.
+    fn greeted(&mut self, id: LinkId, frame: &Bytes, may: &dyn Fn(u32, u32) -> bool) -> Result<(), String> {
+        let (number, offered) = client::read_produce_versions(frame).map_err(|e| e.to_string())?;
+        let (least, most) = offered.ok_or("it does not offer Produce")?;
+        let version = most.min(PRODUCE.1);
+        if number != GREETING || version < least.max(PRODUCE.0) {
+            return Err(format!("it offers Produce {least} to {most}, {PRODUCE:?} are spoken"));
+        }
+        let Some(l) = self.links.get_mut(&id) else { return Ok(()) };
+        (l.up, l.version) = (true, version);
+        let (endpoint, waiting) = (l.endpoint, l.unwritten.clone());
+        for call in waiting {
+            let parcels = self.calls.get(&call).map(|c| c.parcels.as_slice()).unwrap_or_default();
+            let stale = parcels.iter().filter(|p| !may(p.message, endpoint));
+            let stale: Vec<(u32, u16)> = stale.map(|p| (p.message, p.attempt)).collect();
+            for key in stale {
+                self.end_attempt(call, key, Ending::NotSent { no_slot: false }, None);
+            }
+        }
+        self.write(id);
+        self.settle(id);
+        Ok(())
+    }
+
+    /// The connection could not be made.
+    pub(crate) fn failed(&mut self, id: LinkId) {
+        self.lost(id, 0, Ending::NoConnection);
+    }
+
+    /// The other side closed it, or it broke.
+    pub(crate) fn down(&mut self, id: LinkId, written: u64) {
+        self.lost(id, written, Ending::Reset);
+    }
+
+    /// Bytes came. What is no answer to a call on this connection ends the connection.
+    pub(crate) fn bytes(&mut self, id: LinkId, bytes: &[u8], may: &dyn Fn(u32, u32) -> bool) {
+        if let Some(l) = self.links.get_mut(&id) {
+            l.frames.push(bytes);
+        }
+        loop {
+            let Some(l) = self.links.get_mut(&id) else { return };
+            let fault = match l.frames.next_frame() {
+                Ok(None) => return,
+                Ok(Some(frame)) => {
+                    let (up, version) = (l.up, l.version);
+                    let read =
+                        if up { self.answer(id, &frame, version) } else { self.greeted(id, &frame, may) };
+                    match read {
+                        Ok(()) => continue,
+                        Err(why) => why,
+                    }
+                }
+                Err(e) => e.to_string(),
+            };
+            if let Some(l) = self.links.get(&id) {
+                self.faults.push((l.endpoint, fault));
+            }
+            self.drop_link(id, Ending::Reset);
+            return;
+        }
+    }
+
+    fn answer(&mut self, id: LinkId, frame: &Bytes, version: i16) -> Result<(), String> {
+        let produced = client::read_produced(frame, version).map_err(|e| e.to_string())?;
+        let Some(l) = self.links.get_mut(&id) else { return Ok(()) };
+        let Some(number) = l.calls.remove(&produced.correlation) else {
+            return Err(format!("it answers request {}, which is not out", produced.correlation));
+        };
+        let Some(call) = self.calls.get(&number) else { return Ok(()) };
+        if call.parcels.is_empty() {
+            l.abandoned = l.abandoned.saturating_sub(1);
+        }
+        let wait = u64::try_from(produced.throttle_ms).unwrap_or(0) * 1_000_000;
+        let mut endings = Vec::new();
+        for p in &call.parcels {
+            let topic = self.bounds.topics.get(usize::from(p.topic)).map_or("", String::as_str);
+            let part = |e: &&linnetcart_kafka::server::Ended| {
+                e.topic == topic && u32::try_from(e.partition) == Ok(p.destination)
+            };
+            let ending = match produced.parts.iter().find(part).map(|e| e.code) {
+                Some(codes::NONE) => Ending::Served,
+                Some(codes::FULL) => Ending::Full { wait },
+                _ => Ending::Error,
+            };
+            endings.push(((p.message, p.attempt), ending));
+        }
+        for (key, ending) in endings {
+            self.end_attempt_answered(number, key, ending, produced.load);
+        }
+        self.calls.remove(&number);
+        self.settle(id);
+        Ok(())
+    }
+
+    fn end_attempt_answered(&mut self, id: u64, key: (u32, u16), ending: Ending, load: Option<Load>) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let Some(at) = call.parcels.iter().position(|p| (p.message, p.attempt) == key) else { return };
+        let parcel = call.parcels.remove(at);
+        if call.parcels.is_empty() {
+            self.running -= 1;
+        }
+        let (endpoint, sent) = (call.endpoint, call.sent);
+        self.attempts.remove(&key);
+        self.times.remove(&(parcel.until, key.0, key.1));
+        self.done.push(Done { message: key.0, attempt: key.1, endpoint, ending, sent, load });
+    }
+
+    /// Closes the connections to an endpoint that nothing is on.
+    pub(crate) fn close_idle(&mut self, endpoint: u32) {
+        let ids = self.by_endpoint.get(&endpoint).into_iter().flatten().copied();
+        let idle = |id: &LinkId| {
+            self.links.get(id).is_some_and(|l| l.up && l.calls.is_empty() && l.unwritten.is_empty())
+        };
+        let idle: Vec<LinkId> = ids.filter(idle).collect();
+        idle.into_iter().for_each(|id| self.drop_link(id, Ending::Reset));
+    }
+
+    /// Endpoints that connections are open to.
+    pub(crate) fn endpoints(&self) -> Vec<u32> {
+        self.by_endpoint.keys().copied().collect()
+    }
+}
+
+fn encode(
+    bounds: &Bounds,
+    (correlation, version): (i32, i16),
+    call: &Call,
+    now: Time,
+) -> Result<Bytes, linnetcart_kafka::codes::Malformed> {
+    let mut groups: BTreeMap<(u8, u32), Vec<Record>> = BTreeMap::new();
+    for p in &call.parcels {
+        groups.entry((p.topic, p.destination)).or_default().push(p.record.clone());
+    }
+    let topic = |class: u8| bounds.topics.get(usize::from(class)).map_or("", String::as_str);
+    let to: Vec<client::To> = groups
+        .iter()
+        .map(|(&(class, destination), records)| client::To {
+            topic: topic(class),
+            partition: i32::try_from(destination).unwrap_or(i32::MAX),
+            records,
+        })
+        .collect();
+    let left = call.parcels.iter().map(|p| p.until.saturating_sub(now)).max().unwrap_or(0);
+    let timeout = i32::try_from(left / 1_000_000).unwrap_or(i32::MAX);
+    client::produce(correlation, &bounds.name, version, (-1, timeout), &to)
+}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -0,0 +1,16 @@
+//! The courier program: takes messages from Kafka clients, delivers each to an endpoint of its destination and
+//! gives it its one final answer.
+//!
+//! [`core`] is free of I/O: bytes, clock readings and endings of connections go in; bytes, connects, closes and
+//! facts come out. It hands every decision that the library [`linnetcart`] makes to that library, and carries
+//! out what comes back. [`shell`] moves the bytes on a calloop loop and decides nothing.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod cli;
+pub mod control;
+pub mod core;
+pub mod facts;
+pub mod settings;
+pub mod shell;
+pub mod snapshot;
--- /dev/null
+++ b/crates/edge/src/snapshot.rs
@@ -0,0 +1,150 @@
+//! The saved snapshot: the last good settings and list, in one file that is whole or not there.
+//!
+//! The first line holds the format's version, the checksum and the length of what follows, which is JSON.
+
+use crate::settings::{List, Settings};
+use serde::{Deserialize, Serialize};
+use std::fs::{self, File};
+use std::io::{self, ErrorKind, Write};
+use std::path::{Path, PathBuf};
+
+const MAGIC: &str = "linnetcart-snapshot";
+const VERSION: u32 = 1;
+const FILE: &str = "snapshot";
+
+/// What is saved.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Saved {
+    /// The settings of the next start.
+    pub settings: Option<Settings>,
+    /// The list.
+    pub list: List,
+}
+
+/// As bytes of a file.
+pub fn encode(saved: &Saved) -> Result<Vec<u8>, String> {
+    let body = serde_json::to_vec(saved).map_err(|e| e.to_string())?;
+    let mut out = format!("{MAGIC} {VERSION} {:08x} {}\n", crc32c::crc32c(&body), body.len()).into_bytes();
+    out.extend(body);
+    Ok(out)
+}
+
+/// Reads the bytes of a file; an error says what is wrong with them.
+pub fn decode(bytes: &[u8]) -> Result<Saved, String> {
+    let line = bytes.iter().position(|&b| b == b'\n').ok_or("it has no first line")?;
+    let head = std::str::from_utf8(&bytes[..line]).map_err(|_| "its first line is no text")?;
+    let words: Vec<&str> = head.split(' ').collect();
+    let &[magic, version, sum, length] = words.as_slice() else { return Err("its first line is cut".into()) };
+    if magic != MAGIC {
+        return Err("it is no snapshot of this program".into());
+    }
+    if version != VERSION.to_string() {
+        return Err(format!("it has format {version}; this program reads {VERSION}"));
+    }
+    let body = &bytes[line + 1..];
+    if length.parse() != Ok(body.len()) {
+        return Err(format!("it holds {} bytes instead of {length}", body.len()));
+    }
+    if u32::from_str_radix(sum, 16) != Ok(crc32c::crc32c(body)) {
+        return Err("its checksum is wrong".into());
+    }
+    serde_json::from_slice(body).map_err(|e| e.to_string())
+}
+
+/// Writes the snapshot aside, syncs it, and puts it in the place of the one before.
+pub fn save(dir: &Path, saved: &Saved) -> Result<(), String> {
+    let write = || -> io::Result<()> {
+        let aside = dir.join(format!("{FILE}.new"));
+        let bytes = encode(saved).map_err(io::Error::other)?;
+        let mut file = File::create(&aside)?;
+        file.write_all(&bytes)?;
+        file.sync_all()?;
+        fs::rename(&aside, dir.join(FILE))?;
+        File::open(dir)?.sync_all()
+    };
+    write().map_err(|e| format!("{}: {e}", dir.join(FILE).display()))
+}
+
+/// What was found at the start.
+#[derive(Debug)]
+pub enum Found {
+    /// Nothing.
+    None,
+    /// A good snapshot.
+    Good(Box<Saved>),
+    /// One that is of no use; it was moved aside to this place.
+    Damaged {
+        /// What is wrong with it.
+        why: String,
+        /// Where it is now.
+        aside: PathBuf,
+    },
+}
+
+/// Reads the snapshot of a folder, which is made if it is not there.
+pub fn load(dir: &Path) -> io::Result<Found> {
+    fs::create_dir_all(dir)?;
+    let path = dir.join(FILE);
+    let bytes = match fs::read(&path) {
+        Ok(bytes) => bytes,
+        Err(e) if e.kind() == ErrorKind::NotFound => return Ok(Found::None),
+        Err(e) => return Err(e),
+    };
+    match decode(&bytes) {
+        Ok(saved) => Ok(Found::Good(Box::new(saved))),
+        Err(why) => {
+            let free = |n: &u32| !dir.join(format!("{FILE}.damaged-{n}")).exists();
+            let n = (1..=u32::MAX).find(free).unwrap_or(0);
+            let aside = dir.join(format!("{FILE}.damaged-{n}"));
+            fs::rename(&path, &aside)?;
+            Ok(Found::Damaged { why, aside })
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn saved() -> Saved {
+        let settings = Settings::parse(crate::settings::tests::sample().to_string().as_bytes()).unwrap();
+        Saved { settings: Some(settings), list: List { version: 3, ..List::default() } }
+    }
+
+    #[test]
+    fn every_cut_and_every_flipped_bit_is_found() {
+        let good = encode(&saved()).unwrap();
+        assert_eq!(decode(&good).unwrap(), saved());
+        for cut in 0..good.len() {
+            assert!(decode(&good[..cut]).is_err(), "cut at {cut}");
+        }
+        for at in 0..good.len() {
+            let mut bad = good.clone();
+            bad[at] ^= 0x10;
+            assert!(decode(&bad).is_err(), "flipped at {at}");
+        }
+    }
+
+    #[test]
+    fn one_of_another_version_says_so() {
+        let good = String::from_utf8(encode(&saved()).unwrap()).unwrap();
+        let other = good.replacen("snapshot 1 ", "snapshot 2 ", 1);
+        assert!(decode(other.as_bytes()).unwrap_err().contains("format 2"));
+    }
+
+    #[test]
+    fn a_damaged_one_is_set_aside_and_kept() {
+        let dir = std::env::temp_dir().join(format!("linnetcart-snapshot-{}", std::process::id()));
+        assert!(matches!(load(&dir).unwrap(), Found::None));
+        save(&dir, &saved()).unwrap();
+        assert!(matches!(load(&dir).unwrap(), Found::Good(s) if *s == saved()));
+        for n in 1..=2 {
+            fs::write(dir.join(FILE), b"linnetcart-snapshot 1 0 9\nhalf").unwrap();
+            let Found::Damaged { aside, .. } = load(&dir).unwrap() else { panic!("it was believed") };
+            assert_eq!(aside, dir.join(format!("snapshot.damaged-{n}")));
+            assert!(matches!(load(&dir).unwrap(), Found::None));
+        }
+        fs::remove_dir_all(&dir).unwrap();
+    }
+}
--- a/crates/kafka/src/client.rs
+++ b/crates/kafka/src/client.rs
@@ -54,7 +54,8 @@
 ) -> Result<Bytes, Malformed> {
     let mut topics: Vec<TopicProduceData> = Vec::new();
     for t in to {
-        let part = PartitionProduceData::default().with_index(t.partition).with_records(Some(batch(t.records)?));
+        let part =
+            PartitionProduceData::default().with_index(t.partition).with_records(Some(batch(t.records)?));
         match topics.last_mut().filter(|x| x.name.as_str() == t.topic) {
             Some(x) => x.partition_data.push(part),
             None => topics.push(
@@ -64,8 +65,7 @@
             ),
         }
     }
-    let body =
-        ProduceRequest::default().with_acks(acks).with_timeout_ms(timeout_ms).with_topic_data(topics);
+    let body = ProduceRequest::default().with_acks(acks).with_timeout_ms(timeout_ms).with_topic_data(topics);
     frame(ApiKey::Produce, correlation, client, version, &body)
 }
 
@@ -153,7 +153,9 @@
             records: r
                 .record_errors
                 .into_iter()
-                .map(|e| (e.batch_index, e.batch_index_error_message.map_or(String::new(), |m| m.to_string())))
+                .map(|e| {
+                    (e.batch_index, e.batch_index_error_message.map_or(String::new(), |m| m.to_string()))
+                })
                 .collect(),
             text: r.error_message.map(|m| m.to_string()),
         })
@@ -179,8 +181,29 @@
     let m = MetadataResponse::decode(&mut rest, version).map_err(|_| Malformed("Metadata response"))?;
     let brokers = m.brokers.into_iter().map(|b| (b.node_id.0, b.host.to_string(), b.port)).collect();
     let topics = m.topics.into_iter().map(|t| {
-        let parts = t.partitions.into_iter().map(|p| (p.partition_index, p.error_code, p.leader_id.0)).collect();
+        let parts =
+            t.partitions.into_iter().map(|p| (p.partition_index, p.error_code, p.leader_id.0)).collect();
         (t.name.map_or(String::new(), |n| n.as_str().to_owned()), t.error_code, parts)
     });
     Ok(Known { correlation, brokers, topics: topics.collect() })
 }
+
+/// The versions of Produce that an ApiVersions response of version 0 offers, first and last.
+pub fn read_produce_versions(frame: &Bytes) -> Result<(i32, Option<(i16, i16)>), Malformed> {
+    let mut c = shape::Cursor::new(frame, false);
+    let number = i32::from_be_bytes(c.array()?);
+    let code = i16::from_be_bytes(c.array()?);
+    let count = i32::from_be_bytes(c.array()?);
+    if code != crate::codes::NONE || usize::try_from(count).map_or(true, |n| n * 6 != c.left()) {
+        return Err(Malformed("ApiVersions response"));
+    }
+    let mut produce = None;
+    for _ in 0..count {
+        let key = i16::from_be_bytes(c.array()?);
+        let range = (i16::from_be_bytes(c.array()?), i16::from_be_bytes(c.array()?));
+        if key == ApiKey::Produce as i16 {
+            produce = Some(range);
+        }
+    }
+    Ok((number, produce))
+}
--- a/crates/kafka/src/server.rs
+++ b/crates/kafka/src/server.rs
@@ -11,8 +11,8 @@
     BatchIndexAndErrorMessage, PartitionProduceResponse, TopicProduceResponse,
 };
 use kafka_protocol::messages::{
-    ApiKey, ApiVersionsResponse, BrokerId, MetadataRequest, MetadataResponse, ProduceRequest, ProduceResponse,
-    RequestHeader, TopicName,
+    ApiKey, ApiVersionsResponse, BrokerId, MetadataRequest, MetadataResponse, ProduceRequest,
+    ProduceResponse, RequestHeader, TopicName,
 };
 use kafka_protocol::protocol::{Decodable, Encodable, StrBytes};
 use kafka_protocol::records::RecordBatchDecoder;
@@ -208,11 +208,8 @@
 
 /// What is offered. `too_new`: the client asked in a version that is not, and reads version 0.
 pub fn api_versions(correlation: i32, version: i16, too_new: bool) -> Bytes {
-    let offered = [
-        (ApiKey::Produce, PRODUCE),
-        (ApiKey::Metadata, METADATA),
-        (ApiKey::ApiVersions, API_VERSIONS),
-    ];
+    let offered =
+        [(ApiKey::Produce, PRODUCE), (ApiKey::Metadata, METADATA), (ApiKey::ApiVersions, API_VERSIONS)];
     let keys = offered.map(|(key, (min, max))| {
         ApiVersion::default().with_api_key(key as i16).with_min_version(min).with_max_version(max)
     });
@@ -293,7 +290,13 @@
 }
 
 /// The response to a Produce request.
-pub fn produce(correlation: i32, version: i16, ended: &[Ended], throttle_ms: i32, load: Option<Load>) -> Bytes {
+pub fn produce(
+    correlation: i32,
+    version: i16,
+    ended: &[Ended],
+    throttle_ms: i32,
+    load: Option<Load>,
+) -> Bytes {
     let mut topics: Vec<TopicProduceResponse> = Vec::new();
     for e in ended {
         let errors = e.records.iter().map(|(n, text)| {
--- a/crates/kafka/src/shape.rs
+++ b/crates/kafka/src/shape.rs
@@ -294,8 +294,13 @@
     c.take(8 + 8 + 2 + 4)?;
     let records = i32::from_be_bytes(c.array()?);
     let records = usize::try_from(records).map_err(|_| Malformed("record count"))?;
-    let head =
-        BatchHead { size, magic, codec: (attributes & 7) as u8, transactional: attributes & 0x30 != 0, records };
+    let head = BatchHead {
+        size,
+        magic,
+        codec: (attributes & 7) as u8,
+        transactional: attributes & 0x30 != 0,
+        records,
+    };
     if head.codec != 0 {
         return Ok(head);
     }
--- a/crates/kafka/tests/protocol.rs
+++ b/crates/kafka/tests/protocol.rs
@@ -74,7 +74,8 @@
             Topic { name: "a".into(), known: true, partitions: vec![true, false] },
             Topic { name: "x".into(), known: false, partitions: vec![] },
         ];
-        let got = client::read_metadata(&strip(&server::metadata(1, version, &broker, &topics)), version).unwrap();
+        let got =
+            client::read_metadata(&strip(&server::metadata(1, version, &broker, &topics)), version).unwrap();
         assert_eq!(got.brokers, [(2, "127.0.0.1".to_owned(), 9092)]);
         let parts = vec![(0, codes::NONE, 2), (1, codes::LEADER_NOT_AVAILABLE, -1)];
         assert_eq!(got.topics[0], ("a".to_owned(), codes::NONE, parts));
@@ -97,6 +98,13 @@
     assert_eq!(&answer[..6], [0, 0, 0, 4, 0, 35]);
 }
 
+#[test]
+fn a_caller_learns_which_versions_of_produce_are_offered() {
+    let answer = strip(&server::api_versions(7, 0, false));
+    assert_eq!(client::read_produce_versions(&answer).unwrap(), (7, Some(PRODUCE)));
+    assert!(client::read_produce_versions(&answer.slice(..answer.len() - 1)).is_err());
+}
+
 #[test]
 fn what_is_not_offered_is_an_error() {
     let other = |api: u8, version: u8| server::read(&Bytes::from(vec![0, api, 0, version, 0, 0, 0, 1]));
@@ -157,6 +165,7 @@
         let _ = server::read(&bytes);
         let _ = client::read_produced(&bytes, version.max(3));
         let _ = client::read_metadata(&bytes, version);
+        let _ = client::read_produce_versions(&bytes);
     }
 
     /// Requests with bytes changed, cut or added: read or turned down, never a panic.
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -175,10 +175,13 @@
         interest: Interest,
     ) -> io::Result<RegistrationToken> {
         self.handle
-            .insert_source(Generic::new(socket, interest, Mode::Edge), move |readiness, _, woken: &mut Woken| {
-                woken.ready.push(Ready { token, read: readiness.readable, write: readiness.writable });
-                Ok(PostAction::Continue)
-            })
+            .insert_source(
+                Generic::new(socket, interest, Mode::Edge),
+                move |readiness, _, woken: &mut Woken| {
+                    woken.ready.push(Ready { token, read: readiness.readable, write: readiness.writable });
+                    Ok(PostAction::Continue)
+                },
+            )
             .map_err(|e| io::Error::other(e.error))
     }
 
@@ -522,7 +525,10 @@
         until(&mut net, |e| matches!(e, Event::Accepted { .. }));
         let second = net.connect(at);
         // The bound is three: the accepted end of the second is closed as it comes.
-        until(&mut net, |e| matches!(e, Event::HalfClosed(t) | Event::Closed { token: t, .. } if *t == second));
+        until(
+            &mut net,
+            |e| matches!(e, Event::HalfClosed(t) | Event::Closed { token: t, .. } if *t == second),
+        );
         let third = net.connect(at);
         until(&mut net, |e| matches!(e, Event::ConnectFailed(t) if *t == third));
         assert!(net.connections() <= 3);
