--- a/crates/edge/src/cli.rs
+++ b/crates/edge/src/cli.rs
@@ -1,5 +1,6 @@
 //! The command line of `linnetcart-edge`.
 
+use crate::core::Policy;
 use crate::shell::{self, End, Options};
 use clap::{Parser, ValueEnum};
 use std::io::IsTerminal;
@@ -77,6 +78,11 @@
 
 /// Runs the program.
 pub fn run(args: Args) -> ExitCode {
+    run_with(args, crate::core::library)
+}
+
+/// Runs the program with someone else deciding, for comparisons.
+pub fn run_with(args: Args, policy: Policy) -> ExitCode {
     start_logs(args.log, args.log_level);
     let options = Options {
         kafka: args.kafka,
@@ -86,6 +92,7 @@
         seed: args.seed,
         drain: Duration::from_millis(args.drain_ms),
         connections: args.connections,
+        policy,
     };
     match shell::run(options) {
         Ok(End::Done) => ExitCode::SUCCESS,
--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -298,7 +298,7 @@
 
     fn program() -> Program {
         let broker = Broker { id: 0, host: "127.0.0.1".into(), port: 1 };
-        Program::new(Start { seed: 1, now: 1, broker, run: 1, first_number: 1 })
+        Program::new(Start { seed: 1, now: 1, broker, run: 1, first_number: 1, policy: crate::core::library })
     }
 
     fn ask(p: &mut Program, method: &str, path: &str, body: &serde_json::Value, disk: bool) -> (u16, String) {
--- a/crates/edge/src/core/mod.rs
+++ b/crates/edge/src/core/mod.rs
@@ -28,6 +28,26 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 
+/// Who decides. In service that is [`Courier`], always; experiments set others beside it.
+pub trait Decide: std::fmt::Debug {
+    /// Takes all events of a round and says what is to be done.
+    fn round(&mut self, now: Time, events: Vec<Event>) -> Vec<Action>;
+}
+
+impl Decide for Courier {
+    fn round(&mut self, now: Time, events: Vec<Event>) -> Vec<Action> {
+        Courier::round(self, now, events)
+    }
+}
+
+/// Makes the one who decides, from what the library is told and a seed.
+pub type Policy = fn(linnetcart::Settings, u64) -> Box<dyn Decide>;
+
+/// The decision library.
+pub fn library(set: linnetcart::Settings, seed: u64) -> Box<dyn Decide> {
+    Box::new(Courier::new(set, seed))
+}
+
 /// What the shell is to do, in this order.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Output {
@@ -58,6 +78,8 @@
     pub run: u64,
     /// The first message's number.
     pub first_number: u32,
+    /// Who decides: [`library`].
+    pub policy: Policy,
 }
 
 /// A message that is not over, or has attempts out.
@@ -137,7 +159,7 @@
     list: List,
     /// For each destination its endpoints in service.
     ready: BTreeMap<u32, u32>,
-    courier: Courier,
+    courier: Box<dyn Decide>,
     now: Time,
     last_round: Time,
     wake: Time,
@@ -178,7 +200,7 @@
             repeats: decided.classes.iter().map(|c| c.repeat).collect(),
             list: List::default(),
             ready: BTreeMap::new(),
-            courier: Courier::new(decided, start.seed),
+            courier: (start.policy)(decided, start.seed),
             now: start.now,
             last_round: 0,
             wake: Time::MAX,
--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -1,7 +1,7 @@
 //! Moves bytes between sockets and the core, and gives it the clock. It decides nothing.
 
 use crate::control::{Http, Program, Step};
-use crate::core::{Core, LinkId, Output, Start};
+use crate::core::{Core, LinkId, Output, Policy, Start};
 use crate::facts::Fact;
 use crate::snapshot::{self, Found};
 use anyhow::Context;
@@ -44,6 +44,8 @@
     pub drain: Duration,
     /// Connections that are held at most.
     pub connections: usize,
+    /// Who decides.
+    pub policy: Policy,
 }
 
 /// How the program ended.
@@ -111,7 +113,8 @@
     let seed = options.seed.unwrap_or(run ^ u64::from(std::process::id()).rotate_left(40));
     let (host, port) = options.advertise.clone().unwrap_or((at.ip().to_string(), at.port()));
     let broker = Broker { id: 0, host, port };
-    let mut program = Program::new(Start { seed, now: CLOCK_START, broker, run, first_number: 1 });
+    let mut program =
+        Program::new(Start { seed, now: CLOCK_START, broker, run, first_number: 1, policy: options.policy });
     if let Some(dir) = &options.state_dir {
         match snapshot::load(dir)
             .with_context(|| format!("{} cannot be used; see --state-dir", dir.display()))?
--- a/crates/kafka/src/client.rs
+++ b/crates/kafka/src/client.rs
@@ -163,6 +163,9 @@
     Ok(Produced { correlation, parts: parts.collect(), throttle_ms: p.throttle_time_ms, load })
 }
 
+/// A topic: its name, its code, and for each partition its number, code and leader.
+pub type KnownTopic = (String, i16, Vec<(i32, i16, i32)>);
+
 /// What a Metadata response says: brokers (number, host, port) and topics (name, code, partitions).
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Known {
@@ -170,8 +173,8 @@
     pub correlation: i32,
     /// Brokers: number, host, port.
     pub brokers: Vec<(i32, String, i32)>,
-    /// Topics: name, code, and for each partition its number, code and leader.
-    pub topics: Vec<(String, i16, Vec<(i32, i16, i32)>)>,
+    /// Topics.
+    pub topics: Vec<KnownTopic>,
 }
 
 /// Reads a Metadata response.
--- /dev/null
+++ b/crates/lab/src/cli.rs
@@ -0,0 +1,226 @@
+//! The command line of `linnetcart-lab`.
+
+use crate::baselines;
+use crate::day::{Day, BUILT_IN};
+use crate::fleet::Fleet;
+use crate::rig::{self, Options};
+use crate::{bench, report};
+use anyhow::{bail, Context};
+use clap::{Parser, Subcommand};
+use linnetcart_edge::cli::Args as EdgeArgs;
+use linnetcart_rules::{check, Report};
+use std::io::{IsTerminal, Write};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+/// Brings up local stacks of linnetcart, plays scripted days on real sockets and measures.
+///
+/// Everything stays on loopback, on ports that the system chooses.
+///
+/// Exit codes: 0 done and every rule kept; 1 a rule was broken, or something failed; 2 the command line is wrong.
+#[derive(Debug, Parser)]
+#[command(name = "linnetcart-lab", version)]
+pub struct Args {
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(Debug, Subcommand)]
+enum What {
+    /// Start couriers and stand-ins, print one line of JSON when all is ready, stay until a signal
+    Up {
+        /// The day whose fleet is brought up
+        #[arg(long, default_value = "quiet")]
+        day: String,
+        /// Seed of the fleet
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
+    /// Play a scripted day on sockets and check the six rules from what went over them
+    Day(DayArgs),
+    /// List the built-in days
+    Days,
+    /// Run a courier; days start theirs with this
+    #[command(hide = true)]
+    Edge {
+        /// Who decides
+        #[arg(long, default_value = "library")]
+        policy: String,
+        #[command(flatten)]
+        edge: EdgeArgs,
+    },
+}
+
+#[derive(Debug, clap::Args)]
+struct DayArgs {
+    /// A built-in day, or a script's file
+    #[arg(required_unless_present = "bench", value_name = "DAY")]
+    name: Option<String>,
+    /// A day as the bench draws them; its troubles are played on a fleet of the lab's own
+    #[arg(long, value_name = "FILE", conflicts_with = "name")]
+    bench: Option<PathBuf>,
+    /// Seed of fleet, traffic and decisions
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Play it so many times as fast: spans shrink, rates grow
+    #[arg(long, default_value_t = 1.0)]
+    speed: f64,
+    /// Couriers, if not as many as the day says
+    #[arg(long)]
+    couriers: Option<u32>,
+    /// Play it with the baselines too, on the same seed, and compare
+    #[arg(long)]
+    baselines: bool,
+    /// Write the figures to this file
+    #[arg(long, value_name = "FILE")]
+    json: Option<PathBuf>,
+    /// Keep the couriers' state and logs here
+    #[arg(long, value_name = "DIR")]
+    keep: Option<PathBuf>,
+    /// No progress line
+    #[arg(long)]
+    quiet: bool,
+}
+
+/// Runs the program.
+pub fn run(args: Args) -> ExitCode {
+    let done = match args.what {
+        What::Up { day, seed } => up(&day, seed).map(|()| true),
+        What::Day(args) => day(&args),
+        What::Days => {
+            for (name, text) in BUILT_IN {
+                let about = Day::parse(text).map(|d| d.about).unwrap_or_default();
+                println!("{name:<18}{about}");
+            }
+            Ok(true)
+        }
+        What::Edge { policy, edge } => {
+            return match baselines::policy(&policy) {
+                Some(policy) => linnetcart_edge::cli::run_with(edge, policy),
+                None => {
+                    eprintln!("`{policy}` is no policy; there are {}", baselines::NAMES.join(", "));
+                    ExitCode::from(2)
+                }
+            };
+        }
+    };
+    match done {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(e) => {
+            eprintln!("error: {e:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// A folder that is removed at the end unless it is to be kept.
+struct Folder {
+    path: PathBuf,
+    keep: bool,
+}
+
+impl Folder {
+    fn new(keep: Option<&Path>) -> anyhow::Result<Folder> {
+        let path = match keep {
+            Some(path) => path.to_owned(),
+            None => {
+                let nanos = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH)?.as_nanos();
+                std::env::temp_dir().join(format!("linnetcart-lab-{}-{nanos:x}", std::process::id()))
+            }
+        };
+        std::fs::create_dir_all(&path).with_context(|| path.display().to_string())?;
+        Ok(Folder { path, keep: keep.is_some() })
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        if !self.keep {
+            let _ = std::fs::remove_dir_all(&self.path);
+        }
+    }
+}
+
+fn up(name: &str, seed: u64) -> anyhow::Result<()> {
+    let mut day = Day::find(name)?;
+    day.couriers = 1;
+    let fleet = Fleet::draw(day, seed);
+    let folder = Folder::new(None)?;
+    let options = Options { policy: "library".into(), dir: folder.path.clone(), progress: None };
+    rig::stay(&fleet, &options, |ready| {
+        println!("{ready}");
+        let _ = std::io::stdout().flush();
+    })
+}
+
+fn progress(at: f64, of: f64, open: usize) {
+    eprint!("\r{at:>5.0} of {of:.0} s, {open} messages open   ");
+}
+
+fn day(args: &DayArgs) -> anyhow::Result<bool> {
+    if !(args.speed > 0.0 && args.speed <= 100.0) {
+        bail!("--speed: more than 0 and at most 100");
+    }
+    let mut day = match (&args.bench, &args.name) {
+        (Some(file), _) => {
+            let text = std::fs::read_to_string(file).with_context(|| file.display().to_string())?;
+            let (day, cannot) = bench::read(&text).with_context(|| file.display().to_string())?;
+            for c in cannot {
+                eprintln!("not played: {c}");
+            }
+            day
+        }
+        (None, Some(name)) => Day::find(name)?,
+        (None, None) => bail!("a day's name or --bench is wanted"),
+    };
+    if let Some(n) = args.couriers {
+        day.couriers = n;
+        day.check()?;
+    }
+    let name = day.name.clone();
+    let fleet = Fleet::draw(day.faster(args.speed), args.seed);
+    let policies: &[&str] = if args.baselines { &baselines::NAMES } else { &baselines::NAMES[..1] };
+    let endpoints: usize = fleet.members.iter().map(|m| m.endpoints.len()).sum();
+    println!(
+        "{name}, seed {}: {} couriers, {} destinations with {endpoints} endpoints, {} messages, {} troubles",
+        args.seed,
+        fleet.day.couriers,
+        fleet.members.len(),
+        fleet.messages.len(),
+        fleet.day.trouble.len()
+    );
+    let mut all: Vec<(String, Report)> = Vec::new();
+    for policy in policies {
+        let keep = args.keep.as_ref().map(|k| k.join(policy));
+        let folder = Folder::new(keep.as_deref())?;
+        let show = !args.quiet && std::io::stderr().is_terminal();
+        let options = Options {
+            policy: (*policy).into(),
+            dir: folder.path.clone(),
+            progress: show.then_some(progress as fn(f64, f64, usize)),
+        };
+        let played = rig::play(&fleet, &options)?;
+        if show {
+            eprintln!();
+        }
+        let report = check(&played.records, &fleet.contract());
+        if *policy == "library" {
+            println!("\n{}", report::table(&report));
+            for (at, destination) in &played.fallen {
+                println!("destination {destination} fell over at {:.1} s", *at as f64 / 1e9);
+            }
+        }
+        all.push(((*policy).to_owned(), report));
+    }
+    if all.len() > 1 {
+        println!("\n{}", report::beside(&all));
+    }
+    if let Some(file) = &args.json {
+        let text = serde_json::to_string_pretty(&report::json(&name, args.seed, &all))?;
+        std::fs::write(file, text + "\n").with_context(|| file.display().to_string())?;
+    }
+    let kept = all[0].1.kept();
+    println!("{}", if kept { "all rules kept" } else { "A RULE WAS BROKEN" });
+    Ok(kept)
+}
--- /dev/null
+++ b/crates/lab/src/fleet.rs
@@ -0,0 +1,339 @@
+//! A fleet drawn from a day and a seed: members, settings, messages. The same seed draws the same.
+
+use crate::day::{Class, Day, RepeatKind, What};
+use linnetcart_members::{ClassWork, Kind, Member, Returns, World};
+use linnetcart_rules::{self as rules, Contract, Repeat, Time};
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{Distribution, Exp, LogNormal};
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+
+/// What clocks, loops and travel on a machine may add to a figure of the rules.
+pub const TRAVEL: Time = 60_000_000;
+
+/// A message that is to be handed in.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Planned {
+    /// When.
+    pub at: Time,
+    /// Its class.
+    pub class: u8,
+    /// Its destination.
+    pub destination: u32,
+    /// Its key.
+    pub key: Option<u64>,
+}
+
+/// A fleet.
+#[derive(Clone, Debug)]
+pub struct Fleet {
+    /// The day that it was drawn from.
+    pub day: Day,
+    /// The seed.
+    pub seed: u64,
+    /// Destinations.
+    pub members: Vec<Member>,
+    /// Messages in the order of their times.
+    pub messages: Vec<Planned>,
+    /// Calls a second that all limits let through.
+    pub full_load: f64,
+}
+
+/// Seconds as nanoseconds.
+pub fn seconds(s: f64) -> Time {
+    (s * 1e9) as Time
+}
+
+/// Milliseconds as nanoseconds.
+pub fn millis(ms: f64) -> Time {
+    (ms * 1e6) as Time
+}
+
+fn draw(rng: &mut ChaCha8Rng, [least, most]: [f64; 2]) -> f64 {
+    least + rng.random::<f64>() * (most - least)
+}
+
+fn repeat(c: &Class) -> Repeat {
+    match c.repeat {
+        RepeatKind::Safe => Repeat::Safe,
+        RepeatKind::Keyed => Repeat::Keyed { window: seconds(c.window_s), by_zone: c.by_zone },
+        RepeatKind::Unsafe => Repeat::Unsafe,
+    }
+}
+
+impl Fleet {
+    /// Draws a fleet.
+    pub fn draw(day: Day, seed: u64) -> Fleet {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut members = Vec::new();
+        let mut endpoint = 0;
+        for (kind, k) in day.kind.iter().enumerate() {
+            for _ in 0..k.destinations {
+                let count = rng.random_range(k.endpoints[0]..=k.endpoints[1]);
+                let endpoints = (0..count).map(|_| {
+                    endpoint += 1;
+                    (endpoint, rng.random_range(0..day.zones.len()) as u8)
+                });
+                let endpoints = endpoints.collect();
+                let rate = draw(&mut rng, k.rate);
+                let pace = LogNormal::new(0.0, 0.3).map_or(1.0, |d| d.sample(&mut rng));
+                members.push(Member { destination: members.len() as u32, kind, rate, endpoints, pace });
+            }
+        }
+        let mut fleet = Fleet { day, seed, members, messages: Vec::new(), full_load: 0.0 };
+        fleet.full_load = fleet.members.iter().map(|m| fleet.limit(m)).sum();
+        fleet.messages = fleet.traffic(&mut rng);
+        fleet
+    }
+
+    /// Calls a second that a destination takes over all its routes.
+    fn limit(&self, m: &Member) -> f64 {
+        let routes = if self.day.kind[m.kind].routes_apart { m.endpoints.len() } else { 1 };
+        m.rate * routes as f64
+    }
+
+    /// Messages: at random times, with clumps, sudden load and hot destinations as the day has them.
+    fn traffic(&self, rng: &mut ChaCha8Rng) -> Vec<Planned> {
+        let day = &self.day;
+        let mut all = Vec::new();
+        let weights: Vec<f64> = self.members.iter().map(|m| self.limit(m) * draw(rng, [0.7, 1.3])).collect();
+        let sum: f64 = weights.iter().sum();
+        let mut large: Vec<usize> = (0..weights.len()).collect();
+        large.sort_by(|&a, &b| weights[b].total_cmp(&weights[a]));
+        let rate = self.full_load * day.traffic.load;
+        let pick = |rng: &mut ChaCha8Rng| {
+            let mut at = rng.random::<f64>() * sum;
+            weights.iter().position(|w| {
+                at -= w;
+                at < 0.0
+            })
+        };
+        let mut push = |rng: &mut ChaCha8Rng, at: f64, destination: usize| {
+            let mut share = rng.random::<f64>() * day.class.iter().map(|c| c.share).sum::<f64>();
+            let class = day.class.iter().position(|c| {
+                share -= c.share;
+                share < 0.0
+            });
+            let class = class.unwrap_or(0);
+            let ordered = day.class[class].ordered && day.traffic.keys > 0;
+            let key = ordered.then(|| u64::from(rng.random_range(0..day.traffic.keys)) + 1);
+            all.push(Planned { at: seconds(at), class: class as u8, destination: destination as u32, key });
+        };
+        // Exponential distances at the highest rate, thinned to the rate of the moment.
+        let factor = |at: f64| -> f64 {
+            let now =
+                |t: &&crate::day::Trouble| t.what == What::SuddenLoad && at >= t.at && at < t.at + t.lasts;
+            day.trouble.iter().filter(now).map(|t| t.size).product()
+        };
+        let most = day
+            .trouble
+            .iter()
+            .filter(|t| t.what == What::SuddenLoad)
+            .map(|t| t.size.max(1.0))
+            .product::<f64>();
+        let clumped = day.traffic.clumps.clamp(0.0, 0.95);
+        if let Ok(gap) = Exp::new((rate * most).max(1e-9)) {
+            let mut at = gap.sample(rng);
+            while at < day.seconds {
+                if rng.random::<f64>() * most < factor(at) * (1.0 - clumped) {
+                    let hot = |t: &&crate::day::Trouble| {
+                        t.what == What::HotDestinations && at >= t.at && at < t.at + t.lasts
+                    };
+                    let hot = day.trouble.iter().find(hot);
+                    let destination = match hot {
+                        Some(t) if rng.random::<f64>() < t.size => {
+                            let among = (t.extra.max(1.0) as usize).min(large.len());
+                            Some(large[rng.random_range(0..among)])
+                        }
+                        _ => pick(rng),
+                    };
+                    push(rng, at, destination.unwrap_or(0));
+                }
+                at += gap.sample(rng);
+            }
+        }
+        // Clumps: each as large as its destination takes in some seconds.
+        let mut left = rate * day.seconds * clumped;
+        while left >= 1.0 {
+            let destination = pick(rng).unwrap_or(0);
+            let size = (self.limit(&self.members[destination]) * day.traffic.clump_s).max(1.0);
+            let at = rng.random::<f64>() * day.seconds;
+            for _ in 0..(size.min(left).max(1.0) as usize) {
+                let later = rng.random::<f64>() * day.traffic.clump_s * 0.05;
+                push(rng, (at + later).min(day.seconds), destination);
+            }
+            left -= size.max(1.0);
+        }
+        all.sort_by_key(|m| m.at);
+        all
+    }
+
+    /// Destinations that together get about this share of the traffic, drawn by `salt`.
+    pub fn struck(&self, part: f64, salt: u64) -> Vec<u32> {
+        let mut rng = ChaCha8Rng::seed_from_u64(self.seed ^ salt.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        let mut order: Vec<usize> = (0..self.members.len()).collect();
+        order.shuffle(&mut rng);
+        let mut got = 0.0;
+        let mut out = Vec::new();
+        for n in order {
+            if got >= part * self.full_load {
+                break;
+            }
+            got += self.limit(&self.members[n]);
+            out.push(self.members[n].destination);
+        }
+        out
+    }
+
+    /// The figures of the rules and classes for the checks.
+    pub fn contract(&self) -> Contract {
+        let r = &self.day.rules;
+        let class = |c: &Class| rules::Class {
+            name: c.name.clone(),
+            aim: seconds(c.aim_s),
+            deadline: seconds(c.deadline_s),
+            worth: c.worth,
+            late_worth: c.late_worth,
+            repeat: repeat(c),
+            ordered: c.ordered,
+        };
+        Contract {
+            classes: self.day.class.iter().map(class).collect(),
+            halves: false,
+            answer_slack: millis(r.answer_slack_ms),
+            drain_grace: millis(r.drain_grace_ms),
+            key_rest: millis(r.key_rest_ms),
+            fall_multiple: r.fall_multiple,
+            fall_span: seconds(r.fall_span_s),
+            travel: TRAVEL,
+        }
+    }
+
+    /// The members as a model.
+    pub fn world(&self) -> World {
+        let kind = |k: &crate::day::Kind| Kind {
+            name: k.name.clone(),
+            limit: k.limit,
+            refused_count: k.refused_count,
+            tells_wait: k.tells_wait,
+            wait: (millis(k.wait_ms[0]), millis(k.wait_ms[1])),
+            spare: k.spare,
+            depth: millis(k.depth_ms),
+            cv: k.cv,
+            connections: k.connections,
+            apart: k.routes_apart,
+            per_call: k.per_call as usize,
+            item_cost: k.item_cost,
+            report_every: millis(k.report_ms),
+        };
+        let class = |c: &Class| ClassWork { service: millis(c.service_ms), repeat: repeat(c) };
+        let r = &self.day.rules;
+        // A courier is told less than a destination takes: the model is somewhat stronger than the contract.
+        let returns = Returns {
+            cold_share: r.cold_share * 1.1,
+            warm_after: seconds(r.warm_after_s),
+            fall_multiple: r.fall_multiple,
+            fall_span: seconds(r.fall_span_s),
+        };
+        World::new(
+            self.day.kind.iter().map(kind).collect(),
+            self.day.class.iter().map(class).collect(),
+            returns,
+            self.members.clone(),
+            self.seed ^ 0x5eed,
+        )
+    }
+
+    /// The settings of a courier.
+    pub fn settings(&self, me: u32) -> Value {
+        let day = &self.day;
+        let (c, r) = (&day.courier, &day.rules);
+        let part = self.full_load / f64::from(day.couriers);
+        let share: f64 = day.class.iter().map(|c| c.share).sum();
+        let service: f64 = day.class.iter().map(|c| c.share / share * c.service_ms / 1e3).sum();
+        let slots = ((part * service * c.slots_room).ceil() as u32).max(c.least_slots);
+        let held = ((part * c.hold_s).ceil() as u32).max(c.least_held);
+        let class = |c: &Class| {
+            let repeat = match c.repeat {
+                RepeatKind::Safe => json!("safe"),
+                RepeatKind::Unsafe => json!("unsafe"),
+                RepeatKind::Keyed => {
+                    json!({"keyed": {"window_ms": (c.window_s * 1e3) as u64, "by_zone": c.by_zone}})
+                }
+            };
+            json!({
+                "name": c.name, "aim_ms": (c.aim_s * 1e3) as u64, "deadline_ms": (c.deadline_s * 1e3) as u64,
+                "worth": c.worth, "late_worth": c.late_worth, "repeat": repeat, "ordered": c.ordered,
+            })
+        };
+        let kind = |k: &crate::day::Kind| json!({"name": k.name, "routes_apart": k.routes_apart, "per_call": k.per_call});
+        json!({
+            "deployment": day.name,
+            "courier": {"me": me, "of": day.couriers, "zone": day.zones[me as usize % day.zones.len()]},
+            "zones": day.zones,
+            "classes": day.class.iter().map(class).collect::<Vec<_>>(),
+            "kinds": day.kind.iter().map(kind).collect::<Vec<_>>(),
+            "limits": {"slots": slots, "held": held, "attempts": c.attempts},
+            "allow": {"come_back_ms": 3000},
+            "connections": {
+                "calls": 1, "idle_ms": ((c.idle_s * 1e3) as u64).max(1), "connect_timeout_ms": c.connect_ms as u64,
+            },
+            "rules": {
+                "answer_slack_ms": r.answer_slack_ms as u64, "cold_share": r.cold_share,
+                "warm_after_ms": (r.warm_after_s * 1e3) as u64, "fall_multiple": r.fall_multiple,
+                "fall_span_ms": (r.fall_span_s * 1e3) as u64, "key_rest_ms": r.key_rest_ms as u64,
+            },
+            "rates": if day.list.rates { "exact" } else { "untold" },
+            "tick_us": (c.tick_ms * 1e3) as u64,
+        })
+    }
+
+    /// The topics, by class.
+    pub fn topics(&self) -> Vec<String> {
+        self.day.class.iter().map(|c| c.name.clone()).collect()
+    }
+
+    /// For each destination its kind's name and rate, as the list tells them.
+    pub fn listed(&self) -> BTreeMap<u32, (String, f64)> {
+        let each = |m: &Member| (m.destination, (self.day.kind[m.kind].name.clone(), m.rate));
+        self.members.iter().map(each).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_same_seed_draws_the_same_and_another_does_not() {
+        let draw = |seed| {
+            let f = Fleet::draw(Day::find("bad-day").unwrap(), seed);
+            (f.members, f.messages)
+        };
+        assert_eq!(draw(3), draw(3));
+        assert_ne!(draw(3), draw(4));
+    }
+
+    #[test]
+    fn traffic_is_as_heavy_as_the_day_says() {
+        let fleet = Fleet::draw(Day::find("quiet").unwrap(), 1);
+        let asked = fleet.full_load * fleet.day.traffic.load * fleet.day.seconds;
+        let got = fleet.messages.len() as f64;
+        assert!((got / asked - 1.0).abs() < 0.15, "{got} of {asked}");
+        assert!(fleet.messages.windows(2).all(|w| w[0].at <= w[1].at));
+    }
+
+    #[test]
+    fn the_settings_are_taken_by_the_edge() {
+        for (name, _) in crate::day::BUILT_IN {
+            for speed in [1.0, 4.0] {
+                let fleet = Fleet::draw(Day::find(name).unwrap().faster(speed), 1);
+                let settings =
+                    linnetcart_edge::settings::Settings::parse(fleet.settings(0).to_string().as_bytes());
+                settings.unwrap_or_else(|e| panic!("{name} at {speed}: {e}"));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/floor.rs
@@ -0,0 +1,1 @@
+//! What the machine lets through.
--- /dev/null
+++ b/crates/rules/src/lib.rs
@@ -0,0 +1,621 @@
+//! The six rules, checked from records of what went over the wire: what clients handed in and were answered,
+//! what endpoints were sent and answered, what couriers were told of the list. A courier's own word is not
+//! among them. The same checks serve runs on sockets and in virtual time.
+//!
+//! Each check counts the cases in which its rule was at stake; a rule without cases was not tested.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+use serde::Serialize;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A clock reading or span, in nanoseconds.
+pub type Time = u64;
+
+/// What a second run of a message does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    /// No harm.
+    Safe,
+    /// It is dropped for so long.
+    Keyed {
+        /// How long the first is remembered.
+        window: Time,
+        /// Only in the zone of the first.
+        by_zone: bool,
+    },
+    /// It takes effect twice.
+    Unsafe,
+}
+
+/// A class of message.
+#[derive(Clone, Debug)]
+pub struct Class {
+    /// Its name.
+    pub name: String,
+    /// Full worth until then.
+    pub aim: Time,
+    /// How long it may be served.
+    pub deadline: Time,
+    /// Full worth.
+    pub worth: f64,
+    /// Share of it that is left at the deadline.
+    pub late_worth: f64,
+    /// What a second run does.
+    pub repeat: Repeat,
+    /// Messages with one key go in turn.
+    pub ordered: bool,
+}
+
+/// Figures of the rules.
+#[derive(Clone, Debug)]
+pub struct Contract {
+    /// Classes, by number.
+    pub classes: Vec<Class>,
+    /// By half with each further aim; otherwise evenly to the deadline.
+    pub halves: bool,
+    /// How late a final answer may be.
+    pub answer_slack: Time,
+    /// How long new work may go to an endpoint after a courier was told that it drains or is gone.
+    pub drain_grace: Time,
+    /// How long a key rests after an attempt that may still run.
+    pub key_rest: Time,
+    /// Sent more than this multiple of what it can do, a cold limit falls over,
+    pub fall_multiple: f64,
+    /// when that goes on for so long.
+    pub fall_span: Time,
+    /// What clocks and travel may add to any figure: sockets and loops take time that virtual time does not.
+    pub travel: Time,
+}
+
+/// A message handed in. A client that hands it in again makes a further record with the same `message`.
+#[derive(Clone, Debug)]
+pub struct Handed {
+    /// The message.
+    pub message: u64,
+    /// The courier.
+    pub courier: u32,
+    /// Which of the courier's lives.
+    pub life: u32,
+    /// The connection, and the place on it; a courier takes messages of one connection in this order.
+    pub line: (u64, u64),
+    /// Its class.
+    pub class: u8,
+    /// Its destination.
+    pub destination: u32,
+    /// Its key.
+    pub key: Option<u64>,
+    /// When.
+    pub at: Time,
+    /// When its time is up.
+    pub due: Time,
+    /// Answers, in the order in which they came.
+    pub answers: Vec<(Time, Answer)>,
+    /// The courier died, or the connection broke, before the answer.
+    pub orphaned: Option<Time>,
+}
+
+/// A final answer as the client sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// Served.
+    Served,
+    /// Harmless to hand in again.
+    Refused,
+    /// Given up.
+    Failed,
+}
+
+/// What an endpoint did with a message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Turned away unseen, with a wait or 0.
+    Refused {
+        /// Nothing may be sent for so long.
+        wait: Time,
+    },
+    /// Answered with success.
+    Served,
+    /// Answered with an error.
+    Error,
+    /// Not answered.
+    Silent,
+}
+
+/// A message that reached an endpoint.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// The message.
+    pub message: u64,
+    /// The call that it came in; one call pushes once.
+    pub call: u64,
+    /// Who sent it.
+    pub courier: u32,
+    /// In which of its lives.
+    pub life: u32,
+    /// Its destination.
+    pub destination: u32,
+    /// Where it came.
+    pub endpoint: u32,
+    /// The zone of the endpoint.
+    pub zone: u8,
+    /// The endpoint is a route apart.
+    pub apart: bool,
+    /// When.
+    pub at: Time,
+    /// What became of it.
+    pub verdict: Verdict,
+    /// When the answer left, if one did.
+    pub answered: Option<Time>,
+    /// It took effect.
+    pub effect: bool,
+}
+
+/// What a courier was told of an endpoint.
+#[derive(Clone, Debug)]
+pub struct Told {
+    /// The courier.
+    pub courier: u32,
+    /// In which of its lives.
+    pub life: u32,
+    /// When it had been told at the latest.
+    pub at: Time,
+    /// The endpoint.
+    pub endpoint: u32,
+    /// It may be sent to.
+    pub ready: bool,
+}
+
+/// An outage of a limit, and how it came back.
+#[derive(Clone, Debug)]
+pub struct Outage {
+    /// The destination.
+    pub destination: u32,
+    /// The route, where routes are apart.
+    pub route: Option<u32>,
+    /// When it began.
+    pub from: Time,
+    /// When it was over.
+    pub until: Time,
+    /// Calls a second that it takes when warm.
+    pub capacity: f64,
+    /// The share of it right after the outage.
+    pub cold_share: f64,
+    /// How long it takes to be warm.
+    pub warm_after: Time,
+    /// Connections were refused: nobody can see whose, so whoever held a message for it counts as knowing.
+    pub refused_connections: bool,
+}
+
+/// Everything that was recorded.
+#[derive(Clone, Debug, Default)]
+pub struct Records {
+    /// Messages handed in.
+    pub handed: Vec<Handed>,
+    /// Messages that reached endpoints.
+    pub arrivals: Vec<Arrival>,
+    /// What couriers were told.
+    pub told: Vec<Told>,
+    /// Outages.
+    pub outages: Vec<Outage>,
+    /// Answers to requests that had one already, or were never made.
+    pub stray_answers: u64,
+}
+
+/// What a check found.
+#[derive(Clone, Debug, Serialize)]
+pub struct Finding {
+    /// The rule.
+    pub rule: &'static str,
+    /// Cases in which it was at stake.
+    pub checked: u64,
+    /// Cases in which it was broken.
+    pub broken: u64,
+    /// The first of these, in words.
+    pub examples: Vec<String>,
+}
+
+const EXAMPLES: usize = 5;
+
+impl Finding {
+    fn new(rule: &'static str) -> Self {
+        Finding { rule, checked: 0, broken: 0, examples: Vec::new() }
+    }
+
+    fn case(&mut self, kept: bool, example: impl FnOnce() -> String) {
+        self.checked += 1;
+        if !kept {
+            self.broken += 1;
+            if self.examples.len() < EXAMPLES {
+                self.examples.push(example());
+            }
+        }
+    }
+}
+
+/// What became of a class.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Row {
+    /// The class.
+    pub class: String,
+    /// Messages, a further try not counted.
+    pub messages: u64,
+    /// Served within the aim, counted from the first try.
+    pub in_aim: u64,
+    /// Served later.
+    pub late: u64,
+    /// Last answer: refused.
+    pub refused: u64,
+    /// Last answer: failed.
+    pub failed: u64,
+    /// No answer: the courier died.
+    pub lost: u64,
+    /// Tries, first ones counted.
+    pub tries: u64,
+    /// Messages that reached an endpoint, counted each time.
+    pub attempts: u64,
+    /// Worth asked for.
+    pub asked: f64,
+    /// Worth delivered.
+    pub worth: f64,
+}
+
+/// Rules and classes.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    /// The six rules.
+    pub rules: Vec<Finding>,
+    /// The classes.
+    pub classes: Vec<Row>,
+    /// Worth delivered over worth asked for.
+    pub service: f64,
+    /// The worst stretch of ten seconds' worth of first tries, likewise.
+    pub worst_stretch: f64,
+    /// Calls that were refused.
+    pub calls_refused: u64,
+    /// Calls that reached an endpoint.
+    pub calls: u64,
+}
+
+impl Report {
+    /// No rule was broken.
+    pub fn kept(&self) -> bool {
+        self.rules.iter().all(|r| r.broken == 0)
+    }
+}
+
+/// Checks all six and counts.
+pub fn check(r: &Records, c: &Contract) -> Report {
+    let mut arrivals: BTreeMap<u64, Vec<&Arrival>> = BTreeMap::new();
+    for a in &r.arrivals {
+        arrivals.entry(a.message).or_default().push(a);
+    }
+    arrivals.values_mut().for_each(|v| v.sort_by_key(|a| a.at));
+    let (classes, service, worst_stretch) = count(r, c, &arrivals);
+    let calls: BTreeSet<u64> = r.arrivals.iter().map(|a| a.call).collect();
+    let refused = |a: &&Arrival| matches!(a.verdict, Verdict::Refused { .. });
+    let refused: BTreeSet<u64> = r.arrivals.iter().filter(refused).map(|a| a.call).collect();
+    Report {
+        rules: vec![
+            one_answer(r, c, &arrivals),
+            no_second_effect(r, c, &arrivals),
+            drains(r, c),
+            returns(r, c),
+            order(r, c, &arrivals),
+            waits(r, c),
+        ],
+        classes,
+        service,
+        worst_stretch,
+        calls_refused: refused.len() as u64,
+        calls: calls.len() as u64,
+    }
+}
+
+fn ms(t: Time) -> f64 {
+    t as f64 / 1e6
+}
+
+type ByMessage<'a> = BTreeMap<u64, Vec<&'a Arrival>>;
+
+/// Rule 1.
+fn one_answer(r: &Records, c: &Contract, arrivals: &ByMessage) -> Finding {
+    let mut f = Finding::new("1 one final answer in time, nothing sent after");
+    let mut tries: BTreeMap<u64, Vec<Time>> = BTreeMap::new();
+    r.handed.iter().for_each(|h| tries.entry(h.message).or_default().push(h.at));
+    for h in &r.handed {
+        let limit = h.due + c.answer_slack + c.travel;
+        let n = h.answers.len();
+        if h.orphaned.is_none() || n > 0 {
+            let in_time = n == 1 && h.answers[0].0 <= limit;
+            f.case(in_time, || match n {
+                1 => format!(
+                    "message {}: answered {:.0} ms after its time",
+                    h.message,
+                    ms(h.answers[0].0 - h.due)
+                ),
+                _ => format!("message {}: {n} answers", h.message),
+            });
+        }
+        let Some(&(answered, _)) = h.answers.first() else { continue };
+        // A further try has a life of its own.
+        let next = tries[&h.message].iter().copied().filter(|&at| at > h.at).min();
+        for a in arrivals.get(&h.message).into_iter().flatten() {
+            let this_try = a.at >= h.at && next.is_none_or(|t| a.at < t) && a.courier == h.courier;
+            if this_try {
+                f.case(a.at <= answered + c.travel, || {
+                    format!("message {}: sent {:.0} ms after its answer", h.message, ms(a.at - answered))
+                });
+            }
+        }
+    }
+    if r.stray_answers > 0 {
+        f.case(false, || format!("{} answers that no request waited for", r.stray_answers));
+    }
+    f
+}
+
+/// Rule 2.
+fn no_second_effect(r: &Records, c: &Contract, arrivals: &ByMessage) -> Finding {
+    let mut f = Finding::new("2 no effect twice");
+    let mut handed: BTreeMap<u64, Vec<&Handed>> = BTreeMap::new();
+    for h in &r.handed {
+        handed.entry(h.message).or_default().push(h);
+    }
+    for (message, tries) in &handed {
+        let class = &c.classes[usize::from(tries[0].class)];
+        let all = arrivals.get(message).map_or(&[][..], Vec::as_slice);
+        let ran: Vec<&&Arrival> =
+            all.iter().filter(|a| !matches!(a.verdict, Verdict::Refused { .. })).collect();
+        let effects = all.iter().filter(|a| a.effect).count();
+        match class.repeat {
+            Repeat::Safe => continue,
+            Repeat::Unsafe => {
+                f.case(ran.len() <= 1 && effects <= 1, || {
+                    let text = |a: &&&Arrival| {
+                        format!("{:.0} ms at {} by {}: {:?}", ms(a.at), a.endpoint, a.courier, a.verdict)
+                    };
+                    let all: Vec<String> = ran.iter().map(text).collect();
+                    format!("message {message} may have run {} times: {}", ran.len(), all.join("; "))
+                });
+            }
+            Repeat::Keyed { window, by_zone } => {
+                // Each try's attempts stand under the rule of the courier that held it.
+                for t in tries {
+                    let mine =
+                        ran.iter().filter(|a| a.courier == t.courier && a.life == t.life && a.at >= t.at);
+                    let mine: Vec<&&&Arrival> = mine.collect();
+                    let Some(first) = mine.first() else { continue };
+                    let stays = mine
+                        .iter()
+                        .all(|a| a.at <= first.at + window + c.travel && (!by_zone || a.zone == first.zone));
+                    f.case(stays, || format!("message {message}: sent again outside of its window or group"));
+                }
+            }
+        }
+        for t in tries {
+            let Some(&(at, Answer::Refused)) = t.answers.first() else { continue };
+            let whole = match class.repeat {
+                Repeat::Keyed { by_zone, .. } => by_zone,
+                _ => true,
+            };
+            let before =
+                ran.iter().any(|a| a.courier == t.courier && a.life == t.life && a.at >= t.at && a.at <= at);
+            f.case(!(whole && before), || format!("message {message}: refused though it may have run"));
+        }
+    }
+    f
+}
+
+/// Rule 3.
+fn drains(r: &Records, c: &Contract) -> Finding {
+    let mut f = Finding::new("3 nothing new to a draining or gone endpoint");
+    let mut told: BTreeMap<(u32, u32, u32), Vec<(Time, bool)>> = BTreeMap::new();
+    for t in &r.told {
+        told.entry((t.courier, t.life, t.endpoint)).or_default().push((t.at, t.ready));
+    }
+    told.values_mut().for_each(|v| v.sort_unstable());
+    for a in &r.arrivals {
+        let Some(news) = told.get(&(a.courier, a.life, a.endpoint)) else { continue };
+        let Some(&(at, ready)) = news.iter().rev().find(|n| n.0 <= a.at) else { continue };
+        if !ready {
+            f.case(a.at <= at + c.drain_grace + c.travel, || {
+                format!(
+                    "endpoint {}: courier {} sent {:.0} ms after the news",
+                    a.endpoint,
+                    a.courier,
+                    ms(a.at - at)
+                )
+            });
+        }
+    }
+    // What was told and heeded without a late call is a case too.
+    f.checked += told.values().filter(|v| v.iter().any(|n| !n.1)).count() as u64;
+    f
+}
+
+/// Rule 4.
+fn returns(r: &Records, c: &Contract) -> Finding {
+    let mut f = Finding::new("4 a destination back from an outage is not pushed over");
+    for o in &r.outages {
+        let here = |a: &&Arrival| a.destination == o.destination && o.route.is_none_or(|e| e == a.endpoint);
+        let bad = |a: &&Arrival| a.verdict != Verdict::Served && a.at >= o.from && a.at < o.until;
+        let mut calls: BTreeMap<u64, &Arrival> = BTreeMap::new();
+        r.arrivals.iter().filter(here).for_each(|a| {
+            calls.insert(a.call, a);
+        });
+        let mut knows: BTreeMap<(u32, u32), Time> = BTreeMap::new();
+        for a in calls.values().copied().filter(|a| bad(&a)) {
+            let at = a.answered.unwrap_or(a.at);
+            let known = knows.entry((a.courier, a.life)).or_insert(at);
+            *known = (*known).min(at);
+        }
+        if o.refused_connections {
+            for h in &r.handed {
+                let over = h.answers.first().map_or(h.due, |a| a.0);
+                if h.destination == o.destination && h.at < o.until && over > o.from {
+                    knows.entry((h.courier, h.life)).or_insert(o.from.max(h.at));
+                }
+            }
+        }
+        let cold = o.until..o.until + o.warm_after;
+        let mut pushed: Vec<&Arrival> = calls.values().copied().filter(|a| cold.contains(&a.at)).collect();
+        pushed.sort_by_key(|a| a.at);
+        if pushed.is_empty() {
+            continue;
+        }
+        let mut worst: Option<String> = None;
+        for (n, first) in pushed.iter().enumerate() {
+            let span = pushed[n..].iter().take_while(|a| a.at < first.at + c.fall_span);
+            let span: Vec<&&Arrival> = span.collect();
+            let warm = (first.at - o.until) as f64 / o.warm_after.max(1) as f64;
+            let share = o.cold_share + (1.0 - o.cold_share) * warm;
+            let mean = c.fall_multiple * share * o.capacity * c.fall_span as f64 / 1e9;
+            // Chance brings calls together: two deviations of a count of that size, and one call, are no push.
+            let bound = mean + 2.0 * mean.sqrt() + 1.0;
+            let knew = |a: &&&&Arrival| knows.get(&(a.courier, a.life)).is_some_and(|&t| t < a.at);
+            let known = span.iter().filter(knew).count();
+            if span.len() as f64 > bound && known * 3 >= span.len() * 2 {
+                worst.get_or_insert(format!(
+                    "destination {}: {} calls in a span that bears {bound:.1}, {known} by couriers that knew, {:.0} ms after its return",
+                    o.destination,
+                    span.len(),
+                    ms(first.at - o.until)
+                ));
+            }
+        }
+        f.case(worst.is_none(), || worst.unwrap_or_default());
+    }
+    f
+}
+
+/// Rule 5.
+fn order(r: &Records, c: &Contract, arrivals: &ByMessage) -> Finding {
+    let mut f = Finding::new("5 order by key, with the key's rest");
+    let mut lines: BTreeMap<(u64, u32, u32, u64), Vec<&Handed>> = BTreeMap::new();
+    for h in &r.handed {
+        if let (Some(key), true) = (h.key, c.classes[usize::from(h.class)].ordered) {
+            lines.entry((key, h.courier, h.life, h.line.0)).or_default().push(h);
+        }
+    }
+    for ((key, courier, life, _), mut line) in lines {
+        line.sort_by_key(|h| h.line.1);
+        let of = |h: &Handed| -> Vec<&Arrival> {
+            let over = h.answers.first().map_or(h.due, |a| a.0) + c.travel;
+            let all = arrivals.get(&h.message).into_iter().flatten().copied();
+            all.filter(|a| a.courier == courier && a.life == life && a.at >= h.at && a.at <= over).collect()
+        };
+        for pair in line.windows(2) {
+            let (earlier, later) = (of(pair[0]), of(pair[1]));
+            let Some(first) = later.first() else { continue };
+            // A message that was handed in again has its place at the back.
+            if pair[0].message == pair[1].message {
+                continue;
+            }
+            for a in earlier {
+                let rested = match a.verdict {
+                    Verdict::Silent => a.at + c.key_rest,
+                    _ => a.answered.map_or(a.at + c.key_rest, |t| t.min(a.at + c.key_rest)),
+                };
+                f.case(first.at + c.travel >= rested && first.at >= a.at, || {
+                    format!(
+                        "key {key:x}: message {} at {:.0} ms, before {} of {:.0} ms was over",
+                        pair[1].message,
+                        ms(first.at),
+                        pair[0].message,
+                        ms(a.at)
+                    )
+                });
+            }
+        }
+    }
+    f
+}
+
+/// Rule 6.
+fn waits(r: &Records, c: &Contract) -> Finding {
+    let mut f = Finding::new("6 told waits are heeded");
+    type Limit = (u32, u32, u32, Option<u32>);
+    let limit = |a: &Arrival| -> Limit { (a.courier, a.life, a.destination, a.apart.then_some(a.endpoint)) };
+    let mut by_limit: BTreeMap<Limit, Vec<&Arrival>> = BTreeMap::new();
+    for a in &r.arrivals {
+        by_limit.entry(limit(a)).or_default().push(a);
+    }
+    for calls in by_limit.values_mut() {
+        calls.sort_by_key(|a| a.at);
+        for (n, a) in calls.iter().enumerate() {
+            let (Verdict::Refused { wait }, Some(told)) = (a.verdict, a.answered) else { continue };
+            if wait <= 2 * c.travel {
+                continue;
+            }
+            let within = calls[n + 1..].iter().take_while(|b| b.at + c.travel < told + wait);
+            let early = within.filter(|b| b.at > told + c.travel && b.call != a.call).next();
+            f.case(early.is_none(), || {
+                let at = early.map_or(0, |b| b.at);
+                format!(
+                    "destination {}: courier {} was told {:.0} ms and sent after {:.0}",
+                    a.destination,
+                    a.courier,
+                    ms(wait),
+                    ms(at.saturating_sub(told))
+                )
+            });
+        }
+    }
+    f
+}
+
+/// Worth of a message served so long after its first try.
+pub fn worth(class: &Class, halves: bool, age: Time) -> f64 {
+    let late = age.saturating_sub(class.aim) as f64;
+    if age > class.deadline {
+        return 0.0;
+    }
+    let kept = if halves {
+        0.5f64.powf(late / class.aim.max(1) as f64).max(class.late_worth)
+    } else {
+        1.0 - (1.0 - class.late_worth) * late / class.deadline.saturating_sub(class.aim).max(1) as f64
+    };
+    class.worth * kept
+}
+
+fn count(r: &Records, c: &Contract, arrivals: &ByMessage) -> (Vec<Row>, f64, f64) {
+    let mut rows: Vec<Row> =
+        c.classes.iter().map(|k| Row { class: k.name.clone(), ..Row::default() }).collect();
+    let mut tries: BTreeMap<u64, Vec<&Handed>> = BTreeMap::new();
+    for h in &r.handed {
+        tries.entry(h.message).or_default().push(h);
+    }
+    const STRETCH: Time = 10_000_000_000;
+    let begin = r.handed.iter().map(|h| h.at).min().unwrap_or(0);
+    let mut stretches: BTreeMap<u64, (f64, f64)> = BTreeMap::new();
+    for (message, mut tries) in tries {
+        tries.sort_by_key(|h| h.at);
+        let first = tries[0];
+        let class = &c.classes[usize::from(first.class)];
+        let row = &mut rows[usize::from(first.class)];
+        row.messages += 1;
+        row.tries += tries.len() as u64;
+        row.attempts += arrivals.get(&message).map_or(0, Vec::len) as u64;
+        row.asked += class.worth;
+        let served = tries.iter().flat_map(|t| &t.answers).find(|a| a.1 == Answer::Served);
+        let got = served.map_or(0.0, |&(at, _)| worth(class, c.halves, at - first.at));
+        row.worth += got;
+        match (served, tries.iter().rev().find_map(|t| t.answers.first())) {
+            (Some(&(at, _)), _) if at - first.at <= class.aim => row.in_aim += 1,
+            (Some(_), _) => row.late += 1,
+            (None, Some((_, Answer::Refused))) => row.refused += 1,
+            (None, Some(_)) => row.failed += 1,
+            (None, None) => row.lost += 1,
+        }
+        let stretch = stretches.entry((first.at - begin) / STRETCH).or_default();
+        *stretch = (stretch.0 + got, stretch.1 + class.worth);
+    }
+    let asked: f64 = rows.iter().map(|r| r.asked).sum();
+    let delivered: f64 = rows.iter().map(|r| r.worth).sum();
+    let worst = stretches.values().map(|(got, asked)| got / asked.max(1e-9)).fold(1.0, f64::min);
+    (rows, delivered / asked.max(1e-9), worst)
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/rules/src/tests.rs
@@ -0,0 +1,195 @@
+//! Each check sees the break that it is for, and nothing where there is none.
+
+use super::*;
+
+const MS: Time = 1_000_000;
+const S: Time = 1000 * MS;
+
+fn contract() -> Contract {
+    let class = |name: &str, repeat, ordered| Class {
+        name: name.into(),
+        aim: S,
+        deadline: 4 * S,
+        worth: 1.0,
+        late_worth: 0.5,
+        repeat,
+        ordered,
+    };
+    Contract {
+        classes: vec![
+            class("safe", Repeat::Safe, false),
+            class("keyed", Repeat::Keyed { window: 2 * S, by_zone: true }, true),
+            class("unsafe", Repeat::Unsafe, false),
+        ],
+        halves: false,
+        answer_slack: 10 * MS,
+        drain_grace: 100 * MS,
+        key_rest: 200 * MS,
+        fall_multiple: 2.0,
+        fall_span: S,
+        travel: 5 * MS,
+    }
+}
+
+fn handed(message: u64, class: u8, at: Time, answers: &[(Time, Answer)]) -> Handed {
+    Handed {
+        message,
+        courier: 0,
+        life: 0,
+        line: (0, message),
+        class,
+        destination: 1,
+        key: Some(7),
+        at,
+        due: at + 4 * S,
+        answers: answers.to_vec(),
+        orphaned: None,
+    }
+}
+
+fn arrival(message: u64, at: Time, verdict: Verdict) -> Arrival {
+    Arrival {
+        message,
+        call: at,
+        courier: 0,
+        life: 0,
+        destination: 1,
+        endpoint: 10,
+        zone: 0,
+        apart: false,
+        at,
+        verdict,
+        answered: (verdict != Verdict::Silent).then_some(at + MS),
+        effect: verdict == Verdict::Served,
+    }
+}
+
+/// How often each rule is broken.
+fn broken(r: &Records) -> Vec<u64> {
+    check(r, &contract()).rules.iter().map(|f| f.broken).collect()
+}
+
+fn only(rule: usize) -> Vec<u64> {
+    (1..=6).map(|n| u64::from(n == rule)).collect()
+}
+
+#[test]
+fn a_good_day_is_good() {
+    let r = Records {
+        handed: vec![
+            handed(1, 2, 0, &[(S / 2, Answer::Served)]),
+            handed(2, 1, 0, &[(3 * S, Answer::Served)]),
+        ],
+        arrivals: vec![arrival(1, 100 * MS, Verdict::Served), arrival(2, 150 * MS, Verdict::Served)],
+        ..Records::default()
+    };
+    let report = check(&r, &contract());
+    assert!(report.kept(), "{report:?}");
+    assert_eq!((report.classes[2].in_aim, report.classes[1].late), (1, 1));
+    // Two thirds of the way from aim to deadline, of which half the worth is left.
+    assert!((report.classes[1].worth - (1.0 - 0.5 * 2.0 / 3.0)).abs() < 1e-9);
+}
+
+#[test]
+fn rule_1_sees_none_two_late_and_sent_after() {
+    let day = |answers: &[(Time, Answer)], arrivals: &[Arrival]| Records {
+        handed: vec![handed(1, 0, 0, answers)],
+        arrivals: arrivals.to_vec(),
+        ..Records::default()
+    };
+    assert_eq!(broken(&day(&[], &[])), only(1));
+    assert_eq!(broken(&day(&[(S, Answer::Failed), (2 * S, Answer::Failed)], &[])), only(1));
+    assert_eq!(broken(&day(&[(4 * S + 16 * MS, Answer::Failed)], &[])), only(1));
+    assert_eq!(broken(&day(&[(4 * S + 14 * MS, Answer::Failed)], &[])), [0; 6]);
+    let late = arrival(1, S + 6 * MS, Verdict::Served);
+    assert_eq!(broken(&day(&[(S, Answer::Failed)], &[late])), only(1));
+}
+
+#[test]
+fn rule_2_sees_a_second_run_a_wrong_zone_a_closed_window_and_a_false_refusal() {
+    let day = |class, answer, arrivals: &[Arrival]| Records {
+        handed: vec![handed(1, class, 0, &[(3 * S, answer)])],
+        arrivals: arrivals.to_vec(),
+        ..Records::default()
+    };
+    let silent = arrival(1, 100 * MS, Verdict::Silent);
+    let again = arrival(1, 500 * MS, Verdict::Served);
+    let full = arrival(1, 100 * MS, Verdict::Refused { wait: 0 });
+    assert_eq!(broken(&day(2, Answer::Served, &[silent.clone(), again.clone()])), only(2));
+    assert_eq!(broken(&day(2, Answer::Served, &[full, again.clone()])), [0; 6]);
+    assert_eq!(broken(&day(2, Answer::Refused, &[silent.clone()])), only(2));
+    assert_eq!(broken(&day(1, Answer::Served, &[silent.clone(), again.clone()])), [0; 6]);
+    let elsewhere = Arrival { zone: 1, ..again };
+    assert_eq!(broken(&day(1, Answer::Served, &[silent.clone(), elsewhere])), only(2));
+    let late = arrival(1, 2200 * MS, Verdict::Served);
+    assert_eq!(broken(&day(1, Answer::Served, &[silent, late])), only(2));
+}
+
+#[test]
+fn rule_3_sees_a_call_after_the_grace_and_not_one_before() {
+    let day = |at| Records {
+        handed: vec![handed(1, 0, 0, &[(S, Answer::Served)])],
+        arrivals: vec![arrival(1, at, Verdict::Served)],
+        told: vec![Told { courier: 0, life: 0, at: 200 * MS, endpoint: 10, ready: false }],
+        ..Records::default()
+    };
+    assert_eq!(broken(&day(290 * MS)), [0; 6]);
+    assert_eq!(broken(&day(310 * MS)), only(3));
+}
+
+#[test]
+fn rule_4_sees_a_push_by_those_who_knew_and_leaves_others_alone() {
+    let outage = Outage {
+        destination: 1,
+        route: None,
+        from: 0,
+        until: S,
+        capacity: 10.0,
+        cold_share: 0.1,
+        warm_after: 10 * S,
+        refused_connections: false,
+    };
+    let day = |knows: bool| {
+        let answers = [(3 * S, Answer::Served)];
+        let ids = 1..=20u64;
+        let mut arrivals: Vec<Arrival> =
+            ids.clone().map(|n| arrival(n, S + 100 * MS + n * 10 * MS, Verdict::Served)).collect();
+        if knows {
+            arrivals.push(arrival(21, S / 2, Verdict::Error));
+        }
+        Records {
+            handed: (1..=21).map(|n| handed(n, 0, 0, &answers)).collect(),
+            arrivals,
+            outages: vec![outage.clone()],
+            ..Records::default()
+        }
+    };
+    assert_eq!(broken(&day(true)), only(4));
+    assert_eq!(broken(&day(false)), [0; 6]);
+}
+
+#[test]
+fn rule_5_sees_a_key_out_of_turn_and_one_without_its_rest() {
+    let day = |first: Arrival, second: Time| Records {
+        handed: vec![handed(1, 1, 0, &[(S, Answer::Served)]), handed(2, 1, 0, &[(S, Answer::Served)])],
+        arrivals: vec![first, arrival(2, second, Verdict::Served)],
+        ..Records::default()
+    };
+    assert_eq!(broken(&day(arrival(1, 100 * MS, Verdict::Served), 110 * MS)), [0; 6]);
+    assert_eq!(broken(&day(arrival(1, 100 * MS, Verdict::Served), 90 * MS)), only(5));
+    assert_eq!(broken(&day(arrival(1, 100 * MS, Verdict::Silent), 250 * MS)), only(5));
+    assert_eq!(broken(&day(arrival(1, 100 * MS, Verdict::Silent), 310 * MS)), [0; 6]);
+}
+
+#[test]
+fn rule_6_sees_a_call_within_a_told_wait_but_only_at_its_limit() {
+    let day = |second: Arrival| Records {
+        handed: vec![handed(1, 0, 0, &[(S, Answer::Served)]), handed(2, 0, 0, &[(S, Answer::Served)])],
+        arrivals: vec![arrival(1, 100 * MS, Verdict::Refused { wait: 300 * MS }), second],
+        ..Records::default()
+    };
+    let second = |at| arrival(2, at, Verdict::Served);
+    assert_eq!(broken(&day(second(200 * MS))), only(6));
+    assert_eq!(broken(&day(second(402 * MS))), [0; 6]);
+    assert_eq!(broken(&day(Arrival { destination: 2, ..second(200 * MS) })), [0; 6]);
+}
