--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -14,7 +14,7 @@
 use socket2::{Domain, Protocol, SockRef, Socket, Type};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -63,6 +63,32 @@
     Signal(i32),
 }
 
+/// A port that nobody else is given as long as this is there. Connections to it are refused until
+/// [`Net::listen`] is called with its address, and again after [`Net::unlisten`].
+#[derive(Debug)]
+pub struct Reserved {
+    _socket: Socket,
+    addr: SocketAddr,
+}
+
+impl Reserved {
+    /// Reserves a port of this address.
+    pub fn new(ip: IpAddr) -> io::Result<Reserved> {
+        let any = SocketAddr::new(ip, 0);
+        let socket = Socket::new(Domain::for_address(any), Type::STREAM, Some(Protocol::TCP))?;
+        socket.bind(&any.into())?;
+        // Only from now on may another socket of ours use it beside this one.
+        socket.set_reuse_address(true)?;
+        let addr = socket.local_addr()?.as_socket().ok_or_else(|| io::Error::other("no address"))?;
+        Ok(Reserved { _socket: socket, addr })
+    }
+
+    /// Its address.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+}
+
 struct Conn {
     stream: Rc<TcpStream>,
     registration: RegistrationToken,
@@ -149,7 +175,8 @@
     /// Listens; port 0 lets the system choose.
     pub fn listen(&mut self, addr: SocketAddr) -> io::Result<(Token, SocketAddr)> {
         let socket = Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP))?;
-        socket.set_reuse_address(true)?;
+        // A chosen port may be one that others hold for later; a given one may have been used just before.
+        socket.set_reuse_address(addr.port() != 0)?;
         socket.set_nonblocking(true)?;
         socket.bind(&addr.into())?;
         socket.listen(4096)?;
@@ -535,6 +562,22 @@
         net.close(first);
     }
 
+    #[test]
+    fn a_reserved_port_refuses_listens_and_refuses_again() {
+        let mut net = Net::new(10).unwrap();
+        let port = Reserved::new("127.0.0.1".parse().unwrap()).unwrap();
+        for _ in 0..2 {
+            let token = net.connect(port.addr());
+            until(&mut net, |e| matches!(e, Event::ConnectFailed(t) if *t == token));
+            let (listener, at) = net.listen(port.addr()).unwrap();
+            assert_eq!(at, port.addr());
+            let token = net.connect(at);
+            until(&mut net, |e| matches!(e, Event::Connected(t) if *t == token));
+            net.close(token);
+            net.unlisten(listener);
+        }
+    }
+
     #[test]
     fn a_paused_connection_is_read_when_it_goes_on() {
         let mut net = Net::new(10).unwrap();
--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -187,6 +187,19 @@
     pub refused_connections: bool,
 }
 
+/// A courier stood still: it was not running.
+#[derive(Clone, Debug)]
+pub struct Stall {
+    /// The courier.
+    pub courier: u32,
+    /// In which of its lives.
+    pub life: u32,
+    /// From when.
+    pub from: Time,
+    /// Until when.
+    pub until: Time,
+}
+
 /// Everything that was recorded.
 #[derive(Clone, Debug, Default)]
 pub struct Records {
@@ -198,6 +211,8 @@
     pub told: Vec<Told>,
     /// Outages.
     pub outages: Vec<Outage>,
+    /// When couriers stood still: what was due meanwhile is due when they run again.
+    pub stalls: Vec<Stall>,
     /// Answers to requests that had one already, or were never made.
     pub stray_answers: u64,
 }
@@ -324,7 +339,10 @@
     let mut tries: BTreeMap<u64, Vec<Time>> = BTreeMap::new();
     r.handed.iter().for_each(|h| tries.entry(h.message).or_default().push(h.at));
     for h in &r.handed {
-        let limit = h.due + c.answer_slack + c.travel;
+        let stood =
+            |s: &&Stall| (s.courier, s.life) == (h.courier, h.life) && s.from <= h.due && h.due < s.until;
+        let due = r.stalls.iter().find(stood).map_or(h.due, |s| s.until);
+        let limit = due + c.answer_slack + c.travel;
         let n = h.answers.len();
         if h.orphaned.is_none() || n > 0 {
             let in_time = n == 1 && h.answers[0].0 <= limit;
@@ -362,6 +380,7 @@
     for h in &r.handed {
         handed.entry(h.message).or_default().push(h);
     }
+    handed.values_mut().for_each(|tries| tries.sort_by_key(|h| h.at));
     for (message, tries) in &handed {
         let class = &c.classes[usize::from(tries[0].class)];
         let all = arrivals.get(message).map_or(&[][..], Vec::as_slice);
@@ -381,9 +400,10 @@
             }
             Repeat::Keyed { window, by_zone } => {
                 // Each try's attempts stand under the rule of the courier that held it.
-                for t in tries {
-                    let mine =
-                        ran.iter().filter(|a| a.courier == t.courier && a.life == t.life && a.at >= t.at);
+                for (n, t) in tries.iter().enumerate() {
+                    let next = tries.get(n + 1).map_or(Time::MAX, |t| t.at);
+                    let own = |a: &&&&Arrival| a.courier == t.courier && a.life == t.life;
+                    let mine = ran.iter().filter(own).filter(|a| a.at >= t.at && a.at < next);
                     let mine: Vec<&&&Arrival> = mine.collect();
                     let Some(first) = mine.first() else { continue };
                     let stays = mine
