--- a/crates/edge/src/core/delivery.rs
+++ b/crates/edge/src/core/delivery.rs
@@ -30,6 +30,8 @@
     pub(crate) record: Record,
     /// When its time is up.
     pub(crate) until: Time,
+    /// What has not left by then does not leave any more, so that its message can still be handed back.
+    pub(crate) leave_by: Time,
 }
 
 /// The end of one attempt.
@@ -195,7 +197,7 @@
             id
         });
         self.attempts.insert(key, id);
-        self.times.insert((parcel.until, key.0, key.1));
+        self.times.insert((parcel.leave_by.min(parcel.until), key.0, key.1));
         if let Some(call) = self.calls.get_mut(&id) {
             call.parcels.push(parcel);
         }
@@ -296,6 +298,17 @@
 
     // ---- Endings
 
+    fn forget_time(&mut self, p: &Parcel) {
+        self.times.remove(&(p.until, p.message, p.attempt));
+        self.times.remove(&(p.leave_by.min(p.until), p.message, p.attempt));
+    }
+
+    /// Whether an attempt of the message is out that has left.
+    pub(crate) fn has_left(&self, message: u32) -> bool {
+        let mut out = self.attempts.range((message, 0)..=(message, u16::MAX));
+        out.any(|(_, id)| self.calls.get(id).is_some_and(|c| c.written.is_some()))
+    }
+
     /// Ends one attempt of a call.
     fn end_attempt(&mut self, id: u64, key: (u32, u16), ending: Ending, load: Option<Load>) {
         let Some(call) = self.calls.get_mut(&id) else { return };
@@ -304,7 +317,7 @@
         let (endpoint, sent, left, written) = (call.endpoint, call.sent, call.parcels.len(), call.written);
         let link = call.link;
         self.attempts.remove(&key);
-        self.times.remove(&(parcel.until, key.0, key.1));
+        self.forget_time(&parcel);
         self.done.push(Done { message: key.0, attempt: key.1, endpoint, ending, sent, load });
         if left > 0 {
             return;
@@ -337,7 +350,7 @@
         }
         for p in call.parcels {
             self.attempts.remove(&(p.message, p.attempt));
-            self.times.remove(&(p.until, p.message, p.attempt));
+            self.forget_time(&p);
             let (message, attempt) = (p.message, p.attempt);
             self.done.push(Done { message, attempt, endpoint: call.endpoint, ending, sent: call.sent, load });
         }
@@ -380,8 +393,21 @@
                 self.times.remove(&(at, message, attempt));
                 continue;
             };
-            let left = self.calls.get(&id).is_some_and(|c| c.written.is_some());
-            let ending = if left { Ending::TimedOut } else { Ending::NoConnection };
+            let Some(call) = self.calls.get(&id) else {
+                self.times.remove(&(at, message, attempt));
+                continue;
+            };
+            let of = |p: &&Parcel| (p.message, p.attempt) == (message, attempt);
+            let until = call.parcels.iter().find(of).map_or(0, |p| p.until);
+            let ending = match call.written {
+                Some(_) if until > self.now => {
+                    self.times.remove(&(at, message, attempt));
+                    self.times.insert((until, message, attempt));
+                    continue;
+                }
+                Some(_) => Ending::TimedOut,
+                None => Ending::NoConnection,
+            };
             self.end_attempt(id, (message, attempt), ending, None);
         }
         while let Some(&(at, id)) = self.timers.first().filter(|t| t.0 <= self.now) {
@@ -541,7 +567,7 @@
         }
         let (endpoint, sent) = (call.endpoint, call.sent);
         self.attempts.remove(&key);
-        self.times.remove(&(parcel.until, key.0, key.1));
+        self.forget_time(&parcel);
         self.done.push(Done { message: key.0, attempt: key.1, endpoint, ending, sent, load });
     }
 
--- a/crates/edge/src/core/mod.rs
+++ b/crates/edge/src/core/mod.rs
@@ -599,6 +599,7 @@
     }
 
     fn finish(&mut self, message: u32, answer: Final) {
+        let left = self.delivery.has_left(message);
         let Some(m) = self.held.get(&message).filter(|m| !m.over) else { return };
         let after = self.now - m.taken;
         let counts = &mut self.counts[usize::from(m.class)];
@@ -611,7 +612,7 @@
             }
             Final::Refused { come_back } => {
                 counts.refused += 1;
-                RecordEnd::Refused { come_back, unseen: !m.ran && m.live == 0 }
+                RecordEnd::Refused { come_back, unseen: !m.ran && !left }
             }
             Final::Failed => {
                 counts.failed += 1;
@@ -634,7 +635,7 @@
         let Some(m) = self.held.get(&message).filter(|m| !m.over) else { return };
         let repeat = self.repeats[usize::from(m.class)];
         let harmless = matches!(repeat, Repeat::Safe | Repeat::Keyed { by_zone: false, .. });
-        let answer = match harmless || !(m.ran || m.live > 0) {
+        let answer = match harmless || !(m.ran || self.delivery.has_left(message)) {
             true => Final::Refused { come_back: 0 },
             false => Final::Failed,
         };
@@ -801,7 +802,10 @@
         };
         let until = if until == 0 { m.due } else { until.min(m.due) };
         let record = m.record.clone();
-        let parcel = Parcel { message, attempt, topic: m.class, destination: m.destination, record, until };
+        // The library answers two ticks before the time is up and must have heard of this before.
+        let leave_by = m.due.saturating_sub(4 * self.tick);
+        let (topic, destination) = (m.class, m.destination);
+        let parcel = Parcel { message, attempt, topic, destination, record, until, leave_by };
         self.delivery.send(endpoint, parcel, kind.per_call as usize);
     }
 
--- /dev/null
+++ b/crates/edge/tests/harness/mod.rs
@@ -0,0 +1,307 @@
+//! Drives the core without sockets: a clock, clients, endpoints that do as they are told.
+#![allow(dead_code)]
+
+use bytes::Bytes;
+use linnetcart_edge::core::{library, ClientId, Core, LinkId, Output, Start};
+use linnetcart_edge::settings::{Entry, ListNews, Settings, State};
+use linnetcart_kafka::client::{self, Produced};
+use linnetcart_kafka::server::{self, Body, Broker, Ended, Request};
+use linnetcart_kafka::{Frames, Record};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+pub const MS: u64 = 1_000_000;
+pub const VERSION: i16 = 9;
+const START: u64 = 3600 * 1000 * MS;
+
+/// A connection of the core's to an endpoint.
+pub struct Link {
+    pub endpoint: u32,
+    pub frames: Frames,
+    pub bytes: u64,
+    pub up: bool,
+}
+
+/// A call that reached an endpoint.
+pub struct Call {
+    pub link: LinkId,
+    pub endpoint: u32,
+    pub correlation: i32,
+    pub version: i16,
+    pub at: u64,
+    /// Topic, partition and values.
+    pub parts: Vec<(String, i32, Vec<String>)>,
+}
+
+pub struct Bench {
+    pub core: Core,
+    pub now: u64,
+    pub links: BTreeMap<LinkId, Link>,
+    /// Connects that were asked for and not answered yet.
+    pub connecting: Vec<LinkId>,
+    pub calls: Vec<Call>,
+    pub answers: BTreeMap<ClientId, Vec<Produced>>,
+    /// When each of them came.
+    pub answered: BTreeMap<ClientId, Vec<u64>>,
+    pub frames: BTreeMap<ClientId, Frames>,
+    pub closed: BTreeSet<ClientId>,
+    pub paused: BTreeSet<ClientId>,
+    /// Connections are made and greeted as soon as they are asked for.
+    pub easy: bool,
+    pub correlation: i32,
+    pub list: u64,
+}
+
+pub fn settings() -> serde_json::Value {
+    serde_json::json!({
+        "deployment": "test",
+        "courier": {"me": 3, "of": 4, "zone": "a"},
+        "zones": ["a", "b"],
+        "classes": [
+            {"name": "status", "aim_ms": 1000, "deadline_ms": 8000, "worth": 1, "late_worth": 0.5, "repeat": "safe"},
+            {"name": "proxy", "aim_ms": 1000, "deadline_ms": 6000, "worth": 1, "late_worth": 0.5,
+             "repeat": {"keyed": {"window_ms": 8000}}, "ordered": true},
+            {"name": "order", "aim_ms": 1000, "deadline_ms": 3000, "worth": 4, "late_worth": 0.5, "repeat": "unsafe"}
+        ],
+        "kinds": [{"name": "large"}, {"name": "small", "routes_apart": true}, {"name": "batch", "per_call": 3}],
+        "limits": {"slots": 8, "held": 100, "attempts": 6},
+        "rules": {"answer_slack_ms": 20, "cold_share": 0.2, "warm_after_ms": 10000, "fall_multiple": 2.0,
+                  "fall_span_ms": 2000, "key_rest_ms": 100},
+        "connections": {"calls": 1, "idle_ms": 5000, "connect_timeout_ms": 1000},
+        "tick_us": 1000
+    })
+}
+
+pub fn entry(id: u32, destination: u32, kind: &str, state: State) -> Entry {
+    Entry {
+        id,
+        destination,
+        kind: kind.into(),
+        zone: "a".into(),
+        rate: 0.0,
+        state,
+        address: SocketAddr::from(([127, 0, 0, 1], id as u16)),
+    }
+}
+
+impl Bench {
+    /// Destination 1 (large): endpoints 10, 11; 2 (small): 20; 3 (batch): 30.
+    pub fn new() -> Bench {
+        Bench::with(&settings(), 1)
+    }
+
+    pub fn with(settings: &serde_json::Value, first_number: u32) -> Bench {
+        let settings = Settings::parse(settings.to_string().as_bytes()).unwrap();
+        let broker = Broker { id: 0, host: "127.0.0.1".into(), port: 9092 };
+        let core = Core::new(settings, Start { seed: 5, now: START, broker, run: 1, first_number, policy: library });
+        let mut bench = Bench {
+            core,
+            now: START,
+            links: BTreeMap::new(),
+            connecting: Vec::new(),
+            calls: Vec::new(),
+            answers: BTreeMap::new(),
+            answered: BTreeMap::new(),
+            frames: BTreeMap::new(),
+            closed: BTreeSet::new(),
+            paused: BTreeSet::new(),
+            easy: true,
+            correlation: 0,
+            list: 0,
+        };
+        let ready = |id, destination, kind| entry(id, destination, kind, State::Ready);
+        bench.news(true, vec![ready(10, 1, "large"), ready(11, 1, "large"), ready(20, 2, "small"), ready(30, 3, "batch")]);
+        bench
+    }
+
+    pub fn news(&mut self, whole: bool, entries: Vec<Entry>) {
+        self.list += 1;
+        self.core.news(&ListNews { version: self.list, whole, entries }).unwrap();
+        self.turn();
+    }
+
+    /// Lets time pass, in steps of a millisecond at most where something is due.
+    pub fn pass(&mut self, ms: u64) {
+        let until = self.now + ms * MS;
+        while self.now < until {
+            let next = self.core.next_turn().clamp(self.now + MS / 4, until);
+            self.now = next;
+            self.turn();
+        }
+    }
+
+    pub fn turn(&mut self) {
+        self.core.turn(self.now);
+        self.carry_out();
+    }
+
+    /// One turn late enough for a round.
+    pub fn round(&mut self) {
+        self.now += MS;
+        self.turn();
+    }
+
+    pub fn carry_out(&mut self) {
+        loop {
+            let outputs = self.core.outputs();
+            if outputs.is_empty() {
+                return;
+            }
+            for output in outputs {
+                match output {
+                    Output::ToClient(id, bytes) => {
+                        let frames = self.frames.get_mut(&id).unwrap();
+                        frames.push(&bytes);
+                        while let Some(f) = frames.next_frame().unwrap() {
+                            if let Ok(p) = client::read_produced(&f, VERSION) {
+                                self.answers.entry(id).or_default().push(p);
+                                self.answered.entry(id).or_default().push(self.now);
+                            }
+                        }
+                    }
+                    Output::CloseClient(id) => {
+                        self.closed.insert(id);
+                    }
+                    Output::ReadClient(id, true) => {
+                        self.paused.remove(&id);
+                    }
+                    Output::ReadClient(id, false) => {
+                        self.paused.insert(id);
+                    }
+                    Output::Connect(link, addr) => {
+                        let endpoint = u32::from(addr.port());
+                        let new = Link { endpoint, frames: Frames::new(1 << 20), bytes: 0, up: false };
+                        self.links.insert(link, new);
+                        self.connecting.push(link);
+                    }
+                    Output::ToLink(link, bytes) => self.reached(link, &bytes),
+                    Output::CloseLink(link) => {
+                        self.links.remove(&link);
+                        self.connecting.retain(|&l| l != link);
+                    }
+                }
+            }
+            if self.easy {
+                for link in std::mem::take(&mut self.connecting) {
+                    self.open(link);
+                }
+            }
+        }
+    }
+
+    fn reached(&mut self, link: LinkId, bytes: &Bytes) {
+        let Some(l) = self.links.get_mut(&link) else { return };
+        l.frames.push(bytes);
+        l.bytes += bytes.len() as u64;
+        while let Some(frame) = self.links.get_mut(&link).and_then(|l| l.frames.next_frame().unwrap()) {
+            let Request { correlation, version, body, .. } = server::read(&frame).unwrap();
+            match body {
+                Body::ApiVersions => {
+                    if self.easy {
+                        let greeting = server::api_versions(correlation, version, false);
+                        self.core.link_bytes(link, &greeting);
+                    }
+                }
+                Body::Produce(p) => {
+                    let text = |r: &Record| String::from_utf8(r.value.clone().unwrap().to_vec()).unwrap();
+                    let parts = p.parts.into_iter().map(|p| {
+                        (p.topic, p.partition, p.records.unwrap().iter().map(text).collect())
+                    });
+                    let endpoint = self.links[&link].endpoint;
+                    self.calls.push(Call { link, endpoint, correlation, version, at: self.now, parts: parts.collect() });
+                }
+                other => panic!("{other:?}"),
+            }
+        }
+    }
+
+    /// The connection is made; it is greeted at once if the bench is easy.
+    pub fn open(&mut self, link: LinkId) {
+        if let Some(l) = self.links.get_mut(&link) {
+            l.up = true;
+            self.core.clock(self.now);
+            self.core.link_up(link);
+            self.carry_out();
+        }
+    }
+
+    pub fn greet(&mut self, link: LinkId) {
+        self.core.clock(self.now);
+        self.core.link_bytes(link, &server::api_versions(0, 0, false));
+        self.carry_out();
+    }
+
+    pub fn client(&mut self, id: ClientId) {
+        self.core.client_opened(id);
+        self.frames.insert(id, Frames::new(1 << 22));
+    }
+
+    pub fn request(&mut self, acks: i16, to: &[(&str, i32, &[Record])]) -> Bytes {
+        self.correlation += 1;
+        let to: Vec<client::To> =
+            to.iter().map(|&(topic, partition, records)| client::To { topic, partition, records }).collect();
+        client::produce(self.correlation, "tester", VERSION, (acks, 30_000), &to).unwrap()
+    }
+
+    pub fn send(&mut self, id: ClientId, to: &[(&str, i32, &[Record])]) -> i32 {
+        let request = self.request(-1, to);
+        self.core.clock(self.now);
+        self.core.client_bytes(id, &request);
+        self.round();
+        self.correlation
+    }
+
+    /// Sends one record.
+    pub fn one(&mut self, id: ClientId, topic: &str, partition: i32, value: &str) -> i32 {
+        self.send(id, &[(topic, partition, &[record(value)])])
+    }
+
+    /// Answers the call that holds this value.
+    pub fn reply(&mut self, value: &str, code: i16, throttle_ms: i32) {
+        let at = self.call(value);
+        let call = self.calls.remove(at);
+        self.reply_to(&call, code, throttle_ms);
+    }
+
+    pub fn reply_to(&mut self, call: &Call, code: i16, throttle_ms: i32) {
+        let ended = |(topic, partition, _): &(String, i32, Vec<String>)| Ended {
+            topic: topic.clone(),
+            partition: *partition,
+            code,
+            ..Ended::default()
+        };
+        let ended: Vec<Ended> = call.parts.iter().map(ended).collect();
+        let bytes = server::produce(call.correlation, call.version, &ended, throttle_ms, None);
+        self.core.clock(self.now);
+        self.core.link_bytes(call.link, &bytes);
+        self.round();
+    }
+
+    /// The place of the last call that holds this value.
+    pub fn call(&self, value: &str) -> usize {
+        let holds = |c: &Call| c.parts.iter().any(|p| p.2.iter().any(|v| v == value));
+        self.calls.iter().rposition(holds).unwrap_or_else(|| panic!("no call holds {value}"))
+    }
+
+    pub fn calls_of(&self, value: &str) -> usize {
+        self.calls.iter().filter(|c| c.parts.iter().any(|p| p.2.iter().any(|v| v == value))).count()
+    }
+
+    /// The codes that a client was answered, by request number.
+    pub fn codes(&self, id: ClientId) -> Vec<(i32, i16)> {
+        let all = self.answers.get(&id).map_or(&[][..], Vec::as_slice);
+        all.iter().flat_map(|p| p.parts.iter().map(move |e| (p.correlation, e.code))).collect()
+    }
+}
+
+pub fn record(value: &str) -> Record {
+    Record { key: None, value: Some(Bytes::copy_from_slice(value.as_bytes())), headers: vec![] }
+}
+
+pub fn keyed(value: &str, key: &str) -> Record {
+    Record { key: Some(Bytes::copy_from_slice(key.as_bytes())), ..record(value) }
+}
+
+pub fn headed(value: &str, name: &str, text: &str) -> Record {
+    Record { headers: vec![(name.into(), Some(Bytes::copy_from_slice(text.as_bytes())))], ..record(value) }
+}
