--- a/crates/edge/tests/core.rs
+++ b/crates/edge/tests/core.rs
@@ -58,7 +58,10 @@
     b.reply("c", codes::NONE, 0);
     assert_eq!(b.codes(A), [(n, codes::MIXED), (n, codes::NONE)]);
     let mixed = &b.answers[&A][0].parts[0];
-    assert_eq!(mixed.records.iter().map(|r| r.1.split(':').next().unwrap()).collect::<Vec<_>>(), ["served", "failed"]);
+    assert_eq!(
+        mixed.records.iter().map(|r| r.1.split(':').next().unwrap()).collect::<Vec<_>>(),
+        ["served", "failed"]
+    );
 }
 
 #[test]
@@ -289,11 +292,14 @@
                 b.greet(link);
                 assert_eq!(b.calls_of("x"), 1);
                 let all = b.links[&link].bytes;
-                b.core.link_down(link, match how {
-                    "unwritten" => greeting,
-                    "partly" => greeting + 1,
-                    _ => all,
-                });
+                b.core.link_down(
+                    link,
+                    match how {
+                        "unwritten" => greeting,
+                        "partly" => greeting + 1,
+                        _ => all,
+                    },
+                );
             }
         }
         b.round();
--- a/crates/edge/tests/harness/mod.rs
+++ b/crates/edge/tests/harness/mod.rs
@@ -93,7 +93,8 @@
     pub fn with(settings: &serde_json::Value, first_number: u32) -> Bench {
         let settings = Settings::parse(settings.to_string().as_bytes()).unwrap();
         let broker = Broker { id: 0, host: "127.0.0.1".into(), port: 9092 };
-        let core = Core::new(settings, Start { seed: 5, now: START, broker, run: 1, first_number, policy: library });
+        let core =
+            Core::new(settings, Start { seed: 5, now: START, broker, run: 1, first_number, policy: library });
         let mut bench = Bench {
             core,
             now: START,
@@ -110,7 +111,10 @@
             list: 0,
         };
         let ready = |id, destination, kind| entry(id, destination, kind, State::Ready);
-        bench.news(true, vec![ready(10, 1, "large"), ready(11, 1, "large"), ready(20, 2, "small"), ready(30, 3, "batch")]);
+        bench.news(
+            true,
+            vec![ready(10, 1, "large"), ready(11, 1, "large"), ready(20, 2, "small"), ready(30, 3, "batch")],
+        );
         bench
     }
 
@@ -204,11 +208,19 @@
                 }
                 Body::Produce(p) => {
                     let text = |r: &Record| String::from_utf8(r.value.clone().unwrap().to_vec()).unwrap();
-                    let parts = p.parts.into_iter().map(|p| {
-                        (p.topic, p.partition, p.records.unwrap().iter().map(text).collect())
-                    });
+                    let parts = p
+                        .parts
+                        .into_iter()
+                        .map(|p| (p.topic, p.partition, p.records.unwrap().iter().map(text).collect()));
                     let endpoint = self.links[&link].endpoint;
-                    self.calls.push(Call { link, endpoint, correlation, version, at: self.now, parts: parts.collect() });
+                    self.calls.push(Call {
+                        link,
+                        endpoint,
+                        correlation,
+                        version,
+                        at: self.now,
+                        parts: parts.collect(),
+                    });
                 }
                 other => panic!("{other:?}"),
             }
--- a/crates/edge/tests/random.rs
+++ b/crates/edge/tests/random.rs
@@ -46,7 +46,8 @@
 }
 
 const TOPICS: [&str; 3] = ["status", "proxy", "order"];
-const ENDPOINTS: [(u32, u32, &str); 4] = [(10, 1, "large"), (11, 1, "large"), (20, 2, "small"), (30, 3, "batch")];
+const ENDPOINTS: [(u32, u32, &str); 4] =
+    [(10, 1, "large"), (11, 1, "large"), (20, 2, "small"), (30, 3, "batch")];
 
 #[derive(Debug, Default)]
 struct Sent {
@@ -109,7 +110,12 @@
                 prop_assert!(s.attempts < 6, "{name} has had its attempts");
                 if let (1, Some(key)) = (s.class, &s.key) {
                     let earlier = self.sent.values().filter(|o| {
-                        o.class == 1 && o.key.as_ref() == Some(key) && o.order < s.order && !o.answered && !o.gone && !o.over
+                        o.class == 1
+                            && o.key.as_ref() == Some(key)
+                            && o.order < s.order
+                            && !o.answered
+                            && !o.gone
+                            && !o.over
                     });
                     prop_assert!(earlier.count() == 0, "rule 5: {name} is not first of its key");
                 }
@@ -142,7 +148,10 @@
                     let s = self.sent.get_mut(&name).unwrap();
                     prop_assert!(!s.answered, "rule 1: answered twice");
                     s.answered = true;
-                    prop_assert!(code != codes::REFUSED || s.class != 2 || s.ran == 0, "rule 2: {name} handed back");
+                    prop_assert!(
+                        code != codes::REFUSED || s.class != 2 || s.ran == 0,
+                        "rule 2: {name} handed back"
+                    );
                 }
             }
             *seen = answers.len();
@@ -202,7 +211,8 @@
                     r.key = key.clone().map(bytes::Bytes::from);
                     records.push(r);
                     let due = b.now + left * MS;
-                    let sent = Sent { class: usize::from(class), key: key.clone(), due, order, ..Sent::default() };
+                    let sent =
+                        Sent { class: usize::from(class), key: key.clone(), due, order, ..Sent::default() };
                     w.sent.insert(name.clone(), sent);
                     names.push(name);
                 }
@@ -212,7 +222,8 @@
                 b.send(client, &[(TOPICS[usize::from(class)], destination, &records)]);
             }
             Op::Reply(at, code, wait) => {
-                let keys: Vec<(u64, i32)> = w.out.keys().copied().filter(|k| b.links.contains_key(&k.0)).collect();
+                let keys: Vec<(u64, i32)> =
+                    w.out.keys().copied().filter(|k| b.links.contains_key(&k.0)).collect();
                 let Some(key) = pick(&at, &keys) else { continue };
                 let (endpoint, names) = w.out.remove(&key).unwrap();
                 let Some(n) = b.calls.iter().position(|c| (c.link, c.correlation) == key) else { continue };
@@ -260,7 +271,8 @@
                 b.round();
             }
             Op::Greet(at) => {
-                let fresh = |l: &(&u64, &Link)| l.1.up && l.1.bytes > 0 && !w.seen_calls.iter().any(|c| c.0 == *l.0);
+                let fresh =
+                    |l: &(&u64, &Link)| l.1.up && l.1.bytes > 0 && !w.seen_calls.iter().any(|c| c.0 == *l.0);
                 let links: Vec<u64> = b.links.iter().filter(fresh).map(|l| *l.0).collect();
                 let Some(link) = pick(&at, &links) else { continue };
                 b.greet(link);
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -95,6 +95,8 @@
             Ok(true)
         }
         What::Edge { policy, edge } => {
+            // A lab that is killed leaves no couriers behind.
+            let _ = rustix::process::set_parent_process_death_signal(Some(rustix::process::Signal::KILL));
             return match baselines::policy(&policy) {
                 Some(policy) => linnetcart_edge::cli::run_with(edge, policy),
                 None => {
@@ -147,7 +149,8 @@
     day.couriers = 1;
     let fleet = Fleet::draw(day, seed);
     let folder = Folder::new(None)?;
-    let options = Options { policy: "library".into(), dir: folder.path.clone(), progress: None };
+    let program = std::env::current_exe().context("this program's own path")?;
+    let options = Options { policy: "library".into(), program, dir: folder.path.clone(), progress: None };
     rig::stay(&fleet, &options, |ready| {
         println!("{ready}");
         let _ = std::io::stdout().flush();
@@ -197,6 +200,7 @@
         let show = !args.quiet && std::io::stderr().is_terminal();
         let options = Options {
             policy: (*policy).into(),
+            program: std::env::current_exe().context("this program's own path")?,
             dir: folder.path.clone(),
             progress: show.then_some(progress as fn(f64, f64, usize)),
         };
--- a/crates/lab/src/courier.rs
+++ b/crates/lab/src/courier.rs
@@ -23,6 +23,8 @@
 /// How a courier is started.
 #[derive(Clone, Debug)]
 pub struct Start<'a> {
+    /// The program whose `edge` command is a courier.
+    pub program: &'a Path,
     /// Its folder.
     pub dir: &'a Path,
     /// Its seed.
@@ -36,13 +38,9 @@
 impl Courier {
     /// Starts a process and waits until it listens.
     pub fn start(how: &Start) -> anyhow::Result<Courier> {
-        let program = match std::env::var_os("LINNETCART_LAB") {
-            Some(path) => path.into(),
-            None => std::env::current_exe().context("this program's own path")?,
-        };
         std::fs::create_dir_all(how.dir)?;
         let log = File::options().create(true).append(true).open(how.dir.join("log"))?;
-        let mut child = Command::new(program)
+        let mut child = Command::new(how.program)
             .args(["edge", "--policy", how.policy, "--kafka", "127.0.0.1:0", "--control", "127.0.0.1:0"])
             .arg("--state-dir")
             .arg(how.dir)
--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -33,6 +33,8 @@
 pub struct Options {
     /// Who decides in the couriers.
     pub policy: String,
+    /// The program whose `edge` command is a courier: this one, but in tests.
+    pub program: PathBuf,
     /// Where couriers keep their state and logs.
     pub dir: PathBuf,
     /// Says how far it is, in seconds of the day.
@@ -290,7 +292,13 @@
         }
         let life = self.posts[n as usize].life;
         let seed = self.fleet.seed ^ (u64::from(n) << 32) ^ u64::from(life);
-        let how = Start { dir: &dir, seed, policy: &self.options.policy, drain: Duration::from_secs(10) };
+        let how = Start {
+            program: &self.options.program,
+            dir: &dir,
+            seed,
+            policy: &self.options.policy,
+            drain: Duration::from_secs(10),
+        };
         let courier = Courier::start(&how)?;
         let kafka = courier.kafka;
         let post = &mut self.posts[n as usize];
