--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -465,7 +465,7 @@
             calls.insert(a.call, a);
         });
         let mut knows: BTreeMap<(u32, u32), Time> = BTreeMap::new();
-        for a in calls.values().copied().filter(|a| bad(&a)) {
+        for a in calls.values().copied().filter(bad) {
             let at = a.answered.unwrap_or(a.at);
             let known = knows.entry((a.courier, a.life)).or_insert(at);
             *known = (*known).min(at);
@@ -569,7 +569,7 @@
                 continue;
             }
             let within = calls[n + 1..].iter().take_while(|b| b.at + c.travel < told + wait);
-            let early = within.filter(|b| b.at > told + c.travel && b.call != a.call).next();
+            let early = within.into_iter().find(|b| b.at > told + c.travel && b.call != a.call);
             f.case(early.is_none(), || {
                 let at = early.map_or(0, |b| b.at);
                 format!(
--- a/crates/rules/src/tests.rs
+++ b/crates/rules/src/tests.rs
@@ -124,7 +124,7 @@
     let full = arrival(1, 100 * MS, Verdict::Refused { wait: 0 });
     assert_eq!(broken(&day(2, Answer::Served, &[silent.clone(), again.clone()])), only(2));
     assert_eq!(broken(&day(2, Answer::Served, &[full, again.clone()])), [0; 6]);
-    assert_eq!(broken(&day(2, Answer::Refused, &[silent.clone()])), only(2));
+    assert_eq!(broken(&day(2, Answer::Refused, std::slice::from_ref(&silent))), only(2));
     assert_eq!(broken(&day(1, Answer::Served, &[silent.clone(), again.clone()])), [0; 6]);
     let elsewhere = Arrival { zone: 1, ..again };
     assert_eq!(broken(&day(1, Answer::Served, &[silent.clone(), elsewhere])), only(2));
