--- a/crates/edge/src/core/mod.rs
+++ b/crates/edge/src/core/mod.rs
@@ -161,6 +161,8 @@
     ready: BTreeMap<u32, u32>,
     courier: Box<dyn Decide>,
     now: Time,
+    /// What is read now may have come since then.
+    since: Time,
     last_round: Time,
     wake: Time,
     events: Vec<Event>,
@@ -202,6 +204,7 @@
             ready: BTreeMap::new(),
             courier: (start.policy)(decided, start.seed),
             now: start.now,
+            since: start.now,
             last_round: 0,
             wake: Time::MAX,
             events: Vec::new(),
@@ -269,9 +272,16 @@
     /// The clock. It never goes back.
     pub fn clock(&mut self, now: Time) {
         self.now = self.now.max(now);
+        self.since = self.now;
         self.delivery.clock(self.now);
     }
 
+    /// What is read at this clock reading may have come at any time since then: the program may have stood
+    /// still meanwhile. The time that messages have left is counted from the earliest.
+    pub fn arrived_since(&mut self, since: Time) {
+        self.since = since.min(self.now);
+    }
+
     // ---- The list
 
     /// News of the list; nothing changes if they are wrong.
@@ -495,7 +505,7 @@
             let (left, tenant) = read.unwrap_or_default();
             let place = Place { record: n as u32, ..place };
             messages.push(Some(self.take_one(place, class, destination, record, left, tenant)));
-            *due = (*due).min(self.now + left);
+            *due = (*due).min(self.since + left);
         }
         Part::Open { topic, partition, ends: vec![None; messages.len()], messages }
     }
@@ -549,7 +559,7 @@
             }
             _ => 0,
         };
-        let (bytes, due) = (record.size(), self.now + left);
+        let (bytes, due) = (record.size(), self.since + left);
         self.open += 1;
         self.held_bytes += bytes;
         let taken = self.now;
@@ -569,7 +579,8 @@
         self.held.insert(id, held);
         self.counts[usize::from(class)].taken += 1;
         self.facts.push(Fact::Taken { message: id, name, class, destination, due });
-        self.events.push(Event::Taken(Taken { id, destination, class, time_left: left, key, tenant }));
+        let time_left = due.saturating_sub(self.now);
+        self.events.push(Event::Taken(Taken { id, destination, class, time_left, key, tenant }));
         id
     }
 
--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -18,6 +18,9 @@
 
 /// The clock does not begin at zero, so that no span before the start is below it.
 const CLOCK_START: Time = 3600 * 1_000_000_000;
+/// The loop looks at its connections at least this often. What it reads may have come at any time since it
+/// looked before, so this is also how much too early a message's time may be taken to be up.
+const LOOK: Duration = Duration::from_millis(10);
 /// A turn that comes later than this after it was wanted follows a stall: all that came is read first.
 const STALL: Duration = Duration::from_millis(20);
 /// Polls in which what came during a stall is read.
@@ -155,8 +158,8 @@
         let mut draining: Option<Instant> = None;
         loop {
             let wanted = self.program.core.as_ref().map_or(Time::MAX, Core::next_turn);
-            let timeout =
-                Duration::from_nanos(wanted.saturating_sub(self.now())).min(Duration::from_millis(500));
+            let timeout = Duration::from_nanos(wanted.saturating_sub(self.now())).min(LOOK);
+            let looked = self.now();
             self.net.poll(timeout, &mut events).context("the event loop failed")?;
             if self.now().saturating_sub(wanted) > STALL.as_nanos() as Time {
                 self.read_all(&mut events)?;
@@ -164,6 +167,7 @@
             let now = self.now();
             if let Some(core) = &mut self.program.core {
                 core.clock(now);
+                core.arrived_since(looked);
             }
             for event in events.drain(..) {
                 if let Event::Signal(_) = event {
--- a/crates/edge/tests/core.rs
+++ b/crates/edge/tests/core.rs
@@ -270,6 +270,23 @@
     assert_eq!(b.codes(A), [(n, codes::NONE)]);
 }
 
+#[test]
+fn what_came_while_the_program_stood_still_has_less_time_left() {
+    let mut b = bench();
+    b.easy = false;
+    let request = b.request(-1, &[("order", 2, &[headed("x", "deadline-ms", "1000")])]);
+    // It may have come at any time in the 700 ms before it is read.
+    let came = b.now;
+    b.now += 700 * MS;
+    b.core.clock(b.now);
+    b.core.arrived_since(came);
+    b.core.client_bytes(A, &request);
+    b.turn();
+    b.pass(320);
+    assert_eq!(b.answered[&A].len(), 1);
+    assert!(b.answered[&A][0] <= came + 1000 * MS);
+}
+
 #[test]
 fn what_never_left_is_known_not_to_have_run() {
     // Refused, hanging, closed before it was greeted, and closed before the system took a byte of the call.
--- a/crates/edge/tests/harness/mod.rs
+++ b/crates/edge/tests/harness/mod.rs
@@ -128,7 +128,7 @@
     pub fn pass(&mut self, ms: u64) {
         let until = self.now + ms * MS;
         while self.now < until {
-            let next = self.core.next_turn().clamp(self.now + MS / 4, until);
+            let next = self.core.next_turn().max(self.now + MS / 4).min(until);
             self.now = next;
             self.turn();
         }
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -38,8 +38,26 @@
     },
     /// Play a scripted day on sockets and check the six rules from what went over them
     Day(DayArgs),
+    /// Measure what a message costs: an edge beside a relay that decides nothing
+    Floor {
+        /// Seconds of each stretch
+        #[arg(long, default_value_t = 4.0)]
+        seconds: f64,
+        /// Stretches of edge and relay in turn; medians are given
+        #[arg(long, default_value_t = 5)]
+        rounds: usize,
+        /// Write the figures to this file
+        #[arg(long, value_name = "FILE")]
+        json: Option<PathBuf>,
+    },
     /// List the built-in days
     Days,
+    /// Relay and decide nothing; `floor` starts it
+    #[command(hide = true)]
+    Relay {
+        /// Endpoints, by partition
+        endpoints: Vec<std::net::SocketAddr>,
+    },
     /// Run a courier; days start theirs with this
     #[command(hide = true)]
     Edge {
@@ -94,9 +112,13 @@
             }
             Ok(true)
         }
+        What::Floor { seconds, rounds, json } => floor(seconds, rounds, json.as_deref()).map(|()| true),
+        What::Relay { endpoints } => {
+            as_child();
+            crate::relay::run(&endpoints).map(|()| true)
+        }
         What::Edge { policy, edge } => {
-            // A lab that is killed leaves no couriers behind.
-            let _ = rustix::process::set_parent_process_death_signal(Some(rustix::process::Signal::KILL));
+            as_child();
             return match baselines::policy(&policy) {
                 Some(policy) => linnetcart_edge::cli::run_with(edge, policy),
                 None => {
@@ -116,6 +138,30 @@
     }
 }
 
+/// A lab that is killed leaves no processes behind, and a measured one stays on its core.
+fn as_child() {
+    let _ = rustix::process::set_parent_process_death_signal(Some(rustix::process::Signal::KILL));
+    if let Some(core) = std::env::var("LINNETCART_LAB_CORE").ok().and_then(|c| c.parse().ok()) {
+        let mut set = rustix::thread::CpuSet::new();
+        set.set(core);
+        let _ = rustix::thread::sched_setaffinity(None, &set);
+    }
+}
+
+fn floor(seconds: f64, rounds: usize, json: Option<&Path>) -> anyhow::Result<()> {
+    if !(seconds > 0.0 && seconds <= 600.0 && (1..=100).contains(&rounds)) {
+        bail!("--seconds: more than 0 and at most 600; --rounds: 1 to 100");
+    }
+    let folder = Folder::new(None)?;
+    let program = std::env::current_exe().context("this program's own path")?;
+    let figures = crate::floor::run(&program, &folder.path, seconds, rounds)?;
+    if let Some(file) = json {
+        std::fs::write(file, serde_json::to_string_pretty(&figures)? + "\n")
+            .with_context(|| file.display().to_string())?;
+    }
+    Ok(())
+}
+
 /// A folder that is removed at the end unless it is to be kept.
 struct Folder {
     path: PathBuf,
--- a/crates/lab/src/courier.rs
+++ b/crates/lab/src/courier.rs
@@ -38,14 +38,40 @@
 impl Courier {
     /// Starts a process and waits until it listens.
     pub fn start(how: &Start) -> anyhow::Result<Courier> {
-        std::fs::create_dir_all(how.dir)?;
-        let log = File::options().create(true).append(true).open(how.dir.join("log"))?;
-        let mut child = Command::new(how.program)
+        Courier::start_pinned(how, None)
+    }
+
+    /// The same on one core.
+    pub fn start_pinned(how: &Start, core: Option<usize>) -> anyhow::Result<Courier> {
+        let mut command = Command::new(how.program);
+        command
             .args(["edge", "--policy", how.policy, "--kafka", "127.0.0.1:0", "--control", "127.0.0.1:0"])
             .arg("--state-dir")
             .arg(how.dir)
             .args(["--seed", &how.seed.to_string(), "--drain-ms", &how.drain.as_millis().to_string()])
-            .args(["--log", "plain"])
+            .args(["--log", "plain"]);
+        Courier::spawn(command, how.dir, core)
+    }
+
+    /// A relay to these endpoints, in a process of its own.
+    pub fn start_relay(
+        program: &Path,
+        dir: &Path,
+        endpoints: &[String],
+        core: Option<usize>,
+    ) -> anyhow::Result<Courier> {
+        let mut command = Command::new(program);
+        command.arg("relay").args(endpoints);
+        Courier::spawn(command, dir, core)
+    }
+
+    fn spawn(mut command: Command, dir: &Path, core: Option<usize>) -> anyhow::Result<Courier> {
+        std::fs::create_dir_all(dir)?;
+        let log = File::options().create(true).append(true).open(dir.join("log"))?;
+        if let Some(core) = core {
+            command.env("LINNETCART_LAB_CORE", core.to_string());
+        }
+        let mut child = command
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .stderr(log)
@@ -59,7 +85,7 @@
         let (Some(kafka), Some(control)) = (addr("kafka"), addr("control")) else {
             let _ = child.kill();
             let _ = child.wait();
-            let log = std::fs::read_to_string(how.dir.join("log")).unwrap_or_default();
+            let log = std::fs::read_to_string(dir.join("log")).unwrap_or_default();
             return Err(anyhow!("the courier did not come up; its log says: {}", log.trim()));
         };
         Ok(Courier { child, kafka, control })
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod day;
 pub mod fleet;
 pub mod floor;
+pub mod relay;
 pub mod report;
 pub mod rig;
--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -348,9 +348,11 @@
             let in_time = n == 1 && h.answers[0].0 <= limit;
             f.case(in_time, || match n {
                 1 => format!(
-                    "message {}: answered {:.0} ms after its time",
+                    "message {}: due at {:.0} ms, answered {:.0} ms later by courier {}",
                     h.message,
-                    ms(h.answers[0].0 - h.due)
+                    ms(h.due),
+                    ms(h.answers[0].0 - h.due),
+                    h.courier
                 ),
                 _ => format!("message {}: {n} answers", h.message),
             });
