Stock producers: Fetch is offered and turned down, so that librdkafka writes record batches

Cause: librdkafka falls back to message sets of the old format unless a broker offers Fetch 4; all 200 of its messages were turned down as UNSUPPORTED_VERSION. Change: Fetch 4 is read and answered with TOPIC_AUTHORIZATION_FAILED: nothing can be read here.

--- a/crates/edge/src/core/mod.rs
+++ b/crates/edge/src/core/mod.rs
@@ -398,6 +398,7 @@
             Body::Metadata(names) => {
                 server::metadata(r.correlation, r.version, &self.start.broker, &self.topics(names))
             }
+            Body::Fetch(topics) => server::not_readable(r.correlation, &topics),
             Body::Produce(p) if p.acks == 0 => {
                 let topics: Vec<&str> = p.parts.iter().map(|p| p.topic.as_str()).collect();
                 return Err(format!(
--- a/crates/kafka/src/codes.rs
+++ b/crates/kafka/src/codes.rs
@@ -19,6 +19,8 @@
 pub const TOO_LARGE: i16 = 10;
 /// Refused: nothing was persisted, and stock clients retry (`NOT_ENOUGH_REPLICAS`).
 pub const REFUSED: i16 = 19;
+/// Nothing can be read here (`TOPIC_AUTHORIZATION_FAILED`).
+pub const NOT_READABLE: i16 = 29;
 /// `acks` that cannot carry a final answer (`INVALID_REQUIRED_ACKS`).
 pub const INVALID_ACKS: i16 = 21;
 /// The version is not offered (`UNSUPPORTED_VERSION`).
--- a/crates/kafka/src/lib.rs
+++ b/crates/kafka/src/lib.rs
@@ -23,6 +23,9 @@
 pub const PRODUCE: (i16, i16) = (3, 12);
 /// First and last version of Metadata that is offered.
 pub const METADATA: (i16, i16) = (0, 12);
+/// The version of Fetch that is offered. librdkafka writes record batches only to brokers that offer it; what
+/// is asked for is turned down, as nothing can be read here.
+pub const FETCH: (i16, i16) = (4, 4);
 /// First and last version of ApiVersions that is offered.
 pub const API_VERSIONS: (i16, i16) = (0, 3);
 /// Tagged field of a Produce response: share of the limit that is left, as an f64 in network order.
--- a/crates/kafka/src/server.rs
+++ b/crates/kafka/src/server.rs
@@ -1,9 +1,11 @@
 //! The side that is called: reads requests, writes responses.
 
 use crate::codes::{self, Malformed};
-use crate::{shape, Load, Record, API_VERSIONS, METADATA, PRODUCE, TAG_LEFT, TAG_LIMIT};
+use crate::{shape, Load, Record, API_VERSIONS, FETCH, METADATA, PRODUCE, TAG_LEFT, TAG_LIMIT};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use kafka_protocol::messages::api_versions_response::ApiVersion;
+use kafka_protocol::messages::fetch_request::FetchTopic;
+use kafka_protocol::messages::fetch_response::{FetchableTopicResponse, PartitionData};
 use kafka_protocol::messages::metadata_response::{
     MetadataResponseBroker, MetadataResponsePartition, MetadataResponseTopic,
 };
@@ -11,8 +13,8 @@
     BatchIndexAndErrorMessage, PartitionProduceResponse, TopicProduceResponse,
 };
 use kafka_protocol::messages::{
-    ApiKey, ApiVersionsResponse, BrokerId, MetadataRequest, MetadataResponse, ProduceRequest,
-    ProduceResponse, RequestHeader, TopicName,
+    ApiKey, ApiVersionsResponse, BrokerId, FetchRequest, FetchResponse, MetadataRequest, MetadataResponse,
+    ProduceRequest, ProduceResponse, RequestHeader, TopicName,
 };
 use kafka_protocol::protocol::{Decodable, Encodable, StrBytes};
 use kafka_protocol::records::RecordBatchDecoder;
@@ -40,6 +42,8 @@
     ApiVersionsTooNew,
     /// Topics and brokers; `None` for all topics.
     Metadata(Option<Vec<String>>),
+    /// Records to be read: topics and partitions.
+    Fetch(Vec<(String, Vec<i32>)>),
     /// Records to be taken.
     Produce(Produce),
 }
@@ -91,6 +95,7 @@
     let range = match key {
         ApiKey::ApiVersions => API_VERSIONS,
         ApiKey::Metadata => METADATA,
+        ApiKey::Fetch => FETCH,
         ApiKey::Produce => PRODUCE,
         _ => return Err(Bad::Api(api)),
     };
@@ -124,6 +129,14 @@
             });
             Body::Metadata(names.filter(|n: &Vec<String>| !(all_by_empty && n.is_empty())))
         }
+        ApiKey::Fetch => {
+            shape::fetch_request(&rest)?;
+            let f = FetchRequest::decode(&mut rest, version).map_err(|_| Malformed("Fetch request"))?;
+            let topic = |t: FetchTopic| {
+                (t.topic.as_str().to_owned(), t.partitions.iter().map(|p| p.partition).collect())
+            };
+            Body::Fetch(f.topics.into_iter().map(topic).collect())
+        }
         _ => {
             shape::produce_request(&rest, version)?;
             let p = ProduceRequest::decode(&mut rest, version).map_err(|_| Malformed("Produce request"))?;
@@ -208,8 +221,12 @@
 
 /// What is offered. `too_new`: the client asked in a version that is not, and reads version 0.
 pub fn api_versions(correlation: i32, version: i16, too_new: bool) -> Bytes {
-    let offered =
-        [(ApiKey::Produce, PRODUCE), (ApiKey::Metadata, METADATA), (ApiKey::ApiVersions, API_VERSIONS)];
+    let offered = [
+        (ApiKey::Produce, PRODUCE),
+        (ApiKey::Fetch, FETCH),
+        (ApiKey::Metadata, METADATA),
+        (ApiKey::ApiVersions, API_VERSIONS),
+    ];
     let keys = offered.map(|(key, (min, max))| {
         ApiVersion::default().with_api_key(key as i16).with_min_version(min).with_max_version(max)
     });
@@ -219,6 +236,23 @@
     frame(ApiKey::ApiVersions, correlation, version, &body)
 }
 
+/// Turns down what a Fetch asks for: nothing can be read here.
+pub fn not_readable(correlation: i32, topics: &[(String, Vec<i32>)]) -> Bytes {
+    let partition = |p: &i32| {
+        PartitionData::default()
+            .with_partition_index(*p)
+            .with_error_code(codes::NOT_READABLE)
+            .with_high_watermark(-1)
+    };
+    let topic = |(name, partitions): &(String, Vec<i32>)| {
+        FetchableTopicResponse::default()
+            .with_topic(TopicName(StrBytes::from_string(name.clone())))
+            .with_partitions(partitions.iter().map(partition).collect())
+    };
+    let body = FetchResponse::default().with_responses(topics.iter().map(topic).collect());
+    frame(ApiKey::Fetch, correlation, FETCH.1, &body)
+}
+
 /// Where a program listens, as its Metadata says.
 #[derive(Clone, Debug)]
 pub struct Broker {
--- a/crates/kafka/src/shape.rs
+++ b/crates/kafka/src/shape.rs
@@ -166,6 +166,17 @@
     c.end()
 }
 
+/// Body of a Fetch request, version 4.
+pub fn fetch_request(body: &[u8]) -> Walk {
+    let mut c = Cursor::new(body, false);
+    c.take(4 * 4 + 1)?;
+    c.list(|c| {
+        c.string()?;
+        c.list(|c| c.take(4 + 8 + 4).map(drop))
+    })?;
+    c.end()
+}
+
 /// Body of an ApiVersions request.
 pub fn api_versions_request(body: &[u8], version: i16) -> Walk {
     let mut c = Cursor::new(body, version >= 3);
--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -646,6 +646,9 @@
                         &server::metadata(request.correlation, request.version, &broker, &topics),
                     );
                 }
+                Body::Fetch(topics) => {
+                    self.net.send(token, &server::not_readable(request.correlation, &topics))
+                }
                 Body::Produce(p) => self.call(token, request.correlation, request.version, p),
             }
         }
