Idle connections are trusted only as long as they have kept calls alive

Change: core/trust.rs learns from calls lost under connections that had been idle; it decides nothing about messages. Connections beyond the trust are closed and made anew.

--- a/crates/edge/src/core/delivery.rs
+++ b/crates/edge/src/core/delivery.rs
@@ -8,6 +8,7 @@
 //! closes them after it has accepted; so only the answer shows that it is there, and a message that waited for
 //! it is known not to have run.
 
+use super::trust::Trust;
 use bytes::Bytes;
 use linnetcart::{Ending, Time};
 use linnetcart_kafka::{client, codes, Frames, Load, Record, PRODUCE};
@@ -62,6 +63,8 @@
     /// Its number on the link and the bytes queued there before it, once it is written.
     written: Option<(i32, u64)>,
     sent: Time,
+    /// How long its connection had been idle.
+    idle: Time,
 }
 
 #[derive(Debug)]
@@ -104,6 +107,7 @@
     bounds: Bounds,
     now: Time,
     next: u64,
+    trust: Trust,
     calls: BTreeMap<u64, Call>,
     /// Calls with a message that waits for its outcome.
     running: usize,
@@ -125,6 +129,7 @@
 impl Delivery {
     pub(crate) fn new(bounds: Bounds) -> Self {
         Delivery {
+            trust: Trust::new(bounds.idle),
             bounds,
             now: 0,
             next: 1,
@@ -189,7 +194,7 @@
         }
         let id = open.unwrap_or_else(|| {
             let id = self.number();
-            let call = Call { endpoint, link: 0, parcels: Vec::new(), written: None, sent: self.now };
+            let call = Call { endpoint, link: 0, parcels: Vec::new(), written: None, sent: self.now, idle: 0 };
             self.calls.insert(id, call);
             self.running += 1;
             self.joining.insert(endpoint, id);
@@ -224,6 +229,9 @@
             let link = self.link(endpoint, addr);
             if let (Some(call), Some(l)) = (self.calls.get_mut(&id), self.links.get_mut(&link)) {
                 call.link = link;
+                if l.up && l.calls.is_empty() {
+                    call.idle = self.now.saturating_sub(l.since);
+                }
                 l.unwritten.push(id);
                 l.since = self.now;
                 if l.up {
@@ -236,6 +244,8 @@
     /// A connection with room: an open one, the last used first, so that those not needed grow old; then one
     /// that is being made; else a new one.
     fn link(&mut self, endpoint: u32, addr: SocketAddr) -> LinkId {
+        let trusted = self.trust.now(self.now);
+        self.close_idle_for(endpoint, trusted);
         let ids = self.by_endpoint.get(&endpoint).into_iter().flatten();
         let room = ids.filter_map(|&id| {
             let l = self.links.get(&id)?;
@@ -440,6 +450,9 @@
             }
         }
         for call in l.calls.into_values() {
+            if let Some(c) = self.calls.get(&call).filter(|c| c.idle > 0 && written == Ending::Reset) {
+                self.trust.lost(self.now, c.idle);
+            }
             let from = self.calls.get(&call).and_then(|c| c.written).map_or(0, |w| w.1);
             let ending = if from >= bytes { Ending::NoConnection } else { written };
             self.end_call(call, ending, None);
@@ -550,6 +563,8 @@
             };
             endings.push(((p.message, p.attempt), ending));
         }
+        let (endpoint, sent) = (call.endpoint, call.sent);
+        self.silent_beside(endpoint, sent);
         for (key, ending) in endings {
             self.end_attempt_answered(number, key, ending, produced.load);
         }
@@ -571,11 +586,31 @@
         self.done.push(Done { message: key.0, attempt: key.1, endpoint, ending, sent, load });
     }
 
+    /// An endpoint has answered a call: earlier ones that nobody waits for any more, and that were the first on
+    /// their connections after these were idle, are lost with their connections.
+    fn silent_beside(&mut self, endpoint: u32, sent: Time) {
+        let ids = self.by_endpoint.get(&endpoint).into_iter().flatten();
+        let given_up = ids.filter_map(|id| self.links.get(id)).filter(|l| l.abandoned > 0);
+        for id in given_up.flat_map(|l| l.calls.values()) {
+            if let Some(c) = self.calls.get_mut(id).filter(|c| c.idle > 0 && c.sent < sent) {
+                self.trust.lost(self.now, std::mem::take(&mut c.idle));
+            }
+        }
+    }
+
     /// Closes the connections to an endpoint that nothing is on.
     pub(crate) fn close_idle(&mut self, endpoint: u32) {
+        self.close_idle_for(endpoint, 0);
+    }
+
+    /// Closes those that nothing has been on for longer than this.
+    fn close_idle_for(&mut self, endpoint: u32, most: Time) {
         let ids = self.by_endpoint.get(&endpoint).into_iter().flatten().copied();
         let idle = |id: &LinkId| {
-            self.links.get(id).is_some_and(|l| l.up && l.calls.is_empty() && l.unwritten.is_empty())
+            self.links.get(id).is_some_and(|l| {
+                let old = most == 0 || l.since + most < self.now;
+                l.up && l.calls.is_empty() && l.unwritten.is_empty() && old
+            })
         };
         let idle: Vec<LinkId> = ids.filter(idle).collect();
         idle.into_iter().for_each(|id| self.drop_link(id, Ending::Reset));
--- a/crates/edge/src/core/mod.rs
+++ b/crates/edge/src/core/mod.rs
@@ -8,6 +8,7 @@
 mod delivery;
 mod intake;
 mod numbers;
+mod trust;
 
 pub use delivery::LinkId;
 pub use intake::ClientId;
--- a/crates/edge/tests/core.rs
+++ b/crates/edge/tests/core.rs
@@ -287,6 +287,62 @@
     assert!(b.answered[&A][0] <= came + 1000 * MS);
 }
 
+#[test]
+fn an_idle_connection_that_died_under_a_call_teaches_not_to_trust_the_next() {
+    let mut doc = settings();
+    doc["rates"] = "exact".into();
+    for how in ["reset", "silent"] {
+        let mut b = Bench::with(&doc, 1);
+        b.client(A);
+        // Busy enough that its connections are kept by the library.
+        for n in 0..40 {
+            // Two at a time, so that both endpoints are used.
+            b.one(A, "status", 1, &format!("warm{n}a"));
+            b.one(A, "status", 1, &format!("warm{n}b"));
+            while !b.calls.is_empty() {
+                let call = b.calls.remove(0);
+                b.reply_to(&call, codes::NONE, 0);
+            }
+            b.pass(50);
+        }
+        let kept: Vec<u64> = b.links.keys().copied().collect();
+        assert!(!kept.is_empty(), "a connection is kept");
+        b.pass(2000);
+        let fresh_for = |b: &mut Bench, value: &str| {
+            b.one(A, "status", 1, value);
+            let call = &b.calls[b.call(value)];
+            (call.link, !kept.contains(&call.link))
+        };
+        let (link, fresh) = fresh_for(&mut b, "first");
+        assert!(!fresh, "{how}: there is no reason for distrust yet");
+        if how == "reset" {
+            let written = b.links.remove(&link).unwrap().bytes;
+            b.core.link_down(link, written);
+            b.round();
+        } else {
+            // Nothing comes; the copy and later calls are answered.
+            b.pass(1500);
+        }
+        for n in 0..6 {
+            while let Some(at) = b.calls.iter().position(|c| c.link != link) {
+                let call = b.calls.remove(at);
+                b.reply_to(&call, codes::NONE, 0);
+            }
+            b.one(A, "status", 1, &format!("after{n}"));
+            b.pass(20);
+        }
+        while let Some(at) = b.calls.iter().position(|c| c.link != link) {
+            let call = b.calls.remove(at);
+            b.reply_to(&call, codes::NONE, 0);
+        }
+        b.pass(1900);
+        let before: Vec<u64> = b.links.keys().copied().collect();
+        b.one(A, "status", 1, "later");
+        let call = &b.calls[b.call("later")];
+        assert!(!before.contains(&call.link), "{how}: idle for 1.9 s, where not even half of what was lost is trusted");
+    }
+}
+
 #[test]
 fn what_never_left_is_known_not_to_have_run() {
     // Refused, hanging, closed before it was greeted, and closed before the system took a byte of the call.
