--- a/crates/edge/src/core/delivery.rs
+++ b/crates/edge/src/core/delivery.rs
@@ -194,7 +194,8 @@
         }
         let id = open.unwrap_or_else(|| {
             let id = self.number();
-            let call = Call { endpoint, link: 0, parcels: Vec::new(), written: None, sent: self.now, idle: 0 };
+            let call =
+                Call { endpoint, link: 0, parcels: Vec::new(), written: None, sent: self.now, idle: 0 };
             self.calls.insert(id, call);
             self.running += 1;
             self.joining.insert(endpoint, id);
--- a/crates/edge/tests/core.rs
+++ b/crates/edge/tests/core.rs
@@ -339,7 +339,10 @@
         let before: Vec<u64> = b.links.keys().copied().collect();
         b.one(A, "status", 1, "later");
         let call = &b.calls[b.call("later")];
-        assert!(!before.contains(&call.link), "{how}: idle for 1.9 s, where not even half of what was lost is trusted");
+        assert!(
+            !before.contains(&call.link),
+            "{how}: idle for 1.9 s, where not even half of what was lost is trusted"
+        );
     }
 }
 
--- /dev/null
+++ b/crates/lab/src/rig/clients.rs
@@ -0,0 +1,131 @@
+//! Clients: what they hand in and how they take the answers.
+
+use super::*;
+
+impl<'a> Rig<'a> {
+    pub(super) fn hand(&mut self, number: usize, attempt: u32) -> anyhow::Result<()> {
+        let planned = &self.fleet.messages[number];
+        let class = &self.fleet.day.class[usize::from(planned.class)];
+        let due = planned.at + seconds(class.deadline_s);
+        let left_ms = due.saturating_sub(self.now) / 1_000_000;
+        if left_ms == 0 {
+            return Ok(());
+        }
+        let alive: Vec<u32> =
+            (0..self.posts.len() as u32).filter(|&n| self.posts[n as usize].courier.is_some()).collect();
+        if alive.is_empty() {
+            self.at(self.now + 200_000_000, Timer::Hand(number, attempt));
+            return Ok(());
+        }
+        let courier = match (planned.key, self.uneven) {
+            (Some(key), _) => alive[key as usize % alive.len()],
+            (None, Some((one, share))) if self.rng.random::<f64>() < share && alive.contains(&one) => one,
+            _ => alive[self.rng.random_range(0..alive.len())],
+        };
+        let token = self.producer(courier, planned.key);
+        let Some(token) = token else {
+            self.at(self.now + 100_000_000, Timer::Hand(number, attempt));
+            return Ok(());
+        };
+        let header = |name: &str, value: String| (name.to_owned(), Some(Bytes::from(value)));
+        let record = Record {
+            key: planned.key.map(|k| Bytes::copy_from_slice(&k.to_be_bytes())),
+            value: Some(Bytes::from(vec![b'x'; 120])),
+            headers: vec![
+                header("message-id", number.to_string()),
+                header("deadline-ms", left_ms.to_string()),
+            ],
+        };
+        let Some(Role::Producer(p)) = self.roles.get_mut(&token) else {
+            self.at(self.now + 100_000_000, Timer::Hand(number, attempt));
+            return Ok(());
+        };
+        p.correlation += 1;
+        p.order += 1;
+        let to = [client::To {
+            topic: &class.name,
+            partition: planned.destination as i32,
+            records: std::slice::from_ref(&record),
+        }];
+        let timeout = i32::try_from(left_ms).unwrap_or(i32::MAX);
+        let request = client::produce(p.correlation, "linnetcart-lab", PRODUCE, (-1, timeout), &to)?;
+        p.waiting.insert(p.correlation, self.handed.len());
+        let (line, life) = ((token, p.order), p.life);
+        if p.up {
+            self.net.send(token, &request);
+        } else {
+            p.backlog.push(request);
+        }
+        self.handed.push(Handed {
+            message: number as u64,
+            courier,
+            life,
+            line,
+            class: planned.class,
+            destination: planned.destination,
+            key: planned.key,
+            at: self.now,
+            due: self.now + left_ms * 1_000_000,
+            answers: Vec::new(),
+            orphaned: None,
+        });
+        self.tries.insert(number, attempt);
+        self.open += 1;
+        Ok(())
+    }
+
+    pub(super) fn answered(&mut self, token: Token, frame: &Bytes) {
+        let Some(Role::Producer(p)) = self.roles.get_mut(&token) else { return };
+        let Ok(produced) = client::read_produced(frame, PRODUCE) else {
+            self.stray += 1;
+            return;
+        };
+        let Some(at) = p.waiting.remove(&produced.correlation) else {
+            self.stray += 1;
+            return;
+        };
+        let answer = match produced.parts.first().map(|p| p.code) {
+            Some(codes::NONE) => Answer::Served,
+            Some(codes::REFUSED) => Answer::Refused,
+            _ => Answer::Failed,
+        };
+        let h = &mut self.handed[at];
+        if h.answers.is_empty() {
+            self.open -= 1;
+        }
+        h.answers.push((self.now, answer));
+        if answer == Answer::Refused {
+            let number = h.message as usize;
+            let attempt = self.tries.get(&number).copied().unwrap_or(0);
+            let [least, most] = self.fleet.day.clients.again_ms;
+            let wait = millis(least + self.rng.random::<f64>() * (most - least));
+            let wait = wait.max(u64::try_from(produced.throttle_ms).unwrap_or(0) * 1_000_000);
+            if attempt < self.fleet.day.clients.retries {
+                self.at(self.now + wait, Timer::Hand(number, attempt + 1));
+            }
+        }
+    }
+
+    /// A client's connection broke: what it waited for may be handed to another courier, unless it may have
+    /// run and must not run again.
+    pub(super) fn orphan(&mut self, p: Producer) {
+        for at in p.waiting.into_values() {
+            let h = &mut self.handed[at];
+            if !h.answers.is_empty() {
+                continue;
+            }
+            h.orphaned = Some(self.now);
+            self.open -= 1;
+            let (message, class) = (h.message, usize::from(h.class));
+            let ran = |a: &linnetcart_rules::Arrival| {
+                a.message == message && !matches!(a.verdict, Verdict::Refused { .. })
+            };
+            let safe = self.fleet.day.class[class].repeat == crate::day::RepeatKind::Safe;
+            if safe || !self.world.arrivals().iter().any(ran) {
+                let wait = millis(800.0 + self.rng.random::<f64>() * 1000.0);
+                let attempt = self.tries.get(&(message as usize)).copied().unwrap_or(0);
+                self.at(self.now + wait, Timer::Hand(message as usize, attempt));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/rig/troubles.rs
@@ -0,0 +1,305 @@
+//! Troubles: when they begin, go on and end.
+
+use super::*;
+
+impl<'a> Rig<'a> {
+    pub(super) fn timer(&mut self, timer: Timer) -> anyhow::Result<()> {
+        match timer {
+            Timer::Hand(number, attempt) => self.hand(number, attempt)?,
+            Timer::Finish(call) => {
+                let step = self.world.finish(self.now, call);
+                self.step(call, step);
+            }
+            Timer::Opened(token) => self.opened(token),
+            Timer::Begin(n) => self.begin(n)?,
+            Timer::Step(n, count) => self.go_on(n, count)?,
+            Timer::End(n) => self.over(n)?,
+            Timer::Publish(ids) => self.publish(ids),
+            Timer::Gone(endpoint) => {
+                self.close_endpoint(endpoint);
+                self.world.remove(endpoint);
+                if let Some(s) = self.standing.get_mut(&endpoint) {
+                    s.state = "gone";
+                }
+                self.at(self.now + seconds(self.list_late), Timer::Publish(vec![endpoint]));
+            }
+            Timer::Back(n) => {
+                self.start(n, false)?;
+            }
+            Timer::GoOn(n) => {
+                let post = &mut self.posts[n as usize];
+                post.stalled = false;
+                let life = post.life;
+                if let Some(c) = &post.courier {
+                    c.go_on();
+                }
+                let mine = |s: &&mut Stall| (s.courier, s.life) == (n, life);
+                if let Some(stall) = self.stalls.iter_mut().rev().find(mine) {
+                    stall.until = self.now;
+                }
+            }
+        }
+        Ok(())
+    }
+
+    pub(super) fn trouble(&self, n: usize) -> &'a Trouble {
+        &self.fleet.day.trouble[n]
+    }
+
+    pub(super) fn endpoints_of(&self, destination: u32) -> Vec<u32> {
+        let of = self.standing.iter().filter(|(_, s)| s.destination == destination && s.state != "gone");
+        of.map(|(&id, _)| id).collect()
+    }
+
+    pub(super) fn each(&mut self, n: usize, mut change: impl FnMut(&mut linnetcart_members::Trouble)) {
+        for destination in self.struck.get(&n).cloned().unwrap_or_default() {
+            for endpoint in self.endpoints_of(destination) {
+                if let Some(t) = self.world.trouble(endpoint) {
+                    change(t);
+                }
+            }
+        }
+    }
+
+    /// The couriers that a trouble strikes.
+    pub(super) fn couriers_of(&self, n: usize) -> Vec<u32> {
+        let count = self.posts.len() as u32;
+        let struck = ((self.trouble(n).part * f64::from(count)).round() as u32).clamp(1, count);
+        (0..struck).map(|k| (k + n as u32 + self.fleet.seed as u32) % count).collect()
+    }
+
+    pub(super) fn outage(&mut self, n: usize, refused_connections: bool) {
+        let until = seconds(self.trouble(n).at + self.trouble(n).lasts).max(self.now);
+        for destination in self.struck.get(&n).cloned().unwrap_or_default() {
+            self.world.outage(destination, self.now, until, refused_connections);
+        }
+    }
+
+    pub(super) fn begin(&mut self, n: usize) -> anyhow::Result<()> {
+        let t = self.trouble(n);
+        let size = if t.size > 0.0 { t.size } else { 1.0 };
+        let until = seconds(t.at + t.lasts);
+        self.struck.insert(n, self.fleet.struck(t.part, n as u64 + 1));
+        match t.what {
+            What::Errors => {
+                self.each(n, |e| e.errors = size);
+                if size > 0.5 {
+                    self.outage(n, false);
+                }
+            }
+            What::Shut => {
+                for destination in self.struck[&n].clone() {
+                    self.world.shut(destination, until);
+                }
+                self.outage(n, false);
+            }
+            What::Silent => {
+                self.each(n, |e| e.silent = true);
+                self.outage(n, false);
+            }
+            What::Vanish => {
+                self.each(n, |e| e.vanished = true);
+                self.outage(n, true);
+            }
+            What::Down => {
+                self.each(n, |e| e.down = true);
+                self.outage(n, true);
+                for destination in self.struck[&n].clone() {
+                    for endpoint in self.endpoints_of(destination) {
+                        self.close_endpoint(endpoint);
+                    }
+                }
+            }
+            What::Slow => self.each(n, |e| e.slow = size),
+            What::SharedSlow => self.world.slow_all(size),
+            What::AnswersLost => {
+                self.each(n, |e| e.answers_lost = size);
+                if size > 0.5 {
+                    self.outage(n, false);
+                }
+            }
+            What::Throttle => {
+                for destination in self.struck[&n].clone() {
+                    self.world.throttle(destination, size);
+                }
+            }
+            What::IdleDropped => {
+                let idle = seconds(t.size);
+                self.each(n, |e| e.reap = Some(idle));
+            }
+            What::SlowConnect => {
+                let by = millis(t.size);
+                self.each(n, |e| e.slow_connect = by);
+            }
+            What::ClassFails => {
+                for destination in self.struck[&n].clone() {
+                    let endpoints = self.endpoints_of(destination);
+                    if endpoints.len() > 1 {
+                        if let Some(e) = self.world.trouble(endpoints[0]) {
+                            e.class_fails = Some((t.extra as u8, size, t.hard));
+                        }
+                    }
+                }
+            }
+            What::UnevenCouriers => self.uneven = Some((self.couriers_of(n)[0], size)),
+            What::CouriersKilled => {
+                for courier in self.couriers_of(n) {
+                    self.kill(courier, seconds(size));
+                }
+            }
+            What::ListLate => self.list_late += t.size,
+            What::ListOut => self.list_out = true,
+            What::Drains | What::Pauses | What::CouriersStall | What::CouriersRolled => self.go_on(n, 0)?,
+            What::SuddenLoad | What::HotDestinations => {}
+        }
+        Ok(())
+    }
+
+    pub(super) fn go_on(&mut self, n: usize, count: u32) -> anyhow::Result<()> {
+        let t = self.trouble(n);
+        let until = seconds(t.at + t.lasts);
+        if self.now >= until && count > 0 {
+            return Ok(());
+        }
+        let next = |rig: &mut Self, after: Time| {
+            if after > 0 {
+                rig.at(rig.now + after, Timer::Step(n, count + 1));
+            }
+        };
+        match t.what {
+            What::Drains => {
+                let all: Vec<u32> = self.struck[&n].iter().flat_map(|&d| self.endpoints_of(d)).collect();
+                let batch = ((all.len() as f64 * t.size.max(0.05)).ceil() as usize).max(1);
+                // The oldest numbers first; replacements have higher ones, so each goes once.
+                let ready =
+                    all.into_iter().filter(|e| self.standing[e].state == "ready" && *e < self.first_new(n));
+                let going: Vec<u32> = ready.take(batch).collect();
+                let steps = (1.0 / t.size.max(0.05)).ceil();
+                next(self, seconds(t.lasts / (steps + 1.0)));
+                for endpoint in going {
+                    self.replace(endpoint, seconds(t.extra))?;
+                }
+            }
+            What::Pauses => {
+                let paused = self.now + millis(t.size);
+                self.each(n, |e| e.paused_until = paused);
+                next(self, seconds(t.extra));
+            }
+            What::CouriersStall => {
+                // Each at a time of its own within the distance of two stalls.
+                let among = self.couriers_of(n);
+                let each = seconds(t.extra) / among.len().max(1) as u64;
+                let courier = among[count as usize % among.len()];
+                let post = &mut self.posts[courier as usize];
+                if let (Some(c), false) = (&post.courier, post.stalled) {
+                    c.stall();
+                    post.stalled = true;
+                    let (life, from) = (post.life, self.now);
+                    let until = from + millis(t.size);
+                    self.stalls.push(Stall { courier, life, from, until });
+                    self.at(self.now + millis(t.size), Timer::GoOn(courier));
+                }
+                next(self, each);
+            }
+            What::CouriersRolled => {
+                let among = self.couriers_of(n);
+                if let Some(&courier) = among.get(count as usize) {
+                    self.kill(courier, seconds(t.size));
+                }
+                next(self, seconds(t.lasts / among.len() as f64));
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    /// Endpoints with numbers from here on came into being during this trouble.
+    pub(super) fn first_new(&self, _n: usize) -> u32 {
+        self.fleet.members.iter().flat_map(|m| &m.endpoints).map(|e| e.0 + 1).max().unwrap_or(u32::MAX)
+    }
+
+    /// Drains an endpoint and puts a new one in its place.
+    pub(super) fn replace(&mut self, endpoint: u32, drain: Time) -> anyhow::Result<()> {
+        let Some(s) = self.standing.get_mut(&endpoint) else { return Ok(()) };
+        s.state = "draining";
+        let (destination, zone) = (s.destination, s.zone);
+        let id = self.next_endpoint;
+        self.next_endpoint += 1;
+        let port = Reserved::new(LOOPBACK)?;
+        let (token, _) = self.net.listen(port.addr())?;
+        self.listeners.insert(token, id);
+        let new = Standing { listener: Some(token), port, destination, zone, state: "ready" };
+        self.standing.insert(id, new);
+        self.world.add(destination, id, zone);
+        let late = seconds(self.list_late);
+        self.at(self.now + late, Timer::Publish(vec![endpoint, id]));
+        // An endpoint that drains waits until the news have had time to reach everyone.
+        self.at(self.now + late + drain, Timer::Gone(endpoint));
+        Ok(())
+    }
+
+    pub(super) fn close_endpoint(&mut self, endpoint: u32) {
+        if let Some(listener) = self.standing.get_mut(&endpoint).and_then(|s| s.listener.take()) {
+            self.net.unlisten(listener);
+            self.listeners.remove(&listener);
+        }
+        let of =
+            |(t, r): (&Token, &Role)| matches!(r, Role::Endpoint(c) if c.endpoint == endpoint).then_some(*t);
+        let open: Vec<Token> = self.roles.iter().filter_map(of).collect();
+        open.into_iter().for_each(|t| self.drop_conn(t));
+    }
+
+    pub(super) fn open_endpoint(&mut self, endpoint: u32) -> anyhow::Result<()> {
+        let Some(s) = self.standing.get_mut(&endpoint).filter(|s| s.listener.is_none() && s.state != "gone")
+        else {
+            return Ok(());
+        };
+        let (token, _) = self.net.listen(s.port.addr()).with_context(|| format!("endpoint {endpoint}"))?;
+        s.listener = Some(token);
+        self.listeners.insert(token, endpoint);
+        Ok(())
+    }
+
+    pub(super) fn over(&mut self, n: usize) -> anyhow::Result<()> {
+        match self.trouble(n).what {
+            What::Errors => self.each(n, |e| e.errors = 0.0),
+            What::Silent => self.each(n, |e| e.silent = false),
+            What::Vanish => self.each(n, |e| e.vanished = false),
+            What::Down => {
+                self.each(n, |e| e.down = false);
+                for destination in self.struck[&n].clone() {
+                    for endpoint in self.endpoints_of(destination) {
+                        self.open_endpoint(endpoint)?;
+                    }
+                }
+            }
+            What::Slow => self.each(n, |e| e.slow = 0.0),
+            What::SharedSlow => self.world.slow_all(1.0),
+            What::AnswersLost => self.each(n, |e| e.answers_lost = 0.0),
+            What::Throttle => {
+                for destination in self.struck[&n].clone() {
+                    self.world.throttle(destination, 1.0);
+                }
+            }
+            What::IdleDropped => self.each(n, |e| e.reap = None),
+            What::SlowConnect => self.each(n, |e| e.slow_connect = 0),
+            What::ClassFails => self.each(n, |e| e.class_fails = None),
+            What::UnevenCouriers => self.uneven = None,
+            What::ListLate => self.list_late = (self.list_late - self.trouble(n).size).max(0.0),
+            What::ListOut => {
+                self.list_out = false;
+                let ids = std::mem::take(&mut self.kept_back).into_iter().collect();
+                self.publish(ids);
+            }
+            What::Shut
+            | What::Drains
+            | What::Pauses
+            | What::SuddenLoad
+            | What::HotDestinations
+            | What::CouriersKilled
+            | What::CouriersRolled
+            | What::CouriersStall => {}
+        }
+        Ok(())
+    }
+}
