Delivery: connections of an endpoint stand in a pool by what they are, not walked for each call

Cause: each call and each answer walked all connections to its endpoint; a profile of the edge at full speed had three such walks on top, 10 % of its time. Change: idle and given-up connections are indexed for each endpoint.

--- a/crates/edge/src/core/delivery.rs
+++ b/crates/edge/src/core/delivery.rs
@@ -86,6 +86,18 @@
     since: Time,
     /// When to look at it again.
     timer: Time,
+    /// Where it stands in its endpoint's pool as idle.
+    idle: Option<Time>,
+}
+
+/// The connections to an endpoint.
+#[derive(Debug, Default)]
+struct Pool {
+    all: BTreeSet<LinkId>,
+    /// Those that nothing is on, by the time since then.
+    idle: BTreeSet<(Time, LinkId)>,
+    /// Those with calls that nobody waits for any more.
+    abandoned: BTreeSet<LinkId>,
 }
 
 /// Bounds and spans.
@@ -112,7 +124,7 @@
     /// Calls with a message that waits for its outcome.
     running: usize,
     links: BTreeMap<LinkId, Link>,
-    by_endpoint: BTreeMap<u32, BTreeSet<LinkId>>,
+    pools: BTreeMap<u32, Pool>,
     /// The running call of each attempt.
     attempts: BTreeMap<(u32, u16), u64>,
     times: BTreeSet<(Time, u32, u16)>,
@@ -136,7 +148,7 @@
             calls: BTreeMap::new(),
             running: 0,
             links: BTreeMap::new(),
-            by_endpoint: BTreeMap::new(),
+            pools: BTreeMap::new(),
             attempts: BTreeMap::new(),
             times: BTreeSet::new(),
             timers: BTreeSet::new(),
@@ -235,7 +247,9 @@
                 }
                 l.unwritten.push(id);
                 l.since = self.now;
-                if l.up {
+                let up = l.up;
+                self.file(link);
+                if up {
                     self.write(link);
                 }
             }
@@ -247,13 +261,15 @@
     fn link(&mut self, endpoint: u32, addr: SocketAddr) -> LinkId {
         let trusted = self.trust.now(self.now);
         self.close_idle_for(endpoint, trusted);
-        let ids = self.by_endpoint.get(&endpoint).into_iter().flatten();
-        let room = ids.filter_map(|&id| {
+        let pool = self.pools.entry(endpoint).or_default();
+        let fits = |&id: &LinkId| {
             let l = self.links.get(&id)?;
-            let fits = l.calls.len() + l.unwritten.len() < self.bounds.calls_per_link;
-            (fits && l.abandoned == 0 && l.addr == addr).then_some((l.up, l.since, id))
-        });
-        if let Some((_, _, id)) = room.max() {
+            let room = l.calls.len() + l.unwritten.len() < self.bounds.calls_per_link;
+            (room && l.abandoned == 0 && l.addr == addr).then_some((l.up, l.since, id))
+        };
+        let idle = pool.idle.iter().rev().map(|i| &i.1).find_map(fits);
+        let shared = || pool.all.iter().filter(|_| self.bounds.calls_per_link > 1).filter_map(fits).max();
+        if let Some((_, _, id)) = idle.or_else(shared) {
             return id;
         }
         let id = self.number();
@@ -271,14 +287,32 @@
             abandoned: 0,
             since: self.now,
             timer,
+            idle: None,
         };
         self.links.insert(id, link);
         self.timers.insert((timer, id));
-        self.by_endpoint.entry(endpoint).or_default().insert(id);
+        self.pools.entry(endpoint).or_default().all.insert(id);
         self.todo.push(Do::Connect(id, addr));
         id
     }
 
+    /// Puts a connection where it belongs in its endpoint's pool.
+    fn file(&mut self, id: LinkId) {
+        let Some(l) = self.links.get_mut(&id) else { return };
+        let Some(pool) = self.pools.get_mut(&l.endpoint) else { return };
+        let idle = (l.up && l.calls.is_empty() && l.unwritten.is_empty()).then_some(l.since);
+        if l.idle != idle {
+            l.idle.map(|since| pool.idle.remove(&(since, id)));
+            idle.map(|since| pool.idle.insert((since, id)));
+            l.idle = idle;
+        }
+        if l.abandoned > 0 {
+            pool.abandoned.insert(id);
+        } else {
+            pool.abandoned.remove(&id);
+        }
+    }
+
     fn set_timer(&mut self, id: LinkId, at: Time) {
         if let Some(l) = self.links.get_mut(&id) {
             self.timers.remove(&(l.timer, id));
@@ -375,17 +409,15 @@
                 self.set_timer(id, self.now + self.bounds.idle);
             }
         }
+        self.file(id);
     }
 
     /// Calls that nobody waits for hold at most as many connections to an endpoint as there are slots.
     fn shed_abandoned(&mut self, endpoint: u32) {
-        let ids = self.by_endpoint.get(&endpoint).into_iter().flatten();
-        let held =
-            ids.filter_map(|id| self.links.get(id).filter(|l| l.abandoned > 0).map(|l| (l.since, *id)));
-        let mut held: Vec<(Time, LinkId)> = held.collect();
+        let Some(held) = self.pools.get(&endpoint).map(|p| &p.abandoned) else { return };
         if held.len() > self.bounds.slots {
-            held.sort_unstable();
-            self.drop_link(held[0].1, Ending::Reset);
+            let oldest = held.iter().min_by_key(|id| self.links.get(id).map(|l| l.since)).copied();
+            oldest.into_iter().for_each(|id| self.drop_link(id, Ending::Reset));
         }
     }
 
@@ -444,10 +476,12 @@
     fn lost(&mut self, id: LinkId, bytes: u64, written: Ending) {
         let Some(l) = self.links.remove(&id) else { return };
         self.timers.remove(&(l.timer, id));
-        if let Some(ids) = self.by_endpoint.get_mut(&l.endpoint) {
-            ids.remove(&id);
-            if ids.is_empty() {
-                self.by_endpoint.remove(&l.endpoint);
+        if let Some(pool) = self.pools.get_mut(&l.endpoint) {
+            pool.all.remove(&id);
+            pool.abandoned.remove(&id);
+            l.idle.map(|since| pool.idle.remove(&(since, id)));
+            if pool.all.is_empty() {
+                self.pools.remove(&l.endpoint);
             }
         }
         for call in l.calls.into_values() {
@@ -549,6 +583,7 @@
         let Some(call) = self.calls.get(&number) else { return Ok(()) };
         if call.parcels.is_empty() {
             l.abandoned = l.abandoned.saturating_sub(1);
+            // Its place in the pool follows below, when the connection settles.
         }
         let wait = u64::try_from(produced.throttle_ms).unwrap_or(0) * 1_000_000;
         let mut endings = Vec::new();
@@ -590,8 +625,8 @@
     /// An endpoint has answered a call: earlier ones that nobody waits for any more, and that were the first on
     /// their connections after these were idle, are lost with their connections.
     fn silent_beside(&mut self, endpoint: u32, sent: Time) {
-        let ids = self.by_endpoint.get(&endpoint).into_iter().flatten();
-        let given_up = ids.filter_map(|id| self.links.get(id)).filter(|l| l.abandoned > 0);
+        let ids = self.pools.get(&endpoint).into_iter().flat_map(|p| &p.abandoned);
+        let given_up = ids.filter_map(|id| self.links.get(id));
         for id in given_up.flat_map(|l| l.calls.values()) {
             if let Some(c) = self.calls.get_mut(id).filter(|c| c.idle > 0 && c.sent < sent) {
                 self.trust.lost(self.now, std::mem::take(&mut c.idle));
@@ -606,20 +641,15 @@
 
     /// Closes those that nothing has been on for longer than this.
     fn close_idle_for(&mut self, endpoint: u32, most: Time) {
-        let ids = self.by_endpoint.get(&endpoint).into_iter().flatten().copied();
-        let idle = |id: &LinkId| {
-            self.links.get(id).is_some_and(|l| {
-                let old = most == 0 || l.since + most < self.now;
-                l.up && l.calls.is_empty() && l.unwritten.is_empty() && old
-            })
-        };
-        let idle: Vec<LinkId> = ids.filter(idle).collect();
+        let old = |since: Time| most == 0 || since.saturating_add(most) < self.now;
+        let idle = self.pools.get(&endpoint).into_iter().flat_map(|p| &p.idle);
+        let idle: Vec<LinkId> = idle.take_while(|i| old(i.0)).map(|i| i.1).collect();
         idle.into_iter().for_each(|id| self.drop_link(id, Ending::Reset));
     }
 
     /// Endpoints that connections are open to.
     pub(crate) fn endpoints(&self) -> Vec<u32> {
-        self.by_endpoint.keys().copied().collect()
+        self.pools.keys().copied().collect()
     }
 }
 
