--- a/crates/edge/src/core/delivery.rs
+++ b/crates/edge/src/core/delivery.rs
@@ -354,20 +354,26 @@
         out.any(|(_, id)| self.calls.get(id).is_some_and(|c| c.written.is_some()))
     }
 
-    /// Ends one attempt of a call.
-    fn end_attempt(&mut self, id: u64, key: (u32, u16), ending: Ending, load: Option<Load>) {
-        let Some(call) = self.calls.get_mut(&id) else { return };
-        let Some(at) = call.parcels.iter().position(|p| (p.message, p.attempt) == key) else { return };
+    /// Ends one attempt of a call; how many of it are left, if it was there.
+    fn end_one(&mut self, id: u64, key: (u32, u16), ending: Ending, load: Option<Load>) -> Option<usize> {
+        let call = self.calls.get_mut(&id)?;
+        let at = call.parcels.iter().position(|p| (p.message, p.attempt) == key)?;
         let parcel = call.parcels.remove(at);
-        let (endpoint, sent, left, written) = (call.endpoint, call.sent, call.parcels.len(), call.written);
-        let link = call.link;
+        let (endpoint, sent, left) = (call.endpoint, call.sent, call.parcels.len());
         self.attempts.remove(&key);
         self.forget_time(&parcel);
         self.done.push(Done { message: key.0, attempt: key.1, endpoint, ending, sent, load });
-        if left > 0 {
+        self.running -= usize::from(left == 0);
+        Some(left)
+    }
+
+    /// Ends one attempt of a call that is not answered.
+    fn end_attempt(&mut self, id: u64, key: (u32, u16), ending: Ending) {
+        if self.end_one(id, key, ending, None) != Some(0) {
             return;
         }
-        self.running -= 1;
+        let Some(call) = self.calls.get(&id) else { return };
+        let (endpoint, written, link) = (call.endpoint, call.written, call.link);
         match written {
             // It may still run: the connection waits for its answer.
             Some(_) => {
@@ -426,7 +432,7 @@
         let Some(&id) = self.attempts.get(&(message, attempt)) else { return };
         let left = self.calls.get(&id).is_some_and(|c| c.written.is_some());
         let ending = if left { Ending::Cancelled } else { Ending::NotSent { no_slot: false } };
-        self.end_attempt(id, (message, attempt), ending, None);
+        self.end_attempt(id, (message, attempt), ending);
     }
 
     /// Ends attempts and connections whose time is up.
@@ -451,7 +457,7 @@
                 Some(_) => Ending::TimedOut,
                 None => Ending::NoConnection,
             };
-            self.end_attempt(id, (message, attempt), ending, None);
+            self.end_attempt(id, (message, attempt), ending);
         }
         while let Some(&(at, id)) = self.timers.first().filter(|t| t.0 <= self.now) {
             self.timers.remove(&(at, id));
@@ -528,7 +534,7 @@
             let stale = parcels.iter().filter(|p| !may(p.message, endpoint));
             let stale: Vec<(u32, u16)> = stale.map(|p| (p.message, p.attempt)).collect();
             for key in stale {
-                self.end_attempt(call, key, Ending::NotSent { no_slot: false }, None);
+                self.end_attempt(call, key, Ending::NotSent { no_slot: false });
             }
         }
         self.write(id);
@@ -602,26 +608,13 @@
         let (endpoint, sent) = (call.endpoint, call.sent);
         self.silent_beside(endpoint, sent);
         for (key, ending) in endings {
-            self.end_attempt_answered(number, key, ending, produced.load);
+            self.end_one(number, key, ending, produced.load);
         }
         self.calls.remove(&number);
         self.settle(id);
         Ok(())
     }
 
-    fn end_attempt_answered(&mut self, id: u64, key: (u32, u16), ending: Ending, load: Option<Load>) {
-        let Some(call) = self.calls.get_mut(&id) else { return };
-        let Some(at) = call.parcels.iter().position(|p| (p.message, p.attempt) == key) else { return };
-        let parcel = call.parcels.remove(at);
-        if call.parcels.is_empty() {
-            self.running -= 1;
-        }
-        let (endpoint, sent) = (call.endpoint, call.sent);
-        self.attempts.remove(&key);
-        self.forget_time(&parcel);
-        self.done.push(Done { message: key.0, attempt: key.1, endpoint, ending, sent, load });
-    }
-
     /// An endpoint has answered a call: earlier ones that nobody waits for any more, and that were the first on
     /// their connections after these were idle, are lost with their connections.
     fn silent_beside(&mut self, endpoint: u32, sent: Time) {
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -50,6 +50,15 @@
         #[arg(long, value_name = "FILE")]
         json: Option<PathBuf>,
     },
+    /// Draw charts and a table from what `day --json` and `floor --json` wrote
+    Report {
+        /// Their files
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+        /// Where the charts and the table go
+        #[arg(long, value_name = "DIR")]
+        out: PathBuf,
+    },
     /// List the built-in days
     Days,
     /// Relay and decide nothing; `floor` starts it
@@ -105,6 +114,7 @@
     let done = match args.what {
         What::Up { day, seed } => up(&day, seed).map(|()| true),
         What::Day(args) => day(&args),
+        What::Report { files, out } => crate::charts::report(&files, &out).map(|()| true),
         What::Days => {
             for (name, text) in BUILT_IN {
                 let about = Day::parse(text).map(|d| d.about).unwrap_or_default();
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod baselines;
 pub mod bench;
+pub mod charts;
 pub mod cli;
 pub mod courier;
 pub mod day;
