Time left is counted from the beginning of the look before, also where the loop itself stood still

Cause: on reading the loop again: what comes while a turn is worked on, or while the process is stopped in it, was counted from the next look, which begins later. Change: the bound is the beginning of the look before; a look that took longer than it was to counts as a stall.

--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -19,7 +19,7 @@
 /// The clock does not begin at zero, so that no span before the start is below it.
 const CLOCK_START: Time = 3600 * 1_000_000_000;
 /// The loop looks at its connections at least this often. What it reads may have come at any time since it
-/// looked before, so this is also how much too early a message's time may be taken to be up.
+/// looked before, so twice this is how much too early a message's time may be taken to be up.
 const LOOK: Duration = Duration::from_millis(10);
 /// A turn that comes later than this after it was wanted follows a stall: all that came is read first.
 const STALL: Duration = Duration::from_millis(20);
@@ -156,18 +156,21 @@
     fn serve(&mut self) -> anyhow::Result<End> {
         let mut events = Vec::new();
         let mut draining: Option<Instant> = None;
+        let mut looked = self.now();
         loop {
             let wanted = self.program.core.as_ref().map_or(Time::MAX, Core::next_turn);
             let timeout = Duration::from_nanos(wanted.saturating_sub(self.now())).min(LOOK);
-            let looked = self.now();
+            let looks = self.now();
             self.net.poll(timeout, &mut events).context("the event loop failed")?;
-            if self.now().saturating_sub(wanted) > STALL.as_nanos() as Time {
+            let late = (timeout + STALL).as_nanos() as Time;
+            if self.now().saturating_sub(looks) > late || self.now().saturating_sub(wanted) > late {
                 self.read_all(&mut events)?;
             }
             let now = self.now();
             if let Some(core) = &mut self.program.core {
                 core.clock(now);
-                core.arrived_since(looked);
+                // Whatever the last look did not find came after it began.
+                core.arrived_since(std::mem::replace(&mut looked, looks));
             }
             for event in events.drain(..) {
                 if let Event::Signal(_) = event {
