Floor: parts by name, held messages at a rate that leaves the core room

Cause: at 500 messages a second the core was full from 10,000 held on, and the figure showed its limit only.

--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -3,6 +3,7 @@
 use crate::baselines;
 use crate::day::{Day, BUILT_IN};
 use crate::fleet::Fleet;
+use crate::floor::Parts;
 use crate::rig::{self, Options};
 use crate::{bench, report};
 use anyhow::{bail, Context};
@@ -46,6 +47,15 @@
         /// Stretches of edge and relay in turn; medians are given
         #[arg(long, default_value_t = 5)]
         rounds: usize,
+        /// Only this part: beside, destinations, held or connections
+        #[arg(long)]
+        part: Option<String>,
+        /// Numbers of held messages
+        #[arg(long, value_delimiter = ',', default_values_t = [10, 1000, 10_000])]
+        held: Vec<usize>,
+        /// Numbers of destinations
+        #[arg(long, value_delimiter = ',', default_values_t = [1, 10, 100, 1000])]
+        destinations: Vec<usize>,
         /// Write the figures to this file
         #[arg(long, value_name = "FILE")]
         json: Option<PathBuf>,
@@ -122,7 +132,10 @@
             }
             Ok(true)
         }
-        What::Floor { seconds, rounds, json } => floor(seconds, rounds, json.as_deref()).map(|()| true),
+        What::Floor { seconds, rounds, part, held, destinations, json } => {
+            let parts = Parts { only: part, held, destinations };
+            floor(seconds, rounds, &parts, json.as_deref()).map(|()| true)
+        }
         What::Relay { endpoints } => {
             as_child();
             crate::relay::run(&endpoints).map(|()| true)
@@ -158,13 +171,19 @@
     }
 }
 
-fn floor(seconds: f64, rounds: usize, json: Option<&Path>) -> anyhow::Result<()> {
+fn floor(seconds: f64, rounds: usize, parts: &Parts, json: Option<&Path>) -> anyhow::Result<()> {
+    if parts.held.iter().any(|n| !(1..=80_000).contains(n)) {
+        bail!("--held: 1 to 80000");
+    }
+    if parts.destinations.iter().any(|n| !(1..=5000).contains(n)) {
+        bail!("--destinations: 1 to 5000");
+    }
     if !(seconds > 0.0 && seconds <= 600.0 && (1..=100).contains(&rounds)) {
         bail!("--seconds: more than 0 and at most 600; --rounds: 1 to 100");
     }
     let folder = Folder::new(None)?;
     let program = std::env::current_exe().context("this program's own path")?;
-    let figures = crate::floor::run(&program, &folder.path, seconds, rounds)?;
+    let figures = crate::floor::run(&program, &folder.path, (seconds, rounds), parts)?;
     if let Some(file) = json {
         std::fs::write(file, serde_json::to_string_pretty(&figures)? + "\n")
             .with_context(|| file.display().to_string())?;
--- a/crates/lab/src/floor.rs
+++ b/crates/lab/src/floor.rs
@@ -381,8 +381,8 @@
             }
             let full = accounts(edge.process.pid())?.1;
             let mut clients = Clients::connect(edge.process.kafka, 64, 1..11)?;
-            clients.run(Duration::from_secs(1), 500.0)?;
-            let (cpu, rate, _) = self.measure(&edge, &mut clients, 500.0)?;
+            clients.run(Duration::from_secs(1), 50.0)?;
+            let (cpu, rate, _) = self.measure(&edge, &mut clients, 50.0)?;
             let each = full.saturating_sub(empty) as f64 / count as f64;
             rows.push(json!({"held": count, "cpu_us": round(cpu), "per_s": round(rate), "bytes_each": each.round()}));
         }
@@ -407,19 +407,43 @@
     (x * 100.0).round() / 100.0
 }
 
-/// Everything, as one document; each part is said as it comes.
-pub fn run(program: &Path, dir: &Path, seconds: f64, rounds: usize) -> anyhow::Result<Value> {
+/// Which parts are measured, and over what.
+#[derive(Clone, Debug)]
+pub struct Parts {
+    /// Only this one.
+    pub only: Option<String>,
+    /// Numbers of held messages.
+    pub held: Vec<usize>,
+    /// Numbers of destinations.
+    pub destinations: Vec<usize>,
+}
+
+/// The parts as one document; each is said as it comes.
+pub fn run(
+    program: &Path,
+    dir: &Path,
+    (seconds, rounds): (f64, usize),
+    parts: &Parts,
+) -> anyhow::Result<Value> {
     let floor = Floor { program: program.to_owned(), dir: dir.to_owned(), seconds, rounds };
-    let say = |name: &str, v: anyhow::Result<Value>| -> anyhow::Result<Value> {
-        let v = v.with_context(|| name.to_owned())?;
-        println!("{name}: {}", serde_json::to_string_pretty(&v)?);
-        Ok(v)
-    };
-    Ok(json!({
-        "seconds": seconds, "rounds": rounds,
-        "beside": say("beside", floor.beside())?,
-        "destinations": say("destinations", floor.destinations(&[1, 10, 100, 1000]))?,
-        "held": say("held", floor.held(&[10, 1000, 10_000]))?,
-        "connections": say("connections", floor.connections(5000))?,
-    }))
+    let mut out = json!({"seconds": seconds, "rounds": rounds});
+    let names = ["beside", "destinations", "held", "connections"];
+    if let Some(only) = parts.only.as_deref().filter(|only| !names.contains(only)) {
+        bail!("`{only}` is no part; there are {}", names.join(", "));
+    }
+    for name in names {
+        if parts.only.as_deref().is_some_and(|only| only != name) {
+            continue;
+        }
+        let figures = match name {
+            "beside" => floor.beside(),
+            "destinations" => floor.destinations(&parts.destinations),
+            "held" => floor.held(&parts.held),
+            _ => floor.connections(5000),
+        };
+        let figures = figures.with_context(|| name.to_owned())?;
+        println!("{name}: {}", serde_json::to_string_pretty(&figures)?);
+        out[name] = figures;
+    }
+    Ok(out)
 }
