Lab: a test that a stack comes up, delivers and ends

Need: linnetcart-lab up was tried by hand with stock producers only. Change: the test reads its line, hands a message in and ends it by SIGTERM.

--- a/crates/lab/tests/process.rs
+++ b/crates/lab/tests/process.rs
@@ -231,3 +231,26 @@
     assert_eq!(http(e.control, "GET", "/status", "").0, 200);
     std::fs::remove_dir_all(dir).unwrap();
 }
+
+#[test]
+fn a_stack_comes_up_delivers_and_ends() {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_linnetcart-lab"))
+        .args(["up", "--seed", "3"])
+        .stdout(Stdio::piped())
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap();
+    let mut line = String::new();
+    BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
+    let said: serde_json::Value = serde_json::from_str(&line).unwrap();
+    let kafka: SocketAddr = said["kafka"].as_str().unwrap().parse().unwrap();
+    let topic = said["topics"][0].as_str().unwrap().to_owned();
+    assert!(said["destinations"].as_array().unwrap().len() > 3 && said["control"].is_string());
+    let mut s = TcpStream::connect(kafka).unwrap();
+    s.write_all(&produce(7, &topic)).unwrap();
+    let got = answer(&mut s);
+    assert_eq!((got.correlation, got.parts[0].code), (7, codes::NONE));
+    drop(s);
+    signal(&child, "TERM");
+    assert_eq!(ended(&mut child, Duration::from_secs(10)), Some(0));
+}
