--- a/crates/edge/src/core/delivery.rs
+++ b/crates/edge/src/core/delivery.rs
@@ -194,15 +194,7 @@
         let open = self.joining.get(&endpoint).copied();
         let open = open.filter(|id| self.calls.get(id).is_some_and(|c| c.parcels.len() < per_call));
         if open.is_none() && self.running >= self.bounds.slots {
-            self.done.push(Done {
-                message: parcel.message,
-                attempt: parcel.attempt,
-                endpoint,
-                ending: Ending::NotSent { no_slot: true },
-                sent: self.now,
-                load: None,
-            });
-            return;
+            return self.not_sent(parcel.message, parcel.attempt, endpoint, true);
         }
         let id = open.unwrap_or_else(|| {
             let id = self.number();
@@ -222,8 +214,8 @@
     }
 
     /// An attempt that was never begun.
-    pub(crate) fn not_sent(&mut self, message: u32, attempt: u16, endpoint: u32) {
-        let ending = Ending::NotSent { no_slot: false };
+    pub(crate) fn not_sent(&mut self, message: u32, attempt: u16, endpoint: u32, no_slot: bool) {
+        let ending = Ending::NotSent { no_slot };
         self.done.push(Done { message, attempt, endpoint, ending, sent: self.now, load: None });
     }
 
--- a/crates/edge/src/core/mod.rs
+++ b/crates/edge/src/core/mod.rs
@@ -764,7 +764,6 @@
             let open: Vec<u32> = self.held.iter().filter(|(_, m)| !m.over).map(|(&id, _)| id).collect();
             open.into_iter().for_each(|m| self.force(m));
         }
-        self.fetch();
     }
 
     fn round(&mut self) {
@@ -810,7 +809,7 @@
         let entry = self.list.entries.get(&endpoint);
         let kind = entry.and_then(|e| self.set.kinds.iter().find(|k| k.name == e.kind));
         let (Some(kind), false) = (kind, m.over || u32::from(attempt) >= self.set.limits.attempts) else {
-            self.delivery.not_sent(message, attempt, endpoint);
+            self.delivery.not_sent(message, attempt, endpoint, false);
             return;
         };
         let until = if until == 0 { m.due } else { until.min(m.due) };
--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -373,8 +373,8 @@
     }
 
     fn facts(&mut self) {
+        let now = self.now();
         let Some(core) = &mut self.program.core else { return };
-        let now = CLOCK_START + self.begun.elapsed().as_nanos() as Time;
         for fact in core.facts() {
             match fact {
                 Fact::Log(line) if self.lines.may(now) => tracing::info!("{line}"),
--- a/crates/lab/src/rig/troubles.rs
+++ b/crates/lab/src/rig/troubles.rs
@@ -172,7 +172,7 @@
                 let batch = ((all.len() as f64 * t.size.max(0.05)).ceil() as usize).max(1);
                 // The oldest numbers first; replacements have higher ones, so each goes once.
                 let ready =
-                    all.into_iter().filter(|e| self.standing[e].state == "ready" && *e < self.first_new(n));
+                    all.into_iter().filter(|e| self.standing[e].state == "ready" && *e < self.first_new());
                 let going: Vec<u32> = ready.take(batch).collect();
                 let steps = (1.0 / t.size.max(0.05)).ceil();
                 next(self, seconds(t.lasts / (steps + 1.0)));
@@ -213,8 +213,8 @@
         Ok(())
     }
 
-    /// Endpoints with numbers from here on came into being during this trouble.
-    pub(super) fn first_new(&self, _n: usize) -> u32 {
+    /// Endpoints with numbers from here on came into being during the day.
+    pub(super) fn first_new(&self) -> u32 {
         self.fleet.members.iter().flat_map(|m| &m.endpoints).map(|e| e.0 + 1).max().unwrap_or(u32::MAX)
     }
 
--- a/crates/lab/tests/process.rs
+++ b/crates/lab/tests/process.rs
@@ -26,6 +26,13 @@
     dir
 }
 
+/// The line of JSON that a program prints when it is ready.
+fn ready_line(child: &mut Child) -> serde_json::Value {
+    let mut line = String::new();
+    BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
+    serde_json::from_str(&line).unwrap()
+}
+
 fn edge(dir: &Path, files: Option<u32>) -> Edge {
     let program = env!("CARGO_BIN_EXE_linnetcart-lab");
     let args = "edge --kafka 127.0.0.1:0 --control 127.0.0.1:0 --drain-ms 1500 --log json --state-dir";
@@ -37,9 +44,7 @@
         .stderr(Stdio::null())
         .spawn()
         .unwrap();
-    let mut line = String::new();
-    BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
-    let said: serde_json::Value = serde_json::from_str(&line).unwrap();
+    let said = ready_line(&mut child);
     let addr = |name: &str| said[name].as_str().unwrap().parse().unwrap();
     Edge { kafka: addr("kafka"), control: addr("control"), child }
 }
@@ -240,9 +245,7 @@
         .stderr(Stdio::null())
         .spawn()
         .unwrap();
-    let mut line = String::new();
-    BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
-    let said: serde_json::Value = serde_json::from_str(&line).unwrap();
+    let said = ready_line(&mut child);
     let kafka: SocketAddr = said["kafka"].as_str().unwrap().parse().unwrap();
     let topic = said["topics"][0].as_str().unwrap().to_owned();
     assert!(said["destinations"].as_array().unwrap().len() > 3 && said["control"].is_string());
