Library: a round's cost goes by what happened; ordered indexes in place of walks

Cause: answer_due, shed, look_for_silence, copy, pick and dispatch walked all that was held or out in each round; 50,000 held messages made a message cost 45 times as much as 10, and a full hold 80 times.

Change: ends, overdue times, copy times, stands and worth are kept in order as they change (src/state.rs); choice.rs asks them. Messages of one destination that stand alike are put to the gate once. No decision moved out or changed. Idle keys that have rested are forgotten. Events and actions can be written down (feature serde).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -3,8 +3,10 @@
 //! In order: values, state, a round, the list, messages, outcomes, sending, the gate, copies, health.
 
 use crate::interface::*;
-use crate::state::{Call, Dest, Health, Line, Msg, Node, Out, Random, Site};
-use std::collections::{BTreeMap, VecDeque};
+use crate::state::{
+    least, Agenda, Call, Dest, Group, Health, Latencies, Line, Msg, Node, Out, Random, Site, Stand, Table,
+};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 // ---- Values. Spans in seconds are turned into settings' terms where a setting gives the measure.
 
@@ -71,14 +73,23 @@
     /// How much later than wanted this round came.
     late: Time,
     seq: u64,
-    dests: BTreeMap<u32, Dest>,
-    sites: BTreeMap<u32, Site>,
+    dests: Table<Dest>,
+    sites: Table<Site>,
     msgs: BTreeMap<u32, Msg>,
     outs: BTreeMap<(u32, u16), Out>,
     calls: BTreeMap<u64, Call>,
     lines: BTreeMap<u64, Line>,
     /// Served latencies of late, whatever the destination.
-    latencies: VecDeque<Time>,
+    latencies: Latencies,
+    /// What a round looks for, kept as it changes: open messages by the end of their time and by that of
+    /// their right to another attempt, destinations that some wait for, attempts out and not called off by
+    /// when they are overdue, lone ones by when a copy may go, idle keys by the end of their rest.
+    due: BTreeSet<(Time, u32)>,
+    stale: BTreeSet<(Time, u32)>,
+    waited_for: BTreeSet<u32>,
+    running: Agenda,
+    lone: Agenda,
+    resting: BTreeSet<(Time, u64)>,
     ask_at: Time,
     ask_gap: Time,
     actions: Vec<Action>,
@@ -108,6 +119,7 @@
             }
         }
         self.ask();
+        self.forget_keys();
         self.answer_due();
         self.look_for_silence();
         self.shed();
@@ -134,19 +146,24 @@
             (self.ask_at, self.ask_gap) = (NEVER, 0);
         }
         if whole {
-            self.sites.values_mut().for_each(|s| s.listing = Listing::Gone);
+            self.sites.retain(|_, s| {
+                s.listing = Listing::Gone;
+                true
+            });
         }
+        let mut changed = BTreeSet::new();
         for e in entries {
-            if e.listing == Listing::Gone && !self.sites.contains_key(&e.id) {
+            if e.listing == Listing::Gone && !self.sites.contains(e.id) {
                 continue;
             }
-            let dest = self.dests.entry(e.destination).or_insert_with(|| Dest::new(e.kind, self.now));
+            let dest = self.dests.get_or_insert_with(e.destination, || Dest::new(e.kind, self.now));
             dest.kind = e.kind;
             dest.endpoints.insert(e.id);
+            changed.insert(e.destination);
             let apart = apart_kind(&self.set, e.kind);
             let out_at = if apart { OUT_AT } else { OUT_AT_ENDPOINT };
             let lot = -(1.0 - self.random.draw()).ln();
-            let site = self.sites.entry(e.id).or_insert_with(|| Site {
+            let site = self.sites.get_or_insert_with(e.id, || Site {
                 lot,
                 node: Node::new(out_at, self.now),
                 dest: e.destination,
@@ -163,7 +180,13 @@
         let dests = &mut self.dests;
         self.sites.retain(|_, s| s.listing != Listing::Gone || s.calls > 0);
         let sites = &self.sites;
-        dests.values_mut().for_each(|d| d.endpoints.retain(|e| sites.contains_key(e)));
+        dests.retain(|id, d| {
+            let before = d.endpoints.len();
+            d.endpoints.retain(|&e| sites.contains(e));
+            changed.extend((d.endpoints.len() != before).then_some(id));
+            true
+        });
+        changed.iter().for_each(|&id| self.respan(id));
     }
 
     /// The list or its watch failed: ask again, each time later, so that many couriers do not jam it.
@@ -203,41 +226,122 @@
             ..Msg::default()
         };
         if key != 0 {
-            self.lines.entry(key).or_default().queue.push_back(t.id);
+            self.lines.entry(key).or_default().queue.insert((msg.seq, t.id));
         }
-        let dest = self.dests.entry(t.destination).or_insert_with(|| Dest::new(0, self.now));
-        dest.waiting.insert((msg.seq, t.id));
+        self.dests.get_or_insert_with(t.destination, || Dest::new(0, self.now));
+        self.due.insert((due, t.id));
         self.msgs.insert(t.id, msg);
+        self.wait(t.id);
+    }
+
+    /// From now on it waits, and stands as it does now.
+    fn wait(&mut self, id: u32) {
+        self.wait_no_more(id);
+        let Some(m) = self.msgs.get(&id) else { return };
+        let line = self.lines.get(&m.key).filter(|_| m.key != 0);
+        let first = m.maybe.iter().min();
+        let (stale, by_zone) = match self.set.classes[m.class].repeat {
+            Repeat::Keyed { window, by_zone } => {
+                (first.map(|f| (f.0 + window).saturating_sub(self.set.connect_timeout)), by_zone)
+            }
+            _ => (None, false),
+        };
+        let stand = match first {
+            _ if line.is_some_and(|l| l.queue.first() != Some(&(m.seq, id))) => Stand::Behind,
+            _ if line.is_some_and(|l| l.rest > self.now && m.attempts == 0) => Stand::Resting,
+            Some(first) => Stand::Again(by_zone.then_some(first.2)),
+            None => Stand::Fresh,
+        };
+        let stale = if self.may_resend(m, None) { stale } else { Some(self.now) };
+        let dest = m.dest;
+        stale.map(|at| self.stale.insert((at, id)));
+        self.waited_for.insert(dest);
+        let spare = self.may_refuse(m);
+        if let (Some(m), Some(d)) = (self.msgs.get_mut(&id), self.dests.get_mut(dest)) {
+            (m.stand, m.stale) = (Some(stand), stale);
+            d.waiting.insert(stand, id, m, spare);
+        }
+    }
+
+    fn wait_no_more(&mut self, id: u32) {
+        let Some(m) = self.msgs.get_mut(&id) else { return };
+        if let Some(at) = m.stale.take() {
+            self.stale.remove(&(at, id));
+        }
+        let (Some(stand), Some(d)) = (m.stand.take(), self.dests.get_mut(m.dest)) else { return };
+        d.waiting.remove(stand, id, m);
+        if d.waiting.is_empty() {
+            self.waited_for.remove(&m.dest);
+        }
     }
 
     /// The message has its answer: nothing more goes out for it, and what is out is called off.
     fn end(&mut self, id: u32) {
         let Some(m) = self.msgs.get_mut(&id) else { return };
         m.over = true;
-        if let Some(d) = self.dests.get_mut(&m.dest) {
-            d.waiting.remove(&(m.seq, id));
-        }
+        self.due.remove(&(m.due, id));
+        self.wait_no_more(id);
         if self.set.may_cancel {
-            for (&(_, attempt), out) in self.outs.range_mut((id, 0)..=(id, u16::MAX)) {
-                if !std::mem::replace(&mut out.cancelled, true) {
-                    self.actions.push(Action::Cancel { message: id, attempt });
-                }
-            }
+            let outs = self.outs.range((id, 0)..=(id, u16::MAX)).filter(|(_, out)| !out.cancelled);
+            let off: Vec<u16> = outs.map(|(&(_, attempt), _)| attempt).collect();
+            off.iter().for_each(|&attempt| self.call_off(id, attempt));
         }
+        self.count_out(id);
         self.forget(id);
     }
 
+    fn call_off(&mut self, message: u32, attempt: u16) {
+        let Some(out) = self.outs.get_mut(&(message, attempt)) else { return };
+        out.cancelled = true;
+        let sent = out.sent;
+        self.actions.push(Action::Cancel { message, attempt });
+        self.runs_no_more(message, attempt, sent);
+    }
+
+    fn runs_no_more(&mut self, message: u32, attempt: u16, sent: Time) {
+        let Some(m) = self.msgs.get(&message) else { return };
+        self.running.remove(self.group(m), (sent, message, attempt));
+    }
+
+    /// Keeps the index of lone attempts true after one was sent, called off or ended, or its message is over.
+    fn count_out(&mut self, id: u32) {
+        let Some(m) = self.msgs.get_mut(&id) else { return };
+        let outs = self.outs.range((id, 0)..=(id, u16::MAX));
+        let mut running = outs.filter(|(_, out)| !out.cancelled).map(|(k, out)| (out.sent, id, k.1));
+        let lone = running.next().filter(|_| m.live == 1 && !m.over);
+        let before = std::mem::replace(&mut m.lone, lone);
+        let group = (Some(m.dest), m.class);
+        if before != lone {
+            let span = self.copy_span(group);
+            before.into_iter().for_each(|sent| self.lone.remove(group, sent));
+            lone.into_iter().for_each(|sent| self.lone.insert(group, span, sent));
+        }
+    }
+
     /// Drops a message that is over and has nothing out; its key's line moves on.
     fn forget(&mut self, id: u32) {
         let Some(m) = self.msgs.get(&id) else { return };
         if !m.over || m.live > 0 {
             return;
         }
-        let key = m.key;
+        let (key, seq) = (m.key, m.seq);
         self.msgs.remove(&id);
-        if let Some(line) = self.lines.get_mut(&key) {
-            line.queue.retain(|&x| x != id);
-            if line.queue.is_empty() && line.rest <= self.now {
+        let Some(line) = self.lines.get_mut(&key) else { return };
+        line.queue.remove(&(seq, id));
+        let next = line.queue.first().map(|first| first.1);
+        if next.is_none() {
+            self.resting.insert((line.rest, key));
+        }
+        if let Some(next) = next.filter(|next| self.msgs.get(next).is_some_and(|m| m.stand.is_some())) {
+            self.wait(next);
+        }
+    }
+
+    /// Idle keys are forgotten once they have rested.
+    fn forget_keys(&mut self) {
+        while let Some((_, key)) = self.resting.first().copied().filter(|r| r.0 <= self.now) {
+            self.resting.pop_first();
+            if self.lines.get(&key).is_some_and(|l| l.queue.is_empty() && l.rest <= self.now) {
                 self.lines.remove(&key);
             }
         }
@@ -265,11 +369,11 @@
     /// run and may not go again.
     fn answer_due(&mut self) {
         let at = self.now + 2 * self.set.tick;
-        let hopeless = |m: &Msg| m.due <= at || (m.live == 0 && !self.may_resend(m, None));
-        let open = self.msgs.iter().filter(|(_, m)| !m.over);
-        let due: Vec<u32> = open.filter_map(|(&id, m)| hopeless(m).then_some(id)).collect();
-        due.iter().for_each(|&id| self.give_up(id, 0));
-        let next = self.msgs.values().filter(|m| !m.over).map(|m| m.due - 2 * self.set.tick).min();
+        let due = self.due.iter().take_while(|d| d.0 <= at);
+        let stale = self.stale.iter().take_while(|s| s.0 <= self.now);
+        let hopeless: BTreeSet<u32> = due.chain(stale).map(|d| d.1).collect();
+        hopeless.iter().for_each(|&id| self.give_up(id, 0));
+        let next = self.due.first().map(|d| d.0 - 2 * self.set.tick);
         self.wake_at(next.unwrap_or(NEVER));
     }
 
@@ -277,37 +381,35 @@
     /// what waits for a slot only is held to what the slots serve within an aim at the 95th percentile of
     /// latency: beyond that the oldest first would have all of them late.
     fn shed(&mut self) {
-        let waiting = |c: &Self, all: bool| -> Vec<u32> {
-            let dests = c.dests.values().filter(|d| all || c.lacks_slot(d));
-            dests.flat_map(|d| &d.waiting).map(|w| w.1).collect()
-        };
-        let open = self.msgs.values().filter(|m| !m.over).count() as f64;
-        let over = open - CROWDED * f64::from(self.set.max_held);
-        let all = if over >= 1.0 { waiting(self, true) } else { Vec::new() };
-        self.hand_back(all, over);
+        let over = self.due.len() as f64 - CROWDED * f64::from(self.set.max_held);
+        if over >= 1.0 {
+            self.hand_back(&self.waited_for.clone(), over);
+        }
         let full = self.calls.len() >= self.set.slots as usize;
-        if let Some(took) = percentile(&self.latencies).filter(|_| full) {
+        if let Some(took) = self.latencies.high.filter(|_| full) {
             let aim = self.set.classes.iter().map(|c| c.aim).max().unwrap_or(0);
             let served = f64::from(self.set.slots) * aim as f64 / took.max(1) as f64;
-            let blocked = waiting(self, false);
-            let extra = blocked.len() as f64 - served;
-            self.hand_back(blocked, extra);
+            let blocked = self.waited_for.iter().filter(|&id| self.lacks_slot(&self.dests[*id]));
+            let blocked: BTreeSet<u32> = blocked.copied().collect();
+            let held: usize = blocked.iter().map(|id| self.dests[*id].waiting.len()).sum();
+            self.hand_back(&blocked, held as f64 - served);
         }
     }
 
-    /// Hands back so many of these, those of least worth first.
-    fn hand_back(&mut self, mut from: Vec<u32>, count: f64) {
+    /// Hands back so many of those that wait for these destinations, those of least worth first.
+    fn hand_back(&mut self, dests: &BTreeSet<u32>, count: f64) {
         if count < 1.0 {
             return;
         }
-        from.retain(|id| self.may_refuse(&self.msgs[id]));
-        from.sort_by(|a, b| self.worth(&self.msgs[a]).total_cmp(&self.worth(&self.msgs[b])));
-        from.iter().take(count as usize).for_each(|&id| self.give_up(id, self.set.max_come_back));
+        // Of one class the older is worth no more.
+        let spare = dests.iter().map(|&id| (id, &self.dests[id].waiting));
+        let least = least(spare, count as usize, |class, taken| self.worth(class, taken));
+        least.iter().for_each(|&id| self.give_up(id, self.set.max_come_back));
     }
 
-    fn worth(&self, m: &Msg) -> f64 {
-        let class = &self.set.classes[m.class];
-        let age = self.now.saturating_sub(m.taken) as f64;
+    fn worth(&self, class: usize, taken: Time) -> f64 {
+        let class = &self.set.classes[class];
+        let age = self.now.saturating_sub(taken) as f64;
         let late = (age - class.aim as f64).max(0.0);
         let kept = if self.set.worth_halves {
             0.5f64.powf(late / class.aim.max(1) as f64).max(class.late_worth)
@@ -330,9 +432,15 @@
         if over {
             self.calls.remove(&out.call);
         }
+        if !out.cancelled {
+            self.runs_no_more(o.message, o.attempt, out.sent);
+        }
         self.learn(&o, &out, over, first);
+        if let Some(m) = self.msgs.get_mut(&o.message) {
+            m.live -= 1;
+        }
+        self.count_out(o.message);
         let Some(m) = self.msgs.get_mut(&o.message) else { return };
-        m.live -= 1;
         let never_ran =
             matches!(o.ending, Ending::Full { .. } | Ending::NoConnection | Ending::NotSent { .. });
         if never_ran {
@@ -343,15 +451,12 @@
                 line.rest = line.rest.max(self.now + self.set.key_rest);
             }
         }
-        let (seq, dest) = (m.seq, m.dest);
         if o.over {
             self.end(o.message);
         } else if m.over || m.live > 0 {
             self.forget(o.message);
         } else if self.may_resend(&self.msgs[&o.message], None) {
-            if let Some(d) = self.dests.get_mut(&dest) {
-                d.waiting.insert((seq, o.message));
-            }
+            self.wait(o.message);
         } else {
             self.give_up(o.message, 0);
         }
@@ -377,8 +482,8 @@
     /// What an outcome tells of the limits that it went through.
     fn learn(&mut self, o: &Outcome, out: &Out, over: bool, first: bool) {
         let (now, set) = (self.now, &self.set);
-        let Some(site) = self.sites.get_mut(&o.endpoint) else { return };
-        let Some(dest) = self.dests.get_mut(&site.dest) else { return };
+        let Some(site) = self.sites.get_mut(o.endpoint) else { return };
+        let Some(dest) = self.dests.get_mut(site.dest) else { return };
         let apart = apart_kind(set, dest.kind);
         site.calls = site.calls.saturating_sub(u32::from(over));
         dest.calls = dest.calls.saturating_sub(u32::from(over));
@@ -408,7 +513,7 @@
                 // What a pause of this courier made late is no latency.
                 if self.late <= 2 * set.tick {
                     dest.served(o.took);
-                    note_latency(&mut self.latencies, o.took);
+                    self.latencies.note(o.took);
                 }
                 dest.bucket = (dest.bucket + 1.0).min(BUCKET);
             }
@@ -427,6 +532,10 @@
             let text = format!("destination {} endpoint {}: {}", site.dest, o.endpoint, node.line(o.ending));
             self.actions.push(Action::Log(text));
         }
+        if o.ending == Ending::Served {
+            let id = site.dest;
+            self.respan(id);
+        }
     }
 
     // ---- Sending
@@ -434,8 +543,8 @@
     /// Free slots go to the waiting destination with the least recent slot time, within it to the oldest
     /// message that may go.
     fn dispatch(&mut self) {
-        let waiting = self.dests.iter().filter(|(_, d)| !d.waiting.is_empty());
-        let mut order: Vec<(Time, u32)> = waiting.map(|(&id, d)| (d.last_slot, id)).collect();
+        let mut order: Vec<(Time, u32)> =
+            self.waited_for.iter().map(|&id| (self.dests[id].last_slot, id)).collect();
         order.sort_unstable();
         let mut order = VecDeque::from(order);
         while let Some((_, id)) = order.pop_front() {
@@ -452,37 +561,38 @@
 
     /// What waits for the same destination rides along in the call just made, as far as it takes more.
     fn fill(&mut self, id: u32, endpoint: u32) {
-        let held: Vec<u32> = self.dests.get(&id).map_or(vec![], |d| d.waiting.iter().map(|w| w.1).collect());
-        for message in held {
-            if self.joined(endpoint).is_none() {
-                return;
-            }
-            let m = &self.msgs[&message];
-            if self.gate(m, message, endpoint).and_then(|()| self.courtesy(m)).is_ok() {
-                self.send(message, endpoint);
-            }
+        let rides = |c: &Self, message: &u32| {
+            let m = &c.msgs[message];
+            c.gate(m, *message, endpoint).and_then(|()| c.courtesy(m)).is_ok()
+        };
+        while self.joined(endpoint).is_some() {
+            let heads = self.dests.get(id).map_or(vec![], |d| d.waiting.heads());
+            let Some(message) = heads.into_iter().find(|message| rides(self, message)) else { return };
+            self.send(message, endpoint);
         }
     }
 
     /// The call of this round that another send to this endpoint may join.
     fn joined(&self, endpoint: u32) -> Option<u64> {
-        let site = self.sites.get(&endpoint)?;
-        let kind = usize::from(self.dests.get(&site.dest)?.kind);
+        let site = self.sites.get(endpoint)?;
+        let kind = usize::from(self.dests.get(site.dest)?.kind);
         let most = self.set.kinds.get(kind).map_or(1, |k| k.per_call);
         let (call, at, sends) = site.joined;
         (at == self.now && sends > 0 && sends < most).then_some(call)
     }
 
     fn pick(&mut self, id: u32) -> Option<(u32, u32)> {
-        let dest = self.dests.get_mut(&id)?;
+        let rested = self.dests.get(id)?.waiting.resting().into_iter();
+        let rested = rested.filter(|m| self.lines.get(&self.msgs[m].key).is_none_or(|l| l.rest <= self.now));
+        rested.collect::<Vec<u32>>().into_iter().for_each(|m| self.wait(m));
+        let dest = self.dests.get_mut(id)?;
         dest.node.waiting = dest.waiting.len() as f64;
         for e in &dest.endpoints {
-            if let Some(site) = self.sites.get_mut(e) {
+            if let Some(site) = self.sites.get_mut(*e) {
                 site.node.waiting = dest.node.waiting;
             }
         }
-        let held: Vec<u32> = dest.waiting.iter().map(|&(_, m)| m).collect();
-        for m in held {
+        for m in dest.waiting.heads() {
             match self.choose(m, &[]) {
                 Ok(endpoint) => return Some((m, endpoint)),
                 Err(at) => self.wake_at(at),
@@ -496,7 +606,7 @@
         let mut wake = NEVER;
         let mut open = Vec::new();
         let m = &self.msgs[&message];
-        for &e in self.dests.get(&m.dest).iter().flat_map(|d| &d.endpoints) {
+        for &e in self.dests.get(m.dest).iter().flat_map(|d| &d.endpoints) {
             if but.contains(&e) {
                 continue;
             }
@@ -511,13 +621,13 @@
 
     /// Messages of this class were lost here of late: one class may fail where the others are served.
     fn shuns(&self, m: &Msg, endpoint: u32) -> bool {
-        self.sites[&endpoint].shunned.get(&m.class).is_some_and(|&until| until > self.now)
+        self.sites[endpoint].shunned.get(&m.class).is_some_and(|&until| until > self.now)
     }
 
     /// Calls out there, its failing share, and the prices of reaching it, in calls. Where an even part is
     /// less than a call in a burst, a lot of its own for each: or hundreds would all take the same endpoint.
     fn cost(&self, endpoint: u32) -> f64 {
-        let (s, set) = (&self.sites[&endpoint], &self.set);
+        let (s, set) = (&self.sites[endpoint], &self.set);
         let crossing = if s.zone == set.zone { 0.0 } else { set.crossing_price };
         let fee = set.route_fees.get(usize::from(s.zone)).filter(|_| self.apart(s.dest));
         let price = crossing + fee.unwrap_or(&0.0);
@@ -527,23 +637,23 @@
     }
 
     fn apart(&self, dest: u32) -> bool {
-        self.dests.get(&dest).is_some_and(|d| apart_kind(&self.set, d.kind))
+        self.dests.get(dest).is_some_and(|d| apart_kind(&self.set, d.kind))
     }
 
     /// The limit that a send to this endpoint comes under.
     fn node(&self, endpoint: u32) -> Option<&Node> {
-        let site = self.sites.get(&endpoint)?;
+        let site = self.sites.get(endpoint)?;
         if self.apart(site.dest) {
             Some(&site.node)
         } else {
-            self.dests.get(&site.dest).map(|d| &d.node)
+            self.dests.get(site.dest).map(|d| &d.node)
         }
     }
 
     /// Every send passes here, and only here: the six rules and the caps. `Err` tells when to look again.
     fn gate(&self, m: &Msg, id: u32, endpoint: u32) -> Result<(), Time> {
         let (now, set) = (self.now, &self.set);
-        let (Some(site), Some(dest)) = (self.sites.get(&endpoint), self.dests.get(&m.dest)) else {
+        let (Some(site), Some(dest)) = (self.sites.get(endpoint), self.dests.get(m.dest)) else {
             return Err(NEVER);
         };
         // Rule 1: nothing for a message that is over or about to be. Rule 2: no second effect, and two at
@@ -558,7 +668,7 @@
         }
         // Rule 6: one at a time for a key, in turn, and rested.
         match self.lines.get(&m.key).filter(|_| m.key != 0) {
-            Some(line) if line.queue.front() != Some(&id) => return Err(NEVER),
+            Some(line) if line.queue.first() != Some(&(m.seq, id)) => return Err(NEVER),
             Some(line) if line.rest > now && m.attempts == 0 => return Err(line.rest),
             _ => {}
         }
@@ -577,7 +687,7 @@
 
     /// An extra needs the bucket; with nothing else out one may go, or an empty bucket could never fill.
     fn courtesy(&self, m: &Msg) -> Result<(), Time> {
-        let dest = &self.dests[&m.dest];
+        let dest = &self.dests[m.dest];
         let extra = !m.maybe.is_empty() && (m.live > 0 || dest.calls > 0);
         (!extra || dest.bucket > BUCKET / 2.0).then_some(()).ok_or(NEVER)
     }
@@ -585,10 +695,10 @@
     fn send(&mut self, message: u32, endpoint: u32) {
         let now = self.now;
         let chance = self.random.draw();
-        let apart = self.sites.get(&endpoint).is_some_and(|s| self.apart(s.dest));
+        let apart = self.sites.get(endpoint).is_some_and(|s| self.apart(s.dest));
         let rides = self.joined(endpoint).is_some();
         let Some(m) = self.msgs.get_mut(&message) else { return };
-        let (Some(site), Some(dest)) = (self.sites.get_mut(&endpoint), self.dests.get_mut(&m.dest)) else {
+        let (Some(site), Some(dest)) = (self.sites.get_mut(endpoint), self.dests.get_mut(m.dest)) else {
             return;
         };
         if !rides {
@@ -608,28 +718,66 @@
         m.attempts += 1;
         m.live += 1;
         m.maybe.push((now, attempt, site.zone));
-        dest.waiting.remove(&(m.seq, message));
         dest.last_slot = now;
+        self.wait_no_more(message);
         self.outs.insert((message, attempt), Out { endpoint, sent: now, call, cancelled: false });
+        let group = self.group(&self.msgs[&message]);
+        self.running.insert(group, self.overdue_span(group), (now, message, attempt));
+        self.count_out(message);
         self.actions.push(Action::Send { message, endpoint, until: 0 });
     }
 
     // ---- Copies, silence
 
-    /// Attempts out and not called off: message, attempt, endpoint, when sent.
-    fn running(&self) -> Vec<(u32, u16, u32, Time)> {
-        let on = self.outs.iter().filter(|(_, o)| !o.cancelled);
-        on.map(|(&(m, a), o)| (m, a, o.endpoint, o.sent)).collect()
+    /// Attempts to one destination and of one class are overdue after one span; so are those to all that are
+    /// not known yet.
+    fn group(&self, m: &Msg) -> Group {
+        (self.dests.get(m.dest).filter(|d| d.known).map(|_| m.dest), m.class)
+    }
+
+    /// Past its aim a message loses worth: a latency grown beyond that is no reason to wait on.
+    fn overdue_span(&self, (dest, class): Group) -> Time {
+        let aim = self.set.classes[class].aim;
+        let known = dest.and_then(|id| self.dests.get(id)?.latencies.high);
+        OVERDUE * known.or(self.latencies.high).unwrap_or(aim).min(aim)
+    }
+
+    /// After this a lone attempt may have a copy; never where there is no other endpoint.
+    fn copy_span(&self, (dest, class): Group) -> Time {
+        let dest = dest.and_then(|id| self.dests.get(id)).filter(|d| d.endpoints.len() > 1);
+        dest.map_or(NEVER, |d| d.resend(self.set.classes[class].aim))
+    }
+
+    /// Latencies or endpoints of a destination changed, and with them the spans of its groups.
+    fn respan(&mut self, id: u32) {
+        let Some(dest) = self.dests.get_mut(id) else { return };
+        let learned = !dest.known && dest.latencies.high.is_some();
+        dest.known |= learned;
+        for class in 0..self.set.classes.len() {
+            let (own, all) = ((Some(id), class), (None, class));
+            let span = self.overdue_span(own);
+            if learned {
+                let here = self.running.group(all).filter(|(_, m, _)| self.msgs[m].dest == id);
+                for sent in here.collect::<Vec<_>>() {
+                    self.running.remove(all, sent);
+                    self.running.insert(own, span, sent);
+                }
+            }
+            self.running.respan(own, span);
+            self.running.respan(all, self.overdue_span(all));
+            self.lone.respan(own, self.copy_span(own));
+        }
     }
 
     /// So many slots are free, or fewer, and messages wait for one and nothing else.
     fn crowded(&self, free: usize) -> bool {
-        self.calls.len() + free >= self.set.slots as usize && self.dests.values().any(|d| self.lacks_slot(d))
+        let mut waiting = self.waited_for.iter().map(|id| &self.dests[*id]);
+        self.calls.len() + free >= self.set.slots as usize && waiting.any(|d| self.lacks_slot(d))
     }
 
     fn lacks_slot(&self, d: &Dest) -> bool {
         let (now, set, apart) = (self.now, &self.set, apart_kind(&self.set, d.kind));
-        let mut nodes = d.endpoints.iter().map(|e| &self.sites[e].node);
+        let mut nodes = d.endpoints.iter().map(|e| &self.sites[*e].node);
         let open = d.node.open(now, true, set).is_ok() && nodes.any(|n| n.open(now, apart, set).is_ok());
         !d.waiting.is_empty() && open
     }
@@ -637,20 +785,27 @@
     /// A copy goes to another endpoint when the resend time has passed; never for the last slot while
     /// others wait, nor to a limit that is out, told to wait or over its pace.
     fn copy(&mut self) {
-        for (id, _, endpoint, sent) in self.running() {
-            let Some(m) = self.msgs.get(&id).filter(|m| !m.over && m.live == 1) else { continue };
-            let Some(dest) = self.dests.get(&m.dest).filter(|d| d.endpoints.len() > 1) else { continue };
-            let at = sent + dest.resend(self.set.classes[m.class].aim);
-            if at > self.now {
-                self.wake_at(at);
-                continue;
-            }
+        let (groups, next) = self.lone.due(self.now);
+        self.wake_at(next.unwrap_or(NEVER));
+        // Where the bucket is low, or nothing may go twice, none of a group goes.
+        let open = groups.into_iter().filter(|&(dest, class)| {
+            let bucket = dest.and_then(|id| self.dests.get(id)).map_or(0.0, |d| d.bucket);
+            bucket > BUCKET / 2.0 && self.set.may_copy && self.set.classes[class].repeat != Repeat::Unsafe
+        });
+        let due = open.flat_map(|group| self.lone.due_of(group, self.now));
+        let mut due: Vec<(u32, u16)> = due.map(|((_, id, attempt), _)| (id, attempt)).collect();
+        due.sort_unstable();
+        let mut crowded = None;
+        for (id, attempt) in due {
+            let (Some(o), Some(m)) = (self.outs.get(&(id, attempt)), self.msgs.get(&id)) else { continue };
+            let endpoint = o.endpoint;
             let out = self.node(endpoint).is_some_and(Node::out);
-            if dest.bucket <= BUCKET / 2.0 || self.crowded(1) || (out && !self.apart(m.dest)) {
+            if *crowded.get_or_insert_with(|| self.crowded(1)) || (out && !self.apart(m.dest)) {
                 continue;
             }
             if let Ok(other) = self.choose(id, &[endpoint]) {
                 self.send(id, other);
+                crowded = None;
             }
         }
     }
@@ -660,19 +815,21 @@
     /// class allows a repeat.
     fn look_for_silence(&mut self) {
         let now = self.now;
+        let (groups, next) = self.running.due(now);
+        self.wake_at(next.unwrap_or(NEVER));
+        if groups.is_empty() {
+            return;
+        }
         let full = self.crowded(0);
-        let usual = percentile(&self.latencies);
+        let due = groups.into_iter().flat_map(|group| self.running.due_of(group, now));
+        let mut due: Vec<_> = due.map(|((sent, id, attempt), at)| (id, attempt, sent, at)).collect();
+        due.sort_unstable();
         let mut off = Vec::new();
-        for (id, attempt, endpoint, sent) in self.running() {
-            let (Some(m), Some(site)) = (self.msgs.get(&id), self.sites.get_mut(&endpoint)) else { continue };
-            let Some(dest) = self.dests.get_mut(&m.dest) else { continue };
-            // Past its aim a message loses worth: a latency grown beyond that is no reason to wait on.
-            let aim = self.set.classes[m.class].aim;
-            let overdue = sent + OVERDUE * dest.resend(usual.unwrap_or(aim)).min(aim);
-            if overdue > now {
-                self.wake = self.wake.min(overdue);
-                continue;
-            }
+        for (id, attempt, sent, overdue) in due {
+            let (Some(o), Some(m)) = (self.outs.get(&(id, attempt)), self.msgs.get(&id)) else { continue };
+            let endpoint = o.endpoint;
+            let Some(site) = self.sites.get_mut(endpoint) else { continue };
+            let Some(dest) = self.dests.get_mut(m.dest) else { continue };
             site.shunned.insert(m.class, sent + self.set.classes[m.class].deadline);
             let silent = site.node.last_answer < sent;
             let elsewhere = dest.node.last_answer >= sent;
@@ -690,10 +847,8 @@
             }
         }
         for (message, attempt) in off {
-            if let Some(out) = self.outs.get_mut(&(message, attempt)) {
-                out.cancelled = true;
-                self.actions.push(Action::Cancel { message, attempt });
-            }
+            self.call_off(message, attempt);
+            self.count_out(message);
         }
     }
 }
@@ -704,27 +859,26 @@
     set.kinds.get(usize::from(kind)).is_some_and(|k| k.routes_apart)
 }
 
-fn note_latency(latencies: &mut VecDeque<Time>, took: Time) {
-    latencies.push_back(took);
-    if latencies.len() > LATENCIES {
-        latencies.pop_front();
+impl Latencies {
+    /// The 95th percentile is kept up, if there are enough.
+    fn note(&mut self, took: Time) {
+        self.kept.push_back(took);
+        if self.kept.len() > LATENCIES {
+            self.kept.pop_front();
+        }
+        let mut sorted: Vec<Time> = self.kept.iter().copied().collect();
+        sorted.sort_unstable();
+        self.high = sorted.get(sorted.len() * 95 / 100).filter(|_| sorted.len() >= ENOUGH).copied();
     }
 }
 
-/// The 95th percentile, if there are enough.
-fn percentile(latencies: &VecDeque<Time>) -> Option<Time> {
-    let mut sorted: Vec<Time> = latencies.iter().copied().collect();
-    sorted.sort_unstable();
-    sorted.get(sorted.len() * 95 / 100).filter(|_| sorted.len() >= ENOUGH).copied()
-}
-
 impl Dest {
     fn new(kind: u8, now: Time) -> Self {
         Dest { node: Node::new(OUT_AT, now), kind, bucket: BUCKET, ..Dest::default() }
     }
 
     fn served(&mut self, took: Time) {
-        note_latency(&mut self.latencies, took);
+        self.latencies.note(took);
         let took = took as f64;
         if self.usual == 0.0 {
             (self.usual, self.recent) = (took, took);
@@ -735,7 +889,7 @@
 
     /// The resend time: the 95th percentile of recent latencies, the aim until there are enough.
     fn resend(&self, aim: Time) -> Time {
-        percentile(&self.latencies).unwrap_or(aim)
+        self.latencies.high.unwrap_or(aim)
     }
 
     /// It fails, or runs at a multiple of its usual latency.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -5,6 +5,7 @@
 
 /// What a courier is told once, at its start. Figures that a deployment does not give stay at `Default`.
 #[derive(Clone, Debug, Default)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Settings {
     /// Couriers that send to the same destinations, this one included.
     pub couriers: u32,
@@ -84,6 +85,7 @@
 
 /// A class of message.
 #[derive(Clone, Debug)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Class {
     /// Served within this, a message has its full worth.
     pub aim: Time,
@@ -101,6 +103,7 @@
 
 /// What a second run of a message does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum Repeat {
     /// No harm.
     Safe,
@@ -117,6 +120,7 @@
 
 /// A kind of destination.
 #[derive(Clone, Copy, Debug)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Kind {
     /// Its endpoints are separate routes, each with its own limit, pace and outages.
     pub routes_apart: bool,
@@ -126,6 +130,7 @@
 
 /// What the rate in the list means.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum Rates {
     /// Nothing.
     #[default]
@@ -138,6 +143,7 @@
 
 /// State of an endpoint in the list; it tells nothing of health.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum Listing {
     /// In service.
     Ready,
@@ -150,6 +156,7 @@
 
 /// An entry of the list.
 #[derive(Clone, Debug)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Endpoint {
     /// Its number.
     pub id: u32,
@@ -167,6 +174,7 @@
 
 /// A message handed in.
 #[derive(Clone, Debug)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Taken {
     /// Its number, never used twice.
     pub id: u32,
@@ -184,6 +192,7 @@
 
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum Ending {
     /// Served.
     Served,
@@ -211,6 +220,7 @@
 
 /// The end of one attempt.
 #[derive(Clone, Debug)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Outcome {
     /// The message.
     pub message: u32,
@@ -232,6 +242,7 @@
 
 /// The end of a probe.
 #[derive(Clone, Debug)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Probed {
     /// The endpoint.
     pub endpoint: u32,
@@ -247,6 +258,7 @@
 
 /// What happened.
 #[derive(Clone, Debug)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum Event {
     /// News of the list.
     List {
@@ -281,6 +293,7 @@
 
 /// What is to be done, in this order.
 #[derive(Clone, Debug, PartialEq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum Action {
     /// Start the message's next attempt.
     Send {
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,10 @@
 //! What the decision module keeps in mind; it decides nothing here.
 
 use crate::interface::{Ending, Listing, Time};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::cmp::{Ordering, Reverse};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
+use std::hash::{BuildHasherDefault, Hasher};
+use std::ops::Bound;
 
 /// Health of a limit or an endpoint.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -68,12 +71,14 @@
     pub(crate) node: Node,
     pub(crate) kind: u8,
     pub(crate) endpoints: BTreeSet<u32>,
-    /// Messages held, oldest first.
-    pub(crate) waiting: BTreeSet<(u64, u32)>,
+    /// Messages held.
+    pub(crate) waiting: Waiting,
     pub(crate) last_slot: Time,
     pub(crate) calls: u32,
     pub(crate) bucket: f64,
-    pub(crate) latencies: VecDeque<Time>,
+    pub(crate) latencies: Latencies,
+    /// Its attempts out stand in groups of their own.
+    pub(crate) known: bool,
     pub(crate) usual: f64,
     pub(crate) recent: f64,
 }
@@ -106,6 +111,12 @@
     /// Attempts that are out or may have run: when sent, number, zone.
     pub(crate) maybe: Vec<(Time, u16, u8)>,
     pub(crate) over: bool,
+    /// How it waits, if it does.
+    pub(crate) stand: Option<Stand>,
+    /// When its right to another attempt ends, if it waits and that comes.
+    pub(crate) stale: Option<Time>,
+    /// Its one attempt out, if there is no other.
+    pub(crate) lone: Option<Sent>,
 }
 
 #[derive(Debug)]
@@ -126,10 +137,310 @@
 
 #[derive(Debug, Default)]
 pub(crate) struct Line {
-    pub(crate) queue: VecDeque<u32>,
+    /// Oldest first: sequence number, message.
+    pub(crate) queue: BTreeSet<(u64, u32)>,
     pub(crate) rest: Time,
 }
 
+/// How a message waits. Two of one destination that stand alike fare alike.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Stand {
+    /// No attempt of it may have run.
+    Fresh,
+    /// One may have; it goes again, if only in this zone.
+    Again(Option<u8>),
+    /// Its key rests; each for a time of its own.
+    Resting,
+    /// Behind another message of its key.
+    Behind,
+}
+
+/// Messages that wait for one destination, by stand, in each the oldest first: sequence number, message.
+#[derive(Debug, Default)]
+pub(crate) struct Waiting {
+    sets: BTreeMap<Stand, BTreeSet<(u64, u32)>>,
+    count: usize,
+    /// Those that may be handed back, by class.
+    spare: BTreeMap<usize, Spare>,
+}
+
+/// Messages of one class that may be handed back.
+#[derive(Debug, Default)]
+struct Spare {
+    /// When taken, sequence number, message.
+    by_age: BTreeSet<(Time, u64, u32)>,
+    by_seq: BTreeMap<(u64, u32), Time>,
+}
+
+impl Waiting {
+    pub(crate) fn insert(&mut self, stand: Stand, id: u32, m: &Msg, spare: bool) {
+        self.count += usize::from(self.sets.entry(stand).or_default().insert((m.seq, id)));
+        if spare {
+            let class = self.spare.entry(m.class).or_default();
+            class.by_age.insert((m.taken, m.seq, id));
+            class.by_seq.insert((m.seq, id), m.taken);
+        }
+    }
+
+    pub(crate) fn remove(&mut self, stand: Stand, id: u32, m: &Msg) {
+        if let Some(set) = self.sets.get_mut(&stand) {
+            self.count -= usize::from(set.remove(&(m.seq, id)));
+            if set.is_empty() {
+                self.sets.remove(&stand);
+            }
+        }
+        if let Some(class) = self.spare.get_mut(&m.class) {
+            class.by_age.remove(&(m.taken, m.seq, id));
+            class.by_seq.remove(&(m.seq, id));
+            if class.by_seq.is_empty() {
+                self.spare.remove(&m.class);
+            }
+        }
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.count
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.count == 0
+    }
+
+    /// The oldest of those that stand alike, and all whose key rests; in the order of their age.
+    pub(crate) fn heads(&self) -> Vec<u32> {
+        let mut heads = Vec::new();
+        for (&stand, set) in &self.sets {
+            match stand {
+                Stand::Behind => {}
+                Stand::Resting => heads.extend(set),
+                Stand::Fresh | Stand::Again(_) => heads.extend(set.first()),
+            }
+        }
+        heads.sort_unstable();
+        heads.into_iter().map(|(_, message)| message).collect()
+    }
+
+    pub(crate) fn resting(&self) -> Vec<u32> {
+        self.sets.get(&Stand::Resting).into_iter().flatten().map(|&(_, message)| message).collect()
+    }
+}
+
+/// Worth in its order.
+#[derive(Clone, Copy, Debug)]
+struct Rank(f64);
+
+impl Ord for Rank {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.0.total_cmp(&other.0)
+    }
+}
+
+impl PartialOrd for Rank {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl PartialEq for Rank {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl Eq for Rank {}
+
+/// The messages of least worth among those of these destinations that may be handed back, least first; those
+/// worth the same as they stand, by destination and age. A class's messages may not gain worth with age. What
+/// it costs goes by the destinations and by how many are asked for, not by how many wait.
+pub(crate) fn least<'a>(
+    dests: impl Iterator<Item = (u32, &'a Waiting)>,
+    most: usize,
+    worth: impl Fn(usize, Time) -> f64,
+) -> Vec<u32> {
+    let rank = |class: usize, taken: Time| Rank(worth(class, taken));
+    let lists: Vec<(u32, usize, &Spare)> = dests
+        .flat_map(|(dest, waiting)| waiting.spare.iter().map(move |(&class, spare)| (dest, class, spare)))
+        .collect();
+    // The oldest of each list are the least of it, so the least of all are found at their heads.
+    let mut heads = BinaryHeap::new();
+    for (n, &(_, class, spare)) in lists.iter().enumerate() {
+        heads.extend(spare.by_age.first().map(|&m| Reverse((rank(class, m.0), n, m))));
+    }
+    let mut chosen: Vec<(Rank, u32, u64, usize, u32)> = Vec::new();
+    let mut equals: BTreeMap<usize, usize> = BTreeMap::new();
+    while let Some(Reverse((worth, n, m))) = heads.pop() {
+        // All that are worth as much as the last one are looked at: which of them go is a matter of order.
+        let higher = chosen.last().is_some_and(|last| last.0 < worth);
+        if higher && chosen.len() >= most {
+            break;
+        }
+        if higher {
+            equals.clear();
+        }
+        let (dest, class, spare) = lists[n];
+        let run = equals.entry(n).or_default();
+        *run += 1;
+        chosen.push((worth, dest, m.1, n, m.2));
+        // A long run of equals is not followed to its end: its first by order are found by order.
+        if *run <= most {
+            let next = spare.by_age.range((Bound::Excluded(m), Bound::Unbounded)).next();
+            heads.extend(next.map(|&m| Reverse((rank(class, m.0), n, m))));
+        }
+    }
+    if let Some(&(last, ..)) = chosen.last() {
+        equals.retain(|_, run| *run > most);
+        chosen.retain(|c| c.0 < last || !equals.contains_key(&c.3));
+        for &n in equals.keys() {
+            let (dest, class, spare) = lists[n];
+            let by_seq = spare.by_seq.iter().filter(|(_, &taken)| rank(class, taken) == last);
+            chosen.extend(by_seq.take(most).map(|(&(seq, id), _)| (last, dest, seq, n, id)));
+        }
+    }
+    chosen.sort_unstable();
+    chosen.into_iter().take(most).map(|c| c.4).collect()
+}
+
+/// Latencies of late, and their high percentile once there are enough.
+#[derive(Debug, Default)]
+pub(crate) struct Latencies {
+    pub(crate) kept: VecDeque<Time>,
+    pub(crate) high: Option<Time>,
+}
+
+/// An attempt out: when sent, message, attempt.
+pub(crate) type Sent = (Time, u32, u16);
+/// Attempts that come due the same span after they were sent: to a destination, or to all that are not known
+/// yet, and of a class.
+pub(crate) type Group = (Option<u32>, usize);
+
+/// Attempts out, in the order in which they come due: groups by their first, in a group as sent.
+#[derive(Debug, Default)]
+pub(crate) struct Agenda {
+    groups: BTreeMap<Group, (Time, BTreeSet<Sent>)>,
+    firsts: BTreeSet<(Time, Group)>,
+}
+
+impl Agenda {
+    /// Changes a group, or its span, and puts it in its new place among the others.
+    fn change(&mut self, group: Group, span: Option<Time>, how: impl FnOnce(&mut BTreeSet<Sent>)) {
+        let (kept, set) = self.groups.entry(group).or_default();
+        let before = set.first().map(|first| first.0.saturating_add(*kept));
+        how(set);
+        *kept = span.unwrap_or(*kept);
+        let after = set.first().map(|first| first.0.saturating_add(*kept));
+        if set.is_empty() {
+            self.groups.remove(&group);
+        }
+        if before != after {
+            before.map(|at| self.firsts.remove(&(at, group)));
+            after.map(|at| self.firsts.insert((at, group)));
+        }
+    }
+
+    pub(crate) fn insert(&mut self, group: Group, span: Time, sent: Sent) {
+        self.change(group, Some(span), |set| {
+            set.insert(sent);
+        });
+    }
+
+    pub(crate) fn remove(&mut self, group: Group, sent: Sent) {
+        self.change(group, None, |set| {
+            set.remove(&sent);
+        });
+    }
+
+    /// A group comes due after another span from now on.
+    pub(crate) fn respan(&mut self, group: Group, span: Time) {
+        if self.groups.get(&group).is_some_and(|g| g.0 != span) {
+            self.change(group, Some(span), |_| ());
+        }
+    }
+
+    /// A group's attempts.
+    pub(crate) fn group(&self, group: Group) -> impl Iterator<Item = Sent> + '_ {
+        self.groups.get(&group).into_iter().flat_map(|g| g.1.iter().copied())
+    }
+
+    /// Groups of which something is due, and when the next comes due that is not.
+    pub(crate) fn due(&self, now: Time) -> (Vec<Group>, Option<Time>) {
+        let due: Vec<Group> = self.firsts.iter().take_while(|f| f.0 <= now).map(|f| f.1).collect();
+        let rest = self.firsts.iter().nth(due.len()).map(|f| f.0);
+        let in_due = due.iter().filter_map(|g| {
+            let (span, set) = &self.groups[g];
+            let next = set.range((now.saturating_sub(*span) + 1, 0, 0)..).next()?;
+            Some(next.0.saturating_add(*span))
+        });
+        let next = in_due.chain(rest).min();
+        (due, next)
+    }
+
+    /// What is due of a group, each with the time at which it came due.
+    pub(crate) fn due_of(&self, group: Group, now: Time) -> impl Iterator<Item = (Sent, Time)> + '_ {
+        let (span, set) = &self.groups[&group];
+        set.iter().map(|&sent| (sent, sent.0.saturating_add(*span))).take_while(move |s| s.1 <= now)
+    }
+}
+
+/// Hashes numbers alike in every process.
+#[derive(Default)]
+pub(crate) struct Mix(u64);
+
+impl Hasher for Mix {
+    fn finish(&self) -> u64 {
+        self.0 ^ (self.0 >> 32)
+    }
+
+    fn write(&mut self, bytes: &[u8]) {
+        bytes.iter().for_each(|&b| self.write_u32(u32::from(b)));
+    }
+
+    fn write_u32(&mut self, n: u32) {
+        self.0 = (self.0 ^ u64::from(n)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    }
+}
+
+/// Rows by number, found in a time that does not grow with them. It has no order: what goes over all rows must
+/// come to the same in any.
+#[derive(Debug)]
+pub(crate) struct Table<T>(HashMap<u32, Box<T>, BuildHasherDefault<Mix>>);
+
+impl<T> Default for Table<T> {
+    fn default() -> Self {
+        Table(HashMap::default())
+    }
+}
+
+impl<T> Table<T> {
+    pub(crate) fn get(&self, id: u32) -> Option<&T> {
+        self.0.get(&id).map(|row| &**row)
+    }
+
+    pub(crate) fn get_mut(&mut self, id: u32) -> Option<&mut T> {
+        self.0.get_mut(&id).map(|row| &mut **row)
+    }
+
+    pub(crate) fn get_or_insert_with(&mut self, id: u32, new: impl FnOnce() -> T) -> &mut T {
+        self.0.entry(id).or_insert_with(|| Box::new(new()))
+    }
+
+    pub(crate) fn contains(&self, id: u32) -> bool {
+        self.0.contains_key(&id)
+    }
+
+    /// Changes all rows, and keeps those for which it says so.
+    pub(crate) fn retain(&mut self, mut keep: impl FnMut(u32, &mut T) -> bool) {
+        self.0.retain(|&id, row| keep(id, row));
+    }
+}
+
+impl<T> std::ops::Index<u32> for Table<T> {
+    type Output = T;
+
+    fn index(&self, id: u32) -> &T {
+        &self.0[&id]
+    }
+}
+
 /// Random numbers from a seed (splitmix64).
 #[derive(Debug, Default)]
 pub(crate) struct Random(pub(crate) u64);
