--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -5,15 +5,19 @@
 use crate::fleet::Fleet;
 use crate::floor::Parts;
 use crate::rig::{self, Options};
-use crate::{bench, report};
+use crate::{bench, record, report};
 use anyhow::{bail, Context};
 use clap::{Parser, Subcommand};
 use linnetcart_edge::cli::Args as EdgeArgs;
 use linnetcart_rules::{check, Report};
+use serde_json::Value;
 use std::io::{IsTerminal, Write};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
+/// Rounds of a case at a time when the cost of decisions is measured.
+const DECISION_ROUNDS: u64 = 400;
+
 /// Brings up local stacks of linnetcart, plays scripted days on real sockets and measures.
 ///
 /// Everything stays on loopback, on ports that the system chooses.
@@ -56,6 +60,9 @@
         /// Numbers of destinations
         #[arg(long, value_delimiter = ',', default_values_t = [1, 10, 100, 1000])]
         destinations: Vec<usize>,
+        /// Only what a decision costs, of the library alone and in virtual time
+        #[arg(long, conflicts_with_all = ["part", "seconds"])]
+        decisions: bool,
         /// Write the figures to this file
         #[arg(long, value_name = "FILE")]
         json: Option<PathBuf>,
@@ -69,6 +76,12 @@
         #[arg(long, value_name = "DIR")]
         out: PathBuf,
     },
+    /// Put recorded rounds to the decision library and compare what it decides, byte for byte
+    Replay {
+        /// Records, as `day --record` writes them
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+    },
     /// List the built-in days
     Days,
     /// Relay and decide nothing; `floor` starts it
@@ -114,6 +127,9 @@
     /// Keep the couriers' state and logs here
     #[arg(long, value_name = "DIR")]
     keep: Option<PathBuf>,
+    /// Write down every round of every courier's decisions here
+    #[arg(long, value_name = "DIR")]
+    record: Option<PathBuf>,
     /// No progress line
     #[arg(long)]
     quiet: bool,
@@ -125,6 +141,7 @@
         What::Up { day, seed } => up(&day, seed).map(|()| true),
         What::Day(args) => day(&args),
         What::Report { files, out } => crate::charts::report(&files, &out).map(|()| true),
+        What::Replay { files } => replay(&files).map(|()| true),
         What::Days => {
             for (name, text) in BUILT_IN {
                 let about = Day::parse(text).map(|d| d.about).unwrap_or_default();
@@ -132,7 +149,12 @@
             }
             Ok(true)
         }
-        What::Floor { seconds, rounds, part, held, destinations, json } => {
+        What::Floor { rounds, decisions: true, json, .. } => {
+            let figures = crate::decisions::run(DECISION_ROUNDS, rounds);
+            println!("{figures:#}");
+            write_json(json.as_deref(), &figures).map(|()| true)
+        }
+        What::Floor { seconds, rounds, part, held, destinations, json, .. } => {
             let parts = Parts { only: part, held, destinations };
             floor(seconds, rounds, &parts, json.as_deref()).map(|()| true)
         }
@@ -142,7 +164,15 @@
         }
         What::Edge { policy, edge } => {
             as_child();
-            return match baselines::policy(&policy) {
+            let known = match policy.strip_prefix(record::POLICY).map(|dir| record::into(Path::new(dir))) {
+                Some(Ok(())) => Some(record::recorded as linnetcart_edge::core::Policy),
+                Some(Err(e)) => {
+                    eprintln!("error: {e:#}");
+                    return ExitCode::FAILURE;
+                }
+                None => baselines::policy(&policy),
+            };
+            return match known {
                 Some(policy) => linnetcart_edge::cli::run_with(edge, policy),
                 None => {
                     eprintln!("`{policy}` is no policy; there are {}", baselines::NAMES.join(", "));
@@ -184,11 +214,13 @@
     let folder = Folder::new(None)?;
     let program = std::env::current_exe().context("this program's own path")?;
     let figures = crate::floor::run(&program, &folder.path, (seconds, rounds), parts)?;
-    if let Some(file) = json {
-        std::fs::write(file, serde_json::to_string_pretty(&figures)? + "\n")
-            .with_context(|| file.display().to_string())?;
-    }
-    Ok(())
+    write_json(json, &figures)
+}
+
+fn write_json(file: Option<&Path>, figures: &Value) -> anyhow::Result<()> {
+    let Some(file) = file else { return Ok(()) };
+    std::fs::write(file, serde_json::to_string_pretty(figures)? + "\n")
+        .with_context(|| file.display().to_string())
 }
 
 /// A folder that is removed at the end unless it is to be kept.
@@ -232,6 +264,15 @@
     })
 }
 
+fn replay(files: &[PathBuf]) -> anyhow::Result<()> {
+    for file in files {
+        let done = record::replay(file)?;
+        let (rounds, events, actions) = (done.rounds, done.events, done.actions);
+        println!("{}: the same in {rounds} rounds, {events} events, {actions} actions", file.display());
+    }
+    Ok(())
+}
+
 fn progress(at: f64, of: f64, open: usize) {
     eprint!("\r{at:>5.0} of {of:.0} s, {open} messages open   ");
 }
@@ -274,7 +315,10 @@
         let folder = Folder::new(keep.as_deref())?;
         let show = !args.quiet && std::io::stderr().is_terminal();
         let options = Options {
-            policy: (*policy).into(),
+            policy: match &args.record {
+                Some(dir) if *policy == "library" => format!("{}{}", record::POLICY, dir.display()),
+                _ => (*policy).into(),
+            },
             program: std::env::current_exe().context("this program's own path")?,
             dir: folder.path.clone(),
             progress: show.then_some(progress as fn(f64, f64, usize)),
@@ -295,10 +339,7 @@
     if all.len() > 1 {
         println!("\n{}", report::beside(&all));
     }
-    if let Some(file) = &args.json {
-        let text = serde_json::to_string_pretty(&report::json(&name, args.seed, &all))?;
-        std::fs::write(file, text + "\n").with_context(|| file.display().to_string())?;
-    }
+    write_json(args.json.as_deref(), &report::json(&name, args.seed, &all))?;
     let kept = all[0].1.kept();
     println!("{}", if kept { "all rules kept" } else { "A RULE WAS BROKEN" });
     Ok(kept)
