--- a/crates/edge/src/core/mod.rs
+++ b/crates/edge/src/core/mod.rs
@@ -13,7 +13,7 @@
 pub use delivery::LinkId;
 pub use intake::ClientId;
 
-use crate::facts::{Fact, Final, Turned};
+use crate::facts::{Fact, Final, Standing, Turned};
 use crate::settings::{Entry, List, ListNews, Rejected, Settings, State};
 use answers::RecordEnd;
 use bytes::Bytes;
@@ -341,8 +341,9 @@
     pub fn client_gone(&mut self, id: ClientId) {
         for message in self.intake.gone(id) {
             let Some(m) = self.held.get(&message) else { continue };
-            self.counts[usize::from(m.class)].withdrawn += 1;
-            self.facts.push(Fact::Withdrawn { message });
+            let (class, destination) = (m.class, m.destination);
+            self.counts[usize::from(class)].withdrawn += 1;
+            self.facts.push(Fact::Withdrawn { message, class, destination });
             self.events.push(Event::Withdrawn { message });
             self.close_message(message);
         }
@@ -496,7 +497,7 @@
             let why = if full { Turned::Full } else { Turned::Draining };
             for _ in &records {
                 self.counts[usize::from(class)].turned_away += 1;
-                self.facts.push(Fact::TurnedAway { class, why });
+                self.facts.push(Fact::TurnedAway { class, destination, why });
             }
             let come_back = self.set.allow.come_back_ms * 1_000_000;
             let ends = vec![Some(RecordEnd::Refused { come_back, unseen: true }); records.len()];
@@ -633,7 +634,8 @@
             }
         };
         let place = m.place;
-        self.facts.push(Fact::Answered { message, class: m.class, answer, after });
+        let (class, destination) = (m.class, m.destination);
+        self.facts.push(Fact::Answered { message, class, destination, answer, after });
         self.close_message(message);
         self.intake.ended(place, end);
         self.answer(place.client);
@@ -701,7 +703,20 @@
     fn outcome(&mut self, d: Done) {
         let took = self.now.saturating_sub(d.sent);
         let (message, attempt, endpoint, ending) = (d.message, d.attempt, d.endpoint, d.ending);
-        self.facts.push(Fact::Ended { message, attempt, endpoint, ending, took });
+        if let Some(m) = self.held.get(&message) {
+            let (class, destination) = (m.class, m.destination);
+            let load = d.load.map(|l| (l.left, l.limit));
+            self.facts.push(Fact::Ended {
+                message,
+                attempt,
+                class,
+                destination,
+                endpoint,
+                ending,
+                took,
+                load,
+            });
+        }
         if let Ending::Full { wait } = ending {
             self.told_wait(endpoint, wait);
         }
@@ -791,7 +806,10 @@
             Action::Fail { message } => self.finish(message, Final::Failed),
             Action::Close { endpoint } => self.delivery.close_idle(endpoint),
             Action::Wake { at } => self.wake = at,
-            Action::Log(line) => self.facts.push(Fact::Log(line)),
+            Action::Log(line) => {
+                self.facts.extend(standing(&line));
+                self.facts.push(Fact::Log(line));
+            }
             // The settings turn down what would make these come; should one come all the same, it is said.
             other @ (Action::Probe { .. } | Action::Note { .. } | Action::Watch) => {
                 self.facts.push(Fact::Log(format!("not carried out: {other:?}")));
@@ -801,11 +819,12 @@
 
     fn send(&mut self, message: u32, endpoint: u32, until: Time) {
         let Some(m) = self.held.get_mut(&message) else { return };
-        let attempt = m.attempts;
+        let (attempt, copy) = (m.attempts, m.live > 0);
         m.attempts += 1;
         m.live += 1;
         self.attempts += 1;
-        self.facts.push(Fact::Sent { message, attempt, endpoint });
+        let (class, destination) = (m.class, m.destination);
+        self.facts.push(Fact::Sent { message, attempt, class, destination, endpoint, copy });
         let entry = self.list.entries.get(&endpoint);
         let kind = entry.and_then(|e| self.set.kinds.iter().find(|k| k.name == e.kind));
         let (Some(kind), false) = (kind, m.over || u32::from(attempt) >= self.set.limits.attempts) else {
@@ -843,6 +862,24 @@
     }
 }
 
+/// What a line of the library says of a limit's state: "destination 3 endpoint 70: back, warming up after ..."
+fn standing(line: &str) -> Option<Fact> {
+    let (head, text) = line.split_once(": ")?;
+    let (destination, endpoint) = head.strip_prefix("destination ")?.split_once(" endpoint ")?;
+    let standing = match text {
+        t if t.starts_with("in service") => Standing::InService,
+        t if t.starts_with("out") => Standing::Out,
+        t if t.starts_with("back") => Standing::Warming,
+        "silent" => Standing::Silent,
+        _ => return None,
+    };
+    Some(Fact::Standing {
+        destination: destination.parse().ok()?,
+        endpoint: endpoint.parse().ok()?,
+        standing,
+    })
+}
+
 /// The limit that a send to this endpoint comes under: its own where routes are apart, else its destination's.
 fn limit_of(set: &Settings, e: &Entry) -> (bool, u32) {
     let apart = set.kinds.iter().any(|k| k.name == e.kind && k.routes_apart);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -10,7 +10,7 @@
 pub mod cli;
 pub mod control;
 pub mod core;
-pub mod facts;
+pub use linnetcart_facts as facts;
 pub mod settings;
 pub mod shell;
 pub mod snapshot;
--- a/crates/edge/src/facts.rs
+++ b/crates/facts/src/lib.rs
@@ -1,4 +1,6 @@
 //! What happened, as the core tells it: telemetry, journal, audit and rule checks read these and nothing else.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
 
 use bytes::Bytes;
 use linnetcart::{Ending, Time};
@@ -26,6 +28,20 @@
     Draining,
 }
 
+/// State of a limit, as the library sees it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Standing {
+    /// In service.
+    #[default]
+    InService,
+    /// Back from an outage, with part of its capacity.
+    Warming,
+    /// Out: trials only.
+    Out,
+    /// Nothing answers; alone this may be one endpoint of several.
+    Silent,
+}
+
 /// One thing that happened, at the clock time of the turn that tells it.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Fact {
@@ -46,6 +62,8 @@
     TurnedAway {
         /// Its class.
         class: u8,
+        /// Its destination.
+        destination: u32,
         /// Why.
         why: Turned,
     },
@@ -55,8 +73,14 @@
         message: u32,
         /// The attempt, from 0.
         attempt: u16,
+        /// Its class.
+        class: u8,
+        /// Its destination.
+        destination: u32,
         /// Where it goes.
         endpoint: u32,
+        /// Another of the message is out.
+        copy: bool,
     },
     /// An attempt ended.
     Ended {
@@ -64,12 +88,18 @@
         message: u32,
         /// The attempt.
         attempt: u16,
+        /// The message's class.
+        class: u8,
+        /// Its destination.
+        destination: u32,
         /// Where it went.
         endpoint: u32,
         /// How.
         ending: Ending,
         /// How long it took.
         took: Time,
+        /// What the answer told of the limit: the share left, and the limit in calls a second.
+        load: Option<(f64, f64)>,
     },
     /// A message has its final answer.
     Answered {
@@ -77,6 +107,8 @@
         message: u32,
         /// Its class.
         class: u8,
+        /// Its destination.
+        destination: u32,
         /// The answer.
         answer: Final,
         /// How long after it was taken.
@@ -86,6 +118,19 @@
     Withdrawn {
         /// The message.
         message: u32,
+        /// Its class.
+        class: u8,
+        /// Its destination.
+        destination: u32,
+    },
+    /// The library sees a limit in another state.
+    Standing {
+        /// The destination.
+        destination: u32,
+        /// The endpoint by which it was seen: the route, where routes are apart.
+        endpoint: u32,
+        /// The state.
+        standing: Standing,
     },
     /// A line of the decision library for those on call.
     Log(String),
--- /dev/null
+++ b/crates/telemetry/src/host.rs
@@ -0,0 +1,217 @@
+//! What the host's own collectd says of load, links and disks. Packets may be cut, forged or old: they cost their
+//! reading and nothing else.
+
+use crate::collectd::{self, About, Bad, Said, Typed};
+use crate::settings::Listen;
+use linnetcart::Time;
+use serde::Serialize;
+use std::collections::BTreeMap;
+
+/// Series remembered at most; beyond it new ones are passed over.
+const MOST: usize = 4096;
+
+/// The host, as its last reports have it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct View {
+    /// Host names that reported.
+    pub hosts: Vec<String>,
+    /// Load over one, five and fifteen minutes.
+    pub load: Option<[f64; 3]>,
+    /// Bytes a second over each link: received, sent.
+    pub links: BTreeMap<String, [f64; 2]>,
+    /// Bytes a second of each disk: read, written.
+    pub disks: BTreeMap<String, [f64; 2]>,
+    /// Seconds since the last good packet.
+    pub age_s: Option<f64>,
+    /// Packets taken in.
+    pub good: u64,
+    /// Packets turned down, and why the last one was.
+    pub bad: u64,
+    /// The last reason.
+    pub last_bad: Option<String>,
+    /// Values passed over because their time was not after the last or too far from the clock.
+    pub old: u64,
+    /// Values passed over because too many series reported.
+    pub beyond: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Last {
+    /// In collectd's units.
+    time: u64,
+    values: Vec<Typed>,
+}
+
+/// Takes packets in.
+#[derive(Clone, Debug)]
+pub struct Host {
+    set: Listen,
+    last: BTreeMap<(String, String, String, String, String), Last>,
+    view: View,
+    heard: Option<Time>,
+}
+
+impl Host {
+    /// Nothing heard yet.
+    pub fn new(set: Listen) -> Host {
+        Host { set, last: BTreeMap::new(), view: View::default(), heard: None }
+    }
+
+    /// Other settings from now on; what was heard stays.
+    pub fn configure(&mut self, set: Listen) {
+        self.set = set;
+    }
+
+    /// A packet came. A line for the log if something about it is worth one.
+    pub fn packet(&mut self, packet: &[u8], now: Time, wall: u64) -> Option<String> {
+        match collectd::read(packet, &self.set.users, self.set.require) {
+            Ok(said) => {
+                self.view.good += 1;
+                self.heard = Some(now);
+                let lines: Vec<String> = said.into_iter().filter_map(|s| self.said(s, wall)).collect();
+                (!lines.is_empty()).then(|| lines.join("; "))
+            }
+            Err(bad) => {
+                self.view.bad += 1;
+                let first = self.view.last_bad.is_none() || matches!(bad, Bad::Forged(_) | Bad::Unknown(_));
+                self.view.last_bad = Some(bad.to_string());
+                first.then(|| format!("a packet for the host's figures was turned down: {bad}"))
+            }
+        }
+    }
+
+    fn said(&mut self, said: Said, wall: u64) -> Option<String> {
+        match said {
+            Said::Notification(about, severity, text) if severity <= 2 => {
+                let text: String = text.chars().filter(|c| !c.is_control()).take(200).collect();
+                Some(format!("host {}: {text}", about.host))
+            }
+            Said::Notification(..) => None,
+            Said::Values(about, values) => {
+                self.values(about, values, wall);
+                None
+            }
+        }
+    }
+
+    fn values(&mut self, about: About, values: Vec<Typed>, wall: u64) {
+        let wall = collectd::high_resolution(wall);
+        let last_of = (
+            about.host.clone(),
+            about.plugin.clone(),
+            about.plugin_instance.clone(),
+            about.kind.clone(),
+            about.type_instance.clone(),
+        );
+        let before = self.last.get(&last_of);
+        if about.time.abs_diff(wall) > self.set.skew_s << 30 || before.is_some_and(|l| l.time >= about.time) {
+            self.view.old += 1;
+            return;
+        }
+        if before.is_none() && self.last.len() >= MOST {
+            self.view.beyond += 1;
+            return;
+        }
+        let rates = before.map_or(Vec::new(), |l| {
+            let seconds = (about.time - l.time) as f64 / (1u64 << 30) as f64;
+            let change = |(now, was): (&Typed, &Typed)| (now.as_f64() - was.as_f64()).max(0.0) / seconds;
+            values.iter().zip(&l.values).map(change).collect()
+        });
+        self.show(&about, &values, &rates);
+        self.last.insert(last_of, Last { time: about.time, values });
+    }
+
+    fn show(&mut self, about: &About, values: &[Typed], rates: &[f64]) {
+        let view = &mut self.view;
+        if !view.hosts.contains(&about.host) && view.hosts.len() < 16 {
+            view.hosts.push(about.host.clone());
+        }
+        let pair = || Some([*rates.first()?, *rates.get(1)?]);
+        match (about.plugin.as_str(), about.kind.as_str()) {
+            ("load", "load") => {
+                if let [a, b, c] = values {
+                    view.load = Some([a.as_f64(), b.as_f64(), c.as_f64()]);
+                }
+            }
+            ("interface", "if_octets") => {
+                view.links.extend(pair().map(|p| (about.plugin_instance.clone(), p)));
+            }
+            ("disk", "disk_octets") => {
+                view.disks.extend(pair().map(|p| (about.plugin_instance.clone(), p)));
+            }
+            _ => {}
+        }
+    }
+
+    /// What it looks like now.
+    pub fn view(&self, now: Time) -> View {
+        View { age_s: self.heard.map(|at| now.saturating_sub(at) as f64 / 1e9), ..self.view.clone() }
+    }
+
+    /// Packets turned down so far.
+    pub fn bad(&self) -> u64 {
+        self.view.bad
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::settings::Require;
+
+    const S: u64 = 1_000_000_000;
+
+    fn part(kind: u16, body: &[u8]) -> Vec<u8> {
+        let length = (body.len() + 4) as u16;
+        [&kind.to_be_bytes()[..], &length.to_be_bytes(), body].concat()
+    }
+
+    fn octets(at: u64, rx: i64, tx: i64) -> Vec<u8> {
+        let values = [&b"\x00\x02\x02\x02"[..], &rx.to_be_bytes(), &tx.to_be_bytes()].concat();
+        [
+            part(0, b"h\0"),
+            part(8, &collectd::high_resolution(at).to_be_bytes()),
+            part(2, b"interface\0"),
+            part(3, b"eth0\0"),
+            part(4, b"if_octets\0"),
+            part(6, &values),
+        ]
+        .concat()
+    }
+
+    fn host() -> Host {
+        let address = "127.0.0.1:1".parse().expect("an address");
+        Host::new(Listen { address, require: Require::Nothing, users: BTreeMap::new(), skew_s: 300 })
+    }
+
+    #[test]
+    fn rates_come_from_two_reports_and_a_replay_changes_nothing() {
+        let mut host = host();
+        let wall = 1_700_000_000 * S;
+        host.packet(&octets(wall, 1000, 500), 0, wall);
+        host.packet(&octets(wall + 10 * S, 21_000, 10_500), 0, wall + 10 * S);
+        assert_eq!(host.view(0).links["eth0"], [2000.0, 1000.0]);
+        let before = host.view(0);
+        host.packet(&octets(wall, 1000, 500), 0, wall + 11 * S);
+        host.packet(&octets(wall + 10 * S, 0, 0), 0, wall + 11 * S);
+        host.packet(&octets(wall + 4000 * S, 9, 9), 0, wall + 12 * S);
+        let after = host.view(0);
+        assert_eq!((after.old, &after.links), (3, &before.links));
+    }
+
+    #[test]
+    fn garbage_is_counted_and_series_are_bounded() {
+        let mut host = host();
+        assert!(host.packet(b"\x00\x00\x00\x00", 0, 0).is_some(), "the first is told");
+        for _ in 0..100 {
+            assert!(host.packet(b"\x00\x00\x00\x00", 0, 0).is_none(), "and no flood follows");
+        }
+        assert_eq!(host.view(0).bad, 101);
+        for n in 0..MOST + 50 {
+            let name = [format!("eth{n}").as_bytes(), b"\0"].concat();
+            let values = [&b"\x00\x01\x01"[..], &1f64.to_le_bytes()].concat();
+            host.packet(&[part(2, b"interface\0"), part(3, &name), part(6, &values)].concat(), 0, 0);
+        }
+        assert_eq!(host.view(0).beyond, 50);
+    }
+}
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,902 @@
+//! A courier's figures for Graphite and collectd.
+//!
+//! [`Telemetry`] is fed with the courier's facts and clock readings, and says what is to be written, sent and saved;
+//! it holds no socket, file or clock. Counts only grow, over restarts and crashes too: a report leaves when the log
+//! of the counts in it is on disk. What a receiver does not take is dropped, the oldest first, and counted.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod collectd;
+pub mod counts;
+pub mod graphite;
+pub mod host;
+pub mod names;
+pub mod outlet;
+pub mod series;
+pub mod settings;
+pub mod stamps;
+
+use bytes::Bytes;
+use collectd::Envelope;
+use counts::{mark, Book, Counts, Field, Mark, Of, Saved, FIELDS};
+use graphite::Who;
+use hdrhistogram::Histogram;
+use host::Host;
+use linnetcart::{Ending, Time};
+use linnetcart_facts::{Fact, Final, Standing};
+use names::Names;
+use outlet::{Do, Outlet};
+use rand::{Rng, RngCore, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
+use series::{Place, Point, Value};
+use settings::Telemetry as Settings;
+use stamps::Stamps;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+
+const SECOND: Time = 1_000_000_000;
+/// Series that did not change are reported again once in so many reports.
+const REFRESH: u32 = 30;
+/// Latencies are kept in units of this.
+const UNIT: Time = 100_000;
+/// Weight of the newest interval in the limit that is inferred.
+const NEWEST: f64 = 0.5;
+/// Notifications of one interval at most.
+const NOTICES: usize = 200;
+/// A report whose log is not on disk after this is left behind.
+const SYNC_WAIT: Time = 20 * SECOND;
+
+/// A class, as far as figures need it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Class {
+    /// Its name.
+    pub name: String,
+    /// Served within this, a message has its full worth.
+    pub aim: Time,
+    /// How long it may be served.
+    pub deadline: Time,
+    /// Full worth.
+    pub worth: f64,
+    /// The share left at the deadline.
+    pub late_worth: f64,
+}
+
+/// The courier that reports.
+#[derive(Clone, Debug)]
+pub struct Courier {
+    /// The deployment.
+    pub deployment: String,
+    /// Its number.
+    pub me: u32,
+    /// Its classes.
+    pub classes: Vec<Class>,
+    /// Worth halves with each further aim.
+    pub halves: bool,
+    /// Spreads reports and retries.
+    pub seed: u64,
+}
+
+/// What was found of an earlier run.
+#[derive(Debug, Default)]
+pub struct Found {
+    /// The snapshot.
+    pub saved: Option<Saved>,
+    /// The logs after it, oldest first.
+    pub logs: Vec<Vec<u8>>,
+}
+
+/// Figures of now that no fact tells.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Now {
+    /// Messages held.
+    pub held: usize,
+    /// Bytes of them.
+    pub held_bytes: usize,
+    /// Slots in use.
+    pub slots_used: usize,
+    /// Slots.
+    pub slots: usize,
+    /// Messages that may be held.
+    pub hold: usize,
+    /// Connections of clients.
+    pub clients: usize,
+    /// Connections to endpoints.
+    pub links: usize,
+}
+
+/// An endpoint in the list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Listed {
+    /// Its number.
+    pub endpoint: u32,
+    /// Its destination's.
+    pub destination: u32,
+    /// It is a route apart.
+    pub apart: bool,
+}
+
+/// What the shell is to do, in this order.
+#[derive(Debug, PartialEq)]
+pub enum Output {
+    /// Append to the log of counts.
+    Append(Vec<u8>),
+    /// Bring the log to disk, then say [`Telemetry::synced`] with this number.
+    Sync(u64),
+    /// For the connection to Graphite.
+    Graphite(Do),
+    /// Send a datagram to collectd.
+    Datagram(SocketAddr, Bytes),
+    /// A line for those on call.
+    Log(String),
+}
+
+/// How the reporting fares, for the status page.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Status {
+    /// Reports made.
+    pub reports: u64,
+    /// Points of the last one.
+    pub points: usize,
+    /// Cells of counts.
+    pub cells: usize,
+    /// Counted beyond the bound of cells, since the start.
+    pub beyond: u64,
+    /// Connected to Graphite.
+    pub graphite_up: Option<bool>,
+    /// Bytes that wait for it.
+    pub graphite_waiting: usize,
+    /// Points dropped, since the start.
+    pub dropped: u64,
+    /// Seconds that stamps are ahead of the clock.
+    pub stamps_ahead_s: f64,
+    /// The log of counts cannot be brought to disk; counts are not reported meanwhile.
+    pub counts_not_safe: bool,
+    /// The host.
+    pub host: Option<host::View>,
+}
+
+/// A destination, over the running interval and of now.
+#[derive(Debug, Default)]
+struct Dest {
+    attempts: u64,
+    served: u64,
+    full: u64,
+    latency: Option<Histogram<u32>>,
+    limit: Limit,
+    standing: Standing,
+    /// Silent endpoints.
+    silent: BTreeSet<u32>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Limit {
+    told: Option<f64>,
+    left: Option<f64>,
+    inferred: Option<f64>,
+}
+
+#[derive(Debug)]
+struct Report {
+    number: u64,
+    stamp: u64,
+    points: Vec<Point>,
+    since: Time,
+}
+
+/// The reporting of one courier.
+#[derive(Debug)]
+pub struct Telemetry {
+    courier: Courier,
+    who: Who,
+    classes: Vec<String>,
+    set: Settings,
+    book: Book,
+    totals: Vec<Counts>,
+    names: Names,
+    stamps: Stamps,
+    listed: BTreeMap<u32, Vec<u32>>,
+    routes: BTreeMap<u32, u32>,
+    dests: BTreeMap<u32, Dest>,
+    route_states: BTreeMap<u32, Dest>,
+    class_latency: Vec<Option<Histogram<u32>>>,
+    dirty: BTreeSet<Of>,
+    /// Cells up to this one had their turn of unchanged series.
+    refreshed: Option<Of>,
+    next_report: Time,
+    last_report: Time,
+    report: Option<Report>,
+    outlet: Option<Outlet>,
+    reported_losses: (u64, u64),
+    host: Option<Host>,
+    reported_bad: u64,
+    notices: VecDeque<(String, u64, String)>,
+    random: ChaCha8Rng,
+    safe: bool,
+    out: Vec<Output>,
+    status: Status,
+}
+
+fn named(names: &[String]) -> Vec<String> {
+    let mut safe = Names::new(BTreeMap::new(), names.len() + 1);
+    let name = |(n, name): (usize, &String)| safe.name(Some(name), n as u32).0;
+    names.iter().enumerate().map(name).collect()
+}
+
+fn latency(into: &mut Option<Histogram<u32>>, took: Time) {
+    // Two digits: what is read off a chart. Bounds that hdrhistogram takes: this cannot fail.
+    if into.is_none() {
+        *into = Histogram::new(2).ok();
+    }
+    if let Some(h) = into {
+        h.saturating_record((took / UNIT).max(1));
+    }
+}
+
+impl Telemetry {
+    /// Goes on from what was found. Nothing is reported until [`Telemetry::configure`] says where to.
+    pub fn new(courier: Courier, found: Found, set: Settings, now: Time) -> Telemetry {
+        let names: Vec<String> = courier.classes.iter().map(|c| c.name.clone()).collect();
+        let mut book = Book::new(names.clone(), set.cells);
+        let mut owners = Names::new(BTreeMap::new(), set.cells.max(1000) * 2);
+        let mut stamp = 0;
+        if let Some(saved) = &found.saved {
+            book.restore(saved);
+            saved.names.iter().for_each(|(name, &of)| owners.given(name.clone(), of));
+            stamp = saved.stamp;
+        }
+        for log in &found.logs {
+            for m in book.replay(log).0 {
+                match m {
+                    Mark::Name(name, of) => owners.given(name, of),
+                    Mark::Stamp(at) => stamp = stamp.max(at),
+                    Mark::Classes(_) => {}
+                }
+            }
+        }
+        let mut totals = vec![[0; FIELDS]; names.len()];
+        for (of, counts) in book.cells() {
+            if let Of::Cell(_, class) = of {
+                sum(&mut totals[usize::from(*class)], counts);
+            }
+        }
+        let who = Who { deployment: names::safe(&courier.deployment), me: courier.me };
+        let mut random = ChaCha8Rng::seed_from_u64(courier.seed ^ (u64::from(courier.me) << 32));
+        let interval = set.interval_s * SECOND;
+        let first = random.random_range(0..interval);
+        let mut telemetry = Telemetry {
+            class_latency: vec![None; names.len()],
+            classes: named(&names),
+            who,
+            courier,
+            book,
+            totals,
+            names: owners,
+            stamps: Stamps::new(stamp * SECOND, now),
+            listed: BTreeMap::new(),
+            routes: BTreeMap::new(),
+            dests: BTreeMap::new(),
+            route_states: BTreeMap::new(),
+            dirty: BTreeSet::new(),
+            refreshed: None,
+            // A thousand couriers that start together report at times spread over the interval.
+            next_report: now + first,
+            last_report: now,
+            report: None,
+            outlet: None,
+            reported_losses: (0, 0),
+            host: None,
+            reported_bad: 0,
+            notices: VecDeque::new(),
+            random,
+            safe: true,
+            out: Vec::new(),
+            status: Status::default(),
+            set: Settings::default(),
+        };
+        telemetry.configure(set, now);
+        telemetry
+    }
+
+    /// All that a snapshot must hold. What follows goes into a new log, which begins with [`Telemetry::log_head`].
+    pub fn saved(&self) -> Saved {
+        self.book.saved(self.names.owners(), self.stamps.last() / SECOND)
+    }
+
+    /// The first frame of a log.
+    pub fn log_head(&self) -> Vec<u8> {
+        mark(&Mark::Classes(self.courier.classes.iter().map(|c| c.name.clone()).collect()))
+    }
+
+    /// The settings in force.
+    pub fn settings(&self) -> &Settings {
+        &self.set
+    }
+
+    /// Other settings from now on. What waits for a receiver that stays, stays.
+    pub fn configure(&mut self, set: Settings, now: Time) {
+        if self.set.graphite != set.graphite {
+            if self.outlet.take().is_some() {
+                self.out.push(Output::Graphite(Do::Close));
+            }
+            self.reported_losses = (0, 0);
+            self.outlet = set
+                .graphite
+                .as_ref()
+                .map(|g| Outlet::new(g.address, g.queue_bytes, g.stuck_s * SECOND, self.random.next_u64()));
+        }
+        match (&mut self.host, &set.listen) {
+            (Some(host), Some(listen)) => host.configure(listen.clone()),
+            (_, listen) => {
+                (self.host, self.reported_bad) = (listen.clone().map(Host::new), 0);
+            }
+        }
+        self.next_report = self.next_report.min(now + set.interval_s * SECOND);
+        self.set = set;
+    }
+
+    /// The list, whenever it changed.
+    pub fn list(&mut self, listed: impl Iterator<Item = Listed>) {
+        self.listed.clear();
+        self.routes.clear();
+        for l in listed {
+            self.listed.entry(l.destination).or_default().push(l.endpoint);
+            if l.apart {
+                self.routes.insert(l.endpoint, l.destination);
+            }
+        }
+        // Nothing is shown any more of now for what is not listed; its counts stay and come back with it.
+        self.dests.retain(|d, _| self.listed.contains_key(d));
+        self.route_states.retain(|e, _| self.routes.contains_key(e));
+    }
+
+    fn add(&mut self, of: Of, field: Field, by: u64) {
+        self.book.add(of, field, by);
+        if let Of::Cell(_, class) = of {
+            if let Some(total) = self.totals.get_mut(usize::from(class)) {
+                total[field as usize] += by;
+            }
+        }
+        self.dirty.insert(of);
+    }
+
+    fn milli(&self, class: u8, after: Option<Time>) -> u64 {
+        let Some(c) = self.courier.classes.get(usize::from(class)) else { return 0 };
+        let late = after.map_or(0.0, |a| a.saturating_sub(c.aim) as f64);
+        let kept = if self.courier.halves {
+            0.5f64.powf(late / c.aim.max(1) as f64).max(c.late_worth)
+        } else {
+            1.0 - (1.0 - c.late_worth) * late / (c.deadline.saturating_sub(c.aim)).max(1) as f64
+        };
+        (c.worth * kept.clamp(0.0, 1.0) * 1000.0).round() as u64
+    }
+
+    /// Something happened.
+    pub fn fact(&mut self, fact: &Fact) {
+        match *fact {
+            Fact::Taken { class, destination, .. } => {
+                self.add(Of::Cell(destination, class), Field::Taken, 1);
+                self.add(Of::Cell(destination, class), Field::WorthAsked, self.milli(class, None));
+            }
+            Fact::TurnedAway { class, destination, .. } => {
+                let (of, worth) = (Of::Cell(destination, class), self.milli(class, None));
+                self.add(of, Field::TurnedAway, 1);
+                self.add(of, Field::WorthAsked, worth);
+                self.add(of, Field::WorthLost, worth);
+            }
+            Fact::Sent { class, destination, endpoint, copy, .. } => {
+                for of in self.cells_of(destination, class, endpoint) {
+                    self.add(of, Field::Attempts, 1);
+                    self.add(of, Field::Copies, u64::from(copy));
+                }
+                self.limits(destination, endpoint, |d| d.attempts += 1);
+            }
+            Fact::Ended { class, destination, endpoint, ending, took, load, .. } => {
+                self.ended(class, destination, endpoint, ending, took);
+                if let Some((left, limit)) = load {
+                    self.limits(destination, endpoint, |d| {
+                        (d.limit.left, d.limit.told) = (Some(left), Some(limit).filter(|l| *l > 0.0));
+                    });
+                }
+            }
+            Fact::Answered { class, destination, answer, after, .. } => {
+                self.answered(class, destination, answer, after);
+            }
+            Fact::Withdrawn { class, destination, .. } => {
+                let worth = self.milli(class, None);
+                self.add(Of::Cell(destination, class), Field::Withdrawn, 1);
+                self.add(Of::Cell(destination, class), Field::WorthLost, worth);
+            }
+            Fact::Standing { destination, endpoint, standing } => {
+                self.standing(destination, endpoint, standing)
+            }
+            Fact::Log(_) | Fact::BadPeer { .. } => {}
+        }
+    }
+
+    fn cells_of(&self, destination: u32, class: u8, endpoint: u32) -> Vec<Of> {
+        let route = self.routes.contains_key(&endpoint).then_some(Of::Route(endpoint));
+        [Of::Cell(destination, class)].into_iter().chain(route).collect()
+    }
+
+    /// The destination, and the route where routes are apart.
+    fn limits(&mut self, destination: u32, endpoint: u32, change: impl Fn(&mut Dest)) {
+        if self.listed.contains_key(&destination) {
+            change(self.dests.entry(destination).or_default());
+        }
+        if self.routes.contains_key(&endpoint) {
+            change(self.route_states.entry(endpoint).or_default());
+        }
+    }
+
+    fn ended(&mut self, class: u8, destination: u32, endpoint: u32, ending: Ending, took: Time) {
+        let field = match ending {
+            Ending::Served => Field::Served,
+            Ending::Error => Field::Errors,
+            Ending::Full { .. } => Field::Full,
+            Ending::TimedOut => Field::TimedOut,
+            Ending::NoConnection | Ending::NotSent { .. } => Field::NotSent,
+            Ending::Reset => Field::Resets,
+            Ending::Cancelled => Field::Cancelled,
+        };
+        let told = u64::from(matches!(ending, Ending::Full { wait } if wait > 0));
+        for of in self.cells_of(destination, class, endpoint) {
+            self.add(of, field, 1);
+            self.add(of, Field::ToldWaits, told);
+        }
+        self.limits(destination, endpoint, |d| match ending {
+            Ending::Served => {
+                d.served += 1;
+                latency(&mut d.latency, took);
+                d.silent.remove(&endpoint);
+            }
+            Ending::Full { .. } => d.full += 1,
+            _ => {}
+        });
+    }
+
+    fn answered(&mut self, class: u8, destination: u32, answer: Final, after: Time) {
+        let of = Of::Cell(destination, class);
+        let (whole, kept) = (self.milli(class, None), self.milli(class, Some(after)));
+        let in_aim = self.courier.classes.get(usize::from(class)).is_some_and(|c| after <= c.aim);
+        match answer {
+            Final::Served => {
+                self.add(of, if in_aim { Field::InAim } else { Field::Late }, 1);
+                self.add(of, if in_aim { Field::WorthInAim } else { Field::WorthLate }, kept);
+                self.add(of, Field::WorthLost, whole - kept);
+                if let Some(h) = self.class_latency.get_mut(usize::from(class)) {
+                    latency(h, after);
+                }
+            }
+            Final::Refused { .. } | Final::Failed => {
+                let refused = matches!(answer, Final::Refused { .. });
+                self.add(of, if refused { Field::Refused } else { Field::Failed }, 1);
+                self.add(of, Field::WorthLost, whole);
+            }
+        }
+    }
+
+    fn standing(&mut self, destination: u32, endpoint: u32, standing: Standing) {
+        let route = self.routes.contains_key(&endpoint);
+        let endpoints = self.listed.get(&destination).map_or(0, Vec::len);
+        let name = self.dest_name(destination);
+        let (state, what, instance) = if route {
+            let state = self.route_states.entry(endpoint).or_default();
+            (
+                state,
+                format!("destination {destination} route {endpoint}"),
+                format!("dest-{name}-route-{endpoint}"),
+            )
+        } else if endpoints > 0 {
+            let state = self.dests.entry(destination).or_default();
+            (state, format!("destination {destination}"), format!("dest-{name}"))
+        } else {
+            return;
+        };
+        let standing = match standing {
+            // One endpoint of several that is silent is not yet the destination.
+            Standing::Silent => {
+                state.silent.insert(endpoint);
+                if !route && state.silent.len() < endpoints {
+                    return;
+                }
+                Standing::Out
+            }
+            other => other,
+        };
+        if standing == Standing::InService {
+            state.silent.clear();
+        }
+        if state.standing == standing {
+            return;
+        }
+        state.standing = standing;
+        let (severity, text) = match standing {
+            Standing::InService => (4, "in service"),
+            Standing::Warming => (2, "back, warming up"),
+            Standing::Out | Standing::Silent => (1, "out"),
+        };
+        if self.notices.len() >= NOTICES {
+            self.notices.pop_front();
+        }
+        self.notices.push_back((instance, severity, format!("{what} is {text}")));
+    }
+
+    fn dest_name(&mut self, dest: u32) -> String {
+        let wanted = self.set.names.get(&dest).map(String::as_str);
+        let (name, new) = self.names.name(wanted, dest);
+        if new {
+            self.out.push(Output::Append(mark(&Mark::Name(name.clone(), dest))));
+        }
+        name
+    }
+
+    /// The clock; what is counted so far goes into the log, and a report is made when it is time.
+    pub fn turn(&mut self, now: Time, wall: Time, figures: &Now) {
+        self.losses();
+        if let Some(frame) = self.book.frame() {
+            self.out.push(Output::Append(frame));
+        }
+        if self.report.as_ref().is_some_and(|r| r.since + SYNC_WAIT <= now) {
+            self.report = None;
+            self.not_safe("bringing the counts to disk takes too long");
+        }
+        if self.next_report <= now {
+            let interval = self.set.interval_s * SECOND;
+            self.next_report = (self.next_report + interval).max(now + interval / 2);
+            if self.report.is_none() {
+                self.make(now, wall, figures);
+            }
+        }
+        self.notify(now, wall);
+        if let Some(outlet) = &mut self.outlet {
+            self.out.extend(outlet.turn(now).into_iter().map(Output::Graphite));
+        }
+    }
+
+    /// When the next turn is wanted at the latest.
+    pub fn next_turn(&self) -> Time {
+        let outlet = self.outlet.as_ref().and_then(Outlet::next).unwrap_or(Time::MAX);
+        self.next_report.min(outlet)
+    }
+
+    /// What the shell is to do since the last call.
+    pub fn outputs(&mut self) -> Vec<Output> {
+        std::mem::take(&mut self.out)
+    }
+
+    /// What is lost on the way is counted with everything else.
+    fn losses(&mut self) {
+        if let Some(outlet) = &self.outlet {
+            let losses = outlet.losses();
+            let (dropped, failures) = self.reported_losses;
+            self.reported_losses = losses;
+            self.add_reports(Field::PointsDropped, losses.0 - dropped);
+            self.add_reports(Field::OutletFailures, losses.1 - failures);
+        }
+        if let Some(host) = &self.host {
+            let bad = host.bad();
+            let before = std::mem::replace(&mut self.reported_bad, bad);
+            self.add_reports(Field::PacketsBad, bad.saturating_sub(before));
+        }
+    }
+
+    fn add_reports(&mut self, field: Field, by: u64) {
+        if by > 0 {
+            self.add(Of::Reports, field, by);
+        }
+    }
+
+    fn make(&mut self, now: Time, wall: Time, figures: &Now) {
+        let (stamp, ahead) = self.stamps.stamp(now, wall);
+        if ahead > SECOND && self.status.stamps_ahead_s == 0.0 {
+            let text = format!("the clock was set back: stamps are {} s ahead and slow down", ahead / SECOND);
+            self.out.push(Output::Log(text));
+        }
+        self.status.stamps_ahead_s = ahead as f64 / 1e9;
+        let seconds = (now - self.last_report).max(1) as f64 / 1e9;
+        self.last_report = now;
+        let points = self.points(seconds, figures);
+        if self.outlet.is_none() && self.set.collectd.is_none() {
+            return;
+        }
+        self.status.reports += 1;
+        self.status.points = points.len();
+        let number = self.status.reports;
+        // A restart must not stamp anything with a time that was used.
+        self.out.push(Output::Append(mark(&Mark::Stamp(stamp / SECOND))));
+        self.out.push(Output::Sync(number));
+        self.report = Some(Report { number, stamp, points, since: now });
+    }
+
+    /// The log is on disk, or could not be brought there: the report may leave, or its counts may not.
+    pub fn synced(&mut self, number: u64, good: Result<(), String>) {
+        let Some(mut report) = self.report.take_if(|r| r.number == number) else { return };
+        match good {
+            Ok(()) => {
+                if !self.safe {
+                    self.out.push(Output::Log("counts are brought to disk again, and reported".into()));
+                }
+                self.safe = true;
+            }
+            Err(why) => {
+                self.not_safe(&why);
+                report.points.retain(|p| !matches!(p.value, Value::Count(_)));
+            }
+        }
+        if let (Some(outlet), Some(g)) = (&mut self.outlet, &self.set.graphite) {
+            outlet.push(graphite::encode(&self.who, &report.points, report.stamp / SECOND, g.form, g.tags));
+        }
+        if let Some(c) = &self.set.collectd {
+            let host = self.host_name();
+            let envelope = self.envelope(c, &host, report.stamp);
+            let mut random = self.random.clone();
+            let packets = envelope.packets(&report.points, &mut || random.random());
+            let packets: Vec<Output> =
+                packets.into_iter().map(|p| Output::Datagram(c.address, p.0.into())).collect();
+            self.out.extend(packets);
+            self.random = random;
+        }
+    }
+
+    fn not_safe(&mut self, why: &str) {
+        if self.safe {
+            self.out.push(Output::Log(format!(
+                "counts are not reported until they can be brought to disk again: {why}"
+            )));
+        }
+        self.safe = false;
+    }
+
+    fn host_name(&self) -> String {
+        let default = || format!("linnetcart-{}-{}", self.who.deployment, self.who.me);
+        self.set.collectd.as_ref().and_then(|c| c.host.clone()).unwrap_or_else(default)
+    }
+
+    fn envelope<'a>(&self, c: &'a settings::Collectd, host: &'a str, stamp: u64) -> Envelope<'a> {
+        let interval = self.set.interval_s * SECOND;
+        Envelope { host, stamp, interval, security: &c.security, most: c.packet_bytes }
+    }
+
+    fn notify(&mut self, now: Time, wall: Time) {
+        let notices = std::mem::take(&mut self.notices);
+        let Some(c) = self.set.collectd.clone() else { return };
+        let (host, ahead) = (self.host_name(), self.stamps.last().max(wall));
+        let _ = now;
+        for (instance, severity, text) in notices {
+            let mut random = self.random.clone();
+            let packet =
+                self.envelope(&c, &host, ahead)
+                    .notification(&instance, severity, &text, &mut || random.random());
+            self.random = random;
+            self.out.push(Output::Datagram(c.address, packet.into()));
+        }
+    }
+
+    // ---- Points of a report
+
+    fn points(&mut self, seconds: f64, figures: &Now) -> Vec<Point> {
+        let mut points = Vec::new();
+        let most = self.set.points;
+        self.courier_points(figures, &mut points);
+        for class in 0..self.classes.len() {
+            let place = Place::Class(self.classes[class].clone());
+            counts(&mut points, &place, &self.totals[class], &Field::ALL);
+            if let Some(h) = self.class_latency[class].take() {
+                percentiles(&mut points, &place, &h);
+            }
+        }
+        let dirty: Vec<Of> = std::mem::take(&mut self.dirty).into_iter().collect();
+        self.dest_points(seconds, &mut points);
+        // The cells that changed, from where the last report had to stop; then some of the others in turn.
+        let from = self.refreshed.unwrap_or(Of::Cell(0, 0));
+        let (after, before): (Vec<Of>, Vec<Of>) = dirty.iter().partition(|&&of| of >= from);
+        let mut put_off = 0;
+        let mut shown: BTreeMap<u32, bool> = BTreeMap::new();
+        for of in after.into_iter().chain(before) {
+            if points.len() >= most {
+                self.dirty.insert(of);
+                put_off += 1;
+                continue;
+            }
+            self.cell_points(of, &mut shown, &mut points);
+            if put_off == 0 {
+                self.refreshed = Some(of);
+            }
+        }
+        let share = self.book.cells().len().div_ceil(REFRESH as usize);
+        let from = self.refreshed.unwrap_or(Of::Cell(0, 0));
+        let others: Vec<Of> = self.book.cells().range(from..).map(|c| *c.0).skip(1).take(share).collect();
+        for &of in others.iter().filter(|_| put_off == 0) {
+            if points.len() >= most {
+                break;
+            }
+            self.cell_points(of, &mut shown, &mut points);
+        }
+        if put_off == 0 {
+            self.refreshed =
+                if others.len() < share { None } else { others.last().copied().or(self.refreshed) };
+        }
+        self.add_reports(Field::PointsPutOff, put_off);
+        points
+    }
+
+    fn courier_points(&mut self, now: &Now, points: &mut Vec<Point>) {
+        let mut all = [0; FIELDS];
+        self.totals.iter().for_each(|t| sum(&mut all, t));
+        if let Some(reports) = self.book.cells().get(&Of::Reports) {
+            sum(&mut all, reports);
+        }
+        counts(points, &Place::Courier, &all, &Field::ALL);
+        let gauges = [
+            ("held", now.held),
+            ("held_bytes", now.held_bytes),
+            ("hold", now.hold),
+            ("slots_used", now.slots_used),
+            ("slots", now.slots),
+            ("clients", now.clients),
+            ("links", now.links),
+        ];
+        let gauge =
+            |(field, n): (&'static str, usize)| Point::new(Place::Courier, field, Value::Gauge(n as f64));
+        points.extend(gauges.map(gauge));
+    }
+
+    /// What destinations and routes are like now and over the interval.
+    fn dest_points(&mut self, seconds: f64, points: &mut Vec<Point>) {
+        let (dests, routes) = (std::mem::take(&mut self.dests), std::mem::take(&mut self.route_states));
+        let places = |telemetry: &mut Telemetry, dest: u32, route: Option<u32>| {
+            let name = telemetry.dest_name(dest);
+            route.map_or_else(|| Place::Dest(name.clone()), |route| Place::Route(name.clone(), route))
+        };
+        let mut later: BTreeMap<u32, Dest> = BTreeMap::new();
+        for (id, mut dest) in dests {
+            let place = places(self, id, None);
+            dest.points(&place, seconds, points);
+            later.insert(id, dest);
+        }
+        self.dests = later;
+        let mut later: BTreeMap<u32, Dest> = BTreeMap::new();
+        for (id, mut route) in routes {
+            let place = places(self, self.routes.get(&id).copied().unwrap_or(0), Some(id));
+            route.points(&place, seconds, points);
+            later.insert(id, route);
+        }
+        self.route_states = later;
+    }
+
+    /// A cell's counts, and once a report those of its destination over all classes.
+    fn cell_points(&mut self, of: Of, shown: &mut BTreeMap<u32, bool>, points: &mut Vec<Point>) {
+        let Some(&cell) = self.book.cells().get(&of) else { return };
+        match of {
+            Of::Cell(dest, class) => {
+                let name = self.dest_name(dest);
+                if shown.insert(dest, true).is_none() {
+                    let mut all = [0; FIELDS];
+                    let cells = self.book.cells().range(Of::Cell(dest, 0)..=Of::Cell(dest, u8::MAX));
+                    cells.for_each(|c| sum(&mut all, c.1));
+                    counts(points, &Place::Dest(name.clone()), &all, &Field::ALL);
+                }
+                if let Some(class) = self.classes.get(usize::from(class)) {
+                    counts(points, &Place::Cell(name, class.clone()), &cell, &Field::ALL);
+                }
+            }
+            Of::Route(route) => {
+                if let Some(&dest) = self.routes.get(&route) {
+                    let name = self.dest_name(dest);
+                    counts(points, &Place::Route(name, route), &cell, &Field::ALL);
+                }
+            }
+            Of::Reports => {}
+        }
+    }
+
+    // ---- Receivers and the host
+
+    /// The connection to Graphite is there.
+    pub fn connected(&mut self, now: Time) {
+        if let Some(outlet) = &mut self.outlet {
+            outlet.connected(now);
+        }
+    }
+
+    /// It could not be made, or is gone.
+    pub fn lost(&mut self, now: Time) {
+        if let Some(outlet) = &mut self.outlet {
+            outlet.lost(now);
+        }
+    }
+
+    /// The system has taken so many bytes of it.
+    pub fn taken(&mut self, now: Time, bytes: u64) {
+        if let Some(outlet) = &mut self.outlet {
+            outlet.taken(now, bytes);
+        }
+    }
+
+    /// A packet of the host's collectd came.
+    pub fn packet(&mut self, packet: &[u8], now: Time, wall: u64) {
+        if let Some(line) = self.host.as_mut().and_then(|h| h.packet(packet, now, wall)) {
+            self.out.push(Output::Log(line));
+        }
+    }
+
+    /// How it fares.
+    pub fn status(&self, now: Time) -> Status {
+        Status {
+            cells: self.book.cells().len(),
+            beyond: self.book.beyond(),
+            graphite_up: self.outlet.as_ref().map(Outlet::is_up),
+            graphite_waiting: self.outlet.as_ref().map_or(0, Outlet::held),
+            dropped: self.outlet.as_ref().map_or(0, |o| o.losses().0),
+            counts_not_safe: !self.safe,
+            host: self.host.as_ref().map(|h| h.view(now)),
+            ..self.status.clone()
+        }
+    }
+
+    /// All counts, by what they are about.
+    pub fn counts(&self) -> &BTreeMap<Of, Counts> {
+        self.book.cells()
+    }
+}
+
+impl Dest {
+    fn points(&mut self, place: &Place, seconds: f64, points: &mut Vec<Point>) {
+        let mut gauge =
+            |field, value: f64| points.push(Point::new(place.clone(), field, Value::Gauge(value)));
+        let rate = self.attempts as f64 / seconds;
+        if self.full > 0 && self.limit.told.is_none() {
+            // What it served while it refused more is what this courier may have of it.
+            let served = self.served as f64 / seconds;
+            let before = self.limit.inferred.unwrap_or(served);
+            self.limit.inferred = Some(before + NEWEST * (served - before));
+        }
+        gauge(
+            "state",
+            match self.standing {
+                Standing::InService => 2.0,
+                Standing::Warming => 1.0,
+                Standing::Out | Standing::Silent => 0.0,
+            },
+        );
+        gauge("attempts_per_s", rate);
+        if let Some(told) = self.limit.told {
+            gauge("limit_told", told);
+            gauge("limit_own_share", rate / told);
+        }
+        if let Some(left) = self.limit.left {
+            gauge("limit_left_share", left);
+            gauge("limit_used_share", 1.0 - left);
+        }
+        if let Some(inferred) = self.limit.inferred {
+            gauge("limit_inferred", inferred);
+            if inferred > 0.0 && self.limit.told.is_none() {
+                gauge("limit_own_share", rate / inferred);
+            }
+        }
+        if let Some(h) = self.latency.take() {
+            percentiles(points, place, &h);
+        }
+        (self.attempts, self.served, self.full) = (0, 0, 0);
+    }
+}
+
+fn sum(into: &mut Counts, more: &Counts) {
+    into.iter_mut().zip(more).for_each(|(a, b)| *a += b);
+}
+
+/// Counts that are not zero: a series begins when there is something to count.
+fn counts(points: &mut Vec<Point>, place: &Place, counts: &Counts, fields: &[Field]) {
+    let some = fields.iter().filter(|f| counts[**f as usize] > 0);
+    points.extend(some.map(|f| Point::new(place.clone(), f.name(), Value::Count(counts[*f as usize]))));
+}
+
+fn percentiles(points: &mut Vec<Point>, place: &Place, h: &Histogram<u32>) {
+    for (field, quantile) in
+        [("latency_p50_ms", 0.5), ("latency_p95_ms", 0.95), ("latency_p99_ms", 0.99), ("latency_max_ms", 1.0)]
+    {
+        let ms = h.value_at_quantile(quantile) as f64 * UNIT as f64 / 1e6;
+        points.push(Point::new(place.clone(), field, Value::Millis(ms)));
+    }
+}
--- /dev/null
+++ b/crates/telemetry/src/stamps.rs
@@ -0,0 +1,69 @@
+//! Times that series are stamped with: the wall clock's, but never twice the same and never going back.
+
+use linnetcart::Time;
+
+const SECOND: Time = 1_000_000_000;
+/// A clock set back by more than this is believed at once: it was wrong before.
+const BELIEVED: Time = 24 * 3600 * SECOND;
+
+/// The stamps of one courier, in nanoseconds since 1970.
+#[derive(Clone, Debug)]
+pub struct Stamps {
+    last: Time,
+    /// The program's own clock at that stamp.
+    at: Time,
+}
+
+impl Stamps {
+    /// Goes on from the last stamp of an earlier run, if there was one.
+    pub fn new(last: Time, now: Time) -> Stamps {
+        Stamps { last, at: now }
+    }
+
+    /// The last one given.
+    pub fn last(&self) -> Time {
+        self.last
+    }
+
+    /// The stamp of now, at these readings of the program's own clock and of the wall's; and how far it is ahead
+    /// of the wall. After the wall was set back, stamps go on at half the pace until it has caught up.
+    pub fn stamp(&mut self, now: Time, wall: Time) -> (Time, Time) {
+        let passed = now.saturating_sub(self.at);
+        let stamp = if wall > self.last || self.last - wall > BELIEVED {
+            wall
+        } else {
+            // Whole seconds, as Graphite counts them: two in one second would overwrite each other.
+            self.last + (passed / 2).max(SECOND)
+        };
+        (self.last, self.at) = (stamp, now);
+        (stamp, stamp.saturating_sub(wall))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_clock_that_jumps_back_an_hour_is_caught_up_with_and_no_stamp_comes_twice() {
+        let hour = 3600 * SECOND;
+        let mut stamps = Stamps::new(0, 0);
+        let mut last = 0;
+        let mut caught = 0;
+        for n in 1..2000u64 {
+            let now = n * 10 * SECOND;
+            let wall = 1_000_000 * SECOND + now - if n > 100 { hour } else { 0 };
+            let (stamp, ahead) = stamps.stamp(now, wall);
+            assert!(stamp >= last + SECOND, "{last} {stamp}");
+            if n > 100 && ahead == 0 && caught == 0 {
+                caught = n;
+            }
+            last = stamp;
+        }
+        assert!((700..=900).contains(&caught), "two hours later it is caught up with: {caught}");
+        let (stamp, _) = stamps.stamp(30_000 * SECOND, 1_100_000 * SECOND);
+        assert_eq!(stamp, 1_100_000 * SECOND, "forward it is followed at once");
+        let (stamp, _) = stamps.stamp(30_010 * SECOND, 900_000 * SECOND);
+        assert_eq!(stamp, 900_000 * SECOND, "a day ahead was wrong");
+    }
+}
--- /dev/null
+++ b/crates/telemetry/tests/virtual_time.rs
@@ -0,0 +1,545 @@
+//! The reporting in virtual time: outages, crashes, clocks that jump. What a receiver ends with must be what was
+//! counted beside the reporting, and no count may ever fall.
+
+use linnetcart::Ending;
+use linnetcart_facts::{Fact, Final, Standing, Turned};
+use linnetcart_telemetry::counts::Saved;
+use linnetcart_telemetry::outlet::Do;
+use linnetcart_telemetry::settings::{Collectd, Form, Graphite, Security, Telemetry as Settings};
+use linnetcart_telemetry::{collectd, graphite, Class, Courier, Found, Listed, Now, Output, Telemetry};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng as StdRng;
+use std::collections::BTreeMap;
+
+const S: u64 = 1_000_000_000;
+const WALL: u64 = 1_700_000_000 * S;
+
+fn courier(me: u32) -> Courier {
+    let class =
+        |name: &str| Class { name: name.into(), aim: S, deadline: 8 * S, worth: 2.0, late_worth: 0.5 };
+    Courier {
+        deployment: "test".into(),
+        me,
+        classes: vec![class("order"), class("query")],
+        halves: false,
+        seed: 5,
+    }
+}
+
+fn settings(form: Form) -> Settings {
+    let address = "127.0.0.1:2003".parse().expect("an address");
+    Settings {
+        graphite: Some(Graphite { address, form, tags: false, queue_bytes: 1 << 18, stuck_s: 5 }),
+        collectd: Some(Collectd { address, host: None, security: Security::None, packet_bytes: 1452 }),
+        ..Settings::default()
+    }
+}
+
+/// A receiver that keeps the last value of each series and knows whether one fell.
+#[derive(Default)]
+struct Receiver {
+    last: BTreeMap<String, (u64, f64)>,
+    fell: Vec<String>,
+    points: u64,
+    bytes: Vec<u8>,
+}
+
+fn is_count(name: &str) -> bool {
+    let field = name.rsplit('.').next().unwrap_or("");
+    linnetcart_telemetry::counts::Field::ALL.iter().any(|f| f.name() == field)
+}
+
+impl Receiver {
+    fn point(&mut self, name: &str, value: f64, at: u64) {
+        self.points += 1;
+        let before = self.last.insert(name.to_owned(), (at, value));
+        if let Some((then, was)) = before {
+            if at < then || (is_count(name) && value < was) {
+                self.fell.push(format!("{name}: {was} at {then}, {value} at {at}"));
+            }
+        }
+    }
+
+    fn take(&mut self, bytes: &[u8], form: Form) {
+        self.bytes.extend(bytes);
+        match form {
+            Form::Plaintext => {
+                while let Some(end) = self.bytes.iter().position(|&b| b == b'\n') {
+                    let line: Vec<u8> = self.bytes.drain(..=end).collect();
+                    let text = String::from_utf8(line).expect("text");
+                    let (name, value, at) = graphite::read_line(&text).expect("a line");
+                    self.point(name, value, at);
+                }
+            }
+            Form::Pickle => {
+                while self.bytes.len() >= 4 {
+                    let length = u32::from_be_bytes(self.bytes[..4].try_into().expect("four")) as usize;
+                    if self.bytes.len() < 4 + length {
+                        break;
+                    }
+                    let frame: Vec<u8> = self.bytes.drain(..4 + length).skip(4).collect();
+                    for (name, value, at) in graphite::read_pickle(&frame).expect("a list") {
+                        self.point(&name, value, at);
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// What the disk holds: the snapshot, and logs of which some bytes were never brought to disk.
+#[derive(Default)]
+struct Disk {
+    saved: Option<Vec<u8>>,
+    log: Vec<u8>,
+    safe: usize,
+}
+
+struct Rig {
+    telemetry: Telemetry,
+    form: Form,
+    disk: Disk,
+    disk_works: bool,
+    receiver: Receiver,
+    by_udp: Receiver,
+    /// The receiver is there; it reads.
+    there: bool,
+    reads: bool,
+    up: bool,
+    given: u64,
+    now: u64,
+    wall: u64,
+    logs: Vec<String>,
+    random: StdRng,
+    /// What was counted beside the reporting, by the ends of series' names.
+    counted: BTreeMap<String, u64>,
+    most_waiting: usize,
+}
+
+impl Rig {
+    fn new(form: Form) -> Rig {
+        let mut rig = Rig {
+            telemetry: Telemetry::new(courier(3), Found::default(), settings(form), S),
+            form,
+            disk: Disk::default(),
+            disk_works: true,
+            receiver: Receiver::default(),
+            by_udp: Receiver::default(),
+            there: true,
+            reads: true,
+            up: false,
+            given: 0,
+            now: S,
+            wall: WALL,
+            logs: Vec::new(),
+            random: StdRng::seed_from_u64(1),
+            counted: BTreeMap::new(),
+            most_waiting: 0,
+        };
+        rig.list();
+        rig.begin_log();
+        rig
+    }
+
+    fn list(&mut self) {
+        let entry = |endpoint| Listed { endpoint, destination: endpoint / 10, apart: endpoint / 10 == 2 };
+        self.telemetry.list([10, 11, 20, 21, 30].into_iter().map(entry));
+    }
+
+    fn begin_log(&mut self) {
+        self.disk.saved = Some(serde_json::to_vec(&self.telemetry.saved()).expect("it can be written"));
+        self.disk.log = self.telemetry.log_head();
+        self.disk.safe = self.disk.log.len();
+    }
+
+    /// The process dies; with it, if the power goes, what was not on disk.
+    fn crash(&mut self, power: bool) {
+        let length = if power { self.disk.safe } else { self.disk.log.len() };
+        let saved: Option<Saved> =
+            self.disk.saved.as_deref().map(|s| serde_json::from_slice(s).expect("it was whole"));
+        let found = Found { saved, logs: vec![self.disk.log[..length].to_vec()] };
+        let set = self.telemetry.settings().clone();
+        self.telemetry = Telemetry::new(courier(3), found, set, self.now);
+        (self.up, self.given) = (false, 0);
+        self.receiver.bytes.clear();
+        self.list();
+        self.begin_log();
+    }
+
+    fn count(&mut self, dest: u32, class: u8, field: &str) {
+        let class = ["order", "query"][usize::from(class)];
+        for end in [
+            format!("courier.{field}"),
+            format!("class.{class}.{field}"),
+            format!("dest.d{dest}.{field}"),
+            format!("dest.d{dest}.class.{class}.{field}"),
+        ] {
+            *self.counted.entry(end).or_default() += 1;
+        }
+    }
+
+    /// A message lives and ends; its turn of the loop follows.
+    fn message(&mut self) {
+        let (dest, class) = (self.random.random_range(1..4u32), self.random.random_range(0..2u8));
+        let endpoint = dest * 10;
+        let id = self.random.random();
+        let mut facts = Vec::new();
+        if self.random.random_bool(0.05) {
+            facts.push(Fact::TurnedAway { class, destination: dest, why: Turned::Full });
+            self.count(dest, class, "turned_away");
+        } else {
+            facts.push(Fact::Taken {
+                message: id,
+                name: "x".into(),
+                class,
+                destination: dest,
+                due: self.now + 8 * S,
+            });
+            facts.push(Fact::Sent {
+                message: id,
+                attempt: 0,
+                class,
+                destination: dest,
+                endpoint,
+                copy: false,
+            });
+            self.count(dest, class, "taken");
+            self.count(dest, class, "attempts");
+            let (ending, answer, after, field, end) = match self.random.random_range(0..10) {
+                0 => (Ending::Full { wait: S }, Final::Refused { come_back: S }, S / 9, "full", "refused"),
+                1 => (Ending::Error, Final::Failed, S / 9, "errors", "failed"),
+                2 => (Ending::Served, Final::Served, 2 * S, "served", "late"),
+                _ => (Ending::Served, Final::Served, S / 9, "served", "in_aim"),
+            };
+            let load = Some((0.25, 40.0));
+            facts.push(Fact::Ended {
+                message: id,
+                attempt: 0,
+                class,
+                destination: dest,
+                endpoint,
+                ending,
+                took: after,
+                load,
+            });
+            facts.push(Fact::Answered { message: id, class, destination: dest, answer, after });
+            self.count(dest, class, field);
+            self.count(dest, class, end);
+        }
+        facts.iter().for_each(|f| self.telemetry.fact(f));
+    }
+
+    fn turn(&mut self) {
+        self.telemetry.turn(self.now, self.wall, &Now { slots: 8, slots_used: 2, ..Now::default() });
+        for _ in 0..10 {
+            let outputs = self.telemetry.outputs();
+            if outputs.is_empty() {
+                break;
+            }
+            for output in outputs {
+                self.output(output);
+            }
+        }
+        let waiting = self.telemetry.status(self.now).graphite_waiting;
+        self.most_waiting = self.most_waiting.max(waiting);
+    }
+
+    fn output(&mut self, output: Output) {
+        match output {
+            Output::Append(bytes) => self.disk.log.extend(bytes),
+            Output::Sync(number) => {
+                if self.disk_works {
+                    self.disk.safe = self.disk.log.len();
+                }
+                let done = if self.disk_works { Ok(()) } else { Err("no space".to_owned()) };
+                self.telemetry.synced(number, done);
+            }
+            Output::Graphite(Do::Connect(_)) if self.there => {
+                (self.up, self.given) = (true, 0);
+                self.telemetry.connected(self.now);
+                self.telemetry.turn(self.now, self.wall, &Now::default());
+            }
+            Output::Graphite(Do::Connect(_)) => self.telemetry.lost(self.now),
+            Output::Graphite(Do::Write(bytes)) if self.up && self.reads => {
+                self.given += bytes.len() as u64;
+                self.receiver.take(&bytes, self.form);
+                self.telemetry.taken(self.now, self.given);
+            }
+            Output::Graphite(Do::Write(_)) => {}
+            Output::Graphite(Do::Close) => {
+                self.up = false;
+                self.receiver.bytes.clear();
+            }
+            Output::Datagram(_, packet) => {
+                let said = collectd::read(&packet, &BTreeMap::new(), Default::default()).expect("a packet");
+                for s in said {
+                    if let collectd::Said::Values(about, values) = s {
+                        let name = format!("{}.{}", about.plugin_instance, about.type_instance);
+                        self.by_udp.point(&name, values[0].as_f64(), collectd::nanos(about.time) / S);
+                    }
+                }
+            }
+            Output::Log(line) => self.logs.push(line),
+        }
+    }
+
+    /// So many tenths of a second, a message in each.
+    fn run(&mut self, tenths: u64) {
+        for _ in 0..tenths {
+            (self.now, self.wall) = (self.now + S / 10, self.wall + S / 10);
+            self.message();
+            self.turn();
+        }
+    }
+
+    /// Quiet, until every series had its turn.
+    fn settle(&mut self) {
+        for _ in 0..400 {
+            (self.now, self.wall) = (self.now + S, self.wall + S);
+            self.turn();
+        }
+    }
+
+    fn check(&self) {
+        assert_eq!(self.receiver.fell, Vec::<String>::new());
+        assert_eq!(self.by_udp.fell, Vec::<String>::new());
+        for (end, &wanted) in &self.counted {
+            let name = format!("linnetcart.test.edge.3.{end}");
+            let got = self.receiver.last.get(&name).map(|p| p.1);
+            assert_eq!(got, Some(wanted as f64), "{name}");
+            let parts: Vec<&str> = end.split('.').collect();
+            let (field, place) = parts.split_last().expect("a field");
+            let got = self.by_udp.last.get(&format!("{}.{field}", place.join("-"))).map(|p| p.1);
+            assert_eq!(got, Some(wanted as f64), "{end} over collectd");
+        }
+    }
+}
+
+#[test]
+fn every_series_ends_with_what_was_counted() {
+    for form in [Form::Plaintext, Form::Pickle] {
+        let mut rig = Rig::new(form);
+        rig.run(600);
+        rig.settle();
+        rig.check();
+        let get = |end: &str| rig.receiver.last[&format!("linnetcart.test.edge.3.{end}")].1;
+        assert_eq!(get("dest.d2.limit_told"), 40.0);
+        assert_eq!(get("dest.d2.limit_used_share"), 0.75);
+        assert_eq!(get("dest.d2.route.20.attempts"), get("dest.d2.attempts"));
+        let worth = |f: &str| get(&format!("courier.worth_{f}_milli"));
+        assert_eq!(worth("asked"), worth("in_aim") + worth("late") + worth("lost"));
+        assert!(worth("late") > 0.0 && worth("lost") > 0.0);
+    }
+}
+
+#[test]
+fn ten_minutes_without_a_receiver_lose_resolution_and_no_count() {
+    let mut rig = Rig::new(Form::Plaintext);
+    rig.run(300);
+    let before = rig.receiver.points;
+    (rig.there, rig.reads, rig.up) = (false, false, false);
+    rig.telemetry.lost(rig.now);
+    rig.run(6000);
+    assert_eq!(rig.receiver.points, before);
+    assert!(rig.most_waiting <= 1 << 18, "{}", rig.most_waiting);
+    (rig.there, rig.reads) = (true, true);
+    rig.run(1200);
+    rig.settle();
+    rig.check();
+    let dropped = rig.receiver.last["linnetcart.test.edge.3.courier.points_dropped"].1;
+    assert!(dropped > 0.0, "what was dropped is reported");
+}
+
+#[test]
+fn a_receiver_that_never_reads_or_resets_each_connection_costs_no_count() {
+    let mut rig = Rig::new(Form::Pickle);
+    rig.reads = false;
+    rig.run(3000);
+    assert!(rig.most_waiting <= 1 << 18, "{}", rig.most_waiting);
+    rig.reads = true;
+    for _ in 0..60 {
+        rig.run(30);
+        rig.up = false;
+        rig.receiver.bytes.clear();
+        rig.telemetry.lost(rig.now);
+    }
+    rig.run(900);
+    rig.settle();
+    rig.check();
+}
+
+#[test]
+fn crashes_between_saves_and_three_restarts_in_an_interval_lose_nothing() {
+    let mut rig = Rig::new(Form::Plaintext);
+    for n in 0..30 {
+        rig.run(10 + n * 3 % 70);
+        rig.crash(false);
+        if n % 10 == 0 {
+            rig.crash(false);
+            rig.run(1);
+            rig.crash(false);
+        }
+    }
+    rig.run(10);
+    rig.settle();
+    rig.check();
+}
+
+#[test]
+fn a_power_cut_takes_what_was_not_on_disk_and_no_series_falls() {
+    let mut rig = Rig::new(Form::Plaintext);
+    for n in 0..30 {
+        rig.run(150 + n * 7 % 130);
+        rig.crash(true);
+    }
+    rig.settle();
+    assert_eq!(rig.receiver.fell, Vec::<String>::new());
+    let counted = rig.counted["courier.taken"] as f64;
+    let got = rig.receiver.last["linnetcart.test.edge.3.courier.taken"].1;
+    assert!(got <= counted && got > counted / 2.0, "{got} of {counted}");
+}
+
+#[test]
+fn clocks_that_jump_an_hour_either_way_let_no_series_fall() {
+    let mut rig = Rig::new(Form::Plaintext);
+    rig.run(300);
+    rig.wall -= 3600 * S;
+    rig.run(600);
+    assert!(rig.logs.iter().any(|l| l.contains("set back")), "{:?}", rig.logs);
+    rig.crash(false);
+    rig.run(600);
+    rig.wall += 3 * 3600 * S;
+    rig.run(300);
+    rig.settle();
+    rig.check();
+}
+
+#[test]
+fn while_the_disk_fails_counts_are_held_back_and_gauges_go_on() {
+    let mut rig = Rig::new(Form::Plaintext);
+    rig.run(300);
+    rig.disk_works = false;
+    let taken = rig.receiver.last["linnetcart.test.edge.3.courier.taken"];
+    let slots = rig.receiver.last["linnetcart.test.edge.3.courier.slots"];
+    rig.run(600);
+    assert_eq!(rig.receiver.last["linnetcart.test.edge.3.courier.taken"], taken);
+    assert!(rig.receiver.last["linnetcart.test.edge.3.courier.slots"].0 > slots.0);
+    assert!(rig.telemetry.status(rig.now).counts_not_safe);
+    rig.disk_works = true;
+    rig.run(300);
+    rig.settle();
+    rig.check();
+}
+
+#[test]
+fn names_that_change_or_collide_never_make_a_series_fall() {
+    let mut rig = Rig::new(Form::Plaintext);
+    let name = |rig: &mut Rig, names: &[(u32, &str)]| {
+        let names = names.iter().map(|(n, name)| (*n, (*name).to_owned())).collect();
+        let set = Settings { names, ..rig.telemetry.settings().clone() };
+        rig.telemetry.configure(set, rig.now);
+        rig.run(250);
+    };
+    name(&mut rig, &[(1, "Bank Łódź"), (2, "Bank.Lodz")]);
+    name(&mut rig, &[(1, "Other"), (2, "Bank Lodz"), (3, "Bank Lodz")]);
+    rig.crash(false);
+    // One is removed from the list, and comes back.
+    rig.telemetry.list([10, 30].into_iter().map(|e| Listed {
+        endpoint: e,
+        destination: e / 10,
+        apart: false,
+    }));
+    name(&mut rig, &[(3, "Other")]);
+    rig.list();
+    name(&mut rig, &[(1, "Bank Lodz")]);
+    rig.settle();
+    assert_eq!(rig.receiver.fell, Vec::<String>::new());
+    let taken = |name: &str| rig.receiver.last[&format!("linnetcart.test.edge.3.dest.{name}.taken")].1;
+    assert_eq!(taken("Bank_Lodz"), rig.counted["dest.d1.taken"] as f64, "it is the first owner's again");
+    assert!(taken("Bank_Lodz-d2") > 0.0 && taken("Bank_Lodz-d3") > 0.0 && taken("Other-d3") > 0.0);
+}
+
+#[test]
+fn states_are_told_once_and_silence_of_one_endpoint_of_two_is_no_outage() {
+    let mut rig = Rig::new(Form::Plaintext);
+    let mut told = Vec::new();
+    let mut stand = |rig: &mut Rig, destination, endpoint, standing| {
+        rig.telemetry.fact(&Fact::Standing { destination, endpoint, standing });
+        rig.telemetry.turn(rig.now, rig.wall, &Now::default());
+        for output in rig.telemetry.outputs() {
+            let Output::Datagram(_, packet) = output else { continue };
+            for said in collectd::read(&packet, &BTreeMap::new(), Default::default()).expect("a packet") {
+                if let collectd::Said::Notification(about, severity, _) = said {
+                    told.push((about.plugin_instance, severity));
+                }
+            }
+        }
+    };
+    stand(&mut rig, 1, 10, Standing::Silent);
+    stand(&mut rig, 1, 11, Standing::Silent);
+    stand(&mut rig, 1, 11, Standing::Out);
+    stand(&mut rig, 2, 21, Standing::Silent);
+    stand(&mut rig, 1, 10, Standing::Warming);
+    stand(&mut rig, 1, 10, Standing::InService);
+    let wanted = [("dest-d1", 1), ("dest-d2-route-21", 1), ("dest-d1", 2), ("dest-d1", 4)];
+    assert_eq!(told, wanted.map(|(i, s)| (i.to_owned(), s)));
+}
+
+#[test]
+fn a_thousand_couriers_report_spread_over_the_interval() {
+    let mut seconds = [0; 10];
+    for me in 0..1000 {
+        let t = Telemetry::new(courier(me), Found::default(), settings(Form::Plaintext), 0);
+        seconds[(t.next_turn() / S) as usize] += 1;
+    }
+    assert!(seconds.iter().all(|n| (60..=140).contains(n)), "{seconds:?}");
+}
+
+#[test]
+fn five_thousand_destinations_of_ten_classes_stay_within_the_bound_of_a_report() {
+    let mut many = courier(3);
+    many.classes = (0..10).map(|n| Class { name: format!("c{n}"), ..many.classes[0].clone() }).collect();
+    let mut set = Settings { points: 20_000, ..settings(Form::Plaintext) };
+    set.graphite.iter_mut().for_each(|g| g.queue_bytes = 16 << 20);
+    let mut t = Telemetry::new(many, Found::default(), set, 0);
+    t.list((0..5000).map(|d| Listed { endpoint: d, destination: d, apart: false }));
+    let mut receiver = Receiver::default();
+    for round in 1..=60u64 {
+        if round == 1 {
+            for d in 0..5000u32 {
+                for class in 0..10 {
+                    t.fact(&Fact::Taken { message: d, name: "x".into(), class, destination: d, due: S });
+                }
+            }
+        }
+        let now = round * 10 * S;
+        t.turn(now, WALL + now, &Now::default());
+        for output in t.outputs() {
+            match output {
+                Output::Sync(n) => t.synced(n, Ok(())),
+                Output::Graphite(Do::Connect(_)) => t.connected(now),
+                _ => {}
+            }
+        }
+        assert!(t.status(now).points <= 20_000 + 100, "{}", t.status(now).points);
+        for _ in 0..200 {
+            t.turn(now, WALL + now, &Now::default());
+            let mut some = false;
+            for output in t.outputs() {
+                if let Output::Graphite(Do::Write(bytes)) = output {
+                    receiver.take(&bytes, Form::Plaintext);
+                    some = true;
+                }
+            }
+            t.taken(now, u64::MAX / 2);
+            if !some {
+                break;
+            }
+        }
+    }
+    let cells = receiver
+        .last
+        .keys()
+        .filter(|k| k.contains(".class.c") && k.contains(".dest.") && k.ends_with(".taken"));
+    assert_eq!(cells.count(), 50_000, "every cell had its turn");
+}
