--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -3,6 +3,7 @@
 use crate::core::{Core, Start};
 use crate::settings::{List, ListNews, Rejected, Settings};
 use crate::snapshot::Saved;
+use linnetcart_telemetry::settings::Telemetry;
 use serde::Serialize;
 use serde_json::json;
 
@@ -159,6 +160,10 @@
     pub start: Start,
     /// Settings that come into force at the next start.
     pub next: Option<Settings>,
+    /// What is reported, and where; nothing is counted until it is said.
+    pub telemetry: Option<Telemetry>,
+    /// There is a folder in which counts can be kept.
+    pub keeps: bool,
     /// What went wrong with the snapshot, if anything.
     pub trouble: Option<String>,
     /// Other figures for the status page.
@@ -168,11 +173,20 @@
 impl Program {
     /// A program without settings.
     pub fn new(start: Start) -> Program {
-        Program { core: None, start, next: None, trouble: None, extra: serde_json::Map::new() }
+        Program {
+            core: None,
+            start,
+            next: None,
+            telemetry: None,
+            keeps: false,
+            trouble: None,
+            extra: serde_json::Map::new(),
+        }
     }
 
     /// Goes on from what was saved. What does not fit is reported and left out.
     pub fn restore(&mut self, saved: Saved) {
+        self.telemetry = saved.telemetry;
         let Some(settings) = saved.settings else { return };
         if let Err(e) = settings.check() {
             self.trouble = Some(format!("the saved settings are not used: {e}"));
@@ -190,6 +204,7 @@
         Saved {
             settings: self.next.clone().or_else(|| core.map(|c| c.settings().clone())),
             list: core.map_or_else(List::default, |c| c.list().clone()),
+            telemetry: self.telemetry.clone(),
         }
     }
 
@@ -210,11 +225,16 @@
             },
             ("PUT", "/settings") => self.put_settings(&r.body, save),
             ("PUT", "/list") => self.put_list(&r.body, save),
-            (_, "/status" | "/settings" | "/list") => {
-                Reply::error(405, "method", "GET is there for all three, PUT for /settings and /list")
+            ("PUT", "/telemetry") => self.put_telemetry(&r.body, save),
+            ("GET", "/telemetry") => {
+                Reply::json(200, json!({"in_force": self.telemetry.as_ref().map(Telemetry::without_keys)}))
+            }
+            (_, "/status" | "/settings" | "/list" | "/telemetry") => {
+                Reply::error(405, "method", "GET is there for all four, PUT for all but /status")
             }
             (_, path) => {
-                Reply::error(404, "path", format!("`{path}` is not there; /settings, /list and /status are"))
+                let there = "/settings, /list, /telemetry and /status are";
+                Reply::error(404, "path", format!("`{path}` is not there; {there}"))
             }
         }
     }
@@ -282,6 +302,31 @@
     }
 }
 
+impl Program {
+    fn put_telemetry(&mut self, body: &[u8], save: &mut dyn FnMut(&Saved) -> Result<(), String>) -> Reply {
+        let mut telemetry: Telemetry = match crate::settings::read(body) {
+            Ok(telemetry) => telemetry,
+            Err(e) => return rejected(&e),
+        };
+        // A key that was read back without itself is the one that is there.
+        telemetry.keep_keys(self.telemetry.as_ref());
+        if let Err((field, reason)) = telemetry.check() {
+            return rejected(&Rejected { field, reason });
+        }
+        if !self.keeps && (telemetry.graphite.is_some() || telemetry.collectd.is_some()) {
+            let reason = "counts must go on over a restart: start the program with --state-dir";
+            return Reply::error(409, "state_dir", reason);
+        }
+        let mut saved = self.saved();
+        saved.telemetry = Some(telemetry.clone());
+        if let Err(e) = save(&saved) {
+            return Reply::error(500, "snapshot", format!("nothing was changed: {e}"));
+        }
+        self.telemetry = Some(telemetry);
+        Reply::json(200, json!({"in_force": "now"}))
+    }
+}
+
 fn rejected(e: &Rejected) -> Reply {
     Reply::json(422, json!({"error": e}))
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -7,6 +7,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod accounts;
 pub mod cli;
 pub mod control;
 pub mod core;
--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -1,5 +1,6 @@
 //! Moves bytes between sockets and the core, and gives it the clock. It decides nothing.
 
+use crate::accounts::{self, Accounts};
 use crate::control::{Http, Program, Step};
 use crate::core::{Core, LinkId, Output, Policy, Start};
 use crate::facts::Fact;
@@ -9,6 +10,8 @@
 use linnetcart::Time;
 use linnetcart_kafka::server::Broker;
 use linnetcart_net::{Event, Net, Token};
+use linnetcart_telemetry::outlet::Do;
+use linnetcart_telemetry::{Class, Courier, Listed, Now, Output as Report, Telemetry};
 use serde_json::json;
 use std::collections::BTreeMap;
 use std::io::Write;
@@ -64,6 +67,8 @@
     Client,
     Control(Http),
     Link(LinkId),
+    /// The connection to Graphite.
+    Report,
 }
 
 struct Shell {
@@ -75,6 +80,23 @@
     links: BTreeMap<LinkId, Token>,
     begun: Instant,
     lines: Lines,
+    reports: Option<Reports>,
+}
+
+/// The reporting, with its sockets and files.
+struct Reports {
+    telemetry: Telemetry,
+    accounts: Option<Accounts>,
+    /// The connection to Graphite.
+    graphite: Option<Token>,
+    /// Where datagrams to collectd leave.
+    collectd: Option<Token>,
+    /// Where those of the host's collectd come, and the address that was asked for.
+    listen: Option<(Token, SocketAddr)>,
+    /// The version of the list that it was told.
+    list: Option<u64>,
+    /// When the last report was asked for.
+    last: Option<Time>,
 }
 
 /// Keeps a flood out of the log.
@@ -130,6 +152,7 @@
                 program.trouble = Some(text);
             }
         }
+        program.keeps = true;
     }
     let mut shell = Shell {
         net,
@@ -140,6 +163,7 @@
         links: BTreeMap::new(),
         begun: Instant::now(),
         lines: Lines::default(),
+        reports: None,
     };
     let ready = json!({"kafka": at.to_string(), "control": control_at.to_string()});
     let mut out = std::io::stdout();
@@ -158,7 +182,8 @@
         let mut draining: Option<Instant> = None;
         let mut looked = self.now();
         loop {
-            let wanted = self.program.core.as_ref().map_or(Time::MAX, Core::next_turn);
+            let report = self.reports.as_ref().map_or(Time::MAX, |r| r.telemetry.next_turn());
+            let wanted = self.program.core.as_ref().map_or(Time::MAX, Core::next_turn).min(report);
             let timeout = Duration::from_nanos(wanted.saturating_sub(self.now())).min(LOOK);
             let looks = self.now();
             self.net.poll(timeout, &mut events).context("the event loop failed")?;
@@ -188,13 +213,15 @@
             if let Some(core) = &mut self.program.core {
                 core.turn(now);
             }
-            self.carry_out();
+            // What is told to anyone has been counted before.
             self.facts();
+            self.report();
+            self.carry_out();
             if let Some(since) = draining {
                 let done = self.program.core.as_ref().is_none_or(Core::is_done);
                 let unsent = self.roles.keys().any(|&t| self.net.unsent(t) > 0);
                 let late = since.elapsed() > self.options.drain + LAST_ANSWERS;
-                if done && (!unsent || late) {
+                if done && (!unsent || late) && self.reported(now) {
                     tracing::info!("all that was held has its answer");
                     return Ok(End::Done);
                 }
@@ -235,8 +262,15 @@
             Event::Accepted { token, .. } => {
                 self.roles.insert(token, Role::Control(Http::default()));
             }
-            Event::Connected(token) => self.link(token, |core, link| core.link_up(link)),
+            Event::Connected(token) => match (self.roles.get(&token), &mut self.reports) {
+                (Some(Role::Report), Some(reports)) => {
+                    let now = self.begun.elapsed().as_nanos() as Time + CLOCK_START;
+                    reports.telemetry.connected(now);
+                }
+                _ => self.link(token, |core, link| core.link_up(link)),
+            },
             Event::ConnectFailed(token) => {
+                self.report_lost(token);
                 self.link(token, |core, link| core.link_failed(link));
                 self.forget(token);
             }
@@ -251,6 +285,10 @@
             },
             Event::HalfClosed(token) => match (self.roles.get(&token), &mut self.program.core) {
                 (Some(Role::Client), Some(core)) => core.client_half_closed(token),
+                (Some(Role::Report), _) => {
+                    self.net.close(token);
+                    self.gone(token, 0);
+                }
                 (Some(Role::Link(_)), _) => {
                     // An endpoint that sends no more answers nothing more.
                     let written = self.net.written(token);
@@ -263,6 +301,14 @@
                 }
             },
             Event::Closed { token, written } => self.gone(token, written),
+            Event::Datagram(token, packet) => {
+                let now = self.now();
+                if let Some(reports) = &mut self.reports {
+                    if reports.listen.is_some_and(|l| l.0 == token) {
+                        reports.telemetry.packet(&packet, now, wall());
+                    }
+                }
+            }
             Event::Signal(_) => {}
         }
     }
@@ -273,7 +319,16 @@
         }
     }
 
+    fn report_lost(&mut self, token: Token) {
+        let now = self.now();
+        if let (Some(Role::Report), Some(reports)) = (self.roles.get(&token), &mut self.reports) {
+            reports.graphite = None;
+            reports.telemetry.lost(now);
+        }
+    }
+
     fn gone(&mut self, token: Token, written: u64) {
+        self.report_lost(token);
         match (self.roles.get(&token), &mut self.program.core) {
             (Some(Role::Client), Some(core)) => core.client_gone(token),
             (Some(Role::Link(link)), Some(core)) => core.link_down(*link, written),
@@ -306,6 +361,7 @@
                         ("version", json!(env!("CARGO_PKG_VERSION"))),
                         ("connections", json!(self.net.connections())),
                         ("logs_kept_back", json!(self.lines.kept_back)),
+                        ("telemetry", json!(self.reports.as_ref().map(|r| r.telemetry.status(self.now())))),
                     ];
                     self.program.extra = extra.into_iter().map(|(k, v)| (k.to_owned(), v)).collect();
                     let dir = self.options.state_dir.clone();
@@ -376,6 +432,9 @@
         let now = self.now();
         let Some(core) = &mut self.program.core else { return };
         for fact in core.facts() {
+            if let Some(reports) = &mut self.reports {
+                reports.telemetry.fact(&fact);
+            }
             match fact {
                 Fact::Log(line) if self.lines.may(now) => tracing::info!("{line}"),
                 Fact::BadPeer { whose, why } if self.lines.may(now) => {
@@ -387,3 +446,197 @@
         }
     }
 }
+
+/// The wall clock, in nanoseconds since 1970.
+fn wall() -> u64 {
+    SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default().as_nanos() as u64
+}
+
+// ---- Reports
+
+impl Shell {
+    /// Begins to report, or reports otherwise, once it is said what; counts go on from what an earlier run left.
+    fn report_as_told(&mut self) {
+        let now = self.now();
+        let (Some(set), Some(core)) = (&self.program.telemetry, &self.program.core) else { return };
+        if let Some(reports) = &mut self.reports {
+            if reports.telemetry.settings() != set {
+                reports.telemetry.configure(set.clone(), now);
+                self.listen_as_told();
+            }
+            return;
+        }
+        let s = core.settings();
+        let class = |c: &crate::settings::ClassDoc| Class {
+            name: c.name.clone(),
+            aim: c.aim_ms * 1_000_000,
+            deadline: c.deadline(),
+            worth: c.worth,
+            late_worth: c.late_worth,
+        };
+        let courier = Courier {
+            deployment: s.deployment.clone(),
+            me: s.courier.me,
+            classes: s.classes.iter().map(class).collect(),
+            halves: s.worth.halves,
+            seed: self.program.start.seed,
+        };
+        let (mut found, mut next) = (Default::default(), 0);
+        if let Some(dir) = &self.options.state_dir {
+            match accounts::load(dir) {
+                Ok((f, n, trouble)) => {
+                    (found, next) = (f, n);
+                    if let Some(text) = trouble {
+                        tracing::error!("{text}; counts begin anew");
+                        self.program.trouble = Some(text);
+                    }
+                }
+                Err(e) => {
+                    // Counts that are there but cannot be read must not begin anew: try again at the next turn.
+                    if self.lines.may(now) {
+                        tracing::error!("counts cannot be read in {}: {e}", dir.display());
+                    }
+                    return;
+                }
+            }
+        }
+        let telemetry = Telemetry::new(courier, found, set.clone(), now);
+        let begin = |dir: &PathBuf| Accounts::begin(dir, next, telemetry.saved(), &telemetry.log_head());
+        let accounts = match self.options.state_dir.as_ref().map(begin).transpose() {
+            Ok(accounts) => accounts,
+            Err(e) => {
+                if self.lines.may(now) {
+                    tracing::error!("counts cannot be kept, so nothing is reported: {e}");
+                }
+                return;
+            }
+        };
+        let reports = Reports {
+            telemetry,
+            accounts,
+            graphite: None,
+            collectd: None,
+            listen: None,
+            list: None,
+            last: None,
+        };
+        self.reports = Some(reports);
+        self.listen_as_told();
+    }
+
+    /// Listens where the host's collectd is to report to.
+    fn listen_as_told(&mut self) {
+        let Some(reports) = &mut self.reports else { return };
+        let wanted = reports.telemetry.settings().listen.as_ref().map(|l| l.address);
+        if reports.listen.map(|l| l.1) == wanted {
+            return;
+        }
+        if let Some((token, _)) = reports.listen.take() {
+            self.net.no_datagrams(token);
+        }
+        let Some(addr) = wanted else { return };
+        match self.net.datagrams(addr) {
+            Ok((token, at)) => {
+                tracing::info!(%at, "listening for the host's figures");
+                reports.listen = Some((token, addr));
+            }
+            Err(e) => tracing::error!("cannot listen for the host's figures on {addr}: {e}"),
+        }
+    }
+
+    /// The last report has left, or has had its time.
+    fn reported(&mut self, now: Time) -> bool {
+        let Some(reports) = &mut self.reports else { return true };
+        match reports.last {
+            None => {
+                reports.telemetry.report_now(now);
+                reports.last = Some(now);
+                false
+            }
+            Some(since) => {
+                let late = now > since + LAST_ANSWERS.as_nanos() as Time;
+                late || (now > since + LOOK.as_nanos() as Time && reports.telemetry.is_quiet())
+            }
+        }
+    }
+
+    fn report(&mut self) {
+        self.report_as_told();
+        let now = self.now();
+        let (Some(reports), Some(core)) = (&mut self.reports, &self.program.core) else { return };
+        if reports.list != Some(core.list().version) {
+            let (kinds, entries) = (&core.settings().kinds, core.list().entries.values());
+            reports.list = Some(core.list().version);
+            reports.telemetry.list(entries.map(|e| Listed {
+                endpoint: e.id,
+                destination: e.destination,
+                apart: kinds.iter().any(|k| k.name == e.kind && k.routes_apart),
+            }));
+        }
+        for (number, done) in reports.accounts.as_ref().map(Accounts::done).unwrap_or_default() {
+            reports.telemetry.synced(number, done);
+        }
+        if let Some(token) = reports.graphite {
+            reports.telemetry.taken(now, self.net.written(token));
+        }
+        reports.telemetry.turn(now, wall(), || {
+            let (status, limits) = (core.status(), &core.settings().limits);
+            Now {
+                held: status.held,
+                held_bytes: status.held_bytes,
+                slots_used: status.calls,
+                slots: limits.slots as usize,
+                hold: limits.held as usize,
+                clients: status.clients,
+                links: status.links,
+            }
+        });
+        let mut lines = Vec::new();
+        for output in reports.telemetry.outputs() {
+            match output {
+                Report::Append(frame) => reports.accounts.iter_mut().for_each(|a| a.append(&frame)),
+                Report::Sync(number) => {
+                    let telemetry = &reports.telemetry;
+                    let done = match &mut reports.accounts {
+                        Some(a) => a.sync(number, || telemetry.saved(), &telemetry.log_head()),
+                        None => Some((number, Err("there is no --state-dir".into()))),
+                    };
+                    if let Some((number, done)) = done {
+                        reports.telemetry.synced(number, done);
+                    }
+                }
+                Report::Graphite(Do::Connect(addr)) => {
+                    let token = self.net.connect(addr);
+                    self.roles.insert(token, Role::Report);
+                    reports.graphite = Some(token);
+                }
+                Report::Graphite(Do::Write(bytes)) => {
+                    reports.graphite.iter().for_each(|&token| self.net.send(token, &bytes));
+                }
+                Report::Graphite(Do::Close) => {
+                    if let Some(token) = reports.graphite.take() {
+                        self.net.close(token);
+                        self.roles.remove(&token);
+                    }
+                }
+                Report::Datagram(addr, packet) => {
+                    let any = if addr.is_ipv4() { "0.0.0.0:0" } else { "[::]:0" };
+                    if reports.collectd.is_none() {
+                        let made = any.parse().ok().and_then(|any| self.net.datagrams(any).ok());
+                        reports.collectd = made.map(|m| m.0);
+                    }
+                    if let Some(token) = reports.collectd {
+                        // UDP: what the system does not take is gone, and the next report has the counts.
+                        self.net.send_to(token, addr, &packet);
+                    }
+                }
+                Report::Log(line) => lines.push(line),
+            }
+        }
+        for line in lines {
+            if self.lines.may(now) {
+                tracing::warn!("{line}");
+            }
+        }
+    }
+}
--- a/crates/edge/src/snapshot.rs
+++ b/crates/edge/src/snapshot.rs
@@ -3,6 +3,8 @@
 //! The first line holds the format's version, the checksum and the length of what follows, which is JSON.
 
 use crate::settings::{List, Settings};
+use linnetcart_telemetry::settings::Telemetry;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::fs::{self, File};
 use std::io::{self, ErrorKind, Write};
@@ -20,23 +22,36 @@
     pub settings: Option<Settings>,
     /// The list.
     pub list: List,
+    /// What is reported, and where.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub telemetry: Option<Telemetry>,
 }
 
 /// As bytes of a file.
 pub fn encode(saved: &Saved) -> Result<Vec<u8>, String> {
-    let body = serde_json::to_vec(saved).map_err(|e| e.to_string())?;
-    let mut out = format!("{MAGIC} {VERSION} {:08x} {}\n", crc32c::crc32c(&body), body.len()).into_bytes();
-    out.extend(body);
-    Ok(out)
+    sealed(MAGIC, saved)
 }
 
 /// Reads the bytes of a file; an error says what is wrong with them.
 pub fn decode(bytes: &[u8]) -> Result<Saved, String> {
+    opened(MAGIC, bytes)
+}
+
+/// Anything as bytes of a file that begins with this word.
+pub fn sealed<T: Serialize>(magic: &str, what: &T) -> Result<Vec<u8>, String> {
+    let body = serde_json::to_vec(what).map_err(|e| e.to_string())?;
+    let mut out = format!("{magic} {VERSION} {:08x} {}\n", crc32c::crc32c(&body), body.len()).into_bytes();
+    out.extend(body);
+    Ok(out)
+}
+
+/// Reads what [`sealed`] made.
+pub fn opened<T: DeserializeOwned>(wanted: &str, bytes: &[u8]) -> Result<T, String> {
     let line = bytes.iter().position(|&b| b == b'\n').ok_or("it has no first line")?;
     let head = std::str::from_utf8(&bytes[..line]).map_err(|_| "its first line is no text")?;
     let words: Vec<&str> = head.split(' ').collect();
     let &[magic, version, sum, length] = words.as_slice() else { return Err("its first line is cut".into()) };
-    if magic != MAGIC {
+    if magic != wanted {
         return Err("it is no snapshot of this program".into());
     }
     if version != VERSION.to_string() {
@@ -54,16 +69,20 @@
 
 /// Writes the snapshot aside, syncs it, and puts it in the place of the one before.
 pub fn save(dir: &Path, saved: &Saved) -> Result<(), String> {
+    replace(dir, FILE, &encode(saved)?)
+}
+
+/// Writes a file aside, syncs it, and puts it in the place of the one before.
+pub fn replace(dir: &Path, name: &str, bytes: &[u8]) -> Result<(), String> {
     let write = || -> io::Result<()> {
-        let aside = dir.join(format!("{FILE}.new"));
-        let bytes = encode(saved).map_err(io::Error::other)?;
+        let aside = dir.join(format!("{name}.new"));
         let mut file = File::create(&aside)?;
-        file.write_all(&bytes)?;
+        file.write_all(bytes)?;
         file.sync_all()?;
-        fs::rename(&aside, dir.join(FILE))?;
+        fs::rename(&aside, dir.join(name))?;
         File::open(dir)?.sync_all()
     };
-    write().map_err(|e| format!("{}: {e}", dir.join(FILE).display()))
+    write().map_err(|e| format!("{}: {e}", dir.join(name).display()))
 }
 
 /// What was found at the start.
@@ -93,23 +112,27 @@
     };
     match decode(&bytes) {
         Ok(saved) => Ok(Found::Good(Box::new(saved))),
-        Err(why) => {
-            let free = |n: &u32| !dir.join(format!("{FILE}.damaged-{n}")).exists();
-            let n = (1..=u32::MAX).find(free).unwrap_or(0);
-            let aside = dir.join(format!("{FILE}.damaged-{n}"));
-            fs::rename(&path, &aside)?;
-            Ok(Found::Damaged { why, aside })
-        }
+        Err(why) => Ok(Found::Damaged { why, aside: set_aside(dir, FILE)? }),
     }
 }
 
+/// Moves a file that is of no use out of the way, and says to where.
+pub fn set_aside(dir: &Path, name: &str) -> io::Result<PathBuf> {
+    let free = |n: &u32| !dir.join(format!("{name}.damaged-{n}")).exists();
+    let n = (1..=u32::MAX).find(free).unwrap_or(0);
+    let aside = dir.join(format!("{name}.damaged-{n}"));
+    fs::rename(dir.join(name), &aside)?;
+    Ok(aside)
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
 
     fn saved() -> Saved {
         let settings = Settings::parse(crate::settings::tests::sample().to_string().as_bytes()).unwrap();
-        Saved { settings: Some(settings), list: List { version: 3, ..List::default() } }
+        let telemetry = Some(Telemetry { interval_s: 5, ..Telemetry::default() });
+        Saved { settings: Some(settings), list: List { version: 3, ..List::default() }, telemetry }
     }
 
     #[test]
--- /dev/null
+++ b/crates/lab/src/receivers.rs
@@ -0,0 +1,322 @@
+//! Stand-ins for Graphite and collectd: they take reports in, keep the last value of each series, and know whether a
+//! count fell.
+
+use anyhow::Context;
+use linnetcart_net::{Event, Net, Token};
+use linnetcart_telemetry::collectd::{self, Said};
+use linnetcart_telemetry::counts::Field;
+use linnetcart_telemetry::graphite;
+use linnetcart_telemetry::settings::Require;
+use std::collections::BTreeMap;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+/// A pickled list is no longer; a connection that says otherwise is closed.
+const LONGEST: usize = 4 << 20;
+/// Series kept at most; beyond it new ones are passed over and counted.
+const MOST: usize = 1_000_000;
+
+/// What came in.
+#[derive(Debug, Default)]
+pub struct Stream {
+    /// The last value of each series, and its time in seconds.
+    pub last: BTreeMap<String, (u64, f64)>,
+    /// Counts that fell, and times that went back, in words; the first hundred.
+    pub fell: Vec<String>,
+    /// Points.
+    pub points: u64,
+    /// Bytes.
+    pub bytes: u64,
+    /// Notifications of collectd: of what, severity, text.
+    pub notices: Vec<(String, u64, String)>,
+    /// What could not be read, and the last reason.
+    pub bad: u64,
+    /// The last reason.
+    pub last_bad: Option<String>,
+    /// Series passed over.
+    pub beyond: u64,
+}
+
+impl Stream {
+    /// A point.
+    pub fn point(&mut self, name: &str, value: f64, at: u64) {
+        self.points += 1;
+        if self.last.len() >= MOST && !self.last.contains_key(name) {
+            self.beyond += 1;
+            return;
+        }
+        let field = name.split(';').next().and_then(|n| n.rsplit('.').next()).unwrap_or("");
+        let count = Field::ALL.iter().any(|f| f.name() == field);
+        if let Some((then, was)) = self.last.insert(name.to_owned(), (at, value)) {
+            if (at < then || (count && value < was)) && self.fell.len() < 100 {
+                self.fell.push(format!("{name}: {was} at {then}, then {value} at {at}"));
+            }
+        }
+    }
+
+    fn bad(&mut self, why: impl ToString) {
+        self.bad += 1;
+        self.last_bad = Some(why.to_string());
+    }
+
+    /// The last value of a series.
+    pub fn value(&self, name: &str) -> Option<f64> {
+        self.last.get(name).map(|p| p.1)
+    }
+}
+
+/// How a receiver behaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+pub enum Ways {
+    /// Takes all.
+    Reads,
+    /// Takes connections and never reads.
+    Deaf,
+    /// Resets each connection when something comes.
+    Resets,
+    /// Is not there.
+    Gone,
+}
+
+/// Where it listens.
+#[derive(Clone, Debug, Default)]
+pub struct Where {
+    /// For Graphite's forms, told apart by their first byte.
+    pub graphite: Option<SocketAddr>,
+    /// For collectd's packets.
+    pub collectd: Option<SocketAddr>,
+    /// Keys of collectd's users.
+    pub users: BTreeMap<String, Vec<String>>,
+    /// What packets must be.
+    pub require: Require,
+}
+
+/// A receiver on a thread of its own; dropping it ends it.
+#[derive(Debug)]
+pub struct Receiver {
+    /// Where Graphite's forms come in.
+    pub graphite: Option<SocketAddr>,
+    /// Where collectd's packets come in.
+    pub collectd: Option<SocketAddr>,
+    stream: Arc<Mutex<Stream>>,
+    ways: Arc<AtomicU8>,
+    thread: Option<std::thread::JoinHandle<()>>,
+}
+
+const END: u8 = 255;
+
+impl Receiver {
+    /// Starts one; with a record, each point is written to it as a plaintext line.
+    pub fn start(at: Where, record: Option<Box<dyn Write + Send>>) -> anyhow::Result<Receiver> {
+        let (stream, ways) = (Arc::new(Mutex::new(Stream::default())), Arc::new(AtomicU8::new(0)));
+        let (told, addresses) = std::sync::mpsc::channel();
+        let (shared, way) = (Arc::clone(&stream), Arc::clone(&ways));
+        let thread = std::thread::spawn(move || {
+            let begun = Loop::new(at, shared, way, record);
+            match begun {
+                Ok((mut all, graphite, collectd)) => {
+                    let _ = told.send(Ok((graphite, collectd)));
+                    all.run();
+                }
+                Err(e) => {
+                    let _ = told.send(Err(e));
+                }
+            }
+        });
+        let (graphite, collectd) =
+            addresses.recv_timeout(Duration::from_secs(10)).context("the receiver did not come up")??;
+        Ok(Receiver { graphite, collectd, stream, ways, thread: Some(thread) })
+    }
+
+    /// What came in so far.
+    pub fn stream(&self) -> MutexGuard<'_, Stream> {
+        self.stream.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// From now on it behaves so.
+    pub fn behave(&self, ways: Ways) {
+        self.ways.store(ways as u8, Ordering::Relaxed);
+    }
+}
+
+impl Drop for Receiver {
+    fn drop(&mut self) {
+        self.ways.store(END, Ordering::Relaxed);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+struct Loop {
+    net: Net,
+    at: Where,
+    listener: Option<(Token, SocketAddr)>,
+    conns: BTreeMap<Token, Vec<u8>>,
+    stream: Arc<Mutex<Stream>>,
+    ways: Arc<AtomicU8>,
+    record: Option<Box<dyn Write + Send>>,
+}
+
+type Begun = (Loop, Option<SocketAddr>, Option<SocketAddr>);
+
+impl Loop {
+    fn new(
+        at: Where,
+        stream: Arc<Mutex<Stream>>,
+        ways: Arc<AtomicU8>,
+        record: Option<Box<dyn Write + Send>>,
+    ) -> anyhow::Result<Begun> {
+        let mut net = Net::new(10_000)?;
+        let listener = at.graphite.map(|a| net.listen(a).with_context(|| a.to_string())).transpose()?;
+        let collectd = at.collectd.map(|a| net.datagrams(a).with_context(|| a.to_string())).transpose()?;
+        let all = Loop { net, at, listener, conns: BTreeMap::new(), stream, ways, record };
+        Ok((all, listener.map(|l| l.1), collectd.map(|c| c.1)))
+    }
+
+    fn run(&mut self) {
+        let mut events = Vec::new();
+        let mut before = Ways::Reads as u8;
+        loop {
+            let way = self.ways.load(Ordering::Relaxed);
+            if way == END || self.net.poll(Duration::from_millis(20), &mut events).is_err() {
+                return;
+            }
+            if way != before {
+                self.change(way);
+                before = way;
+            }
+            for event in events.drain(..) {
+                self.event(event, way);
+            }
+        }
+    }
+
+    fn change(&mut self, way: u8) {
+        let Some((token, addr)) = self.listener else { return };
+        if way == Ways::Gone as u8 {
+            self.net.unlisten(token);
+            let open: Vec<Token> = std::mem::take(&mut self.conns).into_keys().collect();
+            open.into_iter().for_each(|t| self.net.reset(t));
+        } else {
+            self.net.unlisten(token);
+            if let Ok((token, _)) = self.net.listen(addr) {
+                self.listener = Some((token, addr));
+            }
+        }
+        for &token in self.conns.keys() {
+            self.net.pause(token, way == Ways::Deaf as u8);
+        }
+    }
+
+    fn event(&mut self, event: Event, way: u8) {
+        match event {
+            Event::Accepted { token, .. } => {
+                self.conns.insert(token, Vec::new());
+                self.net.pause(token, way == Ways::Deaf as u8);
+            }
+            Event::Data(token, _) if way == Ways::Resets as u8 => {
+                self.conns.remove(&token);
+                self.net.reset(token);
+            }
+            Event::Data(token, bytes) => {
+                let Some(mut held) = self.conns.remove(&token) else { return };
+                held.extend(&bytes);
+                if self.take(&mut held, bytes.len()) {
+                    self.conns.insert(token, held);
+                } else {
+                    self.net.close(token);
+                }
+            }
+            Event::Datagram(_, packet) => self.packet(&packet),
+            Event::HalfClosed(token) => {
+                self.conns.remove(&token);
+                self.net.close(token);
+            }
+            Event::Closed { token, .. } => {
+                self.conns.remove(&token);
+            }
+            _ => {}
+        }
+    }
+
+    /// Whole lines or frames of what a connection holds; false when it makes no sense.
+    fn take(&mut self, held: &mut Vec<u8>, came: usize) -> bool {
+        let stream = Arc::clone(&self.stream);
+        let mut stream = stream.lock().unwrap_or_else(PoisonError::into_inner);
+        stream.bytes += came as u64;
+        let mut at = 0;
+        // A frame begins with its length, whose first byte is zero; a line does not.
+        while let Some(&first) = held.get(at) {
+            if first == 0 {
+                let Some(length) = held.get(at..at + 4).and_then(|l| l.try_into().ok()) else { break };
+                let length = u32::from_be_bytes(length) as usize;
+                if length > LONGEST {
+                    stream.bad(format!("a frame of {length} bytes"));
+                    return false;
+                }
+                let Some(body) = held.get(at + 4..at + 4 + length) else { break };
+                match graphite::read_pickle(body) {
+                    Some(list) => list.iter().for_each(|(n, v, t)| self.point(&mut stream, n, *v, *t)),
+                    None => stream.bad("a frame that is no pickled list"),
+                }
+                at += 4 + length;
+            } else {
+                let Some(end) = held[at..].iter().position(|&b| b == b'\n') else { break };
+                let line = String::from_utf8_lossy(&held[at..at + end]).into_owned();
+                match graphite::read_line(&line) {
+                    Some((name, value, time)) => self.point(&mut stream, name, value, time),
+                    None => stream.bad(format!("a line that is no point: {line:.80}")),
+                }
+                at += end + 1;
+            }
+        }
+        held.drain(..at);
+        held.len() <= LONGEST + 4
+    }
+
+    fn packet(&mut self, packet: &[u8]) {
+        let stream = Arc::clone(&self.stream);
+        let mut stream = stream.lock().unwrap_or_else(PoisonError::into_inner);
+        stream.bytes += packet.len() as u64;
+        match collectd::read(packet, &self.at.users, self.at.require) {
+            Ok(said) => {
+                for s in said {
+                    match s {
+                        Said::Values(about, values) => {
+                            let name = format!(
+                                "{}.{}.{}.{}",
+                                about.host, about.plugin, about.plugin_instance, about.type_instance
+                            );
+                            let value = values.first().map_or(0.0, |v| v.as_f64());
+                            self.point(
+                                &mut stream,
+                                &name,
+                                value,
+                                collectd::nanos(about.time) / 1_000_000_000,
+                            );
+                        }
+                        Said::Notification(about, severity, text) if stream.notices.len() < 10_000 => {
+                            stream.notices.push((about.plugin_instance, severity, text));
+                        }
+                        Said::Notification(..) => {}
+                    }
+                }
+            }
+            Err(bad) => stream.bad(bad),
+        }
+    }
+
+    fn point(&mut self, stream: &mut Stream, name: &str, value: f64, at: u64) {
+        stream.point(name, value, at);
+        if let Some(record) = &mut self.record {
+            if writeln!(record, "{name} {value} {at}").is_err() {
+                self.record = None;
+            }
+        }
+    }
+}
--- a/crates/lab/src/rig/mod.rs
+++ b/crates/lab/src/rig/mod.rs
@@ -321,6 +321,7 @@
             }
             Event::Closed { token, .. } | Event::ConnectFailed(token) => self.gone(token)?,
             Event::Signal(_) => self.signalled = true,
+            Event::Datagram(..) => {}
         }
         Ok(())
     }
--- /dev/null
+++ b/crates/lab/tests/telemetry.rs
@@ -0,0 +1,345 @@
+//! Reports of a real courier to stand-in receivers on sockets: what they end with is what clients counted.
+
+use linnetcart_kafka::{client, codes, Frames, Record};
+use linnetcart_lab::courier::{Courier, Start};
+use linnetcart_lab::receivers::{Receiver, Stream, Ways, Where};
+use linnetcart_lab::sinks::Sinks;
+use linnetcart_telemetry::settings::Require;
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+fn folder(name: &str) -> PathBuf {
+    let dir = std::env::temp_dir().join(format!("linnetcart-reports-{}-{name}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&dir);
+    dir
+}
+
+fn any() -> SocketAddr {
+    "127.0.0.1:0".parse().unwrap()
+}
+
+fn start(dir: &Path) -> Courier {
+    let program = Path::new(env!("CARGO_BIN_EXE_linnetcart-lab"));
+    Courier::start(&Start { program, dir, seed: 1, policy: "library", drain: Duration::from_secs(1) })
+        .unwrap()
+}
+
+fn http(at: SocketAddr, method: &str, path: &str, body: &Value) -> (u16, Value) {
+    let body = body.to_string();
+    let mut s = TcpStream::connect(at).unwrap();
+    s.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+    let head =
+        format!("{method} {path} HTTP/1.1\r\nContent-Length: {}\r\nConnection: close\r\n\r\n", body.len());
+    s.write_all((head + &body).as_bytes()).unwrap();
+    let mut text = String::new();
+    s.read_to_string(&mut text).unwrap();
+    let status = text.split(' ').nth(1).unwrap().parse().unwrap();
+    (status, serde_json::from_str(text.split_once("\r\n\r\n").unwrap().1).unwrap())
+}
+
+/// A courier with two destinations, of which the second never answers.
+fn told(e: &Courier, sinks: &Sinks) {
+    let class = |name: &str, repeat: &str| json!({"name": name, "aim_ms": 500, "deadline_ms": 1500, "worth": 1, "repeat": repeat});
+    let settings = json!({
+        "deployment": "reports", "courier": {"me": 4, "of": 5, "zone": "a"}, "zones": ["a"],
+        "classes": [class("order", "unsafe"), class("query", "safe")], "kinds": [{"name": "k"}],
+        "limits": {"slots": 16, "held": 100, "attempts": 4},
+        "rules": {"answer_slack_ms": 50, "cold_share": 0.2, "warm_after_ms": 1000, "fall_multiple": 2.0, "fall_span_ms": 1000}
+    });
+    assert_eq!(http(e.control, "PUT", "/settings", &settings).0, 200);
+    let entry = |(n, at): (usize, &SocketAddr)| json!({"id": n, "destination": n, "kind": "k", "zone": "a", "state": "ready", "address": at.to_string()});
+    let entries: Vec<Value> = sinks.addrs.iter().rev().enumerate().map(entry).collect();
+    assert_eq!(
+        http(e.control, "PUT", "/list", &json!({"version": 1, "whole": true, "entries": entries})).0,
+        200
+    );
+}
+
+/// Hands messages in one by one and keeps what they were answered.
+struct Client {
+    stream: TcpStream,
+    number: i32,
+    frames: Frames,
+}
+
+impl Client {
+    fn new(at: SocketAddr) -> Client {
+        let stream = TcpStream::connect(at).unwrap();
+        stream.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+        Client { stream, number: 0, frames: Frames::new(1 << 20) }
+    }
+
+    fn send(&mut self, topic: &str, partition: i32) {
+        self.number += 1;
+        let record = Record { value: Some(vec![b'v'; 50].into()), ..Record::default() };
+        let to = [client::To { topic, partition, records: &[record] }];
+        self.stream.write_all(&client::produce(self.number, "t", 9, (-1, 5000), &to).unwrap()).unwrap();
+    }
+
+    /// The code of the next answer; none when the connection ended.
+    fn answer(&mut self) -> Option<i16> {
+        let mut buf = [0; 4096];
+        loop {
+            if let Some(f) = self.frames.next_frame().unwrap() {
+                return Some(client::read_produced(&f, 9).unwrap().parts[0].code);
+            }
+            match self.stream.read(&mut buf) {
+                Ok(n) if n > 0 => self.frames.push(&buf[..n]),
+                _ => return None,
+            }
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct Counted {
+    taken: u64,
+    served: u64,
+    other: u64,
+}
+
+impl Counted {
+    fn deliver(&mut self, at: SocketAddr, count: usize) {
+        let mut c = Client::new(at);
+        for n in 0..count {
+            c.send(["order", "query"][n % 2], 0);
+            self.taken += 1;
+            match c.answer() {
+                Some(codes::NONE) => self.served += 1,
+                Some(_) => self.other += 1,
+                None => panic!("no answer"),
+            }
+        }
+    }
+}
+
+fn until(what: &str, mut done: impl FnMut() -> bool) {
+    let end = Instant::now() + Duration::from_secs(20);
+    while !done() {
+        assert!(Instant::now() < end, "{what} did not come");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+fn kill(mut e: Courier, name: &str) {
+    if name == "TERM" {
+        e.end();
+        assert_eq!(e.wait(Duration::from_secs(10)), Some(0));
+    }
+    // Otherwise dropping it kills it.
+}
+
+/// The end of a series' name for Graphite, and for collectd.
+fn value(stream: &Stream, place: &str, field: &str, collectd: bool) -> Option<f64> {
+    let name = match collectd {
+        true => format!("linnetcart-reports-4.linnetcart.{}.{field}", place.replace('.', "-")),
+        false => format!("linnetcart.reports.edge.4.{place}.{field}"),
+    };
+    stream.value(&name)
+}
+
+#[test]
+fn over_kills_restarts_and_an_outage_every_receiver_ends_with_what_clients_counted() {
+    let dir = folder("ends");
+    let sinks = Sinks::start(1, 0).unwrap();
+    let keys = || BTreeMap::from([("alice".to_owned(), vec!["secret".to_owned()])]);
+    let user = json!({"user": "alice", "key": "secret"});
+    let cases = [
+        ("plaintext", json!("none"), Require::Nothing),
+        ("pickle", json!({"sign": user}), Require::Signed),
+        ("pickle", json!({"encrypt": user}), Require::Encrypted),
+    ];
+    let mut receiver = Vec::new();
+    for (form, security, require) in &cases {
+        let at = Where { graphite: Some(any()), collectd: Some(any()), users: keys(), require: *require };
+        receiver.push((Receiver::start(at, None).unwrap(), form, security));
+    }
+    for (n, (receiver, form, security)) in receiver.iter().enumerate() {
+        let dir = dir.join(n.to_string());
+        let set = json!({
+            "interval_s": 1, "names": {"0": "Bank Łódź"},
+            "graphite": {"address": receiver.graphite.unwrap().to_string(), "form": form},
+            "collectd": {"address": receiver.collectd.unwrap().to_string(), "security": security},
+        });
+        let mut counted = Counted::default();
+        let e = start(&dir);
+        told(&e, &sinks);
+        assert_eq!(http(e.control, "PUT", "/telemetry", &set).0, 200);
+        counted.deliver(e.kafka, 40);
+        until("a report", || receiver.stream().points > 0);
+        // Killed at once after the last answer, three times.
+        kill(e, "KILL");
+        for _ in 0..3 {
+            let e = start(&dir);
+            counted.deliver(e.kafka, 15);
+            kill(e, "KILL");
+        }
+        let e = start(&dir);
+        receiver.behave(Ways::Gone);
+        counted.deliver(e.kafka, 30);
+        std::thread::sleep(Duration::from_millis(1200));
+        receiver.behave(Ways::Reads);
+        counted.deliver(e.kafka, 10);
+        let wanted = counted.taken as f64;
+        until("the last count", || value(&receiver.stream(), "courier", "taken", false) == Some(wanted));
+        kill(e, "TERM");
+        let s = receiver.stream();
+        assert_eq!((&s.fell, s.bad), (&Vec::new(), 0), "{:?}", s.last_bad);
+        for collectd in [false, true] {
+            let get = |place: &str, field: &str| value(&s, place, field, collectd).unwrap_or(0.0);
+            for place in ["courier", "dest.Bank_Lodz"] {
+                assert_eq!(get(place, "taken"), wanted, "{place} {collectd}");
+                assert_eq!(get(place, "in_aim") + get(place, "late"), counted.served as f64);
+                assert_eq!(get(place, "refused") + get(place, "failed"), counted.other as f64);
+            }
+            let classes = get("class.order", "taken") + get("class.query", "taken");
+            assert_eq!(classes, wanted);
+            assert!(get("dest.Bank_Lodz", "latency_p50_ms") > 0.0 && get("courier", "slots") == 16.0);
+        }
+    }
+    std::fs::remove_dir_all(dir).unwrap();
+}
+
+#[test]
+fn killed_in_the_middle_no_count_is_behind_what_clients_were_told() {
+    let dir = folder("middle");
+    let sinks = Sinks::start(1, 0).unwrap();
+    let receiver = Receiver::start(Where { graphite: Some(any()), ..Where::default() }, None).unwrap();
+    let set = json!({"interval_s": 1, "graphite": {"address": receiver.graphite.unwrap().to_string()}});
+    let (mut sent, mut served) = (0, 0);
+    for round in 0..4 {
+        let e = start(&dir);
+        if round == 0 {
+            told(&e, &sinks);
+            assert_eq!(http(e.control, "PUT", "/telemetry", &set).0, 200);
+        }
+        let mut c = Client::new(e.kafka);
+        for _ in 0..60 {
+            c.send("query", 0);
+            sent += 1;
+        }
+        for _ in 0..20 {
+            served += u64::from(c.answer() == Some(codes::NONE));
+        }
+        drop(e);
+        while let Some(code) = c.answer() {
+            served += u64::from(code == codes::NONE);
+        }
+    }
+    let e = start(&dir);
+    until("a report of the last run", || {
+        let (_, status) = http(e.control, "GET", "/status", &Value::Null);
+        status["telemetry"]["reports"].as_u64() > Some(1)
+    });
+    kill(e, "TERM");
+    let s = receiver.stream();
+    assert_eq!(s.fell, Vec::<String>::new());
+    let get = |field: &str| value(&s, "courier", field, false).unwrap_or(0.0) as u64;
+    let (taken, ended) = (get("taken"), get("in_aim") + get("late"));
+    assert!(
+        taken <= sent && ended <= taken && ended >= served,
+        "{sent} sent, {served} served; {taken}, {ended}"
+    );
+    std::fs::remove_dir_all(dir).unwrap();
+}
+
+#[test]
+fn a_receiver_that_never_reads_or_resets_harms_no_delivery_and_settings_change_without_a_restart() {
+    let dir = folder("deaf");
+    let sinks = Sinks::start(1, 0).unwrap();
+    let (first, second) = (
+        Receiver::start(Where { graphite: Some(any()), ..Where::default() }, None).unwrap(),
+        Receiver::start(Where { graphite: Some(any()), ..Where::default() }, None).unwrap(),
+    );
+    let set = |r: &Receiver| json!({"interval_s": 1, "graphite": {"address": r.graphite.unwrap().to_string(), "stuck_s": 1}});
+    let e = start(&dir);
+    told(&e, &sinks);
+    // Nothing half applied, and the field is named.
+    let (status, body) = http(e.control, "PUT", "/telemetry", &json!({"interval_s": 0}));
+    assert!(status == 422 && body["error"]["field"] == "interval_s", "{body}");
+    let (status, body) = http(e.control, "PUT", "/telemetry", &json!({"graphite": {"adress": "x"}}));
+    assert!(status == 422 && body["error"]["field"].as_str().unwrap().contains("graphite"), "{body}");
+    first.behave(Ways::Deaf);
+    assert_eq!(http(e.control, "PUT", "/telemetry", &set(&first)).0, 200);
+    let mut counted = Counted::default();
+    counted.deliver(e.kafka, 100);
+    first.behave(Ways::Resets);
+    counted.deliver(e.kafka, 100);
+    std::thread::sleep(Duration::from_millis(1500));
+    counted.deliver(e.kafka, 100);
+    assert_eq!((counted.served, counted.other), (300, 0));
+    assert_eq!(http(e.control, "PUT", "/telemetry", &set(&second)).0, 200);
+    until("the second receiver's report", || {
+        value(&second.stream(), "courier", "taken", false) == Some(300.0)
+    });
+    kill(e, "KILL");
+    // The settings of the reports are in the snapshot.
+    let e = start(&dir);
+    let (_, body) = http(e.control, "GET", "/telemetry", &Value::Null);
+    assert_eq!(body["in_force"]["graphite"]["address"], second.graphite.unwrap().to_string());
+    drop(e);
+    std::fs::remove_dir_all(dir).unwrap();
+}
+
+#[test]
+fn figures_of_the_host_are_taken_in_and_garbage_costs_nothing() {
+    let dir = folder("host");
+    let sinks = Sinks::start(1, 0).unwrap();
+    let e = start(&dir);
+    told(&e, &sinks);
+    let port = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let at = port.local_addr().unwrap();
+    drop(port);
+    let set = json!({"listen": {"address": at.to_string(), "require": "signed", "users": {"alice": ["new", "old"]}}});
+    assert_eq!(http(e.control, "PUT", "/telemetry", &set).0, 200);
+    let (_, body) = http(e.control, "GET", "/telemetry", &Value::Null);
+    assert!(!body.to_string().contains("old"), "keys are not shown: {body}");
+    // What was read back without its keys keeps them.
+    assert_eq!(http(e.control, "PUT", "/telemetry", &body["in_force"]).0, 200);
+    let from = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let load = |values: [f64; 3]| {
+        let now =
+            std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_nanos() as u64;
+        let part = |kind: u16, body: &[u8]| {
+            [&kind.to_be_bytes()[..], &((body.len() + 4) as u16).to_be_bytes(), body].concat()
+        };
+        let numbers: Vec<u8> = values.iter().flat_map(|v| v.to_le_bytes()).collect();
+        let time = linnetcart_telemetry::collectd::high_resolution(now).to_be_bytes();
+        [
+            part(0, b"host-1\0"),
+            part(8, &time),
+            part(2, b"load\0"),
+            part(4, b"load\0"),
+            part(6, &[&[0, 3, 1, 1, 1][..], &numbers].concat()),
+        ]
+        .concat()
+    };
+    let signed = |parts: &[u8], key: &str| {
+        use hmac::Mac;
+        let mut mac = <hmac::Hmac<sha2::Sha256> as Mac>::new_from_slice(key.as_bytes()).unwrap();
+        mac.update(b"alice");
+        mac.update(parts);
+        let code = mac.finalize().into_bytes();
+        [&b"\x02\x00\x00\x29"[..], &code, b"alice", parts].concat()
+    };
+    for n in 0..200u8 {
+        from.send_to(&[n; 90], at).unwrap();
+    }
+    from.send_to(&load([9.0, 9.0, 9.0]), at).unwrap();
+    from.send_to(&signed(&load([8.0, 8.0, 8.0]), "guessed"), at).unwrap();
+    from.send_to(&signed(&load([1.5, 1.0, 0.5]), "old"), at).unwrap();
+    let host = || http(e.control, "GET", "/status", &Value::Null).1["telemetry"]["host"].clone();
+    until("the load", || host()["load"] == json!([1.5, 1.0, 0.5]));
+    from.send_to(&signed(&load([2.5, 1.0, 0.5]), "new"), at).unwrap();
+    until("the load under the new key", || host()["load"] == json!([2.5, 1.0, 0.5]));
+    assert!(host()["bad"].as_u64() >= Some(200), "{}", host());
+    let mut counted = Counted::default();
+    counted.deliver(e.kafka, 20);
+    assert_eq!(counted.served, 20);
+    drop(e);
+    std::fs::remove_dir_all(dir).unwrap();
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -14,7 +14,7 @@
 use socket2::{Domain, Protocol, SockRef, Socket, Type};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, ErrorKind, Read, Write};
-use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -27,6 +27,8 @@
 const READS: usize = 4;
 /// Connections accepted from one listener in one poll.
 const ACCEPTS: usize = 256;
+/// Datagrams received in one poll; the rest waits for the next, or is dropped by the system.
+const DATAGRAMS: usize = 64;
 /// How long a listener rests when the process is out of file descriptors.
 const OUT_OF_FILES: Duration = Duration::from_millis(100);
 /// How long a connection that is being finished may take to send what is left.
@@ -59,6 +61,8 @@
         /// Bytes handed to the system since it was made.
         written: u64,
     },
+    /// A datagram came.
+    Datagram(Token, Bytes),
     /// A signal came.
     Signal(i32),
 }
@@ -127,6 +131,7 @@
     next: Token,
     conns: BTreeMap<Token, Conn>,
     listeners: BTreeMap<Token, Listener>,
+    datagrams: BTreeMap<Token, (Rc<UdpSocket>, RegistrationToken)>,
     /// Connections to read on, listeners to accept on, whatever the system says.
     again: BTreeSet<Token>,
     /// Connections with bytes to write.
@@ -149,6 +154,7 @@
             next: 1,
             conns: BTreeMap::new(),
             listeners: BTreeMap::new(),
+            datagrams: BTreeMap::new(),
             again: BTreeSet::new(),
             dirty: BTreeSet::new(),
             later: Vec::new(),
@@ -195,6 +201,42 @@
         }
     }
 
+    /// Takes and sends datagrams; port 0 lets the system choose.
+    pub fn datagrams(&mut self, addr: SocketAddr) -> io::Result<(Token, SocketAddr)> {
+        let socket = Rc::new(UdpSocket::bind(addr)?);
+        socket.set_nonblocking(true)?;
+        let at = socket.local_addr()?;
+        let token = self.token();
+        let registration = self.register(Rc::clone(&socket), token, Interest::READ)?;
+        self.datagrams.insert(token, (socket, registration));
+        Ok((token, at))
+    }
+
+    /// Sends one; false if the system does not take it now.
+    pub fn send_to(&mut self, token: Token, addr: SocketAddr, bytes: &[u8]) -> bool {
+        self.datagrams.get(&token).is_some_and(|(socket, _)| socket.send_to(bytes, addr).is_ok())
+    }
+
+    /// Takes no more datagrams there.
+    pub fn no_datagrams(&mut self, token: Token) {
+        if let Some((_, registration)) = self.datagrams.remove(&token) {
+            self.handle.remove(registration);
+        }
+    }
+
+    fn receive(&mut self, token: Token, out: &mut Vec<Event>) {
+        let Some((socket, _)) = self.datagrams.get(&token) else { return };
+        for _ in 0..DATAGRAMS {
+            match socket.recv(&mut self.chunk) {
+                Ok(n) => out.push(Event::Datagram(token, Bytes::copy_from_slice(&self.chunk[..n]))),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                // Whoever a datagram of ours did not reach; it says nothing of those that come.
+                Err(_) => {}
+            }
+        }
+        self.again.insert(token);
+    }
+
     fn register<S: std::os::fd::AsFd + 'static>(
         &self,
         socket: S,
@@ -389,6 +431,8 @@
         for token in std::mem::take(&mut self.again) {
             if self.listeners.contains_key(&token) {
                 self.accept(token, now, out);
+            } else if self.datagrams.contains_key(&token) {
+                self.receive(token, out);
             } else {
                 self.read(token, out);
             }
@@ -578,6 +622,26 @@
         }
     }
 
+    #[test]
+    fn datagrams_come_as_they_were_sent() {
+        let mut net = Net::new(10).unwrap();
+        let (one, _) = net.datagrams("127.0.0.1:0".parse().unwrap()).unwrap();
+        let (other, at) = net.datagrams("127.0.0.1:0".parse().unwrap()).unwrap();
+        for n in 0..100u8 {
+            assert!(net.send_to(one, at, &[n; 3]));
+        }
+        let mut next = 0;
+        until(&mut net, |e| {
+            if let Event::Datagram(t, b) = e {
+                assert_eq!((*t, &b[..]), (other, &[next; 3][..]));
+                next += 1;
+            }
+            next == 100
+        });
+        net.no_datagrams(other);
+        assert!(!net.send_to(other, at, b"x"));
+    }
+
     #[test]
     fn a_paused_connection_is_read_when_it_goes_on() {
         let mut net = Net::new(10).unwrap();
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -532,7 +532,7 @@
     }
 
     /// The clock; what is counted so far goes into the log, and a report is made when it is time.
-    pub fn turn(&mut self, now: Time, wall: Time, figures: &Now) {
+    pub fn turn(&mut self, now: Time, wall: Time, figures: impl FnOnce() -> Now) {
         self.losses();
         if let Some(frame) = self.book.frame() {
             self.out.push(Output::Append(frame));
@@ -545,7 +545,7 @@
             let interval = self.set.interval_s * SECOND;
             self.next_report = (self.next_report + interval).max(now + interval / 2);
             if self.report.is_none() {
-                self.make(now, wall, figures);
+                self.make(now, wall, &figures());
             }
         }
         self.notify(now, wall);
@@ -554,6 +554,17 @@
         }
     }
 
+    /// The program ends: one more report, at once.
+    pub fn report_now(&mut self, now: Time) {
+        self.next_report = self.next_report.min(now);
+    }
+
+    /// Nothing is on its way to a receiver that is there.
+    pub fn is_quiet(&self) -> bool {
+        let empty = self.outlet.as_ref().is_none_or(|o| !o.is_up() || o.held() == 0);
+        self.report.is_none() && empty
+    }
+
     /// When the next turn is wanted at the latest.
     pub fn next_turn(&self) -> Time {
         let outlet = self.outlet.as_ref().and_then(Outlet::next).unwrap_or(Time::MAX);
--- a/crates/telemetry/src/settings.rs
+++ b/crates/telemetry/src/settings.rs
@@ -4,6 +4,9 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+/// Stands for a key that is not shown.
+const KEPT: &str = "(kept)";
+
 /// The whole document. An empty one reports nothing; counts are kept all the same.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -168,6 +171,13 @@
             let ok = (least..=most).contains(&value);
             ok.then_some(()).ok_or_else(|| (field.to_owned(), format!("{value}; {least} to {most} will do")))
         };
+        let mut unknown = None;
+        self.clone().each_key(|of, key| {
+            if key == KEPT {
+                unknown = Some((of, "no key is known that could be kept; give it".to_owned()));
+            }
+        });
+        unknown.map_or(Ok(()), Err)?;
         within("interval_s", self.interval_s as usize, 1, 3600)?;
         within("points", self.points, 1000, 10_000_000)?;
         within("cells", self.cells, 100, 1_000_000)?;
@@ -204,14 +214,34 @@
     /// Without the keys, for those who may read.
     pub fn without_keys(&self) -> Telemetry {
         let mut plain = self.clone();
+        plain.each_key(|_, key| *key = KEPT.into());
+        plain
+    }
+
+    /// A document that was read without its keys and comes back has the keys of the one before.
+    pub fn keep_keys(&mut self, before: Option<&Telemetry>) {
+        let mut known = BTreeMap::new();
+        if let Some(mut before) = before.cloned() {
+            before.each_key(|of, key| {
+                known.insert(of, std::mem::take(key));
+            });
+        }
+        self.each_key(|of, key| {
+            if let Some(kept) = known.get(&of).filter(|_| key == KEPT) {
+                key.clone_from(kept);
+            }
+        });
+    }
+
+    /// All keys, each with a name that stays.
+    fn each_key(&mut self, mut see: impl FnMut(String, &mut String)) {
         if let Some(Security::Sign(u) | Security::Encrypt(u)) =
-            plain.collectd.as_mut().map(|c| &mut c.security)
+            self.collectd.as_mut().map(|c| &mut c.security)
         {
-            u.key = "(kept)".into();
+            see(format!("collectd {}", u.user), &mut u.key);
         }
-        for keys in plain.listen.iter_mut().flat_map(|l| l.users.values_mut()) {
-            keys.iter_mut().for_each(|k| *k = "(kept)".into());
+        for (user, keys) in self.listen.iter_mut().flat_map(|l| &mut l.users) {
+            keys.iter_mut().enumerate().for_each(|(n, key)| see(format!("listen {user} {n}"), key));
         }
-        plain
     }
 }
--- a/crates/telemetry/tests/virtual_time.rs
+++ b/crates/telemetry/tests/virtual_time.rs
@@ -230,7 +230,7 @@
     }
 
     fn turn(&mut self) {
-        self.telemetry.turn(self.now, self.wall, &Now { slots: 8, slots_used: 2, ..Now::default() });
+        self.telemetry.turn(self.now, self.wall, || Now { slots: 8, slots_used: 2, ..Now::default() });
         for _ in 0..10 {
             let outputs = self.telemetry.outputs();
             if outputs.is_empty() {
@@ -257,7 +257,7 @@
             Output::Graphite(Do::Connect(_)) if self.there => {
                 (self.up, self.given) = (true, 0);
                 self.telemetry.connected(self.now);
-                self.telemetry.turn(self.now, self.wall, &Now::default());
+                self.telemetry.turn(self.now, self.wall, Now::default);
             }
             Output::Graphite(Do::Connect(_)) => self.telemetry.lost(self.now),
             Output::Graphite(Do::Write(bytes)) if self.up && self.reads => {
@@ -465,7 +465,7 @@
     let mut told = Vec::new();
     let mut stand = |rig: &mut Rig, destination, endpoint, standing| {
         rig.telemetry.fact(&Fact::Standing { destination, endpoint, standing });
-        rig.telemetry.turn(rig.now, rig.wall, &Now::default());
+        rig.telemetry.turn(rig.now, rig.wall, Now::default);
         for output in rig.telemetry.outputs() {
             let Output::Datagram(_, packet) = output else { continue };
             for said in collectd::read(&packet, &BTreeMap::new(), Default::default()).expect("a packet") {
@@ -513,7 +513,7 @@
             }
         }
         let now = round * 10 * S;
-        t.turn(now, WALL + now, &Now::default());
+        t.turn(now, WALL + now, Now::default);
         for output in t.outputs() {
             match output {
                 Output::Sync(n) => t.synced(n, Ok(())),
@@ -523,7 +523,7 @@
         }
         assert!(t.status(now).points <= 20_000 + 100, "{}", t.status(now).points);
         for _ in 0..200 {
-            t.turn(now, WALL + now, &Now::default());
+            t.turn(now, WALL + now, Now::default);
             let mut some = false;
             for output in t.outputs() {
                 if let Output::Graphite(Do::Write(bytes)) = output {
