--- a/crates/edge/src/core/mod.rs
+++ b/crates/edge/src/core/mod.rs
@@ -25,7 +25,7 @@
 use linnetcart_kafka::Record;
 use numbers::Numbers;
 use serde::Serialize;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 
@@ -176,6 +176,8 @@
     delivery: Delivery,
     /// Told waits: by destination, or by route where routes are apart.
     waits: BTreeMap<(bool, u32), Time>,
+    /// The limit of each endpoint, also while it is out of the list and a connection to it is left.
+    limits: BTreeMap<u32, (bool, u32)>,
     draining: Option<Time>,
     out: Vec<Output>,
     facts: Vec<Fact>,
@@ -217,6 +219,7 @@
             intake: Intake::default(),
             delivery: Delivery::new(bounds),
             waits: BTreeMap::new(),
+            limits: BTreeMap::new(),
             draining: None,
             out: Vec::new(),
             facts: Vec::new(),
@@ -303,6 +306,10 @@
 
     fn put_list(&mut self, list: List) {
         self.list = list;
+        let left: BTreeSet<u32> = self.delivery.endpoints().into_iter().collect();
+        self.limits.retain(|endpoint, _| left.contains(endpoint));
+        let set = &self.set;
+        self.limits.extend(self.list.entries.values().map(|e| (e.id, limit_of(set, e))));
         self.ready.clear();
         for e in self.list.entries.values() {
             *self.ready.entry(e.destination).or_default() += u32::from(e.state == State::Ready);
@@ -747,8 +754,8 @@
     }
 
     fn told_wait(&mut self, endpoint: u32, wait: Time) {
-        let Some(e) = self.list.entries.get(&endpoint).filter(|_| wait > 0) else { return };
-        let until = self.waits.entry(limit_of(&self.set, e)).or_default();
+        let Some(&limit) = self.limits.get(&endpoint).filter(|_| wait > 0) else { return };
+        let until = self.waits.entry(limit).or_default();
         *until = (*until).max(self.now + wait);
     }
 
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -178,7 +178,9 @@
             }
         }
         let dests = &mut self.dests;
-        self.sites.retain(|_, s| s.listing != Listing::Gone || s.calls > 0);
+        // What was told of a wait outlives the entry: it may be back before the wait is over.
+        let now = self.now;
+        self.sites.retain(|_, s| s.listing != Listing::Gone || s.calls > 0 || s.node.wait_until > now);
         let sites = &self.sites;
         dests.retain(|id, d| {
             let before = d.endpoints.len();
--- a/tests/courier.rs
+++ b/tests/courier.rs
@@ -395,6 +395,28 @@
     assert!((1..=10).contains(&back), "{back} calls in the first two seconds");
 }
 
+#[test]
+fn a_told_wait_is_heeded_when_the_route_leaves_the_list_and_comes_back() {
+    let mut c = Courier::new(settings(), 1);
+    let listing = |listing| Event::List { whole: false, entries: vec![entry(20, 2, 1, listing)] };
+    c.round(S, vec![list(), Event::List { whole: false, entries: vec![entry(21, 2, 1, Listing::Gone)] }]);
+    assert_eq!(sends(&c.round(S, vec![taken(1, 2, 0, 0)])), [(1, 20)]);
+    c.round(S + MS, vec![listing(Listing::Gone)]);
+    c.round(S + 10 * MS, vec![ended(1, 0, 20, Ending::Full { wait: 2 * S })]);
+    // Any other news of the list in between.
+    c.round(
+        S + 20 * MS,
+        vec![Event::List { whole: false, entries: vec![entry(10, 1, 0, Listing::Draining)] }],
+    );
+    assert!(sends(&c.round(S + 30 * MS, vec![listing(Listing::Ready)])).is_empty(), "at once");
+    for ms in (40..2010).step_by(10) {
+        assert!(sends(&c.round(S + ms * MS, vec![Event::Woken])).is_empty(), "{ms} ms");
+    }
+    let after: usize =
+        (21..300).map(|n| sends(&c.round(S + n * 100 * MS, vec![taken(n as u32, 2, 0, 0)])).len()).sum();
+    assert!(after > 0, "and then it goes");
+}
+
 #[test]
 fn the_module_keeps_its_size() {
     let text = include_str!("../src/choice.rs");
