Lab: tail shows a stream of reports live; report draws charts from a recorded one

Need: reports must be seen without a Graphite at hand, and kept.

Change: linnetcart-lab tail takes Graphite's forms and collectd's packets, shows a table (who is out, near the limit, late), writes a record; report draws limits, worth and states over time from it. The host's figures go to the logs once a minute.

--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -631,6 +631,7 @@
                     }
                 }
                 Report::Log(line) => lines.push(line),
+                Report::Info(line) => tracing::info!("{line}"),
             }
         }
         for line in lines {
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -4,13 +4,17 @@
 use crate::day::{Day, BUILT_IN};
 use crate::fleet::Fleet;
 use crate::floor::Parts;
+use crate::receivers::Where;
 use crate::rig::{self, Options};
+use crate::tail::Tail;
 use crate::{bench, record, report};
 use anyhow::{bail, Context};
 use clap::{Parser, Subcommand};
 use linnetcart_edge::cli::Args as EdgeArgs;
 use linnetcart_rules::{check, Report};
+use linnetcart_telemetry::settings::Require;
 use serde_json::Value;
+use std::collections::BTreeMap;
 use std::io::{IsTerminal, Write};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -67,7 +71,7 @@
         #[arg(long, value_name = "FILE")]
         json: Option<PathBuf>,
     },
-    /// Draw charts and a table from what `day --json` and `floor --json` wrote
+    /// Draw charts and a table from what `day --json`, `floor --json` and `tail --record` wrote
     Report {
         /// Their files
         #[arg(required = true)]
@@ -82,6 +86,8 @@
         #[arg(required = true)]
         files: Vec<PathBuf>,
     },
+    /// Take reports in as Graphite or collectd would, and show them live
+    Tail(TailArgs),
     /// List the built-in days
     Days,
     /// Relay and decide nothing; `floor` starts it
@@ -101,6 +107,30 @@
     },
 }
 
+#[derive(Debug, clap::Args)]
+struct TailArgs {
+    /// Listen for Graphite's forms here; port 0 lets the system choose
+    #[arg(long, value_name = "ADDR")]
+    graphite: Option<std::net::SocketAddr>,
+    /// Listen for collectd's packets here
+    #[arg(long, value_name = "ADDR")]
+    collectd: Option<std::net::SocketAddr>,
+    /// A user of collectd's and the key; packets must be secured then
+    #[arg(long, value_name = "USER:KEY", requires = "collectd", value_parser = user_key)]
+    user: Vec<(String, String)>,
+    /// Write each point to this file, a plaintext line each; `report` draws charts from it
+    #[arg(long, value_name = "FILE")]
+    record: Option<PathBuf>,
+    /// End after so many seconds
+    #[arg(long)]
+    seconds: Option<f64>,
+}
+
+fn user_key(text: &str) -> Result<(String, String), String> {
+    let (user, key) = text.split_once(':').ok_or("USER:KEY is expected")?;
+    Ok((user.to_owned(), key.to_owned()))
+}
+
 #[derive(Debug, clap::Args)]
 struct DayArgs {
     /// A built-in day, or a script's file
@@ -141,6 +171,7 @@
         What::Up { day, seed } => up(&day, seed).map(|()| true),
         What::Day(args) => day(&args),
         What::Report { files, out } => crate::charts::report(&files, &out).map(|()| true),
+        What::Tail(args) => tail(args),
         What::Replay { files } => replay(&files).map(|()| true),
         What::Days => {
             for (name, text) in BUILT_IN {
@@ -264,6 +295,19 @@
     })
 }
 
+fn tail(args: TailArgs) -> anyhow::Result<bool> {
+    if args.seconds.is_some_and(|s| !(s > 0.0 && s <= 1e6)) {
+        bail!("--seconds: more than 0 and at most 1000000");
+    }
+    let mut users: BTreeMap<String, Vec<String>> = BTreeMap::new();
+    for (user, key) in args.user {
+        users.entry(user).or_default().push(key);
+    }
+    let require = if users.is_empty() { Require::Nothing } else { Require::Signed };
+    let at = Where { graphite: args.graphite, collectd: args.collectd, users, require };
+    crate::tail::run(Tail { at, record: args.record, seconds: args.seconds })
+}
+
 fn replay(files: &[PathBuf]) -> anyhow::Result<()> {
     for file in files {
         let done = record::replay(file)?;
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -20,3 +20,4 @@
 pub mod report;
 pub mod rig;
 pub mod sinks;
+pub mod tail;
--- a/crates/telemetry/src/host.rs
+++ b/crates/telemetry/src/host.rs
@@ -35,6 +35,22 @@
     pub beyond: u64,
 }
 
+impl std::fmt::Display for View {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "host")?;
+        if let Some([one, five, fifteen]) = self.load {
+            write!(f, " load {one:.2} {five:.2} {fifteen:.2}")?;
+        }
+        for (link, [rx, tx]) in self.links.iter().take(8) {
+            write!(f, ", link {link} {rx:.0} B/s in {tx:.0} out")?;
+        }
+        for (disk, [read, written]) in self.disks.iter().take(8) {
+            write!(f, ", disk {disk} {read:.0} B/s read {written:.0} written")?;
+        }
+        write!(f, ", {} packets turned down", self.bad)
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Last {
     /// In collectd's units.
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -44,6 +44,8 @@
 const NEWEST: f64 = 0.5;
 /// Notifications of one interval at most.
 const NOTICES: usize = 200;
+/// The host's figures go to the logs this often.
+const HOST_LINE: Time = 60 * SECOND;
 /// A report whose log is not on disk after this is left behind.
 const SYNC_WAIT: Time = 20 * SECOND;
 
@@ -129,6 +131,8 @@
     Datagram(SocketAddr, Bytes),
     /// A line for those on call.
     Log(String),
+    /// A line for the record.
+    Info(String),
 }
 
 /// How the reporting fares, for the status page.
@@ -211,6 +215,7 @@
     host: Option<Host>,
     reported_bad: u64,
     notices: VecDeque<(String, u64, String)>,
+    next_host: Time,
     random: ChaCha8Rng,
     safe: bool,
     out: Vec<Output>,
@@ -288,6 +293,7 @@
             host: None,
             reported_bad: 0,
             notices: VecDeque::new(),
+            next_host: now + HOST_LINE,
             random,
             safe: true,
             out: Vec::new(),
@@ -541,6 +547,11 @@
             self.report = None;
             self.not_safe("bringing the counts to disk takes too long");
         }
+        if self.next_host <= now {
+            self.next_host = now + HOST_LINE;
+            let view = self.host.as_ref().map(|h| h.view(now)).filter(|v| v.age_s.is_some());
+            self.out.extend(view.map(|v| Output::Info(v.to_string())));
+        }
         if self.next_report <= now {
             let interval = self.set.interval_s * SECOND;
             self.next_report = (self.next_report + interval).max(now + interval / 2);
--- a/crates/telemetry/tests/virtual_time.rs
+++ b/crates/telemetry/tests/virtual_time.rs
@@ -279,7 +279,7 @@
                     }
                 }
             }
-            Output::Log(line) => self.logs.push(line),
+            Output::Log(line) | Output::Info(line) => self.logs.push(line),
         }
     }
 
