Telemetry: a report is made and leaves in slices

Cause: at 500 destinations of 10 classes a report took 46 ms in one turn of the loop, at 5,000 250 ms; every message waited for it.

--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -55,7 +55,7 @@
         /// Stretches of edge and relay in turn; medians are given
         #[arg(long, default_value_t = 5)]
         rounds: usize,
-        /// Only this part: beside, destinations, held or connections
+        /// Only this part: beside, destinations, held, connections or telemetry
         #[arg(long)]
         part: Option<String>,
         /// Numbers of held messages
@@ -67,6 +67,9 @@
         /// Only what a decision costs, of the library alone and in virtual time
         #[arg(long, conflicts_with_all = ["part", "seconds"])]
         decisions: bool,
+        /// Only what reports cost, of the reporting alone and in virtual time
+        #[arg(long, conflicts_with_all = ["part", "seconds", "decisions"])]
+        reports: bool,
         /// Write the figures to this file
         #[arg(long, value_name = "FILE")]
         json: Option<PathBuf>,
@@ -185,6 +188,11 @@
             println!("{figures:#}");
             write_json(json.as_deref(), &figures).map(|()| true)
         }
+        What::Floor { rounds, reports: true, json, .. } => {
+            let figures = crate::reporting::run(rounds);
+            println!("{figures:#}");
+            write_json(json.as_deref(), &figures).map(|()| true)
+        }
         What::Floor { seconds, rounds, part, held, destinations, json, .. } => {
             let parts = Parts { only: part, held, destinations };
             floor(seconds, rounds, &parts, json.as_deref()).map(|()| true)
--- a/crates/lab/src/floor.rs
+++ b/crates/lab/src/floor.rs
@@ -4,6 +4,7 @@
 //! comes from the system's accounts of that process, so it does not matter which side is the slower one.
 
 use crate::courier::{Courier, Start};
+use crate::receivers::{Receiver, Ways, Where};
 use crate::sinks::{Sinks, FRAME};
 use anyhow::{bail, Context};
 use hdrhistogram::Histogram;
@@ -299,6 +300,66 @@
         Ok(json!(rows))
     }
 
+    /// Messages at a fixed rate while nothing is reported, while the receiver takes reports, is not there, takes
+    /// connections and never reads; in turn. Reports come each second, ten times as often as by default.
+    pub fn telemetry(&self) -> anyhow::Result<Value> {
+        let any = || Some(SocketAddr::from(([127, 0, 0, 1], 0)));
+        let receiver = || Receiver::start(Where { graphite: any(), ..Where::default() }, None);
+        let cases = [
+            ("off", None),
+            ("up", Some(Ways::Reads)),
+            ("down", Some(Ways::Gone)),
+            ("never reads", Some(Ways::Deaf)),
+        ];
+        let mut subjects = Vec::new();
+        for (n, (name, ways)) in cases.iter().enumerate() {
+            // A folder of its own for each.
+            let edge = Floor { dir: self.dir.join(n.to_string()), program: self.program.clone(), ..*self }
+                .edge(512, 10, 0)?;
+            let kept = match ways {
+                None => None,
+                Some(ways) => {
+                    let receiver = receiver()?;
+                    receiver.behave(*ways);
+                    let address = receiver.graphite.map(|a| a.to_string());
+                    let set = json!({"interval_s": 1, "graphite": {"address": address, "stuck_s": 5, "queue_bytes": 1 << 20}});
+                    put(edge.process.control, "/telemetry", &set)?;
+                    Some(receiver)
+                }
+            };
+            let clients = Clients::connect(edge.process.kafka, 64, 0..10)?;
+            subjects.push((*name, edge, clients, kept));
+        }
+        let rate = 6000.0;
+        for (_, _, clients, _) in &mut subjects {
+            clients.run(Duration::from_secs(1), rate)?;
+        }
+        let mut rows: Vec<Vec<(f64, f64)>> = vec![Vec::new(); subjects.len()];
+        for _ in 0..self.rounds {
+            for (n, (_, edge, clients, _)) in subjects.iter_mut().enumerate() {
+                let (cpu, _, latency) = self.measure(edge, clients, rate)?;
+                rows[n].push((cpu, latency.value_at_quantile(0.99) as f64 / 1e3));
+            }
+        }
+        let off = rows[0].clone();
+        let spread = |mut v: Vec<f64>| {
+            v.sort_by(f64::total_cmp);
+            json!({"min": round(v[0]), "median": round(v[v.len() / 2]), "max": round(v[v.len() - 1])})
+        };
+        let each = rows.iter().zip(&subjects).map(|(row, (name, ..))| {
+            let beside = |pick: fn(&(f64, f64)) -> f64| {
+                spread(row.iter().zip(&off).map(|(now, off)| pick(now) / pick(off)).collect())
+            };
+            json!({
+                "receiver": name, "cpu_us": spread(row.iter().map(|r| r.0).collect()),
+                "p99_us": spread(row.iter().map(|r| r.1).collect()),
+                "cpu_over_off": beside(|r| r.0), "p99_over_off": beside(|r| r.1),
+            })
+        });
+        let each: Vec<Value> = each.collect();
+        Ok(json!({"rate_per_s": rate, "cases": each}))
+    }
+
     /// Memory for each idle connection of a client.
     pub fn connections(&self, count: usize) -> anyhow::Result<Value> {
         let edge = self.edge(64, 1, 0)?;
@@ -337,7 +398,7 @@
 ) -> anyhow::Result<Value> {
     let floor = Floor { program: program.to_owned(), dir: dir.to_owned(), seconds, rounds };
     let mut out = json!({"seconds": seconds, "rounds": rounds});
-    let names = ["beside", "destinations", "held", "connections"];
+    let names = ["beside", "destinations", "held", "connections", "telemetry"];
     if let Some(only) = parts.only.as_deref().filter(|only| !names.contains(only)) {
         bail!("`{only}` is no part; there are {}", names.join(", "));
     }
@@ -349,6 +410,7 @@
             "beside" => floor.beside(),
             "destinations" => floor.destinations(&parts.destinations),
             "held" => floor.held(&parts.held),
+            "telemetry" => floor.telemetry(),
             _ => floor.connections(5000),
         };
         let figures = figures.with_context(|| name.to_owned())?;
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod record;
 pub mod relay;
 pub mod report;
+pub mod reporting;
 pub mod rig;
 pub mod sinks;
 pub mod tail;
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -34,6 +34,7 @@
 use stamps::Stamps;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
+use std::ops::Bound;
 
 const SECOND: Time = 1_000_000_000;
 /// Series that did not change are reported again once in so many reports.
@@ -44,6 +45,12 @@
 const NEWEST: f64 = 0.5;
 /// Notifications of one interval at most.
 const NOTICES: usize = 200;
+/// Points of a slice of a report: some tenths of a millisecond.
+const SLICE: usize = 256;
+/// Between two slices, so that a socket's buffer can take them.
+const SLICE_EVERY: Time = SECOND / 1000;
+/// Points that are made before the log is brought to disk and they leave.
+const PART: usize = 8192;
 /// The host's figures go to the logs this often.
 const HOST_LINE: Time = 60 * SECOND;
 /// A report whose log is not on disk after this is left behind.
@@ -180,12 +187,39 @@
     inferred: Option<f64>,
 }
 
+/// What a report still has to show.
+#[derive(Clone, Copy, Debug)]
+enum Show {
+    Courier,
+    Class(usize),
+    Dest(u32),
+    Route(u32),
+    /// Counts of a destination over all classes.
+    Sum(u32),
+    Cell(Of),
+}
+
+/// A report under way: it is made and leaves in slices, so that no message waits for it. A part of it is made, then
+/// the log of the counts in it brought to disk, then it leaves, and the next part follows.
 #[derive(Debug)]
 struct Report {
-    number: u64,
     stamp: u64,
-    points: Vec<Point>,
-    since: Time,
+    seconds: f64,
+    show: VecDeque<Show>,
+    made: usize,
+    points: VecDeque<Point>,
+    step: Step,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Step {
+    Making,
+    /// The log is being brought to disk.
+    Syncing {
+        number: u64,
+        since: Time,
+    },
+    Leaving,
 }
 
 /// The reporting of one courier.
@@ -210,6 +244,11 @@
     next_report: Time,
     last_report: Time,
     report: Option<Report>,
+    next_slice: Time,
+    syncs: u64,
+    figures: Now,
+    /// The first cell that a report had no room for.
+    put_off: Option<Of>,
     outlet: Option<Outlet>,
     reported_losses: (u64, u64),
     host: Option<Host>,
@@ -288,6 +327,10 @@
             next_report: now + first,
             last_report: now,
             report: None,
+            next_slice: now,
+            syncs: 0,
+            figures: Now::default(),
+            put_off: None,
             outlet: None,
             reported_losses: (0, 0),
             host: None,
@@ -543,10 +586,6 @@
         if let Some(frame) = self.book.frame() {
             self.out.push(Output::Append(frame));
         }
-        if self.report.as_ref().is_some_and(|r| r.since + SYNC_WAIT <= now) {
-            self.report = None;
-            self.not_safe("bringing the counts to disk takes too long");
-        }
         if self.next_host <= now {
             self.next_host = now + HOST_LINE;
             let view = self.host.as_ref().map(|h| h.view(now)).filter(|v| v.age_s.is_some());
@@ -555,10 +594,15 @@
         if self.next_report <= now {
             let interval = self.set.interval_s * SECOND;
             self.next_report = (self.next_report + interval).max(now + interval / 2);
-            if self.report.is_none() {
-                self.make(now, wall, &figures());
+            if self.report.is_none() && (self.outlet.is_some() || self.set.collectd.is_some()) {
+                self.figures = figures();
+                self.begin(now, wall);
             }
         }
+        if self.next_slice <= now {
+            self.next_slice = now + SLICE_EVERY;
+            self.slice(now);
+        }
         self.notify(now, wall);
         if let Some(outlet) = &mut self.outlet {
             self.out.extend(outlet.turn(now).into_iter().map(Output::Graphite));
@@ -579,7 +623,11 @@
     /// When the next turn is wanted at the latest.
     pub fn next_turn(&self) -> Time {
         let outlet = self.outlet.as_ref().and_then(Outlet::next).unwrap_or(Time::MAX);
-        self.next_report.min(outlet)
+        let slice = match &self.report {
+            Some(r) if !matches!(r.step, Step::Syncing { .. }) => self.next_slice,
+            _ => Time::MAX,
+        };
+        self.next_report.min(outlet).min(slice)
     }
 
     /// What the shell is to do since the last call.
@@ -609,7 +657,7 @@
         }
     }
 
-    fn make(&mut self, now: Time, wall: Time, figures: &Now) {
+    fn begin(&mut self, now: Time, wall: Time) {
         let (stamp, ahead) = self.stamps.stamp(now, wall);
         if ahead > SECOND && self.status.stamps_ahead_s == 0.0 {
             let text = format!("the clock was set back: stamps are {} s ahead and slow down", ahead / SECOND);
@@ -618,22 +666,76 @@
         self.status.stamps_ahead_s = ahead as f64 / 1e9;
         let seconds = (now - self.last_report).max(1) as f64 / 1e9;
         self.last_report = now;
-        let points = self.points(seconds, figures);
-        if self.outlet.is_none() && self.set.collectd.is_none() {
-            return;
-        }
         self.status.reports += 1;
-        self.status.points = points.len();
-        let number = self.status.reports;
         // A restart must not stamp anything with a time that was used.
         self.out.push(Output::Append(mark(&Mark::Stamp(stamp / SECOND))));
-        self.out.push(Output::Sync(number));
-        self.report = Some(Report { number, stamp, points, since: now });
+        let show = self.show();
+        let (points, made) = (VecDeque::new(), 0);
+        self.report = Some(Report { stamp, seconds, show, made, points, step: Step::Making });
+        self.next_slice = now;
+    }
+
+    /// A slice of the report under way.
+    fn slice(&mut self, now: Time) {
+        let Some(mut report) = self.report.take() else { return };
+        match report.step {
+            Step::Making => {
+                let mut made = Vec::new();
+                while made.len() < SLICE && report.points.len() + made.len() < PART {
+                    let Some(show) = report.show.pop_front() else { break };
+                    let so_far = made.len();
+                    self.make(show, &report, so_far, &mut made);
+                }
+                report.made += made.len();
+                report.points.extend(made);
+                self.status.points = report.made;
+                if report.points.len() >= PART || report.show.is_empty() {
+                    self.syncs += 1;
+                    // What these slices counted is in the log before the sync: the turn put it there.
+                    self.out.push(Output::Sync(self.syncs));
+                    report.step = Step::Syncing { number: self.syncs, since: now };
+                }
+            }
+            Step::Syncing { since, .. } if since + SYNC_WAIT <= now => {
+                self.not_safe("bringing the counts to disk takes too long");
+                report.points.retain(|p| !matches!(p.value, Value::Count(_)));
+                report.step = Step::Leaving;
+            }
+            Step::Syncing { .. } => {}
+            Step::Leaving => {
+                let count = report.points.len().min(SLICE);
+                let points: Vec<Point> = report.points.drain(..count).collect();
+                self.leave(&points, report.stamp);
+                if report.points.is_empty() {
+                    if report.show.is_empty() {
+                        return;
+                    }
+                    report.step = Step::Making;
+                }
+            }
+        }
+        self.report = Some(report);
+    }
+
+    fn leave(&mut self, points: &[Point], stamp: u64) {
+        if let (Some(outlet), Some(g)) = (&mut self.outlet, &self.set.graphite) {
+            outlet.push(graphite::encode(&self.who, points, stamp / SECOND, g.form, g.tags));
+        }
+        if let Some(c) = &self.set.collectd {
+            let host = self.host_name();
+            let mut random = self.random.clone();
+            let packets = self.envelope(c, &host, stamp).packets(points, &mut || random.random());
+            let address = c.address;
+            self.out.extend(packets.into_iter().map(|p| Output::Datagram(address, p.0.into())));
+            self.random = random;
+        }
     }
 
-    /// The log is on disk, or could not be brought there: the report may leave, or its counts may not.
+    /// The log is on disk, or could not be brought there: the part may leave, or its counts may not.
     pub fn synced(&mut self, number: u64, good: Result<(), String>) {
-        let Some(mut report) = self.report.take_if(|r| r.number == number) else { return };
+        let ours = |r: &&mut Report| matches!(r.step, Step::Syncing { number: n, .. } if n == number);
+        let Some(report) = self.report.as_mut().filter(ours) else { return };
+        report.step = Step::Leaving;
         match good {
             Ok(()) => {
                 if !self.safe {
@@ -642,23 +744,10 @@
                 self.safe = true;
             }
             Err(why) => {
-                self.not_safe(&why);
                 report.points.retain(|p| !matches!(p.value, Value::Count(_)));
+                self.not_safe(&why);
             }
         }
-        if let (Some(outlet), Some(g)) = (&mut self.outlet, &self.set.graphite) {
-            outlet.push(graphite::encode(&self.who, &report.points, report.stamp / SECOND, g.form, g.tags));
-        }
-        if let Some(c) = &self.set.collectd {
-            let host = self.host_name();
-            let envelope = self.envelope(c, &host, report.stamp);
-            let mut random = self.random.clone();
-            let packets = envelope.packets(&report.points, &mut || random.random());
-            let packets: Vec<Output> =
-                packets.into_iter().map(|p| Output::Datagram(c.address, p.0.into())).collect();
-            self.out.extend(packets);
-            self.random = random;
-        }
     }
 
     fn not_safe(&mut self, why: &str) {
@@ -697,53 +786,76 @@
 
     // ---- Points of a report
 
-    fn points(&mut self, seconds: f64, figures: &Now) -> Vec<Point> {
-        let mut points = Vec::new();
-        let most = self.set.points;
-        self.courier_points(figures, &mut points);
-        for class in 0..self.classes.len() {
-            let place = Place::Class(self.classes[class].clone());
-            counts(&mut points, &place, &self.totals[class], &Field::ALL);
-            if let Some(h) = self.class_latency[class].take() {
-                percentiles(&mut points, &place, &h);
-            }
-        }
-        let dirty: Vec<Of> = std::mem::take(&mut self.dirty).into_iter().collect();
-        self.dest_points(seconds, &mut points);
-        // The cells that changed, from where the last report had to stop; then some of the others in turn.
-        let from = self.refreshed.unwrap_or(Of::Cell(0, 0));
-        let (after, before): (Vec<Of>, Vec<Of>) = dirty.iter().partition(|&&of| of >= from);
-        let mut put_off = 0;
-        let mut shown: BTreeMap<u32, bool> = BTreeMap::new();
+    /// What a report shows: all that is of now, the cells that changed, and some of the others in turn.
+    fn show(&mut self) -> VecDeque<Show> {
+        let mut show = VecDeque::from([Show::Courier]);
+        show.extend((0..self.classes.len()).map(Show::Class));
+        show.extend(self.dests.keys().map(|&d| Show::Dest(d)));
+        show.extend(self.route_states.keys().map(|&r| Show::Route(r)));
+        let mut cells = std::mem::take(&mut self.dirty);
+        let share = self.book.cells().len().div_ceil(REFRESH as usize);
+        let from = self.refreshed.map_or(Bound::Unbounded, Bound::Excluded);
+        let others = self.book.cells().range((from, Bound::Unbounded)).map(|c| *c.0);
+        let others: Vec<Of> = others.take(share).collect();
+        self.refreshed = if others.len() < share { None } else { others.last().copied() };
+        cells.extend(others);
+        // Those that were put off before come first.
+        let from = self.put_off.take().unwrap_or(Of::Cell(0, 0));
+        let (after, before): (Vec<Of>, Vec<Of>) = cells.into_iter().partition(|&of| of >= from);
+        let mut last = None;
         for of in after.into_iter().chain(before) {
-            if points.len() >= most {
-                self.dirty.insert(of);
-                put_off += 1;
-                continue;
-            }
-            self.cell_points(of, &mut shown, &mut points);
-            if put_off == 0 {
-                self.refreshed = Some(of);
+            if let Of::Cell(dest, _) = of {
+                if last.replace(dest) != Some(dest) {
+                    show.push_back(Show::Sum(dest));
+                }
             }
+            show.push_back(Show::Cell(of));
         }
-        let share = self.book.cells().len().div_ceil(REFRESH as usize);
-        let from = self.refreshed.unwrap_or(Of::Cell(0, 0));
-        let others: Vec<Of> = self.book.cells().range(from..).map(|c| *c.0).skip(1).take(share).collect();
-        for &of in others.iter().filter(|_| put_off == 0) {
-            if points.len() >= most {
-                break;
+        show
+    }
+
+    fn make(&mut self, show: Show, report: &Report, made: usize, points: &mut Vec<Point>) {
+        match show {
+            Show::Courier => self.courier_points(points),
+            Show::Class(class) => {
+                let place = Place::Class(self.classes[class].clone());
+                counts(points, &place, &self.totals[class], &Field::ALL);
+                if let Some(h) = self.class_latency[class].take() {
+                    percentiles(points, &place, &h);
+                }
             }
-            self.cell_points(of, &mut shown, &mut points);
-        }
-        if put_off == 0 {
-            self.refreshed =
-                if others.len() < share { None } else { others.last().copied().or(self.refreshed) };
+            Show::Dest(dest) => {
+                let place = Place::Dest(self.dest_name(dest));
+                if let Some(d) = self.dests.get_mut(&dest) {
+                    d.points(&place, report.seconds, points);
+                }
+            }
+            Show::Route(route) => {
+                let dest = self.routes.get(&route).copied().unwrap_or(0);
+                let place = Place::Route(self.dest_name(dest), route);
+                if let Some(r) = self.route_states.get_mut(&route) {
+                    r.points(&place, report.seconds, points);
+                }
+            }
+            Show::Sum(_) | Show::Cell(_) if report.made + made >= self.set.points => {
+                if let Show::Cell(of) = show {
+                    self.dirty.insert(of);
+                    self.put_off.get_or_insert(of);
+                    self.add_reports(Field::PointsPutOff, 1);
+                }
+            }
+            Show::Sum(dest) => {
+                let mut all = [0; FIELDS];
+                let cells = self.book.cells().range(Of::Cell(dest, 0)..=Of::Cell(dest, u8::MAX));
+                cells.for_each(|c| sum(&mut all, c.1));
+                counts(points, &Place::Dest(self.dest_name(dest)), &all, &Field::ALL);
+            }
+            Show::Cell(of) => self.cell_points(of, points),
         }
-        self.add_reports(Field::PointsPutOff, put_off);
-        points
     }
 
-    fn courier_points(&mut self, now: &Now, points: &mut Vec<Point>) {
+    fn courier_points(&mut self, points: &mut Vec<Point>) {
+        let now = self.figures;
         let mut all = [0; FIELDS];
         self.totals.iter().for_each(|t| sum(&mut all, t));
         if let Some(reports) = self.book.cells().get(&Of::Reports) {
@@ -764,49 +876,17 @@
         points.extend(gauges.map(gauge));
     }
 
-    /// What destinations and routes are like now and over the interval.
-    fn dest_points(&mut self, seconds: f64, points: &mut Vec<Point>) {
-        let (dests, routes) = (std::mem::take(&mut self.dests), std::mem::take(&mut self.route_states));
-        let places = |telemetry: &mut Telemetry, dest: u32, route: Option<u32>| {
-            let name = telemetry.dest_name(dest);
-            route.map_or_else(|| Place::Dest(name.clone()), |route| Place::Route(name.clone(), route))
-        };
-        let mut later: BTreeMap<u32, Dest> = BTreeMap::new();
-        for (id, mut dest) in dests {
-            let place = places(self, id, None);
-            dest.points(&place, seconds, points);
-            later.insert(id, dest);
-        }
-        self.dests = later;
-        let mut later: BTreeMap<u32, Dest> = BTreeMap::new();
-        for (id, mut route) in routes {
-            let place = places(self, self.routes.get(&id).copied().unwrap_or(0), Some(id));
-            route.points(&place, seconds, points);
-            later.insert(id, route);
-        }
-        self.route_states = later;
-    }
-
-    /// A cell's counts, and once a report those of its destination over all classes.
-    fn cell_points(&mut self, of: Of, shown: &mut BTreeMap<u32, bool>, points: &mut Vec<Point>) {
+    fn cell_points(&mut self, of: Of, points: &mut Vec<Point>) {
         let Some(&cell) = self.book.cells().get(&of) else { return };
         match of {
             Of::Cell(dest, class) => {
-                let name = self.dest_name(dest);
-                if shown.insert(dest, true).is_none() {
-                    let mut all = [0; FIELDS];
-                    let cells = self.book.cells().range(Of::Cell(dest, 0)..=Of::Cell(dest, u8::MAX));
-                    cells.for_each(|c| sum(&mut all, c.1));
-                    counts(points, &Place::Dest(name.clone()), &all, &Field::ALL);
-                }
-                if let Some(class) = self.classes.get(usize::from(class)) {
-                    counts(points, &Place::Cell(name, class.clone()), &cell, &Field::ALL);
+                if let Some(class) = self.classes.get(usize::from(class)).cloned() {
+                    counts(points, &Place::Cell(self.dest_name(dest), class), &cell, &Field::ALL);
                 }
             }
             Of::Route(route) => {
                 if let Some(&dest) = self.routes.get(&route) {
-                    let name = self.dest_name(dest);
-                    counts(points, &Place::Route(name, route), &cell, &Field::ALL);
+                    counts(points, &Place::Route(self.dest_name(dest), route), &cell, &Field::ALL);
                 }
             }
             Of::Reports => {}
--- a/crates/telemetry/tests/virtual_time.rs
+++ b/crates/telemetry/tests/virtual_time.rs
@@ -513,28 +513,19 @@
             }
         }
         let now = round * 10 * S;
-        t.turn(now, WALL + now, Now::default);
-        for output in t.outputs() {
-            match output {
-                Output::Sync(n) => t.synced(n, Ok(())),
-                Output::Graphite(Do::Connect(_)) => t.connected(now),
-                _ => {}
-            }
-        }
-        assert!(t.status(now).points <= 20_000 + 100, "{}", t.status(now).points);
-        for _ in 0..200 {
+        for slice in 0..300u64 {
+            let now = now + slice * S / 1000;
             t.turn(now, WALL + now, Now::default);
-            let mut some = false;
             for output in t.outputs() {
-                if let Output::Graphite(Do::Write(bytes)) = output {
-                    receiver.take(&bytes, Form::Plaintext);
-                    some = true;
+                match output {
+                    Output::Sync(n) => t.synced(n, Ok(())),
+                    Output::Graphite(Do::Connect(_)) => t.connected(now),
+                    Output::Graphite(Do::Write(bytes)) => receiver.take(&bytes, Form::Plaintext),
+                    _ => {}
                 }
             }
-            t.taken(now, u64::MAX / 2);
-            if !some {
-                break;
-            }
+            t.taken(now, u64::MAX);
+            assert!(t.status(now).points <= 20_000 + 100, "{}", t.status(now).points);
         }
     }
     let cells = receiver
