--- a/crates/telemetry/src/counts.rs
+++ b/crates/telemetry/src/counts.rs
@@ -153,7 +153,7 @@
     cells: BTreeMap<Of, Counts>,
     /// Counts of classes that the settings no longer have: they come back with the class.
     other: BTreeMap<(u32, String), Counts>,
-    changed: BTreeMap<(Of, Field), u64>,
+    changed: BTreeMap<Of, Counts>,
     most: usize,
     beyond: u64,
 }
@@ -202,17 +202,19 @@
         Book { classes, most, ..Book::default() }
     }
 
-    /// Adds to a count. Cells beyond the bound are counted together, see [`Book::beyond`].
-    pub fn add(&mut self, of: Of, field: Field, by: u64) {
+    /// Adds to a count; true if there is a place for it. Cells beyond the bound are counted together, see
+    /// [`Book::beyond`].
+    pub fn add(&mut self, of: Of, field: Field, by: u64) -> bool {
         if by == 0 {
-            return;
+            return false;
         }
         if self.cells.len() >= self.most && of != Of::Reports && !self.cells.contains_key(&of) {
             self.beyond += by;
-            return;
+            return false;
         }
         self.cells.entry(of).or_insert([0; FIELDS])[field as usize] += by;
-        *self.changed.entry((of, field)).or_default() += by;
+        self.changed.entry(of).or_insert([0; FIELDS])[field as usize] += by;
+        true
     }
 
     /// What was counted for cells beyond the bound, all together and since the start.
@@ -227,7 +229,7 @@
 
     /// Cells that changed since the last frame.
     pub fn changed(&self) -> impl Iterator<Item = Of> + '_ {
-        self.changed.keys().map(|k| k.0)
+        self.changed.keys().copied()
     }
 
     /// The changes since the last frame, as a frame for the log.
@@ -236,16 +238,18 @@
             return None;
         }
         let mut body = vec![DELTAS];
-        for (&(of, field), &by) in &self.changed {
+        for (&of, counts) in &self.changed {
             let (kind, number, class) = match of {
                 Of::Cell(dest, class) => (0, dest, class),
                 Of::Route(endpoint) => (1, endpoint, 0),
                 Of::Reports => (2, 0, 0),
             };
-            body.push(kind << 6 | field as u8);
-            varint(&mut body, u64::from(number));
-            varint(&mut body, u64::from(class));
-            varint(&mut body, by);
+            for field in Field::ALL.into_iter().filter(|f| counts[*f as usize] > 0) {
+                body.push(kind << 6 | field as u8);
+                varint(&mut body, u64::from(number));
+                varint(&mut body, u64::from(class));
+                varint(&mut body, counts[field as usize]);
+            }
         }
         self.changed.clear();
         Some(framed(&body))
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -45,6 +45,8 @@
 const NEWEST: f64 = 0.5;
 /// Notifications of one interval at most.
 const NOTICES: usize = 200;
+/// Changes that nobody is told of go into the log this often.
+const LOG_EVERY: Time = SECOND / 10;
 /// Points of a slice of a report: some tenths of a millisecond.
 const SLICE: usize = 256;
 /// Between two slices, so that a socket's buffer can take them.
@@ -246,6 +248,9 @@
     report: Option<Report>,
     next_slice: Time,
     syncs: u64,
+    /// Changes that must be in the log before this turn's answers leave, and when some were put there last.
+    owed: bool,
+    logged: Time,
     figures: Now,
     /// The first cell that a report had no room for.
     put_off: Option<Of>,
@@ -329,6 +334,8 @@
             report: None,
             next_slice: now,
             syncs: 0,
+            owed: false,
+            logged: now,
             figures: Now::default(),
             put_off: None,
             outlet: None,
@@ -400,13 +407,15 @@
     }
 
     fn add(&mut self, of: Of, field: Field, by: u64) {
-        self.book.add(of, field, by);
+        // What has no place of its own is not in the sums either: they come from the places at the next start.
+        if !self.book.add(of, field, by) {
+            return;
+        }
         if let Of::Cell(_, class) = of {
             if let Some(total) = self.totals.get_mut(usize::from(class)) {
                 total[field as usize] += by;
             }
         }
-        self.dirty.insert(of);
     }
 
     fn milli(&self, class: u8, after: Option<Time>) -> u64 {
@@ -422,6 +431,8 @@
 
     /// Something happened.
     pub fn fact(&mut self, fact: &Fact) {
+        // Someone will be told of these; all that was counted goes into the log before.
+        self.owed |= matches!(fact, Fact::Answered { .. } | Fact::TurnedAway { .. });
         match *fact {
             Fact::Taken { class, destination, .. } => {
                 self.add(Of::Cell(destination, class), Field::Taken, 1);
@@ -583,8 +594,9 @@
     /// The clock; what is counted so far goes into the log, and a report is made when it is time.
     pub fn turn(&mut self, now: Time, wall: Time, figures: impl FnOnce() -> Now) {
         self.losses();
-        if let Some(frame) = self.book.frame() {
-            self.out.push(Output::Append(frame));
+        if self.owed || self.logged + LOG_EVERY <= now {
+            self.log_changes();
+            self.logged = now;
         }
         if self.next_host <= now {
             self.next_host = now + HOST_LINE;
@@ -635,6 +647,13 @@
         std::mem::take(&mut self.out)
     }
 
+    /// What changed goes into the log.
+    fn log_changes(&mut self) {
+        self.owed = false;
+        self.dirty.extend(self.book.changed());
+        self.out.extend(self.book.frame().map(Output::Append));
+    }
+
     /// What is lost on the way is counted with everything else.
     fn losses(&mut self) {
         if let Some(outlet) = &self.outlet {
@@ -669,6 +688,7 @@
         self.status.reports += 1;
         // A restart must not stamp anything with a time that was used.
         self.out.push(Output::Append(mark(&Mark::Stamp(stamp / SECOND))));
+        self.log_changes();
         let show = self.show();
         let (points, made) = (VecDeque::new(), 0);
         self.report = Some(Report { stamp, seconds, show, made, points, step: Step::Making });
@@ -691,7 +711,8 @@
                 self.status.points = report.made;
                 if report.points.len() >= PART || report.show.is_empty() {
                     self.syncs += 1;
-                    // What these slices counted is in the log before the sync: the turn put it there.
+                    // What these slices show is in the log before the sync.
+                    self.log_changes();
                     self.out.push(Output::Sync(self.syncs));
                     report.step = Step::Syncing { number: self.syncs, since: now };
                 }
--- a/crates/telemetry/tests/virtual_time.rs
+++ b/crates/telemetry/tests/virtual_time.rs
@@ -292,6 +292,15 @@
         }
     }
 
+    /// So many messages, one in each millisecond.
+    fn run_fast(&mut self, messages: u64) {
+        for _ in 0..messages {
+            (self.now, self.wall) = (self.now + S / 1000, self.wall + S / 1000);
+            self.message();
+            self.turn();
+        }
+    }
+
     /// Quiet, until every series had its turn.
     fn settle(&mut self) {
         for _ in 0..400 {
@@ -373,6 +382,7 @@
     let mut rig = Rig::new(Form::Plaintext);
     for n in 0..30 {
         rig.run(10 + n * 3 % 70);
+        rig.run_fast(n % 5);
         rig.crash(false);
         if n % 10 == 0 {
             rig.crash(false);
@@ -485,6 +495,20 @@
     assert_eq!(told, wanted.map(|(i, s)| (i.to_owned(), s)));
 }
 
+#[test]
+fn sums_do_not_fall_at_a_restart_when_cells_have_come_to_their_bound() {
+    let mut rig = Rig::new(Form::Plaintext);
+    let set = Settings { cells: 3, ..settings(Form::Plaintext) };
+    rig.telemetry = Telemetry::new(courier(3), Found::default(), set, rig.now);
+    rig.list();
+    rig.begin_log();
+    rig.run(300);
+    rig.crash(false);
+    rig.run(300);
+    assert_eq!(rig.receiver.fell, Vec::<String>::new());
+    assert!(rig.telemetry.status(rig.now).beyond > 0);
+}
+
 #[test]
 fn a_thousand_couriers_report_spread_over_the_interval() {
     let mut seconds = [0; 10];
