--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -163,6 +163,9 @@
     /// Write down every round of every courier's decisions here
     #[arg(long, value_name = "DIR")]
     record: Option<PathBuf>,
+    /// Couriers report to this Graphite receiver each second; `tail --graphite` is one
+    #[arg(long, value_name = "ADDR")]
+    graphite: Option<std::net::SocketAddr>,
     /// No progress line
     #[arg(long)]
     quiet: bool,
@@ -296,7 +299,13 @@
     let fleet = Fleet::draw(day, seed);
     let folder = Folder::new(None)?;
     let program = std::env::current_exe().context("this program's own path")?;
-    let options = Options { policy: "library".into(), program, dir: folder.path.clone(), progress: None };
+    let options = Options {
+        policy: "library".into(),
+        program,
+        dir: folder.path.clone(),
+        graphite: None,
+        progress: None,
+    };
     rig::stay(&fleet, &options, |ready| {
         println!("{ready}");
         let _ = std::io::stdout().flush();
@@ -373,6 +382,7 @@
             },
             program: std::env::current_exe().context("this program's own path")?,
             dir: folder.path.clone(),
+            graphite: args.graphite,
             progress: show.then_some(progress as fn(f64, f64, usize)),
         };
         let played = rig::play(&fleet, &options)?;
--- a/crates/lab/src/courier.rs
+++ b/crates/lab/src/courier.rs
@@ -1,11 +1,11 @@
 //! A courier in a process of its own.
 
-use anyhow::{anyhow, Context};
+use anyhow::{anyhow, bail, Context};
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::Value;
 use std::fs::File;
-use std::io::{BufRead, BufReader};
-use std::net::SocketAddr;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -91,6 +91,23 @@
         Ok(Courier { child, kafka, control })
     }
 
+    /// Puts a document to its control interface.
+    pub fn put(&self, path: &str, body: &Value) -> anyhow::Result<()> {
+        let mut s = TcpStream::connect(self.control)?;
+        let body = body.to_string();
+        write!(
+            s,
+            "PUT {path} HTTP/1.1\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{body}",
+            body.len()
+        )?;
+        let mut text = String::new();
+        s.read_to_string(&mut text)?;
+        if !text.starts_with("HTTP/1.1 200") {
+            bail!("PUT {path}: {text}");
+        }
+        Ok(())
+    }
+
     fn signal(&self, signal: Signal) {
         if let Some(pid) = Pid::from_raw(self.child.id() as i32) {
             let _ = kill_process(pid, signal);
--- a/crates/lab/src/floor.rs
+++ b/crates/lab/src/floor.rs
@@ -12,8 +12,7 @@
 use linnetcart_net::{Event, Net, Token};
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
@@ -31,18 +30,6 @@
     Ok((ticks as f64 / rustix::param::clock_ticks_per_second() as f64, pages * page))
 }
 
-fn put(at: SocketAddr, path: &str, body: &Value) -> anyhow::Result<()> {
-    let mut s = TcpStream::connect(at)?;
-    let body = body.to_string();
-    write!(s, "PUT {path} HTTP/1.1\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{body}", body.len())?;
-    let mut text = String::new();
-    s.read_to_string(&mut text)?;
-    if !text.starts_with("HTTP/1.1 200") {
-        bail!("PUT {path}: {text}");
-    }
-    Ok(())
-}
-
 fn settings(slots: usize, destinations: usize) -> Value {
     json!({
         "deployment": "floor", "courier": {"me": 0, "of": 1, "zone": "a"}, "zones": ["a"],
@@ -199,8 +186,8 @@
         let how =
             Start { program: &self.program, dir: &dir, seed: 1, policy: "library", drain: Duration::ZERO };
         let process = Courier::start_pinned(&how, Some(1))?;
-        put(process.control, "/settings", &settings(slots, destinations))?;
-        put(process.control, "/list", &list(&sinks.addrs))?;
+        process.put("/settings", &settings(slots, destinations))?;
+        process.put("/list", &list(&sinks.addrs))?;
         Ok(Subject { process, _sinks: sinks })
     }
 
@@ -323,7 +310,7 @@
                     receiver.behave(*ways);
                     let address = receiver.graphite.map(|a| a.to_string());
                     let set = json!({"interval_s": 1, "graphite": {"address": address, "stuck_s": 5, "queue_bytes": 1 << 20}});
-                    put(edge.process.control, "/telemetry", &set)?;
+                    edge.process.put("/telemetry", &set)?;
                     Some(receiver)
                 }
             };
--- a/crates/lab/src/rig/couriers.rs
+++ b/crates/lab/src/rig/couriers.rs
@@ -19,6 +19,13 @@
         };
         let courier = Courier::start(&how)?;
         let kafka = courier.kafka;
+        // Those that were started before find it in their snapshot.
+        if let Some(at) = self.options.graphite.filter(|_| first) {
+            let name = |(n, (kind, _)): (u32, (String, f64))| (n.to_string(), format!("{kind}-{n}"));
+            let names: BTreeMap<String, String> = self.fleet.listed().into_iter().map(name).collect();
+            let graphite = json!({"address": at.to_string()});
+            courier.put("/telemetry", &json!({"interval_s": 1, "names": names, "graphite": graphite}))?;
+        }
         let post = &mut self.posts[n as usize];
         post.courier = Some(courier);
         post.stalled = false;
--- a/crates/lab/src/rig/mod.rs
+++ b/crates/lab/src/rig/mod.rs
@@ -42,6 +42,8 @@
     pub program: PathBuf,
     /// Where couriers keep their state and logs.
     pub dir: PathBuf,
+    /// A Graphite receiver that couriers report to, each second.
+    pub graphite: Option<SocketAddr>,
     /// Says how far it is, in seconds of the day.
     pub progress: Option<fn(f64, f64, usize)>,
 }
--- a/crates/lab/tests/rules.rs
+++ b/crates/lab/tests/rules.rs
@@ -75,7 +75,8 @@
     let fleet = Fleet::draw(Day::parse(&text).unwrap(), 7);
     let dir = std::env::temp_dir().join(format!("linnetcart-test-{}-{name}", std::process::id()));
     let program = PathBuf::from(env!("CARGO_BIN_EXE_linnetcart-lab"));
-    let options = Options { policy: "library".into(), program, dir: dir.clone(), progress: None };
+    let options =
+        Options { policy: "library".into(), program, dir: dir.clone(), graphite: None, progress: None };
     let played = play(&fleet, &options).unwrap();
     let report = check(&played.records, &fleet.contract());
     std::fs::remove_dir_all(dir).unwrap();
