--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -429,6 +429,8 @@
     }
 
     fn facts(&mut self) {
+        // Before the first fact is read: none may miss its count.
+        self.report_as_told();
         let now = self.now();
         let Some(core) = &mut self.program.core else { return };
         for fact in core.facts() {
@@ -561,7 +563,6 @@
     }
 
     fn report(&mut self) {
-        self.report_as_told();
         let now = self.now();
         let (Some(reports), Some(core)) = (&mut self.reports, &self.program.core) else { return };
         if reports.list != Some(core.list().version) {
--- a/crates/lab/tests/telemetry.rs
+++ b/crates/lab/tests/telemetry.rs
@@ -143,7 +143,6 @@
 }
 
 #[test]
-#[ignore = "open: since reports leave in slices the last count does not come after an outage; to be traced"]
 fn over_kills_restarts_and_an_outage_every_receiver_ends_with_what_clients_counted() {
     let dir = folder("ends");
     let sinks = Sinks::start(1, 0).unwrap();
