One formula for a class's worth at an age; packets to collectd made in one place

Need: the reporting had the library's formula of worth again, with a class type of its own; reports and notifications each made an envelope with a copy of the random state, and the receiver's settings were copied in every turn, with nothing to notify of.

Change: Class::worth_at is public, used by the library and the reporting, which takes the library's classes; one function sends packets. Rows of a table are changed by each, not by a retain that keeps all.

--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -11,7 +11,7 @@
 use linnetcart_kafka::server::Broker;
 use linnetcart_net::{Event, Net, Token};
 use linnetcart_telemetry::outlet::Do;
-use linnetcart_telemetry::{Class, Courier, Listed, Now, Output as Report, Telemetry};
+use linnetcart_telemetry::{Courier, Listed, Now, Output as Report, Telemetry};
 use serde_json::json;
 use std::collections::BTreeMap;
 use std::io::Write;
@@ -262,13 +262,13 @@
             Event::Accepted { token, .. } => {
                 self.roles.insert(token, Role::Control(Http::default()));
             }
-            Event::Connected(token) => match (self.roles.get(&token), &mut self.reports) {
-                (Some(Role::Report), Some(reports)) => {
-                    let now = self.begun.elapsed().as_nanos() as Time + CLOCK_START;
-                    reports.telemetry.connected(now);
+            Event::Connected(token) => {
+                let now = self.now();
+                match (self.roles.get(&token), &mut self.reports) {
+                    (Some(Role::Report), Some(reports)) => reports.telemetry.connected(now),
+                    _ => self.link(token, |core, link| core.link_up(link)),
                 }
-                _ => self.link(token, |core, link| core.link_up(link)),
-            },
+            }
             Event::ConnectFailed(token) => {
                 self.report_lost(token);
                 self.link(token, |core, link| core.link_failed(link));
@@ -469,17 +469,11 @@
             return;
         }
         let s = core.settings();
-        let class = |c: &crate::settings::ClassDoc| Class {
-            name: c.name.clone(),
-            aim: c.aim_ms * 1_000_000,
-            deadline: c.deadline(),
-            worth: c.worth,
-            late_worth: c.late_worth,
-        };
+        let names = s.classes.iter().map(|c| c.name.clone());
         let courier = Courier {
             deployment: s.deployment.clone(),
             me: s.courier.me,
-            classes: s.classes.iter().map(class).collect(),
+            classes: names.zip(s.decided().classes).collect(),
             halves: s.worth.halves,
             seed: self.program.start.seed,
         };
--- a/crates/lab/src/reporting.rs
+++ b/crates/lab/src/reporting.rs
@@ -1,11 +1,11 @@
 //! What reporting costs: the reports alone, in virtual time, by destinations; and an edge's messages beside one that
 //! reports nothing (in [`crate::floor`]).
 
-use linnetcart::Ending;
+use linnetcart::{Class, Ending, Repeat};
 use linnetcart_facts::{Fact, Final};
 use linnetcart_telemetry::outlet::Do;
 use linnetcart_telemetry::settings::{Collectd, Form, Graphite, Security, Telemetry as Settings};
-use linnetcart_telemetry::{Class, Courier, Found, Listed, Now, Output, Telemetry};
+use linnetcart_telemetry::{Courier, Found, Listed, Now, Output, Telemetry};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde_json::{json, Value};
@@ -77,12 +77,10 @@
     let mut rows = Vec::new();
     for form in [Form::Plaintext, Form::Pickle] {
         for destinations in [10u32, 500, 5000] {
-            let class = |n: u8| Class {
-                name: format!("class-{n}"),
-                aim: SECOND,
-                deadline: 8 * SECOND,
-                worth: 1.0,
-                late_worth: 0.5,
+            let class = |n: u8| {
+                let (aim, deadline, repeat) = (SECOND, 8 * SECOND, Repeat::Safe);
+                let class = Class { aim, deadline, worth: 1.0, late_worth: 0.5, repeat, ordered: false };
+                (format!("class-{n}"), class)
             };
             let courier = Courier {
                 deployment: "floor".into(),
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -22,7 +22,7 @@
 use graphite::Who;
 use hdrhistogram::Histogram;
 use host::Host;
-use linnetcart::{Ending, Time};
+use linnetcart::{Class, Ending, Time};
 use linnetcart_facts::{Fact, Final, Standing};
 use names::Names;
 use outlet::{Do, Outlet};
@@ -58,21 +58,6 @@
 /// A report whose log is not on disk after this is left behind.
 const SYNC_WAIT: Time = 20 * SECOND;
 
-/// A class, as far as figures need it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Class {
-    /// Its name.
-    pub name: String,
-    /// Served within this, a message has its full worth.
-    pub aim: Time,
-    /// How long it may be served.
-    pub deadline: Time,
-    /// Full worth.
-    pub worth: f64,
-    /// The share left at the deadline.
-    pub late_worth: f64,
-}
-
 /// The courier that reports.
 #[derive(Clone, Debug)]
 pub struct Courier {
@@ -80,8 +65,8 @@
     pub deployment: String,
     /// Its number.
     pub me: u32,
-    /// Its classes.
-    pub classes: Vec<Class>,
+    /// Its classes, by name.
+    pub classes: Vec<(String, Class)>,
     /// Worth halves with each further aim.
     pub halves: bool,
     /// Spreads reports and retries.
@@ -285,7 +270,7 @@
 impl Telemetry {
     /// Goes on from what was found. Nothing is reported until [`Telemetry::configure`] says where to.
     pub fn new(courier: Courier, found: Found, set: Settings, now: Time) -> Telemetry {
-        let names: Vec<String> = courier.classes.iter().map(|c| c.name.clone()).collect();
+        let names: Vec<String> = courier.classes.iter().map(|c| c.0.clone()).collect();
         let mut book = Book::new(names.clone(), set.cells);
         let mut owners = Names::new(BTreeMap::new(), set.cells.max(1000) * 2);
         let mut stamp = 0;
@@ -361,7 +346,7 @@
 
     /// The first frame of a log.
     pub fn log_head(&self) -> Vec<u8> {
-        mark(&Mark::Classes(self.courier.classes.iter().map(|c| c.name.clone()).collect()))
+        mark(&Mark::Classes(self.courier.classes.iter().map(|c| c.0.clone()).collect()))
     }
 
     /// The settings in force.
@@ -418,15 +403,11 @@
         }
     }
 
+    /// Worth of a message in thousandths, all of it or what is left after a time.
     fn milli(&self, class: u8, after: Option<Time>) -> u64 {
-        let Some(c) = self.courier.classes.get(usize::from(class)) else { return 0 };
-        let late = after.map_or(0.0, |a| a.saturating_sub(c.aim) as f64);
-        let kept = if self.courier.halves {
-            0.5f64.powf(late / c.aim.max(1) as f64).max(c.late_worth)
-        } else {
-            1.0 - (1.0 - c.late_worth) * late / (c.deadline.saturating_sub(c.aim)).max(1) as f64
-        };
-        (c.worth * kept.clamp(0.0, 1.0) * 1000.0).round() as u64
+        let Some((_, class)) = self.courier.classes.get(usize::from(class)) else { return 0 };
+        let worth = class.worth_at(after.unwrap_or(0), self.courier.halves);
+        (worth.clamp(0.0, class.worth) * 1000.0).round() as u64
     }
 
     /// Something happened.
@@ -518,7 +499,7 @@
     fn answered(&mut self, class: u8, destination: u32, answer: Final, after: Time) {
         let of = Of::Cell(destination, class);
         let (whole, kept) = (self.milli(class, None), self.milli(class, Some(after)));
-        let in_aim = self.courier.classes.get(usize::from(class)).is_some_and(|c| after <= c.aim);
+        let in_aim = self.courier.classes.get(usize::from(class)).is_some_and(|c| after <= c.1.aim);
         match answer {
             Final::Served => {
                 self.add(of, if in_aim { Field::InAim } else { Field::Late }, 1);
@@ -615,7 +596,7 @@
             self.next_slice = now + SLICE_EVERY;
             self.slice(now);
         }
-        self.notify(now, wall);
+        self.notify(wall);
         if let Some(outlet) = &mut self.outlet {
             self.out.extend(outlet.turn(now).into_iter().map(Output::Graphite));
         }
@@ -742,14 +723,23 @@
         if let (Some(outlet), Some(g)) = (&mut self.outlet, &self.set.graphite) {
             outlet.push(graphite::encode(&self.who, points, stamp / SECOND, g.form, g.tags));
         }
-        if let Some(c) = &self.set.collectd {
-            let host = self.host_name();
-            let mut random = self.random.clone();
-            let packets = self.envelope(c, &host, stamp).packets(points, &mut || random.random());
-            let address = c.address;
-            self.out.extend(packets.into_iter().map(|p| Output::Datagram(address, p.0.into())));
-            self.random = random;
-        }
+        self.send_collectd(stamp, |envelope, iv| {
+            envelope.packets(points, iv).into_iter().map(|p| p.0).collect()
+        });
+    }
+
+    /// Sends the packets that an envelope of this time is made to.
+    fn send_collectd(
+        &mut self,
+        stamp: u64,
+        make: impl FnOnce(&Envelope, &mut dyn FnMut() -> [u8; 16]) -> Vec<Vec<u8>>,
+    ) {
+        let Some(c) = &self.set.collectd else { return };
+        let (host, interval) = (self.host_name(c), self.set.interval_s * SECOND);
+        let envelope = Envelope { host: &host, stamp, interval, security: &c.security, most: c.packet_bytes };
+        let random = &mut self.random;
+        let packets = make(&envelope, &mut || random.random());
+        self.out.extend(packets.into_iter().map(|p| Output::Datagram(c.address, p.into())));
     }
 
     /// The log is on disk, or could not be brought there: the part may leave, or its counts may not.
@@ -780,28 +770,17 @@
         self.safe = false;
     }
 
-    fn host_name(&self) -> String {
+    fn host_name(&self, c: &settings::Collectd) -> String {
         let default = || format!("linnetcart-{}-{}", self.who.deployment, self.who.me);
-        self.set.collectd.as_ref().and_then(|c| c.host.clone()).unwrap_or_else(default)
-    }
-
-    fn envelope<'a>(&self, c: &'a settings::Collectd, host: &'a str, stamp: u64) -> Envelope<'a> {
-        let interval = self.set.interval_s * SECOND;
-        Envelope { host, stamp, interval, security: &c.security, most: c.packet_bytes }
+        c.host.clone().unwrap_or_else(default)
     }
 
-    fn notify(&mut self, now: Time, wall: Time) {
-        let notices = std::mem::take(&mut self.notices);
-        let Some(c) = self.set.collectd.clone() else { return };
-        let (host, ahead) = (self.host_name(), self.stamps.last().max(wall));
-        let _ = now;
-        for (instance, severity, text) in notices {
-            let mut random = self.random.clone();
-            let packet =
-                self.envelope(&c, &host, ahead)
-                    .notification(&instance, severity, &text, &mut || random.random());
-            self.random = random;
-            self.out.push(Output::Datagram(c.address, packet.into()));
+    fn notify(&mut self, wall: Time) {
+        let stamp = self.stamps.last().max(wall);
+        for (instance, severity, text) in std::mem::take(&mut self.notices) {
+            self.send_collectd(stamp, |envelope, iv| {
+                vec![envelope.notification(&instance, severity, &text, iv)]
+            });
         }
     }
 
--- a/crates/telemetry/tests/virtual_time.rs
+++ b/crates/telemetry/tests/virtual_time.rs
@@ -1,12 +1,12 @@
 //! The reporting in virtual time: outages, crashes, clocks that jump. What a receiver ends with must be what was
 //! counted beside the reporting, and no count may ever fall.
 
-use linnetcart::Ending;
+use linnetcart::{Class, Ending, Repeat};
 use linnetcart_facts::{Fact, Final, Standing, Turned};
 use linnetcart_telemetry::counts::Saved;
 use linnetcart_telemetry::outlet::Do;
 use linnetcart_telemetry::settings::{Collectd, Form, Graphite, Security, Telemetry as Settings};
-use linnetcart_telemetry::{collectd, graphite, Class, Courier, Found, Listed, Now, Output, Telemetry};
+use linnetcart_telemetry::{collectd, graphite, Courier, Found, Listed, Now, Output, Telemetry};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng as StdRng;
 use std::collections::BTreeMap;
@@ -15,8 +15,10 @@
 const WALL: u64 = 1_700_000_000 * S;
 
 fn courier(me: u32) -> Courier {
-    let class =
-        |name: &str| Class { name: name.into(), aim: S, deadline: 8 * S, worth: 2.0, late_worth: 0.5 };
+    let class = |name: &str| {
+        let (aim, deadline, repeat) = (S, 8 * S, Repeat::Safe);
+        (name.to_owned(), Class { aim, deadline, worth: 2.0, late_worth: 0.5, repeat, ordered: false })
+    };
     Courier {
         deployment: "test".into(),
         me,
@@ -522,7 +524,7 @@
 #[test]
 fn five_thousand_destinations_of_ten_classes_stay_within_the_bound_of_a_report() {
     let mut many = courier(3);
-    many.classes = (0..10).map(|n| Class { name: format!("c{n}"), ..many.classes[0].clone() }).collect();
+    many.classes = (0..10).map(|n| (format!("c{n}"), many.classes[0].1.clone())).collect();
     let mut set = Settings { points: 20_000, ..settings(Form::Plaintext) };
     set.graphite.iter_mut().for_each(|g| g.queue_bytes = 16 << 20);
     let mut t = Telemetry::new(many, Found::default(), set, 0);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -146,10 +146,7 @@
             (self.ask_at, self.ask_gap) = (NEVER, 0);
         }
         if whole {
-            self.sites.retain(|_, s| {
-                s.listing = Listing::Gone;
-                true
-            });
+            self.sites.each(|_, s| s.listing = Listing::Gone);
         }
         let mut changed = BTreeSet::new();
         for e in entries {
@@ -182,11 +179,10 @@
         let now = self.now;
         self.sites.retain(|_, s| s.listing != Listing::Gone || s.calls > 0 || s.node.wait_until > now);
         let sites = &self.sites;
-        dests.retain(|id, d| {
+        dests.each(|id, d| {
             let before = d.endpoints.len();
             d.endpoints.retain(|&e| sites.contains(e));
             changed.extend((d.endpoints.len() != before).then_some(id));
-            true
         });
         changed.iter().for_each(|&id| self.respan(id));
     }
@@ -405,22 +401,12 @@
         }
         // Of one class the older is worth no more.
         let spare = dests.iter().map(|&id| (id, &self.dests[id].waiting));
-        let least = least(spare, count as usize, |class, taken| self.worth(class, taken));
+        let (now, halves) = (self.now, self.set.worth_halves);
+        let worth = |class: usize, taken| self.set.classes[class].worth_at(now.saturating_sub(taken), halves);
+        let least = least(spare, count as usize, worth);
         least.iter().for_each(|&id| self.give_up(id, self.set.max_come_back));
     }
 
-    fn worth(&self, class: usize, taken: Time) -> f64 {
-        let class = &self.set.classes[class];
-        let age = self.now.saturating_sub(taken) as f64;
-        let late = (age - class.aim as f64).max(0.0);
-        let kept = if self.set.worth_halves {
-            0.5f64.powf(late / class.aim.max(1) as f64).max(class.late_worth)
-        } else {
-            1.0 - (1.0 - class.late_worth) * late / (class.deadline.saturating_sub(class.aim)).max(1) as f64
-        };
-        class.worth * kept
-    }
-
     // ---- Outcomes
 
     fn ended(&mut self, o: Outcome) {
@@ -855,7 +841,20 @@
     }
 }
 
-// ---- Destinations and endpoints
+// ---- Classes, destinations and endpoints
+
+impl Class {
+    /// What a message of this age is worth: all within the aim, less with the time after it.
+    pub fn worth_at(&self, age: Time, halves: bool) -> f64 {
+        let late = (age as f64 - self.aim as f64).max(0.0);
+        let kept = if halves {
+            0.5f64.powf(late / self.aim.max(1) as f64).max(self.late_worth)
+        } else {
+            1.0 - (1.0 - self.late_worth) * late / (self.deadline.saturating_sub(self.aim)).max(1) as f64
+        };
+        self.worth * kept
+    }
+}
 
 fn apart_kind(set: &Settings, kind: u8) -> bool {
     set.kinds.get(usize::from(kind)).is_some_and(|k| k.routes_apart)
--- a/src/state.rs
+++ b/src/state.rs
@@ -427,10 +427,15 @@
         self.0.contains_key(&id)
     }
 
-    /// Changes all rows, and keeps those for which it says so.
+    /// Keeps the rows for which it says so.
     pub(crate) fn retain(&mut self, mut keep: impl FnMut(u32, &mut T) -> bool) {
         self.0.retain(|&id, row| keep(id, row));
     }
+
+    /// Changes all rows.
+    pub(crate) fn each(&mut self, mut change: impl FnMut(u32, &mut T)) {
+        self.0.iter_mut().for_each(|(&id, row)| change(id, row));
+    }
 }
 
 impl<T> std::ops::Index<u32> for Table<T> {
