One stream, one median, one way to ask a courier, in place of copies

Need: the stand-in receivers and the virtual-time tests read Graphite's forms each with a loop of its own; four medians and two spreads in the measurements; three clients of the control interface.

--- a/crates/lab/src/charts.rs
+++ b/crates/lab/src/charts.rs
@@ -1,5 +1,6 @@
 //! Charts (SVG) and a table (Markdown) from kept figures.
 
+use crate::figures::median;
 use anyhow::{anyhow, Context};
 use plotters::prelude::*;
 use serde_json::Value;
@@ -61,11 +62,6 @@
     Some((day, each.collect::<Option<Vec<_>>>()?))
 }
 
-fn median(mut v: Vec<f64>) -> f64 {
-    v.sort_by(f64::total_cmp);
-    v.get(v.len() / 2).copied().unwrap_or(0.0)
-}
-
 fn table(policies: &BTreeMap<String, Vec<Run>>) -> String {
     let mut out = String::from(
         "| policy | seeds | served worth: median | least | most | worst 10 s: median | seeds that broke a rule |\n| --- | --- | --- | --- | --- | --- | --- |\n",
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -8,7 +8,7 @@
 use crate::rig::{self, Options};
 use crate::tail::Tail;
 use crate::{bench, record, report};
-use anyhow::{bail, Context};
+use anyhow::{anyhow, bail, Context};
 use clap::{Parser, Subcommand};
 use linnetcart_edge::cli::Args as EdgeArgs;
 use linnetcart_rules::{check, Report};
@@ -186,6 +186,7 @@
             }
             Ok(true)
         }
+        What::Floor { rounds, .. } if !(1..=100).contains(&rounds) => Err(anyhow!("--rounds: 1 to 100")),
         What::Floor { rounds, decisions: true, json, .. } => {
             let figures = crate::decisions::run(DECISION_ROUNDS, rounds);
             println!("{figures:#}");
@@ -250,8 +251,8 @@
     if parts.destinations.iter().any(|n| !(1..=5000).contains(n)) {
         bail!("--destinations: 1 to 5000");
     }
-    if !(seconds > 0.0 && seconds <= 600.0 && (1..=100).contains(&rounds)) {
-        bail!("--seconds: more than 0 and at most 600; --rounds: 1 to 100");
+    if !(seconds > 0.0 && seconds <= 600.0) {
+        bail!("--seconds: more than 0 and at most 600");
     }
     let folder = Folder::new(None)?;
     let program = std::env::current_exe().context("this program's own path")?;
--- a/crates/lab/src/courier.rs
+++ b/crates/lab/src/courier.rs
@@ -93,19 +93,10 @@
 
     /// Puts a document to its control interface.
     pub fn put(&self, path: &str, body: &Value) -> anyhow::Result<()> {
-        let mut s = TcpStream::connect(self.control)?;
-        let body = body.to_string();
-        write!(
-            s,
-            "PUT {path} HTTP/1.1\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{body}",
-            body.len()
-        )?;
-        let mut text = String::new();
-        s.read_to_string(&mut text)?;
-        if !text.starts_with("HTTP/1.1 200") {
-            bail!("PUT {path}: {text}");
+        match ask(self.control, "PUT", path, &body.to_string())? {
+            (200, _) => Ok(()),
+            (status, text) => bail!("PUT {path}: {status} {text}"),
         }
-        Ok(())
     }
 
     fn signal(&self, signal: Signal) {
@@ -153,3 +144,17 @@
         let _ = self.child.wait();
     }
 }
+
+/// Asks a control interface; status and body of its answer.
+pub fn ask(at: SocketAddr, method: &str, path: &str, body: &str) -> anyhow::Result<(u16, String)> {
+    let mut s = TcpStream::connect(at)?;
+    s.set_read_timeout(Some(Duration::from_secs(10)))?;
+    let length = body.len();
+    let head = format!("{method} {path} HTTP/1.1\r\nContent-Length: {length}\r\nConnection: close\r\n\r\n");
+    s.write_all(head.as_bytes())?;
+    s.write_all(body.as_bytes())?;
+    let mut text = String::new();
+    s.read_to_string(&mut text)?;
+    let status = text.split(' ').nth(1).and_then(|s| s.parse().ok()).context("an answer without a status")?;
+    Ok((status, text.split_once("\r\n\r\n").map_or(String::new(), |t| t.1.to_owned())))
+}
--- a/crates/lab/src/decisions.rs
+++ b/crates/lab/src/decisions.rs
@@ -3,6 +3,7 @@
 //! Each case changes one thing: messages held, destinations, calls out. All cases take turns in one run, so that
 //! what the machine does meanwhile meets all of them; medians are compared.
 
+use crate::figures::{median, round};
 use linnetcart::{
     Action, Class, Courier, Ending, Endpoint, Event, Kind, Listing, Outcome, Repeat, Settings, Taken, Time,
 };
@@ -225,10 +226,6 @@
                 out[n] = calls;
             }
         }
-        let median = |mut v: Vec<f64>| {
-            v.sort_by(f64::total_cmp);
-            v[v.len() / 2]
-        };
         let first = figures[0].clone();
         let mut rows = Vec::new();
         for (n, case) in cases.iter().enumerate() {
@@ -241,7 +238,6 @@
                 "out" => case.out,
                 _ => case.held,
             };
-            let round = |x: f64| (x * 100.0).round() / 100.0;
             rows.push(json!({
                 "count": count, "calls_out": out[n], "us": round(median(figures[n].clone())),
                 "min": round(least), "max": round(most), "ratio": round(ratio),
--- a/crates/lab/src/floor.rs
+++ b/crates/lab/src/floor.rs
@@ -4,6 +4,7 @@
 //! comes from the system's accounts of that process, so it does not matter which side is the slower one.
 
 use crate::courier::{Courier, Start};
+use crate::figures::{round, spread};
 use crate::receivers::{Receiver, Ways, Where};
 use crate::sinks::{Sinks, FRAME};
 use anyhow::{bail, Context};
@@ -225,11 +226,7 @@
             let (edge_cpu, edge_rate, _) = self.measure(&edge, &mut at_edge, 0.0)?;
             rows.push([relay_cpu, edge_cpu, relay_cpu / edge_cpu, relay_rate, edge_rate]);
         }
-        let column = |n: usize| {
-            let mut v: Vec<f64> = rows.iter().map(|r| r[n]).collect();
-            v.sort_by(f64::total_cmp);
-            json!({"min": round(v[0]), "median": round(v[v.len() / 2]), "max": round(v[v.len() - 1])})
-        };
+        let column = |n: usize| spread(rows.iter().map(|r| r[n]).collect());
         let half = rows.iter().map(|r| r[4]).fold(f64::MAX, f64::min) / 2.0;
         drop((at_edge, at_relay));
         let mut at_edge = Clients::connect(edge.process.kafka, 256, 0..10)?;
@@ -329,10 +326,6 @@
             }
         }
         let off = rows[0].clone();
-        let spread = |mut v: Vec<f64>| {
-            v.sort_by(f64::total_cmp);
-            json!({"min": round(v[0]), "median": round(v[v.len() / 2]), "max": round(v[v.len() - 1])})
-        };
         let each = rows.iter().zip(&subjects).map(|(row, (name, ..))| {
             let beside = |pick: fn(&(f64, f64)) -> f64| {
                 spread(row.iter().zip(&off).map(|(now, off)| pick(now) / pick(off)).collect())
@@ -361,10 +354,6 @@
     }
 }
 
-fn round(x: f64) -> f64 {
-    (x * 100.0).round() / 100.0
-}
-
 /// Which parts are measured, and over what.
 #[derive(Clone, Debug)]
 pub struct Parts {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod courier;
 pub mod day;
 pub mod decisions;
+pub mod figures;
 pub mod fleet;
 pub mod floor;
 pub mod receivers;
--- a/crates/lab/src/receivers.rs
+++ b/crates/lab/src/receivers.rs
@@ -4,9 +4,8 @@
 use anyhow::Context;
 use linnetcart_net::{Event, Net, Reserved, Token};
 use linnetcart_telemetry::collectd::{self, Said};
-use linnetcart_telemetry::counts::Field;
-use linnetcart_telemetry::graphite;
 use linnetcart_telemetry::settings::Require;
+use linnetcart_telemetry::stream::Stream;
 use std::collections::BTreeMap;
 use std::io::Write;
 use std::net::SocketAddr;
@@ -14,60 +13,6 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-/// A pickled list is no longer; a connection that says otherwise is closed.
-const LONGEST: usize = 4 << 20;
-/// Series kept at most; beyond it new ones are passed over and counted.
-const MOST: usize = 1_000_000;
-
-/// What came in.
-#[derive(Debug, Default)]
-pub struct Stream {
-    /// The last value of each series, and its time in seconds.
-    pub last: BTreeMap<String, (u64, f64)>,
-    /// Counts that fell, and times that went back, in words; the first hundred.
-    pub fell: Vec<String>,
-    /// Points.
-    pub points: u64,
-    /// Bytes.
-    pub bytes: u64,
-    /// Notifications of collectd: of what, severity, text.
-    pub notices: Vec<(String, u64, String)>,
-    /// What could not be read, and the last reason.
-    pub bad: u64,
-    /// The last reason.
-    pub last_bad: Option<String>,
-    /// Series passed over.
-    pub beyond: u64,
-}
-
-impl Stream {
-    /// A point.
-    pub fn point(&mut self, name: &str, value: f64, at: u64) {
-        self.points += 1;
-        if self.last.len() >= MOST && !self.last.contains_key(name) {
-            self.beyond += 1;
-            return;
-        }
-        let field = name.split(';').next().and_then(|n| n.rsplit('.').next()).unwrap_or("");
-        let count = Field::ALL.iter().any(|f| f.name() == field);
-        if let Some((then, was)) = self.last.insert(name.to_owned(), (at, value)) {
-            if (at < then || (count && value < was)) && self.fell.len() < 100 {
-                self.fell.push(format!("{name}: {was} at {then}, then {value} at {at}"));
-            }
-        }
-    }
-
-    fn bad(&mut self, why: impl ToString) {
-        self.bad += 1;
-        self.last_bad = Some(why.to_string());
-    }
-
-    /// The last value of a series.
-    pub fn value(&self, name: &str) -> Option<f64> {
-        self.last.get(name).map(|p| p.1)
-    }
-}
-
 /// How a receiver behaves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[repr(u8)]
@@ -250,44 +195,16 @@
         }
     }
 
-    /// Whole lines or frames of what a connection holds; false when it makes no sense.
+    /// What a connection holds; false when it makes no sense.
     fn take(&mut self, held: &mut Vec<u8>, came: usize) -> bool {
-        let stream = Arc::clone(&self.stream);
-        let mut stream = stream.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut stream = self.stream.lock().unwrap_or_else(PoisonError::into_inner);
         stream.bytes += came as u64;
-        let mut at = 0;
-        // A frame begins with its length, whose first byte is zero; a line does not.
-        while let Some(&first) = held.get(at) {
-            if first == 0 {
-                let Some(length) = held.get(at..at + 4).and_then(|l| l.try_into().ok()) else { break };
-                let length = u32::from_be_bytes(length) as usize;
-                if length > LONGEST {
-                    stream.bad(format!("a frame of {length} bytes"));
-                    return false;
-                }
-                let Some(body) = held.get(at + 4..at + 4 + length) else { break };
-                match graphite::read_pickle(body) {
-                    Some(list) => list.iter().for_each(|(n, v, t)| self.point(&mut stream, n, *v, *t)),
-                    None => stream.bad("a frame that is no pickled list"),
-                }
-                at += 4 + length;
-            } else {
-                let Some(end) = held[at..].iter().position(|&b| b == b'\n') else { break };
-                let line = String::from_utf8_lossy(&held[at..at + end]).into_owned();
-                match graphite::read_line(&line) {
-                    Some((name, value, time)) => self.point(&mut stream, name, value, time),
-                    None => stream.bad(format!("a line that is no point: {line:.80}")),
-                }
-                at += end + 1;
-            }
-        }
-        held.drain(..at);
-        held.len() <= LONGEST + 4
+        let record = &mut self.record;
+        stream.take(held, |name, value, at| write_down(record, name, value, at))
     }
 
     fn packet(&mut self, packet: &[u8]) {
-        let stream = Arc::clone(&self.stream);
-        let mut stream = stream.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut stream = self.stream.lock().unwrap_or_else(PoisonError::into_inner);
         stream.bytes += packet.len() as u64;
         match collectd::read(packet, &self.at.users, self.at.require) {
             Ok(said) => {
@@ -299,12 +216,9 @@
                                 about.host, about.plugin, about.plugin_instance, about.type_instance
                             );
                             let value = values.first().map_or(0.0, |v| v.as_f64());
-                            self.point(
-                                &mut stream,
-                                &name,
-                                value,
-                                collectd::nanos(about.time) / 1_000_000_000,
-                            );
+                            let at = collectd::nanos(about.time) / 1_000_000_000;
+                            stream.point(&name, value, at);
+                            write_down(&mut self.record, &name, value, at);
                         }
                         Said::Notification(about, severity, text) if stream.notices.len() < 10_000 => {
                             stream.notices.push((about.plugin_instance, severity, text));
@@ -316,13 +230,11 @@
             Err(bad) => stream.bad(bad),
         }
     }
+}
 
-    fn point(&mut self, stream: &mut Stream, name: &str, value: f64, at: u64) {
-        stream.point(name, value, at);
-        if let Some(record) = &mut self.record {
-            if writeln!(record, "{name} {value} {at}").is_err() {
-                self.record = None;
-            }
-        }
+/// A point in the record, which ends when it cannot be written.
+fn write_down(record: &mut Option<Box<dyn Write + Send>>, name: &str, value: f64, at: u64) {
+    if record.as_mut().is_some_and(|r| writeln!(r, "{name} {value} {at}").is_err()) {
+        *record = None;
     }
 }
--- a/crates/lab/src/reporting.rs
+++ b/crates/lab/src/reporting.rs
@@ -1,6 +1,7 @@
 //! What reporting costs: the reports alone, in virtual time, by destinations; and an edge's messages beside one that
 //! reports nothing (in [`crate::floor`]).
 
+use crate::figures::{median, round};
 use linnetcart::{Class, Ending, Repeat};
 use linnetcart_facts::{Fact, Final};
 use linnetcart_telemetry::outlet::Do;
@@ -118,13 +119,10 @@
                     reports.push((r, log));
                 }
             }
-            let median = |mut v: Vec<f64>| {
-                v.sort_by(f64::total_cmp);
-                (v[v.len() / 2] * 100.0).round() / 100.0
-            };
-            let column = |pick: fn(&(Report, usize)) -> f64| median(reports.iter().map(pick).collect());
+            let column =
+                |pick: fn(&(Report, usize)) -> f64| round(median(reports.iter().map(pick).collect()));
             rows.push(json!({
-                "form": form, "destinations": destinations, "classes": CLASSES, "us_a_message": median(facts),
+                "form": form, "destinations": destinations, "classes": CLASSES, "us_a_message": round(median(facts)),
                 "ms_a_report": column(|r| r.0.ms), "ms_longest_turn": column(|r| r.0.longest),
                 "points": column(|r| r.0.points as f64), "graphite_bytes": column(|r| r.0.graphite as f64),
                 "collectd_bytes": column(|r| r.0.collectd as f64), "log_bytes": column(|r| r.1 as f64),
--- a/crates/lab/src/tail.rs
+++ b/crates/lab/src/tail.rs
@@ -1,7 +1,8 @@
 //! A stream of reports, live in the terminal: who is near the limit, where worth arrives late, who is out.
 
-use crate::receivers::{Receiver, Stream, Where};
+use crate::receivers::{Receiver, Where};
 use anyhow::{bail, Context};
+use linnetcart_telemetry::stream::Stream;
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::io::{BufWriter, IsTerminal, Write};
--- a/crates/lab/tests/process.rs
+++ b/crates/lab/tests/process.rs
@@ -51,18 +51,7 @@
 
 /// Status and body.
 fn http(at: SocketAddr, method: &str, path: &str, body: &str) -> (u16, String) {
-    let mut s = TcpStream::connect(at).unwrap();
-    s.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
-    write!(
-        s,
-        "{method} {path} HTTP/1.1\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{body}",
-        body.len()
-    )
-    .unwrap();
-    let mut text = String::new();
-    s.read_to_string(&mut text).unwrap();
-    let status = text.split(' ').nth(1).unwrap().parse().unwrap();
-    (status, text.split_once("\r\n\r\n").unwrap().1.to_owned())
+    linnetcart_lab::courier::ask(at, method, path, body).unwrap()
 }
 
 fn settings() -> String {
--- a/crates/lab/tests/telemetry.rs
+++ b/crates/lab/tests/telemetry.rs
@@ -1,10 +1,11 @@
 //! Reports of a real courier to stand-in receivers on sockets: what they end with is what clients counted.
 
 use linnetcart_kafka::{client, codes, Frames, Record};
-use linnetcart_lab::courier::{Courier, Start};
-use linnetcart_lab::receivers::{Receiver, Stream, Ways, Where};
+use linnetcart_lab::courier::{ask, Courier, Start};
+use linnetcart_lab::receivers::{Receiver, Ways, Where};
 use linnetcart_lab::sinks::Sinks;
 use linnetcart_telemetry::settings::Require;
+use linnetcart_telemetry::stream::Stream;
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
@@ -29,16 +30,8 @@
 }
 
 fn http(at: SocketAddr, method: &str, path: &str, body: &Value) -> (u16, Value) {
-    let body = body.to_string();
-    let mut s = TcpStream::connect(at).unwrap();
-    s.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
-    let head =
-        format!("{method} {path} HTTP/1.1\r\nContent-Length: {}\r\nConnection: close\r\n\r\n", body.len());
-    s.write_all((head + &body).as_bytes()).unwrap();
-    let mut text = String::new();
-    s.read_to_string(&mut text).unwrap();
-    let status = text.split(' ').nth(1).unwrap().parse().unwrap();
-    (status, serde_json::from_str(text.split_once("\r\n\r\n").unwrap().1).unwrap())
+    let (status, text) = ask(at, method, path, &body.to_string()).unwrap();
+    (status, serde_json::from_str(&text).unwrap())
 }
 
 /// A courier with two destinations, of which the second never answers.
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod series;
 pub mod settings;
 pub mod stamps;
+pub mod stream;
 
 use bytes::Bytes;
 use collectd::Envelope;
--- a/crates/telemetry/tests/virtual_time.rs
+++ b/crates/telemetry/tests/virtual_time.rs
@@ -6,7 +6,8 @@
 use linnetcart_telemetry::counts::Saved;
 use linnetcart_telemetry::outlet::Do;
 use linnetcart_telemetry::settings::{Collectd, Form, Graphite, Security, Telemetry as Settings};
-use linnetcart_telemetry::{collectd, graphite, Courier, Found, Listed, Now, Output, Telemetry};
+use linnetcart_telemetry::stream::Stream;
+use linnetcart_telemetry::{collectd, Courier, Found, Listed, Now, Output, Telemetry};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng as StdRng;
 use std::collections::BTreeMap;
@@ -37,55 +38,18 @@
     }
 }
 
-/// A receiver that keeps the last value of each series and knows whether one fell.
+/// A receiver, with what its connection holds.
 #[derive(Default)]
 struct Receiver {
-    last: BTreeMap<String, (u64, f64)>,
-    fell: Vec<String>,
-    points: u64,
-    bytes: Vec<u8>,
-}
-
-fn is_count(name: &str) -> bool {
-    let field = name.rsplit('.').next().unwrap_or("");
-    linnetcart_telemetry::counts::Field::ALL.iter().any(|f| f.name() == field)
+    stream: Stream,
+    held: Vec<u8>,
 }
 
 impl Receiver {
-    fn point(&mut self, name: &str, value: f64, at: u64) {
-        self.points += 1;
-        let before = self.last.insert(name.to_owned(), (at, value));
-        if let Some((then, was)) = before {
-            if at < then || (is_count(name) && value < was) {
-                self.fell.push(format!("{name}: {was} at {then}, {value} at {at}"));
-            }
-        }
-    }
-
-    fn take(&mut self, bytes: &[u8], form: Form) {
-        self.bytes.extend(bytes);
-        match form {
-            Form::Plaintext => {
-                while let Some(end) = self.bytes.iter().position(|&b| b == b'\n') {
-                    let line: Vec<u8> = self.bytes.drain(..=end).collect();
-                    let text = String::from_utf8(line).expect("text");
-                    let (name, value, at) = graphite::read_line(&text).expect("a line");
-                    self.point(name, value, at);
-                }
-            }
-            Form::Pickle => {
-                while self.bytes.len() >= 4 {
-                    let length = u32::from_be_bytes(self.bytes[..4].try_into().expect("four")) as usize;
-                    if self.bytes.len() < 4 + length {
-                        break;
-                    }
-                    let frame: Vec<u8> = self.bytes.drain(..4 + length).skip(4).collect();
-                    for (name, value, at) in graphite::read_pickle(&frame).expect("a list") {
-                        self.point(&name, value, at);
-                    }
-                }
-            }
-        }
+    fn take(&mut self, bytes: &[u8]) {
+        self.held.extend(bytes);
+        assert!(self.stream.take(&mut self.held, |_, _, _| ()));
+        assert_eq!(self.stream.bad, 0, "{:?}", self.stream.last_bad);
     }
 }
 
@@ -99,11 +63,10 @@
 
 struct Rig {
     telemetry: Telemetry,
-    form: Form,
     disk: Disk,
     disk_works: bool,
     receiver: Receiver,
-    by_udp: Receiver,
+    by_udp: Stream,
     /// The receiver is there; it reads.
     there: bool,
     reads: bool,
@@ -122,11 +85,10 @@
     fn new(form: Form) -> Rig {
         let mut rig = Rig {
             telemetry: Telemetry::new(courier(3), Found::default(), settings(form), S),
-            form,
             disk: Disk::default(),
             disk_works: true,
             receiver: Receiver::default(),
-            by_udp: Receiver::default(),
+            by_udp: Stream::default(),
             there: true,
             reads: true,
             up: false,
@@ -163,7 +125,7 @@
         let set = self.telemetry.settings().clone();
         self.telemetry = Telemetry::new(courier(3), found, set, self.now);
         (self.up, self.given) = (false, 0);
-        self.receiver.bytes.clear();
+        self.receiver.held.clear();
         self.list();
         self.begin_log();
     }
@@ -264,13 +226,13 @@
             Output::Graphite(Do::Connect(_)) => self.telemetry.lost(self.now),
             Output::Graphite(Do::Write(bytes)) if self.up && self.reads => {
                 self.given += bytes.len() as u64;
-                self.receiver.take(&bytes, self.form);
+                self.receiver.take(&bytes);
                 self.telemetry.taken(self.now, self.given);
             }
             Output::Graphite(Do::Write(_)) => {}
             Output::Graphite(Do::Close) => {
                 self.up = false;
-                self.receiver.bytes.clear();
+                self.receiver.held.clear();
             }
             Output::Datagram(_, packet) => {
                 let said = collectd::read(&packet, &BTreeMap::new(), Default::default()).expect("a packet");
@@ -312,11 +274,11 @@
     }
 
     fn check(&self) {
-        assert_eq!(self.receiver.fell, Vec::<String>::new());
+        assert_eq!(self.receiver.stream.fell, Vec::<String>::new());
         assert_eq!(self.by_udp.fell, Vec::<String>::new());
         for (end, &wanted) in &self.counted {
             let name = format!("linnetcart.test.edge.3.{end}");
-            let got = self.receiver.last.get(&name).map(|p| p.1);
+            let got = self.receiver.stream.last.get(&name).map(|p| p.1);
             assert_eq!(got, Some(wanted as f64), "{name}");
             let parts: Vec<&str> = end.split('.').collect();
             let (field, place) = parts.split_last().expect("a field");
@@ -333,7 +295,7 @@
         rig.run(600);
         rig.settle();
         rig.check();
-        let get = |end: &str| rig.receiver.last[&format!("linnetcart.test.edge.3.{end}")].1;
+        let get = |end: &str| rig.receiver.stream.last[&format!("linnetcart.test.edge.3.{end}")].1;
         assert_eq!(get("dest.d2.limit_told"), 40.0);
         assert_eq!(get("dest.d2.limit_used_share"), 0.75);
         assert_eq!(get("dest.d2.route.20.attempts"), get("dest.d2.attempts"));
@@ -347,17 +309,17 @@
 fn ten_minutes_without_a_receiver_lose_resolution_and_no_count() {
     let mut rig = Rig::new(Form::Plaintext);
     rig.run(300);
-    let before = rig.receiver.points;
+    let before = rig.receiver.stream.points;
     (rig.there, rig.reads, rig.up) = (false, false, false);
     rig.telemetry.lost(rig.now);
     rig.run(6000);
-    assert_eq!(rig.receiver.points, before);
+    assert_eq!(rig.receiver.stream.points, before);
     assert!(rig.most_waiting <= 1 << 18, "{}", rig.most_waiting);
     (rig.there, rig.reads) = (true, true);
     rig.run(1200);
     rig.settle();
     rig.check();
-    let dropped = rig.receiver.last["linnetcart.test.edge.3.courier.points_dropped"].1;
+    let dropped = rig.receiver.stream.last["linnetcart.test.edge.3.courier.points_dropped"].1;
     assert!(dropped > 0.0, "what was dropped is reported");
 }
 
@@ -371,7 +333,7 @@
     for _ in 0..60 {
         rig.run(30);
         rig.up = false;
-        rig.receiver.bytes.clear();
+        rig.receiver.held.clear();
         rig.telemetry.lost(rig.now);
     }
     rig.run(900);
@@ -405,9 +367,9 @@
         rig.crash(true);
     }
     rig.settle();
-    assert_eq!(rig.receiver.fell, Vec::<String>::new());
+    assert_eq!(rig.receiver.stream.fell, Vec::<String>::new());
     let counted = rig.counted["courier.taken"] as f64;
-    let got = rig.receiver.last["linnetcart.test.edge.3.courier.taken"].1;
+    let got = rig.receiver.stream.last["linnetcart.test.edge.3.courier.taken"].1;
     assert!(got <= counted && got > counted / 2.0, "{got} of {counted}");
 }
 
@@ -431,11 +393,11 @@
     let mut rig = Rig::new(Form::Plaintext);
     rig.run(300);
     rig.disk_works = false;
-    let taken = rig.receiver.last["linnetcart.test.edge.3.courier.taken"];
-    let slots = rig.receiver.last["linnetcart.test.edge.3.courier.slots"];
+    let taken = rig.receiver.stream.last["linnetcart.test.edge.3.courier.taken"];
+    let slots = rig.receiver.stream.last["linnetcart.test.edge.3.courier.slots"];
     rig.run(600);
-    assert_eq!(rig.receiver.last["linnetcart.test.edge.3.courier.taken"], taken);
-    assert!(rig.receiver.last["linnetcart.test.edge.3.courier.slots"].0 > slots.0);
+    assert_eq!(rig.receiver.stream.last["linnetcart.test.edge.3.courier.taken"], taken);
+    assert!(rig.receiver.stream.last["linnetcart.test.edge.3.courier.slots"].0 > slots.0);
     assert!(rig.telemetry.status(rig.now).counts_not_safe);
     rig.disk_works = true;
     rig.run(300);
@@ -465,8 +427,8 @@
     rig.list();
     name(&mut rig, &[(1, "Bank Lodz")]);
     rig.settle();
-    assert_eq!(rig.receiver.fell, Vec::<String>::new());
-    let taken = |name: &str| rig.receiver.last[&format!("linnetcart.test.edge.3.dest.{name}.taken")].1;
+    assert_eq!(rig.receiver.stream.fell, Vec::<String>::new());
+    let taken = |name: &str| rig.receiver.stream.last[&format!("linnetcart.test.edge.3.dest.{name}.taken")].1;
     assert_eq!(taken("Bank_Lodz"), rig.counted["dest.d1.taken"] as f64, "it is the first owner's again");
     assert!(taken("Bank_Lodz-d2") > 0.0 && taken("Bank_Lodz-d3") > 0.0 && taken("Other-d3") > 0.0);
 }
@@ -507,7 +469,7 @@
     rig.run(300);
     rig.crash(false);
     rig.run(300);
-    assert_eq!(rig.receiver.fell, Vec::<String>::new());
+    assert_eq!(rig.receiver.stream.fell, Vec::<String>::new());
     assert!(rig.telemetry.status(rig.now).beyond > 0);
 }
 
@@ -546,7 +508,7 @@
                 match output {
                     Output::Sync(n) => t.synced(n, Ok(())),
                     Output::Graphite(Do::Connect(_)) => t.connected(now),
-                    Output::Graphite(Do::Write(bytes)) => receiver.take(&bytes, Form::Plaintext),
+                    Output::Graphite(Do::Write(bytes)) => receiver.take(&bytes),
                     _ => {}
                 }
             }
@@ -555,6 +517,7 @@
         }
     }
     let cells = receiver
+        .stream
         .last
         .keys()
         .filter(|k| k.contains(".class.c") && k.contains(".dest.") && k.ends_with(".taken"));
