--- a/crates/lab/src/floor.rs
+++ b/crates/lab/src/floor.rs
@@ -294,6 +294,8 @@
             ("up", Some(Ways::Reads)),
             ("down", Some(Ways::Gone)),
             ("never reads", Some(Ways::Deaf)),
+            // What two that are alike differ by is what the others' ratios are worth.
+            ("off again", None),
         ];
         let mut subjects = Vec::new();
         for (n, (name, ways)) in cases.iter().enumerate() {
@@ -319,8 +321,11 @@
             clients.run(Duration::from_secs(1), rate)?;
         }
         let mut rows: Vec<Vec<(f64, f64)>> = vec![Vec::new(); subjects.len()];
-        for _ in 0..self.rounds {
-            for (n, (_, edge, clients, _)) in subjects.iter_mut().enumerate() {
+        for round in 0..self.rounds {
+            // Each is first, second and so on in turn.
+            for place in 0..subjects.len() {
+                let n = (place + round) % rows.len();
+                let (_, edge, clients, _) = &mut subjects[n];
                 let (cpu, _, latency) = self.measure(edge, clients, rate)?;
                 rows[n].push((cpu, latency.value_at_quantile(0.99) as f64 / 1e3));
             }
