--- a/crates/edge/src/core/mod.rs
+++ b/crates/edge/src/core/mod.rs
@@ -492,6 +492,9 @@
                 text: Some("nothing of this batch was taken".into()),
             });
         }
+        // Also what is turned away unseen has its answer in time, whatever stands before it on its connection.
+        let least = read.iter().flatten().map(|(left, _)| self.since + left).min();
+        *due = least.map_or(*due, |at| at.min(*due));
         let (held, most) = (self.set.limits.held as usize, self.set.limits.held_bytes);
         let bytes: usize = records.iter().map(Record::size).sum();
         if records.len() > held || bytes > most {
@@ -515,7 +518,6 @@
             let (left, tenant) = read.unwrap_or_default();
             let place = Place { record: n as u32, ..place };
             messages.push(Some(self.take_one(place, class, destination, record, left, tenant)));
-            *due = (*due).min(self.since + left);
         }
         Part::Open { topic, partition, ends: vec![None; messages.len()], messages }
     }
--- a/crates/edge/tests/core.rs
+++ b/crates/edge/tests/core.rs
@@ -189,6 +189,20 @@
     assert_eq!(b.codes(A)[1], (n, codes::TOO_LARGE), "no retry could ever fit it");
 }
 
+#[test]
+fn what_is_turned_away_behind_an_older_one_has_its_answer_in_time() {
+    let mut doc = settings();
+    doc["limits"]["held"] = 1.into();
+    let mut b = Bench::with(&doc, 1);
+    b.client(A);
+    let long = b.one(A, "status", 1, "long");
+    let short = b.send(A, &[("order", 2, &[headed("short", "deadline-ms", "300")])]);
+    assert_eq!(b.core.status().classes["order"].turned_away, 1);
+    assert_eq!(b.codes(A), []);
+    b.pass(310);
+    assert_eq!(b.codes(A), [(long, codes::REFUSED), (short, codes::REFUSED)]);
+}
+
 #[test]
 fn an_answer_after_the_cancel_frees_the_connection_and_changes_nothing() {
     let mut b = bench();
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -1,8 +1,7 @@
 //! The command line of `linnetcart-lab`.
 
 use crate::baselines;
-use crate::day::{Day, BUILT_IN};
-use crate::fleet::Fleet;
+use crate::emulated::{trace, Recipe};
 use crate::floor::Parts;
 use crate::receivers::Where;
 use crate::rig::{self, Options};
@@ -11,7 +10,10 @@
 use anyhow::{anyhow, bail, Context};
 use clap::{Parser, Subcommand};
 use linnetcart_edge::cli::Args as EdgeArgs;
+use linnetcart_emulator::network::Model;
 use linnetcart_rules::{check, Report};
+use linnetcart_stage::day::{Day, BUILT_IN};
+use linnetcart_stage::fleet::{Fleet, Way};
 use linnetcart_telemetry::settings::Require;
 use serde_json::Value;
 use std::collections::BTreeMap;
@@ -21,6 +23,8 @@
 
 /// Rounds of a case at a time when the cost of decisions is measured.
 const DECISION_ROUNDS: u64 = 400;
+/// Couriers in processes of their own at most.
+const ON_SOCKETS: u32 = 64;
 
 /// Brings up local stacks of linnetcart, plays scripted days on real sockets and measures.
 ///
@@ -47,6 +51,15 @@
     },
     /// Play a scripted day on sockets and check the six rules from what went over them
     Day(DayArgs),
+    /// Play a scripted day in virtual time, with as many couriers as it takes, and check the six rules
+    Emulate(EmulateArgs),
+    /// Tell the life of one message of a run in virtual time, every attempt with why
+    Trace {
+        /// The run's recipe, as `emulate --recipe` writes it
+        run: PathBuf,
+        /// The message's number
+        message: u64,
+    },
     /// Measure what a message costs: an edge beside a relay that decides nothing
     Floor {
         /// Seconds of each stretch
@@ -134,6 +147,31 @@
     Ok((user.to_owned(), key.to_owned()))
 }
 
+#[derive(Debug, clap::Args)]
+struct EmulateArgs {
+    /// A built-in day, or a script's file
+    #[arg(value_name = "DAY")]
+    name: String,
+    /// Seed of fleet, traffic, network and decisions
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Play it so many times as fast: spans shrink, rates grow
+    #[arg(long, default_value_t = 1.0)]
+    speed: f64,
+    /// Couriers, if not as many as the day says
+    #[arg(long)]
+    couriers: Option<u32>,
+    /// Who decides
+    #[arg(long, default_value = "library")]
+    policy: String,
+    /// Write the figures to this file
+    #[arg(long, value_name = "FILE")]
+    json: Option<PathBuf>,
+    /// Write down what the run is drawn from; `trace` and `hunt --replay` read it
+    #[arg(long, value_name = "FILE")]
+    recipe: Option<PathBuf>,
+}
+
 #[derive(Debug, clap::Args)]
 struct DayArgs {
     /// A built-in day, or a script's file
@@ -176,6 +214,11 @@
     let done = match args.what {
         What::Up { day, seed } => up(&day, seed).map(|()| true),
         What::Day(args) => day(&args),
+        What::Emulate(args) => emulate(&args),
+        What::Trace { run, message } => Recipe::read(&run).and_then(|r| trace(&r, message)).map(|text| {
+            print!("{text}");
+            true
+        }),
         What::Report { files, out } => crate::charts::report(&files, &out).map(|()| true),
         What::Tail(args) => tail(args),
         What::Replay { files } => replay(&files).map(|()| true),
@@ -339,11 +382,39 @@
     eprint!("\r{at:>5.0} of {of:.0} s, {open} messages open   ");
 }
 
-fn day(args: &DayArgs) -> anyhow::Result<bool> {
-    if !(args.speed > 0.0 && args.speed <= 100.0) {
-        bail!("--speed: more than 0 and at most 100");
+fn emulate(args: &EmulateArgs) -> anyhow::Result<bool> {
+    let day = Day::find(&args.name)?.with(args.couriers, args.speed)?;
+    let name = day.name.clone();
+    let (seed, policy) = (args.seed, args.policy.clone());
+    let recipe = Recipe { day, seed, policy, model: Model::default() };
+    if let Some(file) = &args.recipe {
+        recipe.write(file)?;
     }
-    let mut day = match (&args.bench, &args.name) {
+    let begun = std::time::Instant::now();
+    let (fleet, run) = recipe.play(None)?;
+    let took = begun.elapsed().as_secs_f64();
+    println!("{name}, seed {seed}: {}", fleet.about());
+    let report = check(&run.played.records, &fleet.contract(Way::Emulated));
+    println!("\n{}", report::table(&report));
+    for (at, destination) in &run.played.fallen {
+        println!("destination {destination} fell over at {:.1} s", *at as f64 / 1e9);
+    }
+    let virtual_s = run.virtual_time as f64 / 1e9;
+    println!(
+        "{virtual_s:.1} s of virtual time in {took:.2} s: {:.1} times real time, {:.0} events a second, {} connections at most",
+        virtual_s / took,
+        run.events as f64 / took,
+        run.links
+    );
+    println!("digest {}", run.digest);
+    let kept = report.kept();
+    write_json(args.json.as_deref(), &report::json(&name, args.seed, &[(args.policy.clone(), report)]))?;
+    println!("{}", if kept { "all rules kept" } else { "A RULE WAS BROKEN" });
+    Ok(kept)
+}
+
+fn day(args: &DayArgs) -> anyhow::Result<bool> {
+    let day = match (&args.bench, &args.name) {
         (Some(file), _) => {
             let text = std::fs::read_to_string(file).with_context(|| file.display().to_string())?;
             let (day, cannot) = bench::read(&text).with_context(|| file.display().to_string())?;
@@ -355,22 +426,14 @@
         (None, Some(name)) => Day::find(name)?,
         (None, None) => bail!("a day's name or --bench is wanted"),
     };
-    if let Some(n) = args.couriers {
-        day.couriers = n;
-        day.check()?;
+    let day = day.with(args.couriers, args.speed)?;
+    if day.couriers > ON_SOCKETS {
+        bail!("{} couriers: at most {ON_SOCKETS} on sockets; `emulate` plays more", day.couriers);
     }
     let name = day.name.clone();
-    let fleet = Fleet::draw(day.faster(args.speed), args.seed);
+    let fleet = Fleet::draw(day, args.seed);
     let policies: &[&str] = if args.baselines { &baselines::NAMES } else { &baselines::NAMES[..1] };
-    let endpoints: usize = fleet.members.iter().map(|m| m.endpoints.len()).sum();
-    println!(
-        "{name}, seed {}: {} couriers, {} destinations with {endpoints} endpoints, {} messages, {} troubles",
-        args.seed,
-        fleet.day.couriers,
-        fleet.members.len(),
-        fleet.messages.len(),
-        fleet.day.trouble.len()
-    );
+    println!("{name}, seed {}: {}", args.seed, fleet.about());
     let mut all: Vec<(String, Report)> = Vec::new();
     for policy in policies {
         let keep = args.keep.as_ref().map(|k| k.join(policy));
@@ -390,7 +453,7 @@
         if show {
             eprintln!();
         }
-        let report = check(&played.records, &fleet.contract());
+        let report = check(&played.records, &fleet.contract(Way::Sockets));
         if *policy == "library" {
             println!("\n{}", report::table(&report));
             for (at, destination) in &played.fallen {
--- /dev/null
+++ b/crates/lab/src/emulated.rs
@@ -0,0 +1,163 @@
+//! Runs in virtual time as files: what a run was drawn from, so that it can be played again, and the life of one
+//! of its messages.
+
+use crate::baselines;
+use anyhow::{bail, Context};
+use linnetcart_edge::facts::{Fact, Final};
+use linnetcart_emulator::network::Model;
+use linnetcart_emulator::trace::Story;
+use linnetcart_emulator::{play, Options, Run};
+use linnetcart_rules::{check, Report, Time, Verdict};
+use linnetcart_stage::day::Day;
+use linnetcart_stage::fleet::{Fleet, Way};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::path::Path;
+
+/// What a run is drawn from; nothing else goes into it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Recipe {
+    /// The whole script, as it was played.
+    pub day: Day,
+    /// The seed of fleet, traffic, network and decisions.
+    pub seed: u64,
+    /// Who decides.
+    pub policy: String,
+    /// Hosts and network.
+    #[serde(default)]
+    pub model: Model,
+}
+
+impl Recipe {
+    /// Plays it.
+    pub fn play(&self, story: Option<Story>) -> anyhow::Result<(Fleet, Run)> {
+        let policy = baselines::policy(&self.policy).with_context(|| {
+            format!("`{}` is no policy; there are {}", self.policy, baselines::NAMES.join(", "))
+        })?;
+        let fleet = Fleet::draw(self.day.clone(), self.seed);
+        let run = play(&fleet, Options { policy, model: self.model, story })?;
+        Ok((fleet, run))
+    }
+
+    /// Plays it and checks the rules.
+    pub fn report(&self) -> anyhow::Result<(Report, Run)> {
+        let (fleet, run) = self.play(None)?;
+        Ok((check(&run.played.records, &fleet.contract(Way::Emulated)), run))
+    }
+
+    /// Reads one that `emulate --recipe` or `hunt` wrote.
+    pub fn read(file: &Path) -> anyhow::Result<Recipe> {
+        let text = std::fs::read_to_string(file).with_context(|| file.display().to_string())?;
+        let recipe: Recipe = serde_json::from_str(&text).with_context(|| file.display().to_string())?;
+        recipe.day.check().with_context(|| file.display().to_string())?;
+        Ok(recipe)
+    }
+
+    /// Writes it down.
+    pub fn write(&self, file: &Path) -> anyhow::Result<()> {
+        std::fs::write(file, serde_json::to_string_pretty(self)? + "\n")
+            .with_context(|| file.display().to_string())
+    }
+}
+
+fn ms(t: Time) -> f64 {
+    t as f64 / 1e6
+}
+
+/// Plays a run again and tells the life of one message: what its client, the couriers that held it and the
+/// endpoints did with it, every attempt with why.
+pub fn trace(recipe: &Recipe, message: u64) -> anyhow::Result<String> {
+    let (fleet, run) = recipe.play(Some(Story::of(message)))?;
+    let Some(planned) = fleet.messages.get(message as usize) else {
+        bail!("message {message}: the run has 0 to {}", fleet.messages.len().saturating_sub(1));
+    };
+    let class = &fleet.day.class[usize::from(planned.class)];
+    let mut lines: Vec<(Time, u8, String)> = Vec::new();
+    let records = &run.played.records;
+    for h in records.handed.iter().filter(|h| h.message == message) {
+        let left = ms(h.due - h.at);
+        let text = format!("client: handed to courier {} (life {}), {left:.0} ms left", h.courier, h.life);
+        lines.push((h.at, 0, text));
+        for (at, answer) in &h.answers {
+            lines.push((*at, 5, format!("client: answered {answer:?} by courier {}", h.courier)));
+        }
+        if let Some(at) = h.orphaned {
+            lines.push((at, 5, format!("client: its connection to courier {} broke", h.courier)));
+        }
+    }
+    for a in records.arrivals.iter().filter(|a| a.message == message) {
+        let what = match a.verdict {
+            Verdict::Served => "will serve it".into(),
+            Verdict::Error => "will answer an error".into(),
+            Verdict::Silent => "will not answer".into(),
+            Verdict::Refused { wait } => format!("turns it away, wait {:.0} ms", ms(wait)),
+        };
+        let effect = if a.effect { ", it takes effect" } else { "" };
+        lines.push((
+            a.at,
+            3,
+            format!("endpoint {}: call {} of courier {}: {what}{effect}", a.endpoint, a.call, a.courier),
+        ));
+        if let Some(at) = a.answered {
+            lines.push((at, 4, format!("endpoint {}: call {} answered", a.endpoint, a.call)));
+        }
+    }
+    // For each holder: when its attempts left, and how the last that ended did.
+    let mut out: BTreeMap<(u32, u32), (Time, Option<String>)> = BTreeMap::new();
+    for t in run.story.into_iter().flat_map(|s| s.told) {
+        let known = out.entry((t.courier, t.life)).or_insert((t.at, None));
+        let text = match t.fact {
+            Fact::Taken { .. } => "taken".into(),
+            Fact::Sent { attempt, endpoint, copy, .. } => {
+                let why = match (copy, attempt, &known.1) {
+                    (true, ..) => format!("a copy: the last is out for {:.0} ms", ms(t.at - known.0)),
+                    (false, 0, _) => "the first".into(),
+                    (false, _, Some(last)) => format!("again, after {last}"),
+                    (false, _, None) => "again".into(),
+                };
+                known.0 = t.at;
+                format!("attempt {attempt} to endpoint {endpoint} ({why})")
+            }
+            Fact::Ended { attempt, endpoint, ending, took, .. } => {
+                let text = format!("attempt {attempt} to endpoint {endpoint} ended {ending:?}");
+                known.1 = Some(text.clone());
+                format!("{text} after {:.0} ms", ms(took))
+            }
+            Fact::Answered { answer, after, .. } => match answer {
+                Final::Refused { come_back } if come_back > 0 => {
+                    format!("refused after {:.0} ms, come back in {:.0}", ms(after), ms(come_back))
+                }
+                answer => format!("{answer:?} after {:.0} ms", ms(after)),
+            },
+            Fact::Withdrawn { .. } => "withdrawn: its client is gone".into(),
+            _ => continue,
+        };
+        lines.push((t.at, 2, format!("courier {}: {text}", t.courier)));
+    }
+    for s in &records.stalls {
+        if records.handed.iter().any(|h| h.message == message && (h.courier, h.life) == (s.courier, s.life)) {
+            lines.push((
+                s.from,
+                1,
+                format!("courier {}: stands still for {:.0} ms", s.courier, ms(s.until - s.from)),
+            ));
+        }
+    }
+    lines.sort_by_key(|l| (l.0, l.1));
+    let (first, destination) = (planned.at, planned.destination);
+    let mut text = format!(
+        "message {message}: {} for destination {destination} ({}), key {:?}, aim {:.0} ms, deadline {:.0} ms\n",
+        class.name,
+        fleet.day.kind[fleet.members[destination as usize].kind].name,
+        planned.key,
+        class.aim_s * 1e3,
+        class.deadline_s * 1e3
+    );
+    for (at, _, line) in lines {
+        let since = (at as f64 - first as f64) / 1e6;
+        let _ = writeln!(text, "{:>11.3} ms {since:>+11.3}  {line}", ms(at));
+    }
+    Ok(text)
+}
--- a/crates/lab/tests/rules.rs
+++ b/crates/lab/tests/rules.rs
@@ -1,10 +1,10 @@
 //! Each rule on real sockets, under the fault that threatens it: couriers in processes of their own, stand-ins
 //! for clients and destinations, and the checks fed by what went over the sockets.
 
-use linnetcart_lab::day::Day;
-use linnetcart_lab::fleet::Fleet;
 use linnetcart_lab::rig::{play, Options};
 use linnetcart_rules::{check, Report};
+use linnetcart_stage::day::Day;
+use linnetcart_stage::fleet::{Fleet, Way};
 use std::path::PathBuf;
 use std::sync::Mutex;
 
@@ -78,7 +78,7 @@
     let options =
         Options { policy: "library".into(), program, dir: dir.clone(), graphite: None, progress: None };
     let played = play(&fleet, &options).unwrap();
-    let report = check(&played.records, &fleet.contract());
+    let report = check(&played.records, &fleet.contract(Way::Sockets));
     std::fs::remove_dir_all(dir).unwrap();
     assert!(report.kept(), "{}", linnetcart_lab::report::table(&report));
     assert!(report.service > 0.5, "{}", linnetcart_lab::report::table(&report));
--- a/crates/lab/src/day.rs
+++ b/crates/stage/src/day.rs
@@ -476,7 +476,7 @@
     /// Checks a script as a whole.
     pub fn check(&self) -> anyhow::Result<()> {
         ensure!(self.seconds > 0.0 && self.seconds <= 3600.0, "seconds: more than 0 and at most 3600");
-        ensure!((1..=64).contains(&self.couriers), "couriers: 1 to 64 on sockets");
+        ensure!((1..=510).contains(&self.couriers), "couriers: 1 to 510");
         ensure!(!self.zones.is_empty() && self.zones.len() < 250, "zones: 1 to 249");
         ensure!(!self.class.is_empty(), "class: at least one");
         ensure!(!self.kind.is_empty(), "kind: at least one");
@@ -506,6 +506,14 @@
         Ok(())
     }
 
+    /// The day with so many couriers, so many times as fast.
+    pub fn with(mut self, couriers: Option<u32>, speed: f64) -> anyhow::Result<Day> {
+        ensure!(speed > 0.0 && speed <= 100.0, "speed: more than 0 and at most 100");
+        self.couriers = couriers.unwrap_or(self.couriers);
+        self.check()?;
+        Ok(self.faster(speed))
+    }
+
     /// The same day so many times as fast: spans shrink, rates grow.
     pub fn faster(mut self, speed: f64) -> Day {
         let span = |x: &mut f64| *x /= speed;
--- a/crates/lab/src/fleet.rs
+++ b/crates/stage/src/fleet.rs
@@ -10,8 +10,23 @@
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 
-/// What clocks, loops and travel on a machine may add to a figure of the rules.
-pub const TRAVEL: Time = 60_000_000;
+/// How a day is played.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    /// On sockets: clocks, loops and travel on a machine add to the figures of the rules.
+    Sockets,
+    /// In virtual time: they add what the emulated network and hosts take, and no more.
+    Emulated,
+}
+
+impl Way {
+    fn travel(self) -> Time {
+        match self {
+            Way::Sockets => 60_000_000,
+            Way::Emulated => 8_000_000,
+        }
+    }
+}
 
 /// A message that is to be handed in.
 #[derive(Clone, Debug, PartialEq)]
@@ -188,7 +203,7 @@
     }
 
     /// The figures of the rules and classes for the checks.
-    pub fn contract(&self) -> Contract {
+    pub fn contract(&self, way: Way) -> Contract {
         let r = &self.day.rules;
         let class = |c: &Class| rules::Class {
             name: c.name.clone(),
@@ -207,7 +222,7 @@
             key_rest: millis(r.key_rest_ms),
             fall_multiple: r.fall_multiple,
             fall_span: seconds(r.fall_span_s),
-            travel: TRAVEL,
+            travel: way.travel(),
         }
     }
 
@@ -290,6 +305,23 @@
         })
     }
 
+    /// What there is of everything, in a line.
+    pub fn about(&self) -> String {
+        let endpoints: usize = self.members.iter().map(|m| m.endpoints.len()).sum();
+        format!(
+            "{} couriers, {} destinations with {endpoints} endpoints, {} messages, {} troubles",
+            self.day.couriers,
+            self.members.len(),
+            self.messages.len(),
+            self.day.trouble.len()
+        )
+    }
+
+    /// The seed of a courier's decisions, in one of its lives.
+    pub fn courier_seed(&self, courier: u32, life: u32) -> u64 {
+        self.seed ^ (u64::from(courier) << 32) ^ u64::from(life)
+    }
+
     /// The topics, by class.
     pub fn topics(&self) -> Vec<String> {
         self.day.class.iter().map(|c| c.name.clone()).collect()
--- a/crates/lab/src/rig/clients.rs
+++ b/crates/stage/src/stage/clients.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 
-impl<'a> Rig<'a> {
+impl<W: Wires> Stage<'_, W> {
     pub(super) fn hand(&mut self, number: usize, attempt: u32) -> anyhow::Result<()> {
         let planned = &self.fleet.messages[number];
         let class = &self.fleet.day.class[usize::from(planned.class)];
@@ -11,10 +11,9 @@
         if left_ms == 0 {
             return Ok(());
         }
-        let alive: Vec<u32> =
-            (0..self.posts.len() as u32).filter(|&n| self.posts[n as usize].courier.is_some()).collect();
+        let alive: Vec<u32> = (0..self.posts.len() as u32).filter(|&n| self.posts[n as usize].up).collect();
         if alive.is_empty() {
-            self.at(self.now + 200_000_000, Timer::Hand(number, attempt));
+            self.hand_at(self.now + 200_000_000, number, attempt);
             return Ok(());
         }
         let courier = match (planned.key, self.uneven) {
@@ -24,7 +23,7 @@
         };
         let token = self.producer(courier, planned.key);
         let Some(token) = token else {
-            self.at(self.now + 100_000_000, Timer::Hand(number, attempt));
+            self.hand_at(self.now + 100_000_000, number, attempt);
             return Ok(());
         };
         let header = |name: &str, value: String| (name.to_owned(), Some(Bytes::from(value)));
@@ -37,7 +36,7 @@
             ],
         };
         let Some(Role::Producer(p)) = self.roles.get_mut(&token) else {
-            self.at(self.now + 100_000_000, Timer::Hand(number, attempt));
+            self.hand_at(self.now + 100_000_000, number, attempt);
             return Ok(());
         };
         p.correlation += 1;
@@ -52,7 +51,7 @@
         p.waiting.insert(p.correlation, self.handed.len());
         let (line, life) = ((token, p.order), p.life);
         if p.up {
-            self.net.send(token, &request);
+            self.wires.send(token, &request);
         } else {
             p.backlog.push(request);
         }
@@ -101,7 +100,7 @@
             let wait = millis(least + self.rng.random::<f64>() * (most - least));
             let wait = wait.max(u64::try_from(produced.throttle_ms).unwrap_or(0) * 1_000_000);
             if attempt < self.fleet.day.clients.retries {
-                self.at(self.now + wait, Timer::Hand(number, attempt + 1));
+                self.hand_at(self.now + wait, number, attempt + 1);
             }
         }
     }
@@ -124,7 +123,7 @@
             if safe || !self.world.arrivals().iter().any(ran) {
                 let wait = millis(800.0 + self.rng.random::<f64>() * 1000.0);
                 let attempt = self.tries.get(&(message as usize)).copied().unwrap_or(0);
-                self.at(self.now + wait, Timer::Hand(message as usize, attempt));
+                self.hand_at(self.now + wait, message as usize, attempt);
             }
         }
     }
--- a/crates/lab/src/rig/endpoints.rs
+++ b/crates/stage/src/stage/endpoints.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 
-impl<'a> Rig<'a> {
+impl<W: Wires> Stage<'_, W> {
     pub(super) fn endpoint_bytes(&mut self, token: Token, bytes: &[u8]) {
         let now = self.now;
         let Some(Role::Endpoint(c)) = self.roles.get_mut(&token) else { return };
@@ -42,18 +42,19 @@
                     c.waiting_open = Some((request.correlation, request.version));
                 }
                 Body::ApiVersions | Body::ApiVersionsTooNew => {
-                    self.net.send(token, &server::api_versions(request.correlation, request.version, false));
+                    self.wires
+                        .send(token, &server::api_versions(request.correlation, request.version, false));
                 }
                 Body::Metadata(_) => {
                     let broker = Broker { id: 0, host: "127.0.0.1".into(), port: 0 };
                     let topics: Vec<Topic> = Vec::new();
-                    self.net.send(
+                    self.wires.send(
                         token,
                         &server::metadata(request.correlation, request.version, &broker, &topics),
                     );
                 }
                 Body::Fetch(topics) => {
-                    self.net.send(token, &server::not_readable(request.correlation, &topics))
+                    self.wires.send(token, &server::not_readable(request.correlation, &topics))
                 }
                 Body::Produce(p) => self.call(token, request.correlation, request.version, p),
             }
@@ -128,7 +129,7 @@
         }
         while matches!(c.answers.front(), Some((_, Some(_)))) {
             if let Some((_, Some(bytes))) = c.answers.pop_front() {
-                self.net.send(call.token, &bytes);
+                self.wires.send(call.token, &bytes);
             }
         }
     }
@@ -139,13 +140,13 @@
                 self.world.disconnect(c.endpoint);
             }
         }
-        self.net.reset(token);
+        self.wires.reset(token);
     }
 
-    pub(super) fn accepted(&mut self, listener: Token, token: Token) {
-        let Some(&endpoint) = self.listeners.get(&listener) else { return self.net.close(token) };
+    /// A courier connected to an endpoint.
+    pub fn accepted(&mut self, endpoint: u32, token: Token) {
         let (taken, after, deaf) = match self.world.connect(endpoint) {
-            Door::Full => return self.net.reset(token),
+            Door::Full => return self.wires.reset(token),
             Door::Nobody => (false, 0, true),
             Door::Open { after } => (true, after, false),
         };
@@ -170,7 +171,7 @@
         let Some(Role::Endpoint(c)) = self.roles.get_mut(&token) else { return };
         c.opened = true;
         if let Some((correlation, version)) = c.waiting_open.take() {
-            self.net.send(token, &server::api_versions(correlation, version, false));
+            self.wires.send(token, &server::api_versions(correlation, version, false));
         }
     }
 }
--- a/crates/lab/src/rig/troubles.rs
+++ b/crates/stage/src/stage/troubles.rs
@@ -2,10 +2,13 @@
 
 use super::*;
 
-impl<'a> Rig<'a> {
+impl<'a, W: Wires> Stage<'a, W> {
     pub(super) fn timer(&mut self, timer: Timer) -> anyhow::Result<()> {
         match timer {
-            Timer::Hand(number, attempt) => self.hand(number, attempt)?,
+            Timer::Hand(number, attempt) => {
+                self.hands -= 1;
+                self.hand(number, attempt)?;
+            }
             Timer::Finish(call) => {
                 let step = self.world.finish(self.now, call);
                 self.step(call, step);
@@ -30,8 +33,8 @@
                 let post = &mut self.posts[n as usize];
                 post.stalled = false;
                 let life = post.life;
-                if let Some(c) = &post.courier {
-                    c.go_on();
+                if post.up {
+                    self.wires.go_on(n);
                 }
                 let mine = |s: &&mut Stall| (s.courier, s.life) == (n, life);
                 if let Some(stall) = self.stalls.iter_mut().rev().find(mine) {
@@ -42,7 +45,7 @@
         Ok(())
     }
 
-    pub(super) fn trouble(&self, n: usize) -> &'a Trouble {
+    fn trouble(&self, n: usize) -> &'a Trouble {
         &self.fleet.day.trouble[n]
     }
 
@@ -161,9 +164,9 @@
         if self.now >= until && count > 0 {
             return Ok(());
         }
-        let next = |rig: &mut Self, after: Time| {
+        let next = |stage: &mut Self, after: Time| {
             if after > 0 {
-                rig.at(rig.now + after, Timer::Step(n, count + 1));
+                stage.at(stage.now + after, Timer::Step(n, count + 1));
             }
         };
         match t.what {
@@ -191,8 +194,8 @@
                 let each = seconds(t.extra) / among.len().max(1) as u64;
                 let courier = among[count as usize % among.len()];
                 let post = &mut self.posts[courier as usize];
-                if let (Some(c), false) = (&post.courier, post.stalled) {
-                    c.stall();
+                if post.up && !post.stalled {
+                    self.wires.stall(courier);
                     post.stalled = true;
                     let (life, from) = (post.life, self.now);
                     let until = from + millis(t.size);
@@ -224,12 +227,7 @@
         s.state = "draining";
         let (destination, zone) = (s.destination, s.zone);
         let id = self.next_endpoint;
-        self.next_endpoint += 1;
-        let port = Reserved::new(LOOPBACK)?;
-        let (token, _) = self.net.listen(port.addr())?;
-        self.listeners.insert(token, id);
-        let new = Standing { listener: Some(token), port, destination, zone, state: "ready" };
-        self.standing.insert(id, new);
+        self.put_up(id, destination, zone)?;
         self.world.add(destination, id, zone);
         let late = seconds(self.list_late);
         self.at(self.now + late, Timer::Publish(vec![endpoint, id]));
@@ -239,9 +237,9 @@
     }
 
     pub(super) fn close_endpoint(&mut self, endpoint: u32) {
-        if let Some(listener) = self.standing.get_mut(&endpoint).and_then(|s| s.listener.take()) {
-            self.net.unlisten(listener);
-            self.listeners.remove(&listener);
+        if let Some(s) = self.standing.get_mut(&endpoint).filter(|s| s.listens) {
+            s.listens = false;
+            self.wires.shut(endpoint);
         }
         let of =
             |(t, r): (&Token, &Role)| matches!(r, Role::Endpoint(c) if c.endpoint == endpoint).then_some(*t);
@@ -250,13 +248,11 @@
     }
 
     pub(super) fn open_endpoint(&mut self, endpoint: u32) -> anyhow::Result<()> {
-        let Some(s) = self.standing.get_mut(&endpoint).filter(|s| s.listener.is_none() && s.state != "gone")
-        else {
-            return Ok(());
-        };
-        let (token, _) = self.net.listen(s.port.addr()).with_context(|| format!("endpoint {endpoint}"))?;
-        s.listener = Some(token);
-        self.listeners.insert(token, endpoint);
+        let shut = |s: &&mut Standing| !s.listens && s.state != "gone";
+        if let Some(s) = self.standing.get_mut(&endpoint).filter(shut) {
+            self.wires.open(endpoint)?;
+            s.listens = true;
+        }
         Ok(())
     }
 
