Rules: a cold limit is held to what it can take over the span, not at its first moment

Need: rule 4 is counted as multiple times present capacity times window.

Change: the share in the middle of the span, which is its mean as it grows evenly.

--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -490,7 +490,9 @@
         for (n, first) in pushed.iter().enumerate() {
             let span = pushed[n..].iter().take_while(|a| a.at < first.at + c.fall_span);
             let span: Vec<&&Arrival> = span.collect();
-            let warm = (first.at - o.until) as f64 / o.warm_after.max(1) as f64;
+            // What it can take grows evenly until it is warm: in the mean, as much as in the middle of the span.
+            let middle = (first.at - o.until) as f64 + c.fall_span as f64 / 2.0;
+            let warm = (middle / o.warm_after.max(1) as f64).min(1.0);
             let share = o.cold_share + (1.0 - o.cold_share) * warm;
             let mean = c.fall_multiple * share * o.capacity * c.fall_span as f64 / 1e9;
             // Chance brings calls together: two deviations of a count of that size, and one call, are no push.
