--- a/crates/emulator/src/disk.rs
+++ b/crates/emulator/src/disk.rs
@@ -60,3 +60,46 @@
         good
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use linnetcart_edge::settings::List;
+
+    fn saved(version: u64) -> Saved {
+        Saved { list: List { version, ..List::default() }, ..Saved::default() }
+    }
+
+    fn version(disk: &mut Disk) -> Option<u64> {
+        disk.load().map(|s| s.list.version)
+    }
+
+    #[test]
+    fn a_crash_in_the_middle_of_a_write_leaves_the_old_or_the_new_and_never_a_half() {
+        let mut disk = Disk::default();
+        disk.save(&saved(1)).unwrap();
+        disk.done();
+        for (how, left) in [(Crash::Before, 1), (Crash::After, 2)] {
+            let mut d = disk.clone();
+            d.save(&saved(2)).unwrap();
+            d.crash(how);
+            assert_eq!(version(&mut d), Some(left));
+        }
+        // Two writes in a row that a crash undoes leave what was there before both.
+        disk.save(&saved(2)).unwrap();
+        disk.save(&saved(3)).unwrap();
+        disk.crash(Crash::Before);
+        assert_eq!(version(&mut disk), Some(1));
+    }
+
+    #[test]
+    fn a_cut_snapshot_is_set_aside_wherever_it_is_cut() {
+        for left in [0.0, 0.3, 0.99] {
+            let mut disk = Disk::default();
+            disk.save(&saved(1)).unwrap();
+            disk.damage(left);
+            assert_eq!((version(&mut disk), disk.aside), (None, 1));
+            assert_eq!(version(&mut disk), None, "the next start finds none");
+        }
+    }
+}
--- a/crates/emulator/src/host.rs
+++ b/crates/emulator/src/host.rs
@@ -8,7 +8,7 @@
 use linnetcart_rules::Time;
 use serde::{Deserialize, Serialize};
 
-/// The courier's clock at the start of a life.
+/// What a clock shows at the start of a life at least.
 const CLOCK_START: Time = 3600 * 1_000_000_000;
 /// The loop looks at its connections at least this often.
 const LOOK: Time = 10_000_000;
@@ -70,8 +70,9 @@
     pub life: u32,
     program: Program,
     inbox: Vec<Input>,
-    /// When the life began.
+    /// When the life began, and what its clock showed then.
     begun: Time,
+    shown: Time,
     /// How fast its clock runs, in parts of a million more than it should.
     drift: i64,
     /// The last look, and when its work is done.
@@ -90,9 +91,15 @@
 }
 
 impl Host {
-    /// The program starts, with what its disk holds. True if it has settings.
-    pub fn start(now: Time, life: u32, mut start: Start, drift: i64, disk: &mut Disk) -> (Host, bool) {
-        start.now = CLOCK_START;
+    /// The program starts, with what its disk holds and a clock that is ahead and drifts. True if it has settings.
+    pub fn start(
+        now: Time,
+        life: u32,
+        mut start: Start,
+        (ahead, drift): (Time, i64),
+        disk: &mut Disk,
+    ) -> (Host, bool) {
+        start.now = CLOCK_START + ahead;
         let mut program = Program::new(start);
         program.keeps = true;
         if let Some(saved) = disk.load() {
@@ -104,6 +111,7 @@
             program,
             inbox: Vec::new(),
             begun: now,
+            shown: CLOCK_START + ahead,
             drift,
             looked: now,
             free: now,
@@ -120,12 +128,12 @@
     fn clock(&self, now: Time) -> Time {
         let gone = now.saturating_sub(self.begun);
         let drift = (i128::from(gone) * i128::from(self.drift) / 1_000_000) as i64;
-        CLOCK_START + gone.saturating_add_signed(drift)
+        self.shown + gone.saturating_add_signed(drift)
     }
 
     /// When its clock will show this, or later.
     fn when(&self, clock: Time) -> Time {
-        let gone = clock.saturating_sub(CLOCK_START);
+        let gone = clock.saturating_sub(self.shown);
         let part = i128::from(gone) * 1_000_000 / (1_000_000 + i128::from(self.drift)).max(1);
         self.begun.saturating_add(part as Time).saturating_add(u64::from(self.drift != 0))
     }
--- a/crates/emulator/src/links.rs
+++ b/crates/emulator/src/links.rs
@@ -53,8 +53,10 @@
     last: Time,
     /// Bytes sent.
     sent: u64,
-    /// What waits while the direction is blocked.
-    held: VecDeque<Parcel>,
+    /// What waits while the direction is blocked, and since when.
+    held: VecDeque<(Time, Parcel)>,
+    /// How long what came last was on its way.
+    travelled: Time,
     held_bytes: u64,
 }
 
@@ -72,6 +74,15 @@
     /// The other side still has its end.
     pub far: bool,
     ways: [Pipe; 2],
+    /// It broke: the share of the next bytes that still arrives in each direction.
+    cut: Option<[f64; 2]>,
+}
+
+impl Link {
+    /// If it broke: the share of the next bytes that still arrives.
+    pub fn cut(&self, way: Way) -> Option<f64> {
+        self.cut.map(|c| c[way as usize])
+    }
 }
 
 /// Delays of a network.
@@ -117,6 +128,7 @@
     by_client: BTreeMap<(u32, ClientId), Token>,
     by_link: BTreeMap<(u32, LinkId), Token>,
     blocks: BTreeMap<usize, Vec<Block>>,
+    slows: BTreeMap<usize, (Vec<u32>, Time)>,
     next: Token,
 }
 
@@ -131,7 +143,7 @@
             End::Link(id, _) => self.by_link.insert((courier, id), token),
         };
         let ways = [Pipe::default(), Pipe::default()];
-        self.all.insert(token, Link { courier, life, end, near: true, far: true, ways });
+        self.all.insert(token, Link { courier, life, end, near: true, far: true, ways, cut: None });
         self.of.entry(courier).or_default().insert(token);
         token
     }
@@ -188,8 +200,32 @@
         free
     }
 
+    /// Connections of these couriers take longer by so much each way, until [`Links::fast`].
+    pub fn slow(&mut self, number: usize, couriers: Vec<u32>, by: Time) {
+        self.slows.insert(number, (couriers, by));
+    }
+
+    /// They take as long as before.
+    pub fn fast(&mut self, number: usize) {
+        self.slows.remove(&number);
+    }
+
+    /// A connection breaks: this share of the next bytes still arrives in each direction.
+    pub fn cut(&mut self, token: Token, (incoming, outgoing): (f64, f64)) {
+        if let Some(l) = self.all.get_mut(&token) {
+            l.cut.get_or_insert([incoming, outgoing]);
+        }
+    }
+
+    /// Nothing more arrives of what was sent before it broke.
+    pub fn cut_off(&mut self, token: Token, way: Way) {
+        if let Some(c) = self.all.get_mut(&token).and_then(|l| l.cut.as_mut()) {
+            c[way as usize] = 0.0;
+        }
+    }
+
     /// What waits on a direction, to be sent again.
-    pub fn release(&mut self, token: Token, way: Way) -> VecDeque<Parcel> {
+    pub fn release(&mut self, token: Token, way: Way) -> VecDeque<(Time, Parcel)> {
         let Some(l) = self.all.get_mut(&token) else { return VecDeque::new() };
         let pipe = &mut l.ways[way as usize];
         pipe.held_bytes = 0;
@@ -208,6 +244,7 @@
     ) -> Option<Time> {
         let blocked = self.all.get(&token).is_some_and(|l| self.blocked(l, way));
         let l = self.all.get_mut(&token)?;
+        let slow = self.slows.values().filter(|s| s.0.contains(&l.courier)).map(|s| s.1).sum::<Time>();
         let pipe = &mut l.ways[way as usize];
         let length = if let Parcel::Data(bytes) = parcel { bytes.len() as u64 } else { 0 };
         if fresh {
@@ -215,13 +252,25 @@
         }
         if blocked {
             pipe.held_bytes += length;
-            pipe.held.push_back(parcel.clone());
+            pipe.held.push_back((now, parcel.clone()));
             return None;
         }
-        pipe.last = pipe.last.max(now + delay.draw(rng));
+        pipe.last = pipe.last.max(now + slow + delay.draw(rng));
         Some(pipe.last)
     }
 
+    /// Something arrived that left then.
+    pub fn arrived(&mut self, now: Time, left: Time, token: Token, way: Way) {
+        if let Some(l) = self.all.get_mut(&token) {
+            l.ways[way as usize].travelled = now.saturating_sub(left);
+        }
+    }
+
+    /// How long what came last from the courier was on its way.
+    pub fn travelled(&self, token: Token) -> Time {
+        self.all.get(&token).map_or(0, |l| l.ways[Way::Out as usize].travelled)
+    }
+
     /// Bytes that the courier's system took of what it sent on a connection.
     pub fn taken(&self, token: Token) -> u64 {
         self.all.get(&token).map_or(0, |l| {
@@ -243,7 +292,7 @@
             if near { (&mut l.near, l.far, Way::Out) } else { (&mut l.far, l.near, Way::In) };
         let first = std::mem::take(side);
         let pipe = &mut l.ways[way as usize];
-        pipe.held.retain(|p| *p == Parcel::End);
+        pipe.held.retain(|(_, p)| *p == Parcel::End);
         pipe.held_bytes = 0;
         if !l.near && !l.far {
             self.forget(token);
@@ -262,3 +311,65 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rand::SeedableRng;
+
+    const QUICK: Delay = Delay { least: 10, more: 0 };
+
+    fn data(text: &'static str) -> Parcel {
+        Parcel::Data(Bytes::from_static(text.as_bytes()))
+    }
+
+    #[test]
+    fn what_is_sent_arrives_in_order_whatever_the_delays() {
+        let mut rng = ChaCha8Rng::seed_from_u64(1);
+        let mut links = Links::default();
+        let token = links.open(0, 0, |t| End::Link(t, 7));
+        let jumpy = Delay { least: 10, more: 1000 };
+        let mut last = 0;
+        for now in 0..200 {
+            let at = links.sent(now, token, Way::Out, &data("x"), (jumpy, true), &mut rng).unwrap();
+            assert!(at >= last && at >= now + 10);
+            last = at;
+        }
+    }
+
+    #[test]
+    fn a_block_holds_one_direction_and_lets_go_in_order() {
+        let mut rng = ChaCha8Rng::seed_from_u64(1);
+        let mut links = Links::default();
+        let token = links.open(0, 0, |t| End::Link(t, 7));
+        let other = links.open(1, 0, |t| End::Link(t, 7));
+        let one = Block { courier: 0, clients: false, endpoints: true, incoming: true, outgoing: false };
+        links.block(3, vec![one]);
+        let mut send = |links: &mut Links, token, way, text| {
+            links.sent(5, token, way, &data(text), (QUICK, true), &mut rng)
+        };
+        assert_eq!(send(&mut links, token, Way::Out, "a"), Some(15), "the other direction goes on");
+        assert_eq!(send(&mut links, other, Way::In, "b"), Some(15), "and other couriers");
+        assert_eq!(send(&mut links, token, Way::In, "c"), None);
+        assert_eq!(send(&mut links, token, Way::In, "d"), None);
+        assert_eq!(links.unblock(3), [(token, Way::In)]);
+        let held: Vec<Parcel> = links.release(token, Way::In).into_iter().map(|(_, p)| p).collect();
+        assert_eq!(held, [data("c"), data("d")]);
+    }
+
+    #[test]
+    fn a_system_takes_so_much_and_no_more_while_nothing_arrives() {
+        let mut rng = ChaCha8Rng::seed_from_u64(1);
+        let mut links = Links::default();
+        let token = links.open(0, 0, |t| End::Link(t, 7));
+        links.block(
+            1,
+            vec![Block { courier: 0, clients: true, endpoints: true, incoming: true, outgoing: true }],
+        );
+        let big = Parcel::Data(Bytes::from(vec![0; SYSTEM_TAKES as usize + 100]));
+        links.sent(0, token, Way::Out, &big, (QUICK, true), &mut rng);
+        assert_eq!((links.taken(token), links.untaken(token)), (SYSTEM_TAKES, 100));
+        assert!(links.left(token, true), "the other side is still to hear of it");
+        assert!(links.release(token, Way::Out).is_empty(), "what was held up does not arrive");
+    }
+}
--- a/crates/emulator/src/network.rs
+++ b/crates/emulator/src/network.rs
@@ -9,7 +9,7 @@
 use linnetcart_kafka::server::Broker;
 use linnetcart_rules::Time;
 use linnetcart_stage::fleet::Fleet;
-use linnetcart_stage::stage::{Token, Wires};
+use linnetcart_stage::stage::{Fault, Token, Wires};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
@@ -33,6 +33,8 @@
     pub delay: Delay,
     /// Clocks run at most so many parts of a million too fast or too slow.
     pub drift: i64,
+    /// Clocks show times that differ by up to so much.
+    pub apart: Time,
 }
 
 impl Default for Model {
@@ -42,6 +44,7 @@
             pace: Pace { turn: 20_000, each: 8_000, save: 3_000_000 },
             delay: Delay { least: 30_000, more: 15_000 },
             drift: 50,
+            apart: 5_000_000_000,
         }
     }
 }
@@ -65,8 +68,8 @@
 enum Event {
     /// A courier looks at its connections.
     Look(u32),
-    /// Something arrives.
-    Arrive(Token, Way, Parcel),
+    /// Something arrives that left then.
+    Arrive(Token, Way, Parcel, Time),
     /// A document arrives at a control interface; its answer arrives.
     Put(u32, u32, &'static str, String),
     Answer(u32, u32, Result<(), String>),
@@ -105,6 +108,8 @@
     /// Endpoints that listen.
     open: std::collections::BTreeSet<u32>,
     rng: ChaCha8Rng,
+    /// For clocks alone, so that they change nothing else.
+    clocks: ChaCha8Rng,
     digest: Sha256,
     /// What happened in the couriers, if it is asked for.
     pub story: Option<Story>,
@@ -141,6 +146,7 @@
             links: Links::default(),
             open: std::collections::BTreeSet::new(),
             rng: ChaCha8Rng::seed_from_u64(fleet.seed ^ 0x3e7),
+            clocks: ChaCha8Rng::seed_from_u64(fleet.seed ^ 0xc10c),
             digest: Sha256::new(),
             story: None,
             events: 0,
@@ -188,7 +194,10 @@
                 self.look(courier, when);
                 None
             }
-            Event::Arrive(token, way, parcel) => self.arrive(token, way, parcel),
+            Event::Arrive(token, way, parcel, left) => {
+                self.links.arrived(when, left, token, way);
+                self.arrive(token, way, parcel)
+            }
             Event::Put(courier, life, path, body) => {
                 self.came(courier, life, Input::Put(path, body));
                 None
@@ -216,7 +225,7 @@
     fn send(&mut self, token: Token, way: Way, parcel: Parcel) {
         let how = (self.model.delay, true);
         if let Some(at) = self.links.sent(self.now, token, way, &parcel, how, &mut self.rng) {
-            self.at(at, Event::Arrive(token, way, parcel));
+            self.at(at, Event::Arrive(token, way, parcel, self.now));
         }
     }
 
@@ -231,6 +240,17 @@
         self.note(token, way, &parcel);
         let l = self.links.get(token)?;
         let (courier, life, end) = (l.courier, l.life, l.end);
+        let parcel = match (l.cut(way), parcel) {
+            (None, parcel) => parcel,
+            (Some(share), Parcel::Data(bytes)) => {
+                // What was behind this is lost.
+                self.links.cut_off(token, way);
+                Parcel::Data(bytes.slice(..(bytes.len() as f64 * share) as usize))
+            }
+            (Some(_), Parcel::End) => Parcel::End,
+            (Some(_), _) => return None,
+        };
+        let Some(l) = self.links.get(token) else { return None };
         match way {
             Way::Out if !l.far => None,
             Way::In if !l.near => None,
@@ -392,20 +412,15 @@
         self.hosts.iter().filter(|(_, h)| !h.is_done()).map(|(&n, _)| n).collect()
     }
 
-    // ---- Troubles that only an emulated network has
-
-    /// Directions are blocked until [`Network::unblock`].
-    pub fn block(&mut self, number: usize, blocks: Vec<Block>) {
-        self.links.block(number, blocks);
-    }
-
-    /// A block ends; what waited behind it leaves now.
-    pub fn unblock(&mut self, number: usize) {
-        for (token, way) in self.links.unblock(number) {
-            for parcel in self.links.release(token, way) {
-                let how = (self.model.delay, false);
-                if let Some(at) = self.links.sent(self.now, token, way, &parcel, how, &mut self.rng) {
-                    self.at(at, Event::Arrive(token, way, parcel));
+    /// Connections break: part of what travels on them arrives, cut at any byte.
+    fn cut(&mut self, couriers: &[u32], share: f64) {
+        for &courier in couriers {
+            for token in self.links.of(courier) {
+                if self.rng.random::<f64>() < share {
+                    let at = (self.rng.random(), self.rng.random());
+                    self.links.cut(token, at);
+                    self.send(token, Way::In, Parcel::End);
+                    self.send(token, Way::Out, Parcel::End);
                 }
             }
         }
@@ -442,9 +457,10 @@
             first_number: 1,
             policy: self.policy,
         };
-        let drift = self.rng.random_range(-self.model.drift..=self.model.drift);
+        let drift = self.clocks.random_range(-self.model.drift..=self.model.drift);
+        let ahead = self.clocks.random_range(0..=self.model.apart);
         let disk = self.disks.entry(courier).or_default();
-        let (host, kept) = Host::start(self.now, life, start, drift, disk);
+        let (host, kept) = Host::start(self.now, life, start, (ahead, drift), disk);
         self.hosts.insert(courier, host);
         Ok(kept)
     }
@@ -491,4 +507,37 @@
     fn address(&self, endpoint: u32) -> SocketAddr {
         address(endpoint)
     }
+
+    fn travelled(&self, token: Token) -> Time {
+        self.links.travelled(token)
+    }
+
+    fn fault(&mut self, number: usize, fault: Fault) {
+        match fault {
+            Fault::Partition { couriers, clients, endpoints, one_way } => {
+                let block =
+                    |courier| Block { courier, clients, endpoints, incoming: true, outgoing: !one_way };
+                self.links.block(number, couriers.into_iter().map(block).collect());
+            }
+            Fault::Slow { couriers, by } => self.links.slow(number, couriers, by),
+            Fault::Cut { couriers, share } => self.cut(&couriers, share),
+            Fault::Damage { courier, left } => {
+                if let Some(disk) = self.disks.get_mut(&courier) {
+                    disk.damage(left);
+                }
+            }
+        }
+    }
+
+    fn heal(&mut self, number: usize) {
+        self.links.fast(number);
+        for (token, way) in self.links.unblock(number) {
+            for (left, parcel) in self.links.release(token, way) {
+                let how = (self.model.delay, false);
+                if let Some(at) = self.links.sent(self.now, token, way, &parcel, how, &mut self.rng) {
+                    self.at(at, Event::Arrive(token, way, parcel, left));
+                }
+            }
+        }
+    }
 }
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -430,6 +430,10 @@
     if day.couriers > ON_SOCKETS {
         bail!("{} couriers: at most {ON_SOCKETS} on sockets; `emulate` plays more", day.couriers);
     }
+    let cannot = day.emulated_only();
+    if !cannot.is_empty() {
+        bail!("sockets of one machine cannot play {cannot:?}; `emulate` does");
+    }
     let name = day.name.clone();
     let fleet = Fleet::draw(day, args.seed);
     let policies: &[&str] = if args.baselines { &baselines::NAMES } else { &baselines::NAMES[..1] };
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -404,8 +404,14 @@
 
     // ---- Calls
 
-    /// A call comes. Returns its number and what to do now.
-    pub fn arrive(&mut self, now: Time, caller: Caller, endpoint: u32, items: &[Item]) -> (u64, Step) {
+    /// A call comes that was so long on its way, as far as is known. Returns its number and what to do now.
+    pub fn arrive(
+        &mut self,
+        now: Time,
+        (caller, travelled): (Caller, Time),
+        endpoint: u32,
+        items: &[Item],
+    ) -> (u64, Step) {
         self.next += 1;
         let id = self.next;
         let Some(e) = self.endpoints.get(&endpoint) else { return (id, Step::Break) };
@@ -424,6 +430,7 @@
                 zone,
                 apart: kind.apart,
                 at: now,
+                travelled,
                 verdict: Verdict::Silent,
                 answered: None,
                 effect: false,
--- a/crates/members/src/tests.rs
+++ b/crates/members/src/tests.rs
@@ -33,7 +33,7 @@
 }
 
 fn one(w: &mut World, now: Time, endpoint: u32, message: u64, class: u8) -> Step {
-    let (id, step) = w.arrive(now, ME, endpoint, &[Item { message, class }]);
+    let (id, step) = w.arrive(now, (ME, 0), endpoint, &[Item { message, class }]);
     match step {
         Step::At(at) => w.finish(at, id),
         other => other,
@@ -138,7 +138,7 @@
     let day = || {
         let mut w = world(kind(LimitKind::Rate), 10.0);
         (0..200u64)
-            .map(|n| w.arrive(S + n * 20 * MS, ME, 10, &[Item { message: n, class: 0 }]).1)
+            .map(|n| w.arrive(S + n * 20 * MS, (ME, 0), 10, &[Item { message: n, class: 0 }]).1)
             .collect::<Vec<_>>()
     };
     assert_eq!(day(), day());
--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -143,6 +143,8 @@
     pub apart: bool,
     /// When.
     pub at: Time,
+    /// How long it was on its way, where that is known; otherwise it is in [`Contract::travel`].
+    pub travelled: Time,
     /// What became of it.
     pub verdict: Verdict,
     /// When the answer left, if one did.
@@ -200,6 +202,21 @@
     pub until: Time,
 }
 
+/// Nothing reached a courier from one side for a time; what was sent meanwhile came after.
+#[derive(Clone, Copy, Debug)]
+pub struct Cut {
+    /// The courier.
+    pub courier: u32,
+    /// From when.
+    pub from: Time,
+    /// Until when.
+    pub until: Time,
+    /// From its clients, and to them.
+    pub clients: bool,
+    /// From endpoints.
+    pub endpoints: bool,
+}
+
 /// Everything that was recorded.
 #[derive(Clone, Debug, Default)]
 pub struct Records {
@@ -213,6 +230,8 @@
     pub outages: Vec<Outage>,
     /// When couriers stood still: what was due meanwhile is due when they run again.
     pub stalls: Vec<Stall>,
+    /// When couriers were cut off.
+    pub cuts: Vec<Cut>,
     /// Answers to requests that had one already, or were never made.
     pub stray_answers: u64,
 }
@@ -292,6 +311,27 @@
     pub calls: u64,
 }
 
+impl Arrival {
+    /// When it left the courier.
+    pub fn sent(&self) -> Time {
+        self.at.saturating_sub(self.travelled)
+    }
+}
+
+impl Records {
+    /// When a courier heard of what an endpoint said then.
+    fn heard(&self, courier: u32, at: Time) -> Time {
+        let cut = |c: &&Cut| c.endpoints && c.courier == courier && c.from <= at && at < c.until;
+        self.cuts.iter().filter(cut).map(|c| c.until).max().unwrap_or(at)
+    }
+
+    /// When a client saw at the latest what a courier answered then.
+    fn seen(&self, courier: u32, at: Time) -> Time {
+        let cut = |c: &&Cut| c.clients && c.courier == courier && c.from <= at && at < c.until;
+        self.cuts.iter().filter(cut).map(|c| c.until).max().unwrap_or(at)
+    }
+}
+
 impl Report {
     /// No rule was broken.
     pub fn kept(&self) -> bool {
@@ -342,7 +382,7 @@
         let stood =
             |s: &&Stall| (s.courier, s.life) == (h.courier, h.life) && s.from <= h.due && h.due < s.until;
         let due = r.stalls.iter().find(stood).map_or(h.due, |s| s.until);
-        let limit = due + c.answer_slack + c.travel;
+        let limit = r.seen(h.courier, due) + c.answer_slack + c.travel;
         let n = h.answers.len();
         if h.orphaned.is_none() || n > 0 {
             let in_time = n == 1 && h.answers[0].0 <= limit;
@@ -361,10 +401,11 @@
         // A further try has a life of its own.
         let next = tries[&h.message].iter().copied().filter(|&at| at > h.at).min();
         for a in arrivals.get(&h.message).into_iter().flatten() {
-            let this_try = a.at >= h.at && next.is_none_or(|t| a.at < t) && a.courier == h.courier;
+            let sent = a.sent();
+            let this_try = sent >= h.at && next.is_none_or(|t| sent < t) && a.courier == h.courier;
             if this_try {
-                f.case(a.at <= answered + c.travel, || {
-                    format!("message {}: sent {:.0} ms after its answer", h.message, ms(a.at - answered))
+                f.case(a.sent() <= answered + c.travel, || {
+                    format!("message {}: sent {:.0} ms after its answer", h.message, ms(a.sent() - answered))
                 });
             }
         }
@@ -405,12 +446,12 @@
                 for (n, t) in tries.iter().enumerate() {
                     let next = tries.get(n + 1).map_or(Time::MAX, |t| t.at);
                     let own = |a: &&&&Arrival| a.courier == t.courier && a.life == t.life;
-                    let mine = ran.iter().filter(own).filter(|a| a.at >= t.at && a.at < next);
+                    let mine = ran.iter().filter(own).filter(|a| a.sent() >= t.at && a.sent() < next);
                     let mine: Vec<&&&Arrival> = mine.collect();
                     let Some(first) = mine.first() else { continue };
-                    let stays = mine
-                        .iter()
-                        .all(|a| a.at <= first.at + window + c.travel && (!by_zone || a.zone == first.zone));
+                    let stays = mine.iter().all(|a| {
+                        a.sent() <= first.sent() + window + c.travel && (!by_zone || a.zone == first.zone)
+                    });
                     f.case(stays, || format!("message {message}: sent again outside of its window or group"));
                 }
             }
@@ -421,8 +462,9 @@
                 Repeat::Keyed { by_zone, .. } => by_zone,
                 _ => true,
             };
-            let before =
-                ran.iter().any(|a| a.courier == t.courier && a.life == t.life && a.at >= t.at && a.at <= at);
+            let before = ran
+                .iter()
+                .any(|a| (a.courier, a.life) == (t.courier, t.life) && (t.at..=at).contains(&a.sent()));
             f.case(!(whole && before), || format!("message {message}: refused though it may have run"));
         }
     }
@@ -439,14 +481,14 @@
     told.values_mut().for_each(|v| v.sort_unstable());
     for a in &r.arrivals {
         let Some(news) = told.get(&(a.courier, a.life, a.endpoint)) else { continue };
-        let Some(&(at, ready)) = news.iter().rev().find(|n| n.0 <= a.at) else { continue };
+        let Some(&(at, ready)) = news.iter().rev().find(|n| n.0 <= a.sent()) else { continue };
         if !ready {
-            f.case(a.at <= at + c.drain_grace + c.travel, || {
+            f.case(a.sent() <= at + c.drain_grace + c.travel, || {
                 format!(
                     "endpoint {}: courier {} sent {:.0} ms after the news",
                     a.endpoint,
                     a.courier,
-                    ms(a.at - at)
+                    ms(a.sent() - at)
                 )
             });
         }
@@ -468,7 +510,7 @@
         });
         let mut knows: BTreeMap<(u32, u32), Time> = BTreeMap::new();
         for a in calls.values().copied().filter(bad) {
-            let at = a.answered.unwrap_or(a.at);
+            let at = r.heard(a.courier, a.answered.unwrap_or(a.at));
             let known = knows.entry((a.courier, a.life)).or_insert(at);
             *known = (*known).min(at);
         }
@@ -497,7 +539,7 @@
             let mean = c.fall_multiple * share * o.capacity * c.fall_span as f64 / 1e9;
             // Chance brings calls together: two deviations of a count of that size, and one call, are no push.
             let bound = mean + 2.0 * mean.sqrt() + 1.0;
-            let knew = |a: &&&&Arrival| knows.get(&(a.courier, a.life)).is_some_and(|&t| t < a.at);
+            let knew = |a: &&&&Arrival| knows.get(&(a.courier, a.life)).is_some_and(|&t| t < a.sent());
             let known = span.iter().filter(knew).count();
             if span.len() as f64 > bound && known * 3 >= span.len() * 2 {
                 worst.get_or_insert(format!(
@@ -527,7 +569,8 @@
         let of = |h: &Handed| -> Vec<&Arrival> {
             let over = h.answers.first().map_or(h.due, |a| a.0) + c.travel;
             let all = arrivals.get(&h.message).into_iter().flatten().copied();
-            all.filter(|a| a.courier == courier && a.life == life && a.at >= h.at && a.at <= over).collect()
+            all.filter(|a| a.courier == courier && a.life == life && a.sent() >= h.at && a.sent() <= over)
+                .collect()
         };
         for pair in line.windows(2) {
             let (earlier, later) = (of(pair[0]), of(pair[1]));
@@ -538,16 +581,16 @@
             }
             for a in earlier {
                 let rested = match a.verdict {
-                    Verdict::Silent => a.at + c.key_rest,
-                    _ => a.answered.map_or(a.at + c.key_rest, |t| t.min(a.at + c.key_rest)),
+                    Verdict::Silent => a.sent() + c.key_rest,
+                    _ => a.answered.map_or(a.sent() + c.key_rest, |t| t.min(a.sent() + c.key_rest)),
                 };
-                f.case(first.at + c.travel >= rested && first.at >= a.at, || {
+                f.case(first.sent() + c.travel >= rested && first.sent() >= a.sent(), || {
                     format!(
                         "key {key:x}: message {} at {:.0} ms, before {} of {:.0} ms was over",
                         pair[1].message,
-                        ms(first.at),
+                        ms(first.sent()),
                         pair[0].message,
-                        ms(a.at)
+                        ms(a.sent())
                     )
                 });
             }
@@ -569,13 +612,14 @@
         calls.sort_by_key(|a| a.at);
         for (n, a) in calls.iter().enumerate() {
             let (Verdict::Refused { wait }, Some(told)) = (a.verdict, a.answered) else { continue };
-            if wait <= 2 * c.travel {
+            let (heard, until) = (r.heard(a.courier, told), told + wait);
+            if heard + 2 * c.travel >= until {
                 continue;
             }
-            let within = calls[n + 1..].iter().take_while(|b| b.at + c.travel < told + wait);
-            let early = within.into_iter().find(|b| b.at > told + c.travel && b.call != a.call);
+            let within = calls[n + 1..].iter().filter(|b| b.sent() + c.travel < until);
+            let early = within.into_iter().find(|b| b.sent() > heard + c.travel && b.call != a.call);
             f.case(early.is_none(), || {
-                let at = early.map_or(0, |b| b.at);
+                let at = early.map_or(0, |b| b.sent());
                 format!(
                     "destination {}: courier {} was told {:.0} ms and sent after {:.0}",
                     a.destination,
--- a/crates/rules/src/tests.rs
+++ b/crates/rules/src/tests.rs
@@ -59,6 +59,7 @@
         apart: false,
         at,
         verdict,
+        travelled: 0,
         answered: (verdict != Verdict::Silent).then_some(at + MS),
         effect: verdict == Verdict::Served,
     }
--- a/crates/stage/src/day.rs
+++ b/crates/stage/src/day.rs
@@ -76,11 +76,14 @@
     /// Connections of the clients to each courier at most, those of keys not counted. Answers go in order on
     /// a connection, so with few of them messages wait for each other.
     pub connections: usize,
+    /// A client that has waited so long breaks its connection, and hands what it may to another courier; 0 for
+    /// as long as it takes.
+    pub patience_s: f64,
 }
 
 impl Default for Clients {
     fn default() -> Self {
-        Clients { retries: 2, again_ms: [800.0, 1900.0], connections: 400 }
+        Clients { retries: 2, again_ms: [800.0, 1900.0], connections: 400, patience_s: 0.0 }
     }
 }
 
@@ -337,6 +340,24 @@
     ClassFails,
     /// New connections take longer; size: by so many ms.
     SlowConnect,
+    /// Couriers are cut off, part of them; extra: 0 from endpoints, 1 from clients, 2 from both; hard: in one
+    /// direction, so that nothing reaches them. Emulated only.
+    Partition,
+    /// Connections of couriers break, part of them, in the middle of what travels; size: the share that does;
+    /// extra: every so many seconds. Emulated only.
+    LinksCut,
+    /// What couriers send and are sent takes longer, part of them; size: by so many ms. Emulated only.
+    LinksSlow,
+    /// Couriers are killed, part of them, and their snapshot is cut; size: seconds until they are back; extra:
+    /// the share of it that is left. Emulated only.
+    DiskDamaged,
+}
+
+impl What {
+    /// Sockets of one machine cannot play it.
+    pub fn emulated_only(self) -> bool {
+        matches!(self, What::Partition | What::LinksCut | What::LinksSlow | What::DiskDamaged)
+    }
 }
 
 fn zones() -> Vec<String> {
@@ -451,6 +472,12 @@
     ("class-fails", include_str!("../days/class-fails.toml")),
     ("slow-connect", include_str!("../days/slow-connect.toml")),
     ("batches", include_str!("../days/batches.toml")),
+    ("partition", include_str!("../days/partition.toml")),
+    ("partition-one-way", include_str!("../days/partition-one-way.toml")),
+    ("partition-clients", include_str!("../days/partition-clients.toml")),
+    ("links-cut", include_str!("../days/links-cut.toml")),
+    ("links-slow", include_str!("../days/links-slow.toml")),
+    ("disk-damaged", include_str!("../days/disk-damaged.toml")),
 ];
 
 impl Day {
@@ -482,6 +509,7 @@
         ensure!(!self.kind.is_empty(), "kind: at least one");
         ensure!(self.traffic.load > 0.0 && self.traffic.load < 20.0, "traffic.load: more than 0, under 20");
         ensure!(self.clients.connections > 0, "clients.connections: at least 1");
+        ensure!(self.clients.patience_s >= 0.0, "clients.patience_s: not below 0");
         for k in &self.kind {
             let name = &k.name;
             ensure!(
@@ -506,6 +534,11 @@
         Ok(())
     }
 
+    /// Troubles that sockets cannot play.
+    pub fn emulated_only(&self) -> Vec<What> {
+        self.trouble.iter().map(|t| t.what).filter(|w| w.emulated_only()).collect()
+    }
+
     /// The day with so many couriers, so many times as fast.
     pub fn with(mut self, couriers: Option<u32>, speed: f64) -> anyhow::Result<Day> {
         ensure!(speed > 0.0 && speed <= 100.0, "speed: more than 0 and at most 100");
@@ -519,6 +552,7 @@
         let span = |x: &mut f64| *x /= speed;
         span(&mut self.seconds);
         self.clients.again_ms.iter_mut().for_each(span);
+        span(&mut self.clients.patience_s);
         let c = &mut self.courier;
         [&mut c.hold_s, &mut c.idle_s].into_iter().for_each(span);
         let r = &mut self.rules;
@@ -546,10 +580,12 @@
                 | What::CouriersRolled
                 | What::ListLate
                 | What::IdleDropped
-                | What::SlowConnect => {
+                | What::SlowConnect
+                | What::LinksSlow
+                | What::DiskDamaged => {
                     span(&mut t.size);
                 }
-                What::Drains => span(&mut t.extra),
+                What::Drains | What::LinksCut => span(&mut t.extra),
                 _ => {}
             }
         }
@@ -571,7 +607,7 @@
                 seen.extend(day.trouble.iter().map(|t| t.what));
             }
         }
-        assert_eq!(seen.len(), 22, "{seen:?}");
+        assert_eq!(seen.len(), 26, "{seen:?}");
     }
 
     #[test]
--- a/crates/stage/src/fleet.rs
+++ b/crates/stage/src/fleet.rs
@@ -205,6 +205,9 @@
     /// The figures of the rules and classes for the checks.
     pub fn contract(&self, way: Way) -> Contract {
         let r = &self.day.rules;
+        // A request that waits for its connection, and its answer: three ways.
+        let slow = |t: &crate::day::Trouble| (t.what == What::LinksSlow).then(|| 3 * millis(t.size));
+        let slow: Time = self.day.trouble.iter().filter_map(slow).sum();
         let class = |c: &Class| rules::Class {
             name: c.name.clone(),
             aim: seconds(c.aim_s),
@@ -222,7 +225,7 @@
             key_rest: millis(r.key_rest_ms),
             fall_multiple: r.fall_multiple,
             fall_span: seconds(r.fall_span_s),
-            travel: way.travel(),
+            travel: way.travel() + slow,
         }
     }
 
--- a/crates/stage/src/stage/clients.rs
+++ b/crates/stage/src/stage/clients.rs
@@ -68,6 +68,10 @@
             answers: Vec::new(),
             orphaned: None,
         });
+        let patience = seconds(self.fleet.day.clients.patience_s);
+        if patience > 0 {
+            self.at(self.now + patience, Timer::Patience(self.handed.len() - 1));
+        }
         self.tries.insert(number, attempt);
         self.open += 1;
         Ok(())
@@ -105,8 +109,19 @@
         }
     }
 
+    /// A client has waited long enough for what it handed in: it breaks the connection.
+    pub(super) fn impatient(&mut self, at: usize) {
+        let h = &self.handed[at];
+        let token = h.line.0;
+        if !h.answers.is_empty() || h.orphaned.is_some() || !self.roles.contains_key(&token) {
+            return;
+        }
+        self.wires.close(token);
+        self.gone(token);
+    }
+
     /// A client's connection broke: what it waited for may be handed to another courier, unless it may have
-    /// run and must not run again.
+    /// run, or may still run, and must not run again.
     pub(super) fn orphan(&mut self, p: Producer) {
         for at in p.waiting.into_values() {
             let h = &mut self.handed[at];
@@ -119,8 +134,11 @@
             let ran = |a: &linnetcart_rules::Arrival| {
                 a.message == message && !matches!(a.verdict, Verdict::Refused { .. })
             };
+            // A courier that lives may still hold it.
+            let post = &self.posts[p.courier as usize];
+            let dead = post.life != p.life || !post.up;
             let safe = self.fleet.day.class[class].repeat == crate::day::RepeatKind::Safe;
-            if safe || !self.world.arrivals().iter().any(ran) {
+            if safe || dead && !self.world.arrivals().iter().any(ran) {
                 let wait = millis(800.0 + self.rng.random::<f64>() * 1000.0);
                 let attempt = self.tries.get(&(message as usize)).copied().unwrap_or(0);
                 self.hand_at(self.now + wait, message as usize, attempt);
--- a/crates/stage/src/stage/endpoints.rs
+++ b/crates/stage/src/stage/endpoints.rs
@@ -78,7 +78,7 @@
             }
             parts.push((part.topic, part.partition));
         }
-        let (id, step) = self.world.arrive(self.now, caller, endpoint, &items);
+        let (id, step) = self.world.arrive(self.now, (caller, self.wires.travelled(token)), endpoint, &items);
         if let Some(Role::Endpoint(c)) = self.roles.get_mut(&token) {
             c.answers.push_back((id, None));
         }
--- a/crates/stage/src/stage/mod.rs
+++ b/crates/stage/src/stage/mod.rs
@@ -14,7 +14,7 @@
 use linnetcart_kafka::server::{self, Body, Broker, Ended, Topic};
 use linnetcart_kafka::{client, codes, Frames, Load, Record};
 use linnetcart_members::{Caller, Code, Door, Item, Reply, Step, World};
-use linnetcart_rules::{Answer, Handed, Records, Stall, Time, Told, Verdict};
+use linnetcart_rules::{Answer, Cut, Handed, Records, Stall, Time, Told, Verdict};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde_json::json;
@@ -58,6 +58,51 @@
     fn shut(&mut self, endpoint: u32);
     /// Where an endpoint that was opened listens.
     fn address(&self, endpoint: u32) -> SocketAddr;
+    /// How long the bytes that came last on a connection were on their way; 0 where nobody knows.
+    fn travelled(&self, _token: Token) -> Time {
+        0
+    }
+    /// Something goes wrong with network or disk, until [`Wires::heal`] of the same number. Sockets cannot.
+    fn fault(&mut self, _number: usize, _fault: Fault) {}
+    /// A fault ends.
+    fn heal(&mut self, _number: usize) {}
+}
+
+/// What goes wrong with network or disk.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Fault {
+    /// Couriers are cut off.
+    Partition {
+        /// Which.
+        couriers: Vec<u32>,
+        /// From clients.
+        clients: bool,
+        /// From endpoints.
+        endpoints: bool,
+        /// Only what goes to them is held up.
+        one_way: bool,
+    },
+    /// Connections of couriers break, now.
+    Cut {
+        /// Whose.
+        couriers: Vec<u32>,
+        /// The share of them.
+        share: f64,
+    },
+    /// What couriers send and are sent takes longer.
+    Slow {
+        /// Which.
+        couriers: Vec<u32>,
+        /// By so much each way.
+        by: Time,
+    },
+    /// The snapshot of a courier that is down is cut.
+    Damage {
+        /// Whose.
+        courier: u32,
+        /// The share that is left.
+        left: f64,
+    },
 }
 
 /// What is to happen at a time.
@@ -81,6 +126,8 @@
     Back(u32),
     /// A stalled courier goes on.
     GoOn(u32),
+    /// A client waits no longer for what it handed in.
+    Patience(usize),
 }
 
 struct Standing {
@@ -174,6 +221,7 @@
     tries: BTreeMap<usize, u32>,
     told: Vec<Told>,
     stalls: Vec<Stall>,
+    cuts: Vec<Cut>,
     stray: u64,
     rng: ChaCha8Rng,
     version: u64,
@@ -207,6 +255,7 @@
             tries: BTreeMap::new(),
             told: Vec::new(),
             stalls: Vec::new(),
+            cuts: Vec::new(),
             stray: 0,
             rng: ChaCha8Rng::seed_from_u64(fleet.seed ^ 0x1ab),
             version: 0,
@@ -285,6 +334,7 @@
             arrivals: self.world.arrivals().to_vec(),
             told: self.told,
             stalls: self.stalls,
+            cuts: self.cuts,
             outages: self.world.outages().to_vec(),
             stray_answers: self.stray,
         };
--- a/crates/stage/src/stage/troubles.rs
+++ b/crates/stage/src/stage/troubles.rs
@@ -29,6 +29,7 @@
             Timer::Back(n) => {
                 self.start(n, false)?;
             }
+            Timer::Patience(at) => self.impatient(at),
             Timer::GoOn(n) => {
                 let post = &mut self.posts[n as usize];
                 post.stalled = false;
@@ -150,9 +151,29 @@
                     self.kill(courier, seconds(size));
                 }
             }
+            What::DiskDamaged => {
+                for courier in self.couriers_of(n) {
+                    self.kill(courier, seconds(size));
+                    self.wires.fault(n, Fault::Damage { courier, left: t.extra });
+                }
+            }
+            What::Partition => {
+                let (clients, endpoints) = (t.extra >= 1.0, !(0.5..1.5).contains(&t.extra));
+                let couriers = self.couriers_of(n);
+                let from = self.now;
+                let cut = |&courier: &u32| Cut { courier, from, until, clients, endpoints };
+                self.cuts.extend(couriers.iter().map(cut));
+                self.wires.fault(n, Fault::Partition { couriers, clients, endpoints, one_way: t.hard });
+            }
+            What::LinksSlow => {
+                let couriers = self.couriers_of(n);
+                self.wires.fault(n, Fault::Slow { couriers, by: millis(t.size) });
+            }
             What::ListLate => self.list_late += t.size,
             What::ListOut => self.list_out = true,
-            What::Drains | What::Pauses | What::CouriersStall | What::CouriersRolled => self.go_on(n, 0)?,
+            What::Drains | What::Pauses | What::CouriersStall | What::CouriersRolled | What::LinksCut => {
+                self.go_on(n, 0)?
+            }
             What::SuddenLoad | What::HotDestinations => {}
         }
         Ok(())
@@ -204,6 +225,11 @@
                 }
                 next(self, each);
             }
+            What::LinksCut => {
+                let couriers = self.couriers_of(n);
+                self.wires.fault(n, Fault::Cut { couriers, share: t.size });
+                next(self, seconds(t.extra));
+            }
             What::CouriersRolled => {
                 let among = self.couriers_of(n);
                 if let Some(&courier) = among.get(count as usize) {
@@ -281,6 +307,7 @@
             What::SlowConnect => self.each(n, |e| e.slow_connect = 0),
             What::ClassFails => self.each(n, |e| e.class_fails = None),
             What::UnevenCouriers => self.uneven = None,
+            What::Partition | What::LinksSlow => self.wires.heal(n),
             What::ListLate => self.list_late = (self.list_late - self.trouble(n).size).max(0.0),
             What::ListOut => {
                 self.list_out = false;
@@ -294,7 +321,9 @@
             | What::HotDestinations
             | What::CouriersKilled
             | What::CouriersRolled
-            | What::CouriersStall => {}
+            | What::CouriersStall
+            | What::LinksCut
+            | What::DiskDamaged => {}
         }
         Ok(())
     }
