Rule 6: a wait told to a call that was given up before binds its limit

Cause: a copy that lost is called off; its answer may still come and turn the call away with a wait. Core and library let it go, and sent within the wait.

The check gives what a cut held up on its way its whole time from when it came.

Both new tests seen to fail with the change taken out.

--- a/crates/edge/src/core/delivery.rs
+++ b/crates/edge/src/core/delivery.rs
@@ -60,6 +60,8 @@
     link: LinkId,
     /// What is not over yet.
     parcels: Vec<Parcel>,
+    /// The attempt that was over last.
+    over: (u32, u16),
     /// Its number on the link and the bytes queued there before it, once it is written.
     written: Option<(i32, u64)>,
     sent: Time,
@@ -133,6 +135,8 @@
     joining: BTreeMap<u32, u64>,
     fresh: Vec<u64>,
     pub(crate) done: Vec<Done>,
+    /// Answers to calls given up before, as far as they tell a wait.
+    pub(crate) late: Vec<Done>,
     pub(crate) todo: Vec<Do>,
     /// Endpoints that did not keep to the protocol, and how.
     pub(crate) faults: Vec<(u32, String)>,
@@ -155,6 +159,7 @@
             joining: BTreeMap::new(),
             fresh: Vec::new(),
             done: Vec::new(),
+            late: Vec::new(),
             todo: Vec::new(),
             faults: Vec::new(),
         }
@@ -198,8 +203,15 @@
         }
         let id = open.unwrap_or_else(|| {
             let id = self.number();
-            let call =
-                Call { endpoint, link: 0, parcels: Vec::new(), written: None, sent: self.now, idle: 0 };
+            let call = Call {
+                endpoint,
+                link: 0,
+                parcels: Vec::new(),
+                over: key,
+                written: None,
+                sent: self.now,
+                idle: 0,
+            };
             self.calls.insert(id, call);
             self.running += 1;
             self.joining.insert(endpoint, id);
@@ -352,6 +364,7 @@
         let at = call.parcels.iter().position(|p| (p.message, p.attempt) == key)?;
         let parcel = call.parcels.remove(at);
         let (endpoint, sent, left) = (call.endpoint, call.sent, call.parcels.len());
+        call.over = key;
         self.attempts.remove(&key);
         self.forget_time(&parcel);
         self.done.push(Done { message: key.0, attempt: key.1, endpoint, ending, sent, load });
@@ -584,6 +597,11 @@
             // Its place in the pool follows below, when the connection settles.
         }
         let wait = u64::try_from(produced.throttle_ms).unwrap_or(0) * 1_000_000;
+        if call.parcels.is_empty() && wait > 0 && produced.parts.iter().any(|e| e.code == codes::FULL) {
+            let ((message, attempt), endpoint, sent) = (call.over, call.endpoint, call.sent);
+            let (ending, load) = (Ending::Full { wait }, produced.load);
+            self.late.push(Done { message, attempt, endpoint, ending, sent, load });
+        }
         let mut endings = Vec::new();
         for p in &call.parcels {
             let topic = self.bounds.topics.get(usize::from(p.topic)).map_or("", String::as_str);
--- a/crates/edge/src/core/mod.rs
+++ b/crates/edge/src/core/mod.rs
@@ -702,6 +702,16 @@
         for (endpoint, why) in std::mem::take(&mut self.delivery.faults) {
             self.facts.push(Fact::BadPeer { whose: format!("endpoint {endpoint}"), why });
         }
+        for d in std::mem::take(&mut self.delivery.late) {
+            let Ending::Full { wait } = d.ending else { continue };
+            self.told_wait(d.endpoint, wait);
+            let (left, limit) = (d.load.map(|l| l.left), d.load.map(|l| l.limit));
+            let (message, attempt, endpoint, ending) = (d.message, d.attempt, d.endpoint, d.ending);
+            let took = self.now.saturating_sub(d.sent);
+            let over = true;
+            let told = Outcome { message, attempt, endpoint, ending, took, over, left, limit };
+            self.events.push(Event::Ended(told));
+        }
         while !self.delivery.done.is_empty() {
             for done in std::mem::take(&mut self.delivery.done) {
                 self.outcome(done);
--- a/crates/edge/tests/core.rs
+++ b/crates/edge/tests/core.rs
@@ -221,6 +221,22 @@
     assert_eq!(b.core.status().links_abandoned, 0);
 }
 
+#[test]
+fn a_wait_told_to_a_call_that_was_given_up_is_heeded() {
+    let mut b = bench();
+    b.one(A, "status", 1, "x");
+    b.pass(1010);
+    let (first, second) = (b.calls.remove(0), b.calls.remove(0));
+    b.reply_to(&second, codes::NONE, 0);
+    b.reply_to(&first, codes::FULL, 700);
+    assert_eq!(b.codes(A).len(), 1);
+    b.one(A, "status", 1, "y");
+    b.pass(680);
+    assert_eq!(b.calls_of("y"), 0);
+    b.pass(3000);
+    assert!(b.calls_of("y") > 0, "after the wait it goes");
+}
+
 #[test]
 fn a_connection_whose_call_was_given_up_is_closed_after_the_idle_time() {
     let mut b = bench();
--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -382,7 +382,9 @@
         let stood =
             |s: &&Stall| (s.courier, s.life) == (h.courier, h.life) && s.from <= h.due && h.due < s.until;
         let due = r.stalls.iter().find(stood).map_or(h.due, |s| s.until);
-        let limit = r.seen(h.courier, due) + c.answer_slack + c.travel;
+        // What a cut held up on its way has its whole time from when it came.
+        let late = r.seen(h.courier, h.at) - h.at;
+        let limit = r.seen(h.courier, due + late) + c.answer_slack + c.travel;
         let n = h.answers.len();
         if h.orphaned.is_none() || n > 0 {
             let in_time = n == 1 && h.answers[0].0 <= limit;
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -410,7 +410,11 @@
     // ---- Outcomes
 
     fn ended(&mut self, o: Outcome) {
-        let Some(out) = self.outs.remove(&(o.message, o.attempt)) else { return };
+        let Some(out) = self.outs.remove(&(o.message, o.attempt)) else {
+            // A wait that a call told after it was given up binds the limit all the same.
+            let none = Out { endpoint: o.endpoint, sent: self.now, call: 0, cancelled: true };
+            return self.learn(&o, &none, false, false);
+        };
         // A call with several messages is taken, refused or lost as one: its first outcome tells.
         let called_off = matches!(o.ending, Ending::NotSent { .. } | Ending::Cancelled);
         let call = self.calls.entry(out.call).or_default();
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -276,7 +276,8 @@
         /// Its message.
         message: u32,
     },
-    /// An attempt ended.
+    /// An attempt ended. Told again of one that had ended before, it counts for its limit alone: a late answer
+    /// that turns the call away and tells a wait.
     Ended(Outcome),
     /// A probe ended.
     Probed(Probed),
--- a/tests/courier.rs
+++ b/tests/courier.rs
@@ -193,6 +193,20 @@
     assert!(apart.iter().any(|s| s.0 == 4 && s.1 != first[0].1));
 }
 
+#[test]
+fn a_wait_told_to_a_call_that_was_given_up_binds_all_the_same() {
+    let mut c = Courier::new(settings(), 1);
+    c.round(S, vec![list()]);
+    let first = sends(&c.round(S, vec![taken(1, 1, 0, 0)]));
+    c.round(S, vec![Event::Withdrawn { message: 1 }]);
+    c.round(S + MS, vec![ended(1, 0, first[0].1, Ending::Cancelled)]);
+    c.round(S + 2 * MS, vec![ended(1, 0, first[0].1, Ending::Full { wait: S })]);
+    assert!(sends(&c.round(S + 3 * MS, vec![taken(2, 1, 0, 0)])).is_empty());
+    assert!(sends(&c.round(2 * S, vec![Event::Woken])).is_empty());
+    let later: usize = (0..30).map(|n| sends(&c.round(2 * S + n * 100 * MS, vec![Event::Woken])).len()).sum();
+    assert_eq!(later, 1, "and then it goes");
+}
+
 #[test]
 fn nothing_goes_to_a_draining_endpoint() {
     let mut c = Courier::new(settings(), 1);
