--- a/crates/emulator/src/network.rs
+++ b/crates/emulator/src/network.rs
@@ -250,7 +250,7 @@
             (Some(_), Parcel::End) => Parcel::End,
             (Some(_), _) => return None,
         };
-        let Some(l) = self.links.get(token) else { return None };
+        let l = self.links.get(token)?;
         match way {
             Way::Out if !l.far => None,
             Way::In if !l.near => None,
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -3,6 +3,7 @@
 use crate::baselines;
 use crate::emulated::{trace, Recipe};
 use crate::floor::Parts;
+use crate::hunt::{self, Hunt, Want};
 use crate::receivers::Where;
 use crate::rig::{self, Options};
 use crate::tail::Tail;
@@ -53,6 +54,8 @@
     Day(DayArgs),
     /// Play a scripted day in virtual time, with as many couriers as it takes, and check the six rules
     Emulate(EmulateArgs),
+    /// Look for days in virtual time on which a rule breaks or most is lost, and shrink them to what matters
+    Hunt(HuntArgs),
     /// Tell the life of one message of a run in virtual time, every attempt with why
     Trace {
         /// The run's recipe, as `emulate --recipe` writes it
@@ -172,6 +175,46 @@
     recipe: Option<PathBuf>,
 }
 
+#[derive(Debug, clap::Args)]
+struct HuntArgs {
+    /// The day whose fleet and traffic are played, its own troubles included
+    #[arg(long, default_value = "quiet")]
+    day: String,
+    /// Couriers, if not as many as the day says
+    #[arg(long)]
+    couriers: Option<u32>,
+    /// Play it so many times as fast
+    #[arg(long, default_value_t = 1.0)]
+    speed: f64,
+    /// Seed of the hunt
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Days tried at most
+    #[arg(long, default_value_t = 1000)]
+    runs: u64,
+    /// Troubles of a day at most
+    #[arg(long, default_value_t = 5)]
+    troubles: usize,
+    /// Who decides
+    #[arg(long, default_value = "library")]
+    policy: String,
+    /// Look for the day on which most is lost against the best baseline, not for broken rules
+    #[arg(long)]
+    loss: bool,
+    /// Only troubles that sockets can play
+    #[arg(long)]
+    on_sockets: bool,
+    /// Runs beside each other; as many as there are cores if not given
+    #[arg(long)]
+    threads: Option<usize>,
+    /// Write the day found as a script
+    #[arg(long, value_name = "FILE")]
+    out: Option<PathBuf>,
+    /// Write its recipe, for `trace`
+    #[arg(long, value_name = "FILE")]
+    recipe: Option<PathBuf>,
+}
+
 #[derive(Debug, clap::Args)]
 struct DayArgs {
     /// A built-in day, or a script's file
@@ -215,6 +258,7 @@
         What::Up { day, seed } => up(&day, seed).map(|()| true),
         What::Day(args) => day(&args),
         What::Emulate(args) => emulate(&args),
+        What::Hunt(args) => hunt(&args),
         What::Trace { run, message } => Recipe::read(&run).and_then(|r| trace(&r, message)).map(|text| {
             print!("{text}");
             true
@@ -382,6 +426,51 @@
     eprint!("\r{at:>5.0} of {of:.0} s, {open} messages open   ");
 }
 
+fn threads(asked: Option<usize>) -> anyhow::Result<usize> {
+    let cores = std::thread::available_parallelism().map_or(1, usize::from);
+    match asked.unwrap_or(cores) {
+        n @ 1..=256 => Ok(n),
+        _ => bail!("--threads: 1 to 256"),
+    }
+}
+
+fn hunt(args: &HuntArgs) -> anyhow::Result<bool> {
+    if !(1..=10_000_000).contains(&args.runs) || !(1..=64).contains(&args.troubles) {
+        bail!("--runs: 1 to 10000000; --troubles: 1 to 64");
+    }
+    let show = std::io::stderr().is_terminal();
+    let hunt = Hunt {
+        base: Day::find(&args.day)?.with(args.couriers, args.speed)?,
+        seed: args.seed,
+        runs: args.runs,
+        policy: args.policy.clone(),
+        want: if args.loss { Want::Loss } else { Want::Rule },
+        troubles: args.troubles,
+        on_sockets: args.on_sockets,
+        threads: threads(args.threads)?,
+    };
+    let found = hunt.run(&|number| {
+        if show && number % 16 == 0 {
+            eprint!("\r{number} of {} runs   ", args.runs);
+        }
+    })?;
+    if show {
+        eprintln!();
+    }
+    let Some(found) = found else {
+        println!("nothing found in {} runs", args.runs);
+        return Ok(true);
+    };
+    print!("{}", hunt::words(&found)?);
+    if let Some(file) = &args.out {
+        std::fs::write(file, hunt::script(&found)?).with_context(|| file.display().to_string())?;
+    }
+    if let Some(file) = &args.recipe {
+        found.shrunk.write(file)?;
+    }
+    Ok(false)
+}
+
 fn emulate(args: &EmulateArgs) -> anyhow::Result<bool> {
     let day = Day::find(&args.name)?.with(args.couriers, args.speed)?;
     let name = day.name.clone();
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -14,6 +14,8 @@
 pub mod emulated;
 pub mod figures;
 pub mod floor;
+pub mod hunt;
+pub mod parallel;
 pub mod receivers;
 pub mod record;
 pub mod relay;
