Lab: experiment runs a grid of factors in virtual time and reports what it shows

Need: what changes with couriers, load or trouble has to be shown on many seeds, with intervals.

Stopped twice, once in the middle of a line, and gone on with other threads: Parquet and page are the same bytes as of a run in one go.

--- a/crates/lab/src/charts.rs
+++ b/crates/lab/src/charts.rs
@@ -82,7 +82,10 @@
     out
 }
 
-fn drawn<E: std::error::Error + Send + Sync + 'static>(e: DrawingAreaErrorKind<E>) -> anyhow::Error {
+/// An error of drawing as any other.
+pub(crate) fn drawn<E: std::error::Error + Send + Sync + 'static>(
+    e: DrawingAreaErrorKind<E>,
+) -> anyhow::Error {
     anyhow!("the chart could not be drawn: {e}")
 }
 
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -2,6 +2,7 @@
 
 use crate::baselines;
 use crate::emulated::{trace, Recipe};
+use crate::experiment::{self, plan::Plan};
 use crate::floor::Parts;
 use crate::hunt::{self, Hunt, Want};
 use crate::receivers::Where;
@@ -54,6 +55,8 @@
     Day(DayArgs),
     /// Play a scripted day in virtual time, with as many couriers as it takes, and check the six rules
     Emulate(EmulateArgs),
+    /// Run a grid of factors in virtual time and report what it shows
+    Experiment(ExperimentArgs),
     /// Look for days in virtual time on which a rule breaks or most is lost, and shrink them to what matters
     Hunt(HuntArgs),
     /// Tell the life of one message of a run in virtual time, every attempt with why
@@ -175,6 +178,21 @@
     recipe: Option<PathBuf>,
 }
 
+#[derive(Debug, clap::Args)]
+struct ExperimentArgs {
+    /// The plan, TOML
+    plan: PathBuf,
+    /// Where results, charts and the report go; what is there of the same plan and commit is gone on with
+    #[arg(long, value_name = "DIR")]
+    out: PathBuf,
+    /// Runs beside each other; as many as there are cores if not given
+    #[arg(long)]
+    threads: Option<usize>,
+    /// End after so many runs; the same command goes on with the rest
+    #[arg(long)]
+    at_most: Option<u64>,
+}
+
 #[derive(Debug, clap::Args)]
 struct HuntArgs {
     /// The day whose fleet and traffic are played, its own troubles included
@@ -258,6 +276,7 @@
         What::Up { day, seed } => up(&day, seed).map(|()| true),
         What::Day(args) => day(&args),
         What::Emulate(args) => emulate(&args),
+        What::Experiment(args) => experiment(&args),
         What::Hunt(args) => hunt(&args),
         What::Trace { run, message } => Recipe::read(&run).and_then(|r| trace(&r, message)).map(|text| {
             print!("{text}");
@@ -434,6 +453,20 @@
     }
 }
 
+fn experiment(args: &ExperimentArgs) -> anyhow::Result<bool> {
+    let plan = Plan::read(&args.plan)?;
+    let options = experiment::Options {
+        threads: threads(args.threads)?,
+        at_most: args.at_most,
+        show: std::io::stderr().is_terminal(),
+        command: format!("linnetcart-lab experiment {} --out {}", args.plan.display(), args.out.display()),
+    };
+    if !experiment::run(plan, &args.out, &options)? {
+        println!("not whole yet: the same command goes on with it");
+    }
+    Ok(true)
+}
+
 fn hunt(args: &HuntArgs) -> anyhow::Result<bool> {
     if !(1..=10_000_000).contains(&args.runs) || !(1..=64).contains(&args.troubles) {
         bail!("--runs: 1 to 10000000; --troubles: 1 to 64");
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod courier;
 pub mod decisions;
 pub mod emulated;
+pub mod experiment;
 pub mod figures;
 pub mod floor;
 pub mod hunt;
--- /dev/null
+++ b/crates/lab/tests/emulated.rs
@@ -0,0 +1,141 @@
+//! Experiments, hunts and runs in virtual time, as the command line has them.
+
+use linnetcart_lab::emulated::{trace, Recipe};
+use linnetcart_lab::experiment::{self, plan::Plan};
+use linnetcart_lab::hunt::{script, Hunt, Want};
+use linnetcart_stage::day::Day;
+use std::path::PathBuf;
+use std::process::Command;
+
+const PLAN: &str = r#"
+name = "test"
+about = "A test."
+day = "quiet"
+speed = 6.0
+seeds = 2
+show = ["served_worth", "p95_ms"]
+compare = { factor = "policy", base = "library" }
+[[factor]]
+name = "couriers"
+levels = [1, 4]
+[[factor]]
+name = "policy"
+levels = ["library", "one-try"]
+"#;
+
+fn folder(name: &str) -> PathBuf {
+    let dir = std::env::temp_dir().join(format!("linnetcart-emulated-{}-{name}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&dir);
+    dir
+}
+
+fn options(threads: usize, at_most: Option<u64>) -> experiment::Options {
+    experiment::Options { threads, at_most, show: false, command: "test".into() }
+}
+
+#[test]
+fn an_experiment_that_was_stopped_goes_on_and_ends_with_the_same_bytes() {
+    let (whole, parts) = (folder("whole"), folder("parts"));
+    let plan = || Plan::parse(PLAN).unwrap();
+    assert!(experiment::run(plan(), &whole, &options(1, None)).unwrap());
+    assert!(!experiment::run(plan(), &parts, &options(2, Some(3))).unwrap());
+    // A stop in the middle of a line.
+    let lines = parts.join("runs.jsonl");
+    let mut text = std::fs::read_to_string(&lines).unwrap();
+    assert_eq!(text.lines().count(), 3);
+    text.push_str("{\"run\":7,\"se");
+    std::fs::write(&lines, text).unwrap();
+    assert!(!experiment::run(plan(), &parts, &options(2, Some(2))).unwrap());
+    assert!(experiment::run(plan(), &parts, &options(3, None)).unwrap());
+    for file in ["results.parquet", "report.html", "served_worth.svg"] {
+        let read = |dir: &PathBuf| std::fs::read(dir.join(file)).unwrap();
+        assert!(read(&whole) == read(&parts), "{file} differs");
+    }
+    let page = std::fs::read_to_string(whole.join("report.html")).unwrap();
+    assert!(page.contains("<svg") && page.contains("Against policy = library") && !page.contains("src="));
+    let other = Plan::parse(&PLAN.replace("seeds = 2", "seeds = 3")).unwrap();
+    let error = format!("{:#}", experiment::run(other, &parts, &options(1, None)).unwrap_err());
+    assert!(error.contains("another plan") && error.contains("--out"), "{error}");
+    std::fs::remove_dir_all(whole).unwrap();
+    std::fs::remove_dir_all(parts).unwrap();
+}
+
+#[test]
+fn results_are_read_back_by_any_reader_of_parquet_with_what_they_were_drawn_from() {
+    use parquet::arrow::arrow_reader::ParquetRecordBatchReaderBuilder;
+    let dir = folder("parquet");
+    experiment::run(Plan::parse(PLAN).unwrap(), &dir, &options(2, None)).unwrap();
+    let file = std::fs::File::open(dir.join("results.parquet")).unwrap();
+    let reader = ParquetRecordBatchReaderBuilder::try_new(file).unwrap();
+    let kept = reader.metadata().file_metadata().key_value_metadata().unwrap().clone();
+    let value = |key: &str| kept.iter().find(|k| k.key == key).and_then(|k| k.value.clone()).unwrap();
+    assert_eq!(Plan::parse(&value("linnetcart.plan")).unwrap(), Plan::parse(PLAN).unwrap());
+    assert_eq!(value("linnetcart.command"), "test");
+    let batch = reader.build().unwrap().next().unwrap().unwrap();
+    assert_eq!(batch.num_rows(), 8);
+    for column in ["run", "seed", "couriers", "policy", "served_worth", "digest"] {
+        assert!(batch.column_by_name(column).is_some(), "{column}");
+    }
+    std::fs::remove_dir_all(dir).unwrap();
+}
+
+fn emulate(arguments: &[&str]) -> String {
+    let out =
+        Command::new(env!("CARGO_BIN_EXE_linnetcart-lab")).arg("emulate").args(arguments).output().unwrap();
+    assert!(out.status.success(), "{}", String::from_utf8_lossy(&out.stderr));
+    String::from_utf8(out.stdout).unwrap()
+}
+
+#[test]
+fn processes_whose_memory_lies_elsewhere_play_the_same_run() {
+    let digest = |seed: &str| {
+        let text = emulate(&["partition", "--speed", "3", "--couriers", "5", "--seed", seed]);
+        text.lines().find(|l| l.starts_with("digest ")).unwrap().to_owned()
+    };
+    let first = digest("3");
+    assert_eq!(first, digest("3"));
+    assert_ne!(first, digest("4"));
+}
+
+fn hunt(policy: &str, threads: usize) -> Hunt {
+    Hunt {
+        base: Day::find("quiet").unwrap().with(Some(2), 6.0).unwrap(),
+        seed: 1,
+        runs: 20,
+        policy: policy.into(),
+        want: Want::Rule,
+        troubles: 3,
+        on_sockets: false,
+        threads,
+    }
+}
+
+#[test]
+fn a_hunt_finds_what_breaks_a_rule_and_writes_a_day_that_breaks_it_again() {
+    let found =
+        hunt("round-robin", 3).run(&|_| {}).unwrap().expect("a policy that heeds nothing breaks a rule");
+    let alone = hunt("round-robin", 1).run(&|_| {}).unwrap().unwrap();
+    assert_eq!((found.run, &found.shrunk), (alone.run, &alone.shrunk), "the same on any number of threads");
+    assert!(found.shrunk.day.trouble.len() <= found.drawn.day.trouble.len());
+    let text = script(&found).unwrap();
+    let again = Recipe { day: Day::parse(&text).unwrap(), ..found.shrunk.clone() };
+    let (report, _) = again.report().unwrap();
+    let broken = report.rules.iter().find(|f| f.broken > 0).expect("the script breaks it too");
+    assert!(found.what.contains(broken.rule));
+}
+
+#[test]
+fn a_trace_tells_every_attempt_and_why() {
+    let day = Day::find("answers-lost").unwrap().with(Some(2), 4.0).unwrap();
+    let recipe = Recipe { day, seed: 1, policy: "library".into(), model: Default::default() };
+    let (_, run) = recipe.play(None).unwrap();
+    let mut sent: std::collections::BTreeMap<u64, usize> = Default::default();
+    run.played.records.arrivals.iter().for_each(|a| *sent.entry(a.message).or_default() += 1);
+    let (message, times) = sent.into_iter().max_by_key(|m| m.1).unwrap();
+    assert!(times > 1);
+    let text = trace(&recipe, message).unwrap();
+    assert_eq!(text.matches(": call ").count() - text.matches(" answered\n").count(), times, "{text}");
+    assert!(text.contains("(the first)") && text.contains("client: handed to courier"), "{text}");
+    assert!(text.contains("(a copy: ") || text.contains("(again, after "), "{text}");
+    assert!(trace(&recipe, 1 << 40).unwrap_err().to_string().contains("the run has 0 to"));
+}
