--- a/crates/emulator/tests/days.rs
+++ b/crates/emulator/tests/days.rs
@@ -134,3 +134,22 @@
     let again = run.played.records.handed.iter().any(|h| h.life == 1);
     assert!(again && report.service > 0.9);
 }
+
+#[test]
+fn three_hundred_couriers_at_a_months_end_stay_within_bounds() {
+    let mut day = Day::find("month-end").unwrap();
+    // Its first seconds: enough for every courier to work, short enough for every test run.
+    day.seconds = 1.5;
+    day.trouble.clear();
+    let fleet = Fleet::draw(day, 1);
+    let endpoints: usize = fleet.members.iter().map(|m| m.endpoints.len()).sum();
+    assert!(fleet.day.couriers == 300 && endpoints > 250);
+    let (report, run) = run(&fleet);
+    kept(&report, "month-end");
+    let courier: std::collections::BTreeSet<u32> =
+        run.played.records.handed.iter().map(|h| h.courier).collect();
+    assert!(courier.len() > 290, "{} couriers were handed something", courier.len());
+    // Events grow with messages, not with couriers: the queue does not fill with those that have nothing to do.
+    let each = run.events as f64 / fleet.messages.len() as f64;
+    assert!(each < 60.0, "{each} events a message");
+}
--- a/crates/lab/tests/emulated.rs
+++ b/crates/lab/tests/emulated.rs
@@ -139,3 +139,54 @@
     assert!(text.contains("(a copy: ") || text.contains("(again, after "), "{text}");
     assert!(trace(&recipe, 1 << 40).unwrap_err().to_string().contains("the run has 0 to"));
 }
+
+/// What a courier's library was told and decided, round by round, without clocks: from a record.
+fn told_and_decided(dir: &std::path::Path) -> Vec<String> {
+    let file = std::fs::read_dir(dir).unwrap().next().expect("a record").unwrap().path();
+    let text = std::fs::read_to_string(file).unwrap();
+    let mut all = Vec::new();
+    for line in text.lines().skip(1) {
+        let round: serde_json::Value = serde_json::from_str(line).unwrap();
+        let of = |key: &str| round[key].as_array().unwrap().clone();
+        for (kind, item) in of("events")
+            .into_iter()
+            .map(|e| ("told", e))
+            .chain(of("actions").into_iter().map(|a| ("decides", a)))
+        {
+            let Some((name, fields)) = item.as_object().and_then(|o| o.iter().next()) else { continue };
+            if ["List", "Wake", "Close", "Log"].contains(&name.as_str()) {
+                continue;
+            }
+            let field = |f: &str| fields.get(f).map(|v| format!(" {f}={v}")).unwrap_or_default();
+            let fields: String =
+                ["id", "message", "attempt", "destination", "endpoint", "ending"].map(field).concat();
+            all.push(format!("{kind} {name}{fields}"));
+        }
+    }
+    all
+}
+
+#[test]
+fn a_single_message_is_the_same_on_sockets_and_in_virtual_time_event_by_event() {
+    use linnetcart_lab::{record, rig};
+    use linnetcart_stage::fleet::Fleet;
+    let dir = folder("single");
+    let mut fleet = Fleet::draw(Day::find("quiet").unwrap().with(Some(1), 4.0).unwrap(), 5);
+    fleet.messages.truncate(1);
+    let options = rig::Options {
+        policy: format!("{}{}", record::POLICY, dir.join("sockets").display()),
+        program: PathBuf::from(env!("CARGO_BIN_EXE_linnetcart-lab")),
+        dir: dir.join("couriers"),
+        graphite: None,
+        progress: None,
+    };
+    rig::play(&fleet, &options).unwrap();
+    record::into(&dir.join("emulated")).unwrap();
+    let how = linnetcart_emulator::Options { policy: record::recorded, ..Default::default() };
+    linnetcart_emulator::play(&fleet, how).unwrap();
+    let (sockets, emulated) =
+        (told_and_decided(&dir.join("sockets")), told_and_decided(&dir.join("emulated")));
+    assert_eq!(sockets, emulated);
+    assert_eq!(sockets.len(), 3, "taken, sent, served: {sockets:?}");
+    std::fs::remove_dir_all(dir).unwrap();
+}
