--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -2,7 +2,8 @@
 
 use crate::baselines;
 use crate::emulated::{trace, Recipe};
-use crate::experiment::{self, plan::Plan};
+use crate::experiment;
+use crate::experiment::plan::{set, setting, Plan};
 use crate::faithful;
 use crate::floor::Parts;
 use crate::hunt::{self, Hunt, Want};
@@ -173,6 +174,9 @@
     /// Who decides
     #[arg(long, default_value = "library")]
     policy: String,
+    /// Set a factor as an experiment's plan does: destinations=10, traffic.load=0.9, trouble=none
+    #[arg(long = "set", value_name = "NAME=LEVEL", value_parser = setting)]
+    set: Vec<(String, toml::Value)>,
     /// Write the figures to this file
     #[arg(long, value_name = "FILE")]
     json: Option<PathBuf>,
@@ -244,6 +248,9 @@
     /// Only troubles that sockets can play
     #[arg(long)]
     on_sockets: bool,
+    /// Do not search: shrink this recipe's day
+    #[arg(long, value_name = "FILE")]
+    shrink: Option<PathBuf>,
     /// Runs beside each other; as many as there are cores if not given
     #[arg(long)]
     threads: Option<usize>,
@@ -527,16 +534,22 @@
         on_sockets: args.on_sockets,
         threads: threads(args.threads)?,
     };
-    let found = hunt.run(&|number| {
-        if show && number % 16 == 0 {
-            eprint!("\r{number} of {} runs   ", args.runs);
-        }
-    })?;
+    let found = match &args.shrink {
+        Some(file) => hunt.shrink_run(Recipe::read(file)?)?,
+        None => hunt.run(&|number| {
+            if show && number % 16 == 0 {
+                eprint!("\r{number} of {} runs   ", args.runs);
+            }
+        })?,
+    };
     if show {
         eprintln!();
     }
     let Some(found) = found else {
-        println!("nothing found in {} runs", args.runs);
+        match &args.shrink {
+            Some(file) => println!("{} breaks no rule", file.display()),
+            None => println!("nothing found in {} runs", args.runs),
+        }
         return Ok(true);
     };
     print!("{}", hunt::words(&found)?);
@@ -550,10 +563,14 @@
 }
 
 fn emulate(args: &EmulateArgs) -> anyhow::Result<bool> {
-    let day = Day::find(&args.name)?.with(args.couriers, args.speed)?;
+    let day = Day::find(&args.name)?.with(args.couriers, 1.0)?;
     let name = day.name.clone();
     let (seed, policy) = (args.seed, args.policy.clone());
-    let recipe = Recipe { day, seed, policy, model: Model::default() };
+    let mut recipe = Recipe { day, seed, policy, model: Model::default() };
+    for (name, level) in &args.set {
+        set(&mut recipe, name, level).with_context(|| format!("--set {name}"))?;
+    }
+    recipe.day = recipe.day.with(None, args.speed)?;
     if let Some(file) = &args.recipe {
         recipe.write(file)?;
     }
--- a/crates/lab/src/experiment/plan.rs
+++ b/crates/lab/src/experiment/plan.rs
@@ -74,6 +74,14 @@
         .to_vec()
 }
 
+/// A factor and its level from the command line, `NAME=LEVEL`; what is no number or list is a name.
+pub fn setting(written: &str) -> Result<(String, Value), String> {
+    let (name, level) = written.split_once('=').ok_or("NAME=LEVEL is expected")?;
+    let read = toml::from_str::<toml::Table>(&format!("level = {level}"));
+    let level = read.ok().and_then(|mut t| t.remove("level")).unwrap_or_else(|| Value::String(level.into()));
+    Ok((name.to_owned(), level))
+}
+
 /// A level as text.
 pub fn text(level: &Value) -> String {
     match level {
@@ -177,7 +185,8 @@
     level.as_str().context("a name is wanted")
 }
 
-fn set(recipe: &mut Recipe, name: &str, level: &Value) -> anyhow::Result<()> {
+/// Sets a factor of a run.
+pub fn set(recipe: &mut Recipe, name: &str, level: &Value) -> anyhow::Result<()> {
     match name {
         "policy" => {
             let policy = word(level)?;
@@ -270,6 +279,14 @@
         assert_eq!(plan.recipe(9, 9).unwrap().day.traffic.load, 1.0, "a whole number for a fraction");
     }
 
+    #[test]
+    fn a_factor_on_the_command_line_is_read_as_in_a_plan() {
+        assert_eq!(setting("couriers=30").unwrap(), ("couriers".into(), Value::Integer(30)));
+        assert_eq!(setting("traffic.load=0.5").unwrap().1, Value::Float(0.5));
+        assert_eq!(setting("policy=one-try").unwrap().1, Value::String("one-try".into()));
+        assert!(setting("couriers").is_err());
+    }
+
     #[test]
     fn a_wrong_plan_names_its_place() {
         let said = |from: &str, to: &str| {
--- a/crates/lab/src/hunt.rs
+++ b/crates/lab/src/hunt.rs
@@ -53,7 +53,7 @@
 /// What was found.
 #[derive(Clone, Debug)]
 pub struct Found {
-    /// The run that found it, counted from 1.
+    /// The run that found it, counted from 1; 0 if it was given.
     pub run: u64,
     /// What is wrong, in words.
     pub what: String,
@@ -224,6 +224,28 @@
         }
     }
 
+    /// Shrinks a run that is known to break a rule.
+    pub fn shrink_run(&self, drawn: Recipe) -> anyhow::Result<Option<Found>> {
+        let verdict = self.judge(&drawn)?;
+        let bad = match self.want {
+            Want::Rule => !verdict.rules.is_empty(),
+            Want::Loss => verdict.loss > 0.0,
+        };
+        if !bad {
+            return Ok(None);
+        }
+        self.found(0, drawn, &verdict).map(Some)
+    }
+
+    fn found(&self, run: u64, drawn: Recipe, verdict: &Verdict) -> anyhow::Result<Found> {
+        let (shrunk, shrinks) = self.shrink(&drawn, verdict)?;
+        let what = match self.want {
+            Want::Rule => format!("{}: {}", verdict.rules.join("; "), verdict.example),
+            Want::Loss => format!("{:.3} of the worth less than the best baseline", verdict.loss),
+        };
+        Ok(Found { run, what, drawn, shrunk, shrinks })
+    }
+
     fn rule(&self, said: &(dyn Fn(u64) + Sync)) -> anyhow::Result<Option<Found>> {
         let found = parallel::first(self.threads, 1..=self.runs, &|number| {
             let recipe = self.draw(number);
@@ -232,9 +254,7 @@
             Ok((!verdict.rules.is_empty()).then_some((recipe, verdict)))
         })?;
         let Some((run, (drawn, verdict))) = found else { return Ok(None) };
-        let (shrunk, shrinks) = self.shrink(&drawn, &verdict)?;
-        let what = format!("{}: {}", verdict.rules.join("; "), verdict.example);
-        Ok(Some(Found { run, what, drawn, shrunk, shrinks }))
+        self.found(run, drawn, &verdict).map(Some)
     }
 
     fn loss(&self, said: &(dyn Fn(u64) + Sync)) -> anyhow::Result<Option<Found>> {
@@ -261,9 +281,7 @@
             at = until;
         }
         let Some((run, drawn, verdict)) = best.filter(|b| b.2.loss > 0.0) else { return Ok(None) };
-        let (shrunk, shrinks) = self.shrink(&drawn, &verdict)?;
-        let what = format!("{:.3} of the worth less than the best baseline", verdict.loss);
-        Ok(Some(Found { run, what, drawn, shrunk, shrinks }))
+        self.found(run, drawn, &verdict).map(Some)
     }
 
     /// Takes away what does not matter, as long as it shows the same.
