--- a/crates/lab/tests/emulated.rs
+++ b/crates/lab/tests/emulated.rs
@@ -190,3 +190,22 @@
     assert_eq!(sockets.len(), 3, "taken, sent, served: {sockets:?}");
     std::fs::remove_dir_all(dir).unwrap();
 }
+
+/// Days that hunts found while a rule was broken on them. Each breaks it again where its mend is taken out.
+const FOUND: [(&str, &str); 2] = [
+    ("turned-away", include_str!("found/turned-away.toml")),
+    ("late-wait", include_str!("found/late-wait.toml")),
+];
+
+#[test]
+fn days_that_broke_a_rule_once_keep_it_now() {
+    for (name, text) in FOUND {
+        let seed = text.lines().find_map(|l| l.split_once("emulate FILE --seed ")?.1.parse().ok());
+        let (day, seed) = (Day::parse(text).unwrap(), seed.expect("the second line has the seed"));
+        let recipe = Recipe { day, seed, policy: "library".into(), model: Default::default() };
+        let (report, _) = recipe.report().unwrap();
+        for f in &report.rules {
+            assert_eq!(f.broken, 0, "{name}: {}: {:?}", f.rule, f.examples);
+        }
+    }
+}
