--- a/crates/lab/tests/emulated.rs
+++ b/crates/lab/tests/emulated.rs
@@ -193,8 +193,8 @@
 
 /// Days that hunts found while a rule was broken on them. Each breaks it again where its mend is taken out.
 const FOUND: [(&str, &str); 2] = [
-    ("turned-away", include_str!("found/turned-away.toml")),
-    ("late-wait", include_str!("found/late-wait.toml")),
+    ("turned-away", include_str!("finds/turned-away.toml")),
+    ("late-wait", include_str!("finds/late-wait.toml")),
 ];
 
 #[test]
