Emulator: one way to play and judge a run; two unused views of couriers go

Cause: on reading the change again, experiment and faithful each played a recipe and checked it in their own words beside Recipe::report, and Network::held with Host::core were called by nobody.

Change: Recipe::judged, which all of them use.

--- a/crates/emulator/src/host.rs
+++ b/crates/emulator/src/host.rs
@@ -155,11 +155,6 @@
         (next != Time::MAX).then(|| self.when(next).max(self.free))
     }
 
-    /// The core.
-    pub fn core(&self) -> Option<&Core> {
-        self.program.core.as_ref()
-    }
-
     /// A snapshot is being written.
     pub fn is_saving(&self, now: Time) -> bool {
         now < self.saving
--- a/crates/emulator/src/network.rs
+++ b/crates/emulator/src/network.rs
@@ -174,11 +174,6 @@
         self.digest.clone().finalize().iter().map(|b| format!("{b:02x}")).collect()
     }
 
-    /// Messages that each courier holds.
-    pub fn held(&self) -> usize {
-        self.hosts.values().filter_map(|h| h.core()).map(|c| c.status().held).sum()
-    }
-
     fn at(&mut self, when: Time, event: Event) {
         self.seq += 1;
         self.queue.push(Reverse(Due(when.max(self.now), self.seq, event)));
--- a/crates/lab/src/emulated.rs
+++ b/crates/lab/src/emulated.rs
@@ -43,8 +43,14 @@
 
     /// Plays it and checks the rules.
     pub fn report(&self) -> anyhow::Result<(Report, Run)> {
+        self.judged().map(|(_, run, report)| (report, run))
+    }
+
+    /// The same, with the fleet that was drawn.
+    pub fn judged(&self) -> anyhow::Result<(Fleet, Run, Report)> {
         let (fleet, run) = self.play(None)?;
-        Ok((check(&run.played.records, &fleet.contract(Way::Emulated)), run))
+        let report = check(&run.played.records, &fleet.contract(Way::Emulated));
+        Ok((fleet, run, report))
     }
 
     /// Reads one that `emulate --recipe` or `hunt` wrote.
--- a/crates/lab/src/experiment/mod.rs
+++ b/crates/lab/src/experiment/mod.rs
@@ -10,8 +10,6 @@
 use crate::parallel;
 use anyhow::Context;
 use indicatif::{ProgressBar, ProgressStyle};
-use linnetcart_rules::check;
-use linnetcart_stage::fleet::Way;
 use page::Cells;
 use plan::Plan;
 use results::{Head, Results, Row};
@@ -65,8 +63,7 @@
         let (cell, seed) = plan.run(number);
         let row = || -> anyhow::Result<Row> {
             let recipe = plan.recipe(cell, seed)?;
-            let (fleet, run) = recipe.play(None)?;
-            let report = check(&run.played.records, &fleet.contract(Way::Emulated));
+            let (fleet, run, report) = recipe.judged()?;
             let values = measures::of(&fleet, &run.played, run.links, &report);
             Ok(Row { run: number, seed, values, digest: run.digest })
         };
--- a/crates/lab/src/faithful.rs
+++ b/crates/lab/src/faithful.rs
@@ -49,8 +49,7 @@
 
 fn emulated(day: &Day, seed: u64) -> anyhow::Result<Vec<f64>> {
     let recipe = Recipe { day: day.clone(), seed, policy: "library".into(), model: Model::default() };
-    let (fleet, run) = recipe.play(None)?;
-    let report = check(&run.played.records, &fleet.contract(Way::Emulated));
+    let (fleet, run, report) = recipe.judged()?;
     Ok(measures::of(&fleet, &run.played, run.links, &report))
 }
 
