Stage: clients act on what a client can know; what no one can say is unknown

A client whose connection broke asked the model what had run *at that moment*, while the dead courier's call was still on its way (trace: break at 965.636 ms, arrival at 965.739 ms, handed to another courier at 2,040 ms). No real program can ask that at all.

Change: may_have_run is gone. What never left goes anywhere; a safe message goes to another courier, a keyed one within the window counted from its first handing-in, an unsafe one nowhere: it counts as unknown, a column of its own. A key's messages go elsewhere together. Rule 2 now also looks at a keyed message over all its tries; rule 5 leaves out what may be of two connections.

--- a/crates/lab/src/experiment/measures.rs
+++ b/crates/lab/src/experiment/measures.rs
@@ -20,14 +20,15 @@
 }
 
 /// All measures, in the order of [`of`].
-pub const MEASURES: [Measure; 17] = [
+pub const MEASURES: [Measure; 18] = [
     measure("served_worth", "worth delivered over worth asked for"),
     measure("worst_10s", "the same for the first tries of the worst ten seconds"),
     measure("late_worth", "worth delivered after the aim, over worth asked for"),
     measure("in_aim", "messages served within the aim, share"),
     measure("refused", "messages whose last answer was a refusal, share"),
     measure("failed", "messages whose last answer was a failure, share"),
-    measure("lost", "messages without an answer, as their courier died, share"),
+    measure("lost", "messages without an answer that were safe to hand in again, their time went by, share"),
+    measure("unknown", "messages without an answer that may not be handed in again, share"),
     measure("tries", "times that clients handed a message in, mean"),
     measure("calls", "calls that reached endpoints, a message"),
     measure("calls_refused", "calls turned away by limits, a message"),
@@ -79,6 +80,7 @@
         total(|r| r.refused) / messages,
         total(|r| r.failed) / messages,
         total(|r| r.lost) / messages,
+        total(|r| r.unknown) / messages,
         total(|r| r.tries) / messages,
         report.calls as f64 / messages,
         report.calls_refused as f64 / messages,
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -9,13 +9,13 @@
     let mut out = String::new();
     let _ = writeln!(
         out,
-        "{:<18}{:>9}{:>9}{:>7}{:>9}{:>8}{:>7}{:>9}{:>10}",
-        "class", "messages", "in aim", "late", "refused", "failed", "lost", "attempts", "worth"
+        "{:<18}{:>9}{:>9}{:>7}{:>9}{:>8}{:>7}{:>9}{:>9}{:>10}",
+        "class", "messages", "in aim", "late", "refused", "failed", "lost", "unknown", "attempts", "worth"
     );
     for r in &report.classes {
         let _ = writeln!(
             out,
-            "{:<18}{:>9}{:>9}{:>7}{:>9}{:>8}{:>7}{:>9}{:>9.1}%",
+            "{:<18}{:>9}{:>9}{:>7}{:>9}{:>8}{:>7}{:>9}{:>9}{:>9.1}%",
             r.class,
             r.messages,
             r.in_aim,
@@ -23,6 +23,7 @@
             r.refused,
             r.failed,
             r.lost,
+            r.unknown,
             r.attempts,
             100.0 * r.worth / r.asked.max(1e-9)
         );
--- a/crates/lab/tests/emulated.rs
+++ b/crates/lab/tests/emulated.rs
@@ -192,9 +192,11 @@
 }
 
 /// Days that hunts found while a rule was broken on them. Each breaks it again where its mend is taken out.
-const FOUND: [(&str, &str); 2] = [
+const FOUND: [(&str, &str); 4] = [
     ("turned-away", include_str!("finds/turned-away.toml")),
     ("late-wait", include_str!("finds/late-wait.toml")),
+    ("handed-on-rolled", include_str!("finds/handed-on-rolled.toml")),
+    ("handed-on-disk", include_str!("finds/handed-on-disk.toml")),
 ];
 
 #[test]
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -227,8 +227,6 @@
     rng: ChaCha8Rng,
     slow: f64,
     arrivals: Vec<Arrival>,
-    /// The places in `arrivals` of each message.
-    of: BTreeMap<u64, Vec<usize>>,
     outages: Vec<Outage>,
     fallen: Vec<(Time, u32)>,
 }
@@ -258,7 +256,6 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             slow: 1.0,
             arrivals: Vec::new(),
-            of: BTreeMap::new(),
             outages: Vec::new(),
             fallen: Vec::new(),
         };
@@ -316,12 +313,6 @@
         &self.arrivals
     }
 
-    /// A message reached an endpoint that did not turn it away.
-    pub fn may_have_run(&self, message: u64) -> bool {
-        let ran = |&n: &usize| !matches!(self.arrivals[n].verdict, Verdict::Refused { .. });
-        self.of.get(&message).is_some_and(|all| all.iter().any(ran))
-    }
-
     /// Outages so far; one that goes on has the end that was last told.
     pub fn outages(&self) -> &[Outage] {
         &self.outages
@@ -429,7 +420,6 @@
         let (kind, pace) = (self.kinds[member.kind].clone(), member.pace);
         let first = self.arrivals.len();
         for item in items {
-            self.of.entry(item.message).or_default().push(self.arrivals.len());
             self.arrivals.push(Arrival {
                 message: item.message,
                 call: id,
--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -282,8 +282,10 @@
     pub refused: u64,
     /// Last answer: failed.
     pub failed: u64,
-    /// No answer: the courier died.
+    /// No answer, though a second run does no harm: its time went by.
     pub lost: u64,
+    /// No answer, and the client may not hand it in again: nobody can say what became of it.
+    pub unknown: u64,
     /// Tries, first ones counted.
     pub tries: u64,
     /// Messages that reached an endpoint, counted each time.
@@ -444,6 +446,16 @@
                 });
             }
             Repeat::Keyed { window, by_zone } => {
+                // A client that hands it to another courier heeds the window too.
+                if let Some(first) = ran.first().filter(|_| !by_zone && tries.len() > 1) {
+                    let last = ran.iter().map(|a| a.sent()).max().unwrap_or(0);
+                    f.case(last <= first.sent() + window + c.travel, || {
+                        let after = ms(last - first.sent());
+                        format!(
+                            "message {message}: handed on, it was sent {after:.0} ms after the first time"
+                        )
+                    });
+                }
                 // Each try's attempts stand under the rule of the courier that held it.
                 for (n, t) in tries.iter().enumerate() {
                     let next = tries.get(n + 1).map_or(Time::MAX, |t| t.at);
@@ -566,13 +578,23 @@
             lines.entry((key, h.courier, h.life, h.line.0)).or_default().push(h);
         }
     }
+    let mut tries: BTreeMap<(u64, u32, u32), Vec<&Handed>> = BTreeMap::new();
+    for h in &r.handed {
+        tries.entry((h.message, h.courier, h.life)).or_default().push(h);
+    }
     for ((key, courier, life, _), mut line) in lines {
         line.sort_by_key(|h| h.line.1);
-        let of = |h: &Handed| -> Vec<&Arrival> {
+        let within = |a: &Arrival, h: &Handed| {
             let over = h.answers.first().map_or(h.due, |a| a.0) + c.travel;
+            a.courier == courier && a.life == life && a.sent() >= h.at && a.sent() <= over
+        };
+        let of = |h: &Handed| -> Vec<&Arrival> {
+            // After a connection broke the courier may hold it from two, and nobody can say of which an attempt
+            // is: it stands under the order of neither.
+            let others = tries.get(&(h.message, courier, life)).into_iter().flatten();
+            let others: Vec<&&Handed> = others.filter(|o| o.line.0 != h.line.0).collect();
             let all = arrivals.get(&h.message).into_iter().flatten().copied();
-            all.filter(|a| a.courier == courier && a.life == life && a.sent() >= h.at && a.sent() <= over)
-                .collect()
+            all.filter(|a| within(a, h) && !others.iter().any(|o| within(a, o))).collect()
         };
         for pair in line.windows(2) {
             let (earlier, later) = (of(pair[0]), of(pair[1]));
@@ -676,6 +698,7 @@
             (Some(_), _) => row.late += 1,
             (None, Some((_, Answer::Refused))) => row.refused += 1,
             (None, Some(_)) => row.failed += 1,
+            (None, None) if class.repeat != Repeat::Safe => row.unknown += 1,
             (None, None) => row.lost += 1,
         }
         let stretch = stretches.entry((first.at - begin) / STRETCH).or_default();
--- a/crates/rules/src/tests.rs
+++ b/crates/rules/src/tests.rs
@@ -122,6 +122,7 @@
     };
     let silent = arrival(1, 100 * MS, Verdict::Silent);
     let again = arrival(1, 500 * MS, Verdict::Served);
+    let served = again.clone();
     let full = arrival(1, 100 * MS, Verdict::Refused { wait: 0 });
     assert_eq!(broken(&day(2, Answer::Served, &[silent.clone(), again.clone()])), only(2));
     assert_eq!(broken(&day(2, Answer::Served, &[full, again.clone()])), [0; 6]);
@@ -129,8 +130,19 @@
     assert_eq!(broken(&day(1, Answer::Served, &[silent.clone(), again.clone()])), [0; 6]);
     let elsewhere = Arrival { zone: 1, ..again };
     assert_eq!(broken(&day(1, Answer::Served, &[silent.clone(), elsewhere])), only(2));
-    let late = arrival(1, 2200 * MS, Verdict::Served);
+    let late = Arrival { effect: false, ..arrival(1, 2200 * MS, Verdict::Served) };
     assert_eq!(broken(&day(1, Answer::Served, &[silent.clone(), late.clone()])), only(2));
+    // The second courier kept the window as it knew it, the client that handed the message on did not.
+    let mut on = day(1, Answer::Served, std::slice::from_ref(&served));
+    on.handed.push(Handed { courier: 1, ..handed(1, 1, 2 * S, &[(3500 * MS, Answer::Served)]) });
+    let handed_on = |at| {
+        let mut all = on.clone();
+        all.arrivals.push(Arrival { courier: 1, at, ..served.clone() });
+        let mut all_endpoints = contract();
+        all_endpoints.classes[1].repeat = Repeat::Keyed { window: 2 * S, by_zone: false };
+        check(&all, &all_endpoints).rules[1].broken
+    };
+    assert_eq!((handed_on(2504 * MS), handed_on(2506 * MS)), (0, 1));
     // Handed back and handed in again, it is a new message to the courier.
     let mut twice = day(1, Answer::Refused, &[silent, late]);
     twice.handed[0].answers[0].0 = S;
@@ -193,6 +205,12 @@
     assert_eq!(broken(&day(arrival(1, 100 * MS, Verdict::Served), 90 * MS)), only(5));
     assert_eq!(broken(&day(arrival(1, 100 * MS, Verdict::Silent), 250 * MS)), only(5));
     assert_eq!(broken(&day(arrival(1, 100 * MS, Verdict::Silent), 310 * MS)), [0; 6]);
+    // What the courier still holds from a connection that broke is not in turn with those of a later one.
+    let mut again = day(arrival(1, 100 * MS, Verdict::Served), 90 * MS);
+    again.handed.push(Handed { line: (9, 1), orphaned: Some(80 * MS), ..handed(2, 1, 0, &[]) });
+    assert_eq!(broken(&again), [0; 6]);
+    again.handed[2].courier = 1;
+    assert_eq!(broken(&again), only(5));
 }
 
 #[test]
@@ -207,3 +225,12 @@
     assert_eq!(broken(&day(second(402 * MS))), [0; 6]);
     assert_eq!(broken(&day(Arrival { destination: 2, ..second(200 * MS) })), [0; 6]);
 }
+
+#[test]
+fn what_has_no_answer_is_lost_if_it_was_safe_and_unknown_otherwise() {
+    let orphan = |message, class| Handed { orphaned: Some(S), ..handed(message, class, 0, &[]) };
+    let r = Records { handed: vec![orphan(1, 0), orphan(2, 1), orphan(3, 2)], ..Records::default() };
+    let report = check(&r, &contract());
+    let of: Vec<(u64, u64)> = report.classes.iter().map(|c| (c.lost, c.unknown)).collect();
+    assert_eq!(of, [(1, 0), (0, 1), (0, 1)]);
+}
--- a/crates/stage/src/stage/clients.rs
+++ b/crates/stage/src/stage/clients.rs
@@ -1,12 +1,19 @@
-//! Clients: what they hand in and how they take the answers.
+//! Clients: what they hand in and how they take the answers. They know what they sent and what they were told,
+//! and nothing of what ran.
 
 use super::*;
+use crate::day::RepeatKind;
 
 impl<W: Wires> Stage<'_, W> {
     pub(super) fn hand(&mut self, number: usize, attempt: u32) -> anyhow::Result<()> {
         let planned = &self.fleet.messages[number];
         let class = &self.fleet.day.class[usize::from(planned.class)];
-        let due = planned.at + seconds(class.deadline_s);
+        let mut due = planned.at + seconds(class.deadline_s);
+        if self.tries.contains_key(&number) && class.repeat == RepeatKind::Keyed {
+            // An earlier try may have run: endpoints drop a second one for so long after the first, which ran
+            // after it was handed in.
+            due = due.min(planned.at + seconds(class.window_s));
+        }
         let left_ms = due.saturating_sub(self.now) / 1_000_000;
         if left_ms == 0 {
             return Ok(());
@@ -16,8 +23,16 @@
             self.hand_at(self.now + 200_000_000, number, attempt);
             return Ok(());
         }
+        let left = self.left.get(&number).copied();
+        let others: Vec<u32> = alive.iter().copied().filter(|&n| Some(n) != left).collect();
         let courier = match (planned.key, self.uneven) {
-            (Some(key), _) => alive[key as usize % alive.len()],
+            (Some(key), _) => {
+                let moved = self.moved.get(&key).copied().unwrap_or(0);
+                alive[(key as usize + moved) % alive.len()]
+            }
+            (None, _) if left.is_some() && !others.is_empty() => {
+                others[self.rng.random_range(0..others.len())]
+            }
             (None, Some((one, share))) if self.rng.random::<f64>() < share && alive.contains(&one) => one,
             _ => alive[self.rng.random_range(0..alive.len())],
         };
@@ -120,9 +135,13 @@
         self.gone(token);
     }
 
-    /// A client's connection broke: what it waited for may be handed to another courier, unless it may have
-    /// run, or may still run, and must not run again.
+    /// A client's connection broke. What never left it may go anywhere. Of the rest nobody can say whether it has
+    /// run or will: a safe message goes to another courier, a keyed one in its window where all endpoints know
+    /// its key, and an unsafe one nowhere.
     pub(super) fn orphan(&mut self, p: Producer) {
+        // A key's messages go elsewhere together.
+        let keys: BTreeSet<u64> = p.waiting.values().filter_map(|&at| self.handed[at].key).collect();
+        keys.into_iter().for_each(|key| *self.moved.entry(key).or_default() += 1);
         for at in p.waiting.into_values() {
             let h = &mut self.handed[at];
             if !h.answers.is_empty() {
@@ -130,15 +149,18 @@
             }
             h.orphaned = Some(self.now);
             self.open -= 1;
-            let (message, class) = (h.message, usize::from(h.class));
-            // A courier that lives may still hold it.
-            let post = &self.posts[p.courier as usize];
-            let dead = post.life != p.life || !post.up;
-            let safe = self.fleet.day.class[class].repeat == crate::day::RepeatKind::Safe;
-            if safe || dead && !self.world.may_have_run(message) {
-                let wait = millis(800.0 + self.rng.random::<f64>() * 1000.0);
-                let attempt = self.tries.get(&(message as usize)).copied().unwrap_or(0);
-                self.hand_at(self.now + wait, message as usize, attempt);
+            let (number, class) = (h.message as usize, &self.fleet.day.class[usize::from(h.class)]);
+            let harmless = match class.repeat {
+                RepeatKind::Safe => true,
+                RepeatKind::Keyed => !class.by_zone,
+                RepeatKind::Unsafe => false,
+            };
+            if harmless || !p.up {
+                let [least, most] = self.fleet.day.clients.again_ms;
+                let wait = millis(least + self.rng.random::<f64>() * (most - least));
+                let attempt = self.tries.get(&number).copied().unwrap_or(0);
+                self.left.insert(number, p.courier);
+                self.hand_at(self.now + wait, number, attempt);
             }
         }
     }
--- a/crates/stage/src/stage/mod.rs
+++ b/crates/stage/src/stage/mod.rs
@@ -223,6 +223,10 @@
     posts: Vec<Post>,
     handed: Vec<Handed>,
     tries: BTreeMap<usize, u32>,
+    /// The courier to which a message's connection broke: it goes to another.
+    left: BTreeMap<usize, u32>,
+    /// How often a key's messages went to another courier for that.
+    moved: BTreeMap<u64, usize>,
     told: Vec<Told>,
     stalls: Vec<Stall>,
     cuts: Vec<Cut>,
@@ -258,6 +262,8 @@
             posts: Vec::new(),
             handed: Vec::new(),
             tries: BTreeMap::new(),
+            left: BTreeMap::new(),
+            moved: BTreeMap::new(),
             told: Vec::new(),
             stalls: Vec::new(),
             cuts: Vec::new(),
