Edge: a message's time left is counted from when its client made it

A message was 3.8 s on its way through a partition, had its whole time counted from its arrival, and was sent 3.6 s after its client's time was up. Over slow links answers were up to 173 ms late: connect, greeting and message each took a trip that nobody counted.

Change: records carry when they were made (producers write it by themselves), and may carry `deadline-at-ms`. core/age.rs, free of clocks, takes the earliest of all counts, older by `clocks.apart_ms`; a clock ahead by more is not believed. The check of rule 1 no longer gives what was held up its whole time again, and allows an answer's own trip as recorded in place of three slownesses.

--- a/crates/edge/src/core/mod.rs
+++ b/crates/edge/src/core/mod.rs
@@ -4,6 +4,7 @@
 //! Inputs may come in any number before a [`Core::turn`]; the turn hands all of them to the decision library at
 //! once and carries out what it decides. So after a stall the library sees everything before it sends.
 
+mod age;
 mod answers;
 mod delivery;
 mod intake;
@@ -15,6 +16,7 @@
 
 use crate::facts::{Fact, Final, Standing, Turned};
 use crate::settings::{Entry, List, ListNews, Rejected, Settings, State};
+use age::Clocks;
 use answers::RecordEnd;
 use bytes::Bytes;
 use delivery::{Bounds, Delivery, Do, Done, Parcel};
@@ -129,6 +131,10 @@
     pub attempts: u64,
     /// Rounds of decisions so far.
     pub rounds: u64,
+    /// Messages whose time was up when they came.
+    pub out_of_time: u64,
+    /// Messages whose client's clock is ahead by more than the settings say clocks may differ.
+    pub clocks_ahead: u64,
 }
 
 /// What became of the messages of a class.
@@ -164,6 +170,8 @@
     now: Time,
     /// What is read now may have come since then.
     since: Time,
+    /// The wall clock, as it was last told.
+    wall: Option<Time>,
     last_round: Time,
     wake: Time,
     events: Vec<Event>,
@@ -184,6 +192,8 @@
     counts: Vec<Counts>,
     attempts: u64,
     rounds: u64,
+    out_of_time: u64,
+    clocks_ahead: u64,
 }
 
 impl Core {
@@ -208,6 +218,7 @@
             courier: (start.policy)(decided, start.seed),
             now: start.now,
             since: start.now,
+            wall: None,
             last_round: 0,
             wake: Time::MAX,
             events: Vec::new(),
@@ -226,6 +237,8 @@
             counts: vec![Counts::default(); set.classes.len()],
             attempts: 0,
             rounds: 0,
+            out_of_time: 0,
+            clocks_ahead: 0,
             set,
             start,
         }
@@ -270,6 +283,8 @@
             classes: classes.collect(),
             attempts: self.attempts,
             rounds: self.rounds,
+            out_of_time: self.out_of_time,
+            clocks_ahead: self.clocks_ahead,
         }
     }
 
@@ -280,6 +295,12 @@
         self.delivery.clock(self.now);
     }
 
+    /// What the wall clock shows, in nanoseconds since 1970, as [`Core::clock`] was last told its reading. It may
+    /// be set; only what is read until the next reading is aged by it.
+    pub fn wall_clock(&mut self, wall: Time) {
+        self.wall = Some(wall);
+    }
+
     /// What is read at this clock reading may have come at any time since then: the program may have stood
     /// still meanwhile. The time that messages have left is counted from the earliest.
     pub fn arrived_since(&mut self, since: Time) {
@@ -478,9 +499,10 @@
         records: Vec<Record>,
         due: &mut Time,
     ) -> Part {
-        let read: Vec<Result<(Time, u32), String>> = records.iter().map(|r| self.headers(class, r)).collect();
+        let read: Vec<Result<(age::Read, u32), String>> =
+            records.iter().map(|r| self.headers(class, r)).collect();
         if read.iter().any(Result::is_err) {
-            let said = |(n, r): (usize, &Result<(Time, u32), String>)| {
+            let said = |(n, r): (usize, &Result<(age::Read, u32), String>)| {
                 r.as_ref().err().map(|e| (n as i32, e.clone()))
             };
             return Part::Known(Ended {
@@ -493,8 +515,12 @@
             });
         }
         // Also what is turned away unseen has its answer in time, whatever stands before it on its connection.
-        let least = read.iter().flatten().map(|(left, _)| self.since + left).min();
+        let least = read.iter().flatten().map(|r| r.0.due).min();
         *due = least.map_or(*due, |at| at.min(*due));
+        for (age, _) in read.iter().flatten() {
+            self.out_of_time += u64::from(age.due <= self.now);
+            self.clocks_ahead += u64::from(age.ahead);
+        }
         let (held, most) = (self.set.limits.held as usize, self.set.limits.held_bytes);
         let bytes: usize = records.iter().map(Record::size).sum();
         if records.len() > held || bytes > most {
@@ -515,26 +541,33 @@
         }
         let mut messages = Vec::new();
         for (n, (record, read)) in records.into_iter().zip(read).enumerate() {
-            let (left, tenant) = read.unwrap_or_default();
+            let Ok((age, tenant)) = read else { continue };
             let place = Place { record: n as u32, ..place };
-            messages.push(Some(self.take_one(place, class, destination, record, left, tenant)));
+            messages.push(Some(self.take_one(place, class, destination, record, age.due, tenant)));
         }
         Part::Open { topic, partition, ends: vec![None; messages.len()], messages }
     }
 
-    /// Time left and tenant, from a record's headers.
-    fn headers(&self, class: u8, r: &Record) -> Result<(Time, u32), String> {
+    /// When its time is up, and its tenant, from what a record says.
+    fn headers(&self, class: u8, r: &Record) -> Result<(age::Read, u32), String> {
         let text = |name: &str| r.header(name).map(|v| String::from_utf8_lossy(v).into_owned());
-        let deadline = self.set.classes[usize::from(class)].deadline();
-        let left = match text("deadline-ms") {
-            None => deadline,
+        let millis = |name: &str, what: &str| match text(name) {
+            None => Ok(None),
             Some(t) => match t.parse::<u64>() {
-                Ok(ms) => ms.saturating_mul(1_000_000).min(deadline),
-                Err(_) => {
-                    return Err(format!("header deadline-ms: `{t}` is no whole number of milliseconds"))
-                }
+                Ok(ms) => Ok(Some(ms.saturating_mul(1_000_000))),
+                Err(_) => Err(format!("header {name}: `{t}` is no whole number of milliseconds{what}")),
             },
         };
+        let made = u64::try_from(r.timestamp).ok().filter(|&ms| ms > 0);
+        let said = age::Said {
+            left: millis("deadline-ms", "")?,
+            until: millis("deadline-at-ms", " since 1970")?,
+            made: made.map(|ms| ms.saturating_mul(1_000_000)),
+        };
+        let clocks =
+            Clocks { apart: self.set.clocks.apart_ms * 1_000_000, record_time: self.set.clocks.record_time };
+        let now = age::Now { clock: self.now, wall: self.wall, since: self.since };
+        let age = age::read(clocks, now, said, self.set.classes[usize::from(class)].deadline());
         let tenant = match text("tenant") {
             Some(t) if !self.set.tenants.is_empty() => {
                 match self.set.tenants.iter().position(|x| x.name == t) {
@@ -544,7 +577,7 @@
             }
             _ => 0,
         };
-        Ok((left, tenant))
+        Ok((age, tenant))
     }
 
     fn take_one(
@@ -553,7 +586,7 @@
         class: u8,
         destination: u32,
         mut record: Record,
-        left: Time,
+        due: Time,
         tenant: u32,
     ) -> u32 {
         let id = self.numbers.give(|n| self.held.contains_key(&n));
@@ -571,7 +604,7 @@
             }
             _ => 0,
         };
-        let (bytes, due) = (record.size(), self.since + left);
+        let bytes = record.size();
         self.open += 1;
         self.held_bytes += bytes;
         let taken = self.now;
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -64,6 +64,9 @@
     /// Connections to endpoints.
     #[serde(default)]
     pub connections: Connections,
+    /// Clocks of clients.
+    #[serde(default)]
+    pub clocks: ClocksDoc,
     /// Figures of the rules.
     pub rules: Rules,
     /// What the rates in the list mean.
@@ -260,6 +263,22 @@
     }
 }
 
+/// Clocks of clients, by which the way of a message is known.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ClocksDoc {
+    /// They differ from the courier's by at most so much, either way.
+    pub apart_ms: u64,
+    /// The time of a record is that at which it was handed in, as producers set it by themselves.
+    pub record_time: bool,
+}
+
+impl Default for ClocksDoc {
+    fn default() -> Self {
+        ClocksDoc { apart_ms: 50, record_time: true }
+    }
+}
+
 /// Figures of the rules.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -430,6 +449,7 @@
         count("connections.calls", self.connections.calls.into(), 1, 100_000)?;
         span("connections.idle_ms", self.connections.idle_ms, 1)?;
         span("connections.connect_timeout_ms", self.connections.connect_timeout_ms, 1)?;
+        span("clocks.apart_ms", self.clocks.apart_ms, 0)?;
         let r = &self.rules;
         span("rules.answer_slack_ms", r.answer_slack_ms, 0)?;
         within("rules.cold_share", r.cold_share, 0.001, 1.0)?;
@@ -453,6 +473,12 @@
         }
         count("tick_us", self.tick_us, 1, 1_000_000)?;
         let shortest = self.classes.iter().map(|c| c.deadline_ms).min().unwrap_or(0);
+        if self.clocks.apart_ms * 2 >= shortest {
+            return reject(
+                "clocks.apart_ms",
+                format!("a class has {shortest} ms in all; twice the difference of clocks must be less"),
+            );
+        }
         if self.tick_us * 4 > shortest * 1000 {
             return reject(
                 "tick_us",
--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -194,6 +194,7 @@
             let now = self.now();
             if let Some(core) = &mut self.program.core {
                 core.clock(now);
+                core.wall_clock(wall());
                 // Whatever the last look did not find came after it began.
                 core.arrived_since(std::mem::replace(&mut looked, looks));
             }
--- a/crates/edge/tests/core.rs
+++ b/crates/edge/tests/core.rs
@@ -4,7 +4,7 @@
 
 use harness::*;
 use linnetcart_edge::settings::State;
-use linnetcart_kafka::codes;
+use linnetcart_kafka::{codes, Record};
 
 const A: u64 = 1;
 
@@ -317,6 +317,40 @@
     assert!(b.answered[&A][0] <= came + 1000 * MS);
 }
 
+#[test]
+fn what_was_long_on_its_way_is_answered_in_its_clients_time_and_not_sent_after() {
+    const WALL: u64 = 1_700_000_000_000;
+    let mut b = bench();
+    let made = |ms: u64| Record { timestamp: (WALL - ms) as i64, ..headed("x", "deadline-ms", "2000") };
+    // 1,200 ms on its way, clocks apart by 50 ms at most: 750 ms are left.
+    b.core.wall_clock(WALL * MS);
+    b.send(A, &[("order", 2, &[made(1200)])]);
+    b.pass(740);
+    assert_eq!(b.answered.get(&A).map_or(0, Vec::len), 0);
+    b.pass(20);
+    assert_eq!(b.codes(A), [(1, codes::FAILED)]);
+    // Its time was up before it came: it is handed back at once, and nothing of it is sent.
+    b.core.wall_clock(WALL * MS);
+    let late = b.send(A, &[("order", 1, &[Record { value: Some("late".into()), ..made(1960) }])]);
+    b.pass(5);
+    assert_eq!((b.codes(A)[1], b.calls_of("late")), ((late, codes::REFUSED), 0));
+    // A clock that is an hour ahead tells nothing, and is counted.
+    b.core.wall_clock((WALL - 3_600_000) * MS);
+    b.send(A, &[("order", 1, &[Record { value: Some("ahead".into()), ..made(0) }])]);
+    b.reply("ahead", codes::NONE, 0);
+    let status = b.core.status();
+    assert_eq!((b.codes(A)[2].1, status.out_of_time, status.clocks_ahead), (codes::NONE, 1, 1));
+    // A stated end counts where records' times do not.
+    let end = headed("end", "deadline-at-ms", &(WALL + 500).to_string());
+    b.core.wall_clock(WALL * MS);
+    b.send(A, &[("order", 1, &[end])]);
+    b.pass(455);
+    assert_eq!(b.codes(A)[3].1, codes::FAILED);
+    let wrong = b.send(A, &[("order", 1, &[headed("y", "deadline-at-ms", "soon")])]);
+    assert_eq!(b.codes(A)[4], (wrong, codes::MIXED));
+    assert!(b.answers[&A][4].parts[0].records[0].1.contains("deadline-at-ms: `soon`"));
+}
+
 #[test]
 fn an_idle_connection_that_died_under_a_call_teaches_not_to_trust_the_next() {
     let mut doc = settings();
--- a/crates/emulator/src/host.rs
+++ b/crates/emulator/src/host.rs
@@ -8,6 +8,8 @@
 use linnetcart_rules::Time;
 use serde::{Deserialize, Serialize};
 
+/// What wall clocks that are right show when a run begins: in November 2023.
+pub const WALL_START: Time = 1_700_000_000 * 1_000_000_000;
 /// What a clock shows at the start of a life at least.
 const CLOCK_START: Time = 3600 * 1_000_000_000;
 /// The loop looks at its connections at least this often.
@@ -75,6 +77,8 @@
     shown: Time,
     /// How fast its clock runs, in parts of a million more than it should.
     drift: i64,
+    /// How far its wall clock is ahead of the right time, less where it is behind.
+    off: i64,
     /// The last look, and when its work is done.
     looked: Time,
     free: Time,
@@ -96,7 +100,7 @@
         now: Time,
         life: u32,
         mut start: Start,
-        (ahead, drift): (Time, i64),
+        (ahead, drift, off): (Time, i64, i64),
         disk: &mut Disk,
     ) -> (Host, bool) {
         start.now = CLOCK_START + ahead;
@@ -113,6 +117,7 @@
             begun: now,
             shown: CLOCK_START + ahead,
             drift,
+            off,
             looked: now,
             free: now,
             stalled: None,
@@ -187,6 +192,7 @@
         let mut count = came.len() as Time;
         if let Some(core) = &mut self.program.core {
             core.clock(clock);
+            core.wall_clock((WALL_START + now).saturating_add_signed(self.off));
             core.arrived_since(since);
         }
         for input in came {
--- a/crates/kafka/src/lib.rs
+++ b/crates/kafka/src/lib.rs
@@ -42,6 +42,8 @@
     pub value: Option<Bytes>,
     /// Headers in their order.
     pub headers: Vec<(String, Option<Bytes>)>,
+    /// When its client made it, in milliseconds since 1970 by its clock; 0 or less where that is not said.
+    pub timestamp: i64,
 }
 
 impl Record {
@@ -90,7 +92,7 @@
         timestamp_type: TimestampType::Creation,
         offset: n as i64,
         sequence: n as i32 - 1,
-        timestamp: 0,
+        timestamp: r.timestamp,
         key: r.key.clone(),
         value: r.value.clone(),
         headers: r
--- a/crates/kafka/src/server.rs
+++ b/crates/kafka/src/server.rs
@@ -195,6 +195,7 @@
             key: r.key,
             value: r.value,
             headers: r.headers.into_iter().map(|(n, v)| (n.to_string(), v)).collect(),
+            timestamp: r.timestamp,
         }));
     }
     if out.is_empty() {
--- a/crates/kafka/tests/protocol.rs
+++ b/crates/kafka/tests/protocol.rs
@@ -10,6 +10,7 @@
         key: Some(Bytes::from_static(b"key")),
         value: Some(Bytes::copy_from_slice(value.as_bytes())),
         headers: vec![("message-id".into(), Some(Bytes::from_static(b"m1"))), ("empty".into(), None)],
+        timestamp: 1_700_000_000_123,
     }
 }
 
--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -12,7 +12,7 @@
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 const LOOPBACK: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
 
@@ -59,6 +59,10 @@
 }
 
 impl Wires for Sockets<'_> {
+    fn wall(&self) -> Time {
+        SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default().as_nanos() as Time
+    }
+
     fn connect(&mut self, courier: u32) -> Token {
         // A courier that is gone has left its port; nobody is there.
         let nobody = SocketAddr::new(LOOPBACK, 1);
--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -66,6 +66,8 @@
     pub fall_span: Time,
     /// What clocks and travel may add to any figure: sockets and loops take time that virtual time does not.
     pub travel: Time,
+    /// So much longer may a way take, where single trips are not recorded.
+    pub slow: Time,
 }
 
 /// A message handed in. A client that hands it in again makes a further record with the same `message`.
@@ -91,6 +93,8 @@
     pub due: Time,
     /// Answers, in the order in which they came.
     pub answers: Vec<(Time, Answer)>,
+    /// How long the last answer was on its way, where that is known; otherwise it is in [`Contract::travel`].
+    pub trip: Time,
     /// The courier died, or the connection broke, before the answer.
     pub orphaned: Option<Time>,
 }
@@ -381,12 +385,14 @@
     let mut tries: BTreeMap<u64, Vec<Time>> = BTreeMap::new();
     r.handed.iter().for_each(|h| tries.entry(h.message).or_default().push(h.at));
     for h in &r.handed {
-        let stood =
-            |s: &&Stall| (s.courier, s.life) == (h.courier, h.life) && s.from <= h.due && h.due < s.until;
-        let due = r.stalls.iter().find(stood).map_or(h.due, |s| s.until);
-        // What a cut held up on its way has its whole time from when it came.
-        let late = r.seen(h.courier, h.at) - h.at;
-        let limit = r.seen(h.courier, due + late) + c.answer_slack + c.travel;
+        // What is on its way when its time is up is answered when it comes: after a cut, and after the three trips
+        // of a new connection, there, back and there again.
+        let came = r.seen(h.courier, h.at) + 3 * h.trip;
+        let due = h.due.max(came);
+        let stood = |s: &&Stall| (s.courier, s.life) == (h.courier, h.life) && s.from <= due && due < s.until;
+        let due = r.stalls.iter().find(stood).map_or(due, |s| s.until);
+        // Then its answer makes one trip.
+        let limit = r.seen(h.courier, due) + c.answer_slack + c.travel + h.trip;
         let n = h.answers.len();
         if h.orphaned.is_none() || n > 0 {
             let in_time = n == 1 && h.answers[0].0 <= limit;
@@ -524,7 +530,7 @@
         });
         let mut knows: BTreeMap<(u32, u32), Time> = BTreeMap::new();
         for a in calls.values().copied().filter(bad) {
-            let at = r.heard(a.courier, a.answered.unwrap_or(a.at));
+            let at = r.heard(a.courier, a.answered.unwrap_or(a.at)) + c.slow;
             let known = knows.entry((a.courier, a.life)).or_insert(at);
             *known = (*known).min(at);
         }
@@ -636,7 +642,7 @@
         calls.sort_by_key(|a| a.at);
         for (n, a) in calls.iter().enumerate() {
             let (Verdict::Refused { wait }, Some(told)) = (a.verdict, a.answered) else { continue };
-            let (heard, until) = (r.heard(a.courier, told), told + wait);
+            let (heard, until) = (r.heard(a.courier, told) + c.slow, told + wait);
             if heard + 2 * c.travel >= until {
                 continue;
             }
--- a/crates/rules/src/tests.rs
+++ b/crates/rules/src/tests.rs
@@ -28,6 +28,7 @@
         fall_multiple: 2.0,
         fall_span: S,
         travel: 5 * MS,
+        slow: 0,
     }
 }
 
@@ -43,6 +44,7 @@
         at,
         due: at + 4 * S,
         answers: answers.to_vec(),
+        trip: 0,
         orphaned: None,
     }
 }
@@ -102,6 +104,23 @@
     assert_eq!(broken(&day(&[(S, Answer::Failed), (2 * S, Answer::Failed)], &[])), only(1));
     assert_eq!(broken(&day(&[(4 * S + 16 * MS, Answer::Failed)], &[])), only(1));
     assert_eq!(broken(&day(&[(4 * S + 14 * MS, Answer::Failed)], &[])), [0; 6]);
+    // An answer that made a long trip left in time; three such trips do not make a message young.
+    let slow = |at| {
+        let mut day = day(&[(at, Answer::Failed)], &[]);
+        day.handed[0].trip = 40 * MS;
+        day
+    };
+    assert_eq!(broken(&slow(4 * S + 54 * MS)), [0; 6]);
+    assert_eq!(broken(&slow(4 * S + 56 * MS)), only(1));
+    // Held up by a cut until after its time, it is answered as it comes; before that, in its time.
+    let cut = |until, at| {
+        let cut = Cut { courier: 0, from: 0, until, clients: true, endpoints: false };
+        Records { cuts: vec![cut], ..day(&[(at, Answer::Refused)], &[]) }
+    };
+    assert_eq!(broken(&cut(6 * S, 6 * S + 14 * MS)), [0; 6]);
+    assert_eq!(broken(&cut(6 * S, 6 * S + 16 * MS)), only(1));
+    assert_eq!(broken(&cut(3 * S, 4 * S + 14 * MS)), [0; 6]);
+    assert_eq!(broken(&cut(3 * S, 4 * S + 16 * MS)), only(1));
     let late = arrival(1, S + 6 * MS, Verdict::Served);
     assert_eq!(broken(&day(&[(S, Answer::Failed)], &[late])), only(1));
     // What is due while the courier stands still is due when it runs again, and not later.
--- a/crates/stage/src/day.rs
+++ b/crates/stage/src/day.rs
@@ -79,11 +79,13 @@
     /// A client that has waited so long breaks its connection, and hands what it may to another courier; 0 for
     /// as long as it takes.
     pub patience_s: f64,
+    /// Clocks of clients and couriers differ by at most so much, either way.
+    pub clocks_ms: f64,
 }
 
 impl Default for Clients {
     fn default() -> Self {
-        Clients { retries: 2, again_ms: [800.0, 1900.0], connections: 400, patience_s: 0.0 }
+        Clients { retries: 2, again_ms: [800.0, 1900.0], connections: 400, patience_s: 0.0, clocks_ms: 10.0 }
     }
 }
 
@@ -510,6 +512,8 @@
         ensure!(!self.kind.is_empty(), "kind: at least one");
         ensure!(self.traffic.load > 0.0 && self.traffic.load < 20.0, "traffic.load: more than 0, under 20");
         ensure!(self.clients.connections > 0, "clients.connections: at least 1");
+        let clocks = self.clients.clocks_ms;
+        ensure!((0.0..=60_000.0).contains(&clocks), "clients.clocks_ms: 0 to 60000");
         ensure!(self.clients.patience_s >= 0.0, "clients.patience_s: not below 0");
         for k in &self.kind {
             let name = &k.name;
--- a/crates/stage/src/fleet.rs
+++ b/crates/stage/src/fleet.rs
@@ -205,8 +205,7 @@
     /// The figures of the rules and classes for the checks.
     pub fn contract(&self, way: Way) -> Contract {
         let r = &self.day.rules;
-        // A request that waits for its connection, and its answer: three ways.
-        let slow = |t: &crate::day::Trouble| (t.what == What::LinksSlow).then(|| 3 * millis(t.size));
+        let slow = |t: &crate::day::Trouble| (t.what == What::LinksSlow).then(|| millis(t.size));
         let slow: Time = self.day.trouble.iter().filter_map(slow).sum();
         let class = |c: &Class| rules::Class {
             name: c.name.clone(),
@@ -225,7 +224,8 @@
             key_rest: millis(r.key_rest_ms),
             fall_multiple: r.fall_multiple,
             fall_span: seconds(r.fall_span_s),
-            travel: way.travel() + slow,
+            travel: way.travel(),
+            slow,
         }
     }
 
@@ -303,6 +303,7 @@
                 "warm_after_ms": (r.warm_after_s * 1e3) as u64, "fall_multiple": r.fall_multiple,
                 "fall_span_ms": (r.fall_span_s * 1e3) as u64, "key_rest_ms": r.key_rest_ms as u64,
             },
+            "clocks": {"apart_ms": day.clients.clocks_ms.ceil() as u64},
             "rates": if day.list.rates { "exact" } else { "untold" },
             "tick_us": (c.tick_ms * 1e3) as u64,
         })
--- a/crates/stage/src/stage/clients.rs
+++ b/crates/stage/src/stage/clients.rs
@@ -41,6 +41,11 @@
             self.hand_at(self.now + 100_000_000, number, attempt);
             return Ok(());
         };
+        let Some(Role::Producer(p)) = self.roles.get(&token) else {
+            self.hand_at(self.now + 100_000_000, number, attempt);
+            return Ok(());
+        };
+        let made = self.wires.wall().saturating_add_signed(p.off);
         let header = |name: &str, value: String| (name.to_owned(), Some(Bytes::from(value)));
         let record = Record {
             key: planned.key.map(|k| Bytes::copy_from_slice(&k.to_be_bytes())),
@@ -49,6 +54,7 @@
                 header("message-id", number.to_string()),
                 header("deadline-ms", left_ms.to_string()),
             ],
+            timestamp: (made / 1_000_000) as i64,
         };
         let Some(Role::Producer(p)) = self.roles.get_mut(&token) else {
             self.hand_at(self.now + 100_000_000, number, attempt);
@@ -81,6 +87,7 @@
             at: self.now,
             due: self.now + left_ms * 1_000_000,
             answers: Vec::new(),
+            trip: 0,
             orphaned: None,
         });
         let patience = seconds(self.fleet.day.clients.patience_s);
@@ -107,7 +114,9 @@
             Some(codes::REFUSED) => Answer::Refused,
             _ => Answer::Failed,
         };
+        let trip = self.wires.travelled(token);
         let h = &mut self.handed[at];
+        h.trip = trip;
         if h.answers.is_empty() {
             self.open -= 1;
         }
--- a/crates/stage/src/stage/mod.rs
+++ b/crates/stage/src/stage/mod.rs
@@ -58,6 +58,8 @@
     fn shut(&mut self, endpoint: u32);
     /// Where an endpoint that was opened listens.
     fn address(&self, endpoint: u32) -> SocketAddr;
+    /// The right time, in nanoseconds since 1970.
+    fn wall(&self) -> Time;
     /// How long the bytes that came last on a connection were on their way; 0 where nobody knows.
     fn travelled(&self, _token: Token) -> Time {
         0
@@ -171,6 +173,8 @@
     up: bool,
     backlog: Vec<Bytes>,
     order: u64,
+    /// How far its client's clock is ahead, less where it is behind.
+    off: i64,
 }
 
 enum Role {
@@ -232,6 +236,8 @@
     cuts: Vec<Cut>,
     stray: u64,
     rng: ChaCha8Rng,
+    /// For the clients' clocks alone, so that they change nothing else.
+    clocks: ChaCha8Rng,
     version: u64,
     next_endpoint: u32,
     open: usize,
@@ -269,6 +275,7 @@
             cuts: Vec::new(),
             stray: 0,
             rng: ChaCha8Rng::seed_from_u64(fleet.seed ^ 0x1ab),
+            clocks: ChaCha8Rng::seed_from_u64(fleet.seed ^ 0xc11c),
             version: 0,
             next_endpoint: 0,
             open: 0,
