--- a/src/choice.rs
+++ b/src/choice.rs
@@ -4,7 +4,8 @@
 
 use crate::interface::*;
 use crate::state::{
-    least, Agenda, Call, Dest, Group, Health, Latencies, Line, Msg, Node, Out, Random, Site, Stand, Table,
+    least, Agenda, Call, Dest, Group, Health, Latencies, Lines, Msg, Node, Out, Random, Site, Stand, Table,
+    Waits,
 };
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -78,18 +79,15 @@
     msgs: BTreeMap<u32, Msg>,
     outs: BTreeMap<(u32, u16), Out>,
     calls: BTreeMap<u64, Call>,
-    lines: BTreeMap<u64, Line>,
+    lines: Lines,
     /// Served latencies of late, whatever the destination.
     latencies: Latencies,
-    /// What a round looks for, kept as it changes: open messages by the end of their time and by that of
-    /// their right to another attempt, destinations that some wait for, attempts out and not called off by
-    /// when they are overdue, lone ones by when a copy may go, idle keys by the end of their rest.
+    /// What a round looks for, kept as it changes: open messages by the end of their time, those that wait,
+    /// attempts out and not called off by when they are overdue, lone ones by when a copy may go.
     due: BTreeSet<(Time, u32)>,
-    stale: BTreeSet<(Time, u32)>,
-    waited_for: BTreeSet<u32>,
+    waits: Waits,
     running: Agenda,
     lone: Agenda,
-    resting: BTreeSet<(Time, u64)>,
     ask_at: Time,
     ask_gap: Time,
     actions: Vec<Action>,
@@ -119,7 +117,7 @@
             }
         }
         self.ask();
-        self.forget_keys();
+        self.lines.forget(self.now);
         self.answer_due();
         self.look_for_silence();
         self.shed();
@@ -224,7 +222,7 @@
             ..Msg::default()
         };
         if key != 0 {
-            self.lines.entry(key).or_default().queue.insert((msg.seq, t.id));
+            self.lines.join(key, (msg.seq, t.id));
         }
         self.dests.get_or_insert_with(t.destination, || Dest::new(0, self.now));
         self.due.insert((due, t.id));
@@ -236,7 +234,7 @@
     fn wait(&mut self, id: u32) {
         self.wait_no_more(id);
         let Some(m) = self.msgs.get(&id) else { return };
-        let line = self.lines.get(&m.key).filter(|_| m.key != 0);
+        let line = self.lines.get(m.key);
         let first = m.maybe.iter().min();
         let (stale, by_zone) = match self.set.classes[m.class].repeat {
             Repeat::Keyed { window, by_zone } => {
@@ -251,25 +249,15 @@
             None => Stand::Fresh,
         };
         let stale = if self.may_resend(m, None) { stale } else { Some(self.now) };
-        let dest = m.dest;
-        stale.map(|at| self.stale.insert((at, id)));
-        self.waited_for.insert(dest);
-        let spare = self.may_refuse(m);
+        let (dest, spare) = (m.dest, self.may_refuse(m));
         if let (Some(m), Some(d)) = (self.msgs.get_mut(&id), self.dests.get_mut(dest)) {
-            (m.stand, m.stale) = (Some(stand), stale);
-            d.waiting.insert(stand, id, m, spare);
+            self.waits.join(id, m, d, stand, stale, spare);
         }
     }
 
     fn wait_no_more(&mut self, id: u32) {
-        let Some(m) = self.msgs.get_mut(&id) else { return };
-        if let Some(at) = m.stale.take() {
-            self.stale.remove(&(at, id));
-        }
-        let (Some(stand), Some(d)) = (m.stand.take(), self.dests.get_mut(m.dest)) else { return };
-        d.waiting.remove(stand, id, m);
-        if d.waiting.is_empty() {
-            self.waited_for.remove(&m.dest);
+        if let Some(m) = self.msgs.get_mut(&id) {
+            self.waits.leave(id, m, self.dests.get_mut(m.dest));
         }
     }
 
@@ -303,16 +291,10 @@
 
     /// Keeps the index of lone attempts true after one was sent, called off or ended, or its message is over.
     fn count_out(&mut self, id: u32) {
-        let Some(m) = self.msgs.get_mut(&id) else { return };
-        let outs = self.outs.range((id, 0)..=(id, u16::MAX));
-        let mut running = outs.filter(|(_, out)| !out.cancelled).map(|(k, out)| (out.sent, id, k.1));
-        let lone = running.next().filter(|_| m.live == 1 && !m.over);
-        let before = std::mem::replace(&mut m.lone, lone);
-        let group = (Some(m.dest), m.class);
-        if before != lone {
-            let span = self.copy_span(group);
-            before.into_iter().for_each(|sent| self.lone.remove(group, sent));
-            lone.into_iter().for_each(|sent| self.lone.insert(group, span, sent));
+        let Some(m) = self.msgs.get(&id) else { return };
+        let span = self.copy_span((Some(m.dest), m.class));
+        if let Some(m) = self.msgs.get_mut(&id) {
+            self.lone.keep_lone(id, m, &self.outs, span);
         }
     }
 
@@ -324,27 +306,12 @@
         }
         let (key, seq) = (m.key, m.seq);
         self.msgs.remove(&id);
-        let Some(line) = self.lines.get_mut(&key) else { return };
-        line.queue.remove(&(seq, id));
-        let next = line.queue.first().map(|first| first.1);
-        if next.is_none() {
-            self.resting.insert((line.rest, key));
-        }
+        let next = self.lines.leave(key, (seq, id));
         if let Some(next) = next.filter(|next| self.msgs.get(next).is_some_and(|m| m.stand.is_some())) {
             self.wait(next);
         }
     }
 
-    /// Idle keys are forgotten once they have rested.
-    fn forget_keys(&mut self) {
-        while let Some((_, key)) = self.resting.first().copied().filter(|r| r.0 <= self.now) {
-            self.resting.pop_first();
-            if self.lines.get(&key).is_some_and(|l| l.queue.is_empty() && l.rest <= self.now) {
-                self.lines.remove(&key);
-            }
-        }
-    }
-
     /// Handing back is harmless when nothing may have run, or when a repeat does no harm wherever it goes.
     fn may_refuse(&self, m: &Msg) -> bool {
         match self.set.classes[m.class].repeat {
@@ -368,7 +335,7 @@
     fn answer_due(&mut self) {
         let at = self.now + 2 * self.set.tick;
         let due = self.due.iter().take_while(|d| d.0 <= at);
-        let stale = self.stale.iter().take_while(|s| s.0 <= self.now);
+        let stale = self.waits.stale.iter().take_while(|s| s.0 <= self.now);
         let hopeless: BTreeSet<u32> = due.chain(stale).map(|d| d.1).collect();
         hopeless.iter().for_each(|&id| self.give_up(id, 0));
         let next = self.due.first().map(|d| d.0 - 2 * self.set.tick);
@@ -381,13 +348,13 @@
     fn shed(&mut self) {
         let over = self.due.len() as f64 - CROWDED * f64::from(self.set.max_held);
         if over >= 1.0 {
-            self.hand_back(&self.waited_for.clone(), over);
+            self.hand_back(&self.waits.dests.clone(), over);
         }
         let full = self.calls.len() >= self.set.slots as usize;
         if let Some(took) = self.latencies.high.filter(|_| full) {
             let aim = self.set.classes.iter().map(|c| c.aim).max().unwrap_or(0);
             let served = f64::from(self.set.slots) * aim as f64 / took.max(1) as f64;
-            let blocked = self.waited_for.iter().filter(|&id| self.lacks_slot(&self.dests[*id]));
+            let blocked = self.waits.dests.iter().filter(|&id| self.lacks_slot(&self.dests[*id]));
             let blocked: BTreeSet<u32> = blocked.copied().collect();
             let held: usize = blocked.iter().map(|id| self.dests[*id].waiting.len()).sum();
             self.hand_back(&blocked, held as f64 - served);
@@ -439,9 +406,7 @@
             m.maybe.retain(|&(_, attempt, _)| attempt != o.attempt);
         }
         if matches!(o.ending, Ending::TimedOut | Ending::Reset | Ending::Cancelled) {
-            if let Some(line) = self.lines.get_mut(&m.key) {
-                line.rest = line.rest.max(self.now + self.set.key_rest);
-            }
+            self.lines.rest(m.key, self.now + self.set.key_rest);
         }
         if o.over {
             self.end(o.message);
@@ -505,7 +470,7 @@
                 // What a pause of this courier made late is no latency.
                 if self.late <= 2 * set.tick {
                     dest.served(o.took);
-                    self.latencies.note(o.took);
+                    self.latencies.note(o.took, LATENCIES, high);
                 }
                 dest.bucket = (dest.bucket + 1.0).min(BUCKET);
             }
@@ -536,7 +501,7 @@
     /// message that may go.
     fn dispatch(&mut self) {
         let mut order: Vec<(Time, u32)> =
-            self.waited_for.iter().map(|&id| (self.dests[id].last_slot, id)).collect();
+            self.waits.dests.iter().map(|&id| (self.dests[id].last_slot, id)).collect();
         order.sort_unstable();
         let mut order = VecDeque::from(order);
         while let Some((_, id)) = order.pop_front() {
@@ -575,15 +540,10 @@
 
     fn pick(&mut self, id: u32) -> Option<(u32, u32)> {
         let rested = self.dests.get(id)?.waiting.resting().into_iter();
-        let rested = rested.filter(|m| self.lines.get(&self.msgs[m].key).is_none_or(|l| l.rest <= self.now));
+        let rested = rested.filter(|m| self.lines.get(self.msgs[m].key).is_none_or(|l| l.rest <= self.now));
         rested.collect::<Vec<u32>>().into_iter().for_each(|m| self.wait(m));
         let dest = self.dests.get_mut(id)?;
-        dest.node.waiting = dest.waiting.len() as f64;
-        for e in &dest.endpoints {
-            if let Some(site) = self.sites.get_mut(*e) {
-                site.node.waiting = dest.node.waiting;
-            }
-        }
+        dest.count_waiting(&mut self.sites);
         for m in dest.waiting.heads() {
             match self.choose(m, &[]) {
                 Ok(endpoint) => return Some((m, endpoint)),
@@ -659,7 +619,7 @@
             return Err(NEVER);
         }
         // Rule 6: one at a time for a key, in turn, and rested.
-        match self.lines.get(&m.key).filter(|_| m.key != 0) {
+        match self.lines.get(m.key) {
             Some(line) if line.queue.first() != Some(&(m.seq, id)) => return Err(NEVER),
             Some(line) if line.rest > now && m.attempts == 0 => return Err(line.rest),
             _ => {}
@@ -749,11 +709,7 @@
             let (own, all) = ((Some(id), class), (None, class));
             let span = self.overdue_span(own);
             if learned {
-                let here = self.running.group(all).filter(|(_, m, _)| self.msgs[m].dest == id);
-                for sent in here.collect::<Vec<_>>() {
-                    self.running.remove(all, sent);
-                    self.running.insert(own, span, sent);
-                }
+                self.running.claim(all, own, span, |m| self.msgs[&m].dest == id);
             }
             self.running.respan(own, span);
             self.running.respan(all, self.overdue_span(all));
@@ -763,7 +719,7 @@
 
     /// So many slots are free, or fewer, and messages wait for one and nothing else.
     fn crowded(&self, free: usize) -> bool {
-        let mut waiting = self.waited_for.iter().map(|id| &self.dests[*id]);
+        let mut waiting = self.waits.dests.iter().map(|id| &self.dests[*id]);
         self.calls.len() + free >= self.set.slots as usize && waiting.any(|d| self.lacks_slot(d))
     }
 
@@ -777,18 +733,15 @@
     /// A copy goes to another endpoint when the resend time has passed; never for the last slot while
     /// others wait, nor to a limit that is out, told to wait or over its pace.
     fn copy(&mut self) {
-        let (groups, next) = self.lone.due(self.now);
-        self.wake_at(next.unwrap_or(NEVER));
         // Where the bucket is low, or nothing may go twice, none of a group goes.
-        let open = groups.into_iter().filter(|&(dest, class)| {
+        let open = |(dest, class): Group| {
             let bucket = dest.and_then(|id| self.dests.get(id)).map_or(0.0, |d| d.bucket);
             bucket > BUCKET / 2.0 && self.set.may_copy && self.set.classes[class].repeat != Repeat::Unsafe
-        });
-        let due = open.flat_map(|group| self.lone.due_of(group, self.now));
-        let mut due: Vec<(u32, u16)> = due.map(|((_, id, attempt), _)| (id, attempt)).collect();
-        due.sort_unstable();
+        };
+        let (due, next) = self.lone.all_due(self.now, open);
+        self.wake_at(next.unwrap_or(NEVER));
         let mut crowded = None;
-        for (id, attempt) in due {
+        for (id, attempt, ..) in due {
             let (Some(o), Some(m)) = (self.outs.get(&(id, attempt)), self.msgs.get(&id)) else { continue };
             let endpoint = o.endpoint;
             let out = self.node(endpoint).is_some_and(Node::out);
@@ -807,15 +760,12 @@
     /// class allows a repeat.
     fn look_for_silence(&mut self) {
         let now = self.now;
-        let (groups, next) = self.running.due(now);
+        let (due, next) = self.running.all_due(now, |_| true);
         self.wake_at(next.unwrap_or(NEVER));
-        if groups.is_empty() {
+        if due.is_empty() {
             return;
         }
         let full = self.crowded(0);
-        let due = groups.into_iter().flat_map(|group| self.running.due_of(group, now));
-        let mut due: Vec<_> = due.map(|((sent, id, attempt), at)| (id, attempt, sent, at)).collect();
-        due.sort_unstable();
         let mut off = Vec::new();
         for (id, attempt, sent, overdue) in due {
             let (Some(o), Some(m)) = (self.outs.get(&(id, attempt)), self.msgs.get(&id)) else { continue };
@@ -864,17 +814,9 @@
     set.kinds.get(usize::from(kind)).is_some_and(|k| k.routes_apart)
 }
 
-impl Latencies {
-    /// The 95th percentile is kept up, if there are enough.
-    fn note(&mut self, took: Time) {
-        self.kept.push_back(took);
-        if self.kept.len() > LATENCIES {
-            self.kept.pop_front();
-        }
-        let mut sorted: Vec<Time> = self.kept.iter().copied().collect();
-        sorted.sort_unstable();
-        self.high = sorted.get(sorted.len() * 95 / 100).filter(|_| sorted.len() >= ENOUGH).copied();
-    }
+/// The 95th percentile, if there are enough.
+fn high(sorted: &[Time]) -> Option<Time> {
+    sorted.get(sorted.len() * 95 / 100).filter(|_| sorted.len() >= ENOUGH).copied()
 }
 
 impl Dest {
@@ -883,7 +825,7 @@
     }
 
     fn served(&mut self, took: Time) {
-        self.latencies.note(took);
+        self.latencies.note(took, LATENCIES, high);
         let took = took as f64;
         if self.usual == 0.0 {
             (self.usual, self.recent) = (took, took);
@@ -914,15 +856,6 @@
         matches!(self.health, Health::Out { .. })
     }
 
-    fn report(&mut self, now: Time, o: &Outcome) {
-        if let Some(limit) = o.limit.filter(|&l| l > 0.0) {
-            (self.limit, self.exact) = (limit, true);
-            if let Some(left) = o.left {
-                (self.left, self.left_at) = (left, now);
-            }
-        }
-    }
-
     /// Whether anything of a call's outcome makes this limit more cautious.
     fn outcome(&mut self, now: Time, sent: Time, ending: Ending, limits: bool, set: &Settings) -> bool {
         if ending != Ending::TimedOut {
@@ -971,12 +904,7 @@
     fn ok(&mut self, now: Time, sent: Time, set: &Settings) {
         (self.run, self.jammed) = (0, false);
         self.bad -= NEWEST * self.bad;
-        if self.span_start + set.fall_span <= now {
-            (self.span_start, self.in_span) = (now, 0.0);
-        }
-        self.in_span += 1.0;
-        self.peak = self.peak.max(self.in_span);
-        self.served += 1.0;
+        self.count_served(now, set.fall_span);
         self.health = match self.health {
             // It was slow or paused, not gone: nothing failed, and what was sent before is answered or the
             // silence was short. If it was coming back before, it still is.
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! What the decision module keeps in mind; it decides nothing here.
 
-use crate::interface::{Ending, Listing, Time};
+use crate::interface::{Ending, Listing, Outcome, Time};
 use std::cmp::{Ordering, Reverse};
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
 use std::hash::{BuildHasherDefault, Hasher};
@@ -55,6 +55,26 @@
 }
 
 impl Node {
+    /// What an outcome tells of the limit itself.
+    pub(crate) fn report(&mut self, now: Time, o: &Outcome) {
+        if let Some(limit) = o.limit.filter(|&l| l > 0.0) {
+            (self.limit, self.exact) = (limit, true);
+            if let Some(left) = o.left {
+                (self.left, self.left_at) = (left, now);
+            }
+        }
+    }
+
+    /// One more served: in this span, at most in one, in all.
+    pub(crate) fn count_served(&mut self, now: Time, span: Time) {
+        if self.span_start + span <= now {
+            (self.span_start, self.in_span) = (now, 0.0);
+        }
+        self.in_span += 1.0;
+        self.peak = self.peak.max(self.in_span);
+        self.served += 1.0;
+    }
+
     /// Its state and why, for those on call.
     pub(crate) fn line(&self, ending: Ending) -> String {
         let state = match self.health {
@@ -83,6 +103,18 @@
     pub(crate) recent: f64,
 }
 
+impl Dest {
+    /// Messages that wait for it wait for each of its endpoints.
+    pub(crate) fn count_waiting(&mut self, sites: &mut Table<Site>) {
+        self.node.waiting = self.waiting.len() as f64;
+        for e in &self.endpoints {
+            if let Some(site) = sites.get_mut(*e) {
+                site.node.waiting = self.node.waiting;
+            }
+        }
+    }
+}
+
 #[derive(Debug, Default)]
 pub(crate) struct Site {
     pub(crate) node: Node,
@@ -142,6 +174,86 @@
     pub(crate) rest: Time,
 }
 
+/// Keys and their lines; those that are idle by the end of their rest. Key 0 has none.
+#[derive(Debug, Default)]
+pub(crate) struct Lines {
+    by_key: BTreeMap<u64, Line>,
+    resting: BTreeSet<(Time, u64)>,
+}
+
+impl Lines {
+    pub(crate) fn get(&self, key: u64) -> Option<&Line> {
+        self.by_key.get(&key)
+    }
+
+    pub(crate) fn join(&mut self, key: u64, place: (u64, u32)) {
+        self.by_key.entry(key).or_default().queue.insert(place);
+    }
+
+    /// The key rests until then at least.
+    pub(crate) fn rest(&mut self, key: u64, until: Time) {
+        if let Some(line) = self.by_key.get_mut(&key) {
+            line.rest = line.rest.max(until);
+        }
+    }
+
+    /// A message leaves its key's line; the one that is first now.
+    pub(crate) fn leave(&mut self, key: u64, place: (u64, u32)) -> Option<u32> {
+        let line = self.by_key.get_mut(&key)?;
+        line.queue.remove(&place);
+        let next = line.queue.first().map(|first| first.1);
+        if next.is_none() {
+            self.resting.insert((line.rest, key));
+        }
+        next
+    }
+
+    /// Idle keys are forgotten once they have rested.
+    pub(crate) fn forget(&mut self, now: Time) {
+        while let Some((_, key)) = self.resting.first().copied().filter(|r| r.0 <= now) {
+            self.resting.pop_first();
+            if self.by_key.get(&key).is_some_and(|l| l.queue.is_empty() && l.rest <= now) {
+                self.by_key.remove(&key);
+            }
+        }
+    }
+}
+
+/// Messages that wait: by the end of their right to another attempt, and the destinations that any wait for.
+#[derive(Debug, Default)]
+pub(crate) struct Waits {
+    pub(crate) stale: BTreeSet<(Time, u32)>,
+    pub(crate) dests: BTreeSet<u32>,
+}
+
+impl Waits {
+    pub(crate) fn join(
+        &mut self,
+        id: u32,
+        m: &mut Msg,
+        d: &mut Dest,
+        stand: Stand,
+        stale: Option<Time>,
+        spare: bool,
+    ) {
+        stale.map(|at| self.stale.insert((at, id)));
+        self.dests.insert(m.dest);
+        (m.stand, m.stale) = (Some(stand), stale);
+        d.waiting.insert(stand, id, m, spare);
+    }
+
+    pub(crate) fn leave(&mut self, id: u32, m: &mut Msg, d: Option<&mut Dest>) {
+        if let Some(at) = m.stale.take() {
+            self.stale.remove(&(at, id));
+        }
+        let (Some(stand), Some(d)) = (m.stand.take(), d) else { return };
+        d.waiting.remove(stand, id, m);
+        if d.waiting.is_empty() {
+            self.dests.remove(&m.dest);
+        }
+    }
+}
+
 /// How a message waits. Two of one destination that stand alike fare alike.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Stand {
@@ -307,8 +419,23 @@
     pub(crate) high: Option<Time>,
 }
 
+impl Latencies {
+    /// So many are kept, and what `high` makes of them in their order.
+    pub(crate) fn note(&mut self, took: Time, most: usize, high: impl Fn(&[Time]) -> Option<Time>) {
+        self.kept.push_back(took);
+        if self.kept.len() > most {
+            self.kept.pop_front();
+        }
+        let mut sorted: Vec<Time> = self.kept.iter().copied().collect();
+        sorted.sort_unstable();
+        self.high = high(&sorted);
+    }
+}
+
 /// An attempt out: when sent, message, attempt.
 pub(crate) type Sent = (Time, u32, u16);
+/// One that is due: message, attempt, when sent, when it came due.
+pub(crate) type Due = (u32, u16, Time, Time);
 /// Attempts that come due the same span after they were sent: to a destination, or to all that are not known
 /// yet, and of a class.
 pub(crate) type Group = (Option<u32>, usize);
@@ -356,13 +483,45 @@
         }
     }
 
+    /// Attempts of some messages move from one group to another.
+    pub(crate) fn claim(&mut self, from: Group, to: Group, span: Time, mine: impl Fn(u32) -> bool) {
+        let here: Vec<Sent> = self.group(from).filter(|sent| mine(sent.1)).collect();
+        for sent in here {
+            self.remove(from, sent);
+            self.insert(to, span, sent);
+        }
+    }
+
+    /// A message's lone attempt, if it has one now, takes the place of that before.
+    pub(crate) fn keep_lone(&mut self, id: u32, m: &mut Msg, outs: &BTreeMap<(u32, u16), Out>, span: Time) {
+        let outs = outs.range((id, 0)..=(id, u16::MAX));
+        let mut running = outs.filter(|(_, out)| !out.cancelled).map(|(k, out)| (out.sent, id, k.1));
+        let lone = running.next().filter(|_| m.live == 1 && !m.over);
+        let before = std::mem::replace(&mut m.lone, lone);
+        let group = (Some(m.dest), m.class);
+        if before != lone {
+            before.into_iter().for_each(|sent| self.remove(group, sent));
+            lone.into_iter().for_each(|sent| self.insert(group, span, sent));
+        }
+    }
+
+    /// All that is due of these groups, by message and attempt, and when the next comes due that is not.
+    pub(crate) fn all_due(&self, now: Time, which: impl Fn(Group) -> bool) -> (Vec<Due>, Option<Time>) {
+        let (groups, next) = self.due(now);
+        let groups = groups.into_iter().filter(|&group| which(group));
+        let due = groups.flat_map(|group| self.due_of(group, now));
+        let mut due: Vec<_> = due.map(|((sent, id, attempt), at)| (id, attempt, sent, at)).collect();
+        due.sort_unstable();
+        (due, next)
+    }
+
     /// A group's attempts.
-    pub(crate) fn group(&self, group: Group) -> impl Iterator<Item = Sent> + '_ {
+    fn group(&self, group: Group) -> impl Iterator<Item = Sent> + '_ {
         self.groups.get(&group).into_iter().flat_map(|g| g.1.iter().copied())
     }
 
     /// Groups of which something is due, and when the next comes due that is not.
-    pub(crate) fn due(&self, now: Time) -> (Vec<Group>, Option<Time>) {
+    fn due(&self, now: Time) -> (Vec<Group>, Option<Time>) {
         let due: Vec<Group> = self.firsts.iter().take_while(|f| f.0 <= now).map(|f| f.1).collect();
         let rest = self.firsts.iter().nth(due.len()).map(|f| f.0);
         let in_due = due.iter().filter_map(|g| {
@@ -375,7 +534,7 @@
     }
 
     /// What is due of a group, each with the time at which it came due.
-    pub(crate) fn due_of(&self, group: Group, now: Time) -> impl Iterator<Item = (Sent, Time)> + '_ {
+    fn due_of(&self, group: Group, now: Time) -> impl Iterator<Item = (Sent, Time)> + '_ {
         let (span, set) = &self.groups[&group];
         set.iter().map(|&sent| (sent, sent.0.saturating_add(*span))).take_while(move |s| s.1 <= now)
     }
