Rule 4: the check knows which connections failed where, not who held a message

Traced: couriers tried route A, which had vanished, waited a second, and made their first call to route B as it came back. The check counted all who held a message for the destination as knowing of B's outage. No courier could; the library paces each route apart.

Change: the emulated network records connections that were refused or ended before a greeting, by courier and endpoint; rule 4 counts those and calls that went wrong. The library is unchanged.

--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -84,7 +84,12 @@
     }
     e.end()?;
     let base = e.base;
-    let (played, mut network) = e.stage.played();
+    let (mut played, mut network) = e.stage.played();
+    let mut failed = std::mem::take(&mut network.failed_connects);
+    for f in &mut failed {
+        (f.from, f.at) = (f.from.saturating_sub(base), f.at.saturating_sub(base));
+    }
+    played.records.failed_connects = Some(failed);
     let story = network.story.take().map(|mut s| {
         s.told.iter_mut().for_each(|t| t.at = t.at.saturating_sub(base));
         s
--- a/crates/emulator/src/links.rs
+++ b/crates/emulator/src/links.rs
@@ -73,6 +73,10 @@
     pub near: bool,
     /// The other side still has its end.
     pub far: bool,
+    /// When it was begun.
+    pub begun: Time,
+    /// The other side has said something.
+    pub greeted: bool,
     ways: [Pipe; 2],
     /// It broke: the share of the next bytes that still arrives in each direction.
     cut: Option<[f64; 2]>,
@@ -134,7 +138,7 @@
 
 impl Links {
     /// A new connection.
-    pub fn open(&mut self, courier: u32, life: u32, end: impl FnOnce(Token) -> End) -> Token {
+    pub fn open(&mut self, begun: Time, courier: u32, life: u32, end: impl FnOnce(Token) -> End) -> Token {
         self.next += 1;
         let token = self.next;
         let end = end(token);
@@ -143,7 +147,10 @@
             End::Link(id, _) => self.by_link.insert((courier, id), token),
         };
         let ways = [Pipe::default(), Pipe::default()];
-        self.all.insert(token, Link { courier, life, end, near: true, far: true, ways, cut: None });
+        self.all.insert(
+            token,
+            Link { courier, life, end, near: true, far: true, begun, greeted: false, ways, cut: None },
+        );
         self.of.entry(courier).or_default().insert(token);
         token
     }
@@ -260,9 +267,10 @@
     }
 
     /// Something arrived that left then.
-    pub fn arrived(&mut self, now: Time, left: Time, token: Token, way: Way) {
+    pub fn arrived(&mut self, now: Time, left: Time, token: Token, way: Way, data: bool) {
         if let Some(l) = self.all.get_mut(&token) {
             l.ways[way as usize].travelled = now.saturating_sub(left);
+            l.greeted |= data && way == Way::In;
         }
     }
 
@@ -327,7 +335,7 @@
     fn what_is_sent_arrives_in_order_whatever_the_delays() {
         let mut rng = ChaCha8Rng::seed_from_u64(1);
         let mut links = Links::default();
-        let token = links.open(0, 0, |t| End::Link(t, 7));
+        let token = links.open(0, 0, 0, |t| End::Link(t, 7));
         let jumpy = Delay { least: 10, more: 1000 };
         let mut last = 0;
         for now in 0..200 {
@@ -341,8 +349,8 @@
     fn a_block_holds_one_direction_and_lets_go_in_order() {
         let mut rng = ChaCha8Rng::seed_from_u64(1);
         let mut links = Links::default();
-        let token = links.open(0, 0, |t| End::Link(t, 7));
-        let other = links.open(1, 0, |t| End::Link(t, 7));
+        let token = links.open(0, 0, 0, |t| End::Link(t, 7));
+        let other = links.open(0, 1, 0, |t| End::Link(t, 7));
         let one = Block { courier: 0, clients: false, endpoints: true, incoming: true, outgoing: false };
         links.block(3, vec![one]);
         let mut send = |links: &mut Links, token, way, text| {
@@ -361,7 +369,7 @@
     fn a_system_takes_so_much_and_no_more_while_nothing_arrives() {
         let mut rng = ChaCha8Rng::seed_from_u64(1);
         let mut links = Links::default();
-        let token = links.open(0, 0, |t| End::Link(t, 7));
+        let token = links.open(0, 0, 0, |t| End::Link(t, 7));
         links.block(
             1,
             vec![Block { courier: 0, clients: true, endpoints: true, incoming: true, outgoing: true }],
--- a/crates/emulator/src/network.rs
+++ b/crates/emulator/src/network.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use linnetcart_edge::core::{Output, Policy, Start};
 use linnetcart_kafka::server::Broker;
-use linnetcart_rules::Time;
+use linnetcart_rules::{FailedConnect, Time};
 use linnetcart_stage::fleet::Fleet;
 use linnetcart_stage::stage::{Fault, Token, Wires};
 use rand::{Rng, SeedableRng};
@@ -111,6 +111,8 @@
     /// For clocks alone, so that they change nothing else.
     clocks: ChaCha8Rng,
     digest: Sha256,
+    /// Connections of couriers that failed, on the network's clock.
+    pub failed_connects: Vec<FailedConnect>,
     /// What happened in the couriers, if it is asked for.
     pub story: Option<Story>,
     /// Events worked through.
@@ -148,6 +150,7 @@
             rng: ChaCha8Rng::seed_from_u64(fleet.seed ^ 0x3e7),
             clocks: ChaCha8Rng::seed_from_u64(fleet.seed ^ 0xc10c),
             digest: Sha256::new(),
+            failed_connects: Vec::new(),
             story: None,
             events: 0,
             most_links: 0,
@@ -190,7 +193,8 @@
                 None
             }
             Event::Arrive(token, way, parcel, left) => {
-                self.links.arrived(when, left, token, way);
+                let data = matches!(parcel, Parcel::Data(_));
+                self.links.arrived(when, left, token, way, data);
                 self.arrive(token, way, parcel)
             }
             Event::Put(courier, life, path, body) => {
@@ -224,6 +228,16 @@
         }
     }
 
+    /// A connection to an endpoint ends. If it was never greeted, its courier has seen it fail.
+    fn failed(&mut self, token: Token) {
+        if let Some(l) = self.links.get(token).filter(|l| !l.greeted) {
+            if let End::Link(_, endpoint) = l.end {
+                let (courier, life, from, at) = (l.courier, l.life, l.begun, self.now);
+                self.failed_connects.push(FailedConnect { courier, life, endpoint, from, at });
+            }
+        }
+    }
+
     /// One side ends a connection.
     fn leave(&mut self, token: Token, near: bool) {
         if self.links.left(token, near) {
@@ -288,10 +302,12 @@
                     (End::Link(link, _), Parcel::Connected) => Input::Up(link),
                     (End::Link(link, _), Parcel::Data(bytes)) => Input::Link(link, bytes),
                     (End::Link(link, _), Parcel::Refused) => {
+                        self.failed(token);
                         self.links.left(token, true);
                         Input::Failed(link)
                     }
                     (End::Link(link, _), Parcel::End) => {
+                        self.failed(token);
                         let taken = self.links.taken(token);
                         self.links.left(token, true);
                         Input::Down(link, taken)
@@ -371,7 +387,7 @@
                 // What a courier does not read stays in its system; its bound holds either way.
                 Output::ReadClient(..) => {}
                 Output::Connect(link, at) => {
-                    let token = self.links.open(courier, life, |_| End::Link(link, endpoint(at)));
+                    let token = self.links.open(self.now, courier, life, |_| End::Link(link, endpoint(at)));
                     self.most_links = self.most_links.max(self.links.count());
                     self.send(token, Way::Out, Parcel::Connect);
                 }
@@ -382,6 +398,7 @@
                 }
                 Output::CloseLink(link) => {
                     if let Some(token) = self.links.link(courier, link) {
+                        self.failed(token);
                         self.leave(token, true);
                     }
                 }
@@ -425,7 +442,7 @@
 impl Wires for Network<'_> {
     fn connect(&mut self, courier: u32) -> Token {
         let life = self.hosts.get(&courier).map_or(u32::MAX, |h| h.life);
-        let token = self.links.open(courier, life, End::Client);
+        let token = self.links.open(self.now, courier, life, End::Client);
         self.most_links = self.most_links.max(self.links.count());
         self.send(token, Way::In, Parcel::Connect);
         token
--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -221,6 +221,21 @@
     pub endpoints: bool,
 }
 
+/// A connection of a courier to an endpoint that could not be made, or ended before the endpoint said anything.
+#[derive(Clone, Copy, Debug)]
+pub struct FailedConnect {
+    /// The courier.
+    pub courier: u32,
+    /// In which of its lives.
+    pub life: u32,
+    /// Where it went.
+    pub endpoint: u32,
+    /// When it was begun.
+    pub from: Time,
+    /// When the courier saw that it had failed.
+    pub at: Time,
+}
+
 /// Everything that was recorded.
 #[derive(Clone, Debug, Default)]
 pub struct Records {
@@ -236,6 +251,11 @@
     pub stalls: Vec<Stall>,
     /// When couriers were cut off.
     pub cuts: Vec<Cut>,
+    /// The destination of each endpoint.
+    pub endpoints: BTreeMap<u32, u32>,
+    /// Connections that failed, where the network records them; where it does not, whoever held a message for a
+    /// destination whose connections failed counts as knowing.
+    pub failed_connects: Option<Vec<FailedConnect>>,
     /// Answers to requests that had one already, or were never made.
     pub stray_answers: u64,
 }
@@ -534,7 +554,15 @@
             let known = knows.entry((a.courier, a.life)).or_insert(at);
             *known = (*known).min(at);
         }
-        if o.refused_connections {
+        for f in r.failed_connects.iter().flatten() {
+            let here = r.endpoints.get(&f.endpoint) == Some(&o.destination)
+                && o.route.is_none_or(|route| route == f.endpoint);
+            if here && f.from < o.until && f.at >= o.from {
+                let known = knows.entry((f.courier, f.life)).or_insert(f.at);
+                *known = (*known).min(f.at);
+            }
+        }
+        if o.refused_connections && r.failed_connects.is_none() {
             for h in &r.handed {
                 let over = h.answers.first().map_or(h.due, |a| a.0);
                 if h.destination == o.destination && h.at < o.until && over > o.from {
--- a/crates/rules/src/tests.rs
+++ b/crates/rules/src/tests.rs
@@ -211,6 +211,18 @@
     };
     assert_eq!(broken(&day(true)), only(4));
     assert_eq!(broken(&day(false)), [0; 6]);
+    // Connections that failed there are knowledge; those to another route of the destination are none.
+    let connect = |endpoint, at| Records {
+        endpoints: BTreeMap::from([(10, 1), (11, 1)]),
+        failed_connects: Some(vec![FailedConnect { courier: 0, life: 0, endpoint, from: S / 2, at }]),
+        outages: vec![Outage { route: Some(10), refused_connections: true, ..outage.clone() }],
+        ..day(false)
+    };
+    assert_eq!(broken(&connect(10, S)), only(4));
+    assert_eq!(broken(&connect(11, S)), [0; 6]);
+    assert_eq!(broken(&connect(10, 2 * S)), [0; 6]);
+    // Where the network does not tell, whoever held a message for it counts.
+    assert_eq!(broken(&Records { failed_connects: None, ..connect(11, S) }), only(4));
 }
 
 #[test]
--- a/crates/stage/src/stage/mod.rs
+++ b/crates/stage/src/stage/mod.rs
@@ -355,6 +355,8 @@
             cuts: self.cuts,
             outages: self.world.outages().to_vec(),
             stray_answers: self.stray,
+            endpoints: self.standing.iter().map(|(&id, s)| (id, s.destination)).collect(),
+            failed_connects: None,
         };
         (Played { records, fallen: self.world.fallen().to_vec() }, self.wires)
     }
