Rules: cuts that overlap hold a message up until the last of them is over

Two partitions overlapped; rule 1 took the message as come at the end of the first. It came at the end of the second, while its courier stood still, and was handed back at once.

Change: the end of a cut is followed to the end of those that stand then.

--- a/crates/lab/tests/emulated.rs
+++ b/crates/lab/tests/emulated.rs
@@ -192,11 +192,12 @@
 }
 
 /// Days that hunts found while a rule was broken on them. Each breaks it again where its mend is taken out.
-const FOUND: [(&str, &str); 7] = [
+const FOUND: [(&str, &str); 8] = [
     ("turned-away", include_str!("finds/turned-away.toml")),
     ("late-wait", include_str!("finds/late-wait.toml")),
     ("handed-on-rolled", include_str!("finds/handed-on-rolled.toml")),
     ("other-route", include_str!("finds/other-route.toml")),
+    ("two-cuts", include_str!("finds/two-cuts.toml")),
     ("long-way", include_str!("finds/long-way.toml")),
     ("slow-links", include_str!("finds/slow-links.toml")),
     ("handed-on-disk", include_str!("finds/handed-on-disk.toml")),
--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -347,14 +347,21 @@
 impl Records {
     /// When a courier heard of what an endpoint said then.
     fn heard(&self, courier: u32, at: Time) -> Time {
-        let cut = |c: &&Cut| c.endpoints && c.courier == courier && c.from <= at && at < c.until;
-        self.cuts.iter().filter(cut).map(|c| c.until).max().unwrap_or(at)
+        self.after_cuts(at, |c| c.endpoints && c.courier == courier)
     }
 
     /// When a client saw at the latest what a courier answered then.
     fn seen(&self, courier: u32, at: Time) -> Time {
-        let cut = |c: &&Cut| c.clients && c.courier == courier && c.from <= at && at < c.until;
-        self.cuts.iter().filter(cut).map(|c| c.until).max().unwrap_or(at)
+        self.after_cuts(at, |c| c.clients && c.courier == courier)
+    }
+
+    /// The end of the cuts that stand then, also of those that begin before the last one is over.
+    fn after_cuts(&self, mut at: Time, of: impl Fn(&Cut) -> bool + Copy) -> Time {
+        let stands = |at: Time| self.cuts.iter().filter(move |c| of(c) && c.from <= at && at < c.until);
+        while let Some(until) = stands(at).map(|c| c.until).max() {
+            at = until;
+        }
+        at
     }
 }
 
--- a/crates/rules/src/tests.rs
+++ b/crates/rules/src/tests.rs
@@ -121,6 +121,14 @@
     assert_eq!(broken(&cut(6 * S, 6 * S + 16 * MS)), only(1));
     assert_eq!(broken(&cut(3 * S, 4 * S + 14 * MS)), [0; 6]);
     assert_eq!(broken(&cut(3 * S, 4 * S + 16 * MS)), only(1));
+    // A second cut that began before the first was over holds it up until its own end.
+    let two = |from| {
+        let mut day = cut(3 * S, 7 * S + 14 * MS);
+        day.cuts.push(Cut { courier: 0, from, until: 7 * S, clients: true, endpoints: false });
+        day
+    };
+    assert_eq!(broken(&two(2 * S)), [0; 6]);
+    assert_eq!(broken(&two(5 * S)), only(1));
     let late = arrival(1, S + 6 * MS, Verdict::Served);
     assert_eq!(broken(&day(&[(S, Answer::Failed)], &[late])), only(1));
     // What is due while the courier stands still is due when it runs again, and not later.
