--- a/crates/emulator/src/network.rs
+++ b/crates/emulator/src/network.rs
@@ -471,8 +471,7 @@
         };
         let drift = self.clocks.random_range(-self.model.drift..=self.model.drift);
         let ahead = self.clocks.random_range(0..=self.model.apart);
-        let apart = (self.fleet.day.clients.clocks_ms * 5e5) as i64;
-        let off = self.clocks.random_range(-apart..=apart);
+        let off = self.fleet.clock_off(&mut self.clocks);
         let disk = self.disks.entry(courier).or_default();
         let (host, kept) = Host::start(self.now, life, start, (ahead, drift, off), disk);
         self.hosts.insert(courier, host);
--- a/crates/stage/src/fleet.rs
+++ b/crates/stage/src/fleet.rs
@@ -326,6 +326,13 @@
         self.seed ^ (u64::from(courier) << 32) ^ u64::from(life)
     }
 
+    /// How far a wall clock is ahead of the right time, less where it is behind: any two differ by no more than
+    /// the day says.
+    pub fn clock_off(&self, rng: &mut impl Rng) -> i64 {
+        let most = millis(self.day.clients.clocks_ms / 2.0) as i64;
+        rng.random_range(-most..=most)
+    }
+
     /// The topics, by class.
     pub fn topics(&self) -> Vec<String> {
         self.day.class.iter().map(|c| c.name.clone()).collect()
--- a/crates/stage/src/stage/clients.rs
+++ b/crates/stage/src/stage/clients.rs
@@ -41,11 +41,12 @@
             self.hand_at(self.now + 100_000_000, number, attempt);
             return Ok(());
         };
-        let Some(Role::Producer(p)) = self.roles.get(&token) else {
+        let wall = self.wires.wall();
+        let Some(Role::Producer(p)) = self.roles.get_mut(&token) else {
             self.hand_at(self.now + 100_000_000, number, attempt);
             return Ok(());
         };
-        let made = self.wires.wall().saturating_add_signed(p.off);
+        let made = wall.saturating_add_signed(p.off);
         let header = |name: &str, value: String| (name.to_owned(), Some(Bytes::from(value)));
         let record = Record {
             key: planned.key.map(|k| Bytes::copy_from_slice(&k.to_be_bytes())),
@@ -56,10 +57,6 @@
             ],
             timestamp: (made / 1_000_000) as i64,
         };
-        let Some(Role::Producer(p)) = self.roles.get_mut(&token) else {
-            self.hand_at(self.now + 100_000_000, number, attempt);
-            return Ok(());
-        };
         p.correlation += 1;
         p.order += 1;
         let to = [client::To {
@@ -124,8 +121,7 @@
         if answer == Answer::Refused {
             let number = h.message as usize;
             let attempt = self.tries.get(&number).copied().unwrap_or(0);
-            let [least, most] = self.fleet.day.clients.again_ms;
-            let wait = millis(least + self.rng.random::<f64>() * (most - least));
+            let wait = self.again();
             let wait = wait.max(u64::try_from(produced.throttle_ms).unwrap_or(0) * 1_000_000);
             if attempt < self.fleet.day.clients.retries {
                 self.hand_at(self.now + wait, number, attempt + 1);
@@ -133,6 +129,12 @@
         }
     }
 
+    /// How long a client waits before it hands a message in again.
+    fn again(&mut self) -> Time {
+        let [least, most] = self.fleet.day.clients.again_ms;
+        millis(least + self.rng.random::<f64>() * (most - least))
+    }
+
     /// A client has waited long enough for what it handed in: it breaks the connection.
     pub(super) fn impatient(&mut self, at: usize) {
         let h = &self.handed[at];
@@ -165,8 +167,7 @@
                 RepeatKind::Unsafe => false,
             };
             if harmless || !p.up {
-                let [least, most] = self.fleet.day.clients.again_ms;
-                let wait = millis(least + self.rng.random::<f64>() * (most - least));
+                let wait = self.again();
                 let attempt = self.tries.get(&number).copied().unwrap_or(0);
                 self.left.insert(number, p.courier);
                 self.hand_at(self.now + wait, number, attempt);
--- a/crates/stage/src/stage/couriers.rs
+++ b/crates/stage/src/stage/couriers.rs
@@ -27,8 +27,7 @@
     pub(super) fn produce_to(&mut self, n: u32) -> Token {
         let life = self.posts[n as usize].life;
         let token = self.wires.connect(n);
-        let apart = millis(self.fleet.day.clients.clocks_ms / 2.0) as i64;
-        let off = self.clocks.random_range(-apart..=apart);
+        let off = self.fleet.clock_off(&mut self.clocks);
         let producer = Producer {
             courier: n,
             life,
