--- a/crates/edge/src/cli.rs
+++ b/crates/edge/src/cli.rs
@@ -2,7 +2,7 @@
 
 use crate::core::Policy;
 use crate::shell::{self, End, Options};
-use clap::{Parser, ValueEnum};
+use clap::{Parser, Subcommand, ValueEnum};
 use std::io::IsTerminal;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -18,8 +18,11 @@
 /// Exit codes: 0 everything held has its answer; 1 it could not start or run; 2 the command line is wrong;
 /// 3 a second signal ended it before everything held had its answer.
 #[derive(Clone, Debug, Parser)]
-#[command(name = "linnetcart-edge", version)]
+#[command(name = "linnetcart-edge", version, args_conflicts_with_subcommands = true)]
 pub struct Args {
+    /// Instead of taking messages from Kafka producers
+    #[command(subcommand)]
+    pub front: Option<Front>,
     /// Where producers connect; port 0 lets the system choose
     #[arg(long, default_value = "127.0.0.1:9092", value_name = "ADDR")]
     pub kafka: SocketAddr,
@@ -49,6 +52,13 @@
     pub log_level: tracing::Level,
 }
 
+/// Other ways in and out than Kafka's.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Subcommand)]
+pub enum Front {
+    /// The platform's protocol on HTTP/1.1, told by RELAY_CONFIG and RELAY_STATE; ends within 4 s of SIGTERM
+    Platform,
+}
+
 /// Form of the logs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
 pub enum LogForm {
@@ -84,6 +94,16 @@
 /// Runs the program with someone else deciding, for comparisons.
 pub fn run_with(args: Args, policy: Policy) -> ExitCode {
     start_logs(args.log, args.log_level);
+    if let Some(Front::Platform) = args.front {
+        let run = linnetcart_platform::shell::Environment::read().and_then(linnetcart_platform::shell::run);
+        return run.map_or_else(
+            |e| {
+                tracing::error!("{e:#}");
+                ExitCode::FAILURE
+            },
+            |()| ExitCode::SUCCESS,
+        );
+    }
     let options = Options {
         kafka: args.kafka,
         control: args.control,
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -140,6 +140,7 @@
     later: Vec<Event>,
     rest_until: Option<Instant>,
     chunk: Vec<u8>,
+    reads: usize,
     most: usize,
 }
 
@@ -160,10 +161,16 @@
             later: Vec::new(),
             rest_until: None,
             chunk: vec![0; CHUNK],
+            reads: READS,
             most,
         })
     }
 
+    /// Reads so many bytes at once, and so often from one connection in one poll.
+    pub fn reads(&mut self, bytes: usize, reads: usize) {
+        (self.chunk, self.reads) = (vec![0; bytes], reads);
+    }
+
     /// Tells of these signals instead of dying by them.
     pub fn signals(&mut self, which: &[Signal]) -> io::Result<()> {
         let source = Signals::new(which)?;
@@ -496,7 +503,7 @@
     }
 
     fn read(&mut self, token: Token, out: &mut Vec<Event>) {
-        for _ in 0..READS {
+        for _ in 0..self.reads {
             let Some(c) = self.conns.get_mut(&token) else { return };
             if c.paused || c.read_ended {
                 return;
--- /dev/null
+++ b/crates/platform/src/core/agent.rs
@@ -0,0 +1,310 @@
+//! The two connections to discovery: the watch on the list, and the notices on messages that ended undelivered.
+
+use crate::config::News;
+use linnetcart::Time;
+use linnetcart_http::{answer, Answer, Chunks};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+
+const MS: Time = 1_000_000;
+/// A connection that failed is made again after this, and each time later up to the most.
+const GAP: Time = 20 * MS;
+const MOST_GAP: Time = 500 * MS;
+/// A connection that is not there by then has failed.
+const CONNECT_WITHIN: Time = 1000 * MS;
+/// A watch that is silent for this long is dead: a line comes every 2 s.
+const SILENT: Time = 2700 * MS;
+/// A notice is answered at once; what is not by then is sent again.
+const ANSWER_WITHIN: Time = 1000 * MS;
+/// Notices in one request.
+const TOGETHER: usize = 64;
+/// The most that a line of the watch may have: a list of thousands of endpoints.
+const LINE: usize = 4 << 20;
+
+/// State of a connection that is made again whenever it is lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Down { retry: Time },
+    Connecting { since: Time },
+    Up,
+}
+
+/// When and how often it is tried.
+#[derive(Debug)]
+struct Line {
+    state: State,
+    gap: Time,
+}
+
+impl Line {
+    fn new() -> Line {
+        Line { state: State::Down { retry: 0 }, gap: GAP }
+    }
+
+    fn down(&mut self, now: Time) {
+        self.state = State::Down { retry: now + self.gap };
+        self.gap = (2 * self.gap).min(MOST_GAP);
+    }
+
+    /// True: a connection is to be made now.
+    fn begins(&mut self, now: Time) -> bool {
+        let due = matches!(self.state, State::Down { retry } if retry <= now);
+        if due {
+            self.state = State::Connecting { since: now };
+        }
+        due
+    }
+
+    fn wake(&self, up: Time) -> Time {
+        match self.state {
+            State::Down { retry } => retry,
+            State::Connecting { since } => since + CONNECT_WITHIN,
+            State::Up => up,
+        }
+    }
+}
+
+/// What a connection's owner is to do about it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Need {
+    /// Nothing.
+    Nothing,
+    /// Make it.
+    Connect,
+    /// Give it up; it is made again later.
+    Close,
+}
+
+/// The watch on the list.
+#[derive(Debug)]
+pub struct Watch {
+    line: Line,
+    heard: Time,
+    head: Vec<u8>,
+    /// The head is there.
+    chunks: Option<Chunks>,
+    text: Vec<u8>,
+}
+
+/// The watch sent what it should not have.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum BadWatch {
+    /// Another answer than 200, or none at all.
+    #[error("the watch was answered with {0}")]
+    Answer(String),
+    /// A line that is no news of the list.
+    #[error("a line of the watch cannot be read: {0}")]
+    Line(String),
+    /// It ended.
+    #[error("the watch ended")]
+    Ended,
+}
+
+impl Watch {
+    /// One that is not begun.
+    pub fn new() -> Watch {
+        Watch { line: Line::new(), heard: 0, head: vec![], chunks: None, text: vec![] }
+    }
+
+    /// What is to be done now.
+    pub fn need(&mut self, now: Time) -> Need {
+        let silent = self.line.state == State::Up && self.heard + SILENT <= now;
+        let stuck = matches!(self.line.state, State::Connecting { since } if since + CONNECT_WITHIN <= now);
+        if silent || stuck {
+            self.line.down(now);
+            return Need::Close;
+        }
+        if self.line.begins(now) {
+            return Need::Connect;
+        }
+        Need::Nothing
+    }
+
+    /// When to look again.
+    pub fn wake(&self) -> Time {
+        self.line.wake(self.heard + SILENT)
+    }
+
+    /// The connection is there; these bytes are to be sent.
+    pub fn up(&mut self, now: Time, host: SocketAddr, index: u64) -> Vec<u8> {
+        self.line.state = State::Up;
+        (self.heard, self.chunks) = (now, None);
+        self.head.clear();
+        self.text.clear();
+        format!("GET /v1/endpoints?follow=1&since={index} HTTP/1.1\r\nHost: {host}\r\n\r\n").into_bytes()
+    }
+
+    /// The connection is gone, or was given up.
+    pub fn down(&mut self, now: Time) {
+        self.line.down(now);
+    }
+
+    /// Begins anew at once, at another address.
+    pub fn anew(&mut self) {
+        *self = Watch::new();
+    }
+
+    /// Bytes came: the news in them. After an error the connection is to be given up.
+    pub fn bytes(&mut self, now: Time, bytes: &[u8]) -> (Vec<News>, Option<BadWatch>) {
+        self.heard = now;
+        let mut first = Vec::new();
+        let mut rest = bytes;
+        let chunks = match &mut self.chunks {
+            Some(chunks) => chunks,
+            None => {
+                self.head.extend_from_slice(bytes);
+                match answer(&self.head) {
+                    Answer::Part { .. } => return (vec![], None),
+                    Answer::Head(head) if head.status == 200 && head.chunked => {
+                        first.extend(self.head.drain(..).skip(head.length));
+                        rest = &first;
+                        self.chunks.insert(Chunks::default())
+                    }
+                    Answer::Head(head) => {
+                        return (vec![], Some(BadWatch::Answer(format!("status {}", head.status))))
+                    }
+                    Answer::Spoilt { .. } => return (vec![], Some(BadWatch::Answer("noise".into()))),
+                }
+            }
+        };
+        let over = chunks.push(rest, &mut self.text);
+        let mut news = Vec::new();
+        let mut at = 0;
+        let mut bad = match over {
+            Ok(true) => Some(BadWatch::Ended),
+            Ok(false) => None,
+            Err(e) => Some(BadWatch::Line(e.to_string())),
+        };
+        while let Some(end) = self.text[at..].iter().position(|&b| b == b'\n') {
+            let line = self.text[at..at + end].trim_ascii();
+            at += end + 1;
+            if line.is_empty() {
+                continue;
+            }
+            match serde_json::from_slice(line) {
+                Ok(one) => news.push(one),
+                Err(e) => {
+                    bad = Some(BadWatch::Line(e.to_string()));
+                    break;
+                }
+            }
+        }
+        self.text.drain(..at);
+        if self.text.len() > LINE {
+            bad = Some(BadWatch::Line(format!("it has more than {LINE} bytes")));
+        }
+        if bad.is_none() {
+            self.line.gap = GAP;
+        }
+        (news, bad)
+    }
+}
+
+/// Notices that are not answered yet, in their order.
+#[derive(Debug)]
+pub struct Notices {
+    line: Line,
+    queue: VecDeque<(u32, Vec<u8>)>,
+    /// So many of the first are out.
+    out: usize,
+    asked: Time,
+    bytes: Vec<u8>,
+}
+
+impl Notices {
+    /// None.
+    pub fn new() -> Notices {
+        Notices { line: Line::new(), queue: VecDeque::new(), out: 0, asked: 0, bytes: vec![] }
+    }
+
+    /// Adds a message's.
+    pub fn push(&mut self, message: u32, line: Vec<u8>) {
+        self.queue.push_back((message, line));
+    }
+
+    /// Every notice is answered.
+    pub fn is_empty(&self) -> bool {
+        self.queue.is_empty()
+    }
+
+    /// What is to be done now.
+    pub fn need(&mut self, now: Time) -> Need {
+        let slow = self.line.state == State::Up && self.out > 0 && self.asked + ANSWER_WITHIN <= now;
+        let stuck = matches!(self.line.state, State::Connecting { since } if since + CONNECT_WITHIN <= now);
+        if slow || stuck {
+            self.down(now);
+            return Need::Close;
+        }
+        if !self.queue.is_empty() && self.line.begins(now) {
+            return Need::Connect;
+        }
+        Need::Nothing
+    }
+
+    /// When to look again.
+    pub fn wake(&self) -> Time {
+        if self.queue.is_empty() {
+            return Time::MAX;
+        }
+        self.line.wake(if self.out > 0 { self.asked + ANSWER_WITHIN } else { Time::MAX })
+    }
+
+    /// The connection is there.
+    pub fn up(&mut self) {
+        (self.line.state, self.out) = (State::Up, 0);
+        self.bytes.clear();
+    }
+
+    /// The connection is gone, or was given up: what was out goes again.
+    pub fn down(&mut self, now: Time) {
+        self.line.down(now);
+        self.out = 0;
+    }
+
+    /// Begins anew at once, at another address.
+    pub fn anew(&mut self) {
+        (self.line, self.out) = (Line::new(), 0);
+    }
+
+    /// The request to be sent now, if any.
+    pub fn ask(&mut self, now: Time, host: SocketAddr) -> Option<Vec<u8>> {
+        if self.line.state != State::Up || self.out > 0 || self.queue.is_empty() {
+            return None;
+        }
+        self.out = self.queue.len().min(TOGETHER);
+        self.asked = now;
+        let body: Vec<u8> = self.queue.iter().take(self.out).flat_map(|(_, l)| l.iter().copied()).collect();
+        let head = format!(
+            "POST /status HTTP/1.1\r\nHost: {host}\r\nContent-Type: application/x-ndjson\r\nContent-Length: {}\r\n\r\n",
+            body.len()
+        );
+        Some([head.as_bytes(), &body].concat())
+    }
+
+    /// Bytes came: the messages whose notices are answered. An error: the connection is to be given up.
+    pub fn bytes(&mut self, bytes: &[u8]) -> Result<Vec<u32>, String> {
+        self.bytes.extend_from_slice(bytes);
+        let head = match answer(&self.bytes) {
+            Answer::Part { .. } => return Ok(vec![]),
+            Answer::Spoilt { .. } => return Err("noise".into()),
+            Answer::Head(head) => head,
+        };
+        let Some(body) = head.body else { return Err(format!("a body without end after {}", head.status)) };
+        if self.bytes.len() < head.length + body {
+            return Ok(vec![]);
+        }
+        self.bytes.drain(..head.length + body);
+        match head.status {
+            200 | 204 => {
+                self.line.gap = GAP;
+                let told = self.queue.drain(..std::mem::take(&mut self.out)).map(|(message, _)| message);
+                let told = told.collect();
+                if head.last {
+                    self.line.state = State::Down { retry: 0 };
+                }
+                Ok(told)
+            }
+            status => Err(format!("status {status}")),
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/core/calls.rs
@@ -0,0 +1,326 @@
+//! Connections to endpoints: one call at a time on each, kept between calls as long as they are clean.
+
+use linnetcart::{Ending, Time};
+use linnetcart_http::{answer, decimal, Answer, AnswerHead};
+use linnetcart_site::{Site, LEFT, LIMIT};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// A connection of ours, as the core names it to the shell.
+pub type LinkId = u64;
+/// Message and attempt.
+pub type CallId = (u32, u16);
+
+const MS: Time = 1_000_000;
+/// Part of the endpoint's idle time after which we close: a close of theirs must not cross a call of ours.
+const IDLE_PART: (Time, Time) = (3, 4);
+/// A connection rests after an answer: what comes beside the answer must not be read as the next one.
+const SETTLE: Time = 10 * MS;
+/// A head that began with 200 may still bring a load report.
+const REST_OF_GOOD: Time = 50 * MS;
+/// An answer that began and does not go on is spoilt.
+const REST_OF_OTHER: Time = 1000 * MS;
+
+#[derive(Debug, PartialEq, Eq)]
+enum State {
+    Connecting { since: Time },
+    Out { began: Option<Time> },
+    Idle { since: Time },
+}
+
+#[derive(Debug)]
+struct Link {
+    endpoint: u32,
+    address: SocketAddr,
+    state: State,
+    call: Option<CallId>,
+    bytes: Vec<u8>,
+    /// Bytes queued so far: the call's last byte is at this place.
+    queued: u64,
+    /// Of an answer's body, still to come.
+    body: usize,
+}
+
+/// A call that ended, with what its answer told.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Done {
+    /// The call.
+    pub call: CallId,
+    /// How it ended.
+    pub ending: Ending,
+    /// The endpoint says that the message is over.
+    pub over: bool,
+    /// Share of the limit that is left, if told.
+    pub left: Option<f64>,
+    /// The limit, if told.
+    pub limit: Option<f64>,
+}
+
+impl Done {
+    /// One whose answer told nothing beside.
+    pub fn plain(call: CallId, ending: Ending) -> Done {
+        Done { call, ending, over: false, left: None, limit: None }
+    }
+}
+
+/// How a call may begin.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Begin {
+    /// On this connection, now.
+    Now(LinkId),
+    /// When this new connection is there.
+    Connect(LinkId),
+    /// Not at all: all connections are in use.
+    Full,
+}
+
+/// The connections.
+#[derive(Debug)]
+pub struct Links {
+    most: usize,
+    keep: Time,
+    connect_within: Time,
+    all: BTreeMap<LinkId, Link>,
+    calls: BTreeMap<CallId, LinkId>,
+    /// To be closed by the shell.
+    closed: Vec<LinkId>,
+}
+
+impl Links {
+    /// At most so many are kept.
+    pub fn new(most: usize, site: &Site) -> Links {
+        Links {
+            most,
+            keep: site.settings.connection_idle / IDLE_PART.1 * IDLE_PART.0,
+            connect_within: site.settings.connect_timeout,
+            all: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            closed: vec![],
+        }
+    }
+
+    /// How many there are, calls out among them.
+    pub fn len(&self) -> (usize, usize) {
+        (self.all.len(), self.calls.len())
+    }
+
+    /// Connections that were given up since the last time.
+    pub fn closed(&mut self) -> Vec<LinkId> {
+        std::mem::take(&mut self.closed)
+    }
+
+    fn drop_link(&mut self, id: LinkId) -> Option<CallId> {
+        let link = self.all.remove(&id)?;
+        self.closed.push(id);
+        link.call.iter().for_each(|call| {
+            self.calls.remove(call);
+        });
+        link.call
+    }
+
+    /// Begins a call; a connection that has to be made gets the name `new`.
+    pub fn begin(
+        &mut self,
+        call: CallId,
+        endpoint: u32,
+        address: SocketAddr,
+        now: Time,
+        new: LinkId,
+    ) -> Begin {
+        let free = |l: &Link| match l.state {
+            State::Idle { since } => {
+                l.endpoint == endpoint
+                    && l.address == address
+                    && since + SETTLE <= now
+                    && since + self.keep > now
+            }
+            _ => false,
+        };
+        let newest = self.all.iter().filter(|(_, l)| free(l)).max_by_key(|(&id, l)| match l.state {
+            State::Idle { since } => (since, id),
+            _ => (0, id),
+        });
+        if let Some(id) = newest.map(|(&id, _)| id) {
+            self.all.get_mut(&id).into_iter().for_each(|l| l.call = Some(call));
+            self.calls.insert(call, id);
+            return Begin::Now(id);
+        }
+        if self.all.len() >= self.most {
+            let idle = self.all.iter().filter_map(|(&id, l)| match l.state {
+                State::Idle { since } => Some((since, id)),
+                _ => None,
+            });
+            let Some((_, oldest)) = idle.min() else { return Begin::Full };
+            self.drop_link(oldest);
+        }
+        let link = Link {
+            endpoint,
+            address,
+            state: State::Connecting { since: now },
+            call: Some(call),
+            bytes: vec![],
+            queued: 0,
+            body: 0,
+        };
+        self.all.insert(new, link);
+        self.calls.insert(call, new);
+        Begin::Connect(new)
+    }
+
+    /// The call that a connection is for, if it is ours; `Some(None)` if it has none.
+    pub fn call(&self, id: LinkId) -> Option<Option<CallId>> {
+        self.all.get(&id).map(|l| l.call)
+    }
+
+    /// The call's bytes are queued.
+    pub fn sent(&mut self, id: LinkId, length: usize) {
+        if let Some(l) = self.all.get_mut(&id) {
+            l.queued += length as u64;
+            l.state = State::Out { began: None };
+            l.bytes = Vec::new();
+            l.body = 0;
+        }
+    }
+
+    /// Gives a call up. `Some(true)`: its bytes were queued, so it may run.
+    pub fn cancel(&mut self, call: CallId) -> Option<bool> {
+        let id = *self.calls.get(&call)?;
+        let out = self.all.get(&id).is_some_and(|l| matches!(l.state, State::Out { .. }));
+        self.drop_link(id);
+        Some(out)
+    }
+
+    /// Closes the idle connections to an endpoint.
+    pub fn close_idle(&mut self, endpoint: u32) {
+        let idle = |l: &Link| l.endpoint == endpoint && matches!(l.state, State::Idle { .. });
+        let ids: Vec<LinkId> = self.all.iter().filter(|(_, l)| idle(l)).map(|(&id, _)| id).collect();
+        for id in ids {
+            self.drop_link(id);
+        }
+    }
+
+    /// A connection could not be made.
+    pub fn failed(&mut self, id: LinkId) -> Option<Done> {
+        self.drop_link(id).map(|call| Done::plain(call, Ending::NoConnection))
+    }
+
+    /// A connection ended; the system took so many bytes of ours on it.
+    pub fn down(&mut self, id: LinkId, written: u64) -> Option<Done> {
+        let l = self.all.get(&id)?;
+        let ending = match l.state {
+            State::Connecting { .. } => Ending::NoConnection,
+            _ if written < l.queued => Ending::NoConnection,
+            _ if matches!(answer(&l.bytes), Answer::Part { ok: true }) => Ending::Served,
+            _ => Ending::Reset,
+        };
+        self.drop_link(id).map(|call| Done::plain(call, ending))
+    }
+
+    /// Bytes came on a connection.
+    pub fn bytes(&mut self, id: LinkId, bytes: &[u8], now: Time, site: &Site) -> Option<Done> {
+        let l = self.all.get_mut(&id)?;
+        let State::Out { began } = &mut l.state else {
+            // Nothing was asked: the rest of a body, or what belongs to no answer.
+            if bytes.len() > l.body {
+                self.drop_link(id);
+            } else {
+                l.body -= bytes.len();
+            }
+            return None;
+        };
+        began.get_or_insert(now);
+        l.bytes.extend_from_slice(bytes);
+        let call = l.call?;
+        match answer(&l.bytes) {
+            Answer::Part { .. } => None,
+            Answer::Spoilt { ok } => {
+                self.drop_link(id);
+                Some(Done::plain(call, if ok { Ending::Served } else { Ending::Error }))
+            }
+            Answer::Head(head) => self.head(id, call, &head, now, site),
+        }
+    }
+
+    fn head(&mut self, id: LinkId, call: CallId, head: &AnswerHead, now: Time, site: &Site) -> Option<Done> {
+        let l = self.all.get_mut(&id)?;
+        let here = l.bytes.len() - head.length;
+        // A spoilt answer has run, whatever its status: one that is to say otherwise has to be whole.
+        if head.status != 200 && head.body.is_some_and(|n| n > here) {
+            return None;
+        }
+        let (ending, over) = match head.body {
+            None if head.status != 200 => (Ending::Error, false),
+            _ => ending(head),
+        };
+        let (left, limit) = report(head, site);
+        let clean = !head.last && head.body.is_some_and(|n| n >= here);
+        if clean {
+            l.body = head.body.unwrap_or(0) - here;
+            (l.state, l.call, l.bytes) = (State::Idle { since: now }, None, Vec::new());
+            self.calls.remove(&call);
+        } else {
+            self.drop_link(id);
+        }
+        Some(Done { call, ending, over, left, limit })
+    }
+
+    /// Connections whose time is up.
+    pub fn overdue(&mut self, now: Time) -> Vec<Done> {
+        let mut done = Vec::new();
+        let ids: Vec<LinkId> =
+            self.all.iter().filter(|(_, l)| self.due(l) <= now).map(|(&id, _)| id).collect();
+        for id in ids {
+            let Some(l) = self.all.get(&id) else { continue };
+            let ending = match l.state {
+                State::Connecting { .. } => Ending::NoConnection,
+                _ if matches!(answer(&l.bytes), Answer::Part { ok: true }) => Ending::Served,
+                _ => Ending::Error,
+            };
+            done.extend(self.drop_link(id).map(|call| Done::plain(call, ending)));
+        }
+        done
+    }
+
+    fn due(&self, l: &Link) -> Time {
+        match l.state {
+            State::Connecting { since } => since + self.connect_within,
+            State::Idle { since } => since + self.keep,
+            State::Out { began: None } => Time::MAX,
+            State::Out { began: Some(at) } => {
+                let good = matches!(answer(&l.bytes), Answer::Part { ok: true });
+                at + if good { REST_OF_GOOD } else { REST_OF_OTHER }
+            }
+        }
+    }
+
+    /// When the next one's time is up.
+    pub fn wake(&self) -> Time {
+        self.all.values().map(|l| self.due(l)).min().unwrap_or(Time::MAX)
+    }
+}
+
+/// What an answer means, as the protocol's table has it; and whether it says that the message is over.
+fn ending(head: &AnswerHead) -> (Ending, bool) {
+    let wait = head.field("x-backoff-ms").and_then(decimal).unwrap_or(0).saturating_mul(MS);
+    match head.status {
+        200 => (Ending::Served, true),
+        429 => (Ending::Full { wait }, false),
+        503 if head.field("x-egress-full") == Some(b"1") => (Ending::NotSent { no_slot: true }, false),
+        503 => (Ending::Full { wait }, false),
+        504 => (Ending::NotSent { no_slot: false }, false),
+        410 => (Ending::NotSent { no_slot: false }, true),
+        _ => (Ending::Error, false),
+    }
+}
+
+/// The load report of an answer: share of the limit that is left, and the limit. What cannot be read is none.
+fn report(head: &AnswerHead, site: &Site) -> (Option<f64>, Option<f64>) {
+    let text = head.field("x-pressure").and_then(|v| std::str::from_utf8(v).ok()).unwrap_or("");
+    let value = |name: &str| {
+        site.report_place(name)?;
+        let mut pairs = text.split(',').map(str::trim).filter_map(|p| p.split_once('='));
+        let number: f64 = pairs.find(|p| p.0 == name)?.1.parse().ok()?;
+        (number.is_finite() && number >= 0.0).then_some(number)
+    };
+    (value(LEFT), value(LIMIT))
+}
--- /dev/null
+++ b/crates/platform/src/core/mod.rs
@@ -0,0 +1,841 @@
+//! The courier without its sockets, files and clock.
+//!
+//! Inputs may come in any number before a [`Core::turn`]; the turn hands all of them to the decision library at
+//! once and carries out what it decides. Its records go to the journal before any of its outputs leave.
+
+mod agent;
+mod calls;
+mod clients;
+mod directory;
+mod intake;
+
+pub use calls::LinkId;
+pub use clients::ClientId;
+
+use crate::config::{Config, News};
+use crate::records::{Attempt, End, Message, Owed, Record, Replay};
+use agent::{Need, Notices, Watch};
+use bytes::Bytes;
+use calls::{Begin, CallId, Done, Links};
+use clients::{Clients, Step};
+use directory::Directory;
+use intake::Handed;
+use linnetcart::{Action, Courier, Ending, Event, Listing, Outcome, Taken, Time};
+use linnetcart_http::encode_answer;
+use linnetcart_site::Site;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+
+const MS: Time = 1_000_000;
+/// How often connections of clients are looked through.
+const LOOK_THROUGH: Time = 100 * MS;
+/// After the signal to end, connections of clients go on for this long.
+const GO_ON: Time = 500 * MS;
+/// No round is played, so no call begun, later than this after the signal.
+const LAST_ROUND: Time = 2000 * MS;
+/// And nothing is waited for later than this.
+const LAST_ANSWER: Time = 3200 * MS;
+/// Descriptors that are neither clients' nor endpoints': listener, loop, signals, discovery, journal, logs.
+const OTHER_FILES: usize = 24;
+/// Part of the journal's room that messages on hand may take: the old file, the new one and growth need the rest.
+const HOLD_PART: u64 = 5;
+
+/// What the shell is to do, in this order.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    /// Write to a client.
+    ToClient(ClientId, Bytes),
+    /// Close a client's connection when what was written to it has left.
+    CloseClient(ClientId),
+    /// Connect.
+    Connect(LinkId, SocketAddr),
+    /// Write to an endpoint or to discovery.
+    ToLink(LinkId, Bytes),
+    /// Close a connection of ours at once.
+    CloseLink(LinkId),
+    /// Take no more connections.
+    Unlisten,
+}
+
+/// A message that is not over, or has attempts out, or whose end the platform has not heard of.
+#[derive(Debug)]
+struct Held {
+    owed: Owed,
+    /// Bytes that it takes in the journal.
+    size: u64,
+    due: Time,
+    live: u16,
+    /// It has its final answer.
+    over: bool,
+}
+
+/// An attempt out.
+#[derive(Debug)]
+struct Call {
+    endpoint: u32,
+    began: Time,
+    until: Time,
+    /// It waits for the notice on an earlier message of its key, or for a connection.
+    waits: bool,
+}
+
+/// Figures for the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Messages taken on, handed back at once, refused as unusable.
+    pub taken: u64,
+    /// Handed back without being taken on.
+    pub refused: u64,
+    /// Requests that are none.
+    pub unusable: u64,
+    /// Calls whose bytes were queued.
+    pub calls: u64,
+    /// Calls by ending: served, error, full, timed out, no connection, reset, cancelled, not sent.
+    pub endings: [u64; 8],
+    /// Connections made to endpoints.
+    pub connects: u64,
+    /// Notices: failed, returned.
+    pub notices: [u64; 2],
+}
+
+/// The courier.
+pub struct Core {
+    site: Site,
+    courier: Courier,
+    discovery: SocketAddr,
+    now: Time,
+    /// Wall clock minus clock.
+    wall: Time,
+    clients: Clients,
+    half_closed: Vec<ClientId>,
+    links: Links,
+    directory: Directory,
+    watch: Watch,
+    watch_link: Option<LinkId>,
+    notices: Notices,
+    notice_link: Option<LinkId>,
+    next_link: LinkId,
+    next_message: u32,
+    held: BTreeMap<u32, Held>,
+    ids: HashMap<Vec<u8>, u32>,
+    held_bytes: u64,
+    most_bytes: u64,
+    calls: BTreeMap<CallId, Call>,
+    /// Messages whose notices are not answered, by key.
+    telling: BTreeMap<u64, BTreeSet<u32>>,
+    events: Vec<Event>,
+    records: Vec<Record>,
+    outputs: Vec<Output>,
+    round_at: Time,
+    look_at: Time,
+    ending: Option<Time>,
+    ended: bool,
+    /// The journal takes nothing more: nothing may begin that depends on it.
+    broken: bool,
+    counts: Counts,
+    lines: Vec<String>,
+}
+
+impl Core {
+    /// A courier that goes on from what the journal holds. `wall` is the wall clock at `now`.
+    pub fn new(config: Config, replay: Replay, now: Time, wall: Time) -> Core {
+        let room = (config.limits.disk_mb * 1e6) as u64;
+        let sockets = config.limits.sockets.saturating_sub(OTHER_FILES);
+        let mut core = Core {
+            clients: Clients::new(sockets / 2),
+            half_closed: vec![],
+            links: Links::new(sockets - sockets / 2, &config.site),
+            courier: Courier::new(config.site.settings.clone(), config.seed),
+            discovery: config.discovery,
+            site: config.site,
+            now,
+            wall: wall.saturating_sub(now),
+            directory: Directory::default(),
+            watch: Watch::new(),
+            watch_link: None,
+            notices: Notices::new(),
+            notice_link: None,
+            next_link: 1,
+            next_message: replay.next,
+            held: BTreeMap::new(),
+            ids: HashMap::new(),
+            held_bytes: 0,
+            most_bytes: room / HOLD_PART,
+            calls: BTreeMap::new(),
+            telling: BTreeMap::new(),
+            events: vec![],
+            records: vec![],
+            outputs: vec![],
+            round_at: now,
+            look_at: now,
+            ending: None,
+            ended: false,
+            broken: false,
+            counts: Counts::default(),
+            lines: vec![],
+        };
+        let known = News { snapshot: true, ..config.known };
+        core.news(known);
+        for (number, owed) in replay.owed {
+            core.resume(number, owed);
+        }
+        core
+    }
+
+    /// The journal's records that come to what is held: all that a new file of it needs.
+    pub fn snapshot(&self) -> Vec<Record> {
+        let open = self.held.iter().filter(|(_, h)| h.owed.end != Some(End::Delivered));
+        open.flat_map(|(&number, h)| h.owed.records(number)).collect()
+    }
+
+    /// Records since the last time; to be written before the outputs are carried out.
+    pub fn records(&mut self) -> Vec<Record> {
+        std::mem::take(&mut self.records)
+    }
+
+    /// What is to be done.
+    pub fn outputs(&mut self) -> Vec<Output> {
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// Lines for the log.
+    pub fn lines(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.lines)
+    }
+
+    /// Figures for the log.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// Messages held, endpoints, connections of clients, connections to endpoints, calls out.
+    pub fn sizes(&self) -> [usize; 5] {
+        let (links, calls) = self.links.len();
+        [self.held.len(), self.directory.len(), self.clients.len(), links, calls]
+    }
+
+    /// Nothing more is to be waited for: the program may end.
+    pub fn is_done(&self) -> bool {
+        self.ended
+    }
+
+    /// When the next turn is due at the latest.
+    pub fn next_turn(&self) -> Time {
+        if !self.events.is_empty() {
+            return self.now;
+        }
+        let mut at = self.round_at.min(self.look_at).min(self.links.wake());
+        at = at.min(self.watch.wake()).min(self.notices.wake());
+        self.calls.values().map(|c| c.until).fold(at, Time::min)
+    }
+
+    // ---- Inputs
+
+    /// The clock; to be told before the inputs that came by then.
+    pub fn clock(&mut self, now: Time) {
+        self.now = self.now.max(now);
+    }
+
+    /// A client connected.
+    pub fn client_opened(&mut self, id: ClientId) {
+        if let Some(goes) = self.clients.opened(id, self.now) {
+            self.outputs.push(Output::CloseClient(goes));
+        }
+    }
+
+    /// A client sent bytes.
+    pub fn client_bytes(&mut self, id: ClientId, bytes: &[u8]) {
+        if self.clients.bytes(id, bytes, self.now) {
+            self.step(id);
+        }
+    }
+
+    /// A client sends no more; what it asked before is answered in this turn.
+    pub fn client_half_closed(&mut self, id: ClientId) {
+        self.half_closed.push(id);
+    }
+
+    /// A client is gone.
+    pub fn client_gone(&mut self, id: ClientId) {
+        self.clients.gone(id);
+    }
+
+    /// A connection of ours is there.
+    pub fn link_up(&mut self, id: LinkId) {
+        if self.watch_link == Some(id) {
+            let ask = self.watch.up(self.now, self.discovery, self.directory.index);
+            self.outputs.push(Output::ToLink(id, ask.into()));
+        } else if self.notice_link == Some(id) {
+            self.notices.up();
+        } else if let Some(Some(call)) = self.links.call(id) {
+            self.start(call, id);
+        }
+    }
+
+    /// A connection of ours could not be made.
+    pub fn link_failed(&mut self, id: LinkId) {
+        if !self.agent_down(id) {
+            let done = self.links.failed(id);
+            done.into_iter().for_each(|done| self.done(done));
+        }
+    }
+
+    /// A connection of ours ended; the system took so many bytes of ours on it.
+    pub fn link_down(&mut self, id: LinkId, written: u64) {
+        if !self.agent_down(id) {
+            let done = self.links.down(id, written);
+            done.into_iter().for_each(|done| self.done(done));
+        }
+    }
+
+    /// Bytes came on a connection of ours.
+    pub fn link_bytes(&mut self, id: LinkId, bytes: &[u8]) {
+        if self.watch_link == Some(id) {
+            let (news, bad) = self.watch.bytes(self.now, bytes);
+            news.into_iter().for_each(|news| self.news(news));
+            if let Some(bad) = bad {
+                self.lines.push(format!("discovery: {bad}; the watch begins anew"));
+                self.outputs.push(Output::CloseLink(id));
+                self.agent_down(id);
+            }
+        } else if self.notice_link == Some(id) {
+            match self.notices.bytes(bytes) {
+                Ok(told) => told.into_iter().for_each(|message| self.told(message)),
+                Err(why) => {
+                    self.lines.push(format!("discovery: notices were answered with {why}; they go again"));
+                    self.outputs.push(Output::CloseLink(id));
+                    self.agent_down(id);
+                }
+            }
+        } else {
+            let done = self.links.bytes(id, bytes, self.now, &self.site);
+            done.into_iter().for_each(|done| self.done(done));
+        }
+    }
+
+    fn agent_down(&mut self, id: LinkId) -> bool {
+        if self.watch_link == Some(id) {
+            self.watch_link = None;
+            self.watch.down(self.now);
+        } else if self.notice_link == Some(id) {
+            self.notice_link = None;
+            self.notices.down(self.now);
+        } else {
+            return false;
+        }
+        true
+    }
+
+    /// Discovery is elsewhere now.
+    pub fn discovery_at(&mut self, address: SocketAddr) {
+        if address == self.discovery {
+            return;
+        }
+        self.discovery = address;
+        for link in [self.watch_link.take(), self.notice_link.take()].into_iter().flatten() {
+            self.outputs.push(Output::CloseLink(link));
+        }
+        self.watch.anew();
+        self.notices.anew();
+    }
+
+    /// The process is to end soon.
+    pub fn end(&mut self) {
+        self.ending.get_or_insert(self.now);
+    }
+
+    /// The journal takes nothing more, or takes records again.
+    pub fn journal_broken(&mut self, broken: bool) {
+        self.broken = broken;
+    }
+
+    fn news(&mut self, news: News) {
+        let (event, stale) = self.directory.take(&news, &self.site, self.now);
+        self.events.push(event);
+        stale.into_iter().for_each(|endpoint| self.links.close_idle(endpoint));
+    }
+
+    // ---- A turn
+
+    /// Plays a round of the library with all that came, and carries out what it decides.
+    pub fn turn(&mut self, now: Time) {
+        self.clock(now);
+        let now = self.now;
+        for done in self.links.overdue(now) {
+            self.done(done);
+        }
+        let late: Vec<CallId> =
+            self.calls.iter().filter(|(_, c)| c.until <= now).map(|(&id, _)| id).collect();
+        late.into_iter().for_each(|call| self.give_up(call, Ending::TimedOut));
+        let fresh: BTreeMap<u32, ClientId> =
+            self.clients.fresh().into_iter().filter_map(|id| self.step(id)).collect();
+        let playing = self.ending.is_none_or(|since| now < since + LAST_ROUND);
+        if playing && (self.round_at <= now || !self.events.is_empty()) {
+            self.round_at = Time::MAX;
+            let events = std::mem::take(&mut self.events);
+            let actions = self.courier.round(now, events);
+            self.answer_fresh(&fresh, &actions);
+            for action in actions {
+                self.act(action);
+            }
+        } else if !playing {
+            self.round_at = Time::MAX;
+            self.events.clear();
+            self.answer_fresh(&fresh, &[]);
+        }
+        std::mem::take(&mut self.half_closed).into_iter().for_each(|id| self.close(id));
+        self.agents();
+        self.look_through();
+        let closed = self.links.closed();
+        // Before the calls of this turn, so that their slots are free by then.
+        let closed: Vec<Output> = closed.into_iter().map(Output::CloseLink).collect();
+        self.outputs.splice(0..0, closed);
+        if let Some(since) = self.ending {
+            let idle = self.calls.is_empty() && self.notices.is_empty();
+            self.ended = since + LAST_ANSWER <= now || (since + LAST_ROUND <= now && idle);
+        }
+    }
+
+    fn agents(&mut self) {
+        let now = self.now;
+        match self.watch.need(now) {
+            Need::Nothing => {}
+            Need::Connect => self.watch_link = Some(self.connect(self.discovery)),
+            Need::Close => {
+                self.lines.push("discovery: the watch is silent and begins anew".into());
+                let link = self.watch_link.take();
+                self.outputs.extend(link.map(Output::CloseLink));
+            }
+        }
+        match self.notices.need(now) {
+            Need::Nothing => {}
+            Need::Connect => self.notice_link = Some(self.connect(self.discovery)),
+            Need::Close => {
+                let link = self.notice_link.take();
+                self.outputs.extend(link.map(Output::CloseLink));
+            }
+        }
+        if let (Some(link), Some(ask)) = (self.notice_link, self.notices.ask(now, self.discovery)) {
+            self.outputs.push(Output::ToLink(link, ask.into()));
+        }
+    }
+
+    fn connect(&mut self, address: SocketAddr) -> LinkId {
+        let link = self.link();
+        self.outputs.push(Output::Connect(link, address));
+        link
+    }
+
+    fn link(&mut self) -> LinkId {
+        self.next_link += 1;
+        self.next_link
+    }
+
+    fn look_through(&mut self) {
+        let now = self.now;
+        if now < self.look_at {
+            return;
+        }
+        self.look_at = now + LOOK_THROUGH;
+        let leaving = self.ending.is_some_and(|since| since + GO_ON <= now);
+        for (id, asking) in self.clients.overdue(now, leaving) {
+            if asking {
+                self.refuse(id, 408, "the request did not come in time");
+            } else {
+                self.close(id);
+            }
+        }
+        if leaving {
+            self.outputs.push(Output::Unlisten);
+        }
+    }
+
+    fn close(&mut self, id: ClientId) {
+        self.clients.gone(id);
+        self.outputs.push(Output::CloseClient(id));
+    }
+
+    // ---- Taking on
+
+    /// Acts on what a client sent. A message that waits for the round is returned.
+    fn step(&mut self, id: ClientId) -> Option<(u32, ClientId)> {
+        let request = match self.clients.step(id) {
+            Step::Wait => return None,
+            Step::Bad(refusal) => {
+                self.refuse(id, refusal.status(), &refusal.to_string());
+                return None;
+            }
+            Step::Rude => {
+                self.refuse(id, 400, "one request at a time");
+                return None;
+            }
+            Step::Request(request) => request,
+        };
+        if request.path() == b"/ready" && request.method() == b"GET" {
+            let last = request.last;
+            self.answer(id, 200, &[], b"", last);
+            return None;
+        }
+        let (body, last) = (request.body().to_vec(), request.last);
+        match intake::read(&request, &self.site) {
+            Err((status, why)) => {
+                self.refuse(id, status, why);
+                None
+            }
+            Ok(handed) => self.take(id, handed, body, last),
+        }
+    }
+
+    fn take(
+        &mut self,
+        client: ClientId,
+        handed: Handed,
+        body: Vec<u8>,
+        last: bool,
+    ) -> Option<(u32, ClientId)> {
+        if !self.directory.has_destination(handed.destination) {
+            self.refuse(client, 404, "there is no such destination");
+            return None;
+        }
+        if let Some(&number) = self.ids.get(&handed.id) {
+            let same = self.held.get(&number).is_some_and(|h| {
+                let m = &h.owed.message;
+                (m.class, m.destination, m.line) == (handed.class, handed.destination, handed.line)
+                    && m.body == body
+            });
+            match same {
+                true => self.answer(client, 202, &[], b"", last),
+                false => self.refuse(client, 409, "this id is in use"),
+            }
+            return None;
+        }
+        let Handed { id, token, class, destination, line, left } = handed;
+        let due = self.now + left;
+        let message = Message { id, token, class, destination, line, due: due + self.wall, body };
+        let owed = Owed { message, attempts: 0, maybe: vec![], end: None };
+        let size = size(&owed);
+        let most = self.site.settings.max_held as usize;
+        let open = self.ids.len();
+        if open >= most || self.held_bytes + size > self.most_bytes || self.broken || left == 0 {
+            self.counts.refused += 1;
+            self.answer(client, 503, &[], b"", last);
+            return None;
+        }
+        let mut number = self.next_message;
+        while self.held.contains_key(&number) {
+            number = number.wrapping_add(1);
+        }
+        self.next_message = number.wrapping_add(1);
+        self.clients.asks(client);
+        self.hold(number, owed, size, due);
+        self.events.push(Event::Taken(Taken {
+            id: number,
+            destination,
+            class,
+            time_left: left,
+            key: line,
+            tenant: 0,
+        }));
+        Some((number, client))
+    }
+
+    fn hold(&mut self, number: u32, owed: Owed, size: u64, due: Time) {
+        self.held_bytes += size;
+        if owed.end.is_none() {
+            self.ids.insert(owed.message.id.clone(), number);
+        }
+        let over = owed.end.is_some();
+        self.held.insert(number, Held { owed, size, due, live: 0, over });
+    }
+
+    /// Takes up a message that an earlier process took on.
+    fn resume(&mut self, number: u32, owed: Owed) {
+        let due = owed.message.due.saturating_sub(self.wall).max(self.now);
+        let (m, size) = (&owed.message, size(&owed));
+        if usize::from(m.class) >= self.site.classes.len() {
+            self.lines.push(format!("message {number} is of a class that there is no more"));
+            return;
+        }
+        let taken = Taken {
+            id: number,
+            destination: m.destination,
+            class: m.class,
+            time_left: due - self.now,
+            key: m.line,
+            tenant: 0,
+        };
+        let end = owed.end;
+        if end.is_none() {
+            self.events.push(Event::Taken(taken));
+        }
+        self.hold(number, owed, size, due);
+        if let Some(end) = end {
+            self.tell(number, end);
+        }
+    }
+
+    /// Answers those whose messages came with this round: handed back or failed in it, or taken on.
+    fn answer_fresh(&mut self, fresh: &BTreeMap<u32, ClientId>, actions: &[Action]) {
+        let mut ended: BTreeMap<u32, Option<Time>> = BTreeMap::new();
+        for action in actions {
+            match action {
+                Action::Refuse { message, come_back } => drop(ended.insert(*message, Some(*come_back))),
+                Action::Fail { message } => drop(ended.insert(*message, None)),
+                _ => {}
+            }
+        }
+        for (&number, &client) in fresh {
+            match ended.get(&number) {
+                None => {
+                    if let Some(h) = self.held.get(&number) {
+                        self.records.push(Record::Taken(number, h.owed.message.clone()));
+                    }
+                    self.counts.taken += 1;
+                    self.answer(client, 202, &[], b"", false);
+                }
+                Some(end) => {
+                    self.forget(number);
+                    match end {
+                        Some(come_back) => {
+                            self.counts.refused += 1;
+                            let after = format!("{:.3}", *come_back as f64 / 1e9);
+                            let field = [("Retry-After", &after[..])];
+                            self.answer(client, 503, if *come_back > 0 { &field } else { &[] }, b"", false);
+                        }
+                        None => self.answer(client, 500, &[], b"", false),
+                    }
+                }
+            }
+        }
+    }
+
+    fn answer(&mut self, id: ClientId, status: u16, fields: &[(&str, &str)], body: &[u8], last: bool) {
+        let last = last || self.ending.is_some_and(|since| since + GO_ON <= self.now);
+        self.outputs.push(Output::ToClient(id, encode_answer(status, fields, body, last).into()));
+        self.clients.answered(id, self.now);
+        if last {
+            self.close(id);
+        }
+    }
+
+    /// A request that is none, or cannot be used: an answer, and the connection ends.
+    fn refuse(&mut self, id: ClientId, status: u16, why: &str) {
+        self.counts.unusable += 1;
+        self.answer(id, status, &[], format!("{why}\n").as_bytes(), true);
+    }
+
+    // ---- Carrying out
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Send { message, endpoint, until } => self.send(message, endpoint, until),
+            Action::Cancel { message, attempt } => self.give_up((message, attempt), Ending::Cancelled),
+            Action::Refuse { message, come_back } => {
+                self.over(message, End::Returned((come_back / MS) as u32));
+            }
+            Action::Fail { message } => self.over(message, End::Failed),
+            Action::Close { endpoint } => self.links.close_idle(endpoint),
+            Action::Wake { at } => self.round_at = self.round_at.min(at),
+            Action::Log(line) => self.lines.push(line),
+            // The watch is always there; probes and notes are off on this platform.
+            Action::Watch | Action::Probe { .. } | Action::Note { .. } => {}
+        }
+    }
+
+    fn send(&mut self, message: u32, endpoint: u32, until: Time) {
+        let Some(h) = self.held.get_mut(&message) else { return };
+        let number = h.owed.attempts;
+        h.owed.attempts += 1;
+        h.live += 1;
+        let until = if until == 0 { h.due } else { until.min(h.due) };
+        let call = Call { endpoint, began: self.now, until, waits: true };
+        self.calls.insert((message, number), call);
+        self.begin((message, number));
+    }
+
+    /// Starts a call, unless a notice on an earlier message of its key is not answered.
+    fn begin(&mut self, id: CallId) {
+        let (Some(call), Some(h)) = (self.calls.get(&id), self.held.get(&id.0)) else { return };
+        let line = h.owed.message.line;
+        if line != 0 && self.telling.get(&line).is_some_and(|t| t.iter().any(|&m| m != id.0)) {
+            return;
+        }
+        let known = self.directory.get(call.endpoint).filter(|k| k.listing == Listing::Ready);
+        let Some(address) = known.map(|k| k.address) else {
+            return self.done(Done::plain(id, Ending::NoConnection));
+        };
+        let (endpoint, new) = (call.endpoint, self.link());
+        match self.links.begin(id, endpoint, address, self.now, new) {
+            Begin::Now(link) => self.start(id, link),
+            Begin::Connect(link) => {
+                self.counts.connects += 1;
+                self.outputs.push(Output::Connect(link, address));
+            }
+            Begin::Full => self.done(Done::plain(id, Ending::NoConnection)),
+        }
+    }
+
+    /// The connection of a call is there: from here on it may run.
+    fn start(&mut self, id: CallId, link: LinkId) {
+        let (Some(call), Some(h)) = (self.calls.get_mut(&id), self.held.get_mut(&id.0)) else { return };
+        let known = self.directory.get(call.endpoint).filter(|k| k.listing == Listing::Ready);
+        let Some(known) = known.filter(|_| !self.broken) else {
+            // It drains or is gone since the connection was begun, or the journal takes nothing.
+            self.links.cancel(id);
+            return self.done(Done::plain(id, Ending::NoConnection));
+        };
+        call.waits = false;
+        let attempt = Attempt { number: id.1, zone: known.zone, at: self.now + self.wall };
+        h.owed.maybe.push(attempt);
+        self.records.push(Record::Sent { message: id.0, attempt });
+        let m = &h.owed.message;
+        let left = call.until.saturating_sub(self.now) / MS;
+        let mut bytes = format!("POST /receive HTTP/1.1\r\nHost: {}\r\nX-Txn: ", known.address).into_bytes();
+        bytes.extend(&m.id);
+        if let Some(token) = &m.token {
+            bytes.extend(b"\r\nIdempotency-Key: ");
+            bytes.extend(token);
+        }
+        let rest = format!("\r\nX-Remaining-Ms: {left}\r\nContent-Length: {}\r\n\r\n", m.body.len());
+        bytes.extend(rest.into_bytes());
+        bytes.extend(&m.body);
+        self.counts.calls += 1;
+        self.links.sent(link, bytes.len());
+        self.outputs.push(Output::ToLink(link, bytes.into()));
+    }
+
+    /// Ends an attempt from our side.
+    fn give_up(&mut self, id: CallId, ending: Ending) {
+        if !self.calls.contains_key(&id) {
+            return;
+        }
+        // What was never sent has never run.
+        let out = self.links.cancel(id).unwrap_or(false);
+        let ending = if out { ending } else { Ending::NotSent { no_slot: false } };
+        self.done(Done::plain(id, ending));
+    }
+
+    /// An attempt ended.
+    fn done(&mut self, done: Done) {
+        let Some(call) = self.calls.remove(&done.call) else { return };
+        let (message, attempt) = done.call;
+        self.counts.endings[place(done.ending)] += 1;
+        let Some(h) = self.held.get_mut(&message) else { return };
+        h.live -= 1;
+        let never_ran =
+            matches!(done.ending, Ending::Full { .. } | Ending::NoConnection | Ending::NotSent { .. });
+        let was_sent = h.owed.maybe.iter().any(|a| a.number == attempt);
+        if never_ran && was_sent {
+            h.owed.maybe.retain(|a| a.number != attempt);
+            self.records.push(Record::NeverRan { message, attempt });
+        }
+        let ends = done.ending == Ending::Served || done.over;
+        if ends && !h.over {
+            h.over = true;
+            h.owed.end = Some(End::Delivered);
+            self.ids.remove(&h.owed.message.id);
+            self.records.push(Record::Ended { message, end: End::Delivered });
+        }
+        let over = h.over;
+        self.events.push(Event::Ended(Outcome {
+            message,
+            attempt,
+            endpoint: call.endpoint,
+            ending: done.ending,
+            took: self.now - call.began,
+            over,
+            left: done.left,
+            limit: done.limit,
+        }));
+        self.settle(message);
+    }
+
+    /// The library ended a message.
+    fn over(&mut self, message: u32, end: End) {
+        let Some(h) = self.held.get_mut(&message).filter(|h| !h.over) else { return };
+        h.over = true;
+        h.owed.end = Some(end);
+        self.ids.remove(&h.owed.message.id);
+        self.records.push(Record::Ended { message, end });
+        self.tell(message, end);
+    }
+
+    /// The platform is to hear of an end.
+    fn tell(&mut self, message: u32, end: End) {
+        let Some(h) = self.held.get(&message) else { return };
+        let id = String::from_utf8_lossy(&h.owed.message.id).into_owned();
+        let mut notice = serde_json::json!({"id": id, "state": "failed"});
+        match end {
+            End::Delivered => return,
+            End::Failed => self.counts.notices[0] += 1,
+            End::Returned(after) => {
+                self.counts.notices[1] += 1;
+                notice["state"] = "returned".into();
+                if after > 0 {
+                    notice["after_ms"] = after.into();
+                }
+            }
+        }
+        let line = h.owed.message.line;
+        if line != 0 {
+            self.telling.entry(line).or_default().insert(message);
+        }
+        self.notices.push(message, format!("{notice}\n").into_bytes());
+    }
+
+    /// The platform has heard of a message's end.
+    fn told(&mut self, message: u32) {
+        let Some(h) = self.held.get_mut(&message) else { return };
+        h.owed.end = Some(End::Delivered);
+        self.records.push(Record::Told { message });
+        let line = h.owed.message.line;
+        if let Some(telling) = self.telling.get_mut(&line) {
+            telling.remove(&message);
+            if telling.is_empty() {
+                self.telling.remove(&line);
+            }
+            let waiting = self.calls.iter().filter(|(_, c)| c.waits).map(|(&id, _)| id);
+            let mine = |id: &CallId| self.held.get(&id.0).is_some_and(|h| h.owed.message.line == line);
+            let waiting: Vec<CallId> = waiting.filter(mine).collect();
+            waiting.into_iter().for_each(|id| self.begin(id));
+        }
+        self.settle(message);
+    }
+
+    /// Forgets a message of which nothing is owed or out.
+    fn settle(&mut self, message: u32) {
+        let done = |h: &Held| h.over && h.live == 0 && h.owed.end == Some(End::Delivered);
+        if self.held.get(&message).is_some_and(done) {
+            self.forget(message);
+        }
+    }
+
+    fn forget(&mut self, message: u32) {
+        if let Some(h) = self.held.remove(&message) {
+            self.held_bytes -= h.size;
+            if self.ids.get(&h.owed.message.id) == Some(&message) {
+                self.ids.remove(&h.owed.message.id);
+            }
+        }
+    }
+}
+
+/// Bytes that a message takes in the journal, with room for its attempts and its end.
+fn size(owed: &Owed) -> u64 {
+    const ROOM: usize = 512;
+    let m = &owed.message;
+    (m.id.len() + m.token.as_ref().map_or(0, Vec::len) + m.body.len() + ROOM) as u64
+}
+
+fn place(ending: Ending) -> usize {
+    match ending {
+        Ending::Served => 0,
+        Ending::Error => 1,
+        Ending::Full { .. } => 2,
+        Ending::TimedOut => 3,
+        Ending::NoConnection => 4,
+        Ending::Reset => 5,
+        Ending::Cancelled => 6,
+        Ending::NotSent { .. } => 7,
+    }
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,12 @@
+//! The courier on the platform's own protocol.
+//!
+//! [`core`] is free of I/O: bytes, clock readings and endings of connections go in; bytes, connects, closes and
+//! records for the journal come out. It hands every decision on messages to the library [`linnetcart`] and
+//! carries out what comes back. [`shell`] moves bytes and files and decides nothing.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod config;
+pub mod core;
+pub mod records;
+pub mod shell;
--- /dev/null
+++ b/crates/platform/src/records.rs
@@ -0,0 +1,304 @@
+//! What the journal holds, and what it comes to when it is read again.
+//!
+//! | record | written before |
+//! | --- | --- |
+//! | taken | the client is told |
+//! | sent | the first byte of the call |
+//! | never ran | the message is sent again |
+//! | ended | the platform is told; for a delivered one, before anything else is done for it |
+//! | told | the notice is forgotten |
+//!
+//! An attempt that was sent and is not known never to have run may have run.
+
+use linnetcart::Time;
+use linnetcart_journal::Record as Raw;
+use std::collections::BTreeMap;
+
+/// One record.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Record {
+    /// A message was taken on.
+    Taken(u32, Message),
+    /// An attempt began.
+    Sent {
+        /// The message.
+        message: u32,
+        /// The attempt, counted from 0.
+        attempt: Attempt,
+    },
+    /// An attempt never ran.
+    NeverRan {
+        /// The message.
+        message: u32,
+        /// The attempt's number.
+        attempt: u16,
+    },
+    /// A message is over.
+    Ended {
+        /// The message.
+        message: u32,
+        /// How.
+        end: End,
+    },
+    /// The platform has heard of its end.
+    Told {
+        /// The message.
+        message: u32,
+    },
+}
+
+/// A message as it was handed in.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Message {
+    /// Its id.
+    pub id: Vec<u8>,
+    /// Its idempotency key.
+    pub token: Option<Vec<u8>>,
+    /// Its class.
+    pub class: u8,
+    /// Its destination.
+    pub destination: u32,
+    /// The key that it keeps order by; 0 for none.
+    pub line: u64,
+    /// When its time is up, nanoseconds of the wall clock.
+    pub due: Time,
+    /// Its body.
+    pub body: Vec<u8>,
+}
+
+/// An attempt that began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Attempt {
+    /// Its number, counted from 0.
+    pub number: u16,
+    /// Zone of its endpoint.
+    pub zone: u8,
+    /// When, nanoseconds of the wall clock.
+    pub at: Time,
+}
+
+/// How a message ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// Delivered.
+    Delivered,
+    /// Failed.
+    Failed,
+    /// Returned, to come back after so many milliseconds; 0: not said.
+    Returned(u32),
+}
+
+const TAKEN: u8 = 1;
+const SENT: u8 = 2;
+const NEVER_RAN: u8 = 3;
+const ENDED: u8 = 4;
+const TOLD: u8 = 5;
+const NO_TOKEN: u16 = u16::MAX;
+
+impl Record {
+    /// Kind and payload, as the journal takes them.
+    pub fn encode(&self) -> (u8, Vec<u8>) {
+        let mut out = Vec::new();
+        let kind = match self {
+            Record::Taken(message, m) => {
+                out.extend(message.to_le_bytes());
+                out.push(m.class);
+                out.extend(m.destination.to_le_bytes());
+                out.extend(m.line.to_le_bytes());
+                out.extend(m.due.to_le_bytes());
+                out.extend((m.id.len() as u16).to_le_bytes());
+                out.extend(&m.id);
+                out.extend(m.token.as_ref().map_or(NO_TOKEN, |t| t.len() as u16).to_le_bytes());
+                out.extend(m.token.iter().flatten());
+                out.extend(&m.body);
+                TAKEN
+            }
+            Record::Sent { message, attempt } => {
+                out.extend(message.to_le_bytes());
+                out.extend(attempt.number.to_le_bytes());
+                out.push(attempt.zone);
+                out.extend(attempt.at.to_le_bytes());
+                SENT
+            }
+            Record::NeverRan { message, attempt } => {
+                out.extend(message.to_le_bytes());
+                out.extend(attempt.to_le_bytes());
+                NEVER_RAN
+            }
+            Record::Ended { message, end } => {
+                out.extend(message.to_le_bytes());
+                let (how, after) = match end {
+                    End::Delivered => (0, 0),
+                    End::Failed => (1, 0),
+                    End::Returned(after) => (2, *after),
+                };
+                out.push(how);
+                out.extend(after.to_le_bytes());
+                ENDED
+            }
+            Record::Told { message } => {
+                out.extend(message.to_le_bytes());
+                TOLD
+            }
+        };
+        (kind, out)
+    }
+
+    /// Reads a record; `None` if it is none of ours.
+    pub fn decode(raw: &Raw) -> Option<Record> {
+        let mut f = Fields(&raw.payload);
+        let message = f.u32()?;
+        Some(match raw.kind {
+            TAKEN => {
+                let (class, destination, line, due) = (f.u8()?, f.u32()?, f.u64()?, f.u64()?);
+                let n = f.u16()?;
+                let id = f.bytes(usize::from(n))?.to_vec();
+                let token = match f.u16()? {
+                    NO_TOKEN => None,
+                    n => Some(f.bytes(usize::from(n))?.to_vec()),
+                };
+                let body = f.0.to_vec();
+                Record::Taken(message, Message { id, token, class, destination, line, due, body })
+            }
+            SENT => {
+                let attempt = Attempt { number: f.u16()?, zone: f.u8()?, at: f.u64()? };
+                Record::Sent { message, attempt }
+            }
+            NEVER_RAN => Record::NeverRan { message, attempt: f.u16()? },
+            ENDED => {
+                let (how, after) = (f.u8()?, f.u32()?);
+                let end = match how {
+                    0 => End::Delivered,
+                    1 => End::Failed,
+                    2 => End::Returned(after),
+                    _ => return None,
+                };
+                Record::Ended { message, end }
+            }
+            TOLD => Record::Told { message },
+            _ => return None,
+        })
+    }
+}
+
+struct Fields<'a>(&'a [u8]);
+
+impl<'a> Fields<'a> {
+    fn bytes(&mut self, n: usize) -> Option<&'a [u8]> {
+        let (now, rest) = self.0.split_at_checked(n)?;
+        self.0 = rest;
+        Some(now)
+    }
+
+    fn array<const N: usize>(&mut self) -> Option<[u8; N]> {
+        self.bytes(N)?.try_into().ok()
+    }
+
+    fn u8(&mut self) -> Option<u8> {
+        self.array().map(u8::from_le_bytes)
+    }
+
+    fn u16(&mut self) -> Option<u16> {
+        self.array().map(u16::from_le_bytes)
+    }
+
+    fn u32(&mut self) -> Option<u32> {
+        self.array().map(u32::from_le_bytes)
+    }
+
+    fn u64(&mut self) -> Option<u64> {
+        self.array().map(u64::from_le_bytes)
+    }
+}
+
+/// A message that is still owed something.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Owed {
+    /// The message.
+    pub message: Message,
+    /// Attempts so far.
+    pub attempts: u16,
+    /// Those of them that may have run.
+    pub maybe: Vec<Attempt>,
+    /// It is over, and the platform has not heard of it.
+    pub end: Option<End>,
+}
+
+/// What is owed after these records, by message number in the order of taking.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Replay {
+    /// Messages that are owed something.
+    pub owed: BTreeMap<u32, Owed>,
+    /// Every message that any record names has a lower number.
+    pub next: u32,
+    /// Records that could not be understood, or name a message that is not there.
+    pub strange: usize,
+}
+
+impl Replay {
+    /// Goes through the records. A record that comes twice counts once.
+    pub fn of(records: &[Raw]) -> Replay {
+        let mut replay = Replay { next: 1, ..Replay::default() };
+        let mut over = std::collections::BTreeSet::new();
+        for raw in records {
+            let Some(record) = Record::decode(raw) else {
+                replay.strange += 1;
+                continue;
+            };
+            let number = match &record {
+                Record::Taken(n, _) => *n,
+                Record::Sent { message, .. }
+                | Record::NeverRan { message, .. }
+                | Record::Ended { message, .. }
+                | Record::Told { message } => *message,
+            };
+            replay.next = replay.next.max(number.saturating_add(1));
+            if let Record::Taken(_, message) = record {
+                let owed = Owed { message, attempts: 0, maybe: vec![], end: None };
+                if !over.contains(&number) {
+                    replay.owed.entry(number).or_insert(owed);
+                }
+                continue;
+            }
+            let Some(owed) = replay.owed.get_mut(&number) else {
+                replay.strange += usize::from(!over.contains(&number));
+                continue;
+            };
+            match record {
+                Record::Sent { attempt, .. } if attempt.number >= owed.attempts => {
+                    owed.attempts = attempt.number.saturating_add(1);
+                    owed.maybe.push(attempt);
+                }
+                Record::NeverRan { attempt, .. } => owed.maybe.retain(|a| a.number != attempt),
+                Record::Ended { end: End::Delivered, .. } | Record::Told { .. } => {
+                    replay.owed.remove(&number);
+                    over.insert(number);
+                }
+                Record::Ended { end, .. } => owed.end = Some(end),
+                Record::Sent { .. } | Record::Taken(..) => {}
+            }
+        }
+        replay
+    }
+}
+
+impl Owed {
+    /// The records that come to this.
+    pub fn records(&self, number: u32) -> Vec<Record> {
+        let mut all = vec![Record::Taken(number, self.message.clone())];
+        let sent = |attempt: Attempt| Record::Sent { message: number, attempt };
+        // Attempts that never ran count; the last one stands for all of them.
+        for n in 0..self.attempts {
+            match self.maybe.iter().find(|a| a.number == n) {
+                Some(&attempt) => all.push(sent(attempt)),
+                None if n + 1 == self.attempts => {
+                    all.push(sent(Attempt { number: n, zone: 0, at: 0 }));
+                    all.push(Record::NeverRan { message: number, attempt: n });
+                }
+                None => {}
+            }
+        }
+        all.extend(self.end.map(|end| Record::Ended { message: number, end }));
+        all
+    }
+}
--- a/simhost/src/wire.rs
+++ b/simhost/src/wire.rs
@@ -4,10 +4,8 @@
 use std::fmt;
 use std::io::{self, Read};
 
-use linnetcart::{
-    Action, Class, Courier, Ending, Endpoint, Event, Kind, Listing, Outcome, Probed, Rates, Repeat, Settings,
-    Taken,
-};
+use linnetcart::{Action, Courier, Ending, Endpoint, Event, Listing, Outcome, Probed, Taken};
+use linnetcart_site::{Site, LEFT, LIMIT};
 use serde_json::Value;
 
 /// Input that cannot be read.
@@ -182,11 +180,11 @@
                 let n = f.u32()? as usize;
                 let facts: Value =
                     serde_json::from_slice(f.bytes(n)?).map_err(|e| Bad(format!("facts: {e}")))?;
-                let place = |name: &str| list(&facts["stats"]["names"]).iter().position(|v| v == name);
+                let site = Site::read(&facts).map_err(|e| Bad(format!("facts: {e}")))?;
                 let instance = Instance {
-                    courier: Courier::new(settings(&facts)?, seed),
-                    left_at: place("x0"),
-                    limit_at: place("x1"),
+                    left_at: site.report_place(LEFT),
+                    limit_at: site.report_place(LIMIT),
+                    courier: Courier::new(site.settings, seed),
                 };
                 self.instances.insert(i, instance);
                 events.insert(i, Vec::new());
@@ -313,84 +311,5 @@
     out.extend(fields);
 }
 
-fn list(v: &Value) -> &[Value] {
-    v.as_array().map_or(&[], Vec::as_slice)
-}
-
-/// Reads the settings; an absent figure gets the meaning that the wire's page gives to absence (zero).
-fn settings(v: &Value) -> Result<Settings, Bad> {
-    let int = |v: &Value| v.as_u64().or_else(|| v.as_f64().map(|x| x as u64)).unwrap_or(0);
-    let num = |v: &Value| v.as_f64().unwrap_or(0.0);
-    let yes = |v: &Value| v.as_bool().unwrap_or(false);
-    let (bounds, contract, family, prices) = (&v["bounds"], &v["contract"], &v["family_info"], &v["prices"]);
-    let mut classes = Vec::new();
-    for c in list(&v["services"]) {
-        let repeat = match c["idempotency"].as_str() {
-            Some("pure") => Repeat::Safe,
-            Some("token") => Repeat::Keyed { window: int(&c["key_ttl_ns"]), by_zone: c["group"] != "all" },
-            Some("side_effect") => Repeat::Unsafe,
-            other => return bad(format!("facts: a class of unknown kind {other:?}")),
-        };
-        classes.push(Class {
-            aim: int(&c["slo_ns"]),
-            deadline: int(&c["hard_limit_ns"]),
-            worth: num(&c["worth"]),
-            late_worth: num(&c["late_worth"]),
-            repeat,
-            ordered: yes(&c["fifo_by_key"]),
-        });
-    }
-    let (apart, per_call) = (list(&family["kind_apart"]), list(&family["per_call"]));
-    let kinds = (0..list(&v["kinds"]).len().max(apart.len()).max(per_call.len()))
-        .map(|k| Kind {
-            routes_apart: apart.get(k).is_some_and(yes),
-            per_call: per_call.get(k).map_or(1, int) as u32,
-        })
-        .collect();
-    Ok(Settings {
-        couriers: int(&v["balancers"]) as u32,
-        me: int(&v["me"]) as u32,
-        zone: int(&v["my_zone"]) as u8,
-        classes,
-        kinds,
-        tenants: list(&v["accounts"]).iter().map(|a| num(&a["quota_per_s"])).collect(),
-        over_share_worth: num(&v["over_share_worth"]),
-        worth_halves: family["loses_worth"] == "halving",
-        slots: int(&family["max_calls"]) as u32,
-        max_held: int(&bounds["max_open"]) as u32,
-        max_attempts: int(&bounds["max_attempts"]) as u32,
-        may_cancel: yes(&bounds["may_cancel"]),
-        may_copy: yes(&bounds["parallel_tries"]),
-        may_probe: yes(&bounds["probing"]),
-        may_note: yes(&bounds["peers"]),
-        max_come_back: if yes(&bounds["retry_after"]) { int(&bounds["max_retry_after_ns"]) } else { 0 },
-        calls_per_connection: int(&bounds["streams_per_conn"]) as u32,
-        connection_idle: int(&bounds["conn_idle_ns"]),
-        connect_timeout: int(&bounds["connect_timeout_ns"]),
-        answer_slack: int(&contract["grace_to_answer_ns"]),
-        cold_share: num(&contract["cold_from"]),
-        warm_after: int(&contract["ramp_time_ns"]),
-        fall_multiple: num(&contract["fall_multiple"]),
-        fall_span: int(&contract["fall_ns"]),
-        key_rest: int(&contract["turn_gap_ns"]),
-        list_asked: v["registry_mode"] == "ask",
-        ask_within: int(&contract["ask_within_ns"]),
-        rates: match v["weight_source"].as_str() {
-            Some("nominal") => Rates::Exact,
-            Some("rough") => Rates::Rough,
-            _ => Rates::Untold,
-        },
-        tick: int(&v["tick_ns"]),
-        connection_price: num(&prices["handshake"]),
-        crossing_price: num(&prices["cross_zone"]),
-        waste_price: num(&prices["waste"]),
-        late_price: num(&prices["late_fail"]),
-        probe_price: num(&prices["probe"]),
-        note_price: num(&prices["peer"]),
-        refused_price: num(&family["refusal_cost"]),
-        route_fees: list(&family["route_fee"]).iter().map(num).collect(),
-    })
-}
-
 #[cfg(test)]
 mod tests;
