--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -841,3 +841,6 @@
         Ending::NotSent { .. } => 7,
     }
 }
+
+#[cfg(test)]
+mod tests;
