Platform: a wake-up that the library asked for outlasts the rounds before it

It asks for a wake-up once and not again while that is to come; Core::turn (core/mod.rs) forgot it at every round. A test shows it: a told wait, two outcomes, then silence.

Change: a wake-up is forgotten only when it is used. And a connection that is given up in the turn that asked for it is not made: its close stood before it among the outputs, and it stayed open with no owner.

--- a/crates/platform/src/core/agent.rs
+++ b/crates/platform/src/core/agent.rs
@@ -222,9 +222,9 @@
         self.queue.push_back((message, line));
     }
 
-    /// Every notice is answered.
-    pub fn is_empty(&self) -> bool {
-        self.queue.is_empty()
+    /// Notices that are not answered.
+    pub fn len(&self) -> usize {
+        self.queue.len()
     }
 
     /// What is to be done now.
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -209,10 +209,10 @@
         self.counts
     }
 
-    /// Messages held, endpoints, connections of clients, connections to endpoints, calls out.
-    pub fn sizes(&self) -> [usize; 5] {
+    /// Messages held, notices not answered, endpoints, connections of clients, connections to endpoints, calls out.
+    pub fn sizes(&self) -> [usize; 6] {
         let (links, calls) = self.links.len();
-        [self.held.len(), self.directory.len(), self.clients.len(), links, calls]
+        [self.held.len(), self.notices.len(), self.directory.len(), self.clients.len(), links, calls]
     }
 
     /// Nothing more is to be waited for: the program may end.
@@ -372,7 +372,10 @@
             self.clients.fresh().into_iter().filter_map(|id| self.step(id)).collect();
         let playing = self.ending.is_none_or(|since| now < since + LAST_ROUND);
         if playing && (self.round_at <= now || !self.events.is_empty()) {
-            self.round_at = Time::MAX;
+            // A wake-up that is still to come stays: the library does not ask for it again.
+            if self.round_at <= now {
+                self.round_at = Time::MAX;
+            }
             let events = std::mem::take(&mut self.events);
             let actions = self.courier.round(now, events);
             self.answer_fresh(&fresh, &actions);
@@ -387,16 +390,25 @@
         std::mem::take(&mut self.half_closed).into_iter().for_each(|id| self.close(id));
         self.agents();
         self.look_through();
-        let closed = self.links.closed();
-        // Before the calls of this turn, so that their slots are free by then.
-        let closed: Vec<Output> = closed.into_iter().map(Output::CloseLink).collect();
-        self.outputs.splice(0..0, closed);
+        self.close_links();
         if let Some(since) = self.ending {
-            let idle = self.calls.is_empty() && self.notices.is_empty();
+            let idle = self.calls.is_empty() && self.notices.len() == 0;
             self.ended = since + LAST_ANSWER <= now || (since + LAST_ROUND <= now && idle);
         }
     }
 
+    /// Connections that were given up close before the calls of this turn leave, so that their slots are free by
+    /// then. One that was only asked for in this turn is not made.
+    fn close_links(&mut self) {
+        let closed = self.links.closed();
+        if closed.is_empty() {
+            return;
+        }
+        let unmade = |o: &Output| matches!(o, Output::Connect(link, _) if closed.contains(link));
+        self.outputs.retain(|o| !unmade(o));
+        self.outputs.splice(0..0, closed.into_iter().map(Output::CloseLink));
+    }
+
     fn agents(&mut self) {
         let now = self.now;
         match self.watch.need(now) {
--- a/crates/platform/src/core/tests.rs
+++ b/crates/platform/src/core/tests.rs
@@ -473,7 +473,7 @@
     rig.send(b"POST /order HT");
     rig.after(2200 * MS);
     assert!(rig.answers.iter().any(|a| status(&a.1) == 408));
-    let idle = rig.core.sizes()[2];
+    let idle = rig.core.sizes()[3];
     assert!(idle <= 2, "{idle} clients are left");
 }
 
@@ -543,3 +543,37 @@
     let asked = rig.wrote.last().unwrap();
     assert!(asked.1.starts_with(b"GET /v1/endpoints?follow=1&since=50 "), "from where it was");
 }
+
+#[test]
+fn a_wake_up_outlasts_the_rounds_before_it() {
+    // A hold full of messages that wait takes nothing, so no event comes: only the wake-up gets them going.
+    let mut rig = Rig::new();
+    for n in 0..3 {
+        rig.hand_in("order", &format!("m{n}"), "");
+    }
+    let calls = rig.calls();
+    rig.reply(calls[0].0, b"HTTP/1.1 429 No\r\nX-Backoff-Ms: 500\r\nContent-Length: 0\r\n\r\n");
+    rig.after(100 * MS);
+    for call in &calls[1..] {
+        rig.reply(call.0, b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    }
+    assert_eq!(rig.calls().len(), 3, "told to wait");
+    rig.after(S);
+    assert_eq!(rig.calls().len(), 4, "and then it goes, though nothing else happens");
+}
+
+#[test]
+fn a_connection_given_up_in_the_turn_that_asked_for_it_is_not_made() {
+    let mut rig = Rig::new();
+    let client = 7;
+    rig.core.client_opened(client);
+    let head = "POST /status HTTP/1.1\r\nX-Txn: m\r\nX-Remaining-Ms: 9000\r\nX-Route-To: dest=3\r\n\r\n";
+    rig.core.client_bytes(client, head.as_bytes());
+    rig.core.turn(rig.now);
+    let id = *rig.core.calls.keys().next().unwrap();
+    rig.core.give_up(id, Ending::Cancelled);
+    rig.core.close_links();
+    let made =
+        rig.core.outputs().into_iter().filter(|o| matches!(o, Output::Connect(_, a) if a.port() != 8500));
+    assert_eq!(made.count(), 0);
+}
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -297,10 +297,10 @@
         }
         if now >= self.figures_at {
             self.figures_at = now + FIGURES;
-            let [held, endpoints, clients, links, calls] = self.core.sizes();
+            let [held, notices, endpoints, clients, links, calls] = self.core.sizes();
             let counts = self.core.counts();
             let journal = self.journal.size();
-            tracing::info!(held, endpoints, clients, links, calls, journal, ?counts, "figures");
+            tracing::info!(held, notices, endpoints, clients, links, calls, journal, ?counts, "figures");
         }
     }
 }
