Library: where only trials go, messages too late for an answer are given up

Checked by probes of every hand-back and every call to that destination: trials went out each 2 s and ended as cancelled after 19, 1, 1, 26 and 109 ms, from 20.97 s to 29.06 s; the first that was let end was served. Ruled out: the outage itself (the other courier was served from 24.44 s on), the hold (519 of 759), slots (5 of 22). At fault: Courier::pick took the oldest message, which had a few ms left, for each trial.

Change: choice.rs too_late: while all limits of a destination take trials only, a message with less time left than after which its call is overdue is given up with a time to come back.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -4,8 +4,8 @@
 
 use crate::interface::*;
 use crate::state::{
-    least, Agenda, Call, Dest, Group, Health, Latencies, Lines, Msg, Node, Out, Random, Site, Stand, Table,
-    Waits,
+    apart_kind, least, seconds, Agenda, Call, Dest, Group, Health, Latencies, Lines, Msg, Node, Out, Random,
+    Site, Stand, Table, Waits,
 };
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -546,6 +546,9 @@
         let rested = self.dests.get(id)?.waiting.resting().into_iter();
         let rested = rested.filter(|m| self.lines.get(self.msgs[m].key).is_none_or(|l| l.rest <= self.now));
         rested.collect::<Vec<u32>>().into_iter().for_each(|m| self.wait(m));
+        while let Some(m) = self.too_late(id) {
+            self.give_up(m, self.set.max_come_back);
+        }
         let dest = self.dests.get_mut(id)?;
         dest.count_waiting(&mut self.sites);
         for m in dest.waiting.heads() {
@@ -557,6 +560,15 @@
         None
     }
 
+    /// Where only trials go, one that has less time left than an answer may take: its trial would be called
+    /// off when that is up and tell nothing, and the outage be believed while such messages are the oldest.
+    fn too_late(&self, id: u32) -> Option<u32> {
+        let dest = self.dests.get(id)?;
+        let out = dest.endpoints.iter().all(|e| self.node(*e).is_some_and(Node::out));
+        let late = |m: &Msg| m.due <= self.now + self.overdue_span(self.group(m));
+        dest.waiting.heads().into_iter().find(|m| out && late(&self.msgs[m]))
+    }
+
     /// The best endpoint that the gate lets the message go to, or when to look again.
     fn choose(&self, message: u32, but: &[u32]) -> Result<u32, Time> {
         let mut wake = NEVER;
@@ -801,10 +813,6 @@
 
 // ---- Classes, destinations and endpoints
 
-fn apart_kind(set: &Settings, kind: u8) -> bool {
-    set.kinds.get(usize::from(kind)).is_some_and(|k| k.routes_apart)
-}
-
 /// The 95th percentile, if there are enough.
 fn high(sorted: &[Time]) -> Option<Time> {
     sorted.get(sorted.len() * 95 / 100).filter(|_| sorted.len() >= ENOUGH).copied()
@@ -1046,7 +1054,3 @@
         self.filled = now;
     }
 }
-
-fn seconds(span: Time) -> f64 {
-    span as f64 / SECOND
-}
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,11 +1,21 @@
 //! What the decision module keeps in mind; it decides nothing here.
 
-use crate::interface::{Ending, Listing, Outcome, Time};
+use crate::interface::{Ending, Listing, Outcome, Settings, Time};
 use std::cmp::{Ordering, Reverse};
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
 use std::hash::{BuildHasherDefault, Hasher};
 use std::ops::Bound;
 
+/// A span in seconds.
+pub(crate) fn seconds(span: Time) -> f64 {
+    span as f64 / 1e9
+}
+
+/// The settings say that endpoints of this kind are routes apart.
+pub(crate) fn apart_kind(set: &Settings, kind: u8) -> bool {
+    set.kinds.get(usize::from(kind)).is_some_and(|k| k.routes_apart)
+}
+
 /// Health of a limit or an endpoint.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(crate) enum Health {
@@ -72,7 +82,7 @@
 
     /// Seconds from the first failure or refusal of the running trouble to the last.
     pub(crate) fn trouble(&self) -> f64 {
-        self.last_bad.saturating_sub(self.run_since) as f64 / 1e9
+        seconds(self.last_bad.saturating_sub(self.run_since))
     }
 
     /// One more served: in this span, at most in one, in all.
--- a/tests/courier.rs
+++ b/tests/courier.rs
@@ -451,6 +451,30 @@
     assert!(sends(&go(resumed(1, 0, 6, &[]))).is_empty(), "attempts count on");
 }
 
+#[test]
+fn a_trial_goes_with_a_message_that_has_the_time_for_an_answer() {
+    // Out, and the oldest that wait run out of time one by one: each trial was called off and told nothing.
+    let (mut c, mut now) = ready();
+    let sent = sends(&c.round(now, (0..4).map(|id| taken(id, 1, 2, 0)).collect()));
+    c.round(now, sent.iter().map(|s| ended(s.0, 0, s.1, Ending::Error)).collect());
+    let out = now;
+    let left = |id, time_left| {
+        let Event::Taken(t) = taken(id, 1, 0, 0) else { unreachable!() };
+        Event::Taken(Taken { time_left, ..t })
+    };
+    // All but the last have less time left than an answer takes whenever the second trial is due.
+    let short = (0..80).map(|n| left(100 + n, 3 * S + n as Time * 20 * MS));
+    c.round(now, short.chain([taken(200, 1, 0, 0)]).collect());
+    let mut tried = Vec::new();
+    while now < out + 5 * S {
+        now += 10 * MS;
+        tried.extend(sends(&c.round(now, vec![Event::Woken])).iter().map(|s| (s.0, now - out)));
+    }
+    let due = |id: u32| 3 * S + Time::from(id - 100) * 20 * MS;
+    assert!(tried.len() >= 2, "{tried:?}");
+    assert!(tried.iter().all(|&(id, at)| id == 200 || due(id) > at + 200 * MS), "{tried:?}");
+}
+
 #[test]
 fn the_module_keeps_its_size() {
     let text = include_str!("../src/choice.rs");
