Platform: after SIGTERM rounds go on for 2.7 s, and it ends within 3.4 s

Need: a courier told to end stood still from 2 s on and is started again 4.4 s after the signal (seen in the logs: ending at 11.66 s, ended 13.70 s, ready again 16.10 s with 125 messages owed). SIGKILL comes no sooner than 3.7 s.

Change: LAST_ROUND 2.7 s, LAST_ANSWER 3.4 s in core/mod.rs.

--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -33,9 +33,9 @@
 /// After the signal to end, connections of clients go on for this long.
 const GO_ON: Time = 500 * MS;
 /// No round is played, so no call begun, later than this after the signal.
-const LAST_ROUND: Time = 2000 * MS;
+const LAST_ROUND: Time = 2700 * MS;
 /// And nothing is waited for later than this.
-const LAST_ANSWER: Time = 3200 * MS;
+const LAST_ANSWER: Time = 3400 * MS;
 /// Descriptors that are neither clients' nor endpoints': listener, loop, signals, discovery, journal, logs.
 const OTHER_FILES: usize = 24;
 /// Part of the journal's room that messages on hand may take: the old file, the new one and growth need the rest.
--- a/crates/platform/src/core/tests.rs
+++ b/crates/platform/src/core/tests.rs
@@ -507,7 +507,7 @@
     assert_eq!(rig.hand_in("order", "b", ""), 202);
     let calls = rig.calls();
     assert_eq!(calls.len(), 2);
-    rig.after(2100 * MS);
+    rig.after(2800 * MS);
     assert!(!rig.core.is_done());
     let before = rig.calls().len();
     assert_eq!(rig.hand_in("order", "c", ""), 202, "taken on, for the next process");
@@ -521,7 +521,7 @@
     let mut rig = Rig::new();
     rig.hand_in("order", "a", "");
     rig.core.end();
-    rig.after(3200 * MS);
+    rig.after(3400 * MS);
     assert!(rig.core.is_done(), "a silent endpoint does not keep it");
 }
 
