--- a/crates/edge/tests/platform.rs
+++ b/crates/edge/tests/platform.rs
@@ -213,6 +213,36 @@
     assert_eq!((count(&before, "slow-b"), count(&calls, "slow-b")), (0, 1));
 }
 
+#[test]
+fn a_damaged_journal_costs_what_is_damaged_and_no_more() {
+    let ((endpoint, calls), (discovery, notices)) = (endpoint(), discovery());
+    let mut rig = Rig::new("damage", endpoint, discovery);
+    assert_eq!(rig.hand_in("order", "slow-first"), 202);
+    assert_eq!(rig.hand_in("order", "slow-second"), 202);
+    until("both are out", || calls.lock().unwrap().len() == 2);
+    rig.child.kill().unwrap();
+    rig.child.wait().unwrap();
+    for entry in std::fs::read_dir(rig.dir.join("state")).unwrap() {
+        let path = entry.unwrap().path();
+        let mut bytes = std::fs::read(&path).unwrap();
+        let at = bytes.windows(10).position(|w| w == b"slow-first").expect("its record");
+        bytes[at] ^= 1;
+        bytes.extend(b"the start of a write that its process did not live to finish");
+        std::fs::write(&path, bytes).unwrap();
+    }
+    rig.child = start(&rig.dir);
+    rig.ready();
+    until("the second is answered for", || count(&notices, "slow-second") > 0);
+    assert_eq!((calls.lock().unwrap().len(), count(&notices, "first")), (2, 0));
+    // A folder that cannot be written: an error that names it, and nothing is taken on.
+    rig.child.kill().unwrap();
+    rig.child.wait().unwrap();
+    std::fs::remove_dir_all(rig.dir.join("state")).unwrap();
+    std::fs::write(rig.dir.join("state"), "in the way").unwrap();
+    rig.child = start(&rig.dir);
+    assert_eq!(rig.child.wait().unwrap().code(), Some(1));
+}
+
 #[test]
 fn a_start_that_cannot_be_names_the_place() {
     let run = |config: &str, state: &str| {
