Platform: a notice of its key does not begin a call again that waits for its connection

Seen on reading the whole change: Core::told began every call of the key that waits, and a call waited until its connection was there. Where a later message of the key was given up meanwhile, its notice made a second connection for the same attempt, and the message would have gone out twice under it.

Checked: a test with two messages of a key; two connections before, one now. Change: a call waits only for the notice (Core::begin), not for its connection.

--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -76,7 +76,7 @@
     endpoint: u32,
     began: Time,
     until: Time,
-    /// It waits for the notice on an earlier message of its key, or for a connection.
+    /// It waits for the notice on another message of its key, and has no connection yet.
     waits: bool,
 }
 
@@ -670,11 +670,12 @@
 
     /// Starts a call, unless a notice on an earlier message of its key is not answered.
     fn begin(&mut self, id: CallId) {
-        let (Some(call), Some(h)) = (self.calls.get(&id), self.held.get(&id.0)) else { return };
+        let (Some(call), Some(h)) = (self.calls.get_mut(&id), self.held.get(&id.0)) else { return };
         let line = h.owed.message.line;
         if line != 0 && self.telling.get(&line).is_some_and(|t| t.iter().any(|&m| m != id.0)) {
             return;
         }
+        call.waits = false;
         let known = self.directory.get(call.endpoint).filter(|k| k.listing == Listing::Ready);
         let Some(address) = known.map(|k| k.address) else {
             return self.done(Done::plain(id, Ending::NoConnection));
@@ -692,14 +693,13 @@
 
     /// The connection of a call is there: from here on it may run.
     fn start(&mut self, id: CallId, link: LinkId) {
-        let (Some(call), Some(h)) = (self.calls.get_mut(&id), self.held.get_mut(&id.0)) else { return };
+        let (Some(call), Some(h)) = (self.calls.get(&id), self.held.get_mut(&id.0)) else { return };
         let known = self.directory.get(call.endpoint).filter(|k| k.listing == Listing::Ready);
         let Some(known) = known.filter(|_| !self.broken) else {
             // It drains or is gone since the connection was begun, or the journal takes nothing.
             self.links.cancel(id);
             return self.done(Done::plain(id, Ending::NoConnection));
         };
-        call.waits = false;
         let attempt = Attempt { number: id.1, zone: known.zone, at: self.now + self.wall };
         h.owed.maybe.push(attempt);
         self.records.push(Record::Sent { message: id.0, attempt });
--- a/crates/platform/src/core/tests.rs
+++ b/crates/platform/src/core/tests.rs
@@ -339,6 +339,28 @@
     assert_eq!(ids(&rig), ["one", "two"]);
 }
 
+#[test]
+fn a_call_that_waits_for_its_connection_is_not_begun_again_by_a_notice_of_its_key() {
+    let mut rig = Rig::new();
+    let client = 7;
+    rig.core.client_opened(client);
+    let head = "POST /change HTTP/1.1\r\nX-Txn: one\r\nIdempotency-Key: t\r\nX-Remaining-Ms: 9000\r\n\
+                Cookie: subject=k\r\nX-Route-To: dest=3\r\n\r\n";
+    rig.core.client_bytes(client, head.as_bytes());
+    rig.core.turn(rig.now);
+    let line = rig.core.held.values().next().unwrap().owed.message.line;
+    // Another of its key, behind it, was given up while the connection is being made.
+    let mut owed = rig.core.held.values().next().unwrap().owed.clone();
+    owed.message.id = b"two".to_vec();
+    rig.core.hold(77, owed, 100, rig.now + S);
+    rig.core.over(77, End::Failed);
+    assert!(rig.core.telling.contains_key(&line));
+    rig.core.told(77);
+    let asked =
+        rig.core.outputs().into_iter().filter(|o| matches!(o, Output::Connect(_, a) if a.port() != 8500));
+    assert_eq!(asked.count(), 1, "one connection for one call");
+}
+
 #[test]
 fn connections_are_used_again_when_clean_and_settled_and_never_after_noise() {
     let ok = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
