--- a/crates/platform/src/core/agent.rs
+++ b/crates/platform/src/core/agent.rs
@@ -55,6 +55,11 @@
         due
     }
 
+    /// A connection that is being made has taken too long.
+    fn stuck(&self, now: Time) -> bool {
+        matches!(self.state, State::Connecting { since } if since + CONNECT_WITHIN <= now)
+    }
+
     fn wake(&self, up: Time) -> Time {
         match self.state {
             State::Down { retry } => retry,
@@ -109,8 +114,7 @@
     /// What is to be done now.
     pub fn need(&mut self, now: Time) -> Need {
         let silent = self.line.state == State::Up && self.heard + SILENT <= now;
-        let stuck = matches!(self.line.state, State::Connecting { since } if since + CONNECT_WITHIN <= now);
-        if silent || stuck {
+        if silent || self.line.stuck(now) {
             self.line.down(now);
             return Need::Close;
         }
@@ -230,8 +234,7 @@
     /// What is to be done now.
     pub fn need(&mut self, now: Time) -> Need {
         let slow = self.line.state == State::Up && self.out > 0 && self.asked + ANSWER_WITHIN <= now;
-        let stuck = matches!(self.line.state, State::Connecting { since } if since + CONNECT_WITHIN <= now);
-        if slow || stuck {
+        if slow || self.line.stuck(now) {
             self.down(now);
             return Need::Close;
         }
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -59,6 +59,13 @@
     SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default().as_nanos() as Time
 }
 
+/// Begins a new file of the journal with all that is held.
+fn begin_anew(journal: &mut Folder, core: &Core) -> std::io::Result<()> {
+    let snapshot: Vec<_> = core.snapshot().iter().map(|r| r.encode()).collect();
+    let salt = Salt(wall().rotate_left(17));
+    journal.replace(salt, snapshot.iter().map(|(kind, bytes)| (*kind, &bytes[..])))
+}
+
 struct Shell {
     net: Net,
     core: Core,
@@ -103,9 +110,7 @@
     let (listen, room) = (config.listen, (config.limits.disk_mb * 1e6) as u64);
     let core = Core::new(config, replay, CLOCK_START, wall());
     let begun = Instant::now();
-    let snapshot: Vec<_> = core.snapshot().iter().map(|r| r.encode()).collect();
-    journal
-        .replace(Salt(wall().rotate_left(17)), snapshot.iter().map(|(kind, bytes)| (*kind, &bytes[..])))
+    begin_anew(&mut journal, &core)
         .with_context(|| format!("the journal in {state} cannot be written; make room there"))?;
     let (listener, _) =
         net.listen(listen).with_context(|| format!("cannot listen on {listen}; RELAY_CONFIG names it"))?;
@@ -235,9 +240,7 @@
             }
         }
         // What the core holds has these records in it, so a new file makes up for an append that failed.
-        let snapshot: Vec<_> = self.core.snapshot().iter().map(|r| r.encode()).collect();
-        let salt = Salt(wall().rotate_left(17));
-        let replaced = self.journal.replace(salt, snapshot.iter().map(|(kind, bytes)| (*kind, &bytes[..])));
+        let replaced = begin_anew(&mut self.journal, &self.core);
         let now = self.now();
         if let Err(e) = replaced {
             let since = *self.unwritten_since.get_or_insert(now);
