Platform: the last wake-up asked for takes the place of the one before

Checked and ruled out: notices (told 1 ms after the end, no connection to discovery was lost on any courier),

Cause: crates/platform/src/core/mod.rs, act(), Action::Wake: round_at became the minimum of the old and the new one. Library: a round within a tick before a wake-up counts as that wake-up and asks for the next one. The minimum kept the old one, which the turn then used up with nothing asked for after it. Busy couriers had another event soon; one that sees 6 messages a second slept for up to 0.8 s. Edge and recorded walks replace, as src/lib.rs says.

Change: replaced here too. The test plays an answer within a tick before the end of another message's time, and nothing after; it fails without the change.

--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -650,7 +650,8 @@
             }
             Action::Fail { message } => self.over(message, End::Failed),
             Action::Close { endpoint } => self.links.close_idle(endpoint),
-            Action::Wake { at } => self.round_at = self.round_at.min(at),
+            // It takes the place of the one before, also of an earlier one: what that was for is over.
+            Action::Wake { at } => self.round_at = at,
             Action::Log(line) => self.lines.push(line),
             // The watch is always there; probes and notes are off on this platform.
             Action::Watch | Action::Probe { .. } | Action::Note { .. } => {}
--- a/crates/platform/src/core/tests.rs
+++ b/crates/platform/src/core/tests.rs
@@ -599,3 +599,21 @@
         rig.core.outputs().into_iter().filter(|o| matches!(o, Output::Connect(_, a) if a.port() != 8500));
     assert_eq!(made.count(), 0);
 }
+
+#[test]
+fn the_last_wake_up_asked_for_counts_also_just_before_an_earlier_one() {
+    let mut rig = Rig::new();
+    rig.hand_in("order", "a", "");
+    let a = rig.calls()[0].0;
+    let begun = rig.now;
+    rig.after(S);
+    rig.hand_in("order", "b", "");
+    let b = rig.calls()[1].0;
+    rig.reply(b, b"HTTP/1.1 429 No\r\nX-Backoff-Ms: 60000\r\nContent-Length: 0\r\n\r\n");
+    // Within a tick before the end of the first comes its answer; the only event until the second has to end.
+    rig.after(begun + 9 * S - 13 * MS - rig.now);
+    rig.reply(a, b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    rig.after(begun + 10 * S - rig.now);
+    let end = |r: &Record| matches!(r, Record::Ended { end: End::Returned(_), .. });
+    assert!(rig.has(end), "the second is handed back by its time");
+}
