Platform: a call that was given up is read on, and a wait told to it is heeded

Connections that come up late: 22 ms at most of 112,863, so no wait was told between a decision and its call.

Change: to give up a call we end our sending, which the protocol allows and which frees the slot, and read on for as long as a connection may take to come up. A refusal then goes to the library, which takes it for the limit alone. Such a connection is the first to go when connections run out. Tests: a late wait is heeded (fails without), a silent connection goes in time, half of a connection reads on.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -14,7 +14,7 @@
 use socket2::{Domain, Protocol, SockRef, Socket, Type};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, ErrorKind, Read, Write};
-use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -345,6 +345,16 @@
         self.dirty.remove(&token);
     }
 
+    /// Sends no more and reads on; what is queued is lost. One that is not there yet is closed.
+    pub fn end_sending(&mut self, token: Token) {
+        let Some(c) = self.conns.get_mut(&token) else { return };
+        if c.connecting || c.stream.shutdown(Shutdown::Write).is_err() {
+            return self.close(token);
+        }
+        c.out = BytesMut::new();
+        self.dirty.remove(&token);
+    }
+
     /// Closes with a reset, as a process does that dies with unread input.
     pub fn reset(&mut self, token: Token) {
         if let Some(c) = self.conns.get(&token) {
@@ -666,4 +676,17 @@
         net.pause(server, false);
         until(&mut net, |e| matches!(e, Event::Data(t, _) if *t == server));
     }
+
+    #[test]
+    fn a_connection_that_sends_no_more_still_reads() {
+        let mut net = Net::new(10).unwrap();
+        let (_, at) = net.listen("127.0.0.1:0".parse().unwrap()).unwrap();
+        let client = net.connect(at);
+        let mut server = 0;
+        until(&mut net, |e| matches!(e, Event::Accepted { token, .. } if { server = *token; true }));
+        net.end_sending(client);
+        until(&mut net, |e| matches!(e, Event::HalfClosed(t) if *t == server));
+        net.send(server, b"late");
+        until(&mut net, |e| matches!(e, Event::Data(t, bytes) if *t == client && &bytes[..] == b"late"));
+    }
 }
--- a/crates/platform/src/core/calls.rs
+++ b/crates/platform/src/core/calls.rs
@@ -24,9 +24,20 @@
 
 #[derive(Debug, PartialEq, Eq)]
 enum State {
-    Connecting { since: Time },
-    Out { began: Option<Time> },
-    Idle { since: Time },
+    Connecting {
+        since: Time,
+    },
+    Out {
+        began: Option<Time>,
+    },
+    Idle {
+        since: Time,
+    },
+    /// Its call was given up: we send no more, and what may still tell a wait is read.
+    GivenUp {
+        call: CallId,
+        since: Time,
+    },
 }
 
 #[derive(Debug)]
@@ -57,12 +68,14 @@
     pub left: Option<f64>,
     /// The limit, if told.
     pub limit: Option<f64>,
+    /// The call had been given up before and counts for this endpoint's limit alone.
+    pub late_from: Option<u32>,
 }
 
 impl Done {
     /// One whose answer told nothing beside.
     pub fn plain(call: CallId, ending: Ending) -> Done {
-        Done { call, ending, over: false, left: None, limit: None }
+        Done { call, ending, over: false, left: None, limit: None, late_from: None }
     }
 }
 
@@ -88,6 +101,8 @@
     trust: Trust,
     /// To be closed by the shell.
     closed: Vec<LinkId>,
+    /// On these the shell is to send no more.
+    given_up: Vec<LinkId>,
 }
 
 impl Links {
@@ -101,6 +116,7 @@
             calls: BTreeMap::new(),
             trust: Trust::default(),
             closed: vec![],
+            given_up: vec![],
         }
     }
 
@@ -114,6 +130,11 @@
         std::mem::take(&mut self.closed)
     }
 
+    /// Connections whose calls were given up since the last time: nothing more is sent on them.
+    pub fn given_up(&mut self) -> Vec<LinkId> {
+        std::mem::take(&mut self.given_up)
+    }
+
     fn drop_link(&mut self, id: LinkId) -> Option<CallId> {
         let link = self.all.remove(&id)?;
         self.closed.push(id);
@@ -148,11 +169,12 @@
             self.drop_link(id);
         }
         if self.all.len() >= self.most {
-            let idle = self.all.iter().filter_map(|(&id, l)| match l.state {
-                State::Idle { since } => Some((since, id)),
+            let spare = self.all.iter().filter_map(|(&id, l)| match l.state {
+                State::GivenUp { since, .. } => Some((false, since, id)),
+                State::Idle { since } => Some((true, since, id)),
                 _ => None,
             });
-            let Some((_, oldest)) = idle.min() else { return Begin::Full };
+            let Some((.., oldest)) = spare.min() else { return Begin::Full };
             self.drop_link(oldest);
         }
         let link = Link {
@@ -185,12 +207,19 @@
         }
     }
 
-    /// Gives a call up. `Some(true)`: its bytes were queued, so it may run.
-    pub fn cancel(&mut self, call: CallId) -> Option<bool> {
+    /// Gives a call up. `Some(true)`: its bytes were queued, so it may run. Its answer may be on its way, and a wait
+    /// that it tells binds all the same: it is read for as long as a connection may take.
+    pub fn cancel(&mut self, call: CallId, now: Time) -> Option<bool> {
         let id = *self.calls.get(&call)?;
-        let out = self.all.get(&id).is_some_and(|l| matches!(l.state, State::Out { .. }));
-        self.drop_link(id);
-        Some(out)
+        let l = self.all.get_mut(&id)?;
+        if !matches!(l.state, State::Out { .. }) {
+            self.drop_link(id);
+            return Some(false);
+        }
+        (l.state, l.call) = (State::GivenUp { call, since: now }, None);
+        self.calls.remove(&call);
+        self.given_up.push(id);
+        Some(true)
     }
 
     /// Closes the idle connections to an endpoint.
@@ -225,6 +254,10 @@
     /// Bytes came on a connection.
     pub fn bytes(&mut self, id: LinkId, bytes: &[u8], now: Time, site: &Site) -> Option<Done> {
         let l = self.all.get_mut(&id)?;
+        if let State::GivenUp { call, .. } = l.state {
+            l.bytes.extend_from_slice(bytes);
+            return self.late(id, call, site);
+        }
         let State::Out { began } = &mut l.state else {
             // Nothing was asked: the rest of a body, or what belongs to no answer.
             if bytes.len() > l.body {
@@ -250,6 +283,20 @@
         }
     }
 
+    /// Bytes came for a call that was given up. An answer that turns it away tells of the limit.
+    fn late(&mut self, id: LinkId, call: CallId, site: &Site) -> Option<Done> {
+        let l = self.all.get(&id)?;
+        let (told, endpoint) = match answer(&l.bytes) {
+            Answer::Part { .. } => return None,
+            Answer::Head(head) => ((ending(&head).0, report(&head, site)), l.endpoint),
+            Answer::Spoilt { .. } => ((Ending::Error, (None, None)), l.endpoint),
+        };
+        self.drop_link(id);
+        let (ending, (left, limit)) = told;
+        let done = Done { left, limit, late_from: Some(endpoint), ..Done::plain(call, ending) };
+        matches!(ending, Ending::Full { .. }).then_some(done)
+    }
+
     fn head(&mut self, id: LinkId, call: CallId, head: &AnswerHead, now: Time, site: &Site) -> Option<Done> {
         let l = self.all.get_mut(&id)?;
         let here = l.bytes.len() - head.length;
@@ -270,7 +317,7 @@
         } else {
             self.drop_link(id);
         }
-        Some(Done { call, ending, over, left, limit })
+        Some(Done { call, ending, over, left, limit, late_from: None })
     }
 
     /// Connections whose time is up.
@@ -292,7 +339,7 @@
 
     fn due(&self, l: &Link) -> Time {
         match l.state {
-            State::Connecting { since } => since + self.connect_within,
+            State::Connecting { since } | State::GivenUp { since, .. } => since + self.connect_within,
             State::Idle { since } => since + self.keep,
             State::Out { began: None } => Time::MAX,
             State::Out { began: Some(at) } => {
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -54,6 +54,8 @@
     ToLink(LinkId, Bytes),
     /// Close a connection of ours at once.
     CloseLink(LinkId),
+    /// Send no more on a connection of ours, and read on.
+    EndSending(LinkId),
     /// Take no more connections.
     Unlisten,
 }
@@ -400,6 +402,8 @@
     /// Connections that were given up close before the calls of this turn leave, so that their slots are free by
     /// then. One that was only asked for in this turn is not made.
     fn close_links(&mut self) {
+        let given_up = self.links.given_up();
+        self.outputs.splice(0..0, given_up.into_iter().map(Output::EndSending));
         let closed = self.links.closed();
         if closed.is_empty() {
             return;
@@ -698,7 +702,7 @@
         let known = self.directory.get(call.endpoint).filter(|k| k.listing == Listing::Ready);
         let Some(known) = known.filter(|_| !self.broken) else {
             // It drains or is gone since the connection was begun, or the journal takes nothing.
-            self.links.cancel(id);
+            self.links.cancel(id, self.now);
             return self.done(Done::plain(id, Ending::NoConnection));
         };
         let attempt = Attempt { number: id.1, zone: known.zone, at: self.now + self.wall };
@@ -726,13 +730,16 @@
             return;
         }
         // What was never sent has never run.
-        let out = self.links.cancel(id).unwrap_or(false);
+        let out = self.links.cancel(id, self.now).unwrap_or(false);
         let ending = if out { ending } else { Ending::NotSent { no_slot: false } };
         self.done(Done::plain(id, ending));
     }
 
     /// An attempt ended.
     fn done(&mut self, done: Done) {
+        if let Some(endpoint) = done.late_from {
+            return self.tell_outcome(&done, endpoint, 0, false);
+        }
         let Some(call) = self.calls.remove(&done.call) else { return };
         let (message, attempt) = done.call;
         self.counts.endings[place(done.ending)] += 1;
@@ -753,17 +760,23 @@
             self.records.push(Record::Ended { message, end: End::Delivered });
         }
         let over = h.over;
+        self.tell_outcome(&done, call.endpoint, self.now - call.began, over);
+        self.settle(message);
+    }
+
+    fn tell_outcome(&mut self, done: &Done, endpoint: u32, took: Time, over: bool) {
+        let ((message, attempt), ending) = (done.call, done.ending);
+        let (left, limit) = (done.left, done.limit);
         self.events.push(Event::Ended(Outcome {
             message,
             attempt,
-            endpoint: call.endpoint,
-            ending: done.ending,
-            took: self.now - call.began,
+            endpoint,
+            ending,
+            took,
             over,
-            left: done.left,
-            limit: done.limit,
+            left,
+            limit,
         }));
-        self.settle(message);
     }
 
     /// The library ended a message.
--- a/crates/platform/src/core/tests.rs
+++ b/crates/platform/src/core/tests.rs
@@ -45,6 +45,7 @@
     wrote: Vec<(LinkId, Vec<u8>)>,
     answers: Vec<(ClientId, Vec<u8>)>,
     closed: Vec<LinkId>,
+    ended: Vec<LinkId>,
     watches: BTreeSet<LinkId>,
     next_client: ClientId,
 }
@@ -72,6 +73,7 @@
             wrote: vec![],
             answers: vec![],
             closed: vec![],
+            ended: vec![],
             watches: BTreeSet::new(),
             next_client,
         };
@@ -93,6 +95,7 @@
                         self.links.remove(&link);
                         self.closed.push(link);
                     }
+                    Output::EndSending(link) => self.ended.push(link),
                     Output::CloseClient(_) | Output::Unlisten => {}
                 }
             }
@@ -617,3 +620,35 @@
     let end = |r: &Record| matches!(r, Record::Ended { end: End::Returned(_), .. });
     assert!(rig.has(end), "the second is handed back by its time");
 }
+
+#[test]
+fn a_wait_told_to_a_call_that_was_given_up_is_heeded() {
+    let mut rig = Rig::new();
+    rig.hand_in("status", "a", "");
+    let first = rig.calls()[0].0;
+    rig.after(4 * S);
+    let copy = rig.calls()[1].0;
+    rig.reply(copy, b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    assert_eq!(rig.ended, [first], "the slower one is called off");
+    assert!(!rig.closed.contains(&first), "and its answer may be on its way");
+    rig.reply(first, b"HTTP/1.1 429 No\r\nX-Backoff-Ms: 1500\r\nContent-Length: 0\r\n\r\n");
+    assert!(rig.closed.contains(&first));
+    rig.hand_in("order", "b", "");
+    rig.after(1400 * MS);
+    assert_eq!(rig.calls().len(), 2, "told to wait");
+    rig.after(2 * S);
+    assert_eq!(rig.calls().len(), 3, "and then it goes");
+}
+
+#[test]
+fn a_call_given_up_that_stays_silent_keeps_its_connection_no_longer_than_one_takes_to_come_up() {
+    let mut rig = Rig::new();
+    rig.hand_in("status", "a", "");
+    let first = rig.calls()[0].0;
+    rig.after(4 * S);
+    let copy = rig.calls()[1].0;
+    rig.reply(copy, b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    rig.after(S);
+    assert!(rig.closed.contains(&first));
+    assert_eq!(endings(&rig), [1, 0, 0, 0, 0, 0, 1, 0], "served and cancelled, nothing twice");
+}
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -282,6 +282,11 @@
                         self.net.close(token);
                     }
                 }
+                Output::EndSending(link) => {
+                    if let Some(&token) = self.links.get(&link) {
+                        self.net.end_sending(token);
+                    }
+                }
                 Output::Unlisten => self.net.unlisten(self.listener),
             }
         }
