Library: once refused, a courier takes even parts of a limit and grows with its successes

At endpoint 7, limit 38 a second, 282 couriers sent 38 calls a second, 0 to 15 served. 1,029 of its 1,264 refusals came with `left Some(0.0)`. For one courier after a success amid refusals (1,507 such successes at four endpoints): the median gap to its next call there was 0.92 s, where its even part of the limit is a call in 7 s.

Checked: not slots (290 calls out at once of 282 couriers), not the network (connections take 0.5 ms), not told waits (each heeded). 335 lines of "out, trials only after Full { wait: 0 }" follow from it. Sparse refusals are the cause: calls that are refused count against the limit, so hundreds that try again at once keep it at nothing.

Cause: src/choice.rs, ok() cleared `jammed` at the first success, and even() went back to one call a fall span for each message held. One courier does no harm with that; 300 do it together.

Change: a refusal above the limit sets the parts of the limit that a courier takes to 0.8 of what was the pace then, and each success with room told lets it grow by up to a tenth. Only where a courier's part is less than a call in a fall span, and at least one in the 10 s over which the usual rate is taken: with less, successes are too few to tell. Where couriers are few nothing changes.

--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -745,8 +745,7 @@
         self.counts.endings[place(done.ending)] += 1;
         let Some(h) = self.held.get_mut(&message) else { return };
         h.live -= 1;
-        let never_ran =
-            matches!(done.ending, Ending::Full { .. } | Ending::NoConnection | Ending::NotSent { .. });
+        let never_ran = done.ending.never_ran();
         let was_sent = h.owed.maybe.iter().any(|a| a.number == attempt);
         if never_ran && was_sent {
             h.owed.maybe.retain(|a| a.number != attempt);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -52,6 +52,10 @@
 /// Growth of the time over which couriers that want a limit are counted, with the time that refusals last and
 /// the fall span before: tries must stay under the limit together, as those that are refused may use it up.
 const TROUBLE: f64 = 10.0;
+/// Part of a limit that hundreds may fill together: chance fills the rest, and refused calls may use it up.
+const FILL: f64 = 0.8;
+/// What a success adds to the parts taken, where all room is told to be left: those of others grow as well.
+const GROWTH: f64 = 0.1;
 /// Connections that any endpoint takes from all couriers together.
 const LEAST_CONNECTIONS: f64 = 8.0;
 /// A burst may take the pace of this many seconds; destinations queue about as much.
@@ -387,11 +391,8 @@
             return self.learn(&o, &none, false, false);
         };
         // A call with several messages is taken, refused or lost as one: its first outcome tells.
-        let called_off = matches!(o.ending, Ending::NotSent { .. } | Ending::Cancelled);
-        let call = self.calls.entry(out.call).or_default();
-        call.sends = call.sends.saturating_sub(1);
-        let (over, first) = (call.sends == 0, !called_off && !call.told);
-        call.told |= first;
+        let tells = !matches!(o.ending, Ending::NotSent { .. } | Ending::Cancelled);
+        let (over, first) = self.calls.entry(out.call).or_default().ended(tells);
         if over {
             self.calls.remove(&out.call);
         }
@@ -399,14 +400,10 @@
             self.runs_no_more(o.message, o.attempt, out.sent);
         }
         self.learn(&o, &out, over, first);
-        if let Some(m) = self.msgs.get_mut(&o.message) {
-            m.live -= 1;
-        }
+        self.msgs.get_mut(&o.message).into_iter().for_each(|m| m.live -= 1);
         self.count_out(o.message);
         let Some(m) = self.msgs.get_mut(&o.message) else { return };
-        let never_ran =
-            matches!(o.ending, Ending::Full { .. } | Ending::NoConnection | Ending::NotSent { .. });
-        if never_ran {
+        if o.ending.never_ran() {
             m.maybe.retain(|&(_, attempt, _)| attempt != o.attempt);
         }
         if matches!(o.ending, Ending::TimedOut | Ending::Reset | Ending::Cancelled) {
@@ -848,7 +845,7 @@
 
 impl Node {
     fn new(out_at: f64, known: Time) -> Self {
-        Node { out_at, known, credit: 1.0, ..Node::default() }
+        Node { out_at, known, credit: 1.0, parts: f64::INFINITY, ..Node::default() }
     }
 
     /// Whether anything of a call's outcome makes this limit more cautious.
@@ -882,7 +879,9 @@
                     self.go_out(now, true);
                 } else if limits {
                     // Above the limit: nothing is saved up, and no room is believed.
-                    (self.jammed, self.filled, self.left, self.credit) = (true, now, 0.0, 0.0);
+                    (self.jammed, self.parts, self.filled) = (true, f64::INFINITY, now);
+                    (self.left, self.credit) = (0.0, 0.0);
+                    self.parts = FILL * self.even(set) / self.few(set);
                 }
             }
             _ => {
@@ -898,6 +897,8 @@
 
     fn ok(&mut self, now: Time, sent: Time, set: &Settings) {
         (self.run, self.jammed) = (0, false);
+        let room = if self.left_at == now { 2.0 * self.left - 1.0 } else { 0.0 };
+        self.parts = (self.parts * (1.0 + GROWTH * room)).max(FILL);
         self.bad -= NEWEST * self.bad;
         self.count_served(now, set.fall_span);
         self.health = match self.health {
@@ -937,13 +938,14 @@
         news
     }
 
-    /// This courier's part of the limit among those that want it at once: all where they are few. Where they
-    /// are many, only those with something to send: as many as there are calls in a fall span, and more
-    /// with the time that refusals last, since every message turned away since then is held by one.
+    /// This courier's part of the limit among those that want it at once: all where they are few, or else
+    /// those with something to send: as many as there are calls in a fall span, more the longer it refuses.
+    /// Once refused, as many even parts as successes since let it take, where they come often enough to tell.
     fn even(&self, set: &Settings) -> f64 {
         let (few, span) = (self.few(set), seconds(set.fall_span));
         let over = if self.jammed { TROUBLE * (span + self.trouble()) } else { span };
-        few.max(self.wants(few * over) / over)
+        let refused = few * span < 1.0 && few * USUAL_OVER >= 1.0 && self.parts.is_finite();
+        few.max(self.wants(few * over) / over).min(if refused { few * self.parts } else { f64::INFINITY })
     }
 
     /// An even part over all couriers: of the limit if told, or else the most served in a fall span.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -230,6 +230,13 @@
     },
 }
 
+impl Ending {
+    /// The endpoint has not run the message, and never will.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Ending::Full { .. } | Ending::NoConnection | Ending::NotSent { .. })
+    }
+}
+
 /// The end of one attempt.
 #[derive(Clone, Debug)]
 #[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
--- a/src/state.rs
+++ b/src/state.rs
@@ -59,6 +59,8 @@
     pub(crate) left_at: Time,
     /// Refused above the limit, and nothing served since.
     pub(crate) jammed: bool,
+    /// What this courier takes of the limit, in even parts over all couriers.
+    pub(crate) parts: f64,
     /// Calls saved up; one is needed to send.
     pub(crate) credit: f64,
     pub(crate) filled: Time,
@@ -187,6 +189,16 @@
     pub(crate) told: bool,
 }
 
+impl Call {
+    /// One of its sends ended: whether that was the last, and whether it is the first that tells of the call.
+    pub(crate) fn ended(&mut self, tells: bool) -> (bool, bool) {
+        self.sends = self.sends.saturating_sub(1);
+        let first = tells && !self.told;
+        self.told |= first;
+        (self.sends == 0, first)
+    }
+}
+
 #[derive(Debug, Default)]
 pub(crate) struct Line {
     /// Oldest first: sequence number, message.
--- a/tests/courier.rs
+++ b/tests/courier.rs
@@ -764,6 +764,16 @@
         .collect()
 }
 
+/// Message, attempt and endpoint of each send; attempts are counted by the courier that made them.
+fn attempts(actions: &[Action], made: &mut BTreeMap<u32, u16>) -> Vec<(u32, u16, u32)> {
+    let count = |(message, endpoint): (u32, u32)| {
+        let next = made.entry(message).or_default();
+        *next += 1;
+        (message, *next - 1, endpoint)
+    };
+    sends(actions).into_iter().map(count).collect()
+}
+
 /// Gives each courier a message, ends its first attempt as told, and counts in which of the seconds after they
 /// send it again.
 fn after(fleet: &mut [Courier], left: Option<f64>, ending: Ending, seconds: usize) -> Vec<usize> {
@@ -816,6 +826,47 @@
     assert_eq!(few.iter().sum::<usize>(), 2, "{few:?}");
 }
 
+#[test]
+fn a_limit_that_refused_calls_use_up_is_not_kept_at_nothing_by_many_couriers() {
+    // All hold as much as they can; a route takes 20 calls a second, those refused counted too.
+    let (rate, window) = (20.0, 2 * S);
+    let mut fleet = fleet(100, rate);
+    let (mut seen, mut under_way) = ([VecDeque::new(), VecDeque::new()], VecDeque::new());
+    let (mut served, mut events, mut made) =
+        (0, vec![vec![]; fleet.len()], vec![BTreeMap::new(); fleet.len()]);
+    for step in 0..3000 {
+        let now = 2 * S + step * 20 * MS;
+        while under_way.front().is_some_and(|u: &(Time, usize, Outcome)| u.0 <= now) {
+            let (_, k, o) = under_way.pop_front().unwrap();
+            events[k].push(Event::Ended(o));
+        }
+        for (k, c) in fleet.iter_mut().enumerate() {
+            if step % 200 == 0 {
+                let number = step as u32 * 2;
+                events[k].extend((0..6).map(|n| taken(number + n, 2, 0, 0)));
+            }
+            for (message, attempt, endpoint) in
+                attempts(&c.round(now, std::mem::take(&mut events[k])), &mut made[k])
+            {
+                let seen = &mut seen[usize::from(endpoint == 20)];
+                while seen.front().is_some_and(|&at| at + window <= now) {
+                    seen.pop_front();
+                }
+                let left = (1.0 - seen.len() as f64 / (2.0 * rate)).max(0.0);
+                seen.push_back(now);
+                let ending = if left > 0.0 { Ending::Served } else { Ending::Full { wait: 0 } };
+                served += usize::from(left > 0.0 && step >= 1000);
+                let over = left > 0.0;
+                let (took, left, limit) = (50 * MS, Some(left), Some(rate));
+                let o = Outcome { message, attempt, endpoint, ending, took, over, left, limit };
+                under_way.push_back((now + took, k, o));
+            }
+        }
+    }
+    // Of 1,600 on two routes in the last 40 s.
+    assert!(served >= 800, "{served} of 1,600");
+}
+
 #[test]
 fn many_couriers_hold_back_after_a_failure_and_few_try_again() {
     let many = after(&mut fleet(100, 5.0), None, Ending::Error, 10);
