Library: first trials of an outage are spread over one interval, not two

Endpoint 25 (limit 43) serves 3, 7, 14 and 16 a second in the 20 s after a cut of 6 s.

All couriers together are to try at half of what a cold one bears, 0.2 of the limit.

Cause: src/choice.rs, owe(): after going out, credit is drawn so that the next call comes after 0 to 2 intervals. Over a long time that is one call an interval, but in the first two intervals (a minute where a courier's is 33 s) all of them together try half as often. One courier never sees that.

Change: when a limit goes out the first trial comes after 0 to 1 interval, and from then on as before. A first try drew it without regard for credit kept: 25 trials a second where a cold limit of 50 bears 20; the test found it. The test plays 100 couriers whose calls fall silent: 85 or more try in an interval, and no two seconds bear more than 40.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1027,11 +1027,13 @@
         1.0 - (pace * seconds(set.fall_span)).min(1.0)
     }
 
-    /// After trouble nothing is saved up, and a told wait is no credit.
+    /// After trouble nothing is saved up, nor by a told wait. First trials are spread over one interval.
     fn owe(&mut self, now: Time, whole: bool, chance: f64, set: &Settings) {
         let random = self.random(now, whole, set);
         let kept = self.credit(now, whole, set).min(1.0);
-        let credit = (1.0 - random) * kept + random * (1.0 - 2.0 * chance);
+        let just_out = matches!(self.health, Health::Out { since, .. } if since == now);
+        let spread = if just_out { (1.0 / random).min(2.0) } else { 2.0 };
+        let credit = (1.0 - random) * kept + random * (1.0 - spread * chance);
         (self.credit, self.filled) = (credit, now.max(self.wait_until));
     }
 
--- a/tests/courier.rs
+++ b/tests/courier.rs
@@ -885,6 +885,32 @@
     assert_eq!(few.iter().sum::<usize>(), 2, "{few:?}");
 }
 
+#[test]
+fn an_outage_is_tried_at_the_whole_pace_from_its_start() {
+    // A destination of 50 a second falls silent under the calls of a hundred; each has one more message for it.
+    let mut fleet = fleet(100, 50.0);
+    let mut tried = vec![0; 12];
+    for c in &mut fleet {
+        c.round(2 * S, vec![taken(1, 1, 2, 0)]);
+        let (mut more, mut silent, mut now) = (vec![], None, 8 * S - 50 * MS);
+        while silent.is_none_or(|at| now < at + 12 * S) {
+            now += 20 * MS;
+            let actions = c.round(now, std::mem::take(&mut more));
+            if silent.is_none() && actions.iter().any(|a| matches!(a, Action::Log(_))) {
+                silent = Some(now);
+                more.push(taken(2, 1, 2, 0));
+            }
+            if let (Some(at), false) = (silent, sends(&actions).is_empty()) {
+                tried[((now - at) / S) as usize] += 1;
+                break;
+            }
+        }
+    }
+    // A cold destination of 50 a second bears 0.2 x 2 x 50 = 20 a second; an interval of all is about six seconds.
+    assert!(tried.windows(2).all(|two| two[0] + two[1] <= 40), "{tried:?}");
+    assert!(tried[..6].iter().sum::<usize>() >= 85, "over two intervals half of them would: {tried:?}");
+}
+
 #[test]
 fn couriers_differ_in_the_endpoint_that_they_like_best() {
     // With one call out at most, all would take the first in number.
