Emulator: the check of unsafe messages handed on looks at handings after the one that was lost

Message 310 was handed to courier 1 at 5.95 s, where nothing of it ever arrived, then to courier 0 at 9.07 s, whose two calls were refused unseen, and to nobody after that. The check counted any second handing of the message, also one before. It now asks for a later one.

--- a/crates/emulator/tests/days.rs
+++ b/crates/emulator/tests/days.rs
@@ -126,10 +126,10 @@
     let came = |h: &linnetcart_rules::Handed| {
         records.arrivals.iter().any(|a| (a.message, a.courier, a.life) == (h.message, h.courier, h.life))
     };
-    assert!(
-        !orphans.iter().any(|h| h.class == 2 && again(h.message) && came(h)),
-        "an unsafe one was handed on"
-    );
+    let handed_on = |h: &linnetcart_rules::Handed| {
+        records.handed.iter().any(|later| later.message == h.message && later.at > h.at)
+    };
+    assert!(!orphans.iter().any(|h| h.class == 2 && handed_on(h) && came(h)), "an unsafe one was handed on");
 }
 
 #[test]
