Platform: a client whose request awaits the turn is not driven out by another

Need: where clients have all their descriptors, Clients::opened (core/clients.rs) closed the longest silent connection that never had an answer, also one whose whole request was read in the same poll and not looked at yet. The protocol counts that request as lost.

Change: connections with bytes that await the turn are passed over; if all are such, the new one goes. The test fails without the change (the second of two is driven out with its request).

--- a/crates/platform/src/core/clients.rs
+++ b/crates/platform/src/core/clients.rs
@@ -62,8 +62,10 @@
     pub fn opened(&mut self, id: ClientId, now: Time) -> Option<ClientId> {
         let mut goes = None;
         if self.all.len() >= self.most {
-            let quiet = |c: &&Client| !c.asks && (!c.known || c.since + SPARE_AFTER <= now);
-            let candidates = self.all.iter().filter(|(_, c)| quiet(c));
+            let quiet = |c: &Client| !c.asks && (!c.known || c.since + SPARE_AFTER <= now);
+            // Bytes that await the turn may be a whole request: ending its connection would lose it.
+            let awaits = |id, c: &Client| self.fresh.contains(id) && !c.bytes.is_empty();
+            let candidates = self.all.iter().filter(|(id, c)| quiet(c) && !awaits(id, c));
             let oldest = candidates.min_by_key(|(&id, c)| (c.known, c.since, id)).map(|(&id, _)| id);
             goes = Some(oldest.unwrap_or(id));
         }
@@ -155,6 +157,20 @@
         assert_eq!(c.len(), 3);
     }
 
+    #[test]
+    fn one_too_many_never_drives_out_one_whose_request_awaits_the_turn() {
+        let mut c = Clients::new(2);
+        assert_eq!(c.opened(1, 10), None);
+        assert_eq!(c.opened(2, 20), None);
+        // What the first sent was looked at in a turn and is no request yet; the second's awaits the next turn.
+        c.bytes(1, b"POST /a", 30);
+        c.fresh();
+        c.bytes(2, ASK, 30);
+        assert_eq!(c.opened(3, 30), Some(1), "the one that is not known to ask anything");
+        c.bytes(3, ASK, 30);
+        assert_eq!(c.opened(4, 30), Some(4), "both others wait for this turn");
+    }
+
     #[test]
     fn silence_and_heads_that_never_end_are_overdue_and_requests_are_not() {
         let mut c = Clients::new(9);
