One place says which endings never ran: edge and baselines call Ending::never_ran

The platform's core and the library had it already; the edge's core and the lab's baselines spelt out the same three endings. Behaviour is the same; the edge's tests and clippy of both packages pass.

--- a/crates/edge/src/core/mod.rs
+++ b/crates/edge/src/core/mod.rs
@@ -778,7 +778,7 @@
         let mut over = true;
         if let Some(m) = self.held.get_mut(&message) {
             m.live = m.live.saturating_sub(1);
-            let never = matches!(ending, Ending::Full { .. } | Ending::NoConnection | Ending::NotSent { .. });
+            let never = ending.never_ran();
             m.ran |= !never;
             over = m.over;
             if m.over && m.live == 0 {
--- a/crates/lab/src/baselines.rs
+++ b/crates/lab/src/baselines.rs
@@ -103,7 +103,7 @@
         self.out = self.out.saturating_sub(1);
         let Some(m) = self.msgs.get_mut(&o.message) else { return };
         m.live = false;
-        let never = matches!(o.ending, Ending::Full { .. } | Ending::NoConnection | Ending::NotSent { .. });
+        let never = o.ending.never_ran();
         if !never && m.ran.is_none() {
             m.ran = Some(now);
         }
