Platform: a wait told while a call's connection is made binds that call

Cause: Core::link_up called start() as the connection came up, and told() called begin() as a notice was answered. The library had judged the wait when it chose the endpoint, up to a second before; what it heard since, or what came in the same poll, bound only the next choice. start() looked at the list again, not at the wait.

Ruled out: waits in answers to calls that were given up (no late answer near the moments), waits in answers that come in parts, forgotten endpoints, the travel time (waits were broken by 70 to 830 ms, 100 are let through).

Test on real connections: a listener whose queue is full until the other endpoint has told a wait; seen to fail with the question taken out.

--- a/crates/platform/src/core/calls.rs
+++ b/crates/platform/src/core/calls.rs
@@ -222,6 +222,16 @@
         Some(true)
     }
 
+    /// Leaves the connection that a call was to use to the next one: nothing was written on it.
+    pub fn spare(&mut self, call: CallId, now: Time) {
+        let Some(l) = self.calls.remove(&call).and_then(|id| self.all.get_mut(&id)) else { return };
+        let since = match l.state {
+            State::Idle { since } => since,
+            _ => now,
+        };
+        (l.state, l.call, l.idle) = (State::Idle { since }, None, None);
+    }
+
     /// Closes the idle connections to an endpoint.
     pub fn close_idle(&mut self, endpoint: u32) {
         let idle = |l: &Link| l.endpoint == endpoint && matches!(l.state, State::Idle { .. });
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -124,6 +124,8 @@
     held_bytes: u64,
     most_bytes: u64,
     calls: BTreeMap<CallId, Call>,
+    /// Connections that came up since the last turn, each for a call.
+    up: Vec<LinkId>,
     /// Messages whose notices are not answered, by key.
     telling: BTreeMap<u64, BTreeSet<u32>>,
     events: Vec<Event>,
@@ -165,6 +167,7 @@
             held_bytes: 0,
             most_bytes: room / HOLD_PART,
             calls: BTreeMap::new(),
+            up: vec![],
             telling: BTreeMap::new(),
             events: vec![],
             records: vec![],
@@ -270,8 +273,8 @@
             self.outputs.push(Output::ToLink(id, ask.into()));
         } else if self.notice_link == Some(id) {
             self.notices.up();
-        } else if let Some(Some(call)) = self.links.call(id) {
-            self.start(call, id);
+        } else {
+            self.up.push(id);
         }
     }
 
@@ -389,6 +392,7 @@
             self.events.clear();
             self.answer_fresh(&fresh, &[]);
         }
+        self.go_on();
         std::mem::take(&mut self.half_closed).into_iter().for_each(|id| self.close(id));
         self.agents();
         self.look_through();
@@ -673,6 +677,18 @@
         self.begin((message, number));
     }
 
+    /// Starts what had to wait for a connection or a notice. After the round, never as its cause comes in: what
+    /// came beside it may be a told wait, a drain or the message's end.
+    fn go_on(&mut self) {
+        for link in std::mem::take(&mut self.up) {
+            if let Some(Some(call)) = self.links.call(link) {
+                self.start(call, link);
+            }
+        }
+        let waiting: Vec<CallId> = self.calls.iter().filter(|(_, c)| c.waits).map(|(&id, _)| id).collect();
+        waiting.into_iter().for_each(|id| self.begin(id));
+    }
+
     /// Starts a call, unless a notice on an earlier message of its key is not answered.
     fn begin(&mut self, id: CallId) {
         let (Some(call), Some(h)) = (self.calls.get_mut(&id), self.held.get(&id.0)) else { return };
@@ -705,6 +721,13 @@
             self.links.cancel(id, self.now);
             return self.done(Done::plain(id, Ending::NoConnection));
         };
+        if self.courier.told_to_wait(self.now, call.endpoint) {
+            self.links.spare(id, self.now);
+            let (endpoint, text) = (call.endpoint, String::from_utf8_lossy(&h.owed.message.id));
+            self.lines
+                .push(format!("endpoint {endpoint}: told to wait since {text} was to go there; not sent"));
+            return self.done(Done::plain(id, Ending::NotSent { no_slot: false }));
+        }
         let attempt = Attempt { number: id.1, zone: known.zone, at: self.now + self.wall };
         h.owed.maybe.push(attempt);
         self.records.push(Record::Sent { message: id.0, attempt });
@@ -822,10 +845,6 @@
             if telling.is_empty() {
                 self.telling.remove(&line);
             }
-            let waiting = self.calls.iter().filter(|(_, c)| c.waits).map(|(&id, _)| id);
-            let mine = |id: &CallId| self.held.get(&id.0).is_some_and(|h| h.owed.message.line == line);
-            let waiting: Vec<CallId> = waiting.filter(mine).collect();
-            waiting.into_iter().for_each(|id| self.begin(id));
         }
         self.settle(message);
     }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -4,8 +4,8 @@
 
 use crate::interface::*;
 use crate::state::{
-    apart_kind, least, seconds, Agenda, Call, Dest, Group, Health, Latencies, Lines, Msg, Node, Out, Random,
-    Site, Stand, Table, Waits,
+    apart_kind, drop_gone, least, seconds, Agenda, Call, Dest, Group, Health, Latencies, Lines, Msg, Node,
+    Out, Random, Site, Stand, Table, Waits,
 };
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -138,6 +138,11 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Rule 5 for a call whose connection took its time: a wait told since it was chosen binds it too.
+    pub fn told_to_wait(&self, now: Time, endpoint: u32) -> bool {
+        self.node(endpoint).is_some_and(|node| node.wait_until > now)
+    }
+
     fn wake_at(&mut self, at: Time) {
         self.wake = self.wake.min(at);
     }
@@ -177,16 +182,10 @@
                 (node.limit, node.exact) = (e.rate, self.set.rates == Rates::Exact);
             }
         }
-        let dests = &mut self.dests;
         // What was told of a wait outlives the entry: it may be back before the wait is over.
         let now = self.now;
         self.sites.retain(|_, s| s.listing != Listing::Gone || s.calls > 0 || s.node.wait_until > now);
-        let sites = &self.sites;
-        dests.each(|id, d| {
-            let before = d.endpoints.len();
-            d.endpoints.retain(|&e| sites.contains(e));
-            changed.extend((d.endpoints.len() != before).then_some(id));
-        });
+        changed.extend(drop_gone(&mut self.dests, &self.sites));
         changed.iter().for_each(|&id| self.respan(id));
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -125,6 +125,17 @@
     pub(crate) recent: f64,
 }
 
+/// Takes endpoints that are held no more from their destinations; returns the destinations that lost one.
+pub(crate) fn drop_gone(dests: &mut Table<Dest>, sites: &Table<Site>) -> Vec<u32> {
+    let mut changed = Vec::new();
+    dests.each(|id, d| {
+        let before = d.endpoints.len();
+        d.endpoints.retain(|&e| sites.contains(e));
+        changed.extend((d.endpoints.len() != before).then_some(id));
+    });
+    changed
+}
+
 impl Dest {
     /// Messages that wait for it wait for each of its endpoints.
     pub(crate) fn count_waiting(&mut self, sites: &mut Table<Site>) {
