--- a/crates/edge/src/cli.rs
+++ b/crates/edge/src/cli.rs
@@ -45,10 +45,10 @@
     #[arg(long, default_value_t = 20_000, value_name = "N")]
     pub connections: usize,
     /// Form of the logs; by default plain on a terminal and JSON elsewhere
-    #[arg(long, value_name = "FORM")]
+    #[arg(long, value_name = "FORM", global = true)]
     pub log: Option<LogForm>,
     /// What is logged: error, warn, info, debug or trace
-    #[arg(long, default_value = "info", value_name = "LEVEL")]
+    #[arg(long, default_value = "info", value_name = "LEVEL", global = true)]
     pub log_level: tracing::Level,
 }
 
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -24,6 +24,7 @@
 use linnetcart::{Action, Courier, Ending, Event, Listing, Open, Outcome, Taken, Time};
 use linnetcart_http::encode_answer;
 use linnetcart_site::Site;
+use std::borrow::Cow;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 
@@ -72,6 +73,12 @@
     over: bool,
 }
 
+impl Held {
+    fn id(&self) -> Cow<'_, str> {
+        self.owed.message.id()
+    }
+}
+
 /// An attempt out.
 #[derive(Debug)]
 struct Call {
@@ -432,6 +439,7 @@
             Need::Nothing => {}
             Need::Connect => self.notice_link = Some(self.connect(self.discovery)),
             Need::Close => {
+                self.lines.push("discovery: notices are not answered and go again".into());
                 let link = self.notice_link.take();
                 self.outputs.extend(link.map(Output::CloseLink));
             }
@@ -586,6 +594,8 @@
             tenant: 0,
         };
         let end = owed.end;
+        let (id, maybe) = (m.id(), owed.maybe.len());
+        tracing::debug!(%id, number, attempts = owed.attempts, maybe, ?end, left = due - self.now, "taken up again");
         let ago = |a: &Attempt| (self.now + self.wall).saturating_sub(a.at);
         let open = owed.maybe.iter().map(|a| Open { attempt: a.number, zone: a.zone, ago: ago(a) }).collect();
         if end.is_none() {
@@ -611,6 +621,7 @@
             match ended.get(&number) {
                 None => {
                     if let Some(h) = self.held.get(&number) {
+                        tracing::debug!(id = %h.id(), number, left = h.due.saturating_sub(self.now), "taken on");
                         self.records.push(Record::Taken(number, h.owed.message.clone()));
                     }
                     self.counts.taken += 1;
@@ -729,6 +740,7 @@
             return self.done(Done::plain(id, Ending::NotSent { no_slot: false }));
         }
         let attempt = Attempt { number: id.1, zone: known.zone, at: self.now + self.wall };
+        tracing::debug!(id = %h.id(), attempt = id.1, endpoint = call.endpoint, "sent");
         h.owed.maybe.push(attempt);
         self.records.push(Record::Sent { message: id.0, attempt });
         let m = &h.owed.message;
@@ -768,6 +780,7 @@
         self.counts.endings[place(done.ending)] += 1;
         let Some(h) = self.held.get_mut(&message) else { return };
         h.live -= 1;
+        tracing::debug!(id = %h.id(), attempt, ending = ?done.ending, "attempt ended");
         let never_ran = done.ending.never_ran();
         let was_sent = h.owed.maybe.iter().any(|a| a.number == attempt);
         if never_ran && was_sent {
@@ -805,6 +818,7 @@
     fn over(&mut self, message: u32, end: End) {
         let Some(h) = self.held.get_mut(&message).filter(|h| !h.over) else { return };
         h.over = true;
+        tracing::debug!(id = %h.id(), ?end, "over");
         h.owed.end = Some(end);
         self.ids.remove(&h.owed.message.id);
         self.records.push(Record::Ended { message, end });
@@ -814,7 +828,7 @@
     /// The platform is to hear of an end.
     fn tell(&mut self, message: u32, end: End) {
         let Some(h) = self.held.get(&message) else { return };
-        let id = String::from_utf8_lossy(&h.owed.message.id).into_owned();
+        let id = h.id();
         let mut notice = serde_json::json!({"id": id, "state": "failed"});
         match end {
             End::Delivered => return,
@@ -837,6 +851,7 @@
     /// The platform has heard of a message's end.
     fn told(&mut self, message: u32) {
         let Some(h) = self.held.get_mut(&message) else { return };
+        tracing::debug!(id = %h.id(), "told");
         h.owed.end = Some(End::Delivered);
         self.records.push(Record::Told { message });
         let line = h.owed.message.line;
--- a/crates/platform/src/records.rs
+++ b/crates/platform/src/records.rs
@@ -12,6 +12,7 @@
 
 use linnetcart::Time;
 use linnetcart_journal::Record as Raw;
+use std::borrow::Cow;
 use std::collections::BTreeMap;
 
 /// One record.
@@ -66,6 +67,13 @@
     pub body: Vec<u8>,
 }
 
+impl Message {
+    /// Its id, for people.
+    pub fn id(&self) -> Cow<'_, str> {
+        String::from_utf8_lossy(&self.id)
+    }
+}
+
 /// An attempt that began.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Attempt {
