Platform: hand-overs between two lines closed; eight found by reading, shown on real connections

- Double effect: Owed::records wrote a call that waited for its connection as sent and never ran, and Replay::of took no later "sent" of that number (records.rs, `attempt.number >= owed.attempts`).
Now "never ran" alone counts attempts, and a later "sent" counts.
Old files read as before.
Under settings in another order an unsafe message went again as a safe one.
A file begins with the names of classes and zones; a class that is gone ends as failed.
- Double effect: an id was forgotten when its message was over.
- Lost: a second client with the id of a message of this turn was told 202 before the round handed it back (Core::take).
Both now wait for the round.
- Lost: past 0.5 s after SIGTERM a connection just taken was closed with its request unread (Net::accept read it in the next poll only), and closing the listener reset those that waited.
Both are taken and read first; answers that the system did not take get 100 ms at the end.
- SIGHUP before the configuration was read ended the process; half a file was never read again.
- `Connection: close` was not heeded for messages taken on.
- A call whose endpoint moved while its connection was made went to the old place; a name that became another destination's kept its number, and got that one's messages; an unknown zone or kind was taken for the first.
- Slots beyond the descriptors ended as endpoint failures (Begin::Full): slots are bounded by descriptors.
- A batch of notices answered 400 went for ever and held all others; a dead connection for notices was found after 1 s where half a second is what a notice has: 200 ms.
An entry that cannot be read has the list asked whole.
- Nothing is begun after the last round for want of a connection.

Restarts: what is found untried is called.

--- a/crates/edge/tests/process/mod.rs
+++ b/crates/edge/tests/process/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code, reason = "each test file uses its own part")]
 
 use linnetcart_http::{answer as answer_head, request, Answer};
+use rustix::event::{poll, PollFd, PollFlags};
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::{json, Value};
 use socket2::{Domain, Socket, Type};
@@ -240,6 +241,13 @@
         still
     }
 
+    /// The same, and for so many milliseconds somebody may come.
+    pub fn is_still_for(&self, ms: u64) -> bool {
+        let mut fds = [PollFd::new(&self.listener, PollFlags::IN)];
+        let span = rustix::time::Timespec { tv_sec: 0, tv_nsec: ms as i64 * 1_000_000 };
+        poll(&mut fds, Some(&span)).unwrap() == 0
+    }
+
     pub fn take(&self) -> Wire {
         let (stream, _) = self.listener.accept().unwrap();
         stream.set_read_timeout(Some(Duration::from_secs(30))).unwrap();
@@ -307,6 +315,24 @@
         still
     }
 
+    /// Whether bytes or the end have come.
+    pub fn is_ready(&self) -> bool {
+        self.stream.set_nonblocking(true).unwrap();
+        let ready = self.stream.peek(&mut [0]).is_ok();
+        self.stream.set_nonblocking(false).unwrap();
+        ready
+    }
+
+    /// Whether a request is there or comes before the end.
+    pub fn has_request(&mut self) -> bool {
+        while !matches!(request(&self.held), Ok(Some(_))) {
+            if !self.more() {
+                return false;
+            }
+        }
+        true
+    }
+
     /// Reads until the other side ends it.
     pub fn ends(&mut self) {
         while self.more() {}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -201,11 +201,20 @@
         Ok((token, at))
     }
 
-    /// Takes no more connections there.
+    /// Takes no more connections there, after those that wait to be taken: closing resets them.
     pub fn unlisten(&mut self, token: Token) {
+        let mut last = Vec::new();
+        self.accept(token, Instant::now(), &mut last);
+        self.later.append(&mut last);
         if let Some(l) = self.listeners.remove(&token) {
             self.handle.remove(l.registration);
         }
+        self.again.remove(&token);
+    }
+
+    /// Holds at most so many connections from now on.
+    pub fn bound(&mut self, most: usize) {
+        self.most = most;
     }
 
     /// Takes and sends datagrams; port 0 lets the system choose.
@@ -316,6 +325,11 @@
         self.conns.get(&token).map_or(0, |c| c.out.len())
     }
 
+    /// Whether bytes of any connection are queued and not yet taken by the system.
+    pub fn has_unsent(&self) -> bool {
+        self.conns.values().any(|c| !c.out.is_empty())
+    }
+
     /// Bytes that the system took so far.
     pub fn written(&self, token: Token) -> u64 {
         self.conns.get(&token).map_or(0, |c| c.written)
@@ -497,6 +511,8 @@
                     let ready = stream.set_nonblocking(true).and_then(|()| stream.set_nodelay(true));
                     if ready.and_then(|()| self.adopt(token, stream, false)).is_ok() {
                         out.push(Event::Accepted { listener, token, peer });
+                        // What it asked as it connected: nobody is to think that it asks nothing.
+                        self.read(token, out);
                     }
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
--- a/crates/platform/src/core/agent.rs
+++ b/crates/platform/src/core/agent.rs
@@ -14,8 +14,9 @@
 const CONNECT_WITHIN: Time = 1000 * MS;
 /// A watch that is silent for this long is dead: a line comes every 2 s.
 const SILENT: Time = 2700 * MS;
-/// A notice is answered at once; what is not by then is sent again.
-const ANSWER_WITHIN: Time = 1000 * MS;
+/// A notice is answered at once; what is not by then is sent again. It goes out as its message's time ends and
+/// has to be there 300 ms later: a connection that is dead has to be found and replaced before that.
+const ANSWER_WITHIN: Time = 200 * MS;
 /// Notices in one request.
 const TOGETHER: usize = 64;
 /// The most that a line of the watch may have: a list of thousands of endpoints.
@@ -211,6 +212,8 @@
     queue: VecDeque<(u32, Vec<u8>)>,
     /// So many of the first are out.
     out: usize,
+    /// So many of the first may go together: one where a batch was turned down, to find the one at fault.
+    together: usize,
     asked: Time,
     bytes: Vec<u8>,
 }
@@ -218,7 +221,14 @@
 impl Notices {
     /// None.
     pub fn new() -> Notices {
-        Notices { line: Line::new(), queue: VecDeque::new(), out: 0, asked: 0, bytes: vec![] }
+        Notices {
+            line: Line::new(),
+            queue: VecDeque::new(),
+            out: 0,
+            together: TOGETHER,
+            asked: 0,
+            bytes: vec![],
+        }
     }
 
     /// Adds a message's.
@@ -274,7 +284,7 @@
         if self.line.state != State::Up || self.out > 0 || self.queue.is_empty() {
             return None;
         }
-        self.out = self.queue.len().min(TOGETHER);
+        self.out = self.queue.len().min(self.together);
         self.asked = now;
         let body: Vec<u8> = self.queue.iter().take(self.out).flat_map(|(_, l)| l.iter().copied()).collect();
         let head = format!(
@@ -284,28 +294,35 @@
         Some([head.as_bytes(), &body].concat())
     }
 
-    /// Bytes came: the messages whose notices are answered. An error: the connection is to be given up.
-    pub fn bytes(&mut self, bytes: &[u8]) -> Result<Vec<u32>, String> {
+    /// Bytes came: the messages whose notices are answered, and whether they were taken. One that alone is not
+    /// taken would never be, and hold up all behind it. An error: the connection is to be given up.
+    pub fn bytes(&mut self, bytes: &[u8]) -> Result<(Vec<u32>, bool), String> {
         self.bytes.extend_from_slice(bytes);
         let head = match answer(&self.bytes) {
-            Answer::Part { .. } => return Ok(vec![]),
+            Answer::Part { .. } => return Ok((vec![], true)),
             Answer::Spoilt { .. } => return Err("noise".into()),
             Answer::Head(head) => head,
         };
         let Some(body) = head.body else { return Err(format!("a body without end after {}", head.status)) };
         if self.bytes.len() < head.length + body {
-            return Ok(vec![]);
+            return Ok((vec![], true));
         }
         self.bytes.drain(..head.length + body);
         match head.status {
-            200 | 204 => {
+            200 | 204 | 400 if self.out > 0 => {
                 self.line.gap = GAP;
-                let told = self.queue.drain(..std::mem::take(&mut self.out)).map(|(message, _)| message);
-                let told = told.collect();
+                let taken = head.status != 400;
+                let mut out = std::mem::take(&mut self.out);
+                match taken {
+                    true => self.together = (2 * self.together).min(TOGETHER),
+                    false if out > 1 => (self.together, out) = (1, 0),
+                    false => {}
+                }
+                let over = self.queue.drain(..out).map(|(message, _)| message).collect();
                 if head.last {
                     self.line.state = State::Down { retry: 0 };
                 }
-                Ok(told)
+                Ok((over, taken))
             }
             status => Err(format!("status {status}")),
         }
--- a/crates/platform/src/core/calls.rs
+++ b/crates/platform/src/core/calls.rs
@@ -197,7 +197,12 @@
         self.all.get(&id).map(|l| l.call)
     }
 
-    /// The call's bytes are queued.
+    /// Where a connection of ours leads.
+    pub fn address(&self, id: LinkId) -> Option<SocketAddr> {
+        self.all.get(&id).map(|l| l.address)
+    }
+
+    /// The call's bytes are queued now.
     pub fn sent(&mut self, id: LinkId, length: usize) {
         if let Some(l) = self.all.get_mut(&id) {
             l.queued += length as u64;
@@ -207,6 +212,12 @@
         }
     }
 
+    /// The call's bytes are queued.
+    pub fn is_out(&self, call: CallId) -> bool {
+        let link = self.calls.get(&call).and_then(|id| self.all.get(id));
+        link.is_some_and(|l| matches!(l.state, State::Out { .. }))
+    }
+
     /// Gives a call up. `Some(true)`: its bytes were queued, so it may run. Its answer may be on its way, and a wait
     /// that it tells binds all the same: it is read for as long as a connection may take.
     pub fn cancel(&mut self, call: CallId, now: Time) -> Option<bool> {
--- a/crates/platform/src/core/directory.rs
+++ b/crates/platform/src/core/directory.rs
@@ -1,6 +1,7 @@
 //! Endpoints as discovery names them and as the decision library numbers them.
 
 use crate::config::{Entry, News, Status};
+use crate::records::ELSEWHERE;
 use linnetcart::{Endpoint, Event, Listing, Time};
 use linnetcart_site::Site;
 use std::collections::{BTreeMap, BTreeSet};
@@ -19,6 +20,7 @@
     /// Its state.
     pub listing: Listing,
     name: String,
+    destination: u32,
     since_ms: u64,
     left: Time,
 }
@@ -27,14 +29,27 @@
 #[derive(Debug, Default)]
 pub struct Directory {
     /// Version of the list.
-    pub index: u64,
+    index: u64,
     numbers: BTreeMap<String, u32>,
     known: BTreeMap<u32, Known>,
     next: u32,
     destinations: BTreeSet<u32>,
+    /// Zones that the settings do not name: numbers after theirs, so that none is taken for another.
+    zones: Vec<String>,
+    /// An entry could not be read: the list is to be asked for as a whole.
+    unread: bool,
 }
 
 impl Directory {
+    /// From which version on the list is to be asked for; from the first where an entry could not be read.
+    pub fn since(&self) -> u64 {
+        if self.unread {
+            0
+        } else {
+            self.index
+        }
+    }
+
     /// The endpoint of this number.
     pub fn get(&self, number: u32) -> Option<&Known> {
         self.known.get(&number)
@@ -53,6 +68,9 @@
     /// Takes news in. Returns what the library is told, and the endpoints whose connections are of no use any
     /// more: gone, moved or started anew.
     pub fn take(&mut self, news: &News, site: &Site, now: Time) -> (Event, Vec<u32>) {
+        if news.snapshot {
+            self.unread = false;
+        }
         self.index = news.index;
         let mut stale = Vec::new();
         if news.snapshot {
@@ -64,7 +82,10 @@
                 }
             }
         }
-        let entries = news.endpoints.iter().filter_map(|e| self.entry(e, site, now, &mut stale)).collect();
+        let mut entries = Vec::new();
+        for e in &news.endpoints {
+            self.entry(e, site, now, &mut stale, &mut entries);
+        }
         let over: Vec<u32> = self
             .known
             .iter()
@@ -73,23 +94,34 @@
             .collect();
         for number in over {
             if let Some(known) = self.known.remove(&number) {
-                self.numbers.remove(&known.name);
+                if self.numbers.get(&known.name) == Some(&number) {
+                    self.numbers.remove(&known.name);
+                }
             }
         }
         (Event::List { whole: news.snapshot, entries }, stale)
     }
 
-    fn entry(&mut self, e: &Entry, site: &Site, now: Time, stale: &mut Vec<u32>) -> Option<Endpoint> {
+    fn entry(&mut self, e: &Entry, site: &Site, now: Time, stale: &mut Vec<u32>, out: &mut Vec<Endpoint>) {
         let Ok(address) = e.address.parse::<SocketAddr>() else {
             tracing::warn!(name = e.name, address = e.address, "an endpoint's address cannot be read");
-            return None;
+            self.unread = true;
+            return;
         };
-        let place = |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(0) as u8;
-        let (zone, kind) = (place(&site.zones, &e.zone), place(&site.kinds, &e.kind));
-        let listing = Listing::from(e.status);
+        let kind = site.kinds.iter().position(|k| *k == e.kind).unwrap_or(site.kinds.len()) as u8;
+        let (zone, listing) = (self.zone(&e.zone, site), Listing::from(e.status));
+        // What was learnt of a name that is another destination's now is not of use there.
+        let moved = self.numbers.get(&e.name).and_then(|n| Some((*n, self.known.get_mut(n)?)));
+        if let Some((number, before)) = moved.filter(|(_, k)| k.destination != e.group) {
+            (before.listing, before.left) = (Listing::Gone, now);
+            let (id, destination, zone) = (number, before.destination, before.zone);
+            out.push(Endpoint { id, destination, kind, zone, rate: 0.0, listing: Listing::Gone });
+            stale.push(number);
+            self.numbers.remove(&e.name);
+        }
         let number = match self.numbers.get(&e.name) {
             Some(&number) => number,
-            None if e.status == Status::Left => return None,
+            None if e.status == Status::Left => return,
             None => {
                 self.next += 1;
                 self.numbers.insert(e.name.clone(), self.next);
@@ -97,12 +129,26 @@
             }
         };
         self.destinations.insert(e.group);
-        let known = Known { address, zone, listing, name: e.name.clone(), since_ms: e.since_ms, left: now };
+        let (name, destination) = (e.name.clone(), e.group);
+        let known = Known { address, zone, listing, name, destination, since_ms: e.since_ms, left: now };
         if let Some(before) = self.known.insert(number, known) {
             if listing == Listing::Gone || before.address != address || before.since_ms != e.since_ms {
                 stale.push(number);
             }
         }
-        Some(Endpoint { id: number, destination: e.group, kind, zone, rate: e.weight, listing })
+        out.push(Endpoint { id: number, destination: e.group, kind, zone, rate: e.weight, listing });
+    }
+
+    fn zone(&mut self, name: &str, site: &Site) -> u8 {
+        let all = site.zones.iter().chain(&self.zones);
+        if let Some(place) = all.enumerate().find_map(|(n, z)| (z == name).then_some(n)) {
+            return place as u8;
+        }
+        let place = site.zones.len() + self.zones.len();
+        if place >= usize::from(ELSEWHERE) {
+            return ELSEWHERE;
+        }
+        self.zones.push(name.to_owned());
+        place as u8
     }
 }
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -14,7 +14,7 @@
 pub use clients::ClientId;
 
 use crate::config::{Config, News};
-use crate::records::{Attempt, End, Message, Owed, Record, Replay};
+use crate::records::{Attempt, End, Known, Message, Owed, Record, Replay, ELSEWHERE};
 use agent::{Need, Notices, Watch};
 use bytes::Bytes;
 use calls::{Begin, CallId, Done, Links};
@@ -41,6 +41,9 @@
 const OTHER_FILES: usize = 24;
 /// Part of the journal's room that messages on hand may take: the old file, the new one and growth need the rest.
 const HOLD_PART: u64 = 5;
+/// And part that what is remembered of messages that are over may take, in records of so many bytes.
+const KNOWN_PART: u64 = 20;
+const KNOWN_BYTES: u64 = 40;
 
 /// What the shell is to do, in this order.
 #[derive(Clone, Debug, PartialEq)]
@@ -71,6 +74,8 @@
     live: u16,
     /// It has its final answer.
     over: bool,
+    /// That was to hand it back: whoever comes with it again is welcome.
+    returned: bool,
 }
 
 impl Held {
@@ -106,6 +111,8 @@
     pub connects: u64,
     /// Notices: failed, returned.
     pub notices: [u64; 2],
+    /// Messages of an earlier process: found; of them surely never run; of those called, given up uncalled.
+    pub resumed: [u64; 4],
 }
 
 /// The courier.
@@ -130,6 +137,15 @@
     ids: HashMap<Vec<u8>, u32>,
     held_bytes: u64,
     most_bytes: u64,
+    /// Messages that are over and may come once more under their ids, by when their time is up.
+    over: BTreeSet<(Time, u64)>,
+    /// Messages of an earlier process that have surely never run, and were not called in this one either.
+    untried: BTreeSet<u32>,
+    known: HashMap<u64, Known>,
+    most_known: usize,
+    /// Messages handed in since the last round, and who waits for what it makes of them; with whether the
+    /// connection is to end then.
+    fresh: BTreeMap<u32, Vec<(ClientId, bool)>>,
     calls: BTreeMap<CallId, Call>,
     /// Connections that came up since the last turn, each for a call.
     up: Vec<LinkId>,
@@ -142,6 +158,7 @@
     look_at: Time,
     ending: Option<Time>,
     ended: bool,
+    unlistened: bool,
     /// The journal takes nothing more: nothing may begin that depends on it.
     broken: bool,
     counts: Counts,
@@ -153,11 +170,15 @@
     pub fn new(config: Config, replay: Replay, now: Time, wall: Time) -> Core {
         let room = (config.limits.disk_mb * 1e6) as u64;
         let sockets = config.limits.sockets.saturating_sub(OTHER_FILES);
+        let most_links = sockets - sockets / 2;
+        // Slots that there are no descriptors for are none.
+        let mut settings = config.site.settings.clone();
+        settings.slots = settings.slots.min(most_links as u32);
         let mut core = Core {
             clients: Clients::new(sockets / 2),
             half_closed: vec![],
-            links: Links::new(sockets - sockets / 2, &config.site),
-            courier: Courier::new(config.site.settings.clone(), config.seed),
+            links: Links::new(most_links, &config.site),
+            courier: Courier::new(settings, config.seed),
             discovery: config.discovery,
             site: config.site,
             now,
@@ -173,6 +194,11 @@
             ids: HashMap::new(),
             held_bytes: 0,
             most_bytes: room / HOLD_PART,
+            over: BTreeSet::new(),
+            untried: BTreeSet::new(),
+            known: HashMap::new(),
+            most_known: (room / KNOWN_PART / KNOWN_BYTES) as usize,
+            fresh: BTreeMap::new(),
             calls: BTreeMap::new(),
             up: vec![],
             telling: BTreeMap::new(),
@@ -183,12 +209,14 @@
             look_at: now,
             ending: None,
             ended: false,
+            unlistened: false,
             broken: false,
             counts: Counts::default(),
             lines: vec![],
         };
         let known = News { snapshot: true, ..config.known };
         core.news(known);
+        replay.known.into_iter().for_each(|known| core.remember(known));
         for (number, owed) in replay.owed {
             core.resume(number, owed);
         }
@@ -198,7 +226,10 @@
     /// The journal's records that come to what is held: all that a new file of it needs.
     pub fn snapshot(&self) -> Vec<Record> {
         let open = self.held.iter().filter(|(_, h)| h.owed.end != Some(End::Delivered));
-        open.flat_map(|(&number, h)| h.owed.records(number)).collect()
+        let names = Record::Names { classes: self.site.classes.clone(), zones: self.site.zones.clone() };
+        let known = self.over.iter().filter_map(|(_, id)| self.known.get(id).copied().map(Record::Known));
+        let open = open.flat_map(|(&number, h)| h.owed.records(number));
+        [names].into_iter().chain(known).chain(open).collect()
     }
 
     /// Records since the last time; to be written before the outputs are carried out.
@@ -276,7 +307,8 @@
     /// A connection of ours is there.
     pub fn link_up(&mut self, id: LinkId) {
         if self.watch_link == Some(id) {
-            let ask = self.watch.up(self.now, self.discovery, self.directory.index);
+            tracing::debug!(since = self.directory.since(), "watch");
+            let ask = self.watch.up(self.now, self.discovery, self.directory.since());
             self.outputs.push(Output::ToLink(id, ask.into()));
         } else if self.notice_link == Some(id) {
             self.notices.up();
@@ -313,7 +345,13 @@
             }
         } else if self.notice_link == Some(id) {
             match self.notices.bytes(bytes) {
-                Ok(told) => told.into_iter().for_each(|message| self.told(message)),
+                Ok((told, taken)) => told.into_iter().for_each(|message| {
+                    if let Some(h) = self.held.get(&message).filter(|_| !taken) {
+                        let line = format!("discovery does not take the notice on {}; it is dropped", h.id());
+                        self.lines.push(line);
+                    }
+                    self.told(message);
+                }),
                 Err(why) => {
                     self.lines.push(format!("discovery: notices were answered with {why}; they go again"));
                     self.outputs.push(Output::CloseLink(id));
@@ -363,6 +401,8 @@
     }
 
     fn news(&mut self, news: News) {
+        let (index, whole, entries) = (news.index, news.snapshot, news.endpoints.len());
+        tracing::debug!(index, whole, entries, "list");
         let (event, stale) = self.directory.take(&news, &self.site, self.now);
         self.events.push(event);
         stale.into_iter().for_each(|endpoint| self.links.close_idle(endpoint));
@@ -380,8 +420,7 @@
         let late: Vec<CallId> =
             self.calls.iter().filter(|(_, c)| c.until <= now).map(|(&id, _)| id).collect();
         late.into_iter().for_each(|call| self.give_up(call, Ending::TimedOut));
-        let fresh: BTreeMap<u32, ClientId> =
-            self.clients.fresh().into_iter().filter_map(|id| self.step(id)).collect();
+        self.clients.fresh().into_iter().for_each(|id| self.step(id));
         let playing = self.ending.is_none_or(|since| now < since + LAST_ROUND);
         if playing && (self.round_at <= now || !self.events.is_empty()) {
             // A wake-up that is still to come stays: the library does not ask for it again.
@@ -390,14 +429,18 @@
             }
             let events = std::mem::take(&mut self.events);
             let actions = self.courier.round(now, events);
-            self.answer_fresh(&fresh, &actions);
+            self.answer_fresh(&actions);
             for action in actions {
                 self.act(action);
             }
         } else if !playing {
             self.round_at = Time::MAX;
             self.events.clear();
-            self.answer_fresh(&fresh, &[]);
+            self.answer_fresh(&[]);
+            // What has no connection yet is for the next process: nothing begins that cannot end.
+            let unsent: Vec<CallId> =
+                self.calls.keys().copied().filter(|&id| !self.links.is_out(id)).collect();
+            unsent.into_iter().for_each(|id| self.give_up(id, Ending::Cancelled));
         }
         self.go_on();
         std::mem::take(&mut self.half_closed).into_iter().for_each(|id| self.close(id));
@@ -474,7 +517,7 @@
                 self.close(id);
             }
         }
-        if leaving {
+        if leaving && !std::mem::replace(&mut self.unlistened, true) {
             self.outputs.push(Output::Unlisten);
         }
     }
@@ -486,61 +529,62 @@
 
     // ---- Taking on
 
-    /// Acts on what a client sent. A message that waits for the round is returned.
-    fn step(&mut self, id: ClientId) -> Option<(u32, ClientId)> {
+    /// Acts on what a client sent. A message waits for the round.
+    fn step(&mut self, id: ClientId) {
         let request = match self.clients.step(id) {
-            Step::Wait => return None,
+            Step::Wait => return,
             Step::Bad(refusal) => {
                 self.refuse(id, refusal.status(), &refusal.to_string());
-                return None;
+                return;
             }
             Step::Rude => {
                 self.refuse(id, 400, "one request at a time");
-                return None;
+                return;
             }
             Step::Request(request) => request,
         };
         if request.path() == b"/ready" && request.method() == b"GET" {
             let last = request.last;
             self.answer(id, 200, &[], b"", last);
-            return None;
+            return;
         }
         let (body, last) = (request.body().to_vec(), request.last);
         match intake::read(&request, &self.site) {
-            Err((status, why)) => {
-                self.refuse(id, status, why);
-                None
-            }
+            Err((status, why)) => self.refuse(id, status, why),
             Ok(handed) => self.take(id, handed, body, last),
         }
     }
 
-    fn take(
-        &mut self,
-        client: ClientId,
-        handed: Handed,
-        body: Vec<u8>,
-        last: bool,
-    ) -> Option<(u32, ClientId)> {
+    fn take(&mut self, client: ClientId, handed: Handed, body: Vec<u8>, last: bool) {
         if !self.directory.has_destination(handed.destination) {
             self.refuse(client, 404, "there is no such destination");
-            return None;
+            return;
         }
-        if let Some(&number) = self.ids.get(&handed.id) {
+        let Handed { id, token, class, destination, line, left } = handed;
+        let due = self.now + left;
+        let message = Message { id, token, class, destination, line, due: due + self.wall, body };
+        // Its time counts anew when it comes again; all else has to be the same.
+        let again = message.known();
+        if let Some(known) = self.known.get(&again.id) {
+            match known.content == again.content {
+                true => self.answer(client, 202, &[], b"", last),
+                false => self.refuse(client, 409, "this id was another message's"),
+            }
+            return;
+        }
+        if let Some(&number) = self.ids.get(&message.id) {
             let same = self.held.get(&number).is_some_and(|h| {
                 let m = &h.owed.message;
-                (m.class, m.destination, m.line) == (handed.class, handed.destination, handed.line)
-                    && m.body == body
+                (m.class, m.destination, m.line) == (class, destination, line) && m.body == message.body
             });
             match same {
+                // It may yet be handed back in this round, and then to whoever asked.
+                true if self.fresh.contains_key(&number) => self.ask(number, client, last),
                 true => self.answer(client, 202, &[], b"", last),
                 false => self.refuse(client, 409, "this id is in use"),
             }
-            return None;
+            return;
         }
-        let Handed { id, token, class, destination, line, left } = handed;
-        let due = self.now + left;
-        let message = Message { id, token, class, destination, line, due: due + self.wall, body };
         let owed = Owed { message, attempts: 0, maybe: vec![], end: None };
         let size = size(&owed);
         let most = self.site.settings.max_held as usize;
@@ -548,14 +592,14 @@
         if open >= most || self.held_bytes + size > self.most_bytes || self.broken || left == 0 {
             self.counts.refused += 1;
             self.answer(client, 503, &[], b"", last);
-            return None;
+            return;
         }
         let mut number = self.next_message;
         while self.held.contains_key(&number) {
             number = number.wrapping_add(1);
         }
         self.next_message = number.wrapping_add(1);
-        self.clients.asks(client);
+        self.ask(number, client, last);
         self.hold(number, owed, size, due);
         self.events.push(Event::Taken(Taken {
             id: number,
@@ -565,7 +609,30 @@
             key: line,
             tenant: 0,
         }));
-        Some((number, client))
+    }
+
+    /// A client waits for what the round makes of its message.
+    fn ask(&mut self, number: u32, client: ClientId, last: bool) {
+        self.clients.asks(client);
+        self.fresh.entry(number).or_default().push((client, last));
+    }
+
+    /// A message that is over is known under its id until its time is up; of too many, those that end first go.
+    fn remember(&mut self, known: Known) {
+        let wall = self.now + self.wall;
+        while let Some(&(until, id)) = self.over.first() {
+            if until > wall && self.over.len() < self.most_known {
+                break;
+            }
+            self.over.remove(&(until, id));
+            self.known.remove(&id);
+        }
+        if known.until > wall && self.most_known > 0 {
+            if let Some(before) = self.known.insert(known.id, known) {
+                self.over.remove(&(before.until, before.id));
+            }
+            self.over.insert((known.until, known.id));
+        }
     }
 
     fn hold(&mut self, number: u32, owed: Owed, size: u64, due: Time) {
@@ -573,18 +640,21 @@
         if owed.end.is_none() {
             self.ids.insert(owed.message.id.clone(), number);
         }
-        let over = owed.end.is_some();
-        self.held.insert(number, Held { owed, size, due, live: 0, over });
+        let (over, returned) = (owed.end.is_some(), matches!(owed.end, Some(End::Returned(_))));
+        self.held.insert(number, Held { owed, size, due, live: 0, over, returned });
     }
 
     /// Takes up a message that an earlier process took on.
-    fn resume(&mut self, number: u32, owed: Owed) {
+    fn resume(&mut self, number: u32, mut owed: Owed) {
         let due = owed.message.due.saturating_sub(self.wall).max(self.now);
-        let (m, size) = (&owed.message, size(&owed));
-        if usize::from(m.class) >= self.site.classes.len() {
-            self.lines.push(format!("message {number} is of a class that there is no more"));
-            return;
+        if owed.message.class == ELSEWHERE && owed.end.is_none() {
+            let id = owed.message.id();
+            self.lines
+                .push(format!("message {id} is of a class that the settings have no more; it has failed"));
+            owed.end = Some(End::Failed);
+            self.records.push(Record::Ended { message: number, end: End::Failed });
         }
+        let (m, size) = (&owed.message, size(&owed));
         let taken = Taken {
             id: number,
             destination: m.destination,
@@ -598,6 +668,11 @@
         tracing::debug!(%id, number, attempts = owed.attempts, maybe, ?end, left = due - self.now, "taken up again");
         let ago = |a: &Attempt| (self.now + self.wall).saturating_sub(a.at);
         let open = owed.maybe.iter().map(|a| Open { attempt: a.number, zone: a.zone, ago: ago(a) }).collect();
+        self.counts.resumed[0] += 1;
+        if end.is_none() && owed.maybe.is_empty() {
+            self.counts.resumed[1] += 1;
+            self.untried.insert(number);
+        }
         if end.is_none() {
             self.events.push(Event::Resumed { taken, attempts: owed.attempts, open });
         }
@@ -608,7 +683,7 @@
     }
 
     /// Answers those whose messages came with this round: handed back or failed in it, or taken on.
-    fn answer_fresh(&mut self, fresh: &BTreeMap<u32, ClientId>, actions: &[Action]) {
+    fn answer_fresh(&mut self, actions: &[Action]) {
         let mut ended: BTreeMap<u32, Option<Time>> = BTreeMap::new();
         for action in actions {
             match action {
@@ -617,28 +692,32 @@
                 _ => {}
             }
         }
-        for (&number, &client) in fresh {
-            match ended.get(&number) {
+        for (number, askers) in std::mem::take(&mut self.fresh) {
+            let mut after = String::new();
+            let status = match ended.get(&number) {
                 None => {
                     if let Some(h) = self.held.get(&number) {
                         tracing::debug!(id = %h.id(), number, left = h.due.saturating_sub(self.now), "taken on");
                         self.records.push(Record::Taken(number, h.owed.message.clone()));
                     }
                     self.counts.taken += 1;
-                    self.answer(client, 202, &[], b"", false);
+                    202
                 }
-                Some(end) => {
-                    self.forget(number);
-                    match end {
-                        Some(come_back) => {
-                            self.counts.refused += 1;
-                            let after = format!("{:.3}", *come_back as f64 / 1e9);
-                            let field = [("Retry-After", &after[..])];
-                            self.answer(client, 503, if *come_back > 0 { &field } else { &[] }, b"", false);
-                        }
-                        None => self.answer(client, 500, &[], b"", false),
+                Some(Some(come_back)) => {
+                    self.counts.refused += 1;
+                    if *come_back > 0 {
+                        after = format!("{:.3}", *come_back as f64 / 1e9);
                     }
+                    503
                 }
+                Some(None) => 500,
+            };
+            if status != 202 {
+                self.forget(number);
+            }
+            let field = [("Retry-After", &after[..])];
+            for (client, last) in askers {
+                self.answer(client, status, if after.is_empty() { &[] } else { &field }, b"", last);
             }
         }
     }
@@ -719,7 +798,7 @@
                 self.counts.connects += 1;
                 self.outputs.push(Output::Connect(link, address));
             }
-            Begin::Full => self.done(Done::plain(id, Ending::NoConnection)),
+            Begin::Full => self.done(Done::plain(id, Ending::NotSent { no_slot: true })),
         }
     }
 
@@ -727,8 +806,9 @@
     fn start(&mut self, id: CallId, link: LinkId) {
         let (Some(call), Some(h)) = (self.calls.get(&id), self.held.get_mut(&id.0)) else { return };
         let known = self.directory.get(call.endpoint).filter(|k| k.listing == Listing::Ready);
-        let Some(known) = known.filter(|_| !self.broken) else {
-            // It drains or is gone since the connection was begun, or the journal takes nothing.
+        let there = |address| self.links.address(link) == Some(address);
+        let Some(known) = known.filter(|k| !self.broken && there(k.address)) else {
+            // It drains, is gone or elsewhere since the connection was begun, or the journal takes nothing.
             self.links.cancel(id, self.now);
             return self.done(Done::plain(id, Ending::NoConnection));
         };
@@ -757,6 +837,20 @@
         self.counts.calls += 1;
         self.links.sent(link, bytes.len());
         self.outputs.push(Output::ToLink(link, bytes.into()));
+        self.tried(id.0, 2);
+    }
+
+    /// A message of an earlier process has its first call, or its end without one.
+    fn tried(&mut self, message: u32, place: usize) {
+        if !self.untried.remove(&message) {
+            return;
+        }
+        self.counts.resumed[place] += 1;
+        if self.untried.is_empty() {
+            let [found, untried, called, given_up] = self.counts.resumed;
+            let line = format!("of {found} messages of an earlier process {untried} were untried");
+            self.lines.push(format!("{line}: {called} called, {given_up} given up uncalled"));
+        }
     }
 
     /// Ends an attempt from our side.
@@ -817,11 +911,12 @@
     /// The library ended a message.
     fn over(&mut self, message: u32, end: End) {
         let Some(h) = self.held.get_mut(&message).filter(|h| !h.over) else { return };
-        h.over = true;
+        (h.over, h.returned) = (true, matches!(end, End::Returned(_)));
         tracing::debug!(id = %h.id(), ?end, "over");
         h.owed.end = Some(end);
         self.ids.remove(&h.owed.message.id);
         self.records.push(Record::Ended { message, end });
+        self.tried(message, 3);
         self.tell(message, end);
     }
 
@@ -867,7 +962,9 @@
     /// Forgets a message of which nothing is owed or out.
     fn settle(&mut self, message: u32) {
         let done = |h: &Held| h.over && h.live == 0 && h.owed.end == Some(End::Delivered);
-        if self.held.get(&message).is_some_and(done) {
+        if let Some(h) = self.held.get(&message).filter(|h| done(h)) {
+            let known = (!h.returned).then(|| h.owed.message.known());
+            known.into_iter().for_each(|known| self.remember(known));
             self.forget(message);
         }
     }
--- a/crates/platform/src/records.rs
+++ b/crates/platform/src/records.rs
@@ -7,6 +7,8 @@
 //! | never ran | the message is sent again |
 //! | ended | the platform is told; for a delivered one, before anything else is done for it |
 //! | told | the notice is forgotten |
+//! | names | all that follows: what places of classes and zones mean in it |
+//! | known | nothing; a new file begins with those of the file before |
 //!
 //! An attempt that was sent and is not known never to have run may have run.
 
@@ -14,6 +16,7 @@
 use linnetcart_journal::Record as Raw;
 use std::borrow::Cow;
 use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 
 /// One record.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -46,6 +49,26 @@
         /// The message.
         message: u32,
     },
+    /// Names of the classes and zones that records after this give by their places.
+    Names {
+        /// Of the classes.
+        classes: Vec<String>,
+        /// Of the zones.
+        zones: Vec<String>,
+    },
+    /// A message that is over and may be handed in once more under its id.
+    Known(Known),
+}
+
+/// What is remembered of a message that is over: enough to know it again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Known {
+    /// Stands for its id.
+    pub id: u64,
+    /// Stands for the rest of it.
+    pub content: u64,
+    /// Until then, nanoseconds of the wall clock.
+    pub until: Time,
 }
 
 /// A message as it was handed in.
@@ -67,7 +90,23 @@
     pub body: Vec<u8>,
 }
 
+/// A place that no name of this process's settings has.
+pub const ELSEWHERE: u8 = u8::MAX;
+
+/// The number that stands for bytes in the journal. Not for bytes that someone chose to collide.
+pub fn digest(parts: &[&[u8]]) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    parts.hash(&mut hasher);
+    hasher.finish()
+}
+
 impl Message {
+    /// What is remembered of it when it is over.
+    pub fn known(&self) -> Known {
+        let place = [&self.destination.to_le_bytes()[..], &self.line.to_le_bytes(), &[self.class]].concat();
+        Known { id: digest(&[&self.id]), content: digest(&[&place, &self.body]), until: self.due }
+    }
+
     /// Its id, for people.
     pub fn id(&self) -> Cow<'_, str> {
         String::from_utf8_lossy(&self.id)
@@ -101,6 +140,8 @@
 const NEVER_RAN: u8 = 3;
 const ENDED: u8 = 4;
 const TOLD: u8 = 5;
+const NAMES: u8 = 6;
+const KNOWN: u8 = 7;
 const NO_TOKEN: u16 = u16::MAX;
 
 impl Record {
@@ -148,6 +189,14 @@
                 out.extend(message.to_le_bytes());
                 TOLD
             }
+            Record::Names { classes, zones } => {
+                out.extend(serde_json::json!([classes, zones]).to_string().into_bytes());
+                NAMES
+            }
+            Record::Known(k) => {
+                [k.id, k.content, k.until].iter().for_each(|n| out.extend(n.to_le_bytes()));
+                KNOWN
+            }
         };
         (kind, out)
     }
@@ -155,6 +204,14 @@
     /// Reads a record; `None` if it is none of ours.
     pub fn decode(raw: &Raw) -> Option<Record> {
         let mut f = Fields(&raw.payload);
+        match raw.kind {
+            NAMES => {
+                let (classes, zones) = serde_json::from_slice(&raw.payload).ok()?;
+                return Some(Record::Names { classes, zones });
+            }
+            KNOWN => return Some(Record::Known(Known { id: f.u64()?, content: f.u64()?, until: f.u64()? })),
+            _ => {}
+        }
         let message = f.u32()?;
         Some(match raw.kind {
             TAKEN => {
@@ -241,24 +298,62 @@
     pub next: u32,
     /// Records that could not be understood, or name a message that is not there.
     pub strange: usize,
+    /// Messages that are over and whose time is not up, as far as the journal still has them.
+    pub known: Vec<Known>,
+}
+
+/// From places in the journal to places in the settings, by name.
+#[derive(Default)]
+struct Places {
+    classes: Option<Vec<u8>>,
+    zones: Option<Vec<u8>>,
+}
+
+impl Places {
+    fn of(names: &[String], here: &[String]) -> Option<Vec<u8>> {
+        let place = |n: &String| here.iter().position(|h| h == n).map_or(ELSEWHERE, |p| p as u8);
+        Some(names.iter().map(place).collect())
+    }
+
+    /// A file without names is of a time when places were all there was.
+    fn here(places: &Option<Vec<u8>>, place: u8) -> u8 {
+        let Some(places) = places else { return place };
+        places.get(usize::from(place)).copied().unwrap_or(ELSEWHERE)
+    }
 }
 
 impl Replay {
-    /// Goes through the records. A record that comes twice counts once.
-    pub fn of(records: &[Raw]) -> Replay {
+    /// Goes through the records, with the names that the settings have now: a class or zone is the one of its
+    /// name, wherever it stands now. A record that comes twice counts once.
+    pub fn of(records: &[Raw], classes: &[String], zones: &[String]) -> Replay {
         let mut replay = Replay { next: 1, ..Replay::default() };
         let mut over = std::collections::BTreeSet::new();
+        let mut places = Places::default();
         for raw in records {
-            let Some(record) = Record::decode(raw) else {
+            let Some(mut record) = Record::decode(raw) else {
                 replay.strange += 1;
                 continue;
             };
+            match &mut record {
+                Record::Names { classes: c, zones: z } => {
+                    places = Places { classes: Places::of(c, classes), zones: Places::of(z, zones) };
+                    continue;
+                }
+                Record::Known(known) => {
+                    replay.known.push(*known);
+                    continue;
+                }
+                Record::Taken(_, m) => m.class = Places::here(&places.classes, m.class),
+                Record::Sent { attempt, .. } => attempt.zone = Places::here(&places.zones, attempt.zone),
+                _ => {}
+            }
             let number = match &record {
                 Record::Taken(n, _) => *n,
                 Record::Sent { message, .. }
                 | Record::NeverRan { message, .. }
                 | Record::Ended { message, .. }
                 | Record::Told { message } => *message,
+                Record::Names { .. } | Record::Known(_) => continue,
             };
             replay.next = replay.next.max(number.saturating_add(1));
             if let Record::Taken(_, message) = record {
@@ -273,17 +368,25 @@
                 continue;
             };
             match record {
-                Record::Sent { attempt, .. } if attempt.number >= owed.attempts => {
-                    owed.attempts = attempt.number.saturating_add(1);
+                // Also one of a lower number than what is counted: a new file counts attempts that wait for their
+                // connection, and they are sent after it was begun.
+                Record::Sent { attempt, .. } => {
+                    owed.attempts = owed.attempts.max(attempt.number.saturating_add(1));
+                    owed.maybe.retain(|a| a.number != attempt.number);
                     owed.maybe.push(attempt);
                 }
-                Record::NeverRan { attempt, .. } => owed.maybe.retain(|a| a.number != attempt),
+                Record::NeverRan { attempt, .. } => {
+                    owed.attempts = owed.attempts.max(attempt.saturating_add(1));
+                    owed.maybe.retain(|a| a.number != attempt);
+                }
                 Record::Ended { end: End::Delivered, .. } | Record::Told { .. } => {
-                    replay.owed.remove(&number);
+                    let gone = replay.owed.remove(&number);
+                    let gone = gone.filter(|owed| !matches!(owed.end, Some(End::Returned(_))));
+                    replay.known.extend(gone.map(|owed| owed.message.known()));
                     over.insert(number);
                 }
                 Record::Ended { end, .. } => owed.end = Some(end),
-                Record::Sent { .. } | Record::Taken(..) => {}
+                Record::Taken(..) | Record::Names { .. } | Record::Known(_) => {}
             }
         }
         replay
@@ -300,7 +403,6 @@
             match self.maybe.iter().find(|a| a.number == n) {
                 Some(&attempt) => all.push(sent(attempt)),
                 None if n + 1 == self.attempts => {
-                    all.push(sent(Attempt { number: n, zone: 0, at: 0 }));
                     all.push(Record::NeverRan { message: number, attempt: n });
                 }
                 None => {}
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -22,6 +22,10 @@
 const LINES: u32 = 20;
 /// A journal that cannot be written for so long ends the program.
 const UNWRITTEN: Time = 5_000_000_000;
+/// How long the last answers may take to leave.
+const LAST_BYTES: Time = 100_000_000;
+/// A configuration that cannot be read is being replaced: it is read again this much later.
+const READ_AGAIN: Time = 200_000_000;
 /// How often figures are logged.
 const FIGURES: Time = 10_000_000_000;
 /// The journal is begun anew when it has grown by this part of its room.
@@ -82,6 +86,7 @@
     tokens: BTreeMap<Token, LinkId>,
     begun: Instant,
     environment: Environment,
+    read_again: Option<Time>,
     second: Time,
     said: u32,
     figures_at: Time,
@@ -89,12 +94,15 @@
 
 /// Runs until a signal ends it.
 pub fn run(environment: Environment) -> anyhow::Result<()> {
+    let mut net = Net::new(0).context("the event loop cannot be made")?;
+    // Before all that takes time: a signal that comes meanwhile waits, and does not end the process.
+    net.signals(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]).context("signals cannot be caught")?;
     let config = read_config(&environment.config)?;
     let state = environment.state.display();
     let (mut journal, records, lines) = Folder::open(&environment.state)
         .with_context(|| format!("the journal in {state} cannot be read; RELAY_STATE names the folder"))?;
     lines.iter().for_each(|line| tracing::error!("journal: {line}; what can be read is answered for"));
-    let replay = Replay::of(&records);
+    let replay = Replay::of(&records, &config.site.classes, &config.site.zones);
     tracing::info!(
         owed = replay.owed.len(),
         strange = replay.strange,
@@ -102,11 +110,8 @@
         "from the journal"
     );
     drop(records);
-    let mut net =
-        Net::new(config.limits.sockets.saturating_sub(16)).context("the event loop cannot be made")?;
+    net.bound(config.limits.sockets.saturating_sub(16));
     net.reads(READ.0, READ.1);
-    let signals = [Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP];
-    net.signals(&signals).context("signals cannot be caught")?;
     let (listen, room) = (config.listen, (config.limits.disk_mb * 1e6) as u64);
     let core = Core::new(config, replay, CLOCK_START, wall());
     let begun = Instant::now();
@@ -128,6 +133,7 @@
         tokens: BTreeMap::new(),
         begun,
         environment,
+        read_again: None,
         second: 0,
         said: 0,
         figures_at: 0,
@@ -143,20 +149,29 @@
     fn serve(&mut self) -> anyhow::Result<()> {
         let mut events = Vec::new();
         while !self.core.is_done() {
-            let wait = Duration::from_nanos(self.core.next_turn().saturating_sub(self.now())).min(LOOK);
+            let next = self.core.next_turn().min(self.read_again.unwrap_or(Time::MAX));
+            let wait = Duration::from_nanos(next.saturating_sub(self.now())).min(LOOK);
             self.net.poll(wait, &mut events).context("the event loop failed")?;
             let now = self.now();
             self.core.clock(now);
             for event in events.drain(..) {
                 self.event(event);
             }
+            if self.read_again.is_some_and(|at| at <= now) {
+                self.configure(true);
+            }
             self.core.turn(now);
             if self.write_records()? {
                 self.carry_out();
             }
             self.log(now);
         }
-        self.net.flush();
+        // Answers that the system did not take at once: a client that reads has them before the process ends.
+        let until = self.now() + LAST_BYTES;
+        while self.net.has_unsent() && self.now() < until {
+            self.net.poll(Duration::from_millis(10), &mut events).context("the event loop failed")?;
+            events.clear();
+        }
         tracing::info!("ended");
         Ok(())
     }
@@ -186,7 +201,7 @@
                 self.core.client_half_closed(token);
             }
             Event::Closed { token, written } => self.gone(token, written),
-            Event::Signal(signal) if signal == Signal::SIGHUP as i32 => self.configure(),
+            Event::Signal(signal) if signal == Signal::SIGHUP as i32 => self.configure(false),
             Event::Signal(_) => {
                 tracing::info!("ending");
                 self.core.end();
@@ -215,14 +230,20 @@
         }
     }
 
-    /// The configuration was replaced. What cannot be read leaves the old one in force.
-    fn configure(&mut self) {
+    /// The configuration was replaced. What cannot be read leaves the old one in force and is read again later.
+    fn configure(&mut self, again: bool) {
+        self.read_again = None;
         match read_config(&self.environment.config) {
             Ok(config) => {
                 tracing::info!(discovery = %config.discovery, "configured anew");
                 self.core.discovery_at(config.discovery);
             }
-            Err(e) => tracing::error!("{e:#}; the configuration before stays in force"),
+            Err(e) => {
+                if !again {
+                    tracing::error!("{e:#}; the configuration before stays in force until it can be read");
+                }
+                self.read_again = Some(self.now() + READ_AGAIN);
+            }
         }
     }
 
