--- a/crates/edge/tests/moments.rs
+++ b/crates/edge/tests/moments.rs
@@ -23,6 +23,7 @@
     config
 }
 
+/// The configuration as it is, with its classes in this order.
 fn refill(rig: &Rig, classes: &[usize]) -> Value {
     let text = std::fs::read_to_string(rig.dir.join("config.json")).unwrap();
     let mut config: Value = serde_json::from_str(&text).unwrap();
@@ -58,7 +59,7 @@
     for n in 0.. {
         assert!(n < 20, "the journal never begins anew");
         let id = format!("fill-{n}");
-        let head = message("status", &id, "", "Content-Length: 60000\r\n").replace("dest=3", "dest=4");
+        let head = message("status", &id, "Content-Length: 60000\r\n").replace("dest=3", "dest=4");
         assert_eq!(rig.ask(&format!("{head}{}", "x".repeat(60_000))), Some(202));
         until("it is delivered", || count(&served, &id) == 1);
         rig.settle();
@@ -87,8 +88,7 @@
     assert_eq!((rig.hand_in("order", "slow-order"), rig.hand_in("status", "slow-status")), (202, 202));
     until("both are out", || calls.lock().unwrap().len() == 2);
     // The place of the unsafe class is now that of the safe one.
-    let turned = refill(&rig, &[2, 0, 1]);
-    write(&rig.dir, &turned);
+    write(&rig.dir, &refill(&rig, &[2, 0, 1]));
     rig.kill_and_start();
     until("the safe one goes again", || count(&calls, "slow-status") == 2);
     until("the unsafe one is ended", || count(&notices, "slow-order") == 1);
@@ -121,8 +121,7 @@
     let ((discovery, _), (endpoint, calls)) = (discovery(), endpoint());
     let rig = Rig::new("twice", endpoint, discovery);
     for (left, status, called) in [("1", 503, 0), ("30000", 202, 1)] {
-        let text =
-            message("order", &format!("m-{left}"), "", "").replace("-Ms: 30000", &format!("-Ms: {left}"));
+        let text = message("order", &format!("m-{left}"), "").replace("-Ms: 30000", &format!("-Ms: {left}"));
         let mut clients = [Wire::to(rig.listen), Wire::to(rig.listen)];
         rig.settle();
         rig.signal(Signal::STOP);
@@ -141,11 +140,11 @@
     let ((discovery, _), (endpoint, _)) = (discovery(), endpoint());
     let rig = Rig::new("close", endpoint, discovery);
     let mut client = Wire::to(rig.listen);
-    client.send(&message("order", "last", "", "Connection: close\r\n"));
+    client.send(&message("order", "last", "Connection: close\r\n"));
     assert_eq!(client.answer(), (202, true));
     client.ends();
     let mut client = Wire::to(rig.listen);
-    client.send(&message("order", "half", "", ""));
+    client.send(&message("order", "half", ""));
     client.half_close();
     assert_eq!(client.answer().0, 202, "one that sends no more still reads");
     client.ends();
@@ -173,9 +172,9 @@
     };
     let mut clients: Vec<Wire> = (0..20).map(|_| Wire::to(rig.listen)).collect();
     for (n, client) in clients.iter_mut().enumerate() {
-        client.send(&message("order", &format!("late-{n}"), "", ""));
+        client.send(&message("order", &format!("late-{n}"), ""));
     }
-    kept.send(&message("order", "kept", "", ""));
+    kept.send(&message("order", "kept", ""));
     std::thread::sleep(std::time::Duration::from_millis(600));
     rig.signal(Signal::CONT);
     assert_eq!(kept.answer(), (202, true));
--- a/crates/edge/tests/process/mod.rs
+++ b/crates/edge/tests/process/mod.rs
@@ -235,10 +235,7 @@
 
     /// Whether nobody waits to be taken.
     pub fn is_still(&self) -> bool {
-        self.listener.set_nonblocking(true).unwrap();
-        let still = self.listener.accept().is_err();
-        self.listener.set_nonblocking(false).unwrap();
-        still
+        self.is_still_for(0)
     }
 
     /// The same, and for so many milliseconds somebody may come.
@@ -249,10 +246,7 @@
     }
 
     pub fn take(&self) -> Wire {
-        let (stream, _) = self.listener.accept().unwrap();
-        stream.set_read_timeout(Some(Duration::from_secs(30))).unwrap();
-        stream.set_nodelay(true).unwrap();
-        Wire { stream, held: vec![] }
+        Wire::new(self.listener.accept().unwrap().0)
     }
 }
 
@@ -264,7 +258,10 @@
 
 impl Wire {
     pub fn to(at: SocketAddr) -> Wire {
-        let stream = TcpStream::connect(at).unwrap();
+        Wire::new(TcpStream::connect(at).unwrap())
+    }
+
+    fn new(stream: TcpStream) -> Wire {
         stream.set_read_timeout(Some(Duration::from_secs(30))).unwrap();
         stream.set_nodelay(true).unwrap();
         Wire { stream, held: vec![] }
@@ -283,15 +280,12 @@
 
     /// The next request: its id, or its body where it has none.
     pub fn request(&mut self) -> String {
-        loop {
-            if let Some(r) = request(&self.held).unwrap() {
-                let id = r.field("x-txn").unwrap().unwrap_or(r.body());
-                let (what, length) = (String::from_utf8_lossy(id).into_owned(), r.length());
-                self.held.drain(..length);
-                return what;
-            }
-            assert!(self.more(), "it ended in place of a request");
-        }
+        assert!(self.has_request(), "it ended in place of a request");
+        let r = request(&self.held).unwrap().unwrap();
+        let id = r.field("x-txn").unwrap().unwrap_or(r.body());
+        let (what, length) = (String::from_utf8_lossy(id).into_owned(), r.length());
+        self.held.drain(..length);
+        what
     }
 
     /// The status of the next answer, and whether the connection is to end with it; 0 if it ended without one.
@@ -325,7 +319,7 @@
 
     /// Whether a request is there or comes before the end.
     pub fn has_request(&mut self) -> bool {
-        while !matches!(request(&self.held), Ok(Some(_))) {
+        while request(&self.held).unwrap().is_none() {
             if !self.more() {
                 return false;
             }
@@ -344,10 +338,10 @@
 }
 
 /// A message handed in for destination 3.
-pub fn message(class: &str, id: &str, key: &str, fields: &str) -> String {
+pub fn message(class: &str, id: &str, fields: &str) -> String {
     format!(
         "POST /{class} HTTP/1.1\r\nX-Txn: {id}\r\nIdempotency-Key: t-{id}\r\nX-Remaining-Ms: 30000\r\n\
-         Cookie: subject={key}\r\nX-Route-To: dest=3\r\n{fields}\r\n"
+         X-Route-To: dest=3\r\n{fields}\r\n"
     )
 }
 
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -14,7 +14,7 @@
 pub use clients::ClientId;
 
 use crate::config::{Config, News};
-use crate::records::{Attempt, End, Known, Message, Owed, Record, Replay, ELSEWHERE};
+use crate::records::{digest, Attempt, End, Known, Message, Owed, Record, Replay, ELSEWHERE};
 use agent::{Need, Notices, Watch};
 use bytes::Bytes;
 use calls::{Begin, CallId, Done, Links};
@@ -563,10 +563,9 @@
         let Handed { id, token, class, destination, line, left } = handed;
         let due = self.now + left;
         let message = Message { id, token, class, destination, line, due: due + self.wall, body };
-        // Its time counts anew when it comes again; all else has to be the same.
-        let again = message.known();
-        if let Some(known) = self.known.get(&again.id) {
-            match known.content == again.content {
+        if let Some(known) = self.known.get(&digest(&[&message.id])) {
+            // Its time counts anew when it comes again; all else has to be the same.
+            match known.content == message.known().content {
                 true => self.answer(client, 202, &[], b"", last),
                 false => self.refuse(client, 409, "this id was another message's"),
             }
--- a/crates/platform/src/core/tests.rs
+++ b/crates/platform/src/core/tests.rs
@@ -136,6 +136,20 @@
         self.send(head.as_bytes())
     }
 
+    /// Hands a message in whose connection is begun and does not come up by itself.
+    fn connecting(&mut self) -> LinkId {
+        self.core.client_opened(7);
+        let head = "POST /order HTTP/1.1\r\nX-Txn: m\r\nX-Remaining-Ms: 9000\r\nX-Route-To: dest=3\r\n\r\n";
+        self.core.client_bytes(7, head.as_bytes());
+        self.core.turn(self.now);
+        self.journal.extend(self.core.records());
+        let begun = self.core.outputs().into_iter().find_map(|o| match o {
+            Output::Connect(link, at) if at.port() != 8500 => Some(link),
+            _ => None,
+        });
+        begun.expect("a connection")
+    }
+
     fn send(&mut self, bytes: &[u8]) -> u16 {
         self.next_client += 1;
         let client = self.next_client;
@@ -203,6 +217,15 @@
     }
 }
 
+/// News of both endpoints, at the ports after `base`.
+fn list(index: u64, zone: &str, kind: &str, group: u32, status: &str, base: u16) -> String {
+    let entry = |n: u16| {
+        serde_json::json!({"name": format!("s-{n}"), "address": format!("127.0.0.1:{}", base + n), "zone": zone,
+            "type": kind, "group": group, "status": status, "weight": 0, "since_ms": 0})
+    };
+    serde_json::json!({"index": index, "snapshot": false, "endpoints": [entry(1), entry(2)]}).to_string()
+}
+
 fn status(bytes: &[u8]) -> u16 {
     match linnetcart_http::answer(bytes) {
         linnetcart_http::Answer::Head(head) => head.status,
@@ -404,29 +427,11 @@
 fn nothing_is_written_to_an_endpoint_that_drains_since_its_connection_was_begun() {
     let mut rig = Rig::new();
     let watch = rig.agent();
-    let line = |status: &str| {
-        let entry = |n: u8| {
-            format!(
-                "{{\"name\":\"s-{n}\",\"address\":\"127.0.0.1:100{n}\",\"zone\":\"a\",\"type\":\"bank\",\"group\":3,\
-                 \"status\":\"{status}\",\"weight\":0,\"since_ms\":0}}"
-            )
-        };
-        format!("{{\"index\":43,\"snapshot\":false,\"endpoints\":[{},{}]}}", entry(1), entry(2))
-    };
+    let line = |status: &str| list(43, "a", "bank", 3, status, 1000);
     // Connections are begun and not there yet when the list changes.
-    let client = 7;
-    rig.core.client_opened(client);
-    let head = "POST /order HTTP/1.1\r\nX-Txn: m\r\nX-Remaining-Ms: 9000\r\nX-Route-To: dest=3\r\n\r\n";
-    rig.core.client_bytes(client, head.as_bytes());
-    rig.core.turn(rig.now);
-    rig.core.records();
-    let connects = rig.core.outputs();
-    let link = connects.iter().find_map(|o| match o {
-        Output::Connect(link, _) => Some(*link),
-        _ => None,
-    });
+    let link = rig.connecting();
     rig.news(watch, &line("leaving"));
-    rig.core.link_up(link.expect("a connection"));
+    rig.core.link_up(link);
     rig.turn();
     rig.after(S);
     assert!(rig.calls().is_empty());
@@ -682,21 +687,11 @@
 #[test]
 fn a_call_whose_connection_is_not_there_when_the_last_round_is_over_is_not_begun() {
     let mut rig = Rig::new();
-    let client = 7;
-    rig.core.client_opened(client);
-    let head = "POST /order HTTP/1.1\r\nX-Txn: m\r\nX-Remaining-Ms: 9000\r\nX-Route-To: dest=3\r\n\r\n";
-    rig.core.client_bytes(client, head.as_bytes());
     rig.core.end();
     rig.now += LAST_ROUND - 100 * MS;
-    rig.core.turn(rig.now);
-    rig.journal.extend(rig.core.records());
-    let begun = rig.core.outputs();
-    let link = begun.iter().find_map(|o| match o {
-        Output::Connect(link, at) if at.port() != 8500 => Some(*link),
-        _ => None,
-    });
+    let link = rig.connecting();
     rig.now += 200 * MS;
-    rig.core.link_up(link.expect("a connection"));
+    rig.core.link_up(link);
     rig.turn();
     assert!(rig.calls().is_empty() && rig.core.is_done(), "it is for the next process");
     assert!(!rig.has(|r| matches!(r, Record::Sent { .. } | Record::Ended { .. })));
@@ -726,24 +721,8 @@
 fn nothing_is_written_to_the_old_place_of_an_endpoint_that_moves_while_its_connection_is_made() {
     let mut rig = Rig::new();
     let watch = rig.agent();
-    rig.core.client_opened(7);
-    let head = "POST /order HTTP/1.1\r\nX-Txn: m\r\nX-Remaining-Ms: 9000\r\nX-Route-To: dest=3\r\n\r\n";
-    rig.core.client_bytes(7, head.as_bytes());
-    rig.core.turn(rig.now);
-    rig.journal.extend(rig.core.records());
-    let begun = rig.core.outputs();
-    let link = begun.iter().find_map(|o| match o {
-        Output::Connect(link, _) => Some(*link),
-        _ => None,
-    });
-    let entry = |n: u8| {
-        format!(
-            "{{\"name\":\"s-{n}\",\"address\":\"127.0.0.1:200{n}\",\"zone\":\"a\",\"type\":\"bank\",\"group\":3,\
-             \"status\":\"active\",\"weight\":0,\"since_ms\":0}}"
-        )
-    };
-    rig.news(watch, &format!("{{\"index\":43,\"endpoints\":[{},{}]}}", entry(1), entry(2)));
-    let link = link.expect("a connection");
+    let link = rig.connecting();
+    rig.news(watch, &list(43, "a", "bank", 3, "active", 2000));
     rig.core.link_up(link);
     rig.turn();
     rig.after(3 * S);
@@ -756,13 +735,7 @@
 fn a_name_that_becomes_another_destination_s_gets_nothing_of_the_first_one_s() {
     let mut rig = Rig::new();
     let watch = rig.agent();
-    let entry = |n: u8| {
-        format!(
-            "{{\"name\":\"s-{n}\",\"address\":\"127.0.0.1:100{n}\",\"zone\":\"b\",\"type\":\"new\",\"group\":4,\
-             \"status\":\"active\",\"weight\":0,\"since_ms\":0}}"
-        )
-    };
-    rig.news(watch, &format!("{{\"index\":43,\"endpoints\":[{},{}]}}", entry(1), entry(2)));
+    rig.news(watch, &list(43, "b", "new", 4, "active", 1000));
     assert_eq!(rig.hand_in("order", "m", ""), 202);
     rig.after(S);
     assert!(rig.calls().is_empty(), "destination 3 has no endpoint");
--- a/crates/platform/src/records.rs
+++ b/crates/platform/src/records.rs
@@ -303,21 +303,18 @@
 }
 
 /// From places in the journal to places in the settings, by name.
-#[derive(Default)]
 struct Places {
-    classes: Option<Vec<u8>>,
-    zones: Option<Vec<u8>>,
+    classes: Vec<u8>,
+    zones: Vec<u8>,
 }
 
 impl Places {
-    fn of(names: &[String], here: &[String]) -> Option<Vec<u8>> {
+    fn of(names: &[String], here: &[String]) -> Vec<u8> {
         let place = |n: &String| here.iter().position(|h| h == n).map_or(ELSEWHERE, |p| p as u8);
-        Some(names.iter().map(place).collect())
+        names.iter().map(place).collect()
     }
 
-    /// A file without names is of a time when places were all there was.
-    fn here(places: &Option<Vec<u8>>, place: u8) -> u8 {
-        let Some(places) = places else { return place };
+    fn here(places: &[u8], place: u8) -> u8 {
         places.get(usize::from(place)).copied().unwrap_or(ELSEWHERE)
     }
 }
@@ -328,32 +325,33 @@
     pub fn of(records: &[Raw], classes: &[String], zones: &[String]) -> Replay {
         let mut replay = Replay { next: 1, ..Replay::default() };
         let mut over = std::collections::BTreeSet::new();
-        let mut places = Places::default();
+        // A file without names is of a time when places were all there was.
+        let mut places: Option<Places> = None;
         for raw in records {
             let Some(mut record) = Record::decode(raw) else {
                 replay.strange += 1;
                 continue;
             };
-            match &mut record {
+            let number = match &mut record {
                 Record::Names { classes: c, zones: z } => {
-                    places = Places { classes: Places::of(c, classes), zones: Places::of(z, zones) };
+                    places = Some(Places { classes: Places::of(c, classes), zones: Places::of(z, zones) });
                     continue;
                 }
                 Record::Known(known) => {
                     replay.known.push(*known);
                     continue;
                 }
-                Record::Taken(_, m) => m.class = Places::here(&places.classes, m.class),
-                Record::Sent { attempt, .. } => attempt.zone = Places::here(&places.zones, attempt.zone),
-                _ => {}
-            }
-            let number = match &record {
-                Record::Taken(n, _) => *n,
-                Record::Sent { message, .. }
-                | Record::NeverRan { message, .. }
+                Record::Taken(message, m) => {
+                    places.iter().for_each(|p| m.class = Places::here(&p.classes, m.class));
+                    *message
+                }
+                Record::Sent { message, attempt } => {
+                    places.iter().for_each(|p| attempt.zone = Places::here(&p.zones, attempt.zone));
+                    *message
+                }
+                Record::NeverRan { message, .. }
                 | Record::Ended { message, .. }
                 | Record::Told { message } => *message,
-                Record::Names { .. } | Record::Known(_) => continue,
             };
             replay.next = replay.next.max(number.saturating_add(1));
             if let Record::Taken(_, message) = record {
@@ -397,17 +395,10 @@
     /// The records that come to this.
     pub fn records(&self, number: u32) -> Vec<Record> {
         let mut all = vec![Record::Taken(number, self.message.clone())];
-        let sent = |attempt: Attempt| Record::Sent { message: number, attempt };
+        all.extend(self.maybe.iter().map(|&attempt| Record::Sent { message: number, attempt }));
         // Attempts that never ran count; the last one stands for all of them.
-        for n in 0..self.attempts {
-            match self.maybe.iter().find(|a| a.number == n) {
-                Some(&attempt) => all.push(sent(attempt)),
-                None if n + 1 == self.attempts => {
-                    all.push(Record::NeverRan { message: number, attempt: n });
-                }
-                None => {}
-            }
-        }
+        let last = self.attempts.checked_sub(1).filter(|&n| self.maybe.iter().all(|a| a.number != n));
+        all.extend(last.map(|attempt| Record::NeverRan { message: number, attempt }));
         all.extend(self.end.map(|end| Record::Ended { message: number, end }));
         all
     }
