Platform: a class beyond the settings ends also from old files; a left destination keeps its kind

Core::resume asked for the place that no name has, so a message from a file without names, of a class beyond the settings, went to the library, which passes it over: no end, ever. Directory::entry told the library that the old destination of a name that moved was of the new one's kind, and so whether its routes are apart. Change: classes are compared with the settings; the kind is kept with the name. Both tests seen to fail without it.

--- a/crates/platform/src/core/directory.rs
+++ b/crates/platform/src/core/directory.rs
@@ -21,6 +21,7 @@
     pub listing: Listing,
     name: String,
     destination: u32,
+    kind: u8,
     since_ms: u64,
     left: Time,
 }
@@ -114,8 +115,8 @@
         let moved = self.numbers.get(&e.name).and_then(|n| Some((*n, self.known.get_mut(n)?)));
         if let Some((number, before)) = moved.filter(|(_, k)| k.destination != e.group) {
             (before.listing, before.left) = (Listing::Gone, now);
-            let (id, destination, zone) = (number, before.destination, before.zone);
-            out.push(Endpoint { id, destination, kind, zone, rate: 0.0, listing: Listing::Gone });
+            let Known { destination, kind, zone, .. } = *before;
+            out.push(Endpoint { id: number, destination, kind, zone, rate: 0.0, listing: Listing::Gone });
             stale.push(number);
             self.numbers.remove(&e.name);
         }
@@ -130,7 +131,8 @@
         };
         self.destinations.insert(e.group);
         let (name, destination) = (e.name.clone(), e.group);
-        let known = Known { address, zone, listing, name, destination, since_ms: e.since_ms, left: now };
+        let since_ms = e.since_ms;
+        let known = Known { address, zone, listing, name, destination, kind, since_ms, left: now };
         if let Some(before) = self.known.insert(number, known) {
             if listing == Listing::Gone || before.address != address || before.since_ms != e.since_ms {
                 stale.push(number);
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -14,7 +14,7 @@
 pub use clients::ClientId;
 
 use crate::config::{Config, News};
-use crate::records::{digest, Attempt, End, Known, Message, Owed, Record, Replay, ELSEWHERE};
+use crate::records::{digest, Attempt, End, Known, Message, Owed, Record, Replay};
 use agent::{Need, Notices, Watch};
 use bytes::Bytes;
 use calls::{Begin, CallId, Done, Links};
@@ -646,7 +646,7 @@
     /// Takes up a message that an earlier process took on.
     fn resume(&mut self, number: u32, mut owed: Owed) {
         let due = owed.message.due.saturating_sub(self.wall).max(self.now);
-        if owed.message.class == ELSEWHERE && owed.end.is_none() {
+        if usize::from(owed.message.class) >= self.site.classes.len() && owed.end.is_none() {
             let id = owed.message.id();
             self.lines
                 .push(format!("message {id} is of a class that the settings have no more; it has failed"));
--- a/crates/platform/src/core/tests.rs
+++ b/crates/platform/src/core/tests.rs
@@ -743,3 +743,32 @@
     assert_eq!(rig.send(head.as_bytes()), 202);
     assert_eq!(rig.calls().iter().map(|c| &c.1[..]).collect::<Vec<_>>(), ["n"]);
 }
+
+#[test]
+fn the_destination_that_a_name_leaves_keeps_its_kind() {
+    let config = config(40);
+    let news = |text: &str| serde_json::from_str::<News>(text).unwrap();
+    let mut directory = Directory::default();
+    directory.take(&news(&list(1, "a", "bank", 3, "active", 1000)), &config.site, S);
+    let (event, stale) = directory.take(&news(&list(2, "b", "new", 4, "active", 1000)), &config.site, S);
+    let Event::List { entries, .. } = event else { panic!("{event:?}") };
+    let brief: Vec<_> = entries.iter().map(|e| (e.id, e.destination, e.kind, e.zone, e.listing)).collect();
+    let (gone, ready) = (Listing::Gone, Listing::Ready);
+    assert_eq!(brief, [(1, 3, 0, 0, gone), (3, 4, 1, 1, ready), (2, 3, 0, 0, gone), (4, 4, 1, 1, ready)]);
+    assert_eq!(stale, [1, 2]);
+}
+
+#[test]
+fn a_message_of_a_class_beyond_the_settings_ends_also_where_its_file_names_no_classes() {
+    let mut rig = Rig::new();
+    assert_eq!(rig.hand_in("order", "m", ""), 202);
+    let mut old: Vec<Record> = rig.journal.drain(..).filter(|r| !matches!(r, Record::Names { .. })).collect();
+    for record in &mut old {
+        if let Record::Taken(_, message) = record {
+            message.class = 9;
+        }
+    }
+    let mut again = Rig::from(old, rig.now + S, 40);
+    let link = again.agent();
+    assert_eq!(again.notices(), [(link, "{\"id\":\"m\",\"state\":\"failed\"}\n".to_owned())]);
+}
