Platform: a half-read answer holds its connection; a late 200 to a call given up ends its message

- Links::head (calls.rs, 'clean') made a connection idle while a part of the answer's body was still to come, and Links::begin gave it to the next call: what came then was read as that call's answer, an error, and an unsafe message failed by it.
Now such a connection carries nothing and closes after the 50 ms that a good answer's rest has (REST_OF_GOOD, the same figure and reason).
- Links::late passed on refusals only.
The protocol has a message as delivered when a first line with 200 is written to the courier; one whose call had been given up went on, was sent again and ended by a notice.
Now it is over, and what else is out for it is called off (Event::Withdrawn, which the library has; the module is unchanged).

Ruled out: a second line of the same answer (10 ms of rest, noise closes), a late answer to a message that is over (no second end is recorded), a 200 beside our own time-out in one poll (bytes come before the turn looks at times).

--- a/crates/edge/tests/moments.rs
+++ b/crates/edge/tests/moments.rs
@@ -258,3 +258,70 @@
         until("it says so", || rig.log().contains(&format!("{line}: {untried} called, 0 given up uncalled")));
     }
 }
+
+#[test]
+fn a_connection_whose_answer_is_not_there_whole_carries_no_other_call() {
+    let ((discovery, _), gate) = (discovery(), Gate::new());
+    let rig = Rig::with("body", |listen| file(listen, &[gate.at], discovery));
+    let (mut wires, mut spoilt) = (vec![], 0);
+    // A connection is kept once there is a use for it. Each answer but the last is whole.
+    for (n, answer) in
+        [SERVED, SERVED, SERVED, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhal"].iter().enumerate()
+    {
+        assert_eq!(rig.hand_in("order", &format!("m{n}")), 202);
+        let (at, id) = serve_next(&gate, &mut wires, answer);
+        assert_eq!(id, format!("m{n}"));
+        spoilt = at;
+        rig.settle();
+        // Longer than a connection rests after its answer; how much longer is no matter.
+        std::thread::sleep(std::time::Duration::from_millis(20));
+    }
+    assert_eq!(rig.hand_in("order", "next"), 202);
+    let (at, id) = serve_next(&gate, &mut wires, SERVED);
+    assert!(at != spoilt && id == "next", "what is still to come there is not its answer");
+}
+
+/// Serves the next request on any of these connections or a new one: which, and its id.
+fn serve_next(gate: &Gate, wires: &mut Vec<Wire>, answer: &str) -> (usize, String) {
+    for _ in 0..1500 {
+        if !gate.is_still_for(20) {
+            wires.push(gate.take());
+        }
+        let asks = wires.iter_mut().position(|w| w.is_ready() && w.has_request());
+        if let Some(at) = asks {
+            let id = wires[at].request();
+            wires[at].send(answer);
+            return (at, id);
+        }
+    }
+    panic!("half a minute, and no request");
+}
+
+#[test]
+fn a_late_answer_to_a_call_that_was_given_up_ends_its_message_and_what_else_is_out_for_it() {
+    let ((discovery, notices), gates) = (discovery(), [Gate::new(), Gate::new()]);
+    let mut rig = Rig::with("late", |listen| {
+        let mut config = file(listen, &[gates[0].at, gates[1].at], discovery);
+        config["settings"]["services"][0]["slo_ns"] = 200_000_000.into();
+        config
+    });
+    assert_eq!(rig.hand_in("status", "a"), 202);
+    until("it is out", || gates.iter().any(|g| !g.is_still()));
+    let first = gates.iter().position(|g| !g.is_still()).unwrap();
+    let mut hung = gates[first].take();
+    assert_eq!(hung.request(), "a");
+    // Another is served where the first is not: it hangs while its siblings answer, and is given up.
+    assert_eq!(rig.hand_in("status", "b"), 202);
+    let mut wires = vec![];
+    assert_eq!(serve_next(&gates[1 - first], &mut wires, SERVED).1, "b");
+    hung.ends();
+    // It has gone again by now; its first answer comes all the same.
+    let again = serve_next(&gates[1 - first], &mut wires, "");
+    assert_eq!(again.1, "a");
+    hung.send(SERVED);
+    wires[again.0].ends();
+    rig.kill_and_start();
+    rig.settle();
+    assert!(gates.iter().all(Gate::is_still), "delivered: nothing is sent after");
+    assert_eq!(count(&notices, "\"a\""), 0, "and no other end told");
+}
--- a/crates/platform/src/core/calls.rs
+++ b/crates/platform/src/core/calls.rs
@@ -155,7 +155,10 @@
     ) -> Begin {
         let mine = self.all.iter().filter(|(_, l)| l.endpoint == endpoint && l.address == address);
         let settled = mine.filter_map(|(&id, l)| match l.state {
-            State::Idle { since } if since + SETTLE <= now && since + self.keep > now => Some((since, id)),
+            // What is still to come of an answer's body would be read as the next answer.
+            State::Idle { since } if l.body == 0 && since + SETTLE <= now && since + self.keep > now => {
+                Some((since, id))
+            }
             _ => None,
         });
         if let Some((since, id)) = settled.max() {
@@ -304,18 +307,22 @@
         }
     }
 
-    /// Bytes came for a call that was given up. An answer that turns it away tells of the limit.
+    /// Bytes came for a call that was given up. An answer that turns it away tells of the limit; a first line with
+    /// 200 says that the message is delivered, whatever we thought.
     fn late(&mut self, id: LinkId, call: CallId, site: &Site) -> Option<Done> {
         let l = self.all.get(&id)?;
         let (told, endpoint) = match answer(&l.bytes) {
-            Answer::Part { .. } => return None,
+            Answer::Part { ok: false } => return None,
             Answer::Head(head) => ((ending(&head).0, report(&head, site)), l.endpoint),
-            Answer::Spoilt { .. } => ((Ending::Error, (None, None)), l.endpoint),
+            Answer::Part { ok } | Answer::Spoilt { ok } => {
+                let ending = if ok { Ending::Served } else { Ending::Error };
+                ((ending, (None, None)), l.endpoint)
+            }
         };
         self.drop_link(id);
         let (ending, (left, limit)) = told;
         let done = Done { left, limit, late_from: Some(endpoint), ..Done::plain(call, ending) };
-        matches!(ending, Ending::Full { .. }).then_some(done)
+        matches!(ending, Ending::Full { .. } | Ending::Served).then_some(done)
     }
 
     fn head(&mut self, id: LinkId, call: CallId, head: &AnswerHead, now: Time, site: &Site) -> Option<Done> {
@@ -361,6 +368,7 @@
     fn due(&self, l: &Link) -> Time {
         match l.state {
             State::Connecting { since } | State::GivenUp { since, .. } => since + self.connect_within,
+            State::Idle { since } if l.body > 0 => since + REST_OF_GOOD,
             State::Idle { since } => since + self.keep,
             State::Out { began: None } => Time::MAX,
             State::Out { began: Some(at) } => {
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -866,7 +866,10 @@
     /// An attempt ended.
     fn done(&mut self, done: Done) {
         if let Some(endpoint) = done.late_from {
-            return self.tell_outcome(&done, endpoint, 0, false);
+            return match done.ending {
+                Ending::Served => self.delivered_late(done.call.0),
+                _ => self.tell_outcome(&done, endpoint, 0, false),
+            };
         }
         let Some(call) = self.calls.remove(&done.call) else { return };
         let (message, attempt) = done.call;
@@ -880,18 +883,33 @@
             h.owed.maybe.retain(|a| a.number != attempt);
             self.records.push(Record::NeverRan { message, attempt });
         }
-        let ends = done.ending == Ending::Served || done.over;
-        if ends && !h.over {
-            h.over = true;
-            h.owed.end = Some(End::Delivered);
-            self.ids.remove(&h.owed.message.id);
-            self.records.push(Record::Ended { message, end: End::Delivered });
+        let over = h.over || done.ending == Ending::Served || done.over;
+        if over {
+            self.delivered(message);
         }
-        let over = h.over;
         self.tell_outcome(&done, call.endpoint, self.now - call.began, over);
         self.settle(message);
     }
 
+    /// Nothing more is owed, unless it had its end before.
+    fn delivered(&mut self, message: u32) -> bool {
+        let Some(h) = self.held.get_mut(&message).filter(|h| !h.over) else { return false };
+        h.over = true;
+        h.owed.end = Some(End::Delivered);
+        self.ids.remove(&h.owed.message.id);
+        self.records.push(Record::Ended { message, end: End::Delivered });
+        true
+    }
+
+    /// A call that had been given up was served: the message is over, and what else is out for it is called off.
+    fn delivered_late(&mut self, message: u32) {
+        if self.delivered(message) {
+            tracing::debug!(number = message, "delivered by a call that had been given up");
+            self.events.push(Event::Withdrawn { message });
+            self.settle(message);
+        }
+    }
+
     fn tell_outcome(&mut self, done: &Done, endpoint: u32, took: Time, over: bool) {
         let ((message, attempt), ending) = (done.call, done.ending);
         let (left, limit) = (done.left, done.limit);
--- a/crates/platform/src/core/tests.rs
+++ b/crates/platform/src/core/tests.rs
@@ -772,3 +772,40 @@
     let link = again.agent();
     assert_eq!(again.notices(), [(link, "{\"id\":\"m\",\"state\":\"failed\"}\n".to_owned())]);
 }
+
+#[test]
+fn a_connection_whose_answer_has_a_body_still_to_come_carries_no_other_call() {
+    let mut rig = Rig::new();
+    rig.used("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    rig.hand_in("status", "a", "");
+    let link = rig.calls().last().unwrap().0;
+    rig.reply(link, b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhal");
+    let before = rig.calls().len();
+    rig.after(20 * MS);
+    (0..4).for_each(|n| drop(rig.hand_in("order", &format!("b{n}"), "")));
+    let calls = rig.calls().split_off(before);
+    assert!(!calls.is_empty() && calls.iter().all(|c| c.0 != link), "{calls:?}, not on {link}");
+    rig.after(50 * MS);
+    assert!(rig.closed.contains(&link), "and it is not kept");
+}
+
+#[test]
+fn a_call_given_up_that_was_served_all_the_same_ends_its_message() {
+    for rest in ["\r\n", " OK\r\nContent-Length: 0\r\n\r\n", " OK\r\nContent-Length: x\r\n\r\n"] {
+        let mut rig = Rig::new();
+        rig.hand_in("status", "a", "");
+        let first = rig.calls()[0].0;
+        // It hangs for longer than its siblings would, and is called off for another.
+        rig.core.give_up((1, 0), Ending::Cancelled);
+        rig.after(100 * MS);
+        let second = rig.calls()[1].0;
+        rig.reply(first, b"HTTP/1.1 200");
+        assert!(rig.ended == [first] && !rig.has(|r| matches!(r, Record::Ended { .. })), "no line yet");
+        rig.reply(first, rest.as_bytes());
+        assert_eq!(rig.ended, [first, second], "what else is out is called off");
+        assert!(rig.has(|r| matches!(r, Record::Ended { end: End::Delivered, .. })));
+        assert_eq!(rig.core.sizes()[0], 0, "nothing is owed");
+        rig.after(10 * S);
+        assert_eq!((rig.calls().len(), rig.core.counts().notices), (2, [0, 0]), "and nothing is sent after");
+    }
+}
