Module: what a restart found untried is called before it may be handed back; a key rests

Cause: Courier::shed (choice.rs) hands back those of least worth once the hold is over nine tenths; what a restart brings is oldest, so whoever comes anew drives it out. Ruled out: the list (endpoints were known), connections, the end of their time.

Change: a message that was found untried is no candidate for handing back, nor too late for a trial, until a call of it was sent (state.rs Msg::owed_a_call); a connection that never came up is no call. What comes is refused unseen in its place, which costs nobody anything. Second, of the same reading: after a restart that left a call of a key out, the key did not rest before its next message (ended() is the only place that rests it); take() does so now.

Tests of the module and of the real process seen to fail without.

--- a/crates/edge/tests/moments.rs
+++ b/crates/edge/tests/moments.rs
@@ -235,20 +235,8 @@
         drop(hung);
         rig.child = start(&rig.dir);
         rig.ready();
-        // Whatever comes now is served, one connection after the other.
-        let (mut seen, mut wires): (Vec<String>, Vec<Wire>) = (vec![], vec![]);
         let untried = taken - out.len();
-        while seen.len() < untried {
-            match wires.iter().position(Wire::is_ready) {
-                Some(at) if wires[at].has_request() => {
-                    seen.push(wires[at].request());
-                    wires[at].send(SERVED);
-                }
-                Some(at) => drop(wires.remove(at)),
-                None if !gate.is_still_for(10) => wires.push(gate.take()),
-                None => {}
-            }
-        }
+        let mut seen = serve_all(&gate, &mut vec![], untried);
         seen.sort();
         seen.dedup();
         assert!(seen.len() == untried && seen.iter().all(|id| !out.contains(id)), "each of them once");
@@ -281,6 +269,11 @@
     assert!(at != spoilt && id == "next", "what is still to come there is not its answer");
 }
 
+/// Serves so many requests, on these connections or new ones: their ids.
+fn serve_all(gate: &Gate, wires: &mut Vec<Wire>, count: usize) -> Vec<String> {
+    (0..count).map(|_| serve_next(gate, wires, SERVED).1).collect()
+}
+
 /// Serves the next request on any of these connections or a new one: which, and its id.
 fn serve_next(gate: &Gate, wires: &mut Vec<Wire>, answer: &str) -> (usize, String) {
     for _ in 0..1500 {
@@ -325,3 +318,23 @@
     assert!(gates.iter().all(Gate::is_still), "delivered: nothing is sent after");
     assert_eq!(count(&notices, "\"a\""), 0, "and no other end told");
 }
+
+#[test]
+fn what_comes_after_a_restart_does_not_drive_out_what_it_found_untried() {
+    let ((discovery, notices), gate) = (discovery(), Gate::new());
+    let mut rig = Rig::with("crowd", |listen| file(listen, &[gate.at], discovery));
+    let found = (0..36).filter(|n| rig.hand_in("status", &format!("found-{n}")) == 202).count();
+    assert_eq!(found, 36, "as many as are held without any going back");
+    let hung: Vec<Wire> = (0..6).map(|_| gate.take()).collect();
+    rig.kill_and_start();
+    drop(hung);
+    // Its slots are taken by calls that hang, and more come than are held. They are worth more, as they are younger.
+    let mut wires: Vec<Wire> = (0..6).map(|_| gate.take()).collect();
+    let new = (0..12).filter(|n| rig.hand_in("status", &format!("new-{n}")) == 202).count();
+    assert_eq!(new, 0, "refused unseen, which is harmless");
+    let mut seen = serve_all(&gate, &mut wires, found);
+    seen.sort();
+    seen.dedup();
+    assert!(seen.len() == found && seen.iter().all(|id| id.starts_with("found")), "{seen:?}");
+    assert_eq!(count(&notices, "returned"), 0);
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -114,8 +114,8 @@
             match event {
                 Event::List { whole, entries } => self.listed(whole, entries),
                 Event::ListFailed => self.list_failed(),
-                Event::Taken(taken) => self.take(taken, Vec::new(), 0),
-                Event::Resumed { taken, attempts, open } => self.take(taken, open, attempts),
+                Event::Taken(taken) => self.take(taken, Vec::new(), 0, false),
+                Event::Resumed { taken, attempts, open } => self.take(taken, open, attempts, true),
                 Event::Withdrawn { message } => self.end(message),
                 Event::Ended(outcome) => self.ended(outcome),
                 Event::Probed(_) | Event::Note { .. } | Event::Woken => {}
@@ -208,7 +208,7 @@
     // ---- Messages
 
     /// With what an earlier run of this courier left of it, if any: attempts, and those that may have run.
-    fn take(&mut self, t: Taken, open: Vec<Open>, attempts: u16) {
+    fn take(&mut self, t: Taken, open: Vec<Open>, attempts: u16, resumed: bool) {
         let class = usize::from(t.class);
         if class >= self.set.classes.len() || self.msgs.contains_key(&t.id) {
             return;
@@ -226,11 +226,12 @@
             due,
             attempts,
             maybe: open.iter().map(|o| (self.now.saturating_sub(o.ago), o.attempt, o.zone)).collect(),
+            uncalled: (resumed && open.is_empty()).then_some(attempts),
             ..Msg::default()
         };
-        if key != 0 {
-            self.lines.join(key, (msg.seq, t.id));
-        }
+        self.lines.join(key, (msg.seq, t.id));
+        // A call that was out when its process died was reset then, or may have been just now.
+        self.lines.rest(key, if open.is_empty() { 0 } else { self.now + self.set.key_rest });
         self.dests.get_or_insert_with(t.destination, || Dest::new(0, self.now));
         self.due.insert((due, t.id));
         self.msgs.insert(t.id, msg);
@@ -256,7 +257,7 @@
             None => Stand::Fresh,
         };
         let stale = if self.may_resend(m, None) { stale } else { Some(self.now) };
-        let (dest, spare) = (m.dest, self.may_refuse(m));
+        let (dest, spare) = (m.dest, self.may_refuse(m) && !m.owed_a_call());
         if let (Some(m), Some(d)) = (self.msgs.get_mut(&id), self.dests.get_mut(dest)) {
             self.waits.join(id, m, d, stand, stale, spare);
         }
@@ -403,7 +404,7 @@
         self.count_out(o.message);
         let Some(m) = self.msgs.get_mut(&o.message) else { return };
         if o.ending.never_ran() {
-            m.maybe.retain(|&(_, attempt, _)| attempt != o.attempt);
+            m.never_ran(o.attempt, o.ending);
         }
         if matches!(o.ending, Ending::TimedOut | Ending::Reset | Ending::Cancelled) {
             self.lines.rest(m.key, self.now + self.set.key_rest);
@@ -561,7 +562,7 @@
     fn too_late(&self, id: u32) -> Option<u32> {
         let dest = self.dests.get(id)?;
         let out = dest.endpoints.iter().all(|e| self.node(*e).is_some_and(Node::out));
-        let late = |m: &Msg| m.due <= self.now + self.overdue_span(self.group(m));
+        let late = |m: &Msg| !m.owed_a_call() && m.due <= self.now + self.overdue_span(self.group(m));
         dest.waiting.heads().into_iter().find(|m| out && late(&self.msgs[m]))
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -182,6 +182,24 @@
     pub(crate) stale: Option<Time>,
     /// Its one attempt out, if there is no other.
     pub(crate) lone: Option<Sent>,
+    /// A restart found it, surely never run, and it has had no call since: its attempts as long as that is so.
+    pub(crate) uncalled: Option<u16>,
+}
+
+impl Msg {
+    /// What a restart found untried is tried before anyone may think of handing it back.
+    pub(crate) fn owed_a_call(&self) -> bool {
+        self.uncalled == Some(self.attempts)
+    }
+
+    /// An attempt of it never ran. Where not even a call came of it, the call is still owed.
+    pub(crate) fn never_ran(&mut self, attempt: u16, ending: Ending) {
+        self.maybe.retain(|&(_, number, _)| number != attempt);
+        let called = matches!(ending, Ending::Full { .. });
+        if !called && self.uncalled.is_some_and(|n| n + 1 == self.attempts) {
+            self.uncalled = Some(self.attempts);
+        }
+    }
 }
 
 #[derive(Debug)]
@@ -230,7 +248,9 @@
     }
 
     pub(crate) fn join(&mut self, key: u64, place: (u64, u32)) {
-        self.by_key.entry(key).or_default().queue.insert(place);
+        if key != 0 {
+            self.by_key.entry(key).or_default().queue.insert(place);
+        }
     }
 
     /// The key rests until then at least.
--- a/tests/courier.rs
+++ b/tests/courier.rs
@@ -451,6 +451,57 @@
     assert!(sends(&go(resumed(1, 0, 6, &[]))).is_empty(), "attempts count on");
 }
 
+#[test]
+fn what_a_restart_found_untried_is_called_before_it_may_be_handed_back() {
+    let mut c = Courier::new(Settings { slots: 2, ..settings() }, 1);
+    let found = |id| {
+        let Event::Taken(taken) = taken(id, 1, 0, 0) else { unreachable!() };
+        Event::Resumed { taken, attempts: 0, open: vec![] }
+    };
+    let back = |actions: &[Action]| -> Vec<u32> {
+        let refused = |a: &Action| match a {
+            Action::Refuse { message, .. } => Some(*message),
+            _ => None,
+        };
+        actions.iter().filter_map(refused).collect()
+    };
+    let mut out = sends(&c.round(100 * S, (0..40).map(found).chain([list()]).collect()));
+    // The last attempt of those that were sent.
+    let attempts = |out: &[(u32, u32)], id| out.iter().filter(|o| o.0 == id).count() as u16 - 1;
+    // More come than are held without handing back: 60, of which a tenth is kept free.
+    let refused = back(&c.round(100 * S + 50 * MS, (100..130).map(|id| taken(id, 1, 0, 0)).collect()));
+    assert_eq!(refused.len(), 16);
+    assert!(refused.iter().all(|&id| id >= 100), "{refused:?}");
+    // Connections that never come up are no calls, until trials are all that goes.
+    let (mut now, mut failed) = (100 * S + 60 * MS, out.clone());
+    while !failed.is_empty() {
+        let ended =
+            |&(id, endpoint): &(u32, u32)| ended(id, attempts(&out, id), endpoint, Ending::NoConnection);
+        let events = failed.iter().map(ended).collect();
+        failed = sends(&c.round(now, events));
+        out.extend(&failed);
+        now += 10 * MS;
+    }
+    let refused = back(&c.round(now, (200..230).map(|id| taken(id, 1, 0, 0)).collect()));
+    assert!(refused.len() >= 29 && refused.iter().all(|&id| id >= 100), "{refused:?}");
+}
+
+#[test]
+fn a_key_rests_after_a_restart_that_left_a_call_of_it_out() {
+    let mut c = Courier::new(settings(), 1);
+    let Event::Taken(first) = taken(1, 1, 3, 7) else { unreachable!() };
+    let open = vec![Open { attempt: 0, zone: 0, ago: S }];
+    let found = Event::Resumed { taken: first, attempts: 1, open };
+    let sent = sends(&c.round(100 * S, vec![list(), found, taken(2, 1, 3, 7)]));
+    assert_eq!(sent.len(), 1, "its own repeat goes at once");
+    let served = ended(1, 1, sent[0].1, Ending::Served);
+    assert!(
+        sends(&c.round(100 * S + 90 * MS, vec![served])).is_empty(),
+        "what the process left may still run"
+    );
+    assert_eq!(sends(&c.round(100 * S + 100 * MS, vec![Event::Woken])), [(2, sent[0].1)]);
+}
+
 #[test]
 fn a_trial_goes_with_a_message_that_has_the_time_for_an_answer() {
     // Out, and the oldest that wait run out of time one by one: each trial was called off and told nothing.
