Platform: indented news, a watch open at any moment, resumed times that run

Need: three orders of the watch and the start.

Objects are read wherever they begin and end now. - A watch silent again and again was opened 20, 40, 80 ... 500 ms after it was given up (Line::down). Silence opens anew in the next turn; only connections that fail have a gap. - Since the first round waits for discovery's first word, what a restart found had its time counted from that round (Event::Resumed was made in Core::new): ends up to 200 ms late, a keyed window up to 200 ms too long. The event is made with the round.

Ruled out for the watch: lines in pieces (the text is kept), an end in the middle of one (cleared with the connection). Tests of the core, each seen to fail without its part.

--- a/crates/platform/src/core/agent.rs
+++ b/crates/platform/src/core/agent.rs
@@ -13,13 +13,13 @@
 /// A connection that is not there by then has failed.
 const CONNECT_WITHIN: Time = 1000 * MS;
 /// A watch that is silent for this long is dead: a line comes every 2 s.
-const SILENT: Time = 2700 * MS;
+pub(super) const SILENT: Time = 2700 * MS;
 /// A notice is answered at once; what is not by then is sent again. It goes out as its message's time ends and
 /// has to be there 300 ms later: a connection that is dead has to be found and replaced before that.
 const ANSWER_WITHIN: Time = 200 * MS;
 /// Notices in one request.
 const TOGETHER: usize = 64;
-/// The most that a line of the watch may have: a list of thousands of endpoints.
+/// The most that an object of the watch may have: a list of thousands of endpoints.
 const LINE: usize = 4 << 20;
 
 /// State of a connection that is made again whenever it is lost.
@@ -90,7 +90,7 @@
     /// The head is there.
     chunks: Option<Chunks>,
     text: Vec<u8>,
-    /// A whole line has come, on this connection or one before.
+    /// A whole object or an empty line has come, on this connection or one before.
     told: bool,
 }
 
@@ -100,7 +100,7 @@
     /// Another answer than 200, or none at all.
     #[error("the watch was answered with {0}")]
     Answer(String),
-    /// A line that is no news of the list.
+    /// Something that is no news of the list.
     #[error("a line of the watch cannot be read: {0}")]
     Line(String),
     /// It ended.
@@ -122,7 +122,12 @@
     /// What is to be done now.
     pub fn need(&mut self, now: Time) -> Need {
         let silent = self.line.state == State::Up && self.heard + SILENT <= now;
-        if silent || self.line.stuck(now) {
+        if silent {
+            // It took the connection, and what it has at discovery's return counts at once: anew without a gap.
+            self.line.state = State::Down { retry: now };
+            return Need::Close;
+        }
+        if self.line.stuck(now) {
             self.line.down(now);
             return Need::Close;
         }
@@ -187,20 +192,26 @@
             Ok(false) => None,
             Err(e) => Some(BadWatch::Line(e.to_string())),
         };
-        while let Some(end) = self.text[at..].iter().position(|&b| b == b'\n') {
-            let line = self.text[at..at + end].trim_ascii();
-            (at, self.told) = (at + end + 1, true);
-            if line.is_empty() {
-                continue;
-            }
-            match serde_json::from_slice(line) {
-                Ok(one) => news.push(one),
-                Err(e) => {
+        // An object may come indented, over several lines; what is not there whole waits for the rest.
+        let mut objects = serde_json::Deserializer::from_slice(&self.text).into_iter::<News>();
+        loop {
+            match objects.next() {
+                Some(Ok(one)) => {
+                    news.push(one);
+                    at = objects.byte_offset();
+                }
+                Some(Err(e)) if e.is_eof() => break,
+                Some(Err(e)) => {
                     bad = Some(BadWatch::Line(e.to_string()));
                     break;
                 }
+                None => {
+                    at = self.text.len();
+                    break;
+                }
             }
         }
+        self.told |= at > 0;
         self.text.drain(..at);
         if self.text.len() > LINE {
             bad = Some(BadWatch::Line(format!("it has more than {LINE} bytes")));
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -142,6 +142,8 @@
     most_bytes: u64,
     /// Messages that are over and may come once more under their ids, by when their time is up.
     over: BTreeSet<(Time, u64)>,
+    /// Messages of an earlier process that the library has not been told of.
+    found: Vec<u32>,
     /// Messages of an earlier process that have surely never run, and were not called in this one either.
     untried: BTreeSet<u32>,
     known: HashMap<u64, Known>,
@@ -200,6 +202,7 @@
             held_bytes: 0,
             most_bytes: room / HOLD_PART,
             over: BTreeSet::new(),
+            found: vec![],
             untried: BTreeSet::new(),
             known: HashMap::new(),
             most_known: (room / KNOWN_PART / KNOWN_BYTES) as usize,
@@ -444,7 +447,13 @@
             if self.round_at <= now {
                 self.round_at = Time::MAX;
             }
-            let events = std::mem::take(&mut self.events);
+            let mut events = std::mem::take(&mut self.events);
+            // Behind the list, before all that is new; their times run while the first round waits.
+            let found = std::mem::take(&mut self.found);
+            events.splice(
+                events.len().min(1)..events.len().min(1),
+                found.into_iter().filter_map(|n| self.resumed(n)),
+            );
             let actions = self.courier.round(now, events);
             self.answer_fresh(&actions);
             for action in actions {
@@ -672,34 +681,41 @@
             owed.end = Some(End::Failed);
             self.records.push(Record::Ended { message: number, end: End::Failed });
         }
-        let (m, size) = (&owed.message, size(&owed));
-        let taken = Taken {
-            id: number,
-            destination: m.destination,
-            class: m.class,
-            time_left: due - self.now,
-            key: m.line,
-            tenant: 0,
-        };
-        let end = owed.end;
-        let (id, maybe) = (m.id(), owed.maybe.len());
+        let (size, end) = (size(&owed), owed.end);
+        let (id, maybe) = (owed.message.id(), owed.maybe.len());
         tracing::debug!(%id, number, attempts = owed.attempts, maybe, ?end, left = due - self.now, "taken up again");
-        let ago = |a: &Attempt| (self.now + self.wall).saturating_sub(a.at);
-        let open = owed.maybe.iter().map(|a| Open { attempt: a.number, zone: a.zone, ago: ago(a) }).collect();
         self.counts.resumed[0] += 1;
+        if end.is_none() {
+            self.found.push(number);
+        }
         if end.is_none() && owed.maybe.is_empty() {
             self.counts.resumed[1] += 1;
             self.untried.insert(number);
         }
-        if end.is_none() {
-            self.events.push(Event::Resumed { taken, attempts: owed.attempts, open });
-        }
         self.hold(number, owed, size, due);
         if let Some(end) = end {
             self.tell(number, end);
         }
     }
 
+    /// What an earlier process left of a message, as it is now.
+    fn resumed(&self, number: u32) -> Option<Event> {
+        let h = self.held.get(&number)?;
+        let (m, now) = (&h.owed.message, self.now + self.wall);
+        let taken = Taken {
+            id: number,
+            destination: m.destination,
+            class: m.class,
+            time_left: h.due.saturating_sub(self.now),
+            key: m.line,
+            tenant: 0,
+        };
+        let ago = |a: &Attempt| now.saturating_sub(a.at);
+        let open =
+            h.owed.maybe.iter().map(|a| Open { attempt: a.number, zone: a.zone, ago: ago(a) }).collect();
+        Some(Event::Resumed { taken, attempts: h.owed.attempts, open })
+    }
+
     /// Answers those whose messages came with this round: handed back or failed in it, or taken on.
     fn answer_fresh(&mut self, actions: &[Action]) {
         let mut ended: BTreeMap<u32, Option<Time>> = BTreeMap::new();
--- a/crates/platform/src/core/tests.rs
+++ b/crates/platform/src/core/tests.rs
@@ -1,5 +1,6 @@
 //! The core against scripted bytes in virtual time.
 
+use super::agent::SILENT;
 use super::*;
 use linnetcart_http::request;
 
@@ -580,6 +581,37 @@
     assert!(asked.1.starts_with(b"GET /v1/endpoints?follow=1&since=50 "), "from where it was");
 }
 
+#[test]
+fn news_may_come_indented_and_in_any_pieces() {
+    let value: serde_json::Value = serde_json::from_str(&list(43, "a", "bank", 3, "left", 1000)).unwrap();
+    let text = format!("\n{}\n\n", serde_json::to_string_pretty(&value).unwrap());
+    for cut in 1..text.len() {
+        let mut rig = Rig::new();
+        let watch = rig.agent();
+        rig.news(watch, "");
+        for part in [&text[..cut], &text[cut..]] {
+            rig.reply(watch, format!("{:x}\r\n{part}\r\n", part.len()).as_bytes());
+        }
+        rig.hand_in("order", "a", "");
+        assert!(rig.calls().is_empty() && !rig.closed.contains(&watch), "both have left; cut at {cut}");
+    }
+}
+
+#[test]
+fn while_discovery_is_silent_a_watch_is_open_for_its_return_at_any_moment() {
+    let mut rig = Rig::new();
+    for _ in 0..8 {
+        let watch = rig.agent();
+        rig.after(SILENT);
+        assert!(rig.closed.contains(&watch));
+        rig.after(MS);
+    }
+    let watch = rig.agent();
+    rig.news(watch, &list(43, "a", "bank", 3, "left", 1000));
+    rig.hand_in("order", "a", "");
+    assert!(rig.calls().is_empty(), "it is heard at once");
+}
+
 #[test]
 fn a_wake_up_outlasts_the_rounds_before_it() {
     // A hold full of messages that wait takes nothing, so no event comes: only the wake-up gets them going.
@@ -842,3 +874,32 @@
     let Record::Taken(_, message) = &rig.journal[rig.journal.len() - 2] else { panic!("{:?}", rig.journal) };
     assert_eq!(message.due, 109 * S, "its time runs from when it came");
 }
+
+#[test]
+fn the_time_of_what_a_restart_found_runs_while_the_first_round_waits() {
+    let message = |id: &str, class, left| Message {
+        id: id.into(),
+        token: Some(b"t".to_vec()),
+        class,
+        destination: 9,
+        line: 0,
+        due: 100 * S + left,
+        body: vec![],
+    };
+    let sent = Attempt { number: 0, zone: 0, at: 100 * S - 6900 * MS };
+    let journal = vec![
+        Record::Taken(1, message("a", 0, 300 * MS)),
+        Record::Taken(2, message("keyed", 1, 9 * S)),
+        Record::Sent { message: 2, attempt: sent },
+    ];
+    let mut rig = Rig::from(journal, 100 * S, 40);
+    let ended = |rig: &Rig, n| rig.has(|r| matches!(r, Record::Ended { message, .. } if *message == n));
+    assert!(
+        !ended(&rig, 1) && ended(&rig, 2),
+        "its window of 8 s, less a second for travel, was over meanwhile"
+    );
+    rig.after(80 * MS);
+    assert!(!ended(&rig, 1));
+    rig.after(11 * MS);
+    assert!(ended(&rig, 1), "two ticks before its time is up");
+}
