Platform: an answer read after its message's time does not stand for its end

Change: where a 200 is read later than a millisecond before its message's time is up (the call was told whole milliseconds), the message ends as failed and the platform is told; a notice for a message that is over does no harm. Tests: core in virtual time, and a real process stopped over the moment; both seen to fail without it.

--- a/crates/edge/tests/moments.rs
+++ b/crates/edge/tests/moments.rs
@@ -366,3 +366,20 @@
     rig.settle();
     !gate.is_still()
 }
+
+#[test]
+fn an_answer_that_is_read_after_its_message_s_time_does_not_stand_for_its_end() {
+    let ((discovery, notices), gate) = (discovery(), Gate::new());
+    let rig = Rig::with("after", |listen| file(listen, &[gate.at], discovery));
+    let text = message("order", "late", "").replace("-Ms: 30000", "-Ms: 1000");
+    assert_eq!(rig.ask(&text), Some(202));
+    let mut call = gate.take();
+    assert_eq!(call.request(), "late");
+    // A slow process, over the moment at which it would have ended the message.
+    rig.signal(Signal::STOP);
+    until("it is stopped", || is_stopped(&rig));
+    std::thread::sleep(std::time::Duration::from_millis(1100));
+    call.send(SERVED);
+    rig.signal(Signal::CONT);
+    until("it is ended by a notice", || count(&notices, r#""late","state":"failed""#) == 1);
+}
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -926,9 +926,14 @@
         self.settle(message);
     }
 
-    /// Nothing more is owed, unless it had its end before.
+    /// Nothing more is owed, unless it had its end before. An answer that comes as its time is up, by the whole
+    /// milliseconds that the call was told, may count for nothing: the platform hears of an end all the same.
     fn delivered(&mut self, message: u32) -> bool {
         let Some(h) = self.held.get_mut(&message).filter(|h| !h.over) else { return false };
+        if h.due < self.now + MS {
+            self.over(message, End::Failed);
+            return true;
+        }
         h.over = true;
         h.owed.end = Some(End::Delivered);
         self.ids.remove(&h.owed.message.id);
--- a/crates/platform/src/core/tests.rs
+++ b/crates/platform/src/core/tests.rs
@@ -903,3 +903,21 @@
     rig.after(11 * MS);
     assert!(ended(&rig, 1), "two ticks before its time is up");
 }
+
+#[test]
+fn an_answer_that_comes_as_its_time_is_up_is_followed_by_a_notice() {
+    for (before, told) in [(2 * MS, 0), (MS / 2, 1), (0, 1)] {
+        let mut rig = Rig::new();
+        let due = rig.now + 9 * S;
+        rig.hand_in("order", "a", "");
+        let link = rig.calls()[0].0;
+        rig.after(8 * S);
+        // The turn that was to end it comes too late: this is read before.
+        rig.now = due - before;
+        rig.core.clock(rig.now);
+        rig.reply(link, b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        assert_eq!(rig.core.counts().notices, [told, 0], "{before} ns before");
+        let failed = |r: &Record| matches!(r, Record::Ended { end: End::Failed, .. });
+        assert_eq!(rig.has(failed), told == 1);
+    }
+}
