Platform: a key's rest outlasts the process; both clocks are read at one moment

Change: record 'rests' (key, until), written as an attempt ends that may run on, kept in new files; a first attempt for the key waits in Core::begin, as it does for a notice. A rest still running at the start begins once more: the endpoint may have seen the call's end only as the process died (seen once: 1,420 ms of 1,500 by our own clock of it).

--- a/crates/edge/tests/moments.rs
+++ b/crates/edge/tests/moments.rs
@@ -383,3 +383,25 @@
     rig.signal(Signal::CONT);
     until("it is ended by a notice", || count(&notices, r#""late","state":"failed""#) == 1);
 }
+
+#[test]
+fn a_key_rests_after_a_call_that_may_run_on_also_in_the_next_process() {
+    let ((discovery, notices), gate) = (discovery(), Gate::new());
+    let mut rig = Rig::with("rest", |listen| {
+        let mut config = file(listen, &[gate.at], discovery);
+        config["settings"]["contract"]["turn_gap_ns"] = 4_000_000_000u64.into();
+        config
+    });
+    let of = |key: &str, id: &str| message("change", id, &format!("Cookie: subject={key}\r\n"));
+    assert_eq!(rig.ask(&of("k", "first").replace("-Ms: 30000", "-Ms: 500")), Some(202));
+    let mut call = gate.take();
+    assert_eq!(call.request(), "first");
+    until("its time is up", || count(&notices, "first") == 1);
+    rig.kill_and_start();
+    assert_eq!((rig.ask(&of("k", "second")), rig.ask(&of("l", "other"))), (Some(202), Some(202)));
+    let mut wires = vec![];
+    assert_eq!(serve_next(&gate, &mut wires, SERVED).1, "other");
+    rig.settle();
+    assert!(gate.is_still_for(100) && !wires[0].is_ready(), "its key rests");
+    assert_eq!(serve_next(&gate, &mut wires, SERVED).1, "second", "and then it goes");
+}
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -156,6 +156,8 @@
     up: Vec<LinkId>,
     /// Messages whose notices are not answered, by key.
     telling: BTreeMap<u64, BTreeSet<u32>>,
+    /// Until when keys rest. The library keeps to it; after a restart it does not know.
+    rests: BTreeMap<u64, Time>,
     events: Vec<Event>,
     records: Vec<Record>,
     outputs: Vec<Output>,
@@ -210,6 +212,7 @@
             calls: BTreeMap::new(),
             up: vec![],
             telling: BTreeMap::new(),
+            rests: BTreeMap::new(),
             events: vec![],
             records: vec![],
             outputs: vec![],
@@ -226,6 +229,9 @@
         let known = News { snapshot: true, ..config.known };
         core.news(known);
         replay.known.into_iter().for_each(|known| core.remember(known));
+        // The endpoint may have seen the end of such a call only as the process died: from here on once more.
+        let rests = replay.rests.into_iter().filter(|r| r.1 > wall);
+        rests.for_each(|(line, _)| core.rest(line));
         for (number, owed) in replay.owed {
             core.resume(number, owed);
         }
@@ -238,7 +244,9 @@
         let names = Record::Names { classes: self.site.classes.clone(), zones: self.site.zones.clone() };
         let known = self.over.iter().filter_map(|(_, id)| self.known.get(id).copied().map(Record::Known));
         let open = open.flat_map(|(&number, h)| h.owed.records(number));
-        [names].into_iter().chain(known).chain(open).collect()
+        let rests = self.rests.iter().filter(|r| *r.1 > self.now);
+        let rests = rests.map(|(&line, until)| Record::Rests { line, until: until + self.wall });
+        [names].into_iter().chain(known).chain(rests).chain(open).collect()
     }
 
     /// Records since the last time; to be written before the outputs are carried out.
@@ -281,6 +289,10 @@
         let round_at = if listens { self.first_round } else { self.round_at };
         let mut at = round_at.min(self.look_at).min(self.links.wake());
         at = at.min(self.watch.wake()).min(self.notices.wake());
+        if self.calls.values().any(|c| c.waits) {
+            let rests = self.rests.values().copied().filter(|&until| until > self.now);
+            at = rests.fold(at, Time::min);
+        }
         self.calls.values().map(|c| c.until).fold(at, Time::min)
     }
 
@@ -692,6 +704,10 @@
             self.counts.resumed[1] += 1;
             self.untried.insert(number);
         }
+        // What was out when its process died was reset by that, just now for all we know.
+        if !owed.maybe.is_empty() {
+            self.rest(owed.message.line);
+        }
         self.hold(number, owed, size, due);
         if let Some(end) = end {
             self.tell(number, end);
@@ -813,13 +829,16 @@
         waiting.into_iter().for_each(|id| self.begin(id));
     }
 
-    /// Starts a call, unless a notice on an earlier message of its key is not answered.
+    /// Starts a call, unless a notice on an earlier message of its key is not answered, or its key rests.
     fn begin(&mut self, id: CallId) {
         let (Some(call), Some(h)) = (self.calls.get_mut(&id), self.held.get(&id.0)) else { return };
         let line = h.owed.message.line;
         if line != 0 && self.telling.get(&line).is_some_and(|t| t.iter().any(|&m| m != id.0)) {
             return;
         }
+        if id.1 == 0 && self.rests.get(&line).is_some_and(|&until| until > self.now) {
+            return;
+        }
         call.waits = false;
         let known = self.directory.get(call.endpoint).filter(|k| k.listing == Listing::Ready);
         let Some(address) = known.map(|k| k.address) else {
@@ -918,7 +937,11 @@
             h.owed.maybe.retain(|a| a.number != attempt);
             self.records.push(Record::NeverRan { message, attempt });
         }
+        let line = h.owed.message.line;
         let over = h.over || done.ending == Ending::Served || done.over;
+        if matches!(done.ending, Ending::TimedOut | Ending::Reset | Ending::Cancelled) {
+            self.rest(line);
+        }
         if over {
             self.delivered(message);
         }
@@ -926,6 +949,17 @@
         self.settle(message);
     }
 
+    /// An attempt for a key ended and may run on.
+    fn rest(&mut self, line: u64) {
+        let (now, until) = (self.now, self.now + self.site.settings.key_rest);
+        if line == 0 || until == now {
+            return;
+        }
+        self.rests.retain(|_, until| *until > now);
+        self.rests.insert(line, until);
+        self.records.push(Record::Rests { line, until: until + self.wall });
+    }
+
     /// Nothing more is owed, unless it had its end before. An answer that comes as its time is up, by the whole
     /// milliseconds that the call was told, may count for nothing: the platform hears of an end all the same.
     fn delivered(&mut self, message: u32) -> bool {
--- a/crates/platform/src/core/tests.rs
+++ b/crates/platform/src/core/tests.rs
@@ -57,11 +57,14 @@
     }
 
     fn from(journal: Vec<Record>, now: Time, max_open: u32) -> Rig {
+        Rig::with(config(max_open), journal, now)
+    }
+
+    fn with(config: Config, journal: Vec<Record>, now: Time) -> Rig {
         let raw = |r: &Record| {
             let (kind, payload) = r.encode();
             linnetcart_journal::Record { kind, payload }
         };
-        let config = config(max_open);
         let raw: Vec<_> = journal.iter().map(raw).collect();
         let replay = Replay::of(&raw, &config.site.classes, &config.site.zones);
         let core = Core::new(config, replay, now, now);
@@ -921,3 +924,27 @@
         assert_eq!(rig.has(failed), told == 1);
     }
 }
+
+#[test]
+fn a_key_s_rest_outlasts_the_process() {
+    let start = |journal, now| {
+        let mut config = config(40);
+        config.site.settings.key_rest = 2 * S;
+        Rig::with(config, journal, now)
+    };
+    let mut rig = start(vec![], 100 * S);
+    rig.hand_in("change", "a", "k");
+    rig.after(4 * S);
+    let copy = rig.calls()[1].0;
+    rig.reply(copy, b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    assert_eq!(rig.ended.len(), 1, "the slower one is called off, and may run on");
+    // The second process has it from the file that the first began with. Each lets the key rest once more, as a
+    // process that dies ends what its endpoint may not have seen the end of.
+    let second = start(rig.journal, rig.now + 10 * MS);
+    let mut rig = start(second.journal, second.now + 10 * MS);
+    assert_eq!((rig.hand_in("change", "b", "k"), rig.hand_in("change", "c", "l")), (202, 202));
+    rig.after(2 * S - FIRST_WORD - MS);
+    assert_eq!(rig.calls().iter().map(|c| &c.1[..]).collect::<Vec<_>>(), ["c"], "another key's");
+    rig.after(MS);
+    assert_eq!(rig.calls().last().unwrap().1, "b");
+}
--- a/crates/platform/src/records.rs
+++ b/crates/platform/src/records.rs
@@ -9,6 +9,7 @@
 //! | told | the notice is forgotten |
 //! | names | all that follows: what places of classes and zones mean in it |
 //! | known | nothing; a new file begins with those of the file before |
+//! | rests | the next message of the key is sent |
 //!
 //! An attempt that was sent and is not known never to have run may have run.
 
@@ -58,6 +59,13 @@
     },
     /// A message that is over and may be handed in once more under its id.
     Known(Known),
+    /// An attempt for a key ended and may run on: the key rests until then, nanoseconds of the wall clock.
+    Rests {
+        /// The key.
+        line: u64,
+        /// Until when.
+        until: Time,
+    },
 }
 
 /// What is remembered of a message that is over: enough to know it again.
@@ -142,6 +150,7 @@
 const TOLD: u8 = 5;
 const NAMES: u8 = 6;
 const KNOWN: u8 = 7;
+const RESTS: u8 = 8;
 const NO_TOKEN: u16 = u16::MAX;
 
 impl Record {
@@ -197,6 +206,10 @@
                 [k.id, k.content, k.until].iter().for_each(|n| out.extend(n.to_le_bytes()));
                 KNOWN
             }
+            Record::Rests { line, until } => {
+                [line, until].iter().for_each(|n| out.extend(n.to_le_bytes()));
+                RESTS
+            }
         };
         (kind, out)
     }
@@ -210,6 +223,7 @@
                 return Some(Record::Names { classes, zones });
             }
             KNOWN => return Some(Record::Known(Known { id: f.u64()?, content: f.u64()?, until: f.u64()? })),
+            RESTS => return Some(Record::Rests { line: f.u64()?, until: f.u64()? }),
             _ => {}
         }
         let message = f.u32()?;
@@ -300,6 +314,8 @@
     pub strange: usize,
     /// Messages that are over and whose time is not up, as far as the journal still has them.
     pub known: Vec<Known>,
+    /// Until when keys rest.
+    pub rests: BTreeMap<u64, Time>,
 }
 
 /// From places in the journal to places in the settings, by name.
@@ -341,6 +357,11 @@
                     replay.known.push(*known);
                     continue;
                 }
+                Record::Rests { line, until } => {
+                    let rests = replay.rests.entry(*line).or_default();
+                    *rests = (*rests).max(*until);
+                    continue;
+                }
                 Record::Taken(message, m) => {
                     places.iter().for_each(|p| m.class = Places::here(&p.classes, m.class));
                     *message
@@ -384,7 +405,7 @@
                     over.insert(number);
                 }
                 Record::Ended { end, .. } => owed.end = Some(end),
-                Record::Taken(..) | Record::Names { .. } | Record::Known(_) => {}
+                Record::Taken(..) | Record::Names { .. } | Record::Known(_) | Record::Rests { .. } => {}
             }
         }
         replay
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -113,8 +113,9 @@
     net.bound(config.limits.sockets.saturating_sub(16));
     net.reads(READ.0, READ.1);
     let (listen, room) = (config.listen, (config.limits.disk_mb * 1e6) as u64);
-    let core = Core::new(config, replay, CLOCK_START, wall());
-    let begun = Instant::now();
+    // Both clocks at one moment, before anything that takes time.
+    let (begun, wall) = (Instant::now(), wall());
+    let core = Core::new(config, replay, CLOCK_START, wall);
     begin_anew(&mut journal, &core)
         .with_context(|| format!("the journal in {state} cannot be written; make room there"))?;
     let (listener, _) =
