--- a/crates/platform/src/core/tests.rs
+++ b/crates/platform/src/core/tests.rs
@@ -819,7 +819,9 @@
     rig.reply(link, b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhal");
     let before = rig.calls().len();
     rig.after(20 * MS);
-    (0..4).for_each(|n| drop(rig.hand_in("order", &format!("b{n}"), "")));
+    for n in 0..4 {
+        rig.hand_in("order", &format!("b{n}"), "");
+    }
     let calls = rig.calls().split_off(before);
     assert!(!calls.is_empty() && calls.iter().all(|c| c.0 != link), "{calls:?}, not on {link}");
     rig.after(50 * MS);
