Tests: the port of a process is reserved for its life

Seen: moments.rs 50 times, four at a time: 2 of 52 failed, once 'it is ready' never came, once a hand-in was answered 204, which only a stand-in for discovery says. Cause: the fixture took a port that was free just before (process/mod.rs, Rig::with), and another test's listener or connection could get it until the process listened, or between two lives. Ruled out: the program (no line of it; both tests pass alone 52 times). Change: linnetcart_net::Reserved holds the port.

--- a/crates/edge/tests/process/mod.rs
+++ b/crates/edge/tests/process/mod.rs
@@ -4,12 +4,13 @@
 #![allow(dead_code, reason = "each test file uses its own part")]
 
 use linnetcart_http::{answer as answer_head, request, Answer};
+use linnetcart_net::Reserved;
 use rustix::event::{poll, PollFd, PollFlags};
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::{json, Value};
 use socket2::{Domain, Socket, Type};
 use std::io::{Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -67,6 +68,7 @@
     pub dir: PathBuf,
     pub listen: SocketAddr,
     pub child: Child,
+    _port: Reserved,
 }
 
 impl Rig {
@@ -79,11 +81,12 @@
         let dir = std::env::temp_dir().join(format!("linnetcart-platform-{name}-{}", std::process::id()));
         let _ = std::fs::remove_dir_all(&dir);
         std::fs::create_dir_all(dir.join("state")).unwrap();
-        // The system chooses a port that was free just now.
-        let listen = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        // The system chooses a port, and gives it to nobody else.
+        let port = Reserved::new(Ipv4Addr::LOCALHOST.into()).unwrap();
+        let listen = port.addr();
         write(&dir, &config(listen));
         let child = start(&dir);
-        let rig = Rig { dir, listen, child };
+        let rig = Rig { dir, listen, child, _port: port };
         rig.ready();
         rig
     }
