--- a/simhost/src/main.rs
+++ b/bench-adapter/src/main.rs
@@ -19,7 +19,7 @@
     match served {
         Ok(()) => ExitCode::SUCCESS,
         Err(bad) => {
-            eprintln!("linnetcart-simhost: {bad}");
+            eprintln!("linnetcart-bench-adapter: {bad}");
             ExitCode::FAILURE
         }
     }
--- a/simhost/src/wire.rs
+++ b/bench-adapter/src/wire.rs
@@ -4,8 +4,11 @@
 use std::fmt;
 use std::io::{self, Read};
 
-use linnetcart::{Action, Courier, Ending, Endpoint, Event, Listing, Outcome, Probed, Taken};
-use linnetcart_site::{Site, LEFT, LIMIT};
+use linnetcart::{
+    AcceptedMessage, Action, AttemptOutcome, AttemptResult, Dispatcher, Endpoint, EndpointStatus, Event,
+    HealthCheckResult,
+};
+use linnetcart_deployment_settings::{Site, LEFT, LIMIT};
 use serde_json::Value;
 
 /// Input that cannot be read.
@@ -110,7 +113,7 @@
 
 /// One running instance.
 struct Instance {
-    courier: Courier,
+    courier: Dispatcher,
     left_at: Option<usize>,
     limit_at: Option<usize>,
 }
@@ -142,7 +145,7 @@
         for i in order {
             let Some(instance) = self.instances.get_mut(&i) else { continue };
             let Some(round) = events.remove(&i) else { continue };
-            for action in instance.courier.round(head.clock, round) {
+            for action in instance.courier.decide(head.clock, round) {
                 write_action(&mut out, i, head.clock, &action);
             }
         }
@@ -184,11 +187,11 @@
                 let instance = Instance {
                     left_at: site.report_place(LEFT),
                     limit_at: site.report_place(LIMIT),
-                    courier: Courier::new(site.settings, seed),
+                    courier: Dispatcher::new(site.settings, seed),
                 };
                 self.instances.insert(i, instance);
                 events.insert(i, Vec::new());
-                Event::Woken
+                Event::WokenUp
             }
             100 => {
                 self.instances.remove(&i);
@@ -196,13 +199,13 @@
                 return Ok(());
             }
             20 => match f.u8()? {
-                3 => Event::ListFailed,
+                3 => Event::EndpointListFailed,
                 how @ 0..=2 => {
                     let number = f.u16()?;
                     let Some(entries) = self.lists.get(&number) else {
                         return bad(format!("list {number} was never given"));
                     };
-                    Event::List { whole: how != 0, entries: entries.clone() }
+                    Event::EndpointList { complete: how != 0, entries: entries.clone() }
                 }
                 how => return bad(format!("news of kind {how} is unknown")),
             },
@@ -211,27 +214,49 @@
                 let (_attrs, _effort) = (f.u8()?, f.u64()?);
                 let (key, destination) = (f.u64()?, f.f32()? as u32);
                 let tenant = if f.rest.is_empty() { 0 } else { f.u32()? };
-                Event::Taken(Taken { id, destination, class, time_left, key, tenant })
+                Event::Accepted(AcceptedMessage {
+                    id,
+                    destination,
+                    class,
+                    time_remaining: time_left,
+                    ordering_key: key,
+                    tenant,
+                })
             }
             50 => {
                 let (message, attempt, endpoint) = (f.u32()?, f.u16()?, f.u32()?);
                 let (status, took, over, note) = (f.u8()?, f.u64()?, f.u8()? != 0, f.u32()?);
                 let ending = ending(status, note)?;
                 let (left, limit) = self.told(i, &mut f)?;
-                Event::Ended(Outcome { message, attempt, endpoint, ending, took, over, left, limit })
+                Event::AttemptFinished(AttemptResult {
+                    message,
+                    attempt,
+                    endpoint,
+                    outcome: ending,
+                    elapsed: took,
+                    completed: over,
+                    capacity_left: left,
+                    rate_limit: limit,
+                })
             }
-            60 => Event::Withdrawn { message: f.u32()? },
+            60 => Event::ClientCancelled { message: f.u32()? },
             80 => {
                 let (status, took, endpoint) = (f.u8()?, f.u64()?, f.u32()?);
                 let ending = ending(status, 0)?;
                 let (left, limit) = self.told(i, &mut f)?;
-                Event::Probed(Probed { endpoint, ending, took, left, limit })
+                Event::HealthChecked(HealthCheckResult {
+                    endpoint,
+                    outcome: ending,
+                    elapsed: took,
+                    capacity_left: left,
+                    rate_limit: limit,
+                })
             }
             90 => {
                 let (from, n) = (f.u16()?, f.u16()?);
-                Event::Note { from: u32::from(from), body: f.bytes(usize::from(n))?.to_vec() }
+                Event::Gossip { from: u32::from(from), body: f.bytes(usize::from(n))?.to_vec() }
             }
-            _ => Event::Woken,
+            _ => Event::WokenUp,
         };
         if !order.contains(&i) {
             order.push(i);
@@ -251,30 +276,30 @@
     }
 }
 
-fn ending(status: u8, note: u32) -> Result<Ending, Bad> {
+fn ending(status: u8, note: u32) -> Result<AttemptOutcome, Bad> {
     Ok(match status {
-        0 => Ending::Served,
-        1 => Ending::Error,
-        2 => Ending::Full { wait: u64::from(note) * 1_000_000 },
-        3 => Ending::TimedOut,
-        4 => Ending::NoConnection,
-        5 => Ending::Reset,
-        6 => Ending::Cancelled,
-        7 => Ending::NotSent { no_slot: note == 1 },
+        0 => AttemptOutcome::Served,
+        1 => AttemptOutcome::Error,
+        2 => AttemptOutcome::Rejected { retry_after: u64::from(note) * 1_000_000 },
+        3 => AttemptOutcome::TimedOut,
+        4 => AttemptOutcome::NoConnection,
+        5 => AttemptOutcome::Reset,
+        6 => AttemptOutcome::Cancelled,
+        7 => AttemptOutcome::NotSent { no_capacity: note == 1 },
         _ => return bad(format!("outcome {status} is unknown")),
     })
 }
 
 fn read_entry(f: &mut Fields) -> Result<Endpoint, Bad> {
     let listing = match f.u8()? {
-        1 => Listing::Ready,
-        2 => Listing::Gone,
-        3 => Listing::Draining,
+        1 => EndpointStatus::Ready,
+        2 => EndpointStatus::Removed,
+        3 => EndpointStatus::Draining,
         other => return bad(format!("phase {other} is unknown")),
     };
     let (kind, rate, destination) = (f.u8()?, f64::from(f.f32()?), u32::from(f.u16()?));
     let (id, _launched, zone) = (f.u32()?, f.u64()?, f.u8()?);
-    Ok(Endpoint { id, destination, kind, zone, rate, listing })
+    Ok(Endpoint { id, destination, kind, zone, rate, status: listing })
 }
 
 fn write_action(out: &mut Vec<u8>, i: u32, clock: u64, action: &Action) {
@@ -285,19 +310,20 @@
         Action::Cancel { message, attempt } => {
             (40, [&message.to_le_bytes()[..], &attempt.to_le_bytes()].concat())
         }
-        Action::Refuse { message, come_back } => {
+        Action::Reject { message, retry_after: come_back } => {
             (70, [&message.to_le_bytes()[..], &come_back.to_le_bytes()].concat())
         }
         Action::Fail { message } => (110, message.to_le_bytes().to_vec()),
-        Action::Probe { endpoint } => (60, endpoint.to_le_bytes().to_vec()),
-        Action::Note { to, body } => {
+        Action::HealthCheck { endpoint } => (60, endpoint.to_le_bytes().to_vec()),
+        Action::Gossip { to, body } => {
             let length = (body.len() as u16).to_le_bytes();
             (120, [&to.unwrap_or(u32::MAX).to_le_bytes()[..], &length, body].concat())
         }
-        Action::Close { endpoint } => (100, endpoint.to_le_bytes().to_vec()),
-        Action::Watch => (20, vec![1]),
-        Action::Wake { at } => (50, [at.saturating_sub(clock).to_le_bytes(), at.to_le_bytes()].concat()),
-        Action::Log(text) => {
+        Action::CloseIdle { endpoint } => (100, endpoint.to_le_bytes().to_vec()),
+        Action::WatchEndpoints => (20, vec![1]),
+        Action::WakeUp { at } => (50, [at.saturating_sub(clock).to_le_bytes(), at.to_le_bytes()].concat()),
+        Action::LimitChanged(change) => {
+            let text = change.to_string();
             let mut end = text.len().min(usize::from(u16::MAX));
             while !text.is_char_boundary(end) {
                 end -= 1;
--- a/crates/site/src/lib.rs
+++ b/crates/deployment-settings/src/lib.rs
@@ -5,7 +5,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-use linnetcart::{Class, Kind, Rates, Repeat, Settings};
+use linnetcart::{Class, DestinationKind, Idempotency, RateAccuracy, Settings};
 use serde_json::Value;
 
 /// Name of the report value that holds the share of the limit that is left.
@@ -72,68 +72,70 @@
     let mut classes = Vec::new();
     for (place, c) in list(&v["services"]).iter().enumerate() {
         let repeat = match c["idempotency"].as_str() {
-            Some("pure") => Repeat::Safe,
-            Some("token") => Repeat::Keyed { window: int(&c["key_ttl_ns"]), by_zone: c["group"] != "all" },
-            Some("side_effect") => Repeat::Unsafe,
+            Some("pure") => Idempotency::Idempotent,
+            Some("token") => {
+                Idempotency::Keyed { dedup_window: int(&c["key_ttl_ns"]), per_zone: c["group"] != "all" }
+            }
+            Some("side_effect") => Idempotency::NotIdempotent,
             _ => return Err(Bad { place, found: c["idempotency"].to_string() }),
         };
         classes.push(Class {
-            aim: int(&c["slo_ns"]),
+            latency_objective: int(&c["slo_ns"]),
             deadline: int(&c["hard_limit_ns"]),
-            worth: num(&c["worth"]),
-            late_worth: num(&c["late_worth"]),
-            repeat,
+            priority_weight: num(&c["worth"]),
+            late_weight: num(&c["late_worth"]),
+            idempotency: repeat,
             ordered: yes(&c["fifo_by_key"]),
         });
     }
     let (apart, per_call) = (list(&family["kind_apart"]), list(&family["per_call"]));
     let kinds = (0..list(&v["kinds"]).len().max(apart.len()).max(per_call.len()))
-        .map(|k| Kind {
-            routes_apart: apart.get(k).is_some_and(yes),
-            per_call: per_call.get(k).map_or(1, int) as u32,
+        .map(|k| DestinationKind {
+            independent_routes: apart.get(k).is_some_and(yes),
+            max_messages_per_call: per_call.get(k).map_or(1, int) as u32,
         })
         .collect();
     Ok(Settings {
-        couriers: int(&v["balancers"]) as u32,
-        me: int(&v["me"]) as u32,
+        courier_count: int(&v["balancers"]) as u32,
+        courier_index: int(&v["me"]) as u32,
         zone: int(&v["my_zone"]) as u8,
         classes,
         kinds,
-        tenants: list(&v["accounts"]).iter().map(|a| num(&a["quota_per_s"])).collect(),
-        over_share_worth: num(&v["over_share_worth"]),
-        worth_halves: family["loses_worth"] == "halving",
-        slots: int(&family["max_calls"]) as u32,
-        max_held: int(&bounds["max_open"]) as u32,
+        tenant_quotas: list(&v["accounts"]).iter().map(|a| num(&a["quota_per_s"])).collect(),
+        over_quota_weight: num(&v["over_share_worth"]),
+        weight_halves: family["loses_worth"] == "halving",
+        max_in_flight_calls: int(&family["max_calls"]) as u32,
+        max_in_flight_messages: int(&bounds["max_open"]) as u32,
         max_attempts: int(&bounds["max_attempts"]) as u32,
-        may_cancel: yes(&bounds["may_cancel"]),
-        may_copy: yes(&bounds["parallel_tries"]),
-        may_probe: yes(&bounds["probing"]),
-        may_note: yes(&bounds["peers"]),
-        max_come_back: if yes(&bounds["retry_after"]) { int(&bounds["max_retry_after_ns"]) } else { 0 },
+        cancellation_allowed: yes(&bounds["may_cancel"]),
+        hedging_allowed: yes(&bounds["parallel_tries"]),
+        health_checks_allowed: yes(&bounds["probing"]),
+        gossip_allowed: yes(&bounds["peers"]),
+        max_retry_after: if yes(&bounds["retry_after"]) { int(&bounds["max_retry_after_ns"]) } else { 0 },
         calls_per_connection: int(&bounds["streams_per_conn"]) as u32,
-        connection_idle: int(&bounds["conn_idle_ns"]),
+        idle_timeout: int(&bounds["conn_idle_ns"]),
         connect_timeout: int(&bounds["connect_timeout_ns"]),
-        answer_slack: int(&contract["grace_to_answer_ns"]),
-        cold_share: num(&contract["cold_from"]),
-        warm_after: int(&contract["ramp_time_ns"]),
-        fall_multiple: num(&contract["fall_multiple"]),
-        fall_span: int(&contract["fall_ns"]),
-        key_rest: int(&contract["turn_gap_ns"]),
-        list_asked: v["registry_mode"] == "ask",
-        ask_within: int(&contract["ask_within_ns"]),
-        rates: match v["weight_source"].as_str() {
-            Some("nominal") => Rates::Exact,
-            Some("rough") => Rates::Rough,
-            _ => Rates::Untold,
+        answer_grace: int(&contract["grace_to_answer_ns"]),
+        slow_start_ratio: num(&contract["cold_from"]),
+        slow_start_duration: int(&contract["ramp_time_ns"]),
+        overload_ratio: num(&contract["fall_multiple"]),
+        overload_window: int(&contract["fall_ns"]),
+        key_cooldown: int(&contract["turn_gap_ns"]),
+        endpoint_list_polled: v["registry_mode"] == "ask",
+        max_poll_interval: int(&contract["ask_within_ns"]),
+        rate_accuracy: match v["weight_source"].as_str() {
+            Some("nominal") => RateAccuracy::Exact,
+            Some("rough") => RateAccuracy::Approximate,
+            _ => RateAccuracy::Unspecified,
         },
         tick: int(&v["tick_ns"]),
         connection_price: num(&prices["handshake"]),
-        crossing_price: num(&prices["cross_zone"]),
-        waste_price: num(&prices["waste"]),
+        cross_zone_price: num(&prices["cross_zone"]),
+        wasted_work_price: num(&prices["waste"]),
         late_price: num(&prices["late_fail"]),
-        probe_price: num(&prices["probe"]),
-        note_price: num(&prices["peer"]),
-        refused_price: num(&family["refusal_cost"]),
+        health_check_price: num(&prices["probe"]),
+        gossip_price: num(&prices["peer"]),
+        rejected_call_price: num(&family["refusal_cost"]),
         route_fees: list(&family["route_fee"]).iter().map(num).collect(),
     })
 }
@@ -155,8 +157,11 @@
         assert_eq!((&site.classes[..], &site.kinds[..]), (&["a".to_owned()][..], &["k".to_owned()][..]));
         assert_eq!((site.report_place(LEFT), site.report_place(LIMIT)), (Some(1), Some(0)));
         let s = &site.settings;
-        assert_eq!((s.max_held, s.slots, s.max_come_back, s.rates), (7, 4, 3, Rates::Exact));
-        assert_eq!(s.classes[0].repeat, Repeat::Keyed { window: 8, by_zone: false });
+        assert_eq!(
+            (s.max_in_flight_messages, s.max_in_flight_calls, s.max_retry_after, s.rate_accuracy),
+            (7, 4, 3, RateAccuracy::Exact)
+        );
+        assert_eq!(s.classes[0].idempotency, Idempotency::Keyed { dedup_window: 8, per_zone: false });
     }
 
     #[test]
--- a/crates/edge/src/cli.rs
+++ b/crates/edge/src/cli.rs
@@ -1,6 +1,6 @@
 //! The command line of `linnetcart-edge`.
 
-use crate::core::Policy;
+use crate::core::PolicyFactory;
 use crate::shell::{self, End, Options};
 use clap::{Parser, Subcommand, ValueEnum};
 use std::io::IsTerminal;
@@ -92,7 +92,7 @@
 }
 
 /// Runs the program with someone else deciding, for comparisons.
-pub fn run_with(args: Args, policy: Policy) -> ExitCode {
+pub fn run_with(args: Args, policy: PolicyFactory) -> ExitCode {
     start_logs(args.log, args.log_level);
     if let Some(Front::Platform) = args.front {
         let run = linnetcart_platform::shell::Environment::read().and_then(linnetcart_platform::shell::run);
--- a/crates/edge/src/core/delivery.rs
+++ b/crates/edge/src/core/delivery.rs
@@ -10,7 +10,7 @@
 
 use super::trust::Trust;
 use bytes::Bytes;
-use linnetcart::{Ending, Time};
+use linnetcart::{AttemptOutcome, Time};
 use linnetcart_kafka::{client, codes, Frames, Load, Record, PRODUCE};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -41,7 +41,7 @@
     pub(crate) message: u32,
     pub(crate) attempt: u16,
     pub(crate) endpoint: u32,
-    pub(crate) ending: Ending,
+    pub(crate) ending: AttemptOutcome,
     pub(crate) sent: Time,
     pub(crate) load: Option<Load>,
 }
@@ -227,7 +227,7 @@
 
     /// An attempt that was never begun.
     pub(crate) fn not_sent(&mut self, message: u32, attempt: u16, endpoint: u32, no_slot: bool) {
-        let ending = Ending::NotSent { no_slot };
+        let ending = AttemptOutcome::NotSent { no_capacity: no_slot };
         self.done.push(Done { message, attempt, endpoint, ending, sent: self.now, load: None });
     }
 
@@ -240,7 +240,7 @@
                 continue;
             };
             let Some(addr) = address(endpoint) else {
-                self.end_call(id, Ending::NotSent { no_slot: false }, None);
+                self.end_call(id, AttemptOutcome::NotSent { no_capacity: false }, None);
                 continue;
             };
             let link = self.link(endpoint, addr);
@@ -340,7 +340,7 @@
                     l.calls.insert(l.correlation, id);
                     self.todo.push(Do::Write(link, bytes));
                 }
-                Err(_) => self.end_call(id, Ending::NotSent { no_slot: false }, None),
+                Err(_) => self.end_call(id, AttemptOutcome::NotSent { no_capacity: false }, None),
             }
         }
     }
@@ -359,7 +359,13 @@
     }
 
     /// Ends one attempt of a call; how many of it are left, if it was there.
-    fn end_one(&mut self, id: u64, key: (u32, u16), ending: Ending, load: Option<Load>) -> Option<usize> {
+    fn end_one(
+        &mut self,
+        id: u64,
+        key: (u32, u16),
+        ending: AttemptOutcome,
+        load: Option<Load>,
+    ) -> Option<usize> {
         let call = self.calls.get_mut(&id)?;
         let at = call.parcels.iter().position(|p| (p.message, p.attempt) == key)?;
         let parcel = call.parcels.remove(at);
@@ -373,7 +379,7 @@
     }
 
     /// Ends one attempt of a call that is not answered.
-    fn end_attempt(&mut self, id: u64, key: (u32, u16), ending: Ending) {
+    fn end_attempt(&mut self, id: u64, key: (u32, u16), ending: AttemptOutcome) {
         if self.end_one(id, key, ending, None) != Some(0) {
             return;
         }
@@ -399,7 +405,7 @@
     }
 
     /// Ends what is left of a call and forgets it.
-    fn end_call(&mut self, id: u64, ending: Ending, load: Option<Load>) {
+    fn end_call(&mut self, id: u64, ending: AttemptOutcome, load: Option<Load>) {
         let Some(call) = self.calls.remove(&id) else { return };
         if !call.parcels.is_empty() {
             self.running -= 1;
@@ -428,7 +434,7 @@
         let Some(held) = self.pools.get(&endpoint).map(|p| &p.abandoned) else { return };
         if held.len() > self.bounds.slots {
             let oldest = held.iter().min_by_key(|id| self.links.get(id).map(|l| l.since)).copied();
-            oldest.into_iter().for_each(|id| self.drop_link(id, Ending::Reset));
+            oldest.into_iter().for_each(|id| self.drop_link(id, AttemptOutcome::Reset));
         }
     }
 
@@ -436,7 +442,8 @@
     pub(crate) fn cancel(&mut self, message: u32, attempt: u16) {
         let Some(&id) = self.attempts.get(&(message, attempt)) else { return };
         let left = self.calls.get(&id).is_some_and(|c| c.written.is_some());
-        let ending = if left { Ending::Cancelled } else { Ending::NotSent { no_slot: false } };
+        let ending =
+            if left { AttemptOutcome::Cancelled } else { AttemptOutcome::NotSent { no_capacity: false } };
         self.end_attempt(id, (message, attempt), ending);
     }
 
@@ -459,8 +466,8 @@
                     self.times.insert((until, message, attempt));
                     continue;
                 }
-                Some(_) => Ending::TimedOut,
-                None => Ending::NoConnection,
+                Some(_) => AttemptOutcome::TimedOut,
+                None => AttemptOutcome::NoConnection,
             };
             self.end_attempt(id, (message, attempt), ending);
         }
@@ -471,12 +478,12 @@
             if l.up && busy {
                 continue;
             }
-            self.drop_link(id, Ending::NoConnection);
+            self.drop_link(id, AttemptOutcome::NoConnection);
         }
     }
 
     /// Closes a connection; what was on it ends like this, unless it is known not to have left.
-    fn drop_link(&mut self, id: LinkId, written: Ending) {
+    fn drop_link(&mut self, id: LinkId, written: AttemptOutcome) {
         if self.links.contains_key(&id) {
             self.todo.push(Do::Close(id));
             self.lost(id, u64::MAX, written);
@@ -484,7 +491,7 @@
     }
 
     /// The connection is no more. The system took `bytes` of what was queued there.
-    fn lost(&mut self, id: LinkId, bytes: u64, written: Ending) {
+    fn lost(&mut self, id: LinkId, bytes: u64, written: AttemptOutcome) {
         let Some(l) = self.links.remove(&id) else { return };
         self.timers.remove(&(l.timer, id));
         if let Some(pool) = self.pools.get_mut(&l.endpoint) {
@@ -496,15 +503,16 @@
             }
         }
         for call in l.calls.into_values() {
-            if let Some(c) = self.calls.get(&call).filter(|c| c.idle > 0 && written == Ending::Reset) {
+            if let Some(c) = self.calls.get(&call).filter(|c| c.idle > 0 && written == AttemptOutcome::Reset)
+            {
                 self.trust.lost(self.now, c.idle);
             }
             let from = self.calls.get(&call).and_then(|c| c.written).map_or(0, |w| w.1);
-            let ending = if from >= bytes { Ending::NoConnection } else { written };
+            let ending = if from >= bytes { AttemptOutcome::NoConnection } else { written };
             self.end_call(call, ending, None);
         }
         for call in l.unwritten {
-            self.end_call(call, Ending::NoConnection, None);
+            self.end_call(call, AttemptOutcome::NoConnection, None);
         }
     }
 
@@ -518,7 +526,7 @@
                 l.queued += bytes.len() as u64;
                 self.todo.push(Do::Write(id, bytes));
             }
-            Err(_) => self.drop_link(id, Ending::NoConnection),
+            Err(_) => self.drop_link(id, AttemptOutcome::NoConnection),
         }
     }
 
@@ -539,7 +547,7 @@
             let stale = parcels.iter().filter(|p| !may(p.message, endpoint));
             let stale: Vec<(u32, u16)> = stale.map(|p| (p.message, p.attempt)).collect();
             for key in stale {
-                self.end_attempt(call, key, Ending::NotSent { no_slot: false });
+                self.end_attempt(call, key, AttemptOutcome::NotSent { no_capacity: false });
             }
         }
         self.write(id);
@@ -549,12 +557,12 @@
 
     /// The connection could not be made.
     pub(crate) fn failed(&mut self, id: LinkId) {
-        self.lost(id, 0, Ending::NoConnection);
+        self.lost(id, 0, AttemptOutcome::NoConnection);
     }
 
     /// The other side closed it, or it broke.
     pub(crate) fn down(&mut self, id: LinkId, written: u64) {
-        self.lost(id, written, Ending::Reset);
+        self.lost(id, written, AttemptOutcome::Reset);
     }
 
     /// Bytes came. What is no answer to a call on this connection ends the connection.
@@ -580,7 +588,7 @@
             if let Some(l) = self.links.get(&id) {
                 self.faults.push((l.endpoint, fault));
             }
-            self.drop_link(id, Ending::Reset);
+            self.drop_link(id, AttemptOutcome::Reset);
             return;
         }
     }
@@ -599,7 +607,7 @@
         let wait = u64::try_from(produced.throttle_ms).unwrap_or(0) * 1_000_000;
         if call.parcels.is_empty() && wait > 0 && produced.parts.iter().any(|e| e.code == codes::FULL) {
             let ((message, attempt), endpoint, sent) = (call.over, call.endpoint, call.sent);
-            let (ending, load) = (Ending::Full { wait }, produced.load);
+            let (ending, load) = (AttemptOutcome::Rejected { retry_after: wait }, produced.load);
             self.late.push(Done { message, attempt, endpoint, ending, sent, load });
         }
         let mut endings = Vec::new();
@@ -609,9 +617,9 @@
                 e.topic == topic && u32::try_from(e.partition) == Ok(p.destination)
             };
             let ending = match produced.parts.iter().find(part).map(|e| e.code) {
-                Some(codes::NONE) => Ending::Served,
-                Some(codes::FULL) => Ending::Full { wait },
-                _ => Ending::Error,
+                Some(codes::NONE) => AttemptOutcome::Served,
+                Some(codes::FULL) => AttemptOutcome::Rejected { retry_after: wait },
+                _ => AttemptOutcome::Error,
             };
             endings.push(((p.message, p.attempt), ending));
         }
@@ -647,7 +655,7 @@
         let old = |since: Time| most == 0 || since.saturating_add(most) < self.now;
         let idle = self.pools.get(&endpoint).into_iter().flat_map(|p| &p.idle);
         let idle: Vec<LinkId> = idle.take_while(|i| old(i.0)).map(|i| i.1).collect();
-        idle.into_iter().for_each(|id| self.drop_link(id, Ending::Reset));
+        idle.into_iter().for_each(|id| self.drop_link(id, AttemptOutcome::Reset));
     }
 
     /// Endpoints that connections are open to.
--- a/crates/edge/src/core/mod.rs
+++ b/crates/edge/src/core/mod.rs
@@ -14,14 +14,16 @@
 pub use delivery::LinkId;
 pub use intake::ClientId;
 
-use crate::facts::{Fact, Final, Standing, Turned};
+use crate::delivery_events::{DeliveryEvent, FinalAnswer, LoadReport, RejectionReason};
 use crate::settings::{Entry, List, ListNews, Rejected, Settings, State};
 use age::Clocks;
 use answers::RecordEnd;
 use bytes::Bytes;
 use delivery::{Bounds, Delivery, Do, Done, Parcel};
 use intake::{Client, Intake, Part, Place};
-use linnetcart::{Action, Courier, Ending, Event, Outcome, Repeat, Taken, Time};
+use linnetcart::{
+    AcceptedMessage, Action, AttemptOutcome, AttemptResult, Dispatcher, Event, Idempotency, Time,
+};
 use linnetcart_kafka::codes;
 use linnetcart_kafka::server::{self, Body, Broker, Ended, Produce, Request, Topic};
 use linnetcart_kafka::Record;
@@ -31,24 +33,24 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 
-/// Who decides. In service that is [`Courier`], always; experiments set others beside it.
-pub trait Decide: std::fmt::Debug {
-    /// Takes all events of a round and says what is to be done.
-    fn round(&mut self, now: Time, events: Vec<Event>) -> Vec<Action>;
+/// What decides. In service that is [`Dispatcher`], always; experiments compare others with it.
+pub trait DecisionPolicy: std::fmt::Debug {
+    /// One decision cycle: takes all events since the last one and says what is to be done.
+    fn decide(&mut self, now: Time, events: Vec<Event>) -> Vec<Action>;
 }
 
-impl Decide for Courier {
-    fn round(&mut self, now: Time, events: Vec<Event>) -> Vec<Action> {
-        Courier::round(self, now, events)
+impl DecisionPolicy for Dispatcher {
+    fn decide(&mut self, now: Time, events: Vec<Event>) -> Vec<Action> {
+        Dispatcher::decide(self, now, events)
     }
 }
 
-/// Makes the one who decides, from what the library is told and a seed.
-pub type Policy = fn(linnetcart::Settings, u64) -> Box<dyn Decide>;
+/// Makes a decision policy from the library's settings and a seed.
+pub type PolicyFactory = fn(linnetcart::Settings, u64) -> Box<dyn DecisionPolicy>;
 
 /// The decision library.
-pub fn library(set: linnetcart::Settings, seed: u64) -> Box<dyn Decide> {
-    Box::new(Courier::new(set, seed))
+pub fn library(settings: linnetcart::Settings, seed: u64) -> Box<dyn DecisionPolicy> {
+    Box::new(Dispatcher::new(settings, seed))
 }
 
 /// What the shell is to do, in this order.
@@ -82,7 +84,7 @@
     /// The first message's number.
     pub first_number: u32,
     /// Who decides: [`library`].
-    pub policy: Policy,
+    pub policy: PolicyFactory,
 }
 
 /// A message that is not over, or has attempts out.
@@ -152,7 +154,7 @@
     pub failed: u64,
     /// Withdrawn: the client was gone.
     pub withdrawn: u64,
-    /// Turned away unseen.
+    /// RejectionReason away unseen.
     pub turned_away: u64,
 }
 
@@ -161,12 +163,12 @@
 pub struct Core {
     set: Settings,
     tick: Time,
-    repeats: Vec<Repeat>,
+    repeats: Vec<Idempotency>,
     start: Start,
     list: List,
     /// For each destination its endpoints in service.
     ready: BTreeMap<u32, u32>,
-    courier: Box<dyn Decide>,
+    courier: Box<dyn DecisionPolicy>,
     now: Time,
     /// What is read now may have come since then.
     since: Time,
@@ -188,7 +190,7 @@
     limits: BTreeMap<u32, (bool, u32)>,
     draining: Option<Time>,
     out: Vec<Output>,
-    facts: Vec<Fact>,
+    facts: Vec<DeliveryEvent>,
     counts: Vec<Counts>,
     attempts: u64,
     rounds: u64,
@@ -204,7 +206,7 @@
         let bounds = Bounds {
             slots: set.limits.slots as usize,
             calls_per_link: set.connections.calls as usize,
-            idle: decided.connection_idle,
+            idle: decided.idle_timeout,
             connect: decided.connect_timeout,
             frame: set.limits.request_bytes,
             name: format!("linnetcart-edge-{}", set.courier.me),
@@ -212,7 +214,7 @@
         };
         Core {
             tick: decided.tick,
-            repeats: decided.classes.iter().map(|c| c.repeat).collect(),
+            repeats: decided.classes.iter().map(|c| c.idempotency).collect(),
             list: List::default(),
             ready: BTreeMap::new(),
             courier: (start.policy)(decided, start.seed),
@@ -251,7 +253,7 @@
     }
 
     /// What happened since the last call.
-    pub fn facts(&mut self) -> Vec<Fact> {
+    pub fn facts(&mut self) -> Vec<DeliveryEvent> {
         std::mem::take(&mut self.facts)
     }
 
@@ -312,7 +314,7 @@
     /// News of the list; nothing changes if they are wrong.
     pub fn news(&mut self, news: &ListNews) -> Result<(), Rejected> {
         let (list, told) = self.list.after(news, &self.set)?;
-        self.events.push(Event::List { whole: news.whole, entries: told });
+        self.events.push(Event::EndpointList { complete: news.whole, entries: told });
         self.put_list(list);
         Ok(())
     }
@@ -320,7 +322,7 @@
     /// The list that a snapshot held.
     pub fn restore(&mut self, list: List) -> Result<(), Rejected> {
         let entries = list.told(&self.set)?;
-        self.events.push(Event::List { whole: true, entries });
+        self.events.push(Event::EndpointList { complete: true, entries });
         self.put_list(list);
         Ok(())
     }
@@ -371,8 +373,8 @@
             let Some(m) = self.held.get(&message) else { continue };
             let (class, destination) = (m.class, m.destination);
             self.counts[usize::from(class)].withdrawn += 1;
-            self.facts.push(Fact::Withdrawn { message, class, destination });
-            self.events.push(Event::Withdrawn { message });
+            self.facts.push(DeliveryEvent::ClientCancelled { message, class, destination });
+            self.events.push(Event::ClientCancelled { message });
             self.close_message(message);
         }
     }
@@ -414,7 +416,7 @@
                 },
                 Err(e) => e.to_string(),
             };
-            self.facts.push(Fact::BadPeer { whose: format!("client {id}"), why: fault });
+            self.facts.push(DeliveryEvent::ProtocolViolation { peer: format!("client {id}"), reason: fault });
             self.out.push(Output::CloseClient(id));
             self.client_gone(id);
             return;
@@ -530,10 +532,10 @@
         }
         let full = self.open + records.len() > held || self.held_bytes + bytes > most;
         if full || self.draining.is_some() {
-            let why = if full { Turned::Full } else { Turned::Draining };
+            let why = if full { RejectionReason::Overloaded } else { RejectionReason::Draining };
             for _ in &records {
                 self.counts[usize::from(class)].turned_away += 1;
-                self.facts.push(Fact::TurnedAway { class, destination, why });
+                self.facts.push(DeliveryEvent::Rejected { class, destination, reason: why });
             }
             let come_back = self.set.allow.come_back_ms * 1_000_000;
             let ends = vec![Some(RecordEnd::Refused { come_back, unseen: true }); records.len()];
@@ -623,9 +625,16 @@
         };
         self.held.insert(id, held);
         self.counts[usize::from(class)].taken += 1;
-        self.facts.push(Fact::Taken { message: id, name, class, destination, due });
+        self.facts.push(DeliveryEvent::Accepted { message: id, name, class, destination, deadline: due });
         let time_left = due.saturating_sub(self.now);
-        self.events.push(Event::Taken(Taken { id, destination, class, time_left, key, tenant }));
+        self.events.push(Event::Accepted(AcceptedMessage {
+            id,
+            destination,
+            class,
+            time_remaining: time_left,
+            ordering_key: key,
+            tenant,
+        }));
         id
     }
 
@@ -654,30 +663,30 @@
         }
     }
 
-    fn finish(&mut self, message: u32, answer: Final) {
+    fn finish(&mut self, message: u32, answer: FinalAnswer) {
         let left = self.delivery.has_left(message);
         let Some(m) = self.held.get(&message).filter(|m| !m.over) else { return };
         let after = self.now - m.taken;
         let counts = &mut self.counts[usize::from(m.class)];
         let end = match answer {
-            Final::Served => {
+            FinalAnswer::Served => {
                 counts.served += 1;
                 counts.in_aim +=
                     u64::from(after <= self.set.classes[usize::from(m.class)].aim_ms * 1_000_000);
                 RecordEnd::Served
             }
-            Final::Refused { come_back } => {
+            FinalAnswer::Rejected { retry_after: come_back } => {
                 counts.refused += 1;
                 RecordEnd::Refused { come_back, unseen: !m.ran && !left }
             }
-            Final::Failed => {
+            FinalAnswer::Failed => {
                 counts.failed += 1;
                 RecordEnd::Failed
             }
         };
         let place = m.place;
         let (class, destination) = (m.class, m.destination);
-        self.facts.push(Fact::Answered { message, class, destination, answer, after });
+        self.facts.push(DeliveryEvent::Completed { message, class, destination, answer, elapsed: after });
         self.close_message(message);
         self.intake.ended(place, end);
         self.answer(place.client);
@@ -691,12 +700,12 @@
     fn force(&mut self, message: u32) {
         let Some(m) = self.held.get(&message).filter(|m| !m.over) else { return };
         let repeat = self.repeats[usize::from(m.class)];
-        let harmless = matches!(repeat, Repeat::Safe | Repeat::Keyed { by_zone: false, .. });
+        let harmless = matches!(repeat, Idempotency::Idempotent | Idempotency::Keyed { per_zone: false, .. });
         let answer = match harmless || !(m.ran || self.delivery.has_left(message)) {
-            true => Final::Refused { come_back: 0 },
-            false => Final::Failed,
+            true => FinalAnswer::Rejected { retry_after: 0 },
+            false => FinalAnswer::Failed,
         };
-        self.events.push(Event::Withdrawn { message });
+        self.events.push(Event::ClientCancelled { message });
         self.finish(message, answer);
     }
 
@@ -733,17 +742,27 @@
     /// Hands the ends of attempts on.
     fn outcomes(&mut self) {
         for (endpoint, why) in std::mem::take(&mut self.delivery.faults) {
-            self.facts.push(Fact::BadPeer { whose: format!("endpoint {endpoint}"), why });
+            self.facts
+                .push(DeliveryEvent::ProtocolViolation { peer: format!("endpoint {endpoint}"), reason: why });
         }
         for d in std::mem::take(&mut self.delivery.late) {
-            let Ending::Full { wait } = d.ending else { continue };
+            let AttemptOutcome::Rejected { retry_after: wait } = d.ending else { continue };
             self.told_wait(d.endpoint, wait);
             let (left, limit) = (d.load.map(|l| l.left), d.load.map(|l| l.limit));
             let (message, attempt, endpoint, ending) = (d.message, d.attempt, d.endpoint, d.ending);
             let took = self.now.saturating_sub(d.sent);
             let over = true;
-            let told = Outcome { message, attempt, endpoint, ending, took, over, left, limit };
-            self.events.push(Event::Ended(told));
+            let told = AttemptResult {
+                message,
+                attempt,
+                endpoint,
+                outcome: ending,
+                elapsed: took,
+                completed: over,
+                capacity_left: left,
+                rate_limit: limit,
+            };
+            self.events.push(Event::AttemptFinished(told));
         }
         while !self.delivery.done.is_empty() {
             for done in std::mem::take(&mut self.delivery.done) {
@@ -757,28 +776,28 @@
         let (message, attempt, endpoint, ending) = (d.message, d.attempt, d.endpoint, d.ending);
         if let Some(m) = self.held.get(&message) {
             let (class, destination) = (m.class, m.destination);
-            let load = d.load.map(|l| (l.left, l.limit));
-            self.facts.push(Fact::Ended {
+            let load = d.load.map(|l| LoadReport { capacity_left: l.left, rate_limit: l.limit });
+            self.facts.push(DeliveryEvent::AttemptFinished {
                 message,
                 attempt,
                 class,
                 destination,
                 endpoint,
-                ending,
-                took,
+                outcome: ending,
+                elapsed: took,
                 load,
             });
         }
-        if let Ending::Full { wait } = ending {
+        if let AttemptOutcome::Rejected { retry_after: wait } = ending {
             self.told_wait(endpoint, wait);
         }
-        if ending == Ending::Served {
-            self.finish(message, Final::Served);
+        if ending == AttemptOutcome::Served {
+            self.finish(message, FinalAnswer::Served);
         }
         let mut over = true;
         if let Some(m) = self.held.get_mut(&message) {
             m.live = m.live.saturating_sub(1);
-            let never = ending.never_ran();
+            let never = ending.not_executed();
             m.ran |= !never;
             over = m.over;
             if m.over && m.live == 0 {
@@ -786,15 +805,15 @@
             }
         }
         let (left, limit) = (d.load.map(|l| l.left), d.load.map(|l| l.limit));
-        self.events.push(Event::Ended(Outcome {
+        self.events.push(Event::AttemptFinished(AttemptResult {
             message,
             attempt,
             endpoint,
-            ending,
-            took,
-            over,
-            left,
-            limit,
+            outcome: ending,
+            elapsed: took,
+            completed: over,
+            capacity_left: left,
+            rate_limit: limit,
         }));
     }
 
@@ -840,9 +859,9 @@
         self.waits.retain(|_, until| *until > now);
         if self.wake <= now {
             self.wake = Time::MAX;
-            self.events.push(Event::Woken);
+            self.events.push(Event::WokenUp);
         }
-        for action in self.courier.round(now, std::mem::take(&mut self.events)) {
+        for action in self.courier.decide(now, std::mem::take(&mut self.events)) {
             self.act(action);
         }
         let entries = &self.list.entries;
@@ -854,17 +873,16 @@
         match action {
             Action::Send { message, endpoint, until } => self.send(message, endpoint, until),
             Action::Cancel { message, attempt } => self.delivery.cancel(message, attempt),
-            Action::Refuse { message, come_back } => self.finish(message, Final::Refused { come_back }),
-            Action::Fail { message } => self.finish(message, Final::Failed),
-            Action::Close { endpoint } => self.delivery.close_idle(endpoint),
-            Action::Wake { at } => self.wake = at,
-            Action::Log(line) => {
-                self.facts.extend(standing(&line));
-                self.facts.push(Fact::Log(line));
+            Action::Reject { message, retry_after: come_back } => {
+                self.finish(message, FinalAnswer::Rejected { retry_after: come_back })
             }
+            Action::Fail { message } => self.finish(message, FinalAnswer::Failed),
+            Action::CloseIdle { endpoint } => self.delivery.close_idle(endpoint),
+            Action::WakeUp { at } => self.wake = at,
+            Action::LimitChanged(change) => self.facts.push(DeliveryEvent::LimitChanged(change)),
             // The settings turn down what would make these come; should one come all the same, it is said.
-            other @ (Action::Probe { .. } | Action::Note { .. } | Action::Watch) => {
-                self.facts.push(Fact::Log(format!("not carried out: {other:?}")));
+            other @ (Action::HealthCheck { .. } | Action::Gossip { .. } | Action::WatchEndpoints) => {
+                self.facts.push(DeliveryEvent::UnsupportedAction(other));
             }
         }
     }
@@ -876,7 +894,14 @@
         m.live += 1;
         self.attempts += 1;
         let (class, destination) = (m.class, m.destination);
-        self.facts.push(Fact::Sent { message, attempt, class, destination, endpoint, copy });
+        self.facts.push(DeliveryEvent::AttemptStarted {
+            message,
+            attempt,
+            class,
+            destination,
+            endpoint,
+            hedge: copy,
+        });
         let entry = self.list.entries.get(&endpoint);
         let kind = entry.and_then(|e| self.set.kinds.iter().find(|k| k.name == e.kind));
         let (Some(kind), false) = (kind, m.over || u32::from(attempt) >= self.set.limits.attempts) else {
@@ -914,24 +939,6 @@
     }
 }
 
-/// What a line of the library says of a limit's state: "destination 3 endpoint 70: back, warming up after ..."
-fn standing(line: &str) -> Option<Fact> {
-    let (head, text) = line.split_once(": ")?;
-    let (destination, endpoint) = head.strip_prefix("destination ")?.split_once(" endpoint ")?;
-    let standing = match text {
-        t if t.starts_with("in service") => Standing::InService,
-        t if t.starts_with("out") => Standing::Out,
-        t if t.starts_with("back") => Standing::Warming,
-        "silent" => Standing::Silent,
-        _ => return None,
-    };
-    Some(Fact::Standing {
-        destination: destination.parse().ok()?,
-        endpoint: endpoint.parse().ok()?,
-        standing,
-    })
-}
-
 /// The limit that a send to this endpoint comes under: its own where routes are apart, else its destination's.
 fn limit_of(set: &Settings, e: &Entry) -> (bool, u32) {
     let apart = set.kinds.iter().any(|k| k.name == e.kind && k.routes_apart);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -11,7 +11,7 @@
 pub mod cli;
 pub mod control;
 pub mod core;
-pub use linnetcart_facts as facts;
+pub use linnetcart_delivery_events as delivery_events;
 pub mod settings;
 pub mod shell;
 pub mod snapshot;
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -1,6 +1,8 @@
 //! Settings and list as documents: what the API takes, checked as a whole, and what the library is told of it.
 
-use linnetcart::{Class, Endpoint, Kind, Listing, Rates, Repeat, Settings as Decided, Time};
+use linnetcart::{
+    Class, DestinationKind, Endpoint, EndpointStatus, Idempotency, RateAccuracy, Settings as Decided, Time,
+};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -492,50 +494,53 @@
     pub fn decided(&self) -> Decided {
         let position = |zone: &String| self.zones.iter().position(|z| z == zone).unwrap_or(0) as u8;
         Decided {
-            couriers: self.courier.of,
-            me: self.courier.me,
+            courier_count: self.courier.of,
+            courier_index: self.courier.me,
             zone: position(&self.courier.zone),
             classes: self.classes.iter().map(ClassDoc::decided).collect(),
             kinds: self
                 .kinds
                 .iter()
-                .map(|k| Kind { routes_apart: k.routes_apart, per_call: k.per_call })
+                .map(|k| DestinationKind {
+                    independent_routes: k.routes_apart,
+                    max_messages_per_call: k.per_call,
+                })
                 .collect(),
-            tenants: self.tenants.iter().map(|t| t.rate).collect(),
-            over_share_worth: self.worth.over_share,
-            worth_halves: self.worth.halves,
-            slots: self.limits.slots,
-            max_held: self.limits.held,
+            tenant_quotas: self.tenants.iter().map(|t| t.rate).collect(),
+            over_quota_weight: self.worth.over_share,
+            weight_halves: self.worth.halves,
+            max_in_flight_calls: self.limits.slots,
+            max_in_flight_messages: self.limits.held,
             max_attempts: self.limits.attempts,
-            may_cancel: self.allow.cancel,
-            may_copy: self.allow.copies,
-            may_probe: false,
-            may_note: false,
-            max_come_back: self.allow.come_back_ms * MS,
+            cancellation_allowed: self.allow.cancel,
+            hedging_allowed: self.allow.copies,
+            health_checks_allowed: false,
+            gossip_allowed: false,
+            max_retry_after: self.allow.come_back_ms * MS,
             calls_per_connection: self.connections.calls,
-            connection_idle: self.connections.idle_ms * MS,
+            idle_timeout: self.connections.idle_ms * MS,
             connect_timeout: self.connections.connect_timeout_ms * MS,
-            answer_slack: self.rules.answer_slack_ms * MS,
-            cold_share: self.rules.cold_share,
-            warm_after: self.rules.warm_after_ms * MS,
-            fall_multiple: self.rules.fall_multiple,
-            fall_span: self.rules.fall_span_ms * MS,
-            key_rest: self.rules.key_rest_ms * MS,
-            list_asked: false,
-            ask_within: 0,
-            rates: match self.rates {
-                RatesDoc::Untold => Rates::Untold,
-                RatesDoc::Rough => Rates::Rough,
-                RatesDoc::Exact => Rates::Exact,
+            answer_grace: self.rules.answer_slack_ms * MS,
+            slow_start_ratio: self.rules.cold_share,
+            slow_start_duration: self.rules.warm_after_ms * MS,
+            overload_ratio: self.rules.fall_multiple,
+            overload_window: self.rules.fall_span_ms * MS,
+            key_cooldown: self.rules.key_rest_ms * MS,
+            endpoint_list_polled: false,
+            max_poll_interval: 0,
+            rate_accuracy: match self.rates {
+                RatesDoc::Untold => RateAccuracy::Unspecified,
+                RatesDoc::Rough => RateAccuracy::Approximate,
+                RatesDoc::Exact => RateAccuracy::Exact,
             },
             tick: self.tick_us * 1000,
             connection_price: self.prices.connection,
-            crossing_price: self.prices.crossing,
-            waste_price: self.prices.waste,
+            cross_zone_price: self.prices.crossing,
+            wasted_work_price: self.prices.waste,
             late_price: self.prices.late,
-            probe_price: 0.0,
-            note_price: 0.0,
-            refused_price: self.prices.refused,
+            health_check_price: 0.0,
+            gossip_price: 0.0,
+            rejected_call_price: self.prices.refused,
             route_fees: self.prices.route_fees.clone(),
         }
     }
@@ -549,14 +554,16 @@
 impl ClassDoc {
     fn decided(&self) -> Class {
         Class {
-            aim: self.aim_ms * MS,
+            latency_objective: self.aim_ms * MS,
             deadline: self.deadline_ms * MS,
-            worth: self.worth,
-            late_worth: self.late_worth,
-            repeat: match self.repeat {
-                RepeatDoc::Safe => Repeat::Safe,
-                RepeatDoc::Keyed { window_ms, by_zone } => Repeat::Keyed { window: window_ms * MS, by_zone },
-                RepeatDoc::Unsafe => Repeat::Unsafe,
+            priority_weight: self.worth,
+            late_weight: self.late_worth,
+            idempotency: match self.repeat {
+                RepeatDoc::Safe => Idempotency::Idempotent,
+                RepeatDoc::Keyed { window_ms, by_zone } => {
+                    Idempotency::Keyed { dedup_window: window_ms * MS, per_zone: by_zone }
+                }
+                RepeatDoc::Unsafe => Idempotency::NotIdempotent,
             },
             ordered: self.ordered,
         }
@@ -704,10 +711,10 @@
         kind: kind as u8,
         zone: zone as u8,
         rate: e.rate,
-        listing: match e.state {
-            State::Ready => Listing::Ready,
-            State::Draining => Listing::Draining,
-            State::Gone => Listing::Gone,
+        status: match e.state {
+            State::Ready => EndpointStatus::Ready,
+            State::Draining => EndpointStatus::Draining,
+            State::Gone => EndpointStatus::Removed,
         },
     })
 }
@@ -745,8 +752,8 @@
         let again = Settings::parse(&serde_json::to_vec(&settings).unwrap()).unwrap();
         assert_eq!(settings, again);
         assert_eq!(
-            settings.decided().classes[1].repeat,
-            Repeat::Keyed { window: 8_000_000_000, by_zone: false }
+            settings.decided().classes[1].idempotency,
+            Idempotency::Keyed { dedup_window: 8_000_000_000, per_zone: false }
         );
     }
 
--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -2,12 +2,12 @@
 
 use crate::accounts::{self, Accounts};
 use crate::control::{Http, Program, Step};
-use crate::core::{Core, LinkId, Output, Policy, Start};
-use crate::facts::Fact;
+use crate::core::{Core, LinkId, Output, PolicyFactory, Start};
+use crate::delivery_events::DeliveryEvent;
 use crate::snapshot::{self, Found};
 use anyhow::Context;
 use calloop::signals::Signal;
-use linnetcart::Time;
+use linnetcart::{LimitChange, Time};
 use linnetcart_kafka::server::Broker;
 use linnetcart_net::{Event, Net, Token};
 use linnetcart_telemetry::outlet::Do;
@@ -51,7 +51,7 @@
     /// Connections that are held at most.
     pub connections: usize,
     /// Who decides.
-    pub policy: Policy,
+    pub policy: PolicyFactory,
 }
 
 /// How the program ended.
@@ -439,17 +439,39 @@
                 reports.telemetry.fact(&fact);
             }
             match fact {
-                Fact::Log(line) if self.lines.may(now) => tracing::info!("{line}"),
-                Fact::BadPeer { whose, why } if self.lines.may(now) => {
-                    tracing::warn!(whose, "connection closed: {why}");
+                DeliveryEvent::LimitChanged(change) if self.lines.may(now) => log_limit_change(&change),
+                DeliveryEvent::UnsupportedAction(action) if self.lines.may(now) => {
+                    tracing::info!(?action, "unsupported action ignored");
                 }
-                Fact::Log(_) | Fact::BadPeer { .. } => {}
+                DeliveryEvent::ProtocolViolation { peer, reason } if self.lines.may(now) => {
+                    tracing::warn!(peer, reason, "connection closed after a protocol violation");
+                }
+                DeliveryEvent::LimitChanged(_)
+                | DeliveryEvent::UnsupportedAction(_)
+                | DeliveryEvent::ProtocolViolation { .. } => {}
                 other => tracing::trace!(fact = ?other),
             }
         }
     }
 }
 
+fn log_limit_change(change: &LimitChange) {
+    let (destination, endpoint, state) = (change.destination, change.endpoint, change.state);
+    let evidence = change.evidence;
+    let outcome = evidence.map(|e| e.outcome);
+    let failure_rate = evidence.map(|e| e.failure_rate);
+    let consecutive_failures = evidence.map(|e| e.consecutive_failures);
+    tracing::info!(
+        destination,
+        endpoint,
+        ?state,
+        ?outcome,
+        failure_rate,
+        consecutive_failures,
+        "limit changed state"
+    );
+}
+
 /// The wall clock, in nanoseconds since 1970.
 fn wall() -> u64 {
     SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default().as_nanos() as u64
--- a/crates/edge/tests/core.rs
+++ b/crates/edge/tests/core.rs
@@ -271,7 +271,12 @@
         };
         let faults = |b: &mut Bench| {
             let facts = b.core.facts();
-            facts.iter().filter(|f| matches!(f, linnetcart_edge::facts::Fact::BadPeer { .. })).count()
+            facts
+                .iter()
+                .filter(|f| {
+                    matches!(f, linnetcart_edge::delivery_events::DeliveryEvent::ProtocolViolation { .. })
+                })
+                .count()
         };
         match bytes {
             None => b.reply_to(&call, codes::NONE, 0),
--- a/crates/edge/tests/random.rs
+++ b/crates/edge/tests/random.rs
@@ -4,7 +4,7 @@
 mod harness;
 
 use harness::*;
-use linnetcart_edge::facts::Fact;
+use linnetcart_edge::delivery_events::DeliveryEvent;
 use linnetcart_edge::settings::State;
 use linnetcart_kafka::codes;
 use linnetcart_kafka::server;
@@ -165,12 +165,12 @@
     fn look(&mut self, b: &mut Bench) -> Result<(), TestCaseError> {
         for fact in b.core.facts() {
             match fact {
-                Fact::Taken { message, name, .. } => {
+                DeliveryEvent::Accepted { message, name, .. } => {
                     let name = String::from_utf8(name.to_vec()).unwrap();
                     self.sent.get_mut(&name).unwrap().taken = true;
                     self.numbers.insert(message, name);
                 }
-                Fact::Answered { message, .. } => {
+                DeliveryEvent::Completed { message, .. } => {
                     if let Some(s) = self.numbers.get(&message).and_then(|n| self.sent.get_mut(n)) {
                         s.over = true;
                     }
--- a/crates/emulator/src/host.rs
+++ b/crates/emulator/src/host.rs
@@ -2,10 +2,10 @@
 
 use crate::disk::Disk;
 use bytes::Bytes;
+use linnetcart_conformance::Time;
 use linnetcart_edge::control::{Program, Request};
 use linnetcart_edge::core::{ClientId, Core, LinkId, Output, Start};
-use linnetcart_edge::facts::Fact;
-use linnetcart_rules::Time;
+use linnetcart_edge::delivery_events::DeliveryEvent;
 use serde::{Deserialize, Serialize};
 
 /// What wall clocks that are right show when a run begins: in November 2023.
@@ -56,7 +56,7 @@
     /// What is to be sent, opened and closed.
     pub outputs: Vec<Output>,
     /// What happened.
-    pub facts: Vec<Fact>,
+    pub facts: Vec<DeliveryEvent>,
     /// Clients that it closed because it has no settings.
     pub turned_away: Vec<ClientId>,
     /// Answers of the control interface.
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -13,10 +13,10 @@
 pub mod trace;
 
 use anyhow::bail;
-use linnetcart_edge::core::Policy;
-use linnetcart_rules::Time;
-use linnetcart_stage::fleet::Fleet;
-use linnetcart_stage::stage::{Played, Stage};
+use linnetcart_conformance::Time;
+use linnetcart_edge::core::PolicyFactory;
+use linnetcart_scenario::fleet::Fleet;
+use linnetcart_scenario::stage::{Played, Stage};
 use network::{Model, Network, ToStage};
 use trace::Story;
 
@@ -29,7 +29,7 @@
 #[derive(Clone, Debug)]
 pub struct Options {
     /// Who decides in the couriers.
-    pub policy: Policy,
+    pub policy: PolicyFactory,
     /// Hosts and network.
     pub model: Model,
     /// What is to be told of the couriers.
--- a/crates/emulator/src/links.rs
+++ b/crates/emulator/src/links.rs
@@ -2,9 +2,9 @@
 //! itself. A direction may be blocked; what is sent meanwhile waits in the sender's system and leaves after.
 
 use bytes::Bytes;
+use linnetcart_conformance::Time;
 use linnetcart_edge::core::{ClientId, LinkId};
-use linnetcart_rules::Time;
-use linnetcart_stage::stage::Token;
+use linnetcart_scenario::stage::Token;
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution, Exp};
 use serde::{Deserialize, Serialize};
--- a/crates/emulator/src/network.rs
+++ b/crates/emulator/src/network.rs
@@ -5,11 +5,11 @@
 use crate::links::{Block, Delay, End, Links, Parcel, Way};
 use crate::trace::Story;
 use bytes::Bytes;
-use linnetcart_edge::core::{Output, Policy, Start};
+use linnetcart_conformance::{FailedConnect, Time};
+use linnetcart_edge::core::{Output, PolicyFactory, Start};
 use linnetcart_kafka::server::Broker;
-use linnetcart_rules::{FailedConnect, Time};
-use linnetcart_stage::fleet::Fleet;
-use linnetcart_stage::stage::{Fault, Token, Wires};
+use linnetcart_scenario::fleet::Fleet;
+use linnetcart_scenario::stage::{Fault, Token, Wires};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
@@ -98,7 +98,7 @@
 pub struct Network<'a> {
     fleet: &'a Fleet,
     model: Model,
-    policy: Policy,
+    policy: PolicyFactory,
     now: Time,
     queue: BinaryHeap<Reverse<Due>>,
     seq: u64,
@@ -135,7 +135,7 @@
 
 impl<'a> Network<'a> {
     /// No hosts yet.
-    pub fn new(fleet: &'a Fleet, model: Model, policy: Policy) -> Network<'a> {
+    pub fn new(fleet: &'a Fleet, model: Model, policy: PolicyFactory) -> Network<'a> {
         Network {
             fleet,
             model,
--- a/crates/emulator/src/trace.rs
+++ b/crates/emulator/src/trace.rs
@@ -1,7 +1,7 @@
 //! What happened in the couriers, told by the core's facts.
 
-use linnetcart_edge::facts::Fact;
-use linnetcart_rules::Time;
+use linnetcart_conformance::Time;
+use linnetcart_edge::delivery_events::DeliveryEvent;
 use std::collections::BTreeMap;
 
 /// A fact, and where and when it happened.
@@ -14,7 +14,7 @@
     /// In which of its lives.
     pub life: u32,
     /// What.
-    pub fact: Fact,
+    pub fact: DeliveryEvent,
 }
 
 /// The life of one message in all couriers that held it, or everything.
@@ -35,9 +35,9 @@
     }
 
     /// Adds what a turn told.
-    pub fn add(&mut self, at: Time, courier: u32, life: u32, facts: &[Fact]) {
+    pub fn add(&mut self, at: Time, courier: u32, life: u32, facts: &[DeliveryEvent]) {
         for fact in facts {
-            if let Fact::Taken { message, name, .. } = fact {
+            if let DeliveryEvent::Accepted { message, name, .. } = fact {
                 let name = std::str::from_utf8(name).ok().and_then(|n| n.parse().ok());
                 match name {
                     Some(name) if self.only.is_none_or(|o| o == name) => {
@@ -49,11 +49,11 @@
                 }
             }
             let number = match fact {
-                Fact::Taken { message, .. }
-                | Fact::Sent { message, .. }
-                | Fact::Ended { message, .. }
-                | Fact::Answered { message, .. }
-                | Fact::Withdrawn { message, .. } => Some(*message),
+                DeliveryEvent::Accepted { message, .. }
+                | DeliveryEvent::AttemptStarted { message, .. }
+                | DeliveryEvent::AttemptFinished { message, .. }
+                | DeliveryEvent::Completed { message, .. }
+                | DeliveryEvent::ClientCancelled { message, .. } => Some(*message),
                 _ => None,
             };
             let wanted =
--- a/crates/emulator/tests/days.rs
+++ b/crates/emulator/tests/days.rs
@@ -1,12 +1,12 @@
 //! Days in virtual time: they repeat bit for bit, keep the rules, and end what they were made to end.
 
-use linnetcart_edge::facts::{Fact, Final};
+use linnetcart_conformance::{check, Answer, Report, Verdict};
+use linnetcart_edge::delivery_events::{DeliveryEvent, FinalAnswer};
 use linnetcart_emulator::network::Model;
 use linnetcart_emulator::trace::Story;
 use linnetcart_emulator::{play, Options, Run};
-use linnetcart_rules::{check, Answer, Report, Verdict};
-use linnetcart_stage::day::{Day, BUILT_IN};
-use linnetcart_stage::fleet::{Fleet, Way};
+use linnetcart_scenario::day::{Day, BUILT_IN};
+use linnetcart_scenario::fleet::{Fleet, Way};
 
 fn fleet(name: &str, couriers: u32, seed: u64) -> Fleet {
     let day = Day::find(name).unwrap().with(Some(couriers), 1.0).unwrap();
@@ -75,10 +75,12 @@
         .told
         .iter()
         .map(|t| match &t.fact {
-            Fact::Taken { .. } => "taken".into(),
-            Fact::Sent { attempt, copy, .. } => format!("sent {attempt} {copy}"),
-            Fact::Ended { attempt, ending, .. } => format!("ended {attempt} {ending:?}"),
-            Fact::Answered { answer, .. } => format!("answered {}", *answer == Final::Served),
+            DeliveryEvent::Accepted { .. } => "taken".into(),
+            DeliveryEvent::AttemptStarted { attempt, hedge: copy, .. } => format!("sent {attempt} {copy}"),
+            DeliveryEvent::AttemptFinished { attempt, outcome: ending, .. } => {
+                format!("ended {attempt} {ending:?}")
+            }
+            DeliveryEvent::Completed { answer, .. } => format!("answered {}", *answer == FinalAnswer::Served),
             other => format!("{other:?}"),
         })
         .collect();
@@ -123,10 +125,10 @@
     });
     assert!(both, "no message was worked on by two couriers");
     // An unsafe one goes on only if it never left its client, as its connection was never made.
-    let came = |h: &linnetcart_rules::Handed| {
+    let came = |h: &linnetcart_conformance::Handed| {
         records.arrivals.iter().any(|a| (a.message, a.courier, a.life) == (h.message, h.courier, h.life))
     };
-    let handed_on = |h: &linnetcart_rules::Handed| {
+    let handed_on = |h: &linnetcart_conformance::Handed| {
         records.handed.iter().any(|later| later.message == h.message && later.at > h.at)
     };
     assert!(!orphans.iter().any(|h| h.class == 2 && handed_on(h) && came(h)), "an unsafe one was handed on");
--- a/crates/members/src/lib.rs
+++ b/crates/endpoint-model/src/lib.rs
@@ -10,7 +10,7 @@
 mod limit;
 
 use limit::Unit;
-use linnetcart_rules::{Arrival, Outage, Repeat, Time, Verdict};
+use linnetcart_conformance::{Arrival, Outage, Repeat, Time, Verdict};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution, LogNormal};
--- a/crates/members/src/limit.rs
+++ b/crates/endpoint-model/src/limit.rs
@@ -1,7 +1,7 @@
 //! One limit: what it turns away, how its queue moves, how it comes back.
 
 use crate::{Kind, LimitKind, Returns};
-use linnetcart_rules::Time;
+use linnetcart_conformance::Time;
 use std::collections::VecDeque;
 
 /// Seconds of a plain rate that may come at once.
--- a/crates/lab/src/main.rs
+++ /dev/null
@@ -1,7 +0,0 @@
-//! `linnetcart-lab`.
-
-use clap::Parser;
-
-fn main() -> std::process::ExitCode {
-    linnetcart_lab::cli::run(linnetcart_lab::cli::Args::parse())
-}
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -1,7 +1,7 @@
 //! What the platform tells a courier: its environment, its configuration file, entries of the endpoint list.
 
-use linnetcart::Listing;
-use linnetcart_site::Site;
+use linnetcart::EndpointStatus;
+use linnetcart_deployment_settings::Site;
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -14,7 +14,7 @@
     Json(#[from] serde_json::Error),
     /// The settings.
     #[error("settings: {0}")]
-    Settings(#[from] linnetcart_site::Bad),
+    Settings(#[from] linnetcart_deployment_settings::Bad),
     /// A figure has no use.
     #[error("{0}")]
     Figure(String),
@@ -66,12 +66,12 @@
     Left,
 }
 
-impl From<Status> for Listing {
-    fn from(status: Status) -> Listing {
+impl From<Status> for EndpointStatus {
+    fn from(status: Status) -> EndpointStatus {
         match status {
-            Status::Active => Listing::Ready,
-            Status::Leaving => Listing::Draining,
-            Status::Left => Listing::Gone,
+            Status::Active => EndpointStatus::Ready,
+            Status::Leaving => EndpointStatus::Draining,
+            Status::Left => EndpointStatus::Removed,
         }
     }
 }
@@ -133,7 +133,7 @@
             return Err(Bad::Figure("limits: 64 sockets and a little disk are the least".into()));
         }
         // A call on this protocol has one message.
-        site.settings.kinds.iter_mut().for_each(|k| k.per_call = 1);
+        site.settings.kinds.iter_mut().for_each(|k| k.max_messages_per_call = 1);
         let seed = match &file.seed {
             Value::Number(n) => n.as_u64().unwrap_or(0),
             Value::String(s) => u64::from_str_radix(s, 16).unwrap_or(0),
--- a/crates/platform/src/core/calls.rs
+++ b/crates/platform/src/core/calls.rs
@@ -1,9 +1,9 @@
 //! Connections to endpoints: one call at a time on each, kept between calls as long as they are clean.
 
 use super::trust::Trust;
-use linnetcart::{Ending, Time};
+use linnetcart::{AttemptOutcome, Time};
+use linnetcart_deployment_settings::{Site, LEFT, LIMIT};
 use linnetcart_http::{answer, decimal, Answer, AnswerHead};
-use linnetcart_site::{Site, LEFT, LIMIT};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -61,7 +61,7 @@
     /// The call.
     pub call: CallId,
     /// How it ended.
-    pub ending: Ending,
+    pub ending: AttemptOutcome,
     /// The endpoint says that the message is over.
     pub over: bool,
     /// Share of the limit that is left, if told.
@@ -74,7 +74,7 @@
 
 impl Done {
     /// One whose answer told nothing beside.
-    pub fn plain(call: CallId, ending: Ending) -> Done {
+    pub fn plain(call: CallId, ending: AttemptOutcome) -> Done {
         Done { call, ending, over: false, left: None, limit: None, late_from: None }
     }
 }
@@ -110,7 +110,7 @@
     pub fn new(most: usize, site: &Site) -> Links {
         Links {
             most,
-            keep: site.settings.connection_idle / IDLE_PART.1 * IDLE_PART.0,
+            keep: site.settings.idle_timeout / IDLE_PART.1 * IDLE_PART.0,
             connect_within: site.settings.connect_timeout,
             all: BTreeMap::new(),
             calls: BTreeMap::new(),
@@ -257,17 +257,17 @@
 
     /// A connection could not be made.
     pub fn failed(&mut self, id: LinkId) -> Option<Done> {
-        self.drop_link(id).map(|call| Done::plain(call, Ending::NoConnection))
+        self.drop_link(id).map(|call| Done::plain(call, AttemptOutcome::NoConnection))
     }
 
     /// A connection ended; the system took so many bytes of ours on it.
     pub fn down(&mut self, id: LinkId, written: u64, now: Time) -> Option<Done> {
         let l = self.all.get(&id)?;
         let ending = match l.state {
-            State::Connecting { .. } => Ending::NoConnection,
-            _ if written < l.queued => Ending::NoConnection,
-            _ if matches!(answer(&l.bytes), Answer::Part { ok: true }) => Ending::Served,
-            _ => Ending::Reset,
+            State::Connecting { .. } => AttemptOutcome::NoConnection,
+            _ if written < l.queued => AttemptOutcome::NoConnection,
+            _ if matches!(answer(&l.bytes), Answer::Part { ok: true }) => AttemptOutcome::Served,
+            _ => AttemptOutcome::Reset,
         };
         if l.state == (State::Out { began: None }) {
             self.trust.note(now, l.idle, true);
@@ -301,7 +301,7 @@
             Answer::Part { .. } => None,
             Answer::Spoilt { ok } => {
                 self.drop_link(id);
-                Some(Done::plain(call, if ok { Ending::Served } else { Ending::Error }))
+                Some(Done::plain(call, if ok { AttemptOutcome::Served } else { AttemptOutcome::Error }))
             }
             Answer::Head(head) => self.head(id, call, &head, now, site),
         }
@@ -315,14 +315,14 @@
             Answer::Part { ok: false } => return None,
             Answer::Head(head) => ((ending(&head).0, report(&head, site)), l.endpoint),
             Answer::Part { ok } | Answer::Spoilt { ok } => {
-                let ending = if ok { Ending::Served } else { Ending::Error };
+                let ending = if ok { AttemptOutcome::Served } else { AttemptOutcome::Error };
                 ((ending, (None, None)), l.endpoint)
             }
         };
         self.drop_link(id);
         let (ending, (left, limit)) = told;
         let done = Done { left, limit, late_from: Some(endpoint), ..Done::plain(call, ending) };
-        matches!(ending, Ending::Full { .. } | Ending::Served).then_some(done)
+        matches!(ending, AttemptOutcome::Rejected { .. } | AttemptOutcome::Served).then_some(done)
     }
 
     fn head(&mut self, id: LinkId, call: CallId, head: &AnswerHead, now: Time, site: &Site) -> Option<Done> {
@@ -333,7 +333,7 @@
             return None;
         }
         let (ending, over) = match head.body {
-            None if head.status != 200 => (Ending::Error, false),
+            None if head.status != 200 => (AttemptOutcome::Error, false),
             _ => ending(head),
         };
         let (left, limit) = report(head, site);
@@ -356,9 +356,9 @@
         for id in ids {
             let Some(l) = self.all.get(&id) else { continue };
             let ending = match l.state {
-                State::Connecting { .. } => Ending::NoConnection,
-                _ if matches!(answer(&l.bytes), Answer::Part { ok: true }) => Ending::Served,
-                _ => Ending::Error,
+                State::Connecting { .. } => AttemptOutcome::NoConnection,
+                _ if matches!(answer(&l.bytes), Answer::Part { ok: true }) => AttemptOutcome::Served,
+                _ => AttemptOutcome::Error,
             };
             done.extend(self.drop_link(id).map(|call| Done::plain(call, ending)));
         }
@@ -385,16 +385,18 @@
 }
 
 /// What an answer means, as the protocol's table has it; and whether it says that the message is over.
-fn ending(head: &AnswerHead) -> (Ending, bool) {
+fn ending(head: &AnswerHead) -> (AttemptOutcome, bool) {
     let wait = head.field("x-backoff-ms").and_then(decimal).unwrap_or(0).saturating_mul(MS);
     match head.status {
-        200 => (Ending::Served, true),
-        429 => (Ending::Full { wait }, false),
-        503 if head.field("x-egress-full") == Some(b"1") => (Ending::NotSent { no_slot: true }, false),
-        503 => (Ending::Full { wait }, false),
-        504 => (Ending::NotSent { no_slot: false }, false),
-        410 => (Ending::NotSent { no_slot: false }, true),
-        _ => (Ending::Error, false),
+        200 => (AttemptOutcome::Served, true),
+        429 => (AttemptOutcome::Rejected { retry_after: wait }, false),
+        503 if head.field("x-egress-full") == Some(b"1") => {
+            (AttemptOutcome::NotSent { no_capacity: true }, false)
+        }
+        503 => (AttemptOutcome::Rejected { retry_after: wait }, false),
+        504 => (AttemptOutcome::NotSent { no_capacity: false }, false),
+        410 => (AttemptOutcome::NotSent { no_capacity: false }, true),
+        _ => (AttemptOutcome::Error, false),
     }
 }
 
--- a/crates/platform/src/core/directory.rs
+++ b/crates/platform/src/core/directory.rs
@@ -2,8 +2,8 @@
 
 use crate::config::{Entry, News, Status};
 use crate::records::ELSEWHERE;
-use linnetcart::{Endpoint, Event, Listing, Time};
-use linnetcart_site::Site;
+use linnetcart::{Endpoint, EndpointStatus, Event, Time};
+use linnetcart_deployment_settings::Site;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
@@ -18,7 +18,7 @@
     /// Number of its zone.
     pub zone: u8,
     /// Its state.
-    pub listing: Listing,
+    pub listing: EndpointStatus,
     name: String,
     destination: u32,
     kind: u8,
@@ -77,8 +77,8 @@
         if news.snapshot {
             let names: BTreeSet<&str> = news.endpoints.iter().map(|e| &e.name[..]).collect();
             for (&number, known) in &mut self.known {
-                if known.listing != Listing::Gone && !names.contains(&known.name[..]) {
-                    (known.listing, known.left) = (Listing::Gone, now);
+                if known.listing != EndpointStatus::Removed && !names.contains(&known.name[..]) {
+                    (known.listing, known.left) = (EndpointStatus::Removed, now);
                     stale.push(number);
                 }
             }
@@ -90,7 +90,7 @@
         let over: Vec<u32> = self
             .known
             .iter()
-            .filter(|(_, k)| k.listing == Listing::Gone && k.left + KEPT <= now)
+            .filter(|(_, k)| k.listing == EndpointStatus::Removed && k.left + KEPT <= now)
             .map(|(&number, _)| number)
             .collect();
         for number in over {
@@ -100,7 +100,7 @@
                 }
             }
         }
-        (Event::List { whole: news.snapshot, entries }, stale)
+        (Event::EndpointList { complete: news.snapshot, entries }, stale)
     }
 
     fn entry(&mut self, e: &Entry, site: &Site, now: Time, stale: &mut Vec<u32>, out: &mut Vec<Endpoint>) {
@@ -110,13 +110,20 @@
             return;
         };
         let kind = site.kinds.iter().position(|k| *k == e.kind).unwrap_or(site.kinds.len()) as u8;
-        let (zone, listing) = (self.zone(&e.zone, site), Listing::from(e.status));
+        let (zone, listing) = (self.zone(&e.zone, site), EndpointStatus::from(e.status));
         // What was learnt of a name that is another destination's now is not of use there.
         let moved = self.numbers.get(&e.name).and_then(|n| Some((*n, self.known.get_mut(n)?)));
         if let Some((number, before)) = moved.filter(|(_, k)| k.destination != e.group) {
-            (before.listing, before.left) = (Listing::Gone, now);
+            (before.listing, before.left) = (EndpointStatus::Removed, now);
             let Known { destination, kind, zone, .. } = *before;
-            out.push(Endpoint { id: number, destination, kind, zone, rate: 0.0, listing: Listing::Gone });
+            out.push(Endpoint {
+                id: number,
+                destination,
+                kind,
+                zone,
+                rate: 0.0,
+                status: EndpointStatus::Removed,
+            });
             stale.push(number);
             self.numbers.remove(&e.name);
         }
@@ -134,11 +141,14 @@
         let since_ms = e.since_ms;
         let known = Known { address, zone, listing, name, destination, kind, since_ms, left: now };
         if let Some(before) = self.known.insert(number, known) {
-            if listing == Listing::Gone || before.address != address || before.since_ms != e.since_ms {
+            if listing == EndpointStatus::Removed
+                || before.address != address
+                || before.since_ms != e.since_ms
+            {
                 stale.push(number);
             }
         }
-        out.push(Endpoint { id: number, destination: e.group, kind, zone, rate: e.weight, listing });
+        out.push(Endpoint { id: number, destination: e.group, kind, zone, rate: e.weight, status: listing });
     }
 
     fn zone(&mut self, name: &str, site: &Site) -> u8 {
--- a/crates/platform/src/core/intake.rs
+++ b/crates/platform/src/core/intake.rs
@@ -1,8 +1,8 @@
 //! From a request to a message, or to the reason why it is none.
 
 use linnetcart::Time;
+use linnetcart_deployment_settings::Site;
 use linnetcart_http::{decimal, Request};
-use linnetcart_site::Site;
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 /// Bytes of an id or an idempotency key.
@@ -43,7 +43,7 @@
         Some(token) => Some(name(token).ok_or((400, "Idempotency-Key cannot be used"))?),
         None => None,
     };
-    let keyed = matches!(site.settings.classes[class].repeat, linnetcart::Repeat::Keyed { .. });
+    let keyed = matches!(site.settings.classes[class].idempotency, linnetcart::Idempotency::Keyed { .. });
     if keyed && token.is_none() {
         return Err((400, "this class wants an Idempotency-Key"));
     }
@@ -81,20 +81,20 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use linnetcart::{Class, Repeat};
+    use linnetcart::{Class, Idempotency};
 
     fn site() -> Site {
         let class = |repeat, ordered| Class {
-            aim: 1,
+            latency_objective: 1,
             deadline: 5_000_000_000,
-            worth: 1.0,
-            late_worth: 0.0,
-            repeat,
+            priority_weight: 1.0,
+            late_weight: 0.0,
+            idempotency: repeat,
             ordered,
         };
         let mut site = Site { classes: vec!["status".into(), "change".into()], ..Site::default() };
-        let keyed = Repeat::Keyed { window: 1, by_zone: false };
-        site.settings.classes = vec![class(Repeat::Safe, false), class(keyed, true)];
+        let keyed = Idempotency::Keyed { dedup_window: 1, per_zone: false };
+        site.settings.classes = vec![class(Idempotency::Idempotent, false), class(keyed, true)];
         site
     }
 
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -21,9 +21,12 @@
 use clients::{Clients, Step};
 use directory::Directory;
 use intake::Handed;
-use linnetcart::{Action, Courier, Ending, Event, Listing, Open, Outcome, Taken, Time};
+use linnetcart::{
+    AcceptedMessage, Action, AttemptOutcome, AttemptResult, Dispatcher, EndpointStatus, Event, Time,
+    UnresolvedAttempt,
+};
+use linnetcart_deployment_settings::Site;
 use linnetcart_http::encode_answer;
-use linnetcart_site::Site;
 use std::borrow::Cow;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -121,7 +124,7 @@
 /// The courier.
 pub struct Core {
     site: Site,
-    courier: Courier,
+    courier: Dispatcher,
     discovery: SocketAddr,
     now: Time,
     /// Wall clock minus clock.
@@ -182,12 +185,12 @@
         let most_links = sockets - sockets / 2;
         // Slots that there are no descriptors for are none.
         let mut settings = config.site.settings.clone();
-        settings.slots = settings.slots.min(most_links as u32);
+        settings.max_in_flight_calls = settings.max_in_flight_calls.min(most_links as u32);
         let mut core = Core {
             clients: Clients::new(sockets / 2),
             half_closed: vec![],
             links: Links::new(most_links, &config.site),
-            courier: Courier::new(settings, config.seed),
+            courier: Dispatcher::new(settings, config.seed),
             discovery: config.discovery,
             site: config.site,
             now,
@@ -447,7 +450,7 @@
         }
         let late: Vec<CallId> =
             self.calls.iter().filter(|(_, c)| c.until <= now).map(|(&id, _)| id).collect();
-        late.into_iter().for_each(|call| self.give_up(call, Ending::TimedOut));
+        late.into_iter().for_each(|call| self.give_up(call, AttemptOutcome::TimedOut));
         // What clients ask waits for the round that can say what becomes of it.
         let listens = self.listens();
         if !listens {
@@ -466,7 +469,7 @@
                 events.len().min(1)..events.len().min(1),
                 found.into_iter().filter_map(|n| self.resumed(n)),
             );
-            let actions = self.courier.round(now, events);
+            let actions = self.courier.decide(now, events);
             self.answer_fresh(&actions);
             for action in actions {
                 self.act(action);
@@ -478,7 +481,7 @@
             // What has no connection yet is for the next process: nothing begins that cannot end.
             let unsent: Vec<CallId> =
                 self.calls.keys().copied().filter(|&id| !self.links.is_out(id)).collect();
-            unsent.into_iter().for_each(|id| self.give_up(id, Ending::Cancelled));
+            unsent.into_iter().for_each(|id| self.give_up(id, AttemptOutcome::Cancelled));
         }
         self.go_on();
         if !listens {
@@ -626,7 +629,7 @@
         }
         let owed = Owed { message, attempts: 0, maybe: vec![], end: None };
         let size = size(&owed);
-        let most = self.site.settings.max_held as usize;
+        let most = self.site.settings.max_in_flight_messages as usize;
         let open = self.ids.len();
         if open >= most || self.held_bytes + size > self.most_bytes || self.broken || due <= self.now {
             self.counts.refused += 1;
@@ -640,12 +643,12 @@
         self.next_message = number.wrapping_add(1);
         self.ask(number, client, last);
         self.hold(number, owed, size, due);
-        self.events.push(Event::Taken(Taken {
+        self.events.push(Event::Accepted(AcceptedMessage {
             id: number,
             destination,
             class,
-            time_left: due.saturating_sub(self.now),
-            key: line,
+            time_remaining: due.saturating_sub(self.now),
+            ordering_key: line,
             tenant: 0,
         }));
     }
@@ -718,18 +721,22 @@
     fn resumed(&self, number: u32) -> Option<Event> {
         let h = self.held.get(&number)?;
         let (m, now) = (&h.owed.message, self.now + self.wall);
-        let taken = Taken {
+        let taken = AcceptedMessage {
             id: number,
             destination: m.destination,
             class: m.class,
-            time_left: h.due.saturating_sub(self.now),
-            key: m.line,
+            time_remaining: h.due.saturating_sub(self.now),
+            ordering_key: m.line,
             tenant: 0,
         };
         let ago = |a: &Attempt| now.saturating_sub(a.at);
-        let open =
-            h.owed.maybe.iter().map(|a| Open { attempt: a.number, zone: a.zone, ago: ago(a) }).collect();
-        Some(Event::Resumed { taken, attempts: h.owed.attempts, open })
+        let open = h
+            .owed
+            .maybe
+            .iter()
+            .map(|a| UnresolvedAttempt { attempt: a.number, zone: a.zone, age: ago(a) })
+            .collect();
+        Some(Event::Recovered { message: taken, attempts: h.owed.attempts, unresolved: open })
     }
 
     /// Answers those whose messages came with this round: handed back or failed in it, or taken on.
@@ -737,7 +744,9 @@
         let mut ended: BTreeMap<u32, Option<Time>> = BTreeMap::new();
         for action in actions {
             match action {
-                Action::Refuse { message, come_back } => drop(ended.insert(*message, Some(*come_back))),
+                Action::Reject { message, retry_after: come_back } => {
+                    drop(ended.insert(*message, Some(*come_back)))
+                }
                 Action::Fail { message } => drop(ended.insert(*message, None)),
                 _ => {}
             }
@@ -792,17 +801,19 @@
     fn act(&mut self, action: Action) {
         match action {
             Action::Send { message, endpoint, until } => self.send(message, endpoint, until),
-            Action::Cancel { message, attempt } => self.give_up((message, attempt), Ending::Cancelled),
-            Action::Refuse { message, come_back } => {
+            Action::Cancel { message, attempt } => {
+                self.give_up((message, attempt), AttemptOutcome::Cancelled)
+            }
+            Action::Reject { message, retry_after: come_back } => {
                 self.over(message, End::Returned((come_back / MS) as u32));
             }
             Action::Fail { message } => self.over(message, End::Failed),
-            Action::Close { endpoint } => self.links.close_idle(endpoint),
+            Action::CloseIdle { endpoint } => self.links.close_idle(endpoint),
             // It takes the place of the one before, also of an earlier one: what that was for is over.
-            Action::Wake { at } => self.round_at = at,
-            Action::Log(line) => self.lines.push(line),
+            Action::WakeUp { at } => self.round_at = at,
+            Action::LimitChanged(change) => self.lines.push(change.to_string()),
             // The watch is always there; probes and notes are off on this platform.
-            Action::Watch | Action::Probe { .. } | Action::Note { .. } => {}
+            Action::WatchEndpoints | Action::HealthCheck { .. } | Action::Gossip { .. } => {}
         }
     }
 
@@ -840,9 +851,9 @@
             return;
         }
         call.waits = false;
-        let known = self.directory.get(call.endpoint).filter(|k| k.listing == Listing::Ready);
+        let known = self.directory.get(call.endpoint).filter(|k| k.listing == EndpointStatus::Ready);
         let Some(address) = known.map(|k| k.address) else {
-            return self.done(Done::plain(id, Ending::NoConnection));
+            return self.done(Done::plain(id, AttemptOutcome::NoConnection));
         };
         let (endpoint, new) = (call.endpoint, self.link());
         match self.links.begin(id, endpoint, address, self.now, new) {
@@ -851,26 +862,26 @@
                 self.counts.connects += 1;
                 self.outputs.push(Output::Connect(link, address));
             }
-            Begin::Full => self.done(Done::plain(id, Ending::NotSent { no_slot: true })),
+            Begin::Full => self.done(Done::plain(id, AttemptOutcome::NotSent { no_capacity: true })),
         }
     }
 
     /// The connection of a call is there: from here on it may run.
     fn start(&mut self, id: CallId, link: LinkId) {
         let (Some(call), Some(h)) = (self.calls.get(&id), self.held.get_mut(&id.0)) else { return };
-        let known = self.directory.get(call.endpoint).filter(|k| k.listing == Listing::Ready);
+        let known = self.directory.get(call.endpoint).filter(|k| k.listing == EndpointStatus::Ready);
         let there = |address| self.links.address(link) == Some(address);
         let Some(known) = known.filter(|k| !self.broken && there(k.address)) else {
             // It drains, is gone or elsewhere since the connection was begun, or the journal takes nothing.
             self.links.cancel(id, self.now);
-            return self.done(Done::plain(id, Ending::NoConnection));
+            return self.done(Done::plain(id, AttemptOutcome::NoConnection));
         };
-        if self.courier.told_to_wait(self.now, call.endpoint) {
+        if self.courier.retry_after_pending(self.now, call.endpoint) {
             self.links.spare(id, self.now);
             let (endpoint, text) = (call.endpoint, String::from_utf8_lossy(&h.owed.message.id));
             self.lines
                 .push(format!("endpoint {endpoint}: told to wait since {text} was to go there; not sent"));
-            return self.done(Done::plain(id, Ending::NotSent { no_slot: false }));
+            return self.done(Done::plain(id, AttemptOutcome::NotSent { no_capacity: false }));
         }
         let attempt = Attempt { number: id.1, zone: known.zone, at: self.now + self.wall };
         tracing::debug!(id = %h.id(), attempt = id.1, endpoint = call.endpoint, "sent");
@@ -907,13 +918,13 @@
     }
 
     /// Ends an attempt from our side.
-    fn give_up(&mut self, id: CallId, ending: Ending) {
+    fn give_up(&mut self, id: CallId, ending: AttemptOutcome) {
         if !self.calls.contains_key(&id) {
             return;
         }
         // What was never sent has never run.
         let out = self.links.cancel(id, self.now).unwrap_or(false);
-        let ending = if out { ending } else { Ending::NotSent { no_slot: false } };
+        let ending = if out { ending } else { AttemptOutcome::NotSent { no_capacity: false } };
         self.done(Done::plain(id, ending));
     }
 
@@ -921,7 +932,7 @@
     fn done(&mut self, done: Done) {
         if let Some(endpoint) = done.late_from {
             return match done.ending {
-                Ending::Served => self.delivered_late(done.call.0),
+                AttemptOutcome::Served => self.delivered_late(done.call.0),
                 _ => self.tell_outcome(&done, endpoint, 0, false),
             };
         }
@@ -931,15 +942,16 @@
         let Some(h) = self.held.get_mut(&message) else { return };
         h.live -= 1;
         tracing::debug!(id = %h.id(), attempt, ending = ?done.ending, "attempt ended");
-        let never_ran = done.ending.never_ran();
+        let never_ran = done.ending.not_executed();
         let was_sent = h.owed.maybe.iter().any(|a| a.number == attempt);
         if never_ran && was_sent {
             h.owed.maybe.retain(|a| a.number != attempt);
             self.records.push(Record::NeverRan { message, attempt });
         }
         let line = h.owed.message.line;
-        let over = h.over || done.ending == Ending::Served || done.over;
-        if matches!(done.ending, Ending::TimedOut | Ending::Reset | Ending::Cancelled) {
+        let over = h.over || done.ending == AttemptOutcome::Served || done.over;
+        if matches!(done.ending, AttemptOutcome::TimedOut | AttemptOutcome::Reset | AttemptOutcome::Cancelled)
+        {
             self.rest(line);
         }
         if over {
@@ -951,7 +963,7 @@
 
     /// An attempt for a key ended and may run on.
     fn rest(&mut self, line: u64) {
-        let (now, until) = (self.now, self.now + self.site.settings.key_rest);
+        let (now, until) = (self.now, self.now + self.site.settings.key_cooldown);
         if line == 0 || until == now {
             return;
         }
@@ -979,7 +991,7 @@
     fn delivered_late(&mut self, message: u32) {
         if self.delivered(message) {
             tracing::debug!(number = message, "delivered by a call that had been given up");
-            self.events.push(Event::Withdrawn { message });
+            self.events.push(Event::ClientCancelled { message });
             self.settle(message);
         }
     }
@@ -987,15 +999,15 @@
     fn tell_outcome(&mut self, done: &Done, endpoint: u32, took: Time, over: bool) {
         let ((message, attempt), ending) = (done.call, done.ending);
         let (left, limit) = (done.left, done.limit);
-        self.events.push(Event::Ended(Outcome {
+        self.events.push(Event::AttemptFinished(AttemptResult {
             message,
             attempt,
             endpoint,
-            ending,
-            took,
-            over,
-            left,
-            limit,
+            outcome: ending,
+            elapsed: took,
+            completed: over,
+            capacity_left: left,
+            rate_limit: limit,
         }));
     }
 
@@ -1077,16 +1089,16 @@
     (m.id.len() + m.token.as_ref().map_or(0, Vec::len) + m.body.len() + ROOM) as u64
 }
 
-fn place(ending: Ending) -> usize {
+fn place(ending: AttemptOutcome) -> usize {
     match ending {
-        Ending::Served => 0,
-        Ending::Error => 1,
-        Ending::Full { .. } => 2,
-        Ending::TimedOut => 3,
-        Ending::NoConnection => 4,
-        Ending::Reset => 5,
-        Ending::Cancelled => 6,
-        Ending::NotSent { .. } => 7,
+        AttemptOutcome::Served => 0,
+        AttemptOutcome::Error => 1,
+        AttemptOutcome::Rejected { .. } => 2,
+        AttemptOutcome::TimedOut => 3,
+        AttemptOutcome::NoConnection => 4,
+        AttemptOutcome::Reset => 5,
+        AttemptOutcome::Cancelled => 6,
+        AttemptOutcome::NotSent { .. } => 7,
     }
 }
 
--- a/crates/platform/src/core/tests.rs
+++ b/crates/platform/src/core/tests.rs
@@ -367,7 +367,7 @@
     let number = *rig.core.ids.get(&b"one"[..]).unwrap();
     // The library gives the first up; the second may go when the platform has heard of it.
     rig.core.over(number, End::Failed);
-    rig.core.events.push(Event::Withdrawn { message: number });
+    rig.core.events.push(Event::ClientCancelled { message: number });
     rig.after(300 * MS);
     assert_eq!(ids(&rig), ["one"], "the notice is not answered");
     let link = rig.agent();
@@ -642,7 +642,7 @@
     rig.core.client_bytes(client, head.as_bytes());
     rig.core.turn(rig.now);
     let id = *rig.core.calls.keys().next().unwrap();
-    rig.core.give_up(id, Ending::Cancelled);
+    rig.core.give_up(id, AttemptOutcome::Cancelled);
     rig.core.close_links();
     let made =
         rig.core.outputs().into_iter().filter(|o| matches!(o, Output::Connect(_, a) if a.port() != 8500));
@@ -737,7 +737,7 @@
 #[test]
 fn slots_are_no_more_than_descriptors_so_that_no_endpoint_is_blamed_for_ours() {
     let mut config = config(60);
-    (config.limits.sockets, config.site.settings.slots) = (64, 60);
+    (config.limits.sockets, config.site.settings.max_in_flight_calls) = (64, 60);
     let mut core = Core::new(config, Replay { next: 1, ..Replay::default() }, 100 * S, 100 * S);
     (0..18).for_each(|client| core.client_opened(client));
     for n in 0..3 {
@@ -788,9 +788,9 @@
     let mut directory = Directory::default();
     directory.take(&news(&list(1, "a", "bank", 3, "active", 1000)), &config.site, S);
     let (event, stale) = directory.take(&news(&list(2, "b", "new", 4, "active", 1000)), &config.site, S);
-    let Event::List { entries, .. } = event else { panic!("{event:?}") };
-    let brief: Vec<_> = entries.iter().map(|e| (e.id, e.destination, e.kind, e.zone, e.listing)).collect();
-    let (gone, ready) = (Listing::Gone, Listing::Ready);
+    let Event::EndpointList { entries, .. } = event else { panic!("{event:?}") };
+    let brief: Vec<_> = entries.iter().map(|e| (e.id, e.destination, e.kind, e.zone, e.status)).collect();
+    let (gone, ready) = (EndpointStatus::Removed, EndpointStatus::Ready);
     assert_eq!(brief, [(1, 3, 0, 0, gone), (3, 4, 1, 1, ready), (2, 3, 0, 0, gone), (4, 4, 1, 1, ready)]);
     assert_eq!(stale, [1, 2]);
 }
@@ -835,7 +835,7 @@
         rig.hand_in("status", "a", "");
         let first = rig.calls()[0].0;
         // It hangs for longer than its siblings would, and is called off for another.
-        rig.core.give_up((1, 0), Ending::Cancelled);
+        rig.core.give_up((1, 0), AttemptOutcome::Cancelled);
         rig.after(100 * MS);
         let second = rig.calls()[1].0;
         rig.reply(first, b"HTTP/1.1 200");
@@ -931,7 +931,7 @@
 fn a_key_s_rest_outlasts_the_process() {
     let start = |journal, now| {
         let mut config = config(40);
-        config.site.settings.key_rest = 2 * S;
+        config.site.settings.key_cooldown = 2 * S;
         Rig::with(config, journal, now)
     };
     let mut rig = start(vec![], 100 * S);
--- a/crates/stage/src/day.rs
+++ b/crates/scenario/src/day.rs
@@ -1,7 +1,7 @@
 //! Scripts of days: fleet, traffic, troubles, as data.
 
 use anyhow::{bail, ensure, Context};
-use linnetcart_members::LimitKind;
+use linnetcart_endpoint_model::LimitKind;
 use serde::{Deserialize, Serialize};
 
 /// A day. Spans are in seconds or milliseconds, as their names say.
--- a/crates/stage/src/fleet.rs
+++ b/crates/scenario/src/fleet.rs
@@ -1,8 +1,8 @@
 //! A fleet drawn from a day and a seed: members, settings, messages. The same seed draws the same.
 
 use crate::day::{Class, Day, RepeatKind, What};
-use linnetcart_members::{ClassWork, Kind, Member, Returns, World};
-use linnetcart_rules::{self as rules, Contract, Repeat, Time};
+use linnetcart_conformance::{self as rules, Contract, Repeat, Time};
+use linnetcart_endpoint_model::{ClassWork, Kind, Member, Returns, World};
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
--- a/crates/stage/src/stage/clients.rs
+++ b/crates/scenario/src/stage/clients.rs
@@ -65,7 +65,7 @@
             records: std::slice::from_ref(&record),
         }];
         let timeout = i32::try_from(left_ms).unwrap_or(i32::MAX);
-        let request = client::produce(p.correlation, "linnetcart-lab", PRODUCE, (-1, timeout), &to)?;
+        let request = client::produce(p.correlation, "linnetcart-testbed", PRODUCE, (-1, timeout), &to)?;
         p.waiting.insert(p.correlation, self.handed.len());
         let (line, life) = ((token, p.order), p.life);
         if p.up {
--- a/crates/stage/src/stage/troubles.rs
+++ b/crates/scenario/src/stage/troubles.rs
@@ -56,7 +56,7 @@
         of.map(|(&id, _)| id).collect()
     }
 
-    pub(super) fn each(&mut self, n: usize, mut change: impl FnMut(&mut linnetcart_members::Trouble)) {
+    pub(super) fn each(&mut self, n: usize, mut change: impl FnMut(&mut linnetcart_endpoint_model::Trouble)) {
         for destination in self.struck.get(&n).cloned().unwrap_or_default() {
             for endpoint in self.endpoints_of(destination) {
                 if let Some(t) = self.world.trouble(endpoint) {
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -23,8 +23,8 @@
 use graphite::Who;
 use hdrhistogram::Histogram;
 use host::Host;
-use linnetcart::{Class, Ending, Time};
-use linnetcart_facts::{Fact, Final, Standing};
+use linnetcart::{AttemptOutcome, Class, LimitChange, LimitState, Time};
+use linnetcart_delivery_events::{DeliveryEvent, FinalAnswer, LoadReport};
 use names::Names;
 use outlet::{Do, Outlet};
 use rand::{Rng, RngCore, SeedableRng};
@@ -163,7 +163,7 @@
     full: u64,
     latency: Option<Histogram<u32>>,
     limit: Limit,
-    standing: Standing,
+    standing: LimitState,
     /// Silent endpoints.
     silent: BTreeSet<u32>,
 }
@@ -407,52 +407,60 @@
     /// Worth of a message in thousandths, all of it or what is left after a time.
     fn milli(&self, class: u8, after: Option<Time>) -> u64 {
         let Some((_, class)) = self.courier.classes.get(usize::from(class)) else { return 0 };
-        let worth = class.worth_at(after.unwrap_or(0), self.courier.halves);
-        (worth.clamp(0.0, class.worth) * 1000.0).round() as u64
+        let worth = class.weight_at(after.unwrap_or(0), self.courier.halves);
+        (worth.clamp(0.0, class.priority_weight) * 1000.0).round() as u64
     }
 
     /// Something happened.
-    pub fn fact(&mut self, fact: &Fact) {
+    pub fn fact(&mut self, fact: &DeliveryEvent) {
         // Someone will be told of these; all that was counted goes into the log before.
-        self.owed |= matches!(fact, Fact::Answered { .. } | Fact::TurnedAway { .. });
+        self.owed |= matches!(fact, DeliveryEvent::Completed { .. } | DeliveryEvent::Rejected { .. });
         match *fact {
-            Fact::Taken { class, destination, .. } => {
+            DeliveryEvent::Accepted { class, destination, .. } => {
                 self.add(Of::Cell(destination, class), Field::Taken, 1);
                 self.add(Of::Cell(destination, class), Field::WorthAsked, self.milli(class, None));
             }
-            Fact::TurnedAway { class, destination, .. } => {
+            DeliveryEvent::Rejected { class, destination, .. } => {
                 let (of, worth) = (Of::Cell(destination, class), self.milli(class, None));
                 self.add(of, Field::TurnedAway, 1);
                 self.add(of, Field::WorthAsked, worth);
                 self.add(of, Field::WorthLost, worth);
             }
-            Fact::Sent { class, destination, endpoint, copy, .. } => {
+            DeliveryEvent::AttemptStarted { class, destination, endpoint, hedge: copy, .. } => {
                 for of in self.cells_of(destination, class, endpoint) {
                     self.add(of, Field::Attempts, 1);
                     self.add(of, Field::Copies, u64::from(copy));
                 }
                 self.limits(destination, endpoint, |d| d.attempts += 1);
             }
-            Fact::Ended { class, destination, endpoint, ending, took, load, .. } => {
+            DeliveryEvent::AttemptFinished {
+                class,
+                destination,
+                endpoint,
+                outcome: ending,
+                elapsed: took,
+                load,
+                ..
+            } => {
                 self.ended(class, destination, endpoint, ending, took);
-                if let Some((left, limit)) = load {
+                if let Some(LoadReport { capacity_left: left, rate_limit: limit }) = load {
                     self.limits(destination, endpoint, |d| {
                         (d.limit.left, d.limit.told) = (Some(left), Some(limit).filter(|l| *l > 0.0));
                     });
                 }
             }
-            Fact::Answered { class, destination, answer, after, .. } => {
+            DeliveryEvent::Completed { class, destination, answer, elapsed: after, .. } => {
                 self.answered(class, destination, answer, after);
             }
-            Fact::Withdrawn { class, destination, .. } => {
+            DeliveryEvent::ClientCancelled { class, destination, .. } => {
                 let worth = self.milli(class, None);
                 self.add(Of::Cell(destination, class), Field::Withdrawn, 1);
                 self.add(Of::Cell(destination, class), Field::WorthLost, worth);
             }
-            Fact::Standing { destination, endpoint, standing } => {
-                self.standing(destination, endpoint, standing)
+            DeliveryEvent::LimitChanged(LimitChange { destination, endpoint, state, .. }) => {
+                self.limit_changed(destination, endpoint, state);
             }
-            Fact::Log(_) | Fact::BadPeer { .. } => {}
+            DeliveryEvent::UnsupportedAction(_) | DeliveryEvent::ProtocolViolation { .. } => {}
         }
     }
 
@@ -471,38 +479,39 @@
         }
     }
 
-    fn ended(&mut self, class: u8, destination: u32, endpoint: u32, ending: Ending, took: Time) {
+    fn ended(&mut self, class: u8, destination: u32, endpoint: u32, ending: AttemptOutcome, took: Time) {
         let field = match ending {
-            Ending::Served => Field::Served,
-            Ending::Error => Field::Errors,
-            Ending::Full { .. } => Field::Full,
-            Ending::TimedOut => Field::TimedOut,
-            Ending::NoConnection | Ending::NotSent { .. } => Field::NotSent,
-            Ending::Reset => Field::Resets,
-            Ending::Cancelled => Field::Cancelled,
+            AttemptOutcome::Served => Field::Served,
+            AttemptOutcome::Error => Field::Errors,
+            AttemptOutcome::Rejected { .. } => Field::Full,
+            AttemptOutcome::TimedOut => Field::TimedOut,
+            AttemptOutcome::NoConnection | AttemptOutcome::NotSent { .. } => Field::NotSent,
+            AttemptOutcome::Reset => Field::Resets,
+            AttemptOutcome::Cancelled => Field::Cancelled,
         };
-        let told = u64::from(matches!(ending, Ending::Full { wait } if wait > 0));
+        let told = u64::from(matches!(ending, AttemptOutcome::Rejected { retry_after: wait } if wait > 0));
         for of in self.cells_of(destination, class, endpoint) {
             self.add(of, field, 1);
             self.add(of, Field::ToldWaits, told);
         }
         self.limits(destination, endpoint, |d| match ending {
-            Ending::Served => {
+            AttemptOutcome::Served => {
                 d.served += 1;
                 latency(&mut d.latency, took);
                 d.silent.remove(&endpoint);
             }
-            Ending::Full { .. } => d.full += 1,
+            AttemptOutcome::Rejected { .. } => d.full += 1,
             _ => {}
         });
     }
 
-    fn answered(&mut self, class: u8, destination: u32, answer: Final, after: Time) {
+    fn answered(&mut self, class: u8, destination: u32, answer: FinalAnswer, after: Time) {
         let of = Of::Cell(destination, class);
         let (whole, kept) = (self.milli(class, None), self.milli(class, Some(after)));
-        let in_aim = self.courier.classes.get(usize::from(class)).is_some_and(|c| after <= c.1.aim);
+        let in_aim =
+            self.courier.classes.get(usize::from(class)).is_some_and(|c| after <= c.1.latency_objective);
         match answer {
-            Final::Served => {
+            FinalAnswer::Served => {
                 self.add(of, if in_aim { Field::InAim } else { Field::Late }, 1);
                 self.add(of, if in_aim { Field::WorthInAim } else { Field::WorthLate }, kept);
                 self.add(of, Field::WorthLost, whole - kept);
@@ -510,15 +519,15 @@
                     latency(h, after);
                 }
             }
-            Final::Refused { .. } | Final::Failed => {
-                let refused = matches!(answer, Final::Refused { .. });
+            FinalAnswer::Rejected { .. } | FinalAnswer::Failed => {
+                let refused = matches!(answer, FinalAnswer::Rejected { .. });
                 self.add(of, if refused { Field::Refused } else { Field::Failed }, 1);
                 self.add(of, Field::WorthLost, whole);
             }
         }
     }
 
-    fn standing(&mut self, destination: u32, endpoint: u32, standing: Standing) {
+    fn limit_changed(&mut self, destination: u32, endpoint: u32, standing: LimitState) {
         let route = self.routes.contains_key(&endpoint);
         let endpoints = self.listed.get(&destination).map_or(0, Vec::len);
         let name = self.dest_name(destination);
@@ -537,16 +546,16 @@
         };
         let standing = match standing {
             // One endpoint of several that is silent is not yet the destination.
-            Standing::Silent => {
+            LimitState::Silent => {
                 state.silent.insert(endpoint);
                 if !route && state.silent.len() < endpoints {
                     return;
                 }
-                Standing::Out
+                LimitState::Ejected
             }
             other => other,
         };
-        if standing == Standing::InService {
+        if standing == LimitState::Healthy {
             state.silent.clear();
         }
         if state.standing == standing {
@@ -554,9 +563,9 @@
         }
         state.standing = standing;
         let (severity, text) = match standing {
-            Standing::InService => (4, "in service"),
-            Standing::Warming => (2, "back, warming up"),
-            Standing::Out | Standing::Silent => (1, "out"),
+            LimitState::Healthy => (4, "in service"),
+            LimitState::Recovering => (2, "back, warming up"),
+            LimitState::Ejected | LimitState::Silent => (1, "out"),
         };
         if self.notices.len() >= NOTICES {
             self.notices.pop_front();
@@ -958,9 +967,9 @@
         gauge(
             "state",
             match self.standing {
-                Standing::InService => 2.0,
-                Standing::Warming => 1.0,
-                Standing::Out | Standing::Silent => 0.0,
+                LimitState::Healthy => 2.0,
+                LimitState::Recovering => 1.0,
+                LimitState::Ejected | LimitState::Silent => 0.0,
             },
         );
         gauge("attempts_per_s", rate);
--- a/crates/telemetry/tests/virtual_time.rs
+++ b/crates/telemetry/tests/virtual_time.rs
@@ -1,8 +1,8 @@
 //! The reporting in virtual time: outages, crashes, clocks that jump. What a receiver ends with must be what was
 //! counted beside the reporting, and no count may ever fall.
 
-use linnetcart::{Class, Ending, Repeat};
-use linnetcart_facts::{Fact, Final, Standing, Turned};
+use linnetcart::{AttemptOutcome, Class, Idempotency, LimitChange, LimitState};
+use linnetcart_delivery_events::{DeliveryEvent, FinalAnswer, LoadReport, RejectionReason};
 use linnetcart_telemetry::counts::Saved;
 use linnetcart_telemetry::outlet::Do;
 use linnetcart_telemetry::settings::{Collectd, Form, Graphite, Security, Telemetry as Settings};
@@ -17,8 +17,18 @@
 
 fn courier(me: u32) -> Courier {
     let class = |name: &str| {
-        let (aim, deadline, repeat) = (S, 8 * S, Repeat::Safe);
-        (name.to_owned(), Class { aim, deadline, worth: 2.0, late_worth: 0.5, repeat, ordered: false })
+        let (aim, deadline, repeat) = (S, 8 * S, Idempotency::Idempotent);
+        (
+            name.to_owned(),
+            Class {
+                latency_objective: aim,
+                deadline,
+                priority_weight: 2.0,
+                late_weight: 0.5,
+                idempotency: repeat,
+                ordered: false,
+            },
+        )
     };
     Courier {
         deployment: "test".into(),
@@ -149,44 +159,60 @@
         let id = self.random.random();
         let mut facts = Vec::new();
         if self.random.random_bool(0.05) {
-            facts.push(Fact::TurnedAway { class, destination: dest, why: Turned::Full });
+            facts.push(DeliveryEvent::Rejected {
+                class,
+                destination: dest,
+                reason: RejectionReason::Overloaded,
+            });
             self.count(dest, class, "turned_away");
         } else {
-            facts.push(Fact::Taken {
+            facts.push(DeliveryEvent::Accepted {
                 message: id,
                 name: "x".into(),
                 class,
                 destination: dest,
-                due: self.now + 8 * S,
+                deadline: self.now + 8 * S,
             });
-            facts.push(Fact::Sent {
+            facts.push(DeliveryEvent::AttemptStarted {
                 message: id,
                 attempt: 0,
                 class,
                 destination: dest,
                 endpoint,
-                copy: false,
+                hedge: false,
             });
             self.count(dest, class, "taken");
             self.count(dest, class, "attempts");
             let (ending, answer, after, field, end) = match self.random.random_range(0..10) {
-                0 => (Ending::Full { wait: S }, Final::Refused { come_back: S }, S / 9, "full", "refused"),
-                1 => (Ending::Error, Final::Failed, S / 9, "errors", "failed"),
-                2 => (Ending::Served, Final::Served, 2 * S, "served", "late"),
-                _ => (Ending::Served, Final::Served, S / 9, "served", "in_aim"),
+                0 => (
+                    AttemptOutcome::Rejected { retry_after: S },
+                    FinalAnswer::Rejected { retry_after: S },
+                    S / 9,
+                    "full",
+                    "refused",
+                ),
+                1 => (AttemptOutcome::Error, FinalAnswer::Failed, S / 9, "errors", "failed"),
+                2 => (AttemptOutcome::Served, FinalAnswer::Served, 2 * S, "served", "late"),
+                _ => (AttemptOutcome::Served, FinalAnswer::Served, S / 9, "served", "in_aim"),
             };
-            let load = Some((0.25, 40.0));
-            facts.push(Fact::Ended {
+            let load = Some(LoadReport { capacity_left: 0.25, rate_limit: 40.0 });
+            facts.push(DeliveryEvent::AttemptFinished {
                 message: id,
                 attempt: 0,
                 class,
                 destination: dest,
                 endpoint,
-                ending,
-                took: after,
+                outcome: ending,
+                elapsed: after,
                 load,
             });
-            facts.push(Fact::Answered { message: id, class, destination: dest, answer, after });
+            facts.push(DeliveryEvent::Completed {
+                message: id,
+                class,
+                destination: dest,
+                answer,
+                elapsed: after,
+            });
             self.count(dest, class, field);
             self.count(dest, class, end);
         }
@@ -438,7 +464,8 @@
     let mut rig = Rig::new(Form::Plaintext);
     let mut told = Vec::new();
     let mut stand = |rig: &mut Rig, destination, endpoint, standing| {
-        rig.telemetry.fact(&Fact::Standing { destination, endpoint, standing });
+        let change = LimitChange { destination, endpoint, state: standing, evidence: None };
+        rig.telemetry.fact(&DeliveryEvent::LimitChanged(change));
         rig.telemetry.turn(rig.now, rig.wall, Now::default);
         for output in rig.telemetry.outputs() {
             let Output::Datagram(_, packet) = output else { continue };
@@ -449,12 +476,12 @@
             }
         }
     };
-    stand(&mut rig, 1, 10, Standing::Silent);
-    stand(&mut rig, 1, 11, Standing::Silent);
-    stand(&mut rig, 1, 11, Standing::Out);
-    stand(&mut rig, 2, 21, Standing::Silent);
-    stand(&mut rig, 1, 10, Standing::Warming);
-    stand(&mut rig, 1, 10, Standing::InService);
+    stand(&mut rig, 1, 10, LimitState::Silent);
+    stand(&mut rig, 1, 11, LimitState::Silent);
+    stand(&mut rig, 1, 11, LimitState::Ejected);
+    stand(&mut rig, 2, 21, LimitState::Silent);
+    stand(&mut rig, 1, 10, LimitState::Recovering);
+    stand(&mut rig, 1, 10, LimitState::Healthy);
     let wanted = [("dest-d1", 1), ("dest-d2-route-21", 1), ("dest-d1", 2), ("dest-d1", 4)];
     assert_eq!(told, wanted.map(|(i, s)| (i.to_owned(), s)));
 }
@@ -496,7 +523,13 @@
         if round == 1 {
             for d in 0..5000u32 {
                 for class in 0..10 {
-                    t.fact(&Fact::Taken { message: d, name: "x".into(), class, destination: d, due: S });
+                    t.fact(&DeliveryEvent::Accepted {
+                        message: d,
+                        name: "x".into(),
+                        class,
+                        destination: d,
+                        deadline: S,
+                    });
                 }
             }
         }
--- a/crates/lab/src/baselines.rs
+++ b/crates/testbed/src/baselines.rs
@@ -1,15 +1,15 @@
 //! Policies to compare with: what a courier without the decision library would do. They are no part of the
 //! product.
 
-use linnetcart::{Action, Ending, Event, Listing, Repeat, Settings, Time};
-use linnetcart_edge::core::{library, Decide, Policy};
+use linnetcart::{Action, AttemptOutcome, EndpointStatus, Event, Idempotency, Settings, Time};
+use linnetcart_edge::core::{library, DecisionPolicy, PolicyFactory};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Names of the policies, the library's first.
 pub const NAMES: [&str; 3] = ["library", "one-try", "round-robin"];
 
 /// The policy of this name.
-pub fn policy(name: &str) -> Option<Policy> {
+pub fn policy(name: &str) -> Option<PolicyFactory> {
     Some(match name {
         "library" => library,
         "one-try" => |set, _| Box::new(Plain::new(set, false)),
@@ -40,7 +40,7 @@
 struct Plain {
     set: Settings,
     again: bool,
-    endpoints: BTreeMap<u32, (u32, Listing)>,
+    endpoints: BTreeMap<u32, (u32, EndpointStatus)>,
     turn: BTreeMap<u32, usize>,
     msgs: BTreeMap<u32, Msg>,
     queue: BTreeSet<(u64, u32)>,
@@ -79,38 +79,38 @@
 
     fn give_up(&mut self, id: u32, actions: &mut Vec<Action>) {
         let Some(m) = self.msgs.get(&id) else { return };
-        let repeat = self.set.classes[m.class].repeat;
-        let harmless = matches!(repeat, Repeat::Safe | Repeat::Keyed { by_zone: false, .. });
+        let repeat = self.set.classes[m.class].idempotency;
+        let harmless = matches!(repeat, Idempotency::Idempotent | Idempotency::Keyed { per_zone: false, .. });
         actions.push(match harmless || (m.ran.is_none() && !m.live) {
-            true => Action::Refuse { message: id, come_back: 0 },
+            true => Action::Reject { message: id, retry_after: 0 },
             false => Action::Fail { message: id },
         });
         self.forget(id);
     }
 
     fn may_again(&self, m: &Msg, now: Time) -> bool {
-        let allowed = match (self.set.classes[m.class].repeat, m.ran) {
-            (_, None) | (Repeat::Safe, _) => true,
-            (Repeat::Keyed { window, by_zone }, Some(at)) => {
+        let allowed = match (self.set.classes[m.class].idempotency, m.ran) {
+            (_, None) | (Idempotency::Idempotent, _) => true,
+            (Idempotency::Keyed { dedup_window: window, per_zone: by_zone }, Some(at)) => {
                 !by_zone && now + self.set.connect_timeout + m.not_before.saturating_sub(now) < at + window
             }
-            (Repeat::Unsafe, Some(_)) => false,
+            (Idempotency::NotIdempotent, Some(_)) => false,
         };
         self.again && allowed && m.attempts < self.set.max_attempts
     }
 
-    fn ended(&mut self, o: linnetcart::Outcome, now: Time, actions: &mut Vec<Action>) {
+    fn ended(&mut self, o: linnetcart::AttemptResult, now: Time, actions: &mut Vec<Action>) {
         self.out = self.out.saturating_sub(1);
         let Some(m) = self.msgs.get_mut(&o.message) else { return };
         m.live = false;
-        let never = o.ending.never_ran();
+        let never = o.outcome.not_executed();
         if !never && m.ran.is_none() {
             m.ran = Some(now);
         }
-        let wait = if let Ending::Full { wait } = o.ending { wait } else { 0 };
+        let wait = if let AttemptOutcome::Rejected { retry_after: wait } = o.outcome { wait } else { 0 };
         m.not_before = now + (BACKOFF << m.attempts.min(6)).max(wait);
         let m = &self.msgs[&o.message];
-        if o.over {
+        if o.completed {
             self.forget(o.message);
         } else if self.may_again(m, now) {
             let place = self.places[&o.message];
@@ -121,24 +121,24 @@
     }
 }
 
-impl Decide for Plain {
-    fn round(&mut self, now: Time, events: Vec<Event>) -> Vec<Action> {
+impl DecisionPolicy for Plain {
+    fn decide(&mut self, now: Time, events: Vec<Event>) -> Vec<Action> {
         let mut actions = Vec::new();
         for event in events {
             match event {
-                Event::List { whole, entries } => {
+                Event::EndpointList { complete: whole, entries } => {
                     if whole {
-                        self.endpoints.values_mut().for_each(|e| e.1 = Listing::Gone);
+                        self.endpoints.values_mut().for_each(|e| e.1 = EndpointStatus::Removed);
                     }
                     for e in entries {
-                        self.endpoints.insert(e.id, (e.destination, e.listing));
+                        self.endpoints.insert(e.id, (e.destination, e.status));
                     }
                 }
-                Event::Taken(t) => {
+                Event::Accepted(t) => {
                     self.seq += 1;
                     let class = usize::from(t.class);
-                    let key = if self.set.classes[class].ordered { t.key } else { 0 };
-                    let due = now + t.time_left;
+                    let key = if self.set.classes[class].ordered { t.ordering_key } else { 0 };
+                    let due = now + t.time_remaining;
                     let m = Msg {
                         destination: t.destination,
                         class,
@@ -153,8 +153,8 @@
                     self.places.insert(t.id, self.seq);
                     self.queue.insert((self.seq, t.id));
                 }
-                Event::Withdrawn { message } => self.forget(message),
-                Event::Ended(o) => self.ended(o, now, &mut actions),
+                Event::ClientCancelled { message } => self.forget(message),
+                Event::AttemptFinished(o) => self.ended(o, now, &mut actions),
                 _ => {}
             }
         }
@@ -162,7 +162,7 @@
         let late: Vec<u32> = self.msgs.iter().filter(|(_, m)| late(m)).map(|(&id, _)| id).collect();
         late.into_iter().for_each(|id| self.give_up(id, &mut actions));
         for (place, id) in self.queue.clone() {
-            if self.out >= self.set.slots {
+            if self.out >= self.set.max_in_flight_calls {
                 break;
             }
             let Some(m) = self.msgs.get(&id) else { continue };
@@ -171,7 +171,8 @@
                 continue;
             }
             let destination = m.destination;
-            let of = |e: &(&u32, &(u32, Listing))| e.1 .0 == destination && e.1 .1 == Listing::Ready;
+            let of =
+                |e: &(&u32, &(u32, EndpointStatus))| e.1 .0 == destination && e.1 .1 == EndpointStatus::Ready;
             let ready: Vec<u32> = self.endpoints.iter().filter(of).map(|(&id, _)| id).collect();
             if ready.is_empty() {
                 continue;
@@ -193,7 +194,7 @@
         let dues = self.msgs.values().map(|m| m.due - 2 * self.set.tick);
         let tries = self.queue.iter().filter_map(|(_, id)| self.msgs.get(id)).map(|m| m.not_before);
         if let Some(at) = dues.chain(tries.filter(|&t| t > now)).min() {
-            actions.push(Action::Wake { at: at.max(now + 1) });
+            actions.push(Action::WakeUp { at: at.max(now + 1) });
         }
         actions
     }
--- a/crates/lab/src/bench.rs
+++ b/crates/testbed/src/bench.rs
@@ -1,7 +1,7 @@
 //! Days of a bench as scripts: its troubles, their times, parts and sizes, on a fleet of this program's own.
 
 use anyhow::{ensure, Context};
-use linnetcart_stage::day::{Day, Trouble, What};
+use linnetcart_scenario::day::{Day, Trouble, What};
 use serde::Deserialize;
 
 #[derive(Debug, Deserialize)]
--- a/crates/lab/src/cli.rs
+++ b/crates/testbed/src/cli.rs
@@ -1,4 +1,4 @@
-//! The command line of `linnetcart-lab`.
+//! The command line of `linnetcart-testbed`.
 
 use crate::baselines;
 use crate::emulated::{trace, Recipe};
@@ -13,11 +13,11 @@
 use crate::{bench, record, report};
 use anyhow::{anyhow, bail, Context};
 use clap::{Parser, Subcommand};
+use linnetcart_conformance::{check, Report};
 use linnetcart_edge::cli::Args as EdgeArgs;
 use linnetcart_emulator::network::Model;
-use linnetcart_rules::{check, Report};
-use linnetcart_stage::day::{Day, BUILT_IN};
-use linnetcart_stage::fleet::{Fleet, Way};
+use linnetcart_scenario::day::{Day, BUILT_IN};
+use linnetcart_scenario::fleet::{Fleet, Way};
 use linnetcart_telemetry::settings::Require;
 use serde_json::Value;
 use std::collections::BTreeMap;
@@ -36,7 +36,7 @@
 ///
 /// Exit codes: 0 done and every rule kept; 1 a rule was broken, or something failed; 2 the command line is wrong.
 #[derive(Debug, Parser)]
-#[command(name = "linnetcart-lab", version)]
+#[command(name = "linnetcart-testbed", version)]
 pub struct Args {
     #[command(subcommand)]
     what: What,
@@ -344,7 +344,7 @@
         What::Edge { policy, edge } => {
             as_child();
             let known = match policy.strip_prefix(record::POLICY).map(|dir| record::into(Path::new(dir))) {
-                Some(Ok(())) => Some(record::recorded as linnetcart_edge::core::Policy),
+                Some(Ok(())) => Some(record::recorded as linnetcart_edge::core::PolicyFactory),
                 Some(Err(e)) => {
                     eprintln!("error: {e:#}");
                     return ExitCode::FAILURE;
@@ -414,7 +414,7 @@
             Some(path) => path.to_owned(),
             None => {
                 let nanos = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH)?.as_nanos();
-                std::env::temp_dir().join(format!("linnetcart-lab-{}-{nanos:x}", std::process::id()))
+                std::env::temp_dir().join(format!("linnetcart-testbed-{}-{nanos:x}", std::process::id()))
             }
         };
         std::fs::create_dir_all(&path).with_context(|| path.display().to_string())?;
@@ -511,7 +511,11 @@
         threads: threads(args.threads)?,
         at_most: args.at_most,
         show: std::io::stderr().is_terminal(),
-        command: format!("linnetcart-lab experiment {} --out {}", args.plan.display(), args.out.display()),
+        command: format!(
+            "linnetcart-testbed experiment {} --out {}",
+            args.plan.display(),
+            args.out.display()
+        ),
     };
     if !experiment::run(plan, &args.out, &options)? {
         println!("not whole yet: the same command goes on with it");
--- a/crates/lab/src/decisions.rs
+++ b/crates/testbed/src/decisions.rs
@@ -5,7 +5,8 @@
 
 use crate::figures::{median, round};
 use linnetcart::{
-    Action, Class, Courier, Ending, Endpoint, Event, Kind, Listing, Outcome, Repeat, Settings, Taken, Time,
+    AcceptedMessage, Action, AttemptOutcome, AttemptResult, Class, DestinationKind, Dispatcher, Endpoint,
+    EndpointStatus, Event, Idempotency, Settings, Time,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -38,7 +39,7 @@
 
 struct Driver {
     case: Case,
-    courier: Courier,
+    courier: Dispatcher,
     now: Time,
     next: u32,
     events: Vec<Event>,
@@ -52,41 +53,41 @@
 impl Driver {
     fn new(case: Case) -> Driver {
         let class = |repeat, worth| Class {
-            aim: 30 * SECOND,
+            latency_objective: 30 * SECOND,
             deadline: 10_000 * SECOND,
-            worth,
-            late_worth: 0.5,
-            repeat,
+            priority_weight: worth,
+            late_weight: 0.5,
+            idempotency: repeat,
             ordered: false,
         };
         let window = 20_000 * SECOND;
         let settings = Settings {
-            couriers: 1,
+            courier_count: 1,
             classes: vec![
-                class(Repeat::Safe, 1.0),
-                class(Repeat::Keyed { window, by_zone: false }, 2.0),
-                class(Repeat::Unsafe, 4.0),
+                class(Idempotency::Idempotent, 1.0),
+                class(Idempotency::Keyed { dedup_window: window, per_zone: false }, 2.0),
+                class(Idempotency::NotIdempotent, 4.0),
             ],
-            kinds: vec![Kind { routes_apart: false, per_call: 1 }],
-            slots: case.out * 4 + 100,
-            max_held: if case.crowded { case.held * 10 / 9 } else { 200_000 + case.out },
+            kinds: vec![DestinationKind { independent_routes: false, max_messages_per_call: 1 }],
+            max_in_flight_calls: case.out * 4 + 100,
+            max_in_flight_messages: if case.crowded { case.held * 10 / 9 } else { 200_000 + case.out },
             max_attempts: 5,
-            may_cancel: true,
-            may_copy: true,
-            max_come_back: 3 * SECOND,
+            cancellation_allowed: true,
+            hedging_allowed: true,
+            max_retry_after: 3 * SECOND,
             calls_per_connection: 1,
-            connection_idle: 60 * SECOND,
+            idle_timeout: 60 * SECOND,
             connect_timeout: SECOND,
-            cold_share: 0.2,
-            warm_after: SECOND,
-            fall_multiple: 2.0,
-            fall_span: SECOND,
+            slow_start_ratio: 0.2,
+            slow_start_duration: SECOND,
+            overload_ratio: 2.0,
+            overload_window: SECOND,
             tick: MS,
             ..Settings::default()
         };
         let mut driver = Driver {
             case,
-            courier: Courier::new(settings, 1),
+            courier: Dispatcher::new(settings, 1),
             now: SECOND,
             next: 0,
             events: Vec::new(),
@@ -108,16 +109,16 @@
                 kind: 0,
                 zone: 0,
                 rate: 0.0,
-                listing: Listing::Ready,
+                status: EndpointStatus::Ready,
             })
         });
-        self.events.push(Event::List { whole: true, entries: entries.collect() });
+        self.events.push(Event::EndpointList { complete: true, entries: entries.collect() });
         for destination in 0..WAITING {
             self.take(destination, 0);
         }
         self.round();
         for (message, attempt, endpoint, _) in std::mem::take(&mut self.out) {
-            let ending = Ending::Full { wait: 100_000 * SECOND };
+            let ending = AttemptOutcome::Rejected { retry_after: 100_000 * SECOND };
             self.end((message, attempt, endpoint, self.now), ending, false);
         }
         for n in 0..self.case.held {
@@ -130,12 +131,12 @@
     fn take(&mut self, destination: u32, class: u32) {
         let (id, time_left) = (self.next, 10_000 * SECOND);
         self.next += 1;
-        self.events.push(Event::Taken(Taken {
+        self.events.push(Event::Accepted(AcceptedMessage {
             id,
             destination,
             class: class as u8,
-            time_left,
-            key: 0,
+            time_remaining: time_left,
+            ordering_key: 0,
             tenant: 0,
         }));
     }
@@ -143,27 +144,27 @@
     fn end(
         &mut self,
         (message, attempt, endpoint, since): (u32, u16, u32, Time),
-        ending: Ending,
+        ending: AttemptOutcome,
         over: bool,
     ) {
         let took = self.now - since;
         if over {
             self.attempts.remove(&message);
         }
-        self.events.push(Event::Ended(Outcome {
+        self.events.push(Event::AttemptFinished(AttemptResult {
             message,
             attempt,
             endpoint,
-            ending,
-            took,
-            over,
-            left: None,
-            limit: None,
+            outcome: ending,
+            elapsed: took,
+            completed: over,
+            capacity_left: None,
+            rate_limit: None,
         }));
     }
 
     fn round(&mut self) {
-        for action in self.courier.round(self.now, std::mem::take(&mut self.events)) {
+        for action in self.courier.decide(self.now, std::mem::take(&mut self.events)) {
             match action {
                 Action::Send { message, endpoint, .. } => {
                     let attempt = self.attempts.entry(message).or_default();
@@ -173,7 +174,7 @@
                 Action::Cancel { message, attempt } => {
                     let at = self.out.iter().position(|o| (o.0, o.1) == (message, attempt));
                     if let Some(call) = at.and_then(|at| self.out.remove(at)) {
-                        self.end(call, Ending::Cancelled, false);
+                        self.end(call, AttemptOutcome::Cancelled, false);
                     }
                 }
                 _ => {}
@@ -186,7 +187,7 @@
             self.now += MS;
             while self.out.front().is_some_and(|o| o.3 + self.latency <= self.now) {
                 if let Some(call) = self.out.pop_front() {
-                    self.end(call, Ending::Served, true);
+                    self.end(call, AttemptOutcome::Served, true);
                 }
             }
             for n in 0..EACH {
--- a/crates/lab/src/emulated.rs
+++ b/crates/testbed/src/emulated.rs
@@ -3,13 +3,13 @@
 
 use crate::baselines;
 use anyhow::{bail, Context};
-use linnetcart_edge::facts::{Fact, Final};
+use linnetcart_conformance::{check, Report, Time, Verdict};
+use linnetcart_edge::delivery_events::{DeliveryEvent, FinalAnswer};
 use linnetcart_emulator::network::Model;
 use linnetcart_emulator::trace::Story;
 use linnetcart_emulator::{play, Options, Run};
-use linnetcart_rules::{check, Report, Time, Verdict};
-use linnetcart_stage::day::Day;
-use linnetcart_stage::fleet::{Fleet, Way};
+use linnetcart_scenario::day::Day;
+use linnetcart_scenario::fleet::{Fleet, Way};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::fmt::Write;
@@ -115,8 +115,8 @@
     for t in run.story.into_iter().flat_map(|s| s.told) {
         let known = out.entry((t.courier, t.life)).or_insert((t.at, None));
         let text = match t.fact {
-            Fact::Taken { .. } => "taken".into(),
-            Fact::Sent { attempt, endpoint, copy, .. } => {
+            DeliveryEvent::Accepted { .. } => "taken".into(),
+            DeliveryEvent::AttemptStarted { attempt, endpoint, hedge: copy, .. } => {
                 let why = match (copy, attempt, &known.1) {
                     (true, ..) => format!("a copy: the last is out for {:.0} ms", ms(t.at - known.0)),
                     (false, 0, _) => "the first".into(),
@@ -126,18 +126,18 @@
                 known.0 = t.at;
                 format!("attempt {attempt} to endpoint {endpoint} ({why})")
             }
-            Fact::Ended { attempt, endpoint, ending, took, .. } => {
+            DeliveryEvent::AttemptFinished { attempt, endpoint, outcome: ending, elapsed: took, .. } => {
                 let text = format!("attempt {attempt} to endpoint {endpoint} ended {ending:?}");
                 known.1 = Some(text.clone());
                 format!("{text} after {:.0} ms", ms(took))
             }
-            Fact::Answered { answer, after, .. } => match answer {
-                Final::Refused { come_back } if come_back > 0 => {
+            DeliveryEvent::Completed { answer, elapsed: after, .. } => match answer {
+                FinalAnswer::Rejected { retry_after: come_back } if come_back > 0 => {
                     format!("refused after {:.0} ms, come back in {:.0}", ms(after), ms(come_back))
                 }
                 answer => format!("{answer:?} after {:.0} ms", ms(after)),
             },
-            Fact::Withdrawn { .. } => "withdrawn: its client is gone".into(),
+            DeliveryEvent::ClientCancelled { .. } => "withdrawn: its client is gone".into(),
             _ => continue,
         };
         lines.push((t.at, 2, format!("courier {}: {text}", t.courier)));
--- a/crates/lab/src/experiment/measures.rs
+++ b/crates/testbed/src/experiment/measures.rs
@@ -1,9 +1,9 @@
 //! What is measured of a run.
 
 use hdrhistogram::Histogram;
-use linnetcart_rules::{worth, Answer, Report, Time};
-use linnetcart_stage::fleet::{Fleet, Way};
-use linnetcart_stage::stage::Played;
+use linnetcart_conformance::{worth, Answer, Report, Time};
+use linnetcart_scenario::fleet::{Fleet, Way};
+use linnetcart_scenario::stage::Played;
 use std::collections::BTreeMap;
 
 /// A measure.
@@ -44,7 +44,8 @@
 /// The measures of a day that was played, with so many connections at most.
 pub fn of(fleet: &Fleet, played: &Played, links: usize, report: &Report) -> Vec<f64> {
     let contract = fleet.contract(Way::Emulated);
-    let total = |of: fn(&linnetcart_rules::Row) -> u64| report.classes.iter().map(of).sum::<u64>() as f64;
+    let total =
+        |of: fn(&linnetcart_conformance::Row) -> u64| report.classes.iter().map(of).sum::<u64>() as f64;
     let messages = total(|r| r.messages).max(1.0);
     let asked: f64 = report.classes.iter().map(|r| r.asked).sum();
     let mut first: BTreeMap<u64, Time> = BTreeMap::new();
--- a/crates/lab/src/hunt.rs
+++ b/crates/testbed/src/hunt.rs
@@ -5,9 +5,9 @@
 use crate::emulated::Recipe;
 use crate::parallel;
 use crate::{baselines, report};
+use linnetcart_conformance::Report;
 use linnetcart_emulator::network::Model;
-use linnetcart_rules::Report;
-use linnetcart_stage::day::{Day, Trouble, What};
+use linnetcart_scenario::day::{Day, Trouble, What};
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -350,9 +350,9 @@
     let r = &found.shrunk;
     let mut text = String::new();
     let _ = writeln!(text, "# {}", found.what);
-    let _ = writeln!(text, "# Play it again: linnetcart-lab emulate FILE --seed {}", r.seed);
+    let _ = writeln!(text, "# Play it again: linnetcart-testbed emulate FILE --seed {}", r.seed);
     if r.day.emulated_only().is_empty() {
-        let _ = writeln!(text, "# On sockets:    linnetcart-lab day FILE --seed {}", r.seed);
+        let _ = writeln!(text, "# On sockets:    linnetcart-testbed day FILE --seed {}", r.seed);
     }
     text.push_str(&toml::to_string(&r.day)?);
     Ok(text)
--- a/crates/lab/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -1,6 +1,6 @@
 //! Local stacks, scripted days on sockets and measurements for linnetcart.
 //!
-//! The [`rig`] plays a day with real couriers in processes of their own, the stage of `linnetcart-stage` around
+//! The [`rig`] plays a day with real couriers in processes of their own, the stage of `linnetcart-scenario` around
 //! them, and real sockets between them.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
--- a/crates/lab/src/record.rs
+++ b/crates/testbed/src/record.rs
@@ -4,9 +4,10 @@
 //! library it shows the first round in which that decides otherwise.
 
 use anyhow::{bail, Context};
-use linnetcart::{Action, Courier, Event, Settings, Time};
-use linnetcart_edge::core::Decide;
+use linnetcart::{Action, Dispatcher, Event, Settings, Time};
+use linnetcart_edge::core::DecisionPolicy;
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 use std::fs::File;
 use std::io::{BufRead, BufReader, BufWriter, Write};
 use std::path::{Path, PathBuf};
@@ -25,13 +26,22 @@
     seed: u64,
 }
 
-#[derive(Debug, Serialize, Deserialize)]
+/// One decision cycle as it is written.
+#[derive(Debug, Serialize)]
 struct Round {
     now: Time,
     events: Vec<Event>,
     actions: Vec<Action>,
 }
 
+/// One decision cycle as it is read: the actions stay text, to be compared byte for byte.
+#[derive(Debug, Deserialize)]
+struct RecordedRound {
+    now: Time,
+    events: Vec<Event>,
+    actions: Box<RawValue>,
+}
+
 /// Where this process's records go.
 pub fn into(folder: &Path) -> anyhow::Result<()> {
     std::fs::create_dir_all(folder).with_context(|| folder.display().to_string())?;
@@ -40,12 +50,12 @@
 }
 
 /// The library, with a record of all it is told and decides.
-pub fn recorded(settings: Settings, seed: u64) -> Box<dyn Decide> {
+pub fn recorded(settings: Settings, seed: u64) -> Box<dyn DecisionPolicy> {
     let file = FOLDER.get().and_then(|folder| {
-        let path = folder.join(format!("{}-{}.rounds", settings.me, std::process::id()));
+        let path = folder.join(format!("{}-{}.rounds", settings.courier_index, std::process::id()));
         File::options().create(true).append(true).open(path).ok()
     });
-    let courier = Courier::new(settings.clone(), seed);
+    let courier = Dispatcher::new(settings.clone(), seed);
     let mut recorded = Recorded { courier, file: file.map(BufWriter::new) };
     recorded.line(&Head { settings, seed });
     Box::new(recorded)
@@ -53,7 +63,7 @@
 
 #[derive(Debug)]
 struct Recorded {
-    courier: Courier,
+    courier: Dispatcher,
     file: Option<BufWriter<File>>,
 }
 
@@ -68,9 +78,9 @@
     }
 }
 
-impl Decide for Recorded {
-    fn round(&mut self, now: Time, events: Vec<Event>) -> Vec<Action> {
-        let actions = self.courier.round(now, events.clone());
+impl DecisionPolicy for Recorded {
+    fn decide(&mut self, now: Time, events: Vec<Event>) -> Vec<Action> {
+        let actions = self.courier.decide(now, events.clone());
         let round = Round { now, events, actions };
         self.line(&round);
         round.actions
@@ -93,7 +103,7 @@
 pub fn replay(path: &Path) -> anyhow::Result<Replayed> {
     let name = path.display();
     let mut file = BufReader::new(File::open(path).with_context(|| name.to_string())?);
-    let mut courier: Option<Courier> = None;
+    let mut courier: Option<Dispatcher> = None;
     let mut done = Replayed::default();
     let mut line = Vec::new();
     for number in 1.. {
@@ -108,16 +118,18 @@
         if line.starts_with(b"{\"settings\"") {
             let head: Head =
                 serde_json::from_slice(&line).with_context(|| format!("{name}, line {number}"))?;
-            courier = Some(Courier::new(head.settings, head.seed));
+            courier = Some(Dispatcher::new(head.settings, head.seed));
             continue;
         }
-        let round: Round = serde_json::from_slice(&line).with_context(|| format!("{name}, line {number}"))?;
+        let round: RecordedRound =
+            serde_json::from_slice(&line).with_context(|| format!("{name}, line {number}"))?;
         let Some(courier) = &mut courier else {
             bail!("{name}, line {number}: a round before any settings; is this a record of rounds?")
         };
         done.events += round.events.len() as u64;
-        let now = courier.round(round.now, round.events);
-        let (was, is) = (serde_json::to_string(&round.actions)?, serde_json::to_string(&now)?);
+        let now = courier.decide(round.now, round.events);
+        let was = round.actions.get();
+        let is = serde_json::to_string(&now)?;
         if was != is {
             bail!(
                 "{name}, line {number}, at {} ns: decided otherwise\n  recorded {was}\n  now      {is}",
@@ -133,35 +145,47 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use linnetcart::{Class, Endpoint, Kind, Listing, Repeat, Taken};
+    use linnetcart::{AcceptedMessage, Class, DestinationKind, Endpoint, EndpointStatus, Idempotency};
 
     fn record(folder: &Path) -> PathBuf {
         into(folder).expect("a folder");
         let class = Class {
-            aim: 1_000_000_000,
+            latency_objective: 1_000_000_000,
             deadline: 5_000_000_000,
-            worth: 1.0,
-            late_worth: 0.3,
-            repeat: Repeat::Safe,
+            priority_weight: 1.0,
+            late_weight: 0.3,
+            idempotency: Idempotency::Idempotent,
             ordered: false,
         };
         let settings = Settings {
-            couriers: 1,
-            slots: 4,
-            max_held: 20,
+            courier_count: 1,
+            max_in_flight_calls: 4,
+            max_in_flight_messages: 20,
             max_attempts: 3,
             classes: vec![class],
-            kinds: vec![Kind { routes_apart: false, per_call: 1 }],
+            kinds: vec![DestinationKind { independent_routes: false, max_messages_per_call: 1 }],
             ..Settings::default()
         };
         let mut courier = recorded(settings, 7);
-        let entry =
-            Endpoint { id: 70, destination: 3, kind: 0, zone: 0, rate: 0.1 + 0.2, listing: Listing::Ready };
-        courier.round(5, vec![Event::List { whole: true, entries: vec![entry] }]);
+        let entry = Endpoint {
+            id: 70,
+            destination: 3,
+            kind: 0,
+            zone: 0,
+            rate: 0.1 + 0.2,
+            status: EndpointStatus::Ready,
+        };
+        courier.decide(5, vec![Event::EndpointList { complete: true, entries: vec![entry] }]);
         for id in 1..9 {
-            let taken =
-                Taken { id, destination: 3, class: 0, time_left: 5_000_000_000, key: u64::MAX, tenant: 0 };
-            courier.round(u64::from(id) * 1_000_000, vec![Event::Taken(taken)]);
+            let taken = AcceptedMessage {
+                id,
+                destination: 3,
+                class: 0,
+                time_remaining: 5_000_000_000,
+                ordering_key: u64::MAX,
+                tenant: 0,
+            };
+            courier.decide(u64::from(id) * 1_000_000, vec![Event::Accepted(taken)]);
         }
         folder.join(format!("0-{}.rounds", std::process::id()))
     }
--- a/crates/lab/src/report.rs
+++ b/crates/testbed/src/report.rs
@@ -1,6 +1,6 @@
 //! Tables for the terminal and JSON for files.
 
-use linnetcart_rules::Report;
+use linnetcart_conformance::Report;
 use serde_json::{json, Value};
 use std::fmt::Write;
 
--- a/crates/lab/src/reporting.rs
+++ b/crates/testbed/src/reporting.rs
@@ -2,8 +2,8 @@
 //! reports nothing (in [`crate::floor`]).
 
 use crate::figures::{median, round};
-use linnetcart::{Class, Ending, Repeat};
-use linnetcart_facts::{Fact, Final};
+use linnetcart::{AttemptOutcome, Class, Idempotency};
+use linnetcart_delivery_events::{DeliveryEvent, FinalAnswer, LoadReport};
 use linnetcart_telemetry::outlet::Do;
 use linnetcart_telemetry::settings::{Collectd, Form, Graphite, Security, Telemetry as Settings};
 use linnetcart_telemetry::{Courier, Found, Listed, Now, Output, Telemetry};
@@ -29,11 +29,33 @@
 
 fn message(t: &mut Telemetry, id: u32, destination: u32, class: u8) {
     let (message, endpoint, took) = (id, destination, SECOND / 20);
-    t.fact(&Fact::Taken { message, name: bytes::Bytes::new(), class, destination, due: 0 });
-    t.fact(&Fact::Sent { message, attempt: 0, class, destination, endpoint, copy: false });
-    let (ending, load) = (Ending::Served, Some((0.5, 100.0)));
-    t.fact(&Fact::Ended { message, attempt: 0, class, destination, endpoint, ending, took, load });
-    t.fact(&Fact::Answered { message, class, destination, answer: Final::Served, after: took });
+    t.fact(&DeliveryEvent::Accepted { message, name: bytes::Bytes::new(), class, destination, deadline: 0 });
+    t.fact(&DeliveryEvent::AttemptStarted {
+        message,
+        attempt: 0,
+        class,
+        destination,
+        endpoint,
+        hedge: false,
+    });
+    let (ending, load) = (AttemptOutcome::Served, Some(LoadReport { capacity_left: 0.5, rate_limit: 100.0 }));
+    t.fact(&DeliveryEvent::AttemptFinished {
+        message,
+        attempt: 0,
+        class,
+        destination,
+        endpoint,
+        outcome: ending,
+        elapsed: took,
+        load,
+    });
+    t.fact(&DeliveryEvent::Completed {
+        message,
+        class,
+        destination,
+        answer: FinalAnswer::Served,
+        elapsed: took,
+    });
 }
 
 /// What one interval's report came to.
@@ -79,8 +101,15 @@
     for form in [Form::Plaintext, Form::Pickle] {
         for destinations in [10u32, 500, 5000] {
             let class = |n: u8| {
-                let (aim, deadline, repeat) = (SECOND, 8 * SECOND, Repeat::Safe);
-                let class = Class { aim, deadline, worth: 1.0, late_worth: 0.5, repeat, ordered: false };
+                let (aim, deadline, repeat) = (SECOND, 8 * SECOND, Idempotency::Idempotent);
+                let class = Class {
+                    latency_objective: aim,
+                    deadline,
+                    priority_weight: 1.0,
+                    late_weight: 0.5,
+                    idempotency: repeat,
+                    ordered: false,
+                };
                 (format!("class-{n}"), class)
             };
             let courier = Courier {
--- a/crates/lab/src/rig.rs
+++ b/crates/testbed/src/rig.rs
@@ -3,11 +3,11 @@
 
 use crate::courier::{Courier, Start};
 use anyhow::{bail, Context};
+use linnetcart_conformance::Time;
 use linnetcart_net::{Event, Net, Reserved, Token};
-use linnetcart_rules::Time;
-use linnetcart_stage::fleet::Fleet;
-pub use linnetcart_stage::stage::Played;
-use linnetcart_stage::stage::{Stage, Wires};
+use linnetcart_scenario::fleet::Fleet;
+pub use linnetcart_scenario::stage::Played;
+use linnetcart_scenario::stage::{Stage, Wires};
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
--- a/crates/lab/tests/emulated.rs
+++ b/crates/testbed/tests/emulated.rs
@@ -1,9 +1,9 @@
 //! Experiments, hunts and runs in virtual time, as the command line has them.
 
-use linnetcart_lab::emulated::{trace, Recipe};
-use linnetcart_lab::experiment::{self, plan::Plan};
-use linnetcart_lab::hunt::{script, Hunt, Want};
-use linnetcart_stage::day::Day;
+use linnetcart_scenario::day::Day;
+use linnetcart_testbed::emulated::{trace, Recipe};
+use linnetcart_testbed::experiment::{self, plan::Plan};
+use linnetcart_testbed::hunt::{script, Hunt, Want};
 use std::path::PathBuf;
 use std::process::Command;
 
@@ -80,8 +80,11 @@
 }
 
 fn emulate(arguments: &[&str]) -> String {
-    let out =
-        Command::new(env!("CARGO_BIN_EXE_linnetcart-lab")).arg("emulate").args(arguments).output().unwrap();
+    let out = Command::new(env!("CARGO_BIN_EXE_linnetcart-testbed"))
+        .arg("emulate")
+        .args(arguments)
+        .output()
+        .unwrap();
     assert!(out.status.success(), "{}", String::from_utf8_lossy(&out.stderr));
     String::from_utf8(out.stdout).unwrap()
 }
@@ -168,14 +171,14 @@
 
 #[test]
 fn a_single_message_is_the_same_on_sockets_and_in_virtual_time_event_by_event() {
-    use linnetcart_lab::{record, rig};
-    use linnetcart_stage::fleet::Fleet;
+    use linnetcart_scenario::fleet::Fleet;
+    use linnetcart_testbed::{record, rig};
     let dir = folder("single");
     let mut fleet = Fleet::draw(Day::find("quiet").unwrap().with(Some(1), 4.0).unwrap(), 5);
     fleet.messages.truncate(1);
     let options = rig::Options {
         policy: format!("{}{}", record::POLICY, dir.join("sockets").display()),
-        program: PathBuf::from(env!("CARGO_BIN_EXE_linnetcart-lab")),
+        program: PathBuf::from(env!("CARGO_BIN_EXE_linnetcart-testbed")),
         dir: dir.join("couriers"),
         graphite: None,
         progress: None,
--- a/crates/lab/tests/process.rs
+++ b/crates/testbed/tests/process.rs
@@ -34,7 +34,7 @@
 }
 
 fn edge(dir: &Path, files: Option<u32>) -> Edge {
-    let program = env!("CARGO_BIN_EXE_linnetcart-lab");
+    let program = env!("CARGO_BIN_EXE_linnetcart-testbed");
     let args = "edge --kafka 127.0.0.1:0 --control 127.0.0.1:0 --drain-ms 1500 --log json --state-dir";
     let limit = files.map_or(String::new(), |n| format!("ulimit -n {n}; "));
     let mut child = Command::new("sh")
@@ -51,7 +51,7 @@
 
 /// Status and body.
 fn http(at: SocketAddr, method: &str, path: &str, body: &str) -> (u16, String) {
-    linnetcart_lab::courier::ask(at, method, path, body).unwrap()
+    linnetcart_testbed::courier::ask(at, method, path, body).unwrap()
 }
 
 fn settings() -> String {
@@ -228,7 +228,7 @@
 
 #[test]
 fn a_stack_comes_up_delivers_and_ends() {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_linnetcart-lab"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_linnetcart-testbed"))
         .args(["up", "--seed", "3"])
         .stdout(Stdio::piped())
         .stderr(Stdio::null())
--- a/crates/lab/tests/rules.rs
+++ b/crates/testbed/tests/rules.rs
@@ -1,10 +1,10 @@
 //! Each rule on real sockets, under the fault that threatens it: couriers in processes of their own, stand-ins
 //! for clients and destinations, and the checks fed by what went over the sockets.
 
-use linnetcart_lab::rig::{play, Options};
-use linnetcart_rules::{check, Report};
-use linnetcart_stage::day::Day;
-use linnetcart_stage::fleet::{Fleet, Way};
+use linnetcart_conformance::{check, Report};
+use linnetcart_scenario::day::Day;
+use linnetcart_scenario::fleet::{Fleet, Way};
+use linnetcart_testbed::rig::{play, Options};
 use std::path::PathBuf;
 use std::sync::Mutex;
 
@@ -74,14 +74,14 @@
     let text = format!("name = \"{name}\"\n{FLEET}{more}");
     let fleet = Fleet::draw(Day::parse(&text).unwrap(), 7);
     let dir = std::env::temp_dir().join(format!("linnetcart-test-{}-{name}", std::process::id()));
-    let program = PathBuf::from(env!("CARGO_BIN_EXE_linnetcart-lab"));
+    let program = PathBuf::from(env!("CARGO_BIN_EXE_linnetcart-testbed"));
     let options =
         Options { policy: "library".into(), program, dir: dir.clone(), graphite: None, progress: None };
     let played = play(&fleet, &options).unwrap();
     let report = check(&played.records, &fleet.contract(Way::Sockets));
     std::fs::remove_dir_all(dir).unwrap();
-    assert!(report.kept(), "{}", linnetcart_lab::report::table(&report));
-    assert!(report.service > 0.5, "{}", linnetcart_lab::report::table(&report));
+    assert!(report.kept(), "{}", linnetcart_testbed::report::table(&report));
+    assert!(report.service > 0.5, "{}", linnetcart_testbed::report::table(&report));
     report
 }
 
--- a/crates/lab/tests/telemetry.rs
+++ b/crates/testbed/tests/telemetry.rs
@@ -1,11 +1,11 @@
 //! Reports of a real courier to stand-in receivers on sockets: what they end with is what clients counted.
 
 use linnetcart_kafka::{client, codes, Frames, Record};
-use linnetcart_lab::courier::{ask, Courier, Start};
-use linnetcart_lab::receivers::{Receiver, Ways, Where};
-use linnetcart_lab::sinks::Sinks;
 use linnetcart_telemetry::settings::Require;
 use linnetcart_telemetry::stream::Stream;
+use linnetcart_testbed::courier::{ask, Courier, Start};
+use linnetcart_testbed::receivers::{Receiver, Ways, Where};
+use linnetcart_testbed::sinks::Sinks;
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
@@ -24,7 +24,7 @@
 }
 
 fn start(dir: &Path) -> Courier {
-    let program = Path::new(env!("CARGO_BIN_EXE_linnetcart-lab"));
+    let program = Path::new(env!("CARGO_BIN_EXE_linnetcart-testbed"));
     Courier::start(&Start { program, dir, seed: 1, policy: "library", drain: Duration::from_secs(1) })
         .unwrap()
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -69,7 +69,7 @@
 
 /// The decisions of one courier.
 #[derive(Debug, Default)]
-pub struct Courier {
+pub struct Dispatcher {
     set: Settings,
     random: Random,
     now: Time,
@@ -99,26 +99,28 @@
 
 // ---- One round
 
-impl Courier {
+impl Dispatcher {
     /// A courier that knows its settings and nothing else.
     pub fn new(set: Settings, seed: u64) -> Self {
-        let ask_at = if set.list_asked { 0 } else { NEVER };
-        Courier { set, random: Random(seed), pending: NEVER, ask_at, ..Courier::default() }
+        let ask_at = if set.endpoint_list_polled { 0 } else { NEVER };
+        Dispatcher { set, random: Random(seed), pending: NEVER, ask_at, ..Dispatcher::default() }
     }
 
     /// Takes all events of a round at clock time `now` and says what is to be done.
-    pub fn round(&mut self, now: Time, events: Vec<Event>) -> Vec<Action> {
+    pub fn decide(&mut self, now: Time, events: Vec<Event>) -> Vec<Action> {
         self.now = self.now.max(now);
         (self.wake, self.late) = (NEVER, self.now.saturating_sub(self.pending));
         for event in events {
             match event {
-                Event::List { whole, entries } => self.listed(whole, entries),
-                Event::ListFailed => self.list_failed(),
-                Event::Taken(taken) => self.take(taken, Vec::new(), 0, false),
-                Event::Resumed { taken, attempts, open } => self.take(taken, open, attempts, true),
-                Event::Withdrawn { message } => self.end(message),
-                Event::Ended(outcome) => self.ended(outcome),
-                Event::Probed(_) | Event::Note { .. } | Event::Woken => {}
+                Event::EndpointList { complete: whole, entries } => self.listed(whole, entries),
+                Event::EndpointListFailed => self.list_failed(),
+                Event::Accepted(taken) => self.take(taken, Vec::new(), 0, false),
+                Event::Recovered { message: taken, attempts, unresolved: open } => {
+                    self.take(taken, open, attempts, true)
+                }
+                Event::ClientCancelled { message } => self.end(message),
+                Event::AttemptFinished(outcome) => self.ended(outcome),
+                Event::HealthChecked(_) | Event::Gossip { .. } | Event::WokenUp => {}
             }
         }
         self.ask();
@@ -132,14 +134,14 @@
         if self.pending <= self.now + self.set.tick || self.wake < self.pending {
             self.pending = self.wake.max(self.now + 1);
             if self.pending != NEVER {
-                self.actions.push(Action::Wake { at: self.pending });
+                self.actions.push(Action::WakeUp { at: self.pending });
             }
         }
         std::mem::take(&mut self.actions)
     }
 
     /// Rule 5 for a call whose connection took its time: a wait told since it was chosen binds it too.
-    pub fn told_to_wait(&self, now: Time, endpoint: u32) -> bool {
+    pub fn retry_after_pending(&self, now: Time, endpoint: u32) -> bool {
         self.node(endpoint).is_some_and(|node| node.wait_until > now)
     }
 
@@ -154,11 +156,11 @@
             (self.ask_at, self.ask_gap) = (NEVER, 0);
         }
         if whole {
-            self.sites.each(|_, s| s.listing = Listing::Gone);
+            self.sites.each(|_, s| s.listing = EndpointStatus::Removed);
         }
         let mut changed = BTreeSet::new();
         for e in entries {
-            if e.listing == Listing::Gone && !self.sites.contains(e.id) {
+            if e.status == EndpointStatus::Removed && !self.sites.contains(e.id) {
                 continue;
             }
             let dest = self.dests.get_or_insert_with(e.destination, || Dest::new(e.kind, self.now));
@@ -175,32 +177,34 @@
                 zone: e.zone,
                 ..Site::default()
             });
-            site.listing = e.listing;
-            if self.set.rates != Rates::Untold && e.rate > 0.0 {
+            site.listing = e.status;
+            if self.set.rate_accuracy != RateAccuracy::Unspecified && e.rate > 0.0 {
                 let node = if apart { &mut site.node } else { &mut dest.node };
                 // A rough figure, or none of a limit at all, is no reason to hold anything back unrefused.
-                (node.limit, node.exact) = (e.rate, self.set.rates == Rates::Exact);
+                (node.limit, node.exact) = (e.rate, self.set.rate_accuracy == RateAccuracy::Exact);
             }
         }
         // What was told of a wait outlives the entry: it may be back before the wait is over.
         let now = self.now;
-        self.sites.retain(|_, s| s.listing != Listing::Gone || s.calls > 0 || s.node.wait_until > now);
+        self.sites
+            .retain(|_, s| s.listing != EndpointStatus::Removed || s.calls > 0 || s.node.wait_until > now);
         changed.extend(drop_gone(&mut self.dests, &self.sites));
         changed.iter().for_each(|&id| self.respan(id));
     }
 
     /// The list or its watch failed: ask again, each time later, so that many couriers do not jam it.
     fn list_failed(&mut self) {
-        self.ask_gap = (self.ask_gap * 2).clamp(self.set.ask_within / 20, self.set.ask_within / 3);
+        self.ask_gap =
+            (self.ask_gap * 2).clamp(self.set.max_poll_interval / 20, self.set.max_poll_interval / 3);
         self.ask_at = self.now + (self.ask_gap as f64 * (0.5 + self.random.draw())) as Time;
     }
 
     fn ask(&mut self) {
         if self.ask_at <= self.now {
-            self.actions.push(Action::Watch);
+            self.actions.push(Action::WatchEndpoints);
             // Should no answer come at all, ask again well before the list counts as told.
             self.ask_gap = self.ask_gap.max(1);
-            self.ask_at = self.now + self.set.ask_within / 2;
+            self.ask_at = self.now + self.set.max_poll_interval / 2;
         }
         self.wake_at(self.ask_at);
     }
@@ -208,14 +212,14 @@
     // ---- Messages
 
     /// With what an earlier run of this courier left of it, if any: attempts, and those that may have run.
-    fn take(&mut self, t: Taken, open: Vec<Open>, attempts: u16, resumed: bool) {
+    fn take(&mut self, t: AcceptedMessage, open: Vec<UnresolvedAttempt>, attempts: u16, resumed: bool) {
         let class = usize::from(t.class);
         if class >= self.set.classes.len() || self.msgs.contains_key(&t.id) {
             return;
         }
         let deadline = self.set.classes[class].deadline;
-        let due = self.now + t.time_left;
-        let key = if self.set.classes[class].ordered { t.key } else { 0 };
+        let due = self.now + t.time_remaining;
+        let key = if self.set.classes[class].ordered { t.ordering_key } else { 0 };
         self.seq += 1;
         let msg = Msg {
             dest: t.destination,
@@ -225,13 +229,13 @@
             taken: due.saturating_sub(deadline),
             due,
             attempts,
-            maybe: open.iter().map(|o| (self.now.saturating_sub(o.ago), o.attempt, o.zone)).collect(),
+            maybe: open.iter().map(|o| (self.now.saturating_sub(o.age), o.attempt, o.zone)).collect(),
             uncalled: (resumed && open.is_empty()).then_some(attempts),
             ..Msg::default()
         };
         self.lines.join(key, (msg.seq, t.id));
         // A call that was out when its process died was reset then, or may have been just now.
-        self.lines.rest(key, if open.is_empty() { 0 } else { self.now + self.set.key_rest });
+        self.lines.rest(key, if open.is_empty() { 0 } else { self.now + self.set.key_cooldown });
         self.dests.get_or_insert_with(t.destination, || Dest::new(0, self.now));
         self.due.insert((due, t.id));
         self.msgs.insert(t.id, msg);
@@ -244,8 +248,8 @@
         let Some(m) = self.msgs.get(&id) else { return };
         let line = self.lines.get(m.key);
         let first = m.maybe.iter().min();
-        let (stale, by_zone) = match self.set.classes[m.class].repeat {
-            Repeat::Keyed { window, by_zone } => {
+        let (stale, by_zone) = match self.set.classes[m.class].idempotency {
+            Idempotency::Keyed { dedup_window: window, per_zone: by_zone } => {
                 (first.map(|f| (f.0 + window).saturating_sub(self.set.connect_timeout)), by_zone)
             }
             _ => (None, false),
@@ -275,7 +279,7 @@
         m.over = true;
         self.due.remove(&(m.due, id));
         self.wait_no_more(id);
-        if self.set.may_cancel {
+        if self.set.cancellation_allowed {
             let outs = self.outs.range((id, 0)..=(id, u16::MAX)).filter(|(_, out)| !out.cancelled);
             let off: Vec<u16> = outs.map(|(&(_, attempt), _)| attempt).collect();
             off.iter().for_each(|&attempt| self.call_off(id, attempt));
@@ -322,8 +326,8 @@
 
     /// Handing back is harmless when nothing may have run, or when a repeat does no harm wherever it goes.
     fn may_refuse(&self, m: &Msg) -> bool {
-        match self.set.classes[m.class].repeat {
-            Repeat::Safe | Repeat::Keyed { by_zone: false, .. } => true,
+        match self.set.classes[m.class].idempotency {
+            Idempotency::Idempotent | Idempotency::Keyed { per_zone: false, .. } => true,
             _ => m.maybe.is_empty(),
         }
     }
@@ -331,7 +335,7 @@
     fn give_up(&mut self, id: u32, come_back: Time) {
         let Some(m) = self.msgs.get(&id).filter(|m| !m.over) else { return };
         self.actions.push(if self.may_refuse(m) {
-            Action::Refuse { message: id, come_back: come_back.min(self.set.max_come_back) }
+            Action::Reject { message: id, retry_after: come_back.min(self.set.max_retry_after) }
         } else {
             Action::Fail { message: id }
         });
@@ -354,14 +358,14 @@
     /// what waits for a slot only is held to what the slots serve within an aim at the 95th percentile of
     /// latency: beyond that the oldest first would have all of them late.
     fn shed(&mut self) {
-        let over = self.due.len() as f64 - CROWDED * f64::from(self.set.max_held);
+        let over = self.due.len() as f64 - CROWDED * f64::from(self.set.max_in_flight_messages);
         if over >= 1.0 {
             self.hand_back(&self.waits.dests.clone(), over);
         }
-        let full = self.calls.len() >= self.set.slots as usize;
+        let full = self.calls.len() >= self.set.max_in_flight_calls as usize;
         if let Some(took) = self.latencies.high.filter(|_| full) {
-            let aim = self.set.classes.iter().map(|c| c.aim).max().unwrap_or(0);
-            let served = f64::from(self.set.slots) * aim as f64 / took.max(1) as f64;
+            let aim = self.set.classes.iter().map(|c| c.latency_objective).max().unwrap_or(0);
+            let served = f64::from(self.set.max_in_flight_calls) * aim as f64 / took.max(1) as f64;
             let blocked = self.waits.dests.iter().filter(|&id| self.lacks_slot(&self.dests[*id]));
             let blocked: BTreeSet<u32> = blocked.copied().collect();
             let held: usize = blocked.iter().map(|id| self.dests[*id].waiting.len()).sum();
@@ -376,22 +380,23 @@
         }
         // Of one class the older is worth no more.
         let spare = dests.iter().map(|&id| (id, &self.dests[id].waiting));
-        let (now, halves) = (self.now, self.set.worth_halves);
-        let worth = |class: usize, taken| self.set.classes[class].worth_at(now.saturating_sub(taken), halves);
+        let (now, halves) = (self.now, self.set.weight_halves);
+        let worth =
+            |class: usize, taken| self.set.classes[class].weight_at(now.saturating_sub(taken), halves);
         let least = least(spare, count as usize, worth);
-        least.iter().for_each(|&id| self.give_up(id, self.set.max_come_back));
+        least.iter().for_each(|&id| self.give_up(id, self.set.max_retry_after));
     }
 
     // ---- Outcomes
 
-    fn ended(&mut self, o: Outcome) {
+    fn ended(&mut self, o: AttemptResult) {
         let Some(out) = self.outs.remove(&(o.message, o.attempt)) else {
             // A wait that a call told after it was given up binds the limit all the same.
             let none = Out { endpoint: o.endpoint, sent: self.now, call: 0, cancelled: true };
             return self.learn(&o, &none, false, false);
         };
         // A call with several messages is taken, refused or lost as one: its first outcome tells.
-        let tells = !matches!(o.ending, Ending::NotSent { .. } | Ending::Cancelled);
+        let tells = !matches!(o.outcome, AttemptOutcome::NotSent { .. } | AttemptOutcome::Cancelled);
         let (over, first) = self.calls.entry(out.call).or_default().ended(tells);
         if over {
             self.calls.remove(&out.call);
@@ -403,13 +408,13 @@
         self.msgs.get_mut(&o.message).into_iter().for_each(|m| m.live -= 1);
         self.count_out(o.message);
         let Some(m) = self.msgs.get_mut(&o.message) else { return };
-        if o.ending.never_ran() {
-            m.never_ran(o.attempt, o.ending);
+        if o.outcome.not_executed() {
+            m.never_ran(o.attempt, o.outcome);
         }
-        if matches!(o.ending, Ending::TimedOut | Ending::Reset | Ending::Cancelled) {
-            self.lines.rest(m.key, self.now + self.set.key_rest);
+        if matches!(o.outcome, AttemptOutcome::TimedOut | AttemptOutcome::Reset | AttemptOutcome::Cancelled) {
+            self.lines.rest(m.key, self.now + self.set.key_cooldown);
         }
-        if o.over {
+        if o.completed {
             self.end(o.message);
         } else if m.over || m.live > 0 {
             self.forget(o.message);
@@ -426,19 +431,19 @@
             return false;
         }
         let Some(&(at, _, first_zone)) = m.maybe.iter().min() else { return true };
-        match self.set.classes[m.class].repeat {
-            Repeat::Safe => true,
+        match self.set.classes[m.class].idempotency {
+            Idempotency::Idempotent => true,
             // Room for travel: a connection may have to be made first.
-            Repeat::Keyed { window, by_zone } => {
+            Idempotency::Keyed { dedup_window: window, per_zone: by_zone } => {
                 self.now + self.set.connect_timeout < at + window
                     && !(by_zone && zone.is_some_and(|z| z != first_zone))
             }
-            Repeat::Unsafe => false,
+            Idempotency::NotIdempotent => false,
         }
     }
 
     /// What an outcome tells of the limits that it went through.
-    fn learn(&mut self, o: &Outcome, out: &Out, over: bool, first: bool) {
+    fn learn(&mut self, o: &AttemptResult, out: &Out, over: bool, first: bool) {
         let (now, set) = (self.now, &self.set);
         let Some(site) = self.sites.get_mut(o.endpoint) else { return };
         let Some(dest) = self.dests.get_mut(site.dest) else { return };
@@ -447,31 +452,33 @@
         dest.calls = dest.calls.saturating_sub(u32::from(over));
         let gate = if apart { &mut site.node } else { &mut dest.node };
         gate.report(now, o);
-        if let Ending::Full { wait } = o.ending {
+        if let AttemptOutcome::Rejected { retry_after: wait } = o.outcome {
             gate.wait_until = gate.wait_until.max(if wait > 0 { now + wait } else { 0 });
         }
         // An idle connection takes the place of another courier's and may be dropped unseen: it is kept for
         // its even part of the idle time, or as long as two calls take.
-        let part = LEAST_CONNECTIONS / f64::from(set.couriers.max(1));
-        let keep = (part * seconds(set.connection_idle)).max(2.0 * dest.usual / SECOND);
+        let part = LEAST_CONNECTIONS / f64::from(set.courier_count.max(1));
+        let keep = (part * seconds(set.idle_timeout)).max(2.0 * dest.usual / SECOND);
         if site.calls == 0 && site.node.usual_rate(now) * keep < 1.0 {
-            self.actions.push(Action::Close { endpoint: o.endpoint });
+            self.actions.push(Action::CloseIdle { endpoint: o.endpoint });
         }
         let class = self.msgs.get(&o.message).map_or(0, |m| m.class);
-        match o.ending {
-            Ending::Served => site.shunned.remove(&class),
-            Ending::Error | Ending::TimedOut => site.shunned.insert(class, now + set.classes[class].deadline),
+        match o.outcome {
+            AttemptOutcome::Served => site.shunned.remove(&class),
+            AttemptOutcome::Error | AttemptOutcome::TimedOut => {
+                site.shunned.insert(class, now + set.classes[class].deadline)
+            }
             _ => None,
         };
         if !first {
             return;
         }
-        match o.ending {
-            Ending::Served => {
+        match o.outcome {
+            AttemptOutcome::Served => {
                 // What a pause of this courier made late is no latency.
                 if self.late <= 2 * set.tick {
-                    dest.served(o.took);
-                    self.latencies.note(o.took, LATENCIES, high);
+                    dest.served(o.elapsed);
+                    self.latencies.note(o.elapsed, LATENCIES, high);
                 }
                 dest.bucket = (dest.bucket + 1.0).min(BUCKET);
             }
@@ -479,18 +486,18 @@
         }
         let was = if apart { site.node.health } else { dest.node.health };
         let chance = self.random.draw();
-        if site.node.outcome(now, out.sent, o.ending, apart, set) {
+        if site.node.outcome(now, out.sent, o.outcome, apart, set) {
             site.node.owe(now, apart, chance, set);
         }
-        if !apart && dest.node.outcome(now, out.sent, o.ending, true, set) {
+        if !apart && dest.node.outcome(now, out.sent, o.outcome, true, set) {
             dest.node.owe(now, true, chance, set);
         }
         let node = if apart { &site.node } else { &dest.node };
         if std::mem::discriminant(&was) != std::mem::discriminant(&node.health) {
-            let text = format!("destination {} endpoint {}: {}", site.dest, o.endpoint, node.line(o.ending));
-            self.actions.push(Action::Log(text));
+            let change = node.change(site.dest, o.endpoint, o.outcome);
+            self.actions.push(Action::LimitChanged(change));
         }
-        if o.ending == Ending::Served {
+        if o.outcome == AttemptOutcome::Served {
             let id = site.dest;
             self.respan(id);
         }
@@ -506,7 +513,7 @@
         order.sort_unstable();
         let mut order = VecDeque::from(order);
         while let Some((_, id)) = order.pop_front() {
-            if self.calls.len() >= self.set.slots as usize {
+            if self.calls.len() >= self.set.max_in_flight_calls as usize {
                 return;
             }
             if let Some((message, endpoint)) = self.pick(id) {
@@ -534,7 +541,7 @@
     fn joined(&self, endpoint: u32) -> Option<u64> {
         let site = self.sites.get(endpoint)?;
         let kind = usize::from(self.dests.get(site.dest)?.kind);
-        let most = self.set.kinds.get(kind).map_or(1, |k| k.per_call);
+        let most = self.set.kinds.get(kind).map_or(1, |k| k.max_messages_per_call);
         let (call, at, sends) = site.joined;
         (at == self.now && sends > 0 && sends < most).then_some(call)
     }
@@ -544,7 +551,7 @@
         let rested = rested.filter(|m| self.lines.get(self.msgs[m].key).is_none_or(|l| l.rest <= self.now));
         rested.collect::<Vec<u32>>().into_iter().for_each(|m| self.wait(m));
         while let Some(m) = self.too_late(id) {
-            self.give_up(m, self.set.max_come_back);
+            self.give_up(m, self.set.max_retry_after);
         }
         let dest = self.dests.get_mut(id)?;
         dest.count_waiting(&mut self.sites);
@@ -593,7 +600,7 @@
     /// less than a call in a burst, a lot of its own for each: or hundreds would all take the same endpoint.
     fn cost(&self, endpoint: u32) -> f64 {
         let (s, set) = (&self.sites[endpoint], &self.set);
-        let crossing = if s.zone == set.zone { 0.0 } else { set.crossing_price };
+        let crossing = if s.zone == set.zone { 0.0 } else { set.cross_zone_price };
         let fee = set.route_fees.get(usize::from(s.zone)).filter(|_| self.apart(s.dest));
         let price = crossing + fee.unwrap_or(&0.0);
         let sparse = 1.0 - self.node(endpoint).map_or(0.0, |n| n.few(set)) * BURST;
@@ -626,8 +633,8 @@
         if m.over
             || m.due <= now + 2 * set.tick
             || !self.may_resend(m, Some(site.zone))
-            || (m.live > 0 && !set.may_copy)
-            || site.listing != Listing::Ready
+            || (m.live > 0 && !set.hedging_allowed)
+            || site.listing != EndpointStatus::Ready
         {
             return Err(NEVER);
         }
@@ -646,8 +653,8 @@
         dest.node.open(now, true, set)?;
         // Caps: three quarters of the slots for one destination, half while it fails or runs slow.
         let sick = dest.sick() || site.node.health != Health::Up;
-        let cap = if sick { set.slots / 2 } else { set.slots * 3 / 4 }.max(1);
-        (self.calls.len() < set.slots as usize && dest.calls < cap).then_some(()).ok_or(NEVER)
+        let cap = if sick { set.max_in_flight_calls / 2 } else { set.max_in_flight_calls * 3 / 4 }.max(1);
+        (self.calls.len() < set.max_in_flight_calls as usize && dest.calls < cap).then_some(()).ok_or(NEVER)
     }
 
     /// An extra needs the bucket; with nothing else out one may go, or an empty bucket could never fill.
@@ -702,7 +709,7 @@
 
     /// Past its aim a message loses worth: a latency grown beyond that is no reason to wait on.
     fn overdue_span(&self, (dest, class): Group) -> Time {
-        let aim = self.set.classes[class].aim;
+        let aim = self.set.classes[class].latency_objective;
         let known = dest.and_then(|id| self.dests.get(id)?.latencies.high);
         OVERDUE * known.or(self.latencies.high).unwrap_or(aim).min(aim)
     }
@@ -710,7 +717,7 @@
     /// After this a lone attempt may have a copy; never where there is no other endpoint.
     fn copy_span(&self, (dest, class): Group) -> Time {
         let dest = dest.and_then(|id| self.dests.get(id)).filter(|d| d.endpoints.len() > 1);
-        dest.map_or(NEVER, |d| d.resend(self.set.classes[class].aim))
+        dest.map_or(NEVER, |d| d.resend(self.set.classes[class].latency_objective))
     }
 
     /// Latencies or endpoints of a destination changed, and with them the spans of its groups.
@@ -733,7 +740,8 @@
     /// So many slots are free, or fewer, and messages wait for one and nothing else.
     fn crowded(&self, free: usize) -> bool {
         let mut waiting = self.waits.dests.iter().map(|id| &self.dests[*id]);
-        self.calls.len() + free >= self.set.slots as usize && waiting.any(|d| self.lacks_slot(d))
+        self.calls.len() + free >= self.set.max_in_flight_calls as usize
+            && waiting.any(|d| self.lacks_slot(d))
     }
 
     fn lacks_slot(&self, d: &Dest) -> bool {
@@ -749,7 +757,9 @@
         // Where the bucket is low, or nothing may go twice, none of a group goes.
         let open = |(dest, class): Group| {
             let bucket = dest.and_then(|id| self.dests.get(id)).map_or(0.0, |d| d.bucket);
-            bucket > BUCKET / 2.0 && self.set.may_copy && self.set.classes[class].repeat != Repeat::Unsafe
+            bucket > BUCKET / 2.0
+                && self.set.hedging_allowed
+                && self.set.classes[class].idempotency != Idempotency::NotIdempotent
         };
         let (due, next) = self.lone.all_due(self.now, open);
         self.wake_at(next.unwrap_or(NEVER));
@@ -791,10 +801,12 @@
             let (apart, chance) = (apart_kind(&self.set, dest.kind), self.random.draw());
             let news = silent && site.node.silent(now, apart, chance, &self.set);
             if silent && !elsewhere && !apart && dest.node.silent(now, true, chance, &self.set) || news {
-                self.actions.push(Action::Log(format!("destination {} endpoint {endpoint}: silent", m.dest)));
+                let (destination, state) = (m.dest, LimitState::Silent);
+                let change = LimitChange { destination, endpoint, state, evidence: None };
+                self.actions.push(Action::LimitChanged(change));
             }
             let again = silent && elsewhere && self.may_resend(&self.msgs[&id], None);
-            if self.set.may_cancel
+            if self.set.cancellation_allowed
                 && (full && (self.may_resend(&self.msgs[&id], None) || now > overdue + (overdue - sent))
                     || again)
             {
@@ -849,29 +861,36 @@
     }
 
     /// Whether anything of a call's outcome makes this limit more cautious.
-    fn outcome(&mut self, now: Time, sent: Time, ending: Ending, limits: bool, set: &Settings) -> bool {
-        if ending != Ending::TimedOut {
+    fn outcome(
+        &mut self,
+        now: Time,
+        sent: Time,
+        ending: AttemptOutcome,
+        limits: bool,
+        set: &Settings,
+    ) -> bool {
+        if ending != AttemptOutcome::TimedOut {
             self.last_answer = now;
         }
         if self.run == 0 && self.health == Health::Up {
             self.run_since = now;
         }
-        if ending == Ending::Served {
+        if ending == AttemptOutcome::Served {
             self.ok(now, sent, set);
             return false;
         }
         self.last_bad = now;
         self.run += 1;
         match ending {
-            Ending::Full { wait } => {
+            AttemptOutcome::Rejected { retry_after: wait } => {
                 self.harmless = true;
                 // Shut, not over the limit: a wait longer than limits are counted, or refused with room told
                 // to be left. With nothing told, refusals without a success for longer than a limit's span.
                 let told = self.left_at == now;
-                let long = self.run_since + set.fall_span * 3 / 2 <= now + wait;
+                let long = self.run_since + set.overload_window * 3 / 2 <= now + wait;
                 let room = self.left > SHUT_ROOM && sent >= self.run_since;
                 let silent = long && (wait > 0 || self.run >= SHUT_RUN);
-                let shut = wait > set.fall_span || if told { room } else { silent };
+                let shut = wait > set.overload_window || if told { room } else { silent };
                 let out = self.out();
                 if wait > 0 && (shut || out) {
                     self.health = Health::Back { since: self.wait_until };
@@ -885,7 +904,7 @@
                 }
             }
             _ => {
-                self.harmless = ending == Ending::NoConnection;
+                self.harmless = ending == AttemptOutcome::NoConnection;
                 self.bad += NEWEST * (1.0 - self.bad);
                 if self.bad > self.out_at || self.out() {
                     self.go_out(now, true);
@@ -900,18 +919,20 @@
         let room = if self.left_at == now { 2.0 * self.left - 1.0 } else { 0.0 };
         self.parts = (self.parts * (1.0 + GROWTH * room)).max(FILL);
         self.bad -= NEWEST * self.bad;
-        self.count_served(now, set.fall_span);
+        self.count_served(now, set.overload_window);
         self.health = match self.health {
             // It was slow or paused, not gone: nothing failed, and what was sent before is answered or the
             // silence was short. If it was coming back before, it still is.
-            Health::Out { since, told: false } if sent < since || now < since + set.fall_span => self.before,
+            Health::Out { since, told: false } if sent < since || now < since + set.overload_window => {
+                self.before
+            }
             Health::Out { .. } => {
                 self.bad = self.bad.min(2.0 * RISKY);
                 Health::Back { since: now }
             }
             // A lucky answer amid failures is no return.
             Health::Back { .. } if self.bad > RISKY => Health::Back { since: now },
-            Health::Back { since } if now > since + set.warm_after => Health::Up,
+            Health::Back { since } if now > since + set.slow_start_duration => Health::Up,
             other => other,
         };
     }
@@ -942,7 +963,7 @@
     /// those with something to send: as many as there are calls in a fall span, more the longer it refuses.
     /// Once refused, as many even parts as successes since let it take, where they come often enough to tell.
     fn even(&self, set: &Settings) -> f64 {
-        let (few, span) = (self.few(set), seconds(set.fall_span));
+        let (few, span) = (self.few(set), seconds(set.overload_window));
         let over = if self.jammed { TROUBLE * (span + self.trouble()) } else { span };
         let refused = few * USUAL_OVER >= 1.0 && self.parts.is_finite();
         few.max(self.wants(few * over) / over).min(if refused { few * self.parts } else { f64::INFINITY })
@@ -951,9 +972,9 @@
     /// An even part over all couriers: of the limit if told, or else the most served in a fall span.
     fn few(&self, set: &Settings) -> f64 {
         if self.limit > 0.0 {
-            return self.limit / f64::from(set.couriers.max(1));
+            return self.limit / f64::from(set.courier_count.max(1));
         }
-        (self.peak - 1.0).max(0.0) / seconds(set.fall_span)
+        (self.peak - 1.0).max(0.0) / seconds(set.overload_window)
     }
 
     /// Messages held here that count, where `each` is the mean over couriers. Where that is one or more, all
@@ -971,9 +992,9 @@
     /// served in the mean, or at most in a fall span: then others may have had as much, but no more of them
     /// than that, as a courier that never saw more than two calls in a span is one of many.
     fn capacity(&self, now: Time, set: &Settings) -> f64 {
-        let (span, couriers) = (seconds(set.fall_span), f64::from(set.couriers.max(1)));
+        let (span, couriers) = (seconds(set.overload_window), f64::from(set.courier_count.max(1)));
         // A rough figure may be half too high.
-        let told = if set.rates == Rates::Rough { self.limit / 1.5 } else { self.limit };
+        let told = if set.rate_accuracy == RateAccuracy::Approximate { self.limit / 1.5 } else { self.limit };
         let mean = couriers * self.usual_rate(now);
         let most = couriers.min(self.peak) * (self.peak - 1.0) / span;
         told.max(mean).max(most).max(1.0 / span)
@@ -985,12 +1006,14 @@
     /// none knows of more couriers than there are. `None`: no bound.
     fn pace(&self, now: Time, whole: bool, set: &Settings) -> Option<f64> {
         let (share, trial) = match self.health {
-            Health::Out { .. } => (set.cold_share, true),
+            Health::Out { .. } => (set.slow_start_ratio, true),
             // One failure may be the first sight of an outage that ends unseen: cold until a success.
-            Health::Up if self.run > 0 && (!self.harmless || self.bad > RISKY) => (set.cold_share, false),
-            Health::Back { since } if now < since + set.warm_after => {
-                let warm = now.saturating_sub(since) as f64 / set.warm_after.max(1) as f64;
-                (set.cold_share + (1.0 - set.cold_share) * warm, false)
+            Health::Up if self.run > 0 && (!self.harmless || self.bad > RISKY) => {
+                (set.slow_start_ratio, false)
+            }
+            Health::Back { since } if now < since + set.slow_start_duration => {
+                let warm = now.saturating_sub(since) as f64 / set.slow_start_duration.max(1) as f64;
+                (set.slow_start_ratio + (1.0 - set.slow_start_ratio) * warm, false)
             }
             _ => {
                 let told = self.run == 0 && now < self.left_at + SECOND as Time;
@@ -998,15 +1021,15 @@
                 return (self.exact || self.jammed).then(|| (1.0 + left) * self.even(set));
             }
         };
-        let span = seconds(set.fall_span);
+        let span = seconds(set.overload_window);
         if !whole {
             return trial.then_some(1.0 / span);
         }
-        let couriers = f64::from(set.couriers.max(1));
+        let couriers = f64::from(set.courier_count.max(1));
         let capacity = self.capacity(now, set);
         let told = |since: f64| couriers.min((capacity * (since + KNOWN_BEFORE * span)).max(1.0));
         let know = told(seconds(now.saturating_sub(self.run_since)));
-        let own = set.fall_multiple * share * capacity / know;
+        let own = set.overload_ratio * share * capacity / know;
         let pace = own * (BUDGET_RANDOM + (BUDGET_PART - BUDGET_RANDOM) * (2.0 * own * span).min(1.0));
         // Those that know nothing send as ever; beside them those that know stay well under two thirds.
         let least = (LEAST_CALLS / couriers).min(1.0) / span;
@@ -1024,7 +1047,7 @@
     /// holds less than one, couriers that learned the same thing at one moment must not return as one.
     fn random(&self, now: Time, whole: bool, set: &Settings) -> f64 {
         let pace = self.pace(now, whole, set).unwrap_or(f64::INFINITY);
-        1.0 - (pace * seconds(set.fall_span)).min(1.0)
+        1.0 - (pace * seconds(set.overload_window)).min(1.0)
     }
 
     /// After trouble nothing is saved up, nor by a told wait. First trials are spread over one interval.
@@ -1048,7 +1071,7 @@
             return Ok(());
         }
         // The pace of a return grows: look again before long.
-        let wait = ((1.0 - credit) / pace.max(1e-9)).min(seconds(set.fall_span));
+        let wait = ((1.0 - credit) / pace.max(1e-9)).min(seconds(set.overload_window));
         Err(now + (wait * SECOND) as Time + 1)
     }
 
--- /dev/null
+++ b/src/interface/mod.rs
@@ -0,0 +1,18 @@
+//! What goes into the decision library and what comes out: settings, events and actions.
+//!
+//! Values only; nothing here decides. The names that `serde` writes are those of the first version of recorded
+//! decision cycles and do not change.
+
+mod actions;
+mod events;
+mod settings;
+
+pub use actions::{Action, LimitChange, LimitEvidence, LimitState};
+pub use events::{
+    AcceptedMessage, AttemptOutcome, AttemptResult, Endpoint, EndpointStatus, Event, HealthCheckResult,
+    UnresolvedAttempt,
+};
+pub use settings::{Class, DestinationKind, Idempotency, RateAccuracy, Settings};
+
+/// A span or a clock reading, in nanoseconds.
+pub type Time = u64;
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,8 @@
 //! What the decision module keeps in mind; it decides nothing here.
 
-use crate::interface::{Ending, Listing, Outcome, Settings, Time};
+use crate::interface::{
+    AttemptOutcome, AttemptResult, EndpointStatus, LimitChange, LimitEvidence, LimitState, Settings, Time,
+};
 use std::cmp::{Ordering, Reverse};
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
 use std::hash::{BuildHasherDefault, Hasher};
@@ -13,7 +15,7 @@
 
 /// The settings say that endpoints of this kind are routes apart.
 pub(crate) fn apart_kind(set: &Settings, kind: u8) -> bool {
-    set.kinds.get(usize::from(kind)).is_some_and(|k| k.routes_apart)
+    set.kinds.get(usize::from(kind)).is_some_and(|k| k.independent_routes)
 }
 
 /// Health of a limit or an endpoint.
@@ -68,10 +70,10 @@
 
 impl Node {
     /// What an outcome tells of the limit itself.
-    pub(crate) fn report(&mut self, now: Time, o: &Outcome) {
-        if let Some(limit) = o.limit.filter(|&l| l > 0.0) {
+    pub(crate) fn report(&mut self, now: Time, o: &AttemptResult) {
+        if let Some(limit) = o.rate_limit.filter(|&l| l > 0.0) {
             (self.limit, self.exact) = (limit, true);
-            if let Some(left) = o.left {
+            if let Some(left) = o.capacity_left {
                 (self.left, self.left_at) = (left, now);
             }
         }
@@ -97,14 +99,16 @@
         self.served += 1.0;
     }
 
-    /// Its state and why, for those on call.
-    pub(crate) fn line(&self, ending: Ending) -> String {
+    /// Its state and why.
+    pub(crate) fn change(&self, destination: u32, endpoint: u32, outcome: AttemptOutcome) -> LimitChange {
         let state = match self.health {
-            Health::Up => "in service",
-            Health::Out { .. } => "out, trials only",
-            Health::Back { .. } => "back, warming up",
+            Health::Up => LimitState::Healthy,
+            Health::Out { .. } => LimitState::Ejected,
+            Health::Back { .. } => LimitState::Recovering,
         };
-        format!("{state} after {ending:?}, failing share {:.2}, {} in a row", self.bad, self.run)
+        let (failure_rate, consecutive_failures) = (self.bad, self.run);
+        let evidence = Some(LimitEvidence { outcome, failure_rate, consecutive_failures });
+        LimitChange { destination, endpoint, state, evidence }
     }
 }
 
@@ -153,7 +157,7 @@
     pub(crate) node: Node,
     pub(crate) dest: u32,
     pub(crate) zone: u8,
-    pub(crate) listing: Listing,
+    pub(crate) listing: EndpointStatus,
     pub(crate) calls: u32,
     /// For classes whose last call here was not answered: until when they go elsewhere.
     pub(crate) shunned: BTreeMap<usize, Time>,
@@ -193,9 +197,9 @@
     }
 
     /// An attempt of it never ran. Where not even a call came of it, the call is still owed.
-    pub(crate) fn never_ran(&mut self, attempt: u16, ending: Ending) {
+    pub(crate) fn never_ran(&mut self, attempt: u16, ending: AttemptOutcome) {
         self.maybe.retain(|&(_, number, _)| number != attempt);
-        let called = matches!(ending, Ending::Full { .. });
+        let called = matches!(ending, AttemptOutcome::Rejected { .. });
         if !called && self.uncalled.is_some_and(|n| n + 1 == self.attempts) {
             self.uncalled = Some(self.attempts);
         }
--- a/tests/same_decisions.rs
+++ b/tests/same_decisions.rs
@@ -3,20 +3,38 @@
 
 mod walk;
 
-use linnetcart::Courier;
+use linnetcart::{Action, Dispatcher};
 use walk::World;
 
 const ROUNDS: usize = 600;
 const WORLDS: u64 = 24;
 
+/// The text of an action that the digests were made from: that of the first version, whatever names the code has now.
+fn stable_text(action: &Action) -> String {
+    match action {
+        Action::Send { .. } | Action::Cancel { .. } | Action::Fail { .. } => format!("{action:?}"),
+        Action::Reject { message, retry_after } => {
+            format!("Refuse {{ message: {message}, come_back: {retry_after} }}")
+        }
+        Action::HealthCheck { endpoint } => format!("Probe {{ endpoint: {endpoint} }}"),
+        Action::Gossip { to, body } => format!("Note {{ to: {to:?}, body: {body:?} }}"),
+        Action::CloseIdle { endpoint } => format!("Close {{ endpoint: {endpoint} }}"),
+        Action::WatchEndpoints => "Watch".to_owned(),
+        Action::WakeUp { at } => format!("Wake {{ at: {at} }}"),
+        Action::LimitChanged(change) => format!("Log({:?})", change.to_string()),
+    }
+}
+
 fn digest(seed: u64) -> u32 {
     let mut world = World::new(seed);
-    let mut courier = Courier::new(world.settings.clone(), seed);
+    let mut courier = Dispatcher::new(world.settings.clone(), seed);
     let mut digest = 0;
     for _ in 0..ROUNDS {
         let events = world.events();
-        let actions = courier.round(world.now, events);
-        digest = crc32c::crc32c_append(digest, format!("{} {actions:?}\n", world.now).as_bytes());
+        let actions = courier.decide(world.now, events);
+        let texts: Vec<String> = actions.iter().map(stable_text).collect();
+        let line = format!("{} [{}]\n", world.now, texts.join(", "));
+        digest = crc32c::crc32c_append(digest, line.as_bytes());
         world.act(&actions);
     }
     digest
