--- a/tests/walk/mod.rs
+++ b/tests/walk/mod.rs
@@ -44,7 +44,7 @@
     held: BTreeMap<u32, Held>,
     /// Outcomes under way: when, message, attempt.
     coming: BTreeSet<(Time, u32, u16)>,
-    endings: BTreeMap<(u32, u16), (u32, Time, Ending)>,
+    endings: BTreeMap<(u32, u16), (u32, Time, AttemptOutcome)>,
     wake: Time,
     next: u32,
     rate: f64,
@@ -61,49 +61,50 @@
         let mut random = StdRng::seed_from_u64(seed);
         let r = &mut random;
         let mut class = |repeat, ordered| Class {
-            aim: r.random_range(200 * MS..4 * S),
+            latency_objective: r.random_range(200 * MS..4 * S),
             deadline: r.random_range(4 * S..30 * S),
-            worth: r.random_range(1..5).into(),
-            late_worth: r.random_range(0.0..0.9),
-            repeat,
+            priority_weight: r.random_range(1..5).into(),
+            late_weight: r.random_range(0.0..0.9),
+            idempotency: repeat,
             ordered,
         };
         let classes = vec![
-            class(Repeat::Safe, false),
-            class(Repeat::Keyed { window: 8 * S, by_zone: false }, false),
-            class(Repeat::Unsafe, false),
-            class(Repeat::Safe, true),
-            class(Repeat::Keyed { window: 5 * S, by_zone: true }, false),
-            class(Repeat::Keyed { window: 6 * S, by_zone: false }, true),
+            class(Idempotency::Idempotent, false),
+            class(Idempotency::Keyed { dedup_window: 8 * S, per_zone: false }, false),
+            class(Idempotency::NotIdempotent, false),
+            class(Idempotency::Idempotent, true),
+            class(Idempotency::Keyed { dedup_window: 5 * S, per_zone: true }, false),
+            class(Idempotency::Keyed { dedup_window: 6 * S, per_zone: false }, true),
         ];
-        let rates = [Rates::Untold, Rates::Rough, Rates::Exact][r.random_range(0..3)];
+        let rates =
+            [RateAccuracy::Unspecified, RateAccuracy::Approximate, RateAccuracy::Exact][r.random_range(0..3)];
         let dests = [1, 3, 12, 60][r.random_range(0..4)];
         let settings = Settings {
-            couriers: [1, 3, 40, 500][r.random_range(0..4)],
+            courier_count: [1, 3, 40, 500][r.random_range(0..4)],
             classes,
             kinds: vec![
-                Kind { routes_apart: false, per_call: 1 },
-                Kind { routes_apart: true, per_call: 1 },
-                Kind { routes_apart: false, per_call: 3 },
+                DestinationKind { independent_routes: false, max_messages_per_call: 1 },
+                DestinationKind { independent_routes: true, max_messages_per_call: 1 },
+                DestinationKind { independent_routes: false, max_messages_per_call: 3 },
             ],
-            worth_halves: r.random(),
-            slots: [2, 16, 100, 1000][r.random_range(0..4)],
-            max_held: [30, 1000, 5000][r.random_range(0..3)],
+            weight_halves: r.random(),
+            max_in_flight_calls: [2, 16, 100, 1000][r.random_range(0..4)],
+            max_in_flight_messages: [30, 1000, 5000][r.random_range(0..3)],
             max_attempts: r.random_range(1..8),
-            may_cancel: r.random_bool(0.8),
-            may_copy: r.random_bool(0.8),
-            max_come_back: 3 * S,
+            cancellation_allowed: r.random_bool(0.8),
+            hedging_allowed: r.random_bool(0.8),
+            max_retry_after: 3 * S,
             calls_per_connection: 1,
-            connection_idle: 10 * S,
+            idle_timeout: 10 * S,
             connect_timeout: S,
-            cold_share: 0.2,
-            warm_after: 10 * S,
-            fall_multiple: 2.0,
-            fall_span: r.random_range(S / 2..4 * S),
-            key_rest: [0, 100 * MS, 2 * S][r.random_range(0..3)],
-            list_asked: r.random(),
-            ask_within: 10 * S,
-            rates,
+            slow_start_ratio: 0.2,
+            slow_start_duration: 10 * S,
+            overload_ratio: 2.0,
+            overload_window: r.random_range(S / 2..4 * S),
+            key_cooldown: [0, 100 * MS, 2 * S][r.random_range(0..3)],
+            endpoint_list_polled: r.random(),
+            max_poll_interval: 10 * S,
+            rate_accuracy: rates,
             tick: [MS / 5, 5 * MS][r.random_range(0..2)],
             route_fees: vec![0.0, 0.3],
             ..Settings::default()
@@ -142,7 +143,7 @@
             kind: (dest % 3) as u8,
             zone: r.random_range(0..2),
             rate: r.random_range(0.0..200.0),
-            listing: Listing::Ready,
+            status: EndpointStatus::Ready,
         };
         let usual = r.random_range(2 * MS..200 * MS);
         self.sites.insert(id, Site { entry, mood: Mood::Serves(usual), reports: r.random_bool(0.3) });
@@ -178,13 +179,15 @@
     fn list(&mut self, events: &mut Vec<Event>) {
         let r = &mut self.random;
         match r.random_range(0..400) {
-            0 => events.push(Event::List { whole: true, entries: self.entries() }),
-            1 => events.push(Event::ListFailed),
+            0 => events.push(Event::EndpointList { complete: true, entries: self.entries() }),
+            1 => events.push(Event::EndpointListFailed),
             2 | 3 => {
                 let nth = r.random_range(0..self.sites.len());
                 let Some(site) = self.sites.values_mut().nth(nth) else { return };
-                site.entry.listing = [Listing::Ready, Listing::Draining, Listing::Gone][r.random_range(0..3)];
-                events.push(Event::List { whole: false, entries: vec![site.entry.clone()] });
+                site.entry.status =
+                    [EndpointStatus::Ready, EndpointStatus::Draining, EndpointStatus::Removed]
+                        [r.random_range(0..3)];
+                events.push(Event::EndpointList { complete: false, entries: vec![site.entry.clone()] });
             }
             _ => {}
         }
@@ -203,7 +206,7 @@
         let now = self.now;
         let mut events = Vec::new();
         if begins {
-            events.push(Event::List { whole: true, entries: self.entries() });
+            events.push(Event::EndpointList { complete: true, entries: self.entries() });
             self.next += 1;
         }
         self.moods();
@@ -213,7 +216,7 @@
             let Some((endpoint, sent, ending)) = self.endings.remove(&(message, attempt)) else { continue };
             let Some(held) = self.held.get_mut(&message) else { continue };
             held.live.remove(&attempt);
-            held.over |= ending == Ending::Served;
+            held.over |= ending == AttemptOutcome::Served;
             let over = held.over;
             if over && held.live.is_empty() {
                 self.held.remove(&message);
@@ -222,15 +225,15 @@
             let left = reports.then(|| self.random.random_range(0.0..1.0));
             let limit = reports.then_some(80.0);
             let took = now - sent;
-            events.push(Event::Ended(Outcome {
+            events.push(Event::AttemptFinished(AttemptResult {
                 message,
                 attempt,
                 endpoint,
-                ending,
-                took,
-                over,
-                left,
-                limit,
+                outcome: ending,
+                elapsed: took,
+                completed: over,
+                capacity_left: left,
+                rate_limit: limit,
             }));
         }
         let r = &mut self.random;
@@ -248,12 +251,12 @@
             let id = self.next;
             self.next += 1;
             self.held.insert(id, Held { due: now + time_left, ..Held::default() });
-            events.push(Event::Taken(Taken {
+            events.push(Event::Accepted(AcceptedMessage {
                 id,
                 destination,
                 class: class as u8,
-                time_left,
-                key,
+                time_remaining: time_left,
+                ordering_key: key,
                 tenant: 0,
             }));
         }
@@ -262,7 +265,7 @@
             if !open.is_empty() {
                 let message = open[r.random_range(0..open.len())];
                 self.close(message);
-                events.push(Event::Withdrawn { message });
+                events.push(Event::ClientCancelled { message });
             }
         }
         events
@@ -290,14 +293,14 @@
                     let r = &mut self.random;
                     let listed = self.sites.get(&endpoint);
                     let (after, ending) = match listed.map_or(Mood::Refuses, |s| s.mood) {
-                        _ if r.random_bool(0.001) => (0, Ending::NotSent { no_slot: r.random() }),
-                        Mood::Serves(usual) if r.random_bool(0.01) => (usual * 6, Ending::Served),
-                        Mood::Serves(usual) => (usual * r.random_range(5..20) / 10, Ending::Served),
-                        Mood::Errs => (3 * MS, Ending::Error),
-                        Mood::Full(wait) => (2 * MS, Ending::Full { wait }),
-                        Mood::Hangs => (held.due.saturating_sub(now), Ending::TimedOut),
-                        Mood::Resets => (30 * MS, Ending::Reset),
-                        Mood::Refuses => (MS, Ending::NoConnection),
+                        _ if r.random_bool(0.001) => (0, AttemptOutcome::NotSent { no_capacity: r.random() }),
+                        Mood::Serves(usual) if r.random_bool(0.01) => (usual * 6, AttemptOutcome::Served),
+                        Mood::Serves(usual) => (usual * r.random_range(5..20) / 10, AttemptOutcome::Served),
+                        Mood::Errs => (3 * MS, AttemptOutcome::Error),
+                        Mood::Full(wait) => (2 * MS, AttemptOutcome::Rejected { retry_after: wait }),
+                        Mood::Hangs => (held.due.saturating_sub(now), AttemptOutcome::TimedOut),
+                        Mood::Resets => (30 * MS, AttemptOutcome::Reset),
+                        Mood::Refuses => (MS, AttemptOutcome::NoConnection),
                     };
                     self.coming.insert((now + after, message, attempt));
                     self.endings.insert((message, attempt), (endpoint, now, ending));
@@ -305,12 +308,12 @@
                 Action::Cancel { message, attempt } => {
                     self.seen[1] += 1;
                     if let Some(e) = self.endings.get_mut(&(message, attempt)) {
-                        e.2 = Ending::Cancelled;
+                        e.2 = AttemptOutcome::Cancelled;
                         self.coming.retain(|c| (c.1, c.2) != (message, attempt));
                         self.coming.insert((now + MS, message, attempt));
                     }
                 }
-                Action::Refuse { message, .. } => {
+                Action::Reject { message, .. } => {
                     self.seen[2] += 1;
                     self.close(message);
                 }
@@ -318,7 +321,7 @@
                     self.seen[3] += 1;
                     self.close(message);
                 }
-                Action::Wake { at } => self.wake = at,
+                Action::WakeUp { at } => self.wake = at,
                 _ => {}
             }
         }
