--- a/bench-adapter/src/wire.rs
+++ b/bench-adapter/src/wire.rs
@@ -8,7 +8,7 @@
     AcceptedMessage, Action, AttemptOutcome, AttemptResult, Dispatcher, Endpoint, EndpointStatus, Event,
     HealthCheckResult,
 };
-use linnetcart_deployment_settings::{Site, LEFT, LIMIT};
+use linnetcart_deployment_settings::{DeploymentSettings, CAPACITY_LEFT_FIELD, RATE_LIMIT_FIELD};
 use serde_json::Value;
 
 /// Input that cannot be read.
@@ -183,10 +183,10 @@
                 let n = f.u32()? as usize;
                 let facts: Value =
                     serde_json::from_slice(f.bytes(n)?).map_err(|e| Bad(format!("facts: {e}")))?;
-                let site = Site::read(&facts).map_err(|e| Bad(format!("facts: {e}")))?;
+                let site = DeploymentSettings::read(&facts).map_err(|e| Bad(format!("facts: {e}")))?;
                 let instance = Instance {
-                    left_at: site.report_place(LEFT),
-                    limit_at: site.report_place(LIMIT),
+                    left_at: site.load_report_index(CAPACITY_LEFT_FIELD),
+                    limit_at: site.load_report_index(RATE_LIMIT_FIELD),
                     courier: Dispatcher::new(site.settings, seed),
                 };
                 self.instances.insert(i, instance);
--- a/crates/conformance/src/tests.rs
+++ b/crates/conformance/src/tests.rs
@@ -5,65 +5,65 @@
 const MS: Time = 1_000_000;
 const S: Time = 1000 * MS;
 
-fn contract() -> Contract {
+fn contract() -> Invariants {
     let class = |name: &str, repeat, ordered| Class {
         name: name.into(),
-        aim: S,
+        latency_objective: S,
         deadline: 4 * S,
-        worth: 1.0,
-        late_worth: 0.5,
-        repeat,
+        priority_weight: 1.0,
+        late_weight: 0.5,
+        idempotency: repeat,
         ordered,
     };
-    Contract {
+    Invariants {
         classes: vec![
-            class("safe", Repeat::Safe, false),
-            class("keyed", Repeat::Keyed { window: 2 * S, by_zone: true }, true),
-            class("unsafe", Repeat::Unsafe, false),
+            class("safe", Idempotency::Idempotent, false),
+            class("keyed", Idempotency::Keyed { dedup_window: 2 * S, per_zone: true }, true),
+            class("unsafe", Idempotency::NotIdempotent, false),
         ],
         halves: false,
-        answer_slack: 10 * MS,
+        answer_grace: 10 * MS,
         drain_grace: 100 * MS,
-        key_rest: 200 * MS,
-        fall_multiple: 2.0,
-        fall_span: S,
+        key_cooldown: 200 * MS,
+        overload_ratio: 2.0,
+        overload_window: S,
         travel: 5 * MS,
         slow: 0,
     }
 }
 
-fn handed(message: u64, class: u8, at: Time, answers: &[(Time, Answer)]) -> Handed {
-    Handed {
+fn handed(message: u64, class: u8, at: Time, answers: &[(Time, Answer)]) -> Submission {
+    Submission {
         message,
         courier: 0,
-        life: 0,
+        incarnation: 0,
         line: (0, message),
         class,
         destination: 1,
         key: Some(7),
         at,
-        due: at + 4 * S,
+        deadline: at + 4 * S,
         answers: answers.to_vec(),
         trip: 0,
         orphaned: None,
     }
 }
 
-fn arrival(message: u64, at: Time, verdict: Verdict) -> Arrival {
+fn arrival(message: u64, at: Time, verdict: EndpointVerdict) -> Arrival {
     Arrival {
         message,
         call: at,
         courier: 0,
-        life: 0,
+        incarnation: 0,
         destination: 1,
         endpoint: 10,
         zone: 0,
-        apart: false,
+        independent_route: false,
         at,
         verdict,
         travelled: 0,
-        answered: (verdict != Verdict::Silent).then_some(at + MS),
-        effect: verdict == Verdict::Served,
+        answered: (verdict != EndpointVerdict::Unanswered).then_some(at + MS),
+        effect: verdict == EndpointVerdict::Served,
     }
 }
 
@@ -79,11 +79,14 @@
 #[test]
 fn a_good_day_is_good() {
     let r = Records {
-        handed: vec![
+        submissions: vec![
             handed(1, 2, 0, &[(S / 2, Answer::Served)]),
             handed(2, 1, 0, &[(3 * S, Answer::Served)]),
         ],
-        arrivals: vec![arrival(1, 100 * MS, Verdict::Served), arrival(2, 150 * MS, Verdict::Served)],
+        arrivals: vec![
+            arrival(1, 100 * MS, EndpointVerdict::Served),
+            arrival(2, 150 * MS, EndpointVerdict::Served),
+        ],
         ..Records::default()
     };
     let report = check(&r, &contract());
@@ -96,7 +99,7 @@
 #[test]
 fn rule_1_sees_none_two_late_and_sent_after() {
     let day = |answers: &[(Time, Answer)], arrivals: &[Arrival]| Records {
-        handed: vec![handed(1, 0, 0, answers)],
+        submissions: vec![handed(1, 0, 0, answers)],
         arrivals: arrivals.to_vec(),
         ..Records::default()
     };
@@ -107,15 +110,15 @@
     // An answer that made a long trip left in time; three such trips do not make a message young.
     let slow = |at| {
         let mut day = day(&[(at, Answer::Failed)], &[]);
-        day.handed[0].trip = 40 * MS;
+        day.submissions[0].trip = 40 * MS;
         day
     };
     assert_eq!(broken(&slow(4 * S + 54 * MS)), [0; 6]);
     assert_eq!(broken(&slow(4 * S + 56 * MS)), only(1));
     // Held up by a cut until after its time, it is answered as it comes; before that, in its time.
     let cut = |until, at| {
-        let cut = Cut { courier: 0, from: 0, until, clients: true, endpoints: false };
-        Records { cuts: vec![cut], ..day(&[(at, Answer::Refused)], &[]) }
+        let cut = Partition { courier: 0, from: 0, until, clients: true, endpoints: false };
+        Records { partitions: vec![cut], ..day(&[(at, Answer::Rejected)], &[]) }
     };
     assert_eq!(broken(&cut(6 * S, 6 * S + 14 * MS)), [0; 6]);
     assert_eq!(broken(&cut(6 * S, 6 * S + 16 * MS)), only(1));
@@ -124,16 +127,16 @@
     // A second cut that began before the first was over holds it up until its own end.
     let two = |from| {
         let mut day = cut(3 * S, 7 * S + 14 * MS);
-        day.cuts.push(Cut { courier: 0, from, until: 7 * S, clients: true, endpoints: false });
+        day.partitions.push(Partition { courier: 0, from, until: 7 * S, clients: true, endpoints: false });
         day
     };
     assert_eq!(broken(&two(2 * S)), [0; 6]);
     assert_eq!(broken(&two(5 * S)), only(1));
-    let late = arrival(1, S + 6 * MS, Verdict::Served);
+    let late = arrival(1, S + 6 * MS, EndpointVerdict::Served);
     assert_eq!(broken(&day(&[(S, Answer::Failed)], &[late])), only(1));
     // What is due while the courier stands still is due when it runs again, and not later.
     let stall = |until| Records {
-        stalls: vec![Stall { courier: 0, life: 0, from: 3 * S, until }],
+        stalls: vec![Stall { courier: 0, incarnation: 0, from: 3 * S, until }],
         ..day(&[(4 * S + 500 * MS, Answer::Failed)], &[])
     };
     assert_eq!(broken(&stall(4 * S + 490 * MS)), [0; 6]);
@@ -143,37 +146,37 @@
 #[test]
 fn rule_2_sees_a_second_run_a_wrong_zone_a_closed_window_and_a_false_refusal() {
     let day = |class, answer, arrivals: &[Arrival]| Records {
-        handed: vec![handed(1, class, 0, &[(3 * S, answer)])],
+        submissions: vec![handed(1, class, 0, &[(3 * S, answer)])],
         arrivals: arrivals.to_vec(),
         ..Records::default()
     };
-    let silent = arrival(1, 100 * MS, Verdict::Silent);
-    let again = arrival(1, 500 * MS, Verdict::Served);
+    let silent = arrival(1, 100 * MS, EndpointVerdict::Unanswered);
+    let again = arrival(1, 500 * MS, EndpointVerdict::Served);
     let served = again.clone();
-    let full = arrival(1, 100 * MS, Verdict::Refused { wait: 0 });
+    let full = arrival(1, 100 * MS, EndpointVerdict::Rejected { retry_after: 0 });
     assert_eq!(broken(&day(2, Answer::Served, &[silent.clone(), again.clone()])), only(2));
     assert_eq!(broken(&day(2, Answer::Served, &[full, again.clone()])), [0; 6]);
-    assert_eq!(broken(&day(2, Answer::Refused, std::slice::from_ref(&silent))), only(2));
+    assert_eq!(broken(&day(2, Answer::Rejected, std::slice::from_ref(&silent))), only(2));
     assert_eq!(broken(&day(1, Answer::Served, &[silent.clone(), again.clone()])), [0; 6]);
     let elsewhere = Arrival { zone: 1, ..again };
     assert_eq!(broken(&day(1, Answer::Served, &[silent.clone(), elsewhere])), only(2));
-    let late = Arrival { effect: false, ..arrival(1, 2200 * MS, Verdict::Served) };
+    let late = Arrival { effect: false, ..arrival(1, 2200 * MS, EndpointVerdict::Served) };
     assert_eq!(broken(&day(1, Answer::Served, &[silent.clone(), late.clone()])), only(2));
     // The second courier kept the window as it knew it, the client that handed the message on did not.
     let mut on = day(1, Answer::Served, std::slice::from_ref(&served));
-    on.handed.push(Handed { courier: 1, ..handed(1, 1, 2 * S, &[(3500 * MS, Answer::Served)]) });
+    on.submissions.push(Submission { courier: 1, ..handed(1, 1, 2 * S, &[(3500 * MS, Answer::Served)]) });
     let handed_on = |at| {
         let mut all = on.clone();
         all.arrivals.push(Arrival { courier: 1, at, ..served.clone() });
         let mut all_endpoints = contract();
-        all_endpoints.classes[1].repeat = Repeat::Keyed { window: 2 * S, by_zone: false };
+        all_endpoints.classes[1].idempotency = Idempotency::Keyed { dedup_window: 2 * S, per_zone: false };
         check(&all, &all_endpoints).rules[1].broken
     };
     assert_eq!((handed_on(2504 * MS), handed_on(2506 * MS)), (0, 1));
     // Handed back and handed in again, it is a new message to the courier.
-    let mut twice = day(1, Answer::Refused, &[silent, late]);
-    twice.handed[0].answers[0].0 = S;
-    twice.handed.push(handed(1, 1, 2 * S, &[(3 * S, Answer::Served)]));
+    let mut twice = day(1, Answer::Rejected, &[silent, late]);
+    twice.submissions[0].answers[0].0 = S;
+    twice.submissions.push(handed(1, 1, 2 * S, &[(3 * S, Answer::Served)]));
     // Its class forgets by zone: the refusal is the break, not the second try.
     assert_eq!(check(&twice, &contract()).rules[1].broken, 1);
 }
@@ -181,9 +184,15 @@
 #[test]
 fn rule_3_sees_a_call_after_the_grace_and_not_one_before() {
     let day = |at| Records {
-        handed: vec![handed(1, 0, 0, &[(S, Answer::Served)])],
-        arrivals: vec![arrival(1, at, Verdict::Served)],
-        told: vec![Told { courier: 0, life: 0, at: 200 * MS, endpoint: 10, ready: false }],
+        submissions: vec![handed(1, 0, 0, &[(S, Answer::Served)])],
+        arrivals: vec![arrival(1, at, EndpointVerdict::Served)],
+        notifications: vec![EndpointNotification {
+            courier: 0,
+            incarnation: 0,
+            at: 200 * MS,
+            endpoint: 10,
+            ready: false,
+        }],
         ..Records::default()
     };
     assert_eq!(broken(&day(290 * MS)), [0; 6]);
@@ -198,20 +207,20 @@
         from: 0,
         until: S,
         capacity: 10.0,
-        cold_share: 0.1,
-        warm_after: 10 * S,
+        slow_start_ratio: 0.1,
+        slow_start_duration: 10 * S,
         refused_connections: false,
     };
     let day = |knows: bool| {
         let answers = [(3 * S, Answer::Served)];
         let ids = 1..=20u64;
         let mut arrivals: Vec<Arrival> =
-            ids.clone().map(|n| arrival(n, S + 100 * MS + n * 10 * MS, Verdict::Served)).collect();
+            ids.clone().map(|n| arrival(n, S + 100 * MS + n * 10 * MS, EndpointVerdict::Served)).collect();
         if knows {
-            arrivals.push(arrival(21, S / 2, Verdict::Error));
+            arrivals.push(arrival(21, S / 2, EndpointVerdict::Error));
         }
         Records {
-            handed: (1..=21).map(|n| handed(n, 0, 0, &answers)).collect(),
+            submissions: (1..=21).map(|n| handed(n, 0, 0, &answers)).collect(),
             arrivals,
             outages: vec![outage.clone()],
             ..Records::default()
@@ -222,7 +231,7 @@
     // Connections that failed there are knowledge; those to another route of the destination are none.
     let connect = |endpoint, at| Records {
         endpoints: BTreeMap::from([(10, 1), (11, 1)]),
-        failed_connects: Some(vec![FailedConnect { courier: 0, life: 0, endpoint, from: S / 2, at }]),
+        failed_connects: Some(vec![FailedConnect { courier: 0, incarnation: 0, endpoint, from: S / 2, at }]),
         outages: vec![Outage { route: Some(10), refused_connections: true, ..outage.clone() }],
         ..day(false)
     };
@@ -236,30 +245,30 @@
 #[test]
 fn rule_5_sees_a_key_out_of_turn_and_one_without_its_rest() {
     let day = |first: Arrival, second: Time| Records {
-        handed: vec![handed(1, 1, 0, &[(S, Answer::Served)]), handed(2, 1, 0, &[(S, Answer::Served)])],
-        arrivals: vec![first, arrival(2, second, Verdict::Served)],
+        submissions: vec![handed(1, 1, 0, &[(S, Answer::Served)]), handed(2, 1, 0, &[(S, Answer::Served)])],
+        arrivals: vec![first, arrival(2, second, EndpointVerdict::Served)],
         ..Records::default()
     };
-    assert_eq!(broken(&day(arrival(1, 100 * MS, Verdict::Served), 110 * MS)), [0; 6]);
-    assert_eq!(broken(&day(arrival(1, 100 * MS, Verdict::Served), 90 * MS)), only(5));
-    assert_eq!(broken(&day(arrival(1, 100 * MS, Verdict::Silent), 250 * MS)), only(5));
-    assert_eq!(broken(&day(arrival(1, 100 * MS, Verdict::Silent), 310 * MS)), [0; 6]);
+    assert_eq!(broken(&day(arrival(1, 100 * MS, EndpointVerdict::Served), 110 * MS)), [0; 6]);
+    assert_eq!(broken(&day(arrival(1, 100 * MS, EndpointVerdict::Served), 90 * MS)), only(5));
+    assert_eq!(broken(&day(arrival(1, 100 * MS, EndpointVerdict::Unanswered), 250 * MS)), only(5));
+    assert_eq!(broken(&day(arrival(1, 100 * MS, EndpointVerdict::Unanswered), 310 * MS)), [0; 6]);
     // What the courier still holds from a connection that broke is not in turn with those of a later one.
-    let mut again = day(arrival(1, 100 * MS, Verdict::Served), 90 * MS);
-    again.handed.push(Handed { line: (9, 1), orphaned: Some(80 * MS), ..handed(2, 1, 0, &[]) });
+    let mut again = day(arrival(1, 100 * MS, EndpointVerdict::Served), 90 * MS);
+    again.submissions.push(Submission { line: (9, 1), orphaned: Some(80 * MS), ..handed(2, 1, 0, &[]) });
     assert_eq!(broken(&again), [0; 6]);
-    again.handed[2].courier = 1;
+    again.submissions[2].courier = 1;
     assert_eq!(broken(&again), only(5));
 }
 
 #[test]
 fn rule_6_sees_a_call_within_a_told_wait_but_only_at_its_limit() {
     let day = |second: Arrival| Records {
-        handed: vec![handed(1, 0, 0, &[(S, Answer::Served)]), handed(2, 0, 0, &[(S, Answer::Served)])],
-        arrivals: vec![arrival(1, 100 * MS, Verdict::Refused { wait: 300 * MS }), second],
+        submissions: vec![handed(1, 0, 0, &[(S, Answer::Served)]), handed(2, 0, 0, &[(S, Answer::Served)])],
+        arrivals: vec![arrival(1, 100 * MS, EndpointVerdict::Rejected { retry_after: 300 * MS }), second],
         ..Records::default()
     };
-    let second = |at| arrival(2, at, Verdict::Served);
+    let second = |at| arrival(2, at, EndpointVerdict::Served);
     assert_eq!(broken(&day(second(200 * MS))), only(6));
     assert_eq!(broken(&day(second(402 * MS))), [0; 6]);
     assert_eq!(broken(&day(Arrival { destination: 2, ..second(200 * MS) })), [0; 6]);
@@ -267,8 +276,8 @@
 
 #[test]
 fn what_has_no_answer_is_lost_if_it_was_safe_and_unknown_otherwise() {
-    let orphan = |message, class| Handed { orphaned: Some(S), ..handed(message, class, 0, &[]) };
-    let r = Records { handed: vec![orphan(1, 0), orphan(2, 1), orphan(3, 2)], ..Records::default() };
+    let orphan = |message, class| Submission { orphaned: Some(S), ..handed(message, class, 0, &[]) };
+    let r = Records { submissions: vec![orphan(1, 0), orphan(2, 1), orphan(3, 2)], ..Records::default() };
     let report = check(&r, &contract());
     let of: Vec<(u64, u64)> = report.classes.iter().map(|c| (c.lost, c.unknown)).collect();
     assert_eq!(of, [(1, 0), (0, 1), (0, 1)]);
--- a/crates/deployment-settings/src/lib.rs
+++ b/crates/deployment-settings/src/lib.rs
@@ -9,50 +9,50 @@
 use serde_json::Value;
 
 /// Name of the report value that holds the share of the limit that is left.
-pub const LEFT: &str = "x0";
+pub const CAPACITY_LEFT_FIELD: &str = "x0";
 /// Name of the report value that holds the limit in calls a second.
-pub const LIMIT: &str = "x1";
+pub const RATE_LIMIT_FIELD: &str = "x1";
 
 /// Why the object cannot be used.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("services[{place}].idempotency is {found}; `pure`, `token` or `side_effect` is expected")]
-pub struct Bad {
+pub struct SettingsError {
     place: usize,
     found: String,
 }
 
 /// What a site says of itself.
 #[derive(Clone, Debug, Default)]
-pub struct Site {
+pub struct DeploymentSettings {
     /// What the decision library is told.
     pub settings: Settings,
     /// Names of the classes, by number.
-    pub classes: Vec<String>,
+    pub class_names: Vec<String>,
     /// Names of the kinds of destination, by number.
-    pub kinds: Vec<String>,
+    pub kind_names: Vec<String>,
     /// Names of the zones, by number.
-    pub zones: Vec<String>,
+    pub zone_names: Vec<String>,
     /// Names of the values in a load report that comes with an answer, in its order.
-    pub report: Vec<String>,
+    pub load_report_fields: Vec<String>,
 }
 
-impl Site {
+impl DeploymentSettings {
     /// Reads the object.
-    pub fn read(v: &Value) -> Result<Site, Bad> {
+    pub fn read(v: &Value) -> Result<DeploymentSettings, SettingsError> {
         let names = |v: &Value| list(v).iter().map(|n| n.as_str().unwrap_or_default().to_owned()).collect();
         let stats = &v["stats"];
-        Ok(Site {
+        Ok(DeploymentSettings {
             settings: settings(v)?,
-            classes: list(&v["services"]).iter().map(|c| text(&c["name"])).collect(),
-            kinds: names(&v["kinds"]),
-            zones: names(&v["zones"]),
-            report: names(&stats["names"]),
+            class_names: list(&v["services"]).iter().map(|c| text(&c["name"])).collect(),
+            kind_names: names(&v["kinds"]),
+            zone_names: names(&v["zones"]),
+            load_report_fields: names(&stats["names"]),
         })
     }
 
     /// Where a value stands in a load report, if the site's reports have it.
-    pub fn report_place(&self, name: &str) -> Option<usize> {
-        self.report.iter().position(|n| n == name)
+    pub fn load_report_index(&self, name: &str) -> Option<usize> {
+        self.load_report_fields.iter().position(|n| n == name)
     }
 }
 
@@ -64,7 +64,7 @@
     v.as_array().map_or(&[], Vec::as_slice)
 }
 
-fn settings(v: &Value) -> Result<Settings, Bad> {
+fn settings(v: &Value) -> Result<Settings, SettingsError> {
     let int = |v: &Value| v.as_u64().or_else(|| v.as_f64().map(|x| x as u64)).unwrap_or(0);
     let num = |v: &Value| v.as_f64().unwrap_or(0.0);
     let yes = |v: &Value| v.as_bool().unwrap_or(false);
@@ -77,7 +77,7 @@
                 Idempotency::Keyed { dedup_window: int(&c["key_ttl_ns"]), per_zone: c["group"] != "all" }
             }
             Some("side_effect") => Idempotency::NotIdempotent,
-            _ => return Err(Bad { place, found: c["idempotency"].to_string() }),
+            _ => return Err(SettingsError { place, found: c["idempotency"].to_string() }),
         };
         classes.push(Class {
             latency_objective: int(&c["slo_ns"]),
@@ -147,15 +147,21 @@
 
     #[test]
     fn names_and_figures_come_from_their_places() {
-        let site = Site::read(&json!({
+        let site = DeploymentSettings::read(&json!({
             "services": [{"name": "a", "idempotency": "token", "key_ttl_ns": 8, "group": "all"}],
             "kinds": ["k"], "zones": ["z0", "z1"], "stats": {"names": ["x1", "x0"]},
             "bounds": {"max_open": 7, "retry_after": true, "max_retry_after_ns": 3},
             "family_info": {"max_calls": 4}, "weight_source": "nominal",
         }))
         .unwrap();
-        assert_eq!((&site.classes[..], &site.kinds[..]), (&["a".to_owned()][..], &["k".to_owned()][..]));
-        assert_eq!((site.report_place(LEFT), site.report_place(LIMIT)), (Some(1), Some(0)));
+        assert_eq!(
+            (&site.class_names[..], &site.kind_names[..]),
+            (&["a".to_owned()][..], &["k".to_owned()][..])
+        );
+        assert_eq!(
+            (site.load_report_index(CAPACITY_LEFT_FIELD), site.load_report_index(RATE_LIMIT_FIELD)),
+            (Some(1), Some(0))
+        );
         let s = &site.settings;
         assert_eq!(
             (s.max_in_flight_messages, s.max_in_flight_calls, s.max_retry_after, s.rate_accuracy),
@@ -166,7 +172,8 @@
 
     #[test]
     fn a_class_of_unknown_kind_is_named() {
-        let bad = Site::read(&json!({"services": [{"idempotency": "pure"}, {"idempotency": "odd"}]}));
+        let bad =
+            DeploymentSettings::read(&json!({"services": [{"idempotency": "pure"}, {"idempotency": "odd"}]}));
         let text = bad.unwrap_err().to_string();
         assert!(text.contains("services[1]") && text.contains("odd"), "{text}");
     }
--- a/crates/edge/src/accounts.rs
+++ b/crates/edge/src/accounts.rs
@@ -3,7 +3,7 @@
 
 use crate::snapshot::{opened, replace, sealed, set_aside};
 use linnetcart_telemetry::counts::Saved;
-use linnetcart_telemetry::Found;
+use linnetcart_telemetry::RestoredState;
 use serde::{Deserialize, Serialize};
 use std::fs::{self, File};
 use std::io::{self, Write};
@@ -62,7 +62,7 @@
 }
 
 /// Reads what an earlier run left. Text about what was of no use, if anything was.
-pub fn load(dir: &Path) -> io::Result<(Found, u64, Option<String>)> {
+pub fn load(dir: &Path) -> io::Result<(RestoredState, u64, Option<String>)> {
     fs::create_dir_all(dir)?;
     let (mut trouble, mut kept) = (None, None);
     match fs::read(dir.join(FILE)) {
@@ -82,7 +82,7 @@
     let first = kept.as_ref().map_or(u64::MAX, |k| k.log);
     let read = |number: &u64| fs::read(dir.join(log_name(*number)));
     let logs = there.iter().filter(|n| **n >= first).map(read).collect::<io::Result<_>>()?;
-    Ok((Found { saved: kept.map(|k| k.saved), logs }, next, trouble))
+    Ok((RestoredState { saved: kept.map(|k| k.saved), logs }, next, trouble))
 }
 
 fn snapshot(dir: &Path, number: u64, saved: Saved) -> Result<(), String> {
@@ -191,7 +191,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use linnetcart_telemetry::counts::{Book, Field, Of};
+    use linnetcart_telemetry::counts::{CounterKey, CounterStore, Field};
     use std::collections::BTreeMap;
 
     fn folder(name: &str) -> PathBuf {
@@ -200,12 +200,14 @@
         dir
     }
 
-    fn book() -> Book {
-        Book::new(vec!["order".into()], 100)
+    fn book() -> CounterStore {
+        CounterStore::new(vec!["order".into()], 100)
     }
 
     fn head() -> Vec<u8> {
-        linnetcart_telemetry::counts::mark(&linnetcart_telemetry::counts::Mark::Classes(vec!["order".into()]))
+        linnetcart_telemetry::counts::mark(&linnetcart_telemetry::counts::CounterLogEntry::Classes(vec![
+            "order".into(),
+        ]))
     }
 
     fn read(dir: &Path) -> (u64, u64, Option<String>) {
@@ -215,7 +217,7 @@
         found.logs.iter().for_each(|l| {
             book.replay(l);
         });
-        let taken = book.cells().get(&Of::Cell(1, 0)).map_or(0, |c| c[Field::Taken as usize]);
+        let taken = book.cells().get(&CounterKey::Cell(1, 0)).map_or(0, |c| c[Field::Taken as usize]);
         (taken, next, trouble)
     }
 
@@ -228,7 +230,7 @@
         let mut accounts =
             Accounts::begin(&dir, next, book.saved(&none, 0), &head()).expect("it can be written");
         for n in 1..=50u64 {
-            book.add(Of::Cell(1, 0), Field::Taken, 2);
+            book.add(CounterKey::Cell(1, 0), Field::Taken, 2);
             accounts.append(&book.frame().expect("a change"));
             assert_eq!(read(&dir).0, 2 * n, "without a sync: the process alone died");
             if n % 10 == 0 {
@@ -244,7 +246,7 @@
         assert_eq!(taken, 100);
         // A log that broke: nothing of it counts until a snapshot is there.
         again.broken = Some("no space".into());
-        book.add(Of::Cell(1, 0), Field::Taken, 5);
+        book.add(CounterKey::Cell(1, 0), Field::Taken, 5);
         again.append(&book.frame().expect("a change"));
         assert_eq!(read(&dir).0, 100);
         assert_eq!(again.sync(1, || book.saved(&none, 0), &head()), None);
--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -1,8 +1,8 @@
 //! The HTTP that runs beside the main protocol: settings, list, status. Free of I/O.
 
-use crate::core::{Core, Start};
-use crate::settings::{List, ListNews, Rejected, Settings};
-use crate::snapshot::Saved;
+use crate::core::{Core, StartOptions};
+use crate::settings::{EndpointList, EndpointListUpdate, InvalidDocument, Settings};
+use crate::snapshot::Snapshot;
 use linnetcart_telemetry::settings::Telemetry;
 use serde::Serialize;
 use serde_json::json;
@@ -157,7 +157,7 @@
     /// The courier.
     pub core: Option<Core>,
     /// How it starts when its settings come.
-    pub start: Start,
+    pub start: StartOptions,
     /// Settings that come into force at the next start.
     pub next: Option<Settings>,
     /// What is reported, and where; nothing is counted until it is said.
@@ -172,7 +172,7 @@
 
 impl Program {
     /// A program without settings.
-    pub fn new(start: Start) -> Program {
+    pub fn new(start: StartOptions) -> Program {
         Program {
             core: None,
             start,
@@ -185,7 +185,7 @@
     }
 
     /// Goes on from what was saved. What does not fit is reported and left out.
-    pub fn restore(&mut self, saved: Saved) {
+    pub fn restore(&mut self, saved: Snapshot) {
         self.telemetry = saved.telemetry;
         let Some(settings) = saved.settings else { return };
         if let Err(e) = settings.check() {
@@ -199,17 +199,17 @@
         self.core = Some(core);
     }
 
-    fn saved(&self) -> Saved {
+    fn saved(&self) -> Snapshot {
         let core = self.core.as_ref();
-        Saved {
+        Snapshot {
             settings: self.next.clone().or_else(|| core.map(|c| c.settings().clone())),
-            list: core.map_or_else(List::default, |c| c.list().clone()),
+            list: core.map_or_else(EndpointList::default, |c| c.list().clone()),
             telemetry: self.telemetry.clone(),
         }
     }
 
     /// Carries out a request. `save` writes a snapshot; if it fails, nothing changes.
-    pub fn handle(&mut self, r: &Request, save: &mut dyn FnMut(&Saved) -> Result<(), String>) -> Reply {
+    pub fn handle(&mut self, r: &Request, save: &mut dyn FnMut(&Snapshot) -> Result<(), String>) -> Reply {
         match (r.method.as_str(), r.path.as_str()) {
             ("GET", "/status") => self.status(),
             ("GET", "/settings") => {
@@ -248,13 +248,13 @@
         Reply::json(200, all)
     }
 
-    fn put_settings(&mut self, body: &[u8], save: &mut dyn FnMut(&Saved) -> Result<(), String>) -> Reply {
+    fn put_settings(&mut self, body: &[u8], save: &mut dyn FnMut(&Snapshot) -> Result<(), String>) -> Reply {
         let settings = match Settings::parse(body) {
             Ok(settings) => settings,
             Err(e) => return rejected(&e),
         };
         if let Some(core) = &self.core {
-            if let Err(e) = core.list().told(&settings) {
+            if let Err(e) = core.list().library_entries(&settings) {
                 let reason = format!("with these settings the list in force would be wrong: {}", e.reason);
                 return Reply::error(409, &format!("list.{}", e.field), reason);
             }
@@ -281,10 +281,10 @@
         }
     }
 
-    fn put_list(&mut self, body: &[u8], save: &mut dyn FnMut(&Saved) -> Result<(), String>) -> Reply {
+    fn put_list(&mut self, body: &[u8], save: &mut dyn FnMut(&Snapshot) -> Result<(), String>) -> Reply {
         let mut saved = self.saved();
         let Some(core) = &mut self.core else { return no_settings() };
-        let news: ListNews = match crate::settings::read(body) {
+        let news: EndpointListUpdate = match crate::settings::read(body) {
             Ok(news) => news,
             Err(e) => return rejected(&e),
         };
@@ -295,7 +295,7 @@
         if let Err(e) = save(&saved) {
             return Reply::error(500, "snapshot", format!("nothing was changed: {e}"));
         }
-        match core.news(&news) {
+        match core.update_endpoints(&news) {
             Ok(()) => Reply::json(200, json!({"version": news.version})),
             Err(e) => rejected(&e),
         }
@@ -303,7 +303,7 @@
 }
 
 impl Program {
-    fn put_telemetry(&mut self, body: &[u8], save: &mut dyn FnMut(&Saved) -> Result<(), String>) -> Reply {
+    fn put_telemetry(&mut self, body: &[u8], save: &mut dyn FnMut(&Snapshot) -> Result<(), String>) -> Reply {
         let mut telemetry: Telemetry = match crate::settings::read(body) {
             Ok(telemetry) => telemetry,
             Err(e) => return rejected(&e),
@@ -311,7 +311,7 @@
         // A key that was read back without itself is the one that is there.
         telemetry.keep_keys(self.telemetry.as_ref());
         if let Err((field, reason)) = telemetry.check() {
-            return rejected(&Rejected { field, reason });
+            return rejected(&InvalidDocument { field, reason });
         }
         if !self.keeps && (telemetry.graphite.is_some() || telemetry.collectd.is_some()) {
             let reason = "counts must go on over a restart: start the program with --state-dir";
@@ -327,7 +327,7 @@
     }
 }
 
-fn rejected(e: &Rejected) -> Reply {
+fn rejected(e: &InvalidDocument) -> Reply {
     Reply::json(422, json!({"error": e}))
 }
 
@@ -343,7 +343,14 @@
 
     fn program() -> Program {
         let broker = Broker { id: 0, host: "127.0.0.1".into(), port: 1 };
-        Program::new(Start { seed: 1, now: 1, broker, run: 1, first_number: 1, policy: crate::core::library })
+        Program::new(StartOptions {
+            seed: 1,
+            now: 1,
+            broker,
+            run: 1,
+            first_number: 1,
+            policy: crate::core::library,
+        })
     }
 
     fn ask(p: &mut Program, method: &str, path: &str, body: &serde_json::Value, disk: bool) -> (u16, String) {
--- a/crates/edge/src/core/answers.rs
+++ b/crates/edge/src/core/answers.rs
@@ -2,7 +2,7 @@
 
 use linnetcart::Time;
 use linnetcart_kafka::codes;
-use linnetcart_kafka::server::Ended;
+use linnetcart_kafka::server::PartitionResult;
 
 /// How one record ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -35,7 +35,7 @@
 /// The code that clients retry says "not persisted" of every record of the batch. So it is given only if that
 /// is so: one record that was handed back, or several of which none was ever sent on. What ended differently
 /// is final, and from Produce 8 on each record carries its own ending.
-pub fn part(topic: &str, partition: i32, ends: &[RecordEnd], offset: i64) -> (Ended, Time) {
+pub fn part(topic: &str, partition: i32, ends: &[RecordEnd], offset: i64) -> (PartitionResult, Time) {
     let come_back = |e: &RecordEnd| match e {
         RecordEnd::Refused { come_back, .. } => *come_back,
         _ => 0,
@@ -46,22 +46,23 @@
         [RecordEnd::Refused { .. }] => true,
         _ => ends.iter().all(unseen),
     };
-    let mut ended = Ended { topic: topic.to_owned(), partition, offset: -1, ..Ended::default() };
+    let mut ended =
+        PartitionResult { topic: topic.to_owned(), partition, offset: -1, ..PartitionResult::default() };
     if ends.iter().all(|e| *e == RecordEnd::Served) {
         ended.offset = offset;
         return (ended, 0);
     }
     if retriable {
-        ended.code = codes::REFUSED;
+        ended.code = codes::NOT_ENOUGH_REPLICAS;
         ended.text = Some("refused; nothing was sent on, hand it in again".into());
         return (ended, wait);
     }
     if ends.iter().all(|e| *e == RecordEnd::Failed) {
-        ended.code = codes::FAILED;
+        ended.code = codes::UNKNOWN_SERVER_ERROR;
         ended.text = Some(RecordEnd::Failed.text());
         return (ended, 0);
     }
-    ended.code = codes::MIXED;
+    ended.code = codes::INVALID_RECORD;
     ended.text = Some("the records of this batch ended differently; see each".into());
     ended.records = ends.iter().enumerate().map(|(n, e)| (n as i32, e.text())).collect();
     (ended, wait)
@@ -78,12 +79,12 @@
     fn the_retriable_code_only_if_no_record_was_sent_on() {
         let code = |ends: &[RecordEnd]| part("t", 0, ends, 0).0.code;
         assert_eq!(code(&[RecordEnd::Served, RecordEnd::Served]), codes::NONE);
-        assert_eq!(code(&[BACK, BACK]), codes::REFUSED);
-        assert_eq!(code(&[SEEN]), codes::REFUSED);
-        assert_eq!(code(&[BACK, SEEN]), codes::MIXED);
-        assert_eq!(code(&[BACK, RecordEnd::Served]), codes::MIXED);
-        assert_eq!(code(&[BACK, RecordEnd::Failed]), codes::MIXED);
-        assert_eq!(code(&[RecordEnd::Failed]), codes::FAILED);
+        assert_eq!(code(&[BACK, BACK]), codes::NOT_ENOUGH_REPLICAS);
+        assert_eq!(code(&[SEEN]), codes::NOT_ENOUGH_REPLICAS);
+        assert_eq!(code(&[BACK, SEEN]), codes::INVALID_RECORD);
+        assert_eq!(code(&[BACK, RecordEnd::Served]), codes::INVALID_RECORD);
+        assert_eq!(code(&[BACK, RecordEnd::Failed]), codes::INVALID_RECORD);
+        assert_eq!(code(&[RecordEnd::Failed]), codes::UNKNOWN_SERVER_ERROR);
         let (mixed, wait) = part("t", 0, &[RecordEnd::Served, BACK, RecordEnd::Failed], 0);
         assert_eq!((mixed.records.len(), wait), (3, 5));
     }
--- a/crates/edge/src/core/delivery.rs
+++ b/crates/edge/src/core/delivery.rs
@@ -11,12 +11,12 @@
 use super::trust::Trust;
 use bytes::Bytes;
 use linnetcart::{AttemptOutcome, Time};
-use linnetcart_kafka::{client, codes, Frames, Load, Record, PRODUCE};
+use linnetcart_kafka::{client, codes, Frames, LoadReport, Record, PRODUCE};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 /// A connection to an endpoint, as the shell numbers them back.
-pub type LinkId = u64;
+pub type UpstreamId = u64;
 
 /// The number of the request that opens a connection; calls are numbered from 1.
 const GREETING: i32 = 0;
@@ -43,21 +43,21 @@
     pub(crate) endpoint: u32,
     pub(crate) ending: AttemptOutcome,
     pub(crate) sent: Time,
-    pub(crate) load: Option<Load>,
+    pub(crate) load: Option<LoadReport>,
 }
 
 /// What the shell is to do.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum Do {
-    Connect(LinkId, SocketAddr),
-    Write(LinkId, Bytes),
-    Close(LinkId),
+    Connect(UpstreamId, SocketAddr),
+    Write(UpstreamId, Bytes),
+    Close(UpstreamId),
 }
 
 #[derive(Debug)]
 struct Call {
     endpoint: u32,
-    link: LinkId,
+    link: UpstreamId,
     /// What is not over yet.
     parcels: Vec<Parcel>,
     /// The attempt that was over last.
@@ -95,11 +95,11 @@
 /// The connections to an endpoint.
 #[derive(Debug, Default)]
 struct Pool {
-    all: BTreeSet<LinkId>,
+    all: BTreeSet<UpstreamId>,
     /// Those that nothing is on, by the time since then.
-    idle: BTreeSet<(Time, LinkId)>,
+    idle: BTreeSet<(Time, UpstreamId)>,
     /// Those with calls that nobody waits for any more.
-    abandoned: BTreeSet<LinkId>,
+    abandoned: BTreeSet<UpstreamId>,
 }
 
 /// Bounds and spans.
@@ -125,12 +125,12 @@
     calls: BTreeMap<u64, Call>,
     /// Calls with a message that waits for its outcome.
     running: usize,
-    links: BTreeMap<LinkId, Link>,
+    links: BTreeMap<UpstreamId, Link>,
     pools: BTreeMap<u32, Pool>,
     /// The running call of each attempt.
     attempts: BTreeMap<(u32, u16), u64>,
     times: BTreeSet<(Time, u32, u16)>,
-    timers: BTreeSet<(Time, LinkId)>,
+    timers: BTreeSet<(Time, UpstreamId)>,
     /// The call that sends of this turn may join, by endpoint.
     joining: BTreeMap<u32, u64>,
     fresh: Vec<u64>,
@@ -262,11 +262,11 @@
 
     /// A connection with room: an open one, the last used first, so that those not needed grow old; then one
     /// that is being made; else a new one.
-    fn link(&mut self, endpoint: u32, addr: SocketAddr) -> LinkId {
+    fn link(&mut self, endpoint: u32, addr: SocketAddr) -> UpstreamId {
         let trusted = self.trust.now(self.now);
         self.close_idle_for(endpoint, trusted);
         let pool = self.pools.entry(endpoint).or_default();
-        let fits = |&id: &LinkId| {
+        let fits = |&id: &UpstreamId| {
             let l = self.links.get(&id)?;
             let room = l.calls.len() + l.unwritten.len() < self.bounds.calls_per_link;
             (room && l.abandoned == 0 && l.addr == addr).then_some((l.up, l.since, id))
@@ -301,7 +301,7 @@
     }
 
     /// Puts a connection where it belongs in its endpoint's pool.
-    fn file(&mut self, id: LinkId) {
+    fn file(&mut self, id: UpstreamId) {
         let Some(l) = self.links.get_mut(&id) else { return };
         let Some(pool) = self.pools.get_mut(&l.endpoint) else { return };
         let idle = (l.up && l.calls.is_empty() && l.unwritten.is_empty()).then_some(l.since);
@@ -317,7 +317,7 @@
         }
     }
 
-    fn set_timer(&mut self, id: LinkId, at: Time) {
+    fn set_timer(&mut self, id: UpstreamId, at: Time) {
         if let Some(l) = self.links.get_mut(&id) {
             self.timers.remove(&(l.timer, id));
             l.timer = at;
@@ -326,7 +326,7 @@
     }
 
     /// Writes the calls that wait for this connection.
-    fn write(&mut self, link: LinkId) {
+    fn write(&mut self, link: UpstreamId) {
         let waiting = self.links.get_mut(&link).map(|l| std::mem::take(&mut l.unwritten));
         for id in waiting.unwrap_or_default() {
             let (Some(call), Some(l)) = (self.calls.get_mut(&id), self.links.get_mut(&link)) else {
@@ -364,7 +364,7 @@
         id: u64,
         key: (u32, u16),
         ending: AttemptOutcome,
-        load: Option<Load>,
+        load: Option<LoadReport>,
     ) -> Option<usize> {
         let call = self.calls.get_mut(&id)?;
         let at = call.parcels.iter().position(|p| (p.message, p.attempt) == key)?;
@@ -405,7 +405,7 @@
     }
 
     /// Ends what is left of a call and forgets it.
-    fn end_call(&mut self, id: u64, ending: AttemptOutcome, load: Option<Load>) {
+    fn end_call(&mut self, id: u64, ending: AttemptOutcome, load: Option<LoadReport>) {
         let Some(call) = self.calls.remove(&id) else { return };
         if !call.parcels.is_empty() {
             self.running -= 1;
@@ -419,7 +419,7 @@
     }
 
     /// A connection that nobody waits for anything on is idle from now on.
-    fn settle(&mut self, id: LinkId) {
+    fn settle(&mut self, id: UpstreamId) {
         if let Some(l) = self.links.get_mut(&id) {
             if l.up && l.unwritten.is_empty() && l.calls.len() <= l.abandoned {
                 l.since = self.now;
@@ -483,7 +483,7 @@
     }
 
     /// Closes a connection; what was on it ends like this, unless it is known not to have left.
-    fn drop_link(&mut self, id: LinkId, written: AttemptOutcome) {
+    fn drop_link(&mut self, id: UpstreamId, written: AttemptOutcome) {
         if self.links.contains_key(&id) {
             self.todo.push(Do::Close(id));
             self.lost(id, u64::MAX, written);
@@ -491,7 +491,7 @@
     }
 
     /// The connection is no more. The system took `bytes` of what was queued there.
-    fn lost(&mut self, id: LinkId, bytes: u64, written: AttemptOutcome) {
+    fn lost(&mut self, id: UpstreamId, bytes: u64, written: AttemptOutcome) {
         let Some(l) = self.links.remove(&id) else { return };
         self.timers.remove(&(l.timer, id));
         if let Some(pool) = self.pools.get_mut(&l.endpoint) {
@@ -519,7 +519,7 @@
     // ---- What the shell tells
 
     /// The connection is there: ask what the endpoint offers.
-    pub(crate) fn connected(&mut self, id: LinkId) {
+    pub(crate) fn connected(&mut self, id: UpstreamId) {
         let Some(l) = self.links.get_mut(&id) else { return };
         match client::api_versions(GREETING, &self.bounds.name, 0) {
             Ok(bytes) => {
@@ -532,7 +532,12 @@
 
     /// The endpoint has said what it offers. Before a message leaves, `may` says whether it still may: it can
     /// have ended, its endpoint can drain, and a wait can have been told while the connection was made.
-    fn greeted(&mut self, id: LinkId, frame: &Bytes, may: &dyn Fn(u32, u32) -> bool) -> Result<(), String> {
+    fn greeted(
+        &mut self,
+        id: UpstreamId,
+        frame: &Bytes,
+        may: &dyn Fn(u32, u32) -> bool,
+    ) -> Result<(), String> {
         let (number, offered) = client::read_produce_versions(frame).map_err(|e| e.to_string())?;
         let (least, most) = offered.ok_or("it does not offer Produce")?;
         let version = most.min(PRODUCE.1);
@@ -556,17 +561,17 @@
     }
 
     /// The connection could not be made.
-    pub(crate) fn failed(&mut self, id: LinkId) {
+    pub(crate) fn failed(&mut self, id: UpstreamId) {
         self.lost(id, 0, AttemptOutcome::NoConnection);
     }
 
     /// The other side closed it, or it broke.
-    pub(crate) fn down(&mut self, id: LinkId, written: u64) {
+    pub(crate) fn down(&mut self, id: UpstreamId, written: u64) {
         self.lost(id, written, AttemptOutcome::Reset);
     }
 
     /// Bytes came. What is no answer to a call on this connection ends the connection.
-    pub(crate) fn bytes(&mut self, id: LinkId, bytes: &[u8], may: &dyn Fn(u32, u32) -> bool) {
+    pub(crate) fn bytes(&mut self, id: UpstreamId, bytes: &[u8], may: &dyn Fn(u32, u32) -> bool) {
         if let Some(l) = self.links.get_mut(&id) {
             l.frames.push(bytes);
         }
@@ -593,7 +598,7 @@
         }
     }
 
-    fn answer(&mut self, id: LinkId, frame: &Bytes, version: i16) -> Result<(), String> {
+    fn answer(&mut self, id: UpstreamId, frame: &Bytes, version: i16) -> Result<(), String> {
         let produced = client::read_produced(frame, version).map_err(|e| e.to_string())?;
         let Some(l) = self.links.get_mut(&id) else { return Ok(()) };
         let Some(number) = l.calls.remove(&produced.correlation) else {
@@ -605,7 +610,10 @@
             // Its place in the pool follows below, when the connection settles.
         }
         let wait = u64::try_from(produced.throttle_ms).unwrap_or(0) * 1_000_000;
-        if call.parcels.is_empty() && wait > 0 && produced.parts.iter().any(|e| e.code == codes::FULL) {
+        if call.parcels.is_empty()
+            && wait > 0
+            && produced.parts.iter().any(|e| e.code == codes::THROTTLING_QUOTA_EXCEEDED)
+        {
             let ((message, attempt), endpoint, sent) = (call.over, call.endpoint, call.sent);
             let (ending, load) = (AttemptOutcome::Rejected { retry_after: wait }, produced.load);
             self.late.push(Done { message, attempt, endpoint, ending, sent, load });
@@ -613,12 +621,12 @@
         let mut endings = Vec::new();
         for p in &call.parcels {
             let topic = self.bounds.topics.get(usize::from(p.topic)).map_or("", String::as_str);
-            let part = |e: &&linnetcart_kafka::server::Ended| {
+            let part = |e: &&linnetcart_kafka::server::PartitionResult| {
                 e.topic == topic && u32::try_from(e.partition) == Ok(p.destination)
             };
             let ending = match produced.parts.iter().find(part).map(|e| e.code) {
                 Some(codes::NONE) => AttemptOutcome::Served,
-                Some(codes::FULL) => AttemptOutcome::Rejected { retry_after: wait },
+                Some(codes::THROTTLING_QUOTA_EXCEEDED) => AttemptOutcome::Rejected { retry_after: wait },
                 _ => AttemptOutcome::Error,
             };
             endings.push(((p.message, p.attempt), ending));
@@ -654,7 +662,7 @@
     fn close_idle_for(&mut self, endpoint: u32, most: Time) {
         let old = |since: Time| most == 0 || since.saturating_add(most) < self.now;
         let idle = self.pools.get(&endpoint).into_iter().flat_map(|p| &p.idle);
-        let idle: Vec<LinkId> = idle.take_while(|i| old(i.0)).map(|i| i.1).collect();
+        let idle: Vec<UpstreamId> = idle.take_while(|i| old(i.0)).map(|i| i.1).collect();
         idle.into_iter().for_each(|id| self.drop_link(id, AttemptOutcome::Reset));
     }
 
@@ -675,9 +683,9 @@
         groups.entry((p.topic, p.destination)).or_default().push(p.record.clone());
     }
     let topic = |class: u8| bounds.topics.get(usize::from(class)).map_or("", String::as_str);
-    let to: Vec<client::To> = groups
+    let to: Vec<client::ProduceTarget> = groups
         .iter()
-        .map(|(&(class, destination), records)| client::To {
+        .map(|(&(class, destination), records)| client::ProduceTarget {
             topic: topic(class),
             partition: i32::try_from(destination).unwrap_or(i32::MAX),
             records,
--- a/crates/edge/src/core/intake.rs
+++ b/crates/edge/src/core/intake.rs
@@ -3,7 +3,7 @@
 use super::answers::{self, RecordEnd};
 use bytes::Bytes;
 use linnetcart::Time;
-use linnetcart_kafka::server::{self, Ended};
+use linnetcart_kafka::server::{self, PartitionResult};
 use linnetcart_kafka::Frames;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -27,7 +27,7 @@
 #[derive(Debug)]
 pub(crate) enum Part {
     /// Turned down whole.
-    Known(Ended),
+    Known(PartitionResult),
     /// Its records, as far as they have ended, and the numbers of those taken.
     Open { topic: String, partition: i32, ends: Vec<Option<RecordEnd>>, messages: Vec<Option<u32>> },
 }
@@ -227,7 +227,7 @@
             ended
         }
     });
-    let ended: Vec<Ended> = each.collect();
+    let ended: Vec<PartitionResult> = each.collect();
     let throttle = i32::try_from(wait.div_ceil(1_000_000)).unwrap_or(i32::MAX);
     server::produce(correlation, version, &ended, throttle, None)
 }
--- a/crates/edge/src/core/mod.rs
+++ b/crates/edge/src/core/mod.rs
@@ -11,11 +11,13 @@
 mod numbers;
 mod trust;
 
-pub use delivery::LinkId;
+pub use delivery::UpstreamId;
 pub use intake::ClientId;
 
 use crate::delivery_events::{DeliveryEvent, FinalAnswer, LoadReport, RejectionReason};
-use crate::settings::{Entry, List, ListNews, Rejected, Settings, State};
+use crate::settings::{
+    EndpointEntry, EndpointList, EndpointListUpdate, EntryState, InvalidDocument, Settings,
+};
 use age::Clocks;
 use answers::RecordEnd;
 use bytes::Bytes;
@@ -25,7 +27,7 @@
     AcceptedMessage, Action, AttemptOutcome, AttemptResult, Dispatcher, Event, Idempotency, Time,
 };
 use linnetcart_kafka::codes;
-use linnetcart_kafka::server::{self, Body, Broker, Ended, Produce, Request, Topic};
+use linnetcart_kafka::server::{self, Body, Broker, PartitionResult, Produce, Request, Topic};
 use linnetcart_kafka::Record;
 use numbers::Numbers;
 use serde::Serialize;
@@ -63,16 +65,16 @@
     /// Read from a client, or stop reading.
     ReadClient(ClientId, bool),
     /// Connect to an endpoint.
-    Connect(LinkId, SocketAddr),
+    Connect(UpstreamId, SocketAddr),
     /// Write to an endpoint.
-    ToLink(LinkId, Bytes),
+    ToUpstream(UpstreamId, Bytes),
     /// Close a connection to an endpoint at once.
-    CloseLink(LinkId),
+    CloseUpstream(UpstreamId),
 }
 
 /// How the core starts.
 #[derive(Clone, Debug)]
-pub struct Start {
+pub struct StartOptions {
     /// Randomness of the decisions.
     pub seed: u64,
     /// The clock.
@@ -164,8 +166,8 @@
     set: Settings,
     tick: Time,
     repeats: Vec<Idempotency>,
-    start: Start,
-    list: List,
+    start: StartOptions,
+    list: EndpointList,
     /// For each destination its endpoints in service.
     ready: BTreeMap<u32, u32>,
     courier: Box<dyn DecisionPolicy>,
@@ -200,9 +202,9 @@
 
 impl Core {
     /// A courier with these settings and an empty list. The settings have been checked.
-    pub fn new(set: Settings, mut start: Start) -> Core {
+    pub fn new(set: Settings, mut start: StartOptions) -> Core {
         start.broker.id = set.courier.me as i32;
-        let decided = set.decided();
+        let decided = set.library_settings();
         let bounds = Bounds {
             slots: set.limits.slots as usize,
             calls_per_link: set.connections.calls as usize,
@@ -215,7 +217,7 @@
         Core {
             tick: decided.tick,
             repeats: decided.classes.iter().map(|c| c.idempotency).collect(),
-            list: List::default(),
+            list: EndpointList::default(),
             ready: BTreeMap::new(),
             courier: (start.policy)(decided, start.seed),
             now: start.now,
@@ -253,7 +255,7 @@
     }
 
     /// What happened since the last call.
-    pub fn facts(&mut self) -> Vec<DeliveryEvent> {
+    pub fn delivery_events(&mut self) -> Vec<DeliveryEvent> {
         std::mem::take(&mut self.facts)
     }
 
@@ -263,7 +265,7 @@
     }
 
     /// The list in force.
-    pub fn list(&self) -> &List {
+    pub fn list(&self) -> &EndpointList {
         &self.list
     }
 
@@ -312,7 +314,7 @@
     // ---- The list
 
     /// News of the list; nothing changes if they are wrong.
-    pub fn news(&mut self, news: &ListNews) -> Result<(), Rejected> {
+    pub fn update_endpoints(&mut self, news: &EndpointListUpdate) -> Result<(), InvalidDocument> {
         let (list, told) = self.list.after(news, &self.set)?;
         self.events.push(Event::EndpointList { complete: news.whole, entries: told });
         self.put_list(list);
@@ -320,14 +322,14 @@
     }
 
     /// The list that a snapshot held.
-    pub fn restore(&mut self, list: List) -> Result<(), Rejected> {
-        let entries = list.told(&self.set)?;
+    pub fn restore(&mut self, list: EndpointList) -> Result<(), InvalidDocument> {
+        let entries = list.library_entries(&self.set)?;
         self.events.push(Event::EndpointList { complete: true, entries });
         self.put_list(list);
         Ok(())
     }
 
-    fn put_list(&mut self, list: List) {
+    fn put_list(&mut self, list: EndpointList) {
         self.list = list;
         let left: BTreeSet<u32> = self.delivery.endpoints().into_iter().collect();
         self.limits.retain(|endpoint, _| left.contains(endpoint));
@@ -335,10 +337,10 @@
         self.limits.extend(self.list.entries.values().map(|e| (e.id, limit_of(set, e))));
         self.ready.clear();
         for e in self.list.entries.values() {
-            *self.ready.entry(e.destination).or_default() += u32::from(e.state == State::Ready);
+            *self.ready.entry(e.destination).or_default() += u32::from(e.state == EntryState::Ready);
         }
         for endpoint in self.delivery.endpoints() {
-            if self.list.entries.get(&endpoint).is_none_or(|e| e.state != State::Ready) {
+            if self.list.entries.get(&endpoint).is_none_or(|e| e.state != EntryState::Ready) {
                 self.delivery.close_idle(endpoint);
             }
         }
@@ -347,12 +349,12 @@
     // ---- Clients
 
     /// A client connected.
-    pub fn client_opened(&mut self, id: ClientId) {
+    pub fn client_connected(&mut self, id: ClientId) {
         self.intake.clients.insert(id, Client::new(self.set.limits.request_bytes));
     }
 
     /// Bytes came from a client.
-    pub fn client_bytes(&mut self, id: ClientId, bytes: &[u8]) {
+    pub fn client_received(&mut self, id: ClientId, bytes: &[u8]) {
         if let Some(c) = self.intake.clients.get_mut(&id) {
             c.frames.push(bytes);
             self.client_frames(id);
@@ -368,7 +370,7 @@
     }
 
     /// The client is gone, and nobody waits for the answers to its messages.
-    pub fn client_gone(&mut self, id: ClientId) {
+    pub fn client_disconnected(&mut self, id: ClientId) {
         for message in self.intake.gone(id) {
             let Some(m) = self.held.get(&message) else { continue };
             let (class, destination) = (m.class, m.destination);
@@ -380,7 +382,7 @@
     }
 
     /// Bytes of answers that the client's system has not taken yet.
-    pub fn client_unsent(&mut self, id: ClientId, bytes: usize) {
+    pub fn set_client_backlog(&mut self, id: ClientId, bytes: usize) {
         if let Some(c) = self.intake.clients.get_mut(&id) {
             c.unsent = bytes;
             if c.paused {
@@ -418,7 +420,7 @@
             };
             self.facts.push(DeliveryEvent::ProtocolViolation { peer: format!("client {id}"), reason: fault });
             self.out.push(Output::CloseClient(id));
-            self.client_gone(id);
+            self.client_disconnected(id);
             return;
         }
     }
@@ -470,13 +472,24 @@
             let (topic, partition) = (part.topic, part.partition);
             let turned_down = |code: i16, text: &str| {
                 let (topic, text) = (topic.clone(), Some(text.to_owned()));
-                Part::Known(Ended { topic, partition, code, offset: -1, text, ..Ended::default() })
+                Part::Known(PartitionResult {
+                    topic,
+                    partition,
+                    code,
+                    offset: -1,
+                    text,
+                    ..PartitionResult::default()
+                })
             };
             let class = self.set.class(&topic);
             let destination = u32::try_from(partition).ok().filter(|d| self.ready.contains_key(d));
             let taken = match (part.records, class, destination) {
-                _ if !matches!(p.acks, -1 | 1) => turned_down(codes::INVALID_ACKS, "acks must be all or 1"),
-                _ if p.transactional => turned_down(codes::NO_TRANSACTIONS, "transactions are not offered"),
+                _ if !matches!(p.acks, -1 | 1) => {
+                    turned_down(codes::INVALID_REQUIRED_ACKS, "acks must be all or 1")
+                }
+                _ if p.transactional => {
+                    turned_down(codes::TRANSACTIONAL_ID_AUTHORIZATION_FAILED, "transactions are not offered")
+                }
                 (Err(code), ..) => turned_down(code, "the batch cannot be read"),
                 (_, None, _) => turned_down(codes::UNKNOWN_TOPIC_OR_PARTITION, "no class has this name"),
                 (_, _, None) => {
@@ -507,10 +520,10 @@
             let said = |(n, r): (usize, &Result<(age::Read, u32), String>)| {
                 r.as_ref().err().map(|e| (n as i32, e.clone()))
             };
-            return Part::Known(Ended {
+            return Part::Known(PartitionResult {
                 topic,
                 partition,
-                code: codes::MIXED,
+                code: codes::INVALID_RECORD,
                 offset: -1,
                 records: read.iter().enumerate().filter_map(said).collect(),
                 text: Some("nothing of this batch was taken".into()),
@@ -527,8 +540,15 @@
         let bytes: usize = records.iter().map(Record::size).sum();
         if records.len() > held || bytes > most {
             let text = Some(format!("a batch holds at most {held} records and {most} bytes here"));
-            let code = codes::TOO_LARGE;
-            return Part::Known(Ended { topic, partition, code, offset: -1, text, ..Ended::default() });
+            let code = codes::MESSAGE_TOO_LARGE;
+            return Part::Known(PartitionResult {
+                topic,
+                partition,
+                code,
+                offset: -1,
+                text,
+                ..PartitionResult::default()
+            });
         }
         let full = self.open + records.len() > held || self.held_bytes + bytes > most;
         if full || self.draining.is_some() {
@@ -712,26 +732,26 @@
     // ---- Endpoints
 
     /// The connection is there.
-    pub fn link_up(&mut self, link: LinkId) {
+    pub fn upstream_connected(&mut self, link: UpstreamId) {
         self.delivery.connected(link);
     }
 
     /// The connection could not be made.
-    pub fn link_failed(&mut self, link: LinkId) {
+    pub fn upstream_connect_failed(&mut self, link: UpstreamId) {
         self.delivery.failed(link);
     }
 
     /// The other side closed the connection, or it broke, after the system took `written` bytes of ours.
-    pub fn link_down(&mut self, link: LinkId, written: u64) {
+    pub fn upstream_disconnected(&mut self, link: UpstreamId, written: u64) {
         self.delivery.down(link, written);
     }
 
     /// Bytes came from an endpoint.
-    pub fn link_bytes(&mut self, link: LinkId, bytes: &[u8]) {
+    pub fn upstream_received(&mut self, link: UpstreamId, bytes: &[u8]) {
         let (held, list, waits, now, set) = (&self.held, &self.list, &self.waits, self.now, &self.set);
         let may = |message: u32, endpoint: u32| {
             let open = held.get(&message).is_some_and(|m| !m.over && m.due > now);
-            let entry = list.entries.get(&endpoint).filter(|e| e.state == State::Ready);
+            let entry = list.entries.get(&endpoint).filter(|e| e.state == EntryState::Ready);
             let told = entry.and_then(|e| waits.get(&limit_of(set, e)));
             open && entry.is_some() && told.is_none_or(|&until| until <= now)
         };
@@ -748,7 +768,7 @@
         for d in std::mem::take(&mut self.delivery.late) {
             let AttemptOutcome::Rejected { retry_after: wait } = d.ending else { continue };
             self.told_wait(d.endpoint, wait);
-            let (left, limit) = (d.load.map(|l| l.left), d.load.map(|l| l.limit));
+            let (left, limit) = (d.load.map(|l| l.capacity_left), d.load.map(|l| l.rate_limit));
             let (message, attempt, endpoint, ending) = (d.message, d.attempt, d.endpoint, d.ending);
             let took = self.now.saturating_sub(d.sent);
             let over = true;
@@ -776,7 +796,8 @@
         let (message, attempt, endpoint, ending) = (d.message, d.attempt, d.endpoint, d.ending);
         if let Some(m) = self.held.get(&message) {
             let (class, destination) = (m.class, m.destination);
-            let load = d.load.map(|l| LoadReport { capacity_left: l.left, rate_limit: l.limit });
+            let load =
+                d.load.map(|l| LoadReport { capacity_left: l.capacity_left, rate_limit: l.rate_limit });
             self.facts.push(DeliveryEvent::AttemptFinished {
                 message,
                 attempt,
@@ -804,7 +825,7 @@
                 self.held.remove(&message);
             }
         }
-        let (left, limit) = (d.load.map(|l| l.left), d.load.map(|l| l.limit));
+        let (left, limit) = (d.load.map(|l| l.capacity_left), d.load.map(|l| l.rate_limit));
         self.events.push(Event::AttemptFinished(AttemptResult {
             message,
             attempt,
@@ -826,7 +847,7 @@
     // ---- A turn
 
     /// When the next turn is wanted at the latest.
-    pub fn next_turn(&self) -> Time {
+    pub fn next_wakeup(&self) -> Time {
         let round = if self.events.is_empty() { self.wake } else { 0 };
         let round = if round == Time::MAX { round } else { round.max(self.last_round + self.tick) };
         let cut = self.intake.next_cut().map_or(Time::MAX, |at| at.saturating_sub(self.tick));
@@ -835,7 +856,7 @@
     }
 
     /// Ends what is out of time, and lets the library decide on all that came.
-    pub fn turn(&mut self, now: Time) {
+    pub fn process(&mut self, now: Time) {
         self.clock(now);
         self.delivery.expire();
         self.outcomes();
@@ -921,15 +942,15 @@
     fn fetch(&mut self) {
         self.out.extend(self.delivery.todo.drain(..).map(|d| match d {
             Do::Connect(link, addr) => Output::Connect(link, addr),
-            Do::Write(link, bytes) => Output::ToLink(link, bytes),
-            Do::Close(link) => Output::CloseLink(link),
+            Do::Write(link, bytes) => Output::ToUpstream(link, bytes),
+            Do::Close(link) => Output::CloseUpstream(link),
         }));
     }
 
     // ---- The end
 
     /// Takes nothing new from now on. What is still held at `by` ends then, by its class's rules.
-    pub fn drain(&mut self, by: Time) {
+    pub fn begin_drain(&mut self, by: Time) {
         self.draining = Some(self.draining.map_or(by, |at| at.min(by)));
     }
 
@@ -940,7 +961,7 @@
 }
 
 /// The limit that a send to this endpoint comes under: its own where routes are apart, else its destination's.
-fn limit_of(set: &Settings, e: &Entry) -> (bool, u32) {
+fn limit_of(set: &Settings, e: &EndpointEntry) -> (bool, u32) {
     let apart = set.kinds.iter().any(|k| k.name == e.kind && k.routes_apart);
     if apart {
         (true, e.id)
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -15,29 +15,29 @@
 /// Why a document is turned down: the field, what is wrong, what would do.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error, Serialize)]
 #[error("{field}: {reason}")]
-pub struct Rejected {
+pub struct InvalidDocument {
     /// The field, as a path in the document.
     pub field: String,
     /// What is wrong with it and what is expected.
     pub reason: String,
 }
 
-fn reject<T>(field: impl Into<String>, reason: impl Into<String>) -> Result<T, Rejected> {
-    Err(Rejected { field: field.into(), reason: reason.into() })
+fn reject<T>(field: impl Into<String>, reason: impl Into<String>) -> Result<T, InvalidDocument> {
+    Err(InvalidDocument { field: field.into(), reason: reason.into() })
 }
 
 /// Reads a document; an error names the field.
-pub fn read<T: DeserializeOwned>(body: &[u8]) -> Result<T, Rejected> {
+pub fn read<T: DeserializeOwned>(body: &[u8]) -> Result<T, InvalidDocument> {
     let mut json = serde_json::Deserializer::from_slice(body);
     let read = serde_path_to_error::deserialize(&mut json);
     let value = read.map_err(|e| {
         let field = e.path().to_string();
-        Rejected {
+        InvalidDocument {
             field: if field == "." { "document".into() } else { field },
             reason: e.inner().to_string(),
         }
     })?;
-    json.end().map_err(|e| Rejected { field: "document".into(), reason: e.to_string() })?;
+    json.end().map_err(|e| InvalidDocument { field: "document".into(), reason: e.to_string() })?;
     Ok(value)
 }
 
@@ -347,7 +347,7 @@
     pub route_fees: Vec<f64>,
 }
 
-fn distinct<'a>(field: &str, names: impl Iterator<Item = &'a String>) -> Result<(), Rejected> {
+fn distinct<'a>(field: &str, names: impl Iterator<Item = &'a String>) -> Result<(), InvalidDocument> {
     let mut seen = BTreeSet::new();
     for (n, name) in names.enumerate() {
         if name.is_empty() || name.len() > 200 {
@@ -360,21 +360,21 @@
     Ok(())
 }
 
-fn span(field: &str, ms: u64, least: u64) -> Result<(), Rejected> {
+fn span(field: &str, ms: u64, least: u64) -> Result<(), InvalidDocument> {
     if (least..=LONGEST_MS).contains(&ms) {
         return Ok(());
     }
     reject(field, format!("{ms} ms; between {least} and {LONGEST_MS} is expected"))
 }
 
-fn within(field: &str, x: f64, least: f64, most: f64) -> Result<(), Rejected> {
+fn within(field: &str, x: f64, least: f64, most: f64) -> Result<(), InvalidDocument> {
     if x.is_finite() && (least..=most).contains(&x) {
         return Ok(());
     }
     reject(field, format!("{x}; between {least} and {most} is expected"))
 }
 
-fn count(field: &str, n: u64, least: u64, most: u64) -> Result<(), Rejected> {
+fn count(field: &str, n: u64, least: u64, most: u64) -> Result<(), InvalidDocument> {
     if (least..=most).contains(&n) {
         return Ok(());
     }
@@ -383,14 +383,14 @@
 
 impl Settings {
     /// Reads and checks a document.
-    pub fn parse(body: &[u8]) -> Result<Settings, Rejected> {
+    pub fn parse(body: &[u8]) -> Result<Settings, InvalidDocument> {
         let settings: Settings = read(body)?;
         settings.check()?;
         Ok(settings)
     }
 
     /// Checks the document as a whole.
-    pub fn check(&self) -> Result<(), Rejected> {
+    pub fn check(&self) -> Result<(), InvalidDocument> {
         let topic = |c: char| c.is_ascii_alphanumeric() || matches!(c, '.' | '_' | '-');
         count("courier.of", self.courier.of.into(), 1, 100_000)?;
         count("courier.me", self.courier.me.into(), 0, u64::from(self.courier.of) - 1)?;
@@ -491,7 +491,7 @@
     }
 
     /// What the library is told.
-    pub fn decided(&self) -> Decided {
+    pub fn library_settings(&self) -> Decided {
         let position = |zone: &String| self.zones.iter().position(|z| z == zone).unwrap_or(0) as u8;
         Decided {
             courier_count: self.courier.of,
@@ -578,19 +578,19 @@
 /// News of the list.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct ListNews {
+pub struct EndpointListUpdate {
     /// Its version; one that is not above that in force is turned down.
     pub version: u64,
     /// The entries are the whole list; otherwise changes to the one in force.
     pub whole: bool,
     /// Entries, or changed ones.
-    pub entries: Vec<Entry>,
+    pub entries: Vec<EndpointEntry>,
 }
 
 /// An endpoint in the list.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct Entry {
+pub struct EndpointEntry {
     /// Its number, never given to another.
     pub id: u32,
     /// Its destination.
@@ -603,7 +603,7 @@
     #[serde(default)]
     pub rate: f64,
     /// Its state.
-    pub state: State,
+    pub state: EntryState,
     /// Where it listens.
     pub address: SocketAddr,
 }
@@ -611,7 +611,7 @@
 /// State of an endpoint in the list; it tells nothing of health.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
-pub enum State {
+pub enum EntryState {
     /// In service.
     Ready,
     /// To be left.
@@ -623,26 +623,30 @@
 /// The list in force.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct List {
+pub struct EndpointList {
     /// Its version.
     pub version: u64,
     /// Entries by number; none of them is gone.
-    pub entries: BTreeMap<u32, Entry>,
+    pub entries: BTreeMap<u32, EndpointEntry>,
 }
 
 /// Endpoints that a list may hold.
 pub const MOST_ENTRIES: usize = 100_000;
 
-impl List {
+impl EndpointList {
     /// The list after these news, and what the library is told of them. Nothing changes if they are wrong.
-    pub fn after(&self, news: &ListNews, settings: &Settings) -> Result<(List, Vec<Endpoint>), Rejected> {
+    pub fn after(
+        &self,
+        news: &EndpointListUpdate,
+        settings: &Settings,
+    ) -> Result<(EndpointList, Vec<Endpoint>), InvalidDocument> {
         if news.version <= self.version {
             return reject(
                 "version",
                 format!("{} is not above {}, which is in force", news.version, self.version),
             );
         }
-        let mut next = List { version: news.version, entries: BTreeMap::new() };
+        let mut next = EndpointList { version: news.version, entries: BTreeMap::new() };
         if !news.whole {
             next.entries.clone_from(&self.entries);
         }
@@ -663,7 +667,7 @@
                     format!("endpoint {} belonged to another destination", e.id),
                 );
             }
-            if e.state == State::Gone {
+            if e.state == EntryState::Gone {
                 next.entries.remove(&e.id);
             } else {
                 next.entries.insert(e.id, e.clone());
@@ -685,13 +689,18 @@
     }
 
     /// All entries as the library is told them.
-    pub fn told(&self, settings: &Settings) -> Result<Vec<Endpoint>, Rejected> {
-        let each = |(n, e): (usize, &Entry)| endpoint(e, settings, &|field| format!("entries[{n}].{field}"));
+    pub fn library_entries(&self, settings: &Settings) -> Result<Vec<Endpoint>, InvalidDocument> {
+        let each =
+            |(n, e): (usize, &EndpointEntry)| endpoint(e, settings, &|field| format!("entries[{n}].{field}"));
         self.entries.values().enumerate().map(each).collect()
     }
 }
 
-fn endpoint(e: &Entry, settings: &Settings, at: &dyn Fn(&str) -> String) -> Result<Endpoint, Rejected> {
+fn endpoint(
+    e: &EndpointEntry,
+    settings: &Settings,
+    at: &dyn Fn(&str) -> String,
+) -> Result<Endpoint, InvalidDocument> {
     let Some(kind) = settings.kinds.iter().position(|k| k.name == e.kind) else {
         let known: Vec<&str> = settings.kinds.iter().map(|k| k.name.as_str()).collect();
         return reject(
@@ -712,9 +721,9 @@
         zone: zone as u8,
         rate: e.rate,
         status: match e.state {
-            State::Ready => EndpointStatus::Ready,
-            State::Draining => EndpointStatus::Draining,
-            State::Gone => EndpointStatus::Removed,
+            EntryState::Ready => EndpointStatus::Ready,
+            EntryState::Draining => EndpointStatus::Draining,
+            EntryState::Gone => EndpointStatus::Removed,
         },
     })
 }
@@ -742,7 +751,7 @@
         })
     }
 
-    fn parse(doc: &serde_json::Value) -> Result<Settings, Rejected> {
+    fn parse(doc: &serde_json::Value) -> Result<Settings, InvalidDocument> {
         Settings::parse(doc.to_string().as_bytes())
     }
 
@@ -752,7 +761,7 @@
         let again = Settings::parse(&serde_json::to_vec(&settings).unwrap()).unwrap();
         assert_eq!(settings, again);
         assert_eq!(
-            settings.decided().classes[1].idempotency,
+            settings.library_settings().classes[1].idempotency,
             Idempotency::Keyed { dedup_window: 8_000_000_000, per_zone: false }
         );
     }
@@ -790,7 +799,7 @@
     #[test]
     fn news_of_the_list_apply_whole_or_not_at_all() {
         let settings = parse(&sample()).unwrap();
-        let entry = |id: u32, kind: &str, state| Entry {
+        let entry = |id: u32, kind: &str, state| EndpointEntry {
             id,
             destination: id / 10,
             kind: kind.into(),
@@ -799,18 +808,24 @@
             state,
             address: "127.0.0.1:9".parse().unwrap(),
         };
-        let news = |version, whole, entries: &[Entry]| ListNews { version, whole, entries: entries.to_vec() };
-        let first = news(1, true, &[entry(10, "large", State::Ready), entry(20, "small", State::Ready)]);
-        let (list, told) = List::default().after(&first, &settings).unwrap();
+        let news = |version, whole, entries: &[EndpointEntry]| EndpointListUpdate {
+            version,
+            whole,
+            entries: entries.to_vec(),
+        };
+        let first =
+            news(1, true, &[entry(10, "large", EntryState::Ready), entry(20, "small", EntryState::Ready)]);
+        let (list, told) = EndpointList::default().after(&first, &settings).unwrap();
         assert_eq!((list.entries.len(), told.len()), (2, 2));
-        let change = news(2, false, &[entry(10, "large", State::Gone), entry(21, "small", State::Draining)]);
+        let change =
+            news(2, false, &[entry(10, "large", EntryState::Gone), entry(21, "small", EntryState::Draining)]);
         let (changed, _) = list.after(&change, &settings).unwrap();
         assert_eq!(changed.entries.keys().copied().collect::<Vec<_>>(), [20, 21]);
-        let field = |n: &ListNews| list.after(n, &settings).unwrap_err().field;
+        let field = |n: &EndpointListUpdate| list.after(n, &settings).unwrap_err().field;
         assert_eq!(field(&first), "version");
-        assert_eq!(field(&news(2, false, &[entry(11, "huge", State::Ready)])), "entries[0].kind");
-        assert_eq!(field(&news(2, false, &[entry(11, "small", State::Ready)])), "entries");
-        let twice = [entry(11, "large", State::Ready), entry(11, "large", State::Ready)];
+        assert_eq!(field(&news(2, false, &[entry(11, "huge", EntryState::Ready)])), "entries[0].kind");
+        assert_eq!(field(&news(2, false, &[entry(11, "small", EntryState::Ready)])), "entries");
+        let twice = [entry(11, "large", EntryState::Ready), entry(11, "large", EntryState::Ready)];
         assert_eq!(field(&news(2, true, &twice)), "entries[1].id");
     }
 }
--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -2,16 +2,16 @@
 
 use crate::accounts::{self, Accounts};
 use crate::control::{Http, Program, Step};
-use crate::core::{Core, LinkId, Output, PolicyFactory, Start};
+use crate::core::{Core, Output, PolicyFactory, StartOptions, UpstreamId};
 use crate::delivery_events::DeliveryEvent;
-use crate::snapshot::{self, Found};
+use crate::snapshot::{self, LoadedSnapshot};
 use anyhow::Context;
 use calloop::signals::Signal;
 use linnetcart::{LimitChange, Time};
 use linnetcart_kafka::server::Broker;
 use linnetcart_net::{Event, Net, Token};
 use linnetcart_telemetry::outlet::Do;
-use linnetcart_telemetry::{Courier, Listed, Now, Output as Report, Telemetry};
+use linnetcart_telemetry::{CourierInfo, CurrentState, ListedEndpoint, Output as Report, Telemetry};
 use serde_json::json;
 use std::collections::BTreeMap;
 use std::io::Write;
@@ -66,7 +66,7 @@
 enum Role {
     Client,
     Control(Http),
-    Link(LinkId),
+    Link(UpstreamId),
     /// The connection to Graphite.
     Report,
 }
@@ -77,7 +77,7 @@
     options: Options,
     kafka: Token,
     roles: BTreeMap<Token, Role>,
-    links: BTreeMap<LinkId, Token>,
+    links: BTreeMap<UpstreamId, Token>,
     begun: Instant,
     lines: Lines,
     reports: Option<Reports>,
@@ -127,7 +127,7 @@
 /// Runs until a signal ends it.
 pub fn run(options: Options) -> anyhow::Result<End> {
     let mut net = Net::new(options.connections).context("the event loop cannot be made")?;
-    net.signals(&[Signal::SIGTERM, Signal::SIGINT]).context("signals cannot be caught")?;
+    net.watch_signals(&[Signal::SIGTERM, Signal::SIGINT]).context("signals cannot be caught")?;
     let listen = |net: &mut Net, addr: SocketAddr, flag: &str| {
         net.listen(addr).with_context(|| format!("cannot listen on {addr}; choose another with {flag}"))
     };
@@ -138,15 +138,21 @@
     let seed = options.seed.unwrap_or(run ^ u64::from(std::process::id()).rotate_left(40));
     let (host, port) = options.advertise.clone().unwrap_or((at.ip().to_string(), at.port()));
     let broker = Broker { id: 0, host, port };
-    let mut program =
-        Program::new(Start { seed, now: CLOCK_START, broker, run, first_number: 1, policy: options.policy });
+    let mut program = Program::new(StartOptions {
+        seed,
+        now: CLOCK_START,
+        broker,
+        run,
+        first_number: 1,
+        policy: options.policy,
+    });
     if let Some(dir) = &options.state_dir {
         match snapshot::load(dir)
             .with_context(|| format!("{} cannot be used; see --state-dir", dir.display()))?
         {
-            Found::None => {}
-            Found::Good(saved) => program.restore(*saved),
-            Found::Damaged { why, aside } => {
+            LoadedSnapshot::None => {}
+            LoadedSnapshot::Good(saved) => program.restore(*saved),
+            LoadedSnapshot::Damaged { why, aside } => {
                 let text = format!("the snapshot was set aside as {}: {why}", aside.display());
                 tracing::error!("{text}; PUT /settings and /list anew");
                 program.trouble = Some(text);
@@ -182,8 +188,8 @@
         let mut draining: Option<Instant> = None;
         let mut looked = self.now();
         loop {
-            let report = self.reports.as_ref().map_or(Time::MAX, |r| r.telemetry.next_turn());
-            let wanted = self.program.core.as_ref().map_or(Time::MAX, Core::next_turn).min(report);
+            let report = self.reports.as_ref().map_or(Time::MAX, |r| r.telemetry.next_wakeup());
+            let wanted = self.program.core.as_ref().map_or(Time::MAX, Core::next_wakeup).min(report);
             let timeout = Duration::from_nanos(wanted.saturating_sub(self.now())).min(LOOK);
             let looks = self.now();
             self.net.poll(timeout, &mut events).context("the event loop failed")?;
@@ -212,7 +218,7 @@
             }
             let now = self.now();
             if let Some(core) = &mut self.program.core {
-                core.turn(now);
+                core.process(now);
             }
             // What is told to anyone has been counted before.
             self.facts();
@@ -220,7 +226,7 @@
             self.carry_out();
             if let Some(since) = draining {
                 let done = self.program.core.as_ref().is_none_or(Core::is_done);
-                let unsent = self.roles.keys().any(|&t| self.net.unsent(t) > 0);
+                let unsent = self.roles.keys().any(|&t| self.net.unsent_bytes(t) > 0);
                 let late = since.elapsed() > self.options.drain + LAST_ANSWERS;
                 if done && (!unsent || late) && self.reported(now) {
                     tracing::info!("all that was held has its answer");
@@ -244,9 +250,9 @@
 
     fn drain(&mut self, now: Time) {
         tracing::info!(seconds = self.options.drain.as_secs_f64(), "ending: nothing new is taken");
-        self.net.unlisten(self.kafka);
+        self.net.stop_listening(self.kafka);
         if let Some(core) = &mut self.program.core {
-            core.drain(now + self.options.drain.as_nanos() as Time);
+            core.begin_drain(now + self.options.drain.as_nanos() as Time);
         }
     }
 
@@ -255,7 +261,7 @@
             Event::Accepted { listener, token, .. } if listener == self.kafka => match &mut self.program.core
             {
                 Some(core) => {
-                    core.client_opened(token);
+                    core.client_connected(token);
                     self.roles.insert(token, Role::Client);
                 }
                 None => self.net.close(token),
@@ -267,17 +273,17 @@
                 let now = self.now();
                 match (self.roles.get(&token), &mut self.reports) {
                     (Some(Role::Report), Some(reports)) => reports.telemetry.connected(now),
-                    _ => self.link(token, |core, link| core.link_up(link)),
+                    _ => self.link(token, |core, link| core.upstream_connected(link)),
                 }
             }
             Event::ConnectFailed(token) => {
                 self.report_lost(token);
-                self.link(token, |core, link| core.link_failed(link));
+                self.link(token, |core, link| core.upstream_connect_failed(link));
                 self.forget(token);
             }
             Event::Data(token, bytes) => match (self.roles.get_mut(&token), &mut self.program.core) {
-                (Some(Role::Client), Some(core)) => core.client_bytes(token, &bytes),
-                (Some(Role::Link(link)), Some(core)) => core.link_bytes(*link, &bytes),
+                (Some(Role::Client), Some(core)) => core.client_received(token, &bytes),
+                (Some(Role::Link(link)), Some(core)) => core.upstream_received(*link, &bytes),
                 (Some(Role::Control(http)), _) => {
                     http.push(&bytes);
                     self.control(token);
@@ -292,12 +298,12 @@
                 }
                 (Some(Role::Link(_)), _) => {
                     // An endpoint that sends no more answers nothing more.
-                    let written = self.net.written(token);
+                    let written = self.net.written_bytes(token);
                     self.net.close(token);
                     self.gone(token, written);
                 }
                 _ => {
-                    self.net.finish(token);
+                    self.net.close_after_flush(token);
                     self.forget(token);
                 }
             },
@@ -306,7 +312,7 @@
                 let now = self.now();
                 if let Some(reports) = &mut self.reports {
                     if reports.listen.is_some_and(|l| l.0 == token) {
-                        reports.telemetry.packet(&packet, now, wall());
+                        reports.telemetry.datagram_received(&packet, now, wall());
                     }
                 }
             }
@@ -314,7 +320,7 @@
         }
     }
 
-    fn link(&mut self, token: Token, tell: impl FnOnce(&mut Core, LinkId)) {
+    fn link(&mut self, token: Token, tell: impl FnOnce(&mut Core, UpstreamId)) {
         if let (Some(Role::Link(link)), Some(core)) = (self.roles.get(&token), &mut self.program.core) {
             tell(core, *link);
         }
@@ -324,15 +330,15 @@
         let now = self.now();
         if let (Some(Role::Report), Some(reports)) = (self.roles.get(&token), &mut self.reports) {
             reports.graphite = None;
-            reports.telemetry.lost(now);
+            reports.telemetry.disconnected(now);
         }
     }
 
     fn gone(&mut self, token: Token, written: u64) {
         self.report_lost(token);
         match (self.roles.get(&token), &mut self.program.core) {
-            (Some(Role::Client), Some(core)) => core.client_gone(token),
-            (Some(Role::Link(link)), Some(core)) => core.link_down(*link, written),
+            (Some(Role::Client), Some(core)) => core.client_disconnected(token),
+            (Some(Role::Link(link)), Some(core)) => core.upstream_disconnected(*link, written),
             _ => {}
         }
         self.forget(token);
@@ -352,7 +358,7 @@
                 Step::Continue => self.net.send(token, b"HTTP/1.1 100 Continue\r\n\r\n"),
                 Step::Bad(reply) => {
                     self.net.send(token, &reply.encode(true));
-                    self.net.finish(token);
+                    self.net.close_after_flush(token);
                     self.forget(token);
                     return;
                 }
@@ -366,7 +372,7 @@
                     ];
                     self.program.extra = extra.into_iter().map(|(k, v)| (k.to_owned(), v)).collect();
                     let dir = self.options.state_dir.clone();
-                    let mut save = |saved: &snapshot::Saved| match &dir {
+                    let mut save = |saved: &snapshot::Snapshot| match &dir {
                         Some(dir) => snapshot::save(dir, saved),
                         None => Ok(()),
                     };
@@ -379,7 +385,7 @@
                     );
                     self.net.send(token, &reply.encode(request.last));
                     if request.last {
-                        self.net.finish(token);
+                        self.net.close_after_flush(token);
                         self.forget(token);
                         return;
                     }
@@ -399,21 +405,21 @@
                 match output {
                     Output::ToClient(token, bytes) => self.net.send(token, &bytes),
                     Output::CloseClient(token) => {
-                        self.net.finish(token);
+                        self.net.close_after_flush(token);
                         self.roles.remove(&token);
                     }
-                    Output::ReadClient(token, read) => self.net.pause(token, !read),
+                    Output::ReadClient(token, read) => self.net.set_read_paused(token, !read),
                     Output::Connect(link, addr) => {
                         let token = self.net.connect(addr);
                         self.roles.insert(token, Role::Link(link));
                         self.links.insert(link, token);
                     }
-                    Output::ToLink(link, bytes) => {
+                    Output::ToUpstream(link, bytes) => {
                         if let Some(&token) = self.links.get(&link) {
                             self.net.send(token, &bytes);
                         }
                     }
-                    Output::CloseLink(link) => {
+                    Output::CloseUpstream(link) => {
                         if let Some(token) = self.links.remove(&link) {
                             self.net.close(token);
                             self.roles.remove(&token);
@@ -423,7 +429,7 @@
             }
             for token in self.net.flush() {
                 if matches!(self.roles.get(&token), Some(Role::Client)) {
-                    core.client_unsent(token, self.net.unsent(token));
+                    core.set_client_backlog(token, self.net.unsent_bytes(token));
                 }
             }
         }
@@ -434,9 +440,9 @@
         self.report_as_told();
         let now = self.now();
         let Some(core) = &mut self.program.core else { return };
-        for fact in core.facts() {
+        for fact in core.delivery_events() {
             if let Some(reports) = &mut self.reports {
-                reports.telemetry.fact(&fact);
+                reports.telemetry.record(&fact);
             }
             match fact {
                 DeliveryEvent::LimitChanged(change) if self.lines.may(now) => log_limit_change(&change),
@@ -493,10 +499,10 @@
         }
         let s = core.settings();
         let names = s.classes.iter().map(|c| c.name.clone());
-        let courier = Courier {
+        let courier = CourierInfo {
             deployment: s.deployment.clone(),
             me: s.courier.me,
-            classes: names.zip(s.decided().classes).collect(),
+            classes: names.zip(s.library_settings().classes).collect(),
             halves: s.worth.halves,
             seed: self.program.start.seed,
         };
@@ -551,10 +557,10 @@
             return;
         }
         if let Some((token, _)) = reports.listen.take() {
-            self.net.no_datagrams(token);
+            self.net.close_datagrams(token);
         }
         let Some(addr) = wanted else { return };
-        match self.net.datagrams(addr) {
+        match self.net.bind_datagrams(addr) {
             Ok((token, at)) => {
                 tracing::info!(%at, "listening for the host's figures");
                 reports.listen = Some((token, addr));
@@ -585,7 +591,7 @@
         if reports.list != Some(core.list().version) {
             let (kinds, entries) = (&core.settings().kinds, core.list().entries.values());
             reports.list = Some(core.list().version);
-            reports.telemetry.list(entries.map(|e| Listed {
+            reports.telemetry.set_endpoints(entries.map(|e| ListedEndpoint {
                 endpoint: e.id,
                 destination: e.destination,
                 apart: kinds.iter().any(|k| k.name == e.kind && k.routes_apart),
@@ -595,11 +601,11 @@
             reports.telemetry.synced(number, done);
         }
         if let Some(token) = reports.graphite {
-            reports.telemetry.taken(now, self.net.written(token));
+            reports.telemetry.acknowledged(now, self.net.written_bytes(token));
         }
-        reports.telemetry.turn(now, wall(), || {
+        reports.telemetry.process(now, wall(), || {
             let (status, limits) = (core.status(), &core.settings().limits);
-            Now {
+            CurrentState {
                 held: status.held,
                 held_bytes: status.held_bytes,
                 slots_used: status.calls,
@@ -640,7 +646,7 @@
                 Report::Datagram(addr, packet) => {
                     let any = if addr.is_ipv4() { "0.0.0.0:0" } else { "[::]:0" };
                     if reports.collectd.is_none() {
-                        let made = any.parse().ok().and_then(|any| self.net.datagrams(any).ok());
+                        let made = any.parse().ok().and_then(|any| self.net.bind_datagrams(any).ok());
                         reports.collectd = made.map(|m| m.0);
                     }
                     if let Some(token) = reports.collectd {
--- a/crates/edge/src/snapshot.rs
+++ b/crates/edge/src/snapshot.rs
@@ -2,7 +2,7 @@
 //!
 //! The first line holds the format's version, the checksum and the length of what follows, which is JSON.
 
-use crate::settings::{List, Settings};
+use crate::settings::{EndpointList, Settings};
 use linnetcart_telemetry::settings::Telemetry;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -17,23 +17,23 @@
 /// What is saved.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct Saved {
+pub struct Snapshot {
     /// The settings of the next start.
     pub settings: Option<Settings>,
     /// The list.
-    pub list: List,
+    pub list: EndpointList,
     /// What is reported, and where.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub telemetry: Option<Telemetry>,
 }
 
 /// As bytes of a file.
-pub fn encode(saved: &Saved) -> Result<Vec<u8>, String> {
+pub fn encode(saved: &Snapshot) -> Result<Vec<u8>, String> {
     sealed(MAGIC, saved)
 }
 
 /// Reads the bytes of a file; an error says what is wrong with them.
-pub fn decode(bytes: &[u8]) -> Result<Saved, String> {
+pub fn decode(bytes: &[u8]) -> Result<Snapshot, String> {
     opened(MAGIC, bytes)
 }
 
@@ -68,7 +68,7 @@
 }
 
 /// Writes the snapshot aside, syncs it, and puts it in the place of the one before.
-pub fn save(dir: &Path, saved: &Saved) -> Result<(), String> {
+pub fn save(dir: &Path, saved: &Snapshot) -> Result<(), String> {
     replace(dir, FILE, &encode(saved)?)
 }
 
@@ -87,11 +87,11 @@
 
 /// What was found at the start.
 #[derive(Debug)]
-pub enum Found {
+pub enum LoadedSnapshot {
     /// Nothing.
     None,
     /// A good snapshot.
-    Good(Box<Saved>),
+    Good(Box<Snapshot>),
     /// One that is of no use; it was moved aside to this place.
     Damaged {
         /// What is wrong with it.
@@ -102,17 +102,17 @@
 }
 
 /// Reads the snapshot of a folder, which is made if it is not there.
-pub fn load(dir: &Path) -> io::Result<Found> {
+pub fn load(dir: &Path) -> io::Result<LoadedSnapshot> {
     fs::create_dir_all(dir)?;
     let path = dir.join(FILE);
     let bytes = match fs::read(&path) {
         Ok(bytes) => bytes,
-        Err(e) if e.kind() == ErrorKind::NotFound => return Ok(Found::None),
+        Err(e) if e.kind() == ErrorKind::NotFound => return Ok(LoadedSnapshot::None),
         Err(e) => return Err(e),
     };
     match decode(&bytes) {
-        Ok(saved) => Ok(Found::Good(Box::new(saved))),
-        Err(why) => Ok(Found::Damaged { why, aside: set_aside(dir, FILE)? }),
+        Ok(saved) => Ok(LoadedSnapshot::Good(Box::new(saved))),
+        Err(why) => Ok(LoadedSnapshot::Damaged { why, aside: set_aside(dir, FILE)? }),
     }
 }
 
@@ -129,10 +129,14 @@
 mod tests {
     use super::*;
 
-    fn saved() -> Saved {
+    fn saved() -> Snapshot {
         let settings = Settings::parse(crate::settings::tests::sample().to_string().as_bytes()).unwrap();
         let telemetry = Some(Telemetry { interval_s: 5, ..Telemetry::default() });
-        Saved { settings: Some(settings), list: List { version: 3, ..List::default() }, telemetry }
+        Snapshot {
+            settings: Some(settings),
+            list: EndpointList { version: 3, ..EndpointList::default() },
+            telemetry,
+        }
     }
 
     #[test]
@@ -159,14 +163,16 @@
     #[test]
     fn a_damaged_one_is_set_aside_and_kept() {
         let dir = std::env::temp_dir().join(format!("linnetcart-snapshot-{}", std::process::id()));
-        assert!(matches!(load(&dir).unwrap(), Found::None));
+        assert!(matches!(load(&dir).unwrap(), LoadedSnapshot::None));
         save(&dir, &saved()).unwrap();
-        assert!(matches!(load(&dir).unwrap(), Found::Good(s) if *s == saved()));
+        assert!(matches!(load(&dir).unwrap(), LoadedSnapshot::Good(s) if *s == saved()));
         for n in 1..=2 {
             fs::write(dir.join(FILE), b"linnetcart-snapshot 1 0 9\nhalf").unwrap();
-            let Found::Damaged { aside, .. } = load(&dir).unwrap() else { panic!("it was believed") };
+            let LoadedSnapshot::Damaged { aside, .. } = load(&dir).unwrap() else {
+                panic!("it was believed")
+            };
             assert_eq!(aside, dir.join(format!("snapshot.damaged-{n}")));
-            assert!(matches!(load(&dir).unwrap(), Found::None));
+            assert!(matches!(load(&dir).unwrap(), LoadedSnapshot::None));
         }
         fs::remove_dir_all(&dir).unwrap();
     }
--- a/crates/edge/tests/core.rs
+++ b/crates/edge/tests/core.rs
@@ -3,7 +3,7 @@
 mod harness;
 
 use harness::*;
-use linnetcart_edge::settings::State;
+use linnetcart_edge::settings::EntryState;
 use linnetcart_kafka::{codes, Record};
 
 const A: u64 = 1;
@@ -34,7 +34,7 @@
     assert_eq!(b.codes(A), []);
     b.pass(60);
     // What may not run twice has failed; what is safe to repeat is handed back, though it had seconds left.
-    assert_eq!(b.codes(A), [(long, codes::REFUSED), (short, codes::FAILED)]);
+    assert_eq!(b.codes(A), [(long, codes::NOT_ENOUGH_REPLICAS), (short, codes::UNKNOWN_SERVER_ERROR)]);
     assert_eq!(b.core.status().held, 0);
 }
 
@@ -46,7 +46,7 @@
     b.reply("short", codes::NONE, 0);
     assert_eq!(b.codes(A), []);
     b.pass(520);
-    assert_eq!(b.codes(A), [(long, codes::REFUSED), (short, codes::NONE)]);
+    assert_eq!(b.codes(A), [(long, codes::NOT_ENOUGH_REPLICAS), (short, codes::NONE)]);
 }
 
 #[test]
@@ -54,9 +54,9 @@
     let mut b = bench();
     let n = b.send(A, &[("order", 1, &[record("a"), record("b")]), ("order", 2, &[record("c")])]);
     b.reply("a", codes::NONE, 0);
-    b.reply("b", codes::FAILED, 0);
+    b.reply("b", codes::UNKNOWN_SERVER_ERROR, 0);
     b.reply("c", codes::NONE, 0);
-    assert_eq!(b.codes(A), [(n, codes::MIXED), (n, codes::NONE)]);
+    assert_eq!(b.codes(A), [(n, codes::INVALID_RECORD), (n, codes::NONE)]);
     let mixed = &b.answers[&A][0].parts[0];
     assert_eq!(
         mixed.records.iter().map(|r| r.1.split(':').next().unwrap()).collect::<Vec<_>>(),
@@ -72,7 +72,7 @@
     b.pass(3000);
     // No connection came up in all that time.
     assert_eq!(b.codes(A).first().map(|c| c.0), Some(n));
-    assert_eq!(b.codes(A)[0].1, codes::REFUSED);
+    assert_eq!(b.codes(A)[0].1, codes::NOT_ENOUGH_REPLICAS);
     assert!(b.calls.is_empty());
 }
 
@@ -87,11 +87,11 @@
     assert_eq!(codes[0], (unknown, codes::UNKNOWN_TOPIC_OR_PARTITION));
     assert_eq!(codes[1], (nowhere, codes::UNKNOWN_TOPIC_OR_PARTITION));
     assert_eq!(codes[2], (negative, codes::UNKNOWN_TOPIC_OR_PARTITION));
-    assert_eq!(codes[3], (wrong, codes::MIXED));
+    assert_eq!(codes[3], (wrong, codes::INVALID_RECORD));
     assert!(b.answers[&A][3].parts[0].records[0].1.contains("deadline-ms"));
     assert!(b.calls.is_empty(), "nothing of a wrong batch is taken");
     let request = b.request(0, &[("status", 1, &[record("x")])]);
-    b.core.client_bytes(A, &request);
+    b.core.client_received(A, &request);
     b.round();
     assert!(b.closed.contains(&A), "acks=0 cannot carry a final answer");
 }
@@ -101,7 +101,7 @@
     let mut b = bench();
     b.easy = false;
     b.one(A, "order", 2, "x");
-    b.core.client_gone(A);
+    b.core.client_disconnected(A);
     b.round();
     let link = b.connecting[0];
     b.open(link);
@@ -128,7 +128,7 @@
     let mut b = bench();
     let request = b.request(-1, &[("status", 1, &[record("slow")])]);
     for byte in request.iter() {
-        b.core.client_bytes(A, &[*byte]);
+        b.core.client_received(A, &[*byte]);
     }
     b.round();
     assert_eq!(b.calls_of("slow"), 1);
@@ -145,7 +145,7 @@
     // Nothing is ever said to have left: answers pile up to the bound.
     let ask = linnetcart_kafka::client::metadata(1, "t", 9, None).unwrap();
     for _ in 0..200 {
-        b.core.client_bytes(A, &ask);
+        b.core.client_received(A, &ask);
     }
     b.turn();
     assert!(b.paused.contains(&A));
@@ -154,7 +154,7 @@
     assert_eq!(b.codes(2), [(n, codes::NONE)]);
     // It reads at last: what it had sent is worked through.
     for _ in 0..200 {
-        b.core.client_unsent(A, 0);
+        b.core.set_client_backlog(A, 0);
         b.turn();
     }
     assert!(!b.paused.contains(&A));
@@ -182,11 +182,11 @@
     let batch: Vec<_> = (0..3).map(|n| record(&format!("b{n}"))).collect();
     let n = b.send(A, &[("status", 1, &batch)]);
     assert!(held > 0);
-    assert_eq!(b.codes(A), [(n, codes::REFUSED)]);
+    assert_eq!(b.codes(A), [(n, codes::NOT_ENOUGH_REPLICAS)]);
     assert_eq!(b.answers[&A][0].throttle_ms, 3000);
     let big: Vec<_> = (0..4).map(|n| record(&format!("c{n}"))).collect();
     let n = b.send(A, &[("status", 1, &big)]);
-    assert_eq!(b.codes(A)[1], (n, codes::TOO_LARGE), "no retry could ever fit it");
+    assert_eq!(b.codes(A)[1], (n, codes::MESSAGE_TOO_LARGE), "no retry could ever fit it");
 }
 
 #[test]
@@ -200,7 +200,7 @@
     assert_eq!(b.core.status().classes["order"].turned_away, 1);
     assert_eq!(b.codes(A), []);
     b.pass(310);
-    assert_eq!(b.codes(A), [(long, codes::REFUSED), (short, codes::REFUSED)]);
+    assert_eq!(b.codes(A), [(long, codes::NOT_ENOUGH_REPLICAS), (short, codes::NOT_ENOUGH_REPLICAS)]);
 }
 
 #[test]
@@ -228,7 +228,7 @@
     b.pass(1010);
     let (first, second) = (b.calls.remove(0), b.calls.remove(0));
     b.reply_to(&second, codes::NONE, 0);
-    b.reply_to(&first, codes::FULL, 700);
+    b.reply_to(&first, codes::THROTTLING_QUOTA_EXCEEDED, 700);
     assert_eq!(b.codes(A).len(), 1);
     b.one(A, "status", 1, "y");
     b.pass(680);
@@ -270,7 +270,7 @@
             _ => Some(bytes::Bytes::from_static(b"\x7f\xff\xff\xff")),
         };
         let faults = |b: &mut Bench| {
-            let facts = b.core.facts();
+            let facts = b.core.delivery_events();
             facts
                 .iter()
                 .filter(|f| {
@@ -281,7 +281,7 @@
         match bytes {
             None => b.reply_to(&call, codes::NONE, 0),
             Some(bytes) => {
-                b.core.link_bytes(call.link, &bytes);
+                b.core.upstream_received(call.link, &bytes);
                 b.round();
             }
         }
@@ -289,7 +289,7 @@
         assert!(!b.links.contains_key(&call.link), "{bad}: the connection is closed");
         if bad != "twice" {
             // It may have run, and must not run again.
-            assert_eq!(b.codes(A), [(1, codes::FAILED)], "{bad}");
+            assert_eq!(b.codes(A), [(1, codes::UNKNOWN_SERVER_ERROR)], "{bad}");
         }
     }
 }
@@ -315,7 +315,7 @@
     b.now += 700 * MS;
     b.core.clock(b.now);
     b.core.arrived_since(came);
-    b.core.client_bytes(A, &request);
+    b.core.client_received(A, &request);
     b.turn();
     b.pass(320);
     assert_eq!(b.answered[&A].len(), 1);
@@ -333,12 +333,12 @@
     b.pass(740);
     assert_eq!(b.answered.get(&A).map_or(0, Vec::len), 0);
     b.pass(20);
-    assert_eq!(b.codes(A), [(1, codes::FAILED)]);
+    assert_eq!(b.codes(A), [(1, codes::UNKNOWN_SERVER_ERROR)]);
     // Its time was up before it came: it is handed back at once, and nothing of it is sent.
     b.core.wall_clock(WALL * MS);
     let late = b.send(A, &[("order", 1, &[Record { value: Some("late".into()), ..made(1960) }])]);
     b.pass(5);
-    assert_eq!((b.codes(A)[1], b.calls_of("late")), ((late, codes::REFUSED), 0));
+    assert_eq!((b.codes(A)[1], b.calls_of("late")), ((late, codes::NOT_ENOUGH_REPLICAS), 0));
     // A clock that is an hour ahead tells nothing, and is counted.
     b.core.wall_clock((WALL - 3_600_000) * MS);
     b.send(A, &[("order", 1, &[Record { value: Some("ahead".into()), ..made(0) }])]);
@@ -350,9 +350,9 @@
     b.core.wall_clock(WALL * MS);
     b.send(A, &[("order", 1, &[end])]);
     b.pass(455);
-    assert_eq!(b.codes(A)[3].1, codes::FAILED);
+    assert_eq!(b.codes(A)[3].1, codes::UNKNOWN_SERVER_ERROR);
     let wrong = b.send(A, &[("order", 1, &[headed("y", "deadline-at-ms", "soon")])]);
-    assert_eq!(b.codes(A)[4], (wrong, codes::MIXED));
+    assert_eq!(b.codes(A)[4], (wrong, codes::INVALID_RECORD));
     assert!(b.answers[&A][4].parts[0].records[0].1.contains("deadline-at-ms: `soon`"));
 }
 
@@ -386,7 +386,7 @@
         assert!(!fresh, "{how}: there is no reason for distrust yet");
         if how == "reset" {
             let written = b.links.remove(&link).unwrap().bytes;
-            b.core.link_down(link, written);
+            b.core.upstream_disconnected(link, written);
             b.round();
         } else {
             // Nothing comes; the copy and later calls are answered.
@@ -424,12 +424,12 @@
         let n = b.one(A, "order", 2, "x");
         let link = b.connecting.pop().unwrap();
         match how {
-            "refused" => b.core.link_failed(link),
+            "refused" => b.core.upstream_connect_failed(link),
             "hangs" => b.pass(1010),
             "ungreeted" => {
                 b.open(link);
                 let written = b.links[&link].bytes;
-                b.core.link_down(link, written);
+                b.core.upstream_disconnected(link, written);
             }
             _ => {
                 b.open(link);
@@ -437,7 +437,7 @@
                 b.greet(link);
                 assert_eq!(b.calls_of("x"), 1);
                 let all = b.links[&link].bytes;
-                b.core.link_down(
+                b.core.upstream_disconnected(
                     link,
                     match how {
                         "unwritten" => greeting,
@@ -449,14 +449,18 @@
         }
         b.round();
         if matches!(how, "partly" | "written") {
-            assert_eq!(b.codes(A), [(n, codes::FAILED)], "{how}: it may have run");
+            assert_eq!(b.codes(A), [(n, codes::UNKNOWN_SERVER_ERROR)], "{how}: it may have run");
         } else {
             assert_eq!(b.codes(A), [], "{how}: it is still tried");
             b.easy = true;
             b.pass(2700);
             let tried = b.connecting.len() + b.calls_of("x");
             assert!(tried > 0 || !b.codes(A).is_empty(), "{how}");
-            assert_ne!(b.codes(A).first().map(|c| c.1), Some(codes::FAILED), "{how}: it never ran");
+            assert_ne!(
+                b.codes(A).first().map(|c| c.1),
+                Some(codes::UNKNOWN_SERVER_ERROR),
+                "{how}: it never ran"
+            );
         }
     }
 }
@@ -468,7 +472,7 @@
     b.one(A, "order", 2, "x");
     let link = b.connecting.pop().unwrap();
     b.open(link);
-    b.news(false, vec![entry(20, 2, "small", State::Draining)]);
+    b.news(false, vec![entry(20, 2, "small", EntryState::Draining)]);
     b.greet(link);
     assert!(b.calls.is_empty());
 }
@@ -479,13 +483,16 @@
     doc["rates"] = "exact".into();
     let mut b = Bench::with(&doc, 1);
     b.client(A);
-    let told = |id| linnetcart_edge::settings::Entry { rate: 100.0, ..entry(id, 1, "large", State::Ready) };
+    let told = |id| linnetcart_edge::settings::EndpointEntry {
+        rate: 100.0,
+        ..entry(id, 1, "large", EntryState::Ready)
+    };
     b.news(false, vec![told(10), told(11)]);
     b.one(A, "status", 1, "first");
     b.easy = false;
     b.one(A, "status", 1, "second");
     let link = b.connecting.pop().expect("a further connection");
-    b.reply("first", codes::FULL, 700);
+    b.reply("first", codes::THROTTLING_QUOTA_EXCEEDED, 700);
     b.open(link);
     b.greet(link);
     assert_eq!(b.calls_of("second"), 0);
@@ -503,7 +510,7 @@
     let long = b.one(A, "order", 1, "x");
     let short = b.send(A, &[("order", 2, &[headed("y", "deadline-ms", "200")])]);
     b.pass(210);
-    assert_eq!(b.codes(A), [(long, codes::REFUSED), (short, codes::REFUSED)]);
+    assert_eq!(b.codes(A), [(long, codes::NOT_ENOUGH_REPLICAS), (short, codes::NOT_ENOUGH_REPLICAS)]);
 }
 
 #[test]
@@ -540,11 +547,11 @@
     let mut b = bench();
     b.client(2);
     let held = b.one(A, "order", 2, "x");
-    b.core.drain(b.now + 1000 * MS);
+    b.core.begin_drain(b.now + 1000 * MS);
     let late = b.one(2, "status", 1, "late");
-    assert_eq!(b.codes(2), [(late, codes::REFUSED)]);
+    assert_eq!(b.codes(2), [(late, codes::NOT_ENOUGH_REPLICAS)]);
     assert!(!b.core.is_done());
     b.pass(1010);
-    assert_eq!(b.codes(A), [(held, codes::FAILED)], "it may have run");
+    assert_eq!(b.codes(A), [(held, codes::UNKNOWN_SERVER_ERROR)], "it may have run");
     assert!(b.core.is_done());
 }
--- a/crates/edge/tests/harness/mod.rs
+++ b/crates/edge/tests/harness/mod.rs
@@ -2,10 +2,10 @@
 #![allow(dead_code)]
 
 use bytes::Bytes;
-use linnetcart_edge::core::{library, ClientId, Core, LinkId, Output, Start};
-use linnetcart_edge::settings::{Entry, ListNews, Settings, State};
-use linnetcart_kafka::client::{self, Produced};
-use linnetcart_kafka::server::{self, Body, Broker, Ended, Request};
+use linnetcart_edge::core::{library, ClientId, Core, Output, StartOptions, UpstreamId};
+use linnetcart_edge::settings::{EndpointEntry, EndpointListUpdate, EntryState, Settings};
+use linnetcart_kafka::client::{self, ProduceReply};
+use linnetcart_kafka::server::{self, Body, Broker, PartitionResult, Request};
 use linnetcart_kafka::{Frames, Record};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -24,7 +24,7 @@
 
 /// A call that reached an endpoint.
 pub struct Call {
-    pub link: LinkId,
+    pub link: UpstreamId,
     pub endpoint: u32,
     pub correlation: i32,
     pub version: i16,
@@ -36,11 +36,11 @@
 pub struct Bench {
     pub core: Core,
     pub now: u64,
-    pub links: BTreeMap<LinkId, Link>,
+    pub links: BTreeMap<UpstreamId, Link>,
     /// Connects that were asked for and not answered yet.
-    pub connecting: Vec<LinkId>,
+    pub connecting: Vec<UpstreamId>,
     pub calls: Vec<Call>,
-    pub answers: BTreeMap<ClientId, Vec<Produced>>,
+    pub answers: BTreeMap<ClientId, Vec<ProduceReply>>,
     /// When each of them came.
     pub answered: BTreeMap<ClientId, Vec<u64>>,
     pub frames: BTreeMap<ClientId, Frames>,
@@ -72,8 +72,8 @@
     })
 }
 
-pub fn entry(id: u32, destination: u32, kind: &str, state: State) -> Entry {
-    Entry {
+pub fn entry(id: u32, destination: u32, kind: &str, state: EntryState) -> EndpointEntry {
+    EndpointEntry {
         id,
         destination,
         kind: kind.into(),
@@ -93,8 +93,10 @@
     pub fn with(settings: &serde_json::Value, first_number: u32) -> Bench {
         let settings = Settings::parse(settings.to_string().as_bytes()).unwrap();
         let broker = Broker { id: 0, host: "127.0.0.1".into(), port: 9092 };
-        let core =
-            Core::new(settings, Start { seed: 5, now: START, broker, run: 1, first_number, policy: library });
+        let core = Core::new(
+            settings,
+            StartOptions { seed: 5, now: START, broker, run: 1, first_number, policy: library },
+        );
         let mut bench = Bench {
             core,
             now: START,
@@ -110,7 +112,7 @@
             correlation: 0,
             list: 0,
         };
-        let ready = |id, destination, kind| entry(id, destination, kind, State::Ready);
+        let ready = |id, destination, kind| entry(id, destination, kind, EntryState::Ready);
         bench.news(
             true,
             vec![ready(10, 1, "large"), ready(11, 1, "large"), ready(20, 2, "small"), ready(30, 3, "batch")],
@@ -118,9 +120,9 @@
         bench
     }
 
-    pub fn news(&mut self, whole: bool, entries: Vec<Entry>) {
+    pub fn news(&mut self, whole: bool, entries: Vec<EndpointEntry>) {
         self.list += 1;
-        self.core.news(&ListNews { version: self.list, whole, entries }).unwrap();
+        self.core.update_endpoints(&EndpointListUpdate { version: self.list, whole, entries }).unwrap();
         self.turn();
     }
 
@@ -128,14 +130,14 @@
     pub fn pass(&mut self, ms: u64) {
         let until = self.now + ms * MS;
         while self.now < until {
-            let next = self.core.next_turn().max(self.now + MS / 4).min(until);
+            let next = self.core.next_wakeup().max(self.now + MS / 4).min(until);
             self.now = next;
             self.turn();
         }
     }
 
     pub fn turn(&mut self) {
-        self.core.turn(self.now);
+        self.core.process(self.now);
         self.carry_out();
     }
 
@@ -178,8 +180,8 @@
                         self.links.insert(link, new);
                         self.connecting.push(link);
                     }
-                    Output::ToLink(link, bytes) => self.reached(link, &bytes),
-                    Output::CloseLink(link) => {
+                    Output::ToUpstream(link, bytes) => self.reached(link, &bytes),
+                    Output::CloseUpstream(link) => {
                         self.links.remove(&link);
                         self.connecting.retain(|&l| l != link);
                     }
@@ -193,7 +195,7 @@
         }
     }
 
-    fn reached(&mut self, link: LinkId, bytes: &Bytes) {
+    fn reached(&mut self, link: UpstreamId, bytes: &Bytes) {
         let Some(l) = self.links.get_mut(&link) else { return };
         l.frames.push(bytes);
         l.bytes += bytes.len() as u64;
@@ -203,7 +205,7 @@
                 Body::ApiVersions => {
                     if self.easy {
                         let greeting = server::api_versions(correlation, version, false);
-                        self.core.link_bytes(link, &greeting);
+                        self.core.upstream_received(link, &greeting);
                     }
                 }
                 Body::Produce(p) => {
@@ -228,37 +230,39 @@
     }
 
     /// The connection is made; it is greeted at once if the bench is easy.
-    pub fn open(&mut self, link: LinkId) {
+    pub fn open(&mut self, link: UpstreamId) {
         if let Some(l) = self.links.get_mut(&link) {
             l.up = true;
             self.core.clock(self.now);
-            self.core.link_up(link);
+            self.core.upstream_connected(link);
             self.carry_out();
         }
     }
 
-    pub fn greet(&mut self, link: LinkId) {
+    pub fn greet(&mut self, link: UpstreamId) {
         self.core.clock(self.now);
-        self.core.link_bytes(link, &server::api_versions(0, 0, false));
+        self.core.upstream_received(link, &server::api_versions(0, 0, false));
         self.carry_out();
     }
 
     pub fn client(&mut self, id: ClientId) {
-        self.core.client_opened(id);
+        self.core.client_connected(id);
         self.frames.insert(id, Frames::new(1 << 22));
     }
 
     pub fn request(&mut self, acks: i16, to: &[(&str, i32, &[Record])]) -> Bytes {
         self.correlation += 1;
-        let to: Vec<client::To> =
-            to.iter().map(|&(topic, partition, records)| client::To { topic, partition, records }).collect();
+        let to: Vec<client::ProduceTarget> = to
+            .iter()
+            .map(|&(topic, partition, records)| client::ProduceTarget { topic, partition, records })
+            .collect();
         client::produce(self.correlation, "tester", VERSION, (acks, 30_000), &to).unwrap()
     }
 
     pub fn send(&mut self, id: ClientId, to: &[(&str, i32, &[Record])]) -> i32 {
         let request = self.request(-1, to);
         self.core.clock(self.now);
-        self.core.client_bytes(id, &request);
+        self.core.client_received(id, &request);
         self.round();
         self.correlation
     }
@@ -276,16 +280,16 @@
     }
 
     pub fn reply_to(&mut self, call: &Call, code: i16, throttle_ms: i32) {
-        let ended = |(topic, partition, _): &(String, i32, Vec<String>)| Ended {
+        let ended = |(topic, partition, _): &(String, i32, Vec<String>)| PartitionResult {
             topic: topic.clone(),
             partition: *partition,
             code,
-            ..Ended::default()
+            ..PartitionResult::default()
         };
-        let ended: Vec<Ended> = call.parts.iter().map(ended).collect();
+        let ended: Vec<PartitionResult> = call.parts.iter().map(ended).collect();
         let bytes = server::produce(call.correlation, call.version, &ended, throttle_ms, None);
         self.core.clock(self.now);
-        self.core.link_bytes(call.link, &bytes);
+        self.core.upstream_received(call.link, &bytes);
         self.round();
     }
 
--- a/crates/edge/tests/process/mod.rs
+++ b/crates/edge/tests/process/mod.rs
@@ -3,7 +3,7 @@
 //! has it do, so that the order of events is the test's.
 #![allow(dead_code, reason = "each test file uses its own part")]
 
-use linnetcart_http::{answer as answer_head, request, Answer};
+use linnetcart_http::{parse_request, parse_response as answer_head, ParsedResponse};
 use linnetcart_net::Reserved;
 use rustix::event::{poll, PollFd, PollFlags};
 use rustix::process::{kill_process, Pid, Signal};
@@ -36,7 +36,7 @@
     let (mut held, mut chunk) = (Vec::new(), [0; 4096]);
     while let Ok(n @ 1..) = stream.read(&mut chunk) {
         held.extend_from_slice(&chunk[..n]);
-        while let Ok(Some(r)) = request(&held) {
+        while let Ok(Some(r)) = parse_request(&held) {
             let id = r.field("x-txn").unwrap().map(|id| String::from_utf8_lossy(id).into_owned());
             let what = id.unwrap_or_else(|| String::from_utf8_lossy(r.body()).into_owned());
             let answer = reply(if r.method() == b"GET" { "watch" } else { &what });
@@ -284,7 +284,7 @@
     /// The next request: its id, or its body where it has none.
     pub fn request(&mut self) -> String {
         assert!(self.has_request(), "it ended in place of a request");
-        let r = request(&self.held).unwrap().unwrap();
+        let r = parse_request(&self.held).unwrap().unwrap();
         let id = r.field("x-txn").unwrap().unwrap_or(r.body());
         let (what, length) = (String::from_utf8_lossy(id).into_owned(), r.length());
         self.held.drain(..length);
@@ -294,7 +294,7 @@
     /// The status of the next answer, and whether the connection is to end with it; 0 if it ended without one.
     pub fn answer(&mut self) -> (u16, bool) {
         loop {
-            if let Answer::Head(head) = answer_head(&self.held) {
+            if let ParsedResponse::Head(head) = answer_head(&self.held) {
                 self.held.drain(..head.length + head.body.unwrap_or(0));
                 return (head.status, head.last);
             }
@@ -322,7 +322,7 @@
 
     /// Whether a request is there or comes before the end.
     pub fn has_request(&mut self) -> bool {
-        while request(&self.held).unwrap().is_none() {
+        while parse_request(&self.held).unwrap().is_none() {
             if !self.more() {
                 return false;
             }
--- a/crates/edge/tests/random.rs
+++ b/crates/edge/tests/random.rs
@@ -5,7 +5,7 @@
 
 use harness::*;
 use linnetcart_edge::delivery_events::DeliveryEvent;
-use linnetcart_edge::settings::State;
+use linnetcart_edge::settings::EntryState;
 use linnetcart_kafka::codes;
 use linnetcart_kafka::server;
 use proptest::prelude::*;
@@ -152,7 +152,7 @@
                     prop_assert!(!s.answered, "rule 1: answered twice");
                     s.answered = true;
                     prop_assert!(
-                        code != codes::REFUSED || s.class != 2 || s.ran == 0,
+                        code != codes::NOT_ENOUGH_REPLICAS || s.class != 2 || s.ran == 0,
                         "rule 2: {name} handed back"
                     );
                 }
@@ -163,7 +163,7 @@
     }
 
     fn look(&mut self, b: &mut Bench) -> Result<(), TestCaseError> {
-        for fact in b.core.facts() {
+        for fact in b.core.delivery_events() {
             match fact {
                 DeliveryEvent::Accepted { message, name, .. } => {
                     let name = String::from_utf8(name.to_vec()).unwrap();
@@ -233,9 +233,10 @@
                 let (endpoint, names) = w.out.remove(&key).unwrap();
                 let Some(n) = b.calls.iter().position(|c| (c.link, c.correlation) == key) else { continue };
                 let call = b.calls.remove(n);
-                let code = [codes::NONE, codes::FULL, codes::FAILED, 7][usize::from(code)];
-                let wait = if code == codes::FULL { wait } else { 0 };
-                if code == codes::FULL {
+                let code = [codes::NONE, codes::THROTTLING_QUOTA_EXCEEDED, codes::UNKNOWN_SERVER_ERROR, 7]
+                    [usize::from(code)];
+                let wait = if code == codes::THROTTLING_QUOTA_EXCEEDED { wait } else { 0 };
+                if code == codes::THROTTLING_QUOTA_EXCEEDED {
                     names.iter().for_each(|n| w.sent.get_mut(n).unwrap().ran -= 1);
                     // A wait that comes for a call that was given up long ago is not heard.
                     let heard = b.core.status().links_abandoned == 0;
@@ -260,7 +261,7 @@
                     }
                 }
                 b.core.clock(b.now);
-                b.core.link_down(link, written);
+                b.core.upstream_disconnected(link, written);
                 b.round();
             }
             Op::Open(at) => {
@@ -272,7 +273,7 @@
                 let Some(link) = pick(&at, &b.connecting) else { continue };
                 b.connecting.retain(|&l| l != link);
                 b.links.remove(&link);
-                b.core.link_failed(link);
+                b.core.upstream_connect_failed(link);
                 b.round();
             }
             Op::Greet(at) => {
@@ -286,7 +287,7 @@
                 let links: Vec<u64> = b.links.iter().filter(|l| l.1.up).map(|l| *l.0).collect();
                 let Some(link) = pick(&at, &links) else { continue };
                 w.out.retain(|k, _| k.0 != link);
-                b.core.link_bytes(link, &server::produce(i32::MAX, 9, &[], 0, None));
+                b.core.upstream_received(link, &server::produce(i32::MAX, 9, &[], 0, None));
                 b.round();
             }
             Op::Gone(client) => {
@@ -295,7 +296,7 @@
                     for (_, _, names) in std::mem::take(w.waiting.get_mut(&client).unwrap()) {
                         names.iter().for_each(|n| w.sent.get_mut(n).unwrap().gone = true);
                     }
-                    b.core.client_gone(client);
+                    b.core.client_disconnected(client);
                     b.round();
                 }
             }
@@ -309,8 +310,8 @@
             Op::Pass(ms) => b.pass(u64::from(ms)),
             Op::Listing(e, state) => {
                 let (id, destination, kind) = ENDPOINTS[usize::from(e)];
-                let state = [State::Ready, State::Draining, State::Gone][usize::from(state)];
-                if state == State::Ready {
+                let state = [EntryState::Ready, EntryState::Draining, EntryState::Gone][usize::from(state)];
+                if state == EntryState::Ready {
                     w.ready.insert(id);
                 } else {
                     w.ready.remove(&id);
--- a/crates/emulator/src/disk.rs
+++ b/crates/emulator/src/disk.rs
@@ -1,6 +1,6 @@
 //! The disk of a host: the snapshot, and the one that is being written.
 
-use linnetcart_edge::snapshot::{self, Saved};
+use linnetcart_edge::snapshot::{self, Snapshot};
 
 /// What a crash does to a write that is under way.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -15,7 +15,7 @@
 /// than they load.
 #[derive(Clone, Debug)]
 struct File {
-    saved: Saved,
+    saved: Snapshot,
     /// The share of its bytes that is left.
     left: f64,
 }
@@ -32,7 +32,7 @@
 
 impl Disk {
     /// Writes a snapshot in the place of the one before. Until [`Disk::done`] a crash may undo it.
-    pub fn save(&mut self, saved: &Saved) {
+    pub fn save(&mut self, saved: &Snapshot) {
         let old = self.file.replace(File { saved: saved.clone(), left: 1.0 });
         self.before.get_or_insert(old);
     }
@@ -57,7 +57,7 @@
     }
 
     /// The snapshot, if a good one is there. A damaged one is set aside.
-    pub fn load(&mut self) -> Option<Saved> {
+    pub fn load(&mut self) -> Option<Snapshot> {
         self.before = None;
         let file = self.file.as_ref()?;
         let bytes = snapshot::encode(&file.saved).unwrap_or_default();
@@ -73,10 +73,10 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use linnetcart_edge::settings::List;
+    use linnetcart_edge::settings::EndpointList;
 
-    fn saved(version: u64) -> Saved {
-        Saved { list: List { version, ..List::default() }, ..Saved::default() }
+    fn saved(version: u64) -> Snapshot {
+        Snapshot { list: EndpointList { version, ..EndpointList::default() }, ..Snapshot::default() }
     }
 
     fn version(disk: &mut Disk) -> Option<u64> {
--- a/crates/emulator/src/host.rs
+++ b/crates/emulator/src/host.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use linnetcart_conformance::Time;
 use linnetcart_edge::control::{Program, Request};
-use linnetcart_edge::core::{ClientId, Core, LinkId, Output, Start};
+use linnetcart_edge::core::{ClientId, Core, Output, StartOptions, UpstreamId};
 use linnetcart_edge::delivery_events::DeliveryEvent;
 use serde::{Deserialize, Serialize};
 
@@ -39,13 +39,13 @@
     /// So many bytes of answers are not taken yet.
     Unsent(ClientId, usize),
     /// A connection to an endpoint is there.
-    Up(LinkId),
+    Up(UpstreamId),
     /// It could not be made.
-    Failed(LinkId),
+    Failed(UpstreamId),
     /// It has ended after so many bytes were taken.
-    Down(LinkId, u64),
+    Down(UpstreamId, u64),
     /// Bytes of an endpoint.
-    Link(LinkId, Bytes),
+    Link(UpstreamId, Bytes),
     /// A document for the control interface.
     Put(&'static str, String),
 }
@@ -99,7 +99,7 @@
     pub fn start(
         now: Time,
         life: u32,
-        mut start: Start,
+        mut start: StartOptions,
         (ahead, drift, off): (Time, i64, i64),
         disk: &mut Disk,
     ) -> (Host, bool) {
@@ -156,7 +156,7 @@
         if !self.inbox.is_empty() {
             return Some(self.free);
         }
-        let next = self.program.core.as_ref().map_or(Time::MAX, Core::next_turn);
+        let next = self.program.core.as_ref().map_or(Time::MAX, Core::next_wakeup);
         (next != Time::MAX).then(|| self.when(next).max(self.free))
     }
 
@@ -170,7 +170,7 @@
         self.draining = true;
         let by = self.clock(now) + span;
         if let Some(core) = &mut self.program.core {
-            core.drain(by);
+            core.begin_drain(by);
         }
     }
 
@@ -199,9 +199,9 @@
             self.take(input, pace, disk, &mut out);
         }
         if let Some(core) = &mut self.program.core {
-            core.turn(clock);
+            core.process(clock);
             out.outputs = core.outputs();
-            out.facts = core.facts();
+            out.facts = core.delivery_events();
             count += out.outputs.len() as Time;
         }
         out.took += pace.turn + count * pace.each;
@@ -239,14 +239,14 @@
             return;
         };
         match input {
-            Input::Opened(id) => core.client_opened(id),
-            Input::Client(id, bytes) => core.client_bytes(id, &bytes),
-            Input::ClientGone(id) => core.client_gone(id),
-            Input::Unsent(id, bytes) => core.client_unsent(id, bytes),
-            Input::Up(link) => core.link_up(link),
-            Input::Failed(link) => core.link_failed(link),
-            Input::Down(link, written) => core.link_down(link, written),
-            Input::Link(link, bytes) => core.link_bytes(link, &bytes),
+            Input::Opened(id) => core.client_connected(id),
+            Input::Client(id, bytes) => core.client_received(id, &bytes),
+            Input::ClientGone(id) => core.client_disconnected(id),
+            Input::Unsent(id, bytes) => core.set_client_backlog(id, bytes),
+            Input::Up(link) => core.upstream_connected(link),
+            Input::Failed(link) => core.upstream_connect_failed(link),
+            Input::Down(link, written) => core.upstream_disconnected(link, written),
+            Input::Link(link, bytes) => core.upstream_received(link, &bytes),
             Input::Put(..) => {}
         }
     }
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -16,7 +16,7 @@
 use linnetcart_conformance::Time;
 use linnetcart_edge::core::PolicyFactory;
 use linnetcart_scenario::fleet::Fleet;
-use linnetcart_scenario::stage::{Played, Stage};
+use linnetcart_scenario::stage::{ScenarioRecords, ScenarioRunner};
 use network::{Model, Network, ToStage};
 use trace::Story;
 
@@ -46,7 +46,7 @@
 #[derive(Debug)]
 pub struct Run {
     /// Records for the checks.
-    pub played: Played,
+    pub played: ScenarioRecords,
     /// Everything that arrived anywhere, and when, as one sum.
     pub digest: String,
     /// Events worked through.
@@ -60,7 +60,7 @@
 }
 
 struct Emulation<'a> {
-    stage: Stage<'a, Network<'a>>,
+    stage: ScenarioRunner<'a, Network<'a>>,
     /// When the day began.
     base: Time,
 }
@@ -69,14 +69,14 @@
 pub fn play(fleet: &Fleet, options: Options) -> anyhow::Result<Run> {
     let mut network = Network::new(fleet, options.model, options.policy);
     network.story = options.story;
-    let mut e = Emulation { stage: Stage::new(fleet, network)?, base: 0 };
+    let mut e = Emulation { stage: ScenarioRunner::new(fleet, network)?, base: 0 };
     while !e.stage.ready() {
-        if e.stage.wires.now() > READY || !e.step()? {
+        if e.stage.transport.now() > READY || !e.step()? {
             bail!("the couriers did not get ready in 20 s of virtual time");
         }
     }
-    e.base = e.stage.wires.now();
-    e.stage.begin_day();
+    e.base = e.stage.transport.now();
+    e.stage.start_traffic();
     while !e.stage.finished() {
         if !e.step()? {
             break;
@@ -84,7 +84,7 @@
     }
     e.end()?;
     let base = e.base;
-    let (mut played, mut network) = e.stage.played();
+    let (mut played, mut network) = e.stage.into_records();
     let mut failed = std::mem::take(&mut network.failed_connects);
     for f in &mut failed {
         (f.from, f.at) = (f.from.saturating_sub(base), f.at.saturating_sub(base));
@@ -107,26 +107,26 @@
 impl Emulation<'_> {
     /// Works through what is due next; false if nothing is.
     fn step(&mut self) -> anyhow::Result<bool> {
-        let wires = self.stage.wires.next();
-        let stage = self.stage.next().map(|t| t + self.base);
+        let wires = self.stage.transport.next();
+        let stage = self.stage.next_wakeup().map(|t| t + self.base);
         match (wires, stage) {
             (None, None) => return Ok(false),
             (Some(w), s) if s.is_none_or(|s| w <= s) => {
-                let brought = self.stage.wires.step();
+                let brought = self.stage.transport.step();
                 let Some(brought) = brought else { return Ok(true) };
                 self.stage.clock(w.saturating_sub(self.base));
                 match brought {
                     ToStage::Accepted(endpoint, token) => self.stage.accepted(endpoint, token),
                     ToStage::Connected(token) => self.stage.connected(token),
-                    ToStage::Data(token, bytes) => self.stage.data(token, &bytes),
-                    ToStage::Gone(token) => self.stage.gone(token),
+                    ToStage::Data(token, bytes) => self.stage.received(token, &bytes),
+                    ToStage::Gone(token) => self.stage.disconnected(token),
                     ToStage::Put(courier, life, said) => self.stage.put_done(courier, life, said)?,
                 }
             }
             (_, Some(s)) => {
-                self.stage.wires.clock(s);
+                self.stage.transport.clock(s);
                 self.stage.clock(s.saturating_sub(self.base));
-                self.stage.due()?;
+                self.stage.run_due_timers()?;
             }
             (Some(_), None) => {}
         }
@@ -135,14 +135,14 @@
 
     /// Ends the couriers as an operator does, and sees that they end well.
     fn end(&mut self) -> anyhow::Result<()> {
-        self.stage.wires.drain(DRAIN);
-        let until = self.stage.wires.now() + END;
+        self.stage.transport.drain(DRAIN);
+        let until = self.stage.transport.now() + END;
         loop {
-            let owing = self.stage.wires.owing();
+            let owing = self.stage.transport.owing();
             if owing.is_empty() {
                 return Ok(());
             }
-            if self.stage.wires.now() > until || !self.step()? {
+            if self.stage.transport.now() > until || !self.step()? {
                 bail!("couriers {owing:?} did not end within their time");
             }
         }
--- a/crates/emulator/src/links.rs
+++ b/crates/emulator/src/links.rs
@@ -3,7 +3,7 @@
 
 use bytes::Bytes;
 use linnetcart_conformance::Time;
-use linnetcart_edge::core::{ClientId, LinkId};
+use linnetcart_edge::core::{ClientId, UpstreamId};
 use linnetcart_scenario::stage::Token;
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution, Exp};
@@ -34,7 +34,7 @@
     /// A client connected to the courier.
     Client(ClientId),
     /// The courier connected to an endpoint.
-    Link(LinkId, u32),
+    Link(UpstreamId, u32),
 }
 
 /// Towards whom something travels.
@@ -130,7 +130,7 @@
     /// Connections of each courier.
     of: BTreeMap<u32, std::collections::BTreeSet<Token>>,
     by_client: BTreeMap<(u32, ClientId), Token>,
-    by_link: BTreeMap<(u32, LinkId), Token>,
+    by_link: BTreeMap<(u32, UpstreamId), Token>,
     blocks: BTreeMap<usize, Vec<Block>>,
     slows: BTreeMap<usize, (Vec<u32>, Time)>,
     next: Token,
@@ -166,7 +166,7 @@
     }
 
     /// The connection to an endpoint, as the courier numbers it.
-    pub fn link(&self, courier: u32, id: LinkId) -> Option<Token> {
+    pub fn link(&self, courier: u32, id: UpstreamId) -> Option<Token> {
         self.by_link.get(&(courier, id)).copied()
     }
 
--- a/crates/emulator/src/network.rs
+++ b/crates/emulator/src/network.rs
@@ -6,10 +6,10 @@
 use crate::trace::Story;
 use bytes::Bytes;
 use linnetcart_conformance::{FailedConnect, Time};
-use linnetcart_edge::core::{Output, PolicyFactory, Start};
+use linnetcart_edge::core::{Output, PolicyFactory, StartOptions};
 use linnetcart_kafka::server::Broker;
 use linnetcart_scenario::fleet::Fleet;
-use linnetcart_scenario::stage::{Fault, Token, Wires};
+use linnetcart_scenario::stage::{InfrastructureFault, Token, Transport};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
@@ -233,7 +233,7 @@
         if let Some(l) = self.links.get(token).filter(|l| !l.greeted) {
             if let End::Link(_, endpoint) = l.end {
                 let (courier, life, from, at) = (l.courier, l.life, l.begun, self.now);
-                self.failed_connects.push(FailedConnect { courier, life, endpoint, from, at });
+                self.failed_connects.push(FailedConnect { courier, incarnation: life, endpoint, from, at });
             }
         }
     }
@@ -391,12 +391,12 @@
                     self.most_links = self.most_links.max(self.links.count());
                     self.send(token, Way::Out, Parcel::Connect);
                 }
-                Output::ToLink(link, bytes) => {
+                Output::ToUpstream(link, bytes) => {
                     if let Some(token) = self.links.link(courier, link) {
                         self.send(token, Way::Out, Parcel::Data(bytes));
                     }
                 }
-                Output::CloseLink(link) => {
+                Output::CloseUpstream(link) => {
                     if let Some(token) = self.links.link(courier, link) {
                         self.failed(token);
                         self.leave(token, true);
@@ -439,7 +439,7 @@
     }
 }
 
-impl Wires for Network<'_> {
+impl Transport for Network<'_> {
     fn connect(&mut self, courier: u32) -> Token {
         let life = self.hosts.get(&courier).map_or(u32::MAX, |h| h.life);
         let token = self.links.open(self.now, courier, life, End::Client);
@@ -461,7 +461,7 @@
     }
 
     fn start(&mut self, courier: u32, life: u32, _first: bool) -> anyhow::Result<bool> {
-        let start = Start {
+        let start = StartOptions {
             seed: self.fleet.courier_seed(courier, life),
             now: 0,
             broker: Broker { id: 0, host: format!("courier-{courier}"), port: PORT },
@@ -529,16 +529,16 @@
         self.links.travelled(token)
     }
 
-    fn fault(&mut self, number: usize, fault: Fault) {
+    fn fault(&mut self, number: usize, fault: InfrastructureFault) {
         match fault {
-            Fault::Partition { couriers, clients, endpoints, one_way } => {
+            InfrastructureFault::Partition { couriers, clients, endpoints, one_way } => {
                 let block =
                     |courier| Block { courier, clients, endpoints, incoming: true, outgoing: !one_way };
                 self.links.block(number, couriers.into_iter().map(block).collect());
             }
-            Fault::Slow { couriers, by } => self.links.slow(number, couriers, by),
-            Fault::Cut { couriers, share } => self.cut(&couriers, share),
-            Fault::Damage { courier, left } => {
+            InfrastructureFault::Slow { couriers, by } => self.links.slow(number, couriers, by),
+            InfrastructureFault::Cut { couriers, share } => self.cut(&couriers, share),
+            InfrastructureFault::Damage { courier, left } => {
                 if let Some(disk) = self.disks.get_mut(&courier) {
                     disk.damage(left);
                 }
--- a/crates/emulator/tests/days.rs
+++ b/crates/emulator/tests/days.rs
@@ -1,21 +1,21 @@
 //! Days in virtual time: they repeat bit for bit, keep the rules, and end what they were made to end.
 
-use linnetcart_conformance::{check, Answer, Report, Verdict};
+use linnetcart_conformance::{check, Answer, EndpointVerdict, Report};
 use linnetcart_edge::delivery_events::{DeliveryEvent, FinalAnswer};
 use linnetcart_emulator::network::Model;
 use linnetcart_emulator::trace::Story;
 use linnetcart_emulator::{play, Options, Run};
-use linnetcart_scenario::day::{Day, BUILT_IN};
-use linnetcart_scenario::fleet::{Fleet, Way};
+use linnetcart_scenario::day::{Scenario, BUILT_IN};
+use linnetcart_scenario::fleet::{Fleet, Timebase};
 
 fn fleet(name: &str, couriers: u32, seed: u64) -> Fleet {
-    let day = Day::find(name).unwrap().with(Some(couriers), 1.0).unwrap();
+    let day = Scenario::find(name).unwrap().with(Some(couriers), 1.0).unwrap();
     Fleet::draw(day, seed)
 }
 
 fn run(fleet: &Fleet) -> (Report, Run) {
     let run = play(fleet, Options::default()).unwrap();
-    (check(&run.played.records, &fleet.contract(Way::Emulated)), run)
+    (check(&run.played.records, &fleet.invariants(Timebase::Emulated)), run)
 }
 
 fn kept(report: &Report, what: &str) {
@@ -57,7 +57,7 @@
     };
     let together = with(0, 0);
     assert_eq!(together.digest, with(9_000_000_000, 0).digest, "clocks that differ by seconds");
-    let worth = |r: &Run| check(&r.played.records, &fleet.contract(Way::Emulated)).service;
+    let worth = |r: &Run| check(&r.played.records, &fleet.invariants(Timebase::Emulated)).service;
     let drifting = with(9_000_000_000, 500);
     assert_ne!(together.digest, drifting.digest);
     assert!((worth(&together) - worth(&drifting)).abs() < 0.02);
@@ -86,9 +86,9 @@
         .collect();
     assert_eq!(told, ["taken", "sent 0 false", "ended 0 Served", "answered true"]);
     let r = &run.played.records;
-    let (h, a) = (&r.handed[0], &r.arrivals[0]);
-    assert_eq!((r.handed.len(), r.arrivals.len()), (1, 1));
-    assert_eq!((h.answers[0].1, a.verdict, a.effect), (Answer::Served, Verdict::Served, true));
+    let (h, a) = (&r.submissions[0], &r.arrivals[0]);
+    assert_eq!((r.submissions.len(), r.arrivals.len()), (1, 1));
+    assert_eq!((h.answers[0].1, a.verdict, a.effect), (Answer::Served, EndpointVerdict::Served, true));
     // In, a connection with its greeting, the call, the service, two answers: each way takes the link's delay.
     let (taken, served) = (a.at - h.at, a.answered.unwrap() - a.at);
     let back = h.answers[0].0 - a.answered.unwrap();
@@ -98,9 +98,9 @@
 
 #[test]
 fn a_courier_that_restarts_with_an_old_list_and_a_late_one_keeps_the_grace() {
-    let mut day = Day::find("drains").unwrap().with(Some(4), 1.0).unwrap();
-    let more = Day::find("couriers-killed").unwrap().trouble.remove(0);
-    let out = Day::find("list-out").unwrap().trouble.remove(0);
+    let mut day = Scenario::find("drains").unwrap().with(Some(4), 1.0).unwrap();
+    let more = Scenario::find("couriers-killed").unwrap().trouble.remove(0);
+    let out = Scenario::find("list-out").unwrap().trouble.remove(0);
     day.trouble.extend([more, out]);
     for seed in 1..=3 {
         let (report, _) = run(&Fleet::draw(day.clone(), seed));
@@ -115,8 +115,8 @@
     kept(&report, "partition-clients");
     let records = &run.played.records;
     let safe = |n: u8| n == 0;
-    let again = |m: u64| records.handed.iter().filter(|h| h.message == m).count() > 1;
-    let orphans: Vec<_> = records.handed.iter().filter(|h| h.orphaned.is_some()).collect();
+    let again = |m: u64| records.submissions.iter().filter(|h| h.message == m).count() > 1;
+    let orphans: Vec<_> = records.submissions.iter().filter(|h| h.orphaned.is_some()).collect();
     assert!(orphans.iter().any(|h| safe(h.class) && again(h.message)), "nobody was lost sight of");
     let both = orphans.iter().filter(|h| safe(h.class)).any(|h| {
         let by: std::collections::BTreeSet<u32> =
@@ -125,11 +125,14 @@
     });
     assert!(both, "no message was worked on by two couriers");
     // An unsafe one goes on only if it never left its client, as its connection was never made.
-    let came = |h: &linnetcart_conformance::Handed| {
-        records.arrivals.iter().any(|a| (a.message, a.courier, a.life) == (h.message, h.courier, h.life))
+    let came = |h: &linnetcart_conformance::Submission| {
+        records
+            .arrivals
+            .iter()
+            .any(|a| (a.message, a.courier, a.incarnation) == (h.message, h.courier, h.incarnation))
     };
-    let handed_on = |h: &linnetcart_conformance::Handed| {
-        records.handed.iter().any(|later| later.message == h.message && later.at > h.at)
+    let handed_on = |h: &linnetcart_conformance::Submission| {
+        records.submissions.iter().any(|later| later.message == h.message && later.at > h.at)
     };
     assert!(!orphans.iter().any(|h| h.class == 2 && handed_on(h) && came(h)), "an unsafe one was handed on");
 }
@@ -138,25 +141,25 @@
 fn a_courier_whose_snapshot_is_cut_starts_with_nothing_and_is_told_again() {
     let (report, run) = run(&fleet("disk-damaged", 3, 1));
     kept(&report, "disk-damaged");
-    let later = run.played.records.told.iter().filter(|t| t.life > 0).count();
+    let later = run.played.records.notifications.iter().filter(|t| t.incarnation > 0).count();
     assert!(later > 0, "nobody told it the list");
-    let again = run.played.records.handed.iter().any(|h| h.life == 1);
+    let again = run.played.records.submissions.iter().any(|h| h.incarnation == 1);
     assert!(again && report.service > 0.9);
 }
 
 #[test]
 fn three_hundred_couriers_at_a_months_end_stay_within_bounds() {
-    let mut day = Day::find("month-end").unwrap();
+    let mut day = Scenario::find("month-end").unwrap();
     // Its first seconds: enough for every courier to work, short enough for every test run.
     day.seconds = 1.5;
     day.trouble.clear();
     let fleet = Fleet::draw(day, 1);
-    let endpoints: usize = fleet.members.iter().map(|m| m.endpoints.len()).sum();
-    assert!(fleet.day.couriers == 300 && endpoints > 250);
+    let endpoints: usize = fleet.destinations.iter().map(|m| m.endpoints.len()).sum();
+    assert!(fleet.scenario.couriers == 300 && endpoints > 250);
     let (report, run) = run(&fleet);
     kept(&report, "month-end");
     let courier: std::collections::BTreeSet<u32> =
-        run.played.records.handed.iter().map(|h| h.courier).collect();
+        run.played.records.submissions.iter().map(|h| h.courier).collect();
     assert!(courier.len() > 290, "{} couriers were handed something", courier.len());
     // Events grow with messages, not with couriers: the queue does not fill with those that have nothing to do.
     let each = run.events as f64 / fleet.messages.len() as f64;
--- a/crates/endpoint-model/src/lib.rs
+++ b/crates/endpoint-model/src/lib.rs
@@ -10,7 +10,7 @@
 mod limit;
 
 use limit::Unit;
-use linnetcart_conformance::{Arrival, Outage, Repeat, Time, Verdict};
+use linnetcart_conformance::{Arrival, EndpointVerdict, Idempotency, Outage, Time};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution, LogNormal};
@@ -54,9 +54,9 @@
     /// Connections that an endpoint takes; 0 for any number.
     pub connections: usize,
     /// Endpoints are separate routes.
-    pub apart: bool,
+    pub independent_routes: bool,
     /// Messages in one call at most.
-    pub per_call: usize,
+    pub max_messages_per_call: usize,
     /// Work of a further message in a call, as a part of the first's.
     pub item_cost: f64,
     /// Limits are told this often; 0 for never.
@@ -65,7 +65,7 @@
 
 /// A destination.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Member {
+pub struct SimulatedDestination {
     /// Its number.
     pub destination: u32,
     /// Its kind.
@@ -84,25 +84,25 @@
     /// Usual service time.
     pub service: Time,
     /// What they do with a repeat.
-    pub repeat: Repeat,
+    pub idempotency: Idempotency,
 }
 
 /// Figures of outages.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Returns {
+pub struct RecoveryModel {
     /// Share of the capacity right after an outage.
-    pub cold_share: f64,
+    pub slow_start_ratio: f64,
     /// All of it after this.
-    pub warm_after: Time,
+    pub slow_start_duration: Time,
     /// Sent more than this multiple of what it can do,
-    pub fall_multiple: f64,
+    pub overload_ratio: f64,
     /// for so long, it falls over.
-    pub fall_span: Time,
+    pub overload_window: Time,
 }
 
 /// A trouble of an endpoint.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub struct Trouble {
+pub struct EndpointFault {
     /// Share of calls that fail quickly.
     pub errors: f64,
     /// Takes calls and answers none.
@@ -127,7 +127,7 @@
 
 /// A message in a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Item {
+pub struct CallItem {
     /// The message.
     pub message: u64,
     /// Its class.
@@ -140,16 +140,16 @@
     /// The courier.
     pub courier: u32,
     /// In which of its lives.
-    pub life: u32,
+    pub incarnation: u32,
 }
 
 /// How a message of a call is answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Code {
+pub enum ItemStatus {
     /// Served.
     Served,
     /// Turned away.
-    Full,
+    Rejected,
     /// An error.
     Error,
 }
@@ -158,16 +158,16 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Reply {
     /// For each message.
-    pub codes: Vec<Code>,
+    pub codes: Vec<ItemStatus>,
     /// The wait that is told, 0 for none.
-    pub wait: Time,
+    pub retry_after: Time,
     /// Share of the limit that is left, and the limit, if told.
     pub load: Option<(f64, f64)>,
 }
 
 /// What is to be done with a call now.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Step {
+pub enum CallStep {
     /// Answer it.
     Answer(Reply),
     /// Ask again then, by [`World::finish`].
@@ -180,23 +180,23 @@
 
 /// What becomes of a new connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Door {
+pub enum ConnectOutcome {
     /// It is taken after so long.
-    Open {
+    Accepted {
         /// How long that takes.
         after: Time,
     },
     /// It is closed at once.
-    Full,
+    Refused,
     /// Nobody answers.
-    Nobody,
+    Unanswered,
 }
 
 #[derive(Debug)]
 struct Endpoint {
     destination: u32,
     zone: u8,
-    trouble: Trouble,
+    trouble: EndpointFault,
     connections: usize,
     gone: bool,
 }
@@ -204,7 +204,7 @@
 #[derive(Debug)]
 struct Call {
     endpoint: u32,
-    items: Vec<Item>,
+    items: Vec<CallItem>,
     records: std::ops::Range<usize>,
     /// What was decided on arrival; the state at the end may change it.
     fails: Vec<Option<bool>>,
@@ -213,11 +213,11 @@
 
 /// All member systems.
 #[derive(Debug)]
-pub struct World {
+pub struct EndpointSimulator {
     kinds: Vec<Kind>,
     classes: Vec<ClassWork>,
-    returns: Returns,
-    members: BTreeMap<u32, Member>,
+    returns: RecoveryModel,
+    members: BTreeMap<u32, SimulatedDestination>,
     endpoints: BTreeMap<u32, Endpoint>,
     units: BTreeMap<(u32, Option<u32>), Unit>,
     calls: BTreeMap<u64, Call>,
@@ -234,16 +234,16 @@
 /// Part of the failed calls that took effect all the same.
 const ERROR_RAN: f64 = 0.3;
 
-impl World {
+impl EndpointSimulator {
     /// These members, all in service and warm.
     pub fn new(
         kinds: Vec<Kind>,
         classes: Vec<ClassWork>,
-        returns: Returns,
-        members: Vec<Member>,
+        returns: RecoveryModel,
+        members: Vec<SimulatedDestination>,
         seed: u64,
-    ) -> World {
-        let mut world = World {
+    ) -> EndpointSimulator {
+        let mut world = EndpointSimulator {
             kinds,
             classes,
             returns,
@@ -268,17 +268,17 @@
         world
     }
 
-    fn put(&mut self, m: &Member, id: u32, zone: u8) {
+    fn put(&mut self, m: &SimulatedDestination, id: u32, zone: u8) {
         let endpoint = Endpoint {
             destination: m.destination,
             zone,
-            trouble: Trouble::default(),
+            trouble: EndpointFault::default(),
             connections: 0,
             gone: false,
         };
         self.endpoints.insert(id, endpoint);
         let kind = &self.kinds[m.kind];
-        let unit = (m.destination, kind.apart.then_some(id));
+        let unit = (m.destination, kind.independent_routes.then_some(id));
         self.units.entry(unit).or_insert_with(|| Unit::new(m.rate));
     }
 
@@ -299,7 +299,7 @@
     }
 
     /// The members.
-    pub fn members(&self) -> impl Iterator<Item = &Member> {
+    pub fn destinations(&self) -> impl Iterator<Item = &SimulatedDestination> {
         self.members.values()
     }
 
@@ -319,7 +319,7 @@
     }
 
     /// Limits that fell over: when, and whose.
-    pub fn fallen(&self) -> &[(Time, u32)] {
+    pub fn overloads(&self) -> &[(Time, u32)] {
         &self.fallen
     }
 
@@ -329,7 +329,7 @@
     }
 
     /// The trouble of an endpoint, to be changed.
-    pub fn trouble(&mut self, endpoint: u32) -> Option<&mut Trouble> {
+    pub fn fault_mut(&mut self, endpoint: u32) -> Option<&mut EndpointFault> {
         self.endpoints.get_mut(&endpoint).map(|e| &mut e.trouble)
     }
 
@@ -341,7 +341,7 @@
     }
 
     /// A destination refuses everything until then; 0 ends it.
-    pub fn shut(&mut self, destination: u32, until: Time) {
+    pub fn shut_down_until(&mut self, destination: u32, until: Time) {
         for (_, unit) in self.units.range_mut((destination, None)..=(destination, Some(u32::MAX))) {
             unit.shut_until = until;
         }
@@ -360,8 +360,8 @@
                 from: now,
                 until,
                 capacity: unit.capacity(&kind),
-                cold_share: returns.cold_share,
-                warm_after: returns.warm_after,
+                slow_start_ratio: returns.slow_start_ratio,
+                slow_start_duration: returns.slow_start_duration,
                 refused_connections,
             });
         }
@@ -375,24 +375,24 @@
     }
 
     /// Someone connects.
-    pub fn connect(&mut self, endpoint: u32) -> Door {
+    pub fn connect(&mut self, endpoint: u32) -> ConnectOutcome {
         let Some(most) =
             self.endpoints.get(&endpoint).and_then(|e| self.kind(e.destination)).map(|k| k.connections)
         else {
-            return Door::Full;
+            return ConnectOutcome::Refused;
         };
-        let Some(e) = self.endpoints.get_mut(&endpoint) else { return Door::Full };
+        let Some(e) = self.endpoints.get_mut(&endpoint) else { return ConnectOutcome::Refused };
         if e.trouble.down || e.gone {
-            return Door::Full;
+            return ConnectOutcome::Refused;
         }
         if e.trouble.vanished {
-            return Door::Nobody;
+            return ConnectOutcome::Unanswered;
         }
         if most > 0 && e.connections >= most {
-            return Door::Full;
+            return ConnectOutcome::Refused;
         }
         e.connections += 1;
-        Door::Open { after: e.trouble.slow_connect }
+        ConnectOutcome::Accepted { after: e.trouble.slow_connect }
     }
 
     /// A connection that was taken has ended.
@@ -405,16 +405,16 @@
     // ---- Calls
 
     /// A call comes that was so long on its way, as far as is known. Returns its number and what to do now.
-    pub fn arrive(
+    pub fn receive_call(
         &mut self,
         now: Time,
         (caller, travelled): (Caller, Time),
         endpoint: u32,
-        items: &[Item],
-    ) -> (u64, Step) {
+        items: &[CallItem],
+    ) -> (u64, CallStep) {
         self.next += 1;
         let id = self.next;
-        let Some(e) = self.endpoints.get(&endpoint) else { return (id, Step::Break) };
+        let Some(e) = self.endpoints.get(&endpoint) else { return (id, CallStep::Break) };
         let (destination, zone, trouble, gone) = (e.destination, e.zone, e.trouble.clone(), e.gone);
         let member = &self.members[&destination];
         let (kind, pace) = (self.kinds[member.kind].clone(), member.pace);
@@ -424,14 +424,14 @@
                 message: item.message,
                 call: id,
                 courier: caller.courier,
-                life: caller.life,
+                incarnation: caller.incarnation,
                 destination,
                 endpoint,
                 zone,
-                apart: kind.apart,
+                independent_route: kind.independent_routes,
                 at: now,
                 travelled,
-                verdict: Verdict::Silent,
+                verdict: EndpointVerdict::Unanswered,
                 answered: None,
                 effect: false,
             });
@@ -442,17 +442,18 @@
         self.calls.insert(id, call);
         if trouble.down || gone {
             self.calls.remove(&id);
-            return (id, Step::Break);
+            return (id, CallStep::Break);
         }
-        let Some(unit) = self.units.get_mut(&(destination, kind.apart.then_some(endpoint))) else {
-            return (id, Step::Break);
+        let Some(unit) = self.units.get_mut(&(destination, kind.independent_routes.then_some(endpoint)))
+        else {
+            return (id, CallStep::Break);
         };
         if unit.push(now, &self.returns, &kind) {
             self.fallen.push((now, destination));
         }
         if trouble.vanished || trouble.silent || unit.fallen {
             self.calls.remove(&id);
-            return (id, Step::Silent);
+            return (id, CallStep::Silent);
         }
         let work = 1.0 + kind.item_cost * (items.len() as f64 - 1.0);
         let draws = (self.rng.random::<f64>(), self.rng.random::<f64>());
@@ -460,7 +461,7 @@
             Ok(start) => start,
             Err(wait) => {
                 let load = unit.load(now, &kind);
-                let reply = Reply { codes: vec![Code::Full; items.len()], wait, load };
+                let reply = Reply { codes: vec![ItemStatus::Rejected; items.len()], retry_after: wait, load };
                 return (id, self.settle(id, now, reply));
             }
         };
@@ -468,7 +469,7 @@
             if let Some(c) = self.calls.get_mut(&id) {
                 c.fails.fill(Some(false));
             }
-            return (id, Step::At(now + 2_000_000));
+            return (id, CallStep::At(now + 2_000_000));
         }
         let lost = self.rng.random::<f64>() < trouble.answers_lost;
         // Messages of one class in a call share their fate: an answer has one code for them.
@@ -489,24 +490,24 @@
         if let Some(c) = self.calls.get_mut(&id) {
             (c.fails, c.lost) = (fails, lost);
         }
-        (id, Step::At(start + service.max(1000)))
+        (id, CallStep::At(start + service.max(1000)))
     }
 
     /// The time of a call has come.
-    pub fn finish(&mut self, now: Time, id: u64) -> Step {
-        let Some(call) = self.calls.get(&id) else { return Step::Silent };
-        let Some(e) = self.endpoints.get(&call.endpoint) else { return Step::Break };
+    pub fn finish_call(&mut self, now: Time, id: u64) -> CallStep {
+        let Some(call) = self.calls.get(&id) else { return CallStep::Silent };
+        let Some(e) = self.endpoints.get(&call.endpoint) else { return CallStep::Break };
         let (destination, zone) = (e.destination, e.zone);
         if e.trouble.down {
-            return Step::Break;
+            return CallStep::Break;
         }
         if e.trouble.paused_until > now {
-            return Step::At(e.trouble.paused_until);
+            return CallStep::At(e.trouble.paused_until);
         }
         // What began before the endpoint fell silent is carried out and not answered.
         let silent = e.trouble.silent || e.trouble.vanished || call.lost;
         let (items, fails, records) = (call.items.clone(), call.fails.clone(), call.records.clone());
-        let Some(kind) = self.kind(destination).cloned() else { return Step::Break };
+        let Some(kind) = self.kind(destination).cloned() else { return CallStep::Break };
         let mut codes = Vec::new();
         let mut quiet = silent;
         for ((item, fail), record) in items.iter().zip(&fails).zip(records) {
@@ -514,19 +515,23 @@
             let effect = ran && self.takes_effect(now, destination, zone, *item);
             self.arrivals[record].effect = effect;
             quiet |= *fail == Some(true);
-            codes.push(if fail.is_some() { Code::Error } else { Code::Served });
+            codes.push(if fail.is_some() { ItemStatus::Error } else { ItemStatus::Served });
         }
         if quiet {
             self.calls.remove(&id);
-            return Step::Silent;
+            return CallStep::Silent;
         }
-        let unit = self.units.get_mut(&(destination, kind.apart.then_some(call_endpoint(&self.calls, id))));
+        let unit = self
+            .units
+            .get_mut(&(destination, kind.independent_routes.then_some(call_endpoint(&self.calls, id))));
         let load = unit.and_then(|u| u.load(now, &kind));
-        self.settle(id, now, Reply { codes, wait: 0, load })
+        self.settle(id, now, Reply { codes, retry_after: 0, load })
     }
 
-    fn takes_effect(&mut self, now: Time, destination: u32, zone: u8, item: Item) -> bool {
-        let Repeat::Keyed { window, by_zone } = self.classes[usize::from(item.class)].repeat else {
+    fn takes_effect(&mut self, now: Time, destination: u32, zone: u8, item: CallItem) -> bool {
+        let Idempotency::Keyed { dedup_window: window, per_zone: by_zone } =
+            self.classes[usize::from(item.class)].idempotency
+        else {
             return true;
         };
         let group = (destination, by_zone.then_some(zone), item.message);
@@ -540,19 +545,19 @@
     }
 
     /// Notes the answer of a call and forgets the call.
-    fn settle(&mut self, id: u64, now: Time, reply: Reply) -> Step {
+    fn settle(&mut self, id: u64, now: Time, reply: Reply) -> CallStep {
         if let Some(call) = self.calls.remove(&id) {
             for (record, code) in call.records.zip(&reply.codes) {
                 let a = &mut self.arrivals[record];
                 a.answered = Some(now);
                 a.verdict = match code {
-                    Code::Served => Verdict::Served,
-                    Code::Full => Verdict::Refused { wait: reply.wait },
-                    Code::Error => Verdict::Error,
+                    ItemStatus::Served => EndpointVerdict::Served,
+                    ItemStatus::Rejected => EndpointVerdict::Rejected { retry_after: reply.retry_after },
+                    ItemStatus::Error => EndpointVerdict::Error,
                 };
             }
         }
-        Step::Answer(reply)
+        CallStep::Answer(reply)
     }
 }
 
--- a/crates/endpoint-model/src/limit.rs
+++ b/crates/endpoint-model/src/limit.rs
@@ -1,6 +1,6 @@
 //! One limit: what it turns away, how its queue moves, how it comes back.
 
-use crate::{Kind, LimitKind, Returns};
+use crate::{Kind, LimitKind, RecoveryModel};
 use linnetcart_conformance::Time;
 use std::collections::VecDeque;
 
@@ -54,19 +54,19 @@
         self.cold_since = Some(at);
     }
 
-    fn warm(&self, now: Time, returns: &Returns) -> f64 {
+    fn warm(&self, now: Time, returns: &RecoveryModel) -> f64 {
         match self.cold_since {
-            Some(since) if now >= since && now < since + returns.warm_after => {
-                let share = (now - since) as f64 / returns.warm_after as f64;
-                returns.cold_share + (1.0 - returns.cold_share) * share
+            Some(since) if now >= since && now < since + returns.slow_start_duration => {
+                let share = (now - since) as f64 / returns.slow_start_duration as f64;
+                returns.slow_start_ratio + (1.0 - returns.slow_start_ratio) * share
             }
             _ => 1.0,
         }
     }
 
     /// Notes a call; true if it pushes a cold limit over.
-    pub(crate) fn push(&mut self, now: Time, returns: &Returns, kind: &Kind) -> bool {
-        while self.recent.front().is_some_and(|&t| t + returns.fall_span <= now) {
+    pub(crate) fn push(&mut self, now: Time, returns: &RecoveryModel, kind: &Kind) -> bool {
+        while self.recent.front().is_some_and(|&t| t + returns.overload_window <= now) {
             self.recent.pop_front();
         }
         self.recent.push_back(now);
@@ -77,7 +77,7 @@
         // What came before it was back does not count against it.
         let since = self.cold_since.unwrap_or(0);
         let count = self.recent.iter().filter(|&&t| t >= since).count() as f64;
-        let mean = returns.fall_multiple * warm * self.capacity(kind) * returns.fall_span as f64 / 1e9;
+        let mean = returns.overload_ratio * warm * self.capacity(kind) * returns.overload_window as f64 / 1e9;
         self.fallen = count > mean + 2.0 * mean.sqrt() + 1.0;
         self.fallen
     }
@@ -111,7 +111,7 @@
         now: Time,
         work: f64,
         kind: &Kind,
-        returns: &Returns,
+        returns: &RecoveryModel,
         draws: (f64, f64),
     ) -> Result<Time, Time> {
         self.refill(now, kind);
--- a/crates/endpoint-model/src/tests.rs
+++ b/crates/endpoint-model/src/tests.rs
@@ -2,7 +2,7 @@
 
 const MS: Time = 1_000_000;
 const S: Time = 1000 * MS;
-const ME: Caller = Caller { courier: 0, life: 0 };
+const ME: Caller = Caller { courier: 0, incarnation: 0 };
 
 fn kind(limit: LimitKind) -> Kind {
     Kind {
@@ -15,34 +15,43 @@
         depth: 500 * MS,
         cv: 0.3,
         connections: 2,
-        apart: false,
-        per_call: 4,
+        independent_routes: false,
+        max_messages_per_call: 4,
         item_cost: 0.1,
         report_every: 100 * MS,
     }
 }
 
-fn world(kind: Kind, rate: f64) -> World {
+fn world(kind: Kind, rate: f64) -> EndpointSimulator {
     let classes = vec![
-        ClassWork { service: 50 * MS, repeat: Repeat::Safe },
-        ClassWork { service: 50 * MS, repeat: Repeat::Keyed { window: 2 * S, by_zone: true } },
+        ClassWork { service: 50 * MS, idempotency: Idempotency::Idempotent },
+        ClassWork {
+            service: 50 * MS,
+            idempotency: Idempotency::Keyed { dedup_window: 2 * S, per_zone: true },
+        },
     ];
-    let returns = Returns { cold_share: 0.1, warm_after: 10 * S, fall_multiple: 2.0, fall_span: S };
-    let member = Member { destination: 1, kind: 0, rate, endpoints: vec![(10, 0), (11, 1)], pace: 1.0 };
-    World::new(vec![kind], classes, returns, vec![member], 7)
+    let returns = RecoveryModel {
+        slow_start_ratio: 0.1,
+        slow_start_duration: 10 * S,
+        overload_ratio: 2.0,
+        overload_window: S,
+    };
+    let member =
+        SimulatedDestination { destination: 1, kind: 0, rate, endpoints: vec![(10, 0), (11, 1)], pace: 1.0 };
+    EndpointSimulator::new(vec![kind], classes, returns, vec![member], 7)
 }
 
-fn one(w: &mut World, now: Time, endpoint: u32, message: u64, class: u8) -> Step {
-    let (id, step) = w.arrive(now, (ME, 0), endpoint, &[Item { message, class }]);
+fn one(w: &mut EndpointSimulator, now: Time, endpoint: u32, message: u64, class: u8) -> CallStep {
+    let (id, step) = w.receive_call(now, (ME, 0), endpoint, &[CallItem { message, class }]);
     match step {
-        Step::At(at) => w.finish(at, id),
+        CallStep::At(at) => w.finish_call(at, id),
         other => other,
     }
 }
 
-fn refused(step: &Step) -> Option<Time> {
+fn refused(step: &CallStep) -> Option<Time> {
     match step {
-        Step::Answer(r) if r.codes == [Code::Full] => Some(r.wait),
+        CallStep::Answer(r) if r.codes == [ItemStatus::Rejected] => Some(r.retry_after),
         _ => None,
     }
 }
@@ -50,11 +59,11 @@
 #[test]
 fn a_window_takes_its_count_and_tells_its_end() {
     let mut w = world(kind(LimitKind::Window { ms: 1000 }), 5.0);
-    let steps: Vec<Step> = (0..7).map(|n| one(&mut w, 10 * S + 300 * MS, 10, n, 0)).collect();
+    let steps: Vec<CallStep> = (0..7).map(|n| one(&mut w, 10 * S + 300 * MS, 10, n, 0)).collect();
     assert_eq!(steps.iter().filter(|s| refused(s).is_some()).count(), 2);
     assert_eq!(refused(&steps[6]), Some(700 * MS));
     assert_eq!(refused(&one(&mut w, 11 * S, 10, 9, 0)), None, "the next span has room");
-    assert_eq!(w.arrivals()[6].verdict, Verdict::Refused { wait: 700 * MS });
+    assert_eq!(w.arrivals()[6].verdict, EndpointVerdict::Rejected { retry_after: 700 * MS });
 }
 
 #[test]
@@ -62,7 +71,7 @@
     let mut k = kind(LimitKind::Rate);
     k.refused_count = true;
     let (mut counting, mut plain) = (world(k, 4.0), world(kind(LimitKind::Rate), 4.0));
-    let served = |w: &mut World| {
+    let served = |w: &mut EndpointSimulator| {
         let steps = (0..200u64).map(|n| one(w, S + n * 50 * MS, 10, n, 0));
         steps.filter(|s| refused(s).is_none()).count()
     };
@@ -74,11 +83,11 @@
 #[test]
 fn a_queue_has_an_end_and_load_is_told() {
     let mut w = world(kind(LimitKind::None), 10.0);
-    let steps: Vec<Step> = (0..30).map(|n| one(&mut w, S, 10, n, 0)).collect();
+    let steps: Vec<CallStep> = (0..30).map(|n| one(&mut w, S, 10, n, 0)).collect();
     // Capacity 20 a second, half a second deep: the eleventh still fits, the twelfth not.
     assert_eq!(steps.iter().filter(|s| refused(s).is_none()).count(), 11);
     let mut w = world(kind(LimitKind::Rate), 10.0);
-    let Step::Answer(reply) = one(&mut w, S, 10, 1, 0) else { panic!("not answered") };
+    let CallStep::Answer(reply) = one(&mut w, S, 10, 1, 0) else { panic!("not answered") };
     let (left, limit) = reply.load.unwrap();
     assert!(left < 1.0 && limit == 10.0, "{left} {limit}");
 }
@@ -103,7 +112,7 @@
             one(&mut w, at, 10, at, 0);
             at += every;
         }
-        w.fallen().len()
+        w.overloads().len()
     };
     // It bears twice a tenth of 40 a second at first.
     assert_eq!(run(200 * MS), 0);
@@ -113,32 +122,33 @@
 #[test]
 fn silence_errors_and_lost_answers_differ_in_what_is_seen_and_what_ran() {
     let mut w = world(kind(LimitKind::None), 100.0);
-    w.trouble(10).unwrap().silent = true;
-    assert_eq!(one(&mut w, S, 10, 1, 0), Step::Silent);
+    w.fault_mut(10).unwrap().silent = true;
+    assert_eq!(one(&mut w, S, 10, 1, 0), CallStep::Silent);
     assert!(!w.arrivals()[0].effect);
-    *w.trouble(10).unwrap() = Trouble { answers_lost: 1.0, ..Trouble::default() };
-    assert_eq!(one(&mut w, S, 10, 2, 0), Step::Silent);
+    *w.fault_mut(10).unwrap() = EndpointFault { answers_lost: 1.0, ..EndpointFault::default() };
+    assert_eq!(one(&mut w, S, 10, 2, 0), CallStep::Silent);
     assert!(w.arrivals()[1].effect, "carried out, not answered");
-    *w.trouble(10).unwrap() = Trouble { class_fails: Some((1, 1.0, false)), ..Trouble::default() };
-    assert!(matches!(one(&mut w, S, 10, 3, 1), Step::Answer(r) if r.codes == [Code::Error]));
-    assert!(matches!(one(&mut w, S, 10, 4, 0), Step::Answer(r) if r.codes == [Code::Served]));
-    w.trouble(10).unwrap().down = true;
-    assert_eq!(one(&mut w, S, 10, 5, 0), Step::Break);
+    *w.fault_mut(10).unwrap() =
+        EndpointFault { class_fails: Some((1, 1.0, false)), ..EndpointFault::default() };
+    assert!(matches!(one(&mut w, S, 10, 3, 1), CallStep::Answer(r) if r.codes == [ItemStatus::Error]));
+    assert!(matches!(one(&mut w, S, 10, 4, 0), CallStep::Answer(r) if r.codes == [ItemStatus::Served]));
+    w.fault_mut(10).unwrap().down = true;
+    assert_eq!(one(&mut w, S, 10, 5, 0), CallStep::Break);
     assert!(!w.listens(10));
 }
 
 #[test]
 fn connections_are_capped_and_the_same_seed_repeats_a_day() {
     let mut w = world(kind(LimitKind::None), 100.0);
-    assert_eq!(w.connect(10), Door::Open { after: 0 });
-    assert_eq!(w.connect(10), Door::Open { after: 0 });
-    assert_eq!(w.connect(10), Door::Full);
+    assert_eq!(w.connect(10), ConnectOutcome::Accepted { after: 0 });
+    assert_eq!(w.connect(10), ConnectOutcome::Accepted { after: 0 });
+    assert_eq!(w.connect(10), ConnectOutcome::Refused);
     w.disconnect(10);
-    assert_eq!(w.connect(10), Door::Open { after: 0 });
+    assert_eq!(w.connect(10), ConnectOutcome::Accepted { after: 0 });
     let day = || {
         let mut w = world(kind(LimitKind::Rate), 10.0);
         (0..200u64)
-            .map(|n| w.arrive(S + n * 20 * MS, (ME, 0), 10, &[Item { message: n, class: 0 }]).1)
+            .map(|n| w.receive_call(S + n * 20 * MS, (ME, 0), 10, &[CallItem { message: n, class: 0 }]).1)
             .collect::<Vec<_>>()
     };
     assert_eq!(day(), day());
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -9,40 +9,40 @@
 use std::ops::Range;
 
 /// Bytes of a head.
-pub const HEAD: usize = 16 * 1024;
+pub const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// Fields of a head.
-pub const FIELDS: usize = 64;
+pub const MAX_HEADER_FIELDS: usize = 64;
 /// Bytes of a body.
-pub const BODY: usize = 64 * 1024;
+pub const MAX_BODY_BYTES: usize = 64 * 1024;
 
 /// Why bytes make no request. The connection ends: where the next one would begin is not known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum Refusal {
+pub enum RequestError {
     /// The head cannot be read.
     #[error("the head cannot be read as HTTP/1.1")]
     Unreadable,
     /// The head is too long or has too many fields.
-    #[error("a head has at most {HEAD} bytes and {FIELDS} fields")]
+    #[error("a head has at most {MAX_HEAD_BYTES} bytes and {MAX_HEADER_FIELDS} fields")]
     HeadTooLong,
     /// The length is missing a meaning: not one decimal number, or given twice.
     #[error("Content-Length is one decimal number, given once")]
     BadLength,
     /// The body is too long.
-    #[error("a body has at most {BODY} bytes")]
+    #[error("a body has at most {MAX_BODY_BYTES} bytes")]
     BodyTooLong,
     /// A body in another form than one of known length.
     #[error("send the body with a Content-Length and no Transfer-Encoding")]
     Encoded,
 }
 
-impl Refusal {
+impl RequestError {
     /// The status of its answer.
     pub fn status(self) -> u16 {
         match self {
-            Refusal::Unreadable | Refusal::BadLength => 400,
-            Refusal::HeadTooLong => 431,
-            Refusal::BodyTooLong => 413,
-            Refusal::Encoded => 411,
+            RequestError::Unreadable | RequestError::BadLength => 400,
+            RequestError::HeadTooLong => 431,
+            RequestError::BodyTooLong => 413,
+            RequestError::Encoded => 411,
         }
     }
 }
@@ -69,7 +69,7 @@
 /// A field that may stand there once stands there more often.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("the field stands there more than once")]
-pub struct Twice;
+pub struct DuplicateField;
 
 /// A request whose head and body are there. It refers to the bytes that it was read from.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -101,10 +101,10 @@
     }
 
     /// A field that stands there once; `Err` if it stands there more often.
-    pub fn field(&self, name: &'static str) -> Result<Option<&[u8]>, Twice> {
+    pub fn field(&self, name: &'static str) -> Result<Option<&[u8]>, DuplicateField> {
         let mut values = self.fields.values(self.bytes, name);
         let first = values.next();
-        values.next().map_or(Ok(first), |_| Err(Twice))
+        values.next().map_or(Ok(first), |_| Err(DuplicateField))
     }
 
     /// Bytes of the whole request.
@@ -114,16 +114,16 @@
 }
 
 /// The request that these bytes begin with; `None` while more is needed.
-pub fn request(bytes: &[u8]) -> Result<Option<Request<'_>>, Refusal> {
-    let mut fields = [httparse::EMPTY_HEADER; FIELDS];
+pub fn parse_request(bytes: &[u8]) -> Result<Option<Request<'_>>, RequestError> {
+    let mut fields = [httparse::EMPTY_HEADER; MAX_HEADER_FIELDS];
     let mut head = httparse::Request::new(&mut fields);
     let length = match head.parse(bytes) {
-        Ok(httparse::Status::Complete(n)) if n <= HEAD => n,
-        Ok(httparse::Status::Partial) if bytes.len() <= HEAD => return Ok(None),
-        Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(Refusal::HeadTooLong),
-        Err(_) => return Err(Refusal::Unreadable),
+        Ok(httparse::Status::Complete(n)) if n <= MAX_HEAD_BYTES => n,
+        Ok(httparse::Status::Partial) if bytes.len() <= MAX_HEAD_BYTES => return Ok(None),
+        Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(RequestError::HeadTooLong),
+        Err(_) => return Err(RequestError::Unreadable),
     };
-    let (Some(method), Some(path)) = (head.method, head.path) else { return Err(Refusal::Unreadable) };
+    let (Some(method), Some(path)) = (head.method, head.path) else { return Err(RequestError::Unreadable) };
     let place = |part: &str| {
         let start = part.as_ptr() as usize - bytes.as_ptr() as usize;
         start..start + part.len()
@@ -131,11 +131,11 @@
     let (method, path, old) = (place(method), place(path), head.version == Some(0));
     let fields = Fields::new(bytes, head.headers);
     if fields.values(bytes, "transfer-encoding").next().is_some() {
-        return Err(Refusal::Encoded);
+        return Err(RequestError::Encoded);
     }
     let body = content_length(&fields, bytes)?.unwrap_or(0);
-    if body > BODY as u64 {
-        return Err(Refusal::BodyTooLong);
+    if body > MAX_BODY_BYTES as u64 {
+        return Err(RequestError::BodyTooLong);
     }
     let body = length..length + body as usize;
     if bytes.len() < body.end {
@@ -146,17 +146,17 @@
 }
 
 /// A head with a body that is not there yet: what a bad length would have the reader wait for is refused now.
-fn content_length(fields: &Fields, bytes: &[u8]) -> Result<Option<u64>, Refusal> {
+fn content_length(fields: &Fields, bytes: &[u8]) -> Result<Option<u64>, RequestError> {
     let mut values = fields.values(bytes, "content-length");
     let Some(value) = values.next() else { return Ok(None) };
-    match (decimal(value), values.next()) {
+    match (parse_decimal(value), values.next()) {
         (Some(n), None) => Ok(Some(n)),
-        _ => Err(Refusal::BadLength),
+        _ => Err(RequestError::BadLength),
     }
 }
 
 /// A whole number in decimal digits and nothing else; `None` also where it is beyond 18 digits.
-pub fn decimal(value: &[u8]) -> Option<u64> {
+pub fn parse_decimal(value: &[u8]) -> Option<u64> {
     if value.is_empty() || value.len() > 18 || !value.iter().all(u8::is_ascii_digit) {
         return None;
     }
@@ -165,24 +165,24 @@
 
 /// What the bytes that answer a call amount to.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Answer {
+pub enum ParsedResponse {
     /// More is needed. `ok`: the first line is there and reads 200.
-    Part {
+    Incomplete {
         /// The first line is there and reads 200.
         ok: bool,
     },
     /// No answer can come of it. `ok`: the first line is there and reads 200.
-    Spoilt {
+    Malformed {
         /// The first line is there and reads 200.
         ok: bool,
     },
     /// A head.
-    Head(AnswerHead),
+    Head(ResponseHead),
 }
 
 /// The head of an answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct AnswerHead {
+pub struct ResponseHead {
     /// Its status.
     pub status: u16,
     /// Bytes up to the end of the head, 1xx answers in front included.
@@ -196,7 +196,7 @@
     fields: Vec<(Vec<u8>, Vec<u8>)>,
 }
 
-impl AnswerHead {
+impl ResponseHead {
     /// The first field of this name.
     pub fn field(&self, name: &str) -> Option<&[u8]> {
         let mut named = self.fields.iter().filter(|f| f.0.eq_ignore_ascii_case(name.as_bytes()));
@@ -205,60 +205,62 @@
 }
 
 /// The answer that these bytes begin with; 1xx answers in front are skipped.
-pub fn answer(bytes: &[u8]) -> Answer {
+pub fn parse_response(bytes: &[u8]) -> ParsedResponse {
     let mut skipped = 0;
     loop {
         let rest = &bytes[skipped..];
         match one_answer(rest) {
-            Answer::Head(head) if (100..200).contains(&head.status) && head.status != 101 => {
+            ParsedResponse::Head(head) if (100..200).contains(&head.status) && head.status != 101 => {
                 skipped += head.length;
-                if skipped > HEAD {
-                    return Answer::Spoilt { ok: false };
+                if skipped > MAX_HEAD_BYTES {
+                    return ParsedResponse::Malformed { ok: false };
                 }
             }
-            Answer::Head(mut head) => {
+            ParsedResponse::Head(mut head) => {
                 head.length += skipped;
-                return Answer::Head(head);
+                return ParsedResponse::Head(head);
             }
             other => return other,
         }
     }
 }
 
-fn one_answer(bytes: &[u8]) -> Answer {
+fn one_answer(bytes: &[u8]) -> ParsedResponse {
     let line = bytes.iter().position(|&b| b == b'\n');
     let ok = line.is_some_and(|end| status_line(&bytes[..end]) == Some(200));
     if line.map_or(!may_begin(bytes), |end| status_line(&bytes[..end]).is_none()) {
-        return Answer::Spoilt { ok: false };
+        return ParsedResponse::Malformed { ok: false };
     }
-    let mut fields = [httparse::EMPTY_HEADER; FIELDS];
+    let mut fields = [httparse::EMPTY_HEADER; MAX_HEADER_FIELDS];
     let mut head = httparse::Response::new(&mut fields);
     let length = match head.parse(bytes) {
-        Ok(httparse::Status::Complete(n)) if n <= HEAD => n,
-        Ok(httparse::Status::Partial) if bytes.len() <= HEAD => return Answer::Part { ok },
-        _ => return Answer::Spoilt { ok },
+        Ok(httparse::Status::Complete(n)) if n <= MAX_HEAD_BYTES => n,
+        Ok(httparse::Status::Partial) if bytes.len() <= MAX_HEAD_BYTES => {
+            return ParsedResponse::Incomplete { ok }
+        }
+        _ => return ParsedResponse::Malformed { ok },
     };
     let status = head.code.unwrap_or(0);
     let old = head.version == Some(0);
     let found = Fields::new(bytes, head.headers);
     let chunked = found.values(bytes, "transfer-encoding").next().is_some();
-    let Ok(told) = content_length(&found, bytes) else { return Answer::Spoilt { ok } };
+    let Ok(told) = content_length(&found, bytes) else { return ParsedResponse::Malformed { ok } };
     let none = status == 204 || status == 304 || (100..200).contains(&status);
     let body = match told {
         _ if none => Some(0),
         _ if chunked => None,
-        told => told.filter(|&n| n <= BODY as u64).map(|n| n as usize),
+        told => told.filter(|&n| n <= MAX_BODY_BYTES as u64).map(|n| n as usize),
     };
     let last = old || found.values(bytes, "connection").any(|v| v.eq_ignore_ascii_case(b"close"));
     let fields = head.headers.iter().map(|h| (h.name.into(), h.value.trim_ascii().into())).collect();
-    Answer::Head(AnswerHead { status, length, body, chunked, last, fields })
+    ParsedResponse::Head(ResponseHead { status, length, body, chunked, last, fields })
 }
 
 /// Whether an answer may begin like this.
 fn may_begin(bytes: &[u8]) -> bool {
     let start = b"HTTP/1.";
     let n = bytes.len().min(start.len());
-    bytes[..n] == start[..n] && bytes.len() <= HEAD
+    bytes[..n] == start[..n] && bytes.len() <= MAX_HEAD_BYTES
 }
 
 /// The status that a first line reads.
@@ -268,12 +270,12 @@
     let code = rest.strip_prefix(b" ")?;
     let (code, rest) = code.split_at_checked(3)?;
     let ends = rest.is_empty() || rest[0] == b' ' || rest[0] == b'\r';
-    (minor.is_ascii_digit() && ends).then(|| decimal(code))?.map(|n| n as u16)
+    (minor.is_ascii_digit() && ends).then(|| parse_decimal(code))?.map(|n| n as u16)
 }
 
 /// Takes a body that comes in chunks apart, as its bytes come.
 #[derive(Debug, Default)]
-pub struct Chunks {
+pub struct ChunkedDecoder {
     held: Vec<u8>,
     /// Bytes of the running chunk that are still to come, its line's end included.
     left: Option<usize>,
@@ -283,11 +285,11 @@
 /// Bytes that are no chunks, or a chunk's line that is too long.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("the body does not come in chunks as it should")]
-pub struct NoChunk;
+pub struct InvalidChunk;
 
-impl Chunks {
+impl ChunkedDecoder {
     /// Adds bytes as they came; what they hold of the body goes to `out`. True: the body is over.
-    pub fn push(&mut self, bytes: &[u8], out: &mut Vec<u8>) -> Result<bool, NoChunk> {
+    pub fn push(&mut self, bytes: &[u8], out: &mut Vec<u8>) -> Result<bool, InvalidChunk> {
         self.held.extend_from_slice(bytes);
         let mut at = 0;
         while !self.over {
@@ -296,7 +298,7 @@
                     let rest = &self.held[at..];
                     let Some(end) = rest.iter().position(|&b| b == b'\n') else {
                         if rest.len() > 64 {
-                            return Err(NoChunk);
+                            return Err(InvalidChunk);
                         }
                         break;
                     };
@@ -304,7 +306,7 @@
                     at += end + 1;
                     let size = line.split(|&b| b == b';').next().unwrap_or(line).trim_ascii();
                     let size = std::str::from_utf8(size).ok().filter(|s| s.len() <= 8 && !s.starts_with('+'));
-                    let size = size.and_then(|s| usize::from_str_radix(s, 16).ok()).ok_or(NoChunk)?;
+                    let size = size.and_then(|s| usize::from_str_radix(s, 16).ok()).ok_or(InvalidChunk)?;
                     self.over = size == 0;
                     self.left = Some(size + 2);
                 }
@@ -326,7 +328,7 @@
 }
 
 /// An answer's bytes.
-pub fn encode_answer(status: u16, fields: &[(&str, &str)], body: &[u8], last: bool) -> Vec<u8> {
+pub fn encode_response(status: u16, fields: &[(&str, &str)], body: &[u8], last: bool) -> Vec<u8> {
     let reason = match status {
         200 => "OK",
         202 => "Accepted",
--- a/crates/http/src/tests.rs
+++ b/crates/http/src/tests.rs
@@ -6,9 +6,9 @@
     let bytes = b"POST /notice/x?y=1 HTTP/1.1\r\nHost: a\r\nX-Txn: 9b\r\nContent-Length: 3\r\n\r\nabcGET";
     let whole = bytes.len() - 3;
     for n in 0..whole {
-        assert_eq!(request(&bytes[..n]), Ok(None), "{n}");
+        assert_eq!(parse_request(&bytes[..n]), Ok(None), "{n}");
     }
-    let r = request(bytes).unwrap().unwrap();
+    let r = parse_request(bytes).unwrap().unwrap();
     assert_eq!((r.method(), r.path(), r.body()), (&b"POST"[..], &b"/notice/x"[..], &b"abc"[..]));
     assert_eq!(r.field("x-txn"), Ok(Some(&b"9b"[..])));
     assert_eq!((r.field("cookie"), r.length(), r.last), (Ok(None), whole, false));
@@ -17,19 +17,19 @@
 #[test]
 fn what_could_hide_a_request_is_refused_before_its_body_comes() {
     let head = |fields: &str| format!("POST /a HTTP/1.1\r\n{fields}\r\n\r\n").into_bytes();
-    let refused = |fields: &str| request(&head(fields)).unwrap_err();
-    assert_eq!(refused("Content-Length: 5\r\nTransfer-Encoding: chunked"), Refusal::Encoded);
-    assert_eq!(refused("Transfer-Encoding : chunked"), Refusal::Unreadable);
-    assert_eq!(refused("transfer-encoding: identity"), Refusal::Encoded);
+    let refused = |fields: &str| parse_request(&head(fields)).unwrap_err();
+    assert_eq!(refused("Content-Length: 5\r\nTransfer-Encoding: chunked"), RequestError::Encoded);
+    assert_eq!(refused("Transfer-Encoding : chunked"), RequestError::Unreadable);
+    assert_eq!(refused("transfer-encoding: identity"), RequestError::Encoded);
     for length in ["-1", "+1", "1, 1", "0x3", "1 1", "", "99999999999999999999", "1e3"] {
-        assert_eq!(refused(&format!("Content-Length: {length}")), Refusal::BadLength, "{length}");
+        assert_eq!(refused(&format!("Content-Length: {length}")), RequestError::BadLength, "{length}");
     }
-    assert_eq!(refused("Content-Length: 1\r\nContent-Length: 1"), Refusal::BadLength);
-    assert_eq!(refused("Content-Length: 65537"), Refusal::BodyTooLong);
-    assert_eq!(request(&vec![b'a'; HEAD + 1]), Err(Refusal::HeadTooLong));
-    let many = "a: b\r\n".repeat(FIELDS + 1);
-    assert_eq!(refused(&format!("{many}c: d")), Refusal::HeadTooLong);
-    assert!(request(b"\x16\x03\x01\x02\x00").is_err());
+    assert_eq!(refused("Content-Length: 1\r\nContent-Length: 1"), RequestError::BadLength);
+    assert_eq!(refused("Content-Length: 65537"), RequestError::BodyTooLong);
+    assert_eq!(parse_request(&vec![b'a'; MAX_HEAD_BYTES + 1]), Err(RequestError::HeadTooLong));
+    let many = "a: b\r\n".repeat(MAX_HEADER_FIELDS + 1);
+    assert_eq!(refused(&format!("{many}c: d")), RequestError::HeadTooLong);
+    assert!(parse_request(b"\x16\x03\x01\x02\x00").is_err());
 }
 
 #[test]
@@ -38,25 +38,37 @@
         b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 429 No\r\nX-Backoff-Ms: 40\r\nContent-Length: 2\r\n\r\nokX";
     let head = bytes.len() - 3;
     for n in 0..head {
-        assert_eq!(answer(&bytes[..n]), Answer::Part { ok: false }, "{n}");
+        assert_eq!(parse_response(&bytes[..n]), ParsedResponse::Incomplete { ok: false }, "{n}");
     }
-    let Answer::Head(h) = answer(bytes) else { panic!() };
+    let ParsedResponse::Head(h) = parse_response(bytes) else { panic!() };
     assert_eq!((h.status, h.length, h.body, h.last), (429, head, Some(2), false));
     assert_eq!(h.field("x-backoff-ms"), Some(&b"40"[..]));
 }
 
 #[test]
 fn spoilt_answers_keep_a_first_line_that_reads_200() {
-    assert_eq!(answer(b"\x00\x01"), Answer::Spoilt { ok: false });
-    assert_eq!(answer(b"HTTP/1.1 2000 OK\r\n"), Answer::Spoilt { ok: false });
-    assert_eq!(answer(b"HTTP/1.1 200 OK\r\nX"), Answer::Part { ok: true });
-    assert_eq!(answer(b"HTTP/1.1 200 OK\r\n\x01\x02: \x00\r\n\r\n"), Answer::Spoilt { ok: true });
-    assert_eq!(answer(b"HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\n"), Answer::Spoilt { ok: true });
-    assert_eq!(answer(b"HTTP/1.1 500 No\r\nContent-Length: x\r\n\r\n"), Answer::Spoilt { ok: false });
+    assert_eq!(parse_response(b"\x00\x01"), ParsedResponse::Malformed { ok: false });
+    assert_eq!(parse_response(b"HTTP/1.1 2000 OK\r\n"), ParsedResponse::Malformed { ok: false });
+    assert_eq!(parse_response(b"HTTP/1.1 200 OK\r\nX"), ParsedResponse::Incomplete { ok: true });
+    assert_eq!(
+        parse_response(b"HTTP/1.1 200 OK\r\n\x01\x02: \x00\r\n\r\n"),
+        ParsedResponse::Malformed { ok: true }
+    );
+    assert_eq!(
+        parse_response(b"HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\n"),
+        ParsedResponse::Malformed { ok: true }
+    );
+    assert_eq!(
+        parse_response(b"HTTP/1.1 500 No\r\nContent-Length: x\r\n\r\n"),
+        ParsedResponse::Malformed { ok: false }
+    );
     let mut long = b"HTTP/1.1 200 OK\r\nX: ".to_vec();
-    long.resize(HEAD + 1, b'a');
-    assert_eq!(answer(&long), Answer::Spoilt { ok: true });
-    let Answer::Head(h) = answer(b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n") else { panic!() };
+    long.resize(MAX_HEAD_BYTES + 1, b'a');
+    assert_eq!(parse_response(&long), ParsedResponse::Malformed { ok: true });
+    let ParsedResponse::Head(h) = parse_response(b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n")
+    else {
+        panic!()
+    };
     assert_eq!((h.status, h.body), (200, None));
 }
 
@@ -64,13 +76,13 @@
 fn chunks_come_apart_wherever_they_are_cut() {
     let bytes = b"3\r\nabc\r\n1;x=y\r\n\n\r\n0\r\n\r\n";
     for cut in 0..=bytes.len() {
-        let (mut chunks, mut out) = (Chunks::default(), Vec::new());
+        let (mut chunks, mut out) = (ChunkedDecoder::default(), Vec::new());
         chunks.push(&bytes[..cut], &mut out).unwrap();
         assert!(chunks.push(&bytes[cut..], &mut out).unwrap());
         assert_eq!(out, b"abc\n");
     }
-    assert!(Chunks::default().push(b"zz\r\n", &mut Vec::new()).is_err());
-    assert!(Chunks::default().push(&[b'1'; 65], &mut Vec::new()).is_err());
+    assert!(ChunkedDecoder::default().push(b"zz\r\n", &mut Vec::new()).is_err());
+    assert!(ChunkedDecoder::default().push(&[b'1'; 65], &mut Vec::new()).is_err());
 }
 
 proptest! {
@@ -80,14 +92,14 @@
         let starts: [&[u8]; 4] =
             [b"", b"POST /a HTTP/1.1\r\n", b"HTTP/1.1 200 OK\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: "];
         let bytes = [starts[start], &bytes].concat();
-        let _ = request(&bytes);
-        let _ = answer(&bytes);
+        let _ = parse_request(&bytes);
+        let _ = parse_response(&bytes);
         let mut out = Vec::new();
-        let _ = Chunks::default().push(&bytes, &mut out);
+        let _ = ChunkedDecoder::default().push(&bytes, &mut out);
         prop_assert!(out.len() <= bytes.len());
-        let long = [&bytes[..], &vec![b'a'; HEAD + BODY + 1]].concat();
-        prop_assert!(!matches!(request(&long), Ok(None)));
-        let waits = matches!(answer(&long), Answer::Part { .. });
+        let long = [&bytes[..], &vec![b'a'; MAX_HEAD_BYTES + MAX_BODY_BYTES + 1]].concat();
+        prop_assert!(!matches!(parse_request(&long), Ok(None)));
+        let waits = matches!(parse_response(&long), ParsedResponse::Incomplete { .. });
         prop_assert!(!waits);
     }
 }
--- a/crates/journal/src/folder.rs
+++ b/crates/journal/src/folder.rs
@@ -1,6 +1,6 @@
 //! The files of a journal.
 
-use crate::{read, Record, Salt, COMPLETE};
+use crate::{read_frames, Record, Salt, COMPLETE};
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
@@ -9,7 +9,7 @@
 
 /// A folder with a journal in it. All that it appends goes to one file, until that is replaced by the next.
 #[derive(Debug)]
-pub struct Folder {
+pub struct JournalDirectory {
     dir: PathBuf,
     number: u64,
     /// None until the first file of this process is there.
@@ -34,15 +34,15 @@
     Ok(numbers)
 }
 
-impl Folder {
+impl JournalDirectory {
     /// Opens the folder and reads what an earlier process left, in its order, with a line for each thing that
     /// could not be read. Nothing may be appended before the first [`Folder::replace`].
-    pub fn open(dir: &Path) -> io::Result<(Folder, Vec<Record>, Vec<String>)> {
+    pub fn open(dir: &Path) -> io::Result<(JournalDirectory, Vec<Record>, Vec<String>)> {
         let numbers = files(dir)?;
         let (mut records, mut lines) = (Vec::new(), Vec::new());
         for &number in numbers.iter().rev() {
             let at = path(dir, number);
-            let found = read(&fs::read(&at)?);
+            let found = read_frames(&fs::read(&at)?);
             if found.torn > 0 {
                 lines.push(format!("{}: {} bytes at the end are no record", at.display(), found.torn));
             }
@@ -56,7 +56,7 @@
             }
         }
         let number = numbers.last().copied().unwrap_or(0);
-        let folder = Folder { dir: dir.to_owned(), number, file: None, salt: Salt(0), size: 0 };
+        let folder = JournalDirectory { dir: dir.to_owned(), number, file: None, salt: Salt(0), size: 0 };
         Ok((folder, records, lines))
     }
 
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -11,12 +11,12 @@
 
 mod folder;
 
-pub use folder::Folder;
+pub use folder::JournalDirectory;
 
 /// Bytes that a frame takes beside its payload.
-pub const FRAME: usize = 10;
+pub const FRAME_OVERHEAD_BYTES: usize = 10;
 /// The most that a payload may have.
-pub const PAYLOAD: usize = 1 << 20;
+pub const MAX_PAYLOAD_BYTES: usize = 1 << 20;
 /// Kind of the frame after which a file holds all that the one before held; not for others to use.
 pub const COMPLETE: u8 = 0;
 
@@ -50,7 +50,7 @@
     /// # Panics
     /// If the payload is longer than [`PAYLOAD`]: whoever takes records on has to bound them.
     pub fn frame(self, kind: u8, payload: &[u8], out: &mut Vec<u8>) {
-        assert!(payload.len() <= PAYLOAD, "a record of {} bytes", payload.len());
+        assert!(payload.len() <= MAX_PAYLOAD_BYTES, "a record of {} bytes", payload.len());
         let length = (payload.len() as u32).to_le_bytes();
         out.push(MARK);
         out.extend(length);
@@ -67,21 +67,21 @@
 
     /// The frame at the start of these bytes, and how long it is.
     fn unframe(self, bytes: &[u8]) -> Option<(u8, &[u8], usize)> {
-        let (head, rest) = bytes.split_at_checked(FRAME)?;
+        let (head, rest) = bytes.split_at_checked(FRAME_OVERHEAD_BYTES)?;
         let length = [head[1], head[2], head[3], head[4]];
         let n = u32::from_le_bytes(length) as usize;
-        if head[0] != MARK || n > PAYLOAD {
+        if head[0] != MARK || n > MAX_PAYLOAD_BYTES {
             return None;
         }
         let payload = rest.get(..n)?;
         let sum = u32::from_le_bytes([head[5], head[6], head[7], head[8]]);
-        (self.sum(length, head[9], payload) == sum).then_some((head[9], payload, FRAME + n))
+        (self.sum(length, head[9], payload) == sum).then_some((head[9], payload, FRAME_OVERHEAD_BYTES + n))
     }
 }
 
 /// What a file's bytes hold.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Found {
+pub struct ReadFrames {
     /// All records that can be read, in their order.
     pub records: Vec<Record>,
     /// It holds all that the file before held.
@@ -93,8 +93,8 @@
 }
 
 /// Reads a file. Damage costs the records that it hit and no others.
-pub fn read(bytes: &[u8]) -> Found {
-    let mut found = Found::default();
+pub fn read_frames(bytes: &[u8]) -> ReadFrames {
+    let mut found = ReadFrames::default();
     let header = |at: usize| {
         let one = bytes.get(at..at + HEADER)?;
         let sum = u32::from_le_bytes(one[16..].try_into().ok()?);
--- a/crates/journal/src/tests.rs
+++ b/crates/journal/src/tests.rs
@@ -23,11 +23,11 @@
 fn cut_at_any_byte_it_holds_every_record_before_the_cut() {
     let (bytes, ends) = file(&some());
     for cut in 0..=bytes.len() {
-        let found = read(&bytes[..cut]);
+        let found = read_frames(&bytes[..cut]);
         let whole = ends.iter().filter(|&&end| end <= cut).count();
         assert_eq!(found.records, some()[..whole], "cut at {cut}");
         assert_eq!(found.damaged, 0);
-        assert_eq!(found.complete, cut >= 40 + FRAME);
+        assert_eq!(found.complete, cut >= 40 + FRAME_OVERHEAD_BYTES);
     }
 }
 
@@ -37,12 +37,12 @@
     for bit in 0..bytes.len() * 8 {
         let mut bad = bytes.clone();
         bad[bit / 8] ^= 1 << (bit % 8);
-        let hit = ends.iter().position(|&end| bit / 8 < end).filter(|_| bit / 8 >= 40 + FRAME);
+        let hit = ends.iter().position(|&end| bit / 8 < end).filter(|_| bit / 8 >= 40 + FRAME_OVERHEAD_BYTES);
         let mut left = some();
         if let Some(hit) = hit {
             left.remove(hit);
         }
-        assert_eq!(read(&bad).records, left, "bit {bit}");
+        assert_eq!(read_frames(&bad).records, left, "bit {bit}");
     }
 }
 
@@ -51,8 +51,8 @@
     let mut forged = Vec::new();
     Salt(1).frame(7, b"forged", &mut forged);
     let (mut bytes, _) = file(&[Record { kind: 1, payload: forged }, Record { kind: 2, payload: vec![] }]);
-    bytes[40 + FRAME + 2] ^= 1;
-    assert_eq!(read(&bytes).records, [Record { kind: 2, payload: vec![] }]);
+    bytes[40 + FRAME_OVERHEAD_BYTES + 2] ^= 1;
+    assert_eq!(read_frames(&bytes).records, [Record { kind: 2, payload: vec![] }]);
 }
 
 /// A folder of its own for one test, removed at its end.
@@ -76,7 +76,7 @@
 #[test]
 fn a_new_file_takes_the_place_of_the_old_one_only_when_it_is_complete() {
     let temp = Temp::new("replace");
-    let (mut folder, records, lines) = Folder::open(&temp.0).unwrap();
+    let (mut folder, records, lines) = JournalDirectory::open(&temp.0).unwrap();
     assert!(records.is_empty() && lines.is_empty());
     assert!(folder.append([(1, &b"x"[..])]).is_err());
     folder.replace(SALT, []).unwrap();
@@ -87,9 +87,9 @@
     Salt(9).frame(COMPLETE, &[], &mut next);
     for cut in 0..=next.len() {
         std::fs::write(temp.0.join("journal-0000000002"), &next[..cut]).unwrap();
-        let (_, records, _) = Folder::open(&temp.0).unwrap();
+        let (_, records, _) = JournalDirectory::open(&temp.0).unwrap();
         let kinds: Vec<u8> = records.iter().map(|r| r.kind).collect();
-        let partly = cut > 40 + FRAME;
+        let partly = cut > 40 + FRAME_OVERHEAD_BYTES;
         let wanted: &[u8] = if cut == next.len() {
             &[2]
         } else if partly {
@@ -99,11 +99,11 @@
         };
         assert_eq!(kinds, wanted, "cut at {cut}");
     }
-    let (mut folder, ..) = Folder::open(&temp.0).unwrap();
+    let (mut folder, ..) = JournalDirectory::open(&temp.0).unwrap();
     folder.replace(SALT, [(3, &b"c"[..])]).unwrap();
     folder.append([(4, &b"d"[..])]).unwrap();
     assert_eq!(std::fs::read_dir(&temp.0).unwrap().count(), 1);
-    let (_, records, _) = Folder::open(&temp.0).unwrap();
+    let (_, records, _) = JournalDirectory::open(&temp.0).unwrap();
     assert_eq!(records.iter().map(|r| r.kind).collect::<Vec<_>>(), [3, 4]);
 }
 
@@ -113,14 +113,14 @@
         (1..=255u8, proptest::collection::vec(any::<u8>(), 0..80)), 0..20)) {
         let records: Vec<Record> =
             payloads.into_iter().map(|(kind, payload)| Record { kind, payload }).collect();
-        let found = read(&file(&records).0);
+        let found = read_frames(&file(&records).0);
         prop_assert_eq!((found.damaged, found.torn), (0, 0));
         prop_assert_eq!(found.records, records);
     }
 
     #[test]
     fn no_bytes_make_it_panic(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
-        let _ = read(&bytes);
-        let _ = read(&[&SALT.header()[..], &bytes].concat());
+        let _ = read_frames(&bytes);
+        let _ = read_frames(&[&SALT.header()[..], &bytes].concat());
     }
 }
--- a/crates/kafka/src/client.rs
+++ b/crates/kafka/src/client.rs
@@ -1,8 +1,8 @@
 //! The side that calls: writes requests, reads responses.
 
 use crate::codes::Malformed;
-use crate::server::{correlation, Ended};
-use crate::{batch, shape, Load, Record, TAG_LEFT, TAG_LIMIT};
+use crate::server::{correlation, PartitionResult};
+use crate::{batch, shape, LoadReport, Record, TAG_CAPACITY_LEFT, TAG_RATE_LIMIT};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use kafka_protocol::messages::metadata_request::MetadataRequestTopic;
 use kafka_protocol::messages::produce_request::{PartitionProduceData, TopicProduceData};
@@ -35,7 +35,7 @@
 
 /// Records for one partition of a topic.
 #[derive(Clone, Debug)]
-pub struct To<'a> {
+pub struct ProduceTarget<'a> {
     /// The topic.
     pub topic: &'a str,
     /// The partition.
@@ -50,7 +50,7 @@
     client: &str,
     version: i16,
     (acks, timeout_ms): (i16, i32),
-    to: &[To],
+    to: &[ProduceTarget],
 ) -> Result<Bytes, Malformed> {
     let mut topics: Vec<TopicProduceData> = Vec::new();
     for t in to {
@@ -99,15 +99,15 @@
 
 /// What a Produce response says.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Produced {
+pub struct ProduceReply {
     /// The request that it answers.
     pub correlation: i32,
     /// Its partitions.
-    pub parts: Vec<Ended>,
+    pub parts: Vec<PartitionResult>,
     /// The client is asked to stay silent for so long.
     pub throttle_ms: i32,
     /// What is told of a limit.
-    pub load: Option<Load>,
+    pub load: Option<LoadReport>,
 }
 
 /// The number of the request that a response frame answers.
@@ -133,7 +133,7 @@
 }
 
 /// Reads a Produce response.
-pub fn read_produced(frame: &Bytes, version: i16) -> Result<Produced, Malformed> {
+pub fn read_produced(frame: &Bytes, version: i16) -> Result<ProduceReply, Malformed> {
     let (correlation, mut rest) = body(frame, ApiKey::Produce, version)?;
     shape::produce_response(&rest, version)?;
     let p = ProduceResponse::decode(&mut rest, version).map_err(|_| Malformed("Produce response"))?;
@@ -142,10 +142,12 @@
         let value = f64::from_be_bytes(raw.as_ref().try_into().ok()?);
         (value.is_finite() && value >= 0.0).then_some(value)
     };
-    let load = number(TAG_LEFT).zip(number(TAG_LIMIT)).map(|(left, limit)| Load { left, limit });
+    let load = number(TAG_CAPACITY_LEFT)
+        .zip(number(TAG_RATE_LIMIT))
+        .map(|(left, limit)| LoadReport { capacity_left: left, rate_limit: limit });
     let parts = p.responses.into_iter().flat_map(|t| {
         let topic = t.name.as_str().to_owned();
-        t.partition_responses.into_iter().map(move |r| Ended {
+        t.partition_responses.into_iter().map(move |r| PartitionResult {
             topic: topic.clone(),
             partition: r.index,
             code: r.error_code,
@@ -160,25 +162,25 @@
             text: r.error_message.map(|m| m.to_string()),
         })
     });
-    Ok(Produced { correlation, parts: parts.collect(), throttle_ms: p.throttle_time_ms, load })
+    Ok(ProduceReply { correlation, parts: parts.collect(), throttle_ms: p.throttle_time_ms, load })
 }
 
 /// A topic: its name, its code, and for each partition its number, code and leader.
-pub type KnownTopic = (String, i16, Vec<(i32, i16, i32)>);
+pub type TopicMetadata = (String, i16, Vec<(i32, i16, i32)>);
 
 /// What a Metadata response says: brokers (number, host, port) and topics (name, code, partitions).
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Known {
+pub struct ClusterMetadata {
     /// The request that it answers.
     pub correlation: i32,
     /// Brokers: number, host, port.
     pub brokers: Vec<(i32, String, i32)>,
     /// Topics.
-    pub topics: Vec<KnownTopic>,
+    pub topics: Vec<TopicMetadata>,
 }
 
 /// Reads a Metadata response.
-pub fn read_metadata(frame: &Bytes, version: i16) -> Result<Known, Malformed> {
+pub fn read_metadata(frame: &Bytes, version: i16) -> Result<ClusterMetadata, Malformed> {
     let (correlation, mut rest) = body(frame, ApiKey::Metadata, version)?;
     shape::metadata_response(&rest, version)?;
     let m = MetadataResponse::decode(&mut rest, version).map_err(|_| Malformed("Metadata response"))?;
@@ -188,7 +190,7 @@
             t.partitions.into_iter().map(|p| (p.partition_index, p.error_code, p.leader_id.0)).collect();
         (t.name.map_or(String::new(), |n| n.as_str().to_owned()), t.error_code, parts)
     });
-    Ok(Known { correlation, brokers, topics: topics.collect() })
+    Ok(ClusterMetadata { correlation, brokers, topics: topics.collect() })
 }
 
 /// The versions of Produce that an ApiVersions response of version 0 offers, first and last.
