--- a/crates/kafka/src/lib.rs
+++ b/crates/kafka/src/lib.rs
@@ -29,9 +29,9 @@
 /// First and last version of ApiVersions that is offered.
 pub const API_VERSIONS: (i16, i16) = (0, 3);
 /// Tagged field of a Produce response: share of the limit that is left, as an f64 in network order.
-pub const TAG_LEFT: i32 = 10_000;
+pub const TAG_CAPACITY_LEFT: i32 = 10_000;
 /// Tagged field of a Produce response: the limit in calls a second, as an f64 in network order.
-pub const TAG_LIMIT: i32 = 10_001;
+pub const TAG_RATE_LIMIT: i32 = 10_001;
 
 /// A record as far as linnetcart needs it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -62,11 +62,11 @@
 
 /// A limit as an endpoint tells it.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Load {
+pub struct LoadReport {
     /// Share of the limit that is left.
-    pub left: f64,
+    pub capacity_left: f64,
     /// The limit in calls a second; 0 for none.
-    pub limit: f64,
+    pub rate_limit: f64,
 }
 
 /// One batch (magic 2, not compressed) of these records.
--- a/crates/kafka/src/server.rs
+++ b/crates/kafka/src/server.rs
@@ -1,7 +1,9 @@
 //! The side that is called: reads requests, writes responses.
 
 use crate::codes::{self, Malformed};
-use crate::{shape, Load, Record, API_VERSIONS, FETCH, METADATA, PRODUCE, TAG_LEFT, TAG_LIMIT};
+use crate::{
+    shape, LoadReport, Record, API_VERSIONS, FETCH, METADATA, PRODUCE, TAG_CAPACITY_LEFT, TAG_RATE_LIMIT,
+};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use kafka_protocol::messages::api_versions_response::ApiVersion;
 use kafka_protocol::messages::fetch_request::FetchTopic;
@@ -58,12 +60,12 @@
     /// It belongs to a transaction.
     pub transactional: bool,
     /// Its partitions.
-    pub parts: Vec<Part>,
+    pub parts: Vec<PartitionBatch>,
 }
 
 /// One partition of a Produce request.
 #[derive(Debug)]
-pub struct Part {
+pub struct PartitionBatch {
     /// The topic.
     pub topic: String,
     /// The partition.
@@ -74,7 +76,7 @@
 
 /// A request that can't be answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum Bad {
+pub enum RequestError {
     /// Its bytes are not what the protocol says.
     #[error(transparent)]
     Malformed(#[from] Malformed),
@@ -87,17 +89,17 @@
 }
 
 /// Reads a frame. An error means that the connection is of no more use.
-pub fn read(frame: &Bytes) -> Result<Request, Bad> {
+pub fn read(frame: &Bytes) -> Result<Request, RequestError> {
     let mut c = shape::Cursor::new(frame, false);
     let api = i16::from_be_bytes(c.array()?);
     let version = i16::from_be_bytes(c.array()?);
-    let key = ApiKey::try_from(api).map_err(|()| Bad::Api(api))?;
+    let key = ApiKey::try_from(api).map_err(|()| RequestError::Api(api))?;
     let range = match key {
         ApiKey::ApiVersions => API_VERSIONS,
         ApiKey::Metadata => METADATA,
         ApiKey::Fetch => FETCH,
         ApiKey::Produce => PRODUCE,
-        _ => return Err(Bad::Api(api)),
+        _ => return Err(RequestError::Api(api)),
     };
     let correlation = i32::from_be_bytes(c.array()?);
     let offered = (range.0..=range.1).contains(&version);
@@ -107,7 +109,7 @@
             ApiKey::ApiVersions if version > range.1 => {
                 Ok(Request { correlation, client: None, version: 0, body: Body::ApiVersionsTooNew })
             }
-            _ => Err(Bad::Version(api, version)),
+            _ => Err(RequestError::Version(api, version)),
         };
     }
     let header_version = key.request_header_version(version);
@@ -142,7 +144,7 @@
             let p = ProduceRequest::decode(&mut rest, version).map_err(|_| Malformed("Produce request"))?;
             let parts = p.topic_data.into_iter().flat_map(|t| {
                 let topic = t.name.as_str().to_owned();
-                t.partition_data.into_iter().map(move |d| Part {
+                t.partition_data.into_iter().map(move |d| PartitionBatch {
                     topic: topic.clone(),
                     partition: d.index,
                     records: records(d.records.unwrap_or_default()),
@@ -179,18 +181,18 @@
 fn records(mut bytes: Bytes) -> Result<Vec<Record>, i16> {
     let mut out = Vec::new();
     while !bytes.is_empty() {
-        let head = shape::batch(&bytes).map_err(|_| codes::CORRUPT)?;
+        let head = shape::batch(&bytes).map_err(|_| codes::CORRUPT_MESSAGE)?;
         if head.magic != 2 {
             return Err(codes::UNSUPPORTED_VERSION);
         }
         if head.codec != 0 {
-            return Err(codes::UNSUPPORTED_COMPRESSION);
+            return Err(codes::UNSUPPORTED_COMPRESSION_TYPE);
         }
         if head.transactional {
-            return Err(codes::NO_TRANSACTIONS);
+            return Err(codes::TRANSACTIONAL_ID_AUTHORIZATION_FAILED);
         }
         let mut one = bytes.split_to(head.size);
-        let set = RecordBatchDecoder::decode(&mut one).map_err(|_| codes::CORRUPT)?;
+        let set = RecordBatchDecoder::decode(&mut one).map_err(|_| codes::CORRUPT_MESSAGE)?;
         out.extend(set.records.into_iter().map(|r| Record {
             key: r.key,
             value: r.value,
@@ -242,7 +244,7 @@
     let partition = |p: &i32| {
         PartitionData::default()
             .with_partition_index(*p)
-            .with_error_code(codes::NOT_READABLE)
+            .with_error_code(codes::TOPIC_AUTHORIZATION_FAILED)
             .with_high_watermark(-1)
     };
     let topic = |(name, partitions): &(String, Vec<i32>)| {
@@ -309,7 +311,7 @@
 
 /// How one partition of a Produce request ended.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Ended {
+pub struct PartitionResult {
     /// The topic.
     pub topic: String,
     /// The partition.
@@ -328,9 +330,9 @@
 pub fn produce(
     correlation: i32,
     version: i16,
-    ended: &[Ended],
+    ended: &[PartitionResult],
     throttle_ms: i32,
-    load: Option<Load>,
+    load: Option<LoadReport>,
 ) -> Bytes {
     let mut topics: Vec<TopicProduceResponse> = Vec::new();
     for e in ended {
@@ -363,8 +365,8 @@
     }
     let mut tags = BTreeMap::new();
     if let Some(load) = load.filter(|_| version >= 9) {
-        tags.insert(TAG_LEFT, Bytes::copy_from_slice(&load.left.to_be_bytes()));
-        tags.insert(TAG_LIMIT, Bytes::copy_from_slice(&load.limit.to_be_bytes()));
+        tags.insert(TAG_CAPACITY_LEFT, Bytes::copy_from_slice(&load.capacity_left.to_be_bytes()));
+        tags.insert(TAG_RATE_LIMIT, Bytes::copy_from_slice(&load.rate_limit.to_be_bytes()));
     }
     let body = ProduceResponse::default()
         .with_responses(topics)
--- a/crates/kafka/tests/protocol.rs
+++ b/crates/kafka/tests/protocol.rs
@@ -1,8 +1,8 @@
 //! Both sides against each other, and against bytes that nobody meant.
 
 use bytes::Bytes;
-use linnetcart_kafka::server::{self, Body, Broker, Ended, Topic};
-use linnetcart_kafka::{client, codes, Frames, Load, Record, API_VERSIONS, METADATA, PRODUCE};
+use linnetcart_kafka::server::{self, Body, Broker, PartitionResult, Topic};
+use linnetcart_kafka::{client, codes, Frames, LoadReport, Record, API_VERSIONS, METADATA, PRODUCE};
 use proptest::prelude::*;
 
 fn record(value: &str) -> Record {
@@ -28,9 +28,9 @@
     for version in PRODUCE.0..=PRODUCE.1 {
         let records = [record("one"), record("two")];
         let to = [
-            client::To { topic: "a", partition: 3, records: &records },
-            client::To { topic: "a", partition: 4, records: &records[..1] },
-            client::To { topic: "b", partition: 0, records: &records[1..] },
+            client::ProduceTarget { topic: "a", partition: 3, records: &records },
+            client::ProduceTarget { topic: "a", partition: 4, records: &records[..1] },
+            client::ProduceTarget { topic: "b", partition: 0, records: &records[1..] },
         ];
         let wire = client::produce(9, "tester", version, (-1, 5000), &to).unwrap();
         let request = server::read(&strip(&wire)).unwrap();
@@ -42,17 +42,23 @@
         assert_eq!((p.parts[2].topic.as_str(), p.parts[2].partition), ("b", 0));
 
         let ended = [
-            Ended { topic: "a".into(), partition: 3, code: codes::NONE, offset: 7, ..Ended::default() },
-            Ended {
+            PartitionResult {
+                topic: "a".into(),
+                partition: 3,
+                code: codes::NONE,
+                offset: 7,
+                ..PartitionResult::default()
+            },
+            PartitionResult {
                 topic: "a".into(),
                 partition: 4,
-                code: codes::MIXED,
+                code: codes::INVALID_RECORD,
                 offset: -1,
                 records: if version >= 8 { vec![(0, "failed".into())] } else { vec![] },
                 text: (version >= 8).then(|| "mixed".into()),
             },
         ];
-        let load = Load { left: 0.25, limit: 40.0 };
+        let load = LoadReport { capacity_left: 0.25, rate_limit: 40.0 };
         let wire = server::produce(9, version, &ended, 120, Some(load));
         let got = client::read_produced(&strip(&wire), version).unwrap();
         assert_eq!(got.parts, ended);
@@ -129,33 +135,33 @@
 #[test]
 fn what_is_not_offered_is_an_error() {
     let other = |api: u8, version: u8| server::read(&Bytes::from(vec![0, api, 0, version, 0, 0, 0, 1]));
-    assert_eq!(other(2, 4).unwrap_err(), server::Bad::Api(2));
-    assert_eq!(other(0, 13).unwrap_err(), server::Bad::Version(0, 13));
-    assert_eq!(other(0, 2).unwrap_err(), server::Bad::Version(0, 2));
+    assert_eq!(other(2, 4).unwrap_err(), server::RequestError::Api(2));
+    assert_eq!(other(0, 13).unwrap_err(), server::RequestError::Version(0, 13));
+    assert_eq!(other(0, 2).unwrap_err(), server::RequestError::Version(0, 2));
 }
 
 /// Sets one bit of a Produce request's batch and reads it again.
 #[test]
 fn a_batch_with_a_wrong_checksum_is_turned_down_alone() {
     let records = [record("a value that can be spoiled")];
-    let to = [client::To { topic: "a", partition: 0, records: &records }];
+    let to = [client::ProduceTarget { topic: "a", partition: 0, records: &records }];
     let mut wire = strip(&client::produce(1, "t", 9, (1, 1), &to).unwrap()).to_vec();
     let at = wire.windows(7).position(|w| w == b"spoiled").unwrap();
     wire[at] ^= 1;
     let Body::Produce(p) = server::read(&wire.into()).unwrap().body else { panic!("not a Produce request") };
-    assert_eq!(p.parts[0].records, Err(codes::CORRUPT));
+    assert_eq!(p.parts[0].records, Err(codes::CORRUPT_MESSAGE));
 }
 
 #[test]
 fn a_compressed_batch_is_turned_down_with_the_code_for_it() {
     let records = [record("v")];
-    let to = [client::To { topic: "a", partition: 0, records: &records }];
+    let to = [client::ProduceTarget { topic: "a", partition: 0, records: &records }];
     let mut wire = strip(&client::produce(1, "t", 3, (1, 1), &to).unwrap()).to_vec();
     // Attributes stand 21 bytes into the batch, which follows its 4-byte length.
     let batch = wire.windows(5).position(|w| w == [0xff, 0xff, 0xff, 0xff, 2]).unwrap() - 12;
     wire[batch + 22] |= 4;
     let Body::Produce(p) = server::read(&wire.into()).unwrap().body else { panic!("not a Produce request") };
-    assert_eq!(p.parts[0].records, Err(codes::UNSUPPORTED_COMPRESSION));
+    assert_eq!(p.parts[0].records, Err(codes::UNSUPPORTED_COMPRESSION_TYPE));
 }
 
 #[test]
@@ -163,12 +169,12 @@
     // Produce 3: no transaction, acks, timeout, then the count of topics.
     let mut wire = vec![0, 0, 0, 3, 0, 0, 0, 1, 0xff, 0xff, 0xff, 0xff, 0, 1, 0, 0, 0, 1];
     wire.extend(i32::MAX.to_be_bytes());
-    assert!(matches!(server::read(&wire.into()), Err(server::Bad::Malformed(_))));
+    assert!(matches!(server::read(&wire.into()), Err(server::RequestError::Malformed(_))));
 }
 
 fn valid(which: usize, version: i16) -> Vec<u8> {
     let records = [record("one"), record("two")];
-    let to = [client::To { topic: "a", partition: 3, records: &records }];
+    let to = [client::ProduceTarget { topic: "a", partition: 3, records: &records }];
     let wire = match which {
         0 => client::produce(9, "tester", version.clamp(PRODUCE.0, PRODUCE.1), (-1, 5000), &to),
         1 => client::metadata(9, "tester", version.clamp(METADATA.0, METADATA.1), Some(&["a", "b"])),
@@ -208,8 +214,8 @@
     #[test]
     fn mutated_responses_never_panic(version in 3i16..13,
                                      edits in prop::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 1..6)) {
-        let ended = [Ended { topic: "a".into(), partition: 3, code: 89, offset: 7, ..Ended::default() }];
-        let load = Load { left: 0.25, limit: 40.0 };
+        let ended = [PartitionResult { topic: "a".into(), partition: 3, code: 89, offset: 7, ..PartitionResult::default() }];
+        let load = LoadReport { capacity_left: 0.25, rate_limit: 40.0 };
         let mut wire = strip(&server::produce(9, version, &ended, 120, Some(load))).to_vec();
         for (at, byte) in edits {
             let at = at.index(wire.len());
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -167,12 +167,12 @@
     }
 
     /// Reads so many bytes at once, and so often from one connection in one poll.
-    pub fn reads(&mut self, bytes: usize, reads: usize) {
+    pub fn set_read_limits(&mut self, bytes: usize, reads: usize) {
         (self.chunk, self.reads) = (vec![0; bytes], reads);
     }
 
     /// Tells of these signals instead of dying by them.
-    pub fn signals(&mut self, which: &[Signal]) -> io::Result<()> {
+    pub fn watch_signals(&mut self, which: &[Signal]) -> io::Result<()> {
         let source = Signals::new(which)?;
         self.handle
             .insert_source(source, |event, _, woken: &mut Woken| woken.signals.push(event.signal() as i32))
@@ -202,7 +202,7 @@
     }
 
     /// Takes no more connections there, after those that wait to be taken: closing resets them.
-    pub fn unlisten(&mut self, token: Token) {
+    pub fn stop_listening(&mut self, token: Token) {
         let mut last = Vec::new();
         self.accept(token, Instant::now(), &mut last);
         self.later.append(&mut last);
@@ -213,12 +213,12 @@
     }
 
     /// Holds at most so many connections from now on.
-    pub fn bound(&mut self, most: usize) {
+    pub fn set_max_connections(&mut self, most: usize) {
         self.most = most;
     }
 
     /// Takes and sends datagrams; port 0 lets the system choose.
-    pub fn datagrams(&mut self, addr: SocketAddr) -> io::Result<(Token, SocketAddr)> {
+    pub fn bind_datagrams(&mut self, addr: SocketAddr) -> io::Result<(Token, SocketAddr)> {
         let socket = Rc::new(UdpSocket::bind(addr)?);
         socket.set_nonblocking(true)?;
         let at = socket.local_addr()?;
@@ -234,7 +234,7 @@
     }
 
     /// Takes no more datagrams there.
-    pub fn no_datagrams(&mut self, token: Token) {
+    pub fn close_datagrams(&mut self, token: Token) {
         if let Some((_, registration)) = self.datagrams.remove(&token) {
             self.handle.remove(registration);
         }
@@ -321,7 +321,7 @@
     }
 
     /// Bytes queued and not yet taken by the system.
-    pub fn unsent(&self, token: Token) -> usize {
+    pub fn unsent_bytes(&self, token: Token) -> usize {
         self.conns.get(&token).map_or(0, |c| c.out.len())
     }
 
@@ -331,7 +331,7 @@
     }
 
     /// Bytes that the system took so far.
-    pub fn written(&self, token: Token) -> u64 {
+    pub fn written_bytes(&self, token: Token) -> u64 {
         self.conns.get(&token).map_or(0, |c| c.written)
     }
 
@@ -341,7 +341,7 @@
     }
 
     /// Stops reading from a connection, or goes on.
-    pub fn pause(&mut self, token: Token, paused: bool) {
+    pub fn set_read_paused(&mut self, token: Token, paused: bool) {
         if let Some(c) = self.conns.get_mut(&token) {
             c.paused = paused;
             if !paused && c.readable {
@@ -360,7 +360,7 @@
     }
 
     /// Sends no more and reads on; what is queued is lost. One that is not there yet is closed.
-    pub fn end_sending(&mut self, token: Token) {
+    pub fn shutdown_write(&mut self, token: Token) {
         let Some(c) = self.conns.get_mut(&token) else { return };
         if c.connecting || c.stream.shutdown(Shutdown::Write).is_err() {
             return self.close(token);
@@ -378,7 +378,7 @@
     }
 
     /// Closes when what is queued has left, within a few seconds. No event follows.
-    pub fn finish(&mut self, token: Token) {
+    pub fn close_after_flush(&mut self, token: Token) {
         if let Some(c) = self.conns.get_mut(&token) {
             c.finish = Some(Instant::now());
             self.dirty.insert(token);
@@ -651,15 +651,15 @@
             let token = net.connect(at);
             until(&mut net, |e| matches!(e, Event::Connected(t) if *t == token));
             net.close(token);
-            net.unlisten(listener);
+            net.stop_listening(listener);
         }
     }
 
     #[test]
     fn datagrams_come_as_they_were_sent() {
         let mut net = Net::new(10).unwrap();
-        let (one, _) = net.datagrams("127.0.0.1:0".parse().unwrap()).unwrap();
-        let (other, at) = net.datagrams("127.0.0.1:0".parse().unwrap()).unwrap();
+        let (one, _) = net.bind_datagrams("127.0.0.1:0".parse().unwrap()).unwrap();
+        let (other, at) = net.bind_datagrams("127.0.0.1:0".parse().unwrap()).unwrap();
         for n in 0..100u8 {
             assert!(net.send_to(one, at, &[n; 3]));
         }
@@ -671,7 +671,7 @@
             }
             next == 100
         });
-        net.no_datagrams(other);
+        net.close_datagrams(other);
         assert!(!net.send_to(other, at, b"x"));
     }
 
@@ -682,14 +682,14 @@
         let client = net.connect(at);
         let mut server = 0;
         until(&mut net, |e| matches!(e, Event::Accepted { token, .. } if { server = *token; true }));
-        net.pause(server, true);
+        net.set_read_paused(server, true);
         net.send(client, b"x");
         for _ in 0..5 {
             let mut events = Vec::new();
             net.poll(Duration::from_millis(5), &mut events).unwrap();
             assert!(!events.iter().any(|e| matches!(e, Event::Data(..))));
         }
-        net.pause(server, false);
+        net.set_read_paused(server, false);
         until(&mut net, |e| matches!(e, Event::Data(t, _) if *t == server));
     }
 
@@ -700,7 +700,7 @@
         let client = net.connect(at);
         let mut server = 0;
         until(&mut net, |e| matches!(e, Event::Accepted { token, .. } if { server = *token; true }));
-        net.end_sending(client);
+        net.shutdown_write(client);
         until(&mut net, |e| matches!(e, Event::HalfClosed(t) if *t == server));
         net.send(server, b"late");
         until(&mut net, |e| matches!(e, Event::Data(t, bytes) if *t == client && &bytes[..] == b"late"));
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -1,7 +1,7 @@
 //! What the platform tells a courier: its environment, its configuration file, entries of the endpoint list.
 
 use linnetcart::EndpointStatus;
-use linnetcart_deployment_settings::Site;
+use linnetcart_deployment_settings::DeploymentSettings;
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -14,7 +14,7 @@
     Json(#[from] serde_json::Error),
     /// The settings.
     #[error("settings: {0}")]
-    Settings(#[from] linnetcart_deployment_settings::Bad),
+    Settings(#[from] linnetcart_deployment_settings::SettingsError),
     /// A figure has no use.
     #[error("{0}")]
     Figure(String),
@@ -118,15 +118,15 @@
     /// The list as it was last had.
     pub known: News,
     /// What the site says of itself.
-    pub site: Site,
+    pub site: DeploymentSettings,
 }
 
 impl Config {
     /// Reads a configuration as a whole.
     pub fn read(bytes: &[u8]) -> Result<Config, Bad> {
         let file: File = serde_json::from_slice(bytes)?;
-        let mut site = Site::read(&file.settings)?;
-        if site.classes.is_empty() {
+        let mut site = DeploymentSettings::read(&file.settings)?;
+        if site.class_names.is_empty() {
             return Err(Bad::Figure("settings.services is empty; a courier needs a class".into()));
         }
         if file.limits.sockets < 64 || file.limits.disk_mb <= 0.0 {
--- a/crates/platform/src/core/agent.rs
+++ b/crates/platform/src/core/agent.rs
@@ -2,7 +2,7 @@
 
 use crate::config::News;
 use linnetcart::Time;
-use linnetcart_http::{answer, Answer, Chunks};
+use linnetcart_http::{parse_response, ChunkedDecoder, ParsedResponse};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
@@ -88,7 +88,7 @@
     heard: Time,
     head: Vec<u8>,
     /// The head is there.
-    chunks: Option<Chunks>,
+    chunks: Option<ChunkedDecoder>,
     text: Vec<u8>,
     /// A whole object or an empty line has come, on this connection or one before.
     told: bool,
@@ -170,17 +170,19 @@
             Some(chunks) => chunks,
             None => {
                 self.head.extend_from_slice(bytes);
-                match answer(&self.head) {
-                    Answer::Part { .. } => return (vec![], None),
-                    Answer::Head(head) if head.status == 200 && head.chunked => {
+                match parse_response(&self.head) {
+                    ParsedResponse::Incomplete { .. } => return (vec![], None),
+                    ParsedResponse::Head(head) if head.status == 200 && head.chunked => {
                         first.extend(self.head.drain(..).skip(head.length));
                         rest = &first;
-                        self.chunks.insert(Chunks::default())
+                        self.chunks.insert(ChunkedDecoder::default())
                     }
-                    Answer::Head(head) => {
+                    ParsedResponse::Head(head) => {
                         return (vec![], Some(BadWatch::Answer(format!("status {}", head.status))))
                     }
-                    Answer::Spoilt { .. } => return (vec![], Some(BadWatch::Answer("noise".into()))),
+                    ParsedResponse::Malformed { .. } => {
+                        return (vec![], Some(BadWatch::Answer("noise".into())))
+                    }
                 }
             }
         };
@@ -316,10 +318,10 @@
     /// taken would never be, and hold up all behind it. An error: the connection is to be given up.
     pub fn bytes(&mut self, bytes: &[u8]) -> Result<(Vec<u32>, bool), String> {
         self.bytes.extend_from_slice(bytes);
-        let head = match answer(&self.bytes) {
-            Answer::Part { .. } => return Ok((vec![], true)),
-            Answer::Spoilt { .. } => return Err("noise".into()),
-            Answer::Head(head) => head,
+        let head = match parse_response(&self.bytes) {
+            ParsedResponse::Incomplete { .. } => return Ok((vec![], true)),
+            ParsedResponse::Malformed { .. } => return Err("noise".into()),
+            ParsedResponse::Head(head) => head,
         };
         let Some(body) = head.body else { return Err(format!("a body without end after {}", head.status)) };
         if self.bytes.len() < head.length + body {
--- a/crates/platform/src/core/calls.rs
+++ b/crates/platform/src/core/calls.rs
@@ -2,8 +2,8 @@
 
 use super::trust::Trust;
 use linnetcart::{AttemptOutcome, Time};
-use linnetcart_deployment_settings::{Site, LEFT, LIMIT};
-use linnetcart_http::{answer, decimal, Answer, AnswerHead};
+use linnetcart_deployment_settings::{DeploymentSettings, CAPACITY_LEFT_FIELD, RATE_LIMIT_FIELD};
+use linnetcart_http::{parse_decimal, parse_response, ParsedResponse, ResponseHead};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -107,7 +107,7 @@
 
 impl Links {
     /// At most so many are kept.
-    pub fn new(most: usize, site: &Site) -> Links {
+    pub fn new(most: usize, site: &DeploymentSettings) -> Links {
         Links {
             most,
             keep: site.settings.idle_timeout / IDLE_PART.1 * IDLE_PART.0,
@@ -266,7 +266,9 @@
         let ending = match l.state {
             State::Connecting { .. } => AttemptOutcome::NoConnection,
             _ if written < l.queued => AttemptOutcome::NoConnection,
-            _ if matches!(answer(&l.bytes), Answer::Part { ok: true }) => AttemptOutcome::Served,
+            _ if matches!(parse_response(&l.bytes), ParsedResponse::Incomplete { ok: true }) => {
+                AttemptOutcome::Served
+            }
             _ => AttemptOutcome::Reset,
         };
         if l.state == (State::Out { began: None }) {
@@ -276,7 +278,7 @@
     }
 
     /// Bytes came on a connection.
-    pub fn bytes(&mut self, id: LinkId, bytes: &[u8], now: Time, site: &Site) -> Option<Done> {
+    pub fn bytes(&mut self, id: LinkId, bytes: &[u8], now: Time, site: &DeploymentSettings) -> Option<Done> {
         let l = self.all.get_mut(&id)?;
         if let State::GivenUp { call, .. } = l.state {
             l.bytes.extend_from_slice(bytes);
@@ -297,24 +299,24 @@
         }
         l.bytes.extend_from_slice(bytes);
         let call = l.call?;
-        match answer(&l.bytes) {
-            Answer::Part { .. } => None,
-            Answer::Spoilt { ok } => {
+        match parse_response(&l.bytes) {
+            ParsedResponse::Incomplete { .. } => None,
+            ParsedResponse::Malformed { ok } => {
                 self.drop_link(id);
                 Some(Done::plain(call, if ok { AttemptOutcome::Served } else { AttemptOutcome::Error }))
             }
-            Answer::Head(head) => self.head(id, call, &head, now, site),
+            ParsedResponse::Head(head) => self.head(id, call, &head, now, site),
         }
     }
 
     /// Bytes came for a call that was given up. An answer that turns it away tells of the limit; a first line with
     /// 200 says that the message is delivered, whatever we thought.
-    fn late(&mut self, id: LinkId, call: CallId, site: &Site) -> Option<Done> {
+    fn late(&mut self, id: LinkId, call: CallId, site: &DeploymentSettings) -> Option<Done> {
         let l = self.all.get(&id)?;
-        let (told, endpoint) = match answer(&l.bytes) {
-            Answer::Part { ok: false } => return None,
-            Answer::Head(head) => ((ending(&head).0, report(&head, site)), l.endpoint),
-            Answer::Part { ok } | Answer::Spoilt { ok } => {
+        let (told, endpoint) = match parse_response(&l.bytes) {
+            ParsedResponse::Incomplete { ok: false } => return None,
+            ParsedResponse::Head(head) => ((ending(&head).0, report(&head, site)), l.endpoint),
+            ParsedResponse::Incomplete { ok } | ParsedResponse::Malformed { ok } => {
                 let ending = if ok { AttemptOutcome::Served } else { AttemptOutcome::Error };
                 ((ending, (None, None)), l.endpoint)
             }
@@ -325,7 +327,14 @@
         matches!(ending, AttemptOutcome::Rejected { .. } | AttemptOutcome::Served).then_some(done)
     }
 
-    fn head(&mut self, id: LinkId, call: CallId, head: &AnswerHead, now: Time, site: &Site) -> Option<Done> {
+    fn head(
+        &mut self,
+        id: LinkId,
+        call: CallId,
+        head: &ResponseHead,
+        now: Time,
+        site: &DeploymentSettings,
+    ) -> Option<Done> {
         let l = self.all.get_mut(&id)?;
         let here = l.bytes.len() - head.length;
         // A spoilt answer has run, whatever its status: one that is to say otherwise has to be whole.
@@ -357,7 +366,9 @@
             let Some(l) = self.all.get(&id) else { continue };
             let ending = match l.state {
                 State::Connecting { .. } => AttemptOutcome::NoConnection,
-                _ if matches!(answer(&l.bytes), Answer::Part { ok: true }) => AttemptOutcome::Served,
+                _ if matches!(parse_response(&l.bytes), ParsedResponse::Incomplete { ok: true }) => {
+                    AttemptOutcome::Served
+                }
                 _ => AttemptOutcome::Error,
             };
             done.extend(self.drop_link(id).map(|call| Done::plain(call, ending)));
@@ -372,7 +383,7 @@
             State::Idle { since } => since + self.keep,
             State::Out { began: None } => Time::MAX,
             State::Out { began: Some(at) } => {
-                let good = matches!(answer(&l.bytes), Answer::Part { ok: true });
+                let good = matches!(parse_response(&l.bytes), ParsedResponse::Incomplete { ok: true });
                 at + if good { REST_OF_GOOD } else { REST_OF_OTHER }
             }
         }
@@ -385,8 +396,8 @@
 }
 
 /// What an answer means, as the protocol's table has it; and whether it says that the message is over.
-fn ending(head: &AnswerHead) -> (AttemptOutcome, bool) {
-    let wait = head.field("x-backoff-ms").and_then(decimal).unwrap_or(0).saturating_mul(MS);
+fn ending(head: &ResponseHead) -> (AttemptOutcome, bool) {
+    let wait = head.field("x-backoff-ms").and_then(parse_decimal).unwrap_or(0).saturating_mul(MS);
     match head.status {
         200 => (AttemptOutcome::Served, true),
         429 => (AttemptOutcome::Rejected { retry_after: wait }, false),
@@ -401,13 +412,13 @@
 }
 
 /// The load report of an answer: share of the limit that is left, and the limit. What cannot be read is none.
-fn report(head: &AnswerHead, site: &Site) -> (Option<f64>, Option<f64>) {
+fn report(head: &ResponseHead, site: &DeploymentSettings) -> (Option<f64>, Option<f64>) {
     let text = head.field("x-pressure").and_then(|v| std::str::from_utf8(v).ok()).unwrap_or("");
     let value = |name: &str| {
-        site.report_place(name)?;
+        site.load_report_index(name)?;
         let mut pairs = text.split(',').map(str::trim).filter_map(|p| p.split_once('='));
         let number: f64 = pairs.find(|p| p.0 == name)?.1.parse().ok()?;
         (number.is_finite() && number >= 0.0).then_some(number)
     };
-    (value(LEFT), value(LIMIT))
+    (value(CAPACITY_LEFT_FIELD), value(RATE_LIMIT_FIELD))
 }
--- a/crates/platform/src/core/clients.rs
+++ b/crates/platform/src/core/clients.rs
@@ -1,7 +1,7 @@
 //! Connections of clients: what they send as requests, and which of them have to go.
 
 use linnetcart::Time;
-use linnetcart_http::{request, Refusal, Request};
+use linnetcart_http::{parse_request, Request, RequestError};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A client's connection, as the shell names it.
@@ -37,7 +37,7 @@
     /// A request, and nothing beside it.
     Request(Request<'a>),
     /// No request: the refusal is sent and the connection ends.
-    Bad(Refusal),
+    Bad(RequestError),
     /// Further requests before the first has its answer.
     Rude,
 }
@@ -92,7 +92,7 @@
         c.came = now;
         c.bytes.extend_from_slice(bytes);
         self.fresh.insert(id);
-        request(&c.bytes).is_err()
+        parse_request(&c.bytes).is_err()
     }
 
     /// Connections with new bytes.
@@ -103,7 +103,7 @@
     /// What a connection's bytes come to.
     pub fn step(&self, id: ClientId) -> Step<'_> {
         let Some(c) = self.all.get(&id) else { return Step::Wait };
-        match request(&c.bytes) {
+        match parse_request(&c.bytes) {
             Ok(None) => Step::Wait,
             Ok(Some(r)) if r.length() < c.bytes.len() => Step::Rude,
             Ok(Some(r)) => Step::Request(r),
--- a/crates/platform/src/core/directory.rs
+++ b/crates/platform/src/core/directory.rs
@@ -3,7 +3,7 @@
 use crate::config::{Entry, News, Status};
 use crate::records::ELSEWHERE;
 use linnetcart::{Endpoint, EndpointStatus, Event, Time};
-use linnetcart_deployment_settings::Site;
+use linnetcart_deployment_settings::DeploymentSettings;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
@@ -68,7 +68,7 @@
 
     /// Takes news in. Returns what the library is told, and the endpoints whose connections are of no use any
     /// more: gone, moved or started anew.
-    pub fn take(&mut self, news: &News, site: &Site, now: Time) -> (Event, Vec<u32>) {
+    pub fn take(&mut self, news: &News, site: &DeploymentSettings, now: Time) -> (Event, Vec<u32>) {
         if news.snapshot {
             self.unread = false;
         }
@@ -103,13 +103,20 @@
         (Event::EndpointList { complete: news.snapshot, entries }, stale)
     }
 
-    fn entry(&mut self, e: &Entry, site: &Site, now: Time, stale: &mut Vec<u32>, out: &mut Vec<Endpoint>) {
+    fn entry(
+        &mut self,
+        e: &Entry,
+        site: &DeploymentSettings,
+        now: Time,
+        stale: &mut Vec<u32>,
+        out: &mut Vec<Endpoint>,
+    ) {
         let Ok(address) = e.address.parse::<SocketAddr>() else {
             tracing::warn!(name = e.name, address = e.address, "an endpoint's address cannot be read");
             self.unread = true;
             return;
         };
-        let kind = site.kinds.iter().position(|k| *k == e.kind).unwrap_or(site.kinds.len()) as u8;
+        let kind = site.kind_names.iter().position(|k| *k == e.kind).unwrap_or(site.kind_names.len()) as u8;
         let (zone, listing) = (self.zone(&e.zone, site), EndpointStatus::from(e.status));
         // What was learnt of a name that is another destination's now is not of use there.
         let moved = self.numbers.get(&e.name).and_then(|n| Some((*n, self.known.get_mut(n)?)));
@@ -151,12 +158,12 @@
         out.push(Endpoint { id: number, destination: e.group, kind, zone, rate: e.weight, status: listing });
     }
 
-    fn zone(&mut self, name: &str, site: &Site) -> u8 {
-        let all = site.zones.iter().chain(&self.zones);
+    fn zone(&mut self, name: &str, site: &DeploymentSettings) -> u8 {
+        let all = site.zone_names.iter().chain(&self.zones);
         if let Some(place) = all.enumerate().find_map(|(n, z)| (z == name).then_some(n)) {
             return place as u8;
         }
-        let place = site.zones.len() + self.zones.len();
+        let place = site.zone_names.len() + self.zones.len();
         if place >= usize::from(ELSEWHERE) {
             return ELSEWHERE;
         }
--- a/crates/platform/src/core/intake.rs
+++ b/crates/platform/src/core/intake.rs
@@ -1,8 +1,8 @@
 //! From a request to a message, or to the reason why it is none.
 
 use linnetcart::Time;
-use linnetcart_deployment_settings::Site;
-use linnetcart_http::{decimal, Request};
+use linnetcart_deployment_settings::DeploymentSettings;
+use linnetcart_http::{parse_decimal, Request};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 /// Bytes of an id or an idempotency key.
@@ -29,11 +29,11 @@
 pub type Refused = (u16, &'static str);
 
 /// Reads a request that hands in a message.
-pub fn read(r: &Request<'_>, site: &Site) -> Result<Handed, Refused> {
+pub fn read(r: &Request<'_>, site: &DeploymentSettings) -> Result<Handed, Refused> {
     let once = |name| r.field(name).map_err(|_| (400, "a field stands there twice"));
     let path = r.path().strip_prefix(b"/").unwrap_or_default();
     let first = path.split(|&b| b == b'/').next().unwrap_or_default();
-    let class = site.classes.iter().position(|name| name.as_bytes() == first && !first.is_empty());
+    let class = site.class_names.iter().position(|name| name.as_bytes() == first && !first.is_empty());
     let class = class.ok_or((404, "there is no such class"))?;
     if r.method() != b"POST" {
         return Err((405, "hand messages in with POST"));
@@ -47,10 +47,11 @@
     if keyed && token.is_none() {
         return Err((400, "this class wants an Idempotency-Key"));
     }
-    let to = once("x-route-to")?.and_then(|v| v.strip_prefix(b"dest=")).and_then(decimal);
+    let to = once("x-route-to")?.and_then(|v| v.strip_prefix(b"dest=")).and_then(parse_decimal);
     let destination =
         to.and_then(|n| u32::try_from(n).ok()).ok_or((400, "X-Route-To is `dest=` and a number"))?;
-    let left = once("x-remaining-ms")?.and_then(decimal).ok_or((400, "X-Remaining-Ms is a whole number"))?;
+    let left =
+        once("x-remaining-ms")?.and_then(parse_decimal).ok_or((400, "X-Remaining-Ms is a whole number"))?;
     let left = left.saturating_mul(1_000_000).min(site.settings.classes[class].deadline);
     let line = match site.settings.classes[class].ordered {
         true => once("cookie")?.and_then(subject).map_or(0, line),
@@ -83,7 +84,7 @@
     use super::*;
     use linnetcart::{Class, Idempotency};
 
-    fn site() -> Site {
+    fn site() -> DeploymentSettings {
         let class = |repeat, ordered| Class {
             latency_objective: 1,
             deadline: 5_000_000_000,
@@ -92,7 +93,10 @@
             idempotency: repeat,
             ordered,
         };
-        let mut site = Site { classes: vec!["status".into(), "change".into()], ..Site::default() };
+        let mut site = DeploymentSettings {
+            class_names: vec!["status".into(), "change".into()],
+            ..DeploymentSettings::default()
+        };
         let keyed = Idempotency::Keyed { dedup_window: 1, per_zone: false };
         site.settings.classes = vec![class(Idempotency::Idempotent, false), class(keyed, true)];
         site
@@ -100,7 +104,7 @@
 
     fn take(head: &str) -> Result<Handed, Refused> {
         let bytes = format!("{head}\r\nContent-Length: 0\r\n\r\n");
-        read(&linnetcart_http::request(bytes.as_bytes()).unwrap().unwrap(), &site())
+        read(&linnetcart_http::parse_request(bytes.as_bytes()).unwrap().unwrap(), &site())
     }
 
     #[test]
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -25,8 +25,8 @@
     AcceptedMessage, Action, AttemptOutcome, AttemptResult, Dispatcher, EndpointStatus, Event, Time,
     UnresolvedAttempt,
 };
-use linnetcart_deployment_settings::Site;
-use linnetcart_http::encode_answer;
+use linnetcart_deployment_settings::DeploymentSettings;
+use linnetcart_http::encode_response;
 use std::borrow::Cow;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -123,7 +123,7 @@
 
 /// The courier.
 pub struct Core {
-    site: Site,
+    site: DeploymentSettings,
     courier: Dispatcher,
     discovery: SocketAddr,
     now: Time,
@@ -244,7 +244,8 @@
     /// The journal's records that come to what is held: all that a new file of it needs.
     pub fn snapshot(&self) -> Vec<Record> {
         let open = self.held.iter().filter(|(_, h)| h.owed.end != Some(End::Delivered));
-        let names = Record::Names { classes: self.site.classes.clone(), zones: self.site.zones.clone() };
+        let names =
+            Record::Names { classes: self.site.class_names.clone(), zones: self.site.zone_names.clone() };
         let known = self.over.iter().filter_map(|(_, id)| self.known.get(id).copied().map(Record::Known));
         let open = open.flat_map(|(&number, h)| h.owed.records(number));
         let rests = self.rests.iter().filter(|r| *r.1 > self.now);
@@ -689,7 +690,7 @@
     /// Takes up a message that an earlier process took on.
     fn resume(&mut self, number: u32, mut owed: Owed) {
         let due = owed.message.due.saturating_sub(self.wall).max(self.now);
-        if usize::from(owed.message.class) >= self.site.classes.len() && owed.end.is_none() {
+        if usize::from(owed.message.class) >= self.site.class_names.len() && owed.end.is_none() {
             let id = owed.message.id();
             self.lines
                 .push(format!("message {id} is of a class that the settings have no more; it has failed"));
@@ -744,10 +745,12 @@
         let mut ended: BTreeMap<u32, Option<Time>> = BTreeMap::new();
         for action in actions {
             match action {
-                Action::Reject { message, retry_after: come_back } => {
-                    drop(ended.insert(*message, Some(*come_back)))
+                Action::Reject { message, retry_after } => {
+                    ended.insert(*message, Some(*retry_after));
+                }
+                Action::Fail { message } => {
+                    ended.insert(*message, None);
                 }
-                Action::Fail { message } => drop(ended.insert(*message, None)),
                 _ => {}
             }
         }
@@ -783,7 +786,7 @@
 
     fn answer(&mut self, id: ClientId, status: u16, fields: &[(&str, &str)], body: &[u8], last: bool) {
         let last = last || self.ending.is_some_and(|since| since + GO_ON <= self.now);
-        self.outputs.push(Output::ToClient(id, encode_answer(status, fields, body, last).into()));
+        self.outputs.push(Output::ToClient(id, encode_response(status, fields, body, last).into()));
         self.clients.answered(id, self.now);
         if last {
             self.close(id);
--- a/crates/platform/src/core/tests.rs
+++ b/crates/platform/src/core/tests.rs
@@ -2,7 +2,7 @@
 
 use super::agent::SILENT;
 use super::*;
-use linnetcart_http::request;
+use linnetcart_http::parse_request;
 
 const S: Time = 1_000 * MS;
 const AGENT: &str = "127.0.0.1:8500";
@@ -66,7 +66,7 @@
             linnetcart_journal::Record { kind, payload }
         };
         let raw: Vec<_> = journal.iter().map(raw).collect();
-        let replay = Replay::of(&raw, &config.site.classes, &config.site.zones);
+        let replay = Replay::of(&raw, &config.site.class_names, &config.site.zone_names);
         let core = Core::new(config, replay, now, now);
         let journal = core.snapshot();
         let (links, up, next_client) = (BTreeMap::new(), BTreeSet::new(), 1 << 40);
@@ -168,7 +168,7 @@
     /// Calls written so far: connection and id.
     fn calls(&self) -> Vec<(LinkId, String)> {
         let call = |w: &(LinkId, Vec<u8>)| {
-            let r = request(&w.1).unwrap().unwrap();
+            let r = parse_request(&w.1).unwrap().unwrap();
             let id = r.field("x-txn").unwrap()?;
             Some((w.0, String::from_utf8(id.to_vec()).unwrap()))
         };
@@ -204,7 +204,7 @@
     /// Notices written, as they stand.
     fn notices(&self) -> Vec<(LinkId, String)> {
         let notice = |w: &(LinkId, Vec<u8>)| {
-            let r = request(&w.1).unwrap().unwrap();
+            let r = parse_request(&w.1).unwrap().unwrap();
             (r.path() == b"/status").then(|| (w.0, String::from_utf8(r.body().to_vec()).unwrap()))
         };
         self.wrote.iter().filter_map(notice).collect()
@@ -233,8 +233,8 @@
 }
 
 fn status(bytes: &[u8]) -> u16 {
-    match linnetcart_http::answer(bytes) {
-        linnetcart_http::Answer::Head(head) => head.status,
+    match linnetcart_http::parse_response(bytes) {
+        linnetcart_http::ParsedResponse::Head(head) => head.status,
         other => panic!("{other:?}"),
     }
 }
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -6,7 +6,7 @@
 use anyhow::Context;
 use calloop::signals::Signal;
 use linnetcart::Time;
-use linnetcart_journal::{Folder, Salt};
+use linnetcart_journal::{JournalDirectory, Salt};
 use linnetcart_net::{Event, Net, Token};
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::{Path, PathBuf};
@@ -64,7 +64,7 @@
 }
 
 /// Begins a new file of the journal with all that is held.
-fn begin_anew(journal: &mut Folder, core: &Core) -> std::io::Result<()> {
+fn begin_anew(journal: &mut JournalDirectory, core: &Core) -> std::io::Result<()> {
     let snapshot: Vec<_> = core.snapshot().iter().map(|r| r.encode()).collect();
     let salt = Salt(wall().rotate_left(17));
     journal.replace(salt, snapshot.iter().map(|(kind, bytes)| (*kind, &bytes[..])))
@@ -73,7 +73,7 @@
 struct Shell {
     net: Net,
     core: Core,
-    journal: Folder,
+    journal: JournalDirectory,
     /// The journal's size after it was last begun anew.
     base: u64,
     /// How far it may grow from there.
@@ -96,13 +96,14 @@
 pub fn run(environment: Environment) -> anyhow::Result<()> {
     let mut net = Net::new(0).context("the event loop cannot be made")?;
     // Before all that takes time: a signal that comes meanwhile waits, and does not end the process.
-    net.signals(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]).context("signals cannot be caught")?;
+    net.watch_signals(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP])
+        .context("signals cannot be caught")?;
     let config = read_config(&environment.config)?;
     let state = environment.state.display();
-    let (mut journal, records, lines) = Folder::open(&environment.state)
+    let (mut journal, records, lines) = JournalDirectory::open(&environment.state)
         .with_context(|| format!("the journal in {state} cannot be read; RELAY_STATE names the folder"))?;
     lines.iter().for_each(|line| tracing::error!("journal: {line}; what can be read is answered for"));
-    let replay = Replay::of(&records, &config.site.classes, &config.site.zones);
+    let replay = Replay::of(&records, &config.site.class_names, &config.site.zone_names);
     tracing::info!(
         owed = replay.owed.len(),
         strange = replay.strange,
@@ -110,8 +111,8 @@
         "from the journal"
     );
     drop(records);
-    net.bound(config.limits.sockets.saturating_sub(16));
-    net.reads(READ.0, READ.1);
+    net.set_max_connections(config.limits.sockets.saturating_sub(16));
+    net.set_read_limits(READ.0, READ.1);
     let (listen, room) = (config.listen, (config.limits.disk_mb * 1e6) as u64);
     // Both clocks at one moment, before anything that takes time.
     let (begun, wall) = (Instant::now(), wall());
@@ -193,7 +194,7 @@
                 None => self.core.client_bytes(token, &bytes),
             },
             Event::HalfClosed(token) if self.tokens.contains_key(&token) => {
-                let written = self.net.written(token);
+                let written = self.net.written_bytes(token);
                 self.net.close(token);
                 self.gone(token, written);
             }
@@ -286,7 +287,7 @@
                 Output::ToClient(client, bytes) => self.net.send(client, &bytes),
                 Output::CloseClient(client) => {
                     self.clients.remove(&client);
-                    self.net.finish(client);
+                    self.net.close_after_flush(client);
                 }
                 Output::Connect(link, address) => {
                     let token = self.net.connect(address);
@@ -306,10 +307,10 @@
                 }
                 Output::EndSending(link) => {
                     if let Some(&token) = self.links.get(&link) {
-                        self.net.end_sending(token);
+                        self.net.shutdown_write(token);
                     }
                 }
-                Output::Unlisten => self.net.unlisten(self.listener),
+                Output::Unlisten => self.net.stop_listening(self.listener),
             }
         }
     }
--- a/crates/scenario/src/day.rs
+++ b/crates/scenario/src/day.rs
@@ -7,7 +7,7 @@
 /// A day. Spans are in seconds or milliseconds, as their names say.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct Day {
+pub struct Scenario {
     /// Its name.
     pub name: String,
     /// What it is for, in a sentence.
@@ -33,7 +33,7 @@
     pub rules: Rules,
     /// How the list reaches couriers.
     #[serde(default)]
-    pub list: ListWay,
+    pub list: EndpointListDelivery,
     /// Classes.
     #[serde(default = "classes")]
     pub class: Vec<Class>,
@@ -42,7 +42,7 @@
     pub kind: Vec<Kind>,
     /// Troubles.
     #[serde(default)]
-    pub trouble: Vec<Trouble>,
+    pub trouble: Vec<FaultSpec>,
 }
 
 /// Traffic.
@@ -163,16 +163,16 @@
 /// How the list reaches couriers.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
-pub struct ListWay {
+pub struct EndpointListDelivery {
     /// News come so late.
     pub late_s: f64,
     /// It tells the rates of destinations.
     pub rates: bool,
 }
 
-impl Default for ListWay {
+impl Default for EndpointListDelivery {
     fn default() -> Self {
-        ListWay { late_s: 1.0, rates: true }
+        EndpointListDelivery { late_s: 1.0, rates: true }
     }
 }
 
@@ -195,7 +195,7 @@
     /// Share that is left at the deadline.
     pub late_worth: f64,
     /// `safe`, `keyed` or `unsafe`.
-    pub repeat: RepeatKind,
+    pub repeat: IdempotencyKind,
     /// For `keyed`: how long a repeat is dropped.
     #[serde(default)]
     pub window_s: f64,
@@ -210,13 +210,15 @@
 /// What a second run does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
-pub enum RepeatKind {
+pub enum IdempotencyKind {
     /// No harm.
-    Safe,
+    #[serde(rename = "safe")]
+    Idempotent,
     /// It is dropped within a window.
     Keyed,
     /// It takes effect twice.
-    Unsafe,
+    #[serde(rename = "unsafe")]
+    NotIdempotent,
 }
 
 /// A kind of destination. Pairs are ranges to draw from.
@@ -272,9 +274,9 @@
 /// A trouble.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct Trouble {
+pub struct FaultSpec {
     /// Which.
-    pub what: What,
+    pub what: FaultKind,
     /// When it begins.
     pub at: f64,
     /// How long it lasts.
@@ -297,7 +299,7 @@
 /// Kinds of trouble. `size` and `extra` mean what stands here.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
-pub enum What {
+pub enum FaultKind {
     /// Calls fail quickly; size: the share that does.
     Errors,
     /// Destinations refuse everything.
@@ -355,10 +357,13 @@
     DiskDamaged,
 }
 
-impl What {
+impl FaultKind {
     /// Sockets of one machine cannot play it.
     pub fn emulated_only(self) -> bool {
-        matches!(self, What::Partition | What::LinksCut | What::LinksSlow | What::DiskDamaged)
+        matches!(
+            self,
+            FaultKind::Partition | FaultKind::LinksCut | FaultKind::LinksSlow | FaultKind::DiskDamaged
+        )
     }
 }
 
@@ -380,12 +385,12 @@
         by_zone: false,
         ordered: false,
     };
-    let mut proxy = class("proxy-change", 0.27, 200.0, 20.0, 1.0, 0.3, RepeatKind::Keyed);
+    let mut proxy = class("proxy-change", 0.27, 200.0, 20.0, 1.0, 0.3, IdempotencyKind::Keyed);
     proxy.ordered = true;
     vec![
-        class("status-update", 0.49, 200.0, 24.0, 2.0, 0.5, RepeatKind::Safe),
+        class("status-update", 0.49, 200.0, 24.0, 2.0, 0.5, IdempotencyKind::Idempotent),
         proxy,
-        class("transfer-order", 0.24, 300.0, 16.0, 4.0, 0.5, RepeatKind::Unsafe),
+        class("transfer-order", 0.24, 300.0, 16.0, 4.0, 0.5, IdempotencyKind::NotIdempotent),
     ]
 }
 
@@ -483,22 +488,22 @@
     ("disk-damaged", include_str!("../days/disk-damaged.toml")),
 ];
 
-impl Day {
+impl Scenario {
     /// A built-in day by name, or one from a file.
-    pub fn find(name: &str) -> anyhow::Result<Day> {
+    pub fn find(name: &str) -> anyhow::Result<Scenario> {
         if let Some((_, text)) = BUILT_IN.iter().find(|d| d.0 == name) {
-            return Day::parse(text).with_context(|| format!("built-in day {name}"));
+            return Scenario::parse(text).with_context(|| format!("built-in day {name}"));
         }
         let names: Vec<&str> = BUILT_IN.iter().map(|d| d.0).collect();
         let text = std::fs::read_to_string(name).with_context(|| {
             format!("`{name}` is no file and no built-in day; these are built in: {}", names.join(", "))
         })?;
-        Day::parse(&text).with_context(|| name.to_owned())
+        Scenario::parse(&text).with_context(|| name.to_owned())
     }
 
     /// Reads a script and checks it.
-    pub fn parse(text: &str) -> anyhow::Result<Day> {
-        let day: Day = toml::from_str(text)?;
+    pub fn parse(text: &str) -> anyhow::Result<Scenario> {
+        let day: Scenario = toml::from_str(text)?;
         day.check()?;
         Ok(day)
     }
@@ -532,7 +537,7 @@
                 t.size.is_finite() && t.size >= 0.0 && t.extra >= 0.0,
                 "{name}: size and extra not below 0"
             );
-            if t.what == What::ClassFails && t.extra as usize >= self.class.len() {
+            if t.what == FaultKind::ClassFails && t.extra as usize >= self.class.len() {
                 bail!("{name}: extra names a class from 0 to {}", self.class.len() - 1);
             }
         }
@@ -540,12 +545,12 @@
     }
 
     /// Troubles that sockets cannot play.
-    pub fn emulated_only(&self) -> Vec<What> {
+    pub fn emulated_only(&self) -> Vec<FaultKind> {
         self.trouble.iter().map(|t| t.what).filter(|w| w.emulated_only()).collect()
     }
 
     /// The day with so many couriers, so many times as fast.
-    pub fn with(mut self, couriers: Option<u32>, speed: f64) -> anyhow::Result<Day> {
+    pub fn with(mut self, couriers: Option<u32>, speed: f64) -> anyhow::Result<Scenario> {
         ensure!(speed > 0.0 && speed <= 100.0, "speed: more than 0 and at most 100");
         self.couriers = couriers.unwrap_or(self.couriers);
         self.check()?;
@@ -553,7 +558,7 @@
     }
 
     /// The same day so many times as fast: spans shrink, rates grow.
-    pub fn faster(mut self, speed: f64) -> Day {
+    pub fn faster(mut self, speed: f64) -> Scenario {
         let span = |x: &mut f64| *x /= speed;
         span(&mut self.seconds);
         self.clients.again_ms.iter_mut().for_each(span);
@@ -580,17 +585,19 @@
         for t in &mut self.trouble {
             [&mut t.at, &mut t.lasts].into_iter().for_each(span);
             match t.what {
-                What::Pauses | What::CouriersStall => [&mut t.size, &mut t.extra].into_iter().for_each(span),
-                What::CouriersKilled
-                | What::CouriersRolled
-                | What::ListLate
-                | What::IdleDropped
-                | What::SlowConnect
-                | What::LinksSlow
-                | What::DiskDamaged => {
+                FaultKind::Pauses | FaultKind::CouriersStall => {
+                    [&mut t.size, &mut t.extra].into_iter().for_each(span)
+                }
+                FaultKind::CouriersKilled
+                | FaultKind::CouriersRolled
+                | FaultKind::ListLate
+                | FaultKind::IdleDropped
+                | FaultKind::SlowConnect
+                | FaultKind::LinksSlow
+                | FaultKind::DiskDamaged => {
                     span(&mut t.size);
                 }
-                What::Drains | What::LinksCut => span(&mut t.extra),
+                FaultKind::Drains | FaultKind::LinksCut => span(&mut t.extra),
                 _ => {}
             }
         }
@@ -606,7 +613,7 @@
     fn every_built_in_day_is_good_and_every_kind_of_trouble_has_one() {
         let mut seen = std::collections::BTreeSet::new();
         for (name, text) in BUILT_IN {
-            let day = Day::parse(text).unwrap_or_else(|e| panic!("{name}: {e:#}"));
+            let day = Scenario::parse(text).unwrap_or_else(|e| panic!("{name}: {e:#}"));
             assert_eq!(&day.name, name);
             if !["bad-day", "month-end"].contains(name) {
                 seen.extend(day.trouble.iter().map(|t| t.what));
@@ -619,7 +626,7 @@
     fn a_wrong_script_names_its_place() {
         let (_, text) = BUILT_IN[0];
         let said =
-            |from: &str, to: &str| format!("{:#}", Day::parse(&text.replacen(from, to, 1)).unwrap_err());
+            |from: &str, to: &str| format!("{:#}", Scenario::parse(&text.replacen(from, to, 1)).unwrap_err());
         assert!(said("seconds =", "sekunden =").contains("sekunden"));
         assert!(said("couriers = 3", "couriers = 0").contains("couriers"));
         assert!(said("part = ", "part = 7").contains("part"));
@@ -627,7 +634,7 @@
 
     #[test]
     fn a_faster_day_has_the_same_messages_in_less_time() {
-        let day = Day::find("quiet").unwrap();
+        let day = Scenario::find("quiet").unwrap();
         let fast = day.clone().faster(4.0);
         assert_eq!(fast.seconds * 4.0, day.seconds);
         assert_eq!(fast.kind[0].rate[0], day.kind[0].rate[0] * 4.0);
--- a/crates/scenario/src/fleet.rs
+++ b/crates/scenario/src/fleet.rs
@@ -1,8 +1,8 @@
 //! A fleet drawn from a day and a seed: members, settings, messages. The same seed draws the same.
 
-use crate::day::{Class, Day, RepeatKind, What};
-use linnetcart_conformance::{self as rules, Contract, Repeat, Time};
-use linnetcart_endpoint_model::{ClassWork, Kind, Member, Returns, World};
+use crate::day::{Class, FaultKind, IdempotencyKind, Scenario};
+use linnetcart_conformance::{self as rules, Idempotency, Invariants, Time};
+use linnetcart_endpoint_model::{ClassWork, EndpointSimulator, Kind, RecoveryModel, SimulatedDestination};
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -12,25 +12,25 @@
 
 /// How a day is played.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Way {
+pub enum Timebase {
     /// On sockets: clocks, loops and travel on a machine add to the figures of the rules.
     Sockets,
     /// In virtual time: they add what the emulated network and hosts take, and no more.
     Emulated,
 }
 
-impl Way {
+impl Timebase {
     fn travel(self) -> Time {
         match self {
-            Way::Sockets => 60_000_000,
-            Way::Emulated => 8_000_000,
+            Timebase::Sockets => 60_000_000,
+            Timebase::Emulated => 8_000_000,
         }
     }
 }
 
 /// A message that is to be handed in.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Planned {
+pub struct PlannedMessage {
     /// When.
     pub at: Time,
     /// Its class.
@@ -45,13 +45,13 @@
 #[derive(Clone, Debug)]
 pub struct Fleet {
     /// The day that it was drawn from.
-    pub day: Day,
+    pub scenario: Scenario,
     /// The seed.
     pub seed: u64,
     /// Destinations.
-    pub members: Vec<Member>,
+    pub destinations: Vec<SimulatedDestination>,
     /// Messages in the order of their times.
-    pub messages: Vec<Planned>,
+    pub messages: Vec<PlannedMessage>,
     /// Calls a second that all limits let through.
     pub full_load: f64,
 }
@@ -70,17 +70,19 @@
     least + rng.random::<f64>() * (most - least)
 }
 
-fn repeat(c: &Class) -> Repeat {
+fn repeat(c: &Class) -> Idempotency {
     match c.repeat {
-        RepeatKind::Safe => Repeat::Safe,
-        RepeatKind::Keyed => Repeat::Keyed { window: seconds(c.window_s), by_zone: c.by_zone },
-        RepeatKind::Unsafe => Repeat::Unsafe,
+        IdempotencyKind::Idempotent => Idempotency::Idempotent,
+        IdempotencyKind::Keyed => {
+            Idempotency::Keyed { dedup_window: seconds(c.window_s), per_zone: c.by_zone }
+        }
+        IdempotencyKind::NotIdempotent => Idempotency::NotIdempotent,
     }
 }
 
 impl Fleet {
     /// Draws a fleet.
-    pub fn draw(day: Day, seed: u64) -> Fleet {
+    pub fn draw(day: Scenario, seed: u64) -> Fleet {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let mut members = Vec::new();
         let mut endpoint = 0;
@@ -94,26 +96,34 @@
                 let endpoints = endpoints.collect();
                 let rate = draw(&mut rng, k.rate);
                 let pace = LogNormal::new(0.0, 0.3).map_or(1.0, |d| d.sample(&mut rng));
-                members.push(Member { destination: members.len() as u32, kind, rate, endpoints, pace });
+                members.push(SimulatedDestination {
+                    destination: members.len() as u32,
+                    kind,
+                    rate,
+                    endpoints,
+                    pace,
+                });
             }
         }
-        let mut fleet = Fleet { day, seed, members, messages: Vec::new(), full_load: 0.0 };
-        fleet.full_load = fleet.members.iter().map(|m| fleet.limit(m)).sum();
+        let mut fleet =
+            Fleet { scenario: day, seed, destinations: members, messages: Vec::new(), full_load: 0.0 };
+        fleet.full_load = fleet.destinations.iter().map(|m| fleet.limit(m)).sum();
         fleet.messages = fleet.traffic(&mut rng);
         fleet
     }
 
     /// Calls a second that a destination takes over all its routes.
-    fn limit(&self, m: &Member) -> f64 {
-        let routes = if self.day.kind[m.kind].routes_apart { m.endpoints.len() } else { 1 };
+    fn limit(&self, m: &SimulatedDestination) -> f64 {
+        let routes = if self.scenario.kind[m.kind].routes_apart { m.endpoints.len() } else { 1 };
         m.rate * routes as f64
     }
 
     /// Messages: at random times, with clumps, sudden load and hot destinations as the day has them.
-    fn traffic(&self, rng: &mut ChaCha8Rng) -> Vec<Planned> {
-        let day = &self.day;
+    fn traffic(&self, rng: &mut ChaCha8Rng) -> Vec<PlannedMessage> {
+        let day = &self.scenario;
         let mut all = Vec::new();
-        let weights: Vec<f64> = self.members.iter().map(|m| self.limit(m) * draw(rng, [0.7, 1.3])).collect();
+        let weights: Vec<f64> =
+            self.destinations.iter().map(|m| self.limit(m) * draw(rng, [0.7, 1.3])).collect();
         let sum: f64 = weights.iter().sum();
         let mut large: Vec<usize> = (0..weights.len()).collect();
         large.sort_by(|&a, &b| weights[b].total_cmp(&weights[a]));
@@ -134,18 +144,24 @@
             let class = class.unwrap_or(0);
             let ordered = day.class[class].ordered && day.traffic.keys > 0;
             let key = ordered.then(|| u64::from(rng.random_range(0..day.traffic.keys)) + 1);
-            all.push(Planned { at: seconds(at), class: class as u8, destination: destination as u32, key });
+            all.push(PlannedMessage {
+                at: seconds(at),
+                class: class as u8,
+                destination: destination as u32,
+                key,
+            });
         };
         // Exponential distances at the highest rate, thinned to the rate of the moment.
         let factor = |at: f64| -> f64 {
-            let now =
-                |t: &&crate::day::Trouble| t.what == What::SuddenLoad && at >= t.at && at < t.at + t.lasts;
+            let now = |t: &&crate::day::FaultSpec| {
+                t.what == FaultKind::SuddenLoad && at >= t.at && at < t.at + t.lasts
+            };
             day.trouble.iter().filter(now).map(|t| t.size).product()
         };
         let most = day
             .trouble
             .iter()
-            .filter(|t| t.what == What::SuddenLoad)
+            .filter(|t| t.what == FaultKind::SuddenLoad)
             .map(|t| t.size.max(1.0))
             .product::<f64>();
         let clumped = day.traffic.clumps.clamp(0.0, 0.95);
@@ -153,8 +169,8 @@
             let mut at = gap.sample(rng);
             while at < day.seconds {
                 if rng.random::<f64>() * most < factor(at) * (1.0 - clumped) {
-                    let hot = |t: &&crate::day::Trouble| {
-                        t.what == What::HotDestinations && at >= t.at && at < t.at + t.lasts
+                    let hot = |t: &&crate::day::FaultSpec| {
+                        t.what == FaultKind::HotDestinations && at >= t.at && at < t.at + t.lasts
                     };
                     let hot = day.trouble.iter().find(hot);
                     let destination = match hot {
@@ -173,7 +189,7 @@
         let mut left = rate * day.seconds * clumped;
         while left >= 1.0 {
             let destination = pick(rng).unwrap_or(0);
-            let size = (self.limit(&self.members[destination]) * day.traffic.clump_s).max(1.0);
+            let size = (self.limit(&self.destinations[destination]) * day.traffic.clump_s).max(1.0);
             let at = rng.random::<f64>() * day.seconds;
             for _ in 0..(size.min(left).max(1.0) as usize) {
                 let later = rng.random::<f64>() * day.traffic.clump_s * 0.05;
@@ -188,7 +204,7 @@
     /// Destinations that together get about this share of the traffic, drawn by `salt`.
     pub fn struck(&self, part: f64, salt: u64) -> Vec<u32> {
         let mut rng = ChaCha8Rng::seed_from_u64(self.seed ^ salt.wrapping_mul(0x9e37_79b9_7f4a_7c15));
-        let mut order: Vec<usize> = (0..self.members.len()).collect();
+        let mut order: Vec<usize> = (0..self.destinations.len()).collect();
         order.shuffle(&mut rng);
         let mut got = 0.0;
         let mut out = Vec::new();
@@ -196,41 +212,41 @@
             if got >= part * self.full_load {
                 break;
             }
-            got += self.limit(&self.members[n]);
-            out.push(self.members[n].destination);
+            got += self.limit(&self.destinations[n]);
+            out.push(self.destinations[n].destination);
         }
         out
     }
 
     /// The figures of the rules and classes for the checks.
-    pub fn contract(&self, way: Way) -> Contract {
-        let r = &self.day.rules;
-        let slow = |t: &crate::day::Trouble| (t.what == What::LinksSlow).then(|| millis(t.size));
-        let slow: Time = self.day.trouble.iter().filter_map(slow).sum();
+    pub fn invariants(&self, way: Timebase) -> Invariants {
+        let r = &self.scenario.rules;
+        let slow = |t: &crate::day::FaultSpec| (t.what == FaultKind::LinksSlow).then(|| millis(t.size));
+        let slow: Time = self.scenario.trouble.iter().filter_map(slow).sum();
         let class = |c: &Class| rules::Class {
             name: c.name.clone(),
-            aim: seconds(c.aim_s),
+            latency_objective: seconds(c.aim_s),
             deadline: seconds(c.deadline_s),
-            worth: c.worth,
-            late_worth: c.late_worth,
-            repeat: repeat(c),
+            priority_weight: c.worth,
+            late_weight: c.late_worth,
+            idempotency: repeat(c),
             ordered: c.ordered,
         };
-        Contract {
-            classes: self.day.class.iter().map(class).collect(),
+        Invariants {
+            classes: self.scenario.class.iter().map(class).collect(),
             halves: false,
-            answer_slack: millis(r.answer_slack_ms),
+            answer_grace: millis(r.answer_slack_ms),
             drain_grace: millis(r.drain_grace_ms),
-            key_rest: millis(r.key_rest_ms),
-            fall_multiple: r.fall_multiple,
-            fall_span: seconds(r.fall_span_s),
+            key_cooldown: millis(r.key_rest_ms),
+            overload_ratio: r.fall_multiple,
+            overload_window: seconds(r.fall_span_s),
             travel: way.travel(),
             slow,
         }
     }
 
     /// The members as a model.
-    pub fn world(&self) -> World {
+    pub fn endpoint_simulator(&self) -> EndpointSimulator {
         let kind = |k: &crate::day::Kind| Kind {
             name: k.name.clone(),
             limit: k.limit,
@@ -241,32 +257,32 @@
             depth: millis(k.depth_ms),
             cv: k.cv,
             connections: k.connections,
-            apart: k.routes_apart,
-            per_call: k.per_call as usize,
+            independent_routes: k.routes_apart,
+            max_messages_per_call: k.per_call as usize,
             item_cost: k.item_cost,
             report_every: millis(k.report_ms),
         };
-        let class = |c: &Class| ClassWork { service: millis(c.service_ms), repeat: repeat(c) };
-        let r = &self.day.rules;
+        let class = |c: &Class| ClassWork { service: millis(c.service_ms), idempotency: repeat(c) };
+        let r = &self.scenario.rules;
         // A courier is told less than a destination takes: the model is somewhat stronger than the contract.
-        let returns = Returns {
-            cold_share: r.cold_share * 1.1,
-            warm_after: seconds(r.warm_after_s),
-            fall_multiple: r.fall_multiple,
-            fall_span: seconds(r.fall_span_s),
+        let returns = RecoveryModel {
+            slow_start_ratio: r.cold_share * 1.1,
+            slow_start_duration: seconds(r.warm_after_s),
+            overload_ratio: r.fall_multiple,
+            overload_window: seconds(r.fall_span_s),
         };
-        World::new(
-            self.day.kind.iter().map(kind).collect(),
-            self.day.class.iter().map(class).collect(),
+        EndpointSimulator::new(
+            self.scenario.kind.iter().map(kind).collect(),
+            self.scenario.class.iter().map(class).collect(),
             returns,
-            self.members.clone(),
+            self.destinations.clone(),
             self.seed ^ 0x5eed,
         )
     }
 
     /// The settings of a courier.
     pub fn settings(&self, me: u32) -> Value {
-        let day = &self.day;
+        let day = &self.scenario;
         let (c, r) = (&day.courier, &day.rules);
         let part = self.full_load / f64::from(day.couriers);
         let share: f64 = day.class.iter().map(|c| c.share).sum();
@@ -275,9 +291,9 @@
         let held = ((part * c.hold_s).ceil() as u32).max(c.least_held);
         let class = |c: &Class| {
             let repeat = match c.repeat {
-                RepeatKind::Safe => json!("safe"),
-                RepeatKind::Unsafe => json!("unsafe"),
-                RepeatKind::Keyed => {
+                IdempotencyKind::Idempotent => json!("safe"),
+                IdempotencyKind::NotIdempotent => json!("unsafe"),
+                IdempotencyKind::Keyed => {
                     json!({"keyed": {"window_ms": (c.window_s * 1e3) as u64, "by_zone": c.by_zone}})
                 }
             };
@@ -311,13 +327,13 @@
 
     /// What there is of everything, in a line.
     pub fn about(&self) -> String {
-        let endpoints: usize = self.members.iter().map(|m| m.endpoints.len()).sum();
+        let endpoints: usize = self.destinations.iter().map(|m| m.endpoints.len()).sum();
         format!(
             "{} couriers, {} destinations with {endpoints} endpoints, {} messages, {} troubles",
-            self.day.couriers,
-            self.members.len(),
+            self.scenario.couriers,
+            self.destinations.len(),
             self.messages.len(),
-            self.day.trouble.len()
+            self.scenario.trouble.len()
         )
     }
 
@@ -329,19 +345,20 @@
     /// How far a wall clock is ahead of the right time, less where it is behind: any two differ by no more than
     /// the day says.
     pub fn clock_off(&self, rng: &mut impl Rng) -> i64 {
-        let most = millis(self.day.clients.clocks_ms / 2.0) as i64;
+        let most = millis(self.scenario.clients.clocks_ms / 2.0) as i64;
         rng.random_range(-most..=most)
     }
 
     /// The topics, by class.
     pub fn topics(&self) -> Vec<String> {
-        self.day.class.iter().map(|c| c.name.clone()).collect()
+        self.scenario.class.iter().map(|c| c.name.clone()).collect()
     }
 
     /// For each destination its kind's name and rate, as the list tells them.
     pub fn listed(&self) -> BTreeMap<u32, (String, f64)> {
-        let each = |m: &Member| (m.destination, (self.day.kind[m.kind].name.clone(), m.rate));
-        self.members.iter().map(each).collect()
+        let each =
+            |m: &SimulatedDestination| (m.destination, (self.scenario.kind[m.kind].name.clone(), m.rate));
+        self.destinations.iter().map(each).collect()
     }
 }
 
@@ -352,8 +369,8 @@
     #[test]
     fn the_same_seed_draws_the_same_and_another_does_not() {
         let draw = |seed| {
-            let f = Fleet::draw(Day::find("bad-day").unwrap(), seed);
-            (f.members, f.messages)
+            let f = Fleet::draw(Scenario::find("bad-day").unwrap(), seed);
+            (f.destinations, f.messages)
         };
         assert_eq!(draw(3), draw(3));
         assert_ne!(draw(3), draw(4));
@@ -361,8 +378,8 @@
 
     #[test]
     fn traffic_is_as_heavy_as_the_day_says() {
-        let fleet = Fleet::draw(Day::find("quiet").unwrap(), 1);
-        let asked = fleet.full_load * fleet.day.traffic.load * fleet.day.seconds;
+        let fleet = Fleet::draw(Scenario::find("quiet").unwrap(), 1);
+        let asked = fleet.full_load * fleet.scenario.traffic.load * fleet.scenario.seconds;
         let got = fleet.messages.len() as f64;
         assert!((got / asked - 1.0).abs() < 0.15, "{got} of {asked}");
         assert!(fleet.messages.windows(2).all(|w| w[0].at <= w[1].at));
@@ -372,7 +389,7 @@
     fn the_settings_are_taken_by_the_edge() {
         for (name, _) in crate::day::BUILT_IN {
             for speed in [1.0, 4.0] {
-                let fleet = Fleet::draw(Day::find(name).unwrap().faster(speed), 1);
+                let fleet = Fleet::draw(Scenario::find(name).unwrap().faster(speed), 1);
                 let settings =
                     linnetcart_edge::settings::Settings::parse(fleet.settings(0).to_string().as_bytes());
                 settings.unwrap_or_else(|e| panic!("{name} at {speed}: {e}"));
--- a/crates/scenario/src/stage/clients.rs
+++ b/crates/scenario/src/stage/clients.rs
@@ -2,14 +2,18 @@
 //! and nothing of what ran.
 
 use super::*;
-use crate::day::RepeatKind;
+use crate::day::IdempotencyKind;
 
-impl<W: Wires> Stage<'_, W> {
+/// The client id in the requests of the simulated producers. It is on the wire and in the digests of runs, so it
+/// keeps the name that the program had first.
+const CLIENT_ID: &str = "linnetcart-lab";
+
+impl<W: Transport> ScenarioRunner<'_, W> {
     pub(super) fn hand(&mut self, number: usize, attempt: u32) -> anyhow::Result<()> {
         let planned = &self.fleet.messages[number];
-        let class = &self.fleet.day.class[usize::from(planned.class)];
+        let class = &self.fleet.scenario.class[usize::from(planned.class)];
         let mut due = planned.at + seconds(class.deadline_s);
-        if self.tries.contains_key(&number) && class.repeat == RepeatKind::Keyed {
+        if self.tries.contains_key(&number) && class.repeat == IdempotencyKind::Keyed {
             // An earlier try may have run: endpoints drop a second one for so long after the first, which ran
             // after it was handed in.
             due = due.min(planned.at + seconds(class.window_s));
@@ -41,7 +45,7 @@
             self.hand_at(self.now + 100_000_000, number, attempt);
             return Ok(());
         };
-        let wall = self.wires.wall();
+        let wall = self.transport.wall();
         let Some(Role::Producer(p)) = self.roles.get_mut(&token) else {
             self.hand_at(self.now + 100_000_000, number, attempt);
             return Ok(());
@@ -59,35 +63,35 @@
         };
         p.correlation += 1;
         p.order += 1;
-        let to = [client::To {
+        let to = [client::ProduceTarget {
             topic: &class.name,
             partition: planned.destination as i32,
             records: std::slice::from_ref(&record),
         }];
         let timeout = i32::try_from(left_ms).unwrap_or(i32::MAX);
-        let request = client::produce(p.correlation, "linnetcart-testbed", PRODUCE, (-1, timeout), &to)?;
+        let request = client::produce(p.correlation, CLIENT_ID, PRODUCE, (-1, timeout), &to)?;
         p.waiting.insert(p.correlation, self.handed.len());
         let (line, life) = ((token, p.order), p.life);
         if p.up {
-            self.wires.send(token, &request);
+            self.transport.send(token, &request);
         } else {
             p.backlog.push(request);
         }
-        self.handed.push(Handed {
+        self.handed.push(Submission {
             message: number as u64,
             courier,
-            life,
+            incarnation: life,
             line,
             class: planned.class,
             destination: planned.destination,
             key: planned.key,
             at: self.now,
-            due: self.now + left_ms * 1_000_000,
+            deadline: self.now + left_ms * 1_000_000,
             answers: Vec::new(),
             trip: 0,
             orphaned: None,
         });
-        let patience = seconds(self.fleet.day.clients.patience_s);
+        let patience = seconds(self.fleet.scenario.clients.patience_s);
         if patience > 0 {
             self.at(self.now + patience, Timer::Patience(self.handed.len() - 1));
         }
@@ -108,22 +112,22 @@
         };
         let answer = match produced.parts.first().map(|p| p.code) {
             Some(codes::NONE) => Answer::Served,
-            Some(codes::REFUSED) => Answer::Refused,
+            Some(codes::NOT_ENOUGH_REPLICAS) => Answer::Rejected,
             _ => Answer::Failed,
         };
-        let trip = self.wires.travelled(token);
+        let trip = self.transport.travelled(token);
         let h = &mut self.handed[at];
         h.trip = trip;
         if h.answers.is_empty() {
             self.open -= 1;
         }
         h.answers.push((self.now, answer));
-        if answer == Answer::Refused {
+        if answer == Answer::Rejected {
             let number = h.message as usize;
             let attempt = self.tries.get(&number).copied().unwrap_or(0);
             let wait = self.again();
             let wait = wait.max(u64::try_from(produced.throttle_ms).unwrap_or(0) * 1_000_000);
-            if attempt < self.fleet.day.clients.retries {
+            if attempt < self.fleet.scenario.clients.retries {
                 self.hand_at(self.now + wait, number, attempt + 1);
             }
         }
@@ -131,7 +135,7 @@
 
     /// How long a client waits before it hands a message in again.
     fn again(&mut self) -> Time {
-        let [least, most] = self.fleet.day.clients.again_ms;
+        let [least, most] = self.fleet.scenario.clients.again_ms;
         millis(least + self.rng.random::<f64>() * (most - least))
     }
 
@@ -142,8 +146,8 @@
         if !h.answers.is_empty() || h.orphaned.is_some() || !self.roles.contains_key(&token) {
             return;
         }
-        self.wires.close(token);
-        self.gone(token);
+        self.transport.close(token);
+        self.disconnected(token);
     }
 
     /// A client's connection broke. What never left it may go anywhere. Of the rest nobody can say whether it has
@@ -160,11 +164,11 @@
             }
             h.orphaned = Some(self.now);
             self.open -= 1;
-            let (number, class) = (h.message as usize, &self.fleet.day.class[usize::from(h.class)]);
+            let (number, class) = (h.message as usize, &self.fleet.scenario.class[usize::from(h.class)]);
             let harmless = match class.repeat {
-                RepeatKind::Safe => true,
-                RepeatKind::Keyed => !class.by_zone,
-                RepeatKind::Unsafe => false,
+                IdempotencyKind::Idempotent => true,
+                IdempotencyKind::Keyed => !class.by_zone,
+                IdempotencyKind::NotIdempotent => false,
             };
             if harmless || !p.up {
                 let wait = self.again();
--- a/crates/scenario/src/stage/couriers.rs
+++ b/crates/scenario/src/stage/couriers.rs
@@ -2,10 +2,10 @@
 
 use super::*;
 
-impl<W: Wires> Stage<'_, W> {
+impl<W: Transport> ScenarioRunner<'_, W> {
     pub(super) fn start(&mut self, n: u32, first: bool) -> anyhow::Result<()> {
         let life = self.posts[n as usize].life;
-        let kept = self.wires.start(n, life, first)?;
+        let kept = self.transport.start(n, life, first)?;
         let post = &mut self.posts[n as usize];
         (post.up, post.stalled, post.bare) = (true, false, !kept);
         (post.telling, post.whole) = (false, true);
@@ -26,7 +26,7 @@
     /// A further connection of a client to a courier.
     pub(super) fn produce_to(&mut self, n: u32) -> Token {
         let life = self.posts[n as usize].life;
-        let token = self.wires.connect(n);
+        let token = self.transport.connect(n);
         let off = self.fleet.clock_off(&mut self.clocks);
         let producer = Producer {
             courier: n,
@@ -69,7 +69,7 @@
         let post = &self.posts[n as usize];
         let least = post.producers.iter().copied().min_by_key(waiting);
         if least.is_some_and(|t| waiting(&t) == 0)
-            || post.producers.len() >= self.fleet.day.clients.connections
+            || post.producers.len() >= self.fleet.scenario.clients.connections
         {
             return least;
         }
@@ -80,7 +80,7 @@
         let post = &mut self.posts[n as usize];
         if post.up {
             (post.telling, post.under_way) = (true, news);
-            self.wires.put(n, post.life, path, body);
+            self.transport.put(n, post.life, path, body);
         }
     }
 
@@ -108,7 +108,7 @@
             let (kind, rate) = &self.listed[&s.destination];
             entries.push(json!({
                 "id": id, "destination": s.destination, "kind": kind, "rate": rate, "state": s.state,
-                "zone": self.fleet.day.zones[usize::from(s.zone)], "address": self.wires.address(id).to_string(),
+                "zone": self.fleet.scenario.zones[usize::from(s.zone)], "address": self.transport.address(id).to_string(),
             }));
         }
         let body = json!({"version": self.version, "whole": whole, "entries": entries}).to_string();
@@ -146,7 +146,7 @@
         post.life += 1;
         post.news.clear();
         post.telling = false;
-        self.wires.kill(n);
+        self.transport.kill(n);
         self.at(self.now + down, Timer::Back(n));
     }
 }
--- a/crates/scenario/src/stage/endpoints.rs
+++ b/crates/scenario/src/stage/endpoints.rs
@@ -2,14 +2,17 @@
 
 use super::*;
 
-impl<W: Wires> Stage<'_, W> {
+impl<W: Transport> ScenarioRunner<'_, W> {
     pub(super) fn endpoint_bytes(&mut self, token: Token, bytes: &[u8]) {
         let now = self.now;
         let Some(Role::Endpoint(c)) = self.roles.get_mut(&token) else { return };
         let idle = c.answers.is_empty();
-        let reap = self.world.trouble(c.endpoint).and_then(|t| t.reap);
-        let hard = self.fleet.day.trouble.iter().any(|t| {
-            t.what == What::IdleDropped && t.hard && now >= seconds(t.at) && now < seconds(t.at + t.lasts)
+        let reap = self.world.fault_mut(c.endpoint).and_then(|t| t.reap);
+        let hard = self.fleet.scenario.trouble.iter().any(|t| {
+            t.what == FaultKind::IdleDropped
+                && t.hard
+                && now >= seconds(t.at)
+                && now < seconds(t.at + t.lasts)
         });
         if idle && c.opened && reap.is_some_and(|r| now > c.last + r) {
             if hard {
@@ -35,26 +38,26 @@
                 request.client.as_deref().and_then(|c| c.strip_prefix("linnetcart-edge-")?.parse().ok());
             if let (None, Some(courier)) = (c.courier, number) {
                 let life = self.posts.get(courier as usize).map_or(0, |p| p.life);
-                c.courier = Some(Caller { courier, life });
+                c.courier = Some(Caller { courier, incarnation: life });
             }
             match request.body {
                 Body::ApiVersions | Body::ApiVersionsTooNew if !c.opened => {
                     c.waiting_open = Some((request.correlation, request.version));
                 }
                 Body::ApiVersions | Body::ApiVersionsTooNew => {
-                    self.wires
+                    self.transport
                         .send(token, &server::api_versions(request.correlation, request.version, false));
                 }
                 Body::Metadata(_) => {
                     let broker = Broker { id: 0, host: "127.0.0.1".into(), port: 0 };
                     let topics: Vec<Topic> = Vec::new();
-                    self.wires.send(
+                    self.transport.send(
                         token,
                         &server::metadata(request.correlation, request.version, &broker, &topics),
                     );
                 }
                 Body::Fetch(topics) => {
-                    self.wires.send(token, &server::not_readable(request.correlation, &topics))
+                    self.transport.send(token, &server::not_readable(request.correlation, &topics))
                 }
                 Body::Produce(p) => self.call(token, request.correlation, request.version, p),
             }
@@ -63,7 +66,8 @@
 
     pub(super) fn call(&mut self, token: Token, correlation: i32, version: i16, p: server::Produce) {
         let Some(Role::Endpoint(c)) = self.roles.get_mut(&token) else { return };
-        let (endpoint, caller) = (c.endpoint, c.courier.unwrap_or(Caller { courier: u32::MAX, life: 0 }));
+        let (endpoint, caller) =
+            (c.endpoint, c.courier.unwrap_or(Caller { courier: u32::MAX, incarnation: 0 }));
         let topics = self.fleet.topics();
         let mut items = Vec::new();
         let mut parts = Vec::new();
@@ -73,12 +77,13 @@
             let (Some(class), Ok(records)) = (class, part.records) else { return self.drop_conn(token) };
             for r in &records {
                 let id = r.header("message-id").and_then(|v| std::str::from_utf8(v).ok()?.parse().ok());
-                items.push(Item { message: id.unwrap_or(u64::MAX), class: class as u8 });
+                items.push(CallItem { message: id.unwrap_or(u64::MAX), class: class as u8 });
                 part_of.push(parts.len());
             }
             parts.push((part.topic, part.partition));
         }
-        let (id, step) = self.world.arrive(self.now, (caller, self.wires.travelled(token)), endpoint, &items);
+        let (id, step) =
+            self.world.receive_call(self.now, (caller, self.transport.travelled(token)), endpoint, &items);
         if let Some(Role::Endpoint(c)) = self.roles.get_mut(&token) {
             c.answers.push_back((id, None));
         }
@@ -86,41 +91,41 @@
         self.step(id, step);
     }
 
-    pub(super) fn step(&mut self, id: u64, step: Step) {
+    pub(super) fn step(&mut self, id: u64, step: CallStep) {
         match step {
-            Step::At(when) => self.at(when, Timer::Finish(id)),
-            Step::Silent => {
+            CallStep::At(when) => self.at(when, Timer::Finish(id)),
+            CallStep::Silent => {
                 self.calls.remove(&id);
             }
-            Step::Break => {
+            CallStep::Break => {
                 if let Some(call) = self.calls.remove(&id) {
                     self.drop_conn(call.token);
                 }
             }
-            Step::Answer(reply) => self.reply(id, &reply),
+            CallStep::Answer(reply) => self.reply(id, &reply),
         }
     }
 
     pub(super) fn reply(&mut self, id: u64, reply: &Reply) {
         let Some(call) = self.calls.remove(&id) else { return };
-        let mut ended: Vec<Ended> = call
+        let mut ended: Vec<PartitionResult> = call
             .parts
             .iter()
-            .map(|(topic, partition)| Ended {
+            .map(|(topic, partition)| PartitionResult {
                 topic: topic.clone(),
                 partition: *partition,
-                ..Ended::default()
+                ..PartitionResult::default()
             })
             .collect();
         for (part, code) in call.part_of.iter().zip(&reply.codes) {
             match code {
-                Code::Served => {}
-                Code::Full => ended[*part].code = codes::FULL,
-                Code::Error => ended[*part].code = codes::FAILED,
+                ItemStatus::Served => {}
+                ItemStatus::Rejected => ended[*part].code = codes::THROTTLING_QUOTA_EXCEEDED,
+                ItemStatus::Error => ended[*part].code = codes::UNKNOWN_SERVER_ERROR,
             }
         }
-        let throttle = i32::try_from(reply.wait.div_ceil(1_000_000)).unwrap_or(i32::MAX);
-        let load = reply.load.map(|(left, limit)| Load { left, limit });
+        let throttle = i32::try_from(reply.retry_after.div_ceil(1_000_000)).unwrap_or(i32::MAX);
+        let load = reply.load.map(|(left, limit)| LoadReport { capacity_left: left, rate_limit: limit });
         let bytes = server::produce(call.correlation, call.version, &ended, throttle, load);
         let Some(Role::Endpoint(c)) = self.roles.get_mut(&call.token) else { return };
         c.last = self.now;
@@ -129,7 +134,7 @@
         }
         while matches!(c.answers.front(), Some((_, Some(_)))) {
             if let Some((_, Some(bytes))) = c.answers.pop_front() {
-                self.wires.send(call.token, &bytes);
+                self.transport.send(call.token, &bytes);
             }
         }
     }
@@ -140,15 +145,15 @@
                 self.world.disconnect(c.endpoint);
             }
         }
-        self.wires.reset(token);
+        self.transport.reset(token);
     }
 
     /// A courier connected to an endpoint.
     pub fn accepted(&mut self, endpoint: u32, token: Token) {
         let (taken, after, deaf) = match self.world.connect(endpoint) {
-            Door::Full => return self.wires.reset(token),
-            Door::Nobody => (false, 0, true),
-            Door::Open { after } => (true, after, false),
+            ConnectOutcome::Refused => return self.transport.reset(token),
+            ConnectOutcome::Unanswered => (false, 0, true),
+            ConnectOutcome::Accepted { after } => (true, after, false),
         };
         let conn = EndpointConn {
             endpoint,
@@ -171,7 +176,7 @@
         let Some(Role::Endpoint(c)) = self.roles.get_mut(&token) else { return };
         c.opened = true;
         if let Some((correlation, version)) = c.waiting_open.take() {
-            self.wires.send(token, &server::api_versions(correlation, version, false));
+            self.transport.send(token, &server::api_versions(correlation, version, false));
         }
     }
 }
--- a/crates/scenario/src/stage/mod.rs
+++ b/crates/scenario/src/stage/mod.rs
@@ -7,14 +7,16 @@
 mod endpoints;
 mod troubles;
 
-use crate::day::{Trouble, What};
+use crate::day::{FaultKind, FaultSpec};
 use crate::fleet::{millis, seconds, Fleet};
 use anyhow::bail;
 use bytes::Bytes;
-use linnetcart_conformance::{Answer, Cut, Handed, Records, Stall, Time, Told};
-use linnetcart_endpoint_model::{Caller, Code, Door, Item, Reply, Step, World};
-use linnetcart_kafka::server::{self, Body, Broker, Ended, Topic};
-use linnetcart_kafka::{client, codes, Frames, Load, Record};
+use linnetcart_conformance::{Answer, EndpointNotification, Partition, Records, Stall, Submission, Time};
+use linnetcart_endpoint_model::{
+    CallItem, CallStep, Caller, ConnectOutcome, EndpointSimulator, ItemStatus, Reply,
+};
+use linnetcart_kafka::server::{self, Body, Broker, PartitionResult, Topic};
+use linnetcart_kafka::{client, codes, Frames, LoadReport, Record};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde_json::json;
@@ -33,7 +35,7 @@
 pub type Token = u64;
 
 /// Whoever carries the bytes and runs the couriers: sockets and processes, or virtual time.
-pub trait Wires {
+pub trait Transport {
     /// A client connects to a courier.
     fn connect(&mut self, courier: u32) -> Token;
     /// Writes to a connection.
@@ -65,14 +67,14 @@
         0
     }
     /// Something goes wrong with network or disk, until [`Wires::heal`] of the same number. Sockets cannot.
-    fn fault(&mut self, _number: usize, _fault: Fault) {}
+    fn fault(&mut self, _number: usize, _fault: InfrastructureFault) {}
     /// A fault ends.
     fn heal(&mut self, _number: usize) {}
 }
 
 /// What goes wrong with network or disk.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Fault {
+pub enum InfrastructureFault {
     /// Couriers are cut off.
     Partition {
         /// Which.
@@ -203,20 +205,20 @@
 
 /// What a day left behind.
 #[derive(Clone, Debug)]
-pub struct Played {
+pub struct ScenarioRecords {
     /// For the checks.
     pub records: Records,
     /// Limits that fell over: when, and whose.
-    pub fallen: Vec<(Time, u32)>,
+    pub overloads: Vec<(Time, u32)>,
 }
 
 /// Everything of a day that is no courier.
-pub struct Stage<'a, W> {
+pub struct ScenarioRunner<'a, W> {
     fleet: &'a Fleet,
     /// Whoever carries the bytes.
-    pub wires: W,
+    pub transport: W,
     now: Time,
-    world: World,
+    world: EndpointSimulator,
     /// For each destination its kind's name and rate, as the list tells them.
     listed: BTreeMap<u32, (String, f64)>,
     timers: BinaryHeap<Reverse<(Time, u64, Timer)>>,
@@ -225,15 +227,15 @@
     standing: BTreeMap<u32, Standing>,
     calls: BTreeMap<u64, CallOf>,
     posts: Vec<Post>,
-    handed: Vec<Handed>,
+    handed: Vec<Submission>,
     tries: BTreeMap<usize, u32>,
     /// The courier to which a message's connection broke: it goes to another.
     left: BTreeMap<usize, u32>,
     /// How often a key's messages went to another courier for that.
     moved: BTreeMap<u64, usize>,
-    told: Vec<Told>,
+    told: Vec<EndpointNotification>,
     stalls: Vec<Stall>,
-    cuts: Vec<Cut>,
+    cuts: Vec<Partition>,
     stray: u64,
     rng: ChaCha8Rng,
     /// For the clients' clocks alone, so that they change nothing else.
@@ -251,14 +253,14 @@
     struck: BTreeMap<usize, Vec<u32>>,
 }
 
-impl<'a, W: Wires> Stage<'a, W> {
+impl<'a, W: Transport> ScenarioRunner<'a, W> {
     /// The endpoints listen, the couriers are started.
-    pub fn new(fleet: &'a Fleet, wires: W) -> anyhow::Result<Stage<'a, W>> {
-        let mut stage = Stage {
+    pub fn new(fleet: &'a Fleet, wires: W) -> anyhow::Result<ScenarioRunner<'a, W>> {
+        let mut stage = ScenarioRunner {
             fleet,
-            wires,
+            transport: wires,
             now: 0,
-            world: fleet.world(),
+            world: fleet.endpoint_simulator(),
             listed: fleet.listed(),
             timers: BinaryHeap::new(),
             seq: 0,
@@ -280,18 +282,18 @@
             next_endpoint: 0,
             open: 0,
             hands: 0,
-            list_late: fleet.day.list.late_s,
+            list_late: fleet.scenario.list.late_s,
             list_out: false,
             kept_back: BTreeSet::new(),
             uneven: None,
             struck: BTreeMap::new(),
         };
-        for m in &fleet.members {
+        for m in &fleet.destinations {
             for &(id, zone) in &m.endpoints {
                 stage.put_up(id, m.destination, zone)?;
             }
         }
-        for n in 0..fleet.day.couriers {
+        for n in 0..fleet.scenario.couriers {
             stage.posts.push(Post::default());
             stage.start(n, true)?;
         }
@@ -300,7 +302,7 @@
 
     /// A new endpoint listens.
     fn put_up(&mut self, id: u32, destination: u32, zone: u8) -> anyhow::Result<()> {
-        self.wires.open(id)?;
+        self.transport.open(id)?;
         self.standing.insert(id, Standing { listens: true, destination, zone, state: "ready" });
         self.next_endpoint = self.next_endpoint.max(id + 1);
         Ok(())
@@ -315,14 +317,14 @@
     }
 
     /// The day begins: its clock is zero now.
-    pub fn begin_day(&mut self) {
+    pub fn start_traffic(&mut self) {
         self.now = 0;
         self.told.clear();
         for n in 0..self.fleet.messages.len() {
             self.hand_at(self.fleet.messages[n].at, n, 0);
         }
-        for n in 0..self.fleet.day.trouble.len() {
-            let t = &self.fleet.day.trouble[n];
+        for n in 0..self.fleet.scenario.trouble.len() {
+            let t = &self.fleet.scenario.trouble[n];
             self.at(seconds(t.at), Timer::Begin(n));
             self.at(seconds(t.at + t.lasts), Timer::End(n));
         }
@@ -330,8 +332,8 @@
 
     /// All is handed in and answered, or the time for it is over.
     pub fn finished(&self) -> bool {
-        let day = seconds(self.fleet.day.seconds);
-        let longest = self.fleet.day.class.iter().map(|c| seconds(c.deadline_s)).max().unwrap_or(0);
+        let day = seconds(self.fleet.scenario.seconds);
+        let longest = self.fleet.scenario.class.iter().map(|c| seconds(c.deadline_s)).max().unwrap_or(0);
         self.now > day && ((self.open == 0 && self.hands == 0) || self.now > day + longest + TAIL)
     }
 
@@ -346,19 +348,19 @@
     }
 
     /// What the day left behind.
-    pub fn played(self) -> (Played, W) {
+    pub fn into_records(self) -> (ScenarioRecords, W) {
         let records = Records {
-            handed: self.handed,
+            submissions: self.handed,
             arrivals: self.world.arrivals().to_vec(),
-            told: self.told,
+            notifications: self.told,
             stalls: self.stalls,
-            cuts: self.cuts,
+            partitions: self.cuts,
             outages: self.world.outages().to_vec(),
             stray_answers: self.stray,
             endpoints: self.standing.iter().map(|(&id, s)| (id, s.destination)).collect(),
             failed_connects: None,
         };
-        (Played { records, fallen: self.world.fallen().to_vec() }, self.wires)
+        (ScenarioRecords { records, overloads: self.world.overloads().to_vec() }, self.transport)
     }
 
     // ---- Time
@@ -379,13 +381,13 @@
     }
 
     /// When something is due next.
-    pub fn next(&self) -> Option<Time> {
+    pub fn next_wakeup(&self) -> Option<Time> {
         self.timers.peek().map(|Reverse(t)| t.0)
     }
 
     /// Does what is due.
-    pub fn due(&mut self) -> anyhow::Result<()> {
-        while self.next().is_some_and(|when| when <= self.now) {
+    pub fn run_due_timers(&mut self) -> anyhow::Result<()> {
+        while self.next_wakeup().is_some_and(|when| when <= self.now) {
             if let Some(Reverse((_, _, timer))) = self.timers.pop() {
                 self.timer(timer)?;
             }
@@ -400,13 +402,13 @@
         if let Some(Role::Producer(p)) = self.roles.get_mut(&token) {
             p.up = true;
             for bytes in std::mem::take(&mut p.backlog) {
-                self.wires.send(token, &bytes);
+                self.transport.send(token, &bytes);
             }
         }
     }
 
     /// Bytes came.
-    pub fn data(&mut self, token: Token, bytes: &[u8]) {
+    pub fn received(&mut self, token: Token, bytes: &[u8]) {
         match self.roles.get_mut(&token) {
             Some(Role::Endpoint(_)) => self.endpoint_bytes(token, bytes),
             Some(Role::Producer(p)) => {
@@ -423,7 +425,7 @@
     }
 
     /// A connection has ended, or could not be made.
-    pub fn gone(&mut self, token: Token) {
+    pub fn disconnected(&mut self, token: Token) {
         match self.roles.remove(&token) {
             Some(Role::Endpoint(c)) if c.taken => self.world.disconnect(c.endpoint),
             Some(Role::Producer(p)) => {
@@ -449,7 +451,13 @@
         }
         let at = self.now;
         let news = std::mem::take(&mut post.under_way).into_iter();
-        self.told.extend(news.map(|(endpoint, ready)| Told { courier, life, at, endpoint, ready }));
+        self.told.extend(news.map(|(endpoint, ready)| EndpointNotification {
+            courier,
+            incarnation: life,
+            at,
+            endpoint,
+            ready,
+        }));
         if std::mem::take(&mut post.bare) {
             self.produce_to(courier);
         }
--- a/crates/scenario/src/stage/troubles.rs
+++ b/crates/scenario/src/stage/troubles.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 
-impl<'a, W: Wires> Stage<'a, W> {
+impl<'a, W: Transport> ScenarioRunner<'a, W> {
     pub(super) fn timer(&mut self, timer: Timer) -> anyhow::Result<()> {
         match timer {
             Timer::Hand(number, attempt) => {
@@ -10,7 +10,7 @@
                 self.hand(number, attempt)?;
             }
             Timer::Finish(call) => {
-                let step = self.world.finish(self.now, call);
+                let step = self.world.finish_call(self.now, call);
                 self.step(call, step);
             }
             Timer::Opened(token) => self.opened(token),
@@ -36,9 +36,9 @@
                 post.stalled = false;
                 let life = post.life;
                 if post.up {
-                    self.wires.go_on(n);
+                    self.transport.go_on(n);
                 }
-                let mine = |s: &&mut Stall| (s.courier, s.life) == (n, life);
+                let mine = |s: &&mut Stall| (s.courier, s.incarnation) == (n, life);
                 if let Some(stall) = self.stalls.iter_mut().rev().find(mine) {
                     stall.until = self.now;
                 }
@@ -47,8 +47,8 @@
         Ok(())
     }
 
-    fn trouble(&self, n: usize) -> &'a Trouble {
-        &self.fleet.day.trouble[n]
+    fn trouble(&self, n: usize) -> &'a FaultSpec {
+        &self.fleet.scenario.trouble[n]
     }
 
     pub(super) fn endpoints_of(&self, destination: u32) -> Vec<u32> {
@@ -56,10 +56,14 @@
         of.map(|(&id, _)| id).collect()
     }
 
-    pub(super) fn each(&mut self, n: usize, mut change: impl FnMut(&mut linnetcart_endpoint_model::Trouble)) {
+    pub(super) fn each(
+        &mut self,
+        n: usize,
+        mut change: impl FnMut(&mut linnetcart_endpoint_model::EndpointFault),
+    ) {
         for destination in self.struck.get(&n).cloned().unwrap_or_default() {
             for endpoint in self.endpoints_of(destination) {
-                if let Some(t) = self.world.trouble(endpoint) {
+                if let Some(t) = self.world.fault_mut(endpoint) {
                     change(t);
                 }
             }
@@ -86,27 +90,27 @@
         let until = seconds(t.at + t.lasts);
         self.struck.insert(n, self.fleet.struck(t.part, n as u64 + 1));
         match t.what {
-            What::Errors => {
+            FaultKind::Errors => {
                 self.each(n, |e| e.errors = size);
                 if size > 0.5 {
                     self.outage(n, false);
                 }
             }
-            What::Shut => {
+            FaultKind::Shut => {
                 for destination in self.struck[&n].clone() {
-                    self.world.shut(destination, until);
+                    self.world.shut_down_until(destination, until);
                 }
                 self.outage(n, false);
             }
-            What::Silent => {
+            FaultKind::Silent => {
                 self.each(n, |e| e.silent = true);
                 self.outage(n, false);
             }
-            What::Vanish => {
+            FaultKind::Vanish => {
                 self.each(n, |e| e.vanished = true);
                 self.outage(n, true);
             }
-            What::Down => {
+            FaultKind::Down => {
                 self.each(n, |e| e.down = true);
                 self.outage(n, true);
                 for destination in self.struck[&n].clone() {
@@ -115,67 +119,72 @@
                     }
                 }
             }
-            What::Slow => self.each(n, |e| e.slow = size),
-            What::SharedSlow => self.world.slow_all(size),
-            What::AnswersLost => {
+            FaultKind::Slow => self.each(n, |e| e.slow = size),
+            FaultKind::SharedSlow => self.world.slow_all(size),
+            FaultKind::AnswersLost => {
                 self.each(n, |e| e.answers_lost = size);
                 if size > 0.5 {
                     self.outage(n, false);
                 }
             }
-            What::Throttle => {
+            FaultKind::Throttle => {
                 for destination in self.struck[&n].clone() {
                     self.world.throttle(destination, size);
                 }
             }
-            What::IdleDropped => {
+            FaultKind::IdleDropped => {
                 let idle = seconds(t.size);
                 self.each(n, |e| e.reap = Some(idle));
             }
-            What::SlowConnect => {
+            FaultKind::SlowConnect => {
                 let by = millis(t.size);
                 self.each(n, |e| e.slow_connect = by);
             }
-            What::ClassFails => {
+            FaultKind::ClassFails => {
                 for destination in self.struck[&n].clone() {
                     let endpoints = self.endpoints_of(destination);
                     if endpoints.len() > 1 {
-                        if let Some(e) = self.world.trouble(endpoints[0]) {
+                        if let Some(e) = self.world.fault_mut(endpoints[0]) {
                             e.class_fails = Some((t.extra as u8, size, t.hard));
                         }
                     }
                 }
             }
-            What::UnevenCouriers => self.uneven = Some((self.couriers_of(n)[0], size)),
-            What::CouriersKilled => {
+            FaultKind::UnevenCouriers => self.uneven = Some((self.couriers_of(n)[0], size)),
+            FaultKind::CouriersKilled => {
                 for courier in self.couriers_of(n) {
                     self.kill(courier, seconds(size));
                 }
             }
-            What::DiskDamaged => {
+            FaultKind::DiskDamaged => {
                 for courier in self.couriers_of(n) {
                     self.kill(courier, seconds(size));
-                    self.wires.fault(n, Fault::Damage { courier, left: t.extra });
+                    self.transport.fault(n, InfrastructureFault::Damage { courier, left: t.extra });
                 }
             }
-            What::Partition => {
+            FaultKind::Partition => {
                 let (clients, endpoints) = (t.extra >= 1.0, !(0.5..1.5).contains(&t.extra));
                 let couriers = self.couriers_of(n);
                 let from = self.now;
-                let cut = |&courier: &u32| Cut { courier, from, until, clients, endpoints };
+                let cut = |&courier: &u32| Partition { courier, from, until, clients, endpoints };
                 self.cuts.extend(couriers.iter().map(cut));
-                self.wires.fault(n, Fault::Partition { couriers, clients, endpoints, one_way: t.hard });
+                self.transport.fault(
+                    n,
+                    InfrastructureFault::Partition { couriers, clients, endpoints, one_way: t.hard },
+                );
             }
-            What::LinksSlow => {
+            FaultKind::LinksSlow => {
                 let couriers = self.couriers_of(n);
-                self.wires.fault(n, Fault::Slow { couriers, by: millis(t.size) });
+                self.transport.fault(n, InfrastructureFault::Slow { couriers, by: millis(t.size) });
             }
-            What::ListLate => self.list_late += t.size,
-            What::ListOut => self.list_out = true,
-            What::Drains | What::Pauses | What::CouriersStall | What::CouriersRolled | What::LinksCut => {
-                self.go_on(n, 0)?
-            }
-            What::SuddenLoad | What::HotDestinations => {}
+            FaultKind::ListLate => self.list_late += t.size,
+            FaultKind::ListOut => self.list_out = true,
+            FaultKind::Drains
+            | FaultKind::Pauses
+            | FaultKind::CouriersStall
+            | FaultKind::CouriersRolled
+            | FaultKind::LinksCut => self.go_on(n, 0)?,
+            FaultKind::SuddenLoad | FaultKind::HotDestinations => {}
         }
         Ok(())
     }
@@ -192,7 +201,7 @@
             }
         };
         match t.what {
-            What::Drains => {
+            FaultKind::Drains => {
                 let all: Vec<u32> = self.struck[&n].iter().flat_map(|&d| self.endpoints_of(d)).collect();
                 let batch = ((all.len() as f64 * t.size.max(0.05)).ceil() as usize).max(1);
                 // The oldest numbers first; replacements have higher ones, so each goes once.
@@ -205,33 +214,33 @@
                     self.replace(endpoint, seconds(t.extra))?;
                 }
             }
-            What::Pauses => {
+            FaultKind::Pauses => {
                 let paused = self.now + millis(t.size);
                 self.each(n, |e| e.paused_until = paused);
                 next(self, seconds(t.extra));
             }
-            What::CouriersStall => {
+            FaultKind::CouriersStall => {
                 // Each at a time of its own within the distance of two stalls.
                 let among = self.couriers_of(n);
                 let each = seconds(t.extra) / among.len().max(1) as u64;
                 let courier = among[count as usize % among.len()];
                 let post = &mut self.posts[courier as usize];
                 if post.up && !post.stalled {
-                    self.wires.stall(courier);
+                    self.transport.stall(courier);
                     post.stalled = true;
                     let (life, from) = (post.life, self.now);
                     let until = from + millis(t.size);
-                    self.stalls.push(Stall { courier, life, from, until });
+                    self.stalls.push(Stall { courier, incarnation: life, from, until });
                     self.at(self.now + millis(t.size), Timer::GoOn(courier));
                 }
                 next(self, each);
             }
-            What::LinksCut => {
+            FaultKind::LinksCut => {
                 let couriers = self.couriers_of(n);
-                self.wires.fault(n, Fault::Cut { couriers, share: t.size });
+                self.transport.fault(n, InfrastructureFault::Cut { couriers, share: t.size });
                 next(self, seconds(t.extra));
             }
-            What::CouriersRolled => {
+            FaultKind::CouriersRolled => {
                 let among = self.couriers_of(n);
                 if let Some(&courier) = among.get(count as usize) {
                     self.kill(courier, seconds(t.size));
@@ -245,7 +254,7 @@
 
     /// Endpoints with numbers from here on came into being during the day.
     pub(super) fn first_new(&self) -> u32 {
-        self.fleet.members.iter().flat_map(|m| &m.endpoints).map(|e| e.0 + 1).max().unwrap_or(u32::MAX)
+        self.fleet.destinations.iter().flat_map(|m| &m.endpoints).map(|e| e.0 + 1).max().unwrap_or(u32::MAX)
     }
 
     /// Drains an endpoint and puts a new one in its place.
@@ -266,7 +275,7 @@
     pub(super) fn close_endpoint(&mut self, endpoint: u32) {
         if let Some(s) = self.standing.get_mut(&endpoint).filter(|s| s.listens) {
             s.listens = false;
-            self.wires.shut(endpoint);
+            self.transport.shut(endpoint);
         }
         let of =
             |(t, r): (&Token, &Role)| matches!(r, Role::Endpoint(c) if c.endpoint == endpoint).then_some(*t);
@@ -277,7 +286,7 @@
     pub(super) fn open_endpoint(&mut self, endpoint: u32) -> anyhow::Result<()> {
         let shut = |s: &&mut Standing| !s.listens && s.state != "gone";
         if let Some(s) = self.standing.get_mut(&endpoint).filter(shut) {
-            self.wires.open(endpoint)?;
+            self.transport.open(endpoint)?;
             s.listens = true;
         }
         Ok(())
@@ -285,10 +294,10 @@
 
     pub(super) fn over(&mut self, n: usize) -> anyhow::Result<()> {
         match self.trouble(n).what {
-            What::Errors => self.each(n, |e| e.errors = 0.0),
-            What::Silent => self.each(n, |e| e.silent = false),
-            What::Vanish => self.each(n, |e| e.vanished = false),
-            What::Down => {
+            FaultKind::Errors => self.each(n, |e| e.errors = 0.0),
+            FaultKind::Silent => self.each(n, |e| e.silent = false),
+            FaultKind::Vanish => self.each(n, |e| e.vanished = false),
+            FaultKind::Down => {
                 self.each(n, |e| e.down = false);
                 for destination in self.struck[&n].clone() {
                     for endpoint in self.endpoints_of(destination) {
@@ -296,35 +305,35 @@
                     }
                 }
             }
-            What::Slow => self.each(n, |e| e.slow = 0.0),
-            What::SharedSlow => self.world.slow_all(1.0),
-            What::AnswersLost => self.each(n, |e| e.answers_lost = 0.0),
-            What::Throttle => {
+            FaultKind::Slow => self.each(n, |e| e.slow = 0.0),
+            FaultKind::SharedSlow => self.world.slow_all(1.0),
+            FaultKind::AnswersLost => self.each(n, |e| e.answers_lost = 0.0),
+            FaultKind::Throttle => {
                 for destination in self.struck[&n].clone() {
                     self.world.throttle(destination, 1.0);
                 }
             }
-            What::IdleDropped => self.each(n, |e| e.reap = None),
-            What::SlowConnect => self.each(n, |e| e.slow_connect = 0),
-            What::ClassFails => self.each(n, |e| e.class_fails = None),
-            What::UnevenCouriers => self.uneven = None,
-            What::Partition | What::LinksSlow => self.wires.heal(n),
-            What::ListLate => self.list_late = (self.list_late - self.trouble(n).size).max(0.0),
-            What::ListOut => {
+            FaultKind::IdleDropped => self.each(n, |e| e.reap = None),
+            FaultKind::SlowConnect => self.each(n, |e| e.slow_connect = 0),
+            FaultKind::ClassFails => self.each(n, |e| e.class_fails = None),
+            FaultKind::UnevenCouriers => self.uneven = None,
+            FaultKind::Partition | FaultKind::LinksSlow => self.transport.heal(n),
+            FaultKind::ListLate => self.list_late = (self.list_late - self.trouble(n).size).max(0.0),
+            FaultKind::ListOut => {
                 self.list_out = false;
                 let ids = std::mem::take(&mut self.kept_back).into_iter().collect();
                 self.publish(ids);
             }
-            What::Shut
-            | What::Drains
-            | What::Pauses
-            | What::SuddenLoad
-            | What::HotDestinations
-            | What::CouriersKilled
-            | What::CouriersRolled
-            | What::CouriersStall
-            | What::LinksCut
-            | What::DiskDamaged => {}
+            FaultKind::Shut
+            | FaultKind::Drains
+            | FaultKind::Pauses
+            | FaultKind::SuddenLoad
+            | FaultKind::HotDestinations
+            | FaultKind::CouriersKilled
+            | FaultKind::CouriersRolled
+            | FaultKind::CouriersStall
+            | FaultKind::LinksCut
+            | FaultKind::DiskDamaged => {}
         }
         Ok(())
     }
--- a/crates/telemetry/src/collectd.rs
+++ b/crates/telemetry/src/collectd.rs
@@ -41,7 +41,7 @@
 
 /// A value with its kind.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Typed {
+pub enum MetricValue {
     /// Grows, and wraps.
     Counter(u64),
     /// Of now.
@@ -52,13 +52,13 @@
     Absolute(u64),
 }
 
-impl Typed {
+impl MetricValue {
     /// As a number.
     pub fn as_f64(self) -> f64 {
         match self {
-            Typed::Counter(n) | Typed::Absolute(n) => n as f64,
-            Typed::Gauge(x) => x,
-            Typed::Derive(n) => n as f64,
+            MetricValue::Counter(n) | MetricValue::Absolute(n) => n as f64,
+            MetricValue::Gauge(x) => x,
+            MetricValue::Derive(n) => n as f64,
         }
     }
 }
@@ -84,16 +84,16 @@
 
 /// What a packet says.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Said {
+pub enum PacketItem {
     /// Values.
-    Values(About, Vec<Typed>),
+    Values(About, Vec<MetricValue>),
     /// A notification, with its severity: 1 failure, 2 warning, 4 okay.
     Notification(About, u64, String),
 }
 
 /// Why a packet was turned down.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum Bad {
+pub enum PacketError {
     /// A part is cut, or says a length that cannot be.
     #[error("at byte {0}: a part's length cannot be")]
     Length(usize),
@@ -142,7 +142,7 @@
 }
 
 /// The name and type under which a point goes.
-fn about(point: &Point) -> (String, &'static str, Typed) {
+fn about(point: &Point) -> (String, &'static str, MetricValue) {
     let instance = match &point.place {
         Place::Courier => "courier".to_owned(),
         Place::Class(class) => format!("class-{class}"),
@@ -151,26 +151,26 @@
         Place::Route(dest, route) => format!("dest-{dest}-route-{route}"),
     };
     match point.value {
-        Value::Count(n) => (instance, "derive", Typed::Derive(i64::try_from(n).unwrap_or(i64::MAX))),
-        Value::Gauge(x) => (instance, "gauge", Typed::Gauge(x)),
-        Value::Millis(x) => (instance, "latency", Typed::Gauge(x / 1000.0)),
+        Value::Count(n) => (instance, "derive", MetricValue::Derive(i64::try_from(n).unwrap_or(i64::MAX))),
+        Value::Gauge(x) => (instance, "gauge", MetricValue::Gauge(x)),
+        Value::Millis(x) => (instance, "latency", MetricValue::Gauge(x / 1000.0)),
     }
 }
 
-fn values(out: &mut Vec<u8>, values: &[Typed]) {
+fn values(out: &mut Vec<u8>, values: &[MetricValue]) {
     let mut body = (values.len() as u16).to_be_bytes().to_vec();
     body.extend(values.iter().map(|v| match v {
-        Typed::Counter(_) => 0u8,
-        Typed::Gauge(_) => 1,
-        Typed::Derive(_) => 2,
-        Typed::Absolute(_) => 3,
+        MetricValue::Counter(_) => 0u8,
+        MetricValue::Gauge(_) => 1,
+        MetricValue::Derive(_) => 2,
+        MetricValue::Absolute(_) => 3,
     }));
     for v in values {
         match *v {
-            Typed::Counter(n) | Typed::Absolute(n) => body.extend(n.to_be_bytes()),
+            MetricValue::Counter(n) | MetricValue::Absolute(n) => body.extend(n.to_be_bytes()),
             // The one thing with its least significant byte first.
-            Typed::Gauge(x) => body.extend(x.to_le_bytes()),
-            Typed::Derive(n) => body.extend(n.to_be_bytes()),
+            MetricValue::Gauge(x) => body.extend(x.to_le_bytes()),
+            MetricValue::Derive(n) => body.extend(n.to_be_bytes()),
         }
     }
     part(out, VALUES, &body);
@@ -323,7 +323,11 @@
 }
 
 /// Reads a packet: all of it, or nothing.
-pub fn read(packet: &[u8], keys: &BTreeMap<String, Vec<String>>, require: Require) -> Result<Vec<Said>, Bad> {
+pub fn read(
+    packet: &[u8],
+    keys: &BTreeMap<String, Vec<String>>,
+    require: Require,
+) -> Result<Vec<PacketItem>, PacketError> {
     let mut said = Vec::new();
     parts(packet, keys, require, Secured::No, &mut said)?;
     Ok(said)
@@ -334,16 +338,18 @@
     keys: &BTreeMap<String, Vec<String>>,
     require: Require,
     mut secured: Secured,
-    said: &mut Vec<Said>,
-) -> Result<(), Bad> {
+    said: &mut Vec<PacketItem>,
+) -> Result<(), PacketError> {
     let (mut at, mut about, mut severity) = (0, About::default(), 0);
     while at < packet.len() {
         let word = |from: usize| Some(u16::from_be_bytes(packet.get(from..from + 2)?.try_into().ok()?));
-        let (kind, length) = word(at).zip(word(at + 2)).ok_or(Bad::Length(at))?;
+        let (kind, length) = word(at).zip(word(at + 2)).ok_or(PacketError::Length(at))?;
         let end = at + usize::from(length);
-        let body =
-            packet.get(at + HEAD..end).filter(|_| usize::from(length) >= HEAD).ok_or(Bad::Length(at))?;
-        let number = || Ok(u64::from_be_bytes(body.try_into().map_err(|_| Bad::Content(at))?));
+        let body = packet
+            .get(at + HEAD..end)
+            .filter(|_| usize::from(length) >= HEAD)
+            .ok_or(PacketError::Length(at))?;
+        let number = || Ok(u64::from_be_bytes(body.try_into().map_err(|_| PacketError::Content(at))?));
         match kind {
             SIGNATURE if at == 0 && secured == Secured::No => {
                 verify(body, &packet[end..], keys)?;
@@ -353,20 +359,21 @@
                 let open = decrypt(body, keys)?;
                 return parts(&open, keys, require, Secured::Encrypted, said);
             }
-            SIGNATURE | ENCRYPTION => return Err(Bad::Nested(at)),
-            _ if (secured as u8) < (require as u8) => return Err(Bad::Plain),
+            SIGNATURE | ENCRYPTION => return Err(PacketError::Nested(at)),
+            _ if (secured as u8) < (require as u8) => return Err(PacketError::Plain),
             HOST => (about.host, about.plugin_instance) = (string(body, at)?, String::new()),
             PLUGIN => about.plugin = string(body, at)?,
             PLUGIN_INSTANCE => about.plugin_instance = string(body, at)?,
             TYPE => about.kind = string(body, at)?,
             TYPE_INSTANCE => about.type_instance = string(body, at)?,
-            TIME => about.time = number()?.checked_mul(1 << 30).ok_or(Bad::Content(at))?,
-            INTERVAL => about.interval = number()?.checked_mul(1 << 30).ok_or(Bad::Content(at))?,
+            TIME => about.time = number()?.checked_mul(1 << 30).ok_or(PacketError::Content(at))?,
+            INTERVAL => about.interval = number()?.checked_mul(1 << 30).ok_or(PacketError::Content(at))?,
             TIME_HR => about.time = number()?,
             INTERVAL_HR => about.interval = number()?,
             SEVERITY => severity = number()?,
-            MESSAGE => said.push(Said::Notification(about.clone(), severity, string(body, at)?)),
-            VALUES => said.push(Said::Values(about.clone(), read_values(body).ok_or(Bad::Content(at))?)),
+            MESSAGE => said.push(PacketItem::Notification(about.clone(), severity, string(body, at)?)),
+            VALUES => said
+                .push(PacketItem::Values(about.clone(), read_values(body).ok_or(PacketError::Content(at))?)),
             // Kinds that came later are passed over, as the protocol says.
             _ => {}
         }
@@ -375,14 +382,14 @@
     Ok(())
 }
 
-fn string(body: &[u8], at: usize) -> Result<String, Bad> {
-    let (&zero, text) = body.split_last().ok_or(Bad::Content(at))?;
+fn string(body: &[u8], at: usize) -> Result<String, PacketError> {
+    let (&zero, text) = body.split_last().ok_or(PacketError::Content(at))?;
     let ok = zero == 0 && text.len() < NAME * 8 && !text.contains(&0);
-    let text = std::str::from_utf8(text).ok().filter(|_| ok).ok_or(Bad::Content(at))?;
+    let text = std::str::from_utf8(text).ok().filter(|_| ok).ok_or(PacketError::Content(at))?;
     Ok(text.to_owned())
 }
 
-fn read_values(body: &[u8]) -> Option<Vec<Typed>> {
+fn read_values(body: &[u8]) -> Option<Vec<MetricValue>> {
     let count = usize::from(u16::from_be_bytes(body.get(..2)?.try_into().ok()?));
     if count > MOST_VALUES || body.len() != 2 + 9 * count {
         return None;
@@ -391,38 +398,41 @@
     let read = kinds.iter().zip(numbers.chunks_exact(8)).map(|(kind, eight)| {
         let eight: [u8; 8] = eight.try_into().ok()?;
         Some(match kind {
-            0 => Typed::Counter(u64::from_be_bytes(eight)),
-            1 => Typed::Gauge(f64::from_le_bytes(eight)),
-            2 => Typed::Derive(i64::from_be_bytes(eight)),
-            3 => Typed::Absolute(u64::from_be_bytes(eight)),
+            0 => MetricValue::Counter(u64::from_be_bytes(eight)),
+            1 => MetricValue::Gauge(f64::from_le_bytes(eight)),
+            2 => MetricValue::Derive(i64::from_be_bytes(eight)),
+            3 => MetricValue::Absolute(u64::from_be_bytes(eight)),
             _ => return None,
         })
     });
     read.collect()
 }
 
-fn user<'a>(name: &[u8], keys: &'a BTreeMap<String, Vec<String>>) -> Result<(String, &'a Vec<String>), Bad> {
+fn user<'a>(
+    name: &[u8],
+    keys: &'a BTreeMap<String, Vec<String>>,
+) -> Result<(String, &'a Vec<String>), PacketError> {
     let name = String::from_utf8_lossy(name).into_owned();
     match keys.get(&name).filter(|k| !k.is_empty()) {
         Some(keys) => Ok((name, keys)),
-        None => Err(Bad::Unknown(name.chars().take(NAME).collect())),
+        None => Err(PacketError::Unknown(name.chars().take(NAME).collect())),
     }
 }
 
-fn verify(body: &[u8], rest: &[u8], keys: &BTreeMap<String, Vec<String>>) -> Result<(), Bad> {
-    let (code, name) = body.split_at_checked(MAC).ok_or(Bad::Content(0))?;
+fn verify(body: &[u8], rest: &[u8], keys: &BTreeMap<String, Vec<String>>) -> Result<(), PacketError> {
+    let (code, name) = body.split_at_checked(MAC).ok_or(PacketError::Content(0))?;
     let (name, keys) = user(name, keys)?;
     let good = keys.iter().any(|key| mac(&name, key, rest).verify_slice(code).is_ok());
-    good.then_some(()).ok_or(Bad::Forged(name))
+    good.then_some(()).ok_or(PacketError::Forged(name))
 }
 
-fn decrypt(body: &[u8], keys: &BTreeMap<String, Vec<String>>) -> Result<Vec<u8>, Bad> {
-    let (length, rest) = body.split_at_checked(2).ok_or(Bad::Content(0))?;
+fn decrypt(body: &[u8], keys: &BTreeMap<String, Vec<String>>) -> Result<Vec<u8>, PacketError> {
+    let (length, rest) = body.split_at_checked(2).ok_or(PacketError::Content(0))?;
     let length = usize::from(u16::from_be_bytes([length[0], length[1]]));
-    let (name, rest) = rest.split_at_checked(length).ok_or(Bad::Content(0))?;
+    let (name, rest) = rest.split_at_checked(length).ok_or(PacketError::Content(0))?;
     let (name, keys) = user(name, keys)?;
-    let (iv, sealed) = rest.split_at_checked(IV).ok_or(Bad::Content(0))?;
-    let iv: [u8; IV] = iv.try_into().map_err(|_| Bad::Content(0))?;
+    let (iv, sealed) = rest.split_at_checked(IV).ok_or(PacketError::Content(0))?;
+    let iv: [u8; IV] = iv.try_into().map_err(|_| PacketError::Content(0))?;
     for key in keys {
         let mut open = sealed.to_vec();
         cipher(key, &iv).apply_keystream(&mut open);
@@ -430,7 +440,7 @@
             return Ok(open.split_off(SUM));
         }
     }
-    Err(Bad::Forged(name))
+    Err(PacketError::Forged(name))
 }
 
 #[cfg(test)]
@@ -471,10 +481,10 @@
     fn a_packet_is_byte_for_byte_what_the_description_says() {
         assert_eq!(packet(&Security::None), PLAIN);
         let said = read(PLAIN, &BTreeMap::new(), Require::Nothing).expect("good");
-        let Said::Values(about, values) = &said[0] else { panic!("{said:?}") };
+        let PacketItem::Values(about, values) = &said[0] else { panic!("{said:?}") };
         assert_eq!(
             (about.kind.as_str(), nanos(about.time), values[0]),
-            ("derive", 1_500_000_000, Typed::Derive(258))
+            ("derive", 1_500_000_000, MetricValue::Derive(258))
         );
     }
 
@@ -494,27 +504,40 @@
             let plain = read(PLAIN, &keys(&[]), Require::Nothing);
             assert_eq!(read(packet, &keys(&["secret"]), Require::Signed), plain);
             assert_eq!(read(packet, &keys(&["new", "secret"]), Require::Signed), plain, "while keys rotate");
-            assert_eq!(read(packet, &keys(&["new"]), Require::Nothing), Err(Bad::Forged("alice".into())));
-            assert_eq!(read(packet, &BTreeMap::new(), Require::Nothing), Err(Bad::Unknown("alice".into())));
+            assert_eq!(
+                read(packet, &keys(&["new"]), Require::Nothing),
+                Err(PacketError::Forged("alice".into()))
+            );
+            assert_eq!(
+                read(packet, &BTreeMap::new(), Require::Nothing),
+                Err(PacketError::Unknown("alice".into()))
+            );
         }
-        assert_eq!(read(&signed, &keys(&["secret"]), Require::Encrypted), Err(Bad::Plain));
-        assert_eq!(read(PLAIN, &keys(&["secret"]), Require::Signed), Err(Bad::Plain));
+        assert_eq!(read(&signed, &keys(&["secret"]), Require::Encrypted), Err(PacketError::Plain));
+        assert_eq!(read(PLAIN, &keys(&["secret"]), Require::Signed), Err(PacketError::Plain));
         let mut forged = signed.clone();
         *forged.last_mut().expect("a byte") ^= 1;
-        assert_eq!(read(&forged, &keys(&["secret"]), Require::Nothing), Err(Bad::Forged("alice".into())));
+        assert_eq!(
+            read(&forged, &keys(&["secret"]), Require::Nothing),
+            Err(PacketError::Forged("alice".into()))
+        );
     }
 
     #[test]
     fn wrong_lengths_and_wrong_nesting_are_turned_down_whole() {
         let none = BTreeMap::new();
-        assert_eq!(read(b"\x00\x00\x00\x00h", &none, Require::Nothing), Err(Bad::Length(0)), "length zero");
-        assert_eq!(read(&PLAIN[..PLAIN.len() - 1], &none, Require::Nothing), Err(Bad::Length(78)));
+        assert_eq!(
+            read(b"\x00\x00\x00\x00h", &none, Require::Nothing),
+            Err(PacketError::Length(0)),
+            "length zero"
+        );
+        assert_eq!(read(&PLAIN[..PLAIN.len() - 1], &none, Require::Nothing), Err(PacketError::Length(78)));
         let twice = sign(&sign(PLAIN, &alice()), &alice());
-        assert_eq!(read(&twice, &keys(&["secret"]), Require::Nothing), Err(Bad::Nested(41)));
+        assert_eq!(read(&twice, &keys(&["secret"]), Require::Nothing), Err(PacketError::Nested(41)));
         let inner = encrypt(&encrypt(PLAIN, &alice(), [1; IV]), &alice(), [2; IV]);
-        assert_eq!(read(&inner, &keys(&["secret"]), Require::Nothing), Err(Bad::Nested(0)));
+        assert_eq!(read(&inner, &keys(&["secret"]), Require::Nothing), Err(PacketError::Nested(0)));
         let late = [PLAIN, &sign(PLAIN, &alice())[..]].concat();
-        assert_eq!(read(&late, &keys(&["secret"]), Require::Nothing), Err(Bad::Nested(PLAIN.len())));
+        assert_eq!(read(&late, &keys(&["secret"]), Require::Nothing), Err(PacketError::Nested(PLAIN.len())));
     }
 
     #[test]
@@ -526,14 +549,14 @@
             let packets = envelope(&security).packets(&points, &mut || [7; IV]);
             assert!(packets.iter().all(|p| p.0.len() <= 1452));
             assert!(packets[..packets.len() - 1].iter().all(|p| p.0.len() > 1300), "filled");
-            let said: Vec<Said> = packets
+            let said: Vec<PacketItem> = packets
                 .iter()
                 .flat_map(|p| read(&p.0, &keys(&["secret"]), Require::Nothing).expect("good"))
                 .collect();
             let got: Vec<(String, f64)> = said
                 .iter()
                 .map(|s| match s {
-                    Said::Values(a, v) => (a.plugin_instance.clone(), v[0].as_f64()),
+                    PacketItem::Values(a, v) => (a.plugin_instance.clone(), v[0].as_f64()),
                     other => panic!("{other:?}"),
                 })
                 .collect();
@@ -548,7 +571,7 @@
         let packet = envelope(&Security::None).notification("dest-x", 1, "out", &mut || [0; IV]);
         let said = read(&packet, &BTreeMap::new(), Require::Nothing).expect("good");
         assert!(
-            matches!(&said[0], Said::Notification(a, 1, m) if a.plugin_instance == "dest-x" && m == "out")
+            matches!(&said[0], PacketItem::Notification(a, 1, m) if a.plugin_instance == "dest-x" && m == "out")
         );
     }
 
--- a/crates/telemetry/src/counts.rs
+++ b/crates/telemetry/src/counts.rs
@@ -137,7 +137,7 @@
 
 /// What a cell of counts is about.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Of {
+pub enum CounterKey {
     /// Messages and attempts of a destination and a class, by its number in the settings.
     Cell(u32, u8),
     /// Attempts over a route apart, by its endpoint.
@@ -148,12 +148,12 @@
 
 /// All counts.
 #[derive(Clone, Debug, Default)]
-pub struct Book {
+pub struct CounterStore {
     classes: Vec<String>,
-    cells: BTreeMap<Of, Counts>,
+    cells: BTreeMap<CounterKey, Counts>,
     /// Counts of classes that the settings no longer have: they come back with the class.
     other: BTreeMap<(u32, String), Counts>,
-    changed: BTreeMap<Of, Counts>,
+    changed: BTreeMap<CounterKey, Counts>,
     most: usize,
     beyond: u64,
 }
@@ -180,7 +180,7 @@
 
 /// A frame of the log.
 #[derive(Debug, Serialize, Deserialize)]
-pub enum Mark {
+pub enum CounterLogEntry {
     /// The classes that numbers in the frames after it mean.
     Classes(Vec<String>),
     /// A name of series now belongs to a destination.
@@ -196,19 +196,19 @@
 /// No frame is longer.
 const FRAME: usize = 16 << 20;
 
-impl Book {
+impl CounterStore {
     /// Counts of a courier with these classes, going on from what was saved; at most so many cells.
-    pub fn new(classes: Vec<String>, most: usize) -> Book {
-        Book { classes, most, ..Book::default() }
+    pub fn new(classes: Vec<String>, most: usize) -> CounterStore {
+        CounterStore { classes, most, ..CounterStore::default() }
     }
 
     /// Adds to a count; true if there is a place for it. Cells beyond the bound are counted together, see
     /// [`Book::beyond`].
-    pub fn add(&mut self, of: Of, field: Field, by: u64) -> bool {
+    pub fn add(&mut self, of: CounterKey, field: Field, by: u64) -> bool {
         if by == 0 {
             return false;
         }
-        if self.cells.len() >= self.most && of != Of::Reports && !self.cells.contains_key(&of) {
+        if self.cells.len() >= self.most && of != CounterKey::Reports && !self.cells.contains_key(&of) {
             self.beyond += by;
             return false;
         }
@@ -223,12 +223,12 @@
     }
 
     /// All cells.
-    pub fn cells(&self) -> &BTreeMap<Of, Counts> {
+    pub fn cells(&self) -> &BTreeMap<CounterKey, Counts> {
         &self.cells
     }
 
     /// Cells that changed since the last frame.
-    pub fn changed(&self) -> impl Iterator<Item = Of> + '_ {
+    pub fn changed(&self) -> impl Iterator<Item = CounterKey> + '_ {
         self.changed.keys().copied()
     }
 
@@ -240,9 +240,9 @@
         let mut body = vec![DELTAS];
         for (&of, counts) in &self.changed {
             let (kind, number, class) = match of {
-                Of::Cell(dest, class) => (0, dest, class),
-                Of::Route(endpoint) => (1, endpoint, 0),
-                Of::Reports => (2, 0, 0),
+                CounterKey::Cell(dest, class) => (0, dest, class),
+                CounterKey::Route(endpoint) => (1, endpoint, 0),
+                CounterKey::Reports => (2, 0, 0),
             };
             for field in Field::ALL.into_iter().filter(|f| counts[*f as usize] > 0) {
                 body.push(kind << 6 | field as u8);
@@ -261,17 +261,19 @@
             let all = Field::ALL.iter().map(|f| (f.name().to_owned(), counts[*f as usize]));
             all.filter(|c| c.1 > 0).collect()
         };
-        let cell = |(of, counts): (&Of, &Counts)| match *of {
-            Of::Cell(dest, class) => SavedCell {
+        let cell = |(of, counts): (&CounterKey, &Counts)| match *of {
+            CounterKey::Cell(dest, class) => SavedCell {
                 destination: Some(dest),
                 class: self.classes.get(usize::from(class)).cloned(),
                 route: None,
                 counts: named(counts),
             },
-            Of::Route(route) => {
+            CounterKey::Route(route) => {
                 SavedCell { destination: None, class: None, route: Some(route), counts: named(counts) }
             }
-            Of::Reports => SavedCell { destination: None, class: None, route: None, counts: named(counts) },
+            CounterKey::Reports => {
+                SavedCell { destination: None, class: None, route: None, counts: named(counts) }
+            }
         };
         let other = self.other.iter().map(|((dest, class), counts)| SavedCell {
             destination: Some(*dest),
@@ -287,11 +289,11 @@
         let number = |class: &str| self.classes.iter().position(|c| c == class).map(|n| n as u8);
         let counts = match (dest, class, route) {
             (Some(dest), Some(class), None) => match number(class) {
-                Some(n) => self.cells.entry(Of::Cell(dest, n)).or_insert([0; FIELDS]),
+                Some(n) => self.cells.entry(CounterKey::Cell(dest, n)).or_insert([0; FIELDS]),
                 None => self.other.entry((dest, class.to_owned())).or_insert([0; FIELDS]),
             },
-            (None, None, Some(route)) => self.cells.entry(Of::Route(route)).or_insert([0; FIELDS]),
-            (None, None, None) => self.cells.entry(Of::Reports).or_insert([0; FIELDS]),
+            (None, None, Some(route)) => self.cells.entry(CounterKey::Route(route)).or_insert([0; FIELDS]),
+            (None, None, None) => self.cells.entry(CounterKey::Reports).or_insert([0; FIELDS]),
             _ => return,
         };
         counts[field as usize] += by;
@@ -310,14 +312,14 @@
 
     /// Takes over what a log held: whole frames up to the first that is cut or damaged. Gives the marks among
     /// them and how many bytes were good.
-    pub fn replay(&mut self, log: &[u8]) -> (Vec<Mark>, usize) {
+    pub fn replay(&mut self, log: &[u8]) -> (Vec<CounterLogEntry>, usize) {
         let (mut at, mut marks) = (0, Vec::new());
         let mut classes: Vec<String> = Vec::new();
         while let Some(body) = frame_at(log, at) {
             match body.split_first() {
                 Some((&DELTAS, deltas)) if self.deltas(&classes, deltas).is_none() => break,
                 Some((&MARK, json)) => match serde_json::from_slice(json) {
-                    Ok(Mark::Classes(names)) => classes = names,
+                    Ok(CounterLogEntry::Classes(names)) => classes = names,
                     Ok(mark) => marks.push(mark),
                     Err(_) => break,
                 },
@@ -350,7 +352,7 @@
 }
 
 /// A mark as a frame for the log.
-pub fn mark(mark: &Mark) -> Vec<u8> {
+pub fn mark(mark: &CounterLogEntry) -> Vec<u8> {
     let mut body = vec![MARK];
     // Strings and numbers only: this cannot fail.
     body.extend(serde_json::to_vec(mark).unwrap_or_default());
@@ -404,34 +406,34 @@
 
     #[test]
     fn counts_follow_their_class_by_name_when_the_settings_change() {
-        let mut book = Book::new(classes(&["order", "query"]), 10);
-        book.add(Of::Cell(7, 1), Field::Taken, 3);
-        book.add(Of::Route(70), Field::Attempts, 2);
+        let mut book = CounterStore::new(classes(&["order", "query"]), 10);
+        book.add(CounterKey::Cell(7, 1), Field::Taken, 3);
+        book.add(CounterKey::Route(70), Field::Attempts, 2);
         let saved = book.saved(&BTreeMap::new(), 5);
-        let mut log = mark(&Mark::Classes(classes(&["order", "query"])));
+        let mut log = mark(&CounterLogEntry::Classes(classes(&["order", "query"])));
         book.frame();
-        book.add(Of::Cell(7, 0), Field::Taken, 300);
+        book.add(CounterKey::Cell(7, 0), Field::Taken, 300);
         log.extend(book.frame().expect("something changed"));
-        let mut now = Book::new(classes(&["query"]), 10);
+        let mut now = CounterStore::new(classes(&["query"]), 10);
         now.restore(&saved);
         assert_eq!(now.replay(&log), (vec![], log.len()));
-        assert_eq!(now.cells()[&Of::Cell(7, 0)][Field::Taken as usize], 3);
-        assert_eq!(now.cells()[&Of::Route(70)][Field::Attempts as usize], 2);
-        let mut again = Book::new(classes(&["order", "query"]), 10);
+        assert_eq!(now.cells()[&CounterKey::Cell(7, 0)][Field::Taken as usize], 3);
+        assert_eq!(now.cells()[&CounterKey::Route(70)][Field::Attempts as usize], 2);
+        let mut again = CounterStore::new(classes(&["order", "query"]), 10);
         again.restore(&now.saved(&BTreeMap::new(), 5));
-        assert_eq!(again.cells()[&Of::Cell(7, 0)][Field::Taken as usize], 300);
+        assert_eq!(again.cells()[&CounterKey::Cell(7, 0)][Field::Taken as usize], 300);
     }
 
     #[test]
     fn cells_beyond_the_bound_are_counted_together() {
-        let mut book = Book::new(classes(&["order"]), 2);
+        let mut book = CounterStore::new(classes(&["order"]), 2);
         for dest in 0..5 {
-            book.add(Of::Cell(dest, 0), Field::Taken, 2);
+            book.add(CounterKey::Cell(dest, 0), Field::Taken, 2);
         }
         assert_eq!((book.cells().len(), book.beyond()), (2, 6));
     }
 
-    impl PartialEq for Mark {
+    impl PartialEq for CounterLogEntry {
         fn eq(&self, other: &Self) -> bool {
             format!("{self:?}") == format!("{other:?}")
         }
@@ -444,16 +446,16 @@
             cut in 0usize..2000, flip in 0usize..2000,
         ) {
             let names = classes(&["a", "b"]);
-            let mut book = Book::new(names.clone(), 100);
-            let mut log = mark(&Mark::Classes(names.clone()));
+            let mut book = CounterStore::new(names.clone(), 100);
+            let mut log = mark(&CounterLogEntry::Classes(names.clone()));
             let mut ends = vec![(log.len(), book.clone())];
             for (dest, class, field, by) in adds {
-                book.add(Of::Cell(dest, class), Field::ALL[field], by);
+                book.add(CounterKey::Cell(dest, class), Field::ALL[field], by);
                 log.extend(book.frame().expect("something changed"));
                 ends.push((log.len(), book.clone()));
             }
             let cut = cut % (log.len() + 1);
-            let mut read = Book::new(names.clone(), 100);
+            let mut read = CounterStore::new(names.clone(), 100);
             let (_, good) = read.replay(&log[..cut]);
             let whole = ends.iter().rev().find(|e| e.0 <= cut);
             prop_assert_eq!(good, whole.map_or(0, |e| e.0));
@@ -461,15 +463,15 @@
             prop_assert_eq!(read.cells(), whole.map_or(&none, |e| e.1.cells()));
             let flip = flip % log.len();
             log[flip] ^= 4;
-            let mut read = Book::new(names, 100);
+            let mut read = CounterStore::new(names, 100);
             let (_, good) = read.replay(&log);
             prop_assert!(good <= flip);
         }
 
         #[test]
         fn random_logs_never_panic(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
-            Book::new(classes(&["a"]), 10).replay(&bytes);
-            let _ = Book::new(classes(&["a"]), 10).deltas(&classes(&["a"]), &bytes);
+            CounterStore::new(classes(&["a"]), 10).replay(&bytes);
+            let _ = CounterStore::new(classes(&["a"]), 10).deltas(&classes(&["a"]), &bytes);
         }
     }
 }
--- a/crates/telemetry/src/graphite.rs
+++ b/crates/telemetry/src/graphite.rs
@@ -9,7 +9,7 @@
 
 /// Who reports.
 #[derive(Clone, Debug, Default)]
-pub struct Who {
+pub struct MetricSource {
     /// The deployment, made safe.
     pub deployment: String,
     /// The courier's number.
@@ -17,7 +17,7 @@
 }
 
 /// The name of a point's series.
-pub fn name(who: &Who, point: &Point, tags: bool) -> String {
+pub fn name(who: &MetricSource, point: &Point, tags: bool) -> String {
     let field = point.field;
     if tags {
         let mut name = format!("linnetcart.edge.{field};deployment={};edge={}", who.deployment, who.me);
@@ -44,7 +44,13 @@
 }
 
 /// Points at a second since 1970, as pieces that may be sent and dropped one by one; each with its points.
-pub fn encode(who: &Who, points: &[Point], second: u64, form: Form, tags: bool) -> Vec<(Vec<u8>, u32)> {
+pub fn encode(
+    who: &MetricSource,
+    points: &[Point],
+    second: u64,
+    form: Form,
+    tags: bool,
+) -> Vec<(Vec<u8>, u32)> {
     let named = |p: &Point| (name(who, p, tags), p.value.as_f64());
     let pieces = points.chunks(BATCH).map(|chunk| {
         let bytes = match form {
@@ -93,8 +99,8 @@
     use crate::series::Value;
     use proptest::prelude::*;
 
-    fn who() -> Who {
-        Who { deployment: "bank_north".into(), me: 3 }
+    fn who() -> MetricSource {
+        MetricSource { deployment: "bank_north".into(), me: 3 }
     }
 
     #[test]
--- a/crates/telemetry/src/host.rs
+++ b/crates/telemetry/src/host.rs
@@ -1,7 +1,7 @@
 //! What the host's own collectd says of load, links and disks. Packets may be cut, forged or old: they cost their
 //! reading and nothing else.
 
-use crate::collectd::{self, About, Bad, Said, Typed};
+use crate::collectd::{self, About, MetricValue, PacketError, PacketItem};
 use crate::settings::Listen;
 use linnetcart::Time;
 use serde::Serialize;
@@ -55,7 +55,7 @@
 struct Last {
     /// In collectd's units.
     time: u64,
-    values: Vec<Typed>,
+    values: Vec<MetricValue>,
 }
 
 /// Takes packets in.
@@ -89,28 +89,29 @@
             }
             Err(bad) => {
                 self.view.bad += 1;
-                let first = self.view.last_bad.is_none() || matches!(bad, Bad::Forged(_) | Bad::Unknown(_));
+                let first = self.view.last_bad.is_none()
+                    || matches!(bad, PacketError::Forged(_) | PacketError::Unknown(_));
                 self.view.last_bad = Some(bad.to_string());
                 first.then(|| format!("a packet for the host's figures was turned down: {bad}"))
             }
         }
     }
 
-    fn said(&mut self, said: Said, wall: u64) -> Option<String> {
+    fn said(&mut self, said: PacketItem, wall: u64) -> Option<String> {
         match said {
-            Said::Notification(about, severity, text) if severity <= 2 => {
+            PacketItem::Notification(about, severity, text) if severity <= 2 => {
                 let text: String = text.chars().filter(|c| !c.is_control()).take(200).collect();
                 Some(format!("host {}: {text}", about.host))
             }
-            Said::Notification(..) => None,
-            Said::Values(about, values) => {
+            PacketItem::Notification(..) => None,
+            PacketItem::Values(about, values) => {
                 self.values(about, values, wall);
                 None
             }
         }
     }
 
-    fn values(&mut self, about: About, values: Vec<Typed>, wall: u64) {
+    fn values(&mut self, about: About, values: Vec<MetricValue>, wall: u64) {
         let wall = collectd::high_resolution(wall);
         let last_of = (
             about.host.clone(),
@@ -130,14 +131,15 @@
         }
         let rates = before.map_or(Vec::new(), |l| {
             let seconds = (about.time - l.time) as f64 / (1u64 << 30) as f64;
-            let change = |(now, was): (&Typed, &Typed)| (now.as_f64() - was.as_f64()).max(0.0) / seconds;
+            let change =
+                |(now, was): (&MetricValue, &MetricValue)| (now.as_f64() - was.as_f64()).max(0.0) / seconds;
             values.iter().zip(&l.values).map(change).collect()
         });
         self.show(&about, &values, &rates);
         self.last.insert(last_of, Last { time: about.time, values });
     }
 
-    fn show(&mut self, about: &About, values: &[Typed], rates: &[f64]) {
+    fn show(&mut self, about: &About, values: &[MetricValue], rates: &[f64]) {
         let view = &mut self.view;
         if !view.hosts.contains(&about.host) && view.hosts.len() < 16 {
             view.hosts.push(about.host.clone());
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -19,8 +19,8 @@
 
 use bytes::Bytes;
 use collectd::Envelope;
-use counts::{mark, Book, Counts, Field, Mark, Of, Saved, FIELDS};
-use graphite::Who;
+use counts::{mark, CounterKey, CounterLogEntry, CounterStore, Counts, Field, Saved, FIELDS};
+use graphite::MetricSource;
 use hdrhistogram::Histogram;
 use host::Host;
 use linnetcart::{AttemptOutcome, Class, LimitChange, LimitState, Time};
@@ -32,7 +32,7 @@
 use serde::Serialize;
 use series::{Place, Point, Value};
 use settings::Telemetry as Settings;
-use stamps::Stamps;
+use stamps::Timestamps;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::ops::Bound;
@@ -61,7 +61,7 @@
 
 /// The courier that reports.
 #[derive(Clone, Debug)]
-pub struct Courier {
+pub struct CourierInfo {
     /// The deployment.
     pub deployment: String,
     /// Its number.
@@ -76,7 +76,7 @@
 
 /// What was found of an earlier run.
 #[derive(Debug, Default)]
-pub struct Found {
+pub struct RestoredState {
     /// The snapshot.
     pub saved: Option<Saved>,
     /// The logs after it, oldest first.
@@ -85,7 +85,7 @@
 
 /// Figures of now that no fact tells.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Now {
+pub struct CurrentState {
     /// Messages held.
     pub held: usize,
     /// Bytes of them.
@@ -104,7 +104,7 @@
 
 /// An endpoint in the list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Listed {
+pub struct ListedEndpoint {
     /// Its number.
     pub endpoint: u32,
     /// Its destination's.
@@ -184,7 +184,7 @@
     Route(u32),
     /// Counts of a destination over all classes.
     Sum(u32),
-    Cell(Of),
+    Cell(CounterKey),
 }
 
 /// A report under way: it is made and leaves in slices, so that no message waits for it. A part of it is made, then
@@ -213,22 +213,22 @@
 /// The reporting of one courier.
 #[derive(Debug)]
 pub struct Telemetry {
-    courier: Courier,
-    who: Who,
+    courier: CourierInfo,
+    who: MetricSource,
     classes: Vec<String>,
     set: Settings,
-    book: Book,
+    book: CounterStore,
     totals: Vec<Counts>,
     names: Names,
-    stamps: Stamps,
+    stamps: Timestamps,
     listed: BTreeMap<u32, Vec<u32>>,
     routes: BTreeMap<u32, u32>,
     dests: BTreeMap<u32, Dest>,
     route_states: BTreeMap<u32, Dest>,
     class_latency: Vec<Option<Histogram<u32>>>,
-    dirty: BTreeSet<Of>,
+    dirty: BTreeSet<CounterKey>,
     /// Cells up to this one had their turn of unchanged series.
-    refreshed: Option<Of>,
+    refreshed: Option<CounterKey>,
     next_report: Time,
     last_report: Time,
     report: Option<Report>,
@@ -237,9 +237,9 @@
     /// Changes that must be in the log before this turn's answers leave, and when some were put there last.
     owed: bool,
     logged: Time,
-    figures: Now,
+    figures: CurrentState,
     /// The first cell that a report had no room for.
-    put_off: Option<Of>,
+    put_off: Option<CounterKey>,
     outlet: Option<Outlet>,
     reported_losses: (u64, u64),
     host: Option<Host>,
@@ -270,9 +270,9 @@
 
 impl Telemetry {
     /// Goes on from what was found. Nothing is reported until [`Telemetry::configure`] says where to.
-    pub fn new(courier: Courier, found: Found, set: Settings, now: Time) -> Telemetry {
+    pub fn new(courier: CourierInfo, found: RestoredState, set: Settings, now: Time) -> Telemetry {
         let names: Vec<String> = courier.classes.iter().map(|c| c.0.clone()).collect();
-        let mut book = Book::new(names.clone(), set.cells);
+        let mut book = CounterStore::new(names.clone(), set.cells);
         let mut owners = Names::new(BTreeMap::new(), set.cells.max(1000) * 2);
         let mut stamp = 0;
         if let Some(saved) = &found.saved {
@@ -283,19 +283,19 @@
         for log in &found.logs {
             for m in book.replay(log).0 {
                 match m {
-                    Mark::Name(name, of) => owners.given(name, of),
-                    Mark::Stamp(at) => stamp = stamp.max(at),
-                    Mark::Classes(_) => {}
+                    CounterLogEntry::Name(name, of) => owners.given(name, of),
+                    CounterLogEntry::Stamp(at) => stamp = stamp.max(at),
+                    CounterLogEntry::Classes(_) => {}
                 }
             }
         }
         let mut totals = vec![[0; FIELDS]; names.len()];
         for (of, counts) in book.cells() {
-            if let Of::Cell(_, class) = of {
+            if let CounterKey::Cell(_, class) = of {
                 sum(&mut totals[usize::from(*class)], counts);
             }
         }
-        let who = Who { deployment: names::safe(&courier.deployment), me: courier.me };
+        let who = MetricSource { deployment: names::safe(&courier.deployment), me: courier.me };
         let mut random = ChaCha8Rng::seed_from_u64(courier.seed ^ (u64::from(courier.me) << 32));
         let interval = set.interval_s * SECOND;
         let first = random.random_range(0..interval);
@@ -307,7 +307,7 @@
             book,
             totals,
             names: owners,
-            stamps: Stamps::new(stamp * SECOND, now),
+            stamps: Timestamps::new(stamp * SECOND, now),
             listed: BTreeMap::new(),
             routes: BTreeMap::new(),
             dests: BTreeMap::new(),
@@ -322,7 +322,7 @@
             syncs: 0,
             owed: false,
             logged: now,
-            figures: Now::default(),
+            figures: CurrentState::default(),
             put_off: None,
             outlet: None,
             reported_losses: (0, 0),
@@ -347,7 +347,7 @@
 
     /// The first frame of a log.
     pub fn log_head(&self) -> Vec<u8> {
-        mark(&Mark::Classes(self.courier.classes.iter().map(|c| c.0.clone()).collect()))
+        mark(&CounterLogEntry::Classes(self.courier.classes.iter().map(|c| c.0.clone()).collect()))
     }
 
     /// The settings in force.
@@ -378,7 +378,7 @@
     }
 
     /// The list, whenever it changed.
-    pub fn list(&mut self, listed: impl Iterator<Item = Listed>) {
+    pub fn set_endpoints(&mut self, listed: impl Iterator<Item = ListedEndpoint>) {
         self.listed.clear();
         self.routes.clear();
         for l in listed {
@@ -392,12 +392,12 @@
         self.route_states.retain(|e, _| self.routes.contains_key(e));
     }
 
-    fn add(&mut self, of: Of, field: Field, by: u64) {
+    fn add(&mut self, of: CounterKey, field: Field, by: u64) {
         // What has no place of its own is not in the sums either: they come from the places at the next start.
         if !self.book.add(of, field, by) {
             return;
         }
-        if let Of::Cell(_, class) = of {
+        if let CounterKey::Cell(_, class) = of {
             if let Some(total) = self.totals.get_mut(usize::from(class)) {
                 total[field as usize] += by;
             }
@@ -412,16 +412,16 @@
     }
 
     /// Something happened.
-    pub fn fact(&mut self, fact: &DeliveryEvent) {
+    pub fn record(&mut self, fact: &DeliveryEvent) {
         // Someone will be told of these; all that was counted goes into the log before.
         self.owed |= matches!(fact, DeliveryEvent::Completed { .. } | DeliveryEvent::Rejected { .. });
         match *fact {
             DeliveryEvent::Accepted { class, destination, .. } => {
-                self.add(Of::Cell(destination, class), Field::Taken, 1);
-                self.add(Of::Cell(destination, class), Field::WorthAsked, self.milli(class, None));
+                self.add(CounterKey::Cell(destination, class), Field::Taken, 1);
+                self.add(CounterKey::Cell(destination, class), Field::WorthAsked, self.milli(class, None));
             }
             DeliveryEvent::Rejected { class, destination, .. } => {
-                let (of, worth) = (Of::Cell(destination, class), self.milli(class, None));
+                let (of, worth) = (CounterKey::Cell(destination, class), self.milli(class, None));
                 self.add(of, Field::TurnedAway, 1);
                 self.add(of, Field::WorthAsked, worth);
                 self.add(of, Field::WorthLost, worth);
@@ -454,8 +454,8 @@
             }
             DeliveryEvent::ClientCancelled { class, destination, .. } => {
                 let worth = self.milli(class, None);
-                self.add(Of::Cell(destination, class), Field::Withdrawn, 1);
-                self.add(Of::Cell(destination, class), Field::WorthLost, worth);
+                self.add(CounterKey::Cell(destination, class), Field::Withdrawn, 1);
+                self.add(CounterKey::Cell(destination, class), Field::WorthLost, worth);
             }
             DeliveryEvent::LimitChanged(LimitChange { destination, endpoint, state, .. }) => {
                 self.limit_changed(destination, endpoint, state);
@@ -464,9 +464,9 @@
         }
     }
 
-    fn cells_of(&self, destination: u32, class: u8, endpoint: u32) -> Vec<Of> {
-        let route = self.routes.contains_key(&endpoint).then_some(Of::Route(endpoint));
-        [Of::Cell(destination, class)].into_iter().chain(route).collect()
+    fn cells_of(&self, destination: u32, class: u8, endpoint: u32) -> Vec<CounterKey> {
+        let route = self.routes.contains_key(&endpoint).then_some(CounterKey::Route(endpoint));
+        [CounterKey::Cell(destination, class)].into_iter().chain(route).collect()
     }
 
     /// The destination, and the route where routes are apart.
@@ -506,7 +506,7 @@
     }
 
     fn answered(&mut self, class: u8, destination: u32, answer: FinalAnswer, after: Time) {
-        let of = Of::Cell(destination, class);
+        let of = CounterKey::Cell(destination, class);
         let (whole, kept) = (self.milli(class, None), self.milli(class, Some(after)));
         let in_aim =
             self.courier.classes.get(usize::from(class)).is_some_and(|c| after <= c.1.latency_objective);
@@ -577,13 +577,13 @@
         let wanted = self.set.names.get(&dest).map(String::as_str);
         let (name, new) = self.names.name(wanted, dest);
         if new {
-            self.out.push(Output::Append(mark(&Mark::Name(name.clone(), dest))));
+            self.out.push(Output::Append(mark(&CounterLogEntry::Name(name.clone(), dest))));
         }
         name
     }
 
     /// The clock; what is counted so far goes into the log, and a report is made when it is time.
-    pub fn turn(&mut self, now: Time, wall: Time, figures: impl FnOnce() -> Now) {
+    pub fn process(&mut self, now: Time, wall: Time, figures: impl FnOnce() -> CurrentState) {
         self.losses();
         if self.owed || self.logged + LOG_EVERY <= now {
             self.log_changes();
@@ -624,7 +624,7 @@
     }
 
     /// When the next turn is wanted at the latest.
-    pub fn next_turn(&self) -> Time {
+    pub fn next_wakeup(&self) -> Time {
         let outlet = self.outlet.as_ref().and_then(Outlet::next).unwrap_or(Time::MAX);
         let slice = match &self.report {
             Some(r) if !matches!(r.step, Step::Syncing { .. }) => self.next_slice,
@@ -663,7 +663,7 @@
 
     fn add_reports(&mut self, field: Field, by: u64) {
         if by > 0 {
-            self.add(Of::Reports, field, by);
+            self.add(CounterKey::Reports, field, by);
         }
     }
 
@@ -678,7 +678,7 @@
         self.last_report = now;
         self.status.reports += 1;
         // A restart must not stamp anything with a time that was used.
-        self.out.push(Output::Append(mark(&Mark::Stamp(stamp / SECOND))));
+        self.out.push(Output::Append(mark(&CounterLogEntry::Stamp(stamp / SECOND))));
         self.log_changes();
         let show = self.show();
         let (points, made) = (VecDeque::new(), 0);
@@ -806,15 +806,16 @@
         let share = self.book.cells().len().div_ceil(REFRESH as usize);
         let from = self.refreshed.map_or(Bound::Unbounded, Bound::Excluded);
         let others = self.book.cells().range((from, Bound::Unbounded)).map(|c| *c.0);
-        let others: Vec<Of> = others.take(share).collect();
+        let others: Vec<CounterKey> = others.take(share).collect();
         self.refreshed = if others.len() < share { None } else { others.last().copied() };
         cells.extend(others);
         // Those that were put off before come first.
-        let from = self.put_off.take().unwrap_or(Of::Cell(0, 0));
-        let (after, before): (Vec<Of>, Vec<Of>) = cells.into_iter().partition(|&of| of >= from);
+        let from = self.put_off.take().unwrap_or(CounterKey::Cell(0, 0));
+        let (after, before): (Vec<CounterKey>, Vec<CounterKey>) =
+            cells.into_iter().partition(|&of| of >= from);
         let mut last = None;
         for of in after.into_iter().chain(before) {
-            if let Of::Cell(dest, _) = of {
+            if let CounterKey::Cell(dest, _) = of {
                 if last.replace(dest) != Some(dest) {
                     show.push_back(Show::Sum(dest));
                 }
@@ -856,7 +857,8 @@
             }
             Show::Sum(dest) => {
                 let mut all = [0; FIELDS];
-                let cells = self.book.cells().range(Of::Cell(dest, 0)..=Of::Cell(dest, u8::MAX));
+                let cells =
+                    self.book.cells().range(CounterKey::Cell(dest, 0)..=CounterKey::Cell(dest, u8::MAX));
                 cells.for_each(|c| sum(&mut all, c.1));
                 counts(points, &Place::Dest(self.dest_name(dest)), &all, &Field::ALL);
             }
@@ -868,7 +870,7 @@
         let now = self.figures;
         let mut all = [0; FIELDS];
         self.totals.iter().for_each(|t| sum(&mut all, t));
-        if let Some(reports) = self.book.cells().get(&Of::Reports) {
+        if let Some(reports) = self.book.cells().get(&CounterKey::Reports) {
             sum(&mut all, reports);
         }
         counts(points, &Place::Courier, &all, &Field::ALL);
@@ -886,20 +888,20 @@
         points.extend(gauges.map(gauge));
     }
 
-    fn cell_points(&mut self, of: Of, points: &mut Vec<Point>) {
+    fn cell_points(&mut self, of: CounterKey, points: &mut Vec<Point>) {
         let Some(&cell) = self.book.cells().get(&of) else { return };
         match of {
-            Of::Cell(dest, class) => {
+            CounterKey::Cell(dest, class) => {
                 if let Some(class) = self.classes.get(usize::from(class)).cloned() {
                     counts(points, &Place::Cell(self.dest_name(dest), class), &cell, &Field::ALL);
                 }
             }
-            Of::Route(route) => {
+            CounterKey::Route(route) => {
                 if let Some(&dest) = self.routes.get(&route) {
                     counts(points, &Place::Route(self.dest_name(dest), route), &cell, &Field::ALL);
                 }
             }
-            Of::Reports => {}
+            CounterKey::Reports => {}
         }
     }
 
@@ -913,21 +915,21 @@
     }
 
     /// It could not be made, or is gone.
-    pub fn lost(&mut self, now: Time) {
+    pub fn disconnected(&mut self, now: Time) {
         if let Some(outlet) = &mut self.outlet {
             outlet.lost(now);
         }
     }
 
     /// The system has taken so many bytes of it.
-    pub fn taken(&mut self, now: Time, bytes: u64) {
+    pub fn acknowledged(&mut self, now: Time, bytes: u64) {
         if let Some(outlet) = &mut self.outlet {
             outlet.taken(now, bytes);
         }
     }
 
     /// A packet of the host's collectd came.
-    pub fn packet(&mut self, packet: &[u8], now: Time, wall: u64) {
+    pub fn datagram_received(&mut self, packet: &[u8], now: Time, wall: u64) {
         if let Some(line) = self.host.as_mut().and_then(|h| h.packet(packet, now, wall)) {
             self.out.push(Output::Log(line));
         }
@@ -948,7 +950,7 @@
     }
 
     /// All counts, by what they are about.
-    pub fn counts(&self) -> &BTreeMap<Of, Counts> {
+    pub fn counts(&self) -> &BTreeMap<CounterKey, Counts> {
         self.book.cells()
     }
 }
--- a/crates/telemetry/src/stamps.rs
+++ b/crates/telemetry/src/stamps.rs
@@ -8,16 +8,16 @@
 
 /// The stamps of one courier, in nanoseconds since 1970.
 #[derive(Clone, Debug)]
-pub struct Stamps {
+pub struct Timestamps {
     last: Time,
     /// The program's own clock at that stamp.
     at: Time,
 }
 
-impl Stamps {
+impl Timestamps {
     /// Goes on from the last stamp of an earlier run, if there was one.
-    pub fn new(last: Time, now: Time) -> Stamps {
-        Stamps { last, at: now }
+    pub fn new(last: Time, now: Time) -> Timestamps {
+        Timestamps { last, at: now }
     }
 
     /// The last one given.
@@ -47,7 +47,7 @@
     #[test]
     fn a_clock_that_jumps_back_an_hour_is_caught_up_with_and_no_stamp_comes_twice() {
         let hour = 3600 * SECOND;
-        let mut stamps = Stamps::new(0, 0);
+        let mut stamps = Timestamps::new(0, 0);
         let mut last = 0;
         let mut caught = 0;
         for n in 1..2000u64 {
--- a/crates/telemetry/tests/virtual_time.rs
+++ b/crates/telemetry/tests/virtual_time.rs
@@ -7,7 +7,9 @@
 use linnetcart_telemetry::outlet::Do;
 use linnetcart_telemetry::settings::{Collectd, Form, Graphite, Security, Telemetry as Settings};
 use linnetcart_telemetry::stream::Stream;
-use linnetcart_telemetry::{collectd, Courier, Found, Listed, Now, Output, Telemetry};
+use linnetcart_telemetry::{
+    collectd, CourierInfo, CurrentState, ListedEndpoint, Output, RestoredState, Telemetry,
+};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng as StdRng;
 use std::collections::BTreeMap;
@@ -15,7 +17,7 @@
 const S: u64 = 1_000_000_000;
 const WALL: u64 = 1_700_000_000 * S;
 
-fn courier(me: u32) -> Courier {
+fn courier(me: u32) -> CourierInfo {
     let class = |name: &str| {
         let (aim, deadline, repeat) = (S, 8 * S, Idempotency::Idempotent);
         (
@@ -30,7 +32,7 @@
             },
         )
     };
-    Courier {
+    CourierInfo {
         deployment: "test".into(),
         me,
         classes: vec![class("order"), class("query")],
@@ -94,7 +96,7 @@
 impl Rig {
     fn new(form: Form) -> Rig {
         let mut rig = Rig {
-            telemetry: Telemetry::new(courier(3), Found::default(), settings(form), S),
+            telemetry: Telemetry::new(courier(3), RestoredState::default(), settings(form), S),
             disk: Disk::default(),
             disk_works: true,
             receiver: Receiver::default(),
@@ -116,8 +118,9 @@
     }
 
     fn list(&mut self) {
-        let entry = |endpoint| Listed { endpoint, destination: endpoint / 10, apart: endpoint / 10 == 2 };
-        self.telemetry.list([10, 11, 20, 21, 30].into_iter().map(entry));
+        let entry =
+            |endpoint| ListedEndpoint { endpoint, destination: endpoint / 10, apart: endpoint / 10 == 2 };
+        self.telemetry.set_endpoints([10, 11, 20, 21, 30].into_iter().map(entry));
     }
 
     fn begin_log(&mut self) {
@@ -131,7 +134,7 @@
         let length = if power { self.disk.safe } else { self.disk.log.len() };
         let saved: Option<Saved> =
             self.disk.saved.as_deref().map(|s| serde_json::from_slice(s).expect("it was whole"));
-        let found = Found { saved, logs: vec![self.disk.log[..length].to_vec()] };
+        let found = RestoredState { saved, logs: vec![self.disk.log[..length].to_vec()] };
         let set = self.telemetry.settings().clone();
         self.telemetry = Telemetry::new(courier(3), found, set, self.now);
         (self.up, self.given) = (false, 0);
@@ -216,11 +219,15 @@
             self.count(dest, class, field);
             self.count(dest, class, end);
         }
-        facts.iter().for_each(|f| self.telemetry.fact(f));
+        facts.iter().for_each(|f| self.telemetry.record(f));
     }
 
     fn turn(&mut self) {
-        self.telemetry.turn(self.now, self.wall, || Now { slots: 8, slots_used: 2, ..Now::default() });
+        self.telemetry.process(self.now, self.wall, || CurrentState {
+            slots: 8,
+            slots_used: 2,
+            ..CurrentState::default()
+        });
         for _ in 0..10 {
             let outputs = self.telemetry.outputs();
             if outputs.is_empty() {
@@ -247,13 +254,13 @@
             Output::Graphite(Do::Connect(_)) if self.there => {
                 (self.up, self.given) = (true, 0);
                 self.telemetry.connected(self.now);
-                self.telemetry.turn(self.now, self.wall, Now::default);
+                self.telemetry.process(self.now, self.wall, CurrentState::default);
             }
-            Output::Graphite(Do::Connect(_)) => self.telemetry.lost(self.now),
+            Output::Graphite(Do::Connect(_)) => self.telemetry.disconnected(self.now),
             Output::Graphite(Do::Write(bytes)) if self.up && self.reads => {
                 self.given += bytes.len() as u64;
                 self.receiver.take(&bytes);
-                self.telemetry.taken(self.now, self.given);
+                self.telemetry.acknowledged(self.now, self.given);
             }
             Output::Graphite(Do::Write(_)) => {}
             Output::Graphite(Do::Close) => {
@@ -263,7 +270,7 @@
             Output::Datagram(_, packet) => {
                 let said = collectd::read(&packet, &BTreeMap::new(), Default::default()).expect("a packet");
                 for s in said {
-                    if let collectd::Said::Values(about, values) = s {
+                    if let collectd::PacketItem::Values(about, values) = s {
                         let name = format!("{}.{}", about.plugin_instance, about.type_instance);
                         self.by_udp.point(&name, values[0].as_f64(), collectd::nanos(about.time) / S);
                     }
@@ -337,7 +344,7 @@
     rig.run(300);
     let before = rig.receiver.stream.points;
     (rig.there, rig.reads, rig.up) = (false, false, false);
-    rig.telemetry.lost(rig.now);
+    rig.telemetry.disconnected(rig.now);
     rig.run(6000);
     assert_eq!(rig.receiver.stream.points, before);
     assert!(rig.most_waiting <= 1 << 18, "{}", rig.most_waiting);
@@ -360,7 +367,7 @@
         rig.run(30);
         rig.up = false;
         rig.receiver.held.clear();
-        rig.telemetry.lost(rig.now);
+        rig.telemetry.disconnected(rig.now);
     }
     rig.run(900);
     rig.settle();
@@ -444,7 +451,7 @@
     name(&mut rig, &[(1, "Other"), (2, "Bank Lodz"), (3, "Bank Lodz")]);
     rig.crash(false);
     // One is removed from the list, and comes back.
-    rig.telemetry.list([10, 30].into_iter().map(|e| Listed {
+    rig.telemetry.set_endpoints([10, 30].into_iter().map(|e| ListedEndpoint {
         endpoint: e,
         destination: e / 10,
         apart: false,
@@ -465,12 +472,12 @@
     let mut told = Vec::new();
     let mut stand = |rig: &mut Rig, destination, endpoint, standing| {
         let change = LimitChange { destination, endpoint, state: standing, evidence: None };
-        rig.telemetry.fact(&DeliveryEvent::LimitChanged(change));
-        rig.telemetry.turn(rig.now, rig.wall, Now::default);
+        rig.telemetry.record(&DeliveryEvent::LimitChanged(change));
+        rig.telemetry.process(rig.now, rig.wall, CurrentState::default);
         for output in rig.telemetry.outputs() {
             let Output::Datagram(_, packet) = output else { continue };
             for said in collectd::read(&packet, &BTreeMap::new(), Default::default()).expect("a packet") {
-                if let collectd::Said::Notification(about, severity, _) = said {
+                if let collectd::PacketItem::Notification(about, severity, _) = said {
                     told.push((about.plugin_instance, severity));
                 }
             }
@@ -490,7 +497,7 @@
 fn sums_do_not_fall_at_a_restart_when_cells_have_come_to_their_bound() {
     let mut rig = Rig::new(Form::Plaintext);
     let set = Settings { cells: 3, ..settings(Form::Plaintext) };
-    rig.telemetry = Telemetry::new(courier(3), Found::default(), set, rig.now);
+    rig.telemetry = Telemetry::new(courier(3), RestoredState::default(), set, rig.now);
     rig.list();
     rig.begin_log();
     rig.run(300);
@@ -504,8 +511,8 @@
 fn a_thousand_couriers_report_spread_over_the_interval() {
     let mut seconds = [0; 10];
     for me in 0..1000 {
-        let t = Telemetry::new(courier(me), Found::default(), settings(Form::Plaintext), 0);
-        seconds[(t.next_turn() / S) as usize] += 1;
+        let t = Telemetry::new(courier(me), RestoredState::default(), settings(Form::Plaintext), 0);
+        seconds[(t.next_wakeup() / S) as usize] += 1;
     }
     assert!(seconds.iter().all(|n| (60..=140).contains(n)), "{seconds:?}");
 }
@@ -516,14 +523,14 @@
     many.classes = (0..10).map(|n| (format!("c{n}"), many.classes[0].1.clone())).collect();
     let mut set = Settings { points: 20_000, ..settings(Form::Plaintext) };
     set.graphite.iter_mut().for_each(|g| g.queue_bytes = 16 << 20);
-    let mut t = Telemetry::new(many, Found::default(), set, 0);
-    t.list((0..5000).map(|d| Listed { endpoint: d, destination: d, apart: false }));
+    let mut t = Telemetry::new(many, RestoredState::default(), set, 0);
+    t.set_endpoints((0..5000).map(|d| ListedEndpoint { endpoint: d, destination: d, apart: false }));
     let mut receiver = Receiver::default();
     for round in 1..=60u64 {
         if round == 1 {
             for d in 0..5000u32 {
                 for class in 0..10 {
-                    t.fact(&DeliveryEvent::Accepted {
+                    t.record(&DeliveryEvent::Accepted {
                         message: d,
                         name: "x".into(),
                         class,
@@ -536,7 +543,7 @@
         let now = round * 10 * S;
         for slice in 0..300u64 {
             let now = now + slice * S / 1000;
-            t.turn(now, WALL + now, Now::default);
+            t.process(now, WALL + now, CurrentState::default);
             for output in t.outputs() {
                 match output {
                     Output::Sync(n) => t.synced(n, Ok(())),
@@ -545,7 +552,7 @@
                     _ => {}
                 }
             }
-            t.taken(now, u64::MAX);
+            t.acknowledged(now, u64::MAX);
             assert!(t.status(now).points <= 20_000 + 100, "{}", t.status(now).points);
         }
     }
--- a/crates/testbed/src/bench.rs
+++ b/crates/testbed/src/bench.rs
@@ -1,7 +1,7 @@
 //! Days of a bench as scripts: its troubles, their times, parts and sizes, on a fleet of this program's own.
 
 use anyhow::{ensure, Context};
-use linnetcart_scenario::day::{Day, Trouble, What};
+use linnetcart_scenario::day::{FaultKind, FaultSpec, Scenario};
 use serde::Deserialize;
 
 #[derive(Debug, Deserialize)]
@@ -30,13 +30,13 @@
 }
 
 /// The day, and what of it cannot be played, in words.
-pub fn read(text: &str) -> anyhow::Result<(Day, Vec<String>)> {
+pub fn read(text: &str) -> anyhow::Result<(Scenario, Vec<String>)> {
     let bench: BenchDay = serde_json::from_str(text).context("this is no day as the bench draws them")?;
     ensure!(
         !bench.servers.is_empty() && !bench.balancers.is_empty(),
         "the day has no servers or no couriers"
     );
-    let mut day = Day::find("quiet")?;
+    let mut day = Scenario::find("quiet")?;
     day.name = "bench".into();
     day.about = "Troubles of a bench day.".into();
     day.seconds = bench.length as f64 / 1e6;
@@ -47,35 +47,37 @@
         let of_servers = share(bench.servers.len());
         let of_couriers = share(bench.balancers.len());
         let (what, part, size, extra) = match t.kind.as_str() {
-            "fast_errors" if t.extra >= 1.0 => (What::Shut, of_servers, 0.0, 0.0),
-            "fast_errors" => (What::Errors, of_servers, t.size, 0.0),
-            "crash" => (What::Down, of_servers, 0.0, 0.0),
-            "vanish" => (What::Vanish, of_servers, 0.0, 0.0),
-            "hang" => (What::Silent, of_servers, 0.0, 0.0),
-            "slow" => (What::Slow, of_servers, t.size, 0.0),
-            "shared_slow" => (What::SharedSlow, 1.0, t.size, 0.0),
-            "pauses" => (What::Pauses, of_servers, t.size / 1e3, t.extra.max(1.0)),
-            "answer_lost" => (What::AnswersLost, of_servers, t.size, 0.0),
-            "throttle" => (What::Throttle, of_servers, t.size, 0.0),
-            "class_fail" => (What::ClassFails, of_servers, t.size, f64::from(t.which.min(2))),
-            "idle_reap" => (What::IdleDropped, of_servers, t.size, 0.0),
+            "fast_errors" if t.extra >= 1.0 => (FaultKind::Shut, of_servers, 0.0, 0.0),
+            "fast_errors" => (FaultKind::Errors, of_servers, t.size, 0.0),
+            "crash" => (FaultKind::Down, of_servers, 0.0, 0.0),
+            "vanish" => (FaultKind::Vanish, of_servers, 0.0, 0.0),
+            "hang" => (FaultKind::Silent, of_servers, 0.0, 0.0),
+            "slow" => (FaultKind::Slow, of_servers, t.size, 0.0),
+            "shared_slow" => (FaultKind::SharedSlow, 1.0, t.size, 0.0),
+            "pauses" => (FaultKind::Pauses, of_servers, t.size / 1e3, t.extra.max(1.0)),
+            "answer_lost" => (FaultKind::AnswersLost, of_servers, t.size, 0.0),
+            "throttle" => (FaultKind::Throttle, of_servers, t.size, 0.0),
+            "class_fail" => (FaultKind::ClassFails, of_servers, t.size, f64::from(t.which.min(2))),
+            "idle_reap" => (FaultKind::IdleDropped, of_servers, t.size, 0.0),
             "handshake_slow" => {
-                (What::SlowConnect, of_servers, if t.size > 1e3 { t.size / 1e3 } else { t.size }, 0.0)
+                (FaultKind::SlowConnect, of_servers, if t.size > 1e3 { t.size / 1e3 } else { t.size }, 0.0)
             }
             "deploy" => {
-                (What::Drains, of_servers.max(0.3), t.size.clamp(0.05, 0.5), t.extra.clamp(1.0, 10.0))
+                (FaultKind::Drains, of_servers.max(0.3), t.size.clamp(0.05, 0.5), t.extra.clamp(1.0, 10.0))
             }
-            "preempt" => (What::Drains, of_servers.max(0.15), 0.25, t.size.clamp(0.3, 4.0)),
-            "burst" => (What::SuddenLoad, 1.0, t.size, 0.0),
-            "hot_key" => (What::HotDestinations, 1.0, t.size, t.extra.max(1.0)),
-            "hot_caller" => (What::UnevenCouriers, of_couriers, (t.size + 1.0 / 3.0).min(1.0), 0.0),
-            "discovery_down" => (What::ListOut, 1.0, 0.0, 0.0),
-            "discovery_stale" => (What::ListLate, 1.0, if t.size > 1e3 { t.size / 1e6 } else { t.size }, 0.0),
-            "balancer_crash" => (What::CouriersKilled, of_couriers, t.len as f64 / 1e6, 0.0),
-            "balancer_roll" => (What::CouriersRolled, of_couriers.max(0.34), t.extra.max(0.5), 0.0),
+            "preempt" => (FaultKind::Drains, of_servers.max(0.15), 0.25, t.size.clamp(0.3, 4.0)),
+            "burst" => (FaultKind::SuddenLoad, 1.0, t.size, 0.0),
+            "hot_key" => (FaultKind::HotDestinations, 1.0, t.size, t.extra.max(1.0)),
+            "hot_caller" => (FaultKind::UnevenCouriers, of_couriers, (t.size + 1.0 / 3.0).min(1.0), 0.0),
+            "discovery_down" => (FaultKind::ListOut, 1.0, 0.0, 0.0),
+            "discovery_stale" => {
+                (FaultKind::ListLate, 1.0, if t.size > 1e3 { t.size / 1e6 } else { t.size }, 0.0)
+            }
+            "balancer_crash" => (FaultKind::CouriersKilled, of_couriers, t.len as f64 / 1e6, 0.0),
+            "balancer_roll" => (FaultKind::CouriersRolled, of_couriers.max(0.34), t.extra.max(0.5), 0.0),
             "balancer_stall" => {
                 let ms = if t.size > 1e4 { t.size / 1e3 } else { t.size };
-                (What::CouriersStall, of_couriers, ms, t.extra.clamp(1.0, 10.0))
+                (FaultKind::CouriersStall, of_couriers, ms, t.extra.clamp(1.0, 10.0))
             }
             other => {
                 cannot.push(format!(
@@ -86,7 +88,7 @@
             }
         };
         let (at, lasts) = (t.at as f64 / 1e6, t.len as f64 / 1e6);
-        day.trouble.push(Trouble { what, at, lasts, part, size, extra, hard });
+        day.trouble.push(FaultSpec { what, at, lasts, part, size, extra, hard });
     }
     day.check()?;
     Ok((day, cannot))
@@ -105,8 +107,8 @@
         let (day, cannot) = read(text).unwrap();
         assert_eq!((day.seconds, day.trouble.len()), (50.0, 2));
         let t = &day.trouble[0];
-        assert_eq!((t.what, t.at, t.lasts, t.part), (What::Silent, 5.0, 8.0, 0.5));
-        assert_eq!((day.trouble[1].what, day.trouble[1].size), (What::CouriersKilled, 3.0));
+        assert_eq!((t.what, t.at, t.lasts, t.part), (FaultKind::Silent, 5.0, 8.0, 0.5));
+        assert_eq!((day.trouble[1].what, day.trouble[1].size), (FaultKind::CouriersKilled, 3.0));
         assert_eq!(cannot.len(), 1);
         assert!(cannot[0].starts_with("comet at 7.0 s"), "{cannot:?}");
     }
--- a/crates/testbed/src/cli.rs
+++ b/crates/testbed/src/cli.rs
@@ -16,8 +16,8 @@
 use linnetcart_conformance::{check, Report};
 use linnetcart_edge::cli::Args as EdgeArgs;
 use linnetcart_emulator::network::Model;
-use linnetcart_scenario::day::{Day, BUILT_IN};
-use linnetcart_scenario::fleet::{Fleet, Way};
+use linnetcart_scenario::day::{Scenario, BUILT_IN};
+use linnetcart_scenario::fleet::{Fleet, Timebase};
 use linnetcart_telemetry::settings::Require;
 use serde_json::Value;
 use std::collections::BTreeMap;
@@ -317,7 +317,7 @@
         What::Replay { files } => replay(&files).map(|()| true),
         What::Days => {
             for (name, text) in BUILT_IN {
-                let about = Day::parse(text).map(|d| d.about).unwrap_or_default();
+                let about = Scenario::parse(text).map(|d| d.about).unwrap_or_default();
                 println!("{name:<18}{about}");
             }
             Ok(true)
@@ -431,7 +431,7 @@
 }
 
 fn up(name: &str, seed: u64) -> anyhow::Result<()> {
-    let mut day = Day::find(name)?;
+    let mut day = Scenario::find(name)?;
     day.couriers = 1;
     let fleet = Fleet::draw(day, seed);
     let folder = Folder::new(None)?;
@@ -487,8 +487,8 @@
     if !(1..=1000).contains(&args.seeds) || !(1..=16).contains(&args.beside) {
         bail!("--seeds: 1 to 1000; --beside: 1 to 16");
     }
-    let days = args.days.iter().map(|name| Day::find(name)?.with(None, args.speed));
-    let days = days.collect::<anyhow::Result<Vec<Day>>>()?;
+    let days = args.days.iter().map(|name| Scenario::find(name)?.with(None, args.speed));
+    let days = days.collect::<anyhow::Result<Vec<Scenario>>>()?;
     if let Some(day) = days.iter().find(|d| d.couriers > ON_SOCKETS || !d.emulated_only().is_empty()) {
         bail!("sockets of one machine cannot play {}", day.name);
     }
@@ -529,7 +529,7 @@
     }
     let show = std::io::stderr().is_terminal();
     let hunt = Hunt {
-        base: Day::find(&args.day)?.with(args.couriers, args.speed)?,
+        base: Scenario::find(&args.day)?.with(args.couriers, args.speed)?,
         seed: args.seed,
         runs: args.runs,
         policy: args.policy.clone(),
@@ -567,7 +567,7 @@
 }
 
 fn emulate(args: &EmulateArgs) -> anyhow::Result<bool> {
-    let day = Day::find(&args.name)?.with(args.couriers, 1.0)?;
+    let day = Scenario::find(&args.name)?.with(args.couriers, 1.0)?;
     let name = day.name.clone();
     let (seed, policy) = (args.seed, args.policy.clone());
     let mut recipe = Recipe { day, seed, policy, model: Model::default() };
@@ -582,9 +582,9 @@
     let (fleet, run) = recipe.play(None)?;
     let took = begun.elapsed().as_secs_f64();
     println!("{name}, seed {seed}: {}", fleet.about());
-    let report = check(&run.played.records, &fleet.contract(Way::Emulated));
+    let report = check(&run.played.records, &fleet.invariants(Timebase::Emulated));
     println!("\n{}", report::table(&report));
-    for (at, destination) in &run.played.fallen {
+    for (at, destination) in &run.played.overloads {
         println!("destination {destination} fell over at {:.1} s", *at as f64 / 1e9);
     }
     let virtual_s = run.virtual_time as f64 / 1e9;
@@ -611,7 +611,7 @@
             }
             day
         }
-        (None, Some(name)) => Day::find(name)?,
+        (None, Some(name)) => Scenario::find(name)?,
         (None, None) => bail!("a day's name or --bench is wanted"),
     };
     let day = day.with(args.couriers, args.speed)?;
@@ -645,10 +645,10 @@
         if show {
             eprintln!();
         }
-        let report = check(&played.records, &fleet.contract(Way::Sockets));
+        let report = check(&played.records, &fleet.invariants(Timebase::Sockets));
         if *policy == "library" {
             println!("\n{}", report::table(&report));
-            for (at, destination) in &played.fallen {
+            for (at, destination) in &played.overloads {
                 println!("destination {destination} fell over at {:.1} s", *at as f64 / 1e9);
             }
         }
--- a/crates/testbed/src/emulated.rs
+++ b/crates/testbed/src/emulated.rs
@@ -3,13 +3,13 @@
 
 use crate::baselines;
 use anyhow::{bail, Context};
-use linnetcart_conformance::{check, Report, Time, Verdict};
+use linnetcart_conformance::{check, EndpointVerdict, Report, Time};
 use linnetcart_edge::delivery_events::{DeliveryEvent, FinalAnswer};
 use linnetcart_emulator::network::Model;
 use linnetcart_emulator::trace::Story;
 use linnetcart_emulator::{play, Options, Run};
-use linnetcart_scenario::day::Day;
-use linnetcart_scenario::fleet::{Fleet, Way};
+use linnetcart_scenario::day::Scenario;
+use linnetcart_scenario::fleet::{Fleet, Timebase};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::fmt::Write;
@@ -20,7 +20,7 @@
 #[serde(deny_unknown_fields)]
 pub struct Recipe {
     /// The whole script, as it was played.
-    pub day: Day,
+    pub day: Scenario,
     /// The seed of fleet, traffic, network and decisions.
     pub seed: u64,
     /// Who decides.
@@ -49,7 +49,7 @@
     /// The same, with the fleet that was drawn.
     pub fn judged(&self) -> anyhow::Result<(Fleet, Run, Report)> {
         let (fleet, run) = self.play(None)?;
-        let report = check(&run.played.records, &fleet.contract(Way::Emulated));
+        let report = check(&run.played.records, &fleet.invariants(Timebase::Emulated));
         Ok((fleet, run, report))
     }
 
@@ -79,12 +79,13 @@
     let Some(planned) = fleet.messages.get(message as usize) else {
         bail!("message {message}: the run has 0 to {}", fleet.messages.len().saturating_sub(1));
     };
-    let class = &fleet.day.class[usize::from(planned.class)];
+    let class = &fleet.scenario.class[usize::from(planned.class)];
     let mut lines: Vec<(Time, u8, String)> = Vec::new();
     let records = &run.played.records;
-    for h in records.handed.iter().filter(|h| h.message == message) {
-        let left = ms(h.due - h.at);
-        let text = format!("client: handed to courier {} (life {}), {left:.0} ms left", h.courier, h.life);
+    for h in records.submissions.iter().filter(|h| h.message == message) {
+        let left = ms(h.deadline - h.at);
+        let text =
+            format!("client: handed to courier {} (life {}), {left:.0} ms left", h.courier, h.incarnation);
         lines.push((h.at, 0, text));
         for (at, answer) in &h.answers {
             lines.push((*at, 5, format!("client: answered {answer:?} by courier {}", h.courier)));
@@ -95,10 +96,12 @@
     }
     for a in records.arrivals.iter().filter(|a| a.message == message) {
         let what = match a.verdict {
-            Verdict::Served => "will serve it".into(),
-            Verdict::Error => "will answer an error".into(),
-            Verdict::Silent => "will not answer".into(),
-            Verdict::Refused { wait } => format!("turns it away, wait {:.0} ms", ms(wait)),
+            EndpointVerdict::Served => "will serve it".into(),
+            EndpointVerdict::Error => "will answer an error".into(),
+            EndpointVerdict::Unanswered => "will not answer".into(),
+            EndpointVerdict::Rejected { retry_after: wait } => {
+                format!("turns it away, wait {:.0} ms", ms(wait))
+            }
         };
         let effect = if a.effect { ", it takes effect" } else { "" };
         lines.push((
@@ -143,7 +146,11 @@
         lines.push((t.at, 2, format!("courier {}: {text}", t.courier)));
     }
     for s in &records.stalls {
-        if records.handed.iter().any(|h| h.message == message && (h.courier, h.life) == (s.courier, s.life)) {
+        if records
+            .submissions
+            .iter()
+            .any(|h| h.message == message && (h.courier, h.incarnation) == (s.courier, s.incarnation))
+        {
             lines.push((
                 s.from,
                 1,
@@ -156,7 +163,7 @@
     let mut text = format!(
         "message {message}: {} for destination {destination} ({}), key {:?}, aim {:.0} ms, deadline {:.0} ms\n",
         class.name,
-        fleet.day.kind[fleet.members[destination as usize].kind].name,
+        fleet.scenario.kind[fleet.destinations[destination as usize].kind].name,
         planned.key,
         class.aim_s * 1e3,
         class.deadline_s * 1e3
--- a/crates/testbed/src/experiment/measures.rs
+++ b/crates/testbed/src/experiment/measures.rs
@@ -2,8 +2,8 @@
 
 use hdrhistogram::Histogram;
 use linnetcart_conformance::{worth, Answer, Report, Time};
-use linnetcart_scenario::fleet::{Fleet, Way};
-use linnetcart_scenario::stage::Played;
+use linnetcart_scenario::fleet::{Fleet, Timebase};
+use linnetcart_scenario::stage::ScenarioRecords;
 use std::collections::BTreeMap;
 
 /// A measure.
@@ -42,15 +42,16 @@
 ];
 
 /// The measures of a day that was played, with so many connections at most.
-pub fn of(fleet: &Fleet, played: &Played, links: usize, report: &Report) -> Vec<f64> {
-    let contract = fleet.contract(Way::Emulated);
-    let total =
-        |of: fn(&linnetcart_conformance::Row) -> u64| report.classes.iter().map(of).sum::<u64>() as f64;
+pub fn of(fleet: &Fleet, played: &ScenarioRecords, links: usize, report: &Report) -> Vec<f64> {
+    let contract = fleet.invariants(Timebase::Emulated);
+    let total = |of: fn(&linnetcart_conformance::ClassSummary) -> u64| {
+        report.classes.iter().map(of).sum::<u64>() as f64
+    };
     let messages = total(|r| r.messages).max(1.0);
     let asked: f64 = report.classes.iter().map(|r| r.asked).sum();
     let mut first: BTreeMap<u64, Time> = BTreeMap::new();
     let mut served: BTreeMap<u64, (Time, u8)> = BTreeMap::new();
-    for h in &played.records.handed {
+    for h in &played.records.submissions {
         let at = first.entry(h.message).or_insert(h.at);
         *at = (*at).min(h.at);
         for (at, _) in h.answers.iter().filter(|a| a.1 == Answer::Served) {
@@ -64,7 +65,7 @@
     for (message, (at, class)) in &served {
         let age = at - first[message];
         let class = &contract.classes[usize::from(*class)];
-        if age > class.aim {
+        if age > class.latency_objective {
             late += worth(class, contract.halves, age);
         }
         if let Some(times) = &mut times {
@@ -87,7 +88,7 @@
         report.calls_refused as f64 / messages,
         report.rules.iter().map(|f| f.broken).sum::<u64>() as f64,
         four.broken as f64 / four.checked.max(1) as f64,
-        played.fallen.len() as f64,
+        played.overloads.len() as f64,
         at(0.5),
         at(0.95),
         at(0.99),
--- a/crates/testbed/src/experiment/plan.rs
+++ b/crates/testbed/src/experiment/plan.rs
@@ -4,7 +4,7 @@
 use crate::emulated::Recipe;
 use anyhow::{bail, ensure, Context};
 use linnetcart_emulator::network::Model;
-use linnetcart_scenario::day::Day;
+use linnetcart_scenario::day::Scenario;
 use serde::{Deserialize, Serialize};
 use std::path::Path;
 use toml::Value;
@@ -162,7 +162,7 @@
 
     /// What a run is drawn from.
     pub fn recipe(&self, cell: u64, seed: u64) -> anyhow::Result<Recipe> {
-        let day = Day::find(&self.day)?;
+        let day = Scenario::find(&self.day)?;
         let mut recipe = Recipe { day, seed, policy: "library".into(), model: Model::default() };
         for (f, at) in self.factor.iter().zip(self.indices(cell)) {
             let level = &f.levels[at];
@@ -198,7 +198,7 @@
             "as-written" => {}
             "none" => recipe.day.trouble.clear(),
             other => {
-                let day = Day::find(other)?;
+                let day = Scenario::find(other)?;
                 let stretch = recipe.day.seconds / day.seconds;
                 recipe.day.trouble = day.trouble;
                 // They begin and end at the same parts of the day.
@@ -225,7 +225,7 @@
 }
 
 /// The day with one field of its script changed.
-fn changed(day: &Day, path: &str, level: &Value) -> anyhow::Result<Day> {
+fn changed(day: &Scenario, path: &str, level: &Value) -> anyhow::Result<Scenario> {
     let mut all = Value::try_from(day)?;
     let mut at = &mut all;
     for part in path.split('.') {
@@ -240,7 +240,7 @@
         (Value::Float(_), Value::Integer(n)) => Value::Float(*n as f64),
         (_, level) => level.clone(),
     };
-    let day: Day = all.try_into()?;
+    let day: Scenario = all.try_into()?;
     day.check()?;
     Ok(day)
 }
--- a/crates/testbed/src/faithful.rs
+++ b/crates/testbed/src/faithful.rs
@@ -7,8 +7,8 @@
 use crate::rig;
 use linnetcart_conformance::check;
 use linnetcart_emulator::network::Model;
-use linnetcart_scenario::day::Day;
-use linnetcart_scenario::fleet::{Fleet, Way};
+use linnetcart_scenario::day::Scenario;
+use linnetcart_scenario::fleet::{Fleet, Timebase};
 use serde_json::{json, Value};
 use std::fmt::Write;
 use std::path::{Path, PathBuf};
@@ -20,7 +20,7 @@
 #[derive(Clone, Debug)]
 pub struct Plan {
     /// The days, as they are played.
-    pub days: Vec<Day>,
+    pub days: Vec<Scenario>,
     /// Seeds from 1 on.
     pub seeds: u64,
     /// Days on sockets beside each other.
@@ -43,11 +43,11 @@
         rig::Options { policy: "library".into(), program, dir: dir.clone(), graphite: None, progress: None };
     let played = rig::play(fleet, &options)?;
     let _ = std::fs::remove_dir_all(dir);
-    let report = check(&played.records, &fleet.contract(Way::Sockets));
+    let report = check(&played.records, &fleet.invariants(Timebase::Sockets));
     Ok(measures::of(fleet, &played, 0, &report))
 }
 
-fn emulated(day: &Day, seed: u64) -> anyhow::Result<Vec<f64>> {
+fn emulated(day: &Scenario, seed: u64) -> anyhow::Result<Vec<f64>> {
     let recipe = Recipe { day: day.clone(), seed, policy: "library".into(), model: Model::default() };
     let (fleet, run, report) = recipe.judged()?;
     Ok(measures::of(&fleet, &run.played, run.links, &report))
--- a/crates/testbed/src/floor.rs
+++ b/crates/testbed/src/floor.rs
@@ -104,7 +104,8 @@
         self.number = self.number % i32::MAX + 1;
         let span = self.destinations.len() as i32;
         let partition = self.destinations.start as i32 + self.number % span;
-        let to = [client::To { topic: "m", partition, records: std::slice::from_ref(&self.record) }];
+        let to =
+            [client::ProduceTarget { topic: "m", partition, records: std::slice::from_ref(&self.record) }];
         let bytes = client::produce(self.number, "floor", VERSION, (-1, 30_000), &to)?;
         let c = &mut self.conns[conn];
         c.sent.insert(self.number, Instant::now());
--- a/crates/testbed/src/hunt.rs
+++ b/crates/testbed/src/hunt.rs
@@ -7,7 +7,7 @@
 use crate::{baselines, report};
 use linnetcart_conformance::Report;
 use linnetcart_emulator::network::Model;
-use linnetcart_scenario::day::{Day, Trouble, What};
+use linnetcart_scenario::day::{FaultKind, FaultSpec, Scenario};
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -33,7 +33,7 @@
 #[derive(Clone, Debug)]
 pub struct Hunt {
     /// Fleet and traffic.
-    pub base: Day,
+    pub base: Scenario,
     /// Everything is drawn from it.
     pub seed: u64,
     /// Days that are tried at most.
@@ -89,71 +89,73 @@
     }
 }
 
-const KINDS: [What; 26] = [
-    What::Errors,
-    What::Shut,
-    What::Silent,
-    What::Slow,
-    What::SharedSlow,
-    What::AnswersLost,
-    What::Throttle,
-    What::Drains,
-    What::Vanish,
-    What::Down,
-    What::Pauses,
-    What::SuddenLoad,
-    What::HotDestinations,
-    What::UnevenCouriers,
-    What::CouriersKilled,
-    What::CouriersRolled,
-    What::CouriersStall,
-    What::ListLate,
-    What::ListOut,
-    What::IdleDropped,
-    What::ClassFails,
-    What::SlowConnect,
-    What::Partition,
-    What::LinksCut,
-    What::LinksSlow,
-    What::DiskDamaged,
+const KINDS: [FaultKind; 26] = [
+    FaultKind::Errors,
+    FaultKind::Shut,
+    FaultKind::Silent,
+    FaultKind::Slow,
+    FaultKind::SharedSlow,
+    FaultKind::AnswersLost,
+    FaultKind::Throttle,
+    FaultKind::Drains,
+    FaultKind::Vanish,
+    FaultKind::Down,
+    FaultKind::Pauses,
+    FaultKind::SuddenLoad,
+    FaultKind::HotDestinations,
+    FaultKind::UnevenCouriers,
+    FaultKind::CouriersKilled,
+    FaultKind::CouriersRolled,
+    FaultKind::CouriersStall,
+    FaultKind::ListLate,
+    FaultKind::ListOut,
+    FaultKind::IdleDropped,
+    FaultKind::ClassFails,
+    FaultKind::SlowConnect,
+    FaultKind::Partition,
+    FaultKind::LinksCut,
+    FaultKind::LinksSlow,
+    FaultKind::DiskDamaged,
 ];
 
 /// A trouble, drawn: as hard as real ones are, within a day of so many seconds.
-fn trouble(rng: &mut ChaCha8Rng, what: What, length: f64, classes: usize) -> Trouble {
+fn trouble(rng: &mut ChaCha8Rng, what: FaultKind, length: f64, classes: usize) -> FaultSpec {
     let mut within = |least: f64, most: f64| least + rng.random::<f64>() * (most - least);
     let (at, lasts, part) = (within(0.05, 0.75) * length, within(0.05, 0.4) * length, within(0.1, 0.8));
     let (size, extra) = match what {
-        What::Errors => (within(0.2, 1.0), 0.0),
-        What::Slow => (within(3.0, 20.0), 0.0),
-        What::SharedSlow => (within(1.3, 4.0), 0.0),
-        What::AnswersLost => (within(0.1, 1.0), 0.0),
-        What::Throttle => (within(0.1, 0.8), 0.0),
-        What::Drains => (within(0.1, 0.5), within(0.5, 3.0)),
-        What::Pauses => (within(100.0, 1500.0), within(0.5, 3.0)),
-        What::SuddenLoad => (within(1.3, 3.0), 0.0),
-        What::HotDestinations => (within(0.1, 0.6), within(1.0, 3.9).floor()),
-        What::UnevenCouriers => (within(0.3, 0.9), 0.0),
-        What::CouriersKilled | What::CouriersRolled => (within(0.3, 3.0), 0.0),
-        What::CouriersStall => (within(100.0, 2000.0), within(0.5, 4.0)),
-        What::ListLate => (within(0.5, 4.0), 0.0),
-        What::IdleDropped => (within(0.2, 2.0), 0.0),
-        What::ClassFails => (within(0.3, 1.0), within(0.0, classes as f64 - 0.01).floor()),
-        What::SlowConnect => (within(20.0, 900.0), 0.0),
-        What::Partition => (0.0, within(0.0, 2.99).floor()),
-        What::LinksCut => (within(0.05, 0.5), within(0.3, 2.0)),
-        What::LinksSlow => (within(2.0, 100.0), 0.0),
-        What::DiskDamaged => (within(0.3, 3.0), within(0.0, 1.0)),
-        What::Shut | What::Silent | What::Vanish | What::Down | What::ListOut => (0.0, 0.0),
+        FaultKind::Errors => (within(0.2, 1.0), 0.0),
+        FaultKind::Slow => (within(3.0, 20.0), 0.0),
+        FaultKind::SharedSlow => (within(1.3, 4.0), 0.0),
+        FaultKind::AnswersLost => (within(0.1, 1.0), 0.0),
+        FaultKind::Throttle => (within(0.1, 0.8), 0.0),
+        FaultKind::Drains => (within(0.1, 0.5), within(0.5, 3.0)),
+        FaultKind::Pauses => (within(100.0, 1500.0), within(0.5, 3.0)),
+        FaultKind::SuddenLoad => (within(1.3, 3.0), 0.0),
+        FaultKind::HotDestinations => (within(0.1, 0.6), within(1.0, 3.9).floor()),
+        FaultKind::UnevenCouriers => (within(0.3, 0.9), 0.0),
+        FaultKind::CouriersKilled | FaultKind::CouriersRolled => (within(0.3, 3.0), 0.0),
+        FaultKind::CouriersStall => (within(100.0, 2000.0), within(0.5, 4.0)),
+        FaultKind::ListLate => (within(0.5, 4.0), 0.0),
+        FaultKind::IdleDropped => (within(0.2, 2.0), 0.0),
+        FaultKind::ClassFails => (within(0.3, 1.0), within(0.0, classes as f64 - 0.01).floor()),
+        FaultKind::SlowConnect => (within(20.0, 900.0), 0.0),
+        FaultKind::Partition => (0.0, within(0.0, 2.99).floor()),
+        FaultKind::LinksCut => (within(0.05, 0.5), within(0.3, 2.0)),
+        FaultKind::LinksSlow => (within(2.0, 100.0), 0.0),
+        FaultKind::DiskDamaged => (within(0.3, 3.0), within(0.0, 1.0)),
+        FaultKind::Shut | FaultKind::Silent | FaultKind::Vanish | FaultKind::Down | FaultKind::ListOut => {
+            (0.0, 0.0)
+        }
     };
-    Trouble { what, at, lasts, part, size, extra, hard: rng.random() }
+    FaultSpec { what, at, lasts, part, size, extra, hard: rng.random() }
 }
 
 impl Hunt {
-    fn draws(&self) -> Vec<What> {
+    fn draws(&self) -> Vec<FaultKind> {
         KINDS.iter().copied().filter(|k| !(self.on_sockets && k.emulated_only())).collect()
     }
 
-    fn recipe(&self, day: Day, seed: u64) -> Recipe {
+    fn recipe(&self, day: Scenario, seed: u64) -> Recipe {
         Recipe { day, seed, policy: self.policy.clone(), model: Model::default() }
     }
 
@@ -199,7 +201,7 @@
         next
     }
 
-    fn named(&self, day: &mut Day, number: u64) {
+    fn named(&self, day: &mut Scenario, number: u64) {
         day.name = format!("hunt-{}-{number}", self.seed);
         day.about = "Found by a hunt.".into();
     }
@@ -307,7 +309,7 @@
 /// What is somewhat smaller, the greatest steps first.
 fn smaller(from: &Recipe) -> Vec<Recipe> {
     let mut all = Vec::new();
-    let mut put = |change: &dyn Fn(&mut Day)| {
+    let mut put = |change: &dyn Fn(&mut Scenario)| {
         let mut next = from.clone();
         change(&mut next.day);
         if next != *from {
