--- a/crates/testbed/src/receivers.rs
+++ b/crates/testbed/src/receivers.rs
@@ -3,7 +3,7 @@
 
 use anyhow::Context;
 use linnetcart_net::{Event, Net, Reserved, Token};
-use linnetcart_telemetry::collectd::{self, Said};
+use linnetcart_telemetry::collectd::{self, PacketItem};
 use linnetcart_telemetry::settings::Require;
 use linnetcart_telemetry::stream::Stream;
 use std::collections::BTreeMap;
@@ -123,7 +123,8 @@
         let reserved = any.map(|a| Reserved::new(a.ip())).transpose()?;
         let graphite = reserved.as_ref().map(Reserved::addr).or(at.graphite);
         let listener = graphite.map(|a| net.listen(a).with_context(|| a.to_string())).transpose()?;
-        let collectd = at.collectd.map(|a| net.datagrams(a).with_context(|| a.to_string())).transpose()?;
+        let collectd =
+            at.collectd.map(|a| net.bind_datagrams(a).with_context(|| a.to_string())).transpose()?;
         let all =
             Loop { net, at, listener, _reserved: reserved, conns: BTreeMap::new(), stream, ways, record };
         Ok((all, listener.map(|l| l.1), collectd.map(|c| c.1)))
@@ -150,17 +151,17 @@
     fn change(&mut self, way: u8) {
         let Some((token, addr)) = self.listener else { return };
         if way == Ways::Gone as u8 {
-            self.net.unlisten(token);
+            self.net.stop_listening(token);
             let open: Vec<Token> = std::mem::take(&mut self.conns).into_keys().collect();
             open.into_iter().for_each(|t| self.net.reset(t));
         } else {
-            self.net.unlisten(token);
+            self.net.stop_listening(token);
             if let Ok((token, _)) = self.net.listen(addr) {
                 self.listener = Some((token, addr));
             }
         }
         for &token in self.conns.keys() {
-            self.net.pause(token, way == Ways::Deaf as u8);
+            self.net.set_read_paused(token, way == Ways::Deaf as u8);
         }
     }
 
@@ -168,7 +169,7 @@
         match event {
             Event::Accepted { token, .. } => {
                 self.conns.insert(token, Vec::new());
-                self.net.pause(token, way == Ways::Deaf as u8);
+                self.net.set_read_paused(token, way == Ways::Deaf as u8);
             }
             Event::Data(token, _) if way == Ways::Resets as u8 => {
                 self.conns.remove(&token);
@@ -210,7 +211,7 @@
             Ok(said) => {
                 for s in said {
                     match s {
-                        Said::Values(about, values) => {
+                        PacketItem::Values(about, values) => {
                             let name = format!(
                                 "{}.{}.{}.{}",
                                 about.host, about.plugin, about.plugin_instance, about.type_instance
@@ -220,10 +221,10 @@
                             stream.point(&name, value, at);
                             write_down(&mut self.record, &name, value, at);
                         }
-                        Said::Notification(about, severity, text) if stream.notices.len() < 10_000 => {
+                        PacketItem::Notification(about, severity, text) if stream.notices.len() < 10_000 => {
                             stream.notices.push((about.plugin_instance, severity, text));
                         }
-                        Said::Notification(..) => {}
+                        PacketItem::Notification(..) => {}
                     }
                 }
             }
--- a/crates/testbed/src/relay.rs
+++ b/crates/testbed/src/relay.rs
@@ -60,7 +60,7 @@
                                 let Ok(records) = part.records else { continue };
                                 let endpoint = part.partition as usize % endpoints.len();
                                 number = number % i32::MAX + 1;
-                                let to = [client::To {
+                                let to = [client::ProduceTarget {
                                     topic: &part.topic,
                                     partition: part.partition,
                                     records: &records,
--- a/crates/testbed/src/reporting.rs
+++ b/crates/testbed/src/reporting.rs
@@ -6,7 +6,7 @@
 use linnetcart_delivery_events::{DeliveryEvent, FinalAnswer, LoadReport};
 use linnetcart_telemetry::outlet::Do;
 use linnetcart_telemetry::settings::{Collectd, Form, Graphite, Security, Telemetry as Settings};
-use linnetcart_telemetry::{Courier, Found, Listed, Now, Output, Telemetry};
+use linnetcart_telemetry::{CourierInfo, CurrentState, ListedEndpoint, Output, RestoredState, Telemetry};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde_json::{json, Value};
@@ -29,8 +29,14 @@
 
 fn message(t: &mut Telemetry, id: u32, destination: u32, class: u8) {
     let (message, endpoint, took) = (id, destination, SECOND / 20);
-    t.fact(&DeliveryEvent::Accepted { message, name: bytes::Bytes::new(), class, destination, deadline: 0 });
-    t.fact(&DeliveryEvent::AttemptStarted {
+    t.record(&DeliveryEvent::Accepted {
+        message,
+        name: bytes::Bytes::new(),
+        class,
+        destination,
+        deadline: 0,
+    });
+    t.record(&DeliveryEvent::AttemptStarted {
         message,
         attempt: 0,
         class,
@@ -39,7 +45,7 @@
         hedge: false,
     });
     let (ending, load) = (AttemptOutcome::Served, Some(LoadReport { capacity_left: 0.5, rate_limit: 100.0 }));
-    t.fact(&DeliveryEvent::AttemptFinished {
+    t.record(&DeliveryEvent::AttemptFinished {
         message,
         attempt: 0,
         class,
@@ -49,7 +55,7 @@
         elapsed: took,
         load,
     });
-    t.fact(&DeliveryEvent::Completed {
+    t.record(&DeliveryEvent::Completed {
         message,
         class,
         destination,
@@ -73,7 +79,7 @@
     for slice in 0..10_000 {
         let now = now + slice * SECOND / 1000;
         let begun = Instant::now();
-        t.turn(now, now, Now::default);
+        t.process(now, now, CurrentState::default);
         let outputs = t.outputs();
         let ms = begun.elapsed().as_secs_f64() * 1e3;
         (r.ms, r.longest) = (r.ms + ms, r.longest.max(ms));
@@ -86,7 +92,7 @@
                 _ => {}
             }
         }
-        t.taken(now, u64::MAX);
+        t.acknowledged(now, u64::MAX);
         if slice > 2 && t.is_quiet() {
             break;
         }
@@ -112,15 +118,19 @@
                 };
                 (format!("class-{n}"), class)
             };
-            let courier = Courier {
+            let courier = CourierInfo {
                 deployment: "floor".into(),
                 me: 0,
                 classes: (0..CLASSES).map(class).collect(),
                 halves: false,
                 seed: 1,
             };
-            let mut t = Telemetry::new(courier, Found::default(), settings(form), 0);
-            t.list((0..destinations).map(|d| Listed { endpoint: d, destination: d, apart: false }));
+            let mut t = Telemetry::new(courier, RestoredState::default(), settings(form), 0);
+            t.set_endpoints((0..destinations).map(|d| ListedEndpoint {
+                endpoint: d,
+                destination: d,
+                apart: false,
+            }));
             let mut random = ChaCha8Rng::seed_from_u64(1);
             let (mut facts, mut reports) = (Vec::new(), Vec::new());
             for turn in 1..=turns as u64 + 1 {
@@ -132,7 +142,7 @@
                     message(&mut t, n, dest, class);
                     if n % 10 == 9 {
                         // A turn of the loop has some ten messages; what they changed goes into the log.
-                        t.turn(now - 10 * SECOND + 1, now - 10 * SECOND + 1, Now::default);
+                        t.process(now - 10 * SECOND + 1, now - 10 * SECOND + 1, CurrentState::default);
                         for output in t.outputs() {
                             if let Output::Append(frame) = output {
                                 log += frame.len();
--- a/crates/testbed/src/rig.rs
+++ b/crates/testbed/src/rig.rs
@@ -6,8 +6,8 @@
 use linnetcart_conformance::Time;
 use linnetcart_net::{Event, Net, Reserved, Token};
 use linnetcart_scenario::fleet::Fleet;
-pub use linnetcart_scenario::stage::Played;
-use linnetcart_scenario::stage::{Stage, Wires};
+pub use linnetcart_scenario::stage::ScenarioRecords;
+use linnetcart_scenario::stage::{ScenarioRunner, Transport};
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -58,7 +58,7 @@
     names: BTreeMap<String, String>,
 }
 
-impl Wires for Sockets<'_> {
+impl Transport for Sockets<'_> {
     fn wall(&self) -> Time {
         SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default().as_nanos() as Time
     }
@@ -145,7 +145,7 @@
 
     fn shut(&mut self, endpoint: u32) {
         if let Some(listener) = self.endpoints.get_mut(&endpoint).and_then(|e| e.listener.take()) {
-            self.net.unlisten(listener);
+            self.net.stop_listening(listener);
             self.listeners.remove(&listener);
         }
     }
@@ -156,29 +156,29 @@
 }
 
 struct Rig<'a> {
-    stage: Stage<'a, Sockets<'a>>,
+    stage: ScenarioRunner<'a, Sockets<'a>>,
     options: &'a Options,
     begun: Instant,
     signalled: bool,
 }
 
 /// Plays a day to its end.
-pub fn play(fleet: &Fleet, options: &Options) -> anyhow::Result<Played> {
+pub fn play(fleet: &Fleet, options: &Options) -> anyhow::Result<ScenarioRecords> {
     let mut rig = Rig::new(fleet, options)?;
-    rig.run(fleet.day.seconds)?;
-    Ok(rig.stage.played().0)
+    rig.run(fleet.scenario.seconds)?;
+    Ok(rig.stage.into_records().0)
 }
 
 /// Stays up until a signal comes: the stack of a day, without its traffic.
 pub fn stay(fleet: &Fleet, options: &Options, ready: impl FnOnce(Value)) -> anyhow::Result<()> {
     let mut rig = Rig::new(fleet, options)?;
-    let wires = &mut rig.stage.wires;
-    wires.net.signals(&[calloop::signals::Signal::SIGTERM, calloop::signals::Signal::SIGINT])?;
+    let wires = &mut rig.stage.transport;
+    wires.net.watch_signals(&[calloop::signals::Signal::SIGTERM, calloop::signals::Signal::SIGINT])?;
     let first = wires.couriers.values().next().context("no courier")?;
     let destinations: Vec<Value> = fleet
-        .members
+        .destinations
         .iter()
-        .map(|m| json!({"destination": m.destination, "kind": fleet.day.kind[m.kind].name, "endpoints": m.endpoints.len()}))
+        .map(|m| json!({"destination": m.destination, "kind": fleet.scenario.kind[m.kind].name, "endpoints": m.endpoints.len()}))
         .collect();
     ready(json!({
         "kafka": first.kafka.to_string(),
@@ -209,7 +209,7 @@
             names: fleet.listed().into_iter().map(name).collect(),
         };
         let begun = Instant::now();
-        let mut rig = Rig { stage: Stage::new(fleet, wires)?, options, begun, signalled: false };
+        let mut rig = Rig { stage: ScenarioRunner::new(fleet, wires)?, options, begun, signalled: false };
         rig.settle()?;
         Ok(rig)
     }
@@ -233,17 +233,17 @@
 
     fn event(&mut self, event: Event) -> anyhow::Result<()> {
         match event {
-            Event::Accepted { listener, token, .. } => match self.stage.wires.listeners.get(&listener) {
+            Event::Accepted { listener, token, .. } => match self.stage.transport.listeners.get(&listener) {
                 Some(&endpoint) => self.stage.accepted(endpoint, token),
-                None => self.stage.wires.close(token),
+                None => self.stage.transport.close(token),
             },
             Event::Connected(token) => self.stage.connected(token),
-            Event::Data(token, bytes) => match self.stage.wires.asked.get_mut(&token) {
+            Event::Data(token, bytes) => match self.stage.transport.asked.get_mut(&token) {
                 Some(asked) => asked.got.extend(&bytes),
-                None => self.stage.data(token, &bytes),
+                None => self.stage.received(token, &bytes),
             },
             Event::HalfClosed(token) => {
-                self.stage.wires.close(token);
+                self.stage.transport.close(token);
                 self.gone(token)?;
             }
             Event::Closed { token, .. } | Event::ConnectFailed(token) => self.gone(token)?,
@@ -254,14 +254,14 @@
     }
 
     fn gone(&mut self, token: Token) -> anyhow::Result<()> {
-        match self.stage.wires.asked.remove(&token) {
+        match self.stage.transport.asked.remove(&token) {
             Some(Asked { courier, life, got }) => {
                 let text = String::from_utf8_lossy(&got);
                 let good = text.starts_with("HTTP/1.1 200");
                 self.stage.put_done(courier, life, if good { Ok(()) } else { Err(text.into_owned()) })
             }
             None => {
-                self.stage.gone(token);
+                self.stage.disconnected(token);
                 Ok(())
             }
         }
@@ -269,19 +269,19 @@
 
     /// Waits for what comes next, at most until then, and works through it.
     fn turn(&mut self, events: &mut Vec<Event>, until: Time) -> anyhow::Result<()> {
-        let next = self.stage.next().map_or(until, |t| t.min(until));
+        let next = self.stage.next_wakeup().map_or(until, |t| t.min(until));
         let now = self.begun.elapsed().as_nanos() as Time;
-        self.stage.wires.net.poll(Duration::from_nanos(next.saturating_sub(now)), events)?;
+        self.stage.transport.net.poll(Duration::from_nanos(next.saturating_sub(now)), events)?;
         self.stage.clock(self.begun.elapsed().as_nanos() as Time);
         for event in events.drain(..) {
             self.event(event)?;
         }
-        self.stage.due()
+        self.stage.run_due_timers()
     }
 
     fn run(&mut self, length: f64) -> anyhow::Result<()> {
         self.begun = Instant::now();
-        self.stage.begin_day();
+        self.stage.start_traffic();
         let mut events = Vec::new();
         let mut said = 0;
         while !self.stage.finished() {
@@ -297,15 +297,15 @@
 
     /// Ends the couriers as an operator does, and sees that they end well.
     fn end(&mut self) -> anyhow::Result<()> {
-        for c in self.stage.wires.couriers.values() {
+        for c in self.stage.transport.couriers.values() {
             c.go_on();
             c.end();
         }
         let until = self.stage.now() + 12_000_000_000;
         let mut events = Vec::new();
-        let all: Vec<u32> = self.stage.wires.couriers.keys().copied().collect();
+        let all: Vec<u32> = self.stage.transport.couriers.keys().copied().collect();
         for n in all {
-            while let Some(c) = self.stage.wires.couriers.get_mut(&n) {
+            while let Some(c) = self.stage.transport.couriers.get_mut(&n) {
                 match c.wait(Duration::ZERO) {
                     Some(0) => break,
                     Some(code) => bail!("courier {n} ended with code {code}; see its log"),
--- a/crates/testbed/src/sinks.rs
+++ b/crates/testbed/src/sinks.rs
@@ -59,10 +59,10 @@
                                 match r.body {
                                     Body::Produce(_) if *quiet => {}
                                     Body::Produce(p) => {
-                                        let ended: Vec<server::Ended> = p
+                                        let ended: Vec<server::PartitionResult> = p
                                             .parts
                                             .into_iter()
-                                            .map(|p| server::Ended {
+                                            .map(|p| server::PartitionResult {
                                                 topic: p.topic,
                                                 partition: p.partition,
                                                 ..Default::default()
--- a/crates/testbed/src/tail.rs
+++ b/crates/testbed/src/tail.rs
@@ -164,7 +164,7 @@
     receiver.graphite.iter().for_each(|at| eprintln!("Graphite, plaintext and pickle: {at}"));
     receiver.collectd.iter().for_each(|at| eprintln!("collectd: {at}"));
     let mut signals = linnetcart_net::Net::new(1)?;
-    signals.signals(&[calloop::signals::Signal::SIGINT, calloop::signals::Signal::SIGTERM])?;
+    signals.watch_signals(&[calloop::signals::Signal::SIGINT, calloop::signals::Signal::SIGTERM])?;
     let (begun, terminal) = (Instant::now(), std::io::stdout().is_terminal());
     loop {
         let left = tail.seconds.map(|s| Duration::from_secs_f64(s).saturating_sub(begun.elapsed()));
--- a/crates/testbed/tests/emulated.rs
+++ b/crates/testbed/tests/emulated.rs
@@ -1,6 +1,6 @@
 //! Experiments, hunts and runs in virtual time, as the command line has them.
 
-use linnetcart_scenario::day::Day;
+use linnetcart_scenario::day::Scenario;
 use linnetcart_testbed::emulated::{trace, Recipe};
 use linnetcart_testbed::experiment::{self, plan::Plan};
 use linnetcart_testbed::hunt::{script, Hunt, Want};
@@ -102,7 +102,7 @@
 
 fn hunt(policy: &str, threads: usize) -> Hunt {
     Hunt {
-        base: Day::find("quiet").unwrap().with(Some(2), 6.0).unwrap(),
+        base: Scenario::find("quiet").unwrap().with(Some(2), 6.0).unwrap(),
         seed: 1,
         runs: 20,
         policy: policy.into(),
@@ -121,7 +121,7 @@
     assert_eq!((found.run, &found.shrunk), (alone.run, &alone.shrunk), "the same on any number of threads");
     assert!(found.shrunk.day.trouble.len() <= found.drawn.day.trouble.len());
     let text = script(&found).unwrap();
-    let again = Recipe { day: Day::parse(&text).unwrap(), ..found.shrunk.clone() };
+    let again = Recipe { day: Scenario::parse(&text).unwrap(), ..found.shrunk.clone() };
     let (report, _) = again.report().unwrap();
     let broken = report.rules.iter().find(|f| f.broken > 0).expect("the script breaks it too");
     assert!(found.what.contains(broken.rule));
@@ -129,7 +129,7 @@
 
 #[test]
 fn a_trace_tells_every_attempt_and_why() {
-    let day = Day::find("answers-lost").unwrap().with(Some(2), 4.0).unwrap();
+    let day = Scenario::find("answers-lost").unwrap().with(Some(2), 4.0).unwrap();
     let recipe = Recipe { day, seed: 1, policy: "library".into(), model: Default::default() };
     let (_, run) = recipe.play(None).unwrap();
     let mut sent: std::collections::BTreeMap<u64, usize> = Default::default();
@@ -174,7 +174,7 @@
     use linnetcart_scenario::fleet::Fleet;
     use linnetcart_testbed::{record, rig};
     let dir = folder("single");
-    let mut fleet = Fleet::draw(Day::find("quiet").unwrap().with(Some(1), 4.0).unwrap(), 5);
+    let mut fleet = Fleet::draw(Scenario::find("quiet").unwrap().with(Some(1), 4.0).unwrap(), 5);
     fleet.messages.truncate(1);
     let options = rig::Options {
         policy: format!("{}{}", record::POLICY, dir.join("sockets").display()),
@@ -210,7 +210,7 @@
 fn days_that_broke_a_rule_once_keep_it_now() {
     for (name, text) in FOUND {
         let seed = text.lines().find_map(|l| l.split_once("emulate FILE --seed ")?.1.parse().ok());
-        let (day, seed) = (Day::parse(text).unwrap(), seed.expect("the second line has the seed"));
+        let (day, seed) = (Scenario::parse(text).unwrap(), seed.expect("the second line has the seed"));
         let recipe = Recipe { day, seed, policy: "library".into(), model: Default::default() };
         let (report, _) = recipe.report().unwrap();
         for f in &report.rules {
--- a/crates/testbed/tests/process.rs
+++ b/crates/testbed/tests/process.rs
@@ -82,11 +82,11 @@
 
 fn produce(number: i32, topic: &str) -> Vec<u8> {
     let record = Record { value: Some(vec![b'v'; 100].into()), ..Record::default() };
-    let to = [client::To { topic, partition: 0, records: &[record] }];
+    let to = [client::ProduceTarget { topic, partition: 0, records: &[record] }];
     client::produce(number, "test", 9, (-1, 5000), &to).unwrap().to_vec()
 }
 
-fn answer(s: &mut TcpStream) -> client::Produced {
+fn answer(s: &mut TcpStream) -> client::ProduceReply {
     s.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
     let mut frames = Frames::new(1 << 20);
     let mut buf = [0; 4096];
@@ -166,7 +166,11 @@
             assert_eq!(ended(&mut e.child, Duration::from_secs(5)), Some(3));
         } else {
             let got = answer(&mut s);
-            assert_eq!(got.parts[0].code, codes::REFUSED, "safe to repeat: handed back at the bound");
+            assert_eq!(
+                got.parts[0].code,
+                codes::NOT_ENOUGH_REPLICAS,
+                "safe to repeat: handed back at the bound"
+            );
             assert_eq!(ended(&mut e.child, Duration::from_secs(5)), Some(0));
             assert!(TcpStream::connect(e.kafka).is_err());
         }
@@ -201,10 +205,10 @@
     let mut s = TcpStream::connect(e.kafka).unwrap();
     s.write_all(&produce(1, "order")).unwrap();
     let got = answer(&mut s);
-    assert!(matches!(got.parts[0].code, codes::FAILED | codes::REFUSED));
+    assert!(matches!(got.parts[0].code, codes::UNKNOWN_SERVER_ERROR | codes::NOT_ENOUGH_REPLICAS));
     assert!(begun.elapsed() < Duration::from_secs(3));
     half.write_all(&produce(1, "status")[20..]).unwrap();
-    assert_eq!(answer(&mut half).parts[0].code, codes::REFUSED);
+    assert_eq!(answer(&mut half).parts[0].code, codes::NOT_ENOUGH_REPLICAS);
     std::fs::remove_dir_all(dir).unwrap();
 }
 
@@ -221,7 +225,7 @@
     // With room again, clients are taken and answered.
     let mut s = TcpStream::connect(e.kafka).unwrap();
     s.write_all(&produce(1, "order")).unwrap();
-    assert!(matches!(answer(&mut s).parts[0].code, codes::FAILED | codes::REFUSED));
+    assert!(matches!(answer(&mut s).parts[0].code, codes::UNKNOWN_SERVER_ERROR | codes::NOT_ENOUGH_REPLICAS));
     assert_eq!(http(e.control, "GET", "/status", "").0, 200);
     std::fs::remove_dir_all(dir).unwrap();
 }
--- a/crates/testbed/tests/rules.rs
+++ b/crates/testbed/tests/rules.rs
@@ -2,8 +2,8 @@
 //! for clients and destinations, and the checks fed by what went over the sockets.
 
 use linnetcart_conformance::{check, Report};
-use linnetcart_scenario::day::Day;
-use linnetcart_scenario::fleet::{Fleet, Way};
+use linnetcart_scenario::day::Scenario;
+use linnetcart_scenario::fleet::{Fleet, Timebase};
 use linnetcart_testbed::rig::{play, Options};
 use std::path::PathBuf;
 use std::sync::Mutex;
@@ -72,13 +72,13 @@
 fn day(name: &str, more: &str) -> Report {
     let _one = ONE.lock().unwrap_or_else(|e| e.into_inner());
     let text = format!("name = \"{name}\"\n{FLEET}{more}");
-    let fleet = Fleet::draw(Day::parse(&text).unwrap(), 7);
+    let fleet = Fleet::draw(Scenario::parse(&text).unwrap(), 7);
     let dir = std::env::temp_dir().join(format!("linnetcart-test-{}-{name}", std::process::id()));
     let program = PathBuf::from(env!("CARGO_BIN_EXE_linnetcart-testbed"));
     let options =
         Options { policy: "library".into(), program, dir: dir.clone(), graphite: None, progress: None };
     let played = play(&fleet, &options).unwrap();
-    let report = check(&played.records, &fleet.contract(Way::Sockets));
+    let report = check(&played.records, &fleet.invariants(Timebase::Sockets));
     std::fs::remove_dir_all(dir).unwrap();
     assert!(report.kept(), "{}", linnetcart_testbed::report::table(&report));
     assert!(report.service > 0.5, "{}", linnetcart_testbed::report::table(&report));
--- a/crates/testbed/tests/telemetry.rs
+++ b/crates/testbed/tests/telemetry.rs
@@ -69,7 +69,7 @@
     fn send(&mut self, topic: &str, partition: i32) {
         self.number += 1;
         let record = Record { value: Some(vec![b'v'; 50].into()), ..Record::default() };
-        let to = [client::To { topic, partition, records: &[record] }];
+        let to = [client::ProduceTarget { topic, partition, records: &[record] }];
         self.stream.write_all(&client::produce(self.number, "t", 9, (-1, 5000), &to).unwrap()).unwrap();
     }
 
--- a/tests/courier.rs
+++ b/tests/courier.rs
@@ -1129,7 +1129,7 @@
     let mut logs = Vec::new();
     let mut round = |c: &mut Dispatcher, now: Time, events: Vec<Event>| -> Vec<(u32, u32)> {
         let actions = c.decide(now, events);
-        let text = |a: &Action| if let Action::LimitChanged(t) = a { Some(t.clone()) } else { None };
+        let text = |a: &Action| if let Action::LimitChanged(t) = a { Some(*t) } else { None };
         logs.extend(actions.iter().filter_map(text));
         sends(&actions)
     };
