Courier-common: idle connection reuse and message numbers for both fronts

Cause: each front had a module for one question, whether an idle connection may carry a call, and its own way to number messages.

--- /dev/null
+++ b/crates/courier-common/src/lib.rs
@@ -0,0 +1,11 @@
+//! Parts that both fronts of the courier use: the Kafka front (`linnetcart-edge`) and the platform front
+//! (`linnetcart-platform`).
+//!
+//! Free of I/O: callers pass clock readings in. Nothing here decides where a message goes.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod idle_reuse;
+mod message_numbers;
+
+pub use message_numbers::MessageNumbers;
