Decision library: choice.rs becomes src/policy, state.rs becomes src/state

Cause: one file of 1,083 lines held every decision, one of 688 all state, under names of the earlier house style (Node, Site, Msg, Out, Stand, Agenda) and with tuples whose places had meanings.

Change: src/policy has one file a concern (endpoint_list, messages, outcomes, dispatch, admission, hedging, health, rate; mod.rs has the Dispatcher and one decision cycle). src/state has one file a structure and decides nothing. Names follow the glossary: Limiter with CircuitState, EndpointState, Destination, Message, InFlightAttempt, QueueState, DeadlineIndex, WaitQueue; constants say quantity and unit. Tuples became structs that derive Ord in the same order of fields. Moved from choice.rs to src/state, as upkeep of indexes: building a message from its event, queue states, lone attempts, dropping messages and endpoints, counting calls, taking out ended attempts, moving mean latencies by a given weight, and the record of an ejection.

Renamed: the_module_keeps_its_size -> policy_files_together_stay_under_the_cap_and_are_all_deployed. With a file added that the deploy file does not name it fails.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -44,13 +44,13 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-mod choice;
 mod interface;
+mod policy;
 mod state;
 
-pub use choice::Dispatcher;
 pub use interface::{
     AcceptedMessage, Action, AttemptOutcome, AttemptResult, Class, DestinationKind, Endpoint, EndpointStatus,
     Event, HealthCheckResult, Idempotency, LimitChange, LimitEvidence, LimitState, RateAccuracy, Settings,
     Time, UnresolvedAttempt,
 };
+pub use policy::Dispatcher;
--- /dev/null
+++ b/src/policy/dispatch.rs
@@ -0,0 +1,151 @@
+//! Which message goes next, to which endpoint, and its sending.
+
+use super::{rate::LimitContext, rate::BURST_SECONDS, Dispatcher, NEVER};
+use crate::interface::{Action, Time};
+use crate::state::{LimitScope, Limiter};
+use std::collections::VecDeque;
+
+/// Weight of the jitter by which couriers differ in the endpoint that they prefer, in calls.
+const JITTER_CALLS: f64 = 0.5;
+/// What a failure rate of 1 at an endpoint weighs in its selection, in calls.
+const FAILURE_RATE_CALLS: f64 = 4.0;
+/// What a price of 1 for reaching an endpoint weighs in its selection, in calls.
+const PRICE_CALLS: f64 = 10.0;
+
+/// An endpoint that a message may go to.
+struct Candidate {
+    avoided: bool,
+    cost: f64,
+    endpoint: u32,
+}
+
+impl Dispatcher {
+    /// Free slots go to the waiting destination with the least recent send, within it to the oldest message
+    /// that may go.
+    pub(super) fn dispatch(&mut self) {
+        let mut destinations = VecDeque::from(self.state.waiting_by_last_send());
+        while let Some(destination) = destinations.pop_front() {
+            if self.no_free_slots(0) {
+                return;
+            }
+            if let Some(endpoint) = self.send_next(destination) {
+                self.fill_call(destination, endpoint);
+                destinations.push_back(destination);
+            }
+        }
+    }
+
+    /// What waits for the same destination joins the call just made, as far as it takes more.
+    fn fill_call(&mut self, destination: u32, endpoint: u32) {
+        while self.has_joinable_call(endpoint) {
+            let mut heads = self.state.destinations[destination].queue.heads().into_iter();
+            let may_join = |id: &u32| self.check_send(&self.state.messages[id], endpoint).is_ok();
+            let Some(message) = heads.find(may_join) else { return };
+            self.send(message, endpoint);
+        }
+    }
+
+    /// Another send to this endpoint may join a call of this cycle.
+    pub(super) fn has_joinable_call(&self, endpoint: u32) -> bool {
+        let Some(endpoint) = self.state.endpoints.get(endpoint) else { return false };
+        let Some(destination) = self.state.destinations.get(endpoint.destination) else { return false };
+        let sends = endpoint.sends_in_call_of(self.now);
+        sends > 0 && sends < destination.kind.max_messages_per_call
+    }
+
+    /// Sends the oldest message that may go; returns where it went.
+    fn send_next(&mut self, destination: u32) -> Option<u32> {
+        for id in self.state.cooled_down(destination, self.now) {
+            self.enqueue(id);
+        }
+        while let Some(message) = self.too_late_for_trial(destination) {
+            self.give_up(message, self.settings.max_retry_after);
+        }
+        let destination = self.state.destinations.get_mut(destination)?;
+        destination.count_waiting(&mut self.state.endpoints);
+        for message in destination.queue.heads() {
+            match self.choose_endpoint(message, None) {
+                Ok(endpoint) => {
+                    self.send(message, endpoint);
+                    return Some(endpoint);
+                }
+                Err(retry_at) => self.wake_by(retry_at),
+            }
+        }
+        None
+    }
+
+    /// Where only trials go, a message with less time left than an answer may take: its trial would be
+    /// cancelled and tell nothing, and the outage be believed while such messages are the oldest.
+    fn too_late_for_trial(&self, destination: u32) -> Option<u32> {
+        let destination = self.state.destinations.get(destination)?;
+        let ejected = |&id: &u32| self.state.limiter(id).is_some_and(Limiter::is_ejected);
+        let all_ejected = destination.endpoints.iter().all(ejected);
+        let too_late = |id: &u32| {
+            let message = &self.state.messages[id];
+            let overdue_span = self.overdue_span(self.state.overdue_group(message));
+            !message.is_owed_a_call() && message.deadline <= self.now + overdue_span
+        };
+        destination.queue.heads().into_iter().find(|id| all_ejected && too_late(id))
+    }
+
+    /// The best endpoint that the message may go to, except one; `Err` is when to look again.
+    pub(super) fn choose_endpoint(&self, message: u32, except: Option<u32>) -> Result<u32, Time> {
+        let message = &self.state.messages[&message];
+        let destination = self.state.destinations.get(message.destination).ok_or(NEVER)?;
+        let mut retry_at = NEVER;
+        let mut candidates = Vec::new();
+        for &endpoint in destination.endpoints.iter().filter(|&&endpoint| Some(endpoint) != except) {
+            if let Err(at) = self.check_send(message, endpoint) {
+                retry_at = retry_at.min(at);
+                continue;
+            }
+            let avoided = self.state.endpoints[endpoint].is_avoided(message.class, self.now);
+            candidates.push(Candidate { avoided, cost: self.cost(endpoint), endpoint });
+        }
+        let order = |a: &Candidate, b: &Candidate| a.avoided.cmp(&b.avoided).then(a.cost.total_cmp(&b.cost));
+        let best = candidates.into_iter().min_by(order);
+        best.map(|candidate| candidate.endpoint).ok_or(retry_at)
+    }
+
+    /// Calls in flight there, its failure rate and the prices of reaching it, in calls. Where an equal share
+    /// is less than a call in a burst, with jitter: or hundreds would all take the same endpoint.
+    fn cost(&self, id: u32) -> f64 {
+        let settings = &self.settings;
+        let endpoint = &self.state.endpoints[id];
+        let crossing = if endpoint.zone == settings.zone { 0.0 } else { settings.cross_zone_price };
+        let independent = self.state.has_independent_routes(endpoint.destination);
+        let fee = settings.route_fees.get(usize::from(endpoint.zone)).filter(|_| independent);
+        let price = crossing + fee.unwrap_or(&0.0);
+        let equal_share = self.state.limiter(id).map_or(0.0, |limiter| limiter.equal_share(settings));
+        let sparse = 1.0 - equal_share * BURST_SECONDS;
+        let jitter = JITTER_CALLS * sparse.max(0.0).powi(3) * endpoint.jitter;
+        let failures = FAILURE_RATE_CALLS * endpoint.limiter.failure_rate;
+        f64::from(endpoint.calls_in_flight) + failures + PRICE_CALLS * price + jitter
+    }
+
+    pub(super) fn send(&mut self, id: u32, endpoint: u32) {
+        let chance = self.random.draw();
+        let Some(message) = self.state.messages.get(&id) else { return };
+        let overdue_span = self.overdue_span(self.state.overdue_group(message));
+        if !self.has_joinable_call(endpoint) {
+            self.start_call(message.destination, endpoint, chance);
+        }
+        self.state.record_send(id, endpoint, self.now, overdue_span);
+        self.update_hedge_index(id);
+        self.actions.push(Action::Send { message: id, endpoint, until: 0 });
+    }
+
+    fn start_call(&mut self, destination: u32, endpoint: u32, chance: f64) {
+        self.state.open_call(endpoint, destination, self.now);
+        let scope = self.state.endpoint_scope(endpoint);
+        let context = LimitContext { now: self.now, scope, settings: &self.settings };
+        if let Some(endpoint) = self.state.endpoints.get_mut(endpoint) {
+            endpoint.limiter.spend_token(chance, context);
+        }
+        let destination = self.state.destinations.get_mut(destination);
+        if let Some(destination) = destination.filter(|_| scope == LimitScope::SharedEndpoint) {
+            destination.limiter.spend_token(chance, context.whole());
+        }
+    }
+}
--- /dev/null
+++ b/src/policy/endpoint_list.rs
@@ -0,0 +1,93 @@
+//! The endpoint list: its entries, and polls for it.
+
+use super::{admission::RETRY_BUDGET_TOKENS, Dispatcher, NEVER};
+use crate::interface::{Action, DestinationKind, Endpoint, EndpointStatus, RateAccuracy, Time};
+use crate::state::{Destination, EndpointState, Limiter, ListPoll};
+use std::collections::BTreeSet;
+
+/// Failure rate at which a limit is ejected: three failures in a row, or most calls of late.
+const EJECTION_THRESHOLD: f64 = 0.6;
+/// The same for one endpoint of several, where others can serve: two in a row.
+const ENDPOINT_EJECTION_THRESHOLD: f64 = 0.5;
+
+impl Dispatcher {
+    pub(super) fn update_endpoints(&mut self, complete: bool, entries: Vec<Endpoint>) {
+        if self.list_poll.next_at != NEVER && self.list_poll.backoff > 0 {
+            self.list_poll = ListPoll { next_at: NEVER, backoff: 0 };
+        }
+        if complete {
+            self.state.endpoints.for_each(|_, endpoint| endpoint.status = EndpointStatus::Removed);
+        }
+        let mut changed = BTreeSet::new();
+        for entry in entries {
+            if entry.status != EndpointStatus::Removed || self.state.endpoints.contains(entry.id) {
+                changed.insert(entry.destination);
+                self.update_endpoint(entry);
+            }
+        }
+        // Rule 6: a Retry-After outlives the entry, which may be back before it is over.
+        self.state.endpoints.retain(|endpoint| {
+            let listed = endpoint.status != EndpointStatus::Removed;
+            listed || endpoint.calls_in_flight > 0 || endpoint.limiter.retry_after_until > self.now
+        });
+        changed.extend(self.state.drop_removed_endpoints());
+        for destination in changed {
+            self.update_spans(destination);
+        }
+    }
+
+    fn update_endpoint(&mut self, entry: Endpoint) {
+        self.add_destination(entry.destination);
+        let kind = self.destination_kind(entry.kind);
+        let Some(destination) = self.state.destinations.get_mut(entry.destination) else { return };
+        destination.kind = kind;
+        destination.endpoints.insert(entry.id);
+        let independent = kind.independent_routes;
+        let threshold = if independent { EJECTION_THRESHOLD } else { ENDPOINT_EJECTION_THRESHOLD };
+        let jitter = -(1.0 - self.random.draw()).ln();
+        let endpoint = self.state.endpoints.get_or_insert_with(entry.id, || EndpointState {
+            jitter,
+            limiter: Limiter::new(threshold, self.now),
+            destination: entry.destination,
+            zone: entry.zone,
+            ..EndpointState::default()
+        });
+        endpoint.status = entry.status;
+        if self.settings.rate_accuracy != RateAccuracy::Unspecified && entry.rate > 0.0 {
+            let limiter = if independent { &mut endpoint.limiter } else { &mut destination.limiter };
+            limiter.rate_limit = entry.rate;
+            // An approximate figure is no reason to hold anything back before a rejection.
+            limiter.rate_limit_exact = self.settings.rate_accuracy == RateAccuracy::Exact;
+        }
+    }
+
+    /// A destination is known from the first message or entry on that names it.
+    pub(super) fn add_destination(&mut self, id: u32) {
+        let limiter = Limiter::new(EJECTION_THRESHOLD, self.now);
+        let destination = Destination::new(limiter, self.destination_kind(0), RETRY_BUDGET_TOKENS);
+        self.state.destinations.get_or_insert_with(id, || destination);
+    }
+
+    fn destination_kind(&self, number: u8) -> DestinationKind {
+        let unknown = DestinationKind { independent_routes: false, max_messages_per_call: 1 };
+        self.settings.kinds.get(usize::from(number)).copied().unwrap_or(unknown)
+    }
+
+    /// The list or its watch failed: poll again, each time later, so that many couriers do not jam it.
+    pub(super) fn back_off_list_poll(&mut self) {
+        let longest = self.settings.max_poll_interval;
+        let backoff = (self.list_poll.backoff * 2).clamp(longest / 20, longest / 3);
+        let delay = (backoff as f64 * (0.5 + self.random.draw())) as Time;
+        self.list_poll = ListPoll { next_at: self.now + delay, backoff };
+    }
+
+    pub(super) fn poll_endpoint_list(&mut self) {
+        if self.list_poll.next_at <= self.now {
+            self.actions.push(Action::WatchEndpoints);
+            // Should no answer come at all, poll again well before the interval is over.
+            self.list_poll.backoff = self.list_poll.backoff.max(1);
+            self.list_poll.next_at = self.now + self.settings.max_poll_interval / 2;
+        }
+        self.wake_by(self.list_poll.next_at);
+    }
+}
--- /dev/null
+++ b/src/policy/health.rs
@@ -0,0 +1,158 @@
+//! Health of limits: ejection, recovery, and calls that nothing answers.
+
+use super::rate::{LimitContext, SHARE_FILL_RATIO, SHARE_GROWTH_RATE};
+use super::{Dispatcher, NEVER};
+use crate::interface::{Action, AttemptOutcome, LimitChange, LimitState, Time};
+use crate::state::CircuitState::{Closed, Open, SlowStart};
+use crate::state::{DueAttempt, LimitScope, Limiter, Silence};
+
+/// Weight of the newest outcome in the failure rate: a handful of outcomes settle it.
+pub(super) const EWMA_WEIGHT: f64 = 0.3;
+/// Failure rate from which messages that have no second chance are held back: above chance errors.
+pub(super) const RISKY_FAILURE_RATE: f64 = 0.25;
+/// Rejections in a row that may mean "shut".
+const MIN_SHUT_REJECTIONS: u32 = 3;
+/// Reported capacity at which a rejection means "shut": above a limit there is none, if reports are fresh.
+const SHUT_CAPACITY_RATIO: f64 = 0.75;
+
+impl Dispatcher {
+    /// Calls overdue with nothing answered since they were sent are evidence at once: the limit is ejected.
+    /// One that hangs while others want its slot, or while its siblings answer, is cancelled where the class
+    /// allows a retry.
+    pub(super) fn detect_silence(&mut self) {
+        let (overdue, next) = self.state.overdue_index.all_due(self.now, |_| true);
+        self.wake_by(next.unwrap_or(NEVER));
+        if overdue.is_empty() {
+            return;
+        }
+        let slots_wanted = self.is_short_of_slots(0);
+        let mut hanging = Vec::new();
+        for attempt in overdue {
+            let Some(silence) = self.state.silence(&attempt) else { continue };
+            self.record_silence(&attempt, silence);
+            if self.should_cancel(&attempt, silence, slots_wanted) {
+                hanging.push(attempt);
+            }
+        }
+        for attempt in hanging {
+            self.cancel(attempt.message, attempt.attempt);
+            self.update_hedge_index(attempt.message);
+        }
+    }
+
+    fn record_silence(&mut self, overdue: &DueAttempt, silence: Silence) {
+        let Silence { endpoint: id, destination, class, .. } = silence;
+        let chance = self.random.draw();
+        let Some(endpoint) = self.state.endpoints.get_mut(id) else { return };
+        let avoided_until = overdue.sent_at + self.settings.classes[class].deadline;
+        endpoint.avoided_until.insert(class, avoided_until);
+        let Some(destination_state) = self.state.destinations.get_mut(destination) else { return };
+        let scope = destination_state.endpoint_scope();
+        let context = LimitContext { now: self.now, scope, settings: &self.settings };
+        let mut ejected = silence.endpoint_silent && endpoint.limiter.record_silence(chance, context);
+        if silence.endpoint_silent && silence.destination_silent && scope == LimitScope::SharedEndpoint {
+            ejected |= destination_state.limiter.record_silence(chance, context.whole());
+        }
+        if ejected {
+            let change = LimitChange { destination, endpoint: id, state: LimitState::Silent, evidence: None };
+            self.actions.push(Action::LimitChanged(change));
+        }
+    }
+
+    fn should_cancel(&self, overdue: &DueAttempt, silence: Silence, slots_wanted: bool) -> bool {
+        let may_resend = self.may_resend(&self.state.messages[&overdue.message], None);
+        let twice_overdue = self.now > overdue.due_at + (overdue.due_at - overdue.sent_at);
+        let hangs_alone = silence.endpoint_silent && !silence.destination_silent;
+        let useless = slots_wanted && (may_resend || twice_overdue) || hangs_alone && may_resend;
+        self.settings.cancellation_allowed && useless
+    }
+}
+
+impl Limiter {
+    /// The first outcome of a call; any but a success makes the limit more cautious.
+    pub(super) fn record_outcome(
+        &mut self,
+        sent_at: Time,
+        outcome: AttemptOutcome,
+        chance: f64,
+        context: LimitContext,
+    ) {
+        if outcome != AttemptOutcome::TimedOut {
+            self.last_answer_at = context.now;
+        }
+        if self.consecutive_failures == 0 && self.circuit == Closed {
+            self.failing_since = context.now;
+        }
+        if outcome == AttemptOutcome::Served {
+            return self.record_success(sent_at, context);
+        }
+        self.last_failure_at = context.now;
+        self.consecutive_failures += 1;
+        if let AttemptOutcome::Rejected { retry_after } = outcome {
+            self.record_rejection(sent_at, retry_after, context);
+        } else {
+            self.last_failure_not_executed = outcome == AttemptOutcome::NoConnection;
+            self.failure_rate += EWMA_WEIGHT * (1.0 - self.failure_rate);
+            if self.failure_rate > self.ejection_threshold || self.is_ejected() {
+                self.eject(context.now, true);
+            }
+        }
+        self.defer_calls(chance, context);
+    }
+
+    fn record_success(&mut self, sent_at: Time, context: LimitContext) {
+        let LimitContext { now, settings, .. } = context;
+        self.consecutive_failures = 0;
+        self.rejected_above_limit = false;
+        let growth = if self.capacity_reported_at == now { 2.0 * self.capacity_left - 1.0 } else { 0.0 };
+        self.shares_taken = (self.shares_taken * (1.0 + SHARE_GROWTH_RATE * growth)).max(SHARE_FILL_RATIO);
+        self.failure_rate -= EWMA_WEIGHT * self.failure_rate;
+        self.count_served(now, settings.overload_window);
+        // It was slow or paused, not down: nothing failed, and what was sent before is answered or the
+        // silence was short.
+        let was_slow = |since: Time| sent_at < since || now < since + settings.overload_window;
+        self.circuit = match self.circuit {
+            Open { since, confirmed: false } if was_slow(since) => self.circuit_before_open,
+            Open { .. } => {
+                self.failure_rate = self.failure_rate.min(2.0 * RISKY_FAILURE_RATE);
+                SlowStart { since: now }
+            }
+            // A lucky answer amid failures is no recovery.
+            SlowStart { .. } if self.failure_rate > RISKY_FAILURE_RATE => SlowStart { since: now },
+            SlowStart { since } if now > since + settings.slow_start_duration => Closed,
+            other => other,
+        };
+    }
+
+    fn record_rejection(&mut self, sent_at: Time, retry_after: Time, context: LimitContext) {
+        self.last_failure_not_executed = true;
+        let shut = self.is_ejected() || self.is_shut(sent_at, retry_after, context);
+        if shut && retry_after > 0 {
+            self.circuit = SlowStart { since: self.retry_after_until };
+        } else if shut {
+            self.eject(context.now, true);
+        } else if context.scope == LimitScope::Whole {
+            self.cut_rate(context);
+        }
+    }
+
+    /// Shut, not over the limit: a Retry-After longer than limits are counted, or rejected with capacity
+    /// reported left. With nothing reported, rejections without a success for longer than a limit's window.
+    fn is_shut(&self, sent_at: Time, retry_after: Time, context: LimitContext) -> bool {
+        let window = context.settings.overload_window;
+        let long = self.failing_since + window * 3 / 2 <= context.now + retry_after;
+        let silent = long && (retry_after > 0 || self.consecutive_failures >= MIN_SHUT_REJECTIONS);
+        let room = self.capacity_left > SHUT_CAPACITY_RATIO && sent_at >= self.failing_since;
+        let reported = self.capacity_reported_at == context.now;
+        retry_after > window || if reported { room } else { silent }
+    }
+
+    /// A call is overdue and nothing was answered since it was sent; true if that ejects the limit.
+    fn record_silence(&mut self, chance: f64, context: LimitContext) -> bool {
+        let ejected = self.eject(context.now, false);
+        if ejected {
+            self.defer_calls(chance, context);
+        }
+        ejected
+    }
+}
--- /dev/null
+++ b/src/policy/messages.rs
@@ -0,0 +1,117 @@
+//! Lifecycle of a message: accepted, waiting, answered.
+
+use super::{Dispatcher, NEVER};
+use crate::interface::{AcceptedMessage, Action, Idempotency, Time};
+use crate::state::{AttemptId, Message, QueueEntry, RecoveredAttempts};
+
+impl Dispatcher {
+    pub(super) fn accept(&mut self, accepted: AcceptedMessage, recovered: Option<RecoveredAttempts>) {
+        let Some(class) = self.settings.classes.get(usize::from(accepted.class)) else { return };
+        if !self.state.insert_message(&accepted, class, recovered.as_ref(), self.now) {
+            return;
+        }
+        // Rule 5: a call in flight when its process died was reset then, or may have been just now.
+        if class.ordered && recovered.is_some_and(|recovered| !recovered.unresolved.is_empty()) {
+            let cooldown_until = self.now + self.settings.key_cooldown;
+            self.state.key_queues.cool_down(accepted.ordering_key, cooldown_until);
+        }
+        self.add_destination(accepted.destination);
+        self.enqueue(accepted.id);
+    }
+
+    /// It waits from now on, in the state in which it is now.
+    pub(super) fn enqueue(&mut self, id: u32) {
+        self.state.leave_wait_queue(id);
+        let Some(message) = self.state.messages.get(&id) else { return };
+        let idempotency = self.settings.classes[message.class].idempotency;
+        let entry = QueueEntry {
+            state: self.state.queue_state(message, idempotency, self.now),
+            retry_expiry: self.retry_expiry(message),
+            sheddable: self.may_reject(message) && !message.is_owed_a_call(),
+        };
+        self.state.join_wait_queue(id, entry);
+    }
+
+    /// When the message may no longer be retried; now if that is so already.
+    fn retry_expiry(&self, message: &Message) -> Option<Time> {
+        if !self.may_resend(message, None) {
+            return Some(self.now);
+        }
+        let idempotency = self.settings.classes[message.class].idempotency;
+        let Idempotency::Keyed { dedup_window, .. } = idempotency else { return None };
+        let first = message.first_possible_execution()?;
+        Some((first.sent_at + dedup_window).saturating_sub(self.settings.connect_timeout))
+    }
+
+    /// Rule 1: the message has its answer. Nothing more is sent for it, and what is in flight is cancelled.
+    pub(super) fn finish(&mut self, id: u32) {
+        let running = self.state.complete(id);
+        if self.settings.cancellation_allowed {
+            for attempt in running {
+                self.cancel(id, attempt);
+            }
+        }
+        self.update_hedge_index(id);
+        self.drop_finished(id);
+    }
+
+    pub(super) fn cancel(&mut self, message: u32, attempt: u16) {
+        if self.state.mark_cancelled(AttemptId { message, attempt }) {
+            self.actions.push(Action::Cancel { message, attempt });
+        }
+    }
+
+    /// Drops a message that is completed and has nothing in flight; the next of its key may go.
+    pub(super) fn drop_finished(&mut self, id: u32) {
+        if let Some(next) = self.state.drop_finished(id) {
+            self.enqueue(next);
+        }
+    }
+
+    /// Rule 2: harmless when nothing may have been executed, or when a repeat does no harm wherever it goes.
+    fn may_reject(&self, message: &Message) -> bool {
+        match self.settings.classes[message.class].idempotency {
+            Idempotency::Idempotent | Idempotency::Keyed { per_zone: false, .. } => true,
+            _ => message.possibly_executed.is_empty(),
+        }
+    }
+
+    /// Rule 2: another attempt, at an endpoint of `zone` or anywhere (`None`).
+    pub(super) fn may_resend(&self, message: &Message, zone: Option<u8>) -> bool {
+        if u32::from(message.attempts) >= self.settings.max_attempts {
+            return false;
+        }
+        let Some(first) = message.first_possible_execution() else { return true };
+        match self.settings.classes[message.class].idempotency {
+            Idempotency::Idempotent => true,
+            Idempotency::Keyed { dedup_window, per_zone } => {
+                // Time to travel: a connection may have to be made first.
+                let in_window = self.now + self.settings.connect_timeout < first.sent_at + dedup_window;
+                let other_zone = zone.is_some_and(|zone| zone != first.zone);
+                in_window && !(per_zone && other_zone)
+            }
+            Idempotency::NotIdempotent => false,
+        }
+    }
+
+    pub(super) fn give_up(&mut self, id: u32, retry_after: Time) {
+        let Some(message) = self.state.messages.get(&id).filter(|message| !message.completed) else { return };
+        self.actions.push(if self.may_reject(message) {
+            Action::Reject { message: id, retry_after: retry_after.min(self.settings.max_retry_after) }
+        } else {
+            Action::Fail { message: id }
+        });
+        self.finish(id);
+    }
+
+    /// Rule 1: what has no answer yet gets it two cycles before its deadline; at once when it may have been
+    /// executed and may not be retried.
+    pub(super) fn answer_expired(&mut self) {
+        let margin = 2 * self.settings.tick;
+        for id in self.state.expired(self.now + margin, self.now) {
+            self.give_up(id, 0);
+        }
+        let next = self.state.deadlines.first().map(|deadline| deadline.at - margin);
+        self.wake_by(next.unwrap_or(NEVER));
+    }
+}
--- /dev/null
+++ b/src/state/endpoint.rs
@@ -0,0 +1,52 @@
+//! What is known of an endpoint, and of the endpoint list itself.
+
+use super::Limiter;
+use crate::interface::{EndpointStatus, Time};
+use std::collections::BTreeMap;
+
+/// An endpoint of a destination.
+#[derive(Debug, Default)]
+pub(crate) struct EndpointState {
+    pub(crate) limiter: Limiter,
+    pub(crate) destination: u32,
+    pub(crate) zone: u8,
+    pub(crate) status: EndpointStatus,
+    pub(crate) calls_in_flight: u32,
+    /// Classes whose last call here got no good answer, and until when each avoids the endpoint.
+    pub(crate) avoided_until: BTreeMap<usize, Time>,
+    /// Endpoint selection jitter of this courier.
+    pub(crate) jitter: f64,
+    /// The call that further sends of the same decision cycle may join.
+    pub(crate) open_call: OpenCall,
+}
+
+impl EndpointState {
+    /// Sends in the call that was made to it in this decision cycle, if any.
+    pub(crate) fn sends_in_call_of(&self, now: Time) -> u32 {
+        if self.open_call.started_at == now {
+            self.open_call.sends
+        } else {
+            0
+        }
+    }
+
+    /// Messages of a class go elsewhere for now.
+    pub(crate) fn is_avoided(&self, class: usize, now: Time) -> bool {
+        self.avoided_until.get(&class).is_some_and(|&until| until > now)
+    }
+}
+
+/// The last call that was made to an endpoint.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct OpenCall {
+    pub(crate) call: u64,
+    pub(crate) started_at: Time,
+    pub(crate) sends: u32,
+}
+
+/// When the endpoint list is to be polled next, and the backoff after failures.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct ListPoll {
+    pub(crate) next_at: Time,
+    pub(crate) backoff: Time,
+}
--- /dev/null
+++ b/src/state/key_queue.rs
@@ -0,0 +1,76 @@
+//! Per-key queues of ordered messages, and the cooldown of each key.
+
+use super::QueuePosition;
+use crate::interface::Time;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Messages of one ordering key, oldest first.
+#[derive(Debug, Default)]
+pub(crate) struct KeyQueue {
+    queue: BTreeSet<QueuePosition>,
+    pub(crate) cooldown_until: Time,
+}
+
+impl KeyQueue {
+    /// The message is the first of its key.
+    pub(crate) fn is_first(&self, position: QueuePosition) -> bool {
+        self.queue.first() == Some(&position)
+    }
+}
+
+/// An idle key and the end of its cooldown.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct IdleKey {
+    cooldown_until: Time,
+    key: u64,
+}
+
+/// The queues of all keys; idle ones by the end of their cooldown. Key 0 has none.
+#[derive(Debug, Default)]
+pub(crate) struct KeyQueues {
+    by_key: BTreeMap<u64, KeyQueue>,
+    idle: BTreeSet<IdleKey>,
+}
+
+impl KeyQueues {
+    /// The queue of a key.
+    pub(crate) fn get(&self, key: u64) -> Option<&KeyQueue> {
+        self.by_key.get(&key)
+    }
+
+    /// A message joins the queue of its key.
+    pub(crate) fn join(&mut self, key: u64, position: QueuePosition) {
+        if key != 0 {
+            self.by_key.entry(key).or_default().queue.insert(position);
+        }
+    }
+
+    /// The key cools down until then at least.
+    pub(crate) fn cool_down(&mut self, key: u64, until: Time) {
+        if let Some(queue) = self.by_key.get_mut(&key) {
+            queue.cooldown_until = queue.cooldown_until.max(until);
+        }
+    }
+
+    /// A message leaves the queue of its key; returns the one that is first now.
+    pub(crate) fn leave(&mut self, key: u64, position: QueuePosition) -> Option<u32> {
+        let queue = self.by_key.get_mut(&key)?;
+        queue.queue.remove(&position);
+        let next = queue.queue.first().map(|first| first.message);
+        if next.is_none() {
+            self.idle.insert(IdleKey { cooldown_until: queue.cooldown_until, key });
+        }
+        next
+    }
+
+    /// Forgets idle keys whose cooldown is over.
+    pub(crate) fn forget_idle(&mut self, now: Time) {
+        while let Some(idle) = self.idle.first().copied().filter(|idle| idle.cooldown_until <= now) {
+            self.idle.pop_first();
+            let unused = |queue: &KeyQueue| queue.queue.is_empty() && queue.cooldown_until <= now;
+            if self.by_key.get(&idle.key).is_some_and(unused) {
+                self.by_key.remove(&idle.key);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/state/mod.rs
@@ -0,0 +1,39 @@
+//! What the decision library keeps between decision cycles, one file a structure.
+//!
+//! It owns tables and indexes and keeps them consistent. It never decides and has no tuned values: both are
+//! in [`crate::policy`].
+
+mod attempt;
+mod deadline_index;
+mod destination;
+mod dispatch_state;
+mod endpoint;
+mod key_queue;
+mod latency;
+mod limiter;
+mod message;
+mod random;
+mod shed_order;
+mod table;
+mod wait_queue;
+
+pub(crate) use attempt::{AttemptId, Call, FinishedAttempt, InFlightAttempt};
+pub(crate) use deadline_index::{AttemptGroup, DeadlineIndex, DueAttempt, SentAttempt};
+pub(crate) use destination::{Destination, LimitScope};
+pub(crate) use dispatch_state::{DispatchState, GroupSpans, Silence};
+pub(crate) use endpoint::{EndpointState, ListPoll, OpenCall};
+pub(crate) use key_queue::KeyQueues;
+pub(crate) use latency::LatencySamples;
+pub(crate) use limiter::{CircuitState, Limiter};
+pub(crate) use message::{Message, PossibleExecution, QueuePosition, RecoveredAttempts};
+pub(crate) use random::Random;
+pub(crate) use shed_order::least_weight;
+pub(crate) use table::Table;
+pub(crate) use wait_queue::{DestinationQueue, MessageTime, QueueEntry, QueueState, WaitQueue};
+
+use crate::interface::Time;
+
+/// A span in seconds.
+pub(crate) fn seconds(span: Time) -> f64 {
+    span as f64 / 1e9
+}
--- /dev/null
+++ b/src/state/shed_order.rs
@@ -0,0 +1,154 @@
+//! The order in which waiting messages may be shed.
+
+use super::{DestinationQueue, QueuePosition};
+use crate::interface::Time;
+use std::cmp::{Ordering, Reverse};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::ops::Bound;
+
+/// A message by its age.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct AgedMessage {
+    accepted_at: Time,
+    position: QueuePosition,
+}
+
+/// Messages of one destination and one class that may be shed.
+#[derive(Debug, Default)]
+pub(super) struct Sheddable {
+    by_age: BTreeSet<AgedMessage>,
+    by_position: BTreeMap<QueuePosition, Time>,
+}
+
+impl Sheddable {
+    pub(super) fn insert(&mut self, accepted_at: Time, position: QueuePosition) {
+        self.by_age.insert(AgedMessage { accepted_at, position });
+        self.by_position.insert(position, accepted_at);
+    }
+
+    pub(super) fn remove(&mut self, accepted_at: Time, position: QueuePosition) {
+        self.by_age.remove(&AgedMessage { accepted_at, position });
+        self.by_position.remove(&position);
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.by_position.is_empty()
+    }
+}
+
+/// A priority weight in a total order.
+#[derive(Clone, Copy, Debug)]
+struct Weight(f64);
+
+impl Ord for Weight {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.0.total_cmp(&other.0)
+    }
+}
+
+impl PartialOrd for Weight {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl PartialEq for Weight {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl Eq for Weight {}
+
+/// The oldest message of a list that was not looked at yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct ListHead {
+    weight: Weight,
+    list: usize,
+    message: AgedMessage,
+}
+
+/// A message that may be among those of least weight.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Candidate {
+    weight: Weight,
+    destination: u32,
+    sequence: u64,
+    list: usize,
+    message: u32,
+}
+
+/// Sheddable messages of one destination and class.
+struct ClassList<'a> {
+    destination: u32,
+    class: usize,
+    messages: &'a Sheddable,
+}
+
+/// The messages of least weight among those of these destinations that may be shed, least first; those of
+/// equal weight by destination and age. A class's messages may not gain weight with age. The cost depends on
+/// the number of destinations and on how many are asked for, not on how many wait.
+pub(crate) fn least_weight<'a>(
+    queues: impl Iterator<Item = (u32, &'a DestinationQueue)>,
+    count: usize,
+    weight_of: impl Fn(usize, Time) -> f64,
+) -> Vec<u32> {
+    if count == 0 {
+        return Vec::new();
+    }
+    let mut lists: Vec<ClassList> = Vec::new();
+    for (destination, queue) in queues {
+        let of_queue = queue.sheddable.iter();
+        lists.extend(of_queue.map(|(&class, messages)| ClassList { destination, class, messages }));
+    }
+    let weight = |class: usize, accepted_at: Time| Weight(weight_of(class, accepted_at));
+    let head = |list: usize, message: &AgedMessage| {
+        let weight = weight(lists[list].class, message.accepted_at);
+        Reverse(ListHead { weight, list, message: *message })
+    };
+    // The oldest of each list are the least of it, so the least of all are found at their heads.
+    let mut heads = BinaryHeap::new();
+    for (list, class_list) in lists.iter().enumerate() {
+        heads.extend(class_list.messages.by_age.first().map(|message| head(list, message)));
+    }
+    let mut chosen: Vec<Candidate> = Vec::new();
+    let mut run_of_equals: BTreeMap<usize, usize> = BTreeMap::new();
+    while let Some(Reverse(ListHead { weight, list, message })) = heads.pop() {
+        // All that weigh as much as the last one are looked at: which of them go is a matter of order.
+        let heavier = chosen.last().is_some_and(|last| last.weight < weight);
+        if heavier && chosen.len() >= count {
+            break;
+        }
+        if heavier {
+            run_of_equals.clear();
+        }
+        let run = run_of_equals.entry(list).or_default();
+        *run += 1;
+        let QueuePosition { sequence, message: id } = message.position;
+        chosen.push(Candidate { weight, destination: lists[list].destination, sequence, list, message: id });
+        // A long run of equals is not followed to its end: its first by order are found by order.
+        if *run <= count {
+            let after = (Bound::Excluded(message), Bound::Unbounded);
+            let next = lists[list].messages.by_age.range(after).next();
+            heads.extend(next.map(|message| head(list, message)));
+        }
+    }
+    if let Some(last) = chosen.last().map(|last| last.weight) {
+        run_of_equals.retain(|_, run| *run > count);
+        chosen.retain(|candidate| candidate.weight < last || !run_of_equals.contains_key(&candidate.list));
+        for &list in run_of_equals.keys() {
+            let ClassList { destination, class, messages } = lists[list];
+            let by_position = messages.by_position.iter();
+            let equals = by_position.filter(|(_, &accepted_at)| weight(class, accepted_at) == last);
+            chosen.extend(equals.take(count).map(|(position, _)| Candidate {
+                weight: last,
+                destination,
+                sequence: position.sequence,
+                list,
+                message: position.message,
+            }));
+        }
+    }
+    chosen.sort_unstable();
+    chosen.into_iter().take(count).map(|candidate| candidate.message).collect()
+}
--- a/tests/courier.rs
+++ b/tests/courier.rs
@@ -577,13 +577,39 @@
     assert!(tried.iter().all(|&(id, at)| id == 200 || due(id) > at + 200 * MS), "{tried:?}");
 }
 
+/// The most that the decisions may take, as the bench counts lines: blank ones aside.
+const MAX_POLICY_LINES: usize = 1_060;
+const MAX_LINE_CHARS: usize = 110;
+
 #[test]
-fn the_module_keeps_its_size() {
-    let text = include_str!("../src/choice.rs");
-    // As the bench counts them: blank lines aside.
-    let lines = text.lines().filter(|line| !line.trim().is_empty()).count();
-    assert!(lines <= 1_060, "{lines} lines");
-    assert!(text.lines().all(|l| l.chars().count() <= 110));
+fn policy_files_together_stay_under_the_cap_and_are_all_deployed() {
+    let root = std::path::Path::new(env!("CARGO_MANIFEST_DIR"));
+    let folder = std::fs::read_dir(root.join("src/policy")).expect("the folder of the decisions");
+    let mut paths = BTreeSet::new();
+    let mut lines = 0;
+    for entry in folder {
+        let name = entry.expect("an entry of the folder").file_name();
+        let path = format!("src/policy/{}", name.to_str().expect("a name in UTF-8"));
+        let text =
+            std::fs::read_to_string(root.join(&path)).expect("a text file, as folders would be missed");
+        lines += text.lines().filter(|line| !line.trim().is_empty()).count();
+        let too_long: Vec<&str> = text.lines().filter(|line| line.chars().count() > MAX_LINE_CHARS).collect();
+        assert!(too_long.is_empty(), "{path}: {too_long:#?}");
+        paths.insert(path);
+    }
+    assert!(lines <= MAX_POLICY_LINES, "{lines} lines");
+    assert_eq!(deployed_policy(root), paths.into_iter().collect::<Vec<String>>());
+}
+
+/// The paths under `policy` in the deploy file, sorted.
+fn deployed_policy(root: &std::path::Path) -> Vec<String> {
+    let text = std::fs::read_to_string(root.join("deploy/balancer.toml")).expect("the deploy file");
+    let policy = text.lines().find_map(|line| line.strip_prefix("policy = [")).expect("its policy line");
+    let list = policy.strip_suffix(']').expect("a list on one line");
+    let mut paths: Vec<String> =
+        list.split(',').map(|path| path.trim().trim_matches('"').to_owned()).collect();
+    paths.sort();
+    paths
 }
 
 /// A world of its own for the walk: it keeps the books of the rules apart from the module.
