--- a/crates/edge/tests/moments.rs
+++ b/crates/edge/tests/moments.rs
@@ -6,7 +6,7 @@
 
 use process::*;
 use rustix::process::Signal;
-use serde_json::Value;
+use serde_json::{json, Value};
 use std::net::SocketAddr;
 
 /// Connections may take as long as the system tries for them.
@@ -46,7 +46,7 @@
     let mut second = late.take();
     rig.settle();
     assert!(second.is_still(), "the wait binds every endpoint of the destination");
-    assert!(rig.log().contains("told to wait since"));
+    assert_eq!(rig.logged("attempt withheld, Retry-After pending", &[]), 1);
 }
 
 #[test]
@@ -97,7 +97,8 @@
     rig.kill_and_start();
     until("it has failed", || count(&notices, r#""slow-status","state":"failed""#) == 1);
     assert_eq!((count(&calls, "slow-order"), count(&calls, "slow-status")), (1, 2));
-    assert!(rig.log().contains("message slow-status is of a class that the settings have no more"));
+    let id = [("id", json!("slow-status"))];
+    assert_eq!(rig.logged("recovered message of unknown class failed", &id), 1);
 }
 
 #[test]
@@ -160,9 +161,9 @@
         let mut kept = Wire::to(rig.listen);
         kept.send("GET /ready HTTP/1.1\r\n\r\n");
         assert_eq!(kept.answer().0, 200);
-        let lives = rig.log().matches("\"ending\"").count();
+        let lives = rig.logged("shutdown started", &[]);
         rig.signal(Signal::TERM);
-        until("it has heard", || rig.log().matches("\"ending\"").count() > lives);
+        until("it has heard", || rig.logged("shutdown started", &[]) > lives);
         rig.signal(Signal::STOP);
         until("it is stopped", || is_stopped(&rig));
         if !kept.is_ready() {
@@ -191,9 +192,11 @@
     let whole = file(rig.listen, &[endpoint], second).to_string();
     std::fs::write(rig.dir.join("config.json"), &whole[..whole.len() / 2]).unwrap();
     rig.signal(Signal::HUP);
-    until("it has seen half of it", || rig.log().contains("stays in force until it can be read"));
+    until("it has seen half of it", || {
+        rig.logged("configuration unreadable, previous one stays in force", &[]) > 0
+    });
     std::fs::write(rig.dir.join("config.json"), &whole).unwrap();
-    until("it has read all of it", || rig.log().contains("configured anew"));
+    until("it has read all of it", || rig.logged("configuration reloaded", &[]) > 0);
     assert_eq!(rig.hand_in("order", "slow-m"), 202);
     until("it is out", || count(&calls, "slow-m") == 1);
     rig.kill_and_start();
@@ -205,7 +208,7 @@
     until("it catches signals", || caught(&rig));
     (0..20).for_each(|_| rig.signal(Signal::HUP));
     rig.ready();
-    until("it has read it again", || rig.log().matches("configured anew").count() >= 2);
+    until("it has read it again", || rig.logged("configuration reloaded", &[]) >= 2);
 }
 
 fn is_stopped(rig: &Rig) -> bool {
@@ -242,8 +245,13 @@
         assert!(seen.len() == untried && seen.iter().all(|id| !out.contains(id)), "each of them once");
         let failed = || notices.lock().unwrap().iter().map(|n| n.matches("failed").count()).sum::<usize>();
         until("the others have failed", || failed() == out.len());
-        let line = format!("of {taken} messages of an earlier process {untried} were untried");
-        until("it says so", || rig.log().contains(&format!("{line}: {untried} called, 0 given up uncalled")));
+        let counts = [
+            ("recovered", json!(taken)),
+            ("untried", json!(untried)),
+            ("attempted", json!(untried)),
+            ("given_up", json!(0)),
+        ];
+        until("it says so", || rig.logged("recovery finished", &counts) == 1);
     }
 }
 
--- a/crates/edge/tests/process/mod.rs
+++ b/crates/edge/tests/process/mod.rs
@@ -96,9 +96,14 @@
         (0..3).for_each(|_| self.ready());
     }
 
-    /// What it has logged in this life and those before.
-    pub fn log(&self) -> String {
-        std::fs::read_to_string(self.dir.join("log")).unwrap()
+    /// How often it has logged this message with these fields, in this life and those before.
+    pub fn logged(&self, message: &str, fields: &[(&str, Value)]) -> usize {
+        let log = std::fs::read_to_string(self.dir.join("log")).unwrap();
+        let lines = log.lines().filter_map(|line| serde_json::from_str::<Value>(line).ok());
+        let is_wanted = |line: &Value| {
+            line["message"] == message && fields.iter().all(|(name, value)| line[*name] == *value)
+        };
+        lines.filter(is_wanted).count()
     }
 
     pub fn ready(&self) {
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -1,4 +1,6 @@
-//! What the platform tells a courier: its environment, its configuration file, entries of the endpoint list.
+//! The configuration file that the platform gives a courier, and the endpoint list as discovery writes it.
+//!
+//! Names in the files are the platform's; where the code uses another, the field is renamed for serde.
 
 use linnetcart::EndpointStatus;
 use linnetcart_deployment_settings::DeploymentSettings;
@@ -6,32 +8,46 @@
 use serde_json::Value;
 use std::net::SocketAddr;
 
+/// The fewest file descriptors that a courier can work with.
+const MIN_FILE_DESCRIPTORS: usize = 64;
+
 /// Why a configuration cannot be used.
 #[derive(Debug, thiserror::Error)]
-pub enum Bad {
+pub enum ConfigError {
     /// It is no JSON, or a field is missing or of another type.
     #[error("{0}")]
     Json(#[from] serde_json::Error),
-    /// The settings.
+    /// The settings cannot be used.
     #[error("settings: {0}")]
     Settings(#[from] linnetcart_deployment_settings::SettingsError),
-    /// A figure has no use.
-    #[error("{0}")]
-    Figure(String),
+    /// The settings name no class of messages.
+    #[error("settings.services is empty; a courier needs a class")]
+    NoClasses,
+    /// The limits leave too little to work with.
+    #[error("limits: 64 sockets and a little disk are the least")]
+    LimitsTooLow,
 }
 
 /// The limits that the process has to keep.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 pub struct Limits {
     /// File descriptors.
-    pub sockets: usize,
-    /// Millions of bytes in the folder that lasts.
+    #[serde(rename = "sockets")]
+    pub file_descriptors: usize,
+    /// Megabytes (10^6 bytes) in the state directory.
     pub disk_mb: f64,
 }
 
-/// An entry of the endpoint list as discovery writes it.
+impl Limits {
+    /// Bytes that the journal may take.
+    pub fn disk_bytes(&self) -> u64 {
+        (self.disk_mb * 1e6) as u64
+    }
+}
+
+/// An entry of the endpoint list.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
-pub struct Entry {
+pub struct EndpointEntry {
     /// Its name, the same at every courier.
     pub name: String,
     /// Where it is reached.
@@ -43,53 +59,56 @@
     #[serde(default, rename = "type")]
     pub kind: String,
     /// Its destination.
-    pub group: u32,
+    #[serde(rename = "group")]
+    pub destination: u32,
     /// Its state.
-    pub status: Status,
+    pub status: ListedStatus,
     /// Calls a second, as the settings say.
-    #[serde(default)]
-    pub weight: f64,
+    #[serde(default, rename = "weight")]
+    pub rate: f64,
     /// Its last start, Unix time in milliseconds.
-    #[serde(default)]
-    pub since_ms: u64,
+    #[serde(default, rename = "since_ms")]
+    pub started_at_ms: u64,
 }
 
 /// State of an endpoint in the list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "lowercase")]
-pub enum Status {
+pub enum ListedStatus {
     /// In service.
     Active,
-    /// Finishes what it has.
+    /// Draining.
     Leaving,
-    /// Out of the list.
+    /// Removed.
     Left,
 }
 
-impl From<Status> for EndpointStatus {
-    fn from(status: Status) -> EndpointStatus {
+impl From<ListedStatus> for EndpointStatus {
+    fn from(status: ListedStatus) -> EndpointStatus {
         match status {
-            Status::Active => EndpointStatus::Ready,
-            Status::Leaving => EndpointStatus::Draining,
-            Status::Left => EndpointStatus::Removed,
+            ListedStatus::Active => EndpointStatus::Ready,
+            ListedStatus::Leaving => EndpointStatus::Draining,
+            ListedStatus::Left => EndpointStatus::Removed,
         }
     }
 }
 
-/// The list, or changes of it.
+/// An event of the watch on the endpoint list: the complete list, or changes of it.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize)]
-pub struct News {
-    /// Its version.
-    pub index: u64,
-    /// It is the whole list.
-    #[serde(default)]
-    pub snapshot: bool,
-    /// Entries, or changed ones.
-    pub endpoints: Vec<Entry>,
+pub struct WatchEvent {
+    /// Version of the list.
+    #[serde(rename = "index")]
+    pub version: u64,
+    /// The entries are the complete list.
+    #[serde(default, rename = "snapshot")]
+    pub complete: bool,
+    /// All entries, or those that changed.
+    #[serde(rename = "endpoints")]
+    pub entries: Vec<EndpointEntry>,
 }
 
 #[derive(Deserialize)]
-struct File {
+struct ConfigFile {
     #[serde(default)]
     name: String,
     listen: SocketAddr,
@@ -97,8 +116,8 @@
     #[serde(default)]
     seed: Value,
     limits: Limits,
-    #[serde(default)]
-    known: News,
+    #[serde(default, rename = "known")]
+    cached_list: WatchEvent,
     settings: Value,
 }
 
@@ -109,44 +128,53 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
-    /// Where discovery answers and notices go.
+    /// Where discovery answers and status notifications go.
     pub discovery: SocketAddr,
     /// For random numbers.
     pub seed: u64,
     /// The process's limits.
     pub limits: Limits,
-    /// The list as it was last had.
-    pub known: News,
-    /// What the site says of itself.
-    pub site: DeploymentSettings,
+    /// The endpoint list as it was last known.
+    pub cached_list: WatchEvent,
+    /// The settings of the deployment.
+    pub settings: DeploymentSettings,
 }
 
 impl Config {
-    /// Reads a configuration as a whole.
-    pub fn read(bytes: &[u8]) -> Result<Config, Bad> {
-        let file: File = serde_json::from_slice(bytes)?;
-        let mut site = DeploymentSettings::read(&file.settings)?;
-        if site.class_names.is_empty() {
-            return Err(Bad::Figure("settings.services is empty; a courier needs a class".into()));
+    /// Reads a configuration file; one that is wrong anywhere is not used at all.
+    pub fn read(bytes: &[u8]) -> Result<Config, ConfigError> {
+        let file: ConfigFile = serde_json::from_slice(bytes)?;
+        let mut settings = DeploymentSettings::read(&file.settings)?;
+        if settings.class_names.is_empty() {
+            return Err(ConfigError::NoClasses);
         }
-        if file.limits.sockets < 64 || file.limits.disk_mb <= 0.0 {
-            return Err(Bad::Figure("limits: 64 sockets and a little disk are the least".into()));
+        if file.limits.file_descriptors < MIN_FILE_DESCRIPTORS || file.limits.disk_mb <= 0.0 {
+            return Err(ConfigError::LimitsTooLow);
         }
         // A call on this protocol has one message.
-        site.settings.kinds.iter_mut().for_each(|k| k.max_messages_per_call = 1);
-        let seed = match &file.seed {
-            Value::Number(n) => n.as_u64().unwrap_or(0),
-            Value::String(s) => u64::from_str_radix(s, 16).unwrap_or(0),
-            _ => 0,
-        };
+        for kind in &mut settings.settings.kinds {
+            kind.max_messages_per_call = 1;
+        }
         Ok(Config {
             name: file.name,
             listen: file.listen,
             discovery: file.discovery,
-            seed,
+            seed: read_seed(&file.seed),
             limits: file.limits,
-            known: file.known,
-            site,
+            cached_list: file.cached_list,
+            settings,
         })
     }
 }
+
+/// A number, or hexadecimal digits; anything else is seed 0.
+fn read_seed(value: &Value) -> u64 {
+    match value {
+        Value::Number(number) => number.as_u64().unwrap_or(0),
+        Value::String(digits) => u64::from_str_radix(digits, 16).unwrap_or(0),
+        _ => 0,
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/platform/src/core/admission/tests.rs
@@ -0,0 +1,79 @@
+//! Decisions and the bytes of answers.
+
+use super::*;
+
+fn requester(client: ClientId) -> Requester {
+    Requester { client, persistence: Persistence::KeepAlive }
+}
+
+#[test]
+fn admission_decides_each_message_by_its_action() {
+    let mut admission = Admission::default();
+    for (message, client) in [(1, 10), (2, 20), (3, 30), (1, 11)] {
+        admission.await_decision(message, requester(client));
+    }
+    let actions = [
+        Action::Reject { message: 2, retry_after: 5 },
+        Action::Fail { message: 3 },
+        Action::WakeUp { at: 9 },
+    ];
+    let decision = |message, answer, clients: &[ClientId]| AdmissionDecision {
+        message,
+        answer,
+        requesters: clients.iter().copied().map(requester).collect(),
+    };
+    assert_eq!(
+        admission.decide(&actions),
+        [
+            decision(1, Answer::Accepted, &[10, 11]),
+            decision(2, Answer::Rejected { retry_after: 5 }, &[20]),
+            decision(3, Answer::Failed, &[30]),
+        ]
+    );
+    assert!(!admission.awaits_decision(1) && admission.decide(&actions).is_empty(), "once");
+}
+
+#[test]
+fn answer_bytes_unchanged() {
+    let text = |answer: Answer, persistence| String::from_utf8(answer.encode(persistence)).expect("text");
+    let rejected = text(Answer::Rejected { retry_after: 1_500_000_000 }, Persistence::KeepAlive);
+    assert!(rejected.starts_with("HTTP/1.1 503 ") && rejected.contains("\r\nRetry-After: 1.500\r\n"));
+    assert!(!rejected.contains("Connection: close"), "{rejected}");
+    let unsaid = text(Answer::Rejected { retry_after: 0 }, Persistence::Close);
+    assert!(!unsaid.contains("Retry-After") && unsaid.contains("\r\nConnection: close\r\n"), "{unsaid}");
+    for (answer, status) in [(Answer::Ready, 200), (Answer::Accepted, 202), (Answer::Failed, 500)] {
+        let bytes = text(answer, Persistence::KeepAlive);
+        assert!(bytes.starts_with(&format!("HTTP/1.1 {status} ")) && bytes.ends_with("\r\n\r\n"), "{bytes}");
+    }
+}
+
+#[test]
+fn invalid_request_answers_unchanged() {
+    use linnetcart_http::RequestError as HttpError;
+    for (error, status, body) in [
+        (RequestError::Malformed(HttpError::Unreadable), 400, "the head cannot be read as HTTP/1.1\n"),
+        (
+            RequestError::Malformed(HttpError::Encoded),
+            411,
+            "send the body with a Content-Length and no Transfer-Encoding\n",
+        ),
+        (RequestError::Pipelined, 400, "one request at a time\n"),
+        (RequestError::TimedOut, 408, "the request did not come in time\n"),
+        (RequestError::DuplicateField, 400, "a field stands there twice\n"),
+        (RequestError::UnknownClass, 404, "there is no such class\n"),
+        (RequestError::MethodNotAllowed, 405, "hand messages in with POST\n"),
+        (RequestError::InvalidId, 400, "X-Txn is missing or cannot be used\n"),
+        (RequestError::InvalidIdempotencyKey, 400, "Idempotency-Key cannot be used\n"),
+        (RequestError::MissingIdempotencyKey, 400, "this class wants an Idempotency-Key\n"),
+        (RequestError::InvalidDestination, 400, "X-Route-To is `dest=` and a number\n"),
+        (RequestError::InvalidTimeRemaining, 400, "X-Remaining-Ms is a whole number\n"),
+        (RequestError::UnknownDestination, 404, "there is no such destination\n"),
+        (RequestError::IdOfCompletedMessage, 409, "this id was another message's\n"),
+        (RequestError::IdInUse, 409, "this id is in use\n"),
+    ] {
+        let bytes = Answer::Invalid(error).encode(Persistence::Close);
+        let answer = String::from_utf8(bytes).expect("text");
+        assert!(answer.starts_with(&format!("HTTP/1.1 {status} ")), "{answer}");
+        assert!(answer.ends_with(&format!("\r\n\r\n{body}")), "{answer}");
+    }
+}
--- /dev/null
+++ b/crates/platform/src/core/connection_pool/response.rs
@@ -0,0 +1,70 @@
+//! What an endpoint's answer means, as the protocol's table has it.
+
+use super::LoadReport;
+use crate::core::clock::MILLISECOND;
+use linnetcart::{AttemptOutcome, Time};
+use linnetcart_deployment_settings::{DeploymentSettings, CAPACITY_LEFT_FIELD, RATE_LIMIT_FIELD};
+use linnetcart_http::{parse_decimal, ResponseHead};
+
+/// The meaning of an answer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Interpretation {
+    /// The outcome of the attempt.
+    pub outcome: AttemptOutcome,
+    /// The endpoint says that the message is completed.
+    pub message_completed: bool,
+}
+
+/// The meaning of an answer. One without an end, and without success, cannot be checked and is an error.
+pub fn interpret(head: &ResponseHead) -> Interpretation {
+    if head.body.is_none() && head.status != 200 {
+        return Interpretation { outcome: AttemptOutcome::Error, message_completed: false };
+    }
+    outcome_of_status(head)
+}
+
+/// The meaning of an answer by its status.
+pub fn outcome_of_status(head: &ResponseHead) -> Interpretation {
+    let is_full = head.field("x-egress-full") == Some(b"1");
+    let outcome = match head.status {
+        200 => AttemptOutcome::Served,
+        429 => AttemptOutcome::Rejected { retry_after: retry_after(head) },
+        503 if is_full => AttemptOutcome::NotSent { no_capacity: true },
+        503 => AttemptOutcome::Rejected { retry_after: retry_after(head) },
+        504 | 410 => AttemptOutcome::NotSent { no_capacity: false },
+        _ => AttemptOutcome::Error,
+    };
+    Interpretation { outcome, message_completed: matches!(head.status, 200 | 410) }
+}
+
+/// The outcome of an attempt whose answer cannot be read; `has_success_line`: its first line says 200.
+pub fn outcome_of_malformed(has_success_line: bool) -> AttemptOutcome {
+    if has_success_line {
+        AttemptOutcome::Served
+    } else {
+        AttemptOutcome::Error
+    }
+}
+
+fn retry_after(head: &ResponseHead) -> Time {
+    let milliseconds = head.field("x-backoff-ms").and_then(parse_decimal).unwrap_or(0);
+    milliseconds.saturating_mul(MILLISECOND)
+}
+
+/// The load report of an answer. What cannot be read is not there.
+pub fn load_report(head: &ResponseHead, settings: &DeploymentSettings) -> LoadReport {
+    let text = head.field("x-pressure").and_then(|value| std::str::from_utf8(value).ok()).unwrap_or("");
+    LoadReport {
+        capacity_left: load_value(text, CAPACITY_LEFT_FIELD, settings),
+        rate_limit: load_value(text, RATE_LIMIT_FIELD, settings),
+    }
+}
+
+/// A figure of a load report, if the settings name it and it is a usable number.
+fn load_value(text: &str, name: &str, settings: &DeploymentSettings) -> Option<f64> {
+    settings.load_report_index(name)?;
+    let mut pairs = text.split(',').map(str::trim).filter_map(|pair| pair.split_once('='));
+    let (_, value) = pairs.find(|(key, _)| *key == name)?;
+    let number: f64 = value.parse().ok()?;
+    (number.is_finite() && number >= 0.0).then_some(number)
+}
--- /dev/null
+++ b/crates/platform/src/core/deduplication.rs
@@ -0,0 +1,68 @@
+//! The deduplication cache: ids of completed messages until their deadline.
+//!
+//! It recognises a message that is submitted once more. What becomes of it is decided elsewhere.
+
+use super::in_flight::IdMatch;
+use crate::records::{digest, CompletedId, Message};
+use linnetcart::Time;
+use std::collections::{BTreeSet, HashMap};
+
+/// Part of the journal's capacity that completed ids may take, and bytes that one takes there.
+const CAPACITY_DIVISOR: u64 = 20;
+const BYTES_PER_ID: u64 = 40;
+
+/// The cache. Times are the wall clock's.
+#[derive(Debug)]
+pub struct DeduplicationCache {
+    capacity: usize,
+    by_id: HashMap<u64, CompletedId>,
+    by_expiry: BTreeSet<(Time, u64)>,
+}
+
+impl DeduplicationCache {
+    /// A cache whose ids take a bounded part of the journal.
+    pub fn new(journal_capacity_bytes: u64) -> DeduplicationCache {
+        DeduplicationCache {
+            capacity: (journal_capacity_bytes / CAPACITY_DIVISOR / BYTES_PER_ID) as usize,
+            by_id: HashMap::new(),
+            by_expiry: BTreeSet::new(),
+        }
+    }
+
+    /// Keeps an id until its expiry. Of too many, those that expire first are dropped.
+    pub fn insert(&mut self, completed: CompletedId, wall_now: Time) {
+        while let Some(&(expires_at, id_digest)) = self.by_expiry.first() {
+            if expires_at > wall_now && self.by_expiry.len() < self.capacity {
+                break;
+            }
+            self.by_expiry.remove(&(expires_at, id_digest));
+            self.by_id.remove(&id_digest);
+        }
+        if completed.expires_at <= wall_now || self.capacity == 0 {
+            return;
+        }
+        if let Some(before) = self.by_id.insert(completed.id_digest, completed) {
+            self.by_expiry.remove(&(before.expires_at, before.id_digest));
+        }
+        self.by_expiry.insert((completed.expires_at, completed.id_digest));
+    }
+
+    /// The completed message that has this message's id. Its deadline is counted anew when it is submitted again;
+    /// all else has to be the same.
+    pub fn find(&self, message: &Message) -> Option<IdMatch> {
+        let completed = self.by_id.get(&digest(&[&message.id]))?;
+        if completed.content_digest == message.completed_id().content_digest {
+            Some(IdMatch::SameMessage)
+        } else {
+            Some(IdMatch::OtherMessage)
+        }
+    }
+
+    /// All ids, those that expire first in front.
+    pub fn iter(&self) -> impl Iterator<Item = CompletedId> + '_ {
+        self.by_expiry.iter().filter_map(|(_, id_digest)| self.by_id.get(id_digest).copied())
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/platform/src/core/deduplication/tests.rs
@@ -0,0 +1,59 @@
+//! Which ids are kept.
+
+use super::*;
+
+fn completed(id_digest: u64, expires_at: Time) -> CompletedId {
+    CompletedId { id_digest, content_digest: 0, expires_at }
+}
+
+fn ids(cache: &DeduplicationCache) -> Vec<u64> {
+    cache.iter().map(|completed| completed.id_digest).collect()
+}
+
+/// A cache of so many ids.
+fn cache_of(capacity: u64) -> DeduplicationCache {
+    DeduplicationCache::new(capacity * CAPACITY_DIVISOR * BYTES_PER_ID)
+}
+
+#[test]
+fn deduplication_over_capacity_drops_first_to_expire() {
+    let mut cache = cache_of(2);
+    for (id_digest, expires_at) in [(1, 30), (2, 20), (3, 40)] {
+        cache.insert(completed(id_digest, expires_at), 0);
+    }
+    assert_eq!(ids(&cache), [1, 3]);
+}
+
+#[test]
+fn deduplication_expired_id_dropped() {
+    let mut cache = cache_of(9);
+    cache.insert(completed(1, 30), 0);
+    cache.insert(completed(2, 30), 30);
+    assert_eq!(ids(&cache), Vec::<u64>::new());
+}
+
+#[test]
+fn deduplication_same_id_again_replaces_expiry() {
+    let mut cache = cache_of(9);
+    cache.insert(completed(1, 30), 0);
+    cache.insert(completed(1, 50), 0);
+    assert_eq!(cache.iter().collect::<Vec<_>>(), [completed(1, 50)]);
+}
+
+#[test]
+fn deduplication_same_content_told_from_other() {
+    let message = |deadline, body: &[u8]| Message {
+        id: b"id".to_vec(),
+        idempotency_key: None,
+        class: 0,
+        destination: 1,
+        ordering_key: 0,
+        deadline,
+        body: body.to_vec(),
+    };
+    let mut cache = cache_of(9);
+    cache.insert(message(10, b"a").completed_id(), 0);
+    assert_eq!(cache.find(&message(99, b"a")), Some(IdMatch::SameMessage), "its deadline does not count");
+    assert_eq!(cache.find(&message(10, b"b")), Some(IdMatch::OtherMessage));
+    assert_eq!(cache.find(&Message { id: b"other".to_vec(), ..message(10, b"a") }), None);
+}
--- /dev/null
+++ b/crates/platform/src/core/delivery.rs
@@ -0,0 +1,279 @@
+//! From a decision to the end of an attempt, and from there to the final outcome of its message.
+//!
+//! Only an iteration starts attempts, after its decision, never the input that made it possible: a connection that
+//! was connected, a notification that was acknowledged. What came beside it may be a Retry-After, a drain, a move or
+//! the message's outcome.
+
+use super::attempts::{AttemptId, InFlightAttempt};
+use super::clock::MILLISECOND;
+use super::connection_pool::{Acquired, Cancelled, ConnectionId, FinishedAttempt};
+use super::counters::RecoveryCounts;
+use super::effects::{CoreEvent, Output};
+use super::{upstream_request, Core, JournalState};
+use crate::records::{FinalOutcome, Record, SentAttempt};
+use linnetcart::{Action, AttemptOutcome, AttemptResult, Event, Time};
+use std::net::SocketAddr;
+
+/// Where an attempt is sent, as the endpoint list has it at that moment.
+struct Target {
+    address: SocketAddr,
+    zone: u8,
+}
+
+/// Whether the message of an attempt has its final outcome.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum MessageState {
+    InFlight,
+    Completed,
+}
+
+impl Core {
+    /// Carries out an action of the decision library.
+    pub(super) fn execute(&mut self, action: Action) {
+        match action {
+            Action::Send { message, endpoint, until } => self.begin_attempt(message, endpoint, until),
+            Action::Cancel { message, attempt } => {
+                let id = AttemptId { message, number: attempt };
+                self.cancel_attempt(id, AttemptOutcome::Cancelled);
+            }
+            Action::Reject { message, retry_after } => {
+                let retry_after_ms = (retry_after / MILLISECOND) as u32;
+                self.complete_undelivered(message, FinalOutcome::Returned { retry_after_ms });
+            }
+            Action::Fail { message } => self.complete_undelivered(message, FinalOutcome::Failed),
+            Action::CloseIdle { endpoint } => self.pool.close_idle(endpoint),
+            Action::WakeUp { at } => self.decisions.wake_at(at),
+            Action::LimitChanged(change) => self.effects.event(CoreEvent::LimitChanged(change)),
+            // The watch is always there; health checks and gossip are off on this platform.
+            Action::WatchEndpoints | Action::HealthCheck { .. } | Action::Gossip { .. } => {}
+        }
+    }
+
+    /// Begins an attempt that was decided on; `until` 0: until the message's deadline.
+    fn begin_attempt(&mut self, message: u32, endpoint: u32, until: Time) {
+        let Some(attempt) = self.in_flight.begin_attempt(message) else { return };
+        let deadline =
+            if until == 0 { attempt.message_deadline } else { until.min(attempt.message_deadline) };
+        self.attempts.add(attempt.id, endpoint, self.clock.now(), deadline);
+        self.start_attempt(attempt.id);
+    }
+
+    /// Starts what had to wait for a connection, an acknowledgement or a cooldown.
+    pub(super) fn start_ready_attempts(&mut self) {
+        for connection in self.pool.take_connected() {
+            if let Some(attempt) = self.pool.attempt_of(connection) {
+                self.send_attempt(attempt, connection);
+            }
+        }
+        for attempt in self.attempts.blocked() {
+            self.start_attempt(attempt);
+        }
+    }
+
+    /// Gets an attempt a connection, unless its ordering key waits for the acknowledgement on another message, or
+    /// cools down and this is the message's first attempt.
+    fn start_attempt(&mut self, id: AttemptId) {
+        let Some(attempt) = self.attempts.get(id) else { return };
+        let Some(message) = self.in_flight.get(id.message) else { return };
+        let ordering_key = message.message().ordering_key;
+        if self.notifier.blocks(ordering_key, id.message) {
+            return;
+        }
+        let cooldowns = &self.attempts.key_cooldowns;
+        if id.number == 0 && cooldowns.is_cooling_down(ordering_key, self.clock.now()) {
+            return;
+        }
+        let endpoint = attempt.endpoint;
+        self.attempts.start(id);
+        let Some(address) = self.discovery.endpoints().ready(endpoint).map(|ready| ready.address) else {
+            return self.finish_attempt(FinishedAttempt::new(id, AttemptOutcome::NoConnection));
+        };
+        match self.pool.acquire(id, endpoint, address, self.clock.now()) {
+            Acquired::Idle(connection) => self.send_attempt(id, connection),
+            Acquired::Connecting(connection) => {
+                self.counters.connects += 1;
+                self.effects.output(Output::Connect(connection, address));
+            }
+            Acquired::Exhausted => {
+                let outcome = AttemptOutcome::NotSent { no_capacity: true };
+                self.finish_attempt(FinishedAttempt::new(id, outcome));
+            }
+        }
+    }
+
+    /// The connection of an attempt is there: the attempt is sent on it, if it still may be.
+    fn send_attempt(&mut self, id: AttemptId, connection: ConnectionId) {
+        let Some(attempt) = self.attempts.get(id) else { return };
+        let endpoint = attempt.endpoint;
+        let deadline = attempt.deadline;
+        let Some(message) = self.in_flight.get(id.message) else { return };
+        let message_id = message.message().id_text().into_owned();
+        let Some(target) = self.target_of(endpoint, connection) else {
+            self.pool.cancel(id, self.clock.now());
+            return self.finish_attempt(FinishedAttempt::new(id, AttemptOutcome::NoConnection));
+        };
+        if self.decisions.retry_after_pending(self.clock.now(), endpoint) {
+            self.pool.release_unused(id, self.clock.now());
+            self.effects.event(CoreEvent::AttemptWithheld { endpoint, message: message_id });
+            let outcome = AttemptOutcome::NotSent { no_capacity: false };
+            return self.finish_attempt(FinishedAttempt::new(id, outcome));
+        }
+        tracing::debug!(id = message_id, attempt = id.number, endpoint, "attempt sent");
+        let time_remaining = deadline.saturating_sub(self.clock.now());
+        let bytes = upstream_request::encode(message.message(), target.address, time_remaining);
+        let sent = SentAttempt { number: id.number, zone: target.zone, sent_at: self.clock.wall_now() };
+        self.in_flight.attempt_sent(id.message, sent);
+        self.effects.record(Record::AttemptSent { message: id.message, attempt: sent });
+        self.counters.attempts_sent += 1;
+        self.pool.sent(connection, bytes.len());
+        self.effects.output(Output::SendUpstream(connection, bytes.into()));
+        let recovery = self.recovery.attempted(id.message);
+        self.report_recovery(recovery);
+    }
+
+    /// Where an attempt may be sent on a connection. `None`: the endpoint drains, was removed or has moved since
+    /// the connection was begun, or nothing can be recorded.
+    fn target_of(&self, endpoint: u32, connection: ConnectionId) -> Option<Target> {
+        let ready = self.discovery.endpoints().ready(endpoint)?;
+        let leads_there = self.pool.address(connection) == Some(ready.address);
+        if self.journal == JournalState::Unwritable || !leads_there {
+            return None;
+        }
+        Some(Target { address: ready.address, zone: ready.zone })
+    }
+
+    fn report_recovery(&mut self, finished: Option<RecoveryCounts>) {
+        if let Some(counts) = finished {
+            self.effects.event(CoreEvent::RecoveryFinished(counts));
+        }
+    }
+
+    /// Cancels an attempt, with this outcome if it may be executed.
+    pub(super) fn cancel_attempt(&mut self, id: AttemptId, outcome: AttemptOutcome) {
+        if self.attempts.get(id).is_none() {
+            return;
+        }
+        let outcome = match self.pool.cancel(id, self.clock.now()) {
+            Cancelled::Abandoned => outcome,
+            Cancelled::Unsent => AttemptOutcome::NotSent { no_capacity: false },
+        };
+        self.finish_attempt(FinishedAttempt::new(id, outcome));
+    }
+
+    /// An attempt ended, or an abandoned one was answered.
+    pub(super) fn finish_attempt(&mut self, finished: FinishedAttempt) {
+        if let Some(endpoint) = finished.abandoned_at {
+            return self.late_answer(&finished, endpoint);
+        }
+        let id = finished.id;
+        let Some(attempt) = self.attempts.remove(id) else { return };
+        self.counters.outcomes.count(finished.outcome);
+        let Some(message) = self.in_flight.get(id.message) else { return };
+        let (message_id, outcome) = (message.message().id_text(), finished.outcome);
+        tracing::debug!(id = %message_id, attempt = id.number, ?outcome, "attempt finished");
+        let Some(effect) = self.in_flight.finish_attempt(id, outcome) else { return };
+        if effect.retracts_sent {
+            self.effects.record(Record::NotExecuted { message: id.message, attempt: id.number });
+        }
+        if may_still_execute(outcome) {
+            self.start_key_cooldown(effect.ordering_key);
+        }
+        let delivered = outcome == AttemptOutcome::Served || finished.message_completed;
+        let state = if effect.was_completed || delivered {
+            self.complete_delivered(id.message);
+            MessageState::Completed
+        } else {
+            MessageState::InFlight
+        };
+        self.report_result(&finished, &attempt, state);
+        self.settle(id.message);
+    }
+
+    /// An abandoned attempt was answered. One that was served completes its message, and what else is out for it is
+    /// cancelled; any other answer counts for the endpoint's limit alone.
+    fn late_answer(&mut self, finished: &FinishedAttempt, endpoint: u32) {
+        let message = finished.id.message;
+        if finished.outcome != AttemptOutcome::Served {
+            let now = self.clock.now();
+            let attempt = InFlightAttempt::ended_at(endpoint, now);
+            return self.report_result(finished, &attempt, MessageState::InFlight);
+        }
+        if self.complete_delivered(message) {
+            tracing::debug!(number = message, "message delivered by an abandoned attempt");
+            self.decisions.push(Event::ClientCancelled { message });
+            self.settle(message);
+        }
+    }
+
+    /// Tells the decision library of an attempt's end.
+    fn report_result(&mut self, finished: &FinishedAttempt, attempt: &InFlightAttempt, state: MessageState) {
+        self.decisions.push(Event::AttemptFinished(AttemptResult {
+            message: finished.id.message,
+            attempt: finished.id.number,
+            endpoint: attempt.endpoint,
+            outcome: finished.outcome,
+            elapsed: self.clock.now() - attempt.started_at,
+            completed: state == MessageState::Completed,
+            capacity_left: finished.load.capacity_left,
+            rate_limit: finished.load.rate_limit,
+        }));
+    }
+
+    /// An attempt for an ordering key ended and may still be executing.
+    pub(super) fn start_key_cooldown(&mut self, ordering_key: u64) {
+        if let Some(until) = self.attempts.key_cooldowns.start(ordering_key, self.clock.now()) {
+            let until = self.clock.to_wall(until);
+            self.effects.record(Record::KeyCooldown { ordering_key, until });
+        }
+    }
+
+    /// A message is delivered, unless it had its final outcome before. An answer that comes as its deadline passes,
+    /// by the whole milliseconds that the endpoint was told, may count for nothing: it fails all the same.
+    fn complete_delivered(&mut self, number: u32) -> bool {
+        let Some(message) = self.in_flight.get(number).filter(|message| message.is_open()) else {
+            return false;
+        };
+        if message.deadline < self.clock.now() + MILLISECOND {
+            self.complete_undelivered(number, FinalOutcome::Failed);
+            return true;
+        }
+        self.in_flight.complete(number, FinalOutcome::Delivered);
+        self.effects.record(Record::Completed { message: number, outcome: FinalOutcome::Delivered });
+        true
+    }
+
+    /// A message is completed undelivered, unless it had its final outcome before: the platform is notified.
+    pub(super) fn complete_undelivered(&mut self, number: u32, outcome: FinalOutcome) {
+        if !self.in_flight.complete(number, outcome) {
+            return;
+        }
+        let Some(completed) = self.in_flight.get(number) else { return };
+        let message = completed.message();
+        tracing::debug!(id = %message.id_text(), ?outcome, "message completed");
+        self.effects.record(Record::Completed { message: number, outcome });
+        self.notifier.push(number, message, outcome);
+        let recovery = self.recovery.given_up(number);
+        self.report_recovery(recovery);
+    }
+
+    /// The platform acknowledged the notification of a message's outcome.
+    pub(super) fn acknowledge(&mut self, number: u32) {
+        let Some(ordering_key) = self.in_flight.acknowledge(number) else { return };
+        tracing::debug!(number, "notification acknowledged");
+        self.effects.record(Record::Notified { message: number });
+        self.notifier.release(ordering_key, number);
+        self.settle(number);
+    }
+
+    /// Forgets a message of which nothing is owed or out; its id is known until its deadline unless it was returned.
+    fn settle(&mut self, number: u32) {
+        let Some(settled) = self.in_flight.take_settled(number) else { return };
+        if !settled.is_returned() {
+            self.deduplication.insert(settled.message().completed_id(), self.clock.wall_now());
+        }
+    }
+}
+
+fn may_still_execute(outcome: AttemptOutcome) -> bool {
+    matches!(outcome, AttemptOutcome::TimedOut | AttemptOutcome::Reset | AttemptOutcome::Cancelled)
+}
--- /dev/null
+++ b/crates/platform/src/core/in_flight.rs
@@ -0,0 +1,265 @@
+//! The in-flight table: messages that are accepted, or await that decision, and are not finally done with.
+//!
+//! It owns each message's state, its attempts' numbers and the bytes that all of them take in the journal. It reads
+//! no clock.
+
+use super::attempts::AttemptId;
+use crate::records::{FinalOutcome, Message, PendingMessage, SentAttempt};
+use linnetcart::{AttemptOutcome, Time};
+use std::collections::{BTreeMap, HashMap};
+
+/// Part of the journal's capacity that messages in flight may take: the old file, the new one and growth need the
+/// rest.
+const CAPACITY_DIVISOR: u64 = 5;
+/// Bytes of a message's records beside its id, key and body: its attempts and its completion.
+const RECORD_OVERHEAD_BYTES: usize = 512;
+
+/// What a message that has the same id as another one is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum IdMatch {
+    /// The same message once more.
+    SameMessage,
+    /// Another message.
+    OtherMessage,
+}
+
+/// Whether a message has its final outcome.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Completion {
+    /// It has none.
+    Open,
+    /// It is returned: its sender may submit it anew.
+    Returned,
+    /// It is delivered or failed.
+    Final,
+}
+
+impl From<FinalOutcome> for Completion {
+    fn from(outcome: FinalOutcome) -> Completion {
+        match outcome {
+            FinalOutcome::Returned { .. } => Completion::Returned,
+            FinalOutcome::Delivered | FinalOutcome::Failed => Completion::Final,
+        }
+    }
+}
+
+/// A message in flight: without its final outcome, with attempts out, or with an outcome that the platform has not
+/// acknowledged.
+#[derive(Debug)]
+pub struct InFlightMessage {
+    /// What the journal has of it.
+    pub pending: PendingMessage,
+    /// When its time is up.
+    pub deadline: Time,
+    size_bytes: u64,
+    live_attempts: u16,
+    completion: Completion,
+}
+
+impl InFlightMessage {
+    /// The message.
+    pub fn message(&self) -> &Message {
+        &self.pending.message
+    }
+
+    /// Whether it has no final outcome.
+    pub fn is_open(&self) -> bool {
+        self.completion == Completion::Open
+    }
+
+    /// Whether its sender may submit it anew.
+    pub fn is_returned(&self) -> bool {
+        self.completion == Completion::Returned
+    }
+
+    /// Nothing is owed for it, and nothing is out.
+    fn is_settled(&self) -> bool {
+        let acknowledged = self.pending.outcome == Some(FinalOutcome::Delivered);
+        !self.is_open() && self.live_attempts == 0 && acknowledged
+    }
+}
+
+/// The next attempt of a message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NewAttempt {
+    /// The attempt.
+    pub id: AttemptId,
+    /// The message's deadline.
+    pub message_deadline: Time,
+}
+
+/// What the end of an attempt means for its message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AttemptEffect {
+    /// The message's ordering key.
+    pub ordering_key: u64,
+    /// The message had its final outcome before.
+    pub was_completed: bool,
+    /// The attempt was recorded as sent, and is known now not to have been executed.
+    pub retracts_sent: bool,
+}
+
+/// The table.
+#[derive(Debug)]
+pub struct InFlightTable {
+    messages: BTreeMap<u32, InFlightMessage>,
+    /// Messages without a final outcome by id.
+    open_ids: HashMap<Vec<u8>, u32>,
+    size_bytes: u64,
+    max_size_bytes: u64,
+    next_number: u32,
+}
+
+impl InFlightTable {
+    /// A table whose messages take a bounded part of the journal, and get numbers from `next_number` on.
+    pub fn new(journal_capacity_bytes: u64, next_number: u32) -> InFlightTable {
+        InFlightTable {
+            messages: BTreeMap::new(),
+            open_ids: HashMap::new(),
+            size_bytes: 0,
+            max_size_bytes: journal_capacity_bytes / CAPACITY_DIVISOR,
+            next_number,
+        }
+    }
+
+    /// How many there are.
+    pub fn len(&self) -> usize {
+        self.messages.len()
+    }
+
+    /// How many have no final outcome.
+    pub fn open_len(&self) -> usize {
+        self.open_ids.len()
+    }
+
+    /// Whether a message fits into its part of the journal.
+    pub fn has_capacity_for(&self, message: &Message) -> bool {
+        self.size_bytes + stored_size(message) <= self.max_size_bytes
+    }
+
+    /// A message.
+    pub fn get(&self, number: u32) -> Option<&InFlightMessage> {
+        self.messages.get(&number)
+    }
+
+    /// All messages in the order of their numbers.
+    pub fn iter(&self) -> impl Iterator<Item = (u32, &InFlightMessage)> {
+        self.messages.iter().map(|(&number, message)| (number, message))
+    }
+
+    /// The number of the message without a final outcome that has this id, and whether it is this message.
+    pub fn find(&self, message: &Message) -> Option<(u32, IdMatch)> {
+        let number = *self.open_ids.get(&message.id)?;
+        let is_same = self.messages.get(&number).is_some_and(|held| same_content(held.message(), message));
+        Some((number, if is_same { IdMatch::SameMessage } else { IdMatch::OtherMessage }))
+    }
+
+    /// A number that no message in flight has.
+    pub fn allocate_number(&mut self) -> u32 {
+        let mut number = self.next_number;
+        while self.messages.contains_key(&number) {
+            number = number.wrapping_add(1);
+        }
+        self.next_number = number.wrapping_add(1);
+        number
+    }
+
+    /// Adds a message.
+    pub fn insert(&mut self, number: u32, pending: PendingMessage, deadline: Time) {
+        let size_bytes = stored_size(&pending.message);
+        self.size_bytes += size_bytes;
+        if pending.outcome.is_none() {
+            self.open_ids.insert(pending.message.id.clone(), number);
+        }
+        let completion = pending.outcome.map_or(Completion::Open, Completion::from);
+        let message = InFlightMessage { pending, deadline, size_bytes, live_attempts: 0, completion };
+        self.messages.insert(number, message);
+    }
+
+    /// Counts a new attempt of a message.
+    pub fn begin_attempt(&mut self, number: u32) -> Option<NewAttempt> {
+        let message = self.messages.get_mut(&number)?;
+        let id = AttemptId { message: number, number: message.pending.attempts };
+        message.pending.attempts += 1;
+        message.live_attempts += 1;
+        Some(NewAttempt { id, message_deadline: message.deadline })
+    }
+
+    /// An attempt is sent: from here on it is possibly executed.
+    pub fn attempt_sent(&mut self, number: u32, attempt: SentAttempt) {
+        if let Some(message) = self.messages.get_mut(&number) {
+            message.pending.possibly_executed.push(attempt);
+        }
+    }
+
+    /// An attempt ended.
+    pub fn finish_attempt(&mut self, id: AttemptId, outcome: AttemptOutcome) -> Option<AttemptEffect> {
+        let message = self.messages.get_mut(&id.message)?;
+        message.live_attempts -= 1;
+        let sent = &mut message.pending.possibly_executed;
+        let retracts_sent = outcome.not_executed() && sent.iter().any(|attempt| attempt.number == id.number);
+        if retracts_sent {
+            sent.retain(|attempt| attempt.number != id.number);
+        }
+        Some(AttemptEffect {
+            ordering_key: message.message().ordering_key,
+            was_completed: !message.is_open(),
+            retracts_sent,
+        })
+    }
+
+    /// Gives a message its final outcome. False: it had one before.
+    pub fn complete(&mut self, number: u32, outcome: FinalOutcome) -> bool {
+        let Some(message) = self.messages.get_mut(&number) else { return false };
+        if !message.is_open() {
+            return false;
+        }
+        message.completion = Completion::from(outcome);
+        message.pending.outcome = Some(outcome);
+        self.open_ids.remove(&message.pending.message.id);
+        true
+    }
+
+    /// The platform acknowledged a message's outcome: its ordering key. `None`: there is no such message.
+    pub fn acknowledge(&mut self, number: u32) -> Option<u64> {
+        let message = self.messages.get_mut(&number)?;
+        message.pending.outcome = Some(FinalOutcome::Delivered);
+        Some(message.message().ordering_key)
+    }
+
+    /// Takes a message of which nothing is owed or out.
+    pub fn take_settled(&mut self, number: u32) -> Option<InFlightMessage> {
+        if self.messages.get(&number)?.is_settled() {
+            self.remove(number)
+        } else {
+            None
+        }
+    }
+
+    /// Removes a message.
+    pub fn remove(&mut self, number: u32) -> Option<InFlightMessage> {
+        let message = self.messages.remove(&number)?;
+        self.size_bytes -= message.size_bytes;
+        if self.open_ids.get(&message.pending.message.id) == Some(&number) {
+            self.open_ids.remove(&message.pending.message.id);
+        }
+        Some(message)
+    }
+}
+
+/// Whether two messages are the same but for their deadlines.
+fn same_content(one: &Message, other: &Message) -> bool {
+    one.class == other.class
+        && one.destination == other.destination
+        && one.ordering_key == other.ordering_key
+        && one.body == other.body
+}
+
+/// Bytes that a message takes in the journal.
+fn stored_size(message: &Message) -> u64 {
+    let key_length = message.idempotency_key.as_ref().map_or(0, Vec::len);
+    (message.id.len() + key_length + message.body.len() + RECORD_OVERHEAD_BYTES) as u64
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/platform/src/core/in_flight/tests.rs
@@ -0,0 +1,85 @@
+//! Transitions of a message in flight.
+
+use super::*;
+
+fn message(id: &str) -> Message {
+    Message {
+        id: id.into(),
+        idempotency_key: None,
+        class: 0,
+        destination: 3,
+        ordering_key: 5,
+        deadline: 100,
+        body: b"hi".to_vec(),
+    }
+}
+
+fn table_with(numbers: &[u32]) -> InFlightTable {
+    let mut table = InFlightTable::new(1_000_000, 1);
+    for &number in numbers {
+        table.insert(number, PendingMessage::new(message(&format!("m{number}"))), 100);
+    }
+    table
+}
+
+#[test]
+fn in_flight_message_settled_once_nothing_owed_or_out() {
+    let mut table = table_with(&[1]);
+    let attempt = table.begin_attempt(1).expect("an attempt");
+    assert_eq!(attempt.id, AttemptId { message: 1, number: 0 });
+    assert!(table.complete(1, FinalOutcome::Failed) && !table.complete(1, FinalOutcome::Delivered), "once");
+    assert_eq!(table.acknowledge(1), Some(5));
+    assert!(table.take_settled(1).is_none(), "its attempt is out");
+    table.finish_attempt(attempt.id, AttemptOutcome::Cancelled);
+    assert!(table.take_settled(1).is_some());
+    assert_eq!((table.len(), table.open_len(), table.size_bytes), (0, 0, 0));
+}
+
+#[test]
+fn in_flight_attempt_retracted_only_when_sent_and_not_executed() {
+    for (sent, outcome, retracts_sent) in [
+        (true, AttemptOutcome::NoConnection, true),
+        (false, AttemptOutcome::NoConnection, false),
+        (true, AttemptOutcome::Reset, false),
+    ] {
+        let mut table = table_with(&[1]);
+        let id = table.begin_attempt(1).expect("an attempt").id;
+        if sent {
+            table.attempt_sent(1, SentAttempt { number: 0, zone: 0, sent_at: 0 });
+        }
+        let effect = table.finish_attempt(id, outcome);
+        assert_eq!(effect, Some(AttemptEffect { ordering_key: 5, was_completed: false, retracts_sent }));
+        let left = table.get(1).expect("a message").pending.possibly_executed.len();
+        assert_eq!(left, usize::from(sent && !retracts_sent));
+    }
+}
+
+#[test]
+fn in_flight_id_found_while_open() {
+    let mut table = table_with(&[1]);
+    assert_eq!(table.find(&message("m1")), Some((1, IdMatch::SameMessage)));
+    let other = Message { body: b"ho".to_vec(), ..message("m1") };
+    assert_eq!(table.find(&other), Some((1, IdMatch::OtherMessage)));
+    assert_eq!(table.find(&message("m2")), None);
+    table.complete(1, FinalOutcome::Returned { retry_after_ms: 0 });
+    assert_eq!(table.find(&message("m1")), None, "it may be submitted anew");
+    assert!(table.get(1).is_some_and(InFlightMessage::is_returned));
+}
+
+#[test]
+fn in_flight_number_in_use_passed_over() {
+    let mut table = table_with(&[1, 2]);
+    assert_eq!((table.allocate_number(), table.allocate_number()), (3, 4));
+}
+
+#[test]
+fn in_flight_bytes_bounded_by_part_of_journal() {
+    let size = stored_size(&message("m1"));
+    let mut table = InFlightTable::new(2 * size * CAPACITY_DIVISOR, 1);
+    table.insert(1, PendingMessage::new(message("m1")), 100);
+    assert!(table.has_capacity_for(&message("m2")));
+    table.insert(2, PendingMessage::new(message("m2")), 100);
+    assert!(!table.has_capacity_for(&message("m3")));
+    table.remove(1);
+    assert!(table.has_capacity_for(&message("m3")));
+}
--- /dev/null
+++ b/crates/platform/src/core/recovery.rs
@@ -0,0 +1,152 @@
+//! Recovery: from the journal's records to state, and from state to the records of a new file.
+//!
+//! It also keeps account of the messages that an earlier process left, until each untried one was sent or given up.
+
+use super::clock::Clock;
+use super::counters::RecoveryCounts;
+use super::effects::CoreEvent;
+use super::in_flight::InFlightMessage;
+use super::Core;
+use crate::records::{FinalOutcome, PendingMessage, Record, Replay};
+use linnetcart::{AcceptedMessage, Event, UnresolvedAttempt};
+use std::collections::BTreeSet;
+
+/// Messages of an earlier process.
+#[derive(Debug, Default)]
+pub struct Recovery {
+    /// Those that the decision library has not been told of.
+    undecided: Vec<u32>,
+    /// Those that were certainly never executed, and are neither sent nor completed in this process.
+    untried: BTreeSet<u32>,
+    counts: RecoveryCounts,
+}
+
+impl Recovery {
+    /// Takes account of a message.
+    fn add(&mut self, number: u32, pending: &PendingMessage) {
+        self.counts.recovered += 1;
+        if pending.outcome.is_some() {
+            return;
+        }
+        self.undecided.push(number);
+        if pending.possibly_executed.is_empty() {
+            self.counts.untried += 1;
+            self.untried.insert(number);
+        }
+    }
+
+    /// Takes the messages that the decision library is to be told of.
+    pub fn take_undecided(&mut self) -> Vec<u32> {
+        std::mem::take(&mut self.undecided)
+    }
+
+    /// A message is sent. The counts where it was the last untried one.
+    pub fn attempted(&mut self, message: u32) -> Option<RecoveryCounts> {
+        if !self.untried.remove(&message) {
+            return None;
+        }
+        self.counts.attempted += 1;
+        self.untried.is_empty().then_some(self.counts)
+    }
+
+    /// A message is completed undelivered. The counts where it was the last untried one.
+    pub fn given_up(&mut self, message: u32) -> Option<RecoveryCounts> {
+        if !self.untried.remove(&message) {
+            return None;
+        }
+        self.counts.given_up += 1;
+        self.untried.is_empty().then_some(self.counts)
+    }
+
+    /// The counts.
+    pub fn counts(&self) -> RecoveryCounts {
+        self.counts
+    }
+}
+
+/// What the decision library is told of a message that an earlier process left, as it is now.
+pub fn recovered_event(number: u32, message: &InFlightMessage, clock: Clock) -> Event {
+    let mut unresolved = Vec::new();
+    for attempt in &message.pending.possibly_executed {
+        unresolved.push(UnresolvedAttempt {
+            attempt: attempt.number,
+            zone: attempt.zone,
+            age: clock.wall_now().saturating_sub(attempt.sent_at),
+        });
+    }
+    let accepted = AcceptedMessage {
+        id: number,
+        destination: message.message().destination,
+        class: message.message().class,
+        time_remaining: message.deadline.saturating_sub(clock.now()),
+        ordering_key: message.message().ordering_key,
+        tenant: 0,
+    };
+    Event::Recovered { message: accepted, attempts: message.pending.attempts, unresolved }
+}
+
+impl Core {
+    /// Takes up what the journal holds.
+    pub(super) fn restore(&mut self, replay: Replay) {
+        for completed in replay.completed {
+            self.deduplication.insert(completed, self.clock.wall_now());
+        }
+        // An endpoint may have seen the end of such an attempt only as the process died: once more from here on.
+        for (ordering_key, until) in replay.key_cooldowns {
+            if until > self.clock.wall_now() {
+                self.start_key_cooldown(ordering_key);
+            }
+        }
+        for (number, pending) in replay.pending {
+            self.restore_message(number, pending);
+        }
+    }
+
+    fn restore_message(&mut self, number: u32, mut pending: PendingMessage) {
+        let deadline = self.clock.at_wall(pending.message.deadline);
+        let class_is_unknown = usize::from(pending.message.class) >= self.settings.class_names.len()
+            && pending.outcome.is_none();
+        if class_is_unknown {
+            let message = pending.message.id_text().into_owned();
+            self.effects.event(CoreEvent::UnknownClass { message });
+            pending.outcome = Some(FinalOutcome::Failed);
+            self.effects.record(Record::Completed { message: number, outcome: FinalOutcome::Failed });
+        }
+        tracing::debug!(
+            id = %pending.message.id_text(),
+            number,
+            attempts = pending.attempts,
+            possibly_executed = pending.possibly_executed.len(),
+            outcome = ?pending.outcome,
+            time_remaining = deadline - self.clock.now(),
+            "message recovered"
+        );
+        self.recovery.add(number, &pending);
+        // What was out when its process died was reset by that, just now for all we know.
+        if !pending.possibly_executed.is_empty() {
+            self.start_key_cooldown(pending.message.ordering_key);
+        }
+        if let Some(outcome) = pending.outcome {
+            self.notifier.push(number, &pending.message, outcome);
+        }
+        self.in_flight.insert(number, pending, deadline);
+    }
+
+    /// The records that add up to the present state: all that a new file of the journal needs.
+    pub fn snapshot(&self) -> Vec<Record> {
+        let mut records = vec![Record::Names {
+            classes: self.settings.class_names.clone(),
+            zones: self.settings.zone_names.clone(),
+        }];
+        records.extend(self.deduplication.iter().map(Record::CompletedId));
+        for (ordering_key, until) in self.attempts.key_cooldowns.active(self.clock.now()) {
+            records.push(Record::KeyCooldown { ordering_key, until: self.clock.to_wall(until) });
+        }
+        for (number, message) in self.in_flight.iter() {
+            if message.pending.outcome != Some(FinalOutcome::Delivered) {
+                records.extend(message.pending.records(number));
+            }
+        }
+        records
+    }
+}
--- /dev/null
+++ b/crates/platform/src/core/request.rs
@@ -0,0 +1,177 @@
+//! From a client's request to the message that it submits, or to the error that it is answered with.
+
+use linnetcart::{Idempotency, Time};
+use linnetcart_deployment_settings::DeploymentSettings;
+use linnetcart_http::{parse_decimal, Request};
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use super::clock::MILLISECOND;
+
+/// The longest id or idempotency key.
+const MAX_NAME_BYTES: usize = 128;
+
+/// A message as a request submits it.
+#[derive(Debug, PartialEq, Eq)]
+pub struct SubmittedMessage {
+    /// Its id.
+    pub id: Vec<u8>,
+    /// Its idempotency key.
+    pub idempotency_key: Option<Vec<u8>>,
+    /// Index of its class.
+    pub class: u8,
+    /// Its destination.
+    pub destination: u32,
+    /// The key that it keeps order by; 0 for none.
+    pub ordering_key: u64,
+    /// How long it may still be delivered.
+    pub time_remaining: Time,
+}
+
+/// Why a request is no valid submission. The text is the answer's body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum RequestError {
+    /// It is no HTTP request that this server reads.
+    #[error("{0}")]
+    Malformed(linnetcart_http::RequestError),
+    /// Bytes follow a request that has no answer yet.
+    #[error("one request at a time")]
+    Pipelined,
+    /// It did not arrive completely in time.
+    #[error("the request did not come in time")]
+    TimedOut,
+    /// A field that may come once comes twice.
+    #[error("a field stands there twice")]
+    DuplicateField,
+    /// Its path names no class.
+    #[error("there is no such class")]
+    UnknownClass,
+    /// Another method than POST.
+    #[error("hand messages in with POST")]
+    MethodNotAllowed,
+    /// Its id.
+    #[error("X-Txn is missing or cannot be used")]
+    InvalidId,
+    /// Its idempotency key.
+    #[error("Idempotency-Key cannot be used")]
+    InvalidIdempotencyKey,
+    /// Its class needs an idempotency key.
+    #[error("this class wants an Idempotency-Key")]
+    MissingIdempotencyKey,
+    /// Its destination cannot be read.
+    #[error("X-Route-To is `dest=` and a number")]
+    InvalidDestination,
+    /// Its remaining time cannot be read.
+    #[error("X-Remaining-Ms is a whole number")]
+    InvalidTimeRemaining,
+    /// No endpoint ever had its destination.
+    #[error("there is no such destination")]
+    UnknownDestination,
+    /// Its id was that of another message, which is completed.
+    #[error("this id was another message's")]
+    IdOfCompletedMessage,
+    /// Its id is that of another message in flight.
+    #[error("this id is in use")]
+    IdInUse,
+}
+
+impl RequestError {
+    /// The status of the answer.
+    pub fn status(self) -> u16 {
+        match self {
+            RequestError::Malformed(error) => error.status(),
+            RequestError::UnknownClass | RequestError::UnknownDestination => 404,
+            RequestError::MethodNotAllowed => 405,
+            RequestError::TimedOut => 408,
+            RequestError::IdOfCompletedMessage | RequestError::IdInUse => 409,
+            RequestError::Pipelined
+            | RequestError::DuplicateField
+            | RequestError::InvalidId
+            | RequestError::InvalidIdempotencyKey
+            | RequestError::MissingIdempotencyKey
+            | RequestError::InvalidDestination
+            | RequestError::InvalidTimeRemaining => 400,
+        }
+    }
+}
+
+/// Reads a request that submits a message.
+pub fn parse_submission(
+    request: &Request<'_>,
+    settings: &DeploymentSettings,
+) -> Result<SubmittedMessage, RequestError> {
+    let class_index = class_of_path(request.path(), settings).ok_or(RequestError::UnknownClass)?;
+    if request.method() != b"POST" {
+        return Err(RequestError::MethodNotAllowed);
+    }
+    let class = &settings.settings.classes[class_index];
+    let id = single_field(request, "x-txn")?.and_then(valid_name).ok_or(RequestError::InvalidId)?;
+    let idempotency_key = match single_field(request, "idempotency-key")? {
+        Some(key) => Some(valid_name(key).ok_or(RequestError::InvalidIdempotencyKey)?),
+        None => None,
+    };
+    if matches!(class.idempotency, Idempotency::Keyed { .. }) && idempotency_key.is_none() {
+        return Err(RequestError::MissingIdempotencyKey);
+    }
+    let destination = single_field(request, "x-route-to")?
+        .and_then(parse_destination)
+        .ok_or(RequestError::InvalidDestination)?;
+    let remaining_ms = single_field(request, "x-remaining-ms")?
+        .and_then(parse_decimal)
+        .ok_or(RequestError::InvalidTimeRemaining)?;
+    let time_remaining = remaining_ms.saturating_mul(MILLISECOND).min(class.deadline);
+    let ordering_key = if class.ordered {
+        single_field(request, "cookie")?.and_then(subject_of_cookies).map_or(0, ordering_key_of)
+    } else {
+        0
+    };
+    Ok(SubmittedMessage {
+        id,
+        idempotency_key,
+        class: class_index as u8,
+        destination,
+        ordering_key,
+        time_remaining,
+    })
+}
+
+fn single_field<'a>(request: &'a Request<'_>, name: &'static str) -> Result<Option<&'a [u8]>, RequestError> {
+    request.field(name).map_err(|_| RequestError::DuplicateField)
+}
+
+/// The index of the class that the first part of the path names.
+fn class_of_path(path: &[u8], settings: &DeploymentSettings) -> Option<usize> {
+    let path = path.strip_prefix(b"/").unwrap_or_default();
+    let name = path.split(|&byte| byte == b'/').next().unwrap_or_default();
+    if name.is_empty() {
+        return None;
+    }
+    settings.class_names.iter().position(|class| class.as_bytes() == name)
+}
+
+fn parse_destination(value: &[u8]) -> Option<u32> {
+    let number = parse_decimal(value.strip_prefix(b"dest=")?)?;
+    u32::try_from(number).ok()
+}
+
+/// An id or key that can go into the head of an upstream request as it is.
+fn valid_name(value: &[u8]) -> Option<Vec<u8>> {
+    let length_fits = !value.is_empty() && value.len() <= MAX_NAME_BYTES;
+    (length_fits && value.iter().all(u8::is_ascii_graphic)).then(|| value.to_vec())
+}
+
+/// The cookie that names the ordering key.
+fn subject_of_cookies(cookies: &[u8]) -> Option<&[u8]> {
+    let mut pairs = cookies.split(|&byte| byte == b';').map(<[u8]>::trim_ascii);
+    let subject = pairs.find_map(|pair| pair.strip_prefix(b"subject="))?;
+    (!subject.is_empty()).then_some(subject)
+}
+
+/// The number that stands for an ordering key; never 0.
+fn ordering_key_of(subject: &[u8]) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    subject.hash(&mut hasher);
+    hasher.finish().max(1)
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/platform/src/core/intake/tests.rs
+++ b/crates/platform/src/core/request/tests.rs
@@ -1,9 +1,9 @@
 //! Requests and the messages that they hand in.
 
 use super::*;
-use linnetcart::{Class, Idempotency};
+use linnetcart::Class;
 
-fn site() -> DeploymentSettings {
+fn settings() -> DeploymentSettings {
     let class = |repeat, ordered| Class {
         latency_objective: 1,
         deadline: 5_000_000_000,
@@ -12,37 +12,38 @@
         idempotency: repeat,
         ordered,
     };
-    let mut site = DeploymentSettings {
+    let mut settings = DeploymentSettings {
         class_names: vec!["status".into(), "change".into()],
         ..DeploymentSettings::default()
     };
     let keyed = Idempotency::Keyed { dedup_window: 1, per_zone: false };
-    site.settings.classes = vec![class(Idempotency::Idempotent, false), class(keyed, true)];
-    site
+    settings.settings.classes = vec![class(Idempotency::Idempotent, false), class(keyed, true)];
+    settings
 }
 
-fn take(head: &str) -> Result<Handed, Refused> {
+fn parse(head: &str) -> Result<SubmittedMessage, RequestError> {
     let bytes = format!("{head}\r\nContent-Length: 0\r\n\r\n");
-    read(&linnetcart_http::parse_request(bytes.as_bytes()).unwrap().unwrap(), &site())
+    let request = linnetcart_http::parse_request(bytes.as_bytes()).unwrap().unwrap();
+    parse_submission(&request, &settings())
 }
 
 #[test]
-fn a_message_is_read_from_its_fields() {
+fn submission_fields_read() {
     let head = "POST /change/7 HTTP/1.1\r\nX-Txn: 9b\r\nCookie: a=b; subject=7f\r\nX-Remaining-Ms: 480\r\n\
                 Idempotency-Key: 5c\r\nX-Route-To: dest=7";
-    let h = take(head).unwrap();
-    assert_eq!((h.class, h.destination, h.left), (1, 7, 480_000_000));
-    assert_eq!((&h.id[..], h.token.as_deref()), (&b"9b"[..], Some(&b"5c"[..])));
-    assert!(h.line != 0 && h.line == take(head).unwrap().line);
-    assert_ne!(h.line, take(&head.replace("subject=7f", "subject=80")).unwrap().line);
-    assert_eq!(take(&head.replace("480", "99999999999")).unwrap().left, 5_000_000_000);
+    let message = parse(head).unwrap();
+    assert_eq!((message.class, message.destination, message.time_remaining), (1, 7, 480_000_000));
+    assert_eq!((&message.id[..], message.idempotency_key.as_deref()), (&b"9b"[..], Some(&b"5c"[..])));
+    assert!(message.ordering_key != 0 && message.ordering_key == parse(head).unwrap().ordering_key);
+    assert_ne!(message.ordering_key, parse(&head.replace("subject=7f", "subject=80")).unwrap().ordering_key);
+    assert_eq!(parse(&head.replace("480", "99999999999")).unwrap().time_remaining, 5_000_000_000);
 }
 
 #[test]
-fn what_cannot_be_used_is_refused() {
+fn submission_unusable_refused_with_status() {
     let good = "POST /status HTTP/1.1\r\nX-Txn: 9b\r\nX-Remaining-Ms: 480\r\nX-Route-To: dest=7";
-    assert!(take(good).is_ok());
-    let status = |from: &str, to: &str| take(&good.replace(from, to)).unwrap_err().0;
+    assert!(parse(good).is_ok());
+    let status = |from: &str, to: &str| parse(&good.replace(from, to)).unwrap_err().status();
     assert_eq!(status("/status", "/nothing"), 404);
     assert_eq!(status("/status", "/"), 404);
     assert_eq!(status("POST", "GET"), 405);
--- /dev/null
+++ b/crates/platform/src/core/shutdown/tests.rs
@@ -0,0 +1,67 @@
+//! Each phase begins and ends at its moment.
+
+use super::*;
+
+const SIGNAL: Time = 1_000_000 * MILLISECOND;
+
+fn signalled() -> Shutdown {
+    let mut shutdown = Shutdown::new();
+    shutdown.signal(SIGNAL);
+    shutdown
+}
+
+#[test]
+fn shutdown_without_signal_keeps_serving() {
+    let mut shutdown = Shutdown::new();
+    shutdown.advance(Time::MAX);
+    shutdown.finish(Time::MAX, OutstandingWork::None);
+    assert_eq!(shutdown.phase(), Phase::Serving);
+    assert!(!shutdown.close_listener() && !shutdown.closes_after_answer() && shutdown.allows_decisions());
+}
+
+#[test]
+fn shutdown_phases_follow_each_other_at_their_moments() {
+    let mut shutdown = signalled();
+    shutdown.advance(SIGNAL + SIGNAL_GRACE_PERIOD - 1);
+    assert_eq!(shutdown.phase(), Phase::Signalled);
+    assert!(!shutdown.close_listener() && !shutdown.closes_after_answer());
+    shutdown.advance(SIGNAL + SIGNAL_GRACE_PERIOD);
+    assert_eq!(shutdown.phase(), Phase::Leaving);
+    assert!(shutdown.closes_after_answer() && shutdown.allows_decisions());
+    assert!(shutdown.close_listener() && !shutdown.close_listener(), "once");
+    shutdown.advance(SIGNAL + LAST_DECISION_TIMEOUT - 1);
+    shutdown.finish(SIGNAL + LAST_DECISION_TIMEOUT - 1, OutstandingWork::None);
+    assert_eq!(shutdown.phase(), Phase::ClosedToClients);
+    shutdown.advance(SIGNAL + LAST_DECISION_TIMEOUT);
+    assert_eq!(shutdown.phase(), Phase::LastAnswers);
+    assert!(!shutdown.allows_decisions());
+    shutdown.finish(SIGNAL + LAST_ANSWER_TIMEOUT - 1, OutstandingWork::Some);
+    assert_eq!(shutdown.phase(), Phase::LastAnswers);
+    shutdown.finish(SIGNAL + LAST_ANSWER_TIMEOUT, OutstandingWork::Some);
+    assert_eq!(shutdown.phase(), Phase::Ended);
+}
+
+#[test]
+fn shutdown_with_nothing_outstanding_ends_early() {
+    let mut shutdown = signalled();
+    shutdown.advance(SIGNAL + LAST_DECISION_TIMEOUT);
+    shutdown.finish(SIGNAL + LAST_DECISION_TIMEOUT, OutstandingWork::None);
+    assert_eq!(shutdown.phase(), Phase::Ended);
+    shutdown.advance(SIGNAL + LAST_DECISION_TIMEOUT);
+    assert_eq!(shutdown.phase(), Phase::Ended, "and stays so");
+}
+
+#[test]
+fn shutdown_second_signal_changes_nothing() {
+    let mut shutdown = signalled();
+    shutdown.signal(SIGNAL + LAST_DECISION_TIMEOUT);
+    assert_eq!(shutdown.phase(), Phase::LastAnswers, "counted from the first");
+}
+
+#[test]
+fn shutdown_stalled_past_last_decision_still_closes_listener() {
+    let mut shutdown = signalled();
+    shutdown.advance(SIGNAL + LAST_DECISION_TIMEOUT);
+    assert!(shutdown.close_listener());
+    assert_eq!(shutdown.phase(), Phase::LastAnswers);
+}
--- /dev/null
+++ b/crates/platform/src/core/status_notifier.rs
@@ -0,0 +1,274 @@
+//! Status notifications: the platform is told of each message that ends undelivered, until it acknowledges.
+//!
+//! It owns the queue, its connection to discovery and which ordering keys wait for an acknowledgement. It drops none
+//! silently.
+
+use super::clock::MILLISECOND;
+use super::connection_pool::ConnectionId;
+use super::counters::NotificationCounts;
+use super::reconnect::{ConnectionDemand, Reconnect};
+use crate::records::{FinalOutcome, Message};
+use linnetcart::Time;
+use linnetcart_http::{parse_response, ParsedResponse};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+
+/// A notification is answered at once; what is not by then is sent again. It goes out as its message's time ends
+/// and has to be there 300 ms later: a connection that is dead has to be found and replaced before that.
+const ANSWER_TIMEOUT: Time = 200 * MILLISECOND;
+/// Notifications in one request.
+const MAX_BATCH: usize = 64;
+
+/// The answer to notifications is none.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum NotificationError {
+    /// No HTTP.
+    #[error("the answer is no HTTP response")]
+    Malformed,
+    /// A body whose end is not known.
+    #[error("the answer with status {0} has a body of unknown length")]
+    UnboundedBody(u16),
+    /// A status that says neither accepted nor rejected.
+    #[error("the answer has status {0}")]
+    Status(u16),
+}
+
+/// What discovery said to a batch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It has them.
+    Accepted,
+    /// It will never take them.
+    Rejected,
+}
+
+/// Messages whose notifications are done with.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Acknowledged {
+    /// The messages, in the order of their notifications.
+    pub messages: Vec<u32>,
+    /// What discovery said to them.
+    pub verdict: Verdict,
+}
+
+impl Acknowledged {
+    fn nothing() -> Acknowledged {
+        Acknowledged { messages: vec![], verdict: Verdict::Accepted }
+    }
+}
+
+#[derive(Debug)]
+struct Notification {
+    message: u32,
+    line: Vec<u8>,
+}
+
+/// The notifier.
+#[derive(Debug)]
+pub struct StatusNotifier {
+    reconnect: Reconnect,
+    connection: Option<ConnectionId>,
+    /// Unacknowledged, in their order.
+    queue: VecDeque<Notification>,
+    /// So many of the first were sent.
+    sent: usize,
+    /// So many of the first may be sent together: one where a batch was rejected, to find the one at fault.
+    batch_limit: usize,
+    sent_at: Time,
+    response: Vec<u8>,
+    /// Messages with an ordering key among those of the queue.
+    unacknowledged_by_key: BTreeMap<u64, BTreeSet<u32>>,
+    counts: NotificationCounts,
+}
+
+impl StatusNotifier {
+    /// Without a notification.
+    pub fn new() -> StatusNotifier {
+        StatusNotifier {
+            reconnect: Reconnect::new(),
+            connection: None,
+            queue: VecDeque::new(),
+            sent: 0,
+            batch_limit: MAX_BATCH,
+            sent_at: 0,
+            response: vec![],
+            unacknowledged_by_key: BTreeMap::new(),
+            counts: NotificationCounts::default(),
+        }
+    }
+
+    /// Queues the notification of a message's outcome; a delivered message needs none.
+    pub fn push(&mut self, number: u32, message: &Message, outcome: FinalOutcome) {
+        let mut line = serde_json::json!({"id": message.id_text(), "state": "failed"});
+        match outcome {
+            FinalOutcome::Delivered => return,
+            FinalOutcome::Failed => self.counts.failed += 1,
+            FinalOutcome::Returned { retry_after_ms } => {
+                self.counts.returned += 1;
+                line["state"] = "returned".into();
+                if retry_after_ms > 0 {
+                    line["after_ms"] = retry_after_ms.into();
+                }
+            }
+        }
+        if message.ordering_key != 0 {
+            self.unacknowledged_by_key.entry(message.ordering_key).or_default().insert(number);
+        }
+        self.queue.push_back(Notification { message: number, line: format!("{line}\n").into_bytes() });
+    }
+
+    /// Notifications that are not acknowledged.
+    pub fn len(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Notifications queued since the start.
+    pub fn counts(&self) -> NotificationCounts {
+        self.counts
+    }
+
+    /// Whether a message has to wait for the acknowledgement of another one of its ordering key.
+    pub fn blocks(&self, ordering_key: u64, message: u32) -> bool {
+        let Some(messages) = self.unacknowledged_by_key.get(&ordering_key) else { return false };
+        messages.iter().any(|&other| other != message)
+    }
+
+    /// The message's ordering key no longer waits for it.
+    pub fn release(&mut self, ordering_key: u64, message: u32) {
+        if let Some(messages) = self.unacknowledged_by_key.get_mut(&ordering_key) {
+            messages.remove(&message);
+            if messages.is_empty() {
+                self.unacknowledged_by_key.remove(&ordering_key);
+            }
+        }
+    }
+
+    /// Whether this connection is the notifier's.
+    pub fn owns(&self, id: ConnectionId) -> bool {
+        self.connection == Some(id)
+    }
+
+    /// What is to be done about the connection now.
+    pub fn poll(&mut self, now: Time) -> ConnectionDemand {
+        let answer_timed_out =
+            self.reconnect.is_connected() && self.sent > 0 && self.sent_at + ANSWER_TIMEOUT <= now;
+        if answer_timed_out || self.reconnect.connect_timed_out(now) {
+            self.reconnect.disconnected(now);
+            self.sent = 0;
+            return ConnectionDemand::Close;
+        }
+        if !self.queue.is_empty() && self.reconnect.begin_connect(now) {
+            return ConnectionDemand::Connect;
+        }
+        ConnectionDemand::Nothing
+    }
+
+    /// When to poll again.
+    pub fn next_wake(&self) -> Time {
+        if self.queue.is_empty() {
+            return Time::MAX;
+        }
+        let answer_due = if self.sent > 0 { self.sent_at + ANSWER_TIMEOUT } else { Time::MAX };
+        self.reconnect.next_wake(answer_due)
+    }
+
+    /// The connection that was demanded is being made.
+    pub fn connecting(&mut self, id: ConnectionId) {
+        self.connection = Some(id);
+    }
+
+    /// The connection that is to be closed, if any.
+    pub fn take_connection(&mut self) -> Option<ConnectionId> {
+        self.connection.take()
+    }
+
+    /// The connection is there.
+    pub fn connected(&mut self) {
+        self.reconnect.connected();
+        self.sent = 0;
+        self.response.clear();
+    }
+
+    /// The connection was lost, or given up: what was sent is sent again.
+    pub fn disconnected(&mut self, now: Time) {
+        self.connection = None;
+        self.reconnect.disconnected(now);
+        self.sent = 0;
+    }
+
+    /// Discovery is at another address now: begins again at once. The connection that is to be closed, if any.
+    pub fn restart(&mut self) -> Option<ConnectionId> {
+        self.reconnect = Reconnect::new();
+        self.sent = 0;
+        self.connection.take()
+    }
+
+    /// The request to be sent now and its connection, if there is anything to send.
+    pub fn next_request(&mut self, now: Time, host: SocketAddr) -> Option<(ConnectionId, Vec<u8>)> {
+        let connection = self.connection?;
+        if !self.reconnect.is_connected() || self.sent > 0 || self.queue.is_empty() {
+            return None;
+        }
+        self.sent = self.queue.len().min(self.batch_limit);
+        self.sent_at = now;
+        let mut body = Vec::new();
+        for notification in self.queue.iter().take(self.sent) {
+            body.extend_from_slice(&notification.line);
+        }
+        let length = body.len();
+        let head = format!(
+            "POST /status HTTP/1.1\r\nHost: {host}\r\nContent-Type: application/x-ndjson\r\n\
+             Content-Length: {length}\r\n\r\n"
+        );
+        Some((connection, [head.as_bytes(), &body].concat()))
+    }
+
+    /// Bytes came: what is acknowledged by them. A notification that alone is rejected would be for ever, and hold
+    /// up all behind it, so it is done with. After an error the connection is to be given up.
+    pub fn receive(&mut self, bytes: &[u8]) -> Result<Acknowledged, NotificationError> {
+        self.response.extend_from_slice(bytes);
+        let head = match parse_response(&self.response) {
+            ParsedResponse::Incomplete { .. } => return Ok(Acknowledged::nothing()),
+            ParsedResponse::Malformed { .. } => return Err(NotificationError::Malformed),
+            ParsedResponse::Head(head) => head,
+        };
+        let body_length = head.body.ok_or(NotificationError::UnboundedBody(head.status))?;
+        let length = head.length + body_length;
+        if self.response.len() < length {
+            return Ok(Acknowledged::nothing());
+        }
+        self.response.drain(..length);
+        let verdict = match head.status {
+            200 | 204 if self.sent > 0 => Verdict::Accepted,
+            400 if self.sent > 0 => Verdict::Rejected,
+            status => return Err(NotificationError::Status(status)),
+        };
+        self.reconnect.reset_backoff();
+        let messages = self.finish_batch(verdict);
+        if head.last {
+            self.reconnect.retry_at(0);
+        }
+        Ok(Acknowledged { messages, verdict })
+    }
+
+    /// Takes the batch that was answered out of the queue. One of several that is rejected stays, to be sent one by
+    /// one.
+    fn finish_batch(&mut self, verdict: Verdict) -> Vec<u32> {
+        let sent = std::mem::take(&mut self.sent);
+        let done = match verdict {
+            Verdict::Accepted => {
+                self.batch_limit = (2 * self.batch_limit).min(MAX_BATCH);
+                sent
+            }
+            Verdict::Rejected if sent > 1 => {
+                self.batch_limit = 1;
+                0
+            }
+            Verdict::Rejected => sent,
+        };
+        self.queue.drain(..done).map(|notification| notification.message).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/platform/src/core/status_notifier/tests.rs
@@ -0,0 +1,107 @@
+//! Batches, acknowledgements and the ordering keys that wait for them.
+
+use super::*;
+
+const NOW: Time = 1_000 * MILLISECOND;
+const CONNECTION: ConnectionId = 9;
+const ACCEPTED: &[u8] = b"HTTP/1.1 204 No Content\r\n\r\n";
+const REJECTED: &[u8] = b"HTTP/1.1 400 No\r\nContent-Length: 0\r\n\r\n";
+
+fn host() -> SocketAddr {
+    "127.0.0.1:8500".parse().unwrap()
+}
+
+fn message(id: &str, ordering_key: u64) -> Message {
+    Message {
+        id: id.into(),
+        idempotency_key: None,
+        class: 0,
+        destination: 3,
+        ordering_key,
+        deadline: 0,
+        body: vec![],
+    }
+}
+
+/// A connected notifier with a failed message for each number.
+fn notifier_with(numbers: &[u32]) -> StatusNotifier {
+    let mut notifier = StatusNotifier::new();
+    for &number in numbers {
+        notifier.push(number, &message(&format!("m{number}"), 5), FinalOutcome::Failed);
+    }
+    assert_eq!(notifier.poll(NOW), ConnectionDemand::Connect);
+    notifier.connecting(CONNECTION);
+    notifier.connected();
+    notifier
+}
+
+fn batch_size(notifier: &mut StatusNotifier) -> usize {
+    let (_, request) = notifier.next_request(NOW, host()).expect("a request");
+    String::from_utf8(request).expect("text").matches("\"id\"").count()
+}
+
+#[test]
+fn notification_bytes_unchanged() {
+    let mut notifier = notifier_with(&[1]);
+    notifier.push(2, &message("m2", 0), FinalOutcome::Returned { retry_after_ms: 7 });
+    notifier.push(3, &message("m3", 0), FinalOutcome::Returned { retry_after_ms: 0 });
+    notifier.push(4, &message("m4", 0), FinalOutcome::Delivered);
+    let (connection, request) = notifier.next_request(NOW, host()).expect("a request");
+    assert_eq!(connection, CONNECTION);
+    let expected = "POST /status HTTP/1.1\r\nHost: 127.0.0.1:8500\r\nContent-Type: application/x-ndjson\r\n\
+                    Content-Length: 104\r\n\r\n{\"id\":\"m1\",\"state\":\"failed\"}\n\
+                    {\"after_ms\":7,\"id\":\"m2\",\"state\":\"returned\"}\n{\"id\":\"m3\",\"state\":\"returned\"}\n";
+    assert_eq!(String::from_utf8(request).expect("text"), expected);
+    assert_eq!(notifier.counts(), NotificationCounts { failed: 1, returned: 2 });
+}
+
+#[test]
+fn notification_batch_rejected_sent_one_by_one() {
+    let mut notifier = notifier_with(&[1, 2, 3]);
+    assert_eq!(batch_size(&mut notifier), 3);
+    let nothing = Acknowledged { messages: vec![], verdict: Verdict::Rejected };
+    assert_eq!(notifier.receive(REJECTED), Ok(nothing));
+    assert_eq!(batch_size(&mut notifier), 1);
+    let first = Acknowledged { messages: vec![1], verdict: Verdict::Rejected };
+    assert_eq!(notifier.receive(REJECTED), Ok(first), "alone at fault, and done with");
+    assert_eq!(batch_size(&mut notifier), 1);
+    let second = Acknowledged { messages: vec![2], verdict: Verdict::Accepted };
+    assert_eq!(notifier.receive(ACCEPTED), Ok(second));
+    assert_eq!(notifier.len(), 1);
+}
+
+#[test]
+fn notification_unanswered_in_time_sent_again() {
+    let mut notifier = notifier_with(&[1]);
+    assert_eq!(batch_size(&mut notifier), 1);
+    assert_eq!(notifier.next_wake(), NOW + ANSWER_TIMEOUT);
+    assert_eq!(notifier.poll(NOW + ANSWER_TIMEOUT - 1), ConnectionDemand::Nothing);
+    assert_eq!(notifier.poll(NOW + ANSWER_TIMEOUT), ConnectionDemand::Close);
+    assert_eq!(notifier.take_connection(), Some(CONNECTION));
+    assert_eq!(notifier.poll(notifier.next_wake()), ConnectionDemand::Connect);
+    notifier.connecting(CONNECTION + 1);
+    notifier.connected();
+    assert_eq!(batch_size(&mut notifier), 1);
+}
+
+#[test]
+fn notification_answer_that_is_none_reported() {
+    for (answer, error) in [
+        (&b"noise\r\n\r\n"[..], NotificationError::Malformed),
+        (b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", NotificationError::Status(500)),
+        (b"HTTP/1.1 200 OK\r\n\r\n", NotificationError::UnboundedBody(200)),
+    ] {
+        let mut notifier = notifier_with(&[1]);
+        batch_size(&mut notifier);
+        assert_eq!(notifier.receive(answer), Err(error));
+        assert_eq!(notifier.len(), 1, "it is still owed");
+    }
+}
+
+#[test]
+fn ordering_key_blocked_until_other_messages_released() {
+    let mut notifier = notifier_with(&[1]);
+    assert!(notifier.blocks(5, 2) && !notifier.blocks(5, 1) && !notifier.blocks(6, 2));
+    notifier.release(5, 1);
+    assert!(!notifier.blocks(5, 2));
+}
--- /dev/null
+++ b/crates/platform/src/core/submission.rs
@@ -0,0 +1,162 @@
+//! From a client's bytes to an answer: the part of an iteration that admits messages.
+
+use super::admission::{Answer, Persistence, Requester};
+use super::client_connections::{ClientId, IdlePolicy, OverdueClient, RequestEvent};
+use super::effects::Output;
+use super::in_flight::IdMatch;
+use super::request::{parse_submission, RequestError, SubmittedMessage};
+use super::{Core, JournalState};
+use crate::records::{Message, PendingMessage, Record};
+use linnetcart::{AcceptedMessage, Action, Event};
+
+impl Core {
+    /// Acts on what a client sent. A message waits for its decision.
+    pub(super) fn read_request(&mut self, client: ClientId) {
+        let request = match self.clients.request(client) {
+            RequestEvent::Incomplete => return,
+            RequestEvent::Malformed(error) => {
+                return self.refuse_request(client, RequestError::Malformed(error));
+            }
+            RequestEvent::Pipelined => return self.refuse_request(client, RequestError::Pipelined),
+            RequestEvent::Complete(request) => request,
+        };
+        let persistence = if request.last { Persistence::Close } else { Persistence::KeepAlive };
+        let requester = Requester { client, persistence };
+        if request.path() == b"/ready" && request.method() == b"GET" {
+            return self.answer(requester, Answer::Ready);
+        }
+        let body = request.body().to_vec();
+        match parse_submission(&request, &self.settings) {
+            Ok(submitted) => self.submit(requester, submitted, body),
+            Err(error) => self.refuse_request(client, error),
+        }
+    }
+
+    fn submit(&mut self, requester: Requester, submitted: SubmittedMessage, body: Vec<u8>) {
+        let client = requester.client;
+        if !self.discovery.endpoints().has_destination(submitted.destination) {
+            return self.refuse_request(client, RequestError::UnknownDestination);
+        }
+        let submitted_at = self.clients.last_byte_at(client).unwrap_or(self.clock.now());
+        let deadline = submitted_at + submitted.time_remaining;
+        let message = Message {
+            id: submitted.id,
+            idempotency_key: submitted.idempotency_key,
+            class: submitted.class,
+            destination: submitted.destination,
+            ordering_key: submitted.ordering_key,
+            deadline: self.clock.to_wall(deadline),
+            body,
+        };
+        match self.deduplication.find(&message) {
+            Some(IdMatch::SameMessage) => return self.answer(requester, Answer::Accepted),
+            Some(IdMatch::OtherMessage) => {
+                return self.refuse_request(client, RequestError::IdOfCompletedMessage);
+            }
+            None => {}
+        }
+        match self.in_flight.find(&message) {
+            // It may yet be rejected by this iteration's decision, and then for all who submitted it.
+            Some((number, IdMatch::SameMessage)) if self.admission.awaits_decision(number) => {
+                return self.await_decision(number, requester);
+            }
+            Some((_, IdMatch::SameMessage)) => return self.answer(requester, Answer::Accepted),
+            Some((_, IdMatch::OtherMessage)) => return self.refuse_request(client, RequestError::IdInUse),
+            None => {}
+        }
+        if deadline <= self.clock.now() || !self.has_capacity_for(&message) {
+            self.counters.rejected += 1;
+            return self.answer(requester, Answer::Rejected { retry_after: 0 });
+        }
+        let number = self.in_flight.allocate_number();
+        self.await_decision(number, requester);
+        self.decisions.push(Event::Accepted(AcceptedMessage {
+            id: number,
+            destination: message.destination,
+            class: message.class,
+            time_remaining: deadline.saturating_sub(self.clock.now()),
+            ordering_key: message.ordering_key,
+            tenant: 0,
+        }));
+        self.in_flight.insert(number, PendingMessage::new(message), deadline);
+    }
+
+    /// Whether one more message may be accepted, as far as the table and the journal are concerned.
+    fn has_capacity_for(&self, message: &Message) -> bool {
+        let max_open = self.settings.settings.max_in_flight_messages as usize;
+        self.in_flight.open_len() < max_open
+            && self.in_flight.has_capacity_for(message)
+            && self.journal == JournalState::Writable
+    }
+
+    fn await_decision(&mut self, number: u32, requester: Requester) {
+        self.clients.awaits_answer(requester.client);
+        self.admission.await_decision(number, requester);
+    }
+
+    /// Answers those whose messages these actions decided on.
+    pub(super) fn answer_decided(&mut self, actions: &[Action]) {
+        for decision in self.admission.decide(actions) {
+            let number = decision.message;
+            if decision.answer == Answer::Accepted {
+                self.accept(number);
+            } else {
+                if matches!(decision.answer, Answer::Rejected { .. }) {
+                    self.counters.rejected += 1;
+                }
+                self.in_flight.remove(number);
+            }
+            for requester in decision.requesters {
+                self.answer(requester, decision.answer);
+            }
+        }
+    }
+
+    fn accept(&mut self, number: u32) {
+        self.counters.accepted += 1;
+        let Some(accepted) = self.in_flight.get(number) else { return };
+        let message = accepted.message().clone();
+        let time_remaining = accepted.deadline.saturating_sub(self.clock.now());
+        tracing::debug!(id = %message.id_text(), number, time_remaining, "message accepted");
+        self.effects.record(Record::Accepted { number, message });
+    }
+
+    fn answer(&mut self, requester: Requester, answer: Answer) {
+        let closes = requester.persistence == Persistence::Close || self.shutdown.closes_after_answer();
+        let persistence = if closes { Persistence::Close } else { Persistence::KeepAlive };
+        let bytes = answer.encode(persistence);
+        self.effects.output(Output::SendToClient(requester.client, bytes.into()));
+        self.clients.answered(requester.client, self.clock.now());
+        if closes {
+            self.close_client(requester.client);
+        }
+    }
+
+    /// Answers a request that is no valid submission; its connection ends.
+    fn refuse_request(&mut self, client: ClientId, error: RequestError) {
+        self.counters.invalid_requests += 1;
+        self.answer(Requester { client, persistence: Persistence::Close }, Answer::Invalid(error));
+    }
+
+    /// Closes connections whose time is up and, from the phase on in which clients leave, the listener.
+    pub(super) fn sweep_clients(&mut self) {
+        if !self.clients.begin_sweep(self.clock.now()) {
+            return;
+        }
+        let idle = if self.shutdown.closes_after_answer() { IdlePolicy::Close } else { IdlePolicy::Keep };
+        for client in self.clients.overdue(self.clock.now(), idle) {
+            match client {
+                OverdueClient::Idle(id) => self.close_client(id),
+                OverdueClient::InRequest(id) => self.refuse_request(id, RequestError::TimedOut),
+            }
+        }
+        if self.shutdown.close_listener() {
+            self.effects.output(Output::StopListening);
+        }
+    }
+
+    pub(super) fn close_client(&mut self, id: ClientId) {
+        self.clients.closed(id);
+        self.effects.output(Output::CloseClient(id));
+    }
+}
--- /dev/null
+++ b/crates/platform/src/core/tests/admission.rs
@@ -0,0 +1,64 @@
+//! What clients submit, and what they are answered.
+
+use super::harness::*;
+
+#[test]
+fn accepted_and_sent_message_recorded_in_same_iteration() {
+    let mut harness = Harness::new();
+    assert_eq!(harness.submit("order", "m", ""), 202);
+    let kinds: Vec<u8> = harness.journal.iter().map(|r| r.encode().0).collect();
+    assert_eq!(kinds, [6, 1, 2], "names, accepted, then sent");
+    let text = String::from_utf8(harness.first_attempt_bytes().to_vec()).unwrap();
+    assert!(text.contains("X-Txn: m\r\nIdempotency-Key: t-m\r\n") && text.ends_with("\r\n\r\nhi"), "{text}");
+}
+
+#[test]
+fn invalid_request_refused_and_nothing_of_it_accepted() {
+    let good = "POST /order HTTP/1.1\r\nX-Txn: m\r\nX-Remaining-Ms: 9000\r\nX-Route-To: dest=3\r\n";
+    let mut harness = Harness::new();
+    let both = format!("{good}Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n{good}\r\n");
+    assert_eq!(harness.send_request(both.as_bytes()), 411);
+    let two = format!("{good}\r\n{}\r\n", good.replace("X-Txn: m", "X-Txn: n"));
+    assert_eq!(harness.send_request(two.as_bytes()), 400, "one at a time");
+    assert_eq!(harness.send_request(good.replace("dest=3", "dest=4").as_bytes()), 0, "half a request");
+    assert_eq!(harness.send_request(format!("{}\r\n", good.replace("dest=3", "dest=4")).as_bytes()), 404);
+    assert_eq!(harness.send_request(b"\x00\xff\x00\xff"), 400);
+    assert!(harness.attempts().is_empty() && !harness.has_record(|r| !matches!(r, Record::Names { .. })));
+    assert_eq!(harness.send_request(format!("{good}\r\n").as_bytes()), 202);
+    assert_eq!(harness.send_request(format!("{good}\r\n").as_bytes()), 202, "once more the same");
+    assert_eq!(
+        harness.send_request(format!("{good}Content-Length: 1\r\n\r\nx").as_bytes()),
+        409,
+        "another under its id"
+    );
+    assert_eq!(harness.journal.iter().filter(|r| matches!(r, Record::Accepted { .. })).count(), 1);
+    // Half a request, and silence: both end by themselves.
+    harness.answers.clear();
+    harness.send_request(b"POST /order HT");
+    harness.run_for(2200 * MILLISECOND);
+    assert!(harness.answers.iter().any(|a| status(&a.1) == 408));
+    let idle = harness.core.sizes().clients;
+    assert!(idle <= 2, "{idle} clients are left");
+}
+
+#[test]
+fn message_beyond_table_or_journal_bound_rejected() {
+    let mut harness = Harness::with_journal(vec![], 100 * SECOND, 4);
+    let taken = (0..9).filter(|n| harness.submit("status", &format!("m{n}"), "") == 202).count();
+    assert!(taken <= 4, "{taken} of four");
+    let mut harness = Harness::new();
+    let big = "x".repeat(60_000);
+    let mut taken = 0;
+    for n in 0..10 {
+        let head = format!(
+            "POST /status HTTP/1.1\r\nX-Txn: m{n}\r\nX-Remaining-Ms: 9000\r\nX-Route-To: dest=3\r\n\
+             Content-Length: 60000\r\n\r\n{big}"
+        );
+        let status = harness.send_request(head.as_bytes());
+        assert!(status == 202 || status == 503);
+        taken += usize::from(status == 202);
+    }
+    assert_eq!(taken, 3, "a fifth of a megabyte");
+    let bytes: usize = harness.core.snapshot().iter().map(|r| r.encode().1.len() + 10).sum();
+    assert!(bytes < 200_000);
+}
--- /dev/null
+++ b/crates/platform/src/core/tests/attempts.rs
@@ -0,0 +1,160 @@
+//! Outcomes of attempts, by what their connections do.
+
+use super::harness::*;
+
+const REJECTED: AttemptOutcome = AttemptOutcome::Rejected { retry_after: 0 };
+const NOT_SENT: AttemptOutcome = AttemptOutcome::NotSent { no_capacity: false };
+
+fn is_failure(record: &Record) -> bool {
+    matches!(record, Record::Completed { outcome: FinalOutcome::Failed, .. })
+}
+
+#[test]
+fn response_cut_anywhere_has_outcome_of_protocol_table() {
+    let rows: [(&str, AttemptOutcome); 15] = [
+        ("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", AttemptOutcome::Served),
+        ("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", AttemptOutcome::Error),
+        ("HTTP/1.1 429 No\r\nX-Backoff-Ms: 300\r\nContent-Length: 0\r\n\r\n", REJECTED),
+        ("HTTP/1.1 503 No\r\nContent-Length: 3\r\n\r\nno\n", REJECTED),
+        ("HTTP/1.1 503 No\r\nX-Egress-Full: 1\r\nContent-Length: 0\r\n\r\n", NOT_SENT),
+        ("HTTP/1.1 504 No\r\nContent-Length: 0\r\n\r\n", NOT_SENT),
+        ("HTTP/1.1 410 No\r\nContent-Length: 0\r\n\r\n", NOT_SENT),
+        ("HTTP/1.1 100 Go on\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", AttemptOutcome::Served),
+        ("HTTP/1.1 200 OK\r\nX-Pressure: x0=zz,x1=\r\nContent-Length: 0\r\n\r\n", AttemptOutcome::Served),
+        ("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n", AttemptOutcome::Served),
+        ("HTTP/1.1 200 OK\r\nContent-Length: -7\r\n\r\n", AttemptOutcome::Served),
+        ("HTTP/1.1 429 No\r\nContent-Length: 3000000000\r\n\r\n", AttemptOutcome::Error),
+        ("HTTP/1.1 429 No\r\nContent-Length: -7\r\n\r\n", AttemptOutcome::Error),
+        ("\x07noise", AttemptOutcome::Error),
+        ("HTTP/1.1 999999\r\n\r\n", AttemptOutcome::Error),
+    ];
+    for (bytes, outcome) in rows {
+        for cut in 0..bytes.len() {
+            let mut harness = Harness::new();
+            assert_eq!(harness.submit("order", "m", ""), 202);
+            let link = harness.attempts()[0].0;
+            harness.core.upstream_received(link, &bytes.as_bytes()[..cut]);
+            if harness.closed.is_empty() {
+                harness.core.upstream_received(link, &bytes.as_bytes()[cut..]);
+            }
+            harness.process();
+            assert_eq!(harness.outcomes(), counts_of(&[outcome]), "{bytes:?} cut at {cut}");
+            let not_executed = matches!(outcome, REJECTED | NOT_SENT);
+            let has_record = harness.has_record(|record| matches!(record, Record::NotExecuted { .. }));
+            assert_eq!(has_record, not_executed, "{bytes:?}");
+            if outcome == AttemptOutcome::Error {
+                assert!(harness.has_record(is_failure), "{bytes:?}");
+            }
+        }
+    }
+}
+
+#[test]
+fn response_that_stops_times_out_unless_first_line_says_200() {
+    for (bytes, outcome) in [
+        ("HTTP/1.1 200 OK\r\nX: ", AttemptOutcome::Served),
+        ("HTTP/1.1 503 OK\r\nX: ", AttemptOutcome::Error),
+        ("HT", AttemptOutcome::Error),
+    ] {
+        let mut harness = Harness::new();
+        harness.submit("order", "m", "");
+        let link = harness.attempts()[0].0;
+        harness.respond(link, bytes.as_bytes());
+        assert_eq!(harness.outcomes(), counts_of(&[]));
+        harness.run_for(2 * SECOND);
+        assert_eq!(harness.outcomes(), counts_of(&[outcome]), "{bytes:?}");
+        assert!(harness.closed.contains(&link));
+    }
+}
+
+#[test]
+fn broken_connection_before_last_byte_means_not_executed() {
+    for (short, outcome) in [(1, AttemptOutcome::NoConnection), (0, AttemptOutcome::Reset)] {
+        let mut harness = Harness::new();
+        harness.submit("order", "m", "");
+        let link = harness.attempts()[0].0;
+        let length = harness.first_attempt_bytes().len();
+        harness.core.upstream_disconnected(link, (length - short) as u64);
+        harness.process();
+        assert_eq!(harness.outcomes(), counts_of(&[outcome]));
+        // One that was not executed is sent again, one that possibly was is not.
+        assert_eq!(harness.attempts().len(), 1 + short);
+        assert_eq!(harness.has_record(is_failure), short == 0);
+    }
+}
+
+#[test]
+fn retry_after_for_abandoned_attempt_heeded() {
+    let mut harness = Harness::new();
+    harness.submit("status", "a", "");
+    let first = harness.attempts()[0].0;
+    harness.run_for(4 * SECOND);
+    let hedge = harness.attempts()[1].0;
+    harness.respond(hedge, SERVED.as_bytes());
+    assert_eq!(harness.write_ended, [first], "the slower one is called off");
+    assert!(!harness.closed.contains(&first), "and its answer may be on its way");
+    harness.respond(first, b"HTTP/1.1 429 No\r\nX-Backoff-Ms: 1500\r\nContent-Length: 0\r\n\r\n");
+    assert!(harness.closed.contains(&first));
+    harness.submit("order", "b", "");
+    harness.run_for(1400 * MILLISECOND);
+    assert_eq!(harness.attempts().len(), 2, "told to wait");
+    harness.run_for(2 * SECOND);
+    assert_eq!(harness.attempts().len(), 3, "and then it goes");
+}
+
+#[test]
+fn abandoned_attempt_silent_closes_connection_after_connect_timeout() {
+    let mut harness = Harness::new();
+    harness.submit("status", "a", "");
+    let first = harness.attempts()[0].0;
+    harness.run_for(4 * SECOND);
+    let hedge = harness.attempts()[1].0;
+    harness.respond(hedge, SERVED.as_bytes());
+    harness.run_for(SECOND);
+    assert!(harness.closed.contains(&first));
+    let once_each = counts_of(&[AttemptOutcome::Served, AttemptOutcome::Cancelled]);
+    assert_eq!(harness.outcomes(), once_each, "nothing twice");
+}
+
+#[test]
+fn abandoned_attempt_served_completes_its_message() {
+    for rest in ["\r\n", " OK\r\nContent-Length: 0\r\n\r\n", " OK\r\nContent-Length: x\r\n\r\n"] {
+        let mut harness = Harness::new();
+        harness.submit("status", "a", "");
+        let first = harness.attempts()[0].0;
+        // It hangs for longer than its siblings would, and is called off for another.
+        harness.core.cancel_attempt(AttemptId { message: 1, number: 0 }, AttemptOutcome::Cancelled);
+        harness.run_for(100 * MILLISECOND);
+        let second = harness.attempts()[1].0;
+        harness.respond(first, b"HTTP/1.1 200");
+        let is_completion = |record: &Record| matches!(record, Record::Completed { .. });
+        assert!(harness.write_ended == [first] && !harness.has_record(is_completion), "no line yet");
+        harness.respond(first, rest.as_bytes());
+        assert_eq!(harness.write_ended, [first, second], "what else is out is called off");
+        let is_delivery =
+            |record: &Record| matches!(record, Record::Completed { outcome: FinalOutcome::Delivered, .. });
+        assert!(harness.has_record(is_delivery));
+        assert_eq!(harness.core.sizes().in_flight, 0, "nothing is owed");
+        harness.run_for(10 * SECOND);
+        assert_eq!(harness.attempts().len(), 2, "and nothing is sent after");
+        assert_eq!(harness.core.counters().notifications, NotificationCounts::default());
+    }
+}
+
+#[test]
+fn response_as_deadline_passes_followed_by_notification() {
+    for (before, failed) in [(2 * MILLISECOND, 0), (MILLISECOND / 2, 1), (0, 1)] {
+        let mut harness = Harness::new();
+        let deadline = harness.now + 9 * SECOND;
+        harness.submit("order", "a", "");
+        let link = harness.attempts()[0].0;
+        harness.run_for(8 * SECOND);
+        // The iteration that was to end it comes too late: this is read before.
+        harness.now = deadline - before;
+        harness.core.advance_clock(harness.now);
+        harness.respond(link, SERVED.as_bytes());
+        let counts = NotificationCounts { failed, returned: 0 };
+        assert_eq!(harness.core.counters().notifications, counts, "{before} ns before");
+        assert_eq!(harness.has_record(is_failure), failed == 1);
+    }
+}
--- /dev/null
+++ b/crates/platform/src/core/tests/connections.rs
@@ -0,0 +1,125 @@
+//! Which connection an attempt is sent on.
+
+use super::harness::*;
+
+#[test]
+fn connection_reused_when_clean_and_settled_never_after_noise() {
+    for (answer, later, is_reused) in [
+        (SERVED.to_owned(), "", true),
+        (format!("{SERVED}{SERVED}"), "", false),
+        (SERVED.to_owned(), SERVED, false),
+    ] {
+        let mut harness = Harness::new();
+        harness.connection_in_use(SERVED);
+        harness.submit("status", "a", "");
+        let before = harness.attempts().len();
+        let link = harness.attempts()[before - 1].0;
+        harness.respond(link, answer.as_bytes());
+        if !later.is_empty() {
+            harness.respond(link, later.as_bytes());
+        }
+        harness.run_for(20 * MILLISECOND);
+        // Both endpoints are as good; one of several calls goes where the last one went, or none.
+        for n in 0..4 {
+            harness.submit("status", &format!("b{n}"), "");
+        }
+        let used = harness.attempts()[before..].iter().any(|c| c.0 == link);
+        assert_eq!(used, is_reused, "{answer:?} {later:?}");
+        assert_eq!(harness.outcomes().served, 11, "one answer is one delivery");
+    }
+    let mut harness = Harness::new();
+    let link = harness.connection_in_use(SERVED);
+    harness.run_for(7 * SECOND);
+    assert!(!harness.closed.contains(&link));
+    harness.run_for(SECOND);
+    assert!(harness.closed.contains(&link), "closed by us before the endpoint does");
+}
+
+#[test]
+fn endpoint_draining_while_connecting_gets_no_attempt() {
+    let mut harness = Harness::new();
+    let watch = harness.connect_discovery();
+    let line = |status: &str| list_event(43, "a", "bank", 3, status, 1000);
+    // Connections are begun and not there yet when the list changes.
+    let link = harness.begin_connecting();
+    harness.watch_event(watch, &line("leaving"));
+    harness.core.upstream_connected(link);
+    harness.process();
+    harness.run_for(SECOND);
+    assert!(harness.attempts().is_empty());
+    harness.watch_event(watch, &line("active"));
+    harness.run_for(3 * SECOND);
+    assert_eq!(harness.attempts().len(), 1, "it goes once it may");
+}
+
+#[test]
+fn connection_cancelled_in_iteration_that_asked_for_it_not_made() {
+    let mut harness = Harness::new();
+    let client = 7;
+    harness.core.client_opened(client);
+    let head = "POST /status HTTP/1.1\r\nX-Txn: m\r\nX-Remaining-Ms: 9000\r\nX-Route-To: dest=3\r\n\r\n";
+    harness.core.client_received(client, head.as_bytes());
+    harness.core.process(harness.now);
+    let id = harness.core.attempts.ids()[0];
+    harness.core.cancel_attempt(id, AttemptOutcome::Cancelled);
+    harness.core.put_closes_first();
+    let made = harness.core.take_outputs().into_iter().filter(is_endpoint_connect);
+    assert_eq!(made.count(), 0);
+}
+
+#[test]
+fn slots_bounded_by_file_descriptors_blame_no_endpoint() {
+    let mut config = config(60);
+    config.limits.file_descriptors = 64;
+    config.settings.settings.max_in_flight_calls = 60;
+    let mut core = Harness::starting(config, &[], 100 * SECOND).core;
+    (0..18).for_each(|client| core.client_opened(client));
+    for n in 0..3 {
+        for client in 0..18 {
+            let head = format!(
+                "POST /status HTTP/1.1\r\nX-Txn: m{n}-{client}\r\nX-Remaining-Ms: 9000\r\nX-Route-To: dest=3\r\n\r\n"
+            );
+            core.client_received(client, head.as_bytes());
+        }
+        core.process(100 * SECOND + INITIAL_SYNC_TIMEOUT + n * 10 * MILLISECOND);
+    }
+    core.process(100 * SECOND + 500 * MILLISECOND);
+    assert_eq!(
+        (core.counters().accepted, core.sizes().attempts),
+        (54, 15),
+        "three quarters of 20 descriptors"
+    );
+    assert_eq!(core.counters().outcomes, OutcomeCounts::default());
+}
+
+#[test]
+fn endpoint_moved_while_connecting_gets_attempt_at_new_address() {
+    let mut harness = Harness::new();
+    let watch = harness.connect_discovery();
+    let link = harness.begin_connecting();
+    harness.watch_event(watch, &list_event(43, "a", "bank", 3, "active", 2000));
+    harness.core.upstream_connected(link);
+    harness.process();
+    harness.run_for(3 * SECOND);
+    let calls = harness.attempts();
+    assert!(calls.len() == 1 && calls[0].0 != link, "at the new place: {calls:?}");
+    assert!(harness.connections[&calls[0].0].port() > 2000);
+}
+
+#[test]
+fn connection_with_body_remaining_carries_no_other_attempt() {
+    let mut harness = Harness::new();
+    harness.connection_in_use(SERVED);
+    harness.submit("status", "a", "");
+    let link = harness.attempts().last().unwrap().0;
+    harness.respond(link, b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhal");
+    let before = harness.attempts().len();
+    harness.run_for(20 * MILLISECOND);
+    for n in 0..4 {
+        harness.submit("order", &format!("b{n}"), "");
+    }
+    let calls = harness.attempts().split_off(before);
+    assert!(!calls.is_empty() && calls.iter().all(|c| c.0 != link), "{calls:?}, not on {link}");
+    harness.run_for(50 * MILLISECOND);
+    assert!(harness.closed.contains(&link), "and it is not kept");
+}
--- /dev/null
+++ b/crates/platform/src/core/tests/discovery.rs
@@ -0,0 +1,121 @@
+//! The watch on the endpoint list, and the list.
+
+use super::harness::*;
+use crate::core::discovery::{EndpointList, WATCH_SILENCE_TIMEOUT};
+
+#[test]
+fn watch_silent_or_lost_opened_again() {
+    let mut harness = Harness::new();
+    let watch = harness.connect_discovery();
+    assert!(harness.sent[0].1.starts_with(b"GET /v1/endpoints?follow=1&since=41 HTTP/1.1\r\n"));
+    harness.watch_event(watch, "");
+    harness.run_for(2600 * MILLISECOND);
+    assert!(!harness.closed.contains(&watch));
+    harness.run_for(200 * MILLISECOND);
+    assert!(harness.closed.contains(&watch), "a line is missing");
+    let second = harness.connect_discovery();
+    harness.watch_event(second, "{\"index\":50,\"snapshot\":true,\"endpoints\":[]}");
+    harness.core.upstream_disconnected(second, 0);
+    harness.run_for(50 * MILLISECOND);
+    harness.connect_discovery();
+    let asked = harness.sent.last().unwrap();
+    assert!(asked.1.starts_with(b"GET /v1/endpoints?follow=1&since=50 "), "from where it was");
+}
+
+#[test]
+fn watch_event_indented_or_in_pieces_read() {
+    let value: serde_json::Value =
+        serde_json::from_str(&list_event(43, "a", "bank", 3, "left", 1000)).unwrap();
+    let text = format!("\n{}\n\n", serde_json::to_string_pretty(&value).unwrap());
+    for cut in 1..text.len() {
+        let mut harness = Harness::new();
+        let watch = harness.connect_discovery();
+        harness.watch_event(watch, "");
+        for part in [&text[..cut], &text[cut..]] {
+            harness.respond(watch, format!("{:x}\r\n{part}\r\n", part.len()).as_bytes());
+        }
+        harness.submit("order", "a", "");
+        assert!(
+            harness.attempts().is_empty() && !harness.closed.contains(&watch),
+            "both have left; cut at {cut}"
+        );
+    }
+}
+
+#[test]
+fn watch_open_at_any_moment_while_discovery_silent() {
+    let mut harness = Harness::new();
+    for _ in 0..8 {
+        let watch = harness.connect_discovery();
+        harness.run_for(WATCH_SILENCE_TIMEOUT);
+        assert!(harness.closed.contains(&watch));
+        harness.run_for(MILLISECOND);
+    }
+    let watch = harness.connect_discovery();
+    harness.watch_event(watch, &list_event(43, "a", "bank", 3, "left", 1000));
+    harness.submit("order", "a", "");
+    assert!(harness.attempts().is_empty(), "it is heard at once");
+}
+
+#[test]
+fn endpoint_name_of_other_destination_gets_nothing_of_first() {
+    let mut harness = Harness::new();
+    let watch = harness.connect_discovery();
+    harness.watch_event(watch, &list_event(43, "b", "new", 4, "active", 1000));
+    assert_eq!(harness.submit("order", "m", ""), 202);
+    harness.run_for(SECOND);
+    assert!(harness.attempts().is_empty(), "destination 3 has no endpoint");
+    let head = "POST /order HTTP/1.1\r\nX-Txn: n\r\nX-Remaining-Ms: 9000\r\nX-Route-To: dest=4\r\n\r\n";
+    assert_eq!(harness.send_request(head.as_bytes()), 202);
+    assert_eq!(harness.sent_ids(), ["n"]);
+}
+
+#[test]
+fn destination_that_endpoint_left_keeps_its_kind() {
+    let config = config(40);
+    let event = |text: &str| serde_json::from_str::<WatchEvent>(text).unwrap();
+    let first = event(&list_event(1, "a", "bank", 3, "active", 1000));
+    let second = event(&list_event(2, "b", "new", 4, "active", 1000));
+    let mut endpoints = EndpointList::default();
+    endpoints.apply(&first, &config.settings, SECOND);
+    let update = endpoints.apply(&second, &config.settings, SECOND);
+    let Event::EndpointList { entries, .. } = update.event else { panic!("{:?}", update.event) };
+    let brief: Vec<_> = entries.iter().map(|e| (e.id, e.destination, e.kind, e.zone, e.status)).collect();
+    let gone = EndpointStatus::Removed;
+    let ready = EndpointStatus::Ready;
+    assert_eq!(brief, [(1, 3, 0, 0, gone), (3, 4, 1, 1, ready), (2, 3, 0, 0, gone), (4, 4, 1, 1, ready)]);
+    assert_eq!(update.stale, [1, 2]);
+}
+
+#[test]
+fn initial_sync_holds_back_requests_until_discovery_heard_or_silent() {
+    let start = || {
+        let mut harness = Harness::starting(config(40), &[], 100 * SECOND);
+        harness.process();
+        let watch = harness.connect_discovery();
+        assert_eq!(
+            (harness.submit("order", "a", ""), harness.send_request(b"GET /ready HTTP/1.1\r\n\r\n")),
+            (0, 0)
+        );
+        harness.run_for(100 * MILLISECOND);
+        assert!(harness.answers.is_empty() && harness.attempts().is_empty(), "it waits for discovery");
+        (harness, watch)
+    };
+    // Both endpoints have gone since the list that it knows.
+    let (mut harness, watch) = start();
+    harness.watch_event(watch, &list_event(43, "a", "bank", 3, "left", 1000));
+    assert_eq!(harness.answers.iter().map(|a| status(&a.1)).collect::<Vec<_>>(), [200, 202]);
+    harness.run_for(SECOND);
+    assert!(harness.attempts().is_empty());
+    let (mut harness, watch) = start();
+    harness.watch_event(watch, "");
+    assert_eq!(harness.attempts().len(), 1, "nothing new");
+    let (mut harness, _) = start();
+    harness.run_for(INITIAL_SYNC_TIMEOUT - 101 * MILLISECOND);
+    assert!(harness.attempts().is_empty());
+    harness.run_for(2 * MILLISECOND);
+    assert_eq!((harness.attempts().len(), harness.answers.len()), (1, 2), "silent: what it knows has to do");
+    let journal = &harness.journal;
+    let Record::Accepted { message, .. } = &journal[journal.len() - 2] else { panic!("{journal:?}") };
+    assert_eq!(message.deadline, 109 * SECOND, "its time runs from when it came");
+}
--- /dev/null
+++ b/crates/platform/src/core/tests/notifications.rs
@@ -0,0 +1,98 @@
+//! Status notifications and the ordering keys that wait for them.
+
+use super::harness::*;
+
+#[test]
+fn notification_unacknowledged_resent_also_elsewhere_and_after_restart() {
+    let mut harness = Harness::new();
+    harness.submit("order", "m", "");
+    let link = harness.attempts()[0].0;
+    harness.respond(link, b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n");
+    let first = harness.connect_discovery();
+    assert_eq!(harness.notifications(), [(first, "{\"id\":\"m\",\"state\":\"failed\"}\n".to_owned())]);
+    harness.run_for(230 * MILLISECOND);
+    let second = harness.connect_discovery();
+    assert!(second != first && harness.notifications().len() == 2, "no answer in time, and it still counts");
+    harness.core.move_discovery("127.0.0.1:8501".parse().unwrap());
+    harness.process();
+    assert!(harness.closed.contains(&second));
+    let moved = harness.connections.values().filter(|address| address.port() == 8501);
+    assert_eq!(moved.count(), 2, "the watch and the notifications");
+    let mut again = Harness::with_journal(harness.journal.clone(), harness.now, 40);
+    let link = again.connect_discovery();
+    assert_eq!(again.notifications().len(), 1);
+    again.respond(link, b"HTTP/1.1 204 No Content\r\n\r\n");
+    assert!(again.has_record(|r| matches!(r, Record::Notified { .. })));
+    let left = again.core.snapshot();
+    assert!(matches!(left[..], [Record::Names { .. }, Record::CompletedId(_)]), "nothing is owed: {left:?}");
+}
+
+#[test]
+fn ordering_key_waits_for_acknowledgement_of_message_before() {
+    let mut harness = Harness::new();
+    harness.submit("change", "one", "k");
+    harness.submit("change", "two", "k");
+    harness.submit("change", "other", "l");
+    assert_eq!(harness.sent_ids(), ["one", "other"]);
+    // Nothing serves it: at its end it is given up.
+    harness.run_for(8995 * MILLISECOND);
+    assert!(!harness.sent_ids().contains(&"two".to_owned()), "{:?}", harness.sent_ids());
+    let mut harness = Harness::new();
+    harness.submit("change", "one", "k");
+    harness.submit("change", "two", "k");
+    let mut in_flight = harness.core.in_flight.iter();
+    let (number, _) = in_flight.find(|(_, message)| message.message().id == b"one").unwrap();
+    drop(in_flight);
+    // The library gives the first up; the second may go when that is acknowledged.
+    harness.core.complete_undelivered(number, FinalOutcome::Failed);
+    harness.core.decisions.push(Event::ClientCancelled { message: number });
+    harness.run_for(300 * MILLISECOND);
+    assert_eq!(harness.sent_ids(), ["one"], "the notification is not acknowledged");
+    let link = harness.connect_discovery();
+    harness.respond(link, b"HTTP/1.1 204 No Content\r\n\r\n");
+    assert_eq!(harness.sent_ids(), ["one", "two"]);
+}
+
+#[test]
+fn attempt_waiting_for_connection_not_started_again_by_acknowledgement() {
+    let mut harness = Harness::new();
+    let client = 7;
+    harness.core.client_opened(client);
+    let head = "POST /change HTTP/1.1\r\nX-Txn: one\r\nIdempotency-Key: t\r\nX-Remaining-Ms: 9000\r\n\
+                Cookie: subject=k\r\nX-Route-To: dest=3\r\n\r\n";
+    harness.core.client_received(client, head.as_bytes());
+    harness.core.process(harness.now);
+    // Another of its key, behind it, was given up while the connection is being made.
+    let (first, message) = harness.core.in_flight.iter().next().unwrap();
+    let ordering_key = message.message().ordering_key;
+    let mut pending = message.pending.clone();
+    pending.message.id = b"two".to_vec();
+    harness.core.in_flight.insert(77, pending, harness.now + SECOND);
+    harness.core.complete_undelivered(77, FinalOutcome::Failed);
+    assert!(harness.core.notifier.blocks(ordering_key, first));
+    harness.core.acknowledge(77);
+    let asked = harness.core.take_outputs().into_iter().filter(is_endpoint_connect);
+    assert_eq!(asked.count(), 1, "one connection for one attempt");
+}
+
+#[test]
+fn notification_rejected_alone_dropped_and_blocks_no_other() {
+    let mut harness = Harness::new();
+    for id in ["a", "b", "c"] {
+        harness.submit("order", id, "");
+    }
+    for call in harness.attempts() {
+        harness.core.upstream_received(call.0, b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n");
+    }
+    harness.process();
+    let link = harness.connect_discovery();
+    let (no, yes) = ("HTTP/1.1 400 No\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 204 No Content\r\n\r\n");
+    for reply in [no, yes, no, no, yes] {
+        harness.respond(link, reply.as_bytes());
+    }
+    let lines: Vec<usize> = harness.notifications().iter().map(|n| n.1.lines().count()).collect();
+    assert_eq!(lines, [3, 1, 2, 1, 1], "all, then fewer until the one at fault is alone");
+    assert_eq!(harness.core.sizes().unacknowledged, 0);
+    let rejected = CoreEvent::NotificationRejected { message: "b".into() };
+    assert!(harness.core.take_events().contains(&rejected), "the one that is rejected is named");
+}
--- /dev/null
+++ b/crates/platform/src/core/tests/recovery.rs
@@ -0,0 +1,157 @@
+//! What a process makes of the journal of the one before.
+
+use super::harness::*;
+
+#[test]
+fn journal_cut_after_any_record_owes_all_and_repeats_nothing_unsafe() {
+    let mut harness = Harness::new();
+    for (n, class) in ["order", "status", "order", "change", "order"].iter().enumerate() {
+        assert_eq!(harness.submit(class, &format!("m{n}"), "k"), 202);
+    }
+    let calls = harness.attempts();
+    harness.respond(calls[0].0, SERVED.as_bytes());
+    harness.respond(calls[2].0, b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n");
+    harness.respond(calls[4].0, b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n");
+    let full = harness.journal.clone();
+    for cut in 0..=full.len() {
+        let before = &full[..cut];
+        let mut again = Harness::with_journal(before.to_vec(), harness.now + SECOND, 40);
+        again.run_for(100 * MILLISECOND);
+        again.connect_discovery();
+        let sent = again.sent_ids();
+        let notifications = again.notifications();
+        for message in accepted_messages(before) {
+            let id = message.id;
+            let is_sent = sent.contains(&id);
+            let is_notified = notifications.iter().any(|(_, body)| body.contains(&format!("\"{id}\"")));
+            match message.state {
+                Recorded::Delivered => assert!(!is_sent && !is_notified, "cut {cut}: {id} is done with"),
+                Recorded::Undeliverable => {
+                    assert!(is_notified && !is_sent, "cut {cut}: {id} ends by a notification");
+                }
+                Recorded::Open => assert!(is_sent && !is_notified, "cut {cut}: {id} goes on"),
+            }
+        }
+    }
+}
+
+/// What a journal says of a message.
+enum Recorded {
+    Delivered,
+    /// It has another outcome, or was possibly executed and is not safe to repeat.
+    Undeliverable,
+    Open,
+}
+
+struct AcceptedMessage {
+    id: String,
+    state: Recorded,
+}
+
+/// Index of the class that is not safe to repeat.
+const UNSAFE_CLASS: u8 = 2;
+
+fn accepted_messages(journal: &[Record]) -> Vec<AcceptedMessage> {
+    let mut accepted = Vec::new();
+    for record in journal {
+        if let Record::Accepted { number, message } = record {
+            let id = String::from_utf8(message.id.clone()).unwrap();
+            let state = recorded_state(journal, *number, message.class);
+            accepted.push(AcceptedMessage { id, state });
+        }
+    }
+    accepted
+}
+
+fn recorded_state(journal: &[Record], number: u32, class: u8) -> Recorded {
+    let mut sent = 0;
+    let mut not_executed = 0;
+    let mut outcome = None;
+    for record in journal {
+        match record {
+            Record::AttemptSent { message, .. } if *message == number => sent += 1,
+            Record::NotExecuted { message, .. } if *message == number => not_executed += 1,
+            Record::Completed { message, outcome: completed } if *message == number => {
+                outcome = Some(*completed);
+            }
+            _ => {}
+        }
+    }
+    match outcome {
+        Some(FinalOutcome::Delivered) => Recorded::Delivered,
+        Some(_) => Recorded::Undeliverable,
+        None if class == UNSAFE_CLASS && sent > not_executed => Recorded::Undeliverable,
+        None => Recorded::Open,
+    }
+}
+
+#[test]
+fn message_of_unknown_class_in_file_without_names_fails() {
+    let mut harness = Harness::new();
+    assert_eq!(harness.submit("order", "m", ""), 202);
+    let mut old = std::mem::take(&mut harness.journal);
+    old.retain(|record| !matches!(record, Record::Names { .. }));
+    for record in &mut old {
+        if let Record::Accepted { message, .. } = record {
+            message.class = 9;
+        }
+    }
+    let mut again = Harness::with_journal(old, harness.now + SECOND, 40);
+    let link = again.connect_discovery();
+    assert_eq!(again.notifications(), [(link, "{\"id\":\"m\",\"state\":\"failed\"}\n".to_owned())]);
+}
+
+#[test]
+fn recovered_deadline_runs_during_initial_sync() {
+    let message = |id: &str, class, left| Message {
+        id: id.into(),
+        idempotency_key: Some(b"t".to_vec()),
+        class,
+        destination: 9,
+        ordering_key: 0,
+        deadline: 100 * SECOND + left,
+        body: vec![],
+    };
+    let sent = SentAttempt { number: 0, zone: 0, sent_at: 100 * SECOND - 6900 * MILLISECOND };
+    let journal = vec![
+        Record::Accepted { number: 1, message: message("a", 0, 300 * MILLISECOND) },
+        Record::Accepted { number: 2, message: message("keyed", 1, 9 * SECOND) },
+        Record::AttemptSent { message: 2, attempt: sent },
+    ];
+    let mut harness = Harness::with_journal(journal, 100 * SECOND, 40);
+    let ended = |harness: &Harness, number| {
+        harness.has_record(|record| matches!(record, Record::Completed { message, .. } if *message == number))
+    };
+    assert!(
+        !ended(&harness, 1) && ended(&harness, 2),
+        "its window of 8 s, less a second for travel, was over meanwhile"
+    );
+    harness.run_for(80 * MILLISECOND);
+    assert!(!ended(&harness, 1));
+    harness.run_for(11 * MILLISECOND);
+    assert!(ended(&harness, 1), "two ticks before its time is up");
+}
+
+#[test]
+fn key_cooldown_outlasts_process() {
+    let start = |journal, now| {
+        let mut config = config(40);
+        config.settings.settings.key_cooldown = 2 * SECOND;
+        Harness::with_config(config, journal, now)
+    };
+    let mut harness = start(vec![], 100 * SECOND);
+    harness.submit("change", "a", "k");
+    harness.run_for(4 * SECOND);
+    let hedge = harness.attempts()[1].0;
+    harness.respond(hedge, SERVED.as_bytes());
+    assert_eq!(harness.write_ended.len(), 1, "the slower one is called off, and may run on");
+    // The second process has it from the file that the first began with. Each starts the cooldown once more, as a
+    // process that dies ends what its endpoint may not have seen the end of.
+    let second = start(harness.journal, harness.now + 10 * MILLISECOND);
+    let mut harness = start(second.journal, second.now + 10 * MILLISECOND);
+    assert_eq!((harness.submit("change", "b", "k"), harness.submit("change", "c", "l")), (202, 202));
+    harness.run_for(2 * SECOND - INITIAL_SYNC_TIMEOUT - MILLISECOND);
+    assert_eq!(harness.sent_ids(), ["c"], "another key's");
+    harness.run_for(MILLISECOND);
+    assert_eq!(harness.attempts().last().unwrap().1, "b");
+}
--- /dev/null
+++ b/crates/platform/src/core/tests/shutdown.rs
@@ -0,0 +1,42 @@
+//! The phases of the shutdown.
+
+use super::harness::*;
+
+#[test]
+fn shutdown_serves_for_a_while_then_awaits_its_attempts_only() {
+    let mut harness = Harness::new();
+    harness.submit("order", "a", "");
+    harness.core.begin_shutdown();
+    assert_eq!(harness.submit("order", "b", ""), 202);
+    let calls = harness.attempts();
+    assert_eq!(calls.len(), 2);
+    harness.run_for(2800 * MILLISECOND);
+    assert!(!harness.core.is_ended());
+    let before = harness.attempts().len();
+    assert_eq!(harness.submit("order", "c", ""), 202, "accepted, for the next process");
+    assert_eq!(harness.attempts().len(), before, "nothing begins that cannot end");
+    for call in calls {
+        harness.respond(call.0, SERVED.as_bytes());
+    }
+    assert!(harness.core.is_ended());
+    let again = Harness::with_journal(harness.journal.clone(), harness.now + SECOND, 40);
+    assert_eq!(again.sent_ids(), ["c"]);
+    let mut harness = Harness::new();
+    harness.submit("order", "a", "");
+    harness.core.begin_shutdown();
+    harness.run_for(3400 * MILLISECOND);
+    assert!(harness.core.is_ended(), "a silent endpoint does not keep it");
+}
+
+#[test]
+fn attempt_without_connection_at_last_decision_not_started() {
+    let mut harness = Harness::new();
+    harness.core.begin_shutdown();
+    harness.now += LAST_DECISION_TIMEOUT - 100 * MILLISECOND;
+    let link = harness.begin_connecting();
+    harness.now += 200 * MILLISECOND;
+    harness.core.upstream_connected(link);
+    harness.process();
+    assert!(harness.attempts().is_empty() && harness.core.is_ended(), "it is for the next process");
+    assert!(!harness.has_record(|r| matches!(r, Record::AttemptSent { .. } | Record::Completed { .. })));
+}
--- /dev/null
+++ b/crates/platform/src/records/codec.rs
@@ -0,0 +1,180 @@
+//! Bytes of the records. They outlast the version that wrote them: kinds and positions never change.
+
+use super::{CompletedId, FinalOutcome, Message, Record, SentAttempt};
+use linnetcart_journal::Record as RawRecord;
+
+const KIND_ACCEPTED: u8 = 1;
+const KIND_ATTEMPT_SENT: u8 = 2;
+const KIND_NOT_EXECUTED: u8 = 3;
+const KIND_COMPLETED: u8 = 4;
+const KIND_NOTIFIED: u8 = 5;
+const KIND_NAMES: u8 = 6;
+const KIND_COMPLETED_ID: u8 = 7;
+const KIND_KEY_COOLDOWN: u8 = 8;
+
+const OUTCOME_DELIVERED: u8 = 0;
+const OUTCOME_FAILED: u8 = 1;
+const OUTCOME_RETURNED: u8 = 2;
+
+/// The length of an idempotency key that is not there.
+const NO_IDEMPOTENCY_KEY: u16 = u16::MAX;
+
+impl Record {
+    /// Kind and payload, as the journal takes them.
+    pub fn encode(&self) -> (u8, Vec<u8>) {
+        let mut payload = Vec::new();
+        let kind = match self {
+            Record::Accepted { number, message } => {
+                payload.extend(number.to_le_bytes());
+                encode_message(message, &mut payload);
+                KIND_ACCEPTED
+            }
+            Record::AttemptSent { message, attempt } => {
+                payload.extend(message.to_le_bytes());
+                payload.extend(attempt.number.to_le_bytes());
+                payload.push(attempt.zone);
+                payload.extend(attempt.sent_at.to_le_bytes());
+                KIND_ATTEMPT_SENT
+            }
+            Record::NotExecuted { message, attempt } => {
+                payload.extend(message.to_le_bytes());
+                payload.extend(attempt.to_le_bytes());
+                KIND_NOT_EXECUTED
+            }
+            Record::Completed { message, outcome } => {
+                payload.extend(message.to_le_bytes());
+                encode_outcome(*outcome, &mut payload);
+                KIND_COMPLETED
+            }
+            Record::Notified { message } => {
+                payload.extend(message.to_le_bytes());
+                KIND_NOTIFIED
+            }
+            Record::Names { classes, zones } => {
+                payload.extend(serde_json::json!([classes, zones]).to_string().into_bytes());
+                KIND_NAMES
+            }
+            Record::CompletedId(completed) => {
+                payload.extend(completed.id_digest.to_le_bytes());
+                payload.extend(completed.content_digest.to_le_bytes());
+                payload.extend(completed.expires_at.to_le_bytes());
+                KIND_COMPLETED_ID
+            }
+            Record::KeyCooldown { ordering_key, until } => {
+                payload.extend(ordering_key.to_le_bytes());
+                payload.extend(until.to_le_bytes());
+                KIND_KEY_COOLDOWN
+            }
+        };
+        (kind, payload)
+    }
+
+    /// Reads a record; `None` for an unknown kind or a payload that does not fit its kind.
+    pub fn decode(raw: &RawRecord) -> Option<Record> {
+        let mut fields = Fields(&raw.payload);
+        let record = match raw.kind {
+            KIND_ACCEPTED => Record::Accepted { number: fields.u32()?, message: decode_message(fields)? },
+            KIND_ATTEMPT_SENT => Record::AttemptSent {
+                message: fields.u32()?,
+                attempt: SentAttempt { number: fields.u16()?, zone: fields.u8()?, sent_at: fields.u64()? },
+            },
+            KIND_NOT_EXECUTED => Record::NotExecuted { message: fields.u32()?, attempt: fields.u16()? },
+            KIND_COMPLETED => {
+                Record::Completed { message: fields.u32()?, outcome: decode_outcome(&mut fields)? }
+            }
+            KIND_NOTIFIED => Record::Notified { message: fields.u32()? },
+            KIND_NAMES => {
+                let (classes, zones) = serde_json::from_slice(&raw.payload).ok()?;
+                Record::Names { classes, zones }
+            }
+            KIND_COMPLETED_ID => Record::CompletedId(CompletedId {
+                id_digest: fields.u64()?,
+                content_digest: fields.u64()?,
+                expires_at: fields.u64()?,
+            }),
+            KIND_KEY_COOLDOWN => Record::KeyCooldown { ordering_key: fields.u64()?, until: fields.u64()? },
+            _ => return None,
+        };
+        Some(record)
+    }
+}
+
+fn encode_message(message: &Message, payload: &mut Vec<u8>) {
+    payload.push(message.class);
+    payload.extend(message.destination.to_le_bytes());
+    payload.extend(message.ordering_key.to_le_bytes());
+    payload.extend(message.deadline.to_le_bytes());
+    payload.extend((message.id.len() as u16).to_le_bytes());
+    payload.extend(&message.id);
+    let key_length = message.idempotency_key.as_ref().map_or(NO_IDEMPOTENCY_KEY, |key| key.len() as u16);
+    payload.extend(key_length.to_le_bytes());
+    payload.extend(message.idempotency_key.iter().flatten());
+    payload.extend(&message.body);
+}
+
+fn decode_message(mut fields: Fields<'_>) -> Option<Message> {
+    let class = fields.u8()?;
+    let destination = fields.u32()?;
+    let ordering_key = fields.u64()?;
+    let deadline = fields.u64()?;
+    let id_length = fields.u16()?;
+    let id = fields.bytes(usize::from(id_length))?.to_vec();
+    let idempotency_key = match fields.u16()? {
+        NO_IDEMPOTENCY_KEY => None,
+        length => Some(fields.bytes(usize::from(length))?.to_vec()),
+    };
+    let body = fields.0.to_vec();
+    Some(Message { id, idempotency_key, class, destination, ordering_key, deadline, body })
+}
+
+fn encode_outcome(outcome: FinalOutcome, payload: &mut Vec<u8>) {
+    let (code, retry_after_ms) = match outcome {
+        FinalOutcome::Delivered => (OUTCOME_DELIVERED, 0),
+        FinalOutcome::Failed => (OUTCOME_FAILED, 0),
+        FinalOutcome::Returned { retry_after_ms } => (OUTCOME_RETURNED, retry_after_ms),
+    };
+    payload.push(code);
+    payload.extend(retry_after_ms.to_le_bytes());
+}
+
+fn decode_outcome(fields: &mut Fields<'_>) -> Option<FinalOutcome> {
+    let code = fields.u8()?;
+    let retry_after_ms = fields.u32()?;
+    match code {
+        OUTCOME_DELIVERED => Some(FinalOutcome::Delivered),
+        OUTCOME_FAILED => Some(FinalOutcome::Failed),
+        OUTCOME_RETURNED => Some(FinalOutcome::Returned { retry_after_ms }),
+        _ => None,
+    }
+}
+
+/// The part of a payload that is still to be read.
+struct Fields<'a>(&'a [u8]);
+
+impl<'a> Fields<'a> {
+    fn bytes(&mut self, length: usize) -> Option<&'a [u8]> {
+        let (field, rest) = self.0.split_at_checked(length)?;
+        self.0 = rest;
+        Some(field)
+    }
+
+    fn array<const N: usize>(&mut self) -> Option<[u8; N]> {
+        self.bytes(N)?.try_into().ok()
+    }
+
+    fn u8(&mut self) -> Option<u8> {
+        self.array().map(u8::from_le_bytes)
+    }
+
+    fn u16(&mut self) -> Option<u16> {
+        self.array().map(u16::from_le_bytes)
+    }
+
+    fn u32(&mut self) -> Option<u32> {
+        self.array().map(u32::from_le_bytes)
+    }
+
+    fn u64(&mut self) -> Option<u64> {
+        self.array().map(u64::from_le_bytes)
+    }
+}
--- /dev/null
+++ b/crates/platform/src/records/replay.rs
@@ -0,0 +1,196 @@
+//! From a journal's records to the state that they leave, and from a message's state back to its records.
+
+use super::{CompletedId, FinalOutcome, Message, Record, SentAttempt, UNKNOWN_INDEX};
+use linnetcart::Time;
+use linnetcart_journal::Record as RawRecord;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// An accepted message that is not delivered, or whose outcome the platform has not acknowledged.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PendingMessage {
+    /// The message.
+    pub message: Message,
+    /// Attempts so far.
+    pub attempts: u16,
+    /// Those of them that were possibly executed.
+    pub possibly_executed: Vec<SentAttempt>,
+    /// Its final outcome, once it has one. `Delivered` also stands for any outcome that was acknowledged.
+    pub outcome: Option<FinalOutcome>,
+}
+
+impl PendingMessage {
+    /// A message that was not sent yet.
+    pub fn new(message: Message) -> PendingMessage {
+        PendingMessage { message, attempts: 0, possibly_executed: vec![], outcome: None }
+    }
+
+    /// The records that add up to this state.
+    pub fn records(&self, number: u32) -> Vec<Record> {
+        let mut records = vec![Record::Accepted { number, message: self.message.clone() }];
+        for &attempt in &self.possibly_executed {
+            records.push(Record::AttemptSent { message: number, attempt });
+        }
+        // Attempts that were not executed count; the last one stands for all of them.
+        if let Some(last) = self.attempts.checked_sub(1) {
+            if self.possibly_executed.iter().all(|attempt| attempt.number != last) {
+                records.push(Record::NotExecuted { message: number, attempt: last });
+            }
+        }
+        if let Some(outcome) = self.outcome {
+            records.push(Record::Completed { message: number, outcome });
+        }
+        records
+    }
+
+    /// Counts an attempt, which may be one of a lower number than those counted: a new file counts attempts that
+    /// wait for their connection, and they are sent after it was begun.
+    fn count_attempt(&mut self, attempt: u16) {
+        self.attempts = self.attempts.max(attempt.saturating_add(1));
+        self.possibly_executed.retain(|sent| sent.number != attempt);
+    }
+}
+
+/// The state that a journal's records leave.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Replay {
+    /// Pending messages by number, which is the order of their acceptance.
+    pub pending: BTreeMap<u32, PendingMessage>,
+    /// Every message that any record names has a lower number.
+    pub next_message: u32,
+    /// Records that could not be decoded, or name a message that is not there.
+    pub unusable_records: usize,
+    /// Completed messages whose deadline is still to come, as far as the journal has them.
+    pub completed: Vec<CompletedId>,
+    /// Until when no message of a key is sent.
+    pub key_cooldowns: BTreeMap<u64, Time>,
+}
+
+impl Replay {
+    /// Replays the records under the names that the settings have now: a class or zone is the one of its name,
+    /// whatever its index is now. A record that comes twice counts once.
+    pub fn from_records(records: &[RawRecord], classes: &[String], zones: &[String]) -> Replay {
+        let mut replayer = Replayer {
+            replay: Replay { next_message: 1, ..Replay::default() },
+            closed: BTreeSet::new(),
+            indexes: None,
+            classes,
+            zones,
+        };
+        for raw in records {
+            match Record::decode(raw) {
+                Some(record) => replayer.apply(record),
+                None => replayer.replay.unusable_records += 1,
+            }
+        }
+        replayer.replay
+    }
+}
+
+/// The index in the settings of each index in the journal.
+struct IndexMap {
+    classes: Vec<u8>,
+    zones: Vec<u8>,
+}
+
+fn indexes_of(names: &[String], settings: &[String]) -> Vec<u8> {
+    let index_of = |name: &String| {
+        let index = settings.iter().position(|other| other == name);
+        index.map_or(UNKNOWN_INDEX, |index| index as u8)
+    };
+    names.iter().map(index_of).collect()
+}
+
+fn translate(indexes: &[u8], index: u8) -> u8 {
+    indexes.get(usize::from(index)).copied().unwrap_or(UNKNOWN_INDEX)
+}
+
+struct Replayer<'a> {
+    replay: Replay,
+    /// Messages of which nothing is pending any more.
+    closed: BTreeSet<u32>,
+    /// `None` until names were read: a file without names dates from when settings never changed their order.
+    indexes: Option<IndexMap>,
+    classes: &'a [String],
+    zones: &'a [String],
+}
+
+impl Replayer<'_> {
+    fn apply(&mut self, record: Record) {
+        match record {
+            Record::Names { classes, zones } => {
+                self.indexes = Some(IndexMap {
+                    classes: indexes_of(&classes, self.classes),
+                    zones: indexes_of(&zones, self.zones),
+                });
+            }
+            Record::CompletedId(completed) => self.replay.completed.push(completed),
+            Record::KeyCooldown { ordering_key, until } => {
+                let latest = self.replay.key_cooldowns.entry(ordering_key).or_default();
+                *latest = (*latest).max(until);
+            }
+            Record::Accepted { number, message } => self.accepted(number, message),
+            Record::AttemptSent { message, attempt } => self.attempt_sent(message, attempt),
+            Record::NotExecuted { message, attempt } => {
+                if let Some(pending) = self.pending(message) {
+                    pending.count_attempt(attempt);
+                }
+            }
+            Record::Completed { message, outcome: FinalOutcome::Delivered }
+            | Record::Notified { message } => {
+                self.closed(message);
+            }
+            Record::Completed { message, outcome } => {
+                if let Some(pending) = self.pending(message) {
+                    pending.outcome = Some(outcome);
+                }
+            }
+        }
+    }
+
+    fn accepted(&mut self, number: u32, mut message: Message) {
+        if let Some(indexes) = &self.indexes {
+            message.class = translate(&indexes.classes, message.class);
+        }
+        self.note_number(number);
+        if !self.closed.contains(&number) {
+            self.replay.pending.entry(number).or_insert(PendingMessage::new(message));
+        }
+    }
+
+    fn attempt_sent(&mut self, message: u32, mut attempt: SentAttempt) {
+        if let Some(indexes) = &self.indexes {
+            attempt.zone = translate(&indexes.zones, attempt.zone);
+        }
+        if let Some(pending) = self.pending(message) {
+            pending.count_attempt(attempt.number);
+            pending.possibly_executed.push(attempt);
+        }
+    }
+
+    /// Nothing is owed for a message any more; one that was returned may be submitted again as a new one.
+    fn closed(&mut self, message: u32) {
+        if self.pending(message).is_none() {
+            return;
+        }
+        if let Some(pending) = self.replay.pending.remove(&message) {
+            if !matches!(pending.outcome, Some(FinalOutcome::Returned { .. })) {
+                self.replay.completed.push(pending.message.completed_id());
+            }
+        }
+        self.closed.insert(message);
+    }
+
+    /// The message that a record names, which is counted as unusable where there never was one.
+    fn pending(&mut self, message: u32) -> Option<&mut PendingMessage> {
+        self.note_number(message);
+        let pending = self.replay.pending.get_mut(&message);
+        if pending.is_none() && !self.closed.contains(&message) {
+            self.replay.unusable_records += 1;
+        }
+        pending
+    }
+
+    fn note_number(&mut self, number: u32) {
+        self.replay.next_message = self.replay.next_message.max(number.saturating_add(1));
+    }
+}
--- a/crates/platform/src/records/tests.rs
+++ b/crates/platform/src/records/tests.rs
@@ -1,9 +1,10 @@
 //! The bytes of the journal's records, which outlast the version that wrote them.
 
 use super::*;
+use linnetcart_journal::Record as RawRecord;
 
-fn raw(kind: u8, payload: &[u8]) -> Raw {
-    Raw { kind, payload: payload.to_vec() }
+fn raw(kind: u8, payload: &[u8]) -> RawRecord {
+    RawRecord { kind, payload: payload.to_vec() }
 }
 
 /// Encodes a record to exactly these bytes, and reads the same bytes back.
@@ -12,14 +13,14 @@
     assert_eq!(Record::decode(&raw(kind, payload)), Some(record));
 }
 
-fn message(token: Option<Vec<u8>>) -> Message {
+fn message(idempotency_key: Option<Vec<u8>>) -> Message {
     Message {
         id: b"id".to_vec(),
-        token,
+        idempotency_key,
         class: 2,
         destination: 0x0304_0506,
-        line: 0x0708_090a_0b0c_0d0e,
-        due: 0x1011_1213_1415_1617,
+        ordering_key: 0x0708_090a_0b0c_0d0e,
+        deadline: 0x1011_1213_1415_1617,
         body: b"hi".to_vec(),
     }
 }
@@ -35,35 +36,39 @@
         2, 0, b'i', b'd', // id
     ];
     let keyed = [&head[..], &[3, 0], b"key", b"hi"].concat();
-    assert_stored(Record::Taken(1, message(Some(b"key".to_vec()))), 1, &keyed);
+    assert_stored(Record::Accepted { number: 1, message: message(Some(b"key".to_vec())) }, 1, &keyed);
     let plain = [&head[..], &[0xff, 0xff], b"hi"].concat();
-    assert_stored(Record::Taken(1, message(None)), 1, &plain);
+    assert_stored(Record::Accepted { number: 1, message: message(None) }, 1, &plain);
 }
 
 #[test]
 fn attempt_record_bytes_unchanged() {
-    let attempt = Attempt { number: 3, zone: 4, at: 5 };
-    assert_stored(Record::Sent { message: 1, attempt }, 2, &[1, 0, 0, 0, 3, 0, 4, 5, 0, 0, 0, 0, 0, 0, 0]);
-    assert_stored(Record::NeverRan { message: 1, attempt: 3 }, 3, &[1, 0, 0, 0, 3, 0]);
+    let attempt = SentAttempt { number: 3, zone: 4, sent_at: 5 };
+    assert_stored(
+        Record::AttemptSent { message: 1, attempt },
+        2,
+        &[1, 0, 0, 0, 3, 0, 4, 5, 0, 0, 0, 0, 0, 0, 0],
+    );
+    assert_stored(Record::NotExecuted { message: 1, attempt: 3 }, 3, &[1, 0, 0, 0, 3, 0]);
 }
 
 #[test]
-fn end_record_bytes_unchanged() {
-    let ended = |end| Record::Ended { message: 1, end };
-    assert_stored(ended(End::Delivered), 4, &[1, 0, 0, 0, 0, 0, 0, 0, 0]);
-    assert_stored(ended(End::Failed), 4, &[1, 0, 0, 0, 1, 0, 0, 0, 0]);
-    assert_stored(ended(End::Returned(258)), 4, &[1, 0, 0, 0, 2, 2, 1, 0, 0]);
-    assert_stored(Record::Told { message: 1 }, 5, &[1, 0, 0, 0]);
+fn outcome_record_bytes_unchanged() {
+    let completed = |outcome| Record::Completed { message: 1, outcome };
+    assert_stored(completed(FinalOutcome::Delivered), 4, &[1, 0, 0, 0, 0, 0, 0, 0, 0]);
+    assert_stored(completed(FinalOutcome::Failed), 4, &[1, 0, 0, 0, 1, 0, 0, 0, 0]);
+    assert_stored(completed(FinalOutcome::Returned { retry_after_ms: 258 }), 4, &[1, 0, 0, 0, 2, 2, 1, 0, 0]);
+    assert_stored(Record::Notified { message: 1 }, 5, &[1, 0, 0, 0]);
 }
 
 #[test]
 fn names_completed_and_cooldown_record_bytes_unchanged() {
     let names = Record::Names { classes: vec!["a".into(), "b".into()], zones: vec!["z".into()] };
     assert_stored(names, 6, br#"[["a","b"],["z"]]"#);
-    let known = Record::Known(Known { id: 1, content: 2, until: 3 });
+    let completed = Record::CompletedId(CompletedId { id_digest: 1, content_digest: 2, expires_at: 3 });
     let numbers = [1, 0, 0, 0, 0, 0, 0, 0, 2, 0, 0, 0, 0, 0, 0, 0, 3, 0, 0, 0, 0, 0, 0, 0];
-    assert_stored(known, 7, &numbers);
-    assert_stored(Record::Rests { line: 1, until: 2 }, 8, &numbers[..16]);
+    assert_stored(completed, 7, &numbers);
+    assert_stored(Record::KeyCooldown { ordering_key: 1, until: 2 }, 8, &numbers[..16]);
 }
 
 #[test]
@@ -76,9 +81,9 @@
 /// Message ids and contents of completed messages are compared by digest with those of an earlier process.
 #[test]
 fn completed_message_digest_unchanged() {
-    let known = message(None).known();
+    let completed = message(None).completed_id();
     assert_eq!(
-        (known.id, known.content, known.until),
-        (12_357_064_557_592_139_580, 3_708_870_094_396_395_126, message(None).due)
+        (completed.id_digest, completed.content_digest, completed.expires_at),
+        (12_357_064_557_592_139_580, 3_708_870_094_396_395_126, message(None).deadline)
     );
 }
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -1,95 +1,106 @@
 //! Moves bytes between sockets, journal and core, and gives it the clock. It decides nothing.
 
-use crate::config::Config;
-use crate::core::{Core, LinkId, Output};
+mod environment;
+mod journal;
+mod log;
+
+pub use environment::Environment;
+
+use crate::core::{ConnectionId, Core, JournalState, Output};
 use crate::records::Replay;
 use anyhow::Context;
 use calloop::signals::Signal;
+use environment::read_config;
+use journal::{wall_clock, JournalWriter, WriteOutcome};
 use linnetcart::Time;
-use linnetcart_journal::{JournalDirectory, Salt};
+use linnetcart_journal::JournalDirectory;
 use linnetcart_net::{Event, Net, Token};
+use log::CoreLog;
 use std::collections::{BTreeMap, BTreeSet};
-use std::path::{Path, PathBuf};
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, Instant};
 
+const MILLISECOND: Time = 1_000_000;
 /// The clock does not begin at zero, so that no span before the start is below it.
-const CLOCK_START: Time = 3600 * 1_000_000_000;
+const CLOCK_START: Time = 3_600_000 * MILLISECOND;
 /// The longest wait for something to happen.
-const LOOK: Duration = Duration::from_millis(500);
-/// What is read from one connection in one poll: a flood on one must not keep the others waiting.
-const READ: (usize, usize) = (16 * 1024, 2);
-/// Lines that are logged in a second.
-const LINES: u32 = 20;
+const MAX_POLL_WAIT: Duration = Duration::from_millis(500);
+/// What is read from one connection in one poll, so many bytes so many times: a flood on one must not keep the
+/// others waiting.
+const READ_BUFFER_BYTES: usize = 16 * 1024;
+const READS_PER_POLL: usize = 2;
+/// File descriptors that are not the event loop's connections.
+const RESERVED_FILE_DESCRIPTORS: usize = 16;
 /// A journal that cannot be written for so long ends the program.
-const UNWRITTEN: Time = 5_000_000_000;
+const UNWRITABLE_TIMEOUT: Time = 5000 * MILLISECOND;
 /// How long the last answers may take to leave.
-const LAST_BYTES: Time = 100_000_000;
+const FLUSH_TIMEOUT: Time = 100 * MILLISECOND;
+const FLUSH_POLL_WAIT: Duration = Duration::from_millis(10);
 /// A configuration that cannot be read is being replaced: it is read again this much later.
-const READ_AGAIN: Time = 200_000_000;
-/// How often figures are logged.
-const FIGURES: Time = 10_000_000_000;
-/// The journal is begun anew when it has grown by this part of its room.
-const GROWTH_PART: u64 = 4;
-
-/// What the environment says.
-#[derive(Clone, Debug)]
-pub struct Environment {
-    /// The configuration file.
-    pub config: PathBuf,
-    /// The folder that lasts.
-    pub state: PathBuf,
-}
-
-impl Environment {
-    /// Reads it.
-    pub fn read() -> anyhow::Result<Environment> {
-        let path = |name: &str| {
-            let value = std::env::var_os(name).filter(|v| !v.is_empty());
-            value
-                .map(PathBuf::from)
-                .with_context(|| format!("{name} is not set; the platform sets it at start"))
-        };
-        Ok(Environment { config: path("RELAY_CONFIG")?, state: path("RELAY_STATE")? })
-    }
-}
-
-fn read_config(path: &Path) -> anyhow::Result<Config> {
-    let bytes = std::fs::read(path)
-        .with_context(|| format!("{} cannot be read; RELAY_CONFIG names it", path.display()))?;
-    Config::read(&bytes).with_context(|| format!("{} cannot be used", path.display()))
-}
+const CONFIG_RETRY_INTERVAL: Time = 200 * MILLISECOND;
 
-fn wall() -> Time {
-    SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default().as_nanos() as Time
+/// Why the configuration is read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ReloadCause {
+    /// A signal asks for it.
+    Signal,
+    /// It could not be read before, which has been logged.
+    Retry,
 }
 
-/// Begins a new file of the journal with all that is held.
-fn begin_anew(journal: &mut JournalDirectory, core: &Core) -> std::io::Result<()> {
-    let snapshot: Vec<_> = core.snapshot().iter().map(|r| r.encode()).collect();
-    let salt = Salt(wall().rotate_left(17));
-    journal.replace(salt, snapshot.iter().map(|(kind, bytes)| (*kind, &bytes[..])))
+/// Whether outputs may leave.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Outputs {
+    /// What they depend on is written.
+    Released,
+    /// They have to stay until it is written.
+    Withheld,
 }
 
 struct Shell {
     net: Net,
     core: Core,
-    journal: JournalDirectory,
-    /// The journal's size after it was last begun anew.
-    base: u64,
-    /// How far it may grow from there.
-    growth: u64,
-    /// Since when the journal cannot be written.
-    unwritten_since: Option<Time>,
+    journal: JournalWriter,
+    log: CoreLog,
     listener: Token,
     clients: BTreeSet<Token>,
-    links: BTreeMap<LinkId, Token>,
-    tokens: BTreeMap<Token, LinkId>,
-    begun: Instant,
+    upstream: UpstreamTokens,
+    started_at: Instant,
     environment: Environment,
-    read_again: Option<Time>,
-    second: Time,
-    said: u32,
-    figures_at: Time,
+    config_retry_at: Option<Time>,
+}
+
+/// Connections to endpoints and discovery under the core's ids and the event loop's tokens.
+#[derive(Debug, Default)]
+struct UpstreamTokens {
+    tokens: BTreeMap<ConnectionId, Token>,
+    ids: BTreeMap<Token, ConnectionId>,
+}
+
+impl UpstreamTokens {
+    fn insert(&mut self, id: ConnectionId, token: Token) {
+        self.tokens.insert(id, token);
+        self.ids.insert(token, id);
+    }
+
+    fn id(&self, token: Token) -> Option<ConnectionId> {
+        self.ids.get(&token).copied()
+    }
+
+    fn token(&self, id: ConnectionId) -> Option<Token> {
+        self.tokens.get(&id).copied()
+    }
+
+    fn remove_id(&mut self, id: ConnectionId) -> Option<Token> {
+        let token = self.tokens.remove(&id)?;
+        self.ids.remove(&token);
+        Some(token)
+    }
+
+    fn remove_token(&mut self, token: Token) {
+        if let Some(id) = self.ids.remove(&token) {
+            self.tokens.remove(&id);
+        }
+    }
 }
 
 /// Runs until a signal ends it.
@@ -100,24 +111,29 @@
         .context("signals cannot be caught")?;
     let config = read_config(&environment.config)?;
     let state = environment.state.display();
-    let (mut journal, records, lines) = JournalDirectory::open(&environment.state)
+    let (directory, records, damages) = JournalDirectory::open(&environment.state)
         .with_context(|| format!("the journal in {state} cannot be read; RELAY_STATE names the folder"))?;
-    lines.iter().for_each(|line| tracing::error!("journal: {line}; what can be read is answered for"));
-    let replay = Replay::of(&records, &config.site.class_names, &config.site.zone_names);
+    for damage in &damages {
+        tracing::error!(%damage, "journal damaged, all that can be read is answered for");
+    }
+    let classes = &config.settings.class_names;
+    let replay = Replay::from_records(&records, classes, &config.settings.zone_names);
     tracing::info!(
-        owed = replay.owed.len(),
-        strange = replay.strange,
+        pending = replay.pending.len(),
+        unusable_records = replay.unusable_records,
         name = config.name,
-        "from the journal"
+        "journal replayed"
     );
     drop(records);
-    net.set_max_connections(config.limits.sockets.saturating_sub(16));
-    net.set_read_limits(READ.0, READ.1);
-    let (listen, room) = (config.listen, (config.limits.disk_mb * 1e6) as u64);
+    net.set_max_connections(config.limits.file_descriptors.saturating_sub(RESERVED_FILE_DESCRIPTORS));
+    net.set_read_limits(READ_BUFFER_BYTES, READS_PER_POLL);
+    let listen = config.listen;
+    let journal_capacity = config.limits.disk_bytes();
     // Both clocks at one moment, before anything that takes time.
-    let (begun, wall) = (Instant::now(), wall());
+    let started_at = Instant::now();
+    let wall = wall_clock();
     let core = Core::new(config, replay, CLOCK_START, wall);
-    begin_anew(&mut journal, &core)
+    let journal = JournalWriter::begin(directory, journal_capacity, &core)
         .with_context(|| format!("the journal in {state} cannot be written; make room there"))?;
     let (listener, _) =
         net.listen(listen).with_context(|| format!("cannot listen on {listen}; RELAY_CONFIG names it"))?;
@@ -125,213 +141,186 @@
     let mut shell = Shell {
         net,
         core,
-        base: journal.size(),
         journal,
-        growth: room / GROWTH_PART,
-        unwritten_since: None,
+        log: CoreLog::default(),
         listener,
         clients: BTreeSet::new(),
-        links: BTreeMap::new(),
-        tokens: BTreeMap::new(),
-        begun,
+        upstream: UpstreamTokens::default(),
+        started_at,
         environment,
-        read_again: None,
-        second: 0,
-        said: 0,
-        figures_at: 0,
+        config_retry_at: None,
     };
     shell.serve()
 }
 
 impl Shell {
     fn now(&self) -> Time {
-        CLOCK_START + self.begun.elapsed().as_nanos() as Time
+        clock(self.started_at)
     }
 
     fn serve(&mut self) -> anyhow::Result<()> {
         let mut events = Vec::new();
-        while !self.core.is_done() {
-            let next = self.core.next_turn().min(self.read_again.unwrap_or(Time::MAX));
-            let wait = Duration::from_nanos(next.saturating_sub(self.now())).min(LOOK);
+        while !self.core.is_ended() {
+            let next_wake = self.core.next_wake().min(self.config_retry_at.unwrap_or(Time::MAX));
+            let wait = Duration::from_nanos(next_wake.saturating_sub(self.now())).min(MAX_POLL_WAIT);
             self.net.poll(wait, &mut events).context("the event loop failed")?;
             let now = self.now();
-            self.core.clock(now);
+            self.core.advance_clock(now);
             for event in events.drain(..) {
-                self.event(event);
+                self.handle(event);
             }
-            if self.read_again.is_some_and(|at| at <= now) {
-                self.configure(true);
+            if self.config_retry_at.is_some_and(|retry_at| retry_at <= now) {
+                self.reload_config(ReloadCause::Retry);
             }
-            self.core.turn(now);
-            if self.write_records()? {
+            self.core.process(now);
+            if self.write_records()? == Outputs::Released {
                 self.carry_out();
             }
-            self.log(now);
+            self.log.update(&mut self.core, self.journal.size(), now);
         }
-        // Answers that the system did not take at once: a client that reads has them before the process ends.
-        let until = self.now() + LAST_BYTES;
+        self.flush()?;
+        tracing::info!("shutdown complete");
+        Ok(())
+    }
+
+    /// Answers that the system did not take at once: a client that reads has them before the process ends.
+    fn flush(&mut self) -> anyhow::Result<()> {
+        let mut events = Vec::new();
+        let until = self.now() + FLUSH_TIMEOUT;
         while self.net.has_unsent() && self.now() < until {
-            self.net.poll(Duration::from_millis(10), &mut events).context("the event loop failed")?;
+            self.net.poll(FLUSH_POLL_WAIT, &mut events).context("the event loop failed")?;
             events.clear();
         }
-        tracing::info!("ended");
         Ok(())
     }
 
-    fn event(&mut self, event: Event) {
+    fn handle(&mut self, event: Event) {
         match event {
             Event::Accepted { token, .. } => {
                 self.clients.insert(token);
                 self.core.client_opened(token);
             }
-            Event::Connected(token) => self.link(token, |core, link| core.link_up(link)),
+            Event::Connected(token) => {
+                if let Some(id) = self.upstream.id(token) {
+                    self.core.upstream_connected(id);
+                }
+            }
             Event::ConnectFailed(token) => {
-                self.link(token, |core, link| core.link_failed(link));
-                self.forget(token);
+                if let Some(id) = self.upstream.id(token) {
+                    self.core.upstream_connect_failed(id);
+                }
+                self.upstream.remove_token(token);
             }
-            Event::Data(token, bytes) => match self.tokens.get(&token) {
-                Some(&link) => self.core.link_bytes(link, &bytes),
-                None => self.core.client_bytes(token, &bytes),
+            Event::Data(token, bytes) => match self.upstream.id(token) {
+                Some(id) => self.core.upstream_received(id, &bytes),
+                None => self.core.client_received(token, &bytes),
             },
-            Event::HalfClosed(token) if self.tokens.contains_key(&token) => {
+            Event::HalfClosed(token) if self.upstream.id(token).is_some() => {
                 let written = self.net.written_bytes(token);
                 self.net.close(token);
-                self.gone(token, written);
+                self.closed(token, written);
             }
             Event::HalfClosed(token) => {
-                // What was asked before is answered in this turn, and leaves before the connection ends.
+                // What was asked before is answered in this iteration, and leaves before the connection ends.
                 self.core.client_half_closed(token);
             }
-            Event::Closed { token, written } => self.gone(token, written),
-            Event::Signal(signal) if signal == Signal::SIGHUP as i32 => self.configure(false),
+            Event::Closed { token, written } => self.closed(token, written),
+            Event::Signal(signal) if signal == Signal::SIGHUP as i32 => {
+                self.reload_config(ReloadCause::Signal);
+            }
             Event::Signal(_) => {
-                tracing::info!("ending");
-                self.core.end();
+                tracing::info!("shutdown started");
+                self.core.begin_shutdown();
             }
             Event::Datagram(..) => {}
         }
     }
 
-    fn link(&mut self, token: Token, tell: impl FnOnce(&mut Core, LinkId)) {
-        if let Some(&link) = self.tokens.get(&token) {
-            tell(&mut self.core, link);
+    fn closed(&mut self, token: Token, written: u64) {
+        if let Some(id) = self.upstream.id(token) {
+            self.core.upstream_disconnected(id, written);
         }
-    }
-
-    fn gone(&mut self, token: Token, written: u64) {
-        self.link(token, |core, link| core.link_down(link, written));
         if self.clients.remove(&token) {
-            self.core.client_gone(token);
-        }
-        self.forget(token);
-    }
-
-    fn forget(&mut self, token: Token) {
-        if let Some(link) = self.tokens.remove(&token) {
-            self.links.remove(&link);
+            self.core.client_closed(token);
         }
+        self.upstream.remove_token(token);
     }
 
     /// The configuration was replaced. What cannot be read leaves the old one in force and is read again later.
-    fn configure(&mut self, again: bool) {
-        self.read_again = None;
+    fn reload_config(&mut self, cause: ReloadCause) {
+        self.config_retry_at = None;
         match read_config(&self.environment.config) {
             Ok(config) => {
-                tracing::info!(discovery = %config.discovery, "configured anew");
-                self.core.discovery_at(config.discovery);
+                tracing::info!(discovery = %config.discovery, "configuration reloaded");
+                self.core.move_discovery(config.discovery);
             }
-            Err(e) => {
-                if !again {
-                    tracing::error!("{e:#}; the configuration before stays in force until it can be read");
+            Err(error) => {
+                if cause == ReloadCause::Signal {
+                    let error = format!("{error:#}");
+                    tracing::error!(error, "configuration unreadable, previous one stays in force");
                 }
-                self.read_again = Some(self.now() + READ_AGAIN);
+                self.config_retry_at = Some(self.now() + CONFIG_RETRY_INTERVAL);
             }
         }
     }
 
-    /// Writes what this turn's outputs depend on. False: they have to stay until it is written.
-    fn write_records(&mut self) -> anyhow::Result<bool> {
-        let records = self.core.records();
-        if records.is_empty() && self.unwritten_since.is_none() {
-            return Ok(true);
-        }
-        if self.unwritten_since.is_none() {
-            let encoded: Vec<(u8, Vec<u8>)> = records.iter().map(|r| r.encode()).collect();
-            let written = self.journal.append(encoded.iter().map(|(kind, bytes)| (*kind, &bytes[..])));
-            if written.is_ok() && self.journal.size() <= self.base + self.growth {
-                return Ok(true);
+    /// Writes what this iteration's outputs depend on.
+    fn write_records(&mut self) -> anyhow::Result<Outputs> {
+        let records = self.core.take_records();
+        let started_at = self.started_at;
+        match self.journal.write(&records, &self.core, || clock(started_at)) {
+            WriteOutcome::Written => Ok(Outputs::Released),
+            WriteOutcome::Replaced => {
+                self.core.set_journal_state(JournalState::Writable);
+                Ok(Outputs::Released)
             }
-        }
-        // What the core holds has these records in it, so a new file makes up for an append that failed.
-        let replaced = begin_anew(&mut self.journal, &self.core);
-        let now = self.now();
-        if let Err(e) = replaced {
-            let since = *self.unwritten_since.get_or_insert(now);
-            if now > since + UNWRITTEN {
-                let state = self.environment.state.display();
-                return Err(e)
-                    .with_context(|| format!("the journal in {state} cannot be written; make room"));
+            WriteOutcome::Failed { error, failing_for } => {
+                if failing_for > UNWRITABLE_TIMEOUT {
+                    let state = self.environment.state.display();
+                    return Err(error)
+                        .with_context(|| format!("the journal in {state} cannot be written; make room"));
+                }
+                tracing::error!(%error, "journal unwritable, nothing is accepted or sent");
+                self.core.set_journal_state(JournalState::Unwritable);
+                Ok(Outputs::Withheld)
             }
-            tracing::error!("the journal cannot be written: {e}; nothing is taken on or sent until it can");
-        } else {
-            self.unwritten_since = None;
-            self.base = self.journal.size();
         }
-        self.core.journal_broken(self.unwritten_since.is_some());
-        Ok(self.unwritten_since.is_none())
     }
 
     fn carry_out(&mut self) {
-        for output in self.core.outputs() {
+        for output in self.core.take_outputs() {
             match output {
-                Output::ToClient(client, bytes) => self.net.send(client, &bytes),
+                Output::SendToClient(client, bytes) => self.net.send(client, &bytes),
                 Output::CloseClient(client) => {
                     self.clients.remove(&client);
                     self.net.close_after_flush(client);
                 }
-                Output::Connect(link, address) => {
+                Output::Connect(id, address) => {
                     let token = self.net.connect(address);
-                    self.links.insert(link, token);
-                    self.tokens.insert(token, link);
+                    self.upstream.insert(id, token);
                 }
-                Output::ToLink(link, bytes) => {
-                    if let Some(&token) = self.links.get(&link) {
+                Output::SendUpstream(id, bytes) => {
+                    if let Some(token) = self.upstream.token(id) {
                         self.net.send(token, &bytes);
                     }
                 }
-                Output::CloseLink(link) => {
-                    if let Some(token) = self.links.remove(&link) {
-                        self.tokens.remove(&token);
+                Output::CloseUpstream(id) => {
+                    if let Some(token) = self.upstream.remove_id(id) {
                         self.net.close(token);
                     }
                 }
-                Output::EndSending(link) => {
-                    if let Some(&token) = self.links.get(&link) {
+                Output::ShutdownWrite(id) => {
+                    if let Some(token) = self.upstream.token(id) {
                         self.net.shutdown_write(token);
                     }
                 }
-                Output::Unlisten => self.net.stop_listening(self.listener),
+                Output::StopListening => self.net.stop_listening(self.listener),
             }
         }
     }
+}
 
-    fn log(&mut self, now: Time) {
-        let second = now / 1_000_000_000;
-        if second != self.second {
-            (self.second, self.said) = (second, 0);
-        }
-        for line in self.core.lines() {
-            self.said += 1;
-            if self.said <= LINES {
-                tracing::info!("{line}");
-            }
-        }
-        if now >= self.figures_at {
-            self.figures_at = now + FIGURES;
-            let [held, notices, endpoints, clients, links, calls] = self.core.sizes();
-            let counts = self.core.counts();
-            let journal = self.journal.size();
-            tracing::info!(held, notices, endpoints, clients, links, calls, journal, ?counts, "figures");
-        }
-    }
+/// The courier's clock.
+fn clock(started_at: Instant) -> Time {
+    CLOCK_START + started_at.elapsed().as_nanos() as Time
 }
--- /dev/null
+++ b/crates/platform/src/shell/log.rs
@@ -0,0 +1,88 @@
+//! The log: events of the core, of which a flood is cut off, and statistics.
+
+use crate::core::{Core, CoreEvent};
+use linnetcart::Time;
+
+const SECOND: Time = 1_000_000_000;
+/// Events that are logged in a second; what comes beyond is dropped.
+const MAX_EVENTS_PER_SECOND: u32 = 20;
+/// How often statistics are logged.
+const STATISTICS_INTERVAL: Time = 10 * SECOND;
+
+/// What was logged when.
+#[derive(Debug, Default)]
+pub struct CoreLog {
+    second: Time,
+    events_in_second: u32,
+    next_statistics: Time,
+}
+
+impl CoreLog {
+    /// Logs the core's events and, where it is time to, statistics.
+    pub fn update(&mut self, core: &mut Core, journal_bytes: u64, now: Time) {
+        let second = now / SECOND;
+        if second != self.second {
+            self.second = second;
+            self.events_in_second = 0;
+        }
+        for event in core.take_events() {
+            self.events_in_second += 1;
+            if self.events_in_second <= MAX_EVENTS_PER_SECOND {
+                log_event(&event);
+            }
+        }
+        if now >= self.next_statistics {
+            self.next_statistics = now + STATISTICS_INTERVAL;
+            log_statistics(core, journal_bytes);
+        }
+    }
+}
+
+fn log_event(event: &CoreEvent) {
+    match event {
+        CoreEvent::WatchFailed(error) => tracing::info!(%error, "endpoint watch failed, reconnecting"),
+        CoreEvent::WatchSilent => tracing::info!("endpoint watch silent, reconnecting"),
+        CoreEvent::NotificationsFailed(error) => {
+            tracing::info!(%error, "status notifications not acknowledged, resending");
+        }
+        CoreEvent::NotificationsTimedOut => tracing::info!("status notifications timed out, resending"),
+        CoreEvent::NotificationRejected { message } => {
+            tracing::info!(id = message, "status notification rejected and dropped");
+        }
+        CoreEvent::LimitChanged(change) => tracing::info!(
+            destination = change.destination,
+            endpoint = change.endpoint,
+            state = ?change.state,
+            evidence = ?change.evidence,
+            "limit state changed"
+        ),
+        CoreEvent::AttemptWithheld { endpoint, message } => {
+            tracing::info!(endpoint, id = message, "attempt withheld, Retry-After pending");
+        }
+        CoreEvent::UnknownClass { message } => {
+            tracing::info!(id = message, "recovered message of unknown class failed");
+        }
+        CoreEvent::RecoveryFinished(counts) => tracing::info!(
+            recovered = counts.recovered,
+            untried = counts.untried,
+            attempted = counts.attempted,
+            given_up = counts.given_up,
+            "recovery finished"
+        ),
+    }
+}
+
+fn log_statistics(core: &Core, journal_bytes: u64) {
+    let sizes = core.sizes();
+    tracing::info!(
+        in_flight = sizes.in_flight,
+        unacknowledged = sizes.unacknowledged,
+        endpoints = sizes.endpoints,
+        clients = sizes.clients,
+        upstream_connections = sizes.upstream_connections,
+        attempts = sizes.attempts,
+        journal_bytes,
+        counters = ?core.counters(),
+        "statistics"
+    );
+}
