Net: the loop, connections, listeners, datagrams and ports are parts of their own

Cause: one file of 708 lines held the loop, every kind of socket and the tests; a reader could not tell which state belonged to what.

Change: `Reactor` owns the calloop loop and what sockets share, `Connection` one stream, `Connections`, `Listeners` and `DatagramSockets` their sockets; `Net` names the order of one poll. Reads, writes and connects return typed outcomes. Bounds are named constants with units. Order of events, tokens and system calls are as before.

--- /dev/null
+++ b/crates/net/src/connections.rs
@@ -0,0 +1,287 @@
+//! All TCP connections of a [`Net`](crate::Net), from connect or accept to their end.
+//!
+//! Owns the connections, their bound, and which of them have bytes to write. It never listens.
+
+use crate::connection::{ConnectOutcome, Connection, ConnectionState, ReadOutcome, WriteOutcome};
+use crate::reactor::Reactor;
+use crate::{Event, Token};
+use bytes::Bytes;
+use calloop::Interest;
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::{self, ErrorKind};
+use std::net::{SocketAddr, TcpStream};
+use std::ops::ControlFlow;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Reads from one connection in one poll, unless [`Connections::set_reads_per_poll`] says otherwise; the rest
+/// waits for the next poll, so that no connection keeps the loop from the others.
+const DEFAULT_READS_PER_POLL: usize = 4;
+/// How long a connection that is closed after a flush may take to send what is queued.
+const FLUSH_TIMEOUT: Duration = Duration::from_secs(5);
+/// `EINPROGRESS` of the system's headers; the same on every Linux that calloop runs on.
+const EINPROGRESS: i32 = 115;
+
+/// The connections, by token.
+pub(crate) struct Connections {
+    open: BTreeMap<Token, Connection>,
+    /// Connections that may have bytes to write.
+    unflushed: BTreeSet<Token>,
+    max_connections: usize,
+    reads_per_poll: usize,
+}
+
+impl Connections {
+    pub(crate) fn new(max_connections: usize) -> Connections {
+        Connections {
+            open: BTreeMap::new(),
+            unflushed: BTreeSet::new(),
+            max_connections,
+            reads_per_poll: DEFAULT_READS_PER_POLL,
+        }
+    }
+
+    pub(crate) fn set_max_connections(&mut self, max_connections: usize) {
+        self.max_connections = max_connections;
+    }
+
+    pub(crate) fn set_reads_per_poll(&mut self, reads: usize) {
+        self.reads_per_poll = reads;
+    }
+
+    pub(crate) fn is_full(&self) -> bool {
+        self.open.len() >= self.max_connections
+    }
+
+    pub(crate) fn count(&self) -> usize {
+        self.open.len()
+    }
+
+    pub(crate) fn unsent_bytes(&self, token: Token) -> usize {
+        self.open.get(&token).map_or(0, Connection::unsent_bytes)
+    }
+
+    pub(crate) fn has_unsent(&self) -> bool {
+        self.open.values().any(|connection| connection.unsent_bytes() > 0)
+    }
+
+    pub(crate) fn written_bytes(&self, token: Token) -> u64 {
+        self.open.get(&token).map_or(0, Connection::written_bytes)
+    }
+
+    /// Begins a connection; its outcome is reported by a later poll.
+    pub(crate) fn connect(&mut self, addr: SocketAddr, reactor: &mut Reactor) -> Token {
+        let token = reactor.next_token();
+        if self.begin_connect(token, addr, reactor).is_err() {
+            reactor.deferred_events.push(Event::ConnectFailed(token));
+        }
+        token
+    }
+
+    fn begin_connect(&mut self, token: Token, addr: SocketAddr, reactor: &Reactor) -> io::Result<()> {
+        if self.is_full() {
+            return Err(io::Error::other("the maximum number of connections is reached"));
+        }
+        let socket = Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP))?;
+        socket.set_nonblocking(true)?;
+        socket.set_tcp_nodelay(true)?;
+        match socket.connect(&addr.into()) {
+            Ok(()) => {}
+            Err(error) if error.raw_os_error() == Some(EINPROGRESS) => {}
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+            Err(error) => return Err(error),
+        }
+        self.insert(token, socket.into(), ConnectionState::Connecting, reactor)
+    }
+
+    /// Takes over a connection that a listener accepted.
+    pub(crate) fn insert_accepted(
+        &mut self,
+        token: Token,
+        stream: TcpStream,
+        reactor: &Reactor,
+    ) -> io::Result<()> {
+        stream.set_nonblocking(true)?;
+        stream.set_nodelay(true)?;
+        self.insert(token, stream, ConnectionState::Established, reactor)
+    }
+
+    fn insert(
+        &mut self,
+        token: Token,
+        stream: TcpStream,
+        state: ConnectionState,
+        reactor: &Reactor,
+    ) -> io::Result<()> {
+        let stream = Rc::new(stream);
+        let registration = reactor.register(Rc::clone(&stream), token, Interest::BOTH)?;
+        self.open.insert(token, Connection::new(stream, registration, state));
+        Ok(())
+    }
+
+    /// Queues bytes for the next flush, unless the connection is being closed.
+    pub(crate) fn send(&mut self, token: Token, bytes: &[u8]) {
+        let Some(connection) = self.open.get_mut(&token) else { return };
+        if connection.is_closing() {
+            return;
+        }
+        connection.queue(bytes);
+        self.unflushed.insert(token);
+    }
+
+    pub(crate) fn set_read_paused(&mut self, token: Token, paused: bool, reactor: &mut Reactor) {
+        let Some(connection) = self.open.get_mut(&token) else { return };
+        connection.read_paused = paused;
+        if !paused && connection.readable {
+            reactor.pending_reads.insert(token);
+        }
+    }
+
+    /// Closes at once, without an event.
+    pub(crate) fn close(&mut self, token: Token, reactor: &mut Reactor) {
+        if let Some(connection) = self.open.remove(&token) {
+            reactor.unregister(connection.registration);
+        }
+        reactor.pending_reads.remove(&token);
+        self.unflushed.remove(&token);
+    }
+
+    pub(crate) fn shutdown_write(&mut self, token: Token, reactor: &mut Reactor) {
+        let Some(connection) = self.open.get_mut(&token) else { return };
+        if connection.shutdown_write() {
+            self.unflushed.remove(&token);
+        } else {
+            self.close(token, reactor);
+        }
+    }
+
+    /// Closes at once with a TCP reset.
+    pub(crate) fn reset(&mut self, token: Token, reactor: &mut Reactor) {
+        if let Some(connection) = self.open.get(&token) {
+            let _ = SockRef::from(&*connection.stream).set_linger(Some(Duration::ZERO));
+        }
+        self.close(token, reactor);
+    }
+
+    pub(crate) fn close_after_flush(&mut self, token: Token) {
+        if let Some(connection) = self.open.get_mut(&token) {
+            connection.close_after_flush(Instant::now());
+            self.unflushed.insert(token);
+        }
+    }
+
+    /// Writes what is queued on all connections; returns those that it tried.
+    pub(crate) fn flush(&mut self, reactor: &mut Reactor) -> Vec<Token> {
+        let unflushed = std::mem::take(&mut self.unflushed);
+        for &token in &unflushed {
+            self.write(token, reactor);
+        }
+        unflushed.into_iter().collect()
+    }
+
+    fn write(&mut self, token: Token, reactor: &mut Reactor) {
+        let Some(connection) = self.open.get_mut(&token) else { return };
+        match connection.write_unsent() {
+            WriteOutcome::Flushed if connection.is_closing() => self.close(token, reactor),
+            WriteOutcome::Flushed | WriteOutcome::Blocked => {}
+            WriteOutcome::Failed => self.lose(token, reactor),
+        }
+    }
+
+    /// Closes a connection that failed, and has the next poll report it.
+    fn lose(&mut self, token: Token, reactor: &mut Reactor) {
+        let Some(connection) = self.open.get(&token) else { return };
+        let event = connection.loss_event(token);
+        self.close(token, reactor);
+        reactor.deferred_events.extend(event);
+    }
+
+    /// Notes that the system reported bytes to read.
+    pub(crate) fn mark_readable(&mut self, token: Token) {
+        if let Some(connection) = self.open.get_mut(&token) {
+            connection.readable = true;
+        }
+    }
+
+    /// Acts on a connection that the system reported as writable: it may just have been established.
+    pub(crate) fn handle_writable(&mut self, token: Token, reactor: &mut Reactor, out: &mut Vec<Event>) {
+        let Some(connection) = self.open.get_mut(&token) else { return };
+        if connection.is_connecting() {
+            match connection.finish_connect() {
+                ConnectOutcome::Established => out.push(Event::Connected(token)),
+                ConnectOutcome::Pending => return,
+                ConnectOutcome::Failed => return self.lose(token, reactor),
+            }
+        }
+        self.write(token, reactor);
+    }
+
+    /// Reads what is there, up to the bound of one poll.
+    pub(crate) fn read(&mut self, token: Token, reactor: &mut Reactor, out: &mut Vec<Event>) {
+        for _ in 0..self.reads_per_poll {
+            if self.read_once(token, reactor, out).is_break() {
+                return;
+            }
+        }
+        reactor.pending_reads.insert(token);
+    }
+
+    fn read_once(&mut self, token: Token, reactor: &mut Reactor, out: &mut Vec<Event>) -> ControlFlow<()> {
+        let Some(connection) = self.open.get_mut(&token) else { return ControlFlow::Break(()) };
+        if !connection.may_read() {
+            return ControlFlow::Break(());
+        }
+        if connection.is_connecting() {
+            return self.finish_connect_before_read(token, reactor, out);
+        }
+        match connection.read(&mut reactor.read_buffer) {
+            ReadOutcome::Received(count) => {
+                if !connection.is_closing() {
+                    let bytes = Bytes::copy_from_slice(&reactor.read_buffer[..count]);
+                    out.push(Event::Data(token, bytes));
+                }
+                ControlFlow::Continue(())
+            }
+            ReadOutcome::EndOfStream => {
+                if !connection.is_closing() {
+                    out.push(Event::HalfClosed(token));
+                }
+                ControlFlow::Break(())
+            }
+            ReadOutcome::Blocked => ControlFlow::Break(()),
+            ReadOutcome::Interrupted => ControlFlow::Continue(()),
+            ReadOutcome::Failed => {
+                self.lose(token, reactor);
+                ControlFlow::Break(())
+            }
+        }
+    }
+
+    /// A connect that failed shows as readable too.
+    fn finish_connect_before_read(
+        &mut self,
+        token: Token,
+        reactor: &mut Reactor,
+        out: &mut Vec<Event>,
+    ) -> ControlFlow<()> {
+        self.handle_writable(token, reactor, out);
+        match self.open.get(&token) {
+            Some(connection) if !connection.is_connecting() => ControlFlow::Continue(()),
+            _ => ControlFlow::Break(()),
+        }
+    }
+
+    /// Closes the connections whose last bytes were not taken in time.
+    pub(crate) fn close_flush_timeouts(&mut self, now: Instant, reactor: &mut Reactor) {
+        let mut timed_out = Vec::new();
+        for (&token, connection) in &self.open {
+            if connection.is_closing_longer_than(FLUSH_TIMEOUT, now) {
+                timed_out.push(token);
+            }
+        }
+        for token in timed_out {
+            self.close(token, reactor);
+        }
+    }
+}
--- /dev/null
+++ b/crates/net/src/event.rs
@@ -0,0 +1,38 @@
+//! What a poll reports to its caller.
+
+use crate::Token;
+use bytes::Bytes;
+use std::net::SocketAddr;
+
+/// Something that happened to a socket or to the process.
+#[derive(Debug)]
+pub enum Event {
+    /// A peer connected to one of the listeners.
+    Accepted {
+        /// The listener that it connected to.
+        listener: Token,
+        /// The new connection.
+        token: Token,
+        /// Address of the peer.
+        peer: SocketAddr,
+    },
+    /// A connection begun with [`Net::connect`](crate::Net::connect) is established.
+    Connected(Token),
+    /// A connection begun with [`Net::connect`](crate::Net::connect) could not be established.
+    ConnectFailed(Token),
+    /// Bytes were received on a connection.
+    Data(Token, Bytes),
+    /// The peer sends no more; it may still read.
+    HalfClosed(Token),
+    /// An established connection was lost.
+    Closed {
+        /// The connection.
+        token: Token,
+        /// Bytes handed to the system since the connection was established.
+        written: u64,
+    },
+    /// A datagram was received.
+    Datagram(Token, Bytes),
+    /// A watched signal was received.
+    Signal(i32),
+}
