--- /dev/null
+++ b/crates/journal/src/directory.rs
@@ -0,0 +1,149 @@
+//! The files of a journal in their directory.
+
+use crate::{read_frames, FileDamage, JournalError, Record, RecordRef, Salt, COMPLETE};
+use std::fs::{self, File, OpenOptions};
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+
+/// What the name of each file begins with; its number follows.
+const FILE_NAME_PREFIX: &str = "journal-";
+
+/// A directory with a journal in it. All that it appends goes to one file, until that is replaced by the next.
+#[derive(Debug)]
+pub struct JournalDirectory {
+    path: PathBuf,
+    /// Number of the newest file.
+    number: u64,
+    /// None until the first file of this process has been begun.
+    file: Option<File>,
+    salt: Salt,
+    size_bytes: u64,
+}
+
+/// A journal as an earlier process left it.
+#[derive(Debug)]
+pub struct OpenedJournal {
+    /// The directory, to write to.
+    pub directory: JournalDirectory,
+    /// The records that could be read, in their order.
+    pub records: Vec<Record>,
+    /// What could not be read, from the newest file on.
+    pub damage: Vec<FileDamage>,
+}
+
+impl JournalDirectory {
+    /// Opens the directory and reads what an earlier process left. Nothing may be appended before the first
+    /// [`JournalDirectory::replace`].
+    pub fn open(path: &Path) -> Result<OpenedJournal, JournalError> {
+        let numbers = file_numbers(path)?;
+        let mut records = Vec::new();
+        let mut damage = Vec::new();
+        for &number in numbers.iter().rev() {
+            let file = file_path(path, number);
+            let found = read_frames(&fs::read(&file)?);
+            if found.torn > 0 {
+                damage.push(FileDamage::TornEnd { path: file.clone(), bytes: found.torn });
+            }
+            if found.damaged > 0 {
+                damage.push(FileDamage::Damaged { path: file, bytes: found.damaged });
+            }
+            records.splice(0..0, found.records);
+            // An older file is wanted only where no newer one holds all of it.
+            if found.complete {
+                break;
+            }
+        }
+        let directory = JournalDirectory {
+            path: path.to_owned(),
+            number: numbers.last().copied().unwrap_or(0),
+            file: None,
+            salt: Salt(0),
+            size_bytes: 0,
+        };
+        Ok(OpenedJournal { directory, records, damage })
+    }
+
+    /// Bytes of the file that is appended to.
+    pub fn size(&self) -> u64 {
+        self.size_bytes
+    }
+
+    /// Appends records. After an error nothing of them is in the file.
+    pub fn append<'a>(
+        &mut self,
+        records: impl IntoIterator<Item = RecordRef<'a>>,
+    ) -> Result<(), JournalError> {
+        let Some(file) = &mut self.file else { return Err(JournalError::NoFile) };
+        let mut bytes = Vec::new();
+        for record in records {
+            self.salt.frame(record.kind, record.payload, &mut bytes);
+        }
+        if let Err(error) = file.write_all(&bytes) {
+            // A reader would skip what was written as damage; better not to leave it.
+            let _ = file.set_len(self.size_bytes);
+            return Err(error.into());
+        }
+        self.size_bytes += bytes.len() as u64;
+        Ok(())
+    }
+
+    /// Begins a new file with the records that are still wanted, and removes those before. After an error the
+    /// old file stays in use.
+    pub fn replace<'a>(
+        &mut self,
+        salt: Salt,
+        records: impl IntoIterator<Item = RecordRef<'a>>,
+    ) -> Result<(), JournalError> {
+        let mut bytes = salt.header();
+        for record in records {
+            salt.frame(record.kind, record.payload, &mut bytes);
+        }
+        salt.frame(COMPLETE, &[], &mut bytes);
+        let new_path = file_path(&self.path, self.number + 1);
+        let file = create_file(&new_path, &bytes).inspect_err(|_| {
+            let _ = fs::remove_file(&new_path);
+        })?;
+        self.number += 1;
+        self.file = Some(file);
+        self.salt = salt;
+        self.size_bytes = bytes.len() as u64;
+        self.remove_older_files()?;
+        Ok(())
+    }
+
+    fn remove_older_files(&self) -> io::Result<()> {
+        for number in file_numbers(&self.path)? {
+            if number < self.number {
+                fs::remove_file(file_path(&self.path, number))?;
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Creates a file that must not be there yet, with these bytes, to append to.
+fn create_file(path: &Path, bytes: &[u8]) -> io::Result<File> {
+    let mut file = OpenOptions::new().append(true).create_new(true).open(path)?;
+    file.write_all(bytes)?;
+    Ok(file)
+}
+
+fn file_path(directory: &Path, number: u64) -> PathBuf {
+    directory.join(format!("{FILE_NAME_PREFIX}{number:010}"))
+}
+
+/// The numbers of the journal's files in a directory, ascending; other files are ignored.
+fn file_numbers(directory: &Path) -> io::Result<Vec<u64>> {
+    let mut numbers = Vec::new();
+    for entry in fs::read_dir(directory)? {
+        let name = entry?.file_name();
+        let Some(number) = name.to_str().and_then(|name| name.strip_prefix(FILE_NAME_PREFIX)) else {
+            continue;
+        };
+        if let Ok(number) = number.parse::<u64>() {
+            numbers.push(number);
+        }
+    }
+    numbers.sort_unstable();
+    Ok(numbers)
+}
--- /dev/null
+++ b/crates/journal/tests/directory.rs
@@ -0,0 +1,88 @@
+//! A journal's directory: replacement of files, and what a process finds that died in the middle of it.
+
+use linnetcart_journal::{
+    FileDamage, JournalDirectory, JournalError, OpenedJournal, Record, RecordRef, Salt, COMPLETE,
+    FRAME_OVERHEAD_BYTES,
+};
+use std::path::PathBuf;
+
+const SALT: Salt = Salt(0x0123_4567_89ab_cdef);
+
+/// A directory of its own for one test, removed at its end.
+struct Temp(PathBuf);
+
+impl Temp {
+    fn new(name: &str) -> Temp {
+        let dir = std::env::temp_dir().join(format!("linnetcart-journal-{name}-{}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&dir);
+        std::fs::create_dir_all(&dir).unwrap();
+        Temp(dir)
+    }
+}
+
+impl Drop for Temp {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn record(kind: u8, payload: &[u8]) -> RecordRef<'_> {
+    RecordRef { kind, payload }
+}
+
+#[test]
+fn new_file_replaces_the_old_one_only_when_complete() {
+    let temp = Temp::new("replace");
+    let OpenedJournal { mut directory, records, damage } = JournalDirectory::open(&temp.0).unwrap();
+    assert!(records.is_empty() && damage.is_empty());
+    assert!(matches!(directory.append([record(1, b"x")]), Err(JournalError::NoFile)));
+    directory.replace(SALT, []).unwrap();
+    directory.append([record(1, b"a"), record(2, b"b")]).unwrap();
+    // The next file, cut at any byte as by a process that died in the middle of it.
+    let mut next = Salt(9).header();
+    Salt(9).frame(2, b"b", &mut next);
+    Salt(9).frame(COMPLETE, &[], &mut next);
+    for cut in 0..=next.len() {
+        std::fs::write(temp.0.join("journal-0000000002"), &next[..cut]).unwrap();
+        let records = JournalDirectory::open(&temp.0).unwrap().records;
+        let kinds: Vec<u8> = records.iter().map(|r| r.kind).collect();
+        let partly = cut > 40 + FRAME_OVERHEAD_BYTES;
+        let wanted: &[u8] = if cut == next.len() {
+            &[2]
+        } else if partly {
+            &[1, 2, 2]
+        } else {
+            &[1, 2]
+        };
+        assert_eq!(kinds, wanted, "cut at {cut}");
+    }
+    let mut directory = JournalDirectory::open(&temp.0).unwrap().directory;
+    directory.replace(SALT, [record(3, b"c")]).unwrap();
+    directory.append([record(4, b"d")]).unwrap();
+    assert_eq!(std::fs::read_dir(&temp.0).unwrap().count(), 1);
+    let records = JournalDirectory::open(&temp.0).unwrap().records;
+    assert_eq!(records.iter().map(|r| r.kind).collect::<Vec<_>>(), [3, 4]);
+}
+
+#[test]
+fn damaged_file_is_reported_with_path_and_bytes() {
+    let temp = Temp::new("damage");
+    let path = temp.0.join("journal-0000000001");
+    let mut bytes = SALT.header();
+    let damaged_at = bytes.len();
+    SALT.frame(1, b"lost", &mut bytes);
+    let damaged = bytes.len() - damaged_at;
+    bytes[damaged_at] ^= 1;
+    SALT.frame(2, b"kept", &mut bytes);
+    bytes.extend([0; 3]);
+    std::fs::write(&path, &bytes).unwrap();
+    let opened = JournalDirectory::open(&temp.0).unwrap();
+    assert_eq!(opened.records, [Record { kind: 2, payload: b"kept".to_vec() }]);
+    let torn_end = FileDamage::TornEnd { path: path.clone(), bytes: 3 };
+    assert_eq!(opened.damage, [torn_end, FileDamage::Damaged { path: path.clone(), bytes: damaged }]);
+    let lines: Vec<String> = opened.damage.iter().map(FileDamage::to_string).collect();
+    let file = path.display();
+    let expected =
+        [format!("{file}: 3 bytes at the end are no record"), format!("{file}: {damaged} bytes are damaged")];
+    assert_eq!(lines, expected);
+}
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -6,7 +6,7 @@
 use anyhow::Context;
 use calloop::signals::Signal;
 use linnetcart::Time;
-use linnetcart_journal::{JournalDirectory, Salt};
+use linnetcart_journal::{JournalDirectory, JournalError, OpenedJournal, RecordRef, Salt};
 use linnetcart_net::{Event, Net, Token};
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::{Path, PathBuf};
@@ -64,10 +64,10 @@
 }
 
 /// Begins a new file of the journal with all that is held.
-fn begin_anew(journal: &mut JournalDirectory, core: &Core) -> std::io::Result<()> {
+fn begin_anew(journal: &mut JournalDirectory, core: &Core) -> Result<(), JournalError> {
     let snapshot: Vec<_> = core.snapshot().iter().map(|r| r.encode()).collect();
     let salt = Salt(wall().rotate_left(17));
-    journal.replace(salt, snapshot.iter().map(|(kind, bytes)| (*kind, &bytes[..])))
+    journal.replace(salt, snapshot.iter().map(|(kind, bytes)| RecordRef { kind: *kind, payload: bytes }))
 }
 
 struct Shell {
@@ -100,8 +100,10 @@
         .context("signals cannot be caught")?;
     let config = read_config(&environment.config)?;
     let state = environment.state.display();
-    let (mut journal, records, lines) = JournalDirectory::open(&environment.state)
-        .with_context(|| format!("the journal in {state} cannot be read; RELAY_STATE names the folder"))?;
+    let OpenedJournal { directory: mut journal, records, damage: lines } =
+        JournalDirectory::open(&environment.state).with_context(|| {
+            format!("the journal in {state} cannot be read; RELAY_STATE names the folder")
+        })?;
     lines.iter().for_each(|line| tracing::error!("journal: {line}; what can be read is answered for"));
     let replay = Replay::of(&records, &config.site.class_names, &config.site.zone_names);
     tracing::info!(
@@ -257,7 +259,9 @@
         }
         if self.unwritten_since.is_none() {
             let encoded: Vec<(u8, Vec<u8>)> = records.iter().map(|r| r.encode()).collect();
-            let written = self.journal.append(encoded.iter().map(|(kind, bytes)| (*kind, &bytes[..])));
+            let written = self
+                .journal
+                .append(encoded.iter().map(|(kind, bytes)| RecordRef { kind: *kind, payload: bytes }));
             if written.is_ok() && self.journal.size() <= self.base + self.growth {
                 return Ok(true);
             }
