Bench adapter: frames, fields, events, actions and instances apart; codes named

Cause: wire.rs held all of the wire in one file, with bare record codes and an error that was a string.

Change: `frame` reads batches and writes replies, `event` decodes, `action` encodes, `host` owns the instances; `codes` names every number with the wire page's own word; `BatchError` and `RecordError` are enums with the text of before. Wire bytes, texts on standard error and exit codes are as before. Tests moved to src/tests.rs and src/action/tests.rs, assertions unchanged: - an_empty_batch_gets_an_empty_reply -> empty_batch_gets_an_empty_reply - lists_resolve_in_the_order_of_events -> numbered_list_given_anew_resolves_in_event_order - a_halted_instance_is_silent_and_events_before_a_new_start_are_dropped -> halted_instance_started_again_drops_earlier_events - actions_are_written_as_the_wire_has_them -> every_action_is_encoded_as_the_wire_page_says - malformed_input_is_refused_and_unknown_codes_are_passed_over -> malformed_input_is_an_error_and_unknown_code_is_skipped New: five tests of decoding in src/event/tests.rs, two on the wire page's own examples.

--- /dev/null
+++ b/bench-adapter/src/action.rs
@@ -0,0 +1,73 @@
+//! Encoding of the dispatcher's actions as records. It keeps nothing and decides nothing.
+
+use crate::codes::action;
+use linnetcart::{Action, Time};
+
+/// Bytes of the instance's number, the first field of every action.
+const INSTANCE_BYTES: u32 = 4;
+
+/// An action's record without what all records begin with.
+struct EncodedAction {
+    code: u8,
+    fields: Vec<u8>,
+}
+
+impl EncodedAction {
+    fn new(code: u8, fields: &[&[u8]]) -> EncodedAction {
+        EncodedAction { code, fields: fields.concat() }
+    }
+}
+
+/// Appends an action of this instance to a reply.
+pub(crate) fn encode_action(out: &mut Vec<u8>, instance: u32, clock: Time, action: &Action) {
+    let encoded = encode_fields(clock, action);
+    let length = encoded.fields.len() as u32 + INSTANCE_BYTES;
+    out.push(encoded.code);
+    out.extend(length.to_le_bytes());
+    out.extend(instance.to_le_bytes());
+    out.extend(encoded.fields);
+}
+
+fn encode_fields(clock: Time, action: &Action) -> EncodedAction {
+    match action {
+        Action::Send { message, endpoint, until } => EncodedAction::new(
+            action::SEND,
+            &[&message.to_le_bytes(), &until.to_le_bytes(), &endpoint.to_le_bytes()],
+        ),
+        Action::Cancel { message, attempt } => {
+            EncodedAction::new(action::CANCEL, &[&message.to_le_bytes(), &attempt.to_le_bytes()])
+        }
+        Action::Reject { message, retry_after } => {
+            EncodedAction::new(action::REJECT, &[&message.to_le_bytes(), &retry_after.to_le_bytes()])
+        }
+        Action::Fail { message } => EncodedAction::new(action::FAIL, &[&message.to_le_bytes()]),
+        Action::HealthCheck { endpoint } => {
+            EncodedAction::new(action::HEALTH_CHECK, &[&endpoint.to_le_bytes()])
+        }
+        Action::Gossip { to, body } => {
+            let to = to.unwrap_or(action::ALL_INSTANCES);
+            let length = body.len() as u16;
+            EncodedAction::new(action::GOSSIP, &[&to.to_le_bytes(), &length.to_le_bytes(), body])
+        }
+        Action::CloseIdle { endpoint } => EncodedAction::new(action::CLOSE_IDLE, &[&endpoint.to_le_bytes()]),
+        Action::WatchEndpoints => EncodedAction::new(action::WATCH_ENDPOINTS, &[&[action::WATCH_ON]]),
+        Action::WakeUp { at } => {
+            let from_now = at.saturating_sub(clock);
+            EncodedAction::new(action::SET_TIMER, &[&from_now.to_le_bytes(), &at.to_le_bytes()])
+        }
+        Action::LimitChanged(change) => encode_remark(&change.to_string()),
+    }
+}
+
+/// A line for the report, cut off where its length no longer fits into its field.
+fn encode_remark(text: &str) -> EncodedAction {
+    let mut end = text.len().min(usize::from(u16::MAX));
+    while !text.is_char_boundary(end) {
+        end -= 1;
+    }
+    let length = end as u16;
+    EncodedAction::new(action::REMARK, &[&length.to_le_bytes(), &text.as_bytes()[..end]])
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/bench-adapter/src/event.rs
@@ -0,0 +1,194 @@
+//! Decoding of records into the dispatcher's events. It keeps nothing and decides nothing.
+
+use crate::codes::{list_event, outcome, phase};
+use crate::error::RecordError;
+use crate::fields::FieldReader;
+use linnetcart::{
+    AcceptedMessage, AttemptOutcome, AttemptResult, Endpoint, EndpointStatus, Event, HealthCheckResult, Time,
+};
+use linnetcart_deployment_settings::{DeploymentSettings, CAPACITY_LEFT_FIELD, RATE_LIMIT_FIELD};
+use serde_json::Value;
+use std::collections::BTreeMap;
+
+const NANOSECONDS_PER_MILLISECOND: Time = 1_000_000;
+/// Tenant of a message that names none.
+const DEFAULT_TENANT: u32 = 0;
+
+/// Where an instance's load reports hold the values that the dispatcher uses.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct LoadReportLayout {
+    capacity_left: Option<usize>,
+    rate_limit: Option<usize>,
+}
+
+impl LoadReportLayout {
+    pub(crate) fn of(settings: &DeploymentSettings) -> LoadReportLayout {
+        LoadReportLayout {
+            capacity_left: settings.load_report_index(CAPACITY_LEFT_FIELD),
+            rate_limit: settings.load_report_index(RATE_LIMIT_FIELD),
+        }
+    }
+}
+
+/// A load report, as far as the settings name its values.
+struct LoadReport {
+    capacity_left: Option<f64>,
+    rate_limit: Option<f64>,
+}
+
+/// What an instance is started with.
+pub(crate) struct InstanceStart {
+    pub(crate) seed: u64,
+    pub(crate) settings: DeploymentSettings,
+}
+
+/// A numbered list of endpoints.
+pub(crate) struct NumberedList {
+    pub(crate) number: u16,
+    pub(crate) entries: Vec<Endpoint>,
+}
+
+pub(crate) fn decode_instance_start(fields: &mut FieldReader) -> Result<InstanceStart, RecordError> {
+    let seed = fields.u64()?;
+    let length = fields.u32()?;
+    let object: Value = serde_json::from_slice(fields.bytes(length as usize)?)?;
+    let settings = DeploymentSettings::read(&object)?;
+    Ok(InstanceStart { seed, settings })
+}
+
+pub(crate) fn decode_numbered_list(fields: &mut FieldReader) -> Result<NumberedList, RecordError> {
+    let number = fields.u16()?;
+    let count = fields.u32()?;
+    let mut entries = Vec::new();
+    for _ in 0..count {
+        entries.push(decode_endpoint(fields)?);
+    }
+    Ok(NumberedList { number, entries })
+}
+
+fn decode_endpoint(fields: &mut FieldReader) -> Result<Endpoint, RecordError> {
+    let status = match fields.u8()? {
+        phase::READY => EndpointStatus::Ready,
+        phase::REMOVED => EndpointStatus::Removed,
+        phase::DRAINING => EndpointStatus::Draining,
+        unknown => return Err(RecordError::UnknownPhase(unknown)),
+    };
+    let kind = fields.u8()?;
+    let rate = f64::from(fields.f32()?);
+    let destination = u32::from(fields.u16()?);
+    let id = fields.u32()?;
+    let _added_at = fields.u64()?;
+    let zone = fields.u8()?;
+    Ok(Endpoint { id, destination, kind, zone, rate, status })
+}
+
+pub(crate) fn decode_endpoint_list(
+    fields: &mut FieldReader,
+    lists: &BTreeMap<u16, Vec<Endpoint>>,
+) -> Result<Event, RecordError> {
+    let complete = match fields.u8()? {
+        list_event::FAILED => return Ok(Event::EndpointListFailed),
+        list_event::CHANGES => false,
+        list_event::COMPLETE | list_event::CACHED => true,
+        unknown => return Err(RecordError::UnknownListEvent(unknown)),
+    };
+    let number = fields.u16()?;
+    let entries = lists.get(&number).ok_or(RecordError::UnknownList(number))?;
+    Ok(Event::EndpointList { complete, entries: entries.clone() })
+}
+
+pub(crate) fn decode_message(fields: &mut FieldReader) -> Result<Event, RecordError> {
+    let id = fields.u32()?;
+    let time_remaining = fields.u64()?;
+    let class = fields.u8()?;
+    let _attributes = fields.u8()?;
+    let _cost_hint = fields.u64()?;
+    let ordering_key = fields.u64()?;
+    let destination = fields.f32()? as u32;
+    let tenant = if fields.is_empty() { DEFAULT_TENANT } else { fields.u32()? };
+    Ok(Event::Accepted(AcceptedMessage { id, destination, class, time_remaining, ordering_key, tenant }))
+}
+
+pub(crate) fn decode_attempt_finished(
+    fields: &mut FieldReader,
+    layout: LoadReportLayout,
+) -> Result<Event, RecordError> {
+    let message = fields.u32()?;
+    let attempt = fields.u16()?;
+    let endpoint = fields.u32()?;
+    let status = fields.u8()?;
+    let elapsed = fields.u64()?;
+    let completed = fields.u8()? != 0;
+    let note = fields.u32()?;
+    let outcome = decode_outcome(status, note)?;
+    let report = decode_load_report(fields, layout)?;
+    Ok(Event::AttemptFinished(AttemptResult {
+        message,
+        attempt,
+        endpoint,
+        outcome,
+        elapsed,
+        completed,
+        capacity_left: report.capacity_left,
+        rate_limit: report.rate_limit,
+    }))
+}
+
+pub(crate) fn decode_client_cancelled(fields: &mut FieldReader) -> Result<Event, RecordError> {
+    Ok(Event::ClientCancelled { message: fields.u32()? })
+}
+
+pub(crate) fn decode_health_checked(
+    fields: &mut FieldReader,
+    layout: LoadReportLayout,
+) -> Result<Event, RecordError> {
+    let status = fields.u8()?;
+    let elapsed = fields.u64()?;
+    let endpoint = fields.u32()?;
+    let outcome = decode_outcome(status, outcome::NO_NOTE)?;
+    let report = decode_load_report(fields, layout)?;
+    Ok(Event::HealthChecked(HealthCheckResult {
+        endpoint,
+        outcome,
+        elapsed,
+        capacity_left: report.capacity_left,
+        rate_limit: report.rate_limit,
+    }))
+}
+
+pub(crate) fn decode_gossip(fields: &mut FieldReader) -> Result<Event, RecordError> {
+    let from = u32::from(fields.u16()?);
+    let length = fields.u16()?;
+    let body = fields.bytes(usize::from(length))?.to_vec();
+    Ok(Event::Gossip { from, body })
+}
+
+fn decode_outcome(status: u8, note: u32) -> Result<AttemptOutcome, RecordError> {
+    match status {
+        outcome::SERVED => Ok(AttemptOutcome::Served),
+        outcome::ERROR => Ok(AttemptOutcome::Error),
+        outcome::REJECTED => {
+            Ok(AttemptOutcome::Rejected { retry_after: u64::from(note) * NANOSECONDS_PER_MILLISECOND })
+        }
+        outcome::TIMED_OUT => Ok(AttemptOutcome::TimedOut),
+        outcome::NO_CONNECTION => Ok(AttemptOutcome::NoConnection),
+        outcome::RESET => Ok(AttemptOutcome::Reset),
+        outcome::CANCELLED => Ok(AttemptOutcome::Cancelled),
+        outcome::NOT_SENT => Ok(AttemptOutcome::NotSent { no_capacity: note == outcome::NOTE_NO_CAPACITY }),
+        unknown => Err(RecordError::UnknownOutcome(unknown)),
+    }
+}
+
+/// The load report that ends a record; none if the record ends before it.
+fn decode_load_report(fields: &mut FieldReader, layout: LoadReportLayout) -> Result<LoadReport, RecordError> {
+    let count = if fields.is_empty() { 0 } else { fields.u8()? };
+    let mut values = Vec::new();
+    for _ in 0..count {
+        values.push(f64::from(fields.f32()?));
+    }
+    let value_at = |place: Option<usize>| values.get(place?).copied();
+    Ok(LoadReport { capacity_left: value_at(layout.capacity_left), rate_limit: value_at(layout.rate_limit) })
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/bench-adapter/src/fields.rs
@@ -0,0 +1,55 @@
+//! Little-endian fields of a record, read one after the other.
+
+use crate::error::RecordError;
+
+pub(crate) struct FieldReader<'a> {
+    rest: &'a [u8],
+}
+
+impl<'a> FieldReader<'a> {
+    pub(crate) fn new(bytes: &'a [u8]) -> Self {
+        FieldReader { rest: bytes }
+    }
+
+    /// Bytes that are not read yet.
+    pub(crate) fn remaining(&self) -> usize {
+        self.rest.len()
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.rest.is_empty()
+    }
+
+    pub(crate) fn bytes(&mut self, count: usize) -> Result<&'a [u8], RecordError> {
+        let too_short = RecordError::TooShort { wanted: count, left: self.rest.len() };
+        let (bytes, rest) = self.rest.split_at_checked(count).ok_or(too_short)?;
+        self.rest = rest;
+        Ok(bytes)
+    }
+
+    fn array<const N: usize>(&mut self) -> Result<[u8; N], RecordError> {
+        let mut array = [0; N];
+        array.copy_from_slice(self.bytes(N)?);
+        Ok(array)
+    }
+
+    pub(crate) fn u8(&mut self) -> Result<u8, RecordError> {
+        Ok(u8::from_le_bytes(self.array()?))
+    }
+
+    pub(crate) fn u16(&mut self) -> Result<u16, RecordError> {
+        Ok(u16::from_le_bytes(self.array()?))
+    }
+
+    pub(crate) fn u32(&mut self) -> Result<u32, RecordError> {
+        Ok(u32::from_le_bytes(self.array()?))
+    }
+
+    pub(crate) fn u64(&mut self) -> Result<u64, RecordError> {
+        Ok(u64::from_le_bytes(self.array()?))
+    }
+
+    pub(crate) fn f32(&mut self) -> Result<f32, RecordError> {
+        Ok(f32::from_le_bytes(self.array()?))
+    }
+}
--- a/bench-adapter/src/main.rs
+++ b/bench-adapter/src/main.rs
@@ -1,26 +1,48 @@
 //! Runs linnetcart behind the framed pipe of standard input and output.
-mod wire;
+//!
+//! The adapter translates batches of records into the dispatcher's events, and its actions into replies. It
+//! decides nothing and keeps no time of its own.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
 
-use std::io::{self, BufReader, BufWriter, Write};
+mod action;
+mod codes;
+mod error;
+mod event;
+mod fields;
+mod frame;
+mod host;
+
+use error::BatchError;
+use host::Host;
+use std::io::{self, BufReader, BufWriter, Read, Write};
 use std::process::ExitCode;
 
+/// Bytes that are read from or written to the pipe at once.
+const PIPE_BUFFER_BYTES: usize = 1 << 20;
+
 fn main() -> ExitCode {
-    let mut input = BufReader::with_capacity(1 << 20, io::stdin().lock());
-    let mut output = BufWriter::with_capacity(1 << 20, io::stdout().lock());
-    let mut host = wire::Host::default();
-    let served = (|| -> Result<(), wire::Bad> {
-        while let Some((head, body)) = wire::read_batch(&mut input)? {
-            let reply = host.batch(&head, &body)?;
-            output.write_all(&reply)?;
-            output.flush()?;
-        }
-        Ok(())
-    })();
-    match served {
+    let mut input = BufReader::with_capacity(PIPE_BUFFER_BYTES, io::stdin().lock());
+    let mut output = BufWriter::with_capacity(PIPE_BUFFER_BYTES, io::stdout().lock());
+    match serve(&mut input, &mut output) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(bad) => {
-            eprintln!("linnetcart-bench-adapter: {bad}");
+        Err(error) => {
+            eprintln!("linnetcart-bench-adapter: {error}");
             ExitCode::FAILURE
         }
     }
 }
+
+/// Answers each batch until input ends.
+fn serve(input: &mut impl Read, output: &mut impl Write) -> Result<(), BatchError> {
+    let mut host = Host::default();
+    while let Some(batch) = frame::read_batch(input)? {
+        let reply = host.process(&batch)?;
+        output.write_all(&reply)?;
+        output.flush()?;
+    }
+    Ok(())
+}
+
+#[cfg(test)]
+mod tests;
--- a/bench-adapter/src/wire/tests.rs
+++ b/bench-adapter/src/tests.rs
@@ -1,7 +1,10 @@
-use super::*;
-use linnetcart::{LimitChange, LimitEvidence, LimitState};
+//! Whole batches through the adapter.
 
-fn hex(s: &str) -> Vec<u8> {
+use crate::error::BatchError;
+use crate::frame::read_batch;
+use crate::host::Host;
+
+pub(crate) fn hex(s: &str) -> Vec<u8> {
     let digits: Vec<u8> = s.bytes().filter(u8::is_ascii_hexdigit).collect();
     digits.chunks(2).map(|p| u8::from_str_radix(std::str::from_utf8(p).unwrap(), 16).unwrap()).collect()
 }
@@ -56,20 +59,20 @@
     record(30, &f)
 }
 
-fn run(host: &mut Host, bytes: &[u8]) -> Result<Vec<u8>, Bad> {
-    let (head, body) = read_batch(&mut &bytes[..])?.expect("a batch");
-    host.batch(&head, &body)
+fn run(host: &mut Host, bytes: &[u8]) -> Result<Vec<u8>, BatchError> {
+    let batch = read_batch(&mut &bytes[..])?.expect("a batch");
+    host.process(&batch)
 }
 
 #[test]
-fn an_empty_batch_gets_an_empty_reply() {
+fn empty_batch_gets_an_empty_reply() {
     let bytes = hex("01000000 00000000 08000000 90bf68f501000000");
     assert_eq!(run(&mut Host::default(), &bytes).unwrap(), hex("01000000 00000000"));
     assert!(read_batch(&mut &[][..]).unwrap().is_none());
 }
 
 #[test]
-fn lists_resolve_in_the_order_of_events() {
+fn numbered_list_given_anew_resolves_in_event_order() {
     let mut host = Host::default();
     let records = [
         attach(0),
@@ -91,7 +94,7 @@
 }
 
 #[test]
-fn a_halted_instance_is_silent_and_events_before_a_new_start_are_dropped() {
+fn halted_instance_started_again_drops_earlier_events() {
     let mut host = Host::default();
     run(&mut host, &frame(1, 1000, &[attach(0), register(0, 100), registry(0, 0)])).unwrap();
     let halt = record(100, &0u32.to_le_bytes());
@@ -102,42 +105,7 @@
 }
 
 #[test]
-fn actions_are_written_as_the_wire_has_them() {
-    let written = |action| {
-        let mut out = Vec::new();
-        write_action(&mut out, 3, 100, &action);
-        out
-    };
-    assert_eq!(
-        written(Action::WakeUp { at: 850 }),
-        hex("32 14000000 03000000 ee02000000000000 5203000000000000")
-    );
-    assert_eq!(written(Action::Cancel { message: 9, attempt: 2 }), hex("28 0a000000 03000000 09000000 0200"));
-    assert_eq!(
-        written(Action::Reject { message: 9, retry_after: 5 }),
-        hex("46 10000000 03000000 09000000 0500000000000000")
-    );
-    assert_eq!(written(Action::Fail { message: 9 }), hex("6e 08000000 03000000 09000000"));
-    assert_eq!(written(Action::WatchEndpoints), hex("14 05000000 03000000 01"));
-    assert_eq!(written(Action::HealthCheck { endpoint: 8 }), hex("3c 08000000 03000000 08000000"));
-    let note = |to| Action::Gossip { to, body: b"hi 7".to_vec() };
-    assert_eq!(written(note(None)), hex("78 0e000000 03000000 ffffffff 0400 68692037"));
-    assert_eq!(written(note(Some(5))), hex("78 0e000000 03000000 05000000 0400 68692037"));
-    assert_eq!(written(Action::CloseIdle { endpoint: 8 }), hex("64 08000000 03000000 08000000"));
-    let (outcome, state) = (AttemptOutcome::Rejected { retry_after: 5 }, LimitState::Ejected);
-    let evidence = Some(LimitEvidence { outcome, failure_rate: 0.625, consecutive_failures: 3 });
-    let change = LimitChange { destination: 2, endpoint: 7, state, evidence };
-    let text =
-        "destination 2 endpoint 7: out, trials only after Full { wait: 5 }, failing share 0.62, 3 in a row";
-    let mut expected = hex("0a 67000000 03000000 6100");
-    expected.extend(text.as_bytes());
-    assert_eq!(written(Action::LimitChanged(change)), expected);
-    let send = Action::Send { message: 9, endpoint: 8, until: 7 };
-    assert_eq!(written(send), hex("5a 14000000 03000000 09000000 0700000000000000 08000000"));
-}
-
-#[test]
-fn malformed_input_is_refused_and_unknown_codes_are_passed_over() {
+fn malformed_input_is_an_error_and_unknown_code_is_skipped() {
     let mut host = Host::default();
     assert!(run(&mut host, &frame(1, 0, &[record(77, &[1, 2, 3])])).is_ok());
     assert!(run(&mut host, &frame(1, 0, &[record(30, &[1, 2, 3])])).is_err());
