--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -13,7 +13,7 @@
 use environment::read_config;
 use journal::{wall_clock, JournalWriter, WriteOutcome};
 use linnetcart::Time;
-use linnetcart_journal::JournalDirectory;
+use linnetcart_journal::{JournalDirectory, OpenedJournal};
 use linnetcart_net::{Event, Net, Token};
 use log::CoreLog;
 use std::collections::{BTreeMap, BTreeSet};
@@ -111,9 +111,9 @@
         .context("signals cannot be caught")?;
     let config = read_config(&environment.config)?;
     let state = environment.state.display();
-    let (directory, records, damages) = JournalDirectory::open(&environment.state)
+    let OpenedJournal { directory, records, damage } = JournalDirectory::open(&environment.state)
         .with_context(|| format!("the journal in {state} cannot be read; RELAY_STATE names the folder"))?;
-    for damage in &damages {
+    for damage in &damage {
         tracing::error!(%damage, "journal damaged, all that can be read is answered for");
     }
     let classes = &config.settings.class_names;
--- a/crates/platform/src/shell/journal.rs
+++ b/crates/platform/src/shell/journal.rs
@@ -3,7 +3,7 @@
 use crate::core::Core;
 use crate::records::Record;
 use linnetcart::Time;
-use linnetcart_journal::{JournalDirectory, Salt};
+use linnetcart_journal::{JournalDirectory, JournalError, RecordRef, Salt};
 use std::time::SystemTime;
 
 /// The file is replaced when it has grown by this part of its capacity.
@@ -26,7 +26,7 @@
     /// Nothing could be written.
     Failed {
         /// Why.
-        error: std::io::Error,
+        error: JournalError,
         /// For how long now.
         failing_for: Time,
     },
@@ -48,7 +48,7 @@
         mut directory: JournalDirectory,
         capacity_bytes: u64,
         core: &Core,
-    ) -> std::io::Result<JournalWriter> {
+    ) -> Result<JournalWriter, JournalError> {
         replace(&mut directory, core)?;
         let base_bytes = directory.size();
         let max_growth_bytes = capacity_bytes / GROWTH_DIVISOR;
@@ -84,14 +84,18 @@
     /// True: all is written, and the file has not outgrown its bound.
     fn append(&mut self, records: &[Record]) -> bool {
         let encoded: Vec<(u8, Vec<u8>)> = records.iter().map(Record::encode).collect();
-        let written = self.directory.append(encoded.iter().map(|(kind, payload)| (*kind, &payload[..])));
+        let written = self.directory.append(encoded.iter().map(record_ref));
         written.is_ok() && self.directory.size() <= self.base_bytes + self.max_growth_bytes
     }
 }
 
 /// Begins a new file with the core's state.
-fn replace(directory: &mut JournalDirectory, core: &Core) -> std::io::Result<()> {
+fn replace(directory: &mut JournalDirectory, core: &Core) -> Result<(), JournalError> {
     let snapshot: Vec<(u8, Vec<u8>)> = core.snapshot().iter().map(Record::encode).collect();
     let salt = Salt(wall_clock().rotate_left(SALT_ROTATION_BITS));
-    directory.replace(salt, snapshot.iter().map(|(kind, payload)| (*kind, &payload[..])))
+    directory.replace(salt, snapshot.iter().map(record_ref))
+}
+
+fn record_ref((kind, payload): &(u8, Vec<u8>)) -> RecordRef<'_> {
+    RecordRef { kind: *kind, payload }
 }
