Telemetry: unit tests in files of their own; stored bytes spelled out

Cause: seven modules carried their tests in a mod tests of the source file, and no test held the bytes of the counts log or the saved document.

Change: test bodies move unchanged into tests.rs beside each module, named subject_condition_result. Five tests are new: the counts log and the saved document as written today are spelled out, written and read again, and every field's number and metric name is listed.

Old -> new names: a_notification_says_what_and_how_bad -> notification_encoded_carries_subject_and_severity a_packet_is_byte_for_byte_what_the_description_says -> plain_packet_encoded_matches_published_bytes packets_are_filled_to_the_bound_and_each_stands_alone -> packets_of_many_points_fill_the_limit_and_decode_alone random_and_mutated_packets_never_panic_and_forged_ones_are_found -> packet_mutated_is_rejected_without_panic signed_and_encrypted_packets_have_their_parts_in_place -> secured_packets_encoded_have_published_layout times_come_back_to_within_a_nanosecond -> time_converted_and_back_differs_by_at_most_a_nanosecond wrong_lengths_and_wrong_nesting_are_turned_down_whole -> packet_with_wrong_length_or_nesting_is_rejected a_log_cut_anywhere_gives_the_frames_before_the_cut -> log_truncated_or_corrupted_replays_complete_frames_only cells_beyond_the_bound_are_counted_together -> cells_beyond_limit_are_counted_together counts_follow_their_class_by_name_when_the_settings_change -> counts_after_class_change_follow_class_name random_logs_never_panic -> random_log_replayed_does_not_panic a_pickle_frame_is_what_the_published_form_says -> pickle_frame_encoded_matches_published_opcodes both_forms_come_back_as_they_went -> points_encoded_decode_to_same_values names_and_lines_are_as_described -> series_names_and_lines_match_documented_format random_pickles_never_panic -> random_pickle_decoded_does_not_panic garbage_is_counted_and_series_are_bounded -> invalid_packets_are_counted_and_series_are_limited rates_come_from_two_reports_and_a_replay_changes_nothing -> rates_come_from_two_reports_and_replay_changes_nothing beyond_the_bound_numbers_stand_alone -> name_beyond_limit_falls_back_to_number names_are_safe_and_stay_with_their_first_owner -> name_taken_stays_with_first_owner a_receiver_that_never_reads_is_left_and_memory_stays_bounded -> receiver_not_reading_is_disconnected_and_buffer_stays_bounded the_oldest_go_beyond_the_bound_and_are_counted -> buffer_over_limit_drops_oldest_and_counts_them what_was_not_taken_whole_goes_again_and_waits_grow -> chunk_partly_written_is_resent_and_backoff_grows a_clock_that_jumps_back_an_hour_is_caught_up_with_and_no_stamp_comes_twice -> clock_set_back_is_caught_up_without_repeated_timestamps

--- /dev/null
+++ b/crates/telemetry/src/collectd/tests.rs
@@ -0,0 +1,145 @@
+use super::*;
+use proptest::prelude::*;
+
+fn alice() -> User {
+    User { user: "alice".into(), key: "secret".into() }
+}
+
+fn keys(keys: &[&str]) -> BTreeMap<String, Vec<String>> {
+    BTreeMap::from([("alice".to_owned(), keys.iter().map(|k| (*k).to_owned()).collect())])
+}
+
+fn envelope(security: &Security) -> Envelope<'_> {
+    Envelope { host: "h", stamp: 1_500_000_000, interval: 10_000_000_000, security, most: 1452 }
+}
+
+fn packet(security: &Security) -> Vec<u8> {
+    let points = [Point::new(Place::Courier, "taken", Value::Count(258))];
+    let mut packets = envelope(security).packets(&points, &mut || [9; IV]);
+    assert_eq!(packets.len(), 1);
+    packets.remove(0).0
+}
+
+/// Worked out by hand from the published description.
+const PLAIN: &[u8] = b"\x00\x00\x00\x06h\x00\
+    \x00\x08\x00\x0c\x00\x00\x00\x00\x60\x00\x00\x00\
+    \x00\x09\x00\x0c\x00\x00\x00\x02\x80\x00\x00\x00\
+    \x00\x02\x00\x0flinnetcart\x00\
+    \x00\x03\x00\x0ccourier\x00\
+    \x00\x04\x00\x0bderive\x00\
+    \x00\x05\x00\x0ataken\x00\
+    \x00\x06\x00\x0f\x00\x01\x02\x00\x00\x00\x00\x00\x00\x01\x02";
+
+#[test]
+fn plain_packet_encoded_matches_published_bytes() {
+    assert_eq!(packet(&Security::None), PLAIN);
+    let said = read(PLAIN, &BTreeMap::new(), Require::Nothing).expect("good");
+    let PacketItem::Values(about, values) = &said[0] else { panic!("{said:?}") };
+    assert_eq!(
+        (about.kind.as_str(), nanos(about.time), values[0]),
+        ("derive", 1_500_000_000, MetricValue::Derive(258))
+    );
+}
+
+#[test]
+fn secured_packets_encoded_have_published_layout() {
+    let signed = packet(&Security::Sign(alice()));
+    assert_eq!(&signed[..4], b"\x02\x00\x00\x29", "41 bytes: head, code, name");
+    assert_eq!(&signed[36..41], b"alice");
+    assert_eq!(&signed[41..], PLAIN);
+    let sealed = packet(&Security::Encrypt(alice()));
+    assert_eq!(&sealed[..2], b"\x02\x10");
+    assert_eq!(usize::from(u16::from_be_bytes([sealed[2], sealed[3]])), sealed.len());
+    assert_eq!(&sealed[4..11], b"\x00\x05alice");
+    assert_eq!(&sealed[11..27], [9; IV]);
+    assert_eq!(sealed.len(), 27 + SUM + PLAIN.len());
+    for packet in [&signed, &sealed] {
+        let plain = read(PLAIN, &keys(&[]), Require::Nothing);
+        assert_eq!(read(packet, &keys(&["secret"]), Require::Signed), plain);
+        assert_eq!(read(packet, &keys(&["new", "secret"]), Require::Signed), plain, "while keys rotate");
+        assert_eq!(read(packet, &keys(&["new"]), Require::Nothing), Err(PacketError::Forged("alice".into())));
+        assert_eq!(
+            read(packet, &BTreeMap::new(), Require::Nothing),
+            Err(PacketError::Unknown("alice".into()))
+        );
+    }
+    assert_eq!(read(&signed, &keys(&["secret"]), Require::Encrypted), Err(PacketError::Plain));
+    assert_eq!(read(PLAIN, &keys(&["secret"]), Require::Signed), Err(PacketError::Plain));
+    let mut forged = signed.clone();
+    *forged.last_mut().expect("a byte") ^= 1;
+    assert_eq!(read(&forged, &keys(&["secret"]), Require::Nothing), Err(PacketError::Forged("alice".into())));
+}
+
+#[test]
+fn packet_with_wrong_length_or_nesting_is_rejected() {
+    let none = BTreeMap::new();
+    assert_eq!(
+        read(b"\x00\x00\x00\x00h", &none, Require::Nothing),
+        Err(PacketError::Length(0)),
+        "length zero"
+    );
+    assert_eq!(read(&PLAIN[..PLAIN.len() - 1], &none, Require::Nothing), Err(PacketError::Length(78)));
+    let twice = sign(&sign(PLAIN, &alice()), &alice());
+    assert_eq!(read(&twice, &keys(&["secret"]), Require::Nothing), Err(PacketError::Nested(41)));
+    let inner = encrypt(&encrypt(PLAIN, &alice(), [1; IV]), &alice(), [2; IV]);
+    assert_eq!(read(&inner, &keys(&["secret"]), Require::Nothing), Err(PacketError::Nested(0)));
+    let late = [PLAIN, &sign(PLAIN, &alice())[..]].concat();
+    assert_eq!(read(&late, &keys(&["secret"]), Require::Nothing), Err(PacketError::Nested(PLAIN.len())));
+}
+
+#[test]
+fn packets_of_many_points_fill_the_limit_and_decode_alone() {
+    for security in [Security::None, Security::Sign(alice()), Security::Encrypt(alice())] {
+        let points: Vec<Point> = (0..400)
+            .map(|n| Point::new(Place::Dest(format!("d{}", n / 7)), "taken", Value::Count(n)))
+            .collect();
+        let packets = envelope(&security).packets(&points, &mut || [7; IV]);
+        assert!(packets.iter().all(|p| p.0.len() <= 1452));
+        assert!(packets[..packets.len() - 1].iter().all(|p| p.0.len() > 1300), "filled");
+        let said: Vec<PacketItem> = packets
+            .iter()
+            .flat_map(|p| read(&p.0, &keys(&["secret"]), Require::Nothing).expect("good"))
+            .collect();
+        let got: Vec<(String, f64)> = said
+            .iter()
+            .map(|s| match s {
+                PacketItem::Values(a, v) => (a.plugin_instance.clone(), v[0].as_f64()),
+                other => panic!("{other:?}"),
+            })
+            .collect();
+        let wanted: Vec<(String, f64)> = (0..400).map(|n| (format!("dest-d{}", n / 7), n as f64)).collect();
+        assert_eq!(got, wanted);
+    }
+}
+
+#[test]
+fn notification_encoded_carries_subject_and_severity() {
+    let packet = envelope(&Security::None).notification("dest-x", 1, "out", &mut || [0; IV]);
+    let said = read(&packet, &BTreeMap::new(), Require::Nothing).expect("good");
+    assert!(
+        matches!(&said[0], PacketItem::Notification(a, 1, m) if a.plugin_instance == "dest-x" && m == "out")
+    );
+}
+
+proptest! {
+    #[test]
+    fn packet_mutated_is_rejected_without_panic(
+        bytes in prop::collection::vec(any::<u8>(), 0..300), at in 0usize..200, flip in 1u8..,
+    ) {
+        let keys = keys(&["secret"]);
+        let _ = read(&bytes, &keys, Require::Nothing);
+        for security in [Security::None, Security::Sign(alice()), Security::Encrypt(alice())] {
+            let mut changed = packet(&security);
+            let at = at % changed.len();
+            changed[at] ^= flip;
+            let got = read(&changed, &keys, Require::Signed);
+            prop_assert!(got.is_err(), "{:?}", got);
+            let _ = read(&changed[..at], &keys, Require::Nothing);
+        }
+    }
+
+    #[test]
+    fn time_converted_and_back_differs_by_at_most_a_nanosecond(t in 0u64..u64::MAX / 8) {
+        prop_assert!(nanos(high_resolution(t)).abs_diff(t) <= 1);
+    }
+}
--- /dev/null
+++ b/crates/telemetry/src/counts/tests.rs
@@ -0,0 +1,166 @@
+use super::*;
+use proptest::prelude::*;
+
+fn classes(names: &[&str]) -> Vec<String> {
+    names.iter().map(|n| (*n).to_owned()).collect()
+}
+
+#[test]
+fn counts_after_class_change_follow_class_name() {
+    let mut book = CounterStore::new(classes(&["order", "query"]), 10);
+    book.add(CounterKey::Cell(7, 1), Field::Taken, 3);
+    book.add(CounterKey::Route(70), Field::Attempts, 2);
+    let saved = book.saved(&BTreeMap::new(), 5);
+    let mut log = mark(&CounterLogEntry::Classes(classes(&["order", "query"])));
+    book.frame();
+    book.add(CounterKey::Cell(7, 0), Field::Taken, 300);
+    log.extend(book.frame().expect("something changed"));
+    let mut now = CounterStore::new(classes(&["query"]), 10);
+    now.restore(&saved);
+    assert_eq!(now.replay(&log), (vec![], log.len()));
+    assert_eq!(now.cells()[&CounterKey::Cell(7, 0)][Field::Taken as usize], 3);
+    assert_eq!(now.cells()[&CounterKey::Route(70)][Field::Attempts as usize], 2);
+    let mut again = CounterStore::new(classes(&["order", "query"]), 10);
+    again.restore(&now.saved(&BTreeMap::new(), 5));
+    assert_eq!(again.cells()[&CounterKey::Cell(7, 0)][Field::Taken as usize], 300);
+}
+
+#[test]
+fn cells_beyond_limit_are_counted_together() {
+    let mut book = CounterStore::new(classes(&["order"]), 2);
+    for dest in 0..5 {
+        book.add(CounterKey::Cell(dest, 0), Field::Taken, 2);
+    }
+    assert_eq!((book.cells().len(), book.beyond()), (2, 6));
+}
+
+impl PartialEq for CounterLogEntry {
+    fn eq(&self, other: &Self) -> bool {
+        format!("{self:?}") == format!("{other:?}")
+    }
+}
+
+proptest! {
+    #[test]
+    fn log_truncated_or_corrupted_replays_complete_frames_only(
+        adds in prop::collection::vec((0u32..4, 0u8..2, 0usize..FIELDS, 1u64..u64::MAX / 64), 1..20),
+        cut in 0usize..2000, flip in 0usize..2000,
+    ) {
+        let names = classes(&["a", "b"]);
+        let mut book = CounterStore::new(names.clone(), 100);
+        let mut log = mark(&CounterLogEntry::Classes(names.clone()));
+        let mut ends = vec![(log.len(), book.clone())];
+        for (dest, class, field, by) in adds {
+            book.add(CounterKey::Cell(dest, class), Field::ALL[field], by);
+            log.extend(book.frame().expect("something changed"));
+            ends.push((log.len(), book.clone()));
+        }
+        let cut = cut % (log.len() + 1);
+        let mut read = CounterStore::new(names.clone(), 100);
+        let (_, good) = read.replay(&log[..cut]);
+        let whole = ends.iter().rev().find(|e| e.0 <= cut);
+        prop_assert_eq!(good, whole.map_or(0, |e| e.0));
+        let none = BTreeMap::new();
+        prop_assert_eq!(read.cells(), whole.map_or(&none, |e| e.1.cells()));
+        let flip = flip % log.len();
+        log[flip] ^= 4;
+        let mut read = CounterStore::new(names, 100);
+        let (_, good) = read.replay(&log);
+        prop_assert!(good <= flip);
+    }
+
+    #[test]
+    fn random_log_replayed_does_not_panic(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        CounterStore::new(classes(&["a"]), 10).replay(&bytes);
+        let _ = CounterStore::new(classes(&["a"]), 10).deltas(&classes(&["a"]), &bytes);
+    }
+}
+
+/// A log as it was written before the code was renamed: classes, name, timestamp, one frame of deltas.
+const STORED_LOG: &[u8] = b"\x1e\x00\x00\x00b[\x92\xf7\x02{\"Classes\":[\"order\",\"query\"]}\
+    \x19\x00\x00\x00\x91\x8d\x92>\x02{\"Name\":[\"Bank_Lodz\",7]}\
+    \x15\x00\x00\x00\xd8\xd9)S\x02{\"Stamp\":1700000000}\
+    \x13\x00\x00\x00\xcaP\xd7q\x01\x00\x07\x01\xac\x02\x11\x07\x01\xd0\x0fGF\x00\x02\x95\x00\x00\x01";
+
+/// The document that was saved with the same counts.
+const STORED_DOCUMENT: &str = r#"{"cells":[{"destination":7,"class":"query","route":null,"counts":{"taken":300,"worth_asked_milli":2000}},{"destination":null,"class":null,"route":70,"counts":{"attempts":2}},{"destination":null,"class":null,"route":null,"counts":{"points_dropped":1}}],"names":{"Bank_Lodz":7},"stamp":1700000000}"#;
+
+fn stored_counts() -> CounterStore {
+    let mut store = CounterStore::new(classes(&["order", "query"]), 10);
+    store.add(CounterKey::Cell(7, 1), Field::Taken, 300);
+    store.add(CounterKey::Cell(7, 1), Field::WorthAsked, 2000);
+    store.add(CounterKey::Route(70), Field::Attempts, 2);
+    store.add(CounterKey::Reports, Field::PointsDropped, 1);
+    store
+}
+
+#[test]
+fn log_written_matches_stored_bytes() {
+    let mut log = mark(&CounterLogEntry::Classes(classes(&["order", "query"])));
+    log.extend(mark(&CounterLogEntry::Name("Bank_Lodz".into(), 7)));
+    log.extend(mark(&CounterLogEntry::Stamp(1_700_000_000)));
+    log.extend(stored_counts().frame().expect("something changed"));
+    assert_eq!(log, STORED_LOG);
+}
+
+#[test]
+fn log_of_earlier_version_replays_names_timestamps_and_counts() {
+    let mut store = CounterStore::new(classes(&["order", "query"]), 10);
+    let (entries, complete) = store.replay(STORED_LOG);
+    assert_eq!(complete, STORED_LOG.len());
+    let wanted = [CounterLogEntry::Name("Bank_Lodz".into(), 7), CounterLogEntry::Stamp(1_700_000_000)];
+    assert_eq!(entries, wanted);
+    assert_eq!(store.cells(), stored_counts().cells());
+}
+
+#[test]
+fn document_written_matches_stored_text() {
+    let names = BTreeMap::from([("Bank_Lodz".to_owned(), 7)]);
+    let saved = stored_counts().saved(&names, 1_700_000_000);
+    assert_eq!(serde_json::to_string(&saved).expect("it can be written"), STORED_DOCUMENT);
+}
+
+#[test]
+fn document_of_earlier_version_restores_counts() {
+    let saved: Saved = serde_json::from_str(STORED_DOCUMENT).expect("a stored document");
+    assert_eq!((saved.names.get("Bank_Lodz"), saved.stamp), (Some(&7), 1_700_000_000));
+    let mut store = CounterStore::new(classes(&["order", "query"]), 10);
+    store.restore(&saved);
+    assert_eq!(store.cells(), stored_counts().cells());
+}
+
+/// A field's place is its number in the log, its name stands in documents and series: neither may change.
+#[test]
+fn fields_keep_their_numbers_and_names() {
+    let names = Field::ALL.map(Field::name);
+    let numbers = Field::ALL.map(|field| field as usize);
+    assert_eq!(numbers, std::array::from_fn(|number| number));
+    let wanted = [
+        "taken",
+        "in_aim",
+        "late",
+        "refused",
+        "failed",
+        "withdrawn",
+        "turned_away",
+        "attempts",
+        "copies",
+        "served",
+        "cancelled",
+        "full",
+        "told_waits",
+        "errors",
+        "timed_out",
+        "resets",
+        "not_sent",
+        "worth_asked_milli",
+        "worth_in_aim_milli",
+        "worth_late_milli",
+        "worth_lost_milli",
+        "points_dropped",
+        "points_put_off",
+        "outlet_failures",
+        "packets_bad",
+    ];
+    assert_eq!(names, wanted);
+}
--- /dev/null
+++ b/crates/telemetry/src/graphite/tests.rs
@@ -0,0 +1,67 @@
+use super::*;
+use crate::series::Value;
+use proptest::prelude::*;
+
+fn who() -> MetricSource {
+    MetricSource { deployment: "bank_north".into(), me: 3 }
+}
+
+#[test]
+fn series_names_and_lines_match_documented_format() {
+    let point = Point::new(Place::Cell("kolo".into(), "order".into()), "taken", Value::Count(12));
+    assert_eq!(name(&who(), &point, false), "linnetcart.bank_north.edge.3.dest.kolo.class.order.taken");
+    assert_eq!(
+        name(&who(), &point, true),
+        "linnetcart.edge.taken;deployment=bank_north;edge=3;dest=kolo;class=order"
+    );
+    let half = Point::new(Place::Courier, "slots_used", Value::Gauge(0.5));
+    let pieces = encode(&who(), &[point, half], 1_700_000_000, Form::Plaintext, false);
+    assert_eq!(
+        String::from_utf8(pieces[0].0.clone()).expect("text"),
+        "linnetcart.bank_north.edge.3.dest.kolo.class.order.taken 12 1700000000\n\
+         linnetcart.bank_north.edge.3.courier.slots_used 0.5 1700000000\n"
+    );
+}
+
+#[test]
+fn pickle_frame_encoded_matches_published_opcodes() {
+    let frame = pickle([("a.b".to_owned(), 1.5)].into_iter(), 7);
+    // Worked out by hand from the opcodes: PROTO 2, EMPTY_LIST, MARK, MARK, BINUNICODE with its length, MARK,
+    // BININT, BINFLOAT, TUPLE, TUPLE, APPENDS, STOP.
+    let body = b"\x80\x02]((X\x03\x00\x00\x00a.b(J\x07\x00\x00\x00G\x3f\xf8\x00\x00\x00\x00\x00\x00tte.";
+    assert_eq!(frame, [&(body.len() as u32).to_be_bytes()[..], body].concat());
+}
+
+proptest! {
+    #[test]
+    fn points_encoded_decode_to_same_values(
+        values in prop::collection::vec((0u64..1 << 50, "[a-z]{1,8}"), 1..40), second in 0u64..1 << 32,
+    ) {
+        let points: Vec<Point> =
+            values.iter().map(|(n, d)| Point::new(Place::Dest(d.clone()), "taken", Value::Count(*n))).collect();
+        let wanted: Vec<_> =
+            points.iter().map(|p| (name(&who(), p, false), p.value.as_f64(), second)).collect();
+        let lines = encode(&who(), &points, second, Form::Plaintext, false).concat_bytes();
+        let text = String::from_utf8(lines).expect("text");
+        let read: Vec<_> = text.lines().filter_map(read_line).map(|(n, v, t)| (n.to_owned(), v, t)).collect();
+        prop_assert_eq!(&read, &wanted);
+        let frames = encode(&who(), &points, second, Form::Pickle, false);
+        let read: Vec<_> = frames.iter().flat_map(|f| read_pickle(&f.0[4..]).expect("a list")).collect();
+        prop_assert_eq!(&read, &wanted);
+    }
+
+    #[test]
+    fn random_pickle_decoded_does_not_panic(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        let _ = read_pickle(&bytes);
+    }
+}
+
+trait Concat {
+    fn concat_bytes(self) -> Vec<u8>;
+}
+
+impl Concat for Vec<(Vec<u8>, u32)> {
+    fn concat_bytes(self) -> Vec<u8> {
+        self.into_iter().flat_map(|p| p.0).collect()
+    }
+}
--- a/crates/telemetry/src/names.rs
+++ b/crates/telemetry/src/names.rs
@@ -63,28 +63,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn names_are_safe_and_stay_with_their_first_owner() {
-        assert_eq!(safe("Sparkasse Köln.Bonn (Mitte)"), "Sparkasse_Koln_Bonn__Mitte_");
-        let mut names = Names::new(BTreeMap::new(), 100);
-        assert_eq!(names.name(Some("a.b"), 1), ("a_b".into(), true));
-        assert_eq!(names.name(Some("a b"), 2), ("a_b-d2".into(), true), "made safe they collide");
-        assert_eq!(names.name(Some("c"), 1), ("c".into(), true), "renamed");
-        assert_eq!(names.name(Some("a.b"), 3), ("a_b-d3".into(), true), "the old name is not given again");
-        assert_eq!(names.name(Some("a.b"), 1), ("a_b".into(), false), "but to its owner");
-        assert_eq!(names.name(Some("d2"), 5).0, "d5", "a number is nobody's name");
-        assert_eq!(names.name(None, 9).0, "d9");
-        // A later one that wants the very name another got by collision.
-        assert_eq!(names.name(Some("a_b-d2"), 4).0, "a_b-d2-d4");
-    }
-
-    #[test]
-    fn beyond_the_bound_numbers_stand_alone() {
-        let mut names = Names::new(BTreeMap::new(), 1);
-        assert_eq!(names.name(Some("x"), 1).0, "x");
-        assert_eq!(names.name(Some("y"), 2).0, "d2");
-    }
-}
+mod tests;
