--- a/crates/edge/src/accounts.rs
+++ b/crates/edge/src/accounts.rs
@@ -217,7 +217,7 @@
         found.logs.iter().for_each(|l| {
             book.replay(l);
         });
-        let taken = book.cells().get(&CounterKey::Cell(1, 0)).map_or(0, |c| c[Field::Taken as usize]);
+        let taken = book.cells().get(&CounterKey::Cell(1, 0)).map_or(0, |c| c[Field::Accepted]);
         (taken, next, trouble)
     }
 
@@ -230,7 +230,7 @@
         let mut accounts =
             Accounts::begin(&dir, next, book.saved(&none, 0), &head()).expect("it can be written");
         for n in 1..=50u64 {
-            book.add(CounterKey::Cell(1, 0), Field::Taken, 2);
+            book.add(CounterKey::Cell(1, 0), Field::Accepted, 2);
             accounts.append(&book.frame().expect("a change"));
             assert_eq!(read(&dir).0, 2 * n, "without a sync: the process alone died");
             if n % 10 == 0 {
@@ -246,7 +246,7 @@
         assert_eq!(taken, 100);
         // A log that broke: nothing of it counts until a snapshot is there.
         again.broken = Some("no space".into());
-        book.add(CounterKey::Cell(1, 0), Field::Taken, 5);
+        book.add(CounterKey::Cell(1, 0), Field::Accepted, 5);
         again.append(&book.frame().expect("a change"));
         assert_eq!(read(&dir).0, 100);
         assert_eq!(again.sync(1, || book.saved(&none, 0), &head()), None);
--- a/crates/telemetry/src/counts/tests.rs
+++ b/crates/telemetry/src/counts/tests.rs
@@ -7,37 +7,31 @@
 
 #[test]
 fn counts_after_class_change_follow_class_name() {
-    let mut book = CounterStore::new(classes(&["order", "query"]), 10);
-    book.add(CounterKey::Cell(7, 1), Field::Taken, 3);
-    book.add(CounterKey::Route(70), Field::Attempts, 2);
-    let saved = book.saved(&BTreeMap::new(), 5);
+    let mut store = CounterStore::new(classes(&["order", "query"]), 10);
+    store.add(CounterKey::Cell(7, 1), Field::Accepted, 3);
+    store.add(CounterKey::Route(70), Field::Attempts, 2);
+    let saved = store.saved(&BTreeMap::new(), 5);
     let mut log = mark(&CounterLogEntry::Classes(classes(&["order", "query"])));
-    book.frame();
-    book.add(CounterKey::Cell(7, 0), Field::Taken, 300);
-    log.extend(book.frame().expect("something changed"));
+    store.frame();
+    store.add(CounterKey::Cell(7, 0), Field::Accepted, 300);
+    log.extend(store.frame().expect("something changed"));
     let mut now = CounterStore::new(classes(&["query"]), 10);
     now.restore(&saved);
-    assert_eq!(now.replay(&log), (vec![], log.len()));
-    assert_eq!(now.cells()[&CounterKey::Cell(7, 0)][Field::Taken as usize], 3);
-    assert_eq!(now.cells()[&CounterKey::Route(70)][Field::Attempts as usize], 2);
+    assert_eq!(now.replay(&log), Replayed { entries: vec![], complete_bytes: log.len() });
+    assert_eq!(now.cells()[&CounterKey::Cell(7, 0)][Field::Accepted], 3);
+    assert_eq!(now.cells()[&CounterKey::Route(70)][Field::Attempts], 2);
     let mut again = CounterStore::new(classes(&["order", "query"]), 10);
     again.restore(&now.saved(&BTreeMap::new(), 5));
-    assert_eq!(again.cells()[&CounterKey::Cell(7, 0)][Field::Taken as usize], 300);
+    assert_eq!(again.cells()[&CounterKey::Cell(7, 0)][Field::Accepted], 300);
 }
 
 #[test]
 fn cells_beyond_limit_are_counted_together() {
-    let mut book = CounterStore::new(classes(&["order"]), 2);
+    let mut store = CounterStore::new(classes(&["order"]), 2);
     for dest in 0..5 {
-        book.add(CounterKey::Cell(dest, 0), Field::Taken, 2);
-    }
-    assert_eq!((book.cells().len(), book.beyond()), (2, 6));
-}
-
-impl PartialEq for CounterLogEntry {
-    fn eq(&self, other: &Self) -> bool {
-        format!("{self:?}") == format!("{other:?}")
+        store.add(CounterKey::Cell(dest, 0), Field::Accepted, 2);
     }
+    assert_eq!((store.cells().len(), store.beyond()), (2, 6));
 }
 
 proptest! {
@@ -47,17 +41,17 @@
         cut in 0usize..2000, flip in 0usize..2000,
     ) {
         let names = classes(&["a", "b"]);
-        let mut book = CounterStore::new(names.clone(), 100);
+        let mut store = CounterStore::new(names.clone(), 100);
         let mut log = mark(&CounterLogEntry::Classes(names.clone()));
-        let mut ends = vec![(log.len(), book.clone())];
+        let mut ends = vec![(log.len(), store.clone())];
         for (dest, class, field, by) in adds {
-            book.add(CounterKey::Cell(dest, class), Field::ALL[field], by);
-            log.extend(book.frame().expect("something changed"));
-            ends.push((log.len(), book.clone()));
+            store.add(CounterKey::Cell(dest, class), Field::ALL[field], by);
+            log.extend(store.frame().expect("something changed"));
+            ends.push((log.len(), store.clone()));
         }
         let cut = cut % (log.len() + 1);
         let mut read = CounterStore::new(names.clone(), 100);
-        let (_, good) = read.replay(&log[..cut]);
+        let good = read.replay(&log[..cut]).complete_bytes;
         let whole = ends.iter().rev().find(|e| e.0 <= cut);
         prop_assert_eq!(good, whole.map_or(0, |e| e.0));
         let none = BTreeMap::new();
@@ -65,14 +59,14 @@
         let flip = flip % log.len();
         log[flip] ^= 4;
         let mut read = CounterStore::new(names, 100);
-        let (_, good) = read.replay(&log);
+        let good = read.replay(&log).complete_bytes;
         prop_assert!(good <= flip);
     }
 
     #[test]
     fn random_log_replayed_does_not_panic(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
         CounterStore::new(classes(&["a"]), 10).replay(&bytes);
-        let _ = CounterStore::new(classes(&["a"]), 10).deltas(&classes(&["a"]), &bytes);
+        let _ = CounterStore::new(classes(&["a"]), 10).apply_deltas(&classes(&["a"]), &bytes);
     }
 }
 
@@ -87,8 +81,8 @@
 
 fn stored_counts() -> CounterStore {
     let mut store = CounterStore::new(classes(&["order", "query"]), 10);
-    store.add(CounterKey::Cell(7, 1), Field::Taken, 300);
-    store.add(CounterKey::Cell(7, 1), Field::WorthAsked, 2000);
+    store.add(CounterKey::Cell(7, 1), Field::Accepted, 300);
+    store.add(CounterKey::Cell(7, 1), Field::WeightOffered, 2000);
     store.add(CounterKey::Route(70), Field::Attempts, 2);
     store.add(CounterKey::Reports, Field::PointsDropped, 1);
     store
@@ -106,8 +100,8 @@
 #[test]
 fn log_of_earlier_version_replays_names_timestamps_and_counts() {
     let mut store = CounterStore::new(classes(&["order", "query"]), 10);
-    let (entries, complete) = store.replay(STORED_LOG);
-    assert_eq!(complete, STORED_LOG.len());
+    let Replayed { entries, complete_bytes } = store.replay(STORED_LOG);
+    assert_eq!(complete_bytes, STORED_LOG.len());
     let wanted = [CounterLogEntry::Name("Bank_Lodz".into(), 7), CounterLogEntry::Stamp(1_700_000_000)];
     assert_eq!(entries, wanted);
     assert_eq!(store.cells(), stored_counts().cells());
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -19,7 +19,7 @@
 
 use bytes::Bytes;
 use collectd::Envelope;
-use counts::{mark, CounterKey, CounterLogEntry, CounterStore, Counts, Field, Saved, FIELDS};
+use counts::{mark, CounterKey, CounterLogEntry, CounterStore, Counts, Field, Saved};
 use graphite::MetricSource;
 use hdrhistogram::Histogram;
 use host::Host;
@@ -281,7 +281,7 @@
             stamp = saved.stamp;
         }
         for log in &found.logs {
-            for m in book.replay(log).0 {
+            for m in book.replay(log).entries {
                 match m {
                     CounterLogEntry::Name(name, of) => owners.given(name, of),
                     CounterLogEntry::Stamp(at) => stamp = stamp.max(at),
@@ -289,7 +289,7 @@
                 }
             }
         }
-        let mut totals = vec![[0; FIELDS]; names.len()];
+        let mut totals = vec![Counts::default(); names.len()];
         for (of, counts) in book.cells() {
             if let CounterKey::Cell(_, class) = of {
                 sum(&mut totals[usize::from(*class)], counts);
@@ -399,7 +399,7 @@
         }
         if let CounterKey::Cell(_, class) = of {
             if let Some(total) = self.totals.get_mut(usize::from(class)) {
-                total[field as usize] += by;
+                total[field] += by;
             }
         }
     }
@@ -417,19 +417,19 @@
         self.owed |= matches!(fact, DeliveryEvent::Completed { .. } | DeliveryEvent::Rejected { .. });
         match *fact {
             DeliveryEvent::Accepted { class, destination, .. } => {
-                self.add(CounterKey::Cell(destination, class), Field::Taken, 1);
-                self.add(CounterKey::Cell(destination, class), Field::WorthAsked, self.milli(class, None));
+                self.add(CounterKey::Cell(destination, class), Field::Accepted, 1);
+                self.add(CounterKey::Cell(destination, class), Field::WeightOffered, self.milli(class, None));
             }
             DeliveryEvent::Rejected { class, destination, .. } => {
                 let (of, worth) = (CounterKey::Cell(destination, class), self.milli(class, None));
-                self.add(of, Field::TurnedAway, 1);
-                self.add(of, Field::WorthAsked, worth);
-                self.add(of, Field::WorthLost, worth);
+                self.add(of, Field::RejectedBeforeAccept, 1);
+                self.add(of, Field::WeightOffered, worth);
+                self.add(of, Field::WeightLost, worth);
             }
             DeliveryEvent::AttemptStarted { class, destination, endpoint, hedge: copy, .. } => {
                 for of in self.cells_of(destination, class, endpoint) {
                     self.add(of, Field::Attempts, 1);
-                    self.add(of, Field::Copies, u64::from(copy));
+                    self.add(of, Field::Hedges, u64::from(copy));
                 }
                 self.limits(destination, endpoint, |d| d.attempts += 1);
             }
@@ -454,8 +454,8 @@
             }
             DeliveryEvent::ClientCancelled { class, destination, .. } => {
                 let worth = self.milli(class, None);
-                self.add(CounterKey::Cell(destination, class), Field::Withdrawn, 1);
-                self.add(CounterKey::Cell(destination, class), Field::WorthLost, worth);
+                self.add(CounterKey::Cell(destination, class), Field::ClientCancelled, 1);
+                self.add(CounterKey::Cell(destination, class), Field::WeightLost, worth);
             }
             DeliveryEvent::LimitChanged(LimitChange { destination, endpoint, state, .. }) => {
                 self.limit_changed(destination, endpoint, state);
@@ -481,18 +481,18 @@
 
     fn ended(&mut self, class: u8, destination: u32, endpoint: u32, ending: AttemptOutcome, took: Time) {
         let field = match ending {
-            AttemptOutcome::Served => Field::Served,
-            AttemptOutcome::Error => Field::Errors,
-            AttemptOutcome::Rejected { .. } => Field::Full,
-            AttemptOutcome::TimedOut => Field::TimedOut,
-            AttemptOutcome::NoConnection | AttemptOutcome::NotSent { .. } => Field::NotSent,
-            AttemptOutcome::Reset => Field::Resets,
-            AttemptOutcome::Cancelled => Field::Cancelled,
+            AttemptOutcome::Served => Field::AttemptsServed,
+            AttemptOutcome::Error => Field::AttemptErrors,
+            AttemptOutcome::Rejected { .. } => Field::AttemptsRejected,
+            AttemptOutcome::TimedOut => Field::AttemptTimeouts,
+            AttemptOutcome::NoConnection | AttemptOutcome::NotSent { .. } => Field::AttemptsNotSent,
+            AttemptOutcome::Reset => Field::ConnectionResets,
+            AttemptOutcome::Cancelled => Field::AttemptsCancelled,
         };
         let told = u64::from(matches!(ending, AttemptOutcome::Rejected { retry_after: wait } if wait > 0));
         for of in self.cells_of(destination, class, endpoint) {
             self.add(of, field, 1);
-            self.add(of, Field::ToldWaits, told);
+            self.add(of, Field::RetryAfterReceived, told);
         }
         self.limits(destination, endpoint, |d| match ending {
             AttemptOutcome::Served => {
@@ -512,17 +512,17 @@
             self.courier.classes.get(usize::from(class)).is_some_and(|c| after <= c.1.latency_objective);
         match answer {
             FinalAnswer::Served => {
-                self.add(of, if in_aim { Field::InAim } else { Field::Late }, 1);
-                self.add(of, if in_aim { Field::WorthInAim } else { Field::WorthLate }, kept);
-                self.add(of, Field::WorthLost, whole - kept);
+                self.add(of, if in_aim { Field::WithinObjective } else { Field::Late }, 1);
+                self.add(of, if in_aim { Field::WeightWithinObjective } else { Field::WeightLate }, kept);
+                self.add(of, Field::WeightLost, whole - kept);
                 if let Some(h) = self.class_latency.get_mut(usize::from(class)) {
                     latency(h, after);
                 }
             }
             FinalAnswer::Rejected { .. } | FinalAnswer::Failed => {
                 let refused = matches!(answer, FinalAnswer::Rejected { .. });
-                self.add(of, if refused { Field::Refused } else { Field::Failed }, 1);
-                self.add(of, Field::WorthLost, whole);
+                self.add(of, if refused { Field::RejectedAfterAccept } else { Field::Failed }, 1);
+                self.add(of, Field::WeightLost, whole);
             }
         }
     }
@@ -652,12 +652,12 @@
             let (dropped, failures) = self.reported_losses;
             self.reported_losses = losses;
             self.add_reports(Field::PointsDropped, losses.0 - dropped);
-            self.add_reports(Field::OutletFailures, losses.1 - failures);
+            self.add_reports(Field::ReceiverConnectionFailures, losses.1 - failures);
         }
         if let Some(host) = &self.host {
             let bad = host.bad();
             let before = std::mem::replace(&mut self.reported_bad, bad);
-            self.add_reports(Field::PacketsBad, bad.saturating_sub(before));
+            self.add_reports(Field::PacketsRejected, bad.saturating_sub(before));
         }
     }
 
@@ -852,11 +852,11 @@
                 if let Show::Cell(of) = show {
                     self.dirty.insert(of);
                     self.put_off.get_or_insert(of);
-                    self.add_reports(Field::PointsPutOff, 1);
+                    self.add_reports(Field::PointsPostponed, 1);
                 }
             }
             Show::Sum(dest) => {
-                let mut all = [0; FIELDS];
+                let mut all = Counts::default();
                 let cells =
                     self.book.cells().range(CounterKey::Cell(dest, 0)..=CounterKey::Cell(dest, u8::MAX));
                 cells.for_each(|c| sum(&mut all, c.1));
@@ -868,7 +868,7 @@
 
     fn courier_points(&mut self, points: &mut Vec<Point>) {
         let now = self.figures;
-        let mut all = [0; FIELDS];
+        let mut all = Counts::default();
         self.totals.iter().for_each(|t| sum(&mut all, t));
         if let Some(reports) = self.book.cells().get(&CounterKey::Reports) {
             sum(&mut all, reports);
@@ -997,13 +997,13 @@
 }
 
 fn sum(into: &mut Counts, more: &Counts) {
-    into.iter_mut().zip(more).for_each(|(a, b)| *a += b);
+    into.add_all(more);
 }
 
 /// Counts that are not zero: a series begins when there is something to count.
 fn counts(points: &mut Vec<Point>, place: &Place, counts: &Counts, fields: &[Field]) {
-    let some = fields.iter().filter(|f| counts[**f as usize] > 0);
-    points.extend(some.map(|f| Point::new(place.clone(), f.name(), Value::Count(counts[*f as usize]))));
+    let some = fields.iter().filter(|f| counts[**f] > 0);
+    points.extend(some.map(|f| Point::new(place.clone(), f.name(), Value::Count(counts[*f]))));
 }
 
 fn percentiles(points: &mut Vec<Point>, place: &Place, h: &Histogram<u32>) {
