Telemetry: collectd in encoding, decoding and security; points, names, timestamps typed

Change: collectd/encode.rs, decode.rs, security.rs; PacketEncoder, Part, ItemHeader and Severity are types, PacketError has named fields and the same texts. Place, Value -> SeriesSubject, PointValue; Names::name -> SeriesNames:: assign with AssignedName; stamps -> timestamps with Timestamp; graphite::encode gives Chunks. Tests follow by rename; none of their assertions changed.

--- /dev/null
+++ b/crates/telemetry/src/collectd/encode.rs
@@ -0,0 +1,194 @@
+//! Encoding of packets.
+
+use super::security::InitializationVector;
+use super::{high_resolution, part_type, security, value_type};
+use super::{MetricValue, MAX_NAME_BYTES, PART_HEADER_BYTES};
+use crate::series::{Point, PointValue, SeriesSubject};
+use crate::settings::Security;
+
+/// The plugin that all values and notifications of a courier belong to.
+const PLUGIN: &str = "linnetcart";
+
+/// The severity of a notification.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Severity {
+    /// Something failed.
+    Failure = 1,
+    /// Something needs attention.
+    Warning = 2,
+    /// All is well again.
+    Okay = 4,
+}
+
+/// Encodes packets of one time and sender.
+#[derive(Clone, Debug)]
+pub struct PacketEncoder<'a> {
+    /// The host that reports.
+    pub host: &'a str,
+    /// Nanoseconds since 1970.
+    pub time: u64,
+    /// Nanoseconds between two reports.
+    pub interval: u64,
+    /// How packets are secured.
+    pub security: &'a Security,
+    /// Bytes of a packet at most.
+    pub max_bytes: usize,
+}
+
+impl PacketEncoder<'_> {
+    /// Points in packets filled to the limit, each of which can be read without the others.
+    pub fn points(
+        &self,
+        points: &[Point],
+        next_iv: &mut dyn FnMut() -> InitializationVector,
+    ) -> Vec<Vec<u8>> {
+        let capacity = self.max_bytes - security::overhead(self.security);
+        let empty = self.begin();
+        let mut packets = Vec::new();
+        let mut packet = empty.clone();
+        let mut described = None;
+        for point in points {
+            let value = ValueParts::new(point);
+            let mut parts = value.parts(described.as_ref());
+            if packet.len() + parts.len() > capacity && described.is_some() {
+                let full = std::mem::replace(&mut packet, empty.clone());
+                packets.push(self.seal(full, next_iv));
+                parts = value.parts(None);
+            }
+            packet.extend(parts);
+            described = Some(value);
+        }
+        if described.is_some() {
+            packets.push(self.seal(packet, next_iv));
+        }
+        packets
+    }
+
+    /// A notification; its text is cut to what a part takes.
+    pub fn notification(
+        &self,
+        plugin_instance: &str,
+        severity: Severity,
+        text: &str,
+        next_iv: &mut dyn FnMut() -> InitializationVector,
+    ) -> Vec<u8> {
+        let mut packet = self.begin();
+        write_text(&mut packet, part_type::PLUGIN_INSTANCE, plugin_instance);
+        write_text(&mut packet, part_type::TYPE, "gauge");
+        write_text(&mut packet, part_type::TYPE_INSTANCE, "state");
+        write_part(&mut packet, part_type::SEVERITY, &(severity as u64).to_be_bytes());
+        write_text(&mut packet, part_type::MESSAGE, text);
+        self.seal(packet, next_iv)
+    }
+
+    /// The parts that each packet begins with.
+    fn begin(&self) -> Vec<u8> {
+        let mut packet = Vec::with_capacity(self.max_bytes);
+        let time = high_resolution(self.time);
+        let interval = high_resolution(self.interval);
+        write_text(&mut packet, part_type::HOST, self.host);
+        write_part(&mut packet, part_type::HIGH_RESOLUTION_TIME, &time.to_be_bytes());
+        write_part(&mut packet, part_type::HIGH_RESOLUTION_INTERVAL, &interval.to_be_bytes());
+        write_text(&mut packet, part_type::PLUGIN, PLUGIN);
+        packet
+    }
+
+    fn seal(&self, parts: Vec<u8>, next_iv: &mut dyn FnMut() -> InitializationVector) -> Vec<u8> {
+        match self.security {
+            Security::None => parts,
+            Security::Sign(user) => security::sign(&parts, user),
+            Security::Encrypt(user) => security::encrypt(&parts, user, next_iv()),
+        }
+    }
+}
+
+/// A point as parts of a packet.
+struct ValueParts {
+    plugin_instance: String,
+    type_name: &'static str,
+    type_instance: &'static str,
+    value: MetricValue,
+}
+
+impl ValueParts {
+    fn new(point: &Point) -> ValueParts {
+        let (type_name, value) = match point.value {
+            PointValue::Counter(count) => {
+                ("derive", MetricValue::Derive(i64::try_from(count).unwrap_or(i64::MAX)))
+            }
+            PointValue::Gauge(value) => ("gauge", MetricValue::Gauge(value)),
+            PointValue::Milliseconds(value) => ("latency", MetricValue::Gauge(value / 1000.0)),
+        };
+        ValueParts {
+            plugin_instance: plugin_instance(&point.subject),
+            type_name,
+            type_instance: point.metric,
+            value,
+        }
+    }
+
+    /// Its parts, without those that the value before it in the packet has given already.
+    fn parts(&self, before: Option<&ValueParts>) -> Vec<u8> {
+        let mut parts = Vec::new();
+        if before.is_none_or(|before| before.plugin_instance != self.plugin_instance) {
+            write_text(&mut parts, part_type::PLUGIN_INSTANCE, &self.plugin_instance);
+        }
+        if before.is_none_or(|before| before.type_name != self.type_name) {
+            write_text(&mut parts, part_type::TYPE, self.type_name);
+        }
+        write_text(&mut parts, part_type::TYPE_INSTANCE, self.type_instance);
+        write_values(&mut parts, &[self.value]);
+        parts
+    }
+}
+
+fn plugin_instance(subject: &SeriesSubject) -> String {
+    match subject {
+        SeriesSubject::Courier => "courier".to_owned(),
+        SeriesSubject::Class(class) => format!("class-{class}"),
+        SeriesSubject::Destination(destination) => format!("dest-{destination}"),
+        SeriesSubject::DestinationAndClass { destination, class } => {
+            format!("dest-{destination}-class-{class}")
+        }
+        SeriesSubject::Route { destination, endpoint } => format!("dest-{destination}-route-{endpoint}"),
+    }
+}
+
+pub(super) fn write_part(out: &mut Vec<u8>, part_type: u16, content: &[u8]) {
+    let length = (PART_HEADER_BYTES + content.len()) as u16;
+    out.extend(part_type.to_be_bytes());
+    out.extend(length.to_be_bytes());
+    out.extend(content);
+}
+
+fn write_text(out: &mut Vec<u8>, part_type: u16, text: &str) {
+    let length = text.len().min(MAX_NAME_BYTES - 1);
+    let mut content = text.as_bytes()[..length].to_vec();
+    content.retain(|&byte| byte != 0);
+    content.push(0);
+    write_part(out, part_type, &content);
+}
+
+/// A part of values: their number, their types, then each in eight bytes.
+fn write_values(out: &mut Vec<u8>, values: &[MetricValue]) {
+    let mut content = (values.len() as u16).to_be_bytes().to_vec();
+    for value in values {
+        content.push(match value {
+            MetricValue::Counter(_) => value_type::COUNTER,
+            MetricValue::Gauge(_) => value_type::GAUGE,
+            MetricValue::Derive(_) => value_type::DERIVE,
+            MetricValue::Absolute(_) => value_type::ABSOLUTE,
+        });
+    }
+    for value in values {
+        match *value {
+            MetricValue::Counter(count) | MetricValue::Absolute(count) => {
+                content.extend(count.to_be_bytes());
+            }
+            // The protocol has gauges alone with their least significant byte first.
+            MetricValue::Gauge(value) => content.extend(value.to_le_bytes()),
+            MetricValue::Derive(value) => content.extend(value.to_be_bytes()),
+        }
+    }
+    write_part(out, part_type::VALUES, &content);
+}
--- a/crates/telemetry/src/collectd/tests.rs
+++ b/crates/telemetry/src/collectd/tests.rs
@@ -1,5 +1,11 @@
+use super::decode::read;
+use super::encode::PacketEncoder;
+use super::security::{encrypt, sign, CHECKSUM_BYTES, IV_BYTES};
 use super::*;
+use crate::series::{Point, PointValue, SeriesSubject};
+use crate::settings::{Require, Security, User};
 use proptest::prelude::*;
+use std::collections::BTreeMap;
 
 fn alice() -> User {
     User { user: "alice".into(), key: "secret".into() }
@@ -9,15 +15,15 @@
     BTreeMap::from([("alice".to_owned(), keys.iter().map(|k| (*k).to_owned()).collect())])
 }
 
-fn envelope(security: &Security) -> Envelope<'_> {
-    Envelope { host: "h", stamp: 1_500_000_000, interval: 10_000_000_000, security, most: 1452 }
+fn encoder(security: &Security) -> PacketEncoder<'_> {
+    PacketEncoder { host: "h", time: 1_500_000_000, interval: 10_000_000_000, security, max_bytes: 1452 }
 }
 
 fn packet(security: &Security) -> Vec<u8> {
-    let points = [Point::new(Place::Courier, "taken", Value::Count(258))];
-    let mut packets = envelope(security).packets(&points, &mut || [9; IV]);
+    let points = [Point::new(SeriesSubject::Courier, "taken", PointValue::Counter(258))];
+    let mut packets = encoder(security).points(&points, &mut || [9; IV_BYTES]);
     assert_eq!(packets.len(), 1);
-    packets.remove(0).0
+    packets.remove(0)
 }
 
 /// Worked out by hand from the published description.
@@ -34,9 +40,9 @@
 fn plain_packet_encoded_matches_published_bytes() {
     assert_eq!(packet(&Security::None), PLAIN);
     let said = read(PLAIN, &BTreeMap::new(), Require::Nothing).expect("good");
-    let PacketItem::Values(about, values) = &said[0] else { panic!("{said:?}") };
+    let PacketItem::Values(header, values) = &said[0] else { panic!("{said:?}") };
     assert_eq!(
-        (about.kind.as_str(), nanos(about.time), values[0]),
+        (header.type_name.as_str(), nanos(header.time), values[0]),
         ("derive", 1_500_000_000, MetricValue::Derive(258))
     );
 }
@@ -51,23 +57,29 @@
     assert_eq!(&sealed[..2], b"\x02\x10");
     assert_eq!(usize::from(u16::from_be_bytes([sealed[2], sealed[3]])), sealed.len());
     assert_eq!(&sealed[4..11], b"\x00\x05alice");
-    assert_eq!(&sealed[11..27], [9; IV]);
-    assert_eq!(sealed.len(), 27 + SUM + PLAIN.len());
+    assert_eq!(&sealed[11..27], [9; IV_BYTES]);
+    assert_eq!(sealed.len(), 27 + CHECKSUM_BYTES + PLAIN.len());
     for packet in [&signed, &sealed] {
         let plain = read(PLAIN, &keys(&[]), Require::Nothing);
         assert_eq!(read(packet, &keys(&["secret"]), Require::Signed), plain);
         assert_eq!(read(packet, &keys(&["new", "secret"]), Require::Signed), plain, "while keys rotate");
-        assert_eq!(read(packet, &keys(&["new"]), Require::Nothing), Err(PacketError::Forged("alice".into())));
+        assert_eq!(
+            read(packet, &keys(&["new"]), Require::Nothing),
+            Err(PacketError::NotAuthentic { user: "alice".into() })
+        );
         assert_eq!(
             read(packet, &BTreeMap::new(), Require::Nothing),
-            Err(PacketError::Unknown("alice".into()))
+            Err(PacketError::UnknownUser { user: "alice".into() })
         );
     }
-    assert_eq!(read(&signed, &keys(&["secret"]), Require::Encrypted), Err(PacketError::Plain));
-    assert_eq!(read(PLAIN, &keys(&["secret"]), Require::Signed), Err(PacketError::Plain));
+    assert_eq!(read(&signed, &keys(&["secret"]), Require::Encrypted), Err(PacketError::InsufficientSecurity));
+    assert_eq!(read(PLAIN, &keys(&["secret"]), Require::Signed), Err(PacketError::InsufficientSecurity));
     let mut forged = signed.clone();
     *forged.last_mut().expect("a byte") ^= 1;
-    assert_eq!(read(&forged, &keys(&["secret"]), Require::Nothing), Err(PacketError::Forged("alice".into())));
+    assert_eq!(
+        read(&forged, &keys(&["secret"]), Require::Nothing),
+        Err(PacketError::NotAuthentic { user: "alice".into() })
+    );
 }
 
 #[test]
@@ -75,30 +87,44 @@
     let none = BTreeMap::new();
     assert_eq!(
         read(b"\x00\x00\x00\x00h", &none, Require::Nothing),
-        Err(PacketError::Length(0)),
+        Err(PacketError::InvalidLength { offset: 0 }),
         "length zero"
     );
-    assert_eq!(read(&PLAIN[..PLAIN.len() - 1], &none, Require::Nothing), Err(PacketError::Length(78)));
+    assert_eq!(
+        read(&PLAIN[..PLAIN.len() - 1], &none, Require::Nothing),
+        Err(PacketError::InvalidLength { offset: 78 })
+    );
     let twice = sign(&sign(PLAIN, &alice()), &alice());
-    assert_eq!(read(&twice, &keys(&["secret"]), Require::Nothing), Err(PacketError::Nested(41)));
-    let inner = encrypt(&encrypt(PLAIN, &alice(), [1; IV]), &alice(), [2; IV]);
-    assert_eq!(read(&inner, &keys(&["secret"]), Require::Nothing), Err(PacketError::Nested(0)));
+    assert_eq!(
+        read(&twice, &keys(&["secret"]), Require::Nothing),
+        Err(PacketError::MisplacedSecurity { offset: 41 })
+    );
+    let inner = encrypt(&encrypt(PLAIN, &alice(), [1; IV_BYTES]), &alice(), [2; IV_BYTES]);
+    assert_eq!(
+        read(&inner, &keys(&["secret"]), Require::Nothing),
+        Err(PacketError::MisplacedSecurity { offset: 0 })
+    );
     let late = [PLAIN, &sign(PLAIN, &alice())[..]].concat();
-    assert_eq!(read(&late, &keys(&["secret"]), Require::Nothing), Err(PacketError::Nested(PLAIN.len())));
+    assert_eq!(
+        read(&late, &keys(&["secret"]), Require::Nothing),
+        Err(PacketError::MisplacedSecurity { offset: PLAIN.len() })
+    );
 }
 
 #[test]
 fn packets_of_many_points_fill_the_limit_and_decode_alone() {
     for security in [Security::None, Security::Sign(alice()), Security::Encrypt(alice())] {
         let points: Vec<Point> = (0..400)
-            .map(|n| Point::new(Place::Dest(format!("d{}", n / 7)), "taken", Value::Count(n)))
+            .map(|n| {
+                Point::new(SeriesSubject::Destination(format!("d{}", n / 7)), "taken", PointValue::Counter(n))
+            })
             .collect();
-        let packets = envelope(&security).packets(&points, &mut || [7; IV]);
-        assert!(packets.iter().all(|p| p.0.len() <= 1452));
-        assert!(packets[..packets.len() - 1].iter().all(|p| p.0.len() > 1300), "filled");
+        let packets = encoder(&security).points(&points, &mut || [7; IV_BYTES]);
+        assert!(packets.iter().all(|p| p.len() <= 1452));
+        assert!(packets[..packets.len() - 1].iter().all(|p| p.len() > 1300), "filled");
         let said: Vec<PacketItem> = packets
             .iter()
-            .flat_map(|p| read(&p.0, &keys(&["secret"]), Require::Nothing).expect("good"))
+            .flat_map(|p| read(p, &keys(&["secret"]), Require::Nothing).expect("good"))
             .collect();
         let got: Vec<(String, f64)> = said
             .iter()
@@ -114,7 +140,8 @@
 
 #[test]
 fn notification_encoded_carries_subject_and_severity() {
-    let packet = envelope(&Security::None).notification("dest-x", 1, "out", &mut || [0; IV]);
+    let packet =
+        encoder(&Security::None).notification("dest-x", Severity::Failure, "out", &mut || [0; IV_BYTES]);
     let said = read(&packet, &BTreeMap::new(), Require::Nothing).expect("good");
     assert!(
         matches!(&said[0], PacketItem::Notification(a, 1, m) if a.plugin_instance == "dest-x" && m == "out")
--- a/crates/telemetry/src/graphite.rs
+++ b/crates/telemetry/src/graphite.rs
@@ -1,78 +1,111 @@
-//! Points as Graphite takes them: plaintext lines, or frames of pickled lists.
+//! Graphite's formats: plaintext lines, or frames of pickled lists. Names points, encodes and decodes them; opens no
+//! connection.
 
-use crate::series::{Place, Point};
+use crate::series::{Point, SeriesSubject};
 use crate::settings::Form;
 use serde_pickle::SerOptions;
 
-/// Points of one pickle frame; a receiver takes no frames without bound.
-const BATCH: usize = 500;
+#[cfg(test)]
+mod tests;
+
+/// Points of one chunk, and so of one pickle frame: receivers limit the size of a frame.
+const MAX_CHUNK_POINTS: usize = 500;
 
-/// Who reports.
+/// The courier that reports.
 #[derive(Clone, Debug, Default)]
 pub struct MetricSource {
-    /// The deployment, made safe.
+    /// The deployment, made safe for a path.
     pub deployment: String,
     /// The courier's number.
-    pub me: u32,
+    pub courier: u32,
+}
+
+/// Points with their names, encoded; sent as a whole or dropped as a whole.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Chunk {
+    /// The encoded points.
+    pub bytes: Vec<u8>,
+    /// How many there are.
+    pub points: u32,
+}
+
+/// A point as it was decoded.
+#[derive(Clone, Debug, PartialEq)]
+struct NamedValue {
+    name: String,
+    value: f64,
 }
 
 /// The name of a point's series.
-pub fn name(who: &MetricSource, point: &Point, tags: bool) -> String {
-    let field = point.field;
+pub fn name(source: &MetricSource, point: &Point, tags: bool) -> String {
     if tags {
-        let mut name = format!("linnetcart.edge.{field};deployment={};edge={}", who.deployment, who.me);
-        let (dest, class, route) = match &point.place {
-            Place::Courier => (None, None, None),
-            Place::Class(class) => (None, Some(class), None),
-            Place::Dest(dest) => (Some(dest), None, None),
-            Place::Cell(dest, class) => (Some(dest), Some(class), None),
-            Place::Route(dest, route) => (Some(dest), None, Some(route)),
-        };
-        dest.iter().for_each(|d| name.extend([";dest=", d]));
-        class.iter().for_each(|c| name.extend([";class=", c]));
-        route.iter().for_each(|r| name.extend([";route=", &r.to_string()]));
-        return name;
+        tagged_name(source, point)
+    } else {
+        path_name(source, point)
     }
-    let place = match &point.place {
-        Place::Courier => "courier".to_owned(),
-        Place::Class(class) => format!("class.{class}"),
-        Place::Dest(dest) => format!("dest.{dest}"),
-        Place::Cell(dest, class) => format!("dest.{dest}.class.{class}"),
-        Place::Route(dest, route) => format!("dest.{dest}.route.{route}"),
+}
+
+fn tagged_name(source: &MetricSource, point: &Point) -> String {
+    let MetricSource { deployment, courier } = source;
+    let name = format!("linnetcart.edge.{};deployment={deployment};edge={courier}", point.metric);
+    match &point.subject {
+        SeriesSubject::Courier => name,
+        SeriesSubject::Class(class) => format!("{name};class={class}"),
+        SeriesSubject::Destination(destination) => format!("{name};dest={destination}"),
+        SeriesSubject::DestinationAndClass { destination, class } => {
+            format!("{name};dest={destination};class={class}")
+        }
+        SeriesSubject::Route { destination, endpoint } => {
+            format!("{name};dest={destination};route={endpoint}")
+        }
+    }
+}
+
+fn path_name(source: &MetricSource, point: &Point) -> String {
+    let subject = match &point.subject {
+        SeriesSubject::Courier => "courier".to_owned(),
+        SeriesSubject::Class(class) => format!("class.{class}"),
+        SeriesSubject::Destination(destination) => format!("dest.{destination}"),
+        SeriesSubject::DestinationAndClass { destination, class } => {
+            format!("dest.{destination}.class.{class}")
+        }
+        SeriesSubject::Route { destination, endpoint } => format!("dest.{destination}.route.{endpoint}"),
     };
-    format!("linnetcart.{}.edge.{}.{place}.{field}", who.deployment, who.me)
+    format!("linnetcart.{}.edge.{}.{subject}.{}", source.deployment, source.courier, point.metric)
 }
 
-/// Points at a second since 1970, as pieces that may be sent and dropped one by one; each with its points.
-pub fn encode(
-    who: &MetricSource,
-    points: &[Point],
-    second: u64,
-    form: Form,
-    tags: bool,
-) -> Vec<(Vec<u8>, u32)> {
-    let named = |p: &Point| (name(who, p, tags), p.value.as_f64());
-    let pieces = points.chunks(BATCH).map(|chunk| {
+/// Points at a second since 1970, in chunks that may be sent and dropped one by one.
+pub fn encode(source: &MetricSource, points: &[Point], second: u64, form: Form, tags: bool) -> Vec<Chunk> {
+    let mut chunks = Vec::with_capacity(points.len().div_ceil(MAX_CHUNK_POINTS));
+    for points in points.chunks(MAX_CHUNK_POINTS) {
         let bytes = match form {
-            Form::Plaintext => plaintext(chunk.iter().map(|p| (name(who, p, tags), p)), second),
-            Form::Pickle => pickle(chunk.iter().map(named), second),
+            Form::Plaintext => encode_plaintext(source, points, second, tags),
+            Form::Pickle => {
+                let named = points
+                    .iter()
+                    .map(|point| NamedValue { name: name(source, point, tags), value: point.value.as_f64() });
+                encode_pickle(named, second)
+            }
         };
-        (bytes, chunk.len() as u32)
-    });
-    pieces.collect()
+        chunks.push(Chunk { bytes, points: points.len() as u32 });
+    }
+    chunks
 }
 
-fn plaintext<'a>(points: impl Iterator<Item = (String, &'a Point)>, second: u64) -> Vec<u8> {
-    let mut out = String::new();
-    for (name, point) in points {
-        out.extend([name.as_str(), " ", &point.value.to_string(), " ", &second.to_string(), "\n"]);
+fn encode_plaintext(source: &MetricSource, points: &[Point], second: u64, tags: bool) -> Vec<u8> {
+    let second = second.to_string();
+    let mut lines = String::new();
+    for point in points {
+        let name = name(source, point, tags);
+        let value = point.value.to_string();
+        lines.extend([name.as_str(), " ", value.as_str(), " ", second.as_str(), "\n"]);
     }
-    out.into_bytes()
+    lines.into_bytes()
 }
 
 /// A frame: its length in four bytes, most significant first, then a pickled list of (name, (time, value)).
-fn pickle(points: impl Iterator<Item = (String, f64)>, second: u64) -> Vec<u8> {
-    let list: Vec<(String, (u64, f64))> = points.map(|(name, value)| (name, (second, value))).collect();
+fn encode_pickle(points: impl Iterator<Item = NamedValue>, second: u64) -> Vec<u8> {
+    let list: Vec<(String, (u64, f64))> = points.map(|point| (point.name, (second, point.value))).collect();
     // Protocol 2 is the one that every receiver reads. Strings, tuples and numbers only: this cannot fail.
     let body = serde_pickle::to_vec(&list, SerOptions::new().proto_v2()).unwrap_or_default();
     let mut frame = (body.len() as u32).to_be_bytes().to_vec();
@@ -80,18 +113,18 @@
     frame
 }
 
-/// Reads a line of the plaintext form: name, value, time.
+/// Reads a line of the plaintext form: name, value, and time in seconds since 1970.
 pub fn read_line(line: &str) -> Option<(&str, f64, u64)> {
     let mut words = line.split_ascii_whitespace();
-    let read = (words.next()?, words.next()?.parse().ok()?, words.next()?.parse::<f64>().ok()? as u64);
-    words.next().is_none().then_some(read)
+    let name = words.next()?;
+    let value = words.next()?.parse().ok()?;
+    let time: f64 = words.next()?.parse().ok()?;
+    let is_end = words.next().is_none();
+    is_end.then_some((name, value, time as u64))
 }
 
-/// Reads a pickled list.
+/// Reads a pickled list: names, values, and times in seconds since 1970.
 pub fn read_pickle(body: &[u8]) -> Option<Vec<(String, f64, u64)>> {
     let list: Vec<(String, (f64, f64))> = serde_pickle::from_slice(body, Default::default()).ok()?;
-    Some(list.into_iter().map(|(name, (at, value))| (name, value, at as u64)).collect())
+    Some(list.into_iter().map(|(name, (time, value))| (name, value, time as u64)).collect())
 }
-
-#[cfg(test)]
-mod tests;
--- a/crates/telemetry/src/graphite/tests.rs
+++ b/crates/telemetry/src/graphite/tests.rs
@@ -1,23 +1,27 @@
 use super::*;
-use crate::series::Value;
+use crate::series::PointValue;
 use proptest::prelude::*;
 
-fn who() -> MetricSource {
-    MetricSource { deployment: "bank_north".into(), me: 3 }
+fn source() -> MetricSource {
+    MetricSource { deployment: "bank_north".into(), courier: 3 }
 }
 
 #[test]
 fn series_names_and_lines_match_documented_format() {
-    let point = Point::new(Place::Cell("kolo".into(), "order".into()), "taken", Value::Count(12));
-    assert_eq!(name(&who(), &point, false), "linnetcart.bank_north.edge.3.dest.kolo.class.order.taken");
+    let point = Point::new(
+        SeriesSubject::DestinationAndClass { destination: "kolo".into(), class: "order".into() },
+        "taken",
+        PointValue::Counter(12),
+    );
+    assert_eq!(name(&source(), &point, false), "linnetcart.bank_north.edge.3.dest.kolo.class.order.taken");
     assert_eq!(
-        name(&who(), &point, true),
+        name(&source(), &point, true),
         "linnetcart.edge.taken;deployment=bank_north;edge=3;dest=kolo;class=order"
     );
-    let half = Point::new(Place::Courier, "slots_used", Value::Gauge(0.5));
-    let pieces = encode(&who(), &[point, half], 1_700_000_000, Form::Plaintext, false);
+    let half = Point::new(SeriesSubject::Courier, "slots_used", PointValue::Gauge(0.5));
+    let chunks = encode(&source(), &[point, half], 1_700_000_000, Form::Plaintext, false);
     assert_eq!(
-        String::from_utf8(pieces[0].0.clone()).expect("text"),
+        String::from_utf8(chunks[0].bytes.clone()).expect("text"),
         "linnetcart.bank_north.edge.3.dest.kolo.class.order.taken 12 1700000000\n\
          linnetcart.bank_north.edge.3.courier.slots_used 0.5 1700000000\n"
     );
@@ -25,7 +29,7 @@
 
 #[test]
 fn pickle_frame_encoded_matches_published_opcodes() {
-    let frame = pickle([("a.b".to_owned(), 1.5)].into_iter(), 7);
+    let frame = encode_pickle([NamedValue { name: "a.b".to_owned(), value: 1.5 }].into_iter(), 7);
     // Worked out by hand from the opcodes: PROTO 2, EMPTY_LIST, MARK, MARK, BINUNICODE with its length, MARK,
     // BININT, BINFLOAT, TUPLE, TUPLE, APPENDS, STOP.
     let body = b"\x80\x02]((X\x03\x00\x00\x00a.b(J\x07\x00\x00\x00G\x3f\xf8\x00\x00\x00\x00\x00\x00tte.";
@@ -38,15 +42,16 @@
         values in prop::collection::vec((0u64..1 << 50, "[a-z]{1,8}"), 1..40), second in 0u64..1 << 32,
     ) {
         let points: Vec<Point> =
-            values.iter().map(|(n, d)| Point::new(Place::Dest(d.clone()), "taken", Value::Count(*n))).collect();
+            values.iter().map(|(n, d)| Point::new(SeriesSubject::Destination(d.clone()), "taken", PointValue::Counter(*n))).collect();
         let wanted: Vec<_> =
-            points.iter().map(|p| (name(&who(), p, false), p.value.as_f64(), second)).collect();
-        let lines = encode(&who(), &points, second, Form::Plaintext, false).concat_bytes();
+            points.iter().map(|p| (name(&source(), p, false), p.value.as_f64(), second)).collect();
+        let lines = encode(&source(), &points, second, Form::Plaintext, false);
+        let lines: Vec<u8> = lines.into_iter().flat_map(|chunk| chunk.bytes).collect();
         let text = String::from_utf8(lines).expect("text");
         let read: Vec<_> = text.lines().filter_map(read_line).map(|(n, v, t)| (n.to_owned(), v, t)).collect();
         prop_assert_eq!(&read, &wanted);
-        let frames = encode(&who(), &points, second, Form::Pickle, false);
-        let read: Vec<_> = frames.iter().flat_map(|f| read_pickle(&f.0[4..]).expect("a list")).collect();
+        let frames = encode(&source(), &points, second, Form::Pickle, false);
+        let read: Vec<_> = frames.iter().flat_map(|f| read_pickle(&f.bytes[4..]).expect("a list")).collect();
         prop_assert_eq!(&read, &wanted);
     }
 
@@ -55,13 +60,3 @@
         let _ = read_pickle(&bytes);
     }
 }
-
-trait Concat {
-    fn concat_bytes(self) -> Vec<u8>;
-}
-
-impl Concat for Vec<(Vec<u8>, u32)> {
-    fn concat_bytes(self) -> Vec<u8> {
-        self.into_iter().flat_map(|p| p.0).collect()
-    }
-}
--- a/crates/telemetry/src/host.rs
+++ b/crates/telemetry/src/host.rs
@@ -1,7 +1,7 @@
 //! What the host's own collectd says of load, links and disks. Packets may be cut, forged or old: they cost their
 //! reading and nothing else.
 
-use crate::collectd::{self, About, MetricValue, PacketError, PacketItem};
+use crate::collectd::{self, ItemHeader, MetricValue, PacketError, PacketItem};
 use crate::settings::Listen;
 use linnetcart::Time;
 use serde::Serialize;
@@ -90,7 +90,7 @@
             Err(bad) => {
                 self.view.bad += 1;
                 let first = self.view.last_bad.is_none()
-                    || matches!(bad, PacketError::Forged(_) | PacketError::Unknown(_));
+                    || matches!(bad, PacketError::NotAuthentic { .. } | PacketError::UnknownUser { .. });
                 self.view.last_bad = Some(bad.to_string());
                 first.then(|| format!("a packet for the host's figures was turned down: {bad}"))
             }
@@ -111,13 +111,13 @@
         }
     }
 
-    fn values(&mut self, about: About, values: Vec<MetricValue>, wall: u64) {
+    fn values(&mut self, about: ItemHeader, values: Vec<MetricValue>, wall: u64) {
         let wall = collectd::high_resolution(wall);
         let last_of = (
             about.host.clone(),
             about.plugin.clone(),
             about.plugin_instance.clone(),
-            about.kind.clone(),
+            about.type_name.clone(),
             about.type_instance.clone(),
         );
         let before = self.last.get(&last_of);
@@ -139,13 +139,13 @@
         self.last.insert(last_of, Last { time: about.time, values });
     }
 
-    fn show(&mut self, about: &About, values: &[MetricValue], rates: &[f64]) {
+    fn show(&mut self, about: &ItemHeader, values: &[MetricValue], rates: &[f64]) {
         let view = &mut self.view;
         if !view.hosts.contains(&about.host) && view.hosts.len() < 16 {
             view.hosts.push(about.host.clone());
         }
         let pair = || Some([*rates.first()?, *rates.get(1)?]);
-        match (about.plugin.as_str(), about.kind.as_str()) {
+        match (about.plugin.as_str(), about.type_name.as_str()) {
             ("load", "load") => {
                 if let [a, b, c] = values {
                     view.load = Some([a.as_f64(), b.as_f64(), c.as_f64()]);
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -14,28 +14,29 @@
 pub mod outlet;
 pub mod series;
 pub mod settings;
-pub mod stamps;
+
 pub mod stream;
+pub mod timestamps;
 
 use bytes::Bytes;
-use collectd::Envelope;
+use collectd::{PacketEncoder, Severity};
 use counts::{mark, CounterKey, CounterLogEntry, CounterStore, Counts, Field, Saved};
 use graphite::MetricSource;
 use hdrhistogram::Histogram;
 use host::Host;
 use linnetcart::{AttemptOutcome, Class, LimitChange, LimitState, Time};
 use linnetcart_delivery_events::{DeliveryEvent, FinalAnswer, LoadReport};
-use names::Names;
+use names::{AssignedName, SeriesNames};
 use outlet::{Do, Outlet};
 use rand::{Rng, RngCore, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
-use series::{Place, Point, Value};
+use series::{Point, PointValue, SeriesSubject};
 use settings::Telemetry as Settings;
-use stamps::Timestamps;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::ops::Bound;
+use timestamps::{Timestamp, Timestamps};
 
 const SECOND: Time = 1_000_000_000;
 /// Series that did not change are reported again once in so many reports.
@@ -219,7 +220,7 @@
     set: Settings,
     book: CounterStore,
     totals: Vec<Counts>,
-    names: Names,
+    names: SeriesNames,
     stamps: Timestamps,
     listed: BTreeMap<u32, Vec<u32>>,
     routes: BTreeMap<u32, u32>,
@@ -244,7 +245,7 @@
     reported_losses: (u64, u64),
     host: Option<Host>,
     reported_bad: u64,
-    notices: VecDeque<(String, u64, String)>,
+    notices: VecDeque<(String, Severity, String)>,
     next_host: Time,
     random: ChaCha8Rng,
     safe: bool,
@@ -253,8 +254,8 @@
 }
 
 fn named(names: &[String]) -> Vec<String> {
-    let mut safe = Names::new(BTreeMap::new(), names.len() + 1);
-    let name = |(n, name): (usize, &String)| safe.name(Some(name), n as u32).0;
+    let mut safe = SeriesNames::new(names.len() + 1);
+    let name = |(n, name): (usize, &String)| safe.assign(Some(name), n as u32).name;
     names.iter().enumerate().map(name).collect()
 }
 
@@ -273,17 +274,17 @@
     pub fn new(courier: CourierInfo, found: RestoredState, set: Settings, now: Time) -> Telemetry {
         let names: Vec<String> = courier.classes.iter().map(|c| c.0.clone()).collect();
         let mut book = CounterStore::new(names.clone(), set.cells);
-        let mut owners = Names::new(BTreeMap::new(), set.cells.max(1000) * 2);
+        let mut owners = SeriesNames::new(set.cells.max(1000) * 2);
         let mut stamp = 0;
         if let Some(saved) = &found.saved {
             book.restore(saved);
-            saved.names.iter().for_each(|(name, &of)| owners.given(name.clone(), of));
+            saved.names.iter().for_each(|(name, &of)| owners.restore(name.clone(), of));
             stamp = saved.stamp;
         }
         for log in &found.logs {
             for m in book.replay(log).entries {
                 match m {
-                    CounterLogEntry::Name(name, of) => owners.given(name, of),
+                    CounterLogEntry::Name(name, of) => owners.restore(name, of),
                     CounterLogEntry::Stamp(at) => stamp = stamp.max(at),
                     CounterLogEntry::Classes(_) => {}
                 }
@@ -295,7 +296,7 @@
                 sum(&mut totals[usize::from(*class)], counts);
             }
         }
-        let who = MetricSource { deployment: names::safe(&courier.deployment), me: courier.me };
+        let who = MetricSource { deployment: names::safe(&courier.deployment), courier: courier.me };
         let mut random = ChaCha8Rng::seed_from_u64(courier.seed ^ (u64::from(courier.me) << 32));
         let interval = set.interval_s * SECOND;
         let first = random.random_range(0..interval);
@@ -563,9 +564,9 @@
         }
         state.standing = standing;
         let (severity, text) = match standing {
-            LimitState::Healthy => (4, "in service"),
-            LimitState::Recovering => (2, "back, warming up"),
-            LimitState::Ejected | LimitState::Silent => (1, "out"),
+            LimitState::Healthy => (Severity::Okay, "in service"),
+            LimitState::Recovering => (Severity::Warning, "back, warming up"),
+            LimitState::Ejected | LimitState::Silent => (Severity::Failure, "out"),
         };
         if self.notices.len() >= NOTICES {
             self.notices.pop_front();
@@ -575,7 +576,7 @@
 
     fn dest_name(&mut self, dest: u32) -> String {
         let wanted = self.set.names.get(&dest).map(String::as_str);
-        let (name, new) = self.names.name(wanted, dest);
+        let AssignedName { name, newly_assigned: new } = self.names.assign(wanted, dest);
         if new {
             self.out.push(Output::Append(mark(&CounterLogEntry::Name(name.clone(), dest))));
         }
@@ -668,7 +669,7 @@
     }
 
     fn begin(&mut self, now: Time, wall: Time) {
-        let (stamp, ahead) = self.stamps.stamp(now, wall);
+        let Timestamp { time: stamp, ahead } = self.stamps.next(now, wall);
         if ahead > SECOND && self.status.stamps_ahead_s == 0.0 {
             let text = format!("the clock was set back: stamps are {} s ahead and slow down", ahead / SECOND);
             self.out.push(Output::Log(text));
@@ -710,7 +711,7 @@
             }
             Step::Syncing { since, .. } if since + SYNC_WAIT <= now => {
                 self.not_safe("bringing the counts to disk takes too long");
-                report.points.retain(|p| !matches!(p.value, Value::Count(_)));
+                report.points.retain(|p| !matches!(p.value, PointValue::Counter(_)));
                 report.step = Step::Leaving;
             }
             Step::Syncing { .. } => {}
@@ -733,20 +734,24 @@
         if let (Some(outlet), Some(g)) = (&mut self.outlet, &self.set.graphite) {
             outlet.push(graphite::encode(&self.who, points, stamp / SECOND, g.form, g.tags));
         }
-        self.send_collectd(stamp, |envelope, iv| {
-            envelope.packets(points, iv).into_iter().map(|p| p.0).collect()
-        });
+        self.send_collectd(stamp, |envelope, iv| envelope.points(points, iv));
     }
 
     /// Sends the packets that an envelope of this time is made to.
     fn send_collectd(
         &mut self,
         stamp: u64,
-        make: impl FnOnce(&Envelope, &mut dyn FnMut() -> [u8; 16]) -> Vec<Vec<u8>>,
+        make: impl FnOnce(&PacketEncoder, &mut dyn FnMut() -> [u8; 16]) -> Vec<Vec<u8>>,
     ) {
         let Some(c) = &self.set.collectd else { return };
         let (host, interval) = (self.host_name(c), self.set.interval_s * SECOND);
-        let envelope = Envelope { host: &host, stamp, interval, security: &c.security, most: c.packet_bytes };
+        let envelope = PacketEncoder {
+            host: &host,
+            time: stamp,
+            interval,
+            security: &c.security,
+            max_bytes: c.packet_bytes,
+        };
         let random = &mut self.random;
         let packets = make(&envelope, &mut || random.random());
         self.out.extend(packets.into_iter().map(|p| Output::Datagram(c.address, p.into())));
@@ -765,7 +770,7 @@
                 self.safe = true;
             }
             Err(why) => {
-                report.points.retain(|p| !matches!(p.value, Value::Count(_)));
+                report.points.retain(|p| !matches!(p.value, PointValue::Counter(_)));
                 self.not_safe(&why);
             }
         }
@@ -781,7 +786,7 @@
     }
 
     fn host_name(&self, c: &settings::Collectd) -> String {
-        let default = || format!("linnetcart-{}-{}", self.who.deployment, self.who.me);
+        let default = || format!("linnetcart-{}-{}", self.who.deployment, self.who.courier);
         c.host.clone().unwrap_or_else(default)
     }
 
@@ -829,21 +834,21 @@
         match show {
             Show::Courier => self.courier_points(points),
             Show::Class(class) => {
-                let place = Place::Class(self.classes[class].clone());
+                let place = SeriesSubject::Class(self.classes[class].clone());
                 counts(points, &place, &self.totals[class], &Field::ALL);
                 if let Some(h) = self.class_latency[class].take() {
                     percentiles(points, &place, &h);
                 }
             }
             Show::Dest(dest) => {
-                let place = Place::Dest(self.dest_name(dest));
+                let place = SeriesSubject::Destination(self.dest_name(dest));
                 if let Some(d) = self.dests.get_mut(&dest) {
                     d.points(&place, report.seconds, points);
                 }
             }
             Show::Route(route) => {
                 let dest = self.routes.get(&route).copied().unwrap_or(0);
-                let place = Place::Route(self.dest_name(dest), route);
+                let place = SeriesSubject::Route { destination: self.dest_name(dest), endpoint: route };
                 if let Some(r) = self.route_states.get_mut(&route) {
                     r.points(&place, report.seconds, points);
                 }
@@ -860,7 +865,7 @@
                 let cells =
                     self.book.cells().range(CounterKey::Cell(dest, 0)..=CounterKey::Cell(dest, u8::MAX));
                 cells.for_each(|c| sum(&mut all, c.1));
-                counts(points, &Place::Dest(self.dest_name(dest)), &all, &Field::ALL);
+                counts(points, &SeriesSubject::Destination(self.dest_name(dest)), &all, &Field::ALL);
             }
             Show::Cell(of) => self.cell_points(of, points),
         }
@@ -873,7 +878,7 @@
         if let Some(reports) = self.book.cells().get(&CounterKey::Reports) {
             sum(&mut all, reports);
         }
-        counts(points, &Place::Courier, &all, &Field::ALL);
+        counts(points, &SeriesSubject::Courier, &all, &Field::ALL);
         let gauges = [
             ("held", now.held),
             ("held_bytes", now.held_bytes),
@@ -883,8 +888,9 @@
             ("clients", now.clients),
             ("links", now.links),
         ];
-        let gauge =
-            |(field, n): (&'static str, usize)| Point::new(Place::Courier, field, Value::Gauge(n as f64));
+        let gauge = |(field, n): (&'static str, usize)| {
+            Point::new(SeriesSubject::Courier, field, PointValue::Gauge(n as f64))
+        };
         points.extend(gauges.map(gauge));
     }
 
@@ -893,12 +899,22 @@
         match of {
             CounterKey::Cell(dest, class) => {
                 if let Some(class) = self.classes.get(usize::from(class)).cloned() {
-                    counts(points, &Place::Cell(self.dest_name(dest), class), &cell, &Field::ALL);
+                    counts(
+                        points,
+                        &SeriesSubject::DestinationAndClass { destination: self.dest_name(dest), class },
+                        &cell,
+                        &Field::ALL,
+                    );
                 }
             }
             CounterKey::Route(route) => {
                 if let Some(&dest) = self.routes.get(&route) {
-                    counts(points, &Place::Route(self.dest_name(dest), route), &cell, &Field::ALL);
+                    counts(
+                        points,
+                        &SeriesSubject::Route { destination: self.dest_name(dest), endpoint: route },
+                        &cell,
+                        &Field::ALL,
+                    );
                 }
             }
             CounterKey::Reports => {}
@@ -956,9 +972,9 @@
 }
 
 impl Dest {
-    fn points(&mut self, place: &Place, seconds: f64, points: &mut Vec<Point>) {
+    fn points(&mut self, place: &SeriesSubject, seconds: f64, points: &mut Vec<Point>) {
         let mut gauge =
-            |field, value: f64| points.push(Point::new(place.clone(), field, Value::Gauge(value)));
+            |field, value: f64| points.push(Point::new(place.clone(), field, PointValue::Gauge(value)));
         let rate = self.attempts as f64 / seconds;
         if self.full > 0 && self.limit.told.is_none() {
             // What it served while it refused more is what this courier may have of it.
@@ -1001,16 +1017,16 @@
 }
 
 /// Counts that are not zero: a series begins when there is something to count.
-fn counts(points: &mut Vec<Point>, place: &Place, counts: &Counts, fields: &[Field]) {
+fn counts(points: &mut Vec<Point>, place: &SeriesSubject, counts: &Counts, fields: &[Field]) {
     let some = fields.iter().filter(|f| counts[**f] > 0);
-    points.extend(some.map(|f| Point::new(place.clone(), f.name(), Value::Count(counts[*f]))));
+    points.extend(some.map(|f| Point::new(place.clone(), f.name(), PointValue::Counter(counts[*f]))));
 }
 
-fn percentiles(points: &mut Vec<Point>, place: &Place, h: &Histogram<u32>) {
+fn percentiles(points: &mut Vec<Point>, place: &SeriesSubject, h: &Histogram<u32>) {
     for (field, quantile) in
         [("latency_p50_ms", 0.5), ("latency_p95_ms", 0.95), ("latency_p99_ms", 0.99), ("latency_max_ms", 1.0)]
     {
         let ms = h.value_at_quantile(quantile) as f64 * UNIT as f64 / 1e6;
-        points.push(Point::new(place.clone(), field, Value::Millis(ms)));
+        points.push(Point::new(place.clone(), field, PointValue::Milliseconds(ms)));
     }
 }
--- a/crates/telemetry/src/names.rs
+++ b/crates/telemetry/src/names.rs
@@ -2,65 +2,96 @@
 
 use std::collections::BTreeMap;
 
+#[cfg(test)]
+mod tests;
+
 /// A name is cut to this many bytes.
-const LONGEST: usize = 60;
+const MAX_NAME_BYTES: usize = 60;
 
 /// A name as part of a path: letters, digits, `-` and `_`; others are written as the nearest of these.
 pub fn safe(name: &str) -> String {
-    let plain = deunicode::deunicode(name);
-    let ok = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '_';
-    let mut out: String = plain.trim().chars().map(|c| if ok(c) { c } else { '_' }).collect();
-    out.truncate(LONGEST);
-    out
+    let ascii = deunicode::deunicode(name);
+    let mut safe: String = ascii.trim().chars().map(safe_character).collect();
+    safe.truncate(MAX_NAME_BYTES);
+    safe
+}
+
+fn safe_character(character: char) -> char {
+    let is_safe = character.is_ascii_alphanumeric() || character == '-' || character == '_';
+    if is_safe {
+        character
+    } else {
+        '_'
+    }
+}
+
+/// The name of a destination's series.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AssignedName {
+    /// The name.
+    pub name: String,
+    /// It belongs to the destination only since this call, which must be logged.
+    pub newly_assigned: bool,
 }
 
-/// Whose each name is. A name stays its first owner's, also while that has another or is gone: a count under a
-/// name must not fall because it is someone else's from now on.
+/// Which destination each name belongs to. A name stays with its first owner, also while that has another name or is
+/// gone: the counts under a name must not fall because they are another destination's from now on.
 #[derive(Clone, Debug, Default)]
-pub struct Names {
+pub struct SeriesNames {
     owners: BTreeMap<String, u32>,
-    most: usize,
+    max_names: usize,
 }
 
-impl Names {
-    /// Those that were given already; at most so many.
-    pub fn new(owners: BTreeMap<String, u32>, most: usize) -> Names {
-        Names { owners, most }
+impl SeriesNames {
+    /// No names yet, and at most so many.
+    pub fn new(max_names: usize) -> SeriesNames {
+        SeriesNames { owners: BTreeMap::new(), max_names }
     }
 
-    /// All of them.
+    /// All names with their owners.
     pub fn owners(&self) -> &BTreeMap<String, u32> {
         &self.owners
     }
 
-    /// A name that a snapshot or log gave.
-    pub fn given(&mut self, name: String, owner: u32) {
+    /// Restores an assignment of an earlier run.
+    pub fn restore(&mut self, name: String, owner: u32) {
         self.owners.entry(name).or_insert(owner);
     }
 
-    /// The name of a destination that wants to be called so; true if it is new. Where the name is another's, the
-    /// number follows it. Without a name, and beyond the bound, the number stands alone.
-    pub fn name(&mut self, wanted: Option<&str>, owner: u32) -> (String, bool) {
+    /// The name of a destination that wants to be called so. Where the name is another's, the number follows it.
+    /// Without a name, and beyond the limit of names, the number stands alone.
+    pub fn assign(&mut self, wanted: Option<&str>, owner: u32) -> AssignedName {
         let number = format!("d{owner}");
-        let wanted = wanted.map(safe).filter(|w| !w.is_empty() && !is_number(w));
-        for candidate in wanted.iter().flat_map(|w| [w.clone(), format!("{w}-{number}")]) {
-            match self.owners.get(&candidate) {
-                Some(&of) if of == owner => return (candidate, false),
-                None if self.owners.len() < self.most => {
-                    self.owners.insert(candidate.clone(), owner);
-                    return (candidate, true);
+        if let Some(wanted) = wanted.map(safe).filter(|name| is_assignable(name)) {
+            let with_number = format!("{wanted}-{number}");
+            for candidate in [wanted, with_number] {
+                if let Some(newly_assigned) = self.try_assign(&candidate, owner) {
+                    return AssignedName { name: candidate, newly_assigned };
                 }
-                _ => {}
             }
         }
-        (number, false)
+        AssignedName { name: number, newly_assigned: false }
+    }
+
+    /// Whether the name is newly the owner's; none if it cannot be.
+    fn try_assign(&mut self, name: &str, owner: u32) -> Option<bool> {
+        match self.owners.get(name) {
+            Some(&current) if current == owner => Some(false),
+            None if self.owners.len() < self.max_names => {
+                self.owners.insert(name.to_owned(), owner);
+                Some(true)
+            }
+            _ => None,
+        }
     }
 }
 
-/// Such names are kept for destinations that have no other.
-fn is_number(name: &str) -> bool {
-    name.strip_prefix('d').is_some_and(|rest| !rest.is_empty() && rest.bytes().all(|b| b.is_ascii_digit()))
+/// Numbers are reserved for destinations that have no other name.
+fn is_assignable(name: &str) -> bool {
+    !name.is_empty() && !is_destination_number(name)
 }
 
-#[cfg(test)]
-mod tests;
+fn is_destination_number(name: &str) -> bool {
+    let Some(digits) = name.strip_prefix('d') else { return false };
+    !digits.is_empty() && digits.bytes().all(|byte| byte.is_ascii_digit())
+}
--- a/crates/telemetry/src/outlet.rs
+++ b/crates/telemetry/src/outlet.rs
@@ -1,6 +1,7 @@
 //! A connection that reports leave by. It holds what waits, drops the oldest beyond its bound, and comes back after
 //! failures at times that a seed spreads.
 
+use crate::graphite::Chunk;
 use bytes::Bytes;
 use linnetcart::Time;
 use rand::{Rng, SeedableRng};
@@ -103,8 +104,8 @@
     }
 
     /// Queues pieces with their points; the oldest that are not under way go beyond the bound.
-    pub fn push(&mut self, pieces: Vec<(Vec<u8>, u32)>) {
-        for (bytes, points) in pieces {
+    pub fn push(&mut self, chunks: Vec<Chunk>) {
+        for Chunk { bytes, points } in chunks {
             self.held += bytes.len();
             self.waiting.push_back(Piece { bytes: bytes.into(), points, end: 0 });
             while self.held > self.most {
--- a/crates/telemetry/src/outlet/tests.rs
+++ b/crates/telemetry/src/outlet/tests.rs
@@ -4,8 +4,8 @@
     Outlet::new("127.0.0.1:2003".parse().expect("an address"), 1000, 30 * SECOND, 1)
 }
 
-fn piece(n: u8) -> Vec<(Vec<u8>, u32)> {
-    vec![(vec![n; 100], 10)]
+fn piece(n: u8) -> Vec<Chunk> {
+    vec![Chunk { bytes: vec![n; 100], points: 10 }]
 }
 
 fn written(todo: &[Do]) -> Vec<u8> {
--- a/crates/telemetry/src/series.rs
+++ b/crates/telemetry/src/series.rs
@@ -1,66 +1,81 @@
-//! What is reported: points of series, by what they are about.
+//! Points of series: what a report consists of, before a receiver's format gives it a name.
 
 use std::fmt;
 
-/// What a series is about; names have been made safe.
+/// What a series is about. Names have been made safe for paths.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Place {
+pub enum SeriesSubject {
     /// The courier.
     Courier,
     /// A class.
     Class(String),
     /// A destination.
-    Dest(String),
+    Destination(String),
     /// A class at a destination.
-    Cell(String, String),
-    /// A route apart of a destination, by its endpoint's number.
-    Route(String, u32),
+    DestinationAndClass {
+        /// The destination's name.
+        destination: String,
+        /// The class's name.
+        class: String,
+    },
+    /// A separate route of a destination.
+    Route {
+        /// The destination's name.
+        destination: String,
+        /// The route's endpoint.
+        endpoint: u32,
+    },
 }
 
-/// A value: of a count that only grows, or of now.
+/// The value of a point.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Value {
-    /// Of a count that continues over restarts.
-    Count(u64),
-    /// Of now, or over the interval before.
+pub enum PointValue {
+    /// A count that only grows, over restarts too.
+    Counter(u64),
+    /// A figure of now, or over the interval before.
     Gauge(f64),
-    /// A time over the interval before, in milliseconds.
-    Millis(f64),
+    /// A duration over the interval before, in milliseconds.
+    Milliseconds(f64),
 }
 
-impl Value {
-    /// As a number.
+impl PointValue {
+    /// The value as a number.
     pub fn as_f64(self) -> f64 {
         match self {
-            Value::Count(n) => n as f64,
-            Value::Gauge(x) | Value::Millis(x) => x,
+            PointValue::Counter(count) => count as f64,
+            PointValue::Gauge(value) | PointValue::Milliseconds(value) => value,
         }
     }
+
+    /// Whether it is a count that only grows.
+    pub fn is_counter(self) -> bool {
+        matches!(self, PointValue::Counter(_))
+    }
 }
 
-impl fmt::Display for Value {
+impl fmt::Display for PointValue {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Value::Count(n) => n.fmt(f),
-            Value::Gauge(x) | Value::Millis(x) => x.fmt(f),
+            PointValue::Counter(count) => count.fmt(f),
+            PointValue::Gauge(value) | PointValue::Milliseconds(value) => value.fmt(f),
         }
     }
 }
 
-/// One point, at the time of its report.
+/// One point of a series, at the time of its report.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Point {
     /// What it is about.
-    pub place: Place,
-    /// Which figure.
-    pub field: &'static str,
+    pub subject: SeriesSubject,
+    /// The last part of the metric name.
+    pub metric: &'static str,
     /// Its value.
-    pub value: Value,
+    pub value: PointValue,
 }
 
 impl Point {
     /// A point.
-    pub fn new(place: Place, field: &'static str, value: Value) -> Point {
-        Point { place, field, value }
+    pub fn new(subject: SeriesSubject, metric: &'static str, value: PointValue) -> Point {
+        Point { subject, metric, value }
     }
 }
