Telemetry: the outlet is a receiver's connection with a send buffer and backoff

Cause: Outlet held the buffer, the connection's state and its waits in eleven fields under withdrawn words, and gave its losses as a pair.

Change: connection.rs has ReceiverConnection, its states and ConnectionAction (was Do); connection/send_buffer.rs what waits to be written; Losses is a type. The edge's shell and the testbed's reporting import ConnectionAction as Do, one line each. Tests follow by rename; none of their assertions changed.

--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -10,7 +10,7 @@
 use linnetcart::{LimitChange, Time};
 use linnetcart_kafka::server::Broker;
 use linnetcart_net::{Event, Net, Token};
-use linnetcart_telemetry::outlet::Do;
+use linnetcart_telemetry::connection::ConnectionAction as Do;
 use linnetcart_telemetry::{CourierInfo, CurrentState, ListedEndpoint, Output as Report, Telemetry};
 use serde_json::json;
 use std::collections::BTreeMap;
--- /dev/null
+++ b/crates/telemetry/src/connection/send_buffer.rs
@@ -0,0 +1,95 @@
+//! What waits to be written to a receiver: bounded, the oldest dropped first, and sent again after a connection broke.
+
+use crate::graphite::Chunk;
+use bytes::Bytes;
+use std::collections::VecDeque;
+
+/// Chunks in their order: those in flight on the connection, then those unsent.
+#[derive(Debug)]
+pub(super) struct SendBuffer {
+    in_flight: VecDeque<InFlightChunk>,
+    unsent: VecDeque<UnsentChunk>,
+    /// Bytes of all chunks.
+    bytes: usize,
+    max_bytes: usize,
+    points_dropped: u64,
+}
+
+#[derive(Debug)]
+struct UnsentChunk {
+    bytes: Bytes,
+    points: u32,
+}
+
+#[derive(Debug)]
+struct InFlightChunk {
+    chunk: UnsentChunk,
+    /// Bytes of the connection up to the chunk's end.
+    end: u64,
+}
+
+impl SendBuffer {
+    pub(super) fn new(max_bytes: usize) -> SendBuffer {
+        SendBuffer {
+            in_flight: VecDeque::new(),
+            unsent: VecDeque::new(),
+            bytes: 0,
+            max_bytes,
+            points_dropped: 0,
+        }
+    }
+
+    pub(super) fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    pub(super) fn points_dropped(&self) -> u64 {
+        self.points_dropped
+    }
+
+    pub(super) fn has_in_flight(&self) -> bool {
+        !self.in_flight.is_empty()
+    }
+
+    pub(super) fn has_unsent(&self) -> bool {
+        !self.unsent.is_empty()
+    }
+
+    /// Adds a chunk; drops the oldest unsent ones beyond the limit of bytes.
+    pub(super) fn push(&mut self, chunk: Chunk) {
+        self.bytes += chunk.bytes.len();
+        self.unsent.push_back(UnsentChunk { bytes: chunk.bytes.into(), points: chunk.points });
+        while self.bytes > self.max_bytes {
+            let Some(oldest) = self.unsent.pop_front() else { break };
+            self.bytes -= oldest.bytes.len();
+            self.points_dropped += u64::from(oldest.points);
+        }
+    }
+
+    /// The next chunk to write on a connection that so many bytes were handed to.
+    pub(super) fn next(&mut self, handed_over: u64) -> Option<Bytes> {
+        let chunk = self.unsent.pop_front()?;
+        let bytes = chunk.bytes.clone();
+        let end = handed_over + bytes.len() as u64;
+        self.in_flight.push_back(InFlightChunk { chunk, end });
+        Some(bytes)
+    }
+
+    /// So many bytes of the connection are written; true if a chunk is complete.
+    pub(super) fn acknowledge(&mut self, written: u64) -> bool {
+        let mut any_complete = false;
+        while self.in_flight.front().is_some_and(|first| first.end <= written) {
+            let Some(complete) = self.in_flight.pop_front() else { break };
+            self.bytes -= complete.chunk.bytes.len();
+            any_complete = true;
+        }
+        any_complete
+    }
+
+    /// The connection broke: chunks that are not complete are to be sent again, before all others.
+    pub(super) fn return_in_flight(&mut self) {
+        while let Some(last) = self.in_flight.pop_back() {
+            self.unsent.push_front(last.chunk);
+        }
+    }
+}
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -7,11 +7,11 @@
 #![warn(missing_docs)]
 
 pub mod collectd;
+pub mod connection;
 pub mod counts;
 pub mod graphite;
 pub mod host;
 pub mod names;
-pub mod outlet;
 pub mod series;
 pub mod settings;
 
@@ -20,6 +20,7 @@
 
 use bytes::Bytes;
 use collectd::{PacketEncoder, Severity};
+use connection::{ConnectionAction, Losses, ReceiverConnection};
 use counts::{mark, CounterKey, CounterLogEntry, CounterStore, Counts, Field, Saved};
 use graphite::MetricSource;
 use hdrhistogram::Histogram;
@@ -27,7 +28,6 @@
 use linnetcart::{AttemptOutcome, Class, LimitChange, LimitState, Time};
 use linnetcart_delivery_events::{DeliveryEvent, FinalAnswer, LoadReport};
 use names::{AssignedName, SeriesNames};
-use outlet::{Do, Outlet};
 use rand::{Rng, RngCore, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
@@ -122,7 +122,7 @@
     /// Bring the log to disk, then say [`Telemetry::synced`] with this number.
     Sync(u64),
     /// For the connection to Graphite.
-    Graphite(Do),
+    Graphite(ConnectionAction),
     /// Send a datagram to collectd.
     Datagram(SocketAddr, Bytes),
     /// A line for those on call.
@@ -241,8 +241,8 @@
     figures: CurrentState,
     /// The first cell that a report had no room for.
     put_off: Option<CounterKey>,
-    outlet: Option<Outlet>,
-    reported_losses: (u64, u64),
+    outlet: Option<ReceiverConnection>,
+    reported_losses: Losses,
     host: Option<Host>,
     reported_bad: u64,
     notices: VecDeque<(String, Severity, String)>,
@@ -326,7 +326,7 @@
             figures: CurrentState::default(),
             put_off: None,
             outlet: None,
-            reported_losses: (0, 0),
+            reported_losses: Losses::default(),
             host: None,
             reported_bad: 0,
             notices: VecDeque::new(),
@@ -360,13 +360,12 @@
     pub fn configure(&mut self, set: Settings, now: Time) {
         if self.set.graphite != set.graphite {
             if self.outlet.take().is_some() {
-                self.out.push(Output::Graphite(Do::Close));
+                self.out.push(Output::Graphite(ConnectionAction::Close));
             }
-            self.reported_losses = (0, 0);
-            self.outlet = set
-                .graphite
-                .as_ref()
-                .map(|g| Outlet::new(g.address, g.queue_bytes, g.stuck_s * SECOND, self.random.next_u64()));
+            self.reported_losses = Losses::default();
+            self.outlet = set.graphite.as_ref().map(|g| {
+                ReceiverConnection::new(g.address, g.queue_bytes, g.stuck_s * SECOND, self.random.next_u64())
+            });
         }
         match (&mut self.host, &set.listen) {
             (Some(host), Some(listen)) => host.configure(listen.clone()),
@@ -609,7 +608,7 @@
         }
         self.notify(wall);
         if let Some(outlet) = &mut self.outlet {
-            self.out.extend(outlet.turn(now).into_iter().map(Output::Graphite));
+            self.out.extend(outlet.poll(now).into_iter().map(Output::Graphite));
         }
     }
 
@@ -620,13 +619,13 @@
 
     /// Nothing is on its way to a receiver that is there.
     pub fn is_quiet(&self) -> bool {
-        let empty = self.outlet.as_ref().is_none_or(|o| !o.is_up() || o.held() == 0);
+        let empty = self.outlet.as_ref().is_none_or(|o| !o.is_connected() || o.buffered_bytes() == 0);
         self.report.is_none() && empty
     }
 
     /// When the next turn is wanted at the latest.
     pub fn next_wakeup(&self) -> Time {
-        let outlet = self.outlet.as_ref().and_then(Outlet::next).unwrap_or(Time::MAX);
+        let outlet = self.outlet.as_ref().and_then(ReceiverConnection::next_wakeup).unwrap_or(Time::MAX);
         let slice = match &self.report {
             Some(r) if !matches!(r.step, Step::Syncing { .. }) => self.next_slice,
             _ => Time::MAX,
@@ -650,10 +649,13 @@
     fn losses(&mut self) {
         if let Some(outlet) = &self.outlet {
             let losses = outlet.losses();
-            let (dropped, failures) = self.reported_losses;
+            let before = self.reported_losses;
             self.reported_losses = losses;
-            self.add_reports(Field::PointsDropped, losses.0 - dropped);
-            self.add_reports(Field::ReceiverConnectionFailures, losses.1 - failures);
+            self.add_reports(Field::PointsDropped, losses.points_dropped - before.points_dropped);
+            self.add_reports(
+                Field::ReceiverConnectionFailures,
+                losses.connection_failures - before.connection_failures,
+            );
         }
         if let Some(host) = &self.host {
             let bad = host.bad();
@@ -732,7 +734,7 @@
 
     fn leave(&mut self, points: &[Point], stamp: u64) {
         if let (Some(outlet), Some(g)) = (&mut self.outlet, &self.set.graphite) {
-            outlet.push(graphite::encode(&self.who, points, stamp / SECOND, g.form, g.tags));
+            outlet.send(graphite::encode(&self.who, points, stamp / SECOND, g.form, g.tags));
         }
         self.send_collectd(stamp, |envelope, iv| envelope.points(points, iv));
     }
@@ -933,14 +935,14 @@
     /// It could not be made, or is gone.
     pub fn disconnected(&mut self, now: Time) {
         if let Some(outlet) = &mut self.outlet {
-            outlet.lost(now);
+            outlet.disconnected(now);
         }
     }
 
     /// The system has taken so many bytes of it.
     pub fn acknowledged(&mut self, now: Time, bytes: u64) {
         if let Some(outlet) = &mut self.outlet {
-            outlet.taken(now, bytes);
+            outlet.written(now, bytes);
         }
     }
 
@@ -956,9 +958,9 @@
         Status {
             cells: self.book.cells().len(),
             beyond: self.book.beyond(),
-            graphite_up: self.outlet.as_ref().map(Outlet::is_up),
-            graphite_waiting: self.outlet.as_ref().map_or(0, Outlet::held),
-            dropped: self.outlet.as_ref().map_or(0, |o| o.losses().0),
+            graphite_up: self.outlet.as_ref().map(ReceiverConnection::is_connected),
+            graphite_waiting: self.outlet.as_ref().map_or(0, ReceiverConnection::buffered_bytes),
+            dropped: self.outlet.as_ref().map_or(0, |o| o.losses().points_dropped),
             counts_not_safe: !self.safe,
             host: self.host.as_ref().map(|h| h.view(now)),
             ..self.status.clone()
--- a/crates/telemetry/tests/virtual_time.rs
+++ b/crates/telemetry/tests/virtual_time.rs
@@ -3,8 +3,8 @@
 
 use linnetcart::{AttemptOutcome, Class, Idempotency, LimitChange, LimitState};
 use linnetcart_delivery_events::{DeliveryEvent, FinalAnswer, LoadReport, RejectionReason};
+use linnetcart_telemetry::connection::ConnectionAction;
 use linnetcart_telemetry::counts::Saved;
-use linnetcart_telemetry::outlet::Do;
 use linnetcart_telemetry::settings::{Collectd, Form, Graphite, Security, Telemetry as Settings};
 use linnetcart_telemetry::stream::Stream;
 use linnetcart_telemetry::{
@@ -251,19 +251,19 @@
                 let done = if self.disk_works { Ok(()) } else { Err("no space".to_owned()) };
                 self.telemetry.synced(number, done);
             }
-            Output::Graphite(Do::Connect(_)) if self.there => {
+            Output::Graphite(ConnectionAction::Connect(_)) if self.there => {
                 (self.up, self.given) = (true, 0);
                 self.telemetry.connected(self.now);
                 self.telemetry.process(self.now, self.wall, CurrentState::default);
             }
-            Output::Graphite(Do::Connect(_)) => self.telemetry.disconnected(self.now),
-            Output::Graphite(Do::Write(bytes)) if self.up && self.reads => {
+            Output::Graphite(ConnectionAction::Connect(_)) => self.telemetry.disconnected(self.now),
+            Output::Graphite(ConnectionAction::Write(bytes)) if self.up && self.reads => {
                 self.given += bytes.len() as u64;
                 self.receiver.take(&bytes);
                 self.telemetry.acknowledged(self.now, self.given);
             }
-            Output::Graphite(Do::Write(_)) => {}
-            Output::Graphite(Do::Close) => {
+            Output::Graphite(ConnectionAction::Write(_)) => {}
+            Output::Graphite(ConnectionAction::Close) => {
                 self.up = false;
                 self.receiver.held.clear();
             }
@@ -547,8 +547,8 @@
             for output in t.outputs() {
                 match output {
                     Output::Sync(n) => t.synced(n, Ok(())),
-                    Output::Graphite(Do::Connect(_)) => t.connected(now),
-                    Output::Graphite(Do::Write(bytes)) => receiver.take(&bytes),
+                    Output::Graphite(ConnectionAction::Connect(_)) => t.connected(now),
+                    Output::Graphite(ConnectionAction::Write(bytes)) => receiver.take(&bytes),
                     _ => {}
                 }
             }
--- a/crates/testbed/src/reporting.rs
+++ b/crates/testbed/src/reporting.rs
@@ -4,7 +4,7 @@
 use crate::figures::{median, round};
 use linnetcart::{AttemptOutcome, Class, Idempotency};
 use linnetcart_delivery_events::{DeliveryEvent, FinalAnswer, LoadReport};
-use linnetcart_telemetry::outlet::Do;
+use linnetcart_telemetry::connection::ConnectionAction as Do;
 use linnetcart_telemetry::settings::{Collectd, Form, Graphite, Security, Telemetry as Settings};
 use linnetcart_telemetry::{CourierInfo, CurrentState, ListedEndpoint, Output, RestoredState, Telemetry};
 use rand::{Rng, SeedableRng};
