--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -11,7 +11,9 @@
 use linnetcart_kafka::server::Broker;
 use linnetcart_net::{Event, Net, Token};
 use linnetcart_telemetry::connection::ConnectionAction as Do;
-use linnetcart_telemetry::{CourierInfo, CurrentState, ListedEndpoint, Output as Report, Telemetry};
+use linnetcart_telemetry::{
+    CourierInfo, CurrentState, ListedEndpoint, Output as Report, SyncError, Telemetry,
+};
 use serde_json::json;
 use std::collections::BTreeMap;
 use std::io::Write;
@@ -598,7 +600,7 @@
             }));
         }
         for (number, done) in reports.accounts.as_ref().map(Accounts::done).unwrap_or_default() {
-            reports.telemetry.synced(number, done);
+            reports.telemetry.synced(number, done.map_err(SyncError::Storage));
         }
         if let Some(token) = reports.graphite {
             reports.telemetry.acknowledged(now, self.net.written_bytes(token));
@@ -626,7 +628,7 @@
                         None => Some((number, Err("there is no --state-dir".into()))),
                     };
                     if let Some((number, done)) = done {
-                        reports.telemetry.synced(number, done);
+                        reports.telemetry.synced(number, done.map_err(SyncError::Storage));
                     }
                 }
                 Report::Graphite(Do::Connect(addr)) => {
--- /dev/null
+++ b/crates/telemetry/src/classes.rs
@@ -0,0 +1,79 @@
+//! The courier's classes: names of their series, priority weights, and latencies of messages.
+
+use crate::latency::LatencyRecorder;
+use crate::names::SeriesNames;
+use crate::CourierInfo;
+use linnetcart::{Class, Time};
+
+const THOUSANDTHS: f64 = 1000.0;
+
+/// All classes, by their number in the settings.
+#[derive(Debug)]
+pub(crate) struct ClassTable {
+    classes: Vec<ClassEntry>,
+    halves: bool,
+}
+
+#[derive(Debug)]
+struct ClassEntry {
+    name: String,
+    series_name: String,
+    class: Class,
+    latency: LatencyRecorder,
+}
+
+impl ClassTable {
+    pub(crate) fn new(courier: &CourierInfo) -> ClassTable {
+        let mut series_names = SeriesNames::new(courier.classes.len() + 1);
+        let mut classes = Vec::with_capacity(courier.classes.len());
+        for (number, (name, class)) in courier.classes.iter().enumerate() {
+            classes.push(ClassEntry {
+                name: name.clone(),
+                series_name: series_names.assign(Some(name), number as u32).name,
+                class: class.clone(),
+                latency: LatencyRecorder::default(),
+            });
+        }
+        ClassTable { classes, halves: courier.halves }
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.classes.len()
+    }
+
+    /// Names as the settings have them, which counts are saved by.
+    pub(crate) fn names(&self) -> Vec<String> {
+        self.classes.iter().map(|entry| entry.name.clone()).collect()
+    }
+
+    /// The name in series.
+    pub(crate) fn series_name(&self, class: usize) -> Option<&str> {
+        self.classes.get(class).map(|entry| entry.series_name.as_str())
+    }
+
+    /// The priority weight of a message, in thousandths.
+    pub(crate) fn weight_milli(&self, class: u8) -> u64 {
+        self.weight_milli_after(class, 0)
+    }
+
+    /// The priority weight that is left of a message after a time, in thousandths.
+    pub(crate) fn weight_milli_after(&self, class: u8, elapsed: Time) -> u64 {
+        let Some(ClassEntry { class, .. }) = self.classes.get(usize::from(class)) else { return 0 };
+        let weight = class.weight_at(elapsed, self.halves);
+        (weight.clamp(0.0, class.priority_weight) * THOUSANDTHS).round() as u64
+    }
+
+    pub(crate) fn is_within_objective(&self, class: u8, elapsed: Time) -> bool {
+        self.classes.get(usize::from(class)).is_some_and(|entry| elapsed <= entry.class.latency_objective)
+    }
+
+    pub(crate) fn record_latency(&mut self, class: u8, elapsed: Time) {
+        if let Some(entry) = self.classes.get_mut(usize::from(class)) {
+            entry.latency.record(elapsed);
+        }
+    }
+
+    pub(crate) fn latency_mut(&mut self, class: usize) -> Option<&mut LatencyRecorder> {
+        self.classes.get_mut(class).map(|entry| &mut entry.latency)
+    }
+}
--- /dev/null
+++ b/crates/telemetry/src/counter_sync.rs
@@ -0,0 +1,37 @@
+//! Whether the log of counts can be brought to disk. While it cannot, counts are not reported.
+
+use crate::{LogEvent, Output, SyncError};
+
+/// Numbers the syncs of the log and remembers whether the last one failed.
+#[derive(Debug, Default)]
+pub(crate) struct CounterSync {
+    last_number: u64,
+    is_failing: bool,
+}
+
+impl CounterSync {
+    pub(crate) fn is_failing(&self) -> bool {
+        self.is_failing
+    }
+
+    /// Asks for a sync; its number.
+    pub(crate) fn request(&mut self, outputs: &mut Vec<Output>) -> u64 {
+        self.last_number += 1;
+        outputs.push(Output::Sync(self.last_number));
+        self.last_number
+    }
+
+    pub(crate) fn succeeded(&mut self, outputs: &mut Vec<Output>) {
+        if self.is_failing {
+            outputs.push(Output::Log(LogEvent::CountsReportedAgain));
+        }
+        self.is_failing = false;
+    }
+
+    pub(crate) fn failed(&mut self, reason: SyncError, outputs: &mut Vec<Output>) {
+        if !self.is_failing {
+            outputs.push(Output::Log(LogEvent::CountsWithheld { reason }));
+        }
+        self.is_failing = true;
+    }
+}
--- /dev/null
+++ b/crates/telemetry/src/counters.rs
@@ -0,0 +1,150 @@
+//! The courier's counts with their sums, and when their changes go into the log.
+
+use crate::counts::{CounterKey, CounterLogEntry, CounterStore, Counts, Field};
+use crate::names::SeriesNames;
+use crate::{Output, RestoredState, SECOND};
+use linnetcart::Time;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Changes that nobody is notified of go into the log this often.
+const LOG_INTERVAL: Time = SECOND / 10;
+/// Names of series at most: twice the cells, but not fewer than twice this.
+const MIN_NAMED_CELLS: usize = 1000;
+
+/// What an earlier run left.
+pub(crate) struct RestoredCounts {
+    pub(crate) store: CounterStore,
+    pub(crate) names: SeriesNames,
+    /// The last timestamp, in seconds since 1970; 0 if there was none.
+    pub(crate) last_timestamp_s: u64,
+}
+
+impl RestoredCounts {
+    /// Reads the saved document and the logs after it.
+    pub(crate) fn read(found: &RestoredState, classes: Vec<String>, max_cells: usize) -> RestoredCounts {
+        let mut store = CounterStore::new(classes, max_cells);
+        let mut names = SeriesNames::new(max_cells.max(MIN_NAMED_CELLS) * 2);
+        let mut last_timestamp_s = 0;
+        if let Some(saved) = &found.saved {
+            store.restore(saved);
+            for (name, &destination) in &saved.names {
+                names.restore(name.clone(), destination);
+            }
+            last_timestamp_s = saved.stamp;
+        }
+        for log in &found.logs {
+            for entry in store.replay(log).entries {
+                match entry {
+                    CounterLogEntry::Name(name, destination) => names.restore(name, destination),
+                    CounterLogEntry::Stamp(second) => last_timestamp_s = last_timestamp_s.max(second),
+                    CounterLogEntry::Classes(_) => {}
+                }
+            }
+        }
+        RestoredCounts { store, names, last_timestamp_s }
+    }
+}
+
+/// All counts.
+#[derive(Debug)]
+pub(crate) struct Counters {
+    store: CounterStore,
+    /// Sums over the cells of each class.
+    class_totals: Vec<Counts>,
+    /// Cells that changed since they were reported.
+    unreported: BTreeSet<CounterKey>,
+    /// Clients are about to be notified of something that was counted: it must be in the log before.
+    must_log: bool,
+    last_logged: Time,
+}
+
+impl Counters {
+    pub(crate) fn new(store: CounterStore, classes: usize, now: Time) -> Counters {
+        let mut class_totals = vec![Counts::default(); classes];
+        for (key, counts) in store.cells() {
+            if let CounterKey::Cell(_, class) = key {
+                if let Some(total) = class_totals.get_mut(usize::from(*class)) {
+                    total.add_all(counts);
+                }
+            }
+        }
+        Counters { store, class_totals, unreported: BTreeSet::new(), must_log: false, last_logged: now }
+    }
+
+    pub(crate) fn store(&self) -> &CounterStore {
+        &self.store
+    }
+
+    pub(crate) fn cells(&self) -> &BTreeMap<CounterKey, Counts> {
+        self.store.cells()
+    }
+
+    pub(crate) fn add(&mut self, key: CounterKey, field: Field, increase: u64) {
+        // What has no cell of its own is not in the sums either: at the next start they come from the cells.
+        if !self.store.add(key, field, increase) {
+            return;
+        }
+        if let CounterKey::Cell(_, class) = key {
+            if let Some(total) = self.class_totals.get_mut(usize::from(class)) {
+                total[field] += increase;
+            }
+        }
+    }
+
+    /// All changes so far must be in the log before the answers of this iteration leave.
+    pub(crate) fn require_log(&mut self) {
+        self.must_log = true;
+    }
+
+    /// Logs changes if clients wait for that, or if it is time.
+    pub(crate) fn log_if_due(&mut self, now: Time, outputs: &mut Vec<Output>) {
+        if self.must_log || self.last_logged + LOG_INTERVAL <= now {
+            self.log_changes(outputs);
+            self.last_logged = now;
+        }
+    }
+
+    /// Logs all changes so far.
+    pub(crate) fn log_changes(&mut self, outputs: &mut Vec<Output>) {
+        self.must_log = false;
+        self.unreported.extend(self.store.changed());
+        outputs.extend(self.store.frame().map(Output::Append));
+    }
+
+    /// The cells that changed since the last call, and those postponed meanwhile.
+    pub(crate) fn take_unreported(&mut self) -> BTreeSet<CounterKey> {
+        std::mem::take(&mut self.unreported)
+    }
+
+    /// The cell is to be reported another time.
+    pub(crate) fn postpone(&mut self, key: CounterKey) {
+        self.unreported.insert(key);
+    }
+
+    pub(crate) fn class_total(&self, class: usize) -> Counts {
+        self.class_totals.get(class).copied().unwrap_or_default()
+    }
+
+    /// The sum over all classes, with the counts of the reports themselves.
+    pub(crate) fn courier_total(&self) -> Counts {
+        let mut total = Counts::default();
+        for class_total in &self.class_totals {
+            total.add_all(class_total);
+        }
+        if let Some(reports) = self.cells().get(&CounterKey::Reports) {
+            total.add_all(reports);
+        }
+        total
+    }
+
+    /// The sum over all classes of a destination.
+    pub(crate) fn destination_total(&self, destination: u32) -> Counts {
+        let first = CounterKey::Cell(destination, 0);
+        let last = CounterKey::Cell(destination, u8::MAX);
+        let mut total = Counts::default();
+        for (_, counts) in self.cells().range(first..=last) {
+            total.add_all(counts);
+        }
+        total
+    }
+}
--- a/crates/telemetry/src/host.rs
+++ b/crates/telemetry/src/host.rs
@@ -1,176 +1,202 @@
-//! What the host's own collectd says of load, links and disks. Packets may be cut, forged or old: they cost their
-//! reading and nothing else.
+//! What the host's own collectd reports of load, links and disks. Packets may be cut, forged or old: they cost their
+//! decoding and nothing else.
 
-use crate::collectd::{self, ItemHeader, MetricValue, PacketError, PacketItem};
+mod status;
+#[cfg(test)]
+mod tests;
+
+pub use status::{DiskRates, HostStatus, LinkRates, LoadAverages};
+
+use crate::collectd::{self, ItemHeader, MetricValue, PacketError, PacketItem, Severity};
 use crate::settings::Listen;
+use crate::LogEvent;
 use linnetcart::Time;
-use serde::Serialize;
 use std::collections::BTreeMap;
 
 /// Series remembered at most; beyond it new ones are passed over.
-const MOST: usize = 4096;
-
-/// The host, as its last reports have it.
-#[derive(Clone, Debug, Default, PartialEq, Serialize)]
-pub struct View {
-    /// Host names that reported.
-    pub hosts: Vec<String>,
-    /// Load over one, five and fifteen minutes.
-    pub load: Option<[f64; 3]>,
-    /// Bytes a second over each link: received, sent.
-    pub links: BTreeMap<String, [f64; 2]>,
-    /// Bytes a second of each disk: read, written.
-    pub disks: BTreeMap<String, [f64; 2]>,
-    /// Seconds since the last good packet.
-    pub age_s: Option<f64>,
-    /// Packets taken in.
-    pub good: u64,
-    /// Packets turned down, and why the last one was.
-    pub bad: u64,
-    /// The last reason.
-    pub last_bad: Option<String>,
-    /// Values passed over because their time was not after the last or too far from the clock.
-    pub old: u64,
-    /// Values passed over because too many series reported.
-    pub beyond: u64,
+const MAX_SERIES: usize = 4096;
+/// Host names shown at most.
+const MAX_HOSTS: usize = 16;
+/// A notification is logged up to so many characters.
+const MAX_NOTIFICATION_CHARACTERS: usize = 200;
+/// collectd's units of time in a second.
+const UNITS_PER_SECOND: f64 = (1u64 << 30) as f64;
+const NANOS_PER_SECOND: f64 = 1e9;
+
+/// The host's collectd notified of a fault.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HostNotification {
+    /// The host.
+    pub host: String,
+    /// The severity, as the protocol has it.
+    pub severity: u64,
+    /// What happened, without control characters.
+    pub text: String,
 }
 
-impl std::fmt::Display for View {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "host")?;
-        if let Some([one, five, fifteen]) = self.load {
-            write!(f, " load {one:.2} {five:.2} {fifteen:.2}")?;
-        }
-        for (link, [rx, tx]) in self.links.iter().take(8) {
-            write!(f, ", link {link} {rx:.0} B/s in {tx:.0} out")?;
-        }
-        for (disk, [read, written]) in self.disks.iter().take(8) {
-            write!(f, ", disk {disk} {read:.0} B/s read {written:.0} written")?;
-        }
-        write!(f, ", {} packets turned down", self.bad)
-    }
+/// What identifies a series.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct SeriesKey {
+    host: String,
+    plugin: String,
+    plugin_instance: String,
+    type_name: String,
+    type_instance: String,
 }
 
+/// The last values of a series.
 #[derive(Clone, Debug)]
-struct Last {
+struct LastValues {
     /// In collectd's units.
     time: u64,
     values: Vec<MetricValue>,
 }
 
-/// Takes packets in.
+/// Takes in packets of the host's collectd.
 #[derive(Clone, Debug)]
-pub struct Host {
-    set: Listen,
-    last: BTreeMap<(String, String, String, String, String), Last>,
-    view: View,
-    heard: Option<Time>,
+pub struct HostMonitor {
+    settings: Listen,
+    series: BTreeMap<SeriesKey, LastValues>,
+    status: HostStatus,
+    last_accepted: Option<Time>,
 }
 
-impl Host {
-    /// Nothing heard yet.
-    pub fn new(set: Listen) -> Host {
-        Host { set, last: BTreeMap::new(), view: View::default(), heard: None }
+impl HostMonitor {
+    /// A monitor that has heard nothing yet.
+    pub fn new(settings: Listen) -> HostMonitor {
+        HostMonitor { settings, series: BTreeMap::new(), status: HostStatus::default(), last_accepted: None }
     }
 
     /// Other settings from now on; what was heard stays.
-    pub fn configure(&mut self, set: Listen) {
-        self.set = set;
+    pub fn configure(&mut self, settings: Listen) {
+        self.settings = settings;
     }
 
-    /// A packet came. A line for the log if something about it is worth one.
-    pub fn packet(&mut self, packet: &[u8], now: Time, wall: u64) -> Option<String> {
-        match collectd::read(packet, &self.set.users, self.set.require) {
-            Ok(said) => {
-                self.view.good += 1;
-                self.heard = Some(now);
-                let lines: Vec<String> = said.into_iter().filter_map(|s| self.said(s, wall)).collect();
-                (!lines.is_empty()).then(|| lines.join("; "))
-            }
-            Err(bad) => {
-                self.view.bad += 1;
-                let first = self.view.last_bad.is_none()
-                    || matches!(bad, PacketError::NotAuthentic { .. } | PacketError::UnknownUser { .. });
-                self.view.last_bad = Some(bad.to_string());
-                first.then(|| format!("a packet for the host's figures was turned down: {bad}"))
+    /// A packet came, at these readings of the monotonic and the wall clock. What is worth a line in the log, if
+    /// anything.
+    pub fn packet_received(&mut self, packet: &[u8], now: Time, wall: Time) -> Option<LogEvent> {
+        match collectd::read(packet, &self.settings.users, self.settings.require) {
+            Ok(items) => {
+                self.status.packets_accepted += 1;
+                self.last_accepted = Some(now);
+                self.accept(items, wall)
             }
+            Err(error) => self.reject(error),
         }
     }
 
-    fn said(&mut self, said: PacketItem, wall: u64) -> Option<String> {
-        match said {
-            PacketItem::Notification(about, severity, text) if severity <= 2 => {
-                let text: String = text.chars().filter(|c| !c.is_control()).take(200).collect();
-                Some(format!("host {}: {text}", about.host))
-            }
-            PacketItem::Notification(..) => None,
-            PacketItem::Values(about, values) => {
-                self.values(about, values, wall);
-                None
+    /// The host's figures of now.
+    pub fn status(&self, now: Time) -> HostStatus {
+        let age = self.last_accepted.map(|accepted| now.saturating_sub(accepted));
+        HostStatus { age_s: age.map(|age| age as f64 / NANOS_PER_SECOND), ..self.status.clone() }
+    }
+
+    /// Packets rejected so far.
+    pub fn packets_rejected(&self) -> u64 {
+        self.status.packets_rejected
+    }
+
+    /// The first rejection is logged, and those that tell of a wrong key or an attack.
+    fn reject(&mut self, error: PacketError) -> Option<LogEvent> {
+        let is_first = self.status.last_rejection.is_none();
+        let is_key_wrong =
+            matches!(error, PacketError::NotAuthentic { .. } | PacketError::UnknownUser { .. });
+        self.status.packets_rejected += 1;
+        self.status.last_rejection = Some(error.to_string());
+        (is_first || is_key_wrong).then_some(LogEvent::HostPacketRejected { error })
+    }
+
+    fn accept(&mut self, items: Vec<PacketItem>, wall: Time) -> Option<LogEvent> {
+        let mut notifications = Vec::new();
+        for item in items {
+            match item {
+                PacketItem::Notification(header, severity, text) => {
+                    if severity <= Severity::Warning as u64 {
+                        notifications.push(HostNotification::new(header.host, severity, &text));
+                    }
+                }
+                PacketItem::Values(header, values) => self.accept_values(header, values, wall),
             }
         }
+        (!notifications.is_empty()).then_some(LogEvent::HostNotifications(notifications))
     }
 
-    fn values(&mut self, about: ItemHeader, values: Vec<MetricValue>, wall: u64) {
-        let wall = collectd::high_resolution(wall);
-        let last_of = (
-            about.host.clone(),
-            about.plugin.clone(),
-            about.plugin_instance.clone(),
-            about.type_name.clone(),
-            about.type_instance.clone(),
-        );
-        let before = self.last.get(&last_of);
-        if about.time.abs_diff(wall) > self.set.skew_s << 30 || before.is_some_and(|l| l.time >= about.time) {
-            self.view.old += 1;
+    fn accept_values(&mut self, header: ItemHeader, values: Vec<MetricValue>, wall: Time) {
+        let key = SeriesKey::new(&header);
+        let before = self.series.get(&key);
+        let is_far_from_clock =
+            header.time.abs_diff(collectd::high_resolution(wall)) > self.settings.skew_s << 30;
+        let is_repeated = before.is_some_and(|before| before.time >= header.time);
+        if is_far_from_clock || is_repeated {
+            self.status.values_outdated += 1;
             return;
         }
-        if before.is_none() && self.last.len() >= MOST {
-            self.view.beyond += 1;
+        if before.is_none() && self.series.len() >= MAX_SERIES {
+            self.status.values_beyond_limit += 1;
             return;
         }
-        let rates = before.map_or(Vec::new(), |l| {
-            let seconds = (about.time - l.time) as f64 / (1u64 << 30) as f64;
-            let change =
-                |(now, was): (&MetricValue, &MetricValue)| (now.as_f64() - was.as_f64()).max(0.0) / seconds;
-            values.iter().zip(&l.values).map(change).collect()
-        });
-        self.show(&about, &values, &rates);
-        self.last.insert(last_of, Last { time: about.time, values });
+        let rates = before.map_or(Vec::new(), |before| rates(before, &values, header.time));
+        self.status.update(&header, &values, &rates);
+        self.series.insert(key, LastValues { time: header.time, values });
+    }
+}
+
+impl SeriesKey {
+    fn new(header: &ItemHeader) -> SeriesKey {
+        SeriesKey {
+            host: header.host.clone(),
+            plugin: header.plugin.clone(),
+            plugin_instance: header.plugin_instance.clone(),
+            type_name: header.type_name.clone(),
+            type_instance: header.type_instance.clone(),
+        }
+    }
+}
+
+impl HostNotification {
+    fn new(host: String, severity: u64, text: &str) -> HostNotification {
+        let printable = text.chars().filter(|character| !character.is_control());
+        HostNotification { host, severity, text: printable.take(MAX_NOTIFICATION_CHARACTERS).collect() }
     }
+}
+
+/// The changes of values a second; none below zero, which a counter that began anew would give.
+fn rates(before: &LastValues, values: &[MetricValue], time: u64) -> Vec<f64> {
+    let seconds = (time - before.time) as f64 / UNITS_PER_SECOND;
+    let mut rates = Vec::with_capacity(values.len());
+    for (value, value_before) in values.iter().zip(&before.values) {
+        let change = (value.as_f64() - value_before.as_f64()).max(0.0);
+        rates.push(change / seconds);
+    }
+    rates
+}
 
-    fn show(&mut self, about: &ItemHeader, values: &[MetricValue], rates: &[f64]) {
-        let view = &mut self.view;
-        if !view.hosts.contains(&about.host) && view.hosts.len() < 16 {
-            view.hosts.push(about.host.clone());
+impl HostStatus {
+    fn update(&mut self, header: &ItemHeader, values: &[MetricValue], rates: &[f64]) {
+        if !self.hosts.contains(&header.host) && self.hosts.len() < MAX_HOSTS {
+            self.hosts.push(header.host.clone());
         }
-        let pair = || Some([*rates.first()?, *rates.get(1)?]);
-        match (about.plugin.as_str(), about.type_name.as_str()) {
+        match (header.plugin.as_str(), header.type_name.as_str()) {
             ("load", "load") => {
-                if let [a, b, c] = values {
-                    view.load = Some([a.as_f64(), b.as_f64(), c.as_f64()]);
+                if let [one, five, fifteen] = values {
+                    self.load = Some(LoadAverages {
+                        one_minute: one.as_f64(),
+                        five_minutes: five.as_f64(),
+                        fifteen_minutes: fifteen.as_f64(),
+                    });
                 }
             }
             ("interface", "if_octets") => {
-                view.links.extend(pair().map(|p| (about.plugin_instance.clone(), p)));
+                if let &[received, sent, ..] = rates {
+                    self.links.insert(header.plugin_instance.clone(), LinkRates { received, sent });
+                }
             }
             ("disk", "disk_octets") => {
-                view.disks.extend(pair().map(|p| (about.plugin_instance.clone(), p)));
+                if let &[read, written, ..] = rates {
+                    self.disks.insert(header.plugin_instance.clone(), DiskRates { read, written });
+                }
             }
             _ => {}
         }
     }
-
-    /// What it looks like now.
-    pub fn view(&self, now: Time) -> View {
-        View { age_s: self.heard.map(|at| now.saturating_sub(at) as f64 / 1e9), ..self.view.clone() }
-    }
-
-    /// Packets turned down so far.
-    pub fn bad(&self) -> u64 {
-        self.view.bad
-    }
 }
-
-#[cfg(test)]
-mod tests;
--- /dev/null
+++ b/crates/telemetry/src/host/status.rs
@@ -0,0 +1,104 @@
+//! The host's figures, for the status page and the log.
+
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// Links and disks of one log line at most.
+const MAX_LOGGED_DEVICES: usize = 8;
+
+/// The host, as its last reports have it. The serialized names of its fields are part of the status page.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct HostStatus {
+    /// Host names that reported.
+    pub hosts: Vec<String>,
+    /// Load averages.
+    pub load: Option<LoadAverages>,
+    /// Traffic of each network link.
+    pub links: BTreeMap<String, LinkRates>,
+    /// Traffic of each disk.
+    pub disks: BTreeMap<String, DiskRates>,
+    /// Seconds since the last accepted packet.
+    pub age_s: Option<f64>,
+    /// Packets accepted.
+    #[serde(rename = "good")]
+    pub packets_accepted: u64,
+    /// Packets rejected.
+    #[serde(rename = "bad")]
+    pub packets_rejected: u64,
+    /// Why the last packet was rejected.
+    #[serde(rename = "last_bad")]
+    pub last_rejection: Option<String>,
+    /// Values passed over because their time was not after the last, or too far from the clock.
+    #[serde(rename = "old")]
+    pub values_outdated: u64,
+    /// Values passed over because too many series reported.
+    #[serde(rename = "beyond")]
+    pub values_beyond_limit: u64,
+}
+
+/// Load over one, five and fifteen minutes; serialized as a list in this order.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+#[serde(into = "[f64; 3]")]
+pub struct LoadAverages {
+    /// Over one minute.
+    pub one_minute: f64,
+    /// Over five minutes.
+    pub five_minutes: f64,
+    /// Over fifteen minutes.
+    pub fifteen_minutes: f64,
+}
+
+/// Bytes a second over a network link; serialized as a list in this order.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+#[serde(into = "[f64; 2]")]
+pub struct LinkRates {
+    /// Received.
+    pub received: f64,
+    /// Sent.
+    pub sent: f64,
+}
+
+/// Bytes a second of a disk; serialized as a list in this order.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+#[serde(into = "[f64; 2]")]
+pub struct DiskRates {
+    /// Read.
+    pub read: f64,
+    /// Written.
+    pub written: f64,
+}
+
+impl From<LoadAverages> for [f64; 3] {
+    fn from(load: LoadAverages) -> [f64; 3] {
+        [load.one_minute, load.five_minutes, load.fifteen_minutes]
+    }
+}
+
+impl From<LinkRates> for [f64; 2] {
+    fn from(rates: LinkRates) -> [f64; 2] {
+        [rates.received, rates.sent]
+    }
+}
+
+impl From<DiskRates> for [f64; 2] {
+    fn from(rates: DiskRates) -> [f64; 2] {
+        [rates.read, rates.written]
+    }
+}
+
+/// The fields of a log line.
+impl fmt::Display for HostStatus {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if let Some(LoadAverages { one_minute, five_minutes, fifteen_minutes }) = self.load {
+            write!(f, "load_1m={one_minute:.2} load_5m={five_minutes:.2} load_15m={fifteen_minutes:.2} ")?;
+        }
+        for (link, LinkRates { received, sent }) in self.links.iter().take(MAX_LOGGED_DEVICES) {
+            write!(f, "link={link:?} received_bytes_per_s={received:.0} sent_bytes_per_s={sent:.0} ")?;
+        }
+        for (disk, DiskRates { read, written }) in self.disks.iter().take(MAX_LOGGED_DEVICES) {
+            write!(f, "disk={disk:?} read_bytes_per_s={read:.0} written_bytes_per_s={written:.0} ")?;
+        }
+        write!(f, "packets_rejected={}", self.packets_rejected)
+    }
+}
--- a/crates/telemetry/src/host/tests.rs
+++ b/crates/telemetry/src/host/tests.rs
@@ -21,38 +21,48 @@
     .concat()
 }
 
-fn host() -> Host {
+fn monitor() -> HostMonitor {
     let address = "127.0.0.1:1".parse().expect("an address");
-    Host::new(Listen { address, require: Require::Nothing, users: BTreeMap::new(), skew_s: 300 })
+    HostMonitor::new(Listen { address, require: Require::Nothing, users: BTreeMap::new(), skew_s: 300 })
 }
 
 #[test]
 fn rates_come_from_two_reports_and_replay_changes_nothing() {
-    let mut host = host();
+    let mut monitor = monitor();
     let wall = 1_700_000_000 * S;
-    host.packet(&octets(wall, 1000, 500), 0, wall);
-    host.packet(&octets(wall + 10 * S, 21_000, 10_500), 0, wall + 10 * S);
-    assert_eq!(host.view(0).links["eth0"], [2000.0, 1000.0]);
-    let before = host.view(0);
-    host.packet(&octets(wall, 1000, 500), 0, wall + 11 * S);
-    host.packet(&octets(wall + 10 * S, 0, 0), 0, wall + 11 * S);
-    host.packet(&octets(wall + 4000 * S, 9, 9), 0, wall + 12 * S);
-    let after = host.view(0);
-    assert_eq!((after.old, &after.links), (3, &before.links));
+    monitor.packet_received(&octets(wall, 1000, 500), 0, wall);
+    monitor.packet_received(&octets(wall + 10 * S, 21_000, 10_500), 0, wall + 10 * S);
+    assert_eq!(monitor.status(0).links["eth0"], LinkRates { received: 2000.0, sent: 1000.0 });
+    let before = monitor.status(0);
+    monitor.packet_received(&octets(wall, 1000, 500), 0, wall + 11 * S);
+    monitor.packet_received(&octets(wall + 10 * S, 0, 0), 0, wall + 11 * S);
+    monitor.packet_received(&octets(wall + 4000 * S, 9, 9), 0, wall + 12 * S);
+    let after = monitor.status(0);
+    assert_eq!((after.values_outdated, &after.links), (3, &before.links));
 }
 
 #[test]
 fn invalid_packets_are_counted_and_series_are_limited() {
-    let mut host = host();
-    assert!(host.packet(b"\x00\x00\x00\x00", 0, 0).is_some(), "the first is told");
+    let mut monitor = monitor();
+    assert!(monitor.packet_received(b"\x00\x00\x00\x00", 0, 0).is_some(), "the first is told");
     for _ in 0..100 {
-        assert!(host.packet(b"\x00\x00\x00\x00", 0, 0).is_none(), "and no flood follows");
+        assert!(monitor.packet_received(b"\x00\x00\x00\x00", 0, 0).is_none(), "and no flood follows");
     }
-    assert_eq!(host.view(0).bad, 101);
-    for n in 0..MOST + 50 {
+    assert_eq!(monitor.status(0).packets_rejected, 101);
+    for n in 0..MAX_SERIES + 50 {
         let name = [format!("eth{n}").as_bytes(), b"\0"].concat();
         let values = [&b"\x00\x01\x01"[..], &1f64.to_le_bytes()].concat();
-        host.packet(&[part(2, b"interface\0"), part(3, &name), part(6, &values)].concat(), 0, 0);
+        monitor.packet_received(&[part(2, b"interface\0"), part(3, &name), part(6, &values)].concat(), 0, 0);
     }
-    assert_eq!(host.view(0).beyond, 50);
+    assert_eq!(monitor.status(0).values_beyond_limit, 50);
+}
+
+#[test]
+fn status_serialized_keeps_documented_names_and_lists() {
+    let mut status = HostStatus { hosts: vec!["h".into()], packets_accepted: 1, ..HostStatus::default() };
+    status.load = Some(LoadAverages { one_minute: 0.5, five_minutes: 1.5, fifteen_minutes: 2.5 });
+    status.links.insert("eth0".into(), LinkRates { received: 1.0, sent: 2.0 });
+    status.disks.insert("sda".into(), DiskRates { read: 3.0, written: 4.0 });
+    let wanted = r#"{"hosts":["h"],"load":[0.5,1.5,2.5],"links":{"eth0":[1.0,2.0]},"disks":{"sda":[3.0,4.0]},"age_s":null,"good":1,"bad":0,"last_bad":null,"old":0,"beyond":0}"#;
+    assert_eq!(serde_json::to_string(&status).expect("it can be written"), wanted);
 }
--- /dev/null
+++ b/crates/telemetry/src/host_listener.rs
@@ -0,0 +1,68 @@
+//! The host's own collectd, if the settings say to listen to it.
+
+use crate::host::{HostMonitor, HostStatus};
+use crate::settings::Listen;
+use crate::{LogEvent, Output, SECOND};
+use linnetcart::Time;
+
+/// The host's metrics go to the log this often.
+const SUMMARY_INTERVAL: Time = 60 * SECOND;
+
+/// Takes the host's packets in, and says now and then how it fares.
+#[derive(Debug)]
+pub(crate) struct HostListener {
+    monitor: Option<HostMonitor>,
+    /// Rejected packets that are counted already.
+    counted_rejections: u64,
+    next_summary: Time,
+}
+
+impl HostListener {
+    pub(crate) fn new(now: Time) -> HostListener {
+        HostListener { monitor: None, counted_rejections: 0, next_summary: now + SUMMARY_INTERVAL }
+    }
+
+    /// Other settings from now on; what was heard stays if it is still to be listened to.
+    pub(crate) fn configure(&mut self, listen: Option<&Listen>) {
+        match (&mut self.monitor, listen) {
+            (Some(monitor), Some(listen)) => monitor.configure(listen.clone()),
+            (_, listen) => {
+                self.monitor = listen.cloned().map(HostMonitor::new);
+                self.counted_rejections = 0;
+            }
+        }
+    }
+
+    pub(crate) fn packet_received(
+        &mut self,
+        packet: &[u8],
+        now: Time,
+        wall: Time,
+        outputs: &mut Vec<Output>,
+    ) {
+        let event = self.monitor.as_mut().and_then(|monitor| monitor.packet_received(packet, now, wall));
+        outputs.extend(event.map(Output::Log));
+    }
+
+    pub(crate) fn status(&self, now: Time) -> Option<HostStatus> {
+        self.monitor.as_ref().map(|monitor| monitor.status(now))
+    }
+
+    /// Packets that were rejected since the last call.
+    pub(crate) fn take_rejections(&mut self) -> u64 {
+        let Some(monitor) = &self.monitor else { return 0 };
+        let rejections = monitor.packets_rejected();
+        let before = std::mem::replace(&mut self.counted_rejections, rejections);
+        rejections.saturating_sub(before)
+    }
+
+    /// Logs the host's metrics if it is time and there are any.
+    pub(crate) fn log_summary_if_due(&mut self, now: Time, outputs: &mut Vec<Output>) {
+        if self.next_summary > now {
+            return;
+        }
+        self.next_summary = now + SUMMARY_INTERVAL;
+        let status = self.status(now).filter(|status| status.age_s.is_some());
+        outputs.extend(status.map(|status| Output::Info(LogEvent::HostMetrics(status))));
+    }
+}
--- /dev/null
+++ b/crates/telemetry/src/points.rs
@@ -0,0 +1,140 @@
+//! The points of a report's items.
+
+use crate::counts::{CounterKey, Counts, Field};
+use crate::recording::Recording;
+use crate::report::{Report, ReportItem, PART_POINTS, SLICE_POINTS};
+use crate::selection::ItemSelection;
+use crate::series::{Point, PointValue, SeriesSubject};
+use crate::{CurrentState, Output};
+
+/// Makes points of what was recorded.
+pub(crate) struct PointCollector<'a> {
+    pub(crate) recording: &'a mut Recording,
+    pub(crate) selection: &'a mut ItemSelection,
+    pub(crate) current: CurrentState,
+    /// Points of a report at most. Beyond it cells are postponed to the next one.
+    pub(crate) max_points: usize,
+    pub(crate) outputs: &'a mut Vec<Output>,
+}
+
+impl PointCollector<'_> {
+    /// Makes the next slice of the part under way.
+    pub(crate) fn collect_slice(&mut self, report: &mut Report) {
+        let mut points = Vec::new();
+        while points.len() < SLICE_POINTS && report.part.len() + points.len() < PART_POINTS {
+            let Some(item) = report.items.pop_front() else { break };
+            let is_full = report.points_made + points.len() >= self.max_points;
+            if is_full && is_postponable(item) {
+                self.postpone(item);
+            } else {
+                self.collect(item, report.seconds, &mut points);
+            }
+        }
+        report.points_made += points.len();
+        report.part.extend(points);
+    }
+
+    fn collect(&mut self, item: ReportItem, seconds: f64, points: &mut Vec<Point>) {
+        match item {
+            ReportItem::Courier => self.courier(points),
+            ReportItem::Class(class) => self.class(class, points),
+            ReportItem::Destination(destination) => self.destination(destination, seconds, points),
+            ReportItem::Route(endpoint) => self.route(endpoint, seconds, points),
+            ReportItem::DestinationTotal(destination) => self.destination_total(destination, points),
+            ReportItem::Cell(key) => self.cell(key, points),
+        }
+    }
+
+    fn postpone(&mut self, item: ReportItem) {
+        if let ReportItem::Cell(key) = item {
+            self.recording.counters.postpone(key);
+            self.selection.postponed(key);
+            self.recording.counters.add(CounterKey::Reports, Field::PointsPostponed, 1);
+        }
+    }
+
+    fn courier(&mut self, points: &mut Vec<Point>) {
+        push_counts(points, &SeriesSubject::Courier, &self.recording.counters.courier_total());
+        let CurrentState { held, held_bytes, slots_used, slots, hold, clients, links } = self.current;
+        let gauges = [
+            ("held", held),
+            ("held_bytes", held_bytes),
+            ("hold", hold),
+            ("slots_used", slots_used),
+            ("slots", slots),
+            ("clients", clients),
+            ("links", links),
+        ];
+        for (metric, value) in gauges {
+            points.push(Point::new(SeriesSubject::Courier, metric, PointValue::Gauge(value as f64)));
+        }
+    }
+
+    fn class(&mut self, class: usize, points: &mut Vec<Point>) {
+        let Some(name) = self.recording.classes.series_name(class) else { return };
+        let subject = SeriesSubject::Class(name.to_owned());
+        push_counts(points, &subject, &self.recording.counters.class_total(class));
+        if let Some(latency) = self.recording.classes.latency_mut(class) {
+            latency.take_points(&subject, points);
+        }
+    }
+
+    fn destination(&mut self, destination: u32, seconds: f64, points: &mut Vec<Point>) {
+        let subject = SeriesSubject::Destination(self.destination_name(destination));
+        if let Some(limit) = self.recording.limits.destination_mut(destination) {
+            limit.take_points(&subject, seconds, points);
+        }
+    }
+
+    fn route(&mut self, endpoint: u32, seconds: f64, points: &mut Vec<Point>) {
+        let destination = self.recording.limits.route_destination(endpoint).unwrap_or(0);
+        let subject = self.route_subject(destination, endpoint);
+        if let Some(limit) = self.recording.limits.route_mut(endpoint) {
+            limit.take_points(&subject, seconds, points);
+        }
+    }
+
+    fn destination_total(&mut self, destination: u32, points: &mut Vec<Point>) {
+        let total = self.recording.counters.destination_total(destination);
+        let subject = SeriesSubject::Destination(self.destination_name(destination));
+        push_counts(points, &subject, &total);
+    }
+
+    fn cell(&mut self, key: CounterKey, points: &mut Vec<Point>) {
+        let Some(&counts) = self.recording.counters.cells().get(&key) else { return };
+        let subject = match key {
+            CounterKey::Cell(destination, class) => {
+                let Some(class) = self.recording.classes.series_name(usize::from(class)) else { return };
+                let class = class.to_owned();
+                SeriesSubject::DestinationAndClass { destination: self.destination_name(destination), class }
+            }
+            CounterKey::Route(endpoint) => {
+                let Some(destination) = self.recording.limits.route_destination(endpoint) else { return };
+                self.route_subject(destination, endpoint)
+            }
+            // The courier's own counts have them.
+            CounterKey::Reports => return,
+        };
+        push_counts(points, &subject, &counts);
+    }
+
+    fn route_subject(&mut self, destination: u32, endpoint: u32) -> SeriesSubject {
+        SeriesSubject::Route { destination: self.destination_name(destination), endpoint }
+    }
+
+    fn destination_name(&mut self, destination: u32) -> String {
+        self.recording.names.name(destination, self.outputs)
+    }
+}
+
+/// Figures of now are always shown; counts may come later.
+fn is_postponable(item: ReportItem) -> bool {
+    matches!(item, ReportItem::DestinationTotal(_) | ReportItem::Cell(_))
+}
+
+/// Counts that are not zero: a series begins when there is something to count.
+fn push_counts(points: &mut Vec<Point>, subject: &SeriesSubject, counts: &Counts) {
+    for (field, count) in counts.nonzero() {
+        points.push(Point::new(subject.clone(), field.name(), PointValue::Counter(count)));
+    }
+}
--- /dev/null
+++ b/crates/telemetry/src/receivers.rs
@@ -0,0 +1,163 @@
+//! The receivers of reports: the connection to Graphite, and datagrams to collectd.
+
+use crate::collectd::{InitializationVector, PacketEncoder};
+use crate::connection::{ConnectionAction, Losses, ReceiverConnection};
+use crate::graphite::{self, MetricSource};
+use crate::notifications::StateNotification;
+use crate::series::Point;
+use crate::settings::{Collectd, Graphite, Telemetry as Settings};
+use crate::{Output, SECOND};
+use linnetcart::Time;
+use rand::{Rng, RngCore};
+use rand_chacha::ChaCha8Rng;
+
+/// The receivers that the settings name.
+#[derive(Debug)]
+pub(crate) struct Receivers {
+    source: MetricSource,
+    graphite: Option<GraphiteReceiver>,
+    collectd: Option<Collectd>,
+    /// Between two reports.
+    interval: Time,
+    /// Losses of the connection that are counted already.
+    counted_losses: Losses,
+    /// Seeds of connections, and initialization vectors of packets.
+    random: ChaCha8Rng,
+}
+
+#[derive(Debug)]
+struct GraphiteReceiver {
+    settings: Graphite,
+    connection: ReceiverConnection,
+}
+
+impl Receivers {
+    pub(crate) fn new(source: MetricSource, random: ChaCha8Rng) -> Receivers {
+        Receivers {
+            source,
+            graphite: None,
+            collectd: None,
+            interval: 0,
+            counted_losses: Losses::default(),
+            random,
+        }
+    }
+
+    /// The receivers of these settings from now on. What waits for one that stays, stays.
+    pub(crate) fn configure(&mut self, settings: &Settings, outputs: &mut Vec<Output>) {
+        self.interval = settings.interval_s * SECOND;
+        self.collectd.clone_from(&settings.collectd);
+        let graphite_before = self.graphite.as_ref().map(|receiver| &receiver.settings);
+        if graphite_before != settings.graphite.as_ref() {
+            self.replace_graphite(settings.graphite.as_ref(), outputs);
+        }
+    }
+
+    fn replace_graphite(&mut self, settings: Option<&Graphite>, outputs: &mut Vec<Output>) {
+        if self.graphite.is_some() {
+            outputs.push(Output::Graphite(ConnectionAction::Close));
+        }
+        self.counted_losses = Losses::default();
+        self.graphite = settings.map(|settings| GraphiteReceiver {
+            settings: settings.clone(),
+            connection: ReceiverConnection::new(
+                settings.address,
+                settings.queue_bytes,
+                settings.stuck_s * SECOND,
+                self.random.next_u64(),
+            ),
+        });
+    }
+
+    /// Whether there is any receiver.
+    pub(crate) fn is_any(&self) -> bool {
+        self.graphite.is_some() || self.collectd.is_some()
+    }
+
+    /// The connection to Graphite.
+    pub(crate) fn connection(&self) -> Option<&ReceiverConnection> {
+        self.graphite.as_ref().map(|receiver| &receiver.connection)
+    }
+
+    /// The connection to Graphite, to tell it what happened.
+    pub(crate) fn connection_mut(&mut self) -> Option<&mut ReceiverConnection> {
+        self.graphite.as_mut().map(|receiver| &mut receiver.connection)
+    }
+
+    /// Nothing is on its way to a receiver that is there.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.connection()
+            .is_none_or(|connection| !connection.is_connected() || connection.buffered_bytes() == 0)
+    }
+
+    /// What the connection lost since the last call.
+    pub(crate) fn take_losses(&mut self) -> Losses {
+        let Some(connection) = self.connection() else { return Losses::default() };
+        let losses = connection.losses();
+        let before = std::mem::replace(&mut self.counted_losses, losses);
+        Losses {
+            points_dropped: losses.points_dropped - before.points_dropped,
+            connection_failures: losses.connection_failures - before.connection_failures,
+        }
+    }
+
+    /// Sends points of a report to all receivers.
+    pub(crate) fn send_points(&mut self, points: &[Point], timestamp: Time, outputs: &mut Vec<Output>) {
+        if let Some(GraphiteReceiver { settings, connection }) = &mut self.graphite {
+            let second = timestamp / SECOND;
+            let chunks = graphite::encode(&self.source, points, second, settings.form, settings.tags);
+            connection.send(chunks);
+        }
+        self.send_datagrams(timestamp, outputs, |encoder, next_iv| encoder.points(points, next_iv));
+    }
+
+    /// Notifies collectd; Graphite knows no notifications.
+    pub(crate) fn notify(
+        &mut self,
+        notification: &StateNotification,
+        timestamp: Time,
+        outputs: &mut Vec<Output>,
+    ) {
+        let StateNotification { plugin_instance, severity, text } = notification;
+        self.send_datagrams(timestamp, outputs, |encoder, next_iv| {
+            vec![encoder.notification(plugin_instance, *severity, text, next_iv)]
+        });
+    }
+
+    /// Sends the packets that are encoded, if there is a collectd to receive them.
+    fn send_datagrams(
+        &mut self,
+        timestamp: Time,
+        outputs: &mut Vec<Output>,
+        encode: impl FnOnce(&PacketEncoder, &mut dyn FnMut() -> InitializationVector) -> Vec<Vec<u8>>,
+    ) {
+        let Some(collectd) = &self.collectd else { return };
+        let host = host_name(collectd, &self.source);
+        let encoder = PacketEncoder {
+            host: &host,
+            time: timestamp,
+            interval: self.interval,
+            security: &collectd.security,
+            max_bytes: collectd.packet_bytes,
+        };
+        let random = &mut self.random;
+        let packets = encode(&encoder, &mut || random.random());
+        for packet in packets {
+            outputs.push(Output::Datagram(collectd.address, packet.into()));
+        }
+    }
+
+    /// What is to be done with the connection to Graphite now.
+    pub(crate) fn poll(&mut self, now: Time, outputs: &mut Vec<Output>) {
+        if let Some(connection) = self.connection_mut() {
+            outputs.extend(connection.poll(now).into_iter().map(Output::Graphite));
+        }
+    }
+}
+
+fn host_name(collectd: &Collectd, source: &MetricSource) -> String {
+    match &collectd.host {
+        Some(host) => host.clone(),
+        None => format!("linnetcart-{}-{}", source.deployment, source.courier),
+    }
+}
--- /dev/null
+++ b/crates/telemetry/src/recording.rs
@@ -0,0 +1,212 @@
+//! Recording of delivery events: what each of them adds to counts, latencies and the state of limits.
+
+use crate::classes::ClassTable;
+use crate::counters::{Counters, RestoredCounts};
+use crate::counts::{mark, CounterKey, CounterLogEntry, Field, Saved};
+use crate::limits::LimitTable;
+use crate::names::{AssignedName, SeriesNames};
+use crate::notifications::{NotificationQueue, StateNotification};
+use crate::{CourierInfo, Output};
+use linnetcart::{AttemptOutcome, LimitChange, LimitState, Time};
+use linnetcart_delivery_events::{DeliveryEvent, FinalAnswer, LoadReport};
+use std::collections::BTreeMap;
+
+/// All that delivery events change. Counts are kept for good, everything else is of now.
+#[derive(Debug)]
+pub(crate) struct Recording {
+    pub(crate) counters: Counters,
+    pub(crate) classes: ClassTable,
+    pub(crate) limits: LimitTable,
+    pub(crate) notifications: NotificationQueue,
+    pub(crate) names: DestinationNames,
+}
+
+/// Names of destinations in series: those of the settings, where they are free.
+#[derive(Debug)]
+pub(crate) struct DestinationNames {
+    assigned: SeriesNames,
+    configured: BTreeMap<u32, String>,
+}
+
+impl DestinationNames {
+    /// The names that the settings have from now on.
+    pub(crate) fn configure(&mut self, names: &BTreeMap<u32, String>) {
+        self.configured.clone_from(names);
+    }
+
+    /// A destination's name; logged when it is newly assigned.
+    pub(crate) fn name(&mut self, destination: u32, outputs: &mut Vec<Output>) -> String {
+        let wanted = self.configured.get(&destination).map(String::as_str);
+        let AssignedName { name, newly_assigned } = self.assigned.assign(wanted, destination);
+        if newly_assigned {
+            outputs.push(Output::Append(mark(&CounterLogEntry::Name(name.clone(), destination))));
+        }
+        name
+    }
+}
+
+/// What an attempt counts for.
+#[derive(Clone, Copy, Debug)]
+struct AttemptKey {
+    class: u8,
+    destination: u32,
+    endpoint: u32,
+}
+
+impl Recording {
+    pub(crate) fn new(courier: &CourierInfo, restored: RestoredCounts, now: Time) -> Recording {
+        let classes = ClassTable::new(courier);
+        Recording {
+            counters: Counters::new(restored.store, classes.len(), now),
+            classes,
+            limits: LimitTable::default(),
+            notifications: NotificationQueue::default(),
+            names: DestinationNames { assigned: restored.names, configured: BTreeMap::new() },
+        }
+    }
+
+    /// All counts and names, to be saved with the last timestamp.
+    pub(crate) fn saved(&self, last_timestamp_s: u64) -> Saved {
+        self.counters.store().saved(self.names.assigned.owners(), last_timestamp_s)
+    }
+
+    pub(crate) fn record(&mut self, event: &DeliveryEvent, outputs: &mut Vec<Output>) {
+        match *event {
+            DeliveryEvent::Accepted { class, destination, .. } => self.accepted(class, destination),
+            DeliveryEvent::Rejected { class, destination, .. } => self.rejected(class, destination),
+            DeliveryEvent::AttemptStarted { class, destination, endpoint, hedge, .. } => {
+                self.attempt_started(AttemptKey { class, destination, endpoint }, u64::from(hedge));
+            }
+            DeliveryEvent::AttemptFinished {
+                class, destination, endpoint, outcome, elapsed, load, ..
+            } => {
+                let key = AttemptKey { class, destination, endpoint };
+                self.attempt_finished(key, outcome, elapsed);
+                if let Some(load) = load {
+                    self.load_reported(key, load);
+                }
+            }
+            DeliveryEvent::Completed { class, destination, answer, elapsed, .. } => {
+                self.completed(class, destination, answer, elapsed);
+            }
+            DeliveryEvent::ClientCancelled { class, destination, .. } => {
+                self.client_cancelled(class, destination);
+            }
+            DeliveryEvent::LimitChanged(LimitChange { destination, endpoint, state, .. }) => {
+                self.limit_changed(destination, endpoint, state, outputs);
+            }
+            DeliveryEvent::UnsupportedAction(_) | DeliveryEvent::ProtocolViolation { .. } => {}
+        }
+    }
+
+    fn accepted(&mut self, class: u8, destination: u32) {
+        let key = CounterKey::Cell(destination, class);
+        self.counters.add(key, Field::Accepted, 1);
+        self.counters.add(key, Field::WeightOffered, self.classes.weight_milli(class));
+    }
+
+    fn rejected(&mut self, class: u8, destination: u32) {
+        self.counters.require_log();
+        let key = CounterKey::Cell(destination, class);
+        let weight = self.classes.weight_milli(class);
+        self.counters.add(key, Field::RejectedBeforeAccept, 1);
+        self.counters.add(key, Field::WeightOffered, weight);
+        self.counters.add(key, Field::WeightLost, weight);
+    }
+
+    fn client_cancelled(&mut self, class: u8, destination: u32) {
+        let key = CounterKey::Cell(destination, class);
+        self.counters.add(key, Field::ClientCancelled, 1);
+        self.counters.add(key, Field::WeightLost, self.classes.weight_milli(class));
+    }
+
+    fn completed(&mut self, class: u8, destination: u32, answer: FinalAnswer, elapsed: Time) {
+        self.counters.require_log();
+        let key = CounterKey::Cell(destination, class);
+        match answer {
+            FinalAnswer::Served => self.served(class, key, elapsed),
+            FinalAnswer::Rejected { .. } => self.not_served(class, key, Field::RejectedAfterAccept),
+            FinalAnswer::Failed => self.not_served(class, key, Field::Failed),
+        }
+    }
+
+    fn served(&mut self, class: u8, key: CounterKey, elapsed: Time) {
+        let full_weight = self.classes.weight_milli(class);
+        let weight = self.classes.weight_milli_after(class, elapsed);
+        let (messages, weights) = if self.classes.is_within_objective(class, elapsed) {
+            (Field::WithinObjective, Field::WeightWithinObjective)
+        } else {
+            (Field::Late, Field::WeightLate)
+        };
+        self.counters.add(key, messages, 1);
+        self.counters.add(key, weights, weight);
+        self.counters.add(key, Field::WeightLost, full_weight - weight);
+        self.classes.record_latency(class, elapsed);
+    }
+
+    fn not_served(&mut self, class: u8, key: CounterKey, field: Field) {
+        self.counters.add(key, field, 1);
+        self.counters.add(key, Field::WeightLost, self.classes.weight_milli(class));
+    }
+
+    fn attempt_started(&mut self, key: AttemptKey, hedges: u64) {
+        self.add_for_attempt(key, Field::Attempts, 1);
+        self.add_for_attempt(key, Field::Hedges, hedges);
+        for limit in self.limits.of_attempt(key.destination, key.endpoint) {
+            limit.attempt_started();
+        }
+    }
+
+    fn attempt_finished(&mut self, key: AttemptKey, outcome: AttemptOutcome, elapsed: Time) {
+        self.add_for_attempt(key, outcome_field(outcome), 1);
+        if matches!(outcome, AttemptOutcome::Rejected { retry_after } if retry_after > 0) {
+            self.add_for_attempt(key, Field::RetryAfterReceived, 1);
+        }
+        for limit in self.limits.of_attempt(key.destination, key.endpoint) {
+            match outcome {
+                AttemptOutcome::Served => limit.attempt_served(key.endpoint, elapsed),
+                AttemptOutcome::Rejected { .. } => limit.attempt_rejected(),
+                _ => {}
+            }
+        }
+    }
+
+    fn load_reported(&mut self, key: AttemptKey, load: LoadReport) {
+        for limit in self.limits.of_attempt(key.destination, key.endpoint) {
+            limit.load_reported(load);
+        }
+    }
+
+    /// Adds to the counts of the destination and class, and of the route if it is a separate one.
+    fn add_for_attempt(&mut self, key: AttemptKey, field: Field, increase: u64) {
+        self.counters.add(CounterKey::Cell(key.destination, key.class), field, increase);
+        if self.limits.is_route(key.endpoint) {
+            self.counters.add(CounterKey::Route(key.endpoint), field, increase);
+        }
+    }
+
+    fn limit_changed(
+        &mut self,
+        destination: u32,
+        endpoint: u32,
+        state: LimitState,
+        outputs: &mut Vec<Output>,
+    ) {
+        let name = self.names.name(destination, outputs);
+        if let Some(change) = self.limits.change_state(destination, endpoint, state) {
+            self.notifications.push(StateNotification::new(destination, &name, change));
+        }
+    }
+}
+
+fn outcome_field(outcome: AttemptOutcome) -> Field {
+    match outcome {
+        AttemptOutcome::Served => Field::AttemptsServed,
+        AttemptOutcome::Error => Field::AttemptErrors,
+        AttemptOutcome::Rejected { .. } => Field::AttemptsRejected,
+        AttemptOutcome::TimedOut => Field::AttemptTimeouts,
+        AttemptOutcome::NoConnection | AttemptOutcome::NotSent { .. } => Field::AttemptsNotSent,
+        AttemptOutcome::Reset => Field::ConnectionResets,
+        AttemptOutcome::Cancelled => Field::AttemptsCancelled,
+    }
+}
--- /dev/null
+++ b/crates/telemetry/src/selection.rs
@@ -0,0 +1,64 @@
+//! What a report shows.
+
+use crate::counts::CounterKey;
+use crate::recording::Recording;
+use crate::report::ReportItem;
+use std::collections::{BTreeSet, VecDeque};
+use std::ops::Bound;
+
+/// Cells that did not change are shown once in so many reports.
+const REPORTS_PER_REFRESH: usize = 30;
+
+/// Selects the items of reports: all that is of now, the cells that changed, and in turn some of the others.
+#[derive(Debug, Default)]
+pub(crate) struct ItemSelection {
+    /// Cells up to this one had their turn of unchanged cells.
+    refreshed_up_to: Option<CounterKey>,
+    /// The first cell that a report had no room for.
+    first_postponed: Option<CounterKey>,
+}
+
+impl ItemSelection {
+    /// The report had no room for a cell.
+    pub(crate) fn postponed(&mut self, key: CounterKey) {
+        self.first_postponed.get_or_insert(key);
+    }
+
+    pub(crate) fn select(&mut self, recording: &mut Recording) -> VecDeque<ReportItem> {
+        let mut items = VecDeque::from([ReportItem::Courier]);
+        items.extend((0..recording.classes.len()).map(ReportItem::Class));
+        items.extend(recording.limits.destinations().map(ReportItem::Destination));
+        items.extend(recording.limits.routes().map(ReportItem::Route));
+        let mut cells = recording.counters.take_unreported();
+        cells.extend(self.next_to_refresh(recording));
+        self.push_cells(cells, &mut items);
+        items
+    }
+
+    /// The cells whose turn it is whether or not they changed.
+    fn next_to_refresh(&mut self, recording: &Recording) -> Vec<CounterKey> {
+        let cells = recording.counters.cells();
+        let count = cells.len().div_ceil(REPORTS_PER_REFRESH);
+        let start = self.refreshed_up_to.map_or(Bound::Unbounded, Bound::Excluded);
+        let keys = cells.range((start, Bound::Unbounded)).map(|(key, _)| *key);
+        let keys: Vec<CounterKey> = keys.take(count).collect();
+        let is_end = keys.len() < count;
+        self.refreshed_up_to = if is_end { None } else { keys.last().copied() };
+        keys
+    }
+
+    /// Cells in their order, but from the first that was postponed on; before those of a destination, its total.
+    fn push_cells(&mut self, cells: BTreeSet<CounterKey>, items: &mut VecDeque<ReportItem>) {
+        let first = self.first_postponed.take().unwrap_or(CounterKey::Cell(0, 0));
+        let mut last_destination = None;
+        for &key in cells.range(first..).chain(cells.range(..first)) {
+            if let CounterKey::Cell(destination, _) = key {
+                if last_destination != Some(destination) {
+                    items.push_back(ReportItem::DestinationTotal(destination));
+                }
+                last_destination = Some(destination);
+            }
+            items.push_back(ReportItem::Cell(key));
+        }
+    }
+}
--- /dev/null
+++ b/crates/telemetry/src/telemetry.rs
@@ -0,0 +1,308 @@
+//! The parts of the reporting, and the order in which one iteration of the event loop goes through them.
+
+use crate::counter_sync::CounterSync;
+use crate::counters::RestoredCounts;
+use crate::counts::{mark, CounterKey, CounterLogEntry, Counts, Field, Saved};
+use crate::graphite::MetricSource;
+use crate::host_listener::HostListener;
+use crate::names;
+use crate::points::PointCollector;
+use crate::receivers::Receivers;
+use crate::recording::Recording;
+use crate::report::{Report, ReportPhase};
+use crate::schedule::ReportSchedule;
+use crate::selection::ItemSelection;
+use crate::settings::Telemetry as Settings;
+use crate::timestamps::{Timestamp, Timestamps};
+use crate::{
+    CourierInfo, CurrentState, ListedEndpoint, LogEvent, Output, RestoredState, Status, SyncError, SECOND,
+};
+use linnetcart::Time;
+use linnetcart_delivery_events::DeliveryEvent;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeMap;
+
+/// A part of a report is sent without its counts if their log is not on disk after this.
+const SYNC_TIMEOUT: Time = 20 * SECOND;
+const NANOS_PER_SECOND: f64 = 1e9;
+
+/// The reporting of one courier.
+#[derive(Debug)]
+pub struct Telemetry {
+    settings: Settings,
+    recording: Recording,
+    schedule: ReportSchedule,
+    selection: ItemSelection,
+    report: Option<Report>,
+    counter_sync: CounterSync,
+    timestamps: Timestamps,
+    receivers: Receivers,
+    host: HostListener,
+    /// The figures that the report under way shows.
+    current: CurrentState,
+    reports_begun: ReportsBegun,
+    outputs: Vec<Output>,
+}
+
+/// What the status page says of reports.
+#[derive(Clone, Copy, Debug, Default)]
+struct ReportsBegun {
+    count: u64,
+    /// Points of the last one so far.
+    last_points: usize,
+    /// How far the last timestamp was ahead of the wall clock.
+    timestamps_ahead_s: f64,
+}
+
+impl Telemetry {
+    /// Continues with what was found. Nothing is reported until [`Telemetry::configure`] names receivers.
+    pub fn new(courier: CourierInfo, found: RestoredState, settings: Settings, now: Time) -> Telemetry {
+        let class_names = courier.classes.iter().map(|(name, _)| name.clone()).collect();
+        let restored = RestoredCounts::read(&found, class_names, settings.cells);
+        let timestamps = Timestamps::new(restored.last_timestamp_s * SECOND, now);
+        let source = MetricSource { deployment: names::safe(&courier.deployment), courier: courier.me };
+        let mut random = ChaCha8Rng::seed_from_u64(courier.seed ^ (u64::from(courier.me) << 32));
+        let interval = settings.interval_s * SECOND;
+        let first_delay = random.random_range(0..interval);
+        let mut telemetry = Telemetry {
+            settings: Settings::default(),
+            recording: Recording::new(&courier, restored, now),
+            schedule: ReportSchedule::new(interval, first_delay, now),
+            selection: ItemSelection::default(),
+            report: None,
+            counter_sync: CounterSync::default(),
+            timestamps,
+            receivers: Receivers::new(source, random),
+            host: HostListener::new(now),
+            current: CurrentState::default(),
+            reports_begun: ReportsBegun::default(),
+            outputs: Vec::new(),
+        };
+        telemetry.configure(settings, now);
+        telemetry
+    }
+
+    /// All that a saved document must hold. What follows goes into a new log, which begins with
+    /// [`Telemetry::log_head`].
+    pub fn saved(&self) -> Saved {
+        self.recording.saved(self.timestamps.last() / SECOND)
+    }
+
+    /// The first frame of a log.
+    pub fn log_head(&self) -> Vec<u8> {
+        mark(&CounterLogEntry::Classes(self.recording.classes.names()))
+    }
+
+    /// The settings in force.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// Other settings from now on. What waits for a receiver that stays, stays.
+    pub fn configure(&mut self, settings: Settings, now: Time) {
+        self.receivers.configure(&settings, &mut self.outputs);
+        self.host.configure(settings.listen.as_ref());
+        self.schedule.configure(settings.interval_s * SECOND, now);
+        self.recording.names.configure(&settings.names);
+        self.settings = settings;
+    }
+
+    /// The endpoint list, whenever it changed.
+    pub fn set_endpoints(&mut self, endpoints: impl Iterator<Item = ListedEndpoint>) {
+        self.recording.limits.set_endpoints(endpoints);
+    }
+
+    /// Something happened.
+    pub fn record(&mut self, event: &DeliveryEvent) {
+        self.recording.record(event, &mut self.outputs);
+    }
+
+    /// One iteration of the event loop: what was counted so far goes into the log, and a report is made and sent when
+    /// it is time. `current` is asked for when a report begins.
+    pub fn process(&mut self, now: Time, wall: Time, current: impl FnOnce() -> CurrentState) {
+        self.count_losses();
+        self.recording.counters.log_if_due(now, &mut self.outputs);
+        self.host.log_summary_if_due(now, &mut self.outputs);
+        if self.schedule.take_due_report(now) && self.report.is_none() && self.receivers.is_any() {
+            self.current = current();
+            self.begin_report(now, wall);
+        }
+        if self.schedule.take_due_slice(now) {
+            self.advance_report(now);
+        }
+        self.send_notifications(wall);
+        self.receivers.poll(now, &mut self.outputs);
+    }
+
+    /// The process ends: one more report, at once.
+    pub fn report_now(&mut self, now: Time) {
+        self.schedule.report_now(now);
+    }
+
+    /// Nothing is on its way to a receiver that is there.
+    pub fn is_quiet(&self) -> bool {
+        self.report.is_none() && self.receivers.is_idle()
+    }
+
+    /// When [`Telemetry::process`] has something to do next, if nothing happens before.
+    pub fn next_wakeup(&self) -> Time {
+        let mut wakeup = self.schedule.next_report();
+        if let Some(connection_wakeup) = self.receivers.connection().and_then(|c| c.next_wakeup()) {
+            wakeup = wakeup.min(connection_wakeup);
+        }
+        if self.report.as_ref().is_some_and(|report| !report.is_syncing()) {
+            wakeup = wakeup.min(self.schedule.next_slice());
+        }
+        wakeup
+    }
+
+    /// What is to be done since the last call.
+    pub fn outputs(&mut self) -> Vec<Output> {
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// The log is on disk, or could not be brought there: the part that waits for it may leave, with its counts or
+    /// without them.
+    pub fn synced(&mut self, number: u64, result: Result<(), SyncError>) {
+        let Some(report) = &mut self.report else { return };
+        if !report.waits_for_sync(number) {
+            return;
+        }
+        report.phase = ReportPhase::Sending;
+        match result {
+            Ok(()) => self.counter_sync.succeeded(&mut self.outputs),
+            Err(reason) => {
+                report.withhold_counts();
+                self.counter_sync.failed(reason, &mut self.outputs);
+            }
+        }
+    }
+
+    /// The connection to Graphite was established.
+    pub fn connected(&mut self, now: Time) {
+        if let Some(connection) = self.receivers.connection_mut() {
+            connection.connected(now);
+        }
+    }
+
+    /// The connection to Graphite could not be established, or broke.
+    pub fn disconnected(&mut self, now: Time) {
+        if let Some(connection) = self.receivers.connection_mut() {
+            connection.disconnected(now);
+        }
+    }
+
+    /// The system has written so many bytes of the connection to Graphite.
+    pub fn acknowledged(&mut self, now: Time, bytes: u64) {
+        if let Some(connection) = self.receivers.connection_mut() {
+            connection.written(now, bytes);
+        }
+    }
+
+    /// A packet of the host's collectd came.
+    pub fn datagram_received(&mut self, packet: &[u8], now: Time, wall: Time) {
+        self.host.packet_received(packet, now, wall, &mut self.outputs);
+    }
+
+    /// How the reporting fares.
+    pub fn status(&self, now: Time) -> Status {
+        let store = self.recording.counters.store();
+        let connection = self.receivers.connection();
+        Status {
+            reports: self.reports_begun.count,
+            points: self.reports_begun.last_points,
+            cells: store.cells().len(),
+            beyond: store.beyond(),
+            graphite_connected: connection.map(|c| c.is_connected()),
+            graphite_waiting: connection.map_or(0, |c| c.buffered_bytes()),
+            dropped: connection.map_or(0, |c| c.losses().points_dropped),
+            timestamps_ahead_s: self.reports_begun.timestamps_ahead_s,
+            counts_not_safe: self.counter_sync.is_failing(),
+            host: self.host.status(now),
+        }
+    }
+
+    /// All counts, by what they belong to.
+    pub fn counts(&self) -> &BTreeMap<CounterKey, Counts> {
+        self.recording.counters.cells()
+    }
+
+    /// What is lost on the way to receivers, or rejected of the host's packets, is counted with everything else.
+    fn count_losses(&mut self) {
+        let losses = self.receivers.take_losses();
+        let rejections = self.host.take_rejections();
+        let counters = &mut self.recording.counters;
+        counters.add(CounterKey::Reports, Field::PointsDropped, losses.points_dropped);
+        counters.add(CounterKey::Reports, Field::ReceiverConnectionFailures, losses.connection_failures);
+        counters.add(CounterKey::Reports, Field::PacketsRejected, rejections);
+    }
+
+    fn begin_report(&mut self, now: Time, wall: Time) {
+        let Timestamp { time: timestamp, ahead } = self.timestamps.next(now, wall);
+        let was_ahead = self.reports_begun.timestamps_ahead_s > 0.0;
+        if ahead > SECOND && !was_ahead {
+            let event = LogEvent::ClockSetBack { timestamps_ahead_s: ahead / SECOND };
+            self.outputs.push(Output::Log(event));
+        }
+        self.reports_begun.timestamps_ahead_s = ahead as f64 / NANOS_PER_SECOND;
+        self.reports_begun.count += 1;
+        // A restart must not give a timestamp that was used.
+        let entry = CounterLogEntry::Stamp(timestamp / SECOND);
+        self.outputs.push(Output::Append(mark(&entry)));
+        self.recording.counters.log_changes(&mut self.outputs);
+        let seconds = self.schedule.begin_report(now);
+        let items = self.selection.select(&mut self.recording);
+        self.report = Some(Report::new(timestamp, seconds, items));
+    }
+
+    /// Goes on with the report under way by a slice.
+    fn advance_report(&mut self, now: Time) {
+        let Some(mut report) = self.report.take() else { return };
+        match report.phase {
+            ReportPhase::Collecting => self.collect_slice(&mut report, now),
+            ReportPhase::Syncing { since, .. } if since + SYNC_TIMEOUT <= now => {
+                self.counter_sync.failed(SyncError::Timeout, &mut self.outputs);
+                report.withhold_counts();
+                report.phase = ReportPhase::Sending;
+            }
+            ReportPhase::Syncing { .. } => {}
+            ReportPhase::Sending => {
+                let slice = report.take_slice();
+                self.receivers.send_points(&slice, report.timestamp, &mut self.outputs);
+                if report.part.is_empty() {
+                    if report.items.is_empty() {
+                        return;
+                    }
+                    report.phase = ReportPhase::Collecting;
+                }
+            }
+        }
+        self.report = Some(report);
+    }
+
+    fn collect_slice(&mut self, report: &mut Report, now: Time) {
+        let mut collector = PointCollector {
+            recording: &mut self.recording,
+            selection: &mut self.selection,
+            current: self.current,
+            max_points: self.settings.points,
+            outputs: &mut self.outputs,
+        };
+        collector.collect_slice(report);
+        self.reports_begun.last_points = report.points_made;
+        if report.is_part_complete() {
+            // What the part shows is in the log before the sync.
+            self.recording.counters.log_changes(&mut self.outputs);
+            let number = self.counter_sync.request(&mut self.outputs);
+            report.phase = ReportPhase::Syncing { number, since: now };
+        }
+    }
+
+    fn send_notifications(&mut self, wall: Time) {
+        let timestamp = self.timestamps.last().max(wall);
+        for notification in self.recording.notifications.take() {
+            self.receivers.notify(&notification, timestamp, &mut self.outputs);
+        }
+    }
+}
--- a/crates/telemetry/tests/virtual_time.rs
+++ b/crates/telemetry/tests/virtual_time.rs
@@ -8,7 +8,8 @@
 use linnetcart_telemetry::settings::{Collectd, Form, Graphite, Security, Telemetry as Settings};
 use linnetcart_telemetry::stream::Stream;
 use linnetcart_telemetry::{
-    collectd, CourierInfo, CurrentState, ListedEndpoint, Output, RestoredState, Telemetry,
+    collectd, CourierInfo, CurrentState, ListedEndpoint, LogEvent, Output, RestoredState, SyncError,
+    Telemetry,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng as StdRng;
@@ -86,7 +87,7 @@
     given: u64,
     now: u64,
     wall: u64,
-    logs: Vec<String>,
+    logs: Vec<LogEvent>,
     random: StdRng,
     /// What was counted beside the reporting, by the ends of series' names.
     counted: BTreeMap<String, u64>,
@@ -248,7 +249,8 @@
                 if self.disk_works {
                     self.disk.safe = self.disk.log.len();
                 }
-                let done = if self.disk_works { Ok(()) } else { Err("no space".to_owned()) };
+                let done =
+                    if self.disk_works { Ok(()) } else { Err(SyncError::Storage("no space".to_owned())) };
                 self.telemetry.synced(number, done);
             }
             Output::Graphite(ConnectionAction::Connect(_)) if self.there => {
@@ -276,7 +278,7 @@
                     }
                 }
             }
-            Output::Log(line) | Output::Info(line) => self.logs.push(line),
+            Output::Log(event) | Output::Info(event) => self.logs.push(event),
         }
     }
 
@@ -412,7 +414,7 @@
     rig.run(300);
     rig.wall -= 3600 * S;
     rig.run(600);
-    assert!(rig.logs.iter().any(|l| l.contains("set back")), "{:?}", rig.logs);
+    assert!(rig.logs.iter().any(|event| matches!(event, LogEvent::ClockSetBack { .. })), "{:?}", rig.logs);
     rig.crash(false);
     rig.run(600);
     rig.wall += 3 * 3600 * S;
