Telemetry settings: typed errors, a check for each part of the document

Cause: check() gave pairs of strings from one function of forty lines, keys were visited by callback, and nothing tested the document's text, ranges or keys.

Change: SettingsError has field() and, displayed, the same texts as before; each part checks itself; keys are listed as KeyEntry. The edge's control reads the error by field() and Display.

--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -310,8 +310,9 @@
         };
         // A key that was read back without itself is the one that is there.
         telemetry.keep_keys(self.telemetry.as_ref());
-        if let Err((field, reason)) = telemetry.check() {
-            return rejected(&InvalidDocument { field, reason });
+        if let Err(error) = telemetry.check() {
+            let field = error.field().to_owned();
+            return rejected(&InvalidDocument { field, reason: error.to_string() });
         }
         if !self.keeps && (telemetry.graphite.is_some() || telemetry.collectd.is_some()) {
             let reason = "counts must go on over a restart: start the program with --state-dir";
--- a/crates/telemetry/src/settings.rs
+++ b/crates/telemetry/src/settings.rs
@@ -1,13 +1,24 @@
 //! What is reported, and where: the document of `PUT /telemetry`.
+//!
+//! The names of fields and the texts of [`SettingsError`] are part of the interface of operators.
+
+mod error;
+#[cfg(test)]
+mod tests;
+
+pub use error::SettingsError;
 
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 
 /// Stands for a key that is not shown.
-const KEPT: &str = "(kept)";
+const HIDDEN_KEY: &str = "(kept)";
+/// Names of hosts and users are no longer: the protocol allows 128 bytes with the zero byte.
+const MAX_NAME_BYTES: usize = 127;
 
-/// The whole document. An empty one reports nothing; counts are kept all the same.
+/// The complete document. An empty one reports nothing; counts go on all the same.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Telemetry {
@@ -15,7 +26,7 @@
     pub interval_s: u64,
     /// Points of one report at most. Beyond it cells of destination and class take turns.
     pub points: usize,
-    /// Cells of counts that are kept at most, destinations times classes and routes apart.
+    /// Cells of counts at most: destinations times classes, and separate routes.
     pub cells: usize,
     /// Names of destinations, by number.
     pub names: BTreeMap<u32, String>,
@@ -23,7 +34,7 @@
     pub graphite: Option<Graphite>,
     /// A collectd receiver.
     pub collectd: Option<Collectd>,
-    /// Reports of the host's own collectd, taken in.
+    /// Reports of the host's own collectd, which the courier listens to.
     pub listen: Option<Listen>,
 }
 
@@ -47,29 +58,29 @@
 pub struct Graphite {
     /// Where it listens.
     pub address: SocketAddr,
-    /// In what form it is sent to.
+    /// In what format.
     #[serde(default)]
     pub form: Form,
     /// Names with tags instead of long paths.
     #[serde(default)]
     pub tags: bool,
-    /// Bytes of reports that wait for it at most. Beyond it the oldest are dropped.
-    #[serde(default = "queue_bytes")]
+    /// Bytes of reports that wait for it at most; beyond it the oldest are dropped.
+    #[serde(default = "default_queue_bytes")]
     pub queue_bytes: usize,
-    /// Seconds after which a receiver that takes nothing is connected to anew.
-    #[serde(default = "stuck_s")]
+    /// Seconds without progress after which the connection is closed and made again.
+    #[serde(default = "default_stuck_s")]
     pub stuck_s: u64,
 }
 
-fn queue_bytes() -> usize {
+fn default_queue_bytes() -> usize {
     16 << 20
 }
 
-fn stuck_s() -> u64 {
+fn default_stuck_s() -> u64 {
     30
 }
 
-/// A form of Graphite's.
+/// A format of Graphite's.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Form {
@@ -93,11 +104,11 @@
     #[serde(default)]
     pub security: Security,
     /// Bytes of one packet at most.
-    #[serde(default = "packet_bytes")]
+    #[serde(default = "default_packet_bytes")]
     pub packet_bytes: usize,
 }
 
-fn packet_bytes() -> usize {
+fn default_packet_bytes() -> usize {
     1452
 }
 
@@ -105,7 +116,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase", deny_unknown_fields)]
 pub enum Security {
-    /// Not at all.
+    /// Neither signed nor encrypted.
     #[default]
     None,
     /// Signed.
@@ -114,7 +125,7 @@
     Encrypt(User),
 }
 
-/// A user of collectd's and the key.
+/// A user that collectd knows, with the key.
 #[derive(Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct User {
@@ -136,22 +147,22 @@
 pub struct Listen {
     /// Where to listen, over UDP; keep it on loopback.
     pub address: SocketAddr,
-    /// What packets must be at least.
+    /// The security that packets must have at least.
     #[serde(default)]
     pub require: Require,
-    /// Keys by user; several while one takes the place of another.
+    /// Keys by user; several while one replaces another.
     #[serde(default)]
     pub users: BTreeMap<String, Vec<String>>,
     /// Seconds that a value's time may differ from the clock.
-    #[serde(default = "skew_s")]
+    #[serde(default = "default_skew_s")]
     pub skew_s: u64,
 }
 
-fn skew_s() -> u64 {
+fn default_skew_s() -> u64 {
     300
 }
 
-/// What packets must be at least.
+/// The security that packets must have at least.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Require {
@@ -164,84 +175,142 @@
     Encrypted,
 }
 
+/// A secret key of the document.
+struct KeyEntry<'a> {
+    /// Whose key it is: the same in a document that was read and comes back.
+    owner: String,
+    key: &'a mut String,
+}
+
 impl Telemetry {
-    /// Checks what serde cannot: the field and what is wrong with it.
-    pub fn check(&self) -> Result<(), (String, String)> {
-        let within = |field: &str, value: usize, least: usize, most: usize| {
-            let ok = (least..=most).contains(&value);
-            ok.then_some(()).ok_or_else(|| (field.to_owned(), format!("{value}; {least} to {most} will do")))
-        };
-        let mut unknown = None;
-        self.clone().each_key(|of, key| {
-            if key == KEPT {
-                unknown = Some((of, "no key is known that could be kept; give it".to_owned()));
-            }
-        });
-        unknown.map_or(Ok(()), Err)?;
-        within("interval_s", self.interval_s as usize, 1, 3600)?;
-        within("points", self.points, 1000, 10_000_000)?;
-        within("cells", self.cells, 100, 1_000_000)?;
-        within("names", self.names.len(), 0, 100_000)?;
-        if let Some(g) = &self.graphite {
-            within("graphite.queue_bytes", g.queue_bytes, 1 << 16, 1 << 30)?;
-            within("graphite.stuck_s", g.stuck_s as usize, 1, 3600)?;
+    /// Checks what serde cannot.
+    pub fn check(&self) -> Result<(), SettingsError> {
+        self.check_keys()?;
+        check_range("interval_s", self.interval_s as usize, 1..=3600)?;
+        check_range("points", self.points, 1000..=10_000_000)?;
+        check_range("cells", self.cells, 100..=1_000_000)?;
+        check_range("names", self.names.len(), 0..=100_000)?;
+        if let Some(graphite) = &self.graphite {
+            graphite.check()?;
         }
-        if let Some(c) = &self.collectd {
-            within("collectd.packet_bytes", c.packet_bytes, 1024, 65_507)?;
-            if c.host.as_ref().is_some_and(|h| h.is_empty() || h.len() > 127) {
-                return Err(("collectd.host".into(), "1 to 127 bytes will do".into()));
-            }
-            if let Security::Sign(u) | Security::Encrypt(u) = &c.security {
-                let ok = !u.user.is_empty() && u.user.len() <= 127 && !u.key.is_empty();
-                ok.then_some(()).ok_or((
-                    "collectd.security".to_owned(),
-                    "a user of 1 to 127 bytes and a key are needed".to_owned(),
-                ))?;
-            }
+        if let Some(collectd) = &self.collectd {
+            collectd.check()?;
         }
-        if let Some(l) = &self.listen {
-            within("listen.skew_s", l.skew_s as usize, 1, 86_400)?;
-            if l.require != Require::Nothing && l.users.values().all(Vec::is_empty) {
-                return Err((
-                    "listen.users".into(),
-                    "packets must be secured, but there is no user with a key".into(),
-                ));
-            }
+        if let Some(listen) = &self.listen {
+            listen.check()?;
         }
         Ok(())
     }
 
-    /// Without the keys, for those who may read.
+    /// The document without its keys, for those who may read it.
     pub fn without_keys(&self) -> Telemetry {
-        let mut plain = self.clone();
-        plain.each_key(|_, key| *key = KEPT.into());
-        plain
+        let mut hidden = self.clone();
+        for KeyEntry { key, .. } in hidden.keys_mut() {
+            *key = HIDDEN_KEY.to_owned();
+        }
+        hidden
     }
 
-    /// A document that was read without its keys and comes back has the keys of the one before.
-    pub fn keep_keys(&mut self, before: Option<&Telemetry>) {
-        let mut known = BTreeMap::new();
-        if let Some(mut before) = before.cloned() {
-            before.each_key(|of, key| {
-                known.insert(of, std::mem::take(key));
-            });
+    /// Gives a document that was read without its keys and comes back the keys of the one in force.
+    pub fn keep_keys(&mut self, in_force: Option<&Telemetry>) {
+        let mut in_force = in_force.cloned().unwrap_or_default();
+        let mut known_keys = BTreeMap::new();
+        for KeyEntry { owner, key } in in_force.keys_mut() {
+            known_keys.insert(owner, key.clone());
         }
-        self.each_key(|of, key| {
-            if let Some(kept) = known.get(&of).filter(|_| key == KEPT) {
-                key.clone_from(kept);
+        for KeyEntry { owner, key } in self.keys_mut() {
+            if key != HIDDEN_KEY {
+                continue;
+            }
+            if let Some(known_key) = known_keys.get(&owner) {
+                key.clone_from(known_key);
             }
-        });
+        }
     }
 
-    /// All keys, each with a name that stays.
-    fn each_key(&mut self, mut see: impl FnMut(String, &mut String)) {
-        if let Some(Security::Sign(u) | Security::Encrypt(u)) =
-            self.collectd.as_mut().map(|c| &mut c.security)
-        {
-            see(format!("collectd {}", u.user), &mut u.key);
+    /// No key may still be hidden: there was none to keep.
+    fn check_keys(&self) -> Result<(), SettingsError> {
+        let mut document = self.clone();
+        let mut hidden = document.keys_mut();
+        hidden.retain(|entry| entry.key == HIDDEN_KEY);
+        match hidden.pop() {
+            Some(entry) => Err(SettingsError::UnknownKey { owner: entry.owner }),
+            None => Ok(()),
+        }
+    }
+
+    /// All keys, in the order of the document.
+    fn keys_mut(&mut self) -> Vec<KeyEntry<'_>> {
+        let mut keys = Vec::new();
+        if let Some(collectd) = &mut self.collectd {
+            if let Security::Sign(user) | Security::Encrypt(user) = &mut collectd.security {
+                keys.push(KeyEntry { owner: format!("collectd {}", user.user), key: &mut user.key });
+            }
         }
-        for (user, keys) in self.listen.iter_mut().flat_map(|l| &mut l.users) {
-            keys.iter_mut().enumerate().for_each(|(n, key)| see(format!("listen {user} {n}"), key));
+        if let Some(listen) = &mut self.listen {
+            for (user, user_keys) in &mut listen.users {
+                for (number, key) in user_keys.iter_mut().enumerate() {
+                    keys.push(KeyEntry { owner: format!("listen {user} {number}"), key });
+                }
+            }
         }
+        keys
+    }
+}
+
+impl Graphite {
+    fn check(&self) -> Result<(), SettingsError> {
+        check_range("graphite.queue_bytes", self.queue_bytes, 1 << 16..=1 << 30)?;
+        check_range("graphite.stuck_s", self.stuck_s as usize, 1..=3600)
+    }
+}
+
+impl Collectd {
+    fn check(&self) -> Result<(), SettingsError> {
+        check_range("collectd.packet_bytes", self.packet_bytes, 1024..=65_507)?;
+        if self.host.as_ref().is_some_and(|host| !is_valid_name(host)) {
+            return Err(SettingsError::InvalidHostName);
+        }
+        match &self.security {
+            Security::Sign(user) | Security::Encrypt(user) => user.check(),
+            Security::None => Ok(()),
+        }
+    }
+}
+
+impl User {
+    fn check(&self) -> Result<(), SettingsError> {
+        if is_valid_name(&self.user) && !self.key.is_empty() {
+            Ok(())
+        } else {
+            Err(SettingsError::InvalidUser)
+        }
+    }
+}
+
+impl Listen {
+    fn check(&self) -> Result<(), SettingsError> {
+        check_range("listen.skew_s", self.skew_s as usize, 1..=86_400)?;
+        let has_keys = self.users.values().any(|keys| !keys.is_empty());
+        if self.require != Require::Nothing && !has_keys {
+            return Err(SettingsError::MissingUserKeys);
+        }
+        Ok(())
+    }
+}
+
+fn is_valid_name(name: &str) -> bool {
+    (1..=MAX_NAME_BYTES).contains(&name.len())
+}
+
+fn check_range(
+    field: &'static str,
+    value: usize,
+    allowed: RangeInclusive<usize>,
+) -> Result<(), SettingsError> {
+    if allowed.contains(&value) {
+        Ok(())
+    } else {
+        Err(SettingsError::OutOfRange { field, value, min: *allowed.start(), max: *allowed.end() })
     }
 }
