Telemetry tests: the simulation in virtual time apart from its tests

Cause: tests/virtual_time.rs held receiver, disk, clocks and twelve tests in 565 lines, with tuples, one-letter names and a bool for the kind of crash.

Change: tests/virtual_time/parts.rs (settings, receiver, disk), fixture.rs (Simulation) and main.rs (the tests). The same messages are drawn in the same order; the same things are asserted.

Old -> new names: every_series_ends_with_what_was_counted -> series_after_settling_equal_independent_counts ten_minutes_without_a_receiver_lose_resolution_and_no_count -> receiver_outage_of_ten_minutes_loses_resolution_and_no_count a_receiver_that_never_reads_or_resets_each_connection_costs_no_count -> receiver_not_reading_or_resetting_loses_no_count crashes_between_saves_and_three_restarts_in_an_interval_lose_nothing -> crashes_between_snapshots_and_within_an_interval_lose_no_count a_power_cut_takes_what_was_not_on_disk_and_no_series_falls -> power_loss_loses_unsynced_counts_and_no_series_falls clocks_that_jump_an_hour_either_way_let_no_series_fall -> clock_jumping_an_hour_lets_no_series_fall while_the_disk_fails_counts_are_held_back_and_gauges_go_on -> sync_failure_withholds_counts_but_not_gauges names_that_change_or_collide_never_make_a_series_fall -> names_changed_or_colliding_let_no_series_fall states_are_told_once_and_silence_of_one_endpoint_of_two_is_no_outage -> limit_state_changed_notifies_once_and_one_silent_endpoint_is_no_outage sums_do_not_fall_at_a_restart_when_cells_have_come_to_their_bound -> sums_after_restart_at_cell_limit_do_not_fall a_thousand_couriers_report_spread_over_the_interval -> reports_of_thousand_couriers_spread_over_interval five_thousand_destinations_of_ten_classes_stay_within_the_bound_of_a_report -> report_of_fifty_thousand_cells_stays_within_point_limit

--- /dev/null
+++ b/crates/telemetry/tests/virtual_time/fixture.rs
@@ -0,0 +1,364 @@
+//! A courier's reporting in virtual time, with a disk, clocks and receivers that tests can make fail.
+
+use crate::parts::{courier, settings, Crash, Disk, Receiver};
+use linnetcart::AttemptOutcome;
+use linnetcart_delivery_events::{DeliveryEvent, FinalAnswer, LoadReport, RejectionReason};
+use linnetcart_telemetry::collectd::{self, PacketItem};
+use linnetcart_telemetry::connection::ConnectionAction;
+use linnetcart_telemetry::counts::Saved;
+use linnetcart_telemetry::settings::{Form, Telemetry as Settings};
+use linnetcart_telemetry::stream::Stream;
+use linnetcart_telemetry::{
+    CurrentState, ListedEndpoint, LogEvent, Output, RestoredState, SyncError, Telemetry,
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeMap;
+
+pub const SECOND: u64 = 1_000_000_000;
+/// The wall clock at the beginning.
+pub const WALL_START: u64 = 1_700_000_000 * SECOND;
+/// What the reporting's outputs make due is due again at most so often within an iteration.
+const MAX_OUTPUT_ROUNDS: usize = 10;
+/// Quiet seconds after which every unchanged cell had its turn in a report.
+const SETTLE_SECONDS: u64 = 400;
+pub const CLASS_NAMES: [&str; 2] = ["order", "query"];
+pub const LATENCY_OBJECTIVE: u64 = SECOND;
+pub const DEADLINE: u64 = 8 * SECOND;
+const WITHIN_OBJECTIVE: u64 = SECOND / 9;
+const LATE: u64 = 2 * SECOND;
+
+/// How a simulated message fares.
+struct Fate {
+    outcome: AttemptOutcome,
+    answer: FinalAnswer,
+    elapsed: u64,
+    /// The counts of its attempt and of its answer.
+    attempt_metric: &'static str,
+    answer_metric: &'static str,
+}
+
+pub struct Simulation {
+    pub telemetry: Telemetry,
+    disk: Disk,
+    pub disk_works: bool,
+    pub receiver: Receiver,
+    /// What collectd received.
+    pub collectd: Stream,
+    pub receiver_reachable: bool,
+    pub receiver_reads: bool,
+    connected: bool,
+    /// Bytes handed to the connection.
+    handed_over: u64,
+    pub now: u64,
+    pub wall: u64,
+    pub logged: Vec<LogEvent>,
+    random: ChaCha8Rng,
+    /// What was counted beside the reporting, by the ends of series' names.
+    pub counted: BTreeMap<String, u64>,
+    pub max_waiting_bytes: usize,
+}
+
+impl Simulation {
+    pub fn new(form: Form) -> Simulation {
+        Simulation::with_settings(settings(form))
+    }
+
+    pub fn with_settings(settings: Settings) -> Simulation {
+        let mut simulation = Simulation {
+            telemetry: Telemetry::new(courier(3), RestoredState::default(), settings, SECOND),
+            disk: Disk::default(),
+            disk_works: true,
+            receiver: Receiver::default(),
+            collectd: Stream::default(),
+            receiver_reachable: true,
+            receiver_reads: true,
+            connected: false,
+            handed_over: 0,
+            now: SECOND,
+            wall: WALL_START,
+            logged: Vec::new(),
+            random: ChaCha8Rng::seed_from_u64(1),
+            counted: BTreeMap::new(),
+            max_waiting_bytes: 0,
+        };
+        simulation.list_endpoints();
+        simulation.begin_log();
+        simulation
+    }
+
+    /// Three destinations, of which the second has separate routes.
+    pub fn list_endpoints(&mut self) {
+        let entry =
+            |endpoint| ListedEndpoint { endpoint, destination: endpoint / 10, apart: endpoint / 10 == 2 };
+        self.telemetry.set_endpoints([10, 11, 20, 21, 30].into_iter().map(entry));
+    }
+
+    fn begin_log(&mut self) {
+        self.disk.saved = Some(serde_json::to_vec(&self.telemetry.saved()).expect("it can be written"));
+        self.disk.log = self.telemetry.log_head();
+        self.disk.synced_bytes = self.disk.log.len();
+    }
+
+    /// The process ends without warning, and another one continues with what it left.
+    pub fn crash(&mut self, crash: Crash) {
+        let length = match crash {
+            Crash::Process => self.disk.log.len(),
+            Crash::PowerLoss => self.disk.synced_bytes,
+        };
+        let saved: Option<Saved> =
+            self.disk.saved.as_deref().map(|saved| serde_json::from_slice(saved).expect("it was complete"));
+        let found = RestoredState { saved, logs: vec![self.disk.log[..length].to_vec()] };
+        let settings = self.telemetry.settings().clone();
+        self.telemetry = Telemetry::new(courier(3), found, settings, self.now);
+        self.connected = false;
+        self.handed_over = 0;
+        self.receiver.connection_closed();
+        self.list_endpoints();
+        self.begin_log();
+    }
+
+    /// The connection breaks; both ends notice.
+    pub fn break_connection(&mut self) {
+        self.connected = false;
+        self.receiver.connection_closed();
+        self.telemetry.disconnected(self.now);
+    }
+
+    /// The receiver is gone, with what its connection held.
+    pub fn lose_receiver(&mut self) {
+        self.receiver_reachable = false;
+        self.receiver_reads = false;
+        self.connected = false;
+        self.telemetry.disconnected(self.now);
+    }
+
+    fn count(&mut self, destination: u32, class: u8, metric: &str) {
+        let class = CLASS_NAMES[usize::from(class)];
+        for end in [
+            format!("courier.{metric}"),
+            format!("class.{class}.{metric}"),
+            format!("dest.d{destination}.{metric}"),
+            format!("dest.d{destination}.class.{class}.{metric}"),
+        ] {
+            *self.counted.entry(end).or_default() += 1;
+        }
+    }
+
+    /// A message comes and is answered, or is rejected at once.
+    fn deliver_message(&mut self) {
+        let destination = self.random.random_range(1..4u32);
+        let class = self.random.random_range(0..2u8);
+        let message = self.random.random();
+        if self.random.random_bool(0.05) {
+            self.telemetry.record(&DeliveryEvent::Rejected {
+                class,
+                destination,
+                reason: RejectionReason::Overloaded,
+            });
+            self.count(destination, class, "turned_away");
+            return;
+        }
+        let endpoint = destination * 10;
+        let fate = self.draw_fate();
+        let events = [
+            DeliveryEvent::Accepted {
+                message,
+                name: "x".into(),
+                class,
+                destination,
+                deadline: self.now + DEADLINE,
+            },
+            DeliveryEvent::AttemptStarted { message, attempt: 0, class, destination, endpoint, hedge: false },
+            DeliveryEvent::AttemptFinished {
+                message,
+                attempt: 0,
+                class,
+                destination,
+                endpoint,
+                outcome: fate.outcome,
+                elapsed: fate.elapsed,
+                load: Some(LoadReport { capacity_left: 0.25, rate_limit: 40.0 }),
+            },
+            DeliveryEvent::Completed {
+                message,
+                class,
+                destination,
+                answer: fate.answer,
+                elapsed: fate.elapsed,
+            },
+        ];
+        for event in &events {
+            self.telemetry.record(event);
+        }
+        for metric in ["taken", "attempts", fate.attempt_metric, fate.answer_metric] {
+            self.count(destination, class, metric);
+        }
+    }
+
+    fn draw_fate(&mut self) -> Fate {
+        match self.random.random_range(0..10) {
+            0 => Fate {
+                outcome: AttemptOutcome::Rejected { retry_after: SECOND },
+                answer: FinalAnswer::Rejected { retry_after: SECOND },
+                elapsed: WITHIN_OBJECTIVE,
+                attempt_metric: "full",
+                answer_metric: "refused",
+            },
+            1 => Fate {
+                outcome: AttemptOutcome::Error,
+                answer: FinalAnswer::Failed,
+                elapsed: WITHIN_OBJECTIVE,
+                attempt_metric: "errors",
+                answer_metric: "failed",
+            },
+            2 => Fate {
+                outcome: AttemptOutcome::Served,
+                answer: FinalAnswer::Served,
+                elapsed: LATE,
+                attempt_metric: "served",
+                answer_metric: "late",
+            },
+            _ => Fate {
+                outcome: AttemptOutcome::Served,
+                answer: FinalAnswer::Served,
+                elapsed: WITHIN_OBJECTIVE,
+                attempt_metric: "served",
+                answer_metric: "in_aim",
+            },
+        }
+    }
+
+    /// One iteration of the event loop.
+    fn process(&mut self) {
+        self.telemetry.process(self.now, self.wall, || CurrentState {
+            slots: 8,
+            slots_used: 2,
+            ..CurrentState::default()
+        });
+        for _ in 0..MAX_OUTPUT_ROUNDS {
+            let outputs = self.telemetry.outputs();
+            if outputs.is_empty() {
+                break;
+            }
+            for output in outputs {
+                self.perform(output);
+            }
+        }
+        let waiting = self.telemetry.status(self.now).graphite_waiting;
+        self.max_waiting_bytes = self.max_waiting_bytes.max(waiting);
+    }
+
+    fn perform(&mut self, output: Output) {
+        match output {
+            Output::Append(bytes) => self.disk.log.extend(bytes),
+            Output::Sync(number) => self.sync(number),
+            Output::Graphite(ConnectionAction::Connect(_)) => self.connect(),
+            Output::Graphite(ConnectionAction::Write(bytes)) => self.write(&bytes),
+            Output::Graphite(ConnectionAction::Close) => {
+                self.connected = false;
+                self.receiver.connection_closed();
+            }
+            Output::Datagram(_, packet) => self.receive_datagram(&packet),
+            Output::Log(event) | Output::Info(event) => self.logged.push(event),
+        }
+    }
+
+    fn sync(&mut self, number: u64) {
+        if self.disk_works {
+            self.disk.synced_bytes = self.disk.log.len();
+            self.telemetry.synced(number, Ok(()));
+        } else {
+            self.telemetry.synced(number, Err(SyncError::Storage("no space".to_owned())));
+        }
+    }
+
+    fn connect(&mut self) {
+        if !self.receiver_reachable {
+            self.telemetry.disconnected(self.now);
+            return;
+        }
+        self.connected = true;
+        self.handed_over = 0;
+        self.telemetry.connected(self.now);
+        self.telemetry.process(self.now, self.wall, CurrentState::default);
+    }
+
+    fn write(&mut self, bytes: &[u8]) {
+        if self.connected && self.receiver_reads {
+            self.handed_over += bytes.len() as u64;
+            self.receiver.receive(bytes);
+            self.telemetry.acknowledged(self.now, self.handed_over);
+        }
+    }
+
+    fn receive_datagram(&mut self, packet: &[u8]) {
+        let items = collectd::read(packet, &BTreeMap::new(), Default::default()).expect("a packet");
+        for item in items {
+            if let PacketItem::Values(header, values) = item {
+                let name = format!("{}.{}", header.plugin_instance, header.type_instance);
+                let second = collectd::nanos(header.time) / SECOND;
+                self.collectd.point(&name, values[0].as_f64(), second);
+            }
+        }
+    }
+
+    fn advance_clocks(&mut self, nanos: u64) {
+        self.now += nanos;
+        self.wall += nanos;
+    }
+
+    /// So many tenths of a second, a message in each.
+    pub fn run(&mut self, tenths: u64) {
+        for _ in 0..tenths {
+            self.advance_clocks(SECOND / 10);
+            self.deliver_message();
+            self.process();
+        }
+    }
+
+    /// So many messages, one in each millisecond.
+    pub fn run_fast(&mut self, messages: u64) {
+        for _ in 0..messages {
+            self.advance_clocks(SECOND / 1000);
+            self.deliver_message();
+            self.process();
+        }
+    }
+
+    /// Quiet, until every series had its turn.
+    pub fn settle(&mut self) {
+        for _ in 0..SETTLE_SECONDS {
+            self.advance_clocks(SECOND);
+            self.process();
+        }
+    }
+
+    /// The last time and value of a series at the Graphite receiver.
+    pub fn last_point(&self, end: &str) -> (u64, f64) {
+        self.receiver.stream.last[&format!("linnetcart.test.edge.3.{end}")]
+    }
+
+    /// The last value of a series at the Graphite receiver.
+    pub fn last_value(&self, end: &str) -> f64 {
+        self.last_point(end).1
+    }
+
+    /// No series fell at the Graphite receiver.
+    pub fn assert_nothing_fell(&self) {
+        assert_eq!(self.receiver.stream.fell, Vec::<String>::new());
+    }
+
+    /// Both receivers have what was counted beside the reporting, and no series fell at either.
+    pub fn assert_counts_received(&self) {
+        self.assert_nothing_fell();
+        assert_eq!(self.collectd.fell, Vec::<String>::new());
+        for (end, &wanted) in &self.counted {
+            let name = format!("linnetcart.test.edge.3.{end}");
+            assert_eq!(self.receiver.stream.value(&name), Some(wanted as f64), "{name}");
+            let (subject, metric) = end.rsplit_once('.').expect("a metric");
+            let name = format!("{}.{metric}", subject.replace('.', "-"));
+            assert_eq!(self.collectd.value(&name), Some(wanted as f64), "{end} over collectd");
+        }
+    }
+}
--- /dev/null
+++ b/crates/telemetry/tests/virtual_time/main.rs
@@ -0,0 +1,281 @@
+//! The reporting in virtual time: outages, crashes, clocks that jump. What a receiver ends with must be what was
+//! counted beside the reporting, and no count may ever fall.
+
+mod fixture;
+mod parts;
+
+use fixture::{Simulation, SECOND, WALL_START};
+use linnetcart::{LimitChange, LimitState};
+use linnetcart_delivery_events::DeliveryEvent;
+use linnetcart_telemetry::collectd::{self, PacketItem};
+use linnetcart_telemetry::connection::ConnectionAction;
+use linnetcart_telemetry::settings::{Form, Telemetry as Settings};
+use linnetcart_telemetry::{CurrentState, ListedEndpoint, LogEvent, Output, RestoredState, Telemetry};
+use parts::{courier, settings, Crash, Receiver};
+use std::collections::BTreeMap;
+
+#[test]
+fn series_after_settling_equal_independent_counts() {
+    for form in [Form::Plaintext, Form::Pickle] {
+        let mut simulation = Simulation::new(form);
+        simulation.run(600);
+        simulation.settle();
+        simulation.assert_counts_received();
+        let value = |end: &str| simulation.last_value(end);
+        assert_eq!(value("dest.d2.limit_told"), 40.0);
+        assert_eq!(value("dest.d2.limit_used_share"), 0.75);
+        assert_eq!(value("dest.d2.route.20.attempts"), value("dest.d2.attempts"));
+        let weight = |part: &str| value(&format!("courier.worth_{part}_milli"));
+        assert_eq!(weight("asked"), weight("in_aim") + weight("late") + weight("lost"));
+        assert!(weight("late") > 0.0 && weight("lost") > 0.0);
+    }
+}
+
+#[test]
+fn receiver_outage_of_ten_minutes_loses_resolution_and_no_count() {
+    let mut simulation = Simulation::new(Form::Plaintext);
+    simulation.run(300);
+    let points_before = simulation.receiver.stream.points;
+    simulation.lose_receiver();
+    simulation.run(6000);
+    assert_eq!(simulation.receiver.stream.points, points_before);
+    assert!(simulation.max_waiting_bytes <= 1 << 18, "{}", simulation.max_waiting_bytes);
+    simulation.receiver_reachable = true;
+    simulation.receiver_reads = true;
+    simulation.run(1200);
+    simulation.settle();
+    simulation.assert_counts_received();
+    assert!(simulation.last_value("courier.points_dropped") > 0.0, "what was dropped is reported");
+}
+
+#[test]
+fn receiver_not_reading_or_resetting_loses_no_count() {
+    let mut simulation = Simulation::new(Form::Pickle);
+    simulation.receiver_reads = false;
+    simulation.run(3000);
+    assert!(simulation.max_waiting_bytes <= 1 << 18, "{}", simulation.max_waiting_bytes);
+    simulation.receiver_reads = true;
+    for _ in 0..60 {
+        simulation.run(30);
+        simulation.break_connection();
+    }
+    simulation.run(900);
+    simulation.settle();
+    simulation.assert_counts_received();
+}
+
+#[test]
+fn crashes_between_snapshots_and_within_an_interval_lose_no_count() {
+    let mut simulation = Simulation::new(Form::Plaintext);
+    for n in 0..30 {
+        simulation.run(10 + n * 3 % 70);
+        simulation.run_fast(n % 5);
+        simulation.crash(Crash::Process);
+        if n % 10 == 0 {
+            simulation.crash(Crash::Process);
+            simulation.run(1);
+            simulation.crash(Crash::Process);
+        }
+    }
+    simulation.run(10);
+    simulation.settle();
+    simulation.assert_counts_received();
+}
+
+#[test]
+fn power_loss_loses_unsynced_counts_and_no_series_falls() {
+    let mut simulation = Simulation::new(Form::Plaintext);
+    for n in 0..30 {
+        simulation.run(150 + n * 7 % 130);
+        simulation.crash(Crash::PowerLoss);
+    }
+    simulation.settle();
+    simulation.assert_nothing_fell();
+    let counted = simulation.counted["courier.taken"] as f64;
+    let received = simulation.last_value("courier.taken");
+    assert!(received <= counted && received > counted / 2.0, "{received} of {counted}");
+}
+
+#[test]
+fn clock_jumping_an_hour_lets_no_series_fall() {
+    let mut simulation = Simulation::new(Form::Plaintext);
+    simulation.run(300);
+    simulation.wall -= 3600 * SECOND;
+    simulation.run(600);
+    let is_set_back = |event: &LogEvent| matches!(event, LogEvent::ClockSetBack { .. });
+    assert!(simulation.logged.iter().any(is_set_back), "{:?}", simulation.logged);
+    simulation.crash(Crash::Process);
+    simulation.run(600);
+    simulation.wall += 3 * 3600 * SECOND;
+    simulation.run(300);
+    simulation.settle();
+    simulation.assert_counts_received();
+}
+
+#[test]
+fn sync_failure_withholds_counts_but_not_gauges() {
+    let mut simulation = Simulation::new(Form::Plaintext);
+    simulation.run(300);
+    simulation.disk_works = false;
+    let count_before = simulation.last_point("courier.taken");
+    let (gauge_time_before, _) = simulation.last_point("courier.slots");
+    simulation.run(600);
+    assert_eq!(simulation.last_point("courier.taken"), count_before);
+    let (gauge_time, _) = simulation.last_point("courier.slots");
+    assert!(gauge_time > gauge_time_before);
+    assert!(simulation.telemetry.status(simulation.now).counts_not_safe);
+    simulation.disk_works = true;
+    simulation.run(300);
+    simulation.settle();
+    simulation.assert_counts_received();
+}
+
+/// Other names of destinations, and time to report under them.
+fn run_with_names(simulation: &mut Simulation, names: &[(u32, &str)]) {
+    let names = names.iter().map(|(destination, name)| (*destination, (*name).to_owned())).collect();
+    let settings = Settings { names, ..simulation.telemetry.settings().clone() };
+    simulation.telemetry.configure(settings, simulation.now);
+    simulation.run(250);
+}
+
+#[test]
+fn names_changed_or_colliding_let_no_series_fall() {
+    let mut simulation = Simulation::new(Form::Plaintext);
+    run_with_names(&mut simulation, &[(1, "Bank Łódź"), (2, "Bank.Lodz")]);
+    run_with_names(&mut simulation, &[(1, "Other"), (2, "Bank Lodz"), (3, "Bank Lodz")]);
+    simulation.crash(Crash::Process);
+    // One is removed from the list, and comes back.
+    let without_second =
+        [10, 30].map(|endpoint| ListedEndpoint { endpoint, destination: endpoint / 10, apart: false });
+    simulation.telemetry.set_endpoints(without_second.into_iter());
+    run_with_names(&mut simulation, &[(3, "Other")]);
+    simulation.list_endpoints();
+    run_with_names(&mut simulation, &[(1, "Bank Lodz")]);
+    simulation.settle();
+    simulation.assert_nothing_fell();
+    let accepted = |name: &str| simulation.last_value(&format!("dest.{name}.taken"));
+    let wanted = simulation.counted["dest.d1.taken"] as f64;
+    assert_eq!(accepted("Bank_Lodz"), wanted, "it is the first owner's again");
+    assert!(accepted("Bank_Lodz-d2") > 0.0 && accepted("Bank_Lodz-d3") > 0.0 && accepted("Other-d3") > 0.0);
+}
+
+/// The plugin instances and severities that collectd is notified of when an endpoint's limit changes its state.
+fn notifications_of(
+    simulation: &mut Simulation,
+    destination: u32,
+    endpoint: u32,
+    state: LimitState,
+) -> Vec<(String, u64)> {
+    let change = LimitChange { destination, endpoint, state, evidence: None };
+    simulation.telemetry.record(&DeliveryEvent::LimitChanged(change));
+    simulation.telemetry.process(simulation.now, simulation.wall, CurrentState::default);
+    let mut notifications = Vec::new();
+    for output in simulation.telemetry.outputs() {
+        let Output::Datagram(_, packet) = output else { continue };
+        for item in collectd::read(&packet, &BTreeMap::new(), Default::default()).expect("a packet") {
+            if let PacketItem::Notification(header, severity, _) = item {
+                notifications.push((header.plugin_instance, severity));
+            }
+        }
+    }
+    notifications
+}
+
+#[test]
+fn limit_state_changed_notifies_once_and_one_silent_endpoint_is_no_outage() {
+    let mut simulation = Simulation::new(Form::Plaintext);
+    let mut notified = Vec::new();
+    for (destination, endpoint, state) in [
+        (1, 10, LimitState::Silent),
+        (1, 11, LimitState::Silent),
+        (1, 11, LimitState::Ejected),
+        (2, 21, LimitState::Silent),
+        (1, 10, LimitState::Recovering),
+        (1, 10, LimitState::Healthy),
+    ] {
+        notified.extend(notifications_of(&mut simulation, destination, endpoint, state));
+    }
+    let wanted = [("dest-d1", 1), ("dest-d2-route-21", 1), ("dest-d1", 2), ("dest-d1", 4)];
+    assert_eq!(notified, wanted.map(|(instance, severity)| (instance.to_owned(), severity)));
+}
+
+#[test]
+fn sums_after_restart_at_cell_limit_do_not_fall() {
+    let settings = Settings { cells: 3, ..settings(Form::Plaintext) };
+    let mut simulation = Simulation::with_settings(settings);
+    simulation.run(300);
+    simulation.crash(Crash::Process);
+    simulation.run(300);
+    simulation.assert_nothing_fell();
+    assert!(simulation.telemetry.status(simulation.now).beyond > 0);
+}
+
+#[test]
+fn reports_of_thousand_couriers_spread_over_interval() {
+    let mut couriers_by_second = [0; 10];
+    for number in 0..1000 {
+        let telemetry =
+            Telemetry::new(courier(number), RestoredState::default(), settings(Form::Plaintext), 0);
+        couriers_by_second[(telemetry.next_wakeup() / SECOND) as usize] += 1;
+    }
+    assert!(couriers_by_second.iter().all(|count| (60..=140).contains(count)), "{couriers_by_second:?}");
+}
+
+const MANY_DESTINATIONS: u32 = 5000;
+const MANY_CLASSES: u8 = 10;
+
+/// A courier with a message accepted of each class at each destination.
+fn courier_of_many_cells(max_points: usize) -> Telemetry {
+    let mut info = courier(3);
+    let class = info.classes[0].1.clone();
+    info.classes = (0..MANY_CLASSES).map(|number| (format!("c{number}"), class.clone())).collect();
+    let mut settings = Settings { points: max_points, ..settings(Form::Plaintext) };
+    settings.graphite.iter_mut().for_each(|graphite| graphite.queue_bytes = 16 << 20);
+    let mut telemetry = Telemetry::new(info, RestoredState::default(), settings, 0);
+    let endpoint = |number| ListedEndpoint { endpoint: number, destination: number, apart: false };
+    telemetry.set_endpoints((0..MANY_DESTINATIONS).map(endpoint));
+    for destination in 0..MANY_DESTINATIONS {
+        for class in 0..MANY_CLASSES {
+            telemetry.record(&DeliveryEvent::Accepted {
+                message: destination,
+                name: "x".into(),
+                class,
+                destination,
+                deadline: SECOND,
+            });
+        }
+    }
+    telemetry
+}
+
+/// One iteration of the event loop, with a receiver and a disk that work.
+fn process(telemetry: &mut Telemetry, receiver: &mut Receiver, now: u64) {
+    telemetry.process(now, WALL_START + now, CurrentState::default);
+    for output in telemetry.outputs() {
+        match output {
+            Output::Sync(number) => telemetry.synced(number, Ok(())),
+            Output::Graphite(ConnectionAction::Connect(_)) => telemetry.connected(now),
+            Output::Graphite(ConnectionAction::Write(bytes)) => receiver.receive(&bytes),
+            _ => {}
+        }
+    }
+    telemetry.acknowledged(now, u64::MAX);
+}
+
+#[test]
+fn report_of_fifty_thousand_cells_stays_within_point_limit() {
+    let mut telemetry = courier_of_many_cells(20_000);
+    let mut receiver = Receiver::default();
+    for report in 1..=60u64 {
+        for slice in 0..300u64 {
+            let now = report * 10 * SECOND + slice * SECOND / 1000;
+            process(&mut telemetry, &mut receiver, now);
+            let points = telemetry.status(now).points;
+            assert!(points <= 20_000 + 100, "{points}");
+        }
+    }
+    let is_cell =
+        |name: &&String| name.contains(".class.c") && name.contains(".dest.") && name.ends_with(".taken");
+    let cells = receiver.stream.last.keys().filter(is_cell).count();
+    assert_eq!(cells, 50_000, "every cell had its turn");
+}
--- /dev/null
+++ b/crates/telemetry/tests/virtual_time/parts.rs
@@ -0,0 +1,73 @@
+//! What a simulation consists of besides the reporting: the courier's settings, a receiver and a disk.
+
+use crate::fixture::{CLASS_NAMES, DEADLINE, LATENCY_OBJECTIVE};
+use linnetcart::{Class, Idempotency};
+use linnetcart_telemetry::settings::{Collectd, Form, Graphite, Security, Telemetry as Settings};
+use linnetcart_telemetry::stream::Stream;
+use linnetcart_telemetry::CourierInfo;
+
+pub fn courier(number: u32) -> CourierInfo {
+    let class = |name: &str| {
+        let class = Class {
+            latency_objective: LATENCY_OBJECTIVE,
+            deadline: DEADLINE,
+            priority_weight: 2.0,
+            late_weight: 0.5,
+            idempotency: Idempotency::Idempotent,
+            ordered: false,
+        };
+        (name.to_owned(), class)
+    };
+    CourierInfo {
+        deployment: "test".into(),
+        me: number,
+        classes: CLASS_NAMES.map(class).to_vec(),
+        halves: false,
+        seed: 5,
+    }
+}
+
+pub fn settings(form: Form) -> Settings {
+    let address = "127.0.0.1:2003".parse().expect("an address");
+    Settings {
+        graphite: Some(Graphite { address, form, tags: false, queue_bytes: 1 << 18, stuck_s: 5 }),
+        collectd: Some(Collectd { address, host: None, security: Security::None, packet_bytes: 1452 }),
+        ..Settings::default()
+    }
+}
+
+/// A Graphite receiver, with what its connection holds.
+#[derive(Default)]
+pub struct Receiver {
+    pub stream: Stream,
+    held: Vec<u8>,
+}
+
+impl Receiver {
+    pub fn receive(&mut self, bytes: &[u8]) {
+        self.held.extend(bytes);
+        assert!(self.stream.take(&mut self.held, |_, _, _| ()));
+        assert_eq!(self.stream.bad, 0, "{:?}", self.stream.last_bad);
+    }
+
+    pub fn connection_closed(&mut self) {
+        self.held.clear();
+    }
+}
+
+/// The saved document, and a log whose end was perhaps never brought to disk.
+#[derive(Default)]
+pub struct Disk {
+    pub saved: Option<Vec<u8>>,
+    pub log: Vec<u8>,
+    pub synced_bytes: usize,
+}
+
+/// What ends a process, and so what is lost of its log.
+#[derive(Clone, Copy)]
+pub enum Crash {
+    /// The process alone: nothing is lost.
+    Process,
+    /// The power: what was not brought to disk is lost.
+    PowerLoss,
+}
