--- /dev/null
+++ b/crates/telemetry/src/names/tests.rs
@@ -0,0 +1,31 @@
+use super::*;
+
+fn newly(name: &str) -> AssignedName {
+    AssignedName { name: name.to_owned(), newly_assigned: true }
+}
+
+fn already(name: &str) -> AssignedName {
+    AssignedName { name: name.to_owned(), newly_assigned: false }
+}
+
+#[test]
+fn name_taken_stays_with_first_owner() {
+    assert_eq!(safe("Sparkasse Köln.Bonn (Mitte)"), "Sparkasse_Koln_Bonn__Mitte_");
+    let mut names = SeriesNames::new(100);
+    assert_eq!(names.assign(Some("a.b"), 1), newly("a_b"));
+    assert_eq!(names.assign(Some("a b"), 2), newly("a_b-d2"), "made safe they collide");
+    assert_eq!(names.assign(Some("c"), 1), newly("c"), "renamed");
+    assert_eq!(names.assign(Some("a.b"), 3), newly("a_b-d3"), "the old name is not assigned again");
+    assert_eq!(names.assign(Some("a.b"), 1), already("a_b"), "but to its owner");
+    assert_eq!(names.assign(Some("d2"), 5).name, "d5", "a number is nobody's name");
+    assert_eq!(names.assign(None, 9).name, "d9");
+    // A later one that wants the very name another got by collision.
+    assert_eq!(names.assign(Some("a_b-d2"), 4).name, "a_b-d2-d4");
+}
+
+#[test]
+fn name_beyond_limit_falls_back_to_number() {
+    let mut names = SeriesNames::new(1);
+    assert_eq!(names.assign(Some("x"), 1).name, "x");
+    assert_eq!(names.assign(Some("y"), 2).name, "d2");
+}
