Conformance: one file a rule, records, summary and report apart, named structs

Cause: one file of 763 lines held records, six rules and the summary; pairs and tuple keys whose places had meanings; copies of `Idempotency` and `Time` of the library's interface. Change: `records`, `invariants`, `report`, `summary`, `index` and `rules/` with one module a rule. `ClientAnswer`, `ConnectionPosition` and private structs instead of tuples; `Submission::trip` -> `answer_travelled`, `line` -> `position`, `Invariants::travel` -> `timing_tolerance`, `slow` -> `extra_link_delay`. `Time` and `Idempotency` are those of the library; `Class` and `worth` stay copies on purpose and the crate's docs say why. Rule titles, examples and JSON fields are unchanged. Tests use the public interface and stand in `tests/invariants.rs`; assertions are unchanged.

--- /dev/null
+++ b/crates/conformance/src/rules/single_effect.rs
@@ -0,0 +1,149 @@
+//! Rule 2: no message takes effect twice.
+
+use super::millis;
+use crate::index::RecordIndex;
+use crate::invariants::Invariants;
+use crate::records::{Answer, Arrival, Submission};
+use crate::report::{CaseOutcome, InvariantResult};
+use linnetcart::{Idempotency, Time};
+
+/// How endpoints recognize a message with an idempotency key.
+#[derive(Clone, Copy)]
+struct Deduplication {
+    window: Time,
+    per_zone: bool,
+}
+
+/// One message: its submissions, and the arrivals that may have been executed.
+struct MessageHistory<'a> {
+    message: u64,
+    submissions: &'a [&'a Submission],
+    possibly_executed: Vec<&'a Arrival>,
+}
+
+/// Checks all messages that may not simply be repeated.
+pub(crate) fn check(invariants: &Invariants, index: &RecordIndex<'_>) -> InvariantResult {
+    let mut result = InvariantResult::new("2 no effect twice");
+    for (message, submissions) in index.messages() {
+        let arrivals = index.arrivals_of(message);
+        let possibly_executed = arrivals.iter().copied().filter(|arrival| !arrival.is_rejected()).collect();
+        let history = MessageHistory { message, submissions, possibly_executed };
+        match invariants.class(submissions[0].class).idempotency {
+            Idempotency::Idempotent => {}
+            Idempotency::NotIdempotent => {
+                let effects = arrivals.iter().filter(|arrival| arrival.effect).count();
+                history.check_single_execution(&mut result, effects);
+                history.check_rejections(&mut result);
+            }
+            Idempotency::Keyed { dedup_window: window, per_zone } => {
+                let deduplication = Deduplication { window, per_zone };
+                history.check_window_across_couriers(&mut result, invariants, deduplication);
+                history.check_attempts_of_each_holder(&mut result, invariants, deduplication);
+                // A rejected message may have run where all endpoints know its key.
+                if per_zone {
+                    history.check_rejections(&mut result);
+                } else {
+                    history.count_rejections(&mut result);
+                }
+            }
+        }
+    }
+    result
+}
+
+impl MessageHistory<'_> {
+    fn check_single_execution(&self, result: &mut InvariantResult, effects: usize) {
+        let executions = self.possibly_executed.len();
+        result.record(CaseOutcome::kept_if(executions <= 1 && effects <= 1), || {
+            let texts: Vec<String> = self.possibly_executed.iter().map(|a| describe(a)).collect();
+            format!("message {} may have run {executions} times: {}", self.message, texts.join("; "))
+        });
+    }
+
+    /// A client that submits the message to another courier keeps to the window too.
+    fn check_window_across_couriers(
+        &self,
+        result: &mut InvariantResult,
+        invariants: &Invariants,
+        deduplication: Deduplication,
+    ) {
+        if deduplication.per_zone || self.submissions.len() < 2 {
+            return;
+        }
+        let Some(first) = self.possibly_executed.first() else { return };
+        let first_sent = first.sent();
+        let last_sent = self.possibly_executed.iter().map(|arrival| arrival.sent()).max().unwrap_or(0);
+        let in_window = last_sent <= first_sent + deduplication.window + invariants.timing_tolerance;
+        result.record(CaseOutcome::kept_if(in_window), || {
+            let after = millis(last_sent - first_sent);
+            format!("message {}: handed on, it was sent {after:.0} ms after the first time", self.message)
+        });
+    }
+
+    /// The attempts of each submission stand under the rule of the courier that held it.
+    fn check_attempts_of_each_holder(
+        &self,
+        result: &mut InvariantResult,
+        invariants: &Invariants,
+        deduplication: Deduplication,
+    ) {
+        for (position, submission) in self.submissions.iter().enumerate() {
+            let next_at = self.submissions.get(position + 1).map_or(Time::MAX, |next| next.at);
+            let attempts = self.attempts_of(submission, next_at);
+            let Some(first) = attempts.first() else { continue };
+            let latest = first.sent() + deduplication.window + invariants.timing_tolerance;
+            let recognized = |attempt: &&Arrival| {
+                attempt.sent() <= latest && (!deduplication.per_zone || attempt.zone == first.zone)
+            };
+            result.record(CaseOutcome::kept_if(attempts.iter().all(recognized)), || {
+                format!("message {}: sent again outside of its window or group", self.message)
+            });
+        }
+    }
+
+    /// What the holder of a submission sent before the message was submitted again.
+    fn attempts_of(&self, submission: &Submission, next_submission: Time) -> Vec<&Arrival> {
+        let by_holder = |arrival: &&Arrival| {
+            let sent = arrival.sent();
+            arrival.sender() == submission.holder() && sent >= submission.at && sent < next_submission
+        };
+        self.possibly_executed.iter().copied().filter(by_holder).collect()
+    }
+
+    /// A message that may have run must not be rejected: the client would submit it again.
+    fn check_rejections(&self, result: &mut InvariantResult) {
+        for submission in self.submissions {
+            let Some(rejected_at) = rejected_at(submission) else { continue };
+            let ran_before = self.possibly_executed.iter().any(|arrival| {
+                let held = submission.at..=rejected_at;
+                arrival.sender() == submission.holder() && held.contains(&arrival.sent())
+            });
+            result.record(CaseOutcome::kept_if(!ran_before), || {
+                format!("message {}: refused though it may have run", self.message)
+            });
+        }
+    }
+
+    /// Rejections that keep the rule whatever ran before are cases too.
+    fn count_rejections(&self, result: &mut InvariantResult) {
+        for _ in self.submissions.iter().filter(|submission| rejected_at(submission).is_some()) {
+            result.record(CaseOutcome::Kept, String::new);
+        }
+    }
+}
+
+/// When the first answer to a submission came, if that was a rejection.
+fn rejected_at(submission: &Submission) -> Option<Time> {
+    let first = submission.answers.first()?;
+    (first.answer == Answer::Rejected).then_some(first.at)
+}
+
+fn describe(arrival: &Arrival) -> String {
+    format!(
+        "{:.0} ms at {} by {}: {:?}",
+        millis(arrival.at),
+        arrival.endpoint,
+        arrival.courier,
+        arrival.verdict
+    )
+}
--- a/crates/conformance/src/tests.rs
+++ b/crates/conformance/tests/invariants.rs
@@ -1,18 +1,22 @@
-//! Each check sees the break that it is for, and nothing where there is none.
+//! Each check reports the violation that it is for, and nothing where there is none.
 
-use super::*;
+use linnetcart_conformance::{
+    check, Answer, Arrival, Class, ClientAnswer, ConnectionPosition, EndpointNotification, EndpointVerdict,
+    FailedConnect, Idempotency, Invariants, Outage, Partition, Records, Stall, Submission, Time,
+};
+use std::collections::BTreeMap;
 
 const MS: Time = 1_000_000;
 const S: Time = 1000 * MS;
 
-fn contract() -> Invariants {
-    let class = |name: &str, repeat, ordered| Class {
+fn invariants() -> Invariants {
+    let class = |name: &str, idempotency, ordered| Class {
         name: name.into(),
         latency_objective: S,
         deadline: 4 * S,
         priority_weight: 1.0,
         late_weight: 0.5,
-        idempotency: repeat,
+        idempotency,
         ordered,
     };
     Invariants {
@@ -27,24 +31,24 @@
         key_cooldown: 200 * MS,
         overload_ratio: 2.0,
         overload_window: S,
-        travel: 5 * MS,
-        slow: 0,
+        timing_tolerance: 5 * MS,
+        extra_link_delay: 0,
     }
 }
 
-fn handed(message: u64, class: u8, at: Time, answers: &[(Time, Answer)]) -> Submission {
+fn submission(message: u64, class: u8, at: Time, answers: &[(Time, Answer)]) -> Submission {
     Submission {
         message,
         courier: 0,
         incarnation: 0,
-        line: (0, message),
+        position: ConnectionPosition { connection: 0, sequence: message },
         class,
         destination: 1,
         key: Some(7),
         at,
         deadline: at + 4 * S,
-        answers: answers.to_vec(),
-        trip: 0,
+        answers: answers.iter().map(|&(at, answer)| ClientAnswer { at, answer }).collect(),
+        answer_travelled: 0,
         orphaned: None,
     }
 }
@@ -68,20 +72,21 @@
 }
 
 /// How often each rule is broken.
-fn broken(r: &Records) -> Vec<u64> {
-    check(r, &contract()).rules.iter().map(|f| f.broken).collect()
+fn broken(records: &Records) -> Vec<u64> {
+    check(records, &invariants()).rules.iter().map(|result| result.broken).collect()
 }
 
+/// One violation of this rule and none of the others.
 fn only(rule: usize) -> Vec<u64> {
     (1..=6).map(|n| u64::from(n == rule)).collect()
 }
 
 #[test]
-fn a_good_day_is_good() {
+fn records_without_violations_keep_all_rules() {
     let r = Records {
         submissions: vec![
-            handed(1, 2, 0, &[(S / 2, Answer::Served)]),
-            handed(2, 1, 0, &[(3 * S, Answer::Served)]),
+            submission(1, 2, 0, &[(S / 2, Answer::Served)]),
+            submission(2, 1, 0, &[(3 * S, Answer::Served)]),
         ],
         arrivals: vec![
             arrival(1, 100 * MS, EndpointVerdict::Served),
@@ -89,7 +94,7 @@
         ],
         ..Records::default()
     };
-    let report = check(&r, &contract());
+    let report = check(&r, &invariants());
     assert!(report.kept(), "{report:?}");
     assert_eq!((report.classes[2].in_aim, report.classes[1].late), (1, 1));
     // Two thirds of the way from aim to deadline, of which half the worth is left.
@@ -97,9 +102,9 @@
 }
 
 #[test]
-fn rule_1_sees_none_two_late_and_sent_after() {
+fn final_answer_missing_double_late_or_followed_by_a_send_breaks_rule_1() {
     let day = |answers: &[(Time, Answer)], arrivals: &[Arrival]| Records {
-        submissions: vec![handed(1, 0, 0, answers)],
+        submissions: vec![submission(1, 0, 0, answers)],
         arrivals: arrivals.to_vec(),
         ..Records::default()
     };
@@ -110,7 +115,7 @@
     // An answer that made a long trip left in time; three such trips do not make a message young.
     let slow = |at| {
         let mut day = day(&[(at, Answer::Failed)], &[]);
-        day.submissions[0].trip = 40 * MS;
+        day.submissions[0].answer_travelled = 40 * MS;
         day
     };
     assert_eq!(broken(&slow(4 * S + 54 * MS)), [0; 6]);
@@ -144,9 +149,9 @@
 }
 
 #[test]
-fn rule_2_sees_a_second_run_a_wrong_zone_a_closed_window_and_a_false_refusal() {
+fn second_execution_wrong_zone_closed_window_or_false_rejection_breaks_rule_2() {
     let day = |class, answer, arrivals: &[Arrival]| Records {
-        submissions: vec![handed(1, class, 0, &[(3 * S, answer)])],
+        submissions: vec![submission(1, class, 0, &[(3 * S, answer)])],
         arrivals: arrivals.to_vec(),
         ..Records::default()
     };
@@ -164,27 +169,27 @@
     assert_eq!(broken(&day(1, Answer::Served, &[silent.clone(), late.clone()])), only(2));
     // The second courier kept the window as it knew it, the client that handed the message on did not.
     let mut on = day(1, Answer::Served, std::slice::from_ref(&served));
-    on.submissions.push(Submission { courier: 1, ..handed(1, 1, 2 * S, &[(3500 * MS, Answer::Served)]) });
+    on.submissions.push(Submission { courier: 1, ..submission(1, 1, 2 * S, &[(3500 * MS, Answer::Served)]) });
     let handed_on = |at| {
         let mut all = on.clone();
         all.arrivals.push(Arrival { courier: 1, at, ..served.clone() });
-        let mut all_endpoints = contract();
+        let mut all_endpoints = invariants();
         all_endpoints.classes[1].idempotency = Idempotency::Keyed { dedup_window: 2 * S, per_zone: false };
         check(&all, &all_endpoints).rules[1].broken
     };
     assert_eq!((handed_on(2504 * MS), handed_on(2506 * MS)), (0, 1));
     // Handed back and handed in again, it is a new message to the courier.
     let mut twice = day(1, Answer::Rejected, &[silent, late]);
-    twice.submissions[0].answers[0].0 = S;
-    twice.submissions.push(handed(1, 1, 2 * S, &[(3 * S, Answer::Served)]));
+    twice.submissions[0].answers[0].at = S;
+    twice.submissions.push(submission(1, 1, 2 * S, &[(3 * S, Answer::Served)]));
     // Its class forgets by zone: the refusal is the break, not the second try.
-    assert_eq!(check(&twice, &contract()).rules[1].broken, 1);
+    assert_eq!(check(&twice, &invariants()).rules[1].broken, 1);
 }
 
 #[test]
-fn rule_3_sees_a_call_after_the_grace_and_not_one_before() {
+fn call_to_draining_endpoint_after_the_grace_breaks_rule_3() {
     let day = |at| Records {
-        submissions: vec![handed(1, 0, 0, &[(S, Answer::Served)])],
+        submissions: vec![submission(1, 0, 0, &[(S, Answer::Served)])],
         arrivals: vec![arrival(1, at, EndpointVerdict::Served)],
         notifications: vec![EndpointNotification {
             courier: 0,
@@ -200,7 +205,7 @@
 }
 
 #[test]
-fn rule_4_sees_a_push_by_those_who_knew_and_leaves_others_alone() {
+fn overload_after_outage_by_couriers_that_knew_breaks_rule_4() {
     let outage = Outage {
         destination: 1,
         route: None,
@@ -220,7 +225,7 @@
             arrivals.push(arrival(21, S / 2, EndpointVerdict::Error));
         }
         Records {
-            submissions: (1..=21).map(|n| handed(n, 0, 0, &answers)).collect(),
+            submissions: (1..=21).map(|n| submission(n, 0, 0, &answers)).collect(),
             arrivals,
             outages: vec![outage.clone()],
             ..Records::default()
@@ -243,9 +248,12 @@
 }
 
 #[test]
-fn rule_5_sees_a_key_out_of_turn_and_one_without_its_rest() {
+fn ordering_key_out_of_turn_or_without_cooldown_breaks_rule_5() {
     let day = |first: Arrival, second: Time| Records {
-        submissions: vec![handed(1, 1, 0, &[(S, Answer::Served)]), handed(2, 1, 0, &[(S, Answer::Served)])],
+        submissions: vec![
+            submission(1, 1, 0, &[(S, Answer::Served)]),
+            submission(2, 1, 0, &[(S, Answer::Served)]),
+        ],
         arrivals: vec![first, arrival(2, second, EndpointVerdict::Served)],
         ..Records::default()
     };
@@ -255,16 +263,23 @@
     assert_eq!(broken(&day(arrival(1, 100 * MS, EndpointVerdict::Unanswered), 310 * MS)), [0; 6]);
     // What the courier still holds from a connection that broke is not in turn with those of a later one.
     let mut again = day(arrival(1, 100 * MS, EndpointVerdict::Served), 90 * MS);
-    again.submissions.push(Submission { line: (9, 1), orphaned: Some(80 * MS), ..handed(2, 1, 0, &[]) });
+    again.submissions.push(Submission {
+        position: ConnectionPosition { connection: 9, sequence: 1 },
+        orphaned: Some(80 * MS),
+        ..submission(2, 1, 0, &[])
+    });
     assert_eq!(broken(&again), [0; 6]);
     again.submissions[2].courier = 1;
     assert_eq!(broken(&again), only(5));
 }
 
 #[test]
-fn rule_6_sees_a_call_within_a_told_wait_but_only_at_its_limit() {
+fn call_within_retry_after_at_the_same_limit_breaks_rule_6() {
     let day = |second: Arrival| Records {
-        submissions: vec![handed(1, 0, 0, &[(S, Answer::Served)]), handed(2, 0, 0, &[(S, Answer::Served)])],
+        submissions: vec![
+            submission(1, 0, 0, &[(S, Answer::Served)]),
+            submission(2, 0, 0, &[(S, Answer::Served)]),
+        ],
         arrivals: vec![arrival(1, 100 * MS, EndpointVerdict::Rejected { retry_after: 300 * MS }), second],
         ..Records::default()
     };
@@ -275,10 +290,10 @@
 }
 
 #[test]
-fn what_has_no_answer_is_lost_if_it_was_safe_and_unknown_otherwise() {
-    let orphan = |message, class| Submission { orphaned: Some(S), ..handed(message, class, 0, &[]) };
+fn message_without_answer_is_lost_if_idempotent_and_unknown_otherwise() {
+    let orphan = |message, class| Submission { orphaned: Some(S), ..submission(message, class, 0, &[]) };
     let r = Records { submissions: vec![orphan(1, 0), orphan(2, 1), orphan(3, 2)], ..Records::default() };
-    let report = check(&r, &contract());
+    let report = check(&r, &invariants());
     let of: Vec<(u64, u64)> = report.classes.iter().map(|c| (c.lost, c.unknown)).collect();
     assert_eq!(of, [(1, 0), (0, 1), (0, 1)]);
 }
--- a/crates/emulator/tests/days.rs
+++ b/crates/emulator/tests/days.rs
@@ -88,10 +88,10 @@
     let r = &run.played.records;
     let (h, a) = (&r.submissions[0], &r.arrivals[0]);
     assert_eq!((r.submissions.len(), r.arrivals.len()), (1, 1));
-    assert_eq!((h.answers[0].1, a.verdict, a.effect), (Answer::Served, EndpointVerdict::Served, true));
+    assert_eq!((h.answers[0].answer, a.verdict, a.effect), (Answer::Served, EndpointVerdict::Served, true));
     // In, a connection with its greeting, the call, the service, two answers: each way takes the link's delay.
     let (taken, served) = (a.at - h.at, a.answered.unwrap() - a.at);
-    let back = h.answers[0].0 - a.answered.unwrap();
+    let back = h.answers[0].at - a.answered.unwrap();
     assert!((5 * 30_000..4_000_000).contains(&taken), "{taken}");
     assert!(served > 1_000_000 && (60_000..2_000_000).contains(&back), "{served} {back}");
 }
--- a/crates/scenario/src/fleet.rs
+++ b/crates/scenario/src/fleet.rs
@@ -240,8 +240,8 @@
             key_cooldown: millis(r.key_rest_ms),
             overload_ratio: r.fall_multiple,
             overload_window: seconds(r.fall_span_s),
-            travel: way.travel(),
-            slow,
+            timing_tolerance: way.travel(),
+            extra_link_delay: slow,
         }
     }
 
--- a/crates/scenario/src/stage/clients.rs
+++ b/crates/scenario/src/stage/clients.rs
@@ -71,7 +71,7 @@
         let timeout = i32::try_from(left_ms).unwrap_or(i32::MAX);
         let request = client::produce(p.correlation, CLIENT_ID, PRODUCE, (-1, timeout), &to)?;
         p.waiting.insert(p.correlation, self.handed.len());
-        let (line, life) = ((token, p.order), p.life);
+        let (position, life) = (ConnectionPosition { connection: token, sequence: p.order }, p.life);
         if p.up {
             self.transport.send(token, &request);
         } else {
@@ -81,14 +81,14 @@
             message: number as u64,
             courier,
             incarnation: life,
-            line,
+            position,
             class: planned.class,
             destination: planned.destination,
             key: planned.key,
             at: self.now,
             deadline: self.now + left_ms * 1_000_000,
             answers: Vec::new(),
-            trip: 0,
+            answer_travelled: 0,
             orphaned: None,
         });
         let patience = seconds(self.fleet.scenario.clients.patience_s);
@@ -117,11 +117,11 @@
         };
         let trip = self.transport.travelled(token);
         let h = &mut self.handed[at];
-        h.trip = trip;
+        h.answer_travelled = trip;
         if h.answers.is_empty() {
             self.open -= 1;
         }
-        h.answers.push((self.now, answer));
+        h.answers.push(ClientAnswer { at: self.now, answer });
         if answer == Answer::Rejected {
             let number = h.message as usize;
             let attempt = self.tries.get(&number).copied().unwrap_or(0);
@@ -142,7 +142,7 @@
     /// A client has waited long enough for what it handed in: it breaks the connection.
     pub(super) fn impatient(&mut self, at: usize) {
         let h = &self.handed[at];
-        let token = h.line.0;
+        let token = h.position.connection;
         if !h.answers.is_empty() || h.orphaned.is_some() || !self.roles.contains_key(&token) {
             return;
         }
--- a/crates/scenario/src/stage/mod.rs
+++ b/crates/scenario/src/stage/mod.rs
@@ -11,7 +11,10 @@
 use crate::fleet::{millis, seconds, Fleet};
 use anyhow::bail;
 use bytes::Bytes;
-use linnetcart_conformance::{Answer, EndpointNotification, Partition, Records, Stall, Submission, Time};
+use linnetcart_conformance::{
+    Answer, ClientAnswer, ConnectionPosition, EndpointNotification, Partition, Records, Stall, Submission,
+    Time,
+};
 use linnetcart_endpoint_model::{
     CallItem, CallStep, Caller, ConnectOutcome, EndpointSimulator, ItemStatus, Reply,
 };
--- a/crates/testbed/src/emulated.rs
+++ b/crates/testbed/src/emulated.rs
@@ -3,7 +3,7 @@
 
 use crate::baselines;
 use anyhow::{bail, Context};
-use linnetcart_conformance::{check, EndpointVerdict, Report, Time};
+use linnetcart_conformance::{check, ClientAnswer, EndpointVerdict, Report, Time};
 use linnetcart_edge::delivery_events::{DeliveryEvent, FinalAnswer};
 use linnetcart_emulator::network::Model;
 use linnetcart_emulator::trace::Story;
@@ -87,7 +87,7 @@
         let text =
             format!("client: handed to courier {} (life {}), {left:.0} ms left", h.courier, h.incarnation);
         lines.push((h.at, 0, text));
-        for (at, answer) in &h.answers {
+        for ClientAnswer { at, answer } in &h.answers {
             lines.push((*at, 5, format!("client: answered {answer:?} by courier {}", h.courier)));
         }
         if let Some(at) = h.orphaned {
--- a/crates/testbed/src/experiment/measures.rs
+++ b/crates/testbed/src/experiment/measures.rs
@@ -1,7 +1,7 @@
 //! What is measured of a run.
 
 use hdrhistogram::Histogram;
-use linnetcart_conformance::{worth, Answer, Report, Time};
+use linnetcart_conformance::{worth, Answer, ClientAnswer, Report, Time};
 use linnetcart_scenario::fleet::{Fleet, Timebase};
 use linnetcart_scenario::stage::ScenarioRecords;
 use std::collections::BTreeMap;
@@ -54,7 +54,7 @@
     for h in &played.records.submissions {
         let at = first.entry(h.message).or_insert(h.at);
         *at = (*at).min(h.at);
-        for (at, _) in h.answers.iter().filter(|a| a.1 == Answer::Served) {
+        for ClientAnswer { at, .. } in h.answers.iter().filter(|a| a.answer == Answer::Served) {
             let known = served.entry(h.message).or_insert((*at, h.class));
             known.0 = known.0.min(*at);
         }
