Endpoint model: calls, connections, limits, faults and deduplication apart, typed

Cause: one struct with nine maps and tuples did everything in 569 lines; `receive_call` was 90 lines and returned a pair; a class fault was `(u8, f64, bool)`, a planned failure `Option<bool>`, a load `(f64, f64)`. Change: `destinations`, `faults`, `calls`, `limit`, `deduplication` and `simulator/` (connections, service). `ClassFault`, `RetryAfterRange`, `SimulatedEndpoint`, `IncomingCall`, `ReceivedCall`, `ReportedLoad`, `Overload` instead of tuples; fields have the field's names (`reap` -> `idle_timeout`, `cv` -> `service_time_variation`, `tells_wait` -> `retry_after_probability`, ...). The order of random draws is the same, and the reason for drawing both numbers of a rejection is written down. The testbed reads `Overload` where it read a pair. Tests use the public interface and stand in `tests/simulator.rs`; assertions are unchanged.

--- /dev/null
+++ b/crates/endpoint-model/src/simulator/service.rs
@@ -0,0 +1,271 @@
+//! Service of calls: what is decided when one arrives, and what is left to its end.
+
+use super::{EndpointSimulator, EndpointState, LimitOwner, Overload};
+use crate::calls::{CallItem, CallStep, IncomingCall, ItemStatus, ReceivedCall, Reply, ReportedLoad};
+use crate::deduplication::Execution;
+use crate::limit::{Admission, LoadEffect, RejectionDraws};
+use linnetcart_conformance::{Arrival, EndpointVerdict, Time};
+use rand::Rng;
+use rand_distr::{Distribution, LogNormal};
+use std::ops::Range;
+
+/// Part of the failed messages that took effect all the same.
+const FAILED_BUT_EXECUTED: f64 = 0.3;
+/// How long a call takes that fails quickly.
+const QUICK_FAILURE: Time = 2_000_000;
+/// No call takes less.
+const MIN_SERVICE_TIME: Time = 1000;
+
+/// What was decided for a message on its arrival.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PlannedResult {
+    Served,
+    Error,
+    /// It fails, and its call is not answered.
+    Unanswered,
+}
+
+/// A call that is not over.
+#[derive(Debug)]
+pub(super) struct PendingCall {
+    endpoint: u32,
+    items: Vec<CallItem>,
+    /// Its records among the arrivals, one for each message.
+    records: Range<usize>,
+    /// What was decided for each message; the state of the endpoint at the end may change it.
+    planned: Vec<PlannedResult>,
+    /// It is carried out and not answered.
+    answer_lost: bool,
+}
+
+/// What becomes of a call at the limit of its destination.
+enum LimitDecision {
+    BeginsAt(Time),
+    Rejected { retry_after: Time, load: Option<ReportedLoad> },
+    Unanswered,
+}
+
+impl EndpointSimulator {
+    /// A call arrives.
+    pub fn receive_call(&mut self, now: Time, incoming: IncomingCall<'_>) -> ReceivedCall {
+        self.last_call += 1;
+        let call = self.last_call;
+        let step = match self.endpoints.get(&incoming.endpoint).copied() {
+            Some(state) => self.begin_call(now, call, incoming, state),
+            None => CallStep::Break,
+        };
+        ReceivedCall { call, step }
+    }
+
+    fn begin_call(
+        &mut self,
+        now: Time,
+        call: u64,
+        incoming: IncomingCall<'_>,
+        state: EndpointState,
+    ) -> CallStep {
+        self.record_arrivals(now, call, incoming, state);
+        if !state.is_listening() {
+            self.calls.remove(&call);
+            return CallStep::Break;
+        }
+        match self.decide_at_limit(now, incoming, state) {
+            LimitDecision::Unanswered => {
+                self.calls.remove(&call);
+                CallStep::Silent
+            }
+            LimitDecision::Rejected { retry_after, load } => {
+                let statuses = vec![ItemStatus::Rejected; incoming.items.len()];
+                self.settle(call, now, Reply { statuses, retry_after, load })
+            }
+            LimitDecision::BeginsAt(begin) => self.plan_service(now, call, incoming.items, state, begin),
+        }
+    }
+
+    /// Records the messages of a call, each as unanswered until its end is known.
+    fn record_arrivals(&mut self, now: Time, call: u64, incoming: IncomingCall<'_>, state: EndpointState) {
+        let independent_route = self.kind(state.destination).is_some_and(|kind| kind.independent_routes);
+        let first = self.arrivals.len();
+        for item in incoming.items {
+            self.arrivals.push(Arrival {
+                message: item.message,
+                call,
+                courier: incoming.caller.courier,
+                incarnation: incoming.caller.incarnation,
+                destination: state.destination,
+                endpoint: incoming.endpoint,
+                zone: state.zone,
+                independent_route,
+                at: now,
+                travelled: incoming.travelled,
+                verdict: EndpointVerdict::Unanswered,
+                answered: None,
+                effect: false,
+            });
+        }
+        let pending = PendingCall {
+            endpoint: incoming.endpoint,
+            items: incoming.items.to_vec(),
+            records: first..self.arrivals.len(),
+            planned: vec![PlannedResult::Served; incoming.items.len()],
+            answer_lost: false,
+        };
+        self.calls.insert(call, pending);
+    }
+
+    fn decide_at_limit(
+        &mut self,
+        now: Time,
+        incoming: IncomingCall<'_>,
+        state: EndpointState,
+    ) -> LimitDecision {
+        let destination = state.destination;
+        let kind = &self.kinds[self.destinations[&destination].kind];
+        let owner = LimitOwner::new(kind, destination, incoming.endpoint);
+        // Every endpoint has a limit since it was inserted.
+        let Some(limit) = self.limits.get_mut(&owner) else { return LimitDecision::Unanswered };
+        if limit.count_call(now, &self.recovery, kind) == LoadEffect::Overloads {
+            self.overloads.push(Overload { at: now, destination });
+        }
+        if state.fault.vanished || state.fault.silent || limit.is_overloaded() {
+            return LimitDecision::Unanswered;
+        }
+        let additional_messages = incoming.items.len() as f64 - 1.0;
+        let work = 1.0 + kind.additional_message_work * additional_messages;
+        let draws = RejectionDraws { gives_retry_after: self.rng.random(), length: self.rng.random() };
+        match limit.admit(now, work, kind, &self.recovery, draws) {
+            Admission::BeginsAt(begin) => LimitDecision::BeginsAt(begin),
+            Admission::Rejected { retry_after } => {
+                let load = limit.reported_load(now, kind);
+                LimitDecision::Rejected { retry_after, load }
+            }
+        }
+    }
+
+    /// Draws how an admitted call ends and how long that takes.
+    fn plan_service(
+        &mut self,
+        now: Time,
+        call: u64,
+        items: &[CallItem],
+        state: EndpointState,
+        begin: Time,
+    ) -> CallStep {
+        if self.rng.random::<f64>() < state.fault.error_probability {
+            if let Some(pending) = self.calls.get_mut(&call) {
+                pending.planned.fill(PlannedResult::Error);
+            }
+            return CallStep::FinishAt(now + QUICK_FAILURE);
+        }
+        let answer_lost = self.rng.random::<f64>() < state.fault.lost_answer_probability;
+        // Messages of one class in a call share their fate: an answer has one code for them.
+        let class_draw = self.rng.random::<f64>();
+        let planned = items.iter().map(|item| plan_result(item, &state, class_draw)).collect();
+        let mut service_time = MIN_SERVICE_TIME;
+        for item in items {
+            service_time = service_time.max(self.draw_service_time(item, &state));
+        }
+        if let Some(pending) = self.calls.get_mut(&call) {
+            pending.planned = planned;
+            pending.answer_lost = answer_lost;
+        }
+        CallStep::FinishAt(begin + service_time)
+    }
+
+    fn draw_service_time(&mut self, item: &CallItem, state: &EndpointState) -> Time {
+        let destination = &self.destinations[&state.destination];
+        let usual = self.classes[usize::from(item.class)].service_time as f64;
+        let fault_slowdown = state.fault.slowdown.max(1.0);
+        let mean = usual * destination.service_time_factor * self.shared_slowdown * fault_slowdown;
+        let variation = self.kinds[destination.kind].service_time_variation;
+        let spread = (1.0 + variation * variation).ln().sqrt();
+        let location = mean.ln() - spread * spread / 2.0;
+        // A deviation that is finite and not below zero always makes a distribution.
+        match LogNormal::new(location, spread) {
+            Ok(distribution) => distribution.sample(&mut self.rng) as Time,
+            Err(_) => mean as Time,
+        }
+    }
+
+    /// The time of a call has come.
+    pub fn finish_call(&mut self, now: Time, call: u64) -> CallStep {
+        let Some(pending) = self.calls.get(&call) else { return CallStep::Silent };
+        let endpoint = pending.endpoint;
+        let Some(state) = self.endpoints.get(&endpoint).copied() else { return CallStep::Break };
+        if state.fault.down {
+            return CallStep::Break;
+        }
+        if state.fault.paused_until > now {
+            return CallStep::FinishAt(state.fault.paused_until);
+        }
+        // What began before the endpoint fell silent is carried out and not answered.
+        let silent = state.fault.silent || state.fault.vanished || pending.answer_lost;
+        let fails_unanswered = pending.planned.contains(&PlannedResult::Unanswered);
+        let statuses = self.execute(now, call, state);
+        if silent || fails_unanswered {
+            self.calls.remove(&call);
+            return CallStep::Silent;
+        }
+        let load = self.reported_load(now, endpoint, state.destination);
+        self.settle(call, now, Reply { statuses, retry_after: 0, load })
+    }
+
+    /// Carries out the messages of a call, and says how each is answered.
+    fn execute(&mut self, now: Time, call: u64, state: EndpointState) -> Vec<ItemStatus> {
+        let Some(pending) = self.calls.get(&call) else { return Vec::new() };
+        let mut statuses = Vec::new();
+        for (position, item) in pending.items.iter().enumerate() {
+            let served = pending.planned[position] == PlannedResult::Served;
+            let executed = served || self.rng.random::<f64>() < FAILED_BUT_EXECUTED;
+            if executed {
+                let execution = Execution {
+                    at: now,
+                    destination: state.destination,
+                    zone: state.zone,
+                    message: item.message,
+                };
+                let idempotency = self.classes[usize::from(item.class)].idempotency;
+                let effect = self.deduplication.takes_effect(execution, idempotency);
+                self.arrivals[pending.records.start + position].effect = effect;
+            }
+            statuses.push(if served { ItemStatus::Served } else { ItemStatus::Error });
+        }
+        statuses
+    }
+
+    fn reported_load(&mut self, now: Time, endpoint: u32, destination: u32) -> Option<ReportedLoad> {
+        let kind = &self.kinds[self.destinations.get(&destination)?.kind];
+        let limit = self.limits.get_mut(&LimitOwner::new(kind, destination, endpoint))?;
+        limit.reported_load(now, kind)
+    }
+
+    /// Records the answer of a call and forgets the call.
+    fn settle(&mut self, call: u64, now: Time, reply: Reply) -> CallStep {
+        if let Some(pending) = self.calls.remove(&call) {
+            for (record, status) in pending.records.zip(&reply.statuses) {
+                let arrival = &mut self.arrivals[record];
+                arrival.answered = Some(now);
+                arrival.verdict = match status {
+                    ItemStatus::Served => EndpointVerdict::Served,
+                    ItemStatus::Rejected => EndpointVerdict::Rejected { retry_after: reply.retry_after },
+                    ItemStatus::Error => EndpointVerdict::Error,
+                };
+            }
+        }
+        CallStep::Answer(reply)
+    }
+}
+
+/// What is decided for a message of a call that did not fail as a whole.
+fn plan_result(item: &CallItem, state: &EndpointState, class_draw: f64) -> PlannedResult {
+    match state.fault.class_fault {
+        Some(fault) if fault.class == item.class && class_draw < fault.probability => {
+            if fault.unanswered {
+                PlannedResult::Unanswered
+            } else {
+                PlannedResult::Error
+            }
+        }
+        _ => PlannedResult::Served,
+    }
+}
--- /dev/null
+++ b/crates/endpoint-model/tests/simulator.rs
@@ -0,0 +1,178 @@
+//! What the simulator does with calls and connections, and what it records of them.
+
+use linnetcart_conformance::{EndpointVerdict, Idempotency, Time};
+use linnetcart_endpoint_model::{
+    CallItem, CallStep, Caller, ClassFault, ClassWork, ConnectOutcome, DestinationKind, EndpointFault,
+    EndpointSimulator, IncomingCall, ItemStatus, LimitKind, RecoveryModel, RetryAfterRange,
+    SimulatedDestination, SimulatedEndpoint,
+};
+
+const MS: Time = 1_000_000;
+const S: Time = 1000 * MS;
+const CALLER: Caller = Caller { courier: 0, incarnation: 0 };
+
+fn kind(limit: LimitKind) -> DestinationKind {
+    DestinationKind {
+        name: "k".into(),
+        limit,
+        rejected_calls_count: false,
+        retry_after_probability: 1.0,
+        retry_after: RetryAfterRange { shortest: 200 * MS, longest: 400 * MS },
+        capacity_ratio: 2.0,
+        longest_queue: 500 * MS,
+        service_time_variation: 0.3,
+        max_connections: 2,
+        independent_routes: false,
+        max_messages_per_call: 4,
+        additional_message_work: 0.1,
+        load_report_interval: 100 * MS,
+    }
+}
+
+fn simulator(kind: DestinationKind, rate: f64) -> EndpointSimulator {
+    let classes = vec![
+        ClassWork { service_time: 50 * MS, idempotency: Idempotency::Idempotent },
+        ClassWork {
+            service_time: 50 * MS,
+            idempotency: Idempotency::Keyed { dedup_window: 2 * S, per_zone: true },
+        },
+    ];
+    let recovery = RecoveryModel {
+        slow_start_ratio: 0.1,
+        slow_start_duration: 10 * S,
+        overload_ratio: 2.0,
+        overload_window: S,
+    };
+    let endpoints =
+        vec![SimulatedEndpoint { endpoint: 10, zone: 0 }, SimulatedEndpoint { endpoint: 11, zone: 1 }];
+    let destination =
+        SimulatedDestination { destination: 1, kind: 0, rate, endpoints, service_time_factor: 1.0 };
+    EndpointSimulator::new(vec![kind], classes, recovery, vec![destination], 7)
+}
+
+/// A call of one message, carried to its end.
+fn call(simulator: &mut EndpointSimulator, now: Time, endpoint: u32, message: u64, class: u8) -> CallStep {
+    let items = [CallItem { message, class }];
+    let incoming = IncomingCall { caller: CALLER, travelled: 0, endpoint, items: &items };
+    let received = simulator.receive_call(now, incoming);
+    match received.step {
+        CallStep::FinishAt(at) => simulator.finish_call(at, received.call),
+        other => other,
+    }
+}
+
+/// The Retry-After of a call that was rejected.
+fn rejected(step: &CallStep) -> Option<Time> {
+    match step {
+        CallStep::Answer(reply) if reply.statuses == [ItemStatus::Rejected] => Some(reply.retry_after),
+        _ => None,
+    }
+}
+
+#[test]
+fn window_limit_admits_its_count_and_gives_its_end_as_retry_after() {
+    let mut simulated = simulator(kind(LimitKind::Window { ms: 1000 }), 5.0);
+    let steps: Vec<CallStep> = (0..7).map(|n| call(&mut simulated, 10 * S + 300 * MS, 10, n, 0)).collect();
+    assert_eq!(steps.iter().filter(|s| rejected(s).is_some()).count(), 2);
+    assert_eq!(rejected(&steps[6]), Some(700 * MS));
+    assert_eq!(rejected(&call(&mut simulated, 11 * S, 10, 9, 0)), None, "the next span has room");
+    assert_eq!(simulated.arrivals()[6].verdict, EndpointVerdict::Rejected { retry_after: 700 * MS });
+}
+
+#[test]
+fn rejected_calls_use_up_the_limit_where_they_count() {
+    let mut counting_kind = kind(LimitKind::Rate);
+    counting_kind.rejected_calls_count = true;
+    let (mut counting, mut plain) = (simulator(counting_kind, 4.0), simulator(kind(LimitKind::Rate), 4.0));
+    let served = |simulated: &mut EndpointSimulator| {
+        let steps = (0..200u64).map(|n| call(simulated, S + n * 50 * MS, 10, n, 0));
+        steps.filter(|s| rejected(s).is_none()).count()
+    };
+    let (counting, plain) = (served(&mut counting), served(&mut plain));
+    assert!((38..=42).contains(&plain), "4 a second for 10 s: {plain}");
+    assert!(counting < plain / 2, "{counting} of {plain}");
+}
+
+#[test]
+fn full_queue_rejects_calls_and_load_is_reported() {
+    let mut simulated = simulator(kind(LimitKind::None), 10.0);
+    let steps: Vec<CallStep> = (0..30).map(|n| call(&mut simulated, S, 10, n, 0)).collect();
+    // Capacity 20 a second, half a second deep: the eleventh still fits, the twelfth not.
+    assert_eq!(steps.iter().filter(|s| rejected(s).is_none()).count(), 11);
+    let mut simulated = simulator(kind(LimitKind::Rate), 10.0);
+    let CallStep::Answer(reply) = call(&mut simulated, S, 10, 1, 0) else { panic!("not answered") };
+    let load = reply.load.unwrap();
+    assert!(load.capacity_left < 1.0 && load.rate_limit == 10.0, "{load:?}");
+}
+
+#[test]
+fn repeated_message_is_dropped_in_its_zone_and_window_only() {
+    let mut simulated = simulator(kind(LimitKind::None), 100.0);
+    for (at, endpoint) in [(S, 10), (2 * S, 10), (2 * S, 11), (4 * S, 10)] {
+        call(&mut simulated, at, endpoint, 1, 1);
+    }
+    let effects: Vec<bool> = simulated.arrivals().iter().map(|a| a.effect).collect();
+    assert_eq!(effects, [true, false, true, true]);
+}
+
+#[test]
+fn limit_in_slow_start_is_overloaded_by_many_calls_and_not_by_few() {
+    let run = |every: Time| {
+        let mut simulated = simulator(kind(LimitKind::None), 20.0);
+        simulated.outage(1, 0, S, false);
+        let mut at = S;
+        while at < 11 * S {
+            call(&mut simulated, at, 10, at, 0);
+            at += every;
+        }
+        simulated.overloads().len()
+    };
+    // It bears twice a tenth of 40 a second at first.
+    assert_eq!(run(200 * MS), 0);
+    assert_eq!(run(30 * MS), 1);
+}
+
+#[test]
+fn endpoint_faults_differ_in_what_is_answered_and_what_took_effect() {
+    let mut simulated = simulator(kind(LimitKind::None), 100.0);
+    simulated.fault_mut(10).unwrap().silent = true;
+    assert_eq!(call(&mut simulated, S, 10, 1, 0), CallStep::Silent);
+    assert!(!simulated.arrivals()[0].effect);
+    *simulated.fault_mut(10).unwrap() =
+        EndpointFault { lost_answer_probability: 1.0, ..EndpointFault::default() };
+    assert_eq!(call(&mut simulated, S, 10, 2, 0), CallStep::Silent);
+    assert!(simulated.arrivals()[1].effect, "carried out, not answered");
+    let class_fault = ClassFault { class: 1, probability: 1.0, unanswered: false };
+    *simulated.fault_mut(10).unwrap() =
+        EndpointFault { class_fault: Some(class_fault), ..EndpointFault::default() };
+    assert!(
+        matches!(call(&mut simulated, S, 10, 3, 1), CallStep::Answer(r) if r.statuses == [ItemStatus::Error])
+    );
+    assert!(
+        matches!(call(&mut simulated, S, 10, 4, 0), CallStep::Answer(r) if r.statuses == [ItemStatus::Served])
+    );
+    simulated.fault_mut(10).unwrap().down = true;
+    assert_eq!(call(&mut simulated, S, 10, 5, 0), CallStep::Break);
+    assert!(!simulated.listens(10));
+}
+
+#[test]
+fn connections_are_capped_and_same_seed_repeats_the_run() {
+    let mut simulated = simulator(kind(LimitKind::None), 100.0);
+    assert_eq!(simulated.connect(10), ConnectOutcome::Accepted { after: 0 });
+    assert_eq!(simulated.connect(10), ConnectOutcome::Accepted { after: 0 });
+    assert_eq!(simulated.connect(10), ConnectOutcome::Refused);
+    simulated.disconnect(10);
+    assert_eq!(simulated.connect(10), ConnectOutcome::Accepted { after: 0 });
+    let day = || {
+        let mut simulated = simulator(kind(LimitKind::Rate), 10.0);
+        (0..200u64)
+            .map(|n| {
+                let items = [CallItem { message: n, class: 0 }];
+                let incoming = IncomingCall { caller: CALLER, travelled: 0, endpoint: 10, items: &items };
+                simulated.receive_call(S + n * 20 * MS, incoming).step
+            })
+            .collect::<Vec<_>>()
+    };
+    assert_eq!(day(), day());
+}
--- a/crates/scenario/src/fleet.rs
+++ b/crates/scenario/src/fleet.rs
@@ -2,7 +2,10 @@
 
 use crate::day::{Class, FaultKind, IdempotencyKind, Scenario};
 use linnetcart_conformance::{self as rules, Idempotency, Invariants, Time};
-use linnetcart_endpoint_model::{ClassWork, EndpointSimulator, Kind, RecoveryModel, SimulatedDestination};
+use linnetcart_endpoint_model::{
+    ClassWork, DestinationKind, EndpointSimulator, RecoveryModel, RetryAfterRange, SimulatedDestination,
+    SimulatedEndpoint,
+};
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -91,7 +94,7 @@
                 let count = rng.random_range(k.endpoints[0]..=k.endpoints[1]);
                 let endpoints = (0..count).map(|_| {
                     endpoint += 1;
-                    (endpoint, rng.random_range(0..day.zones.len()) as u8)
+                    SimulatedEndpoint { endpoint, zone: rng.random_range(0..day.zones.len()) as u8 }
                 });
                 let endpoints = endpoints.collect();
                 let rate = draw(&mut rng, k.rate);
@@ -101,7 +104,7 @@
                     kind,
                     rate,
                     endpoints,
-                    pace,
+                    service_time_factor: pace,
                 });
             }
         }
@@ -247,22 +250,22 @@
 
     /// The members as a model.
     pub fn endpoint_simulator(&self) -> EndpointSimulator {
-        let kind = |k: &crate::day::Kind| Kind {
+        let kind = |k: &crate::day::Kind| DestinationKind {
             name: k.name.clone(),
             limit: k.limit,
-            refused_count: k.refused_count,
-            tells_wait: k.tells_wait,
-            wait: (millis(k.wait_ms[0]), millis(k.wait_ms[1])),
-            spare: k.spare,
-            depth: millis(k.depth_ms),
-            cv: k.cv,
-            connections: k.connections,
+            rejected_calls_count: k.refused_count,
+            retry_after_probability: k.tells_wait,
+            retry_after: RetryAfterRange { shortest: millis(k.wait_ms[0]), longest: millis(k.wait_ms[1]) },
+            capacity_ratio: k.spare,
+            longest_queue: millis(k.depth_ms),
+            service_time_variation: k.cv,
+            max_connections: k.connections,
             independent_routes: k.routes_apart,
             max_messages_per_call: k.per_call as usize,
-            item_cost: k.item_cost,
-            report_every: millis(k.report_ms),
+            additional_message_work: k.item_cost,
+            load_report_interval: millis(k.report_ms),
         };
-        let class = |c: &Class| ClassWork { service: millis(c.service_ms), idempotency: repeat(c) };
+        let class = |c: &Class| ClassWork { service_time: millis(c.service_ms), idempotency: repeat(c) };
         let r = &self.scenario.rules;
         // A courier is told less than a destination takes: the model is somewhat stronger than the contract.
         let returns = RecoveryModel {
--- a/crates/scenario/src/stage/endpoints.rs
+++ b/crates/scenario/src/stage/endpoints.rs
@@ -7,7 +7,7 @@
         let now = self.now;
         let Some(Role::Endpoint(c)) = self.roles.get_mut(&token) else { return };
         let idle = c.answers.is_empty();
-        let reap = self.world.fault_mut(c.endpoint).and_then(|t| t.reap);
+        let reap = self.world.fault_mut(c.endpoint).and_then(|t| t.idle_timeout);
         let hard = self.fleet.scenario.trouble.iter().any(|t| {
             t.what == FaultKind::IdleDropped
                 && t.hard
@@ -82,8 +82,9 @@
             }
             parts.push((part.topic, part.partition));
         }
-        let (id, step) =
-            self.world.receive_call(self.now, (caller, self.transport.travelled(token)), endpoint, &items);
+        let travelled = self.transport.travelled(token);
+        let incoming = IncomingCall { caller, travelled, endpoint, items: &items };
+        let ReceivedCall { call: id, step } = self.world.receive_call(self.now, incoming);
         if let Some(Role::Endpoint(c)) = self.roles.get_mut(&token) {
             c.answers.push_back((id, None));
         }
@@ -93,7 +94,7 @@
 
     pub(super) fn step(&mut self, id: u64, step: CallStep) {
         match step {
-            CallStep::At(when) => self.at(when, Timer::Finish(id)),
+            CallStep::FinishAt(when) => self.at(when, Timer::Finish(id)),
             CallStep::Silent => {
                 self.calls.remove(&id);
             }
@@ -117,7 +118,7 @@
                 ..PartitionResult::default()
             })
             .collect();
-        for (part, code) in call.part_of.iter().zip(&reply.codes) {
+        for (part, code) in call.part_of.iter().zip(&reply.statuses) {
             match code {
                 ItemStatus::Served => {}
                 ItemStatus::Rejected => ended[*part].code = codes::THROTTLING_QUOTA_EXCEEDED,
@@ -125,7 +126,9 @@
             }
         }
         let throttle = i32::try_from(reply.retry_after.div_ceil(1_000_000)).unwrap_or(i32::MAX);
-        let load = reply.load.map(|(left, limit)| LoadReport { capacity_left: left, rate_limit: limit });
+        let load = reply
+            .load
+            .map(|load| LoadReport { capacity_left: load.capacity_left, rate_limit: load.rate_limit });
         let bytes = server::produce(call.correlation, call.version, &ended, throttle, load);
         let Some(Role::Endpoint(c)) = self.roles.get_mut(&call.token) else { return };
         c.last = self.now;
--- a/crates/scenario/src/stage/mod.rs
+++ b/crates/scenario/src/stage/mod.rs
@@ -16,7 +16,8 @@
     Time,
 };
 use linnetcart_endpoint_model::{
-    CallItem, CallStep, Caller, ConnectOutcome, EndpointSimulator, ItemStatus, Reply,
+    CallItem, CallStep, Caller, ClassFault, ConnectOutcome, EndpointSimulator, IncomingCall, ItemStatus,
+    Overload, ReceivedCall, Reply, SimulatedEndpoint,
 };
 use linnetcart_kafka::server::{self, Body, Broker, PartitionResult, Topic};
 use linnetcart_kafka::{client, codes, Frames, LoadReport, Record};
@@ -211,8 +212,8 @@
 pub struct ScenarioRecords {
     /// For the checks.
     pub records: Records,
-    /// Limits that fell over: when, and whose.
-    pub overloads: Vec<(Time, u32)>,
+    /// Limits that were overloaded during their recovery ramp.
+    pub overloads: Vec<Overload>,
 }
 
 /// Everything of a day that is no courier.
@@ -292,8 +293,8 @@
             struck: BTreeMap::new(),
         };
         for m in &fleet.destinations {
-            for &(id, zone) in &m.endpoints {
-                stage.put_up(id, m.destination, zone)?;
+            for e in &m.endpoints {
+                stage.put_up(e.endpoint, m.destination, e.zone)?;
             }
         }
         for n in 0..fleet.scenario.couriers {
--- a/crates/scenario/src/stage/troubles.rs
+++ b/crates/scenario/src/stage/troubles.rs
@@ -91,7 +91,7 @@
         self.struck.insert(n, self.fleet.struck(t.part, n as u64 + 1));
         match t.what {
             FaultKind::Errors => {
-                self.each(n, |e| e.errors = size);
+                self.each(n, |e| e.error_probability = size);
                 if size > 0.5 {
                     self.outage(n, false);
                 }
@@ -119,10 +119,10 @@
                     }
                 }
             }
-            FaultKind::Slow => self.each(n, |e| e.slow = size),
+            FaultKind::Slow => self.each(n, |e| e.slowdown = size),
             FaultKind::SharedSlow => self.world.slow_all(size),
             FaultKind::AnswersLost => {
-                self.each(n, |e| e.answers_lost = size);
+                self.each(n, |e| e.lost_answer_probability = size);
                 if size > 0.5 {
                     self.outage(n, false);
                 }
@@ -134,18 +134,22 @@
             }
             FaultKind::IdleDropped => {
                 let idle = seconds(t.size);
-                self.each(n, |e| e.reap = Some(idle));
+                self.each(n, |e| e.idle_timeout = Some(idle));
             }
             FaultKind::SlowConnect => {
                 let by = millis(t.size);
-                self.each(n, |e| e.slow_connect = by);
+                self.each(n, |e| e.accept_delay = by);
             }
             FaultKind::ClassFails => {
                 for destination in self.struck[&n].clone() {
                     let endpoints = self.endpoints_of(destination);
                     if endpoints.len() > 1 {
                         if let Some(e) = self.world.fault_mut(endpoints[0]) {
-                            e.class_fails = Some((t.extra as u8, size, t.hard));
+                            e.class_fault = Some(ClassFault {
+                                class: t.extra as u8,
+                                probability: size,
+                                unanswered: t.hard,
+                            });
                         }
                     }
                 }
@@ -254,7 +258,13 @@
 
     /// Endpoints with numbers from here on came into being during the day.
     pub(super) fn first_new(&self) -> u32 {
-        self.fleet.destinations.iter().flat_map(|m| &m.endpoints).map(|e| e.0 + 1).max().unwrap_or(u32::MAX)
+        self.fleet
+            .destinations
+            .iter()
+            .flat_map(|m| &m.endpoints)
+            .map(|e| e.endpoint + 1)
+            .max()
+            .unwrap_or(u32::MAX)
     }
 
     /// Drains an endpoint and puts a new one in its place.
@@ -264,7 +274,7 @@
         let (destination, zone) = (s.destination, s.zone);
         let id = self.next_endpoint;
         self.put_up(id, destination, zone)?;
-        self.world.add(destination, id, zone);
+        self.world.add(destination, SimulatedEndpoint { endpoint: id, zone });
         let late = seconds(self.list_late);
         self.at(self.now + late, Timer::Publish(vec![endpoint, id]));
         // An endpoint that drains waits until the news have had time to reach everyone.
@@ -294,7 +304,7 @@
 
     pub(super) fn over(&mut self, n: usize) -> anyhow::Result<()> {
         match self.trouble(n).what {
-            FaultKind::Errors => self.each(n, |e| e.errors = 0.0),
+            FaultKind::Errors => self.each(n, |e| e.error_probability = 0.0),
             FaultKind::Silent => self.each(n, |e| e.silent = false),
             FaultKind::Vanish => self.each(n, |e| e.vanished = false),
             FaultKind::Down => {
@@ -305,17 +315,17 @@
                     }
                 }
             }
-            FaultKind::Slow => self.each(n, |e| e.slow = 0.0),
+            FaultKind::Slow => self.each(n, |e| e.slowdown = 0.0),
             FaultKind::SharedSlow => self.world.slow_all(1.0),
-            FaultKind::AnswersLost => self.each(n, |e| e.answers_lost = 0.0),
+            FaultKind::AnswersLost => self.each(n, |e| e.lost_answer_probability = 0.0),
             FaultKind::Throttle => {
                 for destination in self.struck[&n].clone() {
                     self.world.throttle(destination, 1.0);
                 }
             }
-            FaultKind::IdleDropped => self.each(n, |e| e.reap = None),
-            FaultKind::SlowConnect => self.each(n, |e| e.slow_connect = 0),
-            FaultKind::ClassFails => self.each(n, |e| e.class_fails = None),
+            FaultKind::IdleDropped => self.each(n, |e| e.idle_timeout = None),
+            FaultKind::SlowConnect => self.each(n, |e| e.accept_delay = 0),
+            FaultKind::ClassFails => self.each(n, |e| e.class_fault = None),
             FaultKind::UnevenCouriers => self.uneven = None,
             FaultKind::Partition | FaultKind::LinksSlow => self.transport.heal(n),
             FaultKind::ListLate => self.list_late = (self.list_late - self.trouble(n).size).max(0.0),
--- a/crates/testbed/src/cli.rs
+++ b/crates/testbed/src/cli.rs
@@ -584,8 +584,8 @@
     println!("{name}, seed {seed}: {}", fleet.about());
     let report = check(&run.played.records, &fleet.invariants(Timebase::Emulated));
     println!("\n{}", report::table(&report));
-    for (at, destination) in &run.played.overloads {
-        println!("destination {destination} fell over at {:.1} s", *at as f64 / 1e9);
+    for overload in &run.played.overloads {
+        println!("destination {} fell over at {:.1} s", overload.destination, overload.at as f64 / 1e9);
     }
     let virtual_s = run.virtual_time as f64 / 1e9;
     println!(
@@ -648,8 +648,12 @@
         let report = check(&played.records, &fleet.invariants(Timebase::Sockets));
         if *policy == "library" {
             println!("\n{}", report::table(&report));
-            for (at, destination) in &played.overloads {
-                println!("destination {destination} fell over at {:.1} s", *at as f64 / 1e9);
+            for overload in &played.overloads {
+                println!(
+                    "destination {} fell over at {:.1} s",
+                    overload.destination,
+                    overload.at as f64 / 1e9
+                );
             }
         }
         all.push(((*policy).to_owned(), report));
