emulator: parts with one job each, typed connections and errors

Change: `EventQueue` owns the virtual clock, `ConnectionTable` connections and partitions, `Host` and `HostClock` one incarnation, `Model` the timing; `Network` routes arrivals, iterations and faults in a file each. `run` returns `EmulatedRun` or `EmulationError`. Tests moved out of sources; assertions as before (one tuple of three became two asserts; the trace test renders event names of its own). New: model_of_an_earlier_recipe_is_read_and_written_unchanged, events_of_the_same_instant_pop_in_scheduling_order.

--- /dev/null
+++ b/crates/emulator/src/connections/faults.rs
@@ -0,0 +1,77 @@
+//! Faults of the network that hold for a while: partitions and slow couriers, each under a number of its own.
+
+use super::connection::{Connection, Direction, Peer};
+use linnetcart_conformance::Time;
+use std::collections::BTreeMap;
+
+/// Which connections of a courier are blocked, and in which directions.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Block {
+    /// The courier.
+    pub courier: u32,
+    /// Connections of clients are blocked.
+    pub clients: bool,
+    /// Connections to endpoints are blocked.
+    pub endpoints: bool,
+    /// What goes to the courier is blocked.
+    pub to_courier: bool,
+    /// What the courier sends is blocked.
+    pub from_courier: bool,
+}
+
+impl Block {
+    fn applies_to(&self, connection: &Connection, direction: Direction) -> bool {
+        let peer_blocked = match connection.peer {
+            Peer::Client(_) => self.clients,
+            Peer::Endpoint { .. } => self.endpoints,
+        };
+        let direction_blocked = match direction {
+            Direction::ToCourier => self.to_courier,
+            Direction::FromCourier => self.from_courier,
+        };
+        self.courier == connection.courier && peer_blocked && direction_blocked
+    }
+}
+
+/// Couriers whose connections are slow.
+#[derive(Debug)]
+struct Slowdown {
+    couriers: Vec<u32>,
+    extra_delay: Time,
+}
+
+/// The faults that hold at present.
+#[derive(Debug, Default)]
+pub(super) struct ActiveFaults {
+    partitions: BTreeMap<usize, Vec<Block>>,
+    slowdowns: BTreeMap<usize, Slowdown>,
+}
+
+impl ActiveFaults {
+    pub(super) fn begin_partition(&mut self, fault: usize, blocks: Vec<Block>) {
+        self.partitions.insert(fault, blocks);
+    }
+
+    pub(super) fn end_partition(&mut self, fault: usize) {
+        self.partitions.remove(&fault);
+    }
+
+    pub(super) fn begin_slowdown(&mut self, fault: usize, couriers: Vec<u32>, extra_delay: Time) {
+        self.slowdowns.insert(fault, Slowdown { couriers, extra_delay });
+    }
+
+    pub(super) fn end_slowdown(&mut self, fault: usize) {
+        self.slowdowns.remove(&fault);
+    }
+
+    pub(super) fn blocks(&self, connection: &Connection, direction: Direction) -> bool {
+        let mut blocks = self.partitions.values().flatten();
+        blocks.any(|block| block.applies_to(connection, direction))
+    }
+
+    pub(super) fn extra_delay(&self, courier: u32) -> Time {
+        let slowdowns = self.slowdowns.values();
+        let applying = slowdowns.filter(|slowdown| slowdown.couriers.contains(&courier));
+        applying.map(|slowdown| slowdown.extra_delay).sum()
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/connections/tests.rs
@@ -0,0 +1,73 @@
+use super::*;
+use bytes::Bytes;
+use rand::SeedableRng;
+
+const FIXED_DELAY: DelayDistribution = DelayDistribution { minimum: 10, mean_extra: 0 };
+
+fn data(text: &'static str) -> Segment {
+    Segment::Data(Bytes::from_static(text.as_bytes()))
+}
+
+fn table_with_connection() -> (ConnectionTable, Token) {
+    let mut connections = ConnectionTable::default();
+    let token = connections.open_to_endpoint(0, 0, 0, 1, 7);
+    (connections, token)
+}
+
+#[test]
+fn segments_with_any_delay_arrive_in_order() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let (mut connections, token) = table_with_connection();
+    let varying_delay = DelayDistribution { minimum: 10, mean_extra: 1000 };
+    let mut last = 0;
+    for now in 0..200 {
+        let segment = data("x");
+        let direction = Direction::FromCourier;
+        let transmission = Transmission { now, token, direction, segment: &segment, kind: SendKind::First };
+        let at = connections.send(transmission, &varying_delay, &mut rng).unwrap();
+        assert!(at >= last && at >= now + 10);
+        last = at;
+    }
+}
+
+#[test]
+fn partition_of_one_direction_holds_it_and_releases_in_order() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let (mut connections, token) = table_with_connection();
+    let other = connections.open_to_endpoint(0, 1, 0, 2, 7);
+    let incoming =
+        Block { courier: 0, clients: false, endpoints: true, to_courier: true, from_courier: false };
+    connections.begin_partition(3, vec![incoming]);
+    let mut send = |connections: &mut ConnectionTable, token, direction, text| {
+        let segment = data(text);
+        let kind = SendKind::First;
+        let transmission = Transmission { now: 5, token, direction, segment: &segment, kind };
+        connections.send(transmission, &FIXED_DELAY, &mut rng)
+    };
+    let outgoing = send(&mut connections, token, Direction::FromCourier, "a");
+    assert_eq!(outgoing, Some(15), "the other direction goes on");
+    assert_eq!(send(&mut connections, other, Direction::ToCourier, "b"), Some(15), "and other couriers");
+    assert_eq!(send(&mut connections, token, Direction::ToCourier, "c"), None);
+    assert_eq!(send(&mut connections, token, Direction::ToCourier, "d"), None);
+    assert_eq!(connections.end_partition(3), [(token, Direction::ToCourier)]);
+    let released = connections.release(token, Direction::ToCourier).into_iter();
+    let held: Vec<Segment> = released.map(|held| held.segment).collect();
+    assert_eq!(held, [data("c"), data("d")]);
+}
+
+#[test]
+fn socket_buffer_takes_its_size_and_no_more_while_nothing_arrives() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let (mut connections, token) = table_with_connection();
+    let everything =
+        Block { courier: 0, clients: true, endpoints: true, to_courier: true, from_courier: true };
+    connections.begin_partition(1, vec![everything]);
+    let segment = Segment::Data(Bytes::from(vec![0; SOCKET_BUFFER_BYTES as usize + 100]));
+    let direction = Direction::FromCourier;
+    let transmission = Transmission { now: 0, token, direction, segment: &segment, kind: SendKind::First };
+    connections.send(transmission, &FIXED_DELAY, &mut rng);
+    assert_eq!((connections.bytes_taken(token), connections.backlog(token)), (SOCKET_BUFFER_BYTES, 100));
+    assert!(connections.close_end(token, Side::Courier), "the other side is still to hear of it");
+    let released = connections.release(token, direction);
+    assert!(released.is_empty(), "what was held up does not arrive");
+}
--- /dev/null
+++ b/crates/emulator/src/network/hosts.rs
@@ -0,0 +1,142 @@
+//! The couriers' event loops: when they run, and what they send.
+
+use super::{endpoint_at, Event, Network, CONTROL_DELAY};
+use crate::connections::{Direction, Segment, Side};
+use crate::host::{Host, Input, IterationResult};
+use bytes::Bytes;
+use linnetcart_conformance::Time;
+use linnetcart_edge::core::{ClientId, Output, UpstreamId};
+use std::net::SocketAddr;
+
+impl Network<'_> {
+    /// Begins the couriers' graceful shutdown; messages still held after `timeout` are answered then.
+    pub fn begin_drain(&mut self, timeout: Time) {
+        let now = self.now();
+        let couriers: Vec<u32> = self.hosts.keys().copied().collect();
+        for courier in couriers {
+            if let Some(host) = self.hosts.get_mut(&courier) {
+                host.resume();
+                host.begin_drain(now, timeout);
+            }
+            self.schedule_iteration(courier);
+        }
+    }
+
+    /// Couriers that still have something outstanding.
+    pub fn unfinished_couriers(&self) -> Vec<u32> {
+        let unfinished = self.hosts.iter().filter(|(_, host)| !host.is_done());
+        unfinished.map(|(&courier, _)| courier).collect()
+    }
+
+    pub(super) fn is_accepting(&self, courier: u32, incarnation: u32) -> bool {
+        let Some(host) = self.hosts.get(&courier) else { return false };
+        host.incarnation == incarnation && host.is_accepting()
+    }
+
+    fn host(&mut self, courier: u32, incarnation: u32) -> Option<&mut Host> {
+        self.hosts.get_mut(&courier).filter(|host| host.incarnation == incarnation)
+    }
+
+    /// Gives an input to a host, unless the incarnation that it was meant for is gone.
+    pub(super) fn deliver_to_host(&mut self, courier: u32, incarnation: u32, input: Input) {
+        if let Some(host) = self.host(courier, incarnation) {
+            host.receive(input);
+            self.schedule_iteration(courier);
+        }
+    }
+
+    /// Schedules a host's next iteration, unless one is scheduled that is as early.
+    pub(super) fn schedule_iteration(&mut self, courier: u32) {
+        let now = self.now();
+        let Some(host) = self.hosts.get_mut(&courier) else { return };
+        let Some(wanted) = host.wanted_iteration() else { return };
+        let due = wanted.max(now);
+        if host.next_iteration.is_none_or(|scheduled| due < scheduled) {
+            host.next_iteration = Some(due);
+            self.events.schedule(due, Event::Iteration { courier });
+        }
+    }
+
+    /// Runs the iteration that is due, unless an earlier one took its place.
+    pub(super) fn run_iteration(&mut self, courier: u32) {
+        let now = self.now();
+        let Some(host) = self.hosts.get_mut(&courier) else { return };
+        if host.next_iteration != Some(now) {
+            return;
+        }
+        host.next_iteration = None;
+        if host.is_stalled() {
+            return;
+        }
+        let disk = self.disks.entry(courier).or_default();
+        let incarnation = host.incarnation;
+        let result = host.run_iteration(now, &self.model.loop_costs, disk);
+        if let Some(trace) = &mut self.trace {
+            trace.add(now, courier, incarnation, &result.delivery_events);
+        }
+        self.apply_result(courier, incarnation, result);
+        self.schedule_iteration(courier);
+    }
+
+    /// Carries out what an iteration decided. All of it leaves at the iteration's end.
+    fn apply_result(&mut self, courier: u32, incarnation: u32, result: IterationResult) {
+        let began = self.now();
+        self.events.set_now(began + result.duration);
+        for client in result.rejected_clients {
+            self.close_client(courier, client);
+        }
+        for reply in result.control_replies {
+            let due = self.now() + CONTROL_DELAY;
+            self.events.schedule(due, Event::ControlReply { courier, incarnation, reply });
+        }
+        for output in result.outputs {
+            self.apply_output(courier, incarnation, output);
+        }
+        self.events.set_now(began);
+    }
+
+    fn apply_output(&mut self, courier: u32, incarnation: u32, output: Output) {
+        match output {
+            Output::ToClient(client, bytes) => self.send_to_client(courier, incarnation, client, bytes),
+            Output::CloseClient(client) => self.close_client(courier, client),
+            // What a courier does not read stays in its system; that its bound holds does not depend on it.
+            Output::ReadClient(..) => {}
+            Output::Connect(upstream, address) => self.connect(courier, incarnation, upstream, address),
+            Output::ToUpstream(upstream, bytes) => {
+                if let Some(token) = self.connections.of_upstream(courier, upstream) {
+                    self.transmit(token, Direction::FromCourier, Segment::Data(bytes));
+                }
+            }
+            Output::CloseUpstream(upstream) => {
+                if let Some(token) = self.connections.of_upstream(courier, upstream) {
+                    self.note_if_connect_failed(token);
+                    self.close(token, Side::Courier);
+                }
+            }
+        }
+    }
+
+    fn send_to_client(&mut self, courier: u32, incarnation: u32, client: ClientId, bytes: Bytes) {
+        let Some(token) = self.connections.of_client(courier, client) else { return };
+        self.transmit(token, Direction::FromCourier, Segment::Data(bytes));
+        let backlog = self.connections.backlog(token);
+        if backlog > 0 {
+            let input = Input::ClientBacklog(client, backlog as usize);
+            self.deliver_to_host(courier, incarnation, input);
+        }
+    }
+
+    fn close_client(&mut self, courier: u32, client: ClientId) {
+        if let Some(token) = self.connections.of_client(courier, client) {
+            self.close(token, Side::Courier);
+        }
+    }
+
+    fn connect(&mut self, courier: u32, incarnation: u32, upstream: UpstreamId, address: SocketAddr) {
+        let now = self.now();
+        let endpoint = endpoint_at(address);
+        let token = self.connections.open_to_endpoint(now, courier, incarnation, upstream, endpoint);
+        self.note_opened_connection();
+        self.transmit(token, Direction::FromCourier, Segment::Connect);
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/network/mod.rs
@@ -0,0 +1,250 @@
+//! The couriers' hosts and the network between them and the scenario, on one event queue in virtual time.
+
+mod arrivals;
+mod hosts;
+mod transport;
+
+use crate::connections::{ConnectionTable, Direction, Peer, Segment, SendKind, Side, Transmission};
+use crate::disk::Disk;
+use crate::event_queue::EventQueue;
+use crate::host::{Host, Input};
+use crate::model::Model;
+use crate::trace::DeliveryTrace;
+use bytes::Bytes;
+use linnetcart_conformance::{FailedConnect, Time};
+use linnetcart_edge::core::PolicyFactory;
+use linnetcart_scenario::fleet::Fleet;
+use linnetcart_scenario::stage::Token;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use sha2::{Digest, Sha256};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+/// How long a document takes to a control interface, and its reply back.
+const CONTROL_DELAY: Time = 200_000;
+/// The port of every endpoint and courier.
+const PORT: u16 = 9092;
+/// The first byte of every endpoint's address; the others are its number.
+const ADDRESS_PREFIX: u8 = 10;
+/// Streams of randomness of their own, so that a draw more in one changes nothing in another.
+const NETWORK_SEED_MASK: u64 = 0x3e7;
+const CLOCK_SEED_MASK: u64 = 0xc10c;
+
+/// What the network brings to the scenario.
+#[derive(Debug)]
+pub enum ScenarioInput {
+    /// A courier connected to an endpoint.
+    Accepted {
+        /// The endpoint.
+        endpoint: u32,
+        /// The connection.
+        token: Token,
+    },
+    /// A client's connection is established.
+    Connected(Token),
+    /// Bytes came from a courier.
+    Received {
+        /// The connection.
+        token: Token,
+        /// The bytes.
+        bytes: Bytes,
+    },
+    /// A connection has ended.
+    Disconnected(Token),
+    /// A control interface replied.
+    ControlReply {
+        /// The courier.
+        courier: u32,
+        /// The incarnation that the document was put to.
+        incarnation: u32,
+        /// Accepted, or why not.
+        reply: Result<(), String>,
+    },
+}
+
+/// What a run leaves behind, besides the scenario's records.
+#[derive(Debug)]
+pub struct NetworkResults {
+    /// Connections of couriers to endpoints that failed, on the network's clock.
+    pub failed_connects: Vec<FailedConnect>,
+    /// What happened in the couriers, if it was asked for, on the network's clock.
+    pub trace: Option<DeliveryTrace>,
+    /// SHA-256 over everything that arrived, and when.
+    pub digest: String,
+    /// Number of events processed.
+    pub events: u64,
+    /// The network's clock at the end.
+    pub virtual_time: Time,
+    /// The highest number of connections open at the same time.
+    pub peak_connections: usize,
+}
+
+#[derive(Debug)]
+enum Event {
+    /// The event loop of a courier runs.
+    Iteration { courier: u32 },
+    /// A segment arrives.
+    Arrival { token: Token, direction: Direction, segment: Segment, sent_at: Time },
+    /// A document arrives at a control interface.
+    ControlPut { courier: u32, incarnation: u32, path: &'static str, body: String },
+    /// The reply of a control interface arrives.
+    ControlReply { courier: u32, incarnation: u32, reply: Result<(), String> },
+}
+
+/// Hosts, their disks, and the network.
+pub struct Network<'a> {
+    fleet: &'a Fleet,
+    model: Model,
+    policy: PolicyFactory,
+    events: EventQueue<Event>,
+    hosts: BTreeMap<u32, Host>,
+    disks: BTreeMap<u32, Disk>,
+    connections: ConnectionTable,
+    listening_endpoints: BTreeSet<u32>,
+    rng: ChaCha8Rng,
+    clock_rng: ChaCha8Rng,
+    digest: Sha256,
+    failed_connects: Vec<FailedConnect>,
+    trace: Option<DeliveryTrace>,
+    peak_connections: usize,
+}
+
+fn endpoint_address(endpoint: u32) -> SocketAddr {
+    let [_, high, middle, low] = endpoint.to_be_bytes();
+    SocketAddr::new(IpAddr::V4(Ipv4Addr::new(ADDRESS_PREFIX, high, middle, low)), PORT)
+}
+
+/// The endpoint at an address; a number that no endpoint has if it is no address of one.
+fn endpoint_at(address: SocketAddr) -> u32 {
+    match address.ip() {
+        IpAddr::V4(ip) => u32::from_be_bytes(ip.octets()) & 0x00ff_ffff,
+        IpAddr::V6(_) => u32::MAX,
+    }
+}
+
+impl<'a> Network<'a> {
+    /// A network without hosts and connections.
+    pub fn new(
+        fleet: &'a Fleet,
+        model: Model,
+        policy: PolicyFactory,
+        trace: Option<DeliveryTrace>,
+    ) -> Network<'a> {
+        Network {
+            fleet,
+            model,
+            policy,
+            events: EventQueue::new(),
+            hosts: BTreeMap::new(),
+            disks: BTreeMap::new(),
+            connections: ConnectionTable::default(),
+            listening_endpoints: BTreeSet::new(),
+            rng: ChaCha8Rng::seed_from_u64(fleet.seed ^ NETWORK_SEED_MASK),
+            clock_rng: ChaCha8Rng::seed_from_u64(fleet.seed ^ CLOCK_SEED_MASK),
+            digest: Sha256::new(),
+            failed_connects: Vec::new(),
+            trace,
+            peak_connections: 0,
+        }
+    }
+
+    /// The clock of hosts and network.
+    pub fn now(&self) -> Time {
+        self.events.now()
+    }
+
+    /// Advances the clock; nothing is due before then.
+    pub fn advance_clock(&mut self, now: Time) {
+        self.events.set_now(self.now().max(now));
+    }
+
+    /// When the next event is due.
+    pub fn next_event_at(&self) -> Option<Time> {
+        self.events.next_due()
+    }
+
+    /// What the run leaves behind.
+    pub fn into_results(self) -> NetworkResults {
+        let virtual_time = self.now();
+        let digest = self.digest.finalize();
+        NetworkResults {
+            failed_connects: self.failed_connects,
+            trace: self.trace,
+            digest: digest.iter().map(|byte| format!("{byte:02x}")).collect(),
+            events: self.events.processed(),
+            virtual_time,
+            peak_connections: self.peak_connections,
+        }
+    }
+
+    /// Processes the next event. Some of them are for the scenario.
+    pub fn process_next_event(&mut self) -> Option<ScenarioInput> {
+        match self.events.pop()? {
+            Event::Iteration { courier } => {
+                self.run_iteration(courier);
+                None
+            }
+            Event::Arrival { token, direction, segment, sent_at } => {
+                self.connections.note_arrival(self.now(), sent_at, token, direction, &segment);
+                self.deliver(token, direction, segment)
+            }
+            Event::ControlPut { courier, incarnation, path, body } => {
+                self.deliver_to_host(courier, incarnation, Input::ControlPut { path, body });
+                None
+            }
+            Event::ControlReply { courier, incarnation, reply } => {
+                Some(ScenarioInput::ControlReply { courier, incarnation, reply })
+            }
+        }
+    }
+
+    fn transmit(&mut self, token: Token, direction: Direction, segment: Segment) {
+        let sent_at = self.now();
+        self.transmit_as(SendKind::First, sent_at, token, direction, segment);
+    }
+
+    /// Sends a segment that its sender sent at `sent_at`, which is earlier if a partition held it.
+    fn transmit_as(
+        &mut self,
+        kind: SendKind,
+        sent_at: Time,
+        token: Token,
+        direction: Direction,
+        segment: Segment,
+    ) {
+        let transmission = Transmission { now: self.now(), token, direction, segment: &segment, kind };
+        let arrival = self.connections.send(transmission, &self.model.delay, &mut self.rng);
+        if let Some(arrival) = arrival {
+            self.events.schedule(arrival, Event::Arrival { token, direction, segment, sent_at });
+        }
+    }
+
+    /// One side closes its end of a connection, and the other side is sent word of it.
+    fn close(&mut self, token: Token, side: Side) {
+        if self.connections.close_end(token, side) {
+            self.transmit(token, side.sends(), Segment::Close);
+        }
+    }
+
+    /// A connection ends. If its endpoint never sent anything, the courier counts it as failed to connect.
+    fn note_if_connect_failed(&mut self, token: Token) {
+        let Some(connection) = self.connections.get(token) else { return };
+        if connection.courier_received_data {
+            return;
+        }
+        let Peer::Endpoint { endpoint, .. } = connection.peer else { return };
+        let failed = FailedConnect {
+            courier: connection.courier,
+            incarnation: connection.incarnation,
+            endpoint,
+            from: connection.opened_at,
+            at: self.now(),
+        };
+        self.failed_connects.push(failed);
+    }
+
+    fn note_opened_connection(&mut self) {
+        self.peak_connections = self.peak_connections.max(self.connections.count());
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/network/transport.rs
@@ -0,0 +1,181 @@
+//! What the scenario does to clients, couriers and endpoints, and which faults it causes.
+
+use super::{endpoint_address, Event, Network, CONTROL_DELAY, PORT};
+use crate::connections::{Block, Direction, PerDirection, Segment, SendKind, Side};
+use crate::disk::Crash;
+use crate::host::{ClockDeviation, Host, WALL_CLOCK_START};
+use bytes::Bytes;
+use linnetcart_conformance::Time;
+use linnetcart_edge::core::StartOptions;
+use linnetcart_kafka::server::Broker;
+use linnetcart_scenario::stage::{InfrastructureFault, Token, Transport};
+use rand::Rng;
+use std::net::SocketAddr;
+
+/// The incarnation that connections to a courier carry while it is down; no courier has it.
+const NO_INCARNATION: u32 = u32::MAX;
+
+impl Network<'_> {
+    fn start_options(&self, courier: u32, incarnation: u32) -> StartOptions {
+        StartOptions {
+            seed: self.fleet.courier_seed(courier, incarnation),
+            now: 0,
+            broker: Broker { id: 0, host: format!("courier-{courier}"), port: PORT },
+            run: (u64::from(courier) << 32) | u64::from(incarnation),
+            first_number: 1,
+            policy: self.policy,
+        }
+    }
+
+    fn draw_clock_deviation(&mut self) -> ClockDeviation {
+        let max_drift = self.model.max_clock_drift_ppm;
+        let drift_ppm = self.clock_rng.random_range(-max_drift..=max_drift);
+        let monotonic_ahead = self.clock_rng.random_range(0..=self.model.max_clock_difference);
+        let wall_offset = self.fleet.clock_off(&mut self.clock_rng);
+        ClockDeviation { monotonic_ahead, drift_ppm, wall_offset }
+    }
+
+    /// A share of the connections of these couriers breaks. Part of what travels on them still arrives, cut at any
+    /// byte.
+    fn break_connections(&mut self, couriers: &[u32], share: f64) {
+        for &courier in couriers {
+            for token in self.connections.of_courier(courier) {
+                if self.rng.random::<f64>() < share {
+                    self.break_connection(token);
+                }
+            }
+        }
+    }
+
+    fn break_connection(&mut self, token: Token) {
+        let to_courier = self.rng.random();
+        let from_courier = self.rng.random();
+        self.connections.break_connection(token, PerDirection { to_courier, from_courier });
+        self.transmit(token, Direction::ToCourier, Segment::Close);
+        self.transmit(token, Direction::FromCourier, Segment::Close);
+    }
+
+    /// Sends what a partition held.
+    fn release(&mut self, token: Token, direction: Direction) {
+        for held in self.connections.release(token, direction) {
+            self.transmit_as(SendKind::Released, held.sent_at, token, direction, held.segment);
+        }
+    }
+}
+
+impl Transport for Network<'_> {
+    fn connect(&mut self, courier: u32) -> Token {
+        let incarnation = self.hosts.get(&courier).map_or(NO_INCARNATION, |host| host.incarnation);
+        let now = self.now();
+        let token = self.connections.open_from_client(now, courier, incarnation);
+        self.note_opened_connection();
+        self.transmit(token, Direction::ToCourier, Segment::Connect);
+        token
+    }
+
+    fn send(&mut self, token: Token, bytes: &[u8]) {
+        let segment = Segment::Data(Bytes::copy_from_slice(bytes));
+        self.transmit(token, Direction::ToCourier, segment);
+    }
+
+    fn close(&mut self, token: Token) {
+        Network::close(self, token, Side::Peer);
+    }
+
+    fn reset(&mut self, token: Token) {
+        Network::close(self, token, Side::Peer);
+    }
+
+    fn start(&mut self, courier: u32, incarnation: u32, _first: bool) -> anyhow::Result<bool> {
+        let options = self.start_options(courier, incarnation);
+        let deviation = self.draw_clock_deviation();
+        let now = self.now();
+        let disk = self.disks.entry(courier).or_default();
+        let host = Host::start(now, incarnation, options, deviation, disk);
+        let is_configured = host.is_configured();
+        self.hosts.insert(courier, host);
+        Ok(is_configured)
+    }
+
+    fn kill(&mut self, courier: u32) {
+        if let Some(host) = self.hosts.remove(&courier) {
+            let disk = self.disks.entry(courier).or_default();
+            if host.is_writing_snapshot(self.events.now()) {
+                let renamed_in_time = !self.rng.random::<bool>();
+                disk.crash(if renamed_in_time { Crash::AfterRename } else { Crash::BeforeRename });
+            }
+            disk.sync();
+        }
+        for token in self.connections.of_courier(courier) {
+            Network::close(self, token, Side::Courier);
+        }
+    }
+
+    fn stall(&mut self, courier: u32) {
+        let now = self.now();
+        if let Some(host) = self.hosts.get_mut(&courier) {
+            host.stall(now);
+        }
+    }
+
+    fn go_on(&mut self, courier: u32) {
+        if let Some(host) = self.hosts.get_mut(&courier) {
+            host.resume();
+            self.schedule_iteration(courier);
+        }
+    }
+
+    fn put(&mut self, courier: u32, incarnation: u32, path: &'static str, body: String) {
+        let due = self.now() + CONTROL_DELAY;
+        self.events.schedule(due, Event::ControlPut { courier, incarnation, path, body });
+    }
+
+    fn open(&mut self, endpoint: u32) -> anyhow::Result<()> {
+        self.listening_endpoints.insert(endpoint);
+        Ok(())
+    }
+
+    fn shut(&mut self, endpoint: u32) {
+        self.listening_endpoints.remove(&endpoint);
+    }
+
+    fn address(&self, endpoint: u32) -> SocketAddr {
+        endpoint_address(endpoint)
+    }
+
+    fn wall(&self) -> Time {
+        WALL_CLOCK_START + self.now()
+    }
+
+    fn travelled(&self, token: Token) -> Time {
+        self.connections.last_transit_from_courier(token)
+    }
+
+    fn fault(&mut self, number: usize, fault: InfrastructureFault) {
+        match fault {
+            InfrastructureFault::Partition { couriers, clients, endpoints, one_way } => {
+                let from_courier = !one_way;
+                let block_courier =
+                    |courier| Block { courier, clients, endpoints, to_courier: true, from_courier };
+                let blocks = couriers.into_iter().map(block_courier).collect();
+                self.connections.begin_partition(number, blocks);
+            }
+            InfrastructureFault::Slow { couriers, by } => {
+                self.connections.begin_slowdown(number, couriers, by);
+            }
+            InfrastructureFault::Cut { couriers, share } => self.break_connections(&couriers, share),
+            InfrastructureFault::Damage { courier, left } => {
+                if let Some(disk) = self.disks.get_mut(&courier) {
+                    disk.damage(left);
+                }
+            }
+        }
+    }
+
+    fn heal(&mut self, number: usize) {
+        self.connections.end_slowdown(number);
+        for (token, direction) in self.connections.end_partition(number) {
+            self.release(token, direction);
+        }
+    }
+}
--- a/crates/emulator/src/trace.rs
+++ b/crates/emulator/src/trace.rs
@@ -1,66 +1,92 @@
-//! What happened in the couriers, told by the core's facts.
+//! Delivery events of all couriers, in order, of one message or of everything.
 
 use linnetcart_conformance::Time;
 use linnetcart_edge::delivery_events::DeliveryEvent;
 use std::collections::BTreeMap;
 
-/// A fact, and where and when it happened.
+/// A delivery event, and when and where it happened.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Told {
+pub struct TracedEvent {
     /// When.
     pub at: Time,
     /// In which courier.
     pub courier: u32,
-    /// In which of its lives.
-    pub life: u32,
-    /// What.
-    pub fact: DeliveryEvent,
+    /// In which of the courier's incarnations.
+    pub incarnation: u32,
+    /// What happened.
+    pub event: DeliveryEvent,
 }
 
-/// The life of one message in all couriers that held it, or everything.
+/// A message as one incarnation of a courier numbers it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct LocalMessage {
+    courier: u32,
+    incarnation: u32,
+    number: u32,
+}
+
+/// The delivery events of one message in all couriers that held it, or of all messages.
 #[derive(Clone, Debug, Default)]
-pub struct Story {
-    /// Only this message.
-    only: Option<u64>,
-    /// What the couriers that hold it call it.
-    numbers: BTreeMap<(u32, u32, u32), u64>,
+pub struct DeliveryTrace {
+    /// The message that is followed; all if none.
+    followed: Option<u64>,
+    /// Numbers under which couriers hold messages that are followed, with the messages' names.
+    names: BTreeMap<LocalMessage, u64>,
     /// What happened, in order.
-    pub told: Vec<Told>,
+    pub events: Vec<TracedEvent>,
 }
 
-impl Story {
-    /// Of one message, by its name.
-    pub fn of(message: u64) -> Story {
-        Story { only: Some(message), ..Story::default() }
+impl DeliveryTrace {
+    /// Follows one message, by its name.
+    pub fn of_message(name: u64) -> DeliveryTrace {
+        DeliveryTrace { followed: Some(name), ..DeliveryTrace::default() }
     }
 
-    /// Adds what a turn told.
-    pub fn add(&mut self, at: Time, courier: u32, life: u32, facts: &[DeliveryEvent]) {
-        for fact in facts {
-            if let DeliveryEvent::Accepted { message, name, .. } = fact {
-                let name = std::str::from_utf8(name).ok().and_then(|n| n.parse().ok());
-                match name {
-                    Some(name) if self.only.is_none_or(|o| o == name) => {
-                        self.numbers.insert((courier, life, *message), name);
-                    }
-                    _ => {
-                        self.numbers.remove(&(courier, life, *message));
-                    }
-                }
+    /// Adds what one iteration of a courier's event loop reported.
+    pub fn add(&mut self, at: Time, courier: u32, incarnation: u32, events: &[DeliveryEvent]) {
+        for event in events {
+            if let DeliveryEvent::Accepted { message, name, .. } = event {
+                let local = LocalMessage { courier, incarnation, number: *message };
+                self.note_accepted(local, name);
             }
-            let number = match fact {
-                DeliveryEvent::Accepted { message, .. }
-                | DeliveryEvent::AttemptStarted { message, .. }
-                | DeliveryEvent::AttemptFinished { message, .. }
-                | DeliveryEvent::Completed { message, .. }
-                | DeliveryEvent::ClientCancelled { message, .. } => Some(*message),
-                _ => None,
+            let wanted = match message_number(event) {
+                Some(number) => self.names.contains_key(&LocalMessage { courier, incarnation, number }),
+                None => self.followed.is_none(),
             };
-            let wanted =
-                number.map_or(self.only.is_none(), |n| self.numbers.contains_key(&(courier, life, n)));
             if wanted {
-                self.told.push(Told { at, courier, life, fact: fact.clone() });
+                self.events.push(TracedEvent { at, courier, incarnation, event: event.clone() });
             }
         }
     }
+
+    /// Moves all times to a clock that began at `start`.
+    pub fn rebase(&mut self, start: Time) {
+        for traced in &mut self.events {
+            traced.at = traced.at.saturating_sub(start);
+        }
+    }
+
+    /// Numbers are reused, so one that now stands for another message is no longer followed.
+    fn note_accepted(&mut self, local: LocalMessage, name: &[u8]) {
+        let name = std::str::from_utf8(name).ok().and_then(|name| name.parse().ok());
+        match name {
+            Some(name) if self.followed.is_none_or(|followed| followed == name) => {
+                self.names.insert(local, name);
+            }
+            _ => {
+                self.names.remove(&local);
+            }
+        }
+    }
+}
+
+fn message_number(event: &DeliveryEvent) -> Option<u32> {
+    match event {
+        DeliveryEvent::Accepted { message, .. }
+        | DeliveryEvent::AttemptStarted { message, .. }
+        | DeliveryEvent::AttemptFinished { message, .. }
+        | DeliveryEvent::Completed { message, .. }
+        | DeliveryEvent::ClientCancelled { message, .. } => Some(*message),
+        _ => None,
+    }
 }
--- a/crates/testbed/src/cli.rs
+++ b/crates/testbed/src/cli.rs
@@ -15,7 +15,7 @@
 use clap::{Parser, Subcommand};
 use linnetcart_conformance::{check, Report};
 use linnetcart_edge::cli::Args as EdgeArgs;
-use linnetcart_emulator::network::Model;
+use linnetcart_emulator::model::Model;
 use linnetcart_scenario::day::{Scenario, BUILT_IN};
 use linnetcart_scenario::fleet::{Fleet, Timebase};
 use linnetcart_telemetry::settings::Require;
@@ -582,9 +582,9 @@
     let (fleet, run) = recipe.play(None)?;
     let took = begun.elapsed().as_secs_f64();
     println!("{name}, seed {seed}: {}", fleet.about());
-    let report = check(&run.played.records, &fleet.invariants(Timebase::Emulated));
+    let report = check(&run.records.records, &fleet.invariants(Timebase::Emulated));
     println!("\n{}", report::table(&report));
-    for (at, destination) in &run.played.overloads {
+    for (at, destination) in &run.records.overloads {
         println!("destination {destination} fell over at {:.1} s", *at as f64 / 1e9);
     }
     let virtual_s = run.virtual_time as f64 / 1e9;
@@ -592,7 +592,7 @@
         "{virtual_s:.1} s of virtual time in {took:.2} s: {:.1} times real time, {:.0} events a second, {} connections at most",
         virtual_s / took,
         run.events as f64 / took,
-        run.links
+        run.peak_connections
     );
     println!("digest {}", run.digest);
     let kept = report.kept();
--- a/crates/testbed/src/emulated.rs
+++ b/crates/testbed/src/emulated.rs
@@ -5,9 +5,9 @@
 use anyhow::{bail, Context};
 use linnetcart_conformance::{check, EndpointVerdict, Report, Time};
 use linnetcart_edge::delivery_events::{DeliveryEvent, FinalAnswer};
-use linnetcart_emulator::network::Model;
-use linnetcart_emulator::trace::Story;
-use linnetcart_emulator::{play, Options, Run};
+use linnetcart_emulator::model::Model;
+use linnetcart_emulator::trace::DeliveryTrace;
+use linnetcart_emulator::{EmulatedRun, Options};
 use linnetcart_scenario::day::Scenario;
 use linnetcart_scenario::fleet::{Fleet, Timebase};
 use serde::{Deserialize, Serialize};
@@ -32,24 +32,24 @@
 
 impl Recipe {
     /// Plays it.
-    pub fn play(&self, story: Option<Story>) -> anyhow::Result<(Fleet, Run)> {
+    pub fn play(&self, trace: Option<DeliveryTrace>) -> anyhow::Result<(Fleet, EmulatedRun)> {
         let policy = baselines::policy(&self.policy).with_context(|| {
             format!("`{}` is no policy; there are {}", self.policy, baselines::NAMES.join(", "))
         })?;
         let fleet = Fleet::draw(self.day.clone(), self.seed);
-        let run = play(&fleet, Options { policy, model: self.model, story })?;
+        let run = linnetcart_emulator::run(&fleet, Options { policy, model: self.model, trace })?;
         Ok((fleet, run))
     }
 
     /// Plays it and checks the rules.
-    pub fn report(&self) -> anyhow::Result<(Report, Run)> {
+    pub fn report(&self) -> anyhow::Result<(Report, EmulatedRun)> {
         self.judged().map(|(_, run, report)| (report, run))
     }
 
     /// The same, with the fleet that was drawn.
-    pub fn judged(&self) -> anyhow::Result<(Fleet, Run, Report)> {
+    pub fn judged(&self) -> anyhow::Result<(Fleet, EmulatedRun, Report)> {
         let (fleet, run) = self.play(None)?;
-        let report = check(&run.played.records, &fleet.invariants(Timebase::Emulated));
+        let report = check(&run.records.records, &fleet.invariants(Timebase::Emulated));
         Ok((fleet, run, report))
     }
 
@@ -75,13 +75,13 @@
 /// Plays a run again and tells the life of one message: what its client, the couriers that held it and the
 /// endpoints did with it, every attempt with why.
 pub fn trace(recipe: &Recipe, message: u64) -> anyhow::Result<String> {
-    let (fleet, run) = recipe.play(Some(Story::of(message)))?;
+    let (fleet, run) = recipe.play(Some(DeliveryTrace::of_message(message)))?;
     let Some(planned) = fleet.messages.get(message as usize) else {
         bail!("message {message}: the run has 0 to {}", fleet.messages.len().saturating_sub(1));
     };
     let class = &fleet.scenario.class[usize::from(planned.class)];
     let mut lines: Vec<(Time, u8, String)> = Vec::new();
-    let records = &run.played.records;
+    let records = &run.records.records;
     for h in records.submissions.iter().filter(|h| h.message == message) {
         let left = ms(h.deadline - h.at);
         let text =
@@ -115,9 +115,9 @@
     }
     // For each holder: when its attempts left, and how the last that ended did.
     let mut out: BTreeMap<(u32, u32), (Time, Option<String>)> = BTreeMap::new();
-    for t in run.story.into_iter().flat_map(|s| s.told) {
-        let known = out.entry((t.courier, t.life)).or_insert((t.at, None));
-        let text = match t.fact {
+    for t in run.trace.into_iter().flat_map(|trace| trace.events) {
+        let known = out.entry((t.courier, t.incarnation)).or_insert((t.at, None));
+        let text = match t.event {
             DeliveryEvent::Accepted { .. } => "taken".into(),
             DeliveryEvent::AttemptStarted { attempt, endpoint, hedge: copy, .. } => {
                 let why = match (copy, attempt, &known.1) {
--- a/crates/testbed/src/experiment/mod.rs
+++ b/crates/testbed/src/experiment/mod.rs
@@ -64,7 +64,7 @@
         let row = || -> anyhow::Result<Row> {
             let recipe = plan.recipe(cell, seed)?;
             let (fleet, run, report) = recipe.judged()?;
-            let values = measures::of(&fleet, &run.played, run.links, &report);
+            let values = measures::of(&fleet, &run.records, run.peak_connections, &report);
             Ok(Row { run: number, seed, values, digest: run.digest })
         };
         let row = row().with_context(|| format!("run {number}: {:?}, seed {seed}", plan.levels(cell)))?;
--- a/crates/testbed/src/experiment/plan.rs
+++ b/crates/testbed/src/experiment/plan.rs
@@ -3,7 +3,7 @@
 use super::measures::MEASURES;
 use crate::emulated::Recipe;
 use anyhow::{bail, ensure, Context};
-use linnetcart_emulator::network::Model;
+use linnetcart_emulator::model::Model;
 use linnetcart_scenario::day::Scenario;
 use serde::{Deserialize, Serialize};
 use std::path::Path;
@@ -217,7 +217,7 @@
         "delay_ms" => {
             let ms = number(level)?;
             ensure!((0.0..=10_000.0).contains(&ms), "0 to 10000");
-            recipe.model.delay.least = (ms * 1e6) as u64;
+            recipe.model.delay.minimum = (ms * 1e6) as u64;
         }
         path => recipe.day = changed(&recipe.day, path, level)?,
     }
--- a/crates/testbed/src/faithful.rs
+++ b/crates/testbed/src/faithful.rs
@@ -6,7 +6,7 @@
 use crate::parallel;
 use crate::rig;
 use linnetcart_conformance::check;
-use linnetcart_emulator::network::Model;
+use linnetcart_emulator::model::Model;
 use linnetcart_scenario::day::Scenario;
 use linnetcart_scenario::fleet::{Fleet, Timebase};
 use serde_json::{json, Value};
@@ -50,7 +50,7 @@
 fn emulated(day: &Scenario, seed: u64) -> anyhow::Result<Vec<f64>> {
     let recipe = Recipe { day: day.clone(), seed, policy: "library".into(), model: Model::default() };
     let (fleet, run, report) = recipe.judged()?;
-    Ok(measures::of(&fleet, &run.played, run.links, &report))
+    Ok(measures::of(&fleet, &run.records, run.peak_connections, &report))
 }
 
 fn at(name: &str) -> usize {
--- a/crates/testbed/src/hunt.rs
+++ b/crates/testbed/src/hunt.rs
@@ -6,7 +6,7 @@
 use crate::parallel;
 use crate::{baselines, report};
 use linnetcart_conformance::Report;
-use linnetcart_emulator::network::Model;
+use linnetcart_emulator::model::Model;
 use linnetcart_scenario::day::{FaultKind, FaultSpec, Scenario};
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
--- a/crates/testbed/tests/emulated.rs
+++ b/crates/testbed/tests/emulated.rs
@@ -133,7 +133,7 @@
     let recipe = Recipe { day, seed: 1, policy: "library".into(), model: Default::default() };
     let (_, run) = recipe.play(None).unwrap();
     let mut sent: std::collections::BTreeMap<u64, usize> = Default::default();
-    run.played.records.arrivals.iter().for_each(|a| *sent.entry(a.message).or_default() += 1);
+    run.records.records.arrivals.iter().for_each(|a| *sent.entry(a.message).or_default() += 1);
     let (message, times) = sent.into_iter().max_by_key(|m| m.1).unwrap();
     assert!(times > 1);
     let text = trace(&recipe, message).unwrap();
@@ -186,7 +186,7 @@
     rig::play(&fleet, &options).unwrap();
     record::into(&dir.join("emulated")).unwrap();
     let how = linnetcart_emulator::Options { policy: record::recorded, ..Default::default() };
-    linnetcart_emulator::play(&fleet, how).unwrap();
+    linnetcart_emulator::run(&fleet, how).unwrap();
     let (sockets, emulated) =
         (told_and_decided(&dir.join("sockets")), told_and_decided(&dir.join("emulated")));
     assert_eq!(sockets, emulated);
