Edge: the core is an order of parts, each owning its state and transitions

Cause: `Core` was one struct of 30 fields and one file of 970 lines, `Delivery` one of 700 lines with calls and connections interleaved. A reader found no transition in one place, limits were `(bool, u32)` and attempts `(u32, u16)`.

Change: parts with their own state: admission, clients, in-flight table, Retry-After table (`LimitKey` names a limit), endpoint directory, decision cycle, drain, counters, clock readings. Delivery is split into calls (batching, attempts, deadlines), connections (pool, time-outs) and Produce requests. `Core` keeps the parts and the order of one iteration. Violations of the protocol and unusable headers are typed errors with the same texts. Fields of `Status` have the names of the field; its JSON keeps the outer names, and a test holds the earlier JSON.

--- /dev/null
+++ b/crates/edge/src/core/attempts.rs
@@ -0,0 +1,214 @@
+//! What the core does with attempts: start and cancel them, take their outcomes, and complete messages.
+
+use super::delivery::{AttemptId, FinishedAttempt, OutgoingMessage};
+use super::responses::RecordOutcome;
+use super::{Core, UpstreamId};
+use crate::delivery_events::{DeliveryEvent, FinalAnswer, LoadReport};
+use linnetcart::{AttemptOutcome, AttemptResult, Event, Idempotency, Time};
+
+const NANOS_PER_MS: Time = 1_000_000;
+/// Ticks before a message's deadline after which no attempt of it leaves any more. The library answers two ticks
+/// before the deadline and must have learned of it before.
+const DEPARTURE_MARGIN_TICKS: Time = 4;
+
+impl Core {
+    // ---- Connections to endpoints
+
+    /// The connection is there.
+    pub fn upstream_connected(&mut self, id: UpstreamId) {
+        self.delivery.connected(id);
+    }
+
+    /// The connection could not be made.
+    pub fn upstream_connect_failed(&mut self, id: UpstreamId) {
+        self.delivery.connect_failed(id);
+    }
+
+    /// The other side closed the connection, or it broke, after the system took `written` bytes of ours.
+    pub fn upstream_disconnected(&mut self, id: UpstreamId, written: u64) {
+        self.delivery.disconnected(id, written);
+    }
+
+    /// Bytes came from an endpoint.
+    pub fn upstream_received(&mut self, id: UpstreamId, bytes: &[u8]) {
+        let now = self.clock.now();
+        let (in_flight, endpoints, retry_after) = (&self.in_flight, &self.endpoints, &self.retry_after);
+        let may_depart = |message: u32, endpoint: u32| {
+            in_flight.open(message).is_some_and(|m| m.deadline > now)
+                && endpoints.is_ready(endpoint)
+                && !retry_after.is_blocked(endpoint, now)
+        };
+        self.delivery.receive(id, bytes, &may_depart);
+        self.collect_attempt_outcomes();
+    }
+
+    // ---- Attempts
+
+    pub(super) fn start_attempt(&mut self, message: u32, endpoint: u32, until: Time) {
+        let Some(begun) = self.in_flight.begin_attempt(message) else { return };
+        let Some(in_flight) = self.in_flight.get(message) else { return };
+        let (class, destination) = (in_flight.class, in_flight.destination);
+        self.counters.attempt_started();
+        self.delivery_events.push(DeliveryEvent::AttemptStarted {
+            message,
+            attempt: begun.number,
+            class,
+            destination,
+            endpoint,
+            hedge: begun.hedge,
+        });
+        let id = AttemptId { message, number: begun.number };
+        let attempts_used_up = u32::from(begun.number) >= self.settings.limits.attempts;
+        let max_messages_per_call = self.max_messages_per_call(endpoint).filter(|_| {
+            // Nothing leaves for a message that is completed or has had its attempts.
+            !begun.message_completed && !attempts_used_up
+        });
+        let Some(max_messages_per_call) = max_messages_per_call else {
+            self.delivery.reject_unsent(id, endpoint);
+            return;
+        };
+        let deadline = in_flight.deadline;
+        let outgoing = OutgoingMessage {
+            attempt: id,
+            class,
+            destination,
+            record: in_flight.record.clone(),
+            deadline: if until == 0 { deadline } else { until.min(deadline) },
+            depart_by: deadline.saturating_sub(DEPARTURE_MARGIN_TICKS * self.decisions.tick()),
+        };
+        self.delivery.send(endpoint, outgoing, max_messages_per_call);
+    }
+
+    /// How many messages one call to the endpoint takes, if the endpoint is in the list.
+    fn max_messages_per_call(&self, endpoint: u32) -> Option<usize> {
+        let entry = self.endpoints.get(endpoint)?;
+        let kind = self.settings.kinds.iter().find(|kind| kind.name == entry.kind)?;
+        Some(kind.per_call as usize)
+    }
+
+    pub(super) fn cancel_attempt(&mut self, message: u32, attempt: u16) {
+        self.delivery.cancel(AttemptId { message, number: attempt });
+    }
+
+    /// Takes the outcomes of attempts from delivery.
+    pub(super) fn collect_attempt_outcomes(&mut self) {
+        for violation in self.delivery.take_violations() {
+            let peer = format!("endpoint {}", violation.endpoint);
+            let reason = violation.error.to_string();
+            self.delivery_events.push(DeliveryEvent::ProtocolViolation { peer, reason });
+        }
+        for rejection in self.delivery.take_late_rejections() {
+            self.late_rejection(rejection);
+        }
+        loop {
+            let finished = self.delivery.take_finished();
+            if finished.is_empty() {
+                return;
+            }
+            for attempt in finished {
+                self.finish_attempt(attempt);
+            }
+        }
+    }
+
+    /// An endpoint rejected a call that had been abandoned: its Retry-After counts all the same.
+    fn late_rejection(&mut self, rejection: FinishedAttempt) {
+        let AttemptOutcome::Rejected { retry_after } = rejection.outcome else { return };
+        self.retry_after.record(rejection.endpoint, retry_after, self.clock.now());
+        self.decisions.push(Event::AttemptFinished(self.attempt_result(&rejection, true)));
+    }
+
+    fn finish_attempt(&mut self, finished: FinishedAttempt) {
+        let AttemptId { message, number: attempt } = finished.attempt;
+        let (endpoint, outcome) = (finished.endpoint, finished.outcome);
+        if let Some(in_flight) = self.in_flight.get(message) {
+            let load = finished
+                .load
+                .map(|l| LoadReport { capacity_left: l.capacity_left, rate_limit: l.rate_limit });
+            self.delivery_events.push(DeliveryEvent::AttemptFinished {
+                message,
+                attempt,
+                class: in_flight.class,
+                destination: in_flight.destination,
+                endpoint,
+                outcome,
+                elapsed: self.clock.now().saturating_sub(finished.started_at),
+                load,
+            });
+        }
+        if let AttemptOutcome::Rejected { retry_after } = outcome {
+            self.retry_after.record(endpoint, retry_after, self.clock.now());
+        }
+        if outcome == AttemptOutcome::Served {
+            self.complete(message, FinalAnswer::Served);
+        }
+        let message_completed = self.in_flight.finish_attempt(message, outcome);
+        let result = self.attempt_result(&finished, message_completed);
+        self.decisions.push(Event::AttemptFinished(result));
+    }
+
+    fn attempt_result(&self, finished: &FinishedAttempt, message_completed: bool) -> AttemptResult {
+        AttemptResult {
+            message: finished.attempt.message,
+            attempt: finished.attempt.number,
+            endpoint: finished.endpoint,
+            outcome: finished.outcome,
+            elapsed: self.clock.now().saturating_sub(finished.started_at),
+            completed: message_completed,
+            capacity_left: finished.load.map(|load| load.capacity_left),
+            rate_limit: finished.load.map(|load| load.rate_limit),
+        }
+    }
+
+    // ---- Final answers
+
+    pub(super) fn reject(&mut self, message: u32, retry_after: Time) {
+        self.complete(message, FinalAnswer::Rejected { retry_after });
+    }
+
+    pub(super) fn fail(&mut self, message: u32) {
+        self.complete(message, FinalAnswer::Failed);
+    }
+
+    /// Completes a message without the library, which is told that its client has gone: nobody waits any longer
+    /// because a response behind it on its connection is due, or because the drain deadline has passed.
+    pub(super) fn complete_undecided(&mut self, message: u32) {
+        let Some(in_flight) = self.in_flight.open(message) else { return };
+        let repeat_is_harmless = matches!(
+            self.idempotency[usize::from(in_flight.class)],
+            Idempotency::Idempotent | Idempotency::Keyed { per_zone: false, .. }
+        );
+        let possibly_executed = in_flight.possibly_executed || self.delivery.has_departed(message);
+        let answer = if repeat_is_harmless || !possibly_executed {
+            FinalAnswer::Rejected { retry_after: 0 }
+        } else {
+            FinalAnswer::Failed
+        };
+        self.decisions.push(Event::ClientCancelled { message });
+        self.complete(message, answer);
+    }
+
+    /// Gives a message its final answer.
+    fn complete(&mut self, message: u32, answer: FinalAnswer) {
+        let Some(in_flight) = self.in_flight.open(message) else { return };
+        let (position, class, destination) = (in_flight.position, in_flight.class, in_flight.destination);
+        let elapsed = self.clock.now() - in_flight.accepted_at;
+        let possibly_executed = in_flight.possibly_executed || self.delivery.has_departed(message);
+        let record_outcome = match answer {
+            FinalAnswer::Served => RecordOutcome::Served,
+            FinalAnswer::Rejected { retry_after } => {
+                RecordOutcome::Rejected { retry_after, not_executed: !possibly_executed }
+            }
+            FinalAnswer::Failed => RecordOutcome::Failed,
+        };
+        let objective = self.settings.classes[usize::from(class)].aim_ms * NANOS_PER_MS;
+        self.counters.completed(class, answer, elapsed <= objective);
+        self.delivery_events.push(DeliveryEvent::Completed { message, class, destination, answer, elapsed });
+        self.in_flight.complete(message);
+        self.clients.complete(position, record_outcome);
+        self.send_responses(position.client);
+        if self.clients.is_paused(position.client) {
+            self.process_requests(position.client);
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/core/endpoints.rs
@@ -0,0 +1,55 @@
+//! The endpoint list in force, and what is looked up in it.
+
+use crate::settings::{EndpointEntry, EndpointList, EntryState};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+#[derive(Debug, Default)]
+pub(crate) struct EndpointDirectory {
+    list: EndpointList,
+    /// For each destination of the list how many of its endpoints are ready.
+    ready_counts: BTreeMap<u32, u32>,
+}
+
+impl EndpointDirectory {
+    /// The list in force.
+    pub(crate) fn list(&self) -> &EndpointList {
+        &self.list
+    }
+
+    /// Puts a list in force.
+    pub(crate) fn replace(&mut self, list: EndpointList) {
+        self.ready_counts.clear();
+        for entry in list.entries.values() {
+            let ready = self.ready_counts.entry(entry.destination).or_default();
+            *ready += u32::from(entry.state == EntryState::Ready);
+        }
+        self.list = list;
+    }
+
+    pub(crate) fn get(&self, endpoint: u32) -> Option<&EndpointEntry> {
+        self.list.entries.get(&endpoint)
+    }
+
+    pub(crate) fn address(&self, endpoint: u32) -> Option<SocketAddr> {
+        self.get(endpoint).map(|entry| entry.address)
+    }
+
+    /// The endpoint takes new messages, as far as the list says.
+    pub(crate) fn is_ready(&self, endpoint: u32) -> bool {
+        self.get(endpoint).is_some_and(|entry| entry.state == EntryState::Ready)
+    }
+
+    /// The destination that a partition number stands for, if the list has it.
+    pub(crate) fn destination(&self, partition: i32) -> Option<u32> {
+        u32::try_from(partition).ok().filter(|destination| self.ready_counts.contains_key(destination))
+    }
+
+    /// For each partition number up to the highest whether its destination has a ready endpoint.
+    pub(crate) fn available_partitions(&self) -> Vec<bool> {
+        let Some((&last, _)) = self.ready_counts.last_key_value() else { return Vec::new() };
+        let is_available =
+            |destination: u32| self.ready_counts.get(&destination).is_some_and(|&ready| ready > 0);
+        (0..=last).map(is_available).collect()
+    }
+}
--- /dev/null
+++ b/crates/edge/src/core/error.rs
@@ -0,0 +1,24 @@
+//! Violations of the Kafka protocol by a peer, which end its connection.
+
+use linnetcart_kafka::codes::Malformed;
+use linnetcart_kafka::server::RequestError;
+use linnetcart_kafka::{FrameError, PRODUCE};
+
+/// What a client or an endpoint did that its connection is closed for.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum ProtocolError {
+    #[error(transparent)]
+    Frame(#[from] FrameError),
+    #[error(transparent)]
+    Request(#[from] RequestError),
+    #[error(transparent)]
+    Response(#[from] Malformed),
+    #[error("acks=0 for {topics:?} leaves no way to give the final answer; use acks=all")]
+    NoAcknowledgement { topics: Vec<String> },
+    #[error("it does not offer Produce")]
+    ProduceNotOffered,
+    #[error("it offers Produce {least} to {most}, {PRODUCE:?} are spoken")]
+    ProduceVersions { least: i16, most: i16 },
+    #[error("it answers request {correlation}, which is not out")]
+    UnexpectedResponse { correlation: i32 },
+}
--- /dev/null
+++ b/crates/edge/src/core/requests.rs
@@ -0,0 +1,210 @@
+//! What the core does with clients: connections, requests, acceptance of messages and responses.
+
+use super::admission::{
+    AdmissionContext, AdmissionDecision, AdmittedRecord, CheckedPartition, ProduceOptions, Route,
+};
+use super::clients::{PendingPartition, PendingProduce, PendingRecord, ReadState, RecordPosition};
+use super::error::ProtocolError;
+use super::in_flight::NewMessage;
+use super::responses::RecordOutcome;
+use super::{ClientId, Core, Output};
+use crate::delivery_events::{DeliveryEvent, RejectionReason};
+use linnetcart::{AcceptedMessage, Event, Time};
+use linnetcart_kafka::server::{self, Body, Produce, Request, Topic};
+
+const NANOS_PER_MS: Time = 1_000_000;
+
+impl Core {
+    /// A client connected.
+    pub fn client_connected(&mut self, id: ClientId) {
+        self.clients.open(id, self.settings.limits.request_bytes);
+    }
+
+    /// Bytes came from a client.
+    pub fn client_received(&mut self, id: ClientId, bytes: &[u8]) {
+        if self.clients.receive(id, bytes) {
+            self.process_requests(id);
+        }
+    }
+
+    /// The client sends no more; its requests are still answered.
+    pub fn client_half_closed(&mut self, id: ClientId) {
+        if self.clients.half_close(id) {
+            self.send_responses(id);
+        }
+    }
+
+    /// The client is gone, and nobody waits for the answers to its messages.
+    pub fn client_disconnected(&mut self, id: ClientId) {
+        for message in self.clients.remove(id) {
+            let Some(in_flight) = self.in_flight.get(message) else { continue };
+            let (class, destination) = (in_flight.class, in_flight.destination);
+            self.counters.client_cancelled(class);
+            self.delivery_events.push(DeliveryEvent::ClientCancelled { message, class, destination });
+            self.decisions.push(Event::ClientCancelled { message });
+            self.in_flight.complete(message);
+        }
+    }
+
+    /// Bytes of responses that the client's system has not taken yet.
+    pub fn set_client_backlog(&mut self, id: ClientId, bytes: usize) {
+        self.clients.set_unsent_bytes(id, bytes);
+        if self.clients.is_paused(id) {
+            self.process_requests(id);
+        }
+    }
+
+    /// Processes the complete requests of a client, as far as its bounds allow. Beyond them it is not read.
+    pub(super) fn process_requests(&mut self, id: ClientId) {
+        loop {
+            let Some(update) = self.clients.update_reading(id, &self.settings.limits) else { return };
+            if update.changed {
+                self.outputs.push(Output::ReadClient(id, update.state == ReadState::Reading));
+            }
+            if update.state == ReadState::Paused {
+                return;
+            }
+            let processed = match self.clients.next_request(id) {
+                Ok(None) => return,
+                Ok(Some(request)) => self.process_request(id, request),
+                Err(error) => Err(error),
+            };
+            if let Err(error) = processed {
+                self.close_violating_client(id, &error);
+                return;
+            }
+            self.send_responses(id);
+        }
+    }
+
+    fn close_violating_client(&mut self, id: ClientId, error: &ProtocolError) {
+        let peer = format!("client {id}");
+        self.delivery_events.push(DeliveryEvent::ProtocolViolation { peer, reason: error.to_string() });
+        self.outputs.push(Output::CloseClient(id));
+        self.client_disconnected(id);
+    }
+
+    fn process_request(&mut self, id: ClientId, request: Request) -> Result<(), ProtocolError> {
+        let Request { correlation, version, .. } = request;
+        let response = match request.body {
+            Body::ApiVersions => server::api_versions(correlation, version, false),
+            Body::ApiVersionsTooNew => server::api_versions(correlation, version, true),
+            Body::Metadata(names) => {
+                server::metadata(correlation, version, &self.broker, &self.topics(names))
+            }
+            Body::Fetch(topics) => server::not_readable(correlation, &topics),
+            Body::Produce(produce) if produce.acks == 0 => {
+                let topics = produce.parts.into_iter().map(|batch| batch.topic).collect();
+                return Err(ProtocolError::NoAcknowledgement { topics });
+            }
+            Body::Produce(produce) => {
+                self.process_produce(id, correlation, version, produce);
+                return Ok(());
+            }
+        };
+        self.clients.enqueue_response(id, response);
+        Ok(())
+    }
+
+    /// The named topics, or all of them, as Metadata describes them.
+    fn topics(&self, names: Option<Vec<String>>) -> Vec<Topic> {
+        let partitions = self.endpoints.available_partitions();
+        let all = || self.settings.classes.iter().map(|class| class.name.clone()).collect();
+        let mut topics = Vec::new();
+        for name in names.unwrap_or_else(all) {
+            let known = self.settings.class(&name).is_some();
+            let partitions = if known { partitions.clone() } else { Vec::new() };
+            topics.push(Topic { name, known, partitions });
+        }
+        topics
+    }
+
+    fn process_produce(&mut self, client: ClientId, correlation: i32, version: i16, produce: Produce) {
+        let request = self.clients.next_request_number(client);
+        let options = ProduceOptions { acks: produce.acks, transactional: produce.transactional };
+        let mut deadline = Time::MAX;
+        let mut partitions = Vec::new();
+        for (index, batch) in produce.parts.into_iter().enumerate() {
+            let context = AdmissionContext {
+                settings: &self.settings,
+                endpoints: &self.endpoints,
+                clock: self.clock,
+                usage: self.in_flight.usage(),
+                draining: self.drain.is_draining(),
+            };
+            let checked = self.admission.check(options, batch, &context);
+            deadline = deadline.min(checked.deadline.unwrap_or(Time::MAX));
+            let first = RecordPosition { client, request, partition: index as u32, record: 0 };
+            partitions.push(self.admit_partition(first, checked));
+        }
+        self.clients.enqueue_produce(client, PendingProduce { correlation, version, partitions }, deadline);
+    }
+
+    /// Carries out the admission decision; `first` is the position of the partition's first record.
+    fn admit_partition(&mut self, first: RecordPosition, checked: CheckedPartition) -> PendingPartition {
+        let CheckedPartition { topic, partition, decision, .. } = checked;
+        let records = match decision {
+            AdmissionDecision::Invalid(result) => return PendingPartition::Rejected(result),
+            AdmissionDecision::Shed { route, record_count, reason } => self.shed(route, record_count, reason),
+            AdmissionDecision::Admitted { route, records } => {
+                let mut accepted = Vec::with_capacity(records.len());
+                for (index, record) in records.into_iter().enumerate() {
+                    let position = RecordPosition { record: index as u32, ..first };
+                    accepted.push(PendingRecord::accepted(self.accept(position, route, record)));
+                }
+                accepted
+            }
+        };
+        PendingPartition::Records { topic, partition, records }
+    }
+
+    fn shed(&mut self, route: Route, record_count: usize, reason: RejectionReason) -> Vec<PendingRecord> {
+        let Route { class, destination } = route;
+        let retry_after = self.settings.allow.come_back_ms * NANOS_PER_MS;
+        let mut shed = Vec::with_capacity(record_count);
+        for _ in 0..record_count {
+            self.counters.shed(class);
+            self.delivery_events.push(DeliveryEvent::Rejected { class, destination, reason });
+            let outcome = RecordOutcome::Rejected { retry_after, not_executed: true };
+            shed.push(PendingRecord::completed(outcome));
+        }
+        shed
+    }
+
+    /// Takes a message in and reports it to the library; returns its number.
+    fn accept(&mut self, position: RecordPosition, route: Route, admitted: AdmittedRecord) -> u32 {
+        let Route { class, destination } = route;
+        let AdmittedRecord { record, name, ordering_key, deadline, tenant } = admitted;
+        let accepted_at = self.clock.now();
+        let new = NewMessage { position, class, destination, record, accepted_at, deadline };
+        let id = self.in_flight.insert(new);
+        self.counters.accepted(class);
+        self.delivery_events.push(DeliveryEvent::Accepted {
+            message: id,
+            name,
+            class,
+            destination,
+            deadline,
+        });
+        self.decisions.push(Event::Accepted(AcceptedMessage {
+            id,
+            destination,
+            class,
+            time_remaining: deadline.saturating_sub(accepted_at),
+            ordering_key,
+            tenant,
+        }));
+        id
+    }
+
+    /// Sends the responses of a client that may be sent now, and closes its connection if nothing more is owed.
+    pub(super) fn send_responses(&mut self, id: ClientId) {
+        for response in self.clients.take_responses(id) {
+            self.outputs.push(Output::ToClient(id, response));
+        }
+        if self.clients.is_finished(id) {
+            self.outputs.push(Output::CloseClient(id));
+            self.clients.remove(id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/core/status.rs
@@ -0,0 +1,124 @@
+//! Figures of a courier for its status page.
+
+use crate::delivery_events::FinalAnswer;
+use serde::Serialize;
+use std::collections::BTreeMap;
+
+/// Figures for the status page.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Status {
+    /// Messages without a final answer.
+    #[serde(rename = "held")]
+    pub in_flight: usize,
+    /// Bytes of them.
+    #[serde(rename = "held_bytes")]
+    pub in_flight_bytes: usize,
+    /// Calls out that hold a slot.
+    pub calls: usize,
+    /// Connections to endpoints.
+    #[serde(rename = "links")]
+    pub upstream_connections: usize,
+    /// Of these, those that wait for the response to an abandoned call.
+    #[serde(rename = "links_abandoned")]
+    pub abandoned_connections: usize,
+    /// Connections of clients.
+    pub clients: usize,
+    /// Of these, those that are not read because of a bound.
+    #[serde(rename = "clients_paused")]
+    pub paused_clients: usize,
+    /// Version of the endpoint list.
+    pub list_version: u64,
+    /// Endpoints in the list.
+    pub endpoints: usize,
+    /// It accepts nothing new.
+    pub draining: bool,
+    /// For each class: what became of its messages.
+    pub classes: BTreeMap<String, ClassCounters>,
+    /// Attempts so far.
+    pub attempts: u64,
+    /// Decision cycles so far.
+    #[serde(rename = "rounds")]
+    pub decision_cycles: u64,
+    /// Messages that had expired when they arrived.
+    #[serde(rename = "out_of_time")]
+    pub expired_on_arrival: u64,
+    /// Messages whose client's clock is ahead by more than the settings permit.
+    pub clocks_ahead: u64,
+}
+
+/// What became of the messages of a class.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct ClassCounters {
+    /// Accepted.
+    #[serde(rename = "taken")]
+    pub accepted: u64,
+    /// Served.
+    pub served: u64,
+    /// Served within the latency objective.
+    #[serde(rename = "in_aim")]
+    pub served_in_objective: u64,
+    /// Rejected after they were accepted.
+    #[serde(rename = "refused")]
+    pub rejected: u64,
+    /// Failed.
+    pub failed: u64,
+    /// Cancelled: the client was gone.
+    #[serde(rename = "withdrawn")]
+    pub client_cancelled: u64,
+    /// Rejected before they were accepted.
+    #[serde(rename = "turned_away")]
+    pub shed: u64,
+}
+
+/// Counters of all classes, and of attempts.
+#[derive(Debug)]
+pub(crate) struct Counters {
+    classes: Vec<ClassCounters>,
+    attempts: u64,
+}
+
+impl Counters {
+    pub(crate) fn new(class_count: usize) -> Self {
+        Counters { classes: vec![ClassCounters::default(); class_count], attempts: 0 }
+    }
+
+    pub(crate) fn classes(&self) -> &[ClassCounters] {
+        &self.classes
+    }
+
+    pub(crate) fn attempts(&self) -> u64 {
+        self.attempts
+    }
+
+    pub(crate) fn attempt_started(&mut self) {
+        self.attempts += 1;
+    }
+
+    pub(crate) fn accepted(&mut self, class: u8) {
+        self.classes[usize::from(class)].accepted += 1;
+    }
+
+    pub(crate) fn shed(&mut self, class: u8) {
+        self.classes[usize::from(class)].shed += 1;
+    }
+
+    pub(crate) fn client_cancelled(&mut self, class: u8) {
+        self.classes[usize::from(class)].client_cancelled += 1;
+    }
+
+    /// A final answer; a served message counts as in its objective if it `met_objective`.
+    pub(crate) fn completed(&mut self, class: u8, answer: FinalAnswer, met_objective: bool) {
+        let counters = &mut self.classes[usize::from(class)];
+        match answer {
+            FinalAnswer::Served => {
+                counters.served += 1;
+                counters.served_in_objective += u64::from(met_objective);
+            }
+            FinalAnswer::Rejected { .. } => counters.rejected += 1,
+            FinalAnswer::Failed => counters.failed += 1,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -606,13 +606,13 @@
         reports.telemetry.process(now, wall(), || {
             let (status, limits) = (core.status(), &core.settings().limits);
             CurrentState {
-                held: status.held,
-                held_bytes: status.held_bytes,
+                held: status.in_flight,
+                held_bytes: status.in_flight_bytes,
                 slots_used: status.calls,
                 slots: limits.slots as usize,
                 hold: limits.held as usize,
                 clients: status.clients,
-                links: status.links,
+                links: status.upstream_connections,
             }
         });
         let mut lines = Vec::new();
--- a/crates/edge/tests/core.rs
+++ b/crates/edge/tests/core.rs
@@ -21,7 +21,7 @@
     b.reply("hello", codes::NONE, 0);
     assert_eq!(b.codes(A), [(n, codes::NONE)]);
     let status = b.core.status();
-    assert_eq!((status.held, status.calls, status.classes["status"].served), (0, 0, 1));
+    assert_eq!((status.in_flight, status.calls, status.classes["status"].served), (0, 0, 1));
 }
 
 #[test]
@@ -35,7 +35,7 @@
     b.pass(60);
     // What may not run twice has failed; what is safe to repeat is handed back, though it had seconds left.
     assert_eq!(b.codes(A), [(long, codes::NOT_ENOUGH_REPLICAS), (short, codes::UNKNOWN_SERVER_ERROR)]);
-    assert_eq!(b.core.status().held, 0);
+    assert_eq!(b.core.status().in_flight, 0);
 }
 
 #[test]
@@ -107,8 +107,8 @@
     b.open(link);
     b.greet(link);
     assert!(b.calls.is_empty(), "withdrawn before its connection was there");
-    assert_eq!(b.core.status().held, 0);
-    assert_eq!(b.core.status().classes["order"].withdrawn, 1);
+    assert_eq!(b.core.status().in_flight, 0);
+    assert_eq!(b.core.status().classes["order"].client_cancelled, 1);
 }
 
 #[test]
@@ -163,9 +163,9 @@
         b.one(2, "status", 1, &format!("p{n}"));
     }
     assert!(b.paused.contains(&2));
-    assert_eq!(b.core.status().held, 4);
+    assert_eq!(b.core.status().in_flight, 4);
     b.reply("p0", codes::NONE, 0);
-    assert_eq!(b.core.status().held, 4, "the next was taken when there was room");
+    assert_eq!(b.core.status().in_flight, 4, "the next was taken when there was room");
 }
 
 #[test]
@@ -178,7 +178,7 @@
     for n in 0..3 {
         b.one(2, "status", 1, &format!("h{n}"));
     }
-    let held = b.core.status().held as i32;
+    let held = b.core.status().in_flight as i32;
     let batch: Vec<_> = (0..3).map(|n| record(&format!("b{n}"))).collect();
     let n = b.send(A, &[("status", 1, &batch)]);
     assert!(held > 0);
@@ -197,7 +197,7 @@
     b.client(A);
     let long = b.one(A, "status", 1, "long");
     let short = b.send(A, &[("order", 2, &[headed("short", "deadline-ms", "300")])]);
-    assert_eq!(b.core.status().classes["order"].turned_away, 1);
+    assert_eq!(b.core.status().classes["order"].shed, 1);
     assert_eq!(b.codes(A), []);
     b.pass(310);
     assert_eq!(b.codes(A), [(long, codes::NOT_ENOUGH_REPLICAS), (short, codes::NOT_ENOUGH_REPLICAS)]);
@@ -215,10 +215,10 @@
     b.reply_to(&second, codes::NONE, 0);
     b.round();
     let answers = b.codes(A).len();
-    assert_eq!((answers, b.core.status().links_abandoned, b.core.status().calls), (1, 1, 0));
+    assert_eq!((answers, b.core.status().abandoned_connections, b.core.status().calls), (1, 1, 0));
     b.reply_to(&first, codes::NONE, 0);
     assert_eq!(b.codes(A).len(), 1, "the loser's answer goes to nobody");
-    assert_eq!(b.core.status().links_abandoned, 0);
+    assert_eq!(b.core.status().abandoned_connections, 0);
 }
 
 #[test]
@@ -344,7 +344,7 @@
     b.send(A, &[("order", 1, &[Record { value: Some("ahead".into()), ..made(0) }])]);
     b.reply("ahead", codes::NONE, 0);
     let status = b.core.status();
-    assert_eq!((b.codes(A)[2].1, status.out_of_time, status.clocks_ahead), (codes::NONE, 1, 1));
+    assert_eq!((b.codes(A)[2].1, status.expired_on_arrival, status.clocks_ahead), (codes::NONE, 1, 1));
     // A stated end counts where records' times do not.
     let end = headed("end", "deadline-at-ms", &(WALL + 500).to_string());
     b.core.wall_clock(WALL * MS);
--- a/crates/edge/tests/random.rs
+++ b/crates/edge/tests/random.rs
@@ -239,7 +239,7 @@
                 if code == codes::THROTTLING_QUOTA_EXCEEDED {
                     names.iter().for_each(|n| w.sent.get_mut(n).unwrap().ran -= 1);
                     // A wait that comes for a call that was given up long ago is not heard.
-                    let heard = b.core.status().links_abandoned == 0;
+                    let heard = b.core.status().abandoned_connections == 0;
                     if wait > 0 && heard {
                         let until = w.waits.entry(limit(endpoint)).or_default();
                         *until = (*until).max(b.now + u64::from(wait) * MS);
@@ -329,7 +329,11 @@
         prop_assert!(waiting.is_empty(), "rule 1: client {client} still waits for {waiting:?}");
     }
     let status = b.core.status();
-    prop_assert_eq!((status.held, status.held_bytes, status.calls), (0, 0, 0), "nothing is left behind");
+    prop_assert_eq!(
+        (status.in_flight, status.in_flight_bytes, status.calls),
+        (0, 0, 0),
+        "nothing is left behind"
+    );
     Ok(())
 }
 
