Edge: delivery's connections and responses apart from its sending

Change: what happens as upstream connections open, close and fail is in delivery/upstream.rs, what responses lead to in delivery/responses.rs.

--- a/crates/edge/src/core/delivery/mod.rs
+++ b/crates/edge/src/core/delivery/mod.rs
@@ -11,6 +11,8 @@
 mod calls;
 mod connections;
 mod produce;
+mod responses;
+mod upstream;
 
 pub(crate) use calls::AttemptId;
 pub(crate) use connections::ConnectionCounts;
@@ -18,11 +20,10 @@
 use super::error::ProtocolError;
 use super::trust::Trust;
 use super::Output;
-use bytes::Bytes;
 use calls::{CallBounds, CallTable};
 use connections::{ConnectionPool, ConnectionState, NewConnection};
 use linnetcart::{AttemptOutcome, Time};
-use linnetcart_kafka::{client, LoadReport, Record, PRODUCE};
+use linnetcart_kafka::{LoadReport, Record};
 use produce::RequestHeader;
 use std::net::SocketAddr;
 
@@ -382,188 +383,4 @@
             self.close(id, AttemptOutcome::NoConnection);
         }
     }
-
-    // ---- Connections
-
-    /// Closes a connection. What was written to it has this outcome.
-    fn close(&mut self, id: UpstreamId, written_outcome: AttemptOutcome) {
-        if self.connections.get(id).is_some() {
-            self.outputs.push(Output::CloseUpstream(id));
-            self.remove_connection(id, u64::MAX, written_outcome);
-        }
-    }
-
-    /// The connection is no more. The system took `taken_bytes` of what was queued there; calls from there on are
-    /// known not to have left.
-    fn remove_connection(&mut self, id: UpstreamId, taken_bytes: u64, written_outcome: AttemptOutcome) {
-        let Some(connection) = self.connections.remove(id) else { return };
-        for call_id in connection.written_calls.into_values() {
-            let Some(call) = self.calls.get(call_id) else { continue };
-            if call.connection_idle_for > 0 && written_outcome == AttemptOutcome::Reset {
-                self.connection_reuse.lost(self.now, call.connection_idle_for);
-            }
-            let departed = call.stream_offset.unwrap_or(0) < taken_bytes;
-            let outcome = if departed { written_outcome } else { AttemptOutcome::NoConnection };
-            self.finish_call(call_id, outcome);
-        }
-        for call_id in connection.waiting_calls {
-            self.finish_call(call_id, AttemptOutcome::NoConnection);
-        }
-    }
-
-    /// Closes the connections to an endpoint that nothing is on.
-    pub(crate) fn close_idle(&mut self, endpoint: u32) {
-        for id in self.connections.idle_while(endpoint, |_| true) {
-            self.close(id, AttemptOutcome::Reset);
-        }
-    }
-
-    /// Closes those that have been idle for longer than connections are known to survive.
-    fn close_unreliable_idle(&mut self, endpoint: u32) {
-        let longest = self.connection_reuse.now(self.now);
-        let now = self.now;
-        let is_unreliable = |since: Time| longest == 0 || since.saturating_add(longest) < now;
-        for id in self.connections.idle_while(endpoint, is_unreliable) {
-            self.close(id, AttemptOutcome::Reset);
-        }
-    }
-
-    /// The connection is there: ask which versions the endpoint offers.
-    pub(crate) fn connected(&mut self, id: UpstreamId) {
-        let Some(connection) = self.connections.get_mut(id) else { return };
-        let name = &self.settings.client_name;
-        match client::api_versions(VERSION_REQUEST, name, VERSION_REQUEST_VERSION) {
-            Ok(bytes) => {
-                connection.queued_bytes += bytes.len() as u64;
-                self.outputs.push(Output::ToUpstream(id, bytes));
-            }
-            Err(_) => self.close(id, AttemptOutcome::NoConnection),
-        }
-    }
-
-    /// The connection could not be made.
-    pub(crate) fn connect_failed(&mut self, id: UpstreamId) {
-        self.remove_connection(id, 0, AttemptOutcome::NoConnection);
-    }
-
-    /// The other side closed the connection, or it broke, after the system took `taken_bytes`.
-    pub(crate) fn disconnected(&mut self, id: UpstreamId, taken_bytes: u64) {
-        self.remove_connection(id, taken_bytes, AttemptOutcome::Reset);
-    }
-
-    // ---- Responses
-
-    /// Bytes came. What is no response to a call on this connection ends the connection. `may_depart` says of a
-    /// message and an endpoint whether the message may still leave for there.
-    pub(crate) fn receive(&mut self, id: UpstreamId, bytes: &[u8], may_depart: &dyn Fn(u32, u32) -> bool) {
-        if let Some(connection) = self.connections.get_mut(id) {
-            connection.frames.push(bytes);
-        }
-        loop {
-            let Some(connection) = self.connections.get_mut(id) else { return };
-            let endpoint = connection.endpoint;
-            let state = connection.state;
-            let processed = match connection.frames.next_frame() {
-                Ok(None) => return,
-                Ok(Some(frame)) => match state {
-                    ConnectionState::Connecting => self.receive_versions(id, &frame, may_depart),
-                    ConnectionState::Ready { produce_version } => {
-                        self.receive_response(id, &frame, produce_version)
-                    }
-                },
-                Err(error) => Err(error.into()),
-            };
-            if let Err(error) = processed {
-                if self.connections.get(id).is_some() {
-                    self.violations.push(EndpointViolation { endpoint, error });
-                }
-                self.close(id, AttemptOutcome::Reset);
-                return;
-            }
-        }
-    }
-
-    /// The endpoint has said what it offers. Before a message leaves it is looked at again: it can have been
-    /// completed, its endpoint can drain, and a Retry-After can have come while the connection was made.
-    fn receive_versions(
-        &mut self,
-        id: UpstreamId,
-        frame: &Bytes,
-        may_depart: &dyn Fn(u32, u32) -> bool,
-    ) -> Result<(), ProtocolError> {
-        let (correlation, offered) = client::read_produce_versions(frame)?;
-        let (least, most) = offered.ok_or(ProtocolError::ProduceNotOffered)?;
-        let (first_spoken, last_spoken) = PRODUCE;
-        let produce_version = most.min(last_spoken);
-        if correlation != VERSION_REQUEST || produce_version < least.max(first_spoken) {
-            return Err(ProtocolError::ProduceVersions { least, most });
-        }
-        let Some(connection) = self.connections.get_mut(id) else { return Ok(()) };
-        connection.state = ConnectionState::Ready { produce_version };
-        let endpoint = connection.endpoint;
-        for call_id in connection.waiting_calls.clone() {
-            for attempt in self.stale_attempts(call_id, endpoint, may_depart) {
-                self.give_up_attempt(call_id, attempt, NOT_SENT);
-            }
-        }
-        self.write_waiting_calls(id);
-        self.settle(Some(id));
-        Ok(())
-    }
-
-    /// Attempts of a call that may not leave any more.
-    fn stale_attempts(
-        &self,
-        call_id: CallId,
-        endpoint: u32,
-        may_depart: &dyn Fn(u32, u32) -> bool,
-    ) -> Vec<AttemptId> {
-        let Some(call) = self.calls.get(call_id) else { return Vec::new() };
-        let attempts = call.messages.iter().map(|message| message.attempt);
-        attempts.filter(|attempt| !may_depart(attempt.message, endpoint)).collect()
-    }
-
-    fn receive_response(&mut self, id: UpstreamId, frame: &Bytes, version: i16) -> Result<(), ProtocolError> {
-        let reply = client::read_produced(frame, version)?;
-        let correlation = reply.correlation;
-        let Some(connection) = self.connections.get_mut(id) else { return Ok(()) };
-        let Some(call_id) = connection.written_calls.remove(&correlation) else {
-            return Err(ProtocolError::UnexpectedResponse { correlation });
-        };
-        let Some(call) = self.calls.get(call_id) else { return Ok(()) };
-        let (endpoint, started_at) = (call.endpoint, call.started_at);
-        if call.is_abandoned() {
-            connection.abandoned_calls = connection.abandoned_calls.saturating_sub(1);
-            let retry_after = produce::retry_after(&reply);
-            if retry_after > 0 && produce::is_throttled(&reply) {
-                self.late_rejections.push(FinishedAttempt {
-                    attempt: call.last_finished,
-                    endpoint,
-                    outcome: AttemptOutcome::Rejected { retry_after },
-                    started_at,
-                    load: reply.load,
-                });
-            }
-        }
-        let outcomes = produce::outcomes(&self.settings, call, &reply);
-        self.note_silent_connections(endpoint, started_at);
-        for (attempt, outcome) in outcomes {
-            self.finish_attempt(call_id, attempt, outcome, reply.load);
-        }
-        self.calls.remove(call_id);
-        self.settle(Some(id));
-        Ok(())
-    }
-
-    /// An endpoint has answered a call that was started at this time: earlier ones that are abandoned, and that were
-    /// the first on their connections after these were idle, are lost with their connections.
-    fn note_silent_connections(&mut self, endpoint: u32, answered_started_at: Time) {
-        let abandoned = self.connections.abandoned(endpoint);
-        for call_id in abandoned.flat_map(|connection| connection.written_calls.values()) {
-            let Some(call) = self.calls.get_mut(*call_id) else { continue };
-            if call.connection_idle_for > 0 && call.started_at < answered_started_at {
-                self.connection_reuse.lost(self.now, std::mem::take(&mut call.connection_idle_for));
-            }
-        }
-    }
 }
