Edge: settings are documents, validation, the library's settings and the endpoint list apart

Cause: settings.rs held 830 lines: documents, one check function of 120 lines, conversion and the endpoint list; field names were those of the house.

Change: settings/{documents,validation,library,endpoint_list,error}.rs; one check function for each part of the document; named bounds. Fields have the names of the field and keep their keys with #[serde(rename)]. Type names of the documents stay: serde puts them into error texts of the control interface. Nanoseconds in a millisecond are one constant.

Tests renamed: a_document_is_read_and_survives_being_written -> settings_written_and_read_again_are_equal, an_error_names_the_field_and_what_would_do -> settings_with_a_wrong_field_are_rejected_with_its_path, news_of_the_list_apply_whole_or_not_at_all -> endpoint_list_update_applies_as_a_whole_or_not_at_all.

--- a/crates/edge/src/core/admission.rs
+++ b/crates/edge/src/core/admission.rs
@@ -10,6 +10,7 @@
 use super::responses::rejected_partition;
 use crate::delivery_events::RejectionReason;
 use crate::settings::Settings;
+use crate::time::NANOS_PER_MS;
 use bytes::Bytes;
 use linnetcart::Time;
 use linnetcart_kafka::codes;
@@ -26,7 +27,6 @@
 /// The header with a message's tenant.
 const TENANT: &str = "tenant";
 
-const NANOS_PER_MS: Time = 1_000_000;
 /// `acks` of a producer that waits for all replicas, and for the leader.
 const SUPPORTED_ACKS: [i16; 2] = [-1, 1];
 
@@ -230,7 +230,7 @@
     context: &AdmissionContext<'_>,
 ) -> Option<AdmissionDecision> {
     let limits = &context.settings.limits;
-    let (max_messages, max_bytes) = (limits.held as usize, limits.held_bytes);
+    let (max_messages, max_bytes) = (limits.max_in_flight as usize, limits.max_in_flight_bytes);
     let record_count = records.len();
     let bytes: usize = records.iter().map(Record::size).sum();
     if record_count > max_messages || bytes > max_bytes {
@@ -296,8 +296,8 @@
         created_at: created_ms.map(|ms| ms.saturating_mul(NANOS_PER_MS)),
     };
     let clocks = ClientClocks {
-        max_skew: settings.clocks.apart_ms * NANOS_PER_MS,
-        timestamps_are_creation_times: settings.clocks.record_time,
+        max_skew: settings.clocks.max_skew_ms * NANOS_PER_MS,
+        timestamps_are_creation_times: settings.clocks.timestamps_are_creation_times,
     };
     let longest = settings.classes[usize::from(class)].deadline();
     let deadline = message_deadline(clocks, context.clock, stated, longest);
--- a/crates/edge/src/core/attempts.rs
+++ b/crates/edge/src/core/attempts.rs
@@ -6,7 +6,6 @@
 use crate::delivery_events::{DeliveryEvent, FinalAnswer, LoadReport};
 use linnetcart::{AttemptOutcome, AttemptResult, Event, Idempotency, Time};
 
-const NANOS_PER_MS: Time = 1_000_000;
 /// Ticks before a message's deadline after which no attempt of it leaves any more. The library answers two ticks
 /// before the deadline and must have learned of it before.
 const DEPARTURE_MARGIN_TICKS: Time = 4;
@@ -58,7 +57,7 @@
             hedge: begun.hedge,
         });
         let id = AttemptId { message, number: begun.number };
-        let attempts_used_up = u32::from(begun.number) >= self.settings.limits.attempts;
+        let attempts_used_up = u32::from(begun.number) >= self.settings.limits.max_attempts;
         let max_messages_per_call = self.max_messages_per_call(endpoint).filter(|_| {
             // Nothing leaves for a message that is completed or has had its attempts.
             !begun.message_completed && !attempts_used_up
@@ -82,8 +81,8 @@
     /// How many messages one call to the endpoint takes, if the endpoint is in the list.
     fn max_messages_per_call(&self, endpoint: u32) -> Option<usize> {
         let entry = self.endpoints.get(endpoint)?;
-        let kind = self.settings.kinds.iter().find(|kind| kind.name == entry.kind)?;
-        Some(kind.per_call as usize)
+        let kind = self.settings.kind(&entry.kind)?;
+        Some(kind.max_messages_per_call as usize)
     }
 
     pub(super) fn cancel_attempt(&mut self, message: u32, attempt: u16) {
@@ -201,7 +200,7 @@
             }
             FinalAnswer::Failed => RecordOutcome::Failed,
         };
-        let objective = self.settings.classes[usize::from(class)].aim_ms * NANOS_PER_MS;
+        let objective = self.settings.classes[usize::from(class)].latency_objective();
         self.counters.completed(class, answer, elapsed <= objective);
         self.delivery_events.push(DeliveryEvent::Completed { message, class, destination, answer, elapsed });
         self.in_flight.complete(message);
--- a/crates/edge/src/core/clients.rs
+++ b/crates/edge/src/core/clients.rs
@@ -3,6 +3,7 @@
 use super::responses::{partition_answer, RecordOutcome};
 use super::ProtocolError;
 use crate::settings::Limits;
+use crate::time::NANOS_PER_MS;
 use bytes::Bytes;
 use linnetcart::Time;
 use linnetcart_kafka::server::{self, PartitionResult, Request};
@@ -95,8 +96,6 @@
     }
 }
 
-const NANOS_PER_MS: Time = 1_000_000;
-
 #[derive(Debug)]
 enum PendingRequest {
     /// Answered as soon as the requests before it are.
@@ -246,8 +245,8 @@
     /// Pauses or resumes reading by the bounds; `None` if there is no such connection.
     pub(crate) fn update_reading(&mut self, id: ClientId, limits: &Limits) -> Option<ReadUpdate> {
         let connection = self.connections.get_mut(&id)?;
-        let paused =
-            connection.requests.len() >= limits.pipelined || connection.unsent_bytes >= limits.unsent_bytes;
+        let paused = connection.requests.len() >= limits.max_pipelined
+            || connection.unsent_bytes >= limits.max_unsent_bytes;
         let changed = paused != connection.paused;
         connection.paused = paused;
         let state = if paused { ReadState::Paused } else { ReadState::Reading };
--- a/crates/edge/src/core/delivery/produce.rs
+++ b/crates/edge/src/core/delivery/produce.rs
@@ -2,6 +2,7 @@
 
 use super::calls::Call;
 use super::{AttemptId, DeliverySettings};
+use crate::time::NANOS_PER_MS;
 use bytes::Bytes;
 use linnetcart::{AttemptOutcome, Time};
 use linnetcart_kafka::client::{self, ProduceReply, ProduceTarget};
@@ -10,7 +11,6 @@
 use linnetcart_kafka::Record;
 use std::collections::BTreeMap;
 
-const NANOS_PER_MS: Time = 1_000_000;
 /// `acks` of a request that waits for all replicas.
 const ACKS_ALL: i16 = -1;
 
--- a/crates/edge/src/core/mod.rs
+++ b/crates/edge/src/core/mod.rs
@@ -120,21 +120,21 @@
     pub fn new(settings: Settings, start: StartOptions) -> Core {
         let library_settings = settings.library_settings();
         let delivery_settings = DeliverySettings {
-            max_calls: settings.limits.slots as usize,
-            calls_per_connection: settings.connections.calls as usize,
+            max_calls: settings.limits.max_calls as usize,
+            calls_per_connection: settings.connections.max_calls as usize,
             idle_timeout: library_settings.idle_timeout,
             connect_timeout: library_settings.connect_timeout,
-            max_frame_bytes: settings.limits.request_bytes,
-            client_name: format!("linnetcart-edge-{}", settings.courier.me),
+            max_frame_bytes: settings.limits.max_request_bytes,
+            client_name: format!("linnetcart-edge-{}", settings.courier.index),
             topics: settings.classes.iter().map(|class| class.name.clone()).collect(),
         };
-        let name_prefix = format!("{}/{:x}/", settings.courier.me, start.run);
+        let name_prefix = format!("{}/{:x}/", settings.courier.index, start.run);
         let idempotency = library_settings.classes.iter().map(|class| class.idempotency).collect();
         let tick = library_settings.tick;
         let policy = (start.policy)(library_settings, start.seed);
         Core {
             idempotency,
-            broker: Broker { id: settings.courier.me as i32, ..start.broker },
+            broker: Broker { id: settings.courier.index as i32, ..start.broker },
             clock: ClockReadings::new(start.now),
             endpoints: EndpointDirectory::default(),
             clients: ClientConnections::default(),
@@ -222,7 +222,7 @@
     /// An update of the endpoint list; nothing changes if it is invalid.
     pub fn update_endpoints(&mut self, update: &EndpointListUpdate) -> Result<(), InvalidDocument> {
         let (list, entries) = self.list().after(update, &self.settings)?;
-        self.decisions.push(Event::EndpointList { complete: update.whole, entries });
+        self.decisions.push(Event::EndpointList { complete: update.complete, entries });
         self.replace_list(list);
         Ok(())
     }
--- a/crates/edge/src/core/requests.rs
+++ b/crates/edge/src/core/requests.rs
@@ -9,15 +9,14 @@
 use super::responses::RecordOutcome;
 use super::{ClientId, Core, Output};
 use crate::delivery_events::{DeliveryEvent, RejectionReason};
+use crate::time::NANOS_PER_MS;
 use linnetcart::{AcceptedMessage, Event, Time};
 use linnetcart_kafka::server::{self, Body, Produce, Request, Topic};
 
-const NANOS_PER_MS: Time = 1_000_000;
-
 impl Core {
     /// A client connected.
     pub fn client_connected(&mut self, id: ClientId) {
-        self.clients.open(id, self.settings.limits.request_bytes);
+        self.clients.open(id, self.settings.limits.max_request_bytes);
     }
 
     /// Bytes came from a client.
@@ -160,7 +159,7 @@
 
     fn shed(&mut self, route: Route, record_count: usize, reason: RejectionReason) -> Vec<PendingRecord> {
         let Route { class, destination } = route;
-        let retry_after = self.settings.allow.come_back_ms * NANOS_PER_MS;
+        let retry_after = self.settings.permissions.max_retry_after_ms * NANOS_PER_MS;
         let mut shed = Vec::with_capacity(record_count);
         for _ in 0..record_count {
             self.counters.shed(class);
--- a/crates/edge/src/core/retry_after.rs
+++ b/crates/edge/src/core/retry_after.rs
@@ -16,7 +16,7 @@
 impl LimitKey {
     /// The limit of an endpoint by its destination's kind.
     pub(crate) fn of(entry: &EndpointEntry, settings: &Settings) -> Self {
-        let is_route = settings.kinds.iter().any(|kind| kind.name == entry.kind && kind.routes_apart);
+        let is_route = settings.kind(&entry.kind).is_some_and(|kind| kind.independent_routes);
         if is_route {
             LimitKey::Route(entry.id)
         } else {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod settings;
 pub mod shell;
 pub mod snapshot;
+mod time;
--- /dev/null
+++ b/crates/edge/src/settings/tests.rs
@@ -0,0 +1,100 @@
+//! Documents: what is read, what is rejected, and with which words.
+
+use super::*;
+use linnetcart::Idempotency;
+
+/// A document with three classes, as the tests of this package use it.
+pub(crate) fn sample() -> serde_json::Value {
+    serde_json::json!({
+        "deployment": "test",
+        "courier": {"me": 0, "of": 1, "zone": "a"},
+        "zones": ["a", "b"],
+        "classes": [
+            {"name": "status", "aim_ms": 1000, "deadline_ms": 4000, "worth": 1, "late_worth": 0.5, "repeat": "safe"},
+            {"name": "proxy", "aim_ms": 1000, "deadline_ms": 4000, "worth": 1, "late_worth": 0.5,
+             "repeat": {"keyed": {"window_ms": 8000}}, "ordered": true},
+            {"name": "order", "aim_ms": 1000, "deadline_ms": 3000, "worth": 4, "late_worth": 0.5, "repeat": "unsafe"}
+        ],
+        "kinds": [{"name": "large"}, {"name": "small", "routes_apart": true}, {"name": "batch", "per_call": 3}],
+        "limits": {"slots": 8, "held": 100, "attempts": 6},
+        "rules": {"answer_slack_ms": 50, "cold_share": 0.2, "warm_after_ms": 10000, "fall_multiple": 2.0,
+                  "fall_span_ms": 2000, "key_rest_ms": 100}
+    })
+}
+
+fn parse(doc: &serde_json::Value) -> Result<Settings, InvalidDocument> {
+    Settings::parse(doc.to_string().as_bytes())
+}
+
+#[test]
+fn settings_written_and_read_again_are_equal() {
+    let settings = parse(&sample()).unwrap();
+    let again = Settings::parse(&serde_json::to_vec(&settings).unwrap()).unwrap();
+    assert_eq!(settings, again);
+    assert_eq!(
+        settings.library_settings().classes[1].idempotency,
+        Idempotency::Keyed { dedup_window: 8_000_000_000, per_zone: false }
+    );
+}
+
+#[test]
+fn settings_with_a_wrong_field_are_rejected_with_its_path() {
+    let cases: &[(&str, serde_json::Value, &str)] = &[
+        ("/classes/1/repeat", serde_json::json!("sometimes"), "classes[1].repeat"),
+        ("/classes/0/deadline_ms", serde_json::json!(10), "classes[0].deadline_ms"),
+        ("/classes/0/name", serde_json::json!("a b"), "classes[0].name"),
+        ("/classes/1/name", serde_json::json!("status"), "classes[1]"),
+        ("/courier/zone", serde_json::json!("z"), "courier.zone"),
+        ("/courier/me", serde_json::json!(1), "courier.me"),
+        ("/limits/slots", serde_json::json!(0), "limits.slots"),
+        ("/rules/fall_multiple", serde_json::json!(0.5), "rules.fall_multiple"),
+        ("/limits", serde_json::json!({"slots": 1, "held": 1, "attempts": 1, "slotz": 2}), "limits.slotz"),
+    ];
+    for (at, value, field) in cases {
+        let mut doc = sample();
+        *doc.pointer_mut(at).unwrap() = value.clone();
+        let error = parse(&doc).unwrap_err();
+        assert_eq!(&error.field, field, "{error}");
+    }
+    let mut doc = sample();
+    doc["allow"] = serde_json::json!({"probes": true});
+    let error = parse(&doc).unwrap_err();
+    assert_eq!(error.field, "allow.probes");
+    assert!(error.reason.contains("no way"), "{error}");
+}
+
+#[test]
+fn endpoint_list_update_applies_as_a_whole_or_not_at_all() {
+    let settings = parse(&sample()).unwrap();
+    let entry = |id: u32, kind: &str, state| EndpointEntry {
+        id,
+        destination: id / 10,
+        kind: kind.into(),
+        zone: "a".into(),
+        rate: 0.0,
+        state,
+        address: "127.0.0.1:9".parse().unwrap(),
+    };
+    let update = |version, complete, entries: &[EndpointEntry]| EndpointListUpdate {
+        version,
+        complete,
+        entries: entries.to_vec(),
+    };
+    let first =
+        update(1, true, &[entry(10, "large", EntryState::Ready), entry(20, "small", EntryState::Ready)]);
+    let (list, told) = EndpointList::default().after(&first, &settings).unwrap();
+    assert_eq!((list.entries.len(), told.len()), (2, 2));
+    let change = update(
+        2,
+        false,
+        &[entry(10, "large", EntryState::Removed), entry(21, "small", EntryState::Draining)],
+    );
+    let (changed, _) = list.after(&change, &settings).unwrap();
+    assert_eq!(changed.entries.keys().copied().collect::<Vec<_>>(), [20, 21]);
+    let field = |n: &EndpointListUpdate| list.after(n, &settings).unwrap_err().field;
+    assert_eq!(field(&first), "version");
+    assert_eq!(field(&update(2, false, &[entry(11, "huge", EntryState::Ready)])), "entries[0].kind");
+    assert_eq!(field(&update(2, false, &[entry(11, "small", EntryState::Ready)])), "entries");
+    let twice = [entry(11, "large", EntryState::Ready), entry(11, "large", EntryState::Ready)];
+    assert_eq!(field(&update(2, true, &twice)), "entries[1].id");
+}
--- /dev/null
+++ b/crates/edge/src/settings/validation.rs
@@ -0,0 +1,203 @@
+//! Checks of the settings document as a whole. An error names the field by its name in the document.
+
+use super::documents::{Allow, ClassDoc, KindDoc, Limits, Prices, RepeatDoc, Rules, Settings, TenantDoc};
+use super::error::reject;
+use super::InvalidDocument;
+use std::collections::BTreeSet;
+
+/// No time span in a document may be longer; it keeps sums of times far from their bounds.
+const LONGEST_SPAN_MS: u64 = 7 * 24 * 3600 * 1000;
+const MAX_NAME_BYTES: usize = 200;
+const MAX_CLASSES: u64 = 200;
+/// Zones and kinds have numbers of 8 bits.
+const MAX_ZONES: u64 = 255;
+const MAX_KINDS: u64 = 255;
+/// The highest weight and rate.
+const MAX_WEIGHT: f64 = 1e9;
+const MAX_RATE: f64 = 1e9;
+const MAX_PRICE: f64 = 1e6;
+const MAX_OVERLOAD_RATIO: f64 = 1e6;
+const MIN_SLOW_START_RATIO: f64 = 0.001;
+/// The least deadline of a class, in ticks.
+const MIN_DEADLINE_TICKS: u64 = 4;
+
+type Checked = Result<(), InvalidDocument>;
+
+impl Settings {
+    /// Reads and checks a document.
+    pub fn parse(body: &[u8]) -> Result<Settings, InvalidDocument> {
+        let settings: Settings = super::read(body)?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    /// Checks the document as a whole.
+    pub fn check(&self) -> Result<(), InvalidDocument> {
+        self.check_courier_and_zones()?;
+        check_classes(&self.classes)?;
+        check_kinds(&self.kinds)?;
+        check_tenants(&self.tenants)?;
+        check_limits(&self.limits)?;
+        check_permissions(&self.permissions)?;
+        check_count("connections.calls", self.connections.max_calls.into(), 1, 100_000)?;
+        check_span("connections.idle_ms", self.connections.idle_timeout_ms, 1)?;
+        check_span("connections.connect_timeout_ms", self.connections.connect_timeout_ms, 1)?;
+        check_span("clocks.apart_ms", self.clocks.max_skew_ms, 0)?;
+        check_rules(&self.rules)?;
+        check_number("worth.over_share", self.weights.over_quota, 0.0, 1.0)?;
+        check_prices(&self.prices)?;
+        check_count("tick_us", self.tick_us, 1, 1_000_000)?;
+        self.check_shortest_deadline()
+    }
+
+    fn check_courier_and_zones(&self) -> Checked {
+        check_count("courier.of", self.courier.count.into(), 1, 100_000)?;
+        check_count("courier.me", self.courier.index.into(), 0, u64::from(self.courier.count) - 1)?;
+        check_count("zones", self.zones.len() as u64, 1, MAX_ZONES)?;
+        check_names("zones", self.zones.iter())?;
+        if !self.zones.contains(&self.courier.zone) {
+            return reject("courier.zone", format!("`{}` is not among zones", self.courier.zone));
+        }
+        Ok(())
+    }
+
+    /// What the shortest deadline of a class must leave room for.
+    fn check_shortest_deadline(&self) -> Checked {
+        let shortest_ms = self.classes.iter().map(|class| class.deadline_ms).min().unwrap_or(0);
+        if self.clocks.max_skew_ms * 2 >= shortest_ms {
+            let reason =
+                format!("a class has {shortest_ms} ms in all; twice the difference of clocks must be less");
+            return reject("clocks.apart_ms", reason);
+        }
+        if self.tick_us * MIN_DEADLINE_TICKS > shortest_ms * 1000 {
+            let reason = format!("a class has {shortest_ms} ms in all; four ticks must fit in that");
+            return reject("tick_us", reason);
+        }
+        Ok(())
+    }
+}
+
+fn check_classes(classes: &[ClassDoc]) -> Checked {
+    check_count("classes", classes.len() as u64, 1, MAX_CLASSES)?;
+    check_names("classes", classes.iter().map(|class| &class.name))?;
+    for (index, class) in classes.iter().enumerate() {
+        let path = |field: &str| format!("classes[{index}].{field}");
+        if !class.name.chars().all(is_topic_character) {
+            let reason = "letters, digits, `.`, `_` and `-` are expected: it names a topic";
+            return reject(path("name"), reason);
+        }
+        check_span(&path("aim_ms"), class.latency_objective_ms, 1)?;
+        check_span(&path("deadline_ms"), class.deadline_ms, class.latency_objective_ms)?;
+        check_number(&path("worth"), class.priority_weight, 0.0, MAX_WEIGHT)?;
+        check_number(&path("late_worth"), class.late_weight, 0.0, 1.0)?;
+        if let RepeatDoc::Keyed { dedup_window_ms, .. } = class.idempotency {
+            check_span(&path("repeat.keyed.window_ms"), dedup_window_ms, 1)?;
+        }
+    }
+    Ok(())
+}
+
+fn is_topic_character(character: char) -> bool {
+    character.is_ascii_alphanumeric() || matches!(character, '.' | '_' | '-')
+}
+
+fn check_kinds(kinds: &[KindDoc]) -> Checked {
+    check_count("kinds", kinds.len() as u64, 1, MAX_KINDS)?;
+    check_names("kinds", kinds.iter().map(|kind| &kind.name))?;
+    for (index, kind) in kinds.iter().enumerate() {
+        check_count(&format!("kinds[{index}].per_call"), kind.max_messages_per_call.into(), 1, 10_000)?;
+    }
+    Ok(())
+}
+
+fn check_tenants(tenants: &[TenantDoc]) -> Checked {
+    check_names("tenants", tenants.iter().map(|tenant| &tenant.name))?;
+    for (index, tenant) in tenants.iter().enumerate() {
+        check_number(&format!("tenants[{index}].rate"), tenant.quota, 0.0, MAX_RATE)?;
+    }
+    Ok(())
+}
+
+fn check_limits(limits: &Limits) -> Checked {
+    check_count("limits.slots", limits.max_calls.into(), 1, 1_000_000)?;
+    check_count("limits.held", limits.max_in_flight.into(), 1, 10_000_000)?;
+    check_count("limits.held_bytes", limits.max_in_flight_bytes as u64, 1024, 1 << 40)?;
+    check_count("limits.attempts", limits.max_attempts.into(), 1, 1000)?;
+    check_count("limits.request_bytes", limits.max_request_bytes as u64, 1024, 1 << 30)?;
+    check_count("limits.pipelined", limits.max_pipelined as u64, 1, 100_000)?;
+    check_count("limits.unsent_bytes", limits.max_unsent_bytes as u64, 1024, 1 << 30)?;
+    check_count("limits.destinations", limits.destinations.into(), 1, 1_000_000)
+}
+
+fn check_permissions(permissions: &Allow) -> Checked {
+    let cannot = "this program has no way to do that; leave it out or false";
+    if permissions.health_checks {
+        return reject("allow.probes", cannot);
+    }
+    if permissions.gossip {
+        return reject("allow.notes", cannot);
+    }
+    if permissions.list_polled {
+        let reason = "this program is told the list by PUT /list; leave it out or false";
+        return reject("allow.list_asked", reason);
+    }
+    check_span("allow.come_back_ms", permissions.max_retry_after_ms, 0)
+}
+
+fn check_rules(rules: &Rules) -> Checked {
+    check_span("rules.answer_slack_ms", rules.answer_grace_ms, 0)?;
+    check_number("rules.cold_share", rules.slow_start_ratio, MIN_SLOW_START_RATIO, 1.0)?;
+    check_span("rules.warm_after_ms", rules.slow_start_ms, 0)?;
+    check_number("rules.fall_multiple", rules.overload_ratio, 1.0, MAX_OVERLOAD_RATIO)?;
+    check_span("rules.fall_span_ms", rules.overload_window_ms, 1)?;
+    check_span("rules.key_rest_ms", rules.key_cooldown_ms, 0)
+}
+
+fn check_prices(prices: &Prices) -> Checked {
+    check_number("prices.connection", prices.connection, 0.0, MAX_PRICE)?;
+    check_number("prices.crossing", prices.cross_zone, 0.0, MAX_PRICE)?;
+    check_number("prices.waste", prices.wasted_work, 0.0, MAX_PRICE)?;
+    check_number("prices.late", prices.late, 0.0, MAX_PRICE)?;
+    check_number("prices.refused", prices.rejected_call, 0.0, MAX_PRICE)?;
+    for (index, &fee) in prices.route_fees.iter().enumerate() {
+        check_number(&format!("prices.route_fees[{index}]"), fee, 0.0, MAX_PRICE)?;
+    }
+    Ok(())
+}
+
+fn check_names<'a>(field: &str, names: impl Iterator<Item = &'a String>) -> Checked {
+    let mut seen = BTreeSet::new();
+    for (index, name) in names.enumerate() {
+        let path = format!("{field}[{index}]");
+        if name.is_empty() || name.len() > MAX_NAME_BYTES {
+            return reject(path, "a name of 1 to 200 bytes is expected");
+        }
+        if !seen.insert(name) {
+            return reject(path, format!("`{name}` is there twice; names must differ"));
+        }
+    }
+    Ok(())
+}
+
+fn check_span(field: &str, ms: u64, least: u64) -> Checked {
+    if (least..=LONGEST_SPAN_MS).contains(&ms) {
+        return Ok(());
+    }
+    reject(field, format!("{ms} ms; between {least} and {LONGEST_SPAN_MS} is expected"))
+}
+
+/// Checks that a number is finite and within these bounds.
+pub(super) fn check_number(field: &str, number: f64, least: f64, most: f64) -> Checked {
+    if number.is_finite() && (least..=most).contains(&number) {
+        return Ok(());
+    }
+    reject(field, format!("{number}; between {least} and {most} is expected"))
+}
+
+/// Checks that a count is within these bounds.
+pub(super) fn check_count(field: &str, count: u64, least: u64, most: u64) -> Checked {
+    if (least..=most).contains(&count) {
+        return Ok(());
+    }
+    reject(field, format!("{count}; between {least} and {most} is expected"))
+}
--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -501,9 +501,9 @@
         let names = s.classes.iter().map(|c| c.name.clone());
         let courier = CourierInfo {
             deployment: s.deployment.clone(),
-            me: s.courier.me,
+            me: s.courier.index,
             classes: names.zip(s.library_settings().classes).collect(),
-            halves: s.worth.halves,
+            halves: s.weights.halves,
             seed: self.program.start.seed,
         };
         let (mut found, mut next) = (Default::default(), 0);
@@ -594,7 +594,7 @@
             reports.telemetry.set_endpoints(entries.map(|e| ListedEndpoint {
                 endpoint: e.id,
                 destination: e.destination,
-                apart: kinds.iter().any(|k| k.name == e.kind && k.routes_apart),
+                apart: kinds.iter().any(|k| k.name == e.kind && k.independent_routes),
             }));
         }
         for (number, done) in reports.accounts.as_ref().map(Accounts::done).unwrap_or_default() {
@@ -609,8 +609,8 @@
                 held: status.in_flight,
                 held_bytes: status.in_flight_bytes,
                 slots_used: status.calls,
-                slots: limits.slots as usize,
-                hold: limits.held as usize,
+                slots: limits.max_calls as usize,
+                hold: limits.max_in_flight as usize,
                 clients: status.clients,
                 links: status.upstream_connections,
             }
--- /dev/null
+++ b/crates/edge/src/time.rs
@@ -0,0 +1,6 @@
+//! Units of time. Clock readings and spans are in nanoseconds.
+
+use linnetcart::Time;
+
+pub(crate) const NANOS_PER_US: Time = 1000;
+pub(crate) const NANOS_PER_MS: Time = 1_000_000;
--- a/crates/edge/tests/harness/mod.rs
+++ b/crates/edge/tests/harness/mod.rs
@@ -122,7 +122,9 @@
 
     pub fn news(&mut self, whole: bool, entries: Vec<EndpointEntry>) {
         self.list += 1;
-        self.core.update_endpoints(&EndpointListUpdate { version: self.list, whole, entries }).unwrap();
+        self.core
+            .update_endpoints(&EndpointListUpdate { version: self.list, complete: whole, entries })
+            .unwrap();
         self.turn();
     }
 
--- a/crates/edge/tests/random.rs
+++ b/crates/edge/tests/random.rs
@@ -310,7 +310,8 @@
             Op::Pass(ms) => b.pass(u64::from(ms)),
             Op::Listing(e, state) => {
                 let (id, destination, kind) = ENDPOINTS[usize::from(e)];
-                let state = [EntryState::Ready, EntryState::Draining, EntryState::Gone][usize::from(state)];
+                let state =
+                    [EntryState::Ready, EntryState::Draining, EntryState::Removed][usize::from(state)];
                 if state == EntryState::Ready {
                     w.ready.insert(id);
                 } else {
