--- a/crates/platform/src/core/attempts.rs
+++ b/crates/platform/src/core/attempts.rs
@@ -116,3 +116,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/platform/src/core/connection_pool.rs
+++ b/crates/platform/src/core/connection_pool.rs
@@ -5,15 +5,18 @@
 //! longer has changes nothing.
 
 mod connection;
+mod outcome;
+mod receive;
 mod response;
 
+pub use outcome::{FinishedAttempt, LoadReport};
+
 use connection::{Connection, ConnectionState};
 
 use super::attempts::AttemptId;
 use super::trust::Trust;
 use linnetcart::{AttemptOutcome, Time};
 use linnetcart_deployment_settings::DeploymentSettings;
-use linnetcart_http::{parse_response, ParsedResponse, ResponseHead};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -24,43 +27,6 @@
 const IDLE_TIMEOUT_NUMERATOR: Time = 3;
 const IDLE_TIMEOUT_DENOMINATOR: Time = 4;
 
-/// What an answer's load report says.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct LoadReport {
-    /// Share of the limit that is left.
-    pub capacity_left: Option<f64>,
-    /// The limit, in calls a second.
-    pub rate_limit: Option<f64>,
-}
-
-/// An attempt that ended, and what its answer told.
-#[derive(Clone, Debug, PartialEq)]
-pub struct FinishedAttempt {
-    /// The attempt.
-    pub id: AttemptId,
-    /// How it ended.
-    pub outcome: AttemptOutcome,
-    /// The endpoint says that the message is completed.
-    pub message_completed: bool,
-    /// The load report.
-    pub load: LoadReport,
-    /// Set for an answer that came after its attempt was abandoned: the endpoint, for whose limit alone it counts.
-    pub abandoned_at: Option<u32>,
-}
-
-impl FinishedAttempt {
-    /// One whose answer told nothing else.
-    pub fn new(id: AttemptId, outcome: AttemptOutcome) -> FinishedAttempt {
-        FinishedAttempt {
-            id,
-            outcome,
-            message_completed: false,
-            load: LoadReport::default(),
-            abandoned_at: None,
-        }
-    }
-}
-
 /// The connection that an attempt gets.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Acquired {
@@ -302,120 +268,6 @@
         Some(FinishedAttempt::new(attempt, outcome))
     }
 
-    /// Bytes came on a connection.
-    pub fn receive(
-        &mut self,
-        id: ConnectionId,
-        bytes: &[u8],
-        now: Time,
-        settings: &DeploymentSettings,
-    ) -> Option<FinishedAttempt> {
-        let connection = self.connections.get_mut(&id)?;
-        match connection.state {
-            ConnectionState::Abandoned { attempt, .. } => {
-                connection.response.extend_from_slice(bytes);
-                self.late_response(id, attempt, settings)
-            }
-            ConnectionState::Connecting { .. } | ConnectionState::Idle { .. } => {
-                // Nothing was asked: the rest of a body, or what belongs to no answer.
-                if bytes.len() > connection.body_remaining {
-                    self.close(id);
-                } else {
-                    connection.body_remaining -= bytes.len();
-                }
-                None
-            }
-            ConnectionState::InUse { first_byte_at } => {
-                if first_byte_at.is_none() {
-                    connection.state = ConnectionState::InUse { first_byte_at: Some(now) };
-                    self.reuse_policy.note(now, connection.idle_before, false);
-                }
-                connection.response.extend_from_slice(bytes);
-                self.response(id, now, settings)
-            }
-        }
-    }
-
-    /// Bytes came for an attempt that is out.
-    fn response(
-        &mut self,
-        id: ConnectionId,
-        now: Time,
-        settings: &DeploymentSettings,
-    ) -> Option<FinishedAttempt> {
-        let connection = self.connections.get(&id)?;
-        let attempt = connection.attempt?;
-        match parse_response(&connection.response) {
-            ParsedResponse::Incomplete { .. } => None,
-            ParsedResponse::Malformed { ok } => {
-                self.close(id);
-                Some(FinishedAttempt::new(attempt, response::outcome_of_malformed(ok)))
-            }
-            ParsedResponse::Head(head) => self.response_head(id, attempt, &head, now, settings),
-        }
-    }
-
-    /// The head of an attempt's answer is complete.
-    fn response_head(
-        &mut self,
-        id: ConnectionId,
-        attempt: AttemptId,
-        head: &ResponseHead,
-        now: Time,
-        settings: &DeploymentSettings,
-    ) -> Option<FinishedAttempt> {
-        let connection = self.connections.get_mut(&id)?;
-        let body_received = connection.response.len() - head.length;
-        // A damaged answer counts as executed, whatever its status: one that is to say otherwise has to be complete.
-        if head.status != 200 && head.body.is_some_and(|length| length > body_received) {
-            return None;
-        }
-        let meaning = response::interpret(head);
-        let load = response::load_report(head, settings);
-        match head.body {
-            Some(length) if !head.last && length >= body_received => {
-                connection.becomes_idle(now, length - body_received);
-                self.by_attempt.remove(&attempt);
-            }
-            _ => {
-                self.close(id);
-            }
-        }
-        Some(FinishedAttempt {
-            id: attempt,
-            outcome: meaning.outcome,
-            message_completed: meaning.message_completed,
-            load,
-            abandoned_at: None,
-        })
-    }
-
-    /// Bytes came for an attempt that was abandoned. An answer that rejects it tells of the limit; a first line with
-    /// 200 says that the message is delivered, whatever was assumed.
-    fn late_response(
-        &mut self,
-        id: ConnectionId,
-        attempt: AttemptId,
-        settings: &DeploymentSettings,
-    ) -> Option<FinishedAttempt> {
-        let connection = self.connections.get(&id)?;
-        let endpoint = connection.endpoint;
-        let (outcome, load) = match parse_response(&connection.response) {
-            ParsedResponse::Incomplete { ok: false } => return None,
-            ParsedResponse::Head(head) => {
-                (response::outcome_of_status(&head).outcome, response::load_report(&head, settings))
-            }
-            ParsedResponse::Incomplete { ok } | ParsedResponse::Malformed { ok } => {
-                (response::outcome_of_malformed(ok), LoadReport::default())
-            }
-        };
-        self.close(id);
-        if !matches!(outcome, AttemptOutcome::Rejected { .. } | AttemptOutcome::Served) {
-            return None;
-        }
-        Some(FinishedAttempt { load, abandoned_at: Some(endpoint), ..FinishedAttempt::new(attempt, outcome) })
-    }
-
     /// Closes the connections whose time is up: the attempts that ended with them.
     pub fn close_overdue(&mut self, now: Time) -> Vec<FinishedAttempt> {
         let mut overdue = Vec::new();
--- a/crates/platform/src/core/decisions.rs
+++ b/crates/platform/src/core/decisions.rs
@@ -86,3 +86,6 @@
         self.dispatcher.retry_after_pending(now, endpoint)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/platform/src/core/discovery/endpoint_list.rs
+++ b/crates/platform/src/core/discovery/endpoint_list.rs
@@ -231,3 +231,6 @@
     let index = settings.kind_names.iter().position(|kind| kind == name);
     index.unwrap_or(settings.kind_names.len()) as u8
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/platform/src/core/discovery/endpoint_list/tests.rs
@@ -0,0 +1,88 @@
+//! Entries that cannot be read, endpoints that leave, and zones that the settings do not name.
+
+use super::*;
+
+const NOW: Time = 100_000_000_000;
+
+fn entry(name: &str, address: &str, status: ListedStatus) -> EndpointEntry {
+    EndpointEntry {
+        name: name.into(),
+        address: address.into(),
+        zone: String::new(),
+        kind: String::new(),
+        destination: 3,
+        status,
+        rate: 0.0,
+        started_at_ms: 0,
+    }
+}
+
+fn event(version: u64, complete: bool, entries: Vec<EndpointEntry>) -> WatchEvent {
+    WatchEvent { version, complete, entries }
+}
+
+fn list_with(name: &str) -> EndpointList {
+    let mut endpoints = EndpointList::default();
+    let first = event(7, true, vec![entry(name, "127.0.0.1:1", ListedStatus::Active)]);
+    endpoints.apply(&first, &DeploymentSettings::default(), NOW);
+    endpoints
+}
+
+#[test]
+fn endpoint_entry_unreadable_asks_for_complete_list_until_it_came() {
+    let settings = DeploymentSettings::default();
+    let mut endpoints = list_with("a");
+    assert_eq!(endpoints.version_to_ask(), 7);
+    endpoints.apply(&event(8, false, vec![entry("b", "nowhere", ListedStatus::Active)]), &settings, NOW);
+    endpoints.apply(&event(9, false, vec![]), &settings, NOW);
+    assert_eq!(endpoints.version_to_ask(), 0);
+    endpoints.apply(&event(10, true, vec![]), &settings, NOW);
+    assert_eq!(endpoints.version_to_ask(), 10);
+}
+
+#[test]
+fn endpoint_not_in_complete_list_removed_and_its_number_kept_for_a_while() {
+    let settings = DeploymentSettings::default();
+    let mut endpoints = list_with("a");
+    let update = endpoints.apply(&event(8, true, vec![]), &settings, NOW);
+    assert_eq!(update.stale, [1]);
+    assert!(endpoints.get(1).is_some() && endpoints.ready(1).is_none());
+    endpoints.apply(&event(9, false, vec![]), &settings, NOW + REMOVED_RETENTION - 1);
+    assert_eq!(endpoints.len(), 1);
+    endpoints.apply(&event(10, false, vec![]), &settings, NOW + REMOVED_RETENTION);
+    assert_eq!(endpoints.len(), 0);
+    assert!(endpoints.has_destination(3), "it had an endpoint once");
+}
+
+#[test]
+fn endpoint_moved_or_restarted_makes_its_connections_stale() {
+    let settings = DeploymentSettings::default();
+    let mut endpoints = list_with("a");
+    let same = entry("a", "127.0.0.1:1", ListedStatus::Active);
+    let moved = entry("a", "127.0.0.1:2", ListedStatus::Active);
+    let restarted = EndpointEntry { started_at_ms: 5, ..moved.clone() };
+    for (entry, stale) in [(same, vec![]), (moved, vec![1]), (restarted, vec![1])] {
+        assert_eq!(endpoints.apply(&event(8, false, vec![entry]), &settings, NOW).stale, stale);
+    }
+}
+
+#[test]
+fn endpoint_unknown_and_removed_ignored() {
+    let mut endpoints = list_with("a");
+    let gone = entry("b", "127.0.0.1:2", ListedStatus::Left);
+    endpoints.apply(&event(8, false, vec![gone]), &DeploymentSettings::default(), NOW);
+    assert_eq!(endpoints.len(), 1);
+}
+
+#[test]
+fn zone_unknown_to_settings_gets_index_after_theirs() {
+    let settings = DeploymentSettings { zone_names: vec!["z".into()], ..DeploymentSettings::default() };
+    let mut endpoints = EndpointList::default();
+    for (name, index) in [("z", 0), ("x", 1), ("y", 2), ("x", 1)] {
+        assert_eq!(endpoints.zone_index(name, &settings), index);
+    }
+    for n in 3..300 {
+        endpoints.zone_index(&format!("n{n}"), &settings);
+    }
+    assert_eq!(endpoints.zone_index("one too many", &settings), UNKNOWN_INDEX);
+}
--- a/crates/platform/src/core/discovery/watch.rs
+++ b/crates/platform/src/core/discovery/watch.rs
@@ -194,3 +194,6 @@
         progress
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/platform/src/core/discovery/watch/tests.rs
@@ -0,0 +1,62 @@
+//! Bytes of the watch that are no events, and its timeouts.
+
+use super::*;
+
+const NOW: Time = 1_000 * MILLISECOND;
+const HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+fn connected() -> EndpointWatch {
+    let mut watch = EndpointWatch::new();
+    assert_eq!(watch.poll(NOW), ConnectionDemand::Connect);
+    watch.connected(NOW, "127.0.0.1:8500".parse().unwrap(), 41);
+    watch
+}
+
+#[test]
+fn watch_with_wrong_answer_fails() {
+    for (answer, error) in [
+        (&b"HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n"[..], WatchError::Status(404)),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", WatchError::Status(200)),
+        (b"noise\r\n\r\n", WatchError::Malformed),
+    ] {
+        assert_eq!(connected().receive(NOW, answer), WatchProgress::failed(error));
+    }
+}
+
+#[test]
+fn watch_that_ends_still_yields_its_events() {
+    let mut watch = connected();
+    let event = b"1c\r\n{\"index\":42,\"endpoints\":[]}\n\r\n0\r\n\r\n";
+    let progress = watch.receive(NOW, &[HEAD, event].concat());
+    assert_eq!(progress.events, [WatchEvent { version: 42, complete: false, entries: vec![] }]);
+    assert_eq!(progress.error, Some(WatchError::Ended));
+}
+
+#[test]
+fn watch_event_invalid_reported_after_those_before_it() {
+    let mut watch = connected();
+    let events = b"26\r\n{\"index\":42,\"endpoints\":[]}\n{\"index\":x}\r\n";
+    let progress = watch.receive(NOW, &[HEAD, events].concat());
+    assert_eq!(progress.events.len(), 1);
+    assert!(matches!(progress.error, Some(WatchError::InvalidEvent(_))), "{progress:?}");
+}
+
+#[test]
+fn watch_synced_by_first_empty_line_also_after_restart() {
+    let mut watch = connected();
+    assert_eq!(watch.receive(NOW, HEAD), WatchProgress::default());
+    assert!(!watch.has_synced());
+    assert_eq!(watch.receive(NOW, b"1\r\n\n\r\n"), WatchProgress::default());
+    assert!(watch.has_synced());
+    watch.restart();
+    assert!(watch.has_synced());
+}
+
+#[test]
+fn watch_silent_too_long_closed_and_opened_without_backoff() {
+    let mut watch = connected();
+    let silent_at = NOW + WATCH_SILENCE_TIMEOUT;
+    assert_eq!((watch.next_wake(), watch.poll(silent_at - 1)), (silent_at, ConnectionDemand::Nothing));
+    assert_eq!(watch.poll(silent_at), ConnectionDemand::Close);
+    assert_eq!(watch.poll(silent_at), ConnectionDemand::Connect);
+}
--- /dev/null
+++ b/crates/platform/src/core/discovery_traffic.rs
@@ -0,0 +1,118 @@
+//! What goes between the core's parts and discovery: events of the watch, status notifications and the connections
+//! for both.
+
+use super::connection_pool::ConnectionId;
+use super::effects::{CoreEvent, Output};
+use super::reconnect::ConnectionDemand;
+use super::status_notifier::Verdict;
+use super::Core;
+use crate::config::WatchEvent;
+use std::net::SocketAddr;
+
+impl Core {
+    /// Discovery is at this address now.
+    pub fn move_discovery(&mut self, address: SocketAddr) {
+        if address == self.discovery.address() {
+            return;
+        }
+        let watch_connection = self.discovery.move_to(address);
+        let notifier_connection = self.notifier.restart();
+        for id in [watch_connection, notifier_connection].into_iter().flatten() {
+            self.effects.output(Output::CloseUpstream(id));
+        }
+    }
+
+    pub(super) fn watch_received(&mut self, id: ConnectionId, bytes: &[u8]) {
+        let progress = self.discovery.receive(self.clock.now(), bytes);
+        for event in &progress.events {
+            self.apply_watch_event(event);
+        }
+        if let Some(error) = progress.error {
+            self.effects.event(CoreEvent::WatchFailed(error));
+            self.effects.output(Output::CloseUpstream(id));
+            self.discovery.disconnected(self.clock.now());
+        }
+    }
+
+    pub(super) fn apply_watch_event(&mut self, event: &WatchEvent) {
+        let update = self.discovery.apply(event, &self.settings, self.clock.now());
+        self.decisions.push(update.event);
+        for endpoint in update.stale {
+            self.pool.close_idle(endpoint);
+        }
+    }
+
+    pub(super) fn notifier_received(&mut self, id: ConnectionId, bytes: &[u8]) {
+        let acknowledged = match self.notifier.receive(bytes) {
+            Ok(acknowledged) => acknowledged,
+            Err(error) => {
+                self.effects.event(CoreEvent::NotificationsFailed(error));
+                self.effects.output(Output::CloseUpstream(id));
+                self.notifier.disconnected(self.clock.now());
+                return;
+            }
+        };
+        for number in acknowledged.messages {
+            if acknowledged.verdict == Verdict::Rejected {
+                if let Some(rejected) = self.in_flight.get(number) {
+                    let message = rejected.message().id_text().into_owned();
+                    self.effects.event(CoreEvent::NotificationRejected { message });
+                }
+            }
+            self.acknowledge(number);
+        }
+    }
+
+    /// True: the connection that ended was one to discovery.
+    pub(super) fn discovery_disconnected(&mut self, id: ConnectionId) -> bool {
+        if self.discovery.owns(id) {
+            self.discovery.disconnected(self.clock.now());
+        } else if self.notifier.owns(id) {
+            self.notifier.disconnected(self.clock.now());
+        } else {
+            return false;
+        }
+        true
+    }
+
+    pub(super) fn poll_discovery(&mut self) {
+        match self.discovery.poll(self.clock.now()) {
+            ConnectionDemand::Nothing => {}
+            ConnectionDemand::Connect => {
+                let id = self.connect_to_discovery();
+                self.discovery.connecting(id);
+            }
+            ConnectionDemand::Close => {
+                self.effects.event(CoreEvent::WatchSilent);
+                if let Some(id) = self.discovery.take_connection() {
+                    self.effects.output(Output::CloseUpstream(id));
+                }
+            }
+        }
+    }
+
+    pub(super) fn poll_notifier(&mut self) {
+        match self.notifier.poll(self.clock.now()) {
+            ConnectionDemand::Nothing => {}
+            ConnectionDemand::Connect => {
+                let id = self.connect_to_discovery();
+                self.notifier.connecting(id);
+            }
+            ConnectionDemand::Close => {
+                self.effects.event(CoreEvent::NotificationsTimedOut);
+                if let Some(id) = self.notifier.take_connection() {
+                    self.effects.output(Output::CloseUpstream(id));
+                }
+            }
+        }
+        if let Some((id, request)) = self.notifier.next_request(self.clock.now(), self.discovery.address()) {
+            self.effects.output(Output::SendUpstream(id, request.into()));
+        }
+    }
+
+    fn connect_to_discovery(&mut self) -> ConnectionId {
+        let id = self.pool.allocate_id();
+        self.effects.output(Output::Connect(id, self.discovery.address()));
+        id
+    }
+}
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -20,7 +20,8 @@
 //! | `shutdown` | the phases of the shutdown and what ends each |
 //! | `recovery` | records to state and back |
 //!
-//! What goes from part to part is in `submission` (requests to decisions) and `delivery` (decisions to outcomes).
+//! What goes from part to part is in `submission` (requests to decisions), `delivery` (decisions to outcomes) and
+//! `discovery_traffic` (the watch and notifications).
 
 mod admission;
 mod attempts;
@@ -32,6 +33,7 @@
 mod deduplication;
 mod delivery;
 mod discovery;
+mod discovery_traffic;
 mod effects;
 mod in_flight;
 mod key_cooldowns;
@@ -65,11 +67,9 @@
 use in_flight::InFlightTable;
 use linnetcart::{AttemptOutcome, Dispatcher, Time};
 use linnetcart_deployment_settings::DeploymentSettings;
-use reconnect::ConnectionDemand;
 use recovery::Recovery;
 use shutdown::{OutstandingWork, Phase, Shutdown};
-use status_notifier::{StatusNotifier, Verdict};
-use std::net::SocketAddr;
+use status_notifier::StatusNotifier;
 
 /// File descriptors that are neither clients' nor endpoints': listener, loop, signals, discovery, journal, logs.
 const RESERVED_FILE_DESCRIPTORS: usize = 24;
@@ -273,71 +273,6 @@
         }
     }
 
-    fn watch_received(&mut self, id: ConnectionId, bytes: &[u8]) {
-        let progress = self.discovery.receive(self.clock.now(), bytes);
-        for event in &progress.events {
-            self.apply_watch_event(event);
-        }
-        if let Some(error) = progress.error {
-            self.effects.event(CoreEvent::WatchFailed(error));
-            self.effects.output(Output::CloseUpstream(id));
-            self.discovery.disconnected(self.clock.now());
-        }
-    }
-
-    fn apply_watch_event(&mut self, event: &WatchEvent) {
-        let update = self.discovery.apply(event, &self.settings, self.clock.now());
-        self.decisions.push(update.event);
-        for endpoint in update.stale {
-            self.pool.close_idle(endpoint);
-        }
-    }
-
-    fn notifier_received(&mut self, id: ConnectionId, bytes: &[u8]) {
-        let acknowledged = match self.notifier.receive(bytes) {
-            Ok(acknowledged) => acknowledged,
-            Err(error) => {
-                self.effects.event(CoreEvent::NotificationsFailed(error));
-                self.effects.output(Output::CloseUpstream(id));
-                self.notifier.disconnected(self.clock.now());
-                return;
-            }
-        };
-        for number in acknowledged.messages {
-            if acknowledged.verdict == Verdict::Rejected {
-                if let Some(rejected) = self.in_flight.get(number) {
-                    let message = rejected.message().id_text().into_owned();
-                    self.effects.event(CoreEvent::NotificationRejected { message });
-                }
-            }
-            self.acknowledge(number);
-        }
-    }
-
-    /// True: the connection that ended was one to discovery.
-    fn discovery_disconnected(&mut self, id: ConnectionId) -> bool {
-        if self.discovery.owns(id) {
-            self.discovery.disconnected(self.clock.now());
-        } else if self.notifier.owns(id) {
-            self.notifier.disconnected(self.clock.now());
-        } else {
-            return false;
-        }
-        true
-    }
-
-    /// Discovery is at this address now.
-    pub fn move_discovery(&mut self, address: SocketAddr) {
-        if address == self.discovery.address() {
-            return;
-        }
-        let watch_connection = self.discovery.move_to(address);
-        let notifier_connection = self.notifier.restart();
-        for id in [watch_connection, notifier_connection].into_iter().flatten() {
-            self.effects.output(Output::CloseUpstream(id));
-        }
-    }
-
     /// The signal to end came.
     pub fn begin_shutdown(&mut self) {
         self.shutdown.signal(self.clock.now());
@@ -424,47 +359,6 @@
         }
     }
 
-    fn poll_discovery(&mut self) {
-        match self.discovery.poll(self.clock.now()) {
-            ConnectionDemand::Nothing => {}
-            ConnectionDemand::Connect => {
-                let id = self.connect_to_discovery();
-                self.discovery.connecting(id);
-            }
-            ConnectionDemand::Close => {
-                self.effects.event(CoreEvent::WatchSilent);
-                if let Some(id) = self.discovery.take_connection() {
-                    self.effects.output(Output::CloseUpstream(id));
-                }
-            }
-        }
-    }
-
-    fn poll_notifier(&mut self) {
-        match self.notifier.poll(self.clock.now()) {
-            ConnectionDemand::Nothing => {}
-            ConnectionDemand::Connect => {
-                let id = self.connect_to_discovery();
-                self.notifier.connecting(id);
-            }
-            ConnectionDemand::Close => {
-                self.effects.event(CoreEvent::NotificationsTimedOut);
-                if let Some(id) = self.notifier.take_connection() {
-                    self.effects.output(Output::CloseUpstream(id));
-                }
-            }
-        }
-        if let Some((id, request)) = self.notifier.next_request(self.clock.now(), self.discovery.address()) {
-            self.effects.output(Output::SendUpstream(id, request.into()));
-        }
-    }
-
-    fn connect_to_discovery(&mut self) -> ConnectionId {
-        let id = self.pool.allocate_id();
-        self.effects.output(Output::Connect(id, self.discovery.address()));
-        id
-    }
-
     fn put_closes_first(&mut self) {
         let closed = self.pool.take_closed();
         let abandoned = self.pool.take_abandoned();
--- a/crates/platform/src/core/reconnect.rs
+++ b/crates/platform/src/core/reconnect.rs
@@ -90,3 +90,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/platform/src/core/recovery.rs
+++ b/crates/platform/src/core/recovery.rs
@@ -150,3 +150,6 @@
         records
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/platform/src/core/recovery/tests.rs
@@ -0,0 +1,33 @@
+//! The account of what an earlier process left.
+
+use super::*;
+use crate::records::{Message, SentAttempt};
+
+fn pending(possibly_executed: Vec<SentAttempt>, outcome: Option<FinalOutcome>) -> PendingMessage {
+    let message = Message {
+        id: b"id".to_vec(),
+        idempotency_key: None,
+        class: 0,
+        destination: 3,
+        ordering_key: 0,
+        deadline: 0,
+        body: vec![],
+    };
+    let attempts = possibly_executed.len() as u16;
+    PendingMessage { message, attempts, possibly_executed, outcome }
+}
+
+#[test]
+fn recovery_reported_once_last_untried_message_is_accounted_for() {
+    let mut recovery = Recovery::default();
+    let sent = SentAttempt { number: 0, zone: 0, sent_at: 0 };
+    recovery.add(1, &pending(vec![], None));
+    recovery.add(2, &pending(vec![], None));
+    recovery.add(3, &pending(vec![sent], None));
+    recovery.add(4, &pending(vec![], Some(FinalOutcome::Failed)));
+    assert_eq!(recovery.take_undecided(), [1, 2, 3], "what has its outcome needs no decision");
+    assert_eq!((recovery.attempted(3), recovery.given_up(4)), (None, None), "they were not untried");
+    assert_eq!((recovery.attempted(1), recovery.attempted(1)), (None, None));
+    let counts = RecoveryCounts { recovered: 4, untried: 2, attempted: 1, given_up: 1 };
+    assert_eq!((recovery.given_up(2), recovery.counts()), (Some(counts), counts));
+}
--- a/crates/platform/src/core/shutdown.rs
+++ b/crates/platform/src/core/shutdown.rs
@@ -5,13 +5,14 @@
 use super::clock::MILLISECOND;
 use linnetcart::Time;
 
-/// Clients are served as before for this long after the signal: those that were told of the courier a moment ago
-/// still come, and are served best by one that behaves as ever.
+/// Clients are served as before for this long after the signal. It is longer than the 400 ms that a client waits for
+/// its answer, so that what the signal found under way ends as it began.
 pub const SIGNAL_GRACE_PERIOD: Time = 500 * MILLISECOND;
-/// No decision is made, so no attempt started, later than this after the signal: what starts later could not end
-/// before the platform kills the process.
+/// No decision is made, so no attempt started, later than this after the signal. Attempts that are out then have
+/// until [`LAST_ANSWER_TIMEOUT`] to end; stopping earlier would have a courier stand still until its restart.
 pub const LAST_DECISION_TIMEOUT: Time = 2700 * MILLISECOND;
-/// And no answer is awaited later than this: what is left belongs to the next process.
+/// No answer is awaited later than this after the signal: the platform kills a process no sooner than 3.7 s after it,
+/// and the last answers have to leave before. What is left belongs to the next process.
 pub const LAST_ANSWER_TIMEOUT: Time = 3400 * MILLISECOND;
 
 /// A phase. Each follows on the one before it.
