--- /dev/null
+++ b/crates/edge/tests/process/stubs.rs
@@ -0,0 +1,75 @@
+//! Stand-ins for discovery and endpoints that answer by themselves and keep what crossed the sockets.
+
+use linnetcart_http::{parse_request, Request};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+
+/// What an endpoint answers that serves.
+pub const SERVED: &str = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
+/// Requests in the order in which they came, each by its message id or, without one, its body.
+pub type RequestLog = Arc<Mutex<Vec<String>>>;
+
+/// The answer to a request, which may be held back.
+type Reply = fn(&str) -> Option<&'static [u8]>;
+
+/// Answers each request by `reply`.
+pub fn serve(reply: Reply) -> (SocketAddr, RequestLog) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let log = RequestLog::default();
+    let shared = Arc::clone(&log);
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let log = Arc::clone(&shared);
+            std::thread::spawn(move || serve_connection(stream, reply, &log));
+        }
+    });
+    (address, log)
+}
+
+fn serve_connection(mut stream: TcpStream, reply: Reply, log: &RequestLog) {
+    let mut received = Vec::new();
+    let mut chunk = [0; 4096];
+    while let Ok(length @ 1..) = stream.read(&mut chunk) {
+        received.extend_from_slice(&chunk[..length]);
+        while let Ok(Some(request)) = parse_request(&received) {
+            let subject = subject_of(&request);
+            let is_watch = request.method() == b"GET";
+            let request_length = request.length();
+            let answer = reply(if is_watch { "watch" } else { &subject });
+            if !is_watch {
+                log.lock().unwrap().push(subject);
+            }
+            received.drain(..request_length);
+            if stream.write_all(answer.unwrap_or(b"")).is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// A request's message id or, without one, its body.
+pub fn subject_of(request: &Request<'_>) -> String {
+    let subject = request.field("x-txn").unwrap().unwrap_or(request.body());
+    String::from_utf8_lossy(subject).into_owned()
+}
+
+/// Answers the watch with an empty line, and acknowledges all notifications.
+pub fn discovery_stub() -> (SocketAddr, RequestLog) {
+    serve(|subject| match subject {
+        "watch" => Some(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n"),
+        _ => Some(b"HTTP/1.1 204 No Content\r\n\r\n"),
+    })
+}
+
+/// Serves, but for ids that begin with `slow`: their answers are held back.
+pub fn endpoint_stub() -> (SocketAddr, RequestLog) {
+    serve(|id| (!id.starts_with("slow")).then_some(SERVED.as_bytes()))
+}
+
+/// Requests that contain this text.
+pub fn count_matching(log: &RequestLog, text: &str) -> usize {
+    log.lock().unwrap().iter().filter(|subject| subject.contains(text)).count()
+}
--- a/crates/platform/src/core/delivery.rs
+++ b/crates/platform/src/core/delivery.rs
@@ -169,7 +169,8 @@
         let Some(attempt) = self.attempts.remove(id) else { return };
         self.counters.outcomes.count(finished.outcome);
         let Some(message) = self.in_flight.get(id.message) else { return };
-        let (message_id, outcome) = (message.message().id_text(), finished.outcome);
+        let message_id = message.message().id_text();
+        let outcome = finished.outcome;
         tracing::debug!(id = %message_id, attempt = id.number, ?outcome, "attempt finished");
         let Some(effect) = self.in_flight.finish_attempt(id, outcome) else { return };
         if effect.retracts_sent {
--- a/crates/platform/src/core/discovery.rs
+++ b/crates/platform/src/core/discovery.rs
@@ -93,7 +93,9 @@
 
     /// Brings the list up to date.
     pub fn apply(&mut self, event: &WatchEvent, settings: &DeploymentSettings, now: Time) -> ListUpdate {
-        let (version, complete, entries) = (event.version, event.complete, event.entries.len());
+        let version = event.version;
+        let complete = event.complete;
+        let entries = event.entries.len();
         tracing::debug!(version, complete, entries, "endpoint list event");
         self.endpoints.apply(event, settings, now)
     }
--- a/crates/platform/src/core/tests/notifications.rs
+++ b/crates/platform/src/core/tests/notifications.rs
@@ -86,7 +86,8 @@
     }
     harness.process();
     let link = harness.connect_discovery();
-    let (no, yes) = ("HTTP/1.1 400 No\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 204 No Content\r\n\r\n");
+    let no = "HTTP/1.1 400 No\r\nContent-Length: 0\r\n\r\n";
+    let yes = "HTTP/1.1 204 No Content\r\n\r\n";
     for reply in [no, yes, no, no, yes] {
         harness.respond(link, reply.as_bytes());
     }
