Platform: the log of an acknowledged notification names its message again

Cause: the debug line of an acknowledgement had the message's number only since the parts were split; the operators' page follows a message by its id. Change: InFlightTable::acknowledge returns the message, and the line has its id and number.

--- a/crates/platform/src/core/delivery.rs
+++ b/crates/platform/src/core/delivery.rs
@@ -259,8 +259,9 @@
 
     /// The platform acknowledged the notification of a message's outcome.
     pub(super) fn acknowledge(&mut self, number: u32) {
-        let Some(ordering_key) = self.in_flight.acknowledge(number) else { return };
-        tracing::debug!(number, "notification acknowledged");
+        let Some(acknowledged) = self.in_flight.acknowledge(number) else { return };
+        tracing::debug!(id = %acknowledged.id_text(), number, "notification acknowledged");
+        let ordering_key = acknowledged.ordering_key;
         self.effects.record(Record::Notified { message: number });
         self.notifier.release(ordering_key, number);
         self.settle(number);
--- a/crates/platform/src/core/in_flight.rs
+++ b/crates/platform/src/core/in_flight.rs
@@ -220,11 +220,11 @@
         true
     }
 
-    /// The platform acknowledged a message's outcome: its ordering key. `None`: there is no such message.
-    pub fn acknowledge(&mut self, number: u32) -> Option<u64> {
+    /// The platform acknowledged the outcome of this message. `None`: there is no such message.
+    pub fn acknowledge(&mut self, number: u32) -> Option<&Message> {
         let message = self.messages.get_mut(&number)?;
         message.pending.outcome = Some(FinalOutcome::Delivered);
-        Some(message.message().ordering_key)
+        Some(message.message())
     }
 
     /// Takes a message of which nothing is owed or out.
--- a/crates/platform/src/core/in_flight/tests.rs
+++ b/crates/platform/src/core/in_flight/tests.rs
@@ -28,7 +28,7 @@
     let attempt = table.begin_attempt(1).expect("an attempt");
     assert_eq!(attempt.id, AttemptId { message: 1, number: 0 });
     assert!(table.complete(1, FinalOutcome::Failed) && !table.complete(1, FinalOutcome::Delivered), "once");
-    assert_eq!(table.acknowledge(1), Some(5));
+    assert_eq!(table.acknowledge(1), Some(&message("m1")));
     assert!(table.take_settled(1).is_none(), "its attempt is out");
     table.finish_attempt(attempt.id, AttemptOutcome::Cancelled);
     assert!(table.take_settled(1).is_some());
