--- a/crates/platform/src/core/client_connections/tests.rs
+++ b/crates/platform/src/core/client_connections/tests.rs
@@ -32,13 +32,13 @@
     let mut clients = ClientConnections::new(2, 0);
     assert_eq!(clients.opened(1, 10), None);
     assert_eq!(clients.opened(2, 20), None);
-    // What the first sent was looked at in a turn and is no request yet; the second's awaits the next turn.
+    // What the first sent was looked at in an iteration and is no request yet; the second's awaits the next one.
     clients.receive(1, b"POST /a", 30);
     clients.take_unread();
     clients.receive(2, ASK, 30);
     assert_eq!(clients.opened(3, 30), Some(1), "the one that is not known to ask anything");
     clients.receive(3, ASK, 30);
-    assert_eq!(clients.opened(4, 30), Some(4), "both others wait for this turn");
+    assert_eq!(clients.opened(4, 30), Some(4), "both others wait for this iteration");
 }
 
 #[test]
--- a/crates/platform/src/core/clock.rs
+++ b/crates/platform/src/core/clock.rs
@@ -5,7 +5,7 @@
 /// Nanoseconds.
 pub const MILLISECOND: Time = 1_000_000;
 
-/// The time of the iteration. Only the core advances it; parts are told the time.
+/// The time of the iteration. Only the core advances it; parts get the time as an argument.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     now: Time,
--- a/crates/platform/src/core/connection_pool/connection.rs
+++ b/crates/platform/src/core/connection_pool/connection.rs
@@ -6,7 +6,7 @@
 use linnetcart_http::{parse_response, ParsedResponse};
 use std::net::SocketAddr;
 
-/// A connection rests after an answer: what comes beside the answer must not be read as the next one.
+/// A connection settles after an answer before it is reused: what comes beside the answer must not be read as the next one.
 const SETTLE_TIME: Time = 10 * MILLISECOND;
 /// A head that began with 200 may still bring a load report, for this long.
 const SUCCESS_COMPLETION_TIMEOUT: Time = 50 * MILLISECOND;
--- a/crates/platform/src/core/connection_pool/outcome.rs
+++ b/crates/platform/src/core/connection_pool/outcome.rs
@@ -12,7 +12,7 @@
     pub rate_limit: Option<f64>,
 }
 
-/// An attempt that ended, and what its answer told.
+/// An attempt that ended, and what its answer says.
 #[derive(Clone, Debug, PartialEq)]
 pub struct FinishedAttempt {
     /// The attempt.
@@ -28,7 +28,7 @@
 }
 
 impl FinishedAttempt {
-    /// One whose answer told nothing else.
+    /// One whose answer says nothing else.
     pub fn new(id: AttemptId, outcome: AttemptOutcome) -> FinishedAttempt {
         FinishedAttempt {
             id,
--- a/crates/platform/src/core/connection_pool/receive.rs
+++ b/crates/platform/src/core/connection_pool/receive.rs
@@ -53,9 +53,9 @@
         let attempt = connection.attempt?;
         match parse_response(&connection.response) {
             ParsedResponse::Incomplete { .. } => None,
-            ParsedResponse::Malformed { ok } => {
+            ParsedResponse::Malformed { ok: has_success_line } => {
                 self.close(id);
-                Some(FinishedAttempt::new(attempt, response::outcome_of_malformed(ok)))
+                Some(FinishedAttempt::new(attempt, response::outcome_of_malformed(has_success_line)))
             }
             ParsedResponse::Head(head) => self.response_head(id, attempt, &head, now, settings),
         }
@@ -111,8 +111,9 @@
             ParsedResponse::Head(head) => {
                 (response::outcome_of_status(&head).outcome, response::load_report(&head, settings))
             }
-            ParsedResponse::Incomplete { ok } | ParsedResponse::Malformed { ok } => {
-                (response::outcome_of_malformed(ok), LoadReport::default())
+            ParsedResponse::Incomplete { ok: has_success_line }
+            | ParsedResponse::Malformed { ok: has_success_line } => {
+                (response::outcome_of_malformed(has_success_line), LoadReport::default())
             }
         };
         self.close(id);
--- a/crates/platform/src/core/decisions.rs
+++ b/crates/platform/src/core/decisions.rs
@@ -1,9 +1,9 @@
-//! The decision cycle: the library, what it is to be told, and when it is asked next.
+//! The decision cycle: the library, the events for it, and when it is asked next.
 
 use super::clock::MILLISECOND;
 use linnetcart::{Action, Dispatcher, Event, Time};
 
-/// The first decision waits for discovery's first word, which counts as told before it is heard, but no longer than
+/// The first decision waits for discovery's first word, whose news count from the start, but no longer than
 /// this: discovery answers at once or is silent, and clients wait 400 ms for their answers.
 pub const INITIAL_SYNC_TIMEOUT: Time = 200 * MILLISECOND;
 
@@ -27,7 +27,7 @@
         }
     }
 
-    /// The library is told of this with the next decision.
+    /// The library gets this event with the next decision.
     pub fn push(&mut self, event: Event) {
         self.events.push(event);
     }
@@ -70,12 +70,12 @@
     }
 
     /// The library asks for a decision at this time. It takes the place of the one asked for before, also of an
-    /// earlier one: what that was for is over.
+    /// earlier one: what that was for has passed.
     pub fn wake_at(&mut self, time: Time) {
         self.next_decision = time;
     }
 
-    /// No decision is made any more: what happens is not told to the library.
+    /// No decision is made any more: events no longer go to the library.
     pub fn stop(&mut self) {
         self.next_decision = Time::MAX;
         self.events.clear();
--- a/crates/platform/src/core/deduplication.rs
+++ b/crates/platform/src/core/deduplication.rs
@@ -47,7 +47,7 @@
         self.by_expiry.insert((completed.expires_at, completed.id_digest));
     }
 
-    /// The completed message that has this message's id. Its deadline is counted anew when it is submitted again;
+    /// The completed message that has this message's id. Its deadline starts again when it is submitted again;
     /// all else has to be the same.
     pub fn find(&self, message: &Message) -> Option<IdMatch> {
         let completed = self.by_id.get(&digest(&[&message.id]))?;
--- a/crates/platform/src/core/delivery.rs
+++ b/crates/platform/src/core/delivery.rs
@@ -206,7 +206,7 @@
         }
     }
 
-    /// Tells the decision library of an attempt's end.
+    /// Queues the event of an attempt's end for the decision library.
     fn report_result(&mut self, finished: &FinishedAttempt, attempt: &InFlightAttempt, state: MessageState) {
         self.decisions.push(Event::AttemptFinished(AttemptResult {
             message: finished.id.message,
@@ -229,7 +229,7 @@
     }
 
     /// A message is delivered, unless it had its final outcome before. An answer that comes as its deadline passes,
-    /// by the whole milliseconds that the endpoint was told, may count for nothing: it fails all the same.
+    /// by the milliseconds that the endpoint was given, may count for nothing: it fails all the same.
     fn complete_delivered(&mut self, number: u32) -> bool {
         let Some(message) = self.in_flight.get(number).filter(|message| message.is_open()) else {
             return false;
--- a/crates/platform/src/core/discovery/endpoint_list.rs
+++ b/crates/platform/src/core/discovery/endpoint_list.rs
@@ -30,7 +30,7 @@
 /// What an event of the watch changed.
 #[derive(Debug)]
 pub struct ListUpdate {
-    /// What the decision library is told.
+    /// The event for the decision library.
     pub event: Event,
     /// Endpoints whose idle connections are of no use any more: removed, moved or restarted.
     pub stale: Vec<u32>,
--- a/crates/platform/src/core/in_flight.rs
+++ b/crates/platform/src/core/in_flight.rs
@@ -28,7 +28,7 @@
 enum Completion {
     /// It has none.
     Open,
-    /// It is returned: its sender may submit it anew.
+    /// It is returned: its sender may submit it again.
     Returned,
     /// It is delivered or failed.
     Final,
@@ -67,7 +67,7 @@
         self.completion == Completion::Open
     }
 
-    /// Whether its sender may submit it anew.
+    /// Whether its sender may submit it again.
     pub fn is_returned(&self) -> bool {
         self.completion == Completion::Returned
     }
--- a/crates/platform/src/core/in_flight/tests.rs
+++ b/crates/platform/src/core/in_flight/tests.rs
@@ -62,7 +62,7 @@
     assert_eq!(table.find(&other), Some((1, IdMatch::OtherMessage)));
     assert_eq!(table.find(&message("m2")), None);
     table.complete(1, FinalOutcome::Returned { retry_after_ms: 0 });
-    assert_eq!(table.find(&message("m1")), None, "it may be submitted anew");
+    assert_eq!(table.find(&message("m1")), None, "it may be submitted again");
     assert!(table.get(1).is_some_and(InFlightMessage::is_returned));
 }
 
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -16,7 +16,7 @@
 //! | `connection_pool` | connections to endpoints: connecting, in use, idle, abandoned, closed |
 //! | `discovery` | watch, versions, backoff, endpoint list |
 //! | `status_notifier` | unacknowledged notifications, batches, retries |
-//! | `decisions` | the library, what it is to be told, when it is asked next |
+//! | `decisions` | the library, the events for it, when it is asked next |
 //! | `shutdown` | the phases of the shutdown and what ends each |
 //! | `recovery` | records to state and back |
 //!
@@ -200,7 +200,7 @@
 
     // ---- Inputs
 
-    /// The time; to be told before the inputs that came by then.
+    /// The time; to be advanced before the inputs that came by then.
     pub fn advance_clock(&mut self, now: Time) {
         self.clock.advance(now);
         self.shutdown.advance(self.clock.now());
--- a/crates/platform/src/core/recovery.rs
+++ b/crates/platform/src/core/recovery.rs
@@ -14,7 +14,7 @@
 /// Messages of an earlier process.
 #[derive(Debug, Default)]
 pub struct Recovery {
-    /// Those that the decision library has not been told of.
+    /// Those that the decision library does not know of yet.
     undecided: Vec<u32>,
     /// Those that were certainly never executed, and are neither sent nor completed in this process.
     untried: BTreeSet<u32>,
@@ -35,7 +35,7 @@
         }
     }
 
-    /// Takes the messages that the decision library is to be told of.
+    /// Takes the messages that the decision library does not know of yet.
     pub fn take_undecided(&mut self) -> Vec<u32> {
         std::mem::take(&mut self.undecided)
     }
@@ -64,7 +64,7 @@
     }
 }
 
-/// What the decision library is told of a message that an earlier process left, as it is now.
+/// The event for the decision library of a message that an earlier process left, as it is now.
 pub fn recovered_event(number: u32, message: &InFlightMessage, clock: Clock) -> Event {
     let mut unresolved = Vec::new();
     for attempt in &message.pending.possibly_executed {
--- a/crates/platform/src/core/request/tests.rs
+++ b/crates/platform/src/core/request/tests.rs
@@ -1,4 +1,4 @@
-//! Requests and the messages that they hand in.
+//! Requests and the messages that they submit.
 
 use super::*;
 use linnetcart::Class;
--- a/crates/platform/src/core/status_notifier.rs
+++ b/crates/platform/src/core/status_notifier.rs
@@ -1,4 +1,4 @@
-//! Status notifications: the platform is told of each message that ends undelivered, until it acknowledges.
+//! Status notifications: the platform is notified of each message that ends undelivered, until it acknowledges.
 //!
 //! It owns the queue, its connection to discovery and which ordering keys wait for an acknowledgement. It drops none
 //! silently.
--- a/crates/platform/src/core/submission.rs
+++ b/crates/platform/src/core/submission.rs
@@ -9,6 +9,19 @@
 use crate::records::{Message, PendingMessage, Record};
 use linnetcart::{AcceptedMessage, Action, Event};
 
+/// What the id of a submitted message is known for.
+enum KnownId {
+    /// The same message is accepted already.
+    Accepted,
+    /// The same message may yet be rejected by this iteration's decision, and then for all who submitted it.
+    AwaitingDecision {
+        /// Its number.
+        number: u32,
+    },
+    /// Another message has it, or had it.
+    OfOther(RequestError),
+}
+
 impl Core {
     /// Acts on what a client sent. A message waits for its decision.
     pub(super) fn read_request(&mut self, client: ClientId) {
@@ -33,11 +46,10 @@
     }
 
     fn submit(&mut self, requester: Requester, submitted: SubmittedMessage, body: Vec<u8>) {
-        let client = requester.client;
         if !self.discovery.endpoints().has_destination(submitted.destination) {
-            return self.refuse_request(client, RequestError::UnknownDestination);
+            return self.refuse_request(requester.client, RequestError::UnknownDestination);
         }
-        let submitted_at = self.clients.last_byte_at(client).unwrap_or(self.clock.now());
+        let submitted_at = self.clients.last_byte_at(requester.client).unwrap_or(self.clock.now());
         let deadline = submitted_at + submitted.time_remaining;
         let message = Message {
             id: submitted.id,
@@ -48,21 +60,8 @@
             deadline: self.clock.to_wall(deadline),
             body,
         };
-        match self.deduplication.find(&message) {
-            Some(IdMatch::SameMessage) => return self.answer(requester, Answer::Accepted),
-            Some(IdMatch::OtherMessage) => {
-                return self.refuse_request(client, RequestError::IdOfCompletedMessage);
-            }
-            None => {}
-        }
-        match self.in_flight.find(&message) {
-            // It may yet be rejected by this iteration's decision, and then for all who submitted it.
-            Some((number, IdMatch::SameMessage)) if self.admission.awaits_decision(number) => {
-                return self.await_decision(number, requester);
-            }
-            Some((_, IdMatch::SameMessage)) => return self.answer(requester, Answer::Accepted),
-            Some((_, IdMatch::OtherMessage)) => return self.refuse_request(client, RequestError::IdInUse),
-            None => {}
+        if let Some(known) = self.find_id(&message) {
+            return self.answer_known(requester, known);
         }
         if deadline <= self.clock.now() || !self.has_capacity_for(&message) {
             self.counters.rejected += 1;
@@ -81,6 +80,31 @@
         self.in_flight.insert(number, PendingMessage::new(message), deadline);
     }
 
+    /// What a message's id is known for; `None` for one that is new.
+    fn find_id(&self, message: &Message) -> Option<KnownId> {
+        match self.deduplication.find(message) {
+            Some(IdMatch::SameMessage) => return Some(KnownId::Accepted),
+            Some(IdMatch::OtherMessage) => return Some(KnownId::OfOther(RequestError::IdOfCompletedMessage)),
+            None => {}
+        }
+        let (number, id_match) = self.in_flight.find(message)?;
+        Some(match id_match {
+            IdMatch::SameMessage if self.admission.awaits_decision(number) => {
+                KnownId::AwaitingDecision { number }
+            }
+            IdMatch::SameMessage => KnownId::Accepted,
+            IdMatch::OtherMessage => KnownId::OfOther(RequestError::IdInUse),
+        })
+    }
+
+    fn answer_known(&mut self, requester: Requester, known: KnownId) {
+        match known {
+            KnownId::Accepted => self.answer(requester, Answer::Accepted),
+            KnownId::AwaitingDecision { number } => self.await_decision(number, requester),
+            KnownId::OfOther(error) => self.refuse_request(requester.client, error),
+        }
+    }
+
     /// Whether one more message may be accepted, as far as the table and the journal are concerned.
     fn has_capacity_for(&self, message: &Message) -> bool {
         let max_open = self.settings.settings.max_in_flight_messages as usize;
--- a/crates/platform/src/core/tests/admission.rs
+++ b/crates/platform/src/core/tests/admission.rs
@@ -31,7 +31,7 @@
         409,
         "another under its id"
     );
-    assert_eq!(harness.journal.iter().filter(|r| matches!(r, Record::Accepted { .. })).count(), 1);
+    assert_eq!(harness.journal.iter().filter(|record| matches!(record, Record::Accepted { .. })).count(), 1);
     // Half a request, and silence: both end by themselves.
     harness.answers.clear();
     harness.send_request(b"POST /order HT");
--- a/crates/platform/src/core/tests/attempts.rs
+++ b/crates/platform/src/core/tests/attempts.rs
@@ -32,10 +32,10 @@
         for cut in 0..bytes.len() {
             let mut harness = Harness::new();
             assert_eq!(harness.submit("order", "m", ""), 202);
-            let link = harness.attempts()[0].0;
-            harness.core.upstream_received(link, &bytes.as_bytes()[..cut]);
+            let connection = harness.attempts()[0].0;
+            harness.core.upstream_received(connection, &bytes.as_bytes()[..cut]);
             if harness.closed.is_empty() {
-                harness.core.upstream_received(link, &bytes.as_bytes()[cut..]);
+                harness.core.upstream_received(connection, &bytes.as_bytes()[cut..]);
             }
             harness.process();
             assert_eq!(harness.outcomes(), counts_of(&[outcome]), "{bytes:?} cut at {cut}");
@@ -58,12 +58,12 @@
     ] {
         let mut harness = Harness::new();
         harness.submit("order", "m", "");
-        let link = harness.attempts()[0].0;
-        harness.respond(link, bytes.as_bytes());
+        let connection = harness.attempts()[0].0;
+        harness.respond(connection, bytes.as_bytes());
         assert_eq!(harness.outcomes(), counts_of(&[]));
         harness.run_for(2 * SECOND);
         assert_eq!(harness.outcomes(), counts_of(&[outcome]), "{bytes:?}");
-        assert!(harness.closed.contains(&link));
+        assert!(harness.closed.contains(&connection));
     }
 }
 
@@ -72,9 +72,9 @@
     for (short, outcome) in [(1, AttemptOutcome::NoConnection), (0, AttemptOutcome::Reset)] {
         let mut harness = Harness::new();
         harness.submit("order", "m", "");
-        let link = harness.attempts()[0].0;
+        let connection = harness.attempts()[0].0;
         let length = harness.first_attempt_bytes().len();
-        harness.core.upstream_disconnected(link, (length - short) as u64);
+        harness.core.upstream_disconnected(connection, (length - short) as u64);
         harness.process();
         assert_eq!(harness.outcomes(), counts_of(&[outcome]));
         // One that was not executed is sent again, one that possibly was is not.
@@ -91,15 +91,15 @@
     harness.run_for(4 * SECOND);
     let hedge = harness.attempts()[1].0;
     harness.respond(hedge, SERVED.as_bytes());
-    assert_eq!(harness.write_ended, [first], "the slower one is called off");
+    assert_eq!(harness.write_ended, [first], "the slower one is cancelled");
     assert!(!harness.closed.contains(&first), "and its answer may be on its way");
     harness.respond(first, b"HTTP/1.1 429 No\r\nX-Backoff-Ms: 1500\r\nContent-Length: 0\r\n\r\n");
     assert!(harness.closed.contains(&first));
     harness.submit("order", "b", "");
     harness.run_for(1400 * MILLISECOND);
-    assert_eq!(harness.attempts().len(), 2, "told to wait");
+    assert_eq!(harness.attempts().len(), 2, "Retry-After pending");
     harness.run_for(2 * SECOND);
-    assert_eq!(harness.attempts().len(), 3, "and then it goes");
+    assert_eq!(harness.attempts().len(), 3, "and then it is sent");
 }
 
 #[test]
@@ -122,7 +122,7 @@
         let mut harness = Harness::new();
         harness.submit("status", "a", "");
         let first = harness.attempts()[0].0;
-        // It hangs for longer than its siblings would, and is called off for another.
+        // It hangs for longer than its siblings would, and is cancelled for another.
         harness.core.cancel_attempt(AttemptId { message: 1, number: 0 }, AttemptOutcome::Cancelled);
         harness.run_for(100 * MILLISECOND);
         let second = harness.attempts()[1].0;
@@ -130,7 +130,7 @@
         let is_completion = |record: &Record| matches!(record, Record::Completed { .. });
         assert!(harness.write_ended == [first] && !harness.has_record(is_completion), "no line yet");
         harness.respond(first, rest.as_bytes());
-        assert_eq!(harness.write_ended, [first, second], "what else is out is called off");
+        assert_eq!(harness.write_ended, [first, second], "what else is out is cancelled");
         let is_delivery =
             |record: &Record| matches!(record, Record::Completed { outcome: FinalOutcome::Delivered, .. });
         assert!(harness.has_record(is_delivery));
@@ -147,12 +147,12 @@
         let mut harness = Harness::new();
         let deadline = harness.now + 9 * SECOND;
         harness.submit("order", "a", "");
-        let link = harness.attempts()[0].0;
+        let connection = harness.attempts()[0].0;
         harness.run_for(8 * SECOND);
         // The iteration that was to end it comes too late: this is read before.
         harness.now = deadline - before;
         harness.core.advance_clock(harness.now);
-        harness.respond(link, SERVED.as_bytes());
+        harness.respond(connection, SERVED.as_bytes());
         let counts = NotificationCounts { failed, returned: 0 };
         assert_eq!(harness.core.counters().notifications, counts, "{before} ns before");
         assert_eq!(harness.has_record(is_failure), failed == 1);
--- a/crates/platform/src/core/tests/connections.rs
+++ b/crates/platform/src/core/tests/connections.rs
@@ -13,26 +13,26 @@
         harness.connection_in_use(SERVED);
         harness.submit("status", "a", "");
         let before = harness.attempts().len();
-        let link = harness.attempts()[before - 1].0;
-        harness.respond(link, answer.as_bytes());
+        let connection = harness.attempts()[before - 1].0;
+        harness.respond(connection, answer.as_bytes());
         if !later.is_empty() {
-            harness.respond(link, later.as_bytes());
+            harness.respond(connection, later.as_bytes());
         }
         harness.run_for(20 * MILLISECOND);
-        // Both endpoints are as good; one of several calls goes where the last one went, or none.
+        // Both endpoints are as good; one of several attempts goes where the last one went, or none.
         for n in 0..4 {
             harness.submit("status", &format!("b{n}"), "");
         }
-        let used = harness.attempts()[before..].iter().any(|c| c.0 == link);
+        let used = harness.attempts()[before..].iter().any(|attempt| attempt.0 == connection);
         assert_eq!(used, is_reused, "{answer:?} {later:?}");
         assert_eq!(harness.outcomes().served, 11, "one answer is one delivery");
     }
     let mut harness = Harness::new();
-    let link = harness.connection_in_use(SERVED);
+    let connection = harness.connection_in_use(SERVED);
     harness.run_for(7 * SECOND);
-    assert!(!harness.closed.contains(&link));
+    assert!(!harness.closed.contains(&connection));
     harness.run_for(SECOND);
-    assert!(harness.closed.contains(&link), "closed by us before the endpoint does");
+    assert!(harness.closed.contains(&connection), "closed by us before the endpoint does");
 }
 
 #[test]
@@ -41,9 +41,9 @@
     let watch = harness.connect_discovery();
     let line = |status: &str| list_event(43, "a", "bank", 3, status, 1000);
     // Connections are begun and not there yet when the list changes.
-    let link = harness.begin_connecting();
+    let connection = harness.begin_connecting();
     harness.watch_event(watch, &line("leaving"));
-    harness.core.upstream_connected(link);
+    harness.core.upstream_connected(connection);
     harness.process();
     harness.run_for(SECOND);
     assert!(harness.attempts().is_empty());
@@ -96,14 +96,14 @@
 fn endpoint_moved_while_connecting_gets_attempt_at_new_address() {
     let mut harness = Harness::new();
     let watch = harness.connect_discovery();
-    let link = harness.begin_connecting();
+    let connection = harness.begin_connecting();
     harness.watch_event(watch, &list_event(43, "a", "bank", 3, "active", 2000));
-    harness.core.upstream_connected(link);
+    harness.core.upstream_connected(connection);
     harness.process();
     harness.run_for(3 * SECOND);
-    let calls = harness.attempts();
-    assert!(calls.len() == 1 && calls[0].0 != link, "at the new place: {calls:?}");
-    assert!(harness.connections[&calls[0].0].port() > 2000);
+    let attempts = harness.attempts();
+    assert!(attempts.len() == 1 && attempts[0].0 != connection, "at the new place: {attempts:?}");
+    assert!(harness.connections[&attempts[0].0].port() > 2000);
 }
 
 #[test]
@@ -111,15 +111,18 @@
     let mut harness = Harness::new();
     harness.connection_in_use(SERVED);
     harness.submit("status", "a", "");
-    let link = harness.attempts().last().unwrap().0;
-    harness.respond(link, b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhal");
+    let connection = harness.attempts().last().unwrap().0;
+    harness.respond(connection, b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhal");
     let before = harness.attempts().len();
     harness.run_for(20 * MILLISECOND);
     for n in 0..4 {
         harness.submit("order", &format!("b{n}"), "");
     }
-    let calls = harness.attempts().split_off(before);
-    assert!(!calls.is_empty() && calls.iter().all(|c| c.0 != link), "{calls:?}, not on {link}");
+    let attempts = harness.attempts().split_off(before);
+    assert!(
+        !attempts.is_empty() && attempts.iter().all(|attempt| attempt.0 != connection),
+        "{attempts:?}, not on {connection}"
+    );
     harness.run_for(50 * MILLISECOND);
-    assert!(harness.closed.contains(&link), "and it is not kept");
+    assert!(harness.closed.contains(&connection), "and it is not kept");
 }
--- a/crates/platform/src/core/tests/notifications.rs
+++ b/crates/platform/src/core/tests/notifications.rs
@@ -6,8 +6,8 @@
 fn notification_unacknowledged_resent_also_elsewhere_and_after_restart() {
     let mut harness = Harness::new();
     harness.submit("order", "m", "");
-    let link = harness.attempts()[0].0;
-    harness.respond(link, b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n");
+    let connection = harness.attempts()[0].0;
+    harness.respond(connection, b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n");
     let first = harness.connect_discovery();
     assert_eq!(harness.notifications(), [(first, "{\"id\":\"m\",\"state\":\"failed\"}\n".to_owned())]);
     harness.run_for(230 * MILLISECOND);
@@ -19,10 +19,10 @@
     let moved = harness.connections.values().filter(|address| address.port() == 8501);
     assert_eq!(moved.count(), 2, "the watch and the notifications");
     let mut again = Harness::with_journal(harness.journal.clone(), harness.now, 40);
-    let link = again.connect_discovery();
+    let connection = again.connect_discovery();
     assert_eq!(again.notifications().len(), 1);
-    again.respond(link, b"HTTP/1.1 204 No Content\r\n\r\n");
-    assert!(again.has_record(|r| matches!(r, Record::Notified { .. })));
+    again.respond(connection, b"HTTP/1.1 204 No Content\r\n\r\n");
+    assert!(again.has_record(|record| matches!(record, Record::Notified { .. })));
     let left = again.core.snapshot();
     assert!(matches!(left[..], [Record::Names { .. }, Record::CompletedId(_)]), "nothing is owed: {left:?}");
 }
@@ -48,8 +48,8 @@
     harness.core.decisions.push(Event::ClientCancelled { message: number });
     harness.run_for(300 * MILLISECOND);
     assert_eq!(harness.sent_ids(), ["one"], "the notification is not acknowledged");
-    let link = harness.connect_discovery();
-    harness.respond(link, b"HTTP/1.1 204 No Content\r\n\r\n");
+    let connection = harness.connect_discovery();
+    harness.respond(connection, b"HTTP/1.1 204 No Content\r\n\r\n");
     assert_eq!(harness.sent_ids(), ["one", "two"]);
 }
 
@@ -81,15 +81,15 @@
     for id in ["a", "b", "c"] {
         harness.submit("order", id, "");
     }
-    for call in harness.attempts() {
-        harness.core.upstream_received(call.0, b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n");
+    for attempt in harness.attempts() {
+        harness.core.upstream_received(attempt.0, b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n");
     }
     harness.process();
-    let link = harness.connect_discovery();
+    let connection = harness.connect_discovery();
     let no = "HTTP/1.1 400 No\r\nContent-Length: 0\r\n\r\n";
     let yes = "HTTP/1.1 204 No Content\r\n\r\n";
     for reply in [no, yes, no, no, yes] {
-        harness.respond(link, reply.as_bytes());
+        harness.respond(connection, reply.as_bytes());
     }
     let lines: Vec<usize> = harness.notifications().iter().map(|n| n.1.lines().count()).collect();
     assert_eq!(lines, [3, 1, 2, 1, 1], "all, then fewer until the one at fault is alone");
--- a/crates/platform/src/core/tests/recovery.rs
+++ b/crates/platform/src/core/tests/recovery.rs
@@ -8,10 +8,10 @@
     for (n, class) in ["order", "status", "order", "change", "order"].iter().enumerate() {
         assert_eq!(harness.submit(class, &format!("m{n}"), "k"), 202);
     }
-    let calls = harness.attempts();
-    harness.respond(calls[0].0, SERVED.as_bytes());
-    harness.respond(calls[2].0, b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n");
-    harness.respond(calls[4].0, b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n");
+    let attempts = harness.attempts();
+    harness.respond(attempts[0].0, SERVED.as_bytes());
+    harness.respond(attempts[2].0, b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n");
+    harness.respond(attempts[4].0, b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n");
     let full = harness.journal.clone();
     for cut in 0..=full.len() {
         let before = &full[..cut];
@@ -97,8 +97,8 @@
         }
     }
     let mut again = Harness::with_journal(old, harness.now + SECOND, 40);
-    let link = again.connect_discovery();
-    assert_eq!(again.notifications(), [(link, "{\"id\":\"m\",\"state\":\"failed\"}\n".to_owned())]);
+    let connection = again.connect_discovery();
+    assert_eq!(again.notifications(), [(connection, "{\"id\":\"m\",\"state\":\"failed\"}\n".to_owned())]);
 }
 
 #[test]
@@ -144,7 +144,7 @@
     harness.run_for(4 * SECOND);
     let hedge = harness.attempts()[1].0;
     harness.respond(hedge, SERVED.as_bytes());
-    assert_eq!(harness.write_ended.len(), 1, "the slower one is called off, and may run on");
+    assert_eq!(harness.write_ended.len(), 1, "the slower one is cancelled, and may still execute");
     // The second process has it from the file that the first began with. Each starts the cooldown once more, as a
     // process that dies ends what its endpoint may not have seen the end of.
     let second = start(harness.journal, harness.now + 10 * MILLISECOND);
--- a/crates/platform/src/core/tests/shutdown.rs
+++ b/crates/platform/src/core/tests/shutdown.rs
@@ -8,15 +8,15 @@
     harness.submit("order", "a", "");
     harness.core.begin_shutdown();
     assert_eq!(harness.submit("order", "b", ""), 202);
-    let calls = harness.attempts();
-    assert_eq!(calls.len(), 2);
+    let attempts = harness.attempts();
+    assert_eq!(attempts.len(), 2);
     harness.run_for(2800 * MILLISECOND);
     assert!(!harness.core.is_ended());
     let before = harness.attempts().len();
     assert_eq!(harness.submit("order", "c", ""), 202, "accepted, for the next process");
     assert_eq!(harness.attempts().len(), before, "nothing begins that cannot end");
-    for call in calls {
-        harness.respond(call.0, SERVED.as_bytes());
+    for attempt in attempts {
+        harness.respond(attempt.0, SERVED.as_bytes());
     }
     assert!(harness.core.is_ended());
     let again = Harness::with_journal(harness.journal.clone(), harness.now + SECOND, 40);
@@ -33,10 +33,12 @@
     let mut harness = Harness::new();
     harness.core.begin_shutdown();
     harness.now += LAST_DECISION_TIMEOUT - 100 * MILLISECOND;
-    let link = harness.begin_connecting();
+    let connection = harness.begin_connecting();
     harness.now += 200 * MILLISECOND;
-    harness.core.upstream_connected(link);
+    harness.core.upstream_connected(connection);
     harness.process();
     assert!(harness.attempts().is_empty() && harness.core.is_ended(), "it is for the next process");
-    assert!(!harness.has_record(|r| matches!(r, Record::AttemptSent { .. } | Record::Completed { .. })));
+    assert!(
+        !harness.has_record(|record| matches!(record, Record::AttemptSent { .. } | Record::Completed { .. }))
+    );
 }
--- a/crates/platform/src/core/upstream_request.rs
+++ b/crates/platform/src/core/upstream_request.rs
@@ -5,7 +5,7 @@
 use linnetcart::Time;
 use std::net::SocketAddr;
 
-/// The request that sends a message to an endpoint, which is told the whole milliseconds that are left for it.
+/// The request that sends a message to an endpoint, with the milliseconds that remain for it.
 pub fn encode(message: &Message, host: SocketAddr, time_remaining: Time) -> Vec<u8> {
     let mut bytes = format!("POST /receive HTTP/1.1\r\nHost: {host}\r\nX-Txn: ").into_bytes();
     bytes.extend(&message.id);
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -6,6 +6,7 @@
 
 pub use environment::Environment;
 
+use crate::config::Config;
 use crate::core::{ConnectionId, Core, JournalState, Output};
 use crate::records::Replay;
 use anyhow::Context;
@@ -17,6 +18,7 @@
 use linnetcart_net::{Event, Net, Token};
 use log::CoreLog;
 use std::collections::{BTreeMap, BTreeSet};
+use std::path::Path;
 use std::time::{Duration, Instant};
 
 const MILLISECOND: Time = 1_000_000;
@@ -111,20 +113,8 @@
         .context("signals cannot be caught")?;
     let config = read_config(&environment.config)?;
     let state = environment.state.display();
-    let (directory, records, damages) = JournalDirectory::open(&environment.state)
+    let (directory, replay) = replay_journal(&environment.state, &config)
         .with_context(|| format!("the journal in {state} cannot be read; RELAY_STATE names the folder"))?;
-    for damage in &damages {
-        tracing::error!(%damage, "journal damaged, all that can be read is answered for");
-    }
-    let classes = &config.settings.class_names;
-    let replay = Replay::from_records(&records, classes, &config.settings.zone_names);
-    tracing::info!(
-        pending = replay.pending.len(),
-        unusable_records = replay.unusable_records,
-        name = config.name,
-        "journal replayed"
-    );
-    drop(records);
     net.set_max_connections(config.limits.file_descriptors.saturating_sub(RESERVED_FILE_DESCRIPTORS));
     net.set_read_limits(READ_BUFFER_BYTES, READS_PER_POLL);
     let listen = config.listen;
@@ -153,6 +143,23 @@
     shell.serve()
 }
 
+/// Opens the journal, and reads what the process before has left.
+fn replay_journal(state: &Path, config: &Config) -> std::io::Result<(JournalDirectory, Replay)> {
+    let (directory, records, damages) = JournalDirectory::open(state)?;
+    for damage in &damages {
+        tracing::error!(%damage, "journal damaged, all that can be read is answered for");
+    }
+    let settings = &config.settings;
+    let replay = Replay::from_records(&records, &settings.class_names, &settings.zone_names);
+    tracing::info!(
+        pending = replay.pending.len(),
+        unusable_records = replay.unusable_records,
+        name = config.name,
+        "journal replayed"
+    );
+    Ok((directory, replay))
+}
+
 impl Shell {
     fn now(&self) -> Time {
         clock(self.started_at)
--- a/crates/platform/src/shell/journal.rs
+++ b/crates/platform/src/shell/journal.rs
@@ -8,7 +8,7 @@
 
 /// The file is replaced when it has grown by this part of its capacity.
 const GROWTH_DIVISOR: u64 = 4;
-/// The salt of a file comes from the wall clock, turned so that its bits that change go to the upper half too.
+/// The salt of a file is the wall clock, rotated so that the bits that change spread over all of it.
 const SALT_ROTATION_BITS: u32 = 17;
 
 /// The wall clock, nanoseconds since the Unix epoch.
