Platform: changes of the endpoint list are one typed value; no reordering where nothing closed

Cause: apply_entry filled two vectors that its caller handed to it. Change: Changes holds both; Effects::put_closes_first returns early where nothing closed or was abandoned. Measured: cargo test -p linnetcart-platform: 99 passed; clippy clean.

--- a/crates/platform/src/core/discovery/endpoint_list.rs
+++ b/crates/platform/src/core/discovery/endpoint_list.rs
@@ -36,6 +36,13 @@
     pub stale: Vec<u32>,
 }
 
+/// What an event has changed so far.
+#[derive(Debug, Default)]
+struct Changes {
+    entries: Vec<Endpoint>,
+    stale: Vec<u32>,
+}
+
 /// All endpoints.
 #[derive(Debug, Default)]
 pub struct EndpointList {
@@ -84,28 +91,27 @@
     /// Brings the list up to date.
     pub fn apply(&mut self, event: &WatchEvent, settings: &DeploymentSettings, now: Time) -> ListUpdate {
         self.version = event.version;
-        let mut stale = Vec::new();
+        let mut changes = Changes::default();
         if event.complete {
             self.has_unread_entry = false;
-            self.remove_unlisted(event, now, &mut stale);
+            self.remove_unlisted(event, now, &mut changes);
         }
-        let mut changes = Vec::new();
         for entry in &event.entries {
-            self.apply_entry(entry, settings, now, &mut stale, &mut changes);
+            self.apply_entry(entry, settings, now, &mut changes);
         }
         self.forget_removed(now);
-        let event = Event::EndpointList { complete: event.complete, entries: changes };
-        ListUpdate { event, stale }
+        let event = Event::EndpointList { complete: event.complete, entries: changes.entries };
+        ListUpdate { event, stale: changes.stale }
     }
 
     /// Removes the endpoints that a complete list does not have.
-    fn remove_unlisted(&mut self, event: &WatchEvent, now: Time, stale: &mut Vec<u32>) {
+    fn remove_unlisted(&mut self, event: &WatchEvent, now: Time, changes: &mut Changes) {
         let names: BTreeSet<&str> = event.entries.iter().map(|entry| &entry.name[..]).collect();
         for (&number, endpoint) in &mut self.endpoints {
             if endpoint.status != EndpointStatus::Removed && !names.contains(&endpoint.name[..]) {
                 endpoint.status = EndpointStatus::Removed;
                 endpoint.changed_at = now;
-                stale.push(number);
+                changes.stale.push(number);
             }
         }
     }
@@ -134,8 +140,7 @@
         entry: &EndpointEntry,
         settings: &DeploymentSettings,
         now: Time,
-        stale: &mut Vec<u32>,
-        changes: &mut Vec<Endpoint>,
+        changes: &mut Changes,
     ) {
         let Ok(address) = entry.address.parse::<SocketAddr>() else {
             tracing::warn!(name = entry.name, address = entry.address, "unreadable endpoint address");
@@ -146,8 +151,8 @@
         let zone = self.zone_index(&entry.zone, settings);
         let status = EndpointStatus::from(entry.status);
         if let Some(removed) = self.remove_from_other_destination(entry, now) {
-            stale.push(removed.id);
-            changes.push(removed);
+            changes.stale.push(removed.id);
+            changes.entries.push(removed);
         }
         let Some(number) = self.number_of(entry) else { return };
         self.destinations.insert(entry.destination);
@@ -165,10 +170,10 @@
             let moved = before.address != address;
             let restarted = before.started_at_ms != entry.started_at_ms;
             if status == EndpointStatus::Removed || moved || restarted {
-                stale.push(number);
+                changes.stale.push(number);
             }
         }
-        changes.push(Endpoint {
+        changes.entries.push(Endpoint {
             id: number,
             destination: entry.destination,
             kind,
--- a/crates/platform/src/core/effects.rs
+++ b/crates/platform/src/core/effects.rs
@@ -90,6 +90,9 @@
     /// Puts closes before all else, so that their slots at the endpoints are free by the time that attempts of
     /// this iteration arrive. A connection that was only asked for in this iteration is not made.
     pub fn put_closes_first(&mut self, closed: &[ConnectionId], abandoned: &[ConnectionId]) {
+        if closed.is_empty() && abandoned.is_empty() {
+            return;
+        }
         let is_moot = |output: &Output| matches!(output, Output::Connect(id, _) if closed.contains(id));
         let mut ordered: Vec<Output> =
             Vec::with_capacity(closed.len() + abandoned.len() + self.outputs.len());
