--- a/crates/platform/src/core/delivery.rs
+++ b/crates/platform/src/core/delivery.rs
@@ -169,7 +169,8 @@
         let Some(attempt) = self.attempts.remove(id) else { return };
         self.counters.outcomes.count(finished.outcome);
         let Some(message) = self.in_flight.get(id.message) else { return };
-        let (message_id, outcome) = (message.message().id_text(), finished.outcome);
+        let message_id = message.message().id_text();
+        let outcome = finished.outcome;
         tracing::debug!(id = %message_id, attempt = id.number, ?outcome, "attempt finished");
         let Some(effect) = self.in_flight.finish_attempt(id, outcome) else { return };
         if effect.retracts_sent {
@@ -205,7 +206,7 @@
         }
     }
 
-    /// Tells the decision library of an attempt's end.
+    /// Queues the event of an attempt's end for the decision library.
     fn report_result(&mut self, finished: &FinishedAttempt, attempt: &InFlightAttempt, state: MessageState) {
         self.decisions.push(Event::AttemptFinished(AttemptResult {
             message: finished.id.message,
@@ -228,7 +229,7 @@
     }
 
     /// A message is delivered, unless it had its final outcome before. An answer that comes as its deadline passes,
-    /// by the whole milliseconds that the endpoint was told, may count for nothing: it fails all the same.
+    /// by the milliseconds that the endpoint was given, may count for nothing: it fails all the same.
     fn complete_delivered(&mut self, number: u32) -> bool {
         let Some(message) = self.in_flight.get(number).filter(|message| message.is_open()) else {
             return false;
@@ -258,8 +259,9 @@
 
     /// The platform acknowledged the notification of a message's outcome.
     pub(super) fn acknowledge(&mut self, number: u32) {
-        let Some(ordering_key) = self.in_flight.acknowledge(number) else { return };
-        tracing::debug!(number, "notification acknowledged");
+        let Some(acknowledged) = self.in_flight.acknowledge(number) else { return };
+        tracing::debug!(id = %acknowledged.id_text(), number, "notification acknowledged");
+        let ordering_key = acknowledged.ordering_key;
         self.effects.record(Record::Notified { message: number });
         self.notifier.release(ordering_key, number);
         self.settle(number);
--- a/crates/platform/src/core/in_flight/tests.rs
+++ b/crates/platform/src/core/in_flight/tests.rs
@@ -28,7 +28,7 @@
     let attempt = table.begin_attempt(1).expect("an attempt");
     assert_eq!(attempt.id, AttemptId { message: 1, number: 0 });
     assert!(table.complete(1, FinalOutcome::Failed) && !table.complete(1, FinalOutcome::Delivered), "once");
-    assert_eq!(table.acknowledge(1), Some(5));
+    assert_eq!(table.acknowledge(1), Some(&message("m1")));
     assert!(table.take_settled(1).is_none(), "its attempt is out");
     table.finish_attempt(attempt.id, AttemptOutcome::Cancelled);
     assert!(table.take_settled(1).is_some());
@@ -62,7 +62,7 @@
     assert_eq!(table.find(&other), Some((1, IdMatch::OtherMessage)));
     assert_eq!(table.find(&message("m2")), None);
     table.complete(1, FinalOutcome::Returned { retry_after_ms: 0 });
-    assert_eq!(table.find(&message("m1")), None, "it may be submitted anew");
+    assert_eq!(table.find(&message("m1")), None, "it may be submitted again");
     assert!(table.get(1).is_some_and(InFlightMessage::is_returned));
 }
 
