--- a/crates/platform/src/core/connection_pool.rs
+++ b/crates/platform/src/core/connection_pool.rs
@@ -14,8 +14,8 @@
 use connection::{Connection, ConnectionState};
 
 use super::attempts::AttemptId;
-use super::trust::Trust;
 use linnetcart::{AttemptOutcome, Time};
+use linnetcart_courier_common::idle_reuse::LossRatePolicy;
 use linnetcart_deployment_settings::DeploymentSettings;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -65,7 +65,7 @@
     last_id: ConnectionId,
     connections: BTreeMap<ConnectionId, Connection>,
     by_attempt: BTreeMap<AttemptId, ConnectionId>,
-    reuse_policy: Trust,
+    reuse_policy: LossRatePolicy,
     /// Connected since the core last took them.
     connected: Vec<ConnectionId>,
     /// To be closed by the shell.
@@ -84,7 +84,7 @@
             last_id: 1,
             connections: BTreeMap::new(),
             by_attempt: BTreeMap::new(),
-            reuse_policy: Trust::default(),
+            reuse_policy: LossRatePolicy::default(),
             connected: vec![],
             closed: vec![],
             abandoned: vec![],
@@ -150,7 +150,7 @@
             }
         }
         let (since, id) = latest?;
-        if !self.reuse_policy.holds(now, now - since) {
+        if !self.reuse_policy.may_reuse(now, now - since) {
             self.close(id);
             return None;
         }
@@ -262,7 +262,7 @@
             AttemptOutcome::Reset
         };
         if connection.state == (ConnectionState::InUse { first_byte_at: None }) {
-            self.reuse_policy.note(now, connection.idle_before, true);
+            self.reuse_policy.record_call(now, connection.idle_before, true);
         }
         let attempt = self.close(id)?;
         Some(FinishedAttempt::new(attempt, outcome))
--- a/crates/platform/src/core/connection_pool/receive.rs
+++ b/crates/platform/src/core/connection_pool/receive.rs
@@ -34,7 +34,7 @@
             ConnectionState::InUse { first_byte_at } => {
                 if first_byte_at.is_none() {
                     connection.state = ConnectionState::InUse { first_byte_at: Some(now) };
-                    self.reuse_policy.note(now, connection.idle_before, false);
+                    self.reuse_policy.record_call(now, connection.idle_before, false);
                 }
                 connection.response.extend_from_slice(bytes);
                 self.response(id, now, settings)
--- a/crates/platform/src/core/in_flight.rs
+++ b/crates/platform/src/core/in_flight.rs
@@ -6,6 +6,7 @@
 use super::attempts::AttemptId;
 use crate::records::{FinalOutcome, Message, PendingMessage, SentAttempt};
 use linnetcart::{AttemptOutcome, Time};
+use linnetcart_courier_common::MessageNumbers;
 use std::collections::{BTreeMap, HashMap};
 
 /// Part of the journal's capacity that messages in flight may take: the old file, the new one and growth need the
@@ -107,7 +108,7 @@
     open_ids: HashMap<Vec<u8>, u32>,
     size_bytes: u64,
     max_size_bytes: u64,
-    next_number: u32,
+    numbers: MessageNumbers,
 }
 
 impl InFlightTable {
@@ -118,7 +119,7 @@
             open_ids: HashMap::new(),
             size_bytes: 0,
             max_size_bytes: journal_capacity_bytes / CAPACITY_DIVISOR,
-            next_number,
+            numbers: MessageNumbers::starting_at(next_number),
         }
     }
 
@@ -156,12 +157,8 @@
 
     /// A number that no message in flight has.
     pub fn allocate_number(&mut self) -> u32 {
-        let mut number = self.next_number;
-        while self.messages.contains_key(&number) {
-            number = number.wrapping_add(1);
-        }
-        self.next_number = number.wrapping_add(1);
-        number
+        let messages = &self.messages;
+        self.numbers.allocate(|number| messages.contains_key(&number))
     }
 
     /// Adds a message.
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -43,7 +43,6 @@
 mod shutdown;
 mod status_notifier;
 mod submission;
-mod trust;
 mod upstream_request;
 
 pub use client_connections::ClientId;
