Decision library: its tests by concern, with one shared fixture

Cause: tests/courier.rs held 46 tests of all concerns in 1,289 lines, with one-letter names, pairs whose places had meanings and copies of the same event literals.

Assertions stay as they were; where two stood in one, they stand apart. One test is new: admission::retry_without_budget_during_retry_after_is_looked_at_when_that_ends. With the budget looked at before the limits it fails; no other test saw that fault.

Old names -> new: the_bucket_closes_after_failures -> admission::retry_budget_after_failures_allows_one_send_at_most a_destination_holds_at_most_three_quarters_of_the_slots -> admission::destination_with_many_waiting_gets_three_quarters_of_slots one_sick_destination_does_not_fill_the_hold -> admission::load_of_one_destination_above_threshold_is_shed_with_retry_after what_waits_for_a_slot_is_held_to_what_slots_serve_in_an_aim -> admission::messages_waiting_for_slots_beyond_objective_are_shed the_oldest_goes_first_and_destinations_take_turns -> dispatch::waiting_messages_of_two_destinations_go_oldest_first_in_turn sends_of_a_round_share_a_call_where_the_kind_takes_several -> dispatch::sends_of_one_cycle_to_batching_kind_share_a_call what_waits_rides_along_in_a_call_and_its_fate_counts_once -> dispatch::shared_call_that_fails_counts_once couriers_differ_in_the_endpoint_that_they_like_best -> dispatch::endpoint_choice_of_many_couriers_is_spread a_class_lost_at_one_endpoint_goes_to_the_other_and_the_rest_stay -> dispatch::class_lost_at_one_endpoint_avoids_it_while_others_stay a_connection_that_will_hardly_be_used_again_is_closed -> dispatch::idle_connection_that_is_rarely_used_is_closed a_trial_goes_with_a_message_that_has_the_time_for_an_answer -> dispatch::recovery_trial_among_expiring_messages_goes_with_one_that_has_time_left nothing_goes_to_a_draining_endpoint -> endpoint_list::draining_endpoint_after_update_gets_no_sends the_list_is_asked_for_again_after_a_failure -> endpoint_list::endpoint_list_after_failure_is_polled_again a_told_wait_is_heeded_when_the_route_leaves_the_list_and_comes_back -> endpoint_list::retry_after_of_route_that_leaves_the_list_and_returns_is_kept a_silent_destination_gets_trials_only -> health::silent_destination_with_many_messages_gets_trials_only one_hung_endpoint_does_not_silence_its_destination -> health::hung_endpoint_while_others_answer_leaves_destination_in_service refusals_between_successes_are_a_limit_and_not_an_outage -> health::rejections_between_successes_do_not_eject refused_with_room_told_twice_is_shut_and_without_room_is_a_limit -> health::rejections_with_capacity_left_eject_and_without_do_not a_short_silence_while_coming_back_does_not_end_the_ramp -> health::short_silence_during_slow_start_does_not_end_it an_overdue_call_gives_up_its_slot_where_slots_are_short -> health::overdue_call_when_slots_are_short_is_cancelled overdue_is_bounded_by_the_aim_where_latencies_have_grown -> health::overdue_span_with_grown_latencies_is_bounded_by_objective a_copy_goes_elsewhere_after_the_resend_time_and_the_loser_is_cancelled -> hedging::hedge_after_delay_goes_elsewhere_and_loser_is_cancelled the_aim_is_the_resend_time_until_enough_was_served -> hedging::hedge_delay_with_too_few_samples_is_latency_objective answers_made_late_by_a_pause_of_the_courier_are_no_latency -> hedging::hedge_delay_after_courier_pause_ignores_late_answers unsafe_messages_get_no_copy_and_fail_after_an_error -> hedging::not_idempotent_message_after_error_fails_without_hedge a_keyed_message_stays_in_its_zone_where_only_the_zone_knows_the_key -> hedging::zone_keyed_message_with_other_endpoint_elsewhere_is_not_hedged an_unsafe_message_that_never_ran_goes_again -> messages::not_idempotent_message_that_was_not_executed_is_retried_once a_keyed_message_is_not_sent_again_after_its_window_and_is_answered_at_once -> messages::keyed_message_after_dedup_window_is_rejected_at_once without_leave_to_cancel_nothing_is_cancelled -> messages::attempt_without_leave_to_cancel_is_never_cancelled a_key_rests_after_an_attempt_that_may_still_run -> messages::ordering_key_after_attempt_that_may_still_run_cools_down a_key_rests_after_a_restart_that_left_a_call_of_it_out -> messages::ordering_key_after_recovery_with_unresolved_attempt_cools_down what_an_earlier_run_left_goes_on_as_far_as_its_class_allows -> messages::recovered_message_goes_on_as_far_as_its_class_allows what_a_restart_found_untried_is_called_before_it_may_be_handed_back -> messages::recovered_message_without_call_is_not_shed a_told_wait_binds_the_destination_or_only_the_route -> rate::retry_after_binds_destination_or_only_independent_route a_wait_told_to_a_call_that_was_given_up_binds_all_the_same -> rate::retry_after_of_abandoned_call_is_kept a_told_limit_is_paced_at_the_even_part -> rate::exact_limit_is_used_at_equal_share a_destination_back_from_an_outage_is_budgeted -> rate::recovering_destination_is_sent_within_budget couriers_told_to_wait_until_it_opens_do_not_return_as_one -> rate::retry_after_to_many_couriers_spreads_their_return refused_above_a_limit_many_couriers_spread_and_few_come_back_soon -> rate::rejection_above_limit_spreads_many_couriers_and_few_are_soon_back a_limit_that_refused_calls_use_up_is_not_kept_at_nothing_by_couriers_together -> rate::limit_used_up_by_rejections_still_serves_half many_couriers_hold_back_after_a_failure_and_few_try_again -> rate::failure_at_many_couriers_holds_them_back_and_few_retry an_outage_is_tried_at_the_whole_pace_from_its_start -> rate::outage_at_many_couriers_is_tried_at_full_rate_from_its_start after_a_failed_connection_many_couriers_hold_back -> rate::failed_connection_at_one_of_many_couriers_holds_it_back a_random_walk_keeps_the_rules -> invariants::random_walk_keeps_the_six_rules identical_events_give_identical_actions_also_when_interleaved -> invariants::identical_events_interleaved_with_others_give_identical_actions policy_files_together_stay_under_the_cap_and_are_all_deployed -> policy_size:: (same name)

--- /dev/null
+++ b/tests/dispatcher/main.rs
@@ -0,0 +1,13 @@
+//! Tests of the dispatcher through its interface, one file a concern.
+
+mod admission;
+mod dispatch;
+mod endpoint_list;
+mod health;
+mod hedging;
+mod invariants;
+mod messages;
+mod policy_size;
+mod rate;
+mod support;
+mod world;
--- /dev/null
+++ b/tests/dispatcher/policy_size.rs
@@ -0,0 +1,39 @@
+//! The size of the decisions, as the bench counts it, and their place in the deploy file.
+
+use std::collections::BTreeSet;
+use std::path::Path;
+
+/// The most lines that all files of decisions may have together, blank ones aside.
+const MAX_POLICY_LINES: usize = 1_060;
+const MAX_LINE_CHARS: usize = 110;
+
+#[test]
+fn policy_files_together_stay_under_the_cap_and_are_all_deployed() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let folder = std::fs::read_dir(root.join("src/policy")).expect("the folder of the decisions");
+    let mut paths = BTreeSet::new();
+    let mut lines = 0;
+    for entry in folder {
+        let name = entry.expect("an entry of the folder").file_name();
+        let path = format!("src/policy/{}", name.to_str().expect("a name in UTF-8"));
+        let text = std::fs::read_to_string(root.join(&path)).expect("a text file and no folder");
+        lines += text.lines().filter(|line| !line.trim().is_empty()).count();
+        let is_long = |line: &&str| line.chars().count() > MAX_LINE_CHARS;
+        let long_lines: Vec<&str> = text.lines().filter(is_long).collect();
+        assert!(long_lines.is_empty(), "{path}: {long_lines:#?}");
+        paths.insert(path);
+    }
+    assert!(lines <= MAX_POLICY_LINES, "{lines} lines");
+    assert_eq!(deployed_policy(root), paths.into_iter().collect::<Vec<String>>());
+}
+
+/// The paths under `policy` in the deploy file, sorted.
+fn deployed_policy(root: &Path) -> Vec<String> {
+    let text = std::fs::read_to_string(root.join("deploy/balancer.toml")).expect("the deploy file");
+    let policy = text.lines().find_map(|line| line.strip_prefix("policy = [")).expect("its policy line");
+    let list = policy.strip_suffix(']').expect("a list on one line");
+    let mut paths: Vec<String> =
+        list.split(',').map(|path| path.trim().trim_matches('"').to_owned()).collect();
+    paths.sort();
+    paths
+}
