Decision library: due attempts, ejection causes and free slots say what they are

Cause: a pair (due, next), a bool whose meaning the call did not show (eject(now, true)), and a count of slots with a parameter that was mostly 0.

Change: DueAttempts with next_due_at, EjectionCause::{Failure, Silence}, free_slots().

--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -66,22 +66,21 @@
         let slow = destination.recent_latency > SLOW_LATENCY_MULTIPLE * destination.usual_latency;
         let slots = self.settings.max_in_flight_calls;
         let cap = if failing || slow { slots / 2 } else { slots * 3 / 4 };
-        !self.no_free_slots(0) && destination.calls_in_flight < cap.max(1)
+        self.free_slots() > 0 && destination.calls_in_flight < cap.max(1)
     }
 
     pub(super) fn limit_context(&self, scope: LimitScope) -> LimitContext<'_> {
         LimitContext { now: self.now, scope, settings: &self.settings }
     }
 
-    /// No more slots are free than the spare ones.
-    pub(super) fn no_free_slots(&self, spare: usize) -> bool {
-        self.state.calls.len() + spare >= self.settings.max_in_flight_calls as usize
+    pub(super) fn free_slots(&self) -> usize {
+        (self.settings.max_in_flight_calls as usize).saturating_sub(self.state.calls.len())
     }
 
-    /// No more slots are free than the spare ones, and messages wait for one and nothing else.
+    /// No more slots are free than `spare`, and messages wait for one and nothing else.
     pub(super) fn is_short_of_slots(&self, spare: usize) -> bool {
         let lacks_slot = |&id: &u32| self.lacks_slot(id);
-        self.no_free_slots(spare) && self.state.wait_queue.destinations.iter().any(lacks_slot)
+        self.free_slots() <= spare && self.state.wait_queue.destinations.iter().any(lacks_slot)
     }
 
     fn lacks_slot(&self, id: u32) -> bool {
@@ -102,7 +101,7 @@
         if excess >= 1.0 {
             self.shed(&self.state.wait_queue.destinations.clone(), excess);
         }
-        let Some(latency) = self.latencies.high_percentile.filter(|_| self.no_free_slots(0)) else { return };
+        let Some(latency) = self.latencies.high_percentile.filter(|_| self.free_slots() == 0) else { return };
         let objectives = self.settings.classes.iter().map(|class| class.latency_objective);
         let slots = f64::from(self.settings.max_in_flight_calls);
         let served = slots * objectives.max().unwrap_or(0) as f64 / latency.max(1) as f64;
--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -25,7 +25,7 @@
     pub(super) fn dispatch(&mut self) {
         let mut destinations = VecDeque::from(self.state.waiting_by_last_send());
         while let Some(destination) = destinations.pop_front() {
-            if self.no_free_slots(0) {
+            if self.free_slots() == 0 {
                 return;
             }
             if let Some(endpoint) = self.send_next(destination) {
--- a/src/policy/health.rs
+++ b/src/policy/health.rs
@@ -4,7 +4,7 @@
 use super::{Dispatcher, NEVER};
 use crate::interface::{Action, AttemptOutcome, LimitChange, LimitState, Time};
 use crate::state::CircuitState::{Closed, Open, SlowStart};
-use crate::state::{DueAttempt, LimitScope, Limiter, Silence};
+use crate::state::{DueAttempt, EjectionCause, LimitScope, Limiter, Silence};
 
 /// Weight of the newest outcome in the failure rate: a handful of outcomes settle it.
 pub(super) const EWMA_WEIGHT: f64 = 0.3;
@@ -20,14 +20,14 @@
     /// One that hangs while others want its slot, or while its siblings answer, is cancelled where the class
     /// allows a retry.
     pub(super) fn detect_silence(&mut self) {
-        let (overdue, next) = self.state.overdue_index.all_due(self.now, |_| true);
-        self.wake_by(next.unwrap_or(NEVER));
-        if overdue.is_empty() {
+        let overdue = self.state.overdue_index.all_due(self.now, |_| true);
+        self.wake_by(overdue.next_due_at.unwrap_or(NEVER));
+        if overdue.attempts.is_empty() {
             return;
         }
         let slots_wanted = self.is_short_of_slots(0);
         let mut hanging = Vec::new();
-        for attempt in overdue {
+        for attempt in overdue.attempts {
             let Some(silence) = self.state.silence(&attempt) else { continue };
             self.record_silence(&attempt, silence);
             if self.should_cancel(&attempt, silence, slots_wanted) {
@@ -94,7 +94,7 @@
             self.last_failure_not_executed = outcome == AttemptOutcome::NoConnection;
             self.failure_rate += EWMA_WEIGHT * (1.0 - self.failure_rate);
             if self.failure_rate > self.ejection_threshold || self.is_ejected() {
-                self.eject(context.now, true);
+                self.eject(context.now, EjectionCause::Failure);
             }
         }
         self.defer_calls(chance, context);
@@ -130,7 +130,7 @@
         if shut && retry_after > 0 {
             self.circuit = SlowStart { since: self.retry_after_until };
         } else if shut {
-            self.eject(context.now, true);
+            self.eject(context.now, EjectionCause::Failure);
         } else if context.scope == LimitScope::Whole {
             self.cut_rate(context);
         }
@@ -149,7 +149,7 @@
 
     /// A call is overdue and nothing was answered since it was sent; true if that ejects the limit.
     fn record_silence(&mut self, chance: f64, context: LimitContext) -> bool {
-        let ejected = self.eject(context.now, false);
+        let ejected = self.eject(context.now, EjectionCause::Silence);
         if ejected {
             self.defer_calls(chance, context);
         }
--- a/src/policy/hedging.rs
+++ b/src/policy/hedging.rs
@@ -59,11 +59,11 @@
             let allowed = self.settings.hedging_allowed && idempotency != Idempotency::NotIdempotent;
             allowed && tokens > MIN_RETRY_TOKENS
         };
-        let (due, next) = self.state.hedge_index.all_due(self.now, may_hedge);
-        self.wake_by(next.unwrap_or(NEVER));
+        let due = self.state.hedge_index.all_due(self.now, may_hedge);
+        self.wake_by(due.next_due_at.unwrap_or(NEVER));
         // Looked at again only after a hedge took a slot.
         let mut short_of_slots = None;
-        for attempt in due {
+        for attempt in due.attempts {
             let Some(in_flight) = self.state.in_flight.get(&attempt.id()) else { continue };
             let Some(message) = self.state.messages.get(&attempt.message) else { continue };
             let endpoint = in_flight.endpoint;
--- a/src/state/deadline_index.rs
+++ b/src/state/deadline_index.rs
@@ -28,6 +28,13 @@
     }
 }
 
+/// Attempts that have come due, and when the next one will, of any group.
+#[derive(Clone, Debug)]
+pub(crate) struct DueAttempts {
+    pub(crate) attempts: Vec<DueAttempt>,
+    pub(crate) next_due_at: Option<Time>,
+}
+
 /// Attempts that come due the same span after they were sent: to a destination, or to all that have no groups
 /// of their own yet, and of a class.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -141,23 +148,17 @@
         }
     }
 
-    /// All that is due of the groups for which `included` says so, by message and attempt, and when the next
-    /// comes due of any group.
-    pub(crate) fn all_due(
-        &self,
-        now: Time,
-        included: impl Fn(AttemptGroup) -> bool,
-    ) -> (Vec<DueAttempt>, Option<Time>) {
+    /// All that is due of the groups for which `included` says so, by message and attempt.
+    pub(crate) fn all_due(&self, now: Time, included: impl Fn(AttemptGroup) -> bool) -> DueAttempts {
         let groups: Vec<AttemptGroup> = self.due_groups(now).collect();
-        let mut due = Vec::new();
+        let mut attempts = Vec::new();
         for &group in groups.iter().filter(|&&group| included(group)) {
-            due.extend(self.due_in_group(group, now));
+            attempts.extend(self.due_in_group(group, now));
         }
-        due.sort_unstable();
+        attempts.sort_unstable();
         let next_group = self.deadlines.iter().nth(groups.len()).map(|deadline| deadline.at);
         let within_groups = groups.iter().filter_map(|group| self.groups[group].next_due_at(now));
-        let next = within_groups.chain(next_group).min();
-        (due, next)
+        DueAttempts { attempts, next_due_at: within_groups.chain(next_group).min() }
     }
 
     /// Groups of which something is due.
--- a/src/state/limiter.rs
+++ b/src/state/limiter.rs
@@ -9,12 +9,21 @@
     /// Healthy.
     #[default]
     Closed,
-    /// Ejected: recovery trials only. `confirmed` when a call failed or was rejected, not only silence.
+    /// Ejected: recovery trials only; `confirmed` once a call failed or was rejected.
     Open { since: Time, confirmed: bool },
     /// Recovering: its capacity grows since then.
     SlowStart { since: Time },
 }
 
+/// Why a limit is ejected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum EjectionCause {
+    /// A call failed or was rejected.
+    Failure,
+    /// Calls are overdue and nothing is answered.
+    Silence,
+}
+
 /// Health, demand and rate of one limit.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Limiter {
@@ -81,7 +90,8 @@
     }
 
     /// It takes only recovery trials from now on; true if it was not ejected before.
-    pub(crate) fn eject(&mut self, now: Time, confirmed: bool) -> bool {
+    pub(crate) fn eject(&mut self, now: Time, cause: EjectionCause) -> bool {
+        let confirmed = cause == EjectionCause::Failure;
         if let CircuitState::Open { since, confirmed: before } = self.circuit {
             self.circuit = CircuitState::Open { since, confirmed: confirmed || before };
             return false;
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -24,7 +24,7 @@
 pub(crate) use endpoint::{EndpointState, ListPoll, OpenCall};
 pub(crate) use key_queue::KeyQueues;
 pub(crate) use latency::LatencySamples;
-pub(crate) use limiter::{CircuitState, Limiter};
+pub(crate) use limiter::{CircuitState, EjectionCause, Limiter};
 pub(crate) use message::{Message, PossibleExecution, QueuePosition, RecoveredAttempts};
 pub(crate) use random::Random;
 pub(crate) use shed_order::least_weight;
