Kafka: requests, responses, records, shapes and frames in a file each

Cause: server.rs and client.rs each read and wrote all messages in functions of up to 70 lines; the shapes skipped fields by sums of their sizes; Metadata and Fetch were tuples of tuples.

Change: `server` and `client` have a file for requests and one for responses, with a function per message; `shape` has a cursor, requests, responses and batches, and names each field that it passes; `FetchTopic`, `BrokerMetadata`, `TopicMetadata` and `PartitionMetadata` stand in place of tuples; the offered APIs are one enum, load reports and record batches have a module each, and the length prefix is written in one place. Bytes, errors and their texts are as before. Tests of frames moved to tests/frames.rs; in tests/protocol.rs the expected tuples became the structs, all else unchanged: - frames_survive_any_cutting -> frames_cut_anywhere_come_out_whole - a_length_beyond_the_bound_is_an_error_before_its_bytes_come -> length_beyond_the_maximum_is_an_error_before_its_bytes - a_batch_with_a_wrong_checksum_is_turned_down_alone -> batch_with_a_wrong_checksum_is_rejected_alone - a_caller_learns_which_versions_of_produce_are_offered -> api_versions_response_gives_the_offered_produce_versions - a_client_that_opens_with_a_newer_version_is_told_in_version_0 -> api_versions_request_too_new_is_answered_in_version_0 - a_compressed_batch_is_turned_down_with_the_code_for_it -> compressed_batch_is_rejected_with_its_error_code - a_count_of_two_thousand_million_costs_nothing -> count_beyond_the_frame_is_rejected_before_allocation - a_fetch_is_read_and_turned_down -> fetch_request_is_answered_as_not_readable - metadata_goes_round_in_every_offered_version -> metadata_of_every_offered_version_is_read_as_written - produce_goes_round_in_every_offered_version -> produce_of_every_offered_version_is_read_as_written - what_is_not_offered_is_an_error -> request_of_an_api_or_version_not_offered_is_an_error

--- /dev/null
+++ b/crates/kafka/src/client/response.rs
@@ -0,0 +1,197 @@
+//! Reading of responses.
+
+use crate::codes::{self, Malformed};
+use crate::server::PartitionResult;
+use crate::shape;
+use crate::LoadReport;
+use bytes::{Buf, Bytes};
+use kafka_protocol::messages::metadata_response::{MetadataResponsePartition, MetadataResponseTopic};
+use kafka_protocol::messages::produce_response::{
+    BatchIndexAndErrorMessage, PartitionProduceResponse, TopicProduceResponse,
+};
+use kafka_protocol::messages::{ApiKey, MetadataResponse, ProduceResponse};
+use kafka_protocol::protocol::Decodable;
+
+/// Bytes of an API with its first and last version in an ApiVersions response of version 0.
+const API_VERSION_BYTES: usize = 6;
+
+/// What a Produce response says.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ProduceReply {
+    /// Number of the request that it answers.
+    pub correlation: i32,
+    /// Its partitions.
+    pub parts: Vec<PartitionResult>,
+    /// How long the client is asked to send nothing more.
+    pub throttle_ms: i32,
+    /// What the endpoint reports of its limit.
+    pub load: Option<LoadReport>,
+}
+
+/// What a Metadata response says.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ClusterMetadata {
+    /// Number of the request that it answers.
+    pub correlation: i32,
+    /// The brokers.
+    pub brokers: Vec<BrokerMetadata>,
+    /// The topics.
+    pub topics: Vec<TopicMetadata>,
+}
+
+/// A broker in a Metadata response.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BrokerMetadata {
+    /// Its number.
+    pub id: i32,
+    /// Host name or address.
+    pub host: String,
+    /// Port.
+    pub port: i32,
+}
+
+/// A topic in a Metadata response.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TopicMetadata {
+    /// Its name.
+    pub name: String,
+    /// The error code, see [`codes`].
+    pub code: i16,
+    /// Its partitions.
+    pub partitions: Vec<PartitionMetadata>,
+}
+
+/// A partition in a Metadata response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PartitionMetadata {
+    /// Its number.
+    pub index: i32,
+    /// The error code, see [`codes`].
+    pub code: i16,
+    /// Number of the broker that leads it; -1 for none.
+    pub leader: i32,
+}
+
+/// The number of the request that a response frame answers.
+pub fn answers(frame: &Bytes) -> Result<i32, Malformed> {
+    read_correlation(&mut frame.clone())
+}
+
+fn read_correlation(frame: &mut Bytes) -> Result<i32, Malformed> {
+    frame.try_get_i32().map_err(|_| Malformed("response header"))
+}
+
+/// A response frame without its header.
+struct ResponseBody {
+    correlation: i32,
+    bytes: Bytes,
+}
+
+fn read_header(frame: &Bytes, api: ApiKey, version: i16) -> Result<ResponseBody, Malformed> {
+    let mut bytes = frame.clone();
+    let correlation = read_correlation(&mut bytes)?;
+    if api.response_header_version(version) >= 1 {
+        let skipped = tagged_fields_length(&bytes)?;
+        bytes.advance(skipped);
+    }
+    Ok(ResponseBody { correlation, bytes })
+}
+
+/// Bytes of the tagged fields that these bytes begin with.
+fn tagged_fields_length(bytes: &[u8]) -> Result<usize, Malformed> {
+    let mut cursor = shape::Cursor::new(bytes, true);
+    let count = cursor.uvarint()?;
+    cursor.tagged_fields(count)?;
+    Ok(bytes.len() - cursor.left())
+}
+
+/// Reads a Produce response.
+pub fn read_produced(frame: &Bytes, version: i16) -> Result<ProduceReply, Malformed> {
+    let mut body = read_header(frame, ApiKey::Produce, version)?;
+    shape::produce_response(&body.bytes, version)?;
+    let response =
+        ProduceResponse::decode(&mut body.bytes, version).map_err(|_| Malformed("Produce response"))?;
+    Ok(ProduceReply {
+        correlation: body.correlation,
+        parts: response.responses.into_iter().flat_map(read_topic_results).collect(),
+        throttle_ms: response.throttle_time_ms,
+        load: LoadReport::from_tagged_fields(&response.unknown_tagged_fields),
+    })
+}
+
+fn read_topic_results(topic: TopicProduceResponse) -> Vec<PartitionResult> {
+    let mut results = Vec::new();
+    for partition in topic.partition_responses {
+        results.push(read_partition_result(topic.name.as_str(), partition));
+    }
+    results
+}
+
+fn read_partition_result(topic: &str, partition: PartitionProduceResponse) -> PartitionResult {
+    let record_error = |error: BatchIndexAndErrorMessage| {
+        let message = error.batch_index_error_message.map_or(String::new(), |text| text.to_string());
+        (error.batch_index, message)
+    };
+    PartitionResult {
+        topic: topic.to_owned(),
+        partition: partition.index,
+        code: partition.error_code,
+        offset: partition.base_offset,
+        records: partition.record_errors.into_iter().map(record_error).collect(),
+        text: partition.error_message.map(|text| text.to_string()),
+    }
+}
+
+/// Reads a Metadata response.
+pub fn read_metadata(frame: &Bytes, version: i16) -> Result<ClusterMetadata, Malformed> {
+    let mut body = read_header(frame, ApiKey::Metadata, version)?;
+    shape::metadata_response(&body.bytes, version)?;
+    let response =
+        MetadataResponse::decode(&mut body.bytes, version).map_err(|_| Malformed("Metadata response"))?;
+    let mut brokers = Vec::new();
+    for broker in response.brokers {
+        let host = broker.host.to_string();
+        brokers.push(BrokerMetadata { id: broker.node_id.0, host, port: broker.port });
+    }
+    Ok(ClusterMetadata {
+        correlation: body.correlation,
+        brokers,
+        topics: response.topics.into_iter().map(read_topic_metadata).collect(),
+    })
+}
+
+fn read_topic_metadata(topic: MetadataResponseTopic) -> TopicMetadata {
+    let partition = |partition: MetadataResponsePartition| PartitionMetadata {
+        index: partition.partition_index,
+        code: partition.error_code,
+        leader: partition.leader_id.0,
+    };
+    TopicMetadata {
+        name: topic.name.map_or(String::new(), |name| name.as_str().to_owned()),
+        code: topic.error_code,
+        partitions: topic.partitions.into_iter().map(partition).collect(),
+    }
+}
+
+/// The number of the request, and the first and last version of Produce that an ApiVersions response of version
+/// 0 offers.
+pub fn read_produce_versions(frame: &Bytes) -> Result<(i32, Option<(i16, i16)>), Malformed> {
+    let mut cursor = shape::Cursor::new(frame, false);
+    let correlation = cursor.i32()?;
+    let error_code = cursor.i16()?;
+    let count = cursor.i32()?;
+    let expected_bytes = usize::try_from(count).ok().and_then(|count| count.checked_mul(API_VERSION_BYTES));
+    if error_code != codes::NONE || expected_bytes != Some(cursor.left()) {
+        return Err(Malformed("ApiVersions response"));
+    }
+    let mut produce = None;
+    for _ in 0..count {
+        let api = cursor.i16()?;
+        let first = cursor.i16()?;
+        let last = cursor.i16()?;
+        if api == ApiKey::Produce as i16 {
+            produce = Some((first, last));
+        }
+    }
+    Ok((correlation, produce))
+}
--- a/crates/kafka/src/codes.rs
+++ b/crates/kafka/src/codes.rs
@@ -1,42 +1,44 @@
-//! Error codes of the protocol that linnetcart gives or acts on, and why these.
+//! Error codes of the protocol that linnetcart gives or acts on, under the protocol's own names, and why these.
 //!
-//! - [`REFUSED`]: librdkafka files it under "retry, message not persisted", and the JVM client raises a
-//!   retriable exception for it. It is the one code that both treat as "harmless to hand in again".
-//! - [`FAILED`]: neither client retries it, and neither claims that the message was not persisted.
-//! - [`MIXED`]: final for both clients, and from Produce 8 on it carries a reason for each record.
+//! - [`NOT_ENOUGH_REPLICAS`] rejects: librdkafka files it under "retry, message not persisted", and the JVM client
+//!   raises a retriable exception for it. It is the one code that both take for "harmless to submit again".
+//! - [`UNKNOWN_SERVER_ERROR`] fails: neither client retries it, and neither claims that the message was not
+//!   persisted.
+//! - [`INVALID_RECORD`] is final for both clients, and from Produce 8 on it carries a reason for each record.
 
-/// Served.
+/// No error: served.
 pub const NONE: i16 = 0;
-/// Failed: it may have taken effect, and the client does not retry (`UNKNOWN_SERVER_ERROR`).
+/// Failed: the message may have taken effect, and the client does not retry.
 pub const UNKNOWN_SERVER_ERROR: i16 = -1;
-/// A batch's checksum or form is wrong (`CORRUPT_MESSAGE`).
+/// A batch's checksum or form is wrong.
 pub const CORRUPT_MESSAGE: i16 = 2;
-/// No setting knows the topic, or no list the partition (`UNKNOWN_TOPIC_OR_PARTITION`).
+/// The topic is in no settings, or the partition in no endpoint list.
 pub const UNKNOWN_TOPIC_OR_PARTITION: i16 = 3;
-/// The partition has no endpoint just now (`LEADER_NOT_AVAILABLE`).
+/// The partition has no endpoint at present.
 pub const LEADER_NOT_AVAILABLE: i16 = 5;
-/// A record or batch is larger than the bound (`MESSAGE_TOO_LARGE`).
+/// A record or batch is larger than the maximum.
 pub const MESSAGE_TOO_LARGE: i16 = 10;
-/// Refused: nothing was persisted, and stock clients retry (`NOT_ENOUGH_REPLICAS`).
+/// Rejected: nothing was persisted, and stock clients retry.
 pub const NOT_ENOUGH_REPLICAS: i16 = 19;
-/// Nothing can be read here (`TOPIC_AUTHORIZATION_FAILED`).
+/// Nothing can be read here.
 pub const TOPIC_AUTHORIZATION_FAILED: i16 = 29;
-/// `acks` that cannot carry a final answer (`INVALID_REQUIRED_ACKS`).
+/// `acks` that cannot carry a final answer.
 pub const INVALID_REQUIRED_ACKS: i16 = 21;
-/// The version is not offered (`UNSUPPORTED_VERSION`).
+/// The version is not offered.
 pub const UNSUPPORTED_VERSION: i16 = 35;
-/// A request that makes no sense (`INVALID_REQUEST`).
+/// The request contradicts itself, or is empty.
 pub const INVALID_REQUEST: i16 = 42;
-/// Transactions are not offered (`TRANSACTIONAL_ID_AUTHORIZATION_FAILED`).
+/// Transactions are not offered.
 pub const TRANSACTIONAL_ID_AUTHORIZATION_FAILED: i16 = 53;
-/// Compressed batches are not read yet (`UNSUPPORTED_COMPRESSION_TYPE`).
+/// Compressed batches are not read.
 pub const UNSUPPORTED_COMPRESSION_TYPE: i16 = 76;
-/// The records of a batch ended differently, or one was wrong (`INVALID_RECORD`).
+/// The records of a batch ended differently, or one was invalid.
 pub const INVALID_RECORD: i16 = 87;
-/// An endpoint is full; `throttle_time_ms` is the wait (`THROTTLING_QUOTA_EXCEEDED`).
+/// An endpoint is at its limit; `throttle_time_ms` says how long to wait.
 pub const THROTTLING_QUOTA_EXCEEDED: i16 = 89;
 
-/// Bytes that are not what the protocol says; the connection they came on is closed.
+/// Bytes that are not what the protocol says, by the part of the message. The connection that they came on is
+/// closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("malformed {0}")]
 pub struct Malformed(pub &'static str);
--- /dev/null
+++ b/crates/kafka/src/server/mod.rs
@@ -0,0 +1,7 @@
+//! The side that is called: reads requests, writes responses.
+
+mod request;
+mod response;
+
+pub use request::{read, Body, FetchTopic, PartitionBatch, Produce, Request, RequestError};
+pub use response::{api_versions, metadata, not_readable, produce, Broker, PartitionResult, Topic};
--- /dev/null
+++ b/crates/kafka/src/shape/batch.rs
@@ -0,0 +1,105 @@
+//! Shapes of record batches.
+
+use super::{Cursor, Walk};
+use crate::codes::Malformed;
+
+/// The format of batches whose records are walked over; that of Kafka 0.11 and later.
+pub(crate) const BATCH_MAGIC: u8 = 2;
+/// The codec of a batch that is not compressed.
+pub(crate) const NO_COMPRESSION: u8 = 0;
+
+/// Bytes of a batch's base offset and length, which the length does not count.
+const LENGTH_END: usize = 12;
+/// Bits of a batch's attributes that say its codec.
+const CODEC_MASK: i16 = 0x07;
+/// Bits of a batch's attributes that say that it is part of a transaction, or a control batch.
+const TRANSACTIONAL_MASK: i16 = 0x30;
+
+/// What a batch of records is, as far as its head says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BatchHead {
+    /// Bytes of the whole batch.
+    pub size: usize,
+    /// Its format.
+    pub magic: u8,
+    /// The codec of its records, 0 for none.
+    pub codec: u8,
+    /// It belongs to a transaction, or is a control batch.
+    pub transactional: bool,
+    /// Records that it claims.
+    pub records: usize,
+}
+
+/// What the offsets and timestamps of a batch's records are relative to.
+#[derive(Clone, Copy)]
+struct Bases {
+    offset: i64,
+    timestamp: i64,
+}
+
+/// Head of the batch that these bytes begin with, after a walk over its records if they are not compressed.
+pub fn batch(bytes: &[u8]) -> Result<BatchHead, Malformed> {
+    let mut cursor = Cursor::new(bytes, false);
+    let base_offset = cursor.i64()?;
+    let length = usize::try_from(cursor.i32()?).map_err(|_| Malformed("batch length"))?;
+    let size = LENGTH_END + length;
+    let mut cursor = Cursor::new(cursor.take(length)?, false);
+    let _leader_epoch = cursor.i32()?;
+    let [magic] = cursor.array()?;
+    if magic != BATCH_MAGIC {
+        return Ok(BatchHead { size, magic, codec: NO_COMPRESSION, transactional: false, records: 0 });
+    }
+    let _checksum = cursor.i32()?;
+    let attributes = cursor.i16()?;
+    let _last_offset_delta = cursor.i32()?;
+    let base_timestamp = cursor.i64()?;
+    let _max_timestamp = cursor.i64()?;
+    let _producer_id = cursor.i64()?;
+    let _producer_epoch = cursor.i16()?;
+    let _base_sequence = cursor.i32()?;
+    let records = usize::try_from(cursor.i32()?).map_err(|_| Malformed("record count"))?;
+    let codec = (attributes & CODEC_MASK) as u8;
+    let transactional = attributes & TRANSACTIONAL_MASK != 0;
+    if codec == NO_COMPRESSION {
+        let bases = Bases { offset: base_offset, timestamp: base_timestamp };
+        walk_records(&mut cursor, records, bases)?;
+    }
+    Ok(BatchHead { size, magic, codec, transactional, records })
+}
+
+fn walk_records(cursor: &mut Cursor, count: usize, bases: Bases) -> Walk {
+    if count > cursor.left() {
+        return Err(Malformed("record count"));
+    }
+    for _ in 0..count {
+        let record = cursor.zigzag_bytes("record length")?;
+        walk_record(record, bases)?;
+    }
+    cursor.end()
+}
+
+fn walk_record(bytes: &[u8], bases: Bases) -> Walk {
+    let mut cursor = Cursor::new(bytes, false);
+    let [_attributes] = cursor.array()?;
+    let timestamp_delta = cursor.varlong()?;
+    bases.timestamp.checked_add(timestamp_delta).ok_or(Malformed("timestamp"))?;
+    let offset_delta = i32::try_from(cursor.varlong()?).map_err(|_| Malformed("offset"))?;
+    bases.offset.checked_add(i64::from(offset_delta)).ok_or(Malformed("offset"))?;
+    // Key and value.
+    cursor.nullable_zigzag_bytes()?;
+    cursor.nullable_zigzag_bytes()?;
+    walk_headers(&mut cursor)?;
+    cursor.end()
+}
+
+fn walk_headers(cursor: &mut Cursor) -> Walk {
+    let count = cursor.zigzag_length()?.ok_or(Malformed("header count"))?;
+    if count > cursor.left() {
+        return Err(Malformed("header count"));
+    }
+    for _ in 0..count {
+        cursor.zigzag_bytes("header name")?;
+        cursor.nullable_zigzag_bytes()?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/kafka/src/shape/cursor.rs
@@ -0,0 +1,187 @@
+//! A cursor over the bytes of a message.
+
+use super::Walk;
+use crate::codes::Malformed;
+
+/// Bits of a variable-length number in each of its bytes.
+const VARINT_BITS_PER_BYTE: usize = 7;
+/// Set in each byte of a variable-length number but the last.
+const VARINT_CONTINUES: u8 = 0x80;
+/// Length or count that stands for null.
+const NULL: i64 = -1;
+
+/// How long the length in front of a string or of bytes is, outside flexible versions.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum LengthWidth {
+    /// 2 bytes, as strings have it.
+    Short,
+    /// 4 bytes, as bytes and records have it.
+    Long,
+}
+
+/// A cursor over bytes; each step moves it over what it has checked.
+pub struct Cursor<'a> {
+    rest: &'a [u8],
+    /// The version has compact lengths and tagged fields.
+    flexible: bool,
+}
+
+impl<'a> Cursor<'a> {
+    /// At the start of these bytes; `flexible` versions have compact lengths and tagged fields.
+    pub fn new(rest: &'a [u8], flexible: bool) -> Self {
+        Cursor { rest, flexible }
+    }
+
+    /// Bytes that are left.
+    pub fn left(&self) -> usize {
+        self.rest.len()
+    }
+
+    /// The next `count` bytes.
+    pub fn take(&mut self, count: usize) -> Result<&'a [u8], Malformed> {
+        let (bytes, rest) = self.rest.split_at_checked(count).ok_or(Malformed("length"))?;
+        self.rest = rest;
+        Ok(bytes)
+    }
+
+    /// The next `N` bytes as an array.
+    pub fn array<const N: usize>(&mut self) -> Result<[u8; N], Malformed> {
+        let mut array = [0; N];
+        array.copy_from_slice(self.take(N)?);
+        Ok(array)
+    }
+
+    /// A number of 2 bytes.
+    pub(crate) fn i16(&mut self) -> Result<i16, Malformed> {
+        Ok(i16::from_be_bytes(self.array()?))
+    }
+
+    /// A number of 4 bytes.
+    pub(crate) fn i32(&mut self) -> Result<i32, Malformed> {
+        Ok(i32::from_be_bytes(self.array()?))
+    }
+
+    /// A number of 8 bytes.
+    pub(crate) fn i64(&mut self) -> Result<i64, Malformed> {
+        Ok(i64::from_be_bytes(self.array()?))
+    }
+
+    /// A variable-length unsigned number of at most 32 bits.
+    pub fn uvarint(&mut self) -> Result<u32, Malformed> {
+        let long = self.uvarlong()?;
+        u32::try_from(long).map_err(|_| Malformed("varint"))
+    }
+
+    fn uvarlong(&mut self) -> Result<u64, Malformed> {
+        let mut value = 0u64;
+        for shift in (0..u64::BITS).step_by(VARINT_BITS_PER_BYTE) {
+            let [byte] = self.array()?;
+            value |= u64::from(byte & !VARINT_CONTINUES) << shift;
+            if byte & VARINT_CONTINUES == 0 {
+                return Ok(value);
+            }
+        }
+        Err(Malformed("varint"))
+    }
+
+    /// A zigzag number of at most 64 bits.
+    pub fn varlong(&mut self) -> Result<i64, Malformed> {
+        let raw = self.uvarlong()?;
+        let magnitude = (raw >> 1) as i64;
+        let sign = (raw & 1) as i64;
+        Ok(magnitude ^ -sign)
+    }
+
+    /// A zigzag length; `None` for null.
+    pub(super) fn zigzag_length(&mut self) -> Result<Option<usize>, Malformed> {
+        match self.varlong()? {
+            NULL => Ok(None),
+            length => usize::try_from(length).map(Some).map_err(|_| Malformed("length")),
+        }
+    }
+
+    /// Bytes behind a zigzag length that must not be null.
+    pub(super) fn zigzag_bytes(&mut self, name: &'static str) -> Result<&'a [u8], Malformed> {
+        let length = self.zigzag_length()?.ok_or(Malformed(name))?;
+        self.take(length)
+    }
+
+    /// Bytes behind a zigzag length that may be null.
+    pub(super) fn nullable_zigzag_bytes(&mut self) -> Walk {
+        if let Some(length) = self.zigzag_length()? {
+            self.take(length)?;
+        }
+        Ok(())
+    }
+
+    /// A compact length or count of a flexible version; [`NULL`] for null.
+    fn compact_length(&mut self) -> Result<i64, Malformed> {
+        Ok(i64::from(self.uvarint()?) - 1)
+    }
+
+    /// A string, or bytes, that may be null; its length is this wide outside flexible versions.
+    pub(super) fn nullable_bytes(&mut self, width: LengthWidth) -> Walk {
+        let length = match width {
+            _ if self.flexible => self.compact_length()?,
+            LengthWidth::Short => i64::from(self.i16()?),
+            LengthWidth::Long => i64::from(self.i32()?),
+        };
+        if length == NULL {
+            return Ok(());
+        }
+        let length = usize::try_from(length).map_err(|_| Malformed("length"))?;
+        self.take(length).map(drop)
+    }
+
+    /// A string that may be null.
+    pub(super) fn string(&mut self) -> Walk {
+        self.nullable_bytes(LengthWidth::Short)
+    }
+
+    /// An array whose elements `walk_element` walks over; null counts as empty.
+    pub(super) fn list(&mut self, mut walk_element: impl FnMut(&mut Self) -> Walk) -> Walk {
+        let count = if self.flexible { self.compact_length()? } else { i64::from(self.i32()?) };
+        if count == NULL {
+            return Ok(());
+        }
+        let count = usize::try_from(count).map_err(|_| Malformed("count"))?;
+        if count > self.left() {
+            return Err(Malformed("count"));
+        }
+        for _ in 0..count {
+            walk_element(self)?;
+        }
+        Ok(())
+    }
+
+    /// The tagged fields of a flexible version; other versions have none.
+    pub(super) fn tags(&mut self) -> Walk {
+        if !self.flexible {
+            return Ok(());
+        }
+        let count = self.uvarint()?;
+        if count as usize > self.left() {
+            return Err(Malformed("tag count"));
+        }
+        self.tagged_fields(count)
+    }
+
+    /// So many tagged fields.
+    pub(crate) fn tagged_fields(&mut self, count: u32) -> Walk {
+        for _ in 0..count {
+            let _tag = self.uvarint()?;
+            let size = self.uvarint()? as usize;
+            self.take(size)?;
+        }
+        Ok(())
+    }
+
+    /// The end of the bytes.
+    pub(super) fn end(&self) -> Walk {
+        if self.rest.is_empty() {
+            Ok(())
+        } else {
+            Err(Malformed("end: bytes are left over"))
+        }
+    }
+}
--- a/crates/kafka/tests/protocol.rs
+++ b/crates/kafka/tests/protocol.rs
@@ -1,7 +1,8 @@
-//! Both sides against each other, and against bytes that nobody meant.
+//! Both sides against each other, and against damaged and arbitrary bytes.
 
 use bytes::Bytes;
-use linnetcart_kafka::server::{self, Body, Broker, PartitionResult, Topic};
+use linnetcart_kafka::client::{BrokerMetadata, PartitionMetadata, TopicMetadata};
+use linnetcart_kafka::server::{self, Body, Broker, FetchTopic, PartitionResult, Topic};
 use linnetcart_kafka::{client, codes, Frames, LoadReport, Record, API_VERSIONS, METADATA, PRODUCE};
 use proptest::prelude::*;
 
@@ -24,7 +25,7 @@
 }
 
 #[test]
-fn produce_goes_round_in_every_offered_version() {
+fn produce_of_every_offered_version_is_read_as_written() {
     for version in PRODUCE.0..=PRODUCE.1 {
         let records = [record("one"), record("two")];
         let to = [
@@ -68,7 +69,7 @@
 }
 
 #[test]
-fn metadata_goes_round_in_every_offered_version() {
+fn metadata_of_every_offered_version_is_read_as_written() {
     for version in METADATA.0..=METADATA.1 {
         let wire = client::metadata(1, "t", version, None).unwrap();
         let request = server::read(&strip(&wire)).unwrap();
@@ -83,15 +84,18 @@
         ];
         let got =
             client::read_metadata(&strip(&server::metadata(1, version, &broker, &topics)), version).unwrap();
-        assert_eq!(got.brokers, [(2, "127.0.0.1".to_owned(), 9092)]);
-        let parts = vec![(0, codes::NONE, 2), (1, codes::LEADER_NOT_AVAILABLE, -1)];
-        assert_eq!(got.topics[0], ("a".to_owned(), codes::NONE, parts));
-        assert_eq!(got.topics[1].1, codes::UNKNOWN_TOPIC_OR_PARTITION);
+        assert_eq!(got.brokers, [BrokerMetadata { id: 2, host: "127.0.0.1".to_owned(), port: 9092 }]);
+        let partitions = vec![
+            PartitionMetadata { index: 0, code: codes::NONE, leader: 2 },
+            PartitionMetadata { index: 1, code: codes::LEADER_NOT_AVAILABLE, leader: -1 },
+        ];
+        assert_eq!(got.topics[0], TopicMetadata { name: "a".to_owned(), code: codes::NONE, partitions });
+        assert_eq!(got.topics[1].code, codes::UNKNOWN_TOPIC_OR_PARTITION);
     }
 }
 
 #[test]
-fn a_client_that_opens_with_a_newer_version_is_told_in_version_0() {
+fn api_versions_request_too_new_is_answered_in_version_0() {
     for version in API_VERSIONS.0..=API_VERSIONS.1 {
         let wire = client::api_versions(4, "t", version).unwrap();
         assert!(matches!(server::read(&strip(&wire)).unwrap().body, Body::ApiVersions));
@@ -106,14 +110,14 @@
 }
 
 #[test]
-fn a_caller_learns_which_versions_of_produce_are_offered() {
+fn api_versions_response_gives_the_offered_produce_versions() {
     let answer = strip(&server::api_versions(7, 0, false));
     assert_eq!(client::read_produce_versions(&answer).unwrap(), (7, Some(PRODUCE)));
     assert!(client::read_produce_versions(&answer.slice(..answer.len() - 1)).is_err());
 }
 
 #[test]
-fn a_fetch_is_read_and_turned_down() {
+fn fetch_request_is_answered_as_not_readable() {
     // Fetch 4: key, version, number, client "t"; replica, wait, least, most, isolation; one topic, one partition.
     let mut wire = vec![0, 1, 0, 4, 0, 0, 0, 9, 0, 1, b't'];
     wire.extend([0xff; 4]);
@@ -123,7 +127,7 @@
     wire.extend([0, 0, 4, 0]);
     let request = server::read(&wire.clone().into()).unwrap();
     let Body::Fetch(topics) = request.body else { panic!("not a Fetch request") };
-    assert_eq!(topics, [("a".to_owned(), vec![5])]);
+    assert_eq!(topics, [FetchTopic { topic: "a".to_owned(), partitions: vec![5] }]);
     let answer = strip(&server::not_readable(9, &topics));
     // Number, throttle, one topic "a", one partition 5, its code.
     let want = [0, 0, 0, 9, 0, 0, 0, 0, 0, 0, 0, 1, 0, 1, b'a', 0, 0, 0, 1, 0, 0, 0, 5, 0, 29];
@@ -133,7 +137,7 @@
 }
 
 #[test]
-fn what_is_not_offered_is_an_error() {
+fn request_of_an_api_or_version_not_offered_is_an_error() {
     let other = |api: u8, version: u8| server::read(&Bytes::from(vec![0, api, 0, version, 0, 0, 0, 1]));
     assert_eq!(other(2, 4).unwrap_err(), server::RequestError::Api(2));
     assert_eq!(other(0, 13).unwrap_err(), server::RequestError::Version(0, 13));
@@ -142,7 +146,7 @@
 
 /// Sets one bit of a Produce request's batch and reads it again.
 #[test]
-fn a_batch_with_a_wrong_checksum_is_turned_down_alone() {
+fn batch_with_a_wrong_checksum_is_rejected_alone() {
     let records = [record("a value that can be spoiled")];
     let to = [client::ProduceTarget { topic: "a", partition: 0, records: &records }];
     let mut wire = strip(&client::produce(1, "t", 9, (1, 1), &to).unwrap()).to_vec();
@@ -153,7 +157,7 @@
 }
 
 #[test]
-fn a_compressed_batch_is_turned_down_with_the_code_for_it() {
+fn compressed_batch_is_rejected_with_its_error_code() {
     let records = [record("v")];
     let to = [client::ProduceTarget { topic: "a", partition: 0, records: &records }];
     let mut wire = strip(&client::produce(1, "t", 3, (1, 1), &to).unwrap()).to_vec();
@@ -165,7 +169,7 @@
 }
 
 #[test]
-fn a_count_of_two_thousand_million_costs_nothing() {
+fn count_beyond_the_frame_is_rejected_before_allocation() {
     // Produce 3: no transaction, acks, timeout, then the count of topics.
     let mut wire = vec![0, 0, 0, 3, 0, 0, 0, 1, 0xff, 0xff, 0xff, 0xff, 0, 1, 0, 0, 0, 1];
     wire.extend(i32::MAX.to_be_bytes());
