Kafka: cursors say which lengths they read; a version not offered is a named error

Cause: `Cursor::new(bytes, false)` did not show what the flag meant, the first flexible versions stood in two files, and `RequestError::Version` was a pair.

Change: `Cursor::new`, `flexible` and `of_version`; `RequestError::Version` has fields `api` and `version` (its text is the same, and the test's two expected values are written with the fields).

--- a/crates/journal/src/file.rs
+++ b/crates/journal/src/file.rs
@@ -1,6 +1,6 @@
 //! The records in the bytes of one file, damaged or not.
 
-use crate::frame::{first_frame_offset, read_header};
+use crate::frame::{read_header, FIRST_FRAME_OFFSET};
 use crate::{Record, COMPLETE};
 
 /// What a file's bytes hold.
@@ -23,7 +23,7 @@
         found.torn = bytes.len();
         return found;
     };
-    let mut rest = bytes.get(first_frame_offset()..).unwrap_or_default();
+    let mut rest = bytes.get(FIRST_FRAME_OFFSET..).unwrap_or_default();
     let mut skipped = 0;
     while !rest.is_empty() {
         let Some(frame) = salt.decode_frame(rest) else {
--- a/crates/journal/src/frame.rs
+++ b/crates/journal/src/frame.rs
@@ -20,6 +20,8 @@
 const CHECKED_HEADER_BYTES: usize = 16;
 /// How often a file's header is given, so that damage to one copy does not cost the file.
 const HEADER_COPIES: usize = 2;
+/// Where the first frame of a file begins, in bytes from its start.
+pub(crate) const FIRST_FRAME_OFFSET: usize = HEADER_COPIES * HEADER_BYTES;
 
 /// A record as it was read.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -115,8 +117,3 @@
     }
     Some(Salt(u64::from_le_bytes(salt.try_into().ok()?)))
 }
-
-/// Where the first frame of a file begins.
-pub(crate) fn first_frame_offset() -> usize {
-    HEADER_COPIES * HEADER_BYTES
-}
--- a/crates/kafka/src/client/response.rs
+++ b/crates/kafka/src/client/response.rs
@@ -99,7 +99,7 @@
 
 /// Bytes of the tagged fields that these bytes begin with.
 fn tagged_fields_length(bytes: &[u8]) -> Result<usize, Malformed> {
-    let mut cursor = shape::Cursor::new(bytes, true);
+    let mut cursor = shape::Cursor::flexible(bytes);
     let count = cursor.uvarint()?;
     cursor.tagged_fields(count)?;
     Ok(bytes.len() - cursor.left())
@@ -176,7 +176,7 @@
 /// The number of the request, and the first and last version of Produce that an ApiVersions response of version
 /// 0 offers.
 pub fn read_produce_versions(frame: &Bytes) -> Result<(i32, Option<(i16, i16)>), Malformed> {
-    let mut cursor = shape::Cursor::new(frame, false);
+    let mut cursor = shape::Cursor::new(frame);
     let correlation = cursor.i32()?;
     let error_code = cursor.i16()?;
     let count = cursor.i32()?;
--- a/crates/kafka/src/server/request.rs
+++ b/crates/kafka/src/server/request.rs
@@ -85,14 +85,19 @@
     /// The API is not offered.
     #[error("API {0} is not offered")]
     Api(i16),
-    /// The version, the second number, of the API is not offered.
-    #[error("version {1} of API {0} is not offered")]
-    Version(i16, i16),
+    /// The version of the API is not offered.
+    #[error("version {version} of API {api} is not offered")]
+    Version {
+        /// Code of the API.
+        api: i16,
+        /// The version.
+        version: i16,
+    },
 }
 
 /// Reads a frame. An error means that the connection is of no more use.
 pub fn read(frame: &Bytes) -> Result<Request, RequestError> {
-    let mut cursor = shape::Cursor::new(frame, false);
+    let mut cursor = shape::Cursor::new(frame);
     let api_code = cursor.i16()?;
     let version = cursor.i16()?;
     let api = OfferedApi::from_code(api_code).ok_or(RequestError::Api(api_code))?;
@@ -122,14 +127,14 @@
     correlation: i32,
 ) -> Result<Request, RequestError> {
     if api != OfferedApi::ApiVersions || version < api.first_version() {
-        return Err(RequestError::Version(api_code, version));
+        return Err(RequestError::Version { api: api_code, version });
     }
     Ok(Request { correlation, client: None, version: FALLBACK_API_VERSIONS, body: Body::ApiVersionsTooNew })
 }
 
 /// Checks the lengths in a request's header.
 fn check_header(frame: &[u8], header_version: i16) -> Result<(), Malformed> {
-    let mut cursor = shape::Cursor::new(frame, false);
+    let mut cursor = shape::Cursor::new(frame);
     cursor.take(FIXED_HEADER_BYTES)?;
     if header_version >= 1 {
         let client_id_length = cursor.i16()?;
--- a/crates/kafka/src/shape/batch.rs
+++ b/crates/kafka/src/shape/batch.rs
@@ -39,11 +39,11 @@
 
 /// Head of the batch that these bytes begin with, after a walk over its records if they are not compressed.
 pub fn batch(bytes: &[u8]) -> Result<BatchHead, Malformed> {
-    let mut cursor = Cursor::new(bytes, false);
+    let mut cursor = Cursor::new(bytes);
     let base_offset = cursor.i64()?;
     let length = usize::try_from(cursor.i32()?).map_err(|_| Malformed("batch length"))?;
     let size = LENGTH_END + length;
-    let mut cursor = Cursor::new(cursor.take(length)?, false);
+    let mut cursor = Cursor::new(cursor.take(length)?);
     let _leader_epoch = cursor.i32()?;
     let [magic] = cursor.array()?;
     if magic != BATCH_MAGIC {
@@ -79,7 +79,7 @@
 }
 
 fn walk_record(bytes: &[u8], bases: Bases) -> Walk {
-    let mut cursor = Cursor::new(bytes, false);
+    let mut cursor = Cursor::new(bytes);
     let [_attributes] = cursor.array()?;
     let timestamp_delta = cursor.varlong()?;
     bases.timestamp.checked_add(timestamp_delta).ok_or(Malformed("timestamp"))?;
--- a/crates/kafka/src/shape/cursor.rs
+++ b/crates/kafka/src/shape/cursor.rs
@@ -27,9 +27,19 @@
 }
 
 impl<'a> Cursor<'a> {
-    /// At the start of these bytes; `flexible` versions have compact lengths and tagged fields.
-    pub fn new(rest: &'a [u8], flexible: bool) -> Self {
-        Cursor { rest, flexible }
+    /// At the start of these bytes, which have lengths of fixed width and no tagged fields.
+    pub fn new(bytes: &'a [u8]) -> Self {
+        Cursor { rest: bytes, flexible: false }
+    }
+
+    /// At the start of these bytes, which have compact lengths and tagged fields.
+    pub fn flexible(bytes: &'a [u8]) -> Self {
+        Cursor { rest: bytes, flexible: true }
+    }
+
+    /// At the start of the body of a message in this version of its API, which is flexible from another on.
+    pub(super) fn of_version(body: &'a [u8], version: i16, flexible_since: i16) -> Self {
+        Cursor { rest: body, flexible: version >= flexible_since }
     }
 
     /// Bytes that are left.
--- a/crates/kafka/src/shape/mod.rs
+++ b/crates/kafka/src/shape/mod.rs
@@ -17,6 +17,10 @@
 
 use crate::codes::Malformed;
 
+/// First version of each API with compact lengths and tagged fields.
+const PRODUCE_FLEXIBLE_SINCE: i16 = 9;
+const METADATA_FLEXIBLE_SINCE: i16 = 9;
+const API_VERSIONS_FLEXIBLE_SINCE: i16 = 3;
 /// Bytes of the id of a topic.
 const UUID_BYTES: usize = 16;
 
--- a/crates/kafka/src/shape/request.rs
+++ b/crates/kafka/src/shape/request.rs
@@ -1,16 +1,13 @@
 //! Shapes of the bodies of requests.
 
 use super::cursor::LengthWidth;
-use super::{Cursor, Walk, UUID_BYTES};
-
-/// First version of Produce and Metadata with compact lengths and tagged fields.
-const FLEXIBLE_PRODUCE: i16 = 9;
-const FLEXIBLE_METADATA: i16 = 9;
-const FLEXIBLE_API_VERSIONS: i16 = 3;
+use super::{
+    Cursor, Walk, API_VERSIONS_FLEXIBLE_SINCE, METADATA_FLEXIBLE_SINCE, PRODUCE_FLEXIBLE_SINCE, UUID_BYTES,
+};
 
 /// Body of a Produce request, versions 3 to 12.
 pub fn produce_request(body: &[u8], version: i16) -> Walk {
-    let mut cursor = Cursor::new(body, version >= FLEXIBLE_PRODUCE);
+    let mut cursor = Cursor::of_version(body, version, PRODUCE_FLEXIBLE_SINCE);
     // Transactional id.
     cursor.string()?;
     let _acks = cursor.i16()?;
@@ -36,7 +33,7 @@
 
 /// Body of a Metadata request, versions 0 to 12.
 pub fn metadata_request(body: &[u8], version: i16) -> Walk {
-    let mut cursor = Cursor::new(body, version >= FLEXIBLE_METADATA);
+    let mut cursor = Cursor::of_version(body, version, METADATA_FLEXIBLE_SINCE);
     cursor.list(|topic| {
         if version >= 10 {
             let _id = topic.take(UUID_BYTES)?;
@@ -63,7 +60,7 @@
 
 /// Body of a Fetch request, version 4.
 pub fn fetch_request(body: &[u8]) -> Walk {
-    let mut cursor = Cursor::new(body, false);
+    let mut cursor = Cursor::new(body);
     let _replica = cursor.i32()?;
     let _max_wait_ms = cursor.i32()?;
     let _min_bytes = cursor.i32()?;
@@ -88,7 +85,7 @@
 
 /// Body of an ApiVersions request.
 pub fn api_versions_request(body: &[u8], version: i16) -> Walk {
-    let mut cursor = Cursor::new(body, version >= FLEXIBLE_API_VERSIONS);
+    let mut cursor = Cursor::of_version(body, version, API_VERSIONS_FLEXIBLE_SINCE);
     if version >= 3 {
         // Name and version of the client's software.
         cursor.string()?;
--- a/crates/kafka/src/shape/response.rs
+++ b/crates/kafka/src/shape/response.rs
@@ -1,14 +1,10 @@
 //! Shapes of the bodies of responses.
 
-use super::{Cursor, Walk, UUID_BYTES};
-
-/// First version of Produce and Metadata with compact lengths and tagged fields.
-const FLEXIBLE_PRODUCE: i16 = 9;
-const FLEXIBLE_METADATA: i16 = 9;
+use super::{Cursor, Walk, METADATA_FLEXIBLE_SINCE, PRODUCE_FLEXIBLE_SINCE, UUID_BYTES};
 
 /// Body of a Produce response, versions 3 to 12.
 pub fn produce_response(body: &[u8], version: i16) -> Walk {
-    let mut cursor = Cursor::new(body, version >= FLEXIBLE_PRODUCE);
+    let mut cursor = Cursor::of_version(body, version, PRODUCE_FLEXIBLE_SINCE);
     cursor.list(|topic| {
         // Name.
         topic.string()?;
@@ -45,7 +41,7 @@
 
 /// Body of a Metadata response, versions 0 to 12.
 pub fn metadata_response(body: &[u8], version: i16) -> Walk {
-    let mut cursor = Cursor::new(body, version >= FLEXIBLE_METADATA);
+    let mut cursor = Cursor::of_version(body, version, METADATA_FLEXIBLE_SINCE);
     if version >= 3 {
         let _throttle_time_ms = cursor.i32()?;
     }
--- a/crates/kafka/tests/protocol.rs
+++ b/crates/kafka/tests/protocol.rs
@@ -140,8 +140,8 @@
 fn request_of_an_api_or_version_not_offered_is_an_error() {
     let other = |api: u8, version: u8| server::read(&Bytes::from(vec![0, api, 0, version, 0, 0, 0, 1]));
     assert_eq!(other(2, 4).unwrap_err(), server::RequestError::Api(2));
-    assert_eq!(other(0, 13).unwrap_err(), server::RequestError::Version(0, 13));
-    assert_eq!(other(0, 2).unwrap_err(), server::RequestError::Version(0, 2));
+    assert_eq!(other(0, 13).unwrap_err(), server::RequestError::Version { api: 0, version: 13 });
+    assert_eq!(other(0, 2).unwrap_err(), server::RequestError::Version { api: 0, version: 2 });
 }
 
 /// Sets one bit of a Produce request's batch and reads it again.
