Telemetry: the parts of the reporting tested alone

Cause: limits, selection, schedule, counter sync, notifications and log events were tested through the whole reporting only. Two changes to them passed all tests: one silent endpoint of two ejecting its destination, and unchanged cells never being refreshed.

--- a/crates/telemetry/src/counter_sync.rs
+++ b/crates/telemetry/src/counter_sync.rs
@@ -2,6 +2,9 @@
 
 use crate::{LogEvent, Output, SyncError};
 
+#[cfg(test)]
+mod tests;
+
 /// Numbers the syncs of the log and remembers whether the last one failed.
 #[derive(Debug, Default)]
 pub(crate) struct CounterSync {
--- a/crates/telemetry/src/limits.rs
+++ b/crates/telemetry/src/limits.rs
@@ -7,6 +7,9 @@
 use linnetcart_delivery_events::LoadReport;
 use std::collections::{BTreeMap, BTreeSet};
 
+#[cfg(test)]
+mod tests;
+
 /// Weight of the newest interval in the inferred limit.
 const NEWEST_INTERVAL_WEIGHT: f64 = 0.5;
 
--- a/crates/telemetry/src/log_event.rs
+++ b/crates/telemetry/src/log_event.rs
@@ -5,6 +5,9 @@
 use crate::SyncError;
 use std::fmt;
 
+#[cfg(test)]
+mod tests;
+
 /// An event for the log.
 #[derive(Clone, Debug, PartialEq)]
 pub enum LogEvent {
--- a/crates/telemetry/src/notifications.rs
+++ b/crates/telemetry/src/notifications.rs
@@ -5,6 +5,9 @@
 use linnetcart::LimitState;
 use std::collections::VecDeque;
 
+#[cfg(test)]
+mod tests;
+
 /// Notifications between two iterations of the event loop at most; beyond it the oldest are dropped.
 const MAX_NOTIFICATIONS: usize = 200;
 
--- a/crates/telemetry/src/schedule.rs
+++ b/crates/telemetry/src/schedule.rs
@@ -3,6 +3,9 @@
 use crate::SECOND;
 use linnetcart::Time;
 
+#[cfg(test)]
+mod tests;
+
 /// Between two slices, so that a socket's buffer can take them and no message waits for long.
 const SLICE_INTERVAL: Time = SECOND / 1000;
 const NANOS_PER_SECOND: f64 = 1e9;
--- a/crates/telemetry/src/selection.rs
+++ b/crates/telemetry/src/selection.rs
@@ -6,6 +6,9 @@
 use std::collections::{BTreeSet, VecDeque};
 use std::ops::Bound;
 
+#[cfg(test)]
+mod tests;
+
 /// Cells that did not change are shown once in so many reports.
 const REPORTS_PER_REFRESH: usize = 30;
 
