Telemetry: one unit of time, names of destinations apart, tests without one-letter names

Cause: four modules had their own second; recording.rs held the names of destinations; tuples and one-letter names were left in limits, the counts log and tests; two subjects of tagged names had no test.

Change: time.rs, destination_names.rs; limits and the counts log without triples; a test of all paths and tags of series; package descriptions in the field's words. Assertions of existing tests are the same.

--- a/crates/telemetry/src/collectd/security.rs
+++ b/crates/telemetry/src/collectd/security.rs
@@ -109,8 +109,8 @@
 }
 
 fn authentication_code(user: &str, key: &str, parts: &[u8]) -> Hmac<Sha256> {
-    // HMAC takes keys of any length.
-    let mut code = <Hmac<Sha256> as Mac>::new_from_slice(key.as_bytes()).unwrap_or_else(|_| unreachable!());
+    let mut code =
+        <Hmac<Sha256> as Mac>::new_from_slice(key.as_bytes()).expect("HMAC takes keys of any length");
     code.update(user.as_bytes());
     code.update(parts);
     code
--- a/crates/telemetry/src/collectd/tests.rs
+++ b/crates/telemetry/src/collectd/tests.rs
@@ -12,7 +12,7 @@
 }
 
 fn keys(keys: &[&str]) -> BTreeMap<String, Vec<String>> {
-    BTreeMap::from([("alice".to_owned(), keys.iter().map(|k| (*k).to_owned()).collect())])
+    BTreeMap::from([("alice".to_owned(), keys.iter().map(|key| (*key).to_owned()).collect())])
 }
 
 fn encoder(security: &Security) -> PacketEncoder<'_> {
@@ -39,8 +39,8 @@
 #[test]
 fn plain_packet_encoded_matches_published_bytes() {
     assert_eq!(packet(&Security::None), PLAIN);
-    let said = read(PLAIN, &BTreeMap::new(), Require::Nothing).expect("good");
-    let PacketItem::Values(header, values) = &said[0] else { panic!("{said:?}") };
+    let items = read(PLAIN, &BTreeMap::new(), Require::Nothing).expect("good");
+    let PacketItem::Values(header, values) = &items[0] else { panic!("{items:?}") };
     assert_eq!(
         (header.type_name.as_str(), nanos(header.time), values[0]),
         ("derive", 1_500_000_000, MetricValue::Derive(258))
@@ -120,19 +120,15 @@
             })
             .collect();
         let packets = encoder(&security).points(&points, &mut || [7; IV_BYTES]);
-        assert!(packets.iter().all(|p| p.len() <= 1452));
-        assert!(packets[..packets.len() - 1].iter().all(|p| p.len() > 1300), "filled");
-        let said: Vec<PacketItem> = packets
-            .iter()
-            .flat_map(|p| read(p, &keys(&["secret"]), Require::Nothing).expect("good"))
-            .collect();
-        let got: Vec<(String, f64)> = said
-            .iter()
-            .map(|s| match s {
-                PacketItem::Values(a, v) => (a.plugin_instance.clone(), v[0].as_f64()),
-                other => panic!("{other:?}"),
-            })
-            .collect();
+        assert!(packets.iter().all(|packet| packet.len() <= 1452));
+        assert!(packets[..packets.len() - 1].iter().all(|packet| packet.len() > 1300), "filled");
+        let mut got = Vec::new();
+        for packet in &packets {
+            for item in read(packet, &keys(&["secret"]), Require::Nothing).expect("good") {
+                let PacketItem::Values(header, values) = item else { panic!("{item:?}") };
+                got.push((header.plugin_instance, values[0].as_f64()));
+            }
+        }
         let wanted: Vec<(String, f64)> = (0..400).map(|n| (format!("dest-d{}", n / 7), n as f64)).collect();
         assert_eq!(got, wanted);
     }
@@ -142,10 +138,11 @@
 fn notification_encoded_carries_subject_and_severity() {
     let packet =
         encoder(&Security::None).notification("dest-x", Severity::Failure, "out", &mut || [0; IV_BYTES]);
-    let said = read(&packet, &BTreeMap::new(), Require::Nothing).expect("good");
-    assert!(
-        matches!(&said[0], PacketItem::Notification(a, 1, m) if a.plugin_instance == "dest-x" && m == "out")
-    );
+    let items = read(&packet, &BTreeMap::new(), Require::Nothing).expect("good");
+    assert!(matches!(
+        &items[0],
+        PacketItem::Notification(header, 1, text) if header.plugin_instance == "dest-x" && text == "out"
+    ));
 }
 
 proptest! {
@@ -166,7 +163,7 @@
     }
 
     #[test]
-    fn time_converted_and_back_differs_by_at_most_a_nanosecond(t in 0u64..u64::MAX / 8) {
-        prop_assert!(nanos(high_resolution(t)).abs_diff(t) <= 1);
+    fn time_converted_and_back_differs_by_at_most_a_nanosecond(time in 0u64..u64::MAX / 8) {
+        prop_assert!(nanos(high_resolution(time)).abs_diff(time) <= 1);
     }
 }
--- a/crates/telemetry/src/connection.rs
+++ b/crates/telemetry/src/connection.rs
@@ -1,6 +1,6 @@
 //! A connection to a receiver, with a bounded send buffer and backoff between attempts to connect.
 //!
-//! [`ReceiverConnection`] holds no socket: it is told what happened to one, and says what its owner is to do. What a
+//! [`ReceiverConnection`] holds no socket: its owner reports what happened to one, and polls it for what to do. What a
 //! receiver does not accept stays in the buffer until newer reports displace it.
 
 mod send_buffer;
@@ -8,6 +8,7 @@
 mod tests;
 
 use crate::graphite::Chunk;
+use crate::time::SECOND;
 use bytes::Bytes;
 use linnetcart::Time;
 use rand::{Rng, SeedableRng};
@@ -15,7 +16,6 @@
 use send_buffer::SendBuffer;
 use std::net::SocketAddr;
 
-const SECOND: Time = 1_000_000_000;
 /// The backoff after a failure, doubled with each further one up to the longest.
 const FIRST_BACKOFF: Time = SECOND;
 const MAX_BACKOFF: Time = 60 * SECOND;
--- a/crates/telemetry/src/counters.rs
+++ b/crates/telemetry/src/counters.rs
@@ -2,7 +2,8 @@
 
 use crate::counts::{CounterKey, CounterLogEntry, CounterStore, Counts, Field};
 use crate::names::SeriesNames;
-use crate::{Output, RestoredState, SECOND};
+use crate::time::SECOND;
+use crate::{Output, RestoredState};
 use linnetcart::Time;
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/crates/telemetry/src/counts.rs
+++ b/crates/telemetry/src/counts.rs
@@ -2,7 +2,7 @@
 //! class and for each separate route.
 //!
 //! [`CounterStore`] keeps the counts in memory. Each change also becomes a frame of a log, so that a process that
-//! dies has lost none that anyone was told of; from time to time all counts go into a saved document, after which a
+//! dies has lost none that anyone was notified of; from time to time all counts go into a saved document, after which a
 //! new log begins. The store writes no file: its owner does.
 
 mod field;
--- a/crates/telemetry/src/counts/log.rs
+++ b/crates/telemetry/src/counts/log.rs
@@ -57,21 +57,27 @@
 pub(super) fn encode_deltas(changes: &BTreeMap<CounterKey, Counts>) -> Vec<u8> {
     let mut body = vec![DELTAS];
     for (&key, counts) in changes {
-        let (owner, number, class) = match key {
-            CounterKey::Cell(destination, class) => (DESTINATION_AND_CLASS, destination, class),
-            CounterKey::Route(endpoint) => (ROUTE, endpoint, 0),
-            CounterKey::Reports => (REPORTS, 0, 0),
-        };
-        for (field, increase) in counts.nonzero() {
-            body.push(owner << OWNER_SHIFT | field.number());
-            write_varint(&mut body, u64::from(number));
-            write_varint(&mut body, u64::from(class));
-            write_varint(&mut body, increase);
+        match key {
+            CounterKey::Cell(destination, class) => {
+                write_deltas(&mut body, DESTINATION_AND_CLASS, destination, class, counts);
+            }
+            CounterKey::Route(endpoint) => write_deltas(&mut body, ROUTE, endpoint, 0, counts),
+            CounterKey::Reports => write_deltas(&mut body, REPORTS, 0, 0, counts),
         }
     }
     frame::encode(&body)
 }
 
+/// A delta for each field: the kind of owner with the field, the owner's number, its class, the increase.
+fn write_deltas(body: &mut Vec<u8>, owner: u8, number: u32, class: u8, counts: &Counts) {
+    for (field, increase) in counts.nonzero() {
+        body.push(owner << OWNER_SHIFT | field.number());
+        write_varint(body, u64::from(number));
+        write_varint(body, u64::from(class));
+        write_varint(body, increase);
+    }
+}
+
 /// The changes that a body holds after its first byte; none if any of them is damaged.
 pub(super) fn decode_deltas(mut body: &[u8]) -> Option<Vec<Delta>> {
     let mut deltas = Vec::new();
--- a/crates/telemetry/src/graphite/tests.rs
+++ b/crates/telemetry/src/graphite/tests.rs
@@ -27,6 +27,26 @@
     );
 }
 
+#[test]
+fn series_names_of_each_subject_match_documented_paths_and_tags() {
+    let destination = || "kolo".to_owned();
+    let class = || "order".to_owned();
+    let subjects = [
+        SeriesSubject::Courier,
+        SeriesSubject::Class(class()),
+        SeriesSubject::Destination(destination()),
+        SeriesSubject::DestinationAndClass { destination: destination(), class: class() },
+        SeriesSubject::Route { destination: destination(), endpoint: 7 },
+    ];
+    let points = subjects.map(|subject| Point::new(subject, "full", PointValue::Counter(1)));
+    let paths = points.each_ref().map(|point| name(&source(), point, false));
+    let wanted = ["courier", "class.order", "dest.kolo", "dest.kolo.class.order", "dest.kolo.route.7"];
+    assert_eq!(paths, wanted.map(|subject| format!("linnetcart.bank_north.edge.3.{subject}.full")));
+    let tagged = points.each_ref().map(|point| name(&source(), point, true));
+    let wanted = ["", ";class=order", ";dest=kolo", ";dest=kolo;class=order", ";dest=kolo;route=7"];
+    assert_eq!(tagged, wanted.map(|tags| format!("linnetcart.edge.full;deployment=bank_north;edge=3{tags}")));
+}
+
 #[test]
 fn pickle_frame_encoded_matches_published_opcodes() {
     let frame = encode_pickle([NamedValue { name: "a.b".to_owned(), value: 1.5 }].into_iter(), 7);
@@ -41,17 +61,23 @@
     fn points_encoded_decode_to_same_values(
         values in prop::collection::vec((0u64..1 << 50, "[a-z]{1,8}"), 1..40), second in 0u64..1 << 32,
     ) {
-        let points: Vec<Point> =
-            values.iter().map(|(n, d)| Point::new(SeriesSubject::Destination(d.clone()), "taken", PointValue::Counter(*n))).collect();
-        let wanted: Vec<_> =
-            points.iter().map(|p| (name(&source(), p, false), p.value.as_f64(), second)).collect();
+        let mut points = Vec::new();
+        let mut wanted = Vec::new();
+        for (count, destination) in values {
+            let subject = SeriesSubject::Destination(destination);
+            let point = Point::new(subject, "taken", PointValue::Counter(count));
+            wanted.push((name(&source(), &point, false), count as f64, second));
+            points.push(point);
+        }
         let lines = encode(&source(), &points, second, Form::Plaintext, false);
         let lines: Vec<u8> = lines.into_iter().flat_map(|chunk| chunk.bytes).collect();
         let text = String::from_utf8(lines).expect("text");
-        let read: Vec<_> = text.lines().filter_map(read_line).map(|(n, v, t)| (n.to_owned(), v, t)).collect();
+        let read: Vec<_> = text.lines().filter_map(read_line)
+            .map(|(name, value, time)| (name.to_owned(), value, time)).collect();
         prop_assert_eq!(&read, &wanted);
         let frames = encode(&source(), &points, second, Form::Pickle, false);
-        let read: Vec<_> = frames.iter().flat_map(|f| read_pickle(&f.bytes[4..]).expect("a list")).collect();
+        let read: Vec<_> = frames.iter()
+            .flat_map(|frame| read_pickle(&frame.bytes[4..]).expect("a list")).collect();
         prop_assert_eq!(&read, &wanted);
     }
 
--- a/crates/telemetry/src/host.rs
+++ b/crates/telemetry/src/host.rs
@@ -9,11 +9,12 @@
 
 use crate::collectd::{self, ItemHeader, MetricValue, PacketError, PacketItem, Severity};
 use crate::settings::Listen;
+use crate::time::as_seconds;
 use crate::LogEvent;
 use linnetcart::Time;
 use std::collections::BTreeMap;
 
-/// Series remembered at most; beyond it new ones are passed over.
+/// Series remembered at most; values of others are passed over and counted.
 const MAX_SERIES: usize = 4096;
 /// Host names shown at most.
 const MAX_HOSTS: usize = 16;
@@ -21,7 +22,6 @@
 const MAX_NOTIFICATION_CHARACTERS: usize = 200;
 /// collectd's units of time in a second.
 const UNITS_PER_SECOND: f64 = (1u64 << 30) as f64;
-const NANOS_PER_SECOND: f64 = 1e9;
 
 /// The host's collectd notified of a fault.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -72,8 +72,8 @@
         self.settings = settings;
     }
 
-    /// A packet came, at these readings of the monotonic and the wall clock. What is worth a line in the log, if
-    /// anything.
+    /// A packet came, at these readings of the monotonic and the wall clock. Returns what is worth a line in the
+    /// log, if anything.
     pub fn packet_received(&mut self, packet: &[u8], now: Time, wall: Time) -> Option<LogEvent> {
         match collectd::read(packet, &self.settings.users, self.settings.require) {
             Ok(items) => {
@@ -85,10 +85,10 @@
         }
     }
 
-    /// The host's figures of now.
+    /// The host's metrics of now.
     pub fn status(&self, now: Time) -> HostStatus {
         let age = self.last_accepted.map(|accepted| now.saturating_sub(accepted));
-        HostStatus { age_s: age.map(|age| age as f64 / NANOS_PER_SECOND), ..self.status.clone() }
+        HostStatus { age_s: age.map(as_seconds), ..self.status.clone() }
     }
 
     /// Packets rejected so far.
--- a/crates/telemetry/src/host/status.rs
+++ b/crates/telemetry/src/host/status.rs
@@ -1,4 +1,4 @@
-//! The host's figures, for the status page and the log.
+//! The host's metrics, for the status page and the log.
 
 use serde::Serialize;
 use std::collections::BTreeMap;
--- a/crates/telemetry/src/host/tests.rs
+++ b/crates/telemetry/src/host/tests.rs
@@ -44,7 +44,7 @@
 #[test]
 fn invalid_packets_are_counted_and_series_are_limited() {
     let mut monitor = monitor();
-    assert!(monitor.packet_received(b"\x00\x00\x00\x00", 0, 0).is_some(), "the first is told");
+    assert!(monitor.packet_received(b"\x00\x00\x00\x00", 0, 0).is_some(), "the first is logged");
     for _ in 0..100 {
         assert!(monitor.packet_received(b"\x00\x00\x00\x00", 0, 0).is_none(), "and no flood follows");
     }
--- a/crates/telemetry/src/host_listener.rs
+++ b/crates/telemetry/src/host_listener.rs
@@ -2,13 +2,14 @@
 
 use crate::host::{HostMonitor, HostStatus};
 use crate::settings::Listen;
-use crate::{LogEvent, Output, SECOND};
+use crate::time::SECOND;
+use crate::{LogEvent, Output};
 use linnetcart::Time;
 
 /// The host's metrics go to the log this often.
 const SUMMARY_INTERVAL: Time = 60 * SECOND;
 
-/// Takes the host's packets in, and says now and then how it fares.
+/// Receives the host's packets, and logs its metrics at intervals.
 #[derive(Debug)]
 pub(crate) struct HostListener {
     monitor: Option<HostMonitor>,
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -20,6 +20,7 @@
 mod classes;
 mod counter_sync;
 mod counters;
+mod destination_names;
 mod host_listener;
 mod interface;
 mod latency;
@@ -33,10 +34,8 @@
 mod schedule;
 mod selection;
 mod telemetry;
+mod time;
 
 pub use interface::{CourierInfo, CurrentState, ListedEndpoint, Output, RestoredState, Status, SyncError};
 pub use log_event::LogEvent;
 pub use telemetry::Telemetry;
-
-/// Nanoseconds of a second.
-const SECOND: linnetcart::Time = 1_000_000_000;
--- a/crates/telemetry/src/limits.rs
+++ b/crates/telemetry/src/limits.rs
@@ -110,17 +110,15 @@
         endpoint: u32,
         state: LimitState,
     ) -> Option<StateChange> {
-        let listed_endpoints = self.listed.get(&destination).map_or(0, Vec::len);
-        let (owner, limit, endpoints) = if self.is_route(endpoint) {
-            (LimitOwner::Route(endpoint), self.routes.entry(endpoint).or_default(), 1)
-        } else if listed_endpoints > 0 {
-            let limit = self.destinations.entry(destination).or_default();
-            (LimitOwner::Destination, limit, listed_endpoints)
-        } else {
-            return None;
-        };
+        if self.is_route(endpoint) {
+            let limit = self.routes.entry(endpoint).or_default();
+            let state = limit.change_state(endpoint, 1, state)?;
+            return Some(StateChange { owner: LimitOwner::Route(endpoint), state });
+        }
+        let endpoints = self.listed.get(&destination)?.len();
+        let limit = self.destinations.entry(destination).or_default();
         let state = limit.change_state(endpoint, endpoints, state)?;
-        Some(StateChange { owner, state })
+        Some(StateChange { owner: LimitOwner::Destination, state })
     }
 }
 
--- a/crates/telemetry/src/log_event.rs
+++ b/crates/telemetry/src/log_event.rs
@@ -30,7 +30,7 @@
     },
     /// The host's collectd notified of faults.
     HostNotifications(Vec<HostNotification>),
-    /// The host's figures of now.
+    /// The host's metrics of now.
     HostMetrics(HostStatus),
 }
 
--- a/crates/telemetry/src/points.rs
+++ b/crates/telemetry/src/points.rs
@@ -127,7 +127,7 @@
     }
 }
 
-/// Figures of now are always shown; counts may come later.
+/// Gauges are always shown; counts may come with a later report.
 fn is_postponable(item: ReportItem) -> bool {
     matches!(item, ReportItem::DestinationTotal(_) | ReportItem::Cell(_))
 }
--- a/crates/telemetry/src/recording.rs
+++ b/crates/telemetry/src/recording.rs
@@ -2,14 +2,13 @@
 
 use crate::classes::ClassTable;
 use crate::counters::{Counters, RestoredCounts};
-use crate::counts::{mark, CounterKey, CounterLogEntry, Field, Saved};
+use crate::counts::{CounterKey, Field, Saved};
+use crate::destination_names::DestinationNames;
 use crate::limits::LimitTable;
-use crate::names::{AssignedName, SeriesNames};
 use crate::notifications::{NotificationQueue, StateNotification};
 use crate::{CourierInfo, Output};
 use linnetcart::{AttemptOutcome, LimitChange, LimitState, Time};
 use linnetcart_delivery_events::{DeliveryEvent, FinalAnswer, LoadReport};
-use std::collections::BTreeMap;
 
 /// All that delivery events change. Counts are kept for good, everything else is of now.
 #[derive(Debug)]
@@ -21,30 +20,6 @@
     pub(crate) names: DestinationNames,
 }
 
-/// Names of destinations in series: those of the settings, where they are free.
-#[derive(Debug)]
-pub(crate) struct DestinationNames {
-    assigned: SeriesNames,
-    configured: BTreeMap<u32, String>,
-}
-
-impl DestinationNames {
-    /// The names that the settings have from now on.
-    pub(crate) fn configure(&mut self, names: &BTreeMap<u32, String>) {
-        self.configured.clone_from(names);
-    }
-
-    /// A destination's name; logged when it is newly assigned.
-    pub(crate) fn name(&mut self, destination: u32, outputs: &mut Vec<Output>) -> String {
-        let wanted = self.configured.get(&destination).map(String::as_str);
-        let AssignedName { name, newly_assigned } = self.assigned.assign(wanted, destination);
-        if newly_assigned {
-            outputs.push(Output::Append(mark(&CounterLogEntry::Name(name.clone(), destination))));
-        }
-        name
-    }
-}
-
 /// What an attempt counts for.
 #[derive(Clone, Copy, Debug)]
 struct AttemptKey {
@@ -61,13 +36,13 @@
             classes,
             limits: LimitTable::default(),
             notifications: NotificationQueue::default(),
-            names: DestinationNames { assigned: restored.names, configured: BTreeMap::new() },
+            names: DestinationNames::new(restored.names),
         }
     }
 
     /// All counts and names, to be saved with the last timestamp.
     pub(crate) fn saved(&self, last_timestamp_s: u64) -> Saved {
-        self.counters.store().saved(self.names.assigned.owners(), last_timestamp_s)
+        self.counters.store().saved(self.names.owners(), last_timestamp_s)
     }
 
     pub(crate) fn record(&mut self, event: &DeliveryEvent, outputs: &mut Vec<Output>) {
@@ -133,13 +108,13 @@
     fn served(&mut self, class: u8, key: CounterKey, elapsed: Time) {
         let full_weight = self.classes.weight_milli(class);
         let weight = self.classes.weight_milli_after(class, elapsed);
-        let (messages, weights) = if self.classes.is_within_objective(class, elapsed) {
-            (Field::WithinObjective, Field::WeightWithinObjective)
+        if self.classes.is_within_objective(class, elapsed) {
+            self.counters.add(key, Field::WithinObjective, 1);
+            self.counters.add(key, Field::WeightWithinObjective, weight);
         } else {
-            (Field::Late, Field::WeightLate)
-        };
-        self.counters.add(key, messages, 1);
-        self.counters.add(key, weights, weight);
+            self.counters.add(key, Field::Late, 1);
+            self.counters.add(key, Field::WeightLate, weight);
+        }
         self.counters.add(key, Field::WeightLost, full_weight - weight);
         self.classes.record_latency(class, elapsed);
     }
--- a/crates/telemetry/src/report.rs
+++ b/crates/telemetry/src/report.rs
@@ -13,7 +13,7 @@
 /// What a report still has to show.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ReportItem {
-    /// The courier's counts and its figures of now.
+    /// The courier's counts and gauges.
     Courier,
     /// A class's counts and latencies.
     Class(usize),
--- a/crates/telemetry/src/schedule.rs
+++ b/crates/telemetry/src/schedule.rs
@@ -1,6 +1,6 @@
 //! When reports begin and when their slices are made and sent.
 
-use crate::SECOND;
+use crate::time::{as_seconds, SECOND};
 use linnetcart::Time;
 
 #[cfg(test)]
@@ -8,7 +8,6 @@
 
 /// Between two slices, so that a socket's buffer can take them and no message waits for long.
 const SLICE_INTERVAL: Time = SECOND / 1000;
-const NANOS_PER_SECOND: f64 = 1e9;
 
 /// The times of reports and slices.
 #[derive(Debug)]
@@ -60,7 +59,7 @@
         let elapsed = (now - self.last_report).max(1);
         self.last_report = now;
         self.next_slice = now;
-        elapsed as f64 / NANOS_PER_SECOND
+        as_seconds(elapsed)
     }
 
     /// Whether a slice is due. If so, the next one is due a little later.
--- a/crates/telemetry/src/telemetry.rs
+++ b/crates/telemetry/src/telemetry.rs
@@ -13,10 +13,9 @@
 use crate::schedule::ReportSchedule;
 use crate::selection::ItemSelection;
 use crate::settings::Telemetry as Settings;
+use crate::time::{as_seconds, SECOND};
 use crate::timestamps::{Timestamp, Timestamps};
-use crate::{
-    CourierInfo, CurrentState, ListedEndpoint, LogEvent, Output, RestoredState, Status, SyncError, SECOND,
-};
+use crate::{CourierInfo, CurrentState, ListedEndpoint, LogEvent, Output, RestoredState, Status, SyncError};
 use linnetcart::Time;
 use linnetcart_delivery_events::DeliveryEvent;
 use rand::{Rng, SeedableRng};
@@ -25,7 +24,6 @@
 
 /// A part of a report is sent without its counts if their log is not on disk after this.
 const SYNC_TIMEOUT: Time = 20 * SECOND;
-const NANOS_PER_SECOND: f64 = 1e9;
 
 /// The reporting of one courier.
 #[derive(Debug)]
@@ -39,7 +37,7 @@
     timestamps: Timestamps,
     receivers: Receivers,
     host: HostListener,
-    /// The figures that the report under way shows.
+    /// The gauges that the report under way shows.
     current: CurrentState,
     reports_begun: ReportsBegun,
     outputs: Vec<Output>,
@@ -245,7 +243,7 @@
             let event = LogEvent::ClockSetBack { timestamps_ahead_s: ahead / SECOND };
             self.outputs.push(Output::Log(event));
         }
-        self.reports_begun.timestamps_ahead_s = ahead as f64 / NANOS_PER_SECOND;
+        self.reports_begun.timestamps_ahead_s = as_seconds(ahead);
         self.reports_begun.count += 1;
         // A restart must not give a timestamp that was used.
         let entry = CounterLogEntry::Stamp(timestamp / SECOND);
--- a/crates/telemetry/src/timestamps.rs
+++ b/crates/telemetry/src/timestamps.rs
@@ -1,11 +1,11 @@
 //! Timestamps of reports: the wall clock's time, but never the same twice and never going back.
 
+use crate::time::SECOND;
 use linnetcart::Time;
 
 #[cfg(test)]
 mod tests;
 
-const SECOND: Time = 1_000_000_000;
 /// A clock set back by more than this is followed at once: the time before was wrong.
 const MAX_TIME_AHEAD: Time = 24 * 3600 * SECOND;
 
