--- a/crates/telemetry/src/log_event.rs
+++ b/crates/telemetry/src/log_event.rs
@@ -5,6 +5,9 @@
 use crate::SyncError;
 use std::fmt;
 
+#[cfg(test)]
+mod tests;
+
 /// An event for the log.
 #[derive(Clone, Debug, PartialEq)]
 pub enum LogEvent {
@@ -27,7 +30,7 @@
     },
     /// The host's collectd notified of faults.
     HostNotifications(Vec<HostNotification>),
-    /// The host's figures of now.
+    /// The host's metrics of now.
     HostMetrics(HostStatus),
 }
 
