Scenario: documents, fleet and runner in modules with one job, typed errors and timers

Change: `scenario/` (documents, defaults, validation, speed, built-in list), `fleet/` (draw, traffic, settings, model), `runner/` (transport, timers, clients, couriers, endpoint list, endpoints, faults). Clients, endpoint list and courier processes own their state. `Post` -> `CourierProcess`, `hand` -> `submit`, `Timer` has named fields, `ListedState` instead of strings, `BuiltInScenario`, `ListedDestination`, `OutageSpan` instead of tuples and bare bools; `ScenarioError` (thiserror) instead of `anyhow`, with the same texts; `Transport::start` and `open` return `TransportError`. The directory of the documents is `scenarios/`. Keys of documents and settings are unchanged, and so is the order of iteration, timers and random draws. Tests stand in `tests/scenarios.rs` and `tests/fleet.rs`; assertions are unchanged, the error text is that of `ScenarioError`.

--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -16,7 +16,7 @@
 use linnetcart_conformance::Time;
 use linnetcart_edge::core::PolicyFactory;
 use linnetcart_scenario::fleet::Fleet;
-use linnetcart_scenario::stage::{ScenarioRecords, ScenarioRunner};
+use linnetcart_scenario::runner::{ScenarioRecords, ScenarioRunner};
 use network::{Model, Network, ToStage};
 use trace::Story;
 
--- a/crates/emulator/src/links.rs
+++ b/crates/emulator/src/links.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use linnetcart_conformance::Time;
 use linnetcart_edge::core::{ClientId, UpstreamId};
-use linnetcart_scenario::stage::Token;
+use linnetcart_scenario::runner::Token;
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution, Exp};
 use serde::{Deserialize, Serialize};
--- a/crates/emulator/src/network.rs
+++ b/crates/emulator/src/network.rs
@@ -9,7 +9,7 @@
 use linnetcart_edge::core::{Output, PolicyFactory, StartOptions};
 use linnetcart_kafka::server::Broker;
 use linnetcart_scenario::fleet::Fleet;
-use linnetcart_scenario::stage::{InfrastructureFault, Token, Transport};
+use linnetcart_scenario::runner::{InfrastructureFault, Token, Transport, TransportError};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
@@ -460,7 +460,7 @@
         self.leave(token, false);
     }
 
-    fn start(&mut self, courier: u32, life: u32, _first: bool) -> anyhow::Result<bool> {
+    fn start(&mut self, courier: u32, life: u32, _first: bool) -> Result<bool, TransportError> {
         let start = StartOptions {
             seed: self.fleet.courier_seed(courier, life),
             now: 0,
@@ -508,7 +508,7 @@
         self.at(self.now + CONTROL, Event::Put(courier, life, path, body));
     }
 
-    fn open(&mut self, endpoint: u32) -> anyhow::Result<()> {
+    fn open(&mut self, endpoint: u32) -> Result<(), TransportError> {
         self.open.insert(endpoint);
         Ok(())
     }
--- a/crates/emulator/tests/days.rs
+++ b/crates/emulator/tests/days.rs
@@ -5,8 +5,8 @@
 use linnetcart_emulator::network::Model;
 use linnetcart_emulator::trace::Story;
 use linnetcart_emulator::{play, Options, Run};
-use linnetcart_scenario::day::{Scenario, BUILT_IN};
 use linnetcart_scenario::fleet::{Fleet, Timebase};
+use linnetcart_scenario::scenario::{BuiltInScenario, Scenario, BUILT_IN};
 
 fn fleet(name: &str, couriers: u32, seed: u64) -> Fleet {
     let day = Scenario::find(name).unwrap().with(Some(couriers), 1.0).unwrap();
@@ -39,7 +39,9 @@
 #[test]
 fn every_day_of_trouble_keeps_the_rules() {
     let mut checked = [0; 6];
-    for (name, _) in BUILT_IN.iter().filter(|d| !["bad-day", "month-end"].contains(&d.0)) {
+    for BuiltInScenario { name, .. } in
+        BUILT_IN.iter().filter(|d| !["bad-day", "month-end"].contains(&d.name))
+    {
         let (report, _) = run(&fleet(name, 3, 2));
         kept(&report, name);
         report.rules.iter().zip(&mut checked).for_each(|(f, sum)| *sum += f.checked);
--- a/crates/endpoint-model/src/lib.rs
+++ b/crates/endpoint-model/src/lib.rs
@@ -24,4 +24,4 @@
     SimulatedEndpoint,
 };
 pub use faults::{ClassFault, EndpointFault};
-pub use simulator::{EndpointSimulator, Overload};
+pub use simulator::{EndpointSimulator, OutageSpan, Overload};
--- a/crates/endpoint-model/src/simulator/mod.rs
+++ b/crates/endpoint-model/src/simulator/mod.rs
@@ -24,6 +24,17 @@
     pub destination: u32,
 }
 
+/// When a destination has an outage, and what is seen of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OutageSpan {
+    /// When it begins.
+    pub from: Time,
+    /// When it ends, as far as is known.
+    pub until: Time,
+    /// Connections are refused or not answered.
+    pub refused_connections: bool,
+}
+
 /// The state of an endpoint.
 #[derive(Clone, Copy, Debug)]
 struct EndpointState {
@@ -187,22 +198,21 @@
         }
     }
 
-    /// An outage of a destination begins or ends; afterwards its limits have their recovery ramp. `until` is when it
-    /// ends, as far as is known.
-    pub fn outage(&mut self, destination: u32, now: Time, until: Time, refused_connections: bool) {
+    /// A destination has an outage; afterwards its limits have their recovery ramp.
+    pub fn outage(&mut self, destination: u32, span: OutageSpan) {
         let Some(found) = self.destinations.get(&destination) else { return };
         let kind = &self.kinds[found.kind];
         for (owner, limit) in limits_of(&mut self.limits, destination) {
-            limit.slow_start_from(until);
+            limit.slow_start_from(span.until);
             self.outages.push(Outage {
                 destination,
                 route: owner.route,
-                from: now,
-                until,
+                from: span.from,
+                until: span.until,
                 capacity: limit.capacity(kind),
                 slow_start_ratio: self.recovery.slow_start_ratio,
                 slow_start_duration: self.recovery.slow_start_duration,
-                refused_connections,
+                refused_connections: span.refused_connections,
             });
         }
     }
--- a/crates/endpoint-model/tests/simulator.rs
+++ b/crates/endpoint-model/tests/simulator.rs
@@ -3,7 +3,7 @@
 use linnetcart_conformance::{EndpointVerdict, Idempotency, Time};
 use linnetcart_endpoint_model::{
     CallItem, CallStep, Caller, ClassFault, ClassWork, ConnectOutcome, DestinationKind, EndpointFault,
-    EndpointSimulator, IncomingCall, ItemStatus, LimitKind, RecoveryModel, RetryAfterRange,
+    EndpointSimulator, IncomingCall, ItemStatus, LimitKind, OutageSpan, RecoveryModel, RetryAfterRange,
     SimulatedDestination, SimulatedEndpoint,
 };
 
@@ -119,7 +119,7 @@
 fn limit_in_slow_start_is_overloaded_by_many_calls_and_not_by_few() {
     let run = |every: Time| {
         let mut simulated = simulator(kind(LimitKind::None), 20.0);
-        simulated.outage(1, 0, S, false);
+        simulated.outage(1, OutageSpan { from: 0, until: S, refused_connections: false });
         let mut at = S;
         while at < 11 * S {
             call(&mut simulated, at, 10, at, 0);
--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -1,11 +1,15 @@
-//! Scripted days without their wires.
+//! Scenarios, apart from whoever carries their bytes.
 //!
-//! A [`day`] is a script; a [`fleet`] is drawn from it and a seed; the [`stage`] plays everything of it that is
-//! no courier: clients, destinations, whoever tells the list, and the troubles. It holds no socket and no
-//! clock, so the same text stands around real couriers on sockets and around emulated ones in virtual time.
+//! A [`scenario`] is a document; a [`fleet`] is drawn from it and a seed; the [`runner`] plays everything of it that
+//! is not a courier: clients, endpoints, whoever publishes the endpoint list, and the faults. It holds no socket and
+//! no clock, so the same code stands around real couriers on sockets and around emulated ones in virtual time.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-pub mod day;
+mod error;
 pub mod fleet;
-pub mod stage;
+pub mod runner;
+pub mod scenario;
+mod units;
+
+pub use error::ScenarioError;
--- /dev/null
+++ b/crates/scenario/src/runner/faults/end.rs
@@ -0,0 +1,50 @@
+//! How each kind of fault ends.
+
+use super::super::{ScenarioRunner, Transport};
+use crate::error::ScenarioError;
+use crate::scenario::FaultKind;
+
+impl<T: Transport> ScenarioRunner<'_, T> {
+    pub(in super::super) fn end_fault(&mut self, fault: usize) -> Result<(), ScenarioError> {
+        let spec = self.fault_spec(fault);
+        match spec.what {
+            FaultKind::Errors => self.change_endpoints(fault, |state| state.error_probability = 0.0),
+            FaultKind::AnswersLost => {
+                self.change_endpoints(fault, |state| state.lost_answer_probability = 0.0);
+            }
+            FaultKind::Silent => self.change_endpoints(fault, |state| state.silent = false),
+            FaultKind::Vanish => self.change_endpoints(fault, |state| state.vanished = false),
+            FaultKind::Down => {
+                self.change_endpoints(fault, |state| state.down = false);
+                for endpoint in self.endpoints_of_fault(fault) {
+                    self.reopen_endpoint(endpoint)?;
+                }
+            }
+            FaultKind::Slow => self.change_endpoints(fault, |state| state.slowdown = 0.0),
+            FaultKind::IdleDropped => self.change_endpoints(fault, |state| state.idle_timeout = None),
+            FaultKind::SlowConnect => self.change_endpoints(fault, |state| state.accept_delay = 0),
+            FaultKind::ClassFails => self.change_endpoints(fault, |state| state.class_fault = None),
+            FaultKind::SharedSlow => self.simulator.slow_all(1.0),
+            FaultKind::Throttle => self.throttle_destinations(fault, 1.0),
+            FaultKind::UnevenCouriers => self.clients.favoured_courier = None,
+            FaultKind::Partition | FaultKind::LinksSlow => self.transport.heal(fault),
+            FaultKind::ListLate => {
+                let delay_s = self.endpoint_list.delay_s - spec.size;
+                self.endpoint_list.delay_s = delay_s.max(0.0);
+            }
+            FaultKind::ListOut => self.publish_held_back(),
+            // These end by themselves.
+            FaultKind::Shut
+            | FaultKind::Drains
+            | FaultKind::Pauses
+            | FaultKind::SuddenLoad
+            | FaultKind::HotDestinations
+            | FaultKind::CouriersKilled
+            | FaultKind::CouriersRolled
+            | FaultKind::CouriersStall
+            | FaultKind::LinksCut
+            | FaultKind::DiskDamaged => {}
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/runner/faults/mod.rs
@@ -0,0 +1,81 @@
+//! Faults of a scenario: when they begin, go on in steps, and end.
+
+mod begin;
+mod end;
+mod steps;
+
+use super::{ScenarioRunner, Transport};
+use crate::scenario::FaultSpec;
+use crate::units::seconds;
+use linnetcart_endpoint_model::{EndpointFault, OutageSpan};
+
+/// Above this share of failing calls a fault is an outage, which ends with a recovery ramp.
+const OUTAGE_SHARE: f64 = 0.5;
+
+/// What couriers see of an outage.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum OutageSymptom {
+    /// Calls fail.
+    FailedCalls,
+    /// Connections fail.
+    FailedConnections,
+}
+
+impl<'a, T: Transport> ScenarioRunner<'a, T> {
+    fn fault_spec(&self, fault: usize) -> &'a FaultSpec {
+        &self.fleet.scenario.trouble[fault]
+    }
+
+    /// Destinations that a fault affects, as they were drawn when it began.
+    fn destinations_of(&self, fault: usize) -> Vec<u32> {
+        self.affected_destinations.get(&fault).cloned().unwrap_or_default()
+    }
+
+    /// Endpoints that a fault affects, destination by destination.
+    fn endpoints_of_fault(&self, fault: usize) -> Vec<u32> {
+        let mut endpoints = Vec::new();
+        for destination in self.destinations_of(fault) {
+            endpoints.extend(self.endpoint_list.endpoints_of(destination));
+        }
+        endpoints
+    }
+
+    /// Changes the faults of all endpoints that a fault of the scenario affects.
+    fn change_endpoints(&mut self, fault: usize, change: impl Fn(&mut EndpointFault)) {
+        for endpoint in self.endpoints_of_fault(fault) {
+            if let Some(state) = self.simulator.fault_mut(endpoint) {
+                change(state);
+            }
+        }
+    }
+
+    /// Couriers that a fault affects: neighbours by number, others for each fault and seed.
+    fn couriers_of(&self, fault: usize) -> Vec<u32> {
+        let count = self.couriers.len() as u32;
+        let part = self.fault_spec(fault).part;
+        let affected = ((part * f64::from(count)).round() as u32).clamp(1, count);
+        let first = fault as u32 + self.fleet.seed as u32;
+        (0..affected).map(|courier| (courier + first) % count).collect()
+    }
+
+    /// Limits of the destinations of a fault run at this part of their rate.
+    fn throttle_destinations(&mut self, fault: usize, factor: f64) {
+        for destination in self.destinations_of(fault) {
+            self.simulator.throttle(destination, factor);
+        }
+    }
+
+    /// The destinations of a fault have an outage until it ends, and a recovery ramp afterwards.
+    fn record_outage(&mut self, fault: usize, symptom: OutageSymptom) {
+        let spec = self.fault_spec(fault);
+        let until = seconds(spec.at + spec.lasts).max(self.now);
+        let span = OutageSpan {
+            from: self.now,
+            until,
+            refused_connections: symptom == OutageSymptom::FailedConnections,
+        };
+        for destination in self.destinations_of(fault) {
+            self.simulator.outage(destination, span);
+        }
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/runner/faults/steps.rs
@@ -0,0 +1,91 @@
+//! Faults that come in steps, each of which schedules the next.
+
+use super::super::{InfrastructureFault, ScenarioRunner, Timer, Transport};
+use crate::error::ScenarioError;
+use crate::scenario::{FaultKind, FaultSpec};
+use crate::units::{millis, seconds};
+use linnetcart_conformance::Time;
+
+/// Share of endpoints that are drained at once, at least.
+const MIN_DRAIN_SHARE: f64 = 0.05;
+
+impl<T: Transport> ScenarioRunner<'_, T> {
+    /// The step of this number of a fault; the first comes with its begin.
+    pub(in super::super) fn step_fault(&mut self, fault: usize, step: u32) -> Result<(), ScenarioError> {
+        let spec = self.fault_spec(fault);
+        let is_over = self.now >= seconds(spec.at + spec.lasts);
+        if is_over && step > 0 {
+            return Ok(());
+        }
+        match spec.what {
+            FaultKind::Drains => self.drain_batch(fault, step)?,
+            FaultKind::Pauses => {
+                let paused_until = self.now + millis(spec.size);
+                self.change_endpoints(fault, |state| state.paused_until = paused_until);
+                self.schedule_step(fault, step + 1, seconds(spec.extra));
+            }
+            FaultKind::CouriersStall => self.stall_next_courier(fault, step),
+            FaultKind::LinksCut => {
+                let cut = InfrastructureFault::Cut { couriers: self.couriers_of(fault), share: spec.size };
+                self.transport.fault(fault, cut);
+                self.schedule_step(fault, step + 1, seconds(spec.extra));
+            }
+            FaultKind::CouriersRolled => {
+                let couriers = self.couriers_of(fault);
+                if let Some(&courier) = couriers.get(step as usize) {
+                    self.kill_courier(courier, seconds(spec.size));
+                }
+                self.schedule_step(fault, step + 1, seconds(spec.lasts / couriers.len() as f64));
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    /// Schedules a step, unless steps have no distance.
+    fn schedule_step(&mut self, fault: usize, step: u32, delay: Time) {
+        if delay > 0 {
+            self.schedule_after(delay, Timer::StepFault { fault, step });
+        }
+    }
+
+    /// Drains a batch of the endpoints of a fault, and puts new ones in their place.
+    fn drain_batch(&mut self, fault: usize, step: u32) -> Result<(), ScenarioError> {
+        let spec = self.fault_spec(fault);
+        let share = drain_share(spec);
+        let endpoints = self.endpoints_of_fault(fault);
+        let batch_size = ((endpoints.len() as f64 * share).ceil() as usize).max(1);
+        // The oldest numbers first; replacements have higher ones, so each endpoint is drained once.
+        let first_replacement = self.first_replacement();
+        let drainable =
+            |&endpoint: &u32| endpoint < first_replacement && self.endpoint_list.is_ready(endpoint);
+        let batch: Vec<u32> = endpoints.into_iter().filter(drainable).take(batch_size).collect();
+        let steps = (1.0 / share).ceil();
+        self.schedule_step(fault, step + 1, seconds(spec.lasts / (steps + 1.0)));
+        for endpoint in batch {
+            self.replace_endpoint(endpoint, seconds(spec.extra))?;
+        }
+        Ok(())
+    }
+
+    /// Endpoints with numbers from here on came into being during the run.
+    fn first_replacement(&self) -> u32 {
+        let endpoints = self.fleet.destinations.iter().flat_map(|destination| &destination.endpoints);
+        let last = endpoints.map(|endpoint| endpoint.endpoint).max();
+        last.map_or(u32::MAX, |last| last + 1)
+    }
+
+    /// Couriers are stalled in turn, each at a time of its own within the distance of two stalls.
+    fn stall_next_courier(&mut self, fault: usize, step: u32) {
+        let spec = self.fault_spec(fault);
+        let couriers = self.couriers_of(fault);
+        let distance = seconds(spec.extra) / couriers.len() as u64;
+        self.stall_courier(couriers[step as usize % couriers.len()], spec.size);
+        self.schedule_step(fault, step + 1, distance);
+    }
+}
+
+/// The share of endpoints that is drained at once.
+fn drain_share(spec: &FaultSpec) -> f64 {
+    spec.size.max(MIN_DRAIN_SHARE)
+}
--- /dev/null
+++ b/crates/scenario/src/runner/mod.rs
@@ -0,0 +1,239 @@
+//! Everything of a run that is not a courier: clients, endpoints, whoever publishes the endpoint list, and the
+//! faults.
+//!
+//! Bytes and endings of connections go in, with clock readings; what is to be written, opened, closed and done to
+//! couriers goes to the [`Transport`]. All that crosses it is recorded for the rule checks. The runner never reads a
+//! clock and knows of couriers only what clients, endpoints and the control interface see.
+
+mod clients;
+mod couriers;
+mod endpoint_list;
+mod endpoints;
+mod faults;
+mod timers;
+mod transport;
+
+pub use transport::{InfrastructureFault, Token, Transport, TransportError};
+
+use crate::error::ScenarioError;
+use crate::fleet::Fleet;
+use crate::units::seconds;
+use clients::{ClientConnection, ClientState};
+use couriers::CourierProcess;
+use endpoint_list::EndpointList;
+use endpoints::{EndpointConnection, OpenCall};
+use linnetcart_conformance::{EndpointNotification, Partition, Records, Stall, Time};
+use linnetcart_endpoint_model::{EndpointSimulator, Overload};
+use std::collections::BTreeMap;
+use timers::{Timer, TimerQueue};
+
+/// Bytes of one frame at most, on either side.
+const MAX_FRAME_BYTES: usize = 4 << 20;
+/// How long after the last deadline the run is over at the latest.
+const LAST_ANSWER_GRACE: Time = 1_000_000_000;
+
+/// A connection that ends at the runner.
+enum Connection {
+    /// From a courier to an endpoint.
+    Endpoint(EndpointConnection),
+    /// From a client to a courier.
+    Client(ClientConnection),
+}
+
+/// What a run left behind.
+#[derive(Clone, Debug)]
+pub struct ScenarioRecords {
+    /// For the checks.
+    pub records: Records,
+    /// Limits that were overloaded during their recovery ramp.
+    pub overloads: Vec<Overload>,
+}
+
+/// Everything of a run that is not a courier.
+pub struct ScenarioRunner<'a, T> {
+    fleet: &'a Fleet,
+    /// Whoever carries the bytes and runs the couriers.
+    pub transport: T,
+    now: Time,
+    timers: TimerQueue,
+    simulator: EndpointSimulator,
+    connections: BTreeMap<Token, Connection>,
+    calls: BTreeMap<u64, OpenCall>,
+    endpoint_list: EndpointList,
+    couriers: Vec<CourierProcess>,
+    clients: ClientState,
+    notifications: Vec<EndpointNotification>,
+    stalls: Vec<Stall>,
+    partitions: Vec<Partition>,
+    /// Destinations that each fault affects.
+    affected_destinations: BTreeMap<usize, Vec<u32>>,
+}
+
+impl<'a, T: Transport> ScenarioRunner<'a, T> {
+    /// The endpoints listen, the couriers are started.
+    pub fn new(fleet: &'a Fleet, transport: T) -> Result<ScenarioRunner<'a, T>, ScenarioError> {
+        let mut runner = ScenarioRunner {
+            fleet,
+            transport,
+            now: 0,
+            timers: TimerQueue::default(),
+            simulator: fleet.endpoint_simulator(),
+            connections: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            endpoint_list: EndpointList::new(fleet),
+            couriers: Vec::new(),
+            clients: ClientState::new(fleet.seed),
+            notifications: Vec::new(),
+            stalls: Vec::new(),
+            partitions: Vec::new(),
+            affected_destinations: BTreeMap::new(),
+        };
+        for destination in &fleet.destinations {
+            for &endpoint in &destination.endpoints {
+                runner.open_new_endpoint(destination.destination, endpoint)?;
+            }
+        }
+        for courier in 0..fleet.scenario.couriers {
+            runner.couriers.push(CourierProcess::default());
+            runner.start_courier(courier)?;
+        }
+        Ok(runner)
+    }
+
+    /// Every courier has its settings and the complete endpoint list, and its clients are connected.
+    pub fn ready(&self) -> bool {
+        let is_connected = |token: &Token| match self.connections.get(token) {
+            Some(Connection::Client(connection)) => connection.connected,
+            _ => false,
+        };
+        self.couriers.iter().all(|courier| {
+            courier.is_up_to_date()
+                && !courier.connections.is_empty()
+                && courier.connections.iter().all(is_connected)
+        })
+    }
+
+    /// The run begins: its clock is zero now.
+    pub fn start_traffic(&mut self) {
+        self.now = 0;
+        self.notifications.clear();
+        for (message, planned) in self.fleet.messages.iter().enumerate() {
+            self.submit_at(planned.at, message, 0);
+        }
+        for (fault, spec) in self.fleet.scenario.trouble.iter().enumerate() {
+            self.timers.schedule(seconds(spec.at), Timer::BeginFault { fault });
+            self.timers.schedule(seconds(spec.at + spec.lasts), Timer::EndFault { fault });
+        }
+    }
+
+    /// All messages are submitted and answered, or the time for it is over.
+    pub fn finished(&self) -> bool {
+        let scenario = &self.fleet.scenario;
+        let end = seconds(scenario.seconds);
+        let deadlines = scenario.class.iter().map(|class| seconds(class.deadline_s));
+        let last_deadline = end + deadlines.max().unwrap_or(0);
+        let all_answered = self.clients.is_idle();
+        self.now > end && (all_answered || self.now > last_deadline + LAST_ANSWER_GRACE)
+    }
+
+    /// The clock of the run.
+    pub fn now(&self) -> Time {
+        self.now
+    }
+
+    /// Messages that wait for an answer.
+    pub fn open(&self) -> usize {
+        self.clients.awaiting_answer
+    }
+
+    /// What the run left behind.
+    pub fn into_records(self) -> (ScenarioRecords, T) {
+        let records = Records {
+            submissions: self.clients.submissions,
+            arrivals: self.simulator.arrivals().to_vec(),
+            notifications: self.notifications,
+            stalls: self.stalls,
+            partitions: self.partitions,
+            outages: self.simulator.outages().to_vec(),
+            stray_answers: self.clients.stray_answers,
+            endpoints: self.endpoint_list.destination_of_each_endpoint(),
+            failed_connects: None,
+        };
+        let overloads = self.simulator.overloads().to_vec();
+        (ScenarioRecords { records, overloads }, self.transport)
+    }
+
+    /// Sets the clock.
+    pub fn clock(&mut self, now: Time) {
+        self.now = now;
+    }
+
+    /// When something is due next.
+    pub fn next_wakeup(&self) -> Option<Time> {
+        self.timers.next_at()
+    }
+
+    /// Does what is due.
+    pub fn run_due_timers(&mut self) -> Result<(), ScenarioError> {
+        while let Some(timer) = self.timers.pop_due(self.now) {
+            self.run_timer(timer)?;
+        }
+        Ok(())
+    }
+
+    fn run_timer(&mut self, timer: Timer) -> Result<(), ScenarioError> {
+        match timer {
+            Timer::Submit { message, attempt } => self.submit(message, attempt)?,
+            Timer::FinishCall { call } => self.finish_call(call),
+            Timer::AcceptConnection { token } => self.accept_delayed(token),
+            Timer::BeginFault { fault } => self.begin_fault(fault)?,
+            Timer::StepFault { fault, step } => self.step_fault(fault, step)?,
+            Timer::EndFault { fault } => self.end_fault(fault)?,
+            Timer::PublishChanges { endpoints } => self.publish_changes(endpoints),
+            Timer::CatchUp { courier, incarnation } => self.catch_up(courier, incarnation),
+            Timer::RemoveEndpoint { endpoint } => self.remove_endpoint(endpoint),
+            Timer::RestartCourier { courier } => self.start_courier(courier)?,
+            Timer::ResumeCourier { courier } => self.resume_courier(courier),
+            Timer::LosePatience { submission } => self.lose_patience(submission),
+        }
+        Ok(())
+    }
+
+    fn schedule_after(&mut self, delay: Time, timer: Timer) {
+        self.timers.schedule(self.now + delay, timer);
+    }
+
+    /// A client's connection is there.
+    pub fn connected(&mut self, token: Token) {
+        if let Some(Connection::Client(connection)) = self.connections.get_mut(&token) {
+            connection.connected = true;
+            for request in std::mem::take(&mut connection.backlog) {
+                self.transport.send(token, &request);
+            }
+        }
+    }
+
+    /// Bytes came.
+    pub fn received(&mut self, token: Token, bytes: &[u8]) {
+        match self.connections.get(&token) {
+            Some(Connection::Endpoint(_)) => self.received_at_endpoint(token, bytes),
+            Some(Connection::Client(_)) => self.received_at_client(token, bytes),
+            None => {}
+        }
+    }
+
+    /// A connection has ended, or could not be made.
+    pub fn disconnected(&mut self, token: Token) {
+        match self.connections.remove(&token) {
+            Some(Connection::Endpoint(connection)) => self.release_endpoint(&connection),
+            Some(Connection::Client(connection)) => {
+                let courier = &mut self.couriers[connection.courier as usize];
+                if courier.incarnation == connection.incarnation {
+                    courier.connections.retain(|&other| other != token);
+                }
+                self.orphan_submissions(connection);
+            }
+            None => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/scenario/validation.rs
@@ -0,0 +1,63 @@
+//! Checks of a scenario as a whole; each error says where the wrong value stands and what is expected there.
+
+use super::{Clients, FaultKind, FaultSpec, Kind, Scenario};
+use crate::error::{require, ScenarioError};
+
+/// Longest scenario, in seconds.
+const MAX_SECONDS: f64 = 3600.0;
+/// Couriers have numbers of this many.
+const MAX_COURIERS: u32 = 510;
+/// Zones have numbers of one byte, and not all of them.
+const MAX_ZONES: usize = 249;
+/// Traffic is less than this multiple of what all limits admit.
+const LOAD_BOUND: f64 = 20.0;
+/// Clocks differ by at most so many milliseconds.
+const MAX_CLOCKS_MS: f64 = 60_000.0;
+
+impl Scenario {
+    /// Checks a scenario as a whole.
+    pub fn check(&self) -> Result<(), ScenarioError> {
+        let seconds = self.seconds > 0.0 && self.seconds <= MAX_SECONDS;
+        require(seconds, "seconds", "more than 0 and at most 3600")?;
+        require((1..=MAX_COURIERS).contains(&self.couriers), "couriers", "1 to 510")?;
+        require((1..=MAX_ZONES).contains(&self.zones.len()), "zones", "1 to 249")?;
+        require(!self.class.is_empty(), "class", "at least one")?;
+        require(!self.kind.is_empty(), "kind", "at least one")?;
+        let load = self.traffic.load > 0.0 && self.traffic.load < LOAD_BOUND;
+        require(load, "traffic.load", "more than 0, under 20")?;
+        check_clients(&self.clients)?;
+        self.kind.iter().try_for_each(check_kind)?;
+        for (number, fault) in self.trouble.iter().enumerate() {
+            self.check_fault(number, fault)?;
+        }
+        Ok(())
+    }
+
+    fn check_fault(&self, number: usize, fault: &FaultSpec) -> Result<(), ScenarioError> {
+        let place = || format!("trouble {number} ({:?})", fault.what);
+        let times = fault.at >= 0.0 && fault.lasts >= 0.0;
+        require(times, place(), "at and for must not be below 0")?;
+        require((0.0..=1.0).contains(&fault.part), place(), "part between 0 and 1")?;
+        let figures = fault.size.is_finite() && fault.size >= 0.0 && fault.extra >= 0.0;
+        require(figures, place(), "size and extra not below 0")?;
+        let class_is_known = fault.what != FaultKind::ClassFails || (fault.extra as usize) < self.class.len();
+        let last_class = self.class.len().saturating_sub(1);
+        require(class_is_known, place(), &format!("extra names a class from 0 to {last_class}"))
+    }
+}
+
+fn check_clients(clients: &Clients) -> Result<(), ScenarioError> {
+    require(clients.connections > 0, "clients.connections", "at least 1")?;
+    let clocks = (0.0..=MAX_CLOCKS_MS).contains(&clients.clocks_ms);
+    require(clocks, "clients.clocks_ms", "0 to 60000")?;
+    require(clients.patience_s >= 0.0, "clients.patience_s", "not below 0")
+}
+
+fn check_kind(kind: &Kind) -> Result<(), ScenarioError> {
+    let place = || format!("kind {}", kind.name);
+    let [fewest, most] = kind.endpoints;
+    require(fewest >= 1 && fewest <= most, place(), "endpoints [least, most]")?;
+    let [lowest, highest] = kind.rate;
+    require(lowest > 0.0 && lowest <= highest, place(), "rate [least, most] above 0")?;
+    require(kind.per_call >= 1, place(), "per_call at least 1")
+}
--- a/crates/testbed/src/bench.rs
+++ b/crates/testbed/src/bench.rs
@@ -1,7 +1,7 @@
 //! Days of a bench as scripts: its troubles, their times, parts and sizes, on a fleet of this program's own.
 
 use anyhow::{ensure, Context};
-use linnetcart_scenario::day::{FaultKind, FaultSpec, Scenario};
+use linnetcart_scenario::scenario::{FaultKind, FaultSpec, Scenario};
 use serde::Deserialize;
 
 #[derive(Debug, Deserialize)]
--- a/crates/testbed/src/cli.rs
+++ b/crates/testbed/src/cli.rs
@@ -16,8 +16,8 @@
 use linnetcart_conformance::{check, Report};
 use linnetcart_edge::cli::Args as EdgeArgs;
 use linnetcart_emulator::network::Model;
-use linnetcart_scenario::day::{Scenario, BUILT_IN};
 use linnetcart_scenario::fleet::{Fleet, Timebase};
+use linnetcart_scenario::scenario::{BuiltInScenario, Scenario, BUILT_IN};
 use linnetcart_telemetry::settings::Require;
 use serde_json::Value;
 use std::collections::BTreeMap;
@@ -316,7 +316,7 @@
         What::Tail(args) => tail(args),
         What::Replay { files } => replay(&files).map(|()| true),
         What::Days => {
-            for (name, text) in BUILT_IN {
+            for BuiltInScenario { name, text } in BUILT_IN {
                 let about = Scenario::parse(text).map(|d| d.about).unwrap_or_default();
                 println!("{name:<18}{about}");
             }
@@ -488,7 +488,7 @@
         bail!("--seeds: 1 to 1000; --beside: 1 to 16");
     }
     let days = args.days.iter().map(|name| Scenario::find(name)?.with(None, args.speed));
-    let days = days.collect::<anyhow::Result<Vec<Scenario>>>()?;
+    let days = days.collect::<Result<Vec<Scenario>, _>>()?;
     if let Some(day) = days.iter().find(|d| d.couriers > ON_SOCKETS || !d.emulated_only().is_empty()) {
         bail!("sockets of one machine cannot play {}", day.name);
     }
--- a/crates/testbed/src/experiment/measures.rs
+++ b/crates/testbed/src/experiment/measures.rs
@@ -3,7 +3,7 @@
 use hdrhistogram::Histogram;
 use linnetcart_conformance::{worth, Answer, ClientAnswer, Report, Time};
 use linnetcart_scenario::fleet::{Fleet, Timebase};
-use linnetcart_scenario::stage::ScenarioRecords;
+use linnetcart_scenario::runner::ScenarioRecords;
 use std::collections::BTreeMap;
 
 /// A measure.
--- a/crates/testbed/src/experiment/plan.rs
+++ b/crates/testbed/src/experiment/plan.rs
@@ -4,7 +4,7 @@
 use crate::emulated::Recipe;
 use anyhow::{bail, ensure, Context};
 use linnetcart_emulator::network::Model;
-use linnetcart_scenario::day::Scenario;
+use linnetcart_scenario::scenario::Scenario;
 use serde::{Deserialize, Serialize};
 use std::path::Path;
 use toml::Value;
--- a/crates/testbed/src/hunt.rs
+++ b/crates/testbed/src/hunt.rs
@@ -7,7 +7,7 @@
 use crate::{baselines, report};
 use linnetcart_conformance::Report;
 use linnetcart_emulator::network::Model;
-use linnetcart_scenario::day::{FaultKind, FaultSpec, Scenario};
+use linnetcart_scenario::scenario::{FaultKind, FaultSpec, Scenario};
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
--- a/crates/testbed/src/rig.rs
+++ b/crates/testbed/src/rig.rs
@@ -5,9 +5,9 @@
 use anyhow::{bail, Context};
 use linnetcart_conformance::Time;
 use linnetcart_net::{Event, Net, Reserved, Token};
-use linnetcart_scenario::fleet::Fleet;
-pub use linnetcart_scenario::stage::ScenarioRecords;
-use linnetcart_scenario::stage::{ScenarioRunner, Transport};
+use linnetcart_scenario::fleet::{Fleet, ListedDestination};
+pub use linnetcart_scenario::runner::ScenarioRecords;
+use linnetcart_scenario::runner::{ScenarioRunner, Transport, TransportError};
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -81,7 +81,7 @@
         self.net.reset(token);
     }
 
-    fn start(&mut self, n: u32, life: u32, first: bool) -> anyhow::Result<bool> {
+    fn start(&mut self, n: u32, life: u32, first: bool) -> Result<bool, TransportError> {
         let dir = self.options.dir.join(format!("courier-{n}"));
         if first && dir.exists() {
             std::fs::remove_dir_all(&dir).with_context(|| dir.display().to_string())?;
@@ -130,7 +130,7 @@
         self.asked.insert(token, Asked { courier, life, got: Vec::new() });
     }
 
-    fn open(&mut self, endpoint: u32) -> anyhow::Result<()> {
+    fn open(&mut self, endpoint: u32) -> Result<(), TransportError> {
         if let std::collections::btree_map::Entry::Vacant(new) = self.endpoints.entry(endpoint) {
             new.insert(Listens { listener: None, port: Reserved::new(LOOPBACK)? });
         }
@@ -197,7 +197,7 @@
 
 impl<'a> Rig<'a> {
     fn new(fleet: &'a Fleet, options: &'a Options) -> anyhow::Result<Rig<'a>> {
-        let name = |(n, (kind, _)): (u32, (String, f64))| (n.to_string(), format!("{kind}-{n}"));
+        let name = |(n, listed): (u32, ListedDestination)| (n.to_string(), format!("{}-{n}", listed.kind));
         let wires = Sockets {
             fleet,
             options,
@@ -258,7 +258,8 @@
             Some(Asked { courier, life, got }) => {
                 let text = String::from_utf8_lossy(&got);
                 let good = text.starts_with("HTTP/1.1 200");
-                self.stage.put_done(courier, life, if good { Ok(()) } else { Err(text.into_owned()) })
+                let outcome = if good { Ok(()) } else { Err(text.into_owned()) };
+                Ok(self.stage.put_done(courier, life, outcome)?)
             }
             None => {
                 self.stage.disconnected(token);
@@ -276,7 +277,7 @@
         for event in events.drain(..) {
             self.event(event)?;
         }
-        self.stage.run_due_timers()
+        Ok(self.stage.run_due_timers()?)
     }
 
     fn run(&mut self, length: f64) -> anyhow::Result<()> {
--- a/crates/testbed/tests/emulated.rs
+++ b/crates/testbed/tests/emulated.rs
@@ -1,6 +1,6 @@
 //! Experiments, hunts and runs in virtual time, as the command line has them.
 
-use linnetcart_scenario::day::Scenario;
+use linnetcart_scenario::scenario::Scenario;
 use linnetcart_testbed::emulated::{trace, Recipe};
 use linnetcart_testbed::experiment::{self, plan::Plan};
 use linnetcart_testbed::hunt::{script, Hunt, Want};
--- a/crates/testbed/tests/rules.rs
+++ b/crates/testbed/tests/rules.rs
@@ -2,8 +2,8 @@
 //! for clients and destinations, and the checks fed by what went over the sockets.
 
 use linnetcart_conformance::{check, Report};
-use linnetcart_scenario::day::Scenario;
 use linnetcart_scenario::fleet::{Fleet, Timebase};
+use linnetcart_scenario::scenario::Scenario;
 use linnetcart_testbed::rig::{play, Options};
 use std::path::PathBuf;
 use std::sync::Mutex;
