--- a/crates/scenario/src/fleet/mod.rs
+++ b/crates/scenario/src/fleet/mod.rs
@@ -100,7 +100,7 @@
     }
 
     /// Destinations that together get about this share of the traffic, drawn by `salt`.
-    pub fn struck(&self, part: f64, salt: u64) -> Vec<u32> {
+    pub fn affected_destinations(&self, part: f64, salt: u64) -> Vec<u32> {
         let mut rng = ChaCha8Rng::seed_from_u64(self.seed ^ salt.wrapping_mul(SALT_FACTOR));
         let mut order: Vec<usize> = (0..self.destinations.len()).collect();
         order.shuffle(&mut rng);
--- a/crates/scenario/src/runner/faults/begin.rs
+++ b/crates/scenario/src/runner/faults/begin.rs
@@ -36,7 +36,7 @@
     pub(in super::super) fn begin_fault(&mut self, fault: usize) -> Result<(), ScenarioError> {
         let spec = self.fault_spec(fault);
         let size = size_of(spec);
-        let affected = self.fleet.struck(spec.part, fault as u64 + 1);
+        let affected = self.fleet.affected_destinations(spec.part, fault as u64 + 1);
         self.affected_destinations.insert(fault, affected);
         match spec.what {
             FaultKind::Errors => {
