Endpoint model tests: one fault or bound a test

Cause: two tests held several unrelated conditions. Change: each fault and bound has its test; the assertions are kept, on a fresh simulator each.

--- a/crates/endpoint-model/tests/simulator.rs
+++ b/crates/endpoint-model/tests/simulator.rs
@@ -94,11 +94,15 @@
 }
 
 #[test]
-fn full_queue_rejects_calls_and_load_is_reported() {
+fn full_queue_rejects_further_calls() {
     let mut simulated = simulator(kind(LimitKind::None), 10.0);
     let steps: Vec<CallStep> = (0..30).map(|n| call(&mut simulated, S, 10, n, 0)).collect();
     // Capacity 20 a second, half a second deep: the eleventh still fits, the twelfth not.
     assert_eq!(steps.iter().filter(|s| rejected(s).is_none()).count(), 11);
+}
+
+#[test]
+fn answer_reports_the_load_of_its_limit() {
     let mut simulated = simulator(kind(LimitKind::Rate), 10.0);
     let CallStep::Answer(reply) = call(&mut simulated, S, 10, 1, 0) else { panic!("not answered") };
     let load = reply.load.unwrap();
@@ -132,47 +136,68 @@
     assert_eq!(run(30 * MS), 1);
 }
 
-#[test]
-fn endpoint_faults_differ_in_what_is_answered_and_what_took_effect() {
+/// A simulator whose endpoint 10 has this fault.
+fn with_fault(fault: EndpointFault) -> EndpointSimulator {
     let mut simulated = simulator(kind(LimitKind::None), 100.0);
-    simulated.fault_mut(10).unwrap().silent = true;
+    *simulated.fault_mut(10).unwrap() = fault;
+    simulated
+}
+
+#[test]
+fn silent_endpoint_neither_answers_nor_executes() {
+    let mut simulated = with_fault(EndpointFault { silent: true, ..EndpointFault::default() });
     assert_eq!(call(&mut simulated, S, 10, 1, 0), CallStep::Silent);
     assert!(!simulated.arrivals()[0].effect);
-    *simulated.fault_mut(10).unwrap() =
-        EndpointFault { lost_answer_probability: 1.0, ..EndpointFault::default() };
+}
+
+#[test]
+fn call_with_lost_answer_is_executed_and_not_answered() {
+    let fault = EndpointFault { lost_answer_probability: 1.0, ..EndpointFault::default() };
+    let mut simulated = with_fault(fault);
     assert_eq!(call(&mut simulated, S, 10, 2, 0), CallStep::Silent);
-    assert!(simulated.arrivals()[1].effect, "carried out, not answered");
+    assert!(simulated.arrivals()[0].effect, "carried out, not answered");
+}
+
+#[test]
+fn class_fault_fails_messages_of_its_class_only() {
     let class_fault = ClassFault { class: 1, probability: 1.0, unanswered: false };
-    *simulated.fault_mut(10).unwrap() =
-        EndpointFault { class_fault: Some(class_fault), ..EndpointFault::default() };
-    assert!(
-        matches!(call(&mut simulated, S, 10, 3, 1), CallStep::Answer(r) if r.statuses == [ItemStatus::Error])
-    );
-    assert!(
-        matches!(call(&mut simulated, S, 10, 4, 0), CallStep::Answer(r) if r.statuses == [ItemStatus::Served])
-    );
-    simulated.fault_mut(10).unwrap().down = true;
+    let fault = EndpointFault { class_fault: Some(class_fault), ..EndpointFault::default() };
+    let mut simulated = with_fault(fault);
+    let statuses = |step| match step {
+        CallStep::Answer(reply) => reply.statuses,
+        other => panic!("not answered: {other:?}"),
+    };
+    assert_eq!(statuses(call(&mut simulated, S, 10, 3, 1)), [ItemStatus::Error]);
+    assert_eq!(statuses(call(&mut simulated, S, 10, 4, 0)), [ItemStatus::Served]);
+}
+
+#[test]
+fn endpoint_that_is_down_breaks_connections_and_does_not_listen() {
+    let mut simulated = with_fault(EndpointFault { down: true, ..EndpointFault::default() });
     assert_eq!(call(&mut simulated, S, 10, 5, 0), CallStep::Break);
     assert!(!simulated.listens(10));
 }
 
 #[test]
-fn connections_are_capped_and_same_seed_repeats_the_run() {
+fn connections_above_the_cap_are_refused() {
     let mut simulated = simulator(kind(LimitKind::None), 100.0);
     assert_eq!(simulated.connect(10), ConnectOutcome::Accepted { after: 0 });
     assert_eq!(simulated.connect(10), ConnectOutcome::Accepted { after: 0 });
     assert_eq!(simulated.connect(10), ConnectOutcome::Refused);
     simulated.disconnect(10);
     assert_eq!(simulated.connect(10), ConnectOutcome::Accepted { after: 0 });
-    let day = || {
+}
+
+#[test]
+fn same_seed_repeats_the_run() {
+    let run = || {
         let mut simulated = simulator(kind(LimitKind::Rate), 10.0);
-        (0..200u64)
-            .map(|n| {
-                let items = [CallItem { message: n, class: 0 }];
-                let incoming = IncomingCall { caller: CALLER, travelled: 0, endpoint: 10, items: &items };
-                simulated.receive_call(S + n * 20 * MS, incoming).step
-            })
-            .collect::<Vec<_>>()
+        let receive = |n: u64| {
+            let items = [CallItem { message: n, class: 0 }];
+            let incoming = IncomingCall { caller: CALLER, travelled: 0, endpoint: 10, items: &items };
+            simulated.receive_call(S + n * 20 * MS, incoming).step
+        };
+        (0..200).map(receive).collect::<Vec<_>>()
     };
-    assert_eq!(day(), day());
+    assert_eq!(run(), run());
 }
