--- a/crates/testbed/src/baselines.rs
+++ b/crates/testbed/src/baselines.rs
@@ -1,200 +1,279 @@
-//! Policies to compare with: what a courier without the decision library would do. They are no part of the
-//! product.
+//! Policies to compare with: what a courier without the decision library would do. They are no part of the product.
 
-use linnetcart::{Action, AttemptOutcome, EndpointStatus, Event, Idempotency, Settings, Time};
+use linnetcart::{
+    AcceptedMessage, Action, AttemptOutcome, AttemptResult, Endpoint, EndpointStatus, Event, Idempotency,
+    Settings, Time,
+};
 use linnetcart_edge::core::{library, DecisionPolicy, PolicyFactory};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Names of the policies, the library's first.
 pub const NAMES: [&str; 3] = ["library", "one-try", "round-robin"];
 
+/// The pause before the first retry; it doubles with each attempt.
+const INITIAL_BACKOFF: Time = 100_000_000;
+const MAX_BACKOFF_DOUBLINGS: u32 = 6;
+/// Messages are given up so many ticks before their deadline.
+const GIVE_UP_TICKS: Time = 2;
+/// The ordering key of messages that need no order.
+const NO_ORDERING_KEY: u64 = 0;
+
 /// The policy of this name.
 pub fn policy(name: &str) -> Option<PolicyFactory> {
-    Some(match name {
-        "library" => library,
-        "one-try" => |set, _| Box::new(Plain::new(set, false)),
-        "round-robin" => |set, _| Box::new(Plain::new(set, true)),
-        _ => return None,
-    })
+    match name {
+        "library" => Some(library),
+        "one-try" => Some(|settings, _| Box::new(RoundRobin::new(settings, Retries::Never))),
+        "round-robin" => Some(|settings, _| Box::new(RoundRobin::new(settings, Retries::AsClassAllows))),
+        _ => None,
+    }
 }
 
-/// First distance of two tries; it doubles with each.
-const BACKOFF: Time = 100_000_000;
+/// Whether a message is sent again after a failed attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Retries {
+    Never,
+    AsClassAllows,
+}
 
 #[derive(Debug)]
-struct Msg {
+struct Message {
     destination: u32,
     class: usize,
-    due: Time,
+    deadline: Time,
     attempts: u32,
-    /// Since when it may have run.
-    ran: Option<Time>,
-    live: bool,
+    /// When it was first possibly executed.
+    possibly_executed_since: Option<Time>,
+    is_in_flight: bool,
     not_before: Time,
-    key: u64,
+    ordering_key: u64,
+    /// Its place in the queue, which it keeps.
+    place: u64,
+}
+
+#[derive(Debug)]
+struct KnownEndpoint {
+    destination: u32,
+    status: EndpointStatus,
 }
 
-/// Sends each message round robin over the endpoints of its destination, first come first served, one attempt
-/// at a time; with `again`, further tries as its class allows.
+/// Sends each message round robin over the endpoints of its destination, first come first served, one attempt at a
+/// time.
 #[derive(Debug)]
-struct Plain {
-    set: Settings,
-    again: bool,
-    endpoints: BTreeMap<u32, (u32, EndpointStatus)>,
-    turn: BTreeMap<u32, usize>,
-    msgs: BTreeMap<u32, Msg>,
+struct RoundRobin {
+    settings: Settings,
+    retries: Retries,
+    endpoints: BTreeMap<u32, KnownEndpoint>,
+    /// Attempts of each destination so far.
+    turns: BTreeMap<u32, usize>,
+    messages: BTreeMap<u32, Message>,
+    /// Messages that wait to be sent, by place.
     queue: BTreeSet<(u64, u32)>,
-    places: BTreeMap<u32, u64>,
-    busy: BTreeMap<u64, u32>,
-    seq: u64,
-    out: u32,
+    /// The message of each ordering key that others of the key wait for.
+    key_holders: BTreeMap<u64, u32>,
+    last_place: u64,
+    calls_in_flight: u32,
 }
 
-impl Plain {
-    fn new(set: Settings, again: bool) -> Self {
-        Plain {
-            set,
-            again,
+impl RoundRobin {
+    fn new(settings: Settings, retries: Retries) -> RoundRobin {
+        RoundRobin {
+            settings,
+            retries,
             endpoints: BTreeMap::new(),
-            turn: BTreeMap::new(),
-            msgs: BTreeMap::new(),
+            turns: BTreeMap::new(),
+            messages: BTreeMap::new(),
             queue: BTreeSet::new(),
-            places: BTreeMap::new(),
-            busy: BTreeMap::new(),
-            seq: 0,
-            out: 0,
+            key_holders: BTreeMap::new(),
+            last_place: 0,
+            calls_in_flight: 0,
         }
     }
 
-    fn forget(&mut self, id: u32) {
-        if let Some(m) = self.msgs.remove(&id) {
-            if self.busy.get(&m.key) == Some(&id) {
-                self.busy.remove(&m.key);
+    fn apply(&mut self, event: Event, now: Time, actions: &mut Vec<Action>) {
+        match event {
+            Event::EndpointList { complete, entries } => {
+                if complete {
+                    self.remove_all_endpoints();
+                }
+                for entry in entries {
+                    self.update_endpoint(&entry);
+                }
             }
+            Event::Accepted(message) => self.accept(&message, now),
+            Event::ClientCancelled { message } => self.forget(message),
+            Event::AttemptFinished(result) => self.finish_attempt(&result, now, actions),
+            _ => {}
         }
-        if let Some(place) = self.places.remove(&id) {
-            self.queue.remove(&(place, id));
+    }
+
+    fn remove_all_endpoints(&mut self) {
+        for endpoint in self.endpoints.values_mut() {
+            endpoint.status = EndpointStatus::Removed;
         }
     }
 
-    fn give_up(&mut self, id: u32, actions: &mut Vec<Action>) {
-        let Some(m) = self.msgs.get(&id) else { return };
-        let repeat = self.set.classes[m.class].idempotency;
-        let harmless = matches!(repeat, Idempotency::Idempotent | Idempotency::Keyed { per_zone: false, .. });
-        actions.push(match harmless || (m.ran.is_none() && !m.live) {
-            true => Action::Reject { message: id, retry_after: 0 },
-            false => Action::Fail { message: id },
-        });
-        self.forget(id);
+    fn update_endpoint(&mut self, entry: &Endpoint) {
+        let known = KnownEndpoint { destination: entry.destination, status: entry.status };
+        self.endpoints.insert(entry.id, known);
     }
 
-    fn may_again(&self, m: &Msg, now: Time) -> bool {
-        let allowed = match (self.set.classes[m.class].idempotency, m.ran) {
-            (_, None) | (Idempotency::Idempotent, _) => true,
-            (Idempotency::Keyed { dedup_window: window, per_zone: by_zone }, Some(at)) => {
-                !by_zone && now + self.set.connect_timeout + m.not_before.saturating_sub(now) < at + window
-            }
-            (Idempotency::NotIdempotent, Some(_)) => false,
+    fn accept(&mut self, accepted: &AcceptedMessage, now: Time) {
+        self.last_place += 1;
+        let class = usize::from(accepted.class);
+        let is_ordered = self.settings.classes[class].ordered;
+        let message = Message {
+            destination: accepted.destination,
+            class,
+            deadline: now + accepted.time_remaining,
+            attempts: 0,
+            possibly_executed_since: None,
+            is_in_flight: false,
+            not_before: 0,
+            ordering_key: if is_ordered { accepted.ordering_key } else { NO_ORDERING_KEY },
+            place: self.last_place,
         };
-        self.again && allowed && m.attempts < self.set.max_attempts
+        self.queue.insert((message.place, accepted.id));
+        self.messages.insert(accepted.id, message);
     }
 
-    fn ended(&mut self, o: linnetcart::AttemptResult, now: Time, actions: &mut Vec<Action>) {
-        self.out = self.out.saturating_sub(1);
-        let Some(m) = self.msgs.get_mut(&o.message) else { return };
-        m.live = false;
-        let never = o.outcome.not_executed();
-        if !never && m.ran.is_none() {
-            m.ran = Some(now);
+    fn forget(&mut self, id: u32) {
+        let Some(message) = self.messages.remove(&id) else { return };
+        if self.key_holders.get(&message.ordering_key) == Some(&id) {
+            self.key_holders.remove(&message.ordering_key);
         }
-        let wait = if let AttemptOutcome::Rejected { retry_after: wait } = o.outcome { wait } else { 0 };
-        m.not_before = now + (BACKOFF << m.attempts.min(6)).max(wait);
-        let m = &self.msgs[&o.message];
-        if o.completed {
-            self.forget(o.message);
-        } else if self.may_again(m, now) {
-            let place = self.places[&o.message];
-            self.queue.insert((place, o.message));
+        self.queue.remove(&(message.place, id));
+    }
+
+    fn finish_attempt(&mut self, result: &AttemptResult, now: Time, actions: &mut Vec<Action>) {
+        self.calls_in_flight = self.calls_in_flight.saturating_sub(1);
+        let id = result.message;
+        let Some(message) = self.messages.get_mut(&id) else { return };
+        message.is_in_flight = false;
+        if !result.outcome.not_executed() {
+            message.possibly_executed_since.get_or_insert(now);
+        }
+        let retry_after = match result.outcome {
+            AttemptOutcome::Rejected { retry_after } => retry_after,
+            _ => 0,
+        };
+        let backoff = INITIAL_BACKOFF << message.attempts.min(MAX_BACKOFF_DOUBLINGS);
+        message.not_before = now + backoff.max(retry_after);
+        let place = message.place;
+        if result.completed {
+            self.forget(id);
+        } else if self.may_retry(id, now) {
+            self.queue.insert((place, id));
         } else {
-            self.give_up(o.message, actions);
+            self.give_up(id, actions);
         }
     }
-}
 
-impl DecisionPolicy for Plain {
-    fn decide(&mut self, now: Time, events: Vec<Event>) -> Vec<Action> {
-        let mut actions = Vec::new();
-        for event in events {
-            match event {
-                Event::EndpointList { complete: whole, entries } => {
-                    if whole {
-                        self.endpoints.values_mut().for_each(|e| e.1 = EndpointStatus::Removed);
-                    }
-                    for e in entries {
-                        self.endpoints.insert(e.id, (e.destination, e.status));
-                    }
-                }
-                Event::Accepted(t) => {
-                    self.seq += 1;
-                    let class = usize::from(t.class);
-                    let key = if self.set.classes[class].ordered { t.ordering_key } else { 0 };
-                    let due = now + t.time_remaining;
-                    let m = Msg {
-                        destination: t.destination,
-                        class,
-                        due,
-                        attempts: 0,
-                        ran: None,
-                        live: false,
-                        not_before: 0,
-                        key,
-                    };
-                    self.msgs.insert(t.id, m);
-                    self.places.insert(t.id, self.seq);
-                    self.queue.insert((self.seq, t.id));
+    fn may_retry(&self, id: u32, now: Time) -> bool {
+        let Some(message) = self.messages.get(&id) else { return false };
+        let is_safe =
+            match (self.settings.classes[message.class].idempotency, message.possibly_executed_since) {
+                (_, None) | (Idempotency::Idempotent, _) => true,
+                (Idempotency::Keyed { dedup_window, per_zone }, Some(since)) => {
+                    let wait = message.not_before.saturating_sub(now);
+                    let arrives_by = now + self.settings.connect_timeout + wait;
+                    !per_zone && arrives_by < since + dedup_window
                 }
-                Event::ClientCancelled { message } => self.forget(message),
-                Event::AttemptFinished(o) => self.ended(o, now, &mut actions),
-                _ => {}
-            }
+                (Idempotency::NotIdempotent, Some(_)) => false,
+            };
+        self.retries == Retries::AsClassAllows && is_safe && message.attempts < self.settings.max_attempts
+    }
+
+    /// Rejects a message that another courier may send, and fails one that may have been executed.
+    fn give_up(&mut self, id: u32, actions: &mut Vec<Action>) {
+        let Some(message) = self.messages.get(&id) else { return };
+        let idempotency = self.settings.classes[message.class].idempotency;
+        let is_repeatable =
+            matches!(idempotency, Idempotency::Idempotent | Idempotency::Keyed { per_zone: false, .. });
+        let was_never_sent = message.possibly_executed_since.is_none() && !message.is_in_flight;
+        if is_repeatable || was_never_sent {
+            actions.push(Action::Reject { message: id, retry_after: 0 });
+        } else {
+            actions.push(Action::Fail { message: id });
         }
-        let late = |m: &Msg| m.due <= now + 2 * self.set.tick;
-        let late: Vec<u32> = self.msgs.iter().filter(|(_, m)| late(m)).map(|(&id, _)| id).collect();
-        late.into_iter().for_each(|id| self.give_up(id, &mut actions));
+        self.forget(id);
+    }
+
+    fn give_up_expired(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let latest = now + GIVE_UP_TICKS * self.settings.tick;
+        let expired = self.messages.iter().filter(|(_, message)| message.deadline <= latest);
+        let expired: Vec<u32> = expired.map(|(&id, _)| id).collect();
+        for id in expired {
+            self.give_up(id, actions);
+        }
+    }
+
+    fn send_queued(&mut self, now: Time, actions: &mut Vec<Action>) {
         for (place, id) in self.queue.clone() {
-            if self.out >= self.set.max_in_flight_calls {
+            if self.calls_in_flight >= self.settings.max_in_flight_calls {
                 break;
             }
-            let Some(m) = self.msgs.get(&id) else { continue };
-            let key = m.key;
-            if m.not_before > now || (key != 0 && self.busy.get(&key).is_some_and(|&x| x != id)) {
-                continue;
-            }
-            let destination = m.destination;
-            let of =
-                |e: &(&u32, &(u32, EndpointStatus))| e.1 .0 == destination && e.1 .1 == EndpointStatus::Ready;
-            let ready: Vec<u32> = self.endpoints.iter().filter(of).map(|(&id, _)| id).collect();
-            if ready.is_empty() {
+            if !self.may_send(id, now) {
                 continue;
             }
-            let turn = self.turn.entry(destination).or_default();
-            *turn += 1;
-            let endpoint = ready[*turn % ready.len()];
-            if let Some(m) = self.msgs.get_mut(&id) {
-                m.attempts += 1;
-                m.live = true;
-            }
-            if key != 0 {
-                self.busy.insert(key, id);
+            if let Some(endpoint) = self.start_attempt(id) {
+                self.queue.remove(&(place, id));
+                actions.push(Action::Send { message: id, endpoint, until: 0 });
             }
-            self.queue.remove(&(place, id));
-            self.out += 1;
-            actions.push(Action::Send { message: id, endpoint, until: 0 });
         }
-        let dues = self.msgs.values().map(|m| m.due - 2 * self.set.tick);
-        let tries = self.queue.iter().filter_map(|(_, id)| self.msgs.get(id)).map(|m| m.not_before);
-        if let Some(at) = dues.chain(tries.filter(|&t| t > now)).min() {
-            actions.push(Action::WakeUp { at: at.max(now + 1) });
+    }
+
+    fn may_send(&self, id: u32, now: Time) -> bool {
+        let Some(message) = self.messages.get(&id) else { return false };
+        let key = message.ordering_key;
+        let key_is_free =
+            key == NO_ORDERING_KEY || self.key_holders.get(&key).is_none_or(|&holder| holder == id);
+        message.not_before <= now && key_is_free
+    }
+
+    /// Picks the next endpoint of a message's destination; none if none is ready.
+    fn start_attempt(&mut self, id: u32) -> Option<u32> {
+        let message = self.messages.get_mut(&id)?;
+        let is_ready = |endpoint: &KnownEndpoint| {
+            endpoint.destination == message.destination && endpoint.status == EndpointStatus::Ready
+        };
+        let ready = self.endpoints.iter().filter(|(_, endpoint)| is_ready(endpoint));
+        let ready: Vec<u32> = ready.map(|(&id, _)| id).collect();
+        if ready.is_empty() {
+            return None;
+        }
+        let turn = self.turns.entry(message.destination).or_default();
+        *turn += 1;
+        let endpoint = ready[*turn % ready.len()];
+        message.attempts += 1;
+        message.is_in_flight = true;
+        if message.ordering_key != NO_ORDERING_KEY {
+            self.key_holders.insert(message.ordering_key, id);
+        }
+        self.calls_in_flight += 1;
+        Some(endpoint)
+    }
+
+    /// When the policy is to be asked again, if nothing happens before.
+    fn next_wakeup(&self, now: Time) -> Option<Time> {
+        let give_up_before = GIVE_UP_TICKS * self.settings.tick;
+        let give_ups = self.messages.values().map(|message| message.deadline - give_up_before);
+        let queued = self.queue.iter().filter_map(|(_, id)| self.messages.get(id));
+        let retries = queued.map(|message| message.not_before).filter(|&at| at > now);
+        let next = give_ups.chain(retries).min()?;
+        Some(next.max(now + 1))
+    }
+}
+
+impl DecisionPolicy for RoundRobin {
+    fn decide(&mut self, now: Time, events: Vec<Event>) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for event in events {
+            self.apply(event, now, &mut actions);
+        }
+        self.give_up_expired(now, &mut actions);
+        self.send_queued(now, &mut actions);
+        if let Some(at) = self.next_wakeup(now) {
+            actions.push(Action::WakeUp { at });
         }
         actions
     }
--- /dev/null
+++ b/crates/testbed/src/charts/scenario_runs.rs
@@ -0,0 +1,115 @@
+//! Figures of runs, as `day --json` and `emulate --json` write them: a table and a chart for each scenario.
+
+use super::drawing::{drawing_error, ChartLayout, CAPTION_SIZE, COLOURS, SIZE};
+use crate::statistics::{maximum, median, minimum};
+use anyhow::Context;
+use plotters::prelude::*;
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::path::Path;
+
+/// Worth served and cases of broken rules of one policy on one seed.
+#[derive(Clone, Debug, PartialEq)]
+struct Run {
+    seed: u64,
+    served_worth: f64,
+    worst_stretch: f64,
+    rules_broken: u64,
+}
+
+type RunsByPolicy = BTreeMap<String, Vec<Run>>;
+
+/// Runs by scenario and policy.
+#[derive(Debug, Default)]
+pub(super) struct ScenarioRuns {
+    by_scenario: BTreeMap<String, RunsByPolicy>,
+}
+
+impl ScenarioRuns {
+    /// Adds the runs of a document; none if it is no document of runs.
+    pub(super) fn add(&mut self, document: &Value) -> Option<()> {
+        let scenario = document["day"].as_str()?;
+        let seed = document["seed"].as_u64()?;
+        let mut runs = Vec::new();
+        for run in document["runs"].as_array()? {
+            let policy = run["policy"].as_str()?;
+            runs.push((policy, read_run(seed, &run["report"])?));
+        }
+        for (policy, run) in runs {
+            let by_policy = self.by_scenario.entry(scenario.to_owned()).or_default();
+            by_policy.entry(policy.to_owned()).or_default().push(run);
+        }
+        Some(())
+    }
+
+    /// Writes a chart and a table of each scenario.
+    pub(super) fn write(mut self, out: &Path) -> anyhow::Result<()> {
+        for (scenario, by_policy) in &mut self.by_scenario {
+            for runs in by_policy.values_mut() {
+                runs.sort_by_key(|run| run.seed);
+            }
+            draw_chart(scenario, by_policy, &out.join(format!("{scenario}.svg")))?;
+            let path = out.join(format!("{scenario}.md"));
+            std::fs::write(&path, table(by_policy)).with_context(|| path.display().to_string())?;
+        }
+        Ok(())
+    }
+}
+
+fn read_run(seed: u64, report: &Value) -> Option<Run> {
+    let rules = report["rules"].as_array()?;
+    Some(Run {
+        seed,
+        served_worth: report["service"].as_f64()?,
+        worst_stretch: report["worst_stretch"].as_f64()?,
+        rules_broken: rules.iter().filter_map(|rule| rule["broken"].as_u64()).sum(),
+    })
+}
+
+fn table(by_policy: &RunsByPolicy) -> String {
+    let mut text = String::from(
+        "| policy | seeds | served worth: median | least | most | worst 10 s: median | seeds that broke a rule |\n\
+         | --- | --- | --- | --- | --- | --- | --- |\n",
+    );
+    for (policy, runs) in by_policy {
+        let served_worth = || runs.iter().map(|run| run.served_worth);
+        let worst_stretches = runs.iter().map(|run| run.worst_stretch);
+        let _ = writeln!(
+            text,
+            "| {policy} | {} | {:.3} | {:.3} | {:.3} | {:.3} | {} |",
+            runs.len(),
+            median(served_worth().collect()),
+            minimum(served_worth()),
+            maximum(served_worth()),
+            median(worst_stretches.collect()),
+            runs.iter().filter(|run| run.rules_broken > 0).count()
+        );
+    }
+    text
+}
+
+/// Served worth by seed, a mark for each policy.
+fn draw_chart(scenario: &str, by_policy: &RunsByPolicy, path: &Path) -> anyhow::Result<()> {
+    let last_seed = by_policy.values().flatten().map(|run| run.seed).max().unwrap_or(1) as f64;
+    let caption = format!("{scenario}: served worth by seed");
+    let layout = ChartLayout { caption: &caption, caption_size: CAPTION_SIZE, y_label_width: 45 };
+    let area = SVGBackend::new(path, SIZE).into_drawing_area();
+    area.fill(&WHITE).map_err(drawing_error)?;
+    let mut chart =
+        layout.on(&area).build_cartesian_2d(0.0..last_seed + 1.0, 0.0..1.0).map_err(drawing_error)?;
+    chart.configure_mesh().x_desc("seed").y_desc("served worth").draw().map_err(drawing_error)?;
+    for (index, (policy, runs)) in by_policy.iter().enumerate() {
+        let colour = COLOURS[index % COLOURS.len()];
+        let marks =
+            runs.iter().map(|run| Circle::new((run.seed as f64, run.served_worth), 4, colour.filled()));
+        chart
+            .draw_series(marks)
+            .map_err(drawing_error)?
+            .label(policy.as_str())
+            .legend(move |(x, y)| Circle::new((x, y), 4, colour.filled()));
+    }
+    let mut labels = chart.configure_series_labels();
+    labels.border_style(BLACK).background_style(WHITE).draw().map_err(drawing_error)?;
+    area.present().map_err(drawing_error)
+}
--- /dev/null
+++ b/crates/testbed/src/charts/stream.rs
@@ -0,0 +1,142 @@
+//! A recorded stream of reports, as `tail --record` writes it: who is near the limit, where worth arrives late or is
+//! lost, who is ejected.
+
+use super::drawing::{drawing_error, ChartLayout, CAPTION_SIZE, SIZE};
+use anyhow::Context;
+use linnetcart_telemetry::graphite;
+use plotters::prelude::*;
+use std::collections::BTreeMap;
+use std::path::Path;
+
+/// Lines of a chart; of more than these it would show nothing.
+const MAX_LINES: usize = 8;
+const STATE_IN_SERVICE: f64 = 2.0;
+const THOUSANDTHS: f64 = 1000.0;
+
+/// A value at a second of the stream.
+#[derive(Clone, Copy, Debug)]
+struct Point {
+    second: f64,
+    value: f64,
+}
+
+type Lines = BTreeMap<String, Vec<Point>>;
+
+/// Lines of the three charts.
+#[derive(Debug, Default)]
+struct StreamLines {
+    limit_used: Lines,
+    worth: Lines,
+    state: Lines,
+}
+
+impl StreamLines {
+    fn read(text: &str) -> anyhow::Result<StreamLines> {
+        let mut lines = StreamLines::default();
+        let mut first_second = u64::MAX;
+        for (index, line) in text.lines().enumerate() {
+            let point = graphite::read_line(line);
+            let (name, value, second) = point.with_context(|| format!("line {}: no point", index + 1))?;
+            first_second = first_second.min(second);
+            let second = (second - first_second) as f64;
+            lines.add(name, Point { second, value });
+        }
+        Ok(lines)
+    }
+
+    fn add(&mut self, name: &str, point: Point) {
+        let Some((subject, field)) = name.rsplit_once('.') else { return };
+        let destination = destination_of(subject);
+        let class = class_of(subject);
+        match (field, destination, class) {
+            ("limit_used_share" | "limit_own_share", Some(destination), _) => {
+                add_point(&mut self.limit_used, destination.into(), point);
+            }
+            ("worth_late_milli", _, Some(class)) => {
+                add_point(&mut self.worth, format!("{class} late"), in_worth(point));
+            }
+            ("worth_lost_milli", _, Some(class)) => {
+                add_point(&mut self.worth, format!("{class} lost"), in_worth(point));
+            }
+            ("state", Some(destination), _) => add_point(&mut self.state, destination.into(), point),
+            _ => {}
+        }
+    }
+}
+
+/// The destination of a series, if it is of a destination alone.
+fn destination_of(subject: &str) -> Option<&str> {
+    let (_, destination) = subject.rsplit_once(".dest.")?;
+    Some(destination).filter(|destination| !destination.contains('.'))
+}
+
+/// The class of a series, if it is of a class over all destinations.
+fn class_of(subject: &str) -> Option<&str> {
+    let (_, class) = subject.rsplit_once(".class.")?;
+    Some(class).filter(|_| !subject.contains(".dest."))
+}
+
+fn in_worth(point: Point) -> Point {
+    Point { value: point.value / THOUSANDTHS, ..point }
+}
+
+fn add_point(lines: &mut Lines, name: String, point: Point) {
+    lines.entry(name).or_default().push(point);
+}
+
+/// The lines that reach highest.
+fn highest(lines: Lines) -> Lines {
+    let mut ranked: Vec<(String, Vec<Point>)> = lines.into_iter().collect();
+    let peak = |points: &[Point]| points.iter().map(|point| point.value).reduce(f64::max).unwrap_or(0.0);
+    ranked.sort_by(|(_, one), (_, other)| peak(one).total_cmp(&peak(other)));
+    ranked.reverse();
+    ranked.into_iter().take(MAX_LINES).collect()
+}
+
+/// The lines that reach lowest.
+fn lowest(lines: Lines) -> Lines {
+    let mut ranked: Vec<(String, Vec<Point>)> = lines.into_iter().collect();
+    let trough = |points: &[Point]| {
+        points.iter().map(|point| point.value).reduce(f64::min).unwrap_or(STATE_IN_SERVICE)
+    };
+    ranked.sort_by(|(_, one), (_, other)| trough(one).total_cmp(&trough(other)));
+    ranked.into_iter().take(MAX_LINES).collect()
+}
+
+/// Draws three charts, whose names begin with that of the file.
+pub(super) fn draw(text: &str, file: &Path, out: &Path) -> anyhow::Result<()> {
+    let StreamLines { limit_used, worth, state } = StreamLines::read(text)?;
+    let stem = file.file_stem().map_or("stream".into(), |stem| stem.to_string_lossy());
+    let draw_chart = |name: &str, caption: &str, lines: &Lines| {
+        draw_lines(caption, lines, &out.join(format!("{stem}-{name}.svg")))
+    };
+    draw_chart("limits", "share of the limit used", &highest(limit_used))?;
+    draw_chart("worth", "worth late and lost so far", &highest(worth))?;
+    draw_chart("states", "state: 2 in service, 1 warming, 0 out", &lowest(state))
+}
+
+fn draw_lines(caption: &str, lines: &Lines, path: &Path) -> anyhow::Result<()> {
+    let points = || lines.values().flatten();
+    let last_second = points().map(|point| point.second).fold(1.0, f64::max);
+    let highest_value = points().map(|point| point.value).fold(1.0, f64::max);
+    let layout = ChartLayout { caption, caption_size: CAPTION_SIZE, y_label_width: 55 };
+    let area = SVGBackend::new(path, SIZE).into_drawing_area();
+    area.fill(&WHITE).map_err(drawing_error)?;
+    let mut chart = layout
+        .on(&area)
+        .build_cartesian_2d(0.0..last_second, 0.0..highest_value * 1.1)
+        .map_err(drawing_error)?;
+    chart.configure_mesh().x_desc("seconds").draw().map_err(drawing_error)?;
+    for (index, (name, points)) in lines.iter().enumerate() {
+        let colour = Palette99::pick(index).to_rgba();
+        let line = points.iter().map(|point| (point.second, point.value));
+        chart
+            .draw_series(LineSeries::new(line, colour.stroke_width(2)))
+            .map_err(drawing_error)?
+            .label(name.as_str())
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 15, y)], colour));
+    }
+    let mut labels = chart.configure_series_labels();
+    labels.border_style(BLACK).background_style(WHITE).draw().map_err(drawing_error)?;
+    area.present().map_err(drawing_error)
+}
--- /dev/null
+++ b/crates/testbed/src/cli/emulate.rs
@@ -0,0 +1,78 @@
+//! `emulate`: a scenario in virtual time.
+
+use super::common::{print_overloads, print_verdict, write_json, Outcome};
+use crate::emulated_run::{CheckedRun, Recipe};
+use crate::experiment::plan::{apply_factor, parse_setting};
+use crate::run_report;
+use anyhow::Context;
+use linnetcart_emulator::EmulatedRun;
+use linnetcart_scenario::day::Scenario;
+use std::path::PathBuf;
+use std::time::Instant;
+
+#[derive(Debug, clap::Args)]
+pub(super) struct Args {
+    /// A built-in scenario, or a script's file
+    #[arg(value_name = "DAY")]
+    name: String,
+    /// Seed of fleet, traffic, network and decisions
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Run it so many times as fast: spans shrink, rates grow
+    #[arg(long, default_value_t = 1.0)]
+    speed: f64,
+    /// Couriers, if not as many as the scenario says
+    #[arg(long)]
+    couriers: Option<u32>,
+    /// The policy that decides
+    #[arg(long, default_value = "library")]
+    policy: String,
+    /// Set a factor as an experiment's plan does: destinations=10, traffic.load=0.9, trouble=none
+    #[arg(long = "set", value_name = "NAME=LEVEL", value_parser = parse_setting)]
+    settings: Vec<(String, toml::Value)>,
+    /// Write the figures to this file
+    #[arg(long, value_name = "FILE")]
+    json: Option<PathBuf>,
+    /// Write down what the run is drawn from; `trace` and `hunt --shrink` read it
+    #[arg(long, value_name = "FILE")]
+    recipe: Option<PathBuf>,
+}
+
+pub(super) fn run(args: &Args) -> anyhow::Result<Outcome> {
+    let scenario = Scenario::find(&args.name)?.with(args.couriers, 1.0)?;
+    let name = scenario.name.clone();
+    let mut recipe = Recipe::new(scenario, args.seed);
+    recipe.policy = args.policy.clone();
+    for (factor, level) in &args.settings {
+        apply_factor(&mut recipe, factor, level).with_context(|| format!("--set {factor}"))?;
+    }
+    recipe.scenario = recipe.scenario.with(None, args.speed)?;
+    if let Some(file) = &args.recipe {
+        recipe.write(file)?;
+    }
+    let started = Instant::now();
+    let (fleet, run) = recipe.run(None)?;
+    let elapsed = started.elapsed().as_secs_f64();
+    let CheckedRun { fleet, run, report } = CheckedRun::new(fleet, run);
+    println!("{name}, seed {}: {}", args.seed, fleet.about());
+    println!("\n{}", run_report::table(&report));
+    print_overloads(&run.records);
+    print_speed(&run, elapsed);
+    println!("digest {}", run.digest);
+    let rules_kept = report.kept();
+    let reports = [(args.policy.clone(), report)];
+    write_json(args.json.as_deref(), &run_report::json(&name, args.seed, &reports))?;
+    print_verdict(rules_kept);
+    Ok(Outcome::of_check(rules_kept))
+}
+
+fn print_speed(run: &EmulatedRun, elapsed: f64) {
+    let virtual_seconds = run.virtual_time as f64 / 1e9;
+    let times_real_time = virtual_seconds / elapsed;
+    let events_per_second = run.events as f64 / elapsed;
+    println!(
+        "{virtual_seconds:.1} s of virtual time in {elapsed:.2} s: {times_real_time:.1} times real time, \
+         {events_per_second:.0} events a second, {} connections at most",
+        run.peak_connections
+    );
+}
--- /dev/null
+++ b/crates/testbed/src/cli/faithful.rs
@@ -0,0 +1,60 @@
+//! `faithful`: how far runs in virtual time differ from those on sockets.
+
+use super::common::{this_program, write_json, Outcome, WorkFolder, MAX_COURIERS_ON_SOCKETS};
+use crate::fidelity_check::{self, FidelityPlan};
+use anyhow::bail;
+use linnetcart_scenario::day::Scenario;
+use std::io::IsTerminal;
+use std::path::PathBuf;
+
+#[derive(Debug, clap::Args)]
+pub(super) struct Args {
+    /// Built-in scenarios or scripts' files
+    #[arg(required = true)]
+    days: Vec<String>,
+    /// Seeds of each, from 1 on
+    #[arg(long, default_value_t = 10)]
+    seeds: u64,
+    /// Run them so many times as fast
+    #[arg(long, default_value_t = 3.0)]
+    speed: f64,
+    /// Runs on sockets at the same time
+    #[arg(long, default_value_t = 1)]
+    beside: usize,
+    /// Write the figures to this file
+    #[arg(long, value_name = "FILE")]
+    json: Option<PathBuf>,
+}
+
+pub(super) fn run(args: &Args) -> anyhow::Result<Outcome> {
+    if !(1..=1000).contains(&args.seeds) || !(1..=16).contains(&args.beside) {
+        bail!("--seeds: 1 to 1000; --beside: 1 to 16");
+    }
+    let mut scenarios = Vec::new();
+    for name in &args.days {
+        scenarios.push(Scenario::find(name)?.with(None, args.speed)?);
+    }
+    let needs_emulator = |scenario: &&Scenario| {
+        scenario.couriers > MAX_COURIERS_ON_SOCKETS || !scenario.emulated_only().is_empty()
+    };
+    if let Some(scenario) = scenarios.iter().find(needs_emulator) {
+        bail!("sockets of one machine cannot play {}", scenario.name);
+    }
+    let folder = WorkFolder::temporary()?;
+    let plan = FidelityPlan {
+        scenarios,
+        seeds: args.seeds,
+        parallel_runs: args.beside,
+        program: this_program()?,
+        dir: folder.path.clone(),
+    };
+    let shows_progress = std::io::stderr().is_terminal();
+    let result = fidelity_check::run(&plan, &|done, of| {
+        if shows_progress {
+            eprint!("\r{done} of {of} days   ");
+        }
+    })?;
+    println!("{}", result.table);
+    write_json(args.json.as_deref(), &result.figures)?;
+    Ok(Outcome::Passed)
+}
--- /dev/null
+++ b/crates/testbed/src/cli/inspect.rs
@@ -0,0 +1,60 @@
+//! `trace`, `report`, `replay` and `days`: what is read from files and shown.
+
+use super::common::Outcome;
+use crate::emulated_run::{trace_message, Recipe};
+use crate::{charts, decision_record};
+use linnetcart_scenario::day::{Scenario, BUILT_IN};
+use std::path::PathBuf;
+
+#[derive(Debug, clap::Args)]
+pub(super) struct TraceArgs {
+    /// The run's recipe, as `emulate --recipe` writes it
+    run: PathBuf,
+    /// The message's number
+    message: u64,
+}
+
+#[derive(Debug, clap::Args)]
+pub(super) struct ReportArgs {
+    /// Their files
+    #[arg(required = true)]
+    files: Vec<PathBuf>,
+    /// Where the charts and the table go
+    #[arg(long, value_name = "DIR")]
+    out: PathBuf,
+}
+
+#[derive(Debug, clap::Args)]
+pub(super) struct ReplayArgs {
+    /// Records, as `day --record` writes them
+    #[arg(required = true)]
+    files: Vec<PathBuf>,
+}
+
+pub(super) fn trace(args: &TraceArgs) -> anyhow::Result<Outcome> {
+    let recipe = Recipe::read(&args.run)?;
+    print!("{}", trace_message(&recipe, args.message)?);
+    Ok(Outcome::Passed)
+}
+
+pub(super) fn report(args: &ReportArgs) -> anyhow::Result<Outcome> {
+    charts::report(&args.files, &args.out)?;
+    Ok(Outcome::Passed)
+}
+
+pub(super) fn replay(args: &ReplayArgs) -> anyhow::Result<Outcome> {
+    for file in &args.files {
+        let replayed = decision_record::replay(file)?;
+        let decision_record::Replayed { cycles, events, actions } = replayed;
+        println!("{}: the same in {cycles} rounds, {events} events, {actions} actions", file.display());
+    }
+    Ok(Outcome::Passed)
+}
+
+pub(super) fn list_scenarios() -> anyhow::Result<Outcome> {
+    for (name, script) in BUILT_IN {
+        let about = Scenario::parse(script).map(|scenario| scenario.about).unwrap_or_default();
+        println!("{name:<18}{about}");
+    }
+    Ok(Outcome::Passed)
+}
--- /dev/null
+++ b/crates/testbed/src/cli/up.rs
@@ -0,0 +1,30 @@
+//! `up`: a stack of one courier and its endpoints, to try clients against.
+
+use super::common::{this_program, Outcome, WorkFolder};
+use crate::socket_run::{self, StackOptions};
+use linnetcart_scenario::day::Scenario;
+use linnetcart_scenario::fleet::Fleet;
+use std::io::Write;
+
+#[derive(Debug, clap::Args)]
+pub(super) struct Args {
+    /// The scenario whose fleet is brought up
+    #[arg(long, default_value = "quiet")]
+    day: String,
+    /// Seed of the fleet
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+}
+
+pub(super) fn run(args: &Args) -> anyhow::Result<Outcome> {
+    let mut scenario = Scenario::find(&args.day)?;
+    scenario.couriers = 1;
+    let fleet = Fleet::draw(scenario, args.seed);
+    let folder = WorkFolder::temporary()?;
+    let options = StackOptions::new(this_program()?, folder.path.clone());
+    socket_run::run_until_signal(&fleet, &options, |ready| {
+        println!("{ready}");
+        let _ = std::io::stdout().flush();
+    })?;
+    Ok(Outcome::Passed)
+}
--- /dev/null
+++ b/crates/testbed/src/courier_process.rs
@@ -0,0 +1,182 @@
+//! A courier or relay in a process of its own.
+
+use anyhow::{anyhow, bail, Context};
+use rustix::process::{kill_process, Pid, Signal};
+use serde_json::Value;
+use std::fs::File;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+/// The environment variable that tells a child process which core it stays on.
+pub const CORE_VARIABLE: &str = "LINNETCART_TESTBED_CORE";
+const HTTP_TIMEOUT: Duration = Duration::from_secs(10);
+const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(5);
+const STATUS_OK: u16 = 200;
+
+/// A running courier; dropping it kills it.
+#[derive(Debug)]
+pub struct CourierProcess {
+    child: Child,
+    /// Where it accepts messages.
+    pub kafka: SocketAddr,
+    /// Where its control interface listens.
+    pub control: SocketAddr,
+}
+
+/// How a courier is started.
+#[derive(Clone, Debug)]
+pub struct CourierOptions<'a> {
+    /// The program whose `edge` command is a courier.
+    pub program: &'a Path,
+    /// Its folder, for state and log.
+    pub dir: &'a Path,
+    /// Its seed.
+    pub seed: u64,
+    /// The policy that decides: `library`, or a baseline.
+    pub policy: &'a str,
+    /// How long it works on after SIGTERM.
+    pub drain_timeout: Duration,
+}
+
+impl CourierProcess {
+    /// Starts a courier and waits until it listens.
+    pub fn start(options: &CourierOptions) -> anyhow::Result<CourierProcess> {
+        CourierProcess::spawn(options.command(), options.dir)
+    }
+
+    /// Starts a courier that stays on one core.
+    pub fn start_pinned(options: &CourierOptions, core: usize) -> anyhow::Result<CourierProcess> {
+        let mut command = options.command();
+        command.env(CORE_VARIABLE, core.to_string());
+        CourierProcess::spawn(command, options.dir)
+    }
+
+    /// Starts a relay to these endpoints that stays on one core.
+    pub fn start_relay_pinned(
+        program: &Path,
+        dir: &Path,
+        endpoints: &[String],
+        core: usize,
+    ) -> anyhow::Result<CourierProcess> {
+        let mut command = Command::new(program);
+        command.arg("relay").args(endpoints).env(CORE_VARIABLE, core.to_string());
+        CourierProcess::spawn(command, dir)
+    }
+
+    fn spawn(mut command: Command, dir: &Path) -> anyhow::Result<CourierProcess> {
+        std::fs::create_dir_all(dir)?;
+        let log_path = dir.join("log");
+        let log = File::options().create(true).append(true).open(&log_path)?;
+        command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(log);
+        let mut child = command.spawn().context("a courier could not be started")?;
+        let stdout = child.stdout.take().ok_or_else(|| anyhow!("no standard output"))?;
+        let mut line = String::new();
+        BufReader::new(stdout).read_line(&mut line)?;
+        let ready: Option<Value> = serde_json::from_str(&line).ok();
+        let address = |name: &str| ready.as_ref()?.get(name)?.as_str()?.parse().ok();
+        let (Some(kafka), Some(control)) = (address("kafka"), address("control")) else {
+            let _ = child.kill();
+            let _ = child.wait();
+            let log = std::fs::read_to_string(&log_path).unwrap_or_default();
+            bail!("the courier did not come up; its log says: {}", log.trim());
+        };
+        Ok(CourierProcess { child, kafka, control })
+    }
+
+    /// Puts a document to its control interface.
+    pub fn put(&self, path: &str, body: &Value) -> anyhow::Result<()> {
+        let reply = http_request(self.control, "PUT", path, &body.to_string())?;
+        if reply.status != STATUS_OK {
+            bail!("PUT {path}: {} {}", reply.status, reply.body);
+        }
+        Ok(())
+    }
+
+    fn signal(&self, signal: Signal) {
+        if let Some(pid) = Pid::from_raw(self.child.id() as i32) {
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// Its process id.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Stops the process where it stands.
+    pub fn stall(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Resumes a stopped process.
+    pub fn resume(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Begins the graceful shutdown.
+    pub fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Waits until the process has ended, at most so long; its exit code.
+    pub fn wait(&mut self, timeout: Duration) -> Option<i32> {
+        let wait_until = Instant::now() + timeout;
+        loop {
+            match self.child.try_wait() {
+                Ok(Some(status)) => return status.code(),
+                Ok(None) if Instant::now() < wait_until => std::thread::sleep(EXIT_POLL_INTERVAL),
+                _ => return None,
+            }
+        }
+    }
+}
+
+impl CourierOptions<'_> {
+    fn command(&self) -> Command {
+        let seed = self.seed.to_string();
+        let drain_ms = self.drain_timeout.as_millis().to_string();
+        let mut command = Command::new(self.program);
+        command
+            .args(["edge", "--policy", self.policy, "--kafka", "127.0.0.1:0", "--control", "127.0.0.1:0"])
+            .arg("--state-dir")
+            .arg(self.dir)
+            .args(["--seed", &seed, "--drain-ms", &drain_ms])
+            .args(["--log", "plain"]);
+        command
+    }
+}
+
+impl Drop for CourierProcess {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A reply of a control interface.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HttpReply {
+    /// The status code.
+    pub status: u16,
+    /// The body.
+    pub body: String,
+}
+
+/// Sends a request to a control interface and reads the reply.
+pub fn http_request(address: SocketAddr, method: &str, path: &str, body: &str) -> anyhow::Result<HttpReply> {
+    let mut stream = TcpStream::connect(address)?;
+    stream.set_read_timeout(Some(HTTP_TIMEOUT))?;
+    let length = body.len();
+    let head = format!("{method} {path} HTTP/1.1\r\nContent-Length: {length}\r\nConnection: close\r\n\r\n");
+    stream.write_all(head.as_bytes())?;
+    stream.write_all(body.as_bytes())?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text)?;
+    let status_field = text.split(' ').nth(1);
+    let status = status_field.and_then(|status| status.parse().ok()).context("an answer without a status")?;
+    let body = text.split_once("\r\n\r\n").map(|(_, body)| body.to_owned()).unwrap_or_default();
+    Ok(HttpReply { status, body })
+}
--- /dev/null
+++ b/crates/testbed/src/decision_cost/mod.rs
@@ -0,0 +1,118 @@
+//! What a decision costs: the library alone, in virtual time, one decision cycle a millisecond.
+//!
+//! Each case changes one thing: messages in flight, destinations, calls in flight. All cases take turns in one run,
+//! so that what the machine does meanwhile meets all of them; medians are compared.
+
+mod driver;
+
+use crate::statistics::{maximum, median, minimum, round};
+use driver::{Driver, MESSAGES_PER_CYCLE};
+use serde_json::{json, Value};
+
+/// The load of a case.
+#[derive(Clone, Copy, Debug)]
+struct Case {
+    /// Messages that wait for destinations that asked for it.
+    waiting_messages: u32,
+    destinations: u32,
+    calls_in_flight: u32,
+    /// There is so little capacity that each message accepted has another rejected.
+    is_crowded: bool,
+}
+
+const USUAL_CASE: Case =
+    Case { waiting_messages: 10, destinations: 10, calls_in_flight: 300, is_crowded: false };
+
+/// Cases that differ in one thing.
+struct Series {
+    /// The name in the figures.
+    name: &'static str,
+    cases: Vec<Case>,
+    /// What the cases differ in.
+    count: fn(&Case) -> u32,
+}
+
+fn all_series() -> [Series; 4] {
+    let cases =
+        |counts: &[u32], with_count: fn(u32) -> Case| counts.iter().copied().map(with_count).collect();
+    [
+        Series {
+            name: "held",
+            cases: cases(&[10, 1_000, 10_000, 50_000], |waiting_messages| Case {
+                waiting_messages,
+                ..USUAL_CASE
+            }),
+            count: |case| case.waiting_messages,
+        },
+        Series {
+            name: "destinations",
+            cases: cases(&[10, 100, 1_000, 5_000], |destinations| Case { destinations, ..USUAL_CASE }),
+            count: |case| case.destinations,
+        },
+        Series {
+            name: "out",
+            cases: cases(&[100, 1_000, 10_000], |calls_in_flight| Case { calls_in_flight, ..USUAL_CASE }),
+            count: |case| case.calls_in_flight,
+        },
+        Series {
+            name: "crowded",
+            cases: cases(&[1_000, 10_000, 50_000], |waiting_messages| Case {
+                waiting_messages,
+                is_crowded: true,
+                ..USUAL_CASE
+            }),
+            count: |case| case.waiting_messages,
+        },
+    ]
+}
+
+/// A case, and what its turns showed.
+struct MeasuredCase {
+    driver: Driver,
+    count: u32,
+    /// Microseconds a message, of each turn.
+    cost_us: Vec<f64>,
+    calls_in_flight: usize,
+}
+
+/// Cost of a message over messages, destinations and calls in flight; ratios to the first case of each series.
+pub fn run(cycles: u64, turns: usize) -> Value {
+    let mut document = json!({"rounds": cycles, "turns": turns, "messages_a_round": MESSAGES_PER_CYCLE});
+    for series in all_series() {
+        document[series.name] = measure(&series, cycles, turns);
+    }
+    document
+}
+
+fn measure(series: &Series, cycles: u64, turns: usize) -> Value {
+    let new_case = |case: &Case| MeasuredCase {
+        driver: Driver::new(*case),
+        count: (series.count)(case),
+        cost_us: Vec::new(),
+        calls_in_flight: 0,
+    };
+    let mut cases: Vec<MeasuredCase> = series.cases.iter().map(new_case).collect();
+    for _ in 0..turns {
+        for case in &mut cases {
+            case.cost_us.push(case.driver.measure(cycles));
+            case.calls_in_flight = case.driver.calls_in_flight();
+        }
+    }
+    let first = &cases[0].cost_us;
+    let rows: Vec<Value> = cases.iter().map(|case| case_json(case, first)).collect();
+    json!(rows)
+}
+
+/// A case next to the first one: each turn's cost is compared with that of the same turn.
+fn case_json(case: &MeasuredCase, first: &[f64]) -> Value {
+    let cost = &case.cost_us;
+    let ratios = cost.iter().zip(first).map(|(cost, first)| cost / first);
+    json!({
+        "count": case.count,
+        "calls_out": case.calls_in_flight,
+        "us": round(median(cost.clone())),
+        "min": round(minimum(cost.iter().copied())),
+        "max": round(maximum(cost.iter().copied())),
+        "ratio": round(median(ratios.collect())),
+    })
+}
--- /dev/null
+++ b/crates/testbed/src/decision_record/mod.rs
@@ -0,0 +1,161 @@
+//! Decision cycles of the library, recorded as they happen, and the same cycles put to the library again.
+//!
+//! A record is one line of JSON with settings and seed, then one for each cycle. Replayed on another version of the
+//! library it shows the first cycle in which that decides otherwise.
+
+use anyhow::{bail, ensure, Context};
+use linnetcart::{Action, Dispatcher, Event, Settings, Time};
+use linnetcart_edge::core::DecisionPolicy;
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+use std::fs::File;
+use std::io::{BufRead, BufReader, BufWriter, Read, Write};
+use std::path::{Path, PathBuf};
+use std::sync::OnceLock;
+
+#[cfg(test)]
+mod tests;
+
+/// The policy that a courier is started with when its decisions are recorded; a folder follows.
+pub const POLICY_PREFIX: &str = "recorded:";
+const MAX_LINE_BYTES: u64 = 64 << 20;
+/// How the first line of a record begins.
+const HEADER_START: &[u8] = b"{\"settings\"";
+
+static FOLDER: OnceLock<PathBuf> = OnceLock::new();
+
+/// The first line of a record.
+#[derive(Debug, Serialize, Deserialize)]
+struct Header {
+    settings: Settings,
+    seed: u64,
+}
+
+/// One decision cycle as it is written.
+#[derive(Debug, Serialize)]
+struct Cycle {
+    now: Time,
+    events: Vec<Event>,
+    actions: Vec<Action>,
+}
+
+/// One decision cycle as it is read: the actions stay text, to be compared byte for byte.
+#[derive(Debug, Deserialize)]
+struct RecordedCycle {
+    now: Time,
+    events: Vec<Event>,
+    actions: Box<RawValue>,
+}
+
+/// Sets the folder of this process's records.
+pub fn set_folder(folder: &Path) -> anyhow::Result<()> {
+    std::fs::create_dir_all(folder).with_context(|| folder.display().to_string())?;
+    let _ = FOLDER.set(folder.to_owned());
+    Ok(())
+}
+
+/// The library, with a record of all that it is told and decides.
+pub fn recording_policy(settings: Settings, seed: u64) -> Box<dyn DecisionPolicy> {
+    let file = open_record(settings.courier_index);
+    let dispatcher = Dispatcher::new(settings.clone(), seed);
+    let mut policy = RecordingPolicy { dispatcher, file };
+    policy.write_line(&Header { settings, seed });
+    Box::new(policy)
+}
+
+fn open_record(courier: impl std::fmt::Display) -> Option<BufWriter<File>> {
+    let path = FOLDER.get()?.join(format!("{courier}-{}.rounds", std::process::id()));
+    let file = File::options().create(true).append(true).open(path).ok()?;
+    Some(BufWriter::new(file))
+}
+
+#[derive(Debug)]
+struct RecordingPolicy {
+    dispatcher: Dispatcher,
+    file: Option<BufWriter<File>>,
+}
+
+impl RecordingPolicy {
+    /// A record that cannot be written ends; the courier goes on.
+    fn write_line(&mut self, line: &impl Serialize) {
+        let Some(file) = &mut self.file else { return };
+        if write_json_line(file, line).is_err() {
+            self.file = None;
+        }
+    }
+}
+
+fn write_json_line(file: &mut BufWriter<File>, line: &impl Serialize) -> std::io::Result<()> {
+    serde_json::to_writer(&mut *file, line)?;
+    file.write_all(b"\n")?;
+    file.flush()
+}
+
+impl DecisionPolicy for RecordingPolicy {
+    fn decide(&mut self, now: Time, events: Vec<Event>) -> Vec<Action> {
+        let actions = self.dispatcher.decide(now, events.clone());
+        let cycle = Cycle { now, events, actions };
+        self.write_line(&cycle);
+        cycle.actions
+    }
+}
+
+/// What was replayed, all of it decided as recorded.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Replayed {
+    /// Decision cycles.
+    pub cycles: u64,
+    /// Their events.
+    pub events: u64,
+    /// Their actions.
+    pub actions: u64,
+}
+
+/// Puts a record's cycles to the library and compares byte for byte; an error names the first that differs. A last
+/// line that was cut short, as a killed courier leaves it, is left out.
+pub fn replay(path: &Path) -> anyhow::Result<Replayed> {
+    let name = path.display();
+    let mut file = BufReader::new(File::open(path).with_context(|| name.to_string())?);
+    let mut dispatcher: Option<Dispatcher> = None;
+    let mut replayed = Replayed::default();
+    let mut line = Vec::new();
+    for number in 1.. {
+        let place = || format!("{name}, line {number}");
+        line.clear();
+        Read::take(&mut file, MAX_LINE_BYTES).read_until(b'\n', &mut line)?;
+        if line.last() != Some(&b'\n') {
+            let too_long = line.len() as u64 >= MAX_LINE_BYTES;
+            ensure!(!too_long, "{}: longer than {MAX_LINE_BYTES} bytes", place());
+            break;
+        }
+        if line.starts_with(HEADER_START) {
+            let header: Header = serde_json::from_slice(&line).with_context(place)?;
+            dispatcher = Some(Dispatcher::new(header.settings, header.seed));
+            continue;
+        }
+        let cycle: RecordedCycle = serde_json::from_slice(&line).with_context(place)?;
+        let Some(dispatcher) = &mut dispatcher else {
+            bail!("{}: a round before any settings; is this a record of rounds?", place())
+        };
+        replay_cycle(dispatcher, cycle, &mut replayed, place)?;
+    }
+    Ok(replayed)
+}
+
+fn replay_cycle(
+    dispatcher: &mut Dispatcher,
+    cycle: RecordedCycle,
+    replayed: &mut Replayed,
+    place: impl Fn() -> String,
+) -> anyhow::Result<()> {
+    replayed.events += cycle.events.len() as u64;
+    let actions = dispatcher.decide(cycle.now, cycle.events);
+    let recorded = cycle.actions.get();
+    let now = serde_json::to_string(&actions)?;
+    if recorded != now {
+        bail!("{}, at {} ns: decided otherwise\n  recorded {recorded}\n  now      {now}", place(), cycle.now);
+    }
+    replayed.cycles += 1;
+    replayed.actions += actions.len() as u64;
+    Ok(())
+}
--- /dev/null
+++ b/crates/testbed/src/emulated_run/message_trace.rs
@@ -0,0 +1,203 @@
+//! The life of one message: what its client, the couriers that held it and the endpoints did with it.
+
+use super::Recipe;
+use anyhow::bail;
+use linnetcart_conformance::{Arrival, EndpointVerdict, Stall, Submission, Time};
+use linnetcart_delivery_events::{DeliveryEvent, FinalAnswer};
+use linnetcart_emulator::trace::{DeliveryTrace, TracedEvent};
+use linnetcart_scenario::fleet::{Fleet, PlannedMessage};
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+/// Who did something; of the same instant the first of these comes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Actor {
+    ClientSubmits,
+    StalledCourier,
+    Courier,
+    EndpointReceives,
+    EndpointAnswers,
+    ClientIsAnswered,
+}
+
+#[derive(Debug)]
+struct TraceLine {
+    at: Time,
+    actor: Actor,
+    text: String,
+}
+
+/// What one incarnation of a courier has done with the message so far.
+#[derive(Debug)]
+struct AttemptHistory {
+    last_started: Time,
+    last_finished: Option<String>,
+}
+
+#[derive(Debug, Default)]
+struct TraceLines {
+    lines: Vec<TraceLine>,
+    histories: BTreeMap<(u32, u32), AttemptHistory>,
+}
+
+fn milliseconds(span: Time) -> f64 {
+    span as f64 / 1e6
+}
+
+/// Repeats a run and tells the life of one message, every attempt with its reason.
+pub fn trace_message(recipe: &Recipe, message: u64) -> anyhow::Result<String> {
+    let (fleet, run) = recipe.run(Some(DeliveryTrace::of_message(message)))?;
+    let Some(planned) = fleet.messages.get(message as usize) else {
+        bail!("message {message}: the run has 0 to {}", fleet.messages.len().saturating_sub(1));
+    };
+    let records = &run.records.records;
+    let mut lines = TraceLines::default();
+    for submission in records.submissions.iter().filter(|submission| submission.message == message) {
+        lines.add_submission(submission);
+    }
+    for arrival in records.arrivals.iter().filter(|arrival| arrival.message == message) {
+        lines.add_arrival(arrival);
+    }
+    for traced in run.trace.into_iter().flat_map(|trace| trace.events) {
+        lines.add_event(&traced);
+    }
+    for stall in &records.stalls {
+        let held_message = |submission: &Submission| {
+            submission.message == message
+                && submission.courier == stall.courier
+                && submission.incarnation == stall.incarnation
+        };
+        if records.submissions.iter().any(held_message) {
+            lines.add_stall(stall);
+        }
+    }
+    Ok(heading(&fleet, message, planned) + &lines.into_text(planned.at))
+}
+
+fn heading(fleet: &Fleet, message: u64, planned: &PlannedMessage) -> String {
+    let class = &fleet.scenario.class[usize::from(planned.class)];
+    let destination = planned.destination;
+    let kind = fleet.destinations[destination as usize].kind;
+    format!(
+        "message {message}: {} for destination {destination} ({}), key {:?}, aim {:.0} ms, deadline {:.0} ms\n",
+        class.name,
+        fleet.scenario.kind[kind].name,
+        planned.key,
+        class.aim_s * 1e3,
+        class.deadline_s * 1e3
+    )
+}
+
+impl TraceLines {
+    fn add(&mut self, at: Time, actor: Actor, text: String) {
+        self.lines.push(TraceLine { at, actor, text });
+    }
+
+    fn add_submission(&mut self, submission: &Submission) {
+        let courier = submission.courier;
+        let incarnation = submission.incarnation;
+        let remaining = milliseconds(submission.deadline - submission.at);
+        let text =
+            format!("client: handed to courier {courier} (life {incarnation}), {remaining:.0} ms left");
+        self.add(submission.at, Actor::ClientSubmits, text);
+        for (at, answer) in &submission.answers {
+            let text = format!("client: answered {answer:?} by courier {courier}");
+            self.add(*at, Actor::ClientIsAnswered, text);
+        }
+        if let Some(at) = submission.orphaned {
+            let text = format!("client: its connection to courier {courier} broke");
+            self.add(at, Actor::ClientIsAnswered, text);
+        }
+    }
+
+    fn add_arrival(&mut self, arrival: &Arrival) {
+        let verdict = match arrival.verdict {
+            EndpointVerdict::Served => "will serve it".into(),
+            EndpointVerdict::Error => "will answer an error".into(),
+            EndpointVerdict::Unanswered => "will not answer".into(),
+            EndpointVerdict::Rejected { retry_after } => {
+                format!("turns it away, wait {:.0} ms", milliseconds(retry_after))
+            }
+        };
+        let effect = if arrival.effect { ", it takes effect" } else { "" };
+        let Arrival { endpoint, call, courier, .. } = arrival;
+        let text = format!("endpoint {endpoint}: call {call} of courier {courier}: {verdict}{effect}");
+        self.add(arrival.at, Actor::EndpointReceives, text);
+        if let Some(at) = arrival.answered {
+            let text = format!("endpoint {endpoint}: call {call} answered");
+            self.add(at, Actor::EndpointAnswers, text);
+        }
+    }
+
+    fn add_stall(&mut self, stall: &Stall) {
+        let duration = milliseconds(stall.until - stall.from);
+        let text = format!("courier {}: stands still for {duration:.0} ms", stall.courier);
+        self.add(stall.from, Actor::StalledCourier, text);
+    }
+
+    fn add_event(&mut self, traced: &TracedEvent) {
+        let holder = (traced.courier, traced.incarnation);
+        let new_history = AttemptHistory { last_started: traced.at, last_finished: None };
+        let history = self.histories.entry(holder).or_insert(new_history);
+        if let Some(text) = history.describe(traced) {
+            self.add(traced.at, Actor::Courier, format!("courier {}: {text}", traced.courier));
+        }
+    }
+
+    fn into_text(mut self, first_submission: Time) -> String {
+        self.lines.sort_by_key(|line| (line.at, line.actor));
+        let mut text = String::new();
+        for line in self.lines {
+            let since_first = (line.at as f64 - first_submission as f64) / 1e6;
+            let _ = writeln!(text, "{:>11.3} ms {since_first:>+11.3}  {}", milliseconds(line.at), line.text);
+        }
+        text
+    }
+}
+
+impl AttemptHistory {
+    /// A courier's event in words; none for one that says nothing about a message.
+    fn describe(&mut self, traced: &TracedEvent) -> Option<String> {
+        match &traced.event {
+            DeliveryEvent::Accepted { .. } => Some("taken".into()),
+            DeliveryEvent::AttemptStarted { attempt, endpoint, hedge, .. } => {
+                let reason = self.attempt_reason(*attempt, *hedge, traced.at);
+                self.last_started = traced.at;
+                Some(format!("attempt {attempt} to endpoint {endpoint} ({reason})"))
+            }
+            DeliveryEvent::AttemptFinished { attempt, endpoint, outcome, elapsed, .. } => {
+                let text = format!("attempt {attempt} to endpoint {endpoint} ended {outcome:?}");
+                self.last_finished = Some(text.clone());
+                Some(format!("{text} after {:.0} ms", milliseconds(*elapsed)))
+            }
+            DeliveryEvent::Completed { answer, elapsed, .. } => Some(describe_answer(answer, *elapsed)),
+            DeliveryEvent::ClientCancelled { .. } => Some("withdrawn: its client is gone".into()),
+            _ => None,
+        }
+    }
+
+    fn attempt_reason(&self, attempt: u16, hedge: bool, now: Time) -> String {
+        if hedge {
+            let outstanding = milliseconds(now - self.last_started);
+            return format!("a copy: the last is out for {outstanding:.0} ms");
+        }
+        if attempt == 0 {
+            return "the first".into();
+        }
+        match &self.last_finished {
+            Some(last) => format!("again, after {last}"),
+            None => "again".into(),
+        }
+    }
+}
+
+fn describe_answer(answer: &FinalAnswer, elapsed: Time) -> String {
+    let elapsed = milliseconds(elapsed);
+    match answer {
+        FinalAnswer::Rejected { retry_after } if *retry_after > 0 => {
+            let retry_after = milliseconds(*retry_after);
+            format!("refused after {elapsed:.0} ms, come back in {retry_after:.0}")
+        }
+        answer => format!("{answer:?} after {elapsed:.0} ms"),
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/experiment/chart.rs
@@ -0,0 +1,147 @@
+//! The chart of a measure over the first factor, a line for each combination of the others.
+
+use super::intervals::Mean;
+use super::plan::{level_text, Plan};
+use super::report_page::{Cells, ShownMeasure};
+use crate::charts::drawing::{drawing_error, ChartLayout};
+use crate::statistics::{maximum, minimum};
+use plotters::prelude::*;
+use std::collections::BTreeMap;
+use std::ops::Range;
+use toml::Value;
+
+const SIZE: (u32, u32) = (720, 360);
+const CAPTION_SIZE: u32 = 15;
+/// Levels whose highest is more than so many times their lowest stand at their logarithms.
+const LOGARITHMIC_ABOVE: f64 = 20.0;
+
+/// A mean at its place on the horizontal axis.
+struct Point {
+    x: f64,
+    mean: Mean,
+}
+
+impl Point {
+    fn half_width(&self) -> f64 {
+        if self.mean.half_width.is_finite() {
+            self.mean.half_width
+        } else {
+            0.0
+        }
+    }
+
+    fn low(&self) -> f64 {
+        self.mean.mean - self.half_width()
+    }
+
+    fn high(&self) -> f64 {
+        self.mean.mean + self.half_width()
+    }
+}
+
+type Lines = BTreeMap<String, Vec<Point>>;
+
+/// Draws the chart as SVG; an empty text if the plan has no factor.
+pub(super) fn draw(plan: &Plan, cells: &Cells, shown: ShownMeasure) -> anyhow::Result<String> {
+    let Some(first_factor) = plan.factor.first() else { return Ok(String::new()) };
+    let places = level_places(&first_factor.levels);
+    let lines = lines(plan, cells, shown.index, &places);
+    let caption = format!("{}: {}", shown.measure.name, shown.measure.about);
+    let x_range = x_range(&places);
+    let y = YAxis::of(&lines);
+    let mut svg = String::new();
+    {
+        let area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
+        area.fill(&WHITE).map_err(drawing_error)?;
+        let layout = ChartLayout { caption: &caption, caption_size: CAPTION_SIZE, y_label_width: 60 };
+        let mut chart = layout.on(&area).build_cartesian_2d(x_range, y.range).map_err(drawing_error)?;
+        let no_label = |_: &f64| String::new();
+        chart
+            .configure_mesh()
+            .x_label_formatter(&no_label)
+            .disable_x_mesh()
+            .x_desc(first_factor.name.as_str())
+            .draw()
+            .map_err(drawing_error)?;
+        let levels = first_factor.levels.iter().zip(&places);
+        let level_labels =
+            levels.map(|(level, x)| Text::new(level_text(level), (*x, y.level_labels), ("sans-serif", 12)));
+        chart.draw_series(level_labels).map_err(drawing_error)?;
+        for (index, (name, points)) in lines.iter().enumerate() {
+            let colour = Palette99::pick(index).to_rgba();
+            let line = points.iter().map(|point| (point.x, point.mean.mean));
+            let series =
+                chart.draw_series(LineSeries::new(line, colour.stroke_width(2))).map_err(drawing_error)?;
+            if !name.is_empty() {
+                series
+                    .label(name.as_str())
+                    .legend(move |(x, y)| PathElement::new([(x, y), (x + 15, y)], colour));
+            }
+            let intervals = points.iter().map(|point| {
+                let (low, mean, high) = (point.low(), point.mean.mean, point.high());
+                ErrorBar::new_vertical(point.x, low, mean, high, colour.filled(), 8)
+            });
+            chart.draw_series(intervals).map_err(drawing_error)?;
+        }
+        if lines.len() > 1 {
+            let mut labels = chart.configure_series_labels();
+            labels.border_style(BLACK).background_style(WHITE.mix(0.8)).draw().map_err(drawing_error)?;
+        }
+        area.present().map_err(drawing_error)?;
+    }
+    Ok(svg)
+}
+
+/// Where levels stand: numbers at their value or logarithm, names at even distances.
+fn level_places(levels: &[Value]) -> Vec<f64> {
+    let numbers: Option<Vec<f64>> = levels.iter().map(positive_number).collect();
+    let Some(numbers) = numbers else { return (0..levels.len()).map(|index| index as f64).collect() };
+    let ratio = maximum(numbers.iter().copied()) / minimum(numbers.iter().copied());
+    if ratio > LOGARITHMIC_ABOVE {
+        return numbers.iter().map(|number| number.log10()).collect();
+    }
+    numbers
+}
+
+fn positive_number(level: &Value) -> Option<f64> {
+    let number = match level {
+        Value::Float(number) => *number,
+        Value::Integer(number) => *number as f64,
+        _ => return None,
+    };
+    Some(number).filter(|&number| number > 0.0)
+}
+
+fn lines(plan: &Plan, cells: &Cells, measure: usize, places: &[f64]) -> Lines {
+    let mut lines = Lines::new();
+    for cell in cells.cells() {
+        let first_level = plan.level_indices(cell)[0];
+        let other_levels = plan.levels(cell)[1..].join(", ");
+        let point = Point { x: places[first_level], mean: cells.mean(cell, measure) };
+        lines.entry(other_levels).or_default().push(point);
+    }
+    lines
+}
+
+fn x_range(places: &[f64]) -> Range<f64> {
+    let left = minimum(places.iter().copied());
+    let right = maximum(places.iter().copied());
+    let margin = ((right - left) * 0.06).max(0.1);
+    left - margin..right + margin
+}
+
+struct YAxis {
+    range: Range<f64>,
+    /// Where the levels are written.
+    level_labels: f64,
+}
+
+impl YAxis {
+    fn of(lines: &Lines) -> YAxis {
+        let points = || lines.values().flatten();
+        let low = minimum(points().map(Point::low));
+        let high = maximum(points().map(Point::high));
+        let margin = ((high - low) * 0.08).max(1e-3);
+        YAxis { range: low - 2.0 * margin..high + margin, level_labels: low - margin }
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/experiment/intervals/mod.rs
@@ -0,0 +1,48 @@
+//! Means and paired differences with their 95 % intervals.
+
+use statrs::distribution::{ContinuousCDF, StudentsT};
+
+#[cfg(test)]
+mod tests;
+
+/// Of an interval of 95 %, the part of the distribution below its upper end.
+const UPPER_QUANTILE: f64 = 0.975;
+
+/// A mean and its interval.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Mean {
+    /// Number of values.
+    pub count: usize,
+    /// Their mean.
+    pub mean: f64,
+    /// The interval reaches so far to both sides; infinite for a single value.
+    pub half_width: f64,
+}
+
+impl Mean {
+    /// The interval does not hold zero.
+    pub fn excludes_zero(&self) -> bool {
+        self.mean.abs() > self.half_width
+    }
+}
+
+/// The mean of independent values, with its interval by Student's t.
+pub fn mean(values: &[f64]) -> Mean {
+    let count = values.len();
+    let mean = values.iter().sum::<f64>() / count.max(1) as f64;
+    if count < 2 {
+        return Mean { count, mean, half_width: f64::INFINITY };
+    }
+    let degrees_of_freedom = (count - 1) as f64;
+    let squared_deviations = values.iter().map(|value| (value - mean).powi(2));
+    let variance = squared_deviations.sum::<f64>() / degrees_of_freedom;
+    let distribution = StudentsT::new(0.0, 1.0, degrees_of_freedom);
+    let t = distribution.map_or(f64::INFINITY, |students_t| students_t.inverse_cdf(UPPER_QUANTILE));
+    Mean { count, mean, half_width: t * (variance / count as f64).sqrt() }
+}
+
+/// The mean of the differences of other values to base values in the same places, with its interval.
+pub fn paired_difference(base: &[f64], other: &[f64]) -> Mean {
+    let differences: Vec<f64> = base.iter().zip(other).map(|(base, other)| other - base).collect();
+    mean(&differences)
+}
--- a/crates/testbed/src/experiment/measures.rs
+++ b/crates/testbed/src/experiment/measures.rs
@@ -1,11 +1,17 @@
 //! What is measured of a run.
 
+use crate::emulated_run::CheckedRun;
 use hdrhistogram::Histogram;
-use linnetcart_conformance::{worth, Answer, Report, Time};
+use linnetcart_conformance::{worth, Answer, ClassSummary, Invariants, Records, Report, Time};
 use linnetcart_scenario::fleet::{Fleet, Timebase};
 use linnetcart_scenario::stage::ScenarioRecords;
 use std::collections::BTreeMap;
 
+/// The index of the rule about returns from an outage.
+const OUTAGE_RETURN_RULE: usize = 3;
+/// An hour in microseconds, which no time to be served exceeds.
+const MAX_TIME_US: u64 = 3_600_000_000;
+
 /// A measure.
 #[derive(Clone, Copy, Debug)]
 pub struct Measure {
@@ -19,7 +25,7 @@
     Measure { name, about }
 }
 
-/// All measures, in the order of [`of`].
+/// All measures, in the order of [`of_run`].
 pub const MEASURES: [Measure; 18] = [
     measure("served_worth", "worth delivered over worth asked for"),
     measure("worst_10s", "the same for the first tries of the worst ten seconds"),
@@ -41,57 +47,95 @@
     measure("connections", "connections at the same time at most"),
 ];
 
-/// The measures of a day that was played, with so many connections at most.
-pub fn of(fleet: &Fleet, played: &ScenarioRecords, links: usize, report: &Report) -> Vec<f64> {
-    let contract = fleet.invariants(Timebase::Emulated);
-    let total = |of: fn(&linnetcart_conformance::ClassSummary) -> u64| {
-        report.classes.iter().map(of).sum::<u64>() as f64
-    };
-    let messages = total(|r| r.messages).max(1.0);
-    let asked: f64 = report.classes.iter().map(|r| r.asked).sum();
-    let mut first: BTreeMap<u64, Time> = BTreeMap::new();
-    let mut served: BTreeMap<u64, (Time, u8)> = BTreeMap::new();
-    for h in &played.records.submissions {
-        let at = first.entry(h.message).or_insert(h.at);
-        *at = (*at).min(h.at);
-        for (at, _) in h.answers.iter().filter(|a| a.1 == Answer::Served) {
-            let known = served.entry(h.message).or_insert((*at, h.class));
-            known.0 = known.0.min(*at);
+/// The measures of a run in virtual time.
+pub fn of_checked_run(checked: &CheckedRun) -> Vec<f64> {
+    let run = &checked.run;
+    of_run(&checked.fleet, &run.records, run.peak_connections, &checked.report)
+}
+
+/// The measures of a run with so many connections at the same time at most.
+pub fn of_run(
+    fleet: &Fleet,
+    records: &ScenarioRecords,
+    peak_connections: usize,
+    report: &Report,
+) -> Vec<f64> {
+    let total = |figure: fn(&ClassSummary) -> u64| report.classes.iter().map(figure).sum::<u64>() as f64;
+    let messages = total(|class| class.messages).max(1.0);
+    let worth_asked: f64 = report.classes.iter().map(|class| class.asked).sum();
+    let served = ServedMessages::of(&records.records, &fleet.invariants(Timebase::Emulated));
+    let rules_broken: u64 = report.rules.iter().map(|rule| rule.broken).sum();
+    let outage_returns = &report.rules[OUTAGE_RETURN_RULE];
+    vec![
+        report.service,
+        report.worst_stretch,
+        served.late_worth / worth_asked.max(1e-9),
+        total(|class| class.in_aim) / messages,
+        total(|class| class.refused) / messages,
+        total(|class| class.failed) / messages,
+        total(|class| class.lost) / messages,
+        total(|class| class.unknown) / messages,
+        total(|class| class.tries) / messages,
+        report.calls as f64 / messages,
+        report.calls_refused as f64 / messages,
+        rules_broken as f64,
+        outage_returns.broken as f64 / outage_returns.checked.max(1) as f64,
+        records.overloads.len() as f64,
+        served.percentile_ms(0.5),
+        served.percentile_ms(0.95),
+        served.percentile_ms(0.99),
+        peak_connections as f64,
+    ]
+}
+
+/// Times from the first submission of messages until they were served.
+struct ServedMessages {
+    /// Worth of those served after their latency objective.
+    late_worth: f64,
+    /// In microseconds, with three digits; none if it could not be made.
+    times: Option<Histogram<u64>>,
+}
+
+/// When a message was first served, and its class.
+struct Served {
+    at: Time,
+    class: u8,
+}
+
+impl ServedMessages {
+    fn of(records: &Records, invariants: &Invariants) -> ServedMessages {
+        let mut first_submissions: BTreeMap<u64, Time> = BTreeMap::new();
+        let mut served: BTreeMap<u64, Served> = BTreeMap::new();
+        for submission in &records.submissions {
+            let first = first_submissions.entry(submission.message).or_insert(submission.at);
+            *first = submission.at.min(*first);
+            let class = submission.class;
+            for (at, _) in submission.answers.iter().filter(|(_, answer)| *answer == Answer::Served) {
+                let known = served.entry(submission.message).or_insert(Served { at: *at, class });
+                known.at = known.at.min(*at);
+            }
+        }
+        let times = Histogram::new_with_bounds(1, MAX_TIME_US, 3).ok();
+        let mut messages = ServedMessages { late_worth: 0.0, times };
+        for (message, served) in &served {
+            let age = served.at - first_submissions[message];
+            messages.add(age, served.class, invariants);
         }
+        messages
     }
-    let mut late = 0.0;
-    // Microseconds, three digits: an hour is within its bounds.
-    let mut times = Histogram::<u64>::new_with_bounds(1, 3_600_000_000, 3).ok();
-    for (message, (at, class)) in &served {
-        let age = at - first[message];
-        let class = &contract.classes[usize::from(*class)];
+
+    fn add(&mut self, age: Time, class: u8, invariants: &Invariants) {
+        let class = &invariants.classes[usize::from(class)];
         if age > class.latency_objective {
-            late += worth(class, contract.halves, age);
+            self.late_worth += worth(class, invariants.halves, age);
         }
-        if let Some(times) = &mut times {
+        if let Some(times) = &mut self.times {
             times.saturating_record((age / 1000).max(1));
         }
     }
-    let at = |part: f64| times.as_ref().map_or(0.0, |t| t.value_at_quantile(part) as f64 / 1e3);
-    let four = &report.rules[3];
-    vec![
-        report.service,
-        report.worst_stretch,
-        late / asked.max(1e-9),
-        total(|r| r.in_aim) / messages,
-        total(|r| r.refused) / messages,
-        total(|r| r.failed) / messages,
-        total(|r| r.lost) / messages,
-        total(|r| r.unknown) / messages,
-        total(|r| r.tries) / messages,
-        report.calls as f64 / messages,
-        report.calls_refused as f64 / messages,
-        report.rules.iter().map(|f| f.broken).sum::<u64>() as f64,
-        four.broken as f64 / four.checked.max(1) as f64,
-        played.overloads.len() as f64,
-        at(0.5),
-        at(0.95),
-        at(0.99),
-        links as f64,
-    ]
+
+    fn percentile_ms(&self, quantile: f64) -> f64 {
+        let microseconds = self.times.as_ref().map_or(0, |times| times.value_at_quantile(quantile));
+        microseconds as f64 / 1e3
+    }
 }
--- /dev/null
+++ b/crates/testbed/src/experiment/plan/factors.rs
@@ -0,0 +1,104 @@
+//! Factors: what a level of each sets in a recipe.
+
+use crate::baselines;
+use crate::emulated_run::Recipe;
+use anyhow::{bail, ensure, Context};
+use linnetcart_scenario::day::Scenario;
+use toml::{Table, Value};
+
+const MAX_DELAY_MS: f64 = 10_000.0;
+const NANOSECONDS_PER_MILLISECOND: f64 = 1e6;
+
+/// A factor and its level from the command line, `NAME=LEVEL`; what is no number or list is a name.
+pub fn parse_setting(text: &str) -> Result<(String, Value), String> {
+    let (name, level) = text.split_once('=').ok_or("NAME=LEVEL is expected")?;
+    let table = toml::from_str::<Table>(&format!("level = {level}")).ok();
+    let parsed = table.and_then(|mut table| table.remove("level"));
+    Ok((name.to_owned(), parsed.unwrap_or_else(|| Value::String(level.into()))))
+}
+
+/// Sets a factor of a recipe to a level.
+pub fn apply_factor(recipe: &mut Recipe, name: &str, level: &Value) -> anyhow::Result<()> {
+    match name {
+        "policy" => set_policy(recipe, word(level)?),
+        "trouble" => set_faults(&mut recipe.scenario, word(level)?),
+        "destinations" => multiply_destinations(&mut recipe.scenario, number(level)?),
+        "delay_ms" => set_delay(recipe, number(level)?),
+        path => {
+            recipe.scenario = with_field(&recipe.scenario, path, level)?;
+            Ok(())
+        }
+    }
+}
+
+fn number(level: &Value) -> anyhow::Result<f64> {
+    match level {
+        Value::Integer(number) => Ok(*number as f64),
+        Value::Float(number) => Ok(*number),
+        _ => bail!("a number is wanted"),
+    }
+}
+
+fn word(level: &Value) -> anyhow::Result<&str> {
+    level.as_str().context("a name is wanted")
+}
+
+fn set_policy(recipe: &mut Recipe, policy: &str) -> anyhow::Result<()> {
+    ensure!(baselines::NAMES.contains(&policy), "there are {}", baselines::NAMES.join(", "));
+    recipe.policy = policy.into();
+    Ok(())
+}
+
+/// Sets the faults of a scenario to those of another, at the same parts of its length.
+fn set_faults(scenario: &mut Scenario, source: &str) -> anyhow::Result<()> {
+    match source {
+        "as-written" => {}
+        "none" => scenario.trouble.clear(),
+        other => {
+            let other = Scenario::find(other)?;
+            let stretch = scenario.seconds / other.seconds;
+            scenario.trouble = other.trouble;
+            for fault in &mut scenario.trouble {
+                fault.at *= stretch;
+                fault.lasts *= stretch;
+            }
+        }
+    }
+    Ok(())
+}
+
+fn multiply_destinations(scenario: &mut Scenario, factor: f64) -> anyhow::Result<()> {
+    ensure!(factor > 0.0 && factor <= 1000.0, "more than 0 and at most 1000");
+    for kind in &mut scenario.kind {
+        let destinations = (f64::from(kind.destinations) * factor).round() as u32;
+        kind.destinations = destinations.max(1);
+    }
+    Ok(())
+}
+
+fn set_delay(recipe: &mut Recipe, milliseconds: f64) -> anyhow::Result<()> {
+    ensure!((0.0..=MAX_DELAY_MS).contains(&milliseconds), "0 to {MAX_DELAY_MS}");
+    recipe.model.delay.minimum = (milliseconds * NANOSECONDS_PER_MILLISECOND) as u64;
+    Ok(())
+}
+
+/// The scenario with one field of its script changed.
+fn with_field(scenario: &Scenario, path: &str, level: &Value) -> anyhow::Result<Scenario> {
+    let mut script = Value::try_from(scenario)?;
+    let mut field = &mut script;
+    for part in path.split('.') {
+        let next = match field {
+            Value::Table(table) => table.get_mut(part),
+            Value::Array(items) => part.parse::<usize>().ok().and_then(|index| items.get_mut(index)),
+            _ => None,
+        };
+        field = next.with_context(|| format!("the day's script has no `{part}` there"))?;
+    }
+    *field = match (&*field, level) {
+        (Value::Float(_), Value::Integer(number)) => Value::Float(*number as f64),
+        (_, level) => level.clone(),
+    };
+    let changed: Scenario = script.try_into()?;
+    changed.check()?;
+    Ok(changed)
+}
--- a/crates/testbed/src/experiment/results.rs
+++ b/crates/testbed/src/experiment/results.rs
@@ -1,7 +1,7 @@
 //! Results: a line as each run ends, so that nothing finished is lost, and one Parquet file of them all.
 
 use super::measures::MEASURES;
-use super::plan::Plan;
+use super::plan::{Plan, RunKey};
 use anyhow::{bail, ensure, Context};
 use arrow_array::{ArrayRef, Float64Array, RecordBatch, StringArray, UInt64Array};
 use arrow_schema::{DataType, Field, Schema};
@@ -13,11 +13,13 @@
 use std::fs::File;
 use std::io::{BufRead, BufReader, Write};
 use std::path::{Path, PathBuf};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-const LINES: &str = "runs.jsonl";
-const HEAD: &str = "experiment.json";
-const PARQUET: &str = "results.parquet";
+const LINES_FILE: &str = "runs.jsonl";
+const NEW_LINES_FILE: &str = "runs.new";
+const HEADER_FILE: &str = "experiment.json";
+const PARQUET_FILE: &str = "results.parquet";
+const NEW_PARQUET_FILE: &str = "results.new";
 
 /// A run's result.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -28,13 +30,13 @@
     pub seed: u64,
     /// Its measures.
     pub values: Vec<f64>,
-    /// The sum over everything that happened.
+    /// The digest of everything that happened.
     pub digest: String,
 }
 
 /// What a folder of results belongs to.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Head {
+pub struct Header {
     /// The plan.
     pub plan: Plan,
     /// The commit that the program was built from, as far as is known.
@@ -47,108 +49,108 @@
 #[derive(Debug)]
 pub struct Results {
     dir: PathBuf,
-    head: Head,
-    rows: Mutex<(File, BTreeMap<u64, Row>)>,
+    header: Header,
+    rows: Mutex<StoredRows>,
+}
+
+/// Rows in memory, and the file that they are appended to.
+#[derive(Debug)]
+struct StoredRows {
+    file: File,
+    by_run: BTreeMap<u64, Row>,
 }
 
 impl Results {
-    /// Opens a folder, and goes on with what it holds of the same plan and commit.
-    pub fn open(dir: &Path, head: Head) -> anyhow::Result<Results> {
+    /// Opens a folder, and continues with what it holds of the same plan and commit.
+    pub fn open(dir: &Path, header: Header) -> anyhow::Result<Results> {
         std::fs::create_dir_all(dir).with_context(|| dir.display().to_string())?;
-        let path = dir.join(HEAD);
-        if path.exists() {
-            let text = std::fs::read_to_string(&path).with_context(|| path.display().to_string())?;
-            let was: Head = serde_json::from_str(&text).with_context(|| path.display().to_string())?;
-            if was.plan != head.plan || was.commit != head.commit {
-                let what = if was.plan != head.plan { "another plan" } else { "another commit" };
-                bail!("{}: begun with {what}; choose another --out, or remove it", dir.display());
-            }
-        }
-        let lines = dir.join(LINES);
-        let rows = read_lines(&lines, &head.plan)?;
-        // What a cut left of a last line goes, and the head is there before the first line.
-        let mut text = String::new();
-        for row in rows.values() {
-            text.push_str(&(serde_json::to_string(row)? + "\n"));
-        }
-        let aside = dir.join("runs.new");
-        std::fs::write(&aside, text).with_context(|| aside.display().to_string())?;
-        std::fs::rename(&aside, &lines).with_context(|| lines.display().to_string())?;
-        std::fs::write(&path, serde_json::to_string_pretty(&head)? + "\n")
-            .with_context(|| path.display().to_string())?;
-        let file = File::options().append(true).open(&lines).with_context(|| lines.display().to_string())?;
-        Ok(Results { dir: dir.to_owned(), head, rows: Mutex::new((file, rows)) })
+        let header_path = dir.join(HEADER_FILE);
+        ensure_same_experiment(dir, &header_path, &header)?;
+        let lines_path = dir.join(LINES_FILE);
+        let by_run = read_lines(&lines_path, &header.plan)?;
+        // What a cut left of a last line goes, and the header is there before the first line.
+        rewrite_lines(&dir.join(NEW_LINES_FILE), &lines_path, &by_run)?;
+        std::fs::write(&header_path, serde_json::to_string_pretty(&header)? + "\n")
+            .with_context(|| header_path.display().to_string())?;
+        let file = File::options().append(true).open(&lines_path);
+        let file = file.with_context(|| lines_path.display().to_string())?;
+        Ok(Results { dir: dir.to_owned(), header, rows: Mutex::new(StoredRows { file, by_run }) })
+    }
+
+    fn rows_guard(&self) -> MutexGuard<'_, StoredRows> {
+        self.rows.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// The run has its result.
-    pub fn has(&self, run: u64) -> bool {
-        self.rows.lock().unwrap_or_else(PoisonError::into_inner).1.contains_key(&run)
+    pub fn contains(&self, run: u64) -> bool {
+        self.rows_guard().by_run.contains_key(&run)
     }
 
-    /// Runs with results.
+    /// Number of runs with results.
     pub fn count(&self) -> u64 {
-        self.rows.lock().unwrap_or_else(PoisonError::into_inner).1.len() as u64
+        self.rows_guard().by_run.len() as u64
     }
 
-    /// A run ended.
-    pub fn put(&self, row: Row) -> anyhow::Result<()> {
-        let mut rows = self.rows.lock().unwrap_or_else(PoisonError::into_inner);
-        rows.0.write_all((serde_json::to_string(&row)? + "\n").as_bytes())?;
-        rows.1.insert(row.run, row);
+    /// Adds the result of a run.
+    pub fn add(&self, row: Row) -> anyhow::Result<()> {
+        let line = serde_json::to_string(&row)? + "\n";
+        let mut rows = self.rows_guard();
+        rows.file.write_all(line.as_bytes())?;
+        rows.by_run.insert(row.run, row);
         Ok(())
     }
 
     /// All results, by run.
     pub fn rows(&self) -> Vec<Row> {
-        self.rows.lock().unwrap_or_else(PoisonError::into_inner).1.values().cloned().collect()
+        self.rows_guard().by_run.values().cloned().collect()
     }
 
-    /// Writes them all as one file. The same results make the same bytes.
-    pub fn parquet(&self) -> anyhow::Result<PathBuf> {
-        let (plan, rows) = (&self.head.plan, self.rows());
-        let mut fields =
-            vec![Field::new("run", DataType::UInt64, false), Field::new("seed", DataType::UInt64, false)];
-        let mut columns: Vec<ArrayRef> = vec![
-            Arc::new(UInt64Array::from_iter_values(rows.iter().map(|r| r.run))),
-            Arc::new(UInt64Array::from_iter_values(rows.iter().map(|r| r.seed))),
-        ];
-        for (n, f) in plan.factor.iter().enumerate() {
-            fields.push(Field::new(&f.name, DataType::Utf8, false));
-            let levels = rows.iter().map(|r| plan.levels(plan.run(r.run).0).swap_remove(n));
-            columns.push(Arc::new(StringArray::from_iter_values(levels)));
-        }
-        for (n, m) in MEASURES.iter().enumerate() {
-            let about = [("about".to_owned(), m.about.to_owned())].into_iter().collect();
-            fields.push(Field::new(m.name, DataType::Float64, false).with_metadata(about));
-            columns.push(Arc::new(Float64Array::from_iter_values(rows.iter().map(|r| r.values[n]))));
-        }
-        fields.push(Field::new("digest", DataType::Utf8, false));
-        columns.push(Arc::new(StringArray::from_iter_values(rows.iter().map(|r| &r.digest))));
-        let schema = Arc::new(Schema::new(fields));
-        let batch = RecordBatch::try_new(schema.clone(), columns)?;
-        let about = [
-            ("linnetcart.plan", toml::to_string(plan)?),
-            ("linnetcart.commit", self.head.commit.clone()),
-            ("linnetcart.command", self.head.command.clone()),
-        ];
-        let about = about.into_iter().map(|(k, v)| KeyValue::new(k.into(), v)).collect();
-        let how = WriterProperties::builder().set_key_value_metadata(Some(about)).build();
-        let (aside, path) = (self.dir.join("results.new"), self.dir.join(PARQUET));
-        let file = File::create(&aside).with_context(|| aside.display().to_string())?;
-        let mut writer = ArrowWriter::try_new(file, schema, Some(how))?;
+    /// What the folder belongs to.
+    pub fn header(&self) -> &Header {
+        &self.header
+    }
+
+    /// Writes all results as one file. The same results make the same bytes.
+    pub fn write_parquet(&self) -> anyhow::Result<PathBuf> {
+        let batch = record_batch(&self.header.plan, &self.rows())?;
+        let properties = WriterProperties::builder().set_key_value_metadata(Some(self.metadata()?)).build();
+        let new_path = self.dir.join(NEW_PARQUET_FILE);
+        let path = self.dir.join(PARQUET_FILE);
+        let file = File::create(&new_path).with_context(|| new_path.display().to_string())?;
+        let mut writer = ArrowWriter::try_new(file, batch.schema(), Some(properties))?;
         writer.write(&batch)?;
         writer.close()?;
-        std::fs::rename(&aside, &path).with_context(|| path.display().to_string())?;
+        std::fs::rename(&new_path, &path).with_context(|| path.display().to_string())?;
         Ok(path)
     }
 
-    /// What the folder belongs to.
-    pub fn head(&self) -> &Head {
-        &self.head
+    fn metadata(&self) -> anyhow::Result<Vec<KeyValue>> {
+        let plan = toml::to_string(&self.header.plan)?;
+        Ok(vec![
+            KeyValue::new("linnetcart.plan".into(), plan),
+            KeyValue::new("linnetcart.commit".into(), self.header.commit.clone()),
+            KeyValue::new("linnetcart.command".into(), self.header.command.clone()),
+        ])
     }
 }
 
-/// Whole lines; one that a stop cut short is left out.
+fn ensure_same_experiment(dir: &Path, header_path: &Path, header: &Header) -> anyhow::Result<()> {
+    if !header_path.exists() {
+        return Ok(());
+    }
+    let text = std::fs::read_to_string(header_path).with_context(|| header_path.display().to_string())?;
+    let stored: Header = serde_json::from_str(&text).with_context(|| header_path.display().to_string())?;
+    let difference = if stored.plan != header.plan {
+        "another plan"
+    } else if stored.commit != header.commit {
+        "another commit"
+    } else {
+        return Ok(());
+    };
+    bail!("{}: begun with {difference}; choose another --out, or remove it", dir.display())
+}
+
+/// Complete lines; one that a stop cut short is left out.
 fn read_lines(path: &Path, plan: &Plan) -> anyhow::Result<BTreeMap<u64, Row>> {
     let mut rows = BTreeMap::new();
     let Ok(file) = File::open(path) else { return Ok(rows) };
@@ -156,19 +158,58 @@
     let mut line = String::new();
     for number in 1.. {
         line.clear();
-        if file.read_line(&mut line).with_context(|| path.display().to_string())? == 0
-            || !line.ends_with('\n')
-        {
+        file.read_line(&mut line).with_context(|| path.display().to_string())?;
+        if !line.ends_with('\n') {
             break;
         }
-        let row: Row =
-            serde_json::from_str(&line).with_context(|| format!("{}, line {number}", path.display()))?;
+        let place = || format!("{}, line {number}", path.display());
+        let row: Row = serde_json::from_str(&line).with_context(place)?;
         ensure!(
-            row.run < plan.runs() && row.seed == plan.run(row.run).1 && row.values.len() == MEASURES.len(),
-            "{}, line {number}: no run of this plan; choose another --out, or remove it",
-            path.display()
+            belongs_to(&row, plan),
+            "{}: no run of this plan; choose another --out, or remove it",
+            place()
         );
         rows.insert(row.run, row);
     }
     Ok(rows)
 }
+
+fn belongs_to(row: &Row, plan: &Plan) -> bool {
+    row.run < plan.runs() && row.seed == plan.run(row.run).seed && row.values.len() == MEASURES.len()
+}
+
+fn rewrite_lines(new_path: &Path, path: &Path, rows: &BTreeMap<u64, Row>) -> anyhow::Result<()> {
+    let mut text = String::new();
+    for row in rows.values() {
+        text.push_str(&serde_json::to_string(row)?);
+        text.push('\n');
+    }
+    std::fs::write(new_path, text).with_context(|| new_path.display().to_string())?;
+    std::fs::rename(new_path, path).with_context(|| path.display().to_string())
+}
+
+/// The columns: run and seed, a level of each factor, the measures, the digest.
+fn record_batch(plan: &Plan, rows: &[Row]) -> anyhow::Result<RecordBatch> {
+    let mut fields = Vec::new();
+    let mut columns: Vec<ArrayRef> = Vec::new();
+    fields.push(Field::new("run", DataType::UInt64, false));
+    columns.push(Arc::new(UInt64Array::from_iter_values(rows.iter().map(|row| row.run))));
+    fields.push(Field::new("seed", DataType::UInt64, false));
+    columns.push(Arc::new(UInt64Array::from_iter_values(rows.iter().map(|row| row.seed))));
+    for (index, factor) in plan.factor.iter().enumerate() {
+        fields.push(Field::new(&factor.name, DataType::Utf8, false));
+        let level = |row: &Row| {
+            let RunKey { cell, .. } = plan.run(row.run);
+            plan.levels(cell).swap_remove(index)
+        };
+        columns.push(Arc::new(StringArray::from_iter_values(rows.iter().map(level))));
+    }
+    for (index, measure) in MEASURES.iter().enumerate() {
+        let about = [("about".to_owned(), measure.about.to_owned())].into_iter().collect();
+        fields.push(Field::new(measure.name, DataType::Float64, false).with_metadata(about));
+        columns.push(Arc::new(Float64Array::from_iter_values(rows.iter().map(|row| row.values[index]))));
+    }
+    fields.push(Field::new("digest", DataType::Utf8, false));
+    columns.push(Arc::new(StringArray::from_iter_values(rows.iter().map(|row| &row.digest))));
+    Ok(RecordBatch::try_new(Arc::new(Schema::new(fields)), columns)?)
+}
--- /dev/null
+++ b/crates/testbed/src/fault_search/describe.rs
@@ -0,0 +1,55 @@
+//! A finding as a script and in words.
+
+use super::Finding;
+use crate::run_report;
+use linnetcart_scenario::day::FaultSpec;
+use std::fmt::Write;
+
+/// The scenario as a script, with what it shows and how it is run again.
+pub fn script(finding: &Finding) -> anyhow::Result<String> {
+    let recipe = &finding.shrunk;
+    let seed = recipe.seed;
+    let mut text = String::new();
+    let _ = writeln!(text, "# {}", finding.summary);
+    let _ = writeln!(text, "# Play it again: linnetcart-testbed emulate FILE --seed {seed}");
+    if recipe.scenario.emulated_only().is_empty() {
+        let _ = writeln!(text, "# On sockets:    linnetcart-testbed day FILE --seed {seed}");
+    }
+    text.push_str(&toml::to_string(&recipe.scenario)?);
+    Ok(text)
+}
+
+/// What was found, in words, with the report of the shrunk run.
+pub fn describe(finding: &Finding) -> anyhow::Result<String> {
+    let drawn = &finding.drawn.scenario;
+    let shrunk = &finding.shrunk.scenario;
+    let mut text = String::new();
+    let _ = writeln!(text, "run {}: {}", finding.run, finding.summary);
+    let _ = writeln!(
+        text,
+        "shrunk in {} runs: troubles {} -> {}, seconds {:.0} -> {:.0}, couriers {} -> {}",
+        finding.shrink_runs,
+        drawn.trouble.len(),
+        shrunk.trouble.len(),
+        drawn.seconds,
+        shrunk.seconds,
+        drawn.couriers,
+        shrunk.couriers
+    );
+    for fault in &shrunk.trouble {
+        write_fault(&mut text, fault);
+    }
+    let report = finding.shrunk.run_checked()?.report;
+    text.push('\n');
+    text.push_str(&run_report::table(&report));
+    Ok(text)
+}
+
+fn write_fault(text: &mut String, fault: &FaultSpec) {
+    let FaultSpec { what, at, lasts, part, size, extra, hard } = fault;
+    let hard = if *hard { ", hard" } else { "" };
+    let _ = writeln!(
+        text,
+        "  {what:?} at {at:.1} s for {lasts:.1} s, part {part:.2}, size {size:.2}, extra {extra:.2}{hard}"
+    );
+}
--- /dev/null
+++ b/crates/testbed/src/fidelity_check.rs
@@ -0,0 +1,129 @@
+//! How far runs in virtual time differ from those on sockets, on the same scenarios and seeds.
+
+use crate::emulated_run::Recipe;
+use crate::experiment::intervals::{mean, paired_difference, Mean};
+use crate::experiment::measures::{self, MEASURES};
+use crate::parallel;
+use crate::socket_run::{self, StackOptions};
+use linnetcart_conformance::check;
+use linnetcart_scenario::day::Scenario;
+use linnetcart_scenario::fleet::{Fleet, Timebase};
+use serde_json::{json, Map, Value};
+use std::fmt::Write;
+use std::path::PathBuf;
+
+/// Measures that are compared.
+const COMPARED: [&str; 6] = ["served_worth", "in_aim", "refused", "calls", "calls_refused", "p50_ms"];
+const RULES_BROKEN: &str = "rules_broken";
+
+/// What is compared, and how.
+#[derive(Clone, Debug)]
+pub struct FidelityPlan {
+    /// The scenarios, as they are run.
+    pub scenarios: Vec<Scenario>,
+    /// Number of seeds, from 1 on.
+    pub seeds: u64,
+    /// Runs on sockets at the same time.
+    pub parallel_runs: usize,
+    /// The program whose `edge` command is a courier.
+    pub program: PathBuf,
+    /// Where couriers keep their state.
+    pub dir: PathBuf,
+}
+
+/// The differences.
+#[derive(Clone, Debug)]
+pub struct FidelityResult {
+    /// A table for the terminal.
+    pub table: String,
+    /// The figures for a file.
+    pub figures: Value,
+}
+
+/// The measures of a seed on both sides.
+struct RunPair {
+    on_sockets: Vec<f64>,
+    emulated: Vec<f64>,
+}
+
+fn run_on_sockets(plan: &FidelityPlan, fleet: &Fleet, number: u64) -> anyhow::Result<Vec<f64>> {
+    let dir = plan.dir.join(number.to_string());
+    let options = StackOptions::new(plan.program.clone(), dir.clone());
+    let records = socket_run::run(fleet, &options)?;
+    let _ = std::fs::remove_dir_all(dir);
+    let report = check(&records.records, &fleet.invariants(Timebase::Sockets));
+    Ok(measures::of_run(fleet, &records, 0, &report))
+}
+
+fn run_emulated(scenario: &Scenario, seed: u64) -> anyhow::Result<Vec<f64>> {
+    let checked = Recipe::new(scenario.clone(), seed).run_checked()?;
+    Ok(measures::of_checked_run(&checked))
+}
+
+fn measure_index(name: &str) -> usize {
+    MEASURES.iter().position(|measure| measure.name == name).unwrap_or(0)
+}
+
+fn mean_json(mean: &Mean) -> Value {
+    json!({"mean": mean.mean, "half": mean.half_width})
+}
+
+/// Runs everything; `progress` is told how many runs of how many are done.
+pub fn run(plan: &FidelityPlan, progress: &(dyn Fn(u64, u64) + Sync)) -> anyhow::Result<FidelityResult> {
+    let runs = plan.scenarios.len() as u64 * plan.seeds;
+    let pairs = parallel::run_all(plan.parallel_runs, 0..runs, &|number| {
+        let scenario = &plan.scenarios[(number / plan.seeds) as usize];
+        let seed = 1 + number % plan.seeds;
+        let fleet = Fleet::draw(scenario.clone(), seed);
+        let on_sockets = run_on_sockets(plan, &fleet, number)?;
+        progress(number + 1, runs);
+        let emulated = run_emulated(scenario, seed)?;
+        Ok(RunPair { on_sockets, emulated })
+    })?;
+    let mut table =
+        format!("{:<18}{:<15}{:>10}{:>10}{:>20}\n", "day", "measure", "sockets", "emulated", "difference");
+    let mut scenarios = Vec::new();
+    for (scenario, pairs) in plan.scenarios.iter().zip(pairs.chunks(plan.seeds as usize)) {
+        scenarios.push(compare(&scenario.name, pairs, &mut table));
+    }
+    scenarios.push(compare("all", &pairs, &mut table));
+    let figures = json!({"seeds": plan.seeds, "days": scenarios});
+    Ok(FidelityResult { table, figures })
+}
+
+/// Compares the runs of a scenario: rows of the table, and the figures.
+fn compare(scenario: &str, pairs: &[RunPair], table: &mut String) -> Value {
+    let mut fields = Map::new();
+    for measure in COMPARED {
+        fields.insert(measure.into(), compare_measure(scenario, measure, pairs, table));
+    }
+    let index = measure_index(RULES_BROKEN);
+    let broken_on_sockets: f64 = pairs.iter().map(|pair| pair.on_sockets[index]).sum();
+    let broken_emulated: f64 = pairs.iter().map(|pair| pair.emulated[index]).sum();
+    json!({
+        "day": scenario,
+        "runs": pairs.len(),
+        "measures": fields,
+        "rules_broken": {"sockets": broken_on_sockets, "emulated": broken_emulated},
+    })
+}
+
+fn compare_measure(scenario: &str, measure: &str, pairs: &[RunPair], table: &mut String) -> Value {
+    let index = measure_index(measure);
+    let on_sockets: Vec<f64> = pairs.iter().map(|pair| pair.on_sockets[index]).collect();
+    let emulated: Vec<f64> = pairs.iter().map(|pair| pair.emulated[index]).collect();
+    let difference = paired_difference(&on_sockets, &emulated);
+    let on_sockets = mean(&on_sockets);
+    let emulated = mean(&emulated);
+    let difference_text = format!("{:+.4} ±{:.4}", difference.mean, difference.half_width);
+    let _ = writeln!(
+        table,
+        "{scenario:<18}{measure:<15}{:>10.4}{:>10.4}{difference_text:>20}",
+        on_sockets.mean, emulated.mean
+    );
+    json!({
+        "sockets": mean_json(&on_sockets),
+        "emulated": mean_json(&emulated),
+        "difference": mean_json(&difference),
+    })
+}
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -1,28 +1,30 @@
-//! Local stacks, scripted days on sockets and measurements for linnetcart.
+//! Local stacks, scenarios on sockets and in virtual time, and measurements for linnetcart.
 //!
-//! The [`rig`] plays a day with real couriers in processes of their own, the stage of `linnetcart-scenario` around
-//! them, and real sockets between them.
+//! [`socket_run`] runs a scenario with real couriers in processes of their own and real sockets between them and
+//! the scenario runner of `linnetcart-scenario`; [`emulated_run`] runs the same scenario in virtual time. The other
+//! modules search, compare and measure with these two, and [`cli`] is the command line over all of them.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 pub mod baselines;
-pub mod bench;
+pub mod bench_scenario;
 pub mod charts;
 pub mod cli;
-pub mod courier;
-pub mod decisions;
-pub mod emulated;
+pub mod courier_process;
+pub mod decision_cost;
+pub mod decision_record;
+pub mod emulated_run;
 pub mod experiment;
-pub mod faithful;
-pub mod figures;
-pub mod floor;
-pub mod hunt;
+pub mod fault_search;
+pub mod fidelity_check;
+pub mod listen;
+pub mod message_receivers;
 pub mod parallel;
-pub mod receivers;
-pub mod record;
+mod protocol;
 pub mod relay;
-pub mod report;
-pub mod reporting;
-pub mod rig;
-pub mod sinks;
-pub mod tail;
+pub mod report_cost;
+pub mod report_receiver;
+pub mod run_report;
+pub mod socket_run;
+pub mod statistics;
+pub mod throughput_baseline;
--- /dev/null
+++ b/crates/testbed/src/listen/series.rs
@@ -0,0 +1,53 @@
+//! Names of series, in the three forms in which reports have them.
+
+use std::collections::BTreeMap;
+
+/// A series of a destination, without those of its classes and routes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct DestinationSeries {
+    pub(super) courier: String,
+    pub(super) destination: String,
+    pub(super) field: String,
+}
+
+impl DestinationSeries {
+    fn new(courier: &str, destination: &str, field: &str) -> DestinationSeries {
+        let owned = str::to_owned;
+        DestinationSeries { courier: owned(courier), destination: owned(destination), field: owned(field) }
+    }
+
+    /// Reads a name: Graphite's with a path, Graphite's with tags, or collectd's. None for any other series.
+    pub(super) fn parse(name: &str) -> Option<DestinationSeries> {
+        match name.split_once(';') {
+            Some((path, tags)) => DestinationSeries::parse_tagged(path, tags),
+            None => DestinationSeries::parse_path(name),
+        }
+    }
+
+    fn parse_tagged(path: &str, tags: &str) -> Option<DestinationSeries> {
+        let tags: BTreeMap<&str, &str> = tags.split(';').filter_map(|tag| tag.split_once('=')).collect();
+        if tags.contains_key("class") || tags.contains_key("route") {
+            return None;
+        }
+        let field = path.rsplit('.').next()?;
+        Some(DestinationSeries::new(tags.get("edge")?, tags.get("dest")?, field))
+    }
+
+    fn parse_path(name: &str) -> Option<DestinationSeries> {
+        let parts: Vec<&str> = name.split('.').collect();
+        match parts.as_slice() {
+            ["linnetcart", _, "edge", courier, "dest", destination, field] => {
+                Some(DestinationSeries::new(courier, destination, field))
+            }
+            [host, "linnetcart", instance, field] => {
+                let destination = instance.strip_prefix("dest-")?;
+                if destination.contains("-class-") || destination.contains("-route-") {
+                    return None;
+                }
+                let courier = host.rsplit('-').next().unwrap_or(host);
+                Some(DestinationSeries::new(courier, destination, field))
+            }
+            _ => None,
+        }
+    }
+}
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -1,7 +1,9 @@
-//! `linnetcart-testbed`.
+//! The program `linnetcart-testbed`.
 
 use clap::Parser;
+use linnetcart_testbed::cli;
+use std::process::ExitCode;
 
-fn main() -> std::process::ExitCode {
-    linnetcart_testbed::cli::run(linnetcart_testbed::cli::Args::parse())
+fn main() -> ExitCode {
+    cli::run(cli::Args::parse())
 }
--- a/crates/testbed/src/relay.rs
+++ b/crates/testbed/src/relay.rs
@@ -1,111 +1,164 @@
-//! A relay that decides nothing, on the same loop and codec as the edge: what moving messages costs by itself.
+//! A relay that decides nothing, on the same event loop and codec as the edge: what moving messages costs by itself.
 //!
 //! A request of one record for a partition goes as one call to that partition's endpoint, on a connection that
 //! carries nothing else meanwhile; what comes back goes to the client.
 
-use linnetcart_kafka::server::{self, Body, Broker, Topic};
+use crate::protocol::{ALL_REPLICAS, MAX_CONNECTIONS, MAX_FRAME_BYTES, PRODUCE_VERSION};
+use linnetcart_kafka::server::{self, Body, Broker, Request, Topic};
 use linnetcart_kafka::{client, Frames};
 use linnetcart_net::{Event, Net, Token};
+use serde_json::json;
 use std::collections::BTreeMap;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-const FRAME: usize = 1 << 20;
-const VERSION: i16 = 9;
+const POLL_INTERVAL: Duration = Duration::from_millis(500);
+const PRODUCE_TIMEOUT_MS: i32 = 1000;
 
-enum Role {
-    Client(Frames),
-    Link { endpoint: usize, frames: Frames, waits: Option<(Token, i32, i16)> },
+/// A client's request that an endpoint is working on.
+struct PendingRequest {
+    client: Token,
+    correlation: i32,
+    version: i16,
+}
+
+enum Connection {
+    Client { frames: Frames },
+    Endpoint { endpoint: usize, frames: Frames, pending: Option<PendingRequest> },
+}
+
+struct Relay<'a> {
+    net: Net,
+    address: SocketAddr,
+    listener: Token,
+    endpoints: &'a [SocketAddr],
+    connections: BTreeMap<Token, Connection>,
+    /// Connections to each endpoint that carry nothing.
+    idle: Vec<Vec<Token>>,
+    last_correlation: i32,
 }
 
 /// Relays between clients and these endpoints, by partition, until it is killed.
 pub fn run(endpoints: &[SocketAddr]) -> anyhow::Result<()> {
-    let mut net = Net::new(60_000)?;
-    let (listener, at) = net.listen("127.0.0.1:0".parse()?)?;
-    println!("{}", serde_json::json!({"kafka": at.to_string(), "control": at.to_string()}));
+    let mut net = Net::new(MAX_CONNECTIONS)?;
+    let (listener, address) = net.listen("127.0.0.1:0".parse()?)?;
+    println!("{}", json!({"kafka": address.to_string(), "control": address.to_string()}));
     std::io::stdout().flush()?;
-    let mut roles: BTreeMap<Token, Role> = BTreeMap::new();
-    let mut idle: Vec<Vec<Token>> = vec![Vec::new(); endpoints.len()];
-    let mut number = 0;
+    let mut relay = Relay {
+        net,
+        address,
+        listener,
+        endpoints,
+        connections: BTreeMap::new(),
+        idle: vec![Vec::new(); endpoints.len()],
+        last_correlation: 0,
+    };
     let mut events = Vec::new();
     loop {
-        net.poll(Duration::from_millis(500), &mut events)?;
+        relay.net.poll(POLL_INTERVAL, &mut events)?;
         for event in events.drain(..) {
-            match event {
-                Event::Accepted { listener: l, token, .. } if l == listener => {
-                    roles.insert(token, Role::Client(Frames::new(FRAME)));
+            relay.process(event)?;
+        }
+    }
+}
+
+impl Relay<'_> {
+    fn process(&mut self, event: Event) -> anyhow::Result<()> {
+        match event {
+            Event::Accepted { listener, token, .. } if listener == self.listener => {
+                let frames = Frames::new(MAX_FRAME_BYTES);
+                self.connections.insert(token, Connection::Client { frames });
+            }
+            Event::Data(token, bytes) => self.receive(token, &bytes)?,
+            Event::HalfClosed(token) => {
+                self.net.close(token);
+                self.remove(token);
+            }
+            Event::Closed { token, .. } | Event::ConnectFailed(token) => self.remove(token),
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn remove(&mut self, token: Token) {
+        self.connections.remove(&token);
+        for idle in &mut self.idle {
+            idle.retain(|&other| other != token);
+        }
+    }
+
+    fn receive(&mut self, token: Token, bytes: &[u8]) -> anyhow::Result<()> {
+        match self.connections.get_mut(&token) {
+            Some(Connection::Client { frames }) => {
+                frames.push(bytes);
+                let mut requests = Vec::new();
+                while let Ok(Some(frame)) = frames.next_frame() {
+                    requests.extend(server::read(&frame));
                 }
-                Event::Data(token, bytes) => match roles.get_mut(&token) {
-                    Some(Role::Client(frames)) => {
-                        frames.push(&bytes);
-                        let mut requests = Vec::new();
-                        while let Ok(Some(frame)) = frames.next_frame() {
-                            requests.extend(server::read(&frame));
-                        }
-                        for r in requests {
-                            let (correlation, version) = (r.correlation, r.version);
-                            let Body::Produce(p) = r.body else {
-                                let broker = Broker { id: 0, host: "127.0.0.1".into(), port: at.port() };
-                                let response = match r.body {
-                                    Body::Metadata(_) => {
-                                        server::metadata(correlation, version, &broker, &[] as &[Topic])
-                                    }
-                                    _ => server::api_versions(correlation, version, false),
-                                };
-                                net.send(token, &response);
-                                continue;
-                            };
-                            for part in p.parts {
-                                let Ok(records) = part.records else { continue };
-                                let endpoint = part.partition as usize % endpoints.len();
-                                number = number % i32::MAX + 1;
-                                let to = [client::ProduceTarget {
-                                    topic: &part.topic,
-                                    partition: part.partition,
-                                    records: &records,
-                                }];
-                                let request = client::produce(number, "relay", VERSION, (-1, 1000), &to)?;
-                                let link =
-                                    idle[endpoint].pop().unwrap_or_else(|| net.connect(endpoints[endpoint]));
-                                net.send(link, &request);
-                                let role = roles.entry(link).or_insert_with(|| Role::Link {
-                                    endpoint,
-                                    frames: Frames::new(FRAME),
-                                    waits: None,
-                                });
-                                if let Role::Link { waits, .. } = role {
-                                    *waits = Some((token, correlation, version));
-                                }
-                            }
-                        }
-                    }
-                    Some(Role::Link { endpoint, frames, waits }) => {
-                        frames.push(&bytes);
-                        while let Ok(Some(frame)) = frames.next_frame() {
-                            let produced = client::read_produced(&frame, VERSION)?;
-                            if let Some((client, correlation, version)) = waits.take() {
-                                net.send(
-                                    client,
-                                    &server::produce(correlation, version, &produced.parts, 0, None),
-                                );
-                            }
-                            idle[*endpoint].push(token);
-                        }
+                for request in requests {
+                    self.serve(token, request)?;
+                }
+            }
+            Some(Connection::Endpoint { endpoint, frames, pending }) => {
+                frames.push(bytes);
+                while let Ok(Some(frame)) = frames.next_frame() {
+                    let reply = client::read_produced(&frame, PRODUCE_VERSION)?;
+                    if let Some(PendingRequest { client, correlation, version }) = pending.take() {
+                        let response = server::produce(correlation, version, &reply.parts, 0, None);
+                        self.net.send(client, &response);
                     }
-                    None => {}
-                },
-                Event::HalfClosed(token) => {
-                    net.close(token);
-                    roles.remove(&token);
-                    idle.iter_mut().for_each(|i| i.retain(|&t| t != token));
+                    self.idle[*endpoint].push(token);
                 }
-                Event::Closed { token, .. } | Event::ConnectFailed(token) => {
-                    roles.remove(&token);
-                    idle.iter_mut().for_each(|i| i.retain(|&t| t != token));
+            }
+            None => {}
+        }
+        Ok(())
+    }
+
+    fn serve(&mut self, client: Token, request: Request) -> anyhow::Result<()> {
+        let Request { correlation, version, body, .. } = request;
+        match body {
+            Body::Produce(produce) => {
+                for part in produce.parts {
+                    let Ok(records) = part.records else { continue };
+                    let target = client::ProduceTarget {
+                        topic: &part.topic,
+                        partition: part.partition,
+                        records: &records,
+                    };
+                    self.forward(PendingRequest { client, correlation, version }, target)?;
                 }
-                _ => {}
             }
+            Body::Metadata(_) => {
+                let broker = Broker { id: 0, host: "127.0.0.1".into(), port: self.address.port() };
+                let no_topics: &[Topic] = &[];
+                self.net.send(client, &server::metadata(correlation, version, &broker, no_topics));
+            }
+            _ => self.net.send(client, &server::api_versions(correlation, version, false)),
+        }
+        Ok(())
+    }
+
+    fn forward(&mut self, request: PendingRequest, target: client::ProduceTarget) -> anyhow::Result<()> {
+        let endpoint = target.partition as usize % self.endpoints.len();
+        self.last_correlation = self.last_correlation % i32::MAX + 1;
+        let acknowledgement = (ALL_REPLICAS, PRODUCE_TIMEOUT_MS);
+        let call =
+            client::produce(self.last_correlation, "relay", PRODUCE_VERSION, acknowledgement, &[target])?;
+        let token = match self.idle[endpoint].pop() {
+            Some(idle) => idle,
+            None => self.net.connect(self.endpoints[endpoint]),
+        };
+        self.net.send(token, &call);
+        let connection = self.connections.entry(token).or_insert_with(|| Connection::Endpoint {
+            endpoint,
+            frames: Frames::new(MAX_FRAME_BYTES),
+            pending: None,
+        });
+        if let Connection::Endpoint { pending, .. } = connection {
+            *pending = Some(request);
         }
+        Ok(())
     }
 }
--- /dev/null
+++ b/crates/testbed/src/run_report.rs
@@ -0,0 +1,90 @@
+//! Tables for the terminal and JSON for files from the outcome of the conformance checks.
+
+use linnetcart_conformance::{ClassSummary, InvariantResult, Report};
+use serde_json::{json, Value};
+use std::fmt::Write;
+
+/// What became of the classes, and the rules.
+pub fn table(report: &Report) -> String {
+    let mut text = String::new();
+    let _ = writeln!(
+        text,
+        "{:<18}{:>9}{:>9}{:>7}{:>9}{:>8}{:>7}{:>9}{:>9}{:>10}",
+        "class", "messages", "in aim", "late", "refused", "failed", "lost", "unknown", "attempts", "worth"
+    );
+    for class in &report.classes {
+        write_class(&mut text, class);
+    }
+    let _ = writeln!(
+        text,
+        "served worth {:.3}, worst ten seconds {:.3}; {} calls reached endpoints, {} of them refused",
+        report.service, report.worst_stretch, report.calls, report.calls_refused
+    );
+    let _ = writeln!(text, "\n{:<54}{:>10}{:>8}", "rule", "checked", "broken");
+    for invariant in &report.rules {
+        write_invariant(&mut text, invariant);
+    }
+    text
+}
+
+fn write_class(text: &mut String, class: &ClassSummary) {
+    let _ = writeln!(
+        text,
+        "{:<18}{:>9}{:>9}{:>7}{:>9}{:>8}{:>7}{:>9}{:>9}{:>9.1}%",
+        class.class,
+        class.messages,
+        class.in_aim,
+        class.late,
+        class.refused,
+        class.failed,
+        class.lost,
+        class.unknown,
+        class.attempts,
+        100.0 * class.worth / class.asked.max(1e-9)
+    );
+}
+
+fn write_invariant(text: &mut String, invariant: &InvariantResult) {
+    let _ = writeln!(text, "{:<54}{:>10}{:>8}", invariant.rule, invariant.checked, invariant.broken);
+    for example in &invariant.examples {
+        let _ = writeln!(text, "    {example}");
+    }
+}
+
+/// Several policies next to each other.
+pub fn comparison(reports: &[(String, Report)]) -> String {
+    let mut text = String::new();
+    let _ = writeln!(
+        text,
+        "{:<14}{:>14}{:>12}{:>10}{:>10}{:>14}",
+        "policy", "served worth", "worst 10 s", "calls", "refused", "rules broken"
+    );
+    for (policy, report) in reports {
+        let broken = broken_rules(report);
+        let _ = writeln!(
+            text,
+            "{policy:<14}{:>14.3}{:>12.3}{:>10}{:>10}{broken:>14}",
+            report.service, report.worst_stretch, report.calls, report.calls_refused
+        );
+    }
+    text
+}
+
+/// The numbers of the broken rules, with which their names begin.
+fn broken_rules(report: &Report) -> String {
+    let broken = report.rules.iter().filter(|invariant| invariant.broken > 0);
+    let numbers: Vec<&str> = broken.map(|invariant| invariant.rule.split(' ').next().unwrap_or("")).collect();
+    if numbers.is_empty() {
+        return "none".into();
+    }
+    numbers.join(" ")
+}
+
+/// Reports of several policies as JSON.
+pub fn json(scenario: &str, seed: u64, reports: &[(String, Report)]) -> Value {
+    let mut runs = Vec::new();
+    for (policy, report) in reports {
+        runs.push(json!({"policy": policy, "report": report}));
+    }
+    json!({"day": scenario, "seed": seed, "runs": runs})
+}
--- /dev/null
+++ b/crates/testbed/src/socket_run/mod.rs
@@ -0,0 +1,243 @@
+//! Runs a scenario on sockets: real couriers in processes of their own, and on one event loop of this process the
+//! scenario runner around them, which records what goes over the sockets.
+
+mod transport;
+
+use anyhow::{bail, Context};
+use calloop::signals::Signal;
+use linnetcart_conformance::Time;
+use linnetcart_net::{Event, Token};
+use linnetcart_scenario::fleet::Fleet;
+pub use linnetcart_scenario::stage::ScenarioRecords;
+use linnetcart_scenario::stage::{ScenarioRunner, Transport};
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+use transport::{PendingReply, SocketTransport};
+
+const MILLISECOND: Time = 1_000_000;
+const SECOND: Time = 1000 * MILLISECOND;
+/// How long couriers may take to get ready.
+const STARTUP_TIMEOUT: Duration = Duration::from_secs(20);
+/// How long couriers may take to end; more than they work on after SIGTERM.
+const SHUTDOWN_TIMEOUT: Time = 12 * SECOND;
+/// How long the loop waits at most while couriers get ready or end, and while traffic runs.
+const TRANSITION_POLL: Time = 10 * MILLISECOND;
+const TRAFFIC_POLL: Time = 200 * MILLISECOND;
+const IDLE_POLL: Time = SECOND;
+const HTTP_OK: &str = "HTTP/1.1 200";
+
+/// How a stack is brought up.
+#[derive(Clone, Debug)]
+pub struct StackOptions {
+    /// The policy that decides in the couriers.
+    pub policy: String,
+    /// The program whose `edge` command is a courier: this one, but in tests.
+    pub program: PathBuf,
+    /// Where couriers keep their state and logs.
+    pub dir: PathBuf,
+    /// A Graphite receiver that couriers report to, each second.
+    pub graphite: Option<SocketAddr>,
+    /// Is told each second how far the run is.
+    pub progress: Option<fn(Progress)>,
+}
+
+impl StackOptions {
+    /// Couriers that the library decides in, without reports and progress.
+    pub fn new(program: PathBuf, dir: PathBuf) -> StackOptions {
+        StackOptions { policy: "library".into(), program, dir, graphite: None, progress: None }
+    }
+}
+
+/// How far a run is.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Progress {
+    /// Seconds of the scenario that have passed.
+    pub seconds: f64,
+    /// Seconds of the scenario in all.
+    pub of_seconds: f64,
+    /// Messages that wait for their answer.
+    pub open_messages: usize,
+}
+
+struct SocketStack<'a> {
+    runner: ScenarioRunner<'a, SocketTransport<'a>>,
+    options: &'a StackOptions,
+    started: Instant,
+    signalled: bool,
+}
+
+/// Runs a scenario to its end.
+pub fn run(fleet: &Fleet, options: &StackOptions) -> anyhow::Result<ScenarioRecords> {
+    let mut stack = SocketStack::start(fleet, options)?;
+    stack.run_traffic(fleet.scenario.seconds)?;
+    stack.stop_couriers()?;
+    let (records, _) = stack.runner.into_records();
+    Ok(records)
+}
+
+/// Keeps the stack of a scenario up, without its traffic, until a signal comes. `ready` is given where it listens.
+pub fn run_until_signal(
+    fleet: &Fleet,
+    options: &StackOptions,
+    ready: impl FnOnce(Value),
+) -> anyhow::Result<()> {
+    let mut stack = SocketStack::start(fleet, options)?;
+    let transport = &mut stack.runner.transport;
+    transport.net.watch_signals(&[Signal::SIGTERM, Signal::SIGINT])?;
+    ready(stack.description(fleet)?);
+    let mut events = Vec::new();
+    while !stack.signalled {
+        stack.poll(&mut events, IDLE_POLL)?;
+    }
+    stack.stop_couriers()
+}
+
+impl<'a> SocketStack<'a> {
+    fn start(fleet: &'a Fleet, options: &'a StackOptions) -> anyhow::Result<SocketStack<'a>> {
+        let transport = SocketTransport::new(fleet, options)?;
+        let started = Instant::now();
+        let runner = ScenarioRunner::new(fleet, transport)?;
+        let mut stack = SocketStack { runner, options, started, signalled: false };
+        stack.wait_until_ready()?;
+        Ok(stack)
+    }
+
+    /// Waits until every courier has its settings and the whole endpoint list, and its clients are connected.
+    fn wait_until_ready(&mut self) -> anyhow::Result<()> {
+        let ready_by = Instant::now() + STARTUP_TIMEOUT;
+        let mut events = Vec::new();
+        while !self.runner.ready() {
+            if Instant::now() > ready_by {
+                let dir = self.options.dir.display();
+                bail!("the couriers did not get ready in 20 s; see the logs in {dir}");
+            }
+            self.poll(&mut events, TRANSITION_POLL)?;
+        }
+        Ok(())
+    }
+
+    fn description(&self, fleet: &Fleet) -> anyhow::Result<Value> {
+        let courier = self.runner.transport.couriers.values().next().context("no courier")?;
+        let mut destinations = Vec::new();
+        for destination in &fleet.destinations {
+            destinations.push(json!({
+                "destination": destination.destination,
+                "kind": fleet.scenario.kind[destination.kind].name,
+                "endpoints": destination.endpoints.len(),
+            }));
+        }
+        Ok(json!({
+            "kafka": courier.kafka.to_string(),
+            "control": courier.control.to_string(),
+            "destinations": destinations,
+            "topics": fleet.topics(),
+        }))
+    }
+
+    fn run_traffic(&mut self, length: f64) -> anyhow::Result<()> {
+        self.started = Instant::now();
+        self.runner.start_traffic();
+        let mut events = Vec::new();
+        let mut last_reported_second = 0;
+        while !self.runner.finished() {
+            let now = self.runner.now();
+            self.poll(&mut events, TRAFFIC_POLL)?;
+            let second = now / SECOND;
+            if second != last_reported_second {
+                last_reported_second = second;
+                self.report_progress(now, length);
+            }
+        }
+        Ok(())
+    }
+
+    fn report_progress(&self, now: Time, length: f64) {
+        if let Some(progress) = self.options.progress {
+            let open_messages = self.runner.open();
+            progress(Progress { seconds: now as f64 / 1e9, of_seconds: length, open_messages });
+        }
+    }
+
+    /// Ends the couriers as an operator does, and sees that they end well.
+    fn stop_couriers(&mut self) -> anyhow::Result<()> {
+        let couriers = &self.runner.transport.couriers;
+        for courier in couriers.values() {
+            courier.resume();
+            courier.terminate();
+        }
+        let numbers: Vec<u32> = couriers.keys().copied().collect();
+        let stop_by = self.runner.now() + SHUTDOWN_TIMEOUT;
+        for number in numbers {
+            self.wait_for_exit(number, stop_by)?;
+        }
+        Ok(())
+    }
+
+    fn wait_for_exit(&mut self, number: u32, stop_by: Time) -> anyhow::Result<()> {
+        let mut events = Vec::new();
+        while let Some(courier) = self.runner.transport.couriers.get_mut(&number) {
+            match courier.wait(Duration::ZERO) {
+                Some(0) => break,
+                Some(code) => bail!("courier {number} ended with code {code}; see its log"),
+                None if self.runner.now() > stop_by => {
+                    bail!("courier {number} did not end within its time; see its log")
+                }
+                None => self.poll(&mut events, TRANSITION_POLL)?,
+            }
+        }
+        Ok(())
+    }
+
+    /// Waits for what comes next, at most so long, and processes it.
+    fn poll(&mut self, events: &mut Vec<Event>, max_wait: Time) -> anyhow::Result<()> {
+        let wait_until = self.runner.now() + max_wait;
+        let next = self.runner.next_wakeup().map_or(wait_until, |wakeup| wakeup.min(wait_until));
+        let wait = next.saturating_sub(self.elapsed());
+        self.runner.transport.net.poll(Duration::from_nanos(wait), events)?;
+        let now = self.elapsed();
+        self.runner.clock(now);
+        for event in events.drain(..) {
+            self.process(event)?;
+        }
+        self.runner.run_due_timers()
+    }
+
+    fn elapsed(&self) -> Time {
+        self.started.elapsed().as_nanos() as Time
+    }
+
+    fn process(&mut self, event: Event) -> anyhow::Result<()> {
+        match event {
+            Event::Accepted { listener, token, .. } => match self.runner.transport.listeners.get(&listener) {
+                Some(&endpoint) => self.runner.accepted(endpoint, token),
+                None => self.runner.transport.close(token),
+            },
+            Event::Connected(token) => self.runner.connected(token),
+            Event::Data(token, bytes) => match self.runner.transport.pending_replies.get_mut(&token) {
+                Some(pending) => pending.received.extend(&bytes),
+                None => self.runner.received(token, &bytes),
+            },
+            Event::HalfClosed(token) => {
+                self.runner.transport.close(token);
+                self.process_closed(token)?;
+            }
+            Event::Closed { token, .. } | Event::ConnectFailed(token) => self.process_closed(token)?,
+            Event::Signal(_) => self.signalled = true,
+            Event::Datagram(..) => {}
+        }
+        Ok(())
+    }
+
+    fn process_closed(&mut self, token: Token) -> anyhow::Result<()> {
+        let Some(pending) = self.runner.transport.pending_replies.remove(&token) else {
+            self.runner.disconnected(token);
+            return Ok(());
+        };
+        let PendingReply { courier, incarnation, received } = pending;
+        let text = String::from_utf8_lossy(&received);
+        let reply = if text.starts_with(HTTP_OK) { Ok(()) } else { Err(text.into_owned()) };
+        self.runner.put_done(courier, incarnation, reply)
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/socket_run/transport.rs
@@ -0,0 +1,164 @@
+//! Sockets and processes for the scenario runner.
+
+use super::StackOptions;
+use crate::courier_process::{CourierOptions, CourierProcess};
+use anyhow::Context;
+use linnetcart_conformance::Time;
+use linnetcart_net::{Net, Reserved, Token};
+use linnetcart_scenario::fleet::Fleet;
+use linnetcart_scenario::stage::Transport;
+use serde_json::json;
+use std::collections::btree_map::Entry;
+use std::collections::BTreeMap;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::time::{Duration, SystemTime};
+
+const LOOPBACK: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
+/// An address at which nobody listens: a courier that is gone has left its port.
+const NOBODY: SocketAddr = SocketAddr::new(LOOPBACK, 1);
+const MAX_CONNECTIONS: usize = 60_000;
+/// How long a courier works on after SIGTERM.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// A reply of a control interface that is still coming.
+pub(super) struct PendingReply {
+    pub(super) courier: u32,
+    pub(super) incarnation: u32,
+    pub(super) received: Vec<u8>,
+}
+
+/// Where an endpoint listens.
+struct EndpointListener {
+    token: Option<Token>,
+    /// Kept as long as the stack, so that a call to an endpoint that is gone reaches nobody else.
+    port: Reserved,
+}
+
+/// Sockets and processes.
+pub(super) struct SocketTransport<'a> {
+    fleet: &'a Fleet,
+    options: &'a StackOptions,
+    pub(super) net: Net,
+    pub(super) couriers: BTreeMap<u32, CourierProcess>,
+    pub(super) listeners: BTreeMap<Token, u32>,
+    pub(super) pending_replies: BTreeMap<Token, PendingReply>,
+    endpoints: BTreeMap<u32, EndpointListener>,
+    /// Names of destinations in reports, by number.
+    destination_names: BTreeMap<String, String>,
+}
+
+impl<'a> SocketTransport<'a> {
+    pub(super) fn new(fleet: &'a Fleet, options: &'a StackOptions) -> anyhow::Result<SocketTransport<'a>> {
+        let mut destination_names = BTreeMap::new();
+        for (number, (kind, _)) in fleet.listed() {
+            destination_names.insert(number.to_string(), format!("{kind}-{number}"));
+        }
+        Ok(SocketTransport {
+            fleet,
+            options,
+            net: Net::new(MAX_CONNECTIONS)?,
+            couriers: BTreeMap::new(),
+            listeners: BTreeMap::new(),
+            pending_replies: BTreeMap::new(),
+            endpoints: BTreeMap::new(),
+            destination_names,
+        })
+    }
+}
+
+impl Transport for SocketTransport<'_> {
+    fn wall(&self) -> Time {
+        SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default().as_nanos() as Time
+    }
+
+    fn connect(&mut self, courier: u32) -> Token {
+        self.net.connect(self.couriers.get(&courier).map_or(NOBODY, |courier| courier.kafka))
+    }
+
+    fn send(&mut self, token: Token, bytes: &[u8]) {
+        self.net.send(token, bytes);
+    }
+
+    fn close(&mut self, token: Token) {
+        self.net.close(token);
+    }
+
+    fn reset(&mut self, token: Token) {
+        self.net.reset(token);
+    }
+
+    fn start(&mut self, number: u32, incarnation: u32, first: bool) -> anyhow::Result<bool> {
+        let dir = self.options.dir.join(format!("courier-{number}"));
+        if first && dir.exists() {
+            std::fs::remove_dir_all(&dir).with_context(|| dir.display().to_string())?;
+        }
+        let courier = CourierProcess::start(&CourierOptions {
+            program: &self.options.program,
+            dir: &dir,
+            seed: self.fleet.courier_seed(number, incarnation),
+            policy: &self.options.policy,
+            drain_timeout: DRAIN_TIMEOUT,
+        })?;
+        // Those that were started before find it in their snapshot.
+        if let Some(address) = self.options.graphite.filter(|_| first) {
+            let graphite = json!({"address": address.to_string()});
+            let settings = json!({"interval_s": 1, "names": self.destination_names, "graphite": graphite});
+            courier.put("/telemetry", &settings)?;
+        }
+        self.couriers.insert(number, courier);
+        Ok(!first)
+    }
+
+    fn kill(&mut self, courier: u32) {
+        self.couriers.remove(&courier);
+    }
+
+    fn stall(&mut self, courier: u32) {
+        if let Some(courier) = self.couriers.get(&courier) {
+            courier.stall();
+        }
+    }
+
+    fn go_on(&mut self, courier: u32) {
+        if let Some(courier) = self.couriers.get(&courier) {
+            courier.resume();
+        }
+    }
+
+    fn put(&mut self, number: u32, incarnation: u32, path: &'static str, body: String) {
+        let Some(courier) = self.couriers.get(&number) else { return };
+        let token = self.net.connect(courier.control);
+        let length = body.len();
+        let head = format!("PUT {path} HTTP/1.1\r\nContent-Length: {length}\r\nConnection: close\r\n\r\n");
+        self.net.send(token, head.as_bytes());
+        self.net.send(token, body.as_bytes());
+        let pending = PendingReply { courier: number, incarnation, received: Vec::new() };
+        self.pending_replies.insert(token, pending);
+    }
+
+    fn open(&mut self, endpoint: u32) -> anyhow::Result<()> {
+        let listener = match self.endpoints.entry(endpoint) {
+            Entry::Occupied(known) => known.into_mut(),
+            Entry::Vacant(new) => {
+                new.insert(EndpointListener { token: None, port: Reserved::new(LOOPBACK)? })
+            }
+        };
+        let address = listener.port.addr();
+        let (token, _) = self.net.listen(address).with_context(|| format!("endpoint {endpoint}"))?;
+        listener.token = Some(token);
+        self.listeners.insert(token, endpoint);
+        Ok(())
+    }
+
+    fn shut(&mut self, endpoint: u32) {
+        let Some(listener) = self.endpoints.get_mut(&endpoint) else { return };
+        if let Some(token) = listener.token.take() {
+            self.net.stop_listening(token);
+            self.listeners.remove(&token);
+        }
+    }
+
+    fn address(&self, endpoint: u32) -> SocketAddr {
+        self.endpoints.get(&endpoint).map_or(NOBODY, |listener| listener.port.addr())
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/throughput_baseline/clients.rs
@@ -0,0 +1,182 @@
+//! Clients that submit messages and measure the time until they are answered.
+
+use crate::protocol::{ALL_REPLICAS, MAX_CONNECTIONS, MAX_FRAME_BYTES, PRODUCE_VERSION};
+use anyhow::bail;
+use hdrhistogram::Histogram;
+use linnetcart_kafka::{client, codes, Frames, Record};
+use linnetcart_net::{Event, Net, Token};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::ops::Range;
+use std::time::{Duration, Instant};
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(10);
+const CONNECT_POLL: Duration = Duration::from_millis(50);
+const PRODUCE_TIMEOUT_MS: i32 = 30_000;
+const RECORD_BYTES: usize = 200;
+
+/// How fast clients submit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) enum Load {
+    /// Each connection submits the next message when the last is answered.
+    FullSpeed,
+    /// So many messages a second over all connections.
+    PerSecond(f64),
+}
+
+impl Load {
+    /// How long to wait for answers, at most, before the next message may be due.
+    fn poll_interval(self) -> Duration {
+        match self {
+            Load::FullSpeed => Duration::from_millis(20),
+            Load::PerSecond(_) => Duration::from_micros(200),
+        }
+    }
+}
+
+/// What clients saw over a stretch of time.
+pub(super) struct ClientStretch {
+    pub(super) messages: u64,
+    pub(super) seconds: f64,
+    /// Nanoseconds from the submission to the answer.
+    pub(super) latency: Histogram<u64>,
+}
+
+struct Connection {
+    token: Token,
+    frames: Frames,
+    /// Messages without an answer, by correlation id, with the time of their submission.
+    pending: BTreeMap<i32, Instant>,
+}
+
+/// Connected clients, and the destinations that they submit messages for in turn.
+pub(super) struct Clients {
+    net: Net,
+    connections: Vec<Connection>,
+    by_token: BTreeMap<Token, usize>,
+    last_correlation: i32,
+    destinations: Range<usize>,
+    record: Record,
+}
+
+impl Clients {
+    /// Connects so many clients.
+    pub(super) fn connect(
+        address: SocketAddr,
+        count: usize,
+        destinations: Range<usize>,
+    ) -> anyhow::Result<Clients> {
+        let mut net = Net::new(MAX_CONNECTIONS)?;
+        let mut connections = Vec::new();
+        let mut by_token = BTreeMap::new();
+        for index in 0..count {
+            let token = net.connect(address);
+            by_token.insert(token, index);
+            let frames = Frames::new(MAX_FRAME_BYTES);
+            connections.push(Connection { token, frames, pending: BTreeMap::new() });
+        }
+        let record = Record { value: Some(vec![b'x'; RECORD_BYTES].into()), ..Record::default() };
+        let mut clients = Clients { net, connections, by_token, last_correlation: 0, destinations, record };
+        clients.wait_until_connected()?;
+        Ok(clients)
+    }
+
+    fn wait_until_connected(&mut self) -> anyhow::Result<()> {
+        let count = self.connections.len();
+        let connect_by = Instant::now() + CONNECT_TIMEOUT;
+        let mut connected = 0;
+        let mut events = Vec::new();
+        while connected < count {
+            self.net.poll(CONNECT_POLL, &mut events)?;
+            connected += events.drain(..).filter(|event| matches!(event, Event::Connected(_))).count();
+            if Instant::now() > connect_by {
+                bail!("only {connected} of {count} clients could connect");
+            }
+        }
+        Ok(())
+    }
+
+    /// Submits a message on a connection.
+    pub(super) fn submit(&mut self, index: usize) -> anyhow::Result<()> {
+        self.last_correlation = self.last_correlation % i32::MAX + 1;
+        let correlation = self.last_correlation;
+        let destinations = self.destinations.len() as i32;
+        let partition = self.destinations.start as i32 + correlation % destinations;
+        let records = std::slice::from_ref(&self.record);
+        let target = client::ProduceTarget { topic: "m", partition, records };
+        let acknowledgement = (ALL_REPLICAS, PRODUCE_TIMEOUT_MS);
+        let request = client::produce(correlation, "floor", PRODUCE_VERSION, acknowledgement, &[target])?;
+        let connection = &mut self.connections[index];
+        connection.pending.insert(correlation, Instant::now());
+        self.net.send(connection.token, &request);
+        Ok(())
+    }
+
+    /// Lets bytes go out and come in for so long, and ignores what comes.
+    pub(super) fn poll_ignoring_answers(&mut self, timeout: Duration) -> anyhow::Result<()> {
+        self.net.poll(timeout, &mut Vec::new())?;
+        Ok(())
+    }
+
+    /// Submits messages for so long.
+    pub(super) fn run(&mut self, duration: Duration, load: Load) -> anyhow::Result<ClientStretch> {
+        let started = Instant::now();
+        let mut stretch = ClientStretch { messages: 0, seconds: 0.0, latency: Histogram::new(3)? };
+        let mut submitted = 0u64;
+        if load == Load::FullSpeed {
+            self.submit_on_idle_connections()?;
+        }
+        let mut events = Vec::new();
+        while started.elapsed() < duration {
+            if let Load::PerSecond(rate) = load {
+                let due = started.elapsed().as_secs_f64() * rate;
+                while (submitted as f64) < due {
+                    self.submit(submitted as usize % self.connections.len())?;
+                    submitted += 1;
+                }
+            }
+            self.net.poll(load.poll_interval(), &mut events)?;
+            for event in events.drain(..) {
+                if let Event::Data(token, bytes) = event {
+                    self.receive(token, &bytes, load, &mut stretch)?;
+                }
+            }
+        }
+        stretch.seconds = started.elapsed().as_secs_f64();
+        Ok(stretch)
+    }
+
+    fn submit_on_idle_connections(&mut self) -> anyhow::Result<()> {
+        for index in 0..self.connections.len() {
+            if self.connections[index].pending.is_empty() {
+                self.submit(index)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn receive(
+        &mut self,
+        token: Token,
+        bytes: &[u8],
+        load: Load,
+        stretch: &mut ClientStretch,
+    ) -> anyhow::Result<()> {
+        let index = self.by_token[&token];
+        self.connections[index].frames.push(bytes);
+        while let Some(frame) = self.connections[index].frames.next_frame()? {
+            let reply = client::read_produced(&frame, PRODUCE_VERSION)?;
+            if reply.parts.iter().any(|part| part.code != codes::NONE) {
+                bail!("a message was not served: {:?}", reply.parts);
+            }
+            if let Some(submitted_at) = self.connections[index].pending.remove(&reply.correlation) {
+                stretch.latency.record(submitted_at.elapsed().as_nanos() as u64)?;
+                stretch.messages += 1;
+            }
+            if load == Load::FullSpeed {
+                self.submit(index)?;
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/throughput_baseline/telemetry_case.rs
@@ -0,0 +1,110 @@
+//! What reports cost an edge: nothing reported, and receivers that behave well and badly, in turn.
+
+use super::clients::{Clients, Load};
+use super::subject::{EdgeSetup, Measurement, Subject};
+use super::Options;
+use crate::report_receiver::{Behaviour, ListenAddresses, ReportReceiver};
+use crate::statistics::spread;
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+const RATE: f64 = 6000.0;
+const WARM_UP: Duration = Duration::from_secs(1);
+const SETUP: EdgeSetup = EdgeSetup { max_in_flight_calls: 512, destinations: 10, silent_destinations: 0 };
+
+/// The cases; the receiver behaves so, or there are no reports.
+const CASES: [(&str, Option<Behaviour>); 5] = [
+    ("off", None),
+    ("up", Some(Behaviour::Reads)),
+    ("down", Some(Behaviour::Absent)),
+    ("never reads", Some(Behaviour::NeverReads)),
+    // What two that are alike differ by is what the others' ratios are worth.
+    ("off again", None),
+];
+
+/// An edge with its receiver and its clients.
+struct Case {
+    name: &'static str,
+    edge: Subject,
+    clients: Clients,
+    _receiver: Option<ReportReceiver>,
+    figures: Vec<Figures>,
+}
+
+/// What one stretch showed.
+#[derive(Clone, Copy)]
+struct Figures {
+    cpu_us: f64,
+    p99_us: f64,
+}
+
+impl Figures {
+    fn of(measurement: &Measurement) -> Figures {
+        let p99_ns = measurement.latency.value_at_quantile(0.99);
+        Figures { cpu_us: measurement.cpu_us, p99_us: p99_ns as f64 / 1e3 }
+    }
+}
+
+/// Messages at a fixed rate, each case in turn. Reports come each second, ten times as often as by default.
+pub(super) fn telemetry(options: &Options) -> anyhow::Result<Value> {
+    let mut cases = Vec::new();
+    for (number, (name, behaviour)) in CASES.into_iter().enumerate() {
+        let folder = options.dir.join(number.to_string());
+        cases.push(start_case(options, &folder, name, behaviour)?);
+    }
+    for case in &mut cases {
+        case.clients.run(WARM_UP, Load::PerSecond(RATE))?;
+    }
+    for round in 0..options.rounds {
+        // Each is first, second and so on in turn.
+        for place in 0..cases.len() {
+            let index = (place + round) % cases.len();
+            let case = &mut cases[index];
+            let measured = case.edge.measure(&mut case.clients, options.seconds, Load::PerSecond(RATE))?;
+            case.figures.push(Figures::of(&measured));
+        }
+    }
+    let without_reports = &cases[0].figures;
+    let rows: Vec<Value> = cases.iter().map(|case| case_json(case, without_reports)).collect();
+    Ok(json!({"rate_per_s": RATE, "cases": rows}))
+}
+
+fn start_case(
+    options: &Options,
+    folder: &Path,
+    name: &'static str,
+    behaviour: Option<Behaviour>,
+) -> anyhow::Result<Case> {
+    let edge = Subject::edge_in(options, folder, SETUP)?;
+    let receiver = behaviour.map(|behaviour| start_receiver(&edge, behaviour)).transpose()?;
+    let clients = Clients::connect(edge.process.kafka, 64, 0..SETUP.destinations)?;
+    Ok(Case { name, edge, clients, _receiver: receiver, figures: Vec::new() })
+}
+
+fn start_receiver(edge: &Subject, behaviour: Behaviour) -> anyhow::Result<ReportReceiver> {
+    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    let addresses = ListenAddresses { graphite: Some(any_port), ..ListenAddresses::default() };
+    let receiver = ReportReceiver::start(addresses, None)?;
+    receiver.behave(behaviour);
+    let address = receiver.graphite.map(|address| address.to_string());
+    let graphite = json!({"address": address, "stuck_s": 5, "queue_bytes": 1 << 20});
+    edge.process.put("/telemetry", &json!({"interval_s": 1, "graphite": graphite}))?;
+    Ok(receiver)
+}
+
+fn case_json(case: &Case, without_reports: &[Figures]) -> Value {
+    let column = |figure: fn(&Figures) -> f64| spread(case.figures.iter().map(figure).collect());
+    let ratios = |figure: fn(&Figures) -> f64| {
+        let pairs = case.figures.iter().zip(without_reports);
+        spread(pairs.map(|(with, without)| figure(with) / figure(without)).collect())
+    };
+    json!({
+        "receiver": case.name,
+        "cpu_us": column(|figures| figures.cpu_us),
+        "p99_us": column(|figures| figures.p99_us),
+        "cpu_over_off": ratios(|figures| figures.cpu_us),
+        "p99_over_off": ratios(|figures| figures.p99_us),
+    })
+}
--- a/crates/testbed/tests/emulated.rs
+++ b/crates/testbed/tests/emulated.rs
@@ -1,9 +1,9 @@
 //! Experiments, hunts and runs in virtual time, as the command line has them.
 
 use linnetcart_scenario::day::Scenario;
-use linnetcart_testbed::emulated::{trace, Recipe};
-use linnetcart_testbed::experiment::{self, plan::Plan};
-use linnetcart_testbed::hunt::{script, Hunt, Want};
+use linnetcart_testbed::emulated_run::{trace_message, Recipe};
+use linnetcart_testbed::experiment::{self, plan::Plan, Completion};
+use linnetcart_testbed::fault_search::{script, FaultSearch, Goal};
 use std::path::PathBuf;
 use std::process::Command;
 
@@ -29,24 +29,25 @@
     dir
 }
 
-fn options(threads: usize, at_most: Option<u64>) -> experiment::Options {
-    experiment::Options { threads, at_most, show: false, command: "test".into() }
+fn options(threads: usize, max_runs: Option<u64>) -> experiment::Options {
+    experiment::Options { threads, max_runs, shows_progress: false, command: "test".into() }
 }
 
 #[test]
 fn an_experiment_that_was_stopped_goes_on_and_ends_with_the_same_bytes() {
     let (whole, parts) = (folder("whole"), folder("parts"));
     let plan = || Plan::parse(PLAN).unwrap();
-    assert!(experiment::run(plan(), &whole, &options(1, None)).unwrap());
-    assert!(!experiment::run(plan(), &parts, &options(2, Some(3))).unwrap());
+    let run = |out: &PathBuf, options| experiment::run(plan(), out, &options).unwrap();
+    assert_eq!(run(&whole, options(1, None)), Completion::Complete);
+    assert_eq!(run(&parts, options(2, Some(3))), Completion::Partial);
     // A stop in the middle of a line.
     let lines = parts.join("runs.jsonl");
     let mut text = std::fs::read_to_string(&lines).unwrap();
     assert_eq!(text.lines().count(), 3);
     text.push_str("{\"run\":7,\"se");
     std::fs::write(&lines, text).unwrap();
-    assert!(!experiment::run(plan(), &parts, &options(2, Some(2))).unwrap());
-    assert!(experiment::run(plan(), &parts, &options(3, None)).unwrap());
+    assert_eq!(run(&parts, options(2, Some(2))), Completion::Partial);
+    assert_eq!(run(&parts, options(3, None)), Completion::Complete);
     for file in ["results.parquet", "report.html", "served_worth.svg"] {
         let read = |dir: &PathBuf| std::fs::read(dir.join(file)).unwrap();
         assert!(read(&whole) == read(&parts), "{file} differs");
@@ -100,15 +101,15 @@
     assert_ne!(first, digest("4"));
 }
 
-fn hunt(policy: &str, threads: usize) -> Hunt {
-    Hunt {
+fn search(policy: &str, threads: usize) -> FaultSearch {
+    FaultSearch {
         base: Scenario::find("quiet").unwrap().with(Some(2), 6.0).unwrap(),
         seed: 1,
         runs: 20,
         policy: policy.into(),
-        want: Want::Rule,
-        troubles: 3,
-        on_sockets: false,
+        goal: Goal::BrokenInvariant,
+        max_faults: 3,
+        sockets_only: false,
         threads,
     }
 }
@@ -116,31 +117,31 @@
 #[test]
 fn a_hunt_finds_what_breaks_a_rule_and_writes_a_day_that_breaks_it_again() {
     let found =
-        hunt("round-robin", 3).run(&|_| {}).unwrap().expect("a policy that heeds nothing breaks a rule");
-    let alone = hunt("round-robin", 1).run(&|_| {}).unwrap().unwrap();
+        search("round-robin", 3).run(&|_| {}).unwrap().expect("a policy that heeds nothing breaks a rule");
+    let alone = search("round-robin", 1).run(&|_| {}).unwrap().unwrap();
     assert_eq!((found.run, &found.shrunk), (alone.run, &alone.shrunk), "the same on any number of threads");
-    assert!(found.shrunk.day.trouble.len() <= found.drawn.day.trouble.len());
+    assert!(found.shrunk.scenario.trouble.len() <= found.drawn.scenario.trouble.len());
     let text = script(&found).unwrap();
-    let again = Recipe { day: Scenario::parse(&text).unwrap(), ..found.shrunk.clone() };
-    let (report, _) = again.report().unwrap();
+    let again = Recipe { scenario: Scenario::parse(&text).unwrap(), ..found.shrunk.clone() };
+    let report = again.run_checked().unwrap().report;
     let broken = report.rules.iter().find(|f| f.broken > 0).expect("the script breaks it too");
-    assert!(found.what.contains(broken.rule));
+    assert!(found.summary.contains(broken.rule));
 }
 
 #[test]
 fn a_trace_tells_every_attempt_and_why() {
     let day = Scenario::find("answers-lost").unwrap().with(Some(2), 4.0).unwrap();
-    let recipe = Recipe { day, seed: 1, policy: "library".into(), model: Default::default() };
-    let (_, run) = recipe.play(None).unwrap();
+    let recipe = Recipe::new(day, 1);
+    let (_, run) = recipe.run(None).unwrap();
     let mut sent: std::collections::BTreeMap<u64, usize> = Default::default();
     run.records.records.arrivals.iter().for_each(|a| *sent.entry(a.message).or_default() += 1);
     let (message, times) = sent.into_iter().max_by_key(|m| m.1).unwrap();
     assert!(times > 1);
-    let text = trace(&recipe, message).unwrap();
+    let text = trace_message(&recipe, message).unwrap();
     assert_eq!(text.matches(": call ").count() - text.matches(" answered\n").count(), times, "{text}");
     assert!(text.contains("(the first)") && text.contains("client: handed to courier"), "{text}");
     assert!(text.contains("(a copy: ") || text.contains("(again, after "), "{text}");
-    assert!(trace(&recipe, 1 << 40).unwrap_err().to_string().contains("the run has 0 to"));
+    assert!(trace_message(&recipe, 1 << 40).unwrap_err().to_string().contains("the run has 0 to"));
 }
 
 /// What a courier's library was told and decided, round by round, without clocks: from a record.
@@ -172,20 +173,18 @@
 #[test]
 fn a_single_message_is_the_same_on_sockets_and_in_virtual_time_event_by_event() {
     use linnetcart_scenario::fleet::Fleet;
-    use linnetcart_testbed::{record, rig};
+    use linnetcart_testbed::decision_record;
+    use linnetcart_testbed::socket_run::{self, StackOptions};
     let dir = folder("single");
     let mut fleet = Fleet::draw(Scenario::find("quiet").unwrap().with(Some(1), 4.0).unwrap(), 5);
     fleet.messages.truncate(1);
-    let options = rig::Options {
-        policy: format!("{}{}", record::POLICY, dir.join("sockets").display()),
-        program: PathBuf::from(env!("CARGO_BIN_EXE_linnetcart-testbed")),
-        dir: dir.join("couriers"),
-        graphite: None,
-        progress: None,
-    };
-    rig::play(&fleet, &options).unwrap();
-    record::into(&dir.join("emulated")).unwrap();
-    let how = linnetcart_emulator::Options { policy: record::recorded, ..Default::default() };
+    let program = PathBuf::from(env!("CARGO_BIN_EXE_linnetcart-testbed"));
+    let mut options = StackOptions::new(program, dir.join("couriers"));
+    options.policy = format!("{}{}", decision_record::POLICY_PREFIX, dir.join("sockets").display());
+    socket_run::run(&fleet, &options).unwrap();
+    decision_record::set_folder(&dir.join("emulated")).unwrap();
+    let how =
+        linnetcart_emulator::Options { policy: decision_record::recording_policy, ..Default::default() };
     linnetcart_emulator::run(&fleet, how).unwrap();
     let (sockets, emulated) =
         (told_and_decided(&dir.join("sockets")), told_and_decided(&dir.join("emulated")));
@@ -211,8 +210,7 @@
     for (name, text) in FOUND {
         let seed = text.lines().find_map(|l| l.split_once("emulate FILE --seed ")?.1.parse().ok());
         let (day, seed) = (Scenario::parse(text).unwrap(), seed.expect("the second line has the seed"));
-        let recipe = Recipe { day, seed, policy: "library".into(), model: Default::default() };
-        let (report, _) = recipe.report().unwrap();
+        let report = Recipe::new(day, seed).run_checked().unwrap().report;
         for f in &report.rules {
             assert_eq!(f.broken, 0, "{name}: {}: {:?}", f.rule, f.examples);
         }
--- a/crates/testbed/tests/process.rs
+++ b/crates/testbed/tests/process.rs
@@ -51,7 +51,8 @@
 
 /// Status and body.
 fn http(at: SocketAddr, method: &str, path: &str, body: &str) -> (u16, String) {
-    linnetcart_testbed::courier::ask(at, method, path, body).unwrap()
+    let reply = linnetcart_testbed::courier_process::http_request(at, method, path, body).unwrap();
+    (reply.status, reply.body)
 }
 
 fn settings() -> String {
--- a/crates/testbed/tests/rules.rs
+++ b/crates/testbed/tests/rules.rs
@@ -4,7 +4,7 @@
 use linnetcart_conformance::{check, Report};
 use linnetcart_scenario::day::Scenario;
 use linnetcart_scenario::fleet::{Fleet, Timebase};
-use linnetcart_testbed::rig::{play, Options};
+use linnetcart_testbed::socket_run::{self, StackOptions};
 use std::path::PathBuf;
 use std::sync::Mutex;
 
@@ -75,13 +75,12 @@
     let fleet = Fleet::draw(Scenario::parse(&text).unwrap(), 7);
     let dir = std::env::temp_dir().join(format!("linnetcart-test-{}-{name}", std::process::id()));
     let program = PathBuf::from(env!("CARGO_BIN_EXE_linnetcart-testbed"));
-    let options =
-        Options { policy: "library".into(), program, dir: dir.clone(), graphite: None, progress: None };
-    let played = play(&fleet, &options).unwrap();
-    let report = check(&played.records, &fleet.invariants(Timebase::Sockets));
+    let options = StackOptions::new(program, dir.clone());
+    let records = socket_run::run(&fleet, &options).unwrap();
+    let report = check(&records.records, &fleet.invariants(Timebase::Sockets));
     std::fs::remove_dir_all(dir).unwrap();
-    assert!(report.kept(), "{}", linnetcart_testbed::report::table(&report));
-    assert!(report.service > 0.5, "{}", linnetcart_testbed::report::table(&report));
+    assert!(report.kept(), "{}", linnetcart_testbed::run_report::table(&report));
+    assert!(report.service > 0.5, "{}", linnetcart_testbed::run_report::table(&report));
     report
 }
 
--- a/crates/testbed/tests/telemetry.rs
+++ b/crates/testbed/tests/telemetry.rs
@@ -3,9 +3,9 @@
 use linnetcart_kafka::{client, codes, Frames, Record};
 use linnetcart_telemetry::settings::Require;
 use linnetcart_telemetry::stream::Stream;
-use linnetcart_testbed::courier::{ask, Courier, Start};
-use linnetcart_testbed::receivers::{Receiver, Ways, Where};
-use linnetcart_testbed::sinks::Sinks;
+use linnetcart_testbed::courier_process::{http_request, CourierOptions, CourierProcess};
+use linnetcart_testbed::message_receivers::MessageReceivers;
+use linnetcart_testbed::report_receiver::{Behaviour, ListenAddresses, ReportReceiver};
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
@@ -23,19 +23,25 @@
     "127.0.0.1:0".parse().unwrap()
 }
 
-fn start(dir: &Path) -> Courier {
+fn start(dir: &Path) -> CourierProcess {
     let program = Path::new(env!("CARGO_BIN_EXE_linnetcart-testbed"));
-    Courier::start(&Start { program, dir, seed: 1, policy: "library", drain: Duration::from_secs(1) })
-        .unwrap()
+    CourierProcess::start(&CourierOptions {
+        program,
+        dir,
+        seed: 1,
+        policy: "library",
+        drain_timeout: Duration::from_secs(1),
+    })
+    .unwrap()
 }
 
 fn http(at: SocketAddr, method: &str, path: &str, body: &Value) -> (u16, Value) {
-    let (status, text) = ask(at, method, path, &body.to_string()).unwrap();
-    (status, serde_json::from_str(&text).unwrap())
+    let reply = http_request(at, method, path, &body.to_string()).unwrap();
+    (reply.status, serde_json::from_str(&reply.body).unwrap())
 }
 
 /// A courier with two destinations, of which the second never answers.
-fn told(e: &Courier, sinks: &Sinks) {
+fn told(e: &CourierProcess, receivers: &MessageReceivers) {
     let class = |name: &str, repeat: &str| json!({"name": name, "aim_ms": 500, "deadline_ms": 1500, "worth": 1, "repeat": repeat});
     let settings = json!({
         "deployment": "reports", "courier": {"me": 4, "of": 5, "zone": "a"}, "zones": ["a"],
@@ -45,7 +51,7 @@
     });
     assert_eq!(http(e.control, "PUT", "/settings", &settings).0, 200);
     let entry = |(n, at): (usize, &SocketAddr)| json!({"id": n, "destination": n, "kind": "k", "zone": "a", "state": "ready", "address": at.to_string()});
-    let entries: Vec<Value> = sinks.addrs.iter().rev().enumerate().map(entry).collect();
+    let entries: Vec<Value> = receivers.addresses.iter().rev().enumerate().map(entry).collect();
     assert_eq!(
         http(e.control, "PUT", "/list", &json!({"version": 1, "whole": true, "entries": entries})).0,
         200
@@ -118,9 +124,9 @@
     }
 }
 
-fn kill(mut e: Courier, name: &str) {
+fn kill(mut e: CourierProcess, name: &str) {
     if name == "TERM" {
-        e.end();
+        e.terminate();
         assert_eq!(e.wait(Duration::from_secs(10)), Some(0));
     }
     // Otherwise dropping it kills it.
@@ -138,7 +144,7 @@
 #[test]
 fn over_kills_restarts_and_an_outage_every_receiver_ends_with_what_clients_counted() {
     let dir = folder("ends");
-    let sinks = Sinks::start(1, 0).unwrap();
+    let receivers = MessageReceivers::start(1, 0).unwrap();
     let keys = || BTreeMap::from([("alice".to_owned(), vec!["secret".to_owned()])]);
     let user = json!({"user": "alice", "key": "secret"});
     let cases = [
@@ -148,8 +154,13 @@
     ];
     let mut receiver = Vec::new();
     for (form, security, require) in &cases {
-        let at = Where { graphite: Some(any()), collectd: Some(any()), users: keys(), require: *require };
-        receiver.push((Receiver::start(at, None).unwrap(), form, security));
+        let at = ListenAddresses {
+            graphite: Some(any()),
+            collectd: Some(any()),
+            users: keys(),
+            require: *require,
+        };
+        receiver.push((ReportReceiver::start(at, None).unwrap(), form, security));
     }
     for (n, (receiver, form, security)) in receiver.iter().enumerate() {
         let dir = dir.join(n.to_string());
@@ -160,7 +171,7 @@
         });
         let mut counted = Counted::default();
         let e = start(&dir);
-        told(&e, &sinks);
+        told(&e, &receivers);
         assert_eq!(http(e.control, "PUT", "/telemetry", &set).0, 200);
         counted.deliver(e.kafka, 40);
         until("a report", || receiver.stream().points > 0);
@@ -172,10 +183,10 @@
             kill(e, "KILL");
         }
         let e = start(&dir);
-        receiver.behave(Ways::Gone);
+        receiver.behave(Behaviour::Absent);
         counted.deliver(e.kafka, 30);
         std::thread::sleep(Duration::from_millis(1200));
-        receiver.behave(Ways::Reads);
+        receiver.behave(Behaviour::Reads);
         counted.deliver(e.kafka, 10);
         let wanted = counted.taken as f64;
         until("the last count", || value(&receiver.stream(), "courier", "taken", false) == Some(wanted));
@@ -200,14 +211,16 @@
 #[test]
 fn killed_in_the_middle_no_count_is_behind_what_clients_were_told() {
     let dir = folder("middle");
-    let sinks = Sinks::start(1, 0).unwrap();
-    let receiver = Receiver::start(Where { graphite: Some(any()), ..Where::default() }, None).unwrap();
+    let receivers = MessageReceivers::start(1, 0).unwrap();
+    let receiver =
+        ReportReceiver::start(ListenAddresses { graphite: Some(any()), ..ListenAddresses::default() }, None)
+            .unwrap();
     let set = json!({"interval_s": 1, "graphite": {"address": receiver.graphite.unwrap().to_string()}});
     let (mut sent, mut served) = (0, 0);
     for round in 0..4 {
         let e = start(&dir);
         if round == 0 {
-            told(&e, &sinks);
+            told(&e, &receivers);
             assert_eq!(http(e.control, "PUT", "/telemetry", &set).0, 200);
         }
         let mut c = Client::new(e.kafka);
@@ -243,24 +256,26 @@
 #[test]
 fn a_receiver_that_never_reads_or_resets_harms_no_delivery_and_settings_change_without_a_restart() {
     let dir = folder("deaf");
-    let sinks = Sinks::start(1, 0).unwrap();
+    let receivers = MessageReceivers::start(1, 0).unwrap();
     let (first, second) = (
-        Receiver::start(Where { graphite: Some(any()), ..Where::default() }, None).unwrap(),
-        Receiver::start(Where { graphite: Some(any()), ..Where::default() }, None).unwrap(),
+        ReportReceiver::start(ListenAddresses { graphite: Some(any()), ..ListenAddresses::default() }, None)
+            .unwrap(),
+        ReportReceiver::start(ListenAddresses { graphite: Some(any()), ..ListenAddresses::default() }, None)
+            .unwrap(),
     );
-    let set = |r: &Receiver| json!({"interval_s": 1, "graphite": {"address": r.graphite.unwrap().to_string(), "stuck_s": 1}});
+    let set = |r: &ReportReceiver| json!({"interval_s": 1, "graphite": {"address": r.graphite.unwrap().to_string(), "stuck_s": 1}});
     let e = start(&dir);
-    told(&e, &sinks);
+    told(&e, &receivers);
     // Nothing half applied, and the field is named.
     let (status, body) = http(e.control, "PUT", "/telemetry", &json!({"interval_s": 0}));
     assert!(status == 422 && body["error"]["field"] == "interval_s", "{body}");
     let (status, body) = http(e.control, "PUT", "/telemetry", &json!({"graphite": {"adress": "x"}}));
     assert!(status == 422 && body["error"]["field"].as_str().unwrap().contains("graphite"), "{body}");
-    first.behave(Ways::Deaf);
+    first.behave(Behaviour::NeverReads);
     assert_eq!(http(e.control, "PUT", "/telemetry", &set(&first)).0, 200);
     let mut counted = Counted::default();
     counted.deliver(e.kafka, 100);
-    first.behave(Ways::Resets);
+    first.behave(Behaviour::Resets);
     counted.deliver(e.kafka, 100);
     std::thread::sleep(Duration::from_millis(1500));
     counted.deliver(e.kafka, 100);
@@ -281,9 +296,9 @@
 #[test]
 fn figures_of_the_host_are_taken_in_and_garbage_costs_nothing() {
     let dir = folder("host");
-    let sinks = Sinks::start(1, 0).unwrap();
+    let receivers = MessageReceivers::start(1, 0).unwrap();
     let e = start(&dir);
-    told(&e, &sinks);
+    told(&e, &receivers);
     let port = UdpSocket::bind("127.0.0.1:0").unwrap();
     let at = port.local_addr().unwrap();
     drop(port);
