--- a/crates/edge/src/cli.rs
+++ b/crates/edge/src/cli.rs
@@ -1,7 +1,7 @@
 //! The command line of `linnetcart-edge`.
 
 use crate::core::PolicyFactory;
-use crate::shell::{self, End, Options};
+use crate::shell::{self, Exit, Options};
 use clap::{Parser, Subcommand, ValueEnum};
 use std::io::IsTerminal;
 use std::net::SocketAddr;
@@ -9,6 +9,9 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
+/// The exit code after a second signal.
+const EXIT_INTERRUPTED: u8 = 3;
+
 /// Takes messages from Kafka producers and delivers each to one endpoint of its destination.
 ///
 /// It starts without settings: give it some with PUT /settings and PUT /list on the control address, or let it
@@ -68,20 +71,31 @@
     Json,
 }
 
-fn host_port(text: &str) -> Result<(String, u16), String> {
-    let (host, port) = text.rsplit_once(':').ok_or("HOST:PORT is expected")?;
-    let port = port.parse().map_err(|_| format!("`{port}` is no port"))?;
+/// Why an address is not one of a host and port.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+enum HostPortError {
+    #[error("HOST:PORT is expected")]
+    NoPort,
+    #[error("`{port}` is no port")]
+    InvalidPort { port: String },
+}
+
+fn host_port(text: &str) -> Result<(String, u16), HostPortError> {
+    let (host, port) = text.rsplit_once(':').ok_or(HostPortError::NoPort)?;
+    let port = port.parse().map_err(|_| HostPortError::InvalidPort { port: port.to_owned() })?;
     Ok((host.trim_matches(['[', ']']).to_owned(), port))
 }
 
 /// Starts the logs.
 pub fn start_logs(form: Option<LogForm>, level: tracing::Level) {
-    let terminal = std::io::stderr().is_terminal();
+    let is_terminal = std::io::stderr().is_terminal();
+    let form = form.unwrap_or(if is_terminal { LogForm::Plain } else { LogForm::Json });
     let logs =
         tracing_subscriber::fmt().with_writer(std::io::stderr).with_max_level(level).with_target(false);
-    let json = form.map_or(!terminal, |f| f == LogForm::Json);
-    let started =
-        if json { logs.json().flatten_event(true).try_init() } else { logs.with_ansi(terminal).try_init() };
+    let started = match form {
+        LogForm::Json => logs.json().flatten_event(true).try_init(),
+        LogForm::Plain => logs.with_ansi(is_terminal).try_init(),
+    };
     // Whoever started the program as a library may have logs of their own already.
     drop(started);
 }
@@ -91,35 +105,44 @@
     run_with(args, crate::core::library)
 }
 
-/// Runs the program with someone else deciding, for comparisons.
+/// Runs the program with another decision policy, for comparisons.
 pub fn run_with(args: Args, policy: PolicyFactory) -> ExitCode {
     start_logs(args.log, args.log_level);
-    if let Some(Front::Platform) = args.front {
-        let run = linnetcart_platform::shell::Environment::read().and_then(linnetcart_platform::shell::run);
-        return run.map_or_else(
-            |e| {
-                tracing::error!("{e:#}");
-                ExitCode::FAILURE
-            },
-            |()| ExitCode::SUCCESS,
-        );
+    match args.front {
+        Some(Front::Platform) => exit_code(run_platform()),
+        None => exit_code(shell::run(shell_options(args, policy)).map(exit_status)),
     }
-    let options = Options {
+}
+
+fn run_platform() -> anyhow::Result<ExitCode> {
+    let environment = linnetcart_platform::shell::Environment::read()?;
+    linnetcart_platform::shell::run(environment)?;
+    Ok(ExitCode::SUCCESS)
+}
+
+fn shell_options(args: Args, policy: PolicyFactory) -> Options {
+    Options {
         kafka: args.kafka,
         control: args.control,
         advertise: args.advertise,
         state_dir: args.state_dir,
         seed: args.seed,
         drain: Duration::from_millis(args.drain_ms),
-        connections: args.connections,
+        max_connections: args.connections,
         policy,
-    };
-    match shell::run(options) {
-        Ok(End::Done) => ExitCode::SUCCESS,
-        Ok(End::Cut) => ExitCode::from(3),
-        Err(e) => {
-            tracing::error!("{e:#}");
-            ExitCode::FAILURE
-        }
     }
 }
+
+fn exit_status(exit: Exit) -> ExitCode {
+    match exit {
+        Exit::Drained => ExitCode::SUCCESS,
+        Exit::Interrupted => ExitCode::from(EXIT_INTERRUPTED),
+    }
+}
+
+fn exit_code(result: anyhow::Result<ExitCode>) -> ExitCode {
+    result.unwrap_or_else(|error| {
+        tracing::error!(error = format!("{error:#}"), "stopped by an error");
+        ExitCode::FAILURE
+    })
+}
--- /dev/null
+++ b/crates/edge/src/control/mod.rs
@@ -0,0 +1,210 @@
+//! The control interface beside the Kafka front: settings, endpoint list, telemetry and status, as documents over
+//! HTTP. Free of I/O.
+//!
+//! A document is saved in the snapshot before it comes into force; if it cannot be saved, nothing changes.
+
+mod http;
+
+pub use http::{ConnectionHeader, HttpConnection, HttpInput, Reply, Request, CONTINUE};
+
+use crate::core::{Core, StartOptions};
+use crate::settings::{EndpointList, EndpointListUpdate, InvalidDocument, Settings};
+use crate::snapshot::{Snapshot, SnapshotError};
+use linnetcart_telemetry::settings::Telemetry;
+use serde_json::json;
+
+/// Writes a snapshot.
+pub type SaveSnapshot<'a> = &'a mut dyn FnMut(&Snapshot) -> Result<(), SnapshotError>;
+
+/// What the control interface acts on: the courier, once it has settings, and what is to be saved.
+#[derive(Debug)]
+pub struct Program {
+    /// The courier.
+    pub core: Option<Core>,
+    /// How it starts when its settings come.
+    pub start: StartOptions,
+    /// Settings that come into force at the next start.
+    pub next_settings: Option<Settings>,
+    /// What is reported, and where; nothing is counted until it is set.
+    pub telemetry: Option<Telemetry>,
+    /// There is a state directory, in which counters can be kept.
+    pub keeps: bool,
+    /// What went wrong with the saved files, if anything.
+    pub state_error: Option<String>,
+    /// Further figures for the status page.
+    pub process_status: serde_json::Map<String, serde_json::Value>,
+}
+
+impl Program {
+    /// A program without settings.
+    pub fn new(start: StartOptions) -> Program {
+        Program {
+            core: None,
+            start,
+            next_settings: None,
+            telemetry: None,
+            keeps: false,
+            state_error: None,
+            process_status: serde_json::Map::new(),
+        }
+    }
+
+    /// Goes on from what was saved. What does not fit is reported and left out.
+    pub fn restore(&mut self, snapshot: Snapshot) {
+        self.telemetry = snapshot.telemetry;
+        let Some(settings) = snapshot.settings else { return };
+        if let Err(error) = settings.check() {
+            self.state_error = Some(format!("the saved settings are not used: {error}"));
+            return;
+        }
+        let mut core = Core::new(settings, self.start.clone());
+        if let Err(error) = core.restore(snapshot.list) {
+            self.state_error = Some(format!("the saved list is not used: {error}"));
+        }
+        self.core = Some(core);
+    }
+
+    /// What is saved as of now.
+    fn snapshot(&self) -> Snapshot {
+        let core = self.core.as_ref();
+        Snapshot {
+            settings: self.next_settings.clone().or_else(|| core.map(|core| core.settings().clone())),
+            list: core.map_or_else(EndpointList::default, |core| core.list().clone()),
+            telemetry: self.telemetry.clone(),
+        }
+    }
+
+    /// Carries out a request. `save` writes a snapshot; if it fails, nothing changes.
+    pub fn handle(&mut self, request: &Request, save: SaveSnapshot<'_>) -> Reply {
+        match (request.method.as_str(), request.path.as_str()) {
+            ("GET", "/status") => self.get_status(),
+            ("GET", "/settings") => self.get_settings(),
+            ("GET", "/list") => self.get_list(),
+            ("GET", "/telemetry") => self.get_telemetry(),
+            ("PUT", "/settings") => self.put_settings(&request.body, save),
+            ("PUT", "/list") => self.put_list(&request.body, save),
+            ("PUT", "/telemetry") => self.put_telemetry(&request.body, save),
+            (_, "/status" | "/settings" | "/list" | "/telemetry") => {
+                Reply::error(405, "method", "GET is there for all four, PUT for all but /status")
+            }
+            (_, path) => {
+                let known = "/settings, /list, /telemetry and /status are";
+                Reply::error(404, "path", format!("`{path}` is not there; {known}"))
+            }
+        }
+    }
+
+    fn get_status(&self) -> Reply {
+        let courier = self.core.as_ref().map(Core::status);
+        let mut status = self.process_status.clone();
+        status.insert("courier".into(), json!(courier));
+        status.insert("settings_wait_for_next_start".into(), json!(self.next_settings.is_some()));
+        status.insert("snapshot_trouble".into(), json!(self.state_error));
+        Reply::json(200, status)
+    }
+
+    fn get_settings(&self) -> Reply {
+        let in_force = self.core.as_ref().map(Core::settings);
+        Reply::json(200, json!({"in_force": in_force, "next_start": self.next_settings}))
+    }
+
+    fn get_list(&self) -> Reply {
+        let Some(core) = &self.core else { return no_settings() };
+        let entries: Vec<_> = core.list().entries.values().collect();
+        Reply::json(200, json!({"version": core.list().version, "entries": entries}))
+    }
+
+    fn get_telemetry(&self) -> Reply {
+        Reply::json(200, json!({"in_force": self.telemetry.as_ref().map(Telemetry::without_keys)}))
+    }
+
+    fn put_settings(&mut self, body: &[u8], save: SaveSnapshot<'_>) -> Reply {
+        let settings = match Settings::parse(body) {
+            Ok(settings) => settings,
+            Err(error) => return invalid_document(&error),
+        };
+        if let Some(core) = &self.core {
+            if let Err(error) = core.list().library_entries(&settings) {
+                let reason =
+                    format!("with these settings the list in force would be wrong: {}", error.reason);
+                return Reply::error(409, &format!("list.{}", error.field), reason);
+            }
+        }
+        let snapshot = Snapshot { settings: Some(settings.clone()), ..self.snapshot() };
+        if let Err(error) = save(&snapshot) {
+            return not_saved(&error);
+        }
+        match &self.core {
+            None => {
+                self.core = Some(Core::new(settings, self.start.clone()));
+                Reply::json(200, json!({"in_force": "now"}))
+            }
+            Some(core) if *core.settings() == settings => {
+                self.next_settings = None;
+                Reply::json(200, json!({"in_force": "now"}))
+            }
+            // What the courier knows of Retry-After times and outages belongs to the settings it runs under.
+            Some(_) => {
+                self.next_settings = Some(settings);
+                Reply::json(202, json!({"in_force": "next start"}))
+            }
+        }
+    }
+
+    fn put_list(&mut self, body: &[u8], save: SaveSnapshot<'_>) -> Reply {
+        let mut snapshot = self.snapshot();
+        let Some(core) = &mut self.core else { return no_settings() };
+        let update: EndpointListUpdate = match crate::settings::read(body) {
+            Ok(update) => update,
+            Err(error) => return invalid_document(&error),
+        };
+        match core.list().after(&update, core.settings()) {
+            Ok((list, _)) => snapshot.list = list,
+            Err(error) => return invalid_document(&error),
+        }
+        if let Err(error) = save(&snapshot) {
+            return not_saved(&error);
+        }
+        match core.update_endpoints(&update) {
+            Ok(()) => Reply::json(200, json!({"version": update.version})),
+            Err(error) => invalid_document(&error),
+        }
+    }
+
+    fn put_telemetry(&mut self, body: &[u8], save: SaveSnapshot<'_>) -> Reply {
+        let mut telemetry: Telemetry = match crate::settings::read(body) {
+            Ok(telemetry) => telemetry,
+            Err(error) => return invalid_document(&error),
+        };
+        // A key that was read back without itself is the one that is there.
+        telemetry.keep_keys(self.telemetry.as_ref());
+        if let Err((field, reason)) = telemetry.check() {
+            return invalid_document(&InvalidDocument { field, reason });
+        }
+        if !self.keeps && (telemetry.graphite.is_some() || telemetry.collectd.is_some()) {
+            let reason = "counts must go on over a restart: start the program with --state-dir";
+            return Reply::error(409, "state_dir", reason);
+        }
+        let snapshot = Snapshot { telemetry: Some(telemetry.clone()), ..self.snapshot() };
+        if let Err(error) = save(&snapshot) {
+            return not_saved(&error);
+        }
+        self.telemetry = Some(telemetry);
+        Reply::json(200, json!({"in_force": "now"}))
+    }
+}
+
+fn invalid_document(error: &InvalidDocument) -> Reply {
+    Reply::json(422, json!({"error": error}))
+}
+
+fn not_saved(error: &SnapshotError) -> Reply {
+    Reply::error(500, "snapshot", format!("nothing was changed: {error}"))
+}
+
+fn no_settings() -> Reply {
+    Reply::error(409, "settings", "there are none yet; PUT /settings first")
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/edge/src/counter_files/tests.rs
@@ -0,0 +1,96 @@
+//! Counters over ends of the process, long and broken logs, and damage.
+
+use super::*;
+use linnetcart_telemetry::counts::{CounterKey, CounterStore, Field};
+use std::collections::BTreeMap;
+
+fn directory(name: &str) -> PathBuf {
+    let dir = std::env::temp_dir().join(format!("linnetcart-counter-files-{name}-{}", std::process::id()));
+    let _ = fs::remove_dir_all(&dir);
+    dir
+}
+
+fn store() -> CounterStore {
+    CounterStore::new(vec!["order".into()], 100)
+}
+
+fn head() -> Vec<u8> {
+    linnetcart_telemetry::counts::mark(&linnetcart_telemetry::counts::CounterLogEntry::Classes(vec![
+        "order".into()
+    ]))
+}
+
+fn read(dir: &Path) -> (u64, u64, Option<String>) {
+    let loaded = load(dir).expect("it can be read");
+    let mut store = store();
+    loaded.restored.saved.iter().for_each(|saved| store.restore(saved));
+    loaded.restored.logs.iter().for_each(|log| {
+        store.replay(log);
+    });
+    let taken = store.cells().get(&CounterKey::Cell(1, 0)).map_or(0, |c| c[Field::Taken as usize]);
+    (taken, loaded.next_log, loaded.damaged.map(|damaged| damaged.to_string()))
+}
+
+#[test]
+fn counters_after_any_end_and_while_a_log_is_followed_by_another_are_complete() {
+    let dir = directory("follow");
+    let mut store = store();
+    let none = BTreeMap::new();
+    let next = load(&dir).expect("a new directory").next_log;
+    let mut files =
+        CounterFiles::create(&dir, next, store.saved(&none, 0), &head()).expect("it can be written");
+    for n in 1..=50u64 {
+        store.add(CounterKey::Cell(1, 0), Field::Taken, 2);
+        files.append(&store.frame().expect("a change"));
+        assert_eq!(read(&dir).0, 2 * n, "without a sync: the process alone died");
+        if n % 10 == 0 {
+            files.log_bytes = MAX_LOG_BYTES + 1;
+            assert!(files.sync(n, || store.saved(&none, 0), &head()).is_ok());
+            assert_eq!(read(&dir).0, 2 * n, "whether or not the snapshot is there already");
+            let finished = files.finished.recv().expect("the thread runs");
+            assert_eq!((finished.number, finished.result.is_ok()), (n, true));
+        }
+    }
+    drop(files);
+    let (taken, next, _) = read(&dir);
+    let mut again = CounterFiles::create(&dir, next, store.saved(&none, 0), &head()).expect("again");
+    assert_eq!(taken, 100);
+    // A log that broke: nothing of it counts until a snapshot is there.
+    again.log_broken = true;
+    store.add(CounterKey::Cell(1, 0), Field::Taken, 5);
+    again.append(&store.frame().expect("a change"));
+    assert_eq!(read(&dir).0, 100);
+    assert!(again.sync(1, || store.saved(&none, 0), &head()).is_ok());
+    assert_eq!(read(&dir).0, 105);
+    let logs = fs::read_dir(&dir).expect("a directory").count();
+    assert!(logs <= 3, "{logs} files");
+    fs::remove_dir_all(&dir).expect("it goes");
+}
+
+#[test]
+fn load_damaged_counters_are_moved_aside_and_reported() {
+    let dir = directory("damaged");
+    fs::create_dir_all(&dir).expect("a directory");
+    fs::write(dir.join(FILE_NAME), b"linnetcart-counts 1 0 3\n{}").expect("written");
+    let (taken, _, trouble) = read(&dir);
+    assert!(taken == 0 && trouble.is_some_and(|t| t.contains("counts.damaged-1")));
+    fs::remove_dir_all(&dir).expect("it goes");
+}
+
+/// A snapshot of the counters that version 0.1.0 wrote.
+const EARLIER: &str = concat!(
+    "linnetcart-counts 1 719fa28d 127\n",
+    r#"{"log":7,"saved":{"cells":[{"destination":1,"class":"order","route":null,"counts":{"taken":42}}],"#,
+    r#""names":{"bank":1},"stamp":9}}"#,
+);
+
+#[test]
+fn load_counters_of_an_earlier_version_are_read_and_written_back_unchanged() {
+    let dir = directory("earlier");
+    fs::create_dir_all(&dir).expect("a directory");
+    fs::write(dir.join(FILE_NAME), EARLIER).expect("written");
+    assert_eq!(read(&dir), (42, 7, None));
+    let snapshot: CounterSnapshot = decode_file(MAGIC, EARLIER.as_bytes()).expect("it is a good snapshot");
+    assert_eq!(encode_file(MAGIC, &snapshot).expect("it can be written"), EARLIER.as_bytes());
+    fs::remove_dir_all(&dir).expect("it goes");
+}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -7,10 +7,10 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-pub mod accounts;
 pub mod cli;
 pub mod control;
 pub mod core;
+pub mod counter_files;
 pub use linnetcart_delivery_events as delivery_events;
 pub mod settings;
 pub mod shell;
--- a/crates/edge/src/snapshot.rs
+++ b/crates/edge/src/snapshot.rs
@@ -1,4 +1,4 @@
-//! The saved snapshot: the last good settings and list, in one file that is whole or not there.
+//! The saved snapshot: the last good settings and endpoint list, in one file that is complete or not there.
 //!
 //! The first line holds the format's version, the checksum and the length of what follows, which is JSON.
 
@@ -10,9 +10,56 @@
 use std::io::{self, ErrorKind, Write};
 use std::path::{Path, PathBuf};
 
+/// The first word of a snapshot.
 const MAGIC: &str = "linnetcart-snapshot";
-const VERSION: u32 = 1;
-const FILE: &str = "snapshot";
+/// The version of the format.
+const FORMAT_VERSION: u32 = 1;
+const FILE_NAME: &str = "snapshot";
+
+/// Why a file cannot be read or written.
+#[derive(Debug, thiserror::Error)]
+pub enum SnapshotError {
+    /// It has no line that ends.
+    #[error("it has no first line")]
+    NoHeader,
+    /// The first line is not UTF-8.
+    #[error("its first line is no text")]
+    HeaderNotText,
+    /// The first line does not have all its words.
+    #[error("its first line is cut")]
+    HeaderCut,
+    /// It begins with another word.
+    #[error("it is no snapshot of this program")]
+    OtherFile,
+    /// It has another version of the format.
+    #[error("it has format {found}; this program reads {FORMAT_VERSION}")]
+    OtherFormat {
+        /// The version in the file.
+        found: String,
+    },
+    /// It is longer or shorter than its first line says.
+    #[error("it holds {found} bytes instead of {expected}")]
+    WrongLength {
+        /// Bytes after the first line.
+        found: usize,
+        /// What the first line says.
+        expected: String,
+    },
+    /// Its content is not what was written.
+    #[error("its checksum is wrong")]
+    WrongChecksum,
+    /// The content cannot be read from, or written as, JSON.
+    #[error(transparent)]
+    Json(#[from] serde_json::Error),
+    /// The file cannot be written.
+    #[error("{}: {source}", path.display())]
+    Write {
+        /// Where.
+        path: PathBuf,
+        /// Why.
+        source: io::Error,
+    },
+}
 
 /// What is saved.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -20,69 +67,73 @@
 pub struct Snapshot {
     /// The settings of the next start.
     pub settings: Option<Settings>,
-    /// The list.
+    /// The endpoint list.
     pub list: EndpointList,
     /// What is reported, and where.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub telemetry: Option<Telemetry>,
 }
 
-/// As bytes of a file.
-pub fn encode(saved: &Snapshot) -> Result<Vec<u8>, String> {
-    sealed(MAGIC, saved)
+/// The bytes of a snapshot's file.
+pub fn encode(snapshot: &Snapshot) -> Result<Vec<u8>, SnapshotError> {
+    encode_file(MAGIC, snapshot)
 }
 
-/// Reads the bytes of a file; an error says what is wrong with them.
-pub fn decode(bytes: &[u8]) -> Result<Snapshot, String> {
-    opened(MAGIC, bytes)
+/// Reads the bytes of a snapshot's file.
+pub fn decode(bytes: &[u8]) -> Result<Snapshot, SnapshotError> {
+    decode_file(MAGIC, bytes)
 }
 
 /// Anything as bytes of a file that begins with this word.
-pub fn sealed<T: Serialize>(magic: &str, what: &T) -> Result<Vec<u8>, String> {
-    let body = serde_json::to_vec(what).map_err(|e| e.to_string())?;
-    let mut out = format!("{magic} {VERSION} {:08x} {}\n", crc32c::crc32c(&body), body.len()).into_bytes();
-    out.extend(body);
-    Ok(out)
+pub(crate) fn encode_file<T: Serialize>(magic: &str, content: &T) -> Result<Vec<u8>, SnapshotError> {
+    let body = serde_json::to_vec(content)?;
+    let checksum = crc32c::crc32c(&body);
+    let mut file = format!("{magic} {FORMAT_VERSION} {checksum:08x} {}\n", body.len()).into_bytes();
+    file.extend(body);
+    Ok(file)
 }
 
-/// Reads what [`sealed`] made.
-pub fn opened<T: DeserializeOwned>(wanted: &str, bytes: &[u8]) -> Result<T, String> {
-    let line = bytes.iter().position(|&b| b == b'\n').ok_or("it has no first line")?;
-    let head = std::str::from_utf8(&bytes[..line]).map_err(|_| "its first line is no text")?;
-    let words: Vec<&str> = head.split(' ').collect();
-    let &[magic, version, sum, length] = words.as_slice() else { return Err("its first line is cut".into()) };
-    if magic != wanted {
-        return Err("it is no snapshot of this program".into());
+/// Reads what [`encode_file`] made.
+pub(crate) fn decode_file<T: DeserializeOwned>(
+    expected_magic: &str,
+    bytes: &[u8],
+) -> Result<T, SnapshotError> {
+    let line_end = bytes.iter().position(|&byte| byte == b'\n').ok_or(SnapshotError::NoHeader)?;
+    let header = std::str::from_utf8(&bytes[..line_end]).map_err(|_| SnapshotError::HeaderNotText)?;
+    let words: Vec<&str> = header.split(' ').collect();
+    let &[magic, version, checksum, length] = words.as_slice() else { return Err(SnapshotError::HeaderCut) };
+    if magic != expected_magic {
+        return Err(SnapshotError::OtherFile);
     }
-    if version != VERSION.to_string() {
-        return Err(format!("it has format {version}; this program reads {VERSION}"));
+    if version != FORMAT_VERSION.to_string() {
+        return Err(SnapshotError::OtherFormat { found: version.to_owned() });
     }
-    let body = &bytes[line + 1..];
+    let body = &bytes[line_end + 1..];
     if length.parse() != Ok(body.len()) {
-        return Err(format!("it holds {} bytes instead of {length}", body.len()));
+        return Err(SnapshotError::WrongLength { found: body.len(), expected: length.to_owned() });
     }
-    if u32::from_str_radix(sum, 16) != Ok(crc32c::crc32c(body)) {
-        return Err("its checksum is wrong".into());
+    if u32::from_str_radix(checksum, 16) != Ok(crc32c::crc32c(body)) {
+        return Err(SnapshotError::WrongChecksum);
     }
-    serde_json::from_slice(body).map_err(|e| e.to_string())
+    Ok(serde_json::from_slice(body)?)
 }
 
-/// Writes the snapshot aside, syncs it, and puts it in the place of the one before.
-pub fn save(dir: &Path, saved: &Snapshot) -> Result<(), String> {
-    replace(dir, FILE, &encode(saved)?)
+/// Puts a snapshot in the place of the one before.
+pub fn save(dir: &Path, snapshot: &Snapshot) -> Result<(), SnapshotError> {
+    replace_file(dir, FILE_NAME, &encode(snapshot)?)
 }
 
 /// Writes a file aside, syncs it, and puts it in the place of the one before.
-pub fn replace(dir: &Path, name: &str, bytes: &[u8]) -> Result<(), String> {
+pub(crate) fn replace_file(dir: &Path, name: &str, bytes: &[u8]) -> Result<(), SnapshotError> {
     let write = || -> io::Result<()> {
-        let aside = dir.join(format!("{name}.new"));
-        let mut file = File::create(&aside)?;
+        let new_path = dir.join(format!("{name}.new"));
+        let mut file = File::create(&new_path)?;
         file.write_all(bytes)?;
         file.sync_all()?;
-        fs::rename(&aside, dir.join(name))?;
+        fs::rename(&new_path, dir.join(name))?;
         File::open(dir)?.sync_all()
     };
-    write().map_err(|e| format!("{}: {e}", dir.join(name).display()))
+    write().map_err(|source| SnapshotError::Write { path: dir.join(name), source })
 }
 
 /// What was found at the start.
@@ -92,88 +143,37 @@
     None,
     /// A good snapshot.
     Good(Box<Snapshot>),
-    /// One that is of no use; it was moved aside to this place.
+    /// A damaged one, which was moved aside.
     Damaged {
         /// What is wrong with it.
-        why: String,
+        error: SnapshotError,
         /// Where it is now.
-        aside: PathBuf,
+        moved_to: PathBuf,
     },
 }
 
-/// Reads the snapshot of a folder, which is made if it is not there.
+/// Reads the snapshot of a directory, which is made if it is not there.
 pub fn load(dir: &Path) -> io::Result<LoadedSnapshot> {
     fs::create_dir_all(dir)?;
-    let path = dir.join(FILE);
-    let bytes = match fs::read(&path) {
+    let bytes = match fs::read(dir.join(FILE_NAME)) {
         Ok(bytes) => bytes,
-        Err(e) if e.kind() == ErrorKind::NotFound => return Ok(LoadedSnapshot::None),
-        Err(e) => return Err(e),
+        Err(error) if error.kind() == ErrorKind::NotFound => return Ok(LoadedSnapshot::None),
+        Err(error) => return Err(error),
     };
     match decode(&bytes) {
-        Ok(saved) => Ok(LoadedSnapshot::Good(Box::new(saved))),
-        Err(why) => Ok(LoadedSnapshot::Damaged { why, aside: set_aside(dir, FILE)? }),
+        Ok(snapshot) => Ok(LoadedSnapshot::Good(Box::new(snapshot))),
+        Err(error) => Ok(LoadedSnapshot::Damaged { error, moved_to: move_aside(dir, FILE_NAME)? }),
     }
 }
 
-/// Moves a file that is of no use out of the way, and says to where.
-pub fn set_aside(dir: &Path, name: &str) -> io::Result<PathBuf> {
-    let free = |n: &u32| !dir.join(format!("{name}.damaged-{n}")).exists();
-    let n = (1..=u32::MAX).find(free).unwrap_or(0);
-    let aside = dir.join(format!("{name}.damaged-{n}"));
-    fs::rename(dir.join(name), &aside)?;
-    Ok(aside)
+/// Moves a damaged file out of the way, and says to where.
+pub(crate) fn move_aside(dir: &Path, name: &str) -> io::Result<PathBuf> {
+    let path_for = |number: u32| dir.join(format!("{name}.damaged-{number}"));
+    let free_number = (1..=u32::MAX).find(|&number| !path_for(number).exists()).unwrap_or(0);
+    let moved_to = path_for(free_number);
+    fs::rename(dir.join(name), &moved_to)?;
+    Ok(moved_to)
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn saved() -> Snapshot {
-        let settings = Settings::parse(crate::settings::tests::sample().to_string().as_bytes()).unwrap();
-        let telemetry = Some(Telemetry { interval_s: 5, ..Telemetry::default() });
-        Snapshot {
-            settings: Some(settings),
-            list: EndpointList { version: 3, ..EndpointList::default() },
-            telemetry,
-        }
-    }
-
-    #[test]
-    fn every_cut_and_every_flipped_bit_is_found() {
-        let good = encode(&saved()).unwrap();
-        assert_eq!(decode(&good).unwrap(), saved());
-        for cut in 0..good.len() {
-            assert!(decode(&good[..cut]).is_err(), "cut at {cut}");
-        }
-        for at in 0..good.len() {
-            let mut bad = good.clone();
-            bad[at] ^= 0x10;
-            assert!(decode(&bad).is_err(), "flipped at {at}");
-        }
-    }
-
-    #[test]
-    fn one_of_another_version_says_so() {
-        let good = String::from_utf8(encode(&saved()).unwrap()).unwrap();
-        let other = good.replacen("snapshot 1 ", "snapshot 2 ", 1);
-        assert!(decode(other.as_bytes()).unwrap_err().contains("format 2"));
-    }
-
-    #[test]
-    fn a_damaged_one_is_set_aside_and_kept() {
-        let dir = std::env::temp_dir().join(format!("linnetcart-snapshot-{}", std::process::id()));
-        assert!(matches!(load(&dir).unwrap(), LoadedSnapshot::None));
-        save(&dir, &saved()).unwrap();
-        assert!(matches!(load(&dir).unwrap(), LoadedSnapshot::Good(s) if *s == saved()));
-        for n in 1..=2 {
-            fs::write(dir.join(FILE), b"linnetcart-snapshot 1 0 9\nhalf").unwrap();
-            let LoadedSnapshot::Damaged { aside, .. } = load(&dir).unwrap() else {
-                panic!("it was believed")
-            };
-            assert_eq!(aside, dir.join(format!("snapshot.damaged-{n}")));
-            assert!(matches!(load(&dir).unwrap(), LoadedSnapshot::None));
-        }
-        fs::remove_dir_all(&dir).unwrap();
-    }
-}
+mod tests;
