--- a/crates/edge/tests/harness/mod.rs
+++ b/crates/edge/tests/harness/mod.rs
@@ -15,16 +15,16 @@
 const START: u64 = 3600 * 1000 * MS;
 
 /// A connection of the core's to an endpoint.
-pub struct Link {
+pub struct UpstreamConnection {
     pub endpoint: u32,
     pub frames: Frames,
-    pub bytes: u64,
-    pub up: bool,
+    pub received_bytes: u64,
+    pub connected: bool,
 }
 
 /// A call that reached an endpoint.
 pub struct Call {
-    pub link: UpstreamId,
+    pub connection: UpstreamId,
     pub endpoint: u32,
     pub correlation: i32,
     pub version: i16,
@@ -33,23 +33,23 @@
     pub parts: Vec<(String, i32, Vec<String>)>,
 }
 
-pub struct Bench {
+pub struct CoreHarness {
     pub core: Core,
     pub now: u64,
-    pub links: BTreeMap<UpstreamId, Link>,
+    pub connections: BTreeMap<UpstreamId, UpstreamConnection>,
     /// Connects that were asked for and not answered yet.
     pub connecting: Vec<UpstreamId>,
     pub calls: Vec<Call>,
-    pub answers: BTreeMap<ClientId, Vec<ProduceReply>>,
+    pub responses: BTreeMap<ClientId, Vec<ProduceReply>>,
     /// When each of them came.
-    pub answered: BTreeMap<ClientId, Vec<u64>>,
+    pub response_times: BTreeMap<ClientId, Vec<u64>>,
     pub frames: BTreeMap<ClientId, Frames>,
     pub closed: BTreeSet<ClientId>,
     pub paused: BTreeSet<ClientId>,
     /// Connections are made and greeted as soon as they are asked for.
-    pub easy: bool,
+    pub auto_connect: bool,
     pub correlation: i32,
-    pub list: u64,
+    pub list_version: u64,
 }
 
 pub fn settings() -> serde_json::Value {
@@ -84,69 +84,69 @@
     }
 }
 
-impl Bench {
+impl CoreHarness {
     /// Destination 1 (large): endpoints 10, 11; 2 (small): 20; 3 (batch): 30.
-    pub fn new() -> Bench {
-        Bench::with(&settings(), 1)
+    pub fn new() -> CoreHarness {
+        CoreHarness::with(&settings(), 1)
     }
 
-    pub fn with(settings: &serde_json::Value, first_number: u32) -> Bench {
+    pub fn with(settings: &serde_json::Value, first_number: u32) -> CoreHarness {
         let settings = Settings::parse(settings.to_string().as_bytes()).unwrap();
         let broker = Broker { id: 0, host: "127.0.0.1".into(), port: 9092 };
         let core = Core::new(
             settings,
             StartOptions { seed: 5, now: START, broker, run: 1, first_number, policy: library },
         );
-        let mut bench = Bench {
+        let mut harness = CoreHarness {
             core,
             now: START,
-            links: BTreeMap::new(),
+            connections: BTreeMap::new(),
             connecting: Vec::new(),
             calls: Vec::new(),
-            answers: BTreeMap::new(),
-            answered: BTreeMap::new(),
+            responses: BTreeMap::new(),
+            response_times: BTreeMap::new(),
             frames: BTreeMap::new(),
             closed: BTreeSet::new(),
             paused: BTreeSet::new(),
-            easy: true,
+            auto_connect: true,
             correlation: 0,
-            list: 0,
+            list_version: 0,
         };
         let ready = |id, destination, kind| entry(id, destination, kind, EntryState::Ready);
-        bench.news(
+        harness.update_list(
             true,
             vec![ready(10, 1, "large"), ready(11, 1, "large"), ready(20, 2, "small"), ready(30, 3, "batch")],
         );
-        bench
+        harness
     }
 
-    pub fn news(&mut self, whole: bool, entries: Vec<EndpointEntry>) {
-        self.list += 1;
+    pub fn update_list(&mut self, whole: bool, entries: Vec<EndpointEntry>) {
+        self.list_version += 1;
         self.core
-            .update_endpoints(&EndpointListUpdate { version: self.list, complete: whole, entries })
+            .update_endpoints(&EndpointListUpdate { version: self.list_version, complete: whole, entries })
             .unwrap();
-        self.turn();
+        self.process();
     }
 
     /// Lets time pass, in steps of a millisecond at most where something is due.
-    pub fn pass(&mut self, ms: u64) {
+    pub fn advance(&mut self, ms: u64) {
         let until = self.now + ms * MS;
         while self.now < until {
             let next = self.core.next_wakeup().max(self.now + MS / 4).min(until);
             self.now = next;
-            self.turn();
+            self.process();
         }
     }
 
-    pub fn turn(&mut self) {
+    pub fn process(&mut self) {
         self.core.process(self.now);
         self.carry_out();
     }
 
     /// One turn late enough for a round.
-    pub fn round(&mut self) {
+    pub fn process_after_tick(&mut self) {
         self.now += MS;
-        self.turn();
+        self.process();
     }
 
     pub fn carry_out(&mut self) {
@@ -162,8 +162,8 @@
                         frames.push(&bytes);
                         while let Some(f) = frames.next_frame().unwrap() {
                             if let Ok(p) = client::read_produced(&f, VERSION) {
-                                self.answers.entry(id).or_default().push(p);
-                                self.answered.entry(id).or_default().push(self.now);
+                                self.responses.entry(id).or_default().push(p);
+                                self.response_times.entry(id).or_default().push(self.now);
                             }
                         }
                     }
@@ -176,38 +176,45 @@
                     Output::ReadClient(id, false) => {
                         self.paused.insert(id);
                     }
-                    Output::Connect(link, addr) => {
+                    Output::Connect(id, addr) => {
                         let endpoint = u32::from(addr.port());
-                        let new = Link { endpoint, frames: Frames::new(1 << 20), bytes: 0, up: false };
-                        self.links.insert(link, new);
-                        self.connecting.push(link);
+                        let new = UpstreamConnection {
+                            endpoint,
+                            frames: Frames::new(1 << 20),
+                            received_bytes: 0,
+                            connected: false,
+                        };
+                        self.connections.insert(id, new);
+                        self.connecting.push(id);
                     }
-                    Output::ToUpstream(link, bytes) => self.reached(link, &bytes),
-                    Output::CloseUpstream(link) => {
-                        self.links.remove(&link);
-                        self.connecting.retain(|&l| l != link);
+                    Output::ToUpstream(id, bytes) => self.receive_upstream(id, &bytes),
+                    Output::CloseUpstream(id) => {
+                        self.connections.remove(&id);
+                        self.connecting.retain(|&l| l != id);
                     }
                 }
             }
-            if self.easy {
-                for link in std::mem::take(&mut self.connecting) {
-                    self.open(link);
+            if self.auto_connect {
+                for id in std::mem::take(&mut self.connecting) {
+                    self.connect(id);
                 }
             }
         }
     }
 
-    fn reached(&mut self, link: UpstreamId, bytes: &Bytes) {
-        let Some(l) = self.links.get_mut(&link) else { return };
-        l.frames.push(bytes);
-        l.bytes += bytes.len() as u64;
-        while let Some(frame) = self.links.get_mut(&link).and_then(|l| l.frames.next_frame().unwrap()) {
+    fn receive_upstream(&mut self, id: UpstreamId, bytes: &Bytes) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        connection.frames.push(bytes);
+        connection.received_bytes += bytes.len() as u64;
+        while let Some(frame) =
+            self.connections.get_mut(&id).and_then(|connection| connection.frames.next_frame().unwrap())
+        {
             let Request { correlation, version, body, .. } = server::read(&frame).unwrap();
             match body {
                 Body::ApiVersions => {
-                    if self.easy {
+                    if self.auto_connect {
                         let greeting = server::api_versions(correlation, version, false);
-                        self.core.upstream_received(link, &greeting);
+                        self.core.upstream_received(id, &greeting);
                     }
                 }
                 Body::Produce(p) => {
@@ -216,9 +223,9 @@
                         .parts
                         .into_iter()
                         .map(|p| (p.topic, p.partition, p.records.unwrap().iter().map(text).collect()));
-                    let endpoint = self.links[&link].endpoint;
+                    let endpoint = self.connections[&id].endpoint;
                     self.calls.push(Call {
-                        link,
+                        connection: id,
                         endpoint,
                         correlation,
                         version,
@@ -231,23 +238,23 @@
         }
     }
 
-    /// The connection is made; it is greeted at once if the bench is easy.
-    pub fn open(&mut self, link: UpstreamId) {
-        if let Some(l) = self.links.get_mut(&link) {
-            l.up = true;
+    /// The connection is made; it is greeted at once if the harness is easy.
+    pub fn connect(&mut self, id: UpstreamId) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.connected = true;
             self.core.clock(self.now);
-            self.core.upstream_connected(link);
+            self.core.upstream_connected(id);
             self.carry_out();
         }
     }
 
-    pub fn greet(&mut self, link: UpstreamId) {
+    pub fn negotiate(&mut self, id: UpstreamId) {
         self.core.clock(self.now);
-        self.core.upstream_received(link, &server::api_versions(0, 0, false));
+        self.core.upstream_received(id, &server::api_versions(0, 0, false));
         self.carry_out();
     }
 
-    pub fn client(&mut self, id: ClientId) {
+    pub fn connect_client(&mut self, id: ClientId) {
         self.core.client_connected(id);
         self.frames.insert(id, Frames::new(1 << 22));
     }
@@ -265,18 +272,18 @@
         let request = self.request(-1, to);
         self.core.clock(self.now);
         self.core.client_received(id, &request);
-        self.round();
+        self.process_after_tick();
         self.correlation
     }
 
     /// Sends one record.
-    pub fn one(&mut self, id: ClientId, topic: &str, partition: i32, value: &str) -> i32 {
+    pub fn send_one(&mut self, id: ClientId, topic: &str, partition: i32, value: &str) -> i32 {
         self.send(id, &[(topic, partition, &[record(value)])])
     }
 
     /// Answers the call that holds this value.
     pub fn reply(&mut self, value: &str, code: i16, throttle_ms: i32) {
-        let at = self.call(value);
+        let at = self.call_with(value);
         let call = self.calls.remove(at);
         self.reply_to(&call, code, throttle_ms);
     }
@@ -291,23 +298,23 @@
         let ended: Vec<PartitionResult> = call.parts.iter().map(ended).collect();
         let bytes = server::produce(call.correlation, call.version, &ended, throttle_ms, None);
         self.core.clock(self.now);
-        self.core.upstream_received(call.link, &bytes);
-        self.round();
+        self.core.upstream_received(call.connection, &bytes);
+        self.process_after_tick();
     }
 
     /// The place of the last call that holds this value.
-    pub fn call(&self, value: &str) -> usize {
+    pub fn call_with(&self, value: &str) -> usize {
         let holds = |c: &Call| c.parts.iter().any(|p| p.2.iter().any(|v| v == value));
         self.calls.iter().rposition(holds).unwrap_or_else(|| panic!("no call holds {value}"))
     }
 
-    pub fn calls_of(&self, value: &str) -> usize {
+    pub fn count_calls_with(&self, value: &str) -> usize {
         self.calls.iter().filter(|c| c.parts.iter().any(|p| p.2.iter().any(|v| v == value))).count()
     }
 
     /// The codes that a client was answered, by request number.
-    pub fn codes(&self, id: ClientId) -> Vec<(i32, i16)> {
-        let all = self.answers.get(&id).map_or(&[][..], Vec::as_slice);
+    pub fn response_codes(&self, id: ClientId) -> Vec<(i32, i16)> {
+        let all = self.responses.get(&id).map_or(&[][..], Vec::as_slice);
         all.iter().flat_map(|p| p.parts.iter().map(move |e| (p.correlation, e.code))).collect()
     }
 }
@@ -316,10 +323,10 @@
     Record { key: None, value: Some(Bytes::copy_from_slice(value.as_bytes())), headers: vec![], timestamp: 0 }
 }
 
-pub fn keyed(value: &str, key: &str) -> Record {
+pub fn record_with_key(value: &str, key: &str) -> Record {
     Record { key: Some(Bytes::copy_from_slice(key.as_bytes())), ..record(value) }
 }
 
-pub fn headed(value: &str, name: &str, text: &str) -> Record {
+pub fn record_with_header(value: &str, name: &str, text: &str) -> Record {
     Record { headers: vec![(name.into(), Some(Bytes::copy_from_slice(text.as_bytes())))], ..record(value) }
 }
