Edge: flags and tuples of the public interface are typed

Change: Output::PauseClient and ResumeClient (the emulator's match follows), UpdatedList, HostPort. The help text of the command line and comments use the names of the field.

--- a/crates/edge/src/cli.rs
+++ b/crates/edge/src/cli.rs
@@ -1,7 +1,7 @@
 //! The command line of `linnetcart-edge`.
 
 use crate::core::PolicyFactory;
-use crate::shell::{self, Exit, Options};
+use crate::shell::{self, Exit, HostPort, Options};
 use clap::{Parser, Subcommand, ValueEnum};
 use std::io::IsTerminal;
 use std::net::SocketAddr;
@@ -18,8 +18,8 @@
 /// find the snapshot of an earlier run in --state-dir. When it listens, it prints one line of JSON with both
 /// addresses on standard output. Logs go to standard error.
 ///
-/// Exit codes: 0 everything held has its answer; 1 it could not start or run; 2 the command line is wrong;
-/// 3 a second signal ended it before everything held had its answer.
+/// Exit codes: 0 every message has its final answer; 1 it could not start or run; 2 the command line is wrong;
+/// 3 a second signal ended it before every message had its final answer.
 #[derive(Clone, Debug, Parser)]
 #[command(name = "linnetcart-edge", version, args_conflicts_with_subcommands = true)]
 pub struct Args {
@@ -32,9 +32,9 @@
     /// Where the control interface listens; keep it where only operators reach it
     #[arg(long, default_value = "127.0.0.1:9080", value_name = "ADDR")]
     pub control: SocketAddr,
-    /// Host and port that producers are told, if others than --kafka
+    /// Host and port that producers are given, if others than --kafka
     #[arg(long, value_name = "HOST:PORT", value_parser = host_port)]
-    pub advertise: Option<(String, u16)>,
+    pub advertise: Option<HostPort>,
     /// Folder of the saved settings and list; without it nothing is saved
     #[arg(long, value_name = "DIR")]
     pub state_dir: Option<PathBuf>,
@@ -44,7 +44,7 @@
     /// How long messages are still worked on after SIGTERM, in milliseconds
     #[arg(long, default_value_t = 10_000, value_name = "MS")]
     pub drain_ms: u64,
-    /// Connections that are held at most, clients and endpoints together
+    /// Greatest number of connections, clients and endpoints together
     #[arg(long, default_value_t = 20_000, value_name = "N")]
     pub connections: usize,
     /// Form of the logs; by default plain on a terminal and JSON elsewhere
@@ -58,7 +58,7 @@
 /// Other ways in and out than Kafka's.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Subcommand)]
 pub enum Front {
-    /// The platform's protocol on HTTP/1.1, told by RELAY_CONFIG and RELAY_STATE; ends within 4 s of SIGTERM
+    /// The platform's protocol on HTTP/1.1, configured by RELAY_CONFIG and RELAY_STATE; ends within 4 s of SIGTERM
     Platform,
 }
 
@@ -80,10 +80,10 @@
     InvalidPort { port: String },
 }
 
-fn host_port(text: &str) -> Result<(String, u16), HostPortError> {
+fn host_port(text: &str) -> Result<HostPort, HostPortError> {
     let (host, port) = text.rsplit_once(':').ok_or(HostPortError::NoPort)?;
     let port = port.parse().map_err(|_| HostPortError::InvalidPort { port: port.to_owned() })?;
-    Ok((host.trim_matches(['[', ']']).to_owned(), port))
+    Ok(HostPort { host: host.trim_matches(['[', ']']).to_owned(), port })
 }
 
 /// Starts the logs.
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -159,7 +159,7 @@
             Err(error) => return invalid_document(&error),
         };
         match core.list().after(&update, core.settings()) {
-            Ok((list, _)) => snapshot.list = list,
+            Ok(updated) => snapshot.list = updated.list,
             Err(error) => return invalid_document(&error),
         }
         if let Err(error) = save(&snapshot) {
--- a/crates/edge/src/core/attempts.rs
+++ b/crates/edge/src/core/attempts.rs
@@ -169,7 +169,7 @@
         self.complete(message, FinalAnswer::Failed);
     }
 
-    /// Completes a message without the library, which is told that its client has gone: nobody waits any longer
+    /// Completes a message without the library, to which its client counts as gone: nobody waits any longer
     /// because a response behind it on its connection is due, or because the drain deadline has passed.
     pub(super) fn complete_undecided(&mut self, message: u32) {
         let Some(in_flight) = self.in_flight.open(message) else { return };
--- a/crates/edge/src/core/clients.rs
+++ b/crates/edge/src/core/clients.rs
@@ -177,7 +177,7 @@
     Reading,
 }
 
-/// The read state, and whether the shell must be told.
+/// The read state, and whether the shell must act on it.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ReadUpdate {
     pub(crate) state: ReadState,
--- a/crates/edge/src/core/mod.rs
+++ b/crates/edge/src/core/mod.rs
@@ -67,8 +67,10 @@
     ToClient(ClientId, Bytes),
     /// Close a client's connection when what was written to it has left.
     CloseClient(ClientId),
-    /// Read from a client, or stop reading.
-    ReadClient(ClientId, bool),
+    /// Read nothing more from a client until it is resumed.
+    PauseClient(ClientId),
+    /// Read from a client again.
+    ResumeClient(ClientId),
     /// Connect to an endpoint.
     Connect(UpstreamId, SocketAddr),
     /// Write to an endpoint.
@@ -205,8 +207,8 @@
         self.delivery.set_clock(self.clock.now());
     }
 
-    /// What the wall clock shows, in nanoseconds since 1970, as [`Core::clock`] was last told its reading. It may
-    /// be set; only what is read until the next reading is aged by it.
+    /// What the wall clock shows, in nanoseconds since 1970, at the last reading of [`Core::clock`]. It may be
+    /// set; only what is read until the next reading is aged by it.
     pub fn wall_clock(&mut self, wall: Time) {
         self.clock.set_wall(wall);
     }
@@ -221,9 +223,10 @@
 
     /// An update of the endpoint list; nothing changes if it is invalid.
     pub fn update_endpoints(&mut self, update: &EndpointListUpdate) -> Result<(), InvalidDocument> {
-        let (list, entries) = self.list().after(update, &self.settings)?;
+        let updated = self.list().after(update, &self.settings)?;
+        let entries = updated.library_entries;
         self.decisions.push(Event::EndpointList { complete: update.complete, entries });
-        self.replace_list(list);
+        self.replace_list(updated.list);
         Ok(())
     }
 
--- a/crates/edge/src/core/requests.rs
+++ b/crates/edge/src/core/requests.rs
@@ -58,7 +58,10 @@
         loop {
             let Some(update) = self.clients.update_reading(id, &self.settings.limits) else { return };
             if update.changed {
-                self.outputs.push(Output::ReadClient(id, update.state == ReadState::Reading));
+                self.outputs.push(match update.state {
+                    ReadState::Paused => Output::PauseClient(id),
+                    ReadState::Reading => Output::ResumeClient(id),
+                });
             }
             if update.state == ReadState::Paused {
                 return;
--- a/crates/edge/src/core/responses.rs
+++ b/crates/edge/src/core/responses.rs
@@ -21,7 +21,7 @@
 }
 
 impl RecordOutcome {
-    /// What clients are told of a record whose batch has several outcomes.
+    /// What the response says of a record whose batch has several outcomes.
     fn text(&self) -> String {
         match self {
             RecordOutcome::Served => "served".into(),
--- a/crates/edge/src/settings/documents.rs
+++ b/crates/edge/src/settings/documents.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Everything that a courier is told once.
+/// The settings of a courier, which it is given once.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
--- a/crates/edge/src/settings/endpoint_list.rs
+++ b/crates/edge/src/settings/endpoint_list.rs
@@ -1,4 +1,4 @@
-//! The endpoint list: the document, its updates, and what the decision library is told of it.
+//! The endpoint list: the document, its updates, and the entries for the decision library.
 
 use super::documents::Settings;
 use super::error::reject;
@@ -9,6 +9,15 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
+/// An endpoint list after an update.
+#[derive(Clone, Debug)]
+pub struct UpdatedList {
+    /// The list.
+    pub list: EndpointList,
+    /// The entries of the update as the decision library takes them.
+    pub library_entries: Vec<Endpoint>,
+}
+
 /// Endpoints that a list may hold.
 pub const MAX_ENDPOINTS: usize = 100_000;
 /// The highest rate of an endpoint.
@@ -73,12 +82,12 @@
 }
 
 impl EndpointList {
-    /// The list after this update, and what the library is told of it. Nothing changes if the update is invalid.
+    /// The list after this update. Nothing changes if the update is invalid.
     pub fn after(
         &self,
         update: &EndpointListUpdate,
         settings: &Settings,
-    ) -> Result<(EndpointList, Vec<Endpoint>), InvalidDocument> {
+    ) -> Result<UpdatedList, InvalidDocument> {
         if update.version <= self.version {
             let reason = format!("{} is not above {}, which is in force", update.version, self.version);
             return reject("version", reason);
@@ -106,10 +115,10 @@
             }
         }
         next.check_as_a_whole()?;
-        Ok((next, library_entries))
+        Ok(UpdatedList { list: next, library_entries })
     }
 
-    /// All entries as the library is told them.
+    /// All entries for the decision library.
     pub fn library_entries(&self, settings: &Settings) -> Result<Vec<Endpoint>, InvalidDocument> {
         let mut endpoints = Vec::with_capacity(self.entries.len());
         for (index, entry) in self.entries.values().enumerate() {
@@ -154,7 +163,7 @@
     }
 }
 
-/// An entry as the library is told it.
+/// An entry for the decision library.
 fn library_endpoint(
     entry: &EndpointEntry,
     settings: &Settings,
--- a/crates/edge/src/settings/library.rs
+++ b/crates/edge/src/settings/library.rs
@@ -1,4 +1,4 @@
-//! What the decision library is told of the settings.
+//! The decision library's settings, from the document.
 
 use super::documents::{ClassDoc, KindDoc, RatesDoc, RepeatDoc, Settings};
 use crate::time::{NANOS_PER_MS, NANOS_PER_US};
--- a/crates/edge/src/settings/mod.rs
+++ b/crates/edge/src/settings/mod.rs
@@ -1,5 +1,5 @@
-//! Settings and endpoint list as documents: what the control interface accepts, checked as a whole, and what the
-//! decision library is told of it.
+//! Settings and endpoint list as documents: what the control interface accepts, checked as a whole, and the
+//! conversion for the decision library.
 //!
 //! The fields of the documents keep the names that operators' files have; where the code's name differs, it is
 //! mapped with `#[serde(rename)]`. An error names the field by its outer name.
@@ -14,7 +14,9 @@
     Allow, ClassDoc, ClocksDoc, Connections, CourierNumber, KindDoc, Limits, Prices, RatesDoc, RepeatDoc,
     Rules, Settings, TenantDoc, Worth,
 };
-pub use endpoint_list::{EndpointEntry, EndpointList, EndpointListUpdate, EntryState, MAX_ENDPOINTS};
+pub use endpoint_list::{
+    EndpointEntry, EndpointList, EndpointListUpdate, EntryState, UpdatedList, MAX_ENDPOINTS,
+};
 pub use error::InvalidDocument;
 
 use serde::de::DeserializeOwned;
--- a/crates/edge/src/settings/tests.rs
+++ b/crates/edge/src/settings/tests.rs
@@ -82,14 +82,14 @@
     };
     let first =
         update(1, true, &[entry(10, "large", EntryState::Ready), entry(20, "small", EntryState::Ready)]);
-    let (list, told) = EndpointList::default().after(&first, &settings).unwrap();
-    assert_eq!((list.entries.len(), told.len()), (2, 2));
+    let UpdatedList { list, library_entries } = EndpointList::default().after(&first, &settings).unwrap();
+    assert_eq!((list.entries.len(), library_entries.len()), (2, 2));
     let change = update(
         2,
         false,
         &[entry(10, "large", EntryState::Removed), entry(21, "small", EntryState::Draining)],
     );
-    let (changed, _) = list.after(&change, &settings).unwrap();
+    let changed = list.after(&change, &settings).unwrap().list;
     assert_eq!(changed.entries.keys().copied().collect::<Vec<_>>(), [20, 21]);
     let field = |n: &EndpointListUpdate| list.after(n, &settings).unwrap_err().field;
     assert_eq!(field(&first), "version");
--- a/crates/edge/src/shell/mod.rs
+++ b/crates/edge/src/shell/mod.rs
@@ -34,6 +34,15 @@
 /// How long the last responses and the last report may take to leave at the end.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// A host by name or address, and a port.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HostPort {
+    /// The host.
+    pub host: String,
+    /// The port.
+    pub port: u16,
+}
+
 /// What the program is started with.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -42,7 +51,7 @@
     /// Where the control interface listens.
     pub control: SocketAddr,
     /// The host and port that Metadata names, if not those of `kafka`.
-    pub advertise: Option<(String, u16)>,
+    pub advertise: Option<HostPort>,
     /// Where the snapshot is.
     pub state_dir: Option<PathBuf>,
     /// Randomness of the decisions; from the system if not given.
@@ -122,7 +131,8 @@
 fn start_options(options: &Options, kafka: SocketAddr) -> StartOptions {
     let run = wall_clock();
     let seed = options.seed.unwrap_or(run ^ u64::from(std::process::id()).rotate_left(40));
-    let (host, port) = options.advertise.clone().unwrap_or((kafka.ip().to_string(), kafka.port()));
+    let listening = || HostPort { host: kafka.ip().to_string(), port: kafka.port() };
+    let HostPort { host, port } = options.advertise.clone().unwrap_or_else(listening);
     StartOptions {
         seed,
         now: CLOCK_START,
@@ -275,7 +285,8 @@
                 self.net.close_after_flush(token);
                 self.roles.remove(&token);
             }
-            Output::ReadClient(token, read) => self.net.set_read_paused(token, !read),
+            Output::PauseClient(token) => self.net.set_read_paused(token, true),
+            Output::ResumeClient(token) => self.net.set_read_paused(token, false),
             Output::Connect(upstream, address) => {
                 let token = self.net.connect(address);
                 self.roles.insert(token, Role::Upstream(upstream));
@@ -295,7 +306,7 @@
         }
     }
 
-    /// Writes what was queued, and tells the core how much of it clients have not taken.
+    /// Writes what was queued, and gives the core the bytes that clients have not taken.
     fn flush(&mut self) {
         for token in self.net.flush() {
             if !matches!(self.roles.get(&token), Some(Role::Client)) {
--- a/crates/edge/src/shell/telemetry.rs
+++ b/crates/edge/src/shell/telemetry.rs
@@ -78,7 +78,7 @@
         }));
     }
 
-    /// Tells telemetry which syncs of the counter files are done.
+    /// Reports to telemetry which syncs of the counter files are done.
     fn collect_syncs(&mut self) {
         let finished = self.counter_files.as_ref().map(CounterFiles::finished).unwrap_or_default();
         for sync in finished {
@@ -276,7 +276,7 @@
     }
 }
 
-/// What telemetry is told of the courier once.
+/// What telemetry needs to know of the courier once.
 fn courier_info(core: &Core, seed: u64) -> CourierInfo {
     let settings = core.settings();
     let names = settings.classes.iter().map(|class| class.name.clone());
@@ -289,7 +289,7 @@
     }
 }
 
-/// What telemetry is told of the courier for each report.
+/// What telemetry needs to know of the courier for each report.
 fn current_state(core: &Core) -> CurrentState {
     let status = core.status();
     let limits = &core.settings().limits;
--- a/crates/edge/tests/harness/mod.rs
+++ b/crates/edge/tests/harness/mod.rs
@@ -170,10 +170,10 @@
                     Output::CloseClient(id) => {
                         self.closed.insert(id);
                     }
-                    Output::ReadClient(id, true) => {
+                    Output::ResumeClient(id) => {
                         self.paused.remove(&id);
                     }
-                    Output::ReadClient(id, false) => {
+                    Output::PauseClient(id) => {
                         self.paused.insert(id);
                     }
                     Output::Connect(id, addr) => {
--- a/crates/emulator/src/network.rs
+++ b/crates/emulator/src/network.rs
@@ -385,7 +385,7 @@
                     }
                 }
                 // What a courier does not read stays in its system; its bound holds either way.
-                Output::ReadClient(..) => {}
+                Output::PauseClient(_) | Output::ResumeClient(_) => {}
                 Output::Connect(link, at) => {
                     let token = self.links.open(self.now, courier, life, |_| End::Link(link, endpoint(at)));
                     self.most_links = self.most_links.max(self.links.count());
