--- a/crates/emulator/src/network/hosts.rs
+++ b/crates/emulator/src/network/hosts.rs
@@ -100,7 +100,7 @@
             Output::ToClient(client, bytes) => self.send_to_client(courier, incarnation, client, bytes),
             Output::CloseClient(client) => self.close_client(courier, client),
             // What a courier does not read stays in its system; that its bound holds does not depend on it.
-            Output::ReadClient(..) => {}
+            Output::PauseClient(_) | Output::ResumeClient(_) => {}
             Output::Connect(upstream, address) => self.connect(courier, incarnation, upstream, address),
             Output::ToUpstream(upstream, bytes) => {
                 if let Some(token) = self.connections.of_upstream(courier, upstream) {
