Net: close after a flush and stop of a listener under test

Cause: two transitions that connections and listeners own had no test of their own here.

Change: connection_closed_after_flush_sends_what_is_queued_without_an_event and listener_stopped_reports_the_connections_that_waited.

--- a/crates/net/tests/sockets.rs
+++ b/crates/net/tests/sockets.rs
@@ -130,3 +130,46 @@
     net.send(server, b"late");
     poll_until(&mut net, |e| matches!(e, Event::Data(t, bytes) if *t == client && &bytes[..] == b"late"));
 }
+
+#[test]
+fn connection_closed_after_flush_sends_what_is_queued_without_an_event() {
+    const QUEUED_BYTES: usize = 4 << 20;
+    let mut net = Net::new(10).unwrap();
+    let (_, address) = net.listen("127.0.0.1:0".parse().unwrap()).unwrap();
+    let client = net.connect(address);
+    net.send(client, &vec![7; QUEUED_BYTES]);
+    assert_eq!(net.unsent_bytes(client), QUEUED_BYTES);
+    net.close_after_flush(client);
+    net.send(client, b"after the close");
+    let mut received = 0;
+    let events = poll_until(&mut net, |event| {
+        if let Event::Data(_, bytes) = event {
+            received += bytes.len();
+        }
+        matches!(event, Event::HalfClosed(_))
+    });
+    assert_eq!(received, QUEUED_BYTES);
+    let of_client = |event: &Event| matches!(event, Event::Closed { token, .. } if *token == client);
+    assert!(!events.iter().any(of_client));
+    assert!(!net.has_unsent());
+    assert_eq!(net.connections(), 1);
+}
+
+#[test]
+fn listener_stopped_reports_the_connections_that_waited() {
+    let mut net = Net::new(10).unwrap();
+    let (listener, address) = net.listen("127.0.0.1:0".parse().unwrap()).unwrap();
+    let mut waiting = std::net::TcpStream::connect(address).unwrap();
+    std::io::Write::write_all(&mut waiting, b"first").unwrap();
+    net.stop_listening(listener);
+    let mut events = Vec::new();
+    net.poll(Duration::ZERO, &mut events).unwrap();
+    let accepted = events.iter().find_map(|event| match event {
+        Event::Accepted { listener: on, token, .. } if *on == listener => Some(*token),
+        _ => None,
+    });
+    let accepted = accepted.expect("the connection that waited is reported");
+    assert!(matches!(&events[1], Event::Data(token, bytes) if *token == accepted && &bytes[..] == b"first"));
+    let refused = net.connect(address);
+    poll_until(&mut net, |event| matches!(event, Event::ConnectFailed(token) if *token == refused));
+}
