Telemetry: recording of delivery events tested alone; older unit tests read plainly

Cause: what each delivery event adds to counts was tested only through sums over random messages; older unit tests had one-letter names.

LimitTable::of_attempt allocates nothing. Older tests are renamed inside, with the same assertions.

--- a/crates/telemetry/src/counts/tests.rs
+++ b/crates/telemetry/src/counts/tests.rs
@@ -2,7 +2,7 @@
 use proptest::prelude::*;
 
 fn classes(names: &[&str]) -> Vec<String> {
-    names.iter().map(|n| (*n).to_owned()).collect()
+    names.iter().map(|name| (*name).to_owned()).collect()
 }
 
 #[test]
@@ -15,21 +15,21 @@
     store.frame();
     store.add(CounterKey::Cell(7, 0), Field::Accepted, 300);
     log.extend(store.frame().expect("something changed"));
-    let mut now = CounterStore::new(classes(&["query"]), 10);
-    now.restore(&saved);
-    assert_eq!(now.replay(&log), Replayed { entries: vec![], complete_bytes: log.len() });
-    assert_eq!(now.cells()[&CounterKey::Cell(7, 0)][Field::Accepted], 3);
-    assert_eq!(now.cells()[&CounterKey::Route(70)][Field::Attempts], 2);
+    let mut without_order = CounterStore::new(classes(&["query"]), 10);
+    without_order.restore(&saved);
+    assert_eq!(without_order.replay(&log), Replayed { entries: vec![], complete_bytes: log.len() });
+    assert_eq!(without_order.cells()[&CounterKey::Cell(7, 0)][Field::Accepted], 3);
+    assert_eq!(without_order.cells()[&CounterKey::Route(70)][Field::Attempts], 2);
     let mut again = CounterStore::new(classes(&["order", "query"]), 10);
-    again.restore(&now.saved(&BTreeMap::new(), 5));
+    again.restore(&without_order.saved(&BTreeMap::new(), 5));
     assert_eq!(again.cells()[&CounterKey::Cell(7, 0)][Field::Accepted], 300);
 }
 
 #[test]
 fn cells_beyond_limit_are_counted_together() {
     let mut store = CounterStore::new(classes(&["order"]), 2);
-    for dest in 0..5 {
-        store.add(CounterKey::Cell(dest, 0), Field::Accepted, 2);
+    for destination in 0..5 {
+        store.add(CounterKey::Cell(destination, 0), Field::Accepted, 2);
     }
     assert_eq!((store.cells().len(), store.beyond()), (2, 6));
 }
@@ -43,24 +43,24 @@
         let names = classes(&["a", "b"]);
         let mut store = CounterStore::new(names.clone(), 100);
         let mut log = mark(&CounterLogEntry::Classes(names.clone()));
-        let mut ends = vec![(log.len(), store.clone())];
-        for (dest, class, field, by) in adds {
-            store.add(CounterKey::Cell(dest, class), Field::ALL[field], by);
+        // After each frame, the length of the log and what was counted.
+        let mut states = vec![(log.len(), store.clone())];
+        for (destination, class, field, increase) in adds {
+            store.add(CounterKey::Cell(destination, class), Field::ALL[field], increase);
             log.extend(store.frame().expect("something changed"));
-            ends.push((log.len(), store.clone()));
+            states.push((log.len(), store.clone()));
         }
         let cut = cut % (log.len() + 1);
         let mut read = CounterStore::new(names.clone(), 100);
-        let good = read.replay(&log[..cut]).complete_bytes;
-        let whole = ends.iter().rev().find(|e| e.0 <= cut);
-        prop_assert_eq!(good, whole.map_or(0, |e| e.0));
+        let complete_bytes = read.replay(&log[..cut]).complete_bytes;
+        let complete = states.iter().rev().find(|(length, _)| *length <= cut);
+        prop_assert_eq!(complete_bytes, complete.map_or(0, |(length, _)| *length));
         let none = BTreeMap::new();
-        prop_assert_eq!(read.cells(), whole.map_or(&none, |e| e.1.cells()));
+        prop_assert_eq!(read.cells(), complete.map_or(&none, |(_, store)| store.cells()));
         let flip = flip % log.len();
         log[flip] ^= 4;
         let mut read = CounterStore::new(names, 100);
-        let good = read.replay(&log).complete_bytes;
-        prop_assert!(good <= flip);
+        prop_assert!(read.replay(&log).complete_bytes <= flip);
     }
 
     #[test]
--- a/crates/telemetry/src/host/tests.rs
+++ b/crates/telemetry/src/host/tests.rs
@@ -1,18 +1,19 @@
 use super::*;
 use crate::settings::Require;
 
-const S: u64 = 1_000_000_000;
+const SECOND: u64 = 1_000_000_000;
 
-fn part(kind: u16, body: &[u8]) -> Vec<u8> {
-    let length = (body.len() + 4) as u16;
-    [&kind.to_be_bytes()[..], &length.to_be_bytes(), body].concat()
+fn part(part_type: u16, content: &[u8]) -> Vec<u8> {
+    let length = (content.len() + 4) as u16;
+    [&part_type.to_be_bytes()[..], &length.to_be_bytes(), content].concat()
 }
 
-fn octets(at: u64, rx: i64, tx: i64) -> Vec<u8> {
-    let values = [&b"\x00\x02\x02\x02"[..], &rx.to_be_bytes(), &tx.to_be_bytes()].concat();
+/// A packet of a network link's octets received and sent.
+fn octets(time: u64, received: i64, sent: i64) -> Vec<u8> {
+    let values = [&b"\x00\x02\x02\x02"[..], &received.to_be_bytes(), &sent.to_be_bytes()].concat();
     [
         part(0, b"h\0"),
-        part(8, &collectd::high_resolution(at).to_be_bytes()),
+        part(8, &collectd::high_resolution(time).to_be_bytes()),
         part(2, b"interface\0"),
         part(3, b"eth0\0"),
         part(4, b"if_octets\0"),
@@ -29,14 +30,14 @@
 #[test]
 fn rates_come_from_two_reports_and_replay_changes_nothing() {
     let mut monitor = monitor();
-    let wall = 1_700_000_000 * S;
+    let wall = 1_700_000_000 * SECOND;
     monitor.packet_received(&octets(wall, 1000, 500), 0, wall);
-    monitor.packet_received(&octets(wall + 10 * S, 21_000, 10_500), 0, wall + 10 * S);
+    monitor.packet_received(&octets(wall + 10 * SECOND, 21_000, 10_500), 0, wall + 10 * SECOND);
     assert_eq!(monitor.status(0).links["eth0"], LinkRates { received: 2000.0, sent: 1000.0 });
     let before = monitor.status(0);
-    monitor.packet_received(&octets(wall, 1000, 500), 0, wall + 11 * S);
-    monitor.packet_received(&octets(wall + 10 * S, 0, 0), 0, wall + 11 * S);
-    monitor.packet_received(&octets(wall + 4000 * S, 9, 9), 0, wall + 12 * S);
+    monitor.packet_received(&octets(wall, 1000, 500), 0, wall + 11 * SECOND);
+    monitor.packet_received(&octets(wall + 10 * SECOND, 0, 0), 0, wall + 11 * SECOND);
+    monitor.packet_received(&octets(wall + 4000 * SECOND, 9, 9), 0, wall + 12 * SECOND);
     let after = monitor.status(0);
     assert_eq!((after.values_outdated, &after.links), (3, &before.links));
 }
@@ -49,8 +50,8 @@
         assert!(monitor.packet_received(b"\x00\x00\x00\x00", 0, 0).is_none(), "and no flood follows");
     }
     assert_eq!(monitor.status(0).packets_rejected, 101);
-    for n in 0..MAX_SERIES + 50 {
-        let name = [format!("eth{n}").as_bytes(), b"\0"].concat();
+    for link in 0..MAX_SERIES + 50 {
+        let name = [format!("eth{link}").as_bytes(), b"\0"].concat();
         let values = [&b"\x00\x01\x01"[..], &1f64.to_le_bytes()].concat();
         monitor.packet_received(&[part(2, b"interface\0"), part(3, &name), part(6, &values)].concat(), 0, 0);
     }
--- a/crates/telemetry/src/limits.rs
+++ b/crates/telemetry/src/limits.rs
@@ -92,14 +92,14 @@
         destination: u32,
         endpoint: u32,
     ) -> impl Iterator<Item = &mut ObservedLimit> {
-        let mut limits = Vec::with_capacity(2);
+        let mut limits = [None, None];
         if self.listed.contains_key(&destination) {
-            limits.push(self.destinations.entry(destination).or_default());
+            limits[0] = Some(self.destinations.entry(destination).or_default());
         }
         if self.route_destinations.contains_key(&endpoint) {
-            limits.push(self.routes.entry(endpoint).or_default());
+            limits[1] = Some(self.routes.entry(endpoint).or_default());
         }
-        limits.into_iter()
+        limits.into_iter().flatten()
     }
 
     /// The decision library sees an endpoint's limit in another state. None if that changes neither the route nor
--- a/crates/telemetry/src/recording.rs
+++ b/crates/telemetry/src/recording.rs
@@ -10,6 +10,9 @@
 use linnetcart::{AttemptOutcome, LimitChange, LimitState, Time};
 use linnetcart_delivery_events::{DeliveryEvent, FinalAnswer, LoadReport};
 
+#[cfg(test)]
+mod tests;
+
 /// All that delivery events change. Counts are kept for good, everything else is of now.
 #[derive(Debug)]
 pub(crate) struct Recording {
