Telemetry: the style of names is a type; the simulation's message apart

Cause: graphite::name and encode took a bool whose meaning the call did not show; the simulation drew, recorded and counted a message in fifty lines.

Change: NameStyle and Encoding; accepted_message gives a message's events. The documents' field tags stays a bool.

--- a/crates/telemetry/src/graphite.rs
+++ b/crates/telemetry/src/graphite.rs
@@ -20,6 +20,24 @@
     pub courier: u32,
 }
 
+/// How series are named.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NameStyle {
+    /// Long paths.
+    Paths,
+    /// Short names with tags.
+    Tags,
+}
+
+/// How points are encoded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Encoding {
+    /// Lines or pickled lists.
+    pub form: Form,
+    /// Paths or tags.
+    pub names: NameStyle,
+}
+
 /// Points with their names, encoded; sent as a whole or dropped as a whole.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Chunk {
@@ -37,11 +55,10 @@
 }
 
 /// The name of a point's series.
-pub fn name(source: &MetricSource, point: &Point, tags: bool) -> String {
-    if tags {
-        tagged_name(source, point)
-    } else {
-        path_name(source, point)
+pub fn name(source: &MetricSource, point: &Point, style: NameStyle) -> String {
+    match style {
+        NameStyle::Paths => path_name(source, point),
+        NameStyle::Tags => tagged_name(source, point),
     }
 }
 
@@ -75,15 +92,16 @@
 }
 
 /// Points at a second since 1970, in chunks that may be sent and dropped one by one.
-pub fn encode(source: &MetricSource, points: &[Point], second: u64, form: Form, tags: bool) -> Vec<Chunk> {
+pub fn encode(source: &MetricSource, points: &[Point], second: u64, encoding: Encoding) -> Vec<Chunk> {
     let mut chunks = Vec::with_capacity(points.len().div_ceil(MAX_CHUNK_POINTS));
     for points in points.chunks(MAX_CHUNK_POINTS) {
-        let bytes = match form {
-            Form::Plaintext => encode_plaintext(source, points, second, tags),
+        let bytes = match encoding.form {
+            Form::Plaintext => encode_plaintext(source, points, second, encoding.names),
             Form::Pickle => {
-                let named = points
-                    .iter()
-                    .map(|point| NamedValue { name: name(source, point, tags), value: point.value.as_f64() });
+                let named = points.iter().map(|point| NamedValue {
+                    name: name(source, point, encoding.names),
+                    value: point.value.as_f64(),
+                });
                 encode_pickle(named, second)
             }
         };
@@ -92,11 +110,11 @@
     chunks
 }
 
-fn encode_plaintext(source: &MetricSource, points: &[Point], second: u64, tags: bool) -> Vec<u8> {
+fn encode_plaintext(source: &MetricSource, points: &[Point], second: u64, names: NameStyle) -> Vec<u8> {
     let second = second.to_string();
     let mut lines = String::new();
     for point in points {
-        let name = name(source, point, tags);
+        let name = name(source, point, names);
         let value = point.value.to_string();
         lines.extend([name.as_str(), " ", value.as_str(), " ", second.as_str(), "\n"]);
     }
--- a/crates/telemetry/src/graphite/tests.rs
+++ b/crates/telemetry/src/graphite/tests.rs
@@ -2,6 +2,9 @@
 use crate::series::PointValue;
 use proptest::prelude::*;
 
+const PLAINTEXT: Encoding = Encoding { form: Form::Plaintext, names: NameStyle::Paths };
+const PICKLE: Encoding = Encoding { form: Form::Pickle, names: NameStyle::Paths };
+
 fn source() -> MetricSource {
     MetricSource { deployment: "bank_north".into(), courier: 3 }
 }
@@ -13,13 +16,16 @@
         "taken",
         PointValue::Counter(12),
     );
-    assert_eq!(name(&source(), &point, false), "linnetcart.bank_north.edge.3.dest.kolo.class.order.taken");
     assert_eq!(
-        name(&source(), &point, true),
+        name(&source(), &point, NameStyle::Paths),
+        "linnetcart.bank_north.edge.3.dest.kolo.class.order.taken"
+    );
+    assert_eq!(
+        name(&source(), &point, NameStyle::Tags),
         "linnetcart.edge.taken;deployment=bank_north;edge=3;dest=kolo;class=order"
     );
     let half = Point::new(SeriesSubject::Courier, "slots_used", PointValue::Gauge(0.5));
-    let chunks = encode(&source(), &[point, half], 1_700_000_000, Form::Plaintext, false);
+    let chunks = encode(&source(), &[point, half], 1_700_000_000, PLAINTEXT);
     assert_eq!(
         String::from_utf8(chunks[0].bytes.clone()).expect("text"),
         "linnetcart.bank_north.edge.3.dest.kolo.class.order.taken 12 1700000000\n\
@@ -39,10 +45,10 @@
         SeriesSubject::Route { destination: destination(), endpoint: 7 },
     ];
     let points = subjects.map(|subject| Point::new(subject, "full", PointValue::Counter(1)));
-    let paths = points.each_ref().map(|point| name(&source(), point, false));
+    let paths = points.each_ref().map(|point| name(&source(), point, NameStyle::Paths));
     let wanted = ["courier", "class.order", "dest.kolo", "dest.kolo.class.order", "dest.kolo.route.7"];
     assert_eq!(paths, wanted.map(|subject| format!("linnetcart.bank_north.edge.3.{subject}.full")));
-    let tagged = points.each_ref().map(|point| name(&source(), point, true));
+    let tagged = points.each_ref().map(|point| name(&source(), point, NameStyle::Tags));
     let wanted = ["", ";class=order", ";dest=kolo", ";dest=kolo;class=order", ";dest=kolo;route=7"];
     assert_eq!(tagged, wanted.map(|tags| format!("linnetcart.edge.full;deployment=bank_north;edge=3{tags}")));
 }
@@ -66,16 +72,16 @@
         for (count, destination) in values {
             let subject = SeriesSubject::Destination(destination);
             let point = Point::new(subject, "taken", PointValue::Counter(count));
-            wanted.push((name(&source(), &point, false), count as f64, second));
+            wanted.push((name(&source(), &point, NameStyle::Paths), count as f64, second));
             points.push(point);
         }
-        let lines = encode(&source(), &points, second, Form::Plaintext, false);
+        let lines = encode(&source(), &points, second, PLAINTEXT);
         let lines: Vec<u8> = lines.into_iter().flat_map(|chunk| chunk.bytes).collect();
         let text = String::from_utf8(lines).expect("text");
         let read: Vec<_> = text.lines().filter_map(read_line)
             .map(|(name, value, time)| (name.to_owned(), value, time)).collect();
         prop_assert_eq!(&read, &wanted);
-        let frames = encode(&source(), &points, second, Form::Pickle, false);
+        let frames = encode(&source(), &points, second, PICKLE);
         let read: Vec<_> = frames.iter()
             .flat_map(|frame| read_pickle(&frame.bytes[4..]).expect("a list")).collect();
         prop_assert_eq!(&read, &wanted);
--- a/crates/telemetry/src/receivers.rs
+++ b/crates/telemetry/src/receivers.rs
@@ -2,7 +2,7 @@
 
 use crate::collectd::{InitializationVector, PacketEncoder};
 use crate::connection::{ConnectionAction, Losses, ReceiverConnection};
-use crate::graphite::{self, MetricSource};
+use crate::graphite::{self, Encoding, MetricSource, NameStyle};
 use crate::notifications::StateNotification;
 use crate::series::Point;
 use crate::settings::{Collectd, Graphite, Telemetry as Settings};
@@ -106,7 +106,7 @@
     pub(crate) fn send_points(&mut self, points: &[Point], timestamp: Time, outputs: &mut Vec<Output>) {
         if let Some(GraphiteReceiver { settings, connection }) = &mut self.graphite {
             let second = timestamp / SECOND;
-            let chunks = graphite::encode(&self.source, points, second, settings.form, settings.tags);
+            let chunks = graphite::encode(&self.source, points, second, encoding(settings));
             connection.send(chunks);
         }
         self.send_datagrams(timestamp, outputs, |encoder, next_iv| encoder.points(points, next_iv));
@@ -156,6 +156,11 @@
     }
 }
 
+fn encoding(settings: &Graphite) -> Encoding {
+    let names = if settings.tags { NameStyle::Tags } else { NameStyle::Paths };
+    Encoding { form: settings.form, names }
+}
+
 fn host_name(collectd: &Collectd, source: &MetricSource) -> String {
     match &collectd.host {
         Some(host) => host.clone(),
--- a/crates/telemetry/src/telemetry.rs
+++ b/crates/telemetry/src/telemetry.rs
@@ -1,5 +1,6 @@
 //! The parts of the reporting, and the order in which one iteration of the event loop goes through them.
 
+use crate::connection::ReceiverConnection;
 use crate::counter_sync::CounterSync;
 use crate::counters::RestoredCounts;
 use crate::counts::{mark, CounterKey, CounterLogEntry, Counts, Field, Saved};
@@ -146,7 +147,8 @@
     /// When [`Telemetry::process`] has something to do next, if nothing happens before.
     pub fn next_wakeup(&self) -> Time {
         let mut wakeup = self.schedule.next_report();
-        if let Some(connection_wakeup) = self.receivers.connection().and_then(|c| c.next_wakeup()) {
+        if let Some(connection_wakeup) = self.receivers.connection().and_then(ReceiverConnection::next_wakeup)
+        {
             wakeup = wakeup.min(connection_wakeup);
         }
         if self.report.as_ref().is_some_and(|report| !report.is_syncing()) {
@@ -212,9 +214,9 @@
             points: self.reports_begun.last_points,
             cells: store.cells().len(),
             beyond: store.beyond(),
-            graphite_connected: connection.map(|c| c.is_connected()),
-            graphite_waiting: connection.map_or(0, |c| c.buffered_bytes()),
-            dropped: connection.map_or(0, |c| c.losses().points_dropped),
+            graphite_connected: connection.map(ReceiverConnection::is_connected),
+            graphite_waiting: connection.map_or(0, ReceiverConnection::buffered_bytes),
+            dropped: connection.map_or(0, |connection| connection.losses().points_dropped),
             timestamps_ahead_s: self.reports_begun.timestamps_ahead_s,
             counts_not_safe: self.counter_sync.is_failing(),
             host: self.host.status(now),
--- a/crates/telemetry/tests/virtual_time/fixture.rs
+++ b/crates/telemetry/tests/virtual_time/fixture.rs
@@ -159,37 +159,9 @@
             self.count(destination, class, "turned_away");
             return;
         }
-        let endpoint = destination * 10;
         let fate = self.draw_fate();
-        let events = [
-            DeliveryEvent::Accepted {
-                message,
-                name: "x".into(),
-                class,
-                destination,
-                deadline: self.now + DEADLINE,
-            },
-            DeliveryEvent::AttemptStarted { message, attempt: 0, class, destination, endpoint, hedge: false },
-            DeliveryEvent::AttemptFinished {
-                message,
-                attempt: 0,
-                class,
-                destination,
-                endpoint,
-                outcome: fate.outcome,
-                elapsed: fate.elapsed,
-                load: Some(LoadReport { capacity_left: 0.25, rate_limit: 40.0 }),
-            },
-            DeliveryEvent::Completed {
-                message,
-                class,
-                destination,
-                answer: fate.answer,
-                elapsed: fate.elapsed,
-            },
-        ];
-        for event in &events {
-            self.telemetry.record(event);
+        for event in accepted_message(message, class, destination, self.now + DEADLINE, &fate) {
+            self.telemetry.record(&event);
         }
         for metric in ["taken", "attempts", fate.attempt_metric, fate.answer_metric] {
             self.count(destination, class, metric);
@@ -362,3 +334,31 @@
         }
     }
 }
+
+/// The events of a message that is accepted, attempted once and answered.
+fn accepted_message(
+    message: u32,
+    class: u8,
+    destination: u32,
+    deadline: u64,
+    fate: &Fate,
+) -> [DeliveryEvent; 4] {
+    let endpoint = destination * 10;
+    let &Fate { outcome, answer, elapsed, .. } = fate;
+    let load = Some(LoadReport { capacity_left: 0.25, rate_limit: 40.0 });
+    [
+        DeliveryEvent::Accepted { message, name: "x".into(), class, destination, deadline },
+        DeliveryEvent::AttemptStarted { message, attempt: 0, class, destination, endpoint, hedge: false },
+        DeliveryEvent::AttemptFinished {
+            message,
+            attempt: 0,
+            class,
+            destination,
+            endpoint,
+            outcome,
+            elapsed,
+            load,
+        },
+        DeliveryEvent::Completed { message, class, destination, answer, elapsed },
+    ]
+}
