Edge: reuse policy, message numbers and the line for a changed limit come from courier-common

Cause: the same logic stood in both fronts, and the line for a limit that changed had two wordings. Both fronts log 'limit state changed' with the same fields.

--- a/crates/courier-common/src/lib.rs
+++ b/crates/courier-common/src/lib.rs
@@ -6,6 +6,8 @@
 #![warn(missing_docs)]
 
 pub mod idle_reuse;
+mod limit_log;
 mod message_numbers;
 
+pub use limit_log::log_limit_change;
 pub use message_numbers::MessageNumbers;
--- a/crates/edge/src/core/delivery/mod.rs
+++ b/crates/edge/src/core/delivery/mod.rs
@@ -18,11 +18,11 @@
 pub(crate) use connections::ConnectionCounts;
 
 use super::error::ProtocolError;
-use super::trust::Trust;
 use super::Output;
 use calls::{CallBounds, CallTable};
 use connections::{ConnectionPool, ConnectionState, NewConnection};
 use linnetcart::{AttemptOutcome, Time};
+use linnetcart_courier_common::idle_reuse::MaxIdlePolicy;
 use linnetcart_kafka::{LoadReport, Record};
 use produce::RequestHeader;
 use std::net::SocketAddr;
@@ -117,7 +117,7 @@
     settings: DeliverySettings,
     now: Time,
     ids: IdSequence,
-    connection_reuse: Trust,
+    connection_reuse: MaxIdlePolicy,
     calls: CallTable,
     connections: ConnectionPool,
     finished: Vec<FinishedAttempt>,
@@ -130,7 +130,7 @@
 impl Delivery {
     pub(crate) fn new(settings: DeliverySettings) -> Self {
         Delivery {
-            connection_reuse: Trust::new(settings.idle_timeout),
+            connection_reuse: MaxIdlePolicy::new(settings.idle_timeout),
             settings,
             now: 0,
             ids: IdSequence { last: 1 },
--- a/crates/edge/src/core/delivery/responses.rs
+++ b/crates/edge/src/core/delivery/responses.rs
@@ -120,7 +120,7 @@
         for call_id in abandoned.flat_map(|connection| connection.written_calls.values()) {
             let Some(call) = self.calls.get_mut(*call_id) else { continue };
             if call.connection_idle_for > 0 && call.started_at < answered_started_at {
-                self.connection_reuse.lost(self.now, std::mem::take(&mut call.connection_idle_for));
+                self.connection_reuse.record_loss(self.now, std::mem::take(&mut call.connection_idle_for));
             }
         }
     }
--- a/crates/edge/src/core/delivery/upstream.rs
+++ b/crates/edge/src/core/delivery/upstream.rs
@@ -21,7 +21,7 @@
         for call_id in connection.written_calls.into_values() {
             let Some(call) = self.calls.get(call_id) else { continue };
             if call.connection_idle_for > 0 && written_outcome == AttemptOutcome::Reset {
-                self.connection_reuse.lost(self.now, call.connection_idle_for);
+                self.connection_reuse.record_loss(self.now, call.connection_idle_for);
             }
             let departed = call.stream_offset.unwrap_or(0) < taken_bytes;
             let outcome = if departed { written_outcome } else { AttemptOutcome::NoConnection };
@@ -41,7 +41,7 @@
 
     /// Closes those that have been idle for longer than connections are known to survive.
     pub(super) fn close_unreliable_idle(&mut self, endpoint: u32) {
-        let longest = self.connection_reuse.now(self.now);
+        let longest = self.connection_reuse.max_idle(self.now);
         let now = self.now;
         let is_unreliable = |since: Time| longest == 0 || since.saturating_add(longest) < now;
         for id in self.connections.idle_while(endpoint, is_unreliable) {
--- a/crates/edge/src/core/in_flight.rs
+++ b/crates/edge/src/core/in_flight.rs
@@ -1,8 +1,8 @@
 //! The in-flight table: messages that were accepted and have no final answer yet, or still have attempts out.
 
 use super::clients::RecordPosition;
-use super::numbers::Numbers;
 use linnetcart::{AttemptOutcome, Time};
+use linnetcart_courier_common::MessageNumbers;
 use linnetcart_kafka::Record;
 use std::collections::BTreeMap;
 
@@ -59,7 +59,7 @@
 #[derive(Debug)]
 pub(crate) struct InFlightTable {
     messages: BTreeMap<u32, InFlightMessage>,
-    numbers: Numbers,
+    numbers: MessageNumbers,
     usage: Usage,
 }
 
@@ -68,7 +68,7 @@
     pub(crate) fn new(first_number: u32) -> Self {
         InFlightTable {
             messages: BTreeMap::new(),
-            numbers: Numbers::from(first_number),
+            numbers: MessageNumbers::starting_at(first_number),
             usage: Usage::default(),
         }
     }
@@ -99,7 +99,7 @@
     /// Takes a message in and gives it a number.
     pub(crate) fn insert(&mut self, new: NewMessage) -> u32 {
         let messages = &self.messages;
-        let number = self.numbers.give(|candidate| messages.contains_key(&candidate));
+        let number = self.numbers.allocate(|candidate| messages.contains_key(&candidate));
         let bytes = new.record.size();
         self.usage.messages += 1;
         self.usage.bytes += bytes;
--- a/crates/edge/src/core/mod.rs
+++ b/crates/edge/src/core/mod.rs
@@ -30,12 +30,10 @@
 mod endpoints;
 mod error;
 mod in_flight;
-mod numbers;
 mod requests;
 mod responses;
 mod retry_after;
 mod status;
-mod trust;
 
 pub use clients::ClientId;
 pub use decisions::{library, DecisionPolicy, PolicyFactory};
--- a/crates/edge/src/shell/mod.rs
+++ b/crates/edge/src/shell/mod.rs
@@ -11,7 +11,8 @@
 use crate::snapshot::{self, LoadedSnapshot};
 use anyhow::Context;
 use calloop::signals::Signal;
-use linnetcart::{LimitChange, Time};
+use linnetcart::Time;
+use linnetcart_courier_common::log_limit_change;
 use linnetcart_kafka::server::Broker;
 use linnetcart_net::{Event, Net, Token};
 use log_limit::LogLimiter;
@@ -350,20 +351,3 @@
         other => tracing::trace!(event = ?other, "delivery event"),
     }
 }
-
-fn log_limit_change(change: &LimitChange) {
-    let (destination, endpoint, state) = (change.destination, change.endpoint, change.state);
-    let evidence = change.evidence;
-    let outcome = evidence.map(|e| e.outcome);
-    let failure_rate = evidence.map(|e| e.failure_rate);
-    let consecutive_failures = evidence.map(|e| e.consecutive_failures);
-    tracing::info!(
-        destination,
-        endpoint,
-        ?state,
-        ?outcome,
-        failure_rate,
-        consecutive_failures,
-        "limit changed state"
-    );
-}
--- a/crates/platform/src/shell/log.rs
+++ b/crates/platform/src/shell/log.rs
@@ -2,6 +2,7 @@
 
 use crate::core::{Core, CoreEvent};
 use linnetcart::Time;
+use linnetcart_courier_common::log_limit_change;
 
 const SECOND: Time = 1_000_000_000;
 /// Events that are logged in a second; what comes beyond is dropped.
@@ -49,13 +50,7 @@
         CoreEvent::NotificationRejected { message } => {
             tracing::info!(id = message, "status notification rejected and dropped");
         }
-        CoreEvent::LimitChanged(change) => tracing::info!(
-            destination = change.destination,
-            endpoint = change.endpoint,
-            state = ?change.state,
-            evidence = ?change.evidence,
-            "limit state changed"
-        ),
+        CoreEvent::LimitChanged(change) => log_limit_change(change),
         CoreEvent::AttemptWithheld { endpoint, message } => {
             tracing::info!(endpoint, id = message, "attempt withheld, Retry-After pending");
         }
