Decision library: the search for messages to shed in functions of one job

Cause: least_weight was one function of 55 lines with two closures over its lists.

Change: a Search with the walk over the heads of the lists, the replacement of long runs of equals, and small constructors; the same messages in the same order.

--- a/src/state/shed_order.rs
+++ b/src/state/shed_order.rs
@@ -101,54 +101,76 @@
         let of_queue = queue.sheddable.iter();
         lists.extend(of_queue.map(|(&class, messages)| ClassList { destination, class, messages }));
     }
-    let weight = |class: usize, accepted_at: Time| Weight(weight_of(class, accepted_at));
-    let head = |list: usize, message: &AgedMessage| {
-        let weight = weight(lists[list].class, message.accepted_at);
-        Reverse(ListHead { weight, list, message: *message })
-    };
-    // The oldest of each list are the least of it, so the least of all are found at their heads.
-    let mut heads = BinaryHeap::new();
-    for (list, class_list) in lists.iter().enumerate() {
-        heads.extend(class_list.messages.by_age.first().map(|message| head(list, message)));
-    }
-    let mut chosen: Vec<Candidate> = Vec::new();
-    let mut run_of_equals: BTreeMap<usize, usize> = BTreeMap::new();
-    while let Some(Reverse(ListHead { weight, list, message })) = heads.pop() {
-        // All that weigh as much as the last one are looked at: which of them go is a matter of order.
-        let heavier = chosen.last().is_some_and(|last| last.weight < weight);
-        if heavier && chosen.len() >= count {
-            break;
-        }
-        if heavier {
-            run_of_equals.clear();
+    let mut chosen = Search { lists, count, weight_of }.candidates();
+    chosen.sort_unstable();
+    chosen.into_iter().take(count).map(|candidate| candidate.message).collect()
+}
+
+/// The search for so many messages of least weight.
+struct Search<'a, WeightOf> {
+    lists: Vec<ClassList<'a>>,
+    count: usize,
+    weight_of: WeightOf,
+}
+
+impl<WeightOf: Fn(usize, Time) -> f64> Search<'_, WeightOf> {
+    /// At least as many as are asked for, if there are, and among them those of least weight.
+    fn candidates(&self) -> Vec<Candidate> {
+        // The oldest of each list are the least of it, so the least of all are found at their heads.
+        let mut heads = BinaryHeap::new();
+        for (list, class_list) in self.lists.iter().enumerate() {
+            heads.extend(class_list.messages.by_age.first().map(|message| self.head(list, message)));
         }
-        let run = run_of_equals.entry(list).or_default();
-        *run += 1;
-        let QueuePosition { sequence, message: id } = message.position;
-        chosen.push(Candidate { weight, destination: lists[list].destination, sequence, list, message: id });
-        // A long run of equals is not followed to its end: its first by order are found by order.
-        if *run <= count {
-            let after = (Bound::Excluded(message), Bound::Unbounded);
-            let next = lists[list].messages.by_age.range(after).next();
-            heads.extend(next.map(|message| head(list, message)));
+        let mut chosen: Vec<Candidate> = Vec::new();
+        let mut run_of_equals: BTreeMap<usize, usize> = BTreeMap::new();
+        while let Some(Reverse(head)) = heads.pop() {
+            // All that weigh as much as the last one are looked at: which of them go is a matter of order.
+            let heavier = chosen.last().is_some_and(|last| last.weight < head.weight);
+            if heavier && chosen.len() >= self.count {
+                break;
+            }
+            if heavier {
+                run_of_equals.clear();
+            }
+            let run = run_of_equals.entry(head.list).or_default();
+            *run += 1;
+            chosen.push(self.candidate(head.weight, head.list, head.message.position));
+            // A long run of equals is not followed to its end: its first by order are found by order.
+            if *run <= self.count {
+                let after = (Bound::Excluded(head.message), Bound::Unbounded);
+                let next = self.lists[head.list].messages.by_age.range(after).next();
+                heads.extend(next.map(|message| self.head(head.list, message)));
+            }
         }
+        run_of_equals.retain(|_, run| *run > self.count);
+        self.replace_long_runs(&mut chosen, run_of_equals.into_keys().collect());
+        chosen
     }
-    if let Some(last) = chosen.last().map(|last| last.weight) {
-        run_of_equals.retain(|_, run| *run > count);
-        chosen.retain(|candidate| candidate.weight < last || !run_of_equals.contains_key(&candidate.list));
-        for &list in run_of_equals.keys() {
-            let ClassList { destination, class, messages } = lists[list];
-            let by_position = messages.by_position.iter();
-            let equals = by_position.filter(|(_, &accepted_at)| weight(class, accepted_at) == last);
-            chosen.extend(equals.take(count).map(|(position, _)| Candidate {
-                weight: last,
-                destination,
-                sequence: position.sequence,
-                list,
-                message: position.message,
-            }));
+
+    /// Of lists with more messages of the greatest weight chosen than are asked for, the first by order take the
+    /// place of those that were found first.
+    fn replace_long_runs(&self, chosen: &mut Vec<Candidate>, long_lists: BTreeSet<usize>) {
+        let Some(greatest) = chosen.last().map(|last| last.weight) else { return };
+        chosen.retain(|candidate| candidate.weight < greatest || !long_lists.contains(&candidate.list));
+        for list in long_lists {
+            let by_position = self.lists[list].messages.by_position.iter();
+            let equals = by_position.filter(|(_, &accepted_at)| self.weight(list, accepted_at) == greatest);
+            let first = equals.take(self.count);
+            chosen.extend(first.map(|(&position, _)| self.candidate(greatest, list, position)));
         }
     }
-    chosen.sort_unstable();
-    chosen.into_iter().take(count).map(|candidate| candidate.message).collect()
+
+    fn weight(&self, list: usize, accepted_at: Time) -> Weight {
+        Weight((self.weight_of)(self.lists[list].class, accepted_at))
+    }
+
+    fn head(&self, list: usize, message: &AgedMessage) -> Reverse<ListHead> {
+        let weight = self.weight(list, message.accepted_at);
+        Reverse(ListHead { weight, list, message: *message })
+    }
+
+    fn candidate(&self, weight: Weight, list: usize, position: QueuePosition) -> Candidate {
+        let QueuePosition { sequence, message } = position;
+        Candidate { weight, destination: self.lists[list].destination, sequence, list, message }
+    }
 }
