Edge: what is sent for an attempt is made in one place

Cause: start_attempt decided, built and sent in one function of a screen.

Change: outgoing_message builds, start_attempt decides.

--- a/crates/edge/src/core/attempts.rs
+++ b/crates/edge/src/core/attempts.rs
@@ -1,6 +1,7 @@
 //! What the core does with attempts: start and cancel them, take their outcomes, and complete messages.
 
 use super::delivery::{AttemptId, FinishedAttempt, OutgoingMessage};
+use super::in_flight::InFlightMessage;
 use super::responses::RecordOutcome;
 use super::{Core, UpstreamId};
 use crate::delivery_events::{DeliveryEvent, FinalAnswer, LoadReport};
@@ -58,24 +59,14 @@
         });
         let id = AttemptId { message, number: begun.number };
         let attempts_used_up = u32::from(begun.number) >= self.settings.limits.max_attempts;
-        let max_messages_per_call = self.max_messages_per_call(endpoint).filter(|_| {
-            // Nothing leaves for a message that is completed or has had its attempts.
-            !begun.message_completed && !attempts_used_up
-        });
-        let Some(max_messages_per_call) = max_messages_per_call else {
-            self.delivery.reject_unsent(id, endpoint);
-            return;
-        };
-        let deadline = in_flight.deadline;
-        let outgoing = OutgoingMessage {
-            attempt: id,
-            class,
-            destination,
-            record: in_flight.record.clone(),
-            deadline: if until == 0 { deadline } else { until.min(deadline) },
-            depart_by: deadline.saturating_sub(DEPARTURE_MARGIN_TICKS * self.decisions.tick()),
-        };
-        self.delivery.send(endpoint, outgoing, max_messages_per_call);
+        let may_start = !begun.message_completed && !attempts_used_up;
+        match self.max_messages_per_call(endpoint) {
+            Some(max_messages_per_call) if may_start => {
+                let outgoing = outgoing_message(id, in_flight, until, self.decisions.tick());
+                self.delivery.send(endpoint, outgoing, max_messages_per_call);
+            }
+            _ => self.delivery.reject_unsent(id, endpoint),
+        }
     }
 
     /// How many messages one call to the endpoint takes, if the endpoint is in the list.
@@ -211,3 +202,21 @@
         }
     }
 }
+
+/// What is sent for an attempt. The decision's time-out, 0 for none, ends it before the message's deadline.
+fn outgoing_message(
+    attempt: AttemptId,
+    message: &InFlightMessage,
+    timeout_at: Time,
+    tick: Time,
+) -> OutgoingMessage {
+    let deadline = message.deadline;
+    OutgoingMessage {
+        attempt,
+        class: message.class,
+        destination: message.destination,
+        record: message.record.clone(),
+        deadline: if timeout_at == 0 { deadline } else { timeout_at.min(deadline) },
+        depart_by: deadline.saturating_sub(DEPARTURE_MARGIN_TICKS * tick),
+    }
+}
