testbed: tests are named subject, condition, result; the Kafka client of tests stands once

Cause: names of tests were sentences in withdrawn words, the client's side of Kafka and the folder of a test stood two and three times, and couriers, clients and streams had one-letter names. Change: tests/support/kafka.rs and work_folder.rs; whole names. Tests, old -> new. process: settings_and_list_come_by_call_and_survive_a_kill -> settings_and_endpoint_list_put_by_call_survive_a_kill; the_first_signal_ends_what_is_held_and_the_second_ends_at_once -> first_signal_drains_and_second_signal_exits_at_once; slow_and_silent_clients_harm_nobody -> slow_and_malformed_clients_delay_no_other_client; out_of_file_descriptors_it_goes_on_and_recovers -> courier_out_of_file_descriptors_recovers; a_stack_comes_up_delivers_and_ends -> stack_brought_up_delivers_and_ends_on_a_signal. rules: one_answer_and_no_second_effect_when_endpoints_hang_and_answers_are_lost -> endpoints_that_hang_or_lose_answers_cause_no_second_answer_or_effect; drains_are_kept_while_endpoints_are_replaced -> endpoints_that_are_replaced_keep_their_drain_grace; what_returns_from_an_outage_is_not_pushed_over -> destinations_back_from_an_outage_are_not_overloaded; keys_go_in_turn_and_rest_when_answers_are_lost -> ordering_keys_with_lost_answers_keep_order_and_cooldown; told_waits_are_heeded_when_limits_are_lowered -> lowered_limits_that_send_retry_after_are_respected; the_rules_hold_when_couriers_are_killed_and_stand_still -> couriers_that_are_killed_or_stalled_keep_the_invariants. telemetry: over_kills_restarts_and_an_outage_every_receiver_ends_with_what_clients_counted -> receivers_over_kills_and_an_outage_end_with_what_clients_counted; killed_in_the_middle_no_count_is_behind_what_clients_were_told -> courier_killed_under_load_reports_no_less_than_clients_received; a_receiver_that_never_reads_or_resets_harms_no_delivery_and_settings_change_without_a_restart -> receiver_that_never_reads_or_resets_harms_no_delivery_and_is_replaced_without_a_restart; figures_of_the_host_are_taken_in_and_garbage_costs_nothing -> host_figures_are_accepted_and_garbage_is_only_counted. emulated: an_experiment_that_was_stopped_goes_on_and_ends_with_the_same_bytes -> experiment_that_was_stopped_continues_to_the_same_bytes; results_are_read_back_by_any_reader_of_parquet_with_what_they_were_drawn_from -> parquet_results_are_readable_with_plan_and_command; processes_whose_memory_lies_elsewhere_play_the_same_run -> separate_processes_produce_the_same_digest; a_hunt_finds_what_breaks_a_rule_and_writes_a_day_that_breaks_it_again -> fault_search_finds_a_broken_invariant_and_its_script_breaks_it_again; a_trace_tells_every_attempt_and_why -> trace_has_every_attempt_with_its_reason; a_single_message_is_the_same_on_sockets_and_in_virtual_time_event_by_event -> single_message_on_sockets_and_in_virtual_time_has_the_same_events; days_that_broke_a_rule_once_keep_it_now -> scenarios_that_once_broke_an_invariant_keep_it.

--- a/crates/testbed/tests/emulated.rs
+++ b/crates/testbed/tests/emulated.rs
@@ -1,4 +1,7 @@
-//! Experiments, hunts and runs in virtual time, as the command line has them.
+//! Experiments, fault searches and runs in virtual time, as the command line has them.
+
+#[path = "support/work_folder.rs"]
+mod work_folder;
 
 use linnetcart_scenario::day::Scenario;
 use linnetcart_testbed::emulated_run::{trace_message, Recipe};
@@ -6,6 +9,7 @@
 use linnetcart_testbed::fault_search::{script, FaultSearch, Goal};
 use std::path::PathBuf;
 use std::process::Command;
+use work_folder::work_folder;
 
 const PLAN: &str = r#"
 name = "test"
@@ -23,19 +27,13 @@
 levels = ["library", "one-try"]
 "#;
 
-fn folder(name: &str) -> PathBuf {
-    let dir = std::env::temp_dir().join(format!("linnetcart-emulated-{}-{name}", std::process::id()));
-    let _ = std::fs::remove_dir_all(&dir);
-    dir
-}
-
 fn options(threads: usize, max_runs: Option<u64>) -> experiment::Options {
     experiment::Options { threads, max_runs, shows_progress: false, command: "test".into() }
 }
 
 #[test]
-fn an_experiment_that_was_stopped_goes_on_and_ends_with_the_same_bytes() {
-    let (whole, parts) = (folder("whole"), folder("parts"));
+fn experiment_that_was_stopped_continues_to_the_same_bytes() {
+    let (whole, parts) = (work_folder("whole"), work_folder("parts"));
     let plan = || Plan::parse(PLAN).unwrap();
     let run = |out: &PathBuf, options| experiment::run(plan(), out, &options).unwrap();
     assert_eq!(run(&whole, options(1, None)), Completion::Complete);
@@ -62,9 +60,9 @@
 }
 
 #[test]
-fn results_are_read_back_by_any_reader_of_parquet_with_what_they_were_drawn_from() {
+fn parquet_results_are_readable_with_plan_and_command() {
     use parquet::arrow::arrow_reader::ParquetRecordBatchReaderBuilder;
-    let dir = folder("parquet");
+    let dir = work_folder("parquet");
     experiment::run(Plan::parse(PLAN).unwrap(), &dir, &options(2, None)).unwrap();
     let file = std::fs::File::open(dir.join("results.parquet")).unwrap();
     let reader = ParquetRecordBatchReaderBuilder::try_new(file).unwrap();
@@ -91,7 +89,7 @@
 }
 
 #[test]
-fn processes_whose_memory_lies_elsewhere_play_the_same_run() {
+fn separate_processes_produce_the_same_digest() {
     let digest = |seed: &str| {
         let text = emulate(&["partition", "--speed", "3", "--couriers", "5", "--seed", seed]);
         text.lines().find(|l| l.starts_with("digest ")).unwrap().to_owned()
@@ -115,7 +113,7 @@
 }
 
 #[test]
-fn a_hunt_finds_what_breaks_a_rule_and_writes_a_day_that_breaks_it_again() {
+fn fault_search_finds_a_broken_invariant_and_its_script_breaks_it_again() {
     let found =
         search("round-robin", 3).run(&|_| {}).unwrap().expect("a policy that heeds nothing breaks a rule");
     let alone = search("round-robin", 1).run(&|_| {}).unwrap().unwrap();
@@ -129,7 +127,7 @@
 }
 
 #[test]
-fn a_trace_tells_every_attempt_and_why() {
+fn trace_has_every_attempt_with_its_reason() {
     let day = Scenario::find("answers-lost").unwrap().with(Some(2), 4.0).unwrap();
     let recipe = Recipe::new(day, 1);
     let (_, run) = recipe.run(None).unwrap();
@@ -144,19 +142,17 @@
     assert!(trace_message(&recipe, 1 << 40).unwrap_err().to_string().contains("the run has 0 to"));
 }
 
-/// What a courier's library was told and decided, round by round, without clocks: from a record.
-fn told_and_decided(dir: &std::path::Path) -> Vec<String> {
+/// What a courier's library was told and decided, cycle by cycle, without clocks: from a record.
+fn events_and_actions(dir: &std::path::Path) -> Vec<String> {
     let file = std::fs::read_dir(dir).unwrap().next().expect("a record").unwrap().path();
     let text = std::fs::read_to_string(file).unwrap();
     let mut all = Vec::new();
     for line in text.lines().skip(1) {
-        let round: serde_json::Value = serde_json::from_str(line).unwrap();
-        let of = |key: &str| round[key].as_array().unwrap().clone();
-        for (kind, item) in of("events")
-            .into_iter()
-            .map(|e| ("told", e))
-            .chain(of("actions").into_iter().map(|a| ("decides", a)))
-        {
+        let cycle: serde_json::Value = serde_json::from_str(line).unwrap();
+        let items_of = |key: &str| cycle[key].as_array().unwrap().clone();
+        let events = items_of("events").into_iter().map(|event| ("told", event));
+        let actions = items_of("actions").into_iter().map(|action| ("decides", action));
+        for (kind, item) in events.chain(actions) {
             let Some((name, fields)) = item.as_object().and_then(|o| o.iter().next()) else { continue };
             if ["List", "Wake", "Close", "Log"].contains(&name.as_str()) {
                 continue;
@@ -171,11 +167,11 @@
 }
 
 #[test]
-fn a_single_message_is_the_same_on_sockets_and_in_virtual_time_event_by_event() {
+fn single_message_on_sockets_and_in_virtual_time_has_the_same_events() {
     use linnetcart_scenario::fleet::Fleet;
     use linnetcart_testbed::decision_record;
     use linnetcart_testbed::socket_run::{self, StackOptions};
-    let dir = folder("single");
+    let dir = work_folder("single");
     let mut fleet = Fleet::draw(Scenario::find("quiet").unwrap().with(Some(1), 4.0).unwrap(), 5);
     fleet.messages.truncate(1);
     let program = PathBuf::from(env!("CARGO_BIN_EXE_linnetcart-testbed"));
@@ -187,13 +183,14 @@
         linnetcart_emulator::Options { policy: decision_record::recording_policy, ..Default::default() };
     linnetcart_emulator::run(&fleet, how).unwrap();
     let (sockets, emulated) =
-        (told_and_decided(&dir.join("sockets")), told_and_decided(&dir.join("emulated")));
+        (events_and_actions(&dir.join("sockets")), events_and_actions(&dir.join("emulated")));
     assert_eq!(sockets, emulated);
     assert_eq!(sockets.len(), 3, "taken, sent, served: {sockets:?}");
     std::fs::remove_dir_all(dir).unwrap();
 }
 
-/// Days that hunts found while a rule was broken on them. Each breaks it again where its mend is taken out.
+/// Scenarios that fault searches found while an invariant was broken on them. Each breaks it again where its fix is
+/// taken out.
 const FOUND: [(&str, &str); 8] = [
     ("turned-away", include_str!("finds/turned-away.toml")),
     ("late-wait", include_str!("finds/late-wait.toml")),
@@ -206,13 +203,13 @@
 ];
 
 #[test]
-fn days_that_broke_a_rule_once_keep_it_now() {
+fn scenarios_that_once_broke_an_invariant_keep_it() {
     for (name, text) in FOUND {
         let seed = text.lines().find_map(|l| l.split_once("emulate FILE --seed ")?.1.parse().ok());
         let (day, seed) = (Scenario::parse(text).unwrap(), seed.expect("the second line has the seed"));
         let report = Recipe::new(day, seed).run_checked().unwrap().report;
-        for f in &report.rules {
-            assert_eq!(f.broken, 0, "{name}: {}: {:?}", f.rule, f.examples);
+        for invariant in &report.rules {
+            assert_eq!(invariant.broken, 0, "{name}: {}: {:?}", invariant.rule, invariant.examples);
         }
     }
 }
--- a/crates/testbed/tests/process.rs
+++ b/crates/testbed/tests/process.rs
@@ -1,11 +1,21 @@
-//! The courier as a process: its control interface, its snapshot, its end, clients that misbehave.
+//! The courier as a process: its control interface, its snapshot, its shutdown, clients that misbehave.
 
-use linnetcart_kafka::{client, codes, Frames, Record};
+#[path = "support/kafka.rs"]
+mod kafka;
+#[path = "support/work_folder.rs"]
+mod work_folder;
+
+use kafka::produce_request;
+use linnetcart_kafka::{client, codes, Frames};
+use linnetcart_testbed::courier_process::http_request;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
+use work_folder::work_folder;
+
+const RECORD_BYTES: usize = 100;
 
 struct Edge {
     child: Child,
@@ -20,12 +30,6 @@
     }
 }
 
-fn folder(name: &str) -> PathBuf {
-    let dir = std::env::temp_dir().join(format!("linnetcart-process-{}-{name}", std::process::id()));
-    let _ = std::fs::remove_dir_all(&dir);
-    dir
-}
-
 /// The line of JSON that a program prints when it is ready.
 fn ready_line(child: &mut Child) -> serde_json::Value {
     let mut line = String::new();
@@ -44,14 +48,14 @@
         .stderr(Stdio::null())
         .spawn()
         .unwrap();
-    let said = ready_line(&mut child);
-    let addr = |name: &str| said[name].as_str().unwrap().parse().unwrap();
+    let ready = ready_line(&mut child);
+    let addr = |name: &str| ready[name].as_str().unwrap().parse().unwrap();
     Edge { kafka: addr("kafka"), control: addr("control"), child }
 }
 
 /// Status and body.
 fn http(at: SocketAddr, method: &str, path: &str, body: &str) -> (u16, String) {
-    let reply = linnetcart_testbed::courier_process::http_request(at, method, path, body).unwrap();
+    let reply = http_request(at, method, path, body).unwrap();
     (reply.status, reply.body)
 }
 
@@ -81,24 +85,10 @@
     (listener, at)
 }
 
-fn produce(number: i32, topic: &str) -> Vec<u8> {
-    let record = Record { value: Some(vec![b'v'; 100].into()), ..Record::default() };
-    let to = [client::ProduceTarget { topic, partition: 0, records: &[record] }];
-    client::produce(number, "test", 9, (-1, 5000), &to).unwrap().to_vec()
-}
-
-fn answer(s: &mut TcpStream) -> client::ProduceReply {
-    s.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
-    let mut frames = Frames::new(1 << 20);
-    let mut buf = [0; 4096];
-    loop {
-        if let Some(f) = frames.next_frame().unwrap() {
-            return client::read_produced(&f, 9).unwrap();
-        }
-        let n = s.read(&mut buf).unwrap();
-        assert!(n > 0, "closed instead of answered");
-        frames.push(&buf[..n]);
-    }
+fn answer(stream: &mut TcpStream) -> client::ProduceReply {
+    stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+    let mut frames = Frames::new(kafka::MAX_FRAME_BYTES);
+    kafka::read_reply(stream, &mut frames).expect("closed instead of answered")
 }
 
 fn signal(child: &Child, name: &str) {
@@ -121,133 +111,132 @@
 }
 
 #[test]
-fn settings_and_list_come_by_call_and_survive_a_kill() {
-    let dir = folder("snapshot");
+fn settings_and_endpoint_list_put_by_call_survive_a_kill() {
+    let dir = work_folder("snapshot");
     let (_keep, at) = silent_endpoint();
-    let mut e = edge(&dir, None);
-    assert_eq!(http(e.control, "PUT", "/list", &list(1, at)).0, 409);
-    assert_eq!(http(e.control, "PUT", "/settings", "{\"deployment\": 3}").0, 422);
-    assert_eq!(http(e.control, "PUT", "/settings", &settings()).0, 200);
-    assert_eq!(http(e.control, "PUT", "/list", &list(5, at)).0, 200);
-    let (status, body) = http(e.control, "PUT", "/list", &list(5, at));
+    let mut courier = edge(&dir, None);
+    assert_eq!(http(courier.control, "PUT", "/list", &list(1, at)).0, 409);
+    assert_eq!(http(courier.control, "PUT", "/settings", "{\"deployment\": 3}").0, 422);
+    assert_eq!(http(courier.control, "PUT", "/settings", &settings()).0, 200);
+    assert_eq!(http(courier.control, "PUT", "/list", &list(5, at)).0, 200);
+    let (status, body) = http(courier.control, "PUT", "/list", &list(5, at));
     assert!(status == 422 && body.contains("not above 5"), "{body}");
-    e.child.kill().unwrap();
-    e.child.wait().unwrap();
-    let e = edge(&dir, None);
-    let (_, body) = http(e.control, "GET", "/list", "");
+    courier.child.kill().unwrap();
+    courier.child.wait().unwrap();
+    let courier = edge(&dir, None);
+    let (_, body) = http(courier.control, "GET", "/list", "");
     assert!(body.contains("\"version\": 5") && body.contains(&at.to_string()), "{body}");
-    drop(e);
+    drop(courier);
     // A cut snapshot is set aside, and the courier starts without settings.
     let path = dir.join("snapshot");
     let bytes = std::fs::read(&path).unwrap();
     std::fs::write(&path, &bytes[..bytes.len() / 2]).unwrap();
-    let e = edge(&dir, None);
-    let (_, body) = http(e.control, "GET", "/status", "");
+    let courier = edge(&dir, None);
+    let (_, body) = http(courier.control, "GET", "/status", "");
     assert!(body.contains("set aside") && body.contains("\"courier\": null"), "{body}");
     assert!(dir.join("snapshot.damaged-1").exists());
-    drop(e);
+    drop(courier);
     std::fs::remove_dir_all(dir).unwrap();
 }
 
 #[test]
-fn the_first_signal_ends_what_is_held_and_the_second_ends_at_once() {
+fn first_signal_drains_and_second_signal_exits_at_once() {
     for second in [false, true] {
-        let dir = folder(&format!("signal-{second}"));
+        let dir = work_folder(&format!("signal-{second}"));
         let (_keep, at) = silent_endpoint();
-        let mut e = edge(&dir, None);
-        assert_eq!(http(e.control, "PUT", "/settings", &settings()).0, 200);
-        assert_eq!(http(e.control, "PUT", "/list", &list(1, at)).0, 200);
-        let mut s = TcpStream::connect(e.kafka).unwrap();
-        s.write_all(&produce(1, "status")).unwrap();
+        let mut courier = edge(&dir, None);
+        assert_eq!(http(courier.control, "PUT", "/settings", &settings()).0, 200);
+        assert_eq!(http(courier.control, "PUT", "/list", &list(1, at)).0, 200);
+        let mut stream = TcpStream::connect(courier.kafka).unwrap();
+        stream.write_all(&produce_request(1, "status", RECORD_BYTES)).unwrap();
         std::thread::sleep(Duration::from_millis(200));
-        signal(&e.child, "TERM");
+        signal(&courier.child, "TERM");
         if second {
             std::thread::sleep(Duration::from_millis(200));
-            signal(&e.child, "TERM");
-            assert_eq!(ended(&mut e.child, Duration::from_secs(5)), Some(3));
+            signal(&courier.child, "TERM");
+            assert_eq!(ended(&mut courier.child, Duration::from_secs(5)), Some(3));
         } else {
-            let got = answer(&mut s);
-            assert_eq!(
-                got.parts[0].code,
-                codes::NOT_ENOUGH_REPLICAS,
-                "safe to repeat: handed back at the bound"
-            );
-            assert_eq!(ended(&mut e.child, Duration::from_secs(5)), Some(0));
-            assert!(TcpStream::connect(e.kafka).is_err());
+            let reply = answer(&mut stream);
+            assert_eq!(reply.parts[0].code, codes::NOT_ENOUGH_REPLICAS, "idempotent: rejected at the bound");
+            assert_eq!(ended(&mut courier.child, Duration::from_secs(5)), Some(0));
+            assert!(TcpStream::connect(courier.kafka).is_err());
         }
         std::fs::remove_dir_all(dir).unwrap();
     }
 }
 
 #[test]
-fn slow_and_silent_clients_harm_nobody() {
-    let dir = folder("clients");
+fn slow_and_malformed_clients_delay_no_other_client() {
+    let dir = work_folder("clients");
     let (_keep, at) = silent_endpoint();
-    let e = edge(&dir, None);
-    assert_eq!(http(e.control, "PUT", "/settings", &settings()).0, 200);
-    assert_eq!(http(e.control, "PUT", "/list", &list(1, at)).0, 200);
-    // One that sends half a request and waits, one that asks and never reads, one that talks nonsense.
-    let mut half = TcpStream::connect(e.kafka).unwrap();
-    half.write_all(&produce(1, "status")[..20]).unwrap();
-    let mut deaf = TcpStream::connect(e.kafka).unwrap();
-    deaf.set_write_timeout(Some(Duration::from_millis(300))).unwrap();
-    let ask = client::metadata(1, "t", 9, None).unwrap();
+    let courier = edge(&dir, None);
+    assert_eq!(http(courier.control, "PUT", "/settings", &settings()).0, 200);
+    assert_eq!(http(courier.control, "PUT", "/list", &list(1, at)).0, 200);
+    // One that sends half a request and waits, one that never reads replies, one that sends no valid request.
+    let mut half = TcpStream::connect(courier.kafka).unwrap();
+    half.write_all(&produce_request(1, "status", RECORD_BYTES)[..20]).unwrap();
+    let mut never_reads = TcpStream::connect(courier.kafka).unwrap();
+    never_reads.set_write_timeout(Some(Duration::from_millis(300))).unwrap();
+    let request = client::metadata(1, "t", 9, None).unwrap();
     let mut sent = 0;
-    while sent < 64 << 20 && deaf.write_all(&ask.repeat(1000)).is_ok() {
-        sent += ask.len() * 1000;
+    while sent < 64 << 20 && never_reads.write_all(&request.repeat(1000)).is_ok() {
+        sent += request.len() * 1000;
     }
     assert!(sent < 64 << 20, "it is not read without end");
-    let mut nonsense = TcpStream::connect(e.kafka).unwrap();
-    nonsense.write_all(b"GET / HTTP/1.1\r\n\r\n").unwrap();
-    nonsense.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
-    assert!(matches!(nonsense.read(&mut [0; 10]), Ok(0) | Err(_)), "closed");
+    let mut malformed = TcpStream::connect(courier.kafka).unwrap();
+    malformed.write_all(b"GET / HTTP/1.1\r\n\r\n").unwrap();
+    malformed.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+    assert!(matches!(malformed.read(&mut [0; 10]), Ok(0) | Err(_)), "closed");
     // The others are answered in their time.
-    let begun = Instant::now();
-    let mut s = TcpStream::connect(e.kafka).unwrap();
-    s.write_all(&produce(1, "order")).unwrap();
-    let got = answer(&mut s);
-    assert!(matches!(got.parts[0].code, codes::UNKNOWN_SERVER_ERROR | codes::NOT_ENOUGH_REPLICAS));
-    assert!(begun.elapsed() < Duration::from_secs(3));
-    half.write_all(&produce(1, "status")[20..]).unwrap();
+    let started = Instant::now();
+    let mut stream = TcpStream::connect(courier.kafka).unwrap();
+    stream.write_all(&produce_request(1, "order", RECORD_BYTES)).unwrap();
+    let reply = answer(&mut stream);
+    assert!(matches!(reply.parts[0].code, codes::UNKNOWN_SERVER_ERROR | codes::NOT_ENOUGH_REPLICAS));
+    assert!(started.elapsed() < Duration::from_secs(3));
+    half.write_all(&produce_request(1, "status", RECORD_BYTES)[20..]).unwrap();
     assert_eq!(answer(&mut half).parts[0].code, codes::NOT_ENOUGH_REPLICAS);
     std::fs::remove_dir_all(dir).unwrap();
 }
 
 #[test]
-fn out_of_file_descriptors_it_goes_on_and_recovers() {
-    let dir = folder("files");
+fn courier_out_of_file_descriptors_recovers() {
+    let dir = work_folder("files");
     let (_keep, at) = silent_endpoint();
-    let e = edge(&dir, Some(40));
-    assert_eq!(http(e.control, "PUT", "/settings", &settings()).0, 200);
-    assert_eq!(http(e.control, "PUT", "/list", &list(1, at)).0, 200);
-    let crowd: Vec<TcpStream> = (0..60).map(|_| TcpStream::connect(e.kafka).unwrap()).collect();
+    let courier = edge(&dir, Some(40));
+    assert_eq!(http(courier.control, "PUT", "/settings", &settings()).0, 200);
+    assert_eq!(http(courier.control, "PUT", "/list", &list(1, at)).0, 200);
+    let crowd: Vec<TcpStream> = (0..60).map(|_| TcpStream::connect(courier.kafka).unwrap()).collect();
     std::thread::sleep(Duration::from_millis(300));
     drop(crowd);
-    // With room again, clients are taken and answered.
-    let mut s = TcpStream::connect(e.kafka).unwrap();
-    s.write_all(&produce(1, "order")).unwrap();
-    assert!(matches!(answer(&mut s).parts[0].code, codes::UNKNOWN_SERVER_ERROR | codes::NOT_ENOUGH_REPLICAS));
-    assert_eq!(http(e.control, "GET", "/status", "").0, 200);
+    // With descriptors again, clients are accepted and answered.
+    let mut stream = TcpStream::connect(courier.kafka).unwrap();
+    stream.write_all(&produce_request(1, "order", RECORD_BYTES)).unwrap();
+    assert!(matches!(
+        answer(&mut stream).parts[0].code,
+        codes::UNKNOWN_SERVER_ERROR | codes::NOT_ENOUGH_REPLICAS
+    ));
+    assert_eq!(http(courier.control, "GET", "/status", "").0, 200);
     std::fs::remove_dir_all(dir).unwrap();
 }
 
 #[test]
-fn a_stack_comes_up_delivers_and_ends() {
+fn stack_brought_up_delivers_and_ends_on_a_signal() {
     let mut child = Command::new(env!("CARGO_BIN_EXE_linnetcart-testbed"))
         .args(["up", "--seed", "3"])
         .stdout(Stdio::piped())
         .stderr(Stdio::null())
         .spawn()
         .unwrap();
-    let said = ready_line(&mut child);
-    let kafka: SocketAddr = said["kafka"].as_str().unwrap().parse().unwrap();
-    let topic = said["topics"][0].as_str().unwrap().to_owned();
-    assert!(said["destinations"].as_array().unwrap().len() > 3 && said["control"].is_string());
-    let mut s = TcpStream::connect(kafka).unwrap();
-    s.write_all(&produce(7, &topic)).unwrap();
-    let got = answer(&mut s);
-    assert_eq!((got.correlation, got.parts[0].code), (7, codes::NONE));
-    drop(s);
+    let ready = ready_line(&mut child);
+    let kafka: SocketAddr = ready["kafka"].as_str().unwrap().parse().unwrap();
+    let topic = ready["topics"][0].as_str().unwrap().to_owned();
+    assert!(ready["destinations"].as_array().unwrap().len() > 3 && ready["control"].is_string());
+    let mut stream = TcpStream::connect(kafka).unwrap();
+    stream.write_all(&produce_request(7, &topic, RECORD_BYTES)).unwrap();
+    let reply = answer(&mut stream);
+    assert_eq!((reply.correlation, reply.parts[0].code), (7, codes::NONE));
+    drop(stream);
     signal(&child, "TERM");
     assert_eq!(ended(&mut child, Duration::from_secs(10)), Some(0));
 }
--- a/crates/testbed/tests/rules.rs
+++ b/crates/testbed/tests/rules.rs
@@ -1,15 +1,15 @@
-//! Each rule on real sockets, under the fault that threatens it: couriers in processes of their own, stand-ins
-//! for clients and destinations, and the checks fed by what went over the sockets.
+//! Each invariant on real sockets, under the fault that threatens it: couriers in processes of their own, simulated
+//! clients and endpoints, and the checks fed by what went over the sockets.
 
 use linnetcart_conformance::{check, Report};
 use linnetcart_scenario::day::Scenario;
 use linnetcart_scenario::fleet::{Fleet, Timebase};
 use linnetcart_testbed::socket_run::{self, StackOptions};
 use std::path::PathBuf;
-use std::sync::Mutex;
+use std::sync::{Mutex, PoisonError};
 
-/// One day at a time, so that the machine's load is the same whatever runs beside.
-static ONE: Mutex<()> = Mutex::new(());
+/// One scenario at a time, so that the machine's load does not depend on the other tests.
+static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
 
 const FLEET: &str = r#"
 about = "A day of a test."
@@ -69,9 +69,9 @@
 tells_wait = 1.0
 "#;
 
-fn day(name: &str, more: &str) -> Report {
-    let _one = ONE.lock().unwrap_or_else(|e| e.into_inner());
-    let text = format!("name = \"{name}\"\n{FLEET}{more}");
+fn run_scenario(name: &str, faults: &str) -> Report {
+    let _guard = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    let text = format!("name = \"{name}\"\n{FLEET}{faults}");
     let fleet = Fleet::draw(Scenario::parse(&text).unwrap(), 7);
     let dir = std::env::temp_dir().join(format!("linnetcart-test-{}-{name}", std::process::id()));
     let program = PathBuf::from(env!("CARGO_BIN_EXE_linnetcart-testbed"));
@@ -84,15 +84,15 @@
     report
 }
 
-/// The rule was at stake.
-fn checked(report: &Report, rule: usize, least: u64) {
-    let n = report.rules[rule - 1].checked;
-    assert!(n >= least, "rule {rule} was at stake in {n} cases only");
+/// The rule was at stake in so many cases.
+fn assert_checked(report: &Report, rule: usize, min_cases: u64) {
+    let cases = report.rules[rule - 1].checked;
+    assert!(cases >= min_cases, "rule {rule} was at stake in {cases} cases only");
 }
 
 #[test]
-fn one_answer_and_no_second_effect_when_endpoints_hang_and_answers_are_lost() {
-    let report = day(
+fn endpoints_that_hang_or_lose_answers_cause_no_second_answer_or_effect() {
+    let report = run_scenario(
         "hang",
         r#"
         [[trouble]]
@@ -108,22 +108,22 @@
         size = 0.4
         "#,
     );
-    checked(&report, 1, 200);
-    checked(&report, 2, 50);
+    assert_checked(&report, 1, 200);
+    assert_checked(&report, 2, 50);
 }
 
 #[test]
-fn drains_are_kept_while_endpoints_are_replaced() {
-    let report = day(
+fn endpoints_that_are_replaced_keep_their_drain_grace() {
+    let report = run_scenario(
         "drain",
         "[[trouble]]\nwhat = \"drains\"\nat = 0.5\nfor = 4\npart = 0.8\nsize = 0.25\nextra = 1.0\n",
     );
-    checked(&report, 3, 5);
+    assert_checked(&report, 3, 5);
 }
 
 #[test]
-fn what_returns_from_an_outage_is_not_pushed_over() {
-    let report = day(
+fn destinations_back_from_an_outage_are_not_overloaded() {
+    let report = run_scenario(
         "return",
         r#"
         [traffic]
@@ -141,12 +141,12 @@
         size = 1.0
         "#,
     );
-    checked(&report, 4, 2);
+    assert_checked(&report, 4, 2);
 }
 
 #[test]
-fn keys_go_in_turn_and_rest_when_answers_are_lost() {
-    let report = day(
+fn ordering_keys_with_lost_answers_keep_order_and_cooldown() {
+    let report = run_scenario(
         "keys",
         r#"
         [traffic]
@@ -160,12 +160,12 @@
         size = 0.15
         "#,
     );
-    checked(&report, 5, 20);
+    assert_checked(&report, 5, 20);
 }
 
 #[test]
-fn told_waits_are_heeded_when_limits_are_lowered() {
-    let report = day(
+fn lowered_limits_that_send_retry_after_are_respected() {
+    let report = run_scenario(
         "waits",
         r#"
         [traffic]
@@ -179,12 +179,12 @@
         size = 0.4
         "#,
     );
-    checked(&report, 6, 5);
+    assert_checked(&report, 6, 5);
 }
 
 #[test]
-fn the_rules_hold_when_couriers_are_killed_and_stand_still() {
-    let report = day(
+fn couriers_that_are_killed_or_stalled_keep_the_invariants() {
+    let report = run_scenario(
         "killed",
         r#"
         [[trouble]]
@@ -202,5 +202,5 @@
         extra = 1.0
         "#,
     );
-    checked(&report, 1, 200);
+    assert_checked(&report, 1, 200);
 }
--- a/crates/testbed/tests/telemetry.rs
+++ b/crates/testbed/tests/telemetry.rs
@@ -1,6 +1,12 @@
 //! Reports of a real courier to stand-in receivers on sockets: what they end with is what clients counted.
 
-use linnetcart_kafka::{client, codes, Frames, Record};
+#[path = "support/kafka.rs"]
+mod kafka;
+#[path = "support/work_folder.rs"]
+mod work_folder;
+
+use kafka::{produce_request, read_reply};
+use linnetcart_kafka::{codes, Frames};
 use linnetcart_telemetry::settings::Require;
 use linnetcart_telemetry::stream::Stream;
 use linnetcart_testbed::courier_process::{http_request, CourierOptions, CourierProcess};
@@ -8,21 +14,23 @@
 use linnetcart_testbed::report_receiver::{Behaviour, ListenAddresses, ReportReceiver};
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::{SocketAddr, TcpStream, UdpSocket};
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::time::{Duration, Instant};
+use work_folder::work_folder;
 
-fn folder(name: &str) -> PathBuf {
-    let dir = std::env::temp_dir().join(format!("linnetcart-reports-{}-{name}", std::process::id()));
-    let _ = std::fs::remove_dir_all(&dir);
-    dir
-}
+const RECORD_BYTES: usize = 50;
 
-fn any() -> SocketAddr {
+fn any_port() -> SocketAddr {
     "127.0.0.1:0".parse().unwrap()
 }
 
+fn graphite_receiver() -> ReportReceiver {
+    let addresses = ListenAddresses { graphite: Some(any_port()), ..ListenAddresses::default() };
+    ReportReceiver::start(addresses, None).unwrap()
+}
+
 fn start(dir: &Path) -> CourierProcess {
     let program = Path::new(env!("CARGO_BIN_EXE_linnetcart-testbed"));
     CourierProcess::start(&CourierOptions {
@@ -41,7 +49,7 @@
 }
 
 /// A courier with two destinations, of which the second never answers.
-fn told(e: &CourierProcess, receivers: &MessageReceivers) {
+fn configure(courier: &CourierProcess, receivers: &MessageReceivers) {
     let class = |name: &str, repeat: &str| json!({"name": name, "aim_ms": 500, "deadline_ms": 1500, "worth": 1, "repeat": repeat});
     let settings = json!({
         "deployment": "reports", "courier": {"me": 4, "of": 5, "zone": "a"}, "zones": ["a"],
@@ -49,19 +57,19 @@
         "limits": {"slots": 16, "held": 100, "attempts": 4},
         "rules": {"answer_slack_ms": 50, "cold_share": 0.2, "warm_after_ms": 1000, "fall_multiple": 2.0, "fall_span_ms": 1000}
     });
-    assert_eq!(http(e.control, "PUT", "/settings", &settings).0, 200);
+    assert_eq!(http(courier.control, "PUT", "/settings", &settings).0, 200);
     let entry = |(n, at): (usize, &SocketAddr)| json!({"id": n, "destination": n, "kind": "k", "zone": "a", "state": "ready", "address": at.to_string()});
     let entries: Vec<Value> = receivers.addresses.iter().rev().enumerate().map(entry).collect();
     assert_eq!(
-        http(e.control, "PUT", "/list", &json!({"version": 1, "whole": true, "entries": entries})).0,
+        http(courier.control, "PUT", "/list", &json!({"version": 1, "whole": true, "entries": entries})).0,
         200
     );
 }
 
-/// Hands messages in one by one and keeps what they were answered.
+/// A client that submits messages on one connection.
 struct Client {
     stream: TcpStream,
-    number: i32,
+    last_correlation: i32,
     frames: Frames,
 }
 
@@ -69,45 +77,37 @@
     fn new(at: SocketAddr) -> Client {
         let stream = TcpStream::connect(at).unwrap();
         stream.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
-        Client { stream, number: 0, frames: Frames::new(1 << 20) }
+        Client { stream, last_correlation: 0, frames: Frames::new(kafka::MAX_FRAME_BYTES) }
     }
 
-    fn send(&mut self, topic: &str, partition: i32) {
-        self.number += 1;
-        let record = Record { value: Some(vec![b'v'; 50].into()), ..Record::default() };
-        let to = [client::ProduceTarget { topic, partition, records: &[record] }];
-        self.stream.write_all(&client::produce(self.number, "t", 9, (-1, 5000), &to).unwrap()).unwrap();
+    fn send(&mut self, topic: &str) {
+        self.last_correlation += 1;
+        let request = produce_request(self.last_correlation, topic, RECORD_BYTES);
+        self.stream.write_all(&request).unwrap();
     }
 
     /// The code of the next answer; none when the connection ended.
     fn answer(&mut self) -> Option<i16> {
-        let mut buf = [0; 4096];
-        loop {
-            if let Some(f) = self.frames.next_frame().unwrap() {
-                return Some(client::read_produced(&f, 9).unwrap().parts[0].code);
-            }
-            match self.stream.read(&mut buf) {
-                Ok(n) if n > 0 => self.frames.push(&buf[..n]),
-                _ => return None,
-            }
-        }
+        let reply = read_reply(&mut self.stream, &mut self.frames)?;
+        Some(reply.parts[0].code)
     }
 }
 
+/// What a client counted.
 #[derive(Debug, Default)]
 struct Counted {
-    taken: u64,
+    submitted: u64,
     served: u64,
     other: u64,
 }
 
 impl Counted {
     fn deliver(&mut self, at: SocketAddr, count: usize) {
-        let mut c = Client::new(at);
+        let mut client = Client::new(at);
         for n in 0..count {
-            c.send(["order", "query"][n % 2], 0);
-            self.taken += 1;
-            match c.answer() {
+            client.send(["order", "query"][n % 2]);
+            self.submitted += 1;
+            match client.answer() {
                 Some(codes::NONE) => self.served += 1,
                 Some(_) => self.other += 1,
                 None => panic!("no answer"),
@@ -124,10 +124,10 @@
     }
 }
 
-fn kill(mut e: CourierProcess, name: &str) {
+fn kill(mut courier: CourierProcess, name: &str) {
     if name == "TERM" {
-        e.terminate();
-        assert_eq!(e.wait(Duration::from_secs(10)), Some(0));
+        courier.terminate();
+        assert_eq!(courier.wait(Duration::from_secs(10)), Some(0));
     }
     // Otherwise dropping it kills it.
 }
@@ -142,8 +142,8 @@
 }
 
 #[test]
-fn over_kills_restarts_and_an_outage_every_receiver_ends_with_what_clients_counted() {
-    let dir = folder("ends");
+fn receivers_over_kills_and_an_outage_end_with_what_clients_counted() {
+    let dir = work_folder("ends");
     let receivers = MessageReceivers::start(1, 0).unwrap();
     let keys = || BTreeMap::from([("alice".to_owned(), vec!["secret".to_owned()])]);
     let user = json!({"user": "alice", "key": "secret"});
@@ -155,8 +155,8 @@
     let mut receiver = Vec::new();
     for (form, security, require) in &cases {
         let at = ListenAddresses {
-            graphite: Some(any()),
-            collectd: Some(any()),
+            graphite: Some(any_port()),
+            collectd: Some(any_port()),
             users: keys(),
             require: *require,
         };
@@ -170,31 +170,31 @@
             "collectd": {"address": receiver.collectd.unwrap().to_string(), "security": security},
         });
         let mut counted = Counted::default();
-        let e = start(&dir);
-        told(&e, &receivers);
-        assert_eq!(http(e.control, "PUT", "/telemetry", &set).0, 200);
-        counted.deliver(e.kafka, 40);
+        let courier = start(&dir);
+        configure(&courier, &receivers);
+        assert_eq!(http(courier.control, "PUT", "/telemetry", &set).0, 200);
+        counted.deliver(courier.kafka, 40);
         until("a report", || receiver.stream().points > 0);
         // Killed at once after the last answer, three times.
-        kill(e, "KILL");
+        kill(courier, "KILL");
         for _ in 0..3 {
-            let e = start(&dir);
-            counted.deliver(e.kafka, 15);
-            kill(e, "KILL");
+            let courier = start(&dir);
+            counted.deliver(courier.kafka, 15);
+            kill(courier, "KILL");
         }
-        let e = start(&dir);
+        let courier = start(&dir);
         receiver.behave(Behaviour::Absent);
-        counted.deliver(e.kafka, 30);
+        counted.deliver(courier.kafka, 30);
         std::thread::sleep(Duration::from_millis(1200));
         receiver.behave(Behaviour::Reads);
-        counted.deliver(e.kafka, 10);
-        let wanted = counted.taken as f64;
+        counted.deliver(courier.kafka, 10);
+        let wanted = counted.submitted as f64;
         until("the last count", || value(&receiver.stream(), "courier", "taken", false) == Some(wanted));
-        kill(e, "TERM");
-        let s = receiver.stream();
-        assert_eq!((&s.fell, s.bad), (&Vec::new(), 0), "{:?}", s.last_bad);
+        kill(courier, "TERM");
+        let stream = receiver.stream();
+        assert_eq!((&stream.fell, stream.bad), (&Vec::new(), 0), "{:?}", stream.last_bad);
         for collectd in [false, true] {
-            let get = |place: &str, field: &str| value(&s, place, field, collectd).unwrap_or(0.0);
+            let get = |place: &str, field: &str| value(&stream, place, field, collectd).unwrap_or(0.0);
             for place in ["courier", "dest.Bank_Lodz"] {
                 assert_eq!(get(place, "taken"), wanted, "{place} {collectd}");
                 assert_eq!(get(place, "in_aim") + get(place, "late"), counted.served as f64);
@@ -209,42 +209,40 @@
 }
 
 #[test]
-fn killed_in_the_middle_no_count_is_behind_what_clients_were_told() {
-    let dir = folder("middle");
+fn courier_killed_under_load_reports_no_less_than_clients_received() {
+    let dir = work_folder("middle");
     let receivers = MessageReceivers::start(1, 0).unwrap();
-    let receiver =
-        ReportReceiver::start(ListenAddresses { graphite: Some(any()), ..ListenAddresses::default() }, None)
-            .unwrap();
+    let receiver = graphite_receiver();
     let set = json!({"interval_s": 1, "graphite": {"address": receiver.graphite.unwrap().to_string()}});
     let (mut sent, mut served) = (0, 0);
     for round in 0..4 {
-        let e = start(&dir);
+        let courier = start(&dir);
         if round == 0 {
-            told(&e, &receivers);
-            assert_eq!(http(e.control, "PUT", "/telemetry", &set).0, 200);
+            configure(&courier, &receivers);
+            assert_eq!(http(courier.control, "PUT", "/telemetry", &set).0, 200);
         }
-        let mut c = Client::new(e.kafka);
+        let mut client = Client::new(courier.kafka);
         for _ in 0..60 {
-            c.send("query", 0);
+            client.send("query");
             sent += 1;
         }
         for _ in 0..20 {
-            served += u64::from(c.answer() == Some(codes::NONE));
+            served += u64::from(client.answer() == Some(codes::NONE));
         }
-        drop(e);
-        while let Some(code) = c.answer() {
+        drop(courier);
+        while let Some(code) = client.answer() {
             served += u64::from(code == codes::NONE);
         }
     }
-    let e = start(&dir);
+    let courier = start(&dir);
     until("a report of the last run", || {
-        let (_, status) = http(e.control, "GET", "/status", &Value::Null);
+        let (_, status) = http(courier.control, "GET", "/status", &Value::Null);
         status["telemetry"]["reports"].as_u64() > Some(1)
     });
-    kill(e, "TERM");
-    let s = receiver.stream();
-    assert_eq!(s.fell, Vec::<String>::new());
-    let get = |field: &str| value(&s, "courier", field, false).unwrap_or(0.0) as u64;
+    kill(courier, "TERM");
+    let stream = receiver.stream();
+    assert_eq!(stream.fell, Vec::<String>::new());
+    let get = |field: &str| value(&stream, "courier", field, false).unwrap_or(0.0) as u64;
     let (taken, ended) = (get("taken"), get("in_aim") + get("late"));
     assert!(
         taken <= sent && ended <= taken && ended >= served,
@@ -254,60 +252,56 @@
 }
 
 #[test]
-fn a_receiver_that_never_reads_or_resets_harms_no_delivery_and_settings_change_without_a_restart() {
-    let dir = folder("deaf");
+fn receiver_that_never_reads_or_resets_harms_no_delivery_and_is_replaced_without_a_restart() {
+    let dir = work_folder("deaf");
     let receivers = MessageReceivers::start(1, 0).unwrap();
-    let (first, second) = (
-        ReportReceiver::start(ListenAddresses { graphite: Some(any()), ..ListenAddresses::default() }, None)
-            .unwrap(),
-        ReportReceiver::start(ListenAddresses { graphite: Some(any()), ..ListenAddresses::default() }, None)
-            .unwrap(),
-    );
+    let first = graphite_receiver();
+    let second = graphite_receiver();
     let set = |r: &ReportReceiver| json!({"interval_s": 1, "graphite": {"address": r.graphite.unwrap().to_string(), "stuck_s": 1}});
-    let e = start(&dir);
-    told(&e, &receivers);
+    let courier = start(&dir);
+    configure(&courier, &receivers);
     // Nothing half applied, and the field is named.
-    let (status, body) = http(e.control, "PUT", "/telemetry", &json!({"interval_s": 0}));
+    let (status, body) = http(courier.control, "PUT", "/telemetry", &json!({"interval_s": 0}));
     assert!(status == 422 && body["error"]["field"] == "interval_s", "{body}");
-    let (status, body) = http(e.control, "PUT", "/telemetry", &json!({"graphite": {"adress": "x"}}));
+    let (status, body) = http(courier.control, "PUT", "/telemetry", &json!({"graphite": {"adress": "x"}}));
     assert!(status == 422 && body["error"]["field"].as_str().unwrap().contains("graphite"), "{body}");
     first.behave(Behaviour::NeverReads);
-    assert_eq!(http(e.control, "PUT", "/telemetry", &set(&first)).0, 200);
+    assert_eq!(http(courier.control, "PUT", "/telemetry", &set(&first)).0, 200);
     let mut counted = Counted::default();
-    counted.deliver(e.kafka, 100);
+    counted.deliver(courier.kafka, 100);
     first.behave(Behaviour::Resets);
-    counted.deliver(e.kafka, 100);
+    counted.deliver(courier.kafka, 100);
     std::thread::sleep(Duration::from_millis(1500));
-    counted.deliver(e.kafka, 100);
+    counted.deliver(courier.kafka, 100);
     assert_eq!((counted.served, counted.other), (300, 0));
-    assert_eq!(http(e.control, "PUT", "/telemetry", &set(&second)).0, 200);
+    assert_eq!(http(courier.control, "PUT", "/telemetry", &set(&second)).0, 200);
     until("the second receiver's report", || {
         value(&second.stream(), "courier", "taken", false) == Some(300.0)
     });
-    kill(e, "KILL");
+    kill(courier, "KILL");
     // The settings of the reports are in the snapshot.
-    let e = start(&dir);
-    let (_, body) = http(e.control, "GET", "/telemetry", &Value::Null);
+    let courier = start(&dir);
+    let (_, body) = http(courier.control, "GET", "/telemetry", &Value::Null);
     assert_eq!(body["in_force"]["graphite"]["address"], second.graphite.unwrap().to_string());
-    drop(e);
+    drop(courier);
     std::fs::remove_dir_all(dir).unwrap();
 }
 
 #[test]
-fn figures_of_the_host_are_taken_in_and_garbage_costs_nothing() {
-    let dir = folder("host");
+fn host_figures_are_accepted_and_garbage_is_only_counted() {
+    let dir = work_folder("host");
     let receivers = MessageReceivers::start(1, 0).unwrap();
-    let e = start(&dir);
-    told(&e, &receivers);
+    let courier = start(&dir);
+    configure(&courier, &receivers);
     let port = UdpSocket::bind("127.0.0.1:0").unwrap();
     let at = port.local_addr().unwrap();
     drop(port);
     let set = json!({"listen": {"address": at.to_string(), "require": "signed", "users": {"alice": ["new", "old"]}}});
-    assert_eq!(http(e.control, "PUT", "/telemetry", &set).0, 200);
-    let (_, body) = http(e.control, "GET", "/telemetry", &Value::Null);
+    assert_eq!(http(courier.control, "PUT", "/telemetry", &set).0, 200);
+    let (_, body) = http(courier.control, "GET", "/telemetry", &Value::Null);
     assert!(!body.to_string().contains("old"), "keys are not shown: {body}");
     // What was read back without its keys keeps them.
-    assert_eq!(http(e.control, "PUT", "/telemetry", &body["in_force"]).0, 200);
+    assert_eq!(http(courier.control, "PUT", "/telemetry", &body["in_force"]).0, 200);
     let from = UdpSocket::bind("127.0.0.1:0").unwrap();
     let load = |values: [f64; 3]| {
         let now =
@@ -340,14 +334,14 @@
     from.send_to(&load([9.0, 9.0, 9.0]), at).unwrap();
     from.send_to(&signed(&load([8.0, 8.0, 8.0]), "guessed"), at).unwrap();
     from.send_to(&signed(&load([1.5, 1.0, 0.5]), "old"), at).unwrap();
-    let host = || http(e.control, "GET", "/status", &Value::Null).1["telemetry"]["host"].clone();
+    let host = || http(courier.control, "GET", "/status", &Value::Null).1["telemetry"]["host"].clone();
     until("the load", || host()["load"] == json!([1.5, 1.0, 0.5]));
     from.send_to(&signed(&load([2.5, 1.0, 0.5]), "new"), at).unwrap();
     until("the load under the new key", || host()["load"] == json!([2.5, 1.0, 0.5]));
     assert!(host()["bad"].as_u64() >= Some(200), "{}", host());
     let mut counted = Counted::default();
-    counted.deliver(e.kafka, 20);
+    counted.deliver(courier.kafka, 20);
     assert_eq!(counted.served, 20);
-    drop(e);
+    drop(courier);
     std::fs::remove_dir_all(dir).unwrap();
 }
