testbed: subcommand modules carry the field's names; settings and reports of policies are typed

Change: the modules are named as what they start (`#[command(name = "...")]` keeps the subcommands), `Setting` and `PolicyReport` take the place of pairs, the chart's lines are a function of their own.

--- a/crates/emulator/src/run.rs
+++ b/crates/emulator/src/run.rs
@@ -13,7 +13,7 @@
 const SECOND: Time = 1_000_000_000;
 /// How long couriers may take to get ready.
 const STARTUP_TIMEOUT: Time = 20 * SECOND;
-/// How long couriers go on with the messages that they hold once they are told to end.
+/// How long couriers go on with the messages in flight once their graceful shutdown begins.
 const DRAIN_TIMEOUT: Time = 10 * SECOND;
 /// How long couriers may take to end; more than [`DRAIN_TIMEOUT`], as the last answers still travel.
 const SHUTDOWN_TIMEOUT: Time = 12 * SECOND;
--- a/crates/testbed/src/cli/emulate.rs
+++ b/crates/testbed/src/cli/emulate.rs
@@ -2,8 +2,8 @@
 
 use super::common::{print_overloads, print_verdict, write_json, Outcome};
 use crate::emulated_run::{CheckedRun, Recipe};
-use crate::experiment::plan::{apply_factor, parse_setting};
-use crate::run_report;
+use crate::experiment::plan::{apply_factor, Setting};
+use crate::run_report::{self, PolicyReport};
 use anyhow::Context;
 use linnetcart_emulator::EmulatedRun;
 use linnetcart_scenario::day::Scenario;
@@ -28,8 +28,8 @@
     #[arg(long, default_value = "library")]
     policy: String,
     /// Set a factor as an experiment's plan does: destinations=10, traffic.load=0.9, trouble=none
-    #[arg(long = "set", value_name = "NAME=LEVEL", value_parser = parse_setting)]
-    settings: Vec<(String, toml::Value)>,
+    #[arg(long = "set", value_name = "NAME=LEVEL", value_parser = Setting::parse)]
+    settings: Vec<Setting>,
     /// Write the figures to this file
     #[arg(long, value_name = "FILE")]
     json: Option<PathBuf>,
@@ -43,7 +43,7 @@
     let name = scenario.name.clone();
     let mut recipe = Recipe::new(scenario, args.seed);
     recipe.policy = args.policy.clone();
-    for (factor, level) in &args.settings {
+    for Setting { factor, level } in &args.settings {
         apply_factor(&mut recipe, factor, level).with_context(|| format!("--set {factor}"))?;
     }
     recipe.scenario = recipe.scenario.with(None, args.speed)?;
@@ -60,7 +60,7 @@
     print_speed(&run, elapsed);
     println!("digest {}", run.digest);
     let rules_kept = report.kept();
-    let reports = [(args.policy.clone(), report)];
+    let reports = [PolicyReport { policy: args.policy.clone(), report }];
     write_json(args.json.as_deref(), &run_report::json(&name, args.seed, &reports))?;
     print_verdict(rules_kept);
     Ok(Outcome::of_check(rules_kept))
--- a/crates/testbed/src/cli/day.rs
+++ b/crates/testbed/src/cli/socket_run.rs
@@ -3,8 +3,9 @@
 use super::common::{
     print_overloads, print_verdict, this_program, write_json, Outcome, WorkFolder, MAX_COURIERS_ON_SOCKETS,
 };
+use crate::run_report::{self, PolicyReport};
 use crate::socket_run::{self, StackOptions};
-use crate::{baselines, bench_scenario, decision_record, run_report};
+use crate::{baselines, bench_scenario, decision_record};
 use anyhow::{bail, Context};
 use linnetcart_conformance::{check, Report};
 use linnetcart_scenario::day::Scenario;
@@ -59,17 +60,17 @@
     let fleet = Fleet::draw(scenario, args.seed);
     println!("{name}, seed {}: {}", args.seed, fleet.about());
     let policies: &[&str] = if args.baselines { &baselines::NAMES } else { &[LIBRARY] };
-    let mut reports: Vec<(String, Report)> = Vec::new();
+    let mut reports = Vec::new();
     for policy in policies {
         let report = run_policy(args, &fleet, policy)?;
-        reports.push(((*policy).to_owned(), report));
+        reports.push(PolicyReport { policy: (*policy).to_owned(), report });
     }
     if reports.len() > 1 {
         println!("\n{}", run_report::comparison(&reports));
     }
     write_json(args.json.as_deref(), &run_report::json(&name, args.seed, &reports))?;
-    let (_, library_report) = &reports[0];
-    let rules_kept = library_report.kept();
+    let library = &reports[0];
+    let rules_kept = library.report.kept();
     print_verdict(rules_kept);
     Ok(Outcome::of_check(rules_kept))
 }
--- a/crates/testbed/src/courier_process.rs
+++ b/crates/testbed/src/courier_process.rs
@@ -10,7 +10,7 @@
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
-/// The environment variable that tells a child process which core it stays on.
+/// The environment variable with the core that a child process stays on.
 pub const CORE_VARIABLE: &str = "LINNETCART_TESTBED_CORE";
 const HTTP_TIMEOUT: Duration = Duration::from_secs(10);
 const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(5);
--- a/crates/testbed/src/decision_cost/driver.rs
+++ b/crates/testbed/src/decision_cost/driver.rs
@@ -17,7 +17,7 @@
 const ENDPOINTS_PER_DESTINATION: u32 = 2;
 /// Messages that a destination has had before anything is measured, in the mean.
 const WARM_UP_MESSAGES: u32 = 20;
-/// Destinations that have told the courier to wait; the waiting messages are theirs.
+/// Destinations that have sent a Retry-After; the waiting messages are theirs.
 const WAITING_DESTINATIONS: u32 = 8;
 const CLASSES: u32 = 3;
 /// Longer than any measurement.
--- a/crates/testbed/src/decision_record/mod.rs
+++ b/crates/testbed/src/decision_record/mod.rs
@@ -54,7 +54,7 @@
     Ok(())
 }
 
-/// The library, with a record of all that it is told and decides.
+/// The library, with a record of its events and decisions.
 pub fn recording_policy(settings: Settings, seed: u64) -> Box<dyn DecisionPolicy> {
     let file = open_record(settings.courier_index);
     let dispatcher = Dispatcher::new(settings.clone(), seed);
--- a/crates/testbed/src/emulated_run/message_trace.rs
+++ b/crates/testbed/src/emulated_run/message_trace.rs
@@ -44,7 +44,7 @@
     span as f64 / 1e6
 }
 
-/// Repeats a run and tells the life of one message, every attempt with its reason.
+/// Repeats a run and describes the life of one message, every attempt with its reason.
 pub fn trace_message(recipe: &Recipe, message: u64) -> anyhow::Result<String> {
     let (fleet, run) = recipe.run(Some(DeliveryTrace::of_message(message)))?;
     let Some(planned) = fleet.messages.get(message as usize) else {
--- a/crates/testbed/src/emulated_run/mod.rs
+++ b/crates/testbed/src/emulated_run/mod.rs
@@ -1,6 +1,8 @@
 //! Runs in virtual time: what a run is drawn from, so that it can be repeated, and the trace of one message.
 
 mod message_trace;
+#[cfg(test)]
+mod tests;
 
 use crate::baselines;
 use anyhow::Context;
--- a/crates/testbed/src/experiment/chart.rs
+++ b/crates/testbed/src/experiment/chart.rs
@@ -5,6 +5,7 @@
 use super::report_page::{Cells, ShownMeasure};
 use crate::charts::drawing::{drawing_error, ChartLayout};
 use crate::statistics::{maximum, minimum};
+use plotters::coord::types::RangedCoordf64;
 use plotters::prelude::*;
 use std::collections::BTreeMap;
 use std::ops::Range;
@@ -12,6 +13,7 @@
 
 const SIZE: (u32, u32) = (720, 360);
 const CAPTION_SIZE: u32 = 15;
+const LEVEL_LABEL_SIZE: u32 = 12;
 /// Levels whose highest is more than so many times their lowest stand at their logarithms.
 const LOGARITHMIC_ABOVE: f64 = 20.0;
 
@@ -39,6 +41,8 @@
     }
 }
 
+type Chart<'a, 'b> = ChartContext<'a, SVGBackend<'b>, Cartesian2d<RangedCoordf64, RangedCoordf64>>;
+
 type Lines = BTreeMap<String, Vec<Point>>;
 
 /// Draws the chart as SVG; an empty text if the plan has no factor.
@@ -48,13 +52,13 @@
     let lines = lines(plan, cells, shown.index, &places);
     let caption = format!("{}: {}", shown.measure.name, shown.measure.about);
     let x_range = x_range(&places);
-    let y = YAxis::of(&lines);
+    let y_axis = YAxis::of(&lines);
     let mut svg = String::new();
     {
         let area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
         area.fill(&WHITE).map_err(drawing_error)?;
         let layout = ChartLayout { caption: &caption, caption_size: CAPTION_SIZE, y_label_width: 60 };
-        let mut chart = layout.on(&area).build_cartesian_2d(x_range, y.range).map_err(drawing_error)?;
+        let mut chart = layout.on(&area).build_cartesian_2d(x_range, y_axis.range).map_err(drawing_error)?;
         let no_label = |_: &f64| String::new();
         chart
             .configure_mesh()
@@ -64,34 +68,38 @@
             .draw()
             .map_err(drawing_error)?;
         let levels = first_factor.levels.iter().zip(&places);
-        let level_labels =
-            levels.map(|(level, x)| Text::new(level_text(level), (*x, y.level_labels), ("sans-serif", 12)));
+        let level_labels = levels.map(|(level, x)| {
+            Text::new(level_text(level), (*x, y_axis.level_labels), ("sans-serif", LEVEL_LABEL_SIZE))
+        });
         chart.draw_series(level_labels).map_err(drawing_error)?;
-        for (index, (name, points)) in lines.iter().enumerate() {
-            let colour = Palette99::pick(index).to_rgba();
-            let line = points.iter().map(|point| (point.x, point.mean.mean));
-            let series =
-                chart.draw_series(LineSeries::new(line, colour.stroke_width(2))).map_err(drawing_error)?;
-            if !name.is_empty() {
-                series
-                    .label(name.as_str())
-                    .legend(move |(x, y)| PathElement::new([(x, y), (x + 15, y)], colour));
-            }
-            let intervals = points.iter().map(|point| {
-                let (low, mean, high) = (point.low(), point.mean.mean, point.high());
-                ErrorBar::new_vertical(point.x, low, mean, high, colour.filled(), 8)
-            });
-            chart.draw_series(intervals).map_err(drawing_error)?;
-        }
-        if lines.len() > 1 {
-            let mut labels = chart.configure_series_labels();
-            labels.border_style(BLACK).background_style(WHITE.mix(0.8)).draw().map_err(drawing_error)?;
-        }
+        draw_lines(&mut chart, &lines)?;
         area.present().map_err(drawing_error)?;
     }
     Ok(svg)
 }
 
+/// Draws means as lines with their intervals, and the names of the lines if there are several.
+fn draw_lines<'a, 'b: 'a>(chart: &mut Chart<'a, 'b>, lines: &Lines) -> anyhow::Result<()> {
+    for (index, (name, points)) in lines.iter().enumerate() {
+        let colour = Palette99::pick(index).to_rgba();
+        let line = points.iter().map(|point| (point.x, point.mean.mean));
+        let series =
+            chart.draw_series(LineSeries::new(line, colour.stroke_width(2))).map_err(drawing_error)?;
+        if !name.is_empty() {
+            series.label(name.as_str()).legend(move |(x, y)| PathElement::new([(x, y), (x + 15, y)], colour));
+        }
+        let intervals = points.iter().map(|point| {
+            ErrorBar::new_vertical(point.x, point.low(), point.mean.mean, point.high(), colour.filled(), 8)
+        });
+        chart.draw_series(intervals).map_err(drawing_error)?;
+    }
+    if lines.len() > 1 {
+        let mut labels = chart.configure_series_labels();
+        labels.border_style(BLACK).background_style(WHITE.mix(0.8)).draw().map_err(drawing_error)?;
+    }
+    Ok(())
+}
+
 /// Where levels stand: numbers at their value or logarithm, names at even distances.
 fn level_places(levels: &[Value]) -> Vec<f64> {
     let numbers: Option<Vec<f64>> = levels.iter().map(positive_number).collect();
--- a/crates/testbed/src/experiment/plan/factors.rs
+++ b/crates/testbed/src/experiment/plan/factors.rs
@@ -9,12 +9,24 @@
 const MAX_DELAY_MS: f64 = 10_000.0;
 const NANOSECONDS_PER_MILLISECOND: f64 = 1e6;
 
-/// A factor and its level from the command line, `NAME=LEVEL`; what is no number or list is a name.
-pub fn parse_setting(text: &str) -> Result<(String, Value), String> {
-    let (name, level) = text.split_once('=').ok_or("NAME=LEVEL is expected")?;
-    let table = toml::from_str::<Table>(&format!("level = {level}")).ok();
-    let parsed = table.and_then(|mut table| table.remove("level"));
-    Ok((name.to_owned(), parsed.unwrap_or_else(|| Value::String(level.into()))))
+/// A factor and its level, as the command line has them.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Setting {
+    /// The factor's name.
+    pub factor: String,
+    /// The level.
+    pub level: Value,
+}
+
+impl Setting {
+    /// Parses `NAME=LEVEL`; a level that is no number or list is a name.
+    pub fn parse(text: &str) -> Result<Setting, String> {
+        let (factor, level) = text.split_once('=').ok_or("NAME=LEVEL is expected")?;
+        let table = toml::from_str::<Table>(&format!("level = {level}")).ok();
+        let parsed = table.and_then(|mut table| table.remove("level"));
+        let level = parsed.unwrap_or_else(|| Value::String(level.into()));
+        Ok(Setting { factor: factor.to_owned(), level })
+    }
 }
 
 /// Sets a factor of a recipe to a level.
--- a/crates/testbed/src/experiment/plan/mod.rs
+++ b/crates/testbed/src/experiment/plan/mod.rs
@@ -7,7 +7,7 @@
 use super::measures::MEASURES;
 use crate::emulated_run::Recipe;
 use anyhow::{ensure, Context};
-pub use factors::{apply_factor, parse_setting};
+pub use factors::{apply_factor, Setting};
 use linnetcart_scenario::day::Scenario;
 use serde::{Deserialize, Serialize};
 use std::path::Path;
--- a/crates/testbed/src/experiment/plan/tests.rs
+++ b/crates/testbed/src/experiment/plan/tests.rs
@@ -35,10 +35,11 @@
 
 #[test]
 fn factor_on_the_command_line_is_parsed_as_in_a_plan() {
-    assert_eq!(parse_setting("couriers=30").unwrap(), ("couriers".into(), Value::Integer(30)));
-    assert_eq!(parse_setting("traffic.load=0.5").unwrap().1, Value::Float(0.5));
-    assert_eq!(parse_setting("policy=one-try").unwrap().1, Value::String("one-try".into()));
-    assert!(parse_setting("couriers").is_err());
+    let couriers = Setting { factor: "couriers".into(), level: Value::Integer(30) };
+    assert_eq!(Setting::parse("couriers=30").unwrap(), couriers);
+    assert_eq!(Setting::parse("traffic.load=0.5").unwrap().level, Value::Float(0.5));
+    assert_eq!(Setting::parse("policy=one-try").unwrap().level, Value::String("one-try".into()));
+    assert!(Setting::parse("couriers").is_err());
 }
 
 #[test]
--- a/crates/testbed/src/fault_search/mod.rs
+++ b/crates/testbed/src/fault_search/mod.rs
@@ -65,7 +65,7 @@
     pub shrink_runs: u64,
 }
 
-/// Is told the number of each run that is done.
+/// Called with the number of each run that is done.
 pub type ProgressFn<'a> = &'a (dyn Fn(u64) + Sync);
 
 /// How bad a scenario is: the invariants broken, and the worth lost against the best baseline.
--- a/crates/testbed/src/fidelity_check.rs
+++ b/crates/testbed/src/fidelity_check.rs
@@ -68,7 +68,7 @@
     json!({"mean": mean.mean, "half": mean.half_width})
 }
 
-/// Runs everything; `progress` is told how many runs of how many are done.
+/// Runs everything; `progress` is called with how many runs of how many are done.
 pub fn run(plan: &FidelityPlan, progress: &(dyn Fn(u64, u64) + Sync)) -> anyhow::Result<FidelityResult> {
     let runs = plan.scenarios.len() as u64 * plan.seeds;
     let pairs = parallel::run_all(plan.parallel_runs, 0..runs, &|number| {
--- a/crates/testbed/src/run_report.rs
+++ b/crates/testbed/src/run_report.rs
@@ -4,6 +4,15 @@
 use serde_json::{json, Value};
 use std::fmt::Write;
 
+/// The outcome of the checks of a run, and the policy that decided in it.
+#[derive(Debug)]
+pub struct PolicyReport {
+    /// The policy's name.
+    pub policy: String,
+    /// What the checks say.
+    pub report: Report,
+}
+
 /// What became of the classes, and the rules.
 pub fn table(report: &Report) -> String {
     let mut text = String::new();
@@ -52,14 +61,14 @@
 }
 
 /// Several policies next to each other.
-pub fn comparison(reports: &[(String, Report)]) -> String {
+pub fn comparison(reports: &[PolicyReport]) -> String {
     let mut text = String::new();
     let _ = writeln!(
         text,
         "{:<14}{:>14}{:>12}{:>10}{:>10}{:>14}",
         "policy", "served worth", "worst 10 s", "calls", "refused", "rules broken"
     );
-    for (policy, report) in reports {
+    for PolicyReport { policy, report } in reports {
         let broken = broken_rules(report);
         let _ = writeln!(
             text,
@@ -81,9 +90,9 @@
 }
 
 /// Reports of several policies as JSON.
-pub fn json(scenario: &str, seed: u64, reports: &[(String, Report)]) -> Value {
+pub fn json(scenario: &str, seed: u64, reports: &[PolicyReport]) -> Value {
     let mut runs = Vec::new();
-    for (policy, report) in reports {
+    for PolicyReport { policy, report } in reports {
         runs.push(json!({"policy": policy, "report": report}));
     }
     json!({"day": scenario, "seed": seed, "runs": runs})
--- a/crates/testbed/src/socket_run/mod.rs
+++ b/crates/testbed/src/socket_run/mod.rs
@@ -39,7 +39,7 @@
     pub dir: PathBuf,
     /// A Graphite receiver that couriers report to, each second.
     pub graphite: Option<SocketAddr>,
-    /// Is told each second how far the run is.
+    /// Called each second with how far the run is.
     pub progress: Option<fn(Progress)>,
 }
 
