--- a/crates/edge/src/counter_files/tests.rs
+++ b/crates/edge/src/counter_files/tests.rs
@@ -31,6 +31,29 @@
     (taken, loaded.next_log, loaded.damaged.map(|damaged| damaged.to_string()))
 }
 
+/// A sync that has a long log followed by another, with a look at the files in each state that an end may leave:
+/// before the snapshot is there, with it and the logs before it, with it alone.
+fn follow_long_log(dir: &Path, files: &mut CounterFiles, store: &CounterStore, n: u64) {
+    let (held_back, held_jobs) = channel();
+    let thread_jobs = std::mem::replace(&mut files.jobs, held_back);
+    files.log_bytes = MAX_LOG_BYTES + 1;
+    assert!(files.sync(n, || store.saved(&BTreeMap::new(), 0), &head()).is_ok());
+    assert_eq!(read(dir).0, 2 * n, "before the snapshot is there");
+    let Ok(Job::Snapshot { next_log, counters }) = held_jobs.recv() else { panic!("a snapshot is first") };
+    let snapshot = CounterSnapshot { next_log, counters: store.saved(&BTreeMap::new(), 0) };
+    let bytes = encode_file(MAGIC, &snapshot).expect("it can be written");
+    replace_file(dir, FILE_NAME, &bytes).expect("it can be written");
+    assert_eq!(read(dir).0, 2 * n, "with the snapshot and the logs before it");
+    let sync = held_jobs.recv().expect("the sync is next");
+    for job in [Job::Snapshot { next_log, counters }, sync] {
+        thread_jobs.send(job).expect("the thread runs");
+    }
+    let finished = files.finished.recv().expect("the thread runs");
+    assert_eq!((finished.number, finished.result.is_ok()), (n, true));
+    assert_eq!(read(dir).0, 2 * n, "with the snapshot alone");
+    files.jobs = thread_jobs;
+}
+
 #[test]
 fn counters_after_any_end_and_while_a_log_is_followed_by_another_are_complete() {
     let dir = directory("follow");
@@ -44,11 +67,7 @@
         files.append(&store.frame().expect("a change"));
         assert_eq!(read(&dir).0, 2 * n, "without a sync: the process alone died");
         if n % 10 == 0 {
-            files.log_bytes = MAX_LOG_BYTES + 1;
-            assert!(files.sync(n, || store.saved(&none, 0), &head()).is_ok());
-            assert_eq!(read(&dir).0, 2 * n, "whether or not the snapshot is there already");
-            let finished = files.finished.recv().expect("the thread runs");
-            assert_eq!((finished.number, finished.result.is_ok()), (n, true));
+            follow_long_log(&dir, &mut files, &store, n);
         }
     }
     drop(files);
