--- a/crates/conformance/src/lib.rs
+++ b/crates/conformance/src/lib.rs
@@ -8,7 +8,7 @@
 //! anything: [`Class`] and [`worth`] stand here a second time on purpose, so that a fault in the library's own
 //! figures is seen and not repeated.
 #![forbid(unsafe_code)]
-#![warn(missing_docs)]
+#![warn(clippy::unwrap_used, missing_docs)]
 
 mod index;
 mod invariants;
--- a/crates/courier-common/src/lib.rs
+++ b/crates/courier-common/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! Free of I/O: callers pass clock readings in. Nothing here decides where a message goes.
 #![forbid(unsafe_code)]
-#![warn(missing_docs)]
+#![warn(clippy::unwrap_used, missing_docs)]
 
 pub mod idle_reuse;
 mod limit_log;
--- a/crates/courier-common/src/message_numbers.rs
+++ b/crates/courier-common/src/message_numbers.rs
@@ -26,5 +26,4 @@
 }
 
 #[cfg(test)]
-#[path = "message_numbers_tests.rs"]
 mod tests;
--- a/crates/delivery-events/src/lib.rs
+++ b/crates/delivery-events/src/lib.rs
@@ -3,7 +3,7 @@
 //! Telemetry, journal, audit and conformance checks consume these events and nothing else of the core. The crate
 //! holds values only and never decides or does I/O.
 #![forbid(unsafe_code)]
-#![warn(missing_docs)]
+#![warn(clippy::unwrap_used, missing_docs)]
 
 use bytes::Bytes;
 use linnetcart::{Action, AttemptOutcome, LimitChange, Time};
--- a/crates/deployment-settings/src/lib.rs
+++ b/crates/deployment-settings/src/lib.rs
@@ -4,7 +4,7 @@
 //! An absent figure reads as zero, as the wire's page says. Unknown fields are ignored: deployments differ in
 //! what they have. Nothing is decided here, and no value is checked against another.
 #![forbid(unsafe_code)]
-#![warn(missing_docs)]
+#![warn(clippy::unwrap_used, missing_docs)]
 
 mod error;
 mod json;
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -5,7 +5,7 @@
 //! delivery events come out. It hands every decision that the library [`linnetcart`] makes to that library, and carries
 //! out what comes back. [`shell`] moves the bytes on a calloop loop and decides nothing.
 #![forbid(unsafe_code)]
-#![warn(missing_docs)]
+#![warn(clippy::unwrap_used, missing_docs)]
 
 pub mod cli;
 pub mod control;
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -4,7 +4,7 @@
 //! One event queue, one thread, randomness from the seed and ordered iteration everywhere: a run repeats bit for
 //! bit, and [`EmulatedRun::digest`] says whether it did. Nothing here reads a clock or opens a socket.
 #![forbid(unsafe_code)]
-#![warn(missing_docs)]
+#![warn(clippy::unwrap_used, missing_docs)]
 
 pub mod connections;
 pub mod disk;
--- a/crates/endpoint-model/src/lib.rs
+++ b/crates/endpoint-model/src/lib.rs
@@ -7,7 +7,7 @@
 //! virtual time drive the same model; randomness comes from a seed, and every call leaves a record for the rule
 //! checks.
 #![forbid(unsafe_code)]
-#![warn(missing_docs)]
+#![warn(clippy::unwrap_used, missing_docs)]
 
 mod calls;
 mod deduplication;
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -6,7 +6,7 @@
 //! It is stricter than the standard where leniency hides requests from one reader and not from another: a
 //! length is one decimal number given once, and a request with `Transfer-Encoding` is rejected unread.
 #![forbid(unsafe_code)]
-#![warn(missing_docs)]
+#![warn(clippy::unwrap_used, missing_docs)]
 
 mod chunked;
 mod fields;
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -7,7 +7,7 @@
 //!
 //! What is written outlasts the process without a sync; it is not meant to outlast the machine.
 #![forbid(unsafe_code)]
-#![warn(missing_docs)]
+#![warn(clippy::unwrap_used, missing_docs)]
 
 mod directory;
 mod error;
--- a/crates/kafka/src/lib.rs
+++ b/crates/kafka/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! It never keeps a connection's state and never decides what a record means.
 #![forbid(unsafe_code)]
-#![warn(missing_docs)]
+#![warn(clippy::unwrap_used, missing_docs)]
 
 pub mod client;
 pub mod codes;
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -6,7 +6,7 @@
 //! Readiness is edge-triggered: what is not read, written or accepted in one [`Net::poll`] is remembered and
 //! continued in the next, so that no connection can keep the loop from the others.
 #![forbid(unsafe_code)]
-#![warn(missing_docs)]
+#![warn(clippy::unwrap_used, missing_docs)]
 
 mod connection;
 mod connections;
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -5,7 +5,7 @@
 //! comes back. [`shell`] moves bytes and files and decides nothing. [`config`] reads the files of the platform,
 //! [`records`] gives the journal's bytes their meaning.
 #![forbid(unsafe_code)]
-#![warn(missing_docs)]
+#![warn(clippy::unwrap_used, missing_docs)]
 
 pub mod config;
 pub mod core;
--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -4,7 +4,7 @@
 //! is not a courier: clients, endpoints, whoever publishes the endpoint list, and the faults. It holds no socket and
 //! no clock, so the same code stands around real couriers on sockets and around emulated ones in virtual time.
 #![forbid(unsafe_code)]
-#![warn(missing_docs)]
+#![warn(clippy::unwrap_used, missing_docs)]
 
 mod error;
 pub mod fleet;
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -4,7 +4,7 @@
 //! and saved; it holds no socket, file or clock. Counts only grow, over restarts and crashes too: a report leaves when
 //! the log of the counts in it is on disk. What a receiver does not accept is dropped, the oldest first, and counted.
 #![forbid(unsafe_code)]
-#![warn(missing_docs)]
+#![warn(clippy::unwrap_used, missing_docs)]
 
 pub mod collectd;
 pub mod connection;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -42,7 +42,7 @@
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { message: 1, endpoint: 70, .. })));
 //! ```
 #![forbid(unsafe_code)]
-#![warn(missing_docs)]
+#![warn(clippy::unwrap_used, missing_docs)]
 
 mod interface;
 mod policy;
