testbed: tests of telemetry in short functions; receiver kinds and ends of couriers are typed

Change: `ReceiverKind`, `shut_down` (a kill is a drop), `deliver_over_faults`, `assert_counts` and the parts of a collectd packet are functions of their own. Each case starts its receiver when it begins, no longer all at the start; assertions are the same.

--- a/crates/testbed/tests/telemetry.rs
+++ b/crates/testbed/tests/telemetry.rs
@@ -17,7 +17,7 @@
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream, UdpSocket};
 use std::path::Path;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use work_folder::work_folder;
 
 const RECORD_BYTES: usize = 50;
@@ -48,7 +48,7 @@
     (reply.status, serde_json::from_str(&reply.body).unwrap())
 }
 
-/// A courier with two destinations, of which the second never answers.
+/// Settings and endpoint list of a courier, with a destination for each receiver.
 fn configure(courier: &CourierProcess, receivers: &MessageReceivers) {
     let class = |name: &str, repeat: &str| json!({"name": name, "aim_ms": 500, "deadline_ms": 1500, "worth": 1, "repeat": repeat});
     let settings = json!({
@@ -124,23 +124,78 @@
     }
 }
 
-fn kill(mut courier: CourierProcess, name: &str) {
-    if name == "TERM" {
-        courier.terminate();
-        assert_eq!(courier.wait(Duration::from_secs(10)), Some(0));
-    }
-    // Otherwise dropping it kills it.
+/// Ends a courier as an operator does.
+fn shut_down(mut courier: CourierProcess) {
+    courier.terminate();
+    assert_eq!(courier.wait(Duration::from_secs(10)), Some(0));
+}
+
+/// Which of its receivers a report went to.
+#[derive(Clone, Copy, Debug)]
+enum ReceiverKind {
+    Graphite,
+    Collectd,
 }
 
-/// The end of a series' name for Graphite, and for collectd.
-fn value(stream: &Stream, place: &str, field: &str, collectd: bool) -> Option<f64> {
-    let name = match collectd {
-        true => format!("linnetcart-reports-4.linnetcart.{}.{field}", place.replace('.', "-")),
-        false => format!("linnetcart.reports.edge.4.{place}.{field}"),
+/// The last value of a courier's field, under the name that it has for a receiver.
+fn value(stream: &Stream, place: &str, field: &str, kind: ReceiverKind) -> Option<f64> {
+    let name = match kind {
+        ReceiverKind::Graphite => format!("linnetcart.reports.edge.4.{place}.{field}"),
+        ReceiverKind::Collectd => {
+            format!("linnetcart-reports-4.linnetcart.{}.{field}", place.replace('.', "-"))
+        }
     };
     stream.value(&name)
 }
 
+/// Delivers messages while the courier is killed three times at once after its last answer, and while the receiver
+/// is not there.
+fn deliver_over_faults(
+    dir: &Path,
+    receivers: &MessageReceivers,
+    receiver: &ReportReceiver,
+    telemetry: &Value,
+) -> Counted {
+    let mut counted = Counted::default();
+    let courier = start(dir);
+    configure(&courier, receivers);
+    assert_eq!(http(courier.control, "PUT", "/telemetry", telemetry).0, 200);
+    counted.deliver(courier.kafka, 40);
+    until("a report", || receiver.stream().points > 0);
+    // Dropping a courier kills it.
+    drop(courier);
+    for _ in 0..3 {
+        let courier = start(dir);
+        counted.deliver(courier.kafka, 15);
+        drop(courier);
+    }
+    let courier = start(dir);
+    receiver.behave(Behaviour::Absent);
+    counted.deliver(courier.kafka, 30);
+    std::thread::sleep(Duration::from_millis(1200));
+    receiver.behave(Behaviour::Reads);
+    counted.deliver(courier.kafka, 10);
+    let submitted = counted.submitted as f64;
+    until("the last count", || {
+        value(&receiver.stream(), "courier", "taken", ReceiverKind::Graphite) == Some(submitted)
+    });
+    shut_down(courier);
+    counted
+}
+
+fn assert_counts(stream: &Stream, counted: &Counted, kind: ReceiverKind) {
+    let get = |place: &str, field: &str| value(stream, place, field, kind).unwrap_or(0.0);
+    let submitted = counted.submitted as f64;
+    for place in ["courier", "dest.Bank_Lodz"] {
+        assert_eq!(get(place, "taken"), submitted, "{place} {kind:?}");
+        assert_eq!(get(place, "in_aim") + get(place, "late"), counted.served as f64);
+        assert_eq!(get(place, "refused") + get(place, "failed"), counted.other as f64);
+    }
+    let classes = get("class.order", "taken") + get("class.query", "taken");
+    assert_eq!(classes, submitted);
+    assert!(get("dest.Bank_Lodz", "latency_p50_ms") > 0.0 && get("courier", "slots") == 16.0);
+}
+
 #[test]
 fn receivers_over_kills_and_an_outage_end_with_what_clients_counted() {
     let dir = work_folder("ends");
@@ -152,58 +207,25 @@
         ("pickle", json!({"sign": user}), Require::Signed),
         ("pickle", json!({"encrypt": user}), Require::Encrypted),
     ];
-    let mut receiver = Vec::new();
-    for (form, security, require) in &cases {
-        let at = ListenAddresses {
+    for (index, (form, security, require)) in cases.iter().enumerate() {
+        let addresses = ListenAddresses {
             graphite: Some(any_port()),
             collectd: Some(any_port()),
             users: keys(),
             require: *require,
         };
-        receiver.push((ReportReceiver::start(at, None).unwrap(), form, security));
-    }
-    for (n, (receiver, form, security)) in receiver.iter().enumerate() {
-        let dir = dir.join(n.to_string());
-        let set = json!({
+        let receiver = ReportReceiver::start(addresses, None).unwrap();
+        let telemetry = json!({
             "interval_s": 1, "names": {"0": "Bank Łódź"},
             "graphite": {"address": receiver.graphite.unwrap().to_string(), "form": form},
             "collectd": {"address": receiver.collectd.unwrap().to_string(), "security": security},
         });
-        let mut counted = Counted::default();
-        let courier = start(&dir);
-        configure(&courier, &receivers);
-        assert_eq!(http(courier.control, "PUT", "/telemetry", &set).0, 200);
-        counted.deliver(courier.kafka, 40);
-        until("a report", || receiver.stream().points > 0);
-        // Killed at once after the last answer, three times.
-        kill(courier, "KILL");
-        for _ in 0..3 {
-            let courier = start(&dir);
-            counted.deliver(courier.kafka, 15);
-            kill(courier, "KILL");
-        }
-        let courier = start(&dir);
-        receiver.behave(Behaviour::Absent);
-        counted.deliver(courier.kafka, 30);
-        std::thread::sleep(Duration::from_millis(1200));
-        receiver.behave(Behaviour::Reads);
-        counted.deliver(courier.kafka, 10);
-        let wanted = counted.submitted as f64;
-        until("the last count", || value(&receiver.stream(), "courier", "taken", false) == Some(wanted));
-        kill(courier, "TERM");
+        let dir = dir.join(index.to_string());
+        let counted = deliver_over_faults(&dir, &receivers, &receiver, &telemetry);
         let stream = receiver.stream();
         assert_eq!((&stream.fell, stream.bad), (&Vec::new(), 0), "{:?}", stream.last_bad);
-        for collectd in [false, true] {
-            let get = |place: &str, field: &str| value(&stream, place, field, collectd).unwrap_or(0.0);
-            for place in ["courier", "dest.Bank_Lodz"] {
-                assert_eq!(get(place, "taken"), wanted, "{place} {collectd}");
-                assert_eq!(get(place, "in_aim") + get(place, "late"), counted.served as f64);
-                assert_eq!(get(place, "refused") + get(place, "failed"), counted.other as f64);
-            }
-            let classes = get("class.order", "taken") + get("class.query", "taken");
-            assert_eq!(classes, wanted);
-            assert!(get("dest.Bank_Lodz", "latency_p50_ms") > 0.0 && get("courier", "slots") == 16.0);
-        }
+        assert_counts(&stream, &counted, ReceiverKind::Graphite);
+        assert_counts(&stream, &counted, ReceiverKind::Collectd);
     }
     std::fs::remove_dir_all(dir).unwrap();
 }
@@ -239,10 +261,10 @@
         let (_, status) = http(courier.control, "GET", "/status", &Value::Null);
         status["telemetry"]["reports"].as_u64() > Some(1)
     });
-    kill(courier, "TERM");
+    shut_down(courier);
     let stream = receiver.stream();
     assert_eq!(stream.fell, Vec::<String>::new());
-    let get = |field: &str| value(&stream, "courier", field, false).unwrap_or(0.0) as u64;
+    let get = |field: &str| value(&stream, "courier", field, ReceiverKind::Graphite).unwrap_or(0.0) as u64;
     let (taken, ended) = (get("taken"), get("in_aim") + get("late"));
     assert!(
         taken <= sent && ended <= taken && ended >= served,
@@ -276,9 +298,9 @@
     assert_eq!((counted.served, counted.other), (300, 0));
     assert_eq!(http(courier.control, "PUT", "/telemetry", &set(&second)).0, 200);
     until("the second receiver's report", || {
-        value(&second.stream(), "courier", "taken", false) == Some(300.0)
+        value(&second.stream(), "courier", "taken", ReceiverKind::Graphite) == Some(300.0)
     });
-    kill(courier, "KILL");
+    drop(courier);
     // The settings of the reports are in the snapshot.
     let courier = start(&dir);
     let (_, body) = http(courier.control, "GET", "/telemetry", &Value::Null);
@@ -287,6 +309,36 @@
     std::fs::remove_dir_all(dir).unwrap();
 }
 
+/// A part of a collectd packet.
+fn packet_part(kind: u16, body: &[u8]) -> Vec<u8> {
+    [&kind.to_be_bytes()[..], &((body.len() + 4) as u16).to_be_bytes(), body].concat()
+}
+
+/// A collectd packet with the load of a host.
+fn load_packet(values: [f64; 3]) -> Vec<u8> {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_nanos() as u64;
+    let time = linnetcart_telemetry::collectd::high_resolution(now).to_be_bytes();
+    let numbers: Vec<u8> = values.iter().flat_map(|value| value.to_le_bytes()).collect();
+    [
+        packet_part(0, b"host-1\0"),
+        packet_part(8, &time),
+        packet_part(2, b"load\0"),
+        packet_part(4, b"load\0"),
+        packet_part(6, &[&[0, 3, 1, 1, 1][..], &numbers].concat()),
+    ]
+    .concat()
+}
+
+/// A packet signed by the user alice.
+fn signed(packet: &[u8], key: &str) -> Vec<u8> {
+    use hmac::Mac;
+    let mut mac = <hmac::Hmac<sha2::Sha256> as Mac>::new_from_slice(key.as_bytes()).unwrap();
+    mac.update(b"alice");
+    mac.update(packet);
+    let code = mac.finalize().into_bytes();
+    [&b"\x02\x00\x00\x29"[..], &code, b"alice", packet].concat()
+}
+
 #[test]
 fn host_figures_are_accepted_and_garbage_is_only_counted() {
     let dir = work_folder("host");
@@ -303,40 +355,15 @@
     // What was read back without its keys keeps them.
     assert_eq!(http(courier.control, "PUT", "/telemetry", &body["in_force"]).0, 200);
     let from = UdpSocket::bind("127.0.0.1:0").unwrap();
-    let load = |values: [f64; 3]| {
-        let now =
-            std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_nanos() as u64;
-        let part = |kind: u16, body: &[u8]| {
-            [&kind.to_be_bytes()[..], &((body.len() + 4) as u16).to_be_bytes(), body].concat()
-        };
-        let numbers: Vec<u8> = values.iter().flat_map(|v| v.to_le_bytes()).collect();
-        let time = linnetcart_telemetry::collectd::high_resolution(now).to_be_bytes();
-        [
-            part(0, b"host-1\0"),
-            part(8, &time),
-            part(2, b"load\0"),
-            part(4, b"load\0"),
-            part(6, &[&[0, 3, 1, 1, 1][..], &numbers].concat()),
-        ]
-        .concat()
-    };
-    let signed = |parts: &[u8], key: &str| {
-        use hmac::Mac;
-        let mut mac = <hmac::Hmac<sha2::Sha256> as Mac>::new_from_slice(key.as_bytes()).unwrap();
-        mac.update(b"alice");
-        mac.update(parts);
-        let code = mac.finalize().into_bytes();
-        [&b"\x02\x00\x00\x29"[..], &code, b"alice", parts].concat()
-    };
-    for n in 0..200u8 {
-        from.send_to(&[n; 90], at).unwrap();
+    for byte in 0..200u8 {
+        from.send_to(&[byte; 90], at).unwrap();
     }
-    from.send_to(&load([9.0, 9.0, 9.0]), at).unwrap();
-    from.send_to(&signed(&load([8.0, 8.0, 8.0]), "guessed"), at).unwrap();
-    from.send_to(&signed(&load([1.5, 1.0, 0.5]), "old"), at).unwrap();
+    from.send_to(&load_packet([9.0, 9.0, 9.0]), at).unwrap();
+    from.send_to(&signed(&load_packet([8.0, 8.0, 8.0]), "guessed"), at).unwrap();
+    from.send_to(&signed(&load_packet([1.5, 1.0, 0.5]), "old"), at).unwrap();
     let host = || http(courier.control, "GET", "/status", &Value::Null).1["telemetry"]["host"].clone();
     until("the load", || host()["load"] == json!([1.5, 1.0, 0.5]));
-    from.send_to(&signed(&load([2.5, 1.0, 0.5]), "new"), at).unwrap();
+    from.send_to(&signed(&load_packet([2.5, 1.0, 0.5]), "new"), at).unwrap();
     until("the load under the new key", || host()["load"] == json!([2.5, 1.0, 0.5]));
     assert!(host()["bad"].as_u64() >= Some(200), "{}", host());
     let mut counted = Counted::default();
