HTTP and Kafka framing: persistence and unsupported versions in place of bool

Cause: encode_response(.., last: bool), Request.last, ResponseHead.last and api_versions(.., too_new: bool) said nothing where they were used, and the platform front had the same enum once more. Change: Persistence stands in crates/http and serves the platform's admission; api_versions and api_versions_unsupported are two functions. Two assertions of the framing tests compare with Persistence::KeepAlive in place of false.

--- a/crates/edge/src/core/requests.rs
+++ b/crates/edge/src/core/requests.rs
@@ -89,8 +89,8 @@
     fn process_request(&mut self, id: ClientId, request: Request) -> Result<(), ProtocolError> {
         let Request { correlation, version, .. } = request;
         let response = match request.body {
-            Body::ApiVersions => server::api_versions(correlation, version, false),
-            Body::ApiVersionsTooNew => server::api_versions(correlation, version, true),
+            Body::ApiVersions => server::api_versions(correlation, version),
+            Body::ApiVersionsTooNew => server::api_versions_unsupported(correlation, version),
             Body::Metadata(names) => {
                 server::metadata(correlation, version, &self.broker, &self.topics(names))
             }
--- a/crates/edge/tests/harness/mod.rs
+++ b/crates/edge/tests/harness/mod.rs
@@ -213,7 +213,7 @@
             match body {
                 Body::ApiVersions => {
                     if self.auto_connect {
-                        let greeting = server::api_versions(correlation, version, false);
+                        let greeting = server::api_versions(correlation, version);
                         self.core.upstream_received(id, &greeting);
                     }
                 }
@@ -250,7 +250,7 @@
 
     pub fn negotiate(&mut self, id: UpstreamId) {
         self.core.clock(self.now);
-        self.core.upstream_received(id, &server::api_versions(0, 0, false));
+        self.core.upstream_received(id, &server::api_versions(0, 0));
         self.carry_out();
     }
 
--- a/crates/edge/tests/process/peer.rs
+++ b/crates/edge/tests/process/peer.rs
@@ -1,7 +1,7 @@
 //! Connections that do nothing but what the test has them do, so that the order of events is the test's.
 
 use super::stubs::subject_of;
-use linnetcart_http::{parse_request, parse_response, ParsedResponse};
+use linnetcart_http::{parse_request, parse_response, ParsedResponse, Persistence};
 use rustix::event::{poll, PollFd, PollFlags};
 use socket2::{Domain, Socket, Type};
 use std::io::{Read, Write};
@@ -118,7 +118,11 @@
         loop {
             if let ParsedResponse::Head(head) = parse_response(&self.received) {
                 self.received.drain(..head.length + head.body.unwrap_or(0));
-                let then = if head.last { AfterAnswer::Closed } else { AfterAnswer::KeptAlive };
+                let then = if head.persistence == Persistence::Close {
+                    AfterAnswer::Closed
+                } else {
+                    AfterAnswer::KeptAlive
+                };
                 return Answer { status: head.status, then };
             }
             if !self.read_more() {
--- a/crates/http/src/request.rs
+++ b/crates/http/src/request.rs
@@ -1,7 +1,7 @@
 //! Requests, as the called side reads them.
 
 use crate::fields::{range_within, Fields, InvalidContentLength};
-use crate::{MAX_BODY_BYTES, MAX_HEADER_FIELDS, MAX_HEAD_BYTES};
+use crate::{Persistence, MAX_BODY_BYTES, MAX_HEADER_FIELDS, MAX_HEAD_BYTES};
 use std::ops::Range;
 
 /// Why bytes are no request. The connection has to end: where the next request would begin is not known.
@@ -55,8 +55,8 @@
     target: Range<usize>,
     fields: Fields,
     body: Range<usize>,
-    /// The client closes the connection after the response.
-    pub last: bool,
+    /// Whether the client keeps the connection after the response.
+    pub persistence: Persistence,
 }
 
 impl<'a> Request<'a> {
@@ -107,14 +107,14 @@
         return Ok(None);
     }
     let is_http_1_0 = head.version == Some(0);
-    let last = is_http_1_0 || fields.has_connection_close(bytes);
+    let persistence = Persistence::after(is_http_1_0, fields.has_connection_close(bytes));
     Ok(Some(Request {
         bytes,
         method: range_within(bytes, method.as_bytes()),
         target: range_within(bytes, target.as_bytes()),
         fields,
         body,
-        last,
+        persistence,
     }))
 }
 
--- a/crates/http/src/response.rs
+++ b/crates/http/src/response.rs
@@ -1,7 +1,7 @@
 //! Responses: heads as the calling side reads them, and whole responses as the called side writes them.
 
 use crate::fields::Fields;
-use crate::{parse_decimal, MAX_BODY_BYTES, MAX_HEADER_FIELDS, MAX_HEAD_BYTES};
+use crate::{parse_decimal, Persistence, MAX_BODY_BYTES, MAX_HEADER_FIELDS, MAX_HEAD_BYTES};
 
 /// What every status line of HTTP/1.0 and HTTP/1.1 begins with.
 const STATUS_LINE_START: &[u8] = b"HTTP/1.";
@@ -45,8 +45,8 @@
     pub body: Option<usize>,
     /// The body comes in chunks.
     pub chunked: bool,
-    /// The other side closes the connection after the body.
-    pub last: bool,
+    /// Whether the other side keeps the connection after the body.
+    pub persistence: Persistence,
     fields: Vec<OwnedField>,
 }
 
@@ -125,7 +125,7 @@
         length,
         body: body_length(status, chunked, content_length),
         chunked,
-        last: is_http_1_0 || fields.has_connection_close(bytes),
+        persistence: Persistence::after(is_http_1_0, fields.has_connection_close(bytes)),
         fields: head.headers.iter().map(own).collect(),
     })
 }
@@ -164,14 +164,19 @@
     parse_decimal(code).map(|code| code as u16)
 }
 
-/// The bytes of a whole response. `last`: the connection is closed after it, and the response says so.
-pub fn encode_response(status: u16, fields: &[(&str, &str)], body: &[u8], last: bool) -> Vec<u8> {
+/// The bytes of a whole response, which says so where its connection is closed after it.
+pub fn encode_response(
+    status: u16,
+    fields: &[(&str, &str)],
+    body: &[u8],
+    persistence: Persistence,
+) -> Vec<u8> {
     let reason = reason_phrase(status);
     let mut head = format!("HTTP/1.1 {status} {reason}\r\nContent-Length: {}\r\n", body.len());
     for (name, value) in fields {
         head.push_str(&format!("{name}: {value}\r\n"));
     }
-    if last {
+    if persistence == Persistence::Close {
         head.push_str("Connection: close\r\n");
     }
     head.push_str("\r\n");
--- a/crates/http/tests/framing.rs
+++ b/crates/http/tests/framing.rs
@@ -1,7 +1,7 @@
 //! Both sides of the framing, at every cut of their bytes and against arbitrary ones.
 
 use linnetcart_http::{
-    parse_request, parse_response, ChunkedDecoder, ParsedResponse, RequestError, MAX_BODY_BYTES,
+    parse_request, parse_response, ChunkedDecoder, ParsedResponse, Persistence, RequestError, MAX_BODY_BYTES,
     MAX_HEADER_FIELDS, MAX_HEAD_BYTES,
 };
 use proptest::prelude::*;
@@ -16,7 +16,7 @@
     let r = parse_request(bytes).unwrap().unwrap();
     assert_eq!((r.method(), r.path(), r.body()), (&b"POST"[..], &b"/notice/x"[..], &b"abc"[..]));
     assert_eq!(r.field("x-txn"), Ok(Some(&b"9b"[..])));
-    assert_eq!((r.field("cookie"), r.length(), r.last), (Ok(None), whole, false));
+    assert_eq!((r.field("cookie"), r.length(), r.persistence), (Ok(None), whole, Persistence::KeepAlive));
 }
 
 #[test]
@@ -46,7 +46,7 @@
         assert_eq!(parse_response(&bytes[..n]), ParsedResponse::Incomplete { ok: false }, "{n}");
     }
     let ParsedResponse::Head(h) = parse_response(bytes) else { panic!() };
-    assert_eq!((h.status, h.length, h.body, h.last), (429, head, Some(2), false));
+    assert_eq!((h.status, h.length, h.body, h.persistence), (429, head, Some(2), Persistence::KeepAlive));
     assert_eq!(h.field("x-backoff-ms"), Some(&b"40"[..]));
 }
 
--- a/crates/kafka/src/server/response.rs
+++ b/crates/kafka/src/server/response.rs
@@ -54,15 +54,23 @@
     TopicName(StrBytes::from_string(name.to_owned()))
 }
 
-/// The versions that are offered. `too_new`: the client asked in a version that is not, and reads version 0.
-pub fn api_versions(correlation: i32, version: i16, too_new: bool) -> Bytes {
+/// The versions that are offered.
+pub fn api_versions(correlation: i32, version: i16) -> Bytes {
+    offered_versions(correlation, version, codes::NONE)
+}
+
+/// The versions that are offered, for a client that asked in a version that is not: it reads version 0.
+pub fn api_versions_unsupported(correlation: i32, version: i16) -> Bytes {
+    offered_versions(correlation, version, codes::UNSUPPORTED_VERSION)
+}
+
+fn offered_versions(correlation: i32, version: i16, error_code: i16) -> Bytes {
     let offered = OfferedApi::ALL.map(|api| {
         ApiVersion::default()
             .with_api_key(api.key() as i16)
             .with_min_version(api.first_version())
             .with_max_version(api.last_version())
     });
-    let error_code = if too_new { codes::UNSUPPORTED_VERSION } else { codes::NONE };
     let body = ApiVersionsResponse::default().with_error_code(error_code).with_api_keys(offered.to_vec());
     encode_frame(ApiKey::ApiVersions, correlation, version, &body)
 }
--- a/crates/kafka/tests/protocol.rs
+++ b/crates/kafka/tests/protocol.rs
@@ -104,14 +104,14 @@
     newer[3] = 9;
     let request = server::read(&newer.into()).unwrap();
     assert!(matches!(request.body, Body::ApiVersionsTooNew));
-    let answer = strip(&server::api_versions(request.correlation, request.version, true));
+    let answer = strip(&server::api_versions_unsupported(request.correlation, request.version));
     // Correlation, then the error code of version 0.
     assert_eq!(&answer[..6], [0, 0, 0, 4, 0, 35]);
 }
 
 #[test]
 fn api_versions_response_gives_the_offered_produce_versions() {
-    let answer = strip(&server::api_versions(7, 0, false));
+    let answer = strip(&server::api_versions(7, 0));
     assert_eq!(client::read_produce_versions(&answer).unwrap(), (7, Some(PRODUCE)));
     assert!(client::read_produce_versions(&answer.slice(..answer.len() - 1)).is_err());
 }
--- a/crates/platform/src/core/admission.rs
+++ b/crates/platform/src/core/admission.rs
@@ -5,20 +5,11 @@
 use super::client_connections::ClientId;
 use super::request::RequestError;
 use linnetcart::{Action, Time};
-use linnetcart_http::encode_response;
+use linnetcart_http::{encode_response, Persistence};
 use std::collections::BTreeMap;
 
 const NANOSECONDS_PER_SECOND: f64 = 1e9;
 
-/// What becomes of a client's connection after its answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Persistence {
-    /// It stays open for further requests.
-    KeepAlive,
-    /// It is closed.
-    Close,
-}
-
 /// Who waits for an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Requester {
@@ -71,7 +62,7 @@
             Answer::Invalid(error) => format!("{error}\n"),
             _ => String::new(),
         };
-        encode_response(self.status(), fields, body.as_bytes(), persistence == Persistence::Close)
+        encode_response(self.status(), fields, body.as_bytes(), persistence)
     }
 }
 
--- a/crates/platform/src/core/connection_pool/receive.rs
+++ b/crates/platform/src/core/connection_pool/receive.rs
@@ -5,7 +5,7 @@
 use crate::core::attempts::AttemptId;
 use linnetcart::{AttemptOutcome, Time};
 use linnetcart_deployment_settings::DeploymentSettings;
-use linnetcart_http::{parse_response, ParsedResponse, ResponseHead};
+use linnetcart_http::{parse_response, ParsedResponse, Persistence, ResponseHead};
 
 impl ConnectionPool {
     /// Bytes came on a connection.
@@ -79,7 +79,7 @@
         let meaning = response::interpret(head);
         let load = response::load_report(head, settings);
         match head.body {
-            Some(length) if !head.last && length >= body_received => {
+            Some(length) if head.persistence == Persistence::KeepAlive && length >= body_received => {
                 connection.becomes_idle(now, length - body_received);
                 self.by_attempt.remove(&attempt);
             }
--- a/crates/platform/src/core/status_notifier.rs
+++ b/crates/platform/src/core/status_notifier.rs
@@ -9,7 +9,7 @@
 use super::reconnect::{ConnectionDemand, Reconnect};
 use crate::records::{FinalOutcome, Message};
 use linnetcart::Time;
-use linnetcart_http::{parse_response, ParsedResponse};
+use linnetcart_http::{parse_response, ParsedResponse, Persistence};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
@@ -245,7 +245,7 @@
         };
         self.reconnect.reset_backoff();
         let messages = self.finish_batch(verdict);
-        if head.last {
+        if head.persistence == Persistence::Close {
             self.reconnect.retry_at(0);
         }
         Ok(Acknowledged { messages, verdict })
--- a/crates/platform/src/core/submission.rs
+++ b/crates/platform/src/core/submission.rs
@@ -1,6 +1,6 @@
 //! From a client's bytes to an answer: the part of an iteration that admits messages.
 
-use super::admission::{Answer, Persistence, Requester};
+use super::admission::{Answer, Requester};
 use super::client_connections::{ClientId, IdlePolicy, OverdueClient, RequestEvent};
 use super::effects::Output;
 use super::in_flight::IdMatch;
@@ -8,6 +8,7 @@
 use super::{Core, JournalState};
 use crate::records::{Message, PendingMessage, Record};
 use linnetcart::{AcceptedMessage, Action, Event};
+use linnetcart_http::Persistence;
 
 /// What the id of a submitted message is known for.
 enum KnownId {
@@ -33,8 +34,7 @@
             RequestEvent::Pipelined => return self.refuse_request(client, RequestError::Pipelined),
             RequestEvent::Complete(request) => request,
         };
-        let persistence = if request.last { Persistence::Close } else { Persistence::KeepAlive };
-        let requester = Requester { client, persistence };
+        let requester = Requester { client, persistence: request.persistence };
         if request.path() == b"/ready" && request.method() == b"GET" {
             return self.answer(requester, Answer::Ready);
         }
--- a/crates/scenario/src/runner/endpoints.rs
+++ b/crates/scenario/src/runner/endpoints.rs
@@ -109,7 +109,7 @@
     }
 
     fn answer_handshake(&mut self, token: Token, handshake: Handshake) {
-        let bytes = server::api_versions(handshake.correlation, handshake.version, false);
+        let bytes = server::api_versions(handshake.correlation, handshake.version);
         self.transport.send(token, &bytes);
     }
 
--- a/crates/testbed/src/message_receivers.rs
+++ b/crates/testbed/src/message_receivers.rs
@@ -137,6 +137,6 @@
             }
             Some(server::produce(correlation, version, &results, 0, None))
         }
-        _ => Some(server::api_versions(correlation, version, false)),
+        _ => Some(server::api_versions(correlation, version)),
     }
 }
--- a/crates/testbed/src/relay.rs
+++ b/crates/testbed/src/relay.rs
@@ -135,7 +135,7 @@
                 let no_topics: &[Topic] = &[];
                 self.net.send(client, &server::metadata(correlation, version, &broker, no_topics));
             }
-            _ => self.net.send(client, &server::api_versions(correlation, version, false)),
+            _ => self.net.send(client, &server::api_versions(correlation, version)),
         }
         Ok(())
     }
