Telemetry: its inputs by the names of the field

Cause: CourierInfo, CurrentState and ListedEndpoint had house words (me, hold, links, apart), left for when their user had landed. Change: fields renamed with their uses; metric names as they are.

--- a/crates/edge/src/shell/telemetry.rs
+++ b/crates/edge/src/shell/telemetry.rs
@@ -75,7 +75,7 @@
         self.telemetry.set_endpoints(list.entries.values().map(|entry| ListedEndpoint {
             endpoint: entry.id,
             destination: entry.destination,
-            apart: settings.kind(&entry.kind).is_some_and(|kind| kind.independent_routes),
+            independent_route: settings.kind(&entry.kind).is_some_and(|kind| kind.independent_routes),
         }));
     }
 
@@ -284,9 +284,9 @@
     let names = settings.classes.iter().map(|class| class.name.clone());
     CourierInfo {
         deployment: settings.deployment.clone(),
-        me: settings.courier.index,
+        courier_index: settings.courier.index,
         classes: names.zip(settings.library_settings().classes).collect(),
-        halves: settings.weights.halves,
+        weight_halves: settings.weights.halves,
         seed,
     }
 }
@@ -296,12 +296,12 @@
     let status = core.status();
     let limits = &core.settings().limits;
     CurrentState {
-        held: status.in_flight,
-        held_bytes: status.in_flight_bytes,
-        slots_used: status.calls,
-        slots: limits.max_calls as usize,
-        hold: limits.max_in_flight as usize,
+        messages_in_flight: status.in_flight,
+        bytes_in_flight: status.in_flight_bytes,
+        calls_in_flight: status.calls,
+        max_calls_in_flight: limits.max_calls as usize,
+        max_messages_in_flight: limits.max_in_flight as usize,
         clients: status.clients,
-        links: status.upstream_connections,
+        upstream_connections: status.upstream_connections,
     }
 }
--- a/crates/telemetry/src/classes.rs
+++ b/crates/telemetry/src/classes.rs
@@ -34,7 +34,7 @@
                 latency: LatencyRecorder::default(),
             });
         }
-        ClassTable { classes, halves: courier.halves }
+        ClassTable { classes, halves: courier.weight_halves }
     }
 
     pub(crate) fn len(&self) -> usize {
--- a/crates/telemetry/src/interface.rs
+++ b/crates/telemetry/src/interface.rs
@@ -15,11 +15,11 @@
     /// The deployment.
     pub deployment: String,
     /// The courier's number.
-    pub me: u32,
+    pub courier_index: u32,
     /// Its classes, by name.
     pub classes: Vec<(String, Class)>,
     /// The priority weight of a late message halves with each further latency objective.
-    pub halves: bool,
+    pub weight_halves: bool,
     /// Spreads reports and retries of couriers.
     pub seed: u64,
 }
@@ -37,19 +37,19 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct CurrentState {
     /// Messages in flight.
-    pub held: usize,
+    pub messages_in_flight: usize,
     /// Bytes of messages in flight.
-    pub held_bytes: usize,
+    pub bytes_in_flight: usize,
     /// Call slots in use.
-    pub slots_used: usize,
+    pub calls_in_flight: usize,
     /// Call slots.
-    pub slots: usize,
+    pub max_calls_in_flight: usize,
     /// Messages that may be in flight.
-    pub hold: usize,
+    pub max_messages_in_flight: usize,
     /// Connections of clients.
     pub clients: usize,
     /// Connections to endpoints.
-    pub links: usize,
+    pub upstream_connections: usize,
 }
 
 /// An endpoint of the endpoint list.
@@ -60,7 +60,7 @@
     /// Its destination's number.
     pub destination: u32,
     /// It is a separate route, with a limit and counts of its own.
-    pub apart: bool,
+    pub independent_route: bool,
 }
 
 /// What the owner of [`crate::Telemetry`] is to do, in this order.
--- a/crates/telemetry/src/limits.rs
+++ b/crates/telemetry/src/limits.rs
@@ -49,9 +49,9 @@
     pub(crate) fn set_endpoints(&mut self, endpoints: impl Iterator<Item = ListedEndpoint>) {
         self.listed.clear();
         self.route_destinations.clear();
-        for ListedEndpoint { endpoint, destination, apart } in endpoints {
+        for ListedEndpoint { endpoint, destination, independent_route } in endpoints {
             self.listed.entry(destination).or_default().push(endpoint);
-            if apart {
+            if independent_route {
                 self.route_destinations.insert(endpoint, destination);
             }
         }
--- a/crates/telemetry/src/limits/tests.rs
+++ b/crates/telemetry/src/limits/tests.rs
@@ -6,7 +6,11 @@
 /// Two endpoints of one limit, and one separate route.
 fn table() -> LimitTable {
     let mut table = LimitTable::default();
-    let entry = |destination, endpoint, apart| ListedEndpoint { endpoint, destination, apart };
+    let entry = |destination, endpoint, independent_route| ListedEndpoint {
+        endpoint,
+        destination,
+        independent_route,
+    };
     let endpoints =
         [entry(DESTINATION, 10, false), entry(DESTINATION, 11, false), entry(ROUTED_DESTINATION, 20, true)];
     table.set_endpoints(endpoints.into_iter());
--- a/crates/telemetry/src/points.rs
+++ b/crates/telemetry/src/points.rs
@@ -55,15 +55,15 @@
 
     fn courier(&mut self, points: &mut Vec<Point>) {
         push_counts(points, &SeriesSubject::Courier, &self.recording.counters.courier_total());
-        let CurrentState { held, held_bytes, slots_used, slots, hold, clients, links } = self.current;
+        let current = self.current;
         let gauges = [
-            ("held", held),
-            ("held_bytes", held_bytes),
-            ("hold", hold),
-            ("slots_used", slots_used),
-            ("slots", slots),
-            ("clients", clients),
-            ("links", links),
+            ("held", current.messages_in_flight),
+            ("held_bytes", current.bytes_in_flight),
+            ("hold", current.max_messages_in_flight),
+            ("slots_used", current.calls_in_flight),
+            ("slots", current.max_calls_in_flight),
+            ("clients", current.clients),
+            ("links", current.upstream_connections),
         ];
         for (metric, value) in gauges {
             points.push(Point::new(SeriesSubject::Courier, metric, PointValue::Gauge(value as f64)));
--- a/crates/telemetry/src/recording/tests.rs
+++ b/crates/telemetry/src/recording/tests.rs
@@ -24,14 +24,14 @@
     };
     let courier = CourierInfo {
         deployment: "test".into(),
-        me: 1,
+        courier_index: 1,
         classes: vec![("order".into(), class)],
-        halves: false,
+        weight_halves: false,
         seed: 1,
     };
     let restored = RestoredCounts::read(&RestoredState::default(), vec!["order".into()], 100);
     let mut recording = Recording::new(&courier, restored, 0);
-    let route = ListedEndpoint { endpoint: ENDPOINT, destination: DESTINATION, apart: true };
+    let route = ListedEndpoint { endpoint: ENDPOINT, destination: DESTINATION, independent_route: true };
     recording.limits.set_endpoints([route].into_iter());
     recording
 }
--- a/crates/telemetry/src/selection/tests.rs
+++ b/crates/telemetry/src/selection/tests.rs
@@ -4,8 +4,13 @@
 use crate::{CourierInfo, RestoredState};
 
 fn recording(cells: u32) -> Recording {
-    let courier =
-        CourierInfo { deployment: "test".into(), me: 1, classes: Vec::new(), halves: false, seed: 1 };
+    let courier = CourierInfo {
+        deployment: "test".into(),
+        courier_index: 1,
+        classes: Vec::new(),
+        weight_halves: false,
+        seed: 1,
+    };
     let restored = RestoredCounts::read(&RestoredState::default(), Vec::new(), 1000);
     let mut recording = Recording::new(&courier, restored, 0);
     for destination in 0..cells {
--- a/crates/telemetry/src/telemetry.rs
+++ b/crates/telemetry/src/telemetry.rs
@@ -60,8 +60,9 @@
         let class_names = courier.classes.iter().map(|(name, _)| name.clone()).collect();
         let restored = RestoredCounts::read(&found, class_names, settings.cells);
         let timestamps = Timestamps::new(restored.last_timestamp_s * SECOND, now);
-        let source = MetricSource { deployment: names::safe(&courier.deployment), courier: courier.me };
-        let mut random = ChaCha8Rng::seed_from_u64(courier.seed ^ (u64::from(courier.me) << 32));
+        let source =
+            MetricSource { deployment: names::safe(&courier.deployment), courier: courier.courier_index };
+        let mut random = ChaCha8Rng::seed_from_u64(courier.seed ^ (u64::from(courier.courier_index) << 32));
         let interval = settings.interval_s * SECOND;
         let first_delay = random.random_range(0..interval);
         let mut telemetry = Telemetry {
--- a/crates/telemetry/tests/virtual_time/fixture.rs
+++ b/crates/telemetry/tests/virtual_time/fixture.rs
@@ -89,8 +89,11 @@
 
     /// Three destinations, of which the second has separate routes.
     pub fn list_endpoints(&mut self) {
-        let entry =
-            |endpoint| ListedEndpoint { endpoint, destination: endpoint / 10, apart: endpoint / 10 == 2 };
+        let entry = |endpoint| ListedEndpoint {
+            endpoint,
+            destination: endpoint / 10,
+            independent_route: endpoint / 10 == 2,
+        };
         self.telemetry.set_endpoints([10, 11, 20, 21, 30].into_iter().map(entry));
     }
 
@@ -204,8 +207,8 @@
     /// One iteration of the event loop.
     fn process(&mut self) {
         self.telemetry.process(self.now, self.wall, || CurrentState {
-            slots: 8,
-            slots_used: 2,
+            max_calls_in_flight: 8,
+            calls_in_flight: 2,
             ..CurrentState::default()
         });
         for _ in 0..MAX_OUTPUT_ROUNDS {
--- a/crates/telemetry/tests/virtual_time/main.rs
+++ b/crates/telemetry/tests/virtual_time/main.rs
@@ -145,8 +145,11 @@
     run_with_names(&mut simulation, &[(1, "Other"), (2, "Bank Lodz"), (3, "Bank Lodz")]);
     simulation.crash(Crash::Process);
     // One is removed from the list, and comes back.
-    let without_second =
-        [10, 30].map(|endpoint| ListedEndpoint { endpoint, destination: endpoint / 10, apart: false });
+    let without_second = [10, 30].map(|endpoint| ListedEndpoint {
+        endpoint,
+        destination: endpoint / 10,
+        independent_route: false,
+    });
     simulation.telemetry.set_endpoints(without_second.into_iter());
     run_with_names(&mut simulation, &[(3, "Other")]);
     simulation.list_endpoints();
@@ -232,7 +235,8 @@
     let mut settings = Settings { points: max_points, ..settings(Form::Plaintext) };
     settings.graphite.iter_mut().for_each(|graphite| graphite.queue_bytes = 16 << 20);
     let mut telemetry = Telemetry::new(info, RestoredState::default(), settings, 0);
-    let endpoint = |number| ListedEndpoint { endpoint: number, destination: number, apart: false };
+    let endpoint =
+        |number| ListedEndpoint { endpoint: number, destination: number, independent_route: false };
     telemetry.set_endpoints((0..MANY_DESTINATIONS).map(endpoint));
     for destination in 0..MANY_DESTINATIONS {
         for class in 0..MANY_CLASSES {
--- a/crates/telemetry/tests/virtual_time/parts.rs
+++ b/crates/telemetry/tests/virtual_time/parts.rs
@@ -20,9 +20,9 @@
     };
     CourierInfo {
         deployment: "test".into(),
-        me: number,
+        courier_index: number,
         classes: CLASS_NAMES.map(class).to_vec(),
-        halves: false,
+        weight_halves: false,
         seed: 5,
     }
 }
--- a/crates/testbed/src/report_cost.rs
+++ b/crates/testbed/src/report_cost.rs
@@ -108,7 +108,13 @@
         ordered: false,
     };
     let classes = (0..CLASSES).map(|number| (format!("class-{number}"), class.clone()));
-    CourierInfo { deployment: "floor".into(), me: 0, classes: classes.collect(), halves: false, seed: 1 }
+    CourierInfo {
+        deployment: "floor".into(),
+        courier_index: 0,
+        classes: classes.collect(),
+        weight_halves: false,
+        seed: 1,
+    }
 }
 
 impl Load {
@@ -117,7 +123,7 @@
         telemetry.set_endpoints((0..destinations).map(|number| ListedEndpoint {
             endpoint: number,
             destination: number,
-            apart: false,
+            independent_route: false,
         }));
         Load { telemetry, destinations, rng: ChaCha8Rng::seed_from_u64(1) }
     }
