Platform: a message's id is made into text only where it is logged

Cause: send_attempt copied the id for every attempt that is sent; the log wants it at debug level and for a withheld attempt only. Change: the text is made in those two places.

--- a/crates/platform/src/core/delivery.rs
+++ b/crates/platform/src/core/delivery.rs
@@ -107,18 +107,18 @@
         let endpoint = attempt.endpoint;
         let deadline = attempt.deadline;
         let Some(message) = self.in_flight.get(id.message) else { return };
-        let message_id = message.message().id_text().into_owned();
         let Some(target) = self.target_of(endpoint, connection) else {
             self.pool.cancel(id, self.clock.now());
             return self.finish_attempt(FinishedAttempt::new(id, AttemptOutcome::NoConnection));
         };
         if self.decisions.retry_after_pending(self.clock.now(), endpoint) {
+            let message = message.message().id_text().into_owned();
+            self.effects.event(CoreEvent::AttemptWithheld { endpoint, message });
             self.pool.release_unused(id, self.clock.now());
-            self.effects.event(CoreEvent::AttemptWithheld { endpoint, message: message_id });
             let outcome = AttemptOutcome::NotSent { no_capacity: false };
             return self.finish_attempt(FinishedAttempt::new(id, outcome));
         }
-        tracing::debug!(id = message_id, attempt = id.number, endpoint, "attempt sent");
+        tracing::debug!(id = %message.message().id_text(), attempt = id.number, endpoint, "attempt sent");
         let time_remaining = deadline.saturating_sub(self.clock.now());
         let bytes = upstream_request::encode(message.message(), target.address, time_remaining);
         let sent = SentAttempt { number: id.number, zone: target.zone, sent_at: self.clock.wall_now() };
