Edge test: the courier is killed only once what it was sent has been read

The endpoint stub logged a request before it answered, and the test killed the courier as soon as the request was logged: the 200 to quick-order could still be unwritten or unread, and the next process rightly ended its attempt as possibly executed. The same holds for the acknowledgement of the first notification. Change: a stub answers while the log is locked, so that who sees a request knows that its answer was sent; the test lets the courier settle before it kills it. Assertions are as they were.

--- a/crates/edge/tests/platform.rs
+++ b/crates/edge/tests/platform.rs
@@ -18,12 +18,15 @@
     assert_eq!(courier.submit("status", "slow-status"), 202);
     assert_eq!(courier.submit("order", "quick-order"), 202);
     wait_until("all are out", || attempts.lock().unwrap().len() == 3);
+    // Without this the answer to the quick one may be unread when the process dies, and its attempt unresolved.
+    courier.settle();
     courier.kill_and_restart();
     wait_until("the unsafe one is ended", || count_matching(&notifications, "slow-order") > 0);
     assert!(count_matching(&notifications, r#""slow-order","state":"failed""#) > 0);
     wait_until("the safe one goes again", || count_matching(&attempts, "slow-status") > 1);
     assert_eq!(count_matching(&attempts, "slow-order"), 1);
-    // Twice more: what is over stays over.
+    // Twice more: what is over stays over, once the acknowledgement of its notification has been read.
+    courier.settle();
     courier.kill_and_restart();
     courier.kill_and_restart();
     wait_until("the safe one goes again", || count_matching(&attempts, "slow-status") > 2);
--- a/crates/edge/tests/process/stubs.rs
+++ b/crates/edge/tests/process/stubs.rs
@@ -8,7 +8,8 @@
 /// What an endpoint answers that serves.
 pub const SERVED: &str = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 
-/// Requests in the order in which they came, each by its message id or, without one, its body.
+/// Requests in the order in which they came, each by its message id or, without one, its body. It stays locked until
+/// the answer is written: whoever finds a request in it knows that its answer has been sent.
 pub type RequestLog = Arc<Mutex<Vec<String>>>;
 
 /// The answer to a request, which may be held back.
@@ -39,10 +40,11 @@
             let is_watch = request.method() == b"GET";
             let request_length = request.length();
             let answer = reply(if is_watch { "watch" } else { &subject });
+            received.drain(..request_length);
+            let mut log = log.lock().unwrap();
             if !is_watch {
-                log.lock().unwrap().push(subject);
+                log.push(subject);
             }
-            received.drain(..request_length);
             if stream.write_all(answer.unwrap_or(b"")).is_err() {
                 return;
             }
