--- a/tests/dispatcher/policy_size.rs
+++ b/tests/dispatcher/policy_size.rs
@@ -10,23 +10,30 @@
 #[test]
 fn policy_files_together_stay_under_the_cap_and_are_all_deployed() {
     let root = Path::new(env!("CARGO_MANIFEST_DIR"));
-    let folder = std::fs::read_dir(root.join("src/policy")).expect("the folder of the decisions");
-    let mut paths = BTreeSet::new();
+    let paths = policy_files(root);
     let mut lines = 0;
-    for entry in folder {
-        let name = entry.expect("an entry of the folder").file_name();
-        let path = format!("src/policy/{}", name.to_str().expect("a name in UTF-8"));
-        let text = std::fs::read_to_string(root.join(&path)).expect("a text file and no folder");
+    for path in &paths {
+        let text = std::fs::read_to_string(root.join(path)).expect("a text file and no folder");
         lines += text.lines().filter(|line| !line.trim().is_empty()).count();
         let is_long = |line: &&str| line.chars().count() > MAX_LINE_CHARS;
         let long_lines: Vec<&str> = text.lines().filter(is_long).collect();
         assert!(long_lines.is_empty(), "{path}: {long_lines:#?}");
-        paths.insert(path);
     }
     assert!(lines <= MAX_POLICY_LINES, "{lines} lines");
     assert_eq!(deployed_policy(root), paths.into_iter().collect::<Vec<String>>());
 }
 
+/// The module of the decisions and every file of its folder.
+fn policy_files(root: &Path) -> BTreeSet<String> {
+    let folder = std::fs::read_dir(root.join("src/policy")).expect("the folder of the decisions");
+    let mut paths = BTreeSet::from([String::from("src/policy.rs")]);
+    for entry in folder {
+        let name = entry.expect("an entry of the folder").file_name();
+        paths.insert(format!("src/policy/{}", name.to_str().expect("a name in UTF-8")));
+    }
+    paths
+}
+
 /// The paths under `policy` in the deploy file, sorted.
 fn deployed_policy(root: &Path) -> Vec<String> {
     let text = std::fs::read_to_string(root.join("deploy/balancer.toml")).expect("the deploy file");
