--- a/crates/conformance/src/index.rs
+++ b/crates/conformance/src/index.rs
@@ -1,10 +1,10 @@
-//! Records by message, in the order of their times: made once, read by several rules.
+//! An index of the records by message, built once and shared by several rules.
 
 use crate::records::{Arrival, Records, Submission};
 use linnetcart::Time;
 use std::collections::BTreeMap;
 
-/// Submissions and arrivals by message.
+/// Submissions and arrivals by message, each in the order of their times.
 pub(crate) struct RecordIndex<'a> {
     submissions: BTreeMap<u64, Vec<&'a Submission>>,
     arrivals: BTreeMap<u64, Vec<&'a Arrival>>,
@@ -29,20 +29,20 @@
         RecordIndex { submissions, arrivals }
     }
 
-    /// Messages by number, each with its submissions; there is at least one of each.
+    /// Iterates over all submitted messages by number, each with its submissions (at least one).
     pub(crate) fn messages(&self) -> impl Iterator<Item = (u64, &[&'a Submission])> {
         self.submissions.iter().map(|(&message, submissions)| (message, submissions.as_slice()))
     }
 
-    /// Where a message arrived.
+    /// Returns the arrivals of a message at endpoints.
     pub(crate) fn arrivals_of(&self, message: u64) -> &[&'a Arrival] {
         self.arrivals.get(&message).map_or(&[], Vec::as_slice)
     }
 
-    /// When the client submitted the message of a submission the next time.
+    /// Returns when the client next submitted the same message, or `None` if this submission was the last.
     pub(crate) fn next_submission_at(&self, submission: &Submission) -> Option<Time> {
         let of_message = self.submissions.get(&submission.message)?;
-        let times = of_message.iter().map(|other| other.at);
-        times.into_iter().find(|&at| at > submission.at)
+        let mut times = of_message.iter().map(|other| other.at);
+        times.find(|&at| at > submission.at)
     }
 }
--- a/crates/conformance/src/lib.rs
+++ b/crates/conformance/src/lib.rs
@@ -1,12 +1,13 @@
-//! The six delivery rules as invariants, checked from records of what went over the wire: what clients submitted
-//! and were answered, what endpoints were sent and answered, what couriers were notified of the endpoint list.
-//! What a courier says of itself is not among them. The same checks serve runs on sockets and in virtual time.
+//! The six delivery rules as invariants, checked against records of what went over the wire: what clients
+//! submitted and were answered, what endpoints received and answered, and what couriers were notified of the
+//! endpoint list. Nothing that a courier reports about itself is used. The same checks serve runs on sockets
+//! and in virtual time.
 //!
-//! Each check counts the cases in which its rule was at stake; a rule without cases was not tested.
+//! Each check counts the cases to which its rule applied; a rule without cases was not tested.
 //!
-//! The checker shares value types with the decision library ([`Time`], [`Idempotency`]) and no code that computes
-//! anything: [`Class`] and [`worth`] stand here a second time on purpose, so that a fault in the library's own
-//! figures is seen and not repeated.
+//! The checker shares value types with the decision library ([`Time`], [`Idempotency`]) but no code that
+//! computes anything. [`Class`] and its weight are deliberately implemented a second time, so that a fault in
+//! the library's own computation is detected instead of repeated.
 #![forbid(unsafe_code)]
 #![warn(clippy::unwrap_used, missing_docs)]
 
@@ -24,11 +25,10 @@
     Outage, Partition, Records, Stall, Submission,
 };
 pub use report::{ClassSummary, InvariantResult, Report};
-pub use summary::worth;
 
 use index::RecordIndex;
 
-/// Checks the six rules and sums up each class.
+/// Checks the six rules and summarizes each class.
 pub fn check(records: &Records, invariants: &Invariants) -> Report {
     let index = RecordIndex::new(records);
     let service = summary::summarize(records, invariants, &index);
@@ -44,8 +44,8 @@
         ],
         classes: service.classes,
         service: service.overall,
-        worst_stretch: service.worst_stretch,
-        calls_refused: calls.rejected,
+        worst_stretch: service.worst_interval,
+        rejected_calls: calls.rejected,
         calls: calls.total,
     }
 }
--- /dev/null
+++ b/crates/conformance/src/records/deliveries.rs
@@ -0,0 +1,166 @@
+//! Records of messages and their deliveries: what clients submitted, what endpoints received, and which
+//! endpoint states couriers were notified of.
+
+use super::CourierIncarnation;
+use linnetcart::Time;
+
+/// The position of a message on its connection. A courier accepts the messages of a connection in this order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionPosition {
+    /// The connection.
+    pub connection: u64,
+    /// The sequence number of the message on the connection.
+    pub sequence: u64,
+}
+
+/// One submission of a message by a client. A retry by the client is a further record with the same
+/// `message`.
+#[derive(Clone, Debug)]
+pub struct Submission {
+    /// The message.
+    pub message: u64,
+    /// The courier that the message was submitted to.
+    pub courier: u32,
+    /// The incarnation of the courier.
+    pub incarnation: u32,
+    /// The connection and the position on it.
+    pub position: ConnectionPosition,
+    /// The class of the message.
+    pub class: u8,
+    /// The destination of the message.
+    pub destination: u32,
+    /// The ordering key, if the message has one.
+    pub key: Option<u64>,
+    /// When the message was submitted.
+    pub at: Time,
+    /// The deadline of the message.
+    pub deadline: Time,
+    /// The final answers, in the order in which they arrived.
+    pub answers: Vec<ClientAnswer>,
+    /// Travel time of the last answer, where it is known. Where it is not, this is 0 and the travel time is
+    /// part of [`Invariants::timing_tolerance`](crate::Invariants::timing_tolerance).
+    pub answer_travelled: Time,
+    /// When the courier died or the connection broke before the answer, if that happened.
+    pub orphaned: Option<Time>,
+}
+
+impl Submission {
+    /// The incarnation of the courier that the message was submitted to.
+    pub(crate) fn holder(&self) -> CourierIncarnation {
+        CourierIncarnation { courier: self.courier, incarnation: self.incarnation }
+    }
+
+    /// Returns when the courier had completed the message at the latest: at its first answer or at the
+    /// deadline.
+    pub(crate) fn completed_at(&self) -> Time {
+        self.answers.first().map_or(self.deadline, |answer| answer.at)
+    }
+}
+
+/// A final answer and when it arrived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClientAnswer {
+    /// When the client received the answer.
+    pub at: Time,
+    /// The answer.
+    pub answer: Answer,
+}
+
+/// A final answer as the client sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// The message was served.
+    Served,
+    /// The message was not accepted; submitting it again is harmless.
+    Rejected,
+    /// The courier gave the message up.
+    Failed,
+}
+
+/// What an endpoint did with a message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndpointVerdict {
+    /// The message was rejected without being processed.
+    Rejected {
+        /// How long the sender must wait before its next call; 0 if the endpoint gave no Retry-After.
+        retry_after: Time,
+    },
+    /// The message was answered with success.
+    Served,
+    /// The message was answered with an error.
+    Error,
+    /// The message was not answered.
+    Unanswered,
+}
+
+/// A message that reached an endpoint.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// The message.
+    pub message: u64,
+    /// The call that carried the message. A call counts once against a limit, however many messages it
+    /// carries.
+    pub call: u64,
+    /// The courier that sent the message.
+    pub courier: u32,
+    /// The incarnation of the courier.
+    pub incarnation: u32,
+    /// The destination of the message.
+    pub destination: u32,
+    /// The endpoint that the message reached.
+    pub endpoint: u32,
+    /// The zone of the endpoint.
+    pub zone: u8,
+    /// Whether the endpoint is an independent route with a limit of its own.
+    pub independent_route: bool,
+    /// When the message arrived.
+    pub at: Time,
+    /// Travel time of the message, where it is known. Where it is not, this is 0 and the travel time is part
+    /// of [`Invariants::timing_tolerance`](crate::Invariants::timing_tolerance).
+    pub travelled: Time,
+    /// What the endpoint did with the message.
+    pub verdict: EndpointVerdict,
+    /// When the endpoint sent its answer, or `None` if it sent none.
+    pub answered: Option<Time>,
+    /// Whether the message took effect.
+    pub effect: bool,
+}
+
+impl Arrival {
+    /// Returns when the message left the courier.
+    pub fn sent(&self) -> Time {
+        self.at.saturating_sub(self.travelled)
+    }
+
+    /// The incarnation of the courier that sent the message.
+    pub(crate) fn sender(&self) -> CourierIncarnation {
+        CourierIncarnation { courier: self.courier, incarnation: self.incarnation }
+    }
+
+    /// Returns whether the endpoint rejected the message without processing it.
+    pub(crate) fn is_rejected(&self) -> bool {
+        matches!(self.verdict, EndpointVerdict::Rejected { .. })
+    }
+}
+
+/// A state of an endpoint of which a courier was notified.
+#[derive(Clone, Debug)]
+pub struct EndpointNotification {
+    /// The courier that was notified.
+    pub courier: u32,
+    /// The incarnation of the courier.
+    pub incarnation: u32,
+    /// When the courier had received the notification at the latest.
+    pub at: Time,
+    /// The endpoint.
+    pub endpoint: u32,
+    /// Whether the endpoint is ready for new work. If not, it is draining or gone.
+    pub ready: bool,
+}
+
+impl EndpointNotification {
+    /// The incarnation of the courier that was notified.
+    pub(crate) fn recipient(&self) -> CourierIncarnation {
+        CourierIncarnation { courier: self.courier, incarnation: self.incarnation }
+    }
+}
--- /dev/null
+++ b/crates/conformance/src/records/faults.rs
@@ -0,0 +1,91 @@
+//! Records of the faults of a run.
+
+use super::CourierIncarnation;
+use linnetcart::Time;
+
+/// An outage of a limit, followed by its recovery ramp.
+#[derive(Clone, Debug)]
+pub struct Outage {
+    /// The destination.
+    pub destination: u32,
+    /// The affected route of a destination with independent routes; `None` if the whole destination is
+    /// affected.
+    pub route: Option<u32>,
+    /// When the outage began.
+    pub from: Time,
+    /// When the outage ended and the recovery ramp began.
+    pub until: Time,
+    /// Capacity after the recovery ramp, in calls per second.
+    pub capacity: f64,
+    /// The fraction of the capacity that is available right after the outage.
+    pub slow_start_ratio: f64,
+    /// Duration of the recovery ramp.
+    pub slow_start_duration: Time,
+    /// Whether connections were refused. Whose connections were refused may be unknown; see
+    /// [`Records::failed_connects`](crate::Records::failed_connects).
+    pub refused_connections: bool,
+}
+
+/// A time in which a courier was not running, as after SIGSTOP.
+#[derive(Clone, Debug)]
+pub struct Stall {
+    /// The courier.
+    pub courier: u32,
+    /// The incarnation of the courier.
+    pub incarnation: u32,
+    /// When the stall began.
+    pub from: Time,
+    /// When the stall ended.
+    pub until: Time,
+}
+
+impl Stall {
+    /// The incarnation of the courier that was not running.
+    pub(crate) fn stalled(&self) -> CourierIncarnation {
+        CourierIncarnation { courier: self.courier, incarnation: self.incarnation }
+    }
+}
+
+/// A time in which nothing reached a courier from one side. What was sent meanwhile arrived afterwards.
+#[derive(Clone, Copy, Debug)]
+pub struct Partition {
+    /// The courier that was cut off.
+    pub courier: u32,
+    /// When the partition began.
+    pub from: Time,
+    /// When the partition ended.
+    pub until: Time,
+    /// Whether the courier was cut off from its clients, in both directions.
+    pub clients: bool,
+    /// Whether the courier was cut off from endpoints.
+    pub endpoints: bool,
+}
+
+impl Partition {
+    pub(super) fn is_in_force(&self, at: Time) -> bool {
+        self.from <= at && at < self.until
+    }
+}
+
+/// A connection of a courier to an endpoint that could not be established, or ended before the endpoint had
+/// sent anything.
+#[derive(Clone, Copy, Debug)]
+pub struct FailedConnect {
+    /// The courier.
+    pub courier: u32,
+    /// The incarnation of the courier.
+    pub incarnation: u32,
+    /// The endpoint of the connection.
+    pub endpoint: u32,
+    /// When the courier began to connect.
+    pub from: Time,
+    /// When the courier saw that the connection had failed.
+    pub at: Time,
+}
+
+impl FailedConnect {
+    /// The incarnation of the courier that saw the connection fail.
+    pub(crate) fn witness(&self) -> CourierIncarnation {
+        CourierIncarnation { courier: self.courier, incarnation: self.incarnation }
+    }
+}
--- a/crates/conformance/src/report.rs
+++ b/crates/conformance/src/report.rs
@@ -1,108 +1,117 @@
-//! What the checks found.
+//! The outcome of the conformance checks.
 
 use serde::Serialize;
 
-/// How many broken cases of a rule are described.
+/// How many violations of a rule are described in words; further ones are only counted.
 const MAX_EXAMPLES: usize = 5;
 
-/// What the check of one rule found.
+/// The outcome of the check of one rule.
 #[derive(Clone, Debug, Serialize)]
 pub struct InvariantResult {
-    /// The rule.
+    /// The number and title of the rule.
     pub rule: &'static str,
-    /// Cases in which it was at stake.
+    /// How many cases the rule applied to. A rule without cases was not tested.
     pub checked: u64,
-    /// Cases in which it was broken.
-    pub broken: u64,
-    /// The first of these, in words.
+    /// How many of these cases violated the rule.
+    #[serde(rename = "broken")]
+    pub violations: u64,
+    /// Descriptions of the first violations.
     pub examples: Vec<String>,
 }
 
-/// Whether a case kept its rule.
+/// Whether one case satisfied its rule.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum CaseOutcome {
-    Kept,
-    Broken,
+    Satisfied,
+    Violated,
 }
 
 impl CaseOutcome {
-    /// The case kept its rule exactly if this holds.
-    pub(crate) fn kept_if(condition: bool) -> CaseOutcome {
+    /// Returns `Satisfied` exactly if `condition` holds.
+    pub(crate) fn satisfied_if(condition: bool) -> CaseOutcome {
         if condition {
-            CaseOutcome::Kept
+            CaseOutcome::Satisfied
         } else {
-            CaseOutcome::Broken
+            CaseOutcome::Violated
         }
     }
 }
 
 impl InvariantResult {
     pub(crate) fn new(rule: &'static str) -> Self {
-        InvariantResult { rule, checked: 0, broken: 0, examples: Vec::new() }
+        InvariantResult { rule, checked: 0, violations: 0, examples: Vec::new() }
     }
 
-    /// Counts a case; `describe` says what went wrong if it was broken.
+    /// Counts a case. `describe` is called only for a violation that becomes an example.
     pub(crate) fn record(&mut self, outcome: CaseOutcome, describe: impl FnOnce() -> String) {
         self.checked += 1;
-        if outcome == CaseOutcome::Kept {
+        if outcome == CaseOutcome::Satisfied {
             return;
         }
-        self.broken += 1;
+        self.violations += 1;
         if self.examples.len() < MAX_EXAMPLES {
             self.examples.push(describe());
         }
     }
 }
 
-/// What became of the messages of a class.
+/// How the messages of one class ended. Each message counts once, however often its client submitted it.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct ClassSummary {
-    /// The class.
+    /// The name of the class.
     pub class: String,
-    /// Messages, retries by clients not counted.
+    /// Messages, not counting retries by clients.
     pub messages: u64,
-    /// Served within the latency objective, counted from the first submission.
-    pub in_aim: u64,
-    /// Served later.
+    /// Messages served within the latency objective, counted from the first submission.
+    #[serde(rename = "in_aim")]
+    pub within_objective: u64,
+    /// Messages served after the latency objective.
     pub late: u64,
-    /// Last answer: rejected.
-    pub refused: u64,
-    /// Last answer: failed.
+    /// Messages whose last answer was a rejection.
+    #[serde(rename = "refused")]
+    pub rejected: u64,
+    /// Messages whose last answer was a failure.
     pub failed: u64,
-    /// No answer, though a second execution does no harm: its time went by.
+    /// Idempotent messages without an answer: the client could have submitted them again, and their time ran
+    /// out.
     pub lost: u64,
-    /// No answer, and the client may not submit it again: nobody can say what became of it.
+    /// Other messages without an answer: the client must not submit them again, and whether they were
+    /// executed is unknown.
     pub unknown: u64,
-    /// Submissions, first ones counted.
-    pub tries: u64,
-    /// Messages that reached an endpoint, counted each time.
+    /// Submissions, including retries by clients.
+    #[serde(rename = "tries")]
+    pub submissions: u64,
+    /// Arrivals at endpoints; a message that arrived several times counts each time.
     pub attempts: u64,
-    /// Weight asked for.
-    pub asked: f64,
-    /// Weight delivered.
-    pub worth: f64,
+    /// Sum of the priority weights of all messages.
+    #[serde(rename = "asked")]
+    pub requested_weight: f64,
+    /// Sum of the weights that messages had when they were served.
+    #[serde(rename = "worth")]
+    pub delivered_weight: f64,
 }
 
-/// Rules and classes.
+/// The outcome of all checks of a run.
 #[derive(Clone, Debug, Serialize)]
 pub struct Report {
-    /// The six rules.
+    /// The results of the six rules, in order.
     pub rules: Vec<InvariantResult>,
-    /// The classes.
+    /// The summaries of the classes, by class number.
     pub classes: Vec<ClassSummary>,
-    /// Weight delivered over weight asked for.
+    /// Delivered weight divided by requested weight, over all classes.
     pub service: f64,
-    /// The same for the ten seconds of first submissions in which it was lowest.
+    /// The lowest such ratio over the messages first submitted within one ten-second interval.
     pub worst_stretch: f64,
-    /// Calls that were rejected.
-    pub calls_refused: u64,
+    /// Calls that endpoints rejected.
+    #[serde(rename = "calls_refused")]
+    pub rejected_calls: u64,
     /// Calls that reached an endpoint.
     pub calls: u64,
 }
 
 impl Report {
-    /// No rule was broken.
-    pub fn kept(&self) -> bool {
-        self.rules.iter().all(|result| result.broken == 0)
+    /// Returns whether no rule was violated.
+    pub fn is_conformant(&self) -> bool {
+        self.rules.iter().all(|result| result.violations == 0)
     }
 }
--- a/crates/conformance/src/rules.rs
+++ b/crates/conformance/src/rules.rs
@@ -1,4 +1,6 @@
-//! One module for each of the six rules. Each counts the cases in which its rule was at stake.
+//! The checks of the six rules, one module each. Every check counts the cases to which its rule applied.
+//!
+//! The title of a rule is recorded in reports, journals and found scenarios, so it must not change.
 
 pub(crate) mod draining;
 pub(crate) mod final_answer;
@@ -9,7 +11,7 @@
 
 use linnetcart::Time;
 
-/// A span in milliseconds, for descriptions.
-fn millis(span: Time) -> f64 {
-    span as f64 / 1e6
+/// Converts a duration to milliseconds, for descriptions.
+fn millis(duration: Time) -> f64 {
+    duration as f64 / 1e6
 }
--- a/crates/conformance/src/rules/draining.rs
+++ b/crates/conformance/src/rules/draining.rs
@@ -1,4 +1,4 @@
-//! Rule 3: nothing new goes to an endpoint that is draining or gone.
+//! Rule 3: no new work is sent to an endpoint that is draining or gone.
 
 use super::millis;
 use crate::invariants::Invariants;
@@ -7,23 +7,25 @@
 use linnetcart::Time;
 use std::collections::BTreeMap;
 
-/// Of whom a courier was notified.
+const RULE: &str = "3 nothing new to a draining or gone endpoint";
+
+/// A courier and the endpoint that it was notified of.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Subject {
     recipient: CourierIncarnation,
     endpoint: u32,
 }
 
-/// A state of an endpoint and since when a courier knew it. Sorted by time.
+/// A state of an endpoint, and since when a courier knew it. Ordered by time.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct KnownState {
     since: Time,
     ready: bool,
 }
 
-/// Checks all arrivals at endpoints that their senders knew to be draining or gone.
+/// Checks all arrivals at endpoints that the sending courier knew to be draining or gone.
 pub(crate) fn check(records: &Records, invariants: &Invariants) -> InvariantResult {
-    let mut result = InvariantResult::new("3 nothing new to a draining or gone endpoint");
+    let mut result = InvariantResult::new(RULE);
     let known_states = states_by_subject(records);
     for arrival in &records.arrivals {
         let subject = Subject { recipient: arrival.sender(), endpoint: arrival.endpoint };
@@ -34,15 +36,15 @@
             continue;
         }
         let in_grace = sent <= state.since + invariants.drain_grace + invariants.timing_tolerance;
-        result.record(CaseOutcome::kept_if(in_grace), || {
+        result.record(CaseOutcome::satisfied_if(in_grace), || {
             let after = millis(sent - state.since);
             format!(
-                "endpoint {}: courier {} sent {after:.0} ms after the news",
+                "endpoint {}: courier {} sent {after:.0} ms after the notification",
                 arrival.endpoint, arrival.courier
             )
         });
     }
-    // A notification that was followed without a late call is a case too.
+    // An endpoint of which a courier was notified is a case even if the courier sent nothing more to it.
     let not_ready = |states: &&Vec<KnownState>| states.iter().any(|state| !state.ready);
     result.checked += known_states.values().filter(not_ready).count() as u64;
     result
--- a/crates/conformance/src/rules/final_answer.rs
+++ b/crates/conformance/src/rules/final_answer.rs
@@ -1,4 +1,4 @@
-//! Rule 1: each submission gets one final answer in time, and nothing is sent after it.
+//! Rule 1: each submission gets exactly one final answer in time, and the message is not sent after it.
 
 use super::millis;
 use crate::index::RecordIndex;
@@ -7,38 +7,41 @@
 use crate::report::{CaseOutcome, InvariantResult};
 use linnetcart::Time;
 
-/// Trips of a new connection and its first request: there, back and there again.
+const RULE: &str = "1 one final answer in time, nothing sent after";
+
+/// One-way trips until the first request on a new connection arrives: SYN, SYN-ACK, and the request.
 const CONNECTION_TRIPS: u64 = 3;
 
-/// Checks all submissions.
+/// Checks the answers to all submissions, and that nothing was sent after them.
 pub(crate) fn check(records: &Records, invariants: &Invariants, index: &RecordIndex<'_>) -> InvariantResult {
-    let mut result = InvariantResult::new("1 one final answer in time, nothing sent after");
+    let mut result = InvariantResult::new(RULE);
     for submission in &records.submissions {
-        check_answer(&mut result, submission, latest_answer(records, invariants, submission));
+        check_answer(&mut result, submission, answer_deadline(records, invariants, submission));
         check_silence_after_answer(&mut result, invariants, index, submission);
     }
     if records.stray_answers > 0 {
         let stray = records.stray_answers;
-        result.record(CaseOutcome::Broken, || format!("{stray} answers that no request waited for"));
+        result.record(CaseOutcome::Violated, || format!("{stray} answers without a pending request"));
     }
     result
 }
 
-/// When the client must have the final answer.
-fn latest_answer(records: &Records, invariants: &Invariants, submission: &Submission) -> Time {
+/// Returns the latest time at which the client may receive the final answer.
+fn answer_deadline(records: &Records, invariants: &Invariants, submission: &Submission) -> Time {
     let courier = submission.courier;
     let travelled = submission.answer_travelled;
-    // What is on its way when its time is up is answered when it comes: after a partition, and after the trips of
-    // a new connection.
+    // A message that arrives after its deadline is answered on arrival: after a partition, or after the trips
+    // of a new connection.
     let arrived = records.received_between_client_and_courier(courier, submission.at);
     let due = submission.deadline.max(arrived + CONNECTION_TRIPS * travelled);
     let due = after_stall(records, submission, due);
-    // Then its answer makes one trip.
+    // The answer then makes one trip back.
     let received = records.received_between_client_and_courier(courier, due);
     received + invariants.answer_grace + invariants.timing_tolerance + travelled
 }
 
-/// What is due while the courier is not running is due when it runs again.
+/// Returns when the courier can send what is due at this time: if it is stalled then, at the end of the
+/// stall.
 fn after_stall(records: &Records, submission: &Submission, due: Time) -> Time {
     let holder = submission.holder();
     let mut stalls = records.stalls.iter();
@@ -52,7 +55,7 @@
         return;
     }
     let in_time = matches!(answers, [only] if only.at <= latest);
-    result.record(CaseOutcome::kept_if(in_time), || match answers {
+    result.record(CaseOutcome::satisfied_if(in_time), || match answers {
         [only] => format!(
             "message {}: due at {:.0} ms, answered {:.0} ms later by courier {}",
             submission.message,
@@ -71,7 +74,7 @@
     submission: &Submission,
 ) {
     let Some(answer) = submission.answers.first() else { return };
-    // A retry by the client has answers of its own.
+    // A retry by the client has its own answers and is checked on its own.
     let next_submission = index.next_submission_at(submission);
     for arrival in index.arrivals_of(submission.message) {
         let sent = arrival.sent();
@@ -80,7 +83,7 @@
             continue;
         }
         let silent = sent <= answer.at + invariants.timing_tolerance;
-        result.record(CaseOutcome::kept_if(silent), || {
+        result.record(CaseOutcome::satisfied_if(silent), || {
             let after = millis(sent - answer.at);
             format!("message {}: sent {after:.0} ms after its answer", submission.message)
         });
--- a/crates/conformance/src/rules/key_order.rs
+++ b/crates/conformance/src/rules/key_order.rs
@@ -1,4 +1,5 @@
-//! Rule 5: messages of an ordering key go in turn, with the key's cooldown after an attempt that may still run.
+//! Rule 5: messages with the same ordering key are sent in order, with the cooldown of the key after an
+//! attempt that may still be running.
 
 use super::millis;
 use crate::index::RecordIndex;
@@ -8,7 +9,9 @@
 use linnetcart::Time;
 use std::collections::BTreeMap;
 
-/// Messages of one ordering key on one connection: the courier sends them in turn.
+const RULE: &str = "5 order by key, with the key's rest";
+
+/// The queue of one ordering key on one connection. The courier sends its messages in order.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct KeyQueue {
     key: u64,
@@ -16,9 +19,9 @@
     connection: u64,
 }
 
-/// A message as one courier holds it, from whatever connections.
+/// A message in flight at one courier, over any of its connections.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct HeldMessage {
+struct InFlightMessage {
     message: u64,
     holder: CourierIncarnation,
 }
@@ -27,18 +30,18 @@
 struct AttemptLookup<'a> {
     invariants: &'a Invariants,
     index: &'a RecordIndex<'a>,
-    submissions: BTreeMap<HeldMessage, Vec<&'a Submission>>,
+    submissions: BTreeMap<InFlightMessage, Vec<&'a Submission>>,
 }
 
-/// Checks each two neighbours of all key queues.
+/// Checks each pair of consecutive messages in all key queues.
 pub(crate) fn check(records: &Records, invariants: &Invariants, index: &RecordIndex<'_>) -> InvariantResult {
-    let mut result = InvariantResult::new("5 order by key, with the key's rest");
+    let mut result = InvariantResult::new(RULE);
     let lookup = AttemptLookup { invariants, index, submissions: submissions_by_holder(records) };
     for (queue, mut submissions) in key_queues(records, invariants) {
         submissions.sort_by_key(|submission| submission.position.sequence);
         for neighbours in submissions.windows(2) {
             if let [earlier, later] = neighbours {
-                check_turn(&mut result, &lookup, queue.key, earlier, later);
+                check_order(&mut result, &lookup, queue.key, earlier, later);
             }
         }
     }
@@ -58,23 +61,25 @@
     queues
 }
 
-fn submissions_by_holder(records: &Records) -> BTreeMap<HeldMessage, Vec<&Submission>> {
-    let mut by_holder: BTreeMap<HeldMessage, Vec<&Submission>> = BTreeMap::new();
+fn submissions_by_holder(records: &Records) -> BTreeMap<InFlightMessage, Vec<&Submission>> {
+    let mut by_holder: BTreeMap<InFlightMessage, Vec<&Submission>> = BTreeMap::new();
     for submission in &records.submissions {
-        let held = HeldMessage { message: submission.message, holder: submission.holder() };
-        by_holder.entry(held).or_default().push(submission);
+        let in_flight = InFlightMessage { message: submission.message, holder: submission.holder() };
+        by_holder.entry(in_flight).or_default().push(submission);
     }
     by_holder
 }
 
 impl<'a> AttemptLookup<'a> {
-    /// Attempts of a submission, in the order of their arrival. After a connection broke the courier may hold the
-    /// message from two, and nobody can say of which an attempt is: it stands under the order of neither.
+    /// Returns the attempts of a submission, in the order of their arrival. After a connection broke, a
+    /// courier may have received the message over two connections; an attempt that could belong to either is
+    /// not checked against the order of any.
     fn attempts_of(&self, submission: &Submission) -> Vec<&'a Arrival> {
-        let held = HeldMessage { message: submission.message, holder: submission.holder() };
-        let of_holder = self.submissions.get(&held).map_or(&[][..], Vec::as_slice);
-        let elsewhere = |other: &&Submission| other.position.connection != submission.position.connection;
-        let others: Vec<&Submission> = of_holder.iter().copied().filter(elsewhere).collect();
+        let in_flight = InFlightMessage { message: submission.message, holder: submission.holder() };
+        let of_holder = self.submissions.get(&in_flight).map_or(&[][..], Vec::as_slice);
+        let on_another_connection =
+            |other: &&Submission| other.position.connection != submission.position.connection;
+        let others: Vec<&Submission> = of_holder.iter().copied().filter(on_another_connection).collect();
         let unambiguous = |arrival: &&Arrival| {
             let of_another = others.iter().any(|other| self.is_within(arrival, other));
             self.is_within(arrival, submission) && !of_another
@@ -82,7 +87,7 @@
         self.index.arrivals_of(submission.message).iter().copied().filter(unambiguous).collect()
     }
 
-    /// The holder sent it while it held the submission.
+    /// Returns whether the courier sent the attempt while the submission was in flight.
     fn is_within(&self, arrival: &Arrival, submission: &Submission) -> bool {
         let sent = arrival.sent();
         let latest = submission.completed_at() + self.invariants.timing_tolerance;
@@ -90,14 +95,15 @@
     }
 }
 
-fn check_turn(
+/// Checks that the first attempt at `later` was sent after each attempt at `earlier` and its cooldown.
+fn check_order(
     result: &mut InvariantResult,
     lookup: &AttemptLookup<'_>,
     key: u64,
     earlier: &Submission,
     later: &Submission,
 ) {
-    // A message that was submitted again has its place at the back.
+    // A message that its client submitted again moved to the back of the queue.
     if earlier.message == later.message {
         return;
     }
@@ -105,12 +111,12 @@
     let Some(first) = later_attempts.first() else { return };
     let first_sent = first.sent();
     for attempt in lookup.attempts_of(earlier) {
-        let rested = cooldown_end(attempt, lookup.invariants.key_cooldown);
-        let in_turn =
-            first_sent + lookup.invariants.timing_tolerance >= rested && first_sent >= attempt.sent();
-        result.record(CaseOutcome::kept_if(in_turn), || {
+        let cooled_down_at = cooldown_end(attempt, lookup.invariants.key_cooldown);
+        let in_order =
+            first_sent + lookup.invariants.timing_tolerance >= cooled_down_at && first_sent >= attempt.sent();
+        result.record(CaseOutcome::satisfied_if(in_order), || {
             format!(
-                "key {key:x}: message {} at {:.0} ms, before {} of {:.0} ms was over",
+                "key {key:x}: message {} sent at {:.0} ms, before {} of {:.0} ms was completed",
                 later.message,
                 millis(first_sent),
                 earlier.message,
@@ -120,7 +126,7 @@
     }
 }
 
-/// When the next message of the key may be sent after an attempt.
+/// Returns when the next message of the key may be sent after an attempt.
 fn cooldown_end(attempt: &Arrival, key_cooldown: Time) -> Time {
     let longest = attempt.sent() + key_cooldown;
     match (attempt.verdict, attempt.answered) {
--- a/crates/conformance/src/rules/recovery.rs
+++ b/crates/conformance/src/rules/recovery.rs
@@ -1,5 +1,4 @@
-//! Rule 4: a destination that is back from an outage is not overloaded during its recovery ramp, as far as couriers
-//! knew of the outage.
+//! Rule 4: couriers that knew of an outage do not overload the destination during its recovery ramp.
 
 use super::millis;
 use crate::invariants::Invariants;
@@ -8,10 +7,13 @@
 use linnetcart::Time;
 use std::collections::BTreeMap;
 
-/// Chance brings calls together: a count this many standard deviations above its mean is no overload yet.
+const RULE: &str = "4 a destination back from an outage is not pushed over";
+
+/// Calls cluster by chance: a count up to this many standard deviations above its mean is not an overload.
 const TOLERATED_DEVIATIONS: f64 = 2.0;
-/// Couriers are blamed if at least this part of the calls came from those that knew of the outage.
-const KNOWING_PART: Fraction = Fraction { numerator: 2, denominator: 3 };
+/// An overload is a violation if at least this fraction of its calls came from couriers that knew of the
+/// outage.
+const INFORMED_FRACTION: Fraction = Fraction { numerator: 2, denominator: 3 };
 
 struct Fraction {
     numerator: usize,
@@ -19,7 +21,7 @@
 }
 
 impl Fraction {
-    /// Whether `part` is at least this fraction of `all`.
+    /// Returns whether `part` is at least this fraction of `all`.
     fn is_reached(&self, part: usize, all: usize) -> bool {
         part * self.denominator >= all * self.numerator
     }
@@ -32,14 +34,14 @@
 }
 
 impl OutageKnowledge {
-    /// The courier knows since this time, unless it knew before.
-    fn learned(&mut self, courier: CourierIncarnation, at: Time) {
+    /// Notes that the courier has known since this time, unless it knew earlier.
+    fn learn(&mut self, courier: CourierIncarnation, at: Time) {
         let since = self.since.entry(courier).or_insert(at);
         *since = (*since).min(at);
     }
 
-    /// The courier knows since this time, if nothing else is known of it.
-    fn presumed(&mut self, courier: CourierIncarnation, at: Time) {
+    /// Assumes that the courier has known since this time, unless a time is noted already.
+    fn presume(&mut self, courier: CourierIncarnation, at: Time) {
         self.since.entry(courier).or_insert(at);
     }
 
@@ -48,9 +50,9 @@
     }
 }
 
-/// Checks the recovery ramp of all outages in which calls came.
+/// Checks all recovery ramps during which calls arrived.
 pub(crate) fn check(records: &Records, invariants: &Invariants) -> InvariantResult {
-    let mut result = InvariantResult::new("4 a destination back from an outage is not pushed over");
+    let mut result = InvariantResult::new(RULE);
     for outage in &records.outages {
         let calls = calls_to(records, outage);
         let ramp = outage.until..outage.until + outage.slow_start_duration;
@@ -61,12 +63,12 @@
         }
         let knowledge = knowledge_of(records, invariants, outage, &calls);
         let overload = first_overload(invariants, outage, &during_ramp, &knowledge);
-        result.record(CaseOutcome::kept_if(overload.is_none()), || describe(outage, overload.as_ref()));
+        result.record(CaseOutcome::satisfied_if(overload.is_none()), || describe(outage, overload.as_ref()));
     }
     result
 }
 
-/// One arrival of each call to the limit of an outage, by call.
+/// Returns one arrival of each call to the limit of an outage, ordered by call.
 fn calls_to<'a>(records: &'a Records, outage: &Outage) -> Vec<&'a Arrival> {
     let mut by_call: BTreeMap<u64, &Arrival> = BTreeMap::new();
     for arrival in &records.arrivals {
@@ -81,7 +83,8 @@
     outage.route.is_none_or(|route| route == endpoint)
 }
 
-/// Who knew of an outage: by calls that were not served, by connections that failed, or by what must be presumed.
+/// Returns which couriers knew of an outage: from calls that were not served, from failed connections, or by
+/// presumption where failed connections are not recorded.
 fn knowledge_of(
     records: &Records,
     invariants: &Invariants,
@@ -94,14 +97,14 @@
         if call.verdict != EndpointVerdict::Served && during_outage {
             let seen = call.answered.unwrap_or(call.at);
             let received = records.received_from_endpoint(call.courier, seen);
-            knowledge.learned(call.sender(), received + invariants.extra_link_delay);
+            knowledge.learn(call.sender(), received + invariants.extra_link_delay);
         }
     }
     for failed in records.failed_connects.iter().flatten() {
-        let here = records.endpoints.get(&failed.endpoint) == Some(&outage.destination)
+        let of_this_limit = records.endpoints.get(&failed.endpoint) == Some(&outage.destination)
             && concerns_route(outage, failed.endpoint);
-        if here && failed.from < outage.until && failed.at >= outage.from {
-            knowledge.learned(failed.witness(), failed.at);
+        if of_this_limit && failed.from < outage.until && failed.at >= outage.from {
+            knowledge.learn(failed.witness(), failed.at);
         }
     }
     if outage.refused_connections && records.failed_connects.is_none() {
@@ -110,24 +113,25 @@
     knowledge
 }
 
-/// Where failed connections are not recorded, whoever held a message for the destination counts as knowing.
+/// Presumes that every courier knew that had a message in flight for the destination during the outage.
 fn presume_knowledge(knowledge: &mut OutageKnowledge, records: &Records, outage: &Outage) {
     for submission in &records.submissions {
-        let held_during_outage = submission.at < outage.until && submission.completed_at() > outage.from;
-        if submission.destination == outage.destination && held_during_outage {
-            knowledge.presumed(submission.holder(), outage.from.max(submission.at));
+        let in_flight_during_outage = submission.at < outage.until && submission.completed_at() > outage.from;
+        if submission.destination == outage.destination && in_flight_during_outage {
+            knowledge.presume(submission.holder(), outage.from.max(submission.at));
         }
     }
 }
 
-/// A window of the ramp in which more calls came than the destination bears.
+/// A window of the recovery ramp in which more calls arrived than the destination can take.
 struct Overload {
     begin: Time,
     calls: usize,
-    bound: f64,
-    by_knowing_couriers: usize,
+    max_calls: f64,
+    by_informed_couriers: usize,
 }
 
+/// Returns the first overload of the ramp that is a violation, or `None` if there is none.
 fn first_overload(
     invariants: &Invariants,
     outage: &Outage,
@@ -139,38 +143,38 @@
         let end = begin + invariants.overload_window;
         let later = &during_ramp[position..];
         let window = &later[..later.partition_point(|call| call.at < end)];
-        let by_knowing_couriers = window.iter().filter(|call| knowledge.knew_when_sending(call)).count();
+        let by_informed_couriers = window.iter().filter(|call| knowledge.knew_when_sending(call)).count();
         let overload = Overload {
             begin,
             calls: window.len(),
-            bound: bearable_calls(invariants, outage, begin),
-            by_knowing_couriers,
+            max_calls: max_calls(invariants, outage, begin),
+            by_informed_couriers,
         };
-        let blamed = KNOWING_PART.is_reached(by_knowing_couriers, window.len());
-        (overload.calls as f64 > overload.bound && blamed).then_some(overload)
+        let is_violation = INFORMED_FRACTION.is_reached(by_informed_couriers, window.len());
+        (overload.calls as f64 > overload.max_calls && is_violation).then_some(overload)
     };
     (0..during_ramp.len()).find_map(overload_at)
 }
 
-/// How many calls the destination bears in a window of the ramp.
-fn bearable_calls(invariants: &Invariants, outage: &Outage, begin: Time) -> f64 {
-    // Its capacity grows evenly during the ramp: in the mean, it is that of the middle of the window.
+/// Returns how many calls may arrive in the window of the ramp that starts at `begin`.
+fn max_calls(invariants: &Invariants, outage: &Outage, begin: Time) -> f64 {
+    // The capacity grows linearly during the ramp, so its mean is the capacity in the middle of the window.
     let middle = (begin - outage.until) as f64 + invariants.overload_window as f64 / 2.0;
     let progress = (middle / outage.slow_start_duration.max(1) as f64).min(1.0);
     let share = outage.slow_start_ratio + (1.0 - outage.slow_start_ratio) * progress;
     let mean = invariants.overload_ratio * share * outage.capacity * invariants.overload_window as f64 / 1e9;
-    // One call is always bearable.
+    // A single call is never an overload.
     mean + TOLERATED_DEVIATIONS * mean.sqrt() + 1.0
 }
 
 fn describe(outage: &Outage, overload: Option<&Overload>) -> String {
     let Some(overload) = overload else { return String::new() };
     format!(
-        "destination {}: {} calls in a span that bears {:.1}, {} by couriers that knew, {:.0} ms after its return",
+        "destination {}: {} calls in a window for {:.1}, {} by couriers that knew, {:.0} ms after the outage",
         outage.destination,
         overload.calls,
-        overload.bound,
-        overload.by_knowing_couriers,
+        overload.max_calls,
+        overload.by_informed_couriers,
         millis(overload.begin - outage.until)
     )
 }
--- a/crates/conformance/src/rules/retry_after.rs
+++ b/crates/conformance/src/rules/retry_after.rs
@@ -1,4 +1,4 @@
-//! Rule 6: a courier keeps to the Retry-After that it was given.
+//! Rule 6: a courier honours the Retry-After that it was given.
 
 use super::millis;
 use crate::invariants::Invariants;
@@ -6,7 +6,9 @@
 use crate::report::{CaseOutcome, InvariantResult};
 use std::collections::BTreeMap;
 
-/// What a Retry-After holds for: one courier at one destination, or at one independent route of it.
+const RULE: &str = "6 told waits are heeded";
+
+/// The scope of a Retry-After: one courier at one destination, or at one independent route of it.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct LimitedSender {
     sender: CourierIncarnation,
@@ -14,9 +16,9 @@
     route: Option<u32>,
 }
 
-/// Checks all rejections with a Retry-After that could be kept.
+/// Checks all rejections with a Retry-After that reached the courier before it expired.
 pub(crate) fn check(records: &Records, invariants: &Invariants) -> InvariantResult {
-    let mut result = InvariantResult::new("6 told waits are heeded");
+    let mut result = InvariantResult::new(RULE);
     let mut by_limit: BTreeMap<LimitedSender, Vec<&Arrival>> = BTreeMap::new();
     for arrival in &records.arrivals {
         by_limit.entry(limited_sender(arrival)).or_default().push(arrival);
@@ -39,6 +41,7 @@
     }
 }
 
+/// Checks that the sender made no further call to the limit before the Retry-After of `rejected` was over.
 fn check_rejection(
     result: &mut InvariantResult,
     records: &Records,
@@ -59,10 +62,10 @@
         sent + tolerance < until && sent > received + tolerance && other.call != rejected.call
     };
     let early = later.iter().find(is_early);
-    result.record(CaseOutcome::kept_if(early.is_none()), || {
+    result.record(CaseOutcome::satisfied_if(early.is_none()), || {
         let sent = early.map_or(0, |other| other.sent());
         format!(
-            "destination {}: courier {} was told {:.0} ms and sent after {:.0}",
+            "destination {}: courier {} was given a Retry-After of {:.0} ms and sent again after {:.0} ms",
             rejected.destination,
             rejected.courier,
             millis(retry_after),
--- a/crates/conformance/src/rules/single_effect.rs
+++ b/crates/conformance/src/rules/single_effect.rs
@@ -1,4 +1,4 @@
-//! Rule 2: no message takes effect twice.
+//! Rule 2: no message takes effect more than once.
 
 use super::millis;
 use crate::index::RecordIndex;
@@ -7,23 +7,27 @@
 use crate::report::{CaseOutcome, InvariantResult};
 use linnetcart::{Idempotency, Time};
 
-/// How endpoints recognize a message with an idempotency key.
+const RULE: &str = "2 no effect twice";
+
+/// How endpoints deduplicate messages with an idempotency key.
 #[derive(Clone, Copy)]
 struct Deduplication {
+    /// How long after the first execution an endpoint recognizes the key.
     window: Time,
+    /// Whether only the endpoints of one zone share their keys.
     per_zone: bool,
 }
 
-/// One message: its submissions, and the arrivals that may have been executed.
+/// A message with its submissions and the arrivals that may have been executed.
 struct MessageHistory<'a> {
     message: u64,
     submissions: &'a [&'a Submission],
     possibly_executed: Vec<&'a Arrival>,
 }
 
-/// Checks all messages that may not simply be repeated.
+/// Checks all messages of classes that are not idempotent by themselves.
 pub(crate) fn check(invariants: &Invariants, index: &RecordIndex<'_>) -> InvariantResult {
-    let mut result = InvariantResult::new("2 no effect twice");
+    let mut result = InvariantResult::new(RULE);
     for (message, submissions) in index.messages() {
         let arrivals = index.arrivals_of(message);
         let possibly_executed = arrivals.iter().copied().filter(|arrival| !arrival.is_rejected()).collect();
@@ -39,7 +43,8 @@
                 let deduplication = Deduplication { window, per_zone };
                 history.check_window_across_couriers(&mut result, invariants, deduplication);
                 history.check_attempts_of_each_holder(&mut result, invariants, deduplication);
-                // A rejected message may have run where all endpoints know its key.
+                // Where all endpoints share their keys, a message may be rejected after it was executed: they
+                // recognize it when it is submitted again.
                 if per_zone {
                     history.check_rejections(&mut result);
                 } else {
@@ -54,13 +59,18 @@
 impl MessageHistory<'_> {
     fn check_single_execution(&self, result: &mut InvariantResult, effects: usize) {
         let executions = self.possibly_executed.len();
-        result.record(CaseOutcome::kept_if(executions <= 1 && effects <= 1), || {
+        result.record(CaseOutcome::satisfied_if(executions <= 1 && effects <= 1), || {
             let texts: Vec<String> = self.possibly_executed.iter().map(|a| describe(a)).collect();
-            format!("message {} may have run {executions} times: {}", self.message, texts.join("; "))
+            format!(
+                "message {} may have been executed {executions} times: {}",
+                self.message,
+                texts.join("; ")
+            )
         });
     }
 
-    /// A client that submits the message to another courier keeps to the window too.
+    /// Checks that a message that its client submitted again was not sent after the deduplication window,
+    /// where all endpoints share their keys.
     fn check_window_across_couriers(
         &self,
         result: &mut InvariantResult,
@@ -74,13 +84,17 @@
         let first_sent = first.sent();
         let last_sent = self.possibly_executed.iter().map(|arrival| arrival.sent()).max().unwrap_or(0);
         let in_window = last_sent <= first_sent + deduplication.window + invariants.timing_tolerance;
-        result.record(CaseOutcome::kept_if(in_window), || {
+        result.record(CaseOutcome::satisfied_if(in_window), || {
             let after = millis(last_sent - first_sent);
-            format!("message {}: handed on, it was sent {after:.0} ms after the first time", self.message)
+            format!(
+                "message {}: resubmitted by its client, sent {after:.0} ms after the first attempt",
+                self.message
+            )
         });
     }
 
-    /// The attempts of each submission stand under the rule of the courier that held it.
+    /// Checks that each courier sent the message only where and while its key was recognized, counted from
+    /// the courier's own first attempt.
     fn check_attempts_of_each_holder(
         &self,
         result: &mut InvariantResult,
@@ -95,13 +109,13 @@
             let recognized = |attempt: &&Arrival| {
                 attempt.sent() <= latest && (!deduplication.per_zone || attempt.zone == first.zone)
             };
-            result.record(CaseOutcome::kept_if(attempts.iter().all(recognized)), || {
-                format!("message {}: sent again outside of its window or group", self.message)
+            result.record(CaseOutcome::satisfied_if(attempts.iter().all(recognized)), || {
+                format!("message {}: sent again outside of its deduplication window or zone", self.message)
             });
         }
     }
 
-    /// What the holder of a submission sent before the message was submitted again.
+    /// Returns the attempts that the courier made before the message was submitted again.
     fn attempts_of(&self, submission: &Submission, next_submission: Time) -> Vec<&Arrival> {
         let by_holder = |arrival: &&Arrival| {
             let sent = arrival.sent();
@@ -110,34 +124,35 @@
         self.possibly_executed.iter().copied().filter(by_holder).collect()
     }
 
-    /// A message that may have run must not be rejected: the client would submit it again.
+    /// Checks that no message was rejected after it may have been executed: the client would submit it again.
     fn check_rejections(&self, result: &mut InvariantResult) {
         for submission in self.submissions {
             let Some(rejected_at) = rejected_at(submission) else { continue };
-            let ran_before = self.possibly_executed.iter().any(|arrival| {
-                let held = submission.at..=rejected_at;
-                arrival.sender() == submission.holder() && held.contains(&arrival.sent())
+            let executed_before = self.possibly_executed.iter().any(|arrival| {
+                let in_flight = submission.at..=rejected_at;
+                arrival.sender() == submission.holder() && in_flight.contains(&arrival.sent())
             });
-            result.record(CaseOutcome::kept_if(!ran_before), || {
-                format!("message {}: refused though it may have run", self.message)
+            result.record(CaseOutcome::satisfied_if(!executed_before), || {
+                format!("message {}: rejected though it may have been executed", self.message)
             });
         }
     }
 
-    /// Rejections that keep the rule whatever ran before are cases too.
+    /// Counts rejections that satisfy the rule whatever was executed before.
     fn count_rejections(&self, result: &mut InvariantResult) {
         for _ in self.submissions.iter().filter(|submission| rejected_at(submission).is_some()) {
-            result.record(CaseOutcome::Kept, String::new);
+            result.record(CaseOutcome::Satisfied, String::new);
         }
     }
 }
 
-/// When the first answer to a submission came, if that was a rejection.
+/// Returns when the first answer to a submission arrived if it was a rejection, and `None` otherwise.
 fn rejected_at(submission: &Submission) -> Option<Time> {
     let first = submission.answers.first()?;
     (first.answer == Answer::Rejected).then_some(first.at)
 }
 
+/// Describes an arrival by time, endpoint, courier and verdict.
 fn describe(arrival: &Arrival) -> String {
     format!(
         "{:.0} ms at {} by {}: {:?}",
--- a/crates/emulator/tests/scenarios.rs
+++ b/crates/emulator/tests/scenarios.rs
@@ -25,7 +25,7 @@
 
 fn assert_invariants_kept(report: &Report, scenario: &str) {
     for invariant in &report.rules {
-        assert_eq!(invariant.broken, 0, "{scenario}: {}: {:#?}", invariant.rule, invariant.examples);
+        assert_eq!(invariant.violations, 0, "{scenario}: {}: {:#?}", invariant.rule, invariant.examples);
     }
 }
 
--- a/crates/scenario/src/fleet/model.rs
+++ b/crates/scenario/src/fleet/model.rs
@@ -19,7 +19,6 @@
         let rules = &self.scenario.rules;
         Invariants {
             classes: self.scenario.class.iter().map(checked_class).collect(),
-            halves: false,
             answer_grace: millis(rules.answer_slack_ms),
             drain_grace: millis(rules.drain_grace_ms),
             key_cooldown: millis(rules.key_rest_ms),
--- a/crates/testbed/src/cli/emulate.rs
+++ b/crates/testbed/src/cli/emulate.rs
@@ -59,7 +59,7 @@
     print_overloads(&run.records);
     print_speed(&run, elapsed);
     println!("digest {}", run.digest);
-    let rules_kept = report.kept();
+    let rules_kept = report.is_conformant();
     let reports = [PolicyReport { policy: args.policy.clone(), report }];
     write_json(args.json.as_deref(), &run_report::json(&name, args.seed, &reports))?;
     print_verdict(rules_kept);
--- a/crates/testbed/src/cli/socket_run.rs
+++ b/crates/testbed/src/cli/socket_run.rs
@@ -70,7 +70,7 @@
     }
     write_json(args.json.as_deref(), &run_report::json(&name, args.seed, &reports))?;
     let library = &reports[0];
-    let rules_kept = library.report.kept();
+    let rules_kept = library.report.is_conformant();
     print_verdict(rules_kept);
     Ok(Outcome::of_check(rules_kept))
 }
--- a/crates/testbed/src/experiment/measures.rs
+++ b/crates/testbed/src/experiment/measures.rs
@@ -2,7 +2,7 @@
 
 use crate::emulated_run::CheckedRun;
 use hdrhistogram::Histogram;
-use linnetcart_conformance::{worth, Answer, ClassSummary, Invariants, Records, Report, Time};
+use linnetcart_conformance::{Answer, ClassSummary, Invariants, Records, Report, Time};
 use linnetcart_scenario::fleet::{Fleet, Timebase};
 use linnetcart_scenario::runner::ScenarioRecords;
 use std::collections::BTreeMap;
@@ -62,24 +62,24 @@
 ) -> Vec<f64> {
     let total = |figure: fn(&ClassSummary) -> u64| report.classes.iter().map(figure).sum::<u64>() as f64;
     let messages = total(|class| class.messages).max(1.0);
-    let worth_asked: f64 = report.classes.iter().map(|class| class.asked).sum();
+    let worth_asked: f64 = report.classes.iter().map(|class| class.requested_weight).sum();
     let served = ServedMessages::of(&records.records, &fleet.invariants(Timebase::Emulated));
-    let rules_broken: u64 = report.rules.iter().map(|rule| rule.broken).sum();
+    let rules_broken: u64 = report.rules.iter().map(|rule| rule.violations).sum();
     let outage_returns = &report.rules[OUTAGE_RETURN_RULE];
     vec![
         report.service,
         report.worst_stretch,
         served.late_worth / worth_asked.max(1e-9),
-        total(|class| class.in_aim) / messages,
-        total(|class| class.refused) / messages,
+        total(|class| class.within_objective) / messages,
+        total(|class| class.rejected) / messages,
         total(|class| class.failed) / messages,
         total(|class| class.lost) / messages,
         total(|class| class.unknown) / messages,
-        total(|class| class.tries) / messages,
+        total(|class| class.submissions) / messages,
         report.calls as f64 / messages,
-        report.calls_refused as f64 / messages,
+        report.rejected_calls as f64 / messages,
         rules_broken as f64,
-        outage_returns.broken as f64 / outage_returns.checked.max(1) as f64,
+        outage_returns.violations as f64 / outage_returns.checked.max(1) as f64,
         records.overloads.len() as f64,
         served.percentile_ms(0.5),
         served.percentile_ms(0.95),
@@ -127,7 +127,7 @@
     fn add(&mut self, age: Time, class: u8, invariants: &Invariants) {
         let class = &invariants.classes[usize::from(class)];
         if age > class.latency_objective {
-            self.late_worth += worth(class, invariants.halves, age);
+            self.late_worth += class.weight_at(age);
         }
         if let Some(times) = &mut self.times {
             times.saturating_record((age / 1000).max(1));
--- a/crates/testbed/src/fault_search.rs
+++ b/crates/testbed/src/fault_search.rs
@@ -78,7 +78,7 @@
 
 impl Severity {
     fn of(report: &Report) -> Severity {
-        let broken: Vec<_> = report.rules.iter().filter(|invariant| invariant.broken > 0).collect();
+        let broken: Vec<_> = report.rules.iter().filter(|invariant| invariant.violations > 0).collect();
         let first_example = broken.iter().find_map(|invariant| invariant.examples.first());
         Severity {
             broken_rules: broken.iter().map(|invariant| invariant.rule).collect(),
--- a/crates/testbed/src/run_report.rs
+++ b/crates/testbed/src/run_report.rs
@@ -27,7 +27,7 @@
     let _ = writeln!(
         text,
         "served worth {:.3}, worst ten seconds {:.3}; {} calls reached endpoints, {} of them refused",
-        report.service, report.worst_stretch, report.calls, report.calls_refused
+        report.service, report.worst_stretch, report.calls, report.rejected_calls
     );
     let _ = writeln!(text, "\n{:<54}{:>10}{:>8}", "rule", "checked", "broken");
     for invariant in &report.rules {
@@ -42,19 +42,19 @@
         "{:<18}{:>9}{:>9}{:>7}{:>9}{:>8}{:>7}{:>9}{:>9}{:>9.1}%",
         class.class,
         class.messages,
-        class.in_aim,
+        class.within_objective,
         class.late,
-        class.refused,
+        class.rejected,
         class.failed,
         class.lost,
         class.unknown,
         class.attempts,
-        100.0 * class.worth / class.asked.max(1e-9)
+        100.0 * class.delivered_weight / class.requested_weight.max(1e-9)
     );
 }
 
 fn write_invariant(text: &mut String, invariant: &InvariantResult) {
-    let _ = writeln!(text, "{:<54}{:>10}{:>8}", invariant.rule, invariant.checked, invariant.broken);
+    let _ = writeln!(text, "{:<54}{:>10}{:>8}", invariant.rule, invariant.checked, invariant.violations);
     for example in &invariant.examples {
         let _ = writeln!(text, "    {example}");
     }
@@ -73,7 +73,7 @@
         let _ = writeln!(
             text,
             "{policy:<14}{:>14.3}{:>12.3}{:>10}{:>10}{broken:>14}",
-            report.service, report.worst_stretch, report.calls, report.calls_refused
+            report.service, report.worst_stretch, report.calls, report.rejected_calls
         );
     }
     text
@@ -81,7 +81,7 @@
 
 /// The numbers of the broken rules, with which their names begin.
 fn broken_rules(report: &Report) -> String {
-    let broken = report.rules.iter().filter(|invariant| invariant.broken > 0);
+    let broken = report.rules.iter().filter(|invariant| invariant.violations > 0);
     let numbers: Vec<&str> = broken.map(|invariant| invariant.rule.split(' ').next().unwrap_or("")).collect();
     if numbers.is_empty() {
         return "none".into();
--- a/crates/testbed/tests/emulated.rs
+++ b/crates/testbed/tests/emulated.rs
@@ -122,7 +122,7 @@
     let text = script(&found).unwrap();
     let again = Recipe { scenario: Scenario::parse(&text).unwrap(), ..found.shrunk.clone() };
     let report = again.run_checked().unwrap().report;
-    let broken = report.rules.iter().find(|f| f.broken > 0).expect("the script breaks it too");
+    let broken = report.rules.iter().find(|f| f.violations > 0).expect("the script breaks it too");
     assert!(found.summary.contains(broken.rule));
 }
 
@@ -209,7 +209,7 @@
         let (day, seed) = (Scenario::parse(text).unwrap(), seed.expect("the second line has the seed"));
         let report = Recipe::new(day, seed).run_checked().unwrap().report;
         for invariant in &report.rules {
-            assert_eq!(invariant.broken, 0, "{name}: {}: {:?}", invariant.rule, invariant.examples);
+            assert_eq!(invariant.violations, 0, "{name}: {}: {:?}", invariant.rule, invariant.examples);
         }
     }
 }
--- a/crates/testbed/tests/rules.rs
+++ b/crates/testbed/tests/rules.rs
@@ -79,7 +79,7 @@
     let records = socket_run::run(&fleet, &options).unwrap();
     let report = check(&records.records, &fleet.invariants(Timebase::Sockets));
     std::fs::remove_dir_all(dir).unwrap();
-    assert!(report.kept(), "{}", linnetcart_testbed::run_report::table(&report));
+    assert!(report.is_conformant(), "{}", linnetcart_testbed::run_report::table(&report));
     assert!(report.service > 0.5, "{}", linnetcart_testbed::run_report::table(&report));
     report
 }
