--- a/crates/emulator/src/connections.rs
+++ b/crates/emulator/src/connections.rs
@@ -1,5 +1,6 @@
-//! Connections as TCP makes them: in order in each direction, with a delay, and an end that each side learns of
-//! for itself. A direction may be blocked; what is sent meanwhile waits in the sender's system and leaves after.
+//! Connections as TCP makes them: in order in each direction, with a delay, and an end that each side learns
+//! of for itself. A direction may be blocked; what is sent meanwhile waits in the sender's system and leaves
+//! after.
 
 mod connection;
 mod faults;
@@ -142,7 +143,8 @@
         self.faults.end_slowdown(fault);
     }
 
-    /// Breaks a connection: this share of the next data still arrives. The first break of a connection counts.
+    /// Breaks a connection: this share of the next data still arrives. The first break of a connection
+    /// counts.
     pub fn break_connection(&mut self, token: Token, surviving_share: PerDirection<f64>) {
         if let Some(connection) = self.connections.get_mut(&token) {
             connection.surviving_share.get_or_insert(surviving_share);
@@ -165,8 +167,8 @@
         }
     }
 
-    /// Sends a segment. Returns when it arrives, or none if it waits behind a partition. A delay is drawn only
-    /// for a segment that leaves.
+    /// Sends a segment. Returns when it arrives, or none if it waits behind a partition. A delay is drawn
+    /// only for a segment that leaves.
     pub fn send(
         &mut self,
         transmission: Transmission<'_>,
@@ -225,8 +227,8 @@
         Some(&self.connections.get(&token)?.streams.from_courier)
     }
 
-    /// Closes one end; true if the other side is still to learn of it. What was sent before still travels, but
-    /// not what a partition holds: a connection that is given up then breaks.
+    /// Closes one end; true if the other side is still to learn of it. What was sent before still travels,
+    /// but not what a partition holds: a connection that is given up then breaks.
     pub fn close_end(&mut self, token: Token, side: Side) -> bool {
         let Some(connection) = self.connections.get_mut(&token) else { return false };
         let other = match side {
--- a/crates/emulator/src/disk.rs
+++ b/crates/emulator/src/disk.rs
@@ -14,8 +14,8 @@
     BeforeRename,
 }
 
-/// A snapshot file. It is encoded only when something reads or damages it: couriers save far more often than they
-/// load.
+/// A snapshot file. It is encoded only when something reads or damages it: couriers save far more often than
+/// they load.
 #[derive(Clone, Debug)]
 struct SnapshotFile {
     snapshot: Snapshot,
--- a/crates/emulator/src/event_queue.rs
+++ b/crates/emulator/src/event_queue.rs
@@ -30,8 +30,8 @@
         self.now
     }
 
-    /// Sets the clock. It may go back: what a host sends leaves at the end of its iteration, while other events
-    /// of that span are still to come.
+    /// Sets the clock. It may go back: what a host sends leaves at the end of its iteration, while other
+    /// events of that span are still to come.
     pub(crate) fn set_now(&mut self, now: Time) {
         self.now = now;
     }
--- a/crates/emulator/src/host.rs
+++ b/crates/emulator/src/host.rs
@@ -214,8 +214,8 @@
         result
     }
 
-    /// Since when the inputs of this iteration may have waited, on the host's own clock. An idle loop polls its
-    /// connections again and again, unless the process is stopped.
+    /// Since when the inputs of this iteration may have waited, on the host's own clock. An idle loop polls
+    /// its connections again and again, unless the process is stopped.
     fn earliest_arrival(&mut self, now: Time) -> Time {
         let polled_until = self.previous_stall.take().unwrap_or(now);
         let was_polling = polled_until > self.busy_until + MAX_POLL_INTERVAL;
--- a/crates/emulator/src/network/transport.rs
+++ b/crates/emulator/src/network/transport.rs
@@ -8,7 +8,7 @@
 use linnetcart_conformance::Time;
 use linnetcart_edge::core::StartOptions;
 use linnetcart_kafka::server::Broker;
-use linnetcart_scenario::runner::{InfrastructureFault, Token, Transport, TransportError};
+use linnetcart_scenario::runner::{InfrastructureFault, StoredState, Token, Transport, TransportError};
 use rand::Rng;
 use std::net::SocketAddr;
 
@@ -35,8 +35,8 @@
         ClockDeviation { monotonic_ahead, drift_ppm, wall_offset }
     }
 
-    /// A share of the connections of these couriers breaks. Part of what travels on them still arrives, cut at any
-    /// byte.
+    /// A share of the connections of these couriers breaks. Part of what travels on them still arrives, cut
+    /// at any byte.
     fn break_connections(&mut self, couriers: &[u32], share: f64) {
         for &courier in couriers {
             for token in self.connections.of_courier(courier) {
@@ -86,15 +86,15 @@
         Network::close(self, token, Side::Peer);
     }
 
-    fn start(&mut self, courier: u32, incarnation: u32, _first: bool) -> Result<bool, TransportError> {
+    fn start(&mut self, courier: u32, incarnation: u32) -> Result<StoredState, TransportError> {
         let options = self.start_options(courier, incarnation);
         let deviation = self.draw_clock_deviation();
         let now = self.now();
         let disk = self.disks.entry(courier).or_default();
         let host = Host::start(now, incarnation, options, deviation, disk);
-        let is_configured = host.is_configured();
+        let stored = if host.is_configured() { StoredState::Recovered } else { StoredState::Missing };
         self.hosts.insert(courier, host);
-        Ok(is_configured)
+        Ok(stored)
     }
 
     fn kill(&mut self, courier: u32) {
@@ -118,7 +118,7 @@
         }
     }
 
-    fn go_on(&mut self, courier: u32) {
+    fn resume(&mut self, courier: u32) {
         if let Some(host) = self.hosts.get_mut(&courier) {
             host.resume();
             self.schedule_iteration(courier);
--- a/crates/emulator/src/run.rs
+++ b/crates/emulator/src/run.rs
@@ -7,7 +7,7 @@
 use linnetcart_conformance::{FailedConnect, Time};
 use linnetcart_edge::core::PolicyFactory;
 use linnetcart_scenario::fleet::Fleet;
-use linnetcart_scenario::runner::{ScenarioRecords, ScenarioRunner};
+use linnetcart_scenario::runner::{FinishedRun, ScenarioRecords, ScenarioRunner};
 use std::error::Error;
 
 const SECOND: Time = 1_000_000_000;
@@ -149,8 +149,8 @@
 
     fn into_result(self) -> EmulatedRun {
         let scenario_start = self.scenario_start;
-        let (mut records, network) = self.runner.into_records();
-        let results = network.into_results();
+        let FinishedRun { mut records, transport } = self.runner.finish();
+        let results = transport.into_results();
         let failed_connects = results.failed_connects.into_iter();
         records.records.failed_connects =
             Some(failed_connects.map(|failed| on_scenario_clock(failed, scenario_start)).collect());
--- a/crates/emulator/tests/scenarios.rs
+++ b/crates/emulator/tests/scenarios.rs
@@ -1,4 +1,5 @@
-//! Scenarios in virtual time: they repeat bit for bit, keep the invariants, and cause the faults that they name.
+//! Scenarios in virtual time: they repeat bit for bit, keep the invariants, and cause the faults that they
+//! name.
 
 use linnetcart_conformance::{check, Answer, EndpointVerdict, Report, Submission};
 use linnetcart_edge::delivery_events::{DeliveryEvent, FinalAnswer};
@@ -96,7 +97,8 @@
     let arrival = &records.arrivals[0];
     assert_eq!((submission.answers[0].answer, arrival.verdict), (Answer::Served, EndpointVerdict::Served));
     assert!(arrival.effect);
-    // In, a connection with its greeting, the call, the service, two answers: each way takes the network's delay.
+    // In, a connection with its greeting, the call, the service, two answers: each way takes the network's
+    // delay.
     let answered_at = arrival.answered.unwrap();
     let inbound = arrival.at - submission.at;
     let service = answered_at - arrival.at;
@@ -173,7 +175,8 @@
     let submissions = run.records.records.submissions.iter();
     let couriers: BTreeSet<u32> = submissions.map(|submission| submission.courier).collect();
     assert!(couriers.len() > 290, "{} couriers received a message", couriers.len());
-    // Events grow with messages, not with couriers: the queue does not fill with those that have nothing to do.
+    // Events grow with messages, not with couriers: the queue does not fill with those that have nothing to
+    // do.
     let events_per_message = run.events as f64 / fleet.messages.len() as f64;
     assert!(events_per_message < 60.0, "{events_per_message} events a message");
 }
--- a/crates/endpoint-model/src/limit.rs
+++ b/crates/endpoint-model/src/limit.rs
@@ -14,8 +14,8 @@
 const NANOS_PER_SECOND: f64 = 1e9;
 const NANOS_PER_MILLI: u64 = 1_000_000;
 
-/// Random numbers for a rejection. Both are drawn for each call, so that the outcome of one call does not change the
-/// randomness of the next.
+/// Random numbers for a rejection. Both are drawn for each call, so that the outcome of one call does not
+/// change the randomness of the next.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RejectionDraws {
     /// Decides whether a Retry-After is given.
--- a/crates/scenario/src/fleet.rs
+++ b/crates/scenario/src/fleet.rs
@@ -134,8 +134,8 @@
         self.seed ^ (u64::from(courier) << 32) ^ u64::from(incarnation)
     }
 
-    /// How far a wall clock is ahead of the right time, less where it is behind: any two differ by no more than
-    /// the scenario says.
+    /// How far a wall clock is ahead of the right time, less where it is behind: any two differ by no more
+    /// than the scenario says.
     pub fn clock_off(&self, rng: &mut impl Rng) -> i64 {
         let most = millis(self.scenario.clients.clocks_ms / 2.0) as i64;
         rng.random_range(-most..=most)
--- a/crates/scenario/src/fleet/traffic.rs
+++ b/crates/scenario/src/fleet/traffic.rs
@@ -1,4 +1,5 @@
-//! Messages of a fleet: at random times, with bursts, sudden load and hot destinations as the scenario has them.
+//! Messages of a fleet: at random times, with bursts, sudden load and hot destinations as the scenario has
+//! them.
 
 use super::{draw_between, Fleet, PlannedMessage};
 use crate::scenario::{FaultKind, FaultSpec};
--- a/crates/scenario/src/runner.rs
+++ b/crates/scenario/src/runner.rs
@@ -1,9 +1,10 @@
-//! Everything of a run that is not a courier: clients, endpoints, whoever publishes the endpoint list, and the
-//! faults.
+//! Runs everything of a scenario that is not a courier: clients, endpoints, the publisher of the endpoint
+//! list, and the faults.
 //!
-//! Bytes and endings of connections go in, with clock readings; what is to be written, opened, closed and done to
-//! couriers goes to the [`Transport`]. All that crosses it is recorded for the rule checks. The runner never reads a
-//! clock and knows of couriers only what clients, endpoints and the control interface see.
+//! The owner of the runner passes in received bytes, connection events and clock readings. The runner calls
+//! the [`Transport`] to send, open and close, and to control couriers, and it records all traffic for the
+//! conformance checks. It never reads a clock, and knows of couriers only what clients, endpoints and the
+//! control interface see.
 
 mod clients;
 mod couriers;
@@ -13,7 +14,7 @@
 mod timers;
 mod transport;
 
-pub use transport::{InfrastructureFault, Token, Transport, TransportError};
+pub use transport::{InfrastructureFault, StoredState, Token, Transport, TransportError};
 
 use crate::error::ScenarioError;
 use crate::fleet::Fleet;
@@ -27,12 +28,12 @@
 use std::collections::BTreeMap;
 use timers::{Timer, TimerQueue};
 
-/// Bytes of one frame at most, on either side.
+/// Longest frame that clients and endpoints accept, in bytes.
 const MAX_FRAME_BYTES: usize = 4 << 20;
-/// How long after the last deadline the run is over at the latest.
+/// How long after the last deadline a run waits for outstanding answers.
 const LAST_ANSWER_GRACE: Time = 1_000_000_000;
 
-/// A connection that ends at the runner.
+/// A connection whose peer is played by the runner.
 enum Connection {
     /// From a courier to an endpoint.
     Endpoint(EndpointConnection),
@@ -40,19 +41,28 @@
     Client(ClientConnection),
 }
 
-/// What a run left behind.
+/// The records of a run.
 #[derive(Clone, Debug)]
 pub struct ScenarioRecords {
-    /// For the checks.
+    /// The records for the conformance checks.
     pub records: Records,
     /// Limits that were overloaded during their recovery ramp.
     pub overloads: Vec<Overload>,
 }
 
-/// Everything of a run that is not a courier.
+/// A finished run.
+#[derive(Debug)]
+pub struct FinishedRun<T> {
+    /// The records of the run.
+    pub records: ScenarioRecords,
+    /// The transport that carried it.
+    pub transport: T,
+}
+
+/// Runs everything of a scenario that is not a courier.
 pub struct ScenarioRunner<'a, T> {
     fleet: &'a Fleet,
-    /// Whoever carries the bytes and runs the couriers.
+    /// Carries the bytes and runs the couriers.
     pub transport: T,
     now: Time,
     timers: TimerQueue,
@@ -65,12 +75,12 @@
     notifications: Vec<EndpointNotification>,
     stalls: Vec<Stall>,
     partitions: Vec<Partition>,
-    /// Destinations that each fault affects.
+    /// The destinations that each fault affects, drawn when it begins.
     affected_destinations: BTreeMap<usize, Vec<u32>>,
 }
 
 impl<'a, T: Transport> ScenarioRunner<'a, T> {
-    /// The endpoints listen, the couriers are started.
+    /// Opens the endpoints and starts the couriers.
     pub fn new(fleet: &'a Fleet, transport: T) -> Result<ScenarioRunner<'a, T>, ScenarioError> {
         let mut runner = ScenarioRunner {
             fleet,
@@ -100,7 +110,8 @@
         Ok(runner)
     }
 
-    /// Every courier has its settings and the complete endpoint list, and its clients are connected.
+    /// Returns whether every courier has its settings and the complete endpoint list, and its clients are
+    /// connected.
     pub fn ready(&self) -> bool {
         let is_connected = |token: &Token| match self.connections.get(token) {
             Some(Connection::Client(connection)) => connection.connected,
@@ -113,7 +124,7 @@
         })
     }
 
-    /// The run begins: its clock is zero now.
+    /// Begins the run: sets its clock to zero and schedules messages and faults.
     pub fn start_traffic(&mut self) {
         self.now = 0;
         self.notifications.clear();
@@ -126,7 +137,7 @@
         }
     }
 
-    /// All messages are submitted and answered, or the time for it is over.
+    /// Returns whether all messages are submitted and answered, or the time for their answers is over.
     pub fn finished(&self) -> bool {
         let scenario = &self.fleet.scenario;
         let end = seconds(scenario.seconds);
@@ -136,18 +147,18 @@
         self.now > end && (all_answered || self.now > last_deadline + LAST_ANSWER_GRACE)
     }
 
-    /// The clock of the run.
+    /// Returns the clock of the run, in nanoseconds.
     pub fn now(&self) -> Time {
         self.now
     }
 
-    /// Messages that wait for an answer.
+    /// Returns the number of submissions that wait for an answer.
     pub fn open(&self) -> usize {
         self.clients.awaiting_answer
     }
 
-    /// What the run left behind.
-    pub fn into_records(self) -> (ScenarioRecords, T) {
+    /// Ends the run, and returns its records and the transport.
+    pub fn finish(self) -> FinishedRun<T> {
         let records = Records {
             submissions: self.clients.submissions,
             arrivals: self.simulator.arrivals().to_vec(),
@@ -160,20 +171,20 @@
             failed_connects: None,
         };
         let overloads = self.simulator.overloads().to_vec();
-        (ScenarioRecords { records, overloads }, self.transport)
+        FinishedRun { records: ScenarioRecords { records, overloads }, transport: self.transport }
     }
 
-    /// Sets the clock.
+    /// Sets the clock of the run.
     pub fn clock(&mut self, now: Time) {
         self.now = now;
     }
 
-    /// When something is due next.
+    /// Returns when the next timer is due, or `None` if there is none.
     pub fn next_wakeup(&self) -> Option<Time> {
         self.timers.next_at()
     }
 
-    /// Does what is due.
+    /// Runs all timers that are due.
     pub fn run_due_timers(&mut self) -> Result<(), ScenarioError> {
         while let Some(timer) = self.timers.pop_due(self.now) {
             self.run_timer(timer)?;
@@ -194,7 +205,7 @@
             Timer::RemoveEndpoint { endpoint } => self.remove_endpoint(endpoint),
             Timer::RestartCourier { courier } => self.start_courier(courier)?,
             Timer::ResumeCourier { courier } => self.resume_courier(courier),
-            Timer::LosePatience { submission } => self.lose_patience(submission),
+            Timer::AnswerTimeout { submission } => self.time_out_answer(submission),
         }
         Ok(())
     }
@@ -203,7 +214,7 @@
         self.timers.schedule(self.now + delay, timer);
     }
 
-    /// A client's connection is there.
+    /// Handles the establishment of a client connection.
     pub fn connected(&mut self, token: Token) {
         if let Some(Connection::Client(connection)) = self.connections.get_mut(&token) {
             connection.connected = true;
@@ -213,7 +224,7 @@
         }
     }
 
-    /// Bytes came.
+    /// Handles bytes that arrived on a connection.
     pub fn received(&mut self, token: Token, bytes: &[u8]) {
         match self.connections.get(&token) {
             Some(Connection::Endpoint(_)) => self.received_at_endpoint(token, bytes),
@@ -222,7 +233,7 @@
         }
     }
 
-    /// A connection has ended, or could not be made.
+    /// Handles a connection that ended or could not be established.
     pub fn disconnected(&mut self, token: Token) {
         match self.connections.remove(&token) {
             Some(Connection::Endpoint(connection)) => self.release_endpoint(&connection),
--- /dev/null
+++ b/crates/scenario/src/runner/clients/connection.rs
@@ -0,0 +1,112 @@
+//! Connections from clients to couriers, and the requests on them.
+
+use super::NANOS_PER_MILLI;
+use crate::error::ScenarioError;
+use crate::fleet::PlannedMessage;
+use crate::runner::{Connection, ScenarioRunner, Token, Transport, MAX_FRAME_BYTES};
+use crate::scenario::Class;
+use bytes::Bytes;
+use linnetcart_conformance::Time;
+use linnetcart_kafka::{client, Frames, Record};
+use std::collections::BTreeMap;
+
+/// The client id in the requests of the simulated producers. It is on the wire and in the digests of runs, so
+/// it keeps the name that the program had first.
+const CLIENT_ID: &str = "linnetcart-lab";
+/// The version of Produce that the clients speak.
+pub(super) const PRODUCE_VERSION: i16 = 9;
+/// Acks of a Produce request: the broker answers when the message is delivered.
+const ACKS_ALL: i16 = -1;
+/// The value of every message.
+const MESSAGE_VALUE: [u8; 120] = [b'x'; 120];
+
+/// A connection from a client to a courier.
+pub(in crate::runner) struct ClientConnection {
+    pub(in crate::runner) courier: u32,
+    pub(in crate::runner) incarnation: u32,
+    pub(in crate::runner) connected: bool,
+    /// Requests that wait until the connection is established.
+    pub(in crate::runner) backlog: Vec<Bytes>,
+    pub(super) frames: Frames,
+    last_correlation: i32,
+    /// Submissions without an answer, by the correlation ids of their requests.
+    pub(super) waiting: BTreeMap<i32, usize>,
+    /// The sequence number of the last message on the connection.
+    pub(super) last_sequence: u64,
+    /// Offset of the client's wall clock in nanoseconds; negative if the clock is behind.
+    clock_offset: i64,
+}
+
+/// A message that a client is about to submit.
+pub(super) struct OutgoingMessage<'a> {
+    /// The number of the message in the plan.
+    pub(super) number: usize,
+    pub(super) planned: &'a PlannedMessage,
+    pub(super) class: &'a Class,
+    /// How long the message may still be served.
+    pub(super) time_left_ms: u64,
+    /// The true wall-clock time, in nanoseconds since 1970.
+    pub(super) wall_clock: Time,
+}
+
+impl ClientConnection {
+    /// Returns the number of submissions that wait for an answer.
+    pub(in crate::runner) fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Encodes the Produce request of a message and registers it as waiting for an answer. `submission` is
+    /// the position of its record among all submissions.
+    pub(super) fn produce_request(
+        &mut self,
+        message: &OutgoingMessage<'_>,
+        submission: usize,
+    ) -> Result<Bytes, ScenarioError> {
+        let created = message.wall_clock.saturating_add_signed(self.clock_offset);
+        let header = |name: &str, value: String| (name.to_owned(), Some(Bytes::from(value)));
+        let record = Record {
+            key: message.planned.key.map(|key| Bytes::copy_from_slice(&key.to_be_bytes())),
+            value: Some(Bytes::from_static(&MESSAGE_VALUE)),
+            headers: vec![
+                header("message-id", message.number.to_string()),
+                header("deadline-ms", message.time_left_ms.to_string()),
+            ],
+            timestamp: (created / NANOS_PER_MILLI) as i64,
+        };
+        let target = client::ProduceTarget {
+            topic: &message.class.name,
+            partition: message.planned.destination as i32,
+            records: std::slice::from_ref(&record),
+        };
+        self.last_correlation += 1;
+        self.last_sequence += 1;
+        let timeout_ms = i32::try_from(message.time_left_ms).unwrap_or(i32::MAX);
+        let acknowledgement = (ACKS_ALL, timeout_ms);
+        let correlation = self.last_correlation;
+        let request = client::produce(correlation, CLIENT_ID, PRODUCE_VERSION, acknowledgement, &[target])?;
+        self.waiting.insert(correlation, submission);
+        Ok(request)
+    }
+}
+
+impl<T: Transport> ScenarioRunner<'_, T> {
+    /// Opens another client connection to a courier.
+    pub(in crate::runner) fn connect_client(&mut self, courier: u32) -> Token {
+        let token = self.transport.connect(courier);
+        let process = &mut self.couriers[courier as usize];
+        let connection = ClientConnection {
+            courier,
+            incarnation: process.incarnation,
+            connected: false,
+            backlog: Vec::new(),
+            frames: Frames::new(MAX_FRAME_BYTES),
+            last_correlation: 0,
+            waiting: BTreeMap::new(),
+            last_sequence: 0,
+            clock_offset: self.fleet.clock_off(&mut self.clients.clock_rng),
+        };
+        self.connections.insert(token, Connection::Client(connection));
+        process.connections.push(token);
+        token
+    }
+}
--- a/crates/scenario/src/runner/couriers.rs
+++ b/crates/scenario/src/runner/couriers.rs
@@ -1,64 +1,67 @@
-//! Courier processes: started, connected to, killed, stalled.
+//! Courier processes: how they are started, killed, stalled and resumed, and the client connections to them.
 
-use super::{Connection, ScenarioRunner, Timer, Token, Transport};
+use super::{Connection, ScenarioRunner, StoredState, Timer, Token, Transport};
 use crate::error::ScenarioError;
 use crate::units::{millis, seconds};
 use linnetcart_conformance::{Stall, Time};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// An endpoint, and whether it is in service, as a courier is notified of it.
+/// The state of an endpoint in a document for a courier.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct EndpointUpdate {
     pub(super) endpoint: u32,
+    /// Whether the endpoint is ready for new work.
     pub(super) ready: bool,
 }
 
-/// A courier as seen from outside.
+/// The state of a courier as its environment sees it.
 #[derive(Default)]
 pub(super) struct CourierProcess {
     pub(super) running: bool,
     pub(super) incarnation: u32,
-    /// It does not run though it was not killed.
+    /// Whether the process is suspended.
     pub(super) stalled: bool,
     /// Connections of clients that are not bound to an ordering key.
     pub(super) connections: Vec<Token>,
-    /// The connection of each ordering key: answers go in order on a connection, and so do messages of a key.
+    /// The connection of each ordering key. Answers are ordered within a connection, and so are messages of a
+    /// key.
     connection_of_key: BTreeMap<u64, Token>,
-    /// Endpoints of which it is still to be notified.
+    /// Endpoints whose changes the courier has not been notified of.
     pub(super) pending_changes: BTreeSet<u32>,
-    /// It is still to be sent the complete endpoint list.
+    /// Whether the courier has not been sent the complete endpoint list.
     pub(super) needs_complete_list: bool,
-    /// What the document says of endpoints that is on its way to the control interface, if there is one.
+    /// The contents of the document on its way to the control interface, or `None` if there is no such
+    /// document.
     pub(super) document_under_way: Option<Vec<EndpointUpdate>>,
-    /// It has no settings yet.
+    /// Whether the courier has no settings yet.
     pub(super) needs_settings: bool,
 }
 
 impl CourierProcess {
-    /// It has its settings and the complete endpoint list.
+    /// Returns whether the courier has its settings and the complete endpoint list.
     pub(super) fn is_up_to_date(&self) -> bool {
         self.document_under_way.is_none() && !self.needs_complete_list
     }
 
-    /// There is something to be sent to its control interface, and nothing under way.
+    /// Returns whether endpoint changes are pending and no document is under way.
     pub(super) fn can_be_notified(&self) -> bool {
         let has_changes = self.needs_complete_list || !self.pending_changes.is_empty();
         self.running && self.document_under_way.is_none() && has_changes
     }
 
-    /// A new incarnation runs.
-    fn started(&mut self, has_settings: bool) {
+    /// Resets the state for a new incarnation.
+    fn on_start(&mut self, stored: StoredState) {
         self.running = true;
         self.stalled = false;
-        self.needs_settings = !has_settings;
+        self.needs_settings = stored == StoredState::Missing;
         self.document_under_way = None;
         self.needs_complete_list = true;
         self.connections.clear();
         self.connection_of_key.clear();
     }
 
-    /// The incarnation ends.
-    fn killed(&mut self) {
+    /// Ends the incarnation.
+    fn on_kill(&mut self) {
         self.running = false;
         self.incarnation += 1;
         self.pending_changes.clear();
@@ -70,31 +73,33 @@
     /// Starts a courier, for the first time or after it was killed.
     pub(super) fn start_courier(&mut self, courier: u32) -> Result<(), ScenarioError> {
         let incarnation = self.couriers[courier as usize].incarnation;
-        let first = incarnation == 0;
-        let has_settings =
-            self.transport.start(courier, incarnation, first).map_err(ScenarioError::Transport)?;
-        self.couriers[courier as usize].started(has_settings);
-        if has_settings {
-            // It has the endpoint list of its last incarnation; changes come as to the others.
-            let delay = seconds(self.endpoint_list.delay_s);
-            self.schedule_after(delay, Timer::CatchUp { courier, incarnation });
-            self.connect_client(courier);
-        } else {
-            // The endpoint list follows when these are in force.
-            let settings = self.fleet.settings(courier).to_string();
-            self.put_document(courier, "/settings", settings, Vec::new());
+        let stored = self.transport.start(courier, incarnation).map_err(ScenarioError::Transport)?;
+        self.couriers[courier as usize].on_start(stored);
+        match stored {
+            StoredState::Recovered => {
+                // The courier has the endpoint list of its last incarnation and is notified of changes with
+                // the usual delay.
+                let delay = seconds(self.endpoint_list.delay_s);
+                self.schedule_after(delay, Timer::CatchUp { courier, incarnation });
+                self.connect_client(courier);
+            }
+            StoredState::Missing => {
+                // The endpoint list follows when the settings are in force.
+                let settings = self.fleet.settings(courier).to_string();
+                self.put_document(courier, "/settings", settings, Vec::new());
+            }
         }
         Ok(())
     }
 
-    /// Couriers that clients can connect to, by number.
+    /// Returns the couriers that clients can connect to, by number.
     pub(super) fn running_couriers(&self) -> Vec<u32> {
         let numbers = 0..self.couriers.len() as u32;
         numbers.filter(|&courier| self.couriers[courier as usize].running).collect()
     }
 
-    /// The connection for a message: that of its ordering key, or one on which nothing waits, or a new one, as far as
-    /// the clients have so many.
+    /// Returns the connection for a message: the one of its ordering key, or an idle one, or a new one as
+    /// long as the limit of client connections allows it. Returns `None` if the courier is not running.
     pub(super) fn connection_for(&mut self, courier: u32, key: Option<u64>) -> Option<Token> {
         let process = &self.couriers[courier as usize];
         if !process.running {
@@ -112,7 +117,7 @@
         Some(self.connect_client(courier))
     }
 
-    /// Messages that wait for an answer on a connection.
+    /// Returns the number of messages that wait for an answer on a connection.
     fn waiting_on(&self, token: Token) -> usize {
         match self.connections.get(&token) {
             Some(Connection::Client(connection)) => connection.waiting(),
@@ -120,6 +125,7 @@
         }
     }
 
+    /// Returns the connection of an ordering key, and opens one if necessary.
     fn connection_of_key(&mut self, courier: u32, key: u64) -> Token {
         let known = self.couriers[courier as usize].connection_of_key.get(&key);
         if let Some(&token) = known.filter(|token| self.connections.contains_key(token)) {
@@ -132,7 +138,7 @@
         token
     }
 
-    /// Puts a document to the control interface of a courier; `updates` is what it says of endpoints.
+    /// Puts a document to the control interface of a courier; `updates` are the endpoint states in it.
     pub(super) fn put_document(
         &mut self,
         courier: u32,
@@ -147,18 +153,18 @@
         }
     }
 
-    /// Kills a courier; it starts again after this time.
+    /// Kills a courier and schedules its restart after `downtime`.
     pub(super) fn kill_courier(&mut self, courier: u32, downtime: Time) {
         let process = &mut self.couriers[courier as usize];
         if !process.running {
             return;
         }
-        process.killed();
+        process.on_kill();
         self.transport.kill(courier);
         self.schedule_after(downtime, Timer::RestartCourier { courier });
     }
 
-    /// Stalls a courier for so many milliseconds, unless it is down or stalled already.
+    /// Stalls a courier for this many milliseconds, unless it is not running or already stalled.
     pub(super) fn stall_courier(&mut self, courier: u32, duration_ms: f64) {
         let process = &mut self.couriers[courier as usize];
         if !process.running || process.stalled {
@@ -173,13 +179,13 @@
         self.schedule_after(duration, Timer::ResumeCourier { courier });
     }
 
-    /// A courier that was stalled runs again.
+    /// Resumes a stalled courier and corrects the recorded end of its stall.
     pub(super) fn resume_courier(&mut self, courier: u32) {
         let process = &mut self.couriers[courier as usize];
         process.stalled = false;
         let incarnation = process.incarnation;
         if process.running {
-            self.transport.go_on(courier);
+            self.transport.resume(courier);
         }
         let mut latest_first = self.stalls.iter_mut().rev();
         let stall = latest_first.find(|stall| stall.courier == courier && stall.incarnation == incarnation);
--- a/crates/scenario/src/runner/endpoints.rs
+++ b/crates/scenario/src/runner/endpoints.rs
@@ -1,34 +1,32 @@
-//! Endpoints: connections, calls and answers on the wire, as the endpoint simulator decides them.
+//! Endpoints on the wire: connections of couriers to endpoints and the requests on them. What an endpoint
+//! does is decided by the endpoint simulator.
+
+mod calls;
+
+pub(super) use calls::OpenCall;
 
 use super::{Connection, ScenarioRunner, Timer, Token, Transport, MAX_FRAME_BYTES};
 use crate::scenario::FaultKind;
 use crate::units::seconds;
 use bytes::Bytes;
 use linnetcart_conformance::Time;
-use linnetcart_endpoint_model::{
-    CallItem, CallStep, Caller, ConnectOutcome, IncomingCall, ItemStatus, ReceivedCall, Reply,
-};
-use linnetcart_kafka::server::{self, Body, Broker, PartitionResult, Topic};
-use linnetcart_kafka::{codes, Frames, LoadReport};
+use linnetcart_endpoint_model::{Caller, ConnectOutcome};
+use linnetcart_kafka::server::{self, Body, Broker, Topic};
+use linnetcart_kafka::Frames;
 use std::collections::VecDeque;
 
-/// Couriers have this and their number as their client id.
+/// Prefix of the client id of a courier; its number follows.
 const COURIER_CLIENT_PREFIX: &str = "linnetcart-edge-";
-/// Stands for a courier that did not say its number.
-const UNKNOWN_CALLER: Caller = Caller { courier: u32::MAX, incarnation: 0 };
-/// Stands for a message without an id.
-const UNKNOWN_MESSAGE: u64 = u64::MAX;
-const NANOS_PER_MILLI: u64 = 1_000_000;
 
-/// The answer to a call on a connection, once there is one.
+/// The place of an answer in the order of its connection; `bytes` is `None` until the call is answered.
 struct QueuedAnswer {
     call: u64,
     bytes: Option<Bytes>,
 }
 
-/// The ApiVersions request with which a connection begins.
+/// What the response to a request repeats: its correlation id and API version.
 #[derive(Clone, Copy)]
-struct Handshake {
+struct RequestId {
     correlation: i32,
     version: i16,
 }
@@ -36,45 +34,22 @@
 /// A connection from a courier to an endpoint.
 pub(super) struct EndpointConnection {
     pub(super) endpoint: u32,
-    /// It counts among those that the endpoint accepted.
+    /// Whether the connection counts against the connection limit of the endpoint.
     counted: bool,
     caller: Option<Caller>,
     frames: Frames,
     /// Answers in the order of their requests.
     answers: VecDeque<QueuedAnswer>,
     accepted: bool,
-    /// What it asked before it was accepted.
-    deferred_handshake: Option<Handshake>,
+    /// The ApiVersions request, if it came before the connection was accepted.
+    deferred_handshake: Option<RequestId>,
     last_used: Time,
-    /// Nothing that it brings is looked at.
+    /// Whether everything that arrives on the connection is ignored.
     ignored: bool,
 }
 
-/// Part of a Produce request.
-struct ProducePartition {
-    topic: String,
-    partition: i32,
-}
-
-/// A call that is not answered yet.
-pub(super) struct OpenCall {
-    token: Token,
-    correlation: i32,
-    version: i16,
-    partitions: Vec<ProducePartition>,
-    /// For each message, the position of its partition.
-    partition_of_item: Vec<usize>,
-}
-
-/// A Produce request, taken apart.
-struct ParsedCall {
-    items: Vec<CallItem>,
-    partitions: Vec<ProducePartition>,
-    partition_of_item: Vec<usize>,
-}
-
 impl<T: Transport> ScenarioRunner<'_, T> {
-    /// A courier connected to an endpoint.
+    /// Handles a new connection of a courier to an endpoint.
     pub fn accepted(&mut self, endpoint: u32, token: Token) {
         let outcome = self.simulator.connect(endpoint);
         let accept_delay = match outcome {
@@ -99,20 +74,21 @@
         }
     }
 
-    /// An endpoint accepts a connection after a delay, and answers what it asked first.
+    /// Accepts a connection after its delay, and answers the request that arrived meanwhile.
     pub(super) fn accept_delayed(&mut self, token: Token) {
         let Some(Connection::Endpoint(connection)) = self.connections.get_mut(&token) else { return };
         connection.accepted = true;
-        if let Some(handshake) = connection.deferred_handshake.take() {
-            self.answer_handshake(token, handshake);
+        if let Some(id) = connection.deferred_handshake.take() {
+            self.answer_handshake(token, id);
         }
     }
 
-    fn answer_handshake(&mut self, token: Token, handshake: Handshake) {
-        let bytes = server::api_versions(handshake.correlation, handshake.version);
+    fn answer_handshake(&mut self, token: Token, id: RequestId) {
+        let bytes = server::api_versions(id.correlation, id.version);
         self.transport.send(token, &bytes);
     }
 
+    /// Handles bytes that an endpoint received from a courier.
     pub(super) fn received_at_endpoint(&mut self, token: Token, bytes: &[u8]) {
         let resets_idle_connections = self.idle_connections_are_reset();
         let Some(Connection::Endpoint(connection)) = self.connections.get_mut(&token) else { return };
@@ -134,7 +110,8 @@
         self.read_requests(token);
     }
 
-    /// A fault is in force by which connections that were idle for too long are reset instead of ignored.
+    /// Returns whether a fault is in force that resets connections which were idle for too long. Without it,
+    /// they are ignored.
     fn idle_connections_are_reset(&self) -> bool {
         self.fleet.scenario.trouble.iter().any(|fault| {
             let begin = seconds(fault.at);
@@ -143,7 +120,7 @@
         })
     }
 
-    /// Reads the requests that have come completely on a connection to an endpoint.
+    /// Reads and serves all requests that have arrived completely on a connection.
     fn read_requests(&mut self, token: Token) {
         loop {
             let Some(Connection::Endpoint(connection)) = self.connections.get_mut(&token) else { return };
@@ -165,90 +142,30 @@
     }
 
     fn serve_request(&mut self, token: Token, request: server::Request) {
-        let correlation = request.correlation;
-        let version = request.version;
+        let id = RequestId { correlation: request.correlation, version: request.version };
         match request.body {
             Body::ApiVersions | Body::ApiVersionsTooNew => {
-                self.receive_handshake(token, Handshake { correlation, version });
+                self.receive_handshake(token, id);
             }
             Body::Metadata(_) => {
                 let broker = Broker { id: 0, host: "127.0.0.1".into(), port: 0 };
                 let topics: Vec<Topic> = Vec::new();
-                let bytes = server::metadata(correlation, version, &broker, &topics);
+                let bytes = server::metadata(id.correlation, id.version, &broker, &topics);
                 self.transport.send(token, &bytes);
             }
             Body::Fetch(topics) => {
-                self.transport.send(token, &server::not_readable(correlation, &topics));
+                self.transport.send(token, &server::not_readable(id.correlation, &topics));
             }
-            Body::Produce(produce) => self.receive_call(token, correlation, version, produce),
+            Body::Produce(produce) => self.receive_call(token, id, produce),
         }
     }
 
-    fn receive_handshake(&mut self, token: Token, handshake: Handshake) {
+    fn receive_handshake(&mut self, token: Token, id: RequestId) {
         let Some(Connection::Endpoint(connection)) = self.connections.get_mut(&token) else { return };
         if connection.accepted {
-            self.answer_handshake(token, handshake);
+            self.answer_handshake(token, id);
         } else {
-            connection.deferred_handshake = Some(handshake);
-        }
-    }
-
-    fn receive_call(&mut self, token: Token, correlation: i32, version: i16, produce: server::Produce) {
-        let Some(Connection::Endpoint(connection)) = self.connections.get(&token) else { return };
-        let endpoint = connection.endpoint;
-        let caller = connection.caller.unwrap_or(UNKNOWN_CALLER);
-        let Some(parsed) = parse_call(produce, &self.fleet.topics()) else {
-            return self.drop_connection(token);
-        };
-        let travelled = self.transport.travelled(token);
-        let incoming = IncomingCall { caller, travelled, endpoint, items: &parsed.items };
-        let ReceivedCall { call, step } = self.simulator.receive_call(self.now, incoming);
-        if let Some(Connection::Endpoint(connection)) = self.connections.get_mut(&token) {
-            connection.answers.push_back(QueuedAnswer { call, bytes: None });
-        }
-        let open = OpenCall {
-            token,
-            correlation,
-            version,
-            partitions: parsed.partitions,
-            partition_of_item: parsed.partition_of_item,
-        };
-        self.calls.insert(call, open);
-        self.take_step(call, step);
-    }
-
-    /// The time of a call has come.
-    pub(super) fn finish_call(&mut self, call: u64) {
-        let step = self.simulator.finish_call(self.now, call);
-        self.take_step(call, step);
-    }
-
-    fn take_step(&mut self, call: u64, step: CallStep) {
-        match step {
-            CallStep::FinishAt(at) => self.timers.schedule(at, Timer::FinishCall { call }),
-            CallStep::Silent => {
-                self.calls.remove(&call);
-            }
-            CallStep::Break => {
-                if let Some(open) = self.calls.remove(&call) {
-                    self.drop_connection(open.token);
-                }
-            }
-            CallStep::Answer(reply) => self.answer_call(call, &reply),
-        }
-    }
-
-    /// Puts the answer to a call in its place, and sends what has its turn.
-    fn answer_call(&mut self, call: u64, reply: &Reply) {
-        let Some(open) = self.calls.remove(&call) else { return };
-        let bytes = open.response(reply);
-        let Some(Connection::Endpoint(connection)) = self.connections.get_mut(&open.token) else { return };
-        connection.last_used = self.now;
-        if let Some(answer) = connection.answers.iter_mut().find(|answer| answer.call == call) {
-            answer.bytes = Some(bytes);
-        }
-        while let Some(bytes) = connection.next_answer() {
-            self.transport.send(open.token, &bytes);
+            connection.deferred_handshake = Some(id);
         }
     }
 
@@ -260,7 +177,7 @@
         self.transport.reset(token);
     }
 
-    /// The endpoint of a connection may accept another in its place.
+    /// Frees the place of a connection at its endpoint.
     pub(super) fn release_endpoint(&mut self, connection: &EndpointConnection) {
         if connection.counted {
             self.simulator.disconnect(connection.endpoint);
@@ -269,7 +186,7 @@
 }
 
 impl EndpointConnection {
-    /// The next answer, if it is ready.
+    /// Removes and returns the next answer in order, if it is ready.
     fn next_answer(&mut self) -> Option<Bytes> {
         let bytes = self.answers.front_mut()?.bytes.take()?;
         self.answers.pop_front();
@@ -277,49 +194,7 @@
     }
 }
 
-impl OpenCall {
-    /// The Produce response: an error of any message is that of its partition.
-    fn response(&self, reply: &Reply) -> Bytes {
-        let mut results: Vec<PartitionResult> = Vec::new();
-        for part in &self.partitions {
-            let topic = part.topic.clone();
-            results.push(PartitionResult { topic, partition: part.partition, ..PartitionResult::default() });
-        }
-        for (&position, status) in self.partition_of_item.iter().zip(&reply.statuses) {
-            match status {
-                ItemStatus::Served => {}
-                ItemStatus::Rejected => results[position].code = codes::THROTTLING_QUOTA_EXCEEDED,
-                ItemStatus::Error => results[position].code = codes::UNKNOWN_SERVER_ERROR,
-            }
-        }
-        let throttle_ms = reply.retry_after.div_ceil(NANOS_PER_MILLI);
-        let throttle_ms = i32::try_from(throttle_ms).unwrap_or(i32::MAX);
-        let load = reply
-            .load
-            .map(|load| LoadReport { capacity_left: load.capacity_left, rate_limit: load.rate_limit });
-        server::produce(self.correlation, self.version, &results, throttle_ms, load)
-    }
-}
-
-/// The number of a courier, from its client id.
+/// Returns the number of a courier from its client id, or `None` if the id is not that of a courier.
 fn courier_number(client_id: &str) -> Option<u32> {
     client_id.strip_prefix(COURIER_CLIENT_PREFIX)?.parse().ok()
 }
-
-/// The messages of a Produce request; none if a topic is no class or records cannot be read.
-fn parse_call(produce: server::Produce, topics: &[String]) -> Option<ParsedCall> {
-    let mut items = Vec::new();
-    let mut partitions = Vec::new();
-    let mut partition_of_item = Vec::new();
-    for part in produce.parts {
-        let class = topics.iter().position(|topic| *topic == part.topic)?;
-        for record in &part.records.ok()? {
-            let id = record.header("message-id").and_then(|value| std::str::from_utf8(value).ok());
-            let message = id.and_then(|id| id.parse().ok()).unwrap_or(UNKNOWN_MESSAGE);
-            items.push(CallItem { message, class: class as u8 });
-            partition_of_item.push(partitions.len());
-        }
-        partitions.push(ProducePartition { topic: part.topic, partition: part.partition });
-    }
-    Some(ParsedCall { items, partitions, partition_of_item })
-}
--- a/crates/scenario/src/runner/faults.rs
+++ b/crates/scenario/src/runner/faults.rs
@@ -1,4 +1,4 @@
-//! Faults of a scenario: when they begin, go on in steps, and end.
+//! Faults of a scenario: how they begin, proceed in steps, and end.
 
 mod begin;
 mod end;
@@ -9,10 +9,10 @@
 use crate::units::seconds;
 use linnetcart_endpoint_model::{EndpointFault, OutageSpan};
 
-/// Above this share of failing calls a fault is an outage, which ends with a recovery ramp.
+/// A fault by which more than this fraction of calls fails is an outage, which ends with a recovery ramp.
 const OUTAGE_SHARE: f64 = 0.5;
 
-/// What couriers see of an outage.
+/// How couriers notice an outage.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum OutageSymptom {
     /// Calls fail.
@@ -26,12 +26,12 @@
         &self.fleet.scenario.trouble[fault]
     }
 
-    /// Destinations that a fault affects, as they were drawn when it began.
+    /// Returns the destinations that a fault affects, as drawn when it began.
     fn destinations_of(&self, fault: usize) -> Vec<u32> {
         self.affected_destinations.get(&fault).cloned().unwrap_or_default()
     }
 
-    /// Endpoints that a fault affects, destination by destination.
+    /// Returns the endpoints that a fault affects, destination by destination.
     fn endpoints_of_fault(&self, fault: usize) -> Vec<u32> {
         let mut endpoints = Vec::new();
         for destination in self.destinations_of(fault) {
@@ -40,7 +40,7 @@
         endpoints
     }
 
-    /// Changes the faults of all endpoints that a fault of the scenario affects.
+    /// Changes the simulated fault of every endpoint that a fault of the scenario affects.
     fn change_endpoints(&mut self, fault: usize, change: impl Fn(&mut EndpointFault)) {
         for endpoint in self.endpoints_of_fault(fault) {
             if let Some(state) = self.simulator.fault_mut(endpoint) {
@@ -49,7 +49,8 @@
         }
     }
 
-    /// Couriers that a fault affects: neighbours by number, others for each fault and seed.
+    /// Returns the couriers that a fault affects: consecutive numbers from a start that depends on fault and
+    /// seed.
     fn couriers_of(&self, fault: usize) -> Vec<u32> {
         let count = self.couriers.len() as u32;
         let part = self.fault_spec(fault).part;
@@ -58,14 +59,14 @@
         (0..affected).map(|courier| (courier + first) % count).collect()
     }
 
-    /// Limits of the destinations of a fault run at this part of their rate.
+    /// Sets the limits of the destinations of a fault to this fraction of their rate.
     fn throttle_destinations(&mut self, fault: usize, factor: f64) {
         for destination in self.destinations_of(fault) {
             self.simulator.throttle(destination, factor);
         }
     }
 
-    /// The destinations of a fault have an outage until it ends, and a recovery ramp afterwards.
+    /// Records an outage of the destinations of a fault until it ends, followed by a recovery ramp.
     fn record_outage(&mut self, fault: usize, symptom: OutageSymptom) {
         let spec = self.fault_spec(fault);
         let until = seconds(spec.at + spec.lasts).max(self.now);
--- a/crates/scenario/src/runner/faults/begin.rs
+++ b/crates/scenario/src/runner/faults/begin.rs
@@ -1,9 +1,9 @@
-//! How each kind of fault begins.
+//! The beginning of each kind of fault.
 
-use super::super::clients::FavouredCourier;
-use super::super::{InfrastructureFault, ScenarioRunner, Transport};
 use super::{OutageSymptom, OUTAGE_SHARE};
 use crate::error::ScenarioError;
+use crate::runner::clients::FavouredCourier;
+use crate::runner::{InfrastructureFault, ScenarioRunner, Transport};
 use crate::scenario::{FaultKind, FaultSpec};
 use crate::units::{millis, seconds};
 use linnetcart_conformance::{Partition, Time};
@@ -17,13 +17,13 @@
 }
 
 impl PartitionSides {
-    /// As `extra` of a partition says: 0 endpoints, 1 clients, 2 both.
+    /// Decodes `extra` of a partition: 0 for endpoints, 1 for clients, 2 for both.
     fn of(extra: f64) -> Self {
         PartitionSides { clients: extra >= 1.0, endpoints: !(0.5..1.5).contains(&extra) }
     }
 }
 
-/// The size of a fault; one without a size has full size.
+/// Returns the size of a fault. A fault without a size has size 1.
 fn size_of(spec: &FaultSpec) -> f64 {
     if spec.size > 0.0 {
         spec.size
@@ -33,41 +33,24 @@
 }
 
 impl<T: Transport> ScenarioRunner<'_, T> {
-    pub(in super::super) fn begin_fault(&mut self, fault: usize) -> Result<(), ScenarioError> {
+    /// Begins a fault of the scenario.
+    pub(in crate::runner) fn begin_fault(&mut self, fault: usize) -> Result<(), ScenarioError> {
         let spec = self.fault_spec(fault);
         let size = size_of(spec);
         let affected = self.fleet.affected_destinations(spec.part, fault as u64 + 1);
         self.affected_destinations.insert(fault, affected);
         match spec.what {
-            FaultKind::Errors => {
-                self.change_endpoints(fault, |state| state.error_probability = size);
-                self.record_outage_above(OUTAGE_SHARE, size, fault);
-            }
-            FaultKind::AnswersLost => {
-                self.change_endpoints(fault, |state| state.lost_answer_probability = size);
-                self.record_outage_above(OUTAGE_SHARE, size, fault);
-            }
-            FaultKind::Silent => {
-                self.change_endpoints(fault, |state| state.silent = true);
-                self.record_outage(fault, OutageSymptom::FailedCalls);
-            }
-            FaultKind::Vanish => {
-                self.change_endpoints(fault, |state| state.vanished = true);
-                self.record_outage(fault, OutageSymptom::FailedConnections);
-            }
+            FaultKind::Errors => self.begin_errors(fault, size),
+            FaultKind::AnswersLost => self.begin_lost_answers(fault, size),
+            FaultKind::Silent => self.begin_silence(fault),
+            FaultKind::Vanish => self.begin_vanishing(fault),
             FaultKind::Down => self.begin_down(fault),
             FaultKind::Shut => self.begin_shutdown(fault),
             FaultKind::Slow => self.change_endpoints(fault, |state| state.slowdown = size),
             FaultKind::SharedSlow => self.simulator.slow_all(size),
             FaultKind::Throttle => self.throttle_destinations(fault, size),
-            FaultKind::IdleDropped => {
-                let idle_timeout = Some(seconds(spec.size));
-                self.change_endpoints(fault, |state| state.idle_timeout = idle_timeout);
-            }
-            FaultKind::SlowConnect => {
-                let accept_delay = millis(spec.size);
-                self.change_endpoints(fault, |state| state.accept_delay = accept_delay);
-            }
+            FaultKind::IdleDropped => self.set_idle_timeout(fault, seconds(spec.size)),
+            FaultKind::SlowConnect => self.set_accept_delay(fault, millis(spec.size)),
             FaultKind::ClassFails => self.begin_class_fault(fault),
             FaultKind::UnevenCouriers => self.favour_courier(fault, size),
             FaultKind::CouriersKilled => self.kill_couriers(fault, seconds(size)),
@@ -75,25 +58,50 @@
             FaultKind::Partition => self.begin_partition(fault),
             FaultKind::LinksSlow => self.slow_links(fault),
             FaultKind::ListLate => self.endpoint_list.delay_s += spec.size,
-            FaultKind::ListOut => self.endpoint_list.hold_back(),
+            FaultKind::ListOut => self.endpoint_list.suspend_publication(),
             FaultKind::Drains
             | FaultKind::Pauses
             | FaultKind::CouriersStall
             | FaultKind::CouriersRolled
             | FaultKind::LinksCut => self.step_fault(fault, 0)?,
-            // The messages were drawn with them.
+            // These are part of the traffic, which was drawn before the run.
             FaultKind::SuddenLoad | FaultKind::HotDestinations => {}
         }
         Ok(())
     }
 
-    /// A fault of this size is an outage if it is above the bound.
-    fn record_outage_above(&mut self, bound: f64, size: f64, fault: usize) {
-        if size > bound {
+    fn begin_errors(&mut self, fault: usize, probability: f64) {
+        self.change_endpoints(fault, |state| state.error_probability = probability);
+        if probability > OUTAGE_SHARE {
+            self.record_outage(fault, OutageSymptom::FailedCalls);
+        }
+    }
+
+    fn begin_lost_answers(&mut self, fault: usize, probability: f64) {
+        self.change_endpoints(fault, |state| state.lost_answer_probability = probability);
+        if probability > OUTAGE_SHARE {
             self.record_outage(fault, OutageSymptom::FailedCalls);
         }
     }
 
+    fn begin_silence(&mut self, fault: usize) {
+        self.change_endpoints(fault, |state| state.silent = true);
+        self.record_outage(fault, OutageSymptom::FailedCalls);
+    }
+
+    fn begin_vanishing(&mut self, fault: usize) {
+        self.change_endpoints(fault, |state| state.vanished = true);
+        self.record_outage(fault, OutageSymptom::FailedConnections);
+    }
+
+    fn set_idle_timeout(&mut self, fault: usize, idle_timeout: Time) {
+        self.change_endpoints(fault, |state| state.idle_timeout = Some(idle_timeout));
+    }
+
+    fn set_accept_delay(&mut self, fault: usize, accept_delay: Time) {
+        self.change_endpoints(fault, |state| state.accept_delay = accept_delay);
+    }
+
     fn begin_down(&mut self, fault: usize) {
         self.change_endpoints(fault, |state| state.down = true);
         self.record_outage(fault, OutageSymptom::FailedConnections);
@@ -111,7 +119,7 @@
         self.record_outage(fault, OutageSymptom::FailedCalls);
     }
 
-    /// One class fails at the first endpoint of each destination that has several.
+    /// Makes one class fail at the first endpoint of each destination that has several.
     fn begin_class_fault(&mut self, fault: usize) {
         let spec = self.fault_spec(fault);
         let class_fault =
--- a/crates/scenario/src/runner/faults/end.rs
+++ b/crates/scenario/src/runner/faults/end.rs
@@ -1,11 +1,12 @@
-//! How each kind of fault ends.
+//! The end of each kind of fault.
 
-use super::super::{ScenarioRunner, Transport};
 use crate::error::ScenarioError;
+use crate::runner::{ScenarioRunner, Transport};
 use crate::scenario::FaultKind;
 
 impl<T: Transport> ScenarioRunner<'_, T> {
-    pub(in super::super) fn end_fault(&mut self, fault: usize) -> Result<(), ScenarioError> {
+    /// Ends a fault of the scenario.
+    pub(in crate::runner) fn end_fault(&mut self, fault: usize) -> Result<(), ScenarioError> {
         let spec = self.fault_spec(fault);
         match spec.what {
             FaultKind::Errors => self.change_endpoints(fault, |state| state.error_probability = 0.0),
@@ -32,8 +33,8 @@
                 let delay_s = self.endpoint_list.delay_s - spec.size;
                 self.endpoint_list.delay_s = delay_s.max(0.0);
             }
-            FaultKind::ListOut => self.publish_held_back(),
-            // These end by themselves.
+            FaultKind::ListOut => self.resume_publication(),
+            // These need no action at their end.
             FaultKind::Shut
             | FaultKind::Drains
             | FaultKind::Pauses
--- a/crates/scenario/src/runner/faults/steps.rs
+++ b/crates/scenario/src/runner/faults/steps.rs
@@ -1,17 +1,17 @@
-//! Faults that come in steps, each of which schedules the next.
+//! Faults that proceed in steps. Each step schedules the next.
 
-use super::super::{InfrastructureFault, ScenarioRunner, Timer, Transport};
 use crate::error::ScenarioError;
+use crate::runner::{InfrastructureFault, ScenarioRunner, Timer, Transport};
 use crate::scenario::{FaultKind, FaultSpec};
 use crate::units::{millis, seconds};
 use linnetcart_conformance::Time;
 
-/// Share of endpoints that are drained at once, at least.
+/// Least fraction of the endpoints that is drained at once.
 const MIN_DRAIN_SHARE: f64 = 0.05;
 
 impl<T: Transport> ScenarioRunner<'_, T> {
-    /// The step of this number of a fault; the first comes with its begin.
-    pub(in super::super) fn step_fault(&mut self, fault: usize, step: u32) -> Result<(), ScenarioError> {
+    /// Runs a step of a fault. Step 0 runs when the fault begins.
+    pub(in crate::runner) fn step_fault(&mut self, fault: usize, step: u32) -> Result<(), ScenarioError> {
         let spec = self.fault_spec(fault);
         let is_over = self.now >= seconds(spec.at + spec.lasts);
         if is_over && step > 0 {
@@ -42,20 +42,21 @@
         Ok(())
     }
 
-    /// Schedules a step, unless steps have no distance.
+    /// Schedules a step, unless the delay is zero.
     fn schedule_step(&mut self, fault: usize, step: u32, delay: Time) {
         if delay > 0 {
             self.schedule_after(delay, Timer::StepFault { fault, step });
         }
     }
 
-    /// Drains a batch of the endpoints of a fault, and puts new ones in their place.
+    /// Drains a batch of the endpoints of a fault and opens their replacements.
     fn drain_batch(&mut self, fault: usize, step: u32) -> Result<(), ScenarioError> {
         let spec = self.fault_spec(fault);
         let share = drain_share(spec);
         let endpoints = self.endpoints_of_fault(fault);
         let batch_size = ((endpoints.len() as f64 * share).ceil() as usize).max(1);
-        // The oldest numbers first; replacements have higher ones, so each endpoint is drained once.
+        // Endpoints are drained in the order of their numbers. Replacements have higher numbers than all
+        // original endpoints, so each endpoint is drained once.
         let first_replacement = self.first_replacement();
         let drainable =
             |&endpoint: &u32| endpoint < first_replacement && self.endpoint_list.is_ready(endpoint);
@@ -68,14 +69,15 @@
         Ok(())
     }
 
-    /// Endpoints with numbers from here on came into being during the run.
+    /// Returns the lowest number of an endpoint that was opened during the run.
     fn first_replacement(&self) -> u32 {
         let endpoints = self.fleet.destinations.iter().flat_map(|destination| &destination.endpoints);
         let last = endpoints.map(|endpoint| endpoint.endpoint).max();
         last.map_or(u32::MAX, |last| last + 1)
     }
 
-    /// Couriers are stalled in turn, each at a time of its own within the distance of two stalls.
+    /// Stalls the couriers of a fault in turn, evenly spaced over the interval between two stalls of one
+    /// courier.
     fn stall_next_courier(&mut self, fault: usize, step: u32) {
         let spec = self.fault_spec(fault);
         let couriers = self.couriers_of(fault);
@@ -85,7 +87,7 @@
     }
 }
 
-/// The share of endpoints that is drained at once.
+/// Returns the fraction of the endpoints that is drained at once.
 fn drain_share(spec: &FaultSpec) -> f64 {
     spec.size.max(MIN_DRAIN_SHARE)
 }
--- a/crates/scenario/src/runner/transport.rs
+++ b/crates/scenario/src/runner/transport.rs
@@ -1,86 +1,97 @@
-//! What the runner needs of whoever carries the bytes and runs the couriers.
+//! The interface between the runner and the environment that carries the bytes and runs the couriers.
 
 use linnetcart_conformance::Time;
 use std::net::SocketAddr;
 
-/// A connection, as the transport numbers them.
+/// The number of a connection, assigned by the transport.
 pub type Token = u64;
 
-/// Why a transport could not do something; only the program that implements it knows the kinds of its errors.
+/// The reason why a transport operation failed. Its type is known only to the implementation.
 pub type TransportError = Box<dyn std::error::Error + Send + Sync>;
 
-/// Whoever carries the bytes and runs the couriers: sockets and processes, or virtual time.
+/// Carries the bytes and runs the couriers: with sockets and processes, or in virtual time.
 pub trait Transport {
-    /// A client connects to a courier.
+    /// Opens a connection from a client to a courier.
     fn connect(&mut self, courier: u32) -> Token;
-    /// Writes to a connection.
+    /// Sends bytes on a connection.
     fn send(&mut self, token: Token, bytes: &[u8]);
-    /// Closes a connection; nothing of it is reported afterwards.
+    /// Closes a connection in order. No event of it is reported afterwards.
     fn close(&mut self, token: Token);
-    /// Breaks a connection; nothing of it is reported afterwards.
+    /// Resets a connection. No event of it is reported afterwards.
     fn reset(&mut self, token: Token);
-    /// Starts a courier. True if it has settings and endpoint list from its last incarnation.
-    fn start(&mut self, courier: u32, incarnation: u32, first: bool) -> Result<bool, TransportError>;
+    /// Starts a courier. Incarnation 0 is its first start, for which any state of earlier runs is removed.
+    fn start(&mut self, courier: u32, incarnation: u32) -> Result<StoredState, TransportError>;
     /// Kills a courier.
     fn kill(&mut self, courier: u32);
-    /// Stops a courier from running.
+    /// Suspends a courier.
     fn stall(&mut self, courier: u32);
-    /// Lets a stalled courier run again.
-    fn go_on(&mut self, courier: u32);
-    /// Puts a document to a courier's control interface; the answer comes by
+    /// Resumes a suspended courier.
+    fn resume(&mut self, courier: u32);
+    /// Puts a document to a courier's control interface. The answer is reported by
     /// [`ScenarioRunner::put_done`](super::ScenarioRunner::put_done).
     fn put(&mut self, courier: u32, incarnation: u32, path: &'static str, body: String);
-    /// An endpoint listens, at the same address each time.
+    /// Starts to listen for an endpoint, at the same address each time.
     fn open(&mut self, endpoint: u32) -> Result<(), TransportError>;
-    /// An endpoint listens no more.
+    /// Stops listening for an endpoint.
     fn shut(&mut self, endpoint: u32);
-    /// Where an endpoint that was opened listens.
+    /// Returns the address of an endpoint that was opened.
     fn address(&self, endpoint: u32) -> SocketAddr;
-    /// The right time, in nanoseconds since 1970.
+    /// Returns the true wall-clock time, in nanoseconds since 1970.
     fn wall(&self) -> Time;
-    /// How long the bytes that came last on a connection were on their way; 0 where nobody knows.
+    /// Returns the travel time of the bytes that arrived last on a connection, in nanoseconds; 0 if it is not
+    /// known.
     fn travelled(&self, _token: Token) -> Time {
         0
     }
-    /// A fault of network or disk begins and holds until [`Transport::heal`] of the same number. Sockets cannot.
+    /// Begins a fault of network or disk, which lasts until [`Transport::heal`] with the same number. A
+    /// transport that cannot inject faults does nothing.
     fn fault(&mut self, _number: usize, _fault: InfrastructureFault) {}
-    /// A fault ends.
+    /// Ends the fault of this number.
     fn heal(&mut self, _number: usize) {}
 }
 
+/// Whether a started courier has the settings and the endpoint list of an earlier incarnation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoredState {
+    /// The courier recovered them from its disk.
+    Recovered,
+    /// The courier has neither.
+    Missing,
+}
+
 /// A fault of network or disk.
 #[derive(Clone, Debug, PartialEq)]
 pub enum InfrastructureFault {
     /// Couriers are cut off.
     Partition {
-        /// Which.
+        /// The affected couriers.
         couriers: Vec<u32>,
-        /// From clients.
+        /// Whether they are cut off from clients.
         clients: bool,
-        /// From endpoints.
+        /// Whether they are cut off from endpoints.
         endpoints: bool,
-        /// Only what goes to them is held up.
+        /// Whether only the direction to the couriers is delayed.
         one_way: bool,
     },
-    /// Connections of couriers break, now.
+    /// Connections of couriers break once, when the fault begins.
     Cut {
-        /// Whose.
+        /// The affected couriers.
         couriers: Vec<u32>,
-        /// The share of them.
+        /// The fraction of their connections that breaks.
         share: f64,
     },
-    /// What couriers send and are sent takes longer.
+    /// Bytes from and to couriers take longer.
     Slow {
-        /// Which.
+        /// The affected couriers.
         couriers: Vec<u32>,
-        /// By so much each way.
+        /// Additional one-way delay.
         by: Time,
     },
-    /// The snapshot of a courier that is down is cut.
+    /// The snapshot of a stopped courier is truncated.
     Damage {
-        /// Whose.
+        /// The affected courier.
         courier: u32,
-        /// The share that is left.
+        /// The fraction of the snapshot that remains.
         left: f64,
     },
 }
--- a/crates/scenario/src/scenario/faults.rs
+++ b/crates/scenario/src/scenario/faults.rs
@@ -70,7 +70,8 @@
     ListLate,
     /// The endpoint list does not come.
     ListOut,
-    /// Connections idle for longer are dropped without a word; size: seconds idle; hard: reset at the next call.
+    /// Connections idle for longer are dropped without a word; size: seconds idle; hard: reset at the next
+    /// call.
     IdleDropped,
     /// One class fails at one endpoint of several; size: the share; extra: the class; hard: unanswered.
     ClassFails,
@@ -84,8 +85,8 @@
     LinksCut,
     /// What couriers send and are sent takes longer, part of them; size: by so many ms. Emulated only.
     LinksSlow,
-    /// Couriers are killed, part of them, and their snapshot is cut; size: seconds until they are back; extra:
-    /// the share of it that is left. Emulated only.
+    /// Couriers are killed, part of them, and their snapshot is cut; size: seconds until they are back;
+    /// extra: the share of it that is left. Emulated only.
     DiskDamaged,
 }
 
--- a/crates/scenario/src/scenario/sections.rs
+++ b/crates/scenario/src/scenario/sections.rs
@@ -35,8 +35,8 @@
     /// Connections of the clients to each courier at most, those of keys not counted. Answers go in order on
     /// a connection, so with few of them messages wait for each other.
     pub connections: usize,
-    /// A client that has waited this long breaks its connection, and submits what it may to another courier; 0 for
-    /// as long as it takes.
+    /// A client that has waited this long breaks its connection, and submits what it may to another courier;
+    /// 0 for as long as it takes.
     pub patience_s: f64,
     /// Clocks of clients and couriers differ by at most so much, either way.
     pub clocks_ms: f64,
--- a/crates/testbed/src/socket_run.rs
+++ b/crates/testbed/src/socket_run.rs
@@ -73,8 +73,7 @@
     let mut stack = SocketStack::start(fleet, options)?;
     stack.run_traffic(fleet.scenario.seconds)?;
     stack.stop_couriers()?;
-    let (records, _) = stack.runner.into_records();
-    Ok(records)
+    Ok(stack.runner.finish().records)
 }
 
 /// Keeps the stack of a scenario up, without its traffic, until a signal comes. `ready` is given where it listens.
--- a/crates/testbed/src/socket_run/transport.rs
+++ b/crates/testbed/src/socket_run/transport.rs
@@ -6,7 +6,7 @@
 use linnetcart_conformance::Time;
 use linnetcart_net::{Net, Reserved, Token};
 use linnetcart_scenario::fleet::Fleet;
-use linnetcart_scenario::runner::{Transport, TransportError};
+use linnetcart_scenario::runner::{StoredState, Transport, TransportError};
 use serde_json::json;
 use std::collections::btree_map::Entry;
 use std::collections::BTreeMap;
@@ -87,7 +87,8 @@
         self.net.reset(token);
     }
 
-    fn start(&mut self, number: u32, incarnation: u32, first: bool) -> Result<bool, TransportError> {
+    fn start(&mut self, number: u32, incarnation: u32) -> Result<StoredState, TransportError> {
+        let first = incarnation == 0;
         let dir = self.options.dir.join(format!("courier-{number}"));
         if first && dir.exists() {
             std::fs::remove_dir_all(&dir).with_context(|| dir.display().to_string())?;
@@ -106,7 +107,7 @@
             courier.put("/telemetry", &settings)?;
         }
         self.couriers.insert(number, courier);
-        Ok(!first)
+        Ok(if first { StoredState::Missing } else { StoredState::Recovered })
     }
 
     fn kill(&mut self, courier: u32) {
@@ -119,7 +120,7 @@
         }
     }
 
-    fn go_on(&mut self, courier: u32) {
+    fn resume(&mut self, courier: u32) {
         if let Some(courier) = self.couriers.get(&courier) {
             courier.resume();
         }
