--- a/crates/emulator/src/network/transport.rs
+++ b/crates/emulator/src/network/transport.rs
@@ -31,7 +31,7 @@
         let max_drift = self.model.max_clock_drift_ppm;
         let drift_ppm = self.clock_rng.random_range(-max_drift..=max_drift);
         let monotonic_ahead = self.clock_rng.random_range(0..=self.model.max_clock_difference);
-        let wall_offset = self.fleet.clock_off(&mut self.clock_rng);
+        let wall_offset = self.fleet.draw_clock_offset(&mut self.clock_rng);
         ClockDeviation { monotonic_ahead, drift_ppm, wall_offset }
     }
 
--- a/crates/scenario/src/error.rs
+++ b/crates/scenario/src/error.rs
@@ -1,59 +1,59 @@
-//! What can be wrong with a scenario, or go wrong while it is played.
+//! Errors of scenarios and of their execution.
 
 use crate::runner::TransportError;
 
 /// An error of this package.
 #[derive(Debug, thiserror::Error)]
 pub enum ScenarioError {
-    /// The document is no TOML, or has unknown, missing or mistyped keys.
+    /// The document is not TOML, or has unknown, missing or mistyped keys.
     #[error(transparent)]
     Document(#[from] toml::de::Error),
     /// A value of the document is out of its range.
     #[error("{place}: {expected}")]
     Invalid {
-        /// Where it stands.
+        /// The place of the value.
         place: String,
         /// What was expected there.
         expected: String,
     },
-    /// A built-in scenario is wrong.
-    #[error("built-in day {name}")]
+    /// A built-in scenario is invalid.
+    #[error("built-in scenario {name}")]
     BuiltIn {
-        /// Its name.
+        /// The name of the scenario.
         name: String,
-        /// What is wrong with it.
+        /// The error in it.
         source: Box<ScenarioError>,
     },
-    /// The scenario in a file is wrong.
+    /// The scenario in a file is invalid.
     #[error("{path}")]
     File {
-        /// The file.
+        /// The path of the file.
         path: String,
-        /// What is wrong with it.
+        /// The error in it.
         source: Box<ScenarioError>,
     },
-    /// Neither a file nor a built-in scenario.
-    #[error("`{name}` is no file and no built-in day; these are built in: {known}")]
+    /// The name is neither that of a readable file nor that of a built-in scenario.
+    #[error("`{name}` is neither a file nor a built-in scenario; built-in scenarios: {known}")]
     Unknown {
-        /// What was asked for.
+        /// The requested name.
         name: String,
-        /// The names of those that are built in.
+        /// The names of the built-in scenarios.
         known: String,
-        /// Why it is no file.
+        /// Why it could not be read as a file.
         source: std::io::Error,
     },
-    /// Whoever carries the bytes and runs the couriers could not do something.
+    /// An operation of the transport failed.
     #[error(transparent)]
     Transport(TransportError),
-    /// A courier did not take what its control interface was given.
-    #[error("courier {courier} turned its settings or list down: {reason}")]
+    /// A courier rejected a document that was put to its control interface.
+    #[error("courier {courier} rejected its settings or endpoint list: {reason}")]
     DocumentRejected {
         /// The courier.
         courier: u32,
-        /// What it said.
+        /// The reason that it gave.
         reason: String,
     },
-    /// A request of a client could not be written.
+    /// A request of a client could not be encoded.
     #[error(transparent)]
     Request(#[from] linnetcart_kafka::codes::Malformed),
 }
@@ -64,7 +64,7 @@
     }
 }
 
-/// An error unless the condition holds.
+/// Returns an error for this place unless the condition holds.
 pub(crate) fn require(
     condition: bool,
     place: impl Into<String>,
--- a/crates/scenario/src/fleet.rs
+++ b/crates/scenario/src/fleet.rs
@@ -1,4 +1,5 @@
-//! A fleet drawn from a scenario and a seed: destinations, messages, settings. The same seed draws the same.
+//! A fleet: destinations, messages and settings, drawn from a scenario and a seed. The same scenario and seed
+//! give the same fleet.
 
 mod model;
 mod settings;
@@ -14,40 +15,45 @@
 use rand_distr::{Distribution, LogNormal};
 use std::collections::BTreeMap;
 
-/// Spread of the destinations' service times around the usual ones, as the deviation of their logarithm.
+/// Standard deviation of the logarithm of the destinations' service time factors.
 const SERVICE_TIME_SPREAD: f64 = 0.3;
-/// Spreads the salts of draws over the whole range of a seed.
+/// Spreads small salts over the whole range of a seed.
 const SALT_FACTOR: u64 = 0x9e37_79b9_7f4a_7c15;
 
-/// What time a scenario is played in.
+/// Timing tolerance of runs on sockets, in nanoseconds.
+const SOCKET_TIMING_TOLERANCE: Time = 60_000_000;
+/// Timing tolerance of emulated runs, in nanoseconds.
+const EMULATED_TIMING_TOLERANCE: Time = 8_000_000;
+
+/// The environment in which a scenario runs, which decides how precise its times are.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Timebase {
-    /// On sockets: clocks, loops and travel on a machine add to the figures of the rules.
+    /// Sockets and processes, with the delays of clocks, event loops and a real network.
     Sockets,
-    /// In virtual time: they add what the emulated network and hosts take, and no more.
+    /// Virtual time, with only the delays of the emulated network and hosts.
     Emulated,
 }
 
 impl Timebase {
-    /// What clocks and travel may add to any figure of the rules.
+    /// Returns the tolerance that the conformance checks add to every limit, in nanoseconds.
     fn timing_tolerance(self) -> Time {
         match self {
-            Timebase::Sockets => 60_000_000,
-            Timebase::Emulated => 8_000_000,
+            Timebase::Sockets => SOCKET_TIMING_TOLERANCE,
+            Timebase::Emulated => EMULATED_TIMING_TOLERANCE,
         }
     }
 }
 
-/// A message that is to be submitted.
+/// A message that a client is to submit.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PlannedMessage {
-    /// When.
+    /// When the message is submitted, in nanoseconds.
     pub at: Time,
-    /// Its class.
+    /// The class.
     pub class: u8,
-    /// Its destination.
+    /// The destination.
     pub destination: u32,
-    /// Its ordering key.
+    /// The ordering key, if the message has one.
     pub key: Option<u64>,
 }
 
@@ -56,32 +62,32 @@
 pub struct ListedDestination {
     /// The name of its kind.
     pub kind: String,
-    /// Calls a second that it admits.
+    /// Calls per second that it admits.
     pub rate: f64,
 }
 
-/// A fleet.
+/// A fleet: everything about a run that is decided before it begins.
 #[derive(Clone, Debug)]
 pub struct Fleet {
-    /// The scenario that it was drawn from.
+    /// The scenario that the fleet was drawn from.
     pub scenario: Scenario,
-    /// The seed.
+    /// The seed of all random numbers of the run.
     pub seed: u64,
-    /// Destinations.
+    /// The destinations with their endpoints.
     pub destinations: Vec<SimulatedDestination>,
-    /// Messages in the order of their times.
+    /// The messages that clients submit, ordered by time.
     pub messages: Vec<PlannedMessage>,
-    /// Calls a second that all limits admit.
+    /// Calls per second that all limits admit together.
     pub full_load: f64,
 }
 
-/// A number from a range, evenly distributed.
+/// Draws a number from a range with uniform distribution.
 fn draw_between(rng: &mut ChaCha8Rng, [lowest, highest]: [f64; 2]) -> f64 {
     lowest + rng.random::<f64>() * (highest - lowest)
 }
 
 impl Fleet {
-    /// Draws a fleet.
+    /// Draws a fleet from a scenario.
     pub fn draw(scenario: Scenario, seed: u64) -> Fleet {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let destinations = draw_destinations(&scenario, &mut rng);
@@ -92,14 +98,15 @@
         fleet
     }
 
-    /// Calls a second that a destination admits over all its routes.
+    /// Returns the calls per second that a destination admits over all its routes.
     fn rate_limit(&self, destination: &SimulatedDestination) -> f64 {
-        let independent_routes = self.scenario.kind[destination.kind].routes_apart;
+        let independent_routes = self.scenario.kind[destination.kind].independent_routes;
         let routes = if independent_routes { destination.endpoints.len() } else { 1 };
         destination.rate * routes as f64
     }
 
-    /// Destinations that together get about this share of the traffic, drawn by `salt`.
+    /// Draws destinations that together receive about the fraction `part` of the traffic. Different salts
+    /// draw different destinations.
     pub fn affected_destinations(&self, part: f64, salt: u64) -> Vec<u32> {
         let mut rng = ChaCha8Rng::seed_from_u64(self.seed ^ salt.wrapping_mul(SALT_FACTOR));
         let mut order: Vec<usize> = (0..self.destinations.len()).collect();
@@ -117,11 +124,11 @@
         affected
     }
 
-    /// What there is of everything, in a line.
+    /// Summarizes the size of the fleet in one line.
     pub fn about(&self) -> String {
         let endpoints: usize = self.destinations.iter().map(|destination| destination.endpoints.len()).sum();
         format!(
-            "{} couriers, {} destinations with {endpoints} endpoints, {} messages, {} troubles",
+            "{} couriers, {} destinations with {endpoints} endpoints, {} messages, {} faults",
             self.scenario.couriers,
             self.destinations.len(),
             self.messages.len(),
@@ -129,24 +136,24 @@
         )
     }
 
-    /// The seed of a courier's decisions, in one of its incarnations.
+    /// Returns the seed of the decisions of one incarnation of a courier.
     pub fn courier_seed(&self, courier: u32, incarnation: u32) -> u64 {
         self.seed ^ (u64::from(courier) << 32) ^ u64::from(incarnation)
     }
 
-    /// How far a wall clock is ahead of the right time, less where it is behind: any two differ by no more
-    /// than the scenario says.
-    pub fn clock_off(&self, rng: &mut impl Rng) -> i64 {
-        let most = millis(self.scenario.clients.clocks_ms / 2.0) as i64;
-        rng.random_range(-most..=most)
+    /// Draws the offset of a wall clock in nanoseconds; negative if the clock is behind. Any two clocks
+    /// differ by no more than the scenario allows.
+    pub fn draw_clock_offset(&self, rng: &mut impl Rng) -> i64 {
+        let max_offset = millis(self.scenario.clients.max_clock_difference_ms / 2.0) as i64;
+        rng.random_range(-max_offset..=max_offset)
     }
 
-    /// The topics, by class.
+    /// Returns the topic of each class, by class number.
     pub fn topics(&self) -> Vec<String> {
         self.scenario.class.iter().map(|class| class.name.clone()).collect()
     }
 
-    /// Each destination as the endpoint list describes it.
+    /// Returns the destinations as the endpoint list describes them, by number.
     pub fn listed(&self) -> BTreeMap<u32, ListedDestination> {
         let mut listed = BTreeMap::new();
         for destination in &self.destinations {
@@ -179,7 +186,7 @@
     destinations
 }
 
-/// The endpoints of a destination, numbered from the one after `last_endpoint`.
+/// Draws the endpoints of a destination, numbered from `last_endpoint + 1`.
 fn draw_endpoints(
     kind: &Kind,
     zones: usize,
--- a/crates/scenario/src/fleet/model.rs
+++ b/crates/scenario/src/fleet/model.rs
@@ -1,4 +1,4 @@
-//! A fleet as the rule checks and the endpoint simulator take it.
+//! Conversion of a fleet to the parameters of the conformance checks and to an endpoint simulator.
 
 use super::{Fleet, Timebase};
 use crate::scenario::{Class, FaultKind, IdempotencyKind, Kind};
@@ -8,41 +8,42 @@
     ClassWork, DestinationKind, EndpointSimulator, RecoveryModel, RetryAfterRange,
 };
 
-/// Couriers are told less than a destination bears: the simulator is somewhat stronger than the rules say.
+/// The simulated capacity right after an outage, as a multiple of the one that couriers are configured with.
+/// The reserve makes the simulator somewhat more robust than the rules require.
 const SIMULATOR_RESERVE: f64 = 1.1;
-/// Parts the randomness of the simulator from that of the fleet.
+/// Separates the random numbers of the simulator from those of the fleet.
 const SIMULATOR_SALT: u64 = 0x5eed;
 
 impl Fleet {
-    /// The figures of rules and classes for the checks.
+    /// Returns the parameters of the conformance checks.
     pub fn invariants(&self, timebase: Timebase) -> Invariants {
         let rules = &self.scenario.rules;
         Invariants {
             classes: self.scenario.class.iter().map(checked_class).collect(),
-            answer_grace: millis(rules.answer_slack_ms),
+            answer_grace: millis(rules.answer_grace_ms),
             drain_grace: millis(rules.drain_grace_ms),
-            key_cooldown: millis(rules.key_rest_ms),
-            overload_ratio: rules.fall_multiple,
-            overload_window: seconds(rules.fall_span_s),
+            key_cooldown: millis(rules.key_cooldown_ms),
+            overload_ratio: rules.overload_ratio,
+            overload_window: seconds(rules.overload_window_s),
             timing_tolerance: timebase.timing_tolerance(),
             extra_link_delay: self.extra_link_delay(),
         }
     }
 
-    /// How much longer one way takes if all slow links are slow at once.
+    /// Returns the additional one-way delay if all faults that slow links are in force at once.
     fn extra_link_delay(&self) -> Time {
         let slow_links = self.scenario.trouble.iter().filter(|fault| fault.what == FaultKind::LinksSlow);
         slow_links.map(|fault| millis(fault.size)).sum()
     }
 
-    /// The destinations as a simulator.
+    /// Creates the simulator of all endpoints of the fleet.
     pub fn endpoint_simulator(&self) -> EndpointSimulator {
         let rules = &self.scenario.rules;
         let recovery = RecoveryModel {
-            slow_start_ratio: rules.cold_share * SIMULATOR_RESERVE,
-            slow_start_duration: seconds(rules.warm_after_s),
-            overload_ratio: rules.fall_multiple,
-            overload_window: seconds(rules.fall_span_s),
+            slow_start_ratio: rules.slow_start_ratio * SIMULATOR_RESERVE,
+            slow_start_duration: seconds(rules.slow_start_duration_s),
+            overload_ratio: rules.overload_ratio,
+            overload_window: seconds(rules.overload_window_s),
         };
         EndpointSimulator::new(
             self.scenario.kind.iter().map(simulated_kind).collect(),
@@ -55,10 +56,10 @@
 }
 
 fn idempotency(class: &Class) -> Idempotency {
-    match class.repeat {
+    match class.idempotency {
         IdempotencyKind::Idempotent => Idempotency::Idempotent,
         IdempotencyKind::Keyed => {
-            Idempotency::Keyed { dedup_window: seconds(class.window_s), per_zone: class.by_zone }
+            Idempotency::Keyed { dedup_window: seconds(class.dedup_window_s), per_zone: class.per_zone }
         }
         IdempotencyKind::NotIdempotent => Idempotency::NotIdempotent,
     }
@@ -67,10 +68,10 @@
 fn checked_class(class: &Class) -> conformance::Class {
     conformance::Class {
         name: class.name.clone(),
-        latency_objective: seconds(class.aim_s),
+        latency_objective: seconds(class.latency_objective_s),
         deadline: seconds(class.deadline_s),
-        priority_weight: class.worth,
-        late_weight: class.late_worth,
+        priority_weight: class.priority_weight,
+        late_weight: class.late_weight,
         idempotency: idempotency(class),
         ordered: class.ordered,
     }
@@ -81,20 +82,20 @@
 }
 
 fn simulated_kind(kind: &Kind) -> DestinationKind {
-    let [shortest, longest] = kind.wait_ms;
+    let [shortest, longest] = kind.retry_after_ms;
     DestinationKind {
         name: kind.name.clone(),
         limit: kind.limit,
-        rejected_calls_count: kind.refused_count,
-        retry_after_probability: kind.tells_wait,
+        rejected_calls_count: kind.rejected_calls_count,
+        retry_after_probability: kind.retry_after_probability,
         retry_after: RetryAfterRange { shortest: millis(shortest), longest: millis(longest) },
-        capacity_ratio: kind.spare,
-        longest_queue: millis(kind.depth_ms),
-        service_time_variation: kind.cv,
-        max_connections: kind.connections,
-        independent_routes: kind.routes_apart,
-        max_messages_per_call: kind.per_call as usize,
-        additional_message_work: kind.item_cost,
-        load_report_interval: millis(kind.report_ms),
+        capacity_ratio: kind.capacity_ratio,
+        longest_queue: millis(kind.longest_queue_ms),
+        service_time_variation: kind.service_time_variation,
+        max_connections: kind.max_connections,
+        independent_routes: kind.independent_routes,
+        max_messages_per_call: kind.max_messages_per_call as usize,
+        additional_message_work: kind.additional_message_work,
+        load_report_interval: millis(kind.load_report_interval_ms),
     }
 }
--- a/crates/scenario/src/fleet/settings.rs
+++ b/crates/scenario/src/fleet/settings.rs
@@ -1,4 +1,4 @@
-//! The settings document of a courier.
+//! The settings documents of couriers.
 
 use super::Fleet;
 use crate::scenario::{Class, IdempotencyKind, Kind};
@@ -7,17 +7,17 @@
 /// The Retry-After that couriers give to clients, in milliseconds.
 const CLIENT_RETRY_AFTER_MS: u64 = 3000;
 
-/// Whole milliseconds of a span in seconds.
+/// Converts seconds to whole milliseconds, rounding down.
 fn whole_millis(seconds: f64) -> u64 {
     (seconds * 1e3) as u64
 }
 
 impl Fleet {
-    /// The settings of a courier.
+    /// Returns the settings document of a courier.
     pub fn settings(&self, courier: u32) -> Value {
         let scenario = &self.scenario;
         let zone = &scenario.zones[courier as usize % scenario.zones.len()];
-        let bounds = &scenario.courier;
+        let limits = &scenario.courier;
         let rules = &scenario.rules;
         json!({
             "deployment": scenario.name,
@@ -29,37 +29,37 @@
             "allow": {"come_back_ms": CLIENT_RETRY_AFTER_MS},
             "connections": {
                 "calls": 1,
-                "idle_ms": whole_millis(bounds.idle_s).max(1),
-                "connect_timeout_ms": bounds.connect_ms as u64,
+                "idle_ms": whole_millis(limits.idle_timeout_s).max(1),
+                "connect_timeout_ms": limits.connect_timeout_ms as u64,
             },
             "rules": {
-                "answer_slack_ms": rules.answer_slack_ms as u64,
-                "cold_share": rules.cold_share,
-                "warm_after_ms": whole_millis(rules.warm_after_s),
-                "fall_multiple": rules.fall_multiple,
-                "fall_span_ms": whole_millis(rules.fall_span_s),
-                "key_rest_ms": rules.key_rest_ms as u64,
+                "answer_slack_ms": rules.answer_grace_ms as u64,
+                "cold_share": rules.slow_start_ratio,
+                "warm_after_ms": whole_millis(rules.slow_start_duration_s),
+                "fall_multiple": rules.overload_ratio,
+                "fall_span_ms": whole_millis(rules.overload_window_s),
+                "key_rest_ms": rules.key_cooldown_ms as u64,
             },
-            "clocks": {"apart_ms": scenario.clients.clocks_ms.ceil() as u64},
+            "clocks": {"apart_ms": scenario.clients.max_clock_difference_ms.ceil() as u64},
             "rates": if scenario.list.rates { "exact" } else { "untold" },
-            "tick_us": (bounds.tick_ms * 1e3) as u64,
+            "tick_us": (limits.min_cycle_ms * 1e3) as u64,
         })
     }
 
-    /// Bounds of a courier, from its part of the full load.
+    /// Returns the limits of a courier, computed from its part of the full load.
     fn limit_settings(&self) -> Value {
         let scenario = &self.scenario;
-        let bounds = &scenario.courier;
+        let limits = &scenario.courier;
         let load = self.full_load / f64::from(scenario.couriers);
         let all_shares: f64 = scenario.class.iter().map(|class| class.share).sum();
         let mean_service_seconds: f64 =
             scenario.class.iter().map(|class| class.share / all_shares * class.service_ms / 1e3).sum();
-        let slots = (load * mean_service_seconds * bounds.slots_room).ceil() as u32;
-        let held = (load * bounds.hold_s).ceil() as u32;
+        let slots = (load * mean_service_seconds * limits.slot_ratio).ceil() as u32;
+        let in_flight = (load * limits.in_flight_s).ceil() as u32;
         json!({
-            "slots": slots.max(bounds.least_slots),
-            "held": held.max(bounds.least_held),
-            "attempts": bounds.attempts,
+            "slots": slots.max(limits.min_slots),
+            "held": in_flight.max(limits.min_in_flight),
+            "attempts": limits.attempts,
         })
     }
 }
@@ -67,25 +67,29 @@
 fn class_settings(class: &Class) -> Value {
     json!({
         "name": class.name,
-        "aim_ms": whole_millis(class.aim_s),
+        "aim_ms": whole_millis(class.latency_objective_s),
         "deadline_ms": whole_millis(class.deadline_s),
-        "worth": class.worth,
-        "late_worth": class.late_worth,
+        "worth": class.priority_weight,
+        "late_worth": class.late_weight,
         "repeat": idempotency_settings(class),
         "ordered": class.ordered,
     })
 }
 
 fn idempotency_settings(class: &Class) -> Value {
-    match class.repeat {
+    match class.idempotency {
         IdempotencyKind::Idempotent => json!("safe"),
         IdempotencyKind::NotIdempotent => json!("unsafe"),
         IdempotencyKind::Keyed => {
-            json!({"keyed": {"window_ms": whole_millis(class.window_s), "by_zone": class.by_zone}})
+            json!({"keyed": {"window_ms": whole_millis(class.dedup_window_s), "by_zone": class.per_zone}})
         }
     }
 }
 
 fn kind_settings(kind: &Kind) -> Value {
-    json!({"name": kind.name, "routes_apart": kind.routes_apart, "per_call": kind.per_call})
+    json!({
+        "name": kind.name,
+        "routes_apart": kind.independent_routes,
+        "per_call": kind.max_messages_per_call,
+    })
 }
--- a/crates/scenario/src/fleet/traffic.rs
+++ b/crates/scenario/src/fleet/traffic.rs
@@ -1,5 +1,5 @@
-//! Messages of a fleet: at random times, with bursts, sudden load and hot destinations as the scenario has
-//! them.
+//! The messages of a fleet: drawn at random times, with the bursts, sudden load and hot destinations of the
+//! scenario.
 
 use super::{draw_between, Fleet, PlannedMessage};
 use crate::scenario::{FaultKind, FaultSpec};
@@ -8,13 +8,13 @@
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution, Exp};
 
-/// Traffic of a destination over its part of all limits.
+/// Range of a destination's traffic, relative to its part of all limits.
 const WEIGHT_RANGE: [f64; 2] = [0.7, 1.3];
-/// Share of messages in bursts at most.
+/// Largest fraction of messages in bursts.
 const MAX_BURST_SHARE: f64 = 0.95;
-/// Messages of a burst come within this part of the time that its destination needs for them.
+/// The messages of a burst arrive within this fraction of the time that their destination needs for them.
 const BURST_COMPRESSION: f64 = 0.05;
-/// Rates are not lower, in messages a second.
+/// Least rate, in messages per second; it keeps the distribution valid.
 const MIN_RATE: f64 = 1e-9;
 
 /// Draws all messages, in the order of their times.
@@ -30,12 +30,12 @@
 struct TrafficGenerator<'a> {
     fleet: &'a Fleet,
     rng: &'a mut ChaCha8Rng,
-    /// Traffic of each destination, by its position.
+    /// Relative traffic of each destination, by position.
     weights: Vec<f64>,
     weight_sum: f64,
-    /// Positions of destinations, the one with most traffic first.
+    /// Positions of the destinations in descending order of their traffic.
     by_weight: Vec<usize>,
-    /// Messages a second, apart from sudden load.
+    /// Messages per second, without sudden load.
     rate: f64,
     burst_share: f64,
     messages: Vec<PlannedMessage>,
@@ -57,20 +57,20 @@
             weights,
             by_weight,
             rate: fleet.full_load * traffic.load,
-            burst_share: traffic.clumps.clamp(0.0, MAX_BURST_SHARE),
+            burst_share: traffic.burst_share.clamp(0.0, MAX_BURST_SHARE),
             messages: Vec::new(),
         }
     }
 
-    /// Messages on their own: exponential distances at the highest rate, thinned to the rate of the moment.
+    /// Draws single messages: a Poisson process at the highest rate, thinned to the rate of each moment.
     fn draw_single_messages(&mut self) {
         let highest_factor = self.highest_load_factor();
         let highest_rate = (self.rate * highest_factor).max(MIN_RATE);
         let Ok(distance) = Exp::new(highest_rate) else { return };
         let mut at = distance.sample(self.rng);
         while at < self.fleet.scenario.seconds {
-            let kept_part = self.load_factor(at) * (1.0 - self.burst_share);
-            if self.rng.random::<f64>() * highest_factor < kept_part {
+            let acceptance = self.load_factor(at) * (1.0 - self.burst_share);
+            if self.rng.random::<f64>() * highest_factor < acceptance {
                 let destination = self.draw_destination_at(at);
                 self.add_message(at, destination);
             }
@@ -78,44 +78,44 @@
         }
     }
 
-    /// Bursts: each as large as its destination admits in some seconds.
+    /// Draws bursts, each as large as the number of calls that its destination admits in the burst duration.
     fn draw_bursts(&mut self) {
         let scenario = &self.fleet.scenario;
-        let burst_seconds = scenario.traffic.clump_s;
-        let mut left = self.rate * scenario.seconds * self.burst_share;
-        while left >= 1.0 {
+        let burst_seconds = scenario.traffic.burst_s;
+        let mut remaining = self.rate * scenario.seconds * self.burst_share;
+        while remaining >= 1.0 {
             let destination = self.draw_destination();
             let rate_limit = self.fleet.rate_limit(&self.fleet.destinations[destination]);
             let size = (rate_limit * burst_seconds).max(1.0);
             let begin = self.rng.random::<f64>() * scenario.seconds;
-            let messages = size.min(left).max(1.0) as usize;
+            let messages = size.min(remaining).max(1.0) as usize;
             for _ in 0..messages {
                 let delay = self.rng.random::<f64>() * burst_seconds * BURST_COMPRESSION;
                 self.add_message((begin + delay).min(scenario.seconds), destination);
             }
-            left -= size;
+            remaining -= size;
         }
     }
 
-    /// Faults of this kind in force at this time.
+    /// Returns the faults of this kind that are in force at this time.
     fn in_force(&self, kind: FaultKind, at: f64) -> impl Iterator<Item = &'a FaultSpec> {
         let faults = self.fleet.scenario.trouble.iter();
         faults.filter(move |fault| fault.what == kind && at >= fault.at && at < fault.at + fault.lasts)
     }
 
-    /// By how much sudden load raises the rate at this time.
+    /// Returns the factor by which sudden load raises the rate at this time.
     fn load_factor(&self, at: f64) -> f64 {
         self.in_force(FaultKind::SuddenLoad, at).map(|fault| fault.size).product()
     }
 
-    /// As if all sudden load came at once.
+    /// Returns the factor if all sudden load were in force at once.
     fn highest_load_factor(&self) -> f64 {
         let faults = self.fleet.scenario.trouble.iter();
         let sudden_load = faults.filter(|fault| fault.what == FaultKind::SuddenLoad);
         sudden_load.map(|fault| fault.size.max(1.0)).product()
     }
 
-    /// The position of a destination, one with more traffic more often.
+    /// Draws the position of a destination in proportion to its traffic.
     fn draw_destination(&mut self) -> usize {
         let mut left = self.rng.random::<f64>() * self.weight_sum;
         let found = self.weights.iter().position(|weight| {
@@ -125,7 +125,7 @@
         found.unwrap_or(0)
     }
 
-    /// The same, with hot destinations.
+    /// Draws the position of a destination, with the hot destinations of this time.
     fn draw_destination_at(&mut self, at: f64) -> usize {
         let Some(hot) = self.in_force(FaultKind::HotDestinations, at).next() else {
             return self.draw_destination();
--- a/crates/scenario/src/runner/clients/answers.rs
+++ b/crates/scenario/src/runner/clients/answers.rs
@@ -54,7 +54,7 @@
     fn retry_rejected(&mut self, message: usize, retry_after: Time) {
         let clients = &self.fleet.scenario.clients;
         let attempt = self.clients.last_attempt(message);
-        let delay = self.clients.draw_retry_delay(clients.again_ms).max(retry_after);
+        let delay = self.clients.draw_retry_delay(clients.retry_delay_ms).max(retry_after);
         if attempt < clients.retries {
             self.submit_at(self.now + delay, message, attempt + 1);
         }
--- a/crates/scenario/src/runner/clients/connection.rs
+++ b/crates/scenario/src/runner/clients/connection.rs
@@ -103,7 +103,7 @@
             last_correlation: 0,
             waiting: BTreeMap::new(),
             last_sequence: 0,
-            clock_offset: self.fleet.clock_off(&mut self.clients.clock_rng),
+            clock_offset: self.fleet.draw_clock_offset(&mut self.clients.clock_rng),
         };
         self.connections.insert(token, Connection::Client(connection));
         process.connections.push(token);
--- a/crates/scenario/src/runner/clients/disconnects.rs
+++ b/crates/scenario/src/runner/clients/disconnects.rs
@@ -34,7 +34,7 @@
             let class = &self.fleet.scenario.class[usize::from(submission.class)];
             self.clients.awaiting_answer -= 1;
             if !connection.connected || is_safe_at_another_courier(class) {
-                let delay = self.clients.draw_retry_delay(self.fleet.scenario.clients.again_ms);
+                let delay = self.clients.draw_retry_delay(self.fleet.scenario.clients.retry_delay_ms);
                 let attempt = self.clients.last_attempt(message);
                 self.clients.avoided_couriers.insert(message, connection.courier);
                 self.submit_at(self.now + delay, message, attempt);
@@ -56,9 +56,9 @@
 
 /// Returns whether another courier may send a message of this class that may already have been executed.
 fn is_safe_at_another_courier(class: &Class) -> bool {
-    match class.repeat {
+    match class.idempotency {
         IdempotencyKind::Idempotent => true,
-        IdempotencyKind::Keyed => !class.by_zone,
+        IdempotencyKind::Keyed => !class.per_zone,
         IdempotencyKind::NotIdempotent => false,
     }
 }
--- a/crates/scenario/src/runner/clients/submissions.rs
+++ b/crates/scenario/src/runner/clients/submissions.rs
@@ -65,10 +65,10 @@
     /// Returns how many whole milliseconds remain in which the message may be served.
     fn time_left_ms(&self, message: usize, planned: &PlannedMessage, class: &Class) -> u64 {
         let mut deadline = planned.at + seconds(class.deadline_s);
-        if self.clients.attempts.contains_key(&message) && class.repeat == IdempotencyKind::Keyed {
+        if self.clients.attempts.contains_key(&message) && class.idempotency == IdempotencyKind::Keyed {
             // An earlier attempt may have been executed. Endpoints recognize a second one for this long after
             // the first execution, which cannot precede the first submission.
-            deadline = deadline.min(planned.at + seconds(class.window_s));
+            deadline = deadline.min(planned.at + seconds(class.dedup_window_s));
         }
         deadline.saturating_sub(self.now) / NANOS_PER_MILLI
     }
@@ -93,9 +93,9 @@
         } else {
             connection.backlog.push(request);
         }
-        let patience = seconds(self.fleet.scenario.clients.patience_s);
-        if patience > 0 {
-            self.schedule_after(patience, Timer::AnswerTimeout { submission });
+        let answer_timeout = seconds(self.fleet.scenario.clients.answer_timeout_s);
+        if answer_timeout > 0 {
+            self.schedule_after(answer_timeout, Timer::AnswerTimeout { submission });
         }
         Ok(SendOutcome::Sent)
     }
--- a/crates/scenario/src/runner/endpoint_list.rs
+++ b/crates/scenario/src/runner/endpoint_list.rs
@@ -62,7 +62,7 @@
             destinations: fleet.listed(),
             next_endpoint: 0,
             version: 0,
-            delay_s: fleet.scenario.list.late_s,
+            delay_s: fleet.scenario.list.delay_s,
             unpublished: None,
         }
     }
--- a/crates/scenario/src/scenario.rs
+++ b/crates/scenario/src/scenario.rs
@@ -1,6 +1,7 @@
 //! Scenario documents: fleet, traffic and faults as data, read from TOML.
 //!
-//! Field names are the keys of the documents. Spans are in seconds or milliseconds, as their names say.
+//! The keys of the documents are part of their format and stay as they are, also where a field has another
+//! name. Durations are in seconds or milliseconds, as the suffix of the name says.
 
 mod built_in;
 mod defaults;
@@ -18,49 +19,49 @@
 use crate::error::ScenarioError;
 use serde::{Deserialize, Serialize};
 
-/// A scenario: what a run is made of, except for its seed.
+/// A scenario: everything that defines a run, except for its seed.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Scenario {
-    /// Its name.
+    /// The name of the scenario.
     pub name: String,
-    /// What it is for, in a sentence.
+    /// The purpose of the scenario, in one sentence.
     pub about: String,
-    /// How long messages are submitted.
+    /// How long clients submit messages, in seconds.
     pub seconds: f64,
-    /// Couriers.
+    /// Number of couriers.
     pub couriers: u32,
-    /// Zones by name.
+    /// The names of the zones.
     #[serde(default = "defaults::zones")]
     pub zones: Vec<String>,
-    /// Traffic.
+    /// How many messages clients submit, and for which destinations.
     #[serde(default)]
     pub traffic: Traffic,
-    /// Clients.
+    /// How clients connect and retry.
     #[serde(default)]
     pub clients: Clients,
-    /// The courier's bounds.
+    /// The limits of each courier.
     #[serde(default)]
     pub courier: CourierBounds,
-    /// Figures of the rules.
+    /// Parameters of the delivery rules.
     #[serde(default)]
     pub rules: Rules,
-    /// How the endpoint list reaches couriers.
+    /// How the endpoint list is delivered to couriers.
     #[serde(default)]
     pub list: EndpointListDelivery,
-    /// Classes.
+    /// The message classes.
     #[serde(default = "defaults::classes")]
     pub class: Vec<Class>,
-    /// Kinds of destination.
+    /// The kinds of destinations.
     #[serde(default = "defaults::kinds")]
     pub kind: Vec<Kind>,
-    /// Faults.
+    /// The faults that are injected.
     #[serde(default)]
     pub trouble: Vec<FaultSpec>,
 }
 
 impl Scenario {
-    /// A built-in scenario by name, or one from a file.
+    /// Returns the built-in scenario of this name, or reads the file of this path.
     pub fn find(name: &str) -> Result<Scenario, ScenarioError> {
         if let Some(built_in) = built_in::find(name) {
             let in_built_in = |source| ScenarioError::BuiltIn { name: name.to_owned(), source };
@@ -73,20 +74,20 @@
         Scenario::parse(&text).map_err(Box::new).map_err(in_file)
     }
 
-    /// Reads a document and checks it.
+    /// Parses and validates a document.
     pub fn parse(text: &str) -> Result<Scenario, ScenarioError> {
         let scenario: Scenario = toml::from_str(text)?;
         scenario.check()?;
         Ok(scenario)
     }
 
-    /// Faults that sockets cannot play.
+    /// Returns the kinds of the scenario's faults that can only be emulated, not injected on sockets.
     pub fn emulated_only(&self) -> Vec<FaultKind> {
         let kinds = self.trouble.iter().map(|fault| fault.what);
         kinds.filter(|kind| kind.emulated_only()).collect()
     }
 
-    /// The scenario with so many couriers, so many times as fast.
+    /// Returns the scenario with another number of couriers, if one is given, sped up by the factor `speed`.
     pub fn with(mut self, couriers: Option<u32>, speed: f64) -> Result<Scenario, ScenarioError> {
         if !(speed > 0.0 && speed <= 100.0) {
             return Err(ScenarioError::invalid("speed", "more than 0 and at most 100"));
--- a/crates/scenario/src/scenario/built_in.rs
+++ b/crates/scenario/src/scenario/built_in.rs
@@ -3,13 +3,13 @@
 /// A scenario that comes with the program.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct BuiltInScenario {
-    /// Its name.
+    /// The name.
     pub name: &'static str,
-    /// Its document.
+    /// The TOML document.
     pub text: &'static str,
 }
 
-/// The document of this name in the package's `scenarios` directory.
+/// Includes the document of this name from the package's `scenarios` directory.
 macro_rules! built_in {
     ($name:literal) => {
         BuiltInScenario { name: $name, text: include_str!(concat!("../../scenarios/", $name, ".toml")) }
@@ -52,12 +52,12 @@
     built_in!("disk-damaged"),
 ];
 
-/// The built-in scenario of this name.
+/// Returns the built-in scenario of this name, or `None` if there is none.
 pub(super) fn find(name: &str) -> Option<&'static BuiltInScenario> {
     BUILT_IN.iter().find(|scenario| scenario.name == name)
 }
 
-/// The names of all built-in scenarios, for messages.
+/// Returns the names of all built-in scenarios, separated by commas.
 pub(super) fn names() -> String {
     let names: Vec<&str> = BUILT_IN.iter().map(|scenario| scenario.name).collect();
     names.join(", ")
--- a/crates/scenario/src/scenario/defaults.rs
+++ b/crates/scenario/src/scenario/defaults.rs
@@ -1,4 +1,4 @@
-//! What holds where a document says nothing.
+//! Default values of scenario documents.
 
 use super::{Class, IdempotencyKind, Kind};
 use linnetcart_endpoint_model::LimitKind;
@@ -12,22 +12,22 @@
         name: "status-update".into(),
         share: 0.49,
         service_ms: 200.0,
-        aim_s: 3.0,
+        latency_objective_s: 3.0,
         deadline_s: 24.0,
-        worth: 2.0,
-        late_worth: 0.5,
-        repeat: IdempotencyKind::Idempotent,
-        window_s: 8.0,
-        by_zone: false,
+        priority_weight: 2.0,
+        late_weight: 0.5,
+        idempotency: IdempotencyKind::Idempotent,
+        dedup_window_s: 8.0,
+        per_zone: false,
         ordered: false,
     };
     let proxy_change = Class {
         name: "proxy-change".into(),
         share: 0.27,
         deadline_s: 20.0,
-        worth: 1.0,
-        late_worth: 0.3,
-        repeat: IdempotencyKind::Keyed,
+        priority_weight: 1.0,
+        late_weight: 0.3,
+        idempotency: IdempotencyKind::Keyed,
         ordered: true,
         ..status_update.clone()
     };
@@ -36,8 +36,8 @@
         share: 0.24,
         service_ms: 300.0,
         deadline_s: 16.0,
-        worth: 4.0,
-        repeat: IdempotencyKind::NotIdempotent,
+        priority_weight: 4.0,
+        idempotency: IdempotencyKind::NotIdempotent,
         ..status_update.clone()
     };
     vec![status_update, proxy_change, transfer_order]
@@ -50,17 +50,17 @@
         endpoints: [2, 4],
         rate: [8.0, 20.0],
         limit: LimitKind::Rate,
-        refused_count: false,
-        tells_wait: retry_after_share(),
-        wait_ms: retry_after_ms(),
-        spare: capacity_ratio(),
-        depth_ms: queue_ms(),
-        cv: service_time_variation(),
-        connections: 0,
-        routes_apart: false,
-        per_call: messages_per_call(),
-        item_cost: additional_message_work(),
-        report_ms: load_report_ms(),
+        rejected_calls_count: false,
+        retry_after_probability: retry_after_share(),
+        retry_after_ms: retry_after_ms(),
+        capacity_ratio: capacity_ratio(),
+        longest_queue_ms: queue_ms(),
+        service_time_variation: service_time_variation(),
+        max_connections: 0,
+        independent_routes: false,
+        max_messages_per_call: messages_per_call(),
+        additional_message_work: additional_message_work(),
+        load_report_interval_ms: load_report_ms(),
     };
     let small = Kind {
         name: "small-members".into(),
@@ -68,10 +68,10 @@
         endpoints: [1, 2],
         rate: [2.0, 5.0],
         limit: LimitKind::Window { ms: 2000 },
-        refused_count: true,
-        tells_wait: 0.4,
-        connections: 10,
-        routes_apart: true,
+        rejected_calls_count: true,
+        retry_after_probability: 0.4,
+        max_connections: 10,
+        independent_routes: true,
         ..large.clone()
     };
     vec![large, small]
--- a/crates/scenario/src/scenario/faults.rs
+++ b/crates/scenario/src/scenario/faults.rs
@@ -7,91 +7,93 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct FaultSpec {
-    /// Its kind.
+    /// The kind of fault.
     pub what: FaultKind,
-    /// When it begins.
+    /// When the fault begins, in seconds.
     pub at: f64,
-    /// How long it lasts.
+    /// How long the fault lasts, in seconds.
     #[serde(rename = "for")]
     pub lasts: f64,
-    /// Share of the traffic, or of the couriers, that is affected.
+    /// The fraction of the traffic, or of the couriers, that is affected.
     #[serde(default = "defaults::fault_part")]
     pub part: f64,
-    /// How hard, as its kind says.
+    /// The size of the fault; its meaning depends on the kind.
     #[serde(default)]
     pub size: f64,
-    /// A second figure, as its kind says.
+    /// A second parameter; its meaning depends on the kind.
     #[serde(default)]
     pub extra: f64,
-    /// Failing calls are left unanswered, or connections are reset, instead of the milder form.
+    /// Selects the harder form of a kind, for example unanswered calls instead of errors.
     #[serde(default)]
     pub hard: bool,
 }
 
-/// Kinds of fault. `size` and `extra` mean what stands here.
+/// The kinds of faults, with the meaning of `size`, `extra` and `hard` for each.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum FaultKind {
-    /// Calls fail quickly; size: the share that does.
+    /// Calls fail quickly; size: the fraction that fails.
     Errors,
     /// Destinations reject everything.
     Shut,
-    /// Endpoints take calls and answer none.
+    /// Endpoints accept calls and answer none.
     Silent,
     /// Endpoints are slower; size: the factor.
     Slow,
     /// All calls are slower; size: the factor.
     SharedSlow,
-    /// Calls are carried out and not answered; size: the share.
+    /// Calls are executed but not answered; size: the fraction.
     AnswersLost,
-    /// Limits are lowered; size: the part that is left.
+    /// Limits are lowered; size: the fraction that remains.
     Throttle,
-    /// Endpoints are drained and replaced; size: share a batch; extra: seconds from drain to end.
+    /// Endpoints are drained and replaced in batches; size: the fraction per batch; extra: seconds of
+    /// draining.
     Drains,
-    /// Endpoints answer nothing at all.
+    /// Endpoints answer nothing, not even connection attempts.
     Vanish,
-    /// Endpoints refuse connections and break those they have.
+    /// Endpoints refuse connections and break existing ones.
     Down,
-    /// Endpoints stand still; size: for so many ms; extra: every so many seconds.
+    /// Endpoints pause repeatedly; size: milliseconds of a pause; extra: seconds between two pauses.
     Pauses,
-    /// More messages; size: the factor.
+    /// Clients submit more messages; size: the factor.
     SuddenLoad,
-    /// A few destinations draw more messages; size: their share of all; extra: how many.
+    /// A few destinations receive more messages; size: their fraction of all messages; extra: their number.
     HotDestinations,
-    /// One courier gets more messages; size: its share of all.
+    /// One courier receives more messages; size: its fraction of all messages.
     UnevenCouriers,
-    /// Couriers are killed, part of them; size: seconds until they are back.
+    /// Couriers are killed; size: seconds until they restart.
     CouriersKilled,
-    /// Couriers are restarted one after the other, part of them; size: seconds down.
+    /// Couriers are restarted one after the other; size: seconds of downtime.
     CouriersRolled,
-    /// Couriers do not run, part of them; size: for so many ms; extra: every so many seconds.
+    /// Couriers are suspended repeatedly; size: milliseconds of a stall; extra: seconds between two stalls.
     CouriersStall,
-    /// The endpoint list comes later; size: by so many seconds.
+    /// The endpoint list is delayed; size: additional seconds.
     ListLate,
-    /// The endpoint list does not come.
+    /// The endpoint list is not published.
     ListOut,
-    /// Connections idle for longer are dropped without a word; size: seconds idle; hard: reset at the next
-    /// call.
+    /// Connections that were idle are dropped silently; size: seconds of idleness; hard: they are reset at
+    /// the next call instead.
     IdleDropped,
-    /// One class fails at one endpoint of several; size: the share; extra: the class; hard: unanswered.
+    /// One class fails at one of several endpoints; size: the fraction; extra: the class; hard: its messages
+    /// are not answered.
     ClassFails,
-    /// New connections take longer; size: by so many ms.
+    /// New connections take longer; size: milliseconds.
     SlowConnect,
-    /// Couriers are cut off, part of them; extra: 0 from endpoints, 1 from clients, 2 from both; hard: in one
-    /// direction, so that nothing reaches them. Emulated only.
+    /// Couriers are cut off; extra: 0 from endpoints, 1 from clients, 2 from both; hard: only in the
+    /// direction to the couriers. Emulated only.
     Partition,
-    /// Connections of couriers break, part of them, in the middle of what travels; size: the share that does;
-    /// extra: every so many seconds. Emulated only.
+    /// Connections of couriers break repeatedly, with data under way; size: the fraction that breaks; extra:
+    /// seconds between two times. Emulated only.
     LinksCut,
-    /// What couriers send and are sent takes longer, part of them; size: by so many ms. Emulated only.
+    /// Data from and to couriers takes longer; size: additional milliseconds each way. Emulated only.
     LinksSlow,
-    /// Couriers are killed, part of them, and their snapshot is cut; size: seconds until they are back;
-    /// extra: the share of it that is left. Emulated only.
+    /// Couriers are killed and their snapshots are truncated; size: seconds until they restart; extra: the
+    /// fraction of the snapshot that remains. Emulated only.
     DiskDamaged,
 }
 
 impl FaultKind {
-    /// Sockets of one machine cannot play it.
+    /// Returns whether the kind can only be emulated, not injected on sockets.
     pub fn emulated_only(self) -> bool {
         matches!(
             self,
--- a/crates/scenario/src/scenario/sections.rs
+++ b/crates/scenario/src/scenario/sections.rs
@@ -1,167 +1,198 @@
-//! The sections of a scenario document. Field names are the keys of the document.
+//! The sections of a scenario document. Where a field is renamed, the name in `rename` is the key of the
+//! document.
 
 use super::defaults;
 use linnetcart_endpoint_model::LimitKind;
 use serde::{Deserialize, Serialize};
 
-/// Traffic.
+/// How many messages clients submit, and for which destinations.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Traffic {
-    /// Messages submitted, as a part of what all limits admit.
+    /// Messages submitted, as a fraction of the calls that all limits admit.
     pub load: f64,
-    /// Share of messages that come in bursts for one destination.
-    pub clumps: f64,
-    /// Size of a burst, in seconds of its destination's limit.
-    pub clump_s: f64,
+    /// The fraction of messages that arrive in bursts for one destination.
+    #[serde(rename = "clumps")]
+    pub burst_share: f64,
+    /// Size of a burst, as the time in which its destination admits as many calls.
+    #[serde(rename = "clump_s")]
+    pub burst_s: f64,
     /// Number of ordering keys.
     pub keys: u32,
 }
 
 impl Default for Traffic {
     fn default() -> Self {
-        Traffic { load: 0.6, clumps: 0.1, clump_s: 2.0, keys: 60 }
+        Traffic { load: 0.6, burst_share: 0.1, burst_s: 2.0, keys: 60 }
     }
 }
 
-/// Clients.
+/// How clients connect and retry.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Clients {
-    /// How often a client retries a rejected message at most.
+    /// How many times a client retries a rejected message.
     pub retries: u32,
-    /// Shortest and longest wait of a client before it retries.
-    pub again_ms: [f64; 2],
-    /// Connections of the clients to each courier at most, those of keys not counted. Answers go in order on
-    /// a connection, so with few of them messages wait for each other.
+    /// Shortest and longest delay before a retry.
+    #[serde(rename = "again_ms")]
+    pub retry_delay_ms: [f64; 2],
+    /// Most connections of the clients to each courier, not counting those of ordering keys. Answers go in
+    /// order on a connection, so with few of them messages wait for each other.
     pub connections: usize,
-    /// A client that has waited this long breaks its connection, and submits what it may to another courier;
-    /// 0 for as long as it takes.
-    pub patience_s: f64,
-    /// Clocks of clients and couriers differ by at most so much, either way.
-    pub clocks_ms: f64,
+    /// A client without an answer after this time closes its connection and submits to another courier what
+    /// may be submitted again; 0 for as long as it takes.
+    #[serde(rename = "patience_s")]
+    pub answer_timeout_s: f64,
+    /// The most by which any two clocks of clients and couriers differ.
+    #[serde(rename = "clocks_ms")]
+    pub max_clock_difference_ms: f64,
 }
 
 impl Default for Clients {
     fn default() -> Self {
-        Clients { retries: 2, again_ms: [800.0, 1900.0], connections: 400, patience_s: 0.0, clocks_ms: 10.0 }
+        Clients {
+            retries: 2,
+            retry_delay_ms: [800.0, 1900.0],
+            connections: 400,
+            answer_timeout_s: 0.0,
+            max_clock_difference_ms: 10.0,
+        }
     }
 }
 
-/// The courier's bounds, from its part of the full load.
+/// The limits of a courier, relative to its part of the full load.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct CourierBounds {
-    /// Attempt slots over what full load keeps busy.
-    pub slots_room: f64,
-    /// Attempt slots at least.
-    pub least_slots: u32,
-    /// Messages in flight at most, in seconds of full load.
-    pub hold_s: f64,
-    /// Bound of messages in flight at least.
-    pub least_held: u32,
-    /// Attempts for a message.
+    /// Attempt slots, as a multiple of those that are busy at full load.
+    #[serde(rename = "slots_room")]
+    pub slot_ratio: f64,
+    /// Least number of attempt slots.
+    #[serde(rename = "least_slots")]
+    pub min_slots: u32,
+    /// Most messages in flight, as the time in which they arrive at full load.
+    #[serde(rename = "hold_s")]
+    pub in_flight_s: f64,
+    /// Least limit of messages in flight.
+    #[serde(rename = "least_held")]
+    pub min_in_flight: u32,
+    /// Most attempts for one message.
     pub attempts: u32,
-    /// Shortest distance of two decision cycles.
-    pub tick_ms: f64,
-    /// An idle connection closes after this.
-    pub idle_s: f64,
-    /// A connection that takes longer has failed.
-    pub connect_ms: f64,
+    /// Shortest time between two decision cycles.
+    #[serde(rename = "tick_ms")]
+    pub min_cycle_ms: f64,
+    /// An idle connection is closed after this time.
+    #[serde(rename = "idle_s")]
+    pub idle_timeout_s: f64,
+    /// A connection that is not established after this time has failed.
+    #[serde(rename = "connect_ms")]
+    pub connect_timeout_ms: f64,
 }
 
 impl Default for CourierBounds {
     fn default() -> Self {
         CourierBounds {
-            slots_room: 2.2,
-            least_slots: 4,
-            hold_s: 9.0,
-            least_held: 16,
+            slot_ratio: 2.2,
+            min_slots: 4,
+            in_flight_s: 9.0,
+            min_in_flight: 16,
             attempts: 12,
-            tick_ms: 2.0,
-            idle_s: 10.0,
-            connect_ms: 1000.0,
+            min_cycle_ms: 2.0,
+            idle_timeout_s: 10.0,
+            connect_timeout_ms: 1000.0,
         }
     }
 }
 
-/// Figures of the rules.
+/// Parameters of the delivery rules.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Rules {
-    /// How late a final answer may be.
-    pub answer_slack_ms: f64,
-    /// New work to a draining endpoint ends after this.
+    /// How long after the deadline a final answer may be sent.
+    #[serde(rename = "answer_slack_ms")]
+    pub answer_grace_ms: f64,
+    /// How long a courier may send new work to a draining endpoint.
     pub drain_grace_ms: f64,
-    /// Share of the capacity right after an outage.
-    pub cold_share: f64,
-    /// All of it after this.
-    pub warm_after_s: f64,
-    /// Sent more than this multiple of its capacity, a destination in slow start is overloaded,
-    pub fall_multiple: f64,
-    /// when that goes on for this long.
-    pub fall_span_s: f64,
-    /// Cooldown of an ordering key after an attempt that may still run.
-    pub key_rest_ms: f64,
+    /// The fraction of the capacity that is available right after an outage.
+    #[serde(rename = "cold_share")]
+    pub slow_start_ratio: f64,
+    /// Duration of the recovery ramp, after which the full capacity is available.
+    #[serde(rename = "warm_after_s")]
+    pub slow_start_duration_s: f64,
+    /// A destination in slow start is overloaded by more than this multiple of its capacity within one
+    /// window.
+    #[serde(rename = "fall_multiple")]
+    pub overload_ratio: f64,
+    /// Length of that window.
+    #[serde(rename = "fall_span_s")]
+    pub overload_window_s: f64,
+    /// Cooldown of an ordering key after an attempt that may still be running.
+    #[serde(rename = "key_rest_ms")]
+    pub key_cooldown_ms: f64,
 }
 
 impl Default for Rules {
     fn default() -> Self {
         Rules {
-            answer_slack_ms: 20.0,
+            answer_grace_ms: 20.0,
             drain_grace_ms: 500.0,
-            cold_share: 0.21,
-            warm_after_s: 8.0,
-            fall_multiple: 2.0,
-            fall_span_s: 2.0,
-            key_rest_ms: 100.0,
+            slow_start_ratio: 0.21,
+            slow_start_duration_s: 8.0,
+            overload_ratio: 2.0,
+            overload_window_s: 2.0,
+            key_cooldown_ms: 100.0,
         }
     }
 }
 
-/// How the endpoint list reaches couriers.
+/// How the endpoint list is delivered to couriers.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct EndpointListDelivery {
-    /// Changes come so late.
-    pub late_s: f64,
-    /// It has the rates of destinations.
+    /// Delay between a change and its publication.
+    #[serde(rename = "late_s")]
+    pub delay_s: f64,
+    /// Whether the list contains the rates of destinations.
     pub rates: bool,
 }
 
 impl Default for EndpointListDelivery {
     fn default() -> Self {
-        EndpointListDelivery { late_s: 1.0, rates: true }
+        EndpointListDelivery { delay_s: 1.0, rates: true }
     }
 }
 
-/// A class of message.
+/// A message class.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Class {
-    /// Its name.
+    /// The name.
     pub name: String,
-    /// Its share of the messages.
+    /// Relative share of the messages.
     pub share: f64,
     /// Usual service time.
     pub service_ms: f64,
-    /// Latency objective: served within it, a message has its full weight.
-    pub aim_s: f64,
-    /// How long it may be served.
+    /// Latency objective. A message served within it has its full weight.
+    #[serde(rename = "aim_s")]
+    pub latency_objective_s: f64,
+    /// How long a message may be served after its submission.
     pub deadline_s: f64,
-    /// Full weight of a message.
-    pub worth: f64,
-    /// Part of the weight that is left at the deadline.
-    pub late_worth: f64,
-    /// `safe`, `keyed` or `unsafe`.
-    pub repeat: IdempotencyKind,
-    /// For `keyed`: how long endpoints drop a repeat.
-    #[serde(default)]
-    pub window_s: f64,
-    /// For `keyed`: only by endpoints of the same zone.
-    #[serde(default)]
-    pub by_zone: bool,
-    /// Messages with one ordering key go in turn.
+    /// Weight of a message served within the latency objective.
+    #[serde(rename = "worth")]
+    pub priority_weight: f64,
+    /// The fraction of the weight that remains at the deadline.
+    #[serde(rename = "late_worth")]
+    pub late_weight: f64,
+    /// What a second execution of a message does.
+    #[serde(rename = "repeat")]
+    pub idempotency: IdempotencyKind,
+    /// For keyed messages: how long endpoints recognize a key.
+    #[serde(rename = "window_s", default)]
+    pub dedup_window_s: f64,
+    /// For keyed messages: whether only the endpoints of one zone share their keys.
+    #[serde(rename = "by_zone", default)]
+    pub per_zone: bool,
+    /// Whether messages with the same ordering key are delivered in order.
     #[serde(default)]
     pub ordered: bool,
 }
@@ -170,62 +201,62 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum IdempotencyKind {
-    /// No harm.
+    /// It does no harm.
     #[serde(rename = "safe")]
     Idempotent,
-    /// It is dropped within a window.
+    /// It is recognized by its key and dropped, within a window.
     Keyed,
-    /// It takes effect twice.
+    /// It takes effect a second time.
     #[serde(rename = "unsafe")]
     NotIdempotent,
 }
 
-/// A kind of destination. Pairs are ranges to draw from.
+/// A kind of destinations. Arrays of two are ranges from which a value is drawn.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Kind {
-    /// Its name.
+    /// The name.
     pub name: String,
-    /// Destinations of it.
+    /// Number of destinations of this kind.
     pub destinations: u32,
-    /// Endpoints of each.
+    /// Number of endpoints of each destination.
     pub endpoints: [u32; 2],
-    /// Calls a second that each admits, or each route where they are independent.
+    /// Calls per second that each destination admits, or each of its routes where these are independent.
     pub rate: [f64; 2],
-    /// What it limits.
+    /// What the destinations limit.
     #[serde(default = "defaults::rate_limit")]
     pub limit: LimitKind,
-    /// Rejected calls use up the limit.
-    #[serde(default)]
-    pub refused_count: bool,
-    /// Share of rejections that give a Retry-After.
-    #[serde(default = "defaults::retry_after_share")]
-    pub tells_wait: f64,
-    /// The Retry-After of a plain rate.
-    #[serde(default = "defaults::retry_after_ms")]
-    pub wait_ms: [f64; 2],
-    /// Capacity over the limit.
-    #[serde(default = "defaults::capacity_ratio")]
-    pub spare: f64,
-    /// How long a call may wait in its queue.
-    #[serde(default = "defaults::queue_ms")]
-    pub depth_ms: f64,
-    /// Spread of service times: deviation over mean.
-    #[serde(default = "defaults::service_time_variation")]
-    pub cv: f64,
-    /// Connections that an endpoint accepts; 0 for any number.
-    #[serde(default)]
-    pub connections: usize,
-    /// Endpoints are independent routes.
-    #[serde(default)]
-    pub routes_apart: bool,
-    /// Messages in one call.
-    #[serde(default = "defaults::messages_per_call")]
-    pub per_call: u32,
-    /// Work of a further message in a call, as a part of the first's.
-    #[serde(default = "defaults::additional_message_work")]
-    pub item_cost: f64,
-    /// Load is reported in answers, so often; 0 for never.
-    #[serde(default = "defaults::load_report_ms")]
-    pub report_ms: f64,
+    /// Whether rejected calls use up the limit.
+    #[serde(rename = "refused_count", default)]
+    pub rejected_calls_count: bool,
+    /// The fraction of rejections with a Retry-After.
+    #[serde(rename = "tells_wait", default = "defaults::retry_after_share")]
+    pub retry_after_probability: f64,
+    /// The Retry-After of a plain rate limit.
+    #[serde(rename = "wait_ms", default = "defaults::retry_after_ms")]
+    pub retry_after_ms: [f64; 2],
+    /// Capacity as a multiple of the limit.
+    #[serde(rename = "spare", default = "defaults::capacity_ratio")]
+    pub capacity_ratio: f64,
+    /// How long a call may wait in the queue of its destination.
+    #[serde(rename = "depth_ms", default = "defaults::queue_ms")]
+    pub longest_queue_ms: f64,
+    /// Coefficient of variation of the service times: standard deviation divided by mean.
+    #[serde(rename = "cv", default = "defaults::service_time_variation")]
+    pub service_time_variation: f64,
+    /// Most connections that an endpoint accepts; 0 for any number.
+    #[serde(rename = "connections", default)]
+    pub max_connections: usize,
+    /// Whether endpoints are independent routes, each with a limit of its own.
+    #[serde(rename = "routes_apart", default)]
+    pub independent_routes: bool,
+    /// Most messages in one call.
+    #[serde(rename = "per_call", default = "defaults::messages_per_call")]
+    pub max_messages_per_call: u32,
+    /// Work of each additional message in a call, as a fraction of the work of the first.
+    #[serde(rename = "item_cost", default = "defaults::additional_message_work")]
+    pub additional_message_work: f64,
+    /// Interval at which the load reported in answers is updated; 0 for no reports.
+    #[serde(rename = "report_ms", default = "defaults::load_report_ms")]
+    pub load_report_interval_ms: f64,
 }
--- a/crates/scenario/src/scenario/speed.rs
+++ b/crates/scenario/src/scenario/speed.rs
@@ -1,77 +1,77 @@
-//! The same scenario in less time: spans shrink and rates grow by one factor.
+//! Speeding up a scenario: durations are divided and rates multiplied by the same factor.
 
 use super::{Class, Clients, CourierBounds, FaultKind, FaultSpec, Kind, Rules, Scenario};
 use linnetcart_endpoint_model::LimitKind;
 
-/// Windows of a limit do not get shorter, in milliseconds.
+/// Shortest window of a limit, in milliseconds.
 const MIN_WINDOW_MS: u64 = 10;
 
 impl Scenario {
-    /// The same scenario so many times as fast.
+    /// Returns the scenario sped up by this factor.
     pub fn faster(mut self, speed: f64) -> Scenario {
         self.seconds /= speed;
-        self.list.late_s /= speed;
-        self.traffic.clump_s /= speed;
-        self.clients.shrink(speed);
-        self.courier.shrink(speed);
-        self.rules.shrink(speed);
+        self.list.delay_s /= speed;
+        self.traffic.burst_s /= speed;
+        self.clients.speed_up(speed);
+        self.courier.speed_up(speed);
+        self.rules.speed_up(speed);
         for class in &mut self.class {
-            class.shrink(speed);
+            class.speed_up(speed);
         }
         for kind in &mut self.kind {
-            kind.shrink(speed);
+            kind.speed_up(speed);
         }
         for fault in &mut self.trouble {
-            fault.shrink(speed);
+            fault.speed_up(speed);
         }
         self
     }
 }
 
 impl Clients {
-    fn shrink(&mut self, speed: f64) {
-        for limit in &mut self.again_ms {
-            *limit /= speed;
+    fn speed_up(&mut self, speed: f64) {
+        for bound in &mut self.retry_delay_ms {
+            *bound /= speed;
         }
-        self.patience_s /= speed;
+        self.answer_timeout_s /= speed;
     }
 }
 
 impl CourierBounds {
-    fn shrink(&mut self, speed: f64) {
-        self.hold_s /= speed;
-        self.idle_s /= speed;
+    fn speed_up(&mut self, speed: f64) {
+        self.in_flight_s /= speed;
+        self.idle_timeout_s /= speed;
     }
 }
 
 impl Rules {
-    fn shrink(&mut self, speed: f64) {
+    fn speed_up(&mut self, speed: f64) {
         self.drain_grace_ms /= speed;
-        self.warm_after_s /= speed;
-        self.fall_span_s /= speed;
-        self.key_rest_ms /= speed;
+        self.slow_start_duration_s /= speed;
+        self.overload_window_s /= speed;
+        self.key_cooldown_ms /= speed;
     }
 }
 
 impl Class {
-    fn shrink(&mut self, speed: f64) {
+    fn speed_up(&mut self, speed: f64) {
         self.service_ms /= speed;
-        self.aim_s /= speed;
+        self.latency_objective_s /= speed;
         self.deadline_s /= speed;
-        self.window_s /= speed;
+        self.dedup_window_s /= speed;
     }
 }
 
 impl Kind {
-    fn shrink(&mut self, speed: f64) {
+    fn speed_up(&mut self, speed: f64) {
         for rate in &mut self.rate {
             *rate *= speed;
         }
-        for limit in &mut self.wait_ms {
-            *limit /= speed;
+        for bound in &mut self.retry_after_ms {
+            *bound /= speed;
         }
-        self.depth_ms /= speed;
-        self.report_ms /= speed;
+        self.longest_queue_ms /= speed;
+        self.load_report_interval_ms /= speed;
         if let LimitKind::Window { ms } = &mut self.limit {
             *ms = ((*ms as f64 / speed) as u64).max(MIN_WINDOW_MS);
         }
@@ -79,7 +79,7 @@
 }
 
 impl FaultSpec {
-    fn shrink(&mut self, speed: f64) {
+    fn speed_up(&mut self, speed: f64) {
         self.at /= speed;
         self.lasts /= speed;
         match self.what {
--- a/crates/scenario/src/scenario/validation.rs
+++ b/crates/scenario/src/scenario/validation.rs
@@ -1,21 +1,21 @@
-//! Checks of a scenario as a whole; each error says where the wrong value stands and what is expected there.
+//! Validation of scenarios. Each error names the place of the invalid value and what is expected there.
 
 use super::{Clients, FaultKind, FaultSpec, Kind, Scenario};
 use crate::error::{require, ScenarioError};
 
-/// Longest scenario, in seconds.
+/// Longest duration of a scenario, in seconds.
 const MAX_SECONDS: f64 = 3600.0;
-/// Couriers have numbers of this many.
+/// Most couriers, which is the number of courier ids.
 const MAX_COURIERS: u32 = 510;
-/// Zones have numbers of one byte, and not all of them.
+/// Most zones: zones are numbered with one byte, of which some values are reserved.
 const MAX_ZONES: usize = 249;
-/// Traffic is less than this multiple of what all limits admit.
+/// Exclusive upper bound of the load, as a multiple of what all limits admit.
 const LOAD_BOUND: f64 = 20.0;
-/// Clocks differ by at most so many milliseconds.
+/// Most difference of clocks, in milliseconds.
 const MAX_CLOCKS_MS: f64 = 60_000.0;
 
 impl Scenario {
-    /// Checks a scenario as a whole.
+    /// Validates the scenario.
     pub fn check(&self) -> Result<(), ScenarioError> {
         let seconds = self.seconds > 0.0 && self.seconds <= MAX_SECONDS;
         require(seconds, "seconds", "more than 0 and at most 3600")?;
@@ -48,9 +48,9 @@
 
 fn check_clients(clients: &Clients) -> Result<(), ScenarioError> {
     require(clients.connections > 0, "clients.connections", "at least 1")?;
-    let clocks = (0.0..=MAX_CLOCKS_MS).contains(&clients.clocks_ms);
-    require(clocks, "clients.clocks_ms", "0 to 60000")?;
-    require(clients.patience_s >= 0.0, "clients.patience_s", "not below 0")
+    let clocks = (0.0..=MAX_CLOCKS_MS).contains(&clients.max_clock_difference_ms);
+    require(clocks, "clients.max_clock_difference_ms", "0 to 60000")?;
+    require(clients.answer_timeout_s >= 0.0, "clients.answer_timeout_s", "not below 0")
 }
 
 fn check_kind(kind: &Kind) -> Result<(), ScenarioError> {
@@ -59,5 +59,5 @@
     require(fewest >= 1 && fewest <= most, place(), "endpoints [least, most]")?;
     let [lowest, highest] = kind.rate;
     require(lowest > 0.0 && lowest <= highest, place(), "rate [least, most] above 0")?;
-    require(kind.per_call >= 1, place(), "per_call at least 1")
+    require(kind.max_messages_per_call >= 1, place(), "per_call at least 1")
 }
--- a/crates/scenario/src/units.rs
+++ b/crates/scenario/src/units.rs
@@ -1,13 +1,13 @@
-//! Spans of a scenario document as spans of the clock.
+//! Conversion of the durations in scenario documents to [`Time`].
 
 use linnetcart_conformance::Time;
 
-/// Seconds as nanoseconds.
+/// Converts seconds to nanoseconds.
 pub fn seconds(seconds: f64) -> Time {
     (seconds * 1e9) as Time
 }
 
-/// Milliseconds as nanoseconds.
+/// Converts milliseconds to nanoseconds.
 pub fn millis(millis: f64) -> Time {
     (millis * 1e6) as Time
 }
--- a/crates/scenario/tests/scenarios.rs
+++ b/crates/scenario/tests/scenarios.rs
@@ -34,3 +34,75 @@
     assert_eq!(fast.kind[0].rate[0], scenario.kind[0].rate[0] * 4.0);
     assert_eq!(fast.class[0].deadline_s * 4.0, scenario.class[0].deadline_s);
 }
+
+/// The keys of a section, in alphabetical order.
+fn keys(section: &serde_json::Value) -> Vec<&str> {
+    let mut keys: Vec<&str> = section.as_object().expect("a section").keys().map(String::as_str).collect();
+    keys.sort_unstable();
+    keys
+}
+
+#[test]
+fn scenario_written_as_document_has_the_keys_of_the_format() {
+    let scenario = serde_json::to_value(Scenario::find("bad-day").unwrap()).unwrap();
+    assert_eq!(keys(&scenario["traffic"]), ["clump_s", "clumps", "keys", "load"]);
+    assert_eq!(keys(&scenario["clients"]), ["again_ms", "clocks_ms", "connections", "patience_s", "retries"]);
+    let courier =
+        ["attempts", "connect_ms", "hold_s", "idle_s", "least_held", "least_slots", "slots_room", "tick_ms"];
+    assert_eq!(keys(&scenario["courier"]), courier);
+    let rules = [
+        "answer_slack_ms",
+        "cold_share",
+        "drain_grace_ms",
+        "fall_multiple",
+        "fall_span_s",
+        "key_rest_ms",
+        "warm_after_s",
+    ];
+    assert_eq!(keys(&scenario["rules"]), rules);
+    assert_eq!(keys(&scenario["list"]), ["late_s", "rates"]);
+    let class = [
+        "aim_s",
+        "by_zone",
+        "deadline_s",
+        "late_worth",
+        "name",
+        "ordered",
+        "repeat",
+        "service_ms",
+        "share",
+        "window_s",
+        "worth",
+    ];
+    assert_eq!(keys(&scenario["class"][0]), class);
+    let kind = [
+        "connections",
+        "cv",
+        "depth_ms",
+        "destinations",
+        "endpoints",
+        "item_cost",
+        "limit",
+        "name",
+        "per_call",
+        "rate",
+        "refused_count",
+        "report_ms",
+        "routes_apart",
+        "spare",
+        "tells_wait",
+        "wait_ms",
+    ];
+    assert_eq!(keys(&scenario["kind"][0]), kind);
+    let fault = ["at", "extra", "for", "hard", "part", "size", "what"];
+    assert_eq!(keys(&scenario["trouble"][0]), fault);
+}
+
+#[test]
+fn scenario_written_as_document_is_read_back_unchanged() {
+    for built_in in BUILT_IN {
+        let scenario = Scenario::parse(built_in.text).unwrap();
+        let written = toml::to_string(&scenario).unwrap();
+        assert_eq!(Scenario::parse(&written).unwrap(), scenario, "{}", built_in.name);
+    }
+}
--- a/crates/testbed/src/emulated_run/message_trace.rs
+++ b/crates/testbed/src/emulated_run/message_trace.rs
@@ -83,7 +83,7 @@
         class.name,
         fleet.scenario.kind[kind].name,
         planned.key,
-        class.aim_s * 1e3,
+        class.latency_objective_s * 1e3,
         class.deadline_s * 1e3
     )
 }
--- a/crates/testbed/src/fault_search/shrink.rs
+++ b/crates/testbed/src/fault_search/shrink.rs
@@ -79,7 +79,7 @@
     let enough_seconds = (last_fault_end * 1.2 + 1.0).ceil();
     steps.add(|scenario| scenario.seconds = scenario.seconds.min(enough_seconds));
     steps.add(|scenario| scenario.couriers = (scenario.couriers / 2).max(1));
-    steps.add(|scenario| scenario.traffic.clumps = 0.0);
+    steps.add(|scenario| scenario.traffic.burst_share = 0.0);
     steps.add(|scenario| scenario.traffic.load = (scenario.traffic.load * 0.6).max(0.05));
     for index in 0..kinds {
         steps.add(|scenario| {
