--- a/crates/endpoint-model/src/calls.rs
+++ b/crates/endpoint-model/src/calls.rs
@@ -1,4 +1,4 @@
-//! Calls and connections as they come in, and what is to be done with them.
+//! Calls and connections as they arrive, and what the caller of the simulator is to do with them.
 
 use linnetcart_conformance::Time;
 
@@ -7,95 +7,95 @@
 pub struct CallItem {
     /// The message.
     pub message: u64,
-    /// Its class.
+    /// The class of the message.
     pub class: u8,
 }
 
-/// The courier that calls.
+/// The courier that makes a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Caller {
     /// The courier.
     pub courier: u32,
-    /// Which incarnation of the courier.
+    /// The incarnation of the courier.
     pub incarnation: u32,
 }
 
 /// A call that arrives at an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct IncomingCall<'a> {
-    /// The courier that calls.
+    /// The courier that makes the call.
     pub caller: Caller,
-    /// How long the call was on its way, 0 where that is not known.
+    /// Travel time of the call; 0 if it is not known.
     pub travelled: Time,
-    /// The endpoint that it reached.
+    /// The endpoint that the call reached.
     pub endpoint: u32,
-    /// Its messages.
+    /// The messages of the call.
     pub items: &'a [CallItem],
 }
 
 /// A call that was received.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ReceivedCall {
-    /// The number that it was given.
+    /// The number that the simulator assigned to the call.
     pub call: u64,
-    /// What is to be done with it now.
+    /// What is to be done with the call now.
     pub step: CallStep,
 }
 
 /// How a message of a call is answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ItemStatus {
-    /// Served.
+    /// The message was served.
     Served,
-    /// Rejected unseen.
+    /// The message was rejected without being processed.
     Rejected,
-    /// An error.
+    /// The message failed with an error.
     Error,
 }
 
-/// What an endpoint reports of its limit.
+/// The load that an endpoint reports in an answer.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ReportedLoad {
-    /// Share of the limit that is left.
+    /// The fraction of the limit that is left.
     pub capacity_left: f64,
-    /// The limit, in calls a second.
+    /// The limit, in calls per second.
     pub rate_limit: f64,
 }
 
 /// An answer to a call.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Reply {
-    /// For each message.
+    /// The status of each message of the call, in order.
     pub statuses: Vec<ItemStatus>,
-    /// The Retry-After, 0 for none.
+    /// The Retry-After; 0 if none is given.
     pub retry_after: Time,
-    /// Load, if it is reported.
+    /// The load, if the endpoint reports it.
     pub load: Option<ReportedLoad>,
 }
 
 /// What is to be done with a call now.
 #[derive(Clone, Debug, PartialEq)]
 pub enum CallStep {
-    /// Answer it.
+    /// Send this answer.
     Answer(Reply),
     /// Call [`EndpointSimulator::finish_call`](crate::EndpointSimulator::finish_call) at this time.
     FinishAt(Time),
-    /// Never answer it.
+    /// Never answer the call.
     Silent,
-    /// Break its connection.
+    /// Break the connection of the call.
     Break,
 }
 
-/// What becomes of a new connection.
+/// How an endpoint reacts to a new connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectOutcome {
-    /// It is accepted.
+    /// The endpoint accepts the connection.
     Accepted {
-        /// How long that takes.
+        /// Delay until the connection is accepted.
         after: Time,
     },
-    /// It is closed at once.
+    /// The endpoint closes the connection at once.
     Refused,
-    /// Nobody answers.
+    /// The endpoint does not answer.
     Unanswered,
 }
--- a/crates/endpoint-model/src/deduplication.rs
+++ b/crates/endpoint-model/src/deduplication.rs
@@ -1,13 +1,13 @@
-//! What endpoints remember of messages with an idempotency key.
+//! The deduplication of messages with an idempotency key at the endpoints.
 
 use linnetcart_conformance::{Idempotency, Time};
 use std::collections::BTreeMap;
 
-/// A message, as those that share a memory of it know it.
+/// The scope in which a key is known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct RememberedMessage {
+struct ScopedKey {
     destination: u32,
-    /// Where only the endpoints of one zone share a memory.
+    /// The zone, where only the endpoints of one zone share their keys.
     zone: Option<u8>,
     message: u64,
 }
@@ -21,26 +21,26 @@
     pub(crate) message: u64,
 }
 
-/// When messages with an idempotency key last took effect.
+/// The times at which messages with an idempotency key last took effect.
 #[derive(Debug, Default)]
 pub(crate) struct DeduplicationStore {
-    effects: BTreeMap<RememberedMessage, Time>,
+    effects: BTreeMap<ScopedKey, Time>,
 }
 
 impl DeduplicationStore {
-    /// Whether an execution takes effect; if it does, that is remembered.
+    /// Returns whether an execution takes effect, and stores it if it does.
     pub(crate) fn takes_effect(&mut self, execution: Execution, idempotency: Idempotency) -> bool {
         let Idempotency::Keyed { dedup_window, per_zone } = idempotency else { return true };
-        let remembered = RememberedMessage {
+        let key = ScopedKey {
             destination: execution.destination,
             zone: per_zone.then_some(execution.zone),
             message: execution.message,
         };
-        let last_effect = self.effects.get(&remembered);
+        let last_effect = self.effects.get(&key);
         if last_effect.is_some_and(|&at| execution.at < at + dedup_window) {
             return false;
         }
-        self.effects.insert(remembered, execution.at);
+        self.effects.insert(key, execution.at);
         true
     }
 }
--- a/crates/endpoint-model/src/destinations.rs
+++ b/crates/endpoint-model/src/destinations.rs
@@ -1,4 +1,4 @@
-//! What destinations are made of: kinds, limits, endpoints, and the figures of their recovery.
+//! Parameters of the simulation: kinds of destinations, their limits and endpoints, and their recovery.
 
 use linnetcart_conformance::{Idempotency, Time};
 use serde::{Deserialize, Serialize};
@@ -7,99 +7,100 @@
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase", deny_unknown_fields)]
 pub enum LimitKind {
-    /// Nothing but its capacity.
+    /// No limit except the capacity.
     None,
-    /// A plain rate.
+    /// A rate in calls per second.
     Rate,
-    /// A count in each window of so many milliseconds.
+    /// A count of calls in each window.
     Window {
-        /// Length of the window.
+        /// Length of the window, in milliseconds.
         ms: u64,
     },
 }
 
-/// The Retry-After that a plain rate gives.
+/// Range of the Retry-After of a plain rate limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RetryAfterRange {
-    /// At least this.
+    /// Shortest Retry-After.
     pub shortest: Time,
-    /// At most this.
+    /// Longest Retry-After.
     pub longest: Time,
 }
 
-/// A kind of destination.
+/// A kind of destinations.
 #[derive(Clone, Debug, PartialEq)]
 pub struct DestinationKind {
-    /// Its name.
+    /// The name of the kind.
     pub name: String,
-    /// What it limits.
+    /// What the destinations limit.
     pub limit: LimitKind,
-    /// Rejected calls use up the limit too.
+    /// Whether rejected calls use up the limit too.
     pub rejected_calls_count: bool,
-    /// Share of rejections that give a Retry-After.
+    /// The fraction of rejections with a Retry-After.
     pub retry_after_probability: f64,
-    /// The Retry-After of a plain rate.
+    /// The Retry-After of a plain rate limit.
     pub retry_after: RetryAfterRange,
-    /// Capacity over the limit.
+    /// Capacity as a multiple of the limit.
     pub capacity_ratio: f64,
-    /// How long a call may wait in the queue.
+    /// How long a call may wait in the queue before it is rejected.
     pub longest_queue: Time,
-    /// Spread of the service times: deviation over mean.
+    /// Coefficient of variation of the service times: standard deviation divided by mean.
     pub service_time_variation: f64,
-    /// Connections that an endpoint accepts; 0 for any number.
+    /// Most connections that an endpoint accepts; 0 for any number.
     pub max_connections: usize,
-    /// Endpoints are independent routes, each with a limit of its own.
+    /// Whether endpoints are independent routes, each with a limit of its own.
     pub independent_routes: bool,
-    /// Messages in one call at most.
+    /// Most messages in one call.
     pub max_messages_per_call: usize,
-    /// Work of a further message in a call, as a part of the first's.
+    /// Work of each additional message in a call, as a fraction of the work of the first.
     pub additional_message_work: f64,
-    /// Load is reported this often; 0 for never.
+    /// Interval at which the reported load is updated; 0 for no reports.
     pub load_report_interval: Time,
 }
 
 /// An endpoint of a destination.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SimulatedEndpoint {
-    /// Its number.
+    /// The number of the endpoint.
     pub endpoint: u32,
-    /// Its zone.
+    /// The number of its zone.
     pub zone: u8,
 }
 
 /// A destination.
 #[derive(Clone, Debug, PartialEq)]
 pub struct SimulatedDestination {
-    /// Its number.
+    /// The number of the destination.
     pub destination: u32,
     /// The number of its kind.
     pub kind: usize,
-    /// Calls a second that it, or each of its routes, admits.
+    /// Calls per second that the destination admits, or each of its routes where these are independent.
     pub rate: f64,
     /// Its endpoints.
     pub endpoints: Vec<SimulatedEndpoint>,
-    /// Its service times over the usual ones.
+    /// Factor by which its service times differ from the usual ones.
     pub service_time_factor: f64,
 }
 
-/// A class of message as endpoints see it.
+/// A message class as endpoints see it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ClassWork {
-    /// Usual service time.
+    /// Usual service time, in nanoseconds.
     pub service_time: Time,
-    /// What endpoints do with a repeated message.
+    /// What endpoints do with a second execution of a message.
     pub idempotency: Idempotency,
 }
 
-/// How destinations come back from outages.
+/// How destinations recover from outages.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RecoveryModel {
-    /// Share of the capacity right after an outage.
+    /// The fraction of the capacity that is available right after an outage.
     pub slow_start_ratio: f64,
-    /// All of it after this.
+    /// Duration of the recovery ramp, after which the full capacity is available.
     pub slow_start_duration: Time,
-    /// Sent more than this multiple of its capacity, a destination in slow start is overloaded,
+    /// A destination in slow start is overloaded by more than this multiple of its capacity within one
+    /// window.
     pub overload_ratio: f64,
-    /// when that goes on for this long.
+    /// Length of that window.
     pub overload_window: Time,
 }
--- a/crates/endpoint-model/src/faults.rs
+++ b/crates/endpoint-model/src/faults.rs
@@ -2,38 +2,38 @@
 
 use linnetcart_conformance::Time;
 
-/// One class of message fails.
+/// A fault by which messages of one class fail.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ClassFault {
     /// The class.
     pub class: u8,
-    /// Share of its messages that fail.
+    /// The fraction of its messages that fails.
     pub probability: f64,
-    /// They are left unanswered instead of being answered with an error.
+    /// Whether failing messages are left unanswered instead of being answered with an error.
     pub unanswered: bool,
 }
 
-/// The faults of an endpoint.
+/// The faults of an endpoint. The default is none.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct EndpointFault {
-    /// Share of calls that fail quickly.
+    /// The fraction of calls that fails quickly.
     pub error_probability: f64,
-    /// Takes calls and answers none.
+    /// The endpoint accepts calls and answers none.
     pub silent: bool,
-    /// Accepts no connections and breaks those it has.
+    /// The endpoint refuses connections and breaks existing ones.
     pub down: bool,
-    /// Answers nothing at all, not even connections.
+    /// The endpoint answers nothing, not even connection attempts.
     pub vanished: bool,
-    /// Service times grow by this factor; less than 1 counts as 1.
+    /// Factor of the service times; values below 1 count as 1.
     pub slowdown: f64,
-    /// Share of calls that are carried out and not answered.
+    /// The fraction of calls that is executed but not answered.
     pub lost_answer_probability: f64,
-    /// One class of message fails.
+    /// Messages of one class fail.
     pub class_fault: Option<ClassFault>,
-    /// A connection takes this long to be accepted.
+    /// Delay until a connection is accepted.
     pub accept_delay: Time,
-    /// Connections idle for longer are dropped without a word.
+    /// Connections that are idle for longer are dropped silently.
     pub idle_timeout: Option<Time>,
-    /// Everything stands still until then.
+    /// The endpoint is paused until this time.
     pub paused_until: Time,
 }
--- a/crates/endpoint-model/src/lib.rs
+++ b/crates/endpoint-model/src/lib.rs
@@ -1,11 +1,11 @@
-//! A simulator of the endpoints that messages are delivered to, free of I/O: what each endpoint does with a
-//! call, when, and what it tells of its load.
+//! A simulator of the endpoints that messages are delivered to, without I/O. It decides what each endpoint
+//! does with a call and when, and what load it reports.
 //!
-//! A *limit* is what calls count against: a destination, or one endpoint of it where routes are independent.
-//! It rejects calls above its rate or count, serves what it admits through a queue at its capacity, may have
-//! an outage, comes back with a recovery ramp, and is overloaded when too much is sent to it during that
-//! ramp. Sockets and virtual time drive the same model; randomness comes from a seed, and every call leaves a
-//! record for the rule checks.
+//! Calls count against a *limit*: that of a destination, or that of one endpoint where routes are
+//! independent. A limit rejects calls above its rate or count and serves admitted ones through a queue at its
+//! capacity. After an outage it recovers with a ramp, and it is overloaded by too many calls during that
+//! ramp. Sockets and virtual time drive the same model. Random numbers come from a seed, and every call is
+//! recorded for the conformance checks.
 #![forbid(unsafe_code)]
 #![warn(clippy::unwrap_used, missing_docs)]
 
--- /dev/null
+++ b/crates/endpoint-model/src/limit/quota.rs
@@ -0,0 +1,117 @@
+//! The quota of a limit: a token bucket for a plain rate, or a count per window.
+
+use super::NANOS_PER_SECOND;
+use crate::destinations::{DestinationKind, LimitKind};
+use linnetcart_conformance::Time;
+
+/// Size of the token bucket, as the time in which a plain rate fills it.
+const BURST_SECONDS: f64 = 0.25;
+const NANOS_PER_MILLI: u64 = 1_000_000;
+
+/// Nothing is left of the quota.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct QuotaExhausted {
+    /// How long the caller should wait, as the destination tells it.
+    pub(super) wait: Time,
+}
+
+/// The state of a quota. A limit uses either the token bucket or the window, as its kind says.
+#[derive(Debug)]
+pub(super) struct Quota {
+    tokens: f64,
+    refilled_at: Time,
+    /// Number of the current window.
+    window: Time,
+    used_in_window: f64,
+}
+
+impl Quota {
+    pub(super) fn new(rate: f64) -> Self {
+        Quota { tokens: bucket_size(rate), refilled_at: 0, window: 0, used_in_window: 0.0 }
+    }
+
+    /// Brings the token bucket or the window up to date.
+    pub(super) fn refill(&mut self, now: Time, rate: f64, limit: LimitKind) {
+        match limit {
+            LimitKind::None => {}
+            LimitKind::Rate => {
+                let gained = rate * now.saturating_sub(self.refilled_at) as f64 / NANOS_PER_SECOND;
+                self.tokens = (self.tokens + gained).min(bucket_size(rate));
+                self.refilled_at = now;
+            }
+            LimitKind::Window { ms } => {
+                let window = now / (ms * NANOS_PER_MILLI).max(1);
+                if window != self.window {
+                    self.window = window;
+                    self.used_in_window = 0.0;
+                }
+            }
+        }
+    }
+
+    /// Consumes the quota of one call. `draw` decides the Retry-After of a plain rate.
+    pub(super) fn consume(
+        &mut self,
+        now: Time,
+        rate: f64,
+        kind: &DestinationKind,
+        draw: f64,
+    ) -> Result<(), QuotaExhausted> {
+        match kind.limit {
+            LimitKind::None => Ok(()),
+            LimitKind::Rate => self.consume_token(kind, draw),
+            LimitKind::Window { ms } => self.consume_from_window(now, rate, ms, kind),
+        }
+    }
+
+    fn consume_token(&mut self, kind: &DestinationKind, draw: f64) -> Result<(), QuotaExhausted> {
+        if self.tokens >= 1.0 {
+            self.tokens -= 1.0;
+            return Ok(());
+        }
+        if kind.rejected_calls_count {
+            self.tokens = (self.tokens - 1.0).max(-1.0);
+        }
+        let range = kind.retry_after;
+        let width = (range.longest - range.shortest) as f64;
+        Err(QuotaExhausted { wait: range.shortest + (draw * width) as Time })
+    }
+
+    fn consume_from_window(
+        &mut self,
+        now: Time,
+        rate: f64,
+        window_ms: u64,
+        kind: &DestinationKind,
+    ) -> Result<(), QuotaExhausted> {
+        if self.used_in_window + 1.0 <= window_count(rate, window_ms) {
+            self.used_in_window += 1.0;
+            return Ok(());
+        }
+        if kind.rejected_calls_count {
+            self.used_in_window += 1.0;
+        }
+        let window = window_ms * NANOS_PER_MILLI;
+        Err(QuotaExhausted { wait: window - now % window })
+    }
+
+    /// Returns the fraction of the quota that is left, or `None` if there is no quota. It may be out of range
+    /// after rejected calls were counted.
+    pub(super) fn fraction_left(&self, rate: f64, limit: LimitKind) -> Option<f64> {
+        match limit {
+            LimitKind::None => None,
+            LimitKind::Rate => Some(self.tokens / bucket_size(rate)),
+            LimitKind::Window { ms } => Some(1.0 - self.used_in_window / window_count(rate, ms)),
+        }
+    }
+}
+
+/// Returns the most tokens that the bucket of a plain rate holds.
+fn bucket_size(rate: f64) -> f64 {
+    (rate * BURST_SECONDS).max(1.0)
+}
+
+/// Returns the calls that a window admits.
+fn window_count(rate: f64, window_ms: u64) -> f64 {
+    (rate * window_ms as f64 / 1e3).max(1.0)
+}
--- a/crates/endpoint-model/src/simulator.rs
+++ b/crates/endpoint-model/src/simulator.rs
@@ -1,4 +1,4 @@
-//! All simulated endpoints, and what can be changed about them during a run.
+//! The simulator of all endpoints, and what can be changed about them during a run.
 
 mod connections;
 mod service;
@@ -18,20 +18,20 @@
 /// A limit that was overloaded during its recovery ramp.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Overload {
-    /// When.
+    /// When the limit was overloaded.
     pub at: Time,
-    /// Its destination.
+    /// The destination of the limit.
     pub destination: u32,
 }
 
-/// When a destination has an outage, and what is seen of it.
+/// The time of an outage, and how couriers notice it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct OutageSpan {
-    /// When it begins.
+    /// When the outage begins.
     pub from: Time,
-    /// When it ends, as far as is known.
+    /// When the outage ends, as far as is known.
     pub until: Time,
-    /// Connections are refused or not answered.
+    /// Whether connections are refused or not answered.
     pub refused_connections: bool,
 }
 
@@ -46,17 +46,17 @@
 }
 
 impl EndpointState {
-    /// It accepts connections and keeps them.
+    /// Returns whether the endpoint accepts connections.
     fn is_listening(&self) -> bool {
         !self.fault.down && !self.removed
     }
 }
 
-/// What a limit belongs to.
+/// The destination or route that a limit belongs to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct LimitOwner {
     destination: u32,
-    /// The endpoint, where routes are independent.
+    /// The endpoint, where routes are independent; `None` for the limit of the whole destination.
     route: Option<u32>,
 }
 
@@ -66,7 +66,7 @@
     }
 }
 
-/// All endpoints outside.
+/// Simulates all endpoints of a run.
 #[derive(Debug)]
 pub struct EndpointSimulator {
     kinds: Vec<DestinationKind>,
@@ -76,11 +76,11 @@
     endpoints: BTreeMap<u32, EndpointState>,
     limits: BTreeMap<LimitOwner, DestinationLimit>,
     calls: BTreeMap<u64, PendingCall>,
-    /// Number of the call that came last.
+    /// The number of the last call.
     last_call: u64,
     deduplication: DeduplicationStore,
     rng: ChaCha8Rng,
-    /// All service times grow by this factor.
+    /// Factor of all service times.
     shared_slowdown: f64,
     arrivals: Vec<Arrival>,
     outages: Vec<Outage>,
@@ -88,7 +88,7 @@
 }
 
 impl EndpointSimulator {
-    /// These destinations, all in service and warm.
+    /// Creates a simulator of these destinations, all in service and at full capacity.
     pub fn new(
         kinds: Vec<DestinationKind>,
         classes: Vec<ClassWork>,
@@ -134,7 +134,7 @@
         self.limits.entry(owner).or_insert_with(|| DestinationLimit::new(destination.rate));
     }
 
-    /// A further endpoint of a destination.
+    /// Adds an endpoint to a destination.
     pub fn add(&mut self, destination: u32, endpoint: SimulatedEndpoint) {
         let Some(mut extended) = self.destinations.remove(&destination) else { return };
         extended.endpoints.push(endpoint);
@@ -142,63 +142,64 @@
         self.destinations.insert(destination, extended);
     }
 
-    /// The endpoint is taken out of service.
+    /// Takes an endpoint out of service.
     pub fn remove(&mut self, endpoint: u32) {
         if let Some(state) = self.endpoints.get_mut(&endpoint) {
             state.removed = true;
         }
     }
 
-    /// The destinations.
+    /// Returns the destinations, ordered by number.
     pub fn destinations(&self) -> impl Iterator<Item = &SimulatedDestination> {
         self.destinations.values()
     }
 
-    /// The kind of a destination.
+    /// Returns the kind of a destination, or `None` if the destination does not exist.
     pub fn kind(&self, destination: u32) -> Option<&DestinationKind> {
         self.destinations.get(&destination).map(|found| &self.kinds[found.kind])
     }
 
-    /// What reached the endpoints so far.
+    /// Returns all messages that have reached endpoints.
     pub fn arrivals(&self) -> &[Arrival] {
         &self.arrivals
     }
 
-    /// Outages so far; one that goes on has the end that was last given.
+    /// Returns all outages. The end of an outage that is still in progress is the one that was expected when
+    /// it began.
     pub fn outages(&self) -> &[Outage] {
         &self.outages
     }
 
-    /// Limits that were overloaded so far.
+    /// Returns all overloads of limits during their recovery ramps.
     pub fn overloads(&self) -> &[Overload] {
         &self.overloads
     }
 
-    /// All calls everywhere take so many times as long.
+    /// Sets the factor of all service times.
     pub fn slow_all(&mut self, factor: f64) {
         self.shared_slowdown = factor;
     }
 
-    /// The fault of an endpoint, to be changed.
+    /// Returns the faults of an endpoint for changes, or `None` if the endpoint does not exist.
     pub fn fault_mut(&mut self, endpoint: u32) -> Option<&mut EndpointFault> {
         self.endpoints.get_mut(&endpoint).map(|state| &mut state.fault)
     }
 
-    /// Limits of a destination run at this part of their rate.
+    /// Lowers the rate of the limits of a destination to this fraction.
     pub fn throttle(&mut self, destination: u32, factor: f64) {
         for (_, limit) in limits_of(&mut self.limits, destination) {
             limit.throttle(factor);
         }
     }
 
-    /// A destination rejects everything until then; 0 ends it.
+    /// Makes a destination reject everything until this time; 0 ends the rejection.
     pub fn shut_down_until(&mut self, destination: u32, until: Time) {
         for (_, limit) in limits_of(&mut self.limits, destination) {
             limit.close_until(until);
         }
     }
 
-    /// A destination has an outage; afterwards its limits have their recovery ramp.
+    /// Records an outage of a destination, after which its limits have a recovery ramp.
     pub fn outage(&mut self, destination: u32, span: OutageSpan) {
         let Some(found) = self.destinations.get(&destination) else { return };
         let kind = &self.kinds[found.kind];
@@ -218,7 +219,7 @@
     }
 }
 
-/// The limits of a destination: its own, or those of its routes.
+/// Returns the limits of a destination: its own, or those of its routes.
 fn limits_of(
     limits: &mut BTreeMap<LimitOwner, DestinationLimit>,
     destination: u32,
--- a/crates/endpoint-model/src/simulator/connections.rs
+++ b/crates/endpoint-model/src/simulator/connections.rs
@@ -1,15 +1,15 @@
-//! Connections to endpoints: which are accepted, and how many there are.
+//! Connections to endpoints: which ones are accepted, and how many each endpoint has.
 
 use super::EndpointSimulator;
 use crate::calls::ConnectOutcome;
 
 impl EndpointSimulator {
-    /// Whether the endpoint's listener is there at all.
+    /// Returns whether the endpoint listens for connections.
     pub fn listens(&self, endpoint: u32) -> bool {
         self.endpoints.get(&endpoint).is_some_and(|state| state.is_listening())
     }
 
-    /// A courier connects.
+    /// Handles a connection attempt of a courier.
     pub fn connect(&mut self, endpoint: u32) -> ConnectOutcome {
         let Some(state) = self.endpoints.get_mut(&endpoint) else { return ConnectOutcome::Refused };
         let Some(destination) = self.destinations.get(&state.destination) else {
@@ -29,7 +29,7 @@
         ConnectOutcome::Accepted { after: state.fault.accept_delay }
     }
 
-    /// A connection that was accepted has ended.
+    /// Notes the end of a connection that was accepted.
     pub fn disconnect(&mut self, endpoint: u32) {
         if let Some(state) = self.endpoints.get_mut(&endpoint) {
             state.connections = state.connections.saturating_sub(1);
--- a/crates/endpoint-model/src/simulator/service.rs
+++ b/crates/endpoint-model/src/simulator/service.rs
@@ -1,4 +1,4 @@
-//! Service of calls: what is decided when one arrives, and what is left to its end.
+//! The service of calls: what is decided when a call arrives, and what is decided when it finishes.
 
 use super::{EndpointSimulator, EndpointState, LimitOwner, Overload};
 use crate::calls::{CallItem, CallStep, IncomingCall, ItemStatus, ReceivedCall, Reply, ReportedLoad};
@@ -9,36 +9,36 @@
 use rand_distr::{Distribution, LogNormal};
 use std::ops::Range;
 
-/// Part of the failed messages that took effect all the same.
-const FAILED_BUT_EXECUTED: f64 = 0.3;
-/// How long a call takes that fails quickly.
-const QUICK_FAILURE: Time = 2_000_000;
-/// No call takes less.
+/// The fraction of failed messages that are executed nevertheless.
+const EXECUTED_FAILURE_FRACTION: f64 = 0.3;
+/// Duration of a call that fails quickly.
+const QUICK_FAILURE_TIME: Time = 2_000_000;
+/// Shortest service time of a call.
 const MIN_SERVICE_TIME: Time = 1000;
 
-/// What was decided for a message on its arrival.
+/// The result of a message, as decided on its arrival.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum PlannedResult {
     Served,
     Error,
-    /// It fails, and its call is not answered.
+    /// The message fails, and its call is not answered.
     Unanswered,
 }
 
-/// A call that is not over.
+/// A call that has not finished.
 #[derive(Debug)]
 pub(super) struct PendingCall {
     endpoint: u32,
     items: Vec<CallItem>,
-    /// Its records among the arrivals, one for each message.
+    /// The positions of its records among the arrivals, one for each message.
     records: Range<usize>,
-    /// What was decided for each message; the state of the endpoint at the end may change it.
+    /// The planned result of each message. The state of the endpoint at the end of the call may change it.
     planned: Vec<PlannedResult>,
-    /// It is carried out and not answered.
+    /// Whether the call is executed but not answered.
     answer_lost: bool,
 }
 
-/// What becomes of a call at the limit of its destination.
+/// The decision about a call at the limit of its destination.
 enum LimitDecision {
     BeginsAt(Time),
     Rejected { retry_after: Time, load: Option<ReportedLoad> },
@@ -46,7 +46,7 @@
 }
 
 impl EndpointSimulator {
-    /// A call arrives.
+    /// Handles the arrival of a call, and returns what is to be done with it.
     pub fn receive_call(&mut self, now: Time, incoming: IncomingCall<'_>) -> ReceivedCall {
         self.last_call += 1;
         let call = self.last_call;
@@ -76,13 +76,13 @@
             }
             LimitDecision::Rejected { retry_after, load } => {
                 let statuses = vec![ItemStatus::Rejected; incoming.items.len()];
-                self.settle(call, now, Reply { statuses, retry_after, load })
+                self.answer(call, now, Reply { statuses, retry_after, load })
             }
             LimitDecision::BeginsAt(begin) => self.plan_service(now, call, incoming.items, state, begin),
         }
     }
 
-    /// Records the messages of a call, each as unanswered until its end is known.
+    /// Records the messages of a call. They count as unanswered until the call finishes.
     fn record_arrivals(&mut self, now: Time, call: u64, incoming: IncomingCall<'_>, state: EndpointState) {
         let independent_route = self.kind(state.destination).is_some_and(|kind| kind.independent_routes);
         let first = self.arrivals.len();
@@ -122,7 +122,7 @@
         let destination = state.destination;
         let kind = &self.kinds[self.destinations[&destination].kind];
         let owner = LimitOwner::new(kind, destination, incoming.endpoint);
-        // Every endpoint has a limit since it was inserted.
+        // An endpoint is inserted together with its limit, so the limit exists.
         let Some(limit) = self.limits.get_mut(&owner) else { return LimitDecision::Unanswered };
         if limit.count_call(now, &self.recovery, kind) == LoadEffect::Overloads {
             self.overloads.push(Overload { at: now, destination });
@@ -142,7 +142,7 @@
         }
     }
 
-    /// Draws how an admitted call ends and how long that takes.
+    /// Draws the results and the duration of an admitted call.
     fn plan_service(
         &mut self,
         now: Time,
@@ -155,10 +155,10 @@
             if let Some(pending) = self.calls.get_mut(&call) {
                 pending.planned.fill(PlannedResult::Error);
             }
-            return CallStep::FinishAt(now + QUICK_FAILURE);
+            return CallStep::FinishAt(now + QUICK_FAILURE_TIME);
         }
         let answer_lost = self.rng.random::<f64>() < state.fault.lost_answer_probability;
-        // Messages of one class in a call share their fate: an answer has one code for them.
+        // All messages of one class in a call have the same result, because an answer has one code for them.
         let class_draw = self.rng.random::<f64>();
         let planned = items.iter().map(|item| plan_result(item, &state, class_draw)).collect();
         let mut service_time = MIN_SERVICE_TIME;
@@ -180,14 +180,14 @@
         let variation = self.kinds[destination.kind].service_time_variation;
         let spread = (1.0 + variation * variation).ln().sqrt();
         let location = mean.ln() - spread * spread / 2.0;
-        // A deviation that is finite and not below zero always makes a distribution.
+        // A finite, non-negative deviation always gives a valid distribution.
         match LogNormal::new(location, spread) {
             Ok(distribution) => distribution.sample(&mut self.rng) as Time,
             Err(_) => mean as Time,
         }
     }
 
-    /// The time of a call has come.
+    /// Advances a call at the time that [`CallStep::FinishAt`] gave, and returns what is to be done with it.
     pub fn finish_call(&mut self, now: Time, call: u64) -> CallStep {
         let Some(pending) = self.calls.get(&call) else { return CallStep::Silent };
         let endpoint = pending.endpoint;
@@ -198,7 +198,7 @@
         if state.fault.paused_until > now {
             return CallStep::FinishAt(state.fault.paused_until);
         }
-        // What began before the endpoint fell silent is carried out and not answered.
+        // A call that began before the endpoint became silent is executed but not answered.
         let silent = state.fault.silent || state.fault.vanished || pending.answer_lost;
         let fails_unanswered = pending.planned.contains(&PlannedResult::Unanswered);
         let statuses = self.execute(now, call, state);
@@ -207,16 +207,16 @@
             return CallStep::Silent;
         }
         let load = self.reported_load(now, endpoint, state.destination);
-        self.settle(call, now, Reply { statuses, retry_after: 0, load })
+        self.answer(call, now, Reply { statuses, retry_after: 0, load })
     }
 
-    /// Carries out the messages of a call, and says how each is answered.
+    /// Executes the messages of a call, and returns the status of each.
     fn execute(&mut self, now: Time, call: u64, state: EndpointState) -> Vec<ItemStatus> {
         let Some(pending) = self.calls.get(&call) else { return Vec::new() };
         let mut statuses = Vec::new();
         for (position, item) in pending.items.iter().enumerate() {
             let served = pending.planned[position] == PlannedResult::Served;
-            let executed = served || self.rng.random::<f64>() < FAILED_BUT_EXECUTED;
+            let executed = served || self.rng.random::<f64>() < EXECUTED_FAILURE_FRACTION;
             if executed {
                 let execution = Execution {
                     at: now,
@@ -239,8 +239,8 @@
         limit.reported_load(now, kind)
     }
 
-    /// Records the answer of a call and forgets the call.
-    fn settle(&mut self, call: u64, now: Time, reply: Reply) -> CallStep {
+    /// Records the answer to a call and removes the call.
+    fn answer(&mut self, call: u64, now: Time, reply: Reply) -> CallStep {
         if let Some(pending) = self.calls.remove(&call) {
             for (record, status) in pending.records.zip(&reply.statuses) {
                 let arrival = &mut self.arrivals[record];
@@ -256,7 +256,7 @@
     }
 }
 
-/// What is decided for a message of a call that did not fail as a whole.
+/// Decides the result of a message of a call that did not fail quickly.
 fn plan_result(item: &CallItem, state: &EndpointState, class_draw: f64) -> PlannedResult {
     match state.fault.class_fault {
         Some(fault) if fault.class == item.class && class_draw < fault.probability => {
--- a/crates/endpoint-model/tests/simulator.rs
+++ b/crates/endpoint-model/tests/simulator.rs
@@ -1,4 +1,4 @@
-//! What the simulator does with calls and connections, and what it records of them.
+//! The simulator's decisions about calls and connections, and its records of them.
 
 use linnetcart_conformance::{EndpointVerdict, Idempotency, Time};
 use linnetcart_endpoint_model::{
@@ -50,7 +50,7 @@
     EndpointSimulator::new(vec![kind], classes, recovery, vec![destination], 7)
 }
 
-/// A call of one message, carried to its end.
+/// Makes a call with one message and finishes it.
 fn call(simulator: &mut EndpointSimulator, now: Time, endpoint: u32, message: u64, class: u8) -> CallStep {
     let items = [CallItem { message, class }];
     let incoming = IncomingCall { caller: CALLER, travelled: 0, endpoint, items: &items };
@@ -61,8 +61,8 @@
     }
 }
 
-/// The Retry-After of a call that was rejected.
-fn rejected(step: &CallStep) -> Option<Time> {
+/// Returns the Retry-After of a rejected call, or `None` if the call was not rejected.
+fn retry_after(step: &CallStep) -> Option<Time> {
     match step {
         CallStep::Answer(reply) if reply.statuses == [ItemStatus::Rejected] => Some(reply.retry_after),
         _ => None,
@@ -73,9 +73,9 @@
 fn window_limit_admits_its_count_and_gives_its_end_as_retry_after() {
     let mut simulated = simulator(kind(LimitKind::Window { ms: 1000 }), 5.0);
     let steps: Vec<CallStep> = (0..7).map(|n| call(&mut simulated, 10 * S + 300 * MS, 10, n, 0)).collect();
-    assert_eq!(steps.iter().filter(|s| rejected(s).is_some()).count(), 2);
-    assert_eq!(rejected(&steps[6]), Some(700 * MS));
-    assert_eq!(rejected(&call(&mut simulated, 11 * S, 10, 9, 0)), None, "the next span has room");
+    assert_eq!(steps.iter().filter(|s| retry_after(s).is_some()).count(), 2);
+    assert_eq!(retry_after(&steps[6]), Some(700 * MS));
+    assert_eq!(retry_after(&call(&mut simulated, 11 * S, 10, 9, 0)), None, "the next window has capacity");
     assert_eq!(simulated.arrivals()[6].verdict, EndpointVerdict::Rejected { retry_after: 700 * MS });
 }
 
@@ -86,10 +86,10 @@
     let (mut counting, mut plain) = (simulator(counting_kind, 4.0), simulator(kind(LimitKind::Rate), 4.0));
     let served = |simulated: &mut EndpointSimulator| {
         let steps = (0..200u64).map(|n| call(simulated, S + n * 50 * MS, 10, n, 0));
-        steps.filter(|s| rejected(s).is_none()).count()
+        steps.filter(|s| retry_after(s).is_none()).count()
     };
     let (counting, plain) = (served(&mut counting), served(&mut plain));
-    assert!((38..=42).contains(&plain), "4 a second for 10 s: {plain}");
+    assert!((38..=42).contains(&plain), "4 per second for 10 s: {plain}");
     assert!(counting < plain / 2, "{counting} of {plain}");
 }
 
@@ -97,8 +97,9 @@
 fn full_queue_rejects_further_calls() {
     let mut simulated = simulator(kind(LimitKind::None), 10.0);
     let steps: Vec<CallStep> = (0..30).map(|n| call(&mut simulated, S, 10, n, 0)).collect();
-    // Capacity 20 a second, half a second deep: the eleventh still fits, the twelfth not.
-    assert_eq!(steps.iter().filter(|s| rejected(s).is_none()).count(), 11);
+    // The capacity is 20 per second and the queue holds half a second: the eleventh call fits, the twelfth
+    // does not.
+    assert_eq!(steps.iter().filter(|s| retry_after(s).is_none()).count(), 11);
 }
 
 #[test]
@@ -131,13 +132,13 @@
         }
         simulated.overloads().len()
     };
-    // It bears twice a tenth of 40 a second at first.
+    // At first it bears twice a tenth of 40 calls per second.
     assert_eq!(run(200 * MS), 0);
     assert_eq!(run(30 * MS), 1);
 }
 
 /// A simulator whose endpoint 10 has this fault.
-fn with_fault(fault: EndpointFault) -> EndpointSimulator {
+fn simulator_with_fault(fault: EndpointFault) -> EndpointSimulator {
     let mut simulated = simulator(kind(LimitKind::None), 100.0);
     *simulated.fault_mut(10).unwrap() = fault;
     simulated
@@ -145,7 +146,7 @@
 
 #[test]
 fn silent_endpoint_neither_answers_nor_executes() {
-    let mut simulated = with_fault(EndpointFault { silent: true, ..EndpointFault::default() });
+    let mut simulated = simulator_with_fault(EndpointFault { silent: true, ..EndpointFault::default() });
     assert_eq!(call(&mut simulated, S, 10, 1, 0), CallStep::Silent);
     assert!(!simulated.arrivals()[0].effect);
 }
@@ -153,16 +154,16 @@
 #[test]
 fn call_with_lost_answer_is_executed_and_not_answered() {
     let fault = EndpointFault { lost_answer_probability: 1.0, ..EndpointFault::default() };
-    let mut simulated = with_fault(fault);
+    let mut simulated = simulator_with_fault(fault);
     assert_eq!(call(&mut simulated, S, 10, 2, 0), CallStep::Silent);
-    assert!(simulated.arrivals()[0].effect, "carried out, not answered");
+    assert!(simulated.arrivals()[0].effect, "executed, not answered");
 }
 
 #[test]
 fn class_fault_fails_messages_of_its_class_only() {
     let class_fault = ClassFault { class: 1, probability: 1.0, unanswered: false };
     let fault = EndpointFault { class_fault: Some(class_fault), ..EndpointFault::default() };
-    let mut simulated = with_fault(fault);
+    let mut simulated = simulator_with_fault(fault);
     let statuses = |step| match step {
         CallStep::Answer(reply) => reply.statuses,
         other => panic!("not answered: {other:?}"),
@@ -173,7 +174,7 @@
 
 #[test]
 fn endpoint_that_is_down_breaks_connections_and_does_not_listen() {
-    let mut simulated = with_fault(EndpointFault { down: true, ..EndpointFault::default() });
+    let mut simulated = simulator_with_fault(EndpointFault { down: true, ..EndpointFault::default() });
     assert_eq!(call(&mut simulated, S, 10, 5, 0), CallStep::Break);
     assert!(!simulated.listens(10));
 }
@@ -189,7 +190,7 @@
 }
 
 #[test]
-fn same_seed_repeats_the_run() {
+fn run_with_the_same_seed_has_the_same_steps() {
     let run = || {
         let mut simulated = simulator(kind(LimitKind::Rate), 10.0);
         let receive = |n: u64| {
