--- a/crates/emulator/src/connections.rs
+++ b/crates/emulator/src/connections.rs
@@ -1,6 +1,6 @@
-//! Connections as TCP makes them: in order in each direction, with a delay, and an end that each side learns
-//! of for itself. A direction may be blocked; what is sent meanwhile waits in the sender's system and leaves
-//! after.
+//! Connections that behave like TCP: segments arrive in order in each direction, with a delay, and each side
+//! learns separately that the connection ended. A direction may be blocked by a partition; what is sent
+//! meanwhile waits in the sender's system and leaves afterwards.
 
 mod connection;
 mod faults;
@@ -9,7 +9,7 @@
 
 use crate::model::DelayDistribution;
 pub use connection::{
-    Connection, Direction, HeldSegment, Peer, PerDirection, Segment, Side, SOCKET_BUFFER_BYTES,
+    Connection, Direction, Peer, PerDirection, QueuedSegment, Segment, Side, StreamId, SOCKET_BUFFER_BYTES,
 };
 use faults::ActiveFaults;
 pub use faults::Block;
@@ -19,50 +19,58 @@
 use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-/// Whether a segment is sent for the first time or again, after a partition held it. Its bytes count once.
+/// Whether a segment is sent for the first time, or released after it waited for the end of a partition. Its
+/// bytes count only the first time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SendKind {
-    /// By its sender.
+    /// Sent by its sender.
     First,
-    /// By its sender's system, after a partition.
+    /// Released by the system of its sender, after a partition.
     Released,
 }
 
-/// A segment that is sent.
+/// The sending of a segment.
 #[derive(Clone, Copy, Debug)]
 pub struct Transmission<'a> {
-    /// When.
+    /// When the segment is sent.
     pub now: Time,
-    /// On which connection.
+    /// The connection.
     pub token: Token,
-    /// In which direction.
+    /// The direction.
     pub direction: Direction,
-    /// What.
+    /// The segment.
     pub segment: &'a Segment,
-    /// Whether for the first time.
+    /// Whether the segment is sent for the first time.
     pub kind: SendKind,
 }
 
-/// All connections, by token, courier and the numbers that couriers give them.
+/// An id that is unique only within one courier.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct LocalId<Id> {
+    courier: u32,
+    id: Id,
+}
+
+/// All connections, by token, by courier, and by the ids that couriers give them.
 #[derive(Debug, Default)]
 pub struct ConnectionTable {
     connections: BTreeMap<Token, Connection>,
     by_courier: BTreeMap<u32, BTreeSet<Token>>,
-    by_client: BTreeMap<(u32, ClientId), Token>,
-    by_upstream: BTreeMap<(u32, UpstreamId), Token>,
+    by_client: BTreeMap<LocalId<ClientId>, Token>,
+    by_upstream: BTreeMap<LocalId<UpstreamId>, Token>,
     faults: ActiveFaults,
     last_token: Token,
 }
 
 impl ConnectionTable {
-    /// Opens a connection of a client, which the courier numbers by its token.
+    /// Opens a connection of a client. The courier's id of the client is the token.
     pub fn open_from_client(&mut self, now: Time, courier: u32, incarnation: u32) -> Token {
         let token = self.next_token();
-        self.by_client.insert((courier, token), token);
+        self.by_client.insert(LocalId { courier, id: token }, token);
         self.insert(token, Connection::new(courier, incarnation, Peer::Client(token), now))
     }
 
-    /// Opens a connection to an endpoint, under the courier's own number for it.
+    /// Opens a connection to an endpoint under the courier's id for it.
     pub fn open_to_endpoint(
         &mut self,
         now: Time,
@@ -72,7 +80,7 @@
         endpoint: u32,
     ) -> Token {
         let token = self.next_token();
-        self.by_upstream.insert((courier, upstream), token);
+        self.by_upstream.insert(LocalId { courier, id: upstream }, token);
         let peer = Peer::Endpoint { upstream, endpoint };
         self.insert(token, Connection::new(courier, incarnation, peer, now))
     }
@@ -88,27 +96,27 @@
         token
     }
 
-    /// A connection.
+    /// Returns a connection, or `None` if both its ends are closed.
     pub fn get(&self, token: Token) -> Option<&Connection> {
         self.connections.get(&token)
     }
 
-    /// The connection of a client, by the courier's number.
+    /// Returns the connection with the courier's id for a client.
     pub fn of_client(&self, courier: u32, client: ClientId) -> Option<Token> {
-        self.by_client.get(&(courier, client)).copied()
+        self.by_client.get(&LocalId { courier, id: client }).copied()
     }
 
-    /// The connection to an endpoint, by the courier's number.
+    /// Returns the connection with the courier's id for an upstream connection.
     pub fn of_upstream(&self, courier: u32, upstream: UpstreamId) -> Option<Token> {
-        self.by_upstream.get(&(courier, upstream)).copied()
+        self.by_upstream.get(&LocalId { courier, id: upstream }).copied()
     }
 
-    /// All connections of a courier.
+    /// Returns all connections of a courier, ordered by token.
     pub fn of_courier(&self, courier: u32) -> Vec<Token> {
         self.by_courier.get(&courier).into_iter().flatten().copied().collect()
     }
 
-    /// Number of connections.
+    /// Returns the number of connections.
     pub fn count(&self) -> usize {
         self.connections.len()
     }
@@ -118,22 +126,23 @@
         self.faults.begin_partition(fault, blocks);
     }
 
-    /// Ends a partition. Returns connections and directions on which something waits and that are open now.
-    pub fn end_partition(&mut self, fault: usize) -> Vec<(Token, Direction)> {
+    /// Ends a partition. Returns the streams that are no longer blocked and have queued segments.
+    pub fn end_partition(&mut self, fault: usize) -> Vec<StreamId> {
         self.faults.end_partition(fault);
         let mut unblocked = Vec::new();
         for (&token, connection) in &self.connections {
             for direction in Direction::BOTH {
-                let is_waiting = !connection.streams.get(direction).held.is_empty();
-                if is_waiting && !self.faults.blocks(connection, direction) {
-                    unblocked.push((token, direction));
+                let has_queued = !connection.streams.get(direction).queued.is_empty();
+                if has_queued && !self.faults.blocks(connection, direction) {
+                    unblocked.push(StreamId { token, direction });
                 }
             }
         }
         unblocked
     }
 
-    /// Adds a delay each way to connections of these couriers until [`ConnectionTable::end_slowdown`].
+    /// Adds a delay in each direction to the connections of these couriers until
+    /// [`ConnectionTable::end_slowdown`] of the same fault.
     pub fn begin_slowdown(&mut self, fault: usize, couriers: Vec<u32>, extra_delay: Time) {
         self.faults.begin_slowdown(fault, couriers, extra_delay);
     }
@@ -143,32 +152,32 @@
         self.faults.end_slowdown(fault);
     }
 
-    /// Breaks a connection: this share of the next data still arrives. The first break of a connection
-    /// counts.
-    pub fn break_connection(&mut self, token: Token, surviving_share: PerDirection<f64>) {
+    /// Breaks a connection: only this fraction of the next data segment in each direction still arrives. Does
+    /// nothing if the connection broke before.
+    pub fn break_connection(&mut self, token: Token, surviving_fraction: PerDirection<f64>) {
         if let Some(connection) = self.connections.get_mut(&token) {
-            connection.surviving_share.get_or_insert(surviving_share);
+            connection.surviving_fraction.get_or_insert(surviving_fraction);
         }
     }
 
-    /// Nothing more arrives of what was sent before the connection broke.
+    /// Drops all further data that was sent before the connection broke.
     pub fn end_surviving_data(&mut self, token: Token, direction: Direction) {
         let connection = self.connections.get_mut(&token);
-        if let Some(share) = connection.and_then(|connection| connection.surviving_share.as_mut()) {
-            *share.get_mut(direction) = 0.0;
+        if let Some(fraction) = connection.and_then(|connection| connection.surviving_fraction.as_mut()) {
+            *fraction.get_mut(direction) = 0.0;
         }
     }
 
-    /// Takes out what waits on a direction, to be sent again.
-    pub fn release(&mut self, token: Token, direction: Direction) -> VecDeque<HeldSegment> {
-        match self.connections.get_mut(&token) {
-            Some(connection) => connection.streams.get_mut(direction).release(),
+    /// Removes and returns the queued segments of a stream, to be sent again.
+    pub fn release(&mut self, stream: StreamId) -> VecDeque<QueuedSegment> {
+        match self.connections.get_mut(&stream.token) {
+            Some(connection) => connection.streams.get_mut(stream.direction).release(),
             None => VecDeque::new(),
         }
     }
 
-    /// Sends a segment. Returns when it arrives, or none if it waits behind a partition. A delay is drawn
-    /// only for a segment that leaves.
+    /// Sends a segment. Returns when it arrives, or `None` if it waits for the end of a partition. A delay is
+    /// drawn only for a segment that leaves.
     pub fn send(
         &mut self,
         transmission: Transmission<'_>,
@@ -184,7 +193,7 @@
             stream.bytes_sent += segment.length();
         }
         if blocked {
-            stream.hold(now, segment.clone());
+            stream.enqueue(now, segment.clone());
             return None;
         }
         let arrival = now + extra_delay + delay.sample(rng);
@@ -192,7 +201,7 @@
         Some(stream.last_arrival)
     }
 
-    /// Notes the arrival of a segment that was sent at `sent_at`.
+    /// Records the arrival of a segment that was sent at `sent_at`.
     pub fn note_arrival(
         &mut self,
         now: Time,
@@ -208,17 +217,17 @@
         }
     }
 
-    /// How long the segment that came last from the courier was on its way.
+    /// Returns the travel time of the last segment from the courier.
     pub fn last_transit_from_courier(&self, token: Token) -> Time {
         self.courier_stream(token).map_or(0, |stream| stream.last_transit)
     }
 
-    /// Bytes that the courier's system has taken of what the courier sent.
-    pub fn bytes_taken(&self, token: Token) -> u64 {
-        self.courier_stream(token).map_or(0, connection::Stream::bytes_taken)
+    /// Returns the bytes sent by the courier that its system has accepted.
+    pub fn bytes_accepted(&self, token: Token) -> u64 {
+        self.courier_stream(token).map_or(0, connection::Stream::bytes_accepted)
     }
 
-    /// Bytes that the courier's system has not taken yet.
+    /// Returns the bytes sent by the courier that its system has not accepted yet.
     pub fn backlog(&self, token: Token) -> u64 {
         self.courier_stream(token).map_or(0, connection::Stream::backlog)
     }
@@ -227,8 +236,9 @@
         Some(&self.connections.get(&token)?.streams.from_courier)
     }
 
-    /// Closes one end; true if the other side is still to learn of it. What was sent before still travels,
-    /// but not what a partition holds: a connection that is given up then breaks.
+    /// Closes one end. Returns whether the other side must be notified. Segments that were sent before still
+    /// arrive, except those that wait for the end of a partition: a connection that is closed during a
+    /// partition breaks.
     pub fn close_end(&mut self, token: Token, side: Side) -> bool {
         let Some(connection) = self.connections.get_mut(&token) else { return false };
         let other = match side {
@@ -237,7 +247,7 @@
         };
         let closed_now = connection.close_end(side);
         let other_open = connection.is_open(other);
-        connection.streams.get_mut(side.sends()).drop_held_data();
+        connection.streams.get_mut(side.sending_direction()).drop_queued_data();
         if !connection.is_open(side) && !other_open {
             self.remove(token);
         }
@@ -248,8 +258,8 @@
         let Some(connection) = self.connections.remove(&token) else { return };
         let courier = connection.courier;
         match connection.peer {
-            Peer::Client(client) => self.by_client.remove(&(courier, client)),
-            Peer::Endpoint { upstream, .. } => self.by_upstream.remove(&(courier, upstream)),
+            Peer::Client(client) => self.by_client.remove(&LocalId { courier, id: client }),
+            Peer::Endpoint { upstream, .. } => self.by_upstream.remove(&LocalId { courier, id: upstream }),
         };
         if let Some(tokens) = self.by_courier.get_mut(&courier) {
             tokens.remove(&token);
--- a/crates/emulator/src/connections/connection.rs
+++ b/crates/emulator/src/connections/connection.rs
@@ -1,11 +1,12 @@
-//! One connection: its two directions, and who still has an end of it.
+//! One connection: its two directions, and which of its ends are open.
 
 use bytes::Bytes;
 use linnetcart_conformance::Time;
 use linnetcart_edge::core::{ClientId, UpstreamId};
+use linnetcart_scenario::runner::Token;
 use std::collections::VecDeque;
 
-/// Bytes that a host's system takes for a connection whose other side takes none.
+/// Bytes that a host's system accepts for a connection whose other side receives nothing.
 pub const SOCKET_BUFFER_BYTES: u64 = 256 << 10;
 
 /// What travels on a connection.
@@ -15,16 +16,16 @@
     Connect,
     /// The connection is established.
     Connected,
-    /// The connection is refused: nobody listens.
+    /// The connection is refused, because nobody listens.
     Refused,
-    /// Bytes.
+    /// Bytes of the stream.
     Data(Bytes),
     /// The sender closed its end, or the connection broke.
     Close,
 }
 
 impl Segment {
-    /// Bytes of data in it.
+    /// Returns the number of data bytes.
     pub(super) fn length(&self) -> u64 {
         match self {
             Segment::Data(bytes) => bytes.len() as u64,
@@ -33,21 +34,21 @@
     }
 }
 
-/// Who is at the other end of a courier's connection.
+/// The other end of a courier's connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Peer {
     /// A client, which connected to the courier.
     Client(ClientId),
     /// An endpoint, which the courier connected to.
     Endpoint {
-        /// The connection as the courier numbers it.
+        /// The courier's id of the connection.
         upstream: UpstreamId,
         /// The endpoint.
         endpoint: u32,
     },
 }
 
-/// Towards whom something travels.
+/// The direction in which a segment travels.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Direction {
     /// To the courier.
@@ -57,22 +58,22 @@
 }
 
 impl Direction {
-    /// Both, in the order in which they are gone through.
+    /// Both directions, in the order in which they are processed.
     pub(super) const BOTH: [Direction; 2] = [Direction::ToCourier, Direction::FromCourier];
 }
 
 /// One of the two ends of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Side {
-    /// The courier's.
+    /// The end of the courier.
     Courier,
-    /// The client's or endpoint's.
+    /// The end of the client or endpoint.
     Peer,
 }
 
 impl Side {
-    /// The direction in which this side sends.
-    pub fn sends(self) -> Direction {
+    /// Returns the direction in which this side sends.
+    pub fn sending_direction(self) -> Direction {
         match self {
             Side::Courier => Direction::FromCourier,
             Side::Peer => Direction::ToCourier,
@@ -80,12 +81,21 @@
     }
 }
 
+/// One direction of one connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StreamId {
+    /// The connection.
+    pub token: Token,
+    /// The direction.
+    pub direction: Direction,
+}
+
 /// A value for each direction of a connection.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct PerDirection<T> {
-    /// For what goes to the courier.
+    /// The value for the direction to the courier.
     pub to_courier: T,
-    /// For what comes from the courier.
+    /// The value for the direction from the courier.
     pub from_courier: T,
 }
 
@@ -105,9 +115,9 @@
     }
 }
 
-/// A segment that waits behind a partition.
+/// A segment that waits for the end of a partition.
 #[derive(Debug, PartialEq, Eq)]
-pub struct HeldSegment {
+pub struct QueuedSegment {
     /// When it was sent.
     pub sent_at: Time,
     /// The segment.
@@ -117,41 +127,44 @@
 /// One direction of a connection.
 #[derive(Debug, Default)]
 pub(super) struct Stream {
-    /// When the segment sent last arrives.
+    /// When the last segment arrives.
     pub(super) last_arrival: Time,
     pub(super) bytes_sent: u64,
-    /// What waits while a partition blocks the direction, and its bytes.
-    pub(super) held: VecDeque<HeldSegment>,
-    pub(super) bytes_held: u64,
-    /// How long the segment that arrived last was on its way.
+    /// Segments that wait while a partition blocks the direction.
+    pub(super) queued: VecDeque<QueuedSegment>,
+    /// Number of data bytes in `queued`.
+    pub(super) queued_bytes: u64,
+    /// Travel time of the segment that arrived last.
     pub(super) last_transit: Time,
 }
 
 impl Stream {
-    pub(super) fn hold(&mut self, sent_at: Time, segment: Segment) {
-        self.bytes_held += segment.length();
-        self.held.push_back(HeldSegment { sent_at, segment });
+    /// Queues a segment until the partition ends.
+    pub(super) fn enqueue(&mut self, sent_at: Time, segment: Segment) {
+        self.queued_bytes += segment.length();
+        self.queued.push_back(QueuedSegment { sent_at, segment });
     }
 
-    /// Takes out everything that is held.
-    pub(super) fn release(&mut self) -> VecDeque<HeldSegment> {
-        self.bytes_held = 0;
-        std::mem::take(&mut self.held)
+    /// Removes and returns all queued segments.
+    pub(super) fn release(&mut self) -> VecDeque<QueuedSegment> {
+        self.queued_bytes = 0;
+        std::mem::take(&mut self.queued)
     }
 
-    /// Drops the data that is held: its sender has closed, and does not wait until a partition ends.
-    pub(super) fn drop_held_data(&mut self) {
-        self.held.retain(|held| held.segment == Segment::Close);
-        self.bytes_held = 0;
+    /// Drops the queued data: its sender has closed the connection and does not wait for the end of a
+    /// partition.
+    pub(super) fn drop_queued_data(&mut self) {
+        self.queued.retain(|queued| queued.segment == Segment::Close);
+        self.queued_bytes = 0;
     }
 
-    /// Bytes that the sender's system has not taken.
+    /// Returns the bytes that the sender's system has not accepted yet.
     pub(super) fn backlog(&self) -> u64 {
-        self.bytes_held.saturating_sub(SOCKET_BUFFER_BYTES)
+        self.queued_bytes.saturating_sub(SOCKET_BUFFER_BYTES)
     }
 
-    /// Bytes that the sender's system has taken.
-    pub(super) fn bytes_taken(&self) -> u64 {
+    /// Returns the bytes that the sender's system has accepted.
+    pub(super) fn bytes_accepted(&self) -> u64 {
         self.bytes_sent - self.backlog()
     }
 }
@@ -163,17 +176,17 @@
     pub courier: u32,
     /// The incarnation of the courier.
     pub incarnation: u32,
-    /// Who is at the other end.
+    /// The other end.
     pub peer: Peer,
-    /// When it was requested.
+    /// When the connection was requested.
     pub opened_at: Time,
-    /// The courier has received data on it.
+    /// Whether the courier has received data on the connection.
     pub courier_received_data: bool,
     pub(super) open_at_courier: bool,
     pub(super) open_at_peer: bool,
     pub(super) streams: PerDirection<Stream>,
-    /// The connection broke: the share of the next data that still arrives.
-    pub(super) surviving_share: Option<PerDirection<f64>>,
+    /// If the connection broke, the fraction of the next data segment that still arrives.
+    pub(super) surviving_fraction: Option<PerDirection<f64>>,
 }
 
 impl Connection {
@@ -187,24 +200,25 @@
             open_at_courier: true,
             open_at_peer: true,
             streams: PerDirection::default(),
-            surviving_share: None,
+            surviving_fraction: None,
         }
     }
 
-    /// If the connection broke: the share of the next data in this direction that still arrives.
-    pub fn surviving_share(&self, direction: Direction) -> Option<f64> {
-        self.surviving_share.as_ref().map(|share| *share.get(direction))
+    /// Returns the fraction of the next data segment in this direction that still arrives if the connection
+    /// broke, and `None` if it did not break.
+    pub fn surviving_fraction(&self, direction: Direction) -> Option<f64> {
+        self.surviving_fraction.as_ref().map(|fraction| *fraction.get(direction))
     }
 
-    /// The receiver of this direction still has its end open.
-    pub fn is_received(&self, direction: Direction) -> bool {
+    /// Returns whether the receiver of this direction has its end open.
+    pub fn is_receiver_open(&self, direction: Direction) -> bool {
         match direction {
             Direction::ToCourier => self.open_at_courier,
             Direction::FromCourier => self.open_at_peer,
         }
     }
 
-    /// Closes one end; true if it was open until now.
+    /// Closes one end. Returns whether it was open.
     pub(super) fn close_end(&mut self, side: Side) -> bool {
         let end = match side {
             Side::Courier => &mut self.open_at_courier,
--- a/crates/emulator/src/connections/faults.rs
+++ b/crates/emulator/src/connections/faults.rs
@@ -1,4 +1,4 @@
-//! Faults of the network that hold for a while: partitions and slow couriers, each under a number of its own.
+//! Network faults that last for a time: partitions and slow couriers, each identified by its number.
 
 use super::connection::{Connection, Direction, Peer};
 use linnetcart_conformance::Time;
@@ -9,13 +9,13 @@
 pub struct Block {
     /// The courier.
     pub courier: u32,
-    /// Connections of clients are blocked.
+    /// Whether connections of clients are blocked.
     pub clients: bool,
-    /// Connections to endpoints are blocked.
+    /// Whether connections to endpoints are blocked.
     pub endpoints: bool,
-    /// What goes to the courier is blocked.
+    /// Whether the direction to the courier is blocked.
     pub to_courier: bool,
-    /// What the courier sends is blocked.
+    /// Whether the direction from the courier is blocked.
     pub from_courier: bool,
 }
 
@@ -40,7 +40,7 @@
     extra_delay: Time,
 }
 
-/// The faults that hold at present.
+/// The faults that are in force at present.
 #[derive(Debug, Default)]
 pub(super) struct ActiveFaults {
     partitions: BTreeMap<usize, Vec<Block>>,
@@ -64,11 +64,13 @@
         self.slowdowns.remove(&fault);
     }
 
+    /// Returns whether a partition blocks this direction of a connection.
     pub(super) fn blocks(&self, connection: &Connection, direction: Direction) -> bool {
         let mut blocks = self.partitions.values().flatten();
         blocks.any(|block| block.applies_to(connection, direction))
     }
 
+    /// Returns the additional one-way delay of a courier's connections.
     pub(super) fn extra_delay(&self, courier: u32) -> Time {
         let slowdowns = self.slowdowns.values();
         let applying = slowdowns.filter(|slowdown| slowdown.couriers.contains(&courier));
--- a/crates/emulator/src/connections/tests.rs
+++ b/crates/emulator/src/connections/tests.rs
@@ -31,7 +31,7 @@
 }
 
 #[test]
-fn partition_of_one_direction_holds_it_and_releases_in_order() {
+fn partition_of_one_direction_queues_its_segments_and_releases_them_in_order() {
     let mut rng = ChaCha8Rng::seed_from_u64(1);
     let (mut connections, token) = table_with_connection();
     let other = connections.open_to_endpoint(0, 1, 0, 2, 7);
@@ -45,18 +45,23 @@
         connections.send(transmission, &FIXED_DELAY, &mut rng)
     };
     let outgoing = send(&mut connections, token, Direction::FromCourier, "a");
-    assert_eq!(outgoing, Some(15), "the other direction goes on");
-    assert_eq!(send(&mut connections, other, Direction::ToCourier, "b"), Some(15), "and other couriers");
+    assert_eq!(outgoing, Some(15), "the other direction is not blocked");
+    assert_eq!(
+        send(&mut connections, other, Direction::ToCourier, "b"),
+        Some(15),
+        "other couriers are not blocked"
+    );
     assert_eq!(send(&mut connections, token, Direction::ToCourier, "c"), None);
     assert_eq!(send(&mut connections, token, Direction::ToCourier, "d"), None);
-    assert_eq!(connections.end_partition(3), [(token, Direction::ToCourier)]);
-    let released = connections.release(token, Direction::ToCourier).into_iter();
-    let held: Vec<Segment> = released.map(|held| held.segment).collect();
-    assert_eq!(held, [data("c"), data("d")]);
+    let blocked = StreamId { token, direction: Direction::ToCourier };
+    assert_eq!(connections.end_partition(3), [blocked]);
+    let released = connections.release(blocked).into_iter();
+    let segments: Vec<Segment> = released.map(|queued| queued.segment).collect();
+    assert_eq!(segments, [data("c"), data("d")]);
 }
 
 #[test]
-fn socket_buffer_takes_its_size_and_no_more_while_nothing_arrives() {
+fn socket_buffer_accepts_no_more_than_its_size_while_nothing_arrives() {
     let mut rng = ChaCha8Rng::seed_from_u64(1);
     let (mut connections, token) = table_with_connection();
     let everything =
@@ -66,8 +71,8 @@
     let direction = Direction::FromCourier;
     let transmission = Transmission { now: 0, token, direction, segment: &segment, kind: SendKind::First };
     connections.send(transmission, &FIXED_DELAY, &mut rng);
-    assert_eq!((connections.bytes_taken(token), connections.backlog(token)), (SOCKET_BUFFER_BYTES, 100));
-    assert!(connections.close_end(token, Side::Courier), "the other side is still to hear of it");
-    let released = connections.release(token, direction);
-    assert!(released.is_empty(), "what was held up does not arrive");
+    assert_eq!((connections.bytes_accepted(token), connections.backlog(token)), (SOCKET_BUFFER_BYTES, 100));
+    assert!(connections.close_end(token, Side::Courier), "the other side must be notified");
+    let released = connections.release(StreamId { token, direction });
+    assert!(released.is_empty(), "queued data does not arrive");
 }
--- a/crates/emulator/src/disk.rs
+++ b/crates/emulator/src/disk.rs
@@ -1,57 +1,57 @@
-//! The disk of a host: its snapshot file, and the write of a new one that a crash may undo.
+//! The disk of a host: its snapshot file, and the replacement of that file, which a crash may undo.
 
 use linnetcart_edge::snapshot::{self, Snapshot};
 
 #[cfg(test)]
 mod tests;
 
-/// What a crash does to a snapshot write that is under way.
+/// The effect of a crash on a snapshot write in progress.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Crash {
-    /// The new file had been renamed over the old one.
+    /// The new file had replaced the old one.
     AfterRename,
-    /// It had not: the old file stays.
+    /// The new file had not replaced the old one, which remains.
     BeforeRename,
 }
 
-/// A snapshot file. It is encoded only when something reads or damages it: couriers save far more often than
-/// they load.
+/// A snapshot file. It is encoded only when it is loaded, because couriers save far more often than they
+/// load.
 #[derive(Clone, Debug)]
 struct SnapshotFile {
     snapshot: Snapshot,
-    /// The share of the file's bytes that is readable, from its start on.
-    readable_share: f64,
+    /// The fraction of the file that is readable, from its start.
+    readable_fraction: f64,
 }
 
-/// An unfinished write, and what it replaces.
+/// A write that is not durable yet, and the file that it replaces.
 #[derive(Clone, Debug)]
 struct UnfinishedWrite {
     replaced: Option<SnapshotFile>,
 }
 
-/// A disk.
+/// The disk of a host.
 #[derive(Clone, Debug, Default)]
 pub struct Disk {
     file: Option<SnapshotFile>,
     unfinished: Option<UnfinishedWrite>,
-    /// Number of snapshots set aside because they were damaged.
+    /// Number of damaged snapshots that were set aside.
     pub set_aside: u32,
 }
 
 impl Disk {
     /// Replaces the snapshot. Until [`Disk::sync`] a crash may undo it.
     pub fn save(&mut self, snapshot: &Snapshot) {
-        let replaced = self.file.replace(SnapshotFile { snapshot: snapshot.clone(), readable_share: 1.0 });
-        // Of several unfinished writes a crash undoes all, so the first one says what comes back.
+        let replaced = self.file.replace(SnapshotFile { snapshot: snapshot.clone(), readable_fraction: 1.0 });
+        // A crash undoes all unfinished writes, so the first one determines which file remains.
         self.unfinished.get_or_insert(UnfinishedWrite { replaced });
     }
 
-    /// Makes what was written durable.
+    /// Makes all writes durable.
     pub fn sync(&mut self) {
         self.unfinished = None;
     }
 
-    /// The program dies, perhaps in the middle of a write.
+    /// Handles the death of the program, possibly during a write.
     pub fn crash(&mut self, crash: Crash) {
         let unfinished = self.unfinished.take();
         if let (Some(write), Crash::BeforeRename) = (unfinished, crash) {
@@ -59,19 +59,19 @@
         }
     }
 
-    /// Bytes beyond this share of the snapshot become unreadable, as on a failing disk.
-    pub fn damage(&mut self, readable_share: f64) {
+    /// Makes the bytes beyond this fraction of the snapshot unreadable, as on a failing disk.
+    pub fn damage(&mut self, readable_fraction: f64) {
         if let Some(file) = &mut self.file {
-            file.readable_share = file.readable_share.min(readable_share.clamp(0.0, 1.0));
+            file.readable_fraction = file.readable_fraction.min(readable_fraction.clamp(0.0, 1.0));
         }
     }
 
-    /// Loads the snapshot, if there is an intact one. A damaged one is set aside.
+    /// Loads the snapshot. Returns `None` if there is none or it is damaged; a damaged one is set aside.
     pub fn load(&mut self) -> Option<Snapshot> {
         self.unfinished = None;
         let file = self.file.as_ref()?;
         let bytes = snapshot::encode(&file.snapshot).unwrap_or_default();
-        let readable = (bytes.len() as f64 * file.readable_share) as usize;
+        let readable = (bytes.len() as f64 * file.readable_fraction) as usize;
         let intact = snapshot::decode(&bytes[..readable]).ok();
         if intact.is_none() {
             self.set_aside += 1;
--- a/crates/emulator/src/disk/tests.rs
+++ b/crates/emulator/src/disk/tests.rs
@@ -10,7 +10,7 @@
 }
 
 #[test]
-fn crash_during_write_leaves_old_or_new_snapshot_and_never_a_part() {
+fn crash_during_write_leaves_the_old_or_the_new_snapshot_complete() {
     let mut disk = Disk::default();
     disk.save(&snapshot(1));
     disk.sync();
@@ -20,7 +20,7 @@
         crashed.crash(crash);
         assert_eq!(loaded_version(&mut crashed), Some(expected));
     }
-    // Two writes in a row that a crash undoes leave what was there before both.
+    // If a crash undoes two writes in a row, the file from before both remains.
     disk.save(&snapshot(2));
     disk.save(&snapshot(3));
     disk.crash(Crash::BeforeRename);
@@ -29,11 +29,11 @@
 
 #[test]
 fn damaged_snapshot_is_set_aside_wherever_it_is_cut() {
-    for readable_share in [0.0, 0.3, 0.99] {
+    for readable_fraction in [0.0, 0.3, 0.99] {
         let mut disk = Disk::default();
         disk.save(&snapshot(1));
-        disk.damage(readable_share);
+        disk.damage(readable_fraction);
         assert_eq!((loaded_version(&mut disk), disk.set_aside), (None, 1));
-        assert_eq!(loaded_version(&mut disk), None, "the next start finds none");
+        assert_eq!(loaded_version(&mut disk), None, "the next start finds no snapshot");
     }
 }
--- a/crates/emulator/src/error.rs
+++ b/crates/emulator/src/error.rs
@@ -2,22 +2,22 @@
 
 use std::error::Error;
 
-/// Why a run could not be carried through.
+/// Why an emulated run failed.
 #[derive(Debug, thiserror::Error)]
 pub enum EmulationError {
-    /// Settings or endpoint lists did not reach the couriers in time.
+    /// The couriers did not have their settings and endpoint lists in time.
     #[error("the couriers did not get ready in {limit_seconds} s of virtual time")]
     CouriersNotReady {
-        /// The virtual time that they had.
+        /// The time limit, in seconds of virtual time.
         limit_seconds: u64,
     },
     /// Couriers did not finish their shutdown in time.
     #[error("couriers {couriers:?} did not end within their time")]
     CouriersNotStopped {
-        /// Those with messages or notifications outstanding.
+        /// The couriers with outstanding inputs, messages or notifications.
         couriers: Vec<u32>,
     },
-    /// The scenario around the couriers failed.
+    /// The scenario failed.
     #[error(transparent)]
     Scenario(#[from] Box<dyn Error + Send + Sync>),
 }
--- a/crates/emulator/src/event_queue.rs
+++ b/crates/emulator/src/event_queue.rs
@@ -7,7 +7,8 @@
 #[cfg(test)]
 mod tests;
 
-/// Events by time; those of the same instant in the order in which they were scheduled.
+/// Events ordered by time. Events of the same instant are processed in the order in which they were
+/// scheduled.
 pub(crate) struct EventQueue<E> {
     now: Time,
     last_sequence: u64,
@@ -15,9 +16,15 @@
     scheduled: BinaryHeap<Reverse<ScheduledEvent<E>>>,
 }
 
-struct ScheduledEvent<E> {
+/// The position of an event in the queue.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct EventPosition {
     due: Time,
     sequence: u64,
+}
+
+struct ScheduledEvent<E> {
+    position: EventPosition,
     event: E,
 }
 
@@ -30,47 +37,41 @@
         self.now
     }
 
-    /// Sets the clock. It may go back: what a host sends leaves at the end of its iteration, while other
-    /// events of that span are still to come.
+    /// Sets the clock, also to an earlier time: what a host sends leaves at the end of its iteration, while
+    /// other events of that time are still to be processed.
     pub(crate) fn set_now(&mut self, now: Time) {
         self.now = now;
     }
 
-    /// Events processed so far.
+    /// Returns the number of events processed so far.
     pub(crate) fn processed(&self) -> u64 {
         self.processed
     }
 
-    /// When the next event is due.
+    /// Returns when the next event is due, or `None` if there is none.
     pub(crate) fn next_due(&self) -> Option<Time> {
-        self.scheduled.peek().map(|Reverse(next)| next.due)
+        self.scheduled.peek().map(|Reverse(next)| next.position.due)
     }
 
-    /// Schedules an event, at the present at the earliest.
+    /// Schedules an event. An event in the past is scheduled for the present.
     pub(crate) fn schedule(&mut self, due: Time, event: E) {
         self.last_sequence += 1;
-        let due = due.max(self.now);
-        self.scheduled.push(Reverse(ScheduledEvent { due, sequence: self.last_sequence, event }));
+        let position = EventPosition { due: due.max(self.now), sequence: self.last_sequence };
+        self.scheduled.push(Reverse(ScheduledEvent { position, event }));
     }
 
-    /// Takes the next event and sets the clock to its time.
+    /// Removes and returns the next event, and sets the clock to its time.
     pub(crate) fn pop(&mut self) -> Option<E> {
         let Reverse(next) = self.scheduled.pop()?;
-        self.now = next.due;
+        self.now = next.position.due;
         self.processed += 1;
         Some(next.event)
     }
 }
 
-impl<E> ScheduledEvent<E> {
-    fn order(&self) -> (Time, u64) {
-        (self.due, self.sequence)
-    }
-}
-
 impl<E> PartialEq for ScheduledEvent<E> {
     fn eq(&self, other: &Self) -> bool {
-        self.order() == other.order()
+        self.position == other.position
     }
 }
 
@@ -84,6 +85,6 @@
 
 impl<E> Ord for ScheduledEvent<E> {
     fn cmp(&self, other: &Self) -> Ordering {
-        self.order().cmp(&other.order())
+        self.position.cmp(&other.position)
     }
 }
--- a/crates/emulator/src/host.rs
+++ b/crates/emulator/src/host.rs
@@ -1,94 +1,62 @@
-//! A courier's host: the program around the core as it runs in service, its event loop, clocks and disk.
+//! The host of a courier: the same program around the core as in production, with an emulated event loop,
+//! clocks and disk.
 //!
-//! A host decides only when its loop runs and how long that takes. What the loop sends is carried out by the
-//! [network](crate::network).
+//! A host decides only when its event loop runs and how long an iteration takes. The outputs of the loop are
+//! carried out by the [network](crate::network).
 
 mod clock;
+mod input;
 
 use crate::disk::Disk;
 use crate::model::LoopCosts;
-use bytes::Bytes;
 use clock::HostClock;
 pub use clock::{ClockDeviation, WALL_CLOCK_START};
+pub use input::Input;
 use linnetcart_conformance::Time;
-use linnetcart_edge::control::{Program, Request};
-use linnetcart_edge::core::{ClientId, Core, Output, StartOptions, UpstreamId};
+use linnetcart_edge::control::Program;
+use linnetcart_edge::core::{ClientId, Core, Output, StartOptions};
 use linnetcart_edge::delivery_events::DeliveryEvent;
 
-/// The event loop looks at its connections at least this often.
+/// Longest interval between two polls of an idle event loop.
 const MAX_POLL_INTERVAL: Time = 10_000_000;
-const STATUS_OK: u16 = 200;
 
-/// Something that reached a host.
-#[derive(Clone, Debug)]
-pub enum Input {
-    /// A client connected.
-    ClientConnected(ClientId),
-    /// Bytes of a client.
-    ClientReceived(ClientId, Bytes),
-    /// A client disconnected.
-    ClientDisconnected(ClientId),
-    /// So many bytes for a client are not yet taken by the host's system.
-    ClientBacklog(ClientId, usize),
-    /// A connection to an endpoint was established.
-    UpstreamConnected(UpstreamId),
-    /// A connection to an endpoint could not be established.
-    UpstreamConnectFailed(UpstreamId),
-    /// A connection to an endpoint ended.
-    UpstreamDisconnected {
-        /// Which.
-        upstream: UpstreamId,
-        /// Bytes that the host's system had taken for it.
-        bytes_written: u64,
-    },
-    /// Bytes of an endpoint.
-    UpstreamReceived(UpstreamId, Bytes),
-    /// A document for the control interface.
-    ControlPut {
-        /// The path that it is put to.
-        path: &'static str,
-        /// The document.
-        body: String,
-    },
-}
-
-/// What one iteration of the event loop brought.
+/// The result of one iteration of the event loop.
 #[derive(Debug, Default)]
 pub struct IterationResult {
-    /// What is to be sent, opened and closed.
+    /// What to send, open and close.
     pub outputs: Vec<Output>,
-    /// What happened to messages.
+    /// Events of messages.
     pub delivery_events: Vec<DeliveryEvent>,
-    /// Clients that are to be disconnected, as the program has no settings yet.
+    /// Clients to disconnect because the program has no settings yet.
     pub rejected_clients: Vec<ClientId>,
     /// Replies of the control interface.
     pub control_replies: Vec<Result<(), String>>,
-    /// How long the iteration took.
+    /// Duration of the iteration.
     pub duration: Time,
 }
 
-/// A courier's host in one incarnation of its program.
+/// The host of a courier, in one incarnation of its program.
 #[derive(Debug)]
 pub struct Host {
     /// The incarnation.
     pub incarnation: u32,
-    /// When the next iteration is scheduled, if one is.
+    /// When the next iteration is scheduled, or `None` if none is.
     pub next_iteration: Option<Time>,
     program: Program,
     inbox: Vec<Input>,
     clock: HostClock,
     last_iteration: Time,
-    /// When the work of the last iteration is done.
+    /// When the last iteration ends.
     busy_until: Time,
     stalled_since: Option<Time>,
-    /// The start of a stall that has ended since the last iteration.
+    /// The start of the earliest stall that ended since the last iteration.
     previous_stall: Option<Time>,
     draining: bool,
     snapshot_write_until: Time,
 }
 
 impl Host {
-    /// Starts the program, with what its disk holds.
+    /// Starts the program, which restores the snapshot on its disk.
     pub fn start(
         now: Time,
         incarnation: u32,
@@ -118,7 +86,7 @@
         }
     }
 
-    /// The program has settings, from its disk or from the control interface.
+    /// Returns whether the program has settings, from its disk or from the control interface.
     pub fn is_configured(&self) -> bool {
         self.program.core.is_some()
     }
@@ -128,8 +96,9 @@
         self.inbox.push(input);
     }
 
-    /// When the event loop is to run next, if no further input comes.
-    pub fn wanted_iteration(&self) -> Option<Time> {
+    /// Returns when the event loop has to run next if no further input arrives, or `None` if it does not have
+    /// to.
+    pub fn next_iteration_due(&self) -> Option<Time> {
         if self.is_stalled() {
             return None;
         }
@@ -140,15 +109,16 @@
         if wakeup == Time::MAX {
             return None;
         }
-        Some(self.clock.when_shown(wakeup).max(self.busy_until))
+        Some(self.clock.time_of_reading(wakeup).max(self.busy_until))
     }
 
-    /// A snapshot is being written.
+    /// Returns whether a snapshot is being written.
     pub fn is_writing_snapshot(&self, now: Time) -> bool {
         now < self.snapshot_write_until
     }
 
-    /// Begins the graceful shutdown, as SIGTERM does; messages still held after `timeout` are answered then.
+    /// Begins the graceful shutdown, as SIGTERM does. Messages still in flight after `timeout` are answered
+    /// then.
     pub fn begin_drain(&mut self, now: Time, timeout: Time) {
         self.draining = true;
         let drain_by = self.clock.monotonic(now) + timeout;
@@ -157,34 +127,34 @@
         }
     }
 
-    /// The host takes new connections of clients.
+    /// Returns whether the host accepts new connections of clients.
     pub fn is_accepting(&self) -> bool {
         !self.draining
     }
 
-    /// Nothing is outstanding: no input, message or notification.
+    /// Returns whether no input, message or notification is outstanding.
     pub fn is_done(&self) -> bool {
         self.inbox.is_empty() && self.program.core.as_ref().is_none_or(Core::is_done)
     }
 
-    /// The process is stopped, as by SIGSTOP.
+    /// Suspends the process, as SIGSTOP does.
     pub fn stall(&mut self, now: Time) {
         self.stalled_since.get_or_insert(now);
     }
 
-    /// The process is stopped at present.
+    /// Returns whether the process is suspended.
     pub fn is_stalled(&self) -> bool {
         self.stalled_since.is_some()
     }
 
-    /// The process goes on; its next iteration finds everything that came meanwhile.
+    /// Resumes the process. Its next iteration processes all inputs that arrived meanwhile.
     pub fn resume(&mut self) {
         let Some(since) = self.stalled_since.take() else { return };
         let earliest = self.previous_stall.map_or(since, |previous| previous.min(since));
         self.previous_stall = Some(earliest);
     }
 
-    /// Runs one iteration of the event loop: all inputs, then the core's decisions.
+    /// Runs one iteration of the event loop: processes all inputs, then lets the core decide.
     pub fn run_iteration(&mut self, now: Time, costs: &LoopCosts, disk: &mut Disk) -> IterationResult {
         let mut result = IterationResult::default();
         let reading = self.clock.monotonic(now);
@@ -214,65 +184,12 @@
         result
     }
 
-    /// Since when the inputs of this iteration may have waited, on the host's own clock. An idle loop polls
-    /// its connections again and again, unless the process is stopped.
+    /// Returns the earliest time at which an input of this iteration can have arrived, on the host's own
+    /// clock. An idle loop polls its connections repeatedly, unless the process is suspended.
     fn earliest_arrival(&mut self, now: Time) -> Time {
         let polled_until = self.previous_stall.take().unwrap_or(now);
         let was_polling = polled_until > self.busy_until + MAX_POLL_INTERVAL;
         let last_poll = if was_polling { polled_until - MAX_POLL_INTERVAL } else { self.last_iteration };
         self.clock.monotonic(last_poll)
     }
-
-    fn process_input(
-        &mut self,
-        input: Input,
-        costs: &LoopCosts,
-        disk: &mut Disk,
-        result: &mut IterationResult,
-    ) {
-        if let Input::ControlPut { path, body } = input {
-            let reply = self.process_control_put(path, body, disk);
-            result.control_replies.push(reply);
-            result.duration += costs.snapshot_write;
-            return;
-        }
-        let Some(core) = &mut self.program.core else {
-            if let Input::ClientConnected(client) = input {
-                result.rejected_clients.push(client);
-            }
-            return;
-        };
-        match input {
-            Input::ClientConnected(client) => core.client_connected(client),
-            Input::ClientReceived(client, bytes) => core.client_received(client, &bytes),
-            Input::ClientDisconnected(client) => core.client_disconnected(client),
-            Input::ClientBacklog(client, bytes) => core.set_client_backlog(client, bytes),
-            Input::UpstreamConnected(upstream) => core.upstream_connected(upstream),
-            Input::UpstreamConnectFailed(upstream) => core.upstream_connect_failed(upstream),
-            Input::UpstreamDisconnected { upstream, bytes_written } => {
-                core.upstream_disconnected(upstream, bytes_written);
-            }
-            Input::UpstreamReceived(upstream, bytes) => core.upstream_received(upstream, &bytes),
-            // Handled above: it is for the program, not for the core.
-            Input::ControlPut { .. } => {}
-        }
-    }
-
-    fn process_control_put(
-        &mut self,
-        path: &'static str,
-        body: String,
-        disk: &mut Disk,
-    ) -> Result<(), String> {
-        let request = Request { method: "PUT".into(), path: path.into(), body: body.into(), last: true };
-        disk.sync();
-        let reply = self.program.handle(&request, &mut |snapshot| {
-            disk.save(snapshot);
-            Ok(())
-        });
-        if reply.status == STATUS_OK {
-            return Ok(());
-        }
-        Err(format!("{} {}", reply.status, reply.body.trim()))
-    }
 }
--- a/crates/emulator/src/host/clock.rs
+++ b/crates/emulator/src/host/clock.rs
@@ -1,21 +1,21 @@
-//! The clocks of a host: a monotonic one that drifts and a wall clock that may be off.
+//! The clocks of a host: a monotonic clock that drifts, and a wall clock with an offset.
 
 use linnetcart_conformance::Time;
 
-/// What correct wall clocks show when a run begins: a moment in November 2023, in nanoseconds since 1970.
+/// The true wall-clock time when a run begins: a moment in November 2023, in nanoseconds since 1970.
 pub const WALL_CLOCK_START: Time = 1_700_000_000 * 1_000_000_000;
-/// What a monotonic clock shows at least when a program starts.
+/// Least reading of a monotonic clock when a program starts.
 const MONOTONIC_START: Time = 3600 * 1_000_000_000;
 const PARTS_PER_MILLION: i128 = 1_000_000;
 
 /// How the clocks of a host deviate from the network's clock.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ClockDeviation {
-    /// How far the monotonic clock is ahead of the earliest possible one.
+    /// How far the monotonic clock is ahead of [`MONOTONIC_START`] when the program starts.
     pub monotonic_ahead: Time,
-    /// How much too fast the monotonic clock runs, in parts per million.
+    /// Drift of the monotonic clock in parts per million; positive if it runs fast.
     pub drift_ppm: i64,
-    /// How far the wall clock is ahead of the correct time; negative if it is behind.
+    /// Offset of the wall clock in nanoseconds; negative if it is behind.
     pub wall_offset: i64,
 }
 
@@ -24,7 +24,7 @@
 pub(super) struct HostClock {
     /// When the program started, on the network's clock.
     started_at: Time,
-    /// What the monotonic clock showed then.
+    /// Reading of the monotonic clock at that time.
     initial_reading: Time,
     drift_ppm: i64,
     wall_offset: i64,
@@ -40,24 +40,24 @@
         }
     }
 
-    /// What the monotonic clock shows at a moment of the network's clock.
+    /// Returns the reading of the monotonic clock at a time of the network's clock.
     pub(super) fn monotonic(&self, now: Time) -> Time {
         let elapsed = now.saturating_sub(self.started_at);
         let drift = (i128::from(elapsed) * i128::from(self.drift_ppm) / PARTS_PER_MILLION) as i64;
         self.initial_reading + elapsed.saturating_add_signed(drift)
     }
 
-    /// What the wall clock shows at a moment of the network's clock.
+    /// Returns the reading of the wall clock at a time of the network's clock.
     pub(super) fn wall(&self, now: Time) -> Time {
         (WALL_CLOCK_START + now).saturating_add_signed(self.wall_offset)
     }
 
-    /// The moment of the network's clock at which the monotonic clock shows this reading or a later one.
-    pub(super) fn when_shown(&self, reading: Time) -> Time {
+    /// Returns the time of the network's clock at which the monotonic clock has reached this reading.
+    pub(super) fn time_of_reading(&self, reading: Time) -> Time {
         let elapsed_here = reading.saturating_sub(self.initial_reading);
         let rate = (PARTS_PER_MILLION + i128::from(self.drift_ppm)).max(1);
         let elapsed = (i128::from(elapsed_here) * PARTS_PER_MILLION / rate) as Time;
-        // The division rounds down; one nanosecond more is never too early.
+        // The division rounds down; with one nanosecond more the result is never too early.
         let rounding = u64::from(self.drift_ppm != 0);
         self.started_at.saturating_add(elapsed).saturating_add(rounding)
     }
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -1,9 +1,10 @@
-//! Scenarios in virtual time: the same core that runs on sockets, by the hundreds, each on an emulated host
-//! with its own clock, event loop and disk, on an emulated network, driven by the same scenario runner as on
-//! sockets.
+//! Runs scenarios in virtual time: hundreds of couriers with the same core as in production, each on an
+//! emulated host with its own clocks, event loop and disk, connected by an emulated network, and driven by
+//! the same scenario runner as on sockets.
 //!
-//! One event queue, one thread, randomness from the seed and ordered iteration everywhere: a run repeats bit
-//! for bit, and [`EmulatedRun::digest`] says whether it did. Nothing here reads a clock or opens a socket.
+//! A run is deterministic: it has one event queue and one thread, draws all random numbers from the seed, and
+//! iterates only over ordered collections. [`EmulatedRun::digest`] shows whether two runs were identical.
+//! Nothing in this package reads a clock or opens a socket.
 #![forbid(unsafe_code)]
 #![warn(clippy::unwrap_used, missing_docs)]
 
--- a/crates/emulator/src/model.rs
+++ b/crates/emulator/src/model.rs
@@ -1,4 +1,4 @@
-//! Timing of hosts and network. Recipes of runs hold it, so the names in files stay as they are.
+//! The timing of hosts and network. It is stored in recipes of runs, so the names in files stay as they are.
 
 use linnetcart_conformance::Time;
 use rand_chacha::ChaCha8Rng;
@@ -8,25 +8,25 @@
 #[cfg(test)]
 mod tests;
 
-/// Timing of hosts and network. Spans are in nanoseconds.
+/// The timing of hosts and network. Durations are in nanoseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Model {
-    /// What the work of a courier's event loop costs.
+    /// Durations of the work of a courier's event loop.
     #[serde(rename = "pace")]
     pub loop_costs: LoopCosts,
-    /// Delay of the network, each way.
+    /// One-way delay of the network.
     pub delay: DelayDistribution,
-    /// Clocks run too fast or too slow by at most so many parts per million.
+    /// Largest drift of a monotonic clock, in parts per million.
     #[serde(rename = "drift")]
     pub max_clock_drift_ppm: i64,
-    /// Monotonic clocks of two hosts differ by at most so much.
+    /// Largest difference between the monotonic clocks of two hosts.
     #[serde(rename = "apart")]
     pub max_clock_difference: Time,
 }
 
 impl Default for Model {
-    /// Loopback of one machine, and hosts as the throughput baseline measured them.
+    /// The loopback network of one machine, and hosts as measured by the throughput baseline.
     fn default() -> Self {
         Model {
             loop_costs: LoopCosts { per_iteration: 20_000, per_item: 8_000, snapshot_write: 3_000_000 },
@@ -37,26 +37,26 @@
     }
 }
 
-/// How long a courier's event loop takes for its work.
+/// Durations of the work of a courier's event loop.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct LoopCosts {
-    /// One iteration, whatever it does.
+    /// Duration of an iteration without inputs and outputs.
     #[serde(rename = "turn")]
     pub per_iteration: Time,
-    /// Each input and each output.
+    /// Additional duration for each input and each output.
     #[serde(rename = "each")]
     pub per_item: Time,
-    /// Writing a snapshot.
+    /// Additional duration for writing a snapshot.
     #[serde(rename = "save")]
     pub snapshot_write: Time,
 }
 
-/// Distribution of a delay: a minimum, and an exponential part on top.
+/// Distribution of a delay: a minimum plus an exponentially distributed part.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct DelayDistribution {
-    /// The minimum.
+    /// The minimum delay.
     #[serde(rename = "least")]
     pub minimum: Time,
     /// The mean of the exponential part; 0 for none.
--- a/crates/emulator/src/network.rs
+++ b/crates/emulator/src/network.rs
@@ -1,4 +1,5 @@
-//! The couriers' hosts and the network between them and the scenario, on one event queue in virtual time.
+//! The hosts of the couriers, and the network between them and the scenario, on one event queue in virtual
+//! time.
 
 mod arrivals;
 mod hosts;
@@ -21,17 +22,18 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
-/// How long a document takes to a control interface, and its reply back.
+/// One-way delay between the scenario and a control interface.
 const CONTROL_DELAY: Time = 200_000;
 /// The port of every endpoint and courier.
 const PORT: u16 = 9092;
-/// The first byte of every endpoint's address; the others are its number.
+/// The first byte of every endpoint's address. The other bytes are the endpoint's number.
 const ADDRESS_PREFIX: u8 = 10;
-/// Streams of randomness of their own, so that a draw more in one changes nothing in another.
+/// Separates the random numbers of the network from all others.
 const NETWORK_SEED_MASK: u64 = 0x3e7;
+/// Separates the random numbers of the hosts' clocks from all others.
 const CLOCK_SEED_MASK: u64 = 0xc10c;
 
-/// What the network brings to the scenario.
+/// An event of the network for the scenario.
 #[derive(Debug)]
 pub enum ScenarioInput {
     /// A courier connected to an endpoint.
@@ -41,16 +43,16 @@
         /// The connection.
         token: Token,
     },
-    /// A client's connection is established.
+    /// The connection of a client was established.
     Connected(Token),
-    /// Bytes came from a courier.
+    /// Bytes arrived from a courier.
     Received {
         /// The connection.
         token: Token,
         /// The bytes.
         bytes: Bytes,
     },
-    /// A connection has ended.
+    /// A connection ended.
     Disconnected(Token),
     /// A control interface replied.
     ControlReply {
@@ -58,19 +60,19 @@
         courier: u32,
         /// The incarnation that the document was put to.
         incarnation: u32,
-        /// Accepted, or why not.
+        /// `Ok` if the document was accepted, otherwise the reason why not.
         reply: Result<(), String>,
     },
 }
 
-/// What a run leaves behind, besides the scenario's records.
+/// The results of a run, besides the records of the scenario.
 #[derive(Debug)]
 pub struct NetworkResults {
-    /// Connections of couriers to endpoints that failed, on the network's clock.
+    /// Failed connections of couriers to endpoints, on the network's clock.
     pub failed_connects: Vec<FailedConnect>,
-    /// What happened in the couriers, if it was asked for, on the network's clock.
+    /// The trace, if there is one, on the network's clock.
     pub trace: Option<DeliveryTrace>,
-    /// SHA-256 over everything that arrived, and when.
+    /// SHA-256 of all segments that arrived, with their times.
     pub digest: String,
     /// Number of events processed.
     pub events: u64,
@@ -92,7 +94,7 @@
     ControlReply { courier: u32, incarnation: u32, reply: Result<(), String> },
 }
 
-/// Hosts, their disks, and the network.
+/// The hosts, their disks, and the network between them and the scenario.
 pub struct Network<'a> {
     fleet: &'a Fleet,
     model: Model,
@@ -110,12 +112,14 @@
     peak_connections: usize,
 }
 
+/// Returns the address of an endpoint.
 fn endpoint_address(endpoint: u32) -> SocketAddr {
     let [_, high, middle, low] = endpoint.to_be_bytes();
     SocketAddr::new(IpAddr::V4(Ipv4Addr::new(ADDRESS_PREFIX, high, middle, low)), PORT)
 }
 
-/// The endpoint at an address; a number that no endpoint has if it is no address of one.
+/// Returns the endpoint with this address, or a number that no endpoint has if the address is not that of an
+/// endpoint.
 fn endpoint_at(address: SocketAddr) -> u32 {
     match address.ip() {
         IpAddr::V4(ip) => u32::from_be_bytes(ip.octets()) & 0x00ff_ffff,
@@ -124,7 +128,7 @@
 }
 
 impl<'a> Network<'a> {
-    /// A network without hosts and connections.
+    /// Creates a network without hosts and connections.
     pub fn new(
         fleet: &'a Fleet,
         model: Model,
@@ -149,22 +153,22 @@
         }
     }
 
-    /// The clock of hosts and network.
+    /// Returns the clock of the network.
     pub fn now(&self) -> Time {
         self.events.now()
     }
 
-    /// Advances the clock; nothing is due before then.
+    /// Advances the clock to a time before which no event is due.
     pub fn advance_clock(&mut self, now: Time) {
         self.events.set_now(self.now().max(now));
     }
 
-    /// When the next event is due.
+    /// Returns when the next event is due, or `None` if there is none.
     pub fn next_event_at(&self) -> Option<Time> {
         self.events.next_due()
     }
 
-    /// What the run leaves behind.
+    /// Ends the run and returns its results.
     pub fn into_results(self) -> NetworkResults {
         let virtual_time = self.now();
         let digest = self.digest.finalize();
@@ -178,7 +182,7 @@
         }
     }
 
-    /// Processes the next event. Some of them are for the scenario.
+    /// Processes the next event. Returns what the scenario has to process, if the event is for it.
     pub fn process_next_event(&mut self) -> Option<ScenarioInput> {
         match self.events.pop()? {
             Event::Iteration { courier } => {
@@ -199,12 +203,14 @@
         }
     }
 
+    /// Sends a segment now.
     fn transmit(&mut self, token: Token, direction: Direction, segment: Segment) {
         let sent_at = self.now();
         self.transmit_as(SendKind::First, sent_at, token, direction, segment);
     }
 
-    /// Sends a segment that its sender sent at `sent_at`, which is earlier if a partition held it.
+    /// Sends a segment that its sender sent at `sent_at`, which is earlier than now if it waited for the end
+    /// of a partition.
     fn transmit_as(
         &mut self,
         kind: SendKind,
@@ -220,15 +226,15 @@
         }
     }
 
-    /// One side closes its end of a connection, and the other side is sent word of it.
+    /// Closes one end of a connection, and notifies the other side.
     fn close(&mut self, token: Token, side: Side) {
         if self.connections.close_end(token, side) {
-            self.transmit(token, side.sends(), Segment::Close);
+            self.transmit(token, side.sending_direction(), Segment::Close);
         }
     }
 
-    /// A connection ends. If its endpoint never sent anything, the courier counts it as failed to connect.
-    fn note_if_connect_failed(&mut self, token: Token) {
+    /// Records a connection that ends as a failed connect if its endpoint never sent anything.
+    fn record_if_connect_failed(&mut self, token: Token) {
         let Some(connection) = self.connections.get(token) else { return };
         if connection.courier_received_data {
             return;
@@ -244,7 +250,8 @@
         self.failed_connects.push(failed);
     }
 
-    fn note_opened_connection(&mut self) {
+    /// Updates the peak number of connections.
+    fn update_peak_connections(&mut self) {
         self.peak_connections = self.peak_connections.max(self.connections.count());
     }
 }
--- a/crates/emulator/src/network/arrivals.rs
+++ b/crates/emulator/src/network/arrivals.rs
@@ -1,4 +1,4 @@
-//! Segments that arrive: at a courier's host, at a client or at an endpoint.
+//! The arrival of segments at hosts of couriers, clients and endpoints.
 
 use super::{Network, ScenarioInput};
 use crate::connections::{Direction, Peer, Segment, Side};
@@ -7,7 +7,7 @@
 use linnetcart_scenario::runner::Token;
 use sha2::Digest;
 
-/// The kind of a segment as the digest of a run has it.
+/// Returns the code of a segment's kind in the digest of a run.
 fn digest_kind(segment: &Segment) -> u8 {
     match segment {
         Segment::Connect => 0,
@@ -18,7 +18,7 @@
     }
 }
 
-/// A direction as the digest of a run has it.
+/// Returns the code of a direction in the digest of a run.
 fn digest_direction(direction: Direction) -> u8 {
     match direction {
         Direction::ToCourier => 0,
@@ -27,7 +27,8 @@
 }
 
 impl Network<'_> {
-    /// Delivers a segment to its receiver; to the scenario if that is a client or an endpoint.
+    /// Delivers a segment to its receiver. Returns what the scenario has to process if the receiver is a
+    /// client or an endpoint.
     pub(super) fn deliver(
         &mut self,
         token: Token,
@@ -37,7 +38,7 @@
         self.add_to_digest(token, direction, &segment);
         let segment = self.cut_to_surviving(token, direction, segment)?;
         let connection = self.connections.get(token)?;
-        if !connection.is_received(direction) {
+        if !connection.is_receiver_open(direction) {
             return None;
         }
         let peer = connection.peer;
@@ -61,14 +62,15 @@
         self.digest.update(data);
     }
 
-    /// What is left of a segment on a connection that may have broken: part of the first data, and the end.
+    /// Returns what arrives of a segment on a connection that may have broken. After a break, only a part of
+    /// the next data and the end of the connection arrive.
     fn cut_to_surviving(&mut self, token: Token, direction: Direction, segment: Segment) -> Option<Segment> {
         let connection = self.connections.get(token)?;
-        let Some(share) = connection.surviving_share(direction) else { return Some(segment) };
+        let Some(fraction) = connection.surviving_fraction(direction) else { return Some(segment) };
         match segment {
             Segment::Data(bytes) => {
                 self.connections.end_surviving_data(token, direction);
-                let surviving = (bytes.len() as f64 * share) as usize;
+                let surviving = (bytes.len() as f64 * fraction) as usize;
                 Some(Segment::Data(bytes.slice(..surviving)))
             }
             Segment::Close => Some(Segment::Close),
@@ -124,7 +126,7 @@
     ) -> Option<Input> {
         match segment {
             Segment::Connect if self.is_accepting(courier, incarnation) => {
-                // The host's system answers for the program, which may be stopped.
+                // The host's system accepts the connection, even if the program is suspended.
                 self.transmit(token, Direction::FromCourier, Segment::Connected);
                 Some(Input::ClientConnected(client))
             }
@@ -147,14 +149,15 @@
             Segment::Connected => Some(Input::UpstreamConnected(upstream)),
             Segment::Data(bytes) => Some(Input::UpstreamReceived(upstream, bytes)),
             Segment::Refused => {
-                self.note_if_connect_failed(token);
+                self.record_if_connect_failed(token);
                 self.connections.close_end(token, Side::Courier);
                 Some(Input::UpstreamConnectFailed(upstream))
             }
             Segment::Close => {
-                self.note_if_connect_failed(token);
-                // Closing drops what a partition holds, which is what the count is about.
-                let bytes_written = self.connections.bytes_taken(token);
+                self.record_if_connect_failed(token);
+                // The count must precede the closing, which drops the data that waits for the end of a
+                // partition.
+                let bytes_written = self.connections.bytes_accepted(token);
                 self.connections.close_end(token, Side::Courier);
                 Some(Input::UpstreamDisconnected { upstream, bytes_written })
             }
--- a/crates/emulator/src/network/hosts.rs
+++ b/crates/emulator/src/network/hosts.rs
@@ -1,4 +1,4 @@
-//! The couriers' event loops: when they run, and what they send.
+//! The event loops of the couriers: when they run, and how their outputs are carried out.
 
 use super::{endpoint_at, Event, Network, CONTROL_DELAY};
 use crate::connections::{Direction, Segment, Side};
@@ -9,7 +9,8 @@
 use std::net::SocketAddr;
 
 impl Network<'_> {
-    /// Begins the couriers' graceful shutdown; messages still held after `timeout` are answered then.
+    /// Begins the graceful shutdown of all couriers. Messages still in flight after `timeout` are answered
+    /// then.
     pub fn begin_drain(&mut self, timeout: Time) {
         let now = self.now();
         let couriers: Vec<u32> = self.hosts.keys().copied().collect();
@@ -22,7 +23,7 @@
         }
     }
 
-    /// Couriers that still have something outstanding.
+    /// Returns the couriers with outstanding inputs, messages or notifications.
     pub fn unfinished_couriers(&self) -> Vec<u32> {
         let unfinished = self.hosts.iter().filter(|(_, host)| !host.is_done());
         unfinished.map(|(&courier, _)| courier).collect()
@@ -37,7 +38,7 @@
         self.hosts.get_mut(&courier).filter(|host| host.incarnation == incarnation)
     }
 
-    /// Gives an input to a host, unless the incarnation that it was meant for is gone.
+    /// Passes an input to a host, unless the host is no longer in this incarnation.
     pub(super) fn deliver_to_host(&mut self, courier: u32, incarnation: u32, input: Input) {
         if let Some(host) = self.host(courier, incarnation) {
             host.receive(input);
@@ -45,19 +46,19 @@
         }
     }
 
-    /// Schedules a host's next iteration, unless one is scheduled that is as early.
+    /// Schedules the next iteration of a host, unless one is scheduled at the same time or earlier.
     pub(super) fn schedule_iteration(&mut self, courier: u32) {
         let now = self.now();
         let Some(host) = self.hosts.get_mut(&courier) else { return };
-        let Some(wanted) = host.wanted_iteration() else { return };
-        let due = wanted.max(now);
+        let Some(wanted_at) = host.next_iteration_due() else { return };
+        let due = wanted_at.max(now);
         if host.next_iteration.is_none_or(|scheduled| due < scheduled) {
             host.next_iteration = Some(due);
             self.events.schedule(due, Event::Iteration { courier });
         }
     }
 
-    /// Runs the iteration that is due, unless an earlier one took its place.
+    /// Runs the iteration that is due now, unless an earlier one replaced it.
     pub(super) fn run_iteration(&mut self, courier: u32) {
         let now = self.now();
         let Some(host) = self.hosts.get_mut(&courier) else { return };
@@ -78,7 +79,7 @@
         self.schedule_iteration(courier);
     }
 
-    /// Carries out what an iteration decided. All of it leaves at the iteration's end.
+    /// Carries out the result of an iteration. All its outputs leave at the end of the iteration.
     fn apply_result(&mut self, courier: u32, incarnation: u32, result: IterationResult) {
         let began = self.now();
         self.events.set_now(began + result.duration);
@@ -99,7 +100,7 @@
         match output {
             Output::ToClient(client, bytes) => self.send_to_client(courier, incarnation, client, bytes),
             Output::CloseClient(client) => self.close_client(courier, client),
-            // What a courier does not read stays in its system; that its bound holds does not depend on it.
+            // Reading is not paused here: the courier's own limits must hold without it.
             Output::PauseClient(_) | Output::ResumeClient(_) => {}
             Output::Connect(upstream, address) => self.connect(courier, incarnation, upstream, address),
             Output::ToUpstream(upstream, bytes) => {
@@ -109,7 +110,7 @@
             }
             Output::CloseUpstream(upstream) => {
                 if let Some(token) = self.connections.of_upstream(courier, upstream) {
-                    self.note_if_connect_failed(token);
+                    self.record_if_connect_failed(token);
                     self.close(token, Side::Courier);
                 }
             }
@@ -136,7 +137,7 @@
         let now = self.now();
         let endpoint = endpoint_at(address);
         let token = self.connections.open_to_endpoint(now, courier, incarnation, upstream, endpoint);
-        self.note_opened_connection();
+        self.update_peak_connections();
         self.transmit(token, Direction::FromCourier, Segment::Connect);
     }
 }
--- a/crates/emulator/src/network/transport.rs
+++ b/crates/emulator/src/network/transport.rs
@@ -1,7 +1,7 @@
-//! What the scenario does to clients, couriers and endpoints, and which faults it causes.
+//! The transport of the scenario runner: clients, couriers, endpoints, and faults of network and disk.
 
 use super::{endpoint_address, Event, Network, CONTROL_DELAY, PORT};
-use crate::connections::{Block, Direction, PerDirection, Segment, SendKind, Side};
+use crate::connections::{Block, Direction, PerDirection, Segment, SendKind, Side, StreamId};
 use crate::disk::Crash;
 use crate::host::{ClockDeviation, Host, WALL_CLOCK_START};
 use bytes::Bytes;
@@ -12,7 +12,7 @@
 use rand::Rng;
 use std::net::SocketAddr;
 
-/// The incarnation that connections to a courier carry while it is down; no courier has it.
+/// The incarnation of connections to a courier that is down. No courier ever has it.
 const NO_INCARNATION: u32 = u32::MAX;
 
 impl Network<'_> {
@@ -35,8 +35,8 @@
         ClockDeviation { monotonic_ahead, drift_ppm, wall_offset }
     }
 
-    /// A share of the connections of these couriers breaks. Part of what travels on them still arrives, cut
-    /// at any byte.
+    /// Breaks this fraction of the connections of these couriers. Part of the data under way still arrives,
+    /// truncated at any byte.
     fn break_connections(&mut self, couriers: &[u32], share: f64) {
         for &courier in couriers {
             for token in self.connections.of_courier(courier) {
@@ -55,10 +55,11 @@
         self.transmit(token, Direction::FromCourier, Segment::Close);
     }
 
-    /// Sends what a partition held.
-    fn release(&mut self, token: Token, direction: Direction) {
-        for held in self.connections.release(token, direction) {
-            self.transmit_as(SendKind::Released, held.sent_at, token, direction, held.segment);
+    /// Sends the segments of a stream that waited for the end of a partition.
+    fn release(&mut self, stream: StreamId) {
+        let StreamId { token, direction } = stream;
+        for queued in self.connections.release(stream) {
+            self.transmit_as(SendKind::Released, queued.sent_at, token, direction, queued.segment);
         }
     }
 }
@@ -68,7 +69,7 @@
         let incarnation = self.hosts.get(&courier).map_or(NO_INCARNATION, |host| host.incarnation);
         let now = self.now();
         let token = self.connections.open_from_client(now, courier, incarnation);
-        self.note_opened_connection();
+        self.update_peak_connections();
         self.transmit(token, Direction::ToCourier, Segment::Connect);
         token
     }
@@ -174,8 +175,8 @@
 
     fn heal(&mut self, number: usize) {
         self.connections.end_slowdown(number);
-        for (token, direction) in self.connections.end_partition(number) {
-            self.release(token, direction);
+        for stream in self.connections.end_partition(number) {
+            self.release(stream);
         }
     }
 }
--- a/crates/emulator/src/run.rs
+++ b/crates/emulator/src/run.rs
@@ -1,4 +1,4 @@
-//! Runs a scenario from the start of the couriers to the end of their shutdown.
+//! Runs a scenario, from the start of the couriers to the end of their shutdown.
 
 use crate::error::EmulationError;
 use crate::model::Model;
@@ -11,21 +11,22 @@
 use std::error::Error;
 
 const SECOND: Time = 1_000_000_000;
-/// How long couriers may take to get ready.
+/// Time limit for the couriers to become ready.
 const STARTUP_TIMEOUT: Time = 20 * SECOND;
-/// How long couriers go on with the messages in flight once their graceful shutdown begins.
+/// How long couriers continue with the messages in flight after their graceful shutdown began.
 const DRAIN_TIMEOUT: Time = 10 * SECOND;
-/// How long couriers may take to end; more than [`DRAIN_TIMEOUT`], as the last answers still travel.
+/// Time limit for the shutdown of the couriers. It exceeds [`DRAIN_TIMEOUT`] because the last answers have to
+/// arrive.
 const SHUTDOWN_TIMEOUT: Time = 12 * SECOND;
 
-/// What a run is made with, besides its fleet.
+/// The options of a run, besides its fleet.
 #[derive(Clone, Debug)]
 pub struct Options {
-    /// The policy that decides in the couriers.
+    /// The delivery policy of the couriers.
     pub policy: PolicyFactory,
-    /// Timing of hosts and network.
+    /// The timing of hosts and network.
     pub model: Model,
-    /// The trace to be filled with delivery events, if one is wanted.
+    /// The trace that records delivery events, if one is wanted.
     pub trace: Option<DeliveryTrace>,
 }
 
@@ -35,33 +36,40 @@
     }
 }
 
-/// A completed run.
+/// The results of a completed run.
 #[derive(Debug)]
 pub struct EmulatedRun {
-    /// What happened, for the conformance checks.
+    /// The records for the conformance checks.
     pub records: ScenarioRecords,
-    /// SHA-256 over everything that arrived anywhere, and when.
+    /// SHA-256 of all segments that arrived, with their times. Two runs with the same digest were identical.
     pub digest: String,
     /// Number of events processed.
     pub events: u64,
-    /// Virtual time from the start of the couriers to their end.
+    /// Virtual time from the start of the couriers to the end of their shutdown, in nanoseconds.
     pub virtual_time: Time,
     /// The highest number of connections open at the same time.
     pub peak_connections: usize,
-    /// The trace that was asked for, on the scenario's clock.
+    /// The trace from the options, on the scenario's clock.
     pub trace: Option<DeliveryTrace>,
 }
 
+/// Whether the emulation had anything to process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Progress {
+    Processed,
+    NothingDue,
+}
+
 struct Emulation<'a> {
     runner: ScenarioRunner<'a, Network<'a>>,
-    /// When the scenario's own clock began, on the network's clock.
+    /// When the scenario's clock began, on the network's clock.
     scenario_start: Time,
 }
 
 /// Runs a scenario to its end.
 ///
-/// # Errors
-/// If the couriers do not get ready or do not end in time, or if the scenario itself fails.
+/// # Errors Returns an error if the couriers do not become ready or do not end in time, or if the scenario
+/// itself fails.
 pub fn run(fleet: &Fleet, options: Options) -> Result<EmulatedRun, EmulationError> {
     let network = Network::new(fleet, options.model, options.policy, options.trace);
     let runner = ScenarioRunner::new(fleet, network).map_err(scenario_error)?;
@@ -76,7 +84,7 @@
     fn start_couriers(&mut self) -> Result<(), EmulationError> {
         while !self.runner.ready() {
             let timed_out = self.runner.transport.now() > STARTUP_TIMEOUT;
-            if timed_out || !self.process_next()? {
+            if timed_out || self.process_next()? == Progress::NothingDue {
                 return Err(EmulationError::CouriersNotReady { limit_seconds: STARTUP_TIMEOUT / SECOND });
             }
         }
@@ -87,14 +95,14 @@
         self.scenario_start = self.runner.transport.now();
         self.runner.start_traffic();
         while !self.runner.finished() {
-            if !self.process_next()? {
+            if self.process_next()? == Progress::NothingDue {
                 break;
             }
         }
         Ok(())
     }
 
-    /// Ends the couriers as an operator does, and sees that they end well.
+    /// Shuts the couriers down gracefully, and waits until they have ended.
     fn stop_couriers(&mut self) -> Result<(), EmulationError> {
         self.runner.transport.begin_drain(DRAIN_TIMEOUT);
         let stop_by = self.runner.transport.now() + SHUTDOWN_TIMEOUT;
@@ -104,26 +112,26 @@
                 return Ok(());
             }
             let timed_out = self.runner.transport.now() > stop_by;
-            if timed_out || !self.process_next()? {
+            if timed_out || self.process_next()? == Progress::NothingDue {
                 return Err(EmulationError::CouriersNotStopped { couriers });
             }
         }
     }
 
-    /// Processes what is due next, of the network or of the scenario; false if nothing is.
-    fn process_next(&mut self) -> Result<bool, EmulationError> {
+    /// Processes the next event of the network or the next timers of the scenario.
+    fn process_next(&mut self) -> Result<Progress, EmulationError> {
         let network_due = self.runner.transport.next_event_at();
         let scenario_due = self.runner.next_wakeup().map(|at| at + self.scenario_start);
         match (network_due, scenario_due) {
-            (None, None) => return Ok(false),
-            // The network goes first at the same instant.
+            (None, None) => return Ok(Progress::NothingDue),
+            // At the same instant, network events are processed before timers.
             (Some(network_due), Some(scenario_due)) if network_due > scenario_due => {
                 self.run_timers(scenario_due)?;
             }
             (None, Some(scenario_due)) => self.run_timers(scenario_due)?,
             (Some(network_due), _) => self.process_network_event(network_due)?,
         }
-        Ok(true)
+        Ok(Progress::Processed)
     }
 
     fn run_timers(&mut self, due: Time) -> Result<(), EmulationError> {
@@ -169,6 +177,7 @@
     }
 }
 
+/// Converts the times of a failed connection from the network's clock to the scenario's.
 fn on_scenario_clock(mut failed: FailedConnect, scenario_start: Time) -> FailedConnect {
     failed.from = failed.from.saturating_sub(scenario_start);
     failed.at = failed.at.saturating_sub(scenario_start);
--- a/crates/emulator/src/trace.rs
+++ b/crates/emulator/src/trace.rs
@@ -1,23 +1,23 @@
-//! Delivery events of all couriers, in order, of one message or of everything.
+//! The trace of a run: the delivery events of all couriers in order, of one message or of all.
 
 use linnetcart_conformance::Time;
 use linnetcart_edge::delivery_events::DeliveryEvent;
 use std::collections::BTreeMap;
 
-/// A delivery event, and when and where it happened.
+/// A delivery event with its time and place.
 #[derive(Clone, Debug, PartialEq)]
 pub struct TracedEvent {
-    /// When.
+    /// When the event happened.
     pub at: Time,
-    /// In which courier.
+    /// The courier.
     pub courier: u32,
-    /// In which of the courier's incarnations.
+    /// The incarnation of the courier.
     pub incarnation: u32,
-    /// What happened.
+    /// The event.
     pub event: DeliveryEvent,
 }
 
-/// A message as one incarnation of a courier numbers it.
+/// The number of a message in one incarnation of a courier.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct LocalMessage {
     courier: u32,
@@ -25,52 +25,53 @@
     number: u32,
 }
 
-/// The delivery events of one message in all couriers that held it, or of all messages.
+/// The delivery events of one message in all couriers that accepted it, or of all messages.
 #[derive(Clone, Debug, Default)]
 pub struct DeliveryTrace {
-    /// The message that is followed; all if none.
-    followed: Option<u64>,
-    /// Numbers under which couriers hold messages that are followed, with the messages' names.
+    /// The message that is traced; `None` for all messages.
+    traced_message: Option<u64>,
+    /// The names of the traced messages by their numbers in the couriers.
     names: BTreeMap<LocalMessage, u64>,
-    /// What happened, in order.
+    /// The events in order.
     pub events: Vec<TracedEvent>,
 }
 
 impl DeliveryTrace {
-    /// Follows one message, by its name.
+    /// Creates a trace of one message, given by its name.
     pub fn of_message(name: u64) -> DeliveryTrace {
-        DeliveryTrace { followed: Some(name), ..DeliveryTrace::default() }
+        DeliveryTrace { traced_message: Some(name), ..DeliveryTrace::default() }
     }
 
-    /// Adds what one iteration of a courier's event loop reported.
+    /// Adds the events of one iteration of a courier's event loop.
     pub fn add(&mut self, at: Time, courier: u32, incarnation: u32, events: &[DeliveryEvent]) {
         for event in events {
             if let DeliveryEvent::Accepted { message, name, .. } = event {
                 let local = LocalMessage { courier, incarnation, number: *message };
                 self.note_accepted(local, name);
             }
-            let wanted = match message_number(event) {
+            let is_traced = match message_number(event) {
                 Some(number) => self.names.contains_key(&LocalMessage { courier, incarnation, number }),
-                None => self.followed.is_none(),
+                None => self.traced_message.is_none(),
             };
-            if wanted {
+            if is_traced {
                 self.events.push(TracedEvent { at, courier, incarnation, event: event.clone() });
             }
         }
     }
 
-    /// Moves all times to a clock that began at `start`.
+    /// Converts all times to a clock that began at `start`.
     pub fn rebase(&mut self, start: Time) {
         for traced in &mut self.events {
             traced.at = traced.at.saturating_sub(start);
         }
     }
 
-    /// Numbers are reused, so one that now stands for another message is no longer followed.
+    /// Notes the name of an accepted message if it is traced. Couriers reuse numbers, so the number of a
+    /// message that is not traced is removed.
     fn note_accepted(&mut self, local: LocalMessage, name: &[u8]) {
         let name = std::str::from_utf8(name).ok().and_then(|name| name.parse().ok());
         match name {
-            Some(name) if self.followed.is_none_or(|followed| followed == name) => {
+            Some(name) if self.traced_message.is_none_or(|traced| traced == name) => {
                 self.names.insert(local, name);
             }
             _ => {
@@ -80,6 +81,7 @@
     }
 }
 
+/// Returns the number of the message that an event is about, or `None` if it is not about a message.
 fn message_number(event: &DeliveryEvent) -> Option<u32> {
     match event {
         DeliveryEvent::Accepted { message, .. }
--- a/crates/emulator/tests/scenarios.rs
+++ b/crates/emulator/tests/scenarios.rs
@@ -1,4 +1,4 @@
-//! Scenarios in virtual time: they repeat bit for bit, keep the invariants, and cause the faults that they
+//! Scenarios in virtual time: they are deterministic, satisfy the invariants, and cause the faults that they
 //! name.
 
 use linnetcart_conformance::{check, Answer, EndpointVerdict, Report, Submission};
@@ -24,14 +24,14 @@
     (check(&run.records.records, &fleet.invariants(Timebase::Emulated)), run)
 }
 
-fn assert_invariants_kept(report: &Report, scenario: &str) {
+fn assert_no_violations(report: &Report, scenario: &str) {
     for invariant in &report.rules {
         assert_eq!(invariant.violations, 0, "{scenario}: {}: {:#?}", invariant.rule, invariant.examples);
     }
 }
 
 #[test]
-fn run_on_any_number_of_threads_repeats_bit_for_bit() {
+fn runs_of_the_same_seed_on_different_threads_have_the_same_digest() {
     let digest = |seed: u64| run(&fleet("links-cut", 8, seed), Options::default()).unwrap().digest;
     let alone: Vec<String> = (1..=3).map(digest).collect();
     let beside: Vec<String> = std::thread::scope(|scope| {
@@ -43,22 +43,22 @@
 }
 
 #[test]
-fn every_scenario_with_faults_keeps_the_invariants() {
+fn every_scenario_with_faults_satisfies_the_invariants() {
     let mut checked = [0; 6];
     let skipped = ["bad-day", "month-end"];
     for BuiltInScenario { name, .. } in BUILT_IN.iter().filter(|built_in| !skipped.contains(&built_in.name)) {
         let (report, _) = checked_run(&fleet(name, 3, 2));
-        assert_invariants_kept(&report, name);
+        assert_no_violations(&report, name);
         for (invariant, sum) in report.rules.iter().zip(&mut checked) {
             *sum += invariant.checked;
         }
         assert!(report.service > 0.5, "{name}: {}", report.service);
     }
-    assert!(checked.iter().all(|&cases| cases > 20), "an invariant was not at stake: {checked:?}");
+    assert!(checked.iter().all(|&cases| cases > 20), "an invariant was not tested: {checked:?}");
 }
 
 #[test]
-fn clock_differences_change_nothing_and_drift_next_to_nothing() {
+fn clock_differences_change_no_event_and_drift_hardly_changes_the_service() {
     let fleet = fleet("slow", 4, 3);
     let run_with = |max_clock_difference: u64, max_clock_drift_ppm: i64| {
         let model = Model { max_clock_difference, max_clock_drift_ppm, ..Model::default() };
@@ -97,8 +97,8 @@
     let arrival = &records.arrivals[0];
     assert_eq!((submission.answers[0].answer, arrival.verdict), (Answer::Served, EndpointVerdict::Served));
     assert!(arrival.effect);
-    // In, a connection with its greeting, the call, the service, two answers: each way takes the network's
-    // delay.
+    // The submission, the connection to the endpoint with its handshake, the call, and two answers: each of
+    // these trips takes the delay of the network.
     let answered_at = arrival.answered.unwrap();
     let inbound = arrival.at - submission.at;
     let service = answered_at - arrival.at;
@@ -108,14 +108,14 @@
 }
 
 #[test]
-fn courier_restarted_with_outdated_list_keeps_the_drain_grace() {
+fn courier_restarted_with_outdated_list_respects_the_drain_grace() {
     let mut scenario = Scenario::find("drains").unwrap().with(Some(4), 1.0).unwrap();
     let kills = Scenario::find("couriers-killed").unwrap().trouble.remove(0);
     let list_outage = Scenario::find("list-out").unwrap().trouble.remove(0);
     scenario.trouble.extend([kills, list_outage]);
     for seed in 1..=3 {
         let (report, _) = checked_run(&Fleet::draw(scenario.clone(), seed));
-        assert_invariants_kept(&report, "outdated list");
+        assert_no_violations(&report, "outdated list");
         assert!(report.rules[2].checked > 0);
     }
 }
@@ -123,7 +123,7 @@
 #[test]
 fn client_that_loses_its_courier_resubmits_only_idempotent_messages() {
     let (report, run) = checked_run(&fleet("partition-clients", 3, 1));
-    assert_invariants_kept(&report, "partition-clients");
+    assert_no_violations(&report, "partition-clients");
     let records = &run.records.records;
     let submissions_of = |message: u64| records.submissions.iter().filter(move |s| s.message == message);
     let is_resubmitted = |message: u64| submissions_of(message).count() > 1;
@@ -136,9 +136,9 @@
         arrivals.map(|arrival| arrival.courier).collect()
     };
     let by_two_couriers = idempotent.iter().any(|orphan| couriers_of(orphan.message).len() > 1);
-    assert!(by_two_couriers, "no message was worked on by two couriers");
-    // A message that is not idempotent is resubmitted only if it never left its client, as its connection was
-    // never made.
+    assert!(by_two_couriers, "no message was sent by two couriers");
+    // A message that is not idempotent is resubmitted only if it never left its client, because its
+    // connection was not established.
     let reached_endpoint = |orphan: &Submission| {
         let holder = (orphan.message, orphan.courier, orphan.incarnation);
         records.arrivals.iter().any(|a| (a.message, a.courier, a.incarnation) == holder)
@@ -153,10 +153,10 @@
 #[test]
 fn courier_with_damaged_snapshot_starts_empty_and_is_configured_again() {
     let (report, run) = checked_run(&fleet("disk-damaged", 3, 1));
-    assert_invariants_kept(&report, "disk-damaged");
+    assert_no_violations(&report, "disk-damaged");
     let records = &run.records.records;
     let configured_again = records.notifications.iter().any(|notification| notification.incarnation > 0);
-    assert!(configured_again, "nobody told it the list");
+    assert!(configured_again, "the restarted courier was not notified of the endpoint list");
     let used_again = records.submissions.iter().any(|submission| submission.incarnation == 1);
     assert!(used_again && report.service > 0.9);
 }
@@ -164,19 +164,19 @@
 #[test]
 fn three_hundred_couriers_at_month_end_stay_within_bounds() {
     let mut scenario = Scenario::find("month-end").unwrap();
-    // Its first seconds: enough for every courier to work, short enough for every test run.
+    // The first seconds are enough for every courier to receive messages, and short enough for every test
+    // run.
     scenario.seconds = 1.5;
     scenario.trouble.clear();
     let fleet = Fleet::draw(scenario, 1);
     let endpoints: usize = fleet.destinations.iter().map(|destination| destination.endpoints.len()).sum();
     assert!(fleet.scenario.couriers == 300 && endpoints > 250);
     let (report, run) = checked_run(&fleet);
-    assert_invariants_kept(&report, "month-end");
+    assert_no_violations(&report, "month-end");
     let submissions = run.records.records.submissions.iter();
     let couriers: BTreeSet<u32> = submissions.map(|submission| submission.courier).collect();
     assert!(couriers.len() > 290, "{} couriers received a message", couriers.len());
-    // Events grow with messages, not with couriers: the queue does not fill with those that have nothing to
-    // do.
+    // The number of events grows with the messages, not with the couriers: idle couriers add no events.
     let events_per_message = run.events as f64 / fleet.messages.len() as f64;
-    assert!(events_per_message < 60.0, "{events_per_message} events a message");
+    assert!(events_per_message < 60.0, "{events_per_message} events per message");
 }
