Platform: an encoded record is a struct, and codec functions handle one record each

Cause: Record::encode returned a pair of kind and payload and was longer than one screen. The stored bytes are unchanged.

--- a/crates/platform/src/core/tests/admission.rs
+++ b/crates/platform/src/core/tests/admission.rs
@@ -6,7 +6,7 @@
 fn accepted_and_sent_message_recorded_in_same_iteration() {
     let mut harness = Harness::new();
     assert_eq!(harness.submit("order", "m", ""), 202);
-    let kinds: Vec<u8> = harness.journal.iter().map(|r| r.encode().0).collect();
+    let kinds: Vec<u8> = harness.journal.iter().map(|r| r.encode().kind).collect();
     assert_eq!(kinds, [6, 1, 2], "names, accepted, then sent");
     let text = String::from_utf8(harness.first_attempt_bytes().to_vec()).unwrap();
     assert!(text.contains("X-Txn: m\r\nIdempotency-Key: t-m\r\n") && text.ends_with("\r\n\r\nhi"), "{text}");
@@ -59,6 +59,6 @@
         taken += usize::from(status == 202);
     }
     assert_eq!(taken, 3, "a fifth of a megabyte");
-    let bytes: usize = harness.core.snapshot().iter().map(|r| r.encode().1.len() + 10).sum();
+    let bytes: usize = harness.core.snapshot().iter().map(|r| r.encode().payload.len() + 10).sum();
     assert!(bytes < 200_000);
 }
--- a/crates/platform/src/core/tests/harness.rs
+++ b/crates/platform/src/core/tests/harness.rs
@@ -89,11 +89,7 @@
 
     /// Before its first iteration.
     pub fn starting(config: Config, journal: &[Record], now: Time) -> Harness {
-        let stored = |record: &Record| {
-            let (kind, payload) = record.encode();
-            linnetcart_journal::Record { kind, payload }
-        };
-        let stored: Vec<_> = journal.iter().map(stored).collect();
+        let stored: Vec<_> = journal.iter().map(Record::encode).collect();
         let settings = &config.settings;
         let replay = Replay::from_records(&stored, &settings.class_names, &settings.zone_names);
         let core = Core::new(config, replay, now, now);
--- a/crates/platform/src/records/codec.rs
+++ b/crates/platform/src/records/codec.rs
@@ -1,4 +1,6 @@
-//! Bytes of the records. They outlast the version that wrote them: kinds and positions never change.
+//! Encoding and decoding of the journal's records.
+//!
+//! The bytes outlive the version that wrote them: kinds and field positions must never change.
 
 use super::{CompletedId, FinalOutcome, Message, Record, SentAttempt};
 use linnetcart_journal::Record as RawRecord;
@@ -16,68 +18,69 @@
 const OUTCOME_FAILED: u8 = 1;
 const OUTCOME_RETURNED: u8 = 2;
 
-/// The length of an idempotency key that is not there.
+/// Stored in place of the key's length when a message has no idempotency key.
 const NO_IDEMPOTENCY_KEY: u16 = u16::MAX;
 
 impl Record {
-    /// Kind and payload, as the journal takes them.
-    pub fn encode(&self) -> (u8, Vec<u8>) {
+    /// Returns the record as the journal stores it.
+    pub fn encode(&self) -> RawRecord {
         let mut payload = Vec::new();
-        let kind = match self {
+        self.encode_payload(&mut payload);
+        RawRecord { kind: self.kind(), payload }
+    }
+
+    fn kind(&self) -> u8 {
+        match self {
+            Record::Accepted { .. } => KIND_ACCEPTED,
+            Record::AttemptSent { .. } => KIND_ATTEMPT_SENT,
+            Record::NotExecuted { .. } => KIND_NOT_EXECUTED,
+            Record::Completed { .. } => KIND_COMPLETED,
+            Record::Notified { .. } => KIND_NOTIFIED,
+            Record::Names { .. } => KIND_NAMES,
+            Record::CompletedId(_) => KIND_COMPLETED_ID,
+            Record::KeyCooldown { .. } => KIND_KEY_COOLDOWN,
+        }
+    }
+
+    fn encode_payload(&self, payload: &mut Vec<u8>) {
+        match self {
             Record::Accepted { number, message } => {
                 payload.extend(number.to_le_bytes());
-                encode_message(message, &mut payload);
-                KIND_ACCEPTED
+                encode_message(message, payload);
             }
             Record::AttemptSent { message, attempt } => {
                 payload.extend(message.to_le_bytes());
-                payload.extend(attempt.number.to_le_bytes());
-                payload.push(attempt.zone);
-                payload.extend(attempt.sent_at.to_le_bytes());
-                KIND_ATTEMPT_SENT
+                encode_sent_attempt(attempt, payload);
             }
             Record::NotExecuted { message, attempt } => {
                 payload.extend(message.to_le_bytes());
                 payload.extend(attempt.to_le_bytes());
-                KIND_NOT_EXECUTED
             }
             Record::Completed { message, outcome } => {
                 payload.extend(message.to_le_bytes());
-                encode_outcome(*outcome, &mut payload);
-                KIND_COMPLETED
-            }
-            Record::Notified { message } => {
-                payload.extend(message.to_le_bytes());
-                KIND_NOTIFIED
+                encode_outcome(*outcome, payload);
             }
+            Record::Notified { message } => payload.extend(message.to_le_bytes()),
             Record::Names { classes, zones } => {
-                payload.extend(serde_json::json!([classes, zones]).to_string().into_bytes());
-                KIND_NAMES
-            }
-            Record::CompletedId(completed) => {
-                payload.extend(completed.id_digest.to_le_bytes());
-                payload.extend(completed.content_digest.to_le_bytes());
-                payload.extend(completed.expires_at.to_le_bytes());
-                KIND_COMPLETED_ID
+                let names = serde_json::json!([classes, zones]);
+                payload.extend(names.to_string().into_bytes());
             }
+            Record::CompletedId(completed) => encode_completed_id(completed, payload),
             Record::KeyCooldown { ordering_key, until } => {
                 payload.extend(ordering_key.to_le_bytes());
                 payload.extend(until.to_le_bytes());
-                KIND_KEY_COOLDOWN
             }
-        };
-        (kind, payload)
+        }
     }
 
-    /// Reads a record; `None` for an unknown kind or a payload that does not fit its kind.
+    /// Decodes a stored record. Returns `None` for an unknown kind or a payload that does not fit its kind.
     pub fn decode(raw: &RawRecord) -> Option<Record> {
-        let mut fields = Fields(&raw.payload);
+        let mut fields = FieldReader { remaining: &raw.payload };
         let record = match raw.kind {
             KIND_ACCEPTED => Record::Accepted { number: fields.u32()?, message: decode_message(fields)? },
-            KIND_ATTEMPT_SENT => Record::AttemptSent {
-                message: fields.u32()?,
-                attempt: SentAttempt { number: fields.u16()?, zone: fields.u8()?, sent_at: fields.u64()? },
-            },
+            KIND_ATTEMPT_SENT => {
+                Record::AttemptSent { message: fields.u32()?, attempt: decode_sent_attempt(&mut fields)? }
+            }
             KIND_NOT_EXECUTED => Record::NotExecuted { message: fields.u32()?, attempt: fields.u16()? },
             KIND_COMPLETED => {
                 Record::Completed { message: fields.u32()?, outcome: decode_outcome(&mut fields)? }
@@ -87,11 +90,7 @@
                 let (classes, zones) = serde_json::from_slice(&raw.payload).ok()?;
                 Record::Names { classes, zones }
             }
-            KIND_COMPLETED_ID => Record::CompletedId(CompletedId {
-                id_digest: fields.u64()?,
-                content_digest: fields.u64()?,
-                expires_at: fields.u64()?,
-            }),
+            KIND_COMPLETED_ID => Record::CompletedId(decode_completed_id(&mut fields)?),
             KIND_KEY_COOLDOWN => Record::KeyCooldown { ordering_key: fields.u64()?, until: fields.u64()? },
             _ => return None,
         };
@@ -112,7 +111,7 @@
     payload.extend(&message.body);
 }
 
-fn decode_message(mut fields: Fields<'_>) -> Option<Message> {
+fn decode_message(mut fields: FieldReader<'_>) -> Option<Message> {
     let class = fields.u8()?;
     let destination = fields.u32()?;
     let ordering_key = fields.u64()?;
@@ -123,10 +122,30 @@
         NO_IDEMPOTENCY_KEY => None,
         length => Some(fields.bytes(usize::from(length))?.to_vec()),
     };
-    let body = fields.0.to_vec();
+    let body = fields.remaining.to_vec();
     Some(Message { id, idempotency_key, class, destination, ordering_key, deadline, body })
 }
 
+fn encode_sent_attempt(attempt: &SentAttempt, payload: &mut Vec<u8>) {
+    payload.extend(attempt.number.to_le_bytes());
+    payload.push(attempt.zone);
+    payload.extend(attempt.sent_at.to_le_bytes());
+}
+
+fn decode_sent_attempt(fields: &mut FieldReader<'_>) -> Option<SentAttempt> {
+    Some(SentAttempt { number: fields.u16()?, zone: fields.u8()?, sent_at: fields.u64()? })
+}
+
+fn encode_completed_id(completed: &CompletedId, payload: &mut Vec<u8>) {
+    payload.extend(completed.id_digest.to_le_bytes());
+    payload.extend(completed.content_digest.to_le_bytes());
+    payload.extend(completed.expires_at.to_le_bytes());
+}
+
+fn decode_completed_id(fields: &mut FieldReader<'_>) -> Option<CompletedId> {
+    Some(CompletedId { id_digest: fields.u64()?, content_digest: fields.u64()?, expires_at: fields.u64()? })
+}
+
 fn encode_outcome(outcome: FinalOutcome, payload: &mut Vec<u8>) {
     let (code, retry_after_ms) = match outcome {
         FinalOutcome::Delivered => (OUTCOME_DELIVERED, 0),
@@ -137,7 +156,7 @@
     payload.extend(retry_after_ms.to_le_bytes());
 }
 
-fn decode_outcome(fields: &mut Fields<'_>) -> Option<FinalOutcome> {
+fn decode_outcome(fields: &mut FieldReader<'_>) -> Option<FinalOutcome> {
     let code = fields.u8()?;
     let retry_after_ms = fields.u32()?;
     match code {
@@ -148,13 +167,15 @@
     }
 }
 
-/// The part of a payload that is still to be read.
-struct Fields<'a>(&'a [u8]);
+/// Reads the fields of a payload in order. Each method returns `None` when too few bytes remain.
+struct FieldReader<'a> {
+    remaining: &'a [u8],
+}
 
-impl<'a> Fields<'a> {
+impl<'a> FieldReader<'a> {
     fn bytes(&mut self, length: usize) -> Option<&'a [u8]> {
-        let (field, rest) = self.0.split_at_checked(length)?;
-        self.0 = rest;
+        let (field, remaining) = self.remaining.split_at_checked(length)?;
+        self.remaining = remaining;
         Some(field)
     }
 
--- a/crates/platform/src/records/tests.rs
+++ b/crates/platform/src/records/tests.rs
@@ -9,7 +9,7 @@
 
 /// Encodes a record to exactly these bytes, and reads the same bytes back.
 fn assert_stored(record: Record, kind: u8, payload: &[u8]) {
-    assert_eq!(record.encode(), (kind, payload.to_vec()), "{record:?}");
+    assert_eq!(record.encode(), raw(kind, payload), "{record:?}");
     assert_eq!(Record::decode(&raw(kind, payload)), Some(record));
 }
 
--- a/crates/platform/src/shell/journal.rs
+++ b/crates/platform/src/shell/journal.rs
@@ -3,7 +3,7 @@
 use crate::core::Core;
 use crate::records::Record;
 use linnetcart::Time;
-use linnetcart_journal::{JournalDirectory, JournalError, RecordRef, Salt};
+use linnetcart_journal::{JournalDirectory, JournalError, Record as RawRecord, RecordRef, Salt};
 use std::time::SystemTime;
 
 /// The file is replaced when it has grown by this part of its capacity.
@@ -83,7 +83,7 @@
 
     /// True: all is written, and the file has not outgrown its bound.
     fn append(&mut self, records: &[Record]) -> bool {
-        let encoded: Vec<(u8, Vec<u8>)> = records.iter().map(Record::encode).collect();
+        let encoded: Vec<RawRecord> = records.iter().map(Record::encode).collect();
         let written = self.directory.append(encoded.iter().map(record_ref));
         written.is_ok() && self.directory.size() <= self.base_bytes + self.max_growth_bytes
     }
@@ -91,11 +91,11 @@
 
 /// Begins a new file with the core's state.
 fn replace(directory: &mut JournalDirectory, core: &Core) -> Result<(), JournalError> {
-    let snapshot: Vec<(u8, Vec<u8>)> = core.snapshot().iter().map(Record::encode).collect();
+    let snapshot: Vec<RawRecord> = core.snapshot().iter().map(Record::encode).collect();
     let salt = Salt(wall_clock().rotate_left(SALT_ROTATION_BITS));
     directory.replace(salt, snapshot.iter().map(record_ref))
 }
 
-fn record_ref((kind, payload): &(u8, Vec<u8>)) -> RecordRef<'_> {
-    RecordRef { kind: *kind, payload }
+fn record_ref(record: &RawRecord) -> RecordRef<'_> {
+    RecordRef { kind: record.kind, payload: &record.payload }
 }
