Platform: startup and the token table have modules of their own beside shell.rs

Change: shell/startup.rs (start, replay_journal) and shell/upstream_tokens.rs; run calls start, then serve. The order of startup is unchanged. Half-closed connections and signals are handled by named functions.

--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -3,35 +3,28 @@
 mod environment;
 mod journal;
 mod log;
+mod startup;
+mod upstream_tokens;
 
 pub use environment::Environment;
 
-use crate::config::Config;
-use crate::core::{ConnectionId, Core, JournalState, Output};
-use crate::records::Replay;
+use crate::core::{Core, JournalState, Output};
 use anyhow::Context;
 use calloop::signals::Signal;
 use environment::read_config;
-use journal::{wall_clock, JournalWriter, WriteOutcome};
+use journal::{JournalWriter, WriteOutcome};
 use linnetcart::Time;
-use linnetcart_journal::{JournalDirectory, JournalError, OpenedJournal};
 use linnetcart_net::{Event, Net, Token};
 use log::CoreLog;
-use std::collections::{BTreeMap, BTreeSet};
-use std::path::Path;
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
+use upstream_tokens::UpstreamTokens;
 
 const MILLISECOND: Time = 1_000_000;
 /// The clock does not begin at zero, so that no span before the start is below it.
 const CLOCK_START: Time = 3_600_000 * MILLISECOND;
 /// The longest wait for something to happen.
 const MAX_POLL_WAIT: Duration = Duration::from_millis(500);
-/// What is read from one connection in one poll, so many bytes so many times: a flood on one must not keep the
-/// others waiting.
-const READ_BUFFER_BYTES: usize = 16 * 1024;
-const READS_PER_POLL: usize = 2;
-/// File descriptors that are not the event loop's connections.
-const RESERVED_FILE_DESCRIPTORS: usize = 16;
 /// A journal that cannot be written for so long ends the program.
 const UNWRITABLE_TIMEOUT: Time = 5000 * MILLISECOND;
 /// How long the last answers may take to leave.
@@ -71,93 +64,13 @@
     config_retry_at: Option<Time>,
 }
 
-/// Connections to endpoints and discovery under the core's ids and the event loop's tokens.
-#[derive(Debug, Default)]
-struct UpstreamTokens {
-    tokens: BTreeMap<ConnectionId, Token>,
-    ids: BTreeMap<Token, ConnectionId>,
-}
-
-impl UpstreamTokens {
-    fn insert(&mut self, id: ConnectionId, token: Token) {
-        self.tokens.insert(id, token);
-        self.ids.insert(token, id);
-    }
-
-    fn id(&self, token: Token) -> Option<ConnectionId> {
-        self.ids.get(&token).copied()
-    }
-
-    fn token(&self, id: ConnectionId) -> Option<Token> {
-        self.tokens.get(&id).copied()
-    }
-
-    fn remove_id(&mut self, id: ConnectionId) -> Option<Token> {
-        let token = self.tokens.remove(&id)?;
-        self.ids.remove(&token);
-        Some(token)
-    }
-
-    fn remove_token(&mut self, token: Token) {
-        if let Some(id) = self.ids.remove(&token) {
-            self.tokens.remove(&id);
-        }
-    }
-}
-
-/// Runs until a signal ends it.
+/// Runs the courier until a signal ends it.
+///
+/// # Errors
+/// If the configuration or the journal cannot be used at startup, if the event loop fails, or if the journal cannot
+/// be written for too long.
 pub fn run(environment: Environment) -> anyhow::Result<()> {
-    let mut net = Net::new(0).context("the event loop cannot be made")?;
-    // Before all that takes time: a signal that comes meanwhile waits, and does not end the process.
-    net.watch_signals(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP])
-        .context("signals cannot be caught")?;
-    let config = read_config(&environment.config)?;
-    let state = environment.state.display();
-    let (directory, replay) = replay_journal(&environment.state, &config)
-        .with_context(|| format!("the journal in {state} cannot be read; RELAY_STATE names the folder"))?;
-    net.set_max_connections(config.limits.file_descriptors.saturating_sub(RESERVED_FILE_DESCRIPTORS));
-    net.set_read_limits(READ_BUFFER_BYTES, READS_PER_POLL);
-    let listen = config.listen;
-    let journal_capacity = config.limits.disk_bytes();
-    // Both clocks at one moment, before anything that takes time.
-    let started_at = Instant::now();
-    let wall = wall_clock();
-    let core = Core::new(config, replay, CLOCK_START, wall);
-    let journal = JournalWriter::begin(directory, journal_capacity, &core)
-        .with_context(|| format!("the journal in {state} cannot be written; make room there"))?;
-    let (listener, _) =
-        net.listen(listen).with_context(|| format!("cannot listen on {listen}; RELAY_CONFIG names it"))?;
-    tracing::info!(%listen, "ready");
-    let mut shell = Shell {
-        net,
-        core,
-        journal,
-        log: CoreLog::default(),
-        listener,
-        clients: BTreeSet::new(),
-        upstream: UpstreamTokens::default(),
-        started_at,
-        environment,
-        config_retry_at: None,
-    };
-    shell.serve()
-}
-
-/// Opens the journal, and reads what the process before has left.
-fn replay_journal(state: &Path, config: &Config) -> Result<(JournalDirectory, Replay), JournalError> {
-    let OpenedJournal { directory, records, damage } = JournalDirectory::open(state)?;
-    for damage in &damage {
-        tracing::error!(%damage, "journal damaged, all that can be read is answered for");
-    }
-    let settings = &config.settings;
-    let replay = Replay::from_records(&records, &settings.class_names, &settings.zone_names);
-    tracing::info!(
-        pending = replay.pending.len(),
-        unusable_records = replay.unusable_records,
-        name = config.name,
-        "journal replayed"
-    );
-    Ok((directory, replay))
+    startup::start(environment)?.serve()
 }
 
 impl Shell {
@@ -222,27 +135,33 @@
                 Some(id) => self.core.upstream_received(id, &bytes),
                 None => self.core.client_received(token, &bytes),
             },
-            Event::HalfClosed(token) if self.upstream.id(token).is_some() => {
-                let written = self.net.written_bytes(token);
-                self.net.close(token);
-                self.closed(token, written);
-            }
-            Event::HalfClosed(token) => {
-                // What was asked before is answered in this iteration, and leaves before the connection ends.
-                self.core.client_half_closed(token);
-            }
+            Event::HalfClosed(token) => self.half_closed(token),
             Event::Closed { token, written } => self.closed(token, written),
-            Event::Signal(signal) if signal == Signal::SIGHUP as i32 => {
-                self.reload_config(ReloadCause::Signal);
-            }
-            Event::Signal(_) => {
-                tracing::info!("shutdown started");
-                self.core.begin_shutdown();
-            }
+            Event::Signal(signal) => self.signalled(signal),
             Event::Datagram(..) => {}
         }
     }
 
+    /// The other side sends no more. An endpoint that does so is of no further use; a client still gets its answers.
+    fn half_closed(&mut self, token: Token) {
+        if self.upstream.id(token).is_none() {
+            self.core.client_half_closed(token);
+            return;
+        }
+        let written = self.net.written_bytes(token);
+        self.net.close(token);
+        self.closed(token, written);
+    }
+
+    fn signalled(&mut self, signal: i32) {
+        if signal == Signal::SIGHUP as i32 {
+            self.reload_config(ReloadCause::Signal);
+        } else {
+            tracing::info!("shutdown started");
+            self.core.begin_shutdown();
+        }
+    }
+
     fn closed(&mut self, token: Token, written: u64) {
         if let Some(id) = self.upstream.id(token) {
             self.core.upstream_disconnected(id, written);
