Platform: choice of a connection in connection_pool/acquire.rs, call results as an enum

Change: acquire, the idle connection used last and the eviction order are in connection_pool/acquire.rs with named types; courier-common takes CallResult::{Answered, Lost}. The order of choice and eviction is unchanged.

--- a/crates/courier-common/src/idle_reuse.rs
+++ b/crates/courier-common/src/idle_reuse.rs
@@ -17,7 +17,7 @@
 mod loss_rate;
 mod max_idle;
 
-pub use loss_rate::LossRatePolicy;
+pub use loss_rate::{CallResult, LossRatePolicy};
 pub use max_idle::MaxIdlePolicy;
 
 #[cfg(test)]
--- a/crates/courier-common/src/idle_reuse/loss_rate.rs
+++ b/crates/courier-common/src/idle_reuse/loss_rate.rs
@@ -16,7 +16,16 @@
 /// Half of what is known is forgotten in this time.
 const HALF_LIFE: Time = 10_000 * MILLISECOND;
 
-/// Calls and losses, both decaying with time.
+/// Whether a call got an answer on its connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallResult {
+    /// At least the first byte of an answer arrived.
+    Answered,
+    /// The connection ended before the first byte of an answer.
+    Lost,
+}
+
+/// Calls and lost calls, both decaying with time.
 #[derive(Clone, Copy, Debug, Default)]
 struct DecayingLossRate {
     calls: f64,
@@ -33,10 +42,10 @@
         self.updated_at = now;
     }
 
-    fn record(&mut self, now: Time, lost: bool) {
+    fn record(&mut self, now: Time, result: CallResult) {
         self.decay(now);
         self.calls += 1.0;
-        if lost {
+        if result == CallResult::Lost {
             self.lost += 1.0;
         }
     }
@@ -63,10 +72,10 @@
 
 impl LossRatePolicy {
     /// A call ended, or its answer began, on a connection that had been idle for so long before it, or was new.
-    pub fn record_call(&mut self, now: Time, idle: Option<Time>, lost: bool) {
+    pub fn record_call(&mut self, now: Time, idle: Option<Time>, result: CallResult) {
         match idle {
-            Some(idle) => self.idle_connections[bucket(idle)].record(now, lost),
-            None => self.new_connections.record(now, lost),
+            Some(idle) => self.idle_connections[bucket(idle)].record(now, result),
+            None => self.new_connections.record(now, result),
         }
     }
 
--- a/crates/courier-common/src/idle_reuse/tests.rs
+++ b/crates/courier-common/src/idle_reuse/tests.rs
@@ -1,8 +1,16 @@
-use super::{LossRatePolicy, MaxIdlePolicy};
+use super::{CallResult, LossRatePolicy, MaxIdlePolicy};
 use linnetcart::Time;
 
 const MILLISECOND: Time = 1_000_000;
 
+fn lost_if(is_lost: bool) -> CallResult {
+    if is_lost {
+        CallResult::Lost
+    } else {
+        CallResult::Answered
+    }
+}
+
 #[test]
 fn max_idle_is_halved_by_a_loss_and_doubled_by_each_idle_timeout() {
     let mut policy = MaxIdlePolicy::new(1000);
@@ -25,8 +33,8 @@
     assert!(policy.may_reuse(0, short));
     assert!(policy.may_reuse(0, long));
     for n in 0..40 {
-        policy.record_call(n * MILLISECOND, Some(short), false);
-        policy.record_call(n * MILLISECOND, Some(long), n % 4 == 0);
+        policy.record_call(n * MILLISECOND, Some(short), CallResult::Answered);
+        policy.record_call(n * MILLISECOND, Some(long), lost_if(n % 4 == 0));
     }
     assert!(policy.may_reuse(40 * MILLISECOND, short));
     assert!(!policy.may_reuse(40 * MILLISECOND, long));
@@ -37,8 +45,8 @@
 fn idle_connections_are_used_where_new_ones_lose_as_many_calls() {
     let mut policy = LossRatePolicy::default();
     for n in 0..100 {
-        policy.record_call(n * MILLISECOND, Some(300 * MILLISECOND), n % 8 == 0);
-        policy.record_call(n * MILLISECOND, None, n % 8 == 0);
+        policy.record_call(n * MILLISECOND, Some(300 * MILLISECOND), lost_if(n % 8 == 0));
+        policy.record_call(n * MILLISECOND, None, lost_if(n % 8 == 0));
     }
     assert!(policy.may_reuse(100 * MILLISECOND, 300 * MILLISECOND));
 }
--- a/crates/platform/src/core/connection_pool.rs
+++ b/crates/platform/src/core/connection_pool.rs
@@ -4,18 +4,20 @@
 //! what its connection did. It knows attempts by id alone and never a message. An event for a connection that it no
 //! longer has changes nothing.
 
+mod acquire;
 mod connection;
 mod outcome;
 mod receive;
 mod response;
 
+pub use acquire::Acquired;
 pub use outcome::{FinishedAttempt, LoadReport};
 
 use connection::{Connection, ConnectionState};
 
 use super::attempts::AttemptId;
 use linnetcart::{AttemptOutcome, Time};
-use linnetcart_courier_common::idle_reuse::LossRatePolicy;
+use linnetcart_courier_common::idle_reuse::{CallResult, LossRatePolicy};
 use linnetcart_deployment_settings::DeploymentSettings;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -27,17 +29,6 @@
 const IDLE_TIMEOUT_NUMERATOR: Time = 3;
 const IDLE_TIMEOUT_DENOMINATOR: Time = 4;
 
-/// The connection that an attempt gets.
-#[derive(Debug, PartialEq, Eq)]
-pub enum Acquired {
-    /// This one, now.
-    Idle(ConnectionId),
-    /// This new one, when it is connected.
-    Connecting(ConnectionId),
-    /// None: all are in use.
-    Exhausted,
-}
-
 /// What became of an attempt that was cancelled.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Cancelled {
@@ -117,61 +108,6 @@
         std::mem::take(&mut self.connected)
     }
 
-    /// Gives an attempt an idle connection, or begins a new one for it.
-    pub fn acquire(&mut self, attempt: AttemptId, endpoint: u32, address: SocketAddr, now: Time) -> Acquired {
-        let new_id = self.allocate_id();
-        if let Some(id) = self.acquire_idle(attempt, endpoint, address, now) {
-            return Acquired::Idle(id);
-        }
-        if self.connections.len() >= self.capacity {
-            let Some(least_useful) = self.eviction_candidate() else { return Acquired::Exhausted };
-            self.close(least_useful);
-        }
-        self.connections.insert(new_id, Connection::new(endpoint, address, attempt, now));
-        self.by_attempt.insert(attempt, new_id);
-        Acquired::Connecting(new_id)
-    }
-
-    /// The idle connection that was used last, if one is as good as a new one.
-    fn acquire_idle(
-        &mut self,
-        attempt: AttemptId,
-        endpoint: u32,
-        address: SocketAddr,
-        now: Time,
-    ) -> Option<ConnectionId> {
-        let mut latest: Option<(Time, ConnectionId)> = None;
-        for (&id, connection) in &self.connections {
-            if connection.endpoint != endpoint || connection.address != address {
-                continue;
-            }
-            if let Some(since) = connection.reusable_since(now, self.idle_timeout) {
-                latest = latest.max(Some((since, id)));
-            }
-        }
-        let (since, id) = latest?;
-        if !self.reuse_policy.may_reuse(now, now - since) {
-            self.close(id);
-            return None;
-        }
-        let connection = self.connections.get_mut(&id)?;
-        connection.attempt = Some(attempt);
-        connection.idle_before = Some(now - since);
-        self.by_attempt.insert(attempt, id);
-        Some(id)
-    }
-
-    /// The connection that is missed least: the longest abandoned, or else the longest idle.
-    fn eviction_candidate(&self) -> Option<ConnectionId> {
-        let rank = |id: ConnectionId, connection: &Connection| match connection.state {
-            ConnectionState::Abandoned { since, .. } => Some((false, since, id)),
-            ConnectionState::Idle { since } => Some((true, since, id)),
-            ConnectionState::Connecting { .. } | ConnectionState::InUse { .. } => None,
-        };
-        let ranks = self.connections.iter().filter_map(|(&id, connection)| rank(id, connection));
-        ranks.min().map(|(_, _, id)| id)
-    }
-
     /// A connection was connected. It is used in the iteration, not as this comes in.
     pub fn connected(&mut self, id: ConnectionId) {
         self.connected.push(id);
@@ -262,7 +198,7 @@
             AttemptOutcome::Reset
         };
         if connection.state == (ConnectionState::InUse { first_byte_at: None }) {
-            self.reuse_policy.record_call(now, connection.idle_before, true);
+            self.reuse_policy.record_call(now, connection.idle_before, CallResult::Lost);
         }
         let attempt = self.close(id)?;
         Some(FinishedAttempt::new(attempt, outcome))
--- /dev/null
+++ b/crates/platform/src/core/connection_pool/acquire.rs
@@ -0,0 +1,101 @@
+//! The choice of a connection for an attempt: an idle one that may be reused, or else a new one.
+
+use super::connection::{Connection, ConnectionState};
+use super::{ConnectionId, ConnectionPool};
+use crate::core::attempts::AttemptId;
+use linnetcart::Time;
+use std::net::SocketAddr;
+
+/// The connection that an attempt gets.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Acquired {
+    /// An idle connection, on which the attempt can be sent now.
+    Idle(ConnectionId),
+    /// A new connection, on which the attempt can be sent once it is connected.
+    Connecting(ConnectionId),
+    /// No connection: the pool is full and all of its connections are in use.
+    Exhausted,
+}
+
+/// An idle connection that may be reused. The one that was used last compares greatest.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct IdleConnection {
+    idle_since: Time,
+    id: ConnectionId,
+}
+
+/// The order in which connections are evicted: abandoned ones before idle ones, then the longest in that state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum EvictionOrder {
+    Abandoned { since: Time },
+    Idle { since: Time },
+}
+
+impl EvictionOrder {
+    /// Returns `None` for a connection that must not be evicted.
+    fn of(connection: &Connection) -> Option<EvictionOrder> {
+        match connection.state {
+            ConnectionState::Abandoned { since, .. } => Some(EvictionOrder::Abandoned { since }),
+            ConnectionState::Idle { since } => Some(EvictionOrder::Idle { since }),
+            ConnectionState::Connecting { .. } | ConnectionState::InUse { .. } => None,
+        }
+    }
+}
+
+impl ConnectionPool {
+    /// Assigns an idle connection to an attempt, or begins a new one for it.
+    pub fn acquire(&mut self, attempt: AttemptId, endpoint: u32, address: SocketAddr, now: Time) -> Acquired {
+        let new_id = self.allocate_id();
+        if let Some(id) = self.acquire_idle(attempt, endpoint, address, now) {
+            return Acquired::Idle(id);
+        }
+        if self.connections.len() >= self.capacity {
+            let Some(evicted) = self.eviction_candidate() else { return Acquired::Exhausted };
+            self.close(evicted);
+        }
+        self.connections.insert(new_id, Connection::new(endpoint, address, attempt, now));
+        self.by_attempt.insert(attempt, new_id);
+        Acquired::Connecting(new_id)
+    }
+
+    /// Assigns the idle connection that was used last. Closes it instead, and returns `None`, if a new connection is
+    /// expected to lose fewer calls.
+    fn acquire_idle(
+        &mut self,
+        attempt: AttemptId,
+        endpoint: u32,
+        address: SocketAddr,
+        now: Time,
+    ) -> Option<ConnectionId> {
+        let IdleConnection { idle_since, id } = self.last_used_idle(endpoint, address, now)?;
+        let idle = now - idle_since;
+        if !self.reuse_policy.may_reuse(now, idle) {
+            self.close(id);
+            return None;
+        }
+        let connection = self.connections.get_mut(&id)?;
+        connection.attempt = Some(attempt);
+        connection.idle_before = Some(idle);
+        self.by_attempt.insert(attempt, id);
+        Some(id)
+    }
+
+    fn last_used_idle(&self, endpoint: u32, address: SocketAddr, now: Time) -> Option<IdleConnection> {
+        let mut last_used = None;
+        for (&id, connection) in &self.connections {
+            if connection.endpoint != endpoint || connection.address != address {
+                continue;
+            }
+            if let Some(idle_since) = connection.reusable_since(now, self.idle_timeout) {
+                last_used = last_used.max(Some(IdleConnection { idle_since, id }));
+            }
+        }
+        last_used
+    }
+
+    fn eviction_candidate(&self) -> Option<ConnectionId> {
+        let evictable = |(&id, connection)| EvictionOrder::of(connection).map(|order| (order, id));
+        let candidates = self.connections.iter().filter_map(evictable);
+        candidates.min().map(|(_, id)| id)
+    }
+}
--- a/crates/platform/src/core/connection_pool/receive.rs
+++ b/crates/platform/src/core/connection_pool/receive.rs
@@ -4,6 +4,7 @@
 use super::{response, ConnectionId, ConnectionPool, FinishedAttempt, LoadReport};
 use crate::core::attempts::AttemptId;
 use linnetcart::{AttemptOutcome, Time};
+use linnetcart_courier_common::idle_reuse::CallResult;
 use linnetcart_deployment_settings::DeploymentSettings;
 use linnetcart_http::{parse_response, ParsedResponse, Persistence, ResponseHead};
 
@@ -34,7 +35,7 @@
             ConnectionState::InUse { first_byte_at } => {
                 if first_byte_at.is_none() {
                     connection.state = ConnectionState::InUse { first_byte_at: Some(now) };
-                    self.reuse_policy.record_call(now, connection.idle_before, false);
+                    self.reuse_policy.record_call(now, connection.idle_before, CallResult::Answered);
                 }
                 connection.response.extend_from_slice(bytes);
                 self.response(id, now, settings)
