Platform: inputs and the iteration of the core in core/inputs.rs and core/iteration.rs

Change: core.rs keeps the struct, its construction and its queries; inputs and iteration have files of their own. ConnectionLimits names the division of the file descriptors.

--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -36,6 +36,8 @@
 mod discovery_traffic;
 mod effects;
 mod in_flight;
+mod inputs;
+mod iteration;
 mod key_cooldowns;
 mod reconnect;
 mod recovery;
@@ -56,7 +58,7 @@
 use crate::records::{Record, Replay};
 use admission::Admission;
 use attempts::Attempts;
-use client_connections::{ClientConnections, Received};
+use client_connections::ClientConnections;
 use clock::Clock;
 use connection_pool::ConnectionPool;
 use decisions::DecisionCycle;
@@ -64,10 +66,10 @@
 use discovery::DiscoveryClient;
 use effects::Effects;
 use in_flight::InFlightTable;
-use linnetcart::{AttemptOutcome, Dispatcher, Time};
+use linnetcart::{Dispatcher, Time};
 use linnetcart_deployment_settings::DeploymentSettings;
 use recovery::Recovery;
-use shutdown::{OutstandingWork, Phase, Shutdown};
+use shutdown::{Phase, Shutdown};
 use status_notifier::StatusNotifier;
 
 /// File descriptors that are neither clients' nor endpoints': listener, loop, signals, discovery, journal, logs.
@@ -82,6 +84,23 @@
     Unwritable,
 }
 
+/// How many connections the process may have.
+struct ConnectionLimits {
+    /// Connections of clients.
+    clients: usize,
+    /// Connections to endpoints.
+    upstream: usize,
+}
+
+impl ConnectionLimits {
+    /// Divides the file descriptors that are left for connections evenly.
+    fn new(file_descriptors: usize) -> ConnectionLimits {
+        let connections = file_descriptors.saturating_sub(RESERVED_FILE_DESCRIPTORS);
+        let clients = connections / 2;
+        ConnectionLimits { clients, upstream: connections - clients }
+    }
+}
+
 /// The courier.
 pub struct Core {
     settings: DeploymentSettings,
@@ -106,22 +125,20 @@
     /// A courier that goes on from what the journal holds. `wall` is the wall clock at `now`.
     pub fn new(config: Config, replay: Replay, now: Time, wall: Time) -> Core {
         let journal_capacity = config.limits.disk_bytes();
-        let sockets = config.limits.file_descriptors.saturating_sub(RESERVED_FILE_DESCRIPTORS);
-        let max_clients = sockets / 2;
-        let max_upstream = sockets - max_clients;
-        // The library is not given slots that there are no descriptors for.
+        let max_connections = ConnectionLimits::new(config.limits.file_descriptors);
+        // The library must not plan more concurrent calls than there are file descriptors for.
         let mut settings = config.settings.settings.clone();
-        settings.max_in_flight_calls = settings.max_in_flight_calls.min(max_upstream as u32);
+        settings.max_in_flight_calls = settings.max_in_flight_calls.min(max_connections.upstream as u32);
         let mut core = Core {
             clock: Clock::new(now, wall),
             journal: JournalState::Writable,
-            clients: ClientConnections::new(max_clients, now),
+            clients: ClientConnections::new(max_connections.clients, now),
             admission: Admission::default(),
             in_flight: InFlightTable::new(journal_capacity, replay.next_message),
             deduplication: DeduplicationCache::new(journal_capacity),
             attempts: Attempts::new(settings.key_cooldown),
             decisions: DecisionCycle::new(Dispatcher::new(settings, config.seed), now),
-            pool: ConnectionPool::new(max_upstream, &config.settings),
+            pool: ConnectionPool::new(max_connections.upstream, &config.settings),
             discovery: DiscoveryClient::new(config.discovery),
             notifier: StatusNotifier::new(),
             recovery: Recovery::default(),
@@ -196,179 +213,6 @@
     fn in_initial_sync(&self) -> bool {
         self.decisions.in_initial_sync(self.clock.now()) && !self.discovery.has_synced()
     }
-
-    // ---- Inputs
-
-    /// The time; to be advanced before the inputs that came by then.
-    pub fn advance_clock(&mut self, now: Time) {
-        self.clock.advance(now);
-        self.shutdown.advance(self.clock.now());
-    }
-
-    /// A client connected.
-    pub fn client_opened(&mut self, id: ClientId) {
-        if let Some(evicted) = self.clients.opened(id, self.clock.now()) {
-            self.effects.output(Output::CloseClient(evicted));
-        }
-    }
-
-    /// A client sent bytes.
-    pub fn client_received(&mut self, id: ClientId, bytes: &[u8]) {
-        if self.clients.receive(id, bytes, self.clock.now()) == Received::Malformed {
-            self.read_request(id);
-        }
-    }
-
-    /// A client sends no more; what it asked before is answered in this iteration.
-    pub fn client_half_closed(&mut self, id: ClientId) {
-        self.clients.half_closed(id);
-    }
-
-    /// A client's connection is closed.
-    pub fn client_closed(&mut self, id: ClientId) {
-        self.clients.closed(id);
-    }
-
-    /// A connection to an endpoint or to discovery was made.
-    pub fn upstream_connected(&mut self, id: ConnectionId) {
-        if self.discovery.owns(id) {
-            let request = self.discovery.connected(self.clock.now());
-            self.effects.output(Output::SendUpstream(id, request.into()));
-        } else if self.notifier.owns(id) {
-            self.notifier.connected();
-        } else {
-            self.pool.connected(id);
-        }
-    }
-
-    /// A connection to an endpoint or to discovery could not be made.
-    pub fn upstream_connect_failed(&mut self, id: ConnectionId) {
-        if self.discovery_disconnected(id) {
-            return;
-        }
-        if let Some(finished) = self.pool.connect_failed(id) {
-            self.finish_attempt(finished);
-        }
-    }
-
-    /// A connection to an endpoint or to discovery ended; the system took `written` bytes of ours on it.
-    pub fn upstream_disconnected(&mut self, id: ConnectionId, written: u64) {
-        if self.discovery_disconnected(id) {
-            return;
-        }
-        if let Some(finished) = self.pool.disconnected(id, written, self.clock.now()) {
-            self.finish_attempt(finished);
-        }
-    }
-
-    /// Bytes came on a connection to an endpoint or to discovery.
-    pub fn upstream_received(&mut self, id: ConnectionId, bytes: &[u8]) {
-        if self.discovery.owns(id) {
-            self.watch_received(id, bytes);
-        } else if self.notifier.owns(id) {
-            self.notifier_received(id, bytes);
-        } else if let Some(finished) = self.pool.receive(id, bytes, self.clock.now(), &self.settings) {
-            self.finish_attempt(finished);
-        }
-    }
-
-    /// The signal to end came.
-    pub fn begin_shutdown(&mut self) {
-        self.shutdown.signal(self.clock.now());
-    }
-
-    /// The journal takes no more records, or takes them again.
-    pub fn set_journal_state(&mut self, state: JournalState) {
-        self.journal = state;
-    }
-
-    // ---- An iteration
-
-    /// One iteration of the event loop: one decision on all that came, and what follows from it.
-    pub fn process(&mut self, now: Time) {
-        self.advance_clock(now);
-        self.expire();
-        // What clients ask waits for a decision that can say what becomes of it.
-        let in_initial_sync = self.in_initial_sync();
-        if !in_initial_sync {
-            self.read_requests();
-        }
-        if !self.shutdown.allows_decisions() {
-            self.stop_decisions();
-        } else if !in_initial_sync && self.decisions.is_due(self.clock.now()) {
-            self.decide();
-        }
-        self.start_ready_attempts();
-        if !in_initial_sync {
-            self.close_half_closed();
-        }
-        self.poll_discovery();
-        self.poll_notifier();
-        self.sweep_clients();
-        self.put_closes_first();
-        self.finish_shutdown();
-    }
-
-    /// Ends attempts whose connection or own deadline has run out of time.
-    fn expire(&mut self) {
-        let now = self.clock.now();
-        for finished in self.pool.close_overdue(now) {
-            self.finish_attempt(finished);
-        }
-        for id in self.attempts.expired(now) {
-            self.cancel_attempt(id, AttemptOutcome::TimedOut);
-        }
-    }
-
-    fn read_requests(&mut self) {
-        for id in self.clients.take_unread() {
-            self.read_request(id);
-        }
-    }
-
-    fn decide(&mut self) {
-        let mut recovered = Vec::new();
-        for number in self.recovery.take_undecided() {
-            if let Some(message) = self.in_flight.get(number) {
-                recovered.push(recovery::recovered_event(number, message, self.clock));
-            }
-        }
-        let actions = self.decisions.decide(self.clock.now(), recovered);
-        self.answer_decided(&actions);
-        for action in actions {
-            self.execute(action);
-        }
-    }
-
-    /// What still comes is accepted for the next process. What has no connection yet is for it, too: nothing begins
-    /// that cannot end.
-    fn stop_decisions(&mut self) {
-        self.decisions.stop();
-        self.answer_decided(&[]);
-        for id in self.attempts.ids() {
-            if !self.pool.is_sent(id) {
-                self.cancel_attempt(id, AttemptOutcome::Cancelled);
-            }
-        }
-    }
-
-    fn close_half_closed(&mut self) {
-        for id in self.clients.take_half_closed() {
-            self.close_client(id);
-        }
-    }
-
-    fn put_closes_first(&mut self) {
-        let closed = self.pool.take_closed();
-        let abandoned = self.pool.take_abandoned();
-        self.effects.put_closes_first(&closed, &abandoned);
-    }
-
-    fn finish_shutdown(&mut self) {
-        let idle = self.attempts.is_empty() && self.notifier.len() == 0;
-        let work = if idle { OutstandingWork::None } else { OutstandingWork::Some };
-        self.shutdown.finish(self.clock.now(), work);
-    }
 }
 
 #[cfg(test)]
--- /dev/null
+++ b/crates/platform/src/core/inputs.rs
@@ -0,0 +1,95 @@
+//! Inputs of the core: the clock, events of connections, signals and the state of the journal.
+//!
+//! An input changes the state of the part that it concerns. Requests are answered and attempts are sent only by the
+//! next [`Core::process`].
+
+use super::client_connections::{ClientId, Received};
+use super::connection_pool::ConnectionId;
+use super::effects::Output;
+use super::{Core, JournalState};
+use linnetcart::Time;
+
+impl Core {
+    /// The time; to be advanced before the inputs that came by then.
+    pub fn advance_clock(&mut self, now: Time) {
+        self.clock.advance(now);
+        self.shutdown.advance(self.clock.now());
+    }
+
+    /// A client connected.
+    pub fn client_opened(&mut self, id: ClientId) {
+        if let Some(evicted) = self.clients.opened(id, self.clock.now()) {
+            self.effects.output(Output::CloseClient(evicted));
+        }
+    }
+
+    /// A client sent bytes.
+    pub fn client_received(&mut self, id: ClientId, bytes: &[u8]) {
+        if self.clients.receive(id, bytes, self.clock.now()) == Received::Malformed {
+            self.read_request(id);
+        }
+    }
+
+    /// A client sends no more; what it asked before is answered in this iteration.
+    pub fn client_half_closed(&mut self, id: ClientId) {
+        self.clients.half_closed(id);
+    }
+
+    /// A client's connection is closed.
+    pub fn client_closed(&mut self, id: ClientId) {
+        self.clients.closed(id);
+    }
+
+    /// A connection to an endpoint or to discovery was made.
+    pub fn upstream_connected(&mut self, id: ConnectionId) {
+        if self.discovery.owns(id) {
+            let request = self.discovery.connected(self.clock.now());
+            self.effects.output(Output::SendUpstream(id, request.into()));
+        } else if self.notifier.owns(id) {
+            self.notifier.connected();
+        } else {
+            self.pool.connected(id);
+        }
+    }
+
+    /// A connection to an endpoint or to discovery could not be made.
+    pub fn upstream_connect_failed(&mut self, id: ConnectionId) {
+        if self.discovery_disconnected(id) {
+            return;
+        }
+        if let Some(finished) = self.pool.connect_failed(id) {
+            self.finish_attempt(finished);
+        }
+    }
+
+    /// A connection to an endpoint or to discovery ended; the system took `written` bytes of ours on it.
+    pub fn upstream_disconnected(&mut self, id: ConnectionId, written: u64) {
+        if self.discovery_disconnected(id) {
+            return;
+        }
+        if let Some(finished) = self.pool.disconnected(id, written, self.clock.now()) {
+            self.finish_attempt(finished);
+        }
+    }
+
+    /// Bytes came on a connection to an endpoint or to discovery.
+    pub fn upstream_received(&mut self, id: ConnectionId, bytes: &[u8]) {
+        if self.discovery.owns(id) {
+            self.watch_received(id, bytes);
+        } else if self.notifier.owns(id) {
+            self.notifier_received(id, bytes);
+        } else if let Some(finished) = self.pool.receive(id, bytes, self.clock.now(), &self.settings) {
+            self.finish_attempt(finished);
+        }
+    }
+
+    /// The signal to end came.
+    pub fn begin_shutdown(&mut self) {
+        self.shutdown.signal(self.clock.now());
+    }
+
+    /// The journal takes no more records, or takes them again.
+    pub fn set_journal_state(&mut self, state: JournalState) {
+        self.journal = state;
+    }
+}
