--- a/crates/platform/src/core/discovery/endpoint_list.rs
+++ b/crates/platform/src/core/discovery/endpoint_list.rs
@@ -27,6 +27,32 @@
     changed_at: Time,
 }
 
+impl ListedEndpoint {
+    /// Returns the entry of this endpoint in an event for the decision library.
+    fn event_entry(&self, number: u32, rate: f64) -> Endpoint {
+        Endpoint {
+            id: number,
+            destination: self.destination,
+            kind: self.kind,
+            zone: self.zone,
+            rate,
+            status: self.status,
+        }
+    }
+
+    fn remove(&mut self, now: Time) {
+        self.status = EndpointStatus::Removed;
+        self.changed_at = now;
+    }
+
+    /// Whether connections that were made to the endpoint as it was listed previously are of no further use.
+    fn makes_connections_stale(&self, previous: &ListedEndpoint) -> bool {
+        let was_moved = previous.address != self.address;
+        let was_restarted = previous.started_at_ms != self.started_at_ms;
+        self.status == EndpointStatus::Removed || was_moved || was_restarted
+    }
+}
+
 /// What an event of the watch changed.
 #[derive(Debug)]
 pub struct ListUpdate {
@@ -109,8 +135,7 @@
         let names: BTreeSet<&str> = event.entries.iter().map(|entry| &entry.name[..]).collect();
         for (&number, endpoint) in &mut self.endpoints {
             if endpoint.status != EndpointStatus::Removed && !names.contains(&endpoint.name[..]) {
-                endpoint.status = EndpointStatus::Removed;
-                endpoint.changed_at = now;
+                endpoint.remove(now);
                 changes.stale.push(number);
             }
         }
@@ -147,61 +172,51 @@
             self.has_unread_entry = true;
             return;
         };
-        let kind = kind_index(&entry.kind, settings);
-        let zone = self.zone_index(&entry.zone, settings);
-        let status = EndpointStatus::from(entry.status);
+        let listed = self.listed_endpoint(entry, address, settings, now);
         if let Some(removed) = self.remove_from_other_destination(entry, now) {
             changes.stale.push(removed.id);
             changes.entries.push(removed);
         }
         let Some(number) = self.number_of(entry) else { return };
         self.destinations.insert(entry.destination);
-        let endpoint = ListedEndpoint {
+        changes.entries.push(listed.event_entry(number, entry.rate));
+        let previous = self.endpoints.get(&number);
+        if previous.is_some_and(|previous| listed.makes_connections_stale(previous)) {
+            changes.stale.push(number);
+        }
+        self.endpoints.insert(number, listed);
+    }
+
+    fn listed_endpoint(
+        &mut self,
+        entry: &EndpointEntry,
+        address: SocketAddr,
+        settings: &DeploymentSettings,
+        now: Time,
+    ) -> ListedEndpoint {
+        ListedEndpoint {
             address,
-            zone,
-            status,
+            zone: self.zone_index(&entry.zone, settings),
+            status: EndpointStatus::from(entry.status),
             name: entry.name.clone(),
             destination: entry.destination,
-            kind,
+            kind: kind_index(&entry.kind, settings),
             started_at_ms: entry.started_at_ms,
             changed_at: now,
-        };
-        if let Some(before) = self.endpoints.insert(number, endpoint) {
-            let moved = before.address != address;
-            let restarted = before.started_at_ms != entry.started_at_ms;
-            if status == EndpointStatus::Removed || moved || restarted {
-                changes.stale.push(number);
-            }
         }
-        changes.entries.push(Endpoint {
-            id: number,
-            destination: entry.destination,
-            kind,
-            zone,
-            rate: entry.rate,
-            status,
-        });
     }
 
     /// What was learnt of a name under another destination is of no use under this one: the name gets a new
     /// number, and the endpoint of the old one is removed.
     fn remove_from_other_destination(&mut self, entry: &EndpointEntry, now: Time) -> Option<Endpoint> {
         let number = *self.numbers.get(&entry.name)?;
-        let before = self.endpoints.get_mut(&number)?;
-        if before.destination == entry.destination {
+        let previous = self.endpoints.get_mut(&number)?;
+        if previous.destination == entry.destination {
             return None;
         }
-        before.status = EndpointStatus::Removed;
-        before.changed_at = now;
+        previous.remove(now);
         self.numbers.remove(&entry.name);
-        Some(Endpoint {
-            id: number,
-            destination: before.destination,
-            kind: before.kind,
-            zone: before.zone,
-            rate: 0.0,
-            status: EndpointStatus::Removed,
-        })
+        Some(previous.event_entry(number, 0.0))
     }
 
     /// The number of an entry's name; none for an unknown one that is removed.
