Platform: named structs in place of pairs, and the submission read field by field

Cause: find, next_request, the expiry index and the active cooldowns returned or held pairs; parse_submission mixed five fields in one function; Leaving, refuse and refusal are not the words of the field. Change: OpenMessage, NotificationRequest, Expiry, KeyCooldown; one function for each field of a submission; Draining, reject_invalid. Tests compare the structs in place of the pairs, equally strictly.

--- a/crates/platform/src/core/admission.rs
+++ b/crates/platform/src/core/admission.rs
@@ -96,21 +96,21 @@
 
     /// The decisions on all messages that wait for one: rejected or failed by these actions, or else accepted.
     pub fn decide(&mut self, actions: &[Action]) -> Vec<AdmissionDecision> {
-        let mut refusals: BTreeMap<u32, Answer> = BTreeMap::new();
+        let mut not_accepted: BTreeMap<u32, Answer> = BTreeMap::new();
         for action in actions {
             match action {
                 Action::Reject { message, retry_after } => {
-                    refusals.insert(*message, Answer::Rejected { retry_after: *retry_after });
+                    not_accepted.insert(*message, Answer::Rejected { retry_after: *retry_after });
                 }
                 Action::Fail { message } => {
-                    refusals.insert(*message, Answer::Failed);
+                    not_accepted.insert(*message, Answer::Failed);
                 }
                 _ => {}
             }
         }
         let mut decisions = Vec::new();
         for (message, requesters) in std::mem::take(&mut self.awaiting) {
-            let answer = refusals.get(&message).copied().unwrap_or(Answer::Accepted);
+            let answer = not_accepted.get(&message).copied().unwrap_or(Answer::Accepted);
             decisions.push(AdmissionDecision { message, answer, requesters });
         }
         decisions
--- a/crates/platform/src/core/decisions.rs
+++ b/crates/platform/src/core/decisions.rs
@@ -64,8 +64,9 @@
             self.next_decision = Time::MAX;
         }
         let mut events = std::mem::take(&mut self.events);
-        let behind_list = events.len().min(1);
-        events.splice(behind_list..behind_list, recovered);
+        // The first event of a process is the endpoint list that it has cached.
+        let after_endpoint_list = events.len().min(1);
+        events.splice(after_endpoint_list..after_endpoint_list, recovered);
         self.dispatcher.decide(now, events)
     }
 
--- a/crates/platform/src/core/deduplication.rs
+++ b/crates/platform/src/core/deduplication.rs
@@ -11,12 +11,25 @@
 const CAPACITY_DIVISOR: u64 = 20;
 const BYTES_PER_ID: u64 = 40;
 
+/// When an id expires. The one that expires first compares least.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Expiry {
+    expires_at: Time,
+    id_digest: u64,
+}
+
+impl Expiry {
+    fn of(completed: &CompletedId) -> Expiry {
+        Expiry { expires_at: completed.expires_at, id_digest: completed.id_digest }
+    }
+}
+
 /// The cache. Times are the wall clock's.
 #[derive(Debug)]
 pub struct DeduplicationCache {
     capacity: usize,
     by_id: HashMap<u64, CompletedId>,
-    by_expiry: BTreeSet<(Time, u64)>,
+    by_expiry: BTreeSet<Expiry>,
 }
 
 impl DeduplicationCache {
@@ -31,20 +44,20 @@
 
     /// Keeps an id until its expiry. Of too many, those that expire first are dropped.
     pub fn insert(&mut self, completed: CompletedId, wall_now: Time) {
-        while let Some(&(expires_at, id_digest)) = self.by_expiry.first() {
-            if expires_at > wall_now && self.by_expiry.len() < self.capacity {
+        while let Some(&next) = self.by_expiry.first() {
+            if next.expires_at > wall_now && self.by_expiry.len() < self.capacity {
                 break;
             }
-            self.by_expiry.remove(&(expires_at, id_digest));
-            self.by_id.remove(&id_digest);
+            self.by_expiry.remove(&next);
+            self.by_id.remove(&next.id_digest);
         }
         if completed.expires_at <= wall_now || self.capacity == 0 {
             return;
         }
-        if let Some(before) = self.by_id.insert(completed.id_digest, completed) {
-            self.by_expiry.remove(&(before.expires_at, before.id_digest));
+        if let Some(previous) = self.by_id.insert(completed.id_digest, completed) {
+            self.by_expiry.remove(&Expiry::of(&previous));
         }
-        self.by_expiry.insert((completed.expires_at, completed.id_digest));
+        self.by_expiry.insert(Expiry::of(&completed));
     }
 
     /// The completed message that has this message's id. Its deadline starts again when it is submitted again;
@@ -60,7 +73,7 @@
 
     /// All ids, those that expire first in front.
     pub fn iter(&self) -> impl Iterator<Item = CompletedId> + '_ {
-        self.by_expiry.iter().filter_map(|(_, id_digest)| self.by_id.get(id_digest).copied())
+        self.by_expiry.iter().filter_map(|expiry| self.by_id.get(&expiry.id_digest).copied())
     }
 }
 
--- a/crates/platform/src/core/delivery.rs
+++ b/crates/platform/src/core/delivery.rs
@@ -113,10 +113,7 @@
         };
         if self.decisions.retry_after_pending(self.clock.now(), endpoint) {
             let message = message.message().id_text().into_owned();
-            self.effects.event(CoreEvent::AttemptWithheld { endpoint, message });
-            self.pool.release_unused(id, self.clock.now());
-            let outcome = AttemptOutcome::NotSent { no_capacity: false };
-            return self.finish_attempt(FinishedAttempt::new(id, outcome));
+            return self.withhold_attempt(id, CoreEvent::AttemptWithheld { endpoint, message });
         }
         tracing::debug!(id = %message.message().id_text(), attempt = id.number, endpoint, "attempt sent");
         let time_remaining = deadline.saturating_sub(self.clock.now());
@@ -131,6 +128,14 @@
         self.report_recovery(recovery);
     }
 
+    /// Ends an attempt unsent and leaves its connection to the next attempt.
+    fn withhold_attempt(&mut self, id: AttemptId, event: CoreEvent) {
+        self.effects.event(event);
+        self.pool.release_unused(id, self.clock.now());
+        let outcome = AttemptOutcome::NotSent { no_capacity: false };
+        self.finish_attempt(FinishedAttempt::new(id, outcome));
+    }
+
     /// Where an attempt may be sent on a connection. `None`: the endpoint drains, was removed or has moved since
     /// the connection was begun, or nothing can be recorded.
     fn target_of(&self, endpoint: u32, connection: ConnectionId) -> Option<Target> {
--- a/crates/platform/src/core/discovery_traffic.rs
+++ b/crates/platform/src/core/discovery_traffic.rs
@@ -105,8 +105,8 @@
                 }
             }
         }
-        if let Some((id, request)) = self.notifier.next_request(self.clock.now(), self.discovery.address()) {
-            self.effects.output(Output::SendUpstream(id, request.into()));
+        if let Some(request) = self.notifier.next_request(self.clock.now(), self.discovery.address()) {
+            self.effects.output(Output::SendUpstream(request.connection, request.bytes.into()));
         }
     }
 
--- a/crates/platform/src/core/in_flight.rs
+++ b/crates/platform/src/core/in_flight.rs
@@ -24,6 +24,15 @@
     OtherMessage,
 }
 
+/// A message without a final outcome that was found by its id.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OpenMessage {
+    /// The message's number.
+    pub number: u32,
+    /// Whether it is the message whose id was looked up.
+    pub id_match: IdMatch,
+}
+
 /// Whether a message has its final outcome.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Completion {
@@ -148,11 +157,13 @@
         self.messages.iter().map(|(&number, message)| (number, message))
     }
 
-    /// The number of the message without a final outcome that has this id, and whether it is this message.
-    pub fn find(&self, message: &Message) -> Option<(u32, IdMatch)> {
+    /// Finds the open message that has the id of the given one. Returns `None` if the id is not in use.
+    pub fn find(&self, message: &Message) -> Option<OpenMessage> {
         let number = *self.open_ids.get(&message.id)?;
-        let is_same = self.messages.get(&number).is_some_and(|held| same_content(held.message(), message));
-        Some((number, if is_same { IdMatch::SameMessage } else { IdMatch::OtherMessage }))
+        let found = self.messages.get(&number);
+        let is_same = found.is_some_and(|found| has_same_content(found.message(), message));
+        let id_match = if is_same { IdMatch::SameMessage } else { IdMatch::OtherMessage };
+        Some(OpenMessage { number, id_match })
     }
 
     /// A number that no message in flight has.
@@ -245,7 +256,7 @@
 }
 
 /// Whether two messages are the same but for their deadlines.
-fn same_content(one: &Message, other: &Message) -> bool {
+fn has_same_content(one: &Message, other: &Message) -> bool {
     one.class == other.class
         && one.destination == other.destination
         && one.ordering_key == other.ordering_key
--- a/crates/platform/src/core/in_flight/tests.rs
+++ b/crates/platform/src/core/in_flight/tests.rs
@@ -57,9 +57,9 @@
 #[test]
 fn in_flight_id_found_while_open() {
     let mut table = table_with(&[1]);
-    assert_eq!(table.find(&message("m1")), Some((1, IdMatch::SameMessage)));
+    assert_eq!(table.find(&message("m1")), Some(OpenMessage { number: 1, id_match: IdMatch::SameMessage }));
     let other = Message { body: b"ho".to_vec(), ..message("m1") };
-    assert_eq!(table.find(&other), Some((1, IdMatch::OtherMessage)));
+    assert_eq!(table.find(&other), Some(OpenMessage { number: 1, id_match: IdMatch::OtherMessage }));
     assert_eq!(table.find(&message("m2")), None);
     table.complete(1, FinalOutcome::Returned { retry_after_ms: 0 });
     assert_eq!(table.find(&message("m1")), None, "it may be submitted again");
--- a/crates/platform/src/core/key_cooldowns.rs
+++ b/crates/platform/src/core/key_cooldowns.rs
@@ -5,7 +5,16 @@
 use linnetcart::Time;
 use std::collections::BTreeMap;
 
-/// The cooldowns.
+/// An ordering key that cools down.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KeyCooldown {
+    /// The ordering key.
+    pub ordering_key: u64,
+    /// When the cooldown ends.
+    pub until: Time,
+}
+
+/// The cooldowns of all ordering keys.
 #[derive(Debug)]
 pub struct KeyCooldowns {
     duration: Time,
@@ -39,10 +48,10 @@
         self.until.values().copied().filter(|&until| until > now).min().unwrap_or(Time::MAX)
     }
 
-    /// Keys that cool down, and until when.
-    pub fn active(&self, now: Time) -> impl Iterator<Item = (u64, Time)> + '_ {
-        let all = self.until.iter().map(|(&ordering_key, &until)| (ordering_key, until));
-        all.filter(move |&(_, until)| until > now)
+    /// Iterates over the cooldowns that have not ended at `now`.
+    pub fn active(&self, now: Time) -> impl Iterator<Item = KeyCooldown> + '_ {
+        let all = self.until.iter().map(|(&ordering_key, &until)| KeyCooldown { ordering_key, until });
+        all.filter(move |cooldown| cooldown.until > now)
     }
 }
 
--- a/crates/platform/src/core/key_cooldowns/tests.rs
+++ b/crates/platform/src/core/key_cooldowns/tests.rs
@@ -9,7 +9,7 @@
     assert!(cooldowns.is_cooling_down(7, 109) && !cooldowns.is_cooling_down(7, 110));
     assert!(!cooldowns.is_cooling_down(8, 100), "another key");
     assert_eq!((cooldowns.next_end(109), cooldowns.next_end(110)), (110, Time::MAX));
-    assert_eq!(cooldowns.active(109).collect::<Vec<_>>(), [(7, 110)]);
+    assert_eq!(cooldowns.active(109).collect::<Vec<_>>(), [KeyCooldown { ordering_key: 7, until: 110 }]);
     assert_eq!(cooldowns.active(110).count(), 0);
 }
 
--- a/crates/platform/src/core/recovery.rs
+++ b/crates/platform/src/core/recovery.rs
@@ -139,8 +139,9 @@
             zones: self.settings.zone_names.clone(),
         }];
         records.extend(self.deduplication.iter().map(Record::CompletedId));
-        for (ordering_key, until) in self.attempts.key_cooldowns.active(self.clock.now()) {
-            records.push(Record::KeyCooldown { ordering_key, until: self.clock.to_wall(until) });
+        for cooldown in self.attempts.key_cooldowns.active(self.clock.now()) {
+            let until = self.clock.to_wall(cooldown.until);
+            records.push(Record::KeyCooldown { ordering_key: cooldown.ordering_key, until });
         }
         for (number, message) in self.in_flight.iter() {
             if message.pending.outcome != Some(FinalOutcome::Delivered) {
--- a/crates/platform/src/core/request.rs
+++ b/crates/platform/src/core/request.rs
@@ -1,12 +1,11 @@
 //! From a client's request to the message that it submits, or to the error that it is answered with.
 
-use linnetcart::{Idempotency, Time};
+use super::clock::MILLISECOND;
+use linnetcart::{Class, Idempotency, Time};
 use linnetcart_deployment_settings::DeploymentSettings;
 use linnetcart_http::{parse_decimal, Request};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
-use super::clock::MILLISECOND;
-
 /// The longest id or idempotency key.
 const MAX_NAME_BYTES: usize = 128;
 
@@ -105,25 +104,10 @@
     }
     let class = &settings.settings.classes[class_index];
     let id = single_field(request, "x-txn")?.and_then(valid_name).ok_or(RequestError::InvalidId)?;
-    let idempotency_key = match single_field(request, "idempotency-key")? {
-        Some(key) => Some(valid_name(key).ok_or(RequestError::InvalidIdempotencyKey)?),
-        None => None,
-    };
-    if matches!(class.idempotency, Idempotency::Keyed { .. }) && idempotency_key.is_none() {
-        return Err(RequestError::MissingIdempotencyKey);
-    }
-    let destination = single_field(request, "x-route-to")?
-        .and_then(parse_destination)
-        .ok_or(RequestError::InvalidDestination)?;
-    let remaining_ms = single_field(request, "x-remaining-ms")?
-        .and_then(parse_decimal)
-        .ok_or(RequestError::InvalidTimeRemaining)?;
-    let time_remaining = remaining_ms.saturating_mul(MILLISECOND).min(class.deadline);
-    let ordering_key = if class.ordered {
-        single_field(request, "cookie")?.and_then(subject_of_cookies).map_or(0, ordering_key_of)
-    } else {
-        0
-    };
+    let idempotency_key = read_idempotency_key(request, class)?;
+    let destination = read_destination(request)?;
+    let time_remaining = read_time_remaining(request)?.min(class.deadline);
+    let ordering_key = if class.ordered { read_ordering_key(request)? } else { 0 };
     Ok(SubmittedMessage {
         id,
         idempotency_key,
@@ -134,6 +118,33 @@
     })
 }
 
+fn read_idempotency_key(request: &Request<'_>, class: &Class) -> Result<Option<Vec<u8>>, RequestError> {
+    let is_required = matches!(class.idempotency, Idempotency::Keyed { .. });
+    match single_field(request, "idempotency-key")? {
+        Some(key) => valid_name(key).map(Some).ok_or(RequestError::InvalidIdempotencyKey),
+        None if is_required => Err(RequestError::MissingIdempotencyKey),
+        None => Ok(None),
+    }
+}
+
+fn read_destination(request: &Request<'_>) -> Result<u32, RequestError> {
+    let destination = single_field(request, "x-route-to")?.and_then(parse_destination);
+    destination.ok_or(RequestError::InvalidDestination)
+}
+
+fn read_time_remaining(request: &Request<'_>) -> Result<Time, RequestError> {
+    let milliseconds = single_field(request, "x-remaining-ms")?.and_then(parse_decimal);
+    let milliseconds = milliseconds.ok_or(RequestError::InvalidTimeRemaining)?;
+    Ok(milliseconds.saturating_mul(MILLISECOND))
+}
+
+/// Returns 0 for a request without an ordering key.
+fn read_ordering_key(request: &Request<'_>) -> Result<u64, RequestError> {
+    let subject = single_field(request, "cookie")?.and_then(subject_of_cookies);
+    Ok(subject.map_or(0, ordering_key_of))
+}
+
+/// Returns `None` for a field that is absent, and an error for one that is repeated.
 fn single_field<'a>(request: &'a Request<'_>, name: &'static str) -> Result<Option<&'a [u8]>, RequestError> {
     request.field(name).map_err(|_| RequestError::DuplicateField)
 }
--- a/crates/platform/src/core/request/tests.rs
+++ b/crates/platform/src/core/request/tests.rs
@@ -1,7 +1,6 @@
 //! Requests and the messages that they submit.
 
 use super::*;
-use linnetcart::Class;
 
 fn settings() -> DeploymentSettings {
     let class = |repeat, ordered| Class {
--- a/crates/platform/src/core/shutdown.rs
+++ b/crates/platform/src/core/shutdown.rs
@@ -24,7 +24,7 @@
     Signalled,
     /// Still taking connections; each answer says `Connection: close`, and idle connections are closed. Ends when
     /// the listener is closed, with the next sweep of clients.
-    Leaving,
+    Draining,
     /// The listener is closed; clients that are connected are answered. Ends after [`LAST_DECISION_TIMEOUT`].
     ClosedToClients,
     /// No decision is made any more, and attempts are awaited. Ends when no attempt is out and no notification is
@@ -83,7 +83,7 @@
         } else if now >= signalled_at + LAST_DECISION_TIMEOUT {
             Phase::LastAnswers
         } else if self.listener == Listener::Open {
-            Phase::Leaving
+            Phase::Draining
         } else {
             Phase::ClosedToClients
         };
@@ -92,7 +92,7 @@
 
     /// Whether each answer to a client ends its connection.
     pub fn closes_after_answer(&self) -> bool {
-        self.phase >= Phase::Leaving
+        self.phase >= Phase::Draining
     }
 
     /// Whether decisions are made, and attempts started.
@@ -102,7 +102,7 @@
 
     /// The listener may be closed now. True once: it is to be closed.
     pub fn close_listener(&mut self) -> bool {
-        if self.phase < Phase::Leaving || self.listener == Listener::Closed {
+        if self.phase < Phase::Draining || self.listener == Listener::Closed {
             return false;
         }
         self.listener = Listener::Closed;
--- a/crates/platform/src/core/shutdown/tests.rs
+++ b/crates/platform/src/core/shutdown/tests.rs
@@ -26,7 +26,7 @@
     assert_eq!(shutdown.phase(), Phase::Signalled);
     assert!(!shutdown.close_listener() && !shutdown.closes_after_answer());
     shutdown.advance(SIGNAL + SIGNAL_GRACE_PERIOD);
-    assert_eq!(shutdown.phase(), Phase::Leaving);
+    assert_eq!(shutdown.phase(), Phase::Draining);
     assert!(shutdown.closes_after_answer() && shutdown.allows_decisions());
     assert!(shutdown.close_listener() && !shutdown.close_listener(), "once");
     shutdown.advance(SIGNAL + LAST_DECISION_TIMEOUT - 1);
--- a/crates/platform/src/core/status_notifier.rs
+++ b/crates/platform/src/core/status_notifier.rs
@@ -57,6 +57,15 @@
     }
 }
 
+/// A request that notifies the platform of a batch of outcomes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NotificationRequest {
+    /// The connection on which the request is sent.
+    pub connection: ConnectionId,
+    /// The complete HTTP request.
+    pub bytes: Vec<u8>,
+}
+
 #[derive(Debug)]
 struct Notification {
     message: u32,
@@ -203,8 +212,9 @@
         self.connection.take()
     }
 
-    /// The request to be sent now and its connection, if there is anything to send.
-    pub fn next_request(&mut self, now: Time, host: SocketAddr) -> Option<(ConnectionId, Vec<u8>)> {
+    /// Returns the request to be sent now, or `None` while there is nothing to send, the connection is not made or
+    /// the last batch is not answered.
+    pub fn next_request(&mut self, now: Time, host: SocketAddr) -> Option<NotificationRequest> {
         let connection = self.connection?;
         if !self.reconnect.is_connected() || self.sent > 0 || self.queue.is_empty() {
             return None;
@@ -220,7 +230,7 @@
             "POST /status HTTP/1.1\r\nHost: {host}\r\nContent-Type: application/x-ndjson\r\n\
              Content-Length: {length}\r\n\r\n"
         );
-        Some((connection, [head.as_bytes(), &body].concat()))
+        Some(NotificationRequest { connection, bytes: [head.as_bytes(), &body].concat() })
     }
 
     /// Bytes came: what is acknowledged by them. A notification that alone is rejected would be for ever, and hold
--- a/crates/platform/src/core/status_notifier/tests.rs
+++ b/crates/platform/src/core/status_notifier/tests.rs
@@ -36,8 +36,8 @@
 }
 
 fn batch_size(notifier: &mut StatusNotifier) -> usize {
-    let (_, request) = notifier.next_request(NOW, host()).expect("a request");
-    String::from_utf8(request).expect("text").matches("\"id\"").count()
+    let request = notifier.next_request(NOW, host()).expect("a request");
+    String::from_utf8(request.bytes).expect("text").matches("\"id\"").count()
 }
 
 #[test]
@@ -46,12 +46,12 @@
     notifier.push(2, &message("m2", 0), FinalOutcome::Returned { retry_after_ms: 7 });
     notifier.push(3, &message("m3", 0), FinalOutcome::Returned { retry_after_ms: 0 });
     notifier.push(4, &message("m4", 0), FinalOutcome::Delivered);
-    let (connection, request) = notifier.next_request(NOW, host()).expect("a request");
-    assert_eq!(connection, CONNECTION);
+    let request = notifier.next_request(NOW, host()).expect("a request");
+    assert_eq!(request.connection, CONNECTION);
     let expected = "POST /status HTTP/1.1\r\nHost: 127.0.0.1:8500\r\nContent-Type: application/x-ndjson\r\n\
                     Content-Length: 104\r\n\r\n{\"id\":\"m1\",\"state\":\"failed\"}\n\
                     {\"after_ms\":7,\"id\":\"m2\",\"state\":\"returned\"}\n{\"id\":\"m3\",\"state\":\"returned\"}\n";
-    assert_eq!(String::from_utf8(request).expect("text"), expected);
+    assert_eq!(String::from_utf8(request.bytes).expect("text"), expected);
     assert_eq!(notifier.counts(), NotificationCounts { failed: 1, returned: 2 });
 }
 
--- a/crates/platform/src/core/submission.rs
+++ b/crates/platform/src/core/submission.rs
@@ -3,7 +3,7 @@
 use super::admission::{Answer, Requester};
 use super::client_connections::{ClientId, IdlePolicy, OverdueClient, RequestEvent};
 use super::effects::Output;
-use super::in_flight::IdMatch;
+use super::in_flight::{IdMatch, OpenMessage};
 use super::request::{parse_submission, RequestError, SubmittedMessage};
 use super::{Core, JournalState};
 use crate::records::{Message, PendingMessage, Record};
@@ -20,7 +20,7 @@
         number: u32,
     },
     /// Another message has it, or had it.
-    OfOther(RequestError),
+    OtherMessage(RequestError),
 }
 
 impl Core {
@@ -29,9 +29,9 @@
         let request = match self.clients.request(client) {
             RequestEvent::Incomplete => return,
             RequestEvent::Malformed(error) => {
-                return self.refuse_request(client, RequestError::Malformed(error));
+                return self.reject_invalid(client, RequestError::Malformed(error));
             }
-            RequestEvent::Pipelined => return self.refuse_request(client, RequestError::Pipelined),
+            RequestEvent::Pipelined => return self.reject_invalid(client, RequestError::Pipelined),
             RequestEvent::Complete(request) => request,
         };
         let requester = Requester { client, persistence: request.persistence };
@@ -41,13 +41,13 @@
         let body = request.body().to_vec();
         match parse_submission(&request, &self.settings) {
             Ok(submitted) => self.submit(requester, submitted, body),
-            Err(error) => self.refuse_request(client, error),
+            Err(error) => self.reject_invalid(client, error),
         }
     }
 
     fn submit(&mut self, requester: Requester, submitted: SubmittedMessage, body: Vec<u8>) {
         if !self.discovery.endpoints().has_destination(submitted.destination) {
-            return self.refuse_request(requester.client, RequestError::UnknownDestination);
+            return self.reject_invalid(requester.client, RequestError::UnknownDestination);
         }
         let submitted_at = self.clients.last_byte_at(requester.client).unwrap_or(self.clock.now());
         let deadline = submitted_at + submitted.time_remaining;
@@ -84,16 +84,18 @@
     fn find_id(&self, message: &Message) -> Option<KnownId> {
         match self.deduplication.find(message) {
             Some(IdMatch::SameMessage) => return Some(KnownId::Accepted),
-            Some(IdMatch::OtherMessage) => return Some(KnownId::OfOther(RequestError::IdOfCompletedMessage)),
+            Some(IdMatch::OtherMessage) => {
+                return Some(KnownId::OtherMessage(RequestError::IdOfCompletedMessage))
+            }
             None => {}
         }
-        let (number, id_match) = self.in_flight.find(message)?;
+        let OpenMessage { number, id_match } = self.in_flight.find(message)?;
         Some(match id_match {
             IdMatch::SameMessage if self.admission.awaits_decision(number) => {
                 KnownId::AwaitingDecision { number }
             }
             IdMatch::SameMessage => KnownId::Accepted,
-            IdMatch::OtherMessage => KnownId::OfOther(RequestError::IdInUse),
+            IdMatch::OtherMessage => KnownId::OtherMessage(RequestError::IdInUse),
         })
     }
 
@@ -101,7 +103,7 @@
         match known {
             KnownId::Accepted => self.answer(requester, Answer::Accepted),
             KnownId::AwaitingDecision { number } => self.await_decision(number, requester),
-            KnownId::OfOther(error) => self.refuse_request(requester.client, error),
+            KnownId::OtherMessage(error) => self.reject_invalid(requester.client, error),
         }
     }
 
@@ -157,7 +159,7 @@
     }
 
     /// Answers a request that is no valid submission; its connection ends.
-    fn refuse_request(&mut self, client: ClientId, error: RequestError) {
+    fn reject_invalid(&mut self, client: ClientId, error: RequestError) {
         self.counters.invalid_requests += 1;
         self.answer(Requester { client, persistence: Persistence::Close }, Answer::Invalid(error));
     }
@@ -171,7 +173,7 @@
         for client in self.clients.overdue(self.clock.now(), idle) {
             match client {
                 OverdueClient::Idle(id) => self.close_client(id),
-                OverdueClient::InRequest(id) => self.refuse_request(id, RequestError::TimedOut),
+                OverdueClient::InRequest(id) => self.reject_invalid(id, RequestError::TimedOut),
             }
         }
         if self.shutdown.close_listener() {
