--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -1,6 +1,7 @@
-//! The configuration file that the platform gives a courier, and the endpoint list as discovery writes it.
+//! The configuration file that the platform provides, and the endpoint list in discovery's format.
 //!
-//! Names in the files are the platform's; where the code uses another, the field is renamed for serde.
+//! Field names in the files are the platform's. Where the code uses another name, the field is renamed for
+//! serde.
 
 use linnetcart::EndpointStatus;
 use linnetcart_deployment_settings::DeploymentSettings;
@@ -8,13 +9,13 @@
 use serde_json::Value;
 use std::net::SocketAddr;
 
-/// The fewest file descriptors that a courier can work with.
+/// The minimum number of file descriptors that a courier needs.
 const MIN_FILE_DESCRIPTORS: usize = 64;
 
 /// Why a configuration cannot be used.
 #[derive(Debug, thiserror::Error)]
 pub enum ConfigError {
-    /// It is no JSON, or a field is missing or of another type.
+    /// The file is not JSON, or a field is missing or has another type.
     #[error("{0}")]
     Json(#[from] serde_json::Error),
     /// The settings cannot be used.
@@ -23,15 +24,15 @@
     /// The settings name no class of messages.
     #[error("settings.services is empty; a courier needs a class")]
     NoClasses,
-    /// The limits leave too little to work with.
+    /// The limits are below the minimum.
     #[error("limits: 64 sockets and a little disk are the least")]
     LimitsTooLow,
 }
 
-/// The limits that the process has to keep.
+/// Resource limits of the process.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 pub struct Limits {
-    /// File descriptors.
+    /// Number of file descriptors.
     #[serde(rename = "sockets")]
     pub file_descriptors: usize,
     /// Megabytes (10^6 bytes) in the state directory.
@@ -39,7 +40,7 @@
 }
 
 impl Limits {
-    /// Bytes that the journal may take.
+    /// Returns the number of bytes that the journal may take.
     pub fn disk_bytes(&self) -> u64 {
         (self.disk_mb * 1e6) as u64
     }
@@ -48,9 +49,9 @@
 /// An entry of the endpoint list.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct EndpointEntry {
-    /// Its name, the same at every courier.
+    /// Its name, which is the same at every courier.
     pub name: String,
-    /// Where it is reached.
+    /// Its address.
     pub address: String,
     /// The name of its zone.
     #[serde(default)]
@@ -63,15 +64,15 @@
     pub destination: u32,
     /// Its state.
     pub status: ListedStatus,
-    /// Calls a second, as the settings say.
+    /// Its rate limit in calls per second; its accuracy is in the settings.
     #[serde(default, rename = "weight")]
     pub rate: f64,
-    /// Its last start, Unix time in milliseconds.
+    /// Its last start; Unix time in milliseconds.
     #[serde(default, rename = "since_ms")]
     pub started_at_ms: u64,
 }
 
-/// State of an endpoint in the list.
+/// The status of an endpoint in the list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum ListedStatus {
@@ -96,13 +97,13 @@
 /// An event of the watch on the endpoint list: the complete list, or changes of it.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize)]
 pub struct WatchEvent {
-    /// Version of the list.
+    /// The version of the list after the event.
     #[serde(rename = "index")]
     pub version: u64,
-    /// The entries are the complete list.
+    /// Whether the entries are the complete list.
     #[serde(default, rename = "snapshot")]
     pub complete: bool,
-    /// All entries, or those that changed.
+    /// All entries of a complete list, or else those that changed.
     #[serde(rename = "endpoints")]
     pub entries: Vec<EndpointEntry>,
 }
@@ -121,27 +122,27 @@
     settings: Value,
 }
 
-/// A configuration.
+/// The configuration of a courier.
 #[derive(Clone, Debug)]
 pub struct Config {
     /// The courier's name.
     pub name: String,
-    /// Where clients connect.
+    /// The address to listen on.
     pub listen: SocketAddr,
-    /// Where discovery answers and status notifications go.
+    /// The address of discovery, which also takes status notifications.
     pub discovery: SocketAddr,
-    /// For random numbers.
+    /// The seed for random numbers.
     pub seed: u64,
     /// The process's limits.
     pub limits: Limits,
-    /// The endpoint list as it was last known.
+    /// The endpoint list of the previous process.
     pub cached_list: WatchEvent,
     /// The settings of the deployment.
     pub settings: DeploymentSettings,
 }
 
 impl Config {
-    /// Reads a configuration file; one that is wrong anywhere is not used at all.
+    /// Reads a configuration file. A file with any error is rejected completely.
     pub fn read(bytes: &[u8]) -> Result<Config, ConfigError> {
         let file: ConfigFile = serde_json::from_slice(bytes)?;
         let mut settings = DeploymentSettings::read(&file.settings)?;
@@ -151,7 +152,7 @@
         if file.limits.file_descriptors < MIN_FILE_DESCRIPTORS || file.limits.disk_mb <= 0.0 {
             return Err(ConfigError::LimitsTooLow);
         }
-        // A call on this protocol has one message.
+        // On this protocol, a call carries one message.
         for kind in &mut settings.settings.kinds {
             kind.max_messages_per_call = 1;
         }
@@ -167,7 +168,7 @@
     }
 }
 
-/// A number, or hexadecimal digits; anything else is seed 0.
+/// Reads a number or a string of hexadecimal digits; any other value reads as 0.
 fn read_seed(value: &Value) -> u64 {
     match value {
         Value::Number(number) => number.as_u64().unwrap_or(0),
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -1,27 +1,29 @@
 //! The courier without its sockets, files and clock.
 //!
-//! Inputs may come in any number before [[`Core::process`]], which is one iteration of the event loop: it hands all of
-//! them to the decision library at once and carries out what it decides. The records of an iteration go to the
-//! journal before any of its outputs leave.
+//! Any number of inputs may be given before [`Core::process`], which is one iteration of the event loop: it
+//! passes all events to the decision library at once and executes the actions that the library returns. The
+//! journal records of an iteration must be written before any of its outputs is carried out.
 //!
-//! The core is the order of its parts. Each part owns its state and every transition of it:
+//! The core determines the order in which its parts are processed. Each part owns its state and every
+//! transition of that state:
 //!
 //! | part | owns |
 //! | --- | --- |
 //! | `client_connections` | connections of clients and their timeouts |
-//! | `admission`, `request` | parse of a request, its validation, what waits for a decision |
-//! | `in_flight` | messages accepted and not yet done with, their deadlines, bytes held |
+//! | `admission`, `request` | parsing and validation of requests, requests that wait for a decision |
+//! | `in_flight` | messages in flight, their deadlines and their bytes in the journal |
 //! | `deduplication` | ids of completed messages until their deadline |
-//! | `attempts` | attempts out, cooldowns of ordering keys |
+//! | `attempts` | attempts in flight, cooldowns of ordering keys |
 //! | `connection_pool` | connections to endpoints: connecting, in use, idle, abandoned, closed |
 //! | `discovery` | watch, versions, backoff, endpoint list |
 //! | `status_notifier` | unacknowledged notifications, batches, retries |
-//! | `decisions` | the library, the events for it, when it is asked next |
+//! | `decisions` | the decision library, the events for it, the time of its next decision |
 //! | `shutdown` | the phases of the shutdown and what ends each |
-//! | `recovery` | records to state and back |
+//! | `recovery` | the conversion of records to state and back |
 //!
-//! What goes from part to part is in `submission` (requests to decisions), `delivery` (decisions to outcomes) and
-//! `discovery_traffic` (the watch and notifications).
+//! The flow between the parts is in `inputs` and `iteration` (what arrives, and the order of one iteration),
+//! `submission` (requests to decisions), `delivery` (decisions to outcomes) and `discovery_traffic` (the
+//! watch and status notifications).
 
 mod admission;
 mod attempts;
@@ -72,15 +74,16 @@
 use shutdown::{Phase, Shutdown};
 use status_notifier::StatusNotifier;
 
-/// File descriptors that are neither clients' nor endpoints': listener, loop, signals, discovery, journal, logs.
+/// File descriptors that are neither clients' nor endpoints': listener, event loop, signals, discovery,
+/// journal, logs.
 const RESERVED_FILE_DESCRIPTORS: usize = 24;
 
-/// Whether the journal takes records.
+/// Whether records can be written to the journal.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum JournalState {
-    /// It does.
+    /// Records can be written.
     Writable,
-    /// It does not: nothing may begin that depends on a record.
+    /// No record can be written: nothing may begin that depends on one.
     Unwritable,
 }
 
@@ -122,7 +125,8 @@
 }
 
 impl Core {
-    /// A courier that goes on from what the journal holds. `wall` is the wall clock at `now`.
+    /// Creates a courier that continues from the journal's state. `wall` is the wall clock's reading at
+    /// `now`.
     pub fn new(config: Config, replay: Replay, now: Time, wall: Time) -> Core {
         let journal_capacity = config.limits.disk_bytes();
         let max_connections = ConnectionLimits::new(config.limits.file_descriptors);
@@ -152,27 +156,28 @@
         core
     }
 
-    /// Takes the records since the last time; to be written before the outputs are carried out.
+    /// Takes the records that were produced since the last call. They must be written before the outputs are
+    /// carried out.
     pub fn take_records(&mut self) -> Vec<Record> {
         self.effects.take_records()
     }
 
-    /// Takes what is to be done.
+    /// Takes the outputs that the shell must carry out, in order.
     pub fn take_outputs(&mut self) -> Vec<Output> {
         self.effects.take_outputs()
     }
 
-    /// Takes what operators should know of.
+    /// Takes the events for the operators' log.
     pub fn take_events(&mut self) -> Vec<CoreEvent> {
         self.effects.take_events()
     }
 
-    /// What was counted since the start.
+    /// Returns the counters since the start of this process.
     pub fn counters(&self) -> Counters {
         Counters { notifications: self.notifier.counts(), recovery: self.recovery.counts(), ..self.counters }
     }
 
-    /// How much there is of everything.
+    /// Returns the present sizes of the tables.
     pub fn sizes(&self) -> Sizes {
         let pool = self.pool.size();
         Sizes {
@@ -185,12 +190,12 @@
         }
     }
 
-    /// Nothing more is awaited: the program may end.
+    /// Whether the shutdown is complete and the program may exit.
     pub fn is_ended(&self) -> bool {
         self.shutdown.phase() == Phase::Ended
     }
 
-    /// When the next iteration is due at the latest.
+    /// Returns the latest time at which the next iteration is due, if no input arrives before.
     pub fn next_wake(&self) -> Time {
         let in_initial_sync = self.in_initial_sync();
         if self.decisions.has_events() && !in_initial_sync {
@@ -209,7 +214,8 @@
             .min(self.attempts.next_wake(self.clock.now()))
     }
 
-    /// The list that it has is of the process before, and discovery may know better: nothing is decided by it yet.
+    /// Whether requests and decisions still wait for discovery: the cached endpoint list is that of the
+    /// previous process, and discovery may have a newer one.
     fn in_initial_sync(&self) -> bool {
         self.decisions.in_initial_sync(self.clock.now()) && !self.discovery.has_synced()
     }
--- a/crates/platform/src/core/admission.rs
+++ b/crates/platform/src/core/admission.rs
@@ -1,6 +1,6 @@
-//! Admission: requests that wait for the decision on their message, and the answers that clients get.
+//! Admission: the requests that wait for the decision on their message, and the answers to clients.
 //!
-//! It knows clients by their ids alone and nothing of connections to endpoints.
+//! It knows clients by id only and never touches connections to endpoints.
 
 use super::client_connections::ClientId;
 use super::request::RequestError;
@@ -10,12 +10,12 @@
 
 const NANOSECONDS_PER_SECOND: f64 = 1e9;
 
-/// Who waits for an answer.
+/// A client that waits for an answer, and how its connection continues afterwards.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Requester {
-    /// The connection.
+    /// The client's connection.
     pub client: ClientId,
-    /// What the client asked to become of it.
+    /// Whether the client wants to keep the connection open.
     pub persistence: Persistence,
 }
 
@@ -26,14 +26,14 @@
     Ready,
     /// The message is accepted.
     Accepted,
-    /// The message is rejected unsent.
+    /// The message is rejected without an attempt.
     Rejected {
-        /// When to submit it again; 0: not said.
+        /// Delay before the client should submit the message again, in nanoseconds; 0 for no advice.
         retry_after: Time,
     },
     /// The message failed at once.
     Failed,
-    /// The request is no valid submission.
+    /// The request is not a valid submission.
     Invalid(RequestError),
 }
 
@@ -48,7 +48,7 @@
         }
     }
 
-    /// Its bytes.
+    /// Encodes the answer as an HTTP response.
     pub fn encode(self, persistence: Persistence) -> Vec<u8> {
         let retry_after = match self {
             Answer::Rejected { retry_after } if retry_after > 0 => {
@@ -66,35 +66,36 @@
     }
 }
 
-/// A message whose decision was made, and those that wait for it.
+/// The decision on a message, and the requests that it answers.
 #[derive(Debug, PartialEq, Eq)]
 pub struct AdmissionDecision {
     /// The message.
     pub message: u32,
     /// The answer.
     pub answer: Answer,
-    /// Who gets it.
+    /// The requests that get the answer.
     pub requesters: Vec<Requester>,
 }
 
-/// Requests that wait for the decision on their message.
+/// Requests that wait for the decision on their message, by message number.
 #[derive(Debug, Default)]
 pub struct Admission {
     awaiting: BTreeMap<u32, Vec<Requester>>,
 }
 
 impl Admission {
-    /// A request waits for the decision on a message.
+    /// Registers a request that waits for the decision on a message.
     pub fn await_decision(&mut self, message: u32, requester: Requester) {
         self.awaiting.entry(message).or_default().push(requester);
     }
 
-    /// Whether the decision on a message is still to come.
+    /// Whether the decision on a message is outstanding.
     pub fn awaits_decision(&self, message: u32) -> bool {
         self.awaiting.contains_key(&message)
     }
 
-    /// The decisions on all messages that wait for one: rejected or failed by these actions, or else accepted.
+    /// Removes all waiting requests and returns a decision for each of their messages: rejected or failed if
+    /// one of the actions says so, accepted otherwise.
     pub fn decide(&mut self, actions: &[Action]) -> Vec<AdmissionDecision> {
         let mut not_accepted: BTreeMap<u32, Answer> = BTreeMap::new();
         for action in actions {
--- a/crates/platform/src/core/attempts.rs
+++ b/crates/platform/src/core/attempts.rs
@@ -1,101 +1,103 @@
-//! The attempts that are out, and the ordering keys that cool down after them.
+//! Attempts in flight, and the cooldowns of ordering keys after them.
 //!
-//! It owns each attempt from the decision to send it until it ends. It never picks an endpoint.
+//! This module owns each attempt from the decision to send it until its outcome. It never selects an
+//! endpoint.
 
 use super::key_cooldowns::KeyCooldowns;
 use linnetcart::Time;
 use std::collections::BTreeMap;
 
-/// An attempt of a message.
+/// Identifies an attempt of a message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct AttemptId {
-    /// The message.
+    /// The message's number.
     pub message: u32,
     /// The attempt's number, counted from 0.
     pub number: u16,
 }
 
-/// How far an attempt has come.
+/// The progress of an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptStage {
-    /// It waits for an acknowledgement or a cooldown of its ordering key, and has no connection.
+    /// The attempt waits for an acknowledgement or a cooldown of its ordering key and has no connection yet.
     Blocked,
-    /// It asked for a connection.
+    /// The attempt has requested a connection.
     Started,
 }
 
-/// An attempt that is out.
+/// An attempt in flight.
 #[derive(Debug)]
 pub struct InFlightAttempt {
-    /// Where it goes.
+    /// The endpoint that it is sent to.
     pub endpoint: u32,
-    /// When it was decided on.
+    /// When the attempt was decided.
     pub started_at: Time,
-    /// When it is given up.
+    /// When the attempt times out.
     pub deadline: Time,
     stage: AttemptStage,
 }
 
 impl InFlightAttempt {
-    /// One that took no time: that of an abandoned attempt was counted when it was abandoned.
+    /// Returns an attempt with zero duration. Used for the answer to an abandoned attempt, whose duration was
+    /// already reported when it was abandoned.
     pub fn ended_at(endpoint: u32, now: Time) -> InFlightAttempt {
         InFlightAttempt { endpoint, started_at: now, deadline: now, stage: AttemptStage::Started }
     }
 }
 
-/// The attempts that are out.
+/// All attempts in flight.
 #[derive(Debug)]
 pub struct Attempts {
     attempts: BTreeMap<AttemptId, InFlightAttempt>,
-    /// Ordering keys whose last attempt may still be executing.
+    /// Cooldowns of ordering keys whose last attempt may still be executing.
     pub key_cooldowns: KeyCooldowns,
 }
 
 impl Attempts {
-    /// Without an attempt.
+    /// Creates an empty table. A cooldown lasts `key_cooldown` nanoseconds; 0 disables cooldowns.
     pub fn new(key_cooldown: Time) -> Attempts {
         Attempts { attempts: BTreeMap::new(), key_cooldowns: KeyCooldowns::new(key_cooldown) }
     }
 
-    /// Whether none is out.
+    /// Whether no attempt is in flight.
     pub fn is_empty(&self) -> bool {
         self.attempts.is_empty()
     }
 
-    /// Adds one that was decided on.
+    /// Adds an attempt that was decided, in the stage [`AttemptStage::Blocked`].
     pub fn add(&mut self, id: AttemptId, endpoint: u32, now: Time, deadline: Time) {
         let stage = AttemptStage::Blocked;
         self.attempts.insert(id, InFlightAttempt { endpoint, started_at: now, deadline, stage });
     }
 
-    /// An attempt that is out.
+    /// Returns an attempt in flight.
     pub fn get(&self, id: AttemptId) -> Option<&InFlightAttempt> {
         self.attempts.get(&id)
     }
 
-    /// It asks for a connection now.
+    /// Marks an attempt as started: it requests a connection now.
     pub fn start(&mut self, id: AttemptId) {
         if let Some(attempt) = self.attempts.get_mut(&id) {
             attempt.stage = AttemptStage::Started;
         }
     }
 
-    /// It ended.
+    /// Removes an attempt that ended.
     pub fn remove(&mut self, id: AttemptId) -> Option<InFlightAttempt> {
         self.attempts.remove(&id)
     }
 
-    /// All that are out.
+    /// Returns the ids of all attempts in flight.
     pub fn ids(&self) -> Vec<AttemptId> {
         self.attempts.keys().copied().collect()
     }
 
-    /// Those that wait for their ordering key.
+    /// Returns the ids of the attempts that wait for their ordering key.
     pub fn blocked(&self) -> Vec<AttemptId> {
         self.ids_where(|attempt| attempt.stage == AttemptStage::Blocked)
     }
 
-    /// Those whose deadline has passed.
+    /// Returns the ids of the attempts whose deadline has passed.
     pub fn expired(&self, now: Time) -> Vec<AttemptId> {
         self.ids_where(|attempt| attempt.deadline <= now)
     }
@@ -104,7 +106,8 @@
         self.attempts.iter().filter(|(_, attempt)| applies(attempt)).map(|(&id, _)| id).collect()
     }
 
-    /// When the next one is given up, or may start.
+    /// Returns the earliest time at which an attempt times out or a blocked one may start; [`Time::MAX`] for
+    /// none.
     pub fn next_wake(&self, now: Time) -> Time {
         let deadlines = self.attempts.values().map(|attempt| attempt.deadline);
         let next_deadline = deadlines.min().unwrap_or(Time::MAX);
--- a/crates/platform/src/core/attempts/tests.rs
+++ b/crates/platform/src/core/attempts/tests.rs
@@ -1,4 +1,4 @@
-//! What wakes an iteration for the attempts that are out.
+//! Deadlines and wake-ups of attempts.
 
 use super::*;
 
@@ -27,5 +27,9 @@
     attempts.add(id(1), 7, 10, 100);
     assert_eq!((attempts.blocked(), attempts.next_wake(10)), (vec![id(1)], 30));
     attempts.start(id(1));
-    assert_eq!((attempts.blocked(), attempts.next_wake(10)), (vec![], 100), "a cooldown is nothing to it");
+    assert_eq!(
+        (attempts.blocked(), attempts.next_wake(10)),
+        (vec![], 100),
+        "a started attempt ignores the cooldown"
+    );
 }
--- a/crates/platform/src/core/client_connections.rs
+++ b/crates/platform/src/core/client_connections.rs
@@ -1,35 +1,35 @@
-//! Connections of clients: what their bytes amount to, and which of them are closed for their silence.
+//! Client connections: the framing of their requests, idle timeouts and eviction.
 //!
-//! It owns the connections and their timeouts. It never knows what a request asks.
+//! This module owns the connections and their timeouts. It never interprets the content of a request.
 
 use super::clock::MILLISECOND;
 use linnetcart::Time;
 use linnetcart_http::{parse_request, Request, RequestError};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// A client's connection, as the shell names it.
+/// Identifies a client's connection; assigned by the shell.
 pub type ClientId = u64;
 
-/// A first request is complete this long after the connection, any other this long after its first byte.
+/// Time limit for a request: the first one counts from the connection, any other from its first byte.
 const REQUEST_TIMEOUT: Time = 2000 * MILLISECOND;
-/// A connection that has had an answer and asks nothing is kept for this long.
+/// A connection that was answered and is idle is closed after this time.
 const IDLE_TIMEOUT: Time = 10_000 * MILLISECOND;
-/// A client connects to ask: one that has not yet may do so for this long, also when all idle ones are closed.
+/// A new connection is given this long to send its first request even when idle connections are being closed.
 const FIRST_REQUEST_GRACE: Time = 200 * MILLISECOND;
-/// A connection that asks nothing may be closed after this when another needs its place.
+/// An idle connection may be evicted after this time when a new one needs its place.
 const EVICTABLE_IDLE_TIME: Time = 2000 * MILLISECOND;
-/// How often connections are looked through for those whose time is up.
+/// Interval of the search for connections that have timed out.
 const SWEEP_INTERVAL: Time = 100 * MILLISECOND;
 
 /// A client's connection.
 #[derive(Debug)]
 struct ClientConnection {
-    /// When it came, had its last answer or began its request.
+    /// When the connection was accepted, was last answered or began its present request, whichever was last.
     since: Time,
     last_byte_at: Time,
     request: Vec<u8>,
     had_answer: bool,
-    /// Its request has no answer yet.
+    /// A complete request was read and is not answered yet.
     awaits_answer: bool,
 }
 
@@ -60,60 +60,61 @@
     }
 }
 
-/// What a connection's bytes amount to.
+/// The request in the buffered bytes of a connection.
 #[derive(Debug, PartialEq, Eq)]
 pub enum RequestEvent<'a> {
-    /// No complete request.
+    /// The request is incomplete.
     Incomplete,
-    /// A request, and nothing behind it.
+    /// One complete request and no further bytes.
     Complete(Request<'a>),
-    /// No request.
+    /// The bytes are not a valid request.
     Malformed(RequestError),
-    /// Further bytes behind a request that has no answer yet.
+    /// Further bytes follow a request that is not answered yet.
     Pipelined,
 }
 
-/// Whether bytes have to be looked at before the iteration that they came in.
+/// Whether received bytes have to be processed before the next iteration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Received {
-    /// They wait for the iteration.
+    /// The bytes are buffered until the next iteration.
     Buffered,
-    /// They are no request already, and [`ClientConnections::request`] says why.
+    /// The bytes cannot become a valid request; [`ClientConnections::request`] returns the reason.
     Malformed,
 }
 
-/// What becomes of connections that ask nothing.
+/// How idle connections are treated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum IdlePolicy {
-    /// They are kept for a while.
+    /// Idle connections are closed after their timeout.
     Keep,
-    /// They are closed.
+    /// Idle connections are closed at once.
     Close,
 }
 
-/// A connection whose time is up.
+/// A connection that has timed out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OverdueClient {
-    /// It asks nothing.
+    /// The connection is idle.
     Idle(ClientId),
-    /// Its request is incomplete.
+    /// The connection has sent part of a request.
     InRequest(ClientId),
 }
 
-/// The connections.
+/// The client connections.
 #[derive(Debug)]
 pub struct ClientConnections {
     capacity: usize,
     connections: BTreeMap<ClientId, ClientConnection>,
-    /// With bytes that no iteration has looked at.
+    /// Connections with bytes that no iteration has processed yet.
     unread: BTreeSet<ClientId>,
-    /// Send no more; they are closed when what they asked before is answered.
+    /// Connections whose client sends no more. They are closed after the next iteration has answered their
+    /// requests.
     half_closed: Vec<ClientId>,
     next_sweep: Time,
 }
 
 impl ClientConnections {
-    /// At most `capacity` are kept.
+    /// Creates an empty set of at most `capacity` connections.
     pub fn new(capacity: usize, now: Time) -> ClientConnections {
         ClientConnections {
             capacity,
@@ -124,13 +125,14 @@
         }
     }
 
-    /// How many there are.
+    /// Returns the number of connections.
     pub fn len(&self) -> usize {
         self.connections.len()
     }
 
-    /// A client connected. Where it is one too many, the one that is to be closed: the longest silent of those that
-    /// never asked, or else the longest idle, or else the new one.
+    /// Adds a connection. If that exceeds the capacity, returns the connection that must be closed: the
+    /// longest silent one of those that never sent a request, otherwise the longest idle one, otherwise the
+    /// new one.
     pub fn opened(&mut self, id: ClientId, now: Time) -> Option<ClientId> {
         let evicted = if self.connections.len() >= self.capacity {
             Some(self.eviction_candidate(now).unwrap_or(id))
@@ -145,7 +147,7 @@
     }
 
     fn eviction_candidate(&self, now: Time) -> Option<ClientId> {
-        // Unread bytes may be a whole request: closing its connection would lose it.
+        // Unread bytes may be a complete request, which would be lost with its connection.
         let has_unread_bytes =
             |id: &ClientId, client: &ClientConnection| self.unread.contains(id) && !client.request.is_empty();
         let candidates = self
@@ -156,23 +158,23 @@
         longest.map(|(&id, _)| id)
     }
 
-    /// It is closed, or is being closed.
+    /// Forgets a connection that is closed or is being closed.
     pub fn closed(&mut self, id: ClientId) {
         self.connections.remove(&id);
         self.unread.remove(&id);
     }
 
-    /// It sends no more.
+    /// Records that the client of a connection will send no more bytes.
     pub fn half_closed(&mut self, id: ClientId) {
         self.half_closed.push(id);
     }
 
-    /// Takes those that send no more.
+    /// Takes the connections whose client sends no more.
     pub fn take_half_closed(&mut self) -> Vec<ClientId> {
         std::mem::take(&mut self.half_closed)
     }
 
-    /// Bytes came.
+    /// Buffers received bytes.
     pub fn receive(&mut self, id: ClientId, bytes: &[u8], now: Time) -> Received {
         let Some(client) = self.connections.get_mut(&id) else { return Received::Buffered };
         if client.request.is_empty() && client.had_answer {
@@ -187,12 +189,12 @@
         }
     }
 
-    /// Takes the connections with unread bytes.
+    /// Takes the connections with bytes that no iteration has processed.
     pub fn take_unread(&mut self) -> BTreeSet<ClientId> {
         std::mem::take(&mut self.unread)
     }
 
-    /// What a connection's bytes amount to.
+    /// Returns the request in the buffered bytes of a connection.
     pub fn request(&self, id: ClientId) -> RequestEvent<'_> {
         let Some(client) = self.connections.get(&id) else { return RequestEvent::Incomplete };
         match parse_request(&client.request) {
@@ -203,19 +205,19 @@
         }
     }
 
-    /// When the last byte of its request came, from which the request's time runs.
+    /// Returns when the last byte of the request arrived; the request's time limit counts from there.
     pub fn last_byte_at(&self, id: ClientId) -> Option<Time> {
         self.connections.get(&id).map(|client| client.last_byte_at)
     }
 
-    /// Its request is answered later.
-    pub fn awaits_answer(&mut self, id: ClientId) {
+    /// Records that the connection's request will be answered later.
+    pub fn mark_awaiting_answer(&mut self, id: ClientId) {
         if let Some(client) = self.connections.get_mut(&id) {
             client.awaits_answer = true;
         }
     }
 
-    /// Its request is answered.
+    /// Records that the connection's request was answered.
     pub fn answered(&mut self, id: ClientId, now: Time) {
         if let Some(client) = self.connections.get_mut(&id) {
             client.since = now;
@@ -225,12 +227,12 @@
         }
     }
 
-    /// When the next sweep is due.
+    /// Returns when the next sweep is due.
     pub fn next_sweep(&self) -> Time {
         self.next_sweep
     }
 
-    /// True where a sweep is due; the next one is an interval later.
+    /// Begins a sweep if one is due, and schedules the next one. Returns whether it is due.
     pub fn begin_sweep(&mut self, now: Time) -> bool {
         if now < self.next_sweep {
             return false;
@@ -239,7 +241,7 @@
         true
     }
 
-    /// Connections whose time is up, and those that ask nothing where such are to be closed.
+    /// Returns the connections that have timed out and, with [`IdlePolicy::Close`], all idle ones.
     pub fn overdue(&self, now: Time, idle: IdlePolicy) -> Vec<OverdueClient> {
         let mut overdue = Vec::new();
         for (&id, client) in &self.connections {
--- a/crates/platform/src/core/client_connections/tests.rs
+++ b/crates/platform/src/core/client_connections/tests.rs
@@ -1,4 +1,4 @@
-//! Which connections of clients stay.
+//! Eviction and timeouts of client connections.
 
 use super::OverdueClient::{Idle, InRequest};
 use super::*;
@@ -6,24 +6,28 @@
 const ASK: &[u8] = b"GET /ready HTTP/1.1\r\n\r\n";
 
 #[test]
-fn client_beyond_capacity_evicts_longest_silent_never_one_that_asks() {
+fn client_beyond_capacity_evicts_longest_silent_never_one_with_request() {
     let mut clients = ClientConnections::new(3, 0);
     for (id, at) in [(1, 10), (2, 20), (3, 30)] {
         assert_eq!(clients.opened(id, at), None);
     }
-    // The first asks, the second had its answer, the third never said a word.
+    // The first has a request, the second was answered, the third never sent a byte.
     clients.receive(1, ASK, 40);
-    clients.awaits_answer(1);
+    clients.mark_awaiting_answer(1);
     clients.receive(2, ASK, 40);
     clients.answered(2, 50);
-    assert_eq!(clients.opened(4, 60), Some(3), "silent from the start, though it came after the second");
+    assert_eq!(clients.opened(4, 60), Some(3), "never sent a request, although it is newer than the second");
     clients.receive(4, ASK, 70);
-    clients.awaits_answer(4);
-    assert_eq!(clients.opened(5, 80), Some(5), "an idle one that was known just now stays");
-    assert_eq!(clients.opened(6, 50 + EVICTABLE_IDLE_TIME), Some(2), "after a while it may go");
+    clients.mark_awaiting_answer(4);
+    assert_eq!(clients.opened(5, 80), Some(5), "a connection answered just now is not evicted");
+    assert_eq!(
+        clients.opened(6, 50 + EVICTABLE_IDLE_TIME),
+        Some(2),
+        "evictable once it was idle for long enough"
+    );
     clients.receive(6, ASK, 60 + EVICTABLE_IDLE_TIME);
-    clients.awaits_answer(6);
-    assert_eq!(clients.opened(7, 100 * EVICTABLE_IDLE_TIME), Some(7), "none that asks");
+    clients.mark_awaiting_answer(6);
+    assert_eq!(clients.opened(7, 100 * EVICTABLE_IDLE_TIME), Some(7), "none with a request");
     assert_eq!(clients.len(), 3);
 }
 
@@ -32,13 +36,13 @@
     let mut clients = ClientConnections::new(2, 0);
     assert_eq!(clients.opened(1, 10), None);
     assert_eq!(clients.opened(2, 20), None);
-    // What the first sent was looked at in an iteration and is no request yet; the second's awaits the next one.
+    // An iteration has read the first's bytes, which are incomplete; the second's await the next iteration.
     clients.receive(1, b"POST /a", 30);
     clients.take_unread();
     clients.receive(2, ASK, 30);
-    assert_eq!(clients.opened(3, 30), Some(1), "the one that is not known to ask anything");
+    assert_eq!(clients.opened(3, 30), Some(1), "the one without unread bytes");
     clients.receive(3, ASK, 30);
-    assert_eq!(clients.opened(4, 30), Some(4), "both others wait for this iteration");
+    assert_eq!(clients.opened(4, 30), Some(4), "both others have unread requests");
 }
 
 #[test]
@@ -47,16 +51,16 @@
     (1..=4).for_each(|id| assert_eq!(clients.opened(id, 0), None));
     clients.receive(2, b"POST /a", REQUEST_TIMEOUT - 1);
     clients.receive(3, ASK, 0);
-    clients.awaits_answer(3);
+    clients.mark_awaiting_answer(3);
     clients.receive(4, ASK, 0);
     clients.answered(4, 0);
     assert_eq!(clients.overdue(REQUEST_TIMEOUT, IdlePolicy::Keep), [Idle(1), InRequest(2)]);
     assert_eq!(clients.overdue(IDLE_TIMEOUT, IdlePolicy::Keep), [Idle(1), InRequest(2), Idle(4)]);
-    assert_eq!(clients.overdue(0, IdlePolicy::Close), [Idle(4)], "the first may be about to ask");
+    assert_eq!(clients.overdue(0, IdlePolicy::Close), [Idle(4)], "the first may still send a request");
     let idle = [Idle(1), Idle(4)];
     assert_eq!(
         clients.overdue(FIRST_REQUEST_GRACE, IdlePolicy::Close),
         idle,
-        "all idle ones, when the program ends"
+        "all idle connections during the shutdown"
     );
 }
--- a/crates/platform/src/core/clock.rs
+++ b/crates/platform/src/core/clock.rs
@@ -1,45 +1,45 @@
-//! The courier's clock, and what it is worth on the wall clock that records use.
+//! The courier's monotonic clock and its conversion to the wall clock that records use.
 
 use linnetcart::Time;
 
-/// Nanoseconds.
+/// One millisecond in nanoseconds.
 pub const MILLISECOND: Time = 1_000_000;
 
-/// The time of the iteration. Only the core advances it; parts get the time as an argument.
+/// The time of the present iteration. Only the core advances it; other parts get the time as an argument.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     now: Time,
-    /// Wall clock minus clock.
+    /// Wall clock minus monotonic clock.
     wall_offset: Time,
 }
 
 impl Clock {
-    /// A clock that stands at `now`, when the wall clock shows `wall`.
+    /// Creates a clock that shows `now` while the wall clock shows `wall`.
     pub fn new(now: Time, wall: Time) -> Clock {
         Clock { now, wall_offset: wall.saturating_sub(now) }
     }
 
-    /// The time.
+    /// Returns the monotonic time.
     pub fn now(self) -> Time {
         self.now
     }
 
-    /// The time on the wall clock.
+    /// Returns the wall-clock time.
     pub fn wall_now(self) -> Time {
         self.now + self.wall_offset
     }
 
-    /// A time of the clock on the wall clock.
+    /// Converts a monotonic time to wall-clock time.
     pub fn to_wall(self, time: Time) -> Time {
         time + self.wall_offset
     }
 
-    /// The clock at a time of the wall clock; one that has passed is now.
+    /// Converts a wall-clock time to monotonic time. A time that has passed becomes the present time.
     pub fn at_wall(self, wall: Time) -> Time {
         wall.saturating_sub(self.wall_offset).max(self.now)
     }
 
-    /// Moves on to `now`; never back.
+    /// Advances to `now`; an earlier time has no effect.
     pub fn advance(&mut self, now: Time) {
         self.now = self.now.max(now);
     }
--- a/crates/platform/src/core/connection_pool.rs
+++ b/crates/platform/src/core/connection_pool.rs
@@ -1,8 +1,9 @@
-//! The pool of upstream connections: one attempt at a time on each, reused as long as they are clean.
+//! The pool of upstream connections. Each connection carries one attempt at a time and is reused while it is
+//! clean.
 //!
-//! It owns every connection to an endpoint from the first connect to the close, and says how an attempt ended by
-//! what its connection did. It knows attempts by id alone and never a message. An event for a connection that it no
-//! longer has changes nothing.
+//! The pool owns every connection to an endpoint from connect to close and derives the outcome of an attempt
+//! from what its connection did. It knows attempts by id only and never sees a message. An event for a
+//! connection that was already removed has no effect.
 
 mod acquire;
 mod connection;
@@ -22,32 +23,33 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-/// A connection to an endpoint or to discovery, as the core names it to the shell.
+/// Identifies a connection to an endpoint or to discovery; assigned by the core.
 pub type ConnectionId = u64;
 
-/// Part of an endpoint's idle timeout after which we close: its close must not cross an attempt of ours.
+/// Fraction of an endpoint's idle timeout after which the courier closes an idle connection: the endpoint
+/// must not close it while an attempt is being sent.
 const IDLE_TIMEOUT_NUMERATOR: Time = 3;
 const IDLE_TIMEOUT_DENOMINATOR: Time = 4;
 
-/// What became of an attempt that was cancelled.
+/// The state in which an attempt was cancelled.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Cancelled {
-    /// Its bytes were not queued: it is certainly not executed.
+    /// The request was not queued: the attempt was certainly not executed.
     Unsent,
-    /// Its bytes were queued, so it may be executed. Its connection is abandoned.
+    /// The request was queued: the attempt was possibly executed. Its connection is abandoned.
     Abandoned,
 }
 
-/// How many there are.
+/// The size of the pool.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PoolSize {
-    /// Connections.
+    /// Number of connections.
     pub connections: usize,
-    /// Attempts that have one.
+    /// Number of attempts that have a connection.
     pub attempts: usize,
 }
 
-/// The pool.
+/// The connection pool.
 #[derive(Debug)]
 pub struct ConnectionPool {
     capacity: usize,
@@ -57,16 +59,16 @@
     connections: BTreeMap<ConnectionId, Connection>,
     by_attempt: BTreeMap<AttemptId, ConnectionId>,
     reuse_policy: LossRatePolicy,
-    /// Connected since the core last took them.
+    /// Connections established since the core last took them.
     connected: Vec<ConnectionId>,
-    /// To be closed by the shell.
+    /// Connections that the shell has to close.
     closed: Vec<ConnectionId>,
-    /// On these the shell is to send no more.
+    /// Connections on which the shell must send no more.
     abandoned: Vec<ConnectionId>,
 }
 
 impl ConnectionPool {
-    /// A pool of at most `capacity` connections.
+    /// Creates a pool of at most `capacity` connections.
     pub fn new(capacity: usize, settings: &DeploymentSettings) -> ConnectionPool {
         ConnectionPool {
             capacity,
@@ -82,12 +84,12 @@
         }
     }
 
-    /// How many there are.
+    /// Returns the size of the pool.
     pub fn size(&self) -> PoolSize {
         PoolSize { connections: self.connections.len(), attempts: self.by_attempt.len() }
     }
 
-    /// An id that no connection has, also for connections that are not the pool's.
+    /// Allocates an unused connection id, also for connections that the pool does not own.
     pub fn allocate_id(&mut self) -> ConnectionId {
         self.last_id += 1;
         self.last_id
@@ -98,46 +100,46 @@
         std::mem::take(&mut self.closed)
     }
 
-    /// Takes the connections that were abandoned: nothing more is sent on them.
+    /// Takes the connections that were abandoned; nothing more may be sent on them.
     pub fn take_abandoned(&mut self) -> Vec<ConnectionId> {
         std::mem::take(&mut self.abandoned)
     }
 
-    /// Takes the connections that were connected.
+    /// Takes the connections that were established.
     pub fn take_connected(&mut self) -> Vec<ConnectionId> {
         std::mem::take(&mut self.connected)
     }
 
-    /// A connection was connected. It is used in the iteration, not as this comes in.
+    /// Records an established connection. The next iteration uses it.
     pub fn connected(&mut self, id: ConnectionId) {
         self.connected.push(id);
     }
 
-    /// The attempt that a connection is for.
+    /// Returns the attempt that a connection is assigned to.
     pub fn attempt_of(&self, id: ConnectionId) -> Option<AttemptId> {
         self.connections.get(&id)?.attempt
     }
 
-    /// Where a connection leads.
+    /// Returns the address that a connection leads to.
     pub fn address(&self, id: ConnectionId) -> Option<SocketAddr> {
         self.connections.get(&id).map(|connection| connection.address)
     }
 
-    /// The bytes of the connection's attempt are queued now.
+    /// Records that `length` bytes of an attempt's request were queued on its connection.
     pub fn sent(&mut self, id: ConnectionId, length: usize) {
         if let Some(connection) = self.connections.get_mut(&id) {
             connection.sent(length);
         }
     }
 
-    /// Whether an attempt's bytes are queued.
+    /// Whether the request of an attempt is queued on a connection.
     pub fn is_sent(&self, attempt: AttemptId) -> bool {
         let connection = self.by_attempt.get(&attempt).and_then(|id| self.connections.get(id));
         connection.is_some_and(Connection::is_in_use)
     }
 
-    /// Cancels an attempt. The answer of one whose bytes were queued may be on its way, and a Retry-After in it
-    /// binds all the same: it is read for as long as a connection may take to be made.
+    /// Cancels an attempt. If its request was queued, an answer may be on its way, and a Retry-After in that
+    /// answer has to be respected: the connection is read for another connect timeout.
     pub fn cancel(&mut self, attempt: AttemptId, now: Time) -> Cancelled {
         let Some(&id) = self.by_attempt.get(&attempt) else { return Cancelled::Unsent };
         let Some(connection) = self.connections.get_mut(&id) else { return Cancelled::Unsent };
@@ -152,7 +154,7 @@
         Cancelled::Abandoned
     }
 
-    /// Leaves the connection of an attempt that is not sent to the next attempt: nothing was written on it.
+    /// Releases the connection of an attempt that was not sent, for use by another attempt.
     pub fn release_unused(&mut self, attempt: AttemptId, now: Time) {
         let Some(id) = self.by_attempt.remove(&attempt) else { return };
         let Some(connection) = self.connections.get_mut(&id) else { return };
@@ -165,7 +167,7 @@
         connection.idle_before = None;
     }
 
-    /// Closes the idle connections to an endpoint.
+    /// Closes all idle connections to an endpoint.
     pub fn close_idle(&mut self, endpoint: u32) {
         let is_idle = |connection: &Connection| {
             connection.endpoint == endpoint && matches!(connection.state, ConnectionState::Idle { .. })
@@ -181,13 +183,14 @@
         }
     }
 
-    /// A connection could not be made.
+    /// Handles a failed connect. Returns the attempt that failed with it.
     pub fn connect_failed(&mut self, id: ConnectionId) -> Option<FinishedAttempt> {
         let attempt = self.close(id)?;
         Some(FinishedAttempt::new(attempt, AttemptOutcome::NoConnection))
     }
 
-    /// A connection ended; the system took `written` bytes of ours on it.
+    /// Handles the end of a connection on which the operating system accepted `written` bytes. Returns the
+    /// attempt that ended with it.
     pub fn disconnected(&mut self, id: ConnectionId, written: u64, now: Time) -> Option<FinishedAttempt> {
         let connection = self.connections.get(&id)?;
         let outcome = if connection.is_connecting() || written < connection.queued_bytes {
@@ -204,7 +207,7 @@
         Some(FinishedAttempt::new(attempt, outcome))
     }
 
-    /// Closes the connections whose time is up: the attempts that ended with them.
+    /// Closes the connections whose deadline has passed. Returns the attempts that ended with them.
     pub fn close_overdue(&mut self, now: Time) -> Vec<FinishedAttempt> {
         let mut overdue = Vec::new();
         for (&id, connection) in &self.connections {
@@ -221,13 +224,13 @@
         finished
     }
 
-    /// When the time of the next connection is up.
+    /// Returns the earliest deadline of a connection; [`Time::MAX`] for none.
     pub fn next_deadline(&self) -> Time {
         let deadline = |connection: &Connection| connection.deadline(self.idle_timeout, self.connect_timeout);
         self.connections.values().map(deadline).min().unwrap_or(Time::MAX)
     }
 
-    /// Closes a connection: the attempt that it was for.
+    /// Closes a connection. Returns the attempt that it was assigned to.
     fn close(&mut self, id: ConnectionId) -> Option<AttemptId> {
         let connection = self.connections.remove(&id)?;
         self.closed.push(id);
--- a/crates/platform/src/core/connection_pool/connection.rs
+++ b/crates/platform/src/core/connection_pool/connection.rs
@@ -6,63 +6,64 @@
 use linnetcart_http::{parse_response, ParsedResponse};
 use std::net::SocketAddr;
 
-/// A connection settles after an answer before it is reused: what comes beside the answer must not be read as the next one.
+/// After an answer, a connection is not reused for this long: bytes that follow the answer must not be read
+/// as the next answer.
 const SETTLE_TIME: Time = 10 * MILLISECOND;
-/// A head that began with 200 may still bring a load report, for this long.
+/// Time limit for the remaining bytes of an answer whose status line is 200; they may contain a load report.
 const SUCCESS_COMPLETION_TIMEOUT: Time = 50 * MILLISECOND;
-/// Any other answer that began and does not go on for this long is damaged.
+/// Time limit for the remaining bytes of any other answer. After it, the answer counts as damaged.
 const RESPONSE_COMPLETION_TIMEOUT: Time = 1000 * MILLISECOND;
 
 /// The state of a connection.
 #[derive(Debug, PartialEq, Eq)]
 pub enum ConnectionState {
-    /// It is being made for an attempt.
+    /// The connection is being established for an attempt.
     Connecting {
-        /// Since when.
+        /// When the connect began.
         since: Time,
     },
-    /// An attempt's bytes are queued on it.
+    /// The request of an attempt is queued on the connection.
     InUse {
-        /// When the first byte of the answer came.
+        /// When the first byte of the answer arrived.
         first_byte_at: Option<Time>,
     },
-    /// No attempt is out on it.
+    /// No attempt is assigned to the connection.
     Idle {
-        /// Since when.
+        /// When the last answer was complete.
         since: Time,
     },
-    /// Its attempt was cancelled: nothing more is sent, and an answer is still read.
+    /// The attempt was cancelled: nothing more is sent, and an answer is still read.
     Abandoned {
-        /// The attempt.
+        /// The cancelled attempt.
         attempt: AttemptId,
-        /// Since when.
+        /// When the attempt was cancelled.
         since: Time,
     },
 }
 
-/// A connection.
+/// A connection to an endpoint.
 #[derive(Debug)]
 pub struct Connection {
-    /// The endpoint that it was made for.
+    /// The endpoint that the connection leads to.
     pub endpoint: u32,
-    /// Where it leads.
+    /// The endpoint's address when the connect began.
     pub address: SocketAddr,
-    /// Its state.
+    /// The state of the connection.
     pub state: ConnectionState,
-    /// The attempt that it is for.
+    /// The attempt that the connection is assigned to.
     pub attempt: Option<AttemptId>,
-    /// Bytes of the answer so far.
+    /// The bytes of the answer that have arrived.
     pub response: Vec<u8>,
-    /// Bytes queued since it was made: the last byte of the attempt is at this position.
+    /// Number of bytes queued since the connect. The last byte of the present request is at this position.
     pub queued_bytes: u64,
-    /// Bytes of the answer's body that are still to come.
+    /// Number of bytes of the answer's body that have not arrived.
     pub body_remaining: usize,
-    /// How long it had been idle before its attempt; a new one never was.
+    /// How long the connection had been idle before its attempt; `None` for a new connection.
     pub idle_before: Option<Time>,
 }
 
 impl Connection {
-    /// One that is being made for an attempt.
+    /// Creates a connection that is being established for an attempt.
     pub fn new(endpoint: u32, address: SocketAddr, attempt: AttemptId, now: Time) -> Connection {
         Connection {
             endpoint,
@@ -76,30 +77,30 @@
         }
     }
 
-    /// Whether it is being made.
+    /// Whether the connection is being established.
     pub fn is_connecting(&self) -> bool {
         matches!(self.state, ConnectionState::Connecting { .. })
     }
 
-    /// Whether an attempt's bytes are queued on it.
+    /// Whether the request of an attempt is queued on the connection.
     pub fn is_in_use(&self) -> bool {
         matches!(self.state, ConnectionState::InUse { .. })
     }
 
-    /// Whether the answer begins with a first line that says 200.
+    /// Whether the incomplete answer has a complete status line with status 200.
     pub fn has_success_line(&self) -> bool {
         matches!(parse_response(&self.response), ParsedResponse::Incomplete { ok: true })
     }
 
-    /// Since when it is idle, if it may carry another attempt. What is still to come of an answer's body would be
-    /// read as the next answer.
+    /// Returns since when the connection is idle, or `None` if it must not carry another attempt now. A
+    /// connection with an incomplete body is not reusable: the rest would be read as the next answer.
     pub fn reusable_since(&self, now: Time, idle_timeout: Time) -> Option<Time> {
         let ConnectionState::Idle { since } = self.state else { return None };
         let settled = self.body_remaining == 0 && since + SETTLE_TIME <= now;
         (settled && since + idle_timeout > now).then_some(since)
     }
 
-    /// An attempt's bytes are queued now.
+    /// Records that a request of `length` bytes was queued.
     pub fn sent(&mut self, length: usize) {
         self.queued_bytes += length as u64;
         self.state = ConnectionState::InUse { first_byte_at: None };
@@ -107,15 +108,15 @@
         self.body_remaining = 0;
     }
 
-    /// Its attempt has its answer.
-    pub fn becomes_idle(&mut self, now: Time, body_remaining: usize) {
+    /// Makes the connection idle after its attempt was answered.
+    pub fn make_idle(&mut self, now: Time, body_remaining: usize) {
         self.state = ConnectionState::Idle { since: now };
         self.attempt = None;
         self.response = Vec::new();
         self.body_remaining = body_remaining;
     }
 
-    /// When its time in this state is up.
+    /// Returns when the connection has to leave its present state; [`Time::MAX`] for no limit.
     pub fn deadline(&self, idle_timeout: Time, connect_timeout: Time) -> Time {
         match self.state {
             ConnectionState::Connecting { since } | ConnectionState::Abandoned { since, .. } => {
@@ -131,7 +132,7 @@
         }
     }
 
-    /// How its attempt ends where its time is up.
+    /// Returns the outcome of the attempt when the connection's deadline passes.
     pub fn outcome_when_overdue(&self) -> AttemptOutcome {
         if self.is_connecting() {
             AttemptOutcome::NoConnection
--- a/crates/platform/src/core/connection_pool/outcome.rs
+++ b/crates/platform/src/core/connection_pool/outcome.rs
@@ -1,34 +1,35 @@
-//! How an attempt ended, as its connection tells it.
+//! The outcome of an attempt as observed on its connection.
 
 use crate::core::attempts::AttemptId;
 use linnetcart::AttemptOutcome;
 
-/// What an answer's load report says.
+/// The values of an answer's load report; `None` for a value that is absent.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct LoadReport {
-    /// Share of the limit that is left.
+    /// Fraction of the endpoint's limit that is still available.
     pub capacity_left: Option<f64>,
-    /// The limit, in calls a second.
+    /// The endpoint's limit, in calls per second.
     pub rate_limit: Option<f64>,
 }
 
-/// An attempt that ended, and what its answer says.
+/// An attempt that ended, with the content of its answer.
 #[derive(Clone, Debug, PartialEq)]
 pub struct FinishedAttempt {
     /// The attempt.
     pub id: AttemptId,
-    /// How it ended.
+    /// The outcome.
     pub outcome: AttemptOutcome,
-    /// The endpoint says that the message is completed.
+    /// Whether the endpoint reports that the message is completed.
     pub message_completed: bool,
-    /// The load report.
+    /// The load report of the answer.
     pub load: LoadReport,
-    /// Set for an answer that came after its attempt was abandoned: the endpoint, for whose limit alone it counts.
+    /// For the answer to an abandoned attempt: the endpoint, whose limit alone the answer affects. `None`
+    /// otherwise.
     pub abandoned_at: Option<u32>,
 }
 
 impl FinishedAttempt {
-    /// One whose answer says nothing else.
+    /// Creates a result whose answer carries no further information.
     pub fn new(id: AttemptId, outcome: AttemptOutcome) -> FinishedAttempt {
         FinishedAttempt {
             id,
--- a/crates/platform/src/core/connection_pool/receive.rs
+++ b/crates/platform/src/core/connection_pool/receive.rs
@@ -1,4 +1,4 @@
-//! Bytes of endpoints, and the outcomes of attempts in them.
+//! Bytes received from endpoints, and the outcomes of attempts that follow from them.
 
 use super::connection::ConnectionState;
 use super::{response, ConnectionId, ConnectionPool, FinishedAttempt, LoadReport};
@@ -9,7 +9,7 @@
 use linnetcart_http::{parse_response, ParsedResponse, Persistence, ResponseHead};
 
 impl ConnectionPool {
-    /// Bytes came on a connection.
+    /// Handles received bytes. Returns an attempt's result once it is known.
     pub fn receive(
         &mut self,
         id: ConnectionId,
@@ -24,7 +24,7 @@
                 self.late_response(id, attempt, settings)
             }
             ConnectionState::Connecting { .. } | ConnectionState::Idle { .. } => {
-                // Nothing was asked: the rest of a body, or what belongs to no answer.
+                // No request is outstanding: the bytes are either the rest of a body or noise.
                 if bytes.len() > connection.body_remaining {
                     self.close(id);
                 } else {
@@ -43,7 +43,7 @@
         }
     }
 
-    /// Bytes came for an attempt that is out.
+    /// Evaluates the answer to an attempt in flight.
     fn response(
         &mut self,
         id: ConnectionId,
@@ -62,7 +62,7 @@
         }
     }
 
-    /// The head of an attempt's answer is complete.
+    /// Evaluates the complete head of an answer to an attempt in flight.
     fn response_head(
         &mut self,
         id: ConnectionId,
@@ -73,7 +73,8 @@
     ) -> Option<FinishedAttempt> {
         let connection = self.connections.get_mut(&id)?;
         let body_received = connection.response.len() - head.length;
-        // A damaged answer counts as executed, whatever its status: one that is to say otherwise has to be complete.
+        // A damaged answer counts as possibly executed, whatever its status. A status that says otherwise is
+        // believed only when the answer is complete.
         if head.status != 200 && head.body.is_some_and(|length| length > body_received) {
             return None;
         }
@@ -81,7 +82,7 @@
         let load = response::load_report(head, settings);
         match head.body {
             Some(length) if head.persistence == Persistence::KeepAlive && length >= body_received => {
-                connection.becomes_idle(now, length - body_received);
+                connection.make_idle(now, length - body_received);
                 self.by_attempt.remove(&attempt);
             }
             _ => {
@@ -97,8 +98,9 @@
         })
     }
 
-    /// Bytes came for an attempt that was abandoned. An answer that rejects it tells of the limit; a first line with
-    /// 200 says that the message is delivered, whatever was assumed.
+    /// Evaluates the answer to an abandoned attempt. A rejection affects the endpoint's limit; a status line
+    /// with 200 means that the message is delivered, although the attempt was cancelled. Other answers are
+    /// ignored.
     fn late_response(
         &mut self,
         id: ConnectionId,
--- a/crates/platform/src/core/connection_pool/response.rs
+++ b/crates/platform/src/core/connection_pool/response.rs
@@ -1,4 +1,4 @@
-//! What an endpoint's answer means, as the protocol's table has it.
+//! The meaning of an endpoint's answer, following the table of the protocol.
 
 use super::LoadReport;
 use crate::core::clock::MILLISECOND;
@@ -11,11 +11,12 @@
 pub struct Interpretation {
     /// The outcome of the attempt.
     pub outcome: AttemptOutcome,
-    /// The endpoint says that the message is completed.
+    /// Whether the endpoint reports that the message is completed.
     pub message_completed: bool,
 }
 
-/// The meaning of an answer. One without an end, and without success, cannot be checked and is an error.
+/// Interprets an answer. Without a known body length an unsuccessful answer cannot be checked for
+/// completeness and counts as an error.
 pub fn interpret(head: &ResponseHead) -> Interpretation {
     if head.body.is_none() && head.status != 200 {
         return Interpretation { outcome: AttemptOutcome::Error, message_completed: false };
@@ -23,7 +24,7 @@
     outcome_of_status(head)
 }
 
-/// The meaning of an answer by its status.
+/// Interprets an answer by its status and fields, without regard to its body.
 pub fn outcome_of_status(head: &ResponseHead) -> Interpretation {
     let is_full = head.field("x-egress-full") == Some(b"1");
     let outcome = match head.status {
@@ -37,7 +38,8 @@
     Interpretation { outcome, message_completed: matches!(head.status, 200 | 410) }
 }
 
-/// The outcome of an attempt whose answer cannot be read; `has_success_line`: its first line says 200.
+/// Returns the outcome of an attempt whose answer is malformed. `has_success_line`: the status line is
+/// complete and reads 200.
 pub fn outcome_of_malformed(has_success_line: bool) -> AttemptOutcome {
     if has_success_line {
         AttemptOutcome::Served
@@ -51,7 +53,7 @@
     milliseconds.saturating_mul(MILLISECOND)
 }
 
-/// The load report of an answer. What cannot be read is not there.
+/// Reads the load report of an answer. A value that cannot be read is treated as absent.
 pub fn load_report(head: &ResponseHead, settings: &DeploymentSettings) -> LoadReport {
     let text = head.field("x-pressure").and_then(|value| std::str::from_utf8(value).ok()).unwrap_or("");
     LoadReport {
@@ -60,7 +62,7 @@
     }
 }
 
-/// A figure of a load report, if the settings name it and it is a usable number.
+/// Returns a value of a load report if the settings name it and it is a finite number of at least 0.
 fn load_value(text: &str, name: &str, settings: &DeploymentSettings) -> Option<f64> {
     settings.load_report_index(name)?;
     let mut pairs = text.split(',').map(str::trim).filter_map(|pair| pair.split_once('='));
--- a/crates/platform/src/core/connection_pool/tests.rs
+++ b/crates/platform/src/core/connection_pool/tests.rs
@@ -1,4 +1,4 @@
-//! Transitions of a connection, each event alone.
+//! Transitions of a connection, one event at a time.
 
 use super::*;
 use crate::core::clock::MILLISECOND;
@@ -27,7 +27,7 @@
     ConnectionPool::new(capacity, &settings())
 }
 
-/// A pool with one connection on which the attempt of message 1 was sent.
+/// Returns a pool with one connection, on which the attempt of message 1 was sent.
 fn pool_with_sent() -> (ConnectionPool, ConnectionId) {
     let mut pool = pool(2);
     let Acquired::Connecting(id) = pool.acquire(attempt(1), ENDPOINT, address(), START) else {
@@ -50,14 +50,14 @@
 }
 
 #[test]
-fn connection_pool_full_evicts_idle_and_refuses_when_all_in_use() {
+fn connection_pool_full_evicts_idle_or_is_exhausted() {
     let (mut pool, id) = pool_with_sent();
     pool.receive(id, SERVED, START, &settings());
     for message in [2, 3] {
         let acquired = pool.acquire(attempt(message), ENDPOINT + 1, address(), START);
         assert!(matches!(acquired, Acquired::Connecting(_)));
     }
-    assert_eq!(pool.take_closed(), [id], "the idle one makes room");
+    assert_eq!(pool.take_closed(), [id], "the idle connection is evicted");
     assert_eq!(pool.acquire(attempt(4), ENDPOINT, address(), START), Acquired::Exhausted);
 }
 
@@ -87,7 +87,7 @@
 }
 
 #[test]
-fn connection_not_made_in_time_closed_as_no_connection() {
+fn connection_not_established_in_time_closed_as_no_connection() {
     let mut pool = pool(2);
     pool.acquire(attempt(1), ENDPOINT, address(), START);
     assert_eq!(pool.next_deadline(), START + SECOND);
--- a/crates/platform/src/core/counters.rs
+++ b/crates/platform/src/core/counters.rs
@@ -2,24 +2,24 @@
 
 use linnetcart::AttemptOutcome;
 
-/// What was counted since the start.
+/// Counters since the start of the process.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counters {
     /// Messages accepted.
     pub accepted: u64,
     /// Messages rejected without being accepted.
     pub rejected: u64,
-    /// Requests that are no valid submission.
+    /// Requests that are not valid submissions.
     pub invalid_requests: u64,
-    /// Attempts whose bytes were queued.
+    /// Attempts whose request was queued.
     pub attempts_sent: u64,
     /// Attempts by outcome.
     pub outcomes: OutcomeCounts,
-    /// Connections begun to endpoints.
+    /// Connects begun to endpoints.
     pub connects: u64,
-    /// Status notifications by what they say.
+    /// Status notifications by the outcome that they report.
     pub notifications: NotificationCounts,
-    /// Messages of an earlier process.
+    /// Messages that a previous process accepted.
     pub recovery: RecoveryCounts,
 }
 
@@ -28,15 +28,15 @@
 pub struct OutcomeCounts {
     /// Delivered.
     pub served: u64,
-    /// Answered with an error, or with what is no answer.
+    /// Answered with an error or with a malformed answer.
     pub error: u64,
-    /// Rejected, harmless to repeat.
+    /// Rejected, certainly not executed.
     pub rejected: u64,
     /// Not answered in time.
     pub timed_out: u64,
-    /// The connection was not made, or broke before the attempt's last byte.
+    /// The connection was not established, or was lost before the last byte of the request.
     pub no_connection: u64,
-    /// The connection broke afterwards.
+    /// The connection was lost after the last byte of the request.
     pub reset: u64,
     /// Cancelled by the courier.
     pub cancelled: u64,
@@ -45,7 +45,7 @@
 }
 
 impl OutcomeCounts {
-    /// Counts one.
+    /// Counts an outcome.
     pub fn count(&mut self, outcome: AttemptOutcome) {
         let counter = match outcome {
             AttemptOutcome::Served => &mut self.served,
@@ -61,7 +61,7 @@
     }
 }
 
-/// Status notifications by what they say.
+/// Status notifications by the outcome that they report.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct NotificationCounts {
     /// The message failed.
@@ -70,25 +70,25 @@
     pub returned: u64,
 }
 
-/// Messages that an earlier process accepted.
+/// Messages that a previous process accepted.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct RecoveryCounts {
     /// Found in the journal.
     pub recovered: u64,
-    /// Those of them that were certainly never executed.
+    /// Recovered messages that were certainly never executed.
     pub untried: u64,
-    /// Untried messages that this process sent.
+    /// Untried messages that this process attempted.
     pub attempted: u64,
     /// Untried messages that were completed without an attempt.
     pub given_up: u64,
 }
 
-/// Entries in the tables at this moment.
+/// Present numbers of entries in the tables.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Sizes {
     /// Messages in flight.
     pub in_flight: usize,
-    /// Status notifications that are not acknowledged.
+    /// Unacknowledged status notifications.
     pub unacknowledged: usize,
     /// Endpoints.
     pub endpoints: usize,
--- a/crates/platform/src/core/decisions.rs
+++ b/crates/platform/src/core/decisions.rs
@@ -1,23 +1,23 @@
-//! The decision cycle: the library, the events for it, and when it is asked next.
+//! The decision cycle: the decision library, the events for it and the time of its next decision.
 
 use super::clock::MILLISECOND;
 use linnetcart::{Action, Dispatcher, Event, Time};
 
-/// The first decision waits for discovery's first word, whose news count from the start, but no longer than
-/// this: discovery answers at once or is silent, and clients wait 400 ms for their answers.
+/// The first decision waits at most this long for the first event of discovery, so that it uses the current
+/// endpoint list. Discovery answers at once or not at all, and clients wait 400 ms for their answers.
 pub const INITIAL_SYNC_TIMEOUT: Time = 200 * MILLISECOND;
 
 /// The decision cycle.
 pub struct DecisionCycle {
     dispatcher: Dispatcher,
-    /// What happened since the last decision.
+    /// Events since the last decision.
     events: Vec<Event>,
     next_decision: Time,
     initial_sync_until: Time,
 }
 
 impl DecisionCycle {
-    /// A cycle that begins with an initial sync.
+    /// Creates a cycle that begins with the initial sync.
     pub fn new(dispatcher: Dispatcher, now: Time) -> DecisionCycle {
         DecisionCycle {
             dispatcher,
@@ -27,7 +27,7 @@
         }
     }
 
-    /// The library gets this event with the next decision.
+    /// Queues an event for the next decision.
     pub fn push(&mut self, event: Event) {
         self.events.push(event);
     }
@@ -37,17 +37,17 @@
         now < self.initial_sync_until
     }
 
-    /// Until when the initial sync may wait.
+    /// Returns when the initial sync ends at the latest.
     pub fn initial_sync_until(&self) -> Time {
         self.initial_sync_until
     }
 
-    /// Whether something happened since the last decision.
+    /// Whether events were queued since the last decision.
     pub fn has_events(&self) -> bool {
         !self.events.is_empty()
     }
 
-    /// When the next decision is due if nothing happens.
+    /// Returns when the next decision is due if no event is queued before; [`Time::MAX`] for never.
     pub fn next_decision(&self) -> Time {
         self.next_decision
     }
@@ -57,9 +57,10 @@
         self.next_decision <= now || self.has_events()
     }
 
-    /// Decides. What was recovered stands behind the endpoint list and before all that is new.
+    /// Runs one decision on the queued events. The events of recovered messages come after the endpoint list
+    /// and before all other events.
     pub fn decide(&mut self, now: Time, recovered: Vec<Event>) -> Vec<Action> {
-        // A wake-up that is still to come stays: the library does not ask for it again.
+        // A wake-up in the future stays scheduled: the library does not request it again.
         if self.next_decision <= now {
             self.next_decision = Time::MAX;
         }
@@ -70,19 +71,19 @@
         self.dispatcher.decide(now, events)
     }
 
-    /// The library asks for a decision at this time. It takes the place of the one asked for before, also of an
-    /// earlier one: what that was for has passed.
+    /// Schedules the wake-up that the library requests. It replaces the previous one even if that was
+    /// earlier: the reason for that one no longer exists.
     pub fn wake_at(&mut self, time: Time) {
         self.next_decision = time;
     }
 
-    /// No decision is made any more: events no longer go to the library.
+    /// Ends decisions for good: queued events are dropped.
     pub fn stop(&mut self) {
         self.next_decision = Time::MAX;
         self.events.clear();
     }
 
-    /// Whether an endpoint's destination asked to wait, and still does.
+    /// Whether a Retry-After of the endpoint's destination is still in force.
     pub fn retry_after_pending(&mut self, now: Time, endpoint: u32) -> bool {
         self.dispatcher.retry_after_pending(now, endpoint)
     }
--- a/crates/platform/src/core/decisions/tests.rs
+++ b/crates/platform/src/core/decisions/tests.rs
@@ -12,7 +12,7 @@
 #[test]
 fn decision_due_at_start_and_with_each_event() {
     let mut cycle = cycle();
-    assert!(cycle.is_due(NOW), "the first one");
+    assert!(cycle.is_due(NOW), "the first decision");
     cycle.decide(NOW, vec![]);
     cycle.wake_at(NOW + 5);
     assert!(!cycle.is_due(NOW + 4) && cycle.is_due(NOW + 5));
@@ -26,7 +26,7 @@
     cycle.decide(NOW, vec![]);
     cycle.wake_at(NOW + 5);
     cycle.decide(NOW + 1, vec![]);
-    assert_eq!(cycle.next_decision(), NOW + 5, "the library does not ask for it again");
+    assert_eq!(cycle.next_decision(), NOW + 5, "the library does not request it again");
     cycle.decide(NOW + 5, vec![]);
     assert_eq!(cycle.next_decision(), Time::MAX);
 }
--- a/crates/platform/src/core/deduplication.rs
+++ b/crates/platform/src/core/deduplication.rs
@@ -1,13 +1,13 @@
 //! The deduplication cache: ids of completed messages until their deadline.
 //!
-//! It recognises a message that is submitted once more. What becomes of it is decided elsewhere.
+//! It recognises a message that is submitted again. The answer to it is decided elsewhere.
 
 use super::in_flight::IdMatch;
 use crate::records::{digest, CompletedId, Message};
 use linnetcart::Time;
 use std::collections::{BTreeSet, HashMap};
 
-/// Part of the journal's capacity that completed ids may take, and bytes that one takes there.
+/// Fraction of the journal's capacity that completed ids may take, and the bytes that one id takes there.
 const CAPACITY_DIVISOR: u64 = 20;
 const BYTES_PER_ID: u64 = 40;
 
@@ -24,7 +24,7 @@
     }
 }
 
-/// The cache. Times are the wall clock's.
+/// The deduplication cache. Times are wall-clock times in nanoseconds.
 #[derive(Debug)]
 pub struct DeduplicationCache {
     capacity: usize,
@@ -33,7 +33,7 @@
 }
 
 impl DeduplicationCache {
-    /// A cache whose ids take a bounded part of the journal.
+    /// Creates a cache whose ids take a bounded part of the journal.
     pub fn new(journal_capacity_bytes: u64) -> DeduplicationCache {
         DeduplicationCache {
             capacity: (journal_capacity_bytes / CAPACITY_DIVISOR / BYTES_PER_ID) as usize,
@@ -42,7 +42,7 @@
         }
     }
 
-    /// Keeps an id until its expiry. Of too many, those that expire first are dropped.
+    /// Adds an id until its expiry. Beyond the capacity, the ids that expire first are dropped.
     pub fn insert(&mut self, completed: CompletedId, wall_now: Time) {
         while let Some(&next) = self.by_expiry.first() {
             if next.expires_at > wall_now && self.by_expiry.len() < self.capacity {
@@ -60,8 +60,8 @@
         self.by_expiry.insert(Expiry::of(&completed));
     }
 
-    /// The completed message that has this message's id. Its deadline starts again when it is submitted again;
-    /// all else has to be the same.
+    /// Looks up the id of a message. Returns `None` if no completed message has it. The deadline is not
+    /// compared: it starts again with each submission.
     pub fn find(&self, message: &Message) -> Option<IdMatch> {
         let completed = self.by_id.get(&digest(&[&message.id]))?;
         if completed.content_digest == message.completed_id().content_digest {
@@ -71,7 +71,7 @@
         }
     }
 
-    /// All ids, those that expire first in front.
+    /// Iterates over all ids in the order of their expiry.
     pub fn iter(&self) -> impl Iterator<Item = CompletedId> + '_ {
         self.by_expiry.iter().filter_map(|expiry| self.by_id.get(&expiry.id_digest).copied())
     }
--- a/crates/platform/src/core/deduplication/tests.rs
+++ b/crates/platform/src/core/deduplication/tests.rs
@@ -1,4 +1,4 @@
-//! Which ids are kept.
+//! Which ids are cached.
 
 use super::*;
 
@@ -10,7 +10,7 @@
     cache.iter().map(|completed| completed.id_digest).collect()
 }
 
-/// A cache of so many ids.
+/// Returns a cache for `capacity` ids.
 fn cache_of(capacity: u64) -> DeduplicationCache {
     DeduplicationCache::new(capacity * CAPACITY_DIVISOR * BYTES_PER_ID)
 }
@@ -41,7 +41,7 @@
 }
 
 #[test]
-fn deduplication_same_content_told_from_other() {
+fn deduplication_same_content_distinguished_from_other() {
     let message = |deadline, body: &[u8]| Message {
         id: b"id".to_vec(),
         idempotency_key: None,
@@ -53,7 +53,7 @@
     };
     let mut cache = cache_of(9);
     cache.insert(message(10, b"a").completed_id(), 0);
-    assert_eq!(cache.find(&message(99, b"a")), Some(IdMatch::SameMessage), "its deadline does not count");
+    assert_eq!(cache.find(&message(99, b"a")), Some(IdMatch::SameMessage), "the deadline is not compared");
     assert_eq!(cache.find(&message(10, b"b")), Some(IdMatch::OtherMessage));
     assert_eq!(cache.find(&Message { id: b"other".to_vec(), ..message(10, b"a") }), None);
 }
--- a/crates/platform/src/core/delivery.rs
+++ b/crates/platform/src/core/delivery.rs
@@ -1,8 +1,8 @@
 //! From a decision to the end of an attempt, and from there to the final outcome of its message.
 //!
-//! Only an iteration starts attempts, after its decision, never the input that made it possible: a connection that
-//! was connected, a notification that was acknowledged. What came beside it may be a Retry-After, a drain, a move or
-//! the message's outcome.
+//! Attempts are started only by an iteration, after its decision, and never directly by the input that makes
+//! one possible, such as an established connection or an acknowledgement. The same poll may also have brought
+//! a Retry-After, a drain, a changed address or the message's outcome.
 
 use super::attempts::{AttemptId, InFlightAttempt};
 use super::clock::MILLISECOND;
@@ -14,7 +14,7 @@
 use linnetcart::{Action, AttemptOutcome, AttemptResult, Event, Time};
 use std::net::SocketAddr;
 
-/// Where an attempt is sent, as the endpoint list has it at that moment.
+/// The destination of a request, as listed at that moment.
 struct Target {
     address: SocketAddr,
     zone: u8,
@@ -28,7 +28,7 @@
 }
 
 impl Core {
-    /// Carries out an action of the decision library.
+    /// Executes an action of the decision library.
     pub(super) fn execute(&mut self, action: Action) {
         match action {
             Action::Send { message, endpoint, until } => self.begin_attempt(message, endpoint, until),
@@ -44,12 +44,12 @@
             Action::CloseIdle { endpoint } => self.pool.close_idle(endpoint),
             Action::WakeUp { at } => self.decisions.wake_at(at),
             Action::LimitChanged(change) => self.effects.event(CoreEvent::LimitChanged(change)),
-            // The watch is always there; health checks and gossip are off on this platform.
+            // The endpoint list is always watched; health checks and gossip are disabled on this platform.
             Action::WatchEndpoints | Action::HealthCheck { .. } | Action::Gossip { .. } => {}
         }
     }
 
-    /// Begins an attempt that was decided on; `until` 0: until the message's deadline.
+    /// Begins an attempt that was decided. `until` is its deadline; 0 stands for the message's deadline.
     fn begin_attempt(&mut self, message: u32, endpoint: u32, until: Time) {
         let Some(attempt) = self.in_flight.begin_attempt(message) else { return };
         let deadline =
@@ -58,7 +58,8 @@
         self.start_attempt(attempt.id);
     }
 
-    /// Starts what had to wait for a connection, an acknowledgement or a cooldown.
+    /// Sends the attempts whose connections were established, and starts those whose acknowledgement or
+    /// cooldown has passed.
     pub(super) fn start_ready_attempts(&mut self) {
         for connection in self.pool.take_connected() {
             if let Some(attempt) = self.pool.attempt_of(connection) {
@@ -70,8 +71,9 @@
         }
     }
 
-    /// Gets an attempt a connection, unless its ordering key waits for the acknowledgement on another message, or
-    /// cools down and this is the message's first attempt.
+    /// Acquires a connection for an attempt. The attempt stays blocked while its ordering key waits for the
+    /// acknowledgement on another message, or while the key cools down and this is the message's first
+    /// attempt.
     fn start_attempt(&mut self, id: AttemptId) {
         let Some(attempt) = self.attempts.get(id) else { return };
         let Some(message) = self.in_flight.get(id.message) else { return };
@@ -101,7 +103,7 @@
         }
     }
 
-    /// The connection of an attempt is there: the attempt is sent on it, if it still may be.
+    /// Sends an attempt on its connection, unless it must not be sent any more.
     fn send_attempt(&mut self, id: AttemptId, connection: ConnectionId) {
         let Some(attempt) = self.attempts.get(id) else { return };
         let endpoint = attempt.endpoint;
@@ -136,8 +138,8 @@
         self.finish_attempt(FinishedAttempt::new(id, outcome));
     }
 
-    /// Where an attempt may be sent on a connection. `None`: the endpoint drains, was removed or has moved since
-    /// the connection was begun, or nothing can be recorded.
+    /// Returns where an attempt may be sent on its connection. `None`: the endpoint drains, was removed or
+    /// has another address since the connect, or no record can be written.
     fn target_of(&self, endpoint: u32, connection: ConnectionId) -> Option<Target> {
         let ready = self.discovery.endpoints().ready(endpoint)?;
         let leads_there = self.pool.address(connection) == Some(ready.address);
@@ -153,7 +155,7 @@
         }
     }
 
-    /// Cancels an attempt, with this outcome if it may be executed.
+    /// Cancels an attempt. It ends with `outcome` if it was possibly executed, and as not sent otherwise.
     pub(super) fn cancel_attempt(&mut self, id: AttemptId, outcome: AttemptOutcome) {
         if self.attempts.get(id).is_none() {
             return;
@@ -165,7 +167,7 @@
         self.finish_attempt(FinishedAttempt::new(id, outcome));
     }
 
-    /// An attempt ended, or an abandoned one was answered.
+    /// Handles the end of an attempt, or the answer to an abandoned one.
     pub(super) fn finish_attempt(&mut self, finished: FinishedAttempt) {
         if let Some(endpoint) = finished.abandoned_at {
             return self.late_answer(&finished, endpoint);
@@ -195,8 +197,8 @@
         self.settle(id.message);
     }
 
-    /// An abandoned attempt was answered. One that was served completes its message, and what else is out for it is
-    /// cancelled; any other answer counts for the endpoint's limit alone.
+    /// Handles the answer to an abandoned attempt. If it was served, its message is completed and the other
+    /// attempts of the message are cancelled; any other answer only affects the endpoint's limit.
     fn late_answer(&mut self, finished: &FinishedAttempt, endpoint: u32) {
         let message = finished.id.message;
         if finished.outcome != AttemptOutcome::Served {
@@ -211,7 +213,7 @@
         }
     }
 
-    /// Queues the event of an attempt's end for the decision library.
+    /// Queues the result of an attempt for the decision library.
     fn report_result(&mut self, finished: &FinishedAttempt, attempt: &InFlightAttempt, state: MessageState) {
         self.decisions.push(Event::AttemptFinished(AttemptResult {
             message: finished.id.message,
@@ -225,7 +227,7 @@
         }));
     }
 
-    /// An attempt for an ordering key ended and may still be executing.
+    /// Starts the cooldown of an ordering key whose attempt ended and may still be executing.
     pub(super) fn start_key_cooldown(&mut self, ordering_key: u64) {
         if let Some(until) = self.attempts.key_cooldowns.start(ordering_key, self.clock.now()) {
             let until = self.clock.to_wall(until);
@@ -233,8 +235,9 @@
         }
     }
 
-    /// A message is delivered, unless it had its final outcome before. An answer that comes as its deadline passes,
-    /// by the milliseconds that the endpoint was given, may count for nothing: it fails all the same.
+    /// Completes a message as delivered. Returns `false` if it had its final outcome already. Within a
+    /// millisecond of the deadline the message fails instead: endpoints get their time limit in milliseconds
+    /// and may have ignored the message.
     fn complete_delivered(&mut self, number: u32) -> bool {
         let Some(message) = self.in_flight.get(number).filter(|message| message.is_open()) else {
             return false;
@@ -248,7 +251,8 @@
         true
     }
 
-    /// A message is completed undelivered, unless it had its final outcome before: the platform is notified.
+    /// Completes a message that was not delivered and queues the status notification, unless the message had
+    /// its final outcome already.
     pub(super) fn complete_undelivered(&mut self, number: u32, outcome: FinalOutcome) {
         if !self.in_flight.complete(number, outcome) {
             return;
@@ -262,7 +266,7 @@
         self.report_recovery(recovery);
     }
 
-    /// The platform acknowledged the notification of a message's outcome.
+    /// Handles the acknowledgement of a message's status notification.
     pub(super) fn acknowledge(&mut self, number: u32) {
         let Some(acknowledged) = self.in_flight.acknowledge(number) else { return };
         tracing::debug!(id = %acknowledged.id_text(), number, "notification acknowledged");
@@ -272,7 +276,8 @@
         self.settle(number);
     }
 
-    /// Forgets a message of which nothing is owed or out; its id is known until its deadline unless it was returned.
+    /// Removes a message that is completed and acknowledged and has no attempt in flight. Its id stays known
+    /// until its deadline, unless it was returned.
     fn settle(&mut self, number: u32) {
         let Some(settled) = self.in_flight.take_settled(number) else { return };
         if !settled.is_returned() {
--- a/crates/platform/src/core/discovery.rs
+++ b/crates/platform/src/core/discovery.rs
@@ -1,7 +1,7 @@
 //! The discovery client: the watch on the endpoint list, its connection, and the list itself.
 //!
-//! It owns versions, backoff and numbers of endpoints. It never skips for good an entry that it could not read: the
-//! complete list is asked for again.
+//! It owns the list's version, the backoff and the endpoints' numbers. An entry that cannot be read is never
+//! skipped for good: the complete list is requested again.
 
 mod endpoint_list;
 mod watch;
@@ -18,7 +18,7 @@
 use linnetcart_deployment_settings::DeploymentSettings;
 use std::net::SocketAddr;
 
-/// The client.
+/// The discovery client.
 #[derive(Debug)]
 pub struct DiscoveryClient {
     address: SocketAddr,
@@ -28,7 +28,7 @@
 }
 
 impl DiscoveryClient {
-    /// A client that has not connected yet, and knows no endpoint.
+    /// Creates a client that is not connected and knows no endpoint.
     pub fn new(address: SocketAddr) -> DiscoveryClient {
         DiscoveryClient {
             address,
@@ -38,17 +38,18 @@
         }
     }
 
-    /// Where discovery is.
+    /// Returns the address of discovery.
     pub fn address(&self) -> SocketAddr {
         self.address
     }
 
-    /// The endpoints.
+    /// Returns the endpoint list.
     pub fn endpoints(&self) -> &EndpointList {
         &self.endpoints
     }
 
-    /// Whether discovery has said anything yet: all that it had by then, or that there is nothing new.
+    /// Whether discovery has sent anything: all events up to that moment, or an empty line if there were
+    /// none.
     pub fn has_synced(&self) -> bool {
         self.watch.has_synced()
     }
@@ -58,40 +59,41 @@
         self.connection == Some(id)
     }
 
-    /// What is to be done about the connection now.
+    /// Returns what has to be done about the connection now.
     pub fn poll(&mut self, now: Time) -> ConnectionDemand {
         self.watch.poll(now)
     }
 
-    /// The connection that was demanded is being made.
+    /// Records the id of the connection that is being established.
     pub fn connecting(&mut self, id: ConnectionId) {
         self.connection = Some(id);
     }
 
-    /// The connection that is to be closed, if any.
+    /// Takes the connection, which the caller has to close.
     pub fn take_connection(&mut self) -> Option<ConnectionId> {
         self.connection.take()
     }
 
-    /// The connection is there: the request to be sent on it.
+    /// Handles the established connection. Returns the request to be sent on it.
     pub fn connected(&mut self, now: Time) -> Vec<u8> {
-        let since = self.endpoints.version_to_ask();
+        let since = self.endpoints.resume_version();
         tracing::debug!(since, "watching endpoint list");
         self.watch.connected(now, self.address, since)
     }
 
-    /// The connection was lost, or given up.
+    /// Handles the loss of the connection, or its close after an error.
     pub fn disconnected(&mut self, now: Time) {
         self.connection = None;
         self.watch.disconnected(now);
     }
 
-    /// Bytes came: the events in them, and an error after which the connection is to be given up.
+    /// Handles received bytes. Returns the events in them, and an error after which the connection has to be
+    /// closed.
     pub fn receive(&mut self, now: Time, bytes: &[u8]) -> WatchProgress {
         self.watch.receive(now, bytes)
     }
 
-    /// Brings the list up to date.
+    /// Applies an event of the watch to the endpoint list.
     pub fn apply(&mut self, event: &WatchEvent, settings: &DeploymentSettings, now: Time) -> ListUpdate {
         let version = event.version;
         let complete = event.complete;
@@ -100,14 +102,14 @@
         self.endpoints.apply(event, settings, now)
     }
 
-    /// Discovery is at another address now: the connection that is to be closed, if any.
-    pub fn move_to(&mut self, address: SocketAddr) -> Option<ConnectionId> {
+    /// Changes the address of discovery. Returns the connection to be closed, if any.
+    pub fn change_address(&mut self, address: SocketAddr) -> Option<ConnectionId> {
         self.address = address;
         self.watch.restart();
         self.connection.take()
     }
 
-    /// When to poll again.
+    /// Returns when to poll again.
     pub fn next_wake(&self) -> Time {
         self.watch.next_wake()
     }
--- a/crates/platform/src/core/discovery/endpoint_list.rs
+++ b/crates/platform/src/core/discovery/endpoint_list.rs
@@ -1,4 +1,5 @@
-//! Endpoints as discovery names them and as the decision library numbers them.
+//! The endpoint list: endpoints by the names that discovery uses and by the numbers that the decision library
+//! uses.
 
 use crate::config::{EndpointEntry, ListedStatus, WatchEvent};
 use crate::records::UNKNOWN_INDEX;
@@ -7,23 +8,24 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-/// How long a removed endpoint keeps its number: a Retry-After under it binds when the name is back.
+/// How long a removed endpoint keeps its number. A Retry-After that was received under the number stays in
+/// force if the name is listed again.
 const REMOVED_RETENTION: Time = 60_000_000_000;
 
-/// One endpoint.
+/// An endpoint of the list.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ListedEndpoint {
-    /// Where it is reached.
+    /// The endpoint's address.
     pub address: SocketAddr,
-    /// Index of its zone.
+    /// Index of the endpoint's zone.
     pub zone: u8,
-    /// Its state.
+    /// The endpoint's status.
     pub status: EndpointStatus,
     name: String,
     destination: u32,
     kind: u8,
     started_at_ms: u64,
-    /// When it was removed, or last seen.
+    /// When the endpoint was removed, or last listed.
     changed_at: Time,
 }
 
@@ -53,23 +55,23 @@
     }
 }
 
-/// What an event of the watch changed.
+/// The result of an event of the watch.
 #[derive(Debug)]
 pub struct ListUpdate {
     /// The event for the decision library.
     pub event: Event,
-    /// Endpoints whose idle connections are of no use any more: removed, moved or restarted.
+    /// Endpoints whose idle connections must be closed: removed, moved or restarted ones.
     pub stale: Vec<u32>,
 }
 
-/// What an event has changed so far.
+/// The changes of an event that is being applied.
 #[derive(Debug, Default)]
 struct Changes {
     entries: Vec<Endpoint>,
     stale: Vec<u32>,
 }
 
-/// All endpoints.
+/// The endpoint list.
 #[derive(Debug, Default)]
 pub struct EndpointList {
     version: u64,
@@ -77,60 +79,60 @@
     endpoints: BTreeMap<u32, ListedEndpoint>,
     last_number: u32,
     destinations: BTreeSet<u32>,
-    /// Zones that the settings do not name: their indexes follow on those of the settings, so that none is taken
-    /// for another.
+    /// Zones that the settings do not name. Their indexes follow those of the settings, so that no two zones
+    /// share an index.
     extra_zones: Vec<String>,
-    /// An entry could not be read: the complete list is to be asked for.
-    has_unread_entry: bool,
+    /// An entry could not be read: the complete list has to be requested.
+    has_unreadable_entry: bool,
 }
 
 impl EndpointList {
-    /// From which version on to ask for the list: all of it where an entry could not be read.
-    pub fn version_to_ask(&self) -> u64 {
-        if self.has_unread_entry {
+    /// Returns the version after which changes are requested; 0 requests the complete list.
+    pub fn resume_version(&self) -> u64 {
+        if self.has_unreadable_entry {
             0
         } else {
             self.version
         }
     }
 
-    /// The endpoint of this number.
+    /// Returns the endpoint of a number.
     pub fn get(&self, number: u32) -> Option<&ListedEndpoint> {
         self.endpoints.get(&number)
     }
 
-    /// The endpoint of this number, if it takes new messages.
+    /// Returns the endpoint of a number if it is ready for new messages.
     pub fn ready(&self, number: u32) -> Option<&ListedEndpoint> {
         self.get(number).filter(|endpoint| endpoint.status == EndpointStatus::Ready)
     }
 
-    /// Endpoints, removed ones included whose numbers are still kept.
+    /// Returns the number of endpoints, including removed ones whose numbers are retained.
     pub fn len(&self) -> usize {
         self.endpoints.len()
     }
 
-    /// Whether any endpoint ever had this destination.
+    /// Whether any endpoint was ever listed for a destination.
     pub fn has_destination(&self, destination: u32) -> bool {
         self.destinations.contains(&destination)
     }
 
-    /// Brings the list up to date.
+    /// Applies an event of the watch.
     pub fn apply(&mut self, event: &WatchEvent, settings: &DeploymentSettings, now: Time) -> ListUpdate {
         self.version = event.version;
         let mut changes = Changes::default();
         if event.complete {
-            self.has_unread_entry = false;
+            self.has_unreadable_entry = false;
             self.remove_unlisted(event, now, &mut changes);
         }
         for entry in &event.entries {
             self.apply_entry(entry, settings, now, &mut changes);
         }
-        self.forget_removed(now);
+        self.forget_expired(now);
         let event = Event::EndpointList { complete: event.complete, entries: changes.entries };
         ListUpdate { event, stale: changes.stale }
     }
 
-    /// Removes the endpoints that a complete list does not have.
+    /// Removes the endpoints that are missing from a complete list.
     fn remove_unlisted(&mut self, event: &WatchEvent, now: Time, changes: &mut Changes) {
         let names: BTreeSet<&str> = event.entries.iter().map(|entry| &entry.name[..]).collect();
         for (&number, endpoint) in &mut self.endpoints {
@@ -141,8 +143,8 @@
         }
     }
 
-    /// Forgets endpoints that were removed long ago.
-    fn forget_removed(&mut self, now: Time) {
+    /// Forgets endpoints whose retention after removal has ended.
+    fn forget_expired(&mut self, now: Time) {
         let is_old = |endpoint: &ListedEndpoint| {
             endpoint.status == EndpointStatus::Removed && endpoint.changed_at + REMOVED_RETENTION <= now
         };
@@ -169,7 +171,7 @@
     ) {
         let Ok(address) = entry.address.parse::<SocketAddr>() else {
             tracing::warn!(name = entry.name, address = entry.address, "unreadable endpoint address");
-            self.has_unread_entry = true;
+            self.has_unreadable_entry = true;
             return;
         };
         let listed = self.listed_endpoint(entry, address, settings, now);
@@ -206,8 +208,8 @@
         }
     }
 
-    /// What was learnt of a name under another destination is of no use under this one: the name gets a new
-    /// number, and the endpoint of the old one is removed.
+    /// Removes the endpoint that has the entry's name under another destination. What is known of that
+    /// endpoint does not apply to the new destination, so the name gets a new number.
     fn remove_from_other_destination(&mut self, entry: &EndpointEntry, now: Time) -> Option<Endpoint> {
         let number = *self.numbers.get(&entry.name)?;
         let previous = self.endpoints.get_mut(&number)?;
@@ -219,7 +221,8 @@
         Some(previous.event_entry(number, 0.0))
     }
 
-    /// The number of an entry's name; none for an unknown one that is removed.
+    /// Returns the number of an entry's name and assigns one to a new name. Returns `None` for an unknown
+    /// endpoint that is already removed.
     fn number_of(&mut self, entry: &EndpointEntry) -> Option<u32> {
         if let Some(&number) = self.numbers.get(&entry.name) {
             return Some(number);
@@ -246,7 +249,7 @@
     }
 }
 
-/// The index of a kind; one that the settings do not name has the index after theirs.
+/// Returns the index of a kind. All kinds that the settings do not name share the index after theirs.
 fn kind_index(name: &str, settings: &DeploymentSettings) -> u8 {
     let index = settings.kind_names.iter().position(|kind| kind == name);
     index.unwrap_or(settings.kind_names.len()) as u8
--- a/crates/platform/src/core/discovery/endpoint_list/tests.rs
+++ b/crates/platform/src/core/discovery/endpoint_list/tests.rs
@@ -1,4 +1,4 @@
-//! Entries that cannot be read, endpoints that leave, and zones that the settings do not name.
+//! Unreadable entries, removed endpoints, and zones that the settings do not name.
 
 use super::*;
 
@@ -29,19 +29,19 @@
 }
 
 #[test]
-fn endpoint_entry_unreadable_asks_for_complete_list_until_it_came() {
+fn endpoint_entry_unreadable_requests_complete_list_until_received() {
     let settings = DeploymentSettings::default();
     let mut endpoints = list_with("a");
-    assert_eq!(endpoints.version_to_ask(), 7);
+    assert_eq!(endpoints.resume_version(), 7);
     endpoints.apply(&event(8, false, vec![entry("b", "nowhere", ListedStatus::Active)]), &settings, NOW);
     endpoints.apply(&event(9, false, vec![]), &settings, NOW);
-    assert_eq!(endpoints.version_to_ask(), 0);
+    assert_eq!(endpoints.resume_version(), 0);
     endpoints.apply(&event(10, true, vec![]), &settings, NOW);
-    assert_eq!(endpoints.version_to_ask(), 10);
+    assert_eq!(endpoints.resume_version(), 10);
 }
 
 #[test]
-fn endpoint_not_in_complete_list_removed_and_its_number_kept_for_a_while() {
+fn endpoint_missing_from_complete_list_removed_and_number_retained() {
     let settings = DeploymentSettings::default();
     let mut endpoints = list_with("a");
     let update = endpoints.apply(&event(8, true, vec![]), &settings, NOW);
@@ -51,7 +51,7 @@
     assert_eq!(endpoints.len(), 1);
     endpoints.apply(&event(10, false, vec![]), &settings, NOW + REMOVED_RETENTION);
     assert_eq!(endpoints.len(), 0);
-    assert!(endpoints.has_destination(3), "it had an endpoint once");
+    assert!(endpoints.has_destination(3), "it once had an endpoint");
 }
 
 #[test]
@@ -69,8 +69,8 @@
 #[test]
 fn endpoint_unknown_and_removed_ignored() {
     let mut endpoints = list_with("a");
-    let gone = entry("b", "127.0.0.1:2", ListedStatus::Left);
-    endpoints.apply(&event(8, false, vec![gone]), &DeploymentSettings::default(), NOW);
+    let removed = entry("b", "127.0.0.1:2", ListedStatus::Left);
+    endpoints.apply(&event(8, false, vec![removed]), &DeploymentSettings::default(), NOW);
     assert_eq!(endpoints.len(), 1);
 }
 
--- a/crates/platform/src/core/discovery/watch.rs
+++ b/crates/platform/src/core/discovery/watch.rs
@@ -1,4 +1,4 @@
-//! The watch on the endpoint list: one long chunked answer with an object for each event.
+//! The watch on the endpoint list: one chunked response without end, with a JSON object for each event.
 
 use crate::config::WatchEvent;
 use crate::core::clock::MILLISECOND;
@@ -7,37 +7,37 @@
 use linnetcart_http::{parse_response, ChunkedDecoder, ParsedResponse};
 use std::net::SocketAddr;
 
-/// A watch that is silent for this long is dead: a line comes every 2 s.
+/// A watch that is silent for this long is considered dead: discovery sends a line every 2 s.
 pub const WATCH_SILENCE_TIMEOUT: Time = 2700 * MILLISECOND;
-/// The longest event: a list of thousands of endpoints.
+/// The maximum size of an event; enough for a list of thousands of endpoints.
 const MAX_EVENT_BYTES: usize = 4 << 20;
 
-/// The watch got what it should not have.
+/// Why a watch failed.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum WatchError {
-    /// An answer with another status than 200, or without chunks.
+    /// The response has a status other than 200, or is not chunked.
     #[error("the watch was answered with status {0}")]
     Status(u16),
-    /// An answer that is no HTTP.
+    /// The response is not HTTP.
     #[error("the watch was answered with what is no HTTP response")]
     Malformed,
-    /// Chunks or events that cannot be read.
+    /// A chunk or an event cannot be read.
     #[error("an event of the watch cannot be read: {0}")]
     InvalidEvent(String),
-    /// An event beyond the bound.
+    /// An event exceeds the maximum size.
     #[error("an event of the watch has more than {MAX_EVENT_BYTES} bytes")]
     EventTooLong,
-    /// It ended.
+    /// The response ended.
     #[error("the watch ended")]
     Ended,
 }
 
-/// What bytes of the watch came to.
+/// The result of bytes that were received on the watch.
 #[derive(Debug, Default, PartialEq)]
 pub struct WatchProgress {
-    /// Events, to be applied in any case.
+    /// Complete events, to be applied even after an error.
     pub events: Vec<WatchEvent>,
-    /// The connection is to be given up.
+    /// The error after which the connection has to be closed.
     pub error: Option<WatchError>,
 }
 
@@ -47,22 +47,22 @@
     }
 }
 
-/// The watch.
+/// The watch on the endpoint list.
 #[derive(Debug)]
 pub struct EndpointWatch {
     connection: Reconnect,
     last_byte_at: Time,
     head: Vec<u8>,
-    /// There once the head is complete.
+    /// The decoder of the body; `None` until the head is complete.
     chunks: Option<ChunkedDecoder>,
-    /// The part of the body that no event was read from yet.
+    /// The bytes of the body that no complete event was read from.
     body: Vec<u8>,
-    /// A complete event or an empty line has come, on this connection or one before.
+    /// A complete event or an empty line has arrived, on this connection or an earlier one.
     synced: bool,
 }
 
 impl EndpointWatch {
-    /// One that is not begun.
+    /// Creates a watch that is not connected.
     pub fn new() -> EndpointWatch {
         EndpointWatch {
             connection: Reconnect::new(),
@@ -74,16 +74,17 @@
         }
     }
 
-    /// Whether discovery has said anything yet.
+    /// Whether a complete event or an empty line has ever arrived.
     pub fn has_synced(&self) -> bool {
         self.synced
     }
 
-    /// What is to be done about the connection now.
+    /// Returns what has to be done about the connection now.
     pub fn poll(&mut self, now: Time) -> ConnectionDemand {
         if self.connection.is_connected() && self.last_byte_at + WATCH_SILENCE_TIMEOUT <= now {
-            // It took the connection, and what it has at discovery's return counts at once: again without backoff.
-            self.connection.retry_at(now);
+            // Without backoff: discovery accepted the connection, and its events must arrive as soon as it is
+            // back.
+            self.connection.schedule_retry(now);
             return ConnectionDemand::Close;
         }
         if self.connection.connect_timed_out(now) {
@@ -96,12 +97,12 @@
         ConnectionDemand::Nothing
     }
 
-    /// When to poll again.
+    /// Returns when to poll again.
     pub fn next_wake(&self) -> Time {
         self.connection.next_wake(self.last_byte_at + WATCH_SILENCE_TIMEOUT)
     }
 
-    /// The connection is there: the request to be sent on it.
+    /// Handles the established connection. Returns the request for changes after version `since`.
     pub fn connected(&mut self, now: Time, host: SocketAddr, since: u64) -> Vec<u8> {
         self.connection.connected();
         self.last_byte_at = now;
@@ -111,17 +112,17 @@
         format!("GET /v1/endpoints?follow=1&since={since} HTTP/1.1\r\nHost: {host}\r\n\r\n").into_bytes()
     }
 
-    /// The connection was lost, or given up.
+    /// Handles the loss of the connection, or its close after an error.
     pub fn disconnected(&mut self, now: Time) {
         self.connection.disconnected(now);
     }
 
-    /// Begins again at once, at another address.
+    /// Restarts the watch at once, for another address.
     pub fn restart(&mut self) {
         *self = EndpointWatch { synced: self.synced, ..EndpointWatch::new() };
     }
 
-    /// Bytes came.
+    /// Handles received bytes.
     pub fn receive(&mut self, now: Time, bytes: &[u8]) -> WatchProgress {
         self.last_byte_at = now;
         let decoded = match &mut self.chunks {
@@ -152,7 +153,7 @@
         progress
     }
 
-    /// Bytes of the head came: what follows it, once it is complete.
+    /// Handles bytes of the head. Returns the bytes that follow the head once it is complete.
     fn receive_head(&mut self, bytes: &[u8]) -> Result<Option<Vec<u8>>, WatchError> {
         self.head.extend_from_slice(bytes);
         match parse_response(&self.head) {
@@ -167,7 +168,7 @@
         }
     }
 
-    /// Reads the events that are complete. One may come indented, over several lines; what is incomplete waits.
+    /// Reads the complete events. An event may span several lines; an incomplete one stays buffered.
     fn read_events(&mut self) -> WatchProgress {
         let mut progress = WatchProgress::default();
         let mut consumed = 0;
--- a/crates/platform/src/core/discovery/watch/tests.rs
+++ b/crates/platform/src/core/discovery/watch/tests.rs
@@ -1,4 +1,4 @@
-//! Bytes of the watch that are no events, and its timeouts.
+//! Invalid responses of discovery, and timeouts of the watch.
 
 use super::*;
 
@@ -24,7 +24,7 @@
 }
 
 #[test]
-fn watch_that_ends_still_yields_its_events() {
+fn watch_ended_still_yields_its_events() {
     let mut watch = connected();
     let event = b"1c\r\n{\"index\":42,\"endpoints\":[]}\n\r\n0\r\n\r\n";
     let progress = watch.receive(NOW, &[HEAD, event].concat());
--- a/crates/platform/src/core/discovery_traffic.rs
+++ b/crates/platform/src/core/discovery_traffic.rs
@@ -1,5 +1,4 @@
-//! What goes between the core's parts and discovery: events of the watch, status notifications and the connections
-//! for both.
+//! Traffic with discovery: events of the watch, status notifications and the connections for both.
 
 use super::connection_pool::ConnectionId;
 use super::effects::{CoreEvent, Output};
@@ -10,12 +9,12 @@
 use std::net::SocketAddr;
 
 impl Core {
-    /// Discovery is at this address now.
+    /// Changes the address of discovery and reconnects if it is another one.
     pub fn move_discovery(&mut self, address: SocketAddr) {
         if address == self.discovery.address() {
             return;
         }
-        let watch_connection = self.discovery.move_to(address);
+        let watch_connection = self.discovery.change_address(address);
         let notifier_connection = self.notifier.restart();
         for id in [watch_connection, notifier_connection].into_iter().flatten() {
             self.effects.output(Output::CloseUpstream(id));
@@ -63,7 +62,7 @@
         }
     }
 
-    /// True: the connection that ended was one to discovery.
+    /// Handles the end of a connection to discovery. Returns `false` if the connection is not one of these.
     pub(super) fn discovery_disconnected(&mut self, id: ConnectionId) -> bool {
         if self.discovery.owns(id) {
             self.discovery.disconnected(self.clock.now());
--- a/crates/platform/src/core/effects.rs
+++ b/crates/platform/src/core/effects.rs
@@ -1,4 +1,4 @@
-//! What an iteration produces: records for the journal, outputs for the shell, events for the log.
+//! The effects of an iteration: records for the journal, outputs for the shell, events for the log.
 
 use super::client_connections::ClientId;
 use super::connection_pool::ConnectionId;
@@ -10,12 +10,12 @@
 use linnetcart::LimitChange;
 use std::net::SocketAddr;
 
-/// What the shell is to do, in this order.
+/// An action for the shell. Outputs are carried out in order.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Output {
     /// Write to a client.
     SendToClient(ClientId, Bytes),
-    /// Close a client's connection when what was written to it has left.
+    /// Close a client's connection once all bytes written to it were sent.
     CloseClient(ClientId),
     /// Connect to an endpoint or to discovery.
     Connect(ConnectionId, SocketAddr),
@@ -25,20 +25,20 @@
     CloseUpstream(ConnectionId),
     /// Send no more on a connection to an endpoint, and read on.
     ShutdownWrite(ConnectionId),
-    /// Take no more connections of clients.
+    /// Stop accepting connections of clients.
     StopListening,
 }
 
-/// What operators should know of.
+/// An event for the operators' log.
 #[derive(Clone, Debug, PartialEq)]
 pub enum CoreEvent {
-    /// The watch on the endpoint list got what it should not have; it is opened again.
+    /// The watch on the endpoint list failed; it is opened again.
     WatchFailed(WatchError),
-    /// Nothing came on the watch for too long; it is opened again.
+    /// The watch was silent for too long; it is opened again.
     WatchSilent,
-    /// Status notifications got an answer that is none; they are sent again.
+    /// The answer to status notifications was invalid; they are sent again.
     NotificationsFailed(NotificationError),
-    /// Status notifications got no answer in time; they are sent again.
+    /// Status notifications were not answered in time; they are sent again.
     NotificationsTimedOut,
     /// Discovery rejected this message's notification, which is dropped.
     NotificationRejected {
@@ -47,23 +47,24 @@
     },
     /// The state of an endpoint's limit changed.
     LimitChanged(LimitChange),
-    /// An attempt was not sent: the endpoint's destination asked to wait while its connection was made.
+    /// An attempt was not sent, because a Retry-After of the endpoint's destination arrived while the
+    /// connection was being established.
     AttemptWithheld {
         /// The endpoint.
         endpoint: u32,
         /// The message's id.
         message: String,
     },
-    /// A message of an earlier process has a class that the settings no longer name, and has failed.
+    /// A recovered message has a class that the settings no longer name, and has failed.
     UnknownClass {
         /// The message's id.
         message: String,
     },
-    /// The last untried message of an earlier process was sent, or given up.
+    /// The last untried message of a previous process was sent or given up.
     RecoveryFinished(RecoveryCounts),
 }
 
-/// What was produced since the shell last took it. Nothing here may leave before the records are written.
+/// The effects since the shell last took them. No output may be carried out before the records are written.
 #[derive(Debug, Default)]
 pub struct Effects {
     records: Vec<Record>,
@@ -72,23 +73,24 @@
 }
 
 impl Effects {
-    /// Adds a record.
+    /// Adds a record for the journal.
     pub fn record(&mut self, record: Record) {
         self.records.push(record);
     }
 
-    /// Adds an output.
+    /// Adds an output for the shell.
     pub fn output(&mut self, output: Output) {
         self.outputs.push(output);
     }
 
-    /// Adds an event.
+    /// Adds an event for the log.
     pub fn event(&mut self, event: CoreEvent) {
         self.events.push(event);
     }
 
-    /// Puts closes before all else, so that their slots at the endpoints are free by the time that attempts of
-    /// this iteration arrive. A connection that was only asked for in this iteration is not made.
+    /// Moves closes before all other outputs, so that their slots at the endpoints are free when this
+    /// iteration's attempts arrive. A connect to a connection that is closed in the same iteration is
+    /// dropped.
     pub fn put_closes_first(&mut self, closed: &[ConnectionId], abandoned: &[ConnectionId]) {
         if closed.is_empty() && abandoned.is_empty() {
             return;
@@ -102,17 +104,17 @@
         self.outputs = ordered;
     }
 
-    /// Takes the records.
+    /// Takes the records in the order in which they were added.
     pub fn take_records(&mut self) -> Vec<Record> {
         std::mem::take(&mut self.records)
     }
 
-    /// Takes the outputs.
+    /// Takes the outputs in the order in which they have to be carried out.
     pub fn take_outputs(&mut self) -> Vec<Output> {
         std::mem::take(&mut self.outputs)
     }
 
-    /// Takes the events.
+    /// Takes the events in the order in which they were added.
     pub fn take_events(&mut self) -> Vec<CoreEvent> {
         std::mem::take(&mut self.events)
     }
--- a/crates/platform/src/core/in_flight.rs
+++ b/crates/platform/src/core/in_flight.rs
@@ -1,7 +1,7 @@
-//! The in-flight table: messages that are accepted, or await that decision, and are not finally done with.
+//! The in-flight table: messages that are accepted, or await that decision, and are not yet settled.
 //!
-//! It owns each message's state, its attempts' numbers and the bytes that all of them take in the journal. It reads
-//! no clock.
+//! It owns each message's state, the numbers of its attempts and the bytes that all messages take in the
+//! journal. It reads no clock.
 
 use super::attempts::AttemptId;
 use crate::records::{FinalOutcome, Message, PendingMessage, SentAttempt};
@@ -9,18 +9,18 @@
 use linnetcart_courier_common::MessageNumbers;
 use std::collections::{BTreeMap, HashMap};
 
-/// Part of the journal's capacity that messages in flight may take: the old file, the new one and growth need the
-/// rest.
+/// Fraction of the journal's capacity that messages in flight may take. The rest is needed for the old file,
+/// the new file and growth.
 const CAPACITY_DIVISOR: u64 = 5;
-/// Bytes of a message's records beside its id, key and body: its attempts and its completion.
+/// Bytes of a message's records in addition to its id, key and body: its attempts and its completion.
 const RECORD_OVERHEAD_BYTES: usize = 512;
 
-/// What a message that has the same id as another one is.
+/// How a message relates to a known message with the same id.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum IdMatch {
-    /// The same message once more.
+    /// The same message, submitted again.
     SameMessage,
-    /// Another message.
+    /// A different message.
     OtherMessage,
 }
 
@@ -36,11 +36,11 @@
 /// Whether a message has its final outcome.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Completion {
-    /// It has none.
+    /// The message has no final outcome.
     Open,
-    /// It is returned: its sender may submit it again.
+    /// The message is returned: its sender may submit it again.
     Returned,
-    /// It is delivered or failed.
+    /// The message is delivered or failed.
     Final,
 }
 
@@ -53,13 +53,13 @@
     }
 }
 
-/// A message in flight: without its final outcome, with attempts out, or with an outcome that the platform has not
-/// acknowledged.
+/// A message in flight: it has no final outcome, has attempts in flight, or has an outcome that the platform
+/// has not acknowledged.
 #[derive(Debug)]
 pub struct InFlightMessage {
-    /// What the journal has of it.
+    /// The state that the journal has of the message.
     pub pending: PendingMessage,
-    /// When its time is up.
+    /// The message's deadline.
     pub deadline: Time,
     size_bytes: u64,
     live_attempts: u16,
@@ -67,53 +67,54 @@
 }
 
 impl InFlightMessage {
-    /// The message.
+    /// Returns the message.
     pub fn message(&self) -> &Message {
         &self.pending.message
     }
 
-    /// Whether it has no final outcome.
+    /// Whether the message has no final outcome.
     pub fn is_open(&self) -> bool {
         self.completion == Completion::Open
     }
 
-    /// Whether its sender may submit it again.
+    /// Whether the message is returned, so that its sender may submit it again.
     pub fn is_returned(&self) -> bool {
         self.completion == Completion::Returned
     }
 
-    /// Nothing is owed for it, and nothing is out.
+    /// Whether the message is completed, its outcome needs no further notification and no attempt is in
+    /// flight.
     fn is_settled(&self) -> bool {
         let acknowledged = self.pending.outcome == Some(FinalOutcome::Delivered);
         !self.is_open() && self.live_attempts == 0 && acknowledged
     }
 }
 
-/// The next attempt of a message.
+/// A new attempt of a message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NewAttempt {
-    /// The attempt.
+    /// The attempt's id.
     pub id: AttemptId,
     /// The message's deadline.
     pub message_deadline: Time,
 }
 
-/// What the end of an attempt means for its message.
+/// The effect of an attempt's end on its message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AttemptEffect {
     /// The message's ordering key.
     pub ordering_key: u64,
-    /// The message had its final outcome before.
+    /// Whether the message had its final outcome before the attempt ended.
     pub was_completed: bool,
-    /// The attempt was recorded as sent, and is known now not to have been executed.
+    /// Whether the attempt was recorded as sent and is now known not to have been executed.
     pub retracts_sent: bool,
 }
 
-/// The table.
+/// The in-flight table.
 #[derive(Debug)]
 pub struct InFlightTable {
     messages: BTreeMap<u32, InFlightMessage>,
-    /// Messages without a final outcome by id.
+    /// Numbers of the messages without a final outcome, by id.
     open_ids: HashMap<Vec<u8>, u32>,
     size_bytes: u64,
     max_size_bytes: u64,
@@ -121,7 +122,8 @@
 }
 
 impl InFlightTable {
-    /// A table whose messages take a bounded part of the journal, and get numbers from `next_number` on.
+    /// Creates a table whose messages take a bounded part of the journal. Message numbers start at
+    /// `next_number`.
     pub fn new(journal_capacity_bytes: u64, next_number: u32) -> InFlightTable {
         InFlightTable {
             messages: BTreeMap::new(),
@@ -132,27 +134,27 @@
         }
     }
 
-    /// How many there are.
+    /// Returns the number of messages.
     pub fn len(&self) -> usize {
         self.messages.len()
     }
 
-    /// How many have no final outcome.
+    /// Returns the number of messages without a final outcome.
     pub fn open_len(&self) -> usize {
         self.open_ids.len()
     }
 
-    /// Whether a message fits into its part of the journal.
+    /// Whether a further message fits into the journal.
     pub fn has_capacity_for(&self, message: &Message) -> bool {
         self.size_bytes + stored_size(message) <= self.max_size_bytes
     }
 
-    /// A message.
+    /// Returns a message.
     pub fn get(&self, number: u32) -> Option<&InFlightMessage> {
         self.messages.get(&number)
     }
 
-    /// All messages in the order of their numbers.
+    /// Iterates over all messages in the order of their numbers.
     pub fn iter(&self) -> impl Iterator<Item = (u32, &InFlightMessage)> {
         self.messages.iter().map(|(&number, message)| (number, message))
     }
@@ -166,7 +168,7 @@
         Some(OpenMessage { number, id_match })
     }
 
-    /// A number that no message in flight has.
+    /// Allocates a number that no message in flight has.
     pub fn allocate_number(&mut self) -> u32 {
         let messages = &self.messages;
         self.numbers.allocate(|number| messages.contains_key(&number))
@@ -184,7 +186,7 @@
         self.messages.insert(number, message);
     }
 
-    /// Counts a new attempt of a message.
+    /// Begins a new attempt of a message. Returns `None` if there is no such message.
     pub fn begin_attempt(&mut self, number: u32) -> Option<NewAttempt> {
         let message = self.messages.get_mut(&number)?;
         let id = AttemptId { message: number, number: message.pending.attempts };
@@ -193,14 +195,14 @@
         Some(NewAttempt { id, message_deadline: message.deadline })
     }
 
-    /// An attempt is sent: from here on it is possibly executed.
+    /// Records that an attempt was sent: it is possibly executed from now on.
     pub fn attempt_sent(&mut self, number: u32, attempt: SentAttempt) {
         if let Some(message) = self.messages.get_mut(&number) {
             message.pending.possibly_executed.push(attempt);
         }
     }
 
-    /// An attempt ended.
+    /// Handles the end of an attempt. Returns `None` if there is no such message.
     pub fn finish_attempt(&mut self, id: AttemptId, outcome: AttemptOutcome) -> Option<AttemptEffect> {
         let message = self.messages.get_mut(&id.message)?;
         message.live_attempts -= 1;
@@ -216,7 +218,8 @@
         })
     }
 
-    /// Gives a message its final outcome. False: it had one before.
+    /// Sets the final outcome of a message. Returns `false` if there is no such message or it had an outcome
+    /// already.
     pub fn complete(&mut self, number: u32, outcome: FinalOutcome) -> bool {
         let Some(message) = self.messages.get_mut(&number) else { return false };
         if !message.is_open() {
@@ -228,14 +231,16 @@
         true
     }
 
-    /// The platform acknowledged the outcome of this message. `None`: there is no such message.
+    /// Records that the platform acknowledged the outcome of a message. Returns `None` if there is no such
+    /// message.
     pub fn acknowledge(&mut self, number: u32) -> Option<&Message> {
         let message = self.messages.get_mut(&number)?;
         message.pending.outcome = Some(FinalOutcome::Delivered);
         Some(message.message())
     }
 
-    /// Takes a message of which nothing is owed or out.
+    /// Removes and returns a message if it is settled: completed, acknowledged and without attempts in
+    /// flight.
     pub fn take_settled(&mut self, number: u32) -> Option<InFlightMessage> {
         if self.messages.get(&number)?.is_settled() {
             self.remove(number)
@@ -244,7 +249,7 @@
         }
     }
 
-    /// Removes a message.
+    /// Removes and returns a message.
     pub fn remove(&mut self, number: u32) -> Option<InFlightMessage> {
         let message = self.messages.remove(&number)?;
         self.size_bytes -= message.size_bytes;
@@ -255,7 +260,8 @@
     }
 }
 
-/// Whether two messages are the same but for their deadlines.
+/// Whether two messages agree in all that identifies a submission; deadlines and idempotency keys are not
+/// compared.
 fn has_same_content(one: &Message, other: &Message) -> bool {
     one.class == other.class
         && one.destination == other.destination
@@ -263,7 +269,7 @@
         && one.body == other.body
 }
 
-/// Bytes that a message takes in the journal.
+/// Returns the number of bytes that a message takes in the journal.
 fn stored_size(message: &Message) -> u64 {
     let key_length = message.idempotency_key.as_ref().map_or(0, Vec::len);
     (message.id.len() + key_length + message.body.len() + RECORD_OVERHEAD_BYTES) as u64
--- a/crates/platform/src/core/in_flight/tests.rs
+++ b/crates/platform/src/core/in_flight/tests.rs
@@ -23,13 +23,13 @@
 }
 
 #[test]
-fn in_flight_message_settled_once_nothing_owed_or_out() {
+fn in_flight_message_settled_once_acknowledged_without_attempts() {
     let mut table = table_with(&[1]);
     let attempt = table.begin_attempt(1).expect("an attempt");
     assert_eq!(attempt.id, AttemptId { message: 1, number: 0 });
     assert!(table.complete(1, FinalOutcome::Failed) && !table.complete(1, FinalOutcome::Delivered), "once");
     assert_eq!(table.acknowledge(1), Some(&message("m1")));
-    assert!(table.take_settled(1).is_none(), "its attempt is out");
+    assert!(table.take_settled(1).is_none(), "its attempt is in flight");
     table.finish_attempt(attempt.id, AttemptOutcome::Cancelled);
     assert!(table.take_settled(1).is_some());
     assert_eq!((table.len(), table.open_len(), table.size_bytes), (0, 0, 0));
@@ -67,7 +67,7 @@
 }
 
 #[test]
-fn in_flight_number_in_use_passed_over() {
+fn in_flight_number_in_use_skipped() {
     let mut table = table_with(&[1, 2]);
     assert_eq!((table.allocate_number(), table.allocate_number()), (3, 4));
 }
--- a/crates/platform/src/core/inputs.rs
+++ b/crates/platform/src/core/inputs.rs
@@ -10,13 +10,13 @@
 use linnetcart::Time;
 
 impl Core {
-    /// The time; to be advanced before the inputs that came by then.
+    /// Advances the clock. Must be called before the inputs that arrived by `now`.
     pub fn advance_clock(&mut self, now: Time) {
         self.clock.advance(now);
         self.shutdown.advance(self.clock.now());
     }
 
-    /// A client connected.
+    /// A client connected. If that exceeds the capacity, a connection is evicted.
     pub fn client_opened(&mut self, id: ClientId) {
         if let Some(evicted) = self.clients.opened(id, self.clock.now()) {
             self.effects.output(Output::CloseClient(evicted));
@@ -30,17 +30,17 @@
         }
     }
 
-    /// A client sends no more; what it asked before is answered in this iteration.
+    /// A client will send no more bytes. Its outstanding request is answered in the next iteration.
     pub fn client_half_closed(&mut self, id: ClientId) {
         self.clients.half_closed(id);
     }
 
-    /// A client's connection is closed.
+    /// A client's connection was closed by the client or by the system.
     pub fn client_closed(&mut self, id: ClientId) {
         self.clients.closed(id);
     }
 
-    /// A connection to an endpoint or to discovery was made.
+    /// A connection to an endpoint or to discovery was established.
     pub fn upstream_connected(&mut self, id: ConnectionId) {
         if self.discovery.owns(id) {
             let request = self.discovery.connected(self.clock.now());
@@ -52,7 +52,7 @@
         }
     }
 
-    /// A connection to an endpoint or to discovery could not be made.
+    /// A connection to an endpoint or to discovery could not be established.
     pub fn upstream_connect_failed(&mut self, id: ConnectionId) {
         if self.discovery_disconnected(id) {
             return;
@@ -62,7 +62,8 @@
         }
     }
 
-    /// A connection to an endpoint or to discovery ended; the system took `written` bytes of ours on it.
+    /// A connection to an endpoint or to discovery ended; the operating system accepted `written` bytes of
+    /// ours on it.
     pub fn upstream_disconnected(&mut self, id: ConnectionId, written: u64) {
         if self.discovery_disconnected(id) {
             return;
@@ -72,7 +73,7 @@
         }
     }
 
-    /// Bytes came on a connection to an endpoint or to discovery.
+    /// Bytes arrived on a connection to an endpoint or to discovery.
     pub fn upstream_received(&mut self, id: ConnectionId, bytes: &[u8]) {
         if self.discovery.owns(id) {
             self.watch_received(id, bytes);
@@ -83,12 +84,12 @@
         }
     }
 
-    /// The signal to end came.
+    /// A termination signal arrived: begins the graceful shutdown.
     pub fn begin_shutdown(&mut self) {
         self.shutdown.signal(self.clock.now());
     }
 
-    /// The journal takes no more records, or takes them again.
+    /// Sets whether records can be written to the journal.
     pub fn set_journal_state(&mut self, state: JournalState) {
         self.journal = state;
     }
--- a/crates/platform/src/core/iteration.rs
+++ b/crates/platform/src/core/iteration.rs
@@ -8,11 +8,12 @@
 impl Core {
     // ---- An iteration
 
-    /// One iteration of the event loop: one decision on all that came, and what follows from it.
+    /// Runs one iteration of the event loop: at most one decision on all events since the last one, and
+    /// everything that follows from it.
     pub fn process(&mut self, now: Time) {
         self.advance_clock(now);
         self.expire();
-        // What clients ask waits for a decision that can say what becomes of it.
+        // During the initial sync, requests wait: without a decision there is no answer for them.
         let in_initial_sync = self.in_initial_sync();
         if !in_initial_sync {
             self.read_requests();
@@ -33,7 +34,7 @@
         self.finish_shutdown();
     }
 
-    /// Ends attempts whose connection or own deadline has run out of time.
+    /// Ends attempts whose connection or own deadline has timed out.
     fn expire(&mut self) {
         let now = self.clock.now();
         for finished in self.pool.close_overdue(now) {
@@ -64,8 +65,8 @@
         }
     }
 
-    /// What still comes is accepted for the next process. What has no connection yet is for it, too: nothing begins
-    /// that cannot end.
+    /// Messages that still arrive are accepted for the next process. Attempts without a sent request are left
+    /// to it, too: nothing may begin that cannot finish before this process exits.
     fn stop_decisions(&mut self) {
         self.decisions.stop();
         self.answer_decided(&[]);
--- a/crates/platform/src/core/key_cooldowns.rs
+++ b/crates/platform/src/core/key_cooldowns.rs
@@ -1,6 +1,7 @@
-//! Ordering keys that cool down: nothing of a key is sent while its last attempt may still be executing.
+//! Cooldowns of ordering keys: no message of a key is sent while the key's last attempt may still be
+//! executing.
 //!
-//! The decision library keeps to cooldowns itself; after a restart it does not know of them.
+//! The decision library respects cooldowns itself, but does not know those of a previous process.
 
 use linnetcart::Time;
 use std::collections::BTreeMap;
@@ -22,12 +23,13 @@
 }
 
 impl KeyCooldowns {
-    /// Without a key; a cooldown takes this long, and 0 turns cooldowns off.
+    /// Creates an empty table. A cooldown lasts `duration` nanoseconds; 0 disables cooldowns.
     pub fn new(duration: Time) -> KeyCooldowns {
         KeyCooldowns { duration, until: BTreeMap::new() }
     }
 
-    /// An attempt for a key ended and may still be executing: until when the key cools down. `None`: it does not.
+    /// Starts the cooldown of a key and returns its end. Returns `None` without an ordering key (0) or if
+    /// cooldowns are disabled.
     pub fn start(&mut self, ordering_key: u64, now: Time) -> Option<Time> {
         if ordering_key == 0 || self.duration == 0 {
             return None;
@@ -38,12 +40,12 @@
         Some(until)
     }
 
-    /// Whether a key cools down.
+    /// Whether a key is cooling down.
     pub fn is_cooling_down(&self, ordering_key: u64, now: Time) -> bool {
         self.until.get(&ordering_key).is_some_and(|&until| until > now)
     }
 
-    /// When the next cooldown ends.
+    /// Returns the earliest end of a cooldown; [`Time::MAX`] for none.
     pub fn next_end(&self, now: Time) -> Time {
         self.until.values().copied().filter(|&until| until > now).min().unwrap_or(Time::MAX)
     }
--- a/crates/platform/src/core/key_cooldowns/tests.rs
+++ b/crates/platform/src/core/key_cooldowns/tests.rs
@@ -1,4 +1,4 @@
-//! When keys cool down.
+//! Start and end of cooldowns.
 
 use super::*;
 
--- a/crates/platform/src/core/reconnect.rs
+++ b/crates/platform/src/core/reconnect.rs
@@ -1,13 +1,13 @@
-//! A connection to discovery that is made again, with backoff, whenever it is lost.
+//! Reconnection to discovery with exponential backoff.
 
 use super::clock::MILLISECOND;
 use linnetcart::Time;
 
-/// The first backoff; each further one is twice as long.
+/// The first backoff; each following one is twice as long.
 const MIN_BACKOFF: Time = 20 * MILLISECOND;
-/// The longest backoff.
+/// The maximum backoff.
 const MAX_BACKOFF: Time = 500 * MILLISECOND;
-/// A connection that is not there by then has failed.
+/// A connect that takes longer than this has failed.
 const CONNECT_TIMEOUT: Time = 1000 * MILLISECOND;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -17,18 +17,18 @@
     Connected,
 }
 
-/// What a connection's owner asks of the core.
+/// What the owner of a connection requires of the core.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectionDemand {
     /// Nothing.
     Nothing,
-    /// Make it.
+    /// Establish the connection.
     Connect,
-    /// Close it; it is made again later.
+    /// Close the connection; it is established again later.
     Close,
 }
 
-/// State and backoff of the connection.
+/// The state of the connection and its backoff.
 #[derive(Debug)]
 pub struct Reconnect {
     state: State,
@@ -36,22 +36,22 @@
 }
 
 impl Reconnect {
-    /// One that is to be made at once.
+    /// Creates a state in which the connection is due at once.
     pub fn new() -> Reconnect {
         Reconnect { state: State::Disconnected { retry_at: 0 }, backoff: MIN_BACKOFF }
     }
 
-    /// Whether it is there.
+    /// Whether the connection is established.
     pub fn is_connected(&self) -> bool {
         self.state == State::Connected
     }
 
-    /// Whether it is taking too long to be made.
+    /// Whether the connect has timed out.
     pub fn connect_timed_out(&self, now: Time) -> bool {
         matches!(self.state, State::Connecting { since } if since + CONNECT_TIMEOUT <= now)
     }
 
-    /// Begins to connect where it is time to. True: a connection is to be made now.
+    /// Begins a connect if one is due. Returns whether the connection has to be established now.
     pub fn begin_connect(&mut self, now: Time) -> bool {
         let due = matches!(self.state, State::Disconnected { retry_at } if retry_at <= now);
         if due {
@@ -60,28 +60,30 @@
         due
     }
 
-    /// It is there.
+    /// Records that the connection is established.
     pub fn connected(&mut self) {
         self.state = State::Connected;
     }
 
-    /// It was lost, or given up: it is made again after the backoff, which grows.
+    /// Records that the connection was lost or closed: it is established again after the backoff, which
+    /// doubles.
     pub fn disconnected(&mut self, now: Time) {
         self.state = State::Disconnected { retry_at: now + self.backoff };
         self.backoff = (2 * self.backoff).min(MAX_BACKOFF);
     }
 
-    /// It ended as it should: it is made again from this time on, and the backoff does not grow.
-    pub fn retry_at(&mut self, time: Time) {
+    /// Schedules a new connect at `time`, without a longer backoff, after a connection that ended as
+    /// expected.
+    pub fn schedule_retry(&mut self, time: Time) {
         self.state = State::Disconnected { retry_at: time };
     }
 
-    /// The other side answered as it should.
+    /// Resets the backoff after a valid answer.
     pub fn reset_backoff(&mut self) {
         self.backoff = MIN_BACKOFF;
     }
 
-    /// When to look again; `connected_wake` counts while it is there.
+    /// Returns when to poll again; `connected_wake` applies while the connection is established.
     pub fn next_wake(&self, connected_wake: Time) -> Time {
         match self.state {
             State::Disconnected { retry_at } => retry_at,
--- a/crates/platform/src/core/reconnect/tests.rs
+++ b/crates/platform/src/core/reconnect/tests.rs
@@ -24,7 +24,7 @@
 }
 
 #[test]
-fn reconnect_connect_that_takes_too_long_times_out() {
+fn reconnect_slow_connect_times_out() {
     let mut connection = Reconnect::new();
     assert!(connection.begin_connect(NOW) && !connection.begin_connect(NOW), "once");
     let timeout = connection.next_wake(Time::MAX);
@@ -33,12 +33,12 @@
 }
 
 #[test]
-fn reconnect_once_connected_wakes_as_its_owner_says() {
+fn reconnect_connected_uses_wake_time_of_owner() {
     let mut connection = Reconnect::new();
     connection.begin_connect(NOW);
     connection.connected();
     assert!(connection.is_connected() && !connection.connect_timed_out(Time::MAX));
     assert_eq!(connection.next_wake(7), 7);
-    connection.retry_at(NOW);
-    assert!(connection.begin_connect(NOW), "without backoff");
+    connection.schedule_retry(NOW);
+    assert!(connection.begin_connect(NOW), "no backoff");
 }
--- a/crates/platform/src/core/recovery.rs
+++ b/crates/platform/src/core/recovery.rs
@@ -1,6 +1,6 @@
 //! Recovery: from the journal's records to state, and from state to the records of a new file.
 //!
-//! It also keeps account of the messages that an earlier process left, until each untried one was sent or given up.
+//! It also counts the messages of a previous process until each untried one was attempted or given up.
 
 use super::clock::Clock;
 use super::counters::RecoveryCounts;
@@ -11,18 +11,18 @@
 use linnetcart::{AcceptedMessage, Event, UnresolvedAttempt};
 use std::collections::BTreeSet;
 
-/// Messages of an earlier process.
+/// Messages that a previous process accepted.
 #[derive(Debug, Default)]
 pub struct Recovery {
-    /// Those that the decision library does not know of yet.
+    /// Messages that the decision library does not know yet.
     undecided: Vec<u32>,
-    /// Those that were certainly never executed, and are neither sent nor completed in this process.
+    /// Messages that were certainly never executed and are neither attempted nor completed by this process.
     untried: BTreeSet<u32>,
     counts: RecoveryCounts,
 }
 
 impl Recovery {
-    /// Takes account of a message.
+    /// Counts a recovered message.
     fn add(&mut self, number: u32, pending: &PendingMessage) {
         self.counts.recovered += 1;
         if pending.outcome.is_some() {
@@ -35,12 +35,12 @@
         }
     }
 
-    /// Takes the messages that the decision library does not know of yet.
+    /// Takes the messages that the decision library does not know yet.
     pub fn take_undecided(&mut self) -> Vec<u32> {
         std::mem::take(&mut self.undecided)
     }
 
-    /// A message is sent. The counts where it was the last untried one.
+    /// Records that a message was attempted. Returns the counts if it was the last untried message.
     pub fn attempted(&mut self, message: u32) -> Option<RecoveryCounts> {
         if !self.untried.remove(&message) {
             return None;
@@ -49,7 +49,8 @@
         self.untried.is_empty().then_some(self.counts)
     }
 
-    /// A message is completed undelivered. The counts where it was the last untried one.
+    /// Records that a message was completed without delivery. Returns the counts if it was the last untried
+    /// message.
     pub fn given_up(&mut self, message: u32) -> Option<RecoveryCounts> {
         if !self.untried.remove(&message) {
             return None;
@@ -58,13 +59,13 @@
         self.untried.is_empty().then_some(self.counts)
     }
 
-    /// The counts.
+    /// Returns the counts.
     pub fn counts(&self) -> RecoveryCounts {
         self.counts
     }
 }
 
-/// The event for the decision library of a message that an earlier process left, as it is now.
+/// Returns the event by which the decision library learns of a recovered message in its present state.
 pub fn recovered_event(number: u32, message: &InFlightMessage, clock: Clock) -> Event {
     let mut unresolved = Vec::new();
     for attempt in &message.pending.possibly_executed {
@@ -86,12 +87,13 @@
 }
 
 impl Core {
-    /// Takes up what the journal holds.
+    /// Restores the state that the journal's records add up to.
     pub(super) fn restore(&mut self, replay: Replay) {
         for completed in replay.completed {
             self.deduplication.insert(completed, self.clock.wall_now());
         }
-        // An endpoint may have seen the end of such an attempt only as the process died: once more from here on.
+        // The cooldown starts again: an endpoint may not have seen the end of the attempt before the previous
+        // process exited.
         for (ordering_key, until) in replay.key_cooldowns {
             if until > self.clock.wall_now() {
                 self.start_key_cooldown(ordering_key);
@@ -122,7 +124,7 @@
             "message recovered"
         );
         self.recovery.add(number, &pending);
-        // What was out when its process died was reset by that, just now for all we know.
+        // Attempts in flight were reset when the previous process exited, possibly just now.
         if !pending.possibly_executed.is_empty() {
             self.start_key_cooldown(pending.message.ordering_key);
         }
@@ -132,7 +134,7 @@
         self.in_flight.insert(number, pending, deadline);
     }
 
-    /// The records that add up to the present state: all that a new file of the journal needs.
+    /// Returns the records that add up to the present state: the content of a new journal file.
     pub fn snapshot(&self) -> Vec<Record> {
         let mut records = vec![Record::Names {
             classes: self.settings.class_names.clone(),
--- a/crates/platform/src/core/recovery/tests.rs
+++ b/crates/platform/src/core/recovery/tests.rs
@@ -1,4 +1,4 @@
-//! The account of what an earlier process left.
+//! Counts of recovered messages.
 
 use super::*;
 use crate::records::{Message, SentAttempt};
@@ -18,15 +18,15 @@
 }
 
 #[test]
-fn recovery_reported_once_last_untried_message_is_accounted_for() {
+fn recovery_reported_once_last_untried_message_attempted_or_given_up() {
     let mut recovery = Recovery::default();
     let sent = SentAttempt { number: 0, zone: 0, sent_at: 0 };
     recovery.add(1, &pending(vec![], None));
     recovery.add(2, &pending(vec![], None));
     recovery.add(3, &pending(vec![sent], None));
     recovery.add(4, &pending(vec![], Some(FinalOutcome::Failed)));
-    assert_eq!(recovery.take_undecided(), [1, 2, 3], "what has its outcome needs no decision");
-    assert_eq!((recovery.attempted(3), recovery.given_up(4)), (None, None), "they were not untried");
+    assert_eq!(recovery.take_undecided(), [1, 2, 3], "a message with an outcome needs no decision");
+    assert_eq!((recovery.attempted(3), recovery.given_up(4)), (None, None), "neither message was untried");
     assert_eq!((recovery.attempted(1), recovery.attempted(1)), (None, None));
     let counts = RecoveryCounts { recovered: 4, untried: 2, attempted: 1, given_up: 1 };
     assert_eq!((recovery.given_up(2), recovery.counts()), (Some(counts), counts));
--- a/crates/platform/src/core/request.rs
+++ b/crates/platform/src/core/request.rs
@@ -1,4 +1,4 @@
-//! From a client's request to the message that it submits, or to the error that it is answered with.
+//! From a client's request to the message that it submits, or to the error that answers it.
 
 use super::clock::MILLISECOND;
 use linnetcart::{Class, Idempotency, Time};
@@ -6,13 +6,13 @@
 use linnetcart_http::{parse_decimal, Request};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
-/// The longest id or idempotency key.
+/// The maximum length of an id or idempotency key.
 const MAX_NAME_BYTES: usize = 128;
 
-/// A message as a request submits it.
+/// A message as submitted by a request.
 #[derive(Debug, PartialEq, Eq)]
 pub struct SubmittedMessage {
-    /// Its id.
+    /// The id is missing or invalid.
     pub id: Vec<u8>,
     /// Its idempotency key.
     pub idempotency_key: Option<Vec<u8>>,
@@ -20,61 +20,61 @@
     pub class: u8,
     /// Its destination.
     pub destination: u32,
-    /// The key that it keeps order by; 0 for none.
+    /// Its ordering key; 0 for none.
     pub ordering_key: u64,
-    /// How long it may still be delivered.
+    /// The remaining time for its delivery, in nanoseconds.
     pub time_remaining: Time,
 }
 
-/// Why a request is no valid submission. The text is the answer's body.
+/// Why a request is not a valid submission. The text is the body of the answer, so it must not change.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum RequestError {
-    /// It is no HTTP request that this server reads.
+    /// The bytes are not an HTTP request that this server accepts.
     #[error("{0}")]
     Malformed(linnetcart_http::RequestError),
-    /// Bytes follow a request that has no answer yet.
+    /// Further bytes follow a request that is not answered yet.
     #[error("one request at a time")]
     Pipelined,
-    /// It did not arrive completely in time.
+    /// The request did not arrive completely in time.
     #[error("the request did not come in time")]
     TimedOut,
-    /// A field that may come once comes twice.
+    /// A field that may be given once is repeated.
     #[error("a field stands there twice")]
     DuplicateField,
-    /// Its path names no class.
+    /// The path names no class.
     #[error("there is no such class")]
     UnknownClass,
-    /// Another method than POST.
+    /// The method is not POST.
     #[error("hand messages in with POST")]
     MethodNotAllowed,
-    /// Its id.
+    /// The id is missing or invalid.
     #[error("X-Txn is missing or cannot be used")]
     InvalidId,
-    /// Its idempotency key.
+    /// The idempotency key is invalid.
     #[error("Idempotency-Key cannot be used")]
     InvalidIdempotencyKey,
-    /// Its class needs an idempotency key.
+    /// The class requires an idempotency key.
     #[error("this class wants an Idempotency-Key")]
     MissingIdempotencyKey,
-    /// Its destination cannot be read.
+    /// The destination is missing or invalid.
     #[error("X-Route-To is `dest=` and a number")]
     InvalidDestination,
-    /// Its remaining time cannot be read.
+    /// The remaining time is missing or invalid.
     #[error("X-Remaining-Ms is a whole number")]
     InvalidTimeRemaining,
-    /// No endpoint ever had its destination.
+    /// No endpoint was ever listed for the destination.
     #[error("there is no such destination")]
     UnknownDestination,
-    /// Its id was that of another message, which is completed.
+    /// A different message with the same id is completed.
     #[error("this id was another message's")]
     IdOfCompletedMessage,
-    /// Its id is that of another message in flight.
+    /// A different message with the same id is in flight.
     #[error("this id is in use")]
     IdInUse,
 }
 
 impl RequestError {
-    /// The status of the answer.
+    /// Returns the status code of the answer.
     pub fn status(self) -> u16 {
         match self {
             RequestError::Malformed(error) => error.status(),
@@ -93,7 +93,7 @@
     }
 }
 
-/// Reads a request that submits a message.
+/// Reads the message that a request submits.
 pub fn parse_submission(
     request: &Request<'_>,
     settings: &DeploymentSettings,
@@ -149,7 +149,7 @@
     request.field(name).map_err(|_| RequestError::DuplicateField)
 }
 
-/// The index of the class that the first part of the path names.
+/// Returns the index of the class that the first segment of the path names.
 fn class_of_path(path: &[u8], settings: &DeploymentSettings) -> Option<usize> {
     let path = path.strip_prefix(b"/").unwrap_or_default();
     let name = path.split(|&byte| byte == b'/').next().unwrap_or_default();
@@ -164,20 +164,20 @@
     u32::try_from(number).ok()
 }
 
-/// An id or key that can go into the head of an upstream request as it is.
+/// Returns an id or key if it can be copied into the head of an upstream request unchanged.
 fn valid_name(value: &[u8]) -> Option<Vec<u8>> {
     let length_fits = !value.is_empty() && value.len() <= MAX_NAME_BYTES;
     (length_fits && value.iter().all(u8::is_ascii_graphic)).then(|| value.to_vec())
 }
 
-/// The cookie that names the ordering key.
+/// Returns the value of the cookie that names the ordering key.
 fn subject_of_cookies(cookies: &[u8]) -> Option<&[u8]> {
     let mut pairs = cookies.split(|&byte| byte == b';').map(<[u8]>::trim_ascii);
     let subject = pairs.find_map(|pair| pair.strip_prefix(b"subject="))?;
     (!subject.is_empty()).then_some(subject)
 }
 
-/// The number that stands for an ordering key; never 0.
+/// Returns the digest by which an ordering key is known; never 0.
 fn ordering_key_of(subject: &[u8]) -> u64 {
     let mut hasher = DefaultHasher::new();
     subject.hash(&mut hasher);
--- a/crates/platform/src/core/request/tests.rs
+++ b/crates/platform/src/core/request/tests.rs
@@ -39,7 +39,7 @@
 }
 
 #[test]
-fn submission_unusable_refused_with_status() {
+fn submission_invalid_rejected_with_status() {
     let good = "POST /status HTTP/1.1\r\nX-Txn: 9b\r\nX-Remaining-Ms: 480\r\nX-Route-To: dest=7";
     assert!(parse(good).is_ok());
     let status = |from: &str, to: &str| parse(&good.replace(from, to)).unwrap_err().status();
--- a/crates/platform/src/core/shutdown.rs
+++ b/crates/platform/src/core/shutdown.rs
@@ -1,56 +1,58 @@
-//! The phases of a graceful shutdown, and what ends each.
+//! The phases of a graceful shutdown, and what ends each of them.
 //!
-//! This is the only place that compares times since the signal; all else asks for the phase.
+//! This is the only module that compares times since the signal; all others query the phase.
 
 use super::clock::MILLISECOND;
 use linnetcart::Time;
 
-/// Clients are served as before for this long after the signal. It is longer than the 400 ms that a client waits for
-/// its answer, so that what the signal found under way ends as it began.
+/// Clients are served as before for this long after the signal. It is longer than the 400 ms that a client
+/// waits for its answer, so that requests in progress at the signal are answered as usual.
 pub const SIGNAL_GRACE_PERIOD: Time = 500 * MILLISECOND;
-/// No decision is made, so no attempt started, later than this after the signal. Attempts that are out then have
-/// until [`LAST_ANSWER_TIMEOUT`] to end; stopping earlier would have a courier stand still until its restart.
+/// No decision is made, and so no attempt is started, later than this after the signal. Attempts in flight
+/// then have until [`LAST_ANSWER_TIMEOUT`] to end. An earlier end would leave the courier idle until its
+/// restart.
 pub const LAST_DECISION_TIMEOUT: Time = 2700 * MILLISECOND;
-/// No answer is awaited later than this after the signal: the platform kills a process no sooner than 3.7 s after it,
-/// and the last answers have to leave before. What is left belongs to the next process.
+/// No answer is awaited later than this after the signal. The platform kills a process 3.7 s after the signal
+/// at the earliest, and the last answers have to be sent before. The next process takes over what is left.
 pub const LAST_ANSWER_TIMEOUT: Time = 3400 * MILLISECOND;
 
-/// A phase. Each follows on the one before it.
+/// A phase of the shutdown. Phases only ever advance, in this order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
-    /// No signal came.
+    /// No signal arrived.
     Serving,
-    /// A signal came; nothing has changed for clients yet. Ends after [`SIGNAL_GRACE_PERIOD`].
+    /// A signal arrived; nothing has changed for clients yet. Ends after [`SIGNAL_GRACE_PERIOD`].
     Signalled,
-    /// Still taking connections; each answer says `Connection: close`, and idle connections are closed. Ends when
-    /// the listener is closed, with the next sweep of clients.
+    /// Connections are still accepted, but each answer says `Connection: close` and idle connections are
+    /// closed. Ends when the listener is closed, with the next sweep of clients.
     Draining,
-    /// The listener is closed; clients that are connected are answered. Ends after [`LAST_DECISION_TIMEOUT`].
+    /// The listener is closed; requests on open connections are answered. Ends after
+    /// [`LAST_DECISION_TIMEOUT`].
     ClosedToClients,
-    /// No decision is made any more, and attempts are awaited. Ends when no attempt is out and no notification is
-    /// unacknowledged, or after [`LAST_ANSWER_TIMEOUT`].
+    /// No decision is made any more; attempts in flight are awaited. Ends when no attempt is in flight and no
+    /// notification is unacknowledged, or after [`LAST_ANSWER_TIMEOUT`].
     LastAnswers,
-    /// The program may end.
+    /// The program may exit.
     Ended,
 }
 
-/// Whether connections of clients are still taken.
+/// Whether connections of clients are accepted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Listener {
     Open,
     Closed,
 }
 
-/// What is still awaited in [`Phase::LastAnswers`].
+/// Whether anything is awaited in [`Phase::LastAnswers`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OutstandingWork {
-    /// Attempts or acknowledgements.
+    /// Attempts are in flight or notifications are unacknowledged.
     Some,
-    /// Nothing.
+    /// Nothing is awaited.
     None,
 }
 
-/// The shutdown of this process.
+/// The state of this process's shutdown.
 #[derive(Debug)]
 pub struct Shutdown {
     phase: Phase,
@@ -59,23 +61,23 @@
 }
 
 impl Shutdown {
-    /// A process that serves.
+    /// Creates the state of a process that serves.
     pub fn new() -> Shutdown {
         Shutdown { phase: Phase::Serving, signalled_at: None, listener: Listener::Open }
     }
 
-    /// The phase.
+    /// Returns the present phase.
     pub fn phase(&self) -> Phase {
         self.phase
     }
 
-    /// The signal to end came. A second one changes nothing.
+    /// Handles a termination signal. A second one has no effect.
     pub fn signal(&mut self, now: Time) {
         self.signalled_at.get_or_insert(now);
         self.advance(now);
     }
 
-    /// Ends the phases whose time is up.
+    /// Ends the phases whose time has passed.
     pub fn advance(&mut self, now: Time) {
         let Some(signalled_at) = self.signalled_at else { return };
         let by_time = if now < signalled_at + SIGNAL_GRACE_PERIOD {
@@ -90,17 +92,17 @@
         self.phase = self.phase.max(by_time);
     }
 
-    /// Whether each answer to a client ends its connection.
+    /// Whether each answer to a client closes its connection.
     pub fn closes_after_answer(&self) -> bool {
         self.phase >= Phase::Draining
     }
 
-    /// Whether decisions are made, and attempts started.
+    /// Whether decisions are made and attempts started.
     pub fn allows_decisions(&self) -> bool {
         self.phase < Phase::LastAnswers
     }
 
-    /// The listener may be closed now. True once: it is to be closed.
+    /// Closes the listener if the phase requires it. Returns `true` once, when the caller has to close it.
     pub fn close_listener(&mut self) -> bool {
         if self.phase < Phase::Draining || self.listener == Listener::Closed {
             return false;
@@ -110,7 +112,7 @@
         true
     }
 
-    /// Ends the last phase when nothing is outstanding, or its time is up.
+    /// Ends the last phase when nothing is awaited any more or its time has passed.
     pub fn finish(&mut self, now: Time, work: OutstandingWork) {
         let Some(signalled_at) = self.signalled_at else { return };
         let timed_out = now >= signalled_at + LAST_ANSWER_TIMEOUT;
--- a/crates/platform/src/core/shutdown/tests.rs
+++ b/crates/platform/src/core/shutdown/tests.rs
@@ -1,4 +1,4 @@
-//! Each phase begins and ends at its moment.
+//! The phases and their times.
 
 use super::*;
 
@@ -48,14 +48,14 @@
     shutdown.finish(SIGNAL + LAST_DECISION_TIMEOUT, OutstandingWork::None);
     assert_eq!(shutdown.phase(), Phase::Ended);
     shutdown.advance(SIGNAL + LAST_DECISION_TIMEOUT);
-    assert_eq!(shutdown.phase(), Phase::Ended, "and stays so");
+    assert_eq!(shutdown.phase(), Phase::Ended, "the end is final");
 }
 
 #[test]
 fn shutdown_second_signal_changes_nothing() {
     let mut shutdown = signalled();
     shutdown.signal(SIGNAL + LAST_DECISION_TIMEOUT);
-    assert_eq!(shutdown.phase(), Phase::LastAnswers, "counted from the first");
+    assert_eq!(shutdown.phase(), Phase::LastAnswers, "times count from the first signal");
 }
 
 #[test]
--- a/crates/platform/src/core/status_notifier.rs
+++ b/crates/platform/src/core/status_notifier.rs
@@ -1,7 +1,8 @@
-//! Status notifications: the platform is notified of each message that ends undelivered, until it acknowledges.
+//! Status notifications: the platform is notified of each message that is completed without delivery, until
+//! it acknowledges.
 //!
-//! It owns the queue, its connection to discovery and which ordering keys wait for an acknowledgement. It drops none
-//! silently.
+//! It owns the queue, its connection to discovery and the ordering keys that wait for an acknowledgement. No
+//! notification is ever dropped silently.
 
 use super::clock::MILLISECOND;
 use super::connection_pool::ConnectionId;
@@ -13,41 +14,42 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
-/// A notification is answered at once; what is not by then is sent again. It goes out as its message's time ends
-/// and has to be there 300 ms later: a connection that is dead has to be found and replaced before that.
+/// A batch that is not answered within this time is sent again; discovery answers at once. A notification is
+/// sent when its message's time ends and has to arrive within 300 ms, so a dead connection has to be replaced
+/// before.
 const ANSWER_TIMEOUT: Time = 200 * MILLISECOND;
-/// Notifications in one request.
+/// Maximum number of notifications in a request.
 const MAX_BATCH: usize = 64;
 
-/// The answer to notifications is none.
+/// Why the answer to a batch is invalid.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum NotificationError {
-    /// No HTTP.
+    /// The answer is not HTTP.
     #[error("the answer is no HTTP response")]
     Malformed,
-    /// A body whose end is not known.
+    /// The length of the answer's body is unknown.
     #[error("the answer with status {0} has a body of unknown length")]
     UnboundedBody(u16),
-    /// A status that says neither accepted nor rejected.
+    /// The status means neither accepted nor rejected.
     #[error("the answer has status {0}")]
     Status(u16),
 }
 
-/// What discovery said to a batch.
+/// Discovery's verdict on a batch.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
-    /// It has them.
+    /// Discovery accepted the notifications.
     Accepted,
-    /// It will never take them.
+    /// Discovery will never accept the notifications.
     Rejected,
 }
 
-/// Messages whose notifications are done with.
+/// Messages whose notifications need not be sent again.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Acknowledged {
     /// The messages, in the order of their notifications.
     pub messages: Vec<u32>,
-    /// What discovery said to them.
+    /// Discovery's verdict on their notifications.
     pub verdict: Verdict,
 }
 
@@ -72,26 +74,26 @@
     line: Vec<u8>,
 }
 
-/// The notifier.
+/// The status notifier.
 #[derive(Debug)]
 pub struct StatusNotifier {
     reconnect: Reconnect,
     connection: Option<ConnectionId>,
-    /// Unacknowledged, in their order.
+    /// Unacknowledged notifications in the order of their completion.
     queue: VecDeque<Notification>,
-    /// So many of the first were sent.
+    /// Number of notifications at the front of the queue that are sent and not answered.
     sent: usize,
-    /// So many of the first may be sent together: one where a batch was rejected, to find the one at fault.
+    /// Maximum size of the next batch. It is 1 after a batch was rejected, to find the notification at fault.
     batch_limit: usize,
     sent_at: Time,
     response: Vec<u8>,
-    /// Messages with an ordering key among those of the queue.
+    /// The queue's messages that have an ordering key, by that key.
     unacknowledged_by_key: BTreeMap<u64, BTreeSet<u32>>,
     counts: NotificationCounts,
 }
 
 impl StatusNotifier {
-    /// Without a notification.
+    /// Creates a notifier without notifications.
     pub fn new() -> StatusNotifier {
         StatusNotifier {
             reconnect: Reconnect::new(),
@@ -106,7 +108,7 @@
         }
     }
 
-    /// Queues the notification of a message's outcome; a delivered message needs none.
+    /// Queues the notification of a message's outcome. A delivered message needs none.
     pub fn push(&mut self, number: u32, message: &Message, outcome: FinalOutcome) {
         let mut line = serde_json::json!({"id": message.id_text(), "state": "failed"});
         match outcome {
@@ -126,23 +128,23 @@
         self.queue.push_back(Notification { message: number, line: format!("{line}\n").into_bytes() });
     }
 
-    /// Notifications that are not acknowledged.
+    /// Returns the number of unacknowledged notifications.
     pub fn len(&self) -> usize {
         self.queue.len()
     }
 
-    /// Notifications queued since the start.
+    /// Returns the counts of notifications queued since the start.
     pub fn counts(&self) -> NotificationCounts {
         self.counts
     }
 
-    /// Whether a message has to wait for the acknowledgement of another one of its ordering key.
+    /// Whether a message has to wait for the acknowledgement of another message of its ordering key.
     pub fn blocks(&self, ordering_key: u64, message: u32) -> bool {
         let Some(messages) = self.unacknowledged_by_key.get(&ordering_key) else { return false };
         messages.iter().any(|&other| other != message)
     }
 
-    /// The message's ordering key no longer waits for it.
+    /// Ends the wait of an ordering key for a message's acknowledgement.
     pub fn release(&mut self, ordering_key: u64, message: u32) {
         if let Some(messages) = self.unacknowledged_by_key.get_mut(&ordering_key) {
             messages.remove(&message);
@@ -157,7 +159,7 @@
         self.connection == Some(id)
     }
 
-    /// What is to be done about the connection now.
+    /// Returns what has to be done about the connection now.
     pub fn poll(&mut self, now: Time) -> ConnectionDemand {
         let answer_timed_out =
             self.reconnect.is_connected() && self.sent > 0 && self.sent_at + ANSWER_TIMEOUT <= now;
@@ -172,7 +174,7 @@
         ConnectionDemand::Nothing
     }
 
-    /// When to poll again.
+    /// Returns when to poll again; [`Time::MAX`] without notifications.
     pub fn next_wake(&self) -> Time {
         if self.queue.is_empty() {
             return Time::MAX;
@@ -181,31 +183,33 @@
         self.reconnect.next_wake(answer_due)
     }
 
-    /// The connection that was demanded is being made.
+    /// Records the id of the connection that is being established.
     pub fn connecting(&mut self, id: ConnectionId) {
         self.connection = Some(id);
     }
 
-    /// The connection that is to be closed, if any.
+    /// Takes the connection, which the caller has to close.
     pub fn take_connection(&mut self) -> Option<ConnectionId> {
         self.connection.take()
     }
 
-    /// The connection is there.
+    /// Handles the established connection.
     pub fn connected(&mut self) {
         self.reconnect.connected();
         self.sent = 0;
         self.response.clear();
     }
 
-    /// The connection was lost, or given up: what was sent is sent again.
+    /// Handles the loss of the connection, or its close after an error: unanswered notifications are sent
+    /// again.
     pub fn disconnected(&mut self, now: Time) {
         self.connection = None;
         self.reconnect.disconnected(now);
         self.sent = 0;
     }
 
-    /// Discovery is at another address now: begins again at once. The connection that is to be closed, if any.
+    /// Reconnects at once, without backoff, after discovery's address changed. Returns the connection to be
+    /// closed, if any.
     pub fn restart(&mut self) -> Option<ConnectionId> {
         self.reconnect = Reconnect::new();
         self.sent = 0;
@@ -233,8 +237,9 @@
         Some(NotificationRequest { connection, bytes: [head.as_bytes(), &body].concat() })
     }
 
-    /// Bytes came: what is acknowledged by them. A notification that alone is rejected would be for ever, and hold
-    /// up all behind it, so it is done with. After an error the connection is to be given up.
+    /// Handles received bytes. Returns the messages whose notifications need not be sent again. A
+    /// notification that is rejected alone would be rejected for ever and block all others, so it counts as
+    /// acknowledged. After an error the connection has to be closed.
     pub fn receive(&mut self, bytes: &[u8]) -> Result<Acknowledged, NotificationError> {
         self.response.extend_from_slice(bytes);
         let head = match parse_response(&self.response) {
@@ -256,13 +261,13 @@
         self.reconnect.reset_backoff();
         let messages = self.finish_batch(verdict);
         if head.persistence == Persistence::Close {
-            self.reconnect.retry_at(0);
+            self.reconnect.schedule_retry(0);
         }
         Ok(Acknowledged { messages, verdict })
     }
 
-    /// Takes the batch that was answered out of the queue. One of several that is rejected stays, to be sent one by
-    /// one.
+    /// Removes the answered batch from the queue and returns its messages. A rejected batch of several
+    /// notifications stays queued, to be sent one by one.
     fn finish_batch(&mut self, verdict: Verdict) -> Vec<u32> {
         let sent = std::mem::take(&mut self.sent);
         let done = match verdict {
--- a/crates/platform/src/core/status_notifier/tests.rs
+++ b/crates/platform/src/core/status_notifier/tests.rs
@@ -23,7 +23,7 @@
     }
 }
 
-/// A connected notifier with a failed message for each number.
+/// Returns a connected notifier with a failed message for each number.
 fn notifier_with(numbers: &[u32]) -> StatusNotifier {
     let mut notifier = StatusNotifier::new();
     for &number in numbers {
@@ -63,7 +63,7 @@
     assert_eq!(notifier.receive(REJECTED), Ok(nothing));
     assert_eq!(batch_size(&mut notifier), 1);
     let first = Acknowledged { messages: vec![1], verdict: Verdict::Rejected };
-    assert_eq!(notifier.receive(REJECTED), Ok(first), "alone at fault, and done with");
+    assert_eq!(notifier.receive(REJECTED), Ok(first), "rejected alone, and not sent again");
     assert_eq!(batch_size(&mut notifier), 1);
     let second = Acknowledged { messages: vec![2], verdict: Verdict::Accepted };
     assert_eq!(notifier.receive(ACCEPTED), Ok(second));
@@ -85,7 +85,7 @@
 }
 
 #[test]
-fn notification_answer_that_is_none_reported() {
+fn notification_answer_invalid_reported() {
     for (answer, error) in [
         (&b"noise\r\n\r\n"[..], NotificationError::Malformed),
         (b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", NotificationError::Status(500)),
@@ -94,7 +94,7 @@
         let mut notifier = notifier_with(&[1]);
         batch_size(&mut notifier);
         assert_eq!(notifier.receive(answer), Err(error));
-        assert_eq!(notifier.len(), 1, "it is still owed");
+        assert_eq!(notifier.len(), 1, "it stays unacknowledged");
     }
 }
 
--- a/crates/platform/src/core/submission.rs
+++ b/crates/platform/src/core/submission.rs
@@ -1,4 +1,4 @@
-//! From a client's bytes to an answer: the part of an iteration that admits messages.
+//! From a client's request to its answer: the part of an iteration that admits messages.
 
 use super::admission::{Answer, Requester};
 use super::client_connections::{ClientId, IdlePolicy, OverdueClient, RequestEvent};
@@ -10,21 +10,21 @@
 use linnetcart::{AcceptedMessage, Action, Event};
 use linnetcart_http::Persistence;
 
-/// What the id of a submitted message is known for.
+/// What is known of the id of a submitted message.
 enum KnownId {
-    /// The same message is accepted already.
+    /// The same message is already accepted.
     Accepted,
-    /// The same message may yet be rejected by this iteration's decision, and then for all who submitted it.
+    /// The same message awaits this iteration's decision, which answers all requests that submitted it.
     AwaitingDecision {
         /// Its number.
         number: u32,
     },
-    /// Another message has it, or had it.
+    /// A different message has the id, or had it.
     OtherMessage(RequestError),
 }
 
 impl Core {
-    /// Acts on what a client sent. A message waits for its decision.
+    /// Handles the request of a client. A submission is answered once its message is decided.
     pub(super) fn read_request(&mut self, client: ClientId) {
         let request = match self.clients.request(client) {
             RequestEvent::Incomplete => return,
@@ -80,7 +80,7 @@
         self.in_flight.insert(number, PendingMessage::new(message), deadline);
     }
 
-    /// What a message's id is known for; `None` for one that is new.
+    /// Looks up the id of a message. Returns `None` for a new one.
     fn find_id(&self, message: &Message) -> Option<KnownId> {
         match self.deduplication.find(message) {
             Some(IdMatch::SameMessage) => return Some(KnownId::Accepted),
@@ -107,7 +107,7 @@
         }
     }
 
-    /// Whether one more message may be accepted, as far as the table and the journal are concerned.
+    /// Whether the table and the journal have capacity for one more message.
     fn has_capacity_for(&self, message: &Message) -> bool {
         let max_open = self.settings.settings.max_in_flight_messages as usize;
         self.in_flight.open_len() < max_open
@@ -116,11 +116,11 @@
     }
 
     fn await_decision(&mut self, number: u32, requester: Requester) {
-        self.clients.awaits_answer(requester.client);
+        self.clients.mark_awaiting_answer(requester.client);
         self.admission.await_decision(number, requester);
     }
 
-    /// Answers those whose messages these actions decided on.
+    /// Answers the requests whose messages were decided by these actions.
     pub(super) fn answer_decided(&mut self, actions: &[Action]) {
         for decision in self.admission.decide(actions) {
             let number = decision.message;
@@ -158,13 +158,14 @@
         }
     }
 
-    /// Answers a request that is no valid submission; its connection ends.
+    /// Answers a request that is not a valid submission, and closes its connection.
     fn reject_invalid(&mut self, client: ClientId, error: RequestError) {
         self.counters.invalid_requests += 1;
         self.answer(Requester { client, persistence: Persistence::Close }, Answer::Invalid(error));
     }
 
-    /// Closes connections whose time is up and, from the phase on in which clients leave, the listener.
+    /// Closes connections that have timed out and, from [`Phase::Draining`](super::shutdown::Phase::Draining)
+    /// on, the listener.
     pub(super) fn sweep_clients(&mut self) {
         if !self.clients.begin_sweep(self.clock.now()) {
             return;
--- a/crates/platform/src/core/tests/admission.rs
+++ b/crates/platform/src/core/tests/admission.rs
@@ -1,4 +1,4 @@
-//! What clients submit, and what they are answered.
+//! Requests of clients and the answers to them.
 
 use super::harness::*;
 
@@ -13,26 +13,26 @@
 }
 
 #[test]
-fn invalid_request_refused_and_nothing_of_it_accepted() {
+fn invalid_request_rejected_and_no_part_accepted() {
     let good = "POST /order HTTP/1.1\r\nX-Txn: m\r\nX-Remaining-Ms: 9000\r\nX-Route-To: dest=3\r\n";
     let mut harness = Harness::new();
     let both = format!("{good}Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n{good}\r\n");
     assert_eq!(harness.send_request(both.as_bytes()), 411);
     let two = format!("{good}\r\n{}\r\n", good.replace("X-Txn: m", "X-Txn: n"));
-    assert_eq!(harness.send_request(two.as_bytes()), 400, "one at a time");
-    assert_eq!(harness.send_request(good.replace("dest=3", "dest=4").as_bytes()), 0, "half a request");
+    assert_eq!(harness.send_request(two.as_bytes()), 400, "one request at a time");
+    assert_eq!(harness.send_request(good.replace("dest=3", "dest=4").as_bytes()), 0, "an incomplete request");
     assert_eq!(harness.send_request(format!("{}\r\n", good.replace("dest=3", "dest=4")).as_bytes()), 404);
     assert_eq!(harness.send_request(b"\x00\xff\x00\xff"), 400);
     assert!(harness.attempts().is_empty() && !harness.has_record(|r| !matches!(r, Record::Names { .. })));
     assert_eq!(harness.send_request(format!("{good}\r\n").as_bytes()), 202);
-    assert_eq!(harness.send_request(format!("{good}\r\n").as_bytes()), 202, "once more the same");
+    assert_eq!(harness.send_request(format!("{good}\r\n").as_bytes()), 202, "the same message again");
     assert_eq!(
         harness.send_request(format!("{good}Content-Length: 1\r\n\r\nx").as_bytes()),
         409,
-        "another under its id"
+        "a different message with its id"
     );
     assert_eq!(harness.journal.iter().filter(|record| matches!(record, Record::Accepted { .. })).count(), 1);
-    // Half a request, and silence: both end by themselves.
+    // An incomplete request and an idle connection both time out.
     harness.answers.clear();
     harness.send_request(b"POST /order HT");
     harness.run_for(2200 * MILLISECOND);
@@ -58,7 +58,7 @@
         assert!(status == 202 || status == 503);
         taken += usize::from(status == 202);
     }
-    assert_eq!(taken, 3, "a fifth of a megabyte");
+    assert_eq!(taken, 3, "a fifth of one megabyte");
     let bytes: usize = harness.core.snapshot().iter().map(|r| r.encode().payload.len() + 10).sum();
     assert!(bytes < 200_000);
 }
--- a/crates/platform/src/core/tests/attempts.rs
+++ b/crates/platform/src/core/tests/attempts.rs
@@ -50,7 +50,7 @@
 }
 
 #[test]
-fn response_that_stops_times_out_unless_first_line_says_200() {
+fn response_incomplete_times_out_as_error_unless_status_is_200() {
     for (bytes, outcome) in [
         ("HTTP/1.1 200 OK\r\nX: ", AttemptOutcome::Served),
         ("HTTP/1.1 503 OK\r\nX: ", AttemptOutcome::Error),
@@ -68,7 +68,7 @@
 }
 
 #[test]
-fn broken_connection_before_last_byte_means_not_executed() {
+fn connection_lost_before_last_byte_means_not_executed() {
     for (short, outcome) in [(1, AttemptOutcome::NoConnection), (0, AttemptOutcome::Reset)] {
         let mut harness = Harness::new();
         harness.submit("order", "m", "");
@@ -77,29 +77,29 @@
         harness.core.upstream_disconnected(connection, (length - short) as u64);
         harness.process();
         assert_eq!(harness.outcomes(), counts_of(&[outcome]));
-        // One that was not executed is sent again, one that possibly was is not.
+        // An attempt that was not executed is retried, one that was possibly executed is not.
         assert_eq!(harness.attempts().len(), 1 + short);
         assert_eq!(harness.has_record(is_failure), short == 0);
     }
 }
 
 #[test]
-fn retry_after_for_abandoned_attempt_heeded() {
+fn retry_after_for_abandoned_attempt_respected() {
     let mut harness = Harness::new();
     harness.submit("status", "a", "");
     let first = harness.attempts()[0].0;
     harness.run_for(4 * SECOND);
     let hedge = harness.attempts()[1].0;
     harness.respond(hedge, SERVED.as_bytes());
-    assert_eq!(harness.write_ended, [first], "the slower one is cancelled");
-    assert!(!harness.closed.contains(&first), "and its answer may be on its way");
+    assert_eq!(harness.write_ended, [first], "the slower attempt is cancelled");
+    assert!(!harness.closed.contains(&first), "its answer may be on its way");
     harness.respond(first, b"HTTP/1.1 429 No\r\nX-Backoff-Ms: 1500\r\nContent-Length: 0\r\n\r\n");
     assert!(harness.closed.contains(&first));
     harness.submit("order", "b", "");
     harness.run_for(1400 * MILLISECOND);
     assert_eq!(harness.attempts().len(), 2, "Retry-After pending");
     harness.run_for(2 * SECOND);
-    assert_eq!(harness.attempts().len(), 3, "and then it is sent");
+    assert_eq!(harness.attempts().len(), 3, "sent after the Retry-After");
 }
 
 #[test]
@@ -113,7 +113,7 @@
     harness.run_for(SECOND);
     assert!(harness.closed.contains(&first));
     let once_each = counts_of(&[AttemptOutcome::Served, AttemptOutcome::Cancelled]);
-    assert_eq!(harness.outcomes(), once_each, "nothing twice");
+    assert_eq!(harness.outcomes(), once_each, "each attempt is counted once");
 }
 
 #[test]
@@ -122,34 +122,37 @@
         let mut harness = Harness::new();
         harness.submit("status", "a", "");
         let first = harness.attempts()[0].0;
-        // It hangs for longer than its siblings would, and is cancelled for another.
+        // The attempt takes too long and is cancelled in favour of another.
         harness.core.cancel_attempt(AttemptId { message: 1, number: 0 }, AttemptOutcome::Cancelled);
         harness.run_for(100 * MILLISECOND);
         let second = harness.attempts()[1].0;
         harness.respond(first, b"HTTP/1.1 200");
         let is_completion = |record: &Record| matches!(record, Record::Completed { .. });
-        assert!(harness.write_ended == [first] && !harness.has_record(is_completion), "no line yet");
+        assert!(
+            harness.write_ended == [first] && !harness.has_record(is_completion),
+            "the status line is incomplete"
+        );
         harness.respond(first, rest.as_bytes());
-        assert_eq!(harness.write_ended, [first, second], "what else is out is cancelled");
+        assert_eq!(harness.write_ended, [first, second], "the other attempt is cancelled");
         let is_delivery =
             |record: &Record| matches!(record, Record::Completed { outcome: FinalOutcome::Delivered, .. });
         assert!(harness.has_record(is_delivery));
-        assert_eq!(harness.core.sizes().in_flight, 0, "nothing is owed");
+        assert_eq!(harness.core.sizes().in_flight, 0, "its message is settled");
         harness.run_for(10 * SECOND);
-        assert_eq!(harness.attempts().len(), 2, "and nothing is sent after");
+        assert_eq!(harness.attempts().len(), 2, "nothing is sent afterwards");
         assert_eq!(harness.core.counters().notifications, NotificationCounts::default());
     }
 }
 
 #[test]
-fn response_as_deadline_passes_followed_by_notification() {
+fn response_at_deadline_followed_by_notification() {
     for (before, failed) in [(2 * MILLISECOND, 0), (MILLISECOND / 2, 1), (0, 1)] {
         let mut harness = Harness::new();
         let deadline = harness.now + 9 * SECOND;
         harness.submit("order", "a", "");
         let connection = harness.attempts()[0].0;
         harness.run_for(8 * SECOND);
-        // The iteration that was to end it comes too late: this is read before.
+        // The answer is read before the iteration that would end the message.
         harness.now = deadline - before;
         harness.core.advance_clock(harness.now);
         harness.respond(connection, SERVED.as_bytes());
--- a/crates/platform/src/core/tests/connections.rs
+++ b/crates/platform/src/core/tests/connections.rs
@@ -1,4 +1,4 @@
-//! Which connection an attempt is sent on.
+//! The connections on which attempts are sent.
 
 use super::harness::*;
 
@@ -19,20 +19,20 @@
             harness.respond(connection, later.as_bytes());
         }
         harness.run_for(20 * MILLISECOND);
-        // Both endpoints are as good; one of several attempts goes where the last one went, or none.
+        // Both endpoints are equal, so one of four attempts uses the connection unless it must not be reused.
         for n in 0..4 {
             harness.submit("status", &format!("b{n}"), "");
         }
         let used = harness.attempts()[before..].iter().any(|attempt| attempt.0 == connection);
         assert_eq!(used, is_reused, "{answer:?} {later:?}");
-        assert_eq!(harness.outcomes().served, 11, "one answer is one delivery");
+        assert_eq!(harness.outcomes().served, 11, "each answer delivers one message");
     }
     let mut harness = Harness::new();
     let connection = harness.connection_in_use(SERVED);
     harness.run_for(7 * SECOND);
     assert!(!harness.closed.contains(&connection));
     harness.run_for(SECOND);
-    assert!(harness.closed.contains(&connection), "closed by us before the endpoint does");
+    assert!(harness.closed.contains(&connection), "closed before the endpoint's own idle timeout");
 }
 
 #[test]
@@ -40,7 +40,7 @@
     let mut harness = Harness::new();
     let watch = harness.connect_discovery();
     let line = |status: &str| list_event(43, "a", "bank", 3, status, 1000);
-    // Connections are begun and not there yet when the list changes.
+    // The list changes while a connection is being established.
     let connection = harness.begin_connecting();
     harness.watch_event(watch, &line("leaving"));
     harness.core.upstream_connected(connection);
@@ -49,11 +49,11 @@
     assert!(harness.attempts().is_empty());
     harness.watch_event(watch, &line("active"));
     harness.run_for(3 * SECOND);
-    assert_eq!(harness.attempts().len(), 1, "it goes once it may");
+    assert_eq!(harness.attempts().len(), 1, "sent once the endpoint is ready again");
 }
 
 #[test]
-fn connection_cancelled_in_iteration_that_asked_for_it_not_made() {
+fn connection_cancelled_in_iteration_of_its_connect_not_established() {
     let mut harness = Harness::new();
     let client = 7;
     harness.core.client_opened(client);
@@ -68,7 +68,7 @@
 }
 
 #[test]
-fn slots_bounded_by_file_descriptors_blame_no_endpoint() {
+fn attempts_bounded_by_file_descriptors_fail_no_endpoint() {
     let mut config = config(60);
     config.limits.file_descriptors = 64;
     config.settings.settings.max_in_flight_calls = 60;
@@ -102,7 +102,7 @@
     harness.process();
     harness.run_for(3 * SECOND);
     let attempts = harness.attempts();
-    assert!(attempts.len() == 1 && attempts[0].0 != connection, "at the new place: {attempts:?}");
+    assert!(attempts.len() == 1 && attempts[0].0 != connection, "sent to the new address: {attempts:?}");
     assert!(harness.connections[&attempts[0].0].port() > 2000);
 }
 
@@ -121,8 +121,8 @@
     let attempts = harness.attempts().split_off(before);
     assert!(
         !attempts.is_empty() && attempts.iter().all(|attempt| attempt.0 != connection),
-        "{attempts:?}, not on {connection}"
+        "{attempts:?}, none on {connection}"
     );
     harness.run_for(50 * MILLISECOND);
-    assert!(harness.closed.contains(&connection), "and it is not kept");
+    assert!(harness.closed.contains(&connection), "closed after the time limit for its body");
 }
--- a/crates/platform/src/core/tests/decisions.rs
+++ b/crates/platform/src/core/tests/decisions.rs
@@ -1,10 +1,10 @@
-//! When the decision library is asked.
+//! When decisions are made.
 
 use super::harness::*;
 
 #[test]
-fn wake_up_outlasts_decisions_before_it() {
-    // A full table of messages that wait accepts nothing, so no event comes: only the wake-up gets them going.
+fn wake_up_scheduled_survives_earlier_decisions() {
+    // Only the wake-up leads to a decision: a full table accepts no message, so no event arrives.
     let mut harness = Harness::new();
     for n in 0..3 {
         harness.submit("order", &format!("m{n}"), "");
@@ -17,11 +17,11 @@
     }
     assert_eq!(harness.attempts().len(), 3, "Retry-After pending");
     harness.run_for(SECOND);
-    assert_eq!(harness.attempts().len(), 4, "and then it is sent, though nothing else happens");
+    assert_eq!(harness.attempts().len(), 4, "sent after the Retry-After without any other event");
 }
 
 #[test]
-fn wake_up_asked_for_last_counts_also_before_earlier_one() {
+fn wake_up_requested_last_replaces_earlier_one() {
     let mut harness = Harness::new();
     harness.submit("order", "a", "");
     let first = harness.attempts()[0].0;
@@ -30,10 +30,10 @@
     harness.submit("order", "b", "");
     let second = harness.attempts()[1].0;
     harness.respond(second, b"HTTP/1.1 429 No\r\nX-Backoff-Ms: 60000\r\nContent-Length: 0\r\n\r\n");
-    // Within a tick before the end of the first comes its answer; the only event until the second has to end.
+    // The first answer arrives within a tick of its deadline and is the only event until the second deadline.
     harness.run_for(begun + 9 * SECOND - 13 * MILLISECOND - harness.now);
     harness.respond(first, SERVED.as_bytes());
     harness.run_for(begun + 10 * SECOND - harness.now);
     let end = |r: &Record| matches!(r, Record::Completed { outcome: FinalOutcome::Returned { .. }, .. });
-    assert!(harness.has_record(end), "the second is returned by its deadline");
+    assert!(harness.has_record(end), "the second message is returned by its deadline");
 }
--- a/crates/platform/src/core/tests/discovery.rs
+++ b/crates/platform/src/core/tests/discovery.rs
@@ -12,18 +12,18 @@
     harness.run_for(2600 * MILLISECOND);
     assert!(!harness.closed.contains(&watch));
     harness.run_for(200 * MILLISECOND);
-    assert!(harness.closed.contains(&watch), "a line is missing");
+    assert!(harness.closed.contains(&watch), "no line within the silence timeout");
     let second = harness.connect_discovery();
     harness.watch_event(second, "{\"index\":50,\"snapshot\":true,\"endpoints\":[]}");
     harness.core.upstream_disconnected(second, 0);
     harness.run_for(50 * MILLISECOND);
     harness.connect_discovery();
     let asked = harness.sent.last().unwrap();
-    assert!(asked.1.starts_with(b"GET /v1/endpoints?follow=1&since=50 "), "from where it was");
+    assert!(asked.1.starts_with(b"GET /v1/endpoints?follow=1&since=50 "), "changes since the last version");
 }
 
 #[test]
-fn watch_event_indented_or_in_pieces_read() {
+fn watch_event_indented_or_fragmented_read() {
     let value: serde_json::Value =
         serde_json::from_str(&list_event(43, "a", "bank", 3, "left", 1000)).unwrap();
     let text = format!("\n{}\n\n", serde_json::to_string_pretty(&value).unwrap());
@@ -37,13 +37,13 @@
         harness.submit("order", "a", "");
         assert!(
             harness.attempts().is_empty() && !harness.closed.contains(&watch),
-            "both have left; cut at {cut}"
+            "both endpoints are removed; cut at {cut}"
         );
     }
 }
 
 #[test]
-fn watch_open_at_any_moment_while_discovery_silent() {
+fn watch_reopened_without_delay_while_discovery_silent() {
     let mut harness = Harness::new();
     for _ in 0..8 {
         let watch = harness.connect_discovery();
@@ -54,11 +54,11 @@
     let watch = harness.connect_discovery();
     harness.watch_event(watch, &list_event(43, "a", "bank", 3, "left", 1000));
     harness.submit("order", "a", "");
-    assert!(harness.attempts().is_empty(), "it is heard at once");
+    assert!(harness.attempts().is_empty(), "the event is applied at once");
 }
 
 #[test]
-fn endpoint_name_of_other_destination_gets_nothing_of_first() {
+fn endpoint_changing_destination_gets_no_message_of_previous_one() {
     let mut harness = Harness::new();
     let watch = harness.connect_discovery();
     harness.watch_event(watch, &list_event(43, "b", "new", 4, "active", 1000));
@@ -71,7 +71,7 @@
 }
 
 #[test]
-fn destination_that_endpoint_left_keeps_its_kind() {
+fn endpoint_changing_destination_removed_with_previous_kind() {
     let config = config(40);
     let event = |text: &str| serde_json::from_str::<WatchEvent>(text).unwrap();
     let first = event(&list_event(1, "a", "bank", 3, "active", 1000));
@@ -81,14 +81,17 @@
     let update = endpoints.apply(&second, &config.settings, SECOND);
     let Event::EndpointList { entries, .. } = update.event else { panic!("{:?}", update.event) };
     let brief: Vec<_> = entries.iter().map(|e| (e.id, e.destination, e.kind, e.zone, e.status)).collect();
-    let gone = EndpointStatus::Removed;
+    let removed = EndpointStatus::Removed;
     let ready = EndpointStatus::Ready;
-    assert_eq!(brief, [(1, 3, 0, 0, gone), (3, 4, 1, 1, ready), (2, 3, 0, 0, gone), (4, 4, 1, 1, ready)]);
+    assert_eq!(
+        brief,
+        [(1, 3, 0, 0, removed), (3, 4, 1, 1, ready), (2, 3, 0, 0, removed), (4, 4, 1, 1, ready)]
+    );
     assert_eq!(update.stale, [1, 2]);
 }
 
 #[test]
-fn initial_sync_holds_back_requests_until_discovery_heard_or_silent() {
+fn initial_sync_delays_requests_until_discovery_answers_or_times_out() {
     let start = || {
         let mut harness = Harness::starting(config(40), &[], 100 * SECOND);
         harness.process();
@@ -98,10 +101,10 @@
             (0, 0)
         );
         harness.run_for(100 * MILLISECOND);
-        assert!(harness.answers.is_empty() && harness.attempts().is_empty(), "it waits for discovery");
+        assert!(harness.answers.is_empty() && harness.attempts().is_empty(), "requests wait for discovery");
         (harness, watch)
     };
-    // Both endpoints have gone since the list that it knows.
+    // Both endpoints were removed since the cached list.
     let (mut harness, watch) = start();
     harness.watch_event(watch, &list_event(43, "a", "bank", 3, "left", 1000));
     assert_eq!(harness.answers.iter().map(|a| status(&a.1)).collect::<Vec<_>>(), [200, 202]);
@@ -109,13 +112,17 @@
     assert!(harness.attempts().is_empty());
     let (mut harness, watch) = start();
     harness.watch_event(watch, "");
-    assert_eq!(harness.attempts().len(), 1, "nothing new");
+    assert_eq!(harness.attempts().len(), 1, "the cached list is current");
     let (mut harness, _) = start();
     harness.run_for(INITIAL_SYNC_TIMEOUT - 101 * MILLISECOND);
     assert!(harness.attempts().is_empty());
     harness.run_for(2 * MILLISECOND);
-    assert_eq!((harness.attempts().len(), harness.answers.len()), (1, 2), "silent: what it knows has to do");
+    assert_eq!(
+        (harness.attempts().len(), harness.answers.len()),
+        (1, 2),
+        "the cached list is used when discovery is silent"
+    );
     let journal = &harness.journal;
     let Record::Accepted { message, .. } = &journal[journal.len() - 2] else { panic!("{journal:?}") };
-    assert_eq!(message.deadline, 109 * SECOND, "its time runs from when it came");
+    assert_eq!(message.deadline, 109 * SECOND, "its time runs from its arrival");
 }
--- a/crates/platform/src/core/tests/harness.rs
+++ b/crates/platform/src/core/tests/harness.rs
@@ -1,4 +1,4 @@
-//! The fixture of the core's tests: a core in virtual time, what its journal holds, and what it wrote where.
+//! The fixture of the core's tests: a core in virtual time, its journal and its outputs.
 
 pub use crate::config::{Config, WatchEvent};
 pub use crate::core::attempts::AttemptId;
@@ -16,9 +16,9 @@
 pub const SECOND: Time = 1_000 * MILLISECOND;
 pub const DISCOVERY: &str = "127.0.0.1:8500";
 pub const DISCOVERY_PORT: u16 = 8500;
-/// What an endpoint answers that serves.
+/// The answer of an endpoint that serves a message.
 pub const SERVED: &str = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
-/// Iterations at one moment after which a core counts as busy for ever.
+/// A core that needs more iterations than this at one moment never becomes idle.
 const MAX_ITERATIONS: usize = 20;
 
 /// A configuration of three classes and two endpoints of destination 3.
@@ -52,25 +52,25 @@
     Config::read(file.to_string().as_bytes()).unwrap()
 }
 
-/// A core and what it wrote.
+/// A core in virtual time, with everything that it produced.
 pub struct Harness {
     pub core: Core,
     pub now: Time,
     pub journal: Vec<Record>,
-    /// Connections that it asked for and has not closed.
+    /// Connections that the core requested and has not closed.
     pub connections: BTreeMap<ConnectionId, SocketAddr>,
     pub connected: BTreeSet<ConnectionId>,
     pub sent: Vec<(ConnectionId, Vec<u8>)>,
     pub answers: Vec<(ClientId, Vec<u8>)>,
     pub closed: Vec<ConnectionId>,
-    /// Connections on which it sends no more.
+    /// Connections on which the core sends no more.
     pub write_ended: Vec<ConnectionId>,
     watches: BTreeSet<ConnectionId>,
     next_client: ClientId,
 }
 
 impl Harness {
-    /// With an empty journal, after an initial sync in which discovery said nothing.
+    /// Starts with an empty journal and runs the initial sync with a silent discovery.
     pub fn new() -> Harness {
         Harness::with_journal(vec![], 100 * SECOND, 40)
     }
@@ -82,12 +82,12 @@
     pub fn with_config(config: Config, journal: Vec<Record>, now: Time) -> Harness {
         let mut harness = Harness::starting(config, &journal, now);
         harness.process();
-        // Discovery says nothing.
+        // Discovery is silent.
         harness.run_for(INITIAL_SYNC_TIMEOUT);
         harness
     }
 
-    /// Before its first iteration.
+    /// Returns a core before its first iteration.
     pub fn starting(config: Config, journal: &[Record], now: Time) -> Harness {
         let stored: Vec<_> = journal.iter().map(Record::encode).collect();
         let settings = &config.settings;
@@ -108,7 +108,7 @@
         }
     }
 
-    /// Iterates until nothing is left to do at this time; connections to endpoints are made at once.
+    /// Iterates until nothing is due at this time. Connections to endpoints are established at once.
     pub fn process(&mut self) {
         for _ in 0..MAX_ITERATIONS {
             self.core.process(self.now);
@@ -121,7 +121,7 @@
                 return;
             }
         }
-        panic!("it does not come to rest");
+        panic!("the core does not become idle");
     }
 
     fn carry_out(&mut self, output: Output) {
@@ -140,7 +140,7 @@
         }
     }
 
-    /// Makes the connections to endpoints that were asked for: how many.
+    /// Establishes the requested connections to endpoints and returns their number.
     fn connect_endpoints(&mut self) -> usize {
         let discovery: SocketAddr = DISCOVERY.parse().unwrap();
         let is_new =
@@ -154,7 +154,7 @@
         new.len()
     }
 
-    /// Iterates whenever the core asks for it, until so much later.
+    /// Iterates whenever an iteration is due, for `span` nanoseconds.
     pub fn run_for(&mut self, span: Time) {
         let until = self.now + span;
         while self.now < until {
@@ -163,7 +163,7 @@
         }
     }
 
-    /// Submits a message; the status of the answer, 0 for none.
+    /// Submits a message and returns the status of the answer; 0 for none.
     pub fn submit(&mut self, class: &str, id: &str, key: &str) -> u16 {
         let request = format!(
             "POST /{class} HTTP/1.1\r\nX-Txn: {id}\r\nIdempotency-Key: t-{id}\r\nX-Remaining-Ms: 9000\r\n\
@@ -172,7 +172,7 @@
         self.send_request(request.as_bytes())
     }
 
-    /// Submits a message whose connection is begun, and is not made by itself.
+    /// Submits a message and returns its connection, which is requested and not established.
     pub fn begin_connecting(&mut self) -> ConnectionId {
         self.core.client_opened(7);
         let head = "POST /order HTTP/1.1\r\nX-Txn: m\r\nX-Remaining-Ms: 9000\r\nX-Route-To: dest=3\r\n\r\n";
@@ -186,7 +186,7 @@
         begun.expect("a connection")
     }
 
-    /// Sends bytes from a new client; the status of the answer, 0 for none.
+    /// Sends bytes from a new client and returns the status of the answer; 0 for none.
     pub fn send_request(&mut self, bytes: &[u8]) -> u16 {
         self.next_client += 1;
         let client = self.next_client;
@@ -197,7 +197,7 @@
         answer.map_or(0, |(_, bytes)| status(bytes))
     }
 
-    /// Attempts sent so far: connection and message id.
+    /// Returns connection and message id of each attempt that was sent.
     pub fn attempts(&self) -> Vec<(ConnectionId, String)> {
         let mut attempts = Vec::new();
         for (connection, bytes) in &self.sent {
@@ -209,12 +209,12 @@
         attempts
     }
 
-    /// Ids of the messages that were sent so far, in order.
+    /// Returns the ids of the messages that were sent, in order.
     pub fn sent_ids(&self) -> Vec<String> {
         self.attempts().into_iter().map(|(_, id)| id).collect()
     }
 
-    /// The bytes of the first attempt.
+    /// Returns the request of the first attempt.
     pub fn first_attempt_bytes(&self) -> &[u8] {
         let mut all = self.sent.iter().map(|(_, bytes)| &bytes[..]);
         all.find(|bytes| bytes.starts_with(b"POST")).expect("an attempt")
@@ -226,7 +226,7 @@
         self.process();
     }
 
-    /// Ten messages served one after another: the connection that the last one used.
+    /// Has ten messages served one after another and returns the connection of the last one.
     pub fn connection_in_use(&mut self, served: &str) -> ConnectionId {
         let mut last = 0;
         for n in 0..10 {
@@ -238,7 +238,7 @@
         last
     }
 
-    /// The newest connection to discovery is made.
+    /// Establishes the newest connection to discovery.
     pub fn connect_discovery(&mut self) -> ConnectionId {
         let is_new = |id: &ConnectionId, address: &SocketAddr| {
             address.port() == DISCOVERY_PORT && !self.connected.contains(id)
@@ -251,7 +251,7 @@
         id
     }
 
-    /// Status notifications sent so far: connection and body.
+    /// Returns connection and body of each batch of status notifications that was sent.
     pub fn notifications(&self) -> Vec<(ConnectionId, String)> {
         let mut notifications = Vec::new();
         for (connection, bytes) in &self.sent {
@@ -267,7 +267,7 @@
         self.journal.iter().any(wanted)
     }
 
-    /// A line of the watch, in a chunk of its own; the head in front of the first.
+    /// Sends a line of the watch in a chunk of its own, after the head if it is the first.
     pub fn watch_event(&mut self, watch: ConnectionId, line: &str) {
         let chunk = format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
         let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -280,7 +280,7 @@
     }
 }
 
-/// An event that changes both endpoints, at the ports after `base`.
+/// Returns an event that changes both endpoints, whose ports follow `base`.
 pub fn list_event(version: u64, zone: &str, kind: &str, group: u32, status: &str, base: u16) -> String {
     let entry = |n: u16| {
         serde_json::json!({"name": format!("s-{n}"), "address": format!("127.0.0.1:{}", base + n), "zone": zone,
@@ -289,7 +289,7 @@
     serde_json::json!({"index": version, "snapshot": false, "endpoints": [entry(1), entry(2)]}).to_string()
 }
 
-/// The status of an answer.
+/// Returns the status of an answer.
 pub fn status(bytes: &[u8]) -> u16 {
     match parse_response(bytes) {
         ParsedResponse::Head(head) => head.status,
@@ -297,7 +297,7 @@
     }
 }
 
-/// The counts of attempts that ended like this.
+/// Returns the counts for these outcomes.
 pub fn counts_of(outcomes: &[AttemptOutcome]) -> OutcomeCounts {
     let mut counts = OutcomeCounts::default();
     for &outcome in outcomes {
