--- a/crates/platform/src/core/tests/notifications.rs
+++ b/crates/platform/src/core/tests/notifications.rs
@@ -3,7 +3,7 @@
 use super::harness::*;
 
 #[test]
-fn notification_unacknowledged_resent_also_elsewhere_and_after_restart() {
+fn notification_unacknowledged_resent_after_timeout_move_and_restart() {
     let mut harness = Harness::new();
     harness.submit("order", "m", "");
     let connection = harness.attempts()[0].0;
@@ -12,7 +12,7 @@
     assert_eq!(harness.notifications(), [(first, "{\"id\":\"m\",\"state\":\"failed\"}\n".to_owned())]);
     harness.run_for(230 * MILLISECOND);
     let second = harness.connect_discovery();
-    assert!(second != first && harness.notifications().len() == 2, "no answer in time, and it still counts");
+    assert!(second != first && harness.notifications().len() == 2, "sent again after the answer timeout");
     harness.core.move_discovery("127.0.0.1:8501".parse().unwrap());
     harness.process();
     assert!(harness.closed.contains(&second));
@@ -24,17 +24,20 @@
     again.respond(connection, b"HTTP/1.1 204 No Content\r\n\r\n");
     assert!(again.has_record(|record| matches!(record, Record::Notified { .. })));
     let left = again.core.snapshot();
-    assert!(matches!(left[..], [Record::Names { .. }, Record::CompletedId(_)]), "nothing is owed: {left:?}");
+    assert!(
+        matches!(left[..], [Record::Names { .. }, Record::CompletedId(_)]),
+        "every outcome is acknowledged: {left:?}"
+    );
 }
 
 #[test]
-fn ordering_key_waits_for_acknowledgement_of_message_before() {
+fn ordering_key_blocked_until_previous_message_acknowledged() {
     let mut harness = Harness::new();
     harness.submit("change", "one", "k");
     harness.submit("change", "two", "k");
     harness.submit("change", "other", "l");
     assert_eq!(harness.sent_ids(), ["one", "other"]);
-    // Nothing serves it: at its end it is given up.
+    // It is not served and given up at its deadline.
     harness.run_for(8995 * MILLISECOND);
     assert!(!harness.sent_ids().contains(&"two".to_owned()), "{:?}", harness.sent_ids());
     let mut harness = Harness::new();
@@ -43,7 +46,7 @@
     let mut in_flight = harness.core.in_flight.iter();
     let (number, _) = in_flight.find(|(_, message)| message.message().id == b"one").unwrap();
     drop(in_flight);
-    // The library gives the first up; the second may go when that is acknowledged.
+    // The first message fails; the second may be sent once that is acknowledged.
     harness.core.complete_undelivered(number, FinalOutcome::Failed);
     harness.core.decisions.push(Event::ClientCancelled { message: number });
     harness.run_for(300 * MILLISECOND);
@@ -62,7 +65,7 @@
                 Cookie: subject=k\r\nX-Route-To: dest=3\r\n\r\n";
     harness.core.client_received(client, head.as_bytes());
     harness.core.process(harness.now);
-    // Another of its key, behind it, was given up while the connection is being made.
+    // Another message of its ordering key fails while the connection is being established.
     let (first, message) = harness.core.in_flight.iter().next().unwrap();
     let ordering_key = message.message().ordering_key;
     let mut pending = message.pending.clone();
@@ -92,8 +95,8 @@
         harness.respond(connection, reply.as_bytes());
     }
     let lines: Vec<usize> = harness.notifications().iter().map(|n| n.1.lines().count()).collect();
-    assert_eq!(lines, [3, 1, 2, 1, 1], "all, then fewer until the one at fault is alone");
+    assert_eq!(lines, [3, 1, 2, 1, 1], "smaller batches until the rejected one is found");
     assert_eq!(harness.core.sizes().unacknowledged, 0);
     let rejected = CoreEvent::NotificationRejected { message: "b".into() };
-    assert!(harness.core.take_events().contains(&rejected), "the one that is rejected is named");
+    assert!(harness.core.take_events().contains(&rejected), "the rejected message is named");
 }
--- a/crates/platform/src/core/tests/recovery.rs
+++ b/crates/platform/src/core/tests/recovery.rs
@@ -1,9 +1,9 @@
-//! What a process makes of the journal of the one before.
+//! Recovery from the journal of the previous process.
 
 use super::harness::*;
 
 #[test]
-fn journal_cut_after_any_record_owes_all_and_repeats_nothing_unsafe() {
+fn journal_cut_after_any_record_recovers_all_and_repeats_only_idempotent() {
     let mut harness = Harness::new();
     for (n, class) in ["order", "status", "order", "change", "order"].iter().enumerate() {
         assert_eq!(harness.submit(class, &format!("m{n}"), "k"), 202);
@@ -25,20 +25,20 @@
             let is_sent = sent.contains(&id);
             let is_notified = notifications.iter().any(|(_, body)| body.contains(&format!("\"{id}\"")));
             match message.state {
-                Recorded::Delivered => assert!(!is_sent && !is_notified, "cut {cut}: {id} is done with"),
+                Recorded::Delivered => assert!(!is_sent && !is_notified, "cut {cut}: {id} is delivered"),
                 Recorded::Undeliverable => {
-                    assert!(is_notified && !is_sent, "cut {cut}: {id} ends by a notification");
+                    assert!(is_notified && !is_sent, "cut {cut}: {id} ends with a notification");
                 }
-                Recorded::Open => assert!(is_sent && !is_notified, "cut {cut}: {id} goes on"),
+                Recorded::Open => assert!(is_sent && !is_notified, "cut {cut}: {id} is sent"),
             }
         }
     }
 }
 
-/// What a journal says of a message.
+/// The state of a message according to a journal.
 enum Recorded {
     Delivered,
-    /// It has another outcome, or was possibly executed and is not safe to repeat.
+    /// It has another outcome, or was possibly executed and is not idempotent.
     Undeliverable,
     Open,
 }
@@ -48,8 +48,8 @@
     state: Recorded,
 }
 
-/// Index of the class that is not safe to repeat.
-const UNSAFE_CLASS: u8 = 2;
+/// Index of the class that is not idempotent.
+const NOT_IDEMPOTENT_CLASS: u8 = 2;
 
 fn accepted_messages(journal: &[Record]) -> Vec<AcceptedMessage> {
     let mut accepted = Vec::new();
@@ -80,7 +80,7 @@
     match outcome {
         Some(FinalOutcome::Delivered) => Recorded::Delivered,
         Some(_) => Recorded::Undeliverable,
-        None if class == UNSAFE_CLASS && sent > not_executed => Recorded::Undeliverable,
+        None if class == NOT_IDEMPOTENT_CLASS && sent > not_executed => Recorded::Undeliverable,
         None => Recorded::Open,
     }
 }
@@ -124,16 +124,16 @@
     };
     assert!(
         !ended(&harness, 1) && ended(&harness, 2),
-        "its window of 8 s, less a second for travel, was over meanwhile"
+        "its deduplication window of 8 s, less a second for transit, has ended"
     );
     harness.run_for(80 * MILLISECOND);
     assert!(!ended(&harness, 1));
     harness.run_for(11 * MILLISECOND);
-    assert!(ended(&harness, 1), "two ticks before its time is up");
+    assert!(ended(&harness, 1), "two ticks before its deadline");
 }
 
 #[test]
-fn key_cooldown_outlasts_process() {
+fn key_cooldown_survives_restart() {
     let start = |journal, now| {
         let mut config = config(40);
         config.settings.settings.key_cooldown = 2 * SECOND;
@@ -144,14 +144,14 @@
     harness.run_for(4 * SECOND);
     let hedge = harness.attempts()[1].0;
     harness.respond(hedge, SERVED.as_bytes());
-    assert_eq!(harness.write_ended.len(), 1, "the slower one is cancelled, and may still execute");
-    // The second process has it from the file that the first began with. Each starts the cooldown once more, as a
-    // process that dies ends what its endpoint may not have seen the end of.
+    assert_eq!(harness.write_ended.len(), 1, "the slower attempt is cancelled, and may still execute");
+    // The second process reads it from the snapshot of the first. Each process starts the cooldown again, because an
+    // endpoint may not have seen the end of the attempt before the process exited.
     let second = start(harness.journal, harness.now + 10 * MILLISECOND);
     let mut harness = start(second.journal, second.now + 10 * MILLISECOND);
     assert_eq!((harness.submit("change", "b", "k"), harness.submit("change", "c", "l")), (202, 202));
     harness.run_for(2 * SECOND - INITIAL_SYNC_TIMEOUT - MILLISECOND);
-    assert_eq!(harness.sent_ids(), ["c"], "another key's");
+    assert_eq!(harness.sent_ids(), ["c"], "a message of another key");
     harness.run_for(MILLISECOND);
     assert_eq!(harness.attempts().last().unwrap().1, "b");
 }
--- a/crates/platform/src/core/tests/shutdown.rs
+++ b/crates/platform/src/core/tests/shutdown.rs
@@ -3,7 +3,7 @@
 use super::harness::*;
 
 #[test]
-fn shutdown_serves_for_a_while_then_awaits_its_attempts_only() {
+fn shutdown_after_grace_period_awaits_only_attempts_in_flight() {
     let mut harness = Harness::new();
     harness.submit("order", "a", "");
     harness.core.begin_shutdown();
@@ -13,8 +13,8 @@
     harness.run_for(2800 * MILLISECOND);
     assert!(!harness.core.is_ended());
     let before = harness.attempts().len();
-    assert_eq!(harness.submit("order", "c", ""), 202, "accepted, for the next process");
-    assert_eq!(harness.attempts().len(), before, "nothing begins that cannot end");
+    assert_eq!(harness.submit("order", "c", ""), 202, "accepted for the next process");
+    assert_eq!(harness.attempts().len(), before, "no attempt begins that cannot finish");
     for attempt in attempts {
         harness.respond(attempt.0, SERVED.as_bytes());
     }
@@ -25,7 +25,7 @@
     harness.submit("order", "a", "");
     harness.core.begin_shutdown();
     harness.run_for(3400 * MILLISECOND);
-    assert!(harness.core.is_ended(), "a silent endpoint does not keep it");
+    assert!(harness.core.is_ended(), "a silent endpoint does not delay the end");
 }
 
 #[test]
@@ -37,7 +37,7 @@
     harness.now += 200 * MILLISECOND;
     harness.core.upstream_connected(connection);
     harness.process();
-    assert!(harness.attempts().is_empty() && harness.core.is_ended(), "it is for the next process");
+    assert!(harness.attempts().is_empty() && harness.core.is_ended(), "left to the next process");
     assert!(
         !harness.has_record(|record| matches!(record, Record::AttemptSent { .. } | Record::Completed { .. }))
     );
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,9 +1,10 @@
 //! The courier on the platform's own protocol.
 //!
-//! [`core`] is free of I/O: bytes, clock readings and ends of connections go in; bytes, connects, closes and records
-//! for the journal come out. It leaves every decision on messages to the library [`linnetcart`] and carries out what
-//! comes back. [`shell`] moves bytes and files and decides nothing. [`config`] reads the files of the platform,
-//! [`records`] gives the journal's bytes their meaning.
+//! [`core`] performs no I/O: its inputs are bytes, clock readings and connection events; its outputs are
+//! bytes, connects, closes and journal records. It leaves every decision on messages to the library
+//! [`linnetcart`] and executes the actions that the library returns. [`shell`] performs the I/O and decides
+//! nothing. [`config`] reads the files that the platform provides. [`records`] defines the meaning of the
+//! journal's bytes.
 #![forbid(unsafe_code)]
 #![warn(clippy::unwrap_used, missing_docs)]
 
--- a/crates/platform/src/records.rs
+++ b/crates/platform/src/records.rs
@@ -1,20 +1,20 @@
-//! The meaning of the journal's records, and the state that they add up to when they are read again.
+//! The meaning of the journal's records, and the state that they add up to when they are replayed.
 //!
 //! | record | written before |
 //! | --- | --- |
 //! | accepted | the client is answered |
 //! | attempt sent | the first byte of the attempt |
 //! | not executed | the message is sent again |
-//! | completed | the status notification; for a delivered message, before anything else is done for it |
+//! | completed | the status notification; for a delivered message, any other effect of the delivery |
 //! | notified | the notification is forgotten |
-//! | names | all that follows: it says what indexes of classes and zones mean |
-//! | completed id | nothing; a new file begins with those of the file before |
+//! | names | all other records of a file: it defines the indexes of classes and zones |
+//! | completed id | nothing; a new file begins with the ids of the previous one |
 //! | key cooldown | the next message of the key is sent |
 //!
-//! An attempt that was sent and is not recorded as not executed was possibly executed.
+//! An attempt that is recorded as sent and not recorded as not executed was possibly executed.
 //!
 //! This module owns the bytes of the records ([`Record::encode`], [`Record::decode`]) and their meaning
-//! ([`Replay`]). It never touches a file: frames and files are `linnetcart-journal`'s.
+//! ([`Replay`]). It never accesses a file: frames and files belong to `linnetcart-journal`.
 
 mod codec;
 mod replay;
@@ -25,12 +25,12 @@
 use std::borrow::Cow;
 use std::hash::{DefaultHasher, Hash, Hasher};
 
-/// One record.
+/// A record of the journal.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Record {
     /// A message was accepted.
     Accepted {
-        /// The number that later records name it by.
+        /// The number by which later records refer to the message.
         number: u32,
         /// The message.
         message: Message,
@@ -61,32 +61,32 @@
         /// The message.
         message: u32,
     },
-    /// Names of the classes and zones that the records after this one give by index.
+    /// Names of the classes and zones to which the following records refer by index.
     Names {
-        /// Of the classes.
+        /// Names of the classes.
         classes: Vec<String>,
-        /// Of the zones.
+        /// Names of the zones.
         zones: Vec<String>,
     },
-    /// A completed message that may be submitted once more under its id.
+    /// The id of a completed message, which may be submitted again.
     CompletedId(CompletedId),
     /// An attempt for an ordering key ended and may still be executing.
     KeyCooldown {
         /// The ordering key.
         ordering_key: u64,
-        /// Nothing of the key is sent before, nanoseconds of the wall clock.
+        /// No message of the key is sent before; wall-clock time in nanoseconds.
         until: Time,
     },
 }
 
-/// What is kept of a completed message: enough to recognise it.
+/// What is stored of a completed message: enough to recognise it when it is submitted again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CompletedId {
     /// Digest of its id.
     pub id_digest: u64,
-    /// Digest of the rest of it.
+    /// Digest of its content.
     pub content_digest: u64,
-    /// Kept until then, nanoseconds of the wall clock.
+    /// When the id may be forgotten; wall-clock time in nanoseconds.
     pub expires_at: Time,
 }
 
@@ -101,9 +101,9 @@
     pub class: u8,
     /// Its destination.
     pub destination: u32,
-    /// The key that it keeps order by; 0 for none.
+    /// Its ordering key; 0 for none.
     pub ordering_key: u64,
-    /// Nanoseconds of the wall clock.
+    /// Its deadline; wall-clock time in nanoseconds.
     pub deadline: Time,
     /// Its body.
     pub body: Vec<u8>,
@@ -116,7 +116,7 @@
     pub number: u16,
     /// Index of its endpoint's zone.
     pub zone: u8,
-    /// When, nanoseconds of the wall clock.
+    /// When it was sent; wall-clock time in nanoseconds.
     pub sent_at: Time,
 }
 
@@ -129,15 +129,16 @@
     Failed,
     /// Returned to its sender undelivered.
     Returned {
-        /// When to submit it again, in milliseconds; 0: not said.
+        /// Delay before it should be submitted again, in milliseconds; 0 for no advice.
         retry_after_ms: u32,
     },
 }
 
-/// The index of a class or zone that the settings of this process do not name.
+/// The index of a class or zone that the present settings do not name.
 pub const UNKNOWN_INDEX: u8 = u8::MAX;
 
-/// The number that stands for bytes in the journal. It does not withstand bytes that were chosen to collide.
+/// Returns the digest of byte strings. Digests are stored, so the function must not change. It is not
+/// resistant to deliberate collisions.
 pub fn digest(parts: &[&[u8]]) -> u64 {
     let mut hasher = DefaultHasher::new();
     parts.hash(&mut hasher);
@@ -145,7 +146,7 @@
 }
 
 impl Message {
-    /// What is kept of it once it is completed.
+    /// Returns what is stored of the message once it is completed.
     pub fn completed_id(&self) -> CompletedId {
         let destination = self.destination.to_le_bytes();
         let ordering_key = self.ordering_key.to_le_bytes();
@@ -157,7 +158,7 @@
         }
     }
 
-    /// Its id as text, for logs and notifications.
+    /// Returns the id as text, for logs and notifications.
     pub fn id_text(&self) -> Cow<'_, str> {
         String::from_utf8_lossy(&self.id)
     }
--- a/crates/platform/src/records/replay.rs
+++ b/crates/platform/src/records/replay.rs
@@ -1,36 +1,38 @@
-//! From a journal's records to the state that they leave, and from a message's state back to its records.
+//! Replay: from a journal's records to the state that they add up to, and from a message's state back to its
+//! records.
 
 use super::{CompletedId, FinalOutcome, Message, Record, SentAttempt, UNKNOWN_INDEX};
 use linnetcart::Time;
 use linnetcart_journal::Record as RawRecord;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// An accepted message that is not delivered, or whose outcome the platform has not acknowledged.
+/// An accepted message that is not completed, or whose outcome the platform has not acknowledged.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PendingMessage {
     /// The message.
     pub message: Message,
-    /// Attempts so far.
+    /// Number of attempts so far.
     pub attempts: u16,
-    /// Those of them that were possibly executed.
+    /// The attempts that were possibly executed.
     pub possibly_executed: Vec<SentAttempt>,
-    /// Its final outcome, once it has one. `Delivered` also stands for any outcome that was acknowledged.
+    /// The final outcome, if there is one. `Delivered` also stands for any acknowledged outcome.
     pub outcome: Option<FinalOutcome>,
 }
 
 impl PendingMessage {
-    /// A message that was not sent yet.
+    /// Creates the state of a message without attempts.
     pub fn new(message: Message) -> PendingMessage {
         PendingMessage { message, attempts: 0, possibly_executed: vec![], outcome: None }
     }
 
-    /// The records that add up to this state.
+    /// Returns the records that add up to this state.
     pub fn records(&self, number: u32) -> Vec<Record> {
         let mut records = vec![Record::Accepted { number, message: self.message.clone() }];
         for &attempt in &self.possibly_executed {
             records.push(Record::AttemptSent { message: number, attempt });
         }
-        // Attempts that were not executed count; the last one stands for all of them.
+        // Attempts that were not executed count, too. A record of the last attempt restores the number of
+        // all.
         if let Some(last) = self.attempts.checked_sub(1) {
             if self.possibly_executed.iter().all(|attempt| attempt.number != last) {
                 records.push(Record::NotExecuted { message: number, attempt: last });
@@ -42,32 +44,32 @@
         records
     }
 
-    /// Counts an attempt, which may be one of a lower number than those counted: a new file counts attempts that
-    /// wait for their connection, and they are sent after it was begun.
+    /// Counts an attempt. Its number may be lower than the present count: a snapshot counts attempts that
+    /// still wait for a connection, and their records follow it.
     fn count_attempt(&mut self, attempt: u16) {
         self.attempts = self.attempts.max(attempt.saturating_add(1));
         self.possibly_executed.retain(|sent| sent.number != attempt);
     }
 }
 
-/// The state that a journal's records leave.
+/// The state that a journal's records add up to.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Replay {
-    /// Pending messages by number, which is the order of their acceptance.
+    /// Pending messages by number, in the order of their acceptance.
     pub pending: BTreeMap<u32, PendingMessage>,
-    /// Every message that any record names has a lower number.
+    /// The next message number: greater than every number in the records.
     pub next_message: u32,
-    /// Records that could not be decoded, or name a message that is not there.
+    /// Number of records that could not be decoded or refer to an unknown message.
     pub unusable_records: usize,
-    /// Completed messages whose deadline is still to come, as far as the journal has them.
+    /// Ids of completed messages, as far as the journal has them.
     pub completed: Vec<CompletedId>,
-    /// Until when no message of a key is sent.
+    /// The ends of the ordering keys' cooldowns; wall-clock times in nanoseconds.
     pub key_cooldowns: BTreeMap<u64, Time>,
 }
 
 impl Replay {
-    /// Replays the records under the names that the settings have now: a class or zone is the one of its name,
-    /// whatever its index is now. A record that comes twice counts once.
+    /// Replays records. Classes and zones are matched by name, so their indexes may differ between the
+    /// records and the present settings. A repeated record counts once.
     pub fn from_records(records: &[RawRecord], classes: &[String], zones: &[String]) -> Replay {
         let mut replayer = Replayer {
             replay: Replay { next_message: 1, ..Replay::default() },
@@ -86,7 +88,7 @@
     }
 }
 
-/// The index in the settings of each index in the journal.
+/// Maps the indexes in the journal to those in the present settings.
 struct IndexMap {
     classes: Vec<u8>,
     zones: Vec<u8>,
@@ -106,9 +108,10 @@
 
 struct Replayer<'a> {
     replay: Replay,
-    /// Messages of which nothing is pending any more.
+    /// Messages that are no longer pending.
     closed: BTreeSet<u32>,
-    /// `None` until names were read: a file without names dates from when settings never changed their order.
+    /// `None` until a record of names was read. Files without names date from when the order in the settings
+    /// never changed, so that their indexes are still valid.
     indexes: Option<IndexMap>,
     classes: &'a [String],
     zones: &'a [String],
@@ -167,7 +170,8 @@
         }
     }
 
-    /// Nothing is owed for a message any more; one that was returned may be submitted again as a new one.
+    /// Removes a message that is no longer pending. Its id is remembered unless it was returned, as a
+    /// returned message may be submitted again as a new one.
     fn closed(&mut self, message: u32) {
         if self.pending(message).is_none() {
             return;
@@ -180,7 +184,8 @@
         self.closed.insert(message);
     }
 
-    /// The message that a record names, which is counted as unusable where there never was one.
+    /// Returns the pending message that a record refers to. Counts the record as unusable if the message was
+    /// never accepted.
     fn pending(&mut self, message: u32) -> Option<&mut PendingMessage> {
         self.note_number(message);
         let pending = self.replay.pending.get_mut(&message);
--- a/crates/platform/src/records/tests.rs
+++ b/crates/platform/src/records/tests.rs
@@ -74,7 +74,7 @@
 #[test]
 fn unknown_or_short_record_not_decoded() {
     assert_eq!(Record::decode(&raw(9, &[1, 0, 0, 0])), None, "an unknown kind");
-    assert_eq!(Record::decode(&raw(4, &[1, 0, 0, 0, 3, 0, 0, 0, 0])), None, "an unknown end");
+    assert_eq!(Record::decode(&raw(4, &[1, 0, 0, 0, 3, 0, 0, 0, 0])), None, "an unknown outcome");
     assert_eq!(Record::decode(&raw(2, &[1, 0, 0, 0, 3, 0, 4, 5])), None, "too short");
 }
 
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -1,4 +1,4 @@
-//! Moves bytes between sockets, journal and core, and gives it the clock. It decides nothing.
+//! The shell: moves bytes between sockets, journal and core, and provides the clock. It decides nothing.
 
 mod environment;
 mod journal;
@@ -21,33 +21,33 @@
 use upstream_tokens::UpstreamTokens;
 
 const MILLISECOND: Time = 1_000_000;
-/// The clock does not begin at zero, so that no span before the start is below it.
+/// Start of the courier's clock. It is not zero, so that times before the start can be represented.
 const CLOCK_START: Time = 3_600_000 * MILLISECOND;
-/// The longest wait for something to happen.
+/// Maximum time that a poll waits for an event.
 const MAX_POLL_WAIT: Duration = Duration::from_millis(500);
-/// A journal that cannot be written for so long ends the program.
+/// The program exits when the journal cannot be written for longer than this.
 const UNWRITABLE_TIMEOUT: Time = 5000 * MILLISECOND;
-/// How long the last answers may take to leave.
+/// Time limit for sending the last answers before the process exits.
 const FLUSH_TIMEOUT: Time = 100 * MILLISECOND;
 const FLUSH_POLL_WAIT: Duration = Duration::from_millis(10);
-/// A configuration that cannot be read is being replaced: it is read again this much later.
+/// An unreadable configuration is probably being replaced: it is read again after this time.
 const CONFIG_RETRY_INTERVAL: Time = 200 * MILLISECOND;
 
-/// Why the configuration is read.
+/// Why the configuration is read again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ReloadCause {
-    /// A signal asks for it.
+    /// A signal requested it.
     Signal,
-    /// It could not be read before, which has been logged.
+    /// The previous read failed, which has been logged.
     Retry,
 }
 
-/// Whether outputs may leave.
+/// Whether the outputs of an iteration may be carried out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Outputs {
-    /// What they depend on is written.
+    /// The records that the outputs depend on are written.
     Released,
-    /// They have to stay until it is written.
+    /// The outputs have to wait until the records are written.
     Withheld,
 }
 
@@ -103,7 +103,7 @@
         Ok(())
     }
 
-    /// Answers that the system did not take at once: a client that reads has them before the process ends.
+    /// Waits until the last answers are sent, so that clients get them before the process exits.
     fn flush(&mut self) -> anyhow::Result<()> {
         let mut events = Vec::new();
         let until = self.now() + FLUSH_TIMEOUT;
@@ -172,7 +172,8 @@
         self.upstream.remove_token(token);
     }
 
-    /// The configuration was replaced. What cannot be read leaves the old one in force and is read again later.
+    /// Reads the configuration again. An unreadable one leaves the previous one in force and is read again
+    /// later.
     fn reload_config(&mut self, cause: ReloadCause) {
         self.config_retry_at = None;
         match read_config(&self.environment.config) {
@@ -190,7 +191,7 @@
         }
     }
 
-    /// Writes what this iteration's outputs depend on.
+    /// Writes the records that this iteration's outputs depend on.
     fn write_records(&mut self) -> anyhow::Result<Outputs> {
         let records = self.core.take_records();
         let started_at = self.started_at;
@@ -246,7 +247,7 @@
     }
 }
 
-/// The courier's clock.
+/// Reads the courier's clock.
 fn clock(started_at: Instant) -> Time {
     CLOCK_START + started_at.elapsed().as_nanos() as Time
 }
--- a/crates/platform/src/shell/environment.rs
+++ b/crates/platform/src/shell/environment.rs
@@ -1,20 +1,20 @@
-//! Where the platform says that the courier finds its files.
+//! The environment variables by which the platform names the courier's files.
 
 use crate::config::Config;
 use anyhow::Context;
 use std::path::{Path, PathBuf};
 
-/// What the environment says.
+/// The files that the environment names.
 #[derive(Clone, Debug)]
 pub struct Environment {
     /// The configuration file.
     pub config: PathBuf,
-    /// The directory whose files outlast the process.
+    /// The directory for files that survive the process.
     pub state: PathBuf,
 }
 
 impl Environment {
-    /// Reads it.
+    /// Reads the environment variables.
     pub fn read() -> anyhow::Result<Environment> {
         Ok(Environment { config: read_path("RELAY_CONFIG")?, state: read_path("RELAY_STATE")? })
     }
--- a/crates/platform/src/shell/journal.rs
+++ b/crates/platform/src/shell/journal.rs
@@ -1,4 +1,4 @@
-//! The journal's file as the shell keeps it: appends, replacement by a snapshot, and writes that fail.
+//! The journal writer: appends, replacement by a snapshot, and failed writes.
 
 use crate::core::Core;
 use crate::records::Record;
@@ -6,44 +6,44 @@
 use linnetcart_journal::{JournalDirectory, JournalError, Record as RawRecord, RecordRef, Salt};
 use std::time::SystemTime;
 
-/// The file is replaced when it has grown by this part of its capacity.
+/// Fraction of the journal's capacity by which a file may grow before it is replaced by a snapshot.
 const GROWTH_DIVISOR: u64 = 4;
-/// The salt of a file is the wall clock, rotated so that the bits that change spread over all of it.
+/// A file's salt is the wall clock, rotated by this number of bits to spread its changing bits over the salt.
 const SALT_ROTATION_BITS: u32 = 17;
 
-/// The wall clock, nanoseconds since the Unix epoch.
+/// Reads the wall clock: nanoseconds since the Unix epoch.
 pub fn wall_clock() -> Time {
     SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default().as_nanos() as Time
 }
 
-/// What came of a write.
+/// The outcome of a write.
 #[derive(Debug)]
 pub enum WriteOutcome {
     /// All records are written.
     Written,
-    /// The file was replaced by a snapshot that has all records in it.
+    /// The file was replaced by a snapshot, which includes all records.
     Replaced,
     /// Nothing could be written.
     Failed {
-        /// Why.
+        /// The error of this write.
         error: JournalError,
-        /// For how long now.
+        /// How long writes have been failing, in nanoseconds.
         failing_for: Time,
     },
 }
 
-/// The journal.
+/// The journal and its growth.
 pub struct JournalWriter {
     directory: JournalDirectory,
-    /// The file's size after it was last replaced.
+    /// The file's size when it was begun.
     base_bytes: u64,
     max_growth_bytes: u64,
-    /// Since when nothing can be written.
+    /// When writes began to fail; `None` while they succeed.
     unwritable_since: Option<Time>,
 }
 
 impl JournalWriter {
-    /// Begins a new file with the core's state.
+    /// Begins a new file with a snapshot of the core's state.
     pub fn begin(
         mut directory: JournalDirectory,
         capacity_bytes: u64,
@@ -55,13 +55,13 @@
         Ok(JournalWriter { directory, base_bytes, max_growth_bytes, unwritable_since: None })
     }
 
-    /// The file's size.
+    /// Returns the size of the file in bytes.
     pub fn size(&self) -> u64 {
         self.directory.size()
     }
 
-    /// Writes an iteration's records. What the core holds has them in it, so a new file makes up for an append that
-    /// failed.
+    /// Writes the records of an iteration. The core's state includes them, so a snapshot also makes up for a
+    /// failed append.
     pub fn write(&mut self, records: &[Record], core: &Core, now: impl FnOnce() -> Time) -> WriteOutcome {
         if self.unwritable_since.is_none() && (records.is_empty() || self.append(records)) {
             return WriteOutcome::Written;
@@ -81,7 +81,7 @@
         }
     }
 
-    /// True: all is written, and the file has not outgrown its bound.
+    /// Returns whether all records are written and the file is within its growth limit.
     fn append(&mut self, records: &[Record]) -> bool {
         let encoded: Vec<RawRecord> = records.iter().map(Record::encode).collect();
         let written = self.directory.append(encoded.iter().map(record_ref));
@@ -89,7 +89,7 @@
     }
 }
 
-/// Begins a new file with the core's state.
+/// Begins a new file with a snapshot of the core's state.
 fn replace(directory: &mut JournalDirectory, core: &Core) -> Result<(), JournalError> {
     let snapshot: Vec<RawRecord> = core.snapshot().iter().map(Record::encode).collect();
     let salt = Salt(wall_clock().rotate_left(SALT_ROTATION_BITS));
--- a/crates/platform/src/shell/log.rs
+++ b/crates/platform/src/shell/log.rs
@@ -1,16 +1,16 @@
-//! The log: events of the core, of which a flood is cut off, and statistics.
+//! The log: the core's events, limited in their rate, and periodic statistics.
 
 use crate::core::{Core, CoreEvent};
 use linnetcart::Time;
 use linnetcart_courier_common::log_limit_change;
 
 const SECOND: Time = 1_000_000_000;
-/// Events that are logged in a second; what comes beyond is dropped.
+/// Maximum number of events that are logged in a second; further ones are dropped.
 const MAX_EVENTS_PER_SECOND: u32 = 20;
-/// How often statistics are logged.
+/// Interval of the statistics.
 const STATISTICS_INTERVAL: Time = 10 * SECOND;
 
-/// What was logged when.
+/// The state of the rate limit and of the statistics.
 #[derive(Debug, Default)]
 pub struct CoreLog {
     second: Time,
@@ -19,7 +19,7 @@
 }
 
 impl CoreLog {
-    /// Logs the core's events and, where it is time to, statistics.
+    /// Logs the core's new events and, when they are due, statistics.
     pub fn update(&mut self, core: &mut Core, journal_bytes: u64, now: Time) {
         let second = now / SECOND;
         if second != self.second {
