Http: status line as an enum, one rule for persistence, reason phrases exported

Cause: the status line was read as Option<bool>, persistence and body length took bools whose meaning the call did not show, and callers derived the HTTP version themselves. Change: StatusLine; Persistence::after_message reads version and fields in one place; reason_phrase is public and knows 422, so that other servers need no table of their own; docs with explicit subjects. No byte on the wire changes: no server on this crate sends 422. Assertions are unchanged. Tests renamed:

request_cut_at_any_byte_is_read_only_when_complete -> request_cut_at_any_byte_parsed_only_when_complete request_with_ambiguous_framing_is_rejected_before_its_body -> request_with_ambiguous_framing_rejected_before_its_body response_cut_at_any_byte_is_incomplete_until_its_head_ends -> response_cut_at_any_byte_incomplete_until_head_ends malformed_response_after_a_200_status_line_reports_ok -> response_malformed_after_200_status_line_reports_ok chunked_body_cut_at_any_byte_is_decoded -> chunked_body_cut_at_any_byte_decoded arbitrary_bytes_never_panic_or_wait_beyond_the_bounds -> arbitrary_bytes_never_panic_or_wait_beyond_bounds

--- a/crates/http/src/chunked.rs
+++ b/crates/http/src/chunked.rs
@@ -1,35 +1,37 @@
-//! Bodies that come in chunks (`Transfer-Encoding: chunked`).
+//! Decoding of chunked bodies (`Transfer-Encoding: chunked`).
 
-/// Bytes of the longest line that says a chunk's size.
+/// Maximum number of bytes of a chunk's size line.
 const MAX_SIZE_LINE_BYTES: usize = 64;
-/// Hexadecimal digits of the largest chunk size.
+/// Maximum number of hexadecimal digits of a chunk size.
 const MAX_SIZE_DIGITS: usize = 8;
-/// Bytes of the line end that follows a chunk's data.
+/// Number of bytes of the line end after a chunk's data.
 const LINE_END_BYTES: usize = 2;
 
-/// Bytes that are no chunks, or a chunk's size line that is too long.
+/// A body that is not validly chunked, or a size line that is too long.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("the body does not come in chunks as it should")]
 pub struct InvalidChunk;
 
-/// Decodes a chunked body as its bytes come. It keeps no more than the bytes of one unfinished size line.
+/// Decodes a chunked body incrementally. It buffers at most one incomplete size line.
 #[derive(Debug, Default)]
 pub struct ChunkedDecoder {
     undecoded: Vec<u8>,
-    /// Bytes of the current chunk that are still to come, with its line end; `None` before a size line.
-    chunk_left: Option<usize>,
+    /// Number of bytes of the current chunk, including its line end, that are not decoded; `None` before a
+    /// size line.
+    chunk_remaining: Option<usize>,
     finished: bool,
 }
 
 impl ChunkedDecoder {
-    /// Adds bytes as they came, and appends the body's bytes in them to `out`. True once the body is complete.
+    /// Decodes received bytes and appends the body's bytes in them to `out`. Returns `true` once the body is
+    /// complete.
     pub fn push(&mut self, bytes: &[u8], out: &mut Vec<u8>) -> Result<bool, InvalidChunk> {
         self.undecoded.extend_from_slice(bytes);
         let mut position = 0;
         while !self.finished {
-            let consumed = match self.chunk_left {
+            let consumed = match self.chunk_remaining {
                 None => self.begin_chunk(position)?,
-                Some(left) => self.copy_chunk(position, left, out),
+                Some(remaining) => self.copy_chunk(position, remaining, out),
             };
             if consumed == 0 {
                 break;
@@ -40,29 +42,29 @@
         Ok(self.finished)
     }
 
-    /// Reads a size line; returns its bytes, 0 while it is incomplete.
+    /// Reads a size line and returns its length, or 0 while it is incomplete.
     fn begin_chunk(&mut self, position: usize) -> Result<usize, InvalidChunk> {
-        let rest = &self.undecoded[position..];
-        let Some(line_end) = rest.iter().position(|&byte| byte == b'\n') else {
-            return if rest.len() > MAX_SIZE_LINE_BYTES { Err(InvalidChunk) } else { Ok(0) };
+        let line = &self.undecoded[position..];
+        let Some(line_end) = line.iter().position(|&byte| byte == b'\n') else {
+            return if line.len() > MAX_SIZE_LINE_BYTES { Err(InvalidChunk) } else { Ok(0) };
         };
-        let size = parse_size_line(&rest[..line_end])?;
+        let size = parse_size_line(&line[..line_end])?;
         self.finished = size == 0;
-        self.chunk_left = Some(size + LINE_END_BYTES);
+        self.chunk_remaining = Some(size + LINE_END_BYTES);
         Ok(line_end + 1)
     }
 
-    /// Copies what is there of the current chunk; returns the bytes consumed.
-    fn copy_chunk(&mut self, position: usize, left: usize, out: &mut Vec<u8>) -> usize {
-        let consumed = left.min(self.undecoded.len() - position);
-        let data = consumed.min(left.saturating_sub(LINE_END_BYTES));
+    /// Copies the available bytes of the current chunk and returns the number of bytes consumed.
+    fn copy_chunk(&mut self, position: usize, remaining: usize, out: &mut Vec<u8>) -> usize {
+        let consumed = remaining.min(self.undecoded.len() - position);
+        let data = consumed.min(remaining.saturating_sub(LINE_END_BYTES));
         out.extend_from_slice(&self.undecoded[position..position + data]);
-        self.chunk_left = if consumed < left { Some(left - consumed) } else { None };
+        self.chunk_remaining = if consumed < remaining { Some(remaining - consumed) } else { None };
         consumed
     }
 }
 
-/// The size in a size line; extensions after a semicolon are ignored.
+/// Returns the size in a size line. Extensions after a semicolon are ignored.
 fn parse_size_line(line: &[u8]) -> Result<usize, InvalidChunk> {
     let line = line.trim_ascii();
     let digits = line.split(|&byte| byte == b';').next().unwrap_or(line).trim_ascii();
--- a/crates/http/src/fields.rs
+++ b/crates/http/src/fields.rs
@@ -1,15 +1,15 @@
-//! Header fields of a head that was read, by place in its bytes.
+//! The header fields of a parsed head, as positions in its bytes.
 
 use crate::parse_decimal;
 use std::ops::Range;
 
-/// Name of the field that says how long the body is.
+/// Name of the field for the length of the body.
 const CONTENT_LENGTH: &str = "content-length";
-/// Name of the field that says that the body has no known length.
+/// Name of the field for the encoding of a body of unknown length.
 const TRANSFER_ENCODING: &str = "transfer-encoding";
-/// Name of the field that says whether the connection stays open.
+/// Name of the field for options of the connection.
 const CONNECTION: &str = "connection";
-/// Value of [`CONNECTION`] with which the sender closes after this message.
+/// Value of [`CONNECTION`] by which the sender closes the connection after the message.
 const CLOSE: &[u8] = b"close";
 
 /// A `Content-Length` that is not one decimal number, or is given more than once.
@@ -22,12 +22,12 @@
     value: Range<usize>,
 }
 
-/// Header fields in their order. They refer to the bytes that the head was read from.
+/// Header fields in their order, as positions in the bytes that the head was read from.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Fields(Vec<FieldRange>);
 
 impl Fields {
-    /// The fields of a head that was read from these bytes.
+    /// Returns the fields of a head that was parsed from these bytes.
     pub(crate) fn new(bytes: &[u8], headers: &[httparse::Header<'_>]) -> Fields {
         let range = |header: &httparse::Header<'_>| FieldRange {
             name: range_within(bytes, header.name.as_bytes()),
@@ -36,7 +36,7 @@
         Fields(headers.iter().map(range).collect())
     }
 
-    /// The values of all fields of this name, without white space around them.
+    /// Returns the values of all fields of this name, without surrounding white space.
     pub(crate) fn values<'a>(
         &'a self,
         bytes: &'a [u8],
@@ -49,8 +49,8 @@
         self.0.iter().filter(has_name).map(|field| bytes[field.value.clone()].trim_ascii())
     }
 
-    /// The length of the body, if one is given. It is checked before the body is there, so that no reader
-    /// waits for what a wrong length claims.
+    /// Returns the length of the body, if it is given. An invalid length is an error as soon as the head is
+    /// complete, so that no reader waits for a body that never comes.
     pub(crate) fn content_length(&self, bytes: &[u8]) -> Result<Option<u64>, InvalidContentLength> {
         let mut values = self.values(bytes, CONTENT_LENGTH);
         let Some(value) = values.next() else { return Ok(None) };
@@ -64,13 +64,13 @@
         self.values(bytes, TRANSFER_ENCODING).next().is_some()
     }
 
-    /// Whether the sender says that it closes the connection after this message.
+    /// Whether the sender closes the connection after this message.
     pub(crate) fn has_connection_close(&self, bytes: &[u8]) -> bool {
         self.values(bytes, CONNECTION).any(|value| value.eq_ignore_ascii_case(CLOSE))
     }
 }
 
-/// Where a part of these bytes stands in them.
+/// Returns the position of `part`, which must be a subslice of `bytes`.
 pub(crate) fn range_within(bytes: &[u8], part: &[u8]) -> Range<usize> {
     let start = part.as_ptr() as usize - bytes.as_ptr() as usize;
     start..start + part.len()
--- a/crates/http/src/limits.rs
+++ b/crates/http/src/limits.rs
@@ -1,16 +1,17 @@
-//! Bounds of what is read, and the one form that numbers are read in.
+//! Size limits, and the only accepted form of numbers.
 
-/// Bytes of a head.
+/// Maximum number of bytes of a head.
 pub const MAX_HEAD_BYTES: usize = 16 * 1024;
-/// Fields of a head.
+/// Maximum number of header fields of a head.
 pub const MAX_HEADER_FIELDS: usize = 64;
-/// Bytes of a body.
+/// Maximum number of bytes of a body.
 pub const MAX_BODY_BYTES: usize = 64 * 1024;
 
-/// Decimal digits of the longest number that is read; every such number fits into 64 bits.
+/// Maximum number of decimal digits; every such number fits into 64 bits.
 const MAX_DECIMAL_DIGITS: usize = 18;
 
-/// A whole number in decimal digits and nothing else; `None` also where it has more than 18 digits.
+/// Reads a number that consists of decimal digits only. Returns `None` for anything else and for more than 18
+/// digits.
 pub fn parse_decimal(value: &[u8]) -> Option<u64> {
     if value.is_empty() || value.len() > MAX_DECIMAL_DIGITS {
         return None;
--- a/crates/http/src/persistence.rs
+++ b/crates/http/src/persistence.rs
@@ -1,18 +1,24 @@
 //! Whether a connection stays open after a message.
 
-/// What becomes of a connection after a request or response.
+use crate::fields::Fields;
+
+/// The minor version of HTTP/1.0, as `httparse` gives it.
+const HTTP_1_0_MINOR_VERSION: Option<u8> = Some(0);
+
+/// Whether a connection stays open after a request or response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Persistence {
-    /// It stays open for further requests.
+    /// The connection stays open for further requests.
     KeepAlive,
-    /// It is closed.
+    /// The connection is closed.
     Close,
 }
 
 impl Persistence {
-    /// HTTP/1.0 closes a connection after each message, HTTP/1.1 where a message says so.
-    pub(crate) fn after(is_http_1_0: bool, has_connection_close: bool) -> Persistence {
-        if is_http_1_0 || has_connection_close {
+    /// Returns the persistence after a message. HTTP/1.0 closes the connection after each message, HTTP/1.1 only
+    /// after one with `Connection: close`.
+    pub(crate) fn after_message(minor_version: Option<u8>, fields: &Fields, bytes: &[u8]) -> Persistence {
+        if minor_version == HTTP_1_0_MINOR_VERSION || fields.has_connection_close(bytes) {
             Persistence::Close
         } else {
             Persistence::KeepAlive
--- a/crates/http/src/request.rs
+++ b/crates/http/src/request.rs
@@ -1,16 +1,16 @@
-//! Requests, as the called side reads them.
+//! Requests, as a server reads them.
 
 use crate::fields::{range_within, Fields, InvalidContentLength};
 use crate::{Persistence, MAX_BODY_BYTES, MAX_HEADER_FIELDS, MAX_HEAD_BYTES};
 use std::ops::Range;
 
-/// Why bytes are no request. The connection has to end: where the next request would begin is not known.
+/// Why bytes are not a request. The connection has to end, because the start of the next request is unknown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum RequestError {
     /// The head cannot be read.
     #[error("the head cannot be read as HTTP/1.1")]
     Unreadable,
-    /// The head is too long or has too many fields.
+    /// The head is too long or has too many header fields.
     #[error("a head has at most {MAX_HEAD_BYTES} bytes and {MAX_HEADER_FIELDS} fields")]
     HeadTooLong,
     /// The length is not one decimal number, or is given more than once.
@@ -19,13 +19,13 @@
     /// The body is too long.
     #[error("a body has at most {MAX_BODY_BYTES} bytes")]
     BodyTooLong,
-    /// The body comes in another form than one of known length.
+    /// The request has a `Transfer-Encoding` field; only bodies of known length are accepted.
     #[error("send the body with a Content-Length and no Transfer-Encoding")]
     Encoded,
 }
 
 impl RequestError {
-    /// The status code of the response.
+    /// Returns the status code of the response.
     pub fn status(self) -> u16 {
         match self {
             RequestError::Unreadable | RequestError::BadLength => 400,
@@ -42,12 +42,12 @@
     }
 }
 
-/// A field that may be given once is given more often.
+/// A header field that may be given once is repeated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("the field stands there more than once")]
 pub struct DuplicateField;
 
-/// A request whose head and body are complete. It refers to the bytes that it was read from.
+/// A complete request. It borrows the bytes that it was read from.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Request<'a> {
     bytes: &'a [u8],
@@ -55,28 +55,28 @@
     target: Range<usize>,
     fields: Fields,
     body: Range<usize>,
-    /// Whether the client keeps the connection after the response.
+    /// Whether the client keeps the connection open after the response.
     pub persistence: Persistence,
 }
 
 impl<'a> Request<'a> {
-    /// `GET`, `POST`, ...
+    /// Returns the method: `GET`, `POST`, ...
     pub fn method(&self) -> &'a [u8] {
         &self.bytes[self.method.clone()]
     }
 
-    /// The path, without a query.
+    /// Returns the path without the query.
     pub fn path(&self) -> &'a [u8] {
         let target = &self.bytes[self.target.clone()];
         target.split(|&byte| byte == b'?').next().unwrap_or(target)
     }
 
-    /// The body.
+    /// Returns the body.
     pub fn body(&self) -> &'a [u8] {
         &self.bytes[self.body.clone()]
     }
 
-    /// The value of a field that may be given once; an error if it is given more often.
+    /// Returns the value of a header field, or `None` if it is absent. A repeated field is an error.
     pub fn field(&self, name: &'static str) -> Result<Option<&[u8]>, DuplicateField> {
         let mut values = self.fields.values(self.bytes, name);
         let first = values.next();
@@ -86,13 +86,13 @@
         }
     }
 
-    /// Bytes of the whole request.
+    /// Returns the number of bytes of the request, head and body.
     pub fn length(&self) -> usize {
         self.body.end
     }
 }
 
-/// The request that these bytes begin with; `None` while more bytes are needed.
+/// Parses the request at the start of these bytes. Returns `None` while more bytes are needed.
 pub fn parse_request(bytes: &[u8]) -> Result<Option<Request<'_>>, RequestError> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADER_FIELDS];
     let mut head = httparse::Request::new(&mut headers);
@@ -106,8 +106,7 @@
     if bytes.len() < body.end {
         return Ok(None);
     }
-    let is_http_1_0 = head.version == Some(0);
-    let persistence = Persistence::after(is_http_1_0, fields.has_connection_close(bytes));
+    let persistence = Persistence::after_message(head.version, &fields, bytes);
     Ok(Some(Request {
         bytes,
         method: range_within(bytes, method.as_bytes()),
@@ -118,7 +117,7 @@
     }))
 }
 
-/// Reads the head and returns its length; `None` while more bytes are needed.
+/// Parses the head and returns its length, or `None` while more bytes are needed.
 fn parse_head<'a>(
     head: &mut httparse::Request<'_, 'a>,
     bytes: &'a [u8],
--- a/crates/http/src/response.rs
+++ b/crates/http/src/response.rs
@@ -1,9 +1,9 @@
-//! Responses: heads as the calling side reads them, and whole responses as the called side writes them.
+//! Responses: heads as a client reads them, and complete responses as a server writes them.
 
 use crate::fields::Fields;
 use crate::{parse_decimal, Persistence, MAX_BODY_BYTES, MAX_HEADER_FIELDS, MAX_HEAD_BYTES};
 
-/// What every status line of HTTP/1.0 and HTTP/1.1 begins with.
+/// The start of every status line of HTTP/1.0 and HTTP/1.1.
 const STATUS_LINE_START: &[u8] = b"HTTP/1.";
 const STATUS_CODE_DIGITS: usize = 3;
 const OK: u16 = 200;
@@ -11,17 +11,17 @@
 const NO_CONTENT: u16 = 204;
 const NOT_MODIFIED: u16 = 304;
 
-/// What the bytes of a response amount to so far.
+/// The response at the start of some bytes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ParsedResponse {
     /// More bytes are needed.
     Incomplete {
-        /// The status line is complete and reads 200.
+        /// Whether the status line is complete and reads 200.
         ok: bool,
     },
-    /// No response can come of these bytes.
+    /// The bytes cannot become a valid response.
     Malformed {
-        /// The status line is complete and reads 200.
+        /// Whether the status line is complete and reads 200.
         ok: bool,
     },
     /// The head is complete.
@@ -39,25 +39,25 @@
 pub struct ResponseHead {
     /// The status code.
     pub status: u16,
-    /// Bytes up to the end of the head, with interim (1xx) responses in front of it.
+    /// Number of bytes up to the end of the head, including interim (1xx) responses before it.
     pub length: usize,
-    /// Bytes of the body, where that is known and within the bound.
+    /// Number of bytes of the body; `None` if it is unknown or exceeds [`MAX_BODY_BYTES`].
     pub body: Option<usize>,
-    /// The body comes in chunks.
+    /// Whether the body is chunked.
     pub chunked: bool,
-    /// Whether the other side keeps the connection after the body.
+    /// Whether the server keeps the connection open after the body.
     pub persistence: Persistence,
     fields: Vec<OwnedField>,
 }
 
 impl ResponseHead {
-    /// The value of the first field of this name.
+    /// Returns the value of the first header field of this name.
     pub fn field(&self, name: &str) -> Option<&[u8]> {
         let has_name = |field: &&OwnedField| field.name.eq_ignore_ascii_case(name.as_bytes());
         self.fields.iter().find(has_name).map(|field| &field.value[..])
     }
 
-    /// A response with another one to follow; the final response of an upgrade is none.
+    /// Whether another response follows this one. The final response of an upgrade is not interim.
     fn is_interim(&self) -> bool {
         is_informational(self.status) && self.status != SWITCHING_PROTOCOLS
     }
@@ -67,7 +67,7 @@
     (100..200).contains(&status)
 }
 
-/// The response that these bytes begin with; interim (1xx) responses in front are skipped.
+/// Parses the response at the start of these bytes, after any interim (1xx) responses.
 pub fn parse_response(bytes: &[u8]) -> ParsedResponse {
     let mut skipped = 0;
     loop {
@@ -87,9 +87,10 @@
     }
 }
 
-/// The response that these bytes begin with, interim or not.
+/// Parses the response at the start of these bytes, interim or not.
 fn parse_one_response(bytes: &[u8]) -> ParsedResponse {
-    let Some(ok) = check_status_line(bytes) else { return ParsedResponse::Malformed { ok: false } };
+    let Some(status_line) = parse_status_line(bytes) else { return ParsedResponse::Malformed { ok: false } };
+    let ok = status_line == StatusLine::Complete { status: OK };
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADER_FIELDS];
     let mut head = httparse::Response::new(&mut headers);
     match head.parse(bytes) {
@@ -101,21 +102,34 @@
     }
 }
 
-/// Whether the status line is complete and reads 200; `None` if no response begins like this.
-fn check_status_line(bytes: &[u8]) -> Option<bool> {
+/// The status line as far as it has arrived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StatusLine {
+    Partial,
+    Complete { status: u16 },
+}
+
+/// Reads the status line at the start of these bytes. Returns `None` if no response begins like this.
+fn parse_status_line(bytes: &[u8]) -> Option<StatusLine> {
     match bytes.iter().position(|&byte| byte == b'\n') {
-        Some(end) => parse_status_line(&bytes[..end]).map(|status| status == OK),
-        None => may_begin_response(bytes).then_some(false),
+        Some(end) => parse_status_code(&bytes[..end]).map(|status| StatusLine::Complete { status }),
+        None => may_begin_response(bytes).then_some(StatusLine::Partial),
     }
 }
 
-/// The head with what follows from it; `None` if its length is no length.
+/// Derives the properties of a parsed head. Returns `None` if its content length is invalid.
 fn read_head(head: &httparse::Response<'_, '_>, length: usize, bytes: &[u8]) -> Option<ResponseHead> {
     let status = head.code.unwrap_or(0);
     let fields = Fields::new(bytes, head.headers);
     let content_length = fields.content_length(bytes).ok()?;
     let chunked = fields.has_transfer_encoding(bytes);
-    let is_http_1_0 = head.version == Some(0);
+    let body = if has_no_body(status) {
+        Some(0)
+    } else if chunked {
+        None
+    } else {
+        content_length.and_then(length_within_bound)
+    };
     let own = |header: &httparse::Header<'_>| OwnedField {
         name: header.name.into(),
         value: header.value.trim_ascii().into(),
@@ -123,33 +137,29 @@
     Some(ResponseHead {
         status,
         length,
-        body: body_length(status, chunked, content_length),
+        body,
         chunked,
-        persistence: Persistence::after(is_http_1_0, fields.has_connection_close(bytes)),
+        persistence: Persistence::after_message(head.version, &fields, bytes),
         fields: head.headers.iter().map(own).collect(),
     })
 }
 
-fn body_length(status: u16, chunked: bool, content_length: Option<u64>) -> Option<usize> {
-    let has_no_body = status == NO_CONTENT || status == NOT_MODIFIED || is_informational(status);
-    if has_no_body {
-        return Some(0);
-    }
-    if chunked {
-        return None;
-    }
-    let length = content_length?;
-    (length <= MAX_BODY_BYTES as u64).then_some(length as usize)
+fn has_no_body(status: u16) -> bool {
+    status == NO_CONTENT || status == NOT_MODIFIED || is_informational(status)
+}
+
+fn length_within_bound(content_length: u64) -> Option<usize> {
+    (content_length <= MAX_BODY_BYTES as u64).then_some(content_length as usize)
 }
 
-/// Whether a status line may begin like this.
+/// Whether these bytes may be the start of a status line.
 fn may_begin_response(bytes: &[u8]) -> bool {
     let compared = bytes.len().min(STATUS_LINE_START.len());
     bytes[..compared] == STATUS_LINE_START[..compared] && bytes.len() <= MAX_HEAD_BYTES
 }
 
-/// The status code of a status line.
-fn parse_status_line(line: &[u8]) -> Option<u16> {
+/// Reads the status code of a complete status line.
+fn parse_status_code(line: &[u8]) -> Option<u16> {
     let rest = line.strip_prefix(STATUS_LINE_START)?;
     let (minor_version, rest) = rest.split_first()?;
     if !minor_version.is_ascii_digit() {
@@ -164,7 +174,7 @@
     parse_decimal(code).map(|code| code as u16)
 }
 
-/// The bytes of a whole response, which says so where its connection is closed after it.
+/// Encodes a complete response. With [`Persistence::Close`] it contains `Connection: close`.
 pub fn encode_response(
     status: u16,
     fields: &[(&str, &str)],
@@ -183,7 +193,8 @@
     [head.as_bytes(), body].concat()
 }
 
-fn reason_phrase(status: u16) -> &'static str {
+/// Returns the reason phrase of a status code; that of 500 for a code that no server of this project sends.
+pub fn reason_phrase(status: u16) -> &'static str {
     match status {
         200 => "OK",
         202 => "Accepted",
@@ -194,6 +205,7 @@
         409 => "Conflict",
         411 => "Length Required",
         413 => "Content Too Large",
+        422 => "Unprocessable Content",
         429 => "Too Many Requests",
         431 => "Request Header Fields Too Large",
         503 => "Service Unavailable",
--- a/crates/http/tests/framing.rs
+++ b/crates/http/tests/framing.rs
@@ -1,4 +1,4 @@
-//! Both sides of the framing, at every cut of their bytes and against arbitrary ones.
+//! Requests, responses and chunked bodies, cut at every byte and against arbitrary bytes.
 
 use linnetcart_http::{
     parse_request, parse_response, ChunkedDecoder, ParsedResponse, Persistence, RequestError, MAX_BODY_BYTES,
@@ -7,38 +7,41 @@
 use proptest::prelude::*;
 
 #[test]
-fn request_cut_at_any_byte_is_read_only_when_complete() {
+fn request_cut_at_any_byte_parsed_only_when_complete() {
     let bytes = b"POST /notice/x?y=1 HTTP/1.1\r\nHost: a\r\nX-Txn: 9b\r\nContent-Length: 3\r\n\r\nabcGET";
-    let whole = bytes.len() - 3;
-    for n in 0..whole {
+    let request_length = bytes.len() - 3;
+    for n in 0..request_length {
         assert_eq!(parse_request(&bytes[..n]), Ok(None), "{n}");
     }
     let r = parse_request(bytes).unwrap().unwrap();
     assert_eq!((r.method(), r.path(), r.body()), (&b"POST"[..], &b"/notice/x"[..], &b"abc"[..]));
     assert_eq!(r.field("x-txn"), Ok(Some(&b"9b"[..])));
-    assert_eq!((r.field("cookie"), r.length(), r.persistence), (Ok(None), whole, Persistence::KeepAlive));
+    assert_eq!(
+        (r.field("cookie"), r.length(), r.persistence),
+        (Ok(None), request_length, Persistence::KeepAlive)
+    );
 }
 
 #[test]
-fn request_with_ambiguous_framing_is_rejected_before_its_body() {
+fn request_with_ambiguous_framing_rejected_before_its_body() {
     let head = |fields: &str| format!("POST /a HTTP/1.1\r\n{fields}\r\n\r\n").into_bytes();
-    let refused = |fields: &str| parse_request(&head(fields)).unwrap_err();
-    assert_eq!(refused("Content-Length: 5\r\nTransfer-Encoding: chunked"), RequestError::Encoded);
-    assert_eq!(refused("Transfer-Encoding : chunked"), RequestError::Unreadable);
-    assert_eq!(refused("transfer-encoding: identity"), RequestError::Encoded);
+    let rejection = |fields: &str| parse_request(&head(fields)).unwrap_err();
+    assert_eq!(rejection("Content-Length: 5\r\nTransfer-Encoding: chunked"), RequestError::Encoded);
+    assert_eq!(rejection("Transfer-Encoding : chunked"), RequestError::Unreadable);
+    assert_eq!(rejection("transfer-encoding: identity"), RequestError::Encoded);
     for length in ["-1", "+1", "1, 1", "0x3", "1 1", "", "99999999999999999999", "1e3"] {
-        assert_eq!(refused(&format!("Content-Length: {length}")), RequestError::BadLength, "{length}");
+        assert_eq!(rejection(&format!("Content-Length: {length}")), RequestError::BadLength, "{length}");
     }
-    assert_eq!(refused("Content-Length: 1\r\nContent-Length: 1"), RequestError::BadLength);
-    assert_eq!(refused("Content-Length: 65537"), RequestError::BodyTooLong);
+    assert_eq!(rejection("Content-Length: 1\r\nContent-Length: 1"), RequestError::BadLength);
+    assert_eq!(rejection("Content-Length: 65537"), RequestError::BodyTooLong);
     assert_eq!(parse_request(&vec![b'a'; MAX_HEAD_BYTES + 1]), Err(RequestError::HeadTooLong));
     let many = "a: b\r\n".repeat(MAX_HEADER_FIELDS + 1);
-    assert_eq!(refused(&format!("{many}c: d")), RequestError::HeadTooLong);
+    assert_eq!(rejection(&format!("{many}c: d")), RequestError::HeadTooLong);
     assert!(parse_request(b"\x16\x03\x01\x02\x00").is_err());
 }
 
 #[test]
-fn response_cut_at_any_byte_is_incomplete_until_its_head_ends() {
+fn response_cut_at_any_byte_incomplete_until_head_ends() {
     let bytes =
         b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 429 No\r\nX-Backoff-Ms: 40\r\nContent-Length: 2\r\n\r\nokX";
     let head = bytes.len() - 3;
@@ -51,7 +54,7 @@
 }
 
 #[test]
-fn malformed_response_after_a_200_status_line_reports_ok() {
+fn response_malformed_after_200_status_line_reports_ok() {
     assert_eq!(parse_response(b"\x00\x01"), ParsedResponse::Malformed { ok: false });
     assert_eq!(parse_response(b"HTTP/1.1 2000 OK\r\n"), ParsedResponse::Malformed { ok: false });
     assert_eq!(parse_response(b"HTTP/1.1 200 OK\r\nX"), ParsedResponse::Incomplete { ok: true });
@@ -78,7 +81,7 @@
 }
 
 #[test]
-fn chunked_body_cut_at_any_byte_is_decoded() {
+fn chunked_body_cut_at_any_byte_decoded() {
     let bytes = b"3\r\nabc\r\n1;x=y\r\n\n\r\n0\r\n\r\n";
     for cut in 0..=bytes.len() {
         let (mut chunks, mut out) = (ChunkedDecoder::default(), Vec::new());
@@ -92,7 +95,7 @@
 
 proptest! {
     #[test]
-    fn arbitrary_bytes_never_panic_or_wait_beyond_the_bounds(bytes in proptest::collection::vec(any::<u8>(), 0..400),
+    fn arbitrary_bytes_never_panic_or_wait_beyond_bounds(bytes in proptest::collection::vec(any::<u8>(), 0..400),
                                                         start in 0..4usize) {
         let starts: [&[u8]; 4] =
             [b"", b"POST /a HTTP/1.1\r\n", b"HTTP/1.1 200 OK\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: "];
