--- a/crates/journal/src/directory.rs
+++ b/crates/journal/src/directory.rs
@@ -1,39 +1,39 @@
-//! The files of a journal in their directory.
+//! The directory of a journal and its files.
 
-use crate::{read_frames, FileDamage, JournalError, Record, RecordRef, Salt, COMPLETE};
+use crate::{read_frames, FileDamage, JournalError, Record, RecordRef, Salt, COMPLETE_KIND};
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
 
-/// What the name of each file begins with; its number follows.
+/// The start of each file's name; the file's number follows.
 const FILE_NAME_PREFIX: &str = "journal-";
 
-/// A directory with a journal in it. All that it appends goes to one file, until that is replaced by the next.
+/// A directory with a journal. Records are appended to one file until that is replaced by the next.
 #[derive(Debug)]
 pub struct JournalDirectory {
     path: PathBuf,
     /// Number of the newest file.
     number: u64,
-    /// None until the first file of this process has been begun.
+    /// The file that is appended to; `None` until this process has begun one.
     file: Option<File>,
     salt: Salt,
     size_bytes: u64,
 }
 
-/// A journal as an earlier process left it.
+/// The journal of a previous process.
 #[derive(Debug)]
 pub struct OpenedJournal {
-    /// The directory, to write to.
+    /// The directory, for writing.
     pub directory: JournalDirectory,
-    /// The records that could be read, in their order.
+    /// The records that could be read, in the order of their appending.
     pub records: Vec<Record>,
-    /// What could not be read, from the newest file on.
+    /// Damage in the files that were read, newest file first.
     pub damage: Vec<FileDamage>,
 }
 
 impl JournalDirectory {
-    /// Opens the directory and reads what an earlier process left. Nothing may be appended before the first
-    /// [`JournalDirectory::replace`].
+    /// Opens the directory and reads the records of a previous process. Nothing may be appended before the
+    /// first [`JournalDirectory::replace`].
     pub fn open(path: &Path) -> Result<OpenedJournal, JournalError> {
         let numbers = file_numbers(path)?;
         let mut records = Vec::new();
@@ -41,14 +41,14 @@
         for &number in numbers.iter().rev() {
             let file = file_path(path, number);
             let found = read_frames(&fs::read(&file)?);
-            if found.torn > 0 {
-                damage.push(FileDamage::TornEnd { path: file.clone(), bytes: found.torn });
+            if found.torn_bytes > 0 {
+                damage.push(FileDamage::TornEnd { path: file.clone(), bytes: found.torn_bytes });
             }
-            if found.damaged > 0 {
-                damage.push(FileDamage::Damaged { path: file, bytes: found.damaged });
+            if found.damaged_bytes > 0 {
+                damage.push(FileDamage::Damaged { path: file, bytes: found.damaged_bytes });
             }
             records.splice(0..0, found.records);
-            // An older file is wanted only where no newer one holds all of it.
+            // Older files are read only while no newer one is complete.
             if found.complete {
                 break;
             }
@@ -63,12 +63,12 @@
         Ok(OpenedJournal { directory, records, damage })
     }
 
-    /// Bytes of the file that is appended to.
+    /// Returns the size of the present file in bytes.
     pub fn size(&self) -> u64 {
         self.size_bytes
     }
 
-    /// Appends records. After an error nothing of them is in the file.
+    /// Appends records. After an error, none of them is in the file.
     pub fn append<'a>(
         &mut self,
         records: impl IntoIterator<Item = RecordRef<'a>>,
@@ -76,10 +76,11 @@
         let Some(file) = &mut self.file else { return Err(JournalError::NoFile) };
         let mut bytes = Vec::new();
         for record in records {
-            self.salt.frame(record.kind, record.payload, &mut bytes);
+            self.salt.append_frame(record.kind, record.payload, &mut bytes);
         }
         if let Err(error) = file.write_all(&bytes) {
-            // A reader would skip what was written as damage; better not to leave it.
+            // Removes a partial write, which a reader would report as damage. Best effort: the write's error
+            // is returned.
             let _ = file.set_len(self.size_bytes);
             return Err(error.into());
         }
@@ -87,8 +88,8 @@
         Ok(())
     }
 
-    /// Begins a new file with the records that are still wanted, and removes those before. After an error the
-    /// old file stays in use.
+    /// Begins a new file with these records and removes the previous files. After an error in writing the new
+    /// file, the previous one stays in use.
     pub fn replace<'a>(
         &mut self,
         salt: Salt,
@@ -96,9 +97,9 @@
     ) -> Result<(), JournalError> {
         let mut bytes = salt.header();
         for record in records {
-            salt.frame(record.kind, record.payload, &mut bytes);
+            salt.append_frame(record.kind, record.payload, &mut bytes);
         }
-        salt.frame(COMPLETE, &[], &mut bytes);
+        salt.append_frame(COMPLETE_KIND, &[], &mut bytes);
         let new_path = file_path(&self.path, self.number + 1);
         let file = create_file(&new_path, &bytes).inspect_err(|_| {
             let _ = fs::remove_file(&new_path);
@@ -121,7 +122,7 @@
     }
 }
 
-/// Creates a file that must not be there yet, with these bytes, to append to.
+/// Creates a file with these bytes for appending. It is an error if the file exists.
 fn create_file(path: &Path, bytes: &[u8]) -> io::Result<File> {
     let mut file = OpenOptions::new().append(true).create_new(true).open(path)?;
     file.write_all(bytes)?;
@@ -132,7 +133,7 @@
     directory.join(format!("{FILE_NAME_PREFIX}{number:010}"))
 }
 
-/// The numbers of the journal's files in a directory, ascending; other files are ignored.
+/// Returns the numbers of the journal's files in ascending order; other files are ignored.
 fn file_numbers(directory: &Path) -> io::Result<Vec<u64>> {
     let mut numbers = Vec::new();
     for entry in fs::read_dir(directory)? {
--- a/crates/journal/src/error.rs
+++ b/crates/journal/src/error.rs
@@ -1,23 +1,23 @@
-//! What can go wrong with a journal.
+//! Errors of a journal, and damage in its files.
 
 use std::io;
 use std::path::PathBuf;
 
-/// Why records could not be appended, or a file not be begun.
+/// Why a journal could not be read or written.
 #[derive(Debug, thiserror::Error)]
 pub enum JournalError {
     /// Records were appended before the first [`JournalDirectory::replace`](crate::JournalDirectory::replace).
     #[error("the journal has no file yet")]
     NoFile,
-    /// The system reports an error.
+    /// The operating system reports an error.
     #[error(transparent)]
     Io(#[from] io::Error),
 }
 
-/// Bytes of a journal's file that are no record.
+/// Bytes of a journal's file that are not a valid record.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum FileDamage {
-    /// The file ends with them: a write that its process did not live to finish, or damage.
+    /// The file ends with invalid bytes: an interrupted write, or damage.
     #[error("{}: {bytes} bytes at the end are no record", path.display())]
     TornEnd {
         /// The file.
@@ -25,7 +25,7 @@
         /// Number of bytes.
         bytes: usize,
     },
-    /// Records follow them.
+    /// Valid records follow the invalid bytes.
     #[error("{}: {bytes} bytes are damaged", path.display())]
     Damaged {
         /// The file.
--- a/crates/journal/src/file.rs
+++ b/crates/journal/src/file.rs
@@ -1,46 +1,46 @@
-//! The records in the bytes of one file, damaged or not.
+//! Reading of the records in the bytes of a file, damaged or not.
 
 use crate::frame::{read_header, FIRST_FRAME_OFFSET};
-use crate::{Record, COMPLETE};
+use crate::{Record, COMPLETE_KIND};
 
-/// What a file's bytes hold.
+/// The content of a file.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ReadFrames {
-    /// All records that can be read, in their order.
+    /// All valid records in their order.
     pub records: Vec<Record>,
-    /// The file holds all that the file before it held.
+    /// Whether the file includes all records of the previous file that are still needed.
     pub complete: bool,
-    /// Bytes before the end that are no record.
-    pub damaged: usize,
-    /// Bytes at the end that are no record: a write that its process did not live to finish, or damage.
-    pub torn: usize,
+    /// Number of invalid bytes that are followed by a valid frame.
+    pub damaged_bytes: usize,
+    /// Number of invalid bytes at the end: an interrupted write, or damage.
+    pub torn_bytes: usize,
 }
 
-/// Reads a file. Damage costs the records that it hit and no others.
+/// Reads the bytes of a file. Damage affects only the records that it touches.
 pub fn read_frames(bytes: &[u8]) -> ReadFrames {
     let mut found = ReadFrames::default();
     let Some(salt) = read_header(bytes) else {
-        found.torn = bytes.len();
+        found.torn_bytes = bytes.len();
         return found;
     };
     let mut rest = bytes.get(FIRST_FRAME_OFFSET..).unwrap_or_default();
     let mut skipped = 0;
     while !rest.is_empty() {
         let Some(frame) = salt.decode_frame(rest) else {
-            // Damage has no length of its own: the next frame may begin at any byte.
+            // The length of the damage is unknown: the next frame may begin at any byte.
             skipped += 1;
             rest = &rest[1..];
             continue;
         };
-        found.damaged += skipped;
+        found.damaged_bytes += skipped;
         skipped = 0;
-        if frame.kind == COMPLETE {
+        if frame.kind == COMPLETE_KIND {
             found.complete = true;
         } else {
             found.records.push(Record { kind: frame.kind, payload: frame.payload.to_vec() });
         }
         rest = &rest[frame.length..];
     }
-    found.torn = skipped;
+    found.torn_bytes = skipped;
     found
 }
--- a/crates/journal/src/frame.rs
+++ b/crates/journal/src/frame.rs
@@ -1,60 +1,61 @@
-//! Records as frames, and the header of the file that they stand in.
+//! Frames, which contain the records, and the header of a file.
 //!
-//! A frame is: mark, length (4 bytes), checksum (4 bytes), kind, payload. A header is: magic, salt (8 bytes),
-//! checksum (4 bytes). Numbers are little-endian; checksums are CRC-32C.
+//! A frame consists of mark (1 byte), length of the payload (4 bytes), checksum (4 bytes), kind (1 byte) and
+//! payload. A header consists of magic (8 bytes), salt (8 bytes) and checksum (4 bytes). Numbers are
+//! little-endian; checksums are CRC-32C.
 
-/// Bytes that a frame takes beside its payload.
+/// Number of bytes of a frame in addition to its payload.
 pub const FRAME_OVERHEAD_BYTES: usize = 10;
-/// The most bytes that a payload may have.
+/// Maximum number of bytes of a payload.
 pub const MAX_PAYLOAD_BYTES: usize = 1 << 20;
-/// Kind of the frame after which a file holds all that the one before held; not for the records of others.
-pub const COMPLETE: u8 = 0;
+/// Kind of the frame that marks a file as complete. Records must have another kind.
+pub const COMPLETE_KIND: u8 = 0;
 
 /// First byte of every frame.
 const FRAME_MARK: u8 = 0xA7;
 /// First bytes of every header.
 const HEADER_MAGIC: &[u8; 8] = b"linnetj1";
-/// Bytes of a header, its checksum included.
+/// Number of bytes of a header, including its checksum.
 const HEADER_BYTES: usize = 20;
-/// Bytes of a header that its checksum covers.
+/// Number of bytes of a header that its checksum covers.
 const CHECKED_HEADER_BYTES: usize = 16;
-/// How often a file's header is given, so that damage to one copy does not cost the file.
+/// Number of copies of the header, so that damage to one of them does not cost the file.
 const HEADER_COPIES: usize = 2;
-/// Where the first frame of a file begins, in bytes from its start.
+/// Position of the first frame in a file, in bytes.
 pub(crate) const FIRST_FRAME_OFFSET: usize = HEADER_COPIES * HEADER_BYTES;
 
-/// A record as it was read.
+/// A record.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Record {
-    /// What it is; 1 at least.
+    /// The kind, at least 1. Its meaning is the application's.
     pub kind: u8,
-    /// Its bytes.
+    /// The payload.
     pub payload: Vec<u8>,
 }
 
-/// A record to be written.
+/// A borrowed record to be written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RecordRef<'a> {
-    /// What it is; 1 at least.
+    /// The kind, at least 1.
     pub kind: u8,
-    /// Its bytes, at most [`MAX_PAYLOAD_BYTES`].
+    /// The payload, at most [`MAX_PAYLOAD_BYTES`] long.
     pub payload: &'a [u8],
 }
 
-/// Distinguishes the frames of one file from all other bytes: the checksum of each begins from it.
+/// Distinguishes the frames of a file from all other bytes: it seeds the checksum of each of them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Salt(pub u64);
 
-/// A frame that was found at the start of some bytes.
+/// A valid frame at the start of some bytes.
 pub(crate) struct DecodedFrame<'a> {
     pub(crate) kind: u8,
     pub(crate) payload: &'a [u8],
-    /// Bytes of the whole frame.
+    /// Number of bytes of the frame, including its payload.
     pub(crate) length: usize,
 }
 
 impl Salt {
-    /// The bytes that a file begins with.
+    /// Returns the header copies that a file begins with.
     pub fn header(self) -> Vec<u8> {
         let mut header = [&HEADER_MAGIC[..], &self.0.to_le_bytes()].concat();
         let checksum = crc32c::crc32c(&header);
@@ -64,10 +65,8 @@
 
     /// Appends a frame to `out`.
     ///
-    /// # Panics
-    /// If the payload is longer than [`MAX_PAYLOAD_BYTES`]: whoever accepts what becomes a record has to bound
-    /// it.
-    pub fn frame(self, kind: u8, payload: &[u8], out: &mut Vec<u8>) {
+    /// If the payload is longer than [`MAX_PAYLOAD_BYTES`]: callers have to bound what they accept.
+    pub fn append_frame(self, kind: u8, payload: &[u8], out: &mut Vec<u8>) {
         assert!(payload.len() <= MAX_PAYLOAD_BYTES, "a record of {} bytes", payload.len());
         let length = (payload.len() as u32).to_le_bytes();
         let checksum = self.frame_checksum(length, kind, payload);
@@ -85,7 +84,7 @@
         crc32c::crc32c_append(checksum, payload)
     }
 
-    /// The frame that these bytes begin with, if they begin with one.
+    /// Decodes the frame at the start of these bytes. Returns `None` if there is no valid one.
     pub(crate) fn decode_frame(self, bytes: &[u8]) -> Option<DecodedFrame<'_>> {
         let (head, rest) = bytes.split_first_chunk::<FRAME_OVERHEAD_BYTES>()?;
         let &[mark, l0, l1, l2, l3, c0, c1, c2, c3, kind] = head;
@@ -103,7 +102,7 @@
     }
 }
 
-/// The salt that a file's header gives: that of the first copy that is not damaged.
+/// Returns the salt of the first header copy that is not damaged, or `None` if both are.
 pub(crate) fn read_header(bytes: &[u8]) -> Option<Salt> {
     (0..HEADER_COPIES).find_map(|copy| read_header_copy(bytes.get(copy * HEADER_BYTES..)?))
 }
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -1,11 +1,11 @@
-//! An append-only log that survives its process. It knows frames and files; it never knows what records mean.
+//! An append-only log that survives its process. It handles frames and files and never interprets a record.
 //!
-//! A file begins with its header, given twice; then come frames. Checksums begin from a salt of the file's own,
-//! so that no bytes handed in from outside can pass for a frame. A file is replaced as a whole: the next one
-//! begins with the records that are still wanted and a frame that says that these are all; only then is the one
-//! before removed. So the newest file with such a frame holds everything.
+//! A file begins with two copies of its header, followed by frames. All checksums are seeded with the file's
+//! own salt, so that bytes from outside cannot be mistaken for a frame. A file is replaced as a whole: the
+//! next file begins with the records that are still needed and a frame that marks it as complete; only then
+//! is the previous file removed. The newest complete file therefore holds all records.
 //!
-//! What is written outlasts the process without a sync; it is not meant to outlast the machine.
+//! Writes are not synced: records survive the process, and not necessarily a failure of the machine.
 #![forbid(unsafe_code)]
 #![warn(clippy::unwrap_used, missing_docs)]
 
@@ -17,4 +17,4 @@
 pub use directory::{JournalDirectory, OpenedJournal};
 pub use error::{FileDamage, JournalError};
 pub use file::{read_frames, ReadFrames};
-pub use frame::{Record, RecordRef, Salt, COMPLETE, FRAME_OVERHEAD_BYTES, MAX_PAYLOAD_BYTES};
+pub use frame::{Record, RecordRef, Salt, COMPLETE_KIND, FRAME_OVERHEAD_BYTES, MAX_PAYLOAD_BYTES};
--- a/crates/journal/tests/directory.rs
+++ b/crates/journal/tests/directory.rs
@@ -1,26 +1,28 @@
-//! A journal's directory: replacement of files, and what a process finds that died in the middle of it.
+//! A journal's directory: replacement of files, interrupted at any byte, and damage.
 
 use linnetcart_journal::{
-    FileDamage, JournalDirectory, JournalError, OpenedJournal, Record, RecordRef, Salt, COMPLETE,
+    FileDamage, JournalDirectory, JournalError, OpenedJournal, Record, RecordRef, Salt, COMPLETE_KIND,
     FRAME_OVERHEAD_BYTES,
 };
 use std::path::PathBuf;
 
 const SALT: Salt = Salt(0x0123_4567_89ab_cdef);
+/// Number of bytes of both header copies.
+const HEADER_BYTES: usize = 40;
 
-/// A directory of its own for one test, removed at its end.
-struct Temp(PathBuf);
+/// A temporary directory for one test, removed at its end.
+struct TemporaryDirectory(PathBuf);
 
-impl Temp {
-    fn new(name: &str) -> Temp {
+impl TemporaryDirectory {
+    fn new(name: &str) -> TemporaryDirectory {
         let dir = std::env::temp_dir().join(format!("linnetcart-journal-{name}-{}", std::process::id()));
         let _ = std::fs::remove_dir_all(&dir);
         std::fs::create_dir_all(&dir).unwrap();
-        Temp(dir)
+        TemporaryDirectory(dir)
     }
 }
 
-impl Drop for Temp {
+impl Drop for TemporaryDirectory {
     fn drop(&mut self) {
         let _ = std::fs::remove_dir_all(&self.0);
     }
@@ -31,30 +33,30 @@
 }
 
 #[test]
-fn new_file_replaces_the_old_one_only_when_complete() {
-    let temp = Temp::new("replace");
+fn new_file_replaces_previous_one_only_when_complete() {
+    let temp = TemporaryDirectory::new("replace");
     let OpenedJournal { mut directory, records, damage } = JournalDirectory::open(&temp.0).unwrap();
     assert!(records.is_empty() && damage.is_empty());
     assert!(matches!(directory.append([record(1, b"x")]), Err(JournalError::NoFile)));
     directory.replace(SALT, []).unwrap();
     directory.append([record(1, b"a"), record(2, b"b")]).unwrap();
-    // The next file, cut at any byte as by a process that died in the middle of it.
+    // The next file, cut at any byte, as if the process had died while it was writing.
     let mut next = Salt(9).header();
-    Salt(9).frame(2, b"b", &mut next);
-    Salt(9).frame(COMPLETE, &[], &mut next);
+    Salt(9).append_frame(2, b"b", &mut next);
+    Salt(9).append_frame(COMPLETE_KIND, &[], &mut next);
     for cut in 0..=next.len() {
         std::fs::write(temp.0.join("journal-0000000002"), &next[..cut]).unwrap();
         let records = JournalDirectory::open(&temp.0).unwrap().records;
         let kinds: Vec<u8> = records.iter().map(|r| r.kind).collect();
-        let partly = cut > 40 + FRAME_OVERHEAD_BYTES;
-        let wanted: &[u8] = if cut == next.len() {
+        let has_record = cut > HEADER_BYTES + FRAME_OVERHEAD_BYTES;
+        let expected: &[u8] = if cut == next.len() {
             &[2]
-        } else if partly {
+        } else if has_record {
             &[1, 2, 2]
         } else {
             &[1, 2]
         };
-        assert_eq!(kinds, wanted, "cut at {cut}");
+        assert_eq!(kinds, expected, "cut at {cut}");
     }
     let mut directory = JournalDirectory::open(&temp.0).unwrap().directory;
     directory.replace(SALT, [record(3, b"c")]).unwrap();
@@ -65,15 +67,15 @@
 }
 
 #[test]
-fn damaged_file_is_reported_with_path_and_bytes() {
-    let temp = Temp::new("damage");
+fn damaged_file_reported_with_path_and_bytes() {
+    let temp = TemporaryDirectory::new("damage");
     let path = temp.0.join("journal-0000000001");
     let mut bytes = SALT.header();
     let damaged_at = bytes.len();
-    SALT.frame(1, b"lost", &mut bytes);
+    SALT.append_frame(1, b"lost", &mut bytes);
     let damaged = bytes.len() - damaged_at;
     bytes[damaged_at] ^= 1;
-    SALT.frame(2, b"kept", &mut bytes);
+    SALT.append_frame(2, b"kept", &mut bytes);
     bytes.extend([0; 3]);
     std::fs::write(&path, &bytes).unwrap();
     let opened = JournalDirectory::open(&temp.0).unwrap();
--- a/crates/journal/tests/frames.rs
+++ b/crates/journal/tests/frames.rs
@@ -1,62 +1,75 @@
-//! Records as frames in the bytes of one file: cut, damaged, forged and arbitrary.
+//! Frames in the bytes of a file: cut, damaged, forged and arbitrary.
 
-use linnetcart_journal::{read_frames, Record, Salt, COMPLETE, FRAME_OVERHEAD_BYTES};
+use linnetcart_journal::{read_frames, Record, Salt, COMPLETE_KIND, FRAME_OVERHEAD_BYTES};
 use proptest::prelude::*;
 
 const SALT: Salt = Salt(0x0123_4567_89ab_cdef);
+/// Number of bytes of both header copies.
+const HEADER_BYTES: usize = 40;
 
-fn file(records: &[Record]) -> (Vec<u8>, Vec<usize>) {
+/// A journal file.
+struct JournalFile {
+    bytes: Vec<u8>,
+    /// The position after each record.
+    record_ends: Vec<usize>,
+}
+
+/// Returns a complete file with these records.
+fn file(records: &[Record]) -> JournalFile {
     let mut bytes = SALT.header();
-    SALT.frame(COMPLETE, &[], &mut bytes);
-    let mut ends = vec![];
+    SALT.append_frame(COMPLETE_KIND, &[], &mut bytes);
+    let mut record_ends = vec![];
     for r in records {
-        SALT.frame(r.kind, &r.payload, &mut bytes);
-        ends.push(bytes.len());
+        SALT.append_frame(r.kind, &r.payload, &mut bytes);
+        record_ends.push(bytes.len());
     }
-    (bytes, ends)
+    JournalFile { bytes, record_ends }
 }
 
-fn some() -> Vec<Record> {
+fn sample_records() -> Vec<Record> {
     (1..9u8).map(|n| Record { kind: n, payload: vec![n; usize::from(n) * 3] }).collect()
 }
 
 #[test]
-fn file_cut_at_any_byte_keeps_every_record_before_the_cut() {
-    let (bytes, ends) = file(&some());
+fn file_cut_at_any_byte_yields_every_record_before_cut() {
+    let JournalFile { bytes, record_ends } = file(&sample_records());
     for cut in 0..=bytes.len() {
         let found = read_frames(&bytes[..cut]);
-        let whole = ends.iter().filter(|&&end| end <= cut).count();
-        assert_eq!(found.records, some()[..whole], "cut at {cut}");
-        assert_eq!(found.damaged, 0);
-        assert_eq!(found.complete, cut >= 40 + FRAME_OVERHEAD_BYTES);
+        let complete = record_ends.iter().filter(|&&end| end <= cut).count();
+        assert_eq!(found.records, sample_records()[..complete], "cut at {cut}");
+        assert_eq!(found.damaged_bytes, 0);
+        assert_eq!(found.complete, cut >= HEADER_BYTES + FRAME_OVERHEAD_BYTES);
     }
 }
 
 #[test]
-fn file_with_a_flipped_bit_loses_at_most_the_record_it_is_in() {
-    let (bytes, ends) = file(&some());
+fn file_with_flipped_bit_loses_at_most_record_of_that_bit() {
+    let JournalFile { bytes, record_ends } = file(&sample_records());
     for bit in 0..bytes.len() * 8 {
         let mut bad = bytes.clone();
         bad[bit / 8] ^= 1 << (bit % 8);
-        let hit = ends.iter().position(|&end| bit / 8 < end).filter(|_| bit / 8 >= 40 + FRAME_OVERHEAD_BYTES);
-        let mut left = some();
+        let hit = record_ends
+            .iter()
+            .position(|&end| bit / 8 < end)
+            .filter(|_| bit / 8 >= HEADER_BYTES + FRAME_OVERHEAD_BYTES);
+        let mut remaining = sample_records();
         if let Some(hit) = hit {
-            left.remove(hit);
+            remaining.remove(hit);
         }
-        assert_eq!(read_frames(&bad).records, left, "bit {bit}");
+        assert_eq!(read_frames(&bad).records, remaining, "bit {bit}");
     }
 }
 
 #[test]
-fn frame_inside_a_damaged_payload_is_no_record() {
+fn frame_inside_damaged_payload_not_read() {
     let mut forged = Vec::new();
-    Salt(1).frame(7, b"forged", &mut forged);
-    let (mut bytes, _) = file(&[Record { kind: 1, payload: forged }, Record { kind: 2, payload: vec![] }]);
-    bytes[40 + FRAME_OVERHEAD_BYTES + 2] ^= 1;
+    Salt(1).append_frame(7, b"forged", &mut forged);
+    let mut bytes = file(&[Record { kind: 1, payload: forged }, Record { kind: 2, payload: vec![] }]).bytes;
+    bytes[HEADER_BYTES + FRAME_OVERHEAD_BYTES + 2] ^= 1;
     assert_eq!(read_frames(&bytes).records, [Record { kind: 2, payload: vec![] }]);
 }
 
-/// Header, the frame that says that the file is complete, and a record of kind 3, as version 0.1 writes them.
+/// Both headers, the frame that marks the file as complete, and a record of kind 3, as version 0.1 writes them.
 const FILE_OF_VERSION_0_1: &str = "\
     6c696e6e65746a31efcdab8967452301b2ad78f3\
     6c696e6e65746a31efcdab8967452301b2ad78f3\
@@ -68,24 +81,23 @@
 }
 
 #[test]
-fn file_of_version_0_1_is_read_and_written_again_byte_for_byte() {
+fn file_of_version_0_1_read_and_written_byte_for_byte() {
     let record = Record { kind: 3, payload: b"payload".to_vec() };
     let earlier = decode_hex(FILE_OF_VERSION_0_1);
     let found = read_frames(&earlier);
     assert_eq!(found.records, std::slice::from_ref(&record));
-    assert_eq!((found.complete, found.damaged, found.torn), (true, 0, 0));
-    let (written, _) = file(&[record]);
-    assert_eq!(written, earlier);
+    assert_eq!((found.complete, found.damaged_bytes, found.torn_bytes), (true, 0, 0));
+    assert_eq!(file(&[record]).bytes, earlier);
 }
 
 proptest! {
     #[test]
-    fn records_written_are_read_unchanged(payloads in proptest::collection::vec(
+    fn records_written_read_unchanged(payloads in proptest::collection::vec(
         (1..=255u8, proptest::collection::vec(any::<u8>(), 0..80)), 0..20)) {
         let records: Vec<Record> =
             payloads.into_iter().map(|(kind, payload)| Record { kind, payload }).collect();
-        let found = read_frames(&file(&records).0);
-        prop_assert_eq!((found.damaged, found.torn), (0, 0));
+        let found = read_frames(&file(&records).bytes);
+        prop_assert_eq!((found.damaged_bytes, found.torn_bytes), (0, 0));
         prop_assert_eq!(found.records, records);
     }
 
