Courier-common: docs and test names in the terms of the field

Cause: docs were elliptic ("for so long", "before anything is known"). Change: docs with explicit subjects and units. Assertions are unchanged. Tests renamed:

allocation_after_the_last_number_starts_again_and_skips_numbers_in_use -> message_numbers_after_last_restart_and_skip_numbers_in_use max_idle_is_halved_by_a_loss_and_doubled_by_each_idle_timeout -> max_idle_halved_by_loss_and_doubled_by_each_idle_timeout idle_times_that_lose_calls_are_not_used_until_that_is_forgotten -> loss_rate_lossy_idle_time_not_reused_until_evidence_decays idle_connections_are_used_where_new_ones_lose_as_many_calls -> loss_rate_idle_connection_reused_when_new_ones_lose_as_many_calls

--- a/crates/courier-common/src/idle_reuse.rs
+++ b/crates/courier-common/src/idle_reuse.rs
@@ -1,12 +1,12 @@
-//! Whether a call may use a connection that has been idle.
+//! Policies on the reuse of connections that have been idle.
 //!
-//! Endpoints, and what stands between, drop connections long before the idle timeout that they state, not always
-//! visibly. The next call on such a connection is lost, and a message that must not run twice fails with it. Both
-//! policies guard against idle timeouts that are shorter than stated, middleboxes that forget flows, and restarts
-//! that nobody announced. Their cost: losses by chance make connections anew that need not be.
+//! Endpoints and middleboxes drop idle connections long before the stated idle timeout, not always visibly.
+//! The next call on such a connection is lost, and with it a message that must not be executed twice. Both
+//! policies guard against idle timeouts shorter than stated, middleboxes that forget flows, and unannounced
+//! restarts. Their cost: after losses that happened by chance, connections are established without need.
 //!
-//! There are two because the fronts see different evidence, and one policy for both would change what one of them
-//! does:
+//! There are two policies because the fronts see different evidence; a common policy would change the
+//! behaviour of one of them:
 //!
 //! - [`MaxIdlePolicy`], Kafka front: several calls share a connection and a lost one is rare, so a single loss halves
 //!   the longest idle time that is accepted, for all endpoints. It yields a bound by which idle connections close.
--- a/crates/courier-common/src/idle_reuse/loss_rate.rs
+++ b/crates/courier-common/src/idle_reuse/loss_rate.rs
@@ -3,17 +3,17 @@
 use linnetcart::Time;
 
 const MILLISECOND: Time = 1_000_000;
-/// Idle times below this share one bucket; each further bucket is twice as wide.
+/// Idle times below this share the first bucket; each further bucket is twice as wide.
 const FIRST_BUCKET_WIDTH: Time = 32 * MILLISECOND;
 /// Number of idle-time buckets; the last one has no upper end.
 const IDLE_BUCKETS: usize = 10;
-/// Before anything is known, a bucket counts as so many calls,
+/// The prior of each bucket: this number of calls,
 const PRIOR_CALLS: f64 = 10.0;
-/// of which this part was lost.
+/// of which this fraction was lost.
 const PRIOR_LOSS_RATE: f64 = 0.02;
-/// A kept connection saves the time of a new one, which is worth this much of additional loss rate.
+/// Reuse saves the time of a connect, which justifies this much additional loss rate.
 const LOSS_RATE_MARGIN: f64 = 0.03;
-/// Half of what is known is forgotten in this time.
+/// Half of the evidence decays in this time.
 const HALF_LIFE: Time = 10_000 * MILLISECOND;
 
 /// Whether a call got an answer on its connection.
@@ -25,7 +25,7 @@
     Lost,
 }
 
-/// Calls and lost calls, both decaying with time.
+/// Numbers of calls and lost calls, both decaying with time.
 #[derive(Clone, Copy, Debug, Default)]
 struct DecayingLossRate {
     calls: f64,
@@ -56,10 +56,10 @@
     }
 }
 
-/// Uses idle connections as long as they lose no more calls than new ones do.
+/// Allows the reuse of idle connections as long as they lose no more calls than new ones do.
 ///
-/// The loss rate is kept by how long the connection had been idle, in buckets of doubling width, and beside them
-/// that of first calls on new connections: where everything is reset now and then, a new one is no better.
+/// Loss rates are counted by idle time, in buckets of doubling width, and for the first calls on new
+/// connections: where connections are reset at random, a new one is no better.
 #[derive(Debug, Default)]
 pub struct LossRatePolicy {
     new_connections: DecayingLossRate,
@@ -71,7 +71,8 @@
 }
 
 impl LossRatePolicy {
-    /// A call ended, or its answer began, on a connection that had been idle for so long before it, or was new.
+    /// Records the result of a call. `idle` is how long its connection had been idle before, or `None` for a
+    /// new connection.
     pub fn record_call(&mut self, now: Time, idle: Option<Time>, result: CallResult) {
         match idle {
             Some(idle) => self.idle_connections[bucket(idle)].record(now, result),
@@ -79,7 +80,7 @@
         }
     }
 
-    /// Whether a connection that has been idle for so long is as good as a new one.
+    /// Whether a connection that has been idle for this long is expected to be as good as a new one.
     pub fn may_reuse(&self, now: Time, idle: Time) -> bool {
         let idle_loss_rate = self.idle_connections[bucket(idle)].rate(now);
         idle_loss_rate <= self.new_connections.rate(now) + LOSS_RATE_MARGIN
--- a/crates/courier-common/src/idle_reuse/max_idle.rs
+++ b/crates/courier-common/src/idle_reuse/max_idle.rs
@@ -1,12 +1,12 @@
-//! A single bound on the idle time, halved by a loss and doubled by time.
+//! A single maximum of the idle time, halved by a loss and doubled by time.
 
 use linnetcart::Time;
 
-/// The longest idle time after which a connection is still used.
+/// The maximum idle time after which a connection may be reused.
 ///
-/// A connection that dies, or stays silent where its endpoint answers others, under the first call after it was
-/// idle is evidence: from then on connections are used after half of that idle time at most. Without further
-/// evidence the bound doubles with each full idle timeout that passes, up to that timeout itself.
+/// The evidence is a connection that is lost, or silent while its endpoint answers others, under the first
+/// call after an idle period: from then on, connections are reused after at most half of that idle time.
+/// Without further evidence the maximum doubles with each full idle timeout that passes, up to that timeout.
 #[derive(Clone, Copy, Debug)]
 pub struct MaxIdlePolicy {
     idle_timeout: Time,
@@ -15,12 +15,12 @@
 }
 
 impl MaxIdlePolicy {
-    /// Starts with the timeout after which idle connections are closed anyway.
+    /// Creates a policy whose maximum is the timeout after which idle connections are closed in any case.
     pub fn new(idle_timeout: Time) -> Self {
         MaxIdlePolicy { idle_timeout, max_idle: idle_timeout, last_loss: 0 }
     }
 
-    /// A connection that was idle for longer is not used any more.
+    /// Returns the maximum idle time at `now`, in nanoseconds.
     pub fn max_idle(&self, now: Time) -> Time {
         let since_loss = now.saturating_sub(self.last_loss);
         let doublings = (since_loss / self.idle_timeout.max(1)).min(63) as u32;
@@ -30,7 +30,7 @@
         }
     }
 
-    /// A call was lost on a connection that had been idle for so long.
+    /// Records the loss of a call on a connection that had been idle for `idle` nanoseconds.
     pub fn record_loss(&mut self, now: Time, idle: Time) {
         self.max_idle = self.max_idle(now).min(idle) / 2;
         self.last_loss = now;
--- a/crates/courier-common/src/idle_reuse/tests.rs
+++ b/crates/courier-common/src/idle_reuse/tests.rs
@@ -12,13 +12,13 @@
 }
 
 #[test]
-fn max_idle_is_halved_by_a_loss_and_doubled_by_each_idle_timeout() {
+fn max_idle_halved_by_loss_and_doubled_by_each_idle_timeout() {
     let mut policy = MaxIdlePolicy::new(1000);
     assert_eq!(policy.max_idle(5), 1000);
     policy.record_loss(10, 600);
     assert_eq!(policy.max_idle(10), 300);
     policy.record_loss(20, 900);
-    assert_eq!(policy.max_idle(20), 150, "a longer idle time that lost a call says nothing new");
+    assert_eq!(policy.max_idle(20), 150, "the present maximum is halved, not the longer idle time");
     assert_eq!(policy.max_idle(1020), 300);
     assert_eq!(policy.max_idle(2020), 600);
     assert_eq!(policy.max_idle(3020), 1000);
@@ -26,7 +26,7 @@
 }
 
 #[test]
-fn idle_times_that_lose_calls_are_not_used_until_that_is_forgotten() {
+fn loss_rate_lossy_idle_time_not_reused_until_evidence_decays() {
     let mut policy = LossRatePolicy::default();
     let short = 40 * MILLISECOND;
     let long = 300 * MILLISECOND;
@@ -38,11 +38,11 @@
     }
     assert!(policy.may_reuse(40 * MILLISECOND, short));
     assert!(!policy.may_reuse(40 * MILLISECOND, long));
-    assert!(policy.may_reuse(100_000 * MILLISECOND, long), "used again");
+    assert!(policy.may_reuse(100_000 * MILLISECOND, long), "reused after the evidence decayed");
 }
 
 #[test]
-fn idle_connections_are_used_where_new_ones_lose_as_many_calls() {
+fn loss_rate_idle_connection_reused_when_new_ones_lose_as_many_calls() {
     let mut policy = LossRatePolicy::default();
     for n in 0..100 {
         policy.record_call(n * MILLISECOND, Some(300 * MILLISECOND), lost_if(n % 8 == 0));
--- a/crates/courier-common/src/lib.rs
+++ b/crates/courier-common/src/lib.rs
@@ -1,7 +1,7 @@
-//! Parts that both fronts of the courier use: the Kafka front (`linnetcart-edge`) and the platform front
+//! Code that both fronts of the courier share: the Kafka front (`linnetcart-edge`) and the platform front
 //! (`linnetcart-platform`).
 //!
-//! Free of I/O: callers pass clock readings in. Nothing here decides where a message goes.
+//! It performs no I/O: callers pass clock readings in. It never decides where a message is sent.
 #![forbid(unsafe_code)]
 #![warn(clippy::unwrap_used, missing_docs)]
 
--- a/crates/courier-common/src/limit_log.rs
+++ b/crates/courier-common/src/limit_log.rs
@@ -1,8 +1,8 @@
-//! The log line for a limit that changed its state, the same from both fronts.
+//! The log line for a change of a limit's state, the same in both fronts.
 
 use linnetcart::LimitChange;
 
-/// Logs that the decision library sees a limit in another state, and what settled it.
+/// Logs a change of a limit's state, with the evidence that led to it.
 pub fn log_limit_change(change: &LimitChange) {
     let evidence = change.evidence;
     tracing::info!(
--- a/crates/courier-common/src/message_numbers/tests.rs
+++ b/crates/courier-common/src/message_numbers/tests.rs
@@ -1,7 +1,7 @@
 use super::MessageNumbers;
 
 #[test]
-fn allocation_after_the_last_number_starts_again_and_skips_numbers_in_use() {
+fn message_numbers_after_last_restart_and_skip_numbers_in_use() {
     let mut numbers = MessageNumbers::starting_at(u32::MAX - 1);
     let in_use = |n: u32| n == u32::MAX || n == 0 || n == 2;
     let allocated: Vec<u32> = (0..4).map(|_| numbers.allocate(in_use)).collect();
