Deployment-settings: docs and test names in the terms of the field

Cause: docs and the tests' variables used house words ("site", "what a deployment says of itself"). Assertions are unchanged. Tests renamed:

class_of_unknown_idempotency_is_named_in_the_error -> class_of_unknown_idempotency_named_in_error empty_object_reads_as_the_defaults -> empty_object_reads_as_defaults class_without_idempotency_is_an_error -> class_without_idempotency_rejected

--- a/crates/deployment-settings/src/json.rs
+++ b/crates/deployment-settings/src/json.rs
@@ -1,4 +1,4 @@
-//! Values of the settings object. What is absent or of another type reads as zero, false or empty.
+//! Accessors for JSON values. A value that is absent or has another type reads as zero, false or empty.
 
 use serde_json::Value;
 
--- a/crates/deployment-settings/src/settings.rs
+++ b/crates/deployment-settings/src/settings.rs
@@ -1,15 +1,15 @@
 //! The part of the settings object that the decision library uses.
 //!
-//! Each function reads one part of the object and sets the settings that stand in it.
+//! Each function reads one part of the object and sets the settings that it contains.
 
 use crate::json::{flag, integer, list, number, numbers};
 use crate::{SettingsError, KINDS, SERVICES};
 use linnetcart::{Class, DestinationKind, Idempotency, RateAccuracy, Settings};
 use serde_json::Value;
 
-/// Name of the field that says whether a class may be attempted again.
+/// Name of the field that says whether messages of a class may be attempted again.
 const IDEMPOTENCY: &str = "idempotency";
-/// Messages in one call to a kind of destination of which nothing is said.
+/// Number of messages in a call to a kind of destination for which the object gives none.
 const DEFAULT_MESSAGES_PER_CALL: u64 = 1;
 
 pub(crate) fn read(object: &Value) -> Result<Settings, SettingsError> {
@@ -78,7 +78,7 @@
     settings.route_fees = numbers(&family["route_fee"]);
 }
 
-/// All kinds that are named, or of which one of the lists says something.
+/// Reads all kinds that are named or have an entry in one of the lists.
 fn read_kinds(family: &Value, named_kinds: usize) -> Vec<DestinationKind> {
     let independent_routes = list(&family["kind_apart"]);
     let messages_per_call = list(&family["per_call"]);
--- a/crates/deployment-settings/tests/settings.rs
+++ b/crates/deployment-settings/tests/settings.rs
@@ -1,4 +1,4 @@
-//! What is read from a settings object, and what makes it unusable.
+//! Values that are read from a settings object, and its errors.
 
 use linnetcart::{Class, DestinationKind, Idempotency, RateAccuracy, Settings};
 use linnetcart_deployment_settings::{
@@ -8,19 +8,22 @@
 
 #[test]
 fn settings_object_gives_names_and_figures() {
-    let site = DeploymentSettings::read(&json!({
+    let deployment = DeploymentSettings::read(&json!({
         "services": [{"name": "a", "idempotency": "token", "key_ttl_ns": 8, "group": "all"}],
         "kinds": ["k"], "zones": ["z0", "z1"], "stats": {"names": ["x1", "x0"]},
         "bounds": {"max_open": 7, "retry_after": true, "max_retry_after_ns": 3},
         "family_info": {"max_calls": 4}, "weight_source": "nominal",
     }))
     .unwrap();
-    assert_eq!((&site.class_names[..], &site.kind_names[..]), (&["a".to_owned()][..], &["k".to_owned()][..]));
     assert_eq!(
-        (site.load_report_index(CAPACITY_LEFT_FIELD), site.load_report_index(RATE_LIMIT_FIELD)),
+        (&deployment.class_names[..], &deployment.kind_names[..]),
+        (&["a".to_owned()][..], &["k".to_owned()][..])
+    );
+    assert_eq!(
+        (deployment.load_report_index(CAPACITY_LEFT_FIELD), deployment.load_report_index(RATE_LIMIT_FIELD)),
         (Some(1), Some(0))
     );
-    let s = &site.settings;
+    let s = &deployment.settings;
     assert_eq!(
         (s.max_in_flight_messages, s.max_in_flight_calls, s.max_retry_after, s.rate_accuracy),
         (7, 4, 3, RateAccuracy::Exact)
@@ -29,14 +32,14 @@
 }
 
 #[test]
-fn class_of_unknown_idempotency_is_named_in_the_error() {
+fn class_of_unknown_idempotency_named_in_error() {
     let bad =
         DeploymentSettings::read(&json!({"services": [{"idempotency": "pure"}, {"idempotency": "odd"}]}));
     let text = bad.unwrap_err().to_string();
     assert!(text.contains("services[1]") && text.contains("odd"), "{text}");
 }
 
-/// An object with a different value in each field.
+/// Returns an object with a different value in each field.
 fn full_object() -> Value {
     json!({
         "balancers": 3, "me": 2, "my_zone": 1, "tick_ns": 4, "registry_mode": "ask", "weight_source": "rough",
@@ -137,7 +140,7 @@
 }
 
 #[test]
-fn empty_object_reads_as_the_defaults() {
+fn empty_object_reads_as_defaults() {
     let read = DeploymentSettings::read(&json!({})).unwrap();
     assert_eq!(format!("{read:?}"), format!("{:?}", DeploymentSettings::default()));
 }
@@ -149,7 +152,7 @@
 }
 
 #[test]
-fn class_without_idempotency_is_an_error() {
+fn class_without_idempotency_rejected() {
     let error = DeploymentSettings::read(&json!({"services": [{}]})).unwrap_err();
     assert_eq!(error, SettingsError::UnknownIdempotency { class: 0, found: "null".to_owned() });
     let text = "services[0].idempotency is null; `pure`, `token` or `side_effect` is expected";
