Platform: final outcomes in core/completion.rs, conversions of messages in one place each

Cause: delivery.rs held both the way of an attempt and the final outcome of its message; AcceptedMessage was built field by field in submission and in recovery; MILLISECOND was defined twice and spelled out as a number twice. Change: core/completion.rs (complete_delivered, complete_undelivered, acknowledge, settle); accepted_message and SubmittedMessage::into_message; is_blocked; core::MILLISECOND.

--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -22,13 +22,14 @@
 //! | `recovery` | the conversion of records to state and back |
 //!
 //! The flow between the parts is in `inputs` and `iteration` (what arrives, and the order of one iteration),
-//! `submission` (requests to decisions), `delivery` (decisions to outcomes) and `discovery_traffic` (the
+//! `submission` (requests to decisions), `delivery` (decisions to ends of attempts), `completion` (final outcomes) and `discovery_traffic` (the
 //! watch and status notifications).
 
 mod admission;
 mod attempts;
 mod client_connections;
 mod clock;
+mod completion;
 mod connection_pool;
 mod counters;
 mod decisions;
@@ -50,6 +51,7 @@
 mod upstream_request;
 
 pub use client_connections::ClientId;
+pub use clock::MILLISECOND;
 pub use connection_pool::ConnectionId;
 pub use counters::{Counters, NotificationCounts, OutcomeCounts, RecoveryCounts, Sizes};
 pub use discovery::WatchError;
--- a/crates/platform/src/core/client_connections.rs
+++ b/crates/platform/src/core/client_connections.rs
@@ -54,8 +54,8 @@
         }
         let is_silent = self.request.is_empty();
         let timeout = if self.had_answer && is_silent { IDLE_TIMEOUT } else { REQUEST_TIMEOUT };
-        let may_still_ask = !self.had_answer && now < self.since + FIRST_REQUEST_GRACE;
-        let is_idle = is_silent && !may_still_ask;
+        let may_send_first_request = !self.had_answer && now < self.since + FIRST_REQUEST_GRACE;
+        let is_idle = is_silent && !may_send_first_request;
         self.since + timeout <= now || (idle == IdlePolicy::Close && is_idle)
     }
 }
--- a/crates/platform/src/core/decisions.rs
+++ b/crates/platform/src/core/decisions.rs
@@ -1,7 +1,8 @@
 //! The decision cycle: the decision library, the events for it and the time of its next decision.
 
 use super::clock::MILLISECOND;
-use linnetcart::{Action, Dispatcher, Event, Time};
+use crate::records::Message;
+use linnetcart::{AcceptedMessage, Action, Dispatcher, Event, Time};
 
 /// The first decision waits at most this long for the first event of discovery, so that it uses the current
 /// endpoint list. Discovery answers at once or not at all, and clients wait 400 ms for their answers.
@@ -89,5 +90,17 @@
     }
 }
 
+/// Returns a message in the form of the decision library's events. This platform has no tenants.
+pub fn accepted_message(number: u32, message: &Message, time_remaining: Time) -> AcceptedMessage {
+    AcceptedMessage {
+        id: number,
+        destination: message.destination,
+        class: message.class,
+        time_remaining,
+        ordering_key: message.ordering_key,
+        tenant: 0,
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/platform/src/core/delivery.rs
+++ b/crates/platform/src/core/delivery.rs
@@ -1,4 +1,4 @@
-//! From a decision to the end of an attempt, and from there to the final outcome of its message.
+//! Delivery: from a decision to the end of an attempt. The final outcome of a message is in `completion`.
 //!
 //! Attempts are started only by an iteration, after its decision, and never directly by the input that makes
 //! one possible, such as an established connection or an acknowledgement. The same poll may also have brought
@@ -7,7 +7,6 @@
 use super::attempts::{AttemptId, InFlightAttempt};
 use super::clock::MILLISECOND;
 use super::connection_pool::{Acquired, Cancelled, ConnectionId, FinishedAttempt};
-use super::counters::RecoveryCounts;
 use super::effects::{CoreEvent, Output};
 use super::{upstream_request, Core, JournalState};
 use crate::records::{FinalOutcome, Record, SentAttempt};
@@ -71,18 +70,12 @@
         }
     }
 
-    /// Acquires a connection for an attempt. The attempt stays blocked while its ordering key waits for the
-    /// acknowledgement on another message, or while the key cools down and this is the message's first
-    /// attempt.
+    /// Acquires a connection for an attempt unless its ordering key blocks it.
     fn start_attempt(&mut self, id: AttemptId) {
         let Some(attempt) = self.attempts.get(id) else { return };
         let Some(message) = self.in_flight.get(id.message) else { return };
         let ordering_key = message.message().ordering_key;
-        if self.notifier.blocks(ordering_key, id.message) {
-            return;
-        }
-        let cooldowns = &self.attempts.key_cooldowns;
-        if id.number == 0 && cooldowns.is_cooling_down(ordering_key, self.clock.now()) {
+        if self.is_blocked(id, ordering_key) {
             return;
         }
         let endpoint = attempt.endpoint;
@@ -103,6 +96,14 @@
         }
     }
 
+    /// Whether an attempt has to wait: its ordering key waits for the acknowledgement of another message, or
+    /// the key cools down and this is the message's first attempt.
+    fn is_blocked(&self, id: AttemptId, ordering_key: u64) -> bool {
+        let cooldowns = &self.attempts.key_cooldowns;
+        let is_cooling_down = id.number == 0 && cooldowns.is_cooling_down(ordering_key, self.clock.now());
+        is_cooling_down || self.notifier.blocks(ordering_key, id.message)
+    }
+
     /// Sends an attempt on its connection, unless it must not be sent any more.
     fn send_attempt(&mut self, id: AttemptId, connection: ConnectionId) {
         let Some(attempt) = self.attempts.get(id) else { return };
@@ -142,19 +143,13 @@
     /// has another address since the connect, or no record can be written.
     fn target_of(&self, endpoint: u32, connection: ConnectionId) -> Option<Target> {
         let ready = self.discovery.endpoints().ready(endpoint)?;
-        let leads_there = self.pool.address(connection) == Some(ready.address);
-        if self.journal == JournalState::Unwritable || !leads_there {
+        let leads_to_endpoint = self.pool.address(connection) == Some(ready.address);
+        if self.journal == JournalState::Unwritable || !leads_to_endpoint {
             return None;
         }
         Some(Target { address: ready.address, zone: ready.zone })
     }
 
-    fn report_recovery(&mut self, finished: Option<RecoveryCounts>) {
-        if let Some(counts) = finished {
-            self.effects.event(CoreEvent::RecoveryFinished(counts));
-        }
-    }
-
     /// Cancels an attempt. It ends with `outcome` if it was possibly executed, and as not sent otherwise.
     pub(super) fn cancel_attempt(&mut self, id: AttemptId, outcome: AttemptOutcome) {
         if self.attempts.get(id).is_none() {
@@ -234,56 +229,6 @@
             self.effects.record(Record::KeyCooldown { ordering_key, until });
         }
     }
-
-    /// Completes a message as delivered. Returns `false` if it had its final outcome already. Within a
-    /// millisecond of the deadline the message fails instead: endpoints get their time limit in milliseconds
-    /// and may have ignored the message.
-    fn complete_delivered(&mut self, number: u32) -> bool {
-        let Some(message) = self.in_flight.get(number).filter(|message| message.is_open()) else {
-            return false;
-        };
-        if message.deadline < self.clock.now() + MILLISECOND {
-            self.complete_undelivered(number, FinalOutcome::Failed);
-            return true;
-        }
-        self.in_flight.complete(number, FinalOutcome::Delivered);
-        self.effects.record(Record::Completed { message: number, outcome: FinalOutcome::Delivered });
-        true
-    }
-
-    /// Completes a message that was not delivered and queues the status notification, unless the message had
-    /// its final outcome already.
-    pub(super) fn complete_undelivered(&mut self, number: u32, outcome: FinalOutcome) {
-        if !self.in_flight.complete(number, outcome) {
-            return;
-        }
-        let Some(completed) = self.in_flight.get(number) else { return };
-        let message = completed.message();
-        tracing::debug!(id = %message.id_text(), ?outcome, "message completed");
-        self.effects.record(Record::Completed { message: number, outcome });
-        self.notifier.push(number, message, outcome);
-        let recovery = self.recovery.given_up(number);
-        self.report_recovery(recovery);
-    }
-
-    /// Handles the acknowledgement of a message's status notification.
-    pub(super) fn acknowledge(&mut self, number: u32) {
-        let Some(acknowledged) = self.in_flight.acknowledge(number) else { return };
-        tracing::debug!(id = %acknowledged.id_text(), number, "notification acknowledged");
-        let ordering_key = acknowledged.ordering_key;
-        self.effects.record(Record::Notified { message: number });
-        self.notifier.release(ordering_key, number);
-        self.settle(number);
-    }
-
-    /// Removes a message that is completed and acknowledged and has no attempt in flight. Its id stays known
-    /// until its deadline, unless it was returned.
-    fn settle(&mut self, number: u32) {
-        let Some(settled) = self.in_flight.take_settled(number) else { return };
-        if !settled.is_returned() {
-            self.deduplication.insert(settled.message().completed_id(), self.clock.wall_now());
-        }
-    }
 }
 
 fn may_still_execute(outcome: AttemptOutcome) -> bool {
--- a/crates/platform/src/core/discovery/endpoint_list.rs
+++ b/crates/platform/src/core/discovery/endpoint_list.rs
@@ -2,6 +2,7 @@
 //! uses.
 
 use crate::config::{EndpointEntry, ListedStatus, WatchEvent};
+use crate::core::clock::MILLISECOND;
 use crate::records::UNKNOWN_INDEX;
 use linnetcart::{Endpoint, EndpointStatus, Event, Time};
 use linnetcart_deployment_settings::DeploymentSettings;
@@ -10,7 +11,7 @@
 
 /// How long a removed endpoint keeps its number. A Retry-After that was received under the number stays in
 /// force if the name is listed again.
-const REMOVED_RETENTION: Time = 60_000_000_000;
+const REMOVED_RETENTION: Time = 60_000 * MILLISECOND;
 
 /// An endpoint of the list.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/platform/src/core/iteration.rs
+++ b/crates/platform/src/core/iteration.rs
@@ -6,8 +6,6 @@
 use linnetcart::{AttemptOutcome, Time};
 
 impl Core {
-    // ---- An iteration
-
     /// Runs one iteration of the event loop: at most one decision on all events since the last one, and
     /// everything that follows from it.
     pub fn process(&mut self, now: Time) {
--- a/crates/platform/src/core/recovery.rs
+++ b/crates/platform/src/core/recovery.rs
@@ -4,11 +4,12 @@
 
 use super::clock::Clock;
 use super::counters::RecoveryCounts;
+use super::decisions::accepted_message;
 use super::effects::CoreEvent;
 use super::in_flight::InFlightMessage;
 use super::Core;
 use crate::records::{FinalOutcome, PendingMessage, Record, Replay};
-use linnetcart::{AcceptedMessage, Event, UnresolvedAttempt};
+use linnetcart::{Event, UnresolvedAttempt};
 use std::collections::BTreeSet;
 
 /// Messages that a previous process accepted.
@@ -75,14 +76,8 @@
             age: clock.wall_now().saturating_sub(attempt.sent_at),
         });
     }
-    let accepted = AcceptedMessage {
-        id: number,
-        destination: message.message().destination,
-        class: message.message().class,
-        time_remaining: message.deadline.saturating_sub(clock.now()),
-        ordering_key: message.message().ordering_key,
-        tenant: 0,
-    };
+    let time_remaining = message.deadline.saturating_sub(clock.now());
+    let accepted = accepted_message(number, message.message(), time_remaining);
     Event::Recovered { message: accepted, attempts: message.pending.attempts, unresolved }
 }
 
--- a/crates/platform/src/core/request.rs
+++ b/crates/platform/src/core/request.rs
@@ -1,6 +1,7 @@
 //! From a client's request to the message that it submits, or to the error that answers it.
 
 use super::clock::MILLISECOND;
+use crate::records::Message;
 use linnetcart::{Class, Idempotency, Time};
 use linnetcart_deployment_settings::DeploymentSettings;
 use linnetcart_http::{parse_decimal, Request};
@@ -26,6 +27,21 @@
     pub time_remaining: Time,
 }
 
+impl SubmittedMessage {
+    /// Returns the message with its body. `deadline` is a wall-clock time in nanoseconds.
+    pub fn into_message(self, deadline: Time, body: Vec<u8>) -> Message {
+        Message {
+            id: self.id,
+            idempotency_key: self.idempotency_key,
+            class: self.class,
+            destination: self.destination,
+            ordering_key: self.ordering_key,
+            deadline,
+            body,
+        }
+    }
+}
+
 /// Why a request is not a valid submission. The text is the body of the answer, so it must not change.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum RequestError {
--- a/crates/platform/src/core/submission.rs
+++ b/crates/platform/src/core/submission.rs
@@ -2,12 +2,13 @@
 
 use super::admission::{Answer, Requester};
 use super::client_connections::{ClientId, IdlePolicy, OverdueClient, RequestEvent};
+use super::decisions::accepted_message;
 use super::effects::Output;
 use super::in_flight::{IdMatch, OpenMessage};
 use super::request::{parse_submission, RequestError, SubmittedMessage};
 use super::{Core, JournalState};
 use crate::records::{Message, PendingMessage, Record};
-use linnetcart::{AcceptedMessage, Action, Event};
+use linnetcart::{Action, Event};
 use linnetcart_http::Persistence;
 
 /// What is known of the id of a submitted message.
@@ -51,15 +52,7 @@
         }
         let submitted_at = self.clients.last_byte_at(requester.client).unwrap_or(self.clock.now());
         let deadline = submitted_at + submitted.time_remaining;
-        let message = Message {
-            id: submitted.id,
-            idempotency_key: submitted.idempotency_key,
-            class: submitted.class,
-            destination: submitted.destination,
-            ordering_key: submitted.ordering_key,
-            deadline: self.clock.to_wall(deadline),
-            body,
-        };
+        let message = submitted.into_message(self.clock.to_wall(deadline), body);
         if let Some(known) = self.find_id(&message) {
             return self.answer_known(requester, known);
         }
@@ -69,14 +62,8 @@
         }
         let number = self.in_flight.allocate_number();
         self.await_decision(number, requester);
-        self.decisions.push(Event::Accepted(AcceptedMessage {
-            id: number,
-            destination: message.destination,
-            class: message.class,
-            time_remaining: deadline.saturating_sub(self.clock.now()),
-            ordering_key: message.ordering_key,
-            tenant: 0,
-        }));
+        let time_remaining = deadline.saturating_sub(self.clock.now());
+        self.decisions.push(Event::Accepted(accepted_message(number, &message, time_remaining)));
         self.in_flight.insert(number, PendingMessage::new(message), deadline);
     }
 
--- a/crates/platform/src/records/replay.rs
+++ b/crates/platform/src/records/replay.rs
@@ -73,7 +73,7 @@
     pub fn from_records(records: &[RawRecord], classes: &[String], zones: &[String]) -> Replay {
         let mut replayer = Replayer {
             replay: Replay { next_message: 1, ..Replay::default() },
-            closed: BTreeSet::new(),
+            settled: BTreeSet::new(),
             indexes: None,
             classes,
             zones,
@@ -109,7 +109,7 @@
 struct Replayer<'a> {
     replay: Replay,
     /// Messages that are no longer pending.
-    closed: BTreeSet<u32>,
+    settled: BTreeSet<u32>,
     /// `None` until a record of names was read. Files without names date from when the order in the settings
     /// never changed, so that their indexes are still valid.
     indexes: Option<IndexMap>,
@@ -134,16 +134,16 @@
             Record::Accepted { number, message } => self.accepted(number, message),
             Record::AttemptSent { message, attempt } => self.attempt_sent(message, attempt),
             Record::NotExecuted { message, attempt } => {
-                if let Some(pending) = self.pending(message) {
+                if let Some(pending) = self.pending_mut(message) {
                     pending.count_attempt(attempt);
                 }
             }
             Record::Completed { message, outcome: FinalOutcome::Delivered }
             | Record::Notified { message } => {
-                self.closed(message);
+                self.settle(message);
             }
             Record::Completed { message, outcome } => {
-                if let Some(pending) = self.pending(message) {
+                if let Some(pending) = self.pending_mut(message) {
                     pending.outcome = Some(outcome);
                 }
             }
@@ -154,8 +154,8 @@
         if let Some(indexes) = &self.indexes {
             message.class = translate(&indexes.classes, message.class);
         }
-        self.note_number(number);
-        if !self.closed.contains(&number) {
+        self.reserve_number(number);
+        if !self.settled.contains(&number) {
             self.replay.pending.entry(number).or_insert(PendingMessage::new(message));
         }
     }
@@ -164,7 +164,7 @@
         if let Some(indexes) = &self.indexes {
             attempt.zone = translate(&indexes.zones, attempt.zone);
         }
-        if let Some(pending) = self.pending(message) {
+        if let Some(pending) = self.pending_mut(message) {
             pending.count_attempt(attempt.number);
             pending.possibly_executed.push(attempt);
         }
@@ -172,8 +172,8 @@
 
     /// Removes a message that is no longer pending. Its id is remembered unless it was returned, as a
     /// returned message may be submitted again as a new one.
-    fn closed(&mut self, message: u32) {
-        if self.pending(message).is_none() {
+    fn settle(&mut self, message: u32) {
+        if self.pending_mut(message).is_none() {
             return;
         }
         if let Some(pending) = self.replay.pending.remove(&message) {
@@ -181,21 +181,22 @@
                 self.replay.completed.push(pending.message.completed_id());
             }
         }
-        self.closed.insert(message);
+        self.settled.insert(message);
     }
 
     /// Returns the pending message that a record refers to. Counts the record as unusable if the message was
     /// never accepted.
-    fn pending(&mut self, message: u32) -> Option<&mut PendingMessage> {
-        self.note_number(message);
+    fn pending_mut(&mut self, message: u32) -> Option<&mut PendingMessage> {
+        self.reserve_number(message);
         let pending = self.replay.pending.get_mut(&message);
-        if pending.is_none() && !self.closed.contains(&message) {
+        if pending.is_none() && !self.settled.contains(&message) {
             self.replay.unusable_records += 1;
         }
         pending
     }
 
-    fn note_number(&mut self, number: u32) {
+    /// Keeps message numbers of this process above those in the records.
+    fn reserve_number(&mut self, number: u32) {
         self.replay.next_message = self.replay.next_message.max(number.saturating_add(1));
     }
 }
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -8,7 +8,7 @@
 
 pub use environment::Environment;
 
-use crate::core::{Core, JournalState, Output};
+use crate::core::{Core, JournalState, Output, MILLISECOND};
 use anyhow::Context;
 use calloop::signals::Signal;
 use environment::read_config;
@@ -20,7 +20,6 @@
 use std::time::{Duration, Instant};
 use upstream_tokens::UpstreamTokens;
 
-const MILLISECOND: Time = 1_000_000;
 /// Start of the courier's clock. It is not zero, so that times before the start can be represented.
 const CLOCK_START: Time = 3_600_000 * MILLISECOND;
 /// Maximum time that a poll waits for an event.
--- a/crates/platform/src/shell/log.rs
+++ b/crates/platform/src/shell/log.rs
@@ -1,10 +1,10 @@
 //! The log: the core's events, limited in their rate, and periodic statistics.
 
-use crate::core::{Core, CoreEvent};
+use crate::core::{Core, CoreEvent, MILLISECOND};
 use linnetcart::Time;
 use linnetcart_courier_common::log_limit_change;
 
-const SECOND: Time = 1_000_000_000;
+const SECOND: Time = 1000 * MILLISECOND;
 /// Maximum number of events that are logged in a second; further ones are dropped.
 const MAX_EVENTS_PER_SECOND: u32 = 20;
 /// Interval of the statistics.
