Platform tests: observed attempts, notifications and bytes as structs, fixtures once

Change: AttemptRequest, NotificationBatch, UpstreamBytes, ClientBytes; tests/fixtures.rs with message, config and list_event; Harness::abandon_attempt. Assertions compare the same values; the deduplication test's destination is 3 in place of 1, which the test does not compare.

--- a/crates/platform/src/core/deduplication/tests.rs
+++ b/crates/platform/src/core/deduplication/tests.rs
@@ -1,6 +1,7 @@
 //! Which ids are cached.
 
 use super::*;
+use crate::core::tests::fixtures;
 
 fn completed(id_digest: u64, expires_at: Time) -> CompletedId {
     CompletedId { id_digest, content_digest: 0, expires_at }
@@ -42,15 +43,8 @@
 
 #[test]
 fn deduplication_same_content_distinguished_from_other() {
-    let message = |deadline, body: &[u8]| Message {
-        id: b"id".to_vec(),
-        idempotency_key: None,
-        class: 0,
-        destination: 1,
-        ordering_key: 0,
-        deadline,
-        body: body.to_vec(),
-    };
+    let message =
+        |deadline, body: &[u8]| Message { deadline, body: body.to_vec(), ..fixtures::message("id") };
     let mut cache = cache_of(9);
     cache.insert(message(10, b"a").completed_id(), 0);
     assert_eq!(cache.find(&message(99, b"a")), Some(IdMatch::SameMessage), "the deadline is not compared");
--- a/crates/platform/src/core/in_flight/tests.rs
+++ b/crates/platform/src/core/in_flight/tests.rs
@@ -1,17 +1,10 @@
 //! Transitions of a message in flight.
 
 use super::*;
+use crate::core::tests::fixtures;
 
 fn message(id: &str) -> Message {
-    Message {
-        id: id.into(),
-        idempotency_key: None,
-        class: 0,
-        destination: 3,
-        ordering_key: 5,
-        deadline: 100,
-        body: b"hi".to_vec(),
-    }
+    Message { ordering_key: 5, deadline: 100, body: b"hi".to_vec(), ..fixtures::message(id) }
 }
 
 fn table_with(numbers: &[u32]) -> InFlightTable {
--- a/crates/platform/src/core/recovery/tests.rs
+++ b/crates/platform/src/core/recovery/tests.rs
@@ -1,20 +1,12 @@
 //! Counts of recovered messages.
 
 use super::*;
-use crate::records::{Message, SentAttempt};
+use crate::core::tests::fixtures;
+use crate::records::SentAttempt;
 
 fn pending(possibly_executed: Vec<SentAttempt>, outcome: Option<FinalOutcome>) -> PendingMessage {
-    let message = Message {
-        id: b"id".to_vec(),
-        idempotency_key: None,
-        class: 0,
-        destination: 3,
-        ordering_key: 0,
-        deadline: 0,
-        body: vec![],
-    };
     let attempts = possibly_executed.len() as u16;
-    PendingMessage { message, attempts, possibly_executed, outcome }
+    PendingMessage { message: fixtures::message("id"), attempts, possibly_executed, outcome }
 }
 
 #[test]
--- a/crates/platform/src/core/status_notifier/tests.rs
+++ b/crates/platform/src/core/status_notifier/tests.rs
@@ -1,6 +1,7 @@
 //! Batches, acknowledgements and the ordering keys that wait for them.
 
 use super::*;
+use crate::core::tests::fixtures;
 
 const NOW: Time = 1_000 * MILLISECOND;
 const CONNECTION: ConnectionId = 9;
@@ -12,15 +13,7 @@
 }
 
 fn message(id: &str, ordering_key: u64) -> Message {
-    Message {
-        id: id.into(),
-        idempotency_key: None,
-        class: 0,
-        destination: 3,
-        ordering_key,
-        deadline: 0,
-        body: vec![],
-    }
+    Message { ordering_key, ..fixtures::message(id) }
 }
 
 /// Returns a connected notifier with a failed message for each number.
--- a/crates/platform/src/core/tests.rs
+++ b/crates/platform/src/core/tests.rs
@@ -5,6 +5,7 @@
 mod connections;
 mod decisions;
 mod discovery;
+pub mod fixtures;
 mod harness;
 mod notifications;
 mod recovery;
--- a/crates/platform/src/core/tests/admission.rs
+++ b/crates/platform/src/core/tests/admission.rs
@@ -36,7 +36,7 @@
     harness.answers.clear();
     harness.send_request(b"POST /order HT");
     harness.run_for(2200 * MILLISECOND);
-    assert!(harness.answers.iter().any(|a| status(&a.1) == 408));
+    assert!(harness.answers.iter().any(|answer| status(&answer.bytes) == 408));
     let idle = harness.core.sizes().clients;
     assert!(idle <= 2, "{idle} clients are left");
 }
--- a/crates/platform/src/core/tests/attempts.rs
+++ b/crates/platform/src/core/tests/attempts.rs
@@ -32,7 +32,7 @@
         for cut in 0..bytes.len() {
             let mut harness = Harness::new();
             assert_eq!(harness.submit("order", "m", ""), 202);
-            let connection = harness.attempts()[0].0;
+            let connection = harness.attempts()[0].connection;
             harness.core.upstream_received(connection, &bytes.as_bytes()[..cut]);
             if harness.closed.is_empty() {
                 harness.core.upstream_received(connection, &bytes.as_bytes()[cut..]);
@@ -58,7 +58,7 @@
     ] {
         let mut harness = Harness::new();
         harness.submit("order", "m", "");
-        let connection = harness.attempts()[0].0;
+        let connection = harness.attempts()[0].connection;
         harness.respond(connection, bytes.as_bytes());
         assert_eq!(harness.outcomes(), counts_of(&[]));
         harness.run_for(2 * SECOND);
@@ -72,7 +72,7 @@
     for (short, outcome) in [(1, AttemptOutcome::NoConnection), (0, AttemptOutcome::Reset)] {
         let mut harness = Harness::new();
         harness.submit("order", "m", "");
-        let connection = harness.attempts()[0].0;
+        let connection = harness.attempts()[0].connection;
         let length = harness.first_attempt_bytes().len();
         harness.core.upstream_disconnected(connection, (length - short) as u64);
         harness.process();
@@ -86,11 +86,7 @@
 #[test]
 fn retry_after_for_abandoned_attempt_respected() {
     let mut harness = Harness::new();
-    harness.submit("status", "a", "");
-    let first = harness.attempts()[0].0;
-    harness.run_for(4 * SECOND);
-    let hedge = harness.attempts()[1].0;
-    harness.respond(hedge, SERVED.as_bytes());
+    let first = harness.abandon_attempt();
     assert_eq!(harness.write_ended, [first], "the slower attempt is cancelled");
     assert!(!harness.closed.contains(&first), "its answer may be on its way");
     harness.respond(first, b"HTTP/1.1 429 No\r\nX-Backoff-Ms: 1500\r\nContent-Length: 0\r\n\r\n");
@@ -105,11 +101,7 @@
 #[test]
 fn abandoned_attempt_silent_closes_connection_after_connect_timeout() {
     let mut harness = Harness::new();
-    harness.submit("status", "a", "");
-    let first = harness.attempts()[0].0;
-    harness.run_for(4 * SECOND);
-    let hedge = harness.attempts()[1].0;
-    harness.respond(hedge, SERVED.as_bytes());
+    let first = harness.abandon_attempt();
     harness.run_for(SECOND);
     assert!(harness.closed.contains(&first));
     let once_each = counts_of(&[AttemptOutcome::Served, AttemptOutcome::Cancelled]);
@@ -121,11 +113,11 @@
     for rest in ["\r\n", " OK\r\nContent-Length: 0\r\n\r\n", " OK\r\nContent-Length: x\r\n\r\n"] {
         let mut harness = Harness::new();
         harness.submit("status", "a", "");
-        let first = harness.attempts()[0].0;
+        let first = harness.attempts()[0].connection;
         // The attempt takes too long and is cancelled in favour of another.
         harness.core.cancel_attempt(AttemptId { message: 1, number: 0 }, AttemptOutcome::Cancelled);
         harness.run_for(100 * MILLISECOND);
-        let second = harness.attempts()[1].0;
+        let second = harness.attempts()[1].connection;
         harness.respond(first, b"HTTP/1.1 200");
         let is_completion = |record: &Record| matches!(record, Record::Completed { .. });
         assert!(
@@ -150,7 +142,7 @@
         let mut harness = Harness::new();
         let deadline = harness.now + 9 * SECOND;
         harness.submit("order", "a", "");
-        let connection = harness.attempts()[0].0;
+        let connection = harness.attempts()[0].connection;
         harness.run_for(8 * SECOND);
         // The answer is read before the iteration that would end the message.
         harness.now = deadline - before;
--- a/crates/platform/src/core/tests/connections.rs
+++ b/crates/platform/src/core/tests/connections.rs
@@ -13,7 +13,7 @@
         harness.connection_in_use(SERVED);
         harness.submit("status", "a", "");
         let before = harness.attempts().len();
-        let connection = harness.attempts()[before - 1].0;
+        let connection = harness.attempts()[before - 1].connection;
         harness.respond(connection, answer.as_bytes());
         if !later.is_empty() {
             harness.respond(connection, later.as_bytes());
@@ -23,7 +23,7 @@
         for n in 0..4 {
             harness.submit("status", &format!("b{n}"), "");
         }
-        let used = harness.attempts()[before..].iter().any(|attempt| attempt.0 == connection);
+        let used = harness.attempts()[before..].iter().any(|attempt| attempt.connection == connection);
         assert_eq!(used, is_reused, "{answer:?} {later:?}");
         assert_eq!(harness.outcomes().served, 11, "each answer delivers one message");
     }
@@ -102,8 +102,11 @@
     harness.process();
     harness.run_for(3 * SECOND);
     let attempts = harness.attempts();
-    assert!(attempts.len() == 1 && attempts[0].0 != connection, "sent to the new address: {attempts:?}");
-    assert!(harness.connections[&attempts[0].0].port() > 2000);
+    assert!(
+        attempts.len() == 1 && attempts[0].connection != connection,
+        "sent to the new address: {attempts:?}"
+    );
+    assert!(harness.connections[&attempts[0].connection].port() > 2000);
 }
 
 #[test]
@@ -111,7 +114,7 @@
     let mut harness = Harness::new();
     harness.connection_in_use(SERVED);
     harness.submit("status", "a", "");
-    let connection = harness.attempts().last().unwrap().0;
+    let connection = harness.attempts().last().unwrap().connection;
     harness.respond(connection, b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhal");
     let before = harness.attempts().len();
     harness.run_for(20 * MILLISECOND);
@@ -120,7 +123,7 @@
     }
     let attempts = harness.attempts().split_off(before);
     assert!(
-        !attempts.is_empty() && attempts.iter().all(|attempt| attempt.0 != connection),
+        !attempts.is_empty() && attempts.iter().all(|attempt| attempt.connection != connection),
         "{attempts:?}, none on {connection}"
     );
     harness.run_for(50 * MILLISECOND);
--- a/crates/platform/src/core/tests/decisions.rs
+++ b/crates/platform/src/core/tests/decisions.rs
@@ -10,10 +10,13 @@
         harness.submit("order", &format!("m{n}"), "");
     }
     let attempts = harness.attempts();
-    harness.respond(attempts[0].0, b"HTTP/1.1 429 No\r\nX-Backoff-Ms: 500\r\nContent-Length: 0\r\n\r\n");
+    harness.respond(
+        attempts[0].connection,
+        b"HTTP/1.1 429 No\r\nX-Backoff-Ms: 500\r\nContent-Length: 0\r\n\r\n",
+    );
     harness.run_for(100 * MILLISECOND);
     for attempt in &attempts[1..] {
-        harness.respond(attempt.0, SERVED.as_bytes());
+        harness.respond(attempt.connection, SERVED.as_bytes());
     }
     assert_eq!(harness.attempts().len(), 3, "Retry-After pending");
     harness.run_for(SECOND);
@@ -24,11 +27,11 @@
 fn wake_up_requested_last_replaces_earlier_one() {
     let mut harness = Harness::new();
     harness.submit("order", "a", "");
-    let first = harness.attempts()[0].0;
+    let first = harness.attempts()[0].connection;
     let begun = harness.now;
     harness.run_for(SECOND);
     harness.submit("order", "b", "");
-    let second = harness.attempts()[1].0;
+    let second = harness.attempts()[1].connection;
     harness.respond(second, b"HTTP/1.1 429 No\r\nX-Backoff-Ms: 60000\r\nContent-Length: 0\r\n\r\n");
     // The first answer arrives within a tick of its deadline and is the only event until the second deadline.
     harness.run_for(begun + 9 * SECOND - 13 * MILLISECOND - harness.now);
--- a/crates/platform/src/core/tests/discovery.rs
+++ b/crates/platform/src/core/tests/discovery.rs
@@ -7,7 +7,7 @@
 fn watch_silent_or_lost_opened_again() {
     let mut harness = Harness::new();
     let watch = harness.connect_discovery();
-    assert!(harness.sent[0].1.starts_with(b"GET /v1/endpoints?follow=1&since=41 HTTP/1.1\r\n"));
+    assert!(harness.sent[0].bytes.starts_with(b"GET /v1/endpoints?follow=1&since=41 HTTP/1.1\r\n"));
     harness.watch_event(watch, "");
     harness.run_for(2600 * MILLISECOND);
     assert!(!harness.closed.contains(&watch));
@@ -18,8 +18,11 @@
     harness.core.upstream_disconnected(second, 0);
     harness.run_for(50 * MILLISECOND);
     harness.connect_discovery();
-    let asked = harness.sent.last().unwrap();
-    assert!(asked.1.starts_with(b"GET /v1/endpoints?follow=1&since=50 "), "changes since the last version");
+    let request = harness.sent.last().unwrap();
+    assert!(
+        request.bytes.starts_with(b"GET /v1/endpoints?follow=1&since=50 "),
+        "changes since the last version"
+    );
 }
 
 #[test]
@@ -107,7 +110,7 @@
     // Both endpoints were removed since the cached list.
     let (mut harness, watch) = start();
     harness.watch_event(watch, &list_event(43, "a", "bank", 3, "left", 1000));
-    assert_eq!(harness.answers.iter().map(|a| status(&a.1)).collect::<Vec<_>>(), [200, 202]);
+    assert_eq!(harness.answers.iter().map(|answer| status(&answer.bytes)).collect::<Vec<_>>(), [200, 202]);
     harness.run_for(SECOND);
     assert!(harness.attempts().is_empty());
     let (mut harness, watch) = start();
--- a/crates/platform/src/core/tests/harness.rs
+++ b/crates/platform/src/core/tests/harness.rs
@@ -1,5 +1,6 @@
 //! The fixture of the core's tests: a core in virtual time, its journal and its outputs.
 
+pub use super::fixtures::{config, list_event, DISCOVERY, SECOND};
 pub use crate::config::{Config, WatchEvent};
 pub use crate::core::attempts::AttemptId;
 pub use crate::core::clock::MILLISECOND;
@@ -13,43 +14,36 @@
 
 use linnetcart_http::{parse_request, parse_response, ParsedResponse};
 
-pub const SECOND: Time = 1_000 * MILLISECOND;
-pub const DISCOVERY: &str = "127.0.0.1:8500";
 pub const DISCOVERY_PORT: u16 = 8500;
 /// The answer of an endpoint that serves a message.
 pub const SERVED: &str = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 /// A core that needs more iterations than this at one moment never becomes idle.
 const MAX_ITERATIONS: usize = 20;
 
-/// A configuration of three classes and two endpoints of destination 3.
-pub fn config(max_in_flight: u32) -> Config {
-    let class = |name: &str, effect: &str, fifo: bool| {
-        serde_json::json!({"name": name, "idempotency": effect, "group": "all", "key_ttl_ns": 8 * SECOND,
-            "worth": 1, "slo_ns": 3 * SECOND, "hard_limit_ns": 10 * SECOND, "late_worth": 0.5,
-            "fifo_by_key": fifo})
-    };
-    let entry = |name: &str, port: u16| {
-        serde_json::json!({"name": name, "address": format!("127.0.0.1:{port}"), "zone": "a", "type": "bank",
-            "group": 3, "status": "active", "weight": 0.0, "since_ms": 0})
-    };
-    let file = serde_json::json!({
-        "name": "n0", "listen": "127.0.0.1:8443", "discovery": DISCOVERY, "seed": "8c1f",
-        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256, "disk_mb": 1},
-        "known": {"index": 41, "snapshot": true, "endpoints": [entry("s-1", 1001), entry("s-2", 1002)]},
-        "settings": {
-            "balancers": 3, "me": 0, "kinds": ["bank"], "zones": ["a"], "tick_ns": 5 * MILLISECOND,
-            "services": [class("status", "pure", false), class("change", "token", true),
-                         class("order", "side_effect", false)],
-            "stats": {"names": ["x0", "x1"], "source": "inline"},
-            "family_info": {"max_calls": 8, "kind_apart": [false], "per_call": [1]},
-            "bounds": {"max_open": max_in_flight, "max_attempts": 12, "may_cancel": true,
-                "parallel_tries": true, "retry_after": true, "max_retry_after_ns": 3 * SECOND,
-                "conn_idle_ns": 10 * SECOND, "connect_timeout_ns": SECOND},
-            "contract": {"fall_multiple": 2.0, "fall_ns": 2 * SECOND, "cold_from": 0.2,
-                "ramp_time_ns": 10 * SECOND, "turn_gap_ns": 100 * MILLISECOND, "drain_grace_ns": SECOND},
-        },
-    });
-    Config::read(file.to_string().as_bytes()).unwrap()
+/// Bytes that the core sent upstream.
+pub struct UpstreamBytes {
+    pub connection: ConnectionId,
+    pub bytes: Vec<u8>,
+}
+
+/// Bytes that the core sent to a client.
+pub struct ClientBytes {
+    pub client: ClientId,
+    pub bytes: Vec<u8>,
+}
+
+/// An attempt that the core sent.
+#[derive(Debug)]
+pub struct AttemptRequest {
+    pub connection: ConnectionId,
+    pub message_id: String,
+}
+
+/// A batch of status notifications that the core sent.
+#[derive(Debug, PartialEq, Eq)]
+pub struct NotificationBatch {
+    pub connection: ConnectionId,
+    pub body: String,
 }
 
 /// A core in virtual time, with everything that it produced.
@@ -60,8 +54,8 @@
     /// Connections that the core requested and has not closed.
     pub connections: BTreeMap<ConnectionId, SocketAddr>,
     pub connected: BTreeSet<ConnectionId>,
-    pub sent: Vec<(ConnectionId, Vec<u8>)>,
-    pub answers: Vec<(ClientId, Vec<u8>)>,
+    pub sent: Vec<UpstreamBytes>,
+    pub answers: Vec<ClientBytes>,
     pub closed: Vec<ConnectionId>,
     /// Connections on which the core sends no more.
     pub write_ended: Vec<ConnectionId>,
@@ -126,11 +120,15 @@
 
     fn carry_out(&mut self, output: Output) {
         match output {
-            Output::SendToClient(client, bytes) => self.answers.push((client, bytes.to_vec())),
+            Output::SendToClient(client, bytes) => {
+                self.answers.push(ClientBytes { client, bytes: bytes.to_vec() });
+            }
             Output::Connect(id, address) => {
                 self.connections.insert(id, address);
             }
-            Output::SendUpstream(id, bytes) => self.sent.push((id, bytes.to_vec())),
+            Output::SendUpstream(connection, bytes) => {
+                self.sent.push(UpstreamBytes { connection, bytes: bytes.to_vec() });
+            }
             Output::CloseUpstream(id) => {
                 self.connections.remove(&id);
                 self.closed.push(id);
@@ -193,17 +191,18 @@
         self.core.client_opened(client);
         self.core.client_received(client, bytes);
         self.process();
-        let answer = self.answers.iter().rev().find(|(id, _)| *id == client);
-        answer.map_or(0, |(_, bytes)| status(bytes))
+        let answer = self.answers.iter().rev().find(|answer| answer.client == client);
+        answer.map_or(0, |answer| status(&answer.bytes))
     }
 
-    /// Returns connection and message id of each attempt that was sent.
-    pub fn attempts(&self) -> Vec<(ConnectionId, String)> {
+    /// Returns the attempts that were sent.
+    pub fn attempts(&self) -> Vec<AttemptRequest> {
         let mut attempts = Vec::new();
-        for (connection, bytes) in &self.sent {
+        for UpstreamBytes { connection, bytes } in &self.sent {
             let request = parse_request(bytes).unwrap().unwrap();
             if let Some(id) = request.field("x-txn").unwrap() {
-                attempts.push((*connection, String::from_utf8(id.to_vec()).unwrap()));
+                let message_id = String::from_utf8(id.to_vec()).unwrap();
+                attempts.push(AttemptRequest { connection: *connection, message_id });
             }
         }
         attempts
@@ -211,12 +210,12 @@
 
     /// Returns the ids of the messages that were sent, in order.
     pub fn sent_ids(&self) -> Vec<String> {
-        self.attempts().into_iter().map(|(_, id)| id).collect()
+        self.attempts().into_iter().map(|attempt| attempt.message_id).collect()
     }
 
     /// Returns the request of the first attempt.
     pub fn first_attempt_bytes(&self) -> &[u8] {
-        let mut all = self.sent.iter().map(|(_, bytes)| &bytes[..]);
+        let mut all = self.sent.iter().map(|sent| &sent.bytes[..]);
         all.find(|bytes| bytes.starts_with(b"POST")).expect("an attempt")
     }
 
@@ -231,33 +230,45 @@
         let mut last = 0;
         for n in 0..10 {
             self.submit("status", &format!("w{n}"), "");
-            last = self.attempts().last().unwrap().0;
+            last = self.attempts().last().unwrap().connection;
             self.respond(last, served.as_bytes());
             self.run_for(20 * MILLISECOND);
         }
         last
     }
 
+    /// Submits an idempotent message whose first attempt stays unanswered and whose hedge is served. Returns the
+    /// connection of the first attempt, which is abandoned.
+    pub fn abandon_attempt(&mut self) -> ConnectionId {
+        self.submit("status", "a", "");
+        let first = self.attempts()[0].connection;
+        self.run_for(4 * SECOND);
+        let hedge = self.attempts()[1].connection;
+        self.respond(hedge, SERVED.as_bytes());
+        first
+    }
+
     /// Establishes the newest connection to discovery.
     pub fn connect_discovery(&mut self) -> ConnectionId {
         let is_new = |id: &ConnectionId, address: &SocketAddr| {
             address.port() == DISCOVERY_PORT && !self.connected.contains(id)
         };
         let newest = self.connections.iter().rev().find(|(id, address)| is_new(id, address));
-        let id = *newest.expect("a connection to discovery").0;
+        let (&id, _) = newest.expect("a connection to discovery");
         self.connected.insert(id);
         self.core.upstream_connected(id);
         self.process();
         id
     }
 
-    /// Returns connection and body of each batch of status notifications that was sent.
-    pub fn notifications(&self) -> Vec<(ConnectionId, String)> {
+    /// Returns the batches of status notifications that were sent.
+    pub fn notifications(&self) -> Vec<NotificationBatch> {
         let mut notifications = Vec::new();
-        for (connection, bytes) in &self.sent {
+        for UpstreamBytes { connection, bytes } in &self.sent {
             let request = parse_request(bytes).unwrap().unwrap();
             if request.path() == b"/status" {
-                notifications.push((*connection, String::from_utf8(request.body().to_vec()).unwrap()));
+                let body = String::from_utf8(request.body().to_vec()).unwrap();
+                notifications.push(NotificationBatch { connection: *connection, body });
             }
         }
         notifications
@@ -280,13 +291,9 @@
     }
 }
 
-/// Returns an event that changes both endpoints, whose ports follow `base`.
-pub fn list_event(version: u64, zone: &str, kind: &str, group: u32, status: &str, base: u16) -> String {
-    let entry = |n: u16| {
-        serde_json::json!({"name": format!("s-{n}"), "address": format!("127.0.0.1:{}", base + n), "zone": zone,
-            "type": kind, "group": group, "status": status, "weight": 0, "since_ms": 0})
-    };
-    serde_json::json!({"index": version, "snapshot": false, "endpoints": [entry(1), entry(2)]}).to_string()
+/// Returns the notification that message `m` failed, as sent on a connection.
+pub fn failed_notification(connection: ConnectionId) -> NotificationBatch {
+    NotificationBatch { connection, body: "{\"id\":\"m\",\"state\":\"failed\"}\n".to_owned() }
 }
 
 /// Returns the status of an answer.
--- a/crates/platform/src/core/tests/notifications.rs
+++ b/crates/platform/src/core/tests/notifications.rs
@@ -6,10 +6,10 @@
 fn notification_unacknowledged_resent_after_timeout_move_and_restart() {
     let mut harness = Harness::new();
     harness.submit("order", "m", "");
-    let connection = harness.attempts()[0].0;
+    let connection = harness.attempts()[0].connection;
     harness.respond(connection, b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n");
     let first = harness.connect_discovery();
-    assert_eq!(harness.notifications(), [(first, "{\"id\":\"m\",\"state\":\"failed\"}\n".to_owned())]);
+    assert_eq!(harness.notifications(), [failed_notification(first)]);
     harness.run_for(230 * MILLISECOND);
     let second = harness.connect_discovery();
     assert!(second != first && harness.notifications().len() == 2, "sent again after the answer timeout");
@@ -85,7 +85,7 @@
         harness.submit("order", id, "");
     }
     for attempt in harness.attempts() {
-        harness.core.upstream_received(attempt.0, b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n");
+        harness.core.upstream_received(attempt.connection, b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n");
     }
     harness.process();
     let connection = harness.connect_discovery();
@@ -94,7 +94,7 @@
     for reply in [no, yes, no, no, yes] {
         harness.respond(connection, reply.as_bytes());
     }
-    let lines: Vec<usize> = harness.notifications().iter().map(|n| n.1.lines().count()).collect();
+    let lines: Vec<usize> = harness.notifications().iter().map(|batch| batch.body.lines().count()).collect();
     assert_eq!(lines, [3, 1, 2, 1, 1], "smaller batches until the rejected one is found");
     assert_eq!(harness.core.sizes().unacknowledged, 0);
     let rejected = CoreEvent::NotificationRejected { message: "b".into() };
--- a/crates/platform/src/core/tests/recovery.rs
+++ b/crates/platform/src/core/tests/recovery.rs
@@ -9,9 +9,9 @@
         assert_eq!(harness.submit(class, &format!("m{n}"), "k"), 202);
     }
     let attempts = harness.attempts();
-    harness.respond(attempts[0].0, SERVED.as_bytes());
-    harness.respond(attempts[2].0, b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n");
-    harness.respond(attempts[4].0, b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n");
+    harness.respond(attempts[0].connection, SERVED.as_bytes());
+    harness.respond(attempts[2].connection, b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n");
+    harness.respond(attempts[4].connection, b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n");
     let full = harness.journal.clone();
     for cut in 0..=full.len() {
         let before = &full[..cut];
@@ -23,7 +23,7 @@
         for message in accepted_messages(before) {
             let id = message.id;
             let is_sent = sent.contains(&id);
-            let is_notified = notifications.iter().any(|(_, body)| body.contains(&format!("\"{id}\"")));
+            let is_notified = notifications.iter().any(|batch| batch.body.contains(&format!("\"{id}\"")));
             match message.state {
                 Recorded::Delivered => assert!(!is_sent && !is_notified, "cut {cut}: {id} is delivered"),
                 Recorded::Undeliverable => {
@@ -98,7 +98,7 @@
     }
     let mut again = Harness::with_journal(old, harness.now + SECOND, 40);
     let connection = again.connect_discovery();
-    assert_eq!(again.notifications(), [(connection, "{\"id\":\"m\",\"state\":\"failed\"}\n".to_owned())]);
+    assert_eq!(again.notifications(), [failed_notification(connection)]);
 }
 
 #[test]
@@ -142,7 +142,7 @@
     let mut harness = start(vec![], 100 * SECOND);
     harness.submit("change", "a", "k");
     harness.run_for(4 * SECOND);
-    let hedge = harness.attempts()[1].0;
+    let hedge = harness.attempts()[1].connection;
     harness.respond(hedge, SERVED.as_bytes());
     assert_eq!(harness.write_ended.len(), 1, "the slower attempt is cancelled, and may still execute");
     // The second process reads it from the snapshot of the first. Each process starts the cooldown again, because an
@@ -153,5 +153,5 @@
     harness.run_for(2 * SECOND - INITIAL_SYNC_TIMEOUT - MILLISECOND);
     assert_eq!(harness.sent_ids(), ["c"], "a message of another key");
     harness.run_for(MILLISECOND);
-    assert_eq!(harness.attempts().last().unwrap().1, "b");
+    assert_eq!(harness.attempts().last().unwrap().message_id, "b");
 }
--- a/crates/platform/src/core/tests/shutdown.rs
+++ b/crates/platform/src/core/tests/shutdown.rs
@@ -16,7 +16,7 @@
     assert_eq!(harness.submit("order", "c", ""), 202, "accepted for the next process");
     assert_eq!(harness.attempts().len(), before, "no attempt begins that cannot finish");
     for attempt in attempts {
-        harness.respond(attempt.0, SERVED.as_bytes());
+        harness.respond(attempt.connection, SERVED.as_bytes());
     }
     assert!(harness.core.is_ended());
     let again = Harness::with_journal(harness.journal.clone(), harness.now + SECOND, 40);
