--- a/crates/courier-common/src/idle_reuse.rs
+++ b/crates/courier-common/src/idle_reuse.rs
@@ -8,11 +8,12 @@
 //! There are two policies because the fronts see different evidence; a common policy would change the
 //! behaviour of one of them:
 //!
-//! - [`MaxIdlePolicy`], Kafka front: several calls share a connection and a lost one is rare, so a single loss halves
-//!   the longest idle time that is accepted, for all endpoints. It yields a bound by which idle connections close.
-//! - [`LossRatePolicy`], platform front: one call a connection, with losses frequent where the network resets
-//!   connections at random. It compares loss rates by idle time with that of new connections, where a reset under
-//!   load says nothing about idle time.
+//! - [`MaxIdlePolicy`], Kafka front: several calls share a connection and a lost one is rare, so a single
+//!   loss halves the longest idle time that is accepted, for all endpoints. It yields a bound by which idle
+//!   connections close.
+//! - [`LossRatePolicy`], platform front: one call at a time on a connection, with frequent losses where the
+//!   network resets connections at random. It compares the loss rates of idle connections with that of new
+//!   ones; where both lose calls under load, the idle time is not the cause.
 
 mod loss_rate;
 mod max_idle;
--- a/crates/http/tests/framing.rs
+++ b/crates/http/tests/framing.rs
@@ -95,8 +95,10 @@
 
 proptest! {
     #[test]
-    fn arbitrary_bytes_never_panic_or_wait_beyond_bounds(bytes in proptest::collection::vec(any::<u8>(), 0..400),
-                                                        start in 0..4usize) {
+    fn arbitrary_bytes_never_panic_or_wait_beyond_bounds(
+        bytes in proptest::collection::vec(any::<u8>(), 0..400),
+        start in 0..4usize,
+    ) {
         let starts: [&[u8]; 4] =
             [b"", b"POST /a HTTP/1.1\r\n", b"HTTP/1.1 200 OK\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: "];
         let bytes = [starts[start], &bytes].concat();
--- a/crates/journal/src/error.rs
+++ b/crates/journal/src/error.rs
@@ -6,7 +6,8 @@
 /// Why a journal could not be read or written.
 #[derive(Debug, thiserror::Error)]
 pub enum JournalError {
-    /// Records were appended before the first [`JournalDirectory::replace`](crate::JournalDirectory::replace).
+    /// Records were appended before the first
+    /// [`JournalDirectory::replace`](crate::JournalDirectory::replace).
     #[error("the journal has no file yet")]
     NoFile,
     /// The operating system reports an error.
--- a/crates/journal/tests/frames.rs
+++ b/crates/journal/tests/frames.rs
@@ -69,7 +69,8 @@
     assert_eq!(read_frames(&bytes).records, [Record { kind: 2, payload: vec![] }]);
 }
 
-/// Both headers, the frame that marks the file as complete, and a record of kind 3, as version 0.1 writes them.
+/// Both headers, the frame that marks the file as complete, and a record of kind 3, as version 0.1 writes
+/// them.
 const FILE_OF_VERSION_0_1: &str = "\
     6c696e6e65746a31efcdab8967452301b2ad78f3\
     6c696e6e65746a31efcdab8967452301b2ad78f3\
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -22,8 +22,8 @@
 //! | `recovery` | the conversion of records to state and back |
 //!
 //! The flow between the parts is in `inputs` and `iteration` (what arrives, and the order of one iteration),
-//! `submission` (requests to decisions), `delivery` (decisions to ends of attempts), `completion` (final outcomes) and `discovery_traffic` (the
-//! watch and status notifications).
+//! `submission` (requests to decisions), `delivery` (decisions to ends of attempts), `completion` (final
+//! outcomes) and `discovery_traffic` (the watch and status notifications).
 
 mod admission;
 mod attempts;
--- a/crates/platform/src/core/connection_pool/acquire.rs
+++ b/crates/platform/src/core/connection_pool/acquire.rs
@@ -24,7 +24,8 @@
     id: ConnectionId,
 }
 
-/// The order in which connections are evicted: abandoned ones before idle ones, then the longest in that state.
+/// The order in which connections are evicted: abandoned ones before idle ones, then the longest in that
+/// state.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum EvictionOrder {
     Abandoned { since: Time },
@@ -58,8 +59,8 @@
         Acquired::Connecting(new_id)
     }
 
-    /// Assigns the idle connection that was used last. Closes it instead, and returns `None`, if a new connection is
-    /// expected to lose fewer calls.
+    /// Assigns the idle connection that was used last. Closes it instead, and returns `None`, if a new
+    /// connection is expected to lose fewer calls.
     fn acquire_idle(
         &mut self,
         attempt: AttemptId,
--- a/crates/platform/src/core/inputs.rs
+++ b/crates/platform/src/core/inputs.rs
@@ -1,7 +1,7 @@
 //! Inputs of the core: the clock, events of connections, signals and the state of the journal.
 //!
-//! An input changes the state of the part that it concerns. Requests are answered and attempts are sent only by the
-//! next [`Core::process`].
+//! An input changes the state of the part that it concerns. Requests are answered and attempts are sent only
+//! by the next [`Core::process`].
 
 use super::client_connections::{ClientId, Received};
 use super::connection_pool::ConnectionId;
--- a/crates/platform/src/core/status_notifier.rs
+++ b/crates/platform/src/core/status_notifier.rs
@@ -216,8 +216,8 @@
         self.connection.take()
     }
 
-    /// Returns the request to be sent now, or `None` while there is nothing to send, the connection is not made or
-    /// the last batch is not answered.
+    /// Returns the request to be sent now, or `None` while there is nothing to send, the connection is not
+    /// made or the last batch is not answered.
     pub fn next_request(&mut self, now: Time, host: SocketAddr) -> Option<NotificationRequest> {
         let connection = self.connection?;
         if !self.reconnect.is_connected() || self.sent > 0 || self.queue.is_empty() {
--- a/crates/platform/src/core/status_notifier/tests.rs
+++ b/crates/platform/src/core/status_notifier/tests.rs
@@ -43,7 +43,8 @@
     assert_eq!(request.connection, CONNECTION);
     let expected = "POST /status HTTP/1.1\r\nHost: 127.0.0.1:8500\r\nContent-Type: application/x-ndjson\r\n\
                     Content-Length: 104\r\n\r\n{\"id\":\"m1\",\"state\":\"failed\"}\n\
-                    {\"after_ms\":7,\"id\":\"m2\",\"state\":\"returned\"}\n{\"id\":\"m3\",\"state\":\"returned\"}\n";
+                    {\"after_ms\":7,\"id\":\"m2\",\"state\":\"returned\"}\n\
+                    {\"id\":\"m3\",\"state\":\"returned\"}\n";
     assert_eq!(String::from_utf8(request.bytes).expect("text"), expected);
     assert_eq!(notifier.counts(), NotificationCounts { failed: 1, returned: 2 });
 }
--- a/crates/platform/src/core/tests.rs
+++ b/crates/platform/src/core/tests.rs
@@ -8,5 +8,6 @@
 pub mod fixtures;
 mod harness;
 mod notifications;
+mod observations;
 mod recovery;
 mod shutdown;
--- a/crates/platform/src/core/tests/connections.rs
+++ b/crates/platform/src/core/tests/connections.rs
@@ -77,7 +77,8 @@
     for n in 0..3 {
         for client in 0..18 {
             let head = format!(
-                "POST /status HTTP/1.1\r\nX-Txn: m{n}-{client}\r\nX-Remaining-Ms: 9000\r\nX-Route-To: dest=3\r\n\r\n"
+                "POST /status HTTP/1.1\r\nX-Txn: m{n}-{client}\r\nX-Remaining-Ms: 9000\r\n\
+                 X-Route-To: dest=3\r\n\r\n"
             );
             core.client_received(client, head.as_bytes());
         }
--- a/crates/platform/src/core/tests/fixtures.rs
+++ b/crates/platform/src/core/tests/fixtures.rs
@@ -55,7 +55,8 @@
 /// Returns an event that changes both endpoints, whose ports follow `base`.
 pub fn list_event(version: u64, zone: &str, kind: &str, group: u32, status: &str, base: u16) -> String {
     let entry = |n: u16| {
-        serde_json::json!({"name": format!("s-{n}"), "address": format!("127.0.0.1:{}", base + n), "zone": zone,
+        serde_json::json!({"name": format!("s-{n}"), "address": format!("127.0.0.1:{}", base + n),
+            "zone": zone,
             "type": kind, "group": group, "status": status, "weight": 0, "since_ms": 0})
     };
     serde_json::json!({"index": version, "snapshot": false, "endpoints": [entry(1), entry(2)]}).to_string()
--- a/crates/platform/src/core/tests/harness.rs
+++ b/crates/platform/src/core/tests/harness.rs
@@ -1,6 +1,7 @@
 //! The fixture of the core's tests: a core in virtual time, its journal and its outputs.
 
 pub use super::fixtures::{config, list_event, DISCOVERY, SECOND};
+pub use super::observations::*;
 pub use crate::config::{Config, WatchEvent};
 pub use crate::core::attempts::AttemptId;
 pub use crate::core::clock::MILLISECOND;
@@ -12,7 +13,7 @@
 pub use std::collections::{BTreeMap, BTreeSet};
 pub use std::net::SocketAddr;
 
-use linnetcart_http::{parse_request, parse_response, ParsedResponse};
+use linnetcart_http::parse_request;
 
 pub const DISCOVERY_PORT: u16 = 8500;
 /// The answer of an endpoint that serves a message.
@@ -20,32 +21,6 @@
 /// A core that needs more iterations than this at one moment never becomes idle.
 const MAX_ITERATIONS: usize = 20;
 
-/// Bytes that the core sent upstream.
-pub struct UpstreamBytes {
-    pub connection: ConnectionId,
-    pub bytes: Vec<u8>,
-}
-
-/// Bytes that the core sent to a client.
-pub struct ClientBytes {
-    pub client: ClientId,
-    pub bytes: Vec<u8>,
-}
-
-/// An attempt that the core sent.
-#[derive(Debug)]
-pub struct AttemptRequest {
-    pub connection: ConnectionId,
-    pub message_id: String,
-}
-
-/// A batch of status notifications that the core sent.
-#[derive(Debug, PartialEq, Eq)]
-pub struct NotificationBatch {
-    pub connection: ConnectionId,
-    pub body: String,
-}
-
 /// A core in virtual time, with everything that it produced.
 pub struct Harness {
     pub core: Core,
@@ -237,8 +212,8 @@
         last
     }
 
-    /// Submits an idempotent message whose first attempt stays unanswered and whose hedge is served. Returns the
-    /// connection of the first attempt, which is abandoned.
+    /// Submits an idempotent message whose first attempt stays unanswered and whose hedge is served. Returns
+    /// the connection of the first attempt, which is abandoned.
     pub fn abandon_attempt(&mut self) -> ConnectionId {
         self.submit("status", "a", "");
         let first = self.attempts()[0].connection;
@@ -290,30 +265,3 @@
         self.core.counters().outcomes
     }
 }
-
-/// Returns the notification that message `m` failed, as sent on a connection.
-pub fn failed_notification(connection: ConnectionId) -> NotificationBatch {
-    NotificationBatch { connection, body: "{\"id\":\"m\",\"state\":\"failed\"}\n".to_owned() }
-}
-
-/// Returns the status of an answer.
-pub fn status(bytes: &[u8]) -> u16 {
-    match parse_response(bytes) {
-        ParsedResponse::Head(head) => head.status,
-        other => panic!("{other:?}"),
-    }
-}
-
-/// Returns the counts for these outcomes.
-pub fn counts_of(outcomes: &[AttemptOutcome]) -> OutcomeCounts {
-    let mut counts = OutcomeCounts::default();
-    for &outcome in outcomes {
-        counts.count(outcome);
-    }
-    counts
-}
-
-/// Whether an output asks for a connection to an endpoint.
-pub fn is_endpoint_connect(output: &Output) -> bool {
-    matches!(output, Output::Connect(_, address) if address.port() != DISCOVERY_PORT)
-}
--- a/crates/platform/src/core/tests/recovery.rs
+++ b/crates/platform/src/core/tests/recovery.rs
@@ -145,8 +145,8 @@
     let hedge = harness.attempts()[1].connection;
     harness.respond(hedge, SERVED.as_bytes());
     assert_eq!(harness.write_ended.len(), 1, "the slower attempt is cancelled, and may still execute");
-    // The second process reads it from the snapshot of the first. Each process starts the cooldown again, because an
-    // endpoint may not have seen the end of the attempt before the process exited.
+    // The second process reads it from the snapshot of the first. Each process starts the cooldown again,
+    // because an endpoint may not have seen the end of the attempt before the process exited.
     let second = start(harness.journal, harness.now + 10 * MILLISECOND);
     let mut harness = start(second.journal, second.now + 10 * MILLISECOND);
     assert_eq!((harness.submit("change", "b", "k"), harness.submit("change", "c", "l")), (202, 202));
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -65,9 +65,8 @@
 
 /// Runs the courier until a signal ends it.
 ///
-/// # Errors
-/// If the configuration or the journal cannot be used at startup, if the event loop fails, or if the journal cannot
-/// be written for too long.
+/// # Errors If the configuration or the journal cannot be used at startup, if the event loop fails, or if the
+/// journal cannot be written for too long.
 pub fn run(environment: Environment) -> anyhow::Result<()> {
     startup::start(environment)?.serve()
 }
@@ -141,7 +140,8 @@
         }
     }
 
-    /// The other side sends no more. An endpoint that does so is of no further use; a client still gets its answers.
+    /// The other side sends no more. An endpoint that does so is of no further use; a client still gets its
+    /// answers.
     fn half_closed(&mut self, token: Token) {
         if self.upstream.id(token).is_none() {
             self.core.client_half_closed(token);
--- a/crates/platform/src/shell/startup.rs
+++ b/crates/platform/src/shell/startup.rs
@@ -16,8 +16,8 @@
 use std::path::Path;
 use std::time::Instant;
 
-/// Bytes that are read from a connection at once, and how often it is read in one poll. A client that floods one
-/// connection must not delay the others.
+/// Bytes that are read from a connection at once, and how often it is read in one poll. A client that floods
+/// one connection must not delay the others.
 const READ_BUFFER_BYTES: usize = 16 * 1024;
 const READS_PER_POLL: usize = 2;
 /// File descriptors that the event loop does not use for connections.
