Platform: the watch decodes its response in named steps; three doc comments corrected

Change: ResponseState, decode and decode_chunks; the docs are mended. WatchProgress::failed was used by tests alone and is gone; watch_with_wrong_answer_fails compares the same struct, spelled out.

--- a/crates/journal/src/frame.rs
+++ b/crates/journal/src/frame.rs
@@ -65,6 +65,7 @@
 
     /// Appends a frame to `out`.
     ///
+    /// # Panics
     /// If the payload is longer than [`MAX_PAYLOAD_BYTES`]: callers have to bound what they accept.
     pub fn append_frame(self, kind: u8, payload: &[u8], out: &mut Vec<u8>) {
         assert!(payload.len() <= MAX_PAYLOAD_BYTES, "a record of {} bytes", payload.len());
--- a/crates/platform/src/core/connection_pool/connection.rs
+++ b/crates/platform/src/core/connection_pool/connection.rs
@@ -24,12 +24,12 @@
     },
     /// The request of an attempt is queued on the connection.
     InUse {
-        /// When the first byte of the answer arrived.
+        /// When the first byte of the answer arrived; `None` before.
         first_byte_at: Option<Time>,
     },
     /// No attempt is assigned to the connection.
     Idle {
-        /// When the last answer was complete.
+        /// When the connection became idle.
         since: Time,
     },
     /// The attempt was cancelled: nothing more is sent, and an answer is still read.
--- a/crates/platform/src/core/discovery/watch.rs
+++ b/crates/platform/src/core/discovery/watch.rs
@@ -41,10 +41,15 @@
     pub error: Option<WatchError>,
 }
 
-impl WatchProgress {
-    fn failed(error: WatchError) -> WatchProgress {
-        WatchProgress { events: vec![], error: Some(error) }
-    }
+/// How much of the response has arrived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ResponseState {
+    /// The head is incomplete.
+    AwaitingHead,
+    /// The head is complete, and the body continues.
+    InBody,
+    /// The body is complete.
+    Ended,
 }
 
 /// The watch on the endpoint list.
@@ -125,23 +130,17 @@
     /// Handles received bytes.
     pub fn receive(&mut self, now: Time, bytes: &[u8]) -> WatchProgress {
         self.last_byte_at = now;
-        let decoded = match &mut self.chunks {
-            Some(chunks) => chunks.push(bytes, &mut self.body),
-            None => match self.receive_head(bytes) {
-                Ok(Some(first_chunks)) => {
-                    let chunks = self.chunks.insert(ChunkedDecoder::default());
-                    chunks.push(&first_chunks, &mut self.body)
-                }
-                Ok(None) => return WatchProgress::default(),
-                Err(error) => return WatchProgress::failed(error),
-            },
-        };
+        let state = self.decode(bytes);
+        if state == Ok(ResponseState::AwaitingHead) {
+            return WatchProgress::default();
+        }
+        // Events before the end of the response, or before an error, are still applied.
         let mut progress = self.read_events();
         if progress.error.is_none() {
-            progress.error = match decoded {
-                Ok(true) => Some(WatchError::Ended),
-                Ok(false) => None,
-                Err(error) => Some(WatchError::InvalidEvent(error.to_string())),
+            progress.error = match state {
+                Ok(ResponseState::Ended) => Some(WatchError::Ended),
+                Ok(ResponseState::AwaitingHead | ResponseState::InBody) => None,
+                Err(error) => Some(error),
             };
         }
         if self.body.len() > MAX_EVENT_BYTES {
@@ -153,6 +152,25 @@
         progress
     }
 
+    /// Decodes received bytes and appends the body's bytes in them to `body`.
+    fn decode(&mut self, bytes: &[u8]) -> Result<ResponseState, WatchError> {
+        if self.chunks.is_some() {
+            return self.decode_chunks(bytes);
+        }
+        let Some(first_chunks) = self.receive_head(bytes)? else { return Ok(ResponseState::AwaitingHead) };
+        self.chunks = Some(ChunkedDecoder::default());
+        self.decode_chunks(&first_chunks)
+    }
+
+    fn decode_chunks(&mut self, bytes: &[u8]) -> Result<ResponseState, WatchError> {
+        let Some(chunks) = &mut self.chunks else { return Ok(ResponseState::AwaitingHead) };
+        match chunks.push(bytes, &mut self.body) {
+            Ok(true) => Ok(ResponseState::Ended),
+            Ok(false) => Ok(ResponseState::InBody),
+            Err(error) => Err(WatchError::InvalidEvent(error.to_string())),
+        }
+    }
+
     /// Handles bytes of the head. Returns the bytes that follow the head once it is complete.
     fn receive_head(&mut self, bytes: &[u8]) -> Result<Option<Vec<u8>>, WatchError> {
         self.head.extend_from_slice(bytes);
--- a/crates/platform/src/core/discovery/watch/tests.rs
+++ b/crates/platform/src/core/discovery/watch/tests.rs
@@ -19,7 +19,7 @@
         (b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", WatchError::Status(200)),
         (b"noise\r\n\r\n", WatchError::Malformed),
     ] {
-        assert_eq!(connected().receive(NOW, answer), WatchProgress::failed(error));
+        assert_eq!(connected().receive(NOW, answer), WatchProgress { events: vec![], error: Some(error) });
     }
 }
 
--- a/crates/platform/src/core/request.rs
+++ b/crates/platform/src/core/request.rs
@@ -13,7 +13,7 @@
 /// A message as submitted by a request.
 #[derive(Debug, PartialEq, Eq)]
 pub struct SubmittedMessage {
-    /// The id is missing or invalid.
+    /// Its id.
     pub id: Vec<u8>,
     /// Its idempotency key.
     pub idempotency_key: Option<Vec<u8>>,
