Library: attempts and calls are a table of their own, state upkeep one file a concern

Change: AttemptTable in state/attempt.rs owns attempts in flight and calls and says itself which outcome shows the end of a call; impl DispatchState is split into attempts, deadlines and messages; has_joinable_call moved there from policy. LimitScope::Whole is OwnLimit, LimitContext::whole is for_destination, is_owed_a_call is awaits_first_call. No decision changed.

--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -31,11 +31,11 @@
             _ => {}
         }
         // What joins a call of this cycle adds no call to a wait, a rate, a slot or a cap.
-        let joins = self.has_joinable_call(endpoint);
+        let joins = self.state.has_joinable_call(endpoint, self.now);
         if !joins {
             // Rule 6: a Retry-After binds the whole limit. Rule 4: trials while ejected, a budget until warm.
             endpoint_state.limiter.check_open(self.limit_context(destination.endpoint_scope()))?;
-            destination.limiter.check_open(self.limit_context(LimitScope::Whole))?;
+            destination.limiter.check_open(self.limit_context(LimitScope::OwnLimit))?;
         }
         let has_slot = joins || self.has_slot(destination, endpoint_state);
         (has_slot && self.has_retry_budget(message, destination)).then_some(()).ok_or(NEVER)
@@ -74,7 +74,7 @@
     }
 
     pub(super) fn free_slots(&self) -> usize {
-        (self.settings.max_in_flight_calls as usize).saturating_sub(self.state.calls.len())
+        (self.settings.max_in_flight_calls as usize).saturating_sub(self.state.attempts.call_count())
     }
 
     /// No more slots are free than `spare`, and messages wait for one and nothing else.
@@ -88,7 +88,7 @@
         let context = self.limit_context(destination.endpoint_scope());
         let is_open = |id: &u32| self.state.endpoints[*id].limiter.check_open(context).is_ok();
         !destination.queue.is_empty()
-            && destination.limiter.check_open(context.whole()).is_ok()
+            && destination.limiter.check_open(context.for_destination()).is_ok()
             && destination.endpoints.iter().any(is_open)
     }
 
--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -37,7 +37,7 @@
 
     /// What waits for the same destination joins the call just made, as far as it takes more.
     fn fill_call(&mut self, destination: u32, endpoint: u32) {
-        while self.has_joinable_call(endpoint) {
+        while self.state.has_joinable_call(endpoint, self.now) {
             let mut heads = self.state.destinations[destination].queue.heads().into_iter();
             let may_join = |id: &u32| self.check_send(&self.state.messages[id], endpoint).is_ok();
             let Some(message) = heads.find(may_join) else { return };
@@ -45,14 +45,6 @@
         }
     }
 
-    /// Another send to this endpoint may join a call of this cycle.
-    pub(super) fn has_joinable_call(&self, endpoint: u32) -> bool {
-        let Some(endpoint) = self.state.endpoints.get(endpoint) else { return false };
-        let Some(destination) = self.state.destinations.get(endpoint.destination) else { return false };
-        let sends = endpoint.sends_in_call_of(self.now);
-        sends > 0 && sends < destination.kind.max_messages_per_call
-    }
-
     /// Sends the oldest message that may go; returns where it went.
     fn send_next(&mut self, destination: u32) -> Option<u32> {
         for id in self.state.cooled_down(destination, self.now) {
@@ -84,7 +76,7 @@
         let too_late = |id: &u32| {
             let message = &self.state.messages[id];
             let overdue_span = self.overdue_span(self.state.overdue_group(message));
-            !message.is_owed_a_call() && message.deadline <= self.now + overdue_span
+            !message.awaits_first_call() && message.deadline <= self.now + overdue_span
         };
         destination.queue.heads().into_iter().find(|id| all_ejected && too_late(id))
     }
@@ -128,7 +120,7 @@
         let chance = self.random.draw();
         let Some(message) = self.state.messages.get(&id) else { return };
         let overdue_span = self.overdue_span(self.state.overdue_group(message));
-        if !self.has_joinable_call(endpoint) {
+        if !self.state.has_joinable_call(endpoint, self.now) {
             self.start_call(message.destination, endpoint, chance);
         }
         self.state.record_send(id, endpoint, self.now, overdue_span);
@@ -145,7 +137,7 @@
         }
         let destination = self.state.destinations.get_mut(destination);
         if let Some(destination) = destination.filter(|_| scope == LimitScope::SharedEndpoint) {
-            destination.limiter.spend_token(chance, context.whole());
+            destination.limiter.spend_token(chance, context.for_destination());
         }
     }
 }
--- a/src/policy/health.rs
+++ b/src/policy/health.rs
@@ -51,7 +51,7 @@
         let context = LimitContext { now: self.now, scope, settings: &self.settings };
         let mut ejected = silence.endpoint_silent && endpoint.limiter.record_silence(chance, context);
         if silence.endpoint_silent && silence.destination_silent && scope == LimitScope::SharedEndpoint {
-            ejected |= destination_state.limiter.record_silence(chance, context.whole());
+            ejected |= destination_state.limiter.record_silence(chance, context.for_destination());
         }
         if ejected {
             let change = LimitChange { destination, endpoint: id, state: LimitState::Silent, evidence: None };
@@ -131,7 +131,7 @@
             self.circuit = SlowStart { since: self.retry_after_until };
         } else if shut {
             self.eject(context.now, EjectionCause::Failure);
-        } else if context.scope == LimitScope::Whole {
+        } else if context.scope == LimitScope::OwnLimit {
             self.cut_rate(context);
         }
     }
--- a/src/policy/hedging.rs
+++ b/src/policy/hedging.rs
@@ -64,7 +64,7 @@
         // Looked at again only after a hedge took a slot.
         let mut short_of_slots = None;
         for attempt in due.attempts {
-            let Some(in_flight) = self.state.in_flight.get(&attempt.id()) else { continue };
+            let Some(in_flight) = self.state.attempts.get(attempt.id()) else { continue };
             let Some(message) = self.state.messages.get(&attempt.message) else { continue };
             let endpoint = in_flight.endpoint;
             let independent = self.state.has_independent_routes(message.destination);
--- a/src/policy/messages.rs
+++ b/src/policy/messages.rs
@@ -27,7 +27,7 @@
         let entry = QueueEntry {
             state: self.state.queue_state(message, idempotency, self.now),
             retry_expiry: self.retry_expiry(message),
-            sheddable: self.may_reject(message) && !message.is_owed_a_call(),
+            sheddable: self.may_reject(message) && !message.awaits_first_call(),
         };
         self.state.join_wait_queue(id, entry);
     }
--- a/src/policy/outcomes.rs
+++ b/src/policy/outcomes.rs
@@ -15,9 +15,7 @@
 impl Dispatcher {
     pub(super) fn finish_attempt(&mut self, result: AttemptResult) {
         let outcome = result.outcome;
-        // A call with several messages is taken, rejected or lost as one: its first outcome tells.
-        let informative = !matches!(outcome, AttemptOutcome::NotSent { .. } | AttemptOutcome::Cancelled);
-        let finished = self.state.take_finished(&result, informative);
+        let finished = self.state.take_finished(&result);
         // Also for a call that was given up before.
         self.learn_of_endpoint(&result);
         let Some(finished) = finished else { return };
@@ -99,7 +97,7 @@
         if scope == LimitScope::SharedEndpoint {
             limiter = &mut destination.limiter;
             before = limiter.circuit;
-            limiter.record_outcome(sent_at, outcome, chance, context.whole());
+            limiter.record_outcome(sent_at, outcome, chance, context.for_destination());
         }
         if std::mem::discriminant(&before) != std::mem::discriminant(&limiter.circuit) {
             let change = limiter.change(id, result.endpoint, outcome);
--- a/src/policy/rate.rs
+++ b/src/policy/rate.rs
@@ -35,9 +35,9 @@
 }
 
 impl LimitContext<'_> {
-    /// The same for the destination as a whole.
-    pub(super) fn whole(self) -> Self {
-        LimitContext { scope: LimitScope::Whole, ..self }
+    /// The same context for the limiter of the destination, which always has a limit of its own.
+    pub(super) fn for_destination(self) -> Self {
+        LimitContext { scope: LimitScope::OwnLimit, ..self }
     }
 
     fn window_seconds(&self) -> f64 {
@@ -113,7 +113,7 @@
         };
         match context.scope {
             LimitScope::SharedEndpoint => self.is_ejected().then_some(1.0 / context.window_seconds()),
-            LimitScope::Whole => Some(self.recovery_rate(capacity_ratio, context)),
+            LimitScope::OwnLimit => Some(self.recovery_rate(capacity_ratio, context)),
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -17,7 +17,7 @@
 mod table;
 mod wait_queue;
 
-pub(crate) use attempt::{AttemptId, Call, FinishedAttempt, InFlightAttempt};
+pub(crate) use attempt::{AttemptId, AttemptTable, FinishedAttempt, InFlightAttempt};
 pub(crate) use deadline_index::{AttemptGroup, DeadlineIndex, DueAttempt, SentAttempt};
 pub(crate) use destination::{Destination, LimitScope};
 pub(crate) use dispatch_state::{DispatchState, GroupSpans, Silence};
--- a/src/state/attempt.rs
+++ b/src/state/attempt.rs
@@ -1,15 +1,19 @@
 //! Attempts in flight and the calls that carry them.
+//!
+//! Owns the table of both and keeps it consistent; the deadline indexes over attempts are kept elsewhere.
 
-use crate::interface::Time;
+use crate::interface::{AttemptOutcome, Time};
+use std::collections::BTreeMap;
 
 /// One attempt of one message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct AttemptId {
     pub(crate) message: u32,
+    /// The number of the attempt, counted from 0 for each message.
     pub(crate) attempt: u16,
 }
 
-/// An attempt that was sent and whose result has not come.
+/// An attempt that was sent and whose result has not arrived.
 #[derive(Clone, Debug)]
 pub(crate) struct InFlightAttempt {
     pub(crate) endpoint: u32,
@@ -18,36 +22,82 @@
     pub(crate) cancelled: bool,
 }
 
-/// An attempt whose result has come.
+/// An attempt whose result has arrived.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct FinishedAttempt {
     pub(crate) sent_at: Time,
-    /// Its result is the first from which the fate of its call is known.
+    pub(crate) cancelled: bool,
+    /// It was the last attempt in flight of its call.
+    pub(crate) call_ended: bool,
+    /// Its result is the first one that shows how its call ended.
     pub(crate) first_outcome: bool,
 }
 
 /// A call in flight; it may carry the attempts of several messages.
 #[derive(Debug, Default)]
-pub(crate) struct Call {
-    pub(crate) sends: u32,
-    /// An outcome of it is known.
-    pub(crate) outcome_known: bool,
+struct Call {
+    attempts_in_flight: u32,
+    outcome_known: bool,
 }
 
-/// What the end of one attempt means for its call.
-pub(super) struct CallProgress {
-    /// It was the last attempt in the call.
-    pub(super) call_ended: bool,
-    /// It is the first from which the fate of the call is known.
-    pub(super) first_outcome: bool,
+/// All attempts in flight, and the calls that carry them.
+#[derive(Debug, Default)]
+pub(crate) struct AttemptTable {
+    in_flight: BTreeMap<AttemptId, InFlightAttempt>,
+    calls: BTreeMap<u64, Call>,
 }
 
-impl Call {
-    /// Takes one of its attempts out; `informative` if the result tells the fate of the call.
-    pub(super) fn finish_send(&mut self, informative: bool) -> CallProgress {
-        self.sends = self.sends.saturating_sub(1);
-        let first_outcome = informative && !self.outcome_known;
-        self.outcome_known |= first_outcome;
-        CallProgress { call_ended: self.sends == 0, first_outcome }
+impl AttemptTable {
+    /// Returns an attempt, or `None` when it is not in flight.
+    pub(crate) fn get(&self, id: AttemptId) -> Option<&InFlightAttempt> {
+        self.in_flight.get(&id)
+    }
+
+    /// Returns the number of calls in flight.
+    pub(crate) fn call_count(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Returns the attempts of a message that are in flight and not cancelled, in the order of their numbers.
+    pub(super) fn running(&self, message: u32) -> impl Iterator<Item = (AttemptId, &InFlightAttempt)> {
+        let first = AttemptId { message, attempt: 0 };
+        let last = AttemptId { message, attempt: u16::MAX };
+        let attempts = self.in_flight.range(first..=last).map(|(&id, attempt)| (id, attempt));
+        attempts.filter(|(_, attempt)| !attempt.cancelled)
+    }
+
+    /// Adds an attempt, and its call unless another attempt has added it already.
+    pub(super) fn insert(&mut self, id: AttemptId, attempt: InFlightAttempt) {
+        self.calls.entry(attempt.call).or_default().attempts_in_flight += 1;
+        self.in_flight.insert(id, attempt);
+    }
+
+    /// Marks an attempt as cancelled; returns when it was sent, or `None` when it is not in flight.
+    pub(super) fn mark_cancelled(&mut self, id: AttemptId) -> Option<Time> {
+        let attempt = self.in_flight.get_mut(&id)?;
+        attempt.cancelled = true;
+        Some(attempt.sent_at)
     }
+
+    /// Removes an attempt that finished, and its call if no other attempt of it is in flight; `None` when the
+    /// attempt is not in flight.
+    pub(super) fn finish(&mut self, id: AttemptId, outcome: AttemptOutcome) -> Option<FinishedAttempt> {
+        let attempt = self.in_flight.remove(&id)?;
+        let call = self.calls.entry(attempt.call).or_default();
+        call.attempts_in_flight = call.attempts_in_flight.saturating_sub(1);
+        let first_outcome = !call.outcome_known && shows_call_outcome(outcome);
+        call.outcome_known |= first_outcome;
+        let call_ended = call.attempts_in_flight == 0;
+        if call_ended {
+            self.calls.remove(&attempt.call);
+        }
+        let InFlightAttempt { sent_at, cancelled, .. } = attempt;
+        Some(FinishedAttempt { sent_at, cancelled, call_ended, first_outcome })
+    }
+}
+
+/// Whether the outcome of one attempt is that of its whole call: a call with several messages is served,
+/// rejected or lost as one, unless the courier itself did not send or cancelled the attempt.
+fn shows_call_outcome(outcome: AttemptOutcome) -> bool {
+    !matches!(outcome, AttemptOutcome::NotSent { .. } | AttemptOutcome::Cancelled)
 }
--- a/src/state/destination.rs
+++ b/src/state/destination.rs
@@ -7,8 +7,8 @@
 /// What a limiter stands for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum LimitScope {
-    /// A whole limit: a destination, or a route that is independent of the others.
-    Whole,
+    /// A limit of its own: that of a destination, or of an independent route.
+    OwnLimit,
     /// One endpoint of several that share the limit of their destination.
     SharedEndpoint,
 }
@@ -66,7 +66,7 @@
     /// What the limiters of its endpoints stand for.
     pub(crate) fn endpoint_scope(&self) -> LimitScope {
         if self.kind.independent_routes {
-            LimitScope::Whole
+            LimitScope::OwnLimit
         } else {
             LimitScope::SharedEndpoint
         }
--- /dev/null
+++ b/src/state/dispatch_state/messages.rs
@@ -0,0 +1,116 @@
+//! Messages: accepted, waiting, completed, dropped.
+
+use super::DispatchState;
+use crate::interface::{AcceptedMessage, Class, Idempotency, Time};
+use crate::state::{Message, MessageTime, QueueEntry, QueueState, RecoveredAttempts};
+use std::collections::BTreeSet;
+
+impl DispatchState {
+    /// Adds an accepted message, with the attempts that an earlier process of this courier made, if any;
+    /// returns false when a message of this number is already there.
+    pub(crate) fn insert_message(
+        &mut self,
+        accepted: &AcceptedMessage,
+        class: &Class,
+        recovered: Option<&RecoveredAttempts>,
+        now: Time,
+    ) -> bool {
+        if self.messages.contains_key(&accepted.id) {
+            return false;
+        }
+        let mut message = Message::new(accepted, class, self.next_sequence(), now);
+        if let Some(recovered) = recovered {
+            message.restore(recovered, now);
+        }
+        self.key_queues.join(message.ordering_key, message.position());
+        self.deadlines.insert(MessageTime { at: message.deadline, message: message.id });
+        self.messages.insert(message.id, message);
+        true
+    }
+
+    /// Returns the state in which a message waits, or would wait, in the queue of its destination.
+    pub(crate) fn queue_state(&self, message: &Message, idempotency: Idempotency, now: Time) -> QueueState {
+        if let Some(queue) = self.key_queues.get(message.ordering_key) {
+            if !queue.is_first(message.position()) {
+                return QueueState::BehindInKey;
+            }
+            if queue.cooldown_until > now && message.attempts == 0 {
+                return QueueState::KeyCooldown;
+            }
+        }
+        let per_zone = matches!(idempotency, Idempotency::Keyed { per_zone: true, .. });
+        match message.first_possible_execution() {
+            Some(first) => QueueState::Retry { zone: per_zone.then_some(first.zone) },
+            None => QueueState::NotExecuted,
+        }
+    }
+
+    /// Puts a message into the queue of its destination.
+    pub(crate) fn join_wait_queue(&mut self, id: u32, entry: QueueEntry) {
+        let Some(message) = self.messages.get_mut(&id) else { return };
+        if let Some(destination) = self.destinations.get_mut(message.destination) {
+            self.wait_queue.join(message, destination, entry);
+        }
+    }
+
+    /// Takes a message out of the queue of its destination, if it waits there.
+    pub(crate) fn leave_wait_queue(&mut self, id: u32) {
+        if let Some(message) = self.messages.get_mut(&id) {
+            let destination = self.destinations.get_mut(message.destination);
+            self.wait_queue.leave(message, destination);
+        }
+    }
+
+    /// Returns the destinations that messages wait for, the one with the least recent send first.
+    pub(crate) fn waiting_by_last_send(&self) -> Vec<u32> {
+        let mut waiting: Vec<u32> = self.wait_queue.destinations.iter().copied().collect();
+        waiting.sort_by_key(|&id| self.destinations[id].last_sent_at);
+        waiting
+    }
+
+    /// Returns the messages of a destination that still wait as [`QueueState::KeyCooldown`] although the
+    /// cooldown of their key has ended.
+    pub(crate) fn cooled_down(&self, destination: u32, now: Time) -> Vec<u32> {
+        let Some(destination) = self.destinations.get(destination) else { return Vec::new() };
+        let mut waiting = destination.queue.in_key_cooldown();
+        waiting.retain(|id| {
+            let queue = self.key_queues.get(self.messages[id].ordering_key);
+            queue.is_none_or(|queue| queue.cooldown_until <= now)
+        });
+        waiting
+    }
+
+    /// Returns the messages without a final answer whose deadline is at or before `deadline`, and those that
+    /// wait for a retry which is allowed until `retry_expiry` at most.
+    pub(crate) fn expired(&self, deadline: Time, retry_expiry: Time) -> BTreeSet<u32> {
+        let due = self.deadlines.iter().take_while(|entry| entry.at <= deadline);
+        let expiries = self.wait_queue.retry_expiries.iter();
+        let unretryable = expiries.take_while(|entry| entry.at <= retry_expiry);
+        due.chain(unretryable).map(|entry| entry.message).collect()
+    }
+
+    /// Marks a message as completed; returns its attempts that are in flight and not cancelled.
+    pub(crate) fn complete(&mut self, id: u32) -> Vec<u16> {
+        if let Some(message) = self.messages.get_mut(&id) {
+            message.completed = true;
+            self.deadlines.remove(&MessageTime { at: message.deadline, message: id });
+        }
+        self.leave_wait_queue(id);
+        self.attempts.running(id).map(|(id, _)| id.attempt).collect()
+    }
+
+    /// Drops a message if it is completed and has nothing in flight; returns the next message of its ordering
+    /// key if that one waits.
+    pub(crate) fn drop_finished(&mut self, id: u32) -> Option<u32> {
+        let message = self.messages.get(&id)?;
+        if !message.completed || message.attempts_in_flight > 0 {
+            return None;
+        }
+        let position = message.position();
+        let key = message.ordering_key;
+        self.messages.remove(&id);
+        let next = self.key_queues.leave(key, position)?;
+        let waits = self.messages.get(&next).is_some_and(|message| message.queue_state.is_some());
+        waits.then_some(next)
+    }
+}
--- a/src/state/message.rs
+++ b/src/state/message.rs
@@ -96,7 +96,7 @@
     }
 
     /// It was recovered untried and has had no call since.
-    pub(crate) fn is_owed_a_call(&self) -> bool {
+    pub(crate) fn awaits_first_call(&self) -> bool {
         self.uncalled_attempts == Some(self.attempts)
     }
 
