--- a/src/interface/settings.rs
+++ b/src/interface/settings.rs
@@ -109,6 +109,14 @@
     pub route_fees: Vec<f64>,
 }
 
+impl Settings {
+    /// Returns a kind of destination by number; an unknown one has a shared limit and single calls.
+    pub(crate) fn kind(&self, number: u8) -> DestinationKind {
+        let unknown = DestinationKind { independent_routes: false, max_messages_per_call: 1 };
+        self.kinds.get(usize::from(number)).copied().unwrap_or(unknown)
+    }
+}
+
 /// A class of message.
 #[derive(Clone, Debug)]
 #[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,26 @@
-//! linnetcart decides for a courier of messages to outside destinations.
+//! The decision library of linnetcart, a delivery service for messages to outside destinations.
 //!
-//! One [`Dispatcher`] decides for one courier process. It is handed events with a clock time and answers with
-//! actions; it does no input or output of its own and reads no clock.
+//! One [`Dispatcher`] decides for one courier process: which message is sent next and to which endpoint, what is
+//! retried, hedged, cancelled, rejected or given up, and when. The courier calls [`Dispatcher::decide`] with the
+//! events since the last call and a clock time, and carries out the actions that it returns. The library does no
+//! input or output of its own, reads no clock and starts no threads. The same settings, seed and events always
+//! give the same actions.
+//!
+//! # The six rules
+//!
+//! The code refers to these rules by their numbers.
+//!
+//! 1. A message gets exactly one final answer (served, rejected or failed) before its deadline; nothing is sent
+//!    for it after.
+//! 2. No message takes effect twice. A rejected message may be submitted again without harm; failed promises
+//!    nothing.
+//! 3. Nothing new is sent to an endpoint that is draining or removed.
+//! 4. A destination that is back from an outage is not overloaded during its slow start.
+//! 5. Messages of an ordered class with one ordering key are sent in turn, with a cooldown after an attempt that
+//!    may still run.
+//! 6. A Retry-After is respected.
+//!
+//! # Example
 //!
 //! ```
 //! use linnetcart::{
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,4 +1,6 @@
-//! Every decision of the library, one file a concern; what they are made from is kept in [`crate::state`].
+//! Every decision of the library, one file a concern. What the decisions are based on is in [`crate::state`].
+//!
+//! "Rule 1" to "rule 6" in comments are the six rules that the crate documentation lists.
 
 mod admission;
 mod dispatch;
@@ -10,9 +12,9 @@
 mod rate;
 
 use crate::interface::{Action, Event, Settings, Time};
-use crate::state::{DispatchState, LatencySamples, ListPoll, Random, RecoveredAttempts};
+use crate::state::{DispatchState, LatencySamples, ListPoll, Random, RecoveredAttempts, WakeUpTimer};
 
-/// No clock time helps, only an event.
+/// A time that never comes: only an event can change anything.
 const NEVER: Time = Time::MAX;
 const NANOS_PER_SECOND: f64 = 1e9;
 
@@ -22,11 +24,8 @@
     settings: Settings,
     random: Random,
     now: Time,
-    /// When this decision cycle wants the next one.
-    wake_at: Time,
-    /// The wake-up that was asked for and is still to come.
-    pending_wake_up: Time,
-    /// How much later than wanted this cycle came.
+    wake_up: WakeUpTimer,
+    /// How much later than requested this cycle came.
     delay: Time,
     state: DispatchState,
     /// Recent latencies of served calls, whatever the destination.
@@ -36,35 +35,24 @@
 }
 
 impl Dispatcher {
-    /// A dispatcher that knows its settings and nothing else.
+    /// Creates a dispatcher that knows no endpoints and no messages; `seed` determines its random numbers.
     pub fn new(settings: Settings, seed: u64) -> Self {
         let next_at = if settings.endpoint_list_polled { 0 } else { NEVER };
         Dispatcher {
             settings,
             random: Random::new(seed),
-            pending_wake_up: NEVER,
             list_poll: ListPoll { next_at, backoff: 0 },
             ..Dispatcher::default()
         }
     }
 
-    /// One decision cycle: takes all events since the last, at clock time `now`, and returns what is to do.
+    /// Runs one decision cycle: applies all events since the last one, at clock time `now`, and returns the
+    /// actions to carry out, in their order. A `now` before that of the last cycle counts as that.
     pub fn decide(&mut self, now: Time, events: Vec<Event>) -> Vec<Action> {
         self.now = self.now.max(now);
-        self.wake_at = NEVER;
-        self.delay = self.now.saturating_sub(self.pending_wake_up);
+        self.delay = self.wake_up.start_cycle(self.now);
         for event in events {
-            match event {
-                Event::EndpointList { complete, entries } => self.update_endpoints(complete, entries),
-                Event::EndpointListFailed => self.back_off_list_poll(),
-                Event::Accepted(message) => self.accept(message, None),
-                Event::Recovered { message, attempts, unresolved } => {
-                    self.accept(message, Some(RecoveredAttempts { attempts, unresolved }));
-                }
-                Event::ClientCancelled { message } => self.finish(message),
-                Event::AttemptFinished(result) => self.finish_attempt(result),
-                Event::HealthChecked(_) | Event::Gossip { .. } | Event::WokenUp => {}
-            }
+            self.apply(event);
         }
         self.poll_endpoint_list();
         self.state.key_queues.forget_idle(self.now);
@@ -73,26 +61,28 @@
         self.shed_load();
         self.dispatch();
         self.hedge();
-        self.request_wake_up();
+        let wake_up = self.wake_up.end_cycle(self.now, self.settings.tick);
+        self.actions.extend(wake_up.map(|at| Action::WakeUp { at }));
         std::mem::take(&mut self.actions)
     }
 
-    /// Rule 6 for a call whose connection took its time: a Retry-After that came meanwhile binds it too.
-    pub fn retry_after_pending(&self, now: Time, endpoint: u32) -> bool {
-        self.state.limiter(endpoint).is_some_and(|limiter| limiter.retry_after_until > now)
-    }
-
-    fn wake_by(&mut self, at: Time) {
-        self.wake_at = self.wake_at.min(at);
-    }
-
-    fn request_wake_up(&mut self) {
-        // A wake-up may come rounded down: one that is due within a tick counts as used.
-        if self.pending_wake_up <= self.now + self.settings.tick || self.wake_at < self.pending_wake_up {
-            self.pending_wake_up = self.wake_at.max(self.now + 1);
-            if self.pending_wake_up != NEVER {
-                self.actions.push(Action::WakeUp { at: self.pending_wake_up });
+    fn apply(&mut self, event: Event) {
+        match event {
+            Event::EndpointList { complete, entries } => self.update_endpoints(complete, entries),
+            Event::EndpointListFailed => self.back_off_list_poll(),
+            Event::Accepted(message) => self.accept(message, None),
+            Event::Recovered { message, attempts, unresolved } => {
+                self.accept(message, Some(RecoveredAttempts { attempts, unresolved }));
             }
+            Event::ClientCancelled { message } => self.finish(message),
+            Event::AttemptFinished(result) => self.finish_attempt(result),
+            Event::HealthChecked(_) | Event::Gossip { .. } | Event::WokenUp => {}
         }
     }
+
+    /// Whether a Retry-After binds this endpoint at `now`. A call whose connection took long to make is
+    /// checked with it once more before it is written: the Retry-After may have come meanwhile (rule 6).
+    pub fn retry_after_pending(&self, now: Time, endpoint: u32) -> bool {
+        self.state.limiter(endpoint).is_some_and(|limiter| limiter.retry_after_until > now)
+    }
 }
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -1,39 +1,37 @@
 //! What may be sent: the admission check of every send, the retry budget, and load shedding.
 
-use super::{health::RISKY_FAILURE_RATE, rate::LimitContext, Dispatcher, NEVER};
+use super::{health::RISKY_FAILURE_RATE, Dispatcher, NEVER};
 use crate::interface::{EndpointStatus, Time};
-use crate::state::{least_weight, CircuitState, Destination, EndpointState, LimitScope, Message};
+use crate::state::{
+    least_weight, CircuitState, Destination, EndpointState, LimitContext, LimitScope, Message,
+};
 use std::collections::BTreeSet;
 
-/// Tokens of a full retry budget. A courier sees a few calls a second at a destination: ten are seconds.
+/// Tokens of a full retry budget: a few seconds of calls, as a courier makes a few a second to a destination.
 pub(super) const RETRY_BUDGET_TOKENS: f64 = 10.0;
-/// Tokens that a failure costs: two failures in a row close a full budget to retries and hedges.
+/// Tokens that a failure costs: after two failures in a row a full budget allows no retry and no hedge.
 pub(super) const FAILURE_RETRY_TOKENS: f64 = 3.0;
-/// Tokens above which retries and hedges may go.
+/// Tokens above which retries and hedges are allowed.
 pub(super) const MIN_RETRY_TOKENS: f64 = RETRY_BUDGET_TOKENS / 2.0;
-/// Part of `max_in_flight_messages` from which load is shed, before messages are rejected unseen.
+/// Part of `max_in_flight_messages` from which load is shed: at all of it the courier rejects any message.
 const SHED_THRESHOLD: f64 = 0.9;
-/// Multiple of its usual latency at which a destination runs slow.
+/// Multiple of its usual latency above which a destination counts as slow.
 const SLOW_LATENCY_MULTIPLE: f64 = 3.0;
 
 impl Dispatcher {
-    /// Every send passes here, and only here; `Err` is when to look again.
+    /// Checks whether a message may be sent to an endpoint now. Every send passes this check; `Err` is when
+    /// to check again, [`NEVER`] when only an event can change the answer.
     pub(super) fn check_send(&self, message: &Message, endpoint: u32) -> Result<(), Time> {
         let endpoint_state = self.state.endpoints.get(endpoint).ok_or(NEVER)?;
         let destination = self.state.destinations.get(message.destination).ok_or(NEVER)?;
-        // Rule 5: one at a time for a key, in turn, and after its cooldown.
-        match self.state.key_queues.get(message.ordering_key) {
-            _ if !self.may_go(message, endpoint_state) => return Err(NEVER),
-            Some(queue) if !queue.is_first(message.position()) => return Err(NEVER),
-            Some(queue) if queue.cooldown_until > self.now && message.attempts == 0 => {
-                return Err(queue.cooldown_until);
-            }
-            _ => {}
+        if !self.may_attempt(message, endpoint_state) {
+            return Err(NEVER);
         }
-        // What joins a call of this cycle adds no call to a wait, a rate, a slot or a cap.
+        self.check_key(message)?;
+        // A send that joins a call of this cycle needs no token, no slot and no end of a Retry-After.
         let joins = self.state.has_joinable_call(endpoint, self.now);
         if !joins {
-            // Rule 6: a Retry-After binds the whole limit. Rule 4: trials while ejected, a budget until warm.
+            // Rule 6: a Retry-After binds the whole limit. Rule 4: recovery trials, then a slow start.
             endpoint_state.limiter.check_open(self.limit_context(destination.endpoint_scope()))?;
             destination.limiter.check_open(self.limit_context(LimitScope::OwnLimit))?;
         }
@@ -41,9 +39,20 @@
         (has_slot && self.has_retry_budget(message, destination)).then_some(()).ok_or(NEVER)
     }
 
+    /// Rule 5: one message of an ordering key at a time, in turn, the first attempt after the key's cooldown.
+    fn check_key(&self, message: &Message) -> Result<(), Time> {
+        match self.state.key_queues.get(message.ordering_key) {
+            Some(queue) if !queue.is_first(message.position()) => Err(NEVER),
+            Some(queue) if queue.cooldown_until > self.now && message.attempts == 0 => {
+                Err(queue.cooldown_until)
+            }
+            _ => Ok(()),
+        }
+    }
+
     /// Rule 1: nothing for a message that is completed or about to be. Rule 2: no second effect, and two in
-    /// flight only where hedging is allowed. Rule 3: nothing to an endpoint that drains or was removed.
-    fn may_go(&self, message: &Message, endpoint: &EndpointState) -> bool {
+    /// flight only where hedging is allowed. Rule 3: nothing to an endpoint that is draining or removed.
+    fn may_attempt(&self, message: &Message, endpoint: &EndpointState) -> bool {
         !message.completed
             && message.deadline > self.now + 2 * self.settings.tick
             && self.may_resend(message, Some(endpoint.zone))
@@ -51,14 +60,14 @@
             && endpoint.status == EndpointStatus::Ready
     }
 
-    /// A retry or hedge needs the budget; with nothing else in flight one may go, or none could ever fill it.
+    /// A retry or hedge needs the budget. With nothing else in flight one is allowed, to refill it.
     fn has_retry_budget(&self, message: &Message, destination: &Destination) -> bool {
-        let others = message.attempts_in_flight > 0 || destination.calls_in_flight > 0;
-        let extra = !message.possibly_executed.is_empty() && others;
+        let others_in_flight = message.attempts_in_flight > 0 || destination.calls_in_flight > 0;
+        let extra = !message.possibly_executed.is_empty() && others_in_flight;
         !extra || destination.retry_tokens > MIN_RETRY_TOKENS
     }
 
-    /// Three quarters of the slots for one destination, half while it fails or runs slow.
+    /// One destination gets three quarters of the slots at most, and half of them while it fails or is slow.
     fn has_slot(&self, destination: &Destination, endpoint: &EndpointState) -> bool {
         let limiter = &destination.limiter;
         let healthy = [limiter.circuit, endpoint.limiter.circuit] == [CircuitState::Closed; 2];
@@ -77,7 +86,7 @@
         (self.settings.max_in_flight_calls as usize).saturating_sub(self.state.attempts.call_count())
     }
 
-    /// No more slots are free than `spare`, and messages wait for one and nothing else.
+    /// Whether at most `spare` slots are free while messages wait for a slot and nothing else.
     pub(super) fn is_short_of_slots(&self, spare: usize) -> bool {
         let lacks_slot = |&id: &u32| self.lacks_slot(id);
         self.free_slots() <= spare && self.state.wait_queue.destinations.iter().any(lacks_slot)
@@ -92,12 +101,13 @@
             && destination.endpoints.iter().any(is_open)
     }
 
-    /// With too much in flight messages are rejected unseen, whatever they are; so those of least weight go
-    /// first. And what waits for a slot only is held to what the slots serve within a latency objective at
-    /// the 95th percentile of latency: beyond that the oldest first would have all of them late.
+    /// Rejects waiting messages of least weight in two cases. Near the most messages in flight, as at that
+    /// the courier would reject any new one, whatever its weight. And when no slot is free, as far as more
+    /// messages wait for a slot only than the slots serve within the longest latency objective at the 95th
+    /// percentile of latency: served oldest first, all of them would be late.
     pub(super) fn shed_load(&mut self) {
-        let held = self.state.deadlines.len() as f64;
-        let excess = held - SHED_THRESHOLD * f64::from(self.settings.max_in_flight_messages);
+        let in_flight = self.state.deadlines.len() as f64;
+        let excess = in_flight - SHED_THRESHOLD * f64::from(self.settings.max_in_flight_messages);
         if excess >= 1.0 {
             self.shed(&self.state.wait_queue.destinations.clone(), excess);
         }
@@ -111,7 +121,7 @@
         self.shed(&blocked, waiting as f64 - served);
     }
 
-    /// Rejects so many of those that wait for these destinations, those of least weight first.
+    /// Rejects up to `count` messages that wait for these destinations, those of least weight first.
     fn shed(&mut self, destinations: &BTreeSet<u32>, count: f64) {
         let queues = destinations.iter().map(|&id| (id, &self.state.destinations[id].queue));
         let weight = |class: usize, accepted_at: Time| {
--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -1,18 +1,18 @@
-//! Which message goes next, to which endpoint, and its sending.
+//! Dispatch: which message is sent next, and to which endpoint.
 
-use super::{rate::LimitContext, rate::BURST_SECONDS, Dispatcher, NEVER};
+use super::{rate::BURST_SECONDS, Dispatcher, NEVER};
 use crate::interface::{Action, Time};
-use crate::state::{LimitScope, Limiter};
+use crate::state::{LimitContext, LimitScope, Limiter};
 use std::collections::VecDeque;
 
-/// Weight of the jitter by which couriers differ in the endpoint that they prefer, in calls.
+/// Weight in the selection of the jitter by which couriers prefer different endpoints, in calls in flight.
 const JITTER_CALLS: f64 = 0.5;
-/// What a failure rate of 1 at an endpoint weighs in its selection, in calls.
+/// Weight in the selection of an endpoint's failure rate of 1, in calls in flight.
 const FAILURE_RATE_CALLS: f64 = 4.0;
-/// What a price of 1 for reaching an endpoint weighs in its selection, in calls.
+/// Weight in the selection of a price of 1 for reaching an endpoint, in calls in flight.
 const PRICE_CALLS: f64 = 10.0;
 
-/// An endpoint that a message may go to.
+/// An endpoint that a message may be sent to; of those not avoided the one of least cost is chosen.
 struct Candidate {
     avoided: bool,
     cost: f64,
@@ -20,8 +20,8 @@
 }
 
 impl Dispatcher {
-    /// Free slots go to the waiting destination with the least recent send, within it to the oldest message
-    /// that may go.
+    /// Fills the free slots: the waiting destination with the least recent send is first, and at a
+    /// destination the oldest message that may be sent.
     pub(super) fn dispatch(&mut self) {
         let mut destinations = VecDeque::from(self.state.waiting_by_last_send());
         while let Some(destination) = destinations.pop_front() {
@@ -35,7 +35,7 @@
         }
     }
 
-    /// What waits for the same destination joins the call just made, as far as it takes more.
+    /// Adds messages that wait for the same destination to the call just started, until it is full.
     fn fill_call(&mut self, destination: u32, endpoint: u32) {
         while self.state.has_joinable_call(endpoint, self.now) {
             let mut heads = self.state.destinations[destination].queue.heads().into_iter();
@@ -45,7 +45,7 @@
         }
     }
 
-    /// Sends the oldest message that may go; returns where it went.
+    /// Sends the oldest message that may be sent to a destination; returns the endpoint that it was sent to.
     fn send_next(&mut self, destination: u32) -> Option<u32> {
         for id in self.state.cooled_down(destination, self.now) {
             self.enqueue(id);
@@ -61,14 +61,14 @@
                     self.send(message, endpoint);
                     return Some(endpoint);
                 }
-                Err(retry_at) => self.wake_by(retry_at),
+                Err(retry_at) => self.wake_up.want_by(retry_at),
             }
         }
         None
     }
 
-    /// Where only trials go, a message with less time left than an answer may take: its trial would be
-    /// cancelled and tell nothing, and the outage be believed while such messages are the oldest.
+    /// Where all endpoints are ejected, returns a message that has less time left than an answer may take. As
+    /// a recovery trial it would be cancelled without a result, and the outage would seem to last.
     fn too_late_for_trial(&self, destination: u32) -> Option<u32> {
         let destination = self.state.destinations.get(destination)?;
         let ejected = |&id: &u32| self.state.limiter(id).is_some_and(Limiter::is_ejected);
@@ -81,7 +81,7 @@
         destination.queue.heads().into_iter().find(|id| all_ejected && too_late(id))
     }
 
-    /// The best endpoint that the message may go to, except one; `Err` is when to look again.
+    /// Returns the best endpoint that the message may be sent to, except one; `Err` is when to check again.
     pub(super) fn choose_endpoint(&self, message: u32, except: Option<u32>) -> Result<u32, Time> {
         let message = &self.state.messages[&message];
         let destination = self.state.destinations.get(message.destination).ok_or(NEVER)?;
@@ -100,15 +100,15 @@
         best.map(|candidate| candidate.endpoint).ok_or(retry_at)
     }
 
-    /// Calls in flight there, its failure rate and the prices of reaching it, in calls. Where an equal share
-    /// is less than a call in a burst, with jitter: or hundreds would all take the same endpoint.
+    /// The cost of an endpoint in its selection: calls in flight, failure rate and prices, in calls. Jitter
+    /// is added where an equal share is less than a call in a burst, or all would choose the same one.
     fn cost(&self, id: u32) -> f64 {
         let settings = &self.settings;
         let endpoint = &self.state.endpoints[id];
-        let crossing = if endpoint.zone == settings.zone { 0.0 } else { settings.cross_zone_price };
+        let zone_price = if endpoint.zone == settings.zone { 0.0 } else { settings.cross_zone_price };
         let independent = self.state.has_independent_routes(endpoint.destination);
         let fee = settings.route_fees.get(usize::from(endpoint.zone)).filter(|_| independent);
-        let price = crossing + fee.unwrap_or(&0.0);
+        let price = zone_price + fee.unwrap_or(&0.0);
         let equal_share = self.state.limiter(id).map_or(0.0, |limiter| limiter.equal_share(settings));
         let sparse = 1.0 - equal_share * BURST_SECONDS;
         let jitter = JITTER_CALLS * sparse.max(0.0).powi(3) * endpoint.jitter;
@@ -116,6 +116,7 @@
         f64::from(endpoint.calls_in_flight) + failures + PRICE_CALLS * price + jitter
     }
 
+    /// Sends a message to an endpoint, in the call that it may join or else in a new one.
     pub(super) fn send(&mut self, id: u32, endpoint: u32) {
         let chance = self.random.draw();
         let Some(message) = self.state.messages.get(&id) else { return };
--- a/src/policy/endpoint_list.rs
+++ b/src/policy/endpoint_list.rs
@@ -1,16 +1,17 @@
-//! The endpoint list: its entries, and polls for it.
+//! The endpoint list: updates of its entries, and when to poll it.
 
 use super::{admission::RETRY_BUDGET_TOKENS, Dispatcher, NEVER};
-use crate::interface::{Action, DestinationKind, Endpoint, EndpointStatus, RateAccuracy, Time};
+use crate::interface::{Action, Endpoint, EndpointStatus, RateAccuracy, Time};
 use crate::state::{Destination, EndpointState, Limiter, ListPoll};
 use std::collections::BTreeSet;
 
-/// Failure rate at which a limit is ejected: three failures in a row, or most calls of late.
+/// Failure rate above which a limit is ejected: three failures in a row, or most of the recent calls.
 const EJECTION_THRESHOLD: f64 = 0.6;
-/// The same for one endpoint of several, where others can serve: two in a row.
+/// The same for one endpoint of several that share a limit, as others can serve: two failures in a row.
 const ENDPOINT_EJECTION_THRESHOLD: f64 = 0.5;
 
 impl Dispatcher {
+    /// Applies a complete endpoint list, or changed entries of it.
     pub(super) fn update_endpoints(&mut self, complete: bool, entries: Vec<Endpoint>) {
         if self.list_poll.next_at != NEVER && self.list_poll.backoff > 0 {
             self.list_poll = ListPoll { next_at: NEVER, backoff: 0 };
@@ -38,7 +39,7 @@
 
     fn update_endpoint(&mut self, entry: Endpoint) {
         self.add_destination(entry.destination);
-        let kind = self.destination_kind(entry.kind);
+        let kind = self.settings.kind(entry.kind);
         let Some(destination) = self.state.destinations.get_mut(entry.destination) else { return };
         destination.kind = kind;
         destination.endpoints.insert(entry.id);
@@ -54,26 +55,21 @@
         });
         endpoint.status = entry.status;
         if self.settings.rate_accuracy != RateAccuracy::Unspecified && entry.rate > 0.0 {
-            let limiter = if independent { &mut endpoint.limiter } else { &mut destination.limiter };
+            let limiter = destination.limiter_for(endpoint);
             limiter.rate_limit = entry.rate;
-            // An approximate figure is no reason to hold anything back before a rejection.
+            // An approximate rate is not enforced before a call was rejected above it.
             limiter.rate_limit_exact = self.settings.rate_accuracy == RateAccuracy::Exact;
         }
     }
 
-    /// A destination is known from the first message or entry on that names it.
+    /// Adds a destination when the first message or list entry names it.
     pub(super) fn add_destination(&mut self, id: u32) {
         let limiter = Limiter::new(EJECTION_THRESHOLD, self.now);
-        let destination = Destination::new(limiter, self.destination_kind(0), RETRY_BUDGET_TOKENS);
+        let destination = Destination::new(limiter, self.settings.kind(0), RETRY_BUDGET_TOKENS);
         self.state.destinations.get_or_insert_with(id, || destination);
     }
 
-    fn destination_kind(&self, number: u8) -> DestinationKind {
-        let unknown = DestinationKind { independent_routes: false, max_messages_per_call: 1 };
-        self.settings.kinds.get(usize::from(number)).copied().unwrap_or(unknown)
-    }
-
-    /// The list or its watch failed: poll again, each time later, so that many couriers do not jam it.
+    /// Delays the next poll of the list after a failure: exponential backoff with jitter.
     pub(super) fn back_off_list_poll(&mut self) {
         let longest = self.settings.max_poll_interval;
         let backoff = (self.list_poll.backoff * 2).clamp(longest / 20, longest / 3);
@@ -84,10 +80,10 @@
     pub(super) fn poll_endpoint_list(&mut self) {
         if self.list_poll.next_at <= self.now {
             self.actions.push(Action::WatchEndpoints);
-            // Should no answer come at all, poll again well before the interval is over.
+            // If no answer comes at all, poll again well before the interval is over.
             self.list_poll.backoff = self.list_poll.backoff.max(1);
             self.list_poll.next_at = self.now + self.settings.max_poll_interval / 2;
         }
-        self.wake_by(self.list_poll.next_at);
+        self.wake_up.want_by(self.list_poll.next_at);
     }
 }
--- a/src/policy/health.rs
+++ b/src/policy/health.rs
@@ -1,40 +1,39 @@
-//! Health of limits: ejection, recovery, and calls that nothing answers.
+//! Health of limits: ejection, recovery, and calls that get no answer.
 
-use super::rate::{LimitContext, SHARE_FILL_RATIO, SHARE_GROWTH_RATE};
+use super::rate::{SHARE_FILL_RATIO, SHARE_GROWTH_RATE};
 use super::{Dispatcher, NEVER};
 use crate::interface::{Action, AttemptOutcome, LimitChange, LimitState, Time};
 use crate::state::CircuitState::{Closed, Open, SlowStart};
-use crate::state::{DueAttempt, EjectionCause, LimitScope, Limiter, Silence};
+use crate::state::{DueAttempt, EjectionCause, LimitContext, LimitScope, Limiter, Silence};
 
-/// Weight of the newest outcome in the failure rate: a handful of outcomes settle it.
+/// Weight of the newest outcome in the failure rate, which a handful of outcomes settle.
 pub(super) const EWMA_WEIGHT: f64 = 0.3;
-/// Failure rate from which messages that have no second chance are held back: above chance errors.
+/// Failure rate above which a limit counts as failing: higher than that of occasional errors.
 pub(super) const RISKY_FAILURE_RATE: f64 = 0.25;
-/// Rejections in a row that may mean "shut".
+/// Rejections in a row from which a destination without reports may be shut.
 const MIN_SHUT_REJECTIONS: u32 = 3;
-/// Reported capacity at which a rejection means "shut": above a limit there is none, if reports are fresh.
+/// Reported part of the capacity above which a rejection means shut: at the limit none would be left.
 const SHUT_CAPACITY_RATIO: f64 = 0.75;
 
 impl Dispatcher {
-    /// Calls overdue with nothing answered since they were sent are evidence at once: the limit is ejected.
-    /// One that hangs while others want its slot, or while its siblings answer, is cancelled where the class
-    /// allows a retry.
+    /// Ejects limits that have answered nothing since a call was sent that is overdue now. Cancels overdue
+    /// calls whose slot others want, and those that hang while other endpoints answer and may be retried.
     pub(super) fn detect_silence(&mut self) {
         let overdue = self.state.overdue_index.all_due(self.now, |_| true);
-        self.wake_by(overdue.next_due_at.unwrap_or(NEVER));
+        self.wake_up.want_by(overdue.next_due_at.unwrap_or(NEVER));
         if overdue.attempts.is_empty() {
             return;
         }
         let slots_wanted = self.is_short_of_slots(0);
-        let mut hanging = Vec::new();
+        let mut to_cancel = Vec::new();
         for attempt in overdue.attempts {
             let Some(silence) = self.state.silence(&attempt) else { continue };
             self.record_silence(&attempt, silence);
             if self.should_cancel(&attempt, silence, slots_wanted) {
-                hanging.push(attempt);
+                to_cancel.push(attempt);
             }
         }
-        for attempt in hanging {
+        for attempt in to_cancel {
             self.cancel(attempt.message, attempt.attempt);
             self.update_hedge_index(attempt.message);
         }
@@ -63,13 +62,13 @@
         let may_resend = self.may_resend(&self.state.messages[&overdue.message], None);
         let twice_overdue = self.now > overdue.due_at + (overdue.due_at - overdue.sent_at);
         let hangs_alone = silence.endpoint_silent && !silence.destination_silent;
-        let useless = slots_wanted && (may_resend || twice_overdue) || hangs_alone && may_resend;
-        self.settings.cancellation_allowed && useless
+        let frees_slot = slots_wanted && (may_resend || twice_overdue);
+        self.settings.cancellation_allowed && (frees_slot || hangs_alone && may_resend)
     }
 }
 
 impl Limiter {
-    /// The first outcome of a call; any but a success makes the limit more cautious.
+    /// Records the first outcome of a call that was sent at `sent_at`; any but a success lowers the rate.
     pub(super) fn record_outcome(
         &mut self,
         sent_at: Time,
@@ -108,8 +107,8 @@
         self.shares_taken = (self.shares_taken * (1.0 + SHARE_GROWTH_RATE * growth)).max(SHARE_FILL_RATIO);
         self.failure_rate -= EWMA_WEIGHT * self.failure_rate;
         self.count_served(now, settings.overload_window);
-        // It was slow or paused, not down: nothing failed, and what was sent before is answered or the
-        // silence was short. If it was recovering before, it still is.
+        // The limit was slow, not down: nothing failed, and a call sent before the silence is answered or the
+        // silence was short. A slow start from before the silence goes on.
         let was_slow = |since: Time| sent_at < since || now < since + settings.overload_window;
         self.circuit = match self.circuit {
             Open { since, confirmed: false } if was_slow(since) => self.circuit_before_open,
@@ -117,7 +116,7 @@
                 self.failure_rate = self.failure_rate.min(2.0 * RISKY_FAILURE_RATE);
                 SlowStart { since: now }
             }
-            // A lucky answer amid failures is no recovery.
+            // One success among failures is no recovery: the slow start begins again.
             SlowStart { .. } if self.failure_rate > RISKY_FAILURE_RATE => SlowStart { since: now },
             SlowStart { since } if now > since + settings.slow_start_duration => Closed,
             other => other,
@@ -136,18 +135,20 @@
         }
     }
 
-    /// Shut, not over the limit: a Retry-After longer than limits are counted, or rejected with capacity
-    /// reported left. With nothing reported, rejections without a success for longer than a limit's window.
+    /// Whether a rejection means that the destination is shut, not that the call was above the limit: its
+    /// Retry-After is longer than the window of limits, or capacity is reported left. With nothing reported,
+    /// rejections without a success must last longer than such a window.
     fn is_shut(&self, sent_at: Time, retry_after: Time, context: LimitContext) -> bool {
         let window = context.settings.overload_window;
-        let long = self.failing_since + window * 3 / 2 <= context.now + retry_after;
-        let silent = long && (retry_after > 0 || self.consecutive_failures >= MIN_SHUT_REJECTIONS);
-        let room = self.capacity_left > SHUT_CAPACITY_RATIO && sent_at >= self.failing_since;
+        let long_rejected = self.failing_since + window * 3 / 2 <= context.now + retry_after;
+        let shut_unreported =
+            long_rejected && (retry_after > 0 || self.consecutive_failures >= MIN_SHUT_REJECTIONS);
+        let capacity_left = self.capacity_left > SHUT_CAPACITY_RATIO && sent_at >= self.failing_since;
         let reported = self.capacity_reported_at == context.now;
-        retry_after > window || if reported { room } else { silent }
+        retry_after > window || if reported { capacity_left } else { shut_unreported }
     }
 
-    /// A call is overdue and nothing was answered since it was sent; true if that ejects the limit.
+    /// Records that nothing was answered since an overdue call was sent; true if that ejects the limit.
     fn record_silence(&mut self, chance: f64, context: LimitContext) -> bool {
         let ejected = self.eject(context.now, EjectionCause::Silence);
         if ejected {
--- a/src/policy/hedging.rs
+++ b/src/policy/hedging.rs
@@ -4,11 +4,12 @@
 use crate::interface::{Idempotency, Time};
 use crate::state::{AttemptGroup, GroupSpans, Limiter};
 
-/// A call is overdue after this many hedge delays: by then one in hundreds would still be due.
+/// A call is overdue after this many hedge delays: one in hundreds takes as long.
 const OVERDUE_HEDGE_DELAYS: u64 = 2;
 
 impl Dispatcher {
-    /// Past its latency objective a message loses weight: a latency beyond that is no reason to wait on.
+    /// How long after sending the attempts of a group are overdue. Latencies above the objective do not
+    /// extend this, as a message loses weight after its objective.
     pub(super) fn overdue_span(&self, group: AttemptGroup) -> Time {
         let objective = self.settings.classes[group.class].latency_objective;
         let destination = self.state.destination_of(group);
@@ -17,8 +18,8 @@
         OVERDUE_HEDGE_DELAYS * latency.unwrap_or(objective).min(objective)
     }
 
-    /// After this a lone attempt may be hedged: the 95th percentile of recent latencies, the latency
-    /// objective until there are enough. Never where there is no other endpoint.
+    /// How long after sending a lone attempt of a group may be hedged: the 95th percentile of recent
+    /// latencies, or the objective without enough samples; [`NEVER`] where there is no other endpoint.
     fn hedge_delay(&self, group: AttemptGroup) -> Time {
         let objective = self.settings.classes[group.class].latency_objective;
         let destination = self.state.destination_of(group);
@@ -32,7 +33,7 @@
         self.state.update_lone_attempt(id, delay);
     }
 
-    /// Latencies or endpoints of a destination changed, and with them the spans of its groups.
+    /// Updates when attempts to a destination come due, after its latencies or endpoints changed.
     pub(super) fn update_spans(&mut self, id: u32) {
         let gets_own_groups = self.state.start_own_groups(id);
         for class in 0..self.settings.classes.len() {
@@ -49,8 +50,8 @@
         }
     }
 
-    /// A hedge goes to another endpoint after the hedge delay; never for the last slot while others wait, nor
-    /// to a limit that is ejected, told to wait or over its rate.
+    /// Sends hedges to other endpoints for attempts whose hedge delay is over; none in the last slot while
+    /// messages wait for one, none to an ejected limit, under a Retry-After or above a rate.
     pub(super) fn hedge(&mut self) {
         let may_hedge = |group: AttemptGroup| {
             let destination = self.state.destination_of(group);
@@ -60,8 +61,8 @@
             allowed && tokens > MIN_RETRY_TOKENS
         };
         let due = self.state.hedge_index.all_due(self.now, may_hedge);
-        self.wake_by(due.next_due_at.unwrap_or(NEVER));
-        // Looked at again only after a hedge took a slot.
+        self.wake_up.want_by(due.next_due_at.unwrap_or(NEVER));
+        // Computed once, and again after each hedge that took a slot.
         let mut short_of_slots = None;
         for attempt in due.attempts {
             let Some(in_flight) = self.state.attempts.get(attempt.id()) else { continue };
--- a/src/policy/messages.rs
+++ b/src/policy/messages.rs
@@ -5,6 +5,7 @@
 use crate::state::{AttemptId, Message, QueueEntry, RecoveredAttempts};
 
 impl Dispatcher {
+    /// Takes over an accepted message; `recovered` is given for one that an earlier process accepted.
     pub(super) fn accept(&mut self, accepted: AcceptedMessage, recovered: Option<RecoveredAttempts>) {
         let Some(class) = self.settings.classes.get(usize::from(accepted.class)) else { return };
         if !self.state.insert_message(&accepted, class, recovered.as_ref(), self.now) {
@@ -19,7 +20,7 @@
         self.enqueue(accepted.id);
     }
 
-    /// It waits from now on, in the state in which it is now.
+    /// Puts a message into the queue of its destination, in the state in which it is now.
     pub(super) fn enqueue(&mut self, id: u32) {
         self.state.leave_wait_queue(id);
         let Some(message) = self.state.messages.get(&id) else { return };
@@ -32,7 +33,7 @@
         self.state.join_wait_queue(id, entry);
     }
 
-    /// When the message may no longer be retried; now if that is so already.
+    /// When the message may no longer be retried: now if that is so already, `None` when time sets no limit.
     fn retry_expiry(&self, message: &Message) -> Option<Time> {
         if !self.may_resend(message, None) {
             return Some(self.now);
@@ -43,7 +44,7 @@
         Some((first.sent_at + dedup_window).saturating_sub(self.settings.connect_timeout))
     }
 
-    /// Rule 1: the message has its answer. Nothing more is sent for it, and what is in flight is cancelled.
+    /// Completes a message that has its final answer (rule 1), and cancels its attempts in flight.
     pub(super) fn finish(&mut self, id: u32) {
         let running = self.state.complete(id);
         if self.settings.cancellation_allowed {
@@ -61,14 +62,14 @@
         }
     }
 
-    /// Drops a message that is completed and has nothing in flight; the next of its key may go.
+    /// Drops a message that is completed and has nothing in flight, and frees its ordering key for the next.
     pub(super) fn drop_finished(&mut self, id: u32) {
         if let Some(next) = self.state.drop_finished(id) {
             self.enqueue(next);
         }
     }
 
-    /// Rule 2: harmless when nothing may have been executed, or when a repeat does no harm wherever it goes.
+    /// Rule 2: rejected is only what was surely not executed, or whose second execution is harmless.
     fn may_reject(&self, message: &Message) -> bool {
         match self.settings.classes[message.class].idempotency {
             Idempotency::Idempotent | Idempotency::Keyed { per_zone: false, .. } => true,
@@ -76,7 +77,7 @@
         }
     }
 
-    /// Rule 2: another attempt, at an endpoint of `zone` or anywhere (`None`).
+    /// Rule 2: whether another attempt is allowed at an endpoint in `zone`, or at some endpoint (`None`).
     pub(super) fn may_resend(&self, message: &Message, zone: Option<u8>) -> bool {
         if u32::from(message.attempts) >= self.settings.max_attempts {
             return false;
@@ -85,7 +86,7 @@
         match self.settings.classes[message.class].idempotency {
             Idempotency::Idempotent => true,
             Idempotency::Keyed { dedup_window, per_zone } => {
-                // Time to travel: a connection may have to be made first.
+                // The attempt takes time to arrive: a connection may have to be made first.
                 let in_window = self.now + self.settings.connect_timeout < first.sent_at + dedup_window;
                 let other_zone = zone.is_some_and(|zone| zone != first.zone);
                 in_window && !(per_zone && other_zone)
@@ -94,6 +95,7 @@
         }
     }
 
+    /// Answers a message that was not served: rejected where that is harmless, or else failed.
     pub(super) fn give_up(&mut self, id: u32, retry_after: Time) {
         let Some(message) = self.state.messages.get(&id).filter(|message| !message.completed) else { return };
         self.actions.push(if self.may_reject(message) {
@@ -104,14 +106,14 @@
         self.finish(id);
     }
 
-    /// Rule 1: what has no answer yet gets it two cycles before its deadline; at once when it may have been
-    /// executed and may not be retried.
+    /// Rule 1: gives up messages without an answer two decision cycles before their deadline, or as soon as
+    /// they may no longer be retried.
     pub(super) fn answer_expired(&mut self) {
         let margin = 2 * self.settings.tick;
         for id in self.state.expired(self.now + margin, self.now) {
             self.give_up(id, 0);
         }
         let next = self.state.deadlines.first().map(|deadline| deadline.at - margin);
-        self.wake_by(next.unwrap_or(NEVER));
+        self.wake_up.want_by(next.unwrap_or(NEVER));
     }
 }
--- a/src/policy/outcomes.rs
+++ b/src/policy/outcomes.rs
@@ -1,11 +1,11 @@
-//! Results of attempts: what becomes of the message, and what they tell of endpoint and destination.
+//! Results of attempts: what becomes of the message, and what they show of endpoint and destination.
 
 use super::admission::{FAILURE_RETRY_TOKENS, RETRY_BUDGET_TOKENS};
-use super::{health::EWMA_WEIGHT, rate::LimitContext, Dispatcher, NANOS_PER_SECOND};
+use super::{health::EWMA_WEIGHT, Dispatcher, NANOS_PER_SECOND};
 use crate::interface::{Action, AttemptOutcome, AttemptResult, Time};
-use crate::state::{seconds, LimitScope};
+use crate::state::{seconds, LimitContext, LimitScope};
 
-/// Latencies kept for the hedge delay; a twentieth of 40 is two.
+/// Recent latencies from which the 95th percentile is taken; a twentieth of 40 is two.
 const LATENCY_SAMPLES: usize = 40;
 /// Samples from which the percentile is used instead of the latency objective.
 const MIN_LATENCY_SAMPLES: usize = 5;
@@ -13,14 +13,15 @@
 const MIN_CONNECTIONS: f64 = 8.0;
 
 impl Dispatcher {
+    /// Records the result of an attempt, and retries, drops or gives up its message.
     pub(super) fn finish_attempt(&mut self, result: AttemptResult) {
         let outcome = result.outcome;
         let finished = self.state.take_finished(&result);
-        // Also for a call that was given up before.
-        self.learn_of_endpoint(&result);
+        // Also for an attempt that had ended before: a late answer may carry a Retry-After.
+        self.record_endpoint_result(&result);
         let Some(finished) = finished else { return };
         if finished.first_outcome {
-            self.learn_of_call(&result, finished.sent_at);
+            self.record_call_outcome(&result, finished.sent_at);
         }
         self.state.record_result(&result);
         self.update_hedge_index(result.message);
@@ -41,53 +42,66 @@
         }
     }
 
-    fn learn_of_endpoint(&mut self, result: &AttemptResult) {
+    /// Records what a result shows of its endpoint itself, whether or not the attempt was still in flight.
+    fn record_endpoint_result(&mut self, result: &AttemptResult) {
         let now = self.now;
         let Some(endpoint) = self.state.endpoints.get_mut(result.endpoint) else { return };
         let Some(destination) = self.state.destinations.get_mut(endpoint.destination) else { return };
-        let independent = destination.kind.independent_routes;
-        let limiter = if independent { &mut endpoint.limiter } else { &mut destination.limiter };
+        let limiter = destination.limiter_for(endpoint);
         limiter.record_report(now, result);
         // Rule 6.
         if let AttemptOutcome::Rejected { retry_after: retry_after @ 1.. } = result.outcome {
             limiter.retry_after_until = limiter.retry_after_until.max(now + retry_after);
         }
-        // An idle connection takes the place of another courier's and may be dropped unseen: it is kept for
-        // its equal share of the idle time, or as long as two calls take.
+        // One class may fail here where others are served: it goes elsewhere until one of it is served here.
+        let class = self.state.messages.get(&result.message).map_or(0, |message| message.class);
+        let deadline = self.settings.classes.get(class).map_or(0, |class| class.deadline);
+        endpoint.record_class_outcome(class, result.outcome, now + deadline);
+        self.close_rarely_used(result.endpoint);
+    }
+
+    /// Closes idle connections that are used less than once in the idle time that this courier may take. An
+    /// idle connection occupies the place of another courier's: it may stay idle for its equal share of the
+    /// idle timeout, or for as long as two calls take.
+    fn close_rarely_used(&mut self, id: u32) {
+        let Some(endpoint) = self.state.endpoints.get(id) else { return };
+        let Some(destination) = self.state.destinations.get(endpoint.destination) else { return };
         let share = MIN_CONNECTIONS / f64::from(self.settings.courier_count.max(1));
         let idle_seconds = share * seconds(self.settings.idle_timeout);
         let idle_seconds = idle_seconds.max(2.0 * destination.usual_latency / NANOS_PER_SECOND);
-        if endpoint.calls_in_flight == 0 && endpoint.limiter.usual_rate(now) * idle_seconds < 1.0 {
-            self.actions.push(Action::CloseIdle { endpoint: result.endpoint });
-        }
-        // One class may fail here where others are served: it goes elsewhere until one of it is served here.
-        let class = self.state.messages.get(&result.message).map_or(0, |message| message.class);
-        if result.outcome == AttemptOutcome::Served {
-            endpoint.avoided_until.remove(&class);
-        } else if matches!(result.outcome, AttemptOutcome::Error | AttemptOutcome::TimedOut) {
-            let deadline = self.settings.classes.get(class).map_or(0, |class| class.deadline);
-            endpoint.avoided_until.insert(class, now + deadline);
+        if endpoint.calls_in_flight == 0 && endpoint.limiter.usual_rate(self.now) * idle_seconds < 1.0 {
+            self.actions.push(Action::CloseIdle { endpoint: id });
         }
     }
 
-    /// The first outcome of a call counts for latencies, for the retry budget and for health.
-    fn learn_of_call(&mut self, result: &AttemptResult, sent_at: Time) {
-        let outcome = result.outcome;
-        let Some(endpoint) = self.state.endpoints.get_mut(result.endpoint) else { return };
+    /// Records the first outcome of a call for latencies, the retry budget and health.
+    fn record_call_outcome(&mut self, result: &AttemptResult, sent_at: Time) {
+        let Some(endpoint) = self.state.endpoints.get(result.endpoint) else { return };
         let id = endpoint.destination;
         let Some(destination) = self.state.destinations.get_mut(id) else { return };
-        let tokens = &mut destination.retry_tokens;
-        if outcome == AttemptOutcome::Served {
-            *tokens = (*tokens + 1.0).min(RETRY_BUDGET_TOKENS);
-            // What a pause of this courier made late is no latency.
+        if result.outcome == AttemptOutcome::Served {
+            destination.retry_tokens = (destination.retry_tokens + 1.0).min(RETRY_BUDGET_TOKENS);
+            // A delay that a pause of this courier caused is no latency.
             if self.delay <= 2 * self.settings.tick {
                 destination.latencies.record(result.elapsed, LATENCY_SAMPLES, high_percentile);
                 destination.average_latency(result.elapsed, EWMA_WEIGHT, LATENCY_SAMPLES);
                 self.latencies.record(result.elapsed, LATENCY_SAMPLES, high_percentile);
             }
         } else {
-            *tokens = (*tokens - FAILURE_RETRY_TOKENS).max(0.0);
+            destination.retry_tokens = (destination.retry_tokens - FAILURE_RETRY_TOKENS).max(0.0);
         }
+        self.record_limit_outcome(result, sent_at);
+        if result.outcome == AttemptOutcome::Served {
+            self.update_spans(id);
+        }
+    }
+
+    /// Records the first outcome of a call with the limiters of its endpoint and its destination.
+    fn record_limit_outcome(&mut self, result: &AttemptResult, sent_at: Time) {
+        let outcome = result.outcome;
+        let Some(endpoint) = self.state.endpoints.get_mut(result.endpoint) else { return };
+        let id = endpoint.destination;
+        let Some(destination) = self.state.destinations.get_mut(id) else { return };
         let scope = destination.endpoint_scope();
         let context = LimitContext { now: self.now, scope, settings: &self.settings };
         let chance = self.random.draw();
@@ -103,13 +117,10 @@
             let change = limiter.change(id, result.endpoint, outcome);
             self.actions.push(Action::LimitChanged(change));
         }
-        if outcome == AttemptOutcome::Served {
-            self.update_spans(id);
-        }
     }
 }
 
-/// The 95th percentile, if there are enough samples.
+/// The 95th percentile, or `None` when there are too few samples.
 fn high_percentile(sorted: &[Time]) -> Option<Time> {
     sorted.get(sorted.len() * 95 / 100).filter(|_| sorted.len() >= MIN_LATENCY_SAMPLES).copied()
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -16,6 +16,7 @@
 mod shed_order;
 mod table;
 mod wait_queue;
+mod wake_up;
 
 pub(crate) use attempt::{AttemptId, AttemptTable, FinishedAttempt, InFlightAttempt};
 pub(crate) use deadline_index::{AttemptGroup, DeadlineIndex, DueAttempt, SentAttempt};
@@ -24,12 +25,13 @@
 pub(crate) use endpoint::{EndpointState, ListPoll, OpenCall};
 pub(crate) use key_queue::KeyQueues;
 pub(crate) use latency::LatencySamples;
-pub(crate) use limiter::{CircuitState, EjectionCause, Limiter};
+pub(crate) use limiter::{CircuitState, EjectionCause, LimitContext, Limiter};
 pub(crate) use message::{Message, PossibleExecution, QueuePosition, RecoveredAttempts};
 pub(crate) use random::Random;
 pub(crate) use shed_order::least_weight;
 pub(crate) use table::Table;
 pub(crate) use wait_queue::{DestinationQueue, MessageTime, QueueEntry, QueueState, WaitQueue};
+pub(crate) use wake_up::WakeUpTimer;
 
 use crate::interface::Time;
 
--- a/src/state/destination.rs
+++ b/src/state/destination.rs
@@ -72,6 +72,14 @@
         }
     }
 
+    /// Returns the limiter of the limit that sends to one of its endpoints count against.
+    pub(crate) fn limiter_for<'a>(&'a mut self, endpoint: &'a mut EndpointState) -> &'a mut Limiter {
+        match self.endpoint_scope() {
+            LimitScope::OwnLimit => &mut endpoint.limiter,
+            LimitScope::SharedEndpoint => &mut self.limiter,
+        }
+    }
+
     /// Messages that wait for it wait for each of its endpoints.
     pub(crate) fn count_waiting(&mut self, endpoints: &mut Table<EndpointState>) {
         self.limiter.waiting_messages = self.queue.len() as f64;
--- a/src/state/endpoint.rs
+++ b/src/state/endpoint.rs
@@ -1,7 +1,7 @@
 //! What is known of an endpoint, and of the endpoint list itself.
 
 use super::Limiter;
-use crate::interface::{EndpointStatus, Time};
+use crate::interface::{AttemptOutcome, EndpointStatus, Time};
 use std::collections::BTreeMap;
 
 /// An endpoint of a destination.
@@ -30,6 +30,23 @@
         }
     }
 
+    /// Records how a message of a class ended here: after an error or a timeout the class avoids the endpoint
+    /// until `avoided_until`, unless one of its messages is served before.
+    pub(crate) fn record_class_outcome(
+        &mut self,
+        class: usize,
+        outcome: AttemptOutcome,
+        avoided_until: Time,
+    ) {
+        match outcome {
+            AttemptOutcome::Served => self.avoided_until.remove(&class),
+            AttemptOutcome::Error | AttemptOutcome::TimedOut => {
+                self.avoided_until.insert(class, avoided_until)
+            }
+            _ => None,
+        };
+    }
+
     /// Messages of a class go elsewhere for now.
     pub(crate) fn is_avoided(&self, class: usize, now: Time) -> bool {
         self.avoided_until.get(&class).is_some_and(|&until| until > now)
--- a/src/state/limiter.rs
+++ b/src/state/limiter.rs
@@ -1,7 +1,28 @@
 //! What is known of one limit: a destination, an independent route, or one endpoint of several.
 
-use super::seconds;
-use crate::interface::{AttemptOutcome, AttemptResult, LimitChange, LimitEvidence, LimitState, Time};
+use super::{seconds, LimitScope};
+use crate::interface::{
+    AttemptOutcome, AttemptResult, LimitChange, LimitEvidence, LimitState, Settings, Time,
+};
+
+/// The conditions under which a limiter is used: the clock time, the settings, and what it stands for.
+#[derive(Clone, Copy)]
+pub(crate) struct LimitContext<'a> {
+    pub(crate) now: Time,
+    pub(crate) scope: LimitScope,
+    pub(crate) settings: &'a Settings,
+}
+
+impl LimitContext<'_> {
+    /// The same context for the limiter of the destination, which always has a limit of its own.
+    pub(crate) fn for_destination(self) -> Self {
+        LimitContext { scope: LimitScope::OwnLimit, ..self }
+    }
+
+    pub(crate) fn window_seconds(&self) -> f64 {
+        seconds(self.settings.overload_window)
+    }
+}
 
 /// State of the circuit breaker of a limit.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
