Library: a limiter is made of named parts, state docs say units and results

Cause: Limiter had 24 fields side by side (failures, counts, reports, tokens); doc comments in src/state were fragments ("It waits no more") that left results and units open. Change: Limiter holds FailureRecord, ServedCounts, LimitReport and TokenBucket; comments rewritten. No decision changed: renamed field paths only, and reported / 1.0 where it was reported.

--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -71,7 +71,7 @@
     fn has_slot(&self, destination: &Destination, endpoint: &EndpointState) -> bool {
         let limiter = &destination.limiter;
         let healthy = [limiter.circuit, endpoint.limiter.circuit] == [CircuitState::Closed; 2];
-        let failing = !healthy || limiter.failure_rate > RISKY_FAILURE_RATE;
+        let failing = !healthy || limiter.failures.rate > RISKY_FAILURE_RATE;
         let slow = destination.recent_latency > SLOW_LATENCY_MULTIPLE * destination.usual_latency;
         let slots = self.settings.max_in_flight_calls;
         let cap = if failing || slow { slots / 2 } else { slots * 3 / 4 };
--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -112,7 +112,7 @@
         let equal_share = self.state.limiter(id).map_or(0.0, |limiter| limiter.equal_share(settings));
         let sparse = 1.0 - equal_share * BURST_SECONDS;
         let jitter = JITTER_CALLS * sparse.max(0.0).powi(3) * endpoint.jitter;
-        let failures = FAILURE_RATE_CALLS * endpoint.limiter.failure_rate;
+        let failures = FAILURE_RATE_CALLS * endpoint.limiter.failures.rate;
         f64::from(endpoint.calls_in_flight) + failures + PRICE_CALLS * price + jitter
     }
 
--- a/src/policy/endpoint_list.rs
+++ b/src/policy/endpoint_list.rs
@@ -56,9 +56,9 @@
         endpoint.status = entry.status;
         if self.settings.rate_accuracy != RateAccuracy::Unspecified && entry.rate > 0.0 {
             let limiter = destination.limiter_for(endpoint);
-            limiter.rate_limit = entry.rate;
+            limiter.report.rate_limit = entry.rate;
             // An approximate rate is not enforced before a call was rejected above it.
-            limiter.rate_limit_exact = self.settings.rate_accuracy == RateAccuracy::Exact;
+            limiter.report.is_exact = self.settings.rate_accuracy == RateAccuracy::Exact;
         }
     }
 
--- a/src/policy/health.rs
+++ b/src/policy/health.rs
@@ -79,20 +79,20 @@
         if outcome != AttemptOutcome::TimedOut {
             self.last_answer_at = context.now;
         }
-        if self.consecutive_failures == 0 && self.circuit == Closed {
-            self.failing_since = context.now;
+        if self.failures.consecutive == 0 && self.circuit == Closed {
+            self.failures.since = context.now;
         }
         if outcome == AttemptOutcome::Served {
             return self.record_success(sent_at, context);
         }
-        self.last_failure_at = context.now;
-        self.consecutive_failures += 1;
+        self.failures.last_at = context.now;
+        self.failures.consecutive += 1;
         if let AttemptOutcome::Rejected { retry_after } = outcome {
             self.record_rejection(sent_at, retry_after, context);
         } else {
-            self.last_failure_not_executed = outcome == AttemptOutcome::NoConnection;
-            self.failure_rate += EWMA_WEIGHT * (1.0 - self.failure_rate);
-            if self.failure_rate > self.ejection_threshold || self.is_ejected() {
+            self.failures.last_not_executed = outcome == AttemptOutcome::NoConnection;
+            self.failures.rate += EWMA_WEIGHT * (1.0 - self.failures.rate);
+            if self.failures.rate > self.ejection_threshold || self.is_ejected() {
                 self.eject(context.now, EjectionCause::Failure);
             }
         }
@@ -101,30 +101,30 @@
 
     fn record_success(&mut self, sent_at: Time, context: LimitContext) {
         let LimitContext { now, settings, .. } = context;
-        self.consecutive_failures = 0;
+        self.failures.consecutive = 0;
         self.rejected_above_limit = false;
-        let growth = if self.capacity_reported_at == now { 2.0 * self.capacity_left - 1.0 } else { 0.0 };
+        let growth = if self.report.received_at == now { 2.0 * self.report.capacity_left - 1.0 } else { 0.0 };
         self.shares_taken = (self.shares_taken * (1.0 + SHARE_GROWTH_RATE * growth)).max(SHARE_FILL_RATIO);
-        self.failure_rate -= EWMA_WEIGHT * self.failure_rate;
-        self.count_served(now, settings.overload_window);
+        self.failures.rate -= EWMA_WEIGHT * self.failures.rate;
+        self.served.count(now, settings.overload_window);
         // The limit was slow, not down: nothing failed, and a call sent before the silence is answered or the
         // silence was short. A slow start from before the silence goes on.
         let was_slow = |since: Time| sent_at < since || now < since + settings.overload_window;
         self.circuit = match self.circuit {
             Open { since, confirmed: false } if was_slow(since) => self.circuit_before_open,
             Open { .. } => {
-                self.failure_rate = self.failure_rate.min(2.0 * RISKY_FAILURE_RATE);
+                self.failures.rate = self.failures.rate.min(2.0 * RISKY_FAILURE_RATE);
                 SlowStart { since: now }
             }
             // One success among failures is no recovery: the slow start begins again.
-            SlowStart { .. } if self.failure_rate > RISKY_FAILURE_RATE => SlowStart { since: now },
+            SlowStart { .. } if self.failures.rate > RISKY_FAILURE_RATE => SlowStart { since: now },
             SlowStart { since } if now > since + settings.slow_start_duration => Closed,
             other => other,
         };
     }
 
     fn record_rejection(&mut self, sent_at: Time, retry_after: Time, context: LimitContext) {
-        self.last_failure_not_executed = true;
+        self.failures.last_not_executed = true;
         let shut = self.is_ejected() || self.is_shut(sent_at, retry_after, context);
         if shut && retry_after > 0 {
             self.circuit = SlowStart { since: self.retry_after_until };
@@ -140,11 +140,11 @@
     /// rejections without a success must last longer than such a window.
     fn is_shut(&self, sent_at: Time, retry_after: Time, context: LimitContext) -> bool {
         let window = context.settings.overload_window;
-        let long_rejected = self.failing_since + window * 3 / 2 <= context.now + retry_after;
+        let long_rejected = self.failures.since + window * 3 / 2 <= context.now + retry_after;
         let shut_unreported =
-            long_rejected && (retry_after > 0 || self.consecutive_failures >= MIN_SHUT_REJECTIONS);
-        let capacity_left = self.capacity_left > SHUT_CAPACITY_RATIO && sent_at >= self.failing_since;
-        let reported = self.capacity_reported_at == context.now;
+            long_rejected && (retry_after > 0 || self.failures.consecutive >= MIN_SHUT_REJECTIONS);
+        let capacity_left = self.report.capacity_left > SHUT_CAPACITY_RATIO && sent_at >= self.failures.since;
+        let reported = self.report.received_at == context.now;
         retry_after > window || if reported { capacity_left } else { shut_unreported }
     }
 
--- a/src/policy/rate.rs
+++ b/src/policy/rate.rs
@@ -50,8 +50,8 @@
     /// Spends the tokens of one call; `chance` is a random number in [0, 1).
     pub(super) fn spend_token(&mut self, chance: f64, context: LimitContext) {
         let cost = 1.0 + self.randomness(context) * (2.0 * chance - 1.0);
-        self.tokens = (self.available_tokens(context) - cost).max(-1.0);
-        self.refilled_at = context.now;
+        self.bucket.tokens = (self.available_tokens(context) - cost).max(-1.0);
+        self.bucket.refilled_at = context.now;
     }
 
     /// Gives up saved tokens after a failure and delays the next call at random, beyond any Retry-After. The
@@ -61,16 +61,16 @@
         let saved = self.available_tokens(context).min(1.0);
         let just_ejected = matches!(self.circuit, CircuitState::Open { since, .. } if since == context.now);
         let spread = if just_ejected { (1.0 / randomness).min(2.0) } else { 2.0 };
-        self.tokens = (1.0 - randomness) * saved + randomness * (1.0 - spread * chance);
-        self.refilled_at = context.now.max(self.retry_after_until);
+        self.bucket.tokens = (1.0 - randomness) * saved + randomness * (1.0 - spread * chance);
+        self.bucket.refilled_at = context.now.max(self.retry_after_until);
     }
 
     /// Lowers the rate after a rejection above the limit, and drops saved tokens and the reported capacity.
     pub(super) fn cut_rate(&mut self, context: LimitContext) {
         self.rejected_above_limit = true;
-        self.refilled_at = context.now;
-        self.capacity_left = 0.0;
-        self.tokens = 0.0;
+        self.bucket.refilled_at = context.now;
+        self.report.capacity_left = 0.0;
+        self.bucket.tokens = 0.0;
         self.shares_taken = f64::INFINITY;
         let fair_rate = self.fair_rate(context.settings);
         self.shares_taken = SHARE_FILL_RATIO * fair_rate / self.equal_share(context.settings);
@@ -78,8 +78,8 @@
 
     fn available_tokens(&self, context: LimitContext) -> f64 {
         let rate = self.rate(context).unwrap_or(f64::INFINITY);
-        let elapsed = seconds(context.now.saturating_sub(self.refilled_at));
-        (self.tokens + rate * elapsed).min((rate * BURST_SECONDS).max(1.0))
+        let elapsed = seconds(context.now.saturating_sub(self.bucket.refilled_at));
+        (self.bucket.tokens + rate * elapsed).min((rate * BURST_SECONDS).max(1.0))
     }
 
     /// How much of a call's cost is random, 0 to 1: nothing where an overload window holds several calls.
@@ -102,10 +102,10 @@
     }
 
     fn healthy_rate(&self, context: LimitContext) -> Option<f64> {
-        let reported_until = self.capacity_reported_at + NANOS_PER_SECOND as Time;
-        let fresh = self.consecutive_failures == 0 && context.now < reported_until;
-        let capacity_left = if fresh { self.capacity_left } else { 0.0 };
-        let bounded = self.rate_limit_exact || self.rejected_above_limit;
+        let reported_until = self.report.received_at + NANOS_PER_SECOND as Time;
+        let fresh = self.failures.consecutive == 0 && context.now < reported_until;
+        let capacity_left = if fresh { self.report.capacity_left } else { 0.0 };
+        let bounded = self.report.is_exact || self.rejected_above_limit;
         bounded.then(|| (1.0 + capacity_left) * self.fair_rate(context.settings))
     }
 
@@ -117,8 +117,8 @@
             CircuitState::Open { .. } => Some(initial),
             CircuitState::Closed => {
                 // One failure may be all that is seen of an outage: slow start until the next success.
-                let harmful = !self.last_failure_not_executed || self.failure_rate > RISKY_FAILURE_RATE;
-                (self.consecutive_failures > 0 && harmful).then_some(initial)
+                let harmful = !self.failures.last_not_executed || self.failures.rate > RISKY_FAILURE_RATE;
+                (self.failures.consecutive > 0 && harmful).then_some(initial)
             }
             CircuitState::SlowStart { since } => {
                 let progress = context.now.saturating_sub(since) as f64 / duration.max(1) as f64;
@@ -137,12 +137,12 @@
         let informed_after = |outage_seconds: f64| {
             couriers.min((capacity * (outage_seconds + SEEN_BEFORE_WINDOWS * window)).max(1.0))
         };
-        let informed = informed_after(seconds(context.now.saturating_sub(self.failing_since)));
+        let informed = informed_after(seconds(context.now.saturating_sub(self.failures.since)));
         let budget = context.settings.overload_ratio * capacity_ratio * capacity / informed;
         let density = (2.0 * budget * window).min(1.0);
         let budget_rate = budget * (SPARSE_BUDGET_RATIO + (BUDGET_RATIO - SPARSE_BUDGET_RATIO) * density);
         // Uninformed couriers send as ever; beside them informed ones may send a small part of that.
-        let full_beside_rate = INFORMED_CALLS_RATIO * capacity / informed_after(self.failing_seconds());
+        let full_beside_rate = INFORMED_CALLS_RATIO * capacity / informed_after(self.failures.seconds());
         let beside_rate = full_beside_rate * (1.0 - informed / couriers);
         let least_rate = (MIN_WINDOW_CALLS / couriers).min(1.0) / window;
         let rate = budget_rate.max(beside_rate).max(least_rate);
@@ -159,7 +159,7 @@
     fn fair_rate(&self, settings: &Settings) -> f64 {
         let equal_share = self.equal_share(settings);
         let window = seconds(settings.overload_window);
-        let rejected_period = REJECTED_PERIOD_FACTOR * (window + self.failing_seconds());
+        let rejected_period = REJECTED_PERIOD_FACTOR * (window + self.failures.seconds());
         let period = if self.rejected_above_limit { rejected_period } else { window };
         let often_enough = equal_share * MIN_USUAL_RATE_SECONDS >= 1.0;
         let learned = often_enough && self.shares_taken.is_finite();
@@ -170,10 +170,10 @@
     /// An equal share among all couriers in calls a second: of the reported limit, or else of the most calls
     /// that were served in an overload window.
     pub(super) fn equal_share(&self, settings: &Settings) -> f64 {
-        if self.rate_limit > 0.0 {
-            return self.rate_limit / f64::from(settings.courier_count.max(1));
+        if self.report.rate_limit > 0.0 {
+            return self.report.rate_limit / f64::from(settings.courier_count.max(1));
         }
-        (self.peak_window_served - 1.0).max(0.0) / seconds(settings.overload_window)
+        (self.served.peak_window_calls - 1.0).max(0.0) / seconds(settings.overload_window)
     }
 
     /// The number of waiting messages that count for the rate, at least 1, where `mean` is that of all
@@ -185,8 +185,8 @@
 
     /// Calls a second that were served here, averaged over the time since the limit is known.
     pub(super) fn usual_rate(&self, now: Time) -> f64 {
-        let known_seconds = seconds(now.saturating_sub(self.known_since));
-        self.served_calls / known_seconds.max(MIN_USUAL_RATE_SECONDS)
+        let known_seconds = seconds(now.saturating_sub(self.served.known_since));
+        self.served.calls / known_seconds.max(MIN_USUAL_RATE_SECONDS)
     }
 
     /// The calls a second that the limit takes from all couriers, as far as is known: the most of what was
@@ -196,9 +196,10 @@
         let window = context.window_seconds();
         let couriers = f64::from(context.settings.courier_count.max(1));
         let approximate = context.settings.rate_accuracy == RateAccuracy::Approximate;
-        let reported = if approximate { self.rate_limit / APPROXIMATE_RATE_ERROR } else { self.rate_limit };
+        let reported = self.report.rate_limit / if approximate { APPROXIMATE_RATE_ERROR } else { 1.0 };
         let mean = couriers * self.usual_rate(context.now);
-        let peak = couriers.min(self.peak_window_served) * (self.peak_window_served - 1.0) / window;
+        let peak_calls = self.served.peak_window_calls;
+        let peak = couriers.min(peak_calls) * (peak_calls - 1.0) / window;
         reported.max(mean).max(peak).max(1.0 / window)
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,4 +1,4 @@
-//! What the decision library keeps between decision cycles, one file a structure.
+//! What the decision library remembers between decision cycles, one file a structure.
 //!
 //! It owns tables and indexes and keeps them consistent. It never decides and has no tuned values: both are
 //! in [`crate::policy`].
@@ -35,7 +35,7 @@
 
 use crate::interface::Time;
 
-/// A span in seconds.
+/// Converts a span of time to seconds.
 pub(crate) fn seconds(span: Time) -> f64 {
     span as f64 / 1e9
 }
--- a/src/state/deadline_index.rs
+++ b/src/state/deadline_index.rs
@@ -1,4 +1,4 @@
-//! The deadline index: attempts in flight in the order in which something comes due for them.
+//! The deadline index: attempts in flight in the order in which they come due, to be hedged or as overdue.
 
 use super::AttemptId;
 use crate::interface::Time;
@@ -22,7 +22,7 @@
 }
 
 impl DueAttempt {
-    /// The attempt.
+    /// Returns the id of the attempt.
     pub(crate) fn id(&self) -> AttemptId {
         AttemptId { message: self.message, attempt: self.attempt }
     }
@@ -35,8 +35,8 @@
     pub(crate) next_due_at: Option<Time>,
 }
 
-/// Attempts that come due the same span after they were sent: to a destination, or to all that have no groups
-/// of their own yet, and of a class.
+/// Attempts that come due the same span of time after they were sent: those of one class to one destination,
+/// or to all destinations that have no groups of their own yet (`None`).
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct AttemptGroup {
     pub(crate) destination: Option<u32>,
@@ -44,13 +44,13 @@
 }
 
 impl AttemptGroup {
-    /// Attempts of the same class to all destinations that have no groups of their own.
+    /// Returns the group of the same class for all destinations that have no groups of their own.
     pub(crate) fn shared(self) -> Self {
         AttemptGroup { destination: None, class: self.class }
     }
 }
 
-/// The attempts of a group and the span after which each comes due.
+/// The attempts of a group and the span of time after sending at which each comes due.
 #[derive(Debug, Default)]
 struct GroupEntry {
     span: Time,
@@ -66,7 +66,7 @@
         self.attempts.first().map(|first| self.due_at(first))
     }
 
-    /// When the first attempt comes due that is not due now.
+    /// Returns when the first attempt comes due that is not due at `now`.
     fn next_due_at(&self, now: Time) -> Option<Time> {
         let sent_at = now.saturating_sub(self.span) + 1;
         let not_due = SentAttempt { sent_at, message: 0, attempt: 0 };
@@ -81,7 +81,8 @@
     group: AttemptGroup,
 }
 
-/// Attempts in flight by when they come due: groups by their first attempt, within a group as sent.
+/// Attempts in flight by when they come due: the groups by their first attempt, and within a group in the
+/// order in which the attempts were sent.
 #[derive(Debug, Default)]
 pub(crate) struct DeadlineIndex {
     groups: BTreeMap<AttemptGroup, GroupEntry>,
@@ -89,7 +90,7 @@
 }
 
 impl DeadlineIndex {
-    /// Changes a group and puts it in its new place among the others.
+    /// Changes a group and updates its position among the others.
     fn change(&mut self, group: AttemptGroup, change: impl FnOnce(&mut GroupEntry)) {
         let entry = self.groups.entry(group).or_default();
         let before = entry.first_due_at();
@@ -109,7 +110,7 @@
         }
     }
 
-    /// Adds an attempt; its group comes due after this span from now on.
+    /// Adds an attempt; all attempts of its group come due after `span` from now on.
     pub(crate) fn insert(&mut self, group: AttemptGroup, span: Time, attempt: SentAttempt) {
         self.change(group, |entry| {
             entry.attempts.insert(attempt);
@@ -117,21 +118,21 @@
         });
     }
 
-    /// Takes an attempt out.
+    /// Removes an attempt.
     pub(crate) fn remove(&mut self, group: AttemptGroup, attempt: SentAttempt) {
         self.change(group, |entry| {
             entry.attempts.remove(&attempt);
         });
     }
 
-    /// A group comes due after another span from now on.
+    /// Sets the span after which the attempts of a group come due.
     pub(crate) fn set_span(&mut self, group: AttemptGroup, span: Time) {
         if self.groups.get(&group).is_some_and(|entry| entry.span != span) {
             self.change(group, |entry| entry.span = span);
         }
     }
 
-    /// Moves the attempts of some messages from one group to another.
+    /// Moves the attempts of the messages for which `belongs` is true from one group to another.
     pub(crate) fn move_attempts(
         &mut self,
         from: AttemptGroup,
@@ -148,7 +149,8 @@
         }
     }
 
-    /// All that is due of the groups for which `included` says so, by message and attempt.
+    /// Returns the attempts due at `now` of the groups for which `included` is true, by message and attempt,
+    /// and when the next attempt of any group comes due after that.
     pub(crate) fn all_due(&self, now: Time, included: impl Fn(AttemptGroup) -> bool) -> DueAttempts {
         let groups: Vec<AttemptGroup> = self.due_groups(now).collect();
         let mut attempts = Vec::new();
@@ -161,13 +163,13 @@
         DueAttempts { attempts, next_due_at: within_groups.chain(next_group).min() }
     }
 
-    /// Groups of which something is due.
+    /// Returns the groups that have an attempt due at `now`.
     fn due_groups(&self, now: Time) -> impl Iterator<Item = AttemptGroup> + '_ {
         let due = self.deadlines.iter().take_while(move |deadline| deadline.at <= now);
         due.map(|deadline| deadline.group)
     }
 
-    /// What is due of a group.
+    /// Returns the attempts of a group that are due at `now`.
     fn due_in_group(&self, group: AttemptGroup, now: Time) -> impl Iterator<Item = DueAttempt> + '_ {
         let entry = &self.groups[&group];
         let due = entry.attempts.iter().map(|sent| DueAttempt {
--- a/src/state/destination.rs
+++ b/src/state/destination.rs
@@ -1,4 +1,4 @@
-//! What is known of a destination.
+//! What is known of a destination, and the messages that wait for it.
 
 use super::{DestinationQueue, EndpointState, LatencySamples, Limiter, Table};
 use crate::interface::{DestinationKind, Time};
@@ -13,7 +13,7 @@
     SharedEndpoint,
 }
 
-/// A destination and the messages that wait for it.
+/// A destination, its endpoints and the messages that wait for it.
 #[derive(Debug)]
 pub(crate) struct Destination {
     pub(crate) limiter: Limiter,
@@ -26,16 +26,16 @@
     /// Tokens of the retry budget.
     pub(crate) retry_tokens: f64,
     pub(crate) latencies: LatencySamples,
-    /// Its attempts in flight stand in groups of their own in the deadline indexes.
+    /// Its attempts in flight are in groups of their own in the index of overdue attempts.
     pub(crate) has_own_groups: bool,
-    /// Mean latency in nanoseconds over many calls,
+    /// Moving average of the latency over many calls, in nanoseconds; 0 before the first.
     pub(crate) usual_latency: f64,
-    /// and over the last few.
+    /// Moving average of the latency over the last few calls, in nanoseconds.
     pub(crate) recent_latency: f64,
 }
 
 impl Destination {
-    /// One of which nothing is known.
+    /// Creates a destination without endpoints, messages or known latencies.
     pub(crate) fn new(limiter: Limiter, kind: DestinationKind, retry_tokens: f64) -> Self {
         Destination {
             limiter,
@@ -52,18 +52,19 @@
         }
     }
 
-    /// Moves the mean latencies; the recent one by this weight, the usual one as the mean of so many.
-    pub(crate) fn average_latency(&mut self, latency: Time, recent_weight: f64, samples: usize) {
+    /// Adds a latency to both moving averages: with weight `recent_weight` to the recent one, and to the
+    /// usual one as one of `usual_samples`.
+    pub(crate) fn average_latency(&mut self, latency: Time, recent_weight: f64, usual_samples: usize) {
         let latency = latency as f64;
         if self.usual_latency == 0.0 {
             self.usual_latency = latency;
             self.recent_latency = latency;
         }
         self.recent_latency += recent_weight * (latency - self.recent_latency);
-        self.usual_latency += (latency - self.usual_latency) / samples as f64;
+        self.usual_latency += (latency - self.usual_latency) / usual_samples as f64;
     }
 
-    /// What the limiters of its endpoints stand for.
+    /// Returns the scope of the limiters of its endpoints.
     pub(crate) fn endpoint_scope(&self) -> LimitScope {
         if self.kind.independent_routes {
             LimitScope::OwnLimit
@@ -80,7 +81,8 @@
         }
     }
 
-    /// Messages that wait for it wait for each of its endpoints.
+    /// Records the number of waiting messages with its limiter and with that of each endpoint: any of them
+    /// may serve all that wait.
     pub(crate) fn count_waiting(&mut self, endpoints: &mut Table<EndpointState>) {
         self.limiter.waiting_messages = self.queue.len() as f64;
         for &id in &self.endpoints {
--- a/src/state/dispatch_state.rs
+++ b/src/state/dispatch_state.rs
@@ -13,8 +13,8 @@
 };
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Destinations, endpoints, messages, attempts and calls of one dispatcher, and the indexes by which a decision
-/// cycle finds what is due.
+/// Destinations, endpoints, messages, attempts and calls of one dispatcher, and the indexes by which a
+/// decision cycle finds what is due.
 #[derive(Debug, Default)]
 pub(crate) struct DispatchState {
     /// The last number that was given to a message or a call.
@@ -66,8 +66,8 @@
         }
     }
 
-    /// Removes endpoints that are no longer in the table from their destinations; returns the destinations that
-    /// lost one.
+    /// Removes endpoints that are no longer in the table from their destinations; returns the destinations
+    /// that lost one.
     pub(crate) fn drop_removed_endpoints(&mut self) -> Vec<u32> {
         let endpoints = &self.endpoints;
         let mut changed = Vec::new();
--- a/src/state/dispatch_state/attempts.rs
+++ b/src/state/dispatch_state/attempts.rs
@@ -98,8 +98,8 @@
         }
     }
 
-    /// Returns what an overdue attempt shows of its endpoint and destination, or `None` when the attempt is no
-    /// longer in flight or one of them is unknown.
+    /// Returns what an overdue attempt shows of its endpoint and destination, or `None` when the attempt is
+    /// no longer in flight or one of them is unknown.
     pub(crate) fn silence(&self, overdue: &DueAttempt) -> Option<Silence> {
         let endpoint = self.attempts.get(overdue.id())?.endpoint;
         let message = self.messages.get(&overdue.message)?;
--- a/src/state/endpoint.rs
+++ b/src/state/endpoint.rs
@@ -1,4 +1,4 @@
-//! What is known of an endpoint, and of the endpoint list itself.
+//! What is known of an endpoint, and when the endpoint list is polled.
 
 use super::Limiter;
 use crate::interface::{AttemptOutcome, EndpointStatus, Time};
@@ -14,14 +14,15 @@
     pub(crate) calls_in_flight: u32,
     /// Classes whose last call here got no good answer, and until when each avoids the endpoint.
     pub(crate) avoided_until: BTreeMap<usize, Time>,
-    /// Endpoint selection jitter of this courier.
+    /// Random cost, at least 0, that makes couriers prefer different endpoints; drawn once for an endpoint.
     pub(crate) jitter: f64,
-    /// The call that further sends of the same decision cycle may join.
+    /// The last call to the endpoint; further sends of the same decision cycle may join it.
     pub(crate) open_call: OpenCall,
 }
 
 impl EndpointState {
-    /// Sends in the call that was made to it in this decision cycle, if any.
+    /// Returns the number of sends in the call that was started in the decision cycle at `now`, 0 without
+    /// one.
     pub(crate) fn sends_in_call_of(&self, now: Time) -> u32 {
         if self.open_call.started_at == now {
             self.open_call.sends
@@ -47,13 +48,13 @@
         };
     }
 
-    /// Messages of a class go elsewhere for now.
+    /// Whether messages of a class prefer other endpoints at `now`.
     pub(crate) fn is_avoided(&self, class: usize, now: Time) -> bool {
         self.avoided_until.get(&class).is_some_and(|&until| until > now)
     }
 }
 
-/// The last call that was made to an endpoint.
+/// The last call that was started to an endpoint.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct OpenCall {
     pub(crate) call: u64,
--- a/src/state/key_queue.rs
+++ b/src/state/key_queue.rs
@@ -12,7 +12,7 @@
 }
 
 impl KeyQueue {
-    /// The message is the first of its key.
+    /// Whether the message is the first of its key.
     pub(crate) fn is_first(&self, position: QueuePosition) -> bool {
         self.queue.first() == Some(&position)
     }
@@ -25,7 +25,8 @@
     key: u64,
 }
 
-/// The queues of all keys; idle ones by the end of their cooldown. Key 0 has none.
+/// The queues of all ordering keys, and the keys without messages by the end of their cooldown. Key 0, which
+/// stands for no ordering, has no queue.
 #[derive(Debug, Default)]
 pub(crate) struct KeyQueues {
     by_key: BTreeMap<u64, KeyQueue>,
@@ -33,26 +34,26 @@
 }
 
 impl KeyQueues {
-    /// The queue of a key.
+    /// Returns the queue of a key, or `None` when it has neither messages nor a cooldown.
     pub(crate) fn get(&self, key: u64) -> Option<&KeyQueue> {
         self.by_key.get(&key)
     }
 
-    /// A message joins the queue of its key.
+    /// Adds a message to the queue of its key.
     pub(crate) fn join(&mut self, key: u64, position: QueuePosition) {
         if key != 0 {
             self.by_key.entry(key).or_default().queue.insert(position);
         }
     }
 
-    /// The key cools down until then at least.
+    /// Extends the cooldown of a key to `until`; an earlier end is ignored.
     pub(crate) fn cool_down(&mut self, key: u64, until: Time) {
         if let Some(queue) = self.by_key.get_mut(&key) {
             queue.cooldown_until = queue.cooldown_until.max(until);
         }
     }
 
-    /// A message leaves the queue of its key; returns the one that is first now.
+    /// Removes a message from the queue of its key; returns the message that is first now.
     pub(crate) fn leave(&mut self, key: u64, position: QueuePosition) -> Option<u32> {
         let queue = self.by_key.get_mut(&key)?;
         queue.queue.remove(&position);
--- a/src/state/latency.rs
+++ b/src/state/latency.rs
@@ -3,7 +3,7 @@
 use crate::interface::Time;
 use std::collections::VecDeque;
 
-/// The latencies of the last calls, and their high percentile once there are enough.
+/// The latencies of the last calls in nanoseconds, and their high percentile once there are enough.
 #[derive(Debug, Default)]
 pub(crate) struct LatencySamples {
     samples: VecDeque<Time>,
@@ -11,7 +11,8 @@
 }
 
 impl LatencySamples {
-    /// Adds a latency and keeps the last `capacity`; `percentile` takes them sorted.
+    /// Adds a latency and drops all but the last `capacity`; `percentile` is computed from the sorted
+    /// latencies.
     pub(crate) fn record(
         &mut self,
         latency: Time,
--- a/src/state/limiter.rs
+++ b/src/state/limiter.rs
@@ -1,4 +1,6 @@
 //! What is known of one limit: a destination, an independent route, or one endpoint of several.
+//!
+//! It counts and remembers; what follows for the rate and for ejection is decided in [`crate::policy`].
 
 use super::{seconds, LimitScope};
 use crate::interface::{
@@ -32,7 +34,7 @@
     Closed,
     /// Ejected: recovery trials only; `confirmed` once a call failed or was rejected.
     Open { since: Time, confirmed: bool },
-    /// Recovering: its capacity grows since then.
+    /// Recovering: its capacity has grown since then.
     SlowStart { since: Time },
 }
 
@@ -41,10 +43,79 @@
 pub(crate) enum EjectionCause {
     /// A call failed or was rejected.
     Failure,
-    /// Calls are overdue and nothing is answered.
+    /// Calls are overdue and none is answered.
     Silence,
 }
 
+/// Failures and rejections in a row, and how frequent failures are.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct FailureRecord {
+    /// Moving average of failures, 0 to 1.
+    pub(crate) rate: f64,
+    /// Failures or rejections in a row.
+    pub(crate) consecutive: u32,
+    /// When the first failure or rejection in a row came.
+    pub(crate) since: Time,
+    /// When the last failure or rejection came.
+    pub(crate) last_at: Time,
+    /// The last failure or rejection is known not to have executed anything.
+    pub(crate) last_not_executed: bool,
+}
+
+impl FailureRecord {
+    /// Seconds from the first failure or rejection in a row to the last.
+    pub(crate) fn seconds(&self) -> f64 {
+        seconds(self.last_at.saturating_sub(self.since))
+    }
+}
+
+/// How many calls were served: since the limit is known, and in overload windows.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ServedCounts {
+    pub(crate) known_since: Time,
+    /// Calls served since the limit is known.
+    pub(crate) calls: f64,
+    window_start: Time,
+    /// Calls served in the present window.
+    window_calls: f64,
+    /// The most calls served in any window.
+    pub(crate) peak_window_calls: f64,
+}
+
+impl ServedCounts {
+    /// Counts a served call; `window` is the length of an overload window.
+    pub(crate) fn count(&mut self, now: Time, window: Time) {
+        if self.window_start + window <= now {
+            self.window_start = now;
+            self.window_calls = 0.0;
+        }
+        self.window_calls += 1.0;
+        self.peak_window_calls = self.peak_window_calls.max(self.window_calls);
+        self.calls += 1.0;
+    }
+}
+
+/// What the destination, or the endpoint list, has reported of the limit.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct LimitReport {
+    /// Calls a second over all couriers; 0 where none was reported.
+    pub(crate) rate_limit: f64,
+    /// The rate limit is exact, so that it may be enforced before any rejection.
+    pub(crate) is_exact: bool,
+    /// Part of the limit that was left, as last reported, 0 to 1.
+    pub(crate) capacity_left: f64,
+    /// When `capacity_left` was reported.
+    pub(crate) received_at: Time,
+}
+
+/// Calls that may be sent at once. The rate at which it refills is a decision of [`crate::policy`].
+#[derive(Clone, Debug, Default)]
+pub(crate) struct TokenBucket {
+    /// Tokens at `refilled_at`; one is needed to send a call.
+    pub(crate) tokens: f64,
+    pub(crate) refilled_at: Time,
+}
+
 /// Health, demand and rate of one limit.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Limiter {
@@ -54,100 +125,64 @@
     /// Failure rate above which it is ejected.
     pub(crate) ejection_threshold: f64,
     pub(crate) retry_after_until: Time,
-    /// Moving average of failures, 0 to 1.
-    pub(crate) failure_rate: f64,
-    /// Failures or rejections in a row.
-    pub(crate) consecutive_failures: u32,
-    pub(crate) failing_since: Time,
-    /// The last failure or rejection is known not to have executed anything.
-    pub(crate) last_failure_not_executed: bool,
-    pub(crate) last_failure_at: Time,
+    pub(crate) failures: FailureRecord,
+    /// When any call was last answered, with whatever outcome.
     pub(crate) last_answer_at: Time,
-    pub(crate) known_since: Time,
-    /// Calls served since it is known.
-    pub(crate) served_calls: f64,
-    pub(crate) window_start: Time,
-    /// Calls served in the present overload window,
-    pub(crate) window_served: f64,
-    /// and the most in any.
-    pub(crate) peak_window_served: f64,
+    pub(crate) served: ServedCounts,
     pub(crate) waiting_messages: f64,
-    /// Calls a second over all couriers; 0 where none was reported.
-    pub(crate) rate_limit: f64,
-    pub(crate) rate_limit_exact: bool,
-    /// Part of the limit that is left, as last reported.
-    pub(crate) capacity_left: f64,
-    pub(crate) capacity_reported_at: Time,
-    /// Rejected above the limit, and nothing served since.
+    pub(crate) report: LimitReport,
+    /// A call was rejected above the limit, and none was served since.
     pub(crate) rejected_above_limit: bool,
     /// What this courier takes of the limit, in equal shares over all couriers.
     pub(crate) shares_taken: f64,
-    /// Calls saved up; one is needed to send.
-    pub(crate) tokens: f64,
-    pub(crate) refilled_at: Time,
+    pub(crate) bucket: TokenBucket,
 }
 
 impl Limiter {
-    /// A healthy one that may be sent one call.
+    /// Creates the limiter of a healthy limit that may be sent one call at once.
     pub(crate) fn new(ejection_threshold: f64, known_since: Time) -> Self {
         Limiter {
             ejection_threshold,
-            known_since,
-            tokens: 1.0,
+            served: ServedCounts { known_since, ..ServedCounts::default() },
+            bucket: TokenBucket { tokens: 1.0, refilled_at: 0 },
             shares_taken: f64::INFINITY,
             ..Limiter::default()
         }
     }
 
-    /// Records what a result reports of the limit itself.
+    /// Records what a result reports of the limit, if it reports a rate limit.
     pub(crate) fn record_report(&mut self, now: Time, result: &AttemptResult) {
         let Some(rate_limit) = result.rate_limit.filter(|&limit| limit > 0.0) else { return };
-        self.rate_limit = rate_limit;
-        self.rate_limit_exact = true;
+        self.report.rate_limit = rate_limit;
+        self.report.is_exact = true;
         if let Some(capacity_left) = result.capacity_left {
-            self.capacity_left = capacity_left;
-            self.capacity_reported_at = now;
+            self.report.capacity_left = capacity_left;
+            self.report.received_at = now;
         }
     }
 
-    /// It takes only recovery trials from now on; true if it was not ejected before.
+    /// Ejects the limit: only recovery trials are sent from now on. Returns false if it was ejected before.
     pub(crate) fn eject(&mut self, now: Time, cause: EjectionCause) -> bool {
         let confirmed = cause == EjectionCause::Failure;
         if let CircuitState::Open { since, confirmed: before } = self.circuit {
             self.circuit = CircuitState::Open { since, confirmed: confirmed || before };
             return false;
         }
-        self.last_failure_at = now;
-        if self.consecutive_failures == 0 {
-            self.failing_since = now;
+        self.failures.last_at = now;
+        if self.failures.consecutive == 0 {
+            self.failures.since = now;
         }
         self.circuit_before_open = self.circuit;
         self.circuit = CircuitState::Open { since: now, confirmed };
         true
     }
 
-    /// It takes recovery trials only.
+    /// Whether only recovery trials are sent.
     pub(crate) fn is_ejected(&self) -> bool {
         matches!(self.circuit, CircuitState::Open { .. })
     }
 
-    /// Seconds from the first failure or rejection in a row to the last.
-    pub(crate) fn failing_seconds(&self) -> f64 {
-        seconds(self.last_failure_at.saturating_sub(self.failing_since))
-    }
-
-    /// Counts a served call: in this window, at most in one, in all.
-    pub(crate) fn count_served(&mut self, now: Time, window: Time) {
-        if self.window_start + window <= now {
-            self.window_start = now;
-            self.window_served = 0.0;
-        }
-        self.window_served += 1.0;
-        self.peak_window_served = self.peak_window_served.max(self.window_served);
-        self.served_calls += 1.0;
-    }
-
-    /// Its state and the outcome that led to it.
+    /// Describes its present state and the outcome that led to it.
     pub(crate) fn change(&self, destination: u32, endpoint: u32, outcome: AttemptOutcome) -> LimitChange {
         let state = match self.circuit {
             CircuitState::Closed => LimitState::Healthy,
@@ -156,8 +191,8 @@
         };
         let evidence = LimitEvidence {
             outcome,
-            failure_rate: self.failure_rate,
-            consecutive_failures: self.consecutive_failures,
+            failure_rate: self.failures.rate,
+            consecutive_failures: self.failures.consecutive,
         };
         LimitChange { destination, endpoint, state, evidence: Some(evidence) }
     }
--- a/src/state/message.rs
+++ b/src/state/message.rs
@@ -1,4 +1,4 @@
-//! Messages that were accepted and are not yet dropped.
+//! Messages that were accepted and not yet dropped, with their attempts.
 
 use super::{AttemptGroup, QueueState, SentAttempt};
 use crate::interface::{AcceptedMessage, AttemptOutcome, Class, Time, UnresolvedAttempt};
@@ -11,7 +11,7 @@
     pub(crate) zone: u8,
 }
 
-/// The place of a message among others, oldest first.
+/// The position of a message among others by age; the oldest is the least.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct QueuePosition {
     pub(crate) sequence: u64,
@@ -24,7 +24,7 @@
     pub(crate) id: u32,
     pub(crate) destination: u32,
     pub(crate) class: usize,
-    /// 0 for none.
+    /// 0 for a message without one, or of a class that is not ordered.
     pub(crate) ordering_key: u64,
     pub(crate) sequence: u64,
     pub(crate) accepted_at: Time,
@@ -33,26 +33,27 @@
     pub(crate) attempts_in_flight: u32,
     pub(crate) possibly_executed: Vec<PossibleExecution>,
     pub(crate) completed: bool,
-    /// How it waits, if it does.
+    /// Its state in the queue of its destination, `None` while it does not wait.
     pub(crate) queue_state: Option<QueueState>,
-    /// When it may no longer be retried, if it waits and that comes.
+    /// When it may no longer be retried, if it waits and such a time is known.
     pub(crate) retry_expiry: Option<Time>,
-    /// Its one attempt in flight, if there is no other.
+    /// Its attempt in flight, if there is exactly one and it is not cancelled.
     pub(crate) lone_attempt: Option<SentAttempt>,
-    /// It was recovered, surely never executed, and has had no call since: its attempts while that is so.
+    /// For a recovered message that was surely never executed: its number of attempts up to which none since
+    /// the recovery has reached an endpoint.
     pub(crate) uncalled_attempts: Option<u16>,
 }
 
-/// What an earlier process of this courier left of a message.
+/// The attempts that an earlier process of this courier made for a message.
 #[derive(Clone, Debug)]
 pub(crate) struct RecoveredAttempts {
     pub(crate) attempts: u16,
-    /// Those of them that may have been executed.
+    /// Those that may have been executed.
     pub(crate) unresolved: Vec<UnresolvedAttempt>,
 }
 
 impl Message {
-    /// A message that was accepted now.
+    /// Creates a message that was accepted now.
     pub(crate) fn new(accepted: &AcceptedMessage, class: &Class, sequence: u64, now: Time) -> Self {
         let deadline = now + accepted.time_remaining;
         Message {
@@ -67,7 +68,7 @@
         }
     }
 
-    /// Takes over the attempts of an earlier process.
+    /// Adds the attempts of an earlier process.
     pub(super) fn restore(&mut self, recovered: &RecoveredAttempts, now: Time) {
         self.attempts = recovered.attempts;
         self.uncalled_attempts = recovered.unresolved.is_empty().then_some(recovered.attempts);
@@ -80,32 +81,33 @@
         }
     }
 
-    /// Its place among messages by age.
+    /// Returns its position among messages by age.
     pub(crate) fn position(&self) -> QueuePosition {
         QueuePosition { sequence: self.sequence, message: self.id }
     }
 
-    /// Attempts to its destination and of its class.
+    /// Returns the group of attempts to its destination and of its class.
     pub(crate) fn group(&self) -> AttemptGroup {
         AttemptGroup { destination: Some(self.destination), class: self.class }
     }
 
-    /// The first of its attempts that may have been executed.
+    /// Returns the first of its attempts that may have been executed.
     pub(crate) fn first_possible_execution(&self) -> Option<PossibleExecution> {
         self.possibly_executed.iter().min().copied()
     }
 
-    /// It was recovered untried and has had no call since.
+    /// Whether it was recovered unexecuted and no attempt since has reached an endpoint.
     pub(crate) fn awaits_first_call(&self) -> bool {
         self.uncalled_attempts == Some(self.attempts)
     }
 
-    /// One of its attempts was not executed. Where not even a call came of it, the call is still owed.
+    /// Records that one of its attempts was not executed. Unless the endpoint itself rejected it, the attempt
+    /// has not reached one.
     pub(crate) fn record_not_executed(&mut self, attempt: u16, outcome: AttemptOutcome) {
         self.possibly_executed.retain(|execution| execution.attempt != attempt);
-        let called = matches!(outcome, AttemptOutcome::Rejected { .. });
-        let owed_before = self.uncalled_attempts.is_some_and(|attempts| attempts + 1 == self.attempts);
-        if !called && owed_before {
+        let reached_endpoint = matches!(outcome, AttemptOutcome::Rejected { .. });
+        let awaited_before = self.uncalled_attempts.is_some_and(|attempts| attempts + 1 == self.attempts);
+        if !reached_endpoint && awaited_before {
             self.uncalled_attempts = Some(self.attempts);
         }
     }
--- a/src/state/random.rs
+++ b/src/state/random.rs
@@ -1,4 +1,4 @@
-//! Pseudo-random numbers.
+//! Pseudo-random numbers, the same for the same seed on every platform.
 
 /// Random numbers from a seed (splitmix64).
 #[derive(Debug, Default)]
@@ -7,12 +7,12 @@
 }
 
 impl Random {
-    /// The sequence of a seed.
+    /// Creates the generator of a seed.
     pub(crate) fn new(seed: u64) -> Self {
         Random { state: seed }
     }
 
-    /// A number in [0, 1).
+    /// Returns the next number, uniform in [0, 1).
     pub(crate) fn draw(&mut self) -> f64 {
         self.state = self.state.wrapping_add(0x9e37_79b9_7f4a_7c15);
         let mut mixed = self.state;
--- a/src/state/shed_order.rs
+++ b/src/state/shed_order.rs
@@ -1,4 +1,4 @@
-//! The order in which waiting messages may be shed.
+//! The order in which waiting messages are shed: the search for those of least priority weight.
 
 use super::{DestinationQueue, QueuePosition};
 use crate::interface::Time;
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::ops::Bound;
 
-/// A message by its age.
+/// A message by its age; the oldest is the least.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct AgedMessage {
     accepted_at: Time,
@@ -60,7 +60,7 @@
 
 impl Eq for Weight {}
 
-/// The oldest message of a list that was not looked at yet.
+/// The oldest message of a list that the search has not visited yet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct ListHead {
     weight: Weight,
@@ -85,9 +85,10 @@
     messages: &'a Sheddable,
 }
 
-/// The messages of least weight among those of these destinations that may be shed, least first; those of
-/// equal weight by destination and age. A class's messages may not gain weight with age. The cost depends on
-/// the number of destinations and on how many are asked for, not on how many wait.
+/// Returns up to `count` messages of least weight among those in `queues` that may be shed, least first;
+/// those of equal weight by destination and age. `weight_of` takes a class and the time of acceptance, and
+/// must not grow with age. The cost depends on the number of destinations and on `count`, not on how many
+/// messages wait.
 pub(crate) fn least_weight<'a>(
     queues: impl Iterator<Item = (u32, &'a DestinationQueue)>,
     count: usize,
@@ -106,7 +107,7 @@
     chosen.into_iter().take(count).map(|candidate| candidate.message).collect()
 }
 
-/// The search for so many messages of least weight.
+/// The search for `count` messages of least weight.
 struct Search<'a, WeightOf> {
     lists: Vec<ClassList<'a>>,
     count: usize,
@@ -114,9 +115,9 @@
 }
 
 impl<WeightOf: Fn(usize, Time) -> f64> Search<'_, WeightOf> {
-    /// At least as many as are asked for, if there are, and among them those of least weight.
+    /// Returns at least `count` messages, if there are as many, among them those of least weight.
     fn candidates(&self) -> Vec<Candidate> {
-        // The oldest of each list are the least of it, so the least of all are found at their heads.
+        // In each list the oldest message has the least weight, so the least of all is at the head of a list.
         let mut heads = BinaryHeap::new();
         for (list, class_list) in self.lists.iter().enumerate() {
             heads.extend(class_list.messages.by_age.first().map(|message| self.head(list, message)));
@@ -124,7 +125,8 @@
         let mut chosen: Vec<Candidate> = Vec::new();
         let mut run_of_equals: BTreeMap<usize, usize> = BTreeMap::new();
         while let Some(Reverse(head)) = heads.pop() {
-            // All that weigh as much as the last one are looked at: which of them go is a matter of order.
+            // All that weigh as much as the last one are visited: which of them are shed depends on their
+            // order.
             let heavier = chosen.last().is_some_and(|last| last.weight < head.weight);
             if heavier && chosen.len() >= self.count {
                 break;
@@ -135,7 +137,8 @@
             let run = run_of_equals.entry(head.list).or_default();
             *run += 1;
             chosen.push(self.candidate(head.weight, head.list, head.message.position));
-            // A long run of equals is not followed to its end: its first by order are found by order.
+            // A long run of equal weights is not visited to its end: replace_long_runs finds its first by
+            // order.
             if *run <= self.count {
                 let after = (Bound::Excluded(head.message), Bound::Unbounded);
                 let next = self.lists[head.list].messages.by_age.range(after).next();
@@ -147,8 +150,8 @@
         chosen
     }
 
-    /// Of lists with more messages of the greatest weight chosen than are asked for, the first by order take the
-    /// place of those that were found first.
+    /// Replaces chosen messages of the greatest weight, in lists with more than `count` of them, by the first
+    /// `count` by order.
     fn replace_long_runs(&self, chosen: &mut Vec<Candidate>, long_lists: BTreeSet<usize>) {
         let Some(greatest) = chosen.last().map(|last| last.weight) else { return };
         chosen.retain(|candidate| candidate.weight < greatest || !long_lists.contains(&candidate.list));
--- a/src/state/table.rs
+++ b/src/state/table.rs
@@ -1,9 +1,9 @@
-//! Rows by number.
+//! A hash table of rows by number.
 
 use std::collections::HashMap;
 use std::hash::{BuildHasherDefault, Hasher};
 
-/// Hashes numbers alike in every process.
+/// A hasher that gives a number the same hash in every process.
 #[derive(Default)]
 pub(crate) struct StableHasher {
     hash: u64,
@@ -25,8 +25,8 @@
     }
 }
 
-/// Rows by number, found in a time that does not grow with their count. It has no order: what goes over all
-/// rows must come to the same in any.
+/// Rows by number, with access in constant time. It has no order: the result of a visit to all rows must not
+/// depend on one.
 #[derive(Debug)]
 pub(crate) struct Table<T> {
     rows: HashMap<u32, Box<T>, BuildHasherDefault<StableHasher>>,
@@ -39,32 +39,32 @@
 }
 
 impl<T> Table<T> {
-    /// A row.
+    /// Returns a row, or `None` when there is none of this number.
     pub(crate) fn get(&self, id: u32) -> Option<&T> {
         self.rows.get(&id).map(|row| &**row)
     }
 
-    /// A row, to change it.
+    /// Returns a row to change it, or `None` when there is none of this number.
     pub(crate) fn get_mut(&mut self, id: u32) -> Option<&mut T> {
         self.rows.get_mut(&id).map(|row| &mut **row)
     }
 
-    /// A row, made if it is missing.
+    /// Returns a row, created with `new` if it is missing.
     pub(crate) fn get_or_insert_with(&mut self, id: u32, new: impl FnOnce() -> T) -> &mut T {
         self.rows.entry(id).or_insert_with(|| Box::new(new()))
     }
 
-    /// There is such a row.
+    /// Whether there is a row of this number.
     pub(crate) fn contains(&self, id: u32) -> bool {
         self.rows.contains_key(&id)
     }
 
-    /// Keeps the rows for which `keep` says so.
+    /// Drops the rows for which `keep` returns false.
     pub(crate) fn retain(&mut self, mut keep: impl FnMut(&mut T) -> bool) {
         self.rows.retain(|_, row| keep(row));
     }
 
-    /// Changes all rows.
+    /// Visits all rows, in no particular order.
     pub(crate) fn for_each(&mut self, mut change: impl FnMut(u32, &mut T)) {
         for (&id, row) in &mut self.rows {
             change(id, row);
--- a/src/state/wait_queue.rs
+++ b/src/state/wait_queue.rs
@@ -1,4 +1,4 @@
-//! Messages that wait to be sent.
+//! Messages that wait to be sent: of all destinations, and of one.
 
 use super::shed_order::Sheddable;
 use super::{Destination, Message, QueuePosition};
@@ -12,27 +12,30 @@
     pub(crate) message: u32,
 }
 
-/// How a message waits. Two of one destination in the same state fare alike.
+/// Why and for what a message waits. Of the messages of one destination and state, if the oldest may not be
+/// sent, none may; [`QueueState::KeyCooldown`] is the exception.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum QueueState {
     /// No attempt of it may have been executed.
     NotExecuted,
-    /// One may have been; it may be retried, if only in this zone.
+    /// An attempt may have been executed; the message may be retried, in `zone` only if that is given.
     Retry { zone: Option<u8> },
-    /// Its key cools down; each for a time of its own.
+    /// Its ordering key cools down, each key for a time of its own.
     KeyCooldown,
-    /// It stands behind another message of its key.
+    /// It is behind another message of its ordering key.
     BehindInKey,
 }
 
-/// All messages that wait: by the end of their right to a retry, and the destinations that any wait for.
+/// All messages that wait.
 #[derive(Debug, Default)]
 pub(crate) struct WaitQueue {
+    /// Messages by when they may no longer be retried.
     pub(crate) retry_expiries: BTreeSet<MessageTime>,
+    /// Destinations that any message waits for.
     pub(crate) destinations: BTreeSet<u32>,
 }
 
-/// How a message is to wait.
+/// What a message is put into the queue with.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct QueueEntry {
     pub(crate) state: QueueState,
@@ -41,7 +44,7 @@
 }
 
 impl WaitQueue {
-    /// A message waits from now on.
+    /// Adds a message to the queue of its destination.
     pub(crate) fn join(&mut self, message: &mut Message, destination: &mut Destination, entry: QueueEntry) {
         if let Some(at) = entry.retry_expiry {
             self.retry_expiries.insert(MessageTime { at, message: message.id });
@@ -52,7 +55,7 @@
         destination.queue.insert(message, entry);
     }
 
-    /// A message waits no more.
+    /// Removes a message from the queue of its destination, if it waits there.
     pub(crate) fn leave(&mut self, message: &mut Message, destination: Option<&mut Destination>) {
         if let Some(at) = message.retry_expiry.take() {
             self.retry_expiries.remove(&MessageTime { at, message: message.id });
@@ -71,7 +74,7 @@
 pub(crate) struct DestinationQueue {
     by_state: BTreeMap<QueueState, BTreeSet<QueuePosition>>,
     count: usize,
-    /// Those that may be shed, by class.
+    /// Messages that may be shed, by class.
     pub(super) sheddable: BTreeMap<usize, Sheddable>,
 }
 
@@ -102,17 +105,17 @@
         }
     }
 
-    /// Messages that wait.
+    /// Returns the number of messages that wait.
     pub(crate) fn len(&self) -> usize {
         self.count
     }
 
-    /// None waits.
+    /// Whether no message waits.
     pub(crate) fn is_empty(&self) -> bool {
         self.count == 0
     }
 
-    /// The oldest of each state, and all whose key cools down; in the order of their age.
+    /// Returns the oldest message of each state and all whose key cools down, oldest first.
     pub(crate) fn heads(&self) -> Vec<u32> {
         let mut heads: Vec<QueuePosition> = Vec::new();
         for (state, positions) in &self.by_state {
@@ -126,7 +129,7 @@
         heads.into_iter().map(|position| position.message).collect()
     }
 
-    /// All whose key cools down.
+    /// Returns all messages whose key cools down, oldest first.
     pub(crate) fn in_key_cooldown(&self) -> Vec<u32> {
         let positions = self.by_state.get(&QueueState::KeyCooldown).into_iter().flatten();
         positions.map(|position| position.message).collect()
--- a/src/state/wake_up.rs
+++ b/src/state/wake_up.rs
@@ -19,7 +19,8 @@
 }
 
 impl WakeUpTimer {
-    /// Starts a decision cycle; returns how much later it came than the pending wake-up was due, 0 if it did not.
+    /// Starts a decision cycle; returns how much later it came than the pending wake-up was due, 0 if it did
+    /// not.
     pub(crate) fn start_cycle(&mut self, now: Time) -> Time {
         self.wanted_at = NO_WAKE_UP;
         now.saturating_sub(self.pending_at)
@@ -30,8 +31,8 @@
         self.wanted_at = self.wanted_at.min(at);
     }
 
-    /// Ends a decision cycle; returns the wake-up to request, or `None` when the pending one is early enough or
-    /// none is wanted.
+    /// Ends a decision cycle; returns the wake-up to request, or `None` when the pending one is early enough
+    /// or none is wanted.
     pub(crate) fn end_cycle(&mut self, now: Time, tick: Time) -> Option<Time> {
         // A wake-up may come rounded down: one that is due within a tick counts as used.
         let used = self.pending_at <= now + tick;
