Library: interface docs say meaning, unit and what 0, None and true mean

Cause: docs of the public items were fragments that began in one field and ended in the next, and left units (span or clock time) and the meaning of 0 and of true open.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,7 +1,7 @@
-//! What goes into the decision library and what comes out: settings, events and actions.
+//! The interface of the decision library: settings and events go in, actions come out.
 //!
-//! Values only; nothing here decides. The names that `serde` writes are those of the first version of recorded
-//! decision cycles and do not change.
+//! Plain values; nothing here decides. The names that `serde` writes are those of the first version of
+//! recorded decision cycles and do not change.
 
 mod actions;
 mod events;
@@ -14,5 +14,5 @@
 };
 pub use settings::{Class, DestinationKind, Idempotency, RateAccuracy, Settings};
 
-/// A span or a clock reading, in nanoseconds.
+/// A span of time or a clock reading, in nanoseconds.
 pub type Time = u64;
--- a/src/interface/actions.rs
+++ b/src/interface/actions.rs
@@ -1,9 +1,9 @@
-//! What is to be done after a decision cycle.
+//! The actions that a decision cycle returns.
 
 use super::{AttemptOutcome, Time};
 use std::fmt;
 
-/// What is to be done, in this order.
+/// Something that the courier is to do. The actions of a cycle are carried out in their order.
 #[derive(Clone, Debug, PartialEq)]
 #[cfg_attr(feature = "serde", derive(serde::Serialize))]
 pub enum Action {
@@ -11,105 +11,106 @@
     Send {
         /// The message.
         message: u32,
-        /// Where it goes.
+        /// The endpoint that it is sent to.
         endpoint: u32,
-        /// The attempt is given up at this clock time; 0: when the client gives up.
+        /// Clock time at which the attempt is given up; 0 for no time but the deadline.
         until: Time,
     },
-    /// Cancel an attempt.
+    /// Cancel an attempt in flight.
     Cancel {
         /// The message.
         message: u32,
-        /// The attempt.
+        /// The number of the attempt, counted from 0 for each message.
         attempt: u16,
     },
-    /// Final answer: rejected, harmless to submit again.
+    /// Give the final answer "rejected": it is harmless to submit the message again.
     #[cfg_attr(feature = "serde", serde(rename = "Refuse"))]
     Reject {
         /// The message.
         message: u32,
-        /// When it may be submitted again; 0: not said.
+        /// How long the client is to wait before it submits the message again; 0 for no such advice.
         #[cfg_attr(feature = "serde", serde(rename = "come_back"))]
         retry_after: Time,
     },
-    /// Final answer: failed.
+    /// Give the final answer "failed": the message may or may not have been executed.
     Fail {
         /// The message.
         message: u32,
     },
-    /// Send an endpoint a health check; it counts as a call there and takes no capacity of the courier.
+    /// Send a health check to an endpoint, where it counts as a call; it takes no capacity of the courier.
     #[cfg_attr(feature = "serde", serde(rename = "Probe"))]
     HealthCheck {
         /// The endpoint.
         endpoint: u32,
     },
-    /// Send gossip to another courier or, without one, to all.
+    /// Send gossip to other couriers.
     #[cfg_attr(feature = "serde", serde(rename = "Note"))]
     Gossip {
-        /// Its number.
+        /// The number of the courier that gets it, or `None` for all.
         to: Option<u32>,
-        /// At most 256 bytes.
+        /// The content, at most 256 bytes.
         body: Vec<u8>,
     },
-    /// Close the connections to an endpoint that no call is using.
+    /// Close the connections to an endpoint that carry no call.
     #[cfg_attr(feature = "serde", serde(rename = "Close"))]
     CloseIdle {
         /// The endpoint.
         endpoint: u32,
     },
-    /// Watch the endpoint list from now on.
+    /// Poll the endpoint list, or watch it from now on.
     #[cfg_attr(feature = "serde", serde(rename = "Watch"))]
     WatchEndpoints,
-    /// A decision cycle is wanted at this clock time at the latest.
+    /// Run a decision cycle at this clock time at the latest; replaces the wake-up requested before.
     #[cfg_attr(feature = "serde", serde(rename = "Wake"))]
     WakeUp {
-        /// The time.
+        /// The clock time.
         at: Time,
     },
-    /// A limit changed its state: for the log and for metrics.
+    /// Report in the log and in metrics that a limit changed its state.
     #[cfg_attr(feature = "serde", serde(rename = "Log"))]
     LimitChanged(LimitChange),
 }
 
-/// State of a limit, as the decision library sees it.
+/// State of a limit (a destination or an independent route), as the decision library sees it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum LimitState {
     /// In service.
     #[default]
     Healthy,
-    /// Back from an outage, with part of its capacity.
+    /// Back from an outage, with a growing part of its capacity (slow start).
     Recovering,
-    /// Out of service: recovery trials only.
+    /// Out of service: only recovery trials are sent.
     Ejected,
-    /// Nothing answers; alone this may be one endpoint of several.
+    /// Calls are overdue and nothing was answered since. This may concern one endpoint of several only.
     Silent,
 }
 
-/// What made a limit change its state.
+/// The evidence on which a limit changed its state.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LimitEvidence {
-    /// The outcome that settled it.
+    /// The outcome of the call that changed the state.
     pub outcome: AttemptOutcome,
-    /// Recent failure rate, 0 to 1.
+    /// Moving average of failures, 0 to 1.
     pub failure_rate: f64,
-    /// Failures or rejections in a row.
+    /// Number of failures or rejections in a row.
     pub consecutive_failures: u32,
 }
 
-/// A limit changed its state.
+/// A change of the state of a limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LimitChange {
     /// The destination.
     pub destination: u32,
-    /// The endpoint by which it was seen.
+    /// The endpoint at which the change was observed.
     pub endpoint: u32,
-    /// The state that it has now.
+    /// The new state.
     pub state: LimitState,
-    /// Why; nothing where calls are overdue and unanswered.
+    /// The evidence; `None` for [`LimitState::Silent`], where there is no outcome.
     pub evidence: Option<LimitEvidence>,
 }
 
-/// The wording of the adapter's wire and of recorded decision cycles, which does not change with names in the code.
+/// Writes the text of the bench adapter's wire format and of recorded decision cycles, which does not change
+/// with names in the code.
 impl fmt::Display for LimitChange {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let state = match self.state {
--- a/src/interface/events.rs
+++ b/src/interface/events.rs
@@ -1,16 +1,16 @@
-//! What happened since the last decision cycle.
+//! The events that a decision cycle is given.
 
 use super::Time;
 
-/// State of an endpoint in the endpoint list; it says nothing about health.
+/// Status of an endpoint in the endpoint list; it does not depend on the endpoint's health.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 #[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum EndpointStatus {
     /// In service.
     Ready,
-    /// Finishes what it has and takes nothing new.
+    /// In graceful shutdown: finishes what it has and accepts nothing new.
     Draining,
-    /// Out of the list.
+    /// No longer in the list.
     #[default]
     #[cfg_attr(feature = "serde", serde(rename = "Gone"))]
     Removed,
@@ -20,17 +20,18 @@
 #[derive(Clone, Debug)]
 #[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Endpoint {
-    /// Its number.
+    /// Number of the endpoint, unique among the endpoints of all destinations.
     pub id: u32,
     /// The destination that it belongs to.
     pub destination: u32,
-    /// The destination's kind.
+    /// The destination's kind, an index into [`Settings::kinds`](super::Settings::kinds).
     pub kind: u8,
-    /// The zone that it stands in.
+    /// The zone that it is in.
     pub zone: u8,
-    /// Calls a second, as [`Settings::rate_accuracy`](super::Settings::rate_accuracy) says.
+    /// Limit in calls a second from all couriers, as accurate as
+    /// [`Settings::rate_accuracy`](super::Settings::rate_accuracy) says; 0 for none.
     pub rate: f64,
-    /// Its state.
+    /// Its status.
     #[cfg_attr(feature = "serde", serde(rename = "listing"))]
     pub status: EndpointStatus,
 }
@@ -39,29 +40,29 @@
 #[derive(Clone, Debug)]
 #[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct AcceptedMessage {
-    /// Its number, never used twice.
+    /// Number of the message, never used twice.
     pub id: u32,
-    /// Where it goes.
+    /// The destination that it is to be delivered to.
     pub destination: u32,
-    /// Its class.
+    /// Its class, an index into [`Settings::classes`](super::Settings::classes).
     pub class: u8,
-    /// How long it may still be served.
+    /// Time from now to its deadline.
     #[cfg_attr(feature = "serde", serde(rename = "time_left"))]
     pub time_remaining: Time,
-    /// Its ordering key, 0 for none.
+    /// Its ordering key, 0 for none. Ignored in a class that is not ordered.
     #[cfg_attr(feature = "serde", serde(rename = "key"))]
     pub ordering_key: u64,
     /// Its tenant.
     pub tenant: u32,
 }
 
-/// An attempt of an earlier process of this courier that may have been executed.
+/// An attempt that an earlier process of this courier made and that may have been executed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct UnresolvedAttempt {
-    /// Its number, counted from 0.
+    /// Number of the attempt, counted from 0 for each message.
     pub attempt: u16,
-    /// The zone of its endpoint.
+    /// The zone of the endpoint that it was sent to.
     pub zone: u8,
     /// How long ago it was sent.
     #[cfg_attr(feature = "serde", serde(rename = "ago"))]
@@ -74,33 +75,33 @@
 pub enum AttemptOutcome {
     /// Served.
     Served,
-    /// Answered with an error; it may have been executed.
+    /// The endpoint answered with an error; the message may have been executed.
     Error,
-    /// Rejected unexecuted.
+    /// The endpoint rejected the message without executing it.
     #[cfg_attr(feature = "serde", serde(rename = "Full"))]
     Rejected {
-        /// Nothing may be sent for so long; 0: not said.
+        /// Retry-After: how long nothing may be sent to the limit; 0 when the answer has none.
         #[cfg_attr(feature = "serde", serde(rename = "wait"))]
         retry_after: Time,
     },
-    /// No answer in time; it may have been executed.
+    /// No answer came in time; the message may have been executed.
     TimedOut,
-    /// No connection; it was not executed.
+    /// No connection could be made; the message was not executed.
     NoConnection,
-    /// The connection broke; it may have been executed.
+    /// The connection broke; the message may have been executed.
     Reset,
-    /// Cancelled by the courier; it may have been executed.
+    /// The courier cancelled the attempt; the message may have been executed.
     Cancelled,
-    /// Not sent.
+    /// The courier did not send the attempt; the message was not executed.
     NotSent {
-        /// Because the courier has no capacity for another call.
+        /// The courier had no capacity for another call.
         #[cfg_attr(feature = "serde", serde(rename = "no_slot"))]
         no_capacity: bool,
     },
 }
 
 impl AttemptOutcome {
-    /// The endpoint has not executed the message, and never will.
+    /// Whether it is certain that the endpoint has not executed the message and never will.
     pub fn not_executed(self) -> bool {
         matches!(
             self,
@@ -109,26 +110,26 @@
     }
 }
 
-/// The end of one attempt.
+/// The result of one attempt.
 #[derive(Clone, Debug)]
 #[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct AttemptResult {
     /// The message.
     pub message: u32,
-    /// The attempt, counted from 0.
+    /// Number of the attempt, counted from 0 for each message.
     pub attempt: u16,
-    /// Where it went.
+    /// The endpoint that it was sent to.
     pub endpoint: u32,
-    /// How it ended.
+    /// The outcome.
     #[cfg_attr(feature = "serde", serde(rename = "ending"))]
     pub outcome: AttemptOutcome,
-    /// How long it took.
+    /// Time from sending to the outcome.
     #[cfg_attr(feature = "serde", serde(rename = "took"))]
     pub elapsed: Time,
-    /// The message has its final answer.
+    /// The message has its final answer, from this or another attempt.
     #[cfg_attr(feature = "serde", serde(rename = "over"))]
     pub completed: bool,
-    /// Part of the limit that is left, if the answer reported it.
+    /// Part of the limit that is left, 0 to 1, if the answer reported it.
     #[cfg_attr(feature = "serde", serde(rename = "left"))]
     pub capacity_left: Option<f64>,
     /// The limit in calls a second, if the answer reported it; 0 for none.
@@ -136,19 +137,19 @@
     pub rate_limit: Option<f64>,
 }
 
-/// The end of a health check.
+/// The result of a health check.
 #[derive(Clone, Debug)]
 #[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct HealthCheckResult {
-    /// The endpoint.
+    /// The endpoint that was checked.
     pub endpoint: u32,
-    /// How it ended.
+    /// The outcome.
     #[cfg_attr(feature = "serde", serde(rename = "ending"))]
     pub outcome: AttemptOutcome,
-    /// How long it took.
+    /// Time from sending to the outcome.
     #[cfg_attr(feature = "serde", serde(rename = "took"))]
     pub elapsed: Time,
-    /// Part of the limit that is left, if the answer reported it.
+    /// Part of the limit that is left, 0 to 1, if the answer reported it.
     #[cfg_attr(feature = "serde", serde(rename = "left"))]
     pub capacity_left: Option<f64>,
     /// The limit in calls a second, if the answer reported it; 0 for none.
@@ -156,46 +157,46 @@
     pub rate_limit: Option<f64>,
 }
 
-/// What happened.
+/// Something that happened since the last decision cycle.
 #[derive(Clone, Debug)]
 #[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum Event {
     /// An update of the endpoint list.
     #[cfg_attr(feature = "serde", serde(rename = "List"))]
     EndpointList {
-        /// The entries are the complete list.
+        /// The entries are the complete list, and not only those that changed.
         #[cfg_attr(feature = "serde", serde(rename = "whole"))]
         complete: bool,
-        /// Entries, or changed ones.
+        /// The entries of the list, or those that changed.
         entries: Vec<Endpoint>,
     },
-    /// Polling the list failed, or the watch broke.
+    /// A poll of the endpoint list failed, or its watch ended.
     #[cfg_attr(feature = "serde", serde(rename = "ListFailed"))]
     EndpointListFailed,
     /// A message was submitted and accepted.
     #[cfg_attr(feature = "serde", serde(rename = "Taken"))]
     Accepted(AcceptedMessage),
-    /// A message that an earlier process of this courier accepted and did not finish. To be reported in the order
-    /// of acceptance, before any [`Event::Accepted`].
+    /// A message that an earlier process of this courier accepted and did not finish. Such messages are to be
+    /// reported in the order of acceptance, before any [`Event::Accepted`].
     #[cfg_attr(feature = "serde", serde(rename = "Resumed"))]
     Recovered {
         /// The message; its number is not used again for another.
         #[cfg_attr(feature = "serde", serde(rename = "taken"))]
         message: AcceptedMessage,
-        /// Attempts that it has had.
+        /// Number of attempts that were made for it.
         attempts: u16,
-        /// Those of them that may have been executed.
+        /// The attempts that may have been executed.
         #[cfg_attr(feature = "serde", serde(rename = "open"))]
         unresolved: Vec<UnresolvedAttempt>,
     },
-    /// The client has gone and cancelled its message.
+    /// The client cancelled its message, or disconnected.
     #[cfg_attr(feature = "serde", serde(rename = "Withdrawn"))]
     ClientCancelled {
-        /// Its message.
+        /// The message.
         message: u32,
     },
-    /// An attempt ended. Reported again for one that had ended before, it counts for its limit alone: a late answer
-    /// that rejects the call with a Retry-After.
+    /// An attempt ended. It may be reported once more for an attempt that had ended before, as when a late
+    /// answer brings a Retry-After; then only what it shows of the limit and the endpoint counts.
     #[cfg_attr(feature = "serde", serde(rename = "Ended"))]
     AttemptFinished(AttemptResult),
     /// A health check ended.
@@ -204,12 +205,12 @@
     /// Gossip from another courier.
     #[cfg_attr(feature = "serde", serde(rename = "Note"))]
     Gossip {
-        /// Its number.
+        /// The number of the courier that sent it.
         from: u32,
-        /// What it wrote.
+        /// The content.
         body: Vec<u8>,
     },
-    /// A wake-up, perhaps an old one.
+    /// A requested wake-up is due, perhaps one that was replaced since. Only the clock time counts.
     #[cfg_attr(feature = "serde", serde(rename = "Woken"))]
     WokenUp,
 }
--- a/src/interface/settings.rs
+++ b/src/interface/settings.rs
@@ -1,100 +1,104 @@
-//! What a dispatcher is told once, at its start.
+//! The settings that a dispatcher is created with; they do not change while it runs.
 
 use super::Time;
 
-/// Limits, classes and prices of one deployment. Figures that it does not give stay at `Default`.
+/// Limits, classes and prices of one deployment.
+///
+/// Values that a deployment does not specify stay at their `Default`.
 #[derive(Clone, Debug, Default)]
 #[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Settings {
-    /// Couriers that send to the same destinations, this one included.
+    /// Number of couriers that send to the same destinations, this one included.
     #[cfg_attr(feature = "serde", serde(rename = "couriers"))]
     pub courier_count: u32,
     /// The number of this courier among them.
     #[cfg_attr(feature = "serde", serde(rename = "me"))]
     pub courier_index: u32,
-    /// The zone that this courier stands in.
+    /// The zone that this courier is in.
     pub zone: u8,
-    /// Classes of message, by number.
+    /// Classes of message; [`AcceptedMessage::class`](super::AcceptedMessage::class) is an index into them.
     pub classes: Vec<Class>,
-    /// Kinds of destination, by number.
+    /// Kinds of destination; [`Endpoint::kind`](super::Endpoint::kind) is an index into them.
     pub kinds: Vec<DestinationKind>,
-    /// Each tenant's quota of messages a second, over all couriers.
+    /// Quota of each tenant, by its number, in messages a second over all couriers.
     #[cfg_attr(feature = "serde", serde(rename = "tenants"))]
     pub tenant_quotas: Vec<f64>,
-    /// Priority weight of a message beyond its tenant's quota, as a part of the usual.
+    /// Priority weight of a message above its tenant's quota, as a part of its usual weight, 0 to 1.
     #[cfg_attr(feature = "serde", serde(rename = "over_share_worth"))]
     pub over_quota_weight: f64,
-    /// The weight halves with each further latency objective; otherwise it falls evenly to the deadline.
+    /// How the weight of a message falls after its latency objective: halved with each further latency
+    /// objective (true), or linearly until the deadline (false).
     #[cfg_attr(feature = "serde", serde(rename = "worth_halves"))]
     pub weight_halves: bool,
-    /// Calls that may be in flight at once.
+    /// Most calls that this courier may have in flight at once.
     #[cfg_attr(feature = "serde", serde(rename = "slots"))]
     pub max_in_flight_calls: u32,
-    /// Messages that may be in flight at once, sent or not.
+    /// Most messages that this courier may have in flight at once, sent or not; the courier rejects any more.
     #[cfg_attr(feature = "serde", serde(rename = "max_held"))]
     pub max_in_flight_messages: u32,
-    /// Attempts that a message may have.
+    /// Most attempts that may be made for a message.
     pub max_attempts: u32,
-    /// A running attempt may be cancelled.
+    /// Attempts in flight may be cancelled.
     #[cfg_attr(feature = "serde", serde(rename = "may_cancel"))]
     pub cancellation_allowed: bool,
-    /// A message may have two attempts in flight at once.
+    /// A message may have two attempts in flight at once (hedged requests).
     #[cfg_attr(feature = "serde", serde(rename = "may_copy"))]
     pub hedging_allowed: bool,
-    /// Endpoints may be sent health checks.
+    /// Health checks may be sent to endpoints.
     #[cfg_attr(feature = "serde", serde(rename = "may_probe"))]
     pub health_checks_allowed: bool,
     /// Couriers may send each other gossip.
     #[cfg_attr(feature = "serde", serde(rename = "may_note"))]
     pub gossip_allowed: bool,
-    /// The longest Retry-After that clients heed; 0 where they heed none.
+    /// The longest Retry-After that clients respect; 0 where they respect none.
     #[cfg_attr(feature = "serde", serde(rename = "max_come_back"))]
     pub max_retry_after: Time,
-    /// Calls that one connection carries at once.
+    /// Most calls that one connection carries at once.
     pub calls_per_connection: u32,
-    /// An idle connection closes after this.
+    /// How long a connection may be idle before it is closed.
     #[cfg_attr(feature = "serde", serde(rename = "connection_idle"))]
     pub idle_timeout: Time,
-    /// A connection that takes longer than this has failed.
+    /// How long a connection may take to be made before it counts as failed.
     pub connect_timeout: Time,
-    /// How late a final answer may be.
+    /// How long after the deadline a final answer still counts as in time.
     #[cfg_attr(feature = "serde", serde(rename = "answer_slack"))]
     pub answer_grace: Time,
-    /// A destination back from an outage has this part of its capacity,
+    /// Part of its capacity that a destination has right after an outage, 0 to 1.
     #[cfg_attr(feature = "serde", serde(rename = "cold_share"))]
     pub slow_start_ratio: f64,
-    /// and all of it after this.
+    /// How long after an outage a destination has all of its capacity again.
     #[cfg_attr(feature = "serde", serde(rename = "warm_after"))]
     pub slow_start_duration: Time,
-    /// Sent more than this multiple of its present capacity, it fails again,
+    /// Multiple of its present capacity above which calls make a destination fail again after an outage, if
+    /// that lasts for [`overload_window`](Self::overload_window).
     #[cfg_attr(feature = "serde", serde(rename = "fall_multiple"))]
     pub overload_ratio: f64,
-    /// when that goes on for so long.
+    /// How long an overload must last to make a destination fail again.
     #[cfg_attr(feature = "serde", serde(rename = "fall_span"))]
     pub overload_window: Time,
-    /// How long a key takes no further message after an attempt that may still run.
+    /// How long no further message of an ordering key is sent after an attempt that may still run.
     #[cfg_attr(feature = "serde", serde(rename = "key_rest"))]
     pub key_cooldown: Time,
-    /// The endpoint list must be polled.
+    /// The endpoint list must be polled, or a watch requested; otherwise it is delivered unasked.
     #[cfg_attr(feature = "serde", serde(rename = "list_asked"))]
     pub endpoint_list_polled: bool,
-    /// Without a watch, the list must be polled within this.
+    /// Longest interval between polls of the endpoint list while there is no watch.
     #[cfg_attr(feature = "serde", serde(rename = "ask_within"))]
     pub max_poll_interval: Time,
-    /// How far the listed rates can be relied on.
+    /// How accurate the rates in the endpoint list are.
     #[cfg_attr(feature = "serde", serde(rename = "rates"))]
     pub rate_accuracy: RateAccuracy,
-    /// Shortest distance of two decision cycles.
+    /// Shortest interval between two decision cycles.
     pub tick: Time,
     /// Price of a new connection.
     pub connection_price: f64,
     /// Price of a call to another zone.
     #[cfg_attr(feature = "serde", serde(rename = "crossing_price"))]
     pub cross_zone_price: f64,
-    /// Price of work that served nothing.
+    /// Price of work at endpoints that served nothing.
     #[cfg_attr(feature = "serde", serde(rename = "waste_price"))]
     pub wasted_work_price: f64,
-    /// Price of weight left unserved after its latency objective.
+    /// Price of a unit of weight that is lost after the latency objective.
     pub late_price: f64,
     /// Price of a health check for each message.
     #[cfg_attr(feature = "serde", serde(rename = "probe_price"))]
@@ -105,7 +109,7 @@
     /// Price of a call rejected above a limit.
     #[cfg_attr(feature = "serde", serde(rename = "refused_price"))]
     pub rejected_call_price: f64,
-    /// For each zone: price of a message that an independent route accepts there.
+    /// Price of a message that an independent route accepts, by the zone of the route.
     pub route_fees: Vec<f64>,
 }
 
@@ -121,26 +125,30 @@
 #[derive(Clone, Debug)]
 #[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Class {
-    /// Served within this, a message has its full weight.
+    /// A message that is served within this time has its full weight.
     #[cfg_attr(feature = "serde", serde(rename = "aim"))]
     pub latency_objective: Time,
-    /// How long it may be served.
+    /// Time from acceptance within which a message must get its final answer.
     pub deadline: Time,
-    /// Full weight of a message.
+    /// Weight of a message that is served within the latency objective.
     #[cfg_attr(feature = "serde", serde(rename = "worth"))]
     pub priority_weight: f64,
-    /// The part of the weight that is left at the deadline.
+    /// Part of the weight that is left at the deadline, 0 to 1.
     #[cfg_attr(feature = "serde", serde(rename = "late_worth"))]
     pub late_weight: f64,
-    /// Whether it may be sent again.
+    /// Whether a message may be executed more than once.
     #[cfg_attr(feature = "serde", serde(rename = "repeat"))]
     pub idempotency: Idempotency,
-    /// Messages with one ordering key go in turn.
+    /// Messages with the same ordering key are sent in turn, one at a time.
     pub ordered: bool,
 }
 
 impl Class {
-    /// The weight of a message of this age: all within the latency objective, less with the time after it.
+    /// Returns the weight of a message that is served at this age: its full weight within the latency
+    /// objective, and less after it.
+    ///
+    /// With `halves` it halves with each further latency objective, but not below the part left at the
+    /// deadline. Without, it falls linearly to that part at the deadline, and further after it.
     pub fn weight_at(&self, age: Time, halves: bool) -> f64 {
         let late = (age as f64 - self.latency_objective as f64).max(0.0);
         let ratio = if halves {
@@ -153,24 +161,24 @@
     }
 }
 
-/// What a second execution of a message does.
+/// The effect of a second execution of a message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum Idempotency {
-    /// No harm.
+    /// A second execution is harmless.
     #[cfg_attr(feature = "serde", serde(rename = "Safe"))]
     Idempotent,
-    /// It is dropped by its idempotency key for `dedup_window` after the first; by all endpoints, or only by those
-    /// in its zone.
+    /// A second execution is suppressed by the message's idempotency key within `dedup_window` after the
+    /// first.
     Keyed {
-        /// How long the key is remembered.
+        /// How long endpoints remember the key.
         #[cfg_attr(feature = "serde", serde(rename = "window"))]
         dedup_window: Time,
-        /// Only endpoints in the zone of the first know the key.
+        /// Only endpoints in the zone of the first execution know the key; otherwise all do.
         #[cfg_attr(feature = "serde", serde(rename = "by_zone"))]
         per_zone: bool,
     },
-    /// It takes effect twice.
+    /// A second execution takes effect again.
     #[cfg_attr(feature = "serde", serde(rename = "Unsafe"))]
     NotIdempotent,
 }
@@ -179,25 +187,26 @@
 #[derive(Clone, Copy, Debug)]
 #[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct DestinationKind {
-    /// Its endpoints are independent routes, each with its own limit, rate and outages.
+    /// Its endpoints are independent routes, each with a limit and outages of its own; otherwise they share
+    /// the limit of the destination.
     #[cfg_attr(feature = "serde", serde(rename = "routes_apart"))]
     pub independent_routes: bool,
-    /// Messages that one call takes at most.
+    /// Most messages that one call carries.
     #[cfg_attr(feature = "serde", serde(rename = "per_call"))]
     pub max_messages_per_call: u32,
 }
 
-/// What the rate in the endpoint list means.
+/// How accurate the rates in the endpoint list are.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 #[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum RateAccuracy {
-    /// Nothing.
+    /// The list has no rates, or they mean nothing.
     #[default]
     #[cfg_attr(feature = "serde", serde(rename = "Untold"))]
     Unspecified,
-    /// Calls a second from all couriers, to within a half.
+    /// The limit in calls a second from all couriers, accurate to within a half.
     #[cfg_attr(feature = "serde", serde(rename = "Rough"))]
     Approximate,
-    /// Calls a second from all couriers.
+    /// The limit in calls a second from all couriers.
     Exact,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,31 +1,31 @@
 //! The decision library of linnetcart, a delivery service for messages to outside destinations.
 //!
-//! One [`Dispatcher`] decides for one courier process: which message is sent next and to which endpoint, what is
-//! retried, hedged, cancelled, rejected or given up, and when. The courier calls [`Dispatcher::decide`] with the
-//! events since the last call and a clock time, and carries out the actions that it returns. The library does no
-//! input or output of its own, reads no clock and starts no threads. The same settings, seed and events always
-//! give the same actions.
+//! One [`Dispatcher`] decides for one courier process: which message is sent next and to which endpoint, and
+//! what is retried, hedged, cancelled, rejected or given up. The courier calls [`Dispatcher::decide`] with
+//! the events since the last call and a clock time, and carries out the actions that it returns. The library
+//! does no input or output of its own, reads no clock and starts no threads. The same settings, seed and
+//! events always give the same actions.
 //!
 //! # The six rules
 //!
 //! The code refers to these rules by their numbers.
 //!
-//! 1. A message gets exactly one final answer (served, rejected or failed) before its deadline; nothing is sent
-//!    for it after.
+//! 1. A message gets exactly one final answer (served, rejected or failed) before its deadline; nothing is
+//!    sent for it after.
 //! 2. No message takes effect twice. A rejected message may be submitted again without harm; failed promises
 //!    nothing.
 //! 3. Nothing new is sent to an endpoint that is draining or removed.
 //! 4. A destination that is back from an outage is not overloaded during its slow start.
-//! 5. Messages of an ordered class with one ordering key are sent in turn, with a cooldown after an attempt that
-//!    may still run.
+//! 5. Messages of an ordered class with one ordering key are sent in turn, with a cooldown after an attempt
+//!    that may still run.
 //! 6. A Retry-After is respected.
 //!
 //! # Example
 //!
 //! ```
 //! use linnetcart::{
-//!     AcceptedMessage, Action, Class, DestinationKind, Dispatcher, Endpoint, EndpointStatus, Event, Idempotency,
-//!     Settings,
+//!     AcceptedMessage, Action, Class, DestinationKind, Dispatcher, Endpoint, EndpointStatus, Event,
+//!     Idempotency, Settings,
 //! };
 //!
 //! let settings = Settings {
@@ -45,10 +45,9 @@
 //!     ..Settings::default()
 //! };
 //! let mut dispatcher = Dispatcher::new(settings, 7);
-//! let list = Event::EndpointList {
-//!     complete: true,
-//!     entries: vec![Endpoint { id: 70, destination: 3, kind: 0, zone: 0, rate: 0.0, status: EndpointStatus::Ready }],
-//! };
+//! let endpoint =
+//!     Endpoint { id: 70, destination: 3, kind: 0, zone: 0, rate: 0.0, status: EndpointStatus::Ready };
+//! let list = Event::EndpointList { complete: true, entries: vec![endpoint] };
 //! let message = Event::Accepted(AcceptedMessage {
 //!     id: 1,
 //!     destination: 3,
@@ -58,7 +57,7 @@
 //!     tenant: 0,
 //! });
 //! let actions = dispatcher.decide(1_000, vec![list, message]);
-//! assert!(actions.iter().any(|a| matches!(a, Action::Send { message: 1, endpoint: 70, .. })));
+//! assert!(actions.iter().any(|action| matches!(action, Action::Send { message: 1, endpoint: 70, .. })));
 //! ```
 #![forbid(unsafe_code)]
 #![warn(clippy::unwrap_used, missing_docs)]
