Bench adapter: errors and docs in the field's words, tests with whole names

Cause: error variants and texts spoke of room, leftovers and news; decoders had no docs; tests used one-letter names and the bench's words for records. Bytes on the wire are as before: the tests' expected bytes are unchanged.

--- a/bench-adapter/src/action.rs
+++ b/bench-adapter/src/action.rs
@@ -1,12 +1,12 @@
-//! Encoding of the dispatcher's actions as records. It keeps nothing and decides nothing.
+//! Encoding of the dispatcher's actions as records. It has no state and decides nothing.
 
 use crate::codes::action;
 use linnetcart::{Action, Time};
 
-/// Bytes of the instance's number, the first field of every action.
+/// Size of the instance's number, the first field of every action.
 const INSTANCE_BYTES: u32 = 4;
 
-/// An action's record without what all records begin with.
+/// The code of an action's record, and its fields after the instance's number.
 struct EncodedAction {
     code: u8,
     fields: Vec<u8>,
@@ -18,7 +18,7 @@
     }
 }
 
-/// Appends an action of this instance to a reply.
+/// Appends the record of an instance's action to `out`; `clock` is the time of the batch in nanoseconds.
 pub(crate) fn encode_action(out: &mut Vec<u8>, instance: u32, clock: Time, action: &Action) {
     let encoded = encode_fields(clock, action);
     let length = encoded.fields.len() as u32 + INSTANCE_BYTES;
@@ -52,14 +52,14 @@
         Action::CloseIdle { endpoint } => EncodedAction::new(action::CLOSE_IDLE, &[&endpoint.to_le_bytes()]),
         Action::WatchEndpoints => EncodedAction::new(action::WATCH_ENDPOINTS, &[&[action::WATCH_ON]]),
         Action::WakeUp { at } => {
-            let from_now = at.saturating_sub(clock);
-            EncodedAction::new(action::SET_TIMER, &[&from_now.to_le_bytes(), &at.to_le_bytes()])
+            let delay = at.saturating_sub(clock);
+            EncodedAction::new(action::SET_TIMER, &[&delay.to_le_bytes(), &at.to_le_bytes()])
         }
         Action::LimitChanged(change) => encode_remark(&change.to_string()),
     }
 }
 
-/// A line for the report, cut off where its length no longer fits into its field.
+/// Encodes a line for the report, truncated to the greatest length that its length field can hold.
 fn encode_remark(text: &str) -> EncodedAction {
     let mut end = text.len().min(usize::from(u16::MAX));
     while !text.is_char_boundary(end) {
--- a/bench-adapter/src/codes.rs
+++ b/bench-adapter/src/codes.rs
@@ -1,13 +1,13 @@
-//! Numbers of the wire. The name in code font is the wire page's own; events and actions have codes of their
-//! own, so a number may stand for one of each.
+//! Codes of the wire format. The name in code font is that in the bench's description of the format. Events
+//! and actions are numbered independently, so one number may stand for one of each.
 
 /// Codes of the records in a batch.
 pub(crate) mod event {
     /// `attach`: an instance starts.
     pub(crate) const INSTANCE_STARTED: u8 = 10;
-    /// `registry`: news of an instance's endpoint list.
+    /// `registry`: an update of an instance's endpoint list.
     pub(crate) const ENDPOINT_LIST: u8 = 20;
-    /// `knock`: a message was handed in.
+    /// `knock`: a message was submitted.
     pub(crate) const MESSAGE_ACCEPTED: u8 = 30;
     /// `flowing`: the answer to an attempt of a streamed class has begun.
     pub(crate) const STREAM_STARTED: u8 = 40;
@@ -15,21 +15,21 @@
     pub(crate) const ATTEMPT_FINISHED: u8 = 50;
     /// `lapsed`: the client cancelled a message.
     pub(crate) const CLIENT_CANCELLED: u8 = 60;
-    /// `due`: a timer ran out.
+    /// `due`: a timer expired.
     pub(crate) const TIMER_EXPIRED: u8 = 70;
     /// `checked`: a health check finished.
     pub(crate) const HEALTH_CHECKED: u8 = 80;
-    /// `message`: gossip of another instance.
+    /// `message`: gossip from another instance.
     pub(crate) const GOSSIP: u8 = 90;
-    /// `halt`: an instance is killed.
+    /// `halt`: an instance is halted without notice.
     pub(crate) const INSTANCE_HALTED: u8 = 100;
-    /// `register`: a numbered list of endpoints, for later events of any instance.
+    /// `register`: a numbered list of endpoints that later events of any instance refer to.
     pub(crate) const NUMBERED_LIST: u8 = 110;
 }
 
 /// Codes of the records in a reply.
 pub(crate) mod action {
-    /// `remark`: a line for the report.
+    /// `remark`: a line of text for the report.
     pub(crate) const REMARK: u8 = 10;
     /// `track`: watch the endpoint list.
     pub(crate) const WATCH_ENDPOINTS: u8 = 20;
@@ -50,21 +50,21 @@
     /// `publish`: send gossip.
     pub(crate) const GOSSIP: u8 = 120;
 
-    /// Value of `track`'s field that begins the watch.
+    /// Value of the field of `track` that starts the watch.
     pub(crate) const WATCH_ON: u8 = 1;
-    /// Value of `publish`'s field that addresses all other instances.
+    /// Value of the addressee of `publish` that stands for all other instances.
     pub(crate) const ALL_INSTANCES: u32 = u32::MAX;
 }
 
-/// How the endpoints of an [`event::ENDPOINT_LIST`] are meant.
+/// Kinds of an [`event::ENDPOINT_LIST`].
 pub(crate) mod list_event {
     /// `delta`: the changed entries only.
     pub(crate) const CHANGES: u8 = 0;
     /// `full`: the complete list.
     pub(crate) const COMPLETE: u8 = 1;
-    /// `cached`: the complete list as the instance had it last.
+    /// `cached`: the complete list that the instance had last.
     pub(crate) const CACHED: u8 = 2;
-    /// `failed`: no list; the one before stays in force.
+    /// `failed`: no list; the earlier one stays valid.
     pub(crate) const FAILED: u8 = 3;
 }
 
@@ -79,17 +79,17 @@
 pub(crate) mod outcome {
     pub(crate) const SERVED: u8 = 0;
     pub(crate) const ERROR: u8 = 1;
-    /// The note is the wait in milliseconds; 0 for none.
+    /// The note is the Retry-After in milliseconds; 0 for none.
     pub(crate) const REJECTED: u8 = 2;
     pub(crate) const TIMED_OUT: u8 = 3;
     pub(crate) const NO_CONNECTION: u8 = 4;
     pub(crate) const RESET: u8 = 5;
     pub(crate) const CANCELLED: u8 = 6;
-    /// The note says why; see [`NOTE_NO_CAPACITY`].
+    /// The note is the reason; see [`NOTE_NO_CAPACITY`].
     pub(crate) const NOT_SENT: u8 = 7;
 
     /// Note of an attempt that was not sent because the instance had no capacity left.
     pub(crate) const NOTE_NO_CAPACITY: u32 = 1;
-    /// Note of an outcome of which nothing more is said.
+    /// Note of an outcome without further information.
     pub(crate) const NO_NOTE: u32 = 0;
 }
--- a/bench-adapter/src/event.rs
+++ b/bench-adapter/src/event.rs
@@ -1,4 +1,7 @@
-//! Decoding of records into the dispatcher's events. It keeps nothing and decides nothing.
+//! Decoding of records into the dispatcher's events. It has no state and decides nothing.
+//!
+//! The functions take the fields after the instance's number, if the record has one, and ignore any fields
+//! that follow those they know.
 
 use crate::codes::{list_event, outcome, phase};
 use crate::error::RecordError;
@@ -14,7 +17,8 @@
 /// Tenant of a message that names none.
 const DEFAULT_TENANT: u32 = 0;
 
-/// Where an instance's load reports hold the values that the dispatcher uses.
+/// The indexes, in an instance's load reports, of the values that the dispatcher uses; `None` for a value
+/// that is not reported.
 #[derive(Clone, Copy, Default)]
 pub(crate) struct LoadReportLayout {
     capacity_left: Option<usize>,
@@ -22,6 +26,7 @@
 }
 
 impl LoadReportLayout {
+    /// Returns the layout that an instance's settings describe.
     pub(crate) fn of(settings: &DeploymentSettings) -> LoadReportLayout {
         LoadReportLayout {
             capacity_left: settings.load_report_index(CAPACITY_LEFT_FIELD),
@@ -30,13 +35,13 @@
     }
 }
 
-/// A load report, as far as the settings name its values.
+/// The values of a load report that the dispatcher uses.
 struct LoadReport {
     capacity_left: Option<f64>,
     rate_limit: Option<f64>,
 }
 
-/// What an instance is started with.
+/// The start of an instance.
 pub(crate) struct InstanceStart {
     pub(crate) seed: u64,
     pub(crate) settings: DeploymentSettings,
@@ -48,6 +53,7 @@
     pub(crate) entries: Vec<Endpoint>,
 }
 
+/// Decodes an `INSTANCE_STARTED` record: the seed, and the settings as JSON.
 pub(crate) fn decode_instance_start(fields: &mut FieldReader) -> Result<InstanceStart, RecordError> {
     let seed = fields.u64()?;
     let length = fields.u32()?;
@@ -56,6 +62,7 @@
     Ok(InstanceStart { seed, settings })
 }
 
+/// Decodes a `NUMBERED_LIST` record.
 pub(crate) fn decode_numbered_list(fields: &mut FieldReader) -> Result<NumberedList, RecordError> {
     let number = fields.u16()?;
     let count = fields.u32()?;
@@ -82,6 +89,7 @@
     Ok(Endpoint { id, destination, kind, zone, rate, status })
 }
 
+/// Decodes an `ENDPOINT_LIST` record; `lists` are the numbered lists that it may refer to.
 pub(crate) fn decode_endpoint_list(
     fields: &mut FieldReader,
     lists: &BTreeMap<u16, Vec<Endpoint>>,
@@ -97,6 +105,7 @@
     Ok(Event::EndpointList { complete, entries: entries.clone() })
 }
 
+/// Decodes a `MESSAGE_ACCEPTED` record.
 pub(crate) fn decode_message(fields: &mut FieldReader) -> Result<Event, RecordError> {
     let id = fields.u32()?;
     let time_remaining = fields.u64()?;
@@ -109,6 +118,7 @@
     Ok(Event::Accepted(AcceptedMessage { id, destination, class, time_remaining, ordering_key, tenant }))
 }
 
+/// Decodes an `ATTEMPT_FINISHED` record.
 pub(crate) fn decode_attempt_finished(
     fields: &mut FieldReader,
     layout: LoadReportLayout,
@@ -134,10 +144,12 @@
     }))
 }
 
+/// Decodes a `CLIENT_CANCELLED` record.
 pub(crate) fn decode_client_cancelled(fields: &mut FieldReader) -> Result<Event, RecordError> {
     Ok(Event::ClientCancelled { message: fields.u32()? })
 }
 
+/// Decodes a `HEALTH_CHECKED` record.
 pub(crate) fn decode_health_checked(
     fields: &mut FieldReader,
     layout: LoadReportLayout,
@@ -156,6 +168,7 @@
     }))
 }
 
+/// Decodes a `GOSSIP` record.
 pub(crate) fn decode_gossip(fields: &mut FieldReader) -> Result<Event, RecordError> {
     let from = u32::from(fields.u16()?);
     let length = fields.u16()?;
@@ -163,6 +176,7 @@
     Ok(Event::Gossip { from, body })
 }
 
+/// Decodes an outcome; the meaning of `note` depends on it.
 fn decode_outcome(status: u8, note: u32) -> Result<AttemptOutcome, RecordError> {
     match status {
         outcome::SERVED => Ok(AttemptOutcome::Served),
@@ -179,14 +193,14 @@
     }
 }
 
-/// The load report that ends a record; none if the record ends before it.
+/// Decodes the load report at the end of a record; it has no values when the record ends before it.
 fn decode_load_report(fields: &mut FieldReader, layout: LoadReportLayout) -> Result<LoadReport, RecordError> {
     let count = if fields.is_empty() { 0 } else { fields.u8()? };
     let mut values = Vec::new();
     for _ in 0..count {
         values.push(f64::from(fields.f32()?));
     }
-    let value_at = |place: Option<usize>| values.get(place?).copied();
+    let value_at = |index: Option<usize>| values.get(index?).copied();
     Ok(LoadReport { capacity_left: value_at(layout.capacity_left), rate_limit: value_at(layout.rate_limit) })
 }
 
--- a/bench-adapter/src/event/tests.rs
+++ b/bench-adapter/src/event/tests.rs
@@ -1,11 +1,13 @@
+//! Records as the description of the wire format has them, decoded.
+
 use super::*;
 use crate::tests::hex;
 
-/// Values of a report are `x0`, then `x1`.
+/// Load reports begin with the capacity left and the rate limit.
 const LAYOUT: LoadReportLayout = LoadReportLayout { capacity_left: Some(0), rate_limit: Some(1) };
 
 #[test]
-fn message_of_the_wire_page_is_decoded() {
+fn message_record_with_and_without_tenant_is_decoded() {
     let bytes = hex("c4913a5d 001c4e0e00000000 00 01 001bb70000000000 640ad2557c3bf091 00006442 07000000");
     let Event::Accepted(message) = decode_message(&mut FieldReader::new(&bytes)).unwrap() else {
         panic!("not an accepted message")
@@ -21,7 +23,7 @@
 }
 
 #[test]
-fn finished_attempt_of_the_wire_page_is_decoded_with_its_load_report() {
+fn finished_attempt_with_load_report_is_decoded_by_layout() {
     let bytes = hex("c4913a5d 0000 074a1203 00 a0491a0100000000 01 00000000 02 cdcccc3e 0000a03f");
     let decode = |layout| match decode_attempt_finished(&mut FieldReader::new(&bytes), layout).unwrap() {
         Event::AttemptFinished(result) => result,
@@ -50,7 +52,7 @@
 }
 
 #[test]
-fn outcome_of_each_code_is_decoded_and_an_unknown_one_is_an_error() {
+fn outcome_code_is_decoded_and_unknown_one_is_an_error() {
     let decoded: Vec<AttemptOutcome> = (0..8).map(|status| decode_outcome(status, 1).unwrap()).collect();
     let expected = [
         AttemptOutcome::Served,
@@ -68,12 +70,12 @@
 }
 
 #[test]
-fn gossip_cut_short_is_an_error() {
+fn gossip_record_truncated_is_an_error() {
     let bytes = hex("0200 0400 68692037");
     let Event::Gossip { from, body } = decode_gossip(&mut FieldReader::new(&bytes)).unwrap() else {
         panic!("not gossip")
     };
     assert_eq!((from, &body[..]), (2, &b"hi 7"[..]));
-    let cut = decode_gossip(&mut FieldReader::new(&bytes[..bytes.len() - 1]));
-    assert!(matches!(cut, Err(RecordError::TooShort { wanted: 4, left: 3 })));
+    let truncated = decode_gossip(&mut FieldReader::new(&bytes[..bytes.len() - 1]));
+    assert!(matches!(truncated, Err(RecordError::TooShort { expected: 4, remaining: 3 })));
 }
--- a/bench-adapter/src/fields.rs
+++ b/bench-adapter/src/fields.rs
@@ -1,29 +1,34 @@
-//! Little-endian fields of a record, read one after the other.
+//! Reading of little-endian fields, one after the other.
+//!
+//! Each method consumes the bytes that it returns; it fails and consumes nothing when too few remain.
 
 use crate::error::RecordError;
 
+/// Reads the fields of a record or of a header.
 pub(crate) struct FieldReader<'a> {
-    rest: &'a [u8],
+    unread: &'a [u8],
 }
 
 impl<'a> FieldReader<'a> {
     pub(crate) fn new(bytes: &'a [u8]) -> Self {
-        FieldReader { rest: bytes }
+        FieldReader { unread: bytes }
     }
 
-    /// Bytes that are not read yet.
+    /// Returns the number of bytes that have not been read.
     pub(crate) fn remaining(&self) -> usize {
-        self.rest.len()
+        self.unread.len()
     }
 
+    /// Whether all bytes have been read.
     pub(crate) fn is_empty(&self) -> bool {
-        self.rest.is_empty()
+        self.unread.is_empty()
     }
 
+    /// Reads the next `count` bytes.
     pub(crate) fn bytes(&mut self, count: usize) -> Result<&'a [u8], RecordError> {
-        let too_short = RecordError::TooShort { wanted: count, left: self.rest.len() };
-        let (bytes, rest) = self.rest.split_at_checked(count).ok_or(too_short)?;
-        self.rest = rest;
+        let too_short = RecordError::TooShort { expected: count, remaining: self.remaining() };
+        let (bytes, unread) = self.unread.split_at_checked(count).ok_or(too_short)?;
+        self.unread = unread;
         Ok(bytes)
     }
 
--- a/bench-adapter/src/host.rs
+++ b/bench-adapter/src/host.rs
@@ -1,6 +1,7 @@
-//! The running instances of this process, and what a batch does to them.
+//! The running instances of this process, and how a batch is applied to them.
 //!
-//! Instances share the numbered lists of endpoints, as the wire has it, and nothing else.
+//! It owns the instances, each with its own dispatcher, and the numbered lists of endpoints that they share.
+//! It never looks into the decisions.
 
 use crate::action::encode_action;
 use crate::codes::event;
@@ -14,12 +15,13 @@
 use linnetcart::{Dispatcher, Endpoint, Event};
 use std::collections::BTreeMap;
 
+/// A running instance.
 struct Instance {
     dispatcher: Dispatcher,
     load_report: LoadReportLayout,
 }
 
-/// The events of one batch, by instance, and the order in which the instances came up.
+/// The events of one batch by instance, and the order in which the instances first occur in it.
 #[derive(Default)]
 struct PendingEvents {
     order: Vec<u32>,
@@ -34,7 +36,7 @@
         self.events.entry(instance).or_default().push(event);
     }
 
-    /// Drops the events of an instance that ends or starts anew; its place in the order stays.
+    /// Drops the events of an instance that is halted or started again; its position in the order stays.
     fn discard(&mut self, instance: u32) {
         self.events.remove(&instance);
     }
@@ -48,13 +50,14 @@
 }
 
 impl Host {
-    /// Hands a batch to the instances and returns the reply's frame.
+    /// Applies a batch, lets the instances decide, and returns the frame of the reply.
     pub(crate) fn process(&mut self, batch: &Batch) -> Result<Vec<u8>, BatchError> {
         let pending = self.read_records(batch)?;
         let actions = self.decide(batch, pending);
         Ok(encode_reply(batch.number, &actions))
     }
 
+    /// Decodes all records of a batch; instances and lists change as they are read, events are collected.
     fn read_records(&mut self, batch: &Batch) -> Result<PendingEvents, BatchError> {
         let mut pending = PendingEvents::default();
         let mut records = FieldReader::new(&batch.records);
@@ -68,12 +71,12 @@
             })?;
         }
         if !records.is_empty() {
-            return Err(BatchError::BytesLeftOver { batch: batch.number, bytes: records.remaining() });
+            return Err(BatchError::TrailingBytes { batch: batch.number, bytes: records.remaining() });
         }
         Ok(pending)
     }
 
-    /// Applies one record; unknown codes are skipped.
+    /// Decodes one record and applies it or collects its event; records with an unknown code are skipped.
     fn read_record(&mut self, record: &Record, pending: &mut PendingEvents) -> Result<(), RecordError> {
         let mut fields = FieldReader::new(record.fields);
         match record.code {
@@ -124,16 +127,17 @@
             InstanceEvent::ClientCancelled => decode_client_cancelled(fields),
             InstanceEvent::HealthChecked => decode_health_checked(fields, self.load_report(instance)),
             InstanceEvent::Gossip => decode_gossip(fields),
-            // The dispatcher looks at its clock only: what streams or which timer it was makes no difference.
+            // Both only start a decision cycle: the dispatcher needs no more than the clock time.
             InstanceEvent::StreamStarted | InstanceEvent::TimerExpired => Ok(Event::WokenUp),
         }
     }
 
+    /// The layout of an instance's load reports; that without values for an instance that is not running.
     fn load_report(&self, instance: u32) -> LoadReportLayout {
         self.instances.get(&instance).map(|running| running.load_report).unwrap_or_default()
     }
 
-    /// Lets each instance with events decide once; returns the records of all actions.
+    /// Runs one decision cycle of each instance with events; returns the encoded actions of all of them.
     fn decide(&mut self, batch: &Batch, mut pending: PendingEvents) -> Vec<u8> {
         let mut actions = Vec::new();
         for number in pending.order {
@@ -147,7 +151,7 @@
     }
 }
 
-/// Records that become an event of one running instance.
+/// The kinds of record that become an event of one instance.
 #[derive(Clone, Copy)]
 enum InstanceEvent {
     EndpointList,
@@ -161,6 +165,7 @@
 }
 
 impl InstanceEvent {
+    /// Returns the kind of record of a code, or `None` for any other code.
     fn from_code(code: u8) -> Option<InstanceEvent> {
         match code {
             event::ENDPOINT_LIST => Some(InstanceEvent::EndpointList),
--- a/bench-adapter/src/main.rs
+++ b/bench-adapter/src/main.rs
@@ -1,7 +1,7 @@
-//! Runs linnetcart behind the framed pipe of standard input and output.
+//! Runs the decision library of linnetcart behind framed batches on standard input and output.
 //!
-//! The adapter translates batches of records into the dispatcher's events, and its actions into replies. It
-//! decides nothing and keeps no time of its own.
+//! The adapter decodes batches of records into the dispatcher's events, and encodes its actions as replies.
+//! It never decides anything and reads no clock: the time comes with each batch.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
@@ -18,7 +18,7 @@
 use std::io::{self, BufReader, BufWriter, Read, Write};
 use std::process::ExitCode;
 
-/// Bytes that are read from or written to the pipe at once.
+/// Size of the buffers of standard input and output.
 const PIPE_BUFFER_BYTES: usize = 1 << 20;
 
 fn main() -> ExitCode {
@@ -33,7 +33,7 @@
     }
 }
 
-/// Answers each batch until input ends.
+/// Answers batches, one after the other, until the input ends.
 fn serve(input: &mut impl Read, output: &mut impl Write) -> Result<(), BatchError> {
     let mut host = Host::default();
     while let Some(batch) = frame::read_batch(input)? {
