Library: hedging of a group is a named check, last quaint comments replaced

Cause: hedge held a seven-line closure; a few comments still used the old wording. Change: may_hedge split off from hedge; comments only elsewhere.

--- a/src/policy/health.rs
+++ b/src/policy/health.rs
@@ -108,7 +108,7 @@
         self.failures.rate -= EWMA_WEIGHT * self.failures.rate;
         self.served.count(now, settings.overload_window);
         // The limit was slow, not down: nothing failed, and a call sent before the silence is answered or the
-        // silence was short. A slow start from before the silence goes on.
+        // silence was short. A slow start from before the silence continues.
         let was_slow = |since: Time| sent_at < since || now < since + settings.overload_window;
         self.circuit = match self.circuit {
             Open { since, confirmed: false } if was_slow(since) => self.circuit_before_open,
--- a/src/policy/hedging.rs
+++ b/src/policy/hedging.rs
@@ -50,17 +50,19 @@
         }
     }
 
+    /// Whether the class of a group allows hedges, and the retry budget of its destination.
+    fn may_hedge(&self, group: AttemptGroup) -> bool {
+        let destination = self.state.destination_of(group);
+        let tokens = destination.map_or(0.0, |destination| destination.retry_tokens);
+        let idempotency = self.settings.classes[group.class].idempotency;
+        let allowed = self.settings.hedging_allowed && idempotency != Idempotency::NotIdempotent;
+        allowed && tokens > MIN_RETRY_TOKENS
+    }
+
     /// Sends hedges to other endpoints for attempts whose hedge delay is over; none in the last slot while
     /// messages wait for one, none to an ejected limit, under a Retry-After or above a rate.
     pub(super) fn hedge(&mut self) {
-        let may_hedge = |group: AttemptGroup| {
-            let destination = self.state.destination_of(group);
-            let tokens = destination.map_or(0.0, |destination| destination.retry_tokens);
-            let idempotency = self.settings.classes[group.class].idempotency;
-            let allowed = self.settings.hedging_allowed && idempotency != Idempotency::NotIdempotent;
-            allowed && tokens > MIN_RETRY_TOKENS
-        };
-        let due = self.state.hedge_index.all_due(self.now, may_hedge);
+        let due = self.state.hedge_index.all_due(self.now, |group| self.may_hedge(group));
         self.wake_up.want_by(due.next_due_at.unwrap_or(NEVER));
         // Computed once, and again after each hedge that took a slot.
         let mut short_of_slots = None;
--- a/src/policy/outcomes.rs
+++ b/src/policy/outcomes.rs
@@ -53,7 +53,7 @@
         if let AttemptOutcome::Rejected { retry_after: retry_after @ 1.. } = result.outcome {
             limiter.retry_after_until = limiter.retry_after_until.max(now + retry_after);
         }
-        // One class may fail here where others are served: it goes elsewhere until one of it is served here.
+        // A class may fail where others are served: it avoids the endpoint until one of it is served.
         let class = self.state.messages.get(&result.message).map_or(0, |message| message.class);
         let deadline = self.settings.classes.get(class).map_or(0, |class| class.deadline);
         endpoint.record_class_outcome(class, result.outcome, now + deadline);
--- a/src/state/attempt.rs
+++ b/src/state/attempt.rs
@@ -1,6 +1,6 @@
 //! Attempts in flight and the calls that carry them.
 //!
-//! Owns the table of both and keeps it consistent; the deadline indexes over attempts are kept elsewhere.
+//! Owns the table of both and keeps it consistent; the deadline indexes over attempts are not part of it.
 
 use crate::interface::{AttemptOutcome, Time};
 use std::collections::BTreeMap;
@@ -96,7 +96,7 @@
     }
 }
 
-/// Whether the outcome of one attempt is that of its whole call: a call with several messages is served,
+/// Whether the outcome of one attempt is that of its call as well: a call with several messages is served,
 /// rejected or lost as one, unless the courier itself did not send or cancelled the attempt.
 fn shows_call_outcome(outcome: AttemptOutcome) -> bool {
     !matches!(outcome, AttemptOutcome::NotSent { .. } | AttemptOutcome::Cancelled)
--- a/src/state/destination.rs
+++ b/src/state/destination.rs
@@ -4,7 +4,7 @@
 use crate::interface::{DestinationKind, Time};
 use std::collections::BTreeSet;
 
-/// What a limiter stands for.
+/// What a limiter limits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum LimitScope {
     /// A limit of its own: that of a destination, or of an independent route.
--- a/src/state/key_queue.rs
+++ b/src/state/key_queue.rs
@@ -25,8 +25,8 @@
     key: u64,
 }
 
-/// The queues of all ordering keys, and the keys without messages by the end of their cooldown. Key 0, which
-/// stands for no ordering, has no queue.
+/// The queues of all ordering keys, and the keys without messages by the end of their cooldown. Key 0 means
+/// no ordering and has no queue.
 #[derive(Debug, Default)]
 pub(crate) struct KeyQueues {
     by_key: BTreeMap<u64, KeyQueue>,
--- a/src/state/limiter.rs
+++ b/src/state/limiter.rs
@@ -7,7 +7,7 @@
     AttemptOutcome, AttemptResult, LimitChange, LimitEvidence, LimitState, Settings, Time,
 };
 
-/// The conditions under which a limiter is used: the clock time, the settings, and what it stands for.
+/// The conditions under which a limiter is used: the clock time, the settings and its scope.
 #[derive(Clone, Copy)]
 pub(crate) struct LimitContext<'a> {
     pub(crate) now: Time,
--- a/tests/dispatcher/health.rs
+++ b/tests/dispatcher/health.rs
@@ -133,7 +133,7 @@
     let mut events = vec![accepted(2, SHARED_LIMIT, NOT_IDEMPOTENT)];
     while late.is_empty() {
         now += 20 * MILLISECOND;
-        assert!(now < 80 * SECOND, "a call goes out in the slow start");
+        assert!(now < 80 * SECOND, "a call is sent in the slow start");
         late = decide_and_record(&mut dispatcher, now, std::mem::take(&mut events), &mut changes);
     }
     for _ in 0..20 {
