Library tests: the slow start test in named steps

Change: Recorded holds dispatcher, clock and changes of state; its methods eject the destination and send in the slow start. The assertions and their bounds are the same. Two doc comments in policy.

--- a/src/policy/endpoint_list.rs
+++ b/src/policy/endpoint_list.rs
@@ -77,6 +77,7 @@
         self.list_poll = ListPoll { next_at: self.now + delay, backoff };
     }
 
+    /// Polls the endpoint list, or requests its watch, when that is due.
     pub(super) fn poll_endpoint_list(&mut self) {
         if self.list_poll.next_at <= self.now {
             self.actions.push(Action::WatchEndpoints);
--- a/src/policy/hedging.rs
+++ b/src/policy/hedging.rs
@@ -27,6 +27,7 @@
         destination.map_or(NEVER, |destination| destination.latencies.high_percentile.unwrap_or(objective))
     }
 
+    /// Updates when a message may be hedged, after it or an attempt of it changed.
     pub(super) fn update_hedge_index(&mut self, id: u32) {
         let Some(message) = self.state.messages.get(&id) else { return };
         let delay = self.hedge_delay(message.group());
--- a/tests/dispatcher/health.rs
+++ b/tests/dispatcher/health.rs
@@ -94,54 +94,67 @@
     }
 }
 
-/// Runs a decision cycle, records the changes of state, and returns what it sends.
-fn decide_and_record(
-    dispatcher: &mut Dispatcher,
+const STEP: Time = 20 * MILLISECOND;
+
+/// A dispatcher with its clock and the changes of state that it has reported.
+struct Recorded {
+    dispatcher: Dispatcher,
     now: Time,
-    events: Vec<Event>,
-    changes: &mut Vec<LimitChange>,
-) -> Vec<Sent> {
-    let actions = dispatcher.decide(now, events);
-    changes.extend(limit_changes(&actions));
-    sends(&actions)
+    changes: Vec<LimitChange>,
 }
 
-#[test]
-fn short_silence_during_slow_start_does_not_end_it() {
-    // Scenario h504b7c: the answer of an overdue call was taken for proof that it had only been slow.
-    let (mut dispatcher, mut now) = warmed_up();
-    let mut changes = Vec::new();
-    // Three failed connections, then a trial that is served: it recovers.
-    let mut attempt = 0;
-    let mut events = vec![accepted(1, SHARED_LIMIT, NOT_IDEMPOTENT)];
-    let mut served = false;
-    while !served {
-        now += 20 * MILLISECOND;
-        assert!(now < 60 * SECOND, "a trial comes");
-        let due = std::mem::take(&mut events);
-        for sent in decide_and_record(&mut dispatcher, now, due, &mut changes) {
-            served = attempt >= 4;
-            let outcome = if served { AttemptOutcome::Served } else { AttemptOutcome::NoConnection };
-            events.push(finished(sent.message, attempt, sent.endpoint, outcome));
-            attempt += 1;
+impl Recorded {
+    /// Runs a decision cycle `elapsed` after the last one and returns what it sends.
+    fn decide_after(&mut self, elapsed: Time, events: Vec<Event>) -> Vec<Sent> {
+        self.now += elapsed;
+        let actions = self.dispatcher.decide(self.now, events);
+        self.changes.extend(limit_changes(&actions));
+        sends(&actions)
+    }
+
+    /// Ejects the destination by failed connections of message 1, then serves its fifth attempt.
+    fn eject_and_serve_trial(&mut self) {
+        let mut attempt = 0;
+        let mut events = vec![accepted(1, SHARED_LIMIT, NOT_IDEMPOTENT)];
+        let mut served = false;
+        while !served {
+            assert!(self.now + STEP < 60 * SECOND, "a trial comes");
+            for sent in self.decide_after(STEP, std::mem::take(&mut events)) {
+                served = attempt >= 4;
+                let outcome = if served { AttemptOutcome::Served } else { AttemptOutcome::NoConnection };
+                events.push(finished(sent.message, attempt, sent.endpoint, outcome));
+                attempt += 1;
+            }
         }
+        self.decide_after(100 * MILLISECOND, events);
     }
-    now += 100 * MILLISECOND;
-    decide_and_record(&mut dispatcher, now, events, &mut changes);
-    // A call that is overdue, and answered after all.
-    let mut late = Vec::new();
-    let mut events = vec![accepted(2, SHARED_LIMIT, NOT_IDEMPOTENT)];
-    while late.is_empty() {
-        now += 20 * MILLISECOND;
-        assert!(now < 80 * SECOND, "a call is sent in the slow start");
-        late = decide_and_record(&mut dispatcher, now, std::mem::take(&mut events), &mut changes);
+
+    /// Runs decision cycles until message 2 is sent.
+    fn send_in_slow_start(&mut self) -> Sent {
+        let mut events = vec![accepted(2, SHARED_LIMIT, NOT_IDEMPOTENT)];
+        loop {
+            assert!(self.now + STEP < 80 * SECOND, "a call is sent in the slow start");
+            let sent = self.decide_after(STEP, std::mem::take(&mut events));
+            if let Some(&first) = sent.first() {
+                return first;
+            }
+        }
     }
+}
+
+#[test]
+fn short_silence_during_slow_start_does_not_end_it() {
+    // Scenario h504b7c: the answer of an overdue call was taken for proof that it had only been slow.
+    let (dispatcher, now) = warmed_up();
+    let mut recorded = Recorded { dispatcher, now, changes: Vec::new() };
+    recorded.eject_and_serve_trial();
+    let overdue = recorded.send_in_slow_start();
     for _ in 0..20 {
-        now += 20 * MILLISECOND;
-        decide_and_record(&mut dispatcher, now, vec![Event::WokenUp], &mut changes);
+        recorded.decide_after(STEP, vec![Event::WokenUp]);
     }
-    let answer = finished(2, 0, late[0].endpoint, AttemptOutcome::Served);
-    decide_and_record(&mut dispatcher, now, vec![answer], &mut changes);
+    let answer = finished(2, 0, overdue.endpoint, AttemptOutcome::Served);
+    recorded.decide_after(0, vec![answer]);
+    let changes = recorded.changes;
     assert!(changes.iter().any(|change| change.state == LimitState::Silent), "{changes:?}");
     assert!(changes.last().is_some_and(|change| change.state == LimitState::Recovering), "{changes:?}");
 }
