Library: the shed search is a structure, no pairs in signatures of state and fixtures

Cause: least_weight took an iterator of pairs, AttemptTable::running and the fixture warmed_up returned pairs; the search for candidates did the visits of the lists inline. Change: ShedSearch is filled queue by queue (DispatchState::least_weight); an InFlightAttempt knows its id; the fixture returns WarmedUp. Order and results are as before.

--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -2,9 +2,7 @@
 
 use super::{health::RISKY_FAILURE_RATE, Dispatcher, NEVER};
 use crate::interface::{EndpointStatus, Time};
-use crate::state::{
-    least_weight, CircuitState, Destination, EndpointState, LimitContext, LimitScope, Message,
-};
+use crate::state::{CircuitState, Destination, EndpointState, LimitContext, LimitScope, Message};
 use std::collections::BTreeSet;
 
 /// Tokens of a full retry budget: a few seconds of calls, as a courier makes a few a second to a destination.
@@ -123,12 +121,11 @@
 
     /// Rejects up to `count` messages that wait for these destinations, those of least weight first.
     fn shed(&mut self, destinations: &BTreeSet<u32>, count: f64) {
-        let queues = destinations.iter().map(|&id| (id, &self.state.destinations[id].queue));
         let weight = |class: usize, accepted_at: Time| {
             let age = self.now.saturating_sub(accepted_at);
             self.settings.classes[class].weight_at(age, self.settings.weight_halves)
         };
-        for id in least_weight(queues, count as usize, weight) {
+        for id in self.state.least_weight(destinations, count as usize, weight) {
             self.give_up(id, self.settings.max_retry_after);
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -28,7 +28,7 @@
 pub(crate) use limiter::{CircuitState, EjectionCause, LimitContext, Limiter};
 pub(crate) use message::{Message, PossibleExecution, QueuePosition, RecoveredAttempts};
 pub(crate) use random::Random;
-pub(crate) use shed_order::least_weight;
+pub(crate) use shed_order::ShedSearch;
 pub(crate) use table::Table;
 pub(crate) use wait_queue::{DestinationQueue, MessageTime, QueueEntry, QueueState, WaitQueue};
 pub(crate) use wake_up::WakeUpTimer;
--- a/src/state/attempt.rs
+++ b/src/state/attempt.rs
@@ -16,6 +16,7 @@
 /// An attempt that was sent and whose result has not arrived.
 #[derive(Clone, Debug)]
 pub(crate) struct InFlightAttempt {
+    pub(crate) id: AttemptId,
     pub(crate) endpoint: u32,
     pub(crate) sent_at: Time,
     pub(crate) call: u64,
@@ -59,17 +60,17 @@
     }
 
     /// Returns the attempts of a message that are in flight and not cancelled, in the order of their numbers.
-    pub(super) fn running(&self, message: u32) -> impl Iterator<Item = (AttemptId, &InFlightAttempt)> {
+    pub(super) fn running(&self, message: u32) -> impl Iterator<Item = &InFlightAttempt> {
         let first = AttemptId { message, attempt: 0 };
         let last = AttemptId { message, attempt: u16::MAX };
-        let attempts = self.in_flight.range(first..=last).map(|(&id, attempt)| (id, attempt));
-        attempts.filter(|(_, attempt)| !attempt.cancelled)
+        let attempts = self.in_flight.range(first..=last).map(|(_, attempt)| attempt);
+        attempts.filter(|attempt| !attempt.cancelled)
     }
 
     /// Adds an attempt, and its call unless another attempt has added it already.
-    pub(super) fn insert(&mut self, id: AttemptId, attempt: InFlightAttempt) {
+    pub(super) fn insert(&mut self, attempt: InFlightAttempt) {
         self.calls.entry(attempt.call).or_default().attempts_in_flight += 1;
-        self.in_flight.insert(id, attempt);
+        self.in_flight.insert(attempt.id, attempt);
     }
 
     /// Marks an attempt as cancelled; returns when it was sent, or `None` when it is not in flight.
--- a/src/state/dispatch_state/attempts.rs
+++ b/src/state/dispatch_state/attempts.rs
@@ -57,8 +57,8 @@
         let group = self.overdue_group(&self.messages[&id]);
         self.overdue_index.insert(group, overdue_span, sent);
         self.leave_wait_queue(id);
-        let in_flight = InFlightAttempt { endpoint, sent_at: now, call, cancelled: false };
-        self.attempts.insert(AttemptId { message: id, attempt }, in_flight);
+        let id = AttemptId { message: id, attempt };
+        self.attempts.insert(InFlightAttempt { id, endpoint, sent_at: now, call, cancelled: false });
     }
 
     /// Marks an attempt as cancelled; returns false when it is not in flight.
--- a/src/state/dispatch_state/deadlines.rs
+++ b/src/state/dispatch_state/deadlines.rs
@@ -34,10 +34,10 @@
     /// Updates the index of lone attempts after an attempt of the message, or the message itself, changed.
     pub(crate) fn update_lone_attempt(&mut self, id: u32, hedge_delay: Time) {
         let first = self.attempts.running(id).next();
-        let first = first.map(|(key, attempt)| SentAttempt {
-            sent_at: attempt.sent_at,
+        let first = first.map(|running| SentAttempt {
+            sent_at: running.sent_at,
             message: id,
-            attempt: key.attempt,
+            attempt: running.id.attempt,
         });
         let Some(message) = self.messages.get_mut(&id) else { return };
         let lone = first.filter(|_| message.attempts_in_flight == 1 && !message.completed);
--- a/src/state/dispatch_state/messages.rs
+++ b/src/state/dispatch_state/messages.rs
@@ -2,7 +2,7 @@
 
 use super::DispatchState;
 use crate::interface::{AcceptedMessage, Class, Idempotency, Time};
-use crate::state::{Message, MessageTime, QueueEntry, QueueState, RecoveredAttempts};
+use crate::state::{Message, MessageTime, QueueEntry, QueueState, RecoveredAttempts, ShedSearch};
 use std::collections::BTreeSet;
 
 impl DispatchState {
@@ -89,6 +89,25 @@
         due.chain(unretryable).map(|entry| entry.message).collect()
     }
 
+    /// Returns up to `count` messages of least weight among those that wait for these destinations and may be
+    /// shed, least first; those of equal weight by destination and age. `weight_of` takes a class and the
+    /// time of acceptance, and must not grow with age.
+    pub(crate) fn least_weight(
+        &self,
+        destinations: &BTreeSet<u32>,
+        count: usize,
+        weight_of: impl Fn(usize, Time) -> f64,
+    ) -> Vec<u32> {
+        if count == 0 {
+            return Vec::new();
+        }
+        let mut search = ShedSearch::new(count, weight_of);
+        for &destination in destinations {
+            search.add_queue(destination, &self.destinations[destination].queue);
+        }
+        search.least_weight()
+    }
+
     /// Marks a message as completed; returns its attempts that are in flight and not cancelled.
     pub(crate) fn complete(&mut self, id: u32) -> Vec<u16> {
         if let Some(message) = self.messages.get_mut(&id) {
@@ -96,7 +115,7 @@
             self.deadlines.remove(&MessageTime { at: message.deadline, message: id });
         }
         self.leave_wait_queue(id);
-        self.attempts.running(id).map(|(id, _)| id.attempt).collect()
+        self.attempts.running(id).map(|running| running.id.attempt).collect()
     }
 
     /// Drops a message if it is completed and has nothing in flight; returns the next message of its ordering
--- a/src/state/shed_order.rs
+++ b/src/state/shed_order.rs
@@ -85,43 +85,37 @@
     messages: &'a Sheddable,
 }
 
-/// Returns up to `count` messages of least weight among those in `queues` that may be shed, least first;
-/// those of equal weight by destination and age. `weight_of` takes a class and the time of acceptance, and
-/// must not grow with age. The cost depends on the number of destinations and on `count`, not on how many
-/// messages wait.
-pub(crate) fn least_weight<'a>(
-    queues: impl Iterator<Item = (u32, &'a DestinationQueue)>,
+/// The search for the `count` messages of least weight among the sheddable ones of some destinations. Its
+/// cost depends on the number of destinations and on `count`, not on how many messages wait.
+pub(crate) struct ShedSearch<'a, WeightOf> {
+    lists: Vec<ClassList<'a>>,
     count: usize,
-    weight_of: impl Fn(usize, Time) -> f64,
-) -> Vec<u32> {
-    if count == 0 {
-        return Vec::new();
+    weight_of: WeightOf,
+}
+
+impl<'a, WeightOf: Fn(usize, Time) -> f64> ShedSearch<'a, WeightOf> {
+    /// Starts a search in no destinations. `weight_of` takes a class and the time of acceptance, and must not
+    /// grow with age.
+    pub(super) fn new(count: usize, weight_of: WeightOf) -> Self {
+        ShedSearch { lists: Vec::new(), count, weight_of }
     }
-    let mut lists: Vec<ClassList> = Vec::new();
-    for (destination, queue) in queues {
+
+    /// Adds the sheddable messages that wait for a destination.
+    pub(super) fn add_queue(&mut self, destination: u32, queue: &'a DestinationQueue) {
         let of_queue = queue.sheddable.iter();
-        lists.extend(of_queue.map(|(&class, messages)| ClassList { destination, class, messages }));
+        self.lists.extend(of_queue.map(|(&class, messages)| ClassList { destination, class, messages }));
     }
-    let mut chosen = Search { lists, count, weight_of }.candidates();
-    chosen.sort_unstable();
-    chosen.into_iter().take(count).map(|candidate| candidate.message).collect()
-}
 
-/// The search for `count` messages of least weight.
-struct Search<'a, WeightOf> {
-    lists: Vec<ClassList<'a>>,
-    count: usize,
-    weight_of: WeightOf,
-}
+    /// Returns the messages of least weight, least first; those of equal weight by destination and age.
+    pub(super) fn least_weight(&self) -> Vec<u32> {
+        let mut chosen = self.candidates();
+        chosen.sort_unstable();
+        chosen.into_iter().take(self.count).map(|candidate| candidate.message).collect()
+    }
 
-impl<WeightOf: Fn(usize, Time) -> f64> Search<'_, WeightOf> {
     /// Returns at least `count` messages, if there are as many, among them those of least weight.
     fn candidates(&self) -> Vec<Candidate> {
-        // In each list the oldest message has the least weight, so the least of all is at the head of a list.
-        let mut heads = BinaryHeap::new();
-        for (list, class_list) in self.lists.iter().enumerate() {
-            heads.extend(class_list.messages.by_age.first().map(|message| self.head(list, message)));
-        }
+        let mut heads = self.list_heads();
         let mut chosen: Vec<Candidate> = Vec::new();
         let mut run_of_equals: BTreeMap<usize, usize> = BTreeMap::new();
         while let Some(Reverse(head)) = heads.pop() {
@@ -140,9 +134,7 @@
             // A long run of equal weights is not visited to its end: replace_long_runs finds its first by
             // order.
             if *run <= self.count {
-                let after = (Bound::Excluded(head.message), Bound::Unbounded);
-                let next = self.lists[head.list].messages.by_age.range(after).next();
-                heads.extend(next.map(|message| self.head(head.list, message)));
+                heads.extend(self.next_head(&head));
             }
         }
         run_of_equals.retain(|_, run| *run > self.count);
@@ -150,6 +142,23 @@
         chosen
     }
 
+    /// Returns the oldest message of each list. It has the least weight of its list, so the least of all is
+    /// at the head of a list.
+    fn list_heads(&self) -> BinaryHeap<Reverse<ListHead>> {
+        let mut heads = BinaryHeap::new();
+        for (list, class_list) in self.lists.iter().enumerate() {
+            heads.extend(class_list.messages.by_age.first().map(|message| self.head(list, message)));
+        }
+        heads
+    }
+
+    /// Returns the message of the same list that is next by age, if any.
+    fn next_head(&self, head: &ListHead) -> Option<Reverse<ListHead>> {
+        let after = (Bound::Excluded(head.message), Bound::Unbounded);
+        let next = self.lists[head.list].messages.by_age.range(after).next();
+        next.map(|message| self.head(head.list, message))
+    }
+
     /// Replaces chosen messages of the greatest weight, in lists with more than `count` of them, by the first
     /// `count` by order.
     fn replace_long_runs(&self, chosen: &mut Vec<Candidate>, long_lists: BTreeSet<usize>) {
--- a/tests/dispatcher/admission.rs
+++ b/tests/dispatcher/admission.rs
@@ -5,7 +5,7 @@
 
 #[test]
 fn retry_budget_after_failures_allows_one_send_at_most() {
-    let (mut dispatcher, mut now) = warmed_up();
+    let WarmedUp { mut dispatcher, mut now } = warmed_up();
     for id in 1..=3 {
         let first = sends_after(&mut dispatcher, now, vec![accepted(id, SHARED_LIMIT, NOT_IDEMPOTENT)]);
         now += 20 * MILLISECOND;
@@ -70,12 +70,12 @@
             max_in_flight_messages: 1000,
             ..settings()
         };
-        let (mut dispatcher, now) = warmed_up_with(few_slots.clone());
+        let WarmedUp { mut dispatcher, now } = warmed_up_with(few_slots.clone());
         // Two slots serve 60 within an objective of 3 s at 0.1 s each.
         let messages = (0..55).map(|id| accepted(id, SHARED_LIMIT, IDEMPOTENT)).collect();
         let actions = dispatcher.decide(now, messages);
         assert!(rejections(&actions).is_empty(), "these can be served in time");
-        let (mut dispatcher, now) = warmed_up_with(few_slots);
+        let WarmedUp { mut dispatcher, now } = warmed_up_with(few_slots);
         let messages = (0..100).map(|id| accepted(id, 1 + id % 2, IDEMPOTENT)).collect();
         dispatcher.decide(now, messages);
         let actions = dispatcher.decide(now + 10 * MILLISECOND, vec![Event::WokenUp]);
--- a/tests/dispatcher/dispatch.rs
+++ b/tests/dispatcher/dispatch.rs
@@ -67,7 +67,7 @@
 #[test]
 fn class_with_lost_message_avoids_the_endpoint_and_others_use_it() {
     for couriers in [2, 400] {
-        let (mut dispatcher, now) =
+        let WarmedUp { mut dispatcher, now } =
             warmed_up_with(Settings { courier_count: couriers, max_in_flight_calls: 20, ..settings() });
         let lost = sends_after(&mut dispatcher, now, vec![accepted(1, SHARED_LIMIT, NOT_IDEMPOTENT)]);
         let faulty = lost[0].endpoint;
@@ -119,7 +119,7 @@
 #[test]
 fn recovery_trial_among_expiring_messages_uses_one_with_time_left() {
     // Ejected, and the oldest waiting messages expire one by one: each trial was cancelled without a result.
-    let (mut dispatcher, mut now) = warmed_up();
+    let WarmedUp { mut dispatcher, mut now } = warmed_up();
     let messages = (0..4).map(|id| accepted(id, SHARED_LIMIT, NOT_IDEMPOTENT)).collect();
     let sent = sends_after(&mut dispatcher, now, messages);
     let error = |sent: &Sent| finished(sent.message, 0, sent.endpoint, AttemptOutcome::Error);
--- a/tests/dispatcher/health.rs
+++ b/tests/dispatcher/health.rs
@@ -5,7 +5,7 @@
 
 #[test]
 fn silent_destination_with_many_messages_gets_trials_only() {
-    let (mut dispatcher, now) = warmed_up();
+    let WarmedUp { mut dispatcher, now } = warmed_up();
     dispatcher.decide(now, vec![accepted(1, SHARED_LIMIT, NOT_IDEMPOTENT)]);
     let silent_at = now + SECOND;
     dispatcher.decide(silent_at, vec![Event::WokenUp]);
@@ -21,7 +21,7 @@
 #[test]
 fn hung_endpoint_while_others_answer_leaves_destination_in_service() {
     // Incident ieff6fd: endpoints in one zone hung while the others of the same destinations answered.
-    let (mut dispatcher, start) = warmed_up();
+    let WarmedUp { mut dispatcher, now: start } = warmed_up();
     let first = sends_after(&mut dispatcher, start, vec![accepted(1, SHARED_LIMIT, IDEMPOTENT)]);
     let hung = first[0].endpoint;
     let mut served = 0;
@@ -46,7 +46,7 @@
 #[test]
 fn rejections_between_successes_do_not_eject() {
     // Incident id478a3: rejections at a limit shared with others were taken for a shut destination.
-    let (mut dispatcher, mut now) = warmed_up();
+    let WarmedUp { mut dispatcher, mut now } = warmed_up();
     let mut changes = Vec::new();
     let mut attempts = AttemptCounter::default();
     for id in 1..40 {
@@ -145,7 +145,7 @@
 #[test]
 fn short_silence_during_slow_start_does_not_end_it() {
     // Scenario h504b7c: the answer of an overdue call was taken for proof that it had only been slow.
-    let (dispatcher, now) = warmed_up();
+    let WarmedUp { dispatcher, now } = warmed_up();
     let mut recorded = Recorded { dispatcher, now, changes: Vec::new() };
     recorded.eject_and_serve_trial();
     let overdue = recorded.send_in_slow_start();
@@ -163,7 +163,7 @@
 fn overdue_call_when_slots_are_short_is_cancelled() {
     // One class of messages hung at an endpoint that answered the others: hung calls filled all slots.
     for couriers in [2, 400] {
-        let (mut dispatcher, now) =
+        let WarmedUp { mut dispatcher, now } =
             warmed_up_with(Settings { courier_count: couriers, max_in_flight_calls: 2, ..settings() });
         let messages = vec![
             accepted(1, SHARED_LIMIT, NOT_IDEMPOTENT),
--- a/tests/dispatcher/hedging.rs
+++ b/tests/dispatcher/hedging.rs
@@ -5,7 +5,7 @@
 
 #[test]
 fn hedge_after_delay_goes_elsewhere_and_loser_is_cancelled() {
-    let (mut dispatcher, now) = warmed_up();
+    let WarmedUp { mut dispatcher, now } = warmed_up();
     let first = sends_after(&mut dispatcher, now, vec![accepted(1, SHARED_LIMIT, IDEMPOTENT)]);
     assert_eq!(first.len(), 1);
     let early = sends_on_wake_up(&mut dispatcher, now + 90 * MILLISECOND);
@@ -29,7 +29,7 @@
 #[test]
 fn hedge_delay_after_courier_pause_ignores_late_answers() {
     for couriers in [2, 400] {
-        let (mut dispatcher, now) =
+        let WarmedUp { mut dispatcher, now } =
             warmed_up_with(Settings { courier_count: couriers, max_in_flight_calls: 20, ..settings() });
         let messages = (1..9).map(|id| accepted(id, SHARED_LIMIT, NOT_IDEMPOTENT)).collect();
         let sent = sends_after(&mut dispatcher, now, messages);
@@ -49,7 +49,7 @@
 
 #[test]
 fn not_idempotent_message_after_error_fails_without_hedge() {
-    let (mut dispatcher, now) = warmed_up();
+    let WarmedUp { mut dispatcher, now } = warmed_up();
     let first = sends_after(&mut dispatcher, now, vec![accepted(1, SHARED_LIMIT, NOT_IDEMPOTENT)]);
     assert!(sends_on_wake_up(&mut dispatcher, now + SECOND).is_empty());
     let error = finished(1, 0, first[0].endpoint, AttemptOutcome::Error);
@@ -59,7 +59,7 @@
 
 #[test]
 fn zone_keyed_message_with_other_endpoint_elsewhere_is_not_hedged() {
-    let (mut dispatcher, now) = warmed_up();
+    let WarmedUp { mut dispatcher, now } = warmed_up();
     dispatcher.decide(now, vec![accepted(1, SHARED_LIMIT, ZONE_KEYED)]);
     for step in 1..50 {
         assert!(sends_on_wake_up(&mut dispatcher, now + step * 20 * MILLISECOND).is_empty());
--- a/tests/dispatcher/messages.rs
+++ b/tests/dispatcher/messages.rs
@@ -5,7 +5,7 @@
 
 #[test]
 fn not_idempotent_message_that_was_not_executed_is_retried_once() {
-    let (mut dispatcher, now) = warmed_up();
+    let WarmedUp { mut dispatcher, now } = warmed_up();
     let first = sends_after(&mut dispatcher, now, vec![accepted(1, SHARED_LIMIT, NOT_IDEMPOTENT)]);
     let failed = finished(1, 0, first[0].endpoint, AttemptOutcome::NoConnection);
     let mut retries = sends_after(&mut dispatcher, now + 10 * MILLISECOND, vec![failed]);
@@ -17,7 +17,7 @@
 
 #[test]
 fn keyed_message_after_dedup_window_is_rejected_at_once() {
-    let (mut dispatcher, now) = warmed_up();
+    let WarmedUp { mut dispatcher, now } = warmed_up();
     let first = sends_after(&mut dispatcher, now, vec![accepted(1, SHARED_LIMIT, KEYED)]);
     let timed_out = finished(1, 0, first[0].endpoint, AttemptOutcome::TimedOut);
     let actions = dispatcher.decide(now + 7 * SECOND + 500 * MILLISECOND, vec![timed_out]);
@@ -37,7 +37,7 @@
 
 #[test]
 fn ordering_key_after_attempt_that_may_still_run_cools_down() {
-    let (mut dispatcher, now) = warmed_up();
+    let WarmedUp { mut dispatcher, now } = warmed_up();
     let messages = [1, 2].map(|id| accepted_with_key(id, SHARED_LIMIT, ORDERED, 7)).to_vec();
     let first = sends_after(&mut dispatcher, now, messages);
     assert_eq!(first.len(), 1, "one at a time for a key");
--- a/tests/dispatcher/rate.rs
+++ b/tests/dispatcher/rate.rs
@@ -81,7 +81,7 @@
 
 #[test]
 fn recovering_destination_is_sent_within_budget() {
-    let (dispatcher, mut now) = warmed_up();
+    let WarmedUp { dispatcher, mut now } = warmed_up();
     let mut traffic = SteadyTraffic {
         dispatcher,
         last_message: 0,
--- a/tests/dispatcher/support.rs
+++ b/tests/dispatcher/support.rs
@@ -189,15 +189,20 @@
     now
 }
 
-/// A dispatcher that has served 20 messages at the destination with a shared limit, and the clock after them.
-pub fn warmed_up() -> (Dispatcher, Time) {
+/// A dispatcher that has served 20 messages at [`SHARED_LIMIT`], and the clock after them.
+pub struct WarmedUp {
+    pub dispatcher: Dispatcher,
+    pub now: Time,
+}
+
+pub fn warmed_up() -> WarmedUp {
     warmed_up_with(settings())
 }
 
-pub fn warmed_up_with(settings: Settings) -> (Dispatcher, Time) {
+pub fn warmed_up_with(settings: Settings) -> WarmedUp {
     let mut dispatcher = dispatcher_with(settings);
     let now = warm_up(&mut dispatcher, SHARED_LIMIT, 20, SECOND);
-    (dispatcher, now)
+    WarmedUp { dispatcher, now }
 }
 
 /// Dispatchers with different seeds that were given the same exact rates.
