--- a/src/state/key_queue.rs
+++ b/src/state/key_queue.rs
@@ -7,14 +7,15 @@
 /// Messages of one ordering key, oldest first.
 #[derive(Debug, Default)]
 pub(crate) struct KeyQueue {
-    queue: BTreeSet<QueuePosition>,
+    messages: BTreeSet<QueuePosition>,
+    /// No message that has had no attempt is sent before this.
     pub(crate) cooldown_until: Time,
 }
 
 impl KeyQueue {
     /// Whether the message is the first of its key.
     pub(crate) fn is_first(&self, position: QueuePosition) -> bool {
-        self.queue.first() == Some(&position)
+        self.messages.first() == Some(&position)
     }
 }
 
@@ -42,7 +43,7 @@
     /// Adds a message to the queue of its key.
     pub(crate) fn join(&mut self, key: u64, position: QueuePosition) {
         if key != 0 {
-            self.by_key.entry(key).or_default().queue.insert(position);
+            self.by_key.entry(key).or_default().messages.insert(position);
         }
     }
 
@@ -56,8 +57,8 @@
     /// Removes a message from the queue of its key; returns the message that is first now.
     pub(crate) fn leave(&mut self, key: u64, position: QueuePosition) -> Option<u32> {
         let queue = self.by_key.get_mut(&key)?;
-        queue.queue.remove(&position);
-        let next = queue.queue.first().map(|first| first.message);
+        queue.messages.remove(&position);
+        let next = queue.messages.first().map(|first| first.message);
         if next.is_none() {
             self.idle.insert(IdleKey { cooldown_until: queue.cooldown_until, key });
         }
@@ -68,7 +69,7 @@
     pub(crate) fn forget_idle(&mut self, now: Time) {
         while let Some(idle) = self.idle.first().copied().filter(|idle| idle.cooldown_until <= now) {
             self.idle.pop_first();
-            let unused = |queue: &KeyQueue| queue.queue.is_empty() && queue.cooldown_until <= now;
+            let unused = |queue: &KeyQueue| queue.messages.is_empty() && queue.cooldown_until <= now;
             if self.by_key.get(&idle.key).is_some_and(unused) {
                 self.by_key.remove(&idle.key);
             }
--- a/src/state/limiter.rs
+++ b/src/state/limiter.rs
@@ -32,7 +32,8 @@
     /// Healthy.
     #[default]
     Closed,
-    /// Ejected: recovery trials only; `confirmed` once a call failed or was rejected.
+    /// Ejected since then: recovery trials only. `confirmed` is set once a call failed or was rejected, not
+    /// just overdue.
     Open { since: Time, confirmed: bool },
     /// Recovering: its capacity has grown since then.
     SlowStart { since: Time },
@@ -54,7 +55,7 @@
     pub(crate) rate: f64,
     /// Failures or rejections in a row.
     pub(crate) consecutive: u32,
-    /// When the first failure or rejection in a row came.
+    /// When the first failure or rejection in a row came; without one, when the last call ended.
     pub(crate) since: Time,
     /// When the last failure or rejection came.
     pub(crate) last_at: Time,
@@ -124,11 +125,13 @@
     pub(crate) circuit_before_open: CircuitState,
     /// Failure rate above which it is ejected.
     pub(crate) ejection_threshold: f64,
+    /// No call may be sent before this (rule 6).
     pub(crate) retry_after_until: Time,
     pub(crate) failures: FailureRecord,
     /// When any call was last answered, with whatever outcome.
     pub(crate) last_answer_at: Time,
     pub(crate) served: ServedCounts,
+    /// Messages that wait for the limit at this courier.
     pub(crate) waiting_messages: f64,
     pub(crate) report: LimitReport,
     /// A call was rejected above the limit, and none was served since.
