Decision library: which outcomes make a class avoid an endpoint is decided in policy

Cause: while upkeep moved to state, the choice of outcomes after which a class avoids an endpoint had moved with it; decisions stay in policy.

--- a/src/interface/events.rs
+++ b/src/interface/events.rs
@@ -108,6 +108,12 @@
             AttemptOutcome::Rejected { .. } | AttemptOutcome::NoConnection | AttemptOutcome::NotSent { .. }
         )
     }
+
+    /// Whether the outcome is that of the attempt's call as well: a call with several messages is served,
+    /// rejected or lost as one, but the courier itself withholds or cancels single attempts.
+    pub fn applies_to_call(self) -> bool {
+        !matches!(self, AttemptOutcome::NotSent { .. } | AttemptOutcome::Cancelled)
+    }
 }
 
 /// The result of one attempt.
--- a/src/policy/outcomes.rs
+++ b/src/policy/outcomes.rs
@@ -56,7 +56,11 @@
         // A class may fail where others are served: it avoids the endpoint until one of it is served.
         let class = self.state.messages.get(&result.message).map_or(0, |message| message.class);
         let deadline = self.settings.classes.get(class).map_or(0, |class| class.deadline);
-        endpoint.record_class_outcome(class, result.outcome, now + deadline);
+        match result.outcome {
+            AttemptOutcome::Served => endpoint.stop_avoiding(class),
+            AttemptOutcome::Error | AttemptOutcome::TimedOut => endpoint.avoid(class, now + deadline),
+            _ => {}
+        }
         self.close_rarely_used(result.endpoint);
     }
 
--- a/src/state/attempt.rs
+++ b/src/state/attempt.rs
@@ -86,7 +86,7 @@
         let attempt = self.in_flight.remove(&id)?;
         let call = self.calls.entry(attempt.call).or_default();
         call.attempts_in_flight = call.attempts_in_flight.saturating_sub(1);
-        let first_outcome = !call.outcome_known && shows_call_outcome(outcome);
+        let first_outcome = !call.outcome_known && outcome.applies_to_call();
         call.outcome_known |= first_outcome;
         let call_ended = call.attempts_in_flight == 0;
         if call_ended {
@@ -96,9 +96,3 @@
         Some(FinishedAttempt { sent_at, cancelled, call_ended, first_outcome })
     }
 }
-
-/// Whether the outcome of one attempt is that of its call as well: a call with several messages is served,
-/// rejected or lost as one, unless the courier itself did not send or cancelled the attempt.
-fn shows_call_outcome(outcome: AttemptOutcome) -> bool {
-    !matches!(outcome, AttemptOutcome::NotSent { .. } | AttemptOutcome::Cancelled)
-}
--- a/src/state/endpoint.rs
+++ b/src/state/endpoint.rs
@@ -1,7 +1,7 @@
 //! What is known of an endpoint, and when the endpoint list is polled.
 
 use super::Limiter;
-use crate::interface::{AttemptOutcome, EndpointStatus, Time};
+use crate::interface::{EndpointStatus, Time};
 use std::collections::BTreeMap;
 
 /// An endpoint of a destination.
@@ -31,21 +31,14 @@
         }
     }
 
-    /// Records how a message of a class ended here: after an error or a timeout the class avoids the endpoint
-    /// until `avoided_until`, unless one of its messages is served before.
-    pub(crate) fn record_class_outcome(
-        &mut self,
-        class: usize,
-        outcome: AttemptOutcome,
-        avoided_until: Time,
-    ) {
-        match outcome {
-            AttemptOutcome::Served => self.avoided_until.remove(&class),
-            AttemptOutcome::Error | AttemptOutcome::TimedOut => {
-                self.avoided_until.insert(class, avoided_until)
-            }
-            _ => None,
-        };
+    /// Messages of a class prefer other endpoints until this time.
+    pub(crate) fn avoid(&mut self, class: usize, until: Time) {
+        self.avoided_until.insert(class, until);
+    }
+
+    /// Messages of a class no longer prefer other endpoints.
+    pub(crate) fn stop_avoiding(&mut self, class: usize) {
+        self.avoided_until.remove(&class);
     }
 
     /// Whether messages of a class prefer other endpoints at `now`.
