--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -14,7 +14,7 @@
 use linnetcart::Time;
 use linnetcart_courier_common::log_limit_change;
 use linnetcart_kafka::server::Broker;
-use linnetcart_net::{Event, Net, Token};
+use linnetcart_net::{BoundSocket, Event, Net, Token};
 use log_limit::LogLimiter;
 use serde_json::json;
 use std::collections::BTreeMap;
@@ -101,8 +101,9 @@
 pub fn run(options: Options) -> anyhow::Result<Exit> {
     let mut net = Net::new(options.max_connections).context("the event loop cannot be made")?;
     net.watch_signals(&[Signal::SIGTERM, Signal::SIGINT]).context("signals cannot be caught")?;
-    let (kafka_listener, kafka) = listen(&mut net, options.kafka, "--kafka")?;
-    let (_, control) = listen(&mut net, options.control, "--control")?;
+    let kafka_listener = listen(&mut net, options.kafka, "--kafka")?;
+    let kafka = kafka_listener.address;
+    let control = listen(&mut net, options.control, "--control")?.address;
     let mut program = Program::new(start_options(&options, kafka));
     if let Some(dir) = &options.state_dir {
         load_snapshot(&mut program, dir)?;
@@ -111,7 +112,7 @@
         net,
         program,
         options,
-        kafka_listener,
+        kafka_listener: kafka_listener.token,
         roles: BTreeMap::new(),
         upstream_tokens: BTreeMap::new(),
         started_at: Instant::now(),
@@ -126,7 +127,7 @@
     shell.serve()
 }
 
-fn listen(net: &mut Net, address: SocketAddr, flag: &str) -> anyhow::Result<(Token, SocketAddr)> {
+fn listen(net: &mut Net, address: SocketAddr, flag: &str) -> anyhow::Result<BoundSocket> {
     net.listen(address).with_context(|| format!("cannot listen on {address}; choose another with {flag}"))
 }
 
@@ -287,8 +288,8 @@
                 self.net.close_after_flush(token);
                 self.roles.remove(&token);
             }
-            Output::PauseClient(token) => self.net.set_read_paused(token, true),
-            Output::ResumeClient(token) => self.net.set_read_paused(token, false),
+            Output::PauseClient(token) => self.net.pause_reads(token),
+            Output::ResumeClient(token) => self.net.resume_reads(token),
             Output::Connect(upstream, address) => {
                 let token = self.net.connect(address);
                 self.roles.insert(token, Role::Upstream(upstream));
--- a/crates/edge/src/shell/telemetry.rs
+++ b/crates/edge/src/shell/telemetry.rs
@@ -113,9 +113,9 @@
         }
         let Some(address) = wanted else { return };
         match net.bind_datagrams(address) {
-            Ok((token, bound_to)) => {
-                tracing::info!(address = %bound_to, "listening for host metrics");
-                self.metrics_listener = Some(MetricsListener { token, address });
+            Ok(bound) => {
+                tracing::info!(address = %bound.address, "listening for host metrics");
+                self.metrics_listener = Some(MetricsListener { token: bound.token, address });
             }
             Err(error) => tracing::error!(%address, %error, "cannot listen for host metrics"),
         }
@@ -126,7 +126,7 @@
         if self.collectd.is_none() {
             let any_port = if address.is_ipv4() { "0.0.0.0:0" } else { "[::]:0" };
             let bound = any_port.parse().ok().and_then(|any_port| net.bind_datagrams(any_port).ok());
-            self.collectd = bound.map(|(token, _)| token);
+            self.collectd = bound.map(|socket| socket.token);
         }
         if let Some(token) = self.collectd {
             net.send_to(token, address, packet);
--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -1,4 +1,7 @@
-//! One TCP connection: its stream, what is queued to be written, and how far it has been closed.
+//! One TCP connection: its stream, its send queue and its progress from connect to close.
+//!
+//! [`Connection`] reads and writes only when asked to; it never registers with the event loop and never
+//! reports events itself.
 
 use crate::{Event, Token};
 use bytes::{Buf, BytesMut};
@@ -8,64 +11,64 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// How far a write came.
+/// Result of writing the send queue.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum WriteOutcome {
-    /// Nothing is queued any more.
+    /// The send queue is empty.
     Flushed,
-    /// The system takes no more now.
+    /// The system accepts no more bytes at present.
     Blocked,
     /// The connection is lost.
     Failed,
 }
 
-/// What one read returned.
+/// Result of one read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ReadOutcome {
-    /// So many bytes.
+    /// This many bytes were read.
     Received(usize),
-    /// The peer sends no more.
+    /// The peer closed its sending side.
     EndOfStream,
-    /// There is nothing to read now.
+    /// No input is available at present.
     Blocked,
-    /// A signal came in between; the read may be repeated at once.
+    /// A signal interrupted the read; it may be retried at once.
     Interrupted,
     /// The connection is lost.
     Failed,
 }
 
-/// Whether a connection that is being made is there.
+/// Result of checking on a connection attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ConnectOutcome {
-    /// It is established.
+    /// The connection is established.
     Established,
-    /// The system is still at it.
+    /// The system is still connecting.
     Pending,
-    /// It could not be established.
+    /// The connection could not be established.
     Failed,
 }
 
-/// How far a connection has been made.
+/// Progress of establishing a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ConnectionState {
     /// The system is still connecting.
     Connecting,
-    /// Both sides may send.
+    /// Both sides can send.
     Established,
 }
 
-/// A connection that is being made or is established.
+/// A connection that is connecting or established.
 pub(crate) struct Connection {
     pub(crate) stream: Rc<TcpStream>,
     pub(crate) registration: RegistrationToken,
     state: ConnectionState,
     pub(crate) read_paused: bool,
-    /// The system reported bytes to read, and no read since then found that there are none.
+    /// The system reported input, and no read has found it exhausted since.
     pub(crate) readable: bool,
     read_ended: bool,
     unsent: BytesMut,
     written_bytes: u64,
-    /// Since when the connection only sends what is queued and then closes.
+    /// When the connection began to close; since then it only writes its send queue.
     closing_since: Option<Instant>,
 }
 
@@ -104,7 +107,7 @@
         self.closing_since.is_some()
     }
 
-    /// Closing for longer than this.
+    /// Whether the connection has been closing for longer than `limit`.
     pub(crate) fn is_closing_longer_than(&self, limit: Duration, now: Instant) -> bool {
         self.closing_since.is_some_and(|since| now.duration_since(since) > limit)
     }
@@ -121,7 +124,8 @@
         self.unsent.extend_from_slice(bytes);
     }
 
-    /// Sends no more, and drops what is queued. False if the connection cannot do that.
+    /// Closes the sending side and discards the send queue. Returns false if the connection is not
+    /// established or the system refuses.
     pub(crate) fn shutdown_write(&mut self) -> bool {
         if self.is_connecting() || self.stream.shutdown(Shutdown::Write).is_err() {
             return false;
@@ -130,7 +134,7 @@
         true
     }
 
-    /// Asks the system how the connect went.
+    /// Asks the system for the result of the connection attempt.
     pub(crate) fn finish_connect(&mut self) -> ConnectOutcome {
         match self.stream.take_error() {
             Ok(None) if self.stream.peer_addr().is_ok() => {
@@ -142,7 +146,7 @@
         }
     }
 
-    /// Writes what is queued, as far as the system takes it.
+    /// Writes the send queue as far as the system accepts it.
     pub(crate) fn write_unsent(&mut self) -> WriteOutcome {
         if self.is_connecting() {
             return WriteOutcome::Blocked;
@@ -159,12 +163,12 @@
                 Err(_) => return WriteOutcome::Failed,
             }
         }
-        // An idle connection does not keep the memory of its largest message.
+        // Frees the buffer, so that an idle connection does not retain the memory of its largest message.
         self.unsent = BytesMut::new();
         WriteOutcome::Flushed
     }
 
-    /// Reads once.
+    /// Performs one read into `buffer`.
     pub(crate) fn read(&mut self, buffer: &mut [u8]) -> ReadOutcome {
         match (&*self.stream).read(buffer) {
             Ok(0) => {
@@ -182,7 +186,8 @@
         }
     }
 
-    /// The event that reports the loss of this connection; none if its owner has closed it already.
+    /// Returns the event that reports the loss of this connection, or `None` if its owner has already closed
+    /// it.
     pub(crate) fn loss_event(&self, token: Token) -> Option<Event> {
         if self.is_closing() {
             return None;
--- a/crates/net/src/connections.rs
+++ b/crates/net/src/connections.rs
@@ -1,29 +1,30 @@
-//! All TCP connections of a [`Net`](crate::Net), from connect or accept to their end.
+//! All TCP connections of a [`Net`](crate::Net), from connect or accept to close.
 //!
-//! Owns the connections, their bound, and which of them have bytes to write. It never listens.
+//! This module owns the connections, their maximum number, and the set of those with bytes to write. It never
+//! listens.
 
-use crate::connection::{ConnectOutcome, Connection, ConnectionState, ReadOutcome, WriteOutcome};
+mod reading;
+
+use crate::connection::{ConnectOutcome, Connection, ConnectionState, WriteOutcome};
 use crate::reactor::Reactor;
 use crate::{Event, Token};
-use bytes::Bytes;
 use calloop::Interest;
 use socket2::{Domain, Protocol, SockRef, Socket, Type};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpStream};
-use std::ops::ControlFlow;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// Reads from one connection in one poll, unless [`Connections::set_reads_per_poll`] says otherwise; the rest
-/// waits for the next poll, so that no connection keeps the loop from the others.
+/// Maximum number of reads from one connection in one poll, unless [`Connections::set_reads_per_poll`] sets
+/// another. Remaining input waits for the next poll, so that no connection can starve the others.
 const DEFAULT_READS_PER_POLL: usize = 4;
-/// How long a connection that is closed after a flush may take to send what is queued.
+/// How long [`Connections::close_after_flush`] waits for the send queue to be written.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(5);
 /// `EINPROGRESS` of the system's headers; the same on every Linux that calloop runs on.
 const EINPROGRESS: i32 = 115;
 
-/// The connections, by token.
+/// The open connections by token.
 pub(crate) struct Connections {
     open: BTreeMap<Token, Connection>,
     /// Connections that may have bytes to write.
@@ -70,7 +71,7 @@
         self.open.get(&token).map_or(0, Connection::written_bytes)
     }
 
-    /// Begins a connection; its outcome is reported by a later poll.
+    /// Starts connecting; a later poll reports the outcome.
     pub(crate) fn connect(&mut self, addr: SocketAddr, reactor: &mut Reactor) -> Token {
         let token = reactor.next_token();
         if self.begin_connect(token, addr, reactor).is_err() {
@@ -95,7 +96,7 @@
         self.insert(token, socket.into(), ConnectionState::Connecting, reactor)
     }
 
-    /// Takes over a connection that a listener accepted.
+    /// Adds a connection that a listener accepted.
     pub(crate) fn insert_accepted(
         &mut self,
         token: Token,
@@ -120,7 +121,7 @@
         Ok(())
     }
 
-    /// Queues bytes for the next flush, unless the connection is being closed.
+    /// Queues bytes for the next flush, unless the connection is closing.
     pub(crate) fn send(&mut self, token: Token, bytes: &[u8]) {
         let Some(connection) = self.open.get_mut(&token) else { return };
         if connection.is_closing() {
@@ -130,15 +131,21 @@
         self.unflushed.insert(token);
     }
 
-    pub(crate) fn set_read_paused(&mut self, token: Token, paused: bool, reactor: &mut Reactor) {
+    pub(crate) fn pause_reads(&mut self, token: Token) {
+        if let Some(connection) = self.open.get_mut(&token) {
+            connection.read_paused = true;
+        }
+    }
+
+    pub(crate) fn resume_reads(&mut self, token: Token, reactor: &mut Reactor) {
         let Some(connection) = self.open.get_mut(&token) else { return };
-        connection.read_paused = paused;
-        if !paused && connection.readable {
+        connection.read_paused = false;
+        if connection.readable {
             reactor.pending_reads.insert(token);
         }
     }
 
-    /// Closes at once, without an event.
+    /// Closes at once, without reporting an event.
     pub(crate) fn close(&mut self, token: Token, reactor: &mut Reactor) {
         if let Some(connection) = self.open.remove(&token) {
             reactor.unregister(connection.registration);
@@ -171,7 +178,7 @@
         }
     }
 
-    /// Writes what is queued on all connections; returns those that it tried.
+    /// Writes the send queues of all connections. Returns the connections that were attempted.
     pub(crate) fn flush(&mut self, reactor: &mut Reactor) -> Vec<Token> {
         let unflushed = std::mem::take(&mut self.unflushed);
         for &token in &unflushed {
@@ -189,7 +196,7 @@
         }
     }
 
-    /// Closes a connection that failed, and has the next poll report it.
+    /// Closes a failed connection; the next poll reports the loss.
     fn lose(&mut self, token: Token, reactor: &mut Reactor) {
         let Some(connection) = self.open.get(&token) else { return };
         let event = connection.loss_event(token);
@@ -197,14 +204,15 @@
         reactor.deferred_events.extend(event);
     }
 
-    /// Notes that the system reported bytes to read.
+    /// Records that the system reported input on a connection.
     pub(crate) fn mark_readable(&mut self, token: Token) {
         if let Some(connection) = self.open.get_mut(&token) {
             connection.readable = true;
         }
     }
 
-    /// Acts on a connection that the system reported as writable: it may just have been established.
+    /// Handles a connection that the system reported as writable; the connection may just have been
+    /// established.
     pub(crate) fn handle_writable(&mut self, token: Token, reactor: &mut Reactor, out: &mut Vec<Event>) {
         let Some(connection) = self.open.get_mut(&token) else { return };
         if connection.is_connecting() {
@@ -217,62 +225,7 @@
         self.write(token, reactor);
     }
 
-    /// Reads what is there, up to the bound of one poll.
-    pub(crate) fn read(&mut self, token: Token, reactor: &mut Reactor, out: &mut Vec<Event>) {
-        for _ in 0..self.reads_per_poll {
-            if self.read_once(token, reactor, out).is_break() {
-                return;
-            }
-        }
-        reactor.pending_reads.insert(token);
-    }
-
-    fn read_once(&mut self, token: Token, reactor: &mut Reactor, out: &mut Vec<Event>) -> ControlFlow<()> {
-        let Some(connection) = self.open.get_mut(&token) else { return ControlFlow::Break(()) };
-        if !connection.may_read() {
-            return ControlFlow::Break(());
-        }
-        if connection.is_connecting() {
-            return self.finish_connect_before_read(token, reactor, out);
-        }
-        match connection.read(&mut reactor.read_buffer) {
-            ReadOutcome::Received(count) => {
-                if !connection.is_closing() {
-                    let bytes = Bytes::copy_from_slice(&reactor.read_buffer[..count]);
-                    out.push(Event::Data(token, bytes));
-                }
-                ControlFlow::Continue(())
-            }
-            ReadOutcome::EndOfStream => {
-                if !connection.is_closing() {
-                    out.push(Event::HalfClosed(token));
-                }
-                ControlFlow::Break(())
-            }
-            ReadOutcome::Blocked => ControlFlow::Break(()),
-            ReadOutcome::Interrupted => ControlFlow::Continue(()),
-            ReadOutcome::Failed => {
-                self.lose(token, reactor);
-                ControlFlow::Break(())
-            }
-        }
-    }
-
-    /// A connect that failed shows as readable too.
-    fn finish_connect_before_read(
-        &mut self,
-        token: Token,
-        reactor: &mut Reactor,
-        out: &mut Vec<Event>,
-    ) -> ControlFlow<()> {
-        self.handle_writable(token, reactor, out);
-        match self.open.get(&token) {
-            Some(connection) if !connection.is_connecting() => ControlFlow::Continue(()),
-            _ => ControlFlow::Break(()),
-        }
-    }
-
-    /// Closes the connections whose last bytes were not taken in time.
+    /// Closes the closing connections whose send queue was not written within [`FLUSH_TIMEOUT`].
     pub(crate) fn close_flush_timeouts(&mut self, now: Instant, reactor: &mut Reactor) {
         let mut timed_out = Vec::new();
         for (&token, connection) in &self.open {
--- /dev/null
+++ b/crates/net/src/connections/reading.rs
@@ -0,0 +1,69 @@
+//! Reading from a connection, and the events that report its input.
+
+use super::Connections;
+use crate::connection::ReadOutcome;
+use crate::reactor::Reactor;
+use crate::{Event, Token};
+use bytes::Bytes;
+use std::ops::ControlFlow;
+
+impl Connections {
+    /// Reads the available input, in at most [`Connections::set_reads_per_poll`] reads.
+    pub(crate) fn read(&mut self, token: Token, reactor: &mut Reactor, out: &mut Vec<Event>) {
+        for _ in 0..self.reads_per_poll {
+            if self.read_once(token, reactor, out).is_break() {
+                return;
+            }
+        }
+        reactor.pending_reads.insert(token);
+    }
+
+    fn read_once(&mut self, token: Token, reactor: &mut Reactor, out: &mut Vec<Event>) -> ControlFlow<()> {
+        let Some(connection) = self.open.get_mut(&token) else { return ControlFlow::Break(()) };
+        if !connection.may_read() {
+            return ControlFlow::Break(());
+        }
+        if connection.is_connecting() {
+            return self.finish_connect_before_read(token, reactor, out);
+        }
+        let outcome = connection.read(&mut reactor.read_buffer);
+        // The owner of a closing connection expects no more events from it.
+        if !connection.is_closing() {
+            out.extend(read_event(token, outcome, &reactor.read_buffer));
+        }
+        match outcome {
+            ReadOutcome::Received(_) | ReadOutcome::Interrupted => ControlFlow::Continue(()),
+            ReadOutcome::EndOfStream | ReadOutcome::Blocked => ControlFlow::Break(()),
+            ReadOutcome::Failed => {
+                self.lose(token, reactor);
+                ControlFlow::Break(())
+            }
+        }
+    }
+
+    /// Checks the connection attempt first: the system also reports a failed attempt as readable.
+    fn finish_connect_before_read(
+        &mut self,
+        token: Token,
+        reactor: &mut Reactor,
+        out: &mut Vec<Event>,
+    ) -> ControlFlow<()> {
+        self.handle_writable(token, reactor, out);
+        match self.open.get(&token) {
+            Some(connection) if !connection.is_connecting() => ControlFlow::Continue(()),
+            _ => ControlFlow::Break(()),
+        }
+    }
+}
+
+/// Returns the event that reports the result of a read, if there is one. The loss of a connection is reported
+/// by [`Connections::lose`].
+fn read_event(token: Token, outcome: ReadOutcome, read_buffer: &[u8]) -> Option<Event> {
+    match outcome {
+        ReadOutcome::Received(count) => {
+            Some(Event::Data(token, Bytes::copy_from_slice(&read_buffer[..count])))
+        }
+        ReadOutcome::EndOfStream => Some(Event::HalfClosed(token)),
+        ReadOutcome::Blocked | ReadOutcome::Interrupted | ReadOutcome::Failed => None,
+    }
+}
--- a/crates/net/src/datagrams.rs
+++ b/crates/net/src/datagrams.rs
@@ -1,9 +1,9 @@
 //! UDP sockets.
 //!
-//! Owns the sockets. It never repeats a datagram and never queues one.
+//! This module owns the sockets. It never retries and never queues a datagram.
 
 use crate::reactor::Reactor;
-use crate::{Event, Token};
+use crate::{BoundSocket, Event, Token};
 use bytes::Bytes;
 use calloop::{Interest, RegistrationToken};
 use std::collections::BTreeMap;
@@ -11,8 +11,8 @@
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
 
-/// Datagrams received from one socket in one poll; the rest waits for the next poll, or is dropped by the
-/// system.
+/// Maximum number of datagrams received from one socket in one poll. The others stay in the system's receive
+/// buffer until the next poll, or are dropped when it is full.
 const DATAGRAMS_PER_POLL: usize = 64;
 
 struct DatagramSocket {
@@ -27,25 +27,21 @@
 }
 
 impl DatagramSockets {
-    pub(crate) fn bind(
-        &mut self,
-        addr: SocketAddr,
-        reactor: &mut Reactor,
-    ) -> io::Result<(Token, SocketAddr)> {
+    pub(crate) fn bind(&mut self, addr: SocketAddr, reactor: &mut Reactor) -> io::Result<BoundSocket> {
         let socket = Rc::new(UdpSocket::bind(addr)?);
         socket.set_nonblocking(true)?;
-        let local_address = socket.local_addr()?;
+        let address = socket.local_addr()?;
         let token = reactor.next_token();
         let registration = reactor.register(Rc::clone(&socket), token, Interest::READ)?;
         self.open.insert(token, DatagramSocket { socket, registration });
-        Ok((token, local_address))
+        Ok(BoundSocket { token, address })
     }
 
     pub(crate) fn contains(&self, token: Token) -> bool {
         self.open.contains_key(&token)
     }
 
-    /// Sends one datagram; false if the system does not take it now.
+    /// Sends one datagram; returns false if the socket is closed or the system did not accept the datagram.
     pub(crate) fn send_to(&self, token: Token, addr: SocketAddr, bytes: &[u8]) -> bool {
         let Some(open) = self.open.get(&token) else { return false };
         open.socket.send_to(bytes, addr).is_ok()
@@ -57,7 +53,7 @@
         }
     }
 
-    /// Receives the datagrams that wait, up to the bound of one poll.
+    /// Receives the available datagrams, at most [`DATAGRAMS_PER_POLL`] of them.
     pub(crate) fn receive(&self, token: Token, reactor: &mut Reactor, out: &mut Vec<Event>) {
         let Some(open) = self.open.get(&token) else { return };
         for _ in 0..DATAGRAMS_PER_POLL {
@@ -67,7 +63,8 @@
                     out.push(Event::Datagram(token, bytes));
                 }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return,
-                // An earlier datagram of ours did not reach its receiver; that says nothing of what comes in.
+                // The error belongs to an earlier datagram that was sent and not delivered; receiving
+                // continues.
                 Err(_) => {}
             }
         }
--- a/crates/net/src/event.rs
+++ b/crates/net/src/event.rs
@@ -1,4 +1,4 @@
-//! What a poll reports to its caller.
+//! Events that a poll reports to its caller.
 
 use crate::Token;
 use bytes::Bytes;
@@ -9,26 +9,26 @@
 pub enum Event {
     /// A peer connected to one of the listeners.
     Accepted {
-        /// The listener that it connected to.
+        /// The listener that the peer connected to.
         listener: Token,
         /// The new connection.
         token: Token,
         /// Address of the peer.
         peer: SocketAddr,
     },
-    /// A connection begun with [`Net::connect`](crate::Net::connect) is established.
+    /// A connection started with [`Net::connect`](crate::Net::connect) is established.
     Connected(Token),
-    /// A connection begun with [`Net::connect`](crate::Net::connect) could not be established.
+    /// A connection started with [`Net::connect`](crate::Net::connect) could not be established.
     ConnectFailed(Token),
     /// Bytes were received on a connection.
     Data(Token, Bytes),
-    /// The peer sends no more; it may still read.
+    /// The peer closed its sending side; it may still read.
     HalfClosed(Token),
     /// An established connection was lost.
     Closed {
         /// The connection.
         token: Token,
-        /// Bytes handed to the system since the connection was established.
+        /// Bytes accepted by the operating system since the connection was established.
         written: u64,
     },
     /// A datagram was received.
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,10 +1,10 @@
-//! Many non-blocking TCP connections and UDP sockets on one calloop loop.
+//! Many non-blocking TCP connections and UDP sockets on one calloop event loop.
 //!
-//! Shared by the shells of the edge and of the platform courier, and by the tools that stand in for clients
-//! and endpoints. [`Net`] moves bytes and reports events; it never decides what they mean.
+//! The crate is shared by the shells of the edge and of the platform courier, and by the tools that simulate
+//! clients and endpoints. [`Net`] moves bytes and reports events; it never interprets the bytes.
 //!
-//! Readiness is edge-triggered: what is not read, written or accepted in one [`Net::poll`] is remembered and
-//! continued in the next, so that no connection can keep the loop from the others.
+//! Readiness is edge-triggered: input, output or accepts left over from one [`Net::poll`] are remembered and
+//! continued in the next, so that no connection can starve the others.
 #![forbid(unsafe_code)]
 #![warn(clippy::unwrap_used, missing_docs)]
 
@@ -16,10 +16,12 @@
 mod net;
 mod reactor;
 mod reserved;
+mod socket;
 
 pub use event::Event;
-pub use net::Net;
+pub use net::{Net, ReadLimits};
 pub use reserved::Reserved;
+pub use socket::BoundSocket;
 
-/// Names a listener, connection or datagram socket of one [`Net`]; never used twice.
+/// Identifies a listener, connection or datagram socket of one [`Net`]; a value is never reused.
 pub type Token = u64;
--- a/crates/net/src/listeners.rs
+++ b/crates/net/src/listeners.rs
@@ -1,11 +1,11 @@
 //! Listening TCP sockets.
 //!
-//! Owns the listeners and the pause that they take while the process is out of file descriptors. What they
-//! accept belongs to [`Connections`].
+//! This module owns the listeners, and the pause in accepting after the process ran out of file descriptors.
+//! Accepted connections belong to [`Connections`].
 
 use crate::connections::Connections;
 use crate::reactor::Reactor;
-use crate::{Event, Token};
+use crate::{BoundSocket, Event, Token};
 use calloop::{Interest, RegistrationToken};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::collections::BTreeMap;
@@ -14,11 +14,11 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// Connections accepted from one listener in one poll; the rest waits for the next poll.
+/// Maximum number of connections accepted from one listener in one poll; the others wait for the next poll.
 const ACCEPTS_PER_POLL: usize = 256;
-/// Connections that the system completes and keeps until they are accepted.
+/// Maximum number of established connections that the system queues until they are accepted.
 const LISTEN_BACKLOG: i32 = 4096;
-/// How long no connection is accepted after the process ran out of file descriptors.
+/// Pause in accepting connections after the process ran out of file descriptors.
 pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 /// `EMFILE` and `ENFILE` of the system's headers; the same on every Linux that calloop runs on.
 const EMFILE: i32 = 24;
@@ -37,28 +37,25 @@
 }
 
 impl Listeners {
-    pub(crate) fn listen(
-        &mut self,
-        addr: SocketAddr,
-        reactor: &mut Reactor,
-    ) -> io::Result<(Token, SocketAddr)> {
+    pub(crate) fn listen(&mut self, addr: SocketAddr, reactor: &mut Reactor) -> io::Result<BoundSocket> {
         let socket = Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP))?;
-        // A port that the system chooses must not be one that is reserved; a given one may be reserved, or
-        // have been used just before.
-        let port_is_given = addr.port() != 0;
-        socket.set_reuse_address(port_is_given)?;
+        // A port chosen by the system must not be a reserved one; a requested port may be reserved, or may
+        // have been in use until recently.
+        let port_is_requested = addr.port() != 0;
+        socket.set_reuse_address(port_is_requested)?;
         socket.set_nonblocking(true)?;
         socket.bind(&addr.into())?;
         socket.listen(LISTEN_BACKLOG)?;
         let socket = Rc::new(TcpListener::from(socket));
-        let local_address = socket.local_addr()?;
+        let address = socket.local_addr()?;
         let token = reactor.next_token();
         let registration = reactor.register(Rc::clone(&socket), token, Interest::READ)?;
         self.open.insert(token, Listener { socket, registration });
-        Ok((token, local_address))
+        Ok(BoundSocket { token, address })
     }
 
-    /// Accepts what waits, then closes the listener: closing it resets connections that were not accepted.
+    /// Accepts the queued connections, then closes the listener: closing resets connections that were not
+    /// accepted.
     pub(crate) fn stop_listening(
         &mut self,
         token: Token,
@@ -82,7 +79,7 @@
         self.paused_until.is_some_and(|until| until > now)
     }
 
-    /// Accepts the connections that wait, up to the bound of one poll.
+    /// Accepts the queued connections, at most [`ACCEPTS_PER_POLL`] of them.
     pub(crate) fn accept(
         &mut self,
         listener: Token,
@@ -107,7 +104,7 @@
                     reactor.pending_reads.insert(listener);
                     return;
                 }
-                // One connection failed before it was accepted; the others are not affected.
+                // This connection failed before it was accepted; the others are not affected.
                 Err(_) => {}
             }
         }
@@ -115,7 +112,7 @@
     }
 }
 
-/// Adds an accepted connection, or closes it if there are too many.
+/// Adds an accepted connection, or closes it if the maximum number of connections is reached.
 fn admit(
     listener: Token,
     stream: TcpStream,
@@ -133,7 +130,7 @@
         return;
     }
     out.push(Event::Accepted { listener, token, peer });
-    // The first request often came with the connection; read now, it is reported in the same poll.
+    // The first request often arrives with the connection; reading it here reports it in the same poll.
     connections.read(token, reactor, out);
 }
 
--- a/crates/net/src/net.rs
+++ b/crates/net/src/net.rs
@@ -1,16 +1,28 @@
-//! The event loop that a program drives: the order of one poll, and the public operations on sockets.
+//! The event loop that a program drives.
+//!
+//! [`Net`] owns all sockets of a program, defines the public operations on them and the order of the steps of
+//! one poll. It never interprets the bytes that it moves.
 
 use crate::connections::Connections;
 use crate::datagrams::DatagramSockets;
 use crate::listeners::{Listeners, ACCEPT_PAUSE};
 use crate::reactor::Reactor;
-use crate::{Event, Token};
+use crate::{BoundSocket, Event, Token};
 use calloop::signals::Signal;
 use std::io;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-/// Connections, listeners and datagram sockets, and the loop that they are on.
+/// Limits on reading, so that no connection can starve the others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReadLimits {
+    /// Size of the read buffer: the maximum number of bytes of one read.
+    pub buffer_bytes: usize,
+    /// Maximum number of reads from one connection in one poll.
+    pub reads_per_poll: usize,
+}
+
+/// Connections, listeners and datagram sockets on one event loop.
 pub struct Net {
     reactor: Reactor,
     connections: Connections,
@@ -19,8 +31,8 @@
 }
 
 impl Net {
-    /// An empty loop that holds at most so many connections; more are closed as they are accepted, and fail
-    /// to connect.
+    /// Creates an event loop for at most `max_connections` connections. Beyond the limit, accepted
+    /// connections are closed at once and new outgoing connections fail.
     pub fn new(max_connections: usize) -> io::Result<Net> {
         Ok(Net {
             reactor: Reactor::new()?,
@@ -30,38 +42,38 @@
         })
     }
 
-    /// Reads so many bytes at once, and so often from one connection in one poll.
-    pub fn set_read_limits(&mut self, bytes: usize, reads: usize) {
-        self.reactor.set_read_buffer_size(bytes);
-        self.connections.set_reads_per_poll(reads);
+    /// Replaces the limits on reading.
+    pub fn set_read_limits(&mut self, limits: ReadLimits) {
+        self.reactor.set_read_buffer_size(limits.buffer_bytes);
+        self.connections.set_reads_per_poll(limits.reads_per_poll);
     }
 
-    /// Reports these signals as events in place of their default action.
+    /// Reports these signals as events instead of their default action.
     pub fn watch_signals(&mut self, signals: &[Signal]) -> io::Result<()> {
         self.reactor.watch_signals(signals)
     }
 
-    /// Listens; port 0 lets the system choose. Returns the listener and its address.
-    pub fn listen(&mut self, addr: SocketAddr) -> io::Result<(Token, SocketAddr)> {
+    /// Listens for TCP connections; with port 0 the system chooses a free port.
+    pub fn listen(&mut self, addr: SocketAddr) -> io::Result<BoundSocket> {
         self.listeners.listen(addr, &mut self.reactor)
     }
 
-    /// Accepts no more connections on a listener, after those that wait to be accepted.
+    /// Closes a listener, after accepting the connections that are already queued on it.
     pub fn stop_listening(&mut self, token: Token) {
         self.listeners.stop_listening(token, &mut self.connections, &mut self.reactor);
     }
 
-    /// Holds at most so many connections from now on; those that are open stay.
+    /// Changes the maximum number of connections; connections that are already open stay open.
     pub fn set_max_connections(&mut self, max_connections: usize) {
         self.connections.set_max_connections(max_connections);
     }
 
-    /// Receives and sends datagrams; port 0 lets the system choose. Returns the socket and its address.
-    pub fn bind_datagrams(&mut self, addr: SocketAddr) -> io::Result<(Token, SocketAddr)> {
+    /// Opens a UDP socket; with port 0 the system chooses a free port.
+    pub fn bind_datagrams(&mut self, addr: SocketAddr) -> io::Result<BoundSocket> {
         self.datagrams.bind(addr, &mut self.reactor)
     }
 
-    /// Sends one datagram; false if the system does not take it now.
+    /// Sends one datagram; returns false if the socket is closed or the system did not accept the datagram.
     pub fn send_to(&mut self, token: Token, addr: SocketAddr, bytes: &[u8]) -> bool {
         self.datagrams.send_to(token, addr, bytes)
     }
@@ -71,27 +83,27 @@
         self.datagrams.close(token, &self.reactor);
     }
 
-    /// Begins a connection. [`Event::Connected`] or [`Event::ConnectFailed`] follows in a later poll.
+    /// Starts connecting. A later poll reports [`Event::Connected`] or [`Event::ConnectFailed`].
     pub fn connect(&mut self, addr: SocketAddr) -> Token {
         self.connections.connect(addr, &mut self.reactor)
     }
 
-    /// Queues bytes; they leave with the next [`Net::flush`] or [`Net::poll`].
+    /// Queues bytes, which the next [`Net::flush`] or [`Net::poll`] writes.
     pub fn send(&mut self, token: Token, bytes: &[u8]) {
         self.connections.send(token, bytes);
     }
 
-    /// Bytes queued and not yet taken by the system.
+    /// Number of bytes that are queued and not yet accepted by the system.
     pub fn unsent_bytes(&self, token: Token) -> usize {
         self.connections.unsent_bytes(token)
     }
 
-    /// Whether any connection has bytes queued and not yet taken by the system.
+    /// Whether any connection has queued bytes that the system has not yet accepted.
     pub fn has_unsent(&self) -> bool {
         self.connections.has_unsent()
     }
 
-    /// Bytes that the system took so far.
+    /// Number of bytes that the system has accepted since the connection was opened.
     pub fn written_bytes(&self, token: Token) -> u64 {
         self.connections.written_bytes(token)
     }
@@ -101,37 +113,44 @@
         self.connections.count()
     }
 
-    /// Stops reading from a connection, or resumes it.
-    pub fn set_read_paused(&mut self, token: Token, paused: bool) {
-        self.connections.set_read_paused(token, paused, &mut self.reactor);
+    /// Stops reading from a connection until [`Net::resume_reads`].
+    pub fn pause_reads(&mut self, token: Token) {
+        self.connections.pause_reads(token);
+    }
+
+    /// Resumes reading from a connection; the next poll reads what arrived in between.
+    pub fn resume_reads(&mut self, token: Token) {
+        self.connections.resume_reads(token, &mut self.reactor);
     }
 
-    /// Closes at once; what is queued is lost, and no event follows.
+    /// Closes a connection at once. Queued bytes are discarded and no event is reported.
     pub fn close(&mut self, token: Token) {
         self.connections.close(token, &mut self.reactor);
     }
 
-    /// Sends no more and reads on; what is queued is lost. A connection that is not established is closed.
+    /// Closes the sending side of a connection and keeps reading; queued bytes are discarded. A connection
+    /// that is not established is closed.
     pub fn shutdown_write(&mut self, token: Token) {
         self.connections.shutdown_write(token, &mut self.reactor);
     }
 
-    /// Closes with a TCP reset, as the system does for a process that dies with unread input.
+    /// Closes a connection with a TCP reset, as the system does when a process dies with unread input.
     pub fn reset(&mut self, token: Token) {
         self.connections.reset(token, &mut self.reactor);
     }
 
-    /// Closes when what is queued has left, or after a few seconds. No event follows.
+    /// Closes a connection once its queued bytes are written, or after a timeout of a few seconds. No event
+    /// is reported.
     pub fn close_after_flush(&mut self, token: Token) {
         self.connections.close_after_flush(token);
     }
 
-    /// Writes what is queued, as far as the system takes it. Returns the connections that it tried.
+    /// Writes queued bytes as far as the system accepts them. Returns the connections that were attempted.
     pub fn flush(&mut self) -> Vec<Token> {
         self.connections.flush(&mut self.reactor)
     }
 
-    /// Writes what is queued, waits until something happens or the time is over, and appends what happened to
+    /// Writes queued bytes, waits until an event occurs or the timeout elapses, and appends the events to
     /// `out`.
     pub fn poll(&mut self, timeout: Duration, out: &mut Vec<Event>) -> io::Result<()> {
         self.flush();
@@ -146,10 +165,10 @@
         Ok(())
     }
 
-    /// How long the loop may wait: not at all while there is work left from the last poll.
+    /// Returns how long the event loop may wait: zero while the last poll left work behind.
     fn dispatch_timeout(&self, timeout: Duration, now: Instant) -> Duration {
         let accept_paused = self.listeners.is_paused(now);
-        if self.has_work_left(accept_paused) {
+        if self.has_remaining_work(accept_paused) {
             return Duration::ZERO;
         }
         if accept_paused {
@@ -158,7 +177,7 @@
         timeout
     }
 
-    fn has_work_left(&self, accept_paused: bool) -> bool {
+    fn has_remaining_work(&self, accept_paused: bool) -> bool {
         if !self.reactor.deferred_events.is_empty() {
             return true;
         }
--- a/crates/net/src/reactor.rs
+++ b/crates/net/src/reactor.rs
@@ -1,7 +1,7 @@
-//! The calloop loop and what all kinds of sockets share on it.
+//! The calloop event loop and the state that all kinds of sockets share.
 //!
-//! Owns the loop, the tokens, the readiness that is still to be acted on, the read buffer and the events that
-//! were found outside of a poll. It never reads, writes or accepts.
+//! This module owns the event loop, the tokens, the readiness that has not been handled yet, the read buffer
+//! and the events that occurred outside of a poll. It never reads, writes or accepts.
 
 use crate::{Event, Token};
 use calloop::generic::Generic;
@@ -12,10 +12,10 @@
 use std::os::fd::AsFd;
 use std::time::Duration;
 
-/// Bytes read at once, unless [`Reactor::set_read_buffer_size`] says otherwise.
+/// Size of the read buffer in bytes, unless [`Reactor::set_read_buffer_size`] sets another.
 const DEFAULT_READ_BUFFER_BYTES: usize = 64 * 1024;
 
-/// Readiness of one socket, as the system reported it.
+/// Readiness of one socket as reported by the system.
 #[derive(Clone, Copy)]
 pub(crate) struct Readiness {
     pub(crate) token: Token,
@@ -23,7 +23,7 @@
     pub(crate) writable: bool,
 }
 
-/// What one dispatch of the loop collected.
+/// Readiness and signals collected by one dispatch of the event loop.
 #[derive(Default)]
 struct Wakeups {
     readiness: Vec<Readiness>,
@@ -36,12 +36,12 @@
     handle: LoopHandle<'static, Wakeups>,
     wakeups: Wakeups,
     last_token: Token,
-    /// Sockets to read from or to accept on. Readiness is edge-triggered, so the system does not report again
-    /// what was left over.
+    /// Sockets to read from or to accept on. Readiness is edge-triggered, so the system does not report input
+    /// again that was left unread.
     pub(crate) pending_reads: BTreeSet<Token>,
-    /// Events that were found outside of a poll; the next poll reports them.
+    /// Events that occurred outside of a poll; the next poll reports them.
     pub(crate) deferred_events: Vec<Event>,
-    /// Where every socket reads to before the bytes become an event.
+    /// Shared by all sockets; received bytes are copied from here into their event.
     pub(crate) read_buffer: Vec<u8>,
 }
 
@@ -63,13 +63,13 @@
         self.read_buffer = vec![0; bytes];
     }
 
-    /// A token that was never given before.
+    /// Returns a token that has not been used before.
     pub(crate) fn next_token(&mut self) -> Token {
         self.last_token += 1;
         self.last_token
     }
 
-    /// Has these signals reported in place of their default action.
+    /// Reports these signals as events instead of their default action.
     pub(crate) fn watch_signals(&mut self, signals: &[Signal]) -> io::Result<()> {
         let source = Signals::new(signals)?;
         self.handle
@@ -80,7 +80,7 @@
         Ok(())
     }
 
-    /// Has the readiness of a socket reported under its token.
+    /// Reports the readiness of a socket under its token from now on.
     pub(crate) fn register<S: AsFd + 'static>(
         &self,
         socket: S,
@@ -100,22 +100,23 @@
             .map_err(|failed| io::Error::other(failed.error))
     }
 
-    /// Ends the reports of a socket, and drops the loop's reference to it.
+    /// Stops reporting the readiness of a socket, and drops the event loop's reference to it.
     pub(crate) fn unregister(&self, registration: RegistrationToken) {
         self.handle.remove(registration);
     }
 
-    /// Waits until a socket is ready, a signal came or the time is over.
+    /// Waits until a socket is ready, a signal is received or the timeout elapses.
     pub(crate) fn dispatch(&mut self, timeout: Duration) -> io::Result<()> {
         self.event_loop.dispatch(timeout, &mut self.wakeups).map_err(io::Error::other)
     }
 
-    /// Moves the signals of the last dispatch to the caller's events.
+    /// Appends the signals of the last dispatch to `out` and clears them.
     pub(crate) fn take_signals(&mut self, out: &mut Vec<Event>) {
         out.extend(self.wakeups.signals.drain(..).map(Event::Signal));
     }
 
-    /// The readiness of the last dispatch, in the order of the system.
+    /// Returns the readiness collected by the last dispatch, in the order reported by the system, and clears
+    /// it.
     pub(crate) fn take_readiness(&mut self) -> Vec<Readiness> {
         std::mem::take(&mut self.wakeups.readiness)
     }
--- a/crates/net/src/reserved.rs
+++ b/crates/net/src/reserved.rs
@@ -1,10 +1,10 @@
-//! Reservation of a local port for later use by a listener.
+//! Reservation of a local TCP port for later use by a listener.
 
 use socket2::{Domain, Protocol, Socket, Type};
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 
-/// A port that the system gives to nobody else while this value lives.
+/// A port that the system assigns to no other socket while this value exists.
 ///
 /// Connections to it are refused until [`Net::listen`](crate::Net::listen) is called with its address, and
 /// again after [`Net::stop_listening`](crate::Net::stop_listening).
@@ -15,17 +15,17 @@
 }
 
 impl Reserved {
-    /// Reserves a free port of this address.
+    /// Reserves a free port on this address.
     pub fn new(ip: IpAddr) -> io::Result<Reserved> {
         let any_port = SocketAddr::new(ip, 0);
         let socket = Socket::new(Domain::for_address(any_port), Type::STREAM, Some(Protocol::TCP))?;
         socket.bind(&any_port.into())?;
-        // Set after the bind, so that only now another socket of this process may bind beside this one.
+        // Set after the bind, so that a later socket of this process can bind to the same port.
         socket.set_reuse_address(true)?;
         let local_address = socket.local_addr()?;
         let addr = local_address
             .as_socket()
-            .ok_or_else(|| io::Error::other("a bound TCP socket has no internet address"))?;
+            .ok_or_else(|| io::Error::other("a bound TCP socket has no IP address"))?;
         Ok(Reserved { _socket: socket, addr })
     }
 
--- a/crates/net/tests/sockets.rs
+++ b/crates/net/tests/sockets.rs
@@ -1,65 +1,94 @@
-//! Sockets of one process against each other over the loopback device.
+//! Sockets of one process connected to each other over the loopback device.
 
-use linnetcart_net::{Event, Net, Reserved};
-use std::net::TcpListener;
+use linnetcart_net::{Event, Net, Reserved, Token};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::time::Duration;
 
-/// Polls until an event satisfies `done`; returns all events up to then.
-fn poll_until(net: &mut Net, mut done: impl FnMut(&Event) -> bool) -> Vec<Event> {
+const MAX_POLLS: usize = 200;
+const LOOPBACK: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
+const ANY_PORT: SocketAddr = SocketAddr::new(LOOPBACK, 0);
+
+/// Polls until an event satisfies `is_expected`; returns all events up to and including that poll.
+fn poll_until(net: &mut Net, mut is_expected: impl FnMut(&Event) -> bool) -> Vec<Event> {
     let mut all = Vec::new();
-    for _ in 0..200 {
-        let mut now = Vec::new();
-        net.poll(Duration::from_millis(50), &mut now).unwrap();
-        let hit = now.iter().any(&mut done);
-        all.extend(now);
-        if hit {
+    for _ in 0..MAX_POLLS {
+        let mut polled = Vec::new();
+        net.poll(Duration::from_millis(50), &mut polled).unwrap();
+        let found = polled.iter().any(&mut is_expected);
+        all.extend(polled);
+        if found {
             return all;
         }
     }
-    panic!("it never came: {all:?}");
+    panic!("the expected event was not reported: {all:?}");
+}
+
+/// Polls until a listener accepts a connection; returns the accepted connection.
+fn poll_until_accepted(net: &mut Net) -> Token {
+    let mut accepted = None;
+    poll_until(net, |event| {
+        if let Event::Accepted { token, .. } = event {
+            accepted.get_or_insert(*token);
+        }
+        accepted.is_some()
+    });
+    accepted.expect("the poll ended with an accepted connection")
+}
+
+fn poll_until_data(net: &mut Net, connection: Token, expected: &[u8]) {
+    poll_until(
+        net,
+        |event| matches!(event, Event::Data(token, bytes) if *token == connection && bytes == expected),
+    );
+}
+
+fn poll_until_connect_failed(net: &mut Net, connection: Token) {
+    poll_until(net, |event| matches!(event, Event::ConnectFailed(token) if *token == connection));
 }
 
 #[test]
 fn connection_reset_by_peer_reports_closed_after_data_both_ways() {
     let mut net = Net::new(10).unwrap();
-    let (_, at) = net.listen("127.0.0.1:0".parse().unwrap()).unwrap();
-    let client = net.connect(at);
+    let address = net.listen(ANY_PORT).unwrap().address;
+    let client = net.connect(address);
     let mut server = 0;
     let mut connected = false;
-    poll_until(&mut net, |e| {
-        match e {
+    poll_until(&mut net, |event| {
+        match event {
             Event::Accepted { token, .. } => server = *token,
-            Event::Connected(t) if *t == client => connected = true,
+            Event::Connected(token) if *token == client => connected = true,
             _ => {}
         }
         server != 0 && connected
     });
     net.send(client, b"there");
-    poll_until(&mut net, |e| matches!(e, Event::Data(t, b) if *t == server && &b[..] == b"there"));
+    poll_until_data(&mut net, server, b"there");
     net.send(server, b"back");
-    poll_until(&mut net, |e| matches!(e, Event::Data(t, b) if *t == client && &b[..] == b"back"));
+    poll_until_data(&mut net, client, b"back");
     net.reset(server);
-    let all = poll_until(&mut net, |e| matches!(e, Event::Closed { .. } | Event::HalfClosed(_)));
-    assert!(all.iter().any(|e| matches!(e, Event::Closed { token, written: 5 } if *token == client)));
+    let events = poll_until(&mut net, |event| matches!(event, Event::Closed { .. } | Event::HalfClosed(_)));
+    let is_client_loss =
+        |event: &Event| matches!(event, Event::Closed { token, written: 5 } if *token == client);
+    assert!(events.iter().any(is_client_loss));
 }
 
 #[test]
 fn connection_refused_or_over_maximum_fails() {
     let mut net = Net::new(3).unwrap();
-    let free = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-    let token = net.connect(free);
-    poll_until(&mut net, |e| matches!(e, Event::ConnectFailed(t) if *t == token));
-    let (_, at) = net.listen("127.0.0.1:0".parse().unwrap()).unwrap();
-    let first = net.connect(at);
-    poll_until(&mut net, |e| matches!(e, Event::Accepted { .. }));
-    let second = net.connect(at);
-    // The bound is three: the accepted end of the second is closed as it comes.
+    let unused_address = TcpListener::bind(ANY_PORT).unwrap().local_addr().unwrap();
+    let refused = net.connect(unused_address);
+    poll_until_connect_failed(&mut net, refused);
+    let address = net.listen(ANY_PORT).unwrap().address;
+    let first = net.connect(address);
+    poll_until_accepted(&mut net);
+    let second = net.connect(address);
+    // The maximum is three: the accepted end of the second connection is closed at once.
     poll_until(
         &mut net,
-        |e| matches!(e, Event::HalfClosed(t) | Event::Closed { token: t, .. } if *t == second),
+        |event| matches!(event, Event::HalfClosed(token) | Event::Closed { token, .. } if *token == second),
     );
-    let third = net.connect(at);
-    poll_until(&mut net, |e| matches!(e, Event::ConnectFailed(t) if *t == third));
+    let third = net.connect(address);
+    poll_until_connect_failed(&mut net, third);
     assert!(net.connections() <= 3);
     net.close(first);
 }
@@ -67,75 +96,74 @@
 #[test]
 fn reserved_port_without_listener_refuses_connections() {
     let mut net = Net::new(10).unwrap();
-    let port = Reserved::new("127.0.0.1".parse().unwrap()).unwrap();
+    let port = Reserved::new(LOOPBACK).unwrap();
     for _ in 0..2 {
-        let token = net.connect(port.addr());
-        poll_until(&mut net, |e| matches!(e, Event::ConnectFailed(t) if *t == token));
-        let (listener, at) = net.listen(port.addr()).unwrap();
-        assert_eq!(at, port.addr());
-        let token = net.connect(at);
-        poll_until(&mut net, |e| matches!(e, Event::Connected(t) if *t == token));
-        net.close(token);
-        net.stop_listening(listener);
+        let refused = net.connect(port.addr());
+        poll_until_connect_failed(&mut net, refused);
+        let listener = net.listen(port.addr()).unwrap();
+        assert_eq!(listener.address, port.addr());
+        let established = net.connect(listener.address);
+        poll_until(&mut net, |event| matches!(event, Event::Connected(token) if *token == established));
+        net.close(established);
+        net.stop_listening(listener.token);
     }
 }
 
 #[test]
 fn datagrams_sent_in_a_row_arrive_in_order() {
+    const DATAGRAMS: u8 = 100;
     let mut net = Net::new(10).unwrap();
-    let (one, _) = net.bind_datagrams("127.0.0.1:0".parse().unwrap()).unwrap();
-    let (other, at) = net.bind_datagrams("127.0.0.1:0".parse().unwrap()).unwrap();
-    for n in 0..100u8 {
-        assert!(net.send_to(one, at, &[n; 3]));
+    let sender = net.bind_datagrams(ANY_PORT).unwrap();
+    let receiver = net.bind_datagrams(ANY_PORT).unwrap();
+    for number in 0..DATAGRAMS {
+        assert!(net.send_to(sender.token, receiver.address, &[number; 3]));
     }
-    let mut next = 0;
-    poll_until(&mut net, |e| {
-        if let Event::Datagram(t, b) = e {
-            assert_eq!((*t, &b[..]), (other, &[next; 3][..]));
-            next += 1;
+    let mut received = 0;
+    poll_until(&mut net, |event| {
+        if let Event::Datagram(token, bytes) = event {
+            assert_eq!((*token, &bytes[..]), (receiver.token, &[received; 3][..]));
+            received += 1;
         }
-        next == 100
+        received == DATAGRAMS
     });
-    net.close_datagrams(other);
-    assert!(!net.send_to(other, at, b"x"));
+    net.close_datagrams(receiver.token);
+    assert!(!net.send_to(receiver.token, receiver.address, b"x"));
 }
 
 #[test]
 fn paused_connection_resumed_reports_data() {
     let mut net = Net::new(10).unwrap();
-    let (_, at) = net.listen("127.0.0.1:0".parse().unwrap()).unwrap();
-    let client = net.connect(at);
-    let mut server = 0;
-    poll_until(&mut net, |e| matches!(e, Event::Accepted { token, .. } if { server = *token; true }));
-    net.set_read_paused(server, true);
+    let address = net.listen(ANY_PORT).unwrap().address;
+    let client = net.connect(address);
+    let server = poll_until_accepted(&mut net);
+    net.pause_reads(server);
     net.send(client, b"x");
     for _ in 0..5 {
         let mut events = Vec::new();
         net.poll(Duration::from_millis(5), &mut events).unwrap();
-        assert!(!events.iter().any(|e| matches!(e, Event::Data(..))));
+        assert!(!events.iter().any(|event| matches!(event, Event::Data(..))));
     }
-    net.set_read_paused(server, false);
-    poll_until(&mut net, |e| matches!(e, Event::Data(t, _) if *t == server));
+    net.resume_reads(server);
+    poll_until_data(&mut net, server, b"x");
 }
 
 #[test]
 fn half_closed_connection_still_receives_data() {
     let mut net = Net::new(10).unwrap();
-    let (_, at) = net.listen("127.0.0.1:0".parse().unwrap()).unwrap();
-    let client = net.connect(at);
-    let mut server = 0;
-    poll_until(&mut net, |e| matches!(e, Event::Accepted { token, .. } if { server = *token; true }));
+    let address = net.listen(ANY_PORT).unwrap().address;
+    let client = net.connect(address);
+    let server = poll_until_accepted(&mut net);
     net.shutdown_write(client);
-    poll_until(&mut net, |e| matches!(e, Event::HalfClosed(t) if *t == server));
+    poll_until(&mut net, |event| matches!(event, Event::HalfClosed(token) if *token == server));
     net.send(server, b"late");
-    poll_until(&mut net, |e| matches!(e, Event::Data(t, bytes) if *t == client && &bytes[..] == b"late"));
+    poll_until_data(&mut net, client, b"late");
 }
 
 #[test]
 fn connection_closed_after_flush_sends_what_is_queued_without_an_event() {
     const QUEUED_BYTES: usize = 4 << 20;
     let mut net = Net::new(10).unwrap();
-    let (_, address) = net.listen("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = net.listen(ANY_PORT).unwrap().address;
     let client = net.connect(address);
     net.send(client, &vec![7; QUEUED_BYTES]);
     assert_eq!(net.unsent_bytes(client), QUEUED_BYTES);
@@ -156,20 +184,20 @@
 }
 
 #[test]
-fn listener_stopped_reports_the_connections_that_waited() {
+fn listener_stopped_reports_queued_connections() {
     let mut net = Net::new(10).unwrap();
-    let (listener, address) = net.listen("127.0.0.1:0".parse().unwrap()).unwrap();
-    let mut waiting = std::net::TcpStream::connect(address).unwrap();
-    std::io::Write::write_all(&mut waiting, b"first").unwrap();
-    net.stop_listening(listener);
+    let listener = net.listen(ANY_PORT).unwrap();
+    let mut queued = std::net::TcpStream::connect(listener.address).unwrap();
+    std::io::Write::write_all(&mut queued, b"first").unwrap();
+    net.stop_listening(listener.token);
     let mut events = Vec::new();
     net.poll(Duration::ZERO, &mut events).unwrap();
     let accepted = events.iter().find_map(|event| match event {
-        Event::Accepted { listener: on, token, .. } if *on == listener => Some(*token),
+        Event::Accepted { listener: source, token, .. } if *source == listener.token => Some(*token),
         _ => None,
     });
-    let accepted = accepted.expect("the connection that waited is reported");
+    let accepted = accepted.expect("the queued connection is reported");
     assert!(matches!(&events[1], Event::Data(token, bytes) if *token == accepted && &bytes[..] == b"first"));
-    let refused = net.connect(address);
-    poll_until(&mut net, |event| matches!(event, Event::ConnectFailed(token) if *token == refused));
+    let refused = net.connect(listener.address);
+    poll_until_connect_failed(&mut net, refused);
 }
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -15,7 +15,7 @@
 use journal::{wall_clock, JournalWriter, WriteOutcome};
 use linnetcart::Time;
 use linnetcart_journal::{JournalDirectory, JournalError, OpenedJournal};
-use linnetcart_net::{Event, Net, Token};
+use linnetcart_net::{Event, Net, ReadLimits, Token};
 use log::CoreLog;
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::Path;
@@ -116,7 +116,7 @@
     let (directory, replay) = replay_journal(&environment.state, &config)
         .with_context(|| format!("the journal in {state} cannot be read; RELAY_STATE names the folder"))?;
     net.set_max_connections(config.limits.file_descriptors.saturating_sub(RESERVED_FILE_DESCRIPTORS));
-    net.set_read_limits(READ_BUFFER_BYTES, READS_PER_POLL);
+    net.set_read_limits(ReadLimits { buffer_bytes: READ_BUFFER_BYTES, reads_per_poll: READS_PER_POLL });
     let listen = config.listen;
     let journal_capacity = config.limits.disk_bytes();
     // Both clocks at one moment, before anything that takes time.
@@ -125,7 +125,7 @@
     let core = Core::new(config, replay, CLOCK_START, wall);
     let journal = JournalWriter::begin(directory, journal_capacity, &core)
         .with_context(|| format!("the journal in {state} cannot be written; make room there"))?;
-    let (listener, _) =
+    let listener =
         net.listen(listen).with_context(|| format!("cannot listen on {listen}; RELAY_CONFIG names it"))?;
     tracing::info!(%listen, "ready");
     let mut shell = Shell {
@@ -133,7 +133,7 @@
         core,
         journal,
         log: CoreLog::default(),
-        listener,
+        listener: listener.token,
         clients: BTreeSet::new(),
         upstream: UpstreamTokens::default(),
         started_at,
--- a/crates/testbed/src/message_receivers.rs
+++ b/crates/testbed/src/message_receivers.rs
@@ -69,10 +69,10 @@
         let mut silent_listeners = Vec::new();
         let mut addresses = Vec::new();
         for number in 0..count {
-            let (token, address) = net.listen(SocketAddr::from(([127, 0, 0, 1], 0))).ok()?;
-            addresses.push(address);
+            let bound = net.listen(SocketAddr::from(([127, 0, 0, 1], 0))).ok()?;
+            addresses.push(bound.address);
             if number < silent {
-                silent_listeners.push(token);
+                silent_listeners.push(bound.token);
             }
         }
         Some((ReceiverLoop { net, silent_listeners, connections: BTreeMap::new() }, addresses))
--- a/crates/testbed/src/relay.rs
+++ b/crates/testbed/src/relay.rs
@@ -42,13 +42,14 @@
 /// Relays between clients and these endpoints, by partition, until it is killed.
 pub fn run(endpoints: &[SocketAddr]) -> anyhow::Result<()> {
     let mut net = Net::new(MAX_CONNECTIONS)?;
-    let (listener, address) = net.listen("127.0.0.1:0".parse()?)?;
+    let listener = net.listen("127.0.0.1:0".parse()?)?;
+    let address = listener.address;
     println!("{}", json!({"kafka": address.to_string(), "control": address.to_string()}));
     std::io::stdout().flush()?;
     let mut relay = Relay {
         net,
         address,
-        listener,
+        listener: listener.token,
         endpoints,
         connections: BTreeMap::new(),
         idle: vec![Vec::new(); endpoints.len()],
--- a/crates/testbed/src/report_receiver.rs
+++ b/crates/testbed/src/report_receiver.rs
@@ -165,13 +165,13 @@
         let requested = reserved.as_ref().map(Reserved::addr).or(addresses.graphite);
         let mut graphite = None;
         if let Some(requested) = requested {
-            let (token, address) = net.listen(requested).with_context(|| requested.to_string())?;
-            graphite = Some(GraphiteListener { token, address });
+            let bound = net.listen(requested).with_context(|| requested.to_string())?;
+            graphite = Some(GraphiteListener { token: bound.token, address: bound.address });
         }
         let mut collectd = None;
         if let Some(requested) = addresses.collectd {
-            let (_, address) = net.bind_datagrams(requested).with_context(|| requested.to_string())?;
-            collectd = Some(address);
+            let bound = net.bind_datagrams(requested).with_context(|| requested.to_string())?;
+            collectd = Some(bound.address);
         }
         let bound = BoundAddresses { graphite: graphite.as_ref().map(|listener| listener.address), collectd };
         let receiver = ReceiverLoop {
@@ -211,11 +211,11 @@
             for token in std::mem::take(&mut self.connections).into_keys() {
                 self.net.reset(token);
             }
-        } else if let Ok((token, _)) = self.net.listen(listener.address) {
-            listener.token = token;
+        } else if let Ok(bound) = self.net.listen(listener.address) {
+            listener.token = bound.token;
         }
         for &token in self.connections.keys() {
-            self.net.set_read_paused(token, behaviour == Behaviour::NeverReads);
+            apply_read_behaviour(&mut self.net, token, behaviour);
         }
     }
 
@@ -223,7 +223,7 @@
         match event {
             Event::Accepted { token, .. } => {
                 self.connections.insert(token, Vec::new());
-                self.net.set_read_paused(token, behaviour == Behaviour::NeverReads);
+                apply_read_behaviour(&mut self.net, token, behaviour);
             }
             Event::Data(token, _) if behaviour == Behaviour::Resets => {
                 self.connections.remove(&token);
@@ -271,6 +271,15 @@
     }
 }
 
+/// Stops reading from a connection while the receiver simulates one that never reads.
+fn apply_read_behaviour(net: &mut Net, token: Token, behaviour: Behaviour) {
+    if behaviour == Behaviour::NeverReads {
+        net.pause_reads(token);
+    } else {
+        net.resume_reads(token);
+    }
+}
+
 fn add_packet_item(stream: &mut Stream, record: &mut Option<PointRecord>, item: PacketItem) {
     match item {
         PacketItem::Values(about, values) => {
--- a/crates/testbed/src/socket_run/transport.rs
+++ b/crates/testbed/src/socket_run/transport.rs
@@ -144,9 +144,9 @@
             }
         };
         let address = listener.port.addr();
-        let (token, _) = self.net.listen(address).with_context(|| format!("endpoint {endpoint}"))?;
-        listener.token = Some(token);
-        self.listeners.insert(token, endpoint);
+        let bound = self.net.listen(address).with_context(|| format!("endpoint {endpoint}"))?;
+        listener.token = Some(bound.token);
+        self.listeners.insert(bound.token, endpoint);
         Ok(())
     }
 
