--- a/crates/edge/src/core/admission.rs
+++ b/crates/edge/src/core/admission.rs
@@ -16,7 +16,7 @@
 use headers::{read_all_headers, RecordHeaders};
 use linnetcart::Time;
 use linnetcart_kafka::server::{PartitionBatch, PartitionResult};
-use linnetcart_kafka::Record;
+use linnetcart_kafka::{Record, RecordHeader};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 /// The header with a message's name; it is made up where it is absent.
@@ -174,7 +174,7 @@
         }
         self.generated_names += 1;
         let name = Bytes::from(format!("{}{}", self.name_prefix, self.generated_names));
-        record.headers.push((MESSAGE_ID.into(), Some(name.clone())));
+        record.headers.push(RecordHeader::new(MESSAGE_ID, name.clone()));
         name
     }
 }
--- a/crates/edge/src/core/admission/error.rs
+++ b/crates/edge/src/core/admission/error.rs
@@ -3,7 +3,7 @@
 use super::headers::InvalidRecord;
 use crate::core::responses::rejected_partition;
 use linnetcart_kafka::codes;
-use linnetcart_kafka::server::PartitionResult;
+use linnetcart_kafka::server::{PartitionResult, RecordError};
 
 /// Why a partition cannot be accepted. The texts are those of its result.
 #[derive(Debug, thiserror::Error)]
@@ -42,8 +42,11 @@
     pub(super) fn result(&self, topic: &str, partition: i32) -> PartitionResult {
         let mut result = rejected_partition(topic, partition, self.code(), self.to_string());
         if let PartitionError::InvalidRecords { records } = self {
-            let error_of = |record: &InvalidRecord| (record.index, record.error.to_string());
-            result.records = records.iter().map(error_of).collect();
+            let error_of = |record: &InvalidRecord| RecordError {
+                index: record.index,
+                message: record.error.to_string(),
+            };
+            result.record_errors = records.iter().map(error_of).collect();
         }
         result
     }
--- a/crates/edge/src/core/delivery/produce.rs
+++ b/crates/edge/src/core/delivery/produce.rs
@@ -5,7 +5,7 @@
 use crate::time::NANOS_PER_MS;
 use bytes::Bytes;
 use linnetcart::{AttemptOutcome, Time};
-use linnetcart_kafka::client::{self, ProduceReply, ProduceTarget};
+use linnetcart_kafka::client::{self, ProduceReply, ProduceTarget, RequiredAcks};
 use linnetcart_kafka::codes::{self, Malformed};
 use linnetcart_kafka::server::PartitionResult;
 use linnetcart_kafka::Record;
@@ -43,7 +43,8 @@
     let time_left = call.messages.iter().map(|message| message.deadline.saturating_sub(now)).max();
     let timeout_ms = i32::try_from(time_left.unwrap_or(0) / NANOS_PER_MS).unwrap_or(i32::MAX);
     let RequestHeader { correlation, version } = header;
-    client::produce(correlation, &settings.client_name, version, (ACKS_ALL, timeout_ms), &targets)
+    let required = RequiredAcks { acks: ACKS_ALL, timeout_ms };
+    client::produce(correlation, &settings.client_name, version, required, &targets)
 }
 
 /// The Retry-After of a response, 0 for none.
--- a/crates/edge/src/core/delivery/responses.rs
+++ b/crates/edge/src/core/delivery/responses.rs
@@ -8,7 +8,8 @@
 use crate::core::error::ProtocolError;
 use bytes::Bytes;
 use linnetcart::{AttemptOutcome, Time};
-use linnetcart_kafka::{client, PRODUCE};
+use linnetcart_kafka::client::{self, ProduceVersions};
+use linnetcart_kafka::PRODUCE;
 
 impl Delivery {
     /// Bytes came. What is no response to a call on this connection ends the connection. `may_depart` says of a
@@ -49,12 +50,11 @@
         frame: &Bytes,
         may_depart: &dyn Fn(u32, u32) -> bool,
     ) -> Result<(), ProtocolError> {
-        let (correlation, offered) = client::read_produce_versions(frame)?;
-        let (least, most) = offered.ok_or(ProtocolError::ProduceNotOffered)?;
-        let (first_spoken, last_spoken) = PRODUCE;
-        let produce_version = most.min(last_spoken);
-        if correlation != VERSION_REQUEST || produce_version < least.max(first_spoken) {
-            return Err(ProtocolError::ProduceVersions { least, most });
+        let ProduceVersions { correlation, offered } = client::read_produce_versions(frame)?;
+        let offered = offered.ok_or(ProtocolError::ProduceNotOffered)?;
+        let produce_version = offered.last.min(PRODUCE.last);
+        if correlation != VERSION_REQUEST || produce_version < offered.first.max(PRODUCE.first) {
+            return Err(ProtocolError::ProduceVersions { least: offered.first, most: offered.last });
         }
         let Some(connection) = self.connections.get_mut(id) else { return Ok(()) };
         connection.state = ConnectionState::Ready { produce_version };
--- a/crates/edge/src/core/endpoints.rs
+++ b/crates/edge/src/core/endpoints.rs
@@ -1,6 +1,7 @@
 //! The endpoint list in force, and what is looked up in it.
 
 use crate::settings::{EndpointEntry, EndpointList, EntryState};
+use linnetcart_kafka::server::PartitionState;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -45,11 +46,13 @@
         u32::try_from(partition).ok().filter(|destination| self.ready_counts.contains_key(destination))
     }
 
-    /// For each partition number up to the highest whether its destination has a ready endpoint.
-    pub(crate) fn available_partitions(&self) -> Vec<bool> {
+    /// Returns for each partition number up to the highest whether its destination has a ready endpoint.
+    pub(crate) fn partition_states(&self) -> Vec<PartitionState> {
         let Some((&last, _)) = self.ready_counts.last_key_value() else { return Vec::new() };
-        let is_available =
-            |destination: u32| self.ready_counts.get(&destination).is_some_and(|&ready| ready > 0);
-        (0..=last).map(is_available).collect()
+        let state = |destination: u32| match self.ready_counts.get(&destination) {
+            Some(&ready) if ready > 0 => PartitionState::Available,
+            _ => PartitionState::Unavailable,
+        };
+        (0..=last).map(state).collect()
     }
 }
--- a/crates/edge/src/core/error.rs
+++ b/crates/edge/src/core/error.rs
@@ -17,7 +17,7 @@
     NoAcknowledgement { topics: Vec<String> },
     #[error("it does not offer Produce")]
     ProduceNotOffered,
-    #[error("it offers Produce {least} to {most}, {PRODUCE:?} are spoken")]
+    #[error("it offers Produce {least} to {most}, ({}, {}) are spoken", PRODUCE.first, PRODUCE.last)]
     ProduceVersions { least: i16, most: i16 },
     #[error("it answers request {correlation}, which is not out")]
     UnexpectedResponse { correlation: i32 },
--- a/crates/edge/src/core/requests.rs
+++ b/crates/edge/src/core/requests.rs
@@ -94,7 +94,7 @@
             Body::Metadata(names) => {
                 server::metadata(correlation, version, &self.broker, &self.topics(names))
             }
-            Body::Fetch(topics) => server::not_readable(correlation, &topics),
+            Body::Fetch(topics) => server::fetch_rejected(correlation, &topics),
             Body::Produce(produce) if produce.acks == 0 => {
                 let topics = produce.parts.into_iter().map(|batch| batch.topic).collect();
                 return Err(ProtocolError::NoAcknowledgement { topics });
@@ -110,13 +110,12 @@
 
     /// The named topics, or all of them, as Metadata describes them.
     fn topics(&self, names: Option<Vec<String>>) -> Vec<Topic> {
-        let partitions = self.endpoints.available_partitions();
+        let partitions = self.endpoints.partition_states();
         let all = || self.settings.classes.iter().map(|class| class.name.clone()).collect();
         let mut topics = Vec::new();
         for name in names.unwrap_or_else(all) {
-            let known = self.settings.class(&name).is_some();
-            let partitions = if known { partitions.clone() } else { Vec::new() };
-            topics.push(Topic { name, known, partitions });
+            let partitions = self.settings.class(&name).map(|_| partitions.clone());
+            topics.push(Topic { name, partitions });
         }
         topics
     }
--- a/crates/edge/src/core/responses.rs
+++ b/crates/edge/src/core/responses.rs
@@ -2,7 +2,7 @@
 
 use linnetcart::Time;
 use linnetcart_kafka::codes;
-use linnetcart_kafka::server::PartitionResult;
+use linnetcart_kafka::server::{PartitionResult, RecordError};
 
 /// The final answer of one record.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -91,8 +91,9 @@
     }
     let text = "the records of this batch ended differently; see each";
     let mut result = rejected_partition(topic, partition, codes::INVALID_RECORD, text);
-    result.records =
-        outcomes.iter().enumerate().map(|(index, outcome)| (index as i32, outcome.text())).collect();
+    for (index, outcome) in outcomes.iter().enumerate() {
+        result.record_errors.push(RecordError { index: index as i32, message: outcome.text() });
+    }
     PartitionAnswer { result, retry_after }
 }
 
--- a/crates/edge/src/core/responses/tests.rs
+++ b/crates/edge/src/core/responses/tests.rs
@@ -16,5 +16,5 @@
     assert_eq!(code(&[NOT_EXECUTED, RecordOutcome::Failed]), codes::INVALID_RECORD);
     assert_eq!(code(&[RecordOutcome::Failed]), codes::UNKNOWN_SERVER_ERROR);
     let mixed = partition_answer("t", 0, &[RecordOutcome::Served, NOT_EXECUTED, RecordOutcome::Failed], 0);
-    assert_eq!((mixed.result.records.len(), mixed.retry_after), (3, 5));
+    assert_eq!((mixed.result.record_errors.len(), mixed.retry_after), (3, 5));
 }
--- a/crates/edge/tests/core/requests.rs
+++ b/crates/edge/tests/core/requests.rs
@@ -52,7 +52,7 @@
     assert_eq!(harness.response_codes(CLIENT), [(n, codes::INVALID_RECORD), (n, codes::NONE)]);
     let mixed = &harness.responses[&CLIENT][0].parts[0];
     assert_eq!(
-        mixed.records.iter().map(|r| r.1.split(':').next().unwrap()).collect::<Vec<_>>(),
+        mixed.record_errors.iter().map(|error| error.message.split(':').next().unwrap()).collect::<Vec<_>>(),
         ["served", "failed"]
     );
 }
@@ -82,7 +82,7 @@
     assert_eq!(codes[1], (nowhere, codes::UNKNOWN_TOPIC_OR_PARTITION));
     assert_eq!(codes[2], (negative, codes::UNKNOWN_TOPIC_OR_PARTITION));
     assert_eq!(codes[3], (wrong, codes::INVALID_RECORD));
-    assert!(harness.responses[&CLIENT][3].parts[0].records[0].1.contains("deadline-ms"));
+    assert!(harness.responses[&CLIENT][3].parts[0].record_errors[0].message.contains("deadline-ms"));
     assert!(harness.calls.is_empty(), "nothing of a wrong batch is accepted");
     let request = harness.request(0, &[("status", 1, &[record("x")])]);
     harness.core.client_received(CLIENT, &request);
@@ -259,7 +259,9 @@
     assert_eq!(harness.response_codes(CLIENT)[3].1, codes::UNKNOWN_SERVER_ERROR);
     let wrong = harness.send(CLIENT, &[("order", 1, &[record_with_header("y", "deadline-at-ms", "soon")])]);
     assert_eq!(harness.response_codes(CLIENT)[4], (wrong, codes::INVALID_RECORD));
-    assert!(harness.responses[&CLIENT][4].parts[0].records[0].1.contains("deadline-at-ms: `soon`"));
+    assert!(harness.responses[&CLIENT][4].parts[0].record_errors[0]
+        .message
+        .contains("deadline-at-ms: `soon`"));
 }
 
 #[test]
--- a/crates/edge/tests/harness/mod.rs
+++ b/crates/edge/tests/harness/mod.rs
@@ -6,7 +6,7 @@
 use linnetcart_edge::settings::{EndpointEntry, EndpointListUpdate, EntryState, Settings};
 use linnetcart_kafka::client::{self, ProduceReply};
 use linnetcart_kafka::server::{self, Body, Broker, PartitionResult, Request};
-use linnetcart_kafka::{Frames, Record};
+use linnetcart_kafka::{Frames, Record, RecordHeader};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
@@ -265,7 +265,8 @@
             .iter()
             .map(|&(topic, partition, records)| client::ProduceTarget { topic, partition, records })
             .collect();
-        client::produce(self.correlation, "tester", VERSION, (acks, 30_000), &to).unwrap()
+        let required = client::RequiredAcks { acks, timeout_ms: 30_000 };
+        client::produce(self.correlation, "tester", VERSION, required, &to).unwrap()
     }
 
     pub fn send(&mut self, id: ClientId, to: &[(&str, i32, &[Record])]) -> i32 {
@@ -328,5 +329,5 @@
 }
 
 pub fn record_with_header(value: &str, name: &str, text: &str) -> Record {
-    Record { headers: vec![(name.into(), Some(Bytes::copy_from_slice(text.as_bytes())))], ..record(value) }
+    Record { headers: vec![RecordHeader::new(name, text.to_owned())], ..record(value) }
 }
--- a/crates/edge/tests/random/main.rs
+++ b/crates/edge/tests/random/main.rs
@@ -8,7 +8,7 @@
 use harness::*;
 use linnetcart_edge::settings::EntryState;
 use linnetcart_kafka::codes;
-use linnetcart_kafka::server;
+use linnetcart_kafka::{server, RecordHeader};
 use model::{limit, CallKey, CallOut, Model, SentMessage, WaitingRequest, ENDPOINTS};
 use proptest::prelude::*;
 use proptest::sample::Index;
@@ -117,7 +117,7 @@
             self.sent_count += 1;
             let name = format!("m{}", self.sent_count);
             let mut record = record_with_header(&name, "deadline-ms", &time_left_ms.to_string());
-            record.headers.push(("message-id".into(), Some(bytes::Bytes::from(name.clone()))));
+            record.headers.push(RecordHeader::new("message-id", name.clone()));
             record.key = key.clone().map(bytes::Bytes::from);
             records.push(record);
             let sent = SentMessage {
--- a/crates/kafka/src/client.rs
+++ b/crates/kafka/src/client.rs
@@ -1,10 +1,10 @@
-//! The side that calls: writes requests, reads responses.
+//! The client side: writes requests and reads responses.
 
 mod request;
 mod response;
 
-pub use request::{api_versions, metadata, produce, ProduceTarget};
+pub use request::{api_versions, metadata, produce, ProduceTarget, RequiredAcks};
 pub use response::{
     answers, read_metadata, read_produce_versions, read_produced, BrokerMetadata, ClusterMetadata,
-    PartitionMetadata, ProduceReply, TopicMetadata,
+    PartitionMetadata, ProduceReply, ProduceVersions, TopicMetadata,
 };
--- a/crates/kafka/src/client/request.rs
+++ b/crates/kafka/src/client/request.rs
@@ -1,25 +1,26 @@
-//! Writing of requests.
+//! Encoding of requests.
+//!
+//! Every function returns a complete frame with its length prefix.
 
 use crate::codes::Malformed;
 use crate::frame::FrameWriter;
 use crate::record::{encode_batch, Record};
+use crate::topic_name::topic_name;
 use bytes::Bytes;
 use kafka_protocol::messages::metadata_request::MetadataRequestTopic;
 use kafka_protocol::messages::produce_request::{PartitionProduceData, TopicProduceData};
-use kafka_protocol::messages::{
-    ApiKey, ApiVersionsRequest, MetadataRequest, ProduceRequest, RequestHeader, TopicName,
-};
+use kafka_protocol::messages::{ApiKey, ApiVersionsRequest, MetadataRequest, ProduceRequest, RequestHeader};
 use kafka_protocol::protocol::{Encodable, StrBytes};
 
-/// What this client calls its software in ApiVersions.
+/// The software name and version that this client gives in ApiVersions.
 const SOFTWARE_NAME: &str = "linnetcart";
 const SOFTWARE_VERSION: &str = "0.1";
-/// First version of ApiVersions in which a client names its software.
+/// First version of ApiVersions with the software name and version of the client.
 const SOFTWARE_NAME_SINCE: i16 = 3;
-/// First version of Metadata in which a client says whether topics may be created; before, they always may.
+/// First version of Metadata with the flag that allows topic creation; earlier versions always allow it.
 const TOPIC_CREATION_SINCE: i16 = 4;
 
-/// A whole request frame with its length prefix.
+/// Encodes a complete request frame with its length prefix.
 fn encode_frame<M: Encodable>(
     api: ApiKey,
     correlation: i32,
@@ -42,10 +43,6 @@
     Ok(writer.finish())
 }
 
-fn topic_name(name: &str) -> TopicName {
-    TopicName(StrBytes::from_string(name.to_owned()))
-}
-
 /// Records for one partition of a topic.
 #[derive(Clone, Debug)]
 pub struct ProduceTarget<'a> {
@@ -57,23 +54,31 @@
     pub records: &'a [Record],
 }
 
-/// A Produce request with its length prefix. The pair says how many acknowledgements it waits for, and for how
-/// many milliseconds.
+/// The acknowledgements that a Produce request asks the server for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RequiredAcks {
+    /// Number of replicas that must acknowledge the records; -1 for all of them.
+    pub acks: i16,
+    /// How long the server may wait for the acknowledgements, in milliseconds.
+    pub timeout_ms: i32,
+}
+
+/// Encodes a Produce request.
 pub fn produce(
     correlation: i32,
     client: &str,
     version: i16,
-    (acks, timeout_ms): (i16, i32),
-    to: &[ProduceTarget],
+    required: RequiredAcks,
+    targets: &[ProduceTarget],
 ) -> Result<Bytes, Malformed> {
     let body = ProduceRequest::default()
-        .with_acks(acks)
-        .with_timeout_ms(timeout_ms)
-        .with_topic_data(produce_topics(to)?);
+        .with_acks(required.acks)
+        .with_timeout_ms(required.timeout_ms)
+        .with_topic_data(produce_topics(targets)?);
     encode_frame(ApiKey::Produce, correlation, client, version, &body)
 }
 
-/// The records by topic; targets in a row of one topic share it.
+/// Groups the targets by topic; consecutive targets of one topic share one entry.
 fn produce_topics(targets: &[ProduceTarget]) -> Result<Vec<TopicProduceData>, Malformed> {
     let mut topics: Vec<TopicProduceData> = Vec::new();
     for target in targets {
@@ -92,7 +97,7 @@
     Ok(topics)
 }
 
-/// An ApiVersions request with its length prefix.
+/// Encodes an ApiVersions request.
 pub fn api_versions(correlation: i32, client: &str, version: i16) -> Result<Bytes, Malformed> {
     let mut body = ApiVersionsRequest::default();
     if version >= SOFTWARE_NAME_SINCE {
@@ -103,7 +108,7 @@
     encode_frame(ApiKey::ApiVersions, correlation, client, version, &body)
 }
 
-/// A Metadata request for these topics, or all, with its length prefix.
+/// Encodes a Metadata request for the given topics, or for all topics if `topics` is `None`.
 pub fn metadata(
     correlation: i32,
     client: &str,
@@ -118,7 +123,7 @@
 
 fn metadata_topics(version: i16, topics: Option<&[&str]>) -> Option<Vec<MetadataRequestTopic>> {
     let Some(topics) = topics else {
-        // Version 0 asks for all topics with an empty list; later versions with none.
+        // Version 0 requests all topics with an empty list; later versions with a null list.
         return (version == 0).then(Vec::new);
     };
     let named = |name: &&str| MetadataRequestTopic::default().with_name(Some(topic_name(name)));
--- a/crates/kafka/src/client/response.rs
+++ b/crates/kafka/src/client/response.rs
@@ -1,9 +1,9 @@
-//! Reading of responses.
+//! Decoding of responses.
 
 use crate::codes::{self, Malformed};
-use crate::server::PartitionResult;
+use crate::server::{PartitionResult, RecordError};
 use crate::shape;
-use crate::LoadReport;
+use crate::{LoadReport, VersionRange};
 use bytes::{Buf, Bytes};
 use kafka_protocol::messages::metadata_response::{MetadataResponsePartition, MetadataResponseTopic};
 use kafka_protocol::messages::produce_response::{
@@ -12,26 +12,26 @@
 use kafka_protocol::messages::{ApiKey, MetadataResponse, ProduceResponse};
 use kafka_protocol::protocol::Decodable;
 
-/// Bytes of an API with its first and last version in an ApiVersions response of version 0.
+/// Size of one API entry (key, first version, last version) in an ApiVersions response of version 0.
 const API_VERSION_BYTES: usize = 6;
 
-/// What a Produce response says.
+/// A Produce response.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ProduceReply {
-    /// Number of the request that it answers.
+    /// Correlation id of the request that the response answers.
     pub correlation: i32,
-    /// Its partitions.
+    /// The results of the request's partitions.
     pub parts: Vec<PartitionResult>,
-    /// How long the client is asked to send nothing more.
+    /// How long the client should send no further requests, in milliseconds.
     pub throttle_ms: i32,
-    /// What the endpoint reports of its limit.
+    /// The load report of the endpoint, if the response carries one.
     pub load: Option<LoadReport>,
 }
 
-/// What a Metadata response says.
+/// A Metadata response.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ClusterMetadata {
-    /// Number of the request that it answers.
+    /// Correlation id of the request that the response answers.
     pub correlation: i32,
     /// The brokers.
     pub brokers: Vec<BrokerMetadata>,
@@ -42,37 +42,46 @@
 /// A broker in a Metadata response.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct BrokerMetadata {
-    /// Its number.
+    /// Node id of the broker.
     pub id: i32,
-    /// Host name or address.
+    /// Host name or address of the broker.
     pub host: String,
-    /// Port.
+    /// Port of the broker.
     pub port: i32,
 }
 
 /// A topic in a Metadata response.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TopicMetadata {
-    /// Its name.
+    /// Name of the topic.
     pub name: String,
     /// The error code, see [`codes`].
     pub code: i16,
-    /// Its partitions.
+    /// The topic's partitions.
     pub partitions: Vec<PartitionMetadata>,
 }
 
 /// A partition in a Metadata response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PartitionMetadata {
-    /// Its number.
+    /// Partition number.
     pub index: i32,
     /// The error code, see [`codes`].
     pub code: i16,
-    /// Number of the broker that leads it; -1 for none.
+    /// Node id of the partition's leader; -1 if it has none.
     pub leader: i32,
 }
 
-/// The number of the request that a response frame answers.
+/// The offer of Produce in an ApiVersions response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ProduceVersions {
+    /// Correlation id of the request that the response answers.
+    pub correlation: i32,
+    /// The offered versions of Produce; `None` if Produce is not offered.
+    pub offered: Option<VersionRange>,
+}
+
+/// Returns the correlation id of the request that a response frame answers.
 pub fn answers(frame: &Bytes) -> Result<i32, Malformed> {
     read_correlation(&mut frame.clone())
 }
@@ -97,15 +106,15 @@
     Ok(ResponseBody { correlation, bytes })
 }
 
-/// Bytes of the tagged fields that these bytes begin with.
+/// Returns the length of the tagged fields at the start of `bytes`.
 fn tagged_fields_length(bytes: &[u8]) -> Result<usize, Malformed> {
     let mut cursor = shape::Cursor::flexible(bytes);
     let count = cursor.uvarint()?;
     cursor.tagged_fields(count)?;
-    Ok(bytes.len() - cursor.left())
+    Ok(bytes.len() - cursor.remaining())
 }
 
-/// Reads a Produce response.
+/// Decodes a Produce response of this version.
 pub fn read_produced(frame: &Bytes, version: i16) -> Result<ProduceReply, Malformed> {
     let mut body = read_header(frame, ApiKey::Produce, version)?;
     shape::produce_response(&body.bytes, version)?;
@@ -128,21 +137,24 @@
 }
 
 fn read_partition_result(topic: &str, partition: PartitionProduceResponse) -> PartitionResult {
-    let record_error = |error: BatchIndexAndErrorMessage| {
-        let message = error.batch_index_error_message.map_or(String::new(), |text| text.to_string());
-        (error.batch_index, message)
-    };
     PartitionResult {
         topic: topic.to_owned(),
         partition: partition.index,
         code: partition.error_code,
         offset: partition.base_offset,
-        records: partition.record_errors.into_iter().map(record_error).collect(),
+        record_errors: partition.record_errors.into_iter().map(read_record_error).collect(),
         text: partition.error_message.map(|text| text.to_string()),
     }
 }
 
-/// Reads a Metadata response.
+fn read_record_error(error: BatchIndexAndErrorMessage) -> RecordError {
+    RecordError {
+        index: error.batch_index,
+        message: error.batch_index_error_message.map_or(String::new(), |text| text.to_string()),
+    }
+}
+
+/// Decodes a Metadata response of this version.
 pub fn read_metadata(frame: &Bytes, version: i16) -> Result<ClusterMetadata, Malformed> {
     let mut body = read_header(frame, ApiKey::Metadata, version)?;
     shape::metadata_response(&body.bytes, version)?;
@@ -173,25 +185,24 @@
     }
 }
 
-/// The number of the request, and the first and last version of Produce that an ApiVersions response of version
-/// 0 offers.
-pub fn read_produce_versions(frame: &Bytes) -> Result<(i32, Option<(i16, i16)>), Malformed> {
+/// Reads the offered versions of Produce from an ApiVersions response of version 0.
+pub fn read_produce_versions(frame: &Bytes) -> Result<ProduceVersions, Malformed> {
     let mut cursor = shape::Cursor::new(frame);
     let correlation = cursor.i32()?;
     let error_code = cursor.i16()?;
     let count = cursor.i32()?;
     let expected_bytes = usize::try_from(count).ok().and_then(|count| count.checked_mul(API_VERSION_BYTES));
-    if error_code != codes::NONE || expected_bytes != Some(cursor.left()) {
+    if error_code != codes::NONE || expected_bytes != Some(cursor.remaining()) {
         return Err(Malformed("ApiVersions response"));
     }
-    let mut produce = None;
+    let mut offered = None;
     for _ in 0..count {
         let api = cursor.i16()?;
         let first = cursor.i16()?;
         let last = cursor.i16()?;
         if api == ApiKey::Produce as i16 {
-            produce = Some((first, last));
+            offered = Some(VersionRange { first, last });
         }
     }
-    Ok((correlation, produce))
+    Ok(ProduceVersions { correlation, offered })
 }
--- a/crates/kafka/src/frame.rs
+++ b/crates/kafka/src/frame.rs
@@ -1,27 +1,27 @@
-//! Length-prefixed frames: cut out of a stream of bytes, and written to one.
+//! Length-prefixed frames: splitting a stream of bytes into frames, and writing frames.
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 
-/// Bytes of the length in front of each frame.
+/// Size of the length prefix of each frame.
 const LENGTH_PREFIX_BYTES: usize = 4;
 
-/// A length prefix that no frame can have.
+/// An invalid length prefix.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum FrameError {
-    /// The length is below zero.
+    /// The length is negative.
     #[error("frame of negative length {0}")]
     Negative(i32),
     /// The frame is larger than the maximum.
-    #[error("frame of {length} bytes; at most {most} are taken")]
+    #[error("frame of {length} bytes; the maximum is {max}")]
     TooLarge {
-        /// Its length.
+        /// Length of the frame in bytes.
         length: usize,
-        /// The maximum.
-        most: usize,
+        /// The maximum length in bytes.
+        max: usize,
     },
 }
 
-/// Collects bytes and cuts them into frames of bounded length.
+/// Collects received bytes and splits them into frames of bounded length.
 #[derive(Debug)]
 pub struct Frames {
     buffered: BytesMut,
@@ -29,24 +29,25 @@
 }
 
 impl Frames {
-    /// Frames of at most so many bytes, their length prefix not counted.
-    pub fn new(most: usize) -> Self {
-        Frames { buffered: BytesMut::new(), max_frame_bytes: most }
+    /// Creates an empty buffer for frames of at most `max_frame_bytes`, not counting the length prefix.
+    pub fn new(max_frame_bytes: usize) -> Self {
+        Frames { buffered: BytesMut::new(), max_frame_bytes }
     }
 
-    /// Adds bytes as they came. The caller takes all whole frames before it adds more, so that what is buffered
-    /// stays under one frame and one read.
+    /// Adds received bytes. Callers remove all complete frames before they add more, so that the buffer never
+    /// holds more than one frame and one read.
     pub fn push(&mut self, bytes: &[u8]) {
         self.buffered.extend_from_slice(bytes);
     }
 
-    /// The next whole frame, without its length prefix; `None` while more bytes are needed.
+    /// Removes and returns the next complete frame without its length prefix, or `None` while it is
+    /// incomplete.
     pub fn next_frame(&mut self) -> Result<Option<Bytes>, FrameError> {
         let Some(prefix) = self.buffered.first_chunk::<LENGTH_PREFIX_BYTES>() else { return Ok(None) };
         let length = i32::from_be_bytes(*prefix);
         let length = usize::try_from(length).map_err(|_| FrameError::Negative(length))?;
         if length > self.max_frame_bytes {
-            return Err(FrameError::TooLarge { length, most: self.max_frame_bytes });
+            return Err(FrameError::TooLarge { length, max: self.max_frame_bytes });
         }
         if self.buffered.len() < LENGTH_PREFIX_BYTES + length {
             return Ok(None);
@@ -54,19 +55,19 @@
         self.buffered.advance(LENGTH_PREFIX_BYTES);
         let frame = self.buffered.split_to(length).freeze();
         if self.buffered.is_empty() {
-            // An idle connection does not keep the memory of its largest frame.
+            // Frees the buffer, so that an idle connection does not retain the memory of its largest frame.
             self.buffered = BytesMut::new();
         }
         Ok(Some(frame))
     }
 
-    /// Bytes buffered that are no whole frame yet.
-    pub fn held(&self) -> usize {
+    /// Number of received bytes that do not form a complete frame yet.
+    pub fn buffered_bytes(&self) -> usize {
         self.buffered.len()
     }
 }
 
-/// Collects the bytes of one frame behind its length prefix.
+/// Builds one frame behind its length prefix.
 pub(crate) struct FrameWriter {
     buffer: BytesMut,
 }
@@ -78,17 +79,17 @@
         FrameWriter { buffer }
     }
 
-    /// Where the frame's bytes are appended.
+    /// Returns the buffer to which the frame's bytes are appended.
     pub(crate) fn buffer(&mut self) -> &mut BytesMut {
         &mut self.buffer
     }
 
-    /// Bytes of the frame so far, its length prefix not counted.
+    /// Returns the length of the frame so far, not counting the length prefix.
     pub(crate) fn length(&self) -> usize {
         self.buffer.len() - LENGTH_PREFIX_BYTES
     }
 
-    /// The frame with its length prefix.
+    /// Fills in the length prefix and returns the complete frame.
     pub(crate) fn finish(mut self) -> Bytes {
         let length = self.length() as i32;
         self.buffer[..LENGTH_PREFIX_BYTES].copy_from_slice(&length.to_be_bytes());
--- a/crates/kafka/src/lib.rs
+++ b/crates/kafka/src/lib.rs
@@ -1,10 +1,11 @@
-//! Framing and the subset of the Kafka protocol that linnetcart speaks, on both sides, free of I/O.
+//! Framing and the subset of the Kafka protocol that linnetcart speaks, for clients and servers, without I/O.
 //!
-//! Bytes go in through [`Frames`], whole frames come out. [`server`] reads requests and writes responses,
-//! [`client`] the other way round. Every count in a frame is checked against the bytes that are there
-//! ([`shape`]) before anything is allocated for it, so a hostile frame costs no more than its own length.
+//! [`Frames`] splits received bytes into complete frames. [`server`] reads requests and writes responses;
+//! [`client`] writes requests and reads responses. Every count in a frame is checked against the bytes
+//! present ([`shape`]) before memory is allocated for it, so a hostile frame costs no more than its own
+//! length.
 //!
-//! It never keeps a connection's state and never decides what a record means.
+//! The crate owns no connection state and never interprets the contents of a record.
 #![forbid(unsafe_code)]
 #![warn(clippy::unwrap_used, missing_docs)]
 
@@ -15,9 +16,10 @@
 mod record;
 pub mod server;
 pub mod shape;
+mod topic_name;
 mod versions;
 
 pub use frame::{FrameError, Frames};
 pub use load_report::{LoadReport, TAG_CAPACITY_LEFT, TAG_RATE_LIMIT};
-pub use record::Record;
-pub use versions::{API_VERSIONS, FETCH, METADATA, PRODUCE};
+pub use record::{Record, RecordHeader};
+pub use versions::{VersionRange, API_VERSIONS, FETCH, METADATA, PRODUCE};
--- a/crates/kafka/src/load_report.rs
+++ b/crates/kafka/src/load_report.rs
@@ -1,19 +1,19 @@
-//! Load reports of endpoints, as tagged fields of a Produce response.
+//! Load reports of endpoints, which travel as tagged fields of a Produce response.
 
 use bytes::Bytes;
 use std::collections::BTreeMap;
 
-/// Tagged field of a Produce response: share of the limit that is left, as an f64 in network order.
+/// Tagged field of a Produce response: the unused fraction of the limit, as an f64 in network byte order.
 pub const TAG_CAPACITY_LEFT: i32 = 10_000;
-/// Tagged field of a Produce response: the limit in calls a second, as an f64 in network order.
+/// Tagged field of a Produce response: the limit in calls per second, as an f64 in network byte order.
 pub const TAG_RATE_LIMIT: i32 = 10_001;
 
-/// A limit as an endpoint reports it.
+/// The limit of an endpoint as the endpoint reports it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LoadReport {
-    /// Share of the limit that is left.
+    /// Unused fraction of the limit.
     pub capacity_left: f64,
-    /// The limit in calls a second; 0 for none.
+    /// The limit in calls per second; 0 if there is none.
     pub rate_limit: f64,
 }
 
@@ -26,7 +26,7 @@
         ])
     }
 
-    /// The report in these fields; `None` if a value is missing, or is no number that a report may hold.
+    /// Returns the report in these tagged fields, or `None` if a value is missing, negative or not finite.
     pub(crate) fn from_tagged_fields(fields: &BTreeMap<i32, Bytes>) -> Option<LoadReport> {
         Some(LoadReport {
             capacity_left: decode_value(fields.get(&TAG_CAPACITY_LEFT)?)?,
--- a/crates/kafka/src/record.rs
+++ b/crates/kafka/src/record.rs
@@ -1,4 +1,4 @@
-//! Records, and the batches that they travel in.
+//! Records, and their encoding in record batches.
 
 use crate::codes::{self, Malformed};
 use crate::shape::{self, BatchHead, BATCH_MAGIC, NO_COMPRESSION};
@@ -9,40 +9,57 @@
     TimestampType, NO_PARTITION_LEADER_EPOCH, NO_PRODUCER_EPOCH, NO_PRODUCER_ID,
 };
 
-/// Memory that a header takes beside its bytes: a `String` and an optional `Bytes`, rounded.
+/// Approximate memory of a header beside its bytes: a `String` and an optional `Bytes`.
 const HEADER_OVERHEAD_BYTES: usize = 48;
 
-/// A record as far as linnetcart needs it.
+/// A header of a record.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RecordHeader {
+    /// Name of the header.
+    pub name: String,
+    /// Value of the header, or `None` for null.
+    pub value: Option<Bytes>,
+}
+
+impl RecordHeader {
+    /// Creates a header with a value.
+    pub fn new(name: impl Into<String>, value: impl Into<Bytes>) -> RecordHeader {
+        RecordHeader { name: name.into(), value: Some(value.into()) }
+    }
+}
+
+/// The parts of a record that linnetcart uses.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Record {
-    /// The key, if there is one.
+    /// The key, or `None` for null.
     pub key: Option<Bytes>,
-    /// The value, if there is one.
+    /// The value, or `None` for null.
     pub value: Option<Bytes>,
-    /// Headers, name and value, in their order.
-    pub headers: Vec<(String, Option<Bytes>)>,
-    /// When its client made it, in milliseconds since 1970 by its clock; 0 or less where that is not said.
+    /// The headers in their order.
+    pub headers: Vec<RecordHeader>,
+    /// When the client created the record, in milliseconds since 1970 by the client's clock; 0 or less if
+    /// unknown.
     pub timestamp: i64,
 }
 
 impl Record {
-    /// The value of the last header of this name.
+    /// Returns the value of the last header of this name, or `None` if it is missing or null.
     pub fn header(&self, name: &str) -> Option<&Bytes> {
-        let (_, value) = self.headers.iter().rev().find(|(header_name, _)| header_name == name)?;
-        value.as_ref()
+        let header = self.headers.iter().rev().find(|header| header.name == name)?;
+        header.value.as_ref()
     }
 
-    /// Bytes that the record keeps in memory.
+    /// Approximate memory of the record, in bytes.
     pub fn size(&self) -> usize {
         let length = |bytes: &Option<Bytes>| bytes.as_ref().map_or(0, Bytes::len);
         let header_size =
-            |(name, value): &(String, Option<Bytes>)| name.len() + length(value) + HEADER_OVERHEAD_BYTES;
+            |header: &RecordHeader| header.name.len() + length(&header.value) + HEADER_OVERHEAD_BYTES;
         let headers: usize = self.headers.iter().map(header_size).sum();
         length(&self.key) + length(&self.value) + headers
     }
 }
 
-/// One batch, not compressed, of these records; no bytes for no records.
+/// Encodes records as one uncompressed batch; returns no bytes if there are no records.
 pub(crate) fn encode_batch(records: &[Record]) -> Result<Bytes, Malformed> {
     let mut out = BytesMut::new();
     if records.is_empty() {
@@ -57,7 +74,7 @@
 
 fn to_wire(index: usize, record: &Record) -> WireRecord {
     let to_wire_header =
-        |(name, value): &(String, Option<Bytes>)| (StrBytes::from_string(name.clone()), value.clone());
+        |header: &RecordHeader| (StrBytes::from_string(header.name.clone()), header.value.clone());
     WireRecord {
         transactional: false,
         control: false,
@@ -67,7 +84,7 @@
         producer_epoch: NO_PRODUCER_EPOCH,
         timestamp_type: TimestampType::Creation,
         offset: index as i64,
-        // Sequence numbers of a batch without a producer begin at -1.
+        // Sequence numbers of a batch without a producer id begin at -1.
         sequence: index as i32 - 1,
         timestamp: record.timestamp,
         key: record.key.clone(),
@@ -77,7 +94,8 @@
 }
 
 fn from_wire(record: WireRecord) -> Record {
-    let from_wire_header = |(name, value): (StrBytes, Option<Bytes>)| (name.to_string(), value);
+    let from_wire_header =
+        |(name, value): (StrBytes, Option<Bytes>)| RecordHeader { name: name.to_string(), value };
     Record {
         key: record.key,
         value: record.value,
@@ -86,7 +104,8 @@
     }
 }
 
-/// The records in the batches of a partition, or the error code that they are rejected with.
+/// Decodes the records in the batches of a partition. `Err` is the error code with which the partition is
+/// rejected.
 pub(crate) fn decode_batches(mut bytes: Bytes) -> Result<Vec<Record>, i16> {
     let mut records = Vec::new();
     while !bytes.is_empty() {
@@ -102,7 +121,7 @@
     Ok(records)
 }
 
-/// Rejects batches of a kind that is not read.
+/// Checks that a batch is of a supported kind; `Err` is the error code with which it is rejected.
 fn check_batch(head: &BatchHead) -> Result<(), i16> {
     if head.magic != BATCH_MAGIC {
         return Err(codes::UNSUPPORTED_VERSION);
--- a/crates/kafka/src/server.rs
+++ b/crates/kafka/src/server.rs
@@ -1,9 +1,10 @@
-//! The side that is called: reads requests, writes responses.
+//! The server side: reads requests and writes responses.
 
 mod request;
 mod response;
 
 pub use request::{read, Body, FetchTopic, PartitionBatch, Produce, Request, RequestError};
 pub use response::{
-    api_versions, api_versions_unsupported, metadata, not_readable, produce, Broker, PartitionResult, Topic,
+    api_versions, api_versions_unsupported, fetch_rejected, metadata, produce, Broker, PartitionResult,
+    PartitionState, RecordError, Topic,
 };
--- a/crates/kafka/src/server/request.rs
+++ b/crates/kafka/src/server/request.rs
@@ -1,4 +1,4 @@
-//! Reading of requests.
+//! Decoding of requests.
 
 use crate::codes::Malformed;
 use crate::record::{decode_batches, Record};
@@ -10,43 +10,44 @@
 use kafka_protocol::messages::{fetch_request, FetchRequest, MetadataRequest, ProduceRequest, RequestHeader};
 use kafka_protocol::protocol::Decodable;
 
-/// Bytes of a request's header up to its correlation id, that included.
+/// Size of the fixed part of a request header: API key, API version and correlation id.
 const FIXED_HEADER_BYTES: usize = 8;
-/// The version of ApiVersions that is answered in where the requested one is newer than those offered.
+/// The version of the ApiVersions response if the requested version is newer than the offered ones.
 const FALLBACK_API_VERSIONS: i16 = 0;
 
 /// A request.
 #[derive(Debug)]
 pub struct Request {
-    /// Its number on the connection; the response repeats it.
+    /// Correlation id of the request; the response repeats it.
     pub correlation: i32,
-    /// What the client calls itself.
+    /// Client id, if the client sent one.
     pub client: Option<String>,
-    /// The version that its response must be in.
+    /// The version in which the response must be encoded.
     pub version: i16,
-    /// What it asks for.
+    /// The body of the request.
     pub body: Body,
 }
 
-/// What a request asks for.
+/// The body of a request, by API.
 #[derive(Debug)]
 pub enum Body {
-    /// Which versions are offered.
+    /// A request for the offered versions.
     ApiVersions,
-    /// The same, in a version that is not offered: the response says so in version 0.
+    /// A request for the offered versions, in a version that is not offered itself; the response is in
+    /// version 0.
     ApiVersionsTooNew,
-    /// Topics and brokers; `None` for all topics.
+    /// A request for the description of these topics; `None` for all topics.
     Metadata(Option<Vec<String>>),
-    /// Records to be read.
+    /// A request to read records.
     Fetch(Vec<FetchTopic>),
-    /// Records to be accepted.
+    /// A request to accept records.
     Produce(Produce),
 }
 
 /// A topic of a Fetch request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct FetchTopic {
-    /// Its name.
+    /// Name of the topic.
     pub topic: String,
     /// The partitions to read from.
     pub partitions: Vec<i32>,
@@ -55,31 +56,31 @@
 /// A Produce request.
 #[derive(Debug)]
 pub struct Produce {
-    /// Acknowledgements that the client waits for.
+    /// Number of replicas that must acknowledge the records; -1 for all of them.
     pub acks: i16,
-    /// How long the client waits, in milliseconds.
+    /// How long the server may wait for the acknowledgements, in milliseconds.
     pub timeout_ms: i32,
-    /// It belongs to a transaction.
+    /// Whether the request belongs to a transaction.
     pub transactional: bool,
-    /// Its partitions.
+    /// The records by partition.
     pub parts: Vec<PartitionBatch>,
 }
 
-/// One partition of a Produce request.
+/// The records of a Produce request for one partition.
 #[derive(Debug)]
 pub struct PartitionBatch {
-    /// The topic.
+    /// Name of the topic.
     pub topic: String,
-    /// The partition.
+    /// Partition number.
     pub partition: i32,
-    /// Its records, or the error code that they are rejected with.
+    /// The records, or the error code with which the partition is rejected.
     pub records: Result<Vec<Record>, i16>,
 }
 
-/// A request that can't be answered.
+/// Why a request cannot be answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum RequestError {
-    /// Its bytes are not what the protocol says.
+    /// The request violates the protocol.
     #[error(transparent)]
     Malformed(#[from] Malformed),
     /// The API is not offered.
@@ -88,51 +89,53 @@
     /// The version of the API is not offered.
     #[error("version {version} of API {api} is not offered")]
     Version {
-        /// Code of the API.
+        /// API key.
         api: i16,
-        /// The version.
+        /// The requested version.
         version: i16,
     },
 }
 
-/// Reads a frame. An error means that the connection is of no more use.
+/// Decodes a request frame. After an error the caller must close the connection.
 pub fn read(frame: &Bytes) -> Result<Request, RequestError> {
     let mut cursor = shape::Cursor::new(frame);
     let api_code = cursor.i16()?;
     let version = cursor.i16()?;
     let api = OfferedApi::from_code(api_code).ok_or(RequestError::Api(api_code))?;
     let correlation = cursor.i32()?;
-    if !api.offers(version) {
+    if !api.versions().contains(version) {
         return read_not_offered(api, api_code, version, correlation);
     }
     let header_version = api.key().request_header_version(version);
     check_header(frame, header_version)?;
-    let mut rest = frame.clone();
-    let header = RequestHeader::decode(&mut rest, header_version).map_err(|_| Malformed("request header"))?;
+    let mut unread = frame.clone();
+    let header =
+        RequestHeader::decode(&mut unread, header_version).map_err(|_| Malformed("request header"))?;
     let client = header.client_id.map(|client| client.to_string());
     let body = match api {
-        OfferedApi::ApiVersions => read_api_versions(&rest, version)?,
-        OfferedApi::Metadata => read_metadata(rest, version)?,
-        OfferedApi::Fetch => read_fetch(rest, version)?,
-        OfferedApi::Produce => read_produce(rest, version)?,
+        OfferedApi::ApiVersions => read_api_versions(&unread, version)?,
+        OfferedApi::Metadata => read_metadata(unread, version)?,
+        OfferedApi::Fetch => read_fetch(unread, version)?,
+        OfferedApi::Produce => read_produce(unread, version)?,
     };
     Ok(Request { correlation, client, version, body })
 }
 
-/// A client opens with its newest version of ApiVersions and must be able to read the response.
+/// Handles a request in a version that is not offered. Only ApiVersions gets a response: a client starts with
+/// the newest version that it knows and must be able to read the answer.
 fn read_not_offered(
     api: OfferedApi,
     api_code: i16,
     version: i16,
     correlation: i32,
 ) -> Result<Request, RequestError> {
-    if api != OfferedApi::ApiVersions || version < api.first_version() {
+    if api != OfferedApi::ApiVersions || version < api.versions().first {
         return Err(RequestError::Version { api: api_code, version });
     }
     Ok(Request { correlation, client: None, version: FALLBACK_API_VERSIONS, body: Body::ApiVersionsTooNew })
 }
 
-/// Checks the lengths in a request's header.
+/// Checks the lengths and counts in a request header before it is decoded.
 fn check_header(frame: &[u8], header_version: i16) -> Result<(), Malformed> {
     let mut cursor = shape::Cursor::new(frame);
     cursor.take(FIXED_HEADER_BYTES)?;
@@ -142,7 +145,7 @@
     }
     if header_version >= 2 {
         let tag_count = cursor.uvarint()? as usize;
-        if tag_count > cursor.left() {
+        if tag_count > cursor.remaining() {
             return Err(Malformed("tag count"));
         }
     }
@@ -158,7 +161,7 @@
     shape::metadata_request(&body, version)?;
     let request = MetadataRequest::decode(&mut body, version).map_err(|_| Malformed("Metadata request"))?;
     let Some(topics) = request.topics else { return Ok(Body::Metadata(None)) };
-    // Version 0 asks for all topics with an empty list; later versions with none.
+    // Version 0 requests all topics with an empty list; later versions with a null list.
     if version == 0 && topics.is_empty() {
         return Ok(Body::Metadata(None));
     }
--- a/crates/kafka/src/server/response.rs
+++ b/crates/kafka/src/server/response.rs
@@ -1,8 +1,11 @@
-//! Writing of responses.
+//! Encoding of responses.
+//!
+//! Every function returns a complete frame with its length prefix.
 
 use super::FetchTopic;
 use crate::codes;
 use crate::frame::FrameWriter;
+use crate::topic_name::topic_name;
 use crate::versions::{OfferedApi, FETCH};
 use crate::LoadReport;
 use bytes::{BufMut, Bytes};
@@ -15,28 +18,28 @@
     BatchIndexAndErrorMessage, PartitionProduceResponse, TopicProduceResponse,
 };
 use kafka_protocol::messages::{
-    ApiKey, ApiVersionsResponse, BrokerId, FetchResponse, MetadataResponse, ProduceResponse, TopicName,
+    ApiKey, ApiVersionsResponse, BrokerId, FetchResponse, MetadataResponse, ProduceResponse,
 };
 use kafka_protocol::protocol::{Encodable, StrBytes};
 
-/// What the cluster is called in Metadata.
+/// Cluster id in Metadata responses.
 const CLUSTER_ID: &str = "linnetcart";
-/// Leader of a partition that has none.
+/// Leader id of a partition without a leader.
 const NO_LEADER: BrokerId = BrokerId(-1);
-/// What the wire has where an epoch, offset or time is not known.
+/// Wire values of an unknown epoch, offset or time.
 const UNKNOWN_EPOCH: i32 = -1;
 const UNKNOWN_OFFSET: i64 = -1;
 const UNKNOWN_TIME_MS: i64 = -1;
-/// Offset at which the log of a partition begins that accepted records.
+/// Log start offset of a partition that accepted records.
 const LOG_START_OFFSET: i64 = 0;
-/// First version of a Produce response with the start of the log.
+/// First version of a Produce response with the log start offset.
 const LOG_START_SINCE: i16 = 5;
-/// First version of a Produce response with messages for records and partitions.
+/// First version of a Produce response with error messages for records and partitions.
 const ERROR_MESSAGES_SINCE: i16 = 8;
 /// First version of a Produce response with tagged fields.
 const TAGGED_FIELDS_SINCE: i16 = 9;
 
-/// A whole response frame with its length prefix.
+/// Encodes a complete response frame with its length prefix.
 fn encode_frame<M: Encodable>(api: ApiKey, correlation: i32, version: i16, body: &M) -> Bytes {
     let mut writer = FrameWriter::new();
     writer.buffer().put_i32(correlation);
@@ -44,22 +47,18 @@
         let no_tagged_fields = 0;
         writer.buffer().put_u8(no_tagged_fields);
     }
-    // What is written here is built here, in a version that is offered: it can always be encoded.
+    // The body is built in this module for an offered version, so it can always be encoded.
     let encoded = body.encode(writer.buffer(), version).is_ok();
     debug_assert!(encoded, "a response of {api:?} {version} could not be encoded");
     writer.finish()
 }
 
-fn topic_name(name: &str) -> TopicName {
-    TopicName(StrBytes::from_string(name.to_owned()))
-}
-
-/// The versions that are offered.
+/// Encodes an ApiVersions response with the offered versions.
 pub fn api_versions(correlation: i32, version: i16) -> Bytes {
     offered_versions(correlation, version, codes::NONE)
 }
 
-/// The versions that are offered, for a client that asked in a version that is not: it reads version 0.
+/// Encodes an ApiVersions response for a client whose requested version is not offered.
 pub fn api_versions_unsupported(correlation: i32, version: i16) -> Bytes {
     offered_versions(correlation, version, codes::UNSUPPORTED_VERSION)
 }
@@ -68,15 +67,15 @@
     let offered = OfferedApi::ALL.map(|api| {
         ApiVersion::default()
             .with_api_key(api.key() as i16)
-            .with_min_version(api.first_version())
-            .with_max_version(api.last_version())
+            .with_min_version(api.versions().first)
+            .with_max_version(api.versions().last)
     });
     let body = ApiVersionsResponse::default().with_error_code(error_code).with_api_keys(offered.to_vec());
     encode_frame(ApiKey::ApiVersions, correlation, version, &body)
 }
 
-/// The response to a Fetch request: nothing can be read here.
-pub fn not_readable(correlation: i32, topics: &[FetchTopic]) -> Bytes {
+/// Encodes the response to a Fetch request, which rejects every partition: the server stores no records.
+pub fn fetch_rejected(correlation: i32, topics: &[FetchTopic]) -> Bytes {
     let partition = |index: &i32| {
         PartitionData::default()
             .with_partition_index(*index)
@@ -89,33 +88,39 @@
             .with_partitions(topic.partitions.iter().map(partition).collect())
     };
     let body = FetchResponse::default().with_responses(topics.iter().map(topic).collect());
-    let (_, version) = FETCH;
-    encode_frame(ApiKey::Fetch, correlation, version, &body)
+    encode_frame(ApiKey::Fetch, correlation, FETCH.last, &body)
 }
 
-/// Where a program listens, as its Metadata says.
+/// The broker in a Metadata response.
 #[derive(Clone, Debug)]
 pub struct Broker {
-    /// Its number.
+    /// Node id of the broker.
     pub id: i32,
-    /// Host name or address.
+    /// Host name or address of the broker.
     pub host: String,
-    /// Port.
+    /// Port of the broker.
     pub port: u16,
 }
 
-/// A topic as Metadata describes it.
+/// Whether a partition can be written to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PartitionState {
+    /// The partition has an endpoint, so the broker leads it.
+    Available,
+    /// The partition has no endpoint at present, so it has no leader.
+    Unavailable,
+}
+
+/// A topic in a Metadata response.
 #[derive(Clone, Debug)]
 pub struct Topic {
-    /// Its name.
+    /// Name of the topic.
     pub name: String,
-    /// Whether it is known.
-    pub known: bool,
-    /// Its partitions, by number: `true` where there is an endpoint.
-    pub partitions: Vec<bool>,
+    /// The topic's partitions, by number; `None` if the topic is unknown.
+    pub partitions: Option<Vec<PartitionState>>,
 }
 
-/// The response to a Metadata request: one broker, which leads all partitions that have an endpoint.
+/// Encodes a Metadata response with one broker, which leads all available partitions.
 pub fn metadata(correlation: i32, version: i16, broker: &Broker, topics: &[Topic]) -> Bytes {
     let leader = BrokerId(broker.id);
     let this_broker = MetadataResponseBroker::default()
@@ -131,16 +136,16 @@
 }
 
 fn metadata_topic(topic: &Topic, leader: BrokerId) -> MetadataResponseTopic {
-    let error_code = if topic.known { codes::NONE } else { codes::UNKNOWN_TOPIC_OR_PARTITION };
-    let partitions = topic.partitions.iter().enumerate();
-    let partition = |(index, available): (usize, &bool)| {
-        let leader = available.then_some(leader);
-        metadata_partition(index, leader)
+    let description = MetadataResponseTopic::default().with_name(Some(topic_name(&topic.name)));
+    let Some(states) = &topic.partitions else {
+        return description.with_error_code(codes::UNKNOWN_TOPIC_OR_PARTITION);
     };
-    MetadataResponseTopic::default()
-        .with_error_code(error_code)
-        .with_name(Some(topic_name(&topic.name)))
-        .with_partitions(partitions.map(partition).collect())
+    let mut partitions = Vec::with_capacity(states.len());
+    for (index, state) in states.iter().enumerate() {
+        let leader = (*state == PartitionState::Available).then_some(leader);
+        partitions.push(metadata_partition(index, leader));
+    }
+    description.with_error_code(codes::NONE).with_partitions(partitions)
 }
 
 fn metadata_partition(index: usize, leader: Option<BrokerId>) -> MetadataResponsePartition {
@@ -155,41 +160,50 @@
         .with_isr_nodes(replicas)
 }
 
-/// How one partition of a Produce request ended.
+/// The error message of one record.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RecordError {
+    /// Index of the record in its batch.
+    pub index: i32,
+    /// Why the record was not served.
+    pub message: String,
+}
+
+/// The result of a Produce request for one partition.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct PartitionResult {
-    /// The topic.
+    /// Name of the topic.
     pub topic: String,
-    /// The partition.
+    /// Partition number.
     pub partition: i32,
     /// The error code, see [`codes`].
     pub code: i16,
-    /// Offset of the first record; -1 where there is none.
+    /// Offset of the first record; -1 if no record was accepted.
     pub offset: i64,
-    /// Messages for single records, by their index in the batch.
-    pub records: Vec<(i32, String)>,
-    /// Message for the partition.
+    /// Error messages of single records.
+    pub record_errors: Vec<RecordError>,
+    /// Error message of the partition.
     pub text: Option<String>,
 }
 
-/// The response to a Produce request.
+/// Encodes the response to a Produce request. The load report is left out in versions without tagged fields.
 pub fn produce(
     correlation: i32,
     version: i16,
-    ended: &[PartitionResult],
+    results: &[PartitionResult],
     throttle_ms: i32,
     load: Option<LoadReport>,
 ) -> Bytes {
     let load = load.filter(|_| version >= TAGGED_FIELDS_SINCE);
     let tagged_fields = load.map(LoadReport::to_tagged_fields).unwrap_or_default();
     let body = ProduceResponse::default()
-        .with_responses(produce_topics(version, ended))
+        .with_responses(produce_topics(version, results))
         .with_throttle_time_ms(throttle_ms)
         .with_unknown_tagged_fields(tagged_fields);
     encode_frame(ApiKey::Produce, correlation, version, &body)
 }
 
-/// The results by topic; results in a row of one topic share it.
+/// Groups the results by topic; consecutive results of one topic share one entry.
 fn produce_topics(version: i16, results: &[PartitionResult]) -> Vec<TopicProduceResponse> {
     let mut topics: Vec<TopicProduceResponse> = Vec::new();
     for result in results {
@@ -219,14 +233,14 @@
     }
     if version >= ERROR_MESSAGES_SINCE {
         partition = partition
-            .with_record_errors(result.records.iter().map(record_error).collect())
+            .with_record_errors(result.record_errors.iter().map(record_error).collect())
             .with_error_message(result.text.clone().map(StrBytes::from_string));
     }
     partition
 }
 
-fn record_error((index, message): &(i32, String)) -> BatchIndexAndErrorMessage {
+fn record_error(error: &RecordError) -> BatchIndexAndErrorMessage {
     BatchIndexAndErrorMessage::default()
-        .with_batch_index(*index)
-        .with_batch_index_error_message(Some(StrBytes::from_string(message.clone())))
+        .with_batch_index(error.index)
+        .with_batch_index_error_message(Some(StrBytes::from_string(error.message.clone())))
 }
--- a/crates/kafka/src/shape.rs
+++ b/crates/kafka/src/shape.rs
@@ -1,8 +1,8 @@
-//! Walks over a message's bytes that check every length and count against the bytes that are there, without
-//! allocating.
+//! Validation of the lengths and counts of a message against the bytes present, without allocation.
 //!
-//! The decoder reserves memory for as many elements as a count claims; these walks make sure that each claimed
-//! element has at least one byte behind it. They never look at what the fields mean.
+//! The decoder of the protocol library reserves memory for as many elements as a count claims. The functions
+//! here walk over the message first and make sure that each claimed element has at least one byte. They never
+//! interpret the values of fields.
 
 mod batch;
 mod cursor;
@@ -17,12 +17,12 @@
 
 use crate::codes::Malformed;
 
-/// First version of each API with compact lengths and tagged fields.
+/// First flexible version of each API, with compact lengths and tagged fields.
 const PRODUCE_FLEXIBLE_SINCE: i16 = 9;
 const METADATA_FLEXIBLE_SINCE: i16 = 9;
 const API_VERSIONS_FLEXIBLE_SINCE: i16 = 3;
-/// Bytes of the id of a topic.
+/// Size of a topic id.
 const UUID_BYTES: usize = 16;
 
-/// Whether the bytes have the shape that was walked.
+/// The result of walking over a part of a message: an error if its lengths and counts are impossible.
 type Walk = Result<(), Malformed>;
--- a/crates/kafka/src/shape/batch.rs
+++ b/crates/kafka/src/shape/batch.rs
@@ -1,43 +1,44 @@
-//! Shapes of record batches.
+//! Validation of record batches.
 
 use super::{Cursor, Walk};
 use crate::codes::Malformed;
 
-/// The format of batches whose records are walked over; that of Kafka 0.11 and later.
+/// The supported batch format, used by Kafka 0.11 and later.
 pub(crate) const BATCH_MAGIC: u8 = 2;
-/// The codec of a batch that is not compressed.
+/// The codec of an uncompressed batch.
 pub(crate) const NO_COMPRESSION: u8 = 0;
 
-/// Bytes of a batch's base offset and length, which the length does not count.
+/// Size of the base offset and the length field of a batch, which the length field does not count.
 const LENGTH_END: usize = 12;
-/// Bits of a batch's attributes that say its codec.
+/// The attribute bits that hold the codec of a batch.
 const CODEC_MASK: i16 = 0x07;
-/// Bits of a batch's attributes that say that it is part of a transaction, or a control batch.
+/// The attribute bits of a transactional batch and of a control batch.
 const TRANSACTIONAL_MASK: i16 = 0x30;
 
-/// What a batch of records is, as far as its head says.
+/// The header of a record batch.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct BatchHead {
-    /// Bytes of the whole batch.
+    /// Size of the complete batch in bytes.
     pub size: usize,
-    /// Its format.
+    /// Batch format.
     pub magic: u8,
-    /// The codec of its records, 0 for none.
+    /// Compression codec of the records; 0 for none.
     pub codec: u8,
-    /// It belongs to a transaction, or is a control batch.
+    /// Whether the batch belongs to a transaction or is a control batch.
     pub transactional: bool,
-    /// Records that it claims.
+    /// Number of records that the header claims.
     pub records: usize,
 }
 
-/// What the offsets and timestamps of a batch's records are relative to.
+/// The base values to which the offsets and timestamps of a batch's records are relative.
 #[derive(Clone, Copy)]
-struct Bases {
+struct BaseValues {
     offset: i64,
     timestamp: i64,
 }
 
-/// Head of the batch that these bytes begin with, after a walk over its records if they are not compressed.
+/// Reads the header of the batch at the start of `bytes`, and validates its records if they are not
+/// compressed.
 pub fn batch(bytes: &[u8]) -> Result<BatchHead, Malformed> {
     let mut cursor = Cursor::new(bytes);
     let base_offset = cursor.i64()?;
@@ -61,30 +62,30 @@
     let codec = (attributes & CODEC_MASK) as u8;
     let transactional = attributes & TRANSACTIONAL_MASK != 0;
     if codec == NO_COMPRESSION {
-        let bases = Bases { offset: base_offset, timestamp: base_timestamp };
-        walk_records(&mut cursor, records, bases)?;
+        let base = BaseValues { offset: base_offset, timestamp: base_timestamp };
+        walk_records(&mut cursor, records, base)?;
     }
     Ok(BatchHead { size, magic, codec, transactional, records })
 }
 
-fn walk_records(cursor: &mut Cursor, count: usize, bases: Bases) -> Walk {
-    if count > cursor.left() {
+fn walk_records(cursor: &mut Cursor, count: usize, base: BaseValues) -> Walk {
+    if count > cursor.remaining() {
         return Err(Malformed("record count"));
     }
     for _ in 0..count {
         let record = cursor.zigzag_bytes("record length")?;
-        walk_record(record, bases)?;
+        walk_record(record, base)?;
     }
     cursor.end()
 }
 
-fn walk_record(bytes: &[u8], bases: Bases) -> Walk {
+fn walk_record(bytes: &[u8], base: BaseValues) -> Walk {
     let mut cursor = Cursor::new(bytes);
     let [_attributes] = cursor.array()?;
     let timestamp_delta = cursor.varlong()?;
-    bases.timestamp.checked_add(timestamp_delta).ok_or(Malformed("timestamp"))?;
+    base.timestamp.checked_add(timestamp_delta).ok_or(Malformed("timestamp"))?;
     let offset_delta = i32::try_from(cursor.varlong()?).map_err(|_| Malformed("offset"))?;
-    bases.offset.checked_add(i64::from(offset_delta)).ok_or(Malformed("offset"))?;
+    base.offset.checked_add(i64::from(offset_delta)).ok_or(Malformed("offset"))?;
     // Key and value.
     cursor.nullable_zigzag_bytes()?;
     cursor.nullable_zigzag_bytes()?;
@@ -94,7 +95,7 @@
 
 fn walk_headers(cursor: &mut Cursor) -> Walk {
     let count = cursor.zigzag_length()?.ok_or(Malformed("header count"))?;
-    if count > cursor.left() {
+    if count > cursor.remaining() {
         return Err(Malformed("header count"));
     }
     for _ in 0..count {
--- a/crates/kafka/src/shape/cursor.rs
+++ b/crates/kafka/src/shape/cursor.rs
@@ -1,82 +1,83 @@
-//! A cursor over the bytes of a message.
+//! A cursor that walks over the bytes of a message.
 
 use super::Walk;
 use crate::codes::Malformed;
 
-/// Bits of a variable-length number in each of its bytes.
+/// Number of value bits in each byte of a variable-length number.
 const VARINT_BITS_PER_BYTE: usize = 7;
-/// Set in each byte of a variable-length number but the last.
+/// Flag of every byte of a variable-length number except the last.
 const VARINT_CONTINUES: u8 = 0x80;
-/// Length or count that stands for null.
+/// The length or count that encodes null.
 const NULL: i64 = -1;
 
-/// How long the length in front of a string or of bytes is, outside flexible versions.
+/// Width of the length field of strings and bytes in versions that are not flexible.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum LengthWidth {
-    /// 2 bytes, as strings have it.
+    /// 2 bytes, used by strings.
     Short,
-    /// 4 bytes, as bytes and records have it.
+    /// 4 bytes, used by bytes and records.
     Long,
 }
 
-/// A cursor over bytes; each step moves it over what it has checked.
+/// A cursor over bytes; each method checks the next field and moves past it.
 pub struct Cursor<'a> {
-    rest: &'a [u8],
-    /// The version has compact lengths and tagged fields.
+    unread: &'a [u8],
+    /// Whether the version has compact lengths and tagged fields.
     flexible: bool,
 }
 
 impl<'a> Cursor<'a> {
-    /// At the start of these bytes, which have lengths of fixed width and no tagged fields.
+    /// Creates a cursor over bytes with lengths of fixed width and without tagged fields.
     pub fn new(bytes: &'a [u8]) -> Self {
-        Cursor { rest: bytes, flexible: false }
+        Cursor { unread: bytes, flexible: false }
     }
 
-    /// At the start of these bytes, which have compact lengths and tagged fields.
+    /// Creates a cursor over bytes with compact lengths and tagged fields.
     pub fn flexible(bytes: &'a [u8]) -> Self {
-        Cursor { rest: bytes, flexible: true }
+        Cursor { unread: bytes, flexible: true }
     }
 
-    /// At the start of the body of a message in this version of its API, which is flexible from another on.
+    /// Creates a cursor over the body of a message in this version of an API, whose versions are flexible
+    /// from `flexible_since` on.
     pub(super) fn of_version(body: &'a [u8], version: i16, flexible_since: i16) -> Self {
-        Cursor { rest: body, flexible: version >= flexible_since }
+        Cursor { unread: body, flexible: version >= flexible_since }
     }
 
-    /// Bytes that are left.
-    pub fn left(&self) -> usize {
-        self.rest.len()
+    /// Number of unread bytes.
+    pub fn remaining(&self) -> usize {
+        self.unread.len()
     }
 
-    /// The next `count` bytes.
+    /// Reads the next `count` bytes.
     pub fn take(&mut self, count: usize) -> Result<&'a [u8], Malformed> {
-        let (bytes, rest) = self.rest.split_at_checked(count).ok_or(Malformed("length"))?;
-        self.rest = rest;
+        let (bytes, unread) = self.unread.split_at_checked(count).ok_or(Malformed("length"))?;
+        self.unread = unread;
         Ok(bytes)
     }
 
-    /// The next `N` bytes as an array.
+    /// Reads the next `N` bytes as an array.
     pub fn array<const N: usize>(&mut self) -> Result<[u8; N], Malformed> {
         let mut array = [0; N];
         array.copy_from_slice(self.take(N)?);
         Ok(array)
     }
 
-    /// A number of 2 bytes.
+    /// Reads a number of 2 bytes.
     pub(crate) fn i16(&mut self) -> Result<i16, Malformed> {
         Ok(i16::from_be_bytes(self.array()?))
     }
 
-    /// A number of 4 bytes.
+    /// Reads a number of 4 bytes.
     pub(crate) fn i32(&mut self) -> Result<i32, Malformed> {
         Ok(i32::from_be_bytes(self.array()?))
     }
 
-    /// A number of 8 bytes.
+    /// Reads a number of 8 bytes.
     pub(crate) fn i64(&mut self) -> Result<i64, Malformed> {
         Ok(i64::from_be_bytes(self.array()?))
     }
 
-    /// A variable-length unsigned number of at most 32 bits.
+    /// Reads a variable-length unsigned number of at most 32 bits.
     pub fn uvarint(&mut self) -> Result<u32, Malformed> {
         let long = self.uvarlong()?;
         u32::try_from(long).map_err(|_| Malformed("varint"))
@@ -94,7 +95,7 @@
         Err(Malformed("varint"))
     }
 
-    /// A zigzag number of at most 64 bits.
+    /// Reads a zigzag-encoded signed number of at most 64 bits.
     pub fn varlong(&mut self) -> Result<i64, Malformed> {
         let raw = self.uvarlong()?;
         let magnitude = (raw >> 1) as i64;
@@ -102,7 +103,7 @@
         Ok(magnitude ^ -sign)
     }
 
-    /// A zigzag length; `None` for null.
+    /// Reads a zigzag-encoded length; `None` for null.
     pub(super) fn zigzag_length(&mut self) -> Result<Option<usize>, Malformed> {
         match self.varlong()? {
             NULL => Ok(None),
@@ -110,13 +111,13 @@
         }
     }
 
-    /// Bytes behind a zigzag length that must not be null.
+    /// Reads bytes with a zigzag-encoded length that must not be null; `name` names the field in errors.
     pub(super) fn zigzag_bytes(&mut self, name: &'static str) -> Result<&'a [u8], Malformed> {
         let length = self.zigzag_length()?.ok_or(Malformed(name))?;
         self.take(length)
     }
 
-    /// Bytes behind a zigzag length that may be null.
+    /// Skips bytes with a zigzag-encoded length that may be null.
     pub(super) fn nullable_zigzag_bytes(&mut self) -> Walk {
         if let Some(length) = self.zigzag_length()? {
             self.take(length)?;
@@ -124,12 +125,12 @@
         Ok(())
     }
 
-    /// A compact length or count of a flexible version; [`NULL`] for null.
+    /// Reads a compact length or count of a flexible version; [`NULL`] for null.
     fn compact_length(&mut self) -> Result<i64, Malformed> {
         Ok(i64::from(self.uvarint()?) - 1)
     }
 
-    /// A string, or bytes, that may be null; its length is this wide outside flexible versions.
+    /// Skips a string or bytes that may be null. `width` applies to versions that are not flexible.
     pub(super) fn nullable_bytes(&mut self, width: LengthWidth) -> Walk {
         let length = match width {
             _ if self.flexible => self.compact_length()?,
@@ -143,19 +144,19 @@
         self.take(length).map(drop)
     }
 
-    /// A string that may be null.
+    /// Skips a string that may be null.
     pub(super) fn string(&mut self) -> Walk {
         self.nullable_bytes(LengthWidth::Short)
     }
 
-    /// An array whose elements `walk_element` walks over; null counts as empty.
+    /// Skips an array, calling `walk_element` for each element; null counts as empty.
     pub(super) fn list(&mut self, mut walk_element: impl FnMut(&mut Self) -> Walk) -> Walk {
         let count = if self.flexible { self.compact_length()? } else { i64::from(self.i32()?) };
         if count == NULL {
             return Ok(());
         }
         let count = usize::try_from(count).map_err(|_| Malformed("count"))?;
-        if count > self.left() {
+        if count > self.remaining() {
             return Err(Malformed("count"));
         }
         for _ in 0..count {
@@ -164,19 +165,19 @@
         Ok(())
     }
 
-    /// The tagged fields of a flexible version; other versions have none.
+    /// Skips the tagged fields of a flexible version; other versions have none.
     pub(super) fn tags(&mut self) -> Walk {
         if !self.flexible {
             return Ok(());
         }
         let count = self.uvarint()?;
-        if count as usize > self.left() {
+        if count as usize > self.remaining() {
             return Err(Malformed("tag count"));
         }
         self.tagged_fields(count)
     }
 
-    /// So many tagged fields.
+    /// Skips `count` tagged fields.
     pub(crate) fn tagged_fields(&mut self, count: u32) -> Walk {
         for _ in 0..count {
             let _tag = self.uvarint()?;
@@ -186,9 +187,9 @@
         Ok(())
     }
 
-    /// The end of the bytes.
+    /// Checks that no bytes are left over.
     pub(super) fn end(&self) -> Walk {
-        if self.rest.is_empty() {
+        if self.unread.is_empty() {
             Ok(())
         } else {
             Err(Malformed("end: bytes are left over"))
--- a/crates/kafka/src/shape/request.rs
+++ b/crates/kafka/src/shape/request.rs
@@ -1,11 +1,11 @@
-//! Shapes of the bodies of requests.
+//! Validation of the bodies of requests.
 
 use super::cursor::LengthWidth;
 use super::{
     Cursor, Walk, API_VERSIONS_FLEXIBLE_SINCE, METADATA_FLEXIBLE_SINCE, PRODUCE_FLEXIBLE_SINCE, UUID_BYTES,
 };
 
-/// Body of a Produce request, versions 3 to 12.
+/// Validates the body of a Produce request, versions 3 to 12.
 pub fn produce_request(body: &[u8], version: i16) -> Walk {
     let mut cursor = Cursor::of_version(body, version, PRODUCE_FLEXIBLE_SINCE);
     // Transactional id.
@@ -31,7 +31,7 @@
     cursor.tags()
 }
 
-/// Body of a Metadata request, versions 0 to 12.
+/// Validates the body of a Metadata request, versions 0 to 12.
 pub fn metadata_request(body: &[u8], version: i16) -> Walk {
     let mut cursor = Cursor::of_version(body, version, METADATA_FLEXIBLE_SINCE);
     cursor.list(|topic| {
@@ -47,8 +47,8 @@
     cursor.end()
 }
 
-/// Flags of one byte each that end a Metadata request: whether topics may be created, and which authorized
-/// operations are asked for.
+/// Number of one-byte flags at the end of a Metadata request: whether topics may be created, and which
+/// authorized operations are requested.
 fn metadata_flag_bytes(version: i16) -> usize {
     match version {
         ..=3 => 0,
@@ -58,7 +58,7 @@
     }
 }
 
-/// Body of a Fetch request, version 4.
+/// Validates the body of a Fetch request, version 4.
 pub fn fetch_request(body: &[u8]) -> Walk {
     let mut cursor = Cursor::new(body);
     let _replica = cursor.i32()?;
@@ -83,7 +83,7 @@
     Ok(())
 }
 
-/// Body of an ApiVersions request.
+/// Validates the body of an ApiVersions request.
 pub fn api_versions_request(body: &[u8], version: i16) -> Walk {
     let mut cursor = Cursor::of_version(body, version, API_VERSIONS_FLEXIBLE_SINCE);
     if version >= 3 {
--- a/crates/kafka/src/shape/response.rs
+++ b/crates/kafka/src/shape/response.rs
@@ -1,8 +1,8 @@
-//! Shapes of the bodies of responses.
+//! Validation of the bodies of responses.
 
 use super::{Cursor, Walk, METADATA_FLEXIBLE_SINCE, PRODUCE_FLEXIBLE_SINCE, UUID_BYTES};
 
-/// Body of a Produce response, versions 3 to 12.
+/// Validates the body of a Produce response, versions 3 to 12.
 pub fn produce_response(body: &[u8], version: i16) -> Walk {
     let mut cursor = Cursor::of_version(body, version, PRODUCE_FLEXIBLE_SINCE);
     cursor.list(|topic| {
@@ -39,7 +39,7 @@
     cursor.tags()
 }
 
-/// Body of a Metadata response, versions 0 to 12.
+/// Validates the body of a Metadata response, versions 0 to 12.
 pub fn metadata_response(body: &[u8], version: i16) -> Walk {
     let mut cursor = Cursor::of_version(body, version, METADATA_FLEXIBLE_SINCE);
     if version >= 3 {
@@ -97,11 +97,11 @@
     if version >= 7 {
         let _leader_epoch = cursor.i32()?;
     }
-    // Replicas, and replicas in sync.
+    // Replicas, and in-sync replicas.
     cursor.list(node_id)?;
     cursor.list(node_id)?;
     if version >= 5 {
-        // Replicas that are offline.
+        // Offline replicas.
         cursor.list(node_id)?;
     }
     cursor.tags()
--- a/crates/kafka/src/versions.rs
+++ b/crates/kafka/src/versions.rs
@@ -1,18 +1,34 @@
-//! Which versions of which APIs are offered.
+//! The APIs that the server side offers, and their versions.
 
 use kafka_protocol::messages::ApiKey;
 
-/// First and last version of Produce that is offered.
-pub const PRODUCE: (i16, i16) = (3, 12);
-/// First and last version of Metadata that is offered.
-pub const METADATA: (i16, i16) = (0, 12);
-/// The version of Fetch that is offered. librdkafka writes record batches only to brokers that offer it; every
-/// request is answered with an error, as nothing can be read here.
-pub const FETCH: (i16, i16) = (4, 4);
-/// First and last version of ApiVersions that is offered.
-pub const API_VERSIONS: (i16, i16) = (0, 3);
-
-/// An API that is offered.
+/// The versions of an API from the first to the last, both included.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct VersionRange {
+    /// The oldest version.
+    pub first: i16,
+    /// The newest version.
+    pub last: i16,
+}
+
+impl VersionRange {
+    /// Whether the range includes this version.
+    pub fn contains(self, version: i16) -> bool {
+        (self.first..=self.last).contains(&version)
+    }
+}
+
+/// The offered versions of Produce.
+pub const PRODUCE: VersionRange = VersionRange { first: 3, last: 12 };
+/// The offered versions of Metadata.
+pub const METADATA: VersionRange = VersionRange { first: 0, last: 12 };
+/// The only offered version of Fetch. librdkafka sends record batches only to brokers that offer it. Every
+/// Fetch request is answered with an error, because the server stores no records.
+pub const FETCH: VersionRange = VersionRange { first: 4, last: 4 };
+/// The offered versions of ApiVersions.
+pub const API_VERSIONS: VersionRange = VersionRange { first: 0, last: 3 };
+
+/// An offered API.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum OfferedApi {
     Produce,
@@ -22,7 +38,7 @@
 }
 
 impl OfferedApi {
-    /// All, in the order in which ApiVersions lists them.
+    /// All offered APIs, in the order in which ApiVersions lists them.
     pub(crate) const ALL: [OfferedApi; 4] =
         [OfferedApi::Produce, OfferedApi::Fetch, OfferedApi::Metadata, OfferedApi::ApiVersions];
 
@@ -39,19 +55,7 @@
         }
     }
 
-    pub(crate) fn first_version(self) -> i16 {
-        self.versions().0
-    }
-
-    pub(crate) fn last_version(self) -> i16 {
-        self.versions().1
-    }
-
-    pub(crate) fn offers(self, version: i16) -> bool {
-        (self.first_version()..=self.last_version()).contains(&version)
-    }
-
-    fn versions(self) -> (i16, i16) {
+    pub(crate) fn versions(self) -> VersionRange {
         match self {
             OfferedApi::Produce => PRODUCE,
             OfferedApi::Fetch => FETCH,
--- a/crates/scenario/src/runner/clients.rs
+++ b/crates/scenario/src/runner/clients.rs
@@ -8,7 +8,7 @@
 use crate::units::{millis, seconds};
 use bytes::Bytes;
 use linnetcart_conformance::{Answer, ClientAnswer, ConnectionPosition, Submission, Time};
-use linnetcart_kafka::{client, codes, Frames, Record};
+use linnetcart_kafka::{client, codes, Frames, Record, RecordHeader};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeMap, BTreeSet};
@@ -153,13 +153,12 @@
         submission: usize,
     ) -> Result<Bytes, ScenarioError> {
         let created = message.wall_clock.saturating_add_signed(self.clock_offset);
-        let header = |name: &str, value: String| (name.to_owned(), Some(Bytes::from(value)));
         let record = Record {
             key: message.planned.key.map(|key| Bytes::copy_from_slice(&key.to_be_bytes())),
             value: Some(Bytes::from_static(&MESSAGE_VALUE)),
             headers: vec![
-                header("message-id", message.number.to_string()),
-                header("deadline-ms", message.time_left_ms.to_string()),
+                RecordHeader::new("message-id", message.number.to_string()),
+                RecordHeader::new("deadline-ms", message.time_left_ms.to_string()),
             ],
             timestamp: (created / NANOS_PER_MILLI) as i64,
         };
@@ -171,9 +170,9 @@
         self.last_correlation += 1;
         self.last_sequence += 1;
         let timeout_ms = i32::try_from(message.time_left_ms).unwrap_or(i32::MAX);
-        let acknowledgement = (ACKS_ALL, timeout_ms);
+        let required = client::RequiredAcks { acks: ACKS_ALL, timeout_ms };
         let correlation = self.last_correlation;
-        let request = client::produce(correlation, CLIENT_ID, PRODUCE_VERSION, acknowledgement, &[target])?;
+        let request = client::produce(correlation, CLIENT_ID, PRODUCE_VERSION, required, &[target])?;
         self.waiting.insert(correlation, submission);
         Ok(request)
     }
--- a/crates/scenario/src/runner/endpoints.rs
+++ b/crates/scenario/src/runner/endpoints.rs
@@ -178,7 +178,7 @@
                 self.transport.send(token, &bytes);
             }
             Body::Fetch(topics) => {
-                self.transport.send(token, &server::not_readable(correlation, &topics));
+                self.transport.send(token, &server::fetch_rejected(correlation, &topics));
             }
             Body::Produce(produce) => self.receive_call(token, correlation, version, produce),
         }
--- a/crates/testbed/src/relay.rs
+++ b/crates/testbed/src/relay.rs
@@ -144,9 +144,8 @@
     fn forward(&mut self, request: PendingRequest, target: client::ProduceTarget) -> anyhow::Result<()> {
         let endpoint = target.partition as usize % self.endpoints.len();
         self.last_correlation = self.last_correlation % i32::MAX + 1;
-        let acknowledgement = (ALL_REPLICAS, PRODUCE_TIMEOUT_MS);
-        let call =
-            client::produce(self.last_correlation, "relay", PRODUCE_VERSION, acknowledgement, &[target])?;
+        let required = client::RequiredAcks { acks: ALL_REPLICAS, timeout_ms: PRODUCE_TIMEOUT_MS };
+        let call = client::produce(self.last_correlation, "relay", PRODUCE_VERSION, required, &[target])?;
         let token = match self.idle[endpoint].pop() {
             Some(idle) => idle,
             None => self.net.connect(self.endpoints[endpoint]),
--- a/crates/testbed/src/throughput_baseline/clients.rs
+++ b/crates/testbed/src/throughput_baseline/clients.rs
@@ -104,8 +104,8 @@
         let partition = self.destinations.start as i32 + correlation % destinations;
         let records = std::slice::from_ref(&self.record);
         let target = client::ProduceTarget { topic: "m", partition, records };
-        let acknowledgement = (ALL_REPLICAS, PRODUCE_TIMEOUT_MS);
-        let request = client::produce(correlation, "floor", PRODUCE_VERSION, acknowledgement, &[target])?;
+        let required = client::RequiredAcks { acks: ALL_REPLICAS, timeout_ms: PRODUCE_TIMEOUT_MS };
+        let request = client::produce(correlation, "floor", PRODUCE_VERSION, required, &[target])?;
         let connection = &mut self.connections[index];
         connection.pending.insert(correlation, Instant::now());
         self.net.send(connection.token, &request);
--- a/crates/testbed/tests/support/kafka.rs
+++ b/crates/testbed/tests/support/kafka.rs
@@ -14,8 +14,8 @@
 pub fn produce_request(correlation: i32, topic: &str, record_bytes: usize) -> Vec<u8> {
     let record = Record { value: Some(vec![b'v'; record_bytes].into()), ..Record::default() };
     let target = ProduceTarget { topic, partition: 0, records: &[record] };
-    let acknowledgement = (ALL_REPLICAS, PRODUCE_TIMEOUT_MS);
-    client::produce(correlation, "test", PRODUCE_VERSION, acknowledgement, &[target]).unwrap().to_vec()
+    let required = client::RequiredAcks { acks: ALL_REPLICAS, timeout_ms: PRODUCE_TIMEOUT_MS };
+    client::produce(correlation, "test", PRODUCE_VERSION, required, &[target]).unwrap().to_vec()
 }
 
 /// The next reply on a connection; none if it ended, or nothing came in time.
