--- a/crates/edge/src/counter_files/tests.rs
+++ b/crates/edge/src/counter_files/tests.rs
@@ -15,8 +15,8 @@
 }
 
 fn head() -> Vec<u8> {
-    linnetcart_telemetry::counts::mark(&linnetcart_telemetry::counts::CounterLogEntry::Classes(vec![
-        "order".into()
+    linnetcart_telemetry::counts::encode_entry(&linnetcart_telemetry::counts::CounterLogEntry::Classes(vec![
+        "order".into(),
     ]))
 }
 
@@ -27,7 +27,8 @@
     loaded.restored.logs.iter().for_each(|log| {
         store.replay(log);
     });
-    let taken = store.cells().get(&CounterKey::Cell(1, 0)).map_or(0, |c| c[Field::Accepted]);
+    let taken =
+        store.cells().get(&CounterKey::Cell { destination: 1, class: 0 }).map_or(0, |c| c[Field::Accepted]);
     (taken, loaded.next_log, loaded.damaged.map(|damaged| damaged.to_string()))
 }
 
@@ -63,7 +64,7 @@
     let mut files =
         CounterFiles::create(&dir, next, store.saved(&none, 0), &head()).expect("it can be written");
     for n in 1..=50u64 {
-        store.add(CounterKey::Cell(1, 0), Field::Accepted, 2);
+        store.add(CounterKey::Cell { destination: 1, class: 0 }, Field::Accepted, 2);
         files.append(&store.frame().expect("a change"));
         assert_eq!(read(&dir).0, 2 * n, "without a sync: the process alone died");
         if n % 10 == 0 {
@@ -76,7 +77,7 @@
     assert_eq!(taken, 100);
     // A log that broke: nothing of it counts until a snapshot is there.
     again.log_broken = true;
-    store.add(CounterKey::Cell(1, 0), Field::Accepted, 5);
+    store.add(CounterKey::Cell { destination: 1, class: 0 }, Field::Accepted, 5);
     again.append(&store.frame().expect("a change"));
     assert_eq!(read(&dir).0, 100);
     assert!(again.sync(1, || store.saved(&none, 0), &head()).is_ok());
--- a/crates/telemetry/src/counters.rs
+++ b/crates/telemetry/src/counters.rs
@@ -31,13 +31,13 @@
             for (name, &destination) in &saved.names {
                 names.restore(name.clone(), destination);
             }
-            last_timestamp_s = saved.stamp;
+            last_timestamp_s = saved.last_timestamp_s;
         }
         for log in &found.logs {
             for entry in store.replay(log).entries {
                 match entry {
-                    CounterLogEntry::Name(name, destination) => names.restore(name, destination),
-                    CounterLogEntry::Stamp(second) => last_timestamp_s = last_timestamp_s.max(second),
+                    CounterLogEntry::Name(assigned) => names.restore(assigned.name, assigned.destination),
+                    CounterLogEntry::Timestamp(second) => last_timestamp_s = last_timestamp_s.max(second),
                     CounterLogEntry::Classes(_) => {}
                 }
             }
@@ -63,7 +63,7 @@
     pub(crate) fn new(store: CounterStore, classes: usize, now: Time) -> Counters {
         let mut class_totals = vec![Counts::default(); classes];
         for (key, counts) in store.cells() {
-            if let CounterKey::Cell(_, class) = key {
+            if let CounterKey::Cell { class, .. } = key {
                 if let Some(total) = class_totals.get_mut(usize::from(*class)) {
                     total.add_all(counts);
                 }
@@ -85,7 +85,7 @@
         if !self.store.add(key, field, increase) {
             return;
         }
-        if let CounterKey::Cell(_, class) = key {
+        if let CounterKey::Cell { class, .. } = key {
             if let Some(total) = self.class_totals.get_mut(usize::from(class)) {
                 total[field] += increase;
             }
@@ -140,8 +140,8 @@
 
     /// The sum over all classes of a destination.
     pub(crate) fn destination_total(&self, destination: u32) -> Counts {
-        let first = CounterKey::Cell(destination, 0);
-        let last = CounterKey::Cell(destination, u8::MAX);
+        let first = CounterKey::Cell { destination, class: 0 };
+        let last = CounterKey::Cell { destination, class: u8::MAX };
         let mut total = Counts::default();
         for (_, counts) in self.cells().range(first..=last) {
             total.add_all(counts);
--- a/crates/telemetry/src/counts/field.rs
+++ b/crates/telemetry/src/counts/field.rs
@@ -1,11 +1,12 @@
-//! The counted quantities, and one count of each.
+//! The counted quantities, and a set with one count of each.
 
 use std::ops::{Index, IndexMut};
 
 /// A counted quantity.
 ///
-/// Its place in [`Field::ALL`] is its number in the log of counts, and its name stands in metric names and saved
-/// documents. Both are on disk and at receivers: new fields go to the end, and none is renumbered or renamed.
+/// The position in [`Field::ALL`] is the field's number in the counter log; the name is part of metric names
+/// and saved documents. Both are stored on disk and by receivers: new fields go to the end, and no field is
+/// renumbered or renamed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 #[repr(u8)]
 pub enum Field {
@@ -15,13 +16,13 @@
     WithinObjective,
     /// Messages served after the latency objective.
     Late,
-    /// Messages rejected after they were accepted.
+    /// Messages rejected after being accepted.
     RejectedAfterAccept,
     /// Messages that failed.
     Failed,
     /// Messages whose client cancelled.
     ClientCancelled,
-    /// Messages rejected without being accepted.
+    /// Messages rejected before being accepted.
     RejectedBeforeAccept,
     /// Attempts started.
     Attempts,
@@ -33,17 +34,17 @@
     AttemptsCancelled,
     /// Attempts rejected by an endpoint above its limit.
     AttemptsRejected,
-    /// Rejected attempts whose answer named a Retry-After.
+    /// Rejected attempts whose response carried a Retry-After.
     RetryAfterReceived,
     /// Attempts answered with an error.
     AttemptErrors,
-    /// Attempts without an answer in time.
+    /// Attempts without a response in time.
     AttemptTimeouts,
     /// Attempts whose connection was reset.
     ConnectionResets,
-    /// Attempts that got no connection or were not sent.
+    /// Attempts that had no connection or were not sent.
     AttemptsNotSent,
-    /// Priority weight of messages that asked for delivery, in thousandths.
+    /// Priority weight of submitted messages, in thousandths.
     WeightOffered,
     /// Priority weight served within the latency objective, in thousandths.
     WeightWithinObjective,
@@ -53,7 +54,7 @@
     WeightLost,
     /// Points of reports dropped because a receiver did not accept them.
     PointsDropped,
-    /// Points postponed to a later report because of the limit of points in one.
+    /// Points postponed to a later report because a report reached its maximum number of points.
     PointsPostponed,
     /// Connections to a receiver that failed or broke.
     ReceiverConnectionFailures,
@@ -61,12 +62,12 @@
     PacketsRejected,
 }
 
-/// How many fields there are.
-pub const FIELDS: usize = 25;
+/// Number of fields.
+pub const FIELD_COUNT: usize = 25;
 
 impl Field {
     /// All fields, in the order of their numbers.
-    pub const ALL: [Field; FIELDS] = [
+    pub const ALL: [Field; FIELD_COUNT] = [
         Field::Accepted,
         Field::WithinObjective,
         Field::Late,
@@ -94,7 +95,7 @@
         Field::PacketsRejected,
     ];
 
-    /// Its name in series and saved documents.
+    /// Returns the field's name in series and saved documents.
     pub fn name(self) -> &'static str {
         match self {
             Field::Accepted => "taken",
@@ -125,35 +126,35 @@
         }
     }
 
-    /// The field of a name in a series or saved document.
+    /// Returns the field with this name, or `None` if there is none.
     pub fn from_name(name: &str) -> Option<Field> {
         Field::ALL.into_iter().find(|field| field.name() == name)
     }
 
-    /// Its number in the log of counts.
+    /// Returns the field's number in the counter log.
     pub(super) fn number(self) -> u8 {
         self as u8
     }
 
-    /// The field of a number in the log of counts.
+    /// Returns the field with this number in the counter log, or `None` if there is none.
     pub(super) fn from_number(number: u8) -> Option<Field> {
         Field::ALL.get(usize::from(number)).copied()
     }
 }
 
-/// One count of each field.
+/// A set with one count of each field.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Counts([u64; FIELDS]);
+pub struct Counts([u64; FIELD_COUNT]);
 
 impl Counts {
-    /// Adds each count of another to the one of the same field.
+    /// Adds the counts of another set, field by field.
     pub fn add_all(&mut self, other: &Counts) {
         for field in Field::ALL {
             self[field] += other[field];
         }
     }
 
-    /// The fields that counted something, in the order of their numbers.
+    /// Returns the fields whose count is not zero with their counts, in the order of their numbers.
     pub fn nonzero(&self) -> impl Iterator<Item = (Field, u64)> + '_ {
         Field::ALL.into_iter().map(|field| (field, self[field])).filter(|(_, count)| *count > 0)
     }
--- a/crates/telemetry/src/counts/frame.rs
+++ b/crates/telemetry/src/counts/frame.rs
@@ -1,15 +1,20 @@
-//! Frames of the log of counts: the length and the CRC-32C of a body, 32 bits each with the least significant byte
-//! first, and the body; and the variable-length numbers within it.
+//! Framing of the counter log, and the variable-length numbers within a frame.
+//!
+//! A frame is the length of its body and the CRC-32C of its body, 32 bits each with the least significant
+//! byte first, and then the body.
 
-/// Bytes of a frame before its body.
+/// Size of the length and the checksum before a body.
 pub(super) const HEADER_BYTES: usize = 8;
-/// A longer body is taken for damage.
+/// Maximum length of a body; a longer one is treated as damage.
 const MAX_BODY_BYTES: usize = 16 << 20;
-/// The low seven bits of a byte hold digits of a variable-length number; the eighth says that more follow.
-const VARINT_DIGITS: u8 = 0x7f;
-const VARINT_MORE: u8 = 0x80;
+/// Number of value bits in each byte of a variable-length number.
+const VARINT_BITS_PER_BYTE: usize = 7;
+/// The value bits of a byte of a variable-length number.
+const VARINT_VALUE_MASK: u8 = 0x7f;
+/// Flag of every byte of a variable-length number except the last.
+const VARINT_CONTINUES: u8 = 0x80;
 
-/// A body with its header.
+/// Returns a frame with this body.
 pub(super) fn encode(body: &[u8]) -> Vec<u8> {
     let mut frame = Vec::with_capacity(HEADER_BYTES + body.len());
     frame.extend((body.len() as u32).to_le_bytes());
@@ -18,7 +23,7 @@
     frame
 }
 
-/// The body of the frame at an offset; none if it is cut or damaged.
+/// Returns the body of the frame at this offset, or `None` if the frame is truncated or damaged.
 pub(super) fn decode(log: &[u8], offset: usize) -> Option<&[u8]> {
     let length = read_u32(log, offset)? as usize;
     let checksum = read_u32(log, offset + 4)?;
@@ -35,23 +40,23 @@
     Some(u32::from_le_bytes(bytes.try_into().ok()?))
 }
 
-/// Appends a number, seven bits a byte, the least significant first.
+/// Appends a variable-length number, the least significant bits first.
 pub(super) fn write_varint(out: &mut Vec<u8>, mut number: u64) {
-    while number >= u64::from(VARINT_MORE) {
-        out.push(number as u8 | VARINT_MORE);
-        number >>= 7;
+    while number >= u64::from(VARINT_CONTINUES) {
+        out.push(number as u8 | VARINT_CONTINUES);
+        number >>= VARINT_BITS_PER_BYTE;
     }
     out.push(number as u8);
 }
 
-/// Takes a number off the front of a body; none if it is cut or too long.
+/// Removes a variable-length number from the front of a body; `None` if it is truncated or too long.
 pub(super) fn read_varint(body: &mut &[u8]) -> Option<u64> {
     let mut number = 0u64;
-    for shift in (0..u64::BITS).step_by(7) {
-        let (&byte, rest) = body.split_first()?;
-        *body = rest;
-        number |= u64::from(byte & VARINT_DIGITS).checked_shl(shift)?;
-        if byte < VARINT_MORE {
+    for shift in (0..u64::BITS).step_by(VARINT_BITS_PER_BYTE) {
+        let (&byte, unread) = body.split_first()?;
+        *body = unread;
+        number |= u64::from(byte & VARINT_VALUE_MASK).checked_shl(shift)?;
+        if byte < VARINT_CONTINUES {
             return Some(number);
         }
     }
--- a/crates/telemetry/src/counts/log.rs
+++ b/crates/telemetry/src/counts/log.rs
@@ -1,4 +1,4 @@
-//! What the frames of the log of counts hold: changes of counts, or an entry beside them.
+//! Contents of the frames of the counter log: changes of counts, or an entry beside them.
 
 use super::frame::{read_varint, write_varint};
 use super::{frame, CounterKey, Counts, Field};
@@ -10,86 +10,127 @@
 /// First byte of a body that holds a [`CounterLogEntry`] as JSON.
 pub(super) const ENTRY: u8 = 2;
 
-/// What a count belongs to: the two high bits of a delta's first byte.
+/// Kinds of owners of a count, encoded in the two high bits of a delta's first byte.
 const DESTINATION_AND_CLASS: u8 = 0;
 const ROUTE: u8 = 1;
 const REPORTS: u8 = 2;
 const OWNER_SHIFT: u32 = 6;
-/// The low bits of a delta's first byte: the number of the field.
-const FIELD_BITS: u8 = 0x3f;
+/// The low bits of a delta's first byte, which hold the number of the field.
+const FIELD_MASK: u8 = 0x3f;
 
-/// An entry of the log beside the changes of counts.
+/// An entry of the counter log beside the changes of counts.
+///
+/// The serialized names of the variants and the lists in them are stored on disk.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum CounterLogEntry {
-    /// The classes that class numbers in the frames after it stand for.
+    /// The class names that the class numbers in the frames after this entry refer to.
     Classes(Vec<String>),
-    /// A name of series belongs to a destination from now on.
-    Name(String, u32),
-    /// Series were stamped up to then, in seconds since 1970.
-    Stamp(u64),
+    /// A series name is assigned to a destination.
+    Name(AssignedSeriesName),
+    /// The last timestamp of a report, in seconds since 1970.
+    #[serde(rename = "Stamp")]
+    Timestamp(u64),
 }
 
-/// An entry as a frame of the log.
-pub fn mark(entry: &CounterLogEntry) -> Vec<u8> {
+/// The assignment of a series name to a destination; serialized as the list of both.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "(String, u32)", into = "(String, u32)")]
+pub struct AssignedSeriesName {
+    /// The name in series.
+    pub name: String,
+    /// The destination that owns the name.
+    pub destination: u32,
+}
+
+impl From<(String, u32)> for AssignedSeriesName {
+    fn from((name, destination): (String, u32)) -> AssignedSeriesName {
+        AssignedSeriesName { name, destination }
+    }
+}
+
+impl From<AssignedSeriesName> for (String, u32) {
+    fn from(assigned: AssignedSeriesName) -> (String, u32) {
+        (assigned.name, assigned.destination)
+    }
+}
+
+/// Encodes an entry as a frame of the counter log.
+pub fn encode_entry(entry: &CounterLogEntry) -> Vec<u8> {
     let mut body = vec![ENTRY];
-    // Strings and numbers only: this cannot fail.
+    // An entry holds only strings and numbers, so serialization cannot fail.
     body.extend(serde_json::to_vec(entry).unwrap_or_default());
     frame::encode(&body)
 }
 
-/// Whose count a delta changes. The class is still a number of the log's own [`CounterLogEntry::Classes`].
+/// The owner of the count that a delta changes. The class is an index into the log's own
+/// [`CounterLogEntry::Classes`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum DeltaOwner {
     DestinationAndClass { destination: u32, class: usize },
-    Route(u32),
+    Route { endpoint: u32 },
     Reports,
 }
 
-/// A change of one count.
+/// An increase of one count.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Delta {
-    pub owner: DeltaOwner,
-    pub field: Field,
-    pub increase: u64,
+    pub(super) owner: DeltaOwner,
+    pub(super) field: Field,
+    pub(super) increase: u64,
 }
 
-/// Changes of counts as a frame of the log.
+/// Encodes changes of counts as a frame of the counter log.
 pub(super) fn encode_deltas(changes: &BTreeMap<CounterKey, Counts>) -> Vec<u8> {
     let mut body = vec![DELTAS];
     for (&key, counts) in changes {
+        write_deltas(&mut body, EncodedOwner::from(key), counts);
+    }
+    frame::encode(&body)
+}
+
+/// The owner of a count as a delta encodes it; numbers without a meaning are 0.
+struct EncodedOwner {
+    kind: u8,
+    /// Number of the destination, or of the route's endpoint.
+    number: u32,
+    class: u8,
+}
+
+impl From<CounterKey> for EncodedOwner {
+    fn from(key: CounterKey) -> EncodedOwner {
         match key {
-            CounterKey::Cell(destination, class) => {
-                write_deltas(&mut body, DESTINATION_AND_CLASS, destination, class, counts);
+            CounterKey::Cell { destination, class } => {
+                EncodedOwner { kind: DESTINATION_AND_CLASS, number: destination, class }
             }
-            CounterKey::Route(endpoint) => write_deltas(&mut body, ROUTE, endpoint, 0, counts),
-            CounterKey::Reports => write_deltas(&mut body, REPORTS, 0, 0, counts),
+            CounterKey::Route { endpoint } => EncodedOwner { kind: ROUTE, number: endpoint, class: 0 },
+            CounterKey::Reports => EncodedOwner { kind: REPORTS, number: 0, class: 0 },
         }
     }
-    frame::encode(&body)
 }
 
-/// A delta for each field: the kind of owner with the field, the owner's number, its class, the increase.
-fn write_deltas(body: &mut Vec<u8>, owner: u8, number: u32, class: u8, counts: &Counts) {
+/// Appends a delta for each field: the kind of the owner with the field, the owner's number and class, the
+/// increase.
+fn write_deltas(body: &mut Vec<u8>, owner: EncodedOwner, counts: &Counts) {
     for (field, increase) in counts.nonzero() {
-        body.push(owner << OWNER_SHIFT | field.number());
-        write_varint(body, u64::from(number));
-        write_varint(body, u64::from(class));
+        body.push(owner.kind << OWNER_SHIFT | field.number());
+        write_varint(body, u64::from(owner.number));
+        write_varint(body, u64::from(owner.class));
         write_varint(body, increase);
     }
 }
 
-/// The changes that a body holds after its first byte; none if any of them is damaged.
+/// Decodes the changes in a body after its first byte; `None` if any of them is damaged.
 pub(super) fn decode_deltas(mut body: &[u8]) -> Option<Vec<Delta>> {
     let mut deltas = Vec::new();
-    while let Some((&first, rest)) = body.split_first() {
-        body = rest;
-        let field = Field::from_number(first & FIELD_BITS)?;
+    while let Some((&first, unread)) = body.split_first() {
+        body = unread;
+        let field = Field::from_number(first & FIELD_MASK)?;
         let number = u32::try_from(read_varint(&mut body)?).ok()?;
         let class = usize::try_from(read_varint(&mut body)?).ok()?;
         let increase = read_varint(&mut body)?;
         let owner = match first >> OWNER_SHIFT {
             DESTINATION_AND_CLASS => DeltaOwner::DestinationAndClass { destination: number, class },
-            ROUTE => DeltaOwner::Route(number),
+            ROUTE => DeltaOwner::Route { endpoint: number },
             _ => DeltaOwner::Reports,
         };
         deltas.push(Delta { owner, field, increase });
--- a/crates/telemetry/src/counts/saved.rs
+++ b/crates/telemetry/src/counts/saved.rs
@@ -1,21 +1,23 @@
-//! The document that all counts are saved in.
+//! The document in which all counts are saved.
 
 use super::{Counts, Field};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
-/// All counts as they are saved.
+/// All counts, as saved on disk. The serialized names of the fields are stored.
 #[derive(Debug, Default, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Saved {
     pub(super) cells: Vec<SavedCell>,
-    /// Names of series, with the destination that each belongs to.
+    /// Series names, with the destination that owns each.
     pub names: BTreeMap<String, u32>,
-    /// The last time that a series was stamped with, in seconds since 1970.
-    pub stamp: u64,
+    /// The last timestamp of a report, in seconds since 1970; 0 if there was none.
+    #[serde(rename = "stamp")]
+    pub last_timestamp_s: u64,
 }
 
-/// The counts of one owner: a destination and class, a route, or, with none of the three, the reports themselves.
+/// The counts of one owner: a destination and class, a route, or the reports themselves if none of these is
+/// set.
 #[derive(Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(super) struct SavedCell {
@@ -25,11 +27,11 @@
     counts: BTreeMap<String, u64>,
 }
 
-/// Whose counts a saved cell holds.
+/// The owner of the counts of a saved cell.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum CellOwner<'a> {
     DestinationAndClass { destination: u32, class: &'a str },
-    Route(u32),
+    Route { endpoint: u32 },
     Reports,
 }
 
@@ -40,12 +42,13 @@
             CellOwner::DestinationAndClass { destination, class } => {
                 SavedCell { destination: Some(destination), class: Some(class.to_owned()), ..reports }
             }
-            CellOwner::Route(endpoint) => SavedCell { route: Some(endpoint), ..reports },
+            CellOwner::Route { endpoint } => SavedCell { route: Some(endpoint), ..reports },
             CellOwner::Reports => reports,
         }
     }
 
-    /// Counts of a class number that the settings never had; [`SavedCell::owner`] gives none for it.
+    /// Creates a cell for a class number that the settings never had. [`SavedCell::owner`] returns `None` for
+    /// it.
     pub(super) fn of_unknown_class(destination: u32, counts: &Counts) -> SavedCell {
         SavedCell { destination: Some(destination), ..SavedCell::without_owner(counts) }
     }
@@ -55,19 +58,19 @@
         SavedCell { destination: None, class: None, route: None, counts }
     }
 
-    /// Whose counts these are; none for a combination that means nothing.
+    /// Returns the owner of the counts, or `None` for a combination without a meaning.
     pub(super) fn owner(&self) -> Option<CellOwner<'_>> {
         match (self.destination, self.class.as_deref(), self.route) {
             (Some(destination), Some(class), None) => {
                 Some(CellOwner::DestinationAndClass { destination, class })
             }
-            (None, None, Some(endpoint)) => Some(CellOwner::Route(endpoint)),
+            (None, None, Some(endpoint)) => Some(CellOwner::Route { endpoint }),
             (None, None, None) => Some(CellOwner::Reports),
             _ => None,
         }
     }
 
-    /// The counts of known fields; others come from a later version and are passed over.
+    /// Returns the counts of known fields. Unknown fields come from a later version and are ignored.
     pub(super) fn counts(&self) -> impl Iterator<Item = (Field, u64)> + '_ {
         self.counts.iter().filter_map(|(name, &count)| Some((Field::from_name(name)?, count)))
     }
--- a/crates/telemetry/src/counts/tests.rs
+++ b/crates/telemetry/src/counts/tests.rs
@@ -8,45 +8,45 @@
 #[test]
 fn counts_after_class_change_follow_class_name() {
     let mut store = CounterStore::new(classes(&["order", "query"]), 10);
-    store.add(CounterKey::Cell(7, 1), Field::Accepted, 3);
-    store.add(CounterKey::Route(70), Field::Attempts, 2);
+    store.add(CounterKey::Cell { destination: 7, class: 1 }, Field::Accepted, 3);
+    store.add(CounterKey::Route { endpoint: 70 }, Field::Attempts, 2);
     let saved = store.saved(&BTreeMap::new(), 5);
-    let mut log = mark(&CounterLogEntry::Classes(classes(&["order", "query"])));
+    let mut log = encode_entry(&CounterLogEntry::Classes(classes(&["order", "query"])));
     store.frame();
-    store.add(CounterKey::Cell(7, 0), Field::Accepted, 300);
+    store.add(CounterKey::Cell { destination: 7, class: 0 }, Field::Accepted, 300);
     log.extend(store.frame().expect("something changed"));
     let mut without_order = CounterStore::new(classes(&["query"]), 10);
     without_order.restore(&saved);
-    assert_eq!(without_order.replay(&log), Replayed { entries: vec![], complete_bytes: log.len() });
-    assert_eq!(without_order.cells()[&CounterKey::Cell(7, 0)][Field::Accepted], 3);
-    assert_eq!(without_order.cells()[&CounterKey::Route(70)][Field::Attempts], 2);
-    let mut again = CounterStore::new(classes(&["order", "query"]), 10);
-    again.restore(&without_order.saved(&BTreeMap::new(), 5));
-    assert_eq!(again.cells()[&CounterKey::Cell(7, 0)][Field::Accepted], 300);
+    assert_eq!(without_order.replay(&log), ReplayedLog { entries: vec![], complete_bytes: log.len() });
+    assert_eq!(without_order.cells()[&CounterKey::Cell { destination: 7, class: 0 }][Field::Accepted], 3);
+    assert_eq!(without_order.cells()[&CounterKey::Route { endpoint: 70 }][Field::Attempts], 2);
+    let mut with_order = CounterStore::new(classes(&["order", "query"]), 10);
+    with_order.restore(&without_order.saved(&BTreeMap::new(), 5));
+    assert_eq!(with_order.cells()[&CounterKey::Cell { destination: 7, class: 0 }][Field::Accepted], 300);
 }
 
 #[test]
-fn cells_beyond_limit_are_counted_together() {
+fn cells_over_limit_are_counted_together() {
     let mut store = CounterStore::new(classes(&["order"]), 2);
     for destination in 0..5 {
-        store.add(CounterKey::Cell(destination, 0), Field::Accepted, 2);
+        store.add(CounterKey::Cell { destination, class: 0 }, Field::Accepted, 2);
     }
-    assert_eq!((store.cells().len(), store.beyond()), (2, 6));
+    assert_eq!((store.cells().len(), store.over_limit()), (2, 6));
 }
 
 proptest! {
     #[test]
     fn log_truncated_or_corrupted_replays_complete_frames_only(
-        adds in prop::collection::vec((0u32..4, 0u8..2, 0usize..FIELDS, 1u64..u64::MAX / 64), 1..20),
+        adds in prop::collection::vec((0u32..4, 0u8..2, 0usize..FIELD_COUNT, 1u64..u64::MAX / 64), 1..20),
         cut in 0usize..2000, flip in 0usize..2000,
     ) {
         let names = classes(&["a", "b"]);
         let mut store = CounterStore::new(names.clone(), 100);
-        let mut log = mark(&CounterLogEntry::Classes(names.clone()));
+        let mut log = encode_entry(&CounterLogEntry::Classes(names.clone()));
         // After each frame, the length of the log and what was counted.
         let mut states = vec![(log.len(), store.clone())];
         for (destination, class, field, increase) in adds {
-            store.add(CounterKey::Cell(destination, class), Field::ALL[field], increase);
+            store.add(CounterKey::Cell { destination, class }, Field::ALL[field], increase);
             log.extend(store.frame().expect("something changed"));
             states.push((log.len(), store.clone()));
         }
@@ -70,29 +70,33 @@
     }
 }
 
-/// A log as it was written before the code was renamed: classes, name, timestamp, one frame of deltas.
+/// A log written by an earlier version: classes, name, timestamp, one frame of deltas.
 const STORED_LOG: &[u8] = b"\x1e\x00\x00\x00b[\x92\xf7\x02{\"Classes\":[\"order\",\"query\"]}\
     \x19\x00\x00\x00\x91\x8d\x92>\x02{\"Name\":[\"Bank_Lodz\",7]}\
     \x15\x00\x00\x00\xd8\xd9)S\x02{\"Stamp\":1700000000}\
     \x13\x00\x00\x00\xcaP\xd7q\x01\x00\x07\x01\xac\x02\x11\x07\x01\xd0\x0fGF\x00\x02\x95\x00\x00\x01";
 
-/// The document that was saved with the same counts.
+/// The document that an earlier version saved with the same counts.
 const STORED_DOCUMENT: &str = r#"{"cells":[{"destination":7,"class":"query","route":null,"counts":{"taken":300,"worth_asked_milli":2000}},{"destination":null,"class":null,"route":70,"counts":{"attempts":2}},{"destination":null,"class":null,"route":null,"counts":{"points_dropped":1}}],"names":{"Bank_Lodz":7},"stamp":1700000000}"#;
 
+fn bank_lodz() -> CounterLogEntry {
+    CounterLogEntry::Name(AssignedSeriesName { name: "Bank_Lodz".into(), destination: 7 })
+}
+
 fn stored_counts() -> CounterStore {
     let mut store = CounterStore::new(classes(&["order", "query"]), 10);
-    store.add(CounterKey::Cell(7, 1), Field::Accepted, 300);
-    store.add(CounterKey::Cell(7, 1), Field::WeightOffered, 2000);
-    store.add(CounterKey::Route(70), Field::Attempts, 2);
+    store.add(CounterKey::Cell { destination: 7, class: 1 }, Field::Accepted, 300);
+    store.add(CounterKey::Cell { destination: 7, class: 1 }, Field::WeightOffered, 2000);
+    store.add(CounterKey::Route { endpoint: 70 }, Field::Attempts, 2);
     store.add(CounterKey::Reports, Field::PointsDropped, 1);
     store
 }
 
 #[test]
 fn log_written_matches_stored_bytes() {
-    let mut log = mark(&CounterLogEntry::Classes(classes(&["order", "query"])));
-    log.extend(mark(&CounterLogEntry::Name("Bank_Lodz".into(), 7)));
-    log.extend(mark(&CounterLogEntry::Stamp(1_700_000_000)));
+    let mut log = encode_entry(&CounterLogEntry::Classes(classes(&["order", "query"])));
+    log.extend(encode_entry(&bank_lodz()));
+    log.extend(encode_entry(&CounterLogEntry::Timestamp(1_700_000_000)));
     log.extend(stored_counts().frame().expect("something changed"));
     assert_eq!(log, STORED_LOG);
 }
@@ -100,10 +104,10 @@
 #[test]
 fn log_of_earlier_version_replays_names_timestamps_and_counts() {
     let mut store = CounterStore::new(classes(&["order", "query"]), 10);
-    let Replayed { entries, complete_bytes } = store.replay(STORED_LOG);
+    let ReplayedLog { entries, complete_bytes } = store.replay(STORED_LOG);
     assert_eq!(complete_bytes, STORED_LOG.len());
-    let wanted = [CounterLogEntry::Name("Bank_Lodz".into(), 7), CounterLogEntry::Stamp(1_700_000_000)];
-    assert_eq!(entries, wanted);
+    let expected = [bank_lodz(), CounterLogEntry::Timestamp(1_700_000_000)];
+    assert_eq!(entries, expected);
     assert_eq!(store.cells(), stored_counts().cells());
 }
 
@@ -117,13 +121,13 @@
 #[test]
 fn document_of_earlier_version_restores_counts() {
     let saved: Saved = serde_json::from_str(STORED_DOCUMENT).expect("a stored document");
-    assert_eq!((saved.names.get("Bank_Lodz"), saved.stamp), (Some(&7), 1_700_000_000));
+    assert_eq!((saved.names.get("Bank_Lodz"), saved.last_timestamp_s), (Some(&7), 1_700_000_000));
     let mut store = CounterStore::new(classes(&["order", "query"]), 10);
     store.restore(&saved);
     assert_eq!(store.cells(), stored_counts().cells());
 }
 
-/// A field's place is its number in the log, its name stands in documents and series: neither may change.
+/// A field's position is its number in the log, its name is part of documents and series: neither may change.
 #[test]
 fn fields_keep_their_numbers_and_names() {
     let names = Field::ALL.map(Field::name);
--- a/crates/telemetry/src/destination_names.rs
+++ b/crates/telemetry/src/destination_names.rs
@@ -1,6 +1,6 @@
 //! Names of destinations in series.
 
-use crate::counts::{mark, CounterLogEntry};
+use crate::counts::{encode_entry, AssignedSeriesName, CounterLogEntry};
 use crate::names::{AssignedName, SeriesNames};
 use crate::Output;
 use std::collections::BTreeMap;
@@ -33,7 +33,8 @@
         let wanted = self.configured.get(&destination).map(String::as_str);
         let AssignedName { name, newly_assigned } = self.assigned.assign(wanted, destination);
         if newly_assigned {
-            outputs.push(Output::Append(mark(&CounterLogEntry::Name(name.clone(), destination))));
+            let entry = CounterLogEntry::Name(AssignedSeriesName { name: name.clone(), destination });
+            outputs.push(Output::Append(encode_entry(&entry)));
         }
         name
     }
--- a/crates/telemetry/src/points.rs
+++ b/crates/telemetry/src/points.rs
@@ -103,12 +103,12 @@
     fn cell(&mut self, key: CounterKey, points: &mut Vec<Point>) {
         let Some(&counts) = self.recording.counters.cells().get(&key) else { return };
         let subject = match key {
-            CounterKey::Cell(destination, class) => {
+            CounterKey::Cell { destination, class } => {
                 let Some(class) = self.recording.classes.series_name(usize::from(class)) else { return };
                 let class = class.to_owned();
                 SeriesSubject::DestinationAndClass { destination: self.destination_name(destination), class }
             }
-            CounterKey::Route(endpoint) => {
+            CounterKey::Route { endpoint } => {
                 let Some(destination) = self.recording.limits.route_destination(endpoint) else { return };
                 self.route_subject(destination, endpoint)
             }
--- a/crates/telemetry/src/recording.rs
+++ b/crates/telemetry/src/recording.rs
@@ -78,14 +78,14 @@
     }
 
     fn accepted(&mut self, class: u8, destination: u32) {
-        let key = CounterKey::Cell(destination, class);
+        let key = CounterKey::Cell { destination, class };
         self.counters.add(key, Field::Accepted, 1);
         self.counters.add(key, Field::WeightOffered, self.classes.weight_milli(class));
     }
 
     fn rejected(&mut self, class: u8, destination: u32) {
         self.counters.require_log();
-        let key = CounterKey::Cell(destination, class);
+        let key = CounterKey::Cell { destination, class };
         let weight = self.classes.weight_milli(class);
         self.counters.add(key, Field::RejectedBeforeAccept, 1);
         self.counters.add(key, Field::WeightOffered, weight);
@@ -93,14 +93,14 @@
     }
 
     fn client_cancelled(&mut self, class: u8, destination: u32) {
-        let key = CounterKey::Cell(destination, class);
+        let key = CounterKey::Cell { destination, class };
         self.counters.add(key, Field::ClientCancelled, 1);
         self.counters.add(key, Field::WeightLost, self.classes.weight_milli(class));
     }
 
     fn completed(&mut self, class: u8, destination: u32, answer: FinalAnswer, elapsed: Time) {
         self.counters.require_log();
-        let key = CounterKey::Cell(destination, class);
+        let key = CounterKey::Cell { destination, class };
         match answer {
             FinalAnswer::Served => self.served(class, key, elapsed),
             FinalAnswer::Rejected { .. } => self.not_served(class, key, Field::RejectedAfterAccept),
@@ -157,9 +157,13 @@
 
     /// Adds to the counts of the destination and class, and of the route if it is a separate one.
     fn add_for_attempt(&mut self, key: AttemptKey, field: Field, increase: u64) {
-        self.counters.add(CounterKey::Cell(key.destination, key.class), field, increase);
+        self.counters.add(
+            CounterKey::Cell { destination: key.destination, class: key.class },
+            field,
+            increase,
+        );
         if self.limits.is_route(key.endpoint) {
-            self.counters.add(CounterKey::Route(key.endpoint), field, increase);
+            self.counters.add(CounterKey::Route { endpoint: key.endpoint }, field, increase);
         }
     }
 
--- a/crates/telemetry/src/recording/tests.rs
+++ b/crates/telemetry/src/recording/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::counts::{mark, CounterLogEntry};
+use crate::counts::{encode_entry, AssignedSeriesName, CounterLogEntry};
 use crate::{ListedEndpoint, RestoredState};
 use linnetcart::{Class, Idempotency};
 use linnetcart_delivery_events::RejectionReason;
@@ -9,8 +9,8 @@
 const DESTINATION: u32 = 2;
 const ENDPOINT: u32 = 20;
 const CLASS: u8 = 0;
-const CELL: CounterKey = CounterKey::Cell(DESTINATION, CLASS);
-const ROUTE: CounterKey = CounterKey::Route(ENDPOINT);
+const CELL: CounterKey = CounterKey::Cell { destination: DESTINATION, class: CLASS };
+const ROUTE: CounterKey = CounterKey::Route { endpoint: ENDPOINT };
 
 /// One class of weight 2 within a second, one destination with one separate route.
 fn recording() -> Recording {
@@ -147,8 +147,9 @@
     };
     let mut outputs = Vec::new();
     recording.record(&DeliveryEvent::LimitChanged(change), &mut outputs);
-    let name = CounterLogEntry::Name("Bank_Lodz".into(), DESTINATION);
-    assert_eq!(outputs, [Output::Append(mark(&name))], "the name is logged before it is used");
+    let assigned = AssignedSeriesName { name: "Bank_Lodz".into(), destination: DESTINATION };
+    let name = CounterLogEntry::Name(assigned);
+    assert_eq!(outputs, [Output::Append(encode_entry(&name))], "the name is logged before it is used");
     let notifications = recording.notifications.take();
     assert_eq!(notifications[0].plugin_instance, "dest-Bank_Lodz-route-20");
 }
--- a/crates/telemetry/src/selection.rs
+++ b/crates/telemetry/src/selection.rs
@@ -50,12 +50,13 @@
         keys
     }
 
-    /// Cells in their order, but from the first that was postponed on; before those of a destination, its total.
+    /// Cells in their order, but from the first that was postponed on; before those of a destination, its
+    /// total.
     fn push_cells(&mut self, cells: BTreeSet<CounterKey>, items: &mut VecDeque<ReportItem>) {
-        let first = self.first_postponed.take().unwrap_or(CounterKey::Cell(0, 0));
+        let first = self.first_postponed.take().unwrap_or(CounterKey::Cell { destination: 0, class: 0 });
         let mut last_destination = None;
         for &key in cells.range(first..).chain(cells.range(..first)) {
-            if let CounterKey::Cell(destination, _) = key {
+            if let CounterKey::Cell { destination, .. } = key {
                 if last_destination != Some(destination) {
                     items.push_back(ReportItem::DestinationTotal(destination));
                 }
--- a/crates/telemetry/src/selection/tests.rs
+++ b/crates/telemetry/src/selection/tests.rs
@@ -14,7 +14,7 @@
     let restored = RestoredCounts::read(&RestoredState::default(), Vec::new(), 1000);
     let mut recording = Recording::new(&courier, restored, 0);
     for destination in 0..cells {
-        recording.counters.add(CounterKey::Cell(destination, 0), Field::Accepted, 1);
+        recording.counters.add(CounterKey::Cell { destination, class: 0 }, Field::Accepted, 1);
     }
     recording
 }
@@ -22,7 +22,7 @@
 fn selected_cells(selection: &mut ItemSelection, recording: &mut Recording) -> Vec<u32> {
     let mut cells = Vec::new();
     for item in selection.select(recording) {
-        if let ReportItem::Cell(CounterKey::Cell(destination, _)) = item {
+        if let ReportItem::Cell(CounterKey::Cell { destination, .. }) = item {
             cells.push(destination);
         }
     }
@@ -56,22 +56,22 @@
     let mut recording = recording(4);
     let mut selection = ItemSelection::default();
     recording.counters.log_changes(&mut Vec::new());
-    selection.postponed(CounterKey::Cell(2, 0));
-    selection.postponed(CounterKey::Cell(3, 0));
+    selection.postponed(CounterKey::Cell { destination: 2, class: 0 });
+    selection.postponed(CounterKey::Cell { destination: 3, class: 0 });
     assert_eq!(selected_cells(&mut selection, &mut recording), [2, 3, 0, 1]);
 }
 
 #[test]
 fn destination_total_precedes_the_cells_of_its_destination() {
     let mut recording = recording(1);
-    recording.counters.add(CounterKey::Cell(0, 1), Field::Accepted, 1);
+    recording.counters.add(CounterKey::Cell { destination: 0, class: 1 }, Field::Accepted, 1);
     recording.counters.log_changes(&mut Vec::new());
     let items: Vec<ReportItem> = ItemSelection::default().select(&mut recording).into();
     let wanted = [
         ReportItem::Courier,
         ReportItem::DestinationTotal(0),
-        ReportItem::Cell(CounterKey::Cell(0, 0)),
-        ReportItem::Cell(CounterKey::Cell(0, 1)),
+        ReportItem::Cell(CounterKey::Cell { destination: 0, class: 0 }),
+        ReportItem::Cell(CounterKey::Cell { destination: 0, class: 1 }),
     ];
     assert_eq!(items, wanted);
 }
--- a/crates/telemetry/src/telemetry.rs
+++ b/crates/telemetry/src/telemetry.rs
@@ -3,7 +3,7 @@
 use crate::connection::ReceiverConnection;
 use crate::counter_sync::CounterSync;
 use crate::counters::RestoredCounts;
-use crate::counts::{mark, CounterKey, CounterLogEntry, Counts, Field, Saved};
+use crate::counts::{encode_entry, CounterKey, CounterLogEntry, Counts, Field, Saved};
 use crate::graphite::MetricSource;
 use crate::host_listener::HostListener;
 use crate::names;
@@ -91,7 +91,7 @@
 
     /// The first frame of a log.
     pub fn log_head(&self) -> Vec<u8> {
-        mark(&CounterLogEntry::Classes(self.recording.classes.names()))
+        encode_entry(&CounterLogEntry::Classes(self.recording.classes.names()))
     }
 
     /// The settings in force.
@@ -118,8 +118,8 @@
         self.recording.record(event, &mut self.outputs);
     }
 
-    /// One iteration of the event loop: what was counted so far goes into the log, and a report is made and sent when
-    /// it is time. `current` is asked for when a report begins.
+    /// One iteration of the event loop: what was counted so far goes into the log, and a report is made and
+    /// sent when it is time. `current` is asked for when a report begins.
     pub fn process(&mut self, now: Time, wall: Time, current: impl FnOnce() -> CurrentState) {
         self.count_losses();
         self.recording.counters.log_if_due(now, &mut self.outputs);
@@ -163,8 +163,8 @@
         std::mem::take(&mut self.outputs)
     }
 
-    /// The log is on disk, or could not be brought there: the part that waits for it may leave, with its counts or
-    /// without them.
+    /// The log is on disk, or could not be brought there: the part that waits for it may leave, with its
+    /// counts or without them.
     pub fn synced(&mut self, number: u64, result: Result<(), SyncError>) {
         let Some(report) = &mut self.report else { return };
         if !report.waits_for_sync(number) {
@@ -214,7 +214,7 @@
             reports: self.reports_begun.count,
             points: self.reports_begun.last_points,
             cells: store.cells().len(),
-            beyond: store.beyond(),
+            beyond: store.over_limit(),
             graphite_connected: connection.map(ReceiverConnection::is_connected),
             graphite_waiting: connection.map_or(0, ReceiverConnection::buffered_bytes),
             dropped: connection.map_or(0, |connection| connection.losses().points_dropped),
@@ -229,7 +229,8 @@
         self.recording.counters.cells()
     }
 
-    /// What is lost on the way to receivers, or rejected of the host's packets, is counted with everything else.
+    /// What is lost on the way to receivers, or rejected of the host's packets, is counted with everything
+    /// else.
     fn count_losses(&mut self) {
         let losses = self.receivers.take_losses();
         let rejections = self.host.take_rejections();
@@ -249,8 +250,8 @@
         self.reports_begun.timestamps_ahead_s = as_seconds(ahead);
         self.reports_begun.count += 1;
         // A restart must not give a timestamp that was used.
-        let entry = CounterLogEntry::Stamp(timestamp / SECOND);
-        self.outputs.push(Output::Append(mark(&entry)));
+        let entry = CounterLogEntry::Timestamp(timestamp / SECOND);
+        self.outputs.push(Output::Append(encode_entry(&entry)));
         self.recording.counters.log_changes(&mut self.outputs);
         let seconds = self.schedule.begin_report(now);
         let items = self.selection.select(&mut self.recording);
