Telemetry: points, packet items and received streams are typed

Cause: `read_line` and `read_pickle` returned triples, `PacketItem` held unnamed parts, and `Stream` kept pairs and triples under names that needed explaining (`last`, `fell`, `notices`, `bad`, `beyond`).

Change: `graphite::NamedPoint` with `decode_line` and `decode_pickle`; `PacketItem::Values { header, values }` and `Notification { header, severity, text }`; `SeriesValue` and `ReceivedNotification` in `Stream`, whose fields are now `series`, `regressions`, `notifications`, `invalid_items`, `last_error` and `points_over_limit`, and whose methods are `record_point`, `record_invalid` and `consume`. Bytes, names of series and the texts of errors are the same.

--- a/crates/telemetry/src/collectd.rs
+++ b/crates/telemetry/src/collectd.rs
@@ -1,8 +1,8 @@
 //! collectd's binary protocol: packets of typed parts, plain, signed or encrypted.
 //!
-//! A part is its type and its length with these four bytes, both 16 bits, most significant byte first, and its
-//! content. Strings end in a zero byte. Parts describe what follows until another of their type comes. This module
-//! encodes and decodes packets; it sends and receives none.
+//! A part is its type and its length with these four bytes, both 16 bits, most significant byte first, and
+//! its content. Strings end in a zero byte. Parts describe what follows until another of their type comes.
+//! This module encodes and decodes packets; it sends and receives none.
 
 mod decode;
 mod encode;
@@ -92,9 +92,21 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum PacketItem {
     /// A list of values.
-    Values(ItemHeader, Vec<MetricValue>),
-    /// A notification, with its severity (see [`Severity`]) and text.
-    Notification(ItemHeader, u64, String),
+    Values {
+        /// Subject and time of the values.
+        header: ItemHeader,
+        /// The values.
+        values: Vec<MetricValue>,
+    },
+    /// A notification.
+    Notification {
+        /// Subject and time of the notification.
+        header: ItemHeader,
+        /// The severity as sent; see [`Severity`] for the values of the protocol.
+        severity: u64,
+        /// The text.
+        text: String,
+    },
 }
 
 /// Why a packet was rejected.
--- a/crates/telemetry/src/collectd/decode.rs
+++ b/crates/telemetry/src/collectd/decode.rs
@@ -111,11 +111,12 @@
             part_type::SEVERITY => self.severity = part.number()?,
             part_type::MESSAGE => {
                 let text = part.string()?;
-                return Ok(Some(PacketItem::Notification(header.clone(), self.severity, text)));
+                let (header, severity) = (header.clone(), self.severity);
+                return Ok(Some(PacketItem::Notification { header, severity, text }));
             }
             part_type::VALUES => {
                 let values = part.values()?;
-                return Ok(Some(PacketItem::Values(header.clone(), values)));
+                return Ok(Some(PacketItem::Values { header: header.clone(), values }));
             }
             // Types of later versions are passed over, as the protocol asks.
             _ => {}
--- a/crates/telemetry/src/collectd/security.rs
+++ b/crates/telemetry/src/collectd/security.rs
@@ -35,8 +35,8 @@
     }
 }
 
-/// The parts after a part of their signature, which holds the authentication code over the user's name and all parts
-/// after it, then that name.
+/// The parts after a part of their signature, which holds the authentication code over the user's name and
+/// all parts after it, then that name.
 pub(super) fn sign(parts: &[u8], user: &User) -> Vec<u8> {
     let mut content = authentication_code(&user.user, &user.key, parts).finalize().into_bytes().to_vec();
     content.extend(user.user.as_bytes());
@@ -46,8 +46,8 @@
     packet
 }
 
-/// An encrypted part: the length of the user's name, that name, the initialization vector, and, encrypted, the SHA-1
-/// checksum of the parts and the parts.
+/// An encrypted part: the length of the user's name, that name, the initialization vector, and, encrypted,
+/// the SHA-1 checksum of the parts and the parts.
 pub(super) fn encrypt(parts: &[u8], user: &User, iv: InitializationVector) -> Vec<u8> {
     let mut sealed = Sha1::digest(parts).to_vec();
     sealed.extend(parts);
--- a/crates/telemetry/src/collectd/tests.rs
+++ b/crates/telemetry/src/collectd/tests.rs
@@ -40,7 +40,7 @@
 fn plain_packet_encoded_matches_published_bytes() {
     assert_eq!(packet(&Security::None), PLAIN);
     let items = read(PLAIN, &BTreeMap::new(), Require::Nothing).expect("good");
-    let PacketItem::Values(header, values) = &items[0] else { panic!("{items:?}") };
+    let PacketItem::Values { header, values } = &items[0] else { panic!("{items:?}") };
     assert_eq!(
         (header.type_name.as_str(), nanos(header.time), values[0]),
         ("derive", 1_500_000_000, MetricValue::Derive(258))
@@ -125,7 +125,7 @@
         let mut got = Vec::new();
         for packet in &packets {
             for item in read(packet, &keys(&["secret"]), Require::Nothing).expect("good") {
-                let PacketItem::Values(header, values) = item else { panic!("{item:?}") };
+                let PacketItem::Values { header, values } = item else { panic!("{item:?}") };
                 got.push((header.plugin_instance, values[0].as_f64()));
             }
         }
@@ -141,7 +141,8 @@
     let items = read(&packet, &BTreeMap::new(), Require::Nothing).expect("good");
     assert!(matches!(
         &items[0],
-        PacketItem::Notification(header, 1, text) if header.plugin_instance == "dest-x" && text == "out"
+        PacketItem::Notification { header, severity: 1, text }
+            if header.plugin_instance == "dest-x" && text == "out"
     ));
 }
 
--- a/crates/telemetry/src/connection.rs
+++ b/crates/telemetry/src/connection.rs
@@ -1,7 +1,7 @@
 //! A connection to a receiver, with a bounded send buffer and backoff between attempts to connect.
 //!
-//! [`ReceiverConnection`] holds no socket: its owner reports what happened to one, and polls it for what to do. What a
-//! receiver does not accept stays in the buffer until newer reports displace it.
+//! [`ReceiverConnection`] holds no socket: its owner reports what happened to one, and polls it for what to
+//! do. What a receiver does not accept stays in the buffer until newer reports displace it.
 
 mod send_buffer;
 #[cfg(test)]
@@ -21,7 +21,8 @@
 const MAX_BACKOFF: Time = 60 * SECOND;
 /// A backoff is multiplied by a random factor, so that couriers don't reconnect at the same moment.
 const BACKOFF_JITTER: std::ops::Range<f64> = 0.5..1.5;
-/// Bytes handed to the system and not yet written by it: the rest stays in the buffer, where it can be dropped.
+/// Bytes handed to the system and not yet written by it: the rest stays in the buffer, where it can be
+/// dropped.
 const MAX_UNWRITTEN_BYTES: u64 = 256 << 10;
 
 /// What the owner of a connection is to do.
@@ -81,8 +82,8 @@
 }
 
 impl ReceiverConnection {
-    /// A connection that buffers at most so many bytes and gives up one that makes no progress for so long. The seed
-    /// spreads its attempts to connect.
+    /// A connection that buffers at most so many bytes and gives up one that makes no progress for so long.
+    /// The seed spreads its attempts to connect.
     pub fn new(address: SocketAddr, max_bytes: usize, stuck_timeout: Time, seed: u64) -> ReceiverConnection {
         ReceiverConnection {
             address,
--- a/crates/telemetry/src/connection/send_buffer.rs
+++ b/crates/telemetry/src/connection/send_buffer.rs
@@ -1,4 +1,5 @@
-//! What waits to be written to a receiver: bounded, the oldest dropped first, and sent again after a connection broke.
+//! What waits to be written to a receiver: bounded, the oldest dropped first, and sent again after a
+//! connection broke.
 
 use crate::graphite::Chunk;
 use bytes::Bytes;
--- a/crates/telemetry/src/graphite.rs
+++ b/crates/telemetry/src/graphite.rs
@@ -1,5 +1,6 @@
-//! Graphite's formats: plaintext lines, or frames of pickled lists. Names points, encodes and decodes them; opens no
-//! connection.
+//! Graphite's formats: plaintext lines and frames of pickled lists.
+//!
+//! This module names, encodes and decodes points. It never opens a connection.
 
 use crate::series::{Point, SeriesSubject};
 use crate::settings::Form;
@@ -8,13 +9,13 @@
 #[cfg(test)]
 mod tests;
 
-/// Points of one chunk, and so of one pickle frame: receivers limit the size of a frame.
+/// Maximum number of points in a chunk, and so in a pickle frame: receivers limit the size of a frame.
 const MAX_CHUNK_POINTS: usize = 500;
 
 /// The courier that reports.
 #[derive(Clone, Debug, Default)]
 pub struct MetricSource {
-    /// The deployment, made safe for a path.
+    /// Name of the deployment, safe for a path.
     pub deployment: String,
     /// The courier's number.
     pub courier: u32,
@@ -29,32 +30,36 @@
     Tags,
 }
 
-/// How points are encoded.
+/// How points are named and encoded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Encoding {
-    /// Lines or pickled lists.
+    /// Plaintext or pickle.
     pub form: Form,
-    /// Paths or tags.
+    /// Paths or tags in names.
     pub names: NameStyle,
 }
 
-/// Points with their names, encoded; sent as a whole or dropped as a whole.
+/// Encoded points, which are sent or dropped together.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Chunk {
     /// The encoded points.
     pub bytes: Vec<u8>,
-    /// How many there are.
+    /// Number of points.
     pub points: u32,
 }
 
-/// A point as it was decoded.
+/// A point under the name of its series.
 #[derive(Clone, Debug, PartialEq)]
-struct NamedValue {
-    name: String,
-    value: f64,
+pub struct NamedPoint {
+    /// Name of the series.
+    pub name: String,
+    /// The value.
+    pub value: f64,
+    /// Seconds since 1970.
+    pub time_s: u64,
 }
 
-/// The name of a point's series.
+/// Returns the name of a point's series.
 pub fn name(source: &MetricSource, point: &Point, style: NameStyle) -> String {
     match style {
         NameStyle::Paths => path_name(source, point),
@@ -91,18 +96,19 @@
     format!("linnetcart.{}.edge.{}.{subject}.{}", source.deployment, source.courier, point.metric)
 }
 
-/// Points at a second since 1970, in chunks that may be sent and dropped one by one.
-pub fn encode(source: &MetricSource, points: &[Point], second: u64, encoding: Encoding) -> Vec<Chunk> {
+/// Encodes points at a time in seconds since 1970, in chunks that can be sent and dropped independently.
+pub fn encode(source: &MetricSource, points: &[Point], time_s: u64, encoding: Encoding) -> Vec<Chunk> {
     let mut chunks = Vec::with_capacity(points.len().div_ceil(MAX_CHUNK_POINTS));
     for points in points.chunks(MAX_CHUNK_POINTS) {
         let bytes = match encoding.form {
-            Form::Plaintext => encode_plaintext(source, points, second, encoding.names),
+            Form::Plaintext => encode_plaintext(source, points, time_s, encoding.names),
             Form::Pickle => {
-                let named = points.iter().map(|point| NamedValue {
+                let named = points.iter().map(|point| NamedPoint {
                     name: name(source, point, encoding.names),
                     value: point.value.as_f64(),
+                    time_s,
                 });
-                encode_pickle(named, second)
+                encode_pickle(named)
             }
         };
         chunks.push(Chunk { bytes, points: points.len() as u32 });
@@ -110,39 +116,45 @@
     chunks
 }
 
-fn encode_plaintext(source: &MetricSource, points: &[Point], second: u64, names: NameStyle) -> Vec<u8> {
-    let second = second.to_string();
+fn encode_plaintext(source: &MetricSource, points: &[Point], time_s: u64, names: NameStyle) -> Vec<u8> {
+    let time = time_s.to_string();
     let mut lines = String::new();
     for point in points {
         let name = name(source, point, names);
         let value = point.value.to_string();
-        lines.extend([name.as_str(), " ", value.as_str(), " ", second.as_str(), "\n"]);
+        lines.extend([name.as_str(), " ", value.as_str(), " ", time.as_str(), "\n"]);
     }
     lines.into_bytes()
 }
 
-/// A frame: its length in four bytes, most significant first, then a pickled list of (name, (time, value)).
-fn encode_pickle(points: impl Iterator<Item = NamedValue>, second: u64) -> Vec<u8> {
-    let list: Vec<(String, (u64, f64))> = points.map(|point| (point.name, (second, point.value))).collect();
-    // Protocol 2 is the one that every receiver reads. Strings, tuples and numbers only: this cannot fail.
+/// Encodes a frame: its length in four bytes, most significant first, then a pickled list of
+/// (name, (time, value)).
+fn encode_pickle(points: impl Iterator<Item = NamedPoint>) -> Vec<u8> {
+    let list: Vec<(String, (u64, f64))> =
+        points.map(|point| (point.name, (point.time_s, point.value))).collect();
+    // Every receiver reads protocol 2. The list holds only strings, tuples and numbers, so this cannot fail.
     let body = serde_pickle::to_vec(&list, SerOptions::new().proto_v2()).unwrap_or_default();
     let mut frame = (body.len() as u32).to_be_bytes().to_vec();
     frame.extend(body);
     frame
 }
 
-/// Reads a line of the plaintext form: name, value, and time in seconds since 1970.
-pub fn read_line(line: &str) -> Option<(&str, f64, u64)> {
+/// Decodes a line of the plaintext format; `None` if it is not a point.
+pub fn decode_line(line: &str) -> Option<NamedPoint> {
     let mut words = line.split_ascii_whitespace();
-    let name = words.next()?;
+    let name = words.next()?.to_owned();
     let value = words.next()?.parse().ok()?;
     let time: f64 = words.next()?.parse().ok()?;
     let is_end = words.next().is_none();
-    is_end.then_some((name, value, time as u64))
+    is_end.then_some(NamedPoint { name, value, time_s: time as u64 })
 }
 
-/// Reads a pickled list: names, values, and times in seconds since 1970.
-pub fn read_pickle(body: &[u8]) -> Option<Vec<(String, f64, u64)>> {
+/// Decodes a pickled list of points, without the length of its frame; `None` if it is something else.
+pub fn decode_pickle(body: &[u8]) -> Option<Vec<NamedPoint>> {
     let list: Vec<(String, (f64, f64))> = serde_pickle::from_slice(body, Default::default()).ok()?;
-    Some(list.into_iter().map(|(name, (time, value))| (name, value, time as u64)).collect())
+    let mut points = Vec::with_capacity(list.len());
+    for (name, (time, value)) in list {
+        points.push(NamedPoint { name, value, time_s: time as u64 });
+    }
+    Some(points)
 }
--- a/crates/telemetry/src/graphite/tests.rs
+++ b/crates/telemetry/src/graphite/tests.rs
@@ -55,8 +55,9 @@
 
 #[test]
 fn pickle_frame_encoded_matches_published_opcodes() {
-    let frame = encode_pickle([NamedValue { name: "a.b".to_owned(), value: 1.5 }].into_iter(), 7);
-    // Worked out by hand from the opcodes: PROTO 2, EMPTY_LIST, MARK, MARK, BINUNICODE with its length, MARK,
+    let point = NamedPoint { name: "a.b".to_owned(), value: 1.5, time_s: 7 };
+    let frame = encode_pickle([point].into_iter());
+    // Derived by hand from the opcodes: PROTO 2, EMPTY_LIST, MARK, MARK, BINUNICODE with its length, MARK,
     // BININT, BINFLOAT, TUPLE, TUPLE, APPENDS, STOP.
     let body = b"\x80\x02]((X\x03\x00\x00\x00a.b(J\x07\x00\x00\x00G\x3f\xf8\x00\x00\x00\x00\x00\x00tte.";
     assert_eq!(frame, [&(body.len() as u32).to_be_bytes()[..], body].concat());
@@ -65,30 +66,30 @@
 proptest! {
     #[test]
     fn points_encoded_decode_to_same_values(
-        values in prop::collection::vec((0u64..1 << 50, "[a-z]{1,8}"), 1..40), second in 0u64..1 << 32,
+        values in prop::collection::vec((0u64..1 << 50, "[a-z]{1,8}"), 1..40), time_s in 0u64..1 << 32,
     ) {
         let mut points = Vec::new();
-        let mut wanted = Vec::new();
+        let mut expected = Vec::new();
         for (count, destination) in values {
             let subject = SeriesSubject::Destination(destination);
             let point = Point::new(subject, "taken", PointValue::Counter(count));
-            wanted.push((name(&source(), &point, NameStyle::Paths), count as f64, second));
+            let name = name(&source(), &point, NameStyle::Paths);
+            expected.push(NamedPoint { name, value: count as f64, time_s });
             points.push(point);
         }
-        let lines = encode(&source(), &points, second, PLAINTEXT);
+        let lines = encode(&source(), &points, time_s, PLAINTEXT);
         let lines: Vec<u8> = lines.into_iter().flat_map(|chunk| chunk.bytes).collect();
         let text = String::from_utf8(lines).expect("text");
-        let read: Vec<_> = text.lines().filter_map(read_line)
-            .map(|(name, value, time)| (name.to_owned(), value, time)).collect();
-        prop_assert_eq!(&read, &wanted);
-        let frames = encode(&source(), &points, second, PICKLE);
-        let read: Vec<_> = frames.iter()
-            .flat_map(|frame| read_pickle(&frame.bytes[4..]).expect("a list")).collect();
-        prop_assert_eq!(&read, &wanted);
+        let decoded: Vec<NamedPoint> = text.lines().filter_map(decode_line).collect();
+        prop_assert_eq!(&decoded, &expected);
+        let frames = encode(&source(), &points, time_s, PICKLE);
+        let decode = |frame: &Chunk| decode_pickle(&frame.bytes[4..]).expect("a list");
+        let decoded: Vec<NamedPoint> = frames.iter().flat_map(decode).collect();
+        prop_assert_eq!(&decoded, &expected);
     }
 
     #[test]
     fn random_pickle_decoded_does_not_panic(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
-        let _ = read_pickle(&bytes);
+        let _ = decode_pickle(&bytes);
     }
 }
--- a/crates/telemetry/src/host.rs
+++ b/crates/telemetry/src/host.rs
@@ -1,5 +1,5 @@
-//! What the host's own collectd reports of load, links and disks. Packets may be cut, forged or old: they cost their
-//! decoding and nothing else.
+//! What the host's own collectd reports of load, links and disks. Packets may be cut, forged or old: they
+//! cost their decoding and nothing else.
 
 mod status;
 #[cfg(test)]
@@ -72,8 +72,8 @@
         self.settings = settings;
     }
 
-    /// A packet came, at these readings of the monotonic and the wall clock. Returns what is worth a line in the
-    /// log, if anything.
+    /// A packet came, at these readings of the monotonic and the wall clock. Returns what is worth a line in
+    /// the log, if anything.
     pub fn packet_received(&mut self, packet: &[u8], now: Time, wall: Time) -> Option<LogEvent> {
         match collectd::read(packet, &self.settings.users, self.settings.require) {
             Ok(items) => {
@@ -110,12 +110,12 @@
         let mut notifications = Vec::new();
         for item in items {
             match item {
-                PacketItem::Notification(header, severity, text) => {
+                PacketItem::Notification { header, severity, text } => {
                     if severity <= Severity::Warning as u64 {
                         notifications.push(HostNotification::new(header.host, severity, &text));
                     }
                 }
-                PacketItem::Values(header, values) => self.accept_values(header, values, wall),
+                PacketItem::Values { header, values } => self.accept_values(header, values, wall),
             }
         }
         (!notifications.is_empty()).then_some(LogEvent::HostNotifications(notifications))
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -1,8 +1,9 @@
 //! Reports a courier's metrics to Graphite and collectd.
 //!
-//! [`Telemetry`] is fed with the courier's delivery events and clock readings, and says what is to be written, sent
-//! and saved; it holds no socket, file or clock. Counts only grow, over restarts and crashes too: a report leaves when
-//! the log of the counts in it is on disk. What a receiver does not accept is dropped, the oldest first, and counted.
+//! [`Telemetry`] is fed with the courier's delivery events and clock readings, and says what is to be
+//! written, sent and saved; it holds no socket, file or clock. Counts only grow, over restarts and crashes
+//! too: a report leaves when the log of the counts in it is on disk. What a receiver does not accept is
+//! dropped, the oldest first, and counted.
 #![forbid(unsafe_code)]
 #![warn(clippy::unwrap_used, missing_docs)]
 
--- a/crates/telemetry/src/limits.rs
+++ b/crates/telemetry/src/limits.rs
@@ -1,4 +1,5 @@
-//! The state of destinations and separate routes as this courier sees it: their limits, attempts and latencies.
+//! The state of destinations and separate routes as this courier sees it: their limits, attempts and
+//! latencies.
 
 use crate::latency::LatencyRecorder;
 use crate::series::{Point, PointValue, SeriesSubject};
@@ -102,8 +103,8 @@
         limits.into_iter().flatten()
     }
 
-    /// The decision library sees an endpoint's limit in another state. None if that changes neither the route nor
-    /// the destination.
+    /// The decision library sees an endpoint's limit in another state. None if that changes neither the route
+    /// nor the destination.
     pub(crate) fn change_state(
         &mut self,
         destination: u32,
@@ -159,8 +160,8 @@
         self.reported = (load.rate_limit > 0.0).then_some(load.rate_limit);
     }
 
-    /// The state that it changes to; none if it stays as it is. Of several endpoints, all must be silent before the
-    /// limit counts as ejected.
+    /// The state that it changes to; none if it stays as it is. Of several endpoints, all must be silent
+    /// before the limit counts as ejected.
     fn change_state(&mut self, endpoint: u32, endpoints: usize, state: LimitState) -> Option<LimitState> {
         let mut state = state;
         if state == LimitState::Silent {
--- a/crates/telemetry/src/names.rs
+++ b/crates/telemetry/src/names.rs
@@ -34,8 +34,8 @@
     pub newly_assigned: bool,
 }
 
-/// Which destination each name belongs to. A name stays with its first owner, also while that has another name or is
-/// gone: the counts under a name must not fall because they are another destination's from now on.
+/// Which destination each name belongs to. A name stays with its first owner, also while that has another
+/// name or is gone: the counts under a name must not fall because they are another destination's from now on.
 #[derive(Clone, Debug, Default)]
 pub struct SeriesNames {
     owners: BTreeMap<String, u32>,
@@ -58,8 +58,8 @@
         self.owners.entry(name).or_insert(owner);
     }
 
-    /// The name of a destination that wants to be called so. Where the name is another's, the number follows it.
-    /// Without a name, and beyond the limit of names, the number stands alone.
+    /// The name of a destination that wants to be called so. Where the name is another's, the number follows
+    /// it. Without a name, and beyond the limit of names, the number stands alone.
     pub fn assign(&mut self, wanted: Option<&str>, owner: u32) -> AssignedName {
         let number = format!("d{owner}");
         if let Some(wanted) = wanted.map(safe).filter(|name| is_assignable(name)) {
--- a/crates/telemetry/src/report.rs
+++ b/crates/telemetry/src/report.rs
@@ -27,8 +27,8 @@
     Cell(CounterKey),
 }
 
-/// A report under way. It is made and sent in slices, so that no message waits for it: a part of it is made, then the
-/// log of the counts in it brought to disk, then the part is sent, and the next one follows.
+/// A report under way. It is made and sent in slices, so that no message waits for it: a part of it is made,
+/// then the log of the counts in it brought to disk, then the part is sent, and the next one follows.
 #[derive(Debug)]
 pub(crate) struct Report {
     /// Nanoseconds since 1970.
--- a/crates/telemetry/src/schedule.rs
+++ b/crates/telemetry/src/schedule.rs
@@ -20,8 +20,8 @@
 }
 
 impl ReportSchedule {
-    /// The first report comes after a delay that differs between couriers: a thousand that start together report at
-    /// times spread over the interval.
+    /// The first report comes after a delay that differs between couriers: a thousand that start together
+    /// report at times spread over the interval.
     pub(crate) fn new(interval: Time, first_delay: Time, now: Time) -> ReportSchedule {
         ReportSchedule { interval, next_report: now + first_delay, last_report: now, next_slice: now }
     }
@@ -45,7 +45,8 @@
         self.next_slice
     }
 
-    /// Whether a report is due. If so, the next one is due an interval later, but not at once after a long pause.
+    /// Whether a report is due. If so, the next one is due an interval later, but not at once after a long
+    /// pause.
     pub(crate) fn take_due_report(&mut self, now: Time) -> bool {
         if self.next_report > now {
             return false;
--- a/crates/telemetry/src/stream.rs
+++ b/crates/telemetry/src/stream.rs
@@ -1,55 +1,75 @@
-//! A stream of reports as a receiver sees it: the last value of each series, and whether a count fell.
+//! A stream of reports as a receiver sees it: the last value of each series, and counts that fell.
 //!
-//! For receivers in tests and tools; the courier itself has no use for it. Couriers may be hostile to a receiver:
-//! what is kept is bounded.
+//! Receivers in tests and tools use this module; the courier does not. A courier may be hostile to a
+//! receiver, so everything that is stored is bounded.
 
 use crate::counts::Field;
-use crate::graphite;
+use crate::graphite::{self, NamedPoint};
 use std::collections::BTreeMap;
 
 #[cfg(test)]
 mod tests;
 
-/// A pickled list is no longer; a connection that announces a longer one makes no sense.
+/// Maximum length of a pickled list. A connection that announces a longer one is unreadable.
 const MAX_FRAME_BYTES: usize = 4 << 20;
-/// Bytes of the length before a pickled list.
+/// Size of the length before a pickled list.
 const FRAME_LENGTH_BYTES: usize = 4;
-/// Series kept at most; beyond it new ones are passed over and counted.
+/// Maximum number of series; points of further series are only counted.
 const MAX_SERIES: usize = 1_000_000;
-/// Descriptions of falls kept at most.
-const MAX_FALLS: usize = 100;
+/// Maximum number of recorded regressions.
+const MAX_REGRESSIONS: usize = 100;
 
-/// What came in.
+/// Everything that a receiver received.
 #[derive(Debug, Default)]
 pub struct Stream {
-    /// The last value of each series, and its time in seconds.
-    pub last: BTreeMap<String, (u64, f64)>,
-    /// Counts that fell, and times that went back, in words; the first hundred.
-    pub fell: Vec<String>,
-    /// Points.
+    /// The last value of each series.
+    pub series: BTreeMap<String, SeriesValue>,
+    /// Descriptions of counts that fell and of times that went back; the first hundred.
+    pub regressions: Vec<String>,
+    /// Number of points.
     pub points: u64,
-    /// Bytes.
+    /// Number of bytes.
     pub bytes: u64,
-    /// Notifications of collectd: of what, severity, text.
-    pub notices: Vec<(String, u64, String)>,
-    /// Items that could not be read.
-    pub bad: u64,
-    /// Why the last one could not be read.
-    pub last_bad: Option<String>,
-    /// Points of series beyond the limit.
-    pub beyond: u64,
+    /// Notifications from collectd.
+    pub notifications: Vec<ReceivedNotification>,
+    /// Number of items that could not be decoded.
+    pub invalid_items: u64,
+    /// Why the last invalid item could not be decoded.
+    pub last_error: Option<String>,
+    /// Number of points of series beyond the maximum number of series.
+    pub points_over_limit: u64,
 }
 
-/// Why an item of a stream could not be read.
+/// A value of a series.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SeriesValue {
+    /// Seconds since 1970.
+    pub time_s: u64,
+    /// The value.
+    pub value: f64,
+}
+
+/// A notification from collectd.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReceivedNotification {
+    /// What the notification is about.
+    pub subject: String,
+    /// The severity, as defined by collectd's protocol.
+    pub severity: u64,
+    /// The text.
+    pub text: String,
+}
+
+/// Why an item of a stream could not be decoded.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum StreamError {
     /// A frame announces more than a receiver accepts.
     #[error("a frame of {bytes} bytes")]
     FrameTooLong {
-        /// The length that it announces.
+        /// The announced length.
         bytes: usize,
     },
-    /// A frame holds something else than a pickled list of points.
+    /// A frame does not hold a pickled list of points.
     #[error("a frame that is no pickled list")]
     InvalidFrame,
     /// A line is not a point.
@@ -60,73 +80,85 @@
     },
 }
 
-/// The next item of what a connection holds.
+/// The next item in the received bytes of a connection.
 enum Item {
-    /// Points, and how many bytes they took.
-    Points(Vec<(String, f64, u64)>, usize),
-    /// Something that could not be read, and how many bytes it took.
-    Invalid(StreamError, usize),
+    /// Decoded points.
+    Points {
+        points: Vec<NamedPoint>,
+        /// Length of the item.
+        bytes: usize,
+    },
+    /// An item that could not be decoded.
+    Invalid {
+        error: StreamError,
+        /// Length of the item.
+        bytes: usize,
+    },
     /// More bytes are needed.
     Incomplete,
-    /// Nothing after this can be read.
-    Nonsense(StreamError),
+    /// Nothing after this can be decoded.
+    Unreadable(StreamError),
 }
 
 impl Stream {
-    /// A point.
-    pub fn point(&mut self, name: &str, value: f64, time: u64) {
+    /// Records a point, and a regression if it goes back in time or its count falls.
+    pub fn record_point(&mut self, name: &str, value: f64, time_s: u64) {
         self.points += 1;
-        if self.last.len() >= MAX_SERIES && !self.last.contains_key(name) {
-            self.beyond += 1;
+        if self.series.len() >= MAX_SERIES && !self.series.contains_key(name) {
+            self.points_over_limit += 1;
             return;
         }
-        let Some((time_before, value_before)) = self.last.insert(name.to_owned(), (time, value)) else {
+        let Some(before) = self.series.insert(name.to_owned(), SeriesValue { time_s, value }) else {
             return;
         };
-        let goes_back = time < time_before;
-        let falls = is_counter(name) && value < value_before;
-        if (goes_back || falls) && self.fell.len() < MAX_FALLS {
-            self.fell.push(format!("{name}: {value_before} at {time_before}, then {value} at {time}"));
+        let goes_back = time_s < before.time_s;
+        let falls = is_counter(name) && value < before.value;
+        if (goes_back || falls) && self.regressions.len() < MAX_REGRESSIONS {
+            let SeriesValue { time_s: time_before, value: value_before } = before;
+            self.regressions
+                .push(format!("{name}: {value_before} at {time_before}, then {value} at {time_s}"));
         }
     }
 
-    /// Something could not be read.
-    pub fn bad(&mut self, reason: impl ToString) {
-        self.bad += 1;
-        self.last_bad = Some(reason.to_string());
+    /// Records an item that could not be decoded.
+    pub fn record_invalid(&mut self, reason: impl ToString) {
+        self.invalid_items += 1;
+        self.last_error = Some(reason.to_string());
     }
 
-    /// The last value of a series.
+    /// Returns the last value of a series, or `None` if there is no such series.
     pub fn value(&self, name: &str) -> Option<f64> {
-        self.last.get(name).map(|(_, value)| *value)
+        self.series.get(name).map(|last| last.value)
     }
 
-    /// Takes complete lines and frames from what a connection holds, and shows each point; false when it makes no
-    /// sense.
-    pub fn take(&mut self, held: &mut Vec<u8>, mut each: impl FnMut(&str, f64, u64)) -> bool {
+    /// Removes complete lines and frames from the received bytes of a connection, records their points and
+    /// passes each to `on_point`. Returns false if the connection must be closed, because nothing more can be
+    /// decoded.
+    #[must_use]
+    pub fn consume(&mut self, received: &mut Vec<u8>, mut on_point: impl FnMut(&NamedPoint)) -> bool {
         let mut offset = 0;
         loop {
-            match next_item(&held[offset..]) {
-                Item::Points(points, length) => {
-                    for (name, value, time) in points {
-                        self.point(&name, value, time);
-                        each(&name, value, time);
+            match next_item(&received[offset..]) {
+                Item::Points { points, bytes } => {
+                    for point in points {
+                        self.record_point(&point.name, point.value, point.time_s);
+                        on_point(&point);
                     }
-                    offset += length;
+                    offset += bytes;
                 }
-                Item::Invalid(error, length) => {
-                    self.bad(error);
-                    offset += length;
+                Item::Invalid { error, bytes } => {
+                    self.record_invalid(error);
+                    offset += bytes;
                 }
                 Item::Incomplete => break,
-                Item::Nonsense(error) => {
-                    self.bad(error);
+                Item::Unreadable(error) => {
+                    self.record_invalid(error);
                     return false;
                 }
             }
         }
-        held.drain(..offset);
-        held.len() <= MAX_FRAME_BYTES + FRAME_LENGTH_BYTES
+        received.drain(..offset);
+        received.len() <= MAX_FRAME_BYTES + FRAME_LENGTH_BYTES
     }
 }
 
@@ -137,7 +169,7 @@
     Field::from_name(metric).is_some()
 }
 
-/// A frame begins with its length, whose first byte is zero; a line does not.
+/// Decodes the first item. A frame begins with its length, whose first byte is zero; a line does not.
 fn next_item(bytes: &[u8]) -> Item {
     match bytes.first() {
         None => Item::Incomplete,
@@ -147,27 +179,27 @@
 }
 
 fn next_frame(bytes: &[u8]) -> Item {
-    let Some((&length, rest)) = bytes.split_first_chunk::<FRAME_LENGTH_BYTES>() else {
+    let Some((&length, unread)) = bytes.split_first_chunk::<FRAME_LENGTH_BYTES>() else {
         return Item::Incomplete;
     };
     let length = u32::from_be_bytes(length) as usize;
     if length > MAX_FRAME_BYTES {
-        return Item::Nonsense(StreamError::FrameTooLong { bytes: length });
+        return Item::Unreadable(StreamError::FrameTooLong { bytes: length });
     }
-    let Some(body) = rest.get(..length) else { return Item::Incomplete };
-    let frame_bytes = FRAME_LENGTH_BYTES + length;
-    match graphite::read_pickle(body) {
-        Some(points) => Item::Points(points, frame_bytes),
-        None => Item::Invalid(StreamError::InvalidFrame, frame_bytes),
+    let Some(body) = unread.get(..length) else { return Item::Incomplete };
+    let bytes = FRAME_LENGTH_BYTES + length;
+    match graphite::decode_pickle(body) {
+        Some(points) => Item::Points { points, bytes },
+        None => Item::Invalid { error: StreamError::InvalidFrame, bytes },
     }
 }
 
 fn next_line(bytes: &[u8]) -> Item {
     let Some(length) = bytes.iter().position(|&byte| byte == b'\n') else { return Item::Incomplete };
     let line = String::from_utf8_lossy(&bytes[..length]);
-    let line_bytes = length + 1;
-    match graphite::read_line(&line) {
-        Some((name, value, time)) => Item::Points(vec![(name.to_owned(), value, time)], line_bytes),
-        None => Item::Invalid(StreamError::InvalidLine { line: line.into_owned() }, line_bytes),
+    let bytes = length + 1;
+    match graphite::decode_line(&line) {
+        Some(point) => Item::Points { points: vec![point], bytes },
+        None => Item::Invalid { error: StreamError::InvalidLine { line: line.into_owned() }, bytes },
     }
 }
--- a/crates/telemetry/src/timestamps.rs
+++ b/crates/telemetry/src/timestamps.rs
@@ -37,8 +37,8 @@
         self.last
     }
 
-    /// The next timestamp, at these readings of the monotonic and the wall clock. After the wall clock was set back,
-    /// timestamps advance at half its speed until it has caught up.
+    /// The next timestamp, at these readings of the monotonic and the wall clock. After the wall clock was
+    /// set back, timestamps advance at half its speed until it has caught up.
     pub fn next(&mut self, now: Time, wall: Time) -> Timestamp {
         let time = if wall > self.last || self.last - wall > MAX_TIME_AHEAD {
             wall
--- a/crates/telemetry/tests/virtual_time/fixture.rs
+++ b/crates/telemetry/tests/virtual_time/fixture.rs
@@ -7,7 +7,7 @@
 use linnetcart_telemetry::connection::ConnectionAction;
 use linnetcart_telemetry::counts::Saved;
 use linnetcart_telemetry::settings::{Form, Telemetry as Settings};
-use linnetcart_telemetry::stream::Stream;
+use linnetcart_telemetry::stream::{SeriesValue, Stream};
 use linnetcart_telemetry::{
     CurrentState, ListedEndpoint, LogEvent, Output, RestoredState, SyncError, Telemetry,
 };
@@ -270,10 +270,10 @@
     fn receive_datagram(&mut self, packet: &[u8]) {
         let items = collectd::read(packet, &BTreeMap::new(), Default::default()).expect("a packet");
         for item in items {
-            if let PacketItem::Values(header, values) = item {
+            if let PacketItem::Values { header, values } = item {
                 let name = format!("{}.{}", header.plugin_instance, header.type_instance);
                 let second = collectd::nanos(header.time) / SECOND;
-                self.collectd.point(&name, values[0].as_f64(), second);
+                self.collectd.record_point(&name, values[0].as_f64(), second);
             }
         }
     }
@@ -310,24 +310,24 @@
     }
 
     /// The last time and value of a series at the Graphite receiver.
-    pub fn last_point(&self, end: &str) -> (u64, f64) {
-        self.receiver.stream.last[&format!("linnetcart.test.edge.3.{end}")]
+    pub fn last_point(&self, end: &str) -> SeriesValue {
+        self.receiver.stream.series[&format!("linnetcart.test.edge.3.{end}")]
     }
 
     /// The last value of a series at the Graphite receiver.
     pub fn last_value(&self, end: &str) -> f64 {
-        self.last_point(end).1
+        self.last_point(end).value
     }
 
     /// No series fell at the Graphite receiver.
     pub fn assert_nothing_fell(&self) {
-        assert_eq!(self.receiver.stream.fell, Vec::<String>::new());
+        assert_eq!(self.receiver.stream.regressions, Vec::<String>::new());
     }
 
     /// Both receivers have what was counted beside the reporting, and no series fell at either.
     pub fn assert_counts_received(&self) {
         self.assert_nothing_fell();
-        assert_eq!(self.collectd.fell, Vec::<String>::new());
+        assert_eq!(self.collectd.regressions, Vec::<String>::new());
         for (end, &wanted) in &self.counted {
             let name = format!("linnetcart.test.edge.3.{end}");
             assert_eq!(self.receiver.stream.value(&name), Some(wanted as f64), "{name}");
--- a/crates/telemetry/tests/virtual_time/main.rs
+++ b/crates/telemetry/tests/virtual_time/main.rs
@@ -1,5 +1,5 @@
-//! The reporting in virtual time: outages, crashes, clocks that jump. What a receiver ends with must be what was
-//! counted beside the reporting, and no count may ever fall.
+//! The reporting in virtual time: outages, crashes, clocks that jump. What a receiver ends with must be what
+//! was counted beside the reporting, and no count may ever fall.
 
 mod fixture;
 mod parts;
@@ -118,11 +118,11 @@
     simulation.run(300);
     simulation.disk_works = false;
     let count_before = simulation.last_point("courier.taken");
-    let (gauge_time_before, _) = simulation.last_point("courier.slots");
+    let gauge_before = simulation.last_point("courier.slots");
     simulation.run(600);
     assert_eq!(simulation.last_point("courier.taken"), count_before);
-    let (gauge_time, _) = simulation.last_point("courier.slots");
-    assert!(gauge_time > gauge_time_before);
+    let gauge = simulation.last_point("courier.slots");
+    assert!(gauge.time_s > gauge_before.time_s);
     assert!(simulation.telemetry.status(simulation.now).counts_not_safe);
     simulation.disk_works = true;
     simulation.run(300);
@@ -162,7 +162,8 @@
     assert!(accepted("Bank_Lodz-d2") > 0.0 && accepted("Bank_Lodz-d3") > 0.0 && accepted("Other-d3") > 0.0);
 }
 
-/// The plugin instances and severities that collectd is notified of when an endpoint's limit changes its state.
+/// The plugin instances and severities that collectd is notified of when an endpoint's limit changes its
+/// state.
 fn notifications_of(
     simulation: &mut Simulation,
     destination: u32,
@@ -176,7 +177,7 @@
     for output in simulation.telemetry.outputs() {
         let Output::Datagram(_, packet) = output else { continue };
         for item in collectd::read(&packet, &BTreeMap::new(), Default::default()).expect("a packet") {
-            if let PacketItem::Notification(header, severity, _) = item {
+            if let PacketItem::Notification { header, severity, .. } = item {
                 notifications.push((header.plugin_instance, severity));
             }
         }
@@ -280,6 +281,6 @@
     }
     let is_cell =
         |name: &&String| name.contains(".class.c") && name.contains(".dest.") && name.ends_with(".taken");
-    let cells = receiver.stream.last.keys().filter(is_cell).count();
+    let cells = receiver.stream.series.keys().filter(is_cell).count();
     assert_eq!(cells, 50_000, "every cell had its turn");
 }
--- a/crates/telemetry/tests/virtual_time/parts.rs
+++ b/crates/telemetry/tests/virtual_time/parts.rs
@@ -36,22 +36,23 @@
     }
 }
 
-/// A Graphite receiver, with what its connection holds.
+/// A Graphite receiver with one connection.
 #[derive(Default)]
 pub struct Receiver {
     pub stream: Stream,
-    held: Vec<u8>,
+    /// Received bytes of the connection that do not form a complete item yet.
+    unread: Vec<u8>,
 }
 
 impl Receiver {
     pub fn receive(&mut self, bytes: &[u8]) {
-        self.held.extend(bytes);
-        assert!(self.stream.take(&mut self.held, |_, _, _| ()));
-        assert_eq!(self.stream.bad, 0, "{:?}", self.stream.last_bad);
+        self.unread.extend(bytes);
+        assert!(self.stream.consume(&mut self.unread, |_| ()));
+        assert_eq!(self.stream.invalid_items, 0, "{:?}", self.stream.last_error);
     }
 
     pub fn connection_closed(&mut self) {
-        self.held.clear();
+        self.unread.clear();
     }
 }
 
--- a/crates/testbed/src/charts/stream.rs
+++ b/crates/testbed/src/charts/stream.rs
@@ -3,7 +3,7 @@
 
 use super::drawing::{drawing_error, ChartLayout, CAPTION_SIZE, SIZE};
 use anyhow::Context;
-use linnetcart_telemetry::graphite;
+use linnetcart_telemetry::graphite::{self, NamedPoint};
 use plotters::prelude::*;
 use std::collections::BTreeMap;
 use std::path::Path;
@@ -35,11 +35,12 @@
         let mut lines = StreamLines::default();
         let mut first_second = u64::MAX;
         for (index, line) in text.lines().enumerate() {
-            let point = graphite::read_line(line);
-            let (name, value, second) = point.with_context(|| format!("line {}: no point", index + 1))?;
+            let point = graphite::decode_line(line);
+            let NamedPoint { name, value, time_s: second } =
+                point.with_context(|| format!("line {}: no point", index + 1))?;
             first_second = first_second.min(second);
             let second = (second - first_second) as f64;
-            lines.add(name, Point { second, value });
+            lines.add(&name, Point { second, value });
         }
         Ok(lines)
     }
--- a/crates/testbed/src/listen.rs
+++ b/crates/testbed/src/listen.rs
@@ -83,5 +83,5 @@
     }
     println!("{}", table(&stream));
     std::io::stdout().flush()?;
-    Ok(stream.fell.is_empty())
+    Ok(stream.regressions.is_empty())
 }
--- a/crates/testbed/src/listen/table.rs
+++ b/crates/testbed/src/listen/table.rs
@@ -1,7 +1,7 @@
 //! The table of destinations that is shown.
 
 use super::series::DestinationSeries;
-use linnetcart_telemetry::stream::Stream;
+use linnetcart_telemetry::stream::{ReceivedNotification, Stream};
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::fmt::Write;
@@ -78,10 +78,10 @@
 
 fn rows(stream: &Stream) -> BTreeMap<RowKey, Row> {
     let mut rows: BTreeMap<RowKey, Row> = BTreeMap::new();
-    for (name, (_, value)) in &stream.last {
+    for (name, last) in &stream.series {
         let Some(series) = DestinationSeries::parse(name) else { continue };
         let key = RowKey { courier: series.courier, destination: series.destination };
-        rows.entry(key).or_default().values.insert(series.field, *value);
+        rows.entry(key).or_default().values.insert(series.field, last.value);
     }
     rows
 }
@@ -141,19 +141,20 @@
 }
 
 fn write_summary(text: &mut String, stream: &Stream) {
-    let last_bad = stream.last_bad.as_ref().map_or(String::new(), |bad| format!(", the last: {bad}"));
+    let last_error = stream.last_error.as_ref().map_or(String::new(), |error| format!(", the last: {error}"));
     let _ = writeln!(
         text,
-        "{} series, {} points, {} bytes; {} could not be read{last_bad}",
-        stream.last.len(),
+        "{} series, {} points, {} bytes; {} could not be read{last_error}",
+        stream.series.len(),
         stream.points,
         stream.bytes,
-        stream.bad,
+        stream.invalid_items,
     );
-    for (subject, severity, message) in stream.notices.iter().rev().take(MAX_NOTIFICATIONS) {
+    for notification in stream.notifications.iter().rev().take(MAX_NOTIFICATIONS) {
+        let ReceivedNotification { subject, severity, text: message } = notification;
         let _ = writeln!(text, "notification ({severity}) {subject}: {message}");
     }
-    for fallen in stream.fell.iter().take(MAX_FALLEN_COUNTS) {
+    for fallen in stream.regressions.iter().take(MAX_FALLEN_COUNTS) {
         let _ = writeln!(text, "A COUNT FELL: {fallen}");
     }
 }
--- a/crates/testbed/src/listen/tests.rs
+++ b/crates/testbed/src/listen/tests.rs
@@ -28,11 +28,11 @@
     let mut stream = Stream::default();
     for (dest, state, used) in [("a", 2.0, 0.2), ("b", 2.0, 0.9), ("c", 0.0, 0.1)] {
         let name = |field: &str| format!("linnetcart.bank.edge.3.dest.{dest}.{field}");
-        stream.point(&name("state"), state, 5);
-        stream.point(&name("limit_used_share"), used, 5);
-        stream.point(&name("taken"), 9.0, 5);
+        stream.record_point(&name("state"), state, 5);
+        stream.record_point(&name("limit_used_share"), used, 5);
+        stream.record_point(&name("taken"), 9.0, 5);
     }
-    stream.point("linnetcart.bank.edge.3.dest.a.taken", 8.0, 6);
+    stream.record_point("linnetcart.bank.edge.3.dest.a.taken", 8.0, 6);
     let text = table(&stream);
     let at = |row: &str| text.find(row).unwrap_or_else(|| panic!("{row} in {text}"));
     assert!(at("3       c ") < at("3       b ") && at("3       b ") < at("3       a "), "{text}");
--- a/crates/testbed/src/report_receiver.rs
+++ b/crates/testbed/src/report_receiver.rs
@@ -5,7 +5,7 @@
 use linnetcart_net::{Event, Net, Reserved, Token};
 use linnetcart_telemetry::collectd::{self, PacketItem};
 use linnetcart_telemetry::settings::Require;
-use linnetcart_telemetry::stream::Stream;
+use linnetcart_telemetry::stream::{ReceivedNotification, Stream};
 use std::collections::BTreeMap;
 use std::io::Write;
 use std::net::SocketAddr;
@@ -249,7 +249,8 @@
         let mut stream = self.shared.stream();
         stream.bytes += bytes.len() as u64;
         let record = &mut self.record;
-        let is_valid = stream.take(&mut unread, |name, value, at| write_point(record, name, value, at));
+        let is_valid =
+            stream.consume(&mut unread, |point| write_point(record, &point.name, point.value, point.time_s));
         if is_valid {
             self.connections.insert(token, unread);
         } else {
@@ -266,7 +267,7 @@
                     add_packet_item(&mut stream, &mut self.record, item);
                 }
             }
-            Err(error) => stream.bad(error),
+            Err(error) => stream.record_invalid(error),
         }
     }
 }
@@ -282,17 +283,20 @@
 
 fn add_packet_item(stream: &mut Stream, record: &mut Option<PointRecord>, item: PacketItem) {
     match item {
-        PacketItem::Values(about, values) => {
-            let name =
-                format!("{}.{}.{}.{}", about.host, about.plugin, about.plugin_instance, about.type_instance);
+        PacketItem::Values { header, values } => {
+            let name = format!(
+                "{}.{}.{}.{}",
+                header.host, header.plugin, header.plugin_instance, header.type_instance
+            );
             let value = values.first().map_or(0.0, |value| value.as_f64());
-            let at = collectd::nanos(about.time) / NANOSECONDS_PER_SECOND;
-            stream.point(&name, value, at);
+            let at = collectd::nanos(header.time) / NANOSECONDS_PER_SECOND;
+            stream.record_point(&name, value, at);
             write_point(record, &name, value, at);
         }
-        PacketItem::Notification(about, severity, text) => {
-            if stream.notices.len() < MAX_NOTIFICATIONS {
-                stream.notices.push((about.plugin_instance, severity, text));
+        PacketItem::Notification { header, severity, text } => {
+            if stream.notifications.len() < MAX_NOTIFICATIONS {
+                let subject = header.plugin_instance;
+                stream.notifications.push(ReceivedNotification { subject, severity, text });
             }
         }
     }
--- a/crates/testbed/tests/telemetry.rs
+++ b/crates/testbed/tests/telemetry.rs
@@ -223,7 +223,7 @@
         let dir = dir.join(index.to_string());
         let counted = deliver_over_faults(&dir, &receivers, &receiver, &telemetry);
         let stream = receiver.stream();
-        assert_eq!((&stream.fell, stream.bad), (&Vec::new(), 0), "{:?}", stream.last_bad);
+        assert_eq!((&stream.regressions, stream.invalid_items), (&Vec::new(), 0), "{:?}", stream.last_error);
         assert_counts(&stream, &counted, ReceiverKind::Graphite);
         assert_counts(&stream, &counted, ReceiverKind::Collectd);
     }
@@ -263,7 +263,7 @@
     });
     shut_down(courier);
     let stream = receiver.stream();
-    assert_eq!(stream.fell, Vec::<String>::new());
+    assert_eq!(stream.regressions, Vec::<String>::new());
     let get = |field: &str| value(&stream, "courier", field, ReceiverKind::Graphite).unwrap_or(0.0) as u64;
     let (taken, ended) = (get("taken"), get("in_aim") + get("late"));
     assert!(
