Delivery events: doc comments say what each field is, with its unit

Cause: the comments of the fields were elliptic ("Its number.", "Why.", "How.", "Where it goes.") and did not give units.

Change: each comment names the message, attempt, endpoint or duration that it describes; durations say nanoseconds. No code changes.

--- a/crates/delivery-events/src/lib.rs
+++ b/crates/delivery-events/src/lib.rs
@@ -1,7 +1,7 @@
-//! Typed delivery events of a courier's core: what happened to messages, attempts and limits.
+//! Delivery events of a courier's core: typed records of what happened to messages, attempts and limits.
 //!
-//! Telemetry, journal, audit and conformance checks consume these events and nothing else of the core. The crate
-//! holds values only and never decides or does I/O.
+//! Telemetry, journal, audit and conformance checks consume these events and nothing else of the core. The
+//! crate defines values only. It never makes decisions and never performs I/O.
 #![forbid(unsafe_code)]
 #![warn(clippy::unwrap_used, missing_docs)]
 
@@ -11,125 +11,126 @@
 /// The final answer to a message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FinalAnswer {
-    /// Served.
+    /// The message was served.
     Served,
-    /// Rejected; harmless to submit again.
+    /// The message was rejected; submitting it again is safe.
     Rejected {
-        /// When to submit again at the earliest; 0: not said.
+        /// How long to wait before submitting again, in nanoseconds; 0 if not stated.
         retry_after: Time,
     },
-    /// Given up; it may have taken effect.
+    /// The courier gave up; the message may have taken effect.
     Failed,
 }
 
 /// Why a message was rejected before it was accepted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RejectionReason {
-    /// No capacity for another message in flight.
+    /// The courier has no capacity for another message in flight.
     Overloaded,
-    /// The courier shuts down.
+    /// The courier is shutting down.
     Draining,
 }
 
-/// What an answer reported of the endpoint's limit.
+/// The load report of an endpoint, as carried by a response.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LoadReport {
-    /// Part of the limit that is left.
+    /// Unused fraction of the limit.
     pub capacity_left: f64,
-    /// The limit in calls a second; 0 for none.
+    /// The limit in calls per second; 0 if there is none.
     pub rate_limit: f64,
 }
 
-/// One thing that happened, at the clock time of the event-loop iteration that reports it.
+/// An event, which happened at the clock time of the event-loop iteration that reports it.
 #[derive(Clone, Debug, PartialEq)]
 pub enum DeliveryEvent {
     /// A message was accepted.
     Accepted {
-        /// Its number.
+        /// Number of the message in this process.
         message: u32,
-        /// Its id outside of this process.
+        /// Id of the message outside of this process.
         name: Bytes,
-        /// Its class.
+        /// Class of the message.
         class: u8,
-        /// Its destination.
+        /// Destination of the message.
         destination: u32,
-        /// When it must have its final answer.
+        /// Time by which the message must have its final answer.
         deadline: Time,
     },
-    /// A message was rejected without being accepted.
+    /// A message was rejected before it was accepted.
     Rejected {
-        /// Its class.
+        /// Class of the message.
         class: u8,
-        /// Its destination.
+        /// Destination of the message.
         destination: u32,
-        /// Why.
+        /// Reason of the rejection.
         reason: RejectionReason,
     },
-    /// An attempt began.
+    /// An attempt started.
     AttemptStarted {
-        /// The message.
+        /// Number of the message in this process.
         message: u32,
-        /// The attempt, from 0.
+        /// Number of the attempt, from 0.
         attempt: u16,
-        /// Its class.
+        /// Class of the message.
         class: u8,
-        /// Its destination.
+        /// Destination of the message.
         destination: u32,
-        /// Where it goes.
+        /// Endpoint of the attempt.
         endpoint: u32,
-        /// Another attempt of the message is in flight.
+        /// Whether another attempt of the message is in flight.
         hedge: bool,
     },
-    /// An attempt ended.
+    /// An attempt finished.
     AttemptFinished {
-        /// The message.
+        /// Number of the message in this process.
         message: u32,
-        /// The attempt.
+        /// Number of the attempt.
         attempt: u16,
-        /// The message's class.
+        /// Class of the message.
         class: u8,
-        /// Its destination.
+        /// Destination of the message.
         destination: u32,
-        /// Where it went.
+        /// Endpoint of the attempt.
         endpoint: u32,
-        /// How.
+        /// Outcome of the attempt.
         outcome: AttemptOutcome,
-        /// How long it took.
+        /// Duration of the attempt, in nanoseconds.
         elapsed: Time,
-        /// What the answer reported of the limit.
+        /// Load report of the endpoint, if the response carried one.
         load: Option<LoadReport>,
     },
-    /// A message has its final answer.
+    /// A message received its final answer.
     Completed {
-        /// The message.
+        /// Number of the message in this process.
         message: u32,
-        /// Its class.
+        /// Class of the message.
         class: u8,
-        /// Its destination.
+        /// Destination of the message.
         destination: u32,
-        /// The answer.
+        /// The final answer.
         answer: FinalAnswer,
-        /// How long after it was accepted.
+        /// Time since the message was accepted, in nanoseconds.
         elapsed: Time,
     },
-    /// The client is gone; nobody waits for an answer any more.
+    /// The client cancelled the message, or disconnected while waiting for the answer.
     ClientCancelled {
-        /// The message.
+        /// Number of the message in this process.
         message: u32,
-        /// Its class.
+        /// Class of the message.
         class: u8,
-        /// Its destination.
+        /// Destination of the message.
         destination: u32,
     },
-    /// The decision library sees a limit in another state.
+    /// The decision library changed the state of a limit.
     LimitChanged(LimitChange),
-    /// The decision library asked for what this courier cannot do; the settings rule it out.
+    /// The decision library requested an action that this courier does not support; valid settings prevent
+    /// this.
     UnsupportedAction(Action),
-    /// An endpoint or client did not keep to the protocol, and its connection was closed.
+    /// An endpoint or client violated the protocol, and its connection was closed.
     ProtocolViolation {
-        /// Whose connection.
+        /// The endpoint or client.
         peer: String,
-        /// What was wrong.
+        /// Description of the violation.
         reason: String,
     },
 }
