--- a/crates/telemetry/src/classes.rs
+++ b/crates/telemetry/src/classes.rs
@@ -1,4 +1,4 @@
-//! The courier's classes: names of their series, priority weights, and latencies of messages.
+//! The courier's classes: names in series, priority weights and latencies of messages.
 
 use crate::latency::LatencyRecorder;
 use crate::names::SeriesNames;
@@ -7,7 +7,7 @@
 
 const THOUSANDTHS: f64 = 1000.0;
 
-/// All classes, by their number in the settings.
+/// All classes, indexed by their number in the settings.
 #[derive(Debug)]
 pub(crate) struct ClassTable {
     classes: Vec<ClassEntry>,
@@ -41,22 +41,22 @@
         self.classes.len()
     }
 
-    /// Names as the settings have them, which counts are saved by.
+    /// Returns the names in the settings, under which counts are saved.
     pub(crate) fn names(&self) -> Vec<String> {
         self.classes.iter().map(|entry| entry.name.clone()).collect()
     }
 
-    /// The name in series.
+    /// Returns the name of a class in series.
     pub(crate) fn series_name(&self, class: usize) -> Option<&str> {
         self.classes.get(class).map(|entry| entry.series_name.as_str())
     }
 
-    /// The priority weight of a message, in thousandths.
+    /// Returns the priority weight of a message, in thousandths.
     pub(crate) fn weight_milli(&self, class: u8) -> u64 {
         self.weight_milli_after(class, 0)
     }
 
-    /// The priority weight that is left of a message after a time, in thousandths.
+    /// Returns the priority weight of a message that is served after a time, in thousandths.
     pub(crate) fn weight_milli_after(&self, class: u8, elapsed: Time) -> u64 {
         let Some(ClassEntry { class, .. }) = self.classes.get(usize::from(class)) else { return 0 };
         let weight = class.weight_at(elapsed, self.halves);
--- a/crates/telemetry/src/collectd.rs
+++ b/crates/telemetry/src/collectd.rs
@@ -1,8 +1,8 @@
-//! collectd's binary protocol: packets of typed parts, plain, signed or encrypted.
+//! collectd's binary protocol: packets of typed parts, which are plain, signed or encrypted.
 //!
-//! A part is its type and its length with these four bytes, both 16 bits, most significant byte first, and
-//! its content. Strings end in a zero byte. Parts describe what follows until another of their type comes.
-//! This module encodes and decodes packets; it sends and receives none.
+//! A part consists of its type, its length including these four bytes (both 16 bits, most significant byte
+//! first) and its content. Strings end with a zero byte. A part applies to all items after it until another
+//! part of its type. This module encodes and decodes packets; it never sends or receives them.
 
 mod decode;
 mod encode;
@@ -14,10 +14,14 @@
 pub use encode::{PacketEncoder, Severity};
 pub use security::InitializationVector;
 
-/// Bytes of a part before its content: type and length.
+/// Size of the type and the length of a part.
 const PART_HEADER_BYTES: usize = 4;
-/// A name that is sent is no longer, with its zero byte.
+/// Maximum length of an encoded string, including its zero byte.
 const MAX_NAME_BYTES: usize = 128;
+/// The low bits of a time that hold fractions of a second.
+const TIME_FRACTION_BITS: u32 = 30;
+const TIME_FRACTION_MASK: u64 = (1 << TIME_FRACTION_BITS) - 1;
+const NANOS_PER_SECOND: u64 = 1_000_000_000;
 
 /// Types of parts.
 mod part_type {
@@ -48,18 +52,18 @@
 /// A value with its type.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum MetricValue {
-    /// A count that grows, and wraps.
+    /// A counter that grows and wraps around.
     Counter(u64),
-    /// A figure of now.
+    /// A current value.
     Gauge(f64),
-    /// A figure whose rate of change matters.
+    /// A value whose rate of change is of interest.
     Derive(i64),
     /// A count since the last report.
     Absolute(u64),
 }
 
 impl MetricValue {
-    /// The value as a number.
+    /// Returns the value as a floating-point number.
     pub fn as_f64(self) -> f64 {
         match self {
             MetricValue::Counter(count) | MetricValue::Absolute(count) => count as f64,
@@ -69,22 +73,22 @@
     }
 }
 
-/// What a list of values, or a notification, is about, and when.
+/// Subject and time of a list of values or of a notification.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ItemHeader {
-    /// The host.
+    /// Name of the host.
     pub host: String,
-    /// When, in units of 2^-30 seconds since 1970.
+    /// Time in units of 2^-30 seconds since 1970.
     pub time: u64,
-    /// Time between two reports, in the same units.
+    /// Interval between two reports, in the same units.
     pub interval: u64,
-    /// The plugin.
+    /// Name of the plugin.
     pub plugin: String,
-    /// Which instance of the plugin.
+    /// Instance of the plugin.
     pub plugin_instance: String,
-    /// The type, as `types.db` has it.
+    /// Type of the values, as defined in `types.db`.
     pub type_name: String,
-    /// Which instance of the type.
+    /// Instance of the type.
     pub type_instance: String,
 }
 
@@ -112,34 +116,34 @@
 /// Why a packet was rejected.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum PacketError {
-    /// A part is cut, or its length is impossible.
+    /// A part is truncated, or its length is invalid.
     #[error("at byte {offset}: a part's length cannot be")]
     InvalidLength {
-        /// Where the part begins.
+        /// Offset of the part in the packet.
         offset: usize,
     },
-    /// A part's content is impossible.
+    /// The content of a part is invalid.
     #[error("at byte {offset}: what the part holds cannot be")]
     InvalidContent {
-        /// Where the part begins.
+        /// Offset of the part in the packet.
         offset: usize,
     },
-    /// A signed or encrypted part where none may be.
+    /// A signature or an encrypted part is at a position where it is not allowed.
     #[error("at byte {offset}: parts are nested wrongly")]
     MisplacedSecurity {
-        /// Where the part begins.
+        /// Offset of the part in the packet.
         offset: usize,
     },
-    /// The signature or the checksum is wrong.
+    /// The signature or the checksum does not match.
     #[error("signature, sum or key of user `{user}` is wrong")]
     NotAuthentic {
-        /// The user that the packet names.
+        /// The user named in the packet.
         user: String,
     },
-    /// There is no key for the user.
+    /// No key is configured for the user.
     #[error("no key is set for user `{user}`")]
     UnknownUser {
-        /// The user that the packet names.
+        /// The user named in the packet.
         user: String,
     },
     /// The packet is less secure than required.
@@ -147,16 +151,17 @@
     InsufficientSecurity,
 }
 
-/// Nanoseconds in collectd's units of 2^-30 seconds.
+/// Converts nanoseconds to collectd's units of 2^-30 seconds.
 pub fn high_resolution(nanos: u64) -> u64 {
-    let seconds = nanos / 1_000_000_000;
-    let rest = nanos % 1_000_000_000;
-    (seconds << 30) | ((rest << 30) / 1_000_000_000)
+    let seconds = nanos / NANOS_PER_SECOND;
+    let subsecond_nanos = nanos % NANOS_PER_SECOND;
+    (seconds << TIME_FRACTION_BITS) | ((subsecond_nanos << TIME_FRACTION_BITS) / NANOS_PER_SECOND)
 }
 
-/// Collectd's units of 2^-30 seconds in nanoseconds.
+/// Converts collectd's units of 2^-30 seconds to nanoseconds.
 pub fn nanos(high_resolution: u64) -> u64 {
-    let seconds = high_resolution >> 30;
-    let rest = (high_resolution & 0x3fff_ffff) * 1_000_000_000;
-    seconds.saturating_mul(1_000_000_000).saturating_add(rest >> 30)
+    let seconds = high_resolution >> TIME_FRACTION_BITS;
+    let fraction = high_resolution & TIME_FRACTION_MASK;
+    let subsecond_nanos = (fraction * NANOS_PER_SECOND) >> TIME_FRACTION_BITS;
+    seconds.saturating_mul(NANOS_PER_SECOND).saturating_add(subsecond_nanos)
 }
--- a/crates/telemetry/src/collectd/decode.rs
+++ b/crates/telemetry/src/collectd/decode.rs
@@ -2,27 +2,28 @@
 
 use super::security::{self, UserKeys};
 use super::{part_type, value_type};
-use super::{ItemHeader, MetricValue, PacketError, PacketItem, MAX_NAME_BYTES, PART_HEADER_BYTES};
+use super::{ItemHeader, MetricValue, PacketError, PacketItem};
+use super::{MAX_NAME_BYTES, PART_HEADER_BYTES, TIME_FRACTION_BITS};
 use crate::settings::Require;
 
-/// Values of one list at most; stock types have fewer.
+/// Maximum number of values in a list; stock types have fewer.
 const MAX_VALUES: usize = 64;
-/// Bytes of a value: its type, and eight of the number.
+/// Size of a value: its type and its number.
 const NUMBER_BYTES: usize = 8;
 const VALUE_BYTES: usize = 1 + NUMBER_BYTES;
-/// Bytes of the number of values before them.
+/// Size of the number of values before a list.
 const VALUE_COUNT_BYTES: usize = 2;
-/// Strings may be longer than those that are sent, as newer versions of collectd have them.
+/// Maximum length of a received string. Newer versions of collectd send longer strings than this encoder.
 const MAX_STRING_BYTES: usize = MAX_NAME_BYTES * 8;
 
-/// Reads a packet: all of it, or nothing.
+/// Decodes a packet completely; an error if any part of it is invalid or not secured as required.
 pub fn read(packet: &[u8], keys: &UserKeys, require: Require) -> Result<Vec<PacketItem>, PacketError> {
     let mut decoder = Decoder { keys, require, items: Vec::new() };
     decoder.decode(packet, PacketSecurity::None)?;
     Ok(decoder.items)
 }
 
-/// How the parts under way were secured.
+/// How the parts that are being decoded were secured.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum PacketSecurity {
     None,
@@ -55,7 +56,7 @@
     items: Vec<PacketItem>,
 }
 
-/// What parts have described so far of the items after them.
+/// The description of the next item by the parts before it.
 #[derive(Default)]
 struct Description {
     header: ItemHeader,
@@ -92,7 +93,7 @@
 }
 
 impl Description {
-    /// Takes a part in; the item, if the part is one.
+    /// Applies a part. Returns the item if the part completes one.
     fn apply(&mut self, part: Part<'_>) -> Result<Option<PacketItem>, PacketError> {
         let header = &mut self.header;
         match part.part_type {
@@ -118,7 +119,7 @@
                 let values = part.values()?;
                 return Ok(Some(PacketItem::Values { header: header.clone(), values }));
             }
-            // Types of later versions are passed over, as the protocol asks.
+            // Unknown types come from later versions and are ignored, as the protocol requires.
             _ => {}
         }
         Ok(None)
@@ -146,9 +147,9 @@
         Ok(u64::from_be_bytes(bytes))
     }
 
-    /// Whole seconds, in units of 2^-30 seconds.
+    /// Reads a number of seconds, and converts it to units of 2^-30 seconds.
     fn seconds(&self) -> Result<u64, PacketError> {
-        self.number()?.checked_mul(1 << 30).ok_or(self.invalid_content())
+        self.number()?.checked_mul(1 << TIME_FRACTION_BITS).ok_or(self.invalid_content())
     }
 
     fn string(&self) -> Result<String, PacketError> {
--- a/crates/telemetry/src/collectd/encode.rs
+++ b/crates/telemetry/src/collectd/encode.rs
@@ -6,7 +6,7 @@
 use crate::series::{Point, PointValue, SeriesSubject};
 use crate::settings::Security;
 
-/// The plugin that all values and notifications of a courier belong to.
+/// Plugin name of all values and notifications of a courier.
 const PLUGIN: &str = "linnetcart";
 
 /// The severity of a notification.
@@ -16,27 +16,28 @@
     Failure = 1,
     /// Something needs attention.
     Warning = 2,
-    /// All is well again.
+    /// The fault is over.
     Okay = 4,
 }
 
-/// Encodes packets of one time and sender.
+/// Encodes packets with one time and one sender.
 #[derive(Clone, Debug)]
 pub struct PacketEncoder<'a> {
-    /// The host that reports.
+    /// Name of the reporting host.
     pub host: &'a str,
-    /// Nanoseconds since 1970.
+    /// Time in nanoseconds since 1970.
     pub time: u64,
-    /// Nanoseconds between two reports.
+    /// Interval between two reports, in nanoseconds.
     pub interval: u64,
     /// How packets are secured.
     pub security: &'a Security,
-    /// Bytes of a packet at most.
+    /// Maximum size of a packet in bytes.
     pub max_bytes: usize,
 }
 
 impl PacketEncoder<'_> {
-    /// Points in packets filled to the limit, each of which can be read without the others.
+    /// Encodes points in packets that are filled up to the maximum size. Each packet can be decoded without
+    /// the others.
     pub fn points(
         &self,
         points: &[Point],
@@ -64,7 +65,7 @@
         packets
     }
 
-    /// A notification; its text is cut to what a part takes.
+    /// Encodes a notification; its text is truncated to the maximum length of a string.
     pub fn notification(
         &self,
         plugin_instance: &str,
@@ -81,7 +82,7 @@
         self.seal(packet, next_iv)
     }
 
-    /// The parts that each packet begins with.
+    /// Encodes the parts at the beginning of each packet.
     fn begin(&self) -> Vec<u8> {
         let mut packet = Vec::with_capacity(self.max_bytes);
         let time = high_resolution(self.time);
@@ -127,7 +128,7 @@
         }
     }
 
-    /// Its parts, without those that the value before it in the packet has given already.
+    /// Encodes the parts, except those that the previous value in the packet already provides.
     fn parts(&self, before: Option<&ValueParts>) -> Vec<u8> {
         let mut parts = Vec::new();
         if before.is_none_or(|before| before.plugin_instance != self.plugin_instance) {
@@ -169,7 +170,7 @@
     write_part(out, part_type, &content);
 }
 
-/// A part of values: their number, their types, then each in eight bytes.
+/// Appends a part of values: their number, their types, then each in eight bytes.
 fn write_values(out: &mut Vec<u8>, values: &[MetricValue]) {
     let mut content = (values.len() as u16).to_be_bytes().to_vec();
     for value in values {
@@ -185,7 +186,7 @@
             MetricValue::Counter(count) | MetricValue::Absolute(count) => {
                 content.extend(count.to_be_bytes());
             }
-            // The protocol has gauges alone with their least significant byte first.
+            // In this protocol only gauges have their least significant byte first.
             MetricValue::Gauge(value) => content.extend(value.to_le_bytes()),
             MetricValue::Derive(value) => content.extend(value.to_be_bytes()),
         }
--- a/crates/telemetry/src/collectd/security.rs
+++ b/crates/telemetry/src/collectd/security.rs
@@ -12,19 +12,19 @@
 pub(super) const IV_BYTES: usize = 16;
 pub(super) const MAC_BYTES: usize = 32;
 pub(super) const CHECKSUM_BYTES: usize = 20;
-/// Bytes that tell the length of a user's name.
+/// Size of the length of a user's name.
 const USER_LENGTH_BYTES: usize = 2;
 
 /// 256-bit AES in output feedback mode.
 type Aes256Ofb = ofb::Ofb<aes::Aes256>;
 
-/// The random number that an encryption starts from; used once.
+/// The random initialization vector of an encryption; it must not be reused.
 pub type InitializationVector = [u8; IV_BYTES];
 
-/// Keys that packets may be secured with, by user.
+/// The accepted keys, by user.
 pub(super) type UserKeys = BTreeMap<String, Vec<String>>;
 
-/// Bytes that securing adds to a packet.
+/// Returns the number of bytes that a signature or encryption adds to a packet.
 pub(super) fn overhead(security: &Security) -> usize {
     match security {
         Security::None => 0,
@@ -35,8 +35,8 @@
     }
 }
 
-/// The parts after a part of their signature, which holds the authentication code over the user's name and
-/// all parts after it, then that name.
+/// Prepends a signature to the parts. It holds the authentication code over the user's name and all parts
+/// after it, then the name.
 pub(super) fn sign(parts: &[u8], user: &User) -> Vec<u8> {
     let mut content = authentication_code(&user.user, &user.key, parts).finalize().into_bytes().to_vec();
     content.extend(user.user.as_bytes());
@@ -46,8 +46,8 @@
     packet
 }
 
-/// An encrypted part: the length of the user's name, that name, the initialization vector, and, encrypted,
-/// the SHA-1 checksum of the parts and the parts.
+/// Encrypts the parts. The encrypted part holds the length of the user's name, the name, the initialization
+/// vector, and, encrypted, the SHA-1 checksum of the parts and the parts.
 pub(super) fn encrypt(parts: &[u8], user: &User, iv: InitializationVector) -> Vec<u8> {
     let mut sealed = Sha1::digest(parts).to_vec();
     sealed.extend(parts);
@@ -61,7 +61,7 @@
     packet
 }
 
-/// Checks the content of a signature, the first part of a packet, against the parts after it.
+/// Verifies the content of a signature, which is the first part of a packet, against the parts after it.
 pub(super) fn verify(content: &[u8], signed: &[u8], keys: &UserKeys) -> Result<(), PacketError> {
     let (code, user) = content.split_at_checked(MAC_BYTES).ok_or(FIRST_PART_INVALID)?;
     let UserWithKeys { user, keys } = find_user(user, keys)?;
@@ -74,13 +74,14 @@
     }
 }
 
-/// The parts within an encrypted part, the only part of a packet.
+/// Decrypts the content of an encrypted part, which is the only part of a packet, and returns the parts in
+/// it.
 pub(super) fn decrypt(content: &[u8], keys: &UserKeys) -> Result<Vec<u8>, PacketError> {
-    let (length, rest) = content.split_at_checked(USER_LENGTH_BYTES).ok_or(FIRST_PART_INVALID)?;
+    let (length, unread) = content.split_at_checked(USER_LENGTH_BYTES).ok_or(FIRST_PART_INVALID)?;
     let length = usize::from(u16::from_be_bytes([length[0], length[1]]));
-    let (user, rest) = rest.split_at_checked(length).ok_or(FIRST_PART_INVALID)?;
+    let (user, unread) = unread.split_at_checked(length).ok_or(FIRST_PART_INVALID)?;
     let UserWithKeys { user, keys } = find_user(user, keys)?;
-    let (iv, sealed) = rest.split_first_chunk::<IV_BYTES>().ok_or(FIRST_PART_INVALID)?;
+    let (iv, sealed) = unread.split_first_chunk::<IV_BYTES>().ok_or(FIRST_PART_INVALID)?;
     for key in keys {
         let mut opened = sealed.to_vec();
         cipher(key, iv).apply_keystream(&mut opened);
@@ -92,7 +93,7 @@
     Err(PacketError::NotAuthentic { user })
 }
 
-/// Signature and encryption stand at the beginning of a packet only.
+/// Error of a signature or an encrypted part, which are always at the beginning of a packet.
 const FIRST_PART_INVALID: PacketError = PacketError::InvalidContent { offset: 0 };
 
 struct UserWithKeys<'a> {
--- a/crates/telemetry/src/collectd/tests.rs
+++ b/crates/telemetry/src/collectd/tests.rs
@@ -26,7 +26,7 @@
     packets.remove(0)
 }
 
-/// Worked out by hand from the published description.
+/// Derived by hand from the published description of the protocol.
 const PLAIN: &[u8] = b"\x00\x00\x00\x06h\x00\
     \x00\x08\x00\x0c\x00\x00\x00\x00\x60\x00\x00\x00\
     \x00\x09\x00\x0c\x00\x00\x00\x02\x80\x00\x00\x00\
@@ -39,7 +39,7 @@
 #[test]
 fn plain_packet_encoded_matches_published_bytes() {
     assert_eq!(packet(&Security::None), PLAIN);
-    let items = read(PLAIN, &BTreeMap::new(), Require::Nothing).expect("good");
+    let items = read(PLAIN, &BTreeMap::new(), Require::Nothing).expect("a valid packet");
     let PacketItem::Values { header, values } = &items[0] else { panic!("{items:?}") };
     assert_eq!(
         (header.type_name.as_str(), nanos(header.time), values[0]),
@@ -50,7 +50,7 @@
 #[test]
 fn secured_packets_encoded_have_published_layout() {
     let signed = packet(&Security::Sign(alice()));
-    assert_eq!(&signed[..4], b"\x02\x00\x00\x29", "41 bytes: head, code, name");
+    assert_eq!(&signed[..4], b"\x02\x00\x00\x29", "41 bytes: header, code, name");
     assert_eq!(&signed[36..41], b"alice");
     assert_eq!(&signed[41..], PLAIN);
     let sealed = packet(&Security::Encrypt(alice()));
@@ -114,23 +114,25 @@
 #[test]
 fn packets_of_many_points_fill_the_limit_and_decode_alone() {
     for security in [Security::None, Security::Sign(alice()), Security::Encrypt(alice())] {
-        let points: Vec<Point> = (0..400)
-            .map(|n| {
-                Point::new(SeriesSubject::Destination(format!("d{}", n / 7)), "taken", PointValue::Counter(n))
-            })
-            .collect();
+        let mut points = Vec::new();
+        let mut expected = Vec::new();
+        for count in 0..400 {
+            let destination = format!("d{}", count / 7);
+            expected.push((format!("dest-{destination}"), count as f64));
+            let subject = SeriesSubject::Destination(destination);
+            points.push(Point::new(subject, "taken", PointValue::Counter(count)));
+        }
         let packets = encoder(&security).points(&points, &mut || [7; IV_BYTES]);
         assert!(packets.iter().all(|packet| packet.len() <= 1452));
         assert!(packets[..packets.len() - 1].iter().all(|packet| packet.len() > 1300), "filled");
-        let mut got = Vec::new();
+        let mut decoded = Vec::new();
         for packet in &packets {
-            for item in read(packet, &keys(&["secret"]), Require::Nothing).expect("good") {
+            for item in read(packet, &keys(&["secret"]), Require::Nothing).expect("a valid packet") {
                 let PacketItem::Values { header, values } = item else { panic!("{item:?}") };
-                got.push((header.plugin_instance, values[0].as_f64()));
+                decoded.push((header.plugin_instance, values[0].as_f64()));
             }
         }
-        let wanted: Vec<(String, f64)> = (0..400).map(|n| (format!("dest-d{}", n / 7), n as f64)).collect();
-        assert_eq!(got, wanted);
+        assert_eq!(decoded, expected);
     }
 }
 
@@ -138,7 +140,7 @@
 fn notification_encoded_carries_subject_and_severity() {
     let packet =
         encoder(&Security::None).notification("dest-x", Severity::Failure, "out", &mut || [0; IV_BYTES]);
-    let items = read(&packet, &BTreeMap::new(), Require::Nothing).expect("good");
+    let items = read(&packet, &BTreeMap::new(), Require::Nothing).expect("a valid packet");
     assert!(matches!(
         &items[0],
         PacketItem::Notification { header, severity: 1, text }
@@ -149,17 +151,17 @@
 proptest! {
     #[test]
     fn packet_mutated_is_rejected_without_panic(
-        bytes in prop::collection::vec(any::<u8>(), 0..300), at in 0usize..200, flip in 1u8..,
+        bytes in prop::collection::vec(any::<u8>(), 0..300), position in 0usize..200, flip in 1u8..,
     ) {
         let keys = keys(&["secret"]);
         let _ = read(&bytes, &keys, Require::Nothing);
         for security in [Security::None, Security::Sign(alice()), Security::Encrypt(alice())] {
             let mut changed = packet(&security);
-            let at = at % changed.len();
-            changed[at] ^= flip;
-            let got = read(&changed, &keys, Require::Signed);
-            prop_assert!(got.is_err(), "{:?}", got);
-            let _ = read(&changed[..at], &keys, Require::Nothing);
+            let position = position % changed.len();
+            changed[position] ^= flip;
+            let decoded = read(&changed, &keys, Require::Signed);
+            prop_assert!(decoded.is_err(), "{:?}", decoded);
+            let _ = read(&changed[..position], &keys, Require::Nothing);
         }
     }
 
--- a/crates/telemetry/src/connection.rs
+++ b/crates/telemetry/src/connection.rs
@@ -1,7 +1,7 @@
-//! A connection to a receiver, with a bounded send buffer and backoff between attempts to connect.
+//! A connection to a receiver, with a bounded send buffer and backoff between connection attempts.
 //!
-//! [`ReceiverConnection`] holds no socket: its owner reports what happened to one, and polls it for what to
-//! do. What a receiver does not accept stays in the buffer until newer reports displace it.
+//! [`ReceiverConnection`] owns no socket: its owner reports the events of a socket and polls for actions.
+//! Bytes that a receiver does not accept stay in the buffer until newer reports displace them.
 
 mod send_buffer;
 #[cfg(test)]
@@ -16,30 +16,30 @@
 use send_buffer::SendBuffer;
 use std::net::SocketAddr;
 
-/// The backoff after a failure, doubled with each further one up to the longest.
+/// Backoff after the first failure; each further failure doubles it up to the maximum.
 const FIRST_BACKOFF: Time = SECOND;
 const MAX_BACKOFF: Time = 60 * SECOND;
-/// A backoff is multiplied by a random factor, so that couriers don't reconnect at the same moment.
+/// A backoff is multiplied by a random factor, so that couriers do not reconnect at the same time.
 const BACKOFF_JITTER: std::ops::Range<f64> = 0.5..1.5;
-/// Bytes handed to the system and not yet written by it: the rest stays in the buffer, where it can be
-/// dropped.
+/// Maximum number of bytes handed to the system and not yet written. Others stay in the buffer, where they
+/// can be dropped.
 const MAX_UNWRITTEN_BYTES: u64 = 256 << 10;
 
-/// What the owner of a connection is to do.
+/// An action for the owner of a connection.
 #[derive(Clone, Debug, PartialEq)]
 pub enum ConnectionAction {
     /// Connect to this address.
     Connect(SocketAddr),
-    /// Write.
+    /// Write these bytes.
     Write(Bytes),
     /// Close at once.
     Close,
 }
 
-/// What a receiver has missed since the connection was configured.
+/// Losses of a receiver since its connection was configured.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Losses {
-    /// Points that the send buffer dropped.
+    /// Points dropped by the send buffer.
     pub points_dropped: u64,
     /// Connections that failed or broke.
     pub connection_failures: u64,
@@ -48,7 +48,7 @@
 #[derive(Debug, PartialEq)]
 enum ConnectionState {
     Disconnected {
-        /// When to connect again at the earliest.
+        /// Earliest time of the next connection attempt.
         retry_at: Time,
     },
     Connecting {
@@ -57,22 +57,22 @@
     Connected(Progress),
 }
 
-/// Bytes of a connection.
+/// Progress of writing on a connection.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Progress {
-    /// Handed to the system.
+    /// Bytes handed to the system.
     handed_over: u64,
-    /// Written by the system.
+    /// Bytes written by the system.
     written: u64,
-    /// When the system wrote some, or had nothing to write, last.
+    /// When the system last wrote bytes or had none to write.
     last_progress: Time,
 }
 
-/// A connection to a receiver and what waits to be sent over it.
+/// A connection to a receiver, with the chunks that wait to be sent.
 #[derive(Debug)]
 pub struct ReceiverConnection {
     address: SocketAddr,
-    /// A connection that makes no progress for so long is closed.
+    /// A connection without progress for this long is closed.
     stuck_timeout: Time,
     state: ConnectionState,
     buffer: SendBuffer,
@@ -82,8 +82,8 @@
 }
 
 impl ReceiverConnection {
-    /// A connection that buffers at most so many bytes and gives up one that makes no progress for so long.
-    /// The seed spreads its attempts to connect.
+    /// Creates a connection that buffers at most `max_bytes` and is closed after `stuck_timeout` without
+    /// progress. The seed spreads the connection attempts of couriers.
     pub fn new(address: SocketAddr, max_bytes: usize, stuck_timeout: Time, seed: u64) -> ReceiverConnection {
         ReceiverConnection {
             address,
@@ -96,29 +96,29 @@
         }
     }
 
-    /// What the receiver has missed so far.
+    /// Returns the losses of the receiver so far.
     pub fn losses(&self) -> Losses {
         Losses { points_dropped: self.buffer.points_dropped(), connection_failures: self.failures }
     }
 
-    /// Bytes that are not yet written, handed over or not.
+    /// Returns the number of bytes that are not yet written, including those handed to the system.
     pub fn buffered_bytes(&self) -> usize {
         self.buffer.bytes()
     }
 
-    /// Whether it is connected.
+    /// Whether the connection is established.
     pub fn is_connected(&self) -> bool {
         matches!(self.state, ConnectionState::Connected(_))
     }
 
-    /// Queues chunks. Beyond the limit of bytes the oldest that are not handed over are dropped.
+    /// Queues chunks. Beyond the maximum number of bytes, the oldest unsent chunks are dropped.
     pub fn send(&mut self, chunks: Vec<Chunk>) {
         for chunk in chunks {
             self.buffer.push(chunk);
         }
     }
 
-    /// The connection was established.
+    /// Handles that the connection was established.
     pub fn connected(&mut self, now: Time) {
         if matches!(self.state, ConnectionState::Connecting { .. }) {
             let progress = Progress { handed_over: 0, written: 0, last_progress: now };
@@ -126,7 +126,7 @@
         }
     }
 
-    /// The connection could not be established, or broke. What was not written completely is sent again.
+    /// Handles that the connection failed or broke. Chunks that were not written completely are sent again.
     pub fn disconnected(&mut self, now: Time) {
         if matches!(self.state, ConnectionState::Disconnected { .. }) {
             return;
@@ -139,7 +139,7 @@
         self.next_backoff = (self.next_backoff * 2).min(MAX_BACKOFF);
     }
 
-    /// The system has written so many bytes of this connection.
+    /// Handles that the system has written `bytes` bytes since the connection was established.
     pub fn written(&mut self, now: Time, bytes: u64) {
         let ConnectionState::Connected(progress) = &mut self.state else { return };
         let bytes = bytes.min(progress.handed_over);
@@ -153,7 +153,7 @@
         }
     }
 
-    /// What is to be done now.
+    /// Returns the actions that are due.
     pub fn poll(&mut self, now: Time) -> Vec<ConnectionAction> {
         let mut actions = Vec::new();
         if self.is_stuck(now) {
@@ -167,7 +167,7 @@
         actions
     }
 
-    /// When [`ReceiverConnection::poll`] has something to do next, if nothing happens before.
+    /// Returns the time of the next action, or `None` if none is pending.
     pub fn next_wakeup(&self) -> Option<Time> {
         match &self.state {
             ConnectionState::Disconnected { retry_at } => self.buffer.has_unsent().then_some(*retry_at),
@@ -201,7 +201,7 @@
             progress.last_progress = now;
         }
         while progress.handed_over - progress.written < MAX_UNWRITTEN_BYTES {
-            let Some(bytes) = self.buffer.next(progress.handed_over) else { break };
+            let Some(bytes) = self.buffer.next_chunk(progress.handed_over) else { break };
             progress.handed_over += bytes.len() as u64;
             actions.push(ConnectionAction::Write(bytes));
         }
--- a/crates/telemetry/src/connection/send_buffer.rs
+++ b/crates/telemetry/src/connection/send_buffer.rs
@@ -1,16 +1,16 @@
-//! What waits to be written to a receiver: bounded, the oldest dropped first, and sent again after a
-//! connection broke.
+//! A bounded buffer of chunks for a receiver. The oldest chunks are dropped first, and incomplete ones are
+//! sent again after a connection broke.
 
 use crate::graphite::Chunk;
 use bytes::Bytes;
 use std::collections::VecDeque;
 
-/// Chunks in their order: those in flight on the connection, then those unsent.
+/// Chunks in their order: first those in flight on the connection, then the unsent ones.
 #[derive(Debug)]
 pub(super) struct SendBuffer {
     in_flight: VecDeque<InFlightChunk>,
     unsent: VecDeque<UnsentChunk>,
-    /// Bytes of all chunks.
+    /// Total size of all chunks.
     bytes: usize,
     max_bytes: usize,
     points_dropped: u64,
@@ -25,7 +25,7 @@
 #[derive(Debug)]
 struct InFlightChunk {
     chunk: UnsentChunk,
-    /// Bytes of the connection up to the chunk's end.
+    /// Number of bytes of the connection up to the end of the chunk.
     end: u64,
 }
 
@@ -56,7 +56,7 @@
         !self.unsent.is_empty()
     }
 
-    /// Adds a chunk; drops the oldest unsent ones beyond the limit of bytes.
+    /// Adds a chunk, and drops the oldest unsent chunks beyond the maximum size.
     pub(super) fn push(&mut self, chunk: Chunk) {
         self.bytes += chunk.bytes.len();
         self.unsent.push_back(UnsentChunk { bytes: chunk.bytes.into(), points: chunk.points });
@@ -67,8 +67,9 @@
         }
     }
 
-    /// The next chunk to write on a connection that so many bytes were handed to.
-    pub(super) fn next(&mut self, handed_over: u64) -> Option<Bytes> {
+    /// Moves the next chunk in flight and returns its bytes. `handed_over` bytes were written on the
+    /// connection before.
+    pub(super) fn next_chunk(&mut self, handed_over: u64) -> Option<Bytes> {
         let chunk = self.unsent.pop_front()?;
         let bytes = chunk.bytes.clone();
         let end = handed_over + bytes.len() as u64;
@@ -76,7 +77,8 @@
         Some(bytes)
     }
 
-    /// So many bytes of the connection are written; true if a chunk is complete.
+    /// Removes the chunks that are complete after `written` bytes of the connection; returns whether there
+    /// was any.
     pub(super) fn acknowledge(&mut self, written: u64) -> bool {
         let mut any_complete = false;
         while self.in_flight.front().is_some_and(|first| first.end <= written) {
@@ -87,7 +89,7 @@
         any_complete
     }
 
-    /// The connection broke: chunks that are not complete are to be sent again, before all others.
+    /// Returns the chunks in flight to the front of the unsent chunks, after the connection broke.
     pub(super) fn return_in_flight(&mut self) {
         while let Some(last) = self.in_flight.pop_back() {
             self.unsent.push_front(last.chunk);
--- a/crates/telemetry/src/counter_sync.rs
+++ b/crates/telemetry/src/counter_sync.rs
@@ -1,4 +1,4 @@
-//! Whether the log of counts can be brought to disk. While it cannot, counts are not reported.
+//! Syncs of the counter log to disk. While they fail, counts are not reported.
 
 use crate::{LogEvent, Output, SyncError};
 
@@ -17,7 +17,7 @@
         self.is_failing
     }
 
-    /// Asks for a sync; its number.
+    /// Requests a sync and returns its number.
     pub(crate) fn request(&mut self, outputs: &mut Vec<Output>) -> u64 {
         self.last_number += 1;
         outputs.push(Output::Sync(self.last_number));
--- a/crates/telemetry/src/counters.rs
+++ b/crates/telemetry/src/counters.rs
@@ -1,4 +1,4 @@
-//! The courier's counts with their sums, and when their changes go into the log.
+//! The courier's counts with their totals, and the times at which changes are logged.
 
 use crate::counts::{CounterKey, CounterLogEntry, CounterStore, Counts, Field};
 use crate::names::SeriesNames;
@@ -7,12 +7,12 @@
 use linnetcart::Time;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Changes that nobody is notified of go into the log this often.
+/// Interval of logging changes that no client is notified of.
 const LOG_INTERVAL: Time = SECOND / 10;
-/// Names of series at most: twice the cells, but not fewer than twice this.
+/// The maximum number of series names is twice the number of cells, but at least twice this.
 const MIN_NAMED_CELLS: usize = 1000;
 
-/// What an earlier run left.
+/// The counts and names of an earlier run.
 pub(crate) struct RestoredCounts {
     pub(crate) store: CounterStore,
     pub(crate) names: SeriesNames,
@@ -21,7 +21,7 @@
 }
 
 impl RestoredCounts {
-    /// Reads the saved document and the logs after it.
+    /// Restores the counts of the saved document and of the logs after it.
     pub(crate) fn read(found: &RestoredState, classes: Vec<String>, max_cells: usize) -> RestoredCounts {
         let mut store = CounterStore::new(classes, max_cells);
         let mut names = SeriesNames::new(max_cells.max(MIN_NAMED_CELLS) * 2);
@@ -50,11 +50,11 @@
 #[derive(Debug)]
 pub(crate) struct Counters {
     store: CounterStore,
-    /// Sums over the cells of each class.
+    /// Totals over the cells of each class.
     class_totals: Vec<Counts>,
     /// Cells that changed since they were reported.
     unreported: BTreeSet<CounterKey>,
-    /// Clients are about to be notified of something that was counted: it must be in the log before.
+    /// Whether changes must be logged before clients are notified of them.
     must_log: bool,
     last_logged: Time,
 }
@@ -81,7 +81,8 @@
     }
 
     pub(crate) fn add(&mut self, key: CounterKey, field: Field, increase: u64) {
-        // What has no cell of its own is not in the sums either: at the next start they come from the cells.
+        // Increases without a cell are not in the totals either, because the next start computes them from
+        // the cells.
         if !self.store.add(key, field, increase) {
             return;
         }
@@ -92,12 +93,12 @@
         }
     }
 
-    /// All changes so far must be in the log before the answers of this iteration leave.
+    /// Requires that all changes so far are logged before the answers of this iteration are sent.
     pub(crate) fn require_log(&mut self) {
         self.must_log = true;
     }
 
-    /// Logs changes if clients wait for that, or if it is time.
+    /// Logs changes if that is required or the interval has elapsed.
     pub(crate) fn log_if_due(&mut self, now: Time, outputs: &mut Vec<Output>) {
         if self.must_log || self.last_logged + LOG_INTERVAL <= now {
             self.log_changes(outputs);
@@ -112,12 +113,12 @@
         outputs.extend(self.store.frame().map(Output::Append));
     }
 
-    /// The cells that changed since the last call, and those postponed meanwhile.
+    /// Returns the cells that changed or were postponed since the last call.
     pub(crate) fn take_unreported(&mut self) -> BTreeSet<CounterKey> {
         std::mem::take(&mut self.unreported)
     }
 
-    /// The cell is to be reported another time.
+    /// Postpones a cell to the next report.
     pub(crate) fn postpone(&mut self, key: CounterKey) {
         self.unreported.insert(key);
     }
@@ -126,7 +127,7 @@
         self.class_totals.get(class).copied().unwrap_or_default()
     }
 
-    /// The sum over all classes, with the counts of the reports themselves.
+    /// Returns the total over all classes, with the counts of the reports themselves.
     pub(crate) fn courier_total(&self) -> Counts {
         let mut total = Counts::default();
         for class_total in &self.class_totals {
@@ -138,7 +139,7 @@
         total
     }
 
-    /// The sum over all classes of a destination.
+    /// Returns the total over all classes of a destination.
     pub(crate) fn destination_total(&self, destination: u32) -> Counts {
         let first = CounterKey::Cell { destination, class: 0 };
         let last = CounterKey::Cell { destination, class: u8::MAX };
--- a/crates/telemetry/src/counts/log.rs
+++ b/crates/telemetry/src/counts/log.rs
@@ -1,4 +1,4 @@
-//! Contents of the frames of the counter log: changes of counts, or an entry beside them.
+//! Contents of the frames of the counter log: changes of counts and other entries.
 
 use super::frame::{read_varint, write_varint};
 use super::{frame, CounterKey, Counts, Field};
@@ -18,7 +18,7 @@
 /// The low bits of a delta's first byte, which hold the number of the field.
 const FIELD_MASK: u8 = 0x3f;
 
-/// An entry of the counter log beside the changes of counts.
+/// An entry of the counter log other than changes of counts.
 ///
 /// The serialized names of the variants and the lists in them are stored on disk.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/telemetry/src/counts/tests.rs
+++ b/crates/telemetry/src/counts/tests.rs
@@ -77,7 +77,12 @@
     \x13\x00\x00\x00\xcaP\xd7q\x01\x00\x07\x01\xac\x02\x11\x07\x01\xd0\x0fGF\x00\x02\x95\x00\x00\x01";
 
 /// The document that an earlier version saved with the same counts.
-const STORED_DOCUMENT: &str = r#"{"cells":[{"destination":7,"class":"query","route":null,"counts":{"taken":300,"worth_asked_milli":2000}},{"destination":null,"class":null,"route":70,"counts":{"attempts":2}},{"destination":null,"class":null,"route":null,"counts":{"points_dropped":1}}],"names":{"Bank_Lodz":7},"stamp":1700000000}"#;
+const STORED_DOCUMENT: &str = concat!(
+    r#"{"cells":[{"destination":7,"class":"query","route":null,"counts":{"taken":300,"#,
+    r#""worth_asked_milli":2000}},{"destination":null,"class":null,"route":70,"#,
+    r#""counts":{"attempts":2}},{"destination":null,"class":null,"route":null,"#,
+    r#""counts":{"points_dropped":1}}],"names":{"Bank_Lodz":7},"stamp":1700000000}"#,
+);
 
 fn bank_lodz() -> CounterLogEntry {
     CounterLogEntry::Name(AssignedSeriesName { name: "Bank_Lodz".into(), destination: 7 })
--- a/crates/telemetry/src/destination_names.rs
+++ b/crates/telemetry/src/destination_names.rs
@@ -5,7 +5,8 @@
 use crate::Output;
 use std::collections::BTreeMap;
 
-/// Names of destinations in series: those of the settings, where they are free.
+/// Assigns series names to destinations: the names in the settings, unless they belong to another
+/// destination.
 #[derive(Debug)]
 pub(crate) struct DestinationNames {
     assigned: SeriesNames,
@@ -13,22 +14,22 @@
 }
 
 impl DestinationNames {
-    /// Continues with the names that were assigned in an earlier run.
+    /// Starts with the names that were assigned in an earlier run.
     pub(crate) fn new(assigned: SeriesNames) -> DestinationNames {
         DestinationNames { assigned, configured: BTreeMap::new() }
     }
 
-    /// All names with the destinations that they belong to.
+    /// Returns all assigned names with their destinations.
     pub(crate) fn owners(&self) -> &BTreeMap<String, u32> {
         self.assigned.owners()
     }
 
-    /// The names that the settings have from now on.
+    /// Replaces the names in the settings.
     pub(crate) fn configure(&mut self, names: &BTreeMap<u32, String>) {
         self.configured.clone_from(names);
     }
 
-    /// A destination's name; logged when it is newly assigned.
+    /// Returns the series name of a destination, and logs the name if it is newly assigned.
     pub(crate) fn name(&mut self, destination: u32, outputs: &mut Vec<Output>) -> String {
         let wanted = self.configured.get(&destination).map(String::as_str);
         let AssignedName { name, newly_assigned } = self.assigned.assign(wanted, destination);
--- a/crates/telemetry/src/host.rs
+++ b/crates/telemetry/src/host.rs
@@ -1,5 +1,6 @@
-//! What the host's own collectd reports of load, links and disks. Packets may be cut, forged or old: they
-//! cost their decoding and nothing else.
+//! Metrics of the host, as reported by the host's own collectd: load, network links and disks.
+//!
+//! Packets may be truncated, forged or outdated; they never cost more than their decoding.
 
 mod status;
 #[cfg(test)]
@@ -14,27 +15,27 @@
 use linnetcart::Time;
 use std::collections::BTreeMap;
 
-/// Series remembered at most; values of others are passed over and counted.
+/// Maximum number of series; values of further series are ignored and counted.
 const MAX_SERIES: usize = 4096;
-/// Host names shown at most.
+/// Maximum number of host names on the status page.
 const MAX_HOSTS: usize = 16;
-/// A notification is logged up to so many characters.
+/// Maximum number of logged characters of a notification.
 const MAX_NOTIFICATION_CHARACTERS: usize = 200;
-/// collectd's units of time in a second.
+/// Number of collectd's time units in a second.
 const UNITS_PER_SECOND: f64 = (1u64 << 30) as f64;
 
-/// The host's collectd notified of a fault.
+/// A notification of a fault from the host's collectd.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HostNotification {
-    /// The host.
+    /// Name of the host.
     pub host: String,
-    /// The severity, as the protocol has it.
+    /// The severity, as defined by collectd's protocol.
     pub severity: u64,
-    /// What happened, without control characters.
+    /// The text, without control characters.
     pub text: String,
 }
 
-/// What identifies a series.
+/// Identifies a series.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct SeriesKey {
     host: String,
@@ -52,7 +53,7 @@
     values: Vec<MetricValue>,
 }
 
-/// Takes in packets of the host's collectd.
+/// Processes the packets of the host's collectd.
 #[derive(Clone, Debug)]
 pub struct HostMonitor {
     settings: Listen,
@@ -62,18 +63,18 @@
 }
 
 impl HostMonitor {
-    /// A monitor that has heard nothing yet.
+    /// Creates a monitor that has received no packets.
     pub fn new(settings: Listen) -> HostMonitor {
         HostMonitor { settings, series: BTreeMap::new(), status: HostStatus::default(), last_accepted: None }
     }
 
-    /// Other settings from now on; what was heard stays.
+    /// Replaces the settings; received metrics are retained.
     pub fn configure(&mut self, settings: Listen) {
         self.settings = settings;
     }
 
-    /// A packet came, at these readings of the monotonic and the wall clock. Returns what is worth a line in
-    /// the log, if anything.
+    /// Processes a packet that was received at these readings of the monotonic and the wall clock. Returns an
+    /// event for the log, if there is one.
     pub fn packet_received(&mut self, packet: &[u8], now: Time, wall: Time) -> Option<LogEvent> {
         match collectd::read(packet, &self.settings.users, self.settings.require) {
             Ok(items) => {
@@ -85,18 +86,19 @@
         }
     }
 
-    /// The host's metrics of now.
+    /// Returns the current metrics of the host.
     pub fn status(&self, now: Time) -> HostStatus {
         let age = self.last_accepted.map(|accepted| now.saturating_sub(accepted));
         HostStatus { age_s: age.map(as_seconds), ..self.status.clone() }
     }
 
-    /// Packets rejected so far.
+    /// Returns the number of packets rejected so far.
     pub fn packets_rejected(&self) -> u64 {
         self.status.packets_rejected
     }
 
-    /// The first rejection is logged, and those that tell of a wrong key or an attack.
+    /// Counts a rejected packet. The first rejection is logged, and every one that indicates a wrong key or
+    /// an attack.
     fn reject(&mut self, error: PacketError) -> Option<LogEvent> {
         let is_first = self.status.last_rejection.is_none();
         let is_key_wrong =
@@ -160,7 +162,8 @@
     }
 }
 
-/// The changes of values a second; none below zero, which a counter that began anew would give.
+/// Returns the changes of values per second. Negative changes, caused by counters that restarted, become
+/// zero.
 fn rates(before: &LastValues, values: &[MetricValue], time: u64) -> Vec<f64> {
     let seconds = (time - before.time) as f64 / UNITS_PER_SECOND;
     let mut rates = Vec::with_capacity(values.len());
--- a/crates/telemetry/src/host/status.rs
+++ b/crates/telemetry/src/host/status.rs
@@ -1,16 +1,17 @@
-//! The host's metrics, for the status page and the log.
+//! The metrics of the host, for the status page and the log.
 
 use serde::Serialize;
 use std::collections::BTreeMap;
 use std::fmt;
 
-/// Links and disks of one log line at most.
+/// Maximum number of links, and of disks, in a log line.
 const MAX_LOGGED_DEVICES: usize = 8;
 
-/// The host, as its last reports have it. The serialized names of its fields are part of the status page.
+/// The metrics of the host in its last reports. The serialized names of the fields are part of the status
+/// page.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct HostStatus {
-    /// Host names that reported.
+    /// Names of the hosts that sent reports.
     pub hosts: Vec<String>,
     /// Load averages.
     pub load: Option<LoadAverages>,
@@ -29,15 +30,15 @@
     /// Why the last packet was rejected.
     #[serde(rename = "last_bad")]
     pub last_rejection: Option<String>,
-    /// Values passed over because their time was not after the last, or too far from the clock.
+    /// Values ignored because their time was not after the previous one, or too far from the clock.
     #[serde(rename = "old")]
     pub values_outdated: u64,
-    /// Values passed over because too many series reported.
+    /// Values ignored because the maximum number of series was reached.
     #[serde(rename = "beyond")]
     pub values_beyond_limit: u64,
 }
 
-/// Load over one, five and fifteen minutes; serialized as a list in this order.
+/// Load averages over one, five and fifteen minutes; serialized as a list in this order.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 #[serde(into = "[f64; 3]")]
 pub struct LoadAverages {
@@ -49,7 +50,7 @@
     pub fifteen_minutes: f64,
 }
 
-/// Bytes a second over a network link; serialized as a list in this order.
+/// Traffic of a network link, in bytes per second; serialized as a list in this order.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 #[serde(into = "[f64; 2]")]
 pub struct LinkRates {
@@ -59,7 +60,7 @@
     pub sent: f64,
 }
 
-/// Bytes a second of a disk; serialized as a list in this order.
+/// Traffic of a disk, in bytes per second; serialized as a list in this order.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 #[serde(into = "[f64; 2]")]
 pub struct DiskRates {
@@ -87,7 +88,7 @@
     }
 }
 
-/// The fields of a log line.
+/// Formats the fields of a log line.
 impl fmt::Display for HostStatus {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         if let Some(LoadAverages { one_minute, five_minutes, fifteen_minutes }) = self.load {
--- a/crates/telemetry/src/host/tests.rs
+++ b/crates/telemetry/src/host/tests.rs
@@ -64,6 +64,9 @@
     status.load = Some(LoadAverages { one_minute: 0.5, five_minutes: 1.5, fifteen_minutes: 2.5 });
     status.links.insert("eth0".into(), LinkRates { received: 1.0, sent: 2.0 });
     status.disks.insert("sda".into(), DiskRates { read: 3.0, written: 4.0 });
-    let wanted = r#"{"hosts":["h"],"load":[0.5,1.5,2.5],"links":{"eth0":[1.0,2.0]},"disks":{"sda":[3.0,4.0]},"age_s":null,"good":1,"bad":0,"last_bad":null,"old":0,"beyond":0}"#;
+    let wanted = concat!(
+        r#"{"hosts":["h"],"load":[0.5,1.5,2.5],"links":{"eth0":[1.0,2.0]},"disks":{"sda":[3.0,4.0]},"#,
+        r#""age_s":null,"good":1,"bad":0,"last_bad":null,"old":0,"beyond":0}"#,
+    );
     assert_eq!(serde_json::to_string(&status).expect("it can be written"), wanted);
 }
--- a/crates/telemetry/src/host_listener.rs
+++ b/crates/telemetry/src/host_listener.rs
@@ -1,4 +1,4 @@
-//! The host's own collectd, if the settings say to listen to it.
+//! The listener for the host's own collectd, if one is configured.
 
 use crate::host::{HostMonitor, HostStatus};
 use crate::settings::Listen;
@@ -6,14 +6,14 @@
 use crate::{LogEvent, Output};
 use linnetcart::Time;
 
-/// The host's metrics go to the log this often.
+/// Interval of logging the host's metrics.
 const SUMMARY_INTERVAL: Time = 60 * SECOND;
 
-/// Receives the host's packets, and logs its metrics at intervals.
+/// Receives packets from the host's collectd, and logs the host's metrics at intervals.
 #[derive(Debug)]
 pub(crate) struct HostListener {
     monitor: Option<HostMonitor>,
-    /// Rejected packets that are counted already.
+    /// Number of rejected packets that were already counted.
     counted_rejections: u64,
     next_summary: Time,
 }
@@ -23,7 +23,7 @@
         HostListener { monitor: None, counted_rejections: 0, next_summary: now + SUMMARY_INTERVAL }
     }
 
-    /// Other settings from now on; what was heard stays if it is still to be listened to.
+    /// Replaces the settings. Received metrics are retained while a listener stays configured.
     pub(crate) fn configure(&mut self, listen: Option<&Listen>) {
         match (&mut self.monitor, listen) {
             (Some(monitor), Some(listen)) => monitor.configure(listen.clone()),
@@ -49,7 +49,7 @@
         self.monitor.as_ref().map(|monitor| monitor.status(now))
     }
 
-    /// Packets that were rejected since the last call.
+    /// Returns the number of packets rejected since the last call.
     pub(crate) fn take_rejections(&mut self) -> u64 {
         let Some(monitor) = &self.monitor else { return 0 };
         let rejections = monitor.packets_rejected();
@@ -57,7 +57,7 @@
         rejections.saturating_sub(before)
     }
 
-    /// Logs the host's metrics if it is time and there are any.
+    /// Logs the host's metrics if the interval has elapsed and there are any.
     pub(crate) fn log_summary_if_due(&mut self, now: Time, outputs: &mut Vec<Output>) {
         if self.next_summary > now {
             return;
--- a/crates/telemetry/src/interface.rs
+++ b/crates/telemetry/src/interface.rs
@@ -1,4 +1,4 @@
-//! What goes into [`crate::Telemetry`] and what comes out of it.
+//! Inputs and outputs of [`crate::Telemetry`].
 
 use crate::connection::ConnectionAction;
 use crate::counts::Saved;
@@ -12,48 +12,48 @@
 /// The courier that reports.
 #[derive(Clone, Debug)]
 pub struct CourierInfo {
-    /// The deployment.
+    /// Name of the deployment.
     pub deployment: String,
-    /// The courier's number.
+    /// Number of the courier.
     pub courier_index: u32,
     /// The courier's classes, in the order of their numbers.
     pub classes: Vec<NamedClass>,
-    /// The priority weight of a late message halves with each further latency objective.
+    /// Whether the priority weight of a late message halves with each further latency objective.
     pub weight_halves: bool,
-    /// Spreads reports and retries of couriers.
+    /// Seed that spreads the reports and retries of couriers.
     pub seed: u64,
 }
 
 /// A class with its name in the settings.
 #[derive(Clone, Debug)]
 pub struct NamedClass {
-    /// The name.
+    /// Name of the class in the settings.
     pub name: String,
     /// The settings of the class.
     pub class: Class,
 }
 
-/// What was found of an earlier run.
+/// The stored state of an earlier run.
 #[derive(Debug, Default)]
 pub struct RestoredState {
     /// The saved document.
     pub saved: Option<Saved>,
-    /// The logs after it, oldest first.
+    /// The counter logs after the document, oldest first.
     pub logs: Vec<Vec<u8>>,
 }
 
-/// Figures of now that no delivery event carries.
+/// Current values that no delivery event carries.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct CurrentState {
     /// Messages in flight.
     pub messages_in_flight: usize,
     /// Bytes of messages in flight.
     pub bytes_in_flight: usize,
-    /// Call slots in use.
+    /// Calls in flight.
     pub calls_in_flight: usize,
-    /// Call slots.
+    /// Maximum number of calls in flight.
     pub max_calls_in_flight: usize,
-    /// Messages that may be in flight.
+    /// Maximum number of messages in flight.
     pub max_messages_in_flight: usize,
     /// Connections of clients.
     pub clients: usize,
@@ -64,65 +64,65 @@
 /// An endpoint of the endpoint list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ListedEndpoint {
-    /// Its number.
+    /// Number of the endpoint.
     pub endpoint: u32,
-    /// Its destination's number.
+    /// Number of the endpoint's destination.
     pub destination: u32,
-    /// It is a separate route, with a limit and counts of its own.
+    /// Whether the endpoint is an independent route, with a limit and counts of its own.
     pub independent_route: bool,
 }
 
-/// What the owner of [`crate::Telemetry`] is to do, in this order.
+/// An action for the owner of [`crate::Telemetry`]. Actions must be performed in their order.
 #[derive(Debug, PartialEq)]
 pub enum Output {
-    /// Append to the log of counts.
+    /// Append these bytes to the counter log.
     Append(Vec<u8>),
-    /// Bring the log to disk, then call [`crate::Telemetry::synced`] with this number.
+    /// Sync the counter log to disk, then call [`crate::Telemetry::synced`] with this number.
     Sync(u64),
-    /// For the connection to Graphite.
+    /// Perform an action on the connection to Graphite.
     Graphite(ConnectionAction),
     /// Send a datagram to collectd.
     Datagram(SocketAddr, Bytes),
     /// Log a warning.
     Log(LogEvent),
-    /// Log for the record.
+    /// Log at info level.
     Info(LogEvent),
 }
 
-/// Why the log of counts is not on disk.
+/// Why a sync of the counter log failed.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum SyncError {
-    /// The log could not be brought to disk, or cannot be at all.
+    /// The log could not be written, or there is no directory for it.
     #[error("{0}")]
     Storage(String),
-    /// The log is not on disk after the time allowed.
+    /// The sync did not finish in time.
     #[error("bringing the counts to disk takes too long")]
     Timeout,
 }
 
-/// How the reporting fares, for the status page. The names of its fields are part of that page.
+/// Status of the reporting. The serialized names of the fields are part of the status page.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Status {
-    /// Reports begun.
+    /// Number of reports that were begun.
     pub reports: u64,
-    /// Points of the last one.
+    /// Number of points of the last report.
     pub points: usize,
-    /// Cells of counts.
+    /// Number of counter cells.
     pub cells: usize,
-    /// Counted beyond the limit of cells, since the start.
+    /// Sum of the counts beyond the maximum number of cells, since the start.
     pub beyond: u64,
-    /// Connected to Graphite.
+    /// Whether the connection to Graphite is established; `None` without a Graphite receiver.
     #[serde(rename = "graphite_up")]
     pub graphite_connected: Option<bool>,
-    /// Bytes that wait for Graphite.
+    /// Bytes that wait to be written to Graphite.
     pub graphite_waiting: usize,
-    /// Points dropped, since the start.
+    /// Points dropped since the receiver was configured.
     pub dropped: u64,
-    /// Seconds that timestamps are ahead of the clock.
+    /// How far timestamps are ahead of the wall clock, in seconds.
     #[serde(rename = "stamps_ahead_s")]
     pub timestamps_ahead_s: f64,
-    /// The log of counts cannot be brought to disk; counts are not reported meanwhile.
+    /// Whether syncs of the counter log fail; counts are not reported meanwhile.
     pub counts_not_safe: bool,
-    /// The host.
+    /// Metrics of the host; `None` without a listener.
     pub host: Option<HostStatus>,
 }
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -1,8 +1,8 @@
 //! Reports a courier's metrics to Graphite and collectd.
 //!
-//! [`Telemetry`] is fed with the courier's delivery events and clock readings, and says what is to be
-//! written, sent and saved; it holds no socket, file or clock. Counts only grow, over restarts and crashes
-//! too: a report leaves when the log of the counts in it is on disk. What a receiver does not accept is
+//! [`Telemetry`] consumes the courier's delivery events and clock readings, and returns actions for its
+//! owner; it never accesses a socket, file or clock. Counts only grow, across restarts and crashes as well: a
+//! report is sent once the counter log of its counts is on disk. Points that a receiver does not accept are
 //! dropped, the oldest first, and counted.
 #![forbid(unsafe_code)]
 #![warn(clippy::unwrap_used, missing_docs)]
--- a/crates/telemetry/src/limits.rs
+++ b/crates/telemetry/src/limits.rs
@@ -1,4 +1,4 @@
-//! The state of destinations and separate routes as this courier sees it: their limits, attempts and
+//! The state of destinations and independent routes as observed by this courier: limits, attempts and
 //! latencies.
 
 use crate::latency::LatencyRecorder;
@@ -11,7 +11,7 @@
 #[cfg(test)]
 mod tests;
 
-/// Weight of the newest interval in the inferred limit.
+/// Weight of the newest interval in the moving average of the inferred limit.
 const NEWEST_INTERVAL_WEIGHT: f64 = 0.5;
 
 /// Values of the metric `state`.
@@ -19,26 +19,26 @@
 const STATE_RECOVERING: f64 = 1.0;
 const STATE_EJECTED: f64 = 0.0;
 
-/// The listed destinations and routes with their state. Of what is not listed, nothing of now is reported.
+/// The destinations and routes in the endpoint list with their state. Nothing is recorded for others.
 #[derive(Debug, Default)]
 pub(crate) struct LimitTable {
-    /// Listed endpoints, by destination.
+    /// The listed endpoints of each destination.
     listed: BTreeMap<u32, Vec<u32>>,
-    /// Destinations of endpoints that are separate routes.
+    /// The destination of each endpoint that is an independent route.
     route_destinations: BTreeMap<u32, u32>,
     destinations: BTreeMap<u32, ObservedLimit>,
     routes: BTreeMap<u32, ObservedLimit>,
 }
 
-/// Whose limit is in another state.
+/// The owner of a limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum LimitOwner {
     Destination,
-    /// By its endpoint.
+    /// The independent route over this endpoint.
     Route(u32),
 }
 
-/// A limit is in another state.
+/// A change of a limit's state.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct StateChange {
     pub(crate) owner: LimitOwner,
@@ -46,7 +46,7 @@
 }
 
 impl LimitTable {
-    /// The endpoint list, whenever it changed.
+    /// Replaces the endpoint list.
     pub(crate) fn set_endpoints(&mut self, endpoints: impl Iterator<Item = ListedEndpoint>) {
         self.listed.clear();
         self.route_destinations.clear();
@@ -64,17 +64,17 @@
         self.route_destinations.contains_key(&endpoint)
     }
 
-    /// The destination of a separate route.
+    /// Returns the destination of an independent route, or `None` for other endpoints.
     pub(crate) fn route_destination(&self, endpoint: u32) -> Option<u32> {
         self.route_destinations.get(&endpoint).copied()
     }
 
-    /// Destinations with a state, in their order.
+    /// Returns the destinations with a recorded state, in their order.
     pub(crate) fn destinations(&self) -> impl Iterator<Item = u32> + '_ {
         self.destinations.keys().copied()
     }
 
-    /// Separate routes with a state, in the order of their endpoints.
+    /// Returns the independent routes with a recorded state, in the order of their endpoints.
     pub(crate) fn routes(&self) -> impl Iterator<Item = u32> + '_ {
         self.routes.keys().copied()
     }
@@ -87,7 +87,8 @@
         self.routes.get_mut(&endpoint)
     }
 
-    /// The limits that an attempt counts against: the destination's and, over a separate route, the route's.
+    /// Returns the limits that an attempt counts against: that of the destination and, for an independent
+    /// route, that of the route.
     pub(crate) fn of_attempt(
         &mut self,
         destination: u32,
@@ -103,8 +104,8 @@
         limits.into_iter().flatten()
     }
 
-    /// The decision library sees an endpoint's limit in another state. None if that changes neither the route
-    /// nor the destination.
+    /// Records that the decision library changed the state of an endpoint's limit. Returns `None` if this
+    /// changes neither the route nor the destination.
     pub(crate) fn change_state(
         &mut self,
         destination: u32,
@@ -123,18 +124,18 @@
     }
 }
 
-/// A limit as this courier sees it, and attempts against it since the last report.
+/// A limit as observed by this courier, with the attempts against it since the last report.
 #[derive(Debug, Default)]
 pub(crate) struct ObservedLimit {
     attempts: u64,
     served: u64,
     rejected: u64,
     latency: LatencyRecorder,
-    /// In calls a second, as answers reported it last.
+    /// The limit in the last load report, in calls per second.
     reported: Option<f64>,
-    /// The part of it that is left, as answers reported it last.
+    /// The unused fraction of the limit in the last load report.
     capacity_left: Option<f64>,
-    /// In calls a second, from what was served while more was rejected.
+    /// The limit inferred from the attempts served while others were rejected, in calls per second.
     inferred: Option<f64>,
     state: LimitState,
     silent_endpoints: BTreeSet<u32>,
@@ -160,8 +161,8 @@
         self.reported = (load.rate_limit > 0.0).then_some(load.rate_limit);
     }
 
-    /// The state that it changes to; none if it stays as it is. Of several endpoints, all must be silent
-    /// before the limit counts as ejected.
+    /// Changes the state of the limit and returns the new state, or `None` if it stays the same. The limit
+    /// counts as ejected only when all of its endpoints are silent.
     fn change_state(&mut self, endpoint: u32, endpoints: usize, state: LimitState) -> Option<LimitState> {
         let mut state = state;
         if state == LimitState::Silent {
@@ -181,7 +182,7 @@
         Some(state)
     }
 
-    /// The points of an interval of so many seconds, after which the next begins.
+    /// Appends the points of an interval of `seconds` seconds, and starts the next interval.
     pub(crate) fn take_points(&mut self, subject: &SeriesSubject, seconds: f64, points: &mut Vec<Point>) {
         self.infer_limit(seconds);
         let mut gauge =
@@ -209,7 +210,8 @@
         self.rejected = 0;
     }
 
-    /// What was served while more was rejected is what this courier may have of the limit.
+    /// Infers the part of the limit that this courier gets: the rate of served attempts while others were
+    /// rejected.
     fn infer_limit(&mut self, seconds: f64) {
         if self.rejected == 0 || self.reported.is_some() {
             return;
--- a/crates/telemetry/src/limits/tests.rs
+++ b/crates/telemetry/src/limits/tests.rs
@@ -3,7 +3,7 @@
 const DESTINATION: u32 = 1;
 const ROUTED_DESTINATION: u32 = 2;
 
-/// Two endpoints of one limit, and one separate route.
+/// Two endpoints of one limit, and one independent route.
 fn table() -> LimitTable {
     let mut table = LimitTable::default();
     let entry = |destination, endpoint, independent_route| ListedEndpoint {
@@ -88,7 +88,7 @@
     assert_eq!(interval(100, 0), None, "nothing was rejected");
     assert_eq!(interval(100, 1), Some(10.0));
     assert_eq!(interval(200, 1), Some(15.0), "smoothed by half");
-    assert_eq!(interval(400, 0), Some(15.0), "kept while nothing is rejected");
+    assert_eq!(interval(400, 0), Some(15.0), "unchanged while nothing is rejected");
 }
 
 #[test]
--- a/crates/telemetry/src/log_event.rs
+++ b/crates/telemetry/src/log_event.rs
@@ -1,4 +1,4 @@
-//! What is worth a line in the log: a constant message with fields.
+//! Events for the log: constant messages with fields.
 
 use crate::collectd::PacketError;
 use crate::host::{HostNotification, HostStatus};
@@ -11,26 +11,26 @@
 /// An event for the log.
 #[derive(Clone, Debug, PartialEq)]
 pub enum LogEvent {
-    /// The wall clock was set back; timestamps slow down until it has caught up.
+    /// The wall clock was set back; timestamps advance slowly until it has caught up.
     ClockSetBack {
-        /// How far timestamps are ahead of it.
+        /// How far timestamps are ahead of the wall clock, in seconds.
         timestamps_ahead_s: u64,
     },
-    /// The log of counts is not on disk; counts are not reported until it is.
+    /// The counter log is not on disk; counts are not reported until it is.
     CountsWithheld {
-        /// Why it is not on disk.
+        /// Why the counter log is not on disk.
         reason: SyncError,
     },
-    /// The log of counts is on disk again.
+    /// The counter log is on disk again.
     CountsReportedAgain,
     /// A packet of the host's collectd was rejected.
     HostPacketRejected {
-        /// Why.
+        /// Why the packet was rejected.
         error: PacketError,
     },
-    /// The host's collectd notified of faults.
+    /// The host's collectd sent notifications of faults.
     HostNotifications(Vec<HostNotification>),
-    /// The host's metrics of now.
+    /// The current metrics of the host.
     HostMetrics(HostStatus),
 }
 
--- a/crates/telemetry/src/names.rs
+++ b/crates/telemetry/src/names.rs
@@ -1,14 +1,15 @@
-//! Names of series: made safe for a path, and never given to a second destination.
+//! Names of series: safe for a path, and never assigned to a second destination.
 
 use std::collections::BTreeMap;
 
 #[cfg(test)]
 mod tests;
 
-/// A name is cut to this many bytes.
+/// Maximum length of a name; longer names are truncated.
 const MAX_NAME_BYTES: usize = 60;
 
-/// A name as part of a path: letters, digits, `-` and `_`; others are written as the nearest of these.
+/// Converts a name for use in a path. Characters other than letters, digits, `-` and `_` are replaced by the
+/// nearest of these.
 pub fn safe(name: &str) -> String {
     let ascii = deunicode::deunicode(name);
     let mut safe: String = ascii.trim().chars().map(safe_character).collect();
@@ -25,17 +26,17 @@
     }
 }
 
-/// The name of a destination's series.
+/// A name in series with its assignment.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AssignedName {
     /// The name.
     pub name: String,
-    /// It belongs to the destination only since this call, which must be logged.
+    /// Whether this call assigned the name; the assignment must then be logged.
     pub newly_assigned: bool,
 }
 
-/// Which destination each name belongs to. A name stays with its first owner, also while that has another
-/// name or is gone: the counts under a name must not fall because they are another destination's from now on.
+/// The owner of each name. A name always stays with its first owner, even if the owner is renamed or removed:
+/// the counts under a name must not fall because the name changes to another destination.
 #[derive(Clone, Debug, Default)]
 pub struct SeriesNames {
     owners: BTreeMap<String, u32>,
@@ -43,12 +44,12 @@
 }
 
 impl SeriesNames {
-    /// No names yet, and at most so many.
+    /// Creates an empty set for at most `max_names` names.
     pub fn new(max_names: usize) -> SeriesNames {
         SeriesNames { owners: BTreeMap::new(), max_names }
     }
 
-    /// All names with their owners.
+    /// Returns all names with their owners.
     pub fn owners(&self) -> &BTreeMap<String, u32> {
         &self.owners
     }
@@ -58,35 +59,37 @@
         self.owners.entry(name).or_insert(owner);
     }
 
-    /// The name of a destination that wants to be called so. Where the name is another's, the number follows
-    /// it. Without a name, and beyond the limit of names, the number stands alone.
+    /// Returns the name of a destination, and assigns it if necessary. If the wanted name belongs to another
+    /// destination, the number of this one is appended. Without a wanted name, or beyond the maximum number
+    /// of names, the name is the number alone.
     pub fn assign(&mut self, wanted: Option<&str>, owner: u32) -> AssignedName {
         let number = format!("d{owner}");
         if let Some(wanted) = wanted.map(safe).filter(|name| is_assignable(name)) {
             let with_number = format!("{wanted}-{number}");
             for candidate in [wanted, with_number] {
-                if let Some(newly_assigned) = self.try_assign(&candidate, owner) {
-                    return AssignedName { name: candidate, newly_assigned };
+                if let Some(assigned) = self.try_assign(candidate, owner) {
+                    return assigned;
                 }
             }
         }
         AssignedName { name: number, newly_assigned: false }
     }
 
-    /// Whether the name is newly the owner's; none if it cannot be.
-    fn try_assign(&mut self, name: &str, owner: u32) -> Option<bool> {
-        match self.owners.get(name) {
-            Some(&current) if current == owner => Some(false),
+    /// Assigns a name to an owner; `None` if it belongs to another owner or the maximum number of names is
+    /// reached.
+    fn try_assign(&mut self, name: String, owner: u32) -> Option<AssignedName> {
+        match self.owners.get(&name) {
+            Some(&current) if current == owner => Some(AssignedName { name, newly_assigned: false }),
             None if self.owners.len() < self.max_names => {
-                self.owners.insert(name.to_owned(), owner);
-                Some(true)
+                self.owners.insert(name.clone(), owner);
+                Some(AssignedName { name, newly_assigned: true })
             }
             _ => None,
         }
     }
 }
 
-/// Numbers are reserved for destinations that have no other name.
+/// Whether a name can be assigned: numbers are reserved for destinations without another name.
 fn is_assignable(name: &str) -> bool {
     !name.is_empty() && !is_destination_number(name)
 }
--- a/crates/telemetry/src/names/tests.rs
+++ b/crates/telemetry/src/names/tests.rs
@@ -9,7 +9,7 @@
 }
 
 #[test]
-fn name_taken_stays_with_first_owner() {
+fn assigned_name_stays_with_first_owner() {
     assert_eq!(safe("Sparkasse Köln.Bonn (Mitte)"), "Sparkasse_Koln_Bonn__Mitte_");
     let mut names = SeriesNames::new(100);
     assert_eq!(names.assign(Some("a.b"), 1), newly("a_b"));
@@ -17,7 +17,7 @@
     assert_eq!(names.assign(Some("c"), 1), newly("c"), "renamed");
     assert_eq!(names.assign(Some("a.b"), 3), newly("a_b-d3"), "the old name is not assigned again");
     assert_eq!(names.assign(Some("a.b"), 1), already("a_b"), "but to its owner");
-    assert_eq!(names.assign(Some("d2"), 5).name, "d5", "a number is nobody's name");
+    assert_eq!(names.assign(Some("d2"), 5).name, "d5", "numbers are reserved");
     assert_eq!(names.assign(None, 9).name, "d9");
     // A later one that wants the very name another got by collision.
     assert_eq!(names.assign(Some("a_b-d2"), 4).name, "a_b-d2-d4");
--- a/crates/telemetry/src/notifications.rs
+++ b/crates/telemetry/src/notifications.rs
@@ -1,4 +1,4 @@
-//! Notifications of limits in another state, which collectd receives.
+//! Notifications of state changes of limits, which are sent to collectd.
 
 use crate::collectd::Severity;
 use crate::limits::{LimitOwner, StateChange};
@@ -8,19 +8,19 @@
 #[cfg(test)]
 mod tests;
 
-/// Notifications between two iterations of the event loop at most; beyond it the oldest are dropped.
+/// Maximum number of queued notifications; beyond it the oldest are dropped.
 const MAX_NOTIFICATIONS: usize = 200;
 
-/// A destination or route is in another state.
+/// A state change of a destination or route.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct StateNotification {
-    /// The plugin instance in collectd.
+    /// Plugin instance in collectd, which identifies the destination or route.
     pub(crate) plugin_instance: String,
     pub(crate) severity: Severity,
     pub(crate) text: String,
 }
 
-/// Notifications that are not yet sent.
+/// Notifications that were not sent yet.
 #[derive(Debug, Default)]
 pub(crate) struct NotificationQueue {
     notifications: VecDeque<StateNotification>,
--- a/crates/telemetry/src/points.rs
+++ b/crates/telemetry/src/points.rs
@@ -1,4 +1,4 @@
-//! The points of a report's items.
+//! Collection of the points of a report.
 
 use crate::counts::{CounterKey, Counts, Field};
 use crate::recording::Recording;
@@ -7,30 +7,30 @@
 use crate::series::{Point, PointValue, SeriesSubject};
 use crate::{CurrentState, Output};
 
-/// Makes points of what was recorded.
+/// Collects points from the recorded state.
 pub(crate) struct PointCollector<'a> {
     pub(crate) recording: &'a mut Recording,
     pub(crate) selection: &'a mut ItemSelection,
     pub(crate) current: CurrentState,
-    /// Points of a report at most. Beyond it cells are postponed to the next one.
+    /// Maximum number of points in a report. Beyond it, cells are postponed to the next one.
     pub(crate) max_points: usize,
     pub(crate) outputs: &'a mut Vec<Output>,
 }
 
 impl PointCollector<'_> {
-    /// Makes the next slice of the part under way.
+    /// Collects the next slice of the current part.
     pub(crate) fn collect_slice(&mut self, report: &mut Report) {
         let mut points = Vec::new();
         while points.len() < SLICE_POINTS && report.part.len() + points.len() < PART_POINTS {
             let Some(item) = report.items.pop_front() else { break };
-            let is_full = report.points_made + points.len() >= self.max_points;
+            let is_full = report.points_collected + points.len() >= self.max_points;
             if is_full && is_postponable(item) {
                 self.postpone(item);
             } else {
                 self.collect(item, report.seconds, &mut points);
             }
         }
-        report.points_made += points.len();
+        report.points_collected += points.len();
         report.part.extend(points);
     }
 
@@ -112,7 +112,7 @@
                 let Some(destination) = self.recording.limits.route_destination(endpoint) else { return };
                 self.route_subject(destination, endpoint)
             }
-            // The courier's own counts have them.
+            // The counts of the reports are part of the courier's counts.
             CounterKey::Reports => return,
         };
         push_counts(points, &subject, &counts);
@@ -127,12 +127,12 @@
     }
 }
 
-/// Gauges are always shown; counts may come with a later report.
+/// Whether an item can be postponed to a later report: counts can, gauges cannot.
 fn is_postponable(item: ReportItem) -> bool {
     matches!(item, ReportItem::DestinationTotal(_) | ReportItem::Cell(_))
 }
 
-/// Counts that are not zero: a series begins when there is something to count.
+/// Appends the counts that are not zero: a series begins when there is something to count.
 fn push_counts(points: &mut Vec<Point>, subject: &SeriesSubject, counts: &Counts) {
     for (field, count) in counts.nonzero() {
         points.push(Point::new(subject.clone(), field.name(), PointValue::Counter(count)));
--- a/crates/telemetry/src/receivers.rs
+++ b/crates/telemetry/src/receivers.rs
@@ -1,4 +1,4 @@
-//! The receivers of reports: the connection to Graphite, and datagrams to collectd.
+//! The receivers of reports: a connection to Graphite, and datagrams to collectd.
 
 use crate::collectd::{InitializationVector, PacketEncoder};
 use crate::connection::{ConnectionAction, Losses, ReceiverConnection};
@@ -12,17 +12,17 @@
 use rand::{Rng, RngCore};
 use rand_chacha::ChaCha8Rng;
 
-/// The receivers that the settings name.
+/// The configured receivers.
 #[derive(Debug)]
 pub(crate) struct Receivers {
     source: MetricSource,
     graphite: Option<GraphiteReceiver>,
     collectd: Option<Collectd>,
-    /// Between two reports.
+    /// Interval between two reports.
     interval: Time,
-    /// Losses of the connection that are counted already.
+    /// Losses of the connection that were already counted.
     counted_losses: Losses,
-    /// Seeds of connections, and initialization vectors of packets.
+    /// Source of the seeds of connections and of the initialization vectors of packets.
     random: ChaCha8Rng,
 }
 
@@ -44,7 +44,7 @@
         }
     }
 
-    /// The receivers of these settings from now on. What waits for one that stays, stays.
+    /// Applies new settings. The buffer of a receiver that does not change is retained.
     pub(crate) fn configure(&mut self, settings: &Settings, outputs: &mut Vec<Output>) {
         self.interval = settings.interval_s * SECOND;
         self.collectd.clone_from(&settings.collectd);
@@ -70,28 +70,28 @@
         });
     }
 
-    /// Whether there is any receiver.
+    /// Whether any receiver is configured.
     pub(crate) fn has_receiver(&self) -> bool {
         self.graphite.is_some() || self.collectd.is_some()
     }
 
-    /// The connection to Graphite.
+    /// Returns the connection to Graphite, if Graphite is configured.
     pub(crate) fn connection(&self) -> Option<&ReceiverConnection> {
         self.graphite.as_ref().map(|receiver| &receiver.connection)
     }
 
-    /// The connection to Graphite, to tell it what happened.
+    /// Returns the connection to Graphite, for handling its events.
     pub(crate) fn connection_mut(&mut self) -> Option<&mut ReceiverConnection> {
         self.graphite.as_mut().map(|receiver| &mut receiver.connection)
     }
 
-    /// Nothing is on its way to a receiver that is there.
+    /// Whether no bytes wait for a connected receiver.
     pub(crate) fn is_idle(&self) -> bool {
         self.connection()
             .is_none_or(|connection| !connection.is_connected() || connection.buffered_bytes() == 0)
     }
 
-    /// What the connection lost since the last call.
+    /// Returns the losses of the connection since the last call.
     pub(crate) fn take_losses(&mut self) -> Losses {
         let Some(connection) = self.connection() else { return Losses::default() };
         let losses = connection.losses();
@@ -105,14 +105,14 @@
     /// Sends points of a report to all receivers.
     pub(crate) fn send_points(&mut self, points: &[Point], timestamp: Time, outputs: &mut Vec<Output>) {
         if let Some(GraphiteReceiver { settings, connection }) = &mut self.graphite {
-            let second = timestamp / SECOND;
-            let chunks = graphite::encode(&self.source, points, second, encoding(settings));
+            let time_s = timestamp / SECOND;
+            let chunks = graphite::encode(&self.source, points, time_s, encoding(settings));
             connection.send(chunks);
         }
         self.send_datagrams(timestamp, outputs, |encoder, next_iv| encoder.points(points, next_iv));
     }
 
-    /// Notifies collectd; Graphite knows no notifications.
+    /// Sends a notification to collectd. Graphite has no notifications.
     pub(crate) fn notify(
         &mut self,
         notification: &StateNotification,
@@ -125,7 +125,7 @@
         });
     }
 
-    /// Sends the packets that are encoded, if there is a collectd to receive them.
+    /// Encodes and sends packets if a collectd receiver is configured.
     fn send_datagrams(
         &mut self,
         timestamp: Time,
@@ -148,7 +148,7 @@
         }
     }
 
-    /// What is to be done with the connection to Graphite now.
+    /// Appends the actions that are due on the connection to Graphite.
     pub(crate) fn poll(&mut self, now: Time, outputs: &mut Vec<Output>) {
         if let Some(connection) = self.connection_mut() {
             outputs.extend(connection.poll(now).into_iter().map(Output::Graphite));
--- a/crates/telemetry/src/recording.rs
+++ b/crates/telemetry/src/recording.rs
@@ -1,4 +1,4 @@
-//! Recording of delivery events: what each of them adds to counts, latencies and the state of limits.
+//! Recording of delivery events in counts, latencies and the state of limits.
 
 use crate::classes::ClassTable;
 use crate::counters::{Counters, RestoredCounts};
@@ -13,7 +13,7 @@
 #[cfg(test)]
 mod tests;
 
-/// All that delivery events change. Counts are kept for good, everything else is of now.
+/// All state that delivery events change. Counts are permanent; everything else is current state.
 #[derive(Debug)]
 pub(crate) struct Recording {
     pub(crate) counters: Counters,
@@ -23,7 +23,7 @@
     pub(crate) names: DestinationNames,
 }
 
-/// What an attempt counts for.
+/// The owners of the counts of an attempt.
 #[derive(Clone, Copy, Debug)]
 struct AttemptKey {
     class: u8,
@@ -43,7 +43,7 @@
         }
     }
 
-    /// All counts and names, to be saved with the last timestamp.
+    /// Returns the document with all counts, names and the last timestamp.
     pub(crate) fn saved(&self, last_timestamp_s: u64) -> Saved {
         self.counters.store().saved(self.names.owners(), last_timestamp_s)
     }
@@ -155,7 +155,7 @@
         }
     }
 
-    /// Adds to the counts of the destination and class, and of the route if it is a separate one.
+    /// Adds to the counts of the destination and class, and of the route if it is independent.
     fn add_for_attempt(&mut self, key: AttemptKey, field: Field, increase: u64) {
         self.counters.add(
             CounterKey::Cell { destination: key.destination, class: key.class },
--- a/crates/telemetry/src/recording/tests.rs
+++ b/crates/telemetry/src/recording/tests.rs
@@ -12,7 +12,7 @@
 const CELL: CounterKey = CounterKey::Cell { destination: DESTINATION, class: CLASS };
 const ROUTE: CounterKey = CounterKey::Route { endpoint: ENDPOINT };
 
-/// One class of weight 2 within a second, one destination with one separate route.
+/// One class of weight 2 within a second, one destination with one independent route.
 fn recording() -> Recording {
     let class = Class {
         latency_objective: SECOND,
@@ -86,7 +86,7 @@
     let late = counted(&completed(FinalAnswer::Served, 2 * SECOND), CELL);
     assert_eq!(late[0], (Field::Late, 1));
     let weights: u64 = late[1..].iter().map(|(_, weight)| weight).sum();
-    assert_eq!(weights, 2000, "late and lost make up the whole weight: {late:?}");
+    assert_eq!(weights, 2000, "late and lost add up to the full weight: {late:?}");
 }
 
 #[test]
@@ -160,7 +160,7 @@
     let mut outputs = Vec::new();
     recording.record(&attempt_finished(AttemptOutcome::Served), &mut outputs);
     recording.counters.log_if_due(1, &mut outputs);
-    assert_eq!(outputs, [], "nobody is notified of an attempt");
+    assert_eq!(outputs, [], "clients are not notified of attempts");
     recording.record(&completed(FinalAnswer::Served, SECOND), &mut outputs);
     recording.counters.log_if_due(1, &mut outputs);
     assert!(matches!(&outputs[..], [Output::Append(_)]), "{outputs:?}");
--- a/crates/telemetry/src/report.rs
+++ b/crates/telemetry/src/report.rs
@@ -1,61 +1,61 @@
-//! A report under way.
+//! A report in progress, and its phases.
 
 use crate::counts::CounterKey;
 use crate::series::Point;
 use linnetcart::Time;
 use std::collections::VecDeque;
 
-/// Points that are made or sent at once: some tenths of a millisecond.
+/// Number of points that are collected or sent at once, which takes some tenths of a millisecond.
 pub(crate) const SLICE_POINTS: usize = 256;
-/// Points that are made before the log of counts is brought to disk and they are sent.
+/// Number of points that are collected before the counter log is synced and they are sent.
 pub(crate) const PART_POINTS: usize = 8192;
 
-/// What a report still has to show.
+/// An item that a report still has to collect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ReportItem {
     /// The courier's counts and gauges.
     Courier,
-    /// A class's counts and latencies.
+    /// The counts and latencies of a class.
     Class(usize),
-    /// A destination's limit and latencies.
+    /// The limit and latencies of a destination.
     Destination(u32),
-    /// The limit and latencies of a separate route.
+    /// The limit and latencies of an independent route, by its endpoint.
     Route(u32),
-    /// A destination's counts over all classes.
+    /// The counts of a destination over all classes.
     DestinationTotal(u32),
     /// The counts of a cell.
     Cell(CounterKey),
 }
 
-/// A report under way. It is made and sent in slices, so that no message waits for it: a part of it is made,
-/// then the log of the counts in it brought to disk, then the part is sent, and the next one follows.
+/// A report in progress. Reports are processed in slices, so that they delay no message. Each part is
+/// collected, then the counter log is synced, then the part is sent.
 #[derive(Debug)]
 pub(crate) struct Report {
-    /// Nanoseconds since 1970.
+    /// Time of the report, in nanoseconds since 1970.
     pub(crate) timestamp: Time,
-    /// Length of the interval that it covers.
+    /// Length of the interval that the report covers, in seconds.
     pub(crate) seconds: f64,
     pub(crate) items: VecDeque<ReportItem>,
-    /// Points made so far, in all parts.
-    pub(crate) points_made: usize,
-    /// Points of the part under way.
+    /// Number of points collected so far, in all parts.
+    pub(crate) points_collected: usize,
+    /// Points of the current part.
     pub(crate) part: VecDeque<Point>,
     pub(crate) phase: ReportPhase,
 }
 
-/// What happens to the part under way.
+/// The phase of the current part.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ReportPhase {
-    /// Its points are being made.
+    /// The points are being collected.
     Collecting,
-    /// The log of its counts is being brought to disk.
+    /// The counter log is being synced.
     Syncing {
-        /// The number of the sync.
+        /// Number of the sync.
         number: u64,
-        /// When it was asked for.
+        /// When the sync was requested.
         since: Time,
     },
-    /// Its points are being sent.
+    /// The points are being sent.
     Sending,
     /// All parts of the report were sent.
     Complete,
@@ -67,18 +67,18 @@
             timestamp,
             seconds,
             items,
-            points_made: 0,
+            points_collected: 0,
             part: VecDeque::new(),
             phase: ReportPhase::Collecting,
         }
     }
 
-    /// The part has all its points.
+    /// Whether all points of the current part were collected.
     pub(crate) fn is_part_complete(&self) -> bool {
         self.part.len() >= PART_POINTS || self.items.is_empty()
     }
 
-    /// Takes the next points of the part to be sent.
+    /// Removes and returns the next points of the part to send.
     pub(crate) fn take_slice(&mut self) -> Vec<Point> {
         let count = self.part.len().min(SLICE_POINTS);
         self.part.drain(..count).collect()
@@ -93,12 +93,12 @@
         self.phase == ReportPhase::Complete
     }
 
-    /// Counts that are not on disk must not be reported: they could fall after a power loss.
+    /// Removes the counts of the current part: counts that are not on disk could fall after a power loss.
     pub(crate) fn withhold_counts(&mut self) {
         self.part.retain(|point| !point.value.is_counter());
     }
 
-    /// Whether the part waits for the sync of this number.
+    /// Whether the current part waits for the sync with this number.
     pub(crate) fn waits_for_sync(&self, number: u64) -> bool {
         matches!(self.phase, ReportPhase::Syncing { number: awaited, .. } if awaited == number)
     }
--- a/crates/telemetry/src/schedule.rs
+++ b/crates/telemetry/src/schedule.rs
@@ -1,4 +1,4 @@
-//! When reports begin and when their slices are made and sent.
+//! The schedule of reports and of their slices.
 
 use crate::time::{as_seconds, SECOND};
 use linnetcart::Time;
@@ -6,13 +6,13 @@
 #[cfg(test)]
 mod tests;
 
-/// Between two slices, so that a socket's buffer can take them and no message waits for long.
+/// Interval between two slices, so that they fit into a socket's buffer and delay no message for long.
 const SLICE_INTERVAL: Time = SECOND / 1000;
 
-/// The times of reports and slices.
+/// The due times of reports and slices.
 #[derive(Debug)]
 pub(crate) struct ReportSchedule {
-    /// Between two reports.
+    /// Interval between two reports.
     interval: Time,
     next_report: Time,
     last_report: Time,
@@ -20,19 +20,19 @@
 }
 
 impl ReportSchedule {
-    /// The first report comes after a delay that differs between couriers: a thousand that start together
-    /// report at times spread over the interval.
+    /// Creates a schedule whose first report is due after a delay. The delay differs between couriers, so
+    /// that couriers that start together spread their reports over the interval.
     pub(crate) fn new(interval: Time, first_delay: Time, now: Time) -> ReportSchedule {
         ReportSchedule { interval, next_report: now + first_delay, last_report: now, next_slice: now }
     }
 
-    /// Another interval from now on.
+    /// Changes the interval.
     pub(crate) fn configure(&mut self, interval: Time, now: Time) {
         self.interval = interval;
         self.next_report = self.next_report.min(now + interval);
     }
 
-    /// A report is to begin at once.
+    /// Makes a report due at once.
     pub(crate) fn report_now(&mut self, now: Time) {
         self.next_report = self.next_report.min(now);
     }
@@ -45,8 +45,8 @@
         self.next_slice
     }
 
-    /// Whether a report is due. If so, the next one is due an interval later, but not at once after a long
-    /// pause.
+    /// Returns whether a report is due. If so, the next one is scheduled an interval after this one was due,
+    /// but at least half an interval from now.
     pub(crate) fn take_due_report(&mut self, now: Time) -> bool {
         if self.next_report > now {
             return false;
@@ -55,7 +55,7 @@
         true
     }
 
-    /// A report begins, and its first slice is due; the seconds since the last report.
+    /// Begins a report and makes its first slice due. Returns the seconds since the last report.
     pub(crate) fn begin_report(&mut self, now: Time) -> f64 {
         let elapsed = (now - self.last_report).max(1);
         self.last_report = now;
@@ -63,7 +63,7 @@
         as_seconds(elapsed)
     }
 
-    /// Whether a slice is due. If so, the next one is due a little later.
+    /// Returns whether a slice is due. If so, the next one is scheduled after the slice interval.
     pub(crate) fn take_due_slice(&mut self, now: Time) -> bool {
         if self.next_slice > now {
             return false;
--- a/crates/telemetry/src/selection.rs
+++ b/crates/telemetry/src/selection.rs
@@ -1,4 +1,4 @@
-//! What a report shows.
+//! Selection of the items of a report.
 
 use crate::counts::CounterKey;
 use crate::recording::Recording;
@@ -9,20 +9,21 @@
 #[cfg(test)]
 mod tests;
 
-/// Cells that did not change are shown once in so many reports.
+/// Number of reports in which every unchanged cell is reported once.
 const REPORTS_PER_REFRESH: usize = 30;
 
-/// Selects the items of reports: all that is of now, the cells that changed, and in turn some of the others.
+/// Selects the items of reports: all current state, the cells that changed, and some of the unchanged cells
+/// in turn.
 #[derive(Debug, Default)]
 pub(crate) struct ItemSelection {
-    /// Cells up to this one had their turn of unchanged cells.
+    /// The last cell that was selected as one of the unchanged cells.
     refreshed_up_to: Option<CounterKey>,
-    /// The first cell that a report had no room for.
+    /// The first cell that was postponed because a report reached its maximum number of points.
     first_postponed: Option<CounterKey>,
 }
 
 impl ItemSelection {
-    /// The report had no room for a cell.
+    /// Records that a cell was postponed.
     pub(crate) fn postponed(&mut self, key: CounterKey) {
         self.first_postponed.get_or_insert(key);
     }
@@ -38,7 +39,7 @@
         items
     }
 
-    /// The cells whose turn it is whether or not they changed.
+    /// Returns the next cells to report whether or not they changed.
     fn next_to_refresh(&mut self, recording: &Recording) -> Vec<CounterKey> {
         let cells = recording.counters.cells();
         let count = cells.len().div_ceil(REPORTS_PER_REFRESH);
@@ -50,8 +51,8 @@
         keys
     }
 
-    /// Cells in their order, but from the first that was postponed on; before those of a destination, its
-    /// total.
+    /// Appends cells in their order, starting with the first that was postponed. The total of a destination
+    /// precedes its cells.
     fn push_cells(&mut self, cells: BTreeSet<CounterKey>, items: &mut VecDeque<ReportItem>) {
         let first = self.first_postponed.take().unwrap_or(CounterKey::Cell { destination: 0, class: 0 });
         let mut last_destination = None;
--- a/crates/telemetry/src/series.rs
+++ b/crates/telemetry/src/series.rs
@@ -1,8 +1,8 @@
-//! Points of series: what a report consists of, before a receiver's format gives it a name.
+//! Points of series: the contents of a report, independent of the format of a receiver.
 
 use std::fmt;
 
-/// What a series is about. Names have been made safe for paths.
+/// Subject of a series. Names are safe for paths.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum SeriesSubject {
     /// The courier.
@@ -13,16 +13,16 @@
     Destination(String),
     /// A class at a destination.
     DestinationAndClass {
-        /// The destination's name.
+        /// Name of the destination.
         destination: String,
-        /// The class's name.
+        /// Name of the class.
         class: String,
     },
-    /// A separate route of a destination.
+    /// An independent route of a destination.
     Route {
-        /// The destination's name.
+        /// Name of the destination.
         destination: String,
-        /// The route's endpoint.
+        /// Number of the route's endpoint.
         endpoint: u32,
     },
 }
@@ -30,16 +30,16 @@
 /// The value of a point.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum PointValue {
-    /// A count that only grows, over restarts too.
+    /// A count that only grows, across restarts as well.
     Counter(u64),
-    /// A figure of now, or over the interval before.
+    /// A current value, or a value over the last interval.
     Gauge(f64),
-    /// A duration over the interval before, in milliseconds.
+    /// A duration over the last interval, in milliseconds.
     Milliseconds(f64),
 }
 
 impl PointValue {
-    /// The value as a number.
+    /// Returns the value as a floating-point number.
     pub fn as_f64(self) -> f64 {
         match self {
             PointValue::Counter(count) => count as f64,
@@ -47,7 +47,7 @@
         }
     }
 
-    /// Whether it is a count that only grows.
+    /// Whether the value is a counter.
     pub fn is_counter(self) -> bool {
         matches!(self, PointValue::Counter(_))
     }
@@ -65,16 +65,16 @@
 /// One point of a series, at the time of its report.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Point {
-    /// What it is about.
+    /// Subject of the series.
     pub subject: SeriesSubject,
-    /// The last part of the metric name.
+    /// Last part of the series name.
     pub metric: &'static str,
-    /// Its value.
+    /// The value.
     pub value: PointValue,
 }
 
 impl Point {
-    /// A point.
+    /// Creates a point.
     pub fn new(subject: SeriesSubject, metric: &'static str, value: PointValue) -> Point {
         Point { subject, metric, value }
     }
--- a/crates/telemetry/src/settings/tests.rs
+++ b/crates/telemetry/src/settings/tests.rs
@@ -1,7 +1,14 @@
 use super::*;
 
 /// A document with all fields, as stored by an earlier version.
-const DOCUMENT: &str = r#"{"interval_s":5,"points":2000,"cells":300,"names":{"3":"Bank"},"graphite":{"address":"10.0.0.9:2003","form":"pickle","tags":true,"queue_bytes":65536,"stuck_s":7},"collectd":{"address":"10.0.0.9:25826","host":"edge","security":{"encrypt":{"user":"edge","key":"a"}},"packet_bytes":1452},"listen":{"address":"127.0.0.1:25827","require":"signed","users":{"host":["b","c"]},"skew_s":300}}"#;
+const DOCUMENT: &str = concat!(
+    r#"{"interval_s":5,"points":2000,"cells":300,"names":{"3":"Bank"},"#,
+    r#""graphite":{"address":"10.0.0.9:2003","form":"pickle","tags":true,"queue_bytes":65536,"#,
+    r#""stuck_s":7},"collectd":{"address":"10.0.0.9:25826","host":"edge","#,
+    r#""security":{"encrypt":{"user":"edge","key":"a"}},"packet_bytes":1452},"#,
+    r#""listen":{"address":"127.0.0.1:25827","require":"signed","users":{"host":["b","c"]},"#,
+    r#""skew_s":300}}"#,
+);
 
 fn document() -> Telemetry {
     serde_json::from_str(DOCUMENT).expect("a document")
@@ -37,25 +44,31 @@
 
 #[test]
 fn field_out_of_range_is_rejected_with_its_path() {
-    assert_eq!(check(|d| d.interval_s = 0), rejected("interval_s", "0; 1 to 3600 will do"));
-    assert_eq!(check(|d| d.points = 999), rejected("points", "999; 1000 to 10000000 will do"));
-    assert_eq!(check(|d| d.cells = 99), rejected("cells", "99; 100 to 1000000 will do"));
-    let queue_bytes = check(|d| d.graphite.iter_mut().for_each(|graphite| graphite.queue_bytes = 1));
+    assert_eq!(check(|document| document.interval_s = 0), rejected("interval_s", "0; 1 to 3600 will do"));
+    assert_eq!(check(|document| document.points = 999), rejected("points", "999; 1000 to 10000000 will do"));
+    assert_eq!(check(|document| document.cells = 99), rejected("cells", "99; 100 to 1000000 will do"));
+    let queue_bytes =
+        check(|document| document.graphite.iter_mut().for_each(|graphite| graphite.queue_bytes = 1));
     assert_eq!(queue_bytes, rejected("graphite.queue_bytes", "1; 65536 to 1073741824 will do"));
-    let packet_bytes = check(|d| d.collectd.iter_mut().for_each(|collectd| collectd.packet_bytes = 1));
+    let packet_bytes =
+        check(|document| document.collectd.iter_mut().for_each(|collectd| collectd.packet_bytes = 1));
     assert_eq!(packet_bytes, rejected("collectd.packet_bytes", "1; 1024 to 65507 will do"));
-    let skew = check(|d| d.listen.iter_mut().for_each(|listen| listen.skew_s = 0));
+    let skew = check(|document| document.listen.iter_mut().for_each(|listen| listen.skew_s = 0));
     assert_eq!(skew, rejected("listen.skew_s", "0; 1 to 86400 will do"));
 }
 
 #[test]
 fn names_and_keys_missing_are_rejected_with_their_path() {
-    let host = check(|d| d.collectd.iter_mut().for_each(|collectd| collectd.host = Some(String::new())));
+    let host = check(|document| {
+        document.collectd.iter_mut().for_each(|collectd| collectd.host = Some(String::new()))
+    });
     assert_eq!(host, rejected("collectd.host", "1 to 127 bytes will do"));
     let user = User { user: "edge".into(), key: String::new() };
-    let key = check(|d| d.collectd.iter_mut().for_each(|c| c.security = Security::Sign(user.clone())));
+    let key = check(|document| {
+        document.collectd.iter_mut().for_each(|collectd| collectd.security = Security::Sign(user.clone()))
+    });
     assert_eq!(key, rejected("collectd.security", "a user of 1 to 127 bytes and a key are needed"));
-    let users = check(|d| d.listen.iter_mut().for_each(|listen| listen.users.clear()));
+    let users = check(|document| document.listen.iter_mut().for_each(|listen| listen.users.clear()));
     assert_eq!(users, rejected("listen.users", "packets must be secured, but there is no user with a key"));
 }
 
--- a/crates/telemetry/src/telemetry.rs
+++ b/crates/telemetry/src/telemetry.rs
@@ -1,4 +1,6 @@
-//! The parts of the reporting, and the order in which one iteration of the event loop goes through them.
+//! The reporting of a courier: its parts, and the order of the steps in one iteration of the event loop.
+//!
+//! [`Telemetry`] owns all state of the reporting. It never performs I/O; it returns actions as [`Output`]s.
 
 mod report_cycle;
 
@@ -36,24 +38,25 @@
     timestamps: Timestamps,
     receivers: Receivers,
     host: HostListener,
-    /// The gauges that the report under way shows.
+    /// The current values for the report in progress.
     current: CurrentState,
     report_statistics: ReportStatistics,
     outputs: Vec<Output>,
 }
 
-/// What the status page says of reports.
+/// Statistics of reports for the status page.
 #[derive(Clone, Copy, Debug, Default)]
 struct ReportStatistics {
     count: u64,
-    /// Points of the last one so far.
+    /// Number of points of the last report so far.
     last_points: usize,
-    /// How far the last timestamp was ahead of the wall clock.
+    /// How far the last timestamp was ahead of the wall clock, in seconds.
     timestamps_ahead_s: f64,
 }
 
 impl Telemetry {
-    /// Continues with what was found. Nothing is reported until [`Telemetry::configure`] names receivers.
+    /// Creates the reporting with the stored state of an earlier run. Nothing is reported while the settings
+    /// have no receivers.
     pub fn new(courier: CourierInfo, found: RestoredState, settings: Settings, now: Time) -> Telemetry {
         let class_names = courier.classes.iter().map(|class| class.name.clone()).collect();
         let restored = RestoredCounts::read(&found, class_names, settings.cells);
@@ -81,23 +84,23 @@
         telemetry
     }
 
-    /// All that a saved document must hold. What follows goes into a new log, which begins with
+    /// Returns the document with all counts. Later changes belong in a new log, which begins with
     /// [`Telemetry::log_header`].
     pub fn saved(&self) -> Saved {
         self.recording.saved(self.timestamps.last() / SECOND)
     }
 
-    /// The first frame of a log.
+    /// Returns the first frame of a new log.
     pub fn log_header(&self) -> Vec<u8> {
         encode_entry(&CounterLogEntry::Classes(self.recording.classes.names()))
     }
 
-    /// The settings in force.
+    /// Returns the current settings.
     pub fn settings(&self) -> &Settings {
         &self.settings
     }
 
-    /// Other settings from now on. What waits for a receiver that stays, stays.
+    /// Applies new settings. The buffer of a receiver that does not change is retained.
     pub fn configure(&mut self, settings: Settings, now: Time) {
         self.receivers.configure(&settings, &mut self.outputs);
         self.host.configure(settings.listen.as_ref());
@@ -106,18 +109,18 @@
         self.settings = settings;
     }
 
-    /// The endpoint list, whenever it changed.
+    /// Replaces the endpoint list.
     pub fn set_endpoints(&mut self, endpoints: impl Iterator<Item = ListedEndpoint>) {
         self.recording.limits.set_endpoints(endpoints);
     }
 
-    /// Something happened.
+    /// Records a delivery event.
     pub fn record(&mut self, event: &DeliveryEvent) {
         self.recording.record(event, &mut self.outputs);
     }
 
-    /// One iteration of the event loop: what was counted so far goes into the log, and a report is made and
-    /// sent when it is time. `current` is asked for when a report begins.
+    /// Performs one iteration of the event loop: logs the counts so far, and collects and sends reports that
+    /// are due. `current` is called when a report begins.
     pub fn process(&mut self, now: Time, wall: Time, current: impl FnOnce() -> CurrentState) {
         self.count_losses();
         self.recording.counters.log_if_due(now, &mut self.outputs);
@@ -133,17 +136,17 @@
         self.receivers.poll(now, &mut self.outputs);
     }
 
-    /// The process ends: one more report, at once.
+    /// Makes a report due at once, before the process ends.
     pub fn report_now(&mut self, now: Time) {
         self.schedule.report_now(now);
     }
 
-    /// Nothing is on its way to a receiver that is there.
+    /// Whether no report is in progress and no bytes wait for a connected receiver.
     pub fn is_idle(&self) -> bool {
         self.report.is_none() && self.receivers.is_idle()
     }
 
-    /// When [`Telemetry::process`] has something to do next, if nothing happens before.
+    /// Returns the time at which [`Telemetry::process`] must be called next if nothing happens before.
     pub fn next_wakeup(&self) -> Time {
         let mut wakeup = self.schedule.next_report();
         if let Some(connection_wakeup) = self.receivers.connection().and_then(ReceiverConnection::next_wakeup)
@@ -156,13 +159,13 @@
         wakeup
     }
 
-    /// What is to be done since the last call.
+    /// Removes and returns the actions since the last call.
     pub fn outputs(&mut self) -> Vec<Output> {
         std::mem::take(&mut self.outputs)
     }
 
-    /// The log is on disk, or could not be brought there: the part that waits for it may leave, with its
-    /// counts or without them.
+    /// Handles the result of a sync. The part of a report that waits for it is sent with its counts, or
+    /// without them if the sync failed.
     pub fn synced(&mut self, number: u64, result: Result<(), SyncError>) {
         let Some(report) = &mut self.report else { return };
         if !report.waits_for_sync(number) {
@@ -178,33 +181,33 @@
         }
     }
 
-    /// The connection to Graphite was established.
+    /// Handles that the connection to Graphite was established.
     pub fn connected(&mut self, now: Time) {
         if let Some(connection) = self.receivers.connection_mut() {
             connection.connected(now);
         }
     }
 
-    /// The connection to Graphite could not be established, or broke.
+    /// Handles that the connection to Graphite failed or broke.
     pub fn disconnected(&mut self, now: Time) {
         if let Some(connection) = self.receivers.connection_mut() {
             connection.disconnected(now);
         }
     }
 
-    /// The system has written so many bytes of the connection to Graphite.
+    /// Handles that the system has written `bytes` bytes since the connection to Graphite was established.
     pub fn acknowledged(&mut self, now: Time, bytes: u64) {
         if let Some(connection) = self.receivers.connection_mut() {
             connection.written(now, bytes);
         }
     }
 
-    /// A packet of the host's collectd came.
+    /// Handles a packet from the host's collectd.
     pub fn datagram_received(&mut self, packet: &[u8], now: Time, wall: Time) {
         self.host.packet_received(packet, now, wall, &mut self.outputs);
     }
 
-    /// How the reporting fares.
+    /// Returns the status of the reporting.
     pub fn status(&self, now: Time) -> Status {
         let store = self.recording.counters.store();
         let connection = self.receivers.connection();
@@ -222,7 +225,7 @@
         }
     }
 
-    /// All counts, by what they belong to.
+    /// Returns all counts by their owner.
     pub fn counts(&self) -> &BTreeMap<CounterKey, Counts> {
         self.recording.counters.cells()
     }
--- a/crates/telemetry/src/telemetry/report_cycle.rs
+++ b/crates/telemetry/src/telemetry/report_cycle.rs
@@ -1,4 +1,4 @@
-//! One report from its beginning to its end: collecting points, syncing the counter log, sending.
+//! The cycle of a report: collecting points, syncing the counter log, sending.
 
 use super::Telemetry;
 use crate::counts::{encode_entry, CounterKey, CounterLogEntry, Field};
@@ -9,12 +9,12 @@
 use crate::{LogEvent, Output, SyncError};
 use linnetcart::Time;
 
-/// A part of a report is sent without its counts if their log is not on disk after this.
+/// Maximum duration of a sync; after it, a part of a report is sent without its counts.
 const SYNC_TIMEOUT: Time = 20 * SECOND;
 
 impl Telemetry {
-    /// What is lost on the way to receivers, or rejected of the host's packets, is counted with everything
-    /// else.
+    /// Counts points that were lost, connections that failed and packets that were rejected since the last
+    /// call.
     pub(super) fn count_losses(&mut self) {
         let losses = self.receivers.take_losses();
         let rejections = self.host.take_rejections();
@@ -33,7 +33,7 @@
         }
         self.report_statistics.timestamps_ahead_s = as_seconds(ahead);
         self.report_statistics.count += 1;
-        // A restart must not give a timestamp that was used.
+        // Logged so that no timestamp is used again after a restart.
         let entry = CounterLogEntry::Timestamp(timestamp / SECOND);
         self.outputs.push(Output::Append(encode_entry(&entry)));
         self.recording.counters.log_changes(&mut self.outputs);
@@ -42,7 +42,7 @@
         self.report = Some(Report::new(timestamp, seconds, items));
     }
 
-    /// Goes on with the report under way by a slice.
+    /// Processes the next slice of the report in progress.
     pub(super) fn advance_report(&mut self, now: Time) {
         let Some(mut report) = self.report.take() else { return };
         match report.phase {
@@ -77,9 +77,9 @@
             outputs: &mut self.outputs,
         };
         collector.collect_slice(report);
-        self.report_statistics.last_points = report.points_made;
+        self.report_statistics.last_points = report.points_collected;
         if report.is_part_complete() {
-            // What the part shows is in the log before the sync.
+            // The counts of the part must be in the log before the sync.
             self.recording.counters.log_changes(&mut self.outputs);
             let number = self.counter_sync.request(&mut self.outputs);
             report.phase = ReportPhase::Syncing { number, since: now };
--- a/crates/telemetry/src/time.rs
+++ b/crates/telemetry/src/time.rs
@@ -2,10 +2,10 @@
 
 use linnetcart::Time;
 
-/// Nanoseconds of a second.
+/// Nanoseconds in a second.
 pub(crate) const SECOND: Time = 1_000_000_000;
 
-/// A duration in seconds.
+/// Converts a duration in nanoseconds to seconds.
 pub(crate) fn as_seconds(duration: Time) -> f64 {
     duration as f64 / SECOND as f64
 }
