Net tests share one connected pair; record errors of the codec are described exactly

Cause: two socket tests set up the same pair of connections; the comments of `RecordError` spoke of errors alone, while a batch with different outcomes has a message for each record.

Change: `ConnectedPair` and `connected_pair` in the socket tests; the two comments.

--- a/crates/kafka/src/server/response.rs
+++ b/crates/kafka/src/server/response.rs
@@ -160,12 +160,12 @@
         .with_isr_nodes(replicas)
 }
 
-/// The error message of one record.
+/// A message about one record of a batch whose records have different outcomes or are invalid.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RecordError {
     /// Index of the record in its batch.
     pub index: i32,
-    /// Why the record was not served.
+    /// The outcome of the record, or why it is invalid.
     pub message: String,
 }
 
@@ -180,7 +180,7 @@
     pub code: i16,
     /// Offset of the first record; -1 if no record was accepted.
     pub offset: i64,
-    /// Error messages of single records.
+    /// Messages about single records.
     pub record_errors: Vec<RecordError>,
     /// Error message of the partition.
     pub text: Option<String>,
--- a/crates/net/tests/sockets.rs
+++ b/crates/net/tests/sockets.rs
@@ -35,6 +35,23 @@
     accepted.expect("the poll ended with an accepted connection")
 }
 
+/// A connection of which both ends belong to the same event loop.
+struct ConnectedPair {
+    net: Net,
+    /// The end that connected.
+    client: Token,
+    /// The end that was accepted.
+    server: Token,
+}
+
+fn connected_pair() -> ConnectedPair {
+    let mut net = Net::new(10).unwrap();
+    let address = net.listen(ANY_PORT).unwrap().address;
+    let client = net.connect(address);
+    let server = poll_until_accepted(&mut net);
+    ConnectedPair { net, client, server }
+}
+
 fn poll_until_data(net: &mut Net, connection: Token, expected: &[u8]) {
     poll_until(
         net,
@@ -132,10 +149,7 @@
 
 #[test]
 fn paused_connection_resumed_reports_data() {
-    let mut net = Net::new(10).unwrap();
-    let address = net.listen(ANY_PORT).unwrap().address;
-    let client = net.connect(address);
-    let server = poll_until_accepted(&mut net);
+    let ConnectedPair { mut net, client, server } = connected_pair();
     net.pause_reads(server);
     net.send(client, b"x");
     for _ in 0..5 {
@@ -149,10 +163,7 @@
 
 #[test]
 fn half_closed_connection_still_receives_data() {
-    let mut net = Net::new(10).unwrap();
-    let address = net.listen(ANY_PORT).unwrap().address;
-    let client = net.connect(address);
-    let server = poll_until_accepted(&mut net);
+    let ConnectedPair { mut net, client, server } = connected_pair();
     net.shutdown_write(client);
     poll_until(&mut net, |event| matches!(event, Event::HalfClosed(token) if *token == server));
     net.send(server, b"late");
