Telemetry: log outputs name their level, host metrics are updated one function a kind

Cause: `Output::Log` and `Output::Info` did not say that the first is a warning; `HostStatus::update` and the reading of notifications nested matches.

Change: `Output::LogWarning` and `Output::LogInfo`; `update_load`, `update_link`, `update_disk` and `is_fault`. The user in edge is adjusted.

--- a/crates/edge/src/shell/telemetry.rs
+++ b/crates/edge/src/shell/telemetry.rs
@@ -267,8 +267,8 @@
                 Output::Datagram(address, packet) => {
                     reporting.send_datagram(&mut self.net, address, &packet);
                 }
-                Output::Log(event) => warnings.push(event),
-                Output::Info(event) => log_event(&event),
+                Output::LogWarning(event) => warnings.push(event),
+                Output::LogInfo(event) => log_event(&event),
             }
         }
         for event in warnings {
--- a/crates/telemetry/src/counter_sync.rs
+++ b/crates/telemetry/src/counter_sync.rs
@@ -26,14 +26,14 @@
 
     pub(crate) fn succeeded(&mut self, outputs: &mut Vec<Output>) {
         if self.is_failing {
-            outputs.push(Output::Log(LogEvent::CountsReportedAgain));
+            outputs.push(Output::LogWarning(LogEvent::CountsReportedAgain));
         }
         self.is_failing = false;
     }
 
     pub(crate) fn failed(&mut self, reason: SyncError, outputs: &mut Vec<Output>) {
         if !self.is_failing {
-            outputs.push(Output::Log(LogEvent::CountsWithheld { reason }));
+            outputs.push(Output::LogWarning(LogEvent::CountsWithheld { reason }));
         }
         self.is_failing = true;
     }
--- a/crates/telemetry/src/counter_sync/tests.rs
+++ b/crates/telemetry/src/counter_sync/tests.rs
@@ -21,5 +21,5 @@
     sync.succeeded(&mut outputs);
     assert!(!sync.is_failing());
     let withheld = LogEvent::CountsWithheld { reason: SyncError::Timeout };
-    assert_eq!(outputs, [Output::Log(withheld), Output::Log(LogEvent::CountsReportedAgain)]);
+    assert_eq!(outputs, [Output::LogWarning(withheld), Output::LogWarning(LogEvent::CountsReportedAgain)]);
 }
--- a/crates/telemetry/src/host.rs
+++ b/crates/telemetry/src/host.rs
@@ -112,11 +112,10 @@
         let mut notifications = Vec::new();
         for item in items {
             match item {
-                PacketItem::Notification { header, severity, text } => {
-                    if severity <= Severity::Warning as u64 {
-                        notifications.push(HostNotification::new(header.host, severity, &text));
-                    }
+                PacketItem::Notification { header, severity, text } if is_fault(severity) => {
+                    notifications.push(HostNotification::new(header.host, severity, &text));
                 }
+                PacketItem::Notification { .. } => {}
                 PacketItem::Values { header, values } => self.accept_values(header, values, wall),
             }
         }
@@ -143,6 +142,11 @@
     }
 }
 
+/// Whether a notification of this severity reports a fault, rather than the end of one.
+fn is_fault(severity: u64) -> bool {
+    severity <= Severity::Warning as u64
+}
+
 impl SeriesKey {
     fn new(header: &ItemHeader) -> SeriesKey {
         SeriesKey {
@@ -180,26 +184,31 @@
             self.hosts.push(header.host.clone());
         }
         match (header.plugin.as_str(), header.type_name.as_str()) {
-            ("load", "load") => {
-                if let [one, five, fifteen] = values {
-                    self.load = Some(LoadAverages {
-                        one_minute: one.as_f64(),
-                        five_minutes: five.as_f64(),
-                        fifteen_minutes: fifteen.as_f64(),
-                    });
-                }
-            }
-            ("interface", "if_octets") => {
-                if let &[received, sent, ..] = rates {
-                    self.links.insert(header.plugin_instance.clone(), LinkRates { received, sent });
-                }
-            }
-            ("disk", "disk_octets") => {
-                if let &[read, written, ..] = rates {
-                    self.disks.insert(header.plugin_instance.clone(), DiskRates { read, written });
-                }
-            }
+            ("load", "load") => self.update_load(values),
+            ("interface", "if_octets") => self.update_link(&header.plugin_instance, rates),
+            ("disk", "disk_octets") => self.update_disk(&header.plugin_instance, rates),
             _ => {}
         }
     }
+
+    fn update_load(&mut self, values: &[MetricValue]) {
+        let [one, five, fifteen] = values else { return };
+        self.load = Some(LoadAverages {
+            one_minute: one.as_f64(),
+            five_minutes: five.as_f64(),
+            fifteen_minutes: fifteen.as_f64(),
+        });
+    }
+
+    fn update_link(&mut self, link: &str, rates: &[f64]) {
+        if let &[received, sent, ..] = rates {
+            self.links.insert(link.to_owned(), LinkRates { received, sent });
+        }
+    }
+
+    fn update_disk(&mut self, disk: &str, rates: &[f64]) {
+        if let &[read, written, ..] = rates {
+            self.disks.insert(disk.to_owned(), DiskRates { read, written });
+        }
+    }
 }
--- a/crates/telemetry/src/host_listener.rs
+++ b/crates/telemetry/src/host_listener.rs
@@ -42,7 +42,7 @@
         outputs: &mut Vec<Output>,
     ) {
         let event = self.monitor.as_mut().and_then(|monitor| monitor.packet_received(packet, now, wall));
-        outputs.extend(event.map(Output::Log));
+        outputs.extend(event.map(Output::LogWarning));
     }
 
     pub(crate) fn status(&self, now: Time) -> Option<HostStatus> {
@@ -64,6 +64,6 @@
         }
         self.next_summary = now + SUMMARY_INTERVAL;
         let status = self.status(now).filter(|status| status.age_s.is_some());
-        outputs.extend(status.map(|status| Output::Info(LogEvent::HostMetrics(status))));
+        outputs.extend(status.map(|status| Output::LogInfo(LogEvent::HostMetrics(status))));
     }
 }
--- a/crates/telemetry/src/interface.rs
+++ b/crates/telemetry/src/interface.rs
@@ -83,10 +83,10 @@
     Graphite(ConnectionAction),
     /// Send a datagram to collectd.
     Datagram(SocketAddr, Bytes),
-    /// Log a warning.
-    Log(LogEvent),
+    /// Log at warning level.
+    LogWarning(LogEvent),
     /// Log at info level.
-    Info(LogEvent),
+    LogInfo(LogEvent),
 }
 
 /// Why a sync of the counter log failed.
--- a/crates/telemetry/src/telemetry/report_cycle.rs
+++ b/crates/telemetry/src/telemetry/report_cycle.rs
@@ -29,7 +29,7 @@
         let was_ahead = self.report_statistics.timestamps_ahead_s > 0.0;
         if ahead > SECOND && !was_ahead {
             let event = LogEvent::ClockSetBack { timestamps_ahead_s: ahead / SECOND };
-            self.outputs.push(Output::Log(event));
+            self.outputs.push(Output::LogWarning(event));
         }
         self.report_statistics.timestamps_ahead_s = as_seconds(ahead);
         self.report_statistics.count += 1;
--- a/crates/telemetry/tests/virtual_time/fixture.rs
+++ b/crates/telemetry/tests/virtual_time/fixture.rs
@@ -191,7 +191,7 @@
                 self.receiver.connection_closed();
             }
             Output::Datagram(_, packet) => self.receive_datagram(&packet),
-            Output::Log(event) | Output::Info(event) => self.logged.push(event),
+            Output::LogWarning(event) | Output::LogInfo(event) => self.logged.push(event),
         }
     }
 
