--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -65,8 +65,10 @@
 
 /// Runs the courier until a signal ends it.
 ///
-/// # Errors If the configuration or the journal cannot be used at startup, if the event loop fails, or if the
-/// journal cannot be written for too long.
+/// # Errors
+///
+/// If the configuration or the journal cannot be used at startup, if the event loop fails, or if the journal cannot
+/// be written for too long.
 pub fn run(environment: Environment) -> anyhow::Result<()> {
     startup::start(environment)?.serve()
 }
--- a/crates/platform/src/shell/startup.rs
+++ b/crates/platform/src/shell/startup.rs
@@ -11,7 +11,7 @@
 use anyhow::Context;
 use calloop::signals::Signal;
 use linnetcart_journal::{JournalDirectory, JournalError, OpenedJournal};
-use linnetcart_net::Net;
+use linnetcart_net::{Net, ReadLimits};
 use std::collections::BTreeSet;
 use std::path::Path;
 use std::time::Instant;
@@ -50,7 +50,7 @@
     let core = Core::new(config, replay, CLOCK_START, wall);
     let journal = JournalWriter::begin(directory, journal_capacity, &core)
         .with_context(|| format!("the journal in {state} cannot be written; make room there"))?;
-    let (listener, _) =
+    let listener =
         net.listen(listen).with_context(|| format!("cannot listen on {listen}; RELAY_CONFIG names it"))?;
     tracing::info!(%listen, "ready");
     Ok(Shell {
@@ -58,7 +58,7 @@
         core,
         journal,
         log: CoreLog::default(),
-        listener,
+        listener: listener.token,
         clients: BTreeSet::new(),
         upstream: UpstreamTokens::default(),
         started_at,
@@ -69,7 +69,7 @@
 
 fn configure_limits(net: &mut Net, config: &Config) {
     net.set_max_connections(config.limits.file_descriptors.saturating_sub(RESERVED_FILE_DESCRIPTORS));
-    net.set_read_limits(READ_BUFFER_BYTES, READS_PER_POLL);
+    net.set_read_limits(ReadLimits { buffer_bytes: READ_BUFFER_BYTES, reads_per_poll: READS_PER_POLL });
 }
 
 /// Opens the journal and replays the records that the previous process left.
