--- a/crates/platform/src/records/tests.rs
+++ b/crates/platform/src/records/tests.rs
@@ -9,7 +9,7 @@
 
 /// Encodes a record to exactly these bytes, and reads the same bytes back.
 fn assert_stored(record: Record, kind: u8, payload: &[u8]) {
-    assert_eq!(record.encode(), (kind, payload.to_vec()), "{record:?}");
+    assert_eq!(record.encode(), raw(kind, payload), "{record:?}");
     assert_eq!(Record::decode(&raw(kind, payload)), Some(record));
 }
 
@@ -74,7 +74,7 @@
 #[test]
 fn unknown_or_short_record_not_decoded() {
     assert_eq!(Record::decode(&raw(9, &[1, 0, 0, 0])), None, "an unknown kind");
-    assert_eq!(Record::decode(&raw(4, &[1, 0, 0, 0, 3, 0, 0, 0, 0])), None, "an unknown end");
+    assert_eq!(Record::decode(&raw(4, &[1, 0, 0, 0, 3, 0, 0, 0, 0])), None, "an unknown outcome");
     assert_eq!(Record::decode(&raw(2, &[1, 0, 0, 0, 3, 0, 4, 5])), None, "too short");
 }
 
--- a/crates/scenario/src/runner/endpoints.rs
+++ b/crates/scenario/src/runner/endpoints.rs
@@ -154,7 +154,7 @@
                 self.transport.send(token, &bytes);
             }
             Body::Fetch(topics) => {
-                self.transport.send(token, &server::not_readable(id.correlation, &topics));
+                self.transport.send(token, &server::fetch_rejected(id.correlation, &topics));
             }
             Body::Produce(produce) => self.receive_call(token, id, produce),
         }
--- a/crates/telemetry/src/recording.rs
+++ b/crates/telemetry/src/recording.rs
@@ -1,4 +1,4 @@
-//! Recording of delivery events: what each of them adds to counts, latencies and the state of limits.
+//! Recording of delivery events in counts, latencies and the state of limits.
 
 use crate::classes::ClassTable;
 use crate::counters::{Counters, RestoredCounts};
@@ -13,7 +13,7 @@
 #[cfg(test)]
 mod tests;
 
-/// All that delivery events change. Counts are kept for good, everything else is of now.
+/// All state that delivery events change. Counts are permanent; everything else is current state.
 #[derive(Debug)]
 pub(crate) struct Recording {
     pub(crate) counters: Counters,
@@ -23,7 +23,7 @@
     pub(crate) names: DestinationNames,
 }
 
-/// What an attempt counts for.
+/// The owners of the counts of an attempt.
 #[derive(Clone, Copy, Debug)]
 struct AttemptKey {
     class: u8,
@@ -43,7 +43,7 @@
         }
     }
 
-    /// All counts and names, to be saved with the last timestamp.
+    /// Returns the document with all counts, names and the last timestamp.
     pub(crate) fn saved(&self, last_timestamp_s: u64) -> Saved {
         self.counters.store().saved(self.names.owners(), last_timestamp_s)
     }
@@ -78,14 +78,14 @@
     }
 
     fn accepted(&mut self, class: u8, destination: u32) {
-        let key = CounterKey::Cell(destination, class);
+        let key = CounterKey::Cell { destination, class };
         self.counters.add(key, Field::Accepted, 1);
         self.counters.add(key, Field::WeightOffered, self.classes.weight_milli(class));
     }
 
     fn rejected(&mut self, class: u8, destination: u32) {
         self.counters.require_log();
-        let key = CounterKey::Cell(destination, class);
+        let key = CounterKey::Cell { destination, class };
         let weight = self.classes.weight_milli(class);
         self.counters.add(key, Field::RejectedBeforeAccept, 1);
         self.counters.add(key, Field::WeightOffered, weight);
@@ -93,14 +93,14 @@
     }
 
     fn client_cancelled(&mut self, class: u8, destination: u32) {
-        let key = CounterKey::Cell(destination, class);
+        let key = CounterKey::Cell { destination, class };
         self.counters.add(key, Field::ClientCancelled, 1);
         self.counters.add(key, Field::WeightLost, self.classes.weight_milli(class));
     }
 
     fn completed(&mut self, class: u8, destination: u32, answer: FinalAnswer, elapsed: Time) {
         self.counters.require_log();
-        let key = CounterKey::Cell(destination, class);
+        let key = CounterKey::Cell { destination, class };
         match answer {
             FinalAnswer::Served => self.served(class, key, elapsed),
             FinalAnswer::Rejected { .. } => self.not_served(class, key, Field::RejectedAfterAccept),
@@ -155,11 +155,15 @@
         }
     }
 
-    /// Adds to the counts of the destination and class, and of the route if it is a separate one.
+    /// Adds to the counts of the destination and class, and of the route if it is independent.
     fn add_for_attempt(&mut self, key: AttemptKey, field: Field, increase: u64) {
-        self.counters.add(CounterKey::Cell(key.destination, key.class), field, increase);
+        self.counters.add(
+            CounterKey::Cell { destination: key.destination, class: key.class },
+            field,
+            increase,
+        );
         if self.limits.is_route(key.endpoint) {
-            self.counters.add(CounterKey::Route(key.endpoint), field, increase);
+            self.counters.add(CounterKey::Route { endpoint: key.endpoint }, field, increase);
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,4 +1,4 @@
-//! What the decision library keeps between decision cycles, one file a structure.
+//! What the decision library remembers between decision cycles, one file a structure.
 //!
 //! It owns tables and indexes and keeps them consistent. It never decides and has no tuned values: both are
 //! in [`crate::policy`].
@@ -16,24 +16,26 @@
 mod shed_order;
 mod table;
 mod wait_queue;
+mod wake_up;
 
-pub(crate) use attempt::{AttemptId, Call, FinishedAttempt, InFlightAttempt};
+pub(crate) use attempt::{AttemptId, AttemptTable, FinishedAttempt, InFlightAttempt};
 pub(crate) use deadline_index::{AttemptGroup, DeadlineIndex, DueAttempt, SentAttempt};
 pub(crate) use destination::{Destination, LimitScope};
 pub(crate) use dispatch_state::{DispatchState, GroupSpans, Silence};
 pub(crate) use endpoint::{EndpointState, ListPoll, OpenCall};
 pub(crate) use key_queue::KeyQueues;
 pub(crate) use latency::LatencySamples;
-pub(crate) use limiter::{CircuitState, EjectionCause, Limiter};
+pub(crate) use limiter::{CircuitState, EjectionCause, LimitContext, Limiter};
 pub(crate) use message::{Message, PossibleExecution, QueuePosition, RecoveredAttempts};
 pub(crate) use random::Random;
-pub(crate) use shed_order::least_weight;
+pub(crate) use shed_order::ShedSearch;
 pub(crate) use table::Table;
 pub(crate) use wait_queue::{DestinationQueue, MessageTime, QueueEntry, QueueState, WaitQueue};
+pub(crate) use wake_up::WakeUpTimer;
 
 use crate::interface::Time;
 
-/// A span in seconds.
+/// Converts a span of time to seconds.
 pub(crate) fn seconds(span: Time) -> f64 {
     span as f64 / 1e9
 }
