Emulator: an incarnation of a courier is one value; documentation builds without warnings

Cause: Functions of network and connections took courier and incarnation as two numbers beside each other, and a public doc comment linked to a private constant. Comments of repeated faults did not say "period".

Change: `CourierIncarnation` in place of the two numbers, within the emulator. The stored model in model/tests.rs is written on two lines; its text is the same. Three comments are corrected.

--- a/crates/emulator/src/connections.rs
+++ b/crates/emulator/src/connections.rs
@@ -7,6 +7,7 @@
 #[cfg(test)]
 mod tests;
 
+use crate::host::CourierIncarnation;
 use crate::model::DelayDistribution;
 pub use connection::{
     Connection, Direction, Peer, PerDirection, QueuedSegment, Segment, Side, StreamId, SOCKET_BUFFER_BYTES,
@@ -64,25 +65,25 @@
 
 impl ConnectionTable {
     /// Opens a connection of a client. The courier's id of the client is the token.
-    pub fn open_from_client(&mut self, now: Time, courier: u32, incarnation: u32) -> Token {
+    pub fn open_from_client(&mut self, now: Time, program: CourierIncarnation) -> Token {
         let token = self.next_token();
+        let courier = program.courier;
         self.by_client.insert(LocalId { courier, id: token }, token);
-        self.insert(token, Connection::new(courier, incarnation, Peer::Client(token), now))
+        self.insert(token, Connection::new(program, Peer::Client(token), now))
     }
 
     /// Opens a connection to an endpoint under the courier's id for it.
     pub fn open_to_endpoint(
         &mut self,
         now: Time,
-        courier: u32,
-        incarnation: u32,
+        program: CourierIncarnation,
         upstream: UpstreamId,
         endpoint: u32,
     ) -> Token {
         let token = self.next_token();
-        self.by_upstream.insert(LocalId { courier, id: upstream }, token);
+        self.by_upstream.insert(LocalId { courier: program.courier, id: upstream }, token);
         let peer = Peer::Endpoint { upstream, endpoint };
-        self.insert(token, Connection::new(courier, incarnation, peer, now))
+        self.insert(token, Connection::new(program, peer, now))
     }
 
     fn next_token(&mut self) -> Token {
--- a/crates/emulator/src/connections/connection.rs
+++ b/crates/emulator/src/connections/connection.rs
@@ -1,5 +1,6 @@
 //! One connection: its two directions, and which of its ends are open.
 
+use crate::host::CourierIncarnation;
 use bytes::Bytes;
 use linnetcart_conformance::Time;
 use linnetcart_edge::core::{ClientId, UpstreamId};
@@ -190,10 +191,10 @@
 }
 
 impl Connection {
-    pub(super) fn new(courier: u32, incarnation: u32, peer: Peer, opened_at: Time) -> Connection {
+    pub(super) fn new(program: CourierIncarnation, peer: Peer, opened_at: Time) -> Connection {
         Connection {
-            courier,
-            incarnation,
+            courier: program.courier,
+            incarnation: program.incarnation,
             peer,
             opened_at,
             courier_received_data: false,
@@ -204,6 +205,11 @@
         }
     }
 
+    /// Returns the incarnation of the courier that the connection belongs to.
+    pub fn program(&self) -> CourierIncarnation {
+        CourierIncarnation { courier: self.courier, incarnation: self.incarnation }
+    }
+
     /// Returns the fraction of the next data segment in this direction that still arrives if the connection
     /// broke, and `None` if it did not break.
     pub fn surviving_fraction(&self, direction: Direction) -> Option<f64> {
--- a/crates/emulator/src/connections/tests.rs
+++ b/crates/emulator/src/connections/tests.rs
@@ -8,9 +8,13 @@
     Segment::Data(Bytes::from_static(text.as_bytes()))
 }
 
+fn program_of(courier: u32) -> CourierIncarnation {
+    CourierIncarnation { courier, incarnation: 0 }
+}
+
 fn table_with_connection() -> (ConnectionTable, Token) {
     let mut connections = ConnectionTable::default();
-    let token = connections.open_to_endpoint(0, 0, 0, 1, 7);
+    let token = connections.open_to_endpoint(0, program_of(0), 1, 7);
     (connections, token)
 }
 
@@ -34,7 +38,7 @@
 fn partition_of_one_direction_queues_its_segments_and_releases_them_in_order() {
     let mut rng = ChaCha8Rng::seed_from_u64(1);
     let (mut connections, token) = table_with_connection();
-    let other = connections.open_to_endpoint(0, 1, 0, 2, 7);
+    let other = connections.open_to_endpoint(0, program_of(1), 2, 7);
     let incoming =
         Block { courier: 0, clients: false, endpoints: true, to_courier: true, from_courier: false };
     connections.begin_partition(3, vec![incoming]);
--- a/crates/emulator/src/host.rs
+++ b/crates/emulator/src/host.rs
@@ -20,6 +20,15 @@
 /// Longest interval between two polls of an idle event loop.
 const MAX_POLL_INTERVAL: Time = 10_000_000;
 
+/// One incarnation of the program on a courier's host. Each start of the program begins the next incarnation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CourierIncarnation {
+    /// The courier.
+    pub courier: u32,
+    /// The number of the incarnation.
+    pub incarnation: u32,
+}
+
 /// The result of one iteration of the event loop.
 #[derive(Debug, Default)]
 pub struct IterationResult {
--- a/crates/emulator/src/host/clock.rs
+++ b/crates/emulator/src/host/clock.rs
@@ -11,7 +11,7 @@
 /// How the clocks of a host deviate from the network's clock.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ClockDeviation {
-    /// How far the monotonic clock is ahead of [`MONOTONIC_START`] when the program starts.
+    /// How far the monotonic clock is ahead of its earliest possible reading when the program starts.
     pub monotonic_ahead: Time,
     /// Drift of the monotonic clock in parts per million; positive if it runs fast.
     pub drift_ppm: i64,
--- a/crates/emulator/src/model/tests.rs
+++ b/crates/emulator/src/model/tests.rs
@@ -1,7 +1,10 @@
 use super::*;
 
-/// The model as recipes of version 0.1.0 hold it.
-const STORED: &str = r#"{"pace":{"turn":20000,"each":8000,"save":3000000},"delay":{"least":30000,"more":15000},"drift":50,"apart":5000000000}"#;
+/// The model as stored in recipes of version 0.1.0.
+const STORED: &str = concat!(
+    r#"{"pace":{"turn":20000,"each":8000,"save":3000000},"delay":{"least":30000,"more":15000},"#,
+    r#""drift":50,"apart":5000000000}"#,
+);
 
 #[test]
 fn model_of_an_earlier_recipe_is_read_and_written_unchanged() {
--- a/crates/emulator/src/network.rs
+++ b/crates/emulator/src/network.rs
@@ -8,7 +8,7 @@
 use crate::connections::{ConnectionTable, Direction, Peer, Segment, SendKind, Side, Transmission};
 use crate::disk::Disk;
 use crate::event_queue::EventQueue;
-use crate::host::{Host, Input};
+use crate::host::{CourierIncarnation, Host, Input};
 use crate::model::Model;
 use crate::trace::DeliveryTrace;
 use bytes::Bytes;
@@ -89,9 +89,9 @@
     /// A segment arrives.
     Arrival { token: Token, direction: Direction, segment: Segment, sent_at: Time },
     /// A document arrives at a control interface.
-    ControlPut { courier: u32, incarnation: u32, path: &'static str, body: String },
+    ControlPut { program: CourierIncarnation, path: &'static str, body: String },
     /// The reply of a control interface arrives.
-    ControlReply { courier: u32, incarnation: u32, reply: Result<(), String> },
+    ControlReply { program: CourierIncarnation, reply: Result<(), String> },
 }
 
 /// The hosts, their disks, and the network between them and the scenario.
@@ -193,11 +193,12 @@
                 self.connections.note_arrival(self.now(), sent_at, token, direction, &segment);
                 self.deliver(token, direction, segment)
             }
-            Event::ControlPut { courier, incarnation, path, body } => {
-                self.deliver_to_host(courier, incarnation, Input::ControlPut { path, body });
+            Event::ControlPut { program, path, body } => {
+                self.deliver_to_host(program, Input::ControlPut { path, body });
                 None
             }
-            Event::ControlReply { courier, incarnation, reply } => {
+            Event::ControlReply { program, reply } => {
+                let CourierIncarnation { courier, incarnation } = program;
                 Some(ScenarioInput::ControlReply { courier, incarnation, reply })
             }
         }
--- a/crates/emulator/src/network/arrivals.rs
+++ b/crates/emulator/src/network/arrivals.rs
@@ -2,7 +2,7 @@
 
 use super::{Network, ScenarioInput};
 use crate::connections::{Direction, Peer, Segment, Side};
-use crate::host::Input;
+use crate::host::{CourierIncarnation, Input};
 use linnetcart_edge::core::{ClientId, UpstreamId};
 use linnetcart_scenario::runner::Token;
 use sha2::Digest;
@@ -105,27 +105,25 @@
 
     fn deliver_to_courier(&mut self, token: Token, segment: Segment) {
         let Some(connection) = self.connections.get(token) else { return };
-        let courier = connection.courier;
-        let incarnation = connection.incarnation;
+        let program = connection.program();
         let input = match connection.peer {
-            Peer::Client(client) => self.client_input(token, courier, incarnation, client, segment),
+            Peer::Client(client) => self.client_input(token, program, client, segment),
             Peer::Endpoint { upstream, .. } => self.upstream_input(token, upstream, segment),
         };
         if let Some(input) = input {
-            self.deliver_to_host(courier, incarnation, input);
+            self.deliver_to_host(program, input);
         }
     }
 
     fn client_input(
         &mut self,
         token: Token,
-        courier: u32,
-        incarnation: u32,
+        program: CourierIncarnation,
         client: ClientId,
         segment: Segment,
     ) -> Option<Input> {
         match segment {
-            Segment::Connect if self.is_accepting(courier, incarnation) => {
+            Segment::Connect if self.is_accepting(program) => {
                 // The host's system accepts the connection, even if the program is suspended.
                 self.transmit(token, Direction::FromCourier, Segment::Connected);
                 Some(Input::ClientConnected(client))
--- a/crates/emulator/src/network/hosts.rs
+++ b/crates/emulator/src/network/hosts.rs
@@ -2,7 +2,7 @@
 
 use super::{endpoint_at, Event, Network, CONTROL_DELAY};
 use crate::connections::{Direction, Segment, Side};
-use crate::host::{Host, Input, IterationResult};
+use crate::host::{CourierIncarnation, Host, Input, IterationResult};
 use bytes::Bytes;
 use linnetcart_conformance::Time;
 use linnetcart_edge::core::{ClientId, Output, UpstreamId};
@@ -29,20 +29,20 @@
         unfinished.map(|(&courier, _)| courier).collect()
     }
 
-    pub(super) fn is_accepting(&self, courier: u32, incarnation: u32) -> bool {
-        let Some(host) = self.hosts.get(&courier) else { return false };
-        host.incarnation == incarnation && host.is_accepting()
+    pub(super) fn is_accepting(&self, program: CourierIncarnation) -> bool {
+        let Some(host) = self.hosts.get(&program.courier) else { return false };
+        host.incarnation == program.incarnation && host.is_accepting()
     }
 
-    fn host(&mut self, courier: u32, incarnation: u32) -> Option<&mut Host> {
-        self.hosts.get_mut(&courier).filter(|host| host.incarnation == incarnation)
+    fn host(&mut self, program: CourierIncarnation) -> Option<&mut Host> {
+        self.hosts.get_mut(&program.courier).filter(|host| host.incarnation == program.incarnation)
     }
 
     /// Passes an input to a host, unless the host is no longer in this incarnation.
-    pub(super) fn deliver_to_host(&mut self, courier: u32, incarnation: u32, input: Input) {
-        if let Some(host) = self.host(courier, incarnation) {
+    pub(super) fn deliver_to_host(&mut self, program: CourierIncarnation, input: Input) {
+        if let Some(host) = self.host(program) {
             host.receive(input);
-            self.schedule_iteration(courier);
+            self.schedule_iteration(program.courier);
         }
     }
 
@@ -70,39 +70,40 @@
             return;
         }
         let disk = self.disks.entry(courier).or_default();
-        let incarnation = host.incarnation;
+        let program = CourierIncarnation { courier, incarnation: host.incarnation };
         let result = host.run_iteration(now, &self.model.loop_costs, disk);
         if let Some(trace) = &mut self.trace {
-            trace.add(now, courier, incarnation, &result.delivery_events);
+            trace.add(now, program, &result.delivery_events);
         }
-        self.apply_result(courier, incarnation, result);
+        self.apply_result(program, result);
         self.schedule_iteration(courier);
     }
 
     /// Carries out the result of an iteration. All its outputs leave at the end of the iteration.
-    fn apply_result(&mut self, courier: u32, incarnation: u32, result: IterationResult) {
+    fn apply_result(&mut self, program: CourierIncarnation, result: IterationResult) {
         let began = self.now();
         self.events.set_now(began + result.duration);
         for client in result.rejected_clients {
-            self.close_client(courier, client);
+            self.close_client(program.courier, client);
         }
         for reply in result.control_replies {
             let due = self.now() + CONTROL_DELAY;
-            self.events.schedule(due, Event::ControlReply { courier, incarnation, reply });
+            self.events.schedule(due, Event::ControlReply { program, reply });
         }
         for output in result.outputs {
-            self.apply_output(courier, incarnation, output);
+            self.apply_output(program, output);
         }
         self.events.set_now(began);
     }
 
-    fn apply_output(&mut self, courier: u32, incarnation: u32, output: Output) {
+    fn apply_output(&mut self, program: CourierIncarnation, output: Output) {
+        let courier = program.courier;
         match output {
-            Output::ToClient(client, bytes) => self.send_to_client(courier, incarnation, client, bytes),
+            Output::ToClient(client, bytes) => self.send_to_client(program, client, bytes),
             Output::CloseClient(client) => self.close_client(courier, client),
             // Reading is not paused here: the courier's own limits must hold without it.
             Output::PauseClient(_) | Output::ResumeClient(_) => {}
-            Output::Connect(upstream, address) => self.connect(courier, incarnation, upstream, address),
+            Output::Connect(upstream, address) => self.connect(program, upstream, address),
             Output::ToUpstream(upstream, bytes) => {
                 if let Some(token) = self.connections.of_upstream(courier, upstream) {
                     self.transmit(token, Direction::FromCourier, Segment::Data(bytes));
@@ -117,13 +118,13 @@
         }
     }
 
-    fn send_to_client(&mut self, courier: u32, incarnation: u32, client: ClientId, bytes: Bytes) {
-        let Some(token) = self.connections.of_client(courier, client) else { return };
+    fn send_to_client(&mut self, program: CourierIncarnation, client: ClientId, bytes: Bytes) {
+        let Some(token) = self.connections.of_client(program.courier, client) else { return };
         self.transmit(token, Direction::FromCourier, Segment::Data(bytes));
         let backlog = self.connections.backlog(token);
         if backlog > 0 {
             let input = Input::ClientBacklog(client, backlog as usize);
-            self.deliver_to_host(courier, incarnation, input);
+            self.deliver_to_host(program, input);
         }
     }
 
@@ -133,10 +134,10 @@
         }
     }
 
-    fn connect(&mut self, courier: u32, incarnation: u32, upstream: UpstreamId, address: SocketAddr) {
+    fn connect(&mut self, program: CourierIncarnation, upstream: UpstreamId, address: SocketAddr) {
         let now = self.now();
         let endpoint = endpoint_at(address);
-        let token = self.connections.open_to_endpoint(now, courier, incarnation, upstream, endpoint);
+        let token = self.connections.open_to_endpoint(now, program, upstream, endpoint);
         self.update_peak_connections();
         self.transmit(token, Direction::FromCourier, Segment::Connect);
     }
--- a/crates/emulator/src/network/transport.rs
+++ b/crates/emulator/src/network/transport.rs
@@ -3,7 +3,7 @@
 use super::{endpoint_address, Event, Network, CONTROL_DELAY, PORT};
 use crate::connections::{Block, Direction, PerDirection, Segment, SendKind, Side, StreamId};
 use crate::disk::Crash;
-use crate::host::{ClockDeviation, Host, WALL_CLOCK_START};
+use crate::host::{ClockDeviation, CourierIncarnation, Host, WALL_CLOCK_START};
 use bytes::Bytes;
 use linnetcart_conformance::Time;
 use linnetcart_edge::core::StartOptions;
@@ -68,7 +68,8 @@
     fn connect(&mut self, courier: u32) -> Token {
         let incarnation = self.hosts.get(&courier).map_or(NO_INCARNATION, |host| host.incarnation);
         let now = self.now();
-        let token = self.connections.open_from_client(now, courier, incarnation);
+        let program = CourierIncarnation { courier, incarnation };
+        let token = self.connections.open_from_client(now, program);
         self.update_peak_connections();
         self.transmit(token, Direction::ToCourier, Segment::Connect);
         token
@@ -128,7 +129,8 @@
 
     fn put(&mut self, courier: u32, incarnation: u32, path: &'static str, body: String) {
         let due = self.now() + CONTROL_DELAY;
-        self.events.schedule(due, Event::ControlPut { courier, incarnation, path, body });
+        let program = CourierIncarnation { courier, incarnation };
+        self.events.schedule(due, Event::ControlPut { program, path, body });
     }
 
     fn open(&mut self, endpoint: u32) -> Result<(), TransportError> {
--- a/crates/emulator/src/trace.rs
+++ b/crates/emulator/src/trace.rs
@@ -1,5 +1,6 @@
 //! The trace of a run: the delivery events of all couriers in order, of one message or of all.
 
+use crate::host::CourierIncarnation;
 use linnetcart_conformance::Time;
 use linnetcart_edge::delivery_events::DeliveryEvent;
 use std::collections::BTreeMap;
@@ -20,8 +21,7 @@
 /// The number of a message in one incarnation of a courier.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct LocalMessage {
-    courier: u32,
-    incarnation: u32,
+    program: CourierIncarnation,
     number: u32,
 }
 
@@ -43,14 +43,15 @@
     }
 
     /// Adds the events of one iteration of a courier's event loop.
-    pub fn add(&mut self, at: Time, courier: u32, incarnation: u32, events: &[DeliveryEvent]) {
+    pub fn add(&mut self, at: Time, program: CourierIncarnation, events: &[DeliveryEvent]) {
+        let CourierIncarnation { courier, incarnation } = program;
         for event in events {
             if let DeliveryEvent::Accepted { message, name, .. } = event {
-                let local = LocalMessage { courier, incarnation, number: *message };
+                let local = LocalMessage { program, number: *message };
                 self.note_accepted(local, name);
             }
             let is_traced = match message_number(event) {
-                Some(number) => self.names.contains_key(&LocalMessage { courier, incarnation, number }),
+                Some(number) => self.names.contains_key(&LocalMessage { program, number }),
                 None => self.traced_message.is_none(),
             };
             if is_traced {
--- a/crates/scenario/src/scenario/faults.rs
+++ b/crates/scenario/src/scenario/faults.rs
@@ -53,7 +53,7 @@
     Vanish,
     /// Endpoints refuse connections and break existing ones.
     Down,
-    /// Endpoints pause repeatedly; size: milliseconds of a pause; extra: seconds between two pauses.
+    /// Endpoints pause repeatedly; size: milliseconds of a pause; extra: period of the pauses in seconds.
     Pauses,
     /// Clients submit more messages; size: the factor.
     SuddenLoad,
@@ -65,7 +65,8 @@
     CouriersKilled,
     /// Couriers are restarted one after the other; size: seconds of downtime.
     CouriersRolled,
-    /// Couriers are suspended repeatedly; size: milliseconds of a stall; extra: seconds between two stalls.
+    /// Couriers are suspended repeatedly; size: milliseconds of a stall; extra: period of a courier's stalls
+    /// in seconds.
     CouriersStall,
     /// The endpoint list is delayed; size: additional seconds.
     ListLate,
@@ -83,7 +84,7 @@
     /// direction to the couriers. Emulated only.
     Partition,
     /// Connections of couriers break repeatedly, with data under way; size: the fraction that breaks; extra:
-    /// seconds between two times. Emulated only.
+    /// period in seconds. Emulated only.
     LinksCut,
     /// Data from and to couriers takes longer; size: additional milliseconds each way. Emulated only.
     LinksSlow,
