Testbed receivers: event loop in its own file, behaviours and addresses typed

Cause: report_receiver.rs held the owner's side and the event loop in one file of 298 lines; the constructors of both receivers returned pairs, and a silent endpoint was a bool that its call did not explain.

Change: report_receiver/event_loop.rs owns the sockets and what is stored; ListeningReceiver and Listener replace the pairs, an enum Behaviour replaces the bool; ports are reserved and sockets bound in functions of their own; doc comments say units, errors and what None means.

--- a/crates/testbed/src/message_receivers.rs
+++ b/crates/testbed/src/message_receivers.rs
@@ -1,4 +1,7 @@
-//! Receivers of messages for measurements and tests: endpoints that serve whatever comes, at once.
+//! Endpoints for measurements and tests that serve every message at once, or never answer.
+//!
+//! They accept any Produce request and read no record. How real endpoints behave is simulated elsewhere, by the
+//! scenario runner.
 
 use crate::protocol::{MAX_CONNECTIONS, MAX_FRAME_BYTES};
 use anyhow::Context;
@@ -15,26 +18,28 @@
 const STARTUP_TIMEOUT: Duration = Duration::from_secs(10);
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Endpoints on a thread of their own. Dropping them ends them.
+/// Endpoints on a thread of their own. Dropping them stops the thread.
 #[derive(Debug)]
 pub struct MessageReceivers {
-    /// Their addresses.
+    /// The address of each endpoint; the silent ones come first.
     pub addresses: Vec<SocketAddr>,
     stop: Arc<AtomicBool>,
     thread: Option<JoinHandle<()>>,
 }
 
 impl MessageReceivers {
-    /// Starts so many endpoints; the first `silent` of them read requests and never answer.
+    /// Starts `count` endpoints. The first `silent` of them read requests and never answer.
+    ///
+    /// # Errors
+    /// Fails if the endpoints do not listen within ten seconds.
     pub fn start(count: usize, silent: usize) -> anyhow::Result<MessageReceivers> {
         let stop = Arc::new(AtomicBool::new(false));
         let stop_flag = Arc::clone(&stop);
         let (address_sender, address_receiver) = std::sync::mpsc::channel();
         let thread = std::thread::spawn(move || {
-            if let Some((mut receivers, addresses)) = ReceiverLoop::listen(count, silent) {
-                let _ = address_sender.send(addresses);
-                receivers.run(&stop_flag);
-            }
+            let Some(mut receivers) = ReceiverLoop::listen(count, silent) else { return };
+            let _ = address_sender.send(receivers.addresses());
+            receivers.run(&stop_flag);
         });
         let addresses =
             address_receiver.recv_timeout(STARTUP_TIMEOUT).context("endpoints did not come up")?;
@@ -51,31 +56,46 @@
     }
 }
 
+/// Whether an endpoint answers the messages that it receives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Behaviour {
+    Serves,
+    NeverAnswers,
+}
+
+struct Listener {
+    token: Token,
+    address: SocketAddr,
+    behaviour: Behaviour,
+}
+
 struct Connection {
     frames: Frames,
-    is_silent: bool,
+    behaviour: Behaviour,
 }
 
+/// The event loop of all endpoints.
 struct ReceiverLoop {
     net: Net,
-    /// Listeners of endpoints that never answer.
-    silent_listeners: Vec<Token>,
+    /// In the order of the endpoints.
+    listeners: Vec<Listener>,
     connections: BTreeMap<Token, Connection>,
 }
 
 impl ReceiverLoop {
-    fn listen(count: usize, silent: usize) -> Option<(ReceiverLoop, Vec<SocketAddr>)> {
+    fn listen(count: usize, silent: usize) -> Option<ReceiverLoop> {
         let mut net = Net::new(MAX_CONNECTIONS).ok()?;
-        let mut silent_listeners = Vec::new();
-        let mut addresses = Vec::new();
+        let mut listeners = Vec::new();
         for number in 0..count {
             let (token, address) = net.listen(SocketAddr::from(([127, 0, 0, 1], 0))).ok()?;
-            addresses.push(address);
-            if number < silent {
-                silent_listeners.push(token);
-            }
+            let behaviour = if number < silent { Behaviour::NeverAnswers } else { Behaviour::Serves };
+            listeners.push(Listener { token, address, behaviour });
         }
-        Some((ReceiverLoop { net, silent_listeners, connections: BTreeMap::new() }, addresses))
+        Some(ReceiverLoop { net, listeners, connections: BTreeMap::new() })
+    }
+
+    fn addresses(&self) -> Vec<SocketAddr> {
+        self.listeners.iter().map(|listener| listener.address).collect()
     }
 
     fn run(&mut self, stop: &AtomicBool) {
@@ -93,9 +113,7 @@
     fn process(&mut self, event: Event) {
         match event {
             Event::Accepted { listener, token, .. } => {
-                let is_silent = self.silent_listeners.contains(&listener);
-                let connection = Connection { frames: Frames::new(MAX_FRAME_BYTES), is_silent };
-                self.connections.insert(token, connection);
+                self.accept(listener, token);
             }
             Event::Data(token, bytes) => self.receive(token, &bytes),
             Event::HalfClosed(token) => {
@@ -109,23 +127,30 @@
         }
     }
 
+    fn accept(&mut self, listener_token: Token, token: Token) {
+        let accepting = self.listeners.iter().find(|listener| listener.token == listener_token);
+        let behaviour = accepting.map_or(Behaviour::Serves, |listener| listener.behaviour);
+        let connection = Connection { frames: Frames::new(MAX_FRAME_BYTES), behaviour };
+        self.connections.insert(token, connection);
+    }
+
     fn receive(&mut self, token: Token, bytes: &[u8]) {
         let Some(connection) = self.connections.get_mut(&token) else { return };
         connection.frames.push(bytes);
         while let Ok(Some(frame)) = connection.frames.next_frame() {
             let Ok(request) = server::read(&frame) else { continue };
-            if let Some(response) = respond(request, connection.is_silent) {
+            if let Some(response) = respond(request, connection.behaviour) {
                 self.net.send(token, &response);
             }
         }
     }
 }
 
-/// The response to a request, if one is given.
-fn respond(request: Request, is_silent: bool) -> Option<bytes::Bytes> {
+/// Returns the response to a request, or `None` if the endpoint does not answer it.
+fn respond(request: Request, behaviour: Behaviour) -> Option<bytes::Bytes> {
     let Request { correlation, version, body, .. } = request;
     match body {
-        Body::Produce(_) if is_silent => None,
+        Body::Produce(_) if behaviour == Behaviour::NeverAnswers => None,
         Body::Produce(produce) => {
             let mut results = Vec::new();
             for part in produce.parts {
--- a/crates/testbed/src/report_receiver.rs
+++ b/crates/testbed/src/report_receiver.rs
@@ -1,9 +1,13 @@
-//! A stand-in for Graphite and collectd: it takes reports in, keeps the last value of each series, and knows whether
-//! a count fell.
+//! A stand-in for Graphite and collectd: receives reports, stores the last value of each series, and detects counters
+//! that decrease.
+//!
+//! A [`ReportReceiver`] owns a thread whose event loop listens, reads and stores. Tests and measurements make it
+//! misbehave with [`ReportReceiver::behave`]. It never sends anything to the couriers that report to it.
+
+mod event_loop;
 
 use anyhow::Context;
-use linnetcart_net::{Event, Net, Reserved, Token};
-use linnetcart_telemetry::collectd::{self, PacketItem};
+use event_loop::{BoundAddresses, ListeningReceiver, ReceiverLoop};
 use linnetcart_telemetry::settings::Require;
 use linnetcart_telemetry::stream::Stream;
 use std::collections::BTreeMap;
@@ -14,59 +18,55 @@
 use std::time::Duration;
 
 const STARTUP_TIMEOUT: Duration = Duration::from_secs(10);
-const POLL_INTERVAL: Duration = Duration::from_millis(20);
-const MAX_CONNECTIONS: usize = 10_000;
-const MAX_NOTIFICATIONS: usize = 10_000;
-const NANOSECONDS_PER_SECOND: u64 = 1_000_000_000;
 
-/// Where points are recorded, a plaintext line each.
+/// A writer that receives each point as one line of Graphite's plaintext form.
 pub type PointRecord = Box<dyn Write + Send>;
 
-/// How a receiver behaves towards connections.
+/// How a receiver treats its Graphite connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Behaviour {
-    /// Reads everything.
+    /// Accepts connections and reads everything that is sent.
     Reads,
     /// Accepts connections and never reads.
     NeverReads,
-    /// Resets each connection when data comes.
+    /// Accepts connections and resets each one when data arrives on it.
     Resets,
     /// Does not listen.
     Absent,
 }
 
-/// What the thread of a receiver is to do.
+/// What the owner of a receiver requests from its thread.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Mode {
     Run(Behaviour),
     Stop,
 }
 
-/// Where a receiver listens, and what it accepts.
+/// Where a receiver listens, and which packets it accepts.
 #[derive(Clone, Debug, Default)]
 pub struct ListenAddresses {
-    /// For Graphite's forms, which are recognized by their first byte.
+    /// TCP address for Graphite's plaintext and pickle forms; the first byte of a connection tells them apart.
     pub graphite: Option<SocketAddr>,
-    /// For collectd's packets.
+    /// UDP address for collectd's packets.
     pub collectd: Option<SocketAddr>,
-    /// Keys of collectd's users.
+    /// The keys that are accepted from each collectd user.
     pub users: BTreeMap<String, Vec<String>>,
-    /// How packets must be secured.
+    /// The protection that collectd's packets must have.
     pub require: Require,
 }
 
-/// A receiver on a thread of its own; dropping it ends it.
+/// A receiver on a thread of its own. Dropping it stops the thread.
 #[derive(Debug)]
 pub struct ReportReceiver {
-    /// Where Graphite's forms come in.
+    /// The TCP address that Graphite's forms are received on, or `None` if it does not listen for them.
     pub graphite: Option<SocketAddr>,
-    /// Where collectd's packets come in.
+    /// The UDP address that collectd's packets are received on, or `None` if it does not listen for them.
     pub collectd: Option<SocketAddr>,
     shared: Arc<Shared>,
     thread: Option<JoinHandle<()>>,
 }
 
-/// What a receiver's thread shares with its owner.
+/// State that a receiver's thread shares with its owner.
 #[derive(Debug)]
 struct Shared {
     stream: Mutex<Stream>,
@@ -88,34 +88,36 @@
 }
 
 impl ReportReceiver {
-    /// Starts a receiver. With a record, each point is written to it.
+    /// Starts a receiver and waits until it listens. With a record, every point is also written there.
+    ///
+    /// # Errors
+    /// Fails if an address cannot be listened on, or if the thread is not ready within ten seconds.
     pub fn start(addresses: ListenAddresses, record: Option<PointRecord>) -> anyhow::Result<ReportReceiver> {
-        let shared =
-            Arc::new(Shared { stream: Mutex::default(), mode: Mutex::new(Mode::Run(Behaviour::Reads)) });
+        let initial_mode = Mode::Run(Behaviour::Reads);
+        let shared = Arc::new(Shared { stream: Mutex::default(), mode: Mutex::new(initial_mode) });
         let thread_shared = Arc::clone(&shared);
         let (ready_sender, ready_receiver) = std::sync::mpsc::channel();
-        let thread =
-            std::thread::spawn(move || match ReceiverLoop::listen(addresses, thread_shared, record) {
-                Ok((mut receiver, bound)) => {
-                    let _ = ready_sender.send(Ok(bound));
-                    receiver.run();
-                }
-                Err(error) => {
-                    let _ = ready_sender.send(Err(error));
-                }
-            });
-        let bound =
-            ready_receiver.recv_timeout(STARTUP_TIMEOUT).context("the receiver did not come up")??;
-        let BoundAddresses { graphite, collectd } = bound;
+        let thread = std::thread::spawn(move || {
+            let (ready, receiver) = match ReceiverLoop::listen(addresses, thread_shared, record) {
+                Ok(ListeningReceiver { receiver, bound }) => (Ok(bound), Some(receiver)),
+                Err(error) => (Err(error), None),
+            };
+            let _ = ready_sender.send(ready);
+            if let Some(mut receiver) = receiver {
+                receiver.run();
+            }
+        });
+        let ready = ready_receiver.recv_timeout(STARTUP_TIMEOUT);
+        let BoundAddresses { graphite, collectd } = ready.context("the receiver did not come up")??;
         Ok(ReportReceiver { graphite, collectd, shared, thread: Some(thread) })
     }
 
-    /// What came in so far.
+    /// Locks and returns everything that has been received so far. The receiver waits while the guard is held.
     pub fn stream(&self) -> MutexGuard<'_, Stream> {
         self.shared.stream()
     }
 
-    /// Changes the behaviour from now on.
+    /// Changes the behaviour; the thread applies it within its poll interval.
     pub fn behave(&self, behaviour: Behaviour) {
         self.shared.set_mode(Mode::Run(behaviour));
     }
@@ -129,170 +131,3 @@
         }
     }
 }
-
-struct BoundAddresses {
-    graphite: Option<SocketAddr>,
-    collectd: Option<SocketAddr>,
-}
-
-struct GraphiteListener {
-    token: Token,
-    address: SocketAddr,
-}
-
-struct ReceiverLoop {
-    net: Net,
-    users: BTreeMap<String, Vec<String>>,
-    require: Require,
-    graphite: Option<GraphiteListener>,
-    /// Nobody else gets the port while nothing listens there.
-    _reserved: Option<Reserved>,
-    /// Connections, with what was received and not yet read as points.
-    connections: BTreeMap<Token, Vec<u8>>,
-    shared: Arc<Shared>,
-    record: Option<PointRecord>,
-}
-
-impl ReceiverLoop {
-    fn listen(
-        addresses: ListenAddresses,
-        shared: Arc<Shared>,
-        record: Option<PointRecord>,
-    ) -> anyhow::Result<(ReceiverLoop, BoundAddresses)> {
-        let mut net = Net::new(MAX_CONNECTIONS)?;
-        let any_port = addresses.graphite.filter(|address| address.port() == 0);
-        let reserved = any_port.map(|address| Reserved::new(address.ip())).transpose()?;
-        let requested = reserved.as_ref().map(Reserved::addr).or(addresses.graphite);
-        let mut graphite = None;
-        if let Some(requested) = requested {
-            let (token, address) = net.listen(requested).with_context(|| requested.to_string())?;
-            graphite = Some(GraphiteListener { token, address });
-        }
-        let mut collectd = None;
-        if let Some(requested) = addresses.collectd {
-            let (_, address) = net.bind_datagrams(requested).with_context(|| requested.to_string())?;
-            collectd = Some(address);
-        }
-        let bound = BoundAddresses { graphite: graphite.as_ref().map(|listener| listener.address), collectd };
-        let receiver = ReceiverLoop {
-            net,
-            users: addresses.users,
-            require: addresses.require,
-            graphite,
-            _reserved: reserved,
-            connections: BTreeMap::new(),
-            shared,
-            record,
-        };
-        Ok((receiver, bound))
-    }
-
-    fn run(&mut self) {
-        let mut events = Vec::new();
-        let mut current = Behaviour::Reads;
-        while let Mode::Run(behaviour) = self.shared.mode() {
-            if self.net.poll(POLL_INTERVAL, &mut events).is_err() {
-                return;
-            }
-            if behaviour != current {
-                self.change_behaviour(behaviour);
-                current = behaviour;
-            }
-            for event in events.drain(..) {
-                self.process(event, behaviour);
-            }
-        }
-    }
-
-    fn change_behaviour(&mut self, behaviour: Behaviour) {
-        let Some(listener) = &mut self.graphite else { return };
-        self.net.stop_listening(listener.token);
-        if behaviour == Behaviour::Absent {
-            for token in std::mem::take(&mut self.connections).into_keys() {
-                self.net.reset(token);
-            }
-        } else if let Ok((token, _)) = self.net.listen(listener.address) {
-            listener.token = token;
-        }
-        for &token in self.connections.keys() {
-            self.net.set_read_paused(token, behaviour == Behaviour::NeverReads);
-        }
-    }
-
-    fn process(&mut self, event: Event, behaviour: Behaviour) {
-        match event {
-            Event::Accepted { token, .. } => {
-                self.connections.insert(token, Vec::new());
-                self.net.set_read_paused(token, behaviour == Behaviour::NeverReads);
-            }
-            Event::Data(token, _) if behaviour == Behaviour::Resets => {
-                self.connections.remove(&token);
-                self.net.reset(token);
-            }
-            Event::Data(token, bytes) => self.receive(token, &bytes),
-            Event::Datagram(_, packet) => self.receive_packet(&packet),
-            Event::HalfClosed(token) => {
-                self.connections.remove(&token);
-                self.net.close(token);
-            }
-            Event::Closed { token, .. } => {
-                self.connections.remove(&token);
-            }
-            _ => {}
-        }
-    }
-
-    /// Reads the points that are complete; a connection that makes no sense is closed.
-    fn receive(&mut self, token: Token, bytes: &[u8]) {
-        let Some(mut unread) = self.connections.remove(&token) else { return };
-        unread.extend(bytes);
-        let mut stream = self.shared.stream();
-        stream.bytes += bytes.len() as u64;
-        let record = &mut self.record;
-        let is_valid = stream.take(&mut unread, |name, value, at| write_point(record, name, value, at));
-        if is_valid {
-            self.connections.insert(token, unread);
-        } else {
-            self.net.close(token);
-        }
-    }
-
-    fn receive_packet(&mut self, packet: &[u8]) {
-        let mut stream = self.shared.stream();
-        stream.bytes += packet.len() as u64;
-        match collectd::read(packet, &self.users, self.require) {
-            Ok(items) => {
-                for item in items {
-                    add_packet_item(&mut stream, &mut self.record, item);
-                }
-            }
-            Err(error) => stream.bad(error),
-        }
-    }
-}
-
-fn add_packet_item(stream: &mut Stream, record: &mut Option<PointRecord>, item: PacketItem) {
-    match item {
-        PacketItem::Values(about, values) => {
-            let name =
-                format!("{}.{}.{}.{}", about.host, about.plugin, about.plugin_instance, about.type_instance);
-            let value = values.first().map_or(0.0, |value| value.as_f64());
-            let at = collectd::nanos(about.time) / NANOSECONDS_PER_SECOND;
-            stream.point(&name, value, at);
-            write_point(record, &name, value, at);
-        }
-        PacketItem::Notification(about, severity, text) => {
-            if stream.notices.len() < MAX_NOTIFICATIONS {
-                stream.notices.push((about.plugin_instance, severity, text));
-            }
-        }
-    }
-}
-
-/// Adds a point to the record, which ends when it cannot be written.
-fn write_point(record: &mut Option<PointRecord>, name: &str, value: f64, at: u64) {
-    let Some(file) = record else { return };
-    if writeln!(file, "{name} {value} {at}").is_err() {
-        *record = None;
-    }
-}
--- /dev/null
+++ b/crates/testbed/src/report_receiver/event_loop.rs
@@ -0,0 +1,207 @@
+//! The event loop of a report receiver: listens, applies the requested behaviour, and stores what is received.
+
+use super::{Behaviour, ListenAddresses, Mode, PointRecord, Shared};
+use anyhow::Context;
+use linnetcart_net::{Event, Net, Reserved, Token};
+use linnetcart_telemetry::collectd::{self, PacketItem};
+use linnetcart_telemetry::settings::Require;
+use linnetcart_telemetry::stream::Stream;
+use std::collections::BTreeMap;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+const MAX_CONNECTIONS: usize = 10_000;
+const MAX_NOTIFICATIONS: usize = 10_000;
+const NANOSECONDS_PER_SECOND: u64 = 1_000_000_000;
+
+/// The addresses that a receiver was bound to.
+pub(super) struct BoundAddresses {
+    pub(super) graphite: Option<SocketAddr>,
+    pub(super) collectd: Option<SocketAddr>,
+}
+
+/// A receiver whose sockets are bound, before its loop runs.
+pub(super) struct ListeningReceiver {
+    pub(super) receiver: ReceiverLoop,
+    pub(super) bound: BoundAddresses,
+}
+
+struct GraphiteListener {
+    token: Token,
+    address: SocketAddr,
+}
+
+/// The event loop of a receiver, with its sockets.
+pub(super) struct ReceiverLoop {
+    net: Net,
+    users: BTreeMap<String, Vec<String>>,
+    require: Require,
+    graphite: Option<GraphiteListener>,
+    /// Reserves the port while the receiver does not listen, so that no other process is given it.
+    _reserved: Option<Reserved>,
+    /// Open connections, each with the received bytes that do not form a complete point yet.
+    connections: BTreeMap<Token, Vec<u8>>,
+    shared: Arc<Shared>,
+    record: Option<PointRecord>,
+}
+
+impl ReceiverLoop {
+    /// Binds the sockets of the addresses that are given.
+    pub(super) fn listen(
+        addresses: ListenAddresses,
+        shared: Arc<Shared>,
+        record: Option<PointRecord>,
+    ) -> anyhow::Result<ListeningReceiver> {
+        let ListenAddresses { graphite, collectd, users, require } = addresses;
+        let mut net = Net::new(MAX_CONNECTIONS)?;
+        let reserved = graphite.map(reserve_port).transpose()?.flatten();
+        let graphite = reserved.as_ref().map(Reserved::addr).or(graphite);
+        let graphite = graphite.map(|address| listen_for_graphite(&mut net, address)).transpose()?;
+        let collectd = collectd.map(|address| bind_for_collectd(&mut net, address)).transpose()?;
+        let bound = BoundAddresses { graphite: graphite.as_ref().map(|listener| listener.address), collectd };
+        let receiver = ReceiverLoop {
+            net,
+            users,
+            require,
+            graphite,
+            _reserved: reserved,
+            connections: BTreeMap::new(),
+            shared,
+            record,
+        };
+        Ok(ListeningReceiver { receiver, bound })
+    }
+
+    /// Processes events until the owner stops the receiver or polling fails.
+    pub(super) fn run(&mut self) {
+        let mut events = Vec::new();
+        let mut current = Behaviour::Reads;
+        while let Mode::Run(behaviour) = self.shared.mode() {
+            if self.net.poll(POLL_INTERVAL, &mut events).is_err() {
+                return;
+            }
+            if behaviour != current {
+                self.change_behaviour(behaviour);
+                current = behaviour;
+            }
+            for event in events.drain(..) {
+                self.process(event, behaviour);
+            }
+        }
+    }
+
+    /// Closes the Graphite listener and opens it again, unless the new behaviour is not to listen.
+    fn change_behaviour(&mut self, behaviour: Behaviour) {
+        let Some(listener) = &mut self.graphite else { return };
+        self.net.stop_listening(listener.token);
+        if behaviour == Behaviour::Absent {
+            for token in std::mem::take(&mut self.connections).into_keys() {
+                self.net.reset(token);
+            }
+        } else if let Ok((token, _)) = self.net.listen(listener.address) {
+            listener.token = token;
+        }
+        for &token in self.connections.keys() {
+            self.net.set_read_paused(token, behaviour == Behaviour::NeverReads);
+        }
+    }
+
+    fn process(&mut self, event: Event, behaviour: Behaviour) {
+        match event {
+            Event::Accepted { token, .. } => {
+                self.connections.insert(token, Vec::new());
+                self.net.set_read_paused(token, behaviour == Behaviour::NeverReads);
+            }
+            Event::Data(token, _) if behaviour == Behaviour::Resets => {
+                self.connections.remove(&token);
+                self.net.reset(token);
+            }
+            Event::Data(token, bytes) => self.receive(token, &bytes),
+            Event::Datagram(_, packet) => self.receive_packet(&packet),
+            Event::HalfClosed(token) => {
+                self.connections.remove(&token);
+                self.net.close(token);
+            }
+            Event::Closed { token, .. } => {
+                self.connections.remove(&token);
+            }
+            _ => {}
+        }
+    }
+
+    /// Adds the points that are complete. A connection that sends malformed data is closed.
+    fn receive(&mut self, token: Token, bytes: &[u8]) {
+        let Some(mut unread) = self.connections.remove(&token) else { return };
+        unread.extend(bytes);
+        let mut stream = self.shared.stream();
+        stream.bytes += bytes.len() as u64;
+        let record = &mut self.record;
+        let is_valid = stream.take(&mut unread, |name, value, at| write_point(record, name, value, at));
+        if is_valid {
+            self.connections.insert(token, unread);
+        } else {
+            self.net.close(token);
+        }
+    }
+
+    /// Adds the values and notifications of a collectd packet; an invalid packet is only counted.
+    fn receive_packet(&mut self, packet: &[u8]) {
+        let mut stream = self.shared.stream();
+        stream.bytes += packet.len() as u64;
+        match collectd::read(packet, &self.users, self.require) {
+            Ok(items) => {
+                for item in items {
+                    add_packet_item(&mut stream, &mut self.record, item);
+                }
+            }
+            Err(error) => stream.bad(error),
+        }
+    }
+}
+
+/// Reserves a free port if the address leaves the port to the system.
+fn reserve_port(address: SocketAddr) -> std::io::Result<Option<Reserved>> {
+    if address.port() != 0 {
+        return Ok(None);
+    }
+    Reserved::new(address.ip()).map(Some)
+}
+
+fn listen_for_graphite(net: &mut Net, requested: SocketAddr) -> anyhow::Result<GraphiteListener> {
+    let (token, address) = net.listen(requested).with_context(|| requested.to_string())?;
+    Ok(GraphiteListener { token, address })
+}
+
+fn bind_for_collectd(net: &mut Net, requested: SocketAddr) -> anyhow::Result<SocketAddr> {
+    let (_, address) = net.bind_datagrams(requested).with_context(|| requested.to_string())?;
+    Ok(address)
+}
+
+fn add_packet_item(stream: &mut Stream, record: &mut Option<PointRecord>, item: PacketItem) {
+    match item {
+        PacketItem::Values(about, values) => {
+            let name =
+                format!("{}.{}.{}.{}", about.host, about.plugin, about.plugin_instance, about.type_instance);
+            let value = values.first().map_or(0.0, |value| value.as_f64());
+            let at = collectd::nanos(about.time) / NANOSECONDS_PER_SECOND;
+            stream.point(&name, value, at);
+            write_point(record, &name, value, at);
+        }
+        PacketItem::Notification(about, severity, text) => {
+            if stream.notices.len() < MAX_NOTIFICATIONS {
+                stream.notices.push((about.plugin_instance, severity, text));
+            }
+        }
+    }
+}
+
+/// Writes a point to the record. The first write error ends the record; the receiver continues without it.
+fn write_point(record: &mut Option<PointRecord>, name: &str, value: f64, at: u64) {
+    let Some(file) = record else { return };
+    if writeln!(file, "{name} {value} {at}").is_err() {
+        *record = None;
+    }
+}
