Experiment report: cells, table and page in files of their own

Cause: report_page.rs did the grouping, the statistics, two renderings of tables and the page in 274 lines; `comparison` returned a pair; a table was a nested vector whose first row was special.

Change: experiment/cells.rs groups and compares, experiment/table.rs is a Table with a heading, rendered as text or HTML, report_page.rs writes the page; ComparisonSection, ComparedFactor and comparison_row replace the pair and the long loops; the chart is drawn in two functions.

--- a/crates/testbed/src/experiment.rs
+++ b/crates/testbed/src/experiment.rs
@@ -1,33 +1,39 @@
-//! Experiments in virtual time: a grid of factors, run in parallel, that can be stopped at any moment and continued,
-//! and what it shows.
+//! Experiments in virtual time: every combination of the factors' levels is run on several seeds, in
+//! parallel.
+//!
+//! An experiment can be stopped at any moment; the same command continues it. Its results, charts and report
+//! are written to one folder, and do not depend on the number of threads or on interruptions.
 
+mod cells;
 mod chart;
 pub mod intervals;
 pub mod measures;
 pub mod plan;
 pub mod report_page;
 pub mod results;
+mod table;
 
 use crate::parallel;
 use anyhow::Context;
+use cells::Cells;
 use indicatif::{ProgressBar, ProgressStyle};
 use plan::{Plan, RunKey};
-use report_page::Cells;
 use results::{Header, Results, Row};
 use std::path::Path;
 use std::process::Command;
 use std::sync::atomic::{AtomicU64, Ordering};
 
+/// The option of `git rev-parse` for the length of a commit id.
 const COMMIT_LENGTH: &str = "--short=12";
 
 /// How an experiment is run.
 #[derive(Clone, Debug)]
 pub struct Options {
-    /// Runs at the same time.
+    /// Number of runs at the same time.
     pub threads: usize,
-    /// End after so many runs, to be continued later.
+    /// Stop after this many runs, to be continued later; `None` for no limit.
     pub max_runs: Option<u64>,
-    /// Draw a progress bar.
+    /// Whether a progress bar is drawn.
     pub shows_progress: bool,
     /// The command, as it is stored with the results.
     pub command: String,
@@ -38,11 +44,12 @@
 pub enum Completion {
     /// Every run has its result.
     Complete,
-    /// Some are left; the same command continues with them.
+    /// Some runs are missing; the same command continues with them.
     Partial,
 }
 
-/// The commit of the folder that the program is run in; says so if files were changed.
+/// The commit that is checked out in the current folder. Says so if tracked files differ from it, and is
+/// `unknown` outside a repository.
 pub fn commit() -> String {
     let Some(id) = git(&["rev-parse", COMMIT_LENGTH, "HEAD"]) else { return "unknown".into() };
     match git(&["status", "--porcelain", "--untracked-files=no"]) {
@@ -59,7 +66,10 @@
     Some(String::from_utf8_lossy(&output.stdout).trim().to_owned())
 }
 
-/// Runs what is left of a plan, and writes all it shows.
+/// Runs what is missing of a plan, then writes all results, charts and the report to `out`.
+///
+/// # Errors
+/// Fails if `out` has results of another plan or commit, if a file cannot be written, or if a run fails.
 pub fn run(plan: Plan, out: &Path, options: &Options) -> anyhow::Result<Completion> {
     let header = Header { plan, commit: commit(), command: options.command.clone() };
     let results = Results::open(out, header)?;
--- a/crates/testbed/src/experiment/chart.rs
+++ b/crates/testbed/src/experiment/chart.rs
@@ -1,8 +1,8 @@
 //! The chart of a measure over the first factor, a line for each combination of the others.
 
+use super::cells::{Cells, ShownMeasure};
 use super::intervals::Mean;
-use super::plan::{level_text, Plan};
-use super::report_page::{Cells, ShownMeasure};
+use super::plan::{level_text, Factor, Plan};
 use crate::charts::drawing::{drawing_error, ChartLayout};
 use crate::statistics::{maximum, minimum};
 use plotters::coord::types::RangedCoordf64;
@@ -14,10 +14,10 @@
 const SIZE: (u32, u32) = (720, 360);
 const CAPTION_SIZE: u32 = 15;
 const LEVEL_LABEL_SIZE: u32 = 12;
-/// Levels whose highest is more than so many times their lowest stand at their logarithms.
+/// Numeric levels are placed at their logarithms if the highest exceeds the lowest by more than this factor.
 const LOGARITHMIC_ABOVE: f64 = 20.0;
 
-/// A mean at its place on the horizontal axis.
+/// A mean at its position on the horizontal axis.
 struct Point {
     x: f64,
     mean: Mean,
@@ -45,39 +45,47 @@
 
 type Lines = BTreeMap<String, Vec<Point>>;
 
-/// Draws the chart as SVG; an empty text if the plan has no factor.
+/// Draws the chart of a measure as SVG. The text is empty if the plan has no factor.
 pub(super) fn draw(plan: &Plan, cells: &Cells, shown: ShownMeasure) -> anyhow::Result<String> {
     let Some(first_factor) = plan.factor.first() else { return Ok(String::new()) };
-    let places = level_places(&first_factor.levels);
-    let lines = lines(plan, cells, shown.index, &places);
+    let positions = level_positions(&first_factor.levels);
+    let lines = lines(plan, cells, shown.index, &positions);
     let caption = format!("{}: {}", shown.measure.name, shown.measure.about);
-    let x_range = x_range(&places);
-    let y_axis = YAxis::of(&lines);
     let mut svg = String::new();
-    {
-        let area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
-        area.fill(&WHITE).map_err(drawing_error)?;
-        let layout = ChartLayout { caption: &caption, caption_size: CAPTION_SIZE, y_label_width: 60 };
-        let mut chart = layout.on(&area).build_cartesian_2d(x_range, y_axis.range).map_err(drawing_error)?;
-        let no_label = |_: &f64| String::new();
-        chart
-            .configure_mesh()
-            .x_label_formatter(&no_label)
-            .disable_x_mesh()
-            .x_desc(first_factor.name.as_str())
-            .draw()
-            .map_err(drawing_error)?;
-        let levels = first_factor.levels.iter().zip(&places);
-        let level_labels = levels.map(|(level, x)| {
-            Text::new(level_text(level), (*x, y_axis.level_labels), ("sans-serif", LEVEL_LABEL_SIZE))
-        });
-        chart.draw_series(level_labels).map_err(drawing_error)?;
-        draw_lines(&mut chart, &lines)?;
-        area.present().map_err(drawing_error)?;
-    }
+    draw_svg(&mut svg, &caption, first_factor, &positions, &lines)?;
     Ok(svg)
 }
 
+fn draw_svg(
+    svg: &mut String,
+    caption: &str,
+    first_factor: &Factor,
+    positions: &[f64],
+    lines: &Lines,
+) -> anyhow::Result<()> {
+    let y_axis = YAxis::of(lines);
+    let area = SVGBackend::with_string(svg, SIZE).into_drawing_area();
+    area.fill(&WHITE).map_err(drawing_error)?;
+    let layout = ChartLayout { caption, caption_size: CAPTION_SIZE, y_label_width: 60 };
+    let mut chart =
+        layout.on(&area).build_cartesian_2d(x_range(positions), y_axis.range).map_err(drawing_error)?;
+    let no_label = |_: &f64| String::new();
+    chart
+        .configure_mesh()
+        .x_label_formatter(&no_label)
+        .disable_x_mesh()
+        .x_desc(first_factor.name.as_str())
+        .draw()
+        .map_err(drawing_error)?;
+    let levels = first_factor.levels.iter().zip(positions);
+    let level_labels = levels.map(|(level, x)| {
+        Text::new(level_text(level), (*x, y_axis.level_labels), ("sans-serif", LEVEL_LABEL_SIZE))
+    });
+    chart.draw_series(level_labels).map_err(drawing_error)?;
+    draw_lines(&mut chart, lines)?;
+    area.present().map_err(drawing_error)
+}
+
 /// Draws means as lines with their intervals, and the names of the lines if there are several.
 fn draw_lines<'a, 'b: 'a>(chart: &mut Chart<'a, 'b>, lines: &Lines) -> anyhow::Result<()> {
     for (index, (name, points)) in lines.iter().enumerate() {
@@ -100,8 +108,8 @@
     Ok(())
 }
 
-/// Where levels stand: numbers at their value or logarithm, names at even distances.
-fn level_places(levels: &[Value]) -> Vec<f64> {
+/// The horizontal position of each level: numbers at their value or logarithm, names at even distances.
+fn level_positions(levels: &[Value]) -> Vec<f64> {
     let numbers: Option<Vec<f64>> = levels.iter().map(positive_number).collect();
     let Some(numbers) = numbers else { return (0..levels.len()).map(|index| index as f64).collect() };
     let ratio = maximum(numbers.iter().copied()) / minimum(numbers.iter().copied());
@@ -120,27 +128,27 @@
     Some(number).filter(|&number| number > 0.0)
 }
 
-fn lines(plan: &Plan, cells: &Cells, measure: usize, places: &[f64]) -> Lines {
+fn lines(plan: &Plan, cells: &Cells, measure: usize, positions: &[f64]) -> Lines {
     let mut lines = Lines::new();
     for cell in cells.cells() {
         let first_level = plan.level_indices(cell)[0];
         let other_levels = plan.levels(cell)[1..].join(", ");
-        let point = Point { x: places[first_level], mean: cells.mean(cell, measure) };
+        let point = Point { x: positions[first_level], mean: cells.mean(cell, measure) };
         lines.entry(other_levels).or_default().push(point);
     }
     lines
 }
 
-fn x_range(places: &[f64]) -> Range<f64> {
-    let left = minimum(places.iter().copied());
-    let right = maximum(places.iter().copied());
+fn x_range(positions: &[f64]) -> Range<f64> {
+    let left = minimum(positions.iter().copied());
+    let right = maximum(positions.iter().copied());
     let margin = ((right - left) * 0.06).max(0.1);
     left - margin..right + margin
 }
 
 struct YAxis {
     range: Range<f64>,
-    /// Where the levels are written.
+    /// The height at which the names of the levels are written.
     level_labels: f64,
 }
 
--- a/crates/testbed/src/experiment/plan.rs
+++ b/crates/testbed/src/experiment/plan.rs
@@ -1,4 +1,4 @@
-//! The plan of an experiment: factors as a grid, seeds, what is compared.
+//! The plan of an experiment: its factors, their levels, the seeds, and what is compared.
 
 mod factors;
 #[cfg(test)]
@@ -13,27 +13,27 @@
 use std::path::Path;
 use toml::Value;
 
-/// Runs of an experiment at most.
+/// Maximum number of runs of an experiment.
 const MAX_RUNS: u64 = 1_000_000;
 const MAX_SEEDS: u64 = 100_000;
 const DEFAULT_SHOW: [&str; 6] =
     ["served_worth", "worst_10s", "late_worth", "refused", "calls_refused", "rules_broken"];
 
-/// A plan.
+/// A plan, as it is written in TOML.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Plan {
     /// Its name.
     pub name: String,
-    /// What it asks, in a sentence.
+    /// The question that the experiment answers, in one sentence.
     pub about: String,
-    /// A built-in scenario, or a script's file.
+    /// The name of a built-in scenario, or the path of a script.
     #[serde(rename = "day")]
     pub scenario: String,
-    /// So many times as fast.
+    /// The factor by which the scenario is sped up.
     #[serde(default = "default_speed")]
     pub speed: f64,
-    /// Seeds of each cell: `first_seed` and those after it.
+    /// Number of seeds of each cell, counted up from `first_seed`.
     pub seeds: u64,
     /// The first seed.
     #[serde(default = "default_first_seed")]
@@ -41,16 +41,18 @@
     /// Measures that tables and charts show.
     #[serde(default = "default_show")]
     pub show: Vec<String>,
-    /// Levels that are compared on the same seeds.
+    /// The comparison that is reported, if any.
     #[serde(default)]
     pub compare: Option<Compare>,
     /// The factors.
     pub factor: Vec<Factor>,
 }
 
-/// A factor and its levels. `couriers`, `policy`, `trouble` (a scenario whose faults are caused, `none`, or
-/// `as-written`), `destinations` (so many times as many), `delay_ms`, or the name of any field of the scenario's
-/// script, as `traffic.load` or `kind.0.spare`.
+/// A factor and its levels.
+///
+/// The name is `couriers`, `policy`, `trouble` (a level is a scenario whose faults are used, `none`, or
+/// `as-written`), `destinations` (a level multiplies their number), `delay_ms`, or any field of the
+/// scenario's script, such as `traffic.load` or `kind.0.spare`.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Factor {
@@ -60,20 +62,20 @@
     pub levels: Vec<Value>,
 }
 
-/// Which factor's levels are compared, with which of them.
+/// A comparison of the levels of one factor, on the same seeds.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Compare {
-    /// The factor.
+    /// The factor's name.
     pub factor: String,
-    /// The level that others are compared with.
+    /// The level that the others are compared with.
     pub base: Value,
 }
 
 /// The place of a run in the grid.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RunKey {
-    /// The combination of levels.
+    /// The number of the combination of levels.
     pub cell: u64,
     /// The seed.
     pub seed: u64,
@@ -100,7 +102,7 @@
 }
 
 impl Plan {
-    /// Reads a plan and checks all of it, down to each run's scenario.
+    /// Reads a plan from a file and checks it, including the scenario of each cell.
     pub fn read(file: &Path) -> anyhow::Result<Plan> {
         let text = std::fs::read_to_string(file).with_context(|| file.display().to_string())?;
         Plan::parse(&text).with_context(|| file.display().to_string())
@@ -190,7 +192,7 @@
         levels.map(level_text).collect()
     }
 
-    /// What a run is drawn from.
+    /// Everything that determines the run of a cell with a seed.
     pub fn recipe(&self, cell: u64, seed: u64) -> anyhow::Result<Recipe> {
         let mut recipe = Recipe::new(Scenario::find(&self.scenario)?, seed);
         for (factor, index) in self.factor.iter().zip(self.level_indices(cell)) {
--- a/crates/testbed/src/experiment/results.rs
+++ b/crates/testbed/src/experiment/results.rs
@@ -1,4 +1,5 @@
-//! Results: a line as each run ends, so that nothing finished is lost, and one Parquet file of them all.
+//! Stored results: one line of JSON for each finished run, so that an interruption loses none, and one
+//! Parquet file with all of them.
 
 use super::measures::MEASURES;
 use super::plan::{Plan, RunKey};
@@ -28,20 +29,20 @@
     pub run: u64,
     /// Its seed.
     pub seed: u64,
-    /// Its measures.
+    /// Its measures, in the order of [`MEASURES`](super::measures::MEASURES).
     pub values: Vec<f64>,
-    /// The digest of everything that happened.
+    /// The digest of all events of the run.
     pub digest: String,
 }
 
-/// What a folder of results belongs to.
+/// The experiment that a folder of results belongs to.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Header {
     /// The plan.
     pub plan: Plan,
-    /// The commit that the program was built from, as far as is known.
+    /// The commit that was checked out when the experiment was started, or `unknown`.
     pub commit: String,
-    /// The command that makes them.
+    /// The command that produces the results.
     pub command: String,
 }
 
@@ -61,14 +62,17 @@
 }
 
 impl Results {
-    /// Opens a folder, and continues with what it holds of the same plan and commit.
+    /// Opens a folder and loads the results that it has already.
+    ///
+    /// # Errors
+    /// Fails if the folder belongs to another plan or commit, or cannot be read and written.
     pub fn open(dir: &Path, header: Header) -> anyhow::Result<Results> {
         std::fs::create_dir_all(dir).with_context(|| dir.display().to_string())?;
         let header_path = dir.join(HEADER_FILE);
         ensure_same_experiment(dir, &header_path, &header)?;
         let lines_path = dir.join(LINES_FILE);
         let by_run = read_lines(&lines_path, &header.plan)?;
-        // What a cut left of a last line goes, and the header is there before the first line.
+        // An incomplete last line is removed, and the header is written before the first line.
         rewrite_lines(&dir.join(NEW_LINES_FILE), &lines_path, &by_run)?;
         std::fs::write(&header_path, serde_json::to_string_pretty(&header)? + "\n")
             .with_context(|| header_path.display().to_string())?;
@@ -81,7 +85,7 @@
         self.rows.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// The run has its result.
+    /// Whether the run has its result.
     pub fn contains(&self, run: u64) -> bool {
         self.rows_guard().by_run.contains_key(&run)
     }
@@ -105,12 +109,12 @@
         self.rows_guard().by_run.values().cloned().collect()
     }
 
-    /// What the folder belongs to.
+    /// The experiment that the folder belongs to.
     pub fn header(&self) -> &Header {
         &self.header
     }
 
-    /// Writes all results as one file. The same results make the same bytes.
+    /// Writes all results as one Parquet file and returns its path. The same results produce the same bytes.
     pub fn write_parquet(&self) -> anyhow::Result<PathBuf> {
         let batch = record_batch(&self.header.plan, &self.rows())?;
         let properties = WriterProperties::builder().set_key_value_metadata(Some(self.metadata()?)).build();
