--- a/crates/testbed/src/decision_cost.rs
+++ b/crates/testbed/src/decision_cost.rs
@@ -1,9 +1,11 @@
-//! What a decision costs: the library alone, in virtual time, one decision cycle a millisecond.
+//! The cost of decisions: the library alone, in virtual time, with one decision cycle per millisecond.
 //!
-//! Each case changes one thing: messages in flight, destinations, calls in flight. All cases take turns in one run,
-//! so that what the machine does meanwhile meets all of them; medians are compared.
+//! The cases of a series differ in one quantity: messages in flight, destinations, or calls in flight. They
+//! are measured in turn within one run, so that other load on the machine affects all of them alike; medians
+//! are compared.
 
 mod driver;
+mod workload;
 
 use crate::statistics::{maximum, median, minimum, round};
 use driver::{Driver, MESSAGES_PER_CYCLE};
@@ -12,23 +14,24 @@
 /// The load of a case.
 #[derive(Clone, Copy, Debug)]
 struct Case {
-    /// Messages that wait for destinations that asked for it.
+    /// Messages that wait for destinations that have sent a Retry-After.
     waiting_messages: u32,
     destinations: u32,
     calls_in_flight: u32,
-    /// There is so little capacity that each message accepted has another rejected.
+    /// Whether the limit of messages in flight is reached, so that each accepted message causes another
+    /// rejection.
     is_crowded: bool,
 }
 
 const USUAL_CASE: Case =
     Case { waiting_messages: 10, destinations: 10, calls_in_flight: 300, is_crowded: false };
 
-/// Cases that differ in one thing.
+/// Cases that differ in one quantity.
 struct Series {
     /// The name in the figures.
     name: &'static str,
     cases: Vec<Case>,
-    /// What the cases differ in.
+    /// The quantity that the cases differ in.
     count: fn(&Case) -> u32,
 }
 
@@ -66,16 +69,17 @@
     ]
 }
 
-/// A case, and what its turns showed.
+/// A case and its measurements.
 struct MeasuredCase {
     driver: Driver,
     count: u32,
-    /// Microseconds a message, of each turn.
+    /// Microseconds per message, one value for each turn.
     cost_us: Vec<f64>,
     calls_in_flight: usize,
 }
 
-/// Cost of a message over messages, destinations and calls in flight; ratios to the first case of each series.
+/// Measures all series, `turns` times `cycles` decision cycles a case, and returns the cost per message as
+/// JSON. Each case has its ratio to the first case of its series.
 pub fn run(cycles: u64, turns: usize) -> Value {
     let mut document = json!({"rounds": cycles, "turns": turns, "messages_a_round": MESSAGES_PER_CYCLE});
     for series in all_series() {
@@ -103,7 +107,7 @@
     json!(rows)
 }
 
-/// A case next to the first one: each turn's cost is compared with that of the same turn.
+/// The figures of a case. Its ratio compares each turn with the same turn of the series' first case.
 fn case_json(case: &MeasuredCase, first: &[f64]) -> Value {
     let cost = &case.cost_us;
     let ratios = cost.iter().zip(first).map(|(cost, first)| cost / first);
