Socket run: events of connections in functions of their own, plain doc comments

Cause: `process` nested three matches; comments were elliptic; NOBODY named an address.

Change: process_accepted and process_data beside process_closed; UNREACHABLE for the address without a listener; doc comments say units and what fails.

--- a/crates/testbed/src/socket_run.rs
+++ b/crates/testbed/src/socket_run.rs
@@ -1,5 +1,8 @@
-//! Runs a scenario on sockets: real couriers in processes of their own, and on one event loop of this process the
-//! scenario runner around them, which records what goes over the sockets.
+//! Runs a scenario on sockets: each courier is a process, and the scenario runner around them is one event
+//! loop of this process.
+//!
+//! The runner's clients, endpoints and endpoint list speak to the couriers over loopback; what goes over the
+//! sockets is recorded for the conformance checks. Nothing here decides whether a run was good.
 
 mod transport;
 
@@ -18,57 +21,65 @@
 
 const MILLISECOND: Time = 1_000_000;
 const SECOND: Time = 1000 * MILLISECOND;
-/// How long couriers may take to get ready.
+/// Time for all couriers to become ready.
 const STARTUP_TIMEOUT: Duration = Duration::from_secs(20);
-/// How long couriers may take to end; more than they work on after SIGTERM.
+/// Time for all couriers to exit, in nanoseconds; longer than their drain timeout.
 const SHUTDOWN_TIMEOUT: Time = 12 * SECOND;
-/// How long the loop waits at most while couriers get ready or end, and while traffic runs.
+/// Maximum wait for events while couriers become ready or exit.
 const TRANSITION_POLL: Time = 10 * MILLISECOND;
+/// Maximum wait for events while traffic runs.
 const TRAFFIC_POLL: Time = 200 * MILLISECOND;
+/// Maximum wait for events while there is no traffic.
 const IDLE_POLL: Time = SECOND;
 const HTTP_OK: &str = "HTTP/1.1 200";
 
-/// How a stack is brought up.
+/// How the couriers of a stack are started.
 #[derive(Clone, Debug)]
 pub struct StackOptions {
-    /// The policy that decides in the couriers.
+    /// The name of the couriers' decision policy.
     pub policy: String,
-    /// The program whose `edge` command is a courier: this one, but in tests.
+    /// The program whose `edge` command is a courier; outside tests, this program.
     pub program: PathBuf,
-    /// Where couriers keep their state and logs.
+    /// The folder for the couriers' state and logs.
     pub dir: PathBuf,
-    /// A Graphite receiver that couriers report to, each second.
+    /// A Graphite receiver that the couriers report to every second, if any.
     pub graphite: Option<SocketAddr>,
-    /// Called each second with how far the run is.
+    /// Called once per second of the scenario, if given.
     pub progress: Option<fn(Progress)>,
 }
 
 impl StackOptions {
-    /// Couriers that the library decides in, without reports and progress.
+    /// Couriers with the decision library as their policy, without reports and progress.
     pub fn new(program: PathBuf, dir: PathBuf) -> StackOptions {
         StackOptions { policy: "library".into(), program, dir, graphite: None, progress: None }
     }
 }
 
-/// How far a run is.
+/// The progress of a run.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Progress {
     /// Seconds of the scenario that have passed.
     pub seconds: f64,
-    /// Seconds of the scenario in all.
+    /// Length of the scenario in seconds.
     pub of_seconds: f64,
-    /// Messages that wait for their answer.
+    /// Number of messages that wait for their answer.
     pub open_messages: usize,
 }
 
+/// Running couriers and the scenario runner around them.
 struct SocketStack<'a> {
     runner: ScenarioRunner<'a, SocketTransport<'a>>,
     options: &'a StackOptions,
+    /// The origin of the runner's clock.
     started: Instant,
-    signalled: bool,
+    /// Whether SIGTERM or SIGINT was received.
+    is_signalled: bool,
 }
 
-/// Runs a scenario to its end.
+/// Runs a scenario to its end and returns what was recorded.
+///
+/// # Errors
+/// Fails if a courier does not start, does not become ready, or does not exit cleanly.
 pub fn run(fleet: &Fleet, options: &StackOptions) -> anyhow::Result<ScenarioRecords> {
     let mut stack = SocketStack::start(fleet, options)?;
     stack.run_traffic(fleet.scenario.seconds)?;
@@ -77,7 +88,8 @@
     Ok(records)
 }
 
-/// Keeps the stack of a scenario up, without its traffic, until a signal comes. `ready` is given where it listens.
+/// Runs the stack of a scenario without its traffic until SIGTERM or SIGINT. `ready` is called once with a
+/// JSON description of the addresses and topics.
 pub fn run_until_signal(
     fleet: &Fleet,
     options: &StackOptions,
@@ -88,7 +100,7 @@
     transport.net.watch_signals(&[Signal::SIGTERM, Signal::SIGINT])?;
     ready(stack.description(fleet)?);
     let mut events = Vec::new();
-    while !stack.signalled {
+    while !stack.is_signalled {
         stack.poll(&mut events, IDLE_POLL)?;
     }
     stack.stop_couriers()
@@ -99,12 +111,13 @@
         let transport = SocketTransport::new(fleet, options)?;
         let started = Instant::now();
         let runner = ScenarioRunner::new(fleet, transport)?;
-        let mut stack = SocketStack { runner, options, started, signalled: false };
+        let mut stack = SocketStack { runner, options, started, is_signalled: false };
         stack.wait_until_ready()?;
         Ok(stack)
     }
 
-    /// Waits until every courier has its settings and the whole endpoint list, and its clients are connected.
+    /// Waits until every courier has its settings and the complete endpoint list, and its clients are
+    /// connected.
     fn wait_until_ready(&mut self) -> anyhow::Result<()> {
         let ready_by = Instant::now() + STARTUP_TIMEOUT;
         let mut events = Vec::new();
@@ -160,7 +173,7 @@
         }
     }
 
-    /// Ends the couriers as an operator does, and sees that they end well.
+    /// Shuts the couriers down gracefully, as an operator does, and checks their exit codes.
     fn stop_couriers(&mut self) -> anyhow::Result<()> {
         let couriers = &self.runner.transport.couriers;
         for courier in couriers.values() {
@@ -190,7 +203,7 @@
         Ok(())
     }
 
-    /// Waits for what comes next, at most so long, and processes it.
+    /// Waits for events for at most `max_wait` nanoseconds, then processes them and the timers that are due.
     fn poll(&mut self, events: &mut Vec<Event>, max_wait: Time) -> anyhow::Result<()> {
         let wait_until = self.runner.now() + max_wait;
         let next = self.runner.next_wakeup().map_or(wait_until, |wakeup| wakeup.min(wait_until));
@@ -204,32 +217,43 @@
         Ok(self.runner.run_due_timers()?)
     }
 
+    /// Nanoseconds since the runner's clock was started.
     fn elapsed(&self) -> Time {
         self.started.elapsed().as_nanos() as Time
     }
 
     fn process(&mut self, event: Event) -> anyhow::Result<()> {
         match event {
-            Event::Accepted { listener, token, .. } => match self.runner.transport.listeners.get(&listener) {
-                Some(&endpoint) => self.runner.accepted(endpoint, token),
-                None => self.runner.transport.close(token),
-            },
+            Event::Accepted { listener, token, .. } => self.process_accepted(listener, token),
             Event::Connected(token) => self.runner.connected(token),
-            Event::Data(token, bytes) => match self.runner.transport.pending_replies.get_mut(&token) {
-                Some(pending) => pending.received.extend(&bytes),
-                None => self.runner.received(token, &bytes),
-            },
+            Event::Data(token, bytes) => self.process_data(token, &bytes),
             Event::HalfClosed(token) => {
                 self.runner.transport.close(token);
                 self.process_closed(token)?;
             }
             Event::Closed { token, .. } | Event::ConnectFailed(token) => self.process_closed(token)?,
-            Event::Signal(_) => self.signalled = true,
+            Event::Signal(_) => self.is_signalled = true,
             Event::Datagram(..) => {}
         }
         Ok(())
     }
 
+    fn process_accepted(&mut self, listener: Token, token: Token) {
+        match self.runner.transport.listeners.get(&listener) {
+            Some(&endpoint) => self.runner.accepted(endpoint, token),
+            None => self.runner.transport.close(token),
+        }
+    }
+
+    /// Data is a part of a control interface's reply, or belongs to a connection of the runner.
+    fn process_data(&mut self, token: Token, bytes: &[u8]) {
+        match self.runner.transport.pending_replies.get_mut(&token) {
+            Some(pending) => pending.received.extend(bytes),
+            None => self.runner.received(token, bytes),
+        }
+    }
+
+    /// The end of a connection completes a control interface's reply.
     fn process_closed(&mut self, token: Token) -> anyhow::Result<()> {
         let Some(pending) = self.runner.transport.pending_replies.remove(&token) else {
             self.runner.disconnected(token);
--- a/crates/testbed/src/socket_run/transport.rs
+++ b/crates/testbed/src/socket_run/transport.rs
@@ -1,4 +1,4 @@
-//! Sockets and processes for the scenario runner.
+//! The scenario runner's transport on real sockets: connections, endpoint listeners and courier processes.
 
 use super::StackOptions;
 use crate::courier_process::{CourierOptions, CourierProcess};
@@ -14,13 +14,14 @@
 use std::time::{Duration, SystemTime};
 
 const LOOPBACK: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
-/// An address at which nobody listens: a courier that is gone has left its port.
-const NOBODY: SocketAddr = SocketAddr::new(LOOPBACK, 1);
+/// An address without a listener; connecting to it fails. It stands for a courier or endpoint that does not
+/// exist.
+const UNREACHABLE: SocketAddr = SocketAddr::new(LOOPBACK, 1);
 const MAX_CONNECTIONS: usize = 60_000;
-/// How long a courier works on after SIGTERM.
+/// The couriers' drain timeout after SIGTERM.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// A reply of a control interface that is still coming.
+/// A reply of a control interface that is not complete yet.
 pub(super) struct PendingReply {
     pub(super) courier: u32,
     pub(super) incarnation: u32,
@@ -30,20 +31,21 @@
 /// Where an endpoint listens.
 struct EndpointListener {
     token: Option<Token>,
-    /// Kept as long as the stack, so that a call to an endpoint that is gone reaches nobody else.
+    /// Reserved as long as the stack runs, so that no other process receives calls to a removed endpoint.
     port: Reserved,
 }
 
-/// Sockets and processes.
+/// The sockets of the runner and the processes of the couriers.
 pub(super) struct SocketTransport<'a> {
     fleet: &'a Fleet,
     options: &'a StackOptions,
     pub(super) net: Net,
     pub(super) couriers: BTreeMap<u32, CourierProcess>,
+    /// The endpoint of each listener.
     pub(super) listeners: BTreeMap<Token, u32>,
     pub(super) pending_replies: BTreeMap<Token, PendingReply>,
     endpoints: BTreeMap<u32, EndpointListener>,
-    /// Names of destinations in reports, by number.
+    /// The name that reports use for each destination, by its number.
     destination_names: BTreeMap<String, String>,
 }
 
@@ -72,7 +74,7 @@
     }
 
     fn connect(&mut self, courier: u32) -> Token {
-        self.net.connect(self.couriers.get(&courier).map_or(NOBODY, |courier| courier.kafka))
+        self.net.connect(self.couriers.get(&courier).map_or(UNREACHABLE, |courier| courier.kafka))
     }
 
     fn send(&mut self, token: Token, bytes: &[u8]) {
@@ -99,7 +101,7 @@
             policy: &self.options.policy,
             drain_timeout: DRAIN_TIMEOUT,
         })?;
-        // Those that were started before find it in their snapshot.
+        // A restarted courier loads the settings of its reports from its snapshot.
         if let Some(address) = self.options.graphite.filter(|_| first) {
             let graphite = json!({"address": address.to_string()});
             let settings = json!({"interval_s": 1, "names": self.destination_names, "graphite": graphite});
@@ -159,6 +161,6 @@
     }
 
     fn address(&self, endpoint: u32) -> SocketAddr {
-        self.endpoints.get(&endpoint).map_or(NOBODY, |listener| listener.port.addr())
+        self.endpoints.get(&endpoint).map_or(UNREACHABLE, |listener| listener.port.addr())
     }
 }
