Fault search: weight loss for worth lost, one way to simplify a fault

Cause: the goal and the severity were named after worth; shrinking repeated the rounding of a field four times; `find_worst_loss` held a closure of a generation; `run` built the search inline.

Change: Goal::WeightLoss, weight_loss and MIN_REMAINING_LOSS; Steps::add_fault_change with round_to and named units; run_generation; search(args) in the command. Printed texts are the same.

--- a/crates/testbed/src/cli/fault_search.rs
+++ b/crates/testbed/src/cli/fault_search.rs
@@ -1,4 +1,5 @@
-//! `hunt`: a search for scenarios that break a rule or lose most.
+//! `hunt`: searches for scenarios that break an invariant, or on which the policy loses most against the
+//! baselines.
 
 use super::common::{thread_count, Outcome};
 use crate::emulated_run::Recipe;
@@ -8,48 +9,48 @@
 use std::io::IsTerminal;
 use std::path::PathBuf;
 
-/// The progress line is printed once in so many runs.
+/// Number of runs between two updates of the progress line.
 const PROGRESS_INTERVAL: u64 = 16;
 
 #[derive(Debug, clap::Args)]
 pub(super) struct Args {
-    /// The scenario whose fleet and traffic are used, its own faults included
+    /// The scenario whose fleet, traffic and faults every run has
     #[arg(long, default_value = "quiet")]
     day: String,
-    /// Couriers, if not as many as the scenario says
+    /// Number of couriers, in place of the scenario's
     #[arg(long)]
     couriers: Option<u32>,
-    /// Run it so many times as fast
+    /// Speed up the scenario by this factor
     #[arg(long, default_value_t = 1.0)]
     speed: f64,
     /// Seed of the search
     #[arg(long, default_value_t = 1)]
     seed: u64,
-    /// Scenarios tried at most
+    /// Maximum number of scenarios that are tried
     #[arg(long, default_value_t = 1000)]
     runs: u64,
-    /// Faults of a scenario at most
+    /// Maximum number of faults that are added to a scenario
     #[arg(long, default_value_t = 5)]
     troubles: usize,
     /// The policy that decides
     #[arg(long, default_value = "library")]
     policy: String,
-    /// Search for the scenario on which most is lost against the best baseline, not for broken rules
+    /// Search for the scenario with the largest loss against the best baseline, not for broken rules
     #[arg(long)]
     loss: bool,
-    /// Only faults that sockets can cause
+    /// Draw only faults that a run on sockets can cause
     #[arg(long)]
     on_sockets: bool,
-    /// Do not search: shrink this recipe's scenario
+    /// Do not search, but shrink the scenario of this recipe
     #[arg(long, value_name = "FILE")]
     shrink: Option<PathBuf>,
-    /// Runs at the same time; as many as there are cores if not given
+    /// Number of runs at the same time; one for each core if not given
     #[arg(long)]
     threads: Option<usize>,
-    /// Write the scenario found as a script
+    /// Write the scenario that was found to this file, as a script
     #[arg(long, value_name = "FILE")]
     out: Option<PathBuf>,
-    /// Write its recipe, for `trace`
+    /// Write its recipe to this file, for `trace`
     #[arg(long, value_name = "FILE")]
     recipe: Option<PathBuf>,
 }
@@ -59,16 +60,7 @@
         bail!("--runs: 1 to 10000000; --troubles: 1 to 64");
     }
     let shows_progress = std::io::stderr().is_terminal();
-    let search = FaultSearch {
-        base: Scenario::find(&args.day)?.with(args.couriers, args.speed)?,
-        seed: args.seed,
-        runs: args.runs,
-        policy: args.policy.clone(),
-        goal: if args.loss { Goal::WorthLost } else { Goal::BrokenInvariant },
-        max_faults: args.troubles,
-        sockets_only: args.on_sockets,
-        threads: thread_count(args.threads)?,
-    };
+    let search = search(args)?;
     let finding = match &args.shrink {
         Some(file) => search.shrink_run(Recipe::read(file)?)?,
         None => search.run(&|number| {
@@ -92,6 +84,19 @@
     }
 }
 
+fn search(args: &Args) -> anyhow::Result<FaultSearch> {
+    Ok(FaultSearch {
+        base: Scenario::find(&args.day)?.with(args.couriers, args.speed)?,
+        seed: args.seed,
+        runs: args.runs,
+        policy: args.policy.clone(),
+        goal: if args.loss { Goal::WeightLoss } else { Goal::BrokenInvariant },
+        max_faults: args.troubles,
+        sockets_only: args.on_sockets,
+        threads: thread_count(args.threads)?,
+    })
+}
+
 fn print_nothing_found(args: &Args) {
     match &args.shrink {
         Some(file) => println!("{} breaks no rule", file.display()),
@@ -99,6 +104,7 @@
     }
 }
 
+/// Prints the finding and writes the files that were asked for.
 fn report_finding(args: &Args, finding: &Finding) -> anyhow::Result<()> {
     print!("{}", fault_search::describe(finding)?);
     if let Some(file) = &args.out {
--- a/crates/testbed/src/fault_search.rs
+++ b/crates/testbed/src/fault_search.rs
@@ -1,8 +1,9 @@
-//! Searches for scenarios that break an invariant or on which the library loses most, and shrinks what it finds to
-//! what matters.
+//! Fault search: draws random faults, runs them in virtual time, and looks for scenarios that break an
+//! invariant or on which the tested policy falls behind the baselines most. A scenario that was found is
+//! shrunk to the faults that matter.
 //!
-//! Scenario number k is drawn from the search's seed and k alone, so a search finds the same with any number of
-//! threads.
+//! The scenario of run k depends on the seed of the search and on k alone, so a search finds the same
+//! scenario with any number of threads.
 
 mod describe;
 mod draw;
@@ -14,66 +15,70 @@
 pub use describe::{describe, script};
 use linnetcart_conformance::Report;
 use linnetcart_scenario::scenario::Scenario;
+use std::ops::Range;
 
-/// Scenarios that a search for losses draws from the worst one so far, at a time.
+/// Number of runs that a search for losses does before it chooses the next parent to mutate.
 const GENERATION_SIZE: u64 = 32;
-/// Of the worth lost that was found, the part that must remain while its scenario shrinks.
-const REMAINING_LOSS: f64 = 0.8;
+/// The part of the original loss that a shrunk scenario must still show.
+const MIN_REMAINING_LOSS: f64 = 0.8;
 
-/// What is searched for.
+/// What a search looks for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Goal {
-    /// An invariant that breaks.
+    /// A scenario on which an invariant is broken.
     BrokenInvariant,
-    /// A scenario on which the best of the baselines serves more worth than the policy that is tested.
-    WorthLost,
+    /// The scenario on which the best baseline delivers more priority weight than the tested policy, by the
+    /// largest margin.
+    WeightLoss,
 }
 
-/// A search.
+/// The parameters of a search.
 #[derive(Clone, Debug)]
 pub struct FaultSearch {
-    /// Fleet and traffic.
+    /// The scenario whose fleet and traffic are used; drawn faults are added to its own.
     pub base: Scenario,
-    /// Everything is drawn from it.
+    /// The seed that all scenarios are drawn from.
     pub seed: u64,
-    /// Scenarios that are tried at most.
+    /// Maximum number of scenarios that are tried.
     pub runs: u64,
-    /// The policy that is tested.
+    /// The name of the policy that is tested.
     pub policy: String,
-    /// What is searched for.
+    /// What the search looks for.
     pub goal: Goal,
-    /// Faults of a scenario at most.
+    /// Maximum number of faults of a scenario.
     pub max_faults: usize,
-    /// Only faults that sockets can cause.
+    /// Whether only faults are drawn that a run on sockets can cause.
     pub sockets_only: bool,
-    /// Runs at the same time.
+    /// Number of runs at the same time.
     pub threads: usize,
 }
 
-/// What was found.
+/// A scenario that a search found.
 #[derive(Clone, Debug)]
 pub struct Finding {
-    /// The run that found it, counted from 1; 0 if it was given.
+    /// The number of the run that found it, counted from 1; 0 if the scenario was given.
     pub run: u64,
-    /// What is wrong, in words.
+    /// The broken invariants with an example, or the loss.
     pub summary: String,
     /// The scenario as drawn.
     pub drawn: Recipe,
-    /// The scenario with what matters.
+    /// The scenario after shrinking.
     pub shrunk: Recipe,
-    /// Runs that shrinking took.
+    /// Number of runs that shrinking took.
     pub shrink_runs: u64,
 }
 
-/// Called with the number of each run that is done.
+/// Called with the number of each run when it has finished.
 pub type ProgressFn<'a> = &'a (dyn Fn(u64) + Sync);
 
-/// How bad a scenario is: the invariants broken, and the worth lost against the best baseline.
+/// The result of running a scenario: the broken invariants and the loss against the best baseline.
 #[derive(Clone, Debug, PartialEq)]
 struct Severity {
     broken_rules: Vec<&'static str>,
+    /// An example of a broken invariant; empty if none is broken.
     first_example: String,
-    worth_lost: f64,
+    /// Part of the priority weight asked for that the best baseline delivers more than the tested policy.
+    weight_loss: f64,
 }
 
 impl Severity {
@@ -83,31 +88,31 @@
         Severity {
             broken_rules: broken.iter().map(|invariant| invariant.rule).collect(),
             first_example: first_example.cloned().unwrap_or_default(),
-            worth_lost: 0.0,
+            weight_loss: 0.0,
         }
     }
 
     fn reaches(&self, goal: Goal) -> bool {
         match goal {
             Goal::BrokenInvariant => !self.broken_rules.is_empty(),
-            Goal::WorthLost => self.worth_lost > 0.0,
+            Goal::WeightLoss => self.weight_loss > 0.0,
         }
     }
 
-    /// A smaller scenario with this severity still shows what `found` showed.
+    /// Whether a scenario with this severity still shows the problem that was `found`.
     fn still_shows(&self, found: &Severity, goal: Goal) -> bool {
         match goal {
             Goal::BrokenInvariant => {
                 found.broken_rules.first().is_some_and(|rule| self.broken_rules.contains(rule))
             }
-            Goal::WorthLost => self.worth_lost >= REMAINING_LOSS * found.worth_lost,
+            Goal::WeightLoss => self.weight_loss >= MIN_REMAINING_LOSS * found.weight_loss,
         }
     }
 
     fn summary(&self, goal: Goal) -> String {
         match goal {
             Goal::BrokenInvariant => format!("{}: {}", self.broken_rules.join("; "), self.first_example),
-            Goal::WorthLost => format!("{:.3} of the worth less than the best baseline", self.worth_lost),
+            Goal::WeightLoss => format!("{:.3} of the worth less than the best baseline", self.weight_loss),
         }
     }
 }
@@ -121,16 +126,16 @@
 }
 
 impl FaultSearch {
-    /// Searches.
+    /// Searches and shrinks what is found. Returns `None` if no run reaches the goal.
     pub fn run(&self, progress: ProgressFn) -> anyhow::Result<Option<Finding>> {
         let found = match self.goal {
             Goal::BrokenInvariant => self.find_broken_invariant(progress)?,
-            Goal::WorthLost => self.find_worst_loss(progress)?,
+            Goal::WeightLoss => self.find_worst_loss(progress)?,
         };
         found.map(|candidate| self.finding(candidate)).transpose()
     }
 
-    /// Shrinks a run that is known to be bad; none if it is not.
+    /// Shrinks the scenario of a given run. Returns `None` if the run does not reach the goal.
     pub fn shrink_run(&self, recipe: Recipe) -> anyhow::Result<Option<Finding>> {
         let severity = self.assess(&recipe)?;
         if !severity.reaches(self.goal) {
@@ -151,14 +156,15 @@
         })
     }
 
+    /// Runs a recipe, and for a search for losses the same with every baseline.
     fn assess(&self, recipe: &Recipe) -> anyhow::Result<Severity> {
         let report = recipe.run_checked()?.report;
         let mut severity = Severity::of(&report);
-        if self.goal == Goal::WorthLost {
+        if self.goal == Goal::WeightLoss {
             for baseline in baselines::NAMES.iter().filter(|name| **name != recipe.policy) {
                 let with_baseline = Recipe { policy: (*baseline).into(), ..recipe.clone() };
                 let baseline_report = with_baseline.run_checked()?.report;
-                severity.worth_lost = severity.worth_lost.max(baseline_report.service - report.service);
+                severity.weight_loss = severity.weight_loss.max(baseline_report.service - report.service);
             }
         }
         Ok(severity)
@@ -175,7 +181,8 @@
         Ok(found.map(|(_, candidate)| candidate))
     }
 
-    /// The first half of the runs looks everywhere, the second near the worst scenario so far.
+    /// Draws independent scenarios in the first half of the runs and mutates the worst one in the second
+    /// half.
     fn find_worst_loss(&self, progress: ProgressFn) -> anyhow::Result<Option<Candidate>> {
         let mut worst: Option<Candidate> = None;
         let mut next_run = 1;
@@ -183,23 +190,33 @@
             let end = (next_run + GENERATION_SIZE).min(self.runs + 1);
             let is_second_half = next_run > self.runs / 2;
             let parent = worst.clone().filter(|_| is_second_half);
-            let generation = parallel::run_all(self.threads, next_run..end, &|run| {
-                let recipe = match &parent {
-                    Some(parent) => self.mutate(&parent.recipe, run),
-                    None => self.draw(run),
-                };
-                let severity = self.assess(&recipe)?;
-                progress(run);
-                Ok(Candidate { run, recipe, severity })
-            })?;
+            let generation = self.run_generation(next_run..end, parent.as_ref(), progress)?;
             for candidate in generation {
-                let loss = candidate.severity.worth_lost;
-                if worst.as_ref().is_none_or(|worst| loss > worst.severity.worth_lost) {
+                let loss = candidate.severity.weight_loss;
+                if worst.as_ref().is_none_or(|worst| loss > worst.severity.weight_loss) {
                     worst = Some(candidate);
                 }
             }
             next_run = end;
         }
-        Ok(worst.filter(|worst| worst.severity.reaches(Goal::WorthLost)))
+        Ok(worst.filter(|worst| worst.severity.reaches(Goal::WeightLoss)))
+    }
+
+    /// Runs mutations of the parent, or independent scenarios if there is none.
+    fn run_generation(
+        &self,
+        runs: Range<u64>,
+        parent: Option<&Candidate>,
+        progress: ProgressFn,
+    ) -> anyhow::Result<Vec<Candidate>> {
+        parallel::run_all(self.threads, runs, &|run| {
+            let recipe = match parent {
+                Some(parent) => self.mutate(&parent.recipe, run),
+                None => self.draw(run),
+            };
+            let severity = self.assess(&recipe)?;
+            progress(run);
+            Ok(Candidate { run, recipe, severity })
+        })
     }
 }
--- a/crates/testbed/src/fault_search/describe.rs
+++ b/crates/testbed/src/fault_search/describe.rs
@@ -1,11 +1,11 @@
-//! A finding as a script and in words.
+//! Renders a finding: as a script that can be run again, and as text for the terminal.
 
 use super::Finding;
 use crate::run_report;
 use linnetcart_scenario::scenario::FaultSpec;
 use std::fmt::Write;
 
-/// The scenario as a script, with what it shows and how it is run again.
+/// The shrunk scenario as a script. Comments at its top say what it shows and how to run it.
 pub fn script(finding: &Finding) -> anyhow::Result<String> {
     let recipe = &finding.shrunk;
     let seed = recipe.seed;
@@ -19,7 +19,7 @@
     Ok(text)
 }
 
-/// What was found, in words, with the report of the shrunk run.
+/// A description of the finding, with the report of the shrunk scenario. Runs the shrunk scenario once more.
 pub fn describe(finding: &Finding) -> anyhow::Result<String> {
     let drawn = &finding.drawn.scenario;
     let shrunk = &finding.shrunk.scenario;
--- a/crates/testbed/src/fault_search/draw.rs
+++ b/crates/testbed/src/fault_search/draw.rs
@@ -1,4 +1,4 @@
-//! Scenarios drawn at random, anew or from another one.
+//! Draws scenarios at random: independent ones, and mutations of another one.
 
 use super::FaultSearch;
 use crate::emulated_run::Recipe;
@@ -8,12 +8,14 @@
 use rand_chacha::ChaCha8Rng;
 use std::ops::Range;
 
-/// Spread the seed of a search over all bits, so that those of its runs have nothing in common.
+/// Spreads the seed of a search over all bits, so that the generators of its runs are independent.
 const DRAW_SEED_FACTOR: u64 = 0x9e37_79b9_7f4a_7c15;
+/// As [`DRAW_SEED_FACTOR`], for mutations.
 const MUTATION_SEED_FACTOR: u64 = 0x2545_f491_4f6c_dd1d;
+/// Seeds of the fleet, traffic and decisions of a run.
 const RUN_SEEDS: Range<u64> = 1..1_000_000;
 
-/// All kinds, in the order in which they are drawn from.
+/// All kinds of fault. Their order determines what a seed draws.
 const FAULT_KINDS: [FaultKind; 26] = [
     FaultKind::Errors,
     FaultKind::Shut,
@@ -43,7 +45,7 @@
     FaultKind::DiskDamaged,
 ];
 
-/// How strong a fault is; what the figures mean depends on its kind.
+/// The strength of a fault; the meaning and unit of both figures depend on the kind, see [`FaultSpec`].
 struct Strength {
     size: f64,
     extra: f64,
@@ -61,7 +63,7 @@
     low + rng.random::<f64>() * (high - low)
 }
 
-/// Draws a fault as strong as real ones are.
+/// Draws a fault of a kind, with times within the scenario.
 fn draw_fault(rng: &mut ChaCha8Rng, kind: FaultKind, scenario: &Scenario) -> FaultSpec {
     let at = between(rng, 0.05, 0.75) * scenario.seconds;
     let lasts = between(rng, 0.05, 0.4) * scenario.seconds;
@@ -70,7 +72,7 @@
     FaultSpec { what: kind, at, lasts, part, size, extra, hard: rng.random() }
 }
 
-/// Draws the strength of a fault: the size first, then what it has besides.
+/// Draws the strength of a fault within the range of real ones: the size first, then the extra figure.
 fn draw_strength(rng: &mut ChaCha8Rng, kind: FaultKind, classes: usize) -> Strength {
     let mut draw = |low: f64, high: f64| between(rng, low, high);
     match kind {
@@ -103,12 +105,13 @@
 }
 
 impl FaultSearch {
+    /// The kinds that this search may draw.
     fn kinds(&self) -> Vec<FaultKind> {
         let allowed = |kind: &FaultKind| !self.sockets_only || !kind.emulated_only();
         FAULT_KINDS.into_iter().filter(allowed).collect()
     }
 
-    /// The scenario of a run: a fleet of its own, and faults.
+    /// Draws the scenario of a run: a seed of its own and one or more faults.
     pub(super) fn draw(&self, run: u64) -> Recipe {
         let mut rng = ChaCha8Rng::seed_from_u64(self.seed.wrapping_mul(DRAW_SEED_FACTOR) ^ run);
         let mut scenario = self.base.clone();
@@ -122,7 +125,7 @@
         recipe
     }
 
-    /// A scenario like another one: a fault more or less or drawn anew, or another fleet.
+    /// Mutates a scenario: removes, adds or redraws a fault, or changes the seed of the run.
     pub(super) fn mutate(&self, parent: &Recipe, run: u64) -> Recipe {
         let mut rng = ChaCha8Rng::seed_from_u64(self.seed.wrapping_mul(MUTATION_SEED_FACTOR) ^ run);
         let mut recipe = parent.clone();
@@ -152,7 +155,7 @@
     }
 }
 
-/// Draws one of the faults anew, of the same kind.
+/// Replaces a random fault by another one of the same kind.
 fn redraw_fault(rng: &mut ChaCha8Rng, scenario: &mut Scenario) {
     let index = rng.random_range(0..scenario.trouble.len().max(1));
     if let Some(kind) = scenario.trouble.get(index).map(|fault| fault.what) {
--- a/crates/testbed/src/fault_search/shrink.rs
+++ b/crates/testbed/src/fault_search/shrink.rs
@@ -1,20 +1,27 @@
-//! Shrinks a scenario as long as it shows the same.
+//! Shrinks a scenario step by step, as long as it still shows the problem that was found.
 
 use super::{FaultSearch, Severity};
 use crate::emulated_run::Recipe;
-use linnetcart_scenario::scenario::Scenario;
+use linnetcart_scenario::scenario::{FaultSpec, Scenario};
 
-/// Runs that shrinking may take.
+/// Maximum number of runs that shrinking takes.
 const MAX_SHRINK_RUNS: u64 = 400;
 
-/// A recipe that was shrunk.
+/// Faults that are longer than this are halved.
+const MIN_HALVED_SECONDS: f64 = 0.3;
+/// Fractions of a unit that figures of faults are rounded to.
+const TENTHS: f64 = 10.0;
+const HUNDREDTHS: f64 = 100.0;
+
+/// The result of shrinking.
 pub(super) struct Shrunk {
     pub(super) recipe: Recipe,
+    /// Number of runs that it took.
     pub(super) runs: u64,
 }
 
 impl FaultSearch {
-    /// Takes away what does not matter, as long as the scenario shows the same.
+    /// Removes and simplifies parts of a scenario until no smaller one shows the same problem.
     pub(super) fn shrink(&self, found: &Recipe, severity: &Severity) -> anyhow::Result<Shrunk> {
         let mut shrunk = Shrunk { recipe: found.clone(), runs: 0 };
         while let Some(smaller) = self.find_smaller(&mut shrunk, severity)? {
@@ -23,7 +30,8 @@
         Ok(shrunk)
     }
 
-    /// The first smaller recipe that shows the same; none if there is none, or no run left to look for it.
+    /// Returns the first smaller recipe that shows the same problem, or `None` if there is none or the runs
+    /// are used up.
     fn find_smaller(&self, shrunk: &mut Shrunk, severity: &Severity) -> anyhow::Result<Option<Recipe>> {
         for smaller in smaller_recipes(&shrunk.recipe) {
             if shrunk.runs >= MAX_SHRINK_RUNS {
@@ -39,14 +47,14 @@
     }
 }
 
-/// Recipes that differ from one in a single step.
+/// Collects recipes that each differ from one recipe in a single step.
 struct Steps<'a> {
     from: &'a Recipe,
     smaller: Vec<Recipe>,
 }
 
 impl Steps<'_> {
-    /// Adds a recipe with a change, unless it changes nothing.
+    /// Adds a copy of the recipe with a change, unless the change has no effect.
     fn add(&mut self, change: impl FnOnce(&mut Scenario)) {
         let mut recipe = self.from.clone();
         change(&mut recipe.scenario);
@@ -54,9 +62,14 @@
             self.smaller.push(recipe);
         }
     }
+
+    /// Adds a copy of the recipe with a change of one fault.
+    fn add_fault_change(&mut self, index: usize, change: impl FnOnce(&mut FaultSpec)) {
+        self.add(|scenario| change(&mut scenario.trouble[index]));
+    }
 }
 
-/// Recipes that are somewhat smaller, the greatest steps first.
+/// Recipes that are one step smaller, the largest steps first.
 fn smaller_recipes(from: &Recipe) -> Vec<Recipe> {
     let mut steps = Steps { from, smaller: Vec::new() };
     for index in 0..from.scenario.trouble.len() {
@@ -95,24 +108,15 @@
 }
 
 fn add_simpler_faults(steps: &mut Steps, index: usize) {
-    if steps.from.scenario.trouble[index].lasts > 0.3 {
-        // Half as long, to a tenth of a second.
-        steps.add(|scenario| {
-            let lasts = &mut scenario.trouble[index].lasts;
-            *lasts = (*lasts * 5.0).round() / 10.0;
-        });
+    if steps.from.scenario.trouble[index].lasts > MIN_HALVED_SECONDS {
+        steps.add_fault_change(index, |fault| fault.lasts = round_to(fault.lasts / 2.0, TENTHS));
     }
-    steps.add(|scenario| {
-        let at = &mut scenario.trouble[index].at;
-        *at = (*at * 10.0).round() / 10.0;
-    });
-    steps.add(|scenario| {
-        let size = &mut scenario.trouble[index].size;
-        *size = (*size * 100.0).round() / 100.0;
-    });
-    steps.add(|scenario| {
-        let part = &mut scenario.trouble[index].part;
-        *part = (*part * 100.0).round() / 100.0;
-    });
-    steps.add(|scenario| scenario.trouble[index].hard = false);
+    steps.add_fault_change(index, |fault| fault.at = round_to(fault.at, TENTHS));
+    steps.add_fault_change(index, |fault| fault.size = round_to(fault.size, HUNDREDTHS));
+    steps.add_fault_change(index, |fault| fault.part = round_to(fault.part, HUNDREDTHS));
+    steps.add_fault_change(index, |fault| fault.hard = false);
+}
+
+fn round_to(value: f64, fractions: f64) -> f64 {
+    (value * fractions).round() / fractions
 }
