Bench scenario: faults built by named figures in place of four positional ones

Cause: FaultShape::new(kind, part, 0.0, 0.0) did not say which figure is which.

Change: new and of_all with with_size and with_extra; bench fields have doc comments with units; BenchScenario for BenchDay.

--- a/crates/testbed/src/bench_scenario.rs
+++ b/crates/testbed/src/bench_scenario.rs
@@ -1,4 +1,5 @@
-//! Days of a bench as scenarios: their faults, with times, parts and sizes, on a fleet of this program's own.
+//! Converts scenarios of the bench: their faults are taken over, with times, parts and sizes, onto the fleet
+//! and traffic of a built-in scenario.
 
 use anyhow::{ensure, Context};
 use linnetcart_scenario::scenario::{FaultKind, FaultSpec, Scenario};
@@ -8,49 +9,64 @@
 #[cfg(test)]
 mod tests;
 
-/// The bench counts in microseconds.
+/// The bench writes times in microseconds.
 const MICROSECONDS_PER_SECOND: f64 = 1e6;
+/// The built-in scenario whose fleet and traffic are used.
+const BASE_SCENARIO: &str = "quiet";
 
+/// A scenario as the bench writes it; fields that are not converted are ignored.
 #[derive(Debug, Deserialize)]
-struct BenchDay {
+struct BenchScenario {
     length: u64,
     servers: Vec<IgnoredAny>,
     balancers: Vec<IgnoredAny>,
     troubles: Vec<BenchFault>,
 }
 
+/// A fault as the bench writes it.
 #[derive(Debug, Deserialize)]
 struct BenchFault {
     kind: String,
+    /// Start, in microseconds.
     at: u64,
+    /// Duration, in microseconds.
     len: u64,
+    /// The strength of the fault; its unit depends on the kind.
     #[serde(default)]
     size: f64,
+    /// A second figure of some kinds.
     #[serde(default)]
     extra: f64,
+    /// The numbers of the servers or balancers that are affected.
     #[serde(default)]
     on: Vec<u32>,
+    /// The class that is affected.
     #[serde(default)]
     which: u32,
+    /// How servers that are down fail.
     #[serde(default)]
     how: Option<String>,
 }
 
-/// A bench's day as a scenario.
+/// The result of a conversion.
 #[derive(Clone, Debug)]
 pub struct ConvertedScenario {
     /// The scenario.
     pub scenario: Scenario,
-    /// Faults that it is without, as they cannot be caused, in words.
+    /// Descriptions of the faults that were left out, because they cannot be caused on sockets.
     pub unsupported: Vec<String>,
 }
 
-/// Converts a day as the bench draws them.
+/// Converts the JSON text of a bench scenario.
+///
+/// # Errors
+/// Fails if the text is no bench scenario, has no servers or balancers, or describes an invalid scenario.
 pub fn convert(text: &str) -> anyhow::Result<ConvertedScenario> {
-    let bench: BenchDay = serde_json::from_str(text).context("this is no day as the bench draws them")?;
+    let bench: BenchScenario =
+        serde_json::from_str(text).context("this is no day as the bench draws them")?;
     let has_all = !bench.servers.is_empty() && !bench.balancers.is_empty();
     ensure!(has_all, "the day has no servers or no couriers");
-    let mut scenario = Scenario::find("quiet")?;
+    let mut scenario = Scenario::find(BASE_SCENARIO)?;
     scenario.name = "bench".into();
     scenario.about = "Troubles of a bench day.".into();
     scenario.seconds = bench.length as f64 / MICROSECONDS_PER_SECOND;
@@ -69,7 +85,7 @@
     Ok(ConvertedScenario { scenario, unsupported })
 }
 
-/// What a fault is, without its times.
+/// A fault without its times.
 struct FaultShape {
     kind: FaultKind,
     part: f64,
@@ -78,8 +94,22 @@
 }
 
 impl FaultShape {
-    fn new(kind: FaultKind, part: f64, size: f64, extra: f64) -> FaultShape {
-        FaultShape { kind, part, size, extra }
+    /// A fault of a part of the fleet, without further figures.
+    fn new(kind: FaultKind, part: f64) -> FaultShape {
+        FaultShape { kind, part, size: 0.0, extra: 0.0 }
+    }
+
+    /// A fault of the whole fleet, without further figures.
+    fn of_all(kind: FaultKind) -> FaultShape {
+        FaultShape::new(kind, 1.0)
+    }
+
+    fn with_size(self, size: f64) -> FaultShape {
+        FaultShape { size, ..self }
+    }
+
+    fn with_extra(self, extra: f64) -> FaultShape {
+        FaultShape { extra, ..self }
     }
 }
 
@@ -92,12 +122,13 @@
         self.len as f64 / MICROSECONDS_PER_SECOND
     }
 
-    /// The part of all that the fault is on.
+    /// The part of all servers or balancers that the fault affects, 0 to 1.
     fn part_of(&self, all: &[IgnoredAny]) -> f64 {
         (self.on.len() as f64 / all.len().max(1) as f64).clamp(0.0, 1.0)
     }
 
-    /// The size. One above a bound is in a smaller unit, so many of which make one of the scenario's.
+    /// The size in the scenario's unit. A size above `if_above` is in a smaller unit and is divided by
+    /// `divisor`.
     fn size_in(&self, divisor: f64, if_above: f64) -> f64 {
         if self.size > if_above {
             self.size / divisor
@@ -106,8 +137,8 @@
         }
     }
 
-    /// The fault of a scenario; none if there is no such fault.
-    fn convert(&self, bench: &BenchDay) -> Option<FaultSpec> {
+    /// Converts the fault, or returns `None` if scenarios have no such fault.
+    fn convert(&self, bench: &BenchScenario) -> Option<FaultSpec> {
         let servers = self.part_of(&bench.servers);
         let couriers = self.part_of(&bench.balancers);
         let shape = self.endpoint_fault(servers).or_else(|| self.other_fault(couriers))?;
@@ -122,53 +153,72 @@
         })
     }
 
-    /// Faults of endpoints, and of the limits that they share.
+    /// Converts faults of endpoints and of their shared limits; `part` is the part of the endpoints affected.
     fn endpoint_fault(&self, part: f64) -> Option<FaultShape> {
         let size = self.size;
         let shape = match self.kind.as_str() {
-            "fast_errors" if self.extra >= 1.0 => FaultShape::new(FaultKind::Shut, part, 0.0, 0.0),
-            "fast_errors" => FaultShape::new(FaultKind::Errors, part, size, 0.0),
-            "crash" => FaultShape::new(FaultKind::Down, part, 0.0, 0.0),
-            "vanish" => FaultShape::new(FaultKind::Vanish, part, 0.0, 0.0),
-            "hang" => FaultShape::new(FaultKind::Silent, part, 0.0, 0.0),
-            "slow" => FaultShape::new(FaultKind::Slow, part, size, 0.0),
-            "shared_slow" => FaultShape::new(FaultKind::SharedSlow, 1.0, size, 0.0),
-            "pauses" => FaultShape::new(FaultKind::Pauses, part, size / 1e3, self.extra.max(1.0)),
-            "answer_lost" => FaultShape::new(FaultKind::AnswersLost, part, size, 0.0),
-            "throttle" => FaultShape::new(FaultKind::Throttle, part, size, 0.0),
-            "class_fail" => FaultShape::new(FaultKind::ClassFails, part, size, f64::from(self.which.min(2))),
-            "idle_reap" => FaultShape::new(FaultKind::IdleDropped, part, size, 0.0),
-            "handshake_slow" => FaultShape::new(FaultKind::SlowConnect, part, self.size_in(1e3, 1e3), 0.0),
+            "fast_errors" if self.extra >= 1.0 => FaultShape::new(FaultKind::Shut, part),
+            "fast_errors" => FaultShape::new(FaultKind::Errors, part).with_size(size),
+            "crash" => FaultShape::new(FaultKind::Down, part),
+            "vanish" => FaultShape::new(FaultKind::Vanish, part),
+            "hang" => FaultShape::new(FaultKind::Silent, part),
+            "slow" => FaultShape::new(FaultKind::Slow, part).with_size(size),
+            "shared_slow" => FaultShape::of_all(FaultKind::SharedSlow).with_size(size),
+            "pauses" => {
+                let every = self.extra.max(1.0);
+                FaultShape::new(FaultKind::Pauses, part).with_size(size / 1e3).with_extra(every)
+            }
+            "answer_lost" => FaultShape::new(FaultKind::AnswersLost, part).with_size(size),
+            "throttle" => FaultShape::new(FaultKind::Throttle, part).with_size(size),
+            "class_fail" => {
+                let class = f64::from(self.which.min(2));
+                FaultShape::new(FaultKind::ClassFails, part).with_size(size).with_extra(class)
+            }
+            "idle_reap" => FaultShape::new(FaultKind::IdleDropped, part).with_size(size),
+            "handshake_slow" => {
+                FaultShape::new(FaultKind::SlowConnect, part).with_size(self.size_in(1e3, 1e3))
+            }
             "deploy" => {
                 let drained = size.clamp(0.05, 0.5);
-                FaultShape::new(FaultKind::Drains, part.max(0.3), drained, self.extra.clamp(1.0, 10.0))
+                let seconds_to_end = self.extra.clamp(1.0, 10.0);
+                let shape = FaultShape::new(FaultKind::Drains, part.max(0.3));
+                shape.with_size(drained).with_extra(seconds_to_end)
+            }
+            "preempt" => {
+                let seconds_to_end = size.clamp(0.3, 4.0);
+                let shape = FaultShape::new(FaultKind::Drains, part.max(0.15));
+                shape.with_size(0.25).with_extra(seconds_to_end)
             }
-            "preempt" => FaultShape::new(FaultKind::Drains, part.max(0.15), 0.25, size.clamp(0.3, 4.0)),
             _ => return None,
         };
         Some(shape)
     }
 
-    /// Faults of traffic, of the endpoint list and of couriers.
+    /// Converts faults of traffic, of the endpoint list and of couriers; `couriers` is the part of them
+    /// affected.
     fn other_fault(&self, couriers: f64) -> Option<FaultShape> {
         let size = self.size;
         let shape = match self.kind.as_str() {
-            "burst" => FaultShape::new(FaultKind::SuddenLoad, 1.0, size, 0.0),
-            "hot_key" => FaultShape::new(FaultKind::HotDestinations, 1.0, size, self.extra.max(1.0)),
+            "burst" => FaultShape::of_all(FaultKind::SuddenLoad).with_size(size),
+            "hot_key" => {
+                let destinations = self.extra.max(1.0);
+                FaultShape::of_all(FaultKind::HotDestinations).with_size(size).with_extra(destinations)
+            }
             "hot_caller" => {
                 let share = (size + 1.0 / 3.0).min(1.0);
-                FaultShape::new(FaultKind::UnevenCouriers, couriers, share, 0.0)
+                FaultShape::new(FaultKind::UnevenCouriers, couriers).with_size(share)
             }
-            "discovery_down" => FaultShape::new(FaultKind::ListOut, 1.0, 0.0, 0.0),
-            "discovery_stale" => FaultShape::new(FaultKind::ListLate, 1.0, self.size_in(1e6, 1e3), 0.0),
-            "balancer_crash" => FaultShape::new(FaultKind::CouriersKilled, couriers, self.lasts(), 0.0),
+            "discovery_down" => FaultShape::of_all(FaultKind::ListOut),
+            "discovery_stale" => FaultShape::of_all(FaultKind::ListLate).with_size(self.size_in(1e6, 1e3)),
+            "balancer_crash" => FaultShape::new(FaultKind::CouriersKilled, couriers).with_size(self.lasts()),
             "balancer_roll" => {
-                FaultShape::new(FaultKind::CouriersRolled, couriers.max(0.34), self.extra.max(0.5), 0.0)
+                let seconds_down = self.extra.max(0.5);
+                FaultShape::new(FaultKind::CouriersRolled, couriers.max(0.34)).with_size(seconds_down)
             }
             "balancer_stall" => {
                 let milliseconds = self.size_in(1e3, 1e4);
                 let every = self.extra.clamp(1.0, 10.0);
-                FaultShape::new(FaultKind::CouriersStall, couriers, milliseconds, every)
+                FaultShape::new(FaultKind::CouriersStall, couriers).with_size(milliseconds).with_extra(every)
             }
             _ => return None,
         };
