Charts: documents of runs are parsed before they are added, points are typed

Cause: `ScenarioRuns::add` returned Option<()>; baseline points were pairs; the stream matched on a triple of options; fields were named after worth.

--- a/crates/testbed/src/charts/baseline.rs
+++ b/crates/testbed/src/charts/baseline.rs
@@ -1,5 +1,5 @@
-//! Figures of the throughput baseline, as `floor --json` writes them: CPU a message over messages in flight and over
-//! destinations.
+//! The throughput baseline, as `floor --json` writes it: CPU time per message over the number of messages in
+//! flight, and over the number of destinations.
 
 use super::drawing::{drawing_error, ChartLayout, CAPTION_SIZE, COLOURS, SIZE};
 use anyhow::Context;
@@ -7,33 +7,48 @@
 use serde_json::Value;
 use std::path::Path;
 
-/// A part that every complete baseline has.
+/// The name of a part that every complete baseline has.
 const EDGE_AND_RELAY: &str = "beside";
-/// Parts that are measured over a count, which has the part's name.
+/// Names of the parts that are measured over a count; the count has the same name.
 const COUNTED_PARTS: [&str; 2] = ["held", "destinations"];
 
+/// Whether a document is a complete baseline.
 pub(super) fn is_baseline(document: &Value) -> bool {
     document.get(EDGE_AND_RELAY).is_some()
 }
 
+/// Draws a chart of each counted part.
 pub(super) fn draw(document: &Value, out: &Path) -> anyhow::Result<()> {
     for part in COUNTED_PARTS {
         let rows = document[part].as_array().context("rows")?;
-        let points: Vec<(f64, f64)> = rows.iter().filter_map(|row| point(row, part)).collect();
+        let points: Vec<Point> = rows.iter().filter_map(|row| parse_point(row, part)).collect();
         draw_part(part, &points, &out.join(format!("floor-{part}.svg")))?;
     }
     Ok(())
 }
 
-fn point(row: &Value, part: &str) -> Option<(f64, f64)> {
+/// CPU time per message, in microseconds, at a count.
+#[derive(Clone, Copy)]
+struct Point {
+    count: f64,
+    cpu_us: f64,
+}
+
+impl Point {
+    fn coordinates(self) -> (f64, f64) {
+        (self.count, self.cpu_us)
+    }
+}
+
+fn parse_point(row: &Value, part: &str) -> Option<Point> {
     let count = row[part].as_f64()?;
     let cpu_us = row["cpu_us"].as_f64()?;
-    Some((count, cpu_us))
+    Some(Point { count, cpu_us })
 }
 
-fn draw_part(part: &str, points: &[(f64, f64)], path: &Path) -> anyhow::Result<()> {
-    let highest_count = points.iter().map(|(count, _)| *count).fold(1.0, f64::max);
-    let highest_cost = points.iter().map(|(_, cpu_us)| *cpu_us).fold(1.0, f64::max);
+fn draw_part(part: &str, points: &[Point], path: &Path) -> anyhow::Result<()> {
+    let highest_count = points.iter().map(|point| point.count).fold(1.0, f64::max);
+    let highest_cost = points.iter().map(|point| point.cpu_us).fold(1.0, f64::max);
     let caption = format!("CPU a message by {part}");
     let layout = ChartLayout { caption: &caption, caption_size: CAPTION_SIZE, y_label_width: 55 };
     let area = SVGBackend::new(path, SIZE).into_drawing_area();
@@ -43,9 +58,9 @@
         .build_cartesian_2d((1.0..highest_count * 1.2).log_scale(), 0.0..highest_cost * 1.1)
         .map_err(drawing_error)?;
     chart.configure_mesh().x_desc(part).y_desc("us of CPU").draw().map_err(drawing_error)?;
-    let line = LineSeries::new(points.iter().copied(), &COLOURS[0]);
+    let line = LineSeries::new(points.iter().map(|point| point.coordinates()), &COLOURS[0]);
     chart.draw_series(line).map_err(drawing_error)?;
-    let marks = points.iter().map(|&point| Circle::new(point, 4, COLOURS[0].filled()));
+    let marks = points.iter().map(|point| Circle::new(point.coordinates(), 4, COLOURS[0].filled()));
     chart.draw_series(marks).map_err(drawing_error)?;
     area.present().map_err(drawing_error)
 }
--- a/crates/testbed/src/charts/drawing.rs
+++ b/crates/testbed/src/charts/drawing.rs
@@ -1,24 +1,25 @@
-//! What all charts have in common.
+//! Size, colours and layout that all charts share.
 
 use anyhow::anyhow;
 use plotters::coord::Shift;
 use plotters::prelude::*;
 use std::error::Error;
 
+/// Width and height in pixels.
 pub(super) const SIZE: (u32, u32) = (760, 380);
 pub(super) const COLOURS: [RGBColor; 3] =
     [RGBColor(31, 119, 180), RGBColor(255, 127, 14), RGBColor(44, 160, 44)];
 pub(super) const CAPTION_SIZE: u32 = 18;
 const FONT: &str = "sans-serif";
 
-/// A drawing error as any other.
+/// Converts an error of the drawing library.
 pub(crate) fn drawing_error<E: Error + Send + Sync + 'static>(
     error: DrawingAreaErrorKind<E>,
 ) -> anyhow::Error {
     anyhow!("the chart could not be drawn: {error}")
 }
 
-/// The caption of a chart, and the room for its labels, in pixels.
+/// The caption of a chart, and the space for its labels, in pixels.
 pub(crate) struct ChartLayout<'a> {
     pub(crate) caption: &'a str,
     pub(crate) caption_size: u32,
@@ -26,7 +27,7 @@
 }
 
 impl ChartLayout<'_> {
-    /// A chart on an area, without its axes.
+    /// Begins a chart on an area; the caller adds the axes.
     pub(crate) fn on<'a, 'b, DB: DrawingBackend>(
         &self,
         area: &'a DrawingArea<DB, Shift>,
--- a/crates/testbed/src/charts/scenario_runs.rs
+++ b/crates/testbed/src/charts/scenario_runs.rs
@@ -1,4 +1,4 @@
-//! Figures of runs, as `day --json` and `emulate --json` write them: a table and a chart for each scenario.
+//! Runs of scenarios, as `day --json` and `emulate --json` write them: a table and a chart for each scenario.
 
 use super::drawing::{drawing_error, ChartLayout, CAPTION_SIZE, COLOURS, SIZE};
 use crate::statistics::{maximum, median, minimum};
@@ -9,17 +9,46 @@
 use std::fmt::Write;
 use std::path::Path;
 
-/// Worth served and cases of broken rules of one policy on one seed.
+/// The figures of one policy on one seed.
 #[derive(Clone, Debug, PartialEq)]
 struct Run {
     seed: u64,
-    served_worth: f64,
+    /// Priority weight delivered over the weight asked for.
+    service: f64,
+    /// The same for the worst ten seconds.
     worst_stretch: f64,
+    /// Number of cases in which an invariant was broken.
     rules_broken: u64,
 }
 
 type RunsByPolicy = BTreeMap<String, Vec<Run>>;
 
+/// The run of one policy.
+struct PolicyRun {
+    policy: String,
+    run: Run,
+}
+
+/// One file: the runs of several policies on the same scenario and seed.
+pub(super) struct RunsDocument {
+    scenario: String,
+    runs: Vec<PolicyRun>,
+}
+
+impl RunsDocument {
+    /// Parses a document, or returns `None` if it is no document of runs.
+    pub(super) fn parse(document: &Value) -> Option<RunsDocument> {
+        let scenario = document["day"].as_str()?.to_owned();
+        let seed = document["seed"].as_u64()?;
+        let mut runs = Vec::new();
+        for run in document["runs"].as_array()? {
+            let policy = run["policy"].as_str()?.to_owned();
+            runs.push(PolicyRun { policy, run: parse_run(seed, &run["report"])? });
+        }
+        Some(RunsDocument { scenario, runs })
+    }
+}
+
 /// Runs by scenario and policy.
 #[derive(Debug, Default)]
 pub(super) struct ScenarioRuns {
@@ -27,23 +56,15 @@
 }
 
 impl ScenarioRuns {
-    /// Adds the runs of a document; none if it is no document of runs.
-    pub(super) fn add(&mut self, document: &Value) -> Option<()> {
-        let scenario = document["day"].as_str()?;
-        let seed = document["seed"].as_u64()?;
-        let mut runs = Vec::new();
-        for run in document["runs"].as_array()? {
-            let policy = run["policy"].as_str()?;
-            runs.push((policy, read_run(seed, &run["report"])?));
-        }
-        for (policy, run) in runs {
-            let by_policy = self.by_scenario.entry(scenario.to_owned()).or_default();
-            by_policy.entry(policy.to_owned()).or_default().push(run);
+    /// Adds the runs of a document.
+    pub(super) fn add(&mut self, document: RunsDocument) {
+        for PolicyRun { policy, run } in document.runs {
+            let by_policy = self.by_scenario.entry(document.scenario.clone()).or_default();
+            by_policy.entry(policy).or_default().push(run);
         }
-        Some(())
     }
 
-    /// Writes a chart and a table of each scenario.
+    /// Writes a chart and a table for each scenario.
     pub(super) fn write(mut self, out: &Path) -> anyhow::Result<()> {
         for (scenario, by_policy) in &mut self.by_scenario {
             for runs in by_policy.values_mut() {
@@ -57,11 +78,11 @@
     }
 }
 
-fn read_run(seed: u64, report: &Value) -> Option<Run> {
+fn parse_run(seed: u64, report: &Value) -> Option<Run> {
     let rules = report["rules"].as_array()?;
     Some(Run {
         seed,
-        served_worth: report["service"].as_f64()?,
+        service: report["service"].as_f64()?,
         worst_stretch: report["worst_stretch"].as_f64()?,
         rules_broken: rules.iter().filter_map(|rule| rule["broken"].as_u64()).sum(),
     })
@@ -73,15 +94,15 @@
          | --- | --- | --- | --- | --- | --- | --- |\n",
     );
     for (policy, runs) in by_policy {
-        let served_worth = || runs.iter().map(|run| run.served_worth);
+        let services = || runs.iter().map(|run| run.service);
         let worst_stretches = runs.iter().map(|run| run.worst_stretch);
         let _ = writeln!(
             text,
             "| {policy} | {} | {:.3} | {:.3} | {:.3} | {:.3} | {} |",
             runs.len(),
-            median(served_worth().collect()),
-            minimum(served_worth()),
-            maximum(served_worth()),
+            median(services().collect()),
+            minimum(services()),
+            maximum(services()),
             median(worst_stretches.collect()),
             runs.iter().filter(|run| run.rules_broken > 0).count()
         );
@@ -89,7 +110,7 @@
     text
 }
 
-/// Served worth by seed, a mark for each policy.
+/// Draws the service by seed, with one colour for each policy.
 fn draw_chart(scenario: &str, by_policy: &RunsByPolicy, path: &Path) -> anyhow::Result<()> {
     let last_seed = by_policy.values().flatten().map(|run| run.seed).max().unwrap_or(1) as f64;
     let caption = format!("{scenario}: served worth by seed");
@@ -101,8 +122,7 @@
     chart.configure_mesh().x_desc("seed").y_desc("served worth").draw().map_err(drawing_error)?;
     for (index, (policy, runs)) in by_policy.iter().enumerate() {
         let colour = COLOURS[index % COLOURS.len()];
-        let marks =
-            runs.iter().map(|run| Circle::new((run.seed as f64, run.served_worth), 4, colour.filled()));
+        let marks = runs.iter().map(|run| Circle::new((run.seed as f64, run.service), 4, colour.filled()));
         chart
             .draw_series(marks)
             .map_err(drawing_error)?
--- a/crates/testbed/src/charts/stream.rs
+++ b/crates/testbed/src/charts/stream.rs
@@ -1,5 +1,5 @@
-//! A recorded stream of reports, as `tail --record` writes it: who is near the limit, where worth arrives late or is
-//! lost, who is ejected.
+//! A recorded stream of reports, as `tail --record` writes it. Three charts show which destinations are near
+//! their limit, how much priority weight is late or lost, and which destinations are ejected.
 
 use super::drawing::{drawing_error, ChartLayout, CAPTION_SIZE, SIZE};
 use anyhow::Context;
@@ -8,9 +8,11 @@
 use std::collections::BTreeMap;
 use std::path::Path;
 
-/// Lines of a chart; of more than these it would show nothing.
+/// Maximum number of lines in a chart, so that they can be told apart.
 const MAX_LINES: usize = 8;
+/// The value of the field `state` of a destination in service.
 const STATE_IN_SERVICE: f64 = 2.0;
+/// Fields of priority weight are in thousandths.
 const THOUSANDTHS: f64 = 1000.0;
 
 /// A value at a second of the stream.
@@ -20,18 +22,19 @@
     value: f64,
 }
 
+/// The points of each line, by the name of the line.
 type Lines = BTreeMap<String, Vec<Point>>;
 
 /// Lines of the three charts.
 #[derive(Debug, Default)]
 struct StreamLines {
     limit_used: Lines,
-    worth: Lines,
+    late_or_lost_weight: Lines,
     state: Lines,
 }
 
 impl StreamLines {
-    fn read(text: &str) -> anyhow::Result<StreamLines> {
+    fn parse(text: &str) -> anyhow::Result<StreamLines> {
         let mut lines = StreamLines::default();
         let mut first_second = u64::MAX;
         for (index, line) in text.lines().enumerate() {
@@ -44,47 +47,54 @@
         Ok(lines)
     }
 
+    /// Adds a point to the chart that shows its series. Series that no chart shows are ignored.
     fn add(&mut self, name: &str, point: Point) {
         let Some((subject, field)) = name.rsplit_once('.') else { return };
-        let destination = destination_of(subject);
-        let class = class_of(subject);
-        match (field, destination, class) {
-            ("limit_used_share" | "limit_own_share", Some(destination), _) => {
+        if let Some(destination) = destination_of(subject) {
+            self.add_of_destination(destination, field, point);
+        } else if let Some(class) = class_of(subject) {
+            self.add_of_class(class, field, point);
+        }
+    }
+
+    fn add_of_destination(&mut self, destination: &str, field: &str, point: Point) {
+        match field {
+            "limit_used_share" | "limit_own_share" => {
                 add_point(&mut self.limit_used, destination.into(), point);
             }
-            ("worth_late_milli", _, Some(class)) => {
-                add_point(&mut self.worth, format!("{class} late"), in_worth(point));
-            }
-            ("worth_lost_milli", _, Some(class)) => {
-                add_point(&mut self.worth, format!("{class} lost"), in_worth(point));
-            }
-            ("state", Some(destination), _) => add_point(&mut self.state, destination.into(), point),
+            "state" => add_point(&mut self.state, destination.into(), point),
             _ => {}
         }
     }
+
+    fn add_of_class(&mut self, class: &str, field: &str, point: Point) {
+        let name = match field {
+            "worth_late_milli" => format!("{class} late"),
+            "worth_lost_milli" => format!("{class} lost"),
+            _ => return,
+        };
+        let weight = Point { value: point.value / THOUSANDTHS, ..point };
+        add_point(&mut self.late_or_lost_weight, name, weight);
+    }
 }
 
-/// The destination of a series, if it is of a destination alone.
+/// The destination of a series, or `None` if the series is not of a whole destination.
 fn destination_of(subject: &str) -> Option<&str> {
     let (_, destination) = subject.rsplit_once(".dest.")?;
     Some(destination).filter(|destination| !destination.contains('.'))
 }
 
-/// The class of a series, if it is of a class over all destinations.
+/// The class of a series, or `None` if the series is not of a class over all destinations.
 fn class_of(subject: &str) -> Option<&str> {
     let (_, class) = subject.rsplit_once(".class.")?;
     Some(class).filter(|_| !subject.contains(".dest."))
 }
 
-fn in_worth(point: Point) -> Point {
-    Point { value: point.value / THOUSANDTHS, ..point }
-}
-
 fn add_point(lines: &mut Lines, name: String, point: Point) {
     lines.entry(name).or_default().push(point);
 }
 
-/// The lines that reach highest.
+/// The lines with the highest peaks.
 fn highest(lines: Lines) -> Lines {
     let mut ranked: Vec<(String, Vec<Point>)> = lines.into_iter().collect();
     let peak = |points: &[Point]| points.iter().map(|point| point.value).reduce(f64::max).unwrap_or(0.0);
@@ -93,7 +103,7 @@
     ranked.into_iter().take(MAX_LINES).collect()
 }
 
-/// The lines that reach lowest.
+/// The lines with the lowest troughs.
 fn lowest(lines: Lines) -> Lines {
     let mut ranked: Vec<(String, Vec<Point>)> = lines.into_iter().collect();
     let trough = |points: &[Point]| {
@@ -103,15 +113,15 @@
     ranked.into_iter().take(MAX_LINES).collect()
 }
 
-/// Draws three charts, whose names begin with that of the file.
+/// Draws three charts; their names begin with the name of the file.
 pub(super) fn draw(text: &str, file: &Path, out: &Path) -> anyhow::Result<()> {
-    let StreamLines { limit_used, worth, state } = StreamLines::read(text)?;
+    let StreamLines { limit_used, late_or_lost_weight, state } = StreamLines::parse(text)?;
     let stem = file.file_stem().map_or("stream".into(), |stem| stem.to_string_lossy());
     let draw_chart = |name: &str, caption: &str, lines: &Lines| {
         draw_lines(caption, lines, &out.join(format!("{stem}-{name}.svg")))
     };
     draw_chart("limits", "share of the limit used", &highest(limit_used))?;
-    draw_chart("worth", "worth late and lost so far", &highest(worth))?;
+    draw_chart("worth", "worth late and lost so far", &highest(late_or_lost_weight))?;
     draw_chart("states", "state: 2 in service, 1 warming, 0 out", &lowest(state))
 }
 
