Command line: outcomes from reports, retention of work folders, help in plain English

Cause: Outcome::of_check(bool), WorkFolder::create(.., keep: bool), print_verdict(bool) and listen::run -> bool did not say what the value means; help texts were elliptic.

Change: Outcome::of_report, enum Retention, enum CounterCheck; the recipe and the policy's name are made in functions of their own; help texts are full phrases. Options and output are the same.

--- a/crates/testbed/src/cli.rs
+++ b/crates/testbed/src/cli.rs
@@ -1,6 +1,8 @@
-//! The command line of `linnetcart-testbed`: one module a subcommand, with its arguments and what checks them.
+//! The command line of `linnetcart-testbed`: one module for each subcommand, with its arguments and their
+//! checks.
 //!
-//! What subcommands do stands in the library's modules; here is what is read from and printed to the terminal.
+//! The modules here read arguments and print results; the work itself is done by the other modules of the
+//! library.
 
 mod child;
 mod common;
@@ -18,11 +20,12 @@
 use common::Outcome;
 use std::process::ExitCode;
 
-/// Brings up local stacks of linnetcart, runs scenarios on real sockets and measures.
+/// Starts local stacks of linnetcart, runs scenarios on real sockets and in virtual time, and measures.
 ///
 /// Everything stays on loopback, on ports that the system chooses.
 ///
-/// Exit codes: 0 done and every rule kept; 1 a rule was broken, or something failed; 2 the command line is wrong.
+/// Exit codes: 0 done and every rule kept; 1 a rule was broken or something failed; 2 the command line is
+/// wrong.
 #[derive(Debug, Parser)]
 #[command(name = "linnetcart-testbed", version)]
 pub struct Args {
@@ -32,29 +35,29 @@
 
 #[derive(Debug, Subcommand)]
 enum Command {
-    /// Start couriers and stand-ins, print one line of JSON when all is ready, stay until a signal
+    /// Start a courier and its endpoints, print one line of JSON when all is ready, run until a signal
     Up(up::Args),
-    /// Run a scenario on sockets and check the six rules from what went over them
+    /// Run a scenario on sockets and check the six rules on the recorded traffic
     #[command(name = "day")]
     SocketRun(socket_run::Args),
-    /// Run a scenario in virtual time, with as many couriers as it takes, and check the six rules
+    /// Run a scenario in virtual time, with any number of couriers, and check the six rules
     Emulate(emulate::Args),
-    /// Run scenarios on sockets and in virtual time, seed by seed, and say how far they differ
+    /// Run scenarios on sockets and in virtual time on the same seeds, and report how far they differ
     #[command(name = "faithful")]
     FidelityCheck(fidelity_check::Args),
-    /// Run a grid of factors in virtual time and report what it shows
+    /// Run a grid of factors in virtual time and report the results
     Experiment(experiment::Args),
-    /// Search for scenarios in virtual time that break a rule or lose most, and shrink them to what matters
+    /// Search in virtual time for scenarios that break a rule or lose most, and shrink them
     #[command(name = "hunt")]
     FaultSearch(fault_search::Args),
-    /// Print the life of one message of a run in virtual time, every attempt with its reason
+    /// Print the lifecycle of one message of a run in virtual time, every attempt with its reason
     Trace(inspect::TraceArgs),
-    /// Measure what a message costs: an edge beside a relay that decides nothing
+    /// Measure the cost of a message: an edge beside a relay that decides nothing
     #[command(name = "floor")]
     ThroughputBaseline(throughput_baseline::Args),
     /// Draw charts and a table from what `day --json`, `floor --json` and `tail --record` wrote
     Report(inspect::ReportArgs),
-    /// Put recorded decision cycles to the decision library and compare what it decides, byte for byte
+    /// Replay recorded decision cycles through the decision library and compare its decisions, byte for byte
     Replay(inspect::ReplayArgs),
     /// Receive reports as Graphite or collectd would, and show them live
     #[command(name = "tail")]
@@ -70,7 +73,7 @@
     Edge(child::EdgeArgs),
 }
 
-/// Runs the program.
+/// Runs the program and returns its exit code.
 pub fn run(args: Args) -> ExitCode {
     let outcome = match args.command {
         Command::Up(args) => up::run(&args),
--- a/crates/testbed/src/cli/child.rs
+++ b/crates/testbed/src/cli/child.rs
@@ -10,7 +10,7 @@
 
 #[derive(Debug, clap::Args)]
 pub(super) struct RelayArgs {
-    /// Endpoints, by partition
+    /// Addresses of the endpoints, by partition
     endpoints: Vec<SocketAddr>,
 }
 
@@ -38,7 +38,8 @@
     Ok(Outcome::Courier(linnetcart_edge::cli::run_with(args.edge, policy)))
 }
 
-/// The policy of a name; one with a record of its decisions if the name says so.
+/// Returns the policy of a name, or `None` if there is none. A name with the record prefix is the library
+/// with a record of its decisions.
 fn find_policy(name: &str) -> anyhow::Result<Option<PolicyFactory>> {
     let Some(folder) = name.strip_prefix(decision_record::POLICY_PREFIX) else {
         return Ok(baselines::policy(name));
@@ -47,7 +48,7 @@
     Ok(Some(decision_record::recording_policy))
 }
 
-/// A testbed that is killed leaves no processes behind, and a measured process stays on its core.
+/// Has this process killed when its parent ends, and pins it to the core that the parent chose, if any.
 fn prepare_child_process() {
     let _ = set_parent_process_death_signal(Some(Signal::KILL));
     let Ok(core) = std::env::var(courier_process::CORE_VARIABLE) else { return };
--- a/crates/testbed/src/cli/emulate.rs
+++ b/crates/testbed/src/cli/emulate.rs
@@ -1,4 +1,4 @@
-//! `emulate`: a scenario in virtual time.
+//! `emulate`: runs a scenario in virtual time and checks it.
 
 use super::common::{print_overloads, print_verdict, write_json, Outcome};
 use crate::emulated_run::{CheckedRun, Recipe};
@@ -12,28 +12,28 @@
 
 #[derive(Debug, clap::Args)]
 pub(super) struct Args {
-    /// A built-in scenario, or a script's file
+    /// The name of a built-in scenario, or the path of a script
     #[arg(value_name = "DAY")]
     name: String,
-    /// Seed of fleet, traffic, network and decisions
+    /// Seed of the fleet, traffic, network and decisions
     #[arg(long, default_value_t = 1)]
     seed: u64,
-    /// Run it so many times as fast: spans shrink, rates grow
+    /// Speed up the scenario by this factor: durations shrink, rates grow
     #[arg(long, default_value_t = 1.0)]
     speed: f64,
-    /// Couriers, if not as many as the scenario says
+    /// Number of couriers, in place of the scenario's
     #[arg(long)]
     couriers: Option<u32>,
     /// The policy that decides
     #[arg(long, default_value = "library")]
     policy: String,
-    /// Set a factor as an experiment's plan does: destinations=10, traffic.load=0.9, trouble=none
+    /// Set a factor as in the plan of an experiment: destinations=10, traffic.load=0.9, trouble=none
     #[arg(long = "set", value_name = "NAME=LEVEL", value_parser = Setting::parse)]
     settings: Vec<Setting>,
     /// Write the figures to this file
     #[arg(long, value_name = "FILE")]
     json: Option<PathBuf>,
-    /// Write down what the run is drawn from; `trace` and `hunt --shrink` read it
+    /// Write the recipe of the run to this file; `trace` and `hunt --shrink` read it
     #[arg(long, value_name = "FILE")]
     recipe: Option<PathBuf>,
 }
@@ -41,12 +41,7 @@
 pub(super) fn run(args: &Args) -> anyhow::Result<Outcome> {
     let scenario = Scenario::find(&args.name)?.with(args.couriers, 1.0)?;
     let name = scenario.name.clone();
-    let mut recipe = Recipe::new(scenario, args.seed);
-    recipe.policy = args.policy.clone();
-    for Setting { factor, level } in &args.settings {
-        apply_factor(&mut recipe, factor, level).with_context(|| format!("--set {factor}"))?;
-    }
-    recipe.scenario = recipe.scenario.with(None, args.speed)?;
+    let recipe = recipe(args, scenario)?;
     if let Some(file) = &args.recipe {
         recipe.write(file)?;
     }
@@ -59,11 +54,22 @@
     print_overloads(&run.records);
     print_speed(&run, elapsed);
     println!("digest {}", run.digest);
-    let rules_kept = report.kept();
     let reports = [PolicyReport { policy: args.policy.clone(), report }];
     write_json(args.json.as_deref(), &run_report::json(&name, args.seed, &reports))?;
-    print_verdict(rules_kept);
-    Ok(Outcome::of_check(rules_kept))
+    let [PolicyReport { report, .. }] = &reports;
+    print_verdict(report);
+    Ok(Outcome::of_report(report))
+}
+
+/// The recipe of the run: the scenario with the factors, the policy and the speed of the command line.
+fn recipe(args: &Args, scenario: Scenario) -> anyhow::Result<Recipe> {
+    let mut recipe = Recipe::new(scenario, args.seed);
+    recipe.policy = args.policy.clone();
+    for Setting { factor, level } in &args.settings {
+        apply_factor(&mut recipe, factor, level).with_context(|| format!("--set {factor}"))?;
+    }
+    recipe.scenario = recipe.scenario.with(None, args.speed)?;
+    Ok(recipe)
 }
 
 fn print_speed(run: &EmulatedRun, elapsed: f64) {
--- a/crates/testbed/src/cli/experiment.rs
+++ b/crates/testbed/src/cli/experiment.rs
@@ -1,4 +1,4 @@
-//! `experiment`: a grid of factors in virtual time.
+//! `experiment`: runs a grid of factors in virtual time.
 
 use super::common::{thread_count, Outcome};
 use crate::experiment::plan::Plan;
@@ -8,15 +8,15 @@
 
 #[derive(Debug, clap::Args)]
 pub(super) struct Args {
-    /// The plan, TOML
+    /// The plan, a TOML file
     plan: PathBuf,
-    /// Where results, charts and the report go; what is there of the same plan and commit is continued
+    /// Folder for results, charts and the report; results of the same plan and commit are continued
     #[arg(long, value_name = "DIR")]
     out: PathBuf,
-    /// Runs at the same time; as many as there are cores if not given
+    /// Number of runs at the same time; one for each core if not given
     #[arg(long)]
     threads: Option<usize>,
-    /// End after so many runs; the same command continues with the rest
+    /// Stop after this many runs; the same command continues with the rest
     #[arg(long)]
     at_most: Option<u64>,
 }
--- a/crates/testbed/src/cli/fidelity_check.rs
+++ b/crates/testbed/src/cli/fidelity_check.rs
@@ -1,4 +1,4 @@
-//! `faithful`: how far runs in virtual time differ from those on sockets.
+//! `faithful`: measures how far runs in virtual time differ from runs on sockets.
 
 use super::common::{this_program, write_json, Outcome, WorkFolder, MAX_COURIERS_ON_SOCKETS};
 use crate::fidelity_check::{self, FidelityPlan};
@@ -9,16 +9,16 @@
 
 #[derive(Debug, clap::Args)]
 pub(super) struct Args {
-    /// Built-in scenarios or scripts' files
+    /// Names of built-in scenarios, or paths of scripts
     #[arg(required = true)]
     days: Vec<String>,
-    /// Seeds of each, from 1 on
+    /// Number of seeds of each scenario, counted up from 1
     #[arg(long, default_value_t = 10)]
     seeds: u64,
-    /// Run them so many times as fast
+    /// Speed up the scenarios by this factor
     #[arg(long, default_value_t = 3.0)]
     speed: f64,
-    /// Runs on sockets at the same time
+    /// Number of runs on sockets at the same time
     #[arg(long, default_value_t = 1)]
     beside: usize,
     /// Write the figures to this file
--- a/crates/testbed/src/cli/inspect.rs
+++ b/crates/testbed/src/cli/inspect.rs
@@ -1,4 +1,4 @@
-//! `trace`, `report`, `replay` and `days`: what is read from files and shown.
+//! `trace`, `report`, `replay` and `days`: show what is in files.
 
 use super::common::Outcome;
 use crate::emulated_run::{trace_message, Recipe};
@@ -10,16 +10,16 @@
 pub(super) struct TraceArgs {
     /// The run's recipe, as `emulate --recipe` writes it
     run: PathBuf,
-    /// The message's number
+    /// The number of the message
     message: u64,
 }
 
 #[derive(Debug, clap::Args)]
 pub(super) struct ReportArgs {
-    /// Their files
+    /// Files that `day --json`, `emulate --json`, `floor --json` or `tail --record` wrote
     #[arg(required = true)]
     files: Vec<PathBuf>,
-    /// Where the charts and the table go
+    /// Folder for the charts and the tables
     #[arg(long, value_name = "DIR")]
     out: PathBuf,
 }
--- a/crates/testbed/src/cli/listen.rs
+++ b/crates/testbed/src/cli/listen.rs
@@ -1,7 +1,7 @@
-//! `tail`: receives reports as Graphite or collectd would.
+//! `tail`: receives reports as Graphite or collectd would, and shows them.
 
 use super::common::Outcome;
-use crate::listen::{self, ListenOptions};
+use crate::listen::{self, CounterCheck, ListenOptions};
 use crate::report_receiver::ListenAddresses;
 use anyhow::bail;
 use linnetcart_telemetry::settings::Require;
@@ -11,19 +11,19 @@
 
 #[derive(Debug, clap::Args)]
 pub(super) struct Args {
-    /// Listen for Graphite's forms here; port 0 lets the system choose
+    /// Listen for Graphite's forms on this address; port 0 lets the system choose
     #[arg(long, value_name = "ADDR")]
     graphite: Option<SocketAddr>,
-    /// Listen for collectd's packets here
+    /// Listen for collectd's packets on this address
     #[arg(long, value_name = "ADDR")]
     collectd: Option<SocketAddr>,
-    /// A user of collectd's and the key; packets must be secured then
+    /// A collectd user with a key; packets must then be signed or encrypted
     #[arg(long, value_name = "USER:KEY", requires = "collectd", value_parser = parse_user)]
     user: Vec<UserKey>,
-    /// Write each point to this file, a plaintext line each; `report` draws charts from it
+    /// Write each point to this file as a plaintext line; `report` draws charts from it
     #[arg(long, value_name = "FILE")]
     record: Option<PathBuf>,
-    /// End after so many seconds
+    /// Stop after this many seconds
     #[arg(long)]
     seconds: Option<f64>,
 }
@@ -50,5 +50,8 @@
     let require = if users.is_empty() { Require::Nothing } else { Require::Signed };
     let addresses = ListenAddresses { graphite: args.graphite, collectd: args.collectd, users, require };
     let options = ListenOptions { addresses, record: args.record, seconds: args.seconds };
-    Ok(Outcome::of_check(listen::run(options)?))
+    match listen::run(options)? {
+        CounterCheck::NoneFell => Ok(Outcome::Passed),
+        CounterCheck::Fell => Ok(Outcome::Failed),
+    }
 }
--- a/crates/testbed/src/cli/socket_run.rs
+++ b/crates/testbed/src/cli/socket_run.rs
@@ -1,4 +1,4 @@
-//! `day`: a scenario on sockets, checked from what went over them.
+//! `day`: runs a scenario on sockets and checks what went over them.
 
 use super::common::{
     print_overloads, print_verdict, this_program, write_json, Outcome, WorkFolder, MAX_COURIERS_ON_SOCKETS,
@@ -18,37 +18,37 @@
 
 #[derive(Debug, clap::Args)]
 pub(super) struct Args {
-    /// A built-in scenario, or a script's file
+    /// The name of a built-in scenario, or the path of a script
     #[arg(required_unless_present = "bench", value_name = "DAY")]
     name: Option<String>,
-    /// A day as the bench draws them; its faults are caused on a fleet of the testbed's own
+    /// A scenario as the bench writes it; its faults are caused on a fleet of the testbed
     #[arg(long, value_name = "FILE", conflicts_with = "name")]
     bench: Option<PathBuf>,
-    /// Seed of fleet, traffic and decisions
+    /// Seed of the fleet, traffic and decisions
     #[arg(long, default_value_t = 1)]
     seed: u64,
-    /// Run it so many times as fast: spans shrink, rates grow
+    /// Speed up the scenario by this factor: durations shrink, rates grow
     #[arg(long, default_value_t = 1.0)]
     speed: f64,
-    /// Couriers, if not as many as the scenario says
+    /// Number of couriers, in place of the scenario's
     #[arg(long)]
     couriers: Option<u32>,
-    /// Run it with the baselines too, on the same seed, and compare
+    /// Also run the baselines on the same seed, and compare
     #[arg(long)]
     baselines: bool,
     /// Write the figures to this file
     #[arg(long, value_name = "FILE")]
     json: Option<PathBuf>,
-    /// Keep the couriers' state and logs here
+    /// Keep the couriers' state and logs in this folder
     #[arg(long, value_name = "DIR")]
     keep: Option<PathBuf>,
-    /// Record every decision cycle of every courier here
+    /// Record every decision cycle of every courier in this folder
     #[arg(long, value_name = "DIR")]
     record: Option<PathBuf>,
-    /// Couriers report to this Graphite receiver each second; `tail --graphite` is one
+    /// Report from the couriers to this Graphite receiver every second, for instance `tail --graphite`
     #[arg(long, value_name = "ADDR")]
     graphite: Option<SocketAddr>,
-    /// No progress line
+    /// Do not show the progress line
     #[arg(long)]
     quiet: bool,
 }
@@ -69,10 +69,9 @@
         println!("\n{}", run_report::comparison(&reports));
     }
     write_json(args.json.as_deref(), &run_report::json(&name, args.seed, &reports))?;
-    let library = &reports[0];
-    let rules_kept = library.report.kept();
-    print_verdict(rules_kept);
-    Ok(Outcome::of_check(rules_kept))
+    let library = &reports[0].report;
+    print_verdict(library);
+    Ok(Outcome::of_report(library))
 }
 
 fn find_scenario(args: &Args) -> anyhow::Result<Scenario> {
@@ -104,23 +103,19 @@
     Ok(())
 }
 
+/// Runs the fleet under a policy and checks the run. Details are printed for the library only.
 fn run_policy(args: &Args, fleet: &Fleet, policy: &str) -> anyhow::Result<Report> {
     let folder = match &args.keep {
-        Some(folder) => WorkFolder::kept(folder.join(policy))?,
+        Some(folder) => WorkFolder::persistent(folder.join(policy))?,
         None => WorkFolder::temporary()?,
     };
-    let mut options = StackOptions::new(this_program()?, folder.path.clone());
-    options.policy = match &args.record {
-        Some(records) if policy == LIBRARY => {
-            format!("{}{}", decision_record::POLICY_PREFIX, records.display())
-        }
-        _ => policy.into(),
-    };
-    options.graphite = args.graphite;
     let shows_progress = !args.quiet && std::io::stderr().is_terminal();
-    if shows_progress {
-        options.progress = Some(print_progress);
-    }
+    let options = StackOptions {
+        policy: recorded_policy(args, policy),
+        graphite: args.graphite,
+        progress: shows_progress.then_some(print_progress),
+        ..StackOptions::new(this_program()?, folder.path.clone())
+    };
     let records = socket_run::run(fleet, &options)?;
     if shows_progress {
         eprintln!();
@@ -133,6 +128,16 @@
     Ok(report)
 }
 
+/// The name under which couriers run a policy. With `--record`, the library's name tells them to record.
+fn recorded_policy(args: &Args, policy: &str) -> String {
+    match &args.record {
+        Some(folder) if policy == LIBRARY => {
+            format!("{}{}", decision_record::POLICY_PREFIX, folder.display())
+        }
+        _ => policy.into(),
+    }
+}
+
 fn print_progress(progress: socket_run::Progress) {
     let socket_run::Progress { seconds, of_seconds, open_messages } = progress;
     eprint!("\r{seconds:>5.0} of {of_seconds:.0} s, {open_messages} messages open   ");
--- a/crates/testbed/src/cli/throughput_baseline.rs
+++ b/crates/testbed/src/cli/throughput_baseline.rs
@@ -1,4 +1,4 @@
-//! `floor`: what a message costs.
+//! `floor`: measures what a message costs.
 
 use super::common::{this_program, write_json, Outcome, WorkFolder};
 use crate::throughput_baseline::{self, Options, Selection};
@@ -7,18 +7,18 @@
 use serde_json::Value;
 use std::path::PathBuf;
 
-/// Decision cycles of a case at a time, when the cost of decisions is measured.
+/// Decision cycles per turn of a case, when the cost of decisions is measured.
 const DECISION_CYCLES: u64 = 400;
 
 #[derive(Debug, clap::Args)]
 pub(super) struct Args {
-    /// Seconds of each stretch
+    /// Length of each measurement in seconds
     #[arg(long, default_value_t = 4.0)]
     seconds: f64,
-    /// Stretches of edge and relay in turn; medians are given
+    /// Number of measurements of edge and relay, in turn; medians are given
     #[arg(long, default_value_t = 5)]
     rounds: usize,
-    /// Only this part: beside, destinations, held, connections or telemetry
+    /// Measure only this part: beside, destinations, held, connections or telemetry
     #[arg(long)]
     part: Option<String>,
     /// Numbers of messages in flight
@@ -27,10 +27,10 @@
     /// Numbers of destinations
     #[arg(long, value_delimiter = ',', default_values_t = [1, 10, 100, 1000])]
     destinations: Vec<usize>,
-    /// Only what a decision costs, of the library alone and in virtual time
+    /// Measure only the cost of a decision, of the library alone and in virtual time
     #[arg(long, conflicts_with_all = ["part", "seconds"])]
     decisions: bool,
-    /// Only what reports cost, of the reporting alone and in virtual time
+    /// Measure only the cost of reports, of the reporting alone and in virtual time
     #[arg(long, conflicts_with_all = ["part", "seconds", "decisions"])]
     reports: bool,
     /// Write the figures to this file
--- a/crates/testbed/src/cli/up.rs
+++ b/crates/testbed/src/cli/up.rs
@@ -1,4 +1,4 @@
-//! `up`: a stack of one courier and its endpoints, to try clients against.
+//! `up`: runs one courier and its endpoints, to try clients against.
 
 use super::common::{this_program, Outcome, WorkFolder};
 use crate::socket_run::{self, StackOptions};
@@ -8,7 +8,7 @@
 
 #[derive(Debug, clap::Args)]
 pub(super) struct Args {
-    /// The scenario whose fleet is brought up
+    /// The scenario whose fleet is started
     #[arg(long, default_value = "quiet")]
     day: String,
     /// Seed of the fleet
--- a/crates/testbed/src/listen.rs
+++ b/crates/testbed/src/listen.rs
@@ -1,4 +1,5 @@
-//! A stream of reports, live in the terminal: who is near the limit, where worth arrives late, who is ejected.
+//! Shows a stream of reports live in the terminal: which destinations are near their limit, where messages
+//! are late or lost, and which endpoints are ejected.
 
 mod series;
 mod table;
@@ -17,19 +18,31 @@
 const REFRESH_INTERVAL: Duration = Duration::from_secs(2);
 const CLEAR_SCREEN: &str = "\x1b[2J\x1b[H";
 
-/// What is listened for, and for how long.
+/// Where reports are received, and for how long.
 #[derive(Debug)]
 pub struct ListenOptions {
-    /// Where.
+    /// The addresses to listen on.
     pub addresses: ListenAddresses,
-    /// Each point is written here as a plaintext line.
+    /// A file that each point is written to as a plaintext line, if any.
     pub record: Option<PathBuf>,
-    /// Ends after so many seconds; otherwise with a signal.
+    /// Stops after this many seconds, or on a signal if `None`.
     pub seconds: Option<f64>,
 }
 
-/// Listens and shows; false if a count fell.
-pub fn run(options: ListenOptions) -> anyhow::Result<bool> {
+/// Whether a counter has decreased since the receiver was started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CounterCheck {
+    /// No counter decreased.
+    NoneFell,
+    /// At least one counter decreased.
+    Fell,
+}
+
+/// Receives reports and shows them until the time is up or a signal arrives.
+///
+/// # Errors
+/// Fails if no address is given, an address cannot be listened on, or the record cannot be created.
+pub fn run(options: ListenOptions) -> anyhow::Result<CounterCheck> {
     if options.addresses.graphite.is_none() && options.addresses.collectd.is_none() {
         bail!("nothing to listen for; give --graphite ADDR, --collectd ADDR or both");
     }
@@ -45,9 +58,9 @@
         let wait = remaining.map_or(REFRESH_INTERVAL, |remaining| remaining.min(REFRESH_INTERVAL));
         let signalled = wait_for_signal(&mut signals, wait)?;
         let time_is_up = remaining.is_some_and(|remaining| remaining <= REFRESH_INTERVAL);
-        let no_count_fell = show(&receiver)?;
+        let counter_check = show(&receiver)?;
         if signalled || time_is_up {
-            return Ok(no_count_fell);
+            return Ok(counter_check);
         }
     }
 }
@@ -66,6 +79,7 @@
     }
 }
 
+/// Waits until a signal arrives, at most for the timeout; returns whether one arrived.
 fn wait_for_signal(signals: &mut Net, timeout: Duration) -> anyhow::Result<bool> {
     let wait_until = Instant::now() + timeout;
     let mut events = Vec::new();
@@ -75,13 +89,13 @@
     Ok(!events.is_empty())
 }
 
-/// Prints the table; false if a count fell.
-fn show(receiver: &ReportReceiver) -> anyhow::Result<bool> {
+/// Prints the table of what has been received so far.
+fn show(receiver: &ReportReceiver) -> anyhow::Result<CounterCheck> {
     let stream = receiver.stream();
     if std::io::stdout().is_terminal() {
         print!("{CLEAR_SCREEN}");
     }
     println!("{}", table(&stream));
     std::io::stdout().flush()?;
-    Ok(stream.fell.is_empty())
+    Ok(if stream.fell.is_empty() { CounterCheck::NoneFell } else { CounterCheck::Fell })
 }
--- a/crates/testbed/src/listen/series.rs
+++ b/crates/testbed/src/listen/series.rs
@@ -1,8 +1,8 @@
-//! Names of series, in the three forms in which reports have them.
+//! Parses series names in the three forms that reports use.
 
 use std::collections::BTreeMap;
 
-/// A series of a destination, without those of its classes and routes.
+/// The name of a series of a whole destination, not of one of its classes or routes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct DestinationSeries {
     pub(super) courier: String,
@@ -16,7 +16,8 @@
         DestinationSeries { courier: owned(courier), destination: owned(destination), field: owned(field) }
     }
 
-    /// Reads a name: Graphite's with a path, Graphite's with tags, or collectd's. None for any other series.
+    /// Parses a Graphite path, a Graphite name with tags, or a collectd name. Returns `None` for any other
+    /// series.
     pub(super) fn parse(name: &str) -> Option<DestinationSeries> {
         match name.split_once(';') {
             Some((path, tags)) => DestinationSeries::parse_tagged(path, tags),
--- a/crates/testbed/src/listen/table.rs
+++ b/crates/testbed/src/listen/table.rs
@@ -1,4 +1,4 @@
-//! The table of destinations that is shown.
+//! The table of destinations, the most urgent first.
 
 use super::series::DestinationSeries;
 use linnetcart_telemetry::stream::Stream;
@@ -14,14 +14,14 @@
 const STATE_WARMING_UP: f64 = 1.0;
 const NO_VALUE: &str = "-";
 
-/// A destination of a courier.
+/// A destination as seen by one courier.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct RowKey {
     courier: String,
     destination: String,
 }
 
-/// The last values of a destination's fields.
+/// The last value of each field of a destination.
 #[derive(Clone, Debug, Default, PartialEq)]
 struct Row {
     values: BTreeMap<String, f64>,
@@ -40,18 +40,19 @@
         self.get("limit_used_share").or_else(|| self.get("limit_own_share")).unwrap_or(0.0)
     }
 
-    fn worth_late_or_lost(&self) -> f64 {
+    fn weight_late_or_lost(&self) -> f64 {
         let late = self.get("worth_late_milli").unwrap_or(0.0);
         let lost = self.get("worth_lost_milli").unwrap_or(0.0);
         late + lost
     }
 
-    /// Those that are ejected first, then by the share of the limit used, then by worth late or lost.
+    /// Orders ejected destinations first, then by the used share of the limit, then by priority weight late
+    /// or lost.
     fn urgency(&self, other: &Row) -> Ordering {
         let by_state = self.state().total_cmp(&other.state());
         let by_limit = other.limit_used().total_cmp(&self.limit_used());
-        let by_worth = other.worth_late_or_lost().total_cmp(&self.worth_late_or_lost());
-        by_state.then(by_limit).then(by_worth)
+        let by_weight = other.weight_late_or_lost().total_cmp(&self.weight_late_or_lost());
+        by_state.then(by_limit).then(by_weight)
     }
 
     fn state_text(&self) -> &'static str {
@@ -63,11 +64,11 @@
         }
     }
 
-    fn whole_number(&self, field: &str) -> String {
+    fn integer_text(&self, field: &str) -> String {
         self.get(field).map_or(NO_VALUE.into(), |value| format!("{value:.0}"))
     }
 
-    /// The limit; one that is inferred is marked, as it is this courier's part only.
+    /// The limit as text. An inferred limit is marked with `~`, since it is only the part of this courier.
     fn limit_text(&self) -> String {
         if let Some(limit) = self.get("limit_told") {
             return format!("{limit:.0}");
@@ -86,7 +87,8 @@
     rows
 }
 
-/// The table: the most urgent destinations, what came in, notifications, and counts that fell.
+/// Renders the most urgent destinations, totals of what was received, the last notifications, and counters
+/// that fell.
 pub fn table(stream: &Stream) -> String {
     let rows = rows(stream);
     let mut by_urgency: Vec<(&RowKey, &Row)> = rows.iter().collect();
@@ -131,12 +133,12 @@
         row.state_text(),
         row.limit_text(),
         100.0 * row.limit_used(),
-        row.whole_number("taken"),
-        row.whole_number("in_aim"),
-        row.whole_number("late"),
-        row.whole_number("refused"),
-        row.whole_number("failed"),
-        row.whole_number("latency_p99_ms"),
+        row.integer_text("taken"),
+        row.integer_text("in_aim"),
+        row.integer_text("late"),
+        row.integer_text("refused"),
+        row.integer_text("failed"),
+        row.integer_text("latency_p99_ms"),
     );
 }
 
