Message trace: incarnations typed, records added in one function

Cause: histories were keyed by a pair; trace_message collected submissions, arrivals and stalls in nested closures.

Change: CourierIncarnation; TraceLines::add_records. The trace has the same bytes.

--- a/crates/testbed/src/emulated_run/message_trace.rs
+++ b/crates/testbed/src/emulated_run/message_trace.rs
@@ -1,15 +1,16 @@
-//! The life of one message: what its client, the couriers that held it and the endpoints did with it.
+//! The trace of one message: what its client, the couriers that accepted it and the endpoints did with it, in
+//! time order.
 
 use super::Recipe;
 use anyhow::bail;
-use linnetcart_conformance::{Arrival, EndpointVerdict, Stall, Submission, Time};
+use linnetcart_conformance::{Arrival, EndpointVerdict, Records, Stall, Submission, Time};
 use linnetcart_delivery_events::{DeliveryEvent, FinalAnswer};
 use linnetcart_emulator::trace::{DeliveryTrace, TracedEvent};
 use linnetcart_scenario::fleet::{Fleet, PlannedMessage};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write;
 
-/// Who did something; of the same instant the first of these comes first.
+/// Who acted. Actions of the same instant are listed in this order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Actor {
     ClientSubmits,
@@ -20,6 +21,7 @@
     ClientIsAnswered,
 }
 
+/// One line of the trace.
 #[derive(Debug)]
 struct TraceLine {
     at: Time,
@@ -27,24 +29,36 @@
     text: String,
 }
 
-/// What one incarnation of a courier has done with the message so far.
+/// One incarnation of a courier process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct CourierIncarnation {
+    courier: u32,
+    incarnation: u32,
+}
+
+/// The attempts of the message by one incarnation of a courier so far.
 #[derive(Debug)]
 struct AttemptHistory {
     last_started: Time,
+    /// The description of the last attempt that has finished, if any.
     last_finished: Option<String>,
 }
 
+/// The lines collected so far, in any order.
 #[derive(Debug, Default)]
 struct TraceLines {
     lines: Vec<TraceLine>,
-    histories: BTreeMap<(u32, u32), AttemptHistory>,
+    histories: BTreeMap<CourierIncarnation, AttemptHistory>,
 }
 
 fn milliseconds(span: Time) -> f64 {
     span as f64 / 1e6
 }
 
-/// Repeats a run and describes the life of one message, every attempt with its reason.
+/// Repeats a run and describes the lifecycle of one message, every attempt with its reason.
+///
+/// # Errors
+/// Fails if the run cannot be repeated or has no message of this number.
 pub fn trace_message(recipe: &Recipe, message: u64) -> anyhow::Result<String> {
     let (fleet, run) = recipe.run(Some(DeliveryTrace::of_message(message)))?;
     let Some(planned) = fleet.messages.get(message as usize) else {
@@ -52,25 +66,10 @@
     };
     let records = &run.records.records;
     let mut lines = TraceLines::default();
-    for submission in records.submissions.iter().filter(|submission| submission.message == message) {
-        lines.add_submission(submission);
-    }
-    for arrival in records.arrivals.iter().filter(|arrival| arrival.message == message) {
-        lines.add_arrival(arrival);
-    }
+    lines.add_records(records, message);
     for traced in run.trace.into_iter().flat_map(|trace| trace.events) {
         lines.add_event(&traced);
     }
-    for stall in &records.stalls {
-        let held_message = |submission: &Submission| {
-            submission.message == message
-                && submission.courier == stall.courier
-                && submission.incarnation == stall.incarnation
-        };
-        if records.submissions.iter().any(held_message) {
-            lines.add_stall(stall);
-        }
-    }
     Ok(heading(&fleet, message, planned) + &lines.into_text(planned.at))
 }
 
@@ -79,7 +78,8 @@
     let destination = planned.destination;
     let kind = fleet.destinations[destination as usize].kind;
     format!(
-        "message {message}: {} for destination {destination} ({}), key {:?}, aim {:.0} ms, deadline {:.0} ms\n",
+        "message {message}: {} for destination {destination} ({}), key {:?}, \
+         aim {:.0} ms, deadline {:.0} ms\n",
         class.name,
         fleet.scenario.kind[kind].name,
         planned.key,
@@ -93,6 +93,25 @@
         self.lines.push(TraceLine { at, actor, text });
     }
 
+    /// Adds what the clients and endpoints recorded about the message, and the stalls of its couriers.
+    fn add_records(&mut self, records: &Records, message: u64) {
+        let mut couriers = BTreeSet::new();
+        for submission in records.submissions.iter().filter(|submission| submission.message == message) {
+            let Submission { courier, incarnation, .. } = *submission;
+            couriers.insert(CourierIncarnation { courier, incarnation });
+            self.add_submission(submission);
+        }
+        for arrival in records.arrivals.iter().filter(|arrival| arrival.message == message) {
+            self.add_arrival(arrival);
+        }
+        for stall in &records.stalls {
+            let Stall { courier, incarnation, .. } = *stall;
+            if couriers.contains(&CourierIncarnation { courier, incarnation }) {
+                self.add_stall(stall);
+            }
+        }
+    }
+
     fn add_submission(&mut self, submission: &Submission) {
         let courier = submission.courier;
         let incarnation = submission.incarnation;
@@ -137,9 +156,9 @@
     }
 
     fn add_event(&mut self, traced: &TracedEvent) {
-        let holder = (traced.courier, traced.incarnation);
+        let key = CourierIncarnation { courier: traced.courier, incarnation: traced.incarnation };
         let new_history = AttemptHistory { last_started: traced.at, last_finished: None };
-        let history = self.histories.entry(holder).or_insert(new_history);
+        let history = self.histories.entry(key).or_insert(new_history);
         if let Some(text) = history.describe(traced) {
             self.add(traced.at, Actor::Courier, format!("courier {}: {text}", traced.courier));
         }
@@ -157,7 +176,8 @@
 }
 
 impl AttemptHistory {
-    /// A courier's event in words; none for one that says nothing about a message.
+    /// Describes a courier's event and updates the history. Returns `None` for events that are not about a
+    /// message.
     fn describe(&mut self, traced: &TracedEvent) -> Option<String> {
         match &traced.event {
             DeliveryEvent::Accepted { .. } => Some("taken".into()),
