--- a/crates/testbed/src/decision_record.rs
+++ b/crates/testbed/src/decision_record.rs
@@ -1,7 +1,7 @@
 //! Decision cycles of the library, recorded as they happen, and the same cycles put to the library again.
 //!
-//! A record is one line of JSON with settings and seed, then one for each cycle. Replayed on another version of the
-//! library it shows the first cycle in which that decides otherwise.
+//! A record is one line of JSON with settings and seed, then one for each cycle. Replayed on another version
+//! of the library it shows the first cycle in which that decides otherwise.
 
 use anyhow::{bail, ensure, Context};
 use linnetcart::{Action, Dispatcher, Event, Settings, Time};
@@ -111,8 +111,8 @@
     pub actions: u64,
 }
 
-/// Puts a record's cycles to the library and compares byte for byte; an error names the first that differs. A last
-/// line that was cut short, as a killed courier leaves it, is left out.
+/// Puts a record's cycles to the library and compares byte for byte; an error names the first that differs. A
+/// last line that was cut short, as a killed courier leaves it, is left out.
 pub fn replay(path: &Path) -> anyhow::Result<Replayed> {
     let name = path.display();
     let mut file = BufReader::new(File::open(path).with_context(|| name.to_string())?);
--- a/crates/testbed/src/message_receivers.rs
+++ b/crates/testbed/src/message_receivers.rs
@@ -1,7 +1,7 @@
 //! Endpoints for measurements and tests that serve every message at once, or never answer.
 //!
-//! They accept any Produce request and read no record. How real endpoints behave is simulated elsewhere, by the
-//! scenario runner.
+//! They accept any Produce request and read no record. How real endpoints behave is simulated elsewhere, by
+//! the scenario runner.
 
 use crate::protocol::{MAX_CONNECTIONS, MAX_FRAME_BYTES};
 use anyhow::Context;
--- a/crates/testbed/src/relay.rs
+++ b/crates/testbed/src/relay.rs
@@ -1,7 +1,8 @@
-//! A relay that decides nothing, on the same event loop and codec as the edge: what moving messages costs by itself.
+//! A relay that decides nothing, on the same event loop and codec as the edge: what moving messages costs by
+//! itself.
 //!
-//! A request of one record for a partition goes as one call to that partition's endpoint, on a connection that
-//! carries nothing else meanwhile; what comes back goes to the client.
+//! A request of one record for a partition goes as one call to that partition's endpoint, on a connection
+//! that carries nothing else meanwhile; what comes back goes to the client.
 
 use crate::protocol::{ALL_REPLICAS, MAX_CONNECTIONS, MAX_FRAME_BYTES, PRODUCE_VERSION};
 use linnetcart_kafka::server::{self, Body, Broker, Request, Topic};
--- a/crates/testbed/src/report_cost.rs
+++ b/crates/testbed/src/report_cost.rs
@@ -1,5 +1,5 @@
-//! What reporting costs: the reports alone, in virtual time, by destinations. What an edge's messages cost next to
-//! one that reports nothing is a case of [`crate::throughput_baseline`].
+//! What reporting costs: the reports alone, in virtual time, by destinations. What an edge's messages cost
+//! next to one that reports nothing is a case of [`crate::throughput_baseline`].
 
 use crate::statistics::{median, round};
 use linnetcart::{AttemptOutcome, Class, Idempotency};
--- a/crates/testbed/src/report_receiver.rs
+++ b/crates/testbed/src/report_receiver.rs
@@ -1,8 +1,8 @@
-//! A stand-in for Graphite and collectd: receives reports, stores the last value of each series, and detects counters
-//! that decrease.
+//! A stand-in for Graphite and collectd: receives reports, stores the last value of each series, and detects
+//! counters that decrease.
 //!
-//! A [`ReportReceiver`] owns a thread whose event loop listens, reads and stores. Tests and measurements make it
-//! misbehave with [`ReportReceiver::behave`]. It never sends anything to the couriers that report to it.
+//! A [`ReportReceiver`] owns a thread whose event loop listens, reads and stores. Tests and measurements make
+//! it misbehave with [`ReportReceiver::behave`]. It never sends anything to the couriers that report to it.
 
 mod event_loop;
 
@@ -45,7 +45,8 @@
 /// Where a receiver listens, and which packets it accepts.
 #[derive(Clone, Debug, Default)]
 pub struct ListenAddresses {
-    /// TCP address for Graphite's plaintext and pickle forms; the first byte of a connection tells them apart.
+    /// TCP address for Graphite's plaintext and pickle forms; the first byte of a connection tells them
+    /// apart.
     pub graphite: Option<SocketAddr>,
     /// UDP address for collectd's packets.
     pub collectd: Option<SocketAddr>,
@@ -112,7 +113,8 @@
         Ok(ReportReceiver { graphite, collectd, shared, thread: Some(thread) })
     }
 
-    /// Locks and returns everything that has been received so far. The receiver waits while the guard is held.
+    /// Locks and returns everything that has been received so far. The receiver waits while the guard is
+    /// held.
     pub fn stream(&self) -> MutexGuard<'_, Stream> {
         self.shared.stream()
     }
--- a/crates/testbed/src/report_receiver/event_loop.rs
+++ b/crates/testbed/src/report_receiver/event_loop.rs
@@ -1,4 +1,5 @@
-//! The event loop of a report receiver: listens, applies the requested behaviour, and stores what is received.
+//! The event loop of a report receiver: listens, applies the requested behaviour, and stores what is
+//! received.
 
 use super::{Behaviour, ListenAddresses, Mode, PointRecord, Shared};
 use anyhow::Context;
--- a/crates/testbed/src/throughput_baseline.rs
+++ b/crates/testbed/src/throughput_baseline.rs
@@ -1,7 +1,7 @@
 //! The throughput baseline: what a message costs an edge, beside a relay that decides nothing, in one run.
 //!
-//! Clients run on one thread, endpoints on another, edge and relay each in a process that stays on one core. CPU
-//! time is the system's account of that process, so it does not matter which side is the slower one.
+//! Clients run on one thread, endpoints on another, edge and relay each in a process that stays on one core.
+//! CPU time is the system's account of that process, so it does not matter which side is the slower one.
 
 mod cases;
 mod clients;
--- a/crates/testbed/src/throughput_baseline/cases.rs
+++ b/crates/testbed/src/throughput_baseline/cases.rs
@@ -1,4 +1,5 @@
-//! The cases without reports: edge beside relay, and an edge over destinations, messages in flight and connections.
+//! The cases without reports: edge beside relay, and an edge over destinations, messages in flight and
+//! connections.
 
 use super::clients::{Clients, Load};
 use super::subject::{EdgeSetup, Measurement, Subject};
@@ -79,7 +80,8 @@
     Ok(json!(rows))
 }
 
-/// CPU a message over numbers of messages in flight, and memory for each; they wait for an endpoint that hangs.
+/// CPU a message over numbers of messages in flight, and memory for each; they wait for an endpoint that
+/// hangs.
 pub(super) fn in_flight(options: &Options, counts: &[usize]) -> anyhow::Result<Value> {
     let mut rows = Vec::new();
     for &count in counts {
