Emulated runs: typed results, the experiment's commit as an option, test fixtures once

Cause: Recipe::run and parallel::find_first returned pairs. An experiment asked git for the commit itself: a commit made in the repository while its test ran made the test fail with "begun with another commit" (seen once in a run of the suite, 34 passed, 1 failed). The tests repeated their set-up and packed several steps into a line.

Change: UncheckedRun with `check`, Found, Options::commit (the command passes the same commit as before). In tests/emulated.rs: run_experiment, most_called_message, describe_item, FoundScenario; names written out. Test names and assertions are the same. In a failure message "taken" is "accepted".

--- a/crates/testbed/src/cli/emulate.rs
+++ b/crates/testbed/src/cli/emulate.rs
@@ -46,9 +46,9 @@
         recipe.write(file)?;
     }
     let started = Instant::now();
-    let (fleet, run) = recipe.run(None)?;
+    let unchecked = recipe.run(None)?;
     let elapsed = started.elapsed().as_secs_f64();
-    let CheckedRun { fleet, run, report } = CheckedRun::new(fleet, run);
+    let CheckedRun { fleet, run, report } = unchecked.check();
     println!("{name}, seed {}: {}", args.seed, fleet.about());
     println!("\n{}", run_report::table(&report));
     print_overloads(&run.records);
--- a/crates/testbed/src/cli/experiment.rs
+++ b/crates/testbed/src/cli/experiment.rs
@@ -30,6 +30,7 @@
         max_runs: args.at_most,
         shows_progress: std::io::stderr().is_terminal(),
         command,
+        commit: experiment::commit(),
     };
     if experiment::run(plan, &args.out, &options)? == Completion::Partial {
         println!("not whole yet: the same command goes on with it");
--- a/crates/testbed/src/emulated_run/message_trace.rs
+++ b/crates/testbed/src/emulated_run/message_trace.rs
@@ -1,7 +1,7 @@
 //! The trace of one message: what its client, the couriers that accepted it and the endpoints did with it, in
 //! time order.
 
-use super::Recipe;
+use super::{Recipe, UncheckedRun};
 use anyhow::bail;
 use linnetcart_conformance::{Arrival, EndpointVerdict, Records, Stall, Submission, Time};
 use linnetcart_delivery_events::{DeliveryEvent, FinalAnswer};
@@ -60,7 +60,7 @@
 /// # Errors
 /// Fails if the run cannot be repeated or has no message of this number.
 pub fn trace_message(recipe: &Recipe, message: u64) -> anyhow::Result<String> {
-    let (fleet, run) = recipe.run(Some(DeliveryTrace::of_message(message)))?;
+    let UncheckedRun { fleet, run } = recipe.run(Some(DeliveryTrace::of_message(message)))?;
     let Some(planned) = fleet.messages.get(message as usize) else {
         bail!("message {message}: the run has 0 to {}", fleet.messages.len().saturating_sub(1));
     };
--- a/crates/testbed/src/experiment.rs
+++ b/crates/testbed/src/experiment.rs
@@ -35,8 +35,10 @@
     pub max_runs: Option<u64>,
     /// Whether a progress bar is drawn.
     pub shows_progress: bool,
-    /// The command, as it is stored with the results.
+    /// The command that is stored with the results.
     pub command: String,
+    /// The commit that is stored with the results; only results of the same commit are continued.
+    pub commit: String,
 }
 
 /// Whether an experiment has all its runs.
@@ -71,7 +73,7 @@
 /// # Errors
 /// Fails if `out` has results of another plan or commit, if a file cannot be written, or if a run fails.
 pub fn run(plan: Plan, out: &Path, options: &Options) -> anyhow::Result<Completion> {
-    let header = Header { plan, commit: commit(), command: options.command.clone() };
+    let header = Header { plan, commit: options.commit.clone(), command: options.command.clone() };
     let results = Results::open(out, header)?;
     run_missing(&results, options)?;
     let plan = &results.header().plan;
--- a/crates/testbed/src/fault_search.rs
+++ b/crates/testbed/src/fault_search.rs
@@ -178,7 +178,7 @@
             let is_found = severity.reaches(Goal::BrokenInvariant);
             Ok(is_found.then_some(Candidate { run, recipe, severity }))
         })?;
-        Ok(found.map(|(_, candidate)| candidate))
+        Ok(found.map(|found| found.result))
     }
 
     /// Draws independent scenarios in the first half of the runs and mutates the worst one in the second
--- a/crates/testbed/tests/emulated.rs
+++ b/crates/testbed/tests/emulated.rs
@@ -1,16 +1,25 @@
-//! Experiments, fault searches and runs in virtual time, as the command line has them.
+//! Experiments, fault searches, traces and runs in virtual time.
 
 #[path = "support/work_folder.rs"]
 mod work_folder;
 
+use linnetcart_emulator::EmulatedRun;
+use linnetcart_scenario::fleet::Fleet;
 use linnetcart_scenario::scenario::Scenario;
+use linnetcart_testbed::decision_record;
 use linnetcart_testbed::emulated_run::{trace_message, Recipe};
 use linnetcart_testbed::experiment::{self, plan::Plan, Completion};
 use linnetcart_testbed::fault_search::{script, FaultSearch, Goal};
-use std::path::PathBuf;
+use linnetcart_testbed::socket_run::{self, StackOptions};
+use parquet::arrow::arrow_reader::ParquetRecordBatchReaderBuilder;
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
 use std::process::Command;
 use work_folder::work_folder;
 
+const PROGRAM: &str = env!("CARGO_BIN_EXE_linnetcart-testbed");
+
 const PLAN: &str = r#"
 name = "test"
 about = "A test."
@@ -28,46 +37,61 @@
 "#;
 
 fn options(threads: usize, max_runs: Option<u64>) -> experiment::Options {
-    experiment::Options { threads, max_runs, shows_progress: false, command: "test".into() }
+    experiment::Options {
+        threads,
+        max_runs,
+        shows_progress: false,
+        command: "test".into(),
+        commit: "test-commit".into(),
+    }
+}
+
+fn run_experiment(out: &Path, options: experiment::Options) -> Completion {
+    experiment::run(Plan::parse(PLAN).unwrap(), out, &options).unwrap()
+}
+
+/// Appends a part of a line, as a process leaves it that is killed while it writes.
+fn append_incomplete_line(lines: &Path) {
+    let mut text = std::fs::read_to_string(lines).unwrap();
+    text.push_str("{\"run\":7,\"se");
+    std::fs::write(lines, text).unwrap();
 }
 
 #[test]
 fn experiment_that_was_stopped_continues_to_the_same_bytes() {
-    let (whole, parts) = (work_folder("whole"), work_folder("parts"));
-    let plan = || Plan::parse(PLAN).unwrap();
-    let run = |out: &PathBuf, options| experiment::run(plan(), out, &options).unwrap();
-    assert_eq!(run(&whole, options(1, None)), Completion::Complete);
-    assert_eq!(run(&parts, options(2, Some(3))), Completion::Partial);
-    // A stop in the middle of a line.
-    let lines = parts.join("runs.jsonl");
-    let mut text = std::fs::read_to_string(&lines).unwrap();
-    assert_eq!(text.lines().count(), 3);
-    text.push_str("{\"run\":7,\"se");
-    std::fs::write(&lines, text).unwrap();
-    assert_eq!(run(&parts, options(2, Some(2))), Completion::Partial);
-    assert_eq!(run(&parts, options(3, None)), Completion::Complete);
+    let (uninterrupted, stopped) = (work_folder("uninterrupted"), work_folder("stopped"));
+    assert_eq!(run_experiment(&uninterrupted, options(1, None)), Completion::Complete);
+    assert_eq!(run_experiment(&stopped, options(2, Some(3))), Completion::Partial);
+    let lines = stopped.join("runs.jsonl");
+    assert_eq!(std::fs::read_to_string(&lines).unwrap().lines().count(), 3);
+    append_incomplete_line(&lines);
+    assert_eq!(run_experiment(&stopped, options(2, Some(2))), Completion::Partial);
+    assert_eq!(run_experiment(&stopped, options(3, None)), Completion::Complete);
     for file in ["results.parquet", "report.html", "served_worth.svg"] {
-        let read = |dir: &PathBuf| std::fs::read(dir.join(file)).unwrap();
-        assert!(read(&whole) == read(&parts), "{file} differs");
+        let read = |dir: &Path| std::fs::read(dir.join(file)).unwrap();
+        assert!(read(&uninterrupted) == read(&stopped), "{file} differs");
     }
-    let page = std::fs::read_to_string(whole.join("report.html")).unwrap();
+    let page = std::fs::read_to_string(uninterrupted.join("report.html")).unwrap();
     assert!(page.contains("<svg") && page.contains("Against policy = library") && !page.contains("src="));
-    let other = Plan::parse(&PLAN.replace("seeds = 2", "seeds = 3")).unwrap();
-    let error = format!("{:#}", experiment::run(other, &parts, &options(1, None)).unwrap_err());
+    let other_plan = Plan::parse(&PLAN.replace("seeds = 2", "seeds = 3")).unwrap();
+    let error = experiment::run(other_plan, &stopped, &options(1, None)).unwrap_err();
+    let error = format!("{error:#}");
     assert!(error.contains("another plan") && error.contains("--out"), "{error}");
-    std::fs::remove_dir_all(whole).unwrap();
-    std::fs::remove_dir_all(parts).unwrap();
+    std::fs::remove_dir_all(uninterrupted).unwrap();
+    std::fs::remove_dir_all(stopped).unwrap();
 }
 
 #[test]
 fn parquet_results_are_readable_with_plan_and_command() {
-    use parquet::arrow::arrow_reader::ParquetRecordBatchReaderBuilder;
     let dir = work_folder("parquet");
-    experiment::run(Plan::parse(PLAN).unwrap(), &dir, &options(2, None)).unwrap();
+    run_experiment(&dir, options(2, None));
     let file = std::fs::File::open(dir.join("results.parquet")).unwrap();
     let reader = ParquetRecordBatchReaderBuilder::try_new(file).unwrap();
-    let kept = reader.metadata().file_metadata().key_value_metadata().unwrap().clone();
-    let value = |key: &str| kept.iter().find(|k| k.key == key).and_then(|k| k.value.clone()).unwrap();
+    let metadata = reader.metadata().file_metadata().key_value_metadata().unwrap().clone();
+    let value = |key: &str| {
+        let entry = metadata.iter().find(|entry| entry.key == key).unwrap();
+        entry.value.clone().unwrap()
+    };
     assert_eq!(Plan::parse(&value("linnetcart.plan")).unwrap(), Plan::parse(PLAN).unwrap());
     assert_eq!(value("linnetcart.command"), "test");
     let batch = reader.build().unwrap().next().unwrap().unwrap();
@@ -78,21 +102,18 @@
     std::fs::remove_dir_all(dir).unwrap();
 }
 
+/// Runs the `emulate` command and returns its standard output.
 fn emulate(arguments: &[&str]) -> String {
-    let out = Command::new(env!("CARGO_BIN_EXE_linnetcart-testbed"))
-        .arg("emulate")
-        .args(arguments)
-        .output()
-        .unwrap();
-    assert!(out.status.success(), "{}", String::from_utf8_lossy(&out.stderr));
-    String::from_utf8(out.stdout).unwrap()
+    let output = Command::new(PROGRAM).arg("emulate").args(arguments).output().unwrap();
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    String::from_utf8(output.stdout).unwrap()
 }
 
 #[test]
 fn separate_processes_produce_the_same_digest() {
     let digest = |seed: &str| {
         let text = emulate(&["partition", "--speed", "3", "--couriers", "5", "--seed", seed]);
-        text.lines().find(|l| l.starts_with("digest ")).unwrap().to_owned()
+        text.lines().find(|line| line.starts_with("digest ")).unwrap().to_owned()
     };
     let first = digest("3");
     assert_eq!(first, digest("3"));
@@ -114,100 +135,137 @@
 
 #[test]
 fn fault_search_finds_a_broken_invariant_and_its_script_breaks_it_again() {
-    let found =
-        search("round-robin", 3).run(&|_| {}).unwrap().expect("a policy that heeds nothing breaks a rule");
-    let alone = search("round-robin", 1).run(&|_| {}).unwrap().unwrap();
-    assert_eq!((found.run, &found.shrunk), (alone.run, &alone.shrunk), "the same on any number of threads");
-    assert!(found.shrunk.scenario.trouble.len() <= found.drawn.scenario.trouble.len());
-    let text = script(&found).unwrap();
-    let again = Recipe { scenario: Scenario::parse(&text).unwrap(), ..found.shrunk.clone() };
-    let report = again.run_checked().unwrap().report;
-    let broken = report.rules.iter().find(|f| f.broken > 0).expect("the script breaks it too");
-    assert!(found.summary.contains(broken.rule));
+    let finding = search("round-robin", 3).run(&|_| {}).unwrap();
+    let finding = finding.expect("a policy that respects no limits breaks an invariant");
+    let by_one_thread = search("round-robin", 1).run(&|_| {}).unwrap().unwrap();
+    assert_eq!(
+        (finding.run, &finding.shrunk),
+        (by_one_thread.run, &by_one_thread.shrunk),
+        "the same on any number of threads"
+    );
+    assert!(finding.shrunk.scenario.trouble.len() <= finding.drawn.scenario.trouble.len());
+    let scenario = Scenario::parse(&script(&finding).unwrap()).unwrap();
+    let report = Recipe { scenario, ..finding.shrunk.clone() }.run_checked().unwrap().report;
+    let broken = report.rules.iter().find(|invariant| invariant.broken > 0);
+    let broken = broken.expect("the script breaks it too");
+    assert!(finding.summary.contains(broken.rule));
+}
+
+/// The message with most calls at endpoints.
+struct MostCalled {
+    message: u64,
+    calls: usize,
+}
+
+fn most_called_message(run: &EmulatedRun) -> MostCalled {
+    let mut calls_by_message: BTreeMap<u64, usize> = BTreeMap::new();
+    for arrival in &run.records.records.arrivals {
+        *calls_by_message.entry(arrival.message).or_default() += 1;
+    }
+    let (message, calls) = calls_by_message.into_iter().max_by_key(|(_, calls)| *calls).unwrap();
+    MostCalled { message, calls }
 }
 
 #[test]
 fn trace_has_every_attempt_with_its_reason() {
-    let day = Scenario::find("answers-lost").unwrap().with(Some(2), 4.0).unwrap();
-    let recipe = Recipe::new(day, 1);
-    let (_, run) = recipe.run(None).unwrap();
-    let mut sent: std::collections::BTreeMap<u64, usize> = Default::default();
-    run.records.records.arrivals.iter().for_each(|a| *sent.entry(a.message).or_default() += 1);
-    let (message, times) = sent.into_iter().max_by_key(|m| m.1).unwrap();
-    assert!(times > 1);
+    let scenario = Scenario::find("answers-lost").unwrap().with(Some(2), 4.0).unwrap();
+    let recipe = Recipe::new(scenario, 1);
+    let run = recipe.run(None).unwrap().run;
+    let MostCalled { message, calls } = most_called_message(&run);
+    assert!(calls > 1);
     let text = trace_message(&recipe, message).unwrap();
-    assert_eq!(text.matches(": call ").count() - text.matches(" answered\n").count(), times, "{text}");
+    assert_eq!(text.matches(": call ").count() - text.matches(" answered\n").count(), calls, "{text}");
     assert!(text.contains("(the first)") && text.contains("client: handed to courier"), "{text}");
     assert!(text.contains("(a copy: ") || text.contains("(again, after "), "{text}");
-    assert!(trace_message(&recipe, 1 << 40).unwrap_err().to_string().contains("the run has 0 to"));
+    let unknown_message = 1 << 40;
+    let error = trace_message(&recipe, unknown_message).unwrap_err().to_string();
+    assert!(error.contains("the run has 0 to"), "{error}");
 }
 
-/// What a courier's library was told and decided, cycle by cycle, without clocks: from a record.
-fn events_and_actions(dir: &std::path::Path) -> Vec<String> {
+/// Events and actions that are left out, because their number and order depend on timing.
+const TIMED_ITEMS: [&str; 4] = ["List", "Wake", "Close", "Log"];
+/// Fields of events and actions that do not depend on clocks.
+const COMPARED_FIELDS: [&str; 6] = ["id", "message", "attempt", "destination", "endpoint", "ending"];
+
+/// Describes an event or action of a record without its times; `None` if it is left out.
+fn describe_item(kind: &str, item: &Value) -> Option<String> {
+    let (name, fields) = item.as_object()?.iter().next()?;
+    if TIMED_ITEMS.contains(&name.as_str()) {
+        return None;
+    }
+    let mut text = format!("{kind} {name}");
+    for field in COMPARED_FIELDS {
+        if let Some(value) = fields.get(field) {
+            text += &format!(" {field}={value}");
+        }
+    }
+    Some(text)
+}
+
+/// The events and actions of the only record in a folder, in order and without their times.
+fn events_and_actions(dir: &Path) -> Vec<String> {
     let file = std::fs::read_dir(dir).unwrap().next().expect("a record").unwrap().path();
     let text = std::fs::read_to_string(file).unwrap();
-    let mut all = Vec::new();
+    let mut described = Vec::new();
     for line in text.lines().skip(1) {
-        let cycle: serde_json::Value = serde_json::from_str(line).unwrap();
-        let items_of = |key: &str| cycle[key].as_array().unwrap().clone();
-        let events = items_of("events").into_iter().map(|event| ("told", event));
-        let actions = items_of("actions").into_iter().map(|action| ("decides", action));
-        for (kind, item) in events.chain(actions) {
-            let Some((name, fields)) = item.as_object().and_then(|o| o.iter().next()) else { continue };
-            if ["List", "Wake", "Close", "Log"].contains(&name.as_str()) {
-                continue;
-            }
-            let field = |f: &str| fields.get(f).map(|v| format!(" {f}={v}")).unwrap_or_default();
-            let fields: String =
-                ["id", "message", "attempt", "destination", "endpoint", "ending"].map(field).concat();
-            all.push(format!("{kind} {name}{fields}"));
-        }
+        let cycle: Value = serde_json::from_str(line).unwrap();
+        let events = cycle["events"].as_array().unwrap().iter();
+        let actions = cycle["actions"].as_array().unwrap().iter();
+        described.extend(events.filter_map(|event| describe_item("event", event)));
+        described.extend(actions.filter_map(|action| describe_item("action", action)));
     }
-    all
+    described
 }
 
 #[test]
 fn single_message_on_sockets_and_in_virtual_time_has_the_same_events() {
-    use linnetcart_scenario::fleet::Fleet;
-    use linnetcart_testbed::decision_record;
-    use linnetcart_testbed::socket_run::{self, StackOptions};
     let dir = work_folder("single");
-    let mut fleet = Fleet::draw(Scenario::find("quiet").unwrap().with(Some(1), 4.0).unwrap(), 5);
+    let scenario = Scenario::find("quiet").unwrap().with(Some(1), 4.0).unwrap();
+    let mut fleet = Fleet::draw(scenario, 5);
     fleet.messages.truncate(1);
-    let program = PathBuf::from(env!("CARGO_BIN_EXE_linnetcart-testbed"));
-    let mut options = StackOptions::new(program, dir.join("couriers"));
-    options.policy = format!("{}{}", decision_record::POLICY_PREFIX, dir.join("sockets").display());
+    let policy = format!("{}{}", decision_record::POLICY_PREFIX, dir.join("sockets").display());
+    let options = StackOptions { policy, ..StackOptions::new(PathBuf::from(PROGRAM), dir.join("couriers")) };
     socket_run::run(&fleet, &options).unwrap();
     decision_record::set_folder(&dir.join("emulated")).unwrap();
-    let how =
-        linnetcart_emulator::Options { policy: decision_record::recording_policy, ..Default::default() };
-    linnetcart_emulator::run(&fleet, how).unwrap();
-    let (sockets, emulated) =
-        (events_and_actions(&dir.join("sockets")), events_and_actions(&dir.join("emulated")));
-    assert_eq!(sockets, emulated);
-    assert_eq!(sockets.len(), 3, "taken, sent, served: {sockets:?}");
+    let policy = decision_record::recording_policy;
+    let options = linnetcart_emulator::Options { policy, ..Default::default() };
+    linnetcart_emulator::run(&fleet, options).unwrap();
+    let on_sockets = events_and_actions(&dir.join("sockets"));
+    let emulated = events_and_actions(&dir.join("emulated"));
+    assert_eq!(on_sockets, emulated);
+    assert_eq!(on_sockets.len(), 3, "accepted, sent, served: {on_sockets:?}");
     std::fs::remove_dir_all(dir).unwrap();
 }
 
-/// Scenarios that fault searches found while an invariant was broken on them. Each breaks it again where its fix is
-/// taken out.
-const FOUND: [(&str, &str); 8] = [
-    ("turned-away", include_str!("finds/turned-away.toml")),
-    ("late-wait", include_str!("finds/late-wait.toml")),
-    ("handed-on-rolled", include_str!("finds/handed-on-rolled.toml")),
-    ("other-route", include_str!("finds/other-route.toml")),
-    ("two-cuts", include_str!("finds/two-cuts.toml")),
-    ("long-way", include_str!("finds/long-way.toml")),
-    ("slow-links", include_str!("finds/slow-links.toml")),
-    ("handed-on-disk", include_str!("finds/handed-on-disk.toml")),
+/// A scenario that a fault search found while an invariant was broken on it.
+struct FoundScenario {
+    name: &'static str,
+    script: &'static str,
+}
+
+/// Each of these breaks its invariant again when the fix for it is removed.
+const FOUND: [FoundScenario; 8] = [
+    FoundScenario { name: "turned-away", script: include_str!("finds/turned-away.toml") },
+    FoundScenario { name: "late-wait", script: include_str!("finds/late-wait.toml") },
+    FoundScenario { name: "handed-on-rolled", script: include_str!("finds/handed-on-rolled.toml") },
+    FoundScenario { name: "other-route", script: include_str!("finds/other-route.toml") },
+    FoundScenario { name: "two-cuts", script: include_str!("finds/two-cuts.toml") },
+    FoundScenario { name: "long-way", script: include_str!("finds/long-way.toml") },
+    FoundScenario { name: "slow-links", script: include_str!("finds/slow-links.toml") },
+    FoundScenario { name: "handed-on-disk", script: include_str!("finds/handed-on-disk.toml") },
 ];
 
+/// The seed in the comment that says how to run a script.
+fn seed_of_script(script: &str) -> Option<u64> {
+    script.lines().find_map(|line| line.split_once("emulate FILE --seed ")?.1.parse().ok())
+}
+
 #[test]
 fn scenarios_that_once_broke_an_invariant_keep_it() {
-    for (name, text) in FOUND {
-        let seed = text.lines().find_map(|l| l.split_once("emulate FILE --seed ")?.1.parse().ok());
-        let (day, seed) = (Scenario::parse(text).unwrap(), seed.expect("the second line has the seed"));
-        let report = Recipe::new(day, seed).run_checked().unwrap().report;
+    for FoundScenario { name, script } in FOUND {
+        let seed = seed_of_script(script).expect("the second line has the seed");
+        let scenario = Scenario::parse(script).unwrap();
+        let report = Recipe::new(scenario, seed).run_checked().unwrap().report;
         for invariant in &report.rules {
             assert_eq!(invariant.broken, 0, "{name}: {}: {:?}", invariant.rule, invariant.examples);
         }
