Testbed measurements: cases typed, long functions split, plain doc comments

Change: CaseSetup, fidelity_check::Progress, ReadyLine; receive_from_client and receive_from_endpoint; full_speed_rounds, submit_due; late_weight and weight_asked; ClientResults for a stretch; doc comments with units, None and errors. Figures, JSON fields and texts are the same.

The throughput baseline was not run.

--- a/crates/testbed/src/charts/scenario_runs.rs
+++ b/crates/testbed/src/charts/scenario_runs.rs
@@ -90,7 +90,8 @@
 
 fn table(by_policy: &RunsByPolicy) -> String {
     let mut text = String::from(
-        "| policy | seeds | served worth: median | least | most | worst 10 s: median | seeds that broke a rule |\n\
+        "| policy | seeds | served worth: median | least | most | worst 10 s: median \
+         | seeds that broke a rule |\n\
          | --- | --- | --- | --- | --- | --- | --- |\n",
     );
     for (policy, runs) in by_policy {
--- a/crates/testbed/src/cli/fidelity_check.rs
+++ b/crates/testbed/src/cli/fidelity_check.rs
@@ -1,7 +1,7 @@
 //! `faithful`: measures how far runs in virtual time differ from runs on sockets.
 
 use super::common::{this_program, write_json, Outcome, WorkFolder, MAX_COURIERS_ON_SOCKETS};
-use crate::fidelity_check::{self, FidelityPlan};
+use crate::fidelity_check::{self, FidelityPlan, Progress};
 use anyhow::bail;
 use linnetcart_scenario::scenario::Scenario;
 use std::io::IsTerminal;
@@ -49,9 +49,9 @@
         dir: folder.path.clone(),
     };
     let shows_progress = std::io::stderr().is_terminal();
-    let result = fidelity_check::run(&plan, &|done, of| {
+    let result = fidelity_check::run(&plan, &|Progress { run, total }| {
         if shows_progress {
-            eprint!("\r{done} of {of} days   ");
+            eprint!("\r{run} of {total} days   ");
         }
     })?;
     println!("{}", result.table);
--- a/crates/testbed/src/courier_process.rs
+++ b/crates/testbed/src/courier_process.rs
@@ -1,4 +1,4 @@
-//! A courier or relay in a process of its own.
+//! Starts, signals and stops a courier or relay that runs as a child process.
 
 use anyhow::{anyhow, bail, Context};
 use rustix::process::{kill_process, Pid, Signal};
@@ -10,7 +10,7 @@
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
-/// The environment variable with the core that a child process stays on.
+/// The environment variable that tells a child process which core to stay on.
 pub const CORE_VARIABLE: &str = "LINNETCART_TESTBED_CORE";
 const HTTP_TIMEOUT: Duration = Duration::from_secs(10);
 const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(5);
@@ -31,30 +31,45 @@
 pub struct CourierOptions<'a> {
     /// The program whose `edge` command is a courier.
     pub program: &'a Path,
-    /// Its folder, for state and log.
+    /// The folder for its state and log.
     pub dir: &'a Path,
-    /// Its seed.
+    /// The seed of its decisions.
     pub seed: u64,
-    /// The policy that decides: `library`, or a baseline.
+    /// The name of its decision policy: `library`, or a baseline.
     pub policy: &'a str,
-    /// How long it works on after SIGTERM.
+    /// How long it works on messages in flight after SIGTERM.
     pub drain_timeout: Duration,
 }
 
+/// The line of JSON that a process prints when it listens.
+struct ReadyLine {
+    kafka: SocketAddr,
+    control: SocketAddr,
+}
+
+impl ReadyLine {
+    /// Parses the line; `None` if it has no valid addresses.
+    fn parse(line: &str) -> Option<ReadyLine> {
+        let document: Value = serde_json::from_str(line).ok()?;
+        let address = |name: &str| document.get(name)?.as_str()?.parse().ok();
+        Some(ReadyLine { kafka: address("kafka")?, control: address("control")? })
+    }
+}
+
 impl CourierProcess {
     /// Starts a courier and waits until it listens.
     pub fn start(options: &CourierOptions) -> anyhow::Result<CourierProcess> {
         CourierProcess::spawn(options.command(), options.dir)
     }
 
-    /// Starts a courier that stays on one core.
+    /// Starts a courier that is pinned to one core.
     pub fn start_pinned(options: &CourierOptions, core: usize) -> anyhow::Result<CourierProcess> {
         let mut command = options.command();
         command.env(CORE_VARIABLE, core.to_string());
         CourierProcess::spawn(command, options.dir)
     }
 
-    /// Starts a relay to these endpoints that stays on one core.
+    /// Starts a relay to these endpoints that is pinned to one core.
     pub fn start_relay_pinned(
         program: &Path,
         dir: &Path,
@@ -66,6 +81,7 @@
         CourierProcess::spawn(command, dir)
     }
 
+    /// Starts the process with its log in the folder, and waits for its ready line.
     fn spawn(mut command: Command, dir: &Path) -> anyhow::Result<CourierProcess> {
         std::fs::create_dir_all(dir)?;
         let log_path = dir.join("log");
@@ -75,9 +91,7 @@
         let stdout = child.stdout.take().ok_or_else(|| anyhow!("no standard output"))?;
         let mut line = String::new();
         BufReader::new(stdout).read_line(&mut line)?;
-        let ready: Option<Value> = serde_json::from_str(&line).ok();
-        let address = |name: &str| ready.as_ref()?.get(name)?.as_str()?.parse().ok();
-        let (Some(kafka), Some(control)) = (address("kafka"), address("control")) else {
+        let Some(ReadyLine { kafka, control }) = ReadyLine::parse(&line) else {
             let _ = child.kill();
             let _ = child.wait();
             let log = std::fs::read_to_string(&log_path).unwrap_or_default();
@@ -86,7 +100,10 @@
         Ok(CourierProcess { child, kafka, control })
     }
 
-    /// Puts a document to its control interface.
+    /// Puts a document to the control interface.
+    ///
+    /// # Errors
+    /// Fails if the courier does not answer, or with another status than 200.
     pub fn put(&self, path: &str, body: &Value) -> anyhow::Result<()> {
         let reply = http_request(self.control, "PUT", path, &body.to_string())?;
         if reply.status != STATUS_OK {
@@ -101,27 +118,28 @@
         }
     }
 
-    /// Its process id.
+    /// The process id.
     pub fn pid(&self) -> u32 {
         self.child.id()
     }
 
-    /// Stops the process where it stands.
+    /// Suspends the process with SIGSTOP.
     pub fn stall(&self) {
         self.signal(Signal::STOP);
     }
 
-    /// Resumes a stopped process.
+    /// Resumes a suspended process.
     pub fn resume(&self) {
         self.signal(Signal::CONT);
     }
 
-    /// Begins the graceful shutdown.
+    /// Begins the graceful shutdown with SIGTERM.
     pub fn terminate(&self) {
         self.signal(Signal::TERM);
     }
 
-    /// Waits until the process has ended, at most so long; its exit code.
+    /// Waits for the end of the process and returns its exit code. Returns `None` if it has not ended within
+    /// the timeout or was ended by a signal.
     pub fn wait(&mut self, timeout: Duration) -> Option<i32> {
         let wait_until = Instant::now() + timeout;
         loop {
@@ -165,7 +183,10 @@
     pub body: String,
 }
 
-/// Sends a request to a control interface and reads the reply.
+/// Sends a request to a control interface on a connection of its own and reads the reply.
+///
+/// # Errors
+/// Fails if the connection fails, nothing arrives for ten seconds, or the reply has no status.
 pub fn http_request(address: SocketAddr, method: &str, path: &str, body: &str) -> anyhow::Result<HttpReply> {
     let mut stream = TcpStream::connect(address)?;
     stream.set_read_timeout(Some(HTTP_TIMEOUT))?;
--- a/crates/testbed/src/decision_record.rs
+++ b/crates/testbed/src/decision_record.rs
@@ -1,7 +1,8 @@
-//! Decision cycles of the library, recorded as they happen, and the same cycles put to the library again.
+//! Records the decision cycles of the library, and replays a record through another version of the library.
 //!
-//! A record is one line of JSON with settings and seed, then one for each cycle. Replayed on another version
-//! of the library it shows the first cycle in which that decides otherwise.
+//! A record is a line of JSON with the settings and the seed, then a line for each decision cycle. A replay
+//! finds the first cycle in which the library decides differently. Recording never changes a decision; a
+//! record that cannot be written ends, and the courier continues.
 
 use anyhow::{bail, ensure, Context};
 use linnetcart::{Action, Dispatcher, Event, Settings, Time};
@@ -16,12 +17,14 @@
 #[cfg(test)]
 mod tests;
 
-/// The policy that a courier is started with when its decisions are recorded; a folder follows.
+/// The prefix of the name of the recording policy; the folder of the records follows.
 pub const POLICY_PREFIX: &str = "recorded:";
+/// Maximum length of a line in a record.
 const MAX_LINE_BYTES: u64 = 64 << 20;
-/// How the first line of a record begins.
+/// The start of the first line of a record.
 const HEADER_START: &[u8] = b"{\"settings\"";
 
+/// The folder of this process's records.
 static FOLDER: OnceLock<PathBuf> = OnceLock::new();
 
 /// The first line of a record.
@@ -47,14 +50,14 @@
     actions: Box<RawValue>,
 }
 
-/// Sets the folder of this process's records.
+/// Creates the folder for this process's records. Only the first call in a process sets it.
 pub fn set_folder(folder: &Path) -> anyhow::Result<()> {
     std::fs::create_dir_all(folder).with_context(|| folder.display().to_string())?;
     let _ = FOLDER.set(folder.to_owned());
     Ok(())
 }
 
-/// The library, with a record of its events and decisions.
+/// Creates a policy that decides as the library does and records its events and actions.
 pub fn recording_policy(settings: Settings, seed: u64) -> Box<dyn DecisionPolicy> {
     let file = open_record(settings.courier_index);
     let dispatcher = Dispatcher::new(settings.clone(), seed);
@@ -63,6 +66,7 @@
     Box::new(policy)
 }
 
+/// Opens the record of a courier; `None` if no folder is set or the file cannot be opened.
 fn open_record(courier: impl std::fmt::Display) -> Option<BufWriter<File>> {
     let path = FOLDER.get()?.join(format!("{courier}-{}.rounds", std::process::id()));
     let file = File::options().create(true).append(true).open(path).ok()?;
@@ -76,7 +80,7 @@
 }
 
 impl RecordingPolicy {
-    /// A record that cannot be written ends; the courier goes on.
+    /// Appends a line. The first error ends the record.
     fn write_line(&mut self, line: &impl Serialize) {
         let Some(file) = &mut self.file else { return };
         if write_json_line(file, line).is_err() {
@@ -100,7 +104,7 @@
     }
 }
 
-/// What was replayed, all of it decided as recorded.
+/// The size of a replayed record in which every decision was the same.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Replayed {
     /// Decision cycles.
@@ -111,8 +115,12 @@
     pub actions: u64,
 }
 
-/// Puts a record's cycles to the library and compares byte for byte; an error names the first that differs. A
-/// last line that was cut short, as a killed courier leaves it, is left out.
+/// Replays a record and compares the decisions byte for byte. An incomplete last line, as a killed courier
+/// leaves it, is skipped.
+///
+/// # Errors
+/// Fails if the record cannot be read, or at the first cycle that is decided differently; the error names its
+/// line.
 pub fn replay(path: &Path) -> anyhow::Result<Replayed> {
     let name = path.display();
     let mut file = BufReader::new(File::open(path).with_context(|| name.to_string())?);
@@ -123,9 +131,10 @@
         let place = || format!("{name}, line {number}");
         line.clear();
         Read::take(&mut file, MAX_LINE_BYTES).read_until(b'\n', &mut line)?;
-        if line.last() != Some(&b'\n') {
-            let too_long = line.len() as u64 >= MAX_LINE_BYTES;
-            ensure!(!too_long, "{}: longer than {MAX_LINE_BYTES} bytes", place());
+        let is_complete = line.last() == Some(&b'\n');
+        if !is_complete {
+            let is_too_long = line.len() as u64 >= MAX_LINE_BYTES;
+            ensure!(!is_too_long, "{}: longer than {MAX_LINE_BYTES} bytes", place());
             break;
         }
         if line.starts_with(HEADER_START) {
--- a/crates/testbed/src/experiment/intervals.rs
+++ b/crates/testbed/src/experiment/intervals.rs
@@ -1,32 +1,32 @@
-//! Means and paired differences with their 95 % intervals.
+//! Means and paired differences with their 95 % confidence intervals.
 
 use statrs::distribution::{ContinuousCDF, StudentsT};
 
 #[cfg(test)]
 mod tests;
 
-/// Of an interval of 95 %, the part of the distribution below its upper end.
+/// The quantile of the distribution at the upper end of a 95 % interval.
 const UPPER_QUANTILE: f64 = 0.975;
 
-/// A mean and its interval.
+/// A mean with its confidence interval.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Mean {
     /// Number of values.
     pub count: usize,
-    /// Their mean.
+    /// The mean of the values.
     pub mean: f64,
-    /// The interval reaches so far to both sides; infinite for a single value.
+    /// Half the width of the interval; infinite for less than two values.
     pub half_width: f64,
 }
 
 impl Mean {
-    /// The interval does not hold zero.
+    /// Whether the interval does not contain zero.
     pub fn excludes_zero(&self) -> bool {
         self.mean.abs() > self.half_width
     }
 }
 
-/// The mean of independent values, with its interval by Student's t.
+/// The mean of independent values, with its interval by Student's t-distribution.
 pub fn mean(values: &[f64]) -> Mean {
     let count = values.len();
     let mean = values.iter().sum::<f64>() / count.max(1) as f64;
@@ -41,7 +41,7 @@
     Mean { count, mean, half_width: t * (variance / count as f64).sqrt() }
 }
 
-/// The mean of the differences of other values to base values in the same places, with its interval.
+/// The mean difference of other values to the base values at the same indices, with its interval.
 pub fn paired_difference(base: &[f64], other: &[f64]) -> Mean {
     let differences: Vec<f64> = base.iter().zip(other).map(|(base, other)| other - base).collect();
     mean(&differences)
--- a/crates/testbed/src/experiment/measures.rs
+++ b/crates/testbed/src/experiment/measures.rs
@@ -1,4 +1,4 @@
-//! What is measured of a run.
+//! The measures of a run, computed from its records and the report of the checks.
 
 use crate::emulated_run::CheckedRun;
 use hdrhistogram::Histogram;
@@ -7,17 +7,19 @@
 use linnetcart_scenario::runner::ScenarioRecords;
 use std::collections::BTreeMap;
 
-/// The index of the rule about returns from an outage.
+/// The index of the rule about recoveries from an outage in the report.
 const OUTAGE_RETURN_RULE: usize = 3;
-/// An hour in microseconds, which no time to be served exceeds.
+/// One hour in microseconds; longer times until a message is served are recorded as one hour.
 const MAX_TIME_US: u64 = 3_600_000_000;
+/// Replaces a weight of zero in a quotient.
+const SMALLEST_WEIGHT: f64 = 1e-9;
 
 /// A measure.
 #[derive(Clone, Copy, Debug)]
 pub struct Measure {
-    /// Its name.
+    /// The name, as in tables, plans and result files.
     pub name: &'static str,
-    /// What it is, with its unit.
+    /// The definition, with the unit.
     pub about: &'static str,
 }
 
@@ -53,7 +55,8 @@
     of_run(&checked.fleet, &run.records, run.peak_connections, &checked.report)
 }
 
-/// The measures of a run with so many connections at the same time at most.
+/// The measures of a run, in the order of [`MEASURES`]. `peak_connections` is the maximum number of
+/// connections at the same time.
 pub fn of_run(
     fleet: &Fleet,
     records: &ScenarioRecords,
@@ -62,14 +65,14 @@
 ) -> Vec<f64> {
     let total = |figure: fn(&ClassSummary) -> u64| report.classes.iter().map(figure).sum::<u64>() as f64;
     let messages = total(|class| class.messages).max(1.0);
-    let worth_asked: f64 = report.classes.iter().map(|class| class.asked).sum();
+    let weight_asked: f64 = report.classes.iter().map(|class| class.asked).sum();
     let served = ServedMessages::of(&records.records, &fleet.invariants(Timebase::Emulated));
     let rules_broken: u64 = report.rules.iter().map(|rule| rule.broken).sum();
     let outage_returns = &report.rules[OUTAGE_RETURN_RULE];
     vec![
         report.service,
         report.worst_stretch,
-        served.late_worth / worth_asked.max(1e-9),
+        served.late_weight / weight_asked.max(SMALLEST_WEIGHT),
         total(|class| class.in_aim) / messages,
         total(|class| class.refused) / messages,
         total(|class| class.failed) / messages,
@@ -88,15 +91,15 @@
     ]
 }
 
-/// Times from the first submission of messages until they were served.
+/// The messages that were served, by the time since their first submission.
 struct ServedMessages {
-    /// Worth of those served after their latency objective.
-    late_worth: f64,
-    /// In microseconds, with three digits; none if it could not be made.
+    /// Priority weight of those that were served after their latency objective.
+    late_weight: f64,
+    /// Times in microseconds, to three digits; `None` if the histogram could not be created.
     times: Option<Histogram<u64>>,
 }
 
-/// When a message was first served, and its class.
+/// The time at which a message was first served, and its class.
 struct Served {
     at: Time,
     class: u8,
@@ -116,7 +119,7 @@
             }
         }
         let times = Histogram::new_with_bounds(1, MAX_TIME_US, 3).ok();
-        let mut messages = ServedMessages { late_worth: 0.0, times };
+        let mut messages = ServedMessages { late_weight: 0.0, times };
         for (message, served) in &served {
             let age = served.at - first_submissions[message];
             messages.add(age, served.class, invariants);
@@ -127,7 +130,7 @@
     fn add(&mut self, age: Time, class: u8, invariants: &Invariants) {
         let class = &invariants.classes[usize::from(class)];
         if age > class.latency_objective {
-            self.late_worth += worth(class, invariants.halves, age);
+            self.late_weight += worth(class, invariants.halves, age);
         }
         if let Some(times) = &mut self.times {
             times.saturating_record((age / 1000).max(1));
--- a/crates/testbed/src/experiment/plan/factors.rs
+++ b/crates/testbed/src/experiment/plan/factors.rs
@@ -1,4 +1,4 @@
-//! Factors: what a level of each sets in a recipe.
+//! Applies factors to a recipe: what each factor changes at a level.
 
 use crate::baselines;
 use crate::emulated_run::Recipe;
@@ -9,7 +9,7 @@
 const MAX_DELAY_MS: f64 = 10_000.0;
 const NANOSECONDS_PER_MILLISECOND: f64 = 1e6;
 
-/// A factor and its level, as the command line has them.
+/// A factor and its level, as given on the command line.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Setting {
     /// The factor's name.
@@ -19,7 +19,7 @@
 }
 
 impl Setting {
-    /// Parses `NAME=LEVEL`; a level that is no number or list is a name.
+    /// Parses `NAME=LEVEL`. A level that is no TOML value is taken as a string.
     pub fn parse(text: &str) -> Result<Setting, String> {
         let (factor, level) = text.split_once('=').ok_or("NAME=LEVEL is expected")?;
         let table = toml::from_str::<Table>(&format!("level = {level}")).ok();
@@ -30,10 +30,13 @@
 }
 
 /// Sets a factor of a recipe to a level.
+///
+/// # Errors
+/// Fails if there is no factor of the name, or the level is not valid for it.
 pub fn apply_factor(recipe: &mut Recipe, name: &str, level: &Value) -> anyhow::Result<()> {
     match name {
-        "policy" => set_policy(recipe, word(level)?),
-        "trouble" => set_faults(&mut recipe.scenario, word(level)?),
+        "policy" => set_policy(recipe, name_of(level)?),
+        "trouble" => set_faults(&mut recipe.scenario, name_of(level)?),
         "destinations" => multiply_destinations(&mut recipe.scenario, number(level)?),
         "delay_ms" => set_delay(recipe, number(level)?),
         path => {
@@ -51,7 +54,7 @@
     }
 }
 
-fn word(level: &Value) -> anyhow::Result<&str> {
+fn name_of(level: &Value) -> anyhow::Result<&str> {
     level.as_str().context("a name is wanted")
 }
 
@@ -61,7 +64,7 @@
     Ok(())
 }
 
-/// Sets the faults of a scenario to those of another, at the same parts of its length.
+/// Replaces the faults of a scenario by those of another, at the same fractions of the duration.
 fn set_faults(scenario: &mut Scenario, source: &str) -> anyhow::Result<()> {
     match source {
         "as-written" => {}
@@ -94,7 +97,8 @@
     Ok(())
 }
 
-/// The scenario with one field of its script changed.
+/// Returns the scenario with one field of its script changed. The path names fields and indices, separated by
+/// dots.
 fn with_field(scenario: &Scenario, path: &str, level: &Value) -> anyhow::Result<Scenario> {
     let mut script = Value::try_from(scenario)?;
     let mut field = &mut script;
--- a/crates/testbed/src/fidelity_check.rs
+++ b/crates/testbed/src/fidelity_check.rs
@@ -1,4 +1,4 @@
-//! How far runs in virtual time differ from those on sockets, on the same scenarios and seeds.
+//! Compares runs in virtual time with runs on sockets, on the same scenarios and seeds.
 
 use crate::emulated_run::Recipe;
 use crate::experiment::intervals::{mean, paired_difference, Mean};
@@ -16,31 +16,31 @@
 const COMPARED: [&str; 6] = ["served_worth", "in_aim", "refused", "calls", "calls_refused", "p50_ms"];
 const RULES_BROKEN: &str = "rules_broken";
 
-/// What is compared, and how.
+/// The runs that are compared.
 #[derive(Clone, Debug)]
 pub struct FidelityPlan {
-    /// The scenarios, as they are run.
+    /// The scenarios.
     pub scenarios: Vec<Scenario>,
-    /// Number of seeds, from 1 on.
+    /// Number of seeds of each scenario, counted up from 1.
     pub seeds: u64,
-    /// Runs on sockets at the same time.
+    /// Number of runs on sockets at the same time.
     pub parallel_runs: usize,
     /// The program whose `edge` command is a courier.
     pub program: PathBuf,
-    /// Where couriers keep their state.
+    /// The folder for the state of couriers.
     pub dir: PathBuf,
 }
 
-/// The differences.
+/// The differences that were measured.
 #[derive(Clone, Debug)]
 pub struct FidelityResult {
     /// A table for the terminal.
     pub table: String,
-    /// The figures for a file.
+    /// The same figures as JSON.
     pub figures: Value,
 }
 
-/// The measures of a seed on both sides.
+/// The measures of the same scenario and seed on sockets and in virtual time.
 struct RunPair {
     on_sockets: Vec<f64>,
     emulated: Vec<f64>,
@@ -68,15 +68,27 @@
     json!({"mean": mean.mean, "half": mean.half_width})
 }
 
-/// Runs everything; `progress` is called with how many runs of how many are done.
-pub fn run(plan: &FidelityPlan, progress: &(dyn Fn(u64, u64) + Sync)) -> anyhow::Result<FidelityResult> {
+/// The progress of a plan.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Progress {
+    /// The number of the run on sockets that has finished, counted from 1.
+    pub run: u64,
+    /// Number of runs in total.
+    pub total: u64,
+}
+
+/// Runs and compares everything. `progress` is called after each run on sockets.
+///
+/// # Errors
+/// Fails if a run fails.
+pub fn run(plan: &FidelityPlan, progress: &(dyn Fn(Progress) + Sync)) -> anyhow::Result<FidelityResult> {
     let runs = plan.scenarios.len() as u64 * plan.seeds;
     let pairs = parallel::run_all(plan.parallel_runs, 0..runs, &|number| {
         let scenario = &plan.scenarios[(number / plan.seeds) as usize];
         let seed = 1 + number % plan.seeds;
         let fleet = Fleet::draw(scenario.clone(), seed);
         let on_sockets = run_on_sockets(plan, &fleet, number)?;
-        progress(number + 1, runs);
+        progress(Progress { run: number + 1, total: runs });
         let emulated = run_emulated(scenario, seed)?;
         Ok(RunPair { on_sockets, emulated })
     })?;
@@ -91,7 +103,7 @@
     Ok(FidelityResult { table, figures })
 }
 
-/// Compares the runs of a scenario: rows of the table, and the figures.
+/// Compares the runs of a scenario: appends rows to the table and returns the figures.
 fn compare(scenario: &str, pairs: &[RunPair], table: &mut String) -> Value {
     let mut fields = Map::new();
     for measure in COMPARED {
--- a/crates/testbed/src/relay.rs
+++ b/crates/testbed/src/relay.rs
@@ -1,8 +1,9 @@
-//! A relay that decides nothing, on the same event loop and codec as the edge: what moving messages costs by
-//! itself.
+//! A relay that decides nothing, on the same event loop and codec as the edge: the cost of moving messages
+//! alone.
 //!
-//! A request of one record for a partition goes as one call to that partition's endpoint, on a connection
-//! that carries nothing else meanwhile; what comes back goes to the client.
+//! A request of one record for a partition becomes one call to the endpoint of that partition, on a
+//! connection that carries nothing else until its reply is forwarded to the client. The relay has no retries,
+//! limits or timeouts.
 
 use crate::protocol::{ALL_REPLICAS, MAX_CONNECTIONS, MAX_FRAME_BYTES, PRODUCE_VERSION};
 use linnetcart_kafka::server::{self, Body, Broker, Request, Topic};
@@ -17,7 +18,7 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
 const PRODUCE_TIMEOUT_MS: i32 = 1000;
 
-/// A client's request that an endpoint is working on.
+/// A client's request that waits for the reply of an endpoint.
 struct PendingRequest {
     client: Token,
     correlation: i32,
@@ -35,12 +36,16 @@
     listener: Token,
     endpoints: &'a [SocketAddr],
     connections: BTreeMap<Token, Connection>,
-    /// Connections to each endpoint that carry nothing.
+    /// Idle connections to each endpoint.
     idle: Vec<Vec<Token>>,
     last_correlation: i32,
 }
 
-/// Relays between clients and these endpoints, by partition, until it is killed.
+/// Relays between clients and these endpoints, by partition, until the process is killed. Prints a ready line
+/// as a courier does.
+///
+/// # Errors
+/// Fails if it cannot listen, or an endpoint sends a malformed reply.
 pub fn run(endpoints: &[SocketAddr]) -> anyhow::Result<()> {
     let mut net = Net::new(MAX_CONNECTIONS)?;
     let (listener, address) = net.listen("127.0.0.1:0".parse()?)?;
@@ -93,26 +98,42 @@
         match self.connections.get_mut(&token) {
             Some(Connection::Client { frames }) => {
                 frames.push(bytes);
-                let mut requests = Vec::new();
-                while let Ok(Some(frame)) = frames.next_frame() {
-                    requests.extend(server::read(&frame));
-                }
-                for request in requests {
-                    self.serve(token, request)?;
-                }
+                self.receive_from_client(token)
             }
-            Some(Connection::Endpoint { endpoint, frames, pending }) => {
+            Some(Connection::Endpoint { frames, .. }) => {
                 frames.push(bytes);
-                while let Ok(Some(frame)) = frames.next_frame() {
-                    let reply = client::read_produced(&frame, PRODUCE_VERSION)?;
-                    if let Some(PendingRequest { client, correlation, version }) = pending.take() {
-                        let response = server::produce(correlation, version, &reply.parts, 0, None);
-                        self.net.send(client, &response);
-                    }
-                    self.idle[*endpoint].push(token);
-                }
+                self.receive_from_endpoint(token)
+            }
+            None => Ok(()),
+        }
+    }
+
+    /// Serves the requests that are complete.
+    fn receive_from_client(&mut self, token: Token) -> anyhow::Result<()> {
+        let Some(Connection::Client { frames }) = self.connections.get_mut(&token) else { return Ok(()) };
+        let mut requests = Vec::new();
+        while let Ok(Some(frame)) = frames.next_frame() {
+            requests.extend(server::read(&frame));
+        }
+        for request in requests {
+            self.serve(token, request)?;
+        }
+        Ok(())
+    }
+
+    /// Forwards the replies that are complete, after each of which the connection is idle.
+    fn receive_from_endpoint(&mut self, token: Token) -> anyhow::Result<()> {
+        let Some(Connection::Endpoint { endpoint, frames, pending }) = self.connections.get_mut(&token)
+        else {
+            return Ok(());
+        };
+        while let Ok(Some(frame)) = frames.next_frame() {
+            let reply = client::read_produced(&frame, PRODUCE_VERSION)?;
+            if let Some(PendingRequest { client, correlation, version }) = pending.take() {
+                let response = server::produce(correlation, version, &reply.parts, 0, None);
+                self.net.send(client, &response);
             }
-            None => {}
+            self.idle[*endpoint].push(token);
         }
         Ok(())
     }
@@ -141,6 +162,7 @@
         Ok(())
     }
 
+    /// Sends a call to the endpoint of the partition, on an idle connection or a new one.
     fn forward(&mut self, request: PendingRequest, target: client::ProduceTarget) -> anyhow::Result<()> {
         let endpoint = target.partition as usize % self.endpoints.len();
         self.last_correlation = self.last_correlation % i32::MAX + 1;
--- a/crates/testbed/src/report_cost.rs
+++ b/crates/testbed/src/report_cost.rs
@@ -1,5 +1,5 @@
-//! What reporting costs: the reports alone, in virtual time, by destinations. What an edge's messages cost
-//! next to one that reports nothing is a case of [`crate::throughput_baseline`].
+//! The cost of reporting: the telemetry alone, in virtual time, over numbers of destinations. The cost of
+//! messages of an edge with and without reports is a case of [`crate::throughput_baseline`].
 
 use crate::statistics::{median, round};
 use linnetcart::{AttemptOutcome, Class, Idempotency};
@@ -14,50 +14,54 @@
 use std::time::Instant;
 
 const SECOND: u64 = 1_000_000_000;
+/// Time between reports, in nanoseconds.
 const INTERVAL: u64 = 10 * SECOND;
 const CLASSES: u8 = 10;
+/// Numbers of destinations that are measured.
 const DESTINATIONS: [u32; 3] = [10, 500, 5000];
-/// Messages of an interval, whatever the destinations.
+/// Number of messages in an interval, for any number of destinations.
 const MESSAGES: u32 = 20_000;
-/// Messages of one iteration of a courier's event loop.
+/// Number of messages in one iteration of a courier's event loop.
 const MESSAGES_PER_ITERATION: u32 = 10;
-/// Iterations that a report may take to be written.
+/// Maximum number of slices in which a report is written.
 const MAX_SLICES: u64 = 10_000;
-/// The first slices may have nothing to write yet.
+/// Minimum number of slices, since the first ones may have nothing to write yet.
 const MIN_SLICES: u64 = 3;
 
-/// Reporting under load.
+/// A telemetry instance under load.
 struct Load {
     telemetry: Telemetry,
     destinations: u32,
     rng: ChaCha8Rng,
 }
 
-/// What the messages of one interval came to.
+/// The cost of the messages of one interval.
 #[derive(Default)]
 struct IntervalCost {
     seconds: f64,
     log_bytes: usize,
 }
 
-/// What the report of one interval came to.
+/// The cost and size of the report of one interval.
 #[derive(Default)]
 struct ReportCost {
-    /// CPU time over all slices, and of the longest slice.
+    /// CPU time of all slices.
     total_ms: f64,
+    /// CPU time of the longest slice.
     longest_slice_ms: f64,
     points: usize,
     graphite_bytes: usize,
     collectd_bytes: usize,
 }
 
-/// An interval with its report.
+/// The cost of an interval and its report.
 struct Turn {
     interval: IntervalCost,
     report: ReportCost,
 }
 
-/// Cost of a message's delivery events and of a report, by destinations.
+/// Measures the cost of a message's delivery events and of a report, for each form and number of
+/// destinations. Returns medians over the turns as JSON.
 pub fn run(turns: usize) -> Value {
     let mut rows = Vec::new();
     for form in [Form::Plaintext, Form::Pickle] {
@@ -70,7 +74,7 @@
 
 fn measure(form: Form, destinations: u32, turns: usize) -> Value {
     let mut load = Load::new(form, destinations);
-    // Every series of the first report is a new one.
+    // The first turn is not measured: every series of its report is new.
     load.run_turn(1);
     let turns: Vec<Turn> = (2..=turns as u64 + 1).map(|number| load.run_turn(number)).collect();
     let column = |figure: fn(&Turn) -> f64| round(median(turns.iter().map(figure).collect()));
@@ -177,7 +181,7 @@
         self.telemetry.record(&DeliveryEvent::Completed { message, class, destination, answer, elapsed });
     }
 
-    /// What the messages of an iteration changed goes into the log; its bytes.
+    /// Appends the changes of an iteration to the log and returns their size in bytes.
     fn append_to_log(&mut self, now: u64) -> usize {
         self.telemetry.process(now, now, CurrentState::default);
         let mut bytes = 0;
--- a/crates/testbed/src/run_report.rs
+++ b/crates/testbed/src/run_report.rs
@@ -1,19 +1,19 @@
-//! Tables for the terminal and JSON for files from the outcome of the conformance checks.
+//! Renders reports of the conformance checks as tables for the terminal and as JSON.
 
 use linnetcart_conformance::{ClassSummary, InvariantResult, Report};
 use serde_json::{json, Value};
 use std::fmt::Write;
 
-/// The outcome of the checks of a run, and the policy that decided in it.
+/// The report of a run, and the policy that decided in it.
 #[derive(Debug)]
 pub struct PolicyReport {
     /// The policy's name.
     pub policy: String,
-    /// What the checks say.
+    /// The results of the checks.
     pub report: Report,
 }
 
-/// What became of the classes, and the rules.
+/// A table of the outcomes of each class, and one of the rules.
 pub fn table(report: &Report) -> String {
     let mut text = String::new();
     let _ = writeln!(
@@ -60,7 +60,7 @@
     }
 }
 
-/// Several policies next to each other.
+/// A table with a row for each policy.
 pub fn comparison(reports: &[PolicyReport]) -> String {
     let mut text = String::new();
     let _ = writeln!(
@@ -79,7 +79,7 @@
     text
 }
 
-/// The numbers of the broken rules, with which their names begin.
+/// The numbers of the broken rules, or `none`. The name of a rule begins with its number.
 fn broken_rules(report: &Report) -> String {
     let broken = report.rules.iter().filter(|invariant| invariant.broken > 0);
     let numbers: Vec<&str> = broken.map(|invariant| invariant.rule.split(' ').next().unwrap_or("")).collect();
--- a/crates/testbed/src/throughput_baseline.rs
+++ b/crates/testbed/src/throughput_baseline.rs
@@ -1,7 +1,9 @@
-//! The throughput baseline: what a message costs an edge, beside a relay that decides nothing, in one run.
+//! The throughput baseline: the cost of a message in an edge, compared in one run with a relay that decides
+//! nothing.
 //!
-//! Clients run on one thread, endpoints on another, edge and relay each in a process that stays on one core.
-//! CPU time is the system's account of that process, so it does not matter which side is the slower one.
+//! Clients run on one thread and endpoints on another; edge and relay are processes that are each pinned to a
+//! core. CPU time is what the system accounts to that process, so it does not matter which side limits the
+//! throughput.
 
 mod cases;
 mod clients;
@@ -13,7 +15,7 @@
 use serde_json::{json, Value};
 use std::path::PathBuf;
 
-/// Connections of clients that stay idle, when their memory is measured.
+/// Number of idle client connections in the measurement of memory.
 const IDLE_CONNECTIONS: usize = 5000;
 
 /// How the baseline is measured.
@@ -23,16 +25,16 @@
     pub program: PathBuf,
     /// A folder for state and logs.
     pub dir: PathBuf,
-    /// Seconds of each stretch.
+    /// Length of each measurement in seconds.
     pub seconds: f64,
-    /// Stretches of each kind; medians are given.
+    /// Number of measurements of each kind; medians are given.
     pub rounds: usize,
 }
 
-/// Which parts are measured, and over what.
+/// The parts that are measured, and the numbers that they are measured over.
 #[derive(Clone, Debug)]
 pub struct Selection {
-    /// Only the part of this name.
+    /// The name of the only part that is measured; all parts if `None`.
     pub only: Option<String>,
     /// Numbers of messages in flight.
     pub in_flight: Vec<usize>,
@@ -76,7 +78,11 @@
     }
 }
 
-/// Measures the selected parts; each is printed as it comes, and all are one document.
+/// Measures the selected parts. Prints the figures of each part when it is done and returns all of them as
+/// one document.
+///
+/// # Errors
+/// Fails if there is no part of the selected name, or a process or a client fails.
 pub fn run(options: Options, selection: &Selection) -> anyhow::Result<Value> {
     let parts = selected_parts(selection)?;
     let mut document = json!({"seconds": options.seconds, "rounds": options.rounds});
--- a/crates/testbed/src/throughput_baseline/cases.rs
+++ b/crates/testbed/src/throughput_baseline/cases.rs
@@ -1,5 +1,5 @@
-//! The cases without reports: edge beside relay, and an edge over destinations, messages in flight and
-//! connections.
+//! The cases without reports: an edge beside a relay, and an edge over numbers of destinations, messages in
+//! flight and connections.
 
 use super::clients::{Clients, Load};
 use super::subject::{EdgeSetup, Measurement, Subject};
@@ -14,39 +14,26 @@
 const DESTINATIONS_LOAD: Load = Load::PerSecond(2000.0);
 /// Load of the case over numbers of messages in flight.
 const IN_FLIGHT_LOAD: Load = Load::PerSecond(50.0);
-/// Connections on which messages that stay in flight are submitted.
+/// Number of connections on which the messages that stay in flight are submitted.
 const WAITING_CLIENTS: usize = 4;
-/// Of these messages, how many are submitted before the connections are polled once.
+/// Number of these messages that are submitted between two polls of the connections.
 const SUBMITTED_AT_ONCE: usize = 500;
 
-/// One stretch of the relay and one of the edge, at full speed.
+/// One measurement of the relay and one of the edge, at full speed.
 struct Round {
     relay: Measurement,
     edge: Measurement,
 }
 
-/// Edge beside relay, in turn, at full speed and at half of the edge's.
+/// Measures edge and relay in turn at full speed, then both at half of the edge's lowest throughput.
 pub(super) fn edge_and_relay(options: &Options) -> anyhow::Result<Value> {
     let setup = EdgeSetup { max_in_flight_calls: 512, destinations: 10, silent_destinations: 0 };
     let edge = Subject::edge(options, setup)?;
     let relay = Subject::relay(options, setup.destinations)?;
-    let connect = |subject: &Subject| Clients::connect(subject.process.kafka, 256, 0..10);
-    let rounds = {
-        let mut edge_clients = connect(&edge)?;
-        let mut relay_clients = connect(&relay)?;
-        edge_clients.run(WARM_UP, Load::FullSpeed)?;
-        relay_clients.run(WARM_UP, Load::FullSpeed)?;
-        let mut rounds = Vec::new();
-        for _ in 0..options.rounds {
-            let relay = relay.measure(&mut relay_clients, options.seconds, Load::FullSpeed)?;
-            let edge = edge.measure(&mut edge_clients, options.seconds, Load::FullSpeed)?;
-            rounds.push(Round { relay, edge });
-        }
-        rounds
-    };
+    let rounds = full_speed_rounds(options, &edge, &relay)?;
     let half_load = minimum(rounds.iter().map(|round| round.edge.messages_per_second)) / 2.0;
-    let mut edge_clients = connect(&edge)?;
-    let mut relay_clients = connect(&relay)?;
+    let mut edge_clients = connect_clients(&edge)?;
+    let mut relay_clients = connect_clients(&relay)?;
     let relay = relay.measure(&mut relay_clients, options.seconds, Load::PerSecond(half_load))?;
     let edge = edge.measure(&mut edge_clients, options.seconds, Load::PerSecond(half_load))?;
     let column = |figure: fn(&Round) -> f64| spread(rounds.iter().map(figure).collect());
@@ -61,12 +48,31 @@
     }))
 }
 
+fn connect_clients(subject: &Subject) -> anyhow::Result<Clients> {
+    Clients::connect(subject.process.kafka, 256, 0..10)
+}
+
+/// Measures relay and edge in turn. Their clients are disconnected at the end.
+fn full_speed_rounds(options: &Options, edge: &Subject, relay: &Subject) -> anyhow::Result<Vec<Round>> {
+    let mut edge_clients = connect_clients(edge)?;
+    let mut relay_clients = connect_clients(relay)?;
+    edge_clients.run(WARM_UP, Load::FullSpeed)?;
+    relay_clients.run(WARM_UP, Load::FullSpeed)?;
+    let mut rounds = Vec::new();
+    for _ in 0..options.rounds {
+        let relay = relay.measure(&mut relay_clients, options.seconds, Load::FullSpeed)?;
+        let edge = edge.measure(&mut edge_clients, options.seconds, Load::FullSpeed)?;
+        rounds.push(Round { relay, edge });
+    }
+    Ok(rounds)
+}
+
 fn percentiles(nanoseconds: &Histogram<u64>) -> Value {
     let microseconds = |quantile: f64| round(nanoseconds.value_at_quantile(quantile) as f64 / 1e3);
     json!({"p50": microseconds(0.5), "p99": microseconds(0.99)})
 }
 
-/// CPU a message over numbers of destinations, at a fixed rate.
+/// CPU time per message over numbers of destinations, at a fixed rate.
 pub(super) fn destinations(options: &Options, counts: &[usize]) -> anyhow::Result<Value> {
     let mut rows = Vec::new();
     for &count in counts {
@@ -80,8 +86,8 @@
     Ok(json!(rows))
 }
 
-/// CPU a message over numbers of messages in flight, and memory for each; they wait for an endpoint that
-/// hangs.
+/// CPU time per message and memory over numbers of messages in flight, which wait for an endpoint that never
+/// answers.
 pub(super) fn in_flight(options: &Options, counts: &[usize]) -> anyhow::Result<Value> {
     let mut rows = Vec::new();
     for &count in counts {
@@ -103,7 +109,8 @@
     Ok(json!(rows))
 }
 
-/// Submits messages for the first destination, which never answers. They wait as long as their clients stay.
+/// Submits messages for the first destination, which never answers. They wait until the returned clients are
+/// dropped.
 fn submit_waiting_messages(edge: &Subject, count: usize) -> anyhow::Result<Clients> {
     let mut waiting = Clients::connect(edge.process.kafka, WAITING_CLIENTS, 0..1)?;
     for number in 0..count {
@@ -118,7 +125,7 @@
     Ok(waiting)
 }
 
-/// Memory for each idle connection of a client.
+/// Memory per idle client connection.
 pub(super) fn connections(options: &Options, count: usize) -> anyhow::Result<Value> {
     let setup = EdgeSetup { max_in_flight_calls: 64, destinations: 1, silent_destinations: 0 };
     let edge = Subject::edge(options, setup)?;
--- a/crates/testbed/src/throughput_baseline/clients.rs
+++ b/crates/testbed/src/throughput_baseline/clients.rs
@@ -1,4 +1,4 @@
-//! Clients that submit messages and measure the time until they are answered.
+//! Clients that submit messages and measure the time until each is answered.
 
 use crate::protocol::{ALL_REPLICAS, MAX_CONNECTIONS, MAX_FRAME_BYTES, PRODUCE_VERSION};
 use anyhow::bail;
@@ -20,12 +20,12 @@
 pub(super) enum Load {
     /// Each connection submits the next message when the last is answered.
     FullSpeed,
-    /// So many messages a second over all connections.
+    /// This many messages per second over all connections.
     PerSecond(f64),
 }
 
 impl Load {
-    /// How long to wait for answers, at most, before the next message may be due.
+    /// Maximum wait for answers before the next message may be due.
     fn poll_interval(self) -> Duration {
         match self {
             Load::FullSpeed => Duration::from_millis(20),
@@ -34,8 +34,8 @@
     }
 }
 
-/// What clients saw over a stretch of time.
-pub(super) struct ClientStretch {
+/// The results of clients over a period of time.
+pub(super) struct ClientResults {
     pub(super) messages: u64,
     pub(super) seconds: f64,
     /// Nanoseconds from the submission to the answer.
@@ -60,7 +60,7 @@
 }
 
 impl Clients {
-    /// Connects so many clients.
+    /// Connects this many clients and waits until all are connected.
     pub(super) fn connect(
         address: SocketAddr,
         count: usize,
@@ -112,16 +112,16 @@
         Ok(())
     }
 
-    /// Lets bytes go out and come in for so long, and ignores what comes.
+    /// Sends and receives for at most the timeout, and ignores the answers.
     pub(super) fn poll_ignoring_answers(&mut self, timeout: Duration) -> anyhow::Result<()> {
         self.net.poll(timeout, &mut Vec::new())?;
         Ok(())
     }
 
-    /// Submits messages for so long.
-    pub(super) fn run(&mut self, duration: Duration, load: Load) -> anyhow::Result<ClientStretch> {
+    /// Submits messages for the duration and records the answers that arrive within it.
+    pub(super) fn run(&mut self, duration: Duration, load: Load) -> anyhow::Result<ClientResults> {
         let started = Instant::now();
-        let mut stretch = ClientStretch { messages: 0, seconds: 0.0, latency: Histogram::new(3)? };
+        let mut results = ClientResults { messages: 0, seconds: 0.0, latency: Histogram::new(3)? };
         let mut submitted = 0u64;
         if load == Load::FullSpeed {
             self.submit_on_idle_connections()?;
@@ -130,20 +130,26 @@
         while started.elapsed() < duration {
             if let Load::PerSecond(rate) = load {
                 let due = started.elapsed().as_secs_f64() * rate;
-                while (submitted as f64) < due {
-                    self.submit(submitted as usize % self.connections.len())?;
-                    submitted += 1;
-                }
+                self.submit_due(&mut submitted, due)?;
             }
             self.net.poll(load.poll_interval(), &mut events)?;
             for event in events.drain(..) {
                 if let Event::Data(token, bytes) = event {
-                    self.receive(token, &bytes, load, &mut stretch)?;
+                    self.receive(token, &bytes, load, &mut results)?;
                 }
             }
         }
-        stretch.seconds = started.elapsed().as_secs_f64();
-        Ok(stretch)
+        results.seconds = started.elapsed().as_secs_f64();
+        Ok(results)
+    }
+
+    /// Submits messages on the connections in turn until as many as are due have been submitted.
+    fn submit_due(&mut self, submitted: &mut u64, due: f64) -> anyhow::Result<()> {
+        while (*submitted as f64) < due {
+            self.submit(*submitted as usize % self.connections.len())?;
+            *submitted += 1;
+        }
+        Ok(())
     }
 
     fn submit_on_idle_connections(&mut self) -> anyhow::Result<()> {
@@ -160,7 +166,7 @@
         token: Token,
         bytes: &[u8],
         load: Load,
-        stretch: &mut ClientStretch,
+        results: &mut ClientResults,
     ) -> anyhow::Result<()> {
         let index = self.by_token[&token];
         self.connections[index].frames.push(bytes);
@@ -170,8 +176,8 @@
                 bail!("a message was not served: {:?}", reply.parts);
             }
             if let Some(submitted_at) = self.connections[index].pending.remove(&reply.correlation) {
-                stretch.latency.record(submitted_at.elapsed().as_nanos() as u64)?;
-                stretch.messages += 1;
+                results.latency.record(submitted_at.elapsed().as_nanos() as u64)?;
+                results.messages += 1;
             }
             if load == Load::FullSpeed {
                 self.submit(index)?;
--- a/crates/testbed/src/throughput_baseline/subject.rs
+++ b/crates/testbed/src/throughput_baseline/subject.rs
@@ -11,17 +11,17 @@
 use std::path::Path;
 use std::time::Duration;
 
-/// The core that a measured process stays on.
+/// The core that the measured process is pinned to.
 const MEASURED_CORE: usize = 1;
 
-/// What an edge is set up for.
+/// The limits and destinations that an edge is configured with.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct EdgeSetup {
-    /// Calls in flight at most.
+    /// Maximum number of calls in flight.
     pub(super) max_in_flight_calls: usize,
-    /// Destinations, of one endpoint each.
+    /// Number of destinations with one endpoint each.
     pub(super) destinations: usize,
-    /// Of these, the first that never answer.
+    /// Number of destinations, the first ones, that never answer.
     pub(super) silent_destinations: usize,
 }
 
@@ -31,11 +31,12 @@
     _receivers: MessageReceivers,
 }
 
-/// What one stretch of time showed.
+/// The figures of one measurement.
 pub(super) struct Measurement {
-    /// CPU time a message, in microseconds.
+    /// CPU time per message, in microseconds.
     pub(super) cpu_us: f64,
     pub(super) messages_per_second: f64,
+    /// Nanoseconds from the submission to the answer.
     pub(super) latency: Histogram<u64>,
 }
 
@@ -45,7 +46,8 @@
         Subject::edge_in(options, &options.dir, setup)
     }
 
-    /// Starts an edge with a state folder of its own below this one.
+    /// Starts an edge with its settings and endpoint list, and a state folder of its own within the given
+    /// folder.
     pub(super) fn edge_in(options: &Options, folder: &Path, setup: EdgeSetup) -> anyhow::Result<Subject> {
         let EdgeSetup { max_in_flight_calls, destinations, silent_destinations } = setup;
         let receivers = MessageReceivers::start(destinations, silent_destinations)?;
@@ -73,7 +75,7 @@
         Ok(Subject { process, _receivers: receivers })
     }
 
-    /// Lets clients submit messages for a stretch of time.
+    /// Has clients submit messages for a period of time and measures the process meanwhile.
     pub(super) fn measure(
         &self,
         clients: &mut Clients,
@@ -82,13 +84,13 @@
     ) -> anyhow::Result<Measurement> {
         let pid = self.process.pid();
         let cpu_before = process_usage::cpu_seconds(pid)?;
-        let stretch = clients.run(Duration::from_secs_f64(seconds), load)?;
+        let results = clients.run(Duration::from_secs_f64(seconds), load)?;
         let cpu_used = process_usage::cpu_seconds(pid)? - cpu_before;
-        let messages = stretch.messages.max(1) as f64;
+        let messages = results.messages.max(1) as f64;
         Ok(Measurement {
             cpu_us: cpu_used * 1e6 / messages,
-            messages_per_second: messages / stretch.seconds,
-            latency: stretch.latency,
+            messages_per_second: messages / results.seconds,
+            latency: results.latency,
         })
     }
 
@@ -101,7 +103,8 @@
     json!({
         "deployment": "floor", "courier": {"me": 0, "of": 1, "zone": "a"}, "zones": ["a"],
         "classes": [{
-            "name": "m", "aim_ms": 10000, "deadline_ms": 600_000, "worth": 1, "late_worth": 0.5, "repeat": "safe"
+            "name": "m", "aim_ms": 10000, "deadline_ms": 600_000,
+            "worth": 1, "late_worth": 0.5, "repeat": "safe"
         }],
         "kinds": [{"name": "k"}],
         "limits": {
@@ -110,7 +113,8 @@
         },
         "connections": {"idle_ms": 60_000, "connect_timeout_ms": 5000},
         "rules": {
-            "answer_slack_ms": 50, "cold_share": 0.2, "warm_after_ms": 1000, "fall_multiple": 2.0, "fall_span_ms": 1000
+            "answer_slack_ms": 50, "cold_share": 0.2, "warm_after_ms": 1000,
+            "fall_multiple": 2.0, "fall_span_ms": 1000
         },
         "tick_us": 200
     })
--- a/crates/testbed/src/throughput_baseline/telemetry_case.rs
+++ b/crates/testbed/src/throughput_baseline/telemetry_case.rs
@@ -1,4 +1,5 @@
-//! What reports cost an edge: nothing reported, and receivers that behave well and badly, in turn.
+//! The cost of reports in an edge: without reports, and with receivers that behave well and badly, measured
+//! in turn.
 
 use super::clients::{Clients, Load};
 use super::subject::{EdgeSetup, Measurement, Subject};
@@ -14,14 +15,21 @@
 const WARM_UP: Duration = Duration::from_secs(1);
 const SETUP: EdgeSetup = EdgeSetup { max_in_flight_calls: 512, destinations: 10, silent_destinations: 0 };
 
-/// The cases; the receiver behaves so, or there are no reports.
-const CASES: [(&str, Option<Behaviour>); 5] = [
-    ("off", None),
-    ("up", Some(Behaviour::Reads)),
-    ("down", Some(Behaviour::Absent)),
-    ("never reads", Some(Behaviour::NeverReads)),
-    // What two that are alike differ by is what the others' ratios are worth.
-    ("off again", None),
+/// A case before it is started.
+#[derive(Clone, Copy)]
+struct CaseSetup {
+    name: &'static str,
+    /// The behaviour of the receiver, or `None` for an edge without reports.
+    receiver: Option<Behaviour>,
+}
+
+const CASES: [CaseSetup; 5] = [
+    CaseSetup { name: "off", receiver: None },
+    CaseSetup { name: "up", receiver: Some(Behaviour::Reads) },
+    CaseSetup { name: "down", receiver: Some(Behaviour::Absent) },
+    CaseSetup { name: "never reads", receiver: Some(Behaviour::NeverReads) },
+    // The difference between two equal cases shows how precise the other ratios are.
+    CaseSetup { name: "off again", receiver: None },
 ];
 
 /// An edge with its receiver and its clients.
@@ -33,7 +41,7 @@
     figures: Vec<Figures>,
 }
 
-/// What one stretch showed.
+/// The figures of one measurement.
 #[derive(Clone, Copy)]
 struct Figures {
     cpu_us: f64,
@@ -47,20 +55,21 @@
     }
 }
 
-/// Messages at a fixed rate, each case in turn. Reports come each second, ten times as often as by default.
+/// Measures each case in turn at a fixed rate of messages. Reports are sent every second, ten times as often
+/// as by default.
 pub(super) fn telemetry(options: &Options) -> anyhow::Result<Value> {
     let mut cases = Vec::new();
-    for (number, (name, behaviour)) in CASES.into_iter().enumerate() {
+    for (number, setup) in CASES.into_iter().enumerate() {
         let folder = options.dir.join(number.to_string());
-        cases.push(start_case(options, &folder, name, behaviour)?);
+        cases.push(start_case(options, &folder, setup)?);
     }
     for case in &mut cases {
         case.clients.run(WARM_UP, Load::PerSecond(RATE))?;
     }
     for round in 0..options.rounds {
-        // Each is first, second and so on in turn.
-        for place in 0..cases.len() {
-            let index = (place + round) % cases.len();
+        // Each round begins with another case.
+        for position in 0..cases.len() {
+            let index = (position + round) % cases.len();
             let case = &mut cases[index];
             let measured = case.edge.measure(&mut case.clients, options.seconds, Load::PerSecond(RATE))?;
             case.figures.push(Figures::of(&measured));
@@ -71,16 +80,11 @@
     Ok(json!({"rate_per_s": RATE, "cases": rows}))
 }
 
-fn start_case(
-    options: &Options,
-    folder: &Path,
-    name: &'static str,
-    behaviour: Option<Behaviour>,
-) -> anyhow::Result<Case> {
+fn start_case(options: &Options, folder: &Path, setup: CaseSetup) -> anyhow::Result<Case> {
     let edge = Subject::edge_in(options, folder, SETUP)?;
-    let receiver = behaviour.map(|behaviour| start_receiver(&edge, behaviour)).transpose()?;
+    let receiver = setup.receiver.map(|behaviour| start_receiver(&edge, behaviour)).transpose()?;
     let clients = Clients::connect(edge.process.kafka, 64, 0..SETUP.destinations)?;
-    Ok(Case { name, edge, clients, _receiver: receiver, figures: Vec::new() })
+    Ok(Case { name: setup.name, edge, clients, _receiver: receiver, figures: Vec::new() })
 }
 
 fn start_receiver(edge: &Subject, behaviour: Behaviour) -> anyhow::Result<ReportReceiver> {
