Testbed tests: fixtures once, in support files with one purpose each

Test names are the same. The two cases of first_signal_drains_and_second_signal_exits_at_once are written one after the other in place of a loop over a bool.

--- a/crates/testbed/tests/process.rs
+++ b/crates/testbed/tests/process.rs
@@ -1,228 +1,176 @@
-//! The courier as a process: its control interface, its snapshot, its shutdown, clients that misbehave.
+//! The courier as a process: its control interface, its snapshot, its shutdown, and clients that misbehave.
 
+#[path = "support/control.rs"]
+mod control;
 #[path = "support/kafka.rs"]
 mod kafka;
+#[path = "support/started_courier.rs"]
+mod started_courier;
 #[path = "support/work_folder.rs"]
 mod work_folder;
 
 use kafka::produce_request;
 use linnetcart_kafka::{client, codes, Frames};
-use linnetcart_testbed::courier_process::http_request;
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use serde_json::json;
+use started_courier::{
+    endpoint_list, exit_code, ready_line, send_sigterm, settings, Courier, SilentEndpoint, PROGRAM,
+};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
-use std::process::{Child, Command, Stdio};
+use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 use work_folder::work_folder;
 
 const RECORD_BYTES: usize = 100;
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
+/// More than this is never read from a client that does not read its answers.
+const MAX_UNANSWERED_BYTES: usize = 64 << 20;
 
-struct Edge {
-    child: Child,
-    kafka: SocketAddr,
-    control: SocketAddr,
-}
-
-impl Drop for Edge {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-/// The line of JSON that a program prints when it is ready.
-fn ready_line(child: &mut Child) -> serde_json::Value {
-    let mut line = String::new();
-    BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
-    serde_json::from_str(&line).unwrap()
-}
-
-fn edge(dir: &Path, files: Option<u32>) -> Edge {
-    let program = env!("CARGO_BIN_EXE_linnetcart-testbed");
-    let args = "edge --kafka 127.0.0.1:0 --control 127.0.0.1:0 --drain-ms 1500 --log json --state-dir";
-    let limit = files.map_or(String::new(), |n| format!("ulimit -n {n}; "));
-    let mut child = Command::new("sh")
-        .arg("-c")
-        .arg(format!("{limit}exec {program} {args} {}", dir.display()))
-        .stdout(Stdio::piped())
-        .stderr(Stdio::null())
-        .spawn()
-        .unwrap();
-    let ready = ready_line(&mut child);
-    let addr = |name: &str| ready[name].as_str().unwrap().parse().unwrap();
-    Edge { kafka: addr("kafka"), control: addr("control"), child }
-}
-
-/// Status and body.
-fn http(at: SocketAddr, method: &str, path: &str, body: &str) -> (u16, String) {
-    let reply = http_request(at, method, path, body).unwrap();
-    (reply.status, reply.body)
-}
-
-fn settings() -> String {
-    serde_json::json!({
-        "deployment": "test", "courier": {"me": 0, "of": 1, "zone": "a"}, "zones": ["a"],
-        "classes": [
-            {"name": "status", "aim_ms": 1000, "deadline_ms": 5000, "worth": 1, "repeat": "safe"},
-            {"name": "order", "aim_ms": 500, "deadline_ms": 1000, "worth": 1, "repeat": "unsafe"}],
-        "kinds": [{"name": "k"}],
-        "limits": {"slots": 8, "held": 100, "attempts": 4},
-        "rules": {"answer_slack_ms": 50, "cold_share": 0.2, "warm_after_ms": 1000, "fall_multiple": 2.0, "fall_span_ms": 1000}
-    })
-    .to_string()
-}
-
-fn list(version: u64, at: SocketAddr) -> String {
-    serde_json::json!({"version": version, "whole": true, "entries": [
-        {"id": 1, "destination": 0, "kind": "k", "zone": "a", "state": "ready", "address": at.to_string()}]})
-    .to_string()
-}
-
-/// An endpoint that takes connections and never answers, or refuses all.
-fn silent_endpoint() -> (TcpListener, SocketAddr) {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let at = listener.local_addr().unwrap();
-    (listener, at)
+fn submit(stream: &mut TcpStream, topic: &str) {
+    stream.write_all(&produce_request(1, topic, RECORD_BYTES)).unwrap();
 }
 
 fn answer(stream: &mut TcpStream) -> client::ProduceReply {
-    stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+    stream.set_read_timeout(Some(ANSWER_TIMEOUT)).unwrap();
     let mut frames = Frames::new(kafka::MAX_FRAME_BYTES);
     kafka::read_reply(stream, &mut frames).expect("closed instead of answered")
 }
 
-fn signal(child: &Child, name: &str) {
-    assert!(Command::new("kill")
-        .args([&format!("-{name}"), &child.id().to_string()])
-        .status()
-        .unwrap()
-        .success());
-}
-
-fn ended(child: &mut Child, within: Duration) -> Option<i32> {
-    let until = Instant::now() + within;
-    while Instant::now() < until {
-        if let Some(status) = child.try_wait().unwrap() {
-            return status.code();
-        }
-        std::thread::sleep(Duration::from_millis(10));
-    }
-    panic!("it did not end");
+fn answer_code(stream: &mut TcpStream) -> i16 {
+    answer(stream).parts[0].code
 }
 
 #[test]
 fn settings_and_endpoint_list_put_by_call_survive_a_kill() {
     let dir = work_folder("snapshot");
-    let (_keep, at) = silent_endpoint();
-    let mut courier = edge(&dir, None);
-    assert_eq!(http(courier.control, "PUT", "/list", &list(1, at)).0, 409);
-    assert_eq!(http(courier.control, "PUT", "/settings", "{\"deployment\": 3}").0, 422);
-    assert_eq!(http(courier.control, "PUT", "/settings", &settings()).0, 200);
-    assert_eq!(http(courier.control, "PUT", "/list", &list(5, at)).0, 200);
-    let (status, body) = http(courier.control, "PUT", "/list", &list(5, at));
-    assert!(status == 422 && body.contains("not above 5"), "{body}");
+    let endpoint = SilentEndpoint::listen();
+    let mut courier = Courier::start(&dir);
+    assert_eq!(courier.put_status("/list", &endpoint_list(1, endpoint.address)), 409);
+    assert_eq!(courier.put_status("/settings", &json!({"deployment": 3})), 422);
+    control::put(courier.control, "/settings", &settings());
+    let list = endpoint_list(5, endpoint.address);
+    control::put(courier.control, "/list", &list);
+    let reply = control::request(courier.control, "PUT", "/list", &list.to_string());
+    assert!(reply.status == 422 && reply.body.contains("not above 5"), "{}", reply.body);
     courier.child.kill().unwrap();
     courier.child.wait().unwrap();
-    let courier = edge(&dir, None);
-    let (_, body) = http(courier.control, "GET", "/list", "");
-    assert!(body.contains("\"version\": 5") && body.contains(&at.to_string()), "{body}");
+    let courier = Courier::start(&dir);
+    let list = courier.get("/list");
+    assert!(list.contains("\"version\": 5") && list.contains(&endpoint.address.to_string()), "{list}");
     drop(courier);
-    // A cut snapshot is set aside, and the courier starts without settings.
-    let path = dir.join("snapshot");
-    let bytes = std::fs::read(&path).unwrap();
-    std::fs::write(&path, &bytes[..bytes.len() / 2]).unwrap();
-    let courier = edge(&dir, None);
-    let (_, body) = http(courier.control, "GET", "/status", "");
-    assert!(body.contains("set aside") && body.contains("\"courier\": null"), "{body}");
+    // A truncated snapshot is set aside, and the courier starts without settings.
+    let snapshot = dir.join("snapshot");
+    let bytes = std::fs::read(&snapshot).unwrap();
+    std::fs::write(&snapshot, &bytes[..bytes.len() / 2]).unwrap();
+    let courier = Courier::start(&dir);
+    let status = courier.get("/status");
+    assert!(status.contains("set aside") && status.contains("\"courier\": null"), "{status}");
     assert!(dir.join("snapshot.damaged-1").exists());
     drop(courier);
     std::fs::remove_dir_all(dir).unwrap();
 }
 
-#[test]
-fn first_signal_drains_and_second_signal_exits_at_once() {
-    for second in [false, true] {
-        let dir = work_folder(&format!("signal-{second}"));
-        let (_keep, at) = silent_endpoint();
-        let mut courier = edge(&dir, None);
-        assert_eq!(http(courier.control, "PUT", "/settings", &settings()).0, 200);
-        assert_eq!(http(courier.control, "PUT", "/list", &list(1, at)).0, 200);
-        let mut stream = TcpStream::connect(courier.kafka).unwrap();
-        stream.write_all(&produce_request(1, "status", RECORD_BYTES)).unwrap();
+/// A courier that drains while a client waits for the answer to a message.
+struct Draining {
+    courier: Courier,
+    client: TcpStream,
+}
+
+impl Draining {
+    /// Starts a courier, submits a message that no endpoint answers, and sends the first signal.
+    fn start(dir: &Path, endpoint: &SilentEndpoint) -> Draining {
+        let courier = Courier::start(dir);
+        courier.configure(endpoint.address);
+        let mut client = courier.connect();
+        submit(&mut client, "status");
         std::thread::sleep(Duration::from_millis(200));
-        signal(&courier.child, "TERM");
-        if second {
-            std::thread::sleep(Duration::from_millis(200));
-            signal(&courier.child, "TERM");
-            assert_eq!(ended(&mut courier.child, Duration::from_secs(5)), Some(3));
-        } else {
-            let reply = answer(&mut stream);
-            assert_eq!(reply.parts[0].code, codes::NOT_ENOUGH_REPLICAS, "idempotent: rejected at the bound");
-            assert_eq!(ended(&mut courier.child, Duration::from_secs(5)), Some(0));
-            assert!(TcpStream::connect(courier.kafka).is_err());
-        }
-        std::fs::remove_dir_all(dir).unwrap();
+        send_sigterm(&courier.child);
+        Draining { courier, client }
+    }
+
+    fn exit_code(&mut self) -> Option<i32> {
+        exit_code(&mut self.courier.child, Duration::from_secs(5))
     }
 }
 
 #[test]
-fn slow_and_malformed_clients_delay_no_other_client() {
-    let dir = work_folder("clients");
-    let (_keep, at) = silent_endpoint();
-    let courier = edge(&dir, None);
-    assert_eq!(http(courier.control, "PUT", "/settings", &settings()).0, 200);
-    assert_eq!(http(courier.control, "PUT", "/list", &list(1, at)).0, 200);
-    // One that sends half a request and waits, one that never reads replies, one that sends no valid request.
-    let mut half = TcpStream::connect(courier.kafka).unwrap();
-    half.write_all(&produce_request(1, "status", RECORD_BYTES)[..20]).unwrap();
-    let mut never_reads = TcpStream::connect(courier.kafka).unwrap();
-    never_reads.set_write_timeout(Some(Duration::from_millis(300))).unwrap();
+fn first_signal_drains_and_second_signal_exits_at_once() {
+    let dir = work_folder("signals");
+    let endpoint = SilentEndpoint::listen();
+    let mut draining = Draining::start(&dir.join("first"), &endpoint);
+    let code = answer_code(&mut draining.client);
+    assert_eq!(code, codes::NOT_ENOUGH_REPLICAS, "idempotent: rejected at the bound");
+    assert_eq!(draining.exit_code(), Some(0));
+    assert!(TcpStream::connect(draining.courier.kafka).is_err());
+    let mut draining = Draining::start(&dir.join("second"), &endpoint);
+    std::thread::sleep(Duration::from_millis(200));
+    send_sigterm(&draining.courier.child);
+    assert_eq!(draining.exit_code(), Some(3));
+    std::fs::remove_dir_all(dir).unwrap();
+}
+
+/// Sends requests without reading the answers until the courier stops reading; returns the bytes that were
+/// sent.
+fn send_until_not_read(stream: &mut TcpStream) -> usize {
+    stream.set_write_timeout(Some(Duration::from_millis(300))).unwrap();
     let request = client::metadata(1, "t", 9, None).unwrap();
+    let requests = request.repeat(1000);
     let mut sent = 0;
-    while sent < 64 << 20 && never_reads.write_all(&request.repeat(1000)).is_ok() {
-        sent += request.len() * 1000;
+    while sent < MAX_UNANSWERED_BYTES && stream.write_all(&requests).is_ok() {
+        sent += requests.len();
     }
-    assert!(sent < 64 << 20, "it is not read without end");
-    let mut malformed = TcpStream::connect(courier.kafka).unwrap();
+    sent
+}
+
+#[test]
+fn slow_and_malformed_clients_delay_no_other_client() {
+    let dir = work_folder("clients");
+    let endpoint = SilentEndpoint::listen();
+    let courier = Courier::start(&dir);
+    courier.configure(endpoint.address);
+    let request = produce_request(1, "status", RECORD_BYTES);
+    let mut sends_half = courier.connect();
+    sends_half.write_all(&request[..20]).unwrap();
+    let mut never_reads = courier.connect();
+    assert!(send_until_not_read(&mut never_reads) < MAX_UNANSWERED_BYTES, "it is not read without end");
+    let mut malformed = courier.connect();
     malformed.write_all(b"GET / HTTP/1.1\r\n\r\n").unwrap();
     malformed.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
     assert!(matches!(malformed.read(&mut [0; 10]), Ok(0) | Err(_)), "closed");
-    // The others are answered in their time.
+    // Another client is answered in time.
     let started = Instant::now();
-    let mut stream = TcpStream::connect(courier.kafka).unwrap();
-    stream.write_all(&produce_request(1, "order", RECORD_BYTES)).unwrap();
-    let reply = answer(&mut stream);
-    assert!(matches!(reply.parts[0].code, codes::UNKNOWN_SERVER_ERROR | codes::NOT_ENOUGH_REPLICAS));
+    let mut stream = courier.connect();
+    submit(&mut stream, "order");
+    let code = answer_code(&mut stream);
+    assert!(matches!(code, codes::UNKNOWN_SERVER_ERROR | codes::NOT_ENOUGH_REPLICAS), "{code}");
     assert!(started.elapsed() < Duration::from_secs(3));
-    half.write_all(&produce_request(1, "status", RECORD_BYTES)[20..]).unwrap();
-    assert_eq!(answer(&mut half).parts[0].code, codes::NOT_ENOUGH_REPLICAS);
+    sends_half.write_all(&request[20..]).unwrap();
+    assert_eq!(answer_code(&mut sends_half), codes::NOT_ENOUGH_REPLICAS);
     std::fs::remove_dir_all(dir).unwrap();
 }
 
 #[test]
 fn courier_out_of_file_descriptors_recovers() {
     let dir = work_folder("files");
-    let (_keep, at) = silent_endpoint();
-    let courier = edge(&dir, Some(40));
-    assert_eq!(http(courier.control, "PUT", "/settings", &settings()).0, 200);
-    assert_eq!(http(courier.control, "PUT", "/list", &list(1, at)).0, 200);
-    let crowd: Vec<TcpStream> = (0..60).map(|_| TcpStream::connect(courier.kafka).unwrap()).collect();
+    let endpoint = SilentEndpoint::listen();
+    let courier = Courier::start_with_file_limit(&dir, 40);
+    courier.configure(endpoint.address);
+    let crowd: Vec<TcpStream> = (0..60).map(|_| courier.connect()).collect();
     std::thread::sleep(Duration::from_millis(300));
     drop(crowd);
-    // With descriptors again, clients are accepted and answered.
-    let mut stream = TcpStream::connect(courier.kafka).unwrap();
-    stream.write_all(&produce_request(1, "order", RECORD_BYTES)).unwrap();
-    assert!(matches!(
-        answer(&mut stream).parts[0].code,
-        codes::UNKNOWN_SERVER_ERROR | codes::NOT_ENOUGH_REPLICAS
-    ));
-    assert_eq!(http(courier.control, "GET", "/status", "").0, 200);
+    // Once descriptors are free again, clients are accepted and answered.
+    let mut stream = courier.connect();
+    submit(&mut stream, "order");
+    let code = answer_code(&mut stream);
+    assert!(matches!(code, codes::UNKNOWN_SERVER_ERROR | codes::NOT_ENOUGH_REPLICAS), "{code}");
+    assert_eq!(control::request(courier.control, "GET", "/status", "").status, 200);
     std::fs::remove_dir_all(dir).unwrap();
 }
 
 #[test]
 fn stack_brought_up_delivers_and_ends_on_a_signal() {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_linnetcart-testbed"))
+    let mut child = Command::new(PROGRAM)
         .args(["up", "--seed", "3"])
         .stdout(Stdio::piped())
         .stderr(Stdio::null())
@@ -237,6 +185,6 @@
     let reply = answer(&mut stream);
     assert_eq!((reply.correlation, reply.parts[0].code), (7, codes::NONE));
     drop(stream);
-    signal(&child, "TERM");
-    assert_eq!(ended(&mut child, Duration::from_secs(10)), Some(0));
+    send_sigterm(&child);
+    assert_eq!(exit_code(&mut child, Duration::from_secs(10)), Some(0));
 }
--- a/crates/testbed/tests/rules.rs
+++ b/crates/testbed/tests/rules.rs
@@ -1,16 +1,25 @@
-//! Each invariant on real sockets, under the fault that threatens it: couriers in processes of their own, simulated
-//! clients and endpoints, and the checks fed by what went over the sockets.
+//! Each invariant on real sockets, under the fault that threatens it.
+//!
+//! Couriers are processes, clients and endpoints are simulated, and the checks run on what went over the
+//! sockets.
+
+#[path = "support/work_folder.rs"]
+mod work_folder;
 
 use linnetcart_conformance::{check, Report};
 use linnetcart_scenario::fleet::{Fleet, Timebase};
 use linnetcart_scenario::scenario::Scenario;
+use linnetcart_testbed::run_report::table;
 use linnetcart_testbed::socket_run::{self, StackOptions};
 use std::path::PathBuf;
 use std::sync::{Mutex, PoisonError};
+use work_folder::work_folder;
 
-/// One scenario at a time, so that the machine's load does not depend on the other tests.
+/// Held during a run, so that the load of the machine does not depend on the other tests.
 static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
 
+const SEED: u64 = 7;
+
 const FLEET: &str = r#"
 about = "A day of a test."
 seconds = 5
@@ -69,25 +78,26 @@
 tells_wait = 1.0
 "#;
 
+/// Runs the fleet of this file with faults and asserts that every invariant is kept and most messages are
+/// served.
 fn run_scenario(name: &str, faults: &str) -> Report {
     let _guard = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
-    let text = format!("name = \"{name}\"\n{FLEET}{faults}");
-    let fleet = Fleet::draw(Scenario::parse(&text).unwrap(), 7);
-    let dir = std::env::temp_dir().join(format!("linnetcart-test-{}-{name}", std::process::id()));
+    let scenario = Scenario::parse(&format!("name = \"{name}\"\n{FLEET}{faults}")).unwrap();
+    let fleet = Fleet::draw(scenario, SEED);
+    let dir = work_folder(name);
     let program = PathBuf::from(env!("CARGO_BIN_EXE_linnetcart-testbed"));
-    let options = StackOptions::new(program, dir.clone());
-    let records = socket_run::run(&fleet, &options).unwrap();
+    let records = socket_run::run(&fleet, &StackOptions::new(program, dir.clone())).unwrap();
     let report = check(&records.records, &fleet.invariants(Timebase::Sockets));
     std::fs::remove_dir_all(dir).unwrap();
-    assert!(report.kept(), "{}", linnetcart_testbed::run_report::table(&report));
-    assert!(report.service > 0.5, "{}", linnetcart_testbed::run_report::table(&report));
+    assert!(report.kept(), "{}", table(&report));
+    assert!(report.service > 0.5, "{}", table(&report));
     report
 }
 
-/// The rule was at stake in so many cases.
+/// Asserts that the run tested a rule in at least this many cases.
 fn assert_checked(report: &Report, rule: usize, min_cases: u64) {
     let cases = report.rules[rule - 1].checked;
-    assert!(cases >= min_cases, "rule {rule} was at stake in {cases} cases only");
+    assert!(cases >= min_cases, "rule {rule} was tested in {cases} cases only");
 }
 
 #[test]
@@ -116,7 +126,15 @@
 fn endpoints_that_are_replaced_keep_their_drain_grace() {
     let report = run_scenario(
         "drain",
-        "[[trouble]]\nwhat = \"drains\"\nat = 0.5\nfor = 4\npart = 0.8\nsize = 0.25\nextra = 1.0\n",
+        r#"
+        [[trouble]]
+        what = "drains"
+        at = 0.5
+        for = 4
+        part = 0.8
+        size = 0.25
+        extra = 1.0
+        "#,
     );
     assert_checked(&report, 3, 5);
 }
--- /dev/null
+++ b/crates/testbed/tests/support/counting_client.rs
@@ -0,0 +1,63 @@
+//! A client that submits messages and counts their answers.
+
+use super::kafka::{self, produce_request, read_reply};
+use linnetcart_kafka::{codes, Frames};
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+const RECORD_BYTES: usize = 50;
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
+/// The topics that [`AnswerCounts::deliver`] submits messages to, in turn.
+const TOPICS: [&str; 2] = ["order", "query"];
+
+/// A client that submits messages on one connection.
+pub struct Client {
+    stream: TcpStream,
+    last_correlation: i32,
+    frames: Frames,
+}
+
+impl Client {
+    pub fn new(courier: SocketAddr) -> Client {
+        let stream = TcpStream::connect(courier).unwrap();
+        stream.set_read_timeout(Some(ANSWER_TIMEOUT)).unwrap();
+        Client { stream, last_correlation: 0, frames: Frames::new(kafka::MAX_FRAME_BYTES) }
+    }
+
+    pub fn submit(&mut self, topic: &str) {
+        self.last_correlation += 1;
+        let request = produce_request(self.last_correlation, topic, RECORD_BYTES);
+        self.stream.write_all(&request).unwrap();
+    }
+
+    /// The code of the next answer, or `None` if the connection has ended.
+    pub fn next_answer(&mut self) -> Option<i16> {
+        let reply = read_reply(&mut self.stream, &mut self.frames)?;
+        Some(reply.parts[0].code)
+    }
+}
+
+/// The messages of clients, counted by their answers.
+#[derive(Debug, Default)]
+pub struct AnswerCounts {
+    pub submitted: u64,
+    pub served: u64,
+    pub other: u64,
+}
+
+impl AnswerCounts {
+    /// Submits messages one after the other and counts their answers.
+    pub fn deliver(&mut self, courier: SocketAddr, messages: usize) {
+        let mut client = Client::new(courier);
+        for number in 0..messages {
+            client.submit(TOPICS[number % TOPICS.len()]);
+            self.submitted += 1;
+            match client.next_answer() {
+                Some(codes::NONE) => self.served += 1,
+                Some(_) => self.other += 1,
+                None => panic!("no answer"),
+            }
+        }
+    }
+}
--- a/crates/testbed/tests/support/kafka.rs
+++ b/crates/testbed/tests/support/kafka.rs
@@ -1,4 +1,4 @@
-//! A client's side of Kafka.
+//! Kafka requests and replies as a client sends and reads them.
 
 use linnetcart_kafka::client::{self, ProduceReply, ProduceTarget};
 use linnetcart_kafka::{Frames, Record};
@@ -10,7 +10,7 @@
 const PRODUCE_TIMEOUT_MS: i32 = 5000;
 pub const MAX_FRAME_BYTES: usize = 1 << 20;
 
-/// A request with one record of so many bytes.
+/// A Produce request with one record of this size, for partition 0.
 pub fn produce_request(correlation: i32, topic: &str, record_bytes: usize) -> Vec<u8> {
     let record = Record { value: Some(vec![b'v'; record_bytes].into()), ..Record::default() };
     let target = ProduceTarget { topic, partition: 0, records: &[record] };
@@ -18,7 +18,8 @@
     client::produce(correlation, "test", PRODUCE_VERSION, acknowledgement, &[target]).unwrap().to_vec()
 }
 
-/// The next reply on a connection; none if it ended, or nothing came in time.
+/// Reads the next reply on a connection. Returns `None` if the connection has ended or nothing arrived in
+/// time.
 pub fn read_reply(stream: &mut TcpStream, frames: &mut Frames) -> Option<ProduceReply> {
     let mut buffer = [0; 4096];
     loop {
--- /dev/null
+++ b/crates/testbed/tests/support/reporting_courier.rs
@@ -0,0 +1,110 @@
+//! A courier process that reports to receivers of the test, and the values that they received.
+
+use super::control;
+use linnetcart_telemetry::stream::Stream;
+use linnetcart_testbed::courier_process::{CourierOptions, CourierProcess};
+use linnetcart_testbed::message_receivers::MessageReceivers;
+use linnetcart_testbed::report_receiver::{ListenAddresses, ReportReceiver};
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+const CONDITION_TIMEOUT: Duration = Duration::from_secs(20);
+const CONDITION_POLL: Duration = Duration::from_millis(20);
+
+/// An address that leaves the port to the system.
+pub fn any_port() -> SocketAddr {
+    "127.0.0.1:0".parse().unwrap()
+}
+
+/// A receiver for Graphite's forms alone.
+pub fn graphite_receiver() -> ReportReceiver {
+    let addresses = ListenAddresses { graphite: Some(any_port()), ..ListenAddresses::default() };
+    ReportReceiver::start(addresses, None).unwrap()
+}
+
+/// The address of a receiver for Graphite's forms, as settings have it.
+pub fn graphite_address(receiver: &ReportReceiver) -> String {
+    receiver.graphite.unwrap().to_string()
+}
+
+/// Starts a courier; dropping it kills it.
+pub fn start(dir: &Path) -> CourierProcess {
+    let program = Path::new(env!("CARGO_BIN_EXE_linnetcart-testbed"));
+    let options =
+        CourierOptions { program, dir, seed: 1, policy: "library", drain_timeout: Duration::from_secs(1) };
+    CourierProcess::start(&options).unwrap()
+}
+
+/// Puts settings and an endpoint list with a destination for each endpoint.
+pub fn configure(courier: &CourierProcess, endpoints: &MessageReceivers) {
+    control::put(courier.control, "/settings", &settings());
+    control::put(courier.control, "/list", &endpoint_list(&endpoints.addresses));
+}
+
+fn settings() -> Value {
+    let order = json!({"name": "order", "aim_ms": 500, "deadline_ms": 1500, "worth": 1, "repeat": "unsafe"});
+    let query = json!({"name": "query", "aim_ms": 500, "deadline_ms": 1500, "worth": 1, "repeat": "safe"});
+    json!({
+        "deployment": "reports", "courier": {"me": 4, "of": 5, "zone": "a"}, "zones": ["a"],
+        "classes": [order, query], "kinds": [{"name": "k"}],
+        "limits": {"slots": 16, "held": 100, "attempts": 4},
+        "rules": {
+            "answer_slack_ms": 50, "cold_share": 0.2, "warm_after_ms": 1000,
+            "fall_multiple": 2.0, "fall_span_ms": 1000
+        }
+    })
+}
+
+fn endpoint_list(addresses: &[SocketAddr]) -> Value {
+    let mut entries = Vec::new();
+    for (number, address) in addresses.iter().rev().enumerate() {
+        entries.push(json!({
+            "id": number, "destination": number, "kind": "k", "zone": "a", "state": "ready",
+            "address": address.to_string()
+        }));
+    }
+    json!({"version": 1, "whole": true, "entries": entries})
+}
+
+/// The document that the control interface returns for a path.
+pub fn get_json(courier: &CourierProcess, path: &str) -> Value {
+    let reply = control::request(courier.control, "GET", path, &Value::Null.to_string());
+    serde_json::from_str(&reply.body).unwrap()
+}
+
+/// Waits until a condition holds and panics if it does not in time.
+pub fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
+    let wait_until = Instant::now() + CONDITION_TIMEOUT;
+    while !condition() {
+        assert!(Instant::now() < wait_until, "{what} did not come");
+        std::thread::sleep(CONDITION_POLL);
+    }
+}
+
+/// Shuts a courier down gracefully and asserts that it exits cleanly.
+pub fn shut_down(mut courier: CourierProcess) {
+    courier.terminate();
+    assert_eq!(courier.wait(Duration::from_secs(10)), Some(0));
+}
+
+/// The receiver that a report was sent to; series have other names in each.
+#[derive(Clone, Copy, Debug)]
+pub enum ReceiverKind {
+    Graphite,
+    Collectd,
+}
+
+/// The last value of a metric of the courier that was received.
+///
+/// `subject` is what the metric is of, such as `courier`, `class.order` or `dest.Bank_Lodz`.
+pub fn last_value(stream: &Stream, subject: &str, metric: &str, kind: ReceiverKind) -> Option<f64> {
+    let name = match kind {
+        ReceiverKind::Graphite => format!("linnetcart.reports.edge.4.{subject}.{metric}"),
+        ReceiverKind::Collectd => {
+            format!("linnetcart-reports-4.linnetcart.{}.{metric}", subject.replace('.', "-"))
+        }
+    };
+    stream.value(&name)
+}
--- /dev/null
+++ b/crates/testbed/tests/support/started_courier.rs
@@ -0,0 +1,130 @@
+//! A courier that is started by hand, as an operator does, and an endpoint for it.
+
+use super::control;
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+pub const PROGRAM: &str = env!("CARGO_BIN_EXE_linnetcart-testbed");
+const COURIER_ARGUMENTS: &str =
+    "edge --kafka 127.0.0.1:0 --control 127.0.0.1:0 --drain-ms 1500 --log json --state-dir";
+const EXIT_POLL: Duration = Duration::from_millis(10);
+
+/// A courier process; dropping it kills it.
+pub struct Courier {
+    pub child: Child,
+    pub kafka: SocketAddr,
+    pub control: SocketAddr,
+}
+
+impl Drop for Courier {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Courier {
+    /// Starts a courier with the usual limit of file descriptors.
+    pub fn start(dir: &Path) -> Courier {
+        Courier::start_by_shell(dir, "")
+    }
+
+    /// Starts a courier that can have this many files open.
+    pub fn start_with_file_limit(dir: &Path, files: u32) -> Courier {
+        Courier::start_by_shell(dir, &format!("ulimit -n {files}; "))
+    }
+
+    fn start_by_shell(dir: &Path, preparation: &str) -> Courier {
+        let mut child = Command::new("sh")
+            .arg("-c")
+            .arg(format!("{preparation}exec {PROGRAM} {COURIER_ARGUMENTS} {}", dir.display()))
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        let ready = ready_line(&mut child);
+        let address = |name: &str| ready[name].as_str().unwrap().parse().unwrap();
+        Courier { kafka: address("kafka"), control: address("control"), child }
+    }
+
+    /// Puts settings and a list with one endpoint.
+    pub fn configure(&self, endpoint: SocketAddr) {
+        control::put(self.control, "/settings", &settings());
+        control::put(self.control, "/list", &endpoint_list(1, endpoint));
+    }
+
+    pub fn put_status(&self, path: &str, document: &Value) -> u16 {
+        control::request(self.control, "PUT", path, &document.to_string()).status
+    }
+
+    pub fn get(&self, path: &str) -> String {
+        control::request(self.control, "GET", path, "").body
+    }
+
+    pub fn connect(&self) -> TcpStream {
+        TcpStream::connect(self.kafka).unwrap()
+    }
+}
+
+/// The line of JSON that a program prints when it is ready.
+pub fn ready_line(child: &mut Child) -> Value {
+    let mut line = String::new();
+    BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
+    serde_json::from_str(&line).unwrap()
+}
+
+pub fn settings() -> Value {
+    json!({
+        "deployment": "test", "courier": {"me": 0, "of": 1, "zone": "a"}, "zones": ["a"],
+        "classes": [
+            {"name": "status", "aim_ms": 1000, "deadline_ms": 5000, "worth": 1, "repeat": "safe"},
+            {"name": "order", "aim_ms": 500, "deadline_ms": 1000, "worth": 1, "repeat": "unsafe"}],
+        "kinds": [{"name": "k"}],
+        "limits": {"slots": 8, "held": 100, "attempts": 4},
+        "rules": {
+            "answer_slack_ms": 50, "cold_share": 0.2, "warm_after_ms": 1000,
+            "fall_multiple": 2.0, "fall_span_ms": 1000
+        }
+    })
+}
+
+pub fn endpoint_list(version: u64, endpoint: SocketAddr) -> Value {
+    json!({"version": version, "whole": true, "entries": [{
+        "id": 1, "destination": 0, "kind": "k", "zone": "a", "state": "ready", "address": endpoint.to_string()
+    }]})
+}
+
+/// An endpoint that accepts connections and never answers.
+pub struct SilentEndpoint {
+    _listener: TcpListener,
+    pub address: SocketAddr,
+}
+
+impl SilentEndpoint {
+    pub fn listen() -> SilentEndpoint {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        SilentEndpoint { _listener: listener, address }
+    }
+}
+
+pub fn send_sigterm(child: &Child) {
+    let status = Command::new("kill").args(["-TERM", &child.id().to_string()]).status().unwrap();
+    assert!(status.success());
+}
+
+/// Waits for the end of a process and returns its exit code.
+pub fn exit_code(child: &mut Child, timeout: Duration) -> Option<i32> {
+    let wait_until = Instant::now() + timeout;
+    while Instant::now() < wait_until {
+        if let Some(status) = child.try_wait().unwrap() {
+            return status.code();
+        }
+        std::thread::sleep(EXIT_POLL);
+    }
+    panic!("the process did not end");
+}
