--- a/crates/testbed/src/emulated_run/message_trace.rs
+++ b/crates/testbed/src/emulated_run/message_trace.rs
@@ -182,7 +182,7 @@
         match &traced.event {
             DeliveryEvent::Accepted { .. } => Some("taken".into()),
             DeliveryEvent::AttemptStarted { attempt, endpoint, hedge, .. } => {
-                let reason = self.attempt_reason(*attempt, *hedge, traced.at);
+                let reason = if *hedge { self.hedge_reason(traced.at) } else { self.retry_reason(*attempt) };
                 self.last_started = traced.at;
                 Some(format!("attempt {attempt} to endpoint {endpoint} ({reason})"))
             }
@@ -197,11 +197,13 @@
         }
     }
 
-    fn attempt_reason(&self, attempt: u16, hedge: bool, now: Time) -> String {
-        if hedge {
-            let outstanding = milliseconds(now - self.last_started);
-            return format!("a copy: the last is out for {outstanding:.0} ms");
-        }
+    fn hedge_reason(&self, now: Time) -> String {
+        let outstanding = milliseconds(now - self.last_started);
+        format!("a copy: the last is out for {outstanding:.0} ms")
+    }
+
+    /// The reason of an attempt that is no hedge; attempt 0 is the first one.
+    fn retry_reason(&self, attempt: u16) -> String {
         if attempt == 0 {
             return "the first".into();
         }
--- a/crates/testbed/src/experiment/plan/tests.rs
+++ b/crates/testbed/src/experiment/plan/tests.rs
@@ -1,6 +1,7 @@
 use super::*;
+use std::collections::BTreeSet;
 
-const GOOD: &str = r#"
+const VALID_PLAN: &str = r#"
 name = "t"
 about = "A test."
 day = "quiet"
@@ -19,18 +20,18 @@
 
 #[test]
 fn grid_has_each_combination_of_levels_once() {
-    let plan = Plan::parse(GOOD).unwrap();
+    let plan = Plan::parse(VALID_PLAN).unwrap();
     assert_eq!((plan.cells(), plan.runs()), (12, 36));
-    let cells: std::collections::BTreeSet<_> = (0..12).map(|c| plan.levels(c)).collect();
-    assert_eq!(cells.len(), 12);
+    let combinations: BTreeSet<Vec<String>> = (0..12).map(|cell| plan.levels(cell)).collect();
+    assert_eq!(combinations.len(), 12);
     assert_eq!(plan.levels(7), ["5", "0.5", "slow"]);
     assert_eq!(plan.run(7), RunKey { cell: 2, seed: 2 });
     let recipe = plan.recipe(7, 9).unwrap();
-    assert_eq!(
-        (recipe.scenario.couriers, recipe.scenario.traffic.load, recipe.scenario.trouble.len(), recipe.seed),
-        (5, 0.5, 1, 9)
-    );
-    assert_eq!(plan.recipe(9, 9).unwrap().scenario.traffic.load, 1.0, "a whole number for a fraction");
+    assert_eq!(recipe.seed, 9);
+    assert_eq!(recipe.scenario.couriers, 5);
+    assert_eq!(recipe.scenario.traffic.load, 0.5);
+    assert_eq!(recipe.scenario.trouble.len(), 1);
+    assert_eq!(plan.recipe(9, 9).unwrap().scenario.traffic.load, 1.0, "an integer for a fraction");
 }
 
 #[test]
@@ -45,8 +46,8 @@
 #[test]
 fn invalid_plan_is_rejected_with_its_place() {
     let error = |from: &str, to: &str| {
-        assert!(GOOD.contains(from));
-        format!("{:#}", Plan::parse(&GOOD.replacen(from, to, 1)).unwrap_err())
+        assert!(VALID_PLAN.contains(from));
+        format!("{:#}", Plan::parse(&VALID_PLAN.replacen(from, to, 1)).unwrap_err())
     };
     assert!(error("seeds = 3", "seeds = 0").contains("seeds"));
     assert!(error("traffic.load", "traffic.lode").contains("lode"));
--- a/crates/testbed/src/experiment/results.rs
+++ b/crates/testbed/src/experiment/results.rs
@@ -29,7 +29,7 @@
     pub run: u64,
     /// Its seed.
     pub seed: u64,
-    /// Its measures, in the order of [`MEASURES`](super::measures::MEASURES).
+    /// Its measures, in the order of [`MEASURES`].
     pub values: Vec<f64>,
     /// The digest of all events of the run.
     pub digest: String,
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -1,4 +1,4 @@
-//! The program `linnetcart-testbed`.
+//! The program `linnetcart-testbed`; its command line is [`linnetcart_testbed::cli`].
 
 use clap::Parser;
 use linnetcart_testbed::cli;
