--- a/crates/testbed/src/cli.rs
+++ b/crates/testbed/src/cli.rs
@@ -55,7 +55,7 @@
     /// Measure the cost of a message: an edge beside a relay that decides nothing
     #[command(name = "floor")]
     ThroughputBaseline(throughput_baseline::Args),
-    /// Draw charts and a table from what `day --json`, `floor --json` and `tail --record` wrote
+    /// Draw charts and tables from files that `day --json`, `floor --json` and `tail --record` wrote
     Report(inspect::ReportArgs),
     /// Replay recorded decision cycles through the decision library and compare its decisions, byte for byte
     Replay(inspect::ReplayArgs),
--- a/crates/testbed/src/courier_process.rs
+++ b/crates/testbed/src/courier_process.rs
@@ -20,9 +20,9 @@
 #[derive(Debug)]
 pub struct CourierProcess {
     child: Child,
-    /// Where it accepts messages.
+    /// The address on which it accepts messages.
     pub kafka: SocketAddr,
-    /// Where its control interface listens.
+    /// The address of its control interface.
     pub control: SocketAddr,
 }
 
--- a/crates/testbed/src/experiment/results.rs
+++ b/crates/testbed/src/experiment/results.rs
@@ -154,7 +154,7 @@
     bail!("{}: begun with {difference}; choose another --out, or remove it", dir.display())
 }
 
-/// Complete lines; one that a stop cut short is left out.
+/// Reads the stored results. An incomplete last line, as an interruption leaves it, is skipped.
 fn read_lines(path: &Path, plan: &Plan) -> anyhow::Result<BTreeMap<u64, Row>> {
     let mut rows = BTreeMap::new();
     let Ok(file) = File::open(path) else { return Ok(rows) };
@@ -192,7 +192,7 @@
     std::fs::rename(new_path, path).with_context(|| path.display().to_string())
 }
 
-/// The columns: run and seed, a level of each factor, the measures, the digest.
+/// Converts rows to columns: run and seed, the level of each factor, the measures, the digest.
 fn record_batch(plan: &Plan, rows: &[Row]) -> anyhow::Result<RecordBatch> {
     let mut fields = Vec::new();
     let mut columns: Vec<ArrayRef> = Vec::new();
--- a/crates/testbed/src/fault_search/shrink.rs
+++ b/crates/testbed/src/fault_search/shrink.rs
@@ -7,7 +7,7 @@
 /// Maximum number of runs that shrinking takes.
 const MAX_SHRINK_RUNS: u64 = 400;
 
-/// Faults that are longer than this are halved.
+/// Faults that last longer than this, in seconds, are tried at half their duration.
 const MIN_HALVED_SECONDS: f64 = 0.3;
 /// Fractions of a unit that figures of faults are rounded to.
 const TENTHS: f64 = 10.0;
--- a/crates/testbed/src/report_receiver.rs
+++ b/crates/testbed/src/report_receiver.rs
@@ -42,7 +42,7 @@
     Stop,
 }
 
-/// Where a receiver listens, and which packets it accepts.
+/// The addresses that a receiver listens on, and the packets that it accepts.
 #[derive(Clone, Debug, Default)]
 pub struct ListenAddresses {
     /// TCP address for Graphite's plaintext and pickle forms; the first byte of a connection tells them
--- a/crates/testbed/src/socket_run/transport.rs
+++ b/crates/testbed/src/socket_run/transport.rs
@@ -28,7 +28,7 @@
     pub(super) received: Vec<u8>,
 }
 
-/// Where an endpoint listens.
+/// The listener of an endpoint, and the port that is reserved for it.
 struct EndpointListener {
     token: Option<Token>,
     /// Reserved as long as the stack runs, so that no other process receives calls to a removed endpoint.
