Platform: the end of a message is a typed state, and "open" becomes "uncompleted"

Cause: an outcome of `Delivered` also stood for every acknowledged outcome, so a failed message turned into a delivered one on its acknowledgement, and the in-flight table kept the outcome a second time. "Open" meant "without a final outcome" in the table and something else elsewhere. Change: `records::Completion` (uncompleted, awaiting acknowledgement, concluded) in place of both; the stored bytes are the same, and a concluded message has no records of its own, as before. `OpenMessage`, `open_ids`, `open_len` and `is_open` are `UncompletedMessage`, `uncompleted_ids`, `uncompleted_len` and `is_completed`. Test renamed: in_flight_id_found_while_open -> in_flight_id_found_while_uncompleted. Two assertions added to in_flight_message_settled_once_acknowledged_without_attempts: a concluded message keeps its outcome and has no records.

--- a/crates/platform/src/core/completion.rs
+++ b/crates/platform/src/core/completion.rs
@@ -11,7 +11,7 @@
     /// millisecond of the deadline the message fails instead: endpoints get their time limit in milliseconds
     /// and may have ignored the message.
     pub(super) fn complete_delivered(&mut self, number: u32) -> bool {
-        let Some(message) = self.in_flight.get(number).filter(|message| message.is_open()) else {
+        let Some(message) = self.in_flight.get(number).filter(|message| !message.is_completed()) else {
             return false;
         };
         if message.deadline < self.clock.now() + MILLISECOND {
--- a/crates/platform/src/core/in_flight.rs
+++ b/crates/platform/src/core/in_flight.rs
@@ -4,7 +4,7 @@
 //! journal. It reads no clock.
 
 use super::attempts::AttemptId;
-use crate::records::{FinalOutcome, Message, PendingMessage, SentAttempt};
+use crate::records::{Completion, FinalOutcome, Message, PendingMessage, SentAttempt};
 use linnetcart::{AttemptOutcome, Time};
 use linnetcart_courier_common::MessageNumbers;
 use std::collections::{BTreeMap, HashMap};
@@ -26,33 +26,13 @@
 
 /// A message without a final outcome that was found by its id.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct OpenMessage {
+pub struct UncompletedMessage {
     /// The message's number.
     pub number: u32,
     /// Whether it is the message whose id was looked up.
     pub id_match: IdMatch,
 }
 
-/// Whether a message has its final outcome.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Completion {
-    /// The message has no final outcome.
-    Open,
-    /// The message is returned: its sender may submit it again.
-    Returned,
-    /// The message is delivered or failed.
-    Final,
-}
-
-impl From<FinalOutcome> for Completion {
-    fn from(outcome: FinalOutcome) -> Completion {
-        match outcome {
-            FinalOutcome::Returned { .. } => Completion::Returned,
-            FinalOutcome::Delivered | FinalOutcome::Failed => Completion::Final,
-        }
-    }
-}
-
 /// A message in flight: it has no final outcome, has attempts in flight, or has an outcome that the platform
 /// has not acknowledged.
 #[derive(Debug)]
@@ -63,7 +43,6 @@
     pub deadline: Time,
     size_bytes: u64,
     live_attempts: u16,
-    completion: Completion,
 }
 
 impl InFlightMessage {
@@ -72,21 +51,20 @@
         &self.pending.message
     }
 
-    /// Whether the message has no final outcome.
-    pub fn is_open(&self) -> bool {
-        self.completion == Completion::Open
+    /// Whether the message has its final outcome.
+    pub fn is_completed(&self) -> bool {
+        self.pending.completion != Completion::Uncompleted
     }
 
     /// Whether the message is returned, so that its sender may submit it again.
     pub fn is_returned(&self) -> bool {
-        self.completion == Completion::Returned
+        matches!(self.pending.completion.outcome(), Some(FinalOutcome::Returned { .. }))
     }
 
     /// Whether the message is completed, its outcome needs no further notification and no attempt is in
     /// flight.
     fn is_settled(&self) -> bool {
-        let acknowledged = self.pending.outcome == Some(FinalOutcome::Delivered);
-        !self.is_open() && self.live_attempts == 0 && acknowledged
+        matches!(self.pending.completion, Completion::Concluded(_)) && self.live_attempts == 0
     }
 }
 
@@ -115,7 +93,7 @@
 pub struct InFlightTable {
     messages: BTreeMap<u32, InFlightMessage>,
     /// Numbers of the messages without a final outcome, by id.
-    open_ids: HashMap<Vec<u8>, u32>,
+    uncompleted_ids: HashMap<Vec<u8>, u32>,
     size_bytes: u64,
     max_size_bytes: u64,
     numbers: MessageNumbers,
@@ -127,7 +105,7 @@
     pub fn new(journal_capacity_bytes: u64, next_number: u32) -> InFlightTable {
         InFlightTable {
             messages: BTreeMap::new(),
-            open_ids: HashMap::new(),
+            uncompleted_ids: HashMap::new(),
             size_bytes: 0,
             max_size_bytes: journal_capacity_bytes / CAPACITY_DIVISOR,
             numbers: MessageNumbers::starting_at(next_number),
@@ -140,8 +118,8 @@
     }
 
     /// Returns the number of messages without a final outcome.
-    pub fn open_len(&self) -> usize {
-        self.open_ids.len()
+    pub fn uncompleted_len(&self) -> usize {
+        self.uncompleted_ids.len()
     }
 
     /// Whether a further message fits into the journal.
@@ -159,13 +137,14 @@
         self.messages.iter().map(|(&number, message)| (number, message))
     }
 
-    /// Finds the open message that has the id of the given one. Returns `None` if the id is not in use.
-    pub fn find(&self, message: &Message) -> Option<OpenMessage> {
-        let number = *self.open_ids.get(&message.id)?;
+    /// Finds the uncompleted message that has the id of the given one. Returns `None` if the id is not in
+    /// use.
+    pub fn find(&self, message: &Message) -> Option<UncompletedMessage> {
+        let number = *self.uncompleted_ids.get(&message.id)?;
         let found = self.messages.get(&number);
         let is_same = found.is_some_and(|found| has_same_content(found.message(), message));
         let id_match = if is_same { IdMatch::SameMessage } else { IdMatch::OtherMessage };
-        Some(OpenMessage { number, id_match })
+        Some(UncompletedMessage { number, id_match })
     }
 
     /// Allocates a number that no message in flight has.
@@ -178,11 +157,10 @@
     pub fn insert(&mut self, number: u32, pending: PendingMessage, deadline: Time) {
         let size_bytes = stored_size(&pending.message);
         self.size_bytes += size_bytes;
-        if pending.outcome.is_none() {
-            self.open_ids.insert(pending.message.id.clone(), number);
+        let message = InFlightMessage { pending, deadline, size_bytes, live_attempts: 0 };
+        if !message.is_completed() {
+            self.uncompleted_ids.insert(message.message().id.clone(), number);
         }
-        let completion = pending.outcome.map_or(Completion::Open, Completion::from);
-        let message = InFlightMessage { pending, deadline, size_bytes, live_attempts: 0, completion };
         self.messages.insert(number, message);
     }
 
@@ -213,7 +191,7 @@
         }
         Some(AttemptEffect {
             ordering_key: message.message().ordering_key,
-            was_completed: !message.is_open(),
+            was_completed: message.is_completed(),
             retracts_sent,
         })
     }
@@ -222,12 +200,11 @@
     /// already.
     pub fn complete(&mut self, number: u32, outcome: FinalOutcome) -> bool {
         let Some(message) = self.messages.get_mut(&number) else { return false };
-        if !message.is_open() {
+        if message.is_completed() {
             return false;
         }
-        message.completion = Completion::from(outcome);
-        message.pending.outcome = Some(outcome);
-        self.open_ids.remove(&message.pending.message.id);
+        message.pending.completion = Completion::from(outcome);
+        self.uncompleted_ids.remove(&message.pending.message.id);
         true
     }
 
@@ -235,7 +212,7 @@
     /// message.
     pub fn acknowledge(&mut self, number: u32) -> Option<&Message> {
         let message = self.messages.get_mut(&number)?;
-        message.pending.outcome = Some(FinalOutcome::Delivered);
+        message.pending.completion.acknowledge();
         Some(message.message())
     }
 
@@ -253,8 +230,8 @@
     pub fn remove(&mut self, number: u32) -> Option<InFlightMessage> {
         let message = self.messages.remove(&number)?;
         self.size_bytes -= message.size_bytes;
-        if self.open_ids.get(&message.pending.message.id) == Some(&number) {
-            self.open_ids.remove(&message.pending.message.id);
+        if self.uncompleted_ids.get(&message.pending.message.id) == Some(&number) {
+            self.uncompleted_ids.remove(&message.pending.message.id);
         }
         Some(message)
     }
--- a/crates/platform/src/core/in_flight/tests.rs
+++ b/crates/platform/src/core/in_flight/tests.rs
@@ -23,9 +23,12 @@
     assert!(table.complete(1, FinalOutcome::Failed) && !table.complete(1, FinalOutcome::Delivered), "once");
     assert_eq!(table.acknowledge(1), Some(&message("m1")));
     assert!(table.take_settled(1).is_none(), "its attempt is in flight");
+    let concluded = table.get(1).expect("a message");
+    assert_eq!(concluded.pending.completion, Completion::Concluded(FinalOutcome::Failed));
+    assert_eq!(concluded.pending.records(1), [], "a new journal file does not need it");
     table.finish_attempt(attempt.id, AttemptOutcome::Cancelled);
     assert!(table.take_settled(1).is_some());
-    assert_eq!((table.len(), table.open_len(), table.size_bytes), (0, 0, 0));
+    assert_eq!((table.len(), table.uncompleted_len(), table.size_bytes), (0, 0, 0));
 }
 
 #[test]
@@ -48,11 +51,14 @@
 }
 
 #[test]
-fn in_flight_id_found_while_open() {
+fn in_flight_id_found_while_uncompleted() {
     let mut table = table_with(&[1]);
-    assert_eq!(table.find(&message("m1")), Some(OpenMessage { number: 1, id_match: IdMatch::SameMessage }));
+    assert_eq!(
+        table.find(&message("m1")),
+        Some(UncompletedMessage { number: 1, id_match: IdMatch::SameMessage })
+    );
     let other = Message { body: b"ho".to_vec(), ..message("m1") };
-    assert_eq!(table.find(&other), Some(OpenMessage { number: 1, id_match: IdMatch::OtherMessage }));
+    assert_eq!(table.find(&other), Some(UncompletedMessage { number: 1, id_match: IdMatch::OtherMessage }));
     assert_eq!(table.find(&message("m2")), None);
     table.complete(1, FinalOutcome::Returned { retry_after_ms: 0 });
     assert_eq!(table.find(&message("m1")), None, "it may be submitted again");
--- a/crates/platform/src/core/recovery.rs
+++ b/crates/platform/src/core/recovery.rs
@@ -8,7 +8,7 @@
 use super::effects::CoreEvent;
 use super::in_flight::InFlightMessage;
 use super::Core;
-use crate::records::{FinalOutcome, PendingMessage, Record, Replay};
+use crate::records::{Completion, FinalOutcome, PendingMessage, Record, Replay};
 use linnetcart::{Event, UnresolvedAttempt};
 use std::collections::BTreeSet;
 
@@ -26,7 +26,7 @@
     /// Counts a recovered message.
     fn add(&mut self, number: u32, pending: &PendingMessage) {
         self.counts.recovered += 1;
-        if pending.outcome.is_some() {
+        if pending.completion != Completion::Uncompleted {
             return;
         }
         self.undecided.push(number);
@@ -102,11 +102,11 @@
     fn restore_message(&mut self, number: u32, mut pending: PendingMessage) {
         let deadline = self.clock.at_wall(pending.message.deadline);
         let class_is_unknown = usize::from(pending.message.class) >= self.settings.class_names.len()
-            && pending.outcome.is_none();
+            && pending.completion == Completion::Uncompleted;
         if class_is_unknown {
             let message = pending.message.id_text().into_owned();
             self.effects.event(CoreEvent::UnknownClass { message });
-            pending.outcome = Some(FinalOutcome::Failed);
+            pending.completion = Completion::from(FinalOutcome::Failed);
             self.effects.record(Record::Completed { message: number, outcome: FinalOutcome::Failed });
         }
         tracing::debug!(
@@ -114,7 +114,7 @@
             number,
             attempts = pending.attempts,
             possibly_executed = pending.possibly_executed.len(),
-            outcome = ?pending.outcome,
+            outcome = ?pending.completion.outcome(),
             time_remaining = deadline - self.clock.now(),
             "message recovered"
         );
@@ -123,7 +123,7 @@
         if !pending.possibly_executed.is_empty() {
             self.start_key_cooldown(pending.message.ordering_key);
         }
-        if let Some(outcome) = pending.outcome {
+        if let Some(outcome) = pending.completion.outcome() {
             self.notifier.push(number, &pending.message, outcome);
         }
         self.in_flight.insert(number, pending, deadline);
@@ -141,9 +141,7 @@
             records.push(Record::KeyCooldown { ordering_key: cooldown.ordering_key, until });
         }
         for (number, message) in self.in_flight.iter() {
-            if message.pending.outcome != Some(FinalOutcome::Delivered) {
-                records.extend(message.pending.records(number));
-            }
+            records.extend(message.pending.records(number));
         }
         records
     }
--- a/crates/platform/src/core/submission.rs
+++ b/crates/platform/src/core/submission.rs
@@ -4,7 +4,7 @@
 use super::client_connections::{ClientId, IdlePolicy, OverdueClient, RequestEvent};
 use super::decisions::accepted_message;
 use super::effects::Output;
-use super::in_flight::{IdMatch, OpenMessage};
+use super::in_flight::{IdMatch, UncompletedMessage};
 use super::request::{parse_submission, RequestError, SubmittedMessage};
 use super::{Core, JournalState};
 use crate::records::{Message, PendingMessage, Record};
@@ -76,7 +76,7 @@
             }
             None => {}
         }
-        let OpenMessage { number, id_match } = self.in_flight.find(message)?;
+        let UncompletedMessage { number, id_match } = self.in_flight.find(message)?;
         Some(match id_match {
             IdMatch::SameMessage if self.admission.awaits_decision(number) => {
                 KnownId::AwaitingDecision { number }
@@ -96,8 +96,8 @@
 
     /// Whether the table and the journal have capacity for one more message.
     fn has_capacity_for(&self, message: &Message) -> bool {
-        let max_open = self.settings.settings.max_in_flight_messages as usize;
-        self.in_flight.open_len() < max_open
+        let max_uncompleted = self.settings.settings.max_in_flight_messages as usize;
+        self.in_flight.uncompleted_len() < max_uncompleted
             && self.in_flight.has_capacity_for(message)
             && self.journal == JournalState::Writable
     }
--- a/crates/platform/src/core/tests/recovery.rs
+++ b/crates/platform/src/core/tests/recovery.rs
@@ -29,7 +29,7 @@
                 Recorded::Undeliverable => {
                     assert!(is_notified && !is_sent, "cut {cut}: {id} ends with a notification");
                 }
-                Recorded::Open => assert!(is_sent && !is_notified, "cut {cut}: {id} is sent"),
+                Recorded::Uncompleted => assert!(is_sent && !is_notified, "cut {cut}: {id} is sent"),
             }
         }
     }
@@ -40,7 +40,7 @@
     Delivered,
     /// It has another outcome, or was possibly executed and is not idempotent.
     Undeliverable,
-    Open,
+    Uncompleted,
 }
 
 struct AcceptedMessage {
@@ -81,7 +81,7 @@
         Some(FinalOutcome::Delivered) => Recorded::Delivered,
         Some(_) => Recorded::Undeliverable,
         None if class == NOT_IDEMPOTENT_CLASS && sent > not_executed => Recorded::Undeliverable,
-        None => Recorded::Open,
+        None => Recorded::Uncompleted,
     }
 }
 
--- a/crates/platform/src/records.rs
+++ b/crates/platform/src/records.rs
@@ -19,7 +19,7 @@
 mod codec;
 mod replay;
 
-pub use replay::{PendingMessage, Replay};
+pub use replay::{Completion, PendingMessage, Replay};
 
 use linnetcart::Time;
 use std::borrow::Cow;
--- a/crates/platform/src/records/replay.rs
+++ b/crates/platform/src/records/replay.rs
@@ -6,6 +6,46 @@
 use linnetcart_journal::Record as RawRecord;
 use std::collections::{BTreeMap, BTreeSet};
 
+/// How far a message has come to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Completion {
+    /// The message has no final outcome.
+    Uncompleted,
+    /// The message has a final outcome of which the platform is to be notified.
+    AwaitingAcknowledgement(FinalOutcome),
+    /// The message has a final outcome that needs no notification, or no further one: it is delivered, or the
+    /// platform acknowledged the outcome.
+    Concluded(FinalOutcome),
+}
+
+impl From<FinalOutcome> for Completion {
+    fn from(outcome: FinalOutcome) -> Completion {
+        match outcome {
+            FinalOutcome::Delivered => Completion::Concluded(outcome),
+            FinalOutcome::Failed | FinalOutcome::Returned { .. } => {
+                Completion::AwaitingAcknowledgement(outcome)
+            }
+        }
+    }
+}
+
+impl Completion {
+    /// Returns the final outcome, or `None` if the message has none.
+    pub fn outcome(self) -> Option<FinalOutcome> {
+        match self {
+            Completion::Uncompleted => None,
+            Completion::AwaitingAcknowledgement(outcome) | Completion::Concluded(outcome) => Some(outcome),
+        }
+    }
+
+    /// Records that the platform acknowledged the outcome. Has no effect in the other states.
+    pub fn acknowledge(&mut self) {
+        if let Completion::AwaitingAcknowledgement(outcome) = *self {
+            *self = Completion::Concluded(outcome);
+        }
+    }
+}
+
 /// An accepted message that is not completed, or whose outcome the platform has not acknowledged.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PendingMessage {
@@ -15,18 +55,27 @@
     pub attempts: u16,
     /// The attempts that were possibly executed.
     pub possibly_executed: Vec<SentAttempt>,
-    /// The final outcome, if there is one. `Delivered` also stands for any acknowledged outcome.
-    pub outcome: Option<FinalOutcome>,
+    /// Whether the message has its final outcome and the platform has to be notified of it.
+    pub completion: Completion,
 }
 
 impl PendingMessage {
     /// Creates the state of a message without attempts.
     pub fn new(message: Message) -> PendingMessage {
-        PendingMessage { message, attempts: 0, possibly_executed: vec![], outcome: None }
+        PendingMessage {
+            message,
+            attempts: 0,
+            possibly_executed: vec![],
+            completion: Completion::Uncompleted,
+        }
     }
 
-    /// Returns the records that add up to this state.
+    /// Returns the records that add up to this state: none for a concluded message, which is no longer
+    /// pending.
     pub fn records(&self, number: u32) -> Vec<Record> {
+        if matches!(self.completion, Completion::Concluded(_)) {
+            return vec![];
+        }
         let mut records = vec![Record::Accepted { number, message: self.message.clone() }];
         for &attempt in &self.possibly_executed {
             records.push(Record::AttemptSent { message: number, attempt });
@@ -38,7 +87,7 @@
                 records.push(Record::NotExecuted { message: number, attempt: last });
             }
         }
-        if let Some(outcome) = self.outcome {
+        if let Some(outcome) = self.completion.outcome() {
             records.push(Record::Completed { message: number, outcome });
         }
         records
@@ -144,7 +193,7 @@
             }
             Record::Completed { message, outcome } => {
                 if let Some(pending) = self.pending_mut(message) {
-                    pending.outcome = Some(outcome);
+                    pending.completion = Completion::from(outcome);
                 }
             }
         }
@@ -177,7 +226,7 @@
             return;
         }
         if let Some(pending) = self.replay.pending.remove(&message) {
-            if !matches!(pending.outcome, Some(FinalOutcome::Returned { .. })) {
+            if !matches!(pending.completion.outcome(), Some(FinalOutcome::Returned { .. })) {
                 self.replay.completed.push(pending.message.completed_id());
             }
         }
