Platform: actions on undecided messages are consumed by their answers, the rest is executed

Cause: `Reject` and `Fail` mean an answer to the client for a message that awaits its decision, and a status notification for an accepted one. The two were told apart only by the order of two calls and by a completion that failed silently for a message that was already removed. Change: `Admission::decide` returns `DecidedActions`: the decisions on all messages that awaited one, and the actions that are left to execute. `accept_all` in place of a decision on no actions. Tests: admission_decides_each_message_by_its_action compares the same decisions and, new, the actions left to execute; admission_leaves_actions_on_accepted_messages_to_execute and admission_without_decision_accepts_all are new.

--- a/crates/platform/src/core/admission.rs
+++ b/crates/platform/src/core/admission.rs
@@ -77,6 +77,16 @@
     pub requesters: Vec<Requester>,
 }
 
+/// The actions of a decision, divided by what they concern.
+#[derive(Debug, PartialEq)]
+pub struct DecidedActions {
+    /// The decisions on all messages that awaited one. Actions that reject or fail such a message are consumed
+    /// by its answer.
+    pub admissions: Vec<AdmissionDecision>,
+    /// All other actions, in their order. A rejection or failure among them concerns an accepted message.
+    pub to_execute: Vec<Action>,
+}
+
 /// Requests that wait for the decision on their message, by message number.
 #[derive(Debug, Default)]
 pub struct Admission {
@@ -94,21 +104,31 @@
         self.awaiting.contains_key(&message)
     }
 
-    /// Removes all waiting requests and returns a decision for each of their messages: rejected or failed if
-    /// one of the actions says so, accepted otherwise.
-    pub fn decide(&mut self, actions: &[Action]) -> Vec<AdmissionDecision> {
+    /// Removes all waiting requests and decides each of their messages: rejected or failed if one of the
+    /// actions says so, accepted otherwise.
+    pub fn decide(&mut self, actions: Vec<Action>) -> DecidedActions {
         let mut not_accepted: BTreeMap<u32, Answer> = BTreeMap::new();
+        let mut to_execute = Vec::new();
         for action in actions {
             match action {
-                Action::Reject { message, retry_after } => {
-                    not_accepted.insert(*message, Answer::Rejected { retry_after: *retry_after });
+                Action::Reject { message, retry_after } if self.awaits_decision(message) => {
+                    not_accepted.insert(message, Answer::Rejected { retry_after });
                 }
-                Action::Fail { message } => {
-                    not_accepted.insert(*message, Answer::Failed);
+                Action::Fail { message } if self.awaits_decision(message) => {
+                    not_accepted.insert(message, Answer::Failed);
                 }
-                _ => {}
+                other => to_execute.push(other),
             }
         }
+        DecidedActions { admissions: self.decide_awaiting(&not_accepted), to_execute }
+    }
+
+    /// Removes all waiting requests and accepts each of their messages.
+    pub fn accept_all(&mut self) -> Vec<AdmissionDecision> {
+        self.decide_awaiting(&BTreeMap::new())
+    }
+
+    fn decide_awaiting(&mut self, not_accepted: &BTreeMap<u32, Answer>) -> Vec<AdmissionDecision> {
         let mut decisions = Vec::new();
         for (message, requesters) in std::mem::take(&mut self.awaiting) {
             let answer = not_accepted.get(&message).copied().unwrap_or(Answer::Accepted);
--- a/crates/platform/src/core/admission/tests.rs
+++ b/crates/platform/src/core/admission/tests.rs
@@ -22,15 +22,44 @@
         answer,
         requesters: clients.iter().copied().map(requester).collect(),
     };
+    let decided = admission.decide(actions.to_vec());
     assert_eq!(
-        admission.decide(&actions),
+        decided.admissions,
         [
             decision(1, Answer::Accepted, &[10, 11]),
             decision(2, Answer::Rejected { retry_after: 5 }, &[20]),
             decision(3, Answer::Failed, &[30]),
         ]
     );
-    assert!(!admission.awaits_decision(1) && admission.decide(&actions).is_empty(), "once");
+    assert_eq!(decided.to_execute, [Action::WakeUp { at: 9 }], "the others are consumed by the answers");
+    assert!(
+        !admission.awaits_decision(1) && admission.decide(actions.to_vec()).admissions.is_empty(),
+        "once"
+    );
+}
+
+#[test]
+fn admission_leaves_actions_on_accepted_messages_to_execute() {
+    let mut admission = Admission::default();
+    admission.await_decision(1, requester(10));
+    let actions = vec![
+        Action::Fail { message: 1 },
+        Action::Fail { message: 7 },
+        Action::Reject { message: 8, retry_after: 5 },
+    ];
+    let decided = admission.decide(actions.clone());
+    assert_eq!(decided.admissions.len(), 1);
+    assert_eq!(decided.to_execute, actions[1..]);
+}
+
+#[test]
+fn admission_without_decision_accepts_all() {
+    let mut admission = Admission::default();
+    admission.await_decision(1, requester(10));
+    let accepted =
+        AdmissionDecision { message: 1, answer: Answer::Accepted, requesters: vec![requester(10)] };
+    assert_eq!(admission.accept_all(), [accepted]);
+    assert!(admission.accept_all().is_empty(), "once");
 }
 
 #[test]
--- a/crates/platform/src/core/delivery.rs
+++ b/crates/platform/src/core/delivery.rs
@@ -27,7 +27,8 @@
 }
 
 impl Core {
-    /// Executes an action of the decision library.
+    /// Executes an action of the decision library. The message of a rejection or failure was accepted before,
+    /// so that its sender is notified: messages that await their decision are answered by `answer_decided`.
     pub(super) fn execute(&mut self, action: Action) {
         match action {
             Action::Send { message, endpoint, until } => self.begin_attempt(message, endpoint, until),
--- a/crates/platform/src/core/iteration.rs
+++ b/crates/platform/src/core/iteration.rs
@@ -57,8 +57,9 @@
             }
         }
         let actions = self.decisions.decide(self.clock.now(), recovered);
-        self.answer_decided(&actions);
-        for action in actions {
+        let decided = self.admission.decide(actions);
+        self.answer_decided(decided.admissions);
+        for action in decided.to_execute {
             self.execute(action);
         }
     }
@@ -67,7 +68,8 @@
     /// to it, too: nothing may begin that cannot finish before this process exits.
     fn stop_decisions(&mut self) {
         self.decisions.stop();
-        self.answer_decided(&[]);
+        let accepted = self.admission.accept_all();
+        self.answer_decided(accepted);
         for id in self.attempts.ids() {
             if !self.pool.is_sent(id) {
                 self.cancel_attempt(id, AttemptOutcome::Cancelled);
--- a/crates/platform/src/core/submission.rs
+++ b/crates/platform/src/core/submission.rs
@@ -1,6 +1,6 @@
 //! From a client's request to its answer: the part of an iteration that admits messages.
 
-use super::admission::{Answer, Requester};
+use super::admission::{AdmissionDecision, Answer, Requester};
 use super::client_connections::{ClientId, IdlePolicy, OverdueClient, RequestEvent};
 use super::decisions::accepted_message;
 use super::effects::Output;
@@ -8,7 +8,7 @@
 use super::request::{parse_submission, RequestError, SubmittedMessage};
 use super::{Core, JournalState};
 use crate::records::{Message, PendingMessage, Record};
-use linnetcart::{Action, Event};
+use linnetcart::Event;
 use linnetcart_http::Persistence;
 
 /// What is known of the id of a submitted message.
@@ -107,9 +107,10 @@
         self.admission.await_decision(number, requester);
     }
 
-    /// Answers the requests whose messages were decided by these actions.
-    pub(super) fn answer_decided(&mut self, actions: &[Action]) {
-        for decision in self.admission.decide(actions) {
+    /// Answers the requests whose messages were decided. A message that is not accepted is removed: no record
+    /// of it exists, and its client needs no status notification.
+    pub(super) fn answer_decided(&mut self, decisions: Vec<AdmissionDecision>) {
+        for decision in decisions {
             let number = decision.message;
             if decision.answer == Answer::Accepted {
                 self.accept(number);
