Platform: a reported delivery, a withheld send and a removal say their result and reason

Cause: `complete_delivered` returned true also when it recorded a failure; `target_of` returned None for four reasons; `settle` and `finish_attempt` were the names of several functions. `Core::settle` and `InFlightTable::take_settled` are `remove_if_settled`, `InFlightTable::finish_attempt` is `attempt_ended`, `Replayer::settle` is `remove_concluded`. The millisecond before the deadline is `DEADLINE_RESOLUTION`.

--- a/crates/platform/src/core/completion.rs
+++ b/crates/platform/src/core/completion.rs
@@ -5,22 +5,37 @@
 use super::effects::CoreEvent;
 use super::Core;
 use crate::records::{FinalOutcome, Record};
+use linnetcart::Time;
+
+/// An answer that arrives less than this before the message's deadline is no proof of delivery.
+const DEADLINE_RESOLUTION: Time = MILLISECOND;
+
+/// The effect of an endpoint's report that a message is executed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReportedDelivery {
+    /// The message is completed as delivered.
+    Delivered,
+    /// The message is completed as failed, because the report arrived at its deadline.
+    TooLate,
+    /// No effect: the message had its final outcome already, or is no longer in flight.
+    AlreadyCompleted,
+}
 
 impl Core {
-    /// Completes a message as delivered. Returns `false` if it had its final outcome already. Within a
-    /// millisecond of the deadline the message fails instead: endpoints get their time limit in milliseconds
-    /// and may have ignored the message.
-    pub(super) fn complete_delivered(&mut self, number: u32) -> bool {
+    /// Completes a message that an endpoint reports as executed. The endpoint counts whole milliseconds and may
+    /// already have dropped the message; an answer in the last millisecond is recorded as
+    /// [`FinalOutcome::Failed`].
+    pub(super) fn complete_delivered(&mut self, number: u32) -> ReportedDelivery {
         let Some(message) = self.in_flight.get(number).filter(|message| !message.is_completed()) else {
-            return false;
+            return ReportedDelivery::AlreadyCompleted;
         };
-        if message.deadline < self.clock.now() + MILLISECOND {
+        if message.deadline < self.clock.now() + DEADLINE_RESOLUTION {
             self.complete_undelivered(number, FinalOutcome::Failed);
-            return true;
+            return ReportedDelivery::TooLate;
         }
         self.in_flight.complete(number, FinalOutcome::Delivered);
         self.effects.record(Record::Completed { message: number, outcome: FinalOutcome::Delivered });
-        true
+        ReportedDelivery::Delivered
     }
 
     /// Completes a message that was not delivered and queues the status notification, unless the message had
@@ -45,13 +60,13 @@
         let ordering_key = acknowledged.ordering_key;
         self.effects.record(Record::Notified { message: number });
         self.notifier.release(ordering_key, number);
-        self.settle(number);
+        self.remove_if_settled(number);
     }
 
     /// Removes a message that is completed and acknowledged and has no attempt in flight. Its id stays known
     /// until its deadline, unless it was returned.
-    pub(super) fn settle(&mut self, number: u32) {
-        let Some(settled) = self.in_flight.take_settled(number) else { return };
+    pub(super) fn remove_if_settled(&mut self, number: u32) {
+        let Some(settled) = self.in_flight.remove_if_settled(number) else { return };
         if !settled.is_returned() {
             self.deduplication.insert(settled.message().completed_id(), self.clock.wall_now());
         }
--- a/crates/platform/src/core/delivery.rs
+++ b/crates/platform/src/core/delivery.rs
@@ -6,6 +6,7 @@
 
 use super::attempts::{AttemptId, InFlightAttempt};
 use super::clock::MILLISECOND;
+use super::completion::ReportedDelivery;
 use super::connection_pool::{Acquired, Cancelled, ConnectionId, FinishedAttempt};
 use super::effects::{CoreEvent, Output};
 use super::{upstream_request, Core, JournalState};
@@ -19,6 +20,29 @@
     zone: u8,
 }
 
+/// Why an attempt cannot be sent on its connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Unsendable {
+    /// The endpoint is draining, or was removed from the list.
+    EndpointNotReady,
+    /// The endpoint has another address since the connect.
+    AddressChanged,
+    /// The attempt cannot be recorded.
+    JournalUnwritable,
+}
+
+impl Unsendable {
+    /// Returns the outcome of the attempt. Nothing was sent, so that it was certainly not executed; the
+    /// decision library does not distinguish the reasons.
+    fn outcome(self) -> AttemptOutcome {
+        match self {
+            Unsendable::EndpointNotReady | Unsendable::AddressChanged | Unsendable::JournalUnwritable => {
+                AttemptOutcome::NoConnection
+            }
+        }
+    }
+}
+
 /// Whether the message of an attempt has its final outcome.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum MessageState {
@@ -82,7 +106,7 @@
         let endpoint = attempt.endpoint;
         self.attempts.start(id);
         let Some(address) = self.discovery.endpoints().ready(endpoint).map(|ready| ready.address) else {
-            return self.finish_attempt(FinishedAttempt::new(id, AttemptOutcome::NoConnection));
+            return self.finish_attempt(FinishedAttempt::new(id, Unsendable::EndpointNotReady.outcome()));
         };
         match self.pool.acquire(id, endpoint, address, self.clock.now()) {
             Acquired::Idle(connection) => self.send_attempt(id, connection),
@@ -111,9 +135,12 @@
         let endpoint = attempt.endpoint;
         let deadline = attempt.deadline;
         let Some(message) = self.in_flight.get(id.message) else { return };
-        let Some(target) = self.target_of(endpoint, connection) else {
-            self.pool.cancel(id, self.clock.now());
-            return self.finish_attempt(FinishedAttempt::new(id, AttemptOutcome::NoConnection));
+        let target = match self.target_of(endpoint, connection) {
+            Ok(target) => target,
+            Err(reason) => {
+                self.pool.cancel(id, self.clock.now());
+                return self.finish_attempt(FinishedAttempt::new(id, reason.outcome()));
+            }
         };
         if self.decisions.retry_after_pending(self.clock.now(), endpoint) {
             let message = message.message().id_text().into_owned();
@@ -140,15 +167,16 @@
         self.finish_attempt(FinishedAttempt::new(id, outcome));
     }
 
-    /// Returns where an attempt may be sent on its connection. `None`: the endpoint drains, was removed or
-    /// has another address since the connect, or no record can be written.
-    fn target_of(&self, endpoint: u32, connection: ConnectionId) -> Option<Target> {
-        let ready = self.discovery.endpoints().ready(endpoint)?;
-        let leads_to_endpoint = self.pool.address(connection) == Some(ready.address);
-        if self.journal == JournalState::Unwritable || !leads_to_endpoint {
-            return None;
+    /// Returns where an attempt may be sent on its connection, or why it must not be sent.
+    fn target_of(&self, endpoint: u32, connection: ConnectionId) -> Result<Target, Unsendable> {
+        let ready = self.discovery.endpoints().ready(endpoint).ok_or(Unsendable::EndpointNotReady)?;
+        if self.journal == JournalState::Unwritable {
+            return Err(Unsendable::JournalUnwritable);
         }
-        Some(Target { address: ready.address, zone: ready.zone })
+        if self.pool.address(connection) != Some(ready.address) {
+            return Err(Unsendable::AddressChanged);
+        }
+        Ok(Target { address: ready.address, zone: ready.zone })
     }
 
     /// Cancels an attempt. It ends with `outcome` if it was possibly executed, and as not sent otherwise.
@@ -175,22 +203,21 @@
         let message_id = message.message().id_text();
         let outcome = finished.outcome;
         tracing::debug!(id = %message_id, attempt = id.number, ?outcome, "attempt finished");
-        let Some(effect) = self.in_flight.finish_attempt(id, outcome) else { return };
+        let Some(effect) = self.in_flight.attempt_ended(id, outcome) else { return };
         if effect.retracts_sent {
             self.effects.record(Record::NotExecuted { message: id.message, attempt: id.number });
         }
         if may_still_execute(outcome) {
             self.start_key_cooldown(effect.ordering_key);
         }
-        let delivered = outcome == AttemptOutcome::Served || finished.message_completed;
-        let state = if effect.was_completed || delivered {
+        let reported_executed = outcome == AttemptOutcome::Served || finished.message_completed;
+        if reported_executed {
             self.complete_delivered(id.message);
-            MessageState::Completed
-        } else {
-            MessageState::InFlight
-        };
+        }
+        let is_completed = effect.was_completed || reported_executed;
+        let state = if is_completed { MessageState::Completed } else { MessageState::InFlight };
         self.report_result(&finished, &attempt, state);
-        self.settle(id.message);
+        self.remove_if_settled(id.message);
     }
 
     /// Handles the answer to an abandoned attempt. If it was served, its message is completed and the other
@@ -202,10 +229,10 @@
             let attempt = InFlightAttempt::ended_at(endpoint, now);
             return self.report_result(finished, &attempt, MessageState::InFlight);
         }
-        if self.complete_delivered(message) {
+        if self.complete_delivered(message) != ReportedDelivery::AlreadyCompleted {
             tracing::debug!(number = message, "message delivered by an abandoned attempt");
             self.decisions.push(Event::ClientCancelled { message });
-            self.settle(message);
+            self.remove_if_settled(message);
         }
     }
 
--- a/crates/platform/src/core/in_flight.rs
+++ b/crates/platform/src/core/in_flight.rs
@@ -180,8 +180,9 @@
         }
     }
 
-    /// Handles the end of an attempt. Returns `None` if there is no such message.
-    pub fn finish_attempt(&mut self, id: AttemptId, outcome: AttemptOutcome) -> Option<AttemptEffect> {
+    /// Records that an attempt ended: it is no longer in flight, and no longer possibly executed if the outcome
+    /// says so. Returns `None` if there is no such message.
+    pub fn attempt_ended(&mut self, id: AttemptId, outcome: AttemptOutcome) -> Option<AttemptEffect> {
         let message = self.messages.get_mut(&id.message)?;
         message.live_attempts -= 1;
         let sent = &mut message.pending.possibly_executed;
@@ -218,7 +219,7 @@
 
     /// Removes and returns a message if it is settled: completed, acknowledged and without attempts in
     /// flight.
-    pub fn take_settled(&mut self, number: u32) -> Option<InFlightMessage> {
+    pub fn remove_if_settled(&mut self, number: u32) -> Option<InFlightMessage> {
         if self.messages.get(&number)?.is_settled() {
             self.remove(number)
         } else {
--- a/crates/platform/src/core/in_flight/tests.rs
+++ b/crates/platform/src/core/in_flight/tests.rs
@@ -22,12 +22,12 @@
     assert_eq!(attempt.id, AttemptId { message: 1, number: 0 });
     assert!(table.complete(1, FinalOutcome::Failed) && !table.complete(1, FinalOutcome::Delivered), "once");
     assert_eq!(table.acknowledge(1), Some(&message("m1")));
-    assert!(table.take_settled(1).is_none(), "its attempt is in flight");
+    assert!(table.remove_if_settled(1).is_none(), "its attempt is in flight");
     let concluded = table.get(1).expect("a message");
     assert_eq!(concluded.pending.completion, Completion::Concluded(FinalOutcome::Failed));
     assert_eq!(concluded.pending.records(1), [], "a new journal file does not need it");
-    table.finish_attempt(attempt.id, AttemptOutcome::Cancelled);
-    assert!(table.take_settled(1).is_some());
+    table.attempt_ended(attempt.id, AttemptOutcome::Cancelled);
+    assert!(table.remove_if_settled(1).is_some());
     assert_eq!((table.len(), table.uncompleted_len(), table.size_bytes), (0, 0, 0));
 }
 
@@ -43,7 +43,7 @@
         if sent {
             table.attempt_sent(1, SentAttempt { number: 0, zone: 0, sent_at: 0 });
         }
-        let effect = table.finish_attempt(id, outcome);
+        let effect = table.attempt_ended(id, outcome);
         assert_eq!(effect, Some(AttemptEffect { ordering_key: 5, was_completed: false, retracts_sent }));
         let left = table.get(1).expect("a message").pending.possibly_executed.len();
         assert_eq!(left, usize::from(sent && !retracts_sent));
--- a/crates/platform/src/records/replay.rs
+++ b/crates/platform/src/records/replay.rs
@@ -122,7 +122,7 @@
     pub fn from_records(records: &[RawRecord], classes: &[String], zones: &[String]) -> Replay {
         let mut replayer = Replayer {
             replay: Replay { next_message: 1, ..Replay::default() },
-            settled: BTreeSet::new(),
+            concluded: BTreeSet::new(),
             indexes: None,
             classes,
             zones,
@@ -157,8 +157,8 @@
 
 struct Replayer<'a> {
     replay: Replay,
-    /// Messages that are no longer pending.
-    settled: BTreeSet<u32>,
+    /// Messages that were removed and are no longer pending.
+    concluded: BTreeSet<u32>,
     /// `None` until a record of names was read. Files without names date from when the order in the settings
     /// never changed, so that their indexes are still valid.
     indexes: Option<IndexMap>,
@@ -189,7 +189,7 @@
             }
             Record::Completed { message, outcome: FinalOutcome::Delivered }
             | Record::Notified { message } => {
-                self.settle(message);
+                self.remove_concluded(message);
             }
             Record::Completed { message, outcome } => {
                 if let Some(pending) = self.pending_mut(message) {
@@ -204,7 +204,7 @@
             message.class = translate(&indexes.classes, message.class);
         }
         self.reserve_number(number);
-        if !self.settled.contains(&number) {
+        if !self.concluded.contains(&number) {
             self.replay.pending.entry(number).or_insert(PendingMessage::new(message));
         }
     }
@@ -219,9 +219,9 @@
         }
     }
 
-    /// Removes a message that is no longer pending. Its id is remembered unless it was returned, as a
+    /// Removes a message whose outcome needs no further notification. Its id is remembered unless it was returned, as a
     /// returned message may be submitted again as a new one.
-    fn settle(&mut self, message: u32) {
+    fn remove_concluded(&mut self, message: u32) {
         if self.pending_mut(message).is_none() {
             return;
         }
@@ -230,7 +230,7 @@
                 self.replay.completed.push(pending.message.completed_id());
             }
         }
-        self.settled.insert(message);
+        self.concluded.insert(message);
     }
 
     /// Returns the pending message that a record refers to. Counts the record as unusable if the message was
@@ -238,7 +238,7 @@
     fn pending_mut(&mut self, message: u32) -> Option<&mut PendingMessage> {
         self.reserve_number(message);
         let pending = self.replay.pending.get_mut(&message);
-        if pending.is_none() && !self.settled.contains(&message) {
+        if pending.is_none() && !self.concluded.contains(&message) {
             self.replay.unusable_records += 1;
         }
         pending
