Platform: names say wall clock, endpoint and pending; docs say what `NotSent` and `NoConnection` include

Cause: `deadline` was a wall-clock time in a stored message and a monotonic one elsewhere; `abandoned_at` held an endpoint; each new attempt began as `Blocked`. The docs called answers with 410, 504 and 503 with x-egress-full "never sent", and did not say why a request that was partly written ends as without connection. Change: `Message::wall_deadline`, `FinishedAttempt::abandoned_endpoint`, `AttemptStage::Pending`, `Attempts::pending`; the table of statuses in the module of responses; the reason beside the outcome of a lost connection. Stored bytes are the same. Test renamed: attempt_blocked_until_started_and_woken_by_cooldown -> attempt_pending_until_started_and_woken_by_cooldown.

--- a/crates/platform/src/core/admission.rs
+++ b/crates/platform/src/core/admission.rs
@@ -80,8 +80,8 @@
 /// The actions of a decision, divided by what they concern.
 #[derive(Debug, PartialEq)]
 pub struct DecidedActions {
-    /// The decisions on all messages that awaited one. Actions that reject or fail such a message are consumed
-    /// by its answer.
+    /// The decisions on all messages that awaited one. Actions that reject or fail such a message are
+    /// consumed by its answer.
     pub admissions: Vec<AdmissionDecision>,
     /// All other actions, in their order. A rejection or failure among them concerns an accepted message.
     pub to_execute: Vec<Action>,
--- a/crates/platform/src/core/attempts.rs
+++ b/crates/platform/src/core/attempts.rs
@@ -19,8 +19,9 @@
 /// The progress of an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptStage {
-    /// The attempt waits for an acknowledgement or a cooldown of its ordering key and has no connection yet.
-    Blocked,
+    /// The attempt has not requested a connection. It was decided just now, or its ordering key blocks it:
+    /// the key waits for the acknowledgement of another message, or cools down.
+    Pending,
     /// The attempt has requested a connection.
     Started,
 }
@@ -30,9 +31,9 @@
 pub struct InFlightAttempt {
     /// The endpoint that it is sent to.
     pub endpoint: u32,
-    /// When the attempt was decided.
+    /// When the attempt was decided; monotonic time.
     pub started_at: Time,
-    /// When the attempt times out.
+    /// When the attempt times out; monotonic time.
     pub deadline: Time,
     stage: AttemptStage,
 }
@@ -64,9 +65,9 @@
         self.attempts.is_empty()
     }
 
-    /// Adds an attempt that was decided, in the stage [`AttemptStage::Blocked`].
+    /// Adds an attempt that was decided, in the stage [`AttemptStage::Pending`].
     pub fn add(&mut self, id: AttemptId, endpoint: u32, now: Time, deadline: Time) {
-        let stage = AttemptStage::Blocked;
+        let stage = AttemptStage::Pending;
         self.attempts.insert(id, InFlightAttempt { endpoint, started_at: now, deadline, stage });
     }
 
@@ -92,9 +93,9 @@
         self.attempts.keys().copied().collect()
     }
 
-    /// Returns the ids of the attempts that wait for their ordering key.
-    pub fn blocked(&self) -> Vec<AttemptId> {
-        self.ids_where(|attempt| attempt.stage == AttemptStage::Blocked)
+    /// Returns the ids of the attempts that have not requested a connection.
+    pub fn pending(&self) -> Vec<AttemptId> {
+        self.ids_where(|attempt| attempt.stage == AttemptStage::Pending)
     }
 
     /// Returns the ids of the attempts whose deadline has passed.
@@ -106,13 +107,13 @@
         self.attempts.iter().filter(|(_, attempt)| applies(attempt)).map(|(&id, _)| id).collect()
     }
 
-    /// Returns the earliest time at which an attempt times out or a blocked one may start; [`Time::MAX`] for
+    /// Returns the earliest time at which an attempt times out or a pending one may start; [`Time::MAX`] for
     /// none.
     pub fn next_wake(&self, now: Time) -> Time {
         let deadlines = self.attempts.values().map(|attempt| attempt.deadline);
         let next_deadline = deadlines.min().unwrap_or(Time::MAX);
-        let any_blocked = self.attempts.values().any(|attempt| attempt.stage == AttemptStage::Blocked);
-        if any_blocked {
+        let any_pending = self.attempts.values().any(|attempt| attempt.stage == AttemptStage::Pending);
+        if any_pending {
             next_deadline.min(self.key_cooldowns.next_end(now))
         } else {
             next_deadline
--- a/crates/platform/src/core/attempts/tests.rs
+++ b/crates/platform/src/core/attempts/tests.rs
@@ -21,14 +21,14 @@
 }
 
 #[test]
-fn attempt_blocked_until_started_and_woken_by_cooldown() {
+fn attempt_pending_until_started_and_woken_by_cooldown() {
     let mut attempts = Attempts::new(20);
     attempts.key_cooldowns.start(KEY, 10);
     attempts.add(id(1), 7, 10, 100);
-    assert_eq!((attempts.blocked(), attempts.next_wake(10)), (vec![id(1)], 30));
+    assert_eq!((attempts.pending(), attempts.next_wake(10)), (vec![id(1)], 30));
     attempts.start(id(1));
     assert_eq!(
-        (attempts.blocked(), attempts.next_wake(10)),
+        (attempts.pending(), attempts.next_wake(10)),
         (vec![], 100),
         "a started attempt ignores the cooldown"
     );
--- a/crates/platform/src/core/completion.rs
+++ b/crates/platform/src/core/completion.rs
@@ -22,8 +22,8 @@
 }
 
 impl Core {
-    /// Completes a message that an endpoint reports as executed. The endpoint counts whole milliseconds and may
-    /// already have dropped the message; an answer in the last millisecond is recorded as
+    /// Completes a message that an endpoint reports as executed. The endpoint counts whole milliseconds and
+    /// may already have dropped the message; an answer in the last millisecond is recorded as
     /// [`FinalOutcome::Failed`].
     pub(super) fn complete_delivered(&mut self, number: u32) -> ReportedDelivery {
         let Some(message) = self.in_flight.get(number).filter(|message| !message.is_completed()) else {
--- a/crates/platform/src/core/connection_pool.rs
+++ b/crates/platform/src/core/connection_pool.rs
@@ -193,6 +193,8 @@
     /// attempt that ended with it.
     pub fn disconnected(&mut self, id: ConnectionId, written: u64, now: Time) -> Option<FinishedAttempt> {
         let connection = self.connections.get(&id)?;
+        // The protocol counts a call when its last byte has arrived. A request of which the operating system
+        // accepted only a part was certainly not executed, as if there had been no connection.
         let outcome = if connection.is_connecting() || written < connection.queued_bytes {
             AttemptOutcome::NoConnection
         } else if connection.has_success_line() {
--- a/crates/platform/src/core/connection_pool/connection.rs
+++ b/crates/platform/src/core/connection_pool/connection.rs
@@ -58,7 +58,7 @@
     pub queued_bytes: u64,
     /// Number of bytes of the answer's body that have not arrived.
     pub body_remaining: usize,
-    /// How long the connection had been idle before its attempt; `None` for a new connection.
+    /// How long the connection had been idle before its attempt, in nanoseconds; `None` for a new one.
     pub idle_before: Option<Time>,
 }
 
--- a/crates/platform/src/core/connection_pool/outcome.rs
+++ b/crates/platform/src/core/connection_pool/outcome.rs
@@ -17,7 +17,8 @@
 pub struct FinishedAttempt {
     /// The attempt.
     pub id: AttemptId,
-    /// The outcome.
+    /// The outcome. `NotSent` is also the outcome of an attempt that its endpoint answered with 504, with 410
+    /// or with 503 and `x-egress-full`.
     pub outcome: AttemptOutcome,
     /// Whether the endpoint reports that the message is completed.
     pub message_completed: bool,
@@ -25,7 +26,7 @@
     pub load: LoadReport,
     /// For the answer to an abandoned attempt: the endpoint, whose limit alone the answer affects. `None`
     /// otherwise.
-    pub abandoned_at: Option<u32>,
+    pub abandoned_endpoint: Option<u32>,
 }
 
 impl FinishedAttempt {
@@ -36,7 +37,7 @@
             outcome,
             message_completed: false,
             load: LoadReport::default(),
-            abandoned_at: None,
+            abandoned_endpoint: None,
         }
     }
 }
--- a/crates/platform/src/core/connection_pool/receive.rs
+++ b/crates/platform/src/core/connection_pool/receive.rs
@@ -94,7 +94,7 @@
             outcome: meaning.outcome,
             message_completed: meaning.message_completed,
             load,
-            abandoned_at: None,
+            abandoned_endpoint: None,
         })
     }
 
@@ -123,6 +123,10 @@
         if !matches!(outcome, AttemptOutcome::Rejected { .. } | AttemptOutcome::Served) {
             return None;
         }
-        Some(FinishedAttempt { load, abandoned_at: Some(endpoint), ..FinishedAttempt::new(attempt, outcome) })
+        Some(FinishedAttempt {
+            load,
+            abandoned_endpoint: Some(endpoint),
+            ..FinishedAttempt::new(attempt, outcome)
+        })
     }
 }
--- a/crates/platform/src/core/connection_pool/response.rs
+++ b/crates/platform/src/core/connection_pool/response.rs
@@ -1,4 +1,17 @@
 //! The meaning of an endpoint's answer, following the table of the protocol.
+//!
+//! | status | outcome of the attempt |
+//! | --- | --- |
+//! | 200 | `Served`; the message is completed |
+//! | 429 | `Rejected` |
+//! | 503 with `x-egress-full: 1` | `NotSent` for lack of capacity |
+//! | 503 otherwise | `Rejected` |
+//! | 504 | `NotSent` |
+//! | 410 | `NotSent`; the message is completed all the same, and recorded as delivered |
+//! | any other | `Error` |
+//!
+//! [`AttemptOutcome::NotSent`] therefore also stands for attempts that were sent to the endpoint, and that
+//! the endpoint reports as not executed.
 
 use super::LoadReport;
 use crate::core::clock::MILLISECOND;
@@ -9,7 +22,7 @@
 /// The meaning of an answer.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Interpretation {
-    /// The outcome of the attempt.
+    /// The outcome of the attempt. `NotSent` also means that the endpoint reports it as not executed.
     pub outcome: AttemptOutcome,
     /// Whether the endpoint reports that the message is completed.
     pub message_completed: bool,
--- a/crates/platform/src/core/connection_pool/tests.rs
+++ b/crates/platform/src/core/connection_pool/tests.rs
@@ -72,7 +72,7 @@
     assert_eq!((pool.take_abandoned(), pool.take_closed()), (vec![id], vec![]));
     assert_eq!(pool.cancel(attempt(1), START), Cancelled::Unsent, "only once");
     let late = pool.receive(id, SERVED, START, &settings()).expect("a late outcome");
-    assert_eq!((late.id, late.abandoned_at), (attempt(1), Some(ENDPOINT)));
+    assert_eq!((late.id, late.abandoned_endpoint), (attempt(1), Some(ENDPOINT)));
 }
 
 #[test]
--- a/crates/platform/src/core/counters.rs
+++ b/crates/platform/src/core/counters.rs
@@ -40,7 +40,7 @@
     pub reset: u64,
     /// Cancelled by the courier.
     pub cancelled: u64,
-    /// Never sent.
+    /// Certainly not executed: not sent, or answered by 504, by 410 or by 503 with `x-egress-full`.
     pub not_sent: u64,
 }
 
--- a/crates/platform/src/core/deduplication/tests.rs
+++ b/crates/platform/src/core/deduplication/tests.rs
@@ -43,8 +43,11 @@
 
 #[test]
 fn deduplication_same_content_distinguished_from_other() {
-    let message =
-        |deadline, body: &[u8]| Message { deadline, body: body.to_vec(), ..fixtures::message("id") };
+    let message = |wall_deadline, body: &[u8]| Message {
+        wall_deadline,
+        body: body.to_vec(),
+        ..fixtures::message("id")
+    };
     let mut cache = cache_of(9);
     cache.insert(message(10, b"a").completed_id(), 0);
     assert_eq!(cache.find(&message(99, b"a")), Some(IdMatch::SameMessage), "the deadline is not compared");
--- a/crates/platform/src/core/delivery.rs
+++ b/crates/platform/src/core/delivery.rs
@@ -82,15 +82,15 @@
         self.start_attempt(attempt.id);
     }
 
-    /// Sends the attempts whose connections were established, and starts those whose acknowledgement or
-    /// cooldown has passed.
+    /// Sends the attempts whose connections were established, and starts the pending ones that their ordering
+    /// key no longer blocks.
     pub(super) fn start_ready_attempts(&mut self) {
         for connection in self.pool.take_connected() {
             if let Some(attempt) = self.pool.attempt_of(connection) {
                 self.send_attempt(attempt, connection);
             }
         }
-        for attempt in self.attempts.blocked() {
+        for attempt in self.attempts.pending() {
             self.start_attempt(attempt);
         }
     }
@@ -193,7 +193,7 @@
 
     /// Handles the end of an attempt, or the answer to an abandoned one.
     pub(super) fn finish_attempt(&mut self, finished: FinishedAttempt) {
-        if let Some(endpoint) = finished.abandoned_at {
+        if let Some(endpoint) = finished.abandoned_endpoint {
             return self.late_answer(&finished, endpoint);
         }
         let id = finished.id;
--- a/crates/platform/src/core/in_flight.rs
+++ b/crates/platform/src/core/in_flight.rs
@@ -39,7 +39,7 @@
 pub struct InFlightMessage {
     /// The state that the journal has of the message.
     pub pending: PendingMessage,
-    /// The message's deadline.
+    /// The message's deadline; monotonic time, unlike [`Message::wall_deadline`].
     pub deadline: Time,
     size_bytes: u64,
     live_attempts: u16,
@@ -73,7 +73,7 @@
 pub struct NewAttempt {
     /// The attempt's id.
     pub id: AttemptId,
-    /// The message's deadline.
+    /// The message's deadline; monotonic time.
     pub message_deadline: Time,
 }
 
@@ -153,7 +153,7 @@
         self.numbers.allocate(|number| messages.contains_key(&number))
     }
 
-    /// Adds a message.
+    /// Adds a message. `deadline` is a monotonic time.
     pub fn insert(&mut self, number: u32, pending: PendingMessage, deadline: Time) {
         let size_bytes = stored_size(&pending.message);
         self.size_bytes += size_bytes;
@@ -180,8 +180,8 @@
         }
     }
 
-    /// Records that an attempt ended: it is no longer in flight, and no longer possibly executed if the outcome
-    /// says so. Returns `None` if there is no such message.
+    /// Records that an attempt ended: it is no longer in flight, and no longer possibly executed if the
+    /// outcome says so. Returns `None` if there is no such message.
     pub fn attempt_ended(&mut self, id: AttemptId, outcome: AttemptOutcome) -> Option<AttemptEffect> {
         let message = self.messages.get_mut(&id.message)?;
         message.live_attempts -= 1;
--- a/crates/platform/src/core/in_flight/tests.rs
+++ b/crates/platform/src/core/in_flight/tests.rs
@@ -4,7 +4,7 @@
 use crate::core::tests::fixtures;
 
 fn message(id: &str) -> Message {
-    Message { ordering_key: 5, deadline: 100, body: b"hi".to_vec(), ..fixtures::message(id) }
+    Message { ordering_key: 5, wall_deadline: 100, body: b"hi".to_vec(), ..fixtures::message(id) }
 }
 
 fn table_with(numbers: &[u32]) -> InFlightTable {
--- a/crates/platform/src/core/request.rs
+++ b/crates/platform/src/core/request.rs
@@ -28,15 +28,15 @@
 }
 
 impl SubmittedMessage {
-    /// Returns the message with its body. `deadline` is a wall-clock time in nanoseconds.
-    pub fn into_message(self, deadline: Time, body: Vec<u8>) -> Message {
+    /// Returns the message with its body. `wall_deadline` is in nanoseconds.
+    pub fn into_message(self, wall_deadline: Time, body: Vec<u8>) -> Message {
         Message {
             id: self.id,
             idempotency_key: self.idempotency_key,
             class: self.class,
             destination: self.destination,
             ordering_key: self.ordering_key,
-            deadline,
+            wall_deadline,
             body,
         }
     }
--- a/crates/platform/src/core/tests/discovery.rs
+++ b/crates/platform/src/core/tests/discovery.rs
@@ -127,5 +127,5 @@
     );
     let journal = &harness.journal;
     let Record::Accepted { message, .. } = &journal[journal.len() - 2] else { panic!("{journal:?}") };
-    assert_eq!(message.deadline, 109 * SECOND, "its time runs from its arrival");
+    assert_eq!(message.wall_deadline, 109 * SECOND, "its time runs from its arrival");
 }
--- a/crates/platform/src/core/tests/fixtures.rs
+++ b/crates/platform/src/core/tests/fixtures.rs
@@ -16,7 +16,7 @@
         class: 0,
         destination: 3,
         ordering_key: 0,
-        deadline: 0,
+        wall_deadline: 0,
         body: vec![],
     }
 }
--- a/crates/platform/src/core/tests/recovery.rs
+++ b/crates/platform/src/core/tests/recovery.rs
@@ -109,7 +109,7 @@
         class,
         destination: 9,
         ordering_key: 0,
-        deadline: 100 * SECOND + left,
+        wall_deadline: 100 * SECOND + left,
         body: vec![],
     };
     let sent = SentAttempt { number: 0, zone: 0, sent_at: 100 * SECOND - 6900 * MILLISECOND };
--- a/crates/platform/src/records.rs
+++ b/crates/platform/src/records.rs
@@ -104,7 +104,7 @@
     /// Its ordering key; 0 for none.
     pub ordering_key: u64,
     /// Its deadline; wall-clock time in nanoseconds.
-    pub deadline: Time,
+    pub wall_deadline: Time,
     /// Its body.
     pub body: Vec<u8>,
 }
@@ -154,7 +154,7 @@
         CompletedId {
             id_digest: digest(&[&self.id]),
             content_digest: digest(&[&address, &self.body]),
-            expires_at: self.deadline,
+            expires_at: self.wall_deadline,
         }
     }
 
--- a/crates/platform/src/records/codec.rs
+++ b/crates/platform/src/records/codec.rs
@@ -102,7 +102,7 @@
     payload.push(message.class);
     payload.extend(message.destination.to_le_bytes());
     payload.extend(message.ordering_key.to_le_bytes());
-    payload.extend(message.deadline.to_le_bytes());
+    payload.extend(message.wall_deadline.to_le_bytes());
     payload.extend((message.id.len() as u16).to_le_bytes());
     payload.extend(&message.id);
     let key_length = message.idempotency_key.as_ref().map_or(NO_IDEMPOTENCY_KEY, |key| key.len() as u16);
@@ -115,7 +115,7 @@
     let class = fields.u8()?;
     let destination = fields.u32()?;
     let ordering_key = fields.u64()?;
-    let deadline = fields.u64()?;
+    let wall_deadline = fields.u64()?;
     let id_length = fields.u16()?;
     let id = fields.bytes(usize::from(id_length))?.to_vec();
     let idempotency_key = match fields.u16()? {
@@ -123,7 +123,7 @@
         length => Some(fields.bytes(usize::from(length))?.to_vec()),
     };
     let body = fields.remaining.to_vec();
-    Some(Message { id, idempotency_key, class, destination, ordering_key, deadline, body })
+    Some(Message { id, idempotency_key, class, destination, ordering_key, wall_deadline, body })
 }
 
 fn encode_sent_attempt(attempt: &SentAttempt, payload: &mut Vec<u8>) {
--- a/crates/platform/src/records/replay.rs
+++ b/crates/platform/src/records/replay.rs
@@ -219,8 +219,8 @@
         }
     }
 
-    /// Removes a message whose outcome needs no further notification. Its id is remembered unless it was returned, as a
-    /// returned message may be submitted again as a new one.
+    /// Removes a message whose outcome needs no further notification. Its id is remembered unless it was
+    /// returned, as a returned message may be submitted again as a new one.
     fn remove_concluded(&mut self, message: u32) {
         if self.pending_mut(message).is_none() {
             return;
--- a/crates/platform/src/records/tests.rs
+++ b/crates/platform/src/records/tests.rs
@@ -20,7 +20,7 @@
         class: 2,
         destination: 0x0304_0506,
         ordering_key: 0x0708_090a_0b0c_0d0e,
-        deadline: 0x1011_1213_1415_1617,
+        wall_deadline: 0x1011_1213_1415_1617,
         body: b"hi".to_vec(),
     }
 }
@@ -84,6 +84,6 @@
     let completed = message(None).completed_id();
     assert_eq!(
         (completed.id_digest, completed.content_digest, completed.expires_at),
-        (12_357_064_557_592_139_580, 3_708_870_094_396_395_126, message(None).deadline)
+        (12_357_064_557_592_139_580, 3_708_870_094_396_395_126, message(None).wall_deadline)
     );
 }
