--- a/crates/journal/src/directory.rs
+++ b/crates/journal/src/directory.rs
@@ -88,8 +88,11 @@
         Ok(())
     }
 
-    /// Begins a new file with these records and removes the previous files. After an error in writing the new
-    /// file, the previous one stays in use.
+    /// Begins a new file with these records and removes the previous files.
+    ///
+    /// After an error in writing the new file, the previous one stays in use. If only the removal of a
+    /// previous file fails, that error is returned although the new file is complete and in use already; the
+    /// next call tries to remove the remaining files again.
     pub fn replace<'a>(
         &mut self,
         salt: Salt,
--- a/crates/journal/tests/directory.rs
+++ b/crates/journal/tests/directory.rs
@@ -88,3 +88,18 @@
         [format!("{file}: 3 bytes at the end are no record"), format!("{file}: {damaged} bytes are damaged")];
     assert_eq!(lines, expected);
 }
+
+#[test]
+fn new_file_in_use_although_removal_of_previous_one_failed() {
+    let temp = TemporaryDirectory::new("removal");
+    let OpenedJournal { mut directory, .. } = JournalDirectory::open(&temp.0).unwrap();
+    // A directory in place of a previous file cannot be removed as a file.
+    let obstacle = temp.0.join("journal-0000000000");
+    std::fs::create_dir(&obstacle).unwrap();
+    assert!(matches!(directory.replace(SALT, [record(1, b"a")]), Err(JournalError::Io(_))));
+    directory.append([record(2, b"b")]).unwrap();
+    std::fs::remove_dir(&obstacle).unwrap();
+    let records = JournalDirectory::open(&temp.0).unwrap().records;
+    let kinds: Vec<u8> = records.iter().map(|record| record.kind).collect();
+    assert_eq!(kinds, [1, 2]);
+}
