Platform: an append's result as an enum; initial sync, endpoint list and shutdown phases made explicit

Cause: an append that succeeded returned false when the file had outgrown its limit; `in_initial_sync` named two different conditions; the first event was assumed to be the endpoint list; the shutdown's module did not say that no wake-up is scheduled for its phases. Change: `Growth` (within limit, outgrown) or the error; `DecisionCycle::initial_sync_timed_out`; recovered messages follow the endpoint list where that is the first event, which it is in the first decision of a process; docs of `Effects::put_closes_first`, `WriteOutcome::Failed` and of the module of the shutdown. Assertion changed: initial_sync_bounded_by_its_timeout compares the negated condition at the same two times.

--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -216,10 +216,11 @@
             .min(self.attempts.next_wake(self.clock.now()))
     }
 
-    /// Whether requests and decisions still wait for discovery: the cached endpoint list is that of the
-    /// previous process, and discovery may have a newer one.
+    /// Whether requests and decisions still wait for discovery, because the cached endpoint list is that of
+    /// the previous process and discovery may have a newer one. Ends when discovery has synced, or after a
+    /// timeout.
     fn in_initial_sync(&self) -> bool {
-        self.decisions.in_initial_sync(self.clock.now()) && !self.discovery.has_synced()
+        !self.discovery.has_synced() && !self.decisions.initial_sync_timed_out(self.clock.now())
     }
 }
 
--- a/crates/platform/src/core/decisions.rs
+++ b/crates/platform/src/core/decisions.rs
@@ -33,9 +33,9 @@
         self.events.push(event);
     }
 
-    /// Whether the initial sync may still wait for discovery.
-    pub fn in_initial_sync(&self, now: Time) -> bool {
-        now < self.initial_sync_until
+    /// Whether the first decision must no longer wait for discovery.
+    pub fn initial_sync_timed_out(&self, now: Time) -> bool {
+        now >= self.initial_sync_until
     }
 
     /// Returns when the initial sync ends at the latest.
@@ -67,8 +67,9 @@
         }
         let mut events = std::mem::take(&mut self.events);
         // The first event of a process is the endpoint list that it has cached.
-        let after_endpoint_list = events.len().min(1);
-        events.splice(after_endpoint_list..after_endpoint_list, recovered);
+        let begins_with_list = matches!(events.first(), Some(Event::EndpointList { .. }));
+        let after_list = usize::from(begins_with_list);
+        events.splice(after_list..after_list, recovered);
         self.dispatcher.decide(now, events)
     }
 
--- a/crates/platform/src/core/decisions/tests.rs
+++ b/crates/platform/src/core/decisions/tests.rs
@@ -44,5 +44,5 @@
     let cycle = cycle();
     let until = NOW + INITIAL_SYNC_TIMEOUT;
     assert_eq!(cycle.initial_sync_until(), until);
-    assert!(cycle.in_initial_sync(until - 1) && !cycle.in_initial_sync(until));
+    assert!(!cycle.initial_sync_timed_out(until - 1) && cycle.initial_sync_timed_out(until));
 }
--- a/crates/platform/src/core/effects.rs
+++ b/crates/platform/src/core/effects.rs
@@ -88,19 +88,19 @@
         self.events.push(event);
     }
 
-    /// Moves closes before all other outputs, so that their slots at the endpoints are free when this
-    /// iteration's attempts arrive. A connect to a connection that is closed in the same iteration is
-    /// dropped.
+    /// Emits closes first to free endpoint slots; drops connects whose connection was closed in the same
+    /// iteration.
     pub fn put_closes_first(&mut self, closed: &[ConnectionId], abandoned: &[ConnectionId]) {
         if closed.is_empty() && abandoned.is_empty() {
             return;
         }
-        let is_moot = |output: &Output| matches!(output, Output::Connect(id, _) if closed.contains(id));
+        let is_closed_connect =
+            |output: &Output| matches!(output, Output::Connect(id, _) if closed.contains(id));
         let mut ordered: Vec<Output> =
             Vec::with_capacity(closed.len() + abandoned.len() + self.outputs.len());
         ordered.extend(closed.iter().copied().map(Output::CloseUpstream));
         ordered.extend(abandoned.iter().copied().map(Output::ShutdownWrite));
-        ordered.extend(self.outputs.drain(..).filter(|output| !is_moot(output)));
+        ordered.extend(self.outputs.drain(..).filter(|output| !is_closed_connect(output)));
         self.outputs = ordered;
     }
 
--- a/crates/platform/src/core/shutdown.rs
+++ b/crates/platform/src/core/shutdown.rs
@@ -1,6 +1,9 @@
 //! The phases of a graceful shutdown, and what ends each of them.
 //!
 //! This is the only module that compares times since the signal; all others query the phase.
+//!
+//! Phases begin by time, but no wake-up of the event loop is scheduled for them. The loop wakes at least
+//! every 100 ms for the sweep of client connections, so that a phase begins up to that much late.
 
 use super::clock::MILLISECOND;
 use linnetcart::Time;
--- a/crates/platform/src/shell/journal.rs
+++ b/crates/platform/src/shell/journal.rs
@@ -23,7 +23,7 @@
     Written,
     /// The file was replaced by a snapshot, which includes all records.
     Replaced,
-    /// Nothing could be written.
+    /// The file had to be replaced by a snapshot and could not be: the records may be missing.
     Failed {
         /// The error of this write.
         error: JournalError,
@@ -32,6 +32,15 @@
     },
 }
 
+/// The size of the file after an append that succeeded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Growth {
+    /// The file is within its growth limit.
+    WithinLimit,
+    /// The file has outgrown its limit and has to be replaced.
+    Outgrown,
+}
+
 /// The journal and its growth.
 pub struct JournalWriter {
     directory: JournalDirectory,
@@ -60,12 +69,15 @@
         self.directory.size()
     }
 
-    /// Writes the records of an iteration. The core's state includes them, so a snapshot also makes up for a
-    /// failed append.
+    /// Writes the records of an iteration: appends them, or replaces the file if that fails or the file has
+    /// outgrown its limit. After a failed write, also an iteration without records replaces the file.
     pub fn write(&mut self, records: &[Record], core: &Core, now: impl FnOnce() -> Time) -> WriteOutcome {
-        if self.unwritable_since.is_none() && (records.is_empty() || self.append(records)) {
+        if self.unwritable_since.is_none()
+            && (records.is_empty() || matches!(self.append(records), Ok(Growth::WithinLimit)))
+        {
             return WriteOutcome::Written;
         }
+        // The core's state already includes these records, so a snapshot replaces a failed append.
         let replaced = replace(&mut self.directory, core);
         let now = now();
         match replaced {
@@ -81,11 +93,14 @@
         }
     }
 
-    /// Returns whether all records are written and the file is within its growth limit.
-    fn append(&mut self, records: &[Record]) -> bool {
+    fn append(&mut self, records: &[Record]) -> Result<Growth, JournalError> {
         let encoded: Vec<RawRecord> = records.iter().map(Record::encode).collect();
-        let written = self.directory.append(encoded.iter().map(record_ref));
-        written.is_ok() && self.directory.size() <= self.base_bytes + self.max_growth_bytes
+        self.directory.append(encoded.iter().map(record_ref))?;
+        if self.directory.size() <= self.base_bytes + self.max_growth_bytes {
+            Ok(Growth::WithinLimit)
+        } else {
+            Ok(Growth::Outgrown)
+        }
     }
 }
 
