Platform: all transitions of an upstream connection in connection.rs, a timeout of its own for abandoned ones

Cause: the pool changed the state of its connections in three modules, and an abandoned connection was bounded by the timeout of a connect. Change: `assign`, `release_unused`, `first_byte` and `abandon` beside `sent` and `make_idle`; the state is private to its module; `Timeouts` names the three limits, of which the one for abandoned connections has the value of the connect timeout, as before. The docs say that a connection is `Connecting` until its first request is queued.

--- a/crates/platform/src/core/connection_pool.rs
+++ b/crates/platform/src/core/connection_pool.rs
@@ -14,7 +14,7 @@
 pub use acquire::Acquired;
 pub use outcome::{FinishedAttempt, LoadReport};
 
-use connection::{Connection, ConnectionState};
+use connection::{Connection, Timeouts};
 
 use super::attempts::AttemptId;
 use linnetcart::{AttemptOutcome, Time};
@@ -53,8 +53,7 @@
 #[derive(Debug)]
 pub struct ConnectionPool {
     capacity: usize,
-    idle_timeout: Time,
-    connect_timeout: Time,
+    timeouts: Timeouts,
     last_id: ConnectionId,
     connections: BTreeMap<ConnectionId, Connection>,
     by_attempt: BTreeMap<AttemptId, ConnectionId>,
@@ -70,10 +69,17 @@
 impl ConnectionPool {
     /// Creates a pool of at most `capacity` connections.
     pub fn new(capacity: usize, settings: &DeploymentSettings) -> ConnectionPool {
+        let endpoint_idle_timeout = settings.settings.idle_timeout;
+        let connect_timeout = settings.settings.connect_timeout;
+        let timeouts = Timeouts {
+            connect: connect_timeout,
+            idle: endpoint_idle_timeout / IDLE_TIMEOUT_DENOMINATOR * IDLE_TIMEOUT_NUMERATOR,
+            // No setting of its own: the answer is awaited for as long as a new connection may take.
+            abandoned: connect_timeout,
+        };
         ConnectionPool {
             capacity,
-            idle_timeout: settings.settings.idle_timeout / IDLE_TIMEOUT_DENOMINATOR * IDLE_TIMEOUT_NUMERATOR,
-            connect_timeout: settings.settings.connect_timeout,
+            timeouts,
             last_id: 1,
             connections: BTreeMap::new(),
             by_attempt: BTreeMap::new(),
@@ -110,7 +116,8 @@
         std::mem::take(&mut self.connected)
     }
 
-    /// Records an established connection. The next iteration uses it.
+    /// Records an established connection. The next iteration queues the request of its attempt, if that is
+    /// still to be sent; the connection keeps its state until then.
     pub fn connected(&mut self, id: ConnectionId) {
         self.connected.push(id);
     }
@@ -139,7 +146,7 @@
     }
 
     /// Cancels an attempt. If its request was queued, an answer may be on its way, and a Retry-After in that
-    /// answer has to be respected: the connection is read for another connect timeout.
+    /// answer has to be respected: the connection is read until its timeout.
     pub fn cancel(&mut self, attempt: AttemptId, now: Time) -> Cancelled {
         let Some(&id) = self.by_attempt.get(&attempt) else { return Cancelled::Unsent };
         let Some(connection) = self.connections.get_mut(&id) else { return Cancelled::Unsent };
@@ -147,8 +154,7 @@
             self.close(id);
             return Cancelled::Unsent;
         }
-        connection.state = ConnectionState::Abandoned { attempt, since: now };
-        connection.attempt = None;
+        connection.abandon(attempt, now);
         self.by_attempt.remove(&attempt);
         self.abandoned.push(id);
         Cancelled::Abandoned
@@ -157,21 +163,14 @@
     /// Releases the connection of an attempt that was not sent, for use by another attempt.
     pub fn release_unused(&mut self, attempt: AttemptId, now: Time) {
         let Some(id) = self.by_attempt.remove(&attempt) else { return };
-        let Some(connection) = self.connections.get_mut(&id) else { return };
-        let since = match connection.state {
-            ConnectionState::Idle { since } => since,
-            _ => now,
-        };
-        connection.state = ConnectionState::Idle { since };
-        connection.attempt = None;
-        connection.idle_before = None;
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.release_unused(now);
+        }
     }
 
     /// Closes all idle connections to an endpoint.
     pub fn close_idle(&mut self, endpoint: u32) {
-        let is_idle = |connection: &Connection| {
-            connection.endpoint == endpoint && matches!(connection.state, ConnectionState::Idle { .. })
-        };
+        let is_idle = |connection: &Connection| connection.endpoint == endpoint && connection.is_idle();
         let idle: Vec<ConnectionId> = self
             .connections
             .iter()
@@ -202,7 +201,7 @@
         } else {
             AttemptOutcome::Reset
         };
-        if connection.state == (ConnectionState::InUse { first_byte_at: None }) {
+        if connection.awaits_first_byte() {
             self.reuse_policy.record_call(now, connection.idle_before, CallResult::Lost);
         }
         let attempt = self.close(id)?;
@@ -213,7 +212,7 @@
     pub fn close_overdue(&mut self, now: Time) -> Vec<FinishedAttempt> {
         let mut overdue = Vec::new();
         for (&id, connection) in &self.connections {
-            if connection.deadline(self.idle_timeout, self.connect_timeout) <= now {
+            if connection.deadline(self.timeouts) <= now {
                 overdue.push((id, connection.outcome_when_overdue()));
             }
         }
@@ -228,7 +227,7 @@
 
     /// Returns the earliest deadline of a connection; [`Time::MAX`] for none.
     pub fn next_deadline(&self) -> Time {
-        let deadline = |connection: &Connection| connection.deadline(self.idle_timeout, self.connect_timeout);
+        let deadline = |connection: &Connection| connection.deadline(self.timeouts);
         self.connections.values().map(deadline).min().unwrap_or(Time::MAX)
     }
 
--- a/crates/platform/src/core/connection_pool/acquire.rs
+++ b/crates/platform/src/core/connection_pool/acquire.rs
@@ -35,7 +35,7 @@
 impl EvictionOrder {
     /// Returns `None` for a connection that must not be evicted.
     fn of(connection: &Connection) -> Option<EvictionOrder> {
-        match connection.state {
+        match *connection.state() {
             ConnectionState::Abandoned { since, .. } => Some(EvictionOrder::Abandoned { since }),
             ConnectionState::Idle { since } => Some(EvictionOrder::Idle { since }),
             ConnectionState::Connecting { .. } | ConnectionState::InUse { .. } => None,
@@ -69,14 +69,13 @@
         now: Time,
     ) -> Option<ConnectionId> {
         let IdleConnection { idle_since, id } = self.last_used_idle(endpoint, address, now)?;
-        let idle = now - idle_since;
-        if !self.reuse_policy.may_reuse(now, idle) {
+        let idle_time = now - idle_since;
+        if !self.reuse_policy.may_reuse(now, idle_time) {
             self.close(id);
             return None;
         }
         let connection = self.connections.get_mut(&id)?;
-        connection.attempt = Some(attempt);
-        connection.idle_before = Some(idle);
+        connection.assign(attempt, idle_time);
         self.by_attempt.insert(attempt, id);
         Some(id)
     }
@@ -87,7 +86,7 @@
             if connection.endpoint != endpoint || connection.address != address {
                 continue;
             }
-            if let Some(idle_since) = connection.reusable_since(now, self.idle_timeout) {
+            if let Some(idle_since) = connection.reusable_since(now, self.timeouts.idle) {
                 last_used = last_used.max(Some(IdleConnection { idle_since, id }));
             }
         }
--- a/crates/platform/src/core/connection_pool/connection.rs
+++ b/crates/platform/src/core/connection_pool/connection.rs
@@ -1,4 +1,14 @@
-//! One upstream connection and its state.
+//! One upstream connection, its state and every transition of that state.
+//!
+//! | from | event | to |
+//! | --- | --- | --- |
+//! | `Connecting` or `Idle` | the request is queued | `InUse` |
+//! | `Connecting` or `Idle` | the attempt is withheld | `Idle` |
+//! | `InUse` | the first byte of the answer arrives | `InUse` with that time |
+//! | `InUse` | the answer permits another attempt | `Idle` |
+//! | `InUse` | the attempt is cancelled | `Abandoned` |
+//!
+//! Any state ends when the pool closes the connection.
 
 use crate::core::attempts::AttemptId;
 use crate::core::clock::MILLISECOND;
@@ -14,10 +24,22 @@
 /// Time limit for the remaining bytes of any other answer. After it, the answer counts as damaged.
 const RESPONSE_COMPLETION_TIMEOUT: Time = 1000 * MILLISECOND;
 
+/// How long a connection may remain in a state.
+#[derive(Clone, Copy, Debug)]
+pub struct Timeouts {
+    /// Time limit for a connect.
+    pub connect: Time,
+    /// How long a connection may be idle.
+    pub idle: Time,
+    /// How long the answer to an abandoned attempt is awaited.
+    pub abandoned: Time,
+}
+
 /// The state of a connection.
 #[derive(Debug, PartialEq, Eq)]
 pub enum ConnectionState {
-    /// The connection is being established for an attempt.
+    /// The connection is being established for an attempt, or is established and the next iteration queues
+    /// the request.
     Connecting {
         /// When the connect began.
         since: Time,
@@ -27,7 +49,8 @@
         /// When the first byte of the answer arrived; `None` before.
         first_byte_at: Option<Time>,
     },
-    /// No attempt is assigned to the connection.
+    /// No request is outstanding. Within an iteration, an attempt may be assigned whose request is not queued
+    /// yet.
     Idle {
         /// When the connection became idle.
         since: Time,
@@ -48,8 +71,8 @@
     pub endpoint: u32,
     /// The endpoint's address when the connect began.
     pub address: SocketAddr,
-    /// The state of the connection.
-    pub state: ConnectionState,
+    /// The state of the connection; changed only by this module.
+    state: ConnectionState,
     /// The attempt that the connection is assigned to.
     pub attempt: Option<AttemptId>,
     /// The bytes of the answer that have arrived.
@@ -77,7 +100,12 @@
         }
     }
 
-    /// Whether the connection is being established.
+    /// Returns the state of the connection.
+    pub fn state(&self) -> &ConnectionState {
+        &self.state
+    }
+
+    /// Whether the connection is being established, or is established and no request was queued yet.
     pub fn is_connecting(&self) -> bool {
         matches!(self.state, ConnectionState::Connecting { .. })
     }
@@ -87,6 +115,16 @@
         matches!(self.state, ConnectionState::InUse { .. })
     }
 
+    /// Whether no request is outstanding.
+    pub fn is_idle(&self) -> bool {
+        matches!(self.state, ConnectionState::Idle { .. })
+    }
+
+    /// Whether a request is queued and no byte of its answer has arrived.
+    pub fn awaits_first_byte(&self) -> bool {
+        self.state == ConnectionState::InUse { first_byte_at: None }
+    }
+
     /// Whether the incomplete answer has a complete status line with status 200.
     pub fn has_success_line(&self) -> bool {
         matches!(parse_response(&self.response), ParsedResponse::Incomplete { ok: true })
@@ -100,6 +138,34 @@
         (settled && since + idle_timeout > now).then_some(since)
     }
 
+    /// Assigns an attempt to an idle connection, which stays idle until the request is queued. `idle_time`
+    /// is how long it has been idle, in nanoseconds.
+    pub fn assign(&mut self, attempt: AttemptId, idle_time: Time) {
+        self.attempt = Some(attempt);
+        self.idle_before = Some(idle_time);
+    }
+
+    /// Releases the connection from an attempt whose request was not queued. If it was idle before, it remains
+    /// idle since the same time.
+    pub fn release_unused(&mut self, now: Time) {
+        if !self.is_idle() {
+            self.state = ConnectionState::Idle { since: now };
+        }
+        self.attempt = None;
+        self.idle_before = None;
+    }
+
+    /// Records the time of the first byte of an answer.
+    pub fn first_byte(&mut self, now: Time) {
+        self.state = ConnectionState::InUse { first_byte_at: Some(now) };
+    }
+
+    /// Abandons an attempt that was cancelled after its request was queued.
+    pub fn abandon(&mut self, attempt: AttemptId, now: Time) {
+        self.state = ConnectionState::Abandoned { attempt, since: now };
+        self.attempt = None;
+    }
+
     /// Records that a request of `length` bytes was queued.
     pub fn sent(&mut self, length: usize) {
         self.queued_bytes += length as u64;
@@ -117,13 +183,12 @@
     }
 
     /// Returns when the connection has to leave its present state; [`Time::MAX`] for no limit.
-    pub fn deadline(&self, idle_timeout: Time, connect_timeout: Time) -> Time {
+    pub fn deadline(&self, timeouts: Timeouts) -> Time {
         match self.state {
-            ConnectionState::Connecting { since } | ConnectionState::Abandoned { since, .. } => {
-                since + connect_timeout
-            }
+            ConnectionState::Connecting { since } => since + timeouts.connect,
+            ConnectionState::Abandoned { since, .. } => since + timeouts.abandoned,
             ConnectionState::Idle { since } if self.body_remaining > 0 => since + SUCCESS_COMPLETION_TIMEOUT,
-            ConnectionState::Idle { since } => since + idle_timeout,
+            ConnectionState::Idle { since } => since + timeouts.idle,
             ConnectionState::InUse { first_byte_at: None } => Time::MAX,
             ConnectionState::InUse { first_byte_at: Some(at) } if self.has_success_line() => {
                 at + SUCCESS_COMPLETION_TIMEOUT
--- a/crates/platform/src/core/connection_pool/receive.rs
+++ b/crates/platform/src/core/connection_pool/receive.rs
@@ -18,7 +18,7 @@
         settings: &DeploymentSettings,
     ) -> Option<FinishedAttempt> {
         let connection = self.connections.get_mut(&id)?;
-        match connection.state {
+        match *connection.state() {
             ConnectionState::Abandoned { attempt, .. } => {
                 connection.response.extend_from_slice(bytes);
                 self.late_response(id, attempt, settings)
@@ -34,7 +34,7 @@
             }
             ConnectionState::InUse { first_byte_at } => {
                 if first_byte_at.is_none() {
-                    connection.state = ConnectionState::InUse { first_byte_at: Some(now) };
+                    connection.first_byte(now);
                     self.reuse_policy.record_call(now, connection.idle_before, CallResult::Answered);
                 }
                 connection.response.extend_from_slice(bytes);
