Platform: a client's connection has a stage in place of one time with three meanings

Cause: `since` was when the connection was accepted, was last answered or began its request, and `had_answer` and the buffered bytes told which. Change: `ClientStage` (first request, idle, further request), each with its own time, and `EvictionOrder`; they and the timeouts are in client_connections/connection.rs. The conditions of eviction and timeout are the same.

--- a/crates/platform/src/core/client_connections.rs
+++ b/crates/platform/src/core/client_connections.rs
@@ -1,8 +1,14 @@
 //! Client connections: the framing of their requests, idle timeouts and eviction.
 //!
-//! This module owns the connections and their timeouts. It never interprets the content of a request.
+//! This module owns the connections and their timeouts; the stage of a single one is in `connection`. It never
+//! interprets the content of a request.
+
+mod connection;
+
+pub use connection::IdlePolicy;
 
 use super::clock::MILLISECOND;
+use connection::ClientConnection;
 use linnetcart::Time;
 use linnetcart_http::{parse_request, Request, RequestError};
 use std::collections::{BTreeMap, BTreeSet};
@@ -10,56 +16,9 @@
 /// Identifies a client's connection; assigned by the shell.
 pub type ClientId = u64;
 
-/// Time limit for a request: the first one counts from the connection, any other from its first byte.
-const REQUEST_TIMEOUT: Time = 2000 * MILLISECOND;
-/// A connection that was answered and is idle is closed after this time.
-const IDLE_TIMEOUT: Time = 10_000 * MILLISECOND;
-/// A new connection is given this long to send its first request even when idle connections are being closed.
-const FIRST_REQUEST_GRACE: Time = 200 * MILLISECOND;
-/// An idle connection may be evicted after this time when a new one needs its place.
-const EVICTABLE_IDLE_TIME: Time = 2000 * MILLISECOND;
 /// Interval of the search for connections that have timed out.
 const SWEEP_INTERVAL: Time = 100 * MILLISECOND;
 
-/// A client's connection.
-#[derive(Debug)]
-struct ClientConnection {
-    /// When the connection was accepted, was last answered or began its present request, whichever was last.
-    since: Time,
-    last_byte_at: Time,
-    request: Vec<u8>,
-    had_answer: bool,
-    /// A complete request was read and is not answered yet.
-    awaits_answer: bool,
-}
-
-impl ClientConnection {
-    fn new(now: Time) -> ClientConnection {
-        ClientConnection {
-            since: now,
-            last_byte_at: now,
-            request: vec![],
-            had_answer: false,
-            awaits_answer: false,
-        }
-    }
-
-    fn is_evictable(&self, now: Time) -> bool {
-        !self.awaits_answer && (!self.had_answer || self.since + EVICTABLE_IDLE_TIME <= now)
-    }
-
-    fn is_overdue(&self, now: Time, idle: IdlePolicy) -> bool {
-        if self.awaits_answer {
-            return false;
-        }
-        let is_silent = self.request.is_empty();
-        let timeout = if self.had_answer && is_silent { IDLE_TIMEOUT } else { REQUEST_TIMEOUT };
-        let may_send_first_request = !self.had_answer && now < self.since + FIRST_REQUEST_GRACE;
-        let is_idle = is_silent && !may_send_first_request;
-        self.since + timeout <= now || (idle == IdlePolicy::Close && is_idle)
-    }
-}
-
 /// The request in the buffered bytes of a connection.
 #[derive(Debug, PartialEq, Eq)]
 pub enum RequestEvent<'a> {
@@ -82,15 +41,6 @@
     Malformed,
 }
 
-/// How idle connections are treated.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum IdlePolicy {
-    /// Idle connections are closed after their timeout.
-    Keep,
-    /// Idle connections are closed at once.
-    Close,
-}
-
 /// A connection that has timed out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OverdueClient {
@@ -154,7 +104,7 @@
             .connections
             .iter()
             .filter(|(id, client)| client.is_evictable(now) && !has_unread_bytes(id, client));
-        let longest = candidates.min_by_key(|(&id, client)| (client.had_answer, client.since, id));
+        let longest = candidates.min_by_key(|(&id, client)| (client.eviction_order(), id));
         longest.map(|(&id, _)| id)
     }
 
@@ -177,11 +127,7 @@
     /// Buffers received bytes.
     pub fn receive(&mut self, id: ClientId, bytes: &[u8], now: Time) -> Received {
         let Some(client) = self.connections.get_mut(&id) else { return Received::Buffered };
-        if client.request.is_empty() && client.had_answer {
-            client.since = now;
-        }
-        client.last_byte_at = now;
-        client.request.extend_from_slice(bytes);
+        client.receive(bytes, now);
         self.unread.insert(id);
         match parse_request(&client.request) {
             Ok(_) => Received::Buffered,
@@ -220,10 +166,7 @@
     /// Records that the connection's request was answered.
     pub fn answered(&mut self, id: ClientId, now: Time) {
         if let Some(client) = self.connections.get_mut(&id) {
-            client.since = now;
-            client.had_answer = true;
-            client.awaits_answer = false;
-            client.request = Vec::new();
+            client.answered(now);
         }
     }
 
--- a/crates/platform/src/core/client_connections/tests.rs
+++ b/crates/platform/src/core/client_connections/tests.rs
@@ -1,5 +1,6 @@
 //! Eviction and timeouts of client connections.
 
+use super::connection::{EVICTABLE_IDLE_TIME, FIRST_REQUEST_GRACE, IDLE_TIMEOUT, REQUEST_TIMEOUT};
 use super::OverdueClient::{Idle, InRequest};
 use super::*;
 
