Platform: a test and a comment on a notification's answer with Connection: close

Cause: after such an answer the notifier schedules a new connect while it still has the id of the old connection. Who closes the old one was written nowhere. Change: the comment says so, and a test shows it: the next connect replaces the id, the core never closes the old connection, and nothing that arrives on it concerns the new one. If discovery announced the close and did not carry it out, the file descriptor would stay in use until the end of the process; that is unchanged. New test: notification_answer_with_close_leaves_old_connection_to_discovery.

--- a/crates/platform/src/core/client_connections.rs
+++ b/crates/platform/src/core/client_connections.rs
@@ -1,7 +1,7 @@
 //! Client connections: the framing of their requests, idle timeouts and eviction.
 //!
-//! This module owns the connections and their timeouts; the stage of a single one is in `connection`. It never
-//! interprets the content of a request.
+//! This module owns the connections and their timeouts; the stage of a single one is in `connection`. It
+//! never interprets the content of a request.
 
 mod connection;
 
--- a/crates/platform/src/core/connection_pool/connection.rs
+++ b/crates/platform/src/core/connection_pool/connection.rs
@@ -145,8 +145,8 @@
         self.idle_before = Some(idle_time);
     }
 
-    /// Releases the connection from an attempt whose request was not queued. If it was idle before, it remains
-    /// idle since the same time.
+    /// Releases the connection from an attempt whose request was not queued. If it was idle before, it
+    /// remains idle since the same time.
     pub fn release_unused(&mut self, now: Time) {
         if !self.is_idle() {
             self.state = ConnectionState::Idle { since: now };
--- a/crates/platform/src/core/status_notifier.rs
+++ b/crates/platform/src/core/status_notifier.rs
@@ -260,6 +260,8 @@
         };
         self.reconnect.reset_backoff();
         let messages = self.finish_batch(verdict);
+        // Discovery announced that it closes this connection, so the notifier does not: the next connect
+        // replaces its id, and the connection ends when discovery closes it.
         if head.persistence == Persistence::Close {
             self.reconnect.schedule_retry(0);
         }
--- a/crates/platform/src/core/tests/notifications.rs
+++ b/crates/platform/src/core/tests/notifications.rs
@@ -100,3 +100,30 @@
     let rejected = CoreEvent::NotificationRejected { message: "b".into() };
     assert!(harness.core.take_events().contains(&rejected), "the rejected message is named");
 }
+
+#[test]
+fn notification_answer_with_close_leaves_old_connection_to_discovery() {
+    let mut harness = Harness::new();
+    for id in ["a", "b"] {
+        harness.submit("order", id, "");
+    }
+    let attempts = harness.attempts();
+    let failed = b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n";
+    harness.respond(attempts[0].connection, failed);
+    let first = harness.connect_discovery();
+    // The second notification is queued while the first is not answered.
+    harness.respond(attempts[1].connection, failed);
+    harness.respond(first, b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+    let second = harness.connect_discovery();
+    harness.respond(second, b"HTTP/1.1 204 No Content\r\n\r\n");
+    let connections: Vec<ConnectionId> =
+        harness.notifications().iter().map(|batch| batch.connection).collect();
+    assert_eq!((connections, harness.core.sizes().unacknowledged), (vec![first, second], 0));
+    harness.run_for(5 * SECOND);
+    assert!(!harness.closed.contains(&first), "discovery announced that it closes the connection");
+    // Neither bytes nor the end of the old connection concern the new one.
+    harness.respond(first, b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n");
+    harness.core.upstream_disconnected(first, 0);
+    harness.process();
+    assert!(!harness.closed.contains(&second) && harness.core.notifier.owns(second));
+}
