Platform: closing a connection to discovery in one place, and a rejected notification in a function

Cause: five places output the close of a connection to discovery, and `notifier_received` nested three conditions. Change: `close_to_discovery` beside `connect_to_discovery`, and `report_rejected_notification`; doc comments on the entry points. The two polls stay apart: what they do between their demands differs.

--- a/crates/platform/src/core/discovery_traffic.rs
+++ b/crates/platform/src/core/discovery_traffic.rs
@@ -16,11 +16,11 @@
         }
         let watch_connection = self.discovery.change_address(address);
         let notifier_connection = self.notifier.restart();
-        for id in [watch_connection, notifier_connection].into_iter().flatten() {
-            self.effects.output(Output::CloseUpstream(id));
-        }
+        self.close_to_discovery(watch_connection);
+        self.close_to_discovery(notifier_connection);
     }
 
+    /// Handles bytes of the watch.
     pub(super) fn watch_received(&mut self, id: ConnectionId, bytes: &[u8]) {
         let progress = self.discovery.receive(self.clock.now(), bytes);
         for event in &progress.events {
@@ -28,11 +28,12 @@
         }
         if let Some(error) = progress.error {
             self.effects.event(CoreEvent::WatchFailed(error));
-            self.effects.output(Output::CloseUpstream(id));
+            self.close_to_discovery(Some(id));
             self.discovery.disconnected(self.clock.now());
         }
     }
 
+    /// Applies an event of the watch, and closes idle connections to endpoints that it makes stale.
     pub(super) fn apply_watch_event(&mut self, event: &WatchEvent) {
         let update = self.discovery.apply(event, &self.settings, self.clock.now());
         self.decisions.push(update.event);
@@ -41,27 +42,32 @@
         }
     }
 
+    /// Handles bytes of an answer to status notifications.
     pub(super) fn notifier_received(&mut self, id: ConnectionId, bytes: &[u8]) {
         let acknowledged = match self.notifier.receive(bytes) {
             Ok(acknowledged) => acknowledged,
             Err(error) => {
                 self.effects.event(CoreEvent::NotificationsFailed(error));
-                self.effects.output(Output::CloseUpstream(id));
+                self.close_to_discovery(Some(id));
                 self.notifier.disconnected(self.clock.now());
                 return;
             }
         };
         for number in acknowledged.messages {
             if acknowledged.verdict == Verdict::Rejected {
-                if let Some(rejected) = self.in_flight.get(number) {
-                    let message = rejected.message().id_text().into_owned();
-                    self.effects.event(CoreEvent::NotificationRejected { message });
-                }
+                self.report_rejected_notification(number);
             }
             self.acknowledge(number);
         }
     }
 
+    fn report_rejected_notification(&mut self, number: u32) {
+        if let Some(rejected) = self.in_flight.get(number) {
+            let message = rejected.message().id_text().into_owned();
+            self.effects.event(CoreEvent::NotificationRejected { message });
+        }
+    }
+
     /// Handles the end of a connection to discovery. Returns `false` if the connection is not one of these.
     pub(super) fn discovery_disconnected(&mut self, id: ConnectionId) -> bool {
         if self.discovery.owns(id) {
@@ -74,6 +80,7 @@
         true
     }
 
+    /// Opens the watch, or closes it if it is silent.
     pub(super) fn poll_discovery(&mut self) {
         match self.discovery.poll(self.clock.now()) {
             ConnectionDemand::Nothing => {}
@@ -83,13 +90,13 @@
             }
             ConnectionDemand::Close => {
                 self.effects.event(CoreEvent::WatchSilent);
-                if let Some(id) = self.discovery.take_connection() {
-                    self.effects.output(Output::CloseUpstream(id));
-                }
+                let connection = self.discovery.take_connection();
+                self.close_to_discovery(connection);
             }
         }
     }
 
+    /// Connects for status notifications, closes a connection that timed out, and sends the next batch.
     pub(super) fn poll_notifier(&mut self) {
         match self.notifier.poll(self.clock.now()) {
             ConnectionDemand::Nothing => {}
@@ -99,9 +106,8 @@
             }
             ConnectionDemand::Close => {
                 self.effects.event(CoreEvent::NotificationsTimedOut);
-                if let Some(id) = self.notifier.take_connection() {
-                    self.effects.output(Output::CloseUpstream(id));
-                }
+                let connection = self.notifier.take_connection();
+                self.close_to_discovery(connection);
             }
         }
         if let Some(request) = self.notifier.next_request(self.clock.now(), self.discovery.address()) {
@@ -114,4 +120,11 @@
         self.effects.output(Output::Connect(id, self.discovery.address()));
         id
     }
+
+    /// Closes a connection to discovery, if there is one.
+    fn close_to_discovery(&mut self, connection: Option<ConnectionId>) {
+        if let Some(id) = connection {
+            self.effects.output(Output::CloseUpstream(id));
+        }
+    }
 }
