--- a/crates/platform/src/core/connection_pool/receive.rs
+++ b/crates/platform/src/core/connection_pool/receive.rs
@@ -18,7 +18,7 @@
         settings: &DeploymentSettings,
     ) -> Option<FinishedAttempt> {
         let connection = self.connections.get_mut(&id)?;
-        match connection.state {
+        match *connection.state() {
             ConnectionState::Abandoned { attempt, .. } => {
                 connection.response.extend_from_slice(bytes);
                 self.late_response(id, attempt, settings)
@@ -34,7 +34,7 @@
             }
             ConnectionState::InUse { first_byte_at } => {
                 if first_byte_at.is_none() {
-                    connection.state = ConnectionState::InUse { first_byte_at: Some(now) };
+                    connection.first_byte(now);
                     self.reuse_policy.record_call(now, connection.idle_before, CallResult::Answered);
                 }
                 connection.response.extend_from_slice(bytes);
@@ -94,7 +94,7 @@
             outcome: meaning.outcome,
             message_completed: meaning.message_completed,
             load,
-            abandoned_at: None,
+            abandoned_endpoint: None,
         })
     }
 
@@ -123,6 +123,10 @@
         if !matches!(outcome, AttemptOutcome::Rejected { .. } | AttemptOutcome::Served) {
             return None;
         }
-        Some(FinishedAttempt { load, abandoned_at: Some(endpoint), ..FinishedAttempt::new(attempt, outcome) })
+        Some(FinishedAttempt {
+            load,
+            abandoned_endpoint: Some(endpoint),
+            ..FinishedAttempt::new(attempt, outcome)
+        })
     }
 }
--- a/crates/platform/src/core/in_flight.rs
+++ b/crates/platform/src/core/in_flight.rs
@@ -4,7 +4,7 @@
 //! journal. It reads no clock.
 
 use super::attempts::AttemptId;
-use crate::records::{FinalOutcome, Message, PendingMessage, SentAttempt};
+use crate::records::{Completion, FinalOutcome, Message, PendingMessage, SentAttempt};
 use linnetcart::{AttemptOutcome, Time};
 use linnetcart_courier_common::MessageNumbers;
 use std::collections::{BTreeMap, HashMap};
@@ -26,44 +26,23 @@
 
 /// A message without a final outcome that was found by its id.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct OpenMessage {
+pub struct UncompletedMessage {
     /// The message's number.
     pub number: u32,
     /// Whether it is the message whose id was looked up.
     pub id_match: IdMatch,
 }
 
-/// Whether a message has its final outcome.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Completion {
-    /// The message has no final outcome.
-    Open,
-    /// The message is returned: its sender may submit it again.
-    Returned,
-    /// The message is delivered or failed.
-    Final,
-}
-
-impl From<FinalOutcome> for Completion {
-    fn from(outcome: FinalOutcome) -> Completion {
-        match outcome {
-            FinalOutcome::Returned { .. } => Completion::Returned,
-            FinalOutcome::Delivered | FinalOutcome::Failed => Completion::Final,
-        }
-    }
-}
-
 /// A message in flight: it has no final outcome, has attempts in flight, or has an outcome that the platform
 /// has not acknowledged.
 #[derive(Debug)]
 pub struct InFlightMessage {
     /// The state that the journal has of the message.
     pub pending: PendingMessage,
-    /// The message's deadline.
+    /// The message's deadline; monotonic time, unlike [`Message::wall_deadline`].
     pub deadline: Time,
     size_bytes: u64,
     live_attempts: u16,
-    completion: Completion,
 }
 
 impl InFlightMessage {
@@ -72,21 +51,20 @@
         &self.pending.message
     }
 
-    /// Whether the message has no final outcome.
-    pub fn is_open(&self) -> bool {
-        self.completion == Completion::Open
+    /// Whether the message has its final outcome.
+    pub fn is_completed(&self) -> bool {
+        self.pending.completion != Completion::Uncompleted
     }
 
     /// Whether the message is returned, so that its sender may submit it again.
     pub fn is_returned(&self) -> bool {
-        self.completion == Completion::Returned
+        matches!(self.pending.completion.outcome(), Some(FinalOutcome::Returned { .. }))
     }
 
     /// Whether the message is completed, its outcome needs no further notification and no attempt is in
     /// flight.
     fn is_settled(&self) -> bool {
-        let acknowledged = self.pending.outcome == Some(FinalOutcome::Delivered);
-        !self.is_open() && self.live_attempts == 0 && acknowledged
+        matches!(self.pending.completion, Completion::Concluded(_)) && self.live_attempts == 0
     }
 }
 
@@ -95,7 +73,7 @@
 pub struct NewAttempt {
     /// The attempt's id.
     pub id: AttemptId,
-    /// The message's deadline.
+    /// The message's deadline; monotonic time.
     pub message_deadline: Time,
 }
 
@@ -115,7 +93,7 @@
 pub struct InFlightTable {
     messages: BTreeMap<u32, InFlightMessage>,
     /// Numbers of the messages without a final outcome, by id.
-    open_ids: HashMap<Vec<u8>, u32>,
+    uncompleted_ids: HashMap<Vec<u8>, u32>,
     size_bytes: u64,
     max_size_bytes: u64,
     numbers: MessageNumbers,
@@ -127,7 +105,7 @@
     pub fn new(journal_capacity_bytes: u64, next_number: u32) -> InFlightTable {
         InFlightTable {
             messages: BTreeMap::new(),
-            open_ids: HashMap::new(),
+            uncompleted_ids: HashMap::new(),
             size_bytes: 0,
             max_size_bytes: journal_capacity_bytes / CAPACITY_DIVISOR,
             numbers: MessageNumbers::starting_at(next_number),
@@ -140,8 +118,8 @@
     }
 
     /// Returns the number of messages without a final outcome.
-    pub fn open_len(&self) -> usize {
-        self.open_ids.len()
+    pub fn uncompleted_len(&self) -> usize {
+        self.uncompleted_ids.len()
     }
 
     /// Whether a further message fits into the journal.
@@ -159,13 +137,14 @@
         self.messages.iter().map(|(&number, message)| (number, message))
     }
 
-    /// Finds the open message that has the id of the given one. Returns `None` if the id is not in use.
-    pub fn find(&self, message: &Message) -> Option<OpenMessage> {
-        let number = *self.open_ids.get(&message.id)?;
+    /// Finds the uncompleted message that has the id of the given one. Returns `None` if the id is not in
+    /// use.
+    pub fn find(&self, message: &Message) -> Option<UncompletedMessage> {
+        let number = *self.uncompleted_ids.get(&message.id)?;
         let found = self.messages.get(&number);
         let is_same = found.is_some_and(|found| has_same_content(found.message(), message));
         let id_match = if is_same { IdMatch::SameMessage } else { IdMatch::OtherMessage };
-        Some(OpenMessage { number, id_match })
+        Some(UncompletedMessage { number, id_match })
     }
 
     /// Allocates a number that no message in flight has.
@@ -174,15 +153,14 @@
         self.numbers.allocate(|number| messages.contains_key(&number))
     }
 
-    /// Adds a message.
+    /// Adds a message. `deadline` is a monotonic time.
     pub fn insert(&mut self, number: u32, pending: PendingMessage, deadline: Time) {
         let size_bytes = stored_size(&pending.message);
         self.size_bytes += size_bytes;
-        if pending.outcome.is_none() {
-            self.open_ids.insert(pending.message.id.clone(), number);
+        let message = InFlightMessage { pending, deadline, size_bytes, live_attempts: 0 };
+        if !message.is_completed() {
+            self.uncompleted_ids.insert(message.message().id.clone(), number);
         }
-        let completion = pending.outcome.map_or(Completion::Open, Completion::from);
-        let message = InFlightMessage { pending, deadline, size_bytes, live_attempts: 0, completion };
         self.messages.insert(number, message);
     }
 
@@ -202,8 +180,9 @@
         }
     }
 
-    /// Handles the end of an attempt. Returns `None` if there is no such message.
-    pub fn finish_attempt(&mut self, id: AttemptId, outcome: AttemptOutcome) -> Option<AttemptEffect> {
+    /// Records that an attempt ended: it is no longer in flight, and no longer possibly executed if the
+    /// outcome says so. Returns `None` if there is no such message.
+    pub fn attempt_ended(&mut self, id: AttemptId, outcome: AttemptOutcome) -> Option<AttemptEffect> {
         let message = self.messages.get_mut(&id.message)?;
         message.live_attempts -= 1;
         let sent = &mut message.pending.possibly_executed;
@@ -213,7 +192,7 @@
         }
         Some(AttemptEffect {
             ordering_key: message.message().ordering_key,
-            was_completed: !message.is_open(),
+            was_completed: message.is_completed(),
             retracts_sent,
         })
     }
@@ -222,12 +201,11 @@
     /// already.
     pub fn complete(&mut self, number: u32, outcome: FinalOutcome) -> bool {
         let Some(message) = self.messages.get_mut(&number) else { return false };
-        if !message.is_open() {
+        if message.is_completed() {
             return false;
         }
-        message.completion = Completion::from(outcome);
-        message.pending.outcome = Some(outcome);
-        self.open_ids.remove(&message.pending.message.id);
+        message.pending.completion = Completion::from(outcome);
+        self.uncompleted_ids.remove(&message.pending.message.id);
         true
     }
 
@@ -235,13 +213,13 @@
     /// message.
     pub fn acknowledge(&mut self, number: u32) -> Option<&Message> {
         let message = self.messages.get_mut(&number)?;
-        message.pending.outcome = Some(FinalOutcome::Delivered);
+        message.pending.completion.acknowledge();
         Some(message.message())
     }
 
     /// Removes and returns a message if it is settled: completed, acknowledged and without attempts in
     /// flight.
-    pub fn take_settled(&mut self, number: u32) -> Option<InFlightMessage> {
+    pub fn remove_if_settled(&mut self, number: u32) -> Option<InFlightMessage> {
         if self.messages.get(&number)?.is_settled() {
             self.remove(number)
         } else {
@@ -253,8 +231,8 @@
     pub fn remove(&mut self, number: u32) -> Option<InFlightMessage> {
         let message = self.messages.remove(&number)?;
         self.size_bytes -= message.size_bytes;
-        if self.open_ids.get(&message.pending.message.id) == Some(&number) {
-            self.open_ids.remove(&message.pending.message.id);
+        if self.uncompleted_ids.get(&message.pending.message.id) == Some(&number) {
+            self.uncompleted_ids.remove(&message.pending.message.id);
         }
         Some(message)
     }
--- a/crates/platform/src/records/replay.rs
+++ b/crates/platform/src/records/replay.rs
@@ -6,6 +6,46 @@
 use linnetcart_journal::Record as RawRecord;
 use std::collections::{BTreeMap, BTreeSet};
 
+/// How far a message has come to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Completion {
+    /// The message has no final outcome.
+    Uncompleted,
+    /// The message has a final outcome of which the platform is to be notified.
+    AwaitingAcknowledgement(FinalOutcome),
+    /// The message has a final outcome that needs no notification, or no further one: it is delivered, or the
+    /// platform acknowledged the outcome.
+    Concluded(FinalOutcome),
+}
+
+impl From<FinalOutcome> for Completion {
+    fn from(outcome: FinalOutcome) -> Completion {
+        match outcome {
+            FinalOutcome::Delivered => Completion::Concluded(outcome),
+            FinalOutcome::Failed | FinalOutcome::Returned { .. } => {
+                Completion::AwaitingAcknowledgement(outcome)
+            }
+        }
+    }
+}
+
+impl Completion {
+    /// Returns the final outcome, or `None` if the message has none.
+    pub fn outcome(self) -> Option<FinalOutcome> {
+        match self {
+            Completion::Uncompleted => None,
+            Completion::AwaitingAcknowledgement(outcome) | Completion::Concluded(outcome) => Some(outcome),
+        }
+    }
+
+    /// Records that the platform acknowledged the outcome. Has no effect in the other states.
+    pub fn acknowledge(&mut self) {
+        if let Completion::AwaitingAcknowledgement(outcome) = *self {
+            *self = Completion::Concluded(outcome);
+        }
+    }
+}
+
 /// An accepted message that is not completed, or whose outcome the platform has not acknowledged.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PendingMessage {
@@ -15,18 +55,27 @@
     pub attempts: u16,
     /// The attempts that were possibly executed.
     pub possibly_executed: Vec<SentAttempt>,
-    /// The final outcome, if there is one. `Delivered` also stands for any acknowledged outcome.
-    pub outcome: Option<FinalOutcome>,
+    /// Whether the message has its final outcome and the platform has to be notified of it.
+    pub completion: Completion,
 }
 
 impl PendingMessage {
     /// Creates the state of a message without attempts.
     pub fn new(message: Message) -> PendingMessage {
-        PendingMessage { message, attempts: 0, possibly_executed: vec![], outcome: None }
+        PendingMessage {
+            message,
+            attempts: 0,
+            possibly_executed: vec![],
+            completion: Completion::Uncompleted,
+        }
     }
 
-    /// Returns the records that add up to this state.
+    /// Returns the records that add up to this state: none for a concluded message, which is no longer
+    /// pending.
     pub fn records(&self, number: u32) -> Vec<Record> {
+        if matches!(self.completion, Completion::Concluded(_)) {
+            return vec![];
+        }
         let mut records = vec![Record::Accepted { number, message: self.message.clone() }];
         for &attempt in &self.possibly_executed {
             records.push(Record::AttemptSent { message: number, attempt });
@@ -38,7 +87,7 @@
                 records.push(Record::NotExecuted { message: number, attempt: last });
             }
         }
-        if let Some(outcome) = self.outcome {
+        if let Some(outcome) = self.completion.outcome() {
             records.push(Record::Completed { message: number, outcome });
         }
         records
@@ -73,7 +122,7 @@
     pub fn from_records(records: &[RawRecord], classes: &[String], zones: &[String]) -> Replay {
         let mut replayer = Replayer {
             replay: Replay { next_message: 1, ..Replay::default() },
-            settled: BTreeSet::new(),
+            concluded: BTreeSet::new(),
             indexes: None,
             classes,
             zones,
@@ -108,8 +157,8 @@
 
 struct Replayer<'a> {
     replay: Replay,
-    /// Messages that are no longer pending.
-    settled: BTreeSet<u32>,
+    /// Messages that were removed and are no longer pending.
+    concluded: BTreeSet<u32>,
     /// `None` until a record of names was read. Files without names date from when the order in the settings
     /// never changed, so that their indexes are still valid.
     indexes: Option<IndexMap>,
@@ -140,11 +189,11 @@
             }
             Record::Completed { message, outcome: FinalOutcome::Delivered }
             | Record::Notified { message } => {
-                self.settle(message);
+                self.remove_concluded(message);
             }
             Record::Completed { message, outcome } => {
                 if let Some(pending) = self.pending_mut(message) {
-                    pending.outcome = Some(outcome);
+                    pending.completion = Completion::from(outcome);
                 }
             }
         }
@@ -155,7 +204,7 @@
             message.class = translate(&indexes.classes, message.class);
         }
         self.reserve_number(number);
-        if !self.settled.contains(&number) {
+        if !self.concluded.contains(&number) {
             self.replay.pending.entry(number).or_insert(PendingMessage::new(message));
         }
     }
@@ -170,18 +219,18 @@
         }
     }
 
-    /// Removes a message that is no longer pending. Its id is remembered unless it was returned, as a
-    /// returned message may be submitted again as a new one.
-    fn settle(&mut self, message: u32) {
+    /// Removes a message whose outcome needs no further notification. Its id is remembered unless it was
+    /// returned, as a returned message may be submitted again as a new one.
+    fn remove_concluded(&mut self, message: u32) {
         if self.pending_mut(message).is_none() {
             return;
         }
         if let Some(pending) = self.replay.pending.remove(&message) {
-            if !matches!(pending.outcome, Some(FinalOutcome::Returned { .. })) {
+            if !matches!(pending.completion.outcome(), Some(FinalOutcome::Returned { .. })) {
                 self.replay.completed.push(pending.message.completed_id());
             }
         }
-        self.settled.insert(message);
+        self.concluded.insert(message);
     }
 
     /// Returns the pending message that a record refers to. Counts the record as unusable if the message was
@@ -189,7 +238,7 @@
     fn pending_mut(&mut self, message: u32) -> Option<&mut PendingMessage> {
         self.reserve_number(message);
         let pending = self.replay.pending.get_mut(&message);
-        if pending.is_none() && !self.settled.contains(&message) {
+        if pending.is_none() && !self.concluded.contains(&message) {
             self.replay.unusable_records += 1;
         }
         pending
