--- a/crates/platform/src/core/discovery/watch/tests.rs
+++ b/crates/platform/src/core/discovery/watch/tests.rs
@@ -1,4 +1,4 @@
-//! Bytes of the watch that are no events, and its timeouts.
+//! Invalid responses of discovery, and timeouts of the watch.
 
 use super::*;
 
@@ -19,12 +19,12 @@
         (b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", WatchError::Status(200)),
         (b"noise\r\n\r\n", WatchError::Malformed),
     ] {
-        assert_eq!(connected().receive(NOW, answer), WatchProgress::failed(error));
+        assert_eq!(connected().receive(NOW, answer), WatchProgress { events: vec![], error: Some(error) });
     }
 }
 
 #[test]
-fn watch_that_ends_still_yields_its_events() {
+fn watch_ended_still_yields_its_events() {
     let mut watch = connected();
     let event = b"1c\r\n{\"index\":42,\"endpoints\":[]}\n\r\n0\r\n\r\n";
     let progress = watch.receive(NOW, &[HEAD, event].concat());
--- a/crates/platform/src/core/in_flight/tests.rs
+++ b/crates/platform/src/core/in_flight/tests.rs
@@ -1,17 +1,10 @@
 //! Transitions of a message in flight.
 
 use super::*;
+use crate::core::tests::fixtures;
 
 fn message(id: &str) -> Message {
-    Message {
-        id: id.into(),
-        idempotency_key: None,
-        class: 0,
-        destination: 3,
-        ordering_key: 5,
-        deadline: 100,
-        body: b"hi".to_vec(),
-    }
+    Message { ordering_key: 5, wall_deadline: 100, body: b"hi".to_vec(), ..fixtures::message(id) }
 }
 
 fn table_with(numbers: &[u32]) -> InFlightTable {
@@ -23,16 +16,19 @@
 }
 
 #[test]
-fn in_flight_message_settled_once_nothing_owed_or_out() {
+fn in_flight_message_settled_once_acknowledged_without_attempts() {
     let mut table = table_with(&[1]);
     let attempt = table.begin_attempt(1).expect("an attempt");
     assert_eq!(attempt.id, AttemptId { message: 1, number: 0 });
     assert!(table.complete(1, FinalOutcome::Failed) && !table.complete(1, FinalOutcome::Delivered), "once");
     assert_eq!(table.acknowledge(1), Some(&message("m1")));
-    assert!(table.take_settled(1).is_none(), "its attempt is out");
-    table.finish_attempt(attempt.id, AttemptOutcome::Cancelled);
-    assert!(table.take_settled(1).is_some());
-    assert_eq!((table.len(), table.open_len(), table.size_bytes), (0, 0, 0));
+    assert!(table.remove_if_settled(1).is_none(), "its attempt is in flight");
+    let concluded = table.get(1).expect("a message");
+    assert_eq!(concluded.pending.completion, Completion::Concluded(FinalOutcome::Failed));
+    assert_eq!(concluded.pending.records(1), [], "a new journal file does not need it");
+    table.attempt_ended(attempt.id, AttemptOutcome::Cancelled);
+    assert!(table.remove_if_settled(1).is_some());
+    assert_eq!((table.len(), table.uncompleted_len(), table.size_bytes), (0, 0, 0));
 }
 
 #[test]
@@ -47,7 +43,7 @@
         if sent {
             table.attempt_sent(1, SentAttempt { number: 0, zone: 0, sent_at: 0 });
         }
-        let effect = table.finish_attempt(id, outcome);
+        let effect = table.attempt_ended(id, outcome);
         assert_eq!(effect, Some(AttemptEffect { ordering_key: 5, was_completed: false, retracts_sent }));
         let left = table.get(1).expect("a message").pending.possibly_executed.len();
         assert_eq!(left, usize::from(sent && !retracts_sent));
@@ -55,11 +51,14 @@
 }
 
 #[test]
-fn in_flight_id_found_while_open() {
+fn in_flight_id_found_while_uncompleted() {
     let mut table = table_with(&[1]);
-    assert_eq!(table.find(&message("m1")), Some((1, IdMatch::SameMessage)));
+    assert_eq!(
+        table.find(&message("m1")),
+        Some(UncompletedMessage { number: 1, id_match: IdMatch::SameMessage })
+    );
     let other = Message { body: b"ho".to_vec(), ..message("m1") };
-    assert_eq!(table.find(&other), Some((1, IdMatch::OtherMessage)));
+    assert_eq!(table.find(&other), Some(UncompletedMessage { number: 1, id_match: IdMatch::OtherMessage }));
     assert_eq!(table.find(&message("m2")), None);
     table.complete(1, FinalOutcome::Returned { retry_after_ms: 0 });
     assert_eq!(table.find(&message("m1")), None, "it may be submitted again");
@@ -67,7 +66,7 @@
 }
 
 #[test]
-fn in_flight_number_in_use_passed_over() {
+fn in_flight_number_in_use_skipped() {
     let mut table = table_with(&[1, 2]);
     assert_eq!((table.allocate_number(), table.allocate_number()), (3, 4));
 }
--- a/crates/platform/src/core/recovery.rs
+++ b/crates/platform/src/core/recovery.rs
@@ -1,31 +1,32 @@
 //! Recovery: from the journal's records to state, and from state to the records of a new file.
 //!
-//! It also keeps account of the messages that an earlier process left, until each untried one was sent or given up.
+//! It also counts the messages of a previous process until each untried one was attempted or given up.
 
 use super::clock::Clock;
 use super::counters::RecoveryCounts;
+use super::decisions::accepted_message;
 use super::effects::CoreEvent;
 use super::in_flight::InFlightMessage;
 use super::Core;
-use crate::records::{FinalOutcome, PendingMessage, Record, Replay};
-use linnetcart::{AcceptedMessage, Event, UnresolvedAttempt};
+use crate::records::{Completion, FinalOutcome, PendingMessage, Record, Replay};
+use linnetcart::{Event, UnresolvedAttempt};
 use std::collections::BTreeSet;
 
-/// Messages of an earlier process.
+/// Messages that a previous process accepted.
 #[derive(Debug, Default)]
 pub struct Recovery {
-    /// Those that the decision library does not know of yet.
+    /// Messages that the decision library does not know yet.
     undecided: Vec<u32>,
-    /// Those that were certainly never executed, and are neither sent nor completed in this process.
+    /// Messages that were certainly never executed and are neither attempted nor completed by this process.
     untried: BTreeSet<u32>,
     counts: RecoveryCounts,
 }
 
 impl Recovery {
-    /// Takes account of a message.
+    /// Counts a recovered message.
     fn add(&mut self, number: u32, pending: &PendingMessage) {
         self.counts.recovered += 1;
-        if pending.outcome.is_some() {
+        if pending.completion != Completion::Uncompleted {
             return;
         }
         self.undecided.push(number);
@@ -35,12 +36,12 @@
         }
     }
 
-    /// Takes the messages that the decision library does not know of yet.
+    /// Takes the messages that the decision library does not know yet.
     pub fn take_undecided(&mut self) -> Vec<u32> {
         std::mem::take(&mut self.undecided)
     }
 
-    /// A message is sent. The counts where it was the last untried one.
+    /// Records that a message was attempted. Returns the counts if it was the last untried message.
     pub fn attempted(&mut self, message: u32) -> Option<RecoveryCounts> {
         if !self.untried.remove(&message) {
             return None;
@@ -49,7 +50,8 @@
         self.untried.is_empty().then_some(self.counts)
     }
 
-    /// A message is completed undelivered. The counts where it was the last untried one.
+    /// Records that a message was completed without delivery. Returns the counts if it was the last untried
+    /// message.
     pub fn given_up(&mut self, message: u32) -> Option<RecoveryCounts> {
         if !self.untried.remove(&message) {
             return None;
@@ -58,13 +60,13 @@
         self.untried.is_empty().then_some(self.counts)
     }
 
-    /// The counts.
+    /// Returns the counts.
     pub fn counts(&self) -> RecoveryCounts {
         self.counts
     }
 }
 
-/// The event for the decision library of a message that an earlier process left, as it is now.
+/// Returns the event by which the decision library learns of a recovered message in its present state.
 pub fn recovered_event(number: u32, message: &InFlightMessage, clock: Clock) -> Event {
     let mut unresolved = Vec::new();
     for attempt in &message.pending.possibly_executed {
@@ -74,24 +76,19 @@
             age: clock.wall_now().saturating_sub(attempt.sent_at),
         });
     }
-    let accepted = AcceptedMessage {
-        id: number,
-        destination: message.message().destination,
-        class: message.message().class,
-        time_remaining: message.deadline.saturating_sub(clock.now()),
-        ordering_key: message.message().ordering_key,
-        tenant: 0,
-    };
+    let time_remaining = message.deadline.saturating_sub(clock.now());
+    let accepted = accepted_message(number, message.message(), time_remaining);
     Event::Recovered { message: accepted, attempts: message.pending.attempts, unresolved }
 }
 
 impl Core {
-    /// Takes up what the journal holds.
+    /// Restores the state that the journal's records add up to.
     pub(super) fn restore(&mut self, replay: Replay) {
         for completed in replay.completed {
             self.deduplication.insert(completed, self.clock.wall_now());
         }
-        // An endpoint may have seen the end of such an attempt only as the process died: once more from here on.
+        // The cooldown starts again: an endpoint may not have seen the end of the attempt before the previous
+        // process exited.
         for (ordering_key, until) in replay.key_cooldowns {
             if until > self.clock.wall_now() {
                 self.start_key_cooldown(ordering_key);
@@ -103,13 +100,13 @@
     }
 
     fn restore_message(&mut self, number: u32, mut pending: PendingMessage) {
-        let deadline = self.clock.at_wall(pending.message.deadline);
+        let deadline = self.clock.at_wall(pending.message.wall_deadline);
         let class_is_unknown = usize::from(pending.message.class) >= self.settings.class_names.len()
-            && pending.outcome.is_none();
+            && pending.completion == Completion::Uncompleted;
         if class_is_unknown {
             let message = pending.message.id_text().into_owned();
             self.effects.event(CoreEvent::UnknownClass { message });
-            pending.outcome = Some(FinalOutcome::Failed);
+            pending.completion = Completion::from(FinalOutcome::Failed);
             self.effects.record(Record::Completed { message: number, outcome: FinalOutcome::Failed });
         }
         tracing::debug!(
@@ -117,35 +114,34 @@
             number,
             attempts = pending.attempts,
             possibly_executed = pending.possibly_executed.len(),
-            outcome = ?pending.outcome,
+            outcome = ?pending.completion.outcome(),
             time_remaining = deadline - self.clock.now(),
             "message recovered"
         );
         self.recovery.add(number, &pending);
-        // What was out when its process died was reset by that, just now for all we know.
+        // Attempts in flight were reset when the previous process exited, possibly just now.
         if !pending.possibly_executed.is_empty() {
             self.start_key_cooldown(pending.message.ordering_key);
         }
-        if let Some(outcome) = pending.outcome {
+        if let Some(outcome) = pending.completion.outcome() {
             self.notifier.push(number, &pending.message, outcome);
         }
         self.in_flight.insert(number, pending, deadline);
     }
 
-    /// The records that add up to the present state: all that a new file of the journal needs.
+    /// Returns the records that add up to the present state: the content of a new journal file.
     pub fn snapshot(&self) -> Vec<Record> {
         let mut records = vec![Record::Names {
             classes: self.settings.class_names.clone(),
             zones: self.settings.zone_names.clone(),
         }];
         records.extend(self.deduplication.iter().map(Record::CompletedId));
-        for (ordering_key, until) in self.attempts.key_cooldowns.active(self.clock.now()) {
-            records.push(Record::KeyCooldown { ordering_key, until: self.clock.to_wall(until) });
+        for cooldown in self.attempts.key_cooldowns.active(self.clock.now()) {
+            let until = self.clock.to_wall(cooldown.until);
+            records.push(Record::KeyCooldown { ordering_key: cooldown.ordering_key, until });
         }
         for (number, message) in self.in_flight.iter() {
-            if message.pending.outcome != Some(FinalOutcome::Delivered) {
-                records.extend(message.pending.records(number));
-            }
+            records.extend(message.pending.records(number));
         }
         records
     }
--- a/crates/platform/src/core/status_notifier/tests.rs
+++ b/crates/platform/src/core/status_notifier/tests.rs
@@ -1,6 +1,7 @@
 //! Batches, acknowledgements and the ordering keys that wait for them.
 
 use super::*;
+use crate::core::tests::fixtures;
 
 const NOW: Time = 1_000 * MILLISECOND;
 const CONNECTION: ConnectionId = 9;
@@ -12,18 +13,10 @@
 }
 
 fn message(id: &str, ordering_key: u64) -> Message {
-    Message {
-        id: id.into(),
-        idempotency_key: None,
-        class: 0,
-        destination: 3,
-        ordering_key,
-        deadline: 0,
-        body: vec![],
-    }
+    Message { ordering_key, ..fixtures::message(id) }
 }
 
-/// A connected notifier with a failed message for each number.
+/// Returns a connected notifier with a failed message for each number.
 fn notifier_with(numbers: &[u32]) -> StatusNotifier {
     let mut notifier = StatusNotifier::new();
     for &number in numbers {
@@ -36,8 +29,8 @@
 }
 
 fn batch_size(notifier: &mut StatusNotifier) -> usize {
-    let (_, request) = notifier.next_request(NOW, host()).expect("a request");
-    String::from_utf8(request).expect("text").matches("\"id\"").count()
+    let request = notifier.next_request(NOW, host()).expect("a request");
+    String::from_utf8(request.bytes).expect("text").matches("\"id\"").count()
 }
 
 #[test]
@@ -46,12 +39,13 @@
     notifier.push(2, &message("m2", 0), FinalOutcome::Returned { retry_after_ms: 7 });
     notifier.push(3, &message("m3", 0), FinalOutcome::Returned { retry_after_ms: 0 });
     notifier.push(4, &message("m4", 0), FinalOutcome::Delivered);
-    let (connection, request) = notifier.next_request(NOW, host()).expect("a request");
-    assert_eq!(connection, CONNECTION);
+    let request = notifier.next_request(NOW, host()).expect("a request");
+    assert_eq!(request.connection, CONNECTION);
     let expected = "POST /status HTTP/1.1\r\nHost: 127.0.0.1:8500\r\nContent-Type: application/x-ndjson\r\n\
                     Content-Length: 104\r\n\r\n{\"id\":\"m1\",\"state\":\"failed\"}\n\
-                    {\"after_ms\":7,\"id\":\"m2\",\"state\":\"returned\"}\n{\"id\":\"m3\",\"state\":\"returned\"}\n";
-    assert_eq!(String::from_utf8(request).expect("text"), expected);
+                    {\"after_ms\":7,\"id\":\"m2\",\"state\":\"returned\"}\n\
+                    {\"id\":\"m3\",\"state\":\"returned\"}\n";
+    assert_eq!(String::from_utf8(request.bytes).expect("text"), expected);
     assert_eq!(notifier.counts(), NotificationCounts { failed: 1, returned: 2 });
 }
 
@@ -63,7 +57,7 @@
     assert_eq!(notifier.receive(REJECTED), Ok(nothing));
     assert_eq!(batch_size(&mut notifier), 1);
     let first = Acknowledged { messages: vec![1], verdict: Verdict::Rejected };
-    assert_eq!(notifier.receive(REJECTED), Ok(first), "alone at fault, and done with");
+    assert_eq!(notifier.receive(REJECTED), Ok(first), "rejected alone, and not sent again");
     assert_eq!(batch_size(&mut notifier), 1);
     let second = Acknowledged { messages: vec![2], verdict: Verdict::Accepted };
     assert_eq!(notifier.receive(ACCEPTED), Ok(second));
@@ -85,7 +79,7 @@
 }
 
 #[test]
-fn notification_answer_that_is_none_reported() {
+fn notification_answer_invalid_reported() {
     for (answer, error) in [
         (&b"noise\r\n\r\n"[..], NotificationError::Malformed),
         (b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", NotificationError::Status(500)),
@@ -94,7 +88,7 @@
         let mut notifier = notifier_with(&[1]);
         batch_size(&mut notifier);
         assert_eq!(notifier.receive(answer), Err(error));
-        assert_eq!(notifier.len(), 1, "it is still owed");
+        assert_eq!(notifier.len(), 1, "it stays unacknowledged");
     }
 }
 
--- a/crates/platform/src/core/submission.rs
+++ b/crates/platform/src/core/submission.rs
@@ -1,37 +1,38 @@
-//! From a client's bytes to an answer: the part of an iteration that admits messages.
+//! From a client's request to its answer: the part of an iteration that admits messages.
 
-use super::admission::{Answer, Requester};
+use super::admission::{AdmissionDecision, Answer, Requester};
 use super::client_connections::{ClientId, IdlePolicy, OverdueClient, RequestEvent};
+use super::decisions::accepted_message;
 use super::effects::Output;
-use super::in_flight::IdMatch;
+use super::in_flight::{IdMatch, UncompletedMessage};
 use super::request::{parse_submission, RequestError, SubmittedMessage};
 use super::{Core, JournalState};
 use crate::records::{Message, PendingMessage, Record};
-use linnetcart::{AcceptedMessage, Action, Event};
+use linnetcart::Event;
 use linnetcart_http::Persistence;
 
-/// What the id of a submitted message is known for.
+/// What is known of the id of a submitted message.
 enum KnownId {
-    /// The same message is accepted already.
+    /// The same message is already accepted.
     Accepted,
-    /// The same message may yet be rejected by this iteration's decision, and then for all who submitted it.
+    /// The same message awaits this iteration's decision, which answers all requests that submitted it.
     AwaitingDecision {
         /// Its number.
         number: u32,
     },
-    /// Another message has it, or had it.
-    OfOther(RequestError),
+    /// A different message has the id, or had it.
+    OtherMessage(RequestError),
 }
 
 impl Core {
-    /// Acts on what a client sent. A message waits for its decision.
+    /// Handles the request of a client. A submission is answered once its message is decided.
     pub(super) fn read_request(&mut self, client: ClientId) {
         let request = match self.clients.request(client) {
             RequestEvent::Incomplete => return,
             RequestEvent::Malformed(error) => {
-                return self.refuse_request(client, RequestError::Malformed(error));
+                return self.reject_invalid(client, RequestError::Malformed(error));
             }
-            RequestEvent::Pipelined => return self.refuse_request(client, RequestError::Pipelined),
+            RequestEvent::Pipelined => return self.reject_invalid(client, RequestError::Pipelined),
             RequestEvent::Complete(request) => request,
         };
         let requester = Requester { client, persistence: request.persistence };
@@ -41,25 +42,17 @@
         let body = request.body().to_vec();
         match parse_submission(&request, &self.settings) {
             Ok(submitted) => self.submit(requester, submitted, body),
-            Err(error) => self.refuse_request(client, error),
+            Err(error) => self.reject_invalid(client, error),
         }
     }
 
     fn submit(&mut self, requester: Requester, submitted: SubmittedMessage, body: Vec<u8>) {
         if !self.discovery.endpoints().has_destination(submitted.destination) {
-            return self.refuse_request(requester.client, RequestError::UnknownDestination);
+            return self.reject_invalid(requester.client, RequestError::UnknownDestination);
         }
         let submitted_at = self.clients.last_byte_at(requester.client).unwrap_or(self.clock.now());
         let deadline = submitted_at + submitted.time_remaining;
-        let message = Message {
-            id: submitted.id,
-            idempotency_key: submitted.idempotency_key,
-            class: submitted.class,
-            destination: submitted.destination,
-            ordering_key: submitted.ordering_key,
-            deadline: self.clock.to_wall(deadline),
-            body,
-        };
+        let message = submitted.into_message(self.clock.to_wall(deadline), body);
         if let Some(known) = self.find_id(&message) {
             return self.answer_known(requester, known);
         }
@@ -69,31 +62,27 @@
         }
         let number = self.in_flight.allocate_number();
         self.await_decision(number, requester);
-        self.decisions.push(Event::Accepted(AcceptedMessage {
-            id: number,
-            destination: message.destination,
-            class: message.class,
-            time_remaining: deadline.saturating_sub(self.clock.now()),
-            ordering_key: message.ordering_key,
-            tenant: 0,
-        }));
+        let time_remaining = deadline.saturating_sub(self.clock.now());
+        self.decisions.push(Event::Accepted(accepted_message(number, &message, time_remaining)));
         self.in_flight.insert(number, PendingMessage::new(message), deadline);
     }
 
-    /// What a message's id is known for; `None` for one that is new.
+    /// Looks up the id of a message. Returns `None` for a new one.
     fn find_id(&self, message: &Message) -> Option<KnownId> {
         match self.deduplication.find(message) {
             Some(IdMatch::SameMessage) => return Some(KnownId::Accepted),
-            Some(IdMatch::OtherMessage) => return Some(KnownId::OfOther(RequestError::IdOfCompletedMessage)),
+            Some(IdMatch::OtherMessage) => {
+                return Some(KnownId::OtherMessage(RequestError::IdOfCompletedMessage))
+            }
             None => {}
         }
-        let (number, id_match) = self.in_flight.find(message)?;
+        let UncompletedMessage { number, id_match } = self.in_flight.find(message)?;
         Some(match id_match {
             IdMatch::SameMessage if self.admission.awaits_decision(number) => {
                 KnownId::AwaitingDecision { number }
             }
             IdMatch::SameMessage => KnownId::Accepted,
-            IdMatch::OtherMessage => KnownId::OfOther(RequestError::IdInUse),
+            IdMatch::OtherMessage => KnownId::OtherMessage(RequestError::IdInUse),
         })
     }
 
@@ -101,26 +90,27 @@
         match known {
             KnownId::Accepted => self.answer(requester, Answer::Accepted),
             KnownId::AwaitingDecision { number } => self.await_decision(number, requester),
-            KnownId::OfOther(error) => self.refuse_request(requester.client, error),
+            KnownId::OtherMessage(error) => self.reject_invalid(requester.client, error),
         }
     }
 
-    /// Whether one more message may be accepted, as far as the table and the journal are concerned.
+    /// Whether the table and the journal have capacity for one more message.
     fn has_capacity_for(&self, message: &Message) -> bool {
-        let max_open = self.settings.settings.max_in_flight_messages as usize;
-        self.in_flight.open_len() < max_open
+        let max_uncompleted = self.settings.settings.max_in_flight_messages as usize;
+        self.in_flight.uncompleted_len() < max_uncompleted
             && self.in_flight.has_capacity_for(message)
             && self.journal == JournalState::Writable
     }
 
     fn await_decision(&mut self, number: u32, requester: Requester) {
-        self.clients.awaits_answer(requester.client);
+        self.clients.mark_awaiting_answer(requester.client);
         self.admission.await_decision(number, requester);
     }
 
-    /// Answers those whose messages these actions decided on.
-    pub(super) fn answer_decided(&mut self, actions: &[Action]) {
-        for decision in self.admission.decide(actions) {
+    /// Answers the requests whose messages were decided. A message that is not accepted is removed: no record
+    /// of it exists, and its client needs no status notification.
+    pub(super) fn answer_decided(&mut self, decisions: Vec<AdmissionDecision>) {
+        for decision in decisions {
             let number = decision.message;
             if decision.answer == Answer::Accepted {
                 self.accept(number);
@@ -156,13 +146,14 @@
         }
     }
 
-    /// Answers a request that is no valid submission; its connection ends.
-    fn refuse_request(&mut self, client: ClientId, error: RequestError) {
+    /// Answers a request that is not a valid submission, and closes its connection.
+    fn reject_invalid(&mut self, client: ClientId, error: RequestError) {
         self.counters.invalid_requests += 1;
         self.answer(Requester { client, persistence: Persistence::Close }, Answer::Invalid(error));
     }
 
-    /// Closes connections whose time is up and, from the phase on in which clients leave, the listener.
+    /// Closes connections that have timed out and, from [`Phase::Draining`](super::shutdown::Phase::Draining)
+    /// on, the listener.
     pub(super) fn sweep_clients(&mut self) {
         if !self.clients.begin_sweep(self.clock.now()) {
             return;
@@ -171,7 +162,7 @@
         for client in self.clients.overdue(self.clock.now(), idle) {
             match client {
                 OverdueClient::Idle(id) => self.close_client(id),
-                OverdueClient::InRequest(id) => self.refuse_request(id, RequestError::TimedOut),
+                OverdueClient::InRequest(id) => self.reject_invalid(id, RequestError::TimedOut),
             }
         }
         if self.shutdown.close_listener() {
--- a/crates/platform/src/records/tests.rs
+++ b/crates/platform/src/records/tests.rs
@@ -9,7 +9,7 @@
 
 /// Encodes a record to exactly these bytes, and reads the same bytes back.
 fn assert_stored(record: Record, kind: u8, payload: &[u8]) {
-    assert_eq!(record.encode(), (kind, payload.to_vec()), "{record:?}");
+    assert_eq!(record.encode(), raw(kind, payload), "{record:?}");
     assert_eq!(Record::decode(&raw(kind, payload)), Some(record));
 }
 
@@ -20,7 +20,7 @@
         class: 2,
         destination: 0x0304_0506,
         ordering_key: 0x0708_090a_0b0c_0d0e,
-        deadline: 0x1011_1213_1415_1617,
+        wall_deadline: 0x1011_1213_1415_1617,
         body: b"hi".to_vec(),
     }
 }
@@ -74,7 +74,7 @@
 #[test]
 fn unknown_or_short_record_not_decoded() {
     assert_eq!(Record::decode(&raw(9, &[1, 0, 0, 0])), None, "an unknown kind");
-    assert_eq!(Record::decode(&raw(4, &[1, 0, 0, 0, 3, 0, 0, 0, 0])), None, "an unknown end");
+    assert_eq!(Record::decode(&raw(4, &[1, 0, 0, 0, 3, 0, 0, 0, 0])), None, "an unknown outcome");
     assert_eq!(Record::decode(&raw(2, &[1, 0, 0, 0, 3, 0, 4, 5])), None, "too short");
 }
 
@@ -84,6 +84,6 @@
     let completed = message(None).completed_id();
     assert_eq!(
         (completed.id_digest, completed.content_digest, completed.expires_at),
-        (12_357_064_557_592_139_580, 3_708_870_094_396_395_126, message(None).deadline)
+        (12_357_064_557_592_139_580, 3_708_870_094_396_395_126, message(None).wall_deadline)
     );
 }
--- a/crates/telemetry/src/counter_sync.rs
+++ b/crates/telemetry/src/counter_sync.rs
@@ -1,4 +1,4 @@
-//! Whether the log of counts can be brought to disk. While it cannot, counts are not reported.
+//! Syncs of the counter log to disk. While they fail, counts are not reported.
 
 use crate::{LogEvent, Output, SyncError};
 
@@ -17,7 +17,7 @@
         self.is_failing
     }
 
-    /// Asks for a sync; its number.
+    /// Requests a sync and returns its number.
     pub(crate) fn request(&mut self, outputs: &mut Vec<Output>) -> u64 {
         self.last_number += 1;
         outputs.push(Output::Sync(self.last_number));
@@ -26,14 +26,14 @@
 
     pub(crate) fn succeeded(&mut self, outputs: &mut Vec<Output>) {
         if self.is_failing {
-            outputs.push(Output::Log(LogEvent::CountsReportedAgain));
+            outputs.push(Output::LogWarning(LogEvent::CountsReportedAgain));
         }
         self.is_failing = false;
     }
 
     pub(crate) fn failed(&mut self, reason: SyncError, outputs: &mut Vec<Output>) {
         if !self.is_failing {
-            outputs.push(Output::Log(LogEvent::CountsWithheld { reason }));
+            outputs.push(Output::LogWarning(LogEvent::CountsWithheld { reason }));
         }
         self.is_failing = true;
     }
--- a/crates/telemetry/src/recording/tests.rs
+++ b/crates/telemetry/src/recording/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
-use crate::counts::{mark, CounterLogEntry};
-use crate::{ListedEndpoint, RestoredState};
+use crate::counts::{encode_entry, AssignedSeriesName, CounterLogEntry};
+use crate::{ListedEndpoint, NamedClass, RestoredState};
 use linnetcart::{Class, Idempotency};
 use linnetcart_delivery_events::RejectionReason;
 use std::collections::BTreeMap;
@@ -9,10 +9,10 @@
 const DESTINATION: u32 = 2;
 const ENDPOINT: u32 = 20;
 const CLASS: u8 = 0;
-const CELL: CounterKey = CounterKey::Cell(DESTINATION, CLASS);
-const ROUTE: CounterKey = CounterKey::Route(ENDPOINT);
+const CELL: CounterKey = CounterKey::Cell { destination: DESTINATION, class: CLASS };
+const ROUTE: CounterKey = CounterKey::Route { endpoint: ENDPOINT };
 
-/// One class of weight 2 within a second, one destination with one separate route.
+/// One class of weight 2 within a second, one destination with one independent route.
 fn recording() -> Recording {
     let class = Class {
         latency_objective: SECOND,
@@ -25,7 +25,7 @@
     let courier = CourierInfo {
         deployment: "test".into(),
         courier_index: 1,
-        classes: vec![("order".into(), class)],
+        classes: vec![NamedClass { name: "order".into(), class }],
         weight_halves: false,
         seed: 1,
     };
@@ -86,7 +86,7 @@
     let late = counted(&completed(FinalAnswer::Served, 2 * SECOND), CELL);
     assert_eq!(late[0], (Field::Late, 1));
     let weights: u64 = late[1..].iter().map(|(_, weight)| weight).sum();
-    assert_eq!(weights, 2000, "late and lost make up the whole weight: {late:?}");
+    assert_eq!(weights, 2000, "late and lost add up to the full weight: {late:?}");
 }
 
 #[test]
@@ -147,8 +147,9 @@
     };
     let mut outputs = Vec::new();
     recording.record(&DeliveryEvent::LimitChanged(change), &mut outputs);
-    let name = CounterLogEntry::Name("Bank_Lodz".into(), DESTINATION);
-    assert_eq!(outputs, [Output::Append(mark(&name))], "the name is logged before it is used");
+    let assigned = AssignedSeriesName { name: "Bank_Lodz".into(), destination: DESTINATION };
+    let name = CounterLogEntry::Name(assigned);
+    assert_eq!(outputs, [Output::Append(encode_entry(&name))], "the name is logged before it is used");
     let notifications = recording.notifications.take();
     assert_eq!(notifications[0].plugin_instance, "dest-Bank_Lodz-route-20");
 }
@@ -159,7 +160,7 @@
     let mut outputs = Vec::new();
     recording.record(&attempt_finished(AttemptOutcome::Served), &mut outputs);
     recording.counters.log_if_due(1, &mut outputs);
-    assert_eq!(outputs, [], "nobody is notified of an attempt");
+    assert_eq!(outputs, [], "clients are not notified of attempts");
     recording.record(&completed(FinalAnswer::Served, SECOND), &mut outputs);
     recording.counters.log_if_due(1, &mut outputs);
     assert!(matches!(&outputs[..], [Output::Append(_)]), "{outputs:?}");
--- a/crates/testbed/src/listen.rs
+++ b/crates/testbed/src/listen.rs
@@ -97,5 +97,5 @@
     }
     println!("{}", table(&stream));
     std::io::stdout().flush()?;
-    Ok(if stream.fell.is_empty() { CounterCheck::NoneFell } else { CounterCheck::Fell })
+    Ok(if stream.regressions.is_empty() { CounterCheck::NoneFell } else { CounterCheck::Fell })
 }
--- a/crates/testbed/src/message_receivers.rs
+++ b/crates/testbed/src/message_receivers.rs
@@ -87,9 +87,9 @@
         let mut net = Net::new(MAX_CONNECTIONS).ok()?;
         let mut listeners = Vec::new();
         for number in 0..count {
-            let (token, address) = net.listen(SocketAddr::from(([127, 0, 0, 1], 0))).ok()?;
+            let bound = net.listen(SocketAddr::from(([127, 0, 0, 1], 0))).ok()?;
             let behaviour = if number < silent { Behaviour::NeverAnswers } else { Behaviour::Serves };
-            listeners.push(Listener { token, address, behaviour });
+            listeners.push(Listener { token: bound.token, address: bound.address, behaviour });
         }
         Some(ReceiverLoop { net, listeners, connections: BTreeMap::new() })
     }
--- a/crates/testbed/src/relay.rs
+++ b/crates/testbed/src/relay.rs
@@ -48,13 +48,14 @@
 /// Fails if it cannot listen, or an endpoint sends a malformed reply.
 pub fn run(endpoints: &[SocketAddr]) -> anyhow::Result<()> {
     let mut net = Net::new(MAX_CONNECTIONS)?;
-    let (listener, address) = net.listen("127.0.0.1:0".parse()?)?;
+    let listener = net.listen("127.0.0.1:0".parse()?)?;
+    let address = listener.address;
     println!("{}", json!({"kafka": address.to_string(), "control": address.to_string()}));
     std::io::stdout().flush()?;
     let mut relay = Relay {
         net,
         address,
-        listener,
+        listener: listener.token,
         endpoints,
         connections: BTreeMap::new(),
         idle: vec![Vec::new(); endpoints.len()],
@@ -166,9 +167,8 @@
     fn forward(&mut self, request: PendingRequest, target: client::ProduceTarget) -> anyhow::Result<()> {
         let endpoint = target.partition as usize % self.endpoints.len();
         self.last_correlation = self.last_correlation % i32::MAX + 1;
-        let acknowledgement = (ALL_REPLICAS, PRODUCE_TIMEOUT_MS);
-        let call =
-            client::produce(self.last_correlation, "relay", PRODUCE_VERSION, acknowledgement, &[target])?;
+        let required = client::RequiredAcks { acks: ALL_REPLICAS, timeout_ms: PRODUCE_TIMEOUT_MS };
+        let call = client::produce(self.last_correlation, "relay", PRODUCE_VERSION, required, &[target])?;
         let token = match self.idle[endpoint].pop() {
             Some(idle) => idle,
             None => self.net.connect(self.endpoints[endpoint]),
--- a/crates/testbed/src/report_receiver/event_loop.rs
+++ b/crates/testbed/src/report_receiver/event_loop.rs
@@ -6,7 +6,7 @@
 use linnetcart_net::{Event, Net, Reserved, Token};
 use linnetcart_telemetry::collectd::{self, PacketItem};
 use linnetcart_telemetry::settings::Require;
-use linnetcart_telemetry::stream::Stream;
+use linnetcart_telemetry::stream::{ReceivedNotification, Stream};
 use std::collections::BTreeMap;
 use std::io::Write;
 use std::net::SocketAddr;
@@ -102,11 +102,11 @@
             for token in std::mem::take(&mut self.connections).into_keys() {
                 self.net.reset(token);
             }
-        } else if let Ok((token, _)) = self.net.listen(listener.address) {
-            listener.token = token;
+        } else if let Ok(bound) = self.net.listen(listener.address) {
+            listener.token = bound.token;
         }
         for &token in self.connections.keys() {
-            self.net.set_read_paused(token, behaviour == Behaviour::NeverReads);
+            apply_read_behaviour(&mut self.net, token, behaviour);
         }
     }
 
@@ -114,7 +114,7 @@
         match event {
             Event::Accepted { token, .. } => {
                 self.connections.insert(token, Vec::new());
-                self.net.set_read_paused(token, behaviour == Behaviour::NeverReads);
+                apply_read_behaviour(&mut self.net, token, behaviour);
             }
             Event::Data(token, _) if behaviour == Behaviour::Resets => {
                 self.connections.remove(&token);
@@ -140,7 +140,8 @@
         let mut stream = self.shared.stream();
         stream.bytes += bytes.len() as u64;
         let record = &mut self.record;
-        let is_valid = stream.take(&mut unread, |name, value, at| write_point(record, name, value, at));
+        let is_valid =
+            stream.consume(&mut unread, |point| write_point(record, &point.name, point.value, point.time_s));
         if is_valid {
             self.connections.insert(token, unread);
         } else {
@@ -158,7 +159,7 @@
                     add_packet_item(&mut stream, &mut self.record, item);
                 }
             }
-            Err(error) => stream.bad(error),
+            Err(error) => stream.record_invalid(error),
         }
     }
 }
@@ -172,28 +173,40 @@
 }
 
 fn listen_for_graphite(net: &mut Net, requested: SocketAddr) -> anyhow::Result<GraphiteListener> {
-    let (token, address) = net.listen(requested).with_context(|| requested.to_string())?;
-    Ok(GraphiteListener { token, address })
+    let bound = net.listen(requested).with_context(|| requested.to_string())?;
+    Ok(GraphiteListener { token: bound.token, address: bound.address })
 }
 
 fn bind_for_collectd(net: &mut Net, requested: SocketAddr) -> anyhow::Result<SocketAddr> {
-    let (_, address) = net.bind_datagrams(requested).with_context(|| requested.to_string())?;
-    Ok(address)
+    let bound = net.bind_datagrams(requested).with_context(|| requested.to_string())?;
+    Ok(bound.address)
+}
+
+/// Stops reading from a connection while the receiver simulates one that never reads.
+fn apply_read_behaviour(net: &mut Net, token: Token, behaviour: Behaviour) {
+    if behaviour == Behaviour::NeverReads {
+        net.pause_reads(token);
+    } else {
+        net.resume_reads(token);
+    }
 }
 
 fn add_packet_item(stream: &mut Stream, record: &mut Option<PointRecord>, item: PacketItem) {
     match item {
-        PacketItem::Values(about, values) => {
-            let name =
-                format!("{}.{}.{}.{}", about.host, about.plugin, about.plugin_instance, about.type_instance);
+        PacketItem::Values { header, values } => {
+            let name = format!(
+                "{}.{}.{}.{}",
+                header.host, header.plugin, header.plugin_instance, header.type_instance
+            );
             let value = values.first().map_or(0.0, |value| value.as_f64());
-            let at = collectd::nanos(about.time) / NANOSECONDS_PER_SECOND;
-            stream.point(&name, value, at);
+            let at = collectd::nanos(header.time) / NANOSECONDS_PER_SECOND;
+            stream.record_point(&name, value, at);
             write_point(record, &name, value, at);
         }
-        PacketItem::Notification(about, severity, text) => {
-            if stream.notices.len() < MAX_NOTIFICATIONS {
-                stream.notices.push((about.plugin_instance, severity, text));
+        PacketItem::Notification { header, severity, text } => {
+            if stream.notifications.len() < MAX_NOTIFICATIONS {
+                let subject = header.plugin_instance;
+                stream.notifications.push(ReceivedNotification { subject, severity, text });
             }
         }
     }
--- a/crates/testbed/tests/telemetry.rs
+++ b/crates/testbed/tests/telemetry.rs
@@ -122,7 +122,7 @@
         });
         let counts = deliver_over_faults(&dir.join(index.to_string()), &endpoints, &receiver, &telemetry);
         let stream = receiver.stream();
-        assert_eq!((&stream.fell, stream.bad), (&Vec::new(), 0), "{:?}", stream.last_bad);
+        assert_eq!((&stream.regressions, stream.invalid_items), (&Vec::new(), 0), "{:?}", stream.last_error);
         assert_counts(&stream, &counts, ReceiverKind::Graphite);
         assert_counts(&stream, &counts, ReceiverKind::Collectd);
     }
@@ -168,7 +168,7 @@
     });
     shut_down(courier);
     let stream = receiver.stream();
-    assert_eq!(stream.fell, Vec::<String>::new());
+    assert_eq!(stream.regressions, Vec::<String>::new());
     let value =
         |metric: &str| last_value(&stream, "courier", metric, ReceiverKind::Graphite).unwrap_or(0.0) as u64;
     let (accepted, reported_served) = (value("taken"), value("in_aim") + value("late"));
