--- a/crates/testbed/src/message_receivers.rs
+++ b/crates/testbed/src/message_receivers.rs
@@ -18,6 +18,22 @@
 const STARTUP_TIMEOUT: Duration = Duration::from_secs(10);
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Numbers of endpoints by their behaviour.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ReceiverCounts {
+    /// Endpoints that read requests and never answer.
+    pub silent: usize,
+    /// Endpoints that serve every message at once.
+    pub serving: usize,
+}
+
+impl ReceiverCounts {
+    /// Endpoints that all serve.
+    pub fn serving(serving: usize) -> ReceiverCounts {
+        ReceiverCounts { silent: 0, serving }
+    }
+}
+
 /// Endpoints on a thread of their own. Dropping them stops the thread.
 #[derive(Debug)]
 pub struct MessageReceivers {
@@ -28,16 +44,16 @@
 }
 
 impl MessageReceivers {
-    /// Starts `count` endpoints. The first `silent` of them read requests and never answer.
+    /// Starts the endpoints and waits until they listen.
     ///
     /// # Errors
     /// Fails if the endpoints do not listen within ten seconds.
-    pub fn start(count: usize, silent: usize) -> anyhow::Result<MessageReceivers> {
+    pub fn start(counts: ReceiverCounts) -> anyhow::Result<MessageReceivers> {
         let stop = Arc::new(AtomicBool::new(false));
         let stop_flag = Arc::clone(&stop);
         let (address_sender, address_receiver) = std::sync::mpsc::channel();
         let thread = std::thread::spawn(move || {
-            let Some(mut receivers) = ReceiverLoop::listen(count, silent) else { return };
+            let Some(mut receivers) = ReceiverLoop::listen(counts) else { return };
             let _ = address_sender.send(receivers.addresses());
             receivers.run(&stop_flag);
         });
@@ -83,12 +99,12 @@
 }
 
 impl ReceiverLoop {
-    fn listen(count: usize, silent: usize) -> Option<ReceiverLoop> {
+    fn listen(counts: ReceiverCounts) -> Option<ReceiverLoop> {
         let mut net = Net::new(MAX_CONNECTIONS).ok()?;
         let mut listeners = Vec::new();
-        for number in 0..count {
+        for number in 0..counts.silent + counts.serving {
             let bound = net.listen(SocketAddr::from(([127, 0, 0, 1], 0))).ok()?;
-            let behaviour = if number < silent { Behaviour::NeverAnswers } else { Behaviour::Serves };
+            let behaviour = if number < counts.silent { Behaviour::NeverAnswers } else { Behaviour::Serves };
             listeners.push(Listener { token: bound.token, address: bound.address, behaviour });
         }
         Some(ReceiverLoop { net, listeners, connections: BTreeMap::new() })
--- a/crates/testbed/src/throughput_baseline/subject.rs
+++ b/crates/testbed/src/throughput_baseline/subject.rs
@@ -4,7 +4,7 @@
 use super::process_usage;
 use super::Options;
 use crate::courier_process::{CourierOptions, CourierProcess};
-use crate::message_receivers::MessageReceivers;
+use crate::message_receivers::{MessageReceivers, ReceiverCounts};
 use hdrhistogram::Histogram;
 use serde_json::{json, Value};
 use std::net::SocketAddr;
@@ -50,7 +50,8 @@
     /// folder.
     pub(super) fn edge_in(options: &Options, folder: &Path, setup: EdgeSetup) -> anyhow::Result<Subject> {
         let EdgeSetup { max_in_flight_calls, destinations, silent_destinations } = setup;
-        let receivers = MessageReceivers::start(destinations, silent_destinations)?;
+        let serving = destinations - silent_destinations;
+        let receivers = MessageReceivers::start(ReceiverCounts { silent: silent_destinations, serving })?;
         let dir = folder.join(format!("edge-{max_in_flight_calls}-{destinations}-{silent_destinations}"));
         let _ = std::fs::remove_dir_all(&dir);
         let courier = CourierOptions {
@@ -68,7 +69,7 @@
 
     /// Starts a relay.
     pub(super) fn relay(options: &Options, destinations: usize) -> anyhow::Result<Subject> {
-        let receivers = MessageReceivers::start(destinations, 0)?;
+        let receivers = MessageReceivers::start(ReceiverCounts::serving(destinations))?;
         let addresses: Vec<String> = receivers.addresses.iter().map(ToString::to_string).collect();
         let process =
             CourierProcess::start_relay_pinned(&options.program, &options.dir, &addresses, MEASURED_CORE)?;
--- a/crates/testbed/tests/telemetry.rs
+++ b/crates/testbed/tests/telemetry.rs
@@ -20,7 +20,7 @@
 use linnetcart_telemetry::settings::Require;
 use linnetcart_telemetry::stream::Stream;
 use linnetcart_testbed::courier_process::CourierProcess;
-use linnetcart_testbed::message_receivers::MessageReceivers;
+use linnetcart_testbed::message_receivers::{MessageReceivers, ReceiverCounts};
 use linnetcart_testbed::report_receiver::{Behaviour, ListenAddresses, ReportReceiver};
 use reporting_courier::{
     any_port, configure, get_json, graphite_address, graphite_receiver, last_value, shut_down, start,
@@ -91,7 +91,7 @@
 #[test]
 fn receivers_over_kills_and_an_outage_end_with_what_clients_counted() {
     let dir = work_folder("ends");
-    let endpoints = MessageReceivers::start(1, 0).unwrap();
+    let endpoints = MessageReceivers::start(ReceiverCounts::serving(1)).unwrap();
     let user = json!({"user": "alice", "key": "secret"});
     let cases = [
         ReportForms { graphite: "plaintext", collectd_security: json!("none"), require: Require::Nothing },
@@ -149,7 +149,7 @@
 #[test]
 fn courier_killed_under_load_reports_no_less_than_clients_received() {
     let dir = work_folder("middle");
-    let endpoints = MessageReceivers::start(1, 0).unwrap();
+    let endpoints = MessageReceivers::start(ReceiverCounts::serving(1)).unwrap();
     let receiver = graphite_receiver();
     let telemetry = json!({"interval_s": 1, "graphite": {"address": graphite_address(&receiver)}});
     let (mut submitted, mut served) = (0, 0);
@@ -190,7 +190,7 @@
 #[test]
 fn receiver_that_never_reads_or_resets_harms_no_delivery_and_is_replaced_without_a_restart() {
     let dir = work_folder("deaf");
-    let endpoints = MessageReceivers::start(1, 0).unwrap();
+    let endpoints = MessageReceivers::start(ReceiverCounts::serving(1)).unwrap();
     let first = graphite_receiver();
     let second = graphite_receiver();
     let telemetry_to = |receiver: &ReportReceiver| {
@@ -232,7 +232,7 @@
 #[test]
 fn host_figures_are_accepted_and_garbage_is_only_counted() {
     let dir = work_folder("host");
-    let endpoints = MessageReceivers::start(1, 0).unwrap();
+    let endpoints = MessageReceivers::start(ReceiverCounts::serving(1)).unwrap();
     let courier = start(&dir);
     configure(&courier, &endpoints);
     let address = free_udp_address();
