Experiment tests: results of another commit are rejected, the commit is an id or unknown

Cause: since the commit is an option, the tests no longer asked git for it, and the rejection of results of another commit had no test.

Change: an assertion in experiment_that_was_stopped_continues_to_the_same_bytes; commit_of_a_checked_out_folder_is_its_id_or_unknown.

--- a/crates/testbed/tests/emulated.rs
+++ b/crates/testbed/tests/emulated.rs
@@ -77,10 +77,22 @@
     let error = experiment::run(other_plan, &stopped, &options(1, None)).unwrap_err();
     let error = format!("{error:#}");
     assert!(error.contains("another plan") && error.contains("--out"), "{error}");
+    let other_commit = experiment::Options { commit: "other-commit".into(), ..options(1, None) };
+    let error = experiment::run(Plan::parse(PLAN).unwrap(), &stopped, &other_commit).unwrap_err();
+    let error = format!("{error:#}");
+    assert!(error.contains("another commit") && error.contains("--out"), "{error}");
     std::fs::remove_dir_all(uninterrupted).unwrap();
     std::fs::remove_dir_all(stopped).unwrap();
 }
 
+#[test]
+fn commit_of_a_checked_out_folder_is_its_id_or_unknown() {
+    let commit = experiment::commit();
+    let id = commit.strip_suffix(" and changes").unwrap_or(&commit);
+    let is_id = id.len() >= 12 && id.chars().all(|character| character.is_ascii_hexdigit());
+    assert!(is_id || commit == "unknown", "{commit}");
+}
+
 #[test]
 fn parquet_results_are_readable_with_plan_and_command() {
     let dir = work_folder("parquet");
