--- a/crates/testbed/src/bench_scenario.rs
+++ b/crates/testbed/src/bench_scenario.rs
@@ -1,5 +1,5 @@
-//! Converts scenarios of the bench. Faults are copied with their times, parts and sizes; the fleet and traffic are
-//! those of a built-in scenario.
+//! Converts scenarios of the bench. Faults are copied with their times, parts and sizes; the fleet and
+//! traffic are those of a built-in scenario.
 
 use anyhow::{ensure, Context};
 use linnetcart_scenario::scenario::{FaultKind, FaultSpec, Scenario};
