--- a/crates/platform/src/core/submission.rs
+++ b/crates/platform/src/core/submission.rs
@@ -1,14 +1,14 @@
 //! From a client's request to its answer: the part of an iteration that admits messages.
 
-use super::admission::{Answer, Requester};
+use super::admission::{AdmissionDecision, Answer, Requester};
 use super::client_connections::{ClientId, IdlePolicy, OverdueClient, RequestEvent};
 use super::decisions::accepted_message;
 use super::effects::Output;
-use super::in_flight::{IdMatch, OpenMessage};
+use super::in_flight::{IdMatch, UncompletedMessage};
 use super::request::{parse_submission, RequestError, SubmittedMessage};
 use super::{Core, JournalState};
 use crate::records::{Message, PendingMessage, Record};
-use linnetcart::{Action, Event};
+use linnetcart::Event;
 use linnetcart_http::Persistence;
 
 /// What is known of the id of a submitted message.
@@ -76,7 +76,7 @@
             }
             None => {}
         }
-        let OpenMessage { number, id_match } = self.in_flight.find(message)?;
+        let UncompletedMessage { number, id_match } = self.in_flight.find(message)?;
         Some(match id_match {
             IdMatch::SameMessage if self.admission.awaits_decision(number) => {
                 KnownId::AwaitingDecision { number }
@@ -96,8 +96,8 @@
 
     /// Whether the table and the journal have capacity for one more message.
     fn has_capacity_for(&self, message: &Message) -> bool {
-        let max_open = self.settings.settings.max_in_flight_messages as usize;
-        self.in_flight.open_len() < max_open
+        let max_uncompleted = self.settings.settings.max_in_flight_messages as usize;
+        self.in_flight.uncompleted_len() < max_uncompleted
             && self.in_flight.has_capacity_for(message)
             && self.journal == JournalState::Writable
     }
@@ -107,9 +107,10 @@
         self.admission.await_decision(number, requester);
     }
 
-    /// Answers the requests whose messages were decided by these actions.
-    pub(super) fn answer_decided(&mut self, actions: &[Action]) {
-        for decision in self.admission.decide(actions) {
+    /// Answers the requests whose messages were decided. A message that is not accepted is removed: no record
+    /// of it exists, and its client needs no status notification.
+    pub(super) fn answer_decided(&mut self, decisions: Vec<AdmissionDecision>) {
+        for decision in decisions {
             let number = decision.message;
             if decision.answer == Answer::Accepted {
                 self.accept(number);
