--- a/crates/emulator/tests/scenarios.rs
+++ b/crates/emulator/tests/scenarios.rs
@@ -117,9 +117,9 @@
 #[test]
 fn courier_restarted_with_outdated_list_respects_the_drain_grace() {
     let mut scenario = Scenario::find("drains").unwrap().with(Some(4), 1.0).unwrap();
-    let kills = Scenario::find("couriers-killed").unwrap().trouble.remove(0);
-    let list_outage = Scenario::find("list-out").unwrap().trouble.remove(0);
-    scenario.trouble.extend([kills, list_outage]);
+    let kills = Scenario::find("couriers-killed").unwrap().faults.remove(0);
+    let list_outage = Scenario::find("list-out").unwrap().faults.remove(0);
+    scenario.faults.extend([kills, list_outage]);
     for seed in 1..=3 {
         let report = checked_run(&Fleet::draw(scenario.clone(), seed)).report;
         assert_no_violations(&report, "outdated list");
@@ -179,7 +179,7 @@
     // The first seconds are enough for every courier to receive messages, and short enough for every test
     // run.
     scenario.seconds = 1.5;
-    scenario.trouble.clear();
+    scenario.faults.clear();
     let fleet = Fleet::draw(scenario, 1);
     let endpoints: usize = fleet.destinations.iter().map(|destination| destination.endpoints.len()).sum();
     assert!(fleet.scenario.couriers == 300 && endpoints > 250);
--- a/crates/scenario/src/fleet.rs
+++ b/crates/scenario/src/fleet.rs
@@ -132,7 +132,7 @@
             self.scenario.couriers,
             self.destinations.len(),
             self.messages.len(),
-            self.scenario.trouble.len()
+            self.scenario.faults.len()
         )
     }
 
--- a/crates/scenario/src/fleet/model.rs
+++ b/crates/scenario/src/fleet/model.rs
@@ -32,7 +32,7 @@
 
     /// Returns the additional one-way delay if all faults that slow links are in force at once.
     fn extra_link_delay(&self) -> Time {
-        let slow_links = self.scenario.trouble.iter().filter(|fault| fault.what == FaultKind::LinksSlow);
+        let slow_links = self.scenario.faults.iter().filter(|fault| fault.what == FaultKind::LinksSlow);
         slow_links.map(|fault| millis(fault.size)).sum()
     }
 
--- a/crates/scenario/src/fleet/traffic.rs
+++ b/crates/scenario/src/fleet/traffic.rs
@@ -99,7 +99,7 @@
 
     /// Returns the faults of this kind that are in force at this time.
     fn in_force(&self, kind: FaultKind, at: f64) -> impl Iterator<Item = &'a FaultSpec> {
-        let faults = self.fleet.scenario.trouble.iter();
+        let faults = self.fleet.scenario.faults.iter();
         faults.filter(move |fault| fault.what == kind && at >= fault.at && at < fault.at + fault.lasts)
     }
 
@@ -110,7 +110,7 @@
 
     /// Returns the factor if all sudden load were in force at once.
     fn highest_load_factor(&self) -> f64 {
-        let faults = self.fleet.scenario.trouble.iter();
+        let faults = self.fleet.scenario.faults.iter();
         let sudden_load = faults.filter(|fault| fault.what == FaultKind::SuddenLoad);
         sudden_load.map(|fault| fault.size.max(1.0)).product()
     }
--- a/crates/scenario/src/runner.rs
+++ b/crates/scenario/src/runner.rs
@@ -131,7 +131,7 @@
         for (message, planned) in self.fleet.messages.iter().enumerate() {
             self.submit_at(planned.at, message, 0);
         }
-        for (fault, spec) in self.fleet.scenario.trouble.iter().enumerate() {
+        for (fault, spec) in self.fleet.scenario.faults.iter().enumerate() {
             self.timers.schedule(seconds(spec.at), Timer::BeginFault { fault });
             self.timers.schedule(seconds(spec.at + spec.lasts), Timer::EndFault { fault });
         }
--- a/crates/scenario/src/runner/endpoints.rs
+++ b/crates/scenario/src/runner/endpoints.rs
@@ -113,7 +113,7 @@
     /// Returns whether a fault is in force that resets connections which were idle for too long. Without it,
     /// they are ignored.
     fn idle_connections_are_reset(&self) -> bool {
-        self.fleet.scenario.trouble.iter().any(|fault| {
+        self.fleet.scenario.faults.iter().any(|fault| {
             let begin = seconds(fault.at);
             let end = seconds(fault.at + fault.lasts);
             fault.what == FaultKind::IdleDropped && fault.hard && (begin..end).contains(&self.now)
--- a/crates/scenario/src/runner/faults.rs
+++ b/crates/scenario/src/runner/faults.rs
@@ -23,7 +23,7 @@
 
 impl<'a, T: Transport> ScenarioRunner<'a, T> {
     fn fault_spec(&self, fault: usize) -> &'a FaultSpec {
-        &self.fleet.scenario.trouble[fault]
+        &self.fleet.scenario.faults[fault]
     }
 
     /// Returns the destinations that a fault affects, as drawn when it began.
--- a/crates/scenario/src/scenario.rs
+++ b/crates/scenario/src/scenario.rs
@@ -56,8 +56,8 @@
     #[serde(default = "defaults::kinds")]
     pub kind: Vec<Kind>,
     /// The faults that are injected.
-    #[serde(default)]
-    pub trouble: Vec<FaultSpec>,
+    #[serde(rename = "trouble", default)]
+    pub faults: Vec<FaultSpec>,
 }
 
 impl Scenario {
@@ -83,7 +83,7 @@
 
     /// Returns the kinds of the scenario's faults that can only be emulated, not injected on sockets.
     pub fn emulated_only(&self) -> Vec<FaultKind> {
-        let kinds = self.trouble.iter().map(|fault| fault.what);
+        let kinds = self.faults.iter().map(|fault| fault.what);
         kinds.filter(|kind| kind.emulated_only()).collect()
     }
 
--- a/crates/scenario/src/scenario/speed.rs
+++ b/crates/scenario/src/scenario/speed.rs
@@ -21,7 +21,7 @@
         for kind in &mut self.kind {
             kind.speed_up(speed);
         }
-        for fault in &mut self.trouble {
+        for fault in &mut self.faults {
             fault.speed_up(speed);
         }
         self
--- a/crates/scenario/src/scenario/validation.rs
+++ b/crates/scenario/src/scenario/validation.rs
@@ -27,7 +27,7 @@
         require(load, "traffic.load", "more than 0, under 20")?;
         check_clients(&self.clients)?;
         self.kind.iter().try_for_each(check_kind)?;
-        for (number, fault) in self.trouble.iter().enumerate() {
+        for (number, fault) in self.faults.iter().enumerate() {
             self.check_fault(number, fault)?;
         }
         Ok(())
--- a/crates/scenario/tests/scenarios.rs
+++ b/crates/scenario/tests/scenarios.rs
@@ -11,7 +11,7 @@
         let scenario = Scenario::parse(built_in.text).unwrap_or_else(|error| panic!("{name}: {error:#}"));
         assert_eq!(scenario.name, name);
         if !["bad-day", "month-end"].contains(&name) {
-            seen.extend(scenario.trouble.iter().map(|fault| fault.what));
+            seen.extend(scenario.faults.iter().map(|fault| fault.what));
         }
     }
     assert_eq!(seen.len(), 26, "{seen:?}");
--- a/crates/testbed/src/bench_scenario.rs
+++ b/crates/testbed/src/bench_scenario.rs
@@ -73,7 +73,7 @@
     let mut unsupported = Vec::new();
     for fault in &bench.troubles {
         match fault.convert(&bench) {
-            Some(converted) => scenario.trouble.push(converted),
+            Some(converted) => scenario.faults.push(converted),
             None => unsupported.push(format!(
                 "{} at {:.1} s: there is no such trouble on sockets",
                 fault.kind,
--- a/crates/testbed/src/experiment/plan/factors.rs
+++ b/crates/testbed/src/experiment/plan/factors.rs
@@ -68,12 +68,12 @@
 fn set_faults(scenario: &mut Scenario, source: &str) -> anyhow::Result<()> {
     match source {
         "as-written" => {}
-        "none" => scenario.trouble.clear(),
+        "none" => scenario.faults.clear(),
         other => {
             let other = Scenario::find(other)?;
             let stretch = scenario.seconds / other.seconds;
-            scenario.trouble = other.trouble;
-            for fault in &mut scenario.trouble {
+            scenario.faults = other.faults;
+            for fault in &mut scenario.faults {
                 fault.at *= stretch;
                 fault.lasts *= stretch;
             }
--- a/crates/testbed/src/experiment/plan/tests.rs
+++ b/crates/testbed/src/experiment/plan/tests.rs
@@ -30,7 +30,7 @@
     assert_eq!(recipe.seed, 9);
     assert_eq!(recipe.scenario.couriers, 5);
     assert_eq!(recipe.scenario.traffic.load, 0.5);
-    assert_eq!(recipe.scenario.trouble.len(), 1);
+    assert_eq!(recipe.scenario.faults.len(), 1);
     assert_eq!(plan.recipe(9, 9).unwrap().scenario.traffic.load, 1.0, "an integer for a fraction");
 }
 
--- a/crates/testbed/src/fault_search/describe.rs
+++ b/crates/testbed/src/fault_search/describe.rs
@@ -29,14 +29,14 @@
         text,
         "shrunk in {} runs: troubles {} -> {}, seconds {:.0} -> {:.0}, couriers {} -> {}",
         finding.shrink_runs,
-        drawn.trouble.len(),
-        shrunk.trouble.len(),
+        drawn.faults.len(),
+        shrunk.faults.len(),
         drawn.seconds,
         shrunk.seconds,
         drawn.couriers,
         shrunk.couriers
     );
-    for fault in &shrunk.trouble {
+    for fault in &shrunk.faults {
         write_fault(&mut text, fault);
     }
     let report = finding.shrunk.run_checked()?.report;
--- a/crates/testbed/src/fault_search/draw.rs
+++ b/crates/testbed/src/fault_search/draw.rs
@@ -129,10 +129,10 @@
     pub(super) fn mutate(&self, parent: &Recipe, run: u64) -> Recipe {
         let mut rng = ChaCha8Rng::seed_from_u64(self.seed.wrapping_mul(MUTATION_SEED_FACTOR) ^ run);
         let mut recipe = parent.clone();
-        let faults = recipe.scenario.trouble.len();
+        let faults = recipe.scenario.faults.len();
         match rng.random_range(0..4) {
             0 if faults > 1 => {
-                recipe.scenario.trouble.remove(rng.random_range(0..faults));
+                recipe.scenario.faults.remove(rng.random_range(0..faults));
             }
             1 if faults < self.max_faults => self.add_fault(&mut rng, &mut recipe.scenario),
             2 => recipe.seed = rng.random_range(RUN_SEEDS),
@@ -145,7 +145,7 @@
     fn add_fault(&self, rng: &mut ChaCha8Rng, scenario: &mut Scenario) {
         if let Some(&kind) = self.kinds().choose(rng) {
             let fault = draw_fault(rng, kind, scenario);
-            scenario.trouble.push(fault);
+            scenario.faults.push(fault);
         }
     }
 
@@ -157,8 +157,8 @@
 
 /// Replaces a random fault by another one of the same kind.
 fn redraw_fault(rng: &mut ChaCha8Rng, scenario: &mut Scenario) {
-    let index = rng.random_range(0..scenario.trouble.len().max(1));
-    if let Some(kind) = scenario.trouble.get(index).map(|fault| fault.what) {
-        scenario.trouble[index] = draw_fault(rng, kind, scenario);
+    let index = rng.random_range(0..scenario.faults.len().max(1));
+    if let Some(kind) = scenario.faults.get(index).map(|fault| fault.what) {
+        scenario.faults[index] = draw_fault(rng, kind, scenario);
     }
 }
--- a/crates/testbed/src/fault_search/shrink.rs
+++ b/crates/testbed/src/fault_search/shrink.rs
@@ -65,20 +65,20 @@
 
     /// Adds a copy of the recipe with a change of one fault.
     fn add_fault_change(&mut self, index: usize, change: impl FnOnce(&mut FaultSpec)) {
-        self.add(|scenario| change(&mut scenario.trouble[index]));
+        self.add(|scenario| change(&mut scenario.faults[index]));
     }
 }
 
 /// Recipes that are one step smaller, the largest steps first.
 fn smaller_recipes(from: &Recipe) -> Vec<Recipe> {
     let mut steps = Steps { from, smaller: Vec::new() };
-    for index in 0..from.scenario.trouble.len() {
+    for index in 0..from.scenario.faults.len() {
         steps.add(|scenario| {
-            scenario.trouble.remove(index);
+            scenario.faults.remove(index);
         });
     }
     add_smaller_fleets(&mut steps);
-    for index in 0..from.scenario.trouble.len() {
+    for index in 0..from.scenario.faults.len() {
         add_simpler_faults(&mut steps, index);
     }
     steps.smaller
@@ -87,7 +87,7 @@
 fn add_smaller_fleets(steps: &mut Steps) {
     let scenario = &steps.from.scenario;
     let kinds = scenario.kind.len();
-    let fault_ends = scenario.trouble.iter().map(|fault| fault.at + fault.lasts);
+    let fault_ends = scenario.faults.iter().map(|fault| fault.at + fault.lasts);
     let last_fault_end = fault_ends.fold(2.0, f64::max);
     let enough_seconds = (last_fault_end * 1.2 + 1.0).ceil();
     steps.add(|scenario| scenario.seconds = scenario.seconds.min(enough_seconds));
@@ -108,7 +108,7 @@
 }
 
 fn add_simpler_faults(steps: &mut Steps, index: usize) {
-    if steps.from.scenario.trouble[index].lasts > MIN_HALVED_SECONDS {
+    if steps.from.scenario.faults[index].lasts > MIN_HALVED_SECONDS {
         steps.add_fault_change(index, |fault| fault.lasts = round_to(fault.lasts / 2.0, TENTHS));
     }
     steps.add_fault_change(index, |fault| fault.at = round_to(fault.at, TENTHS));
--- a/crates/testbed/tests/emulated.rs
+++ b/crates/testbed/tests/emulated.rs
@@ -155,7 +155,7 @@
         (by_one_thread.run, &by_one_thread.shrunk),
         "the same on any number of threads"
     );
-    assert!(finding.shrunk.scenario.trouble.len() <= finding.drawn.scenario.trouble.len());
+    assert!(finding.shrunk.scenario.faults.len() <= finding.drawn.scenario.faults.len());
     let scenario = Scenario::parse(&script(&finding).unwrap()).unwrap();
     let report = Recipe { scenario, ..finding.shrunk.clone() }.run_checked().unwrap().report;
     let broken = report.rules.iter().find(|invariant| invariant.violations > 0);
