--- a/crates/emulator/src/network/transport.rs
+++ b/crates/emulator/src/network/transport.rs
@@ -1,18 +1,18 @@
-//! What the scenario does to clients, couriers and endpoints, and which faults it causes.
+//! The transport of the scenario runner: clients, couriers, endpoints, and faults of network and disk.
 
 use super::{endpoint_address, Event, Network, CONTROL_DELAY, PORT};
-use crate::connections::{Block, Direction, PerDirection, Segment, SendKind, Side};
+use crate::connections::{Block, Direction, PerDirection, Segment, SendKind, Side, StreamId};
 use crate::disk::Crash;
-use crate::host::{ClockDeviation, Host, WALL_CLOCK_START};
+use crate::host::{ClockDeviation, CourierIncarnation, Host, WALL_CLOCK_START};
 use bytes::Bytes;
 use linnetcart_conformance::Time;
 use linnetcart_edge::core::StartOptions;
 use linnetcart_kafka::server::Broker;
-use linnetcart_scenario::runner::{InfrastructureFault, Token, Transport, TransportError};
+use linnetcart_scenario::runner::{InfrastructureFault, StoredState, Token, Transport, TransportError};
 use rand::Rng;
 use std::net::SocketAddr;
 
-/// The incarnation that connections to a courier carry while it is down; no courier has it.
+/// The incarnation of connections to a courier that is down. No courier ever has it.
 const NO_INCARNATION: u32 = u32::MAX;
 
 impl Network<'_> {
@@ -31,12 +31,12 @@
         let max_drift = self.model.max_clock_drift_ppm;
         let drift_ppm = self.clock_rng.random_range(-max_drift..=max_drift);
         let monotonic_ahead = self.clock_rng.random_range(0..=self.model.max_clock_difference);
-        let wall_offset = self.fleet.clock_off(&mut self.clock_rng);
+        let wall_offset = self.fleet.draw_clock_offset(&mut self.clock_rng);
         ClockDeviation { monotonic_ahead, drift_ppm, wall_offset }
     }
 
-    /// A share of the connections of these couriers breaks. Part of what travels on them still arrives, cut at any
-    /// byte.
+    /// Breaks this fraction of the connections of these couriers. Part of the data under way still arrives,
+    /// truncated at any byte.
     fn break_connections(&mut self, couriers: &[u32], share: f64) {
         for &courier in couriers {
             for token in self.connections.of_courier(courier) {
@@ -55,10 +55,11 @@
         self.transmit(token, Direction::FromCourier, Segment::Close);
     }
 
-    /// Sends what a partition held.
-    fn release(&mut self, token: Token, direction: Direction) {
-        for held in self.connections.release(token, direction) {
-            self.transmit_as(SendKind::Released, held.sent_at, token, direction, held.segment);
+    /// Sends the segments of a stream that waited for the end of a partition.
+    fn release(&mut self, stream: StreamId) {
+        let StreamId { token, direction } = stream;
+        for queued in self.connections.release(stream) {
+            self.transmit_as(SendKind::Released, queued.sent_at, token, direction, queued.segment);
         }
     }
 }
@@ -67,8 +68,9 @@
     fn connect(&mut self, courier: u32) -> Token {
         let incarnation = self.hosts.get(&courier).map_or(NO_INCARNATION, |host| host.incarnation);
         let now = self.now();
-        let token = self.connections.open_from_client(now, courier, incarnation);
-        self.note_opened_connection();
+        let program = CourierIncarnation { courier, incarnation };
+        let token = self.connections.open_from_client(now, program);
+        self.update_peak_connections();
         self.transmit(token, Direction::ToCourier, Segment::Connect);
         token
     }
@@ -86,15 +88,15 @@
         Network::close(self, token, Side::Peer);
     }
 
-    fn start(&mut self, courier: u32, incarnation: u32, _first: bool) -> Result<bool, TransportError> {
+    fn start(&mut self, courier: u32, incarnation: u32) -> Result<StoredState, TransportError> {
         let options = self.start_options(courier, incarnation);
         let deviation = self.draw_clock_deviation();
         let now = self.now();
         let disk = self.disks.entry(courier).or_default();
         let host = Host::start(now, incarnation, options, deviation, disk);
-        let is_configured = host.is_configured();
+        let stored = if host.is_configured() { StoredState::Recovered } else { StoredState::Missing };
         self.hosts.insert(courier, host);
-        Ok(is_configured)
+        Ok(stored)
     }
 
     fn kill(&mut self, courier: u32) {
@@ -118,7 +120,7 @@
         }
     }
 
-    fn go_on(&mut self, courier: u32) {
+    fn resume(&mut self, courier: u32) {
         if let Some(host) = self.hosts.get_mut(&courier) {
             host.resume();
             self.schedule_iteration(courier);
@@ -127,7 +129,8 @@
 
     fn put(&mut self, courier: u32, incarnation: u32, path: &'static str, body: String) {
         let due = self.now() + CONTROL_DELAY;
-        self.events.schedule(due, Event::ControlPut { courier, incarnation, path, body });
+        let program = CourierIncarnation { courier, incarnation };
+        self.events.schedule(due, Event::ControlPut { program, path, body });
     }
 
     fn open(&mut self, endpoint: u32) -> Result<(), TransportError> {
@@ -174,8 +177,8 @@
 
     fn heal(&mut self, number: usize) {
         self.connections.end_slowdown(number);
-        for (token, direction) in self.connections.end_partition(number) {
-            self.release(token, direction);
+        for stream in self.connections.end_partition(number) {
+            self.release(stream);
         }
     }
 }
--- a/crates/testbed/src/socket_run.rs
+++ b/crates/testbed/src/socket_run.rs
@@ -84,8 +84,7 @@
     let mut stack = SocketStack::start(fleet, options)?;
     stack.run_traffic(fleet.scenario.seconds)?;
     stack.stop_couriers()?;
-    let (records, _) = stack.runner.into_records();
-    Ok(records)
+    Ok(stack.runner.finish().records)
 }
 
 /// Runs the stack of a scenario without its traffic until SIGTERM or SIGINT. `ready` is called once with a
--- a/crates/testbed/tests/emulated.rs
+++ b/crates/testbed/tests/emulated.rs
@@ -155,10 +155,10 @@
         (by_one_thread.run, &by_one_thread.shrunk),
         "the same on any number of threads"
     );
-    assert!(finding.shrunk.scenario.trouble.len() <= finding.drawn.scenario.trouble.len());
+    assert!(finding.shrunk.scenario.faults.len() <= finding.drawn.scenario.faults.len());
     let scenario = Scenario::parse(&script(&finding).unwrap()).unwrap();
     let report = Recipe { scenario, ..finding.shrunk.clone() }.run_checked().unwrap().report;
-    let broken = report.rules.iter().find(|invariant| invariant.broken > 0);
+    let broken = report.rules.iter().find(|invariant| invariant.violations > 0);
     let broken = broken.expect("the script breaks it too");
     assert!(finding.summary.contains(broken.rule));
 }
@@ -279,7 +279,7 @@
         let scenario = Scenario::parse(script).unwrap();
         let report = Recipe::new(scenario, seed).run_checked().unwrap().report;
         for invariant in &report.rules {
-            assert_eq!(invariant.broken, 0, "{name}: {}: {:?}", invariant.rule, invariant.examples);
+            assert_eq!(invariant.violations, 0, "{name}: {}: {:?}", invariant.rule, invariant.examples);
         }
     }
 }
--- a/crates/testbed/tests/rules.rs
+++ b/crates/testbed/tests/rules.rs
@@ -89,7 +89,7 @@
     let records = socket_run::run(&fleet, &StackOptions::new(program, dir.clone())).unwrap();
     let report = check(&records.records, &fleet.invariants(Timebase::Sockets));
     std::fs::remove_dir_all(dir).unwrap();
-    assert!(report.kept(), "{}", table(&report));
+    assert!(report.is_conformant(), "{}", table(&report));
     assert!(report.service > 0.5, "{}", table(&report));
     report
 }
