HTTP: the early status of an incomplete or malformed response is an enum

Cause: ParsedResponse carried ok: bool, and the platform's outcome_of_malformed took it as a bare flag. Change: EarlyStatus::{Ok, Other} in crates/http and its users; the framing tests compare the same cases.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -21,4 +21,6 @@
 pub use limits::{parse_decimal, MAX_BODY_BYTES, MAX_HEADER_FIELDS, MAX_HEAD_BYTES};
 pub use persistence::Persistence;
 pub use request::{parse_request, DuplicateField, Request, RequestError};
-pub use response::{encode_response, parse_response, reason_phrase, ParsedResponse, ResponseHead};
+pub use response::{
+    encode_response, parse_response, reason_phrase, EarlyStatus, ParsedResponse, ResponseHead,
+};
--- a/crates/http/src/response.rs
+++ b/crates/http/src/response.rs
@@ -11,18 +11,27 @@
 const NO_CONTENT: u16 = 204;
 const NOT_MODIFIED: u16 = 304;
 
+/// The status of a response whose head is not complete or not valid.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EarlyStatus {
+    /// The status line is complete and reads 200.
+    Ok,
+    /// The status line is not complete, malformed or reads another status.
+    Other,
+}
+
 /// The response at the start of some bytes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ParsedResponse {
     /// More bytes are needed.
     Incomplete {
-        /// Whether the status line is complete and reads 200.
-        ok: bool,
+        /// What the bytes say of the status.
+        status: EarlyStatus,
     },
     /// The bytes cannot become a valid response.
     Malformed {
-        /// Whether the status line is complete and reads 200.
-        ok: bool,
+        /// What the bytes say of the status.
+        status: EarlyStatus,
     },
     /// The head is complete.
     Head(ResponseHead),
@@ -75,7 +84,7 @@
             ParsedResponse::Head(head) if head.is_interim() => {
                 skipped += head.length;
                 if skipped > MAX_HEAD_BYTES {
-                    return ParsedResponse::Malformed { ok: false };
+                    return ParsedResponse::Malformed { status: EarlyStatus::Other };
                 }
             }
             ParsedResponse::Head(mut head) => {
@@ -89,16 +98,20 @@
 
 /// Parses the response at the start of these bytes, interim or not.
 fn parse_one_response(bytes: &[u8]) -> ParsedResponse {
-    let Some(status_line) = parse_status_line(bytes) else { return ParsedResponse::Malformed { ok: false } };
-    let ok = status_line == StatusLine::Complete { status: OK };
+    let Some(status_line) = parse_status_line(bytes) else {
+        return ParsedResponse::Malformed { status: EarlyStatus::Other };
+    };
+    let status = status_line.early_status();
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADER_FIELDS];
     let mut head = httparse::Response::new(&mut headers);
     match head.parse(bytes) {
         Ok(httparse::Status::Complete(length)) if length <= MAX_HEAD_BYTES => {
-            read_head(&head, length, bytes).map_or(ParsedResponse::Malformed { ok }, ParsedResponse::Head)
+            read_head(&head, length, bytes).map_or(ParsedResponse::Malformed { status }, ParsedResponse::Head)
+        }
+        Ok(httparse::Status::Partial) if bytes.len() <= MAX_HEAD_BYTES => {
+            ParsedResponse::Incomplete { status }
         }
-        Ok(httparse::Status::Partial) if bytes.len() <= MAX_HEAD_BYTES => ParsedResponse::Incomplete { ok },
-        Ok(_) | Err(_) => ParsedResponse::Malformed { ok },
+        Ok(_) | Err(_) => ParsedResponse::Malformed { status },
     }
 }
 
@@ -109,6 +122,15 @@
     Complete { status: u16 },
 }
 
+impl StatusLine {
+    fn early_status(self) -> EarlyStatus {
+        match self {
+            StatusLine::Complete { status: OK } => EarlyStatus::Ok,
+            StatusLine::Complete { .. } | StatusLine::Partial => EarlyStatus::Other,
+        }
+    }
+}
+
 /// Reads the status line at the start of these bytes. Returns `None` if no response begins like this.
 fn parse_status_line(bytes: &[u8]) -> Option<StatusLine> {
     match bytes.iter().position(|&byte| byte == b'\n') {
--- a/crates/http/tests/framing.rs
+++ b/crates/http/tests/framing.rs
@@ -1,8 +1,8 @@
 //! Requests, responses and chunked bodies, cut at every byte and against arbitrary bytes.
 
 use linnetcart_http::{
-    parse_request, parse_response, ChunkedDecoder, ParsedResponse, Persistence, RequestError, MAX_BODY_BYTES,
-    MAX_HEADER_FIELDS, MAX_HEAD_BYTES,
+    parse_request, parse_response, ChunkedDecoder, EarlyStatus, ParsedResponse, Persistence, RequestError,
+    MAX_BODY_BYTES, MAX_HEADER_FIELDS, MAX_HEAD_BYTES,
 };
 use proptest::prelude::*;
 
@@ -46,7 +46,11 @@
         b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 429 No\r\nX-Backoff-Ms: 40\r\nContent-Length: 2\r\n\r\nokX";
     let head = bytes.len() - 3;
     for n in 0..head {
-        assert_eq!(parse_response(&bytes[..n]), ParsedResponse::Incomplete { ok: false }, "{n}");
+        assert_eq!(
+            parse_response(&bytes[..n]),
+            ParsedResponse::Incomplete { status: EarlyStatus::Other },
+            "{n}"
+        );
     }
     let ParsedResponse::Head(h) = parse_response(bytes) else { panic!() };
     assert_eq!((h.status, h.length, h.body, h.persistence), (429, head, Some(2), Persistence::KeepAlive));
@@ -55,24 +59,30 @@
 
 #[test]
 fn response_malformed_after_200_status_line_reports_ok() {
-    assert_eq!(parse_response(b"\x00\x01"), ParsedResponse::Malformed { ok: false });
-    assert_eq!(parse_response(b"HTTP/1.1 2000 OK\r\n"), ParsedResponse::Malformed { ok: false });
-    assert_eq!(parse_response(b"HTTP/1.1 200 OK\r\nX"), ParsedResponse::Incomplete { ok: true });
+    assert_eq!(parse_response(b"\x00\x01"), ParsedResponse::Malformed { status: EarlyStatus::Other });
+    assert_eq!(
+        parse_response(b"HTTP/1.1 2000 OK\r\n"),
+        ParsedResponse::Malformed { status: EarlyStatus::Other }
+    );
+    assert_eq!(
+        parse_response(b"HTTP/1.1 200 OK\r\nX"),
+        ParsedResponse::Incomplete { status: EarlyStatus::Ok }
+    );
     assert_eq!(
         parse_response(b"HTTP/1.1 200 OK\r\n\x01\x02: \x00\r\n\r\n"),
-        ParsedResponse::Malformed { ok: true }
+        ParsedResponse::Malformed { status: EarlyStatus::Ok }
     );
     assert_eq!(
         parse_response(b"HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\n"),
-        ParsedResponse::Malformed { ok: true }
+        ParsedResponse::Malformed { status: EarlyStatus::Ok }
     );
     assert_eq!(
         parse_response(b"HTTP/1.1 500 No\r\nContent-Length: x\r\n\r\n"),
-        ParsedResponse::Malformed { ok: false }
+        ParsedResponse::Malformed { status: EarlyStatus::Other }
     );
     let mut long = b"HTTP/1.1 200 OK\r\nX: ".to_vec();
     long.resize(MAX_HEAD_BYTES + 1, b'a');
-    assert_eq!(parse_response(&long), ParsedResponse::Malformed { ok: true });
+    assert_eq!(parse_response(&long), ParsedResponse::Malformed { status: EarlyStatus::Ok });
     let ParsedResponse::Head(h) = parse_response(b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n")
     else {
         panic!()
--- a/crates/platform/src/core/connection_pool/connection.rs
+++ b/crates/platform/src/core/connection_pool/connection.rs
@@ -13,7 +13,7 @@
 use crate::core::attempts::AttemptId;
 use crate::core::clock::MILLISECOND;
 use linnetcart::{AttemptOutcome, Time};
-use linnetcart_http::{parse_response, ParsedResponse};
+use linnetcart_http::{parse_response, EarlyStatus, ParsedResponse};
 use std::net::SocketAddr;
 
 /// After an answer, a connection is not reused for this long: bytes that follow the answer must not be read
@@ -127,7 +127,7 @@
 
     /// Whether the incomplete answer has a complete status line with status 200.
     pub fn has_success_line(&self) -> bool {
-        matches!(parse_response(&self.response), ParsedResponse::Incomplete { ok: true })
+        matches!(parse_response(&self.response), ParsedResponse::Incomplete { status: EarlyStatus::Ok })
     }
 
     /// Returns since when the connection is idle, or `None` if it must not carry another attempt now. A
--- a/crates/platform/src/core/connection_pool/receive.rs
+++ b/crates/platform/src/core/connection_pool/receive.rs
@@ -6,7 +6,7 @@
 use linnetcart::{AttemptOutcome, Time};
 use linnetcart_courier_common::idle_reuse::CallResult;
 use linnetcart_deployment_settings::DeploymentSettings;
-use linnetcart_http::{parse_response, ParsedResponse, Persistence, ResponseHead};
+use linnetcart_http::{parse_response, EarlyStatus, ParsedResponse, Persistence, ResponseHead};
 
 impl ConnectionPool {
     /// Handles received bytes. Returns an attempt's result once it is known.
@@ -54,9 +54,9 @@
         let attempt = connection.attempt?;
         match parse_response(&connection.response) {
             ParsedResponse::Incomplete { .. } => None,
-            ParsedResponse::Malformed { ok: has_success_line } => {
+            ParsedResponse::Malformed { status } => {
                 self.close(id);
-                Some(FinishedAttempt::new(attempt, response::outcome_of_malformed(has_success_line)))
+                Some(FinishedAttempt::new(attempt, response::outcome_of_malformed(status)))
             }
             ParsedResponse::Head(head) => self.response_head(id, attempt, &head, now, settings),
         }
@@ -110,13 +110,12 @@
         let connection = self.connections.get(&id)?;
         let endpoint = connection.endpoint;
         let (outcome, load) = match parse_response(&connection.response) {
-            ParsedResponse::Incomplete { ok: false } => return None,
+            ParsedResponse::Incomplete { status: EarlyStatus::Other } => return None,
             ParsedResponse::Head(head) => {
                 (response::outcome_of_status(&head).outcome, response::load_report(&head, settings))
             }
-            ParsedResponse::Incomplete { ok: has_success_line }
-            | ParsedResponse::Malformed { ok: has_success_line } => {
-                (response::outcome_of_malformed(has_success_line), LoadReport::default())
+            ParsedResponse::Incomplete { status } | ParsedResponse::Malformed { status } => {
+                (response::outcome_of_malformed(status), LoadReport::default())
             }
         };
         self.close(id);
--- a/crates/platform/src/core/connection_pool/response.rs
+++ b/crates/platform/src/core/connection_pool/response.rs
@@ -17,7 +17,7 @@
 use crate::core::clock::MILLISECOND;
 use linnetcart::{AttemptOutcome, Time};
 use linnetcart_deployment_settings::{DeploymentSettings, CAPACITY_LEFT_FIELD, RATE_LIMIT_FIELD};
-use linnetcart_http::{parse_decimal, ResponseHead};
+use linnetcart_http::{parse_decimal, EarlyStatus, ResponseHead};
 
 /// The meaning of an answer.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -51,13 +51,11 @@
     Interpretation { outcome, message_completed: matches!(head.status, 200 | 410) }
 }
 
-/// Returns the outcome of an attempt whose answer is malformed. `has_success_line`: the status line is
-/// complete and reads 200.
-pub fn outcome_of_malformed(has_success_line: bool) -> AttemptOutcome {
-    if has_success_line {
-        AttemptOutcome::Served
-    } else {
-        AttemptOutcome::Error
+/// Returns the outcome of an attempt whose answer is malformed, by the status line that came before.
+pub fn outcome_of_malformed(status: EarlyStatus) -> AttemptOutcome {
+    match status {
+        EarlyStatus::Ok => AttemptOutcome::Served,
+        EarlyStatus::Other => AttemptOutcome::Error,
     }
 }
 
