--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -34,6 +34,7 @@
 mod responses;
 mod retry_after;
 mod status;
+mod time_index;
 
 pub use clients::ClientId;
 pub use decisions::{library, DecisionPolicy, PolicyFactory};
--- a/crates/edge/src/core/attempts.rs
+++ b/crates/edge/src/core/attempts.rs
@@ -1,42 +1,43 @@
-//! What the core does with attempts: start and cancel them, take their outcomes, and complete messages.
+//! How the core handles attempts: it starts and cancels them, collects their outcomes, and completes messages.
 
-use super::delivery::{AttemptId, FinishedAttempt, OutgoingMessage};
+use super::delivery::{AttemptId, Departure, FinishedAttempt, OutgoingMessage};
 use super::in_flight::InFlightMessage;
 use super::responses::RecordOutcome;
 use super::{Core, UpstreamId};
 use crate::delivery_events::{DeliveryEvent, FinalAnswer, LoadReport};
 use linnetcart::{AttemptOutcome, AttemptResult, Event, Idempotency, Time};
 
-/// Ticks before a message's deadline after which no attempt of it leaves any more. The library answers two ticks
-/// before the deadline and must have learned of it before.
+/// How many ticks before a message's deadline the last attempt may be written. The library answers two ticks before
+/// the deadline and needs the outcome of an unwritten attempt before that.
 const DEPARTURE_MARGIN_TICKS: Time = 4;
 
 impl Core {
     // ---- Connections to endpoints
 
-    /// The connection is there.
+    /// Handles an established connection to an endpoint.
     pub fn upstream_connected(&mut self, id: UpstreamId) {
         self.delivery.connected(id);
     }
 
-    /// The connection could not be made.
+    /// Handles a connection to an endpoint that could not be established.
     pub fn upstream_connect_failed(&mut self, id: UpstreamId) {
         self.delivery.connect_failed(id);
     }
 
-    /// The other side closed the connection, or it broke, after the system took `written` bytes of ours.
-    pub fn upstream_disconnected(&mut self, id: UpstreamId, written: u64) {
-        self.delivery.disconnected(id, written);
+    /// Handles a connection that the endpoint closed, or that failed, after the operating system accepted
+    /// `accepted_bytes` for it.
+    pub fn upstream_disconnected(&mut self, id: UpstreamId, accepted_bytes: u64) {
+        self.delivery.disconnected(id, accepted_bytes);
     }
 
-    /// Bytes came from an endpoint.
+    /// Handles bytes from an endpoint.
     pub fn upstream_received(&mut self, id: UpstreamId, bytes: &[u8]) {
         let now = self.clock.now();
         let (in_flight, endpoints, retry_after) = (&self.in_flight, &self.endpoints, &self.retry_after);
-        let may_depart = |message: u32, endpoint: u32| {
-            in_flight.open(message).is_some_and(|m| m.deadline > now)
-                && endpoints.is_ready(endpoint)
-                && !retry_after.is_blocked(endpoint, now)
+        let may_depart = |departure: Departure| {
+            in_flight.open(departure.message).is_some_and(|message| message.deadline > now)
+                && endpoints.is_ready(departure.endpoint)
+                && !retry_after.is_blocked(departure.endpoint, now)
         };
         self.delivery.receive(id, bytes, &may_depart);
         self.collect_attempt_outcomes();
@@ -69,7 +70,7 @@
         }
     }
 
-    /// How many messages one call to the endpoint takes, if the endpoint is in the list.
+    /// Returns how many messages one call to the endpoint may carry, or `None` if the endpoint is not in the list.
     fn max_messages_per_call(&self, endpoint: u32) -> Option<usize> {
         let entry = self.endpoints.get(endpoint)?;
         let kind = self.settings.kind(&entry.kind)?;
@@ -80,7 +81,7 @@
         self.delivery.cancel(AttemptId { message, number: attempt });
     }
 
-    /// Takes the outcomes of attempts from delivery.
+    /// Collects the outcomes of attempts from delivery.
     pub(super) fn collect_attempt_outcomes(&mut self) {
         for violation in self.delivery.take_violations() {
             let peer = format!("endpoint {}", violation.endpoint);
@@ -88,7 +89,7 @@
             self.delivery_events.push(DeliveryEvent::ProtocolViolation { peer, reason });
         }
         for rejection in self.delivery.take_late_rejections() {
-            self.late_rejection(rejection);
+            self.record_late_rejection(rejection);
         }
         loop {
             let finished = self.delivery.take_finished();
@@ -101,42 +102,46 @@
         }
     }
 
-    /// An endpoint rejected a call that had been abandoned: its Retry-After counts all the same.
-    fn late_rejection(&mut self, rejection: FinishedAttempt) {
+    /// Records the rejection of an abandoned call. Its Retry-After applies like any other.
+    fn record_late_rejection(&mut self, rejection: FinishedAttempt) {
         let AttemptOutcome::Rejected { retry_after } = rejection.outcome else { return };
         self.retry_after.record(rejection.endpoint, retry_after, self.clock.now());
         self.decisions.push(Event::AttemptFinished(self.attempt_result(&rejection, true)));
     }
 
     fn finish_attempt(&mut self, finished: FinishedAttempt) {
-        let AttemptId { message, number: attempt } = finished.attempt;
-        let (endpoint, outcome) = (finished.endpoint, finished.outcome);
-        if let Some(in_flight) = self.in_flight.get(message) {
-            let load = finished
-                .load
-                .map(|l| LoadReport { capacity_left: l.capacity_left, rate_limit: l.rate_limit });
-            self.delivery_events.push(DeliveryEvent::AttemptFinished {
-                message,
-                attempt,
-                class: in_flight.class,
-                destination: in_flight.destination,
-                endpoint,
-                outcome,
-                elapsed: self.clock.now().saturating_sub(finished.started_at),
-                load,
-            });
-        }
-        if let AttemptOutcome::Rejected { retry_after } = outcome {
-            self.retry_after.record(endpoint, retry_after, self.clock.now());
+        let message = finished.attempt.message;
+        self.push_attempt_finished(&finished);
+        if let AttemptOutcome::Rejected { retry_after } = finished.outcome {
+            self.retry_after.record(finished.endpoint, retry_after, self.clock.now());
         }
-        if outcome == AttemptOutcome::Served {
+        if finished.outcome == AttemptOutcome::Served {
             self.complete(message, FinalAnswer::Served);
         }
-        let message_completed = self.in_flight.finish_attempt(message, outcome);
+        let message_completed = self.in_flight.finish_attempt(message, finished.outcome);
         let result = self.attempt_result(&finished, message_completed);
         self.decisions.push(Event::AttemptFinished(result));
     }
 
+    /// Pushes the delivery event of a finished attempt, unless its message is no longer in the table.
+    fn push_attempt_finished(&mut self, finished: &FinishedAttempt) {
+        let AttemptId { message, number: attempt } = finished.attempt;
+        let Some(in_flight) = self.in_flight.get(message) else { return };
+        let load = finished
+            .load
+            .map(|load| LoadReport { capacity_left: load.capacity_left, rate_limit: load.rate_limit });
+        self.delivery_events.push(DeliveryEvent::AttemptFinished {
+            message,
+            attempt,
+            class: in_flight.class,
+            destination: in_flight.destination,
+            endpoint: finished.endpoint,
+            outcome: finished.outcome,
+            elapsed: self.clock.now().saturating_sub(finished.started_at),
+            load,
+        });
+    }
+
     fn attempt_result(&self, finished: &FinishedAttempt, message_completed: bool) -> AttemptResult {
         AttemptResult {
             message: finished.attempt.message,
@@ -160,16 +165,15 @@
         self.complete(message, FinalAnswer::Failed);
     }
 
-    /// Completes a message without the library, to which its client counts as gone: nobody waits any longer
-    /// because a response behind it on its connection is due, or because the drain deadline has passed.
+    /// Completes a message without a decision of the library, because a response behind it on its connection is due
+    /// or because the drain deadline has passed. The library is notified as if the client had cancelled.
     pub(super) fn complete_undecided(&mut self, message: u32) {
         let Some(in_flight) = self.in_flight.open(message) else { return };
         let repeat_is_harmless = matches!(
             self.idempotency[usize::from(in_flight.class)],
             Idempotency::Idempotent | Idempotency::Keyed { per_zone: false, .. }
         );
-        let possibly_executed = in_flight.possibly_executed || self.delivery.has_departed(message);
-        let answer = if repeat_is_harmless || !possibly_executed {
+        let answer = if repeat_is_harmless || !self.is_possibly_executed(message, in_flight) {
             FinalAnswer::Rejected { retry_after: 0 }
         } else {
             FinalAnswer::Failed
@@ -183,12 +187,10 @@
         let Some(in_flight) = self.in_flight.open(message) else { return };
         let (position, class, destination) = (in_flight.position, in_flight.class, in_flight.destination);
         let elapsed = self.clock.now() - in_flight.accepted_at;
-        let possibly_executed = in_flight.possibly_executed || self.delivery.has_departed(message);
+        let not_executed = !self.is_possibly_executed(message, in_flight);
         let record_outcome = match answer {
             FinalAnswer::Served => RecordOutcome::Served,
-            FinalAnswer::Rejected { retry_after } => {
-                RecordOutcome::Rejected { retry_after, not_executed: !possibly_executed }
-            }
+            FinalAnswer::Rejected { retry_after } => RecordOutcome::Rejected { retry_after, not_executed },
             FinalAnswer::Failed => RecordOutcome::Failed,
         };
         let objective = self.settings.classes[usize::from(class)].latency_objective();
@@ -201,9 +203,14 @@
             self.process_requests(position.client);
         }
     }
+
+    fn is_possibly_executed(&self, message: u32, in_flight: &InFlightMessage) -> bool {
+        in_flight.possibly_executed || self.delivery.has_departed(message)
+    }
 }
 
-/// What is sent for an attempt. The decision's time-out, 0 for none, ends it before the message's deadline.
+/// Builds the outgoing message of an attempt. The attempt times out at `timeout_at`, or at the message's deadline if
+/// that is earlier or `timeout_at` is 0.
 fn outgoing_message(
     attempt: AttemptId,
     message: &InFlightMessage,
--- a/crates/edge/src/core/delivery/calls.rs
+++ b/crates/edge/src/core/delivery/calls.rs
@@ -1,8 +1,9 @@
-//! Calls to endpoints: the batching of messages, the attempts that they carry, and their deadlines.
+//! The calls to endpoints: how messages are batched into them, the attempts they carry, and the deadlines of those.
 
 use super::{CallId, IdSequence, OutgoingMessage, UpstreamId};
+use crate::core::time_index::TimeIndex;
 use linnetcart::{AttemptOutcome, Time};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 /// An attempt to deliver a message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -16,16 +17,16 @@
 #[derive(Debug)]
 pub(super) struct Call {
     pub(super) endpoint: u32,
-    /// The connection that carries it, once it was dispatched.
+    /// The connection that carries it, once it has been dispatched.
     pub(super) connection: Option<UpstreamId>,
-    /// Messages without an outcome. None are left of an abandoned call.
+    /// The messages without an outcome. An abandoned call has none left.
     pub(super) messages: Vec<OutgoingMessage>,
     /// The attempt that finished last.
     pub(super) last_finished: AttemptId,
-    /// Once it is written: the bytes that were queued on the connection before it.
+    /// The number of bytes that were queued on the connection before this call, once it has been written.
     pub(super) stream_offset: Option<u64>,
     pub(super) started_at: Time,
-    /// How long its connection had been idle before it.
+    /// How long its connection had been idle before it was dispatched.
     pub(super) connection_idle_for: Time,
 }
 
@@ -34,10 +35,14 @@
         self.stream_offset.is_some()
     }
 
-    /// Every message of it has its outcome, while its response has not come.
+    /// Returns whether every message has its outcome while the response is still outstanding.
     pub(super) fn is_abandoned(&self) -> bool {
         self.messages.is_empty()
     }
+
+    fn message(&self, attempt: AttemptId) -> Option<&OutgoingMessage> {
+        self.messages.iter().find(|message| message.attempt == attempt)
+    }
 }
 
 /// An attempt that was removed from its call.
@@ -45,11 +50,11 @@
 pub(super) struct RemovedAttempt {
     pub(super) endpoint: u32,
     pub(super) started_at: Time,
-    /// It was the last one of its call.
+    /// Whether it was the last attempt of its call.
     pub(super) was_last: bool,
 }
 
-/// An attempt whose time is up.
+/// An attempt that has timed out.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ExpiredAttempt {
     pub(super) call: CallId,
@@ -57,26 +62,35 @@
     pub(super) outcome: AttemptOutcome,
 }
 
-/// As many calls are out as there are slots.
+/// All slots are occupied.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct NoSlot;
 
-/// All calls, with their attempts.
+/// Bounds of calls.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct CallBounds {
+    /// The number of slots.
+    pub(super) max_calls: usize,
+    /// How many messages one call to the endpoint may carry.
+    pub(super) max_messages_per_call: usize,
+}
+
+/// All calls with their attempts.
 #[derive(Debug, Default)]
 pub(super) struct CallTable {
     calls: BTreeMap<CallId, Call>,
-    /// Calls with a message that waits for its outcome; each holds a slot.
+    /// The number of calls with a message that has no outcome. Each occupies a slot.
     out: usize,
     by_attempt: BTreeMap<AttemptId, CallId>,
-    deadlines: BTreeSet<(Time, AttemptId)>,
-    /// The undispatched call of each endpoint that further messages may join.
+    deadlines: TimeIndex<AttemptId>,
+    /// For each endpoint the undispatched call that further messages may join.
     joinable: BTreeMap<u32, CallId>,
-    /// Calls of this cycle, in the order in which they were begun.
+    /// The calls of this cycle, in the order in which they were opened.
     undispatched: Vec<CallId>,
 }
 
 impl CallTable {
-    /// Calls out that hold a slot.
+    /// Returns how many slots are occupied.
     pub(super) fn out(&self) -> usize {
         self.out
     }
@@ -89,17 +103,17 @@
         self.calls.get_mut(&id)
     }
 
-    /// The call that carries an attempt without an outcome.
+    /// Returns the call that carries an attempt, or `None` if the attempt has its outcome.
     pub(super) fn of_attempt(&self, attempt: AttemptId) -> Option<CallId> {
         self.by_attempt.get(&attempt).copied()
     }
 
-    /// When the next attempt expires.
+    /// Returns when the next attempt expires, or `None` when no attempt is out.
     pub(super) fn next_deadline(&self) -> Option<Time> {
-        self.deadlines.first().map(|&(deadline, _)| deadline)
+        self.deadlines.earliest()
     }
 
-    /// Whether an attempt of the message is out that was written to its connection.
+    /// Returns whether an attempt of the message is out that has been written to its connection.
     pub(super) fn has_departed(&self, message: u32) -> bool {
         let first = AttemptId { message, number: 0 };
         let last = AttemptId { message, number: u16::MAX };
@@ -107,7 +121,7 @@
         calls.any(|call| self.calls.get(call).is_some_and(Call::is_written))
     }
 
-    /// Adds a message to this cycle's call to the endpoint if that takes more, else to a new one.
+    /// Adds a message to this cycle's call to the endpoint if that has capacity left, otherwise to a new call.
     pub(super) fn add(
         &mut self,
         endpoint: u32,
@@ -117,21 +131,25 @@
         now: Time,
     ) -> Result<(), NoSlot> {
         let attempt = message.attempt;
-        let has_room = |call: &Call| call.messages.len() < bounds.max_messages_per_call;
-        let joinable = self.joinable.get(&endpoint).copied();
-        let call_id = match joinable.filter(|id| self.calls.get(id).is_some_and(has_room)) {
+        let call_id = match self.joinable_call(endpoint, bounds.max_messages_per_call) {
             Some(id) => id,
             None if self.out >= bounds.max_calls => return Err(NoSlot),
             None => self.open(ids.next_id(), endpoint, attempt, now),
         };
         self.by_attempt.insert(attempt, call_id);
-        self.deadlines.insert((message.departure_deadline(), attempt));
+        self.deadlines.insert(message.departure_deadline(), attempt);
         if let Some(call) = self.calls.get_mut(&call_id) {
             call.messages.push(message);
         }
         Ok(())
     }
 
+    fn joinable_call(&self, endpoint: u32, max_messages: usize) -> Option<CallId> {
+        let id = *self.joinable.get(&endpoint)?;
+        let call = self.calls.get(&id)?;
+        (call.messages.len() < max_messages).then_some(id)
+    }
+
     fn open(&mut self, id: CallId, endpoint: u32, first: AttemptId, now: Time) -> CallId {
         let call = Call {
             endpoint,
@@ -149,13 +167,14 @@
         id
     }
 
-    /// The calls of this cycle; nothing joins them any more.
+    /// Returns the calls of this cycle. No message joins them from now on.
     pub(super) fn take_undispatched(&mut self) -> Vec<CallId> {
         self.joinable.clear();
         std::mem::take(&mut self.undispatched)
     }
 
-    /// Removes an attempt that has its outcome from its call. The call stays.
+    /// Removes an attempt that has its outcome from its call. The call itself stays in the table. Returns `None` if
+    /// the call does not carry the attempt.
     pub(super) fn remove_attempt(&mut self, id: CallId, attempt: AttemptId) -> Option<RemovedAttempt> {
         let call = self.calls.get_mut(&id)?;
         let index = call.messages.iter().position(|message| message.attempt == attempt)?;
@@ -170,7 +189,7 @@
         Some(removed)
     }
 
-    /// Removes a call with the attempts that are left of it.
+    /// Removes a call together with its remaining attempts.
     pub(super) fn remove(&mut self, id: CallId) -> Option<Call> {
         let call = self.calls.remove(&id)?;
         if !call.messages.is_empty() {
@@ -182,43 +201,34 @@
         Some(call)
     }
 
-    /// The next attempt whose time is up. It stays until it is removed.
+    /// Returns the next attempt that has timed out. It stays in the table until the caller removes it.
     pub(super) fn next_expired(&mut self, now: Time) -> Option<ExpiredAttempt> {
-        while let Some(&(at, attempt)) = self.deadlines.first().filter(|(at, _)| *at <= now) {
-            let call_id = self.by_attempt.get(&attempt).copied();
+        while let Some(due) = self.deadlines.first_due(now) {
+            let attempt = due.id;
+            let call_id = self.of_attempt(attempt);
             let Some((call_id, call)) = call_id.and_then(|id| Some((id, self.calls.get(&id)?))) else {
-                self.deadlines.remove(&(at, attempt));
+                self.deadlines.remove(due.at, attempt);
                 continue;
             };
             if !call.is_written() {
                 let outcome = AttemptOutcome::NoConnection;
                 return Some(ExpiredAttempt { call: call_id, attempt, outcome });
             }
-            let message = call.messages.iter().find(|message| message.attempt == attempt);
-            let deadline = message.map_or(0, |message| message.deadline);
+            let deadline = call.message(attempt).map_or(0, |message| message.deadline);
             if deadline <= now {
                 let outcome = AttemptOutcome::TimedOut;
                 return Some(ExpiredAttempt { call: call_id, attempt, outcome });
             }
-            // It departed in time and has until its deadline.
-            self.deadlines.remove(&(at, attempt));
-            self.deadlines.insert((deadline, attempt));
+            // It was written in time, so its deadline counts from here on.
+            self.deadlines.remove(due.at, attempt);
+            self.deadlines.insert(deadline, attempt);
         }
         None
     }
 
     fn forget_attempt(&mut self, message: &OutgoingMessage) {
         self.by_attempt.remove(&message.attempt);
-        self.deadlines.remove(&(message.deadline, message.attempt));
-        self.deadlines.remove(&(message.departure_deadline(), message.attempt));
+        self.deadlines.remove(message.deadline, message.attempt);
+        self.deadlines.remove(message.departure_deadline(), message.attempt);
     }
 }
-
-/// Bounds of calls.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct CallBounds {
-    /// Calls out at once.
-    pub(super) max_calls: usize,
-    /// Messages that one call to the endpoint takes.
-    pub(super) max_messages_per_call: usize,
-}
--- a/crates/edge/src/core/delivery/connections.rs
+++ b/crates/edge/src/core/delivery/connections.rs
@@ -1,17 +1,18 @@
-//! Upstream connections: those to each endpoint, which of them are idle or abandoned, and their time-outs.
+//! The pool of connections to endpoints: which are idle, which carry abandoned calls, and when each times out.
 
 use super::{CallId, UpstreamId};
+use crate::core::time_index::TimeIndex;
 use linnetcart::Time;
 use linnetcart_kafka::Frames;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-/// How far a connection is.
+/// The progress of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ConnectionState {
-    /// It is being made, or the endpoint has not said yet which versions it offers.
+    /// It is being established, or the endpoint has not answered the version request yet.
     Connecting,
-    /// Calls go in this version of Produce.
+    /// It carries calls in this version of Produce.
     Ready { produce_version: i16 },
 }
 
@@ -22,20 +23,19 @@
     address: SocketAddr,
     pub(super) state: ConnectionState,
     pub(super) frames: Frames,
-    /// Bytes handed to the shell.
+    /// How many bytes were handed to the shell for it.
     pub(super) queued_bytes: u64,
     last_correlation: i32,
-    /// Calls that were written and have no response, by correlation id.
+    /// The calls that were written and have no response, by correlation id.
     pub(super) written_calls: BTreeMap<i32, CallId>,
-    /// Calls that wait until the connection is ready.
+    /// The calls that wait until the connection is ready.
     pub(super) waiting_calls: Vec<CallId>,
-    /// Written calls that nobody waits for any more.
+    /// How many of the written calls are abandoned.
     pub(super) abandoned_calls: usize,
-    /// When it was last used.
     pub(super) last_used: Time,
-    /// When it is looked at again.
+    /// When it is next checked for a timeout.
     timeout_at: Time,
-    /// Since when it stands as idle in its endpoint's index.
+    /// The time by which the idle index of its endpoint holds it, or `None` if the index does not.
     idle_since: Option<Time>,
 }
 
@@ -44,17 +44,17 @@
         self.state != ConnectionState::Connecting
     }
 
-    /// Nothing is on it, abandoned calls included.
+    /// Returns whether it is ready and carries no call, not even an abandoned one.
     fn is_idle(&self) -> bool {
         self.is_ready() && self.written_calls.is_empty() && self.waiting_calls.is_empty()
     }
 
-    /// Somebody waits for a call on it.
+    /// Returns whether it carries a call that is not abandoned.
     fn has_awaited_calls(&self) -> bool {
         self.written_calls.len() > self.abandoned_calls || !self.waiting_calls.is_empty()
     }
 
-    /// The correlation id of the next call; 0 is that of the version request.
+    /// Returns the correlation id of the next call. 0 is that of the version request.
     pub(super) fn next_correlation(&mut self) -> i32 {
         self.last_correlation = self.last_correlation % i32::MAX + 1;
         self.last_correlation
@@ -65,8 +65,8 @@
 #[derive(Debug, Default)]
 struct EndpointConnections {
     all: BTreeSet<UpstreamId>,
-    /// Those that nothing is on, by the time since then.
-    idle: BTreeSet<(Time, UpstreamId)>,
+    /// The idle ones, by the time since when they are.
+    idle: TimeIndex<UpstreamId>,
     /// Those with abandoned calls.
     abandoned: BTreeSet<UpstreamId>,
 }
@@ -74,20 +74,20 @@
 /// Numbers of connections.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct ConnectionCounts {
-    /// Open, or being made.
+    /// Those open or being established.
     pub(crate) open: usize,
     /// Of these, those with abandoned calls.
     pub(crate) abandoned: usize,
 }
 
-/// A connection to be made.
+/// A connection to be established.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct NewConnection {
     pub(super) id: UpstreamId,
     pub(super) endpoint: u32,
     pub(super) address: SocketAddr,
     pub(super) max_frame_bytes: usize,
-    /// When it has failed unless it is ready.
+    /// When it has failed if it is not ready.
     pub(super) timeout_at: Time,
 }
 
@@ -96,7 +96,7 @@
 pub(super) struct ConnectionPool {
     connections: BTreeMap<UpstreamId, Connection>,
     by_endpoint: BTreeMap<u32, EndpointConnections>,
-    timeouts: BTreeSet<(Time, UpstreamId)>,
+    timeouts: TimeIndex<UpstreamId>,
 }
 
 impl ConnectionPool {
@@ -116,23 +116,26 @@
         }
     }
 
-    /// Endpoints that connections are open to or being made to.
+    /// Returns the endpoints with a connection that is open or being established.
     pub(super) fn endpoints(&self) -> Vec<u32> {
         self.by_endpoint.keys().copied().collect()
     }
 
+    /// Returns whether a connection to the endpoint is open or being established.
     pub(super) fn has_endpoint(&self, endpoint: u32) -> bool {
         self.by_endpoint.contains_key(&endpoint)
     }
 
-    /// When the next connection is looked at again.
+    /// Returns when the next connection must be checked for a timeout, or `None` when there is no connection.
     pub(super) fn next_timeout(&self) -> Option<Time> {
-        self.timeouts.first().map(|&(at, _)| at)
+        self.timeouts.earliest()
     }
 
-    /// A connection to the endpoint that takes a further call: an idle one, the last used first, so that those not
-    /// needed grow old; else, where connections carry several calls, the last used one that is ready, else one
-    /// that is being made.
+    /// Returns a connection to the endpoint with capacity for another call, or `None` if there is none.
+    ///
+    /// An idle connection is preferred, and among those the last used, so that the ones not needed reach the idle
+    /// timeout. Where connections carry several calls, the last used ready one is next, and then one that is being
+    /// established.
     pub(super) fn find(
         &self,
         endpoint: u32,
@@ -140,20 +143,21 @@
         calls_per_connection: usize,
     ) -> Option<UpstreamId> {
         let of_endpoint = self.by_endpoint.get(&endpoint)?;
-        let takes_call = |connection: &Connection| {
+        let has_capacity = |connection: &Connection| {
             let calls = connection.written_calls.len() + connection.waiting_calls.len();
             calls < calls_per_connection && connection.abandoned_calls == 0 && connection.address == address
         };
-        let fits = |id: UpstreamId| self.connections.get(&id).filter(|connection| takes_call(connection));
-        let newest_idle = of_endpoint.idle.iter().rev().map(|&(_, id)| id).find(|&id| fits(id).is_some());
+        let usable = |id: UpstreamId| self.connections.get(&id).filter(|connection| has_capacity(connection));
+        let mut newest_idle_first = of_endpoint.idle.iter().rev().map(|entry| entry.id);
+        let newest_idle = newest_idle_first.find(|&id| usable(id).is_some());
         if newest_idle.is_some() || calls_per_connection <= 1 {
             return newest_idle;
         }
-        let preference = |&id: &UpstreamId| fits(id).map(|c| (c.is_ready(), c.last_used, id));
+        let preference = |&id: &UpstreamId| usable(id).map(|c| (c.is_ready(), c.last_used, id));
         of_endpoint.all.iter().filter_map(preference).max().map(|(_, _, id)| id)
     }
 
-    /// Adds a connection that is being made.
+    /// Adds a connection that is being established.
     pub(super) fn insert(&mut self, new: NewConnection, now: Time) {
         let connection = Connection {
             endpoint: new.endpoint,
@@ -170,19 +174,19 @@
             idle_since: None,
         };
         self.connections.insert(new.id, connection);
-        self.timeouts.insert((new.timeout_at, new.id));
+        self.timeouts.insert(new.timeout_at, new.id);
         self.by_endpoint.entry(new.endpoint).or_default().all.insert(new.id);
     }
 
-    /// Removes a connection, with every mention of it.
+    /// Removes a connection from the pool and from all indexes.
     pub(super) fn remove(&mut self, id: UpstreamId) -> Option<Connection> {
         let connection = self.connections.remove(&id)?;
-        self.timeouts.remove(&(connection.timeout_at, id));
+        self.timeouts.remove(connection.timeout_at, id);
         if let Some(of_endpoint) = self.by_endpoint.get_mut(&connection.endpoint) {
             of_endpoint.all.remove(&id);
             of_endpoint.abandoned.remove(&id);
             if let Some(since) = connection.idle_since {
-                of_endpoint.idle.remove(&(since, id));
+                of_endpoint.idle.remove(since, id);
             }
             if of_endpoint.all.is_empty() {
                 self.by_endpoint.remove(&connection.endpoint);
@@ -191,30 +195,31 @@
         Some(connection)
     }
 
-    /// After the calls on a connection changed: one without awaited calls is out of use from now on.
-    pub(super) fn settle(&mut self, id: UpstreamId, now: Time, idle_timeout: Time) {
+    /// Updates a connection after its calls changed. The idle timeout of a ready connection without awaited calls
+    /// starts now.
+    pub(super) fn calls_changed(&mut self, id: UpstreamId, now: Time, idle_timeout: Time) {
         if let Some(connection) = self.connections.get_mut(&id) {
             if connection.is_ready() && !connection.has_awaited_calls() {
                 connection.last_used = now;
-                self.timeouts.remove(&(connection.timeout_at, id));
+                self.timeouts.remove(connection.timeout_at, id);
                 connection.timeout_at = now + idle_timeout;
-                self.timeouts.insert((connection.timeout_at, id));
+                self.timeouts.insert(connection.timeout_at, id);
             }
         }
         self.update_index(id);
     }
 
-    /// Puts a connection where it belongs in its endpoint's index.
+    /// Updates the index of its endpoint after a connection changed.
     pub(super) fn update_index(&mut self, id: UpstreamId) {
         let Some(connection) = self.connections.get_mut(&id) else { return };
         let Some(of_endpoint) = self.by_endpoint.get_mut(&connection.endpoint) else { return };
         let idle_since = connection.is_idle().then_some(connection.last_used);
         if connection.idle_since != idle_since {
             if let Some(before) = connection.idle_since {
-                of_endpoint.idle.remove(&(before, id));
+                of_endpoint.idle.remove(before, id);
             }
             if let Some(since) = idle_since {
-                of_endpoint.idle.insert((since, id));
+                of_endpoint.idle.insert(since, id);
             }
             connection.idle_since = idle_since;
         }
@@ -225,32 +230,35 @@
         }
     }
 
-    /// The next connection that timed out: it was not ready in time, or nobody waited for anything on it for the
-    /// idle time.
+    /// Returns the next connection that timed out: either it did not become ready in time, or it has carried no
+    /// awaited call for the idle timeout.
     pub(super) fn take_timed_out(&mut self, now: Time) -> Option<UpstreamId> {
-        while let Some(&(at, id)) = self.timeouts.first().filter(|(at, _)| *at <= now) {
-            self.timeouts.remove(&(at, id));
-            let Some(connection) = self.connections.get(&id) else { continue };
+        while let Some(due) = self.timeouts.first_due(now) {
+            self.timeouts.remove(due.at, due.id);
+            let Some(connection) = self.connections.get(&due.id) else { continue };
             if !(connection.is_ready() && connection.has_awaited_calls()) {
-                return Some(id);
+                return Some(due.id);
             }
         }
         None
     }
 
-    /// Connections to an endpoint that are idle, longest first, as far as `closes` holds for the time since when.
-    pub(super) fn idle_while(&self, endpoint: u32, closes: impl Fn(Time) -> bool) -> Vec<UpstreamId> {
+    /// Returns the idle connections to an endpoint, longest idle first, as long as `condition` holds for the time
+    /// since when they are idle.
+    pub(super) fn idle_while(&self, endpoint: u32, condition: impl Fn(Time) -> bool) -> Vec<UpstreamId> {
         let Some(of_endpoint) = self.by_endpoint.get(&endpoint) else { return Vec::new() };
-        of_endpoint.idle.iter().take_while(|(since, _)| closes(*since)).map(|&(_, id)| id).collect()
+        let matching = of_endpoint.idle.iter().take_while(|entry| condition(entry.at));
+        matching.map(|entry| entry.id).collect()
     }
 
-    /// Connections to an endpoint with abandoned calls.
+    /// Returns the connections to an endpoint that carry abandoned calls.
     pub(super) fn abandoned(&self, endpoint: u32) -> impl Iterator<Item = &Connection> {
         let ids = self.by_endpoint.get(&endpoint).into_iter().flat_map(|of| &of.abandoned);
         ids.filter_map(|id| self.connections.get(id))
     }
 
-    /// The abandoned connection to an endpoint that has been so for longest, if there are more than `max`.
+    /// Returns the least recently used connection to an endpoint with abandoned calls, if there are more than `max`
+    /// of them.
     pub(super) fn excess_abandoned(&self, endpoint: u32, max: usize) -> Option<UpstreamId> {
         let abandoned = &self.by_endpoint.get(&endpoint)?.abandoned;
         if abandoned.len() <= max {
--- /dev/null
+++ b/crates/edge/src/core/delivery/outcomes.rs
@@ -0,0 +1,96 @@
+//! How attempts and calls end: by outcome, cancellation or timeout.
+
+use super::calls::{Call, RemovedAttempt};
+use super::{AttemptId, CallId, Delivery, FinishedAttempt, UpstreamId, NOT_SENT};
+use linnetcart::AttemptOutcome;
+use linnetcart_kafka::LoadReport;
+
+impl Delivery {
+    /// Finishes one attempt of a call. Returns `None` if the call does not carry the attempt.
+    pub(super) fn finish_attempt(
+        &mut self,
+        call: CallId,
+        attempt: AttemptId,
+        outcome: AttemptOutcome,
+        load: Option<LoadReport>,
+    ) -> Option<RemovedAttempt> {
+        let removed = self.calls.remove_attempt(call, attempt)?;
+        let RemovedAttempt { endpoint, started_at, .. } = removed;
+        self.finished.push(FinishedAttempt { attempt, endpoint, outcome, started_at, load });
+        Some(removed)
+    }
+
+    /// Finishes one attempt of a call without a response.
+    pub(super) fn give_up_attempt(&mut self, call_id: CallId, attempt: AttemptId, outcome: AttemptOutcome) {
+        let removed = self.finish_attempt(call_id, attempt, outcome, None);
+        if removed.is_some_and(|removed| removed.was_last) {
+            self.abandon_call(call_id);
+        }
+    }
+
+    /// Abandons a call whose messages all have outcomes. A call that was written may still be executed, so its
+    /// connection waits for the response. A call that was not written is removed.
+    fn abandon_call(&mut self, call_id: CallId) {
+        let Some(call) = self.calls.get(call_id) else { return };
+        let (endpoint, connection_id) = (call.endpoint, call.connection);
+        if call.is_written() {
+            if let Some(connection) = connection_id.and_then(|id| self.connections.get_mut(id)) {
+                connection.abandoned_calls += 1;
+            }
+            self.calls_changed(connection_id);
+            self.close_excess_abandoned(endpoint);
+            return;
+        }
+        self.calls.remove(call_id);
+        if let Some(connection) = connection_id.and_then(|id| self.connections.get_mut(id)) {
+            connection.waiting_calls.retain(|&waiting| waiting != call_id);
+        }
+        self.calls_changed(connection_id);
+    }
+
+    /// Removes a call and finishes its remaining attempts with this outcome.
+    pub(super) fn finish_call(&mut self, id: CallId, outcome: AttemptOutcome) {
+        let Some(call) = self.calls.remove(id) else { return };
+        for message in call.messages {
+            self.finished.push(FinishedAttempt {
+                attempt: message.attempt,
+                endpoint: call.endpoint,
+                outcome,
+                started_at: call.started_at,
+                load: None,
+            });
+        }
+    }
+
+    /// Updates the connection, if any, after its calls changed.
+    pub(super) fn calls_changed(&mut self, id: Option<UpstreamId>) {
+        if let Some(id) = id {
+            self.connections.calls_changed(id, self.now, self.settings.idle_timeout);
+        }
+    }
+
+    /// Limits the connections with abandoned calls to one endpoint to the number of slots.
+    fn close_excess_abandoned(&mut self, endpoint: u32) {
+        if let Some(oldest) = self.connections.excess_abandoned(endpoint, self.settings.max_calls) {
+            self.close(oldest, AttemptOutcome::Reset);
+        }
+    }
+
+    /// Cancels an attempt. One that was not written is known not to have been executed.
+    pub(crate) fn cancel(&mut self, attempt: AttemptId) {
+        let Some(call_id) = self.calls.of_attempt(attempt) else { return };
+        let departed = self.calls.get(call_id).is_some_and(Call::is_written);
+        let outcome = if departed { AttemptOutcome::Cancelled } else { NOT_SENT };
+        self.give_up_attempt(call_id, attempt, outcome);
+    }
+
+    /// Ends the attempts and closes the connections that have timed out.
+    pub(crate) fn expire(&mut self) {
+        while let Some(expired) = self.calls.next_expired(self.now) {
+            self.give_up_attempt(expired.call, expired.attempt, expired.outcome);
+        }
+        while let Some(id) = self.connections.take_timed_out(self.now) {
+            self.close(id, AttemptOutcome::NoConnection);
+        }
+    }
+}
--- a/crates/edge/src/core/delivery/produce.rs
+++ b/crates/edge/src/core/delivery/produce.rs
@@ -1,4 +1,4 @@
-//! Produce requests to endpoints, and the outcomes that their responses stand for.
+//! Produce requests to endpoints: their encoding, and the outcomes that follow from their responses.
 
 use super::calls::Call;
 use super::{AttemptId, DeliverySettings};
@@ -11,32 +11,47 @@
 use linnetcart_kafka::Record;
 use std::collections::BTreeMap;
 
-/// `acks` of a request that waits for all replicas.
+/// The `acks` value of a request that waits for all replicas.
 const ACKS_ALL: i16 = -1;
 
-/// The number and version of a request on its connection.
+/// The correlation id and version of a request.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct RequestHeader {
     pub(super) correlation: i32,
     pub(super) version: i16,
 }
 
-/// The Produce request of a call, its messages grouped by class and destination.
+/// The outcome of one attempt that its response states.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct StatedOutcome {
+    pub(super) attempt: AttemptId,
+    pub(super) outcome: AttemptOutcome,
+}
+
+/// A class at a destination, which Kafka calls a partition of a topic.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct TopicPartition {
+    class: u8,
+    destination: u32,
+}
+
+/// Encodes the Produce request of a call, its messages grouped by class and destination.
 pub(super) fn encode_call(
     settings: &DeliverySettings,
     header: RequestHeader,
     call: &Call,
     now: Time,
 ) -> Result<Bytes, Malformed> {
-    let mut groups: BTreeMap<(u8, u32), Vec<Record>> = BTreeMap::new();
+    let mut groups: BTreeMap<TopicPartition, Vec<Record>> = BTreeMap::new();
     for message in &call.messages {
-        groups.entry((message.class, message.destination)).or_default().push(message.record.clone());
+        let group = TopicPartition { class: message.class, destination: message.destination };
+        groups.entry(group).or_default().push(message.record.clone());
     }
     let mut targets = Vec::with_capacity(groups.len());
-    for ((class, destination), records) in &groups {
+    for (group, records) in &groups {
         targets.push(ProduceTarget {
-            topic: settings.topic(*class),
-            partition: i32::try_from(*destination).unwrap_or(i32::MAX),
+            topic: settings.topic(group.class),
+            partition: i32::try_from(group.destination).unwrap_or(i32::MAX),
             records,
         });
     }
@@ -46,22 +61,19 @@
     client::produce(correlation, &settings.client_name, version, (ACKS_ALL, timeout_ms), &targets)
 }
 
-/// The Retry-After of a response, 0 for none.
+/// Returns the Retry-After of a response in nanoseconds, 0 if it has none.
 pub(super) fn retry_after(reply: &ProduceReply) -> Time {
     u64::try_from(reply.throttle_ms).unwrap_or(0) * NANOS_PER_MS
 }
 
-/// Whether the endpoint rejected a partition because it was full.
+/// Returns whether the endpoint rejected a partition for lack of capacity.
 pub(super) fn is_throttled(reply: &ProduceReply) -> bool {
     reply.parts.iter().any(|result| result.code == codes::THROTTLING_QUOTA_EXCEEDED)
 }
 
-/// The outcome of each attempt of a call by its response. A partition that is not in the response is an error.
-pub(super) fn outcomes(
-    settings: &DeliverySettings,
-    call: &Call,
-    reply: &ProduceReply,
-) -> Vec<(AttemptId, AttemptOutcome)> {
+/// Returns the outcome of each attempt of a call by its response. Where the response lacks a partition, the outcome
+/// is an error.
+pub(super) fn outcomes(settings: &DeliverySettings, call: &Call, reply: &ProduceReply) -> Vec<StatedOutcome> {
     let mut outcomes = Vec::with_capacity(call.messages.len());
     for message in &call.messages {
         let topic = settings.topic(message.class);
@@ -75,7 +87,7 @@
             }
             _ => AttemptOutcome::Error,
         };
-        outcomes.push((message.attempt, outcome));
+        outcomes.push(StatedOutcome { attempt: message.attempt, outcome });
     }
     outcomes
 }
--- a/crates/edge/src/core/delivery/responses.rs
+++ b/crates/edge/src/core/delivery/responses.rs
@@ -1,61 +1,66 @@
-//! What delivery does with the responses of endpoints.
+//! How delivery handles the responses of endpoints.
 
 use super::connections::ConnectionState;
+use super::produce::{self, StatedOutcome};
 use super::{
-    produce, AttemptId, CallId, Delivery, EndpointViolation, FinishedAttempt, UpstreamId, NOT_SENT,
+    AttemptId, CallId, Delivery, Departure, EndpointViolation, FinishedAttempt, UpstreamId, NOT_SENT,
     VERSION_REQUEST,
 };
 use crate::core::error::ProtocolError;
 use bytes::Bytes;
 use linnetcart::{AttemptOutcome, Time};
+use linnetcart_kafka::client::ProduceReply;
 use linnetcart_kafka::{client, PRODUCE};
 
 impl Delivery {
-    /// Bytes came. What is no response to a call on this connection ends the connection. `may_depart` says of a
-    /// message and an endpoint whether the message may still leave for there.
-    pub(crate) fn receive(&mut self, id: UpstreamId, bytes: &[u8], may_depart: &dyn Fn(u32, u32) -> bool) {
-        if let Some(connection) = self.connections.get_mut(id) {
-            connection.frames.push(bytes);
-        }
-        loop {
-            let Some(connection) = self.connections.get_mut(id) else { return };
-            let endpoint = connection.endpoint;
-            let state = connection.state;
-            let processed = match connection.frames.next_frame() {
-                Ok(None) => return,
-                Ok(Some(frame)) => match state {
-                    ConnectionState::Connecting => self.receive_versions(id, &frame, may_depart),
-                    ConnectionState::Ready { produce_version } => {
-                        self.receive_response(id, &frame, produce_version)
+    /// Handles bytes that were received on a connection. Closes the connection if they violate the protocol.
+    /// `may_depart` returns whether a message may still be written to an endpoint.
+    pub(crate) fn receive(&mut self, id: UpstreamId, bytes: &[u8], may_depart: &dyn Fn(Departure) -> bool) {
+        let Some(connection) = self.connections.get_mut(id) else { return };
+        connection.frames.push(bytes);
+        let endpoint = connection.endpoint;
+        while self.connections.get(id).is_some() {
+            match self.receive_frame(id, may_depart) {
+                Ok(FrameProgress::Processed) => {}
+                Ok(FrameProgress::Incomplete) => return,
+                Err(error) => {
+                    if self.connections.get(id).is_some() {
+                        self.violations.push(EndpointViolation { endpoint, error });
                     }
-                },
-                Err(error) => Err(error.into()),
-            };
-            if let Err(error) = processed {
-                if self.connections.get(id).is_some() {
-                    self.violations.push(EndpointViolation { endpoint, error });
+                    self.close(id, AttemptOutcome::Reset);
+                    return;
                 }
-                self.close(id, AttemptOutcome::Reset);
-                return;
             }
         }
     }
 
-    /// The endpoint has said what it offers. Before a message leaves it is looked at again: it can have been
-    /// completed, its endpoint can drain, and a Retry-After can have come while the connection was made.
+    /// Handles the next frame of a connection if it is complete.
+    fn receive_frame(
+        &mut self,
+        id: UpstreamId,
+        may_depart: &dyn Fn(Departure) -> bool,
+    ) -> Result<FrameProgress, ProtocolError> {
+        let Some(connection) = self.connections.get_mut(id) else { return Ok(FrameProgress::Incomplete) };
+        let Some(frame) = connection.frames.next_frame()? else { return Ok(FrameProgress::Incomplete) };
+        match connection.state {
+            ConnectionState::Connecting => self.receive_versions(id, &frame, may_depart)?,
+            ConnectionState::Ready { produce_version } => {
+                self.receive_response(id, &frame, produce_version)?
+            }
+        }
+        Ok(FrameProgress::Processed)
+    }
+
+    /// Handles the response to the version request and writes the waiting calls. Each message is checked again
+    /// before that: while the connection was being established it may have been completed, its endpoint may have
+    /// begun to drain, and a Retry-After may have arrived.
     fn receive_versions(
         &mut self,
         id: UpstreamId,
         frame: &Bytes,
-        may_depart: &dyn Fn(u32, u32) -> bool,
+        may_depart: &dyn Fn(Departure) -> bool,
     ) -> Result<(), ProtocolError> {
-        let (correlation, offered) = client::read_produce_versions(frame)?;
-        let (least, most) = offered.ok_or(ProtocolError::ProduceNotOffered)?;
-        let (first_spoken, last_spoken) = PRODUCE;
-        let produce_version = most.min(last_spoken);
-        if correlation != VERSION_REQUEST || produce_version < least.max(first_spoken) {
-            return Err(ProtocolError::ProduceVersions { least, most });
-        }
+        let produce_version = negotiate_produce_version(frame)?;
         let Some(connection) = self.connections.get_mut(id) else { return Ok(()) };
         connection.state = ConnectionState::Ready { produce_version };
         let endpoint = connection.endpoint;
@@ -65,22 +70,23 @@
             }
         }
         self.write_waiting_calls(id);
-        self.settle(Some(id));
+        self.calls_changed(Some(id));
         Ok(())
     }
 
-    /// Attempts of a call that may not leave any more.
+    /// Returns the attempts of a call whose messages may not be written any more.
     fn stale_attempts(
         &self,
         call_id: CallId,
         endpoint: u32,
-        may_depart: &dyn Fn(u32, u32) -> bool,
+        may_depart: &dyn Fn(Departure) -> bool,
     ) -> Vec<AttemptId> {
         let Some(call) = self.calls.get(call_id) else { return Vec::new() };
         let attempts = call.messages.iter().map(|message| message.attempt);
-        attempts.filter(|attempt| !may_depart(attempt.message, endpoint)).collect()
+        attempts.filter(|attempt| !may_depart(Departure { message: attempt.message, endpoint })).collect()
     }
 
+    /// Handles the response to a call: finishes the call's attempts and removes it.
     fn receive_response(&mut self, id: UpstreamId, frame: &Bytes, version: i16) -> Result<(), ProtocolError> {
         let reply = client::read_produced(frame, version)?;
         let correlation = reply.correlation;
@@ -92,30 +98,37 @@
         let (endpoint, started_at) = (call.endpoint, call.started_at);
         if call.is_abandoned() {
             connection.abandoned_calls = connection.abandoned_calls.saturating_sub(1);
-            let retry_after = produce::retry_after(&reply);
-            if retry_after > 0 && produce::is_throttled(&reply) {
-                self.late_rejections.push(FinishedAttempt {
-                    attempt: call.last_finished,
-                    endpoint,
-                    outcome: AttemptOutcome::Rejected { retry_after },
-                    started_at,
-                    load: reply.load,
-                });
-            }
         }
         let outcomes = produce::outcomes(&self.settings, call, &reply);
-        self.note_silent_connections(endpoint, started_at);
-        for (attempt, outcome) in outcomes {
+        self.report_late_rejection(call_id, &reply);
+        self.record_lost_connections(endpoint, started_at);
+        for StatedOutcome { attempt, outcome } in outcomes {
             self.finish_attempt(call_id, attempt, outcome, reply.load);
         }
         self.calls.remove(call_id);
-        self.settle(Some(id));
+        self.calls_changed(Some(id));
         Ok(())
     }
 
-    /// An endpoint has answered a call that was started at this time: earlier ones that are abandoned, and that were
-    /// the first on their connections after these were idle, are lost with their connections.
-    fn note_silent_connections(&mut self, endpoint: u32, answered_started_at: Time) {
+    /// Reports the Retry-After of a response to an abandoned call. It applies although no attempt of the call is
+    /// left to report it.
+    fn report_late_rejection(&mut self, call_id: CallId, reply: &ProduceReply) {
+        let Some(call) = self.calls.get(call_id).filter(|call| call.is_abandoned()) else { return };
+        let retry_after = produce::retry_after(reply);
+        if retry_after > 0 && produce::is_throttled(reply) {
+            self.late_rejections.push(FinishedAttempt {
+                attempt: call.last_finished,
+                endpoint: call.endpoint,
+                outcome: AttemptOutcome::Rejected { retry_after },
+                started_at: call.started_at,
+                load: reply.load,
+            });
+        }
+    }
+
+    /// Records lost connections to an endpoint that has answered a call started at `answered_started_at`. Abandoned
+    /// calls that were started earlier, as the first on a connection that had been idle, count as lost with it.
+    fn record_lost_connections(&mut self, endpoint: u32, answered_started_at: Time) {
         let abandoned = self.connections.abandoned(endpoint);
         for call_id in abandoned.flat_map(|connection| connection.written_calls.values()) {
             let Some(call) = self.calls.get_mut(*call_id) else { continue };
@@ -125,3 +138,24 @@
         }
     }
 }
+
+/// What became of the next frame of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum FrameProgress {
+    /// It was complete and has been handled.
+    Processed,
+    /// It needs more bytes.
+    Incomplete,
+}
+
+/// Returns the version of Produce for a connection, by the endpoint's response to the version request.
+fn negotiate_produce_version(frame: &Bytes) -> Result<i16, ProtocolError> {
+    let (correlation, offered) = client::read_produce_versions(frame)?;
+    let (least, most) = offered.ok_or(ProtocolError::ProduceNotOffered)?;
+    let (first_supported, last_supported) = PRODUCE;
+    let produce_version = most.min(last_supported);
+    if correlation != VERSION_REQUEST || produce_version < least.max(first_supported) {
+        return Err(ProtocolError::ProduceVersions { least, most });
+    }
+    Ok(produce_version)
+}
--- a/crates/edge/src/core/delivery/upstream.rs
+++ b/crates/edge/src/core/delivery/upstream.rs
@@ -1,4 +1,4 @@
-//! What delivery does as upstream connections open, close and fail.
+//! How delivery handles upstream connections that open, close and fail.
 
 use super::{Delivery, UpstreamId, VERSION_REQUEST, VERSION_REQUEST_VERSION};
 use crate::core::Output;
@@ -6,7 +6,7 @@
 use linnetcart_kafka::client;
 
 impl Delivery {
-    /// Closes a connection. What was written to it has this outcome.
+    /// Closes a connection. Calls that were written to it end with `written_outcome`.
     pub(super) fn close(&mut self, id: UpstreamId, written_outcome: AttemptOutcome) {
         if self.connections.get(id).is_some() {
             self.outputs.push(Output::CloseUpstream(id));
@@ -14,16 +14,16 @@
         }
     }
 
-    /// The connection is no more. The system took `taken_bytes` of what was queued there; calls from there on are
-    /// known not to have left.
-    fn remove_connection(&mut self, id: UpstreamId, taken_bytes: u64, written_outcome: AttemptOutcome) {
+    /// Removes a connection that has closed after the operating system accepted `accepted_bytes` of what was queued
+    /// there. Calls that begin after those bytes are known not to have been sent.
+    fn remove_connection(&mut self, id: UpstreamId, accepted_bytes: u64, written_outcome: AttemptOutcome) {
         let Some(connection) = self.connections.remove(id) else { return };
         for call_id in connection.written_calls.into_values() {
             let Some(call) = self.calls.get(call_id) else { continue };
             if call.connection_idle_for > 0 && written_outcome == AttemptOutcome::Reset {
                 self.connection_reuse.record_loss(self.now, call.connection_idle_for);
             }
-            let departed = call.stream_offset.unwrap_or(0) < taken_bytes;
+            let departed = call.stream_offset.unwrap_or(0) < accepted_bytes;
             let outcome = if departed { written_outcome } else { AttemptOutcome::NoConnection };
             self.finish_call(call_id, outcome);
         }
@@ -32,24 +32,24 @@
         }
     }
 
-    /// Closes the connections to an endpoint that nothing is on.
+    /// Closes all idle connections to an endpoint.
     pub(crate) fn close_idle(&mut self, endpoint: u32) {
         for id in self.connections.idle_while(endpoint, |_| true) {
             self.close(id, AttemptOutcome::Reset);
         }
     }
 
-    /// Closes those that have been idle for longer than connections are known to survive.
+    /// Closes the connections that have been idle for longer than connections are known to survive.
     pub(super) fn close_unreliable_idle(&mut self, endpoint: u32) {
-        let longest = self.connection_reuse.max_idle(self.now);
+        let max_idle = self.connection_reuse.max_idle(self.now);
         let now = self.now;
-        let is_unreliable = |since: Time| longest == 0 || since.saturating_add(longest) < now;
+        let is_unreliable = |since: Time| max_idle == 0 || since.saturating_add(max_idle) < now;
         for id in self.connections.idle_while(endpoint, is_unreliable) {
             self.close(id, AttemptOutcome::Reset);
         }
     }
 
-    /// The connection is there: ask which versions the endpoint offers.
+    /// Handles an established connection: sends the version request.
     pub(crate) fn connected(&mut self, id: UpstreamId) {
         let Some(connection) = self.connections.get_mut(id) else { return };
         let name = &self.settings.client_name;
@@ -62,13 +62,14 @@
         }
     }
 
-    /// The connection could not be made.
+    /// Handles a connection that could not be established.
     pub(crate) fn connect_failed(&mut self, id: UpstreamId) {
         self.remove_connection(id, 0, AttemptOutcome::NoConnection);
     }
 
-    /// The other side closed the connection, or it broke, after the system took `taken_bytes`.
-    pub(crate) fn disconnected(&mut self, id: UpstreamId, taken_bytes: u64) {
-        self.remove_connection(id, taken_bytes, AttemptOutcome::Reset);
+    /// Handles a connection that the peer closed, or that failed, after the operating system accepted
+    /// `accepted_bytes` for it.
+    pub(crate) fn disconnected(&mut self, id: UpstreamId, accepted_bytes: u64) {
+        self.remove_connection(id, accepted_bytes, AttemptOutcome::Reset);
     }
 }
