--- a/crates/edge/src/cli.rs
+++ b/crates/edge/src/cli.rs
@@ -14,12 +14,12 @@
 
 /// Takes messages from Kafka producers and delivers each to one endpoint of its destination.
 ///
-/// It starts without settings: give it some with PUT /settings and PUT /list on the control address, or let it
-/// find the snapshot of an earlier run in --state-dir. When it listens, it prints one line of JSON with both
-/// addresses on standard output. Logs go to standard error.
+/// It starts without settings: give it some with PUT /settings and PUT /list on the control address, or let
+/// it find the snapshot of an earlier run in --state-dir. When it listens, it prints one line of JSON with
+/// both addresses on standard output. Logs go to standard error.
 ///
-/// Exit codes: 0 every message has its final answer; 1 it could not start or run; 2 the command line is wrong;
-/// 3 a second signal ended it before every message had its final answer.
+/// Exit codes: 0 every message has its final answer; 1 it could not start or run; 2 the command line is
+/// wrong; 3 a second signal ended it before every message had its final answer.
 #[derive(Clone, Debug, Parser)]
 #[command(name = "linnetcart-edge", version, args_conflicts_with_subcommands = true)]
 pub struct Args {
@@ -58,7 +58,8 @@
 /// Other ways in and out than Kafka's.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Subcommand)]
 pub enum Front {
-    /// The platform's protocol on HTTP/1.1, configured by RELAY_CONFIG and RELAY_STATE; ends within 4 s of SIGTERM
+    /// The platform's protocol on HTTP/1.1, configured by RELAY_CONFIG and RELAY_STATE; ends within 4 s of
+    /// SIGTERM
     Platform,
 }
 
--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -1,5 +1,5 @@
-//! The control interface beside the Kafka front: settings, endpoint list, telemetry and status, as documents over
-//! HTTP. Free of I/O.
+//! The control interface beside the Kafka front: settings, endpoint list, telemetry and status, as documents
+//! over HTTP. Free of I/O.
 //!
 //! A document is saved in the snapshot before it comes into force; if it cannot be saved, nothing changes.
 
--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -1,14 +1,16 @@
-//! The courier without its sockets: bytes, connection events and clock readings go in; bytes, connects, closes and
-//! delivery events come out. It holds no socket, file or clock, and the same inputs give the same outputs.
+//! The courier without its sockets: it takes bytes, connection events and clock readings, and returns bytes,
+//! connects, closes and delivery events. It has no sockets, files or clocks of its own, and the same inputs
+//! always give the same outputs.
 //!
-//! [`Core`] holds the parts and the order of one event-loop iteration ([`Core::process`]). Each part owns its state:
+//! [`Core`] consists of its parts and defines the order of one event-loop iteration ([`Core::process`]). Each
+//! part owns its state:
 //!
 //! | part | owns |
 //! | --- | --- |
 //! | `clock` | the clock readings of the iteration |
 //! | `endpoints` | the endpoint list in force |
 //! | `clients` | client connections, pending requests, the order of responses |
-//! | `admission` | validation of requests, load shedding |
+//! | `admission` | validation of requests, load shedding, generated message names |
 //! | `in_flight` | messages without a final answer, or with attempts out |
 //! | `delivery` | attempts, calls and connections to endpoints |
 //! | `retry_after` | Retry-After times by limit |
@@ -16,8 +18,9 @@
 //! | `drain` | graceful shutdown |
 //! | `status` | counters |
 //!
-//! Inputs may come in any number before [`Core::process`], which hands all of them to the decision library at
-//! once and carries out what it decides. So after a stall the library sees everything before it sends.
+//! Any number of inputs may precede [`Core::process`], which passes all of them to the decision library at
+//! once and carries out its decisions. After a stall, the library therefore sees every input before it sends
+//! anything.
 
 mod admission;
 mod attempts;
@@ -30,6 +33,7 @@
 mod endpoints;
 mod error;
 mod in_flight;
+mod interface;
 mod requests;
 mod responses;
 mod retry_after;
@@ -39,12 +43,12 @@
 pub use clients::ClientId;
 pub use decisions::{library, DecisionPolicy, PolicyFactory};
 pub use delivery::UpstreamId;
+pub use interface::{Output, StartOptions};
 pub use status::{ClassCounters, Status};
 
 use crate::delivery_events::DeliveryEvent;
 use crate::settings::{EndpointList, EndpointListUpdate, InvalidDocument, Settings};
 use admission::Admission;
-use bytes::Bytes;
 use clients::ClientConnections;
 use clock::ClockReadings;
 use decisions::DecisionCycle;
@@ -55,51 +59,14 @@
 use in_flight::InFlightTable;
 use linnetcart::{Action, Event, Idempotency, Time};
 use linnetcart_kafka::server::Broker;
-use retry_after::{LimitKey, RetryAfterTable};
+use retry_after::{EndpointLimit, LimitKey, RetryAfterTable};
 use status::Counters;
-use std::net::SocketAddr;
-
-/// What the shell is to do, in this order.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Output {
-    /// Write to a client.
-    ToClient(ClientId, Bytes),
-    /// Close a client's connection when what was written to it has left.
-    CloseClient(ClientId),
-    /// Read nothing more from a client until it is resumed.
-    PauseClient(ClientId),
-    /// Read from a client again.
-    ResumeClient(ClientId),
-    /// Connect to an endpoint.
-    Connect(UpstreamId, SocketAddr),
-    /// Write to an endpoint.
-    ToUpstream(UpstreamId, Bytes),
-    /// Close a connection to an endpoint at once.
-    CloseUpstream(UpstreamId),
-}
-
-/// How the core starts.
-#[derive(Clone, Debug)]
-pub struct StartOptions {
-    /// Randomness of the decisions.
-    pub seed: u64,
-    /// The clock.
-    pub now: Time,
-    /// Where clients reach this courier.
-    pub broker: Broker,
-    /// Distinguishes generated message names of this process from those of others.
-    pub run: u64,
-    /// The first message's number.
-    pub first_number: u32,
-    /// Who decides: [`library`].
-    pub policy: PolicyFactory,
-}
 
 /// The courier.
 #[derive(Debug)]
 pub struct Core {
     settings: Settings,
-    /// What a repeated execution of a message does, by class.
+    /// The idempotency of each class.
     idempotency: Vec<Idempotency>,
     broker: Broker,
     clock: ClockReadings,
@@ -117,18 +84,10 @@
 }
 
 impl Core {
-    /// A courier with these settings and an empty endpoint list. The settings have been checked.
+    /// Creates a courier with these settings, which must be valid, and an empty endpoint list.
     pub fn new(settings: Settings, start: StartOptions) -> Core {
         let library_settings = settings.library_settings();
-        let delivery_settings = DeliverySettings {
-            max_calls: settings.limits.max_calls as usize,
-            calls_per_connection: settings.connections.max_calls as usize,
-            idle_timeout: library_settings.idle_timeout,
-            connect_timeout: library_settings.connect_timeout,
-            max_frame_bytes: settings.limits.max_request_bytes,
-            client_name: format!("linnetcart-edge-{}", settings.courier.index),
-            topics: settings.classes.iter().map(|class| class.name.clone()).collect(),
-        };
+        let delivery_settings = delivery_settings(&settings, &library_settings);
         let name_prefix = format!("{}/{:x}/", settings.courier.index, start.run);
         let idempotency = library_settings.classes.iter().map(|class| class.idempotency).collect();
         let tick = library_settings.tick;
@@ -152,29 +111,29 @@
         }
     }
 
-    /// What the shell is to do since the last call.
+    /// Removes and returns the instructions for the shell.
     pub fn outputs(&mut self) -> Vec<Output> {
         let mut outputs = std::mem::take(&mut self.outputs);
         outputs.extend(self.delivery.take_outputs());
         outputs
     }
 
-    /// What happened since the last call.
+    /// Removes and returns the delivery events since the last call.
     pub fn delivery_events(&mut self) -> Vec<DeliveryEvent> {
         std::mem::take(&mut self.delivery_events)
     }
 
-    /// The settings in force.
+    /// Returns the settings in force.
     pub fn settings(&self) -> &Settings {
         &self.settings
     }
 
-    /// The endpoint list in force.
+    /// Returns the endpoint list in force.
     pub fn list(&self) -> &EndpointList {
         self.endpoints.list()
     }
 
-    /// Figures for the status page.
+    /// Returns the figures for the status page.
     pub fn status(&self) -> Status {
         let usage = self.in_flight.usage();
         let connections = self.delivery.connection_counts();
@@ -200,27 +159,27 @@
 
     // ---- Clocks
 
-    /// The monotonic clock. It never goes back.
+    /// Sets the monotonic clock, in nanoseconds. A reading before the last one is ignored.
     pub fn clock(&mut self, now: Time) {
         self.clock.advance(now);
         self.delivery.set_clock(self.clock.now());
     }
 
-    /// What the wall clock shows, in nanoseconds since 1970, at the last reading of [`Core::clock`]. It may be
-    /// set; only what is read until the next reading is aged by it.
+    /// Sets the wall clock, in nanoseconds since 1970, as of the last reading of [`Core::clock`]. It may go
+    /// back: a reading is only used for the age of requests that are read before the next one.
     pub fn wall_clock(&mut self, wall: Time) {
         self.clock.set_wall(wall);
     }
 
-    /// What is read at this clock reading may have arrived at any time since then: the program may have stood
-    /// still meanwhile. The time that messages have left is counted from the earliest.
+    /// Sets the earliest time at which the inputs of this clock reading can have arrived; the process may
+    /// have been stalled since then. The time remaining of messages is counted from it.
     pub fn arrived_since(&mut self, since: Time) {
         self.clock.set_earliest_arrival(since);
     }
 
     // ---- The endpoint list
 
-    /// An update of the endpoint list; nothing changes if it is invalid.
+    /// Applies an update of the endpoint list. Nothing changes if it is invalid.
     pub fn update_endpoints(&mut self, update: &EndpointListUpdate) -> Result<(), InvalidDocument> {
         let updated = self.list().after(update, &self.settings)?;
         let entries = updated.library_entries;
@@ -229,7 +188,7 @@
         Ok(())
     }
 
-    /// The endpoint list of a snapshot.
+    /// Puts the endpoint list of a snapshot in force. Nothing changes if it does not fit the settings.
     pub fn restore(&mut self, list: EndpointList) -> Result<(), InvalidDocument> {
         let entries = list.library_entries(&self.settings)?;
         self.decisions.push(Event::EndpointList { complete: true, entries });
@@ -240,7 +199,8 @@
     fn replace_list(&mut self, list: EndpointList) {
         self.endpoints.replace(list);
         let entries = self.endpoints.list().entries.values();
-        let limits = entries.map(|entry| (entry.id, LimitKey::of(entry, &self.settings)));
+        let limits = entries
+            .map(|entry| EndpointLimit { endpoint: entry.id, limit: LimitKey::of(entry, &self.settings) });
         self.retry_after.set_limits(limits, |endpoint| self.delivery.is_connected(endpoint));
         for endpoint in self.delivery.connected_endpoints() {
             if !self.endpoints.is_ready(endpoint) {
@@ -251,7 +211,7 @@
 
     // ---- One event-loop iteration
 
-    /// When the next iteration is wanted at the latest.
+    /// Returns when the next iteration must run at the latest, `Time::MAX` when nothing is pending.
     pub fn next_wakeup(&self) -> Time {
         // Overdue messages are completed a tick ahead, see `process`.
         let request_deadline =
@@ -264,8 +224,8 @@
             .min(drain_deadline.unwrap_or(Time::MAX))
     }
 
-    /// One iteration: expires attempts and connections, lets the library decide on all that came, carries out what
-    /// it decided, and completes what is overdue.
+    /// Runs one iteration: expires attempts and connections, lets the library decide on all inputs, carries
+    /// out its decisions, and completes overdue messages.
     pub fn process(&mut self, now: Time) {
         self.clock(now);
         self.delivery.expire();
@@ -283,7 +243,7 @@
         }
     }
 
-    /// One decision cycle and what follows from it.
+    /// Runs one decision cycle and carries out the decisions.
     fn decide(&mut self) {
         let now = self.clock.now();
         self.retry_after.expire(now);
@@ -306,7 +266,7 @@
             Action::LimitChanged(change) => {
                 self.delivery_events.push(DeliveryEvent::LimitChanged(change));
             }
-            // The settings reject what would make these come; should one come all the same, it is reported.
+            // Valid settings never lead to these actions. If one occurs nevertheless, it is reported.
             other @ (Action::HealthCheck { .. } | Action::Gossip { .. } | Action::WatchEndpoints) => {
                 self.delivery_events.push(DeliveryEvent::UnsupportedAction(other));
             }
@@ -315,13 +275,26 @@
 
     // ---- Graceful shutdown
 
-    /// Accepts nothing new from now on. What is still in flight at `deadline` ends then, by its class's rules.
+    /// Begins to drain: nothing new is accepted from now on. Messages that are still in flight at `deadline`
+    /// are then rejected or failed, by the idempotency of their classes.
     pub fn begin_drain(&mut self, deadline: Time) {
         self.drain.begin(deadline);
     }
 
-    /// Every message has its final answer and every request its response.
+    /// Returns whether every message has its final answer and every request its response.
     pub fn is_done(&self) -> bool {
         self.in_flight.is_empty() && self.clients.all_answered()
     }
 }
+
+fn delivery_settings(settings: &Settings, library_settings: &linnetcart::Settings) -> DeliverySettings {
+    DeliverySettings {
+        max_calls: settings.limits.max_calls as usize,
+        calls_per_connection: settings.connections.max_calls as usize,
+        idle_timeout: library_settings.idle_timeout,
+        connect_timeout: library_settings.connect_timeout,
+        max_frame_bytes: settings.limits.max_request_bytes,
+        client_name: format!("linnetcart-edge-{}", settings.courier.index),
+        topics: settings.classes.iter().map(|class| class.name.clone()).collect(),
+    }
+}
--- a/crates/edge/src/core/admission.rs
+++ b/crates/edge/src/core/admission.rs
@@ -1,7 +1,7 @@
-//! Admission: validation of the partitions of a Produce request, and load shedding at the bounds.
+//! Admission: validation of the partitions of a Produce request, and load shedding at the limits.
 //!
-//! A partition is accepted as a whole or not at all. Admission knows nothing of connections to endpoints and keeps
-//! no message.
+//! A partition is accepted completely or not at all. Admission owns the generated message names and its
+//! counters. It stores no message and has no part in delivery.
 
 mod error;
 mod headers;
@@ -19,25 +19,25 @@
 use linnetcart_kafka::Record;
 use std::hash::{DefaultHasher, Hash, Hasher};
 
-/// The header with a message's name; it is made up where it is absent.
+/// The header with a message's name. A name is generated for a record without it.
 const MESSAGE_ID: &str = "message-id";
 
-/// `acks` of a producer that waits for all replicas, and for the leader.
+/// The supported `acks` values: -1 waits for all replicas, 1 for the leader.
 const SUPPORTED_ACKS: [i16; 2] = [-1, 1];
 
-/// What a Produce request says of all its partitions.
+/// The options of a Produce request that apply to all its partitions.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ProduceOptions {
     pub(crate) acks: i16,
     pub(crate) transactional: bool,
 }
 
-/// What admission looks at.
+/// The state that an admission decision depends on.
 pub(crate) struct AdmissionContext<'a> {
     pub(crate) settings: &'a Settings,
     pub(crate) endpoints: &'a EndpointDirectory,
     pub(crate) clock: ClockReadings,
-    /// Messages in flight.
+    /// The messages in flight.
     pub(crate) usage: Usage,
     pub(crate) draining: bool,
 }
@@ -45,10 +45,10 @@
 /// A record that becomes a message.
 #[derive(Debug)]
 pub(crate) struct AdmittedRecord {
-    /// The record with its message-id.
+    /// The record with its `message-id` header.
     pub(crate) record: Record,
     pub(crate) name: Bytes,
-    /// Messages with the same key are delivered in turn; 0 for none.
+    /// Messages with the same key are delivered in order. 0 means no key.
     pub(crate) ordering_key: u64,
     pub(crate) deadline: Time,
     pub(crate) tenant: u32,
@@ -61,31 +61,32 @@
     pub(crate) destination: u32,
 }
 
-/// What becomes of a partition.
+/// The decision on a partition.
 #[derive(Debug)]
 pub(crate) enum AdmissionDecision {
-    /// It cannot be accepted, now or later.
+    /// It can never be accepted.
     Invalid(PartitionResult),
-    /// A bound is reached or the courier drains.
+    /// It is shed because a limit is reached or the courier drains.
     Shed { route: Route, record_count: usize, reason: RejectionReason },
     /// All its records are accepted.
     Admitted { route: Route, records: Vec<AdmittedRecord> },
 }
 
-/// A partition that was checked.
+/// A partition with the decision on it.
 #[derive(Debug)]
 pub(crate) struct CheckedPartition {
     pub(crate) topic: String,
     pub(crate) partition: i32,
-    /// The earliest deadline of its records, where they could be read. Also what is shed is answered by then,
-    /// whatever stands before it on its connection.
+    /// The earliest deadline of its records, or `None` if they could not be read. Shed records are answered
+    /// by this time too, whichever requests precede theirs on the connection.
     pub(crate) deadline: Option<Time>,
     pub(crate) decision: AdmissionDecision,
 }
 
+/// The admission of records.
 #[derive(Debug)]
 pub(crate) struct Admission {
-    /// Distinguishes generated names of this process from those of others.
+    /// The prefix of generated names, which distinguishes them from those of other processes.
     name_prefix: String,
     generated_names: u64,
     expired_on_arrival: u64,
@@ -93,17 +94,17 @@
 }
 
 impl Admission {
-    /// `name_prefix`: what generated message names begin with.
+    /// Creates an admission that begins generated message names with `name_prefix`.
     pub(crate) fn new(name_prefix: String) -> Self {
         Admission { name_prefix, generated_names: 0, expired_on_arrival: 0, clocks_ahead: 0 }
     }
 
-    /// Messages that had expired when they arrived.
+    /// Returns how many messages had expired when they arrived.
     pub(crate) fn expired_on_arrival(&self) -> u64 {
         self.expired_on_arrival
     }
 
-    /// Messages whose client's clock was ahead by more than the permitted skew.
+    /// Returns how many messages came from a client whose clock was ahead by more than the permitted skew.
     pub(crate) fn clocks_ahead(&self) -> u64 {
         self.clocks_ahead
     }
@@ -126,7 +127,7 @@
         CheckedPartition { topic, partition, deadline, decision }
     }
 
-    /// Decides on records that can be read and have a route. Sets the earliest deadline once it is known.
+    /// Decides on readable records that have a route. Sets `earliest_deadline` once it is known.
     fn check_records(
         &mut self,
         route: Route,
@@ -167,7 +168,7 @@
         AdmissionDecision::Admitted { route, records: admitted }
     }
 
-    /// The name of a message; one that is made up is put into its record.
+    /// Returns the name of a message. A generated name is added to the record as a header.
     fn name_of(&mut self, record: &mut Record) -> Bytes {
         if let Some(name) = record.header(MESSAGE_ID) {
             return name.clone();
@@ -179,7 +180,7 @@
     }
 }
 
-/// The ordering key of a record: a hash of its key that is never 0, or 0 for none.
+/// Returns the ordering key of a record: a hash of its key that is never 0, or 0 if it has no key.
 fn ordering_key(record: &Record) -> u64 {
     match &record.key {
         Some(key) if !key.is_empty() => {
@@ -191,7 +192,7 @@
     }
 }
 
-/// The class and destination of a partition that can be accepted.
+/// Returns the class and destination of a partition, or why the partition can never be accepted.
 fn resolve_route(
     options: ProduceOptions,
     topic: &str,
@@ -213,7 +214,8 @@
     Ok(Route { class, destination })
 }
 
-/// Why these records are shed, if they are; an error if they could never fit.
+/// Returns why these records are shed, or `None` if they are not. It is an error if they exceed the limits
+/// even when nothing else is in flight.
 fn shed_reason(
     records: &[Record],
     context: &AdmissionContext<'_>,
--- a/crates/edge/src/core/admission/error.rs
+++ b/crates/edge/src/core/admission/error.rs
@@ -1,11 +1,11 @@
-//! Why a partition of a Produce request cannot be accepted, now or later.
+//! Why a partition of a Produce request can never be accepted.
 
 use super::headers::InvalidRecord;
 use crate::core::responses::rejected_partition;
 use linnetcart_kafka::codes;
 use linnetcart_kafka::server::PartitionResult;
 
-/// Why a partition cannot be accepted. The texts are those of its result.
+/// Why a partition can never be accepted. The texts are part of its result.
 #[derive(Debug, thiserror::Error)]
 pub(super) enum PartitionError {
     #[error("acks must be all or 1")]
@@ -38,7 +38,7 @@
         }
     }
 
-    /// The result that the client gets.
+    /// Returns the result for the client.
     pub(super) fn result(&self, topic: &str, partition: i32) -> PartitionResult {
         let mut result = rejected_partition(topic, partition, self.code(), self.to_string());
         if let PartitionError::InvalidRecords { records } = self {
--- a/crates/edge/src/core/admission/headers.rs
+++ b/crates/edge/src/core/admission/headers.rs
@@ -1,4 +1,4 @@
-//! What the headers and the timestamp of a record say: deadline and tenant.
+//! Reads the deadline and the tenant of a record from its headers and its timestamp.
 
 use super::AdmissionContext;
 use crate::core::deadline::{message_deadline, ClientClocks, MessageDeadline, StatedTimes};
@@ -7,14 +7,14 @@
 use linnetcart::Time;
 use linnetcart_kafka::Record;
 
-/// The header with the time that a message has left when it is submitted.
+/// The header with the time remaining of a message when it is submitted, in milliseconds.
 const DEADLINE_MS: &str = "deadline-ms";
 /// The header with a message's deadline, in milliseconds since 1970.
 const DEADLINE_AT_MS: &str = "deadline-at-ms";
-/// The header with a message's tenant.
+/// The header with the name of a message's tenant.
 const TENANT: &str = "tenant";
 
-/// Why a record's headers cannot be used.
+/// Why the headers of a record are invalid. The texts are part of the response.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub(super) enum HeaderError {
     #[error("header {name}: `{text}` is no whole number of milliseconds")]
@@ -25,14 +25,14 @@
     UnknownTenant { name: String },
 }
 
-/// What the headers of a record say.
+/// The content of a record's headers.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct RecordHeaders {
     pub(super) deadline: MessageDeadline,
     pub(super) tenant: u32,
 }
 
-/// A record whose headers cannot be used.
+/// A record with invalid headers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct InvalidRecord {
     /// Its index in the batch.
@@ -40,7 +40,7 @@
     pub(super) error: HeaderError,
 }
 
-/// The headers of all records, or those records whose headers cannot be used.
+/// Reads the headers of all records. Returns the records with invalid headers if there are any.
 pub(super) fn read_all_headers(
     records: &[Record],
     class: u8,
@@ -90,7 +90,8 @@
     record.header(name).map(|value| String::from_utf8_lossy(value).into_owned())
 }
 
-/// A header in milliseconds, as nanoseconds; the error is its text.
+/// Reads a header in milliseconds and returns it in nanoseconds, or `None` if the record does not have it.
+/// The error is the text of the header.
 fn read_millis(record: &Record, name: &str) -> Result<Option<Time>, String> {
     let Some(text) = header_text(record, name) else { return Ok(None) };
     match text.parse::<u64>() {
@@ -99,7 +100,7 @@
     }
 }
 
-/// The number of the record's tenant, 0 where there are no tenants or none is named.
+/// Returns the number of the record's tenant, 0 if there are no tenants or the record names none.
 fn read_tenant(record: &Record, settings: &Settings) -> Result<u32, HeaderError> {
     if settings.tenants.is_empty() {
         return Ok(0);
--- a/crates/edge/src/core/attempts.rs
+++ b/crates/edge/src/core/attempts.rs
@@ -1,4 +1,5 @@
-//! How the core handles attempts: it starts and cancels them, collects their outcomes, and completes messages.
+//! How the core handles attempts: it starts and cancels them, collects their outcomes, and completes
+//! messages.
 
 use super::delivery::{AttemptId, Departure, FinishedAttempt, OutgoingMessage};
 use super::in_flight::InFlightMessage;
@@ -7,8 +8,8 @@
 use crate::delivery_events::{DeliveryEvent, FinalAnswer, LoadReport};
 use linnetcart::{AttemptOutcome, AttemptResult, Event, Idempotency, Time};
 
-/// How many ticks before a message's deadline the last attempt may be written. The library answers two ticks before
-/// the deadline and needs the outcome of an unwritten attempt before that.
+/// How many ticks before a message's deadline the last attempt may be written. The library answers two ticks
+/// before the deadline and needs the outcome of an unwritten attempt before that.
 const DEPARTURE_MARGIN_TICKS: Time = 4;
 
 impl Core {
@@ -70,7 +71,8 @@
         }
     }
 
-    /// Returns how many messages one call to the endpoint may carry, or `None` if the endpoint is not in the list.
+    /// Returns how many messages one call to the endpoint may carry, or `None` if the endpoint is not in the
+    /// list.
     fn max_messages_per_call(&self, endpoint: u32) -> Option<usize> {
         let entry = self.endpoints.get(endpoint)?;
         let kind = self.settings.kind(&entry.kind)?;
@@ -165,8 +167,9 @@
         self.complete(message, FinalAnswer::Failed);
     }
 
-    /// Completes a message without a decision of the library, because a response behind it on its connection is due
-    /// or because the drain deadline has passed. The library is notified as if the client had cancelled.
+    /// Completes a message without a decision of the library, because a response behind it on its connection
+    /// is due or because the drain deadline has passed. The library is notified as if the client had
+    /// cancelled.
     pub(super) fn complete_undecided(&mut self, message: u32) {
         let Some(in_flight) = self.in_flight.open(message) else { return };
         let repeat_is_harmless = matches!(
@@ -194,7 +197,7 @@
             FinalAnswer::Failed => RecordOutcome::Failed,
         };
         let objective = self.settings.classes[usize::from(class)].latency_objective();
-        self.counters.completed(class, answer, elapsed <= objective);
+        self.counters.completed(class, answer, elapsed, objective);
         self.delivery_events.push(DeliveryEvent::Completed { message, class, destination, answer, elapsed });
         self.in_flight.complete(message);
         self.clients.complete(position, record_outcome);
@@ -209,8 +212,8 @@
     }
 }
 
-/// Builds the outgoing message of an attempt. The attempt times out at `timeout_at`, or at the message's deadline if
-/// that is earlier or `timeout_at` is 0.
+/// Builds the outgoing message of an attempt. The attempt times out at `timeout_at`, or at the message's
+/// deadline if that is earlier or `timeout_at` is 0.
 fn outgoing_message(
     attempt: AttemptId,
     message: &InFlightMessage,
--- a/crates/edge/src/core/clients.rs
+++ b/crates/edge/src/core/clients.rs
@@ -1,7 +1,7 @@
 //! Client connections: their frames, the requests without a response, and the order of responses.
 //!
-//! The responses of a connection are sent in the order of its requests. This module owns them until they are sent. It
-//! never decides what becomes of a message.
+//! The responses of a connection are sent in the order of its requests. This module owns them until they are
+//! sent. It never decides what becomes of a message.
 
 mod connection;
 mod pending;
@@ -178,8 +178,8 @@
         self.deadlines.earliest()
     }
 
-    /// Returns the messages that need their final answer at `now`: those of each request whose deadline is reached,
-    /// and those of the requests before it on its connection, because responses are sent in order.
+    /// Returns the messages that need their final answer at `now`: those of each request whose deadline is
+    /// reached, and those of the requests before it on its connection, because responses are sent in order.
     pub(crate) fn overdue_messages(&self, now: Time) -> Vec<u32> {
         let overdue_connections = self.deadlines.due(now).filter_map(|id| self.connections.get(&id));
         overdue_connections.flat_map(|connection| connection.overdue_messages(now)).collect()
--- a/crates/edge/src/core/clients/connection.rs
+++ b/crates/edge/src/core/clients/connection.rs
@@ -73,8 +73,8 @@
         self.requests.iter().flat_map(PendingRequest::open_messages)
     }
 
-    /// Returns the messages that need their final answer at `now`: those of each request whose deadline is reached,
-    /// and those of the requests before it, because responses are sent in order.
+    /// Returns the messages that need their final answer at `now`: those of each request whose deadline is
+    /// reached, and those of the requests before it, because responses are sent in order.
     pub(super) fn overdue_messages(&self, now: Time) -> impl Iterator<Item = u32> + '_ {
         let last_overdue = self.requests.iter().rposition(|request| request.deadline() <= now);
         let overdue_requests = last_overdue.map_or(0, |last| last + 1);
--- a/crates/edge/src/core/clients/pending.rs
+++ b/crates/edge/src/core/clients/pending.rs
@@ -134,7 +134,8 @@
         partitions.iter().flat_map(PendingPartition::open_records).filter_map(|record| record.message)
     }
 
-    /// Sets the final answer of a record. Does nothing if it has one already or the request has no such record.
+    /// Sets the final answer of a record. Does nothing if it has one already or the request has no such
+    /// record.
     pub(super) fn complete_record(&mut self, partition: u32, record: u32, outcome: RecordOutcome) {
         let PendingRequest::Produce { produce, open_records, .. } = self else { return };
         let Some(partition) = produce.partitions.get_mut(partition as usize) else { return };
@@ -145,8 +146,8 @@
         }
     }
 
-    /// Returns the response. `served_records` is how many records were served before, which gives the offsets of
-    /// those in the response.
+    /// Returns the response. `served_records` is how many records were served before, which gives the offsets
+    /// of those in the response.
     pub(super) fn into_response(self, served_records: &mut i64) -> Bytes {
         match self {
             PendingRequest::Ready(response) => response,
--- a/crates/edge/src/core/clock.rs
+++ b/crates/edge/src/core/clock.rs
@@ -15,33 +15,33 @@
         ClockReadings { now, earliest_arrival: now, wall: None }
     }
 
-    /// The monotonic clock as of the current iteration.
+    /// Returns the monotonic clock as of the current iteration.
     pub(crate) fn now(&self) -> Time {
         self.now
     }
 
-    /// When an input that is read now may have arrived at the earliest.
+    /// Returns the earliest time at which an input that is read now can have arrived.
     pub(crate) fn earliest_arrival(&self) -> Time {
         self.earliest_arrival
     }
 
-    /// The wall clock at [`ClockReadings::now`], where it is known.
+    /// Returns the wall clock at [`ClockReadings::now`], or `None` if it has not been read.
     pub(crate) fn wall(&self) -> Option<Time> {
         self.wall
     }
 
-    /// Takes a reading of the monotonic clock, which never goes back.
+    /// Sets the monotonic clock. A reading before the last one is ignored.
     pub(crate) fn advance(&mut self, now: Time) {
         self.now = self.now.max(now);
         self.earliest_arrival = self.now;
     }
 
-    /// Takes a reading of the wall clock.
+    /// Sets the wall clock.
     pub(crate) fn set_wall(&mut self, wall: Time) {
         self.wall = Some(wall);
     }
 
-    /// Inputs may have arrived at any time since then.
+    /// Sets the earliest time at which inputs can have arrived.
     pub(crate) fn set_earliest_arrival(&mut self, since: Time) {
         self.earliest_arrival = since.min(self.now);
     }
--- a/crates/edge/src/core/deadline.rs
+++ b/crates/edge/src/core/deadline.rs
@@ -1,11 +1,11 @@
-//! When a message's deadline is, from what its client stated and when the message arrived. Reads no clock: the
-//! readings go in.
+//! Computes a message's deadline from the times that its client stated and from when the message arrived. It
+//! reads no clock; callers pass clock readings in.
 //!
-//! The time that a message has left is counted from when its client submitted it, and it may have been under way for
-//! long. A record carries the time at which it was created, and may carry its deadline; both are by the client's wall
-//! clock, which may differ from this courier's by a configured skew, either way. The message is taken to be as old as
-//! that skew allows, so its answer is in time whatever the clocks show within the skew. Without such a time the
-//! deadline is counted from the earliest possible arrival.
+//! The time remaining of a message counts from when its client submitted it, which may be long before it
+//! arrived. A record carries its creation time and may carry its deadline. Both are by the client's wall
+//! clock, which may differ from this courier's by a configured skew in either direction. The message is
+//! assumed to be as old as that skew allows, so that its answer is in time for any difference within the
+//! skew. Without such a time the deadline counts from the earliest possible arrival.
 
 use super::clock::ClockReadings;
 use linnetcart::Time;
@@ -15,14 +15,14 @@
 pub(crate) struct ClientClocks {
     /// Greatest difference between a client's wall clock and this courier's, either way.
     pub(crate) max_skew: Time,
-    /// The timestamp of a record is the time at which it was submitted.
+    /// Whether the timestamp of a record is the time at which it was submitted.
     pub(crate) timestamps_are_creation_times: bool,
 }
 
-/// What a client states about a message's time.
+/// The times that a client states for a message.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct StatedTimes {
-    /// How long the message had left when it was submitted.
+    /// The time remaining when the message was submitted.
     pub(crate) time_left: Option<Time>,
     /// The deadline, by the client's wall clock.
     pub(crate) deadline: Option<Time>,
@@ -30,16 +30,17 @@
     pub(crate) created_at: Option<Time>,
 }
 
-/// The deadline that follows.
+/// The deadline of a message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct MessageDeadline {
     /// The deadline, by the courier's monotonic clock.
     pub(crate) deadline: Time,
-    /// The client's clock is ahead by more than the permitted skew, and the creation time was not used.
+    /// Whether the creation time was ignored because the client's clock is ahead by more than the permitted
+    /// skew.
     pub(crate) clock_ahead: bool,
 }
 
-/// Computes a message's deadline, at most `longest` after its arrival.
+/// Computes a message's deadline, which is at most `longest` after the earliest possible arrival.
 pub(crate) fn message_deadline(
     clocks: ClientClocks,
     readings: ClockReadings,
@@ -52,7 +53,7 @@
         return MessageDeadline { deadline: by_arrival, clock_ahead: false };
     };
     let latest_wall = wall.saturating_add(clocks.max_skew);
-    // A time by the client's clock, as the monotonic clock would show it at the earliest.
+    // Converts a time by the client's clock to the earliest corresponding reading of the monotonic clock.
     let earliest = |client_time: Time| readings.now().saturating_add(client_time).saturating_sub(latest_wall);
 
     let created_at = stated.created_at.filter(|_| clocks.timestamps_are_creation_times);
--- a/crates/edge/src/core/decisions.rs
+++ b/crates/edge/src/core/decisions.rs
@@ -1,10 +1,10 @@
-//! When the decision policy decides, and on which events.
+//! When the decision policy runs, and on which events.
 
 use linnetcart::{Action, Dispatcher, Event, Time};
 
-/// What decides. In service that is [`Dispatcher`], always; experiments compare others with it.
+/// A decision policy. In service it is always [`Dispatcher`]; experiments compare other policies with it.
 pub trait DecisionPolicy: std::fmt::Debug {
-    /// One decision cycle: takes all events since the last one and says what is to be done.
+    /// Runs one decision cycle: takes all events since the last one and returns the actions to carry out.
     fn decide(&mut self, now: Time, events: Vec<Event>) -> Vec<Action>;
 }
 
@@ -17,20 +17,20 @@
 /// Makes a decision policy from the library's settings and a seed.
 pub type PolicyFactory = fn(linnetcart::Settings, u64) -> Box<dyn DecisionPolicy>;
 
-/// The decision library.
+/// Makes the policy of the decision library.
 pub fn library(settings: linnetcart::Settings, seed: u64) -> Box<dyn DecisionPolicy> {
     Box::new(Dispatcher::new(settings, seed))
 }
 
-/// The decision policy, the events that wait for its next cycle, and when that is due.
+/// The decision policy, the events for its next cycle, and when that cycle is due.
 #[derive(Debug)]
 pub(crate) struct DecisionCycle {
     policy: Box<dyn DecisionPolicy>,
-    /// Shortest time between two cycles.
+    /// The shortest time between two cycles.
     tick: Time,
     events: Vec<Event>,
     last_cycle: Time,
-    /// When the policy wants a cycle without further events; `Time::MAX` for never.
+    /// When the policy wants a cycle even without events, `Time::MAX` for never.
     wake_up_at: Time,
     cycles: u64,
 }
@@ -40,12 +40,12 @@
         DecisionCycle { policy, tick, events: Vec::new(), last_cycle: 0, wake_up_at: Time::MAX, cycles: 0 }
     }
 
-    /// Shortest time between two cycles.
+    /// Returns the shortest time between two cycles.
     pub(crate) fn tick(&self) -> Time {
         self.tick
     }
 
-    /// Cycles so far.
+    /// Returns the number of cycles so far.
     pub(crate) fn cycles(&self) -> u64 {
         self.cycles
     }
@@ -55,11 +55,12 @@
         self.events.push(event);
     }
 
+    /// Sets when a cycle runs even without events.
     pub(crate) fn set_wake_up(&mut self, at: Time) {
         self.wake_up_at = at;
     }
 
-    /// When the next cycle is due; `Time::MAX` for never.
+    /// Returns when the next cycle is due, `Time::MAX` for never.
     pub(crate) fn next_cycle(&self) -> Time {
         let wanted_at = if self.events.is_empty() { self.wake_up_at } else { 0 };
         if wanted_at == Time::MAX {
@@ -68,13 +69,13 @@
         wanted_at.max(self.last_cycle + self.tick)
     }
 
-    /// Whether a cycle is due.
+    /// Returns whether a cycle is due.
     pub(crate) fn is_due(&self, now: Time) -> bool {
         let wanted = !self.events.is_empty() || self.wake_up_at <= now;
         wanted && now >= self.last_cycle + self.tick
     }
 
-    /// Lets the policy decide on all events since the last cycle.
+    /// Runs a cycle on all events since the last one. Returns the actions to carry out.
     pub(crate) fn decide(&mut self, now: Time) -> Vec<Action> {
         self.last_cycle = now;
         self.cycles += 1;
--- a/crates/edge/src/core/delivery.rs
+++ b/crates/edge/src/core/delivery.rs
@@ -1,13 +1,13 @@
 //! Delivery: calls to endpoints and the connections that carry them.
 //!
-//! A call is one Produce request with one or more messages. It occupies a slot until each of its messages has an
-//! outcome. A written call becomes abandoned when its last message is cancelled or times out. From then on it
-//! occupies its connection only: nothing else is sent there until the response has arrived, and the connection is
-//! closed if none arrives within the idle timeout.
+//! A call is one Produce request with one or more messages. It occupies a slot until each of its messages has
+//! an outcome. A written call becomes abandoned when its last message is cancelled or times out. From then on
+//! it occupies its connection only: nothing else is sent there until the response has arrived, and the
+//! connection is closed if none arrives within the idle timeout.
 //!
 //! The first request on a new connection asks which API versions the endpoint offers. An endpoint at its
-//! connection limit may accept a connection and close it at once, so only the response to that request shows that
-//! the connection works. A message that waited for it is known not to have been executed.
+//! connection limit may accept a connection and close it at once, so only the response to that request shows
+//! that the connection works. A message that waited for it is known not to have been executed.
 //!
 //! Delivery owns calls, attempts and upstream connections. It never decides where or when a message is sent.
 
@@ -51,7 +51,8 @@
     pub(crate) record: Record,
     /// When the attempt times out.
     pub(crate) deadline: Time,
-    /// When an attempt that has not been written is given up, early enough for its message to be rejected in time.
+    /// When an attempt that has not been written is given up, early enough for its message to be rejected in
+    /// time.
     pub(crate) depart_by: Time,
 }
 
--- a/crates/edge/src/core/delivery/calls.rs
+++ b/crates/edge/src/core/delivery/calls.rs
@@ -1,4 +1,5 @@
-//! The calls to endpoints: how messages are batched into them, the attempts they carry, and the deadlines of those.
+//! The calls to endpoints: how messages are batched into them, the attempts they carry, and the deadlines of
+//! those.
 
 use super::{CallId, IdSequence, OutgoingMessage, UpstreamId};
 use crate::core::time_index::TimeIndex;
@@ -121,7 +122,8 @@
         calls.any(|call| self.calls.get(call).is_some_and(Call::is_written))
     }
 
-    /// Adds a message to this cycle's call to the endpoint if that has capacity left, otherwise to a new call.
+    /// Adds a message to this cycle's call to the endpoint if that has capacity left, otherwise to a new
+    /// call.
     pub(super) fn add(
         &mut self,
         endpoint: u32,
@@ -173,8 +175,8 @@
         std::mem::take(&mut self.undispatched)
     }
 
-    /// Removes an attempt that has its outcome from its call. The call itself stays in the table. Returns `None` if
-    /// the call does not carry the attempt.
+    /// Removes an attempt that has its outcome from its call. The call itself stays in the table. Returns
+    /// `None` if the call does not carry the attempt.
     pub(super) fn remove_attempt(&mut self, id: CallId, attempt: AttemptId) -> Option<RemovedAttempt> {
         let call = self.calls.get_mut(&id)?;
         let index = call.messages.iter().position(|message| message.attempt == attempt)?;
--- a/crates/edge/src/core/delivery/connections.rs
+++ b/crates/edge/src/core/delivery/connections.rs
@@ -1,4 +1,5 @@
-//! The pool of connections to endpoints: which are idle, which carry abandoned calls, and when each times out.
+//! The pool of connections to endpoints: which are idle, which carry abandoned calls, and when each times
+//! out.
 
 use super::{CallId, UpstreamId};
 use crate::core::time_index::TimeIndex;
@@ -133,9 +134,9 @@
 
     /// Returns a connection to the endpoint with capacity for another call, or `None` if there is none.
     ///
-    /// An idle connection is preferred, and among those the last used, so that the ones not needed reach the idle
-    /// timeout. Where connections carry several calls, the last used ready one is next, and then one that is being
-    /// established.
+    /// An idle connection is preferred, and among those the last used, so that the ones not needed reach the
+    /// idle timeout. Where connections carry several calls, the last used ready one is next, and then one
+    /// that is being established.
     pub(super) fn find(
         &self,
         endpoint: u32,
@@ -195,8 +196,8 @@
         Some(connection)
     }
 
-    /// Updates a connection after its calls changed. The idle timeout of a ready connection without awaited calls
-    /// starts now.
+    /// Updates a connection after its calls changed. The idle timeout of a ready connection without awaited
+    /// calls starts now.
     pub(super) fn calls_changed(&mut self, id: UpstreamId, now: Time, idle_timeout: Time) {
         if let Some(connection) = self.connections.get_mut(&id) {
             if connection.is_ready() && !connection.has_awaited_calls() {
@@ -230,8 +231,8 @@
         }
     }
 
-    /// Returns the next connection that timed out: either it did not become ready in time, or it has carried no
-    /// awaited call for the idle timeout.
+    /// Returns the next connection that timed out: either it did not become ready in time, or it has carried
+    /// no awaited call for the idle timeout.
     pub(super) fn take_timed_out(&mut self, now: Time) -> Option<UpstreamId> {
         while let Some(due) = self.timeouts.first_due(now) {
             self.timeouts.remove(due.at, due.id);
@@ -243,8 +244,8 @@
         None
     }
 
-    /// Returns the idle connections to an endpoint, longest idle first, as long as `condition` holds for the time
-    /// since when they are idle.
+    /// Returns the idle connections to an endpoint, longest idle first, as long as `condition` holds for the
+    /// time since when they are idle.
     pub(super) fn idle_while(&self, endpoint: u32, condition: impl Fn(Time) -> bool) -> Vec<UpstreamId> {
         let Some(of_endpoint) = self.by_endpoint.get(&endpoint) else { return Vec::new() };
         let matching = of_endpoint.idle.iter().take_while(|entry| condition(entry.at));
@@ -257,8 +258,8 @@
         ids.filter_map(|id| self.connections.get(id))
     }
 
-    /// Returns the least recently used connection to an endpoint with abandoned calls, if there are more than `max`
-    /// of them.
+    /// Returns the least recently used connection to an endpoint with abandoned calls, if there are more than
+    /// `max` of them.
     pub(super) fn excess_abandoned(&self, endpoint: u32, max: usize) -> Option<UpstreamId> {
         let abandoned = &self.by_endpoint.get(&endpoint)?.abandoned;
         if abandoned.len() <= max {
--- a/crates/edge/src/core/delivery/dispatch.rs
+++ b/crates/edge/src/core/delivery/dispatch.rs
@@ -9,8 +9,8 @@
 use std::net::SocketAddr;
 
 impl Delivery {
-    /// Starts an attempt: it joins this cycle's call to the endpoint if that has capacity left, otherwise a new
-    /// call. Nothing is written before [`Delivery::dispatch`].
+    /// Starts an attempt: it joins this cycle's call to the endpoint if that has capacity left, otherwise a
+    /// new call. Nothing is written before [`Delivery::dispatch`].
     pub(crate) fn send(&mut self, endpoint: u32, message: OutgoingMessage, max_messages_per_call: usize) {
         let attempt = message.attempt;
         let bounds = CallBounds { max_calls: self.settings.max_calls, max_messages_per_call };
--- a/crates/edge/src/core/delivery/outcomes.rs
+++ b/crates/edge/src/core/delivery/outcomes.rs
@@ -28,8 +28,8 @@
         }
     }
 
-    /// Abandons a call whose messages all have outcomes. A call that was written may still be executed, so its
-    /// connection waits for the response. A call that was not written is removed.
+    /// Abandons a call whose messages all have outcomes. A call that was written may still be executed, so
+    /// its connection waits for the response. A call that was not written is removed.
     fn abandon_call(&mut self, call_id: CallId) {
         let Some(call) = self.calls.get(call_id) else { return };
         let (endpoint, connection_id) = (call.endpoint, call.connection);
--- a/crates/edge/src/core/delivery/produce.rs
+++ b/crates/edge/src/core/delivery/produce.rs
@@ -71,8 +71,8 @@
     reply.parts.iter().any(|result| result.code == codes::THROTTLING_QUOTA_EXCEEDED)
 }
 
-/// Returns the outcome of each attempt of a call by its response. Where the response lacks a partition, the outcome
-/// is an error.
+/// Returns the outcome of each attempt of a call by its response. Where the response lacks a partition, the
+/// outcome is an error.
 pub(super) fn outcomes(settings: &DeliverySettings, call: &Call, reply: &ProduceReply) -> Vec<StatedOutcome> {
     let mut outcomes = Vec::with_capacity(call.messages.len());
     for message in &call.messages {
--- a/crates/edge/src/core/delivery/responses.rs
+++ b/crates/edge/src/core/delivery/responses.rs
@@ -51,9 +51,9 @@
         Ok(FrameProgress::Processed)
     }
 
-    /// Handles the response to the version request and writes the waiting calls. Each message is checked again
-    /// before that: while the connection was being established it may have been completed, its endpoint may have
-    /// begun to drain, and a Retry-After may have arrived.
+    /// Handles the response to the version request and writes the waiting calls. Each message is checked
+    /// again before that: while the connection was being established it may have been completed, its endpoint
+    /// may have begun to drain, and a Retry-After may have arrived.
     fn receive_versions(
         &mut self,
         id: UpstreamId,
@@ -110,8 +110,8 @@
         Ok(())
     }
 
-    /// Reports the Retry-After of a response to an abandoned call. It applies although no attempt of the call is
-    /// left to report it.
+    /// Reports the Retry-After of a response to an abandoned call. It applies although no attempt of the call
+    /// is left to report it.
     fn report_late_rejection(&mut self, call_id: CallId, reply: &ProduceReply) {
         let Some(call) = self.calls.get(call_id).filter(|call| call.is_abandoned()) else { return };
         let retry_after = produce::retry_after(reply);
@@ -126,8 +126,9 @@
         }
     }
 
-    /// Records lost connections to an endpoint that has answered a call started at `answered_started_at`. Abandoned
-    /// calls that were started earlier, as the first on a connection that had been idle, count as lost with it.
+    /// Records lost connections to an endpoint that has answered a call started at `answered_started_at`.
+    /// Abandoned calls that were started earlier, as the first on a connection that had been idle, count as
+    /// lost with it.
     fn record_lost_connections(&mut self, endpoint: u32, answered_started_at: Time) {
         let abandoned = self.connections.abandoned(endpoint);
         for call_id in abandoned.flat_map(|connection| connection.written_calls.values()) {
--- a/crates/edge/src/core/delivery/upstream.rs
+++ b/crates/edge/src/core/delivery/upstream.rs
@@ -14,8 +14,8 @@
         }
     }
 
-    /// Removes a connection that has closed after the operating system accepted `accepted_bytes` of what was queued
-    /// there. Calls that begin after those bytes are known not to have been sent.
+    /// Removes a connection that has closed after the operating system accepted `accepted_bytes` of what was
+    /// queued there. Calls that begin after those bytes are known not to have been sent.
     fn remove_connection(&mut self, id: UpstreamId, accepted_bytes: u64, written_outcome: AttemptOutcome) {
         let Some(connection) = self.connections.remove(id) else { return };
         for call_id in connection.written_calls.into_values() {
--- a/crates/edge/src/core/endpoints.rs
+++ b/crates/edge/src/core/endpoints.rs
@@ -1,23 +1,24 @@
-//! The endpoint list in force, and what is looked up in it.
+//! The endpoint list in force and lookups in it.
 
 use crate::settings::{EndpointEntry, EndpointList, EntryState};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+/// The endpoint list in force, with an index by destination.
 #[derive(Debug, Default)]
 pub(crate) struct EndpointDirectory {
     list: EndpointList,
-    /// For each destination of the list how many of its endpoints are ready.
+    /// How many endpoints of each destination in the list are ready.
     ready_counts: BTreeMap<u32, u32>,
 }
 
 impl EndpointDirectory {
-    /// The list in force.
+    /// Returns the list in force.
     pub(crate) fn list(&self) -> &EndpointList {
         &self.list
     }
 
-    /// Puts a list in force.
+    /// Replaces the list in force.
     pub(crate) fn replace(&mut self, list: EndpointList) {
         self.ready_counts.clear();
         for entry in list.entries.values() {
@@ -35,17 +36,17 @@
         self.get(endpoint).map(|entry| entry.address)
     }
 
-    /// The endpoint takes new messages, as far as the list says.
+    /// Returns whether the endpoint accepts new messages according to the list.
     pub(crate) fn is_ready(&self, endpoint: u32) -> bool {
         self.get(endpoint).is_some_and(|entry| entry.state == EntryState::Ready)
     }
 
-    /// The destination that a partition number stands for, if the list has it.
+    /// Returns the destination with this partition number, or `None` if the list does not have it.
     pub(crate) fn destination(&self, partition: i32) -> Option<u32> {
         u32::try_from(partition).ok().filter(|destination| self.ready_counts.contains_key(destination))
     }
 
-    /// For each partition number up to the highest whether its destination has a ready endpoint.
+    /// Returns, for each partition number up to the highest, whether its destination has a ready endpoint.
     pub(crate) fn available_partitions(&self) -> Vec<bool> {
         let Some((&last, _)) = self.ready_counts.last_key_value() else { return Vec::new() };
         let is_available =
--- a/crates/edge/src/core/error.rs
+++ b/crates/edge/src/core/error.rs
@@ -1,10 +1,10 @@
-//! Violations of the Kafka protocol by a peer, which end its connection.
+//! Violations of the Kafka protocol by a peer. Each closes the peer's connection.
 
 use linnetcart_kafka::codes::Malformed;
 use linnetcart_kafka::server::RequestError;
 use linnetcart_kafka::{FrameError, PRODUCE};
 
-/// What a client or an endpoint did that its connection is closed for.
+/// A protocol violation by a client or an endpoint. The texts are those of the delivery events and logs.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum ProtocolError {
     #[error(transparent)]
--- a/crates/edge/src/core/in_flight.rs
+++ b/crates/edge/src/core/in_flight.rs
@@ -1,4 +1,6 @@
-//! The in-flight table: messages that were accepted and have no final answer yet, or still have attempts out.
+//! The in-flight table: accepted messages that have no final answer yet or still have attempts out.
+//!
+//! The table owns the messages and their numbers. It never decides what becomes of a message.
 
 use super::clients::RecordPosition;
 use linnetcart::{AttemptOutcome, Time};
@@ -6,26 +8,26 @@
 use linnetcart_kafka::Record;
 use std::collections::BTreeMap;
 
-/// A message that has no final answer yet, or has attempts out.
+/// A message of the table.
 #[derive(Debug)]
 pub(crate) struct InFlightMessage {
     pub(crate) position: RecordPosition,
     pub(crate) class: u8,
     pub(crate) destination: u32,
-    /// What is delivered; empty once the message is completed.
+    /// The record to deliver. It is empty once the message is completed.
     pub(crate) record: Record,
     pub(crate) accepted_at: Time,
     pub(crate) deadline: Time,
-    /// An attempt of it was executed or may have been.
+    /// Whether a finished attempt was executed or may have been.
     pub(crate) possibly_executed: bool,
-    /// It has its final answer, or nobody waits for one.
+    /// Whether it has its final answer, or needs none because its client disconnected.
     completed: bool,
     bytes: usize,
     attempts: u16,
     attempts_out: u16,
 }
 
-/// A message as it enters the table.
+/// A message to be added to the table.
 #[derive(Debug)]
 pub(crate) struct NewMessage {
     pub(crate) position: RecordPosition,
@@ -41,21 +43,22 @@
 pub(crate) struct BegunAttempt {
     /// Its number among the message's attempts, from 0.
     pub(crate) number: u16,
-    /// Another attempt of the message is out.
+    /// Whether another attempt of the message is out.
     pub(crate) hedge: bool,
-    /// The message has its final answer; nothing of it may leave any more.
+    /// Whether the message is completed, so that the attempt must not be sent.
     pub(crate) message_completed: bool,
 }
 
-/// What the table holds.
+/// How much the table contains.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Usage {
-    /// Messages without a final answer.
+    /// The number of messages without a final answer.
     pub(crate) messages: usize,
-    /// Bytes of them.
+    /// The bytes of their records.
     pub(crate) bytes: usize,
 }
 
+/// The in-flight table.
 #[derive(Debug)]
 pub(crate) struct InFlightTable {
     messages: BTreeMap<u32, InFlightMessage>,
@@ -64,7 +67,7 @@
 }
 
 impl InFlightTable {
-    /// An empty table that numbers its messages from here.
+    /// Creates an empty table whose first message gets the number `first_number`.
     pub(crate) fn new(first_number: u32) -> Self {
         InFlightTable {
             messages: BTreeMap::new(),
@@ -77,26 +80,28 @@
         self.usage
     }
 
+    /// Returns whether every message has its final answer.
     pub(crate) fn is_empty(&self) -> bool {
         self.usage.messages == 0
     }
 
-    /// A message of the table, with or without its final answer.
+    /// Returns a message, completed or not.
     pub(crate) fn get(&self, message: u32) -> Option<&InFlightMessage> {
         self.messages.get(&message)
     }
 
-    /// A message that has no final answer yet.
+    /// Returns a message that has no final answer yet.
     pub(crate) fn open(&self, message: u32) -> Option<&InFlightMessage> {
-        self.messages.get(&message).filter(|m| !m.completed)
+        self.messages.get(&message).filter(|message| !message.completed)
     }
 
-    /// Messages without a final answer, by number.
+    /// Returns the numbers of the messages without a final answer, in ascending order.
     pub(crate) fn open_messages(&self) -> Vec<u32> {
-        self.messages.iter().filter(|(_, m)| !m.completed).map(|(&number, _)| number).collect()
+        let open = self.messages.iter().filter(|(_, message)| !message.completed);
+        open.map(|(&number, _)| number).collect()
     }
 
-    /// Takes a message in and gives it a number.
+    /// Adds a message. Returns the number that it gets.
     pub(crate) fn insert(&mut self, new: NewMessage) -> u32 {
         let messages = &self.messages;
         let number = self.numbers.allocate(|candidate| messages.contains_key(&candidate));
@@ -120,9 +125,11 @@
         number
     }
 
-    /// The message has its final answer, or nobody waits for one. It stays until its last attempt has finished.
+    /// Completes a message that has its final answer or needs none. It stays in the table until its last
+    /// attempt has finished.
     pub(crate) fn complete(&mut self, number: u32) {
-        let Some(message) = self.messages.get_mut(&number).filter(|m| !m.completed) else { return };
+        let message = self.messages.get_mut(&number).filter(|message| !message.completed);
+        let Some(message) = message else { return };
         message.completed = true;
         message.record = Record::default();
         self.usage.messages -= 1;
@@ -132,7 +139,7 @@
         }
     }
 
-    /// Begins an attempt of a message that is in the table.
+    /// Begins an attempt. Returns `None` if the message is not in the table.
     pub(crate) fn begin_attempt(&mut self, number: u32) -> Option<BegunAttempt> {
         let message = self.messages.get_mut(&number)?;
         let begun = BegunAttempt {
@@ -145,7 +152,8 @@
         Some(begun)
     }
 
-    /// Notes the outcome of an attempt; whether the message has its final answer, also if it is not there any more.
+    /// Records the outcome of an attempt. Returns whether the message is completed, which includes a message
+    /// that is no longer in the table.
     pub(crate) fn finish_attempt(&mut self, number: u32, outcome: AttemptOutcome) -> bool {
         let Some(message) = self.messages.get_mut(&number) else { return true };
         message.attempts_out = message.attempts_out.saturating_sub(1);
--- a/crates/edge/src/core/requests.rs
+++ b/crates/edge/src/core/requests.rs
@@ -1,4 +1,4 @@
-//! What the core does with clients: connections, requests, acceptance of messages and responses.
+//! How the core handles clients: their connections and requests, the acceptance of messages, and responses.
 
 use super::admission::{
     AdmissionContext, AdmissionDecision, AdmittedRecord, CheckedPartition, ProduceOptions, Route,
@@ -14,26 +14,26 @@
 use linnetcart_kafka::server::{self, Body, Produce, Request, Topic};
 
 impl Core {
-    /// A client connected.
+    /// Handles a client that connected.
     pub fn client_connected(&mut self, id: ClientId) {
         self.clients.open(id, self.settings.limits.max_request_bytes);
     }
 
-    /// Bytes came from a client.
+    /// Handles bytes from a client.
     pub fn client_received(&mut self, id: ClientId, bytes: &[u8]) {
         if self.clients.receive(id, bytes) {
             self.process_requests(id);
         }
     }
 
-    /// The client sends no more; its requests are still answered.
+    /// Handles a client that shut down its sending side. Its requests are still answered.
     pub fn client_half_closed(&mut self, id: ClientId) {
         if self.clients.half_close(id) {
             self.send_responses(id);
         }
     }
 
-    /// The client is gone, and nobody waits for the answers to its messages.
+    /// Handles a client that disconnected. The answers to its messages are no longer needed.
     pub fn client_disconnected(&mut self, id: ClientId) {
         for message in self.clients.remove(id) {
             let Some(in_flight) = self.in_flight.get(message) else { continue };
@@ -45,7 +45,7 @@
         }
     }
 
-    /// Bytes of responses that the client's system has not taken yet.
+    /// Sets how many bytes of responses to a client the operating system has not accepted yet.
     pub fn set_client_backlog(&mut self, id: ClientId, bytes: usize) {
         self.clients.set_unsent_bytes(id, bytes);
         if self.clients.is_paused(id) {
@@ -53,7 +53,7 @@
         }
     }
 
-    /// Processes the complete requests of a client, as far as its bounds allow. Beyond them it is not read.
+    /// Processes the complete requests of a client up to its limits, at which reading from it pauses.
     pub(super) fn process_requests(&mut self, id: ClientId) {
         loop {
             let Some(update) = self.clients.update_reading(id, &self.settings.limits) else { return };
@@ -108,7 +108,7 @@
         Ok(())
     }
 
-    /// The named topics, or all of them, as Metadata describes them.
+    /// Returns the named topics, or all of them for `None`, as Metadata describes them.
     fn topics(&self, names: Option<Vec<String>>) -> Vec<Topic> {
         let partitions = self.endpoints.available_partitions();
         let all = || self.settings.classes.iter().map(|class| class.name.clone()).collect();
@@ -142,7 +142,7 @@
         self.clients.enqueue_produce(client, PendingProduce { correlation, version, partitions }, deadline);
     }
 
-    /// Carries out the admission decision; `first` is the position of the partition's first record.
+    /// Carries out an admission decision. `first` is the position of the partition's first record.
     fn admit_partition(&mut self, first: RecordPosition, checked: CheckedPartition) -> PendingPartition {
         let CheckedPartition { topic, partition, decision, .. } = checked;
         let records = match decision {
@@ -160,6 +160,7 @@
         PendingPartition::Records { topic, partition, records }
     }
 
+    /// Sheds the records of a partition.
     fn shed(&mut self, route: Route, record_count: usize, reason: RejectionReason) -> Vec<PendingRecord> {
         let Route { class, destination } = route;
         let retry_after = self.settings.permissions.max_retry_after_ms * NANOS_PER_MS;
@@ -173,7 +174,7 @@
         shed
     }
 
-    /// Takes a message in and reports it to the library; returns its number.
+    /// Accepts a message and reports it to the library. Returns its number.
     fn accept(&mut self, position: RecordPosition, route: Route, admitted: AdmittedRecord) -> u32 {
         let Route { class, destination } = route;
         let AdmittedRecord { record, name, ordering_key, deadline, tenant } = admitted;
@@ -199,7 +200,8 @@
         id
     }
 
-    /// Sends the responses of a client that may be sent now, and closes its connection if nothing more is owed.
+    /// Sends the responses of a client that are ready. Closes its connection if the client sends no more
+    /// requests and has all its responses.
     pub(super) fn send_responses(&mut self, id: ClientId) {
         for response in self.clients.take_responses(id) {
             self.outputs.push(Output::ToClient(id, response));
--- a/crates/edge/src/core/responses.rs
+++ b/crates/edge/src/core/responses.rs
@@ -1,4 +1,4 @@
-//! The result of one partition of a Produce request, from the final answers of its records.
+//! Results of the partitions of Produce requests, by the final answers of their records.
 
 use linnetcart::Time;
 use linnetcart_kafka::codes;
@@ -9,19 +9,19 @@
 pub(crate) enum RecordOutcome {
     /// Delivered.
     Served,
-    /// Rejected; submitting it again does no harm.
+    /// Rejected. Submitting it again does no harm.
     Rejected {
-        /// When it may be submitted again, 0 if that is not known.
+        /// After how many nanoseconds it may be submitted again, 0 if that is not known.
         retry_after: Time,
-        /// No attempt of it can have been executed.
+        /// Whether no attempt of it can have been executed.
         not_executed: bool,
     },
-    /// Given up; it may have been executed.
+    /// Given up. It may have been executed.
     Failed,
 }
 
 impl RecordOutcome {
-    /// What the response says of a record whose batch has several outcomes.
+    /// Returns the text for a record whose batch has several outcomes. It is part of the response.
     fn text(&self) -> String {
         match self {
             RecordOutcome::Served => "served".into(),
@@ -38,14 +38,14 @@
     }
 }
 
-/// One partition's result, and the Retry-After that it asks for the whole response.
+/// The result of one partition, and the Retry-After that the response must have on its account.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct PartitionAnswer {
     pub(crate) result: PartitionResult,
     pub(crate) retry_after: Time,
 }
 
-/// A partition of a request none of whose records was accepted.
+/// Returns the result of a partition none of whose records was served, with this error code and text.
 pub(crate) fn rejected_partition(
     topic: &str,
     partition: i32,
@@ -62,18 +62,21 @@
     }
 }
 
-/// The answer for a partition whose records have these outcomes; `offset` is that of the first served one.
+/// Returns the answer for a partition whose records have these outcomes. `offset` is that of the first served
+/// record.
 ///
-/// The code that clients retry says "not persisted" of every record of the batch. So it is given only if that
-/// is so: for a single rejected record, or for several of which none was ever forwarded. Records with different
-/// outcomes get a code that is not retried, and from Produce 8 on each record carries its own outcome.
+/// The code that clients retry states that no record of the batch was persisted. It is therefore used only
+/// where that holds: for a single rejected record, or for several of which none was ever forwarded. Records
+/// with different outcomes get a code that clients do not retry, and from Produce 8 on each record carries
+/// its own outcome.
 pub(crate) fn partition_answer(
     topic: &str,
     partition: i32,
     outcomes: &[RecordOutcome],
     offset: i64,
 ) -> PartitionAnswer {
-    if outcomes.iter().all(|outcome| *outcome == RecordOutcome::Served) {
+    let all_are = |wanted: RecordOutcome| outcomes.iter().all(|outcome| *outcome == wanted);
+    if all_are(RecordOutcome::Served) {
         let result =
             PartitionResult { topic: topic.to_owned(), partition, offset, ..PartitionResult::default() };
         return PartitionAnswer { result, retry_after: 0 };
@@ -84,7 +87,7 @@
         let result = rejected_partition(topic, partition, codes::NOT_ENOUGH_REPLICAS, text);
         return PartitionAnswer { result, retry_after };
     }
-    if outcomes.iter().all(|outcome| *outcome == RecordOutcome::Failed) {
+    if all_are(RecordOutcome::Failed) {
         let text = RecordOutcome::Failed.text();
         let result = rejected_partition(topic, partition, codes::UNKNOWN_SERVER_ERROR, text);
         return PartitionAnswer { result, retry_after: 0 };
@@ -96,7 +99,7 @@
     PartitionAnswer { result, retry_after }
 }
 
-/// Whether a client may submit the batch again as a whole.
+/// Returns whether a client may submit the complete batch again.
 fn is_retriable(outcomes: &[RecordOutcome]) -> bool {
     let not_executed =
         |outcome: &RecordOutcome| matches!(outcome, RecordOutcome::Rejected { not_executed: true, .. });
--- a/crates/edge/src/core/retry_after.rs
+++ b/crates/edge/src/core/retry_after.rs
@@ -1,10 +1,10 @@
-//! Retry-After times that endpoints gave: until when nothing may be sent under a limit.
+//! Retry-After times of endpoints: until when nothing may be sent under a limit.
 
 use crate::settings::{EndpointEntry, Settings};
 use linnetcart::Time;
 use std::collections::BTreeMap;
 
-/// The limit that calls to an endpoint come under.
+/// The limit that applies to calls to an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum LimitKey {
     /// All endpoints of a destination share one limit.
@@ -14,7 +14,7 @@
 }
 
 impl LimitKey {
-    /// The limit of an endpoint by its destination's kind.
+    /// Returns the limit of an endpoint, which depends on the kind of its destination.
     pub(crate) fn of(entry: &EndpointEntry, settings: &Settings) -> Self {
         let is_route = settings.kind(&entry.kind).is_some_and(|kind| kind.independent_routes);
         if is_route {
@@ -25,26 +25,36 @@
     }
 }
 
-/// For each limit until when nothing may be sent under it.
+/// Until when nothing may be sent, for each limit.
 #[derive(Debug, Default)]
 pub(crate) struct RetryAfterTable {
     blocked_until: BTreeMap<LimitKey, Time>,
-    /// The limit of each endpoint, also of one that has left the list while a connection to it is open.
+    /// The limit of each endpoint in the list, and of those that left the list while a connection to them is
+    /// open.
     limits: BTreeMap<u32, LimitKey>,
 }
 
+/// An endpoint of the list and its limit.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct EndpointLimit {
+    pub(crate) endpoint: u32,
+    pub(crate) limit: LimitKey,
+}
+
 impl RetryAfterTable {
-    /// Takes the limits of a new endpoint list. Those of endpoints outside it stay only where `connected`.
+    /// Sets the limits of a new endpoint list. Those of endpoints outside the list stay only if
+    /// `is_connected` returns `true` for the endpoint.
     pub(crate) fn set_limits(
         &mut self,
-        listed: impl Iterator<Item = (u32, LimitKey)>,
-        connected: impl Fn(u32) -> bool,
+        listed: impl Iterator<Item = EndpointLimit>,
+        is_connected: impl Fn(u32) -> bool,
     ) {
-        self.limits.retain(|&endpoint, _| connected(endpoint));
-        self.limits.extend(listed);
+        self.limits.retain(|&endpoint, _| is_connected(endpoint));
+        self.limits.extend(listed.map(|listed| (listed.endpoint, listed.limit)));
     }
 
-    /// An endpoint gave a Retry-After. The latest time of a limit holds.
+    /// Records the Retry-After of an endpoint, in nanoseconds from `now`; 0 means none. The latest time of a
+    /// limit holds.
     pub(crate) fn record(&mut self, endpoint: u32, retry_after: Time, now: Time) {
         if retry_after == 0 {
             return;
@@ -54,14 +64,14 @@
         *until = (*until).max(now + retry_after);
     }
 
-    /// Whether the endpoint's limit lets nothing through now.
+    /// Returns whether nothing may be sent to the endpoint now.
     pub(crate) fn is_blocked(&self, endpoint: u32, now: Time) -> bool {
         let limit = self.limits.get(&endpoint);
         let until = limit.and_then(|limit| self.blocked_until.get(limit));
         until.is_some_and(|&until| until > now)
     }
 
-    /// Forgets times that have passed.
+    /// Removes times that have passed.
     pub(crate) fn expire(&mut self, now: Time) {
         self.blocked_until.retain(|_, until| *until > now);
     }
--- a/crates/edge/src/core/retry_after/tests.rs
+++ b/crates/edge/src/core/retry_after/tests.rs
@@ -2,11 +2,16 @@
 
 use super::*;
 
+fn limited(endpoint: u32, limit: LimitKey) -> EndpointLimit {
+    EndpointLimit { endpoint, limit }
+}
+
 #[test]
-fn retry_after_of_a_shared_limit_blocks_all_its_endpoints_until_the_latest_time() {
+fn retry_after_of_shared_limit_blocks_all_its_endpoints_until_latest_time() {
     let mut table = RetryAfterTable::default();
     let shared = LimitKey::Destination(1);
-    table.set_limits([(10, shared), (11, shared), (20, LimitKey::Route(20))].into_iter(), |_| false);
+    let limits = [limited(10, shared), limited(11, shared), limited(20, LimitKey::Route(20))];
+    table.set_limits(limits.into_iter(), |_| false);
     table.record(10, 100, 1000);
     table.record(11, 50, 1000);
     assert!(table.is_blocked(10, 1099) && table.is_blocked(11, 1099));
@@ -16,9 +21,10 @@
 }
 
 #[test]
-fn endpoint_outside_the_list_keeps_its_limit_while_it_is_connected() {
+fn limit_of_endpoint_outside_list_stays_while_connected() {
     let mut table = RetryAfterTable::default();
-    let limits = [(10, LimitKey::Destination(1)), (11, LimitKey::Destination(1))];
+    let shared = LimitKey::Destination(1);
+    let limits = [limited(10, shared), limited(11, shared)];
     table.set_limits(limits.into_iter(), |_| false);
     table.set_limits(std::iter::empty(), |endpoint| endpoint == 10);
     table.record(11, 100, 1000);
--- a/crates/edge/src/core/status.rs
+++ b/crates/edge/src/core/status.rs
@@ -1,38 +1,39 @@
-//! Figures of a courier for its status page.
+//! The figures of a courier for its status page, and the counters behind them.
 
 use crate::delivery_events::FinalAnswer;
+use linnetcart::Time;
 use serde::Serialize;
 use std::collections::BTreeMap;
 
-/// Figures for the status page.
+/// The figures for the status page.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Status {
     /// Messages without a final answer.
     #[serde(rename = "held")]
     pub in_flight: usize,
-    /// Bytes of them.
+    /// Bytes of their records.
     #[serde(rename = "held_bytes")]
     pub in_flight_bytes: usize,
-    /// Calls out that hold a slot.
+    /// Calls that occupy a slot.
     pub calls: usize,
-    /// Connections to endpoints.
+    /// Connections to endpoints that are open or being established.
     #[serde(rename = "links")]
     pub upstream_connections: usize,
-    /// Of these, those that wait for the response to an abandoned call.
+    /// Of these, those that await the response to an abandoned call.
     #[serde(rename = "links_abandoned")]
     pub abandoned_connections: usize,
     /// Connections of clients.
     pub clients: usize,
-    /// Of these, those that are not read because of a bound.
+    /// Of these, those that are not read because of a limit.
     #[serde(rename = "clients_paused")]
     pub paused_clients: usize,
-    /// Version of the endpoint list.
+    /// The version of the endpoint list in force.
     pub list_version: u64,
     /// Endpoints in the list.
     pub endpoints: usize,
-    /// It accepts nothing new.
+    /// Whether the courier drains and accepts nothing new.
     pub draining: bool,
-    /// For each class: what became of its messages.
+    /// The counters of each class, by its name.
     pub classes: BTreeMap<String, ClassCounters>,
     /// Attempts so far.
     pub attempts: u64,
@@ -46,7 +47,7 @@
     pub clocks_ahead: u64,
 }
 
-/// What became of the messages of a class.
+/// Counters of the messages of a class.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct ClassCounters {
     /// Accepted.
@@ -62,7 +63,7 @@
     pub rejected: u64,
     /// Failed.
     pub failed: u64,
-    /// Cancelled: the client was gone.
+    /// Cancelled because the client disconnected.
     #[serde(rename = "withdrawn")]
     pub client_cancelled: u64,
     /// Rejected before they were accepted.
@@ -70,7 +71,7 @@
     pub shed: u64,
 }
 
-/// Counters of all classes, and of attempts.
+/// The counters of all classes, and of attempts.
 #[derive(Debug)]
 pub(crate) struct Counters {
     classes: Vec<ClassCounters>,
@@ -106,13 +107,14 @@
         self.classes[usize::from(class)].client_cancelled += 1;
     }
 
-    /// A final answer; a served message counts as in its objective if it `met_objective`.
-    pub(crate) fn completed(&mut self, class: u8, answer: FinalAnswer, met_objective: bool) {
+    /// Counts a final answer. A served message that took `elapsed` counts as within its objective if that is
+    /// at most `objective`.
+    pub(crate) fn completed(&mut self, class: u8, answer: FinalAnswer, elapsed: Time, objective: Time) {
         let counters = &mut self.classes[usize::from(class)];
         match answer {
             FinalAnswer::Served => {
                 counters.served += 1;
-                counters.served_in_objective += u64::from(met_objective);
+                counters.served_in_objective += u64::from(elapsed <= objective);
             }
             FinalAnswer::Rejected { .. } => counters.rejected += 1,
             FinalAnswer::Failed => counters.failed += 1,
--- a/crates/edge/src/counter_files.rs
+++ b/crates/edge/src/counter_files.rs
@@ -1,5 +1,5 @@
-//! The files of the counter store: a snapshot, and logs of what was counted since. A thread of its own brings them to
-//! disk, so that no message waits for it.
+//! The files of the counter store: a snapshot, and logs of what was counted since. A thread of its own brings
+//! them to disk, so that no message waits for it.
 
 use crate::snapshot::{decode_file, encode_file, move_aside, replace_file, SnapshotError};
 use linnetcart_telemetry::counts::Saved;
@@ -210,8 +210,8 @@
         }
     }
 
-    /// Begins to bring the log to disk; [`CounterFiles::finished`] says when it is there. A log that is long, or
-    /// broken, is followed by another after a snapshot.
+    /// Begins to bring the log to disk; [`CounterFiles::finished`] says when it is there. A log that is long,
+    /// or broken, is followed by another after a snapshot.
     pub fn sync(
         &mut self,
         number: u64,
--- a/crates/edge/src/counter_files/tests.rs
+++ b/crates/edge/src/counter_files/tests.rs
@@ -31,8 +31,8 @@
     (taken, loaded.next_log, loaded.damaged.map(|damaged| damaged.to_string()))
 }
 
-/// A sync that has a long log followed by another, with a look at the files in each state that an end may leave:
-/// before the snapshot is there, with it and the logs before it, with it alone.
+/// A sync that has a long log followed by another, with a look at the files in each state that an end may
+/// leave: before the snapshot is there, with it and the logs before it, with it alone.
 fn follow_long_log(dir: &Path, files: &mut CounterFiles, store: &CounterStore, n: u64) {
     let (held_back, held_jobs) = channel();
     let thread_jobs = std::mem::replace(&mut files.jobs, held_back);
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -1,8 +1,8 @@
 //! Settings and endpoint list as documents: what the control interface accepts, checked as a whole, and the
 //! conversion for the decision library.
 //!
-//! The fields of the documents keep the names that operators' files have; where the code's name differs, it is
-//! mapped with `#[serde(rename)]`. An error names the field by its outer name.
+//! The fields of the documents keep the names that operators' files have; where the code's name differs, it
+//! is mapped with `#[serde(rename)]`. An error names the field by its outer name.
 
 mod documents;
 mod endpoint_list;
--- a/crates/edge/src/settings/documents.rs
+++ b/crates/edge/src/settings/documents.rs
@@ -1,7 +1,7 @@
 //! The settings document as operators write it.
 //!
-//! The names of these types stand in error texts of the control interface ("expected struct ClassDoc with 7 elements")
-//! and are not changed for that reason.
+//! The names of these types stand in error texts of the control interface ("expected struct ClassDoc with 7
+//! elements") and are not changed for that reason.
 
 use serde::{Deserialize, Serialize};
 
--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -26,8 +26,8 @@
 
 /// The clock does not begin at zero, so that no span before the start is below it.
 const CLOCK_START: Time = 3600 * 1_000_000_000;
-/// The loop polls its connections at least this often. What it reads may have come at any time since the poll before,
-/// so twice this is how much too early a message may be taken to have expired.
+/// The loop polls its connections at least this often. What it reads may have come at any time since the poll
+/// before, so twice this is how much too early a message may be taken to have expired.
 const MAX_POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// An iteration that comes later than this after it was wanted follows a stall: all that came is read first.
 const STALL: Duration = Duration::from_millis(20);
--- a/crates/edge/src/shell/telemetry.rs
+++ b/crates/edge/src/shell/telemetry.rs
@@ -1,4 +1,5 @@
-//! Telemetry with its sockets and files: the connection to Graphite, datagrams to and from collectd, the counter files.
+//! Telemetry with its sockets and files: the connection to Graphite, datagrams to and from collectd, the
+//! counter files.
 
 use super::telemetry_log::log_event;
 use super::{nanos, wall_clock, Role, Shell, FLUSH_TIMEOUT, MAX_POLL_INTERVAL};
@@ -121,7 +122,8 @@
         }
     }
 
-    /// Sends a datagram to collectd. What the system does not take is gone, and the next report has the counts.
+    /// Sends a datagram to collectd. What the system does not take is gone, and the next report has the
+    /// counts.
     fn send_datagram(&mut self, net: &mut Net, address: SocketAddr, packet: &[u8]) {
         if self.collectd.is_none() {
             let any_port = if address.is_ipv4() { "0.0.0.0:0" } else { "[::]:0" };
@@ -135,7 +137,8 @@
 }
 
 impl Shell {
-    /// Begins to report, or reports otherwise, once it is configured; counts go on from what an earlier run left.
+    /// Begins to report, or reports otherwise, once it is configured; counts go on from what an earlier run
+    /// left.
     pub(super) fn configure_reporting(&mut self) {
         let now = self.now();
         let (Some(settings), Some(core)) = (&self.program.telemetry, &self.program.core) else { return };
--- a/crates/edge/tests/core/connections.rs
+++ b/crates/edge/tests/core/connections.rs
@@ -12,7 +12,8 @@
     let second = harness.calls.remove(1);
     harness.reply_to(&second, codes::NONE, 0);
     harness.process_after_tick();
-    // The library has the idle one closed; the hung one is kept for its answer, as long as an idle one would be.
+    // The library has the idle one closed; the hung one is kept for its answer, as long as an idle one would
+    // be.
     let before = harness.connections.len();
     harness.advance(4950);
     let late = harness.connections.len();
--- a/crates/edge/tests/moments.rs
+++ b/crates/edge/tests/moments.rs
@@ -1,6 +1,6 @@
-//! Narrow moments on real connections: a request, an answer or a signal between two lines. Each test has the bad
-//! order happen every time: the stand-ins do a thing when the test says so, and never by a clock. What is to be
-//! in one iteration of its event loop is sent while it is stopped.
+//! Narrow moments on real connections: a request, an answer or a signal between two lines. Each test has the
+//! bad order happen every time: the stand-ins do a thing when the test says so, and never by a clock. What is
+//! to be in one iteration of its event loop is sent while it is stopped.
 
 mod process;
 
@@ -173,8 +173,9 @@
     let (discovery, _) = discovery_stub();
     let (endpoint, _) = endpoint_stub();
     let mut courier = CourierProcess::new("term", endpoint, discovery);
-    // A slow process: it has heard the signal, and by the time it looks again it is past the moment at which idle
-    // connections go. It has to be stopped before that moment; if this test was too slow for it, once more.
+    // A slow process: it has heard the signal, and by the time it looks again it is past the moment at which
+    // idle connections go. It has to be stopped before that moment; if this test was too slow for it, once
+    // more.
     let mut kept = loop {
         let mut kept = Peer::connect(courier.listen);
         kept.send("GET /ready HTTP/1.1\r\n\r\n");
@@ -250,7 +251,8 @@
         let gate = GatedListener::new();
         let mut courier =
             CourierProcess::with(name, |listen| config_file(listen, &[gate.address], discovery));
-        // Slots for six are taken by attempts that hang; all others wait, as many as are held without any going back.
+        // Slots for six are taken by attempts that hang; all others wait, as many as are held without any
+        // going back.
         let taken = (0..36).filter(|n| courier.submit("order", &format!("m{n}")) == 202).count();
         assert_eq!(taken, 36);
         let mut hung: Vec<Peer> = (0..6).map(|_| gate.accept()).collect();
@@ -363,7 +365,8 @@
     let hung: Vec<Peer> = (0..6).map(|_| gate.accept()).collect();
     courier.kill_and_restart();
     drop(hung);
-    // Its slots are taken by attempts that hang, and more come than are held. They are worth more, as they are younger.
+    // Its slots are taken by attempts that hang, and more come than are held. They are worth more, as they
+    // are younger.
     let mut peers: Vec<Peer> = (0..6).map(|_| gate.accept()).collect();
     let new = (0..12).filter(|n| courier.submit("status", &format!("new-{n}")) == 202).count();
     assert_eq!(new, 0, "refused unseen, which is harmless");
@@ -376,7 +379,8 @@
 
 #[test]
 fn restart_sends_nothing_by_outdated_endpoint_list() {
-    // Discovery has to be heard within the time that a process waits for it. Where the test was too slow, again.
+    // Discovery has to be heard within the time that a process waits for it. Where the test was too slow,
+    // again.
     assert!(
         (0..5).any(|n| !sends_by_outdated_list(n)),
         "an attempt at an endpoint that had left before the start"
--- a/crates/edge/tests/platform.rs
+++ b/crates/edge/tests/platform.rs
@@ -1,5 +1,5 @@
-//! The real program on the platform's protocol: killed, restarted, ended and configured anew, with stand-ins for
-//! discovery and endpoints that keep records of what crossed the sockets.
+//! The real program on the platform's protocol: killed, restarted, ended and configured anew, with stand-ins
+//! for discovery and endpoints that keep records of what crossed the sockets.
 
 mod process;
 
@@ -18,7 +18,8 @@
     assert_eq!(courier.submit("status", "slow-status"), 202);
     assert_eq!(courier.submit("order", "quick-order"), 202);
     wait_until("all are out", || attempts.lock().unwrap().len() == 3);
-    // Without this the answer to the quick one may be unread when the process dies, and its attempt unresolved.
+    // Without this the answer to the quick one may be unread when the process dies, and its attempt
+    // unresolved.
     courier.settle();
     courier.kill_and_restart();
     wait_until("the unsafe one is ended", || count_matching(&notifications, "slow-order") > 0);
--- a/crates/edge/tests/process/mod.rs
+++ b/crates/edge/tests/process/mod.rs
@@ -1,5 +1,5 @@
-//! The real program on the platform's protocol, and stand-ins for discovery, endpoints and clients: [`stubs`] serve by
-//! themselves, [`peer`] does nothing but what the test has it do.
+//! The real program on the platform's protocol, and stand-ins for discovery, endpoints and clients: [`stubs`]
+//! serve by themselves, [`peer`] does nothing but what the test has it do.
 #![allow(dead_code, reason = "each test file uses its own part")]
 
 pub mod peer;
@@ -42,7 +42,8 @@
         courier
     }
 
-    /// Everything that it was sent before this has been processed: each answer comes from an iteration of its own.
+    /// Everything that it was sent before this has been processed: each answer comes from an iteration of its
+    /// own.
     pub fn settle(&self) {
         (0..3).for_each(|_| self.wait_until_ready());
     }
--- a/crates/edge/tests/process/peer.rs
+++ b/crates/edge/tests/process/peer.rs
@@ -25,8 +25,8 @@
         GatedListener { address: listener.local_addr().unwrap(), listener, filler: None }
     }
 
-    /// Connections to it are not made before [`GatedListener::open`]; the system tries again for them after 1, 3
-    /// and 7 s.
+    /// Connections to it are not made before [`GatedListener::open`]; the system tries again for them after
+    /// 1, 3 and 7 s.
     pub fn not_accepting() -> GatedListener {
         let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
         let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
--- a/crates/edge/tests/process/stubs.rs
+++ b/crates/edge/tests/process/stubs.rs
@@ -8,8 +8,8 @@
 /// What an endpoint answers that serves.
 pub const SERVED: &str = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 
-/// Requests in the order in which they came, each by its message id or, without one, its body. It stays locked until
-/// the answer is written: whoever finds a request in it knows that its answer has been sent.
+/// Requests in the order in which they came, each by its message id or, without one, its body. It stays
+/// locked until the answer is written: whoever finds a request in it knows that its answer has been sent.
 pub type RequestLog = Arc<Mutex<Vec<String>>>;
 
 /// The answer to a request, which may be held back.
--- a/crates/edge/tests/random/main.rs
+++ b/crates/edge/tests/random/main.rs
@@ -1,5 +1,5 @@
-//! The core under random clients, endpoints, connection failures, list updates and clocks. The rules are asserted at
-//! each call that leaves and each response that comes.
+//! The core under random clients, endpoints, connection failures, list updates and clocks. The rules are
+//! asserted at each call that leaves and each response that comes.
 
 #[path = "../harness/mod.rs"]
 mod harness;
