--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -1,8 +1,8 @@
-//! Settings and endpoint list as documents: what the control interface accepts, checked as a whole, and the
-//! conversion for the decision library.
+//! The settings and the endpoint list: the documents that the control interface accepts, their validation, and
+//! their conversion for the decision library.
 //!
-//! The fields of the documents keep the names that operators' files have; where the code's name differs, it
-//! is mapped with `#[serde(rename)]`. An error names the field by its outer name.
+//! The documents keep the field names of the operators' files. Where the name in the code differs, it is mapped
+//! with `#[serde(rename)]`. An error names the field by its name in the document.
 
 mod documents;
 mod endpoint_list;
@@ -21,7 +21,7 @@
 
 use serde::de::DeserializeOwned;
 
-/// Reads a document; an error names the field.
+/// Parses a document. An error names the field.
 pub fn read<T: DeserializeOwned>(body: &[u8]) -> Result<T, InvalidDocument> {
     let mut json = serde_json::Deserializer::from_slice(body);
     let value = serde_path_to_error::deserialize(&mut json).map_err(|error| {
--- a/crates/edge/src/settings/endpoint_list.rs
+++ b/crates/edge/src/settings/endpoint_list.rs
@@ -1,4 +1,4 @@
-//! The endpoint list: the document, its updates, and the entries for the decision library.
+//! The endpoint list: the document, its updates, and its entries as the decision library takes them.
 
 use super::documents::Settings;
 use super::error::reject;
@@ -12,13 +12,13 @@
 /// An endpoint list after an update.
 #[derive(Clone, Debug)]
 pub struct UpdatedList {
-    /// The list.
+    /// The new list.
     pub list: EndpointList,
-    /// The entries of the update as the decision library takes them.
+    /// The entries of the update, as the decision library takes them.
     pub library_entries: Vec<Endpoint>,
 }
 
-/// Endpoints that a list may hold.
+/// The greatest number of endpoints in a list.
 pub const MAX_ENDPOINTS: usize = 100_000;
 /// The highest rate of an endpoint.
 const MAX_RATE: f64 = 1e9;
@@ -27,28 +27,28 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct EndpointListUpdate {
-    /// Its version; one that is not above that in force is rejected.
+    /// The version of the list after the update. It must be greater than that of the list in force.
     pub version: u64,
-    /// The entries are the complete list; otherwise changes to the one in force.
+    /// Whether the entries are the complete list. Otherwise they are changes to the list in force.
     #[serde(rename = "whole")]
     pub complete: bool,
-    /// Entries, or changed ones.
+    /// The entries, or the changed ones.
     pub entries: Vec<EndpointEntry>,
 }
 
-/// An endpoint in the list.
+/// An endpoint of the list.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct EndpointEntry {
-    /// Its number, never given to another.
+    /// Its number, which is never reused for another endpoint.
     pub id: u32,
-    /// Its destination.
+    /// The number of its destination.
     pub destination: u32,
-    /// The destination's kind, by name.
+    /// The name of the destination's kind.
     pub kind: String,
-    /// Its zone, by name.
+    /// The name of its zone.
     pub zone: String,
-    /// Calls a second, as `rates` says; 0 where it is not known.
+    /// Its rate in calls a second, 0 if it is not known. The setting `rates` states how accurate it is.
     #[serde(default)]
     pub rate: f64,
     /// Its state.
@@ -57,32 +57,32 @@
     pub address: SocketAddr,
 }
 
-/// State of an endpoint in the list; it says nothing of health.
+/// The state of an endpoint in the list. It is independent of the endpoint's health.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum EntryState {
     /// In service.
     #[serde(rename = "ready")]
     Ready,
-    /// It takes nothing new.
+    /// It accepts no new messages.
     #[serde(rename = "draining")]
     Draining,
-    /// Out of the list.
+    /// It is no longer in the list.
     #[serde(rename = "gone")]
     Removed,
 }
 
-/// The endpoint list in force.
+/// An endpoint list.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct EndpointList {
     /// Its version.
     pub version: u64,
-    /// Entries by number; none of them is removed.
+    /// The entries by endpoint number. None of them is [`EntryState::Removed`].
     pub entries: BTreeMap<u32, EndpointEntry>,
 }
 
 impl EndpointList {
-    /// The list after this update. Nothing changes if the update is invalid.
+    /// Returns the list after an update.
     pub fn after(
         &self,
         update: &EndpointListUpdate,
@@ -99,51 +99,55 @@
         let mut seen = BTreeSet::new();
         let mut library_entries = Vec::with_capacity(update.entries.len());
         for (index, entry) in update.entries.iter().enumerate() {
-            let path = |field: &str| format!("entries[{index}].{field}");
+            let path = EntryPath { index };
             if !seen.insert(entry.id) {
-                return reject(path("id"), format!("endpoint {} is there twice", entry.id));
+                return reject(path.field("id"), format!("endpoint {} is there twice", entry.id));
             }
             let last_destination = u64::from(settings.limits.destinations) - 1;
-            check_count(&path("destination"), entry.destination.into(), 0, last_destination)?;
-            check_number(&path("rate"), entry.rate, 0.0, MAX_RATE)?;
-            library_entries.push(library_endpoint(entry, settings, &path)?);
-            self.check_destination_kept(entry, &path)?;
-            if entry.state == EntryState::Removed {
-                next.entries.remove(&entry.id);
-            } else {
-                next.entries.insert(entry.id, entry.clone());
-            }
+            check_count(&path.field("destination"), entry.destination.into(), 0, last_destination)?;
+            check_number(&path.field("rate"), entry.rate, 0.0, MAX_RATE)?;
+            library_entries.push(library_endpoint(entry, settings, path)?);
+            self.check_destination_unchanged(entry, path)?;
+            next.apply(entry);
         }
-        next.check_as_a_whole()?;
+        next.check_consistency()?;
         Ok(UpdatedList { list: next, library_entries })
     }
 
-    /// All entries for the decision library.
+    fn apply(&mut self, entry: &EndpointEntry) {
+        if entry.state == EntryState::Removed {
+            self.entries.remove(&entry.id);
+        } else {
+            self.entries.insert(entry.id, entry.clone());
+        }
+    }
+
+    /// Returns all entries as the decision library takes them.
     pub fn library_entries(&self, settings: &Settings) -> Result<Vec<Endpoint>, InvalidDocument> {
         let mut endpoints = Vec::with_capacity(self.entries.len());
         for (index, entry) in self.entries.values().enumerate() {
-            let path = |field: &str| format!("entries[{index}].{field}");
-            endpoints.push(library_endpoint(entry, settings, &path)?);
+            endpoints.push(library_endpoint(entry, settings, EntryPath { index })?);
         }
         Ok(endpoints)
     }
 
-    /// An endpoint never moves to another destination.
-    fn check_destination_kept(
+    /// Checks that an endpoint does not move to another destination.
+    fn check_destination_unchanged(
         &self,
         entry: &EndpointEntry,
-        path: &dyn Fn(&str) -> String,
+        path: EntryPath,
     ) -> Result<(), InvalidDocument> {
         match self.entries.get(&entry.id) {
             Some(before) if before.destination != entry.destination => {
                 let reason = format!("endpoint {} belonged to another destination", entry.id);
-                reject(path("destination"), reason)
+                reject(path.field("destination"), reason)
             }
             _ => Ok(()),
         }
     }
 
-    fn check_as_a_whole(&self) -> Result<(), InvalidDocument> {
+    /// Checks the number of entries, and that all endpoints of a destination are of the same kind.
+    fn check_consistency(&self) -> Result<(), InvalidDocument> {
         if self.entries.len() > MAX_ENDPOINTS {
             let reason = format!("{}; at most {MAX_ENDPOINTS} are held", self.entries.len());
             return reject("entries", reason);
@@ -163,21 +167,33 @@
     }
 }
 
-/// An entry for the decision library.
+/// The path of an entry in its document.
+#[derive(Clone, Copy, Debug)]
+struct EntryPath {
+    index: usize,
+}
+
+impl EntryPath {
+    fn field(self, name: &str) -> String {
+        format!("entries[{}].{name}", self.index)
+    }
+}
+
+/// Converts an entry for the decision library.
 fn library_endpoint(
     entry: &EndpointEntry,
     settings: &Settings,
-    path: &dyn Fn(&str) -> String,
+    path: EntryPath,
 ) -> Result<Endpoint, InvalidDocument> {
     let Some(kind) = settings.kind_index(&entry.kind) else {
         let known: Vec<&str> = settings.kinds.iter().map(|kind| kind.name.as_str()).collect();
         let reason = format!("`{}` is not a kind; the settings have {}", entry.kind, known.join(", "));
-        return reject(path("kind"), reason);
+        return reject(path.field("kind"), reason);
     };
     let Some(zone) = settings.zone_index(&entry.zone) else {
         let reason =
             format!("`{}` is not a zone; the settings have {}", entry.zone, settings.zones.join(", "));
-        return reject(path("zone"), reason);
+        return reject(path.field("zone"), reason);
     };
     let status = match entry.state {
         EntryState::Ready => EndpointStatus::Ready,
--- a/crates/edge/src/settings/error.rs
+++ b/crates/edge/src/settings/error.rs
@@ -2,11 +2,12 @@
 
 use serde::Serialize;
 
-/// Why a document is rejected: the field, what is wrong, what would do.
+/// Why a document is rejected: the field, what is wrong with it, and what is expected. The control interface
+/// returns it as JSON.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error, Serialize)]
 #[error("{field}: {reason}")]
 pub struct InvalidDocument {
-    /// The field, as a path in the document.
+    /// The path of the field in the document.
     pub field: String,
     /// What is wrong with it and what is expected.
     pub reason: String,
--- a/crates/edge/src/settings/library.rs
+++ b/crates/edge/src/settings/library.rs
@@ -1,11 +1,11 @@
-//! The decision library's settings, from the document.
+//! The conversion of the settings document to the settings of the decision library.
 
 use super::documents::{ClassDoc, KindDoc, RatesDoc, RepeatDoc, Settings};
 use crate::time::{NANOS_PER_MS, NANOS_PER_US};
 use linnetcart::{Class, DestinationKind, Idempotency, RateAccuracy, Settings as LibrarySettings, Time};
 
 impl Settings {
-    /// The settings of the decision library.
+    /// Returns the settings of the decision library.
     pub fn library_settings(&self) -> LibrarySettings {
         LibrarySettings {
             courier_count: self.courier.count,
@@ -48,22 +48,22 @@
         }
     }
 
-    /// The number of the class of this name.
+    /// Returns the number of the class with this name.
     pub fn class(&self, name: &str) -> Option<u8> {
         self.classes.iter().position(|class| class.name == name).map(|index| index as u8)
     }
 
-    /// The number of the zone of this name.
+    /// Returns the number of the zone with this name.
     pub(super) fn zone_index(&self, name: &str) -> Option<u8> {
         self.zones.iter().position(|zone| zone == name).map(|index| index as u8)
     }
 
-    /// The number of the kind of this name.
+    /// Returns the number of the kind with this name.
     pub(super) fn kind_index(&self, name: &str) -> Option<u8> {
         self.kinds.iter().position(|kind| kind.name == name).map(|index| index as u8)
     }
 
-    /// The kind of this name.
+    /// Returns the kind with this name.
     pub fn kind(&self, name: &str) -> Option<&KindDoc> {
         self.kinds.iter().find(|kind| kind.name == name)
     }
@@ -81,12 +81,12 @@
         }
     }
 
-    /// How long a message of it may be served.
+    /// Returns how long a message may be served, in nanoseconds.
     pub fn deadline(&self) -> Time {
         self.deadline_ms * NANOS_PER_MS
     }
 
-    /// Within which a message of it has its full priority weight.
+    /// Returns the latency objective, in nanoseconds.
     pub fn latency_objective(&self) -> Time {
         self.latency_objective_ms * NANOS_PER_MS
     }
--- a/crates/edge/src/settings/tests.rs
+++ b/crates/edge/src/settings/tests.rs
@@ -98,3 +98,39 @@
     let twice = [entry(11, "large", EntryState::Ready), entry(11, "large", EntryState::Ready)];
     assert_eq!(field(&update(2, true, &twice)), "entries[1].id");
 }
+
+/// Operators know the error texts of the control interface, which include the names of the document types.
+#[test]
+fn document_of_wrong_type_is_rejected_with_the_type_names_of_earlier_versions() {
+    let cases = [
+        ("", "struct Settings", Some(15)),
+        ("/courier", "struct CourierNumber", Some(3)),
+        ("/classes/0", "struct ClassDoc", Some(7)),
+        ("/classes/1/repeat/keyed", "struct variant RepeatDoc::Keyed", Some(2)),
+        ("/kinds/0", "struct KindDoc", Some(3)),
+        ("/tenants", "a sequence", None),
+        ("/tenants/0", "struct TenantDoc", Some(2)),
+        ("/limits", "struct Limits", Some(8)),
+        ("/allow", "struct Allow", None),
+        ("/connections", "struct Connections", None),
+        ("/clocks", "struct ClocksDoc", None),
+        ("/rules", "struct Rules", Some(6)),
+        ("/worth", "struct Worth", None),
+        ("/prices", "struct Prices", None),
+    ];
+    for (at, expected, elements) in cases {
+        let mut doc = serde_json::to_value(parse(&sample()).unwrap()).unwrap();
+        doc["tenants"] = serde_json::json!([{"name": "t", "rate": 1.0}]);
+        *doc.pointer_mut(at).unwrap() = serde_json::json!(5);
+        let reason = parse(&doc).unwrap_err().reason;
+        assert!(
+            reason.starts_with(&format!("invalid type: integer `5`, expected {expected} at ")),
+            "{at}: {reason}"
+        );
+        let Some(elements) = elements else { continue };
+        *doc.pointer_mut(at).unwrap() = serde_json::json!([]);
+        let reason = parse(&doc).unwrap_err().reason;
+        let wanted = format!("invalid length 0, expected {expected} with {elements} elements at ");
+        assert!(reason.starts_with(&wanted), "{at}: {reason}");
+    }
+}
--- a/crates/edge/src/settings/validation.rs
+++ b/crates/edge/src/settings/validation.rs
@@ -1,37 +1,36 @@
-//! Checks of the settings document as a whole. An error names the field by its name in the document.
+//! Validation of the settings document. An error names the field by its name in the document.
 
 use super::documents::{Allow, ClassDoc, KindDoc, Limits, Prices, RepeatDoc, Rules, Settings, TenantDoc};
 use super::error::reject;
 use super::InvalidDocument;
 use std::collections::BTreeSet;
 
-/// No time span in a document may be longer; it keeps sums of times far from their bounds.
-const LONGEST_SPAN_MS: u64 = 7 * 24 * 3600 * 1000;
+/// The longest time span in a document. It keeps sums of times far from overflow.
+const MAX_SPAN_MS: u64 = 7 * 24 * 3600 * 1000;
 const MAX_NAME_BYTES: usize = 200;
 const MAX_CLASSES: u64 = 200;
 /// Zones and kinds have numbers of 8 bits.
 const MAX_ZONES: u64 = 255;
 const MAX_KINDS: u64 = 255;
-/// The highest weight and rate.
 const MAX_WEIGHT: f64 = 1e9;
 const MAX_RATE: f64 = 1e9;
 const MAX_PRICE: f64 = 1e6;
 const MAX_OVERLOAD_RATIO: f64 = 1e6;
 const MIN_SLOW_START_RATIO: f64 = 0.001;
-/// The least deadline of a class, in ticks.
+/// The shortest deadline of a class, in ticks.
 const MIN_DEADLINE_TICKS: u64 = 4;
 
-type Checked = Result<(), InvalidDocument>;
+type Validation = Result<(), InvalidDocument>;
 
 impl Settings {
-    /// Reads and checks a document.
+    /// Parses and checks a document.
     pub fn parse(body: &[u8]) -> Result<Settings, InvalidDocument> {
         let settings: Settings = super::read(body)?;
         settings.check()?;
         Ok(settings)
     }
 
-    /// Checks the document as a whole.
+    /// Checks all values of the document.
     pub fn check(&self) -> Result<(), InvalidDocument> {
         self.check_courier_and_zones()?;
         check_classes(&self.classes)?;
@@ -50,7 +49,7 @@
         self.check_shortest_deadline()
     }
 
-    fn check_courier_and_zones(&self) -> Checked {
+    fn check_courier_and_zones(&self) -> Validation {
         check_count("courier.of", self.courier.count.into(), 1, 100_000)?;
         check_count("courier.me", self.courier.index.into(), 0, u64::from(self.courier.count) - 1)?;
         check_count("zones", self.zones.len() as u64, 1, MAX_ZONES)?;
@@ -61,8 +60,9 @@
         Ok(())
     }
 
-    /// What the shortest deadline of a class must leave room for.
-    fn check_shortest_deadline(&self) -> Checked {
+    /// Checks that the shortest deadline of a class is long enough for the clock skew and for decision
+    /// cycles.
+    fn check_shortest_deadline(&self) -> Validation {
         let shortest_ms = self.classes.iter().map(|class| class.deadline_ms).min().unwrap_or(0);
         if self.clocks.max_skew_ms * 2 >= shortest_ms {
             let reason =
@@ -77,7 +77,7 @@
     }
 }
 
-fn check_classes(classes: &[ClassDoc]) -> Checked {
+fn check_classes(classes: &[ClassDoc]) -> Validation {
     check_count("classes", classes.len() as u64, 1, MAX_CLASSES)?;
     check_names("classes", classes.iter().map(|class| &class.name))?;
     for (index, class) in classes.iter().enumerate() {
@@ -101,7 +101,7 @@
     character.is_ascii_alphanumeric() || matches!(character, '.' | '_' | '-')
 }
 
-fn check_kinds(kinds: &[KindDoc]) -> Checked {
+fn check_kinds(kinds: &[KindDoc]) -> Validation {
     check_count("kinds", kinds.len() as u64, 1, MAX_KINDS)?;
     check_names("kinds", kinds.iter().map(|kind| &kind.name))?;
     for (index, kind) in kinds.iter().enumerate() {
@@ -110,7 +110,7 @@
     Ok(())
 }
 
-fn check_tenants(tenants: &[TenantDoc]) -> Checked {
+fn check_tenants(tenants: &[TenantDoc]) -> Validation {
     check_names("tenants", tenants.iter().map(|tenant| &tenant.name))?;
     for (index, tenant) in tenants.iter().enumerate() {
         check_number(&format!("tenants[{index}].rate"), tenant.quota, 0.0, MAX_RATE)?;
@@ -118,7 +118,7 @@
     Ok(())
 }
 
-fn check_limits(limits: &Limits) -> Checked {
+fn check_limits(limits: &Limits) -> Validation {
     check_count("limits.slots", limits.max_calls.into(), 1, 1_000_000)?;
     check_count("limits.held", limits.max_in_flight.into(), 1, 10_000_000)?;
     check_count("limits.held_bytes", limits.max_in_flight_bytes as u64, 1024, 1 << 40)?;
@@ -129,7 +129,7 @@
     check_count("limits.destinations", limits.destinations.into(), 1, 1_000_000)
 }
 
-fn check_permissions(permissions: &Allow) -> Checked {
+fn check_permissions(permissions: &Allow) -> Validation {
     let cannot = "this program has no way to do that; leave it out or false";
     if permissions.health_checks {
         return reject("allow.probes", cannot);
@@ -144,7 +144,7 @@
     check_span("allow.come_back_ms", permissions.max_retry_after_ms, 0)
 }
 
-fn check_rules(rules: &Rules) -> Checked {
+fn check_rules(rules: &Rules) -> Validation {
     check_span("rules.answer_slack_ms", rules.answer_grace_ms, 0)?;
     check_number("rules.cold_share", rules.slow_start_ratio, MIN_SLOW_START_RATIO, 1.0)?;
     check_span("rules.warm_after_ms", rules.slow_start_ms, 0)?;
@@ -153,7 +153,7 @@
     check_span("rules.key_rest_ms", rules.key_cooldown_ms, 0)
 }
 
-fn check_prices(prices: &Prices) -> Checked {
+fn check_prices(prices: &Prices) -> Validation {
     check_number("prices.connection", prices.connection, 0.0, MAX_PRICE)?;
     check_number("prices.crossing", prices.cross_zone, 0.0, MAX_PRICE)?;
     check_number("prices.waste", prices.wasted_work, 0.0, MAX_PRICE)?;
@@ -165,7 +165,7 @@
     Ok(())
 }
 
-fn check_names<'a>(field: &str, names: impl Iterator<Item = &'a String>) -> Checked {
+fn check_names<'a>(field: &str, names: impl Iterator<Item = &'a String>) -> Validation {
     let mut seen = BTreeSet::new();
     for (index, name) in names.enumerate() {
         let path = format!("{field}[{index}]");
@@ -179,15 +179,15 @@
     Ok(())
 }
 
-fn check_span(field: &str, ms: u64, least: u64) -> Checked {
-    if (least..=LONGEST_SPAN_MS).contains(&ms) {
+fn check_span(field: &str, ms: u64, least: u64) -> Validation {
+    if (least..=MAX_SPAN_MS).contains(&ms) {
         return Ok(());
     }
-    reject(field, format!("{ms} ms; between {least} and {LONGEST_SPAN_MS} is expected"))
+    reject(field, format!("{ms} ms; between {least} and {MAX_SPAN_MS} is expected"))
 }
 
 /// Checks that a number is finite and within these bounds.
-pub(super) fn check_number(field: &str, number: f64, least: f64, most: f64) -> Checked {
+pub(super) fn check_number(field: &str, number: f64, least: f64, most: f64) -> Validation {
     if number.is_finite() && (least..=most).contains(&number) {
         return Ok(());
     }
@@ -195,7 +195,7 @@
 }
 
 /// Checks that a count is within these bounds.
-pub(super) fn check_count(field: &str, count: u64, least: u64, most: u64) -> Checked {
+pub(super) fn check_count(field: &str, count: u64, least: u64, most: u64) -> Validation {
     if (least..=most).contains(&count) {
         return Ok(());
     }
