Telemetry log: the wording of its lines is in one place, and a test reads the lines

Cause: LogEvent's Display in crates/telemetry had the wording of shell/telemetry_log.rs once more. Only its own test used it, so the lines that operators search for were held by no test, and the two differed (HostMetrics without its field's name, one line in place of one for each notification). Change: Display is gone, log output is as it was. Its test is replaced by one as strict on what is really logged: events_displayed_are_constant_messages_with_fields (crates/telemetry) -> events_logged_are_constant_messages_with_fields (crates/edge, shell/telemetry_log): the same six events, level, message and fields of each line, and two notifications.

--- a/crates/edge/src/shell/telemetry_log.rs
+++ b/crates/edge/src/shell/telemetry_log.rs
@@ -1,4 +1,4 @@
-//! Telemetry's events as lines of the log: a constant message with fields.
+//! The log lines for the events of telemetry: a constant message with fields. Their wording is only here.
 
 use linnetcart_telemetry::LogEvent;
 
@@ -26,3 +26,6 @@
         LogEvent::HostMetrics(status) => tracing::info!(%status, "host metrics"),
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/telemetry/src/log_event.rs
+++ b/crates/telemetry/src/log_event.rs
@@ -1,12 +1,8 @@
-//! What is worth a line in the log: a constant message with fields.
+//! The events that are logged. The fronts have the wording of the log lines.
 
 use crate::collectd::PacketError;
 use crate::host::{HostNotification, HostStatus};
 use crate::SyncError;
-use std::fmt;
-
-#[cfg(test)]
-mod tests;
 
 /// An event for the log.
 #[derive(Clone, Debug, PartialEq)]
@@ -33,28 +29,3 @@
     /// The host's metrics of now.
     HostMetrics(HostStatus),
 }
-
-impl fmt::Display for LogEvent {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            LogEvent::ClockSetBack { timestamps_ahead_s } => {
-                write!(f, "wall clock set back, timestamps slowed timestamps_ahead_s={timestamps_ahead_s}")
-            }
-            LogEvent::CountsWithheld { reason } => {
-                write!(f, "counter log not on disk, counts withheld from reports reason=\"{reason}\"")
-            }
-            LogEvent::CountsReportedAgain => write!(f, "counter log on disk again, counts reported"),
-            LogEvent::HostPacketRejected { error } => {
-                write!(f, "host metrics packet rejected error=\"{error}\"")
-            }
-            LogEvent::HostNotifications(notifications) => {
-                write!(f, "host notification")?;
-                for HostNotification { host, severity, text } in notifications {
-                    write!(f, " host={host:?} severity={severity} text={text:?}")?;
-                }
-                Ok(())
-            }
-            LogEvent::HostMetrics(status) => write!(f, "host metrics {status}"),
-        }
-    }
-}
