Edge shell and control: split by concern, names in place of bool

Program.keeps is has_state_dir, Request.last: bool is connection: ConnectionHeader, and ConnectionHeader::for_request is gone with it; Listener in place of a pair. The emulator's host is adjusted. Order, log output, bytes and JSON are as they were.

--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -1,7 +1,7 @@
-//! The control interface beside the Kafka front: settings, endpoint list, telemetry and status, as documents
-//! over HTTP. Free of I/O.
+//! The control interface of the Kafka front: settings, endpoint list, telemetry and status as documents over HTTP.
+//! It does no I/O.
 //!
-//! A document is saved in the snapshot before it comes into force; if it cannot be saved, nothing changes.
+//! A document is saved in the snapshot before it comes into force. If it cannot be saved, nothing changes.
 
 mod http;
 
@@ -13,43 +13,45 @@
 use linnetcart_telemetry::settings::Telemetry;
 use serde_json::json;
 
-/// Writes a snapshot.
+/// A function that writes a snapshot.
 pub type SaveSnapshot<'a> = &'a mut dyn FnMut(&Snapshot) -> Result<(), SnapshotError>;
 
-/// What the control interface acts on: the courier, once it has settings, and what is to be saved.
+/// The program that the control interface acts on: the courier, once it has settings, and what the snapshot
+/// contains.
 #[derive(Debug)]
 pub struct Program {
-    /// The courier.
+    /// The courier, or `None` as long as there are no settings.
     pub core: Option<Core>,
-    /// How it starts when its settings come.
+    /// What the courier is started with when it gets its settings.
     pub start: StartOptions,
     /// Settings that come into force at the next start.
     pub next_settings: Option<Settings>,
-    /// What is reported, and where; nothing is counted until it is set.
+    /// The settings of telemetry. Nothing is counted without them.
     pub telemetry: Option<Telemetry>,
-    /// There is a state directory, in which counters can be kept.
-    pub keeps: bool,
-    /// What went wrong with the saved files, if anything.
+    /// Whether there is a state directory, in which counters survive a restart.
+    pub has_state_dir: bool,
+    /// What is wrong with the saved files, or `None`.
     pub state_error: Option<String>,
-    /// Further figures for the status page.
+    /// Figures of the process for the status page.
     pub process_status: serde_json::Map<String, serde_json::Value>,
 }
 
 impl Program {
-    /// A program without settings.
+    /// Creates a program without settings.
     pub fn new(start: StartOptions) -> Program {
         Program {
             core: None,
             start,
             next_settings: None,
             telemetry: None,
-            keeps: false,
+            has_state_dir: false,
             state_error: None,
             process_status: serde_json::Map::new(),
         }
     }
 
-    /// Goes on from what was saved. What does not fit is reported and left out.
+    /// Restores the content of a snapshot. Settings or a list that cannot be used are left out and reported
+    /// in `state_error`.
     pub fn restore(&mut self, snapshot: Snapshot) {
         self.telemetry = snapshot.telemetry;
         let Some(settings) = snapshot.settings else { return };
@@ -64,7 +66,7 @@
         self.core = Some(core);
     }
 
-    /// What is saved as of now.
+    /// Returns the snapshot of the current state.
     fn snapshot(&self) -> Snapshot {
         let core = self.core.as_ref();
         Snapshot {
@@ -74,7 +76,7 @@
         }
     }
 
-    /// Carries out a request. `save` writes a snapshot; if it fails, nothing changes.
+    /// Handles a request. `save` writes a snapshot; if that fails, nothing changes.
     pub fn handle(&mut self, request: &Request, save: SaveSnapshot<'_>) -> Reply {
         match (request.method.as_str(), request.path.as_str()) {
             ("GET", "/status") => self.get_status(),
@@ -143,7 +145,7 @@
                 self.next_settings = None;
                 Reply::json(200, json!({"in_force": "now"}))
             }
-            // What the courier knows of Retry-After times and outages belongs to the settings it runs under.
+            // What the courier has learned of Retry-After times and outages is valid for its settings only.
             Some(_) => {
                 self.next_settings = Some(settings);
                 Reply::json(202, json!({"in_force": "next start"}))
@@ -176,13 +178,13 @@
             Ok(telemetry) => telemetry,
             Err(error) => return invalid_document(&error),
         };
-        // A key that was read back without itself is the one that is there.
+        // GET leaves the keys out, so a document without them means the keys in force.
         telemetry.keep_keys(self.telemetry.as_ref());
         if let Err(error) = telemetry.check() {
             let field = error.field().to_owned();
             return invalid_document(&InvalidDocument { field, reason: error.to_string() });
         }
-        if !self.keeps && (telemetry.graphite.is_some() || telemetry.collectd.is_some()) {
+        if !self.has_state_dir && (telemetry.graphite.is_some() || telemetry.collectd.is_some()) {
             let reason = "counts must go on over a restart: start the program with --state-dir";
             return Reply::error(409, "state_dir", reason);
         }
--- a/crates/edge/src/control/http.rs
+++ b/crates/edge/src/control/http.rs
@@ -1,50 +1,51 @@
-//! The HTTP/1.1 framing of the control interface: bytes to requests, replies to bytes. Free of I/O.
+//! The HTTP/1.1 framing of the control interface. It parses requests from bytes and encodes replies, without
+//! I/O.
 
 use serde::Serialize;
 use serde_json::json;
 
-/// Bytes of a request's head.
+/// The greatest length of a request's head in bytes.
 pub(super) const MAX_HEAD_BYTES: usize = 16 * 1024;
-/// Bytes of a request's body: an endpoint list with the most entries fits.
+/// The greatest length of a request's body in bytes. The longest endpoint list fits.
 const MAX_BODY_BYTES: usize = 32 << 20;
-/// Header fields of a request.
+/// The greatest number of header fields in a request.
 const MAX_FIELDS: usize = 64;
 
-/// What a client that expects it is sent before its body.
+/// The response to a client that waits for it before it sends the body.
 pub const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
 /// A request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Request {
-    /// `GET`, `PUT`, ...
+    /// The method, such as `GET` or `PUT`.
     pub method: String,
-    /// Its path, without a query.
+    /// The path without its query.
     pub path: String,
-    /// Its body.
+    /// The body.
     pub body: Vec<u8>,
-    /// The connection closes after the reply.
-    pub last: bool,
+    /// Whether the connection is closed after the reply.
+    pub connection: ConnectionHeader,
 }
 
-/// What the bytes of a connection amount to.
+/// The next input of a connection.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum HttpInput {
     /// More bytes are needed.
     Incomplete,
     /// The client waits for [`CONTINUE`] before it sends the body.
     ExpectsContinue,
-    /// A request.
+    /// A complete request.
     Request(Request),
-    /// The bytes make no request: send this reply and close.
+    /// The bytes are not a valid request. This reply is to be sent and the connection closed.
     Invalid(Reply),
 }
 
 /// A reply.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Reply {
-    /// Its status.
+    /// The status code.
     pub status: u16,
-    /// Its body, JSON.
+    /// The body in JSON.
     pub body: String,
 }
 
@@ -59,7 +60,7 @@
         Reply::json(status, json!({"error": {"field": field, "reason": reason.into()}}))
     }
 
-    /// As bytes; `connection` says what becomes of the connection.
+    /// Encodes the reply with this `Connection` header.
     pub fn encode(&self, connection: ConnectionHeader) -> Vec<u8> {
         let status = self.status;
         let reason = reason_phrase(status);
@@ -73,25 +74,16 @@
     }
 }
 
-/// What becomes of the connection after a reply.
+/// The `Connection` header of a reply: whether the connection is closed after it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectionHeader {
-    /// It is closed.
+    /// The connection is closed.
     Close,
-    /// It takes further requests.
+    /// The connection takes further requests.
     KeepAlive,
 }
 
 impl ConnectionHeader {
-    /// What the reply to this request says.
-    pub fn for_request(request: &Request) -> Self {
-        if request.last {
-            ConnectionHeader::Close
-        } else {
-            ConnectionHeader::KeepAlive
-        }
-    }
-
     fn as_str(self) -> &'static str {
         match self {
             ConnectionHeader::Close => "close",
@@ -116,7 +108,7 @@
     }
 }
 
-/// The bytes of one HTTP connection.
+/// The received bytes of one HTTP connection.
 #[derive(Debug, Default)]
 pub struct HttpConnection {
     buffer: Vec<u8>,
@@ -129,7 +121,8 @@
         self.buffer.extend_from_slice(bytes);
     }
 
-    /// What is there now. To be called until it is [`HttpInput::Incomplete`] or [`HttpInput::Invalid`].
+    /// Returns the next input. Callers repeat this until it is [`HttpInput::Incomplete`] or
+    /// [`HttpInput::Invalid`].
     pub fn next_input(&mut self) -> HttpInput {
         let head = match parse_head(&self.buffer) {
             Ok(Some(head)) => head,
@@ -147,11 +140,16 @@
         let body = self.buffer[head.bytes..request_bytes].to_vec();
         self.buffer.drain(..request_bytes);
         if self.buffer.is_empty() {
-            // Do not keep the largest body's capacity for an idle connection.
+            // An idle connection must not retain the capacity of its largest body.
             self.buffer = Vec::new();
         }
         self.continue_sent = false;
-        HttpInput::Request(Request { method: head.method, path: head.path, body, last: head.closes })
+        HttpInput::Request(Request {
+            method: head.method,
+            path: head.path,
+            body,
+            connection: head.connection,
+        })
     }
 }
 
@@ -162,10 +160,11 @@
     path: String,
     body_bytes: usize,
     expects_continue: bool,
-    closes: bool,
+    connection: ConnectionHeader,
 }
 
-/// The head of the request in the buffer, if it is complete; a reply if there can be none.
+/// Parses the head of the request in the buffer. Returns `None` if it is incomplete, and a reply if it is
+/// invalid.
 fn parse_head(buffer: &[u8]) -> Result<Option<Head>, Reply> {
     let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
     let mut request = httparse::Request::new(&mut fields);
@@ -181,17 +180,19 @@
     if field(&request, "transfer-encoding").is_some() {
         return Err(Reply::error(411, "transfer-encoding", "send the body with a Content-Length"));
     }
+    let closes =
+        lowercase_field(&request, "connection").as_deref() == Some("close") || request.version == Some(0);
     Ok(Some(Head {
         bytes: head_bytes,
         method: request.method.unwrap_or("").to_owned(),
         path: request.path.unwrap_or("/").split('?').next().unwrap_or("/").to_owned(),
         body_bytes: body_length(&request)?,
         expects_continue: lowercase_field(&request, "expect").as_deref() == Some("100-continue"),
-        closes: lowercase_field(&request, "connection").as_deref() == Some("close")
-            || request.version == Some(0),
+        connection: if closes { ConnectionHeader::Close } else { ConnectionHeader::KeepAlive },
     }))
 }
 
+/// Returns the length of the body in bytes, or a reply if it is invalid or too long.
 fn body_length(request: &httparse::Request<'_, '_>) -> Result<usize, Reply> {
     let Some(text) = lowercase_field(request, "content-length") else { return Ok(0) };
     match text.parse::<usize>() {
@@ -204,6 +205,7 @@
     }
 }
 
+/// Returns the value of a header field, or `None` if the request does not have it.
 fn field<'a>(request: &httparse::Request<'_, 'a>, name: &str) -> Option<&'a [u8]> {
     let header = request.headers.iter().find(|header| header.name.eq_ignore_ascii_case(name));
     header.map(|header| header.value)
--- a/crates/edge/src/control/tests.rs
+++ b/crates/edge/src/control/tests.rs
@@ -27,7 +27,7 @@
         method: method.into(),
         path: path.into(),
         body: body.to_string().into_bytes(),
-        last: false,
+        connection: ConnectionHeader::KeepAlive,
     };
     let reply = p.handle(&r, &mut |_| if disk { Ok(()) } else { Err(no_space()) });
     (reply.status, reply.body)
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -1,8 +1,8 @@
-//! The settings and the endpoint list: the documents that the control interface accepts, their validation, and
-//! their conversion for the decision library.
+//! The settings and the endpoint list: the documents that the control interface accepts, their validation,
+//! and their conversion for the decision library.
 //!
-//! The documents keep the field names of the operators' files. Where the name in the code differs, it is mapped
-//! with `#[serde(rename)]`. An error names the field by its name in the document.
+//! The documents keep the field names of the operators' files. Where the name in the code differs, it is
+//! mapped with `#[serde(rename)]`. An error names the field by its name in the document.
 
 mod documents;
 mod endpoint_list;
--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -1,42 +1,48 @@
-//! Moves bytes between sockets and the core, and gives it the clock. It decides nothing.
+//! The shell of the Kafka front: the event loop that moves bytes between sockets and the core and reads the
+//! clocks.
+//!
+//! It owns the sockets, the log and the files of the state directory. It never decides anything about
+//! messages.
 
+mod delivery_events;
 mod events;
 mod log_limit;
+mod outputs;
+mod startup;
 mod telemetry;
 mod telemetry_log;
 
 use crate::control::{HttpConnection, Program};
-use crate::core::{Core, Output, PolicyFactory, StartOptions, UpstreamId};
-use crate::delivery_events::DeliveryEvent;
-use crate::snapshot::{self, LoadedSnapshot};
+use crate::core::{Core, PolicyFactory, UpstreamId};
 use anyhow::Context;
 use calloop::signals::Signal;
 use linnetcart::Time;
-use linnetcart_courier_common::log_limit_change;
-use linnetcart_kafka::server::Broker;
 use linnetcart_net::{Event, Net, Token};
 use log_limit::LogLimiter;
 use serde_json::json;
+use startup::{listen, load_snapshot, start_options};
 use std::collections::BTreeMap;
 use std::io::Write;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::time::{Duration, Instant, SystemTime};
 use telemetry::Reporting;
 
-/// The clock does not begin at zero, so that no span before the start is below it.
+/// The reading of the monotonic clock at the start. It is not zero, so that a time span can be subtracted
+/// from it.
 const CLOCK_START: Time = 3600 * 1_000_000_000;
-/// The loop polls its connections at least this often. What it reads may have come at any time since the poll
-/// before, so twice this is how much too early a message may be taken to have expired.
+/// The longest interval between two polls. Input may have arrived at any time since the previous poll, so a
+/// message may be taken to have expired up to twice this interval too early.
 const MAX_POLL_INTERVAL: Duration = Duration::from_millis(10);
-/// An iteration that comes later than this after it was wanted follows a stall: all that came is read first.
+/// An iteration that is late by more than this follows a stall, after which all input is read before any
+/// decision.
 const STALL: Duration = Duration::from_millis(20);
-/// Polls in which what came during a stall is read.
+/// The greatest number of polls that read the input after a stall.
 const MAX_STALL_POLLS: usize = 64;
-/// How long the last responses and the last report may take to leave at the end.
+/// How long sending the last responses and the last report may take at the end.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// A host by name or address, and a port.
+/// A host, by name or address, and a port.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HostPort {
     /// The host.
@@ -45,24 +51,24 @@
     pub port: u16,
 }
 
-/// What the program is started with.
+/// The options that the program is started with.
 #[derive(Clone, Debug)]
 pub struct Options {
     /// Where clients connect.
     pub kafka: SocketAddr,
     /// Where the control interface listens.
     pub control: SocketAddr,
-    /// The host and port that Metadata names, if not those of `kafka`.
+    /// The host and port in Metadata responses, if others than those of `kafka`.
     pub advertise: Option<HostPort>,
-    /// Where the snapshot is.
+    /// The directory of the snapshot and the counters. Without it nothing is saved.
     pub state_dir: Option<PathBuf>,
-    /// Randomness of the decisions; from the system if not given.
+    /// The seed of the decisions' randomness. Without it the seed depends on the clock and the process id.
     pub seed: Option<u64>,
-    /// How long messages may be worked on after the first signal.
+    /// How long the courier works on messages after the first signal.
     pub drain: Duration,
-    /// Greatest number of connections.
+    /// The greatest number of connections.
     pub max_connections: usize,
-    /// Who decides.
+    /// Makes the decision policy.
     pub policy: PolicyFactory,
 }
 
@@ -71,18 +77,23 @@
 pub enum Exit {
     /// Every message has its final answer.
     Drained,
-    /// A second signal came first.
+    /// A second signal arrived before every message had its final answer.
     Interrupted,
 }
 
-/// What a connection is for.
+/// The peer of a connection.
 enum Role {
+    /// A Kafka client.
     Client,
+    /// A client of the control interface.
     Control(HttpConnection),
+    /// An endpoint.
     Upstream(UpstreamId),
+    /// The Graphite server.
     Graphite,
 }
 
+/// The program with its sockets.
 struct Shell {
     net: Net,
     program: Program,
@@ -91,19 +102,19 @@
     roles: BTreeMap<Token, Role>,
     upstream_tokens: BTreeMap<UpstreamId, Token>,
     started_at: Instant,
-    /// When the first signal came.
+    /// When the first signal arrived.
     drain_started: Option<Instant>,
     log_limiter: LogLimiter,
     reporting: Option<Reporting>,
 }
 
-/// Runs until a signal ends it.
+/// Runs the program until it has drained after a signal, or until a second signal.
 pub fn run(options: Options) -> anyhow::Result<Exit> {
     let mut net = Net::new(options.max_connections).context("the event loop cannot be made")?;
     net.watch_signals(&[Signal::SIGTERM, Signal::SIGINT]).context("signals cannot be caught")?;
-    let (kafka_listener, kafka) = listen(&mut net, options.kafka, "--kafka")?;
-    let (_, control) = listen(&mut net, options.control, "--control")?;
-    let mut program = Program::new(start_options(&options, kafka));
+    let kafka = listen(&mut net, options.kafka, "--kafka")?;
+    let control = listen(&mut net, options.control, "--control")?;
+    let mut program = Program::new(start_options(&options, kafka.address));
     if let Some(dir) = &options.state_dir {
         load_snapshot(&mut program, dir)?;
     }
@@ -111,7 +122,7 @@
         net,
         program,
         options,
-        kafka_listener,
+        kafka_listener: kafka.token,
         roles: BTreeMap::new(),
         upstream_tokens: BTreeMap::new(),
         started_at: Instant::now(),
@@ -119,49 +130,24 @@
         log_limiter: LogLimiter::default(),
         reporting: None,
     };
-    let addresses = json!({"kafka": kafka.to_string(), "control": control.to_string()});
-    let mut stdout = std::io::stdout();
-    writeln!(stdout, "{addresses}").and_then(|()| stdout.flush()).context("standard output is closed")?;
-    tracing::info!(%kafka, %control, settings = shell.program.core.is_some(), "ready");
+    print_addresses(kafka.address, control.address)?;
+    tracing::info!(
+        kafka = %kafka.address,
+        control = %control.address,
+        settings = shell.program.core.is_some(),
+        "ready"
+    );
     shell.serve()
 }
 
-fn listen(net: &mut Net, address: SocketAddr, flag: &str) -> anyhow::Result<(Token, SocketAddr)> {
-    net.listen(address).with_context(|| format!("cannot listen on {address}; choose another with {flag}"))
-}
-
-fn start_options(options: &Options, kafka: SocketAddr) -> StartOptions {
-    let run = wall_clock();
-    let seed = options.seed.unwrap_or(run ^ u64::from(std::process::id()).rotate_left(40));
-    let listening = || HostPort { host: kafka.ip().to_string(), port: kafka.port() };
-    let HostPort { host, port } = options.advertise.clone().unwrap_or_else(listening);
-    StartOptions {
-        seed,
-        now: CLOCK_START,
-        broker: Broker { id: 0, host, port },
-        run,
-        first_number: 1,
-        policy: options.policy,
-    }
-}
-
-fn load_snapshot(program: &mut Program, dir: &Path) -> anyhow::Result<()> {
-    let loaded =
-        snapshot::load(dir).with_context(|| format!("{} cannot be used; see --state-dir", dir.display()))?;
-    match loaded {
-        LoadedSnapshot::None => {}
-        LoadedSnapshot::Good(snapshot) => program.restore(*snapshot),
-        LoadedSnapshot::Damaged { error, moved_to } => {
-            let moved_to = moved_to.display();
-            tracing::error!(%error, %moved_to, "damaged snapshot set aside; PUT /settings and /list again");
-            program.state_error = Some(format!("the snapshot was set aside as {moved_to}: {error}"));
-        }
-    }
-    program.keeps = true;
-    Ok(())
+/// Prints the addresses on which the program listens as one line of JSON on standard output.
+fn print_addresses(kafka: SocketAddr, control: SocketAddr) -> anyhow::Result<()> {
+    let addresses = json!({"kafka": kafka.to_string(), "control": control.to_string()});
+    let mut stdout = std::io::stdout();
+    writeln!(stdout, "{addresses}").and_then(|()| stdout.flush()).context("standard output is closed")
 }
 
-/// The wall clock, in nanoseconds since 1970.
+/// Returns the wall clock, in nanoseconds since 1970.
 fn wall_clock() -> u64 {
     SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default().as_nanos() as u64
 }
@@ -171,11 +157,12 @@
 }
 
 impl Shell {
+    /// Returns the monotonic clock, in nanoseconds.
     fn now(&self) -> Time {
         CLOCK_START + nanos(self.started_at.elapsed())
     }
 
-    /// The event loop.
+    /// Runs the event loop until the program ends.
     fn serve(&mut self) -> anyhow::Result<Exit> {
         let mut events = Vec::new();
         let mut last_poll_began = self.now();
@@ -185,26 +172,17 @@
             if let Some(core) = &mut self.program.core {
                 core.clock(now);
                 core.wall_clock(wall_clock());
-                // Whatever the last poll did not find came after it began.
+                // Input that the last poll did not find arrived after it began.
                 core.arrived_since(std::mem::replace(&mut last_poll_began, poll_began));
             }
-            for event in events.drain(..) {
-                let is_signal = matches!(event, Event::Signal(_));
-                if is_signal && self.drain_started.is_some() {
-                    tracing::warn!("second signal, stopping at once");
-                    return Ok(Exit::Interrupted);
-                }
-                if is_signal {
-                    self.begin_drain(now);
-                } else {
-                    self.handle_event(event);
-                }
+            if let Some(exit) = self.handle_events(&mut events, now) {
+                return Ok(exit);
             }
             let now = self.now();
             if let Some(core) = &mut self.program.core {
                 core.process(now);
             }
-            // What anyone is sent has been counted before.
+            // Every message is counted before its answer is sent.
             self.record_delivery_events();
             self.report();
             self.carry_out();
@@ -215,7 +193,23 @@
         }
     }
 
-    /// Waits for events; returns when the poll began.
+    /// Handles the events of a poll. Returns how the program ends if a second signal is among them.
+    fn handle_events(&mut self, events: &mut Vec<Event>, now: Time) -> Option<Exit> {
+        for event in events.drain(..) {
+            match event {
+                Event::Signal(_) if self.drain_started.is_some() => {
+                    tracing::warn!("second signal, stopping at once");
+                    return Some(Exit::Interrupted);
+                }
+                Event::Signal(_) => self.begin_drain(now),
+                event => self.handle_event(event),
+            }
+        }
+        None
+    }
+
+    /// Waits for events until the next iteration is due. After a stall it reads all input. Returns when the
+    /// poll began.
     fn poll(&mut self, events: &mut Vec<Event>) -> anyhow::Result<Time> {
         let report_at = self.reporting.as_ref().map_or(Time::MAX, Reporting::next_wakeup);
         let core_at = self.program.core.as_ref().map_or(Time::MAX, Core::next_wakeup);
@@ -232,7 +226,7 @@
         Ok(poll_began)
     }
 
-    /// After a stall: everything that came meanwhile, before anything is decided.
+    /// Reads all input that arrived during a stall.
     fn read_all(&mut self, events: &mut Vec<Event>) -> anyhow::Result<()> {
         for _ in 0..MAX_STALL_POLLS {
             let before = events.len();
@@ -255,7 +249,8 @@
         }
     }
 
-    /// Every message has its answer, and responses and the last report have left or had their time.
+    /// Returns whether the program may end: every message has its final answer, and the responses and the
+    /// last report have been sent or have timed out.
     fn is_drained(&mut self, now: Time) -> bool {
         let Some(drain_started) = self.drain_started else { return false };
         let core_done = self.program.core.as_ref().is_none_or(Core::is_done);
@@ -263,91 +258,4 @@
         let flush_timed_out = drain_started.elapsed() > self.options.drain + FLUSH_TIMEOUT;
         core_done && (!unsent || flush_timed_out) && self.last_report_sent(now)
     }
-
-    // ---- What the core wants done
-
-    fn carry_out(&mut self) {
-        loop {
-            let Some(core) = &mut self.program.core else { return };
-            let outputs = core.outputs();
-            if outputs.is_empty() {
-                return;
-            }
-            for output in outputs {
-                self.carry_out_one(output);
-            }
-            self.flush();
-        }
-    }
-
-    fn carry_out_one(&mut self, output: Output) {
-        match output {
-            Output::ToClient(token, bytes) => self.net.send(token, &bytes),
-            Output::CloseClient(token) => {
-                self.net.close_after_flush(token);
-                self.roles.remove(&token);
-            }
-            Output::PauseClient(token) => self.net.set_read_paused(token, true),
-            Output::ResumeClient(token) => self.net.set_read_paused(token, false),
-            Output::Connect(upstream, address) => {
-                let token = self.net.connect(address);
-                self.roles.insert(token, Role::Upstream(upstream));
-                self.upstream_tokens.insert(upstream, token);
-            }
-            Output::ToUpstream(upstream, bytes) => {
-                if let Some(&token) = self.upstream_tokens.get(&upstream) {
-                    self.net.send(token, &bytes);
-                }
-            }
-            Output::CloseUpstream(upstream) => {
-                if let Some(token) = self.upstream_tokens.remove(&upstream) {
-                    self.net.close(token);
-                    self.roles.remove(&token);
-                }
-            }
-        }
-    }
-
-    /// Writes what was queued, and gives the core the bytes that clients have not taken.
-    fn flush(&mut self) {
-        for token in self.net.flush() {
-            if !matches!(self.roles.get(&token), Some(Role::Client)) {
-                continue;
-            }
-            if let Some(core) = &mut self.program.core {
-                core.set_client_backlog(token, self.net.unsent_bytes(token));
-            }
-        }
-    }
-
-    // ---- Delivery events
-
-    fn record_delivery_events(&mut self) {
-        // Before the first event is read: none may miss its count.
-        self.configure_reporting();
-        let now = self.now();
-        let Some(core) = &mut self.program.core else { return };
-        for event in core.delivery_events() {
-            if let Some(reporting) = &mut self.reporting {
-                reporting.record(&event);
-            }
-            log_delivery_event(&mut self.log_limiter, now, event);
-        }
-    }
-}
-
-fn log_delivery_event(limiter: &mut LogLimiter, now: Time, event: DeliveryEvent) {
-    match event {
-        DeliveryEvent::LimitChanged(change) if limiter.permits(now) => log_limit_change(&change),
-        DeliveryEvent::UnsupportedAction(action) if limiter.permits(now) => {
-            tracing::info!(?action, "unsupported action ignored");
-        }
-        DeliveryEvent::ProtocolViolation { peer, reason } if limiter.permits(now) => {
-            tracing::warn!(peer, reason, "connection closed after a protocol violation");
-        }
-        DeliveryEvent::LimitChanged(_)
-        | DeliveryEvent::UnsupportedAction(_)
-        | DeliveryEvent::ProtocolViolation { .. } => {}
-        other => tracing::trace!(event = ?other, "delivery event"),
-    }
 }
--- a/crates/edge/src/shell/events.rs
+++ b/crates/edge/src/shell/events.rs
@@ -1,4 +1,4 @@
-//! What the shell does with events of its sockets.
+//! How the shell handles the events of its sockets, and the requests of the control interface.
 
 use super::{wall_clock, Role, Shell};
 use crate::control::{ConnectionHeader, HttpConnection, HttpInput, Reply, Request, CONTINUE};
@@ -8,6 +8,7 @@
 use serde_json::json;
 
 impl Shell {
+    /// Handles an event of a socket. Signals are handled by the event loop.
     pub(super) fn handle_event(&mut self, event: Event) {
         match event {
             Event::Accepted { listener, token, .. } => self.accepted(listener, token),
@@ -74,7 +75,7 @@
                 self.closed(token, 0);
             }
             (Some(Role::Upstream(_)), _) => {
-                // An endpoint that sends no more answers nothing more.
+                // An endpoint that has shut down its sending side will not answer any call.
                 let written = self.net.written_bytes(token);
                 self.net.close(token);
                 self.closed(token, written);
@@ -86,7 +87,7 @@
         }
     }
 
-    /// The connection is no more, after the system took `written` bytes of ours.
+    /// Handles a connection that closed after the operating system accepted `written` bytes for it.
     fn closed(&mut self, token: Token, written: u64) {
         self.graphite_disconnected(token);
         match (self.roles.get(&token), &mut self.program.core) {
@@ -104,6 +105,7 @@
         }
     }
 
+    /// Calls `notify` if the connection is one to an endpoint.
     fn with_upstream(&mut self, token: Token, notify: impl FnOnce(&mut Core, UpstreamId)) {
         if let (Some(Role::Upstream(upstream)), Some(core)) = (self.roles.get(&token), &mut self.program.core)
         {
@@ -131,7 +133,7 @@
                 }
                 HttpInput::Request(request) => {
                     let reply = self.control_reply(&request);
-                    self.send_reply(token, &reply, ConnectionHeader::for_request(&request));
+                    self.send_reply(token, &reply, request.connection);
                 }
             }
         }
@@ -162,7 +164,7 @@
         reply
     }
 
-    /// Figures of the process for the status page.
+    /// Returns the figures of the process for the status page.
     fn process_status(&self) -> serde_json::Map<String, serde_json::Value> {
         let telemetry = self.reporting.as_ref().map(|reporting| reporting.status(self.now()));
         let figures = [
--- a/crates/edge/src/shell/log_limit.rs
+++ b/crates/edge/src/shell/log_limit.rs
@@ -1,12 +1,12 @@
-//! A bound on log lines that peers and destinations can cause.
+//! A limit on the log lines that peers and destinations can cause.
 
 use linnetcart::Time;
 
-/// Lines that are logged in a second.
+/// How many lines may be logged in a second.
 const MAX_LINES_PER_SECOND: u32 = 20;
 const NANOS_PER_SECOND: Time = 1_000_000_000;
 
-/// Keeps a flood out of the log.
+/// Suppresses log lines beyond the limit.
 #[derive(Debug, Default)]
 pub(super) struct LogLimiter {
     second: u64,
@@ -15,12 +15,12 @@
 }
 
 impl LogLimiter {
-    /// Lines suppressed in the running second.
+    /// Returns how many lines were suppressed in the current second.
     pub(super) fn suppressed(&self) -> u64 {
         self.suppressed
     }
 
-    /// Whether a further line may be logged; it is counted either way.
+    /// Returns whether another line may be logged, and counts the line.
     pub(super) fn permits(&mut self, now: Time) -> bool {
         let second = now / NANOS_PER_SECOND;
         if second != self.second {
--- /dev/null
+++ b/crates/edge/src/shell/outputs.rs
@@ -0,0 +1,62 @@
+//! How the shell carries out the outputs of the core.
+
+use super::{Role, Shell};
+use crate::core::Output;
+
+impl Shell {
+    /// Carries out the core's outputs until there are no more. Writing to a client may cause further ones.
+    pub(super) fn carry_out(&mut self) {
+        loop {
+            let Some(core) = &mut self.program.core else { return };
+            let outputs = core.outputs();
+            if outputs.is_empty() {
+                return;
+            }
+            for output in outputs {
+                self.carry_out_one(output);
+            }
+            self.flush();
+        }
+    }
+
+    fn carry_out_one(&mut self, output: Output) {
+        match output {
+            Output::ToClient(token, bytes) => self.net.send(token, &bytes),
+            Output::CloseClient(token) => {
+                self.net.close_after_flush(token);
+                self.roles.remove(&token);
+            }
+            Output::PauseClient(token) => self.net.set_read_paused(token, true),
+            Output::ResumeClient(token) => self.net.set_read_paused(token, false),
+            Output::Connect(upstream, address) => {
+                let token = self.net.connect(address);
+                self.roles.insert(token, Role::Upstream(upstream));
+                self.upstream_tokens.insert(upstream, token);
+            }
+            Output::ToUpstream(upstream, bytes) => {
+                if let Some(&token) = self.upstream_tokens.get(&upstream) {
+                    self.net.send(token, &bytes);
+                }
+            }
+            Output::CloseUpstream(upstream) => {
+                if let Some(token) = self.upstream_tokens.remove(&upstream) {
+                    self.net.close(token);
+                    self.roles.remove(&token);
+                }
+            }
+        }
+    }
+
+    /// Writes the queued bytes, and reports to the core how many bytes the operating system has not accepted
+    /// from each client.
+    fn flush(&mut self) {
+        for token in self.net.flush() {
+            if !matches!(self.roles.get(&token), Some(Role::Client)) {
+                continue;
+            }
+            if let Some(core) = &mut self.program.core {
+                core.set_client_backlog(token, self.net.unsent_bytes(token));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/shell/startup.rs
@@ -0,0 +1,60 @@
+//! How the program starts: its listeners, the start options of the core, and the saved snapshot.
+
+use super::{wall_clock, HostPort, Options, CLOCK_START};
+use crate::control::Program;
+use crate::core::StartOptions;
+use crate::snapshot::{self, LoadedSnapshot};
+use anyhow::Context;
+use linnetcart_kafka::server::Broker;
+use linnetcart_net::{Net, Token};
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// A socket that listens.
+pub(super) struct Listener {
+    pub(super) token: Token,
+    /// Its address, with the port that the operating system chose if none was given.
+    pub(super) address: SocketAddr,
+}
+
+/// Listens on the address of a command-line option.
+pub(super) fn listen(net: &mut Net, address: SocketAddr, option: &str) -> anyhow::Result<Listener> {
+    let (token, address) = net
+        .listen(address)
+        .with_context(|| format!("cannot listen on {address}; choose another with {option}"))?;
+    Ok(Listener { token, address })
+}
+
+/// Returns the start options of a core whose clients connect to `kafka`.
+pub(super) fn start_options(options: &Options, kafka: SocketAddr) -> StartOptions {
+    let run = wall_clock();
+    let seed = options.seed.unwrap_or(run ^ u64::from(std::process::id()).rotate_left(40));
+    let listening = || HostPort { host: kafka.ip().to_string(), port: kafka.port() };
+    let HostPort { host, port } = options.advertise.clone().unwrap_or_else(listening);
+    StartOptions {
+        seed,
+        now: CLOCK_START,
+        broker: Broker { id: 0, host, port },
+        run,
+        first_number: 1,
+        policy: options.policy,
+    }
+}
+
+/// Restores the program from the snapshot of a state directory, if there is one. A damaged snapshot is moved
+/// aside and reported.
+pub(super) fn load_snapshot(program: &mut Program, dir: &Path) -> anyhow::Result<()> {
+    let loaded =
+        snapshot::load(dir).with_context(|| format!("{} cannot be used; see --state-dir", dir.display()))?;
+    match loaded {
+        LoadedSnapshot::None => {}
+        LoadedSnapshot::Good(snapshot) => program.restore(*snapshot),
+        LoadedSnapshot::Damaged { error, moved_to } => {
+            let moved_to = moved_to.display();
+            tracing::error!(%error, %moved_to, "damaged snapshot set aside; PUT /settings and /list again");
+            program.state_error = Some(format!("the snapshot was set aside as {moved_to}: {error}"));
+        }
+    }
+    program.has_state_dir = true;
+    Ok(())
+}
--- a/crates/emulator/src/host.rs
+++ b/crates/emulator/src/host.rs
@@ -11,7 +11,7 @@
 use clock::HostClock;
 pub use clock::{ClockDeviation, WALL_CLOCK_START};
 use linnetcart_conformance::Time;
-use linnetcart_edge::control::{Program, Request};
+use linnetcart_edge::control::{ConnectionHeader, Program, Request};
 use linnetcart_edge::core::{ClientId, Core, Output, StartOptions, UpstreamId};
 use linnetcart_edge::delivery_events::DeliveryEvent;
 
@@ -99,7 +99,7 @@
         let clock = HostClock::new(now, deviation);
         options.now = clock.monotonic(now);
         let mut program = Program::new(options);
-        program.keeps = true;
+        program.has_state_dir = true;
         if let Some(snapshot) = disk.load() {
             program.restore(snapshot);
         }
@@ -264,7 +264,12 @@
         body: String,
         disk: &mut Disk,
     ) -> Result<(), String> {
-        let request = Request { method: "PUT".into(), path: path.into(), body: body.into(), last: true };
+        let request = Request {
+            method: "PUT".into(),
+            path: path.into(),
+            body: body.into(),
+            connection: ConnectionHeader::Close,
+        };
         disk.sync();
         let reply = self.program.handle(&request, &mut |snapshot| {
             disk.save(snapshot);
