--- a/crates/edge/src/cli.rs
+++ b/crates/edge/src/cli.rs
@@ -72,7 +72,7 @@
     Json,
 }
 
-/// Why an address is not one of a host and port.
+/// Why a text is not a host and a port.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 enum HostPortError {
     #[error("HOST:PORT is expected")]
@@ -81,13 +81,14 @@
     InvalidPort { port: String },
 }
 
+/// Parses `HOST:PORT`. An IPv6 address is in brackets.
 fn host_port(text: &str) -> Result<HostPort, HostPortError> {
     let (host, port) = text.rsplit_once(':').ok_or(HostPortError::NoPort)?;
     let port = port.parse().map_err(|_| HostPortError::InvalidPort { port: port.to_owned() })?;
     Ok(HostPort { host: host.trim_matches(['[', ']']).to_owned(), port })
 }
 
-/// Starts the logs.
+/// Starts logging to standard error. By default logs are plain on a terminal and JSON elsewhere.
 pub fn start_logs(form: Option<LogForm>, level: tracing::Level) {
     let is_terminal = std::io::stderr().is_terminal();
     let form = form.unwrap_or(if is_terminal { LogForm::Plain } else { LogForm::Json });
@@ -97,16 +98,16 @@
         LogForm::Json => logs.json().flatten_event(true).try_init(),
         LogForm::Plain => logs.with_ansi(is_terminal).try_init(),
     };
-    // Whoever started the program as a library may have logs of their own already.
+    // A process that runs the program as a library may have installed a subscriber of its own already.
     drop(started);
 }
 
-/// Runs the program.
+/// Runs the program with the decision library. Returns its exit code.
 pub fn run(args: Args) -> ExitCode {
     run_with(args, crate::core::library)
 }
 
-/// Runs the program with another decision policy, for comparisons.
+/// Runs the program with another decision policy, for comparisons. Returns its exit code.
 pub fn run_with(args: Args, policy: PolicyFactory) -> ExitCode {
     start_logs(args.log, args.log_level);
     match args.front {
--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -1,5 +1,5 @@
-//! The control interface of the Kafka front: settings, endpoint list, telemetry and status as documents over HTTP.
-//! It does no I/O.
+//! The control interface of the Kafka front: settings, endpoint list, telemetry and status as documents over
+//! HTTP. It does no I/O.
 //!
 //! A document is saved in the snapshot before it comes into force. If it cannot be saved, nothing changes.
 
--- /dev/null
+++ b/crates/edge/src/counter_files/load.rs
@@ -0,0 +1,81 @@
+//! Loads the counters of an earlier run.
+
+use super::layout::{log_name, log_numbers, CounterSnapshot, FILE_NAME, MAGIC};
+use crate::snapshot::{decode_file, move_aside, SnapshotError};
+use linnetcart_telemetry::RestoredState;
+use std::fmt;
+use std::fs;
+use std::io;
+use std::path::{Path, PathBuf};
+
+/// A damaged snapshot that was moved aside.
+#[derive(Debug)]
+pub struct DamagedCounters {
+    /// What is wrong with it.
+    pub error: SnapshotError,
+    /// Its path now.
+    pub moved_to: PathBuf,
+}
+
+impl fmt::Display for DamagedCounters {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "the counts were set aside as {}: {}", self.moved_to.display(), self.error)
+    }
+}
+
+/// The counters of an earlier run.
+#[derive(Debug)]
+pub struct LoadedCounters {
+    /// The snapshot and the logs after it.
+    pub restored: RestoredState,
+    /// The number of the next log, which has never been used.
+    pub next_log: u64,
+    /// The snapshot, if it was damaged. Nothing is restored then.
+    pub damaged: Option<DamagedCounters>,
+}
+
+/// What was found in place of the snapshot.
+enum FoundSnapshot {
+    Missing,
+    Good(CounterSnapshot),
+    Damaged(DamagedCounters),
+}
+
+/// Loads the counters of a state directory, which is created if it does not exist.
+pub fn load(dir: &Path) -> io::Result<LoadedCounters> {
+    fs::create_dir_all(dir)?;
+    let (snapshot, damaged) = match load_snapshot(dir)? {
+        FoundSnapshot::Missing => (None, None),
+        FoundSnapshot::Good(snapshot) => (Some(snapshot), None),
+        FoundSnapshot::Damaged(damaged) => (None, Some(damaged)),
+    };
+    let log_numbers = log_numbers(dir)?;
+    let after_last_log = log_numbers.last().map_or(0, |last| last + 1);
+    let next_log = after_last_log.max(snapshot.as_ref().map_or(0, |snapshot| snapshot.next_log));
+    // Logs without their snapshot cannot be used: they contain changes only.
+    let first_log = snapshot.as_ref().map_or(u64::MAX, |snapshot| snapshot.next_log);
+    let mut logs = Vec::new();
+    for number in log_numbers {
+        if number >= first_log {
+            logs.push(fs::read(dir.join(log_name(number)))?);
+        }
+    }
+    let saved = snapshot.map(|snapshot| snapshot.counters);
+    Ok(LoadedCounters { restored: RestoredState { saved, logs }, next_log, damaged })
+}
+
+/// Reads the snapshot. A damaged one is moved aside.
+fn load_snapshot(dir: &Path) -> io::Result<FoundSnapshot> {
+    let bytes = match fs::read(dir.join(FILE_NAME)) {
+        Ok(bytes) => bytes,
+        Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(FoundSnapshot::Missing),
+        Err(error) => return Err(error),
+    };
+    match decode_file::<CounterSnapshot>(MAGIC, &bytes) {
+        Ok(snapshot) => Ok(FoundSnapshot::Good(snapshot)),
+        Err(error) => {
+            let moved_to = move_aside(dir, FILE_NAME)?;
+            Ok(FoundSnapshot::Damaged(DamagedCounters { error, moved_to }))
+        }
+    }
+}
--- a/crates/edge/src/counter_files/tests.rs
+++ b/crates/edge/src/counter_files/tests.rs
@@ -1,8 +1,11 @@
 //! Counters over ends of the process, long and broken logs, and damage.
 
+use super::layout::{CounterSnapshot, FILE_NAME, MAGIC};
 use super::*;
+use crate::snapshot::{decode_file, encode_file, replace_file};
 use linnetcart_telemetry::counts::{CounterKey, CounterStore, Field};
 use std::collections::BTreeMap;
+use std::fs;
 
 fn directory(name: &str) -> PathBuf {
     let dir = std::env::temp_dir().join(format!("linnetcart-counter-files-{name}-{}", std::process::id()));
@@ -91,8 +94,8 @@
     let dir = directory("damaged");
     fs::create_dir_all(&dir).expect("a directory");
     fs::write(dir.join(FILE_NAME), b"linnetcart-counts 1 0 3\n{}").expect("written");
-    let (taken, _, trouble) = read(&dir);
-    assert!(taken == 0 && trouble.is_some_and(|t| t.contains("counts.damaged-1")));
+    let (accepted, _, damage) = read(&dir);
+    assert!(accepted == 0 && damage.is_some_and(|damage| damage.contains("counts.damaged-1")));
     fs::remove_dir_all(&dir).expect("it goes");
 }
 
--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -14,6 +14,7 @@
 
 use crate::control::{HttpConnection, Program};
 use crate::core::{Core, PolicyFactory, UpstreamId};
+use crate::time::NANOS_PER_SECOND;
 use anyhow::Context;
 use calloop::signals::Signal;
 use linnetcart::Time;
@@ -30,7 +31,7 @@
 
 /// The reading of the monotonic clock at the start. It is not zero, so that a time span can be subtracted
 /// from it.
-const CLOCK_START: Time = 3600 * 1_000_000_000;
+const CLOCK_START: Time = 3600 * NANOS_PER_SECOND;
 /// The longest interval between two polls. Input may have arrived at any time since the previous poll, so a
 /// message may be taken to have expired up to twice this interval too early.
 const MAX_POLL_INTERVAL: Duration = Duration::from_millis(10);
--- a/crates/edge/src/shell/log_limit.rs
+++ b/crates/edge/src/shell/log_limit.rs
@@ -1,10 +1,10 @@
 //! A limit on the log lines that peers and destinations can cause.
 
+use crate::time::NANOS_PER_SECOND;
 use linnetcart::Time;
 
 /// How many lines may be logged in a second.
 const MAX_LINES_PER_SECOND: u32 = 20;
-const NANOS_PER_SECOND: Time = 1_000_000_000;
 
 /// Suppresses log lines beyond the limit.
 #[derive(Debug, Default)]
--- a/crates/edge/src/snapshot.rs
+++ b/crates/edge/src/snapshot.rs
@@ -1,6 +1,8 @@
-//! The saved snapshot: the last good settings and endpoint list, in one file that is complete or not there.
+//! The snapshot of the settings, the endpoint list and the settings of telemetry, in one file that is always
+//! complete.
 //!
-//! The first line holds the format's version, the checksum and the length of what follows, which is JSON.
+//! The first line of a file has a magic word, the version of the format, and the checksum and length of the
+//! content. The content follows in JSON. The files of the counters have the same format.
 
 use crate::settings::{EndpointList, Settings};
 use linnetcart_telemetry::settings::Telemetry;
@@ -12,79 +14,79 @@
 
 /// The first word of a snapshot.
 const MAGIC: &str = "linnetcart-snapshot";
-/// The version of the format.
+/// The supported version of the format.
 const FORMAT_VERSION: u32 = 1;
 const FILE_NAME: &str = "snapshot";
 
 /// Why a file cannot be read or written.
 #[derive(Debug, thiserror::Error)]
 pub enum SnapshotError {
-    /// It has no line that ends.
+    /// The first line is not terminated.
     #[error("it has no first line")]
     NoHeader,
     /// The first line is not UTF-8.
     #[error("its first line is no text")]
     HeaderNotText,
-    /// The first line does not have all its words.
+    /// The first line does not have four words.
     #[error("its first line is cut")]
     HeaderCut,
-    /// It begins with another word.
+    /// The first word is not the magic word.
     #[error("it is no snapshot of this program")]
     OtherFile,
-    /// It has another version of the format.
+    /// The version of the format is not supported.
     #[error("it has format {found}; this program reads {FORMAT_VERSION}")]
     OtherFormat {
         /// The version in the file.
         found: String,
     },
-    /// It is longer or shorter than its first line says.
+    /// The content does not have the length in the first line.
     #[error("it holds {found} bytes instead of {expected}")]
     WrongLength {
-        /// Bytes after the first line.
+        /// The number of bytes after the first line.
         found: usize,
-        /// What the first line says.
+        /// The length in the first line.
         expected: String,
     },
-    /// Its content is not what was written.
+    /// The content does not have the checksum in the first line.
     #[error("its checksum is wrong")]
     WrongChecksum,
-    /// The content cannot be read from, or written as, JSON.
+    /// The content cannot be parsed from, or serialized to, JSON.
     #[error(transparent)]
     Json(#[from] serde_json::Error),
     /// The file cannot be written.
     #[error("{}: {source}", path.display())]
     Write {
-        /// Where.
+        /// The path of the file.
         path: PathBuf,
-        /// Why.
+        /// The cause.
         source: io::Error,
     },
 }
 
-/// What is saved.
+/// The content of a snapshot.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Snapshot {
     /// The settings of the next start.
     pub settings: Option<Settings>,
-    /// The endpoint list.
+    /// The endpoint list in force.
     pub list: EndpointList,
-    /// What is reported, and where.
+    /// The settings of telemetry.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub telemetry: Option<Telemetry>,
 }
 
-/// The bytes of a snapshot's file.
+/// Encodes the file of a snapshot.
 pub fn encode(snapshot: &Snapshot) -> Result<Vec<u8>, SnapshotError> {
     encode_file(MAGIC, snapshot)
 }
 
-/// Reads the bytes of a snapshot's file.
+/// Decodes the file of a snapshot.
 pub fn decode(bytes: &[u8]) -> Result<Snapshot, SnapshotError> {
     decode_file(MAGIC, bytes)
 }
 
-/// Anything as bytes of a file that begins with this word.
+/// Encodes a file with this magic word and content.
 pub(crate) fn encode_file<T: Serialize>(magic: &str, content: &T) -> Result<Vec<u8>, SnapshotError> {
     let body = serde_json::to_vec(content)?;
     let checksum = crc32c::crc32c(&body);
@@ -93,7 +95,7 @@
     Ok(file)
 }
 
-/// Reads what [`encode_file`] made.
+/// Decodes a file that [`encode_file`] encoded, and checks its first line.
 pub(crate) fn decode_file<T: DeserializeOwned>(
     expected_magic: &str,
     bytes: &[u8],
@@ -118,12 +120,12 @@
     Ok(serde_json::from_slice(body)?)
 }
 
-/// Puts a snapshot in the place of the one before.
+/// Replaces the snapshot of a state directory.
 pub fn save(dir: &Path, snapshot: &Snapshot) -> Result<(), SnapshotError> {
     replace_file(dir, FILE_NAME, &encode(snapshot)?)
 }
 
-/// Writes a file aside, syncs it, and puts it in the place of the one before.
+/// Replaces a file: writes the new content to another file, syncs it, renames it, and syncs the directory.
 pub(crate) fn replace_file(dir: &Path, name: &str, bytes: &[u8]) -> Result<(), SnapshotError> {
     let write = || -> io::Result<()> {
         let new_path = dir.join(format!("{name}.new"));
@@ -136,23 +138,23 @@
     write().map_err(|source| SnapshotError::Write { path: dir.join(name), source })
 }
 
-/// What was found at the start.
+/// The result of loading a snapshot.
 #[derive(Debug)]
 pub enum LoadedSnapshot {
-    /// Nothing.
+    /// There is no snapshot.
     None,
-    /// A good snapshot.
+    /// A valid snapshot.
     Good(Box<Snapshot>),
-    /// A damaged one, which was moved aside.
+    /// A damaged snapshot, which was moved aside.
     Damaged {
         /// What is wrong with it.
         error: SnapshotError,
-        /// Where it is now.
+        /// Its path now.
         moved_to: PathBuf,
     },
 }
 
-/// Reads the snapshot of a directory, which is made if it is not there.
+/// Loads the snapshot of a state directory, which is created if it does not exist.
 pub fn load(dir: &Path) -> io::Result<LoadedSnapshot> {
     fs::create_dir_all(dir)?;
     let bytes = match fs::read(dir.join(FILE_NAME)) {
@@ -166,7 +168,7 @@
     }
 }
 
-/// Moves a damaged file out of the way, and says to where.
+/// Renames a damaged file, so that it is not read again. Returns its new path.
 pub(crate) fn move_aside(dir: &Path, name: &str) -> io::Result<PathBuf> {
     let path_for = |number: u32| dir.join(format!("{name}.damaged-{number}"));
     let free_number = (1..=u32::MAX).find(|&number| !path_for(number).exists()).unwrap_or(0);
