Edge tests: the process tests in one folder by concern, each step waited for

Each test was read for steps that rely on what a peer has seen. Three do not force the order that they state: SIGSTOP was taken to be in effect as soon as it was sent (message_submitted_twice_in_one_iteration..., restart_sends_nothing...); attempts counted as sent once their connections were accepted (recovered_untried_message_not_ displaced..., restart_sends_nothing...); a message was submitted while a SIGHUP might still be unhandled (sigterm_ends...). Change: one target, tests/process/: lifecycle, connections, requests, configuration, restart; courier, peer and stubs are their parts. CourierProcess::stop returns once the process is stopped; the attempts' requests are read before the kill; the rejected and the new configuration are waited for in the log. A closed connection in place of a response fails in read_response (was: status 0, and a failed comparison). ServedRequest and Response in place of pairs. Tests renamed: courier_killed_with_attempts_out_owes_all_and_repeats_nothing_unsafe -> courier_killed_with_attempts_out_completes_all_and_repeats_nothing_unsafe; journal_damaged_costs_only_what_is_damaged -> journal_damaged_loses_only_damaged_records; start_impossible_names_the_place -> start_without_configuration_names_the_cause. The other 16 keep their names; all assertions are kept.

--- /dev/null
+++ b/crates/edge/tests/process/configuration.rs
@@ -0,0 +1,66 @@
+//! Changes of the configuration: incomplete files, signals at any time, and reordered or removed classes.
+
+use crate::courier::{config_file, wait_until, CourierProcess};
+use crate::stubs::{count_matching, discovery_stub, endpoint_stub};
+use rustix::process::Signal;
+use serde_json::{json, Value};
+
+/// Returns the configuration of the courier with only these of its classes, in this order.
+fn with_classes(courier: &CourierProcess, classes: &[usize]) -> Value {
+    let mut config = courier.read_config();
+    let all = config["settings"]["services"].clone();
+    config["settings"]["services"] = classes.iter().map(|&index| all[index].clone()).collect();
+    config
+}
+
+#[test]
+fn message_under_reordered_settings_keeps_its_class() {
+    let (discovery, notifications) = discovery_stub();
+    let (endpoint, attempts) = endpoint_stub();
+    let mut courier = CourierProcess::new("classes", endpoint, discovery);
+    assert_eq!((courier.submit("order", "slow-order"), courier.submit("status", "slow-status")), (202, 202));
+    wait_until("both attempts are out", || attempts.lock().unwrap().len() == 2);
+    // The idempotent class now has the number of the one that is not idempotent.
+    courier.write_config(&with_classes(&courier, &[2, 0, 1]));
+    courier.kill_and_restart();
+    wait_until("the idempotent message is retried", || count_matching(&attempts, "slow-status") == 2);
+    wait_until("the other is completed", || count_matching(&notifications, "slow-order") == 1);
+    // A message whose class no longer exists is completed too.
+    courier.write_config(&with_classes(&courier, &[0, 2]));
+    courier.kill_and_restart();
+    wait_until("it has failed", || count_matching(&notifications, r#""slow-status","state":"failed""#) == 1);
+    assert_eq!((count_matching(&attempts, "slow-order"), count_matching(&attempts, "slow-status")), (1, 2));
+    let id = [("id", json!("slow-status"))];
+    assert_eq!(courier.count_logged("recovered message of unknown class failed", &id), 1);
+}
+
+#[test]
+fn configuration_half_written_read_once_complete_and_early_signal_harmless() {
+    let (endpoint, attempts) = endpoint_stub();
+    let (first, _) = discovery_stub();
+    let (second, after) = discovery_stub();
+    let mut courier = CourierProcess::new("reload", endpoint, first);
+    let complete = config_file(courier.listen, &[endpoint], second).to_string();
+    courier.overwrite_config(&complete[..complete.len() / 2]);
+    courier.signal(Signal::HUP);
+    wait_until("the incomplete configuration is rejected", || {
+        courier.count_logged("configuration unreadable, previous one stays in force", &[]) > 0
+    });
+    courier.overwrite_config(&complete);
+    wait_until("the complete configuration is in force", || {
+        courier.count_logged("configuration reloaded", &[]) > 0
+    });
+    assert_eq!(courier.submit("order", "slow-m"), 202);
+    wait_until("its attempt is out", || count_matching(&attempts, "slow-m") == 1);
+    courier.kill_and_restart();
+    wait_until("the notification goes to the new address", || count_matching(&after, "slow-m") == 1);
+    // Signals while the process starts neither end it nor are lost.
+    courier.kill();
+    courier.start();
+    wait_until("the process blocks SIGHUP", || courier.blocks_sighup());
+    (0..20).for_each(|_| courier.signal(Signal::HUP));
+    courier.wait_until_ready();
+    wait_until("the configuration is read again", || {
+        courier.count_logged("configuration reloaded", &[]) >= 2
+    });
+}
--- /dev/null
+++ b/crates/edge/tests/process/courier.rs
@@ -0,0 +1,246 @@
+//! The program in a directory of its own, its configuration, and requests to it.
+
+use linnetcart_net::Reserved;
+use rustix::process::{kill_process, Pid, Signal};
+use serde_json::{json, Value};
+use std::ffi::OsString;
+use std::fs::{self, File};
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+/// How long [`wait_until`] waits between two checks.
+const CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// After so many checks [`wait_until`] has failed: half a minute.
+const MAX_CHECKS: usize = 1500;
+/// How long a request to the courier may take.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
+const READY_REQUEST: &str = "GET /ready HTTP/1.1\r\n\r\n";
+
+/// The program in a directory of its own, which is removed at the end.
+pub struct CourierProcess {
+    pub dir: PathBuf,
+    pub listen: SocketAddr,
+    pub child: Child,
+    _port: Reserved,
+}
+
+impl CourierProcess {
+    /// Starts the program with one endpoint of destination 3. `name` is unique among the tests.
+    pub fn new(name: &str, endpoint: SocketAddr, discovery: SocketAddr) -> CourierProcess {
+        CourierProcess::with_config(name, |listen| config_file(listen, &[endpoint], discovery))
+    }
+
+    /// Starts the program on the configuration that `config` returns for its address.
+    pub fn with_config(name: &str, config: impl FnOnce(SocketAddr) -> Value) -> CourierProcess {
+        let dir = std::env::temp_dir().join(format!("linnetcart-platform-{name}-{}", std::process::id()));
+        let _ = fs::remove_dir_all(&dir);
+        fs::create_dir_all(dir.join("state")).unwrap();
+        // The system chooses a port and gives it to no other process.
+        let port = Reserved::new(Ipv4Addr::LOCALHOST.into()).unwrap();
+        let listen = port.addr();
+        write_config_file(&dir, &config(listen));
+        let child = start_program(&dir);
+        let courier = CourierProcess { dir, listen, child, _port: port };
+        courier.wait_until_ready();
+        courier
+    }
+
+    // ---- The process
+
+    /// Starts the program again without waiting for it.
+    pub fn start(&mut self) {
+        self.child = start_program(&self.dir);
+    }
+
+    /// Starts the program again and waits until it is ready.
+    pub fn restart(&mut self) {
+        self.start();
+        self.wait_until_ready();
+    }
+
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
+    pub fn kill_and_restart(&mut self) {
+        self.kill();
+        self.restart();
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_child(&self.child), signal).unwrap();
+    }
+
+    /// Stops the process and returns once it is stopped. What is sent from then on until
+    /// [`CourierProcess::resume`] is read in one iteration of its event loop.
+    pub fn stop(&self) {
+        self.signal(Signal::STOP);
+        wait_until("the process is stopped", || self.status_field("State:").starts_with('T'));
+    }
+
+    pub fn resume(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Returns whether the process blocks SIGHUP, as it does once it reads its signals.
+    pub fn blocks_sighup(&self) -> bool {
+        let blocked = u64::from_str_radix(&self.status_field("SigBlk:"), 16).unwrap();
+        blocked & 1 != 0
+    }
+
+    fn status_field(&self, name: &str) -> String {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let value = status.lines().find_map(|line| line.strip_prefix(name)).unwrap();
+        value.trim().to_owned()
+    }
+
+    pub fn wait_until_ready(&self) {
+        wait_until("the courier is ready", || self.request(READY_REQUEST) == Some(200));
+    }
+
+    /// Waits until everything that was sent to the courier before this call has been processed. Each response
+    /// comes from an iteration of its own.
+    pub fn settle(&self) {
+        (0..3).for_each(|_| self.wait_until_ready());
+    }
+
+    // ---- Its files
+
+    /// Returns how often this message was logged with these fields, by the current process and those before
+    /// it.
+    pub fn count_logged(&self, message: &str, fields: &[(&str, Value)]) -> usize {
+        let log = fs::read_to_string(self.dir.join("log")).unwrap();
+        let lines = log.lines().filter_map(|line| serde_json::from_str::<Value>(line).ok());
+        let is_wanted = |line: &Value| {
+            line["message"] == message && fields.iter().all(|(name, value)| line[*name] == *value)
+        };
+        lines.filter(is_wanted).count()
+    }
+
+    /// Returns the names of the files in the state directory.
+    pub fn state_files(&self) -> Vec<OsString> {
+        let entries = fs::read_dir(self.dir.join("state")).unwrap();
+        entries.map(|entry| entry.unwrap().file_name()).collect()
+    }
+
+    pub fn read_config(&self) -> Value {
+        serde_json::from_str(&fs::read_to_string(self.dir.join("config.json")).unwrap()).unwrap()
+    }
+
+    /// Replaces the configuration at once.
+    pub fn write_config(&self, config: &Value) {
+        write_config_file(&self.dir, config);
+    }
+
+    /// Overwrites the configuration with this text, complete or not.
+    pub fn overwrite_config(&self, text: &str) {
+        fs::write(self.dir.join("config.json"), text).unwrap();
+    }
+
+    // ---- Requests
+
+    /// Sends a request on a connection of its own. Returns the status of the response, or `None` if there is
+    /// none.
+    pub fn request(&self, text: &str) -> Option<u16> {
+        let mut stream = TcpStream::connect(self.listen).ok()?;
+        stream.set_read_timeout(Some(REQUEST_TIMEOUT)).ok()?;
+        stream.write_all(text.as_bytes()).ok()?;
+        let mut status_line = [0; 12];
+        stream.read_exact(&mut status_line).ok()?;
+        std::str::from_utf8(&status_line[9..]).ok()?.parse().ok()
+    }
+
+    /// Submits a message for destination 3. Returns the status of the response, 0 if there is none.
+    pub fn submit(&self, class: &str, id: &str) -> u16 {
+        let text = format!(
+            "POST /{class} HTTP/1.1\r\nX-Txn: {id}\r\nX-Remaining-Ms: 9000\r\nX-Route-To: dest=3\r\n\r\n"
+        );
+        self.request(&text).unwrap_or(0)
+    }
+}
+
+impl Drop for CourierProcess {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_dir_all(&self.dir);
+    }
+}
+
+fn start_program(dir: &Path) -> Child {
+    let log = File::options().create(true).append(true).open(dir.join("log")).unwrap();
+    program()
+        .env("RELAY_CONFIG", dir.join("config.json"))
+        .env("RELAY_STATE", dir.join("state"))
+        .stdin(Stdio::null())
+        .stdout(log.try_clone().unwrap())
+        .stderr(log)
+        .spawn()
+        .unwrap()
+}
+
+/// Returns the command of the program with the platform front.
+pub fn program() -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_linnetcart-edge"));
+    command.arg("platform");
+    command
+}
+
+fn write_config_file(dir: &Path, config: &Value) {
+    let new_path = dir.join("config.new");
+    fs::write(&new_path, config.to_string()).unwrap();
+    fs::rename(new_path, dir.join("config.json")).unwrap();
+}
+
+/// Returns an entry of the endpoint list, for destination 3.
+pub fn entry(name: &str, address: SocketAddr, status: &str) -> Value {
+    json!({"name": name, "address": address.to_string(), "zone": "a", "type": "bank", "group": 3,
+        "status": status, "weight": 50.0, "since_ms": 0})
+}
+
+/// Returns a configuration with these endpoints of destination 3.
+pub fn config_file(listen: SocketAddr, endpoints: &[SocketAddr], discovery: SocketAddr) -> Value {
+    let class = |name: &str, effect: &str, ordered: bool| {
+        json!({"name": name, "idempotency": effect, "worth": 1, "slo_ns": 3_000_000_000u64, "late_worth": 0.5,
+            "hard_limit_ns": 30_000_000_000u64, "key_ttl_ns": 60_000_000_000u64, "group": "all",
+            "fifo_by_key": ordered})
+    };
+    let entries = endpoints.iter().zip(1..).map(|(&at, n)| entry(&format!("s-{n}"), at, "active"));
+    json!({
+        "name": "n0", "listen": listen.to_string(), "discovery": discovery.to_string(), "seed": "1f",
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256, "disk_mb": 1},
+        "known": {"index": 1, "snapshot": true, "endpoints": entries.collect::<Vec<_>>()},
+        "settings": {"balancers": 1, "kinds": ["bank"], "zones": ["a"], "tick_ns": 5_000_000,
+            "services": [class("status", "pure", false), class("order", "side_effect", false),
+                class("change", "token", true)],
+            "family_info": {"max_calls": 8, "kind_apart": [false]}, "weight_source": "nominal",
+            "bounds": {"max_open": 40, "max_attempts": 12, "may_cancel": true,
+                "conn_idle_ns": 10_000_000_000u64, "connect_timeout_ns": 1_000_000_000},
+            "contract": {"fall_multiple": 2.0, "fall_ns": 2_000_000_000, "cold_from": 0.5,
+                "ramp_time_ns": 1_000_000_000}},
+    })
+}
+
+/// Waits until `done` returns `true`. Panics with `what` if it does not.
+pub fn wait_until(what: &str, done: impl Fn() -> bool) {
+    for _ in 0..MAX_CHECKS {
+        if done() {
+            return;
+        }
+        std::thread::sleep(CHECK_INTERVAL);
+    }
+    panic!("timed out after half a minute, waiting until {what}");
+}
+
+/// Returns a request that submits a message for destination 3, with these additional header fields.
+pub fn submission(class: &str, id: &str, fields: &str) -> String {
+    format!(
+        "POST /{class} HTTP/1.1\r\nX-Txn: {id}\r\nIdempotency-Key: t-{id}\r\nX-Remaining-Ms: 30000\r\n\
+         X-Route-To: dest=3\r\n{fields}\r\n"
+    )
+}
--- a/crates/edge/tests/process/peer.rs
+++ b/crates/edge/tests/process/peer.rs
@@ -1,4 +1,4 @@
-//! Connections that do nothing but what the test has them do, so that the order of events is the test's.
+//! Connections that do only what the test has them do, so that the test determines the order of events.
 
 use super::stubs::subject_of;
 use linnetcart_http::{parse_request, parse_response, ParsedResponse, Persistence};
@@ -8,14 +8,18 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
 
-/// A test that waits for longer has failed.
+/// A test that waits for bytes for longer has failed.
 const READ_TIMEOUT: Duration = Duration::from_secs(30);
+/// How long [`serve_next_request`] waits for a new connection before it checks the existing ones.
+const ACCEPT_WAIT_MS: u64 = 20;
+/// After so many checks [`serve_next_request`] has failed: half a minute.
+const MAX_CHECKS: usize = 1500;
 
 /// A listener that accepts a connection when the test says so.
 pub struct GatedListener {
     listener: TcpListener,
     pub address: SocketAddr,
-    /// Fills the backlog of one that does not accept.
+    /// A connection that fills the backlog of a listener that does not accept.
     filler: Option<TcpStream>,
 }
 
@@ -25,8 +29,8 @@
         GatedListener { address: listener.local_addr().unwrap(), listener, filler: None }
     }
 
-    /// Connections to it are not made before [`GatedListener::open`]; the system tries again for them after
-    /// 1, 3 and 7 s.
+    /// Creates a listener to which no connection is established before [`GatedListener::open`]. The operating
+    /// system tries pending ones again after 1, 3 and 7 s.
     pub fn not_accepting() -> GatedListener {
         let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
         let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
@@ -42,12 +46,12 @@
         self.filler = None;
     }
 
-    /// Whether nobody waits to be accepted.
+    /// Returns whether no connection waits to be accepted.
     pub fn is_silent(&self) -> bool {
         self.is_silent_for(0)
     }
 
-    /// The same, and for so many milliseconds somebody may come.
+    /// Returns whether no connection waits to be accepted for this time.
     pub fn is_silent_for(&self, milliseconds: u64) -> bool {
         let mut fds = [PollFd::new(&self.listener, PollFlags::IN)];
         let span = rustix::time::Timespec { tv_sec: 0, tv_nsec: milliseconds as i64 * 1_000_000 };
@@ -59,22 +63,15 @@
     }
 }
 
-/// What becomes of a connection after an answer.
+/// A response of the courier.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum AfterAnswer {
-    KeptAlive,
-    Closed,
-}
-
-/// An answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Answer {
-    /// 0 if the connection ended without one.
+pub struct Response {
     pub status: u16,
-    pub then: AfterAnswer,
+    /// Whether the connection is closed after the response.
+    pub persistence: Persistence,
 }
 
-/// A connection in the test's hand.
+/// The test's end of a connection.
 pub struct Peer {
     stream: TcpStream,
     received: Vec<u8>,
@@ -95,17 +92,17 @@
         self.stream.write_all(bytes.as_bytes()).unwrap();
     }
 
-    /// Reads what comes next. False: the other side ended the connection.
+    /// Reads the next bytes. Returns `false` if the other side has closed the connection.
     fn read_more(&mut self) -> bool {
         let mut chunk = [0; 4096];
-        let length = self.stream.read(&mut chunk).expect("half a minute, and no byte");
+        let length = self.stream.read(&mut chunk).expect("no byte within half a minute");
         self.received.extend_from_slice(&chunk[..length]);
         length > 0
     }
 
-    /// The next request: its message id or, without one, its body.
+    /// Reads the next request. Returns its message id or, if it has none, its body.
     pub fn read_request(&mut self) -> String {
-        assert!(self.has_request(), "it ended in place of a request");
+        assert!(self.has_request(), "the connection was closed in place of a request");
         let request = parse_request(&self.received).unwrap().unwrap();
         let subject = subject_of(&request);
         let length = request.length();
@@ -113,30 +110,23 @@
         subject
     }
 
-    /// The next answer.
-    pub fn read_answer(&mut self) -> Answer {
+    /// Reads the next response.
+    pub fn read_response(&mut self) -> Response {
         loop {
             if let ParsedResponse::Head(head) = parse_response(&self.received) {
                 self.received.drain(..head.length + head.body.unwrap_or(0));
-                let then = if head.persistence == Persistence::Close {
-                    AfterAnswer::Closed
-                } else {
-                    AfterAnswer::KeptAlive
-                };
-                return Answer { status: head.status, then };
-            }
-            if !self.read_more() {
-                return Answer { status: 0, then: AfterAnswer::Closed };
+                return Response { status: head.status, persistence: head.persistence };
             }
+            assert!(self.read_more(), "the connection was closed in place of a response");
         }
     }
 
-    /// Whether nothing has come on it; its end is nothing.
+    /// Returns whether no bytes have arrived. The end of the connection does not count.
     pub fn is_silent(&mut self) -> bool {
         self.received.is_empty() && !matches!(self.peek(), Ok(1..))
     }
 
-    /// Whether bytes or the end have come.
+    /// Returns whether bytes or the end of the connection have arrived.
     pub fn has_input(&self) -> bool {
         self.peek().is_ok()
     }
@@ -148,7 +138,7 @@
         peeked
     }
 
-    /// Whether a request is there or comes before the end.
+    /// Waits for a request. Returns `false` if the connection is closed before one is complete.
     pub fn has_request(&mut self) -> bool {
         while parse_request(&self.received).unwrap().is_none() {
             if !self.read_more() {
@@ -158,7 +148,7 @@
         true
     }
 
-    /// Reads until the other side ends it.
+    /// Reads until the other side closes the connection.
     pub fn read_to_end(&mut self) {
         while self.read_more() {}
     }
@@ -167,3 +157,28 @@
         self.stream.shutdown(Shutdown::Write).unwrap();
     }
 }
+
+/// A request that was served.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServedRequest {
+    /// The index of its connection.
+    pub connection: usize,
+    /// Its message id.
+    pub id: String,
+}
+
+/// Sends `response` to the next request on any of these connections or on a new one, which is added to them.
+pub fn serve_next_request(gate: &GatedListener, peers: &mut Vec<Peer>, response: &str) -> ServedRequest {
+    for _ in 0..MAX_CHECKS {
+        if !gate.is_silent_for(ACCEPT_WAIT_MS) {
+            peers.push(gate.accept());
+        }
+        let requesting = peers.iter_mut().position(|peer| peer.has_input() && peer.has_request());
+        if let Some(connection) = requesting {
+            let id = peers[connection].read_request();
+            peers[connection].send(response);
+            return ServedRequest { connection, id };
+        }
+    }
+    panic!("no request within half a minute");
+}
--- /dev/null
+++ b/crates/edge/tests/process/requests.rs
@@ -0,0 +1,104 @@
+//! Requests of clients: repeated ids, closing connections, and requests during the shutdown.
+
+use crate::courier::{submission, wait_until, CourierProcess};
+use crate::peer::{Peer, Response};
+use crate::stubs::{count_matching, discovery_stub, endpoint_stub};
+use linnetcart_http::Persistence;
+use rustix::process::Signal;
+use std::time::Duration;
+
+const ACCEPTED_AND_CLOSED: Response = Response { status: 202, persistence: Persistence::Close };
+
+#[test]
+fn completed_id_known_also_after_kills() {
+    let (discovery, _) = discovery_stub();
+    let (endpoint, attempts) = endpoint_stub();
+    let mut courier = CourierProcess::new("known", endpoint, discovery);
+    assert_eq!(courier.submit("order", "once"), 202);
+    wait_until("it is delivered", || count_matching(&attempts, "once") == 1);
+    courier.settle();
+    for _ in 0..3 {
+        assert_eq!(courier.submit("order", "once"), 202, "its id is known");
+        assert_eq!(courier.submit("status", "once"), 409, "another message with its id");
+        courier.settle();
+        assert_eq!(count_matching(&attempts, "once"), 1);
+        courier.kill_and_restart();
+    }
+}
+
+#[test]
+fn message_submitted_twice_in_one_iteration_gets_same_answer() {
+    let (discovery, _) = discovery_stub();
+    let (endpoint, attempts) = endpoint_stub();
+    let courier = CourierProcess::new("twice", endpoint, discovery);
+    for (time_left, status, calls) in [("1", 503, 0), ("30000", 202, 1)] {
+        let id = format!("m-{time_left}");
+        let text = submission("order", &id, "").replace("-Ms: 30000", &format!("-Ms: {time_left}"));
+        let mut clients = [Peer::connect(courier.listen), Peer::connect(courier.listen)];
+        courier.settle();
+        courier.stop();
+        clients.iter_mut().for_each(|client| client.send(&text));
+        courier.resume();
+        let statuses = clients.each_mut().map(|client| client.read_response().status);
+        assert_eq!(statuses, [status; 2], "both are rejected in their iteration, or both accepted");
+        courier.settle();
+        wait_until("it is sent", || count_matching(&attempts, &id) >= calls);
+        assert_eq!(count_matching(&attempts, &id), calls);
+    }
+}
+
+#[test]
+fn client_asking_for_close_gets_it_with_its_answer() {
+    let (discovery, _) = discovery_stub();
+    let (endpoint, _) = endpoint_stub();
+    let courier = CourierProcess::new("close", endpoint, discovery);
+    let mut client = Peer::connect(courier.listen);
+    client.send(&submission("order", "last", "Connection: close\r\n"));
+    assert_eq!(client.read_response(), ACCEPTED_AND_CLOSED);
+    client.read_to_end();
+    let mut client = Peer::connect(courier.listen);
+    client.send(&submission("order", "half", ""));
+    client.half_close();
+    assert_eq!(client.read_response().status, 202, "a client that sends no more still reads");
+    client.read_to_end();
+}
+
+/// Ends the courier by SIGTERM and stops the process before it closes idle connections. Returns an idle
+/// connection that is still open. If the process was faster than this test, it is restarted and the test
+/// tries again.
+fn stop_after_sigterm(courier: &mut CourierProcess) -> Peer {
+    loop {
+        let mut idle = Peer::connect(courier.listen);
+        idle.send("GET /ready HTTP/1.1\r\n\r\n");
+        assert_eq!(idle.read_response().status, 200);
+        let shutdowns = courier.count_logged("shutdown started", &[]);
+        courier.signal(Signal::TERM);
+        wait_until("the shutdown has started", || courier.count_logged("shutdown started", &[]) > shutdowns);
+        courier.stop();
+        if !idle.has_input() {
+            return idle;
+        }
+        courier.kill_and_restart();
+    }
+}
+
+#[test]
+fn request_on_last_connections_taken_answered() {
+    let (discovery, _) = discovery_stub();
+    let (endpoint, _) = endpoint_stub();
+    let mut courier = CourierProcess::new("term", endpoint, discovery);
+    let mut idle = stop_after_sigterm(&mut courier);
+    let mut clients: Vec<Peer> = (0..20).map(|_| Peer::connect(courier.listen)).collect();
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.send(&submission("order", &format!("late-{n}"), ""));
+    }
+    idle.send(&submission("order", "kept", ""));
+    // The process is stopped beyond the time at which it would have closed idle connections.
+    std::thread::sleep(Duration::from_millis(600));
+    courier.resume();
+    assert_eq!(idle.read_response(), ACCEPTED_AND_CLOSED);
+    for client in &mut clients {
+        assert_eq!(client.read_response(), ACCEPTED_AND_CLOSED, "accepted, and the connection is closed");
+    }
+    assert!(courier.child.wait().unwrap().success());
+}
--- /dev/null
+++ b/crates/edge/tests/process/restart.rs
@@ -0,0 +1,194 @@
+//! Messages that a restarted process recovers: attempted or not, with an endpoint list that has changed, with
+//! a key that cools down.
+
+use crate::courier::{config_file, entry, submission, wait_until, CourierProcess};
+use crate::peer::{serve_next_request, GatedListener, Peer};
+use crate::stubs::{count_matching, discovery_stub, endpoint_stub, SERVED};
+use rustix::process::Signal;
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+
+/// How many attempts the courier has out at most in these tests.
+const MAX_ATTEMPTS_OUT: usize = 6;
+/// How many messages may be in flight before some are rejected in these tests.
+const MAX_IN_FLIGHT: usize = 36;
+
+/// Adds an endpoint of another destination, 4.
+fn with_other_destination(mut config: Value, address: SocketAddr) -> Value {
+    let mut entry = entry("s-9", address, "active");
+    entry["group"] = 4.into();
+    config["known"]["endpoints"].as_array_mut().unwrap().push(entry);
+    config
+}
+
+/// Submits this many messages. Returns how many were accepted.
+fn submit_all(courier: &CourierProcess, class: &str, prefix: &str, count: usize) -> usize {
+    (0..count).filter(|n| courier.submit(class, &format!("{prefix}{n}")) == 202).count()
+}
+
+/// Accepts the connections of the attempts that occupy all slots.
+fn accept_all(gate: &GatedListener) -> Vec<Peer> {
+    (0..MAX_ATTEMPTS_OUT).map(|_| gate.accept()).collect()
+}
+
+/// Serves this many requests, on these connections or on new ones. Returns their distinct ids in order.
+fn serve_requests(gate: &GatedListener, peers: &mut Vec<Peer>, count: usize) -> Vec<String> {
+    let mut ids: Vec<String> = (0..count).map(|_| serve_next_request(gate, peers, SERVED).id).collect();
+    ids.sort();
+    ids.dedup();
+    ids
+}
+
+#[test]
+fn attempt_connecting_while_journal_replaced_counts_after_kill() {
+    let (discovery, notifications) = discovery_stub();
+    let (quick, served) = endpoint_stub();
+    let mut late = GatedListener::not_accepting();
+    let mut courier = CourierProcess::with_config("journal", |listen| {
+        let mut config = with_other_destination(config_file(listen, &[late.address], discovery), quick);
+        // Connecting to an endpoint may take as long as the operating system tries.
+        config["settings"]["bounds"]["connect_timeout_ns"] = 20_000_000_000u64.into();
+        config
+    });
+    assert_eq!(courier.submit("order", "unsafe"), 202);
+    let before = courier.state_files();
+    // Other messages fill the journal file until a new one is started, which begins with the messages in
+    // flight.
+    for n in 0.. {
+        assert!(n < 20, "no new journal file is started");
+        let id = format!("fill-{n}");
+        let head = submission("status", &id, "Content-Length: 60000\r\n").replace("dest=3", "dest=4");
+        assert_eq!(courier.request(&format!("{head}{}", "x".repeat(60_000))), Some(202));
+        wait_until("it is delivered", || count_matching(&served, &id) == 1);
+        courier.settle();
+        if courier.state_files() != before {
+            break;
+        }
+    }
+    late.open();
+    let mut attempt = late.accept();
+    assert_eq!(attempt.read_request(), "unsafe");
+    courier.kill_and_restart();
+    wait_until("the message is completed", || count_matching(&notifications, "unsafe") == 1);
+    assert!(count_matching(&notifications, r#""state":"failed""#) == 1, "it may have been executed");
+    courier.settle();
+    assert!(late.is_silent(), "it is not sent again");
+}
+
+#[test]
+fn recovered_untried_message_attempted() {
+    for (name, signal) in [("full-kill", Signal::KILL), ("full-term", Signal::TERM)] {
+        let (discovery, notifications) = discovery_stub();
+        let gate = GatedListener::new();
+        let mut courier =
+            CourierProcess::with_config(name, |listen| config_file(listen, &[gate.address], discovery));
+        // Attempts that hang occupy all slots. The other messages wait.
+        let accepted = submit_all(&courier, "order", "m", MAX_IN_FLIGHT);
+        assert_eq!(accepted, MAX_IN_FLIGHT);
+        let mut hung = accept_all(&gate);
+        let attempted: Vec<String> = hung.iter_mut().map(Peer::read_request).collect();
+        courier.signal(signal);
+        courier.child.wait().unwrap();
+        drop(hung);
+        courier.restart();
+        let untried = accepted - attempted.len();
+        let served = serve_requests(&gate, &mut vec![], untried);
+        assert!(
+            served.len() == untried && served.iter().all(|id| !attempted.contains(id)),
+            "each untried message is attempted once"
+        );
+        let failed =
+            || notifications.lock().unwrap().iter().map(|n| n.matches("failed").count()).sum::<usize>();
+        wait_until("the attempted messages have failed", || failed() == attempted.len());
+        let counts = [
+            ("recovered", json!(accepted)),
+            ("untried", json!(untried)),
+            ("attempted", json!(untried)),
+            ("given_up", json!(0)),
+        ];
+        wait_until("the counts are logged", || courier.count_logged("recovery finished", &counts) == 1);
+    }
+}
+
+#[test]
+fn recovered_untried_message_not_displaced_by_new_ones() {
+    let (discovery, notifications) = discovery_stub();
+    let gate = GatedListener::new();
+    let mut courier =
+        CourierProcess::with_config("displaced", |listen| config_file(listen, &[gate.address], discovery));
+    let recovered = submit_all(&courier, "status", "found-", MAX_IN_FLIGHT);
+    assert_eq!(recovered, MAX_IN_FLIGHT);
+    let mut hung = accept_all(&gate);
+    hung.iter_mut().for_each(|attempt| drop(attempt.read_request()));
+    courier.kill_and_restart();
+    drop(hung);
+    // Attempts that hang occupy all slots, and more messages arrive than may be in flight. The new ones have
+    // a higher priority weight, as they are younger.
+    let mut peers = accept_all(&gate);
+    assert_eq!(submit_all(&courier, "status", "new-", 12), 0, "rejected before they are accepted");
+    let served = serve_requests(&gate, &mut peers, recovered);
+    assert!(served.len() == recovered && served.iter().all(|id| id.starts_with("found")), "{served:?}");
+    assert_eq!(count_matching(&notifications, "returned"), 0);
+}
+
+#[test]
+fn restart_sends_nothing_by_outdated_endpoint_list() {
+    // Discovery must respond within the time that a process waits for it. If this test was too slow, it tries
+    // again.
+    assert!(
+        (0..5).any(|n| !sends_by_outdated_list(n)),
+        "an attempt at an endpoint that had left before the start"
+    );
+}
+
+/// Restarts a courier with an untried message whose endpoint has left the list meanwhile. Returns whether the
+/// courier connected to that endpoint.
+fn sends_by_outdated_list(n: u32) -> bool {
+    let discovery = GatedListener::new();
+    let gate = GatedListener::new();
+    let mut courier = CourierProcess::with_config(&format!("outdated-{n}"), |listen| {
+        config_file(listen, &[gate.address], discovery.address)
+    });
+    assert_eq!(submit_all(&courier, "order", "m", MAX_ATTEMPTS_OUT + 1), MAX_ATTEMPTS_OUT + 1);
+    let mut hung = accept_all(&gate);
+    hung.iter_mut().for_each(|attempt| drop(attempt.read_request()));
+    courier.kill();
+    drop((hung, discovery.accept()));
+    courier.start();
+    let mut watch = discovery.accept();
+    courier.stop();
+    let entry = entry("s-1", gate.address, "left");
+    let line = format!("{}\n", json!({"index": 2, "snapshot": false, "endpoints": [entry]}));
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    watch.send(&format!("{head}{:x}\r\n{line}\r\n", line.len()));
+    courier.resume();
+    courier.wait_until_ready();
+    courier.settle();
+    !gate.is_silent()
+}
+
+#[test]
+fn key_cooldown_after_possibly_executed_attempt_outlasts_process() {
+    let (discovery, notifications) = discovery_stub();
+    let gate = GatedListener::new();
+    let mut courier = CourierProcess::with_config("cooldown", |listen| {
+        let mut config = config_file(listen, &[gate.address], discovery);
+        config["settings"]["contract"]["turn_gap_ns"] = 4_000_000_000u64.into();
+        config
+    });
+    let with_key = |key: &str, id: &str| submission("change", id, &format!("Cookie: subject={key}\r\n"));
+    let first = with_key("k", "first").replace("-Ms: 30000", "-Ms: 500");
+    assert_eq!(courier.request(&first), Some(202));
+    let mut attempt = gate.accept();
+    assert_eq!(attempt.read_request(), "first");
+    wait_until("its deadline has passed", || count_matching(&notifications, "first") == 1);
+    courier.kill_and_restart();
+    assert_eq!(courier.request(&with_key("k", "second")), Some(202));
+    assert_eq!(courier.request(&with_key("l", "other")), Some(202));
+    let mut peers = vec![];
+    assert_eq!(serve_next_request(&gate, &mut peers, SERVED).id, "other");
+    courier.settle();
+    assert!(gate.is_silent_for(100) && !peers[0].has_input(), "the key cools down");
+    let next = serve_next_request(&gate, &mut peers, SERVED);
+    assert_eq!(next.id, "second", "the message is sent after the cooldown");
+}
--- a/crates/edge/tests/process/stubs.rs
+++ b/crates/edge/tests/process/stubs.rs
@@ -1,21 +1,21 @@
-//! Stand-ins for discovery and endpoints that answer by themselves and keep what crossed the sockets.
+//! Stubs of discovery and endpoints that respond by themselves and record the requests.
 
 use linnetcart_http::{parse_request, Request};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 
-/// What an endpoint answers that serves.
+/// The response of an endpoint that serves a message.
 pub const SERVED: &str = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 
 /// Requests in the order in which they came, each by its message id or, without one, its body. It stays
 /// locked until the answer is written: whoever finds a request in it knows that its answer has been sent.
 pub type RequestLog = Arc<Mutex<Vec<String>>>;
 
-/// The answer to a request, which may be held back.
+/// Returns the response to a request, by its subject, or `None` if it gets none.
 type Reply = fn(&str) -> Option<&'static [u8]>;
 
-/// Answers each request by `reply`.
+/// Starts a stub that responds to each request by `reply`.
 pub fn serve(reply: Reply) -> (SocketAddr, RequestLog) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
@@ -52,13 +52,14 @@
     }
 }
 
-/// A request's message id or, without one, its body.
+/// Returns a request's message id or, if it has none, its body.
 pub fn subject_of(request: &Request<'_>) -> String {
     let subject = request.field("x-txn").unwrap().unwrap_or(request.body());
     String::from_utf8_lossy(subject).into_owned()
 }
 
-/// Answers the watch with an empty line, and acknowledges all notifications.
+/// Starts a stub of discovery. It responds to the watch with an empty line, and acknowledges all
+/// notifications.
 pub fn discovery_stub() -> (SocketAddr, RequestLog) {
     serve(|subject| match subject {
         "watch" => Some(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n"),
@@ -66,12 +67,13 @@
     })
 }
 
-/// Serves, but for ids that begin with `slow`: their answers are held back.
+/// Starts a stub of an endpoint. It serves every message, except that those whose id begins with `slow` get
+/// no response.
 pub fn endpoint_stub() -> (SocketAddr, RequestLog) {
     serve(|id| (!id.starts_with("slow")).then_some(SERVED.as_bytes()))
 }
 
-/// Requests that contain this text.
+/// Returns how many requests contain this text.
 pub fn count_matching(log: &RequestLog, text: &str) -> usize {
     log.lock().unwrap().iter().filter(|subject| subject.contains(text)).count()
 }
