--- a/crates/edge/src/control/tests.rs
+++ b/crates/edge/src/control/tests.rs
@@ -17,51 +17,64 @@
     })
 }
 
-/// A disk that is full.
+/// Whether a snapshot can be written.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Disk {
+    Writable,
+    Full,
+}
+
 fn no_space() -> SnapshotError {
     SnapshotError::Write { path: "snapshot".into(), source: std::io::Error::other("no space") }
 }
 
-fn ask(p: &mut Program, method: &str, path: &str, body: &serde_json::Value, disk: bool) -> (u16, String) {
-    let r = Request {
+fn request(program: &mut Program, method: &str, path: &str, body: &serde_json::Value, disk: Disk) -> Reply {
+    let request = Request {
         method: method.into(),
         path: path.into(),
         body: body.to_string().into_bytes(),
         connection: ConnectionHeader::KeepAlive,
     };
-    let reply = p.handle(&r, &mut |_| if disk { Ok(()) } else { Err(no_space()) });
-    (reply.status, reply.body)
+    program.handle(&request, &mut |_| match disk {
+        Disk::Writable => Ok(()),
+        Disk::Full => Err(no_space()),
+    })
+}
+
+fn put(program: &mut Program, path: &str, body: &serde_json::Value) -> Reply {
+    request(program, "PUT", path, body, Disk::Writable)
 }
 
 #[test]
 fn requests_in_any_order_change_all_or_nothing_and_errors_name_field_and_next_step() {
-    let mut p = program();
+    let mut program = program();
     let settings = crate::settings::tests::sample();
     let list = json!({"version": 1, "whole": true, "entries": [
-        {"id": 1, "destination": 0, "kind": "large", "zone": "a", "state": "ready", "address": "127.0.0.1:9"}]});
-    let (status, body) = ask(&mut p, "PUT", "/list", &list, true);
-    assert_eq!(status, 409);
-    assert!(body.contains("PUT /settings first"), "{body}");
-    assert_eq!(ask(&mut p, "PUT", "/settings", &settings, false).0, 500);
-    assert!(p.core.is_none(), "nothing is half applied");
-    assert_eq!(ask(&mut p, "PUT", "/settings", &settings, true).0, 200);
-    assert_eq!(ask(&mut p, "PUT", "/list", &list, false).0, 500);
-    assert_eq!(p.core.as_ref().unwrap().list().version, 0);
-    assert_eq!(ask(&mut p, "PUT", "/list", &list, true).0, 200);
-    assert_eq!(ask(&mut p, "PUT", "/list", &list, true).0, 422);
+        {"id": 1, "destination": 0, "kind": "large", "zone": "a", "state": "ready",
+         "address": "127.0.0.1:9"}]});
+    let reply = put(&mut program, "/list", &list);
+    assert_eq!(reply.status, 409);
+    assert!(reply.body.contains("PUT /settings first"), "{}", reply.body);
+    assert_eq!(request(&mut program, "PUT", "/settings", &settings, Disk::Full).status, 500);
+    assert!(program.core.is_none(), "nothing is applied partially");
+    assert_eq!(put(&mut program, "/settings", &settings).status, 200);
+    assert_eq!(request(&mut program, "PUT", "/list", &list, Disk::Full).status, 500);
+    assert_eq!(program.core.as_ref().unwrap().list().version, 0);
+    assert_eq!(put(&mut program, "/list", &list).status, 200);
+    assert_eq!(put(&mut program, "/list", &list).status, 422);
     let mut other = settings.clone();
     other["limits"]["slots"] = json!(9);
-    assert_eq!(ask(&mut p, "PUT", "/settings", &other, true).0, 202);
+    assert_eq!(put(&mut program, "/settings", &other).status, 202);
     other["kinds"] = json!([{"name": "medium"}]);
-    let (status, body) = ask(&mut p, "PUT", "/settings", &other, true);
-    assert_eq!(status, 409);
-    assert!(body.contains("entries[0].kind"), "{body}");
-    assert_eq!(ask(&mut p, "GET", "/elsewhere", &json!(null), true).0, 404);
-    assert_eq!(ask(&mut p, "POST", "/list", &json!(null), true).0, 405);
+    let reply = put(&mut program, "/settings", &other);
+    assert_eq!(reply.status, 409);
+    assert!(reply.body.contains("entries[0].kind"), "{}", reply.body);
+    assert_eq!(request(&mut program, "GET", "/elsewhere", &json!(null), Disk::Writable).status, 404);
+    assert_eq!(request(&mut program, "POST", "/list", &json!(null), Disk::Writable).status, 405);
 }
 
 #[test]
-fn http_head_or_body_beyond_the_bounds_is_invalid() {
+fn http_head_or_body_beyond_the_limits_is_invalid() {
     let input = |bytes: &[u8]| {
         let mut http = HttpConnection::default();
         http.push(bytes);
@@ -84,19 +97,23 @@
 
 proptest! {
     #[test]
-    fn http_requests_cut_anywhere_are_read(body in prop::collection::vec(any::<u8>(), 0..60), cut in 1usize..9) {
-        let mut wire = format!("PUT /list?x=1 HTTP/1.1\r\nContent-Length: {}\r\n\r\n", body.len()).into_bytes();
-        wire.extend(&body);
-        let twice = [wire.clone(), wire].concat();
+    fn http_requests_cut_anywhere_are_read(
+        body in prop::collection::vec(any::<u8>(), 0..60),
+        cut in 1usize..9,
+    ) {
+        let head = format!("PUT /list?x=1 HTTP/1.1\r\nContent-Length: {}\r\n\r\n", body.len());
+        let encoded = [head.into_bytes(), body.clone()].concat();
+        let twice = [encoded.clone(), encoded].concat();
         let mut http = HttpConnection::default();
-        let mut got = Vec::new();
+        let mut requests = Vec::new();
         for piece in twice.chunks(cut) {
             http.push(piece);
-            while let HttpInput::Request(r) = http.next_input() {
-                got.push((r.path, r.body));
+            while let HttpInput::Request(request) = http.next_input() {
+                requests.push((request.path, request.body));
             }
         }
-        prop_assert_eq!(got, vec![("/list".to_owned(), body.clone()), ("/list".to_owned(), body)]);
+        let expected = ("/list".to_owned(), body);
+        prop_assert_eq!(requests, vec![expected.clone(), expected]);
     }
 
     #[test]
--- a/crates/edge/src/core/decisions/tests.rs
+++ b/crates/edge/src/core/decisions/tests.rs
@@ -19,7 +19,7 @@
     cycle.push(Event::ClientCancelled { message: 1 });
     assert!(cycle.is_due(100));
     cycle.decide(100);
-    assert!(!cycle.is_due(200), "nothing came");
+    assert!(!cycle.is_due(200), "there is no event");
     cycle.push(Event::ClientCancelled { message: 2 });
     assert_eq!((cycle.next_cycle(), cycle.is_due(109), cycle.is_due(110)), (110, false, true));
     cycle.decide(110);
--- a/crates/edge/src/core/in_flight/tests.rs
+++ b/crates/edge/src/core/in_flight/tests.rs
@@ -1,4 +1,4 @@
-//! The life of a message in the table.
+//! Messages in the table, from acceptance to the end of the last attempt.
 
 use super::*;
 
@@ -14,7 +14,7 @@
 }
 
 #[test]
-fn completed_message_with_an_attempt_out_keeps_its_number_until_the_outcome() {
+fn completed_message_with_an_attempt_out_stays_until_the_outcome() {
     let mut table = InFlightTable::new(u32::MAX);
     let number = table.insert(message(5));
     assert_eq!((number, table.usage()), (u32::MAX, Usage { messages: 1, bytes: 5 }));
@@ -29,7 +29,7 @@
 }
 
 #[test]
-fn second_attempt_beside_the_first_is_a_hedge_and_only_executed_ones_are_noted() {
+fn second_attempt_beside_the_first_is_a_hedge_and_only_possible_executions_are_recorded() {
     let mut table = InFlightTable::new(1);
     let number = table.insert(message(5));
     table.begin_attempt(number);
--- a/crates/edge/src/core/status/tests.rs
+++ b/crates/edge/src/core/status/tests.rs
@@ -6,7 +6,8 @@
 const EARLIER: &str = concat!(
     r#"{"held":0,"held_bytes":0,"calls":0,"links":0,"links_abandoned":0,"clients":0,"clients_paused":0"#,
     r#","list_version":1,"endpoints":4,"draining":false"#,
-    r#","classes":{"order":{"taken":0,"served":0,"in_aim":0,"refused":0,"failed":0,"withdrawn":0,"turned_away":0}"#,
+    r#","classes":{"order":{"taken":0,"served":0,"in_aim":0,"refused":0,"failed":0,"withdrawn":0"#,
+    r#","turned_away":0}"#,
     r#","proxy":{"taken":0,"served":0,"in_aim":0,"refused":0,"failed":0,"withdrawn":0,"turned_away":0}"#,
     r#","status":{"taken":0,"served":0,"in_aim":0,"refused":0,"failed":0,"withdrawn":0,"turned_away":0}}"#,
     r#","attempts":0,"rounds":1,"out_of_time":0,"clocks_ahead":0}"#,
--- a/crates/edge/src/counter_files/tests.rs
+++ b/crates/edge/src/counter_files/tests.rs
@@ -1,4 +1,4 @@
-//! Counters over ends of the process, long and broken logs, and damage.
+//! Counters after the end of the process, with long and broken logs, and with damaged files.
 
 use super::layout::{CounterSnapshot, FILE_NAME, MAGIC};
 use super::*;
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -1,9 +1,9 @@
-//! The courier with the Kafka front: it accepts messages from Kafka clients, delivers each to an endpoint of its
-//! destination, and gives each exactly one final answer.
+//! The courier with the Kafka front: it accepts messages from Kafka clients, delivers each to an endpoint of
+//! its destination, and gives each exactly one final answer.
 //!
-//! [`core`] does no I/O: it takes bytes, clock readings and connection events, and returns bytes, connects, closes
-//! and delivery events. It passes every decision on messages to the library [`linnetcart`] and carries out the
-//! actions that come back. [`shell`] moves the bytes on a calloop event loop and decides nothing.
+//! [`core`] does no I/O: it takes bytes, clock readings and connection events, and returns bytes, connects,
+//! closes and delivery events. It passes every decision on messages to the library [`linnetcart`] and carries
+//! out the actions that come back. [`shell`] moves the bytes on a calloop event loop and decides nothing.
 #![forbid(unsafe_code)]
 #![warn(clippy::unwrap_used, missing_docs)]
 
--- a/crates/edge/src/settings/tests.rs
+++ b/crates/edge/src/settings/tests.rs
@@ -1,4 +1,4 @@
-//! Documents: what is read, what is rejected, and with which words.
+//! Documents: which are valid, and the errors of those that are not.
 
 use super::*;
 use linnetcart::Idempotency;
@@ -10,12 +10,18 @@
         "courier": {"me": 0, "of": 1, "zone": "a"},
         "zones": ["a", "b"],
         "classes": [
-            {"name": "status", "aim_ms": 1000, "deadline_ms": 4000, "worth": 1, "late_worth": 0.5, "repeat": "safe"},
+            {"name": "status", "aim_ms": 1000, "deadline_ms": 4000, "worth": 1, "late_worth": 0.5,
+             "repeat": "safe"},
             {"name": "proxy", "aim_ms": 1000, "deadline_ms": 4000, "worth": 1, "late_worth": 0.5,
              "repeat": {"keyed": {"window_ms": 8000}}, "ordered": true},
-            {"name": "order", "aim_ms": 1000, "deadline_ms": 3000, "worth": 4, "late_worth": 0.5, "repeat": "unsafe"}
+            {"name": "order", "aim_ms": 1000, "deadline_ms": 3000, "worth": 4, "late_worth": 0.5,
+             "repeat": "unsafe"}
+        ],
+        "kinds": [
+            {"name": "large"},
+            {"name": "small", "routes_apart": true},
+            {"name": "batch", "per_call": 3}
         ],
-        "kinds": [{"name": "large"}, {"name": "small", "routes_apart": true}, {"name": "batch", "per_call": 3}],
         "limits": {"slots": 8, "held": 100, "attempts": 6},
         "rules": {"answer_slack_ms": 50, "cold_share": 0.2, "warm_after_ms": 10000, "fall_multiple": 2.0,
                   "fall_span_ms": 2000, "key_rest_ms": 100}
@@ -64,7 +70,7 @@
 }
 
 #[test]
-fn endpoint_list_update_applies_as_a_whole_or_not_at_all() {
+fn endpoint_list_update_applies_completely_or_not_at_all() {
     let settings = parse(&sample()).unwrap();
     let entry = |id: u32, kind: &str, state| EndpointEntry {
         id,
--- a/crates/edge/src/snapshot/tests.rs
+++ b/crates/edge/src/snapshot/tests.rs
@@ -8,14 +8,27 @@
     "linnetcart-snapshot 1 86e21d33 1687\n",
     r#"{"settings":{"deployment":"test""#,
     r#","courier":{"me":3,"of":4,"zone":"a"},"zones":["a","b"]"#,
-    r#","classes":[{"name":"status","aim_ms":1000,"deadline_ms":8000,"worth":1.0,"late_worth":0.5,"repeat":"safe","ordered":false},{"name":"proxy","aim_ms":1000,"deadline_ms":6000,"worth":1.0,"late_worth":0.5,"repeat":{"keyed":{"window_ms":8000,"by_zone":false}},"ordered":true},{"name":"order","aim_ms":1000,"deadline_ms":3000,"worth":4.0,"late_worth":0.5,"repeat":"unsafe","ordered":false}]"#,
-    r#","kinds":[{"name":"large","routes_apart":false,"per_call":1},{"name":"small","routes_apart":true,"per_call":1},{"name":"batch","routes_apart":false,"per_call":3}],"tenants":[]"#,
-    r#","limits":{"slots":8,"held":100,"held_bytes":268435456,"attempts":6,"request_bytes":1048576,"pipelined":256,"unsent_bytes":1048576,"destinations":10000}"#,
-    r#","allow":{"cancel":true,"copies":true,"probes":false,"notes":false,"list_asked":false,"come_back_ms":3000},"connections":{"calls":1,"idle_ms":5000,"connect_timeout_ms":1000},"clocks":{"apart_ms":50,"record_time":true}"#,
-    r#","rules":{"answer_slack_ms":20,"cold_share":0.2,"warm_after_ms":10000,"fall_multiple":2.0,"fall_span_ms":2000,"key_rest_ms":100},"rates":"untold","worth":{"halves":false,"over_share":0.1}"#,
-    r#","prices":{"connection":0.0,"crossing":0.0,"waste":0.0,"late":0.0,"refused":0.0,"route_fees":[]},"tick_us":1000}"#,
-    r#","list":{"version":3,"entries":{"10":{"id":10,"destination":1,"kind":"large","zone":"a","rate":0.0,"state":"ready","address":"127.0.0.1:10"},"20":{"id":20,"destination":2,"kind":"small","zone":"a","rate":0.0,"state":"draining","address":"127.0.0.1:20"}}}"#,
-    r#","telemetry":{"interval_s":5,"points":100000,"cells":100000,"names":{},"graphite":null,"collectd":null,"listen":null}}"#,
+    r#","classes":[{"name":"status","aim_ms":1000,"deadline_ms":8000,"worth":1.0,"late_worth":0.5"#,
+    r#","repeat":"safe","ordered":false},{"name":"proxy","aim_ms":1000,"deadline_ms":6000,"worth":1.0"#,
+    r#","late_worth":0.5,"repeat":{"keyed":{"window_ms":8000,"by_zone":false}},"ordered":true}"#,
+    r#",{"name":"order","aim_ms":1000,"deadline_ms":3000,"worth":4.0,"late_worth":0.5,"repeat":"unsafe""#,
+    r#","ordered":false}]"#,
+    r#","kinds":[{"name":"large","routes_apart":false,"per_call":1},{"name":"small","routes_apart":true"#,
+    r#","per_call":1},{"name":"batch","routes_apart":false,"per_call":3}],"tenants":[]"#,
+    r#","limits":{"slots":8,"held":100,"held_bytes":268435456,"attempts":6,"request_bytes":1048576"#,
+    r#","pipelined":256,"unsent_bytes":1048576,"destinations":10000}"#,
+    r#","allow":{"cancel":true,"copies":true,"probes":false,"notes":false,"list_asked":false"#,
+    r#","come_back_ms":3000},"connections":{"calls":1,"idle_ms":5000,"connect_timeout_ms":1000}"#,
+    r#","clocks":{"apart_ms":50,"record_time":true}"#,
+    r#","rules":{"answer_slack_ms":20,"cold_share":0.2,"warm_after_ms":10000,"fall_multiple":2.0"#,
+    r#","fall_span_ms":2000,"key_rest_ms":100},"rates":"untold","worth":{"halves":false,"over_share":0.1}"#,
+    r#","prices":{"connection":0.0,"crossing":0.0,"waste":0.0,"late":0.0,"refused":0.0,"route_fees":[]}"#,
+    r#","tick_us":1000}"#,
+    r#","list":{"version":3,"entries":{"10":{"id":10,"destination":1,"kind":"large","zone":"a","rate":0.0"#,
+    r#","state":"ready","address":"127.0.0.1:10"},"20":{"id":20,"destination":2,"kind":"small","zone":"a""#,
+    r#","rate":0.0,"state":"draining","address":"127.0.0.1:20"}}}"#,
+    r#","telemetry":{"interval_s":5,"points":100000,"cells":100000,"names":{},"graphite":null"#,
+    r#","collectd":null,"listen":null}}"#,
 );
 
 fn saved() -> Snapshot {
@@ -50,14 +63,16 @@
 }
 
 #[test]
-fn load_damaged_snapshot_sets_it_aside_and_keeps_it() {
+fn load_damaged_snapshot_moves_it_aside() {
     let dir = std::env::temp_dir().join(format!("linnetcart-snapshot-{}", std::process::id()));
     assert!(matches!(load(&dir).unwrap(), LoadedSnapshot::None));
     save(&dir, &saved()).unwrap();
     assert!(matches!(load(&dir).unwrap(), LoadedSnapshot::Good(s) if *s == saved()));
     for n in 1..=2 {
         fs::write(dir.join(FILE_NAME), b"linnetcart-snapshot 1 0 9\nhalf").unwrap();
-        let LoadedSnapshot::Damaged { moved_to, .. } = load(&dir).unwrap() else { panic!("it was believed") };
+        let LoadedSnapshot::Damaged { moved_to, .. } = load(&dir).unwrap() else {
+            panic!("a damaged snapshot was loaded")
+        };
         assert_eq!(moved_to, dir.join(format!("snapshot.damaged-{n}")));
         assert!(matches!(load(&dir).unwrap(), LoadedSnapshot::None));
     }
--- a/crates/edge/tests/core/main.rs
+++ b/crates/edge/tests/core/main.rs
@@ -2,6 +2,7 @@
 
 mod attempts;
 mod connections;
+mod deadlines;
 mod harness;
 mod random;
 mod requests;
--- a/crates/edge/tests/core/requests.rs
+++ b/crates/edge/tests/core/requests.rs
@@ -1,8 +1,8 @@
-//! Requests of clients: admission, deadlines, the order of responses, load shedding, and draining.
+//! Requests of clients: admission, load shedding, pausing, and draining.
 
 use crate::harness::*;
 use crate::{harness_with_client, harness_with_client_and_settings, CLIENT};
-use linnetcart_kafka::{codes, Record};
+use linnetcart_kafka::codes;
 
 #[test]
 fn message_to_a_ready_endpoint_is_delivered_and_answered() {
@@ -14,37 +14,6 @@
     assert_eq!((status.in_flight, status.calls, status.classes["status"].served), (0, 0, 1));
 }
 
-#[test]
-fn overdue_request_behind_an_older_one_completes_the_older_one() {
-    let mut harness = harness_with_client();
-    // The older request has 8 s, the one behind it 300 ms. Neither call is answered.
-    let long = harness.send_one(CLIENT, "status", 1, "long");
-    let short =
-        harness.send(CLIENT, &[target("order", 2, &[record_with_header("short", "deadline-ms", "300")])]);
-    harness.advance(250);
-    assert_eq!(harness.response_codes(CLIENT), []);
-    harness.advance(60);
-    // The message that is not idempotent has failed. The idempotent one is rejected, although it had seconds
-    // left.
-    assert_eq!(
-        harness.response_codes(CLIENT),
-        [(long, codes::NOT_ENOUGH_REPLICAS), (short, codes::UNKNOWN_SERVER_ERROR)]
-    );
-    assert_eq!(harness.core.status().in_flight, 0);
-}
-
-#[test]
-fn served_request_behind_an_older_one_is_answered_by_its_deadline() {
-    let mut harness = harness_with_client();
-    let long = harness.send_one(CLIENT, "status", 1, "long");
-    let short =
-        harness.send(CLIENT, &[target("order", 2, &[record_with_header("short", "deadline-ms", "500")])]);
-    harness.reply("short", codes::NONE, 0);
-    assert_eq!(harness.response_codes(CLIENT), []);
-    harness.advance(520);
-    assert_eq!(harness.response_codes(CLIENT), [(long, codes::NOT_ENOUGH_REPLICAS), (short, codes::NONE)]);
-}
-
 #[test]
 fn batch_with_different_outcomes_is_final_and_lists_each_record() {
     let mut harness = harness_with_client();
@@ -191,87 +160,6 @@
     );
 }
 
-#[test]
-fn shed_request_behind_an_older_one_is_answered_by_its_deadline() {
-    let mut doc = settings();
-    doc["limits"]["held"] = 1.into();
-    let mut harness = harness_with_client_and_settings(&doc);
-    let long = harness.send_one(CLIENT, "status", 1, "long");
-    let short =
-        harness.send(CLIENT, &[target("order", 2, &[record_with_header("short", "deadline-ms", "300")])]);
-    assert_eq!(harness.core.status().classes["order"].shed, 1);
-    assert_eq!(harness.response_codes(CLIENT), []);
-    harness.advance(310);
-    assert_eq!(
-        harness.response_codes(CLIENT),
-        [(long, codes::NOT_ENOUGH_REPLICAS), (short, codes::NOT_ENOUGH_REPLICAS)]
-    );
-}
-
-#[test]
-fn request_read_after_a_stall_has_its_deadline_from_the_earliest_arrival() {
-    let mut harness = harness_with_client();
-    harness.auto_connect = false;
-    let request =
-        harness.request(ACKS_ALL, &[target("order", 2, &[record_with_header("x", "deadline-ms", "1000")])]);
-    // The request may have arrived at any time in the 700 ms before it is read.
-    let arrived_since = harness.now;
-    harness.now += 700 * MS;
-    harness.core.clock(harness.now);
-    harness.core.arrived_since(arrived_since);
-    harness.core.client_received(CLIENT, &request);
-    harness.process();
-    harness.advance(320);
-    assert_eq!(harness.response_times[&CLIENT].len(), 1);
-    assert!(harness.response_times[&CLIENT][0] <= arrived_since + 1000 * MS);
-}
-
-#[test]
-fn record_long_in_transit_is_answered_by_its_clients_deadline_and_not_sent_after() {
-    const WALL: u64 = 1_700_000_000_000;
-    let mut harness = harness_with_client();
-    let created_ms_ago =
-        |ms: u64| Record { timestamp: (WALL - ms) as i64, ..record_with_header("x", "deadline-ms", "2000") };
-    // Of 2,000 ms, 1,200 ms have passed, and clocks differ by at most 50 ms: 750 ms remain.
-    harness.core.wall_clock(WALL * MS);
-    harness.send(CLIENT, &[target("order", 2, &[created_ms_ago(1200)])]);
-    harness.advance(740);
-    assert_eq!(harness.response_times.get(&CLIENT).map_or(0, Vec::len), 0);
-    harness.advance(20);
-    assert_eq!(harness.response_codes(CLIENT), [(1, codes::UNKNOWN_SERVER_ERROR)]);
-    // A record that expired before it arrived is rejected at once and never sent.
-    harness.core.wall_clock(WALL * MS);
-    let late = harness.send(
-        CLIENT,
-        &[target("order", 1, &[Record { value: Some("late".into()), ..created_ms_ago(1960) }])],
-    );
-    harness.advance(5);
-    assert_eq!(
-        (harness.response_codes(CLIENT)[1], harness.count_calls_with("late")),
-        ((late, codes::NOT_ENOUGH_REPLICAS), 0)
-    );
-    // The time of a clock that is an hour ahead is ignored, and counted.
-    harness.core.wall_clock((WALL - 3_600_000) * MS);
-    harness
-        .send(CLIENT, &[target("order", 1, &[Record { value: Some("ahead".into()), ..created_ms_ago(0) }])]);
-    harness.reply("ahead", codes::NONE, 0);
-    let status = harness.core.status();
-    assert_eq!(
-        (harness.response_codes(CLIENT)[2].1, status.expired_on_arrival, status.clocks_ahead),
-        (codes::NONE, 1, 1)
-    );
-    // A stated deadline applies where the time of the record does not.
-    let stated = record_with_header("stated", "deadline-at-ms", &(WALL + 500).to_string());
-    harness.core.wall_clock(WALL * MS);
-    harness.send(CLIENT, &[target("order", 1, &[stated])]);
-    harness.advance(455);
-    assert_eq!(harness.response_codes(CLIENT)[3].1, codes::UNKNOWN_SERVER_ERROR);
-    let wrong =
-        harness.send(CLIENT, &[target("order", 1, &[record_with_header("y", "deadline-at-ms", "soon")])]);
-    assert_eq!(harness.response_codes(CLIENT)[4], (wrong, codes::INVALID_RECORD));
-    assert!(harness.responses[&CLIENT][4].parts[0].records[0].1.contains("deadline-at-ms: `soon`"));
-}
-
 #[test]
 fn messages_with_one_key_across_the_last_number_are_delivered_in_order() {
     let mut harness = CoreHarness::with_first_number(u32::MAX - 1);
