Edge: message state, stubs and results by name in place of bool, pairs and strings

Cause: finish_attempt returned a bool and attempt_result took one ("true" at one call); the tests' stubs, response codes and ways to fail were pairs, tuples and strings. Change: MessageState; Stub with address and requests in place of (SocketAddr, RequestLog); PartitionCode in place of (i32, i16), response_codes is results; Failure in place of six strings. Assertions are as they were.

--- a/crates/edge/src/core/attempts.rs
+++ b/crates/edge/src/core/attempts.rs
@@ -2,7 +2,7 @@
 //! messages.
 
 use super::delivery::{AttemptId, Departure, FinishedAttempt, OutgoingMessage};
-use super::in_flight::InFlightMessage;
+use super::in_flight::{InFlightMessage, MessageState};
 use super::responses::RecordOutcome;
 use super::{Core, UpstreamId};
 use crate::delivery_events::{DeliveryEvent, FinalAnswer, LoadReport};
@@ -108,7 +108,7 @@
     fn record_late_rejection(&mut self, rejection: FinishedAttempt) {
         let AttemptOutcome::Rejected { retry_after } = rejection.outcome else { return };
         self.retry_after.record(rejection.endpoint, retry_after, self.clock.now());
-        self.decisions.push(Event::AttemptFinished(self.attempt_result(&rejection, true)));
+        self.decisions.push(Event::AttemptFinished(self.attempt_result(&rejection, MessageState::Completed)));
     }
 
     fn finish_attempt(&mut self, finished: FinishedAttempt) {
@@ -120,8 +120,8 @@
         if finished.outcome == AttemptOutcome::Served {
             self.complete(message, FinalAnswer::Served);
         }
-        let message_completed = self.in_flight.finish_attempt(message, finished.outcome);
-        let result = self.attempt_result(&finished, message_completed);
+        let message_state = self.in_flight.finish_attempt(message, finished.outcome);
+        let result = self.attempt_result(&finished, message_state);
         self.decisions.push(Event::AttemptFinished(result));
     }
 
@@ -144,14 +144,14 @@
         });
     }
 
-    fn attempt_result(&self, finished: &FinishedAttempt, message_completed: bool) -> AttemptResult {
+    fn attempt_result(&self, finished: &FinishedAttempt, message_state: MessageState) -> AttemptResult {
         AttemptResult {
             message: finished.attempt.message,
             attempt: finished.attempt.number,
             endpoint: finished.endpoint,
             outcome: finished.outcome,
             elapsed: self.clock.now().saturating_sub(finished.started_at),
-            completed: message_completed,
+            completed: message_state == MessageState::Completed,
             capacity_left: finished.load.map(|load| load.capacity_left),
             rate_limit: finished.load.map(|load| load.rate_limit),
         }
--- a/crates/edge/src/core/in_flight.rs
+++ b/crates/edge/src/core/in_flight.rs
@@ -49,6 +49,15 @@
     pub(crate) message_completed: bool,
 }
 
+/// Whether a message still needs a final answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum MessageState {
+    /// It has no final answer yet.
+    Open,
+    /// It has its final answer or needs none, or it is no longer in the table.
+    Completed,
+}
+
 /// How much the table contains.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Usage {
@@ -152,17 +161,18 @@
         Some(begun)
     }
 
-    /// Records the outcome of an attempt. Returns whether the message is completed, which includes a message
-    /// that is no longer in the table.
-    pub(crate) fn finish_attempt(&mut self, number: u32, outcome: AttemptOutcome) -> bool {
-        let Some(message) = self.messages.get_mut(&number) else { return true };
+    /// Records the outcome of an attempt. Returns the state of its message.
+    pub(crate) fn finish_attempt(&mut self, number: u32, outcome: AttemptOutcome) -> MessageState {
+        let Some(message) = self.messages.get_mut(&number) else { return MessageState::Completed };
         message.attempts_out = message.attempts_out.saturating_sub(1);
         message.possibly_executed |= !outcome.not_executed();
-        let completed = message.completed;
-        if completed && message.attempts_out == 0 {
+        if !message.completed {
+            return MessageState::Open;
+        }
+        if message.attempts_out == 0 {
             self.messages.remove(&number);
         }
-        completed
+        MessageState::Completed
     }
 }
 
--- a/crates/edge/src/core/in_flight/tests.rs
+++ b/crates/edge/src/core/in_flight/tests.rs
@@ -23,7 +23,7 @@
     table.complete(number);
     assert!(table.is_empty() && table.open(number).is_none());
     assert!(table.get(number).is_some());
-    assert!(table.finish_attempt(number, AttemptOutcome::Cancelled));
+    assert_eq!(table.finish_attempt(number, AttemptOutcome::Cancelled), MessageState::Completed);
     assert!(table.get(number).is_none());
     assert_eq!(table.usage(), Usage::default());
 }
@@ -35,8 +35,8 @@
     table.begin_attempt(number);
     let second = table.begin_attempt(number).expect("it is in the table");
     assert_eq!((second.number, second.hedge, second.message_completed), (1, true, false));
-    assert!(!table.finish_attempt(number, AttemptOutcome::NoConnection));
+    assert_eq!(table.finish_attempt(number, AttemptOutcome::NoConnection), MessageState::Open);
     assert!(!table.get(number).expect("it is in the table").possibly_executed);
-    assert!(!table.finish_attempt(number, AttemptOutcome::TimedOut));
+    assert_eq!(table.finish_attempt(number, AttemptOutcome::TimedOut), MessageState::Open);
     assert!(table.get(number).expect("it is in the table").possibly_executed);
 }
--- a/crates/edge/tests/core/attempts.rs
+++ b/crates/edge/tests/core/attempts.rs
@@ -18,13 +18,13 @@
     assert_ne!(first.endpoint, second.endpoint);
     harness.reply_to(&second, codes::NONE, 0);
     harness.process_after_tick();
-    let answers = harness.response_codes(CLIENT).len();
+    let answers = harness.results(CLIENT).len();
     assert_eq!(
         (answers, harness.core.status().abandoned_connections, harness.core.status().calls),
         (1, 1, 0)
     );
     harness.reply_to(&first, codes::NONE, 0);
-    assert_eq!(harness.response_codes(CLIENT).len(), 1, "the response to the cancelled attempt is dropped");
+    assert_eq!(harness.results(CLIENT).len(), 1, "the response to the cancelled attempt is dropped");
     assert_eq!(harness.core.status().abandoned_connections, 0);
 }
 
@@ -36,7 +36,7 @@
     let (first, second) = (harness.calls.remove(0), harness.calls.remove(0));
     harness.reply_to(&second, codes::NONE, 0);
     harness.reply_to(&first, codes::THROTTLING_QUOTA_EXCEEDED, 700);
-    assert_eq!(harness.response_codes(CLIENT).len(), 1);
+    assert_eq!(harness.results(CLIENT).len(), 1);
     harness.send_one(CLIENT, "status", 1, "y");
     harness.advance(680);
     assert_eq!(harness.count_calls_with("y"), 0);
@@ -68,7 +68,7 @@
         assert_eq!(count_violations(&mut harness), 1, "{case}");
         assert!(!harness.connections.contains_key(&call.connection), "{case}: the connection is closed");
         // The message may have been executed and must not be sent again.
-        assert_eq!(harness.response_codes(CLIENT), [(1, codes::UNKNOWN_SERVER_ERROR)], "{case}");
+        assert_eq!(harness.results(CLIENT), [result(1, codes::UNKNOWN_SERVER_ERROR)], "{case}");
     }
 }
 
@@ -92,56 +92,81 @@
     harness.now += 3_000 * MS;
     harness.core.clock(harness.now);
     harness.reply_to(&call, codes::NONE, 0);
-    assert_eq!(harness.response_codes(CLIENT), [(n, codes::NONE)]);
+    assert_eq!(harness.results(CLIENT), [result(n, codes::NONE)]);
+}
+
+/// How an attempt on a new connection fails.
+#[derive(Clone, Copy, Debug)]
+enum Failure {
+    Refused,
+    TimedOut,
+    /// The connection is closed before the version request is answered.
+    NotNegotiated,
+    /// The connection is closed before the operating system has accepted a byte of the call.
+    Unwritten,
+    /// The connection is closed after the operating system has accepted one byte of the call.
+    PartlyWritten,
+    /// The connection is closed after the operating system has accepted the complete call.
+    Written,
+}
+
+/// Has the attempt that waits for this connection fail.
+fn fail_attempt(harness: &mut CoreHarness, connection: u64, failure: Failure) {
+    match failure {
+        Failure::Refused => harness.core.upstream_connect_failed(connection),
+        Failure::TimedOut => harness.advance(1010),
+        Failure::NotNegotiated => {
+            harness.connect(connection);
+            let written = harness.connections[&connection].received_bytes;
+            harness.core.upstream_disconnected(connection, written);
+        }
+        _ => {
+            harness.connect(connection);
+            let before_call = harness.connections[&connection].received_bytes;
+            harness.negotiate(connection);
+            assert_eq!(harness.count_calls_with("x"), 1);
+            let accepted_bytes = match failure {
+                Failure::Unwritten => before_call,
+                Failure::PartlyWritten => before_call + 1,
+                _ => harness.connections[&connection].received_bytes,
+            };
+            harness.core.upstream_disconnected(connection, accepted_bytes);
+        }
+    }
 }
 
 #[test]
 fn attempt_that_never_left_is_known_not_to_be_executed() {
-    // The connection is refused, times out, is closed before the version request is answered, or is closed
-    // before the operating system has accepted a byte, one byte, or all bytes of the call.
-    for how in ["refused", "timed out", "not negotiated", "unwritten", "partly written", "written"] {
+    for failure in [
+        Failure::Refused,
+        Failure::TimedOut,
+        Failure::NotNegotiated,
+        Failure::Unwritten,
+        Failure::PartlyWritten,
+        Failure::Written,
+    ] {
         let mut harness = harness_with_client();
         harness.auto_connect = false;
         let n = harness.send_one(CLIENT, "order", 2, "x");
         let connection = harness.connecting.pop().unwrap();
-        match how {
-            "refused" => harness.core.upstream_connect_failed(connection),
-            "timed out" => harness.advance(1010),
-            "not negotiated" => {
-                harness.connect(connection);
-                let written = harness.connections[&connection].received_bytes;
-                harness.core.upstream_disconnected(connection, written);
-            }
-            _ => {
-                harness.connect(connection);
-                let before_call = harness.connections[&connection].received_bytes;
-                harness.negotiate(connection);
-                assert_eq!(harness.count_calls_with("x"), 1);
-                let accepted_bytes = match how {
-                    "unwritten" => before_call,
-                    "partly written" => before_call + 1,
-                    _ => harness.connections[&connection].received_bytes,
-                };
-                harness.core.upstream_disconnected(connection, accepted_bytes);
-            }
-        }
+        fail_attempt(&mut harness, connection, failure);
         harness.process_after_tick();
-        if matches!(how, "partly written" | "written") {
+        if matches!(failure, Failure::PartlyWritten | Failure::Written) {
             assert_eq!(
-                harness.response_codes(CLIENT),
-                [(n, codes::UNKNOWN_SERVER_ERROR)],
-                "{how}: it may have been executed"
+                harness.results(CLIENT),
+                [result(n, codes::UNKNOWN_SERVER_ERROR)],
+                "{failure:?}: it may have been executed"
             );
         } else {
-            assert_eq!(harness.response_codes(CLIENT), [], "{how}: it is still attempted");
+            assert_eq!(harness.results(CLIENT), [], "{failure:?}: it is still attempted");
             harness.auto_connect = true;
             harness.advance(2700);
             let attempts = harness.connecting.len() + harness.count_calls_with("x");
-            assert!(attempts > 0 || !harness.response_codes(CLIENT).is_empty(), "{how}");
+            assert!(attempts > 0 || !harness.results(CLIENT).is_empty(), "{failure:?}");
             assert_ne!(
-                harness.response_codes(CLIENT).first().map(|&(_, code)| code),
+                harness.results(CLIENT).first().map(|result| result.code),
                 Some(codes::UNKNOWN_SERVER_ERROR),
-                "{how}: it was never executed"
+                "{failure:?}: it was never executed"
             );
         }
     }
@@ -189,8 +214,8 @@
     let short = harness.send(CLIENT, &[target("order", 2, &[record_with_header("y", "deadline-ms", "200")])]);
     harness.advance(210);
     assert_eq!(
-        harness.response_codes(CLIENT),
-        [(long, codes::NOT_ENOUGH_REPLICAS), (short, codes::NOT_ENOUGH_REPLICAS)]
+        harness.results(CLIENT),
+        [result(long, codes::NOT_ENOUGH_REPLICAS), result(short, codes::NOT_ENOUGH_REPLICAS)]
     );
 }
 
@@ -203,7 +228,7 @@
     assert_eq!(sizes, [3, 2]);
     assert_eq!(harness.core.status().calls, 2, "each call occupies a slot");
     harness.reply("r0", codes::NONE, 0);
-    assert_eq!(harness.response_codes(CLIENT), []);
+    assert_eq!(harness.results(CLIENT), []);
     harness.reply("r4", codes::NONE, 0);
-    assert_eq!(harness.response_codes(CLIENT), [(n, codes::NONE)]);
+    assert_eq!(harness.results(CLIENT), [result(n, codes::NONE)]);
 }
--- a/crates/edge/tests/core/deadlines.rs
+++ b/crates/edge/tests/core/deadlines.rs
@@ -12,13 +12,13 @@
     let short =
         harness.send(CLIENT, &[target("order", 2, &[record_with_header("short", "deadline-ms", "300")])]);
     harness.advance(250);
-    assert_eq!(harness.response_codes(CLIENT), []);
+    assert_eq!(harness.results(CLIENT), []);
     harness.advance(60);
     // The message that is not idempotent has failed. The idempotent one is rejected, although it had seconds
     // left.
     assert_eq!(
-        harness.response_codes(CLIENT),
-        [(long, codes::NOT_ENOUGH_REPLICAS), (short, codes::UNKNOWN_SERVER_ERROR)]
+        harness.results(CLIENT),
+        [result(long, codes::NOT_ENOUGH_REPLICAS), result(short, codes::UNKNOWN_SERVER_ERROR)]
     );
     assert_eq!(harness.core.status().in_flight, 0);
 }
@@ -30,9 +30,12 @@
     let short =
         harness.send(CLIENT, &[target("order", 2, &[record_with_header("short", "deadline-ms", "500")])]);
     harness.reply("short", codes::NONE, 0);
-    assert_eq!(harness.response_codes(CLIENT), []);
+    assert_eq!(harness.results(CLIENT), []);
     harness.advance(520);
-    assert_eq!(harness.response_codes(CLIENT), [(long, codes::NOT_ENOUGH_REPLICAS), (short, codes::NONE)]);
+    assert_eq!(
+        harness.results(CLIENT),
+        [result(long, codes::NOT_ENOUGH_REPLICAS), result(short, codes::NONE)]
+    );
 }
 
 #[test]
@@ -44,11 +47,11 @@
     let short =
         harness.send(CLIENT, &[target("order", 2, &[record_with_header("short", "deadline-ms", "300")])]);
     assert_eq!(harness.core.status().classes["order"].shed, 1);
-    assert_eq!(harness.response_codes(CLIENT), []);
+    assert_eq!(harness.results(CLIENT), []);
     harness.advance(310);
     assert_eq!(
-        harness.response_codes(CLIENT),
-        [(long, codes::NOT_ENOUGH_REPLICAS), (short, codes::NOT_ENOUGH_REPLICAS)]
+        harness.results(CLIENT),
+        [result(long, codes::NOT_ENOUGH_REPLICAS), result(short, codes::NOT_ENOUGH_REPLICAS)]
     );
 }
 
@@ -82,7 +85,7 @@
     harness.advance(740);
     assert_eq!(harness.response_times.get(&CLIENT).map_or(0, Vec::len), 0);
     harness.advance(20);
-    assert_eq!(harness.response_codes(CLIENT), [(1, codes::UNKNOWN_SERVER_ERROR)]);
+    assert_eq!(harness.results(CLIENT), [result(1, codes::UNKNOWN_SERVER_ERROR)]);
     // A record that expired before it arrived is rejected at once and never sent.
     harness.core.wall_clock(WALL * MS);
     let late = harness.send(
@@ -91,8 +94,8 @@
     );
     harness.advance(5);
     assert_eq!(
-        (harness.response_codes(CLIENT)[1], harness.count_calls_with("late")),
-        ((late, codes::NOT_ENOUGH_REPLICAS), 0)
+        (harness.results(CLIENT)[1], harness.count_calls_with("late")),
+        (result(late, codes::NOT_ENOUGH_REPLICAS), 0)
     );
     // The time of a clock that is an hour ahead is ignored, and counted.
     harness.core.wall_clock((WALL - 3_600_000) * MS);
@@ -101,7 +104,7 @@
     harness.reply("ahead", codes::NONE, 0);
     let status = harness.core.status();
     assert_eq!(
-        (harness.response_codes(CLIENT)[2].1, status.expired_on_arrival, status.clocks_ahead),
+        (harness.results(CLIENT)[2].code, status.expired_on_arrival, status.clocks_ahead),
         (codes::NONE, 1, 1)
     );
     // A stated deadline applies where the time of the record does not.
@@ -109,9 +112,9 @@
     harness.core.wall_clock(WALL * MS);
     harness.send(CLIENT, &[target("order", 1, &[stated])]);
     harness.advance(455);
-    assert_eq!(harness.response_codes(CLIENT)[3].1, codes::UNKNOWN_SERVER_ERROR);
+    assert_eq!(harness.results(CLIENT)[3].code, codes::UNKNOWN_SERVER_ERROR);
     let wrong =
         harness.send(CLIENT, &[target("order", 1, &[record_with_header("y", "deadline-at-ms", "soon")])]);
-    assert_eq!(harness.response_codes(CLIENT)[4], (wrong, codes::INVALID_RECORD));
+    assert_eq!(harness.results(CLIENT)[4], result(wrong, codes::INVALID_RECORD));
     assert!(harness.responses[&CLIENT][4].parts[0].records[0].1.contains("deadline-at-ms: `soon`"));
 }
--- a/crates/edge/tests/core/harness.rs
+++ b/crates/edge/tests/core/harness.rs
@@ -208,18 +208,30 @@
         self.send(id, &[target(topic, partition, &[record(value)])])
     }
 
-    /// Returns the error codes of the partitions that a client was answered, each with the correlation id of
-    /// its request.
-    pub fn response_codes(&self, id: ClientId) -> Vec<(i32, i16)> {
-        let replies = self.responses.get(&id).map_or(&[][..], Vec::as_slice);
-        let codes = |reply: &ProduceReply| {
-            let correlation = reply.correlation;
-            reply.parts.iter().map(move |part| (correlation, part.code)).collect::<Vec<_>>()
-        };
-        replies.iter().flat_map(codes).collect()
+    /// Returns the results of all partitions in the responses to a client.
+    pub fn results(&self, id: ClientId) -> Vec<PartitionCode> {
+        let mut results = Vec::new();
+        for reply in self.responses.get(&id).into_iter().flatten() {
+            results.extend(reply.parts.iter().map(|part| result(reply.correlation, part.code)));
+        }
+        results
     }
 }
 
+/// The result of a partition in a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PartitionCode {
+    /// The correlation id of the request.
+    pub correlation: i32,
+    /// The error code.
+    pub code: i16,
+}
+
+/// The result of a partition in the response to this request.
+pub fn result(correlation: i32, code: i16) -> PartitionCode {
+    PartitionCode { correlation, code }
+}
+
 /// Records for a partition of a topic.
 pub fn target<'a>(topic: &'a str, partition: i32, records: &'a [Record]) -> ProduceTarget<'a> {
     ProduceTarget { topic, partition, records }
--- a/crates/edge/tests/core/requests.rs
+++ b/crates/edge/tests/core/requests.rs
@@ -9,7 +9,7 @@
     let mut harness = harness_with_client();
     let n = harness.send_one(CLIENT, "status", 1, "hello");
     harness.reply("hello", codes::NONE, 0);
-    assert_eq!(harness.response_codes(CLIENT), [(n, codes::NONE)]);
+    assert_eq!(harness.results(CLIENT), [result(n, codes::NONE)]);
     let status = harness.core.status();
     assert_eq!((status.in_flight, status.calls, status.classes["status"].served), (0, 0, 1));
 }
@@ -22,7 +22,7 @@
     harness.reply("a", codes::NONE, 0);
     harness.reply("b", codes::UNKNOWN_SERVER_ERROR, 0);
     harness.reply("c", codes::NONE, 0);
-    assert_eq!(harness.response_codes(CLIENT), [(n, codes::INVALID_RECORD), (n, codes::NONE)]);
+    assert_eq!(harness.results(CLIENT), [result(n, codes::INVALID_RECORD), result(n, codes::NONE)]);
     let mixed = &harness.responses[&CLIENT][0].parts[0];
     assert_eq!(
         mixed.records.iter().map(|r| r.1.split(':').next().unwrap()).collect::<Vec<_>>(),
@@ -37,8 +37,8 @@
     let n = harness.send(CLIENT, &[target("order", 1, &[record("a"), record("b")])]);
     harness.advance(3000);
     // No connection was established in all that time.
-    let first = harness.response_codes(CLIENT).first().copied();
-    assert_eq!(first, Some((n, codes::NOT_ENOUGH_REPLICAS)));
+    let first = harness.results(CLIENT).first().copied();
+    assert_eq!(first, Some(result(n, codes::NOT_ENOUGH_REPLICAS)));
     assert!(harness.calls.is_empty());
 }
 
@@ -52,11 +52,11 @@
         CLIENT,
         &[target("status", 1, &[record("fine"), record_with_header("x", "deadline-ms", "soon")])],
     );
-    let codes: Vec<(i32, i16)> = harness.response_codes(CLIENT);
-    assert_eq!(codes[0], (unknown, codes::UNKNOWN_TOPIC_OR_PARTITION));
-    assert_eq!(codes[1], (nowhere, codes::UNKNOWN_TOPIC_OR_PARTITION));
-    assert_eq!(codes[2], (negative, codes::UNKNOWN_TOPIC_OR_PARTITION));
-    assert_eq!(codes[3], (wrong, codes::INVALID_RECORD));
+    let results = harness.results(CLIENT);
+    assert_eq!(results[0], result(unknown, codes::UNKNOWN_TOPIC_OR_PARTITION));
+    assert_eq!(results[1], result(nowhere, codes::UNKNOWN_TOPIC_OR_PARTITION));
+    assert_eq!(results[2], result(negative, codes::UNKNOWN_TOPIC_OR_PARTITION));
+    assert_eq!(results[3], result(wrong, codes::INVALID_RECORD));
     assert!(harness.responses[&CLIENT][3].parts[0].records[0].1.contains("deadline-ms"));
     assert!(harness.calls.is_empty(), "no record of an invalid batch is accepted");
     let request = harness.request(0, &[target("status", 1, &[record("x")])]);
@@ -88,7 +88,7 @@
     harness.process_after_tick();
     assert!(!harness.closed.contains(&CLIENT));
     harness.reply("x", codes::NONE, 0);
-    assert_eq!(harness.response_codes(CLIENT), [(n, codes::NONE)]);
+    assert_eq!(harness.results(CLIENT), [result(n, codes::NONE)]);
     assert!(harness.closed.contains(&CLIENT));
 }
 
@@ -119,7 +119,7 @@
     assert!(harness.paused.contains(&CLIENT));
     let n = harness.send_one(2, "status", 1, "other");
     harness.reply("other", codes::NONE, 0);
-    assert_eq!(harness.response_codes(2), [(n, codes::NONE)]);
+    assert_eq!(harness.results(2), [result(n, codes::NONE)]);
     // The client reads, so its requests are processed.
     for _ in 0..200 {
         harness.core.set_client_backlog(CLIENT, 0);
@@ -149,13 +149,13 @@
     let batch: Vec<_> = (0..3).map(|n| record(&format!("b{n}"))).collect();
     let n = harness.send(CLIENT, &[target("status", 1, &batch)]);
     assert!(in_flight > 0);
-    assert_eq!(harness.response_codes(CLIENT), [(n, codes::NOT_ENOUGH_REPLICAS)]);
+    assert_eq!(harness.results(CLIENT), [result(n, codes::NOT_ENOUGH_REPLICAS)]);
     assert_eq!(harness.responses[&CLIENT][0].throttle_ms, 3000);
     let big: Vec<_> = (0..4).map(|n| record(&format!("c{n}"))).collect();
     let n = harness.send(CLIENT, &[target("status", 1, &big)]);
     assert_eq!(
-        harness.response_codes(CLIENT)[1],
-        (n, codes::MESSAGE_TOO_LARGE),
+        harness.results(CLIENT)[1],
+        result(n, codes::MESSAGE_TOO_LARGE),
         "a batch above the limit can never be accepted"
     );
 }
@@ -172,7 +172,10 @@
         harness.reply(&format!("k{n}"), codes::NONE, 0);
         harness.process_after_tick();
     }
-    assert_eq!(harness.response_codes(CLIENT).iter().map(|c| c.1).collect::<Vec<_>>(), [codes::NONE; 4]);
+    assert_eq!(
+        harness.results(CLIENT).iter().map(|result| result.code).collect::<Vec<_>>(),
+        [codes::NONE; 4]
+    );
 }
 
 #[test]
@@ -182,12 +185,12 @@
     let open = harness.send_one(CLIENT, "order", 2, "x");
     harness.core.begin_drain(harness.now + 1000 * MS);
     let late = harness.send_one(2, "status", 1, "late");
-    assert_eq!(harness.response_codes(2), [(late, codes::NOT_ENOUGH_REPLICAS)]);
+    assert_eq!(harness.results(2), [result(late, codes::NOT_ENOUGH_REPLICAS)]);
     assert!(!harness.core.is_done());
     harness.advance(1010);
     assert_eq!(
-        harness.response_codes(CLIENT),
-        [(open, codes::UNKNOWN_SERVER_ERROR)],
+        harness.results(CLIENT),
+        [result(open, codes::UNKNOWN_SERVER_ERROR)],
         "it may have been executed"
     );
     assert!(harness.core.is_done());
--- a/crates/edge/tests/process/configuration.rs
+++ b/crates/edge/tests/process/configuration.rs
@@ -1,7 +1,7 @@
 //! Changes of the configuration: incomplete files, signals at any time, and reordered or removed classes.
 
 use crate::courier::{config_file, wait_until, CourierProcess};
-use crate::stubs::{count_matching, discovery_stub, endpoint_stub};
+use crate::stubs::{discovery_stub, endpoint_stub};
 use rustix::process::Signal;
 use serde_json::{json, Value};
 
@@ -15,32 +15,32 @@
 
 #[test]
 fn message_under_reordered_settings_keeps_its_class() {
-    let (discovery, notifications) = discovery_stub();
-    let (endpoint, attempts) = endpoint_stub();
-    let mut courier = CourierProcess::new("classes", endpoint, discovery);
+    let discovery = discovery_stub();
+    let endpoint = endpoint_stub();
+    let mut courier = CourierProcess::new("classes", endpoint.address, discovery.address);
     assert_eq!((courier.submit("order", "slow-order"), courier.submit("status", "slow-status")), (202, 202));
-    wait_until("both attempts are out", || attempts.lock().unwrap().len() == 2);
+    wait_until("both attempts are out", || endpoint.requests().len() == 2);
     // The idempotent class now has the number of the one that is not idempotent.
     courier.write_config(&with_classes(&courier, &[2, 0, 1]));
     courier.kill_and_restart();
-    wait_until("the idempotent message is retried", || count_matching(&attempts, "slow-status") == 2);
-    wait_until("the other is completed", || count_matching(&notifications, "slow-order") == 1);
+    wait_until("the idempotent message is retried", || endpoint.count_matching("slow-status") == 2);
+    wait_until("the other is completed", || discovery.count_matching("slow-order") == 1);
     // A message whose class no longer exists is completed too.
     courier.write_config(&with_classes(&courier, &[0, 2]));
     courier.kill_and_restart();
-    wait_until("it has failed", || count_matching(&notifications, r#""slow-status","state":"failed""#) == 1);
-    assert_eq!((count_matching(&attempts, "slow-order"), count_matching(&attempts, "slow-status")), (1, 2));
+    wait_until("it has failed", || discovery.count_matching(r#""slow-status","state":"failed""#) == 1);
+    assert_eq!((endpoint.count_matching("slow-order"), endpoint.count_matching("slow-status")), (1, 2));
     let id = [("id", json!("slow-status"))];
     assert_eq!(courier.count_logged("recovered message of unknown class failed", &id), 1);
 }
 
 #[test]
 fn configuration_half_written_read_once_complete_and_early_signal_harmless() {
-    let (endpoint, attempts) = endpoint_stub();
-    let (first, _) = discovery_stub();
-    let (second, after) = discovery_stub();
-    let mut courier = CourierProcess::new("reload", endpoint, first);
-    let complete = config_file(courier.listen, &[endpoint], second).to_string();
+    let endpoint = endpoint_stub();
+    let first = discovery_stub();
+    let second = discovery_stub();
+    let mut courier = CourierProcess::new("reload", endpoint.address, first.address);
+    let complete = config_file(courier.listen, &[endpoint.address], second.address).to_string();
     courier.overwrite_config(&complete[..complete.len() / 2]);
     courier.signal(Signal::HUP);
     wait_until("the incomplete configuration is rejected", || {
@@ -51,9 +51,9 @@
         courier.count_logged("configuration reloaded", &[]) > 0
     });
     assert_eq!(courier.submit("order", "slow-m"), 202);
-    wait_until("its attempt is out", || count_matching(&attempts, "slow-m") == 1);
+    wait_until("its attempt is out", || endpoint.count_matching("slow-m") == 1);
     courier.kill_and_restart();
-    wait_until("the notification goes to the new address", || count_matching(&after, "slow-m") == 1);
+    wait_until("the notification goes to the new address", || second.count_matching("slow-m") == 1);
     // Signals while the process starts neither end it nor are lost.
     courier.kill();
     courier.start();
--- a/crates/edge/tests/process/connections.rs
+++ b/crates/edge/tests/process/connections.rs
@@ -2,16 +2,16 @@
 
 use crate::courier::{config_file, submission, wait_until, CourierProcess};
 use crate::peer::{serve_next_request, GatedListener};
-use crate::stubs::{count_matching, discovery_stub, SERVED};
+use crate::stubs::{discovery_stub, SERVED};
 use std::time::Duration;
 
 #[test]
 fn retry_after_while_connecting_withholds_attempt() {
-    let (discovery, _) = discovery_stub();
+    let discovery = discovery_stub();
     let quick = GatedListener::new();
     let mut late = GatedListener::not_accepting();
     let courier = CourierProcess::with_config("retry-after", |listen| {
-        let mut config = config_file(listen, &[quick.address, late.address], discovery);
+        let mut config = config_file(listen, &[quick.address, late.address], discovery.address);
         // Connecting to an endpoint may take as long as the operating system tries.
         config["settings"]["bounds"]["connect_timeout_ns"] = 20_000_000_000u64.into();
         config
@@ -32,10 +32,11 @@
 #[test]
 fn connection_with_incomplete_response_carries_no_other_attempt() {
     const INCOMPLETE: &str = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhal";
-    let (discovery, _) = discovery_stub();
+    let discovery = discovery_stub();
     let gate = GatedListener::new();
-    let courier =
-        CourierProcess::with_config("incomplete", |listen| config_file(listen, &[gate.address], discovery));
+    let courier = CourierProcess::with_config("incomplete", |listen| {
+        config_file(listen, &[gate.address], discovery.address)
+    });
     let mut peers = vec![];
     let mut last_connection = 0;
     // A connection is reused once there have been several attempts. Each response but the last is complete.
@@ -58,10 +59,10 @@
 
 #[test]
 fn late_response_to_abandoned_attempt_completes_message_and_cancels_others() {
-    let (discovery, notifications) = discovery_stub();
+    let discovery = discovery_stub();
     let gates = [GatedListener::new(), GatedListener::new()];
     let mut courier = CourierProcess::with_config("late", |listen| {
-        let mut config = config_file(listen, &[gates[0].address, gates[1].address], discovery);
+        let mut config = config_file(listen, &[gates[0].address, gates[1].address], discovery.address);
         config["settings"]["services"][0]["slo_ns"] = 200_000_000.into();
         config
     });
@@ -84,15 +85,15 @@
     courier.kill_and_restart();
     courier.settle();
     assert!(gates.iter().all(GatedListener::is_silent), "a delivered message is not sent again");
-    assert_eq!(count_matching(&notifications, "\"a\""), 0, "no other outcome is notified");
+    assert_eq!(discovery.count_matching("\"a\""), 0, "no other outcome is notified");
 }
 
 #[test]
 fn response_read_after_deadline_is_no_delivery() {
-    let (discovery, notifications) = discovery_stub();
+    let discovery = discovery_stub();
     let gate = GatedListener::new();
     let courier = CourierProcess::with_config("after-deadline", |listen| {
-        config_file(listen, &[gate.address], discovery)
+        config_file(listen, &[gate.address], discovery.address)
     });
     let text = submission("order", "late", "").replace("-Ms: 30000", "-Ms: 1000");
     assert_eq!(courier.request(&text), Some(202));
@@ -103,7 +104,5 @@
     std::thread::sleep(Duration::from_millis(1100));
     attempt.send(SERVED);
     courier.resume();
-    wait_until("the message has failed", || {
-        count_matching(&notifications, r#""late","state":"failed""#) == 1
-    });
+    wait_until("the message has failed", || discovery.count_matching(r#""late","state":"failed""#) == 1);
 }
--- a/crates/edge/tests/process/lifecycle.rs
+++ b/crates/edge/tests/process/lifecycle.rs
@@ -1,77 +1,74 @@
 //! The life of the process: killed, ended by SIGTERM, started on a damaged journal or without what it needs.
 
 use crate::courier::{config_file, program, wait_until, CourierProcess};
-use crate::stubs::{count_matching, discovery_stub, endpoint_stub};
+use crate::stubs::{discovery_stub, endpoint_stub};
 use rustix::process::Signal;
 use std::net::TcpStream;
 
 #[test]
 fn courier_killed_with_attempts_out_completes_all_and_repeats_nothing_unsafe() {
-    let (endpoint, attempts) = endpoint_stub();
-    let (discovery, notifications) = discovery_stub();
-    let mut courier = CourierProcess::new("kill", endpoint, discovery);
+    let endpoint = endpoint_stub();
+    let discovery = discovery_stub();
+    let mut courier = CourierProcess::new("kill", endpoint.address, discovery.address);
     assert_eq!(courier.submit("order", "slow-order"), 202);
     assert_eq!(courier.submit("status", "slow-status"), 202);
     assert_eq!(courier.submit("order", "quick-order"), 202);
-    wait_until("all attempts are out", || attempts.lock().unwrap().len() == 3);
+    wait_until("all attempts are out", || endpoint.requests().len() == 3);
     // The response to quick-order must be read: otherwise its attempt would be unresolved in the next
     // process.
     courier.settle();
     courier.kill_and_restart();
-    wait_until("slow-order is completed", || count_matching(&notifications, "slow-order") > 0);
-    assert!(count_matching(&notifications, r#""slow-order","state":"failed""#) > 0);
-    wait_until("slow-status is retried", || count_matching(&attempts, "slow-status") > 1);
-    assert_eq!(count_matching(&attempts, "slow-order"), 1);
+    wait_until("slow-order is completed", || discovery.count_matching("slow-order") > 0);
+    assert!(discovery.count_matching(r#""slow-order","state":"failed""#) > 0);
+    wait_until("slow-status is retried", || endpoint.count_matching("slow-status") > 1);
+    assert_eq!(endpoint.count_matching("slow-order"), 1);
     // A completed message stays completed once the acknowledgement of its notification has been read.
     courier.settle();
     courier.kill_and_restart();
     courier.kill_and_restart();
-    wait_until("slow-status is retried again", || count_matching(&attempts, "slow-status") > 2);
-    assert_eq!((count_matching(&attempts, "slow-order"), count_matching(&attempts, "quick-order")), (1, 1));
-    assert_eq!(
-        (count_matching(&notifications, "slow-order"), count_matching(&notifications, "quick-order")),
-        (1, 0)
-    );
+    wait_until("slow-status is retried again", || endpoint.count_matching("slow-status") > 2);
+    assert_eq!((endpoint.count_matching("slow-order"), endpoint.count_matching("quick-order")), (1, 1));
+    assert_eq!((discovery.count_matching("slow-order"), discovery.count_matching("quick-order")), (1, 0));
     assert_eq!(courier.submit("status", "slow-status"), 202, "its id is still known");
 }
 
 #[test]
 fn sigterm_ends_with_attempts_answered_and_sighup_moves_discovery() {
-    let (endpoint, attempts) = endpoint_stub();
-    let (first, before) = discovery_stub();
-    let (second, after) = discovery_stub();
-    let mut courier = CourierProcess::new("signals", endpoint, first);
+    let endpoint = endpoint_stub();
+    let first = discovery_stub();
+    let second = discovery_stub();
+    let mut courier = CourierProcess::new("signals", endpoint.address, first.address);
     courier.overwrite_config("{\"name\":");
     courier.signal(Signal::HUP);
     wait_until("the incomplete configuration is rejected", || {
         courier.count_logged("configuration unreadable, previous one stays in force", &[]) > 0
     });
     assert_eq!(courier.submit("order", "a"), 202, "an incomplete configuration changes nothing");
-    courier.write_config(&config_file(courier.listen, &[endpoint], second));
+    courier.write_config(&config_file(courier.listen, &[endpoint.address], second.address));
     courier.signal(Signal::HUP);
     wait_until("the new configuration is in force", || {
         courier.count_logged("configuration reloaded", &[]) > 0
     });
     assert_eq!(courier.submit("order", "slow-b"), 202);
-    wait_until("its attempt is out", || count_matching(&attempts, "slow-b") == 1);
+    wait_until("its attempt is out", || endpoint.count_matching("slow-b") == 1);
     courier.signal(Signal::TERM);
     assert_eq!(courier.submit("order", "c"), 202, "requests are still answered");
     wait_until("the listener is closed", || TcpStream::connect(courier.listen).is_err());
     assert!(courier.child.wait().unwrap().success());
-    assert_eq!(count_matching(&attempts, "c"), 1);
+    assert_eq!(endpoint.count_matching("c"), 1);
     courier.restart();
-    wait_until("the notification goes to the new address", || count_matching(&after, "slow-b") == 1);
-    assert_eq!((count_matching(&before, "slow-b"), count_matching(&attempts, "slow-b")), (0, 1));
+    wait_until("the notification goes to the new address", || second.count_matching("slow-b") == 1);
+    assert_eq!((first.count_matching("slow-b"), endpoint.count_matching("slow-b")), (0, 1));
 }
 
 #[test]
 fn journal_damaged_loses_only_damaged_records() {
-    let (endpoint, attempts) = endpoint_stub();
-    let (discovery, notifications) = discovery_stub();
-    let mut courier = CourierProcess::new("damage", endpoint, discovery);
+    let endpoint = endpoint_stub();
+    let discovery = discovery_stub();
+    let mut courier = CourierProcess::new("damage", endpoint.address, discovery.address);
     assert_eq!(courier.submit("order", "slow-first"), 202);
     assert_eq!(courier.submit("order", "slow-second"), 202);
-    wait_until("both attempts are out", || attempts.lock().unwrap().len() == 2);
+    wait_until("both attempts are out", || endpoint.requests().len() == 2);
     courier.kill();
     for name in courier.state_files() {
         let path = courier.dir.join("state").join(name);
@@ -82,8 +79,8 @@
         std::fs::write(&path, bytes).unwrap();
     }
     courier.restart();
-    wait_until("the second is completed", || count_matching(&notifications, "slow-second") > 0);
-    assert_eq!((attempts.lock().unwrap().len(), count_matching(&notifications, "first")), (2, 0));
+    wait_until("the second is completed", || discovery.count_matching("slow-second") > 0);
+    assert_eq!((endpoint.requests().len(), discovery.count_matching("first")), (2, 0));
     // The state directory cannot be written: the process ends with an error and accepts nothing.
     courier.kill();
     std::fs::remove_dir_all(courier.dir.join("state")).unwrap();
--- a/crates/edge/tests/process/requests.rs
+++ b/crates/edge/tests/process/requests.rs
@@ -2,7 +2,7 @@
 
 use crate::courier::{submission, wait_until, CourierProcess};
 use crate::peer::{Peer, Response};
-use crate::stubs::{count_matching, discovery_stub, endpoint_stub};
+use crate::stubs::{discovery_stub, endpoint_stub};
 use linnetcart_http::Persistence;
 use rustix::process::Signal;
 use std::time::Duration;
@@ -11,26 +11,26 @@
 
 #[test]
 fn completed_id_known_also_after_kills() {
-    let (discovery, _) = discovery_stub();
-    let (endpoint, attempts) = endpoint_stub();
-    let mut courier = CourierProcess::new("known", endpoint, discovery);
+    let discovery = discovery_stub();
+    let endpoint = endpoint_stub();
+    let mut courier = CourierProcess::new("known", endpoint.address, discovery.address);
     assert_eq!(courier.submit("order", "once"), 202);
-    wait_until("it is delivered", || count_matching(&attempts, "once") == 1);
+    wait_until("it is delivered", || endpoint.count_matching("once") == 1);
     courier.settle();
     for _ in 0..3 {
         assert_eq!(courier.submit("order", "once"), 202, "its id is known");
         assert_eq!(courier.submit("status", "once"), 409, "another message with its id");
         courier.settle();
-        assert_eq!(count_matching(&attempts, "once"), 1);
+        assert_eq!(endpoint.count_matching("once"), 1);
         courier.kill_and_restart();
     }
 }
 
 #[test]
 fn message_submitted_twice_in_one_iteration_gets_same_answer() {
-    let (discovery, _) = discovery_stub();
-    let (endpoint, attempts) = endpoint_stub();
-    let courier = CourierProcess::new("twice", endpoint, discovery);
+    let discovery = discovery_stub();
+    let endpoint = endpoint_stub();
+    let courier = CourierProcess::new("twice", endpoint.address, discovery.address);
     for (time_left, status, calls) in [("1", 503, 0), ("30000", 202, 1)] {
         let id = format!("m-{time_left}");
         let text = submission("order", &id, "").replace("-Ms: 30000", &format!("-Ms: {time_left}"));
@@ -42,16 +42,16 @@
         let statuses = clients.each_mut().map(|client| client.read_response().status);
         assert_eq!(statuses, [status; 2], "both are rejected in their iteration, or both accepted");
         courier.settle();
-        wait_until("it is sent", || count_matching(&attempts, &id) >= calls);
-        assert_eq!(count_matching(&attempts, &id), calls);
+        wait_until("it is sent", || endpoint.count_matching(&id) >= calls);
+        assert_eq!(endpoint.count_matching(&id), calls);
     }
 }
 
 #[test]
 fn client_asking_for_close_gets_it_with_its_answer() {
-    let (discovery, _) = discovery_stub();
-    let (endpoint, _) = endpoint_stub();
-    let courier = CourierProcess::new("close", endpoint, discovery);
+    let discovery = discovery_stub();
+    let endpoint = endpoint_stub();
+    let courier = CourierProcess::new("close", endpoint.address, discovery.address);
     let mut client = Peer::connect(courier.listen);
     client.send(&submission("order", "last", "Connection: close\r\n"));
     assert_eq!(client.read_response(), ACCEPTED_AND_CLOSED);
@@ -84,9 +84,9 @@
 
 #[test]
 fn request_on_last_connections_taken_answered() {
-    let (discovery, _) = discovery_stub();
-    let (endpoint, _) = endpoint_stub();
-    let mut courier = CourierProcess::new("term", endpoint, discovery);
+    let discovery = discovery_stub();
+    let endpoint = endpoint_stub();
+    let mut courier = CourierProcess::new("term", endpoint.address, discovery.address);
     let mut idle = stop_after_sigterm(&mut courier);
     let mut clients: Vec<Peer> = (0..20).map(|_| Peer::connect(courier.listen)).collect();
     for (n, client) in clients.iter_mut().enumerate() {
--- a/crates/edge/tests/process/restart.rs
+++ b/crates/edge/tests/process/restart.rs
@@ -3,7 +3,7 @@
 
 use crate::courier::{config_file, entry, submission, wait_until, CourierProcess};
 use crate::peer::{serve_next_request, GatedListener, Peer};
-use crate::stubs::{count_matching, discovery_stub, endpoint_stub, SERVED};
+use crate::stubs::{discovery_stub, endpoint_stub, SERVED};
 use rustix::process::Signal;
 use serde_json::{json, Value};
 use std::net::SocketAddr;
@@ -41,11 +41,12 @@
 
 #[test]
 fn attempt_connecting_while_journal_replaced_counts_after_kill() {
-    let (discovery, notifications) = discovery_stub();
-    let (quick, served) = endpoint_stub();
+    let discovery = discovery_stub();
+    let quick = endpoint_stub();
     let mut late = GatedListener::not_accepting();
     let mut courier = CourierProcess::with_config("journal", |listen| {
-        let mut config = with_other_destination(config_file(listen, &[late.address], discovery), quick);
+        let mut config =
+            with_other_destination(config_file(listen, &[late.address], discovery.address), quick.address);
         // Connecting to an endpoint may take as long as the operating system tries.
         config["settings"]["bounds"]["connect_timeout_ns"] = 20_000_000_000u64.into();
         config
@@ -59,7 +60,7 @@
         let id = format!("fill-{n}");
         let head = submission("status", &id, "Content-Length: 60000\r\n").replace("dest=3", "dest=4");
         assert_eq!(courier.request(&format!("{head}{}", "x".repeat(60_000))), Some(202));
-        wait_until("it is delivered", || count_matching(&served, &id) == 1);
+        wait_until("it is delivered", || quick.count_matching(&id) == 1);
         courier.settle();
         if courier.state_files() != before {
             break;
@@ -69,8 +70,8 @@
     let mut attempt = late.accept();
     assert_eq!(attempt.read_request(), "unsafe");
     courier.kill_and_restart();
-    wait_until("the message is completed", || count_matching(&notifications, "unsafe") == 1);
-    assert!(count_matching(&notifications, r#""state":"failed""#) == 1, "it may have been executed");
+    wait_until("the message is completed", || discovery.count_matching("unsafe") == 1);
+    assert!(discovery.count_matching(r#""state":"failed""#) == 1, "it may have been executed");
     courier.settle();
     assert!(late.is_silent(), "it is not sent again");
 }
@@ -78,10 +79,11 @@
 #[test]
 fn recovered_untried_message_attempted() {
     for (name, signal) in [("full-kill", Signal::KILL), ("full-term", Signal::TERM)] {
-        let (discovery, notifications) = discovery_stub();
+        let discovery = discovery_stub();
         let gate = GatedListener::new();
-        let mut courier =
-            CourierProcess::with_config(name, |listen| config_file(listen, &[gate.address], discovery));
+        let mut courier = CourierProcess::with_config(name, |listen| {
+            config_file(listen, &[gate.address], discovery.address)
+        });
         // Attempts that hang occupy all slots. The other messages wait.
         let accepted = submit_all(&courier, "order", "m", MAX_IN_FLIGHT);
         assert_eq!(accepted, MAX_IN_FLIGHT);
@@ -97,8 +99,7 @@
             served.len() == untried && served.iter().all(|id| !attempted.contains(id)),
             "each untried message is attempted once"
         );
-        let failed =
-            || notifications.lock().unwrap().iter().map(|n| n.matches("failed").count()).sum::<usize>();
+        let failed = || discovery.requests().iter().map(|n| n.matches("failed").count()).sum::<usize>();
         wait_until("the attempted messages have failed", || failed() == attempted.len());
         let counts = [
             ("recovered", json!(accepted)),
@@ -112,10 +113,11 @@
 
 #[test]
 fn recovered_untried_message_not_displaced_by_new_ones() {
-    let (discovery, notifications) = discovery_stub();
+    let discovery = discovery_stub();
     let gate = GatedListener::new();
-    let mut courier =
-        CourierProcess::with_config("displaced", |listen| config_file(listen, &[gate.address], discovery));
+    let mut courier = CourierProcess::with_config("displaced", |listen| {
+        config_file(listen, &[gate.address], discovery.address)
+    });
     let recovered = submit_all(&courier, "status", "found-", MAX_IN_FLIGHT);
     assert_eq!(recovered, MAX_IN_FLIGHT);
     let mut hung = accept_all(&gate);
@@ -128,7 +130,7 @@
     assert_eq!(submit_all(&courier, "status", "new-", 12), 0, "rejected before they are accepted");
     let served = serve_requests(&gate, &mut peers, recovered);
     assert!(served.len() == recovered && served.iter().all(|id| id.starts_with("found")), "{served:?}");
-    assert_eq!(count_matching(&notifications, "returned"), 0);
+    assert_eq!(discovery.count_matching("returned"), 0);
 }
 
 #[test]
@@ -169,10 +171,10 @@
 
 #[test]
 fn key_cooldown_after_possibly_executed_attempt_outlasts_process() {
-    let (discovery, notifications) = discovery_stub();
+    let discovery = discovery_stub();
     let gate = GatedListener::new();
     let mut courier = CourierProcess::with_config("cooldown", |listen| {
-        let mut config = config_file(listen, &[gate.address], discovery);
+        let mut config = config_file(listen, &[gate.address], discovery.address);
         config["settings"]["contract"]["turn_gap_ns"] = 4_000_000_000u64.into();
         config
     });
@@ -181,7 +183,7 @@
     assert_eq!(courier.request(&first), Some(202));
     let mut attempt = gate.accept();
     assert_eq!(attempt.read_request(), "first");
-    wait_until("its deadline has passed", || count_matching(&notifications, "first") == 1);
+    wait_until("its deadline has passed", || discovery.count_matching("first") == 1);
     courier.kill_and_restart();
     assert_eq!(courier.request(&with_key("k", "second")), Some(202));
     assert_eq!(courier.request(&with_key("l", "other")), Some(202));
--- a/crates/edge/tests/process/stubs.rs
+++ b/crates/edge/tests/process/stubs.rs
@@ -10,13 +10,31 @@
 
 /// Requests in the order in which they came, each by its message id or, without one, its body. It stays
 /// locked until the answer is written: whoever finds a request in it knows that its answer has been sent.
-pub type RequestLog = Arc<Mutex<Vec<String>>>;
+type RequestLog = Arc<Mutex<Vec<String>>>;
 
 /// Returns the response to a request, by its subject, or `None` if it gets none.
 type Reply = fn(&str) -> Option<&'static [u8]>;
 
+/// A stub and the requests that it has received.
+pub struct Stub {
+    pub address: SocketAddr,
+    log: RequestLog,
+}
+
+impl Stub {
+    /// Returns the subjects of the requests so far.
+    pub fn requests(&self) -> Vec<String> {
+        self.log.lock().unwrap().clone()
+    }
+
+    /// Returns how many requests contain this text.
+    pub fn count_matching(&self, text: &str) -> usize {
+        self.requests().iter().filter(|subject| subject.contains(text)).count()
+    }
+}
+
 /// Starts a stub that responds to each request by `reply`.
-pub fn serve(reply: Reply) -> (SocketAddr, RequestLog) {
+fn serve(reply: Reply) -> Stub {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     let log = RequestLog::default();
@@ -27,7 +45,7 @@
             std::thread::spawn(move || serve_connection(stream, reply, &log));
         }
     });
-    (address, log)
+    Stub { address, log }
 }
 
 fn serve_connection(mut stream: TcpStream, reply: Reply, log: &RequestLog) {
@@ -60,7 +78,7 @@
 
 /// Starts a stub of discovery. It responds to the watch with an empty line, and acknowledges all
 /// notifications.
-pub fn discovery_stub() -> (SocketAddr, RequestLog) {
+pub fn discovery_stub() -> Stub {
     serve(|subject| match subject {
         "watch" => Some(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n"),
         _ => Some(b"HTTP/1.1 204 No Content\r\n\r\n"),
@@ -69,11 +87,6 @@
 
 /// Starts a stub of an endpoint. It serves every message, except that those whose id begins with `slow` get
 /// no response.
-pub fn endpoint_stub() -> (SocketAddr, RequestLog) {
+pub fn endpoint_stub() -> Stub {
     serve(|id| (!id.starts_with("slow")).then_some(SERVED.as_bytes()))
 }
-
-/// Returns how many requests contain this text.
-pub fn count_matching(log: &RequestLog, text: &str) -> usize {
-    log.lock().unwrap().iter().filter(|subject| subject.contains(text)).count()
-}
