Edge core: an in-flight message contains the accepted one

Cause: NewMessage and InFlightMessage stated six fields twice, and insert copied them one by one. Change: InFlightMessage has a Message and its progress.

--- a/crates/edge/src/core/attempts.rs
+++ b/crates/edge/src/core/attempts.rs
@@ -2,7 +2,7 @@
 //! messages.
 
 use super::delivery::{AttemptId, Departure, FinishedAttempt, OutgoingMessage};
-use super::in_flight::{InFlightMessage, MessageState};
+use super::in_flight::{InFlightMessage, Message, MessageState};
 use super::responses::RecordOutcome;
 use super::{Core, UpstreamId};
 use crate::delivery_events::{DeliveryEvent, FinalAnswer, LoadReport};
@@ -36,7 +36,7 @@
         let now = self.clock.now();
         let (in_flight, endpoints, retry_after) = (&self.in_flight, &self.endpoints, &self.retry_after);
         let may_depart = |departure: Departure| {
-            in_flight.open(departure.message).is_some_and(|message| message.deadline > now)
+            in_flight.open(departure.message).is_some_and(|open| open.message.deadline > now)
                 && endpoints.is_ready(departure.endpoint)
                 && !retry_after.is_blocked(departure.endpoint, now)
         };
@@ -49,7 +49,7 @@
     pub(super) fn start_attempt(&mut self, message: u32, endpoint: u32, until: Time) {
         let Some(begun) = self.in_flight.begin_attempt(message) else { return };
         let Some(in_flight) = self.in_flight.get(message) else { return };
-        let (class, destination) = (in_flight.class, in_flight.destination);
+        let Message { class, destination, .. } = in_flight.message;
         self.counters.attempt_started();
         self.delivery_events.push(DeliveryEvent::AttemptStarted {
             message,
@@ -64,7 +64,7 @@
         let may_start = !begun.message_completed && !attempts_used_up;
         match self.max_messages_per_call(endpoint) {
             Some(max_messages_per_call) if may_start => {
-                let outgoing = outgoing_message(id, in_flight, until, self.decisions.tick());
+                let outgoing = outgoing_message(id, &in_flight.message, until, self.decisions.tick());
                 self.delivery.send(endpoint, outgoing, max_messages_per_call);
             }
             _ => self.delivery.reject_unsent(id, endpoint),
@@ -135,8 +135,8 @@
         self.delivery_events.push(DeliveryEvent::AttemptFinished {
             message,
             attempt,
-            class: in_flight.class,
-            destination: in_flight.destination,
+            class: in_flight.message.class,
+            destination: in_flight.message.destination,
             endpoint: finished.endpoint,
             outcome: finished.outcome,
             elapsed: self.clock.now().saturating_sub(finished.started_at),
@@ -173,7 +173,7 @@
     pub(super) fn complete_undecided(&mut self, message: u32) {
         let Some(in_flight) = self.in_flight.open(message) else { return };
         let repeat_is_harmless = matches!(
-            self.idempotency[usize::from(in_flight.class)],
+            self.idempotency[usize::from(in_flight.message.class)],
             Idempotency::Idempotent | Idempotency::Keyed { per_zone: false, .. }
         );
         let answer = if repeat_is_harmless || !self.is_possibly_executed(message, in_flight) {
@@ -188,8 +188,8 @@
     /// Gives a message its final answer.
     fn complete(&mut self, message: u32, answer: FinalAnswer) {
         let Some(in_flight) = self.in_flight.open(message) else { return };
-        let (position, class, destination) = (in_flight.position, in_flight.class, in_flight.destination);
-        let elapsed = self.clock.now() - in_flight.accepted_at;
+        let Message { position, class, destination, accepted_at, .. } = in_flight.message;
+        let elapsed = self.clock.now() - accepted_at;
         let not_executed = !self.is_possibly_executed(message, in_flight);
         let record_outcome = match answer {
             FinalAnswer::Served => RecordOutcome::Served,
@@ -214,12 +214,7 @@
 
 /// Builds the outgoing message of an attempt. The attempt times out at `timeout_at`, or at the message's
 /// deadline if that is earlier or `timeout_at` is 0.
-fn outgoing_message(
-    attempt: AttemptId,
-    message: &InFlightMessage,
-    timeout_at: Time,
-    tick: Time,
-) -> OutgoingMessage {
+fn outgoing_message(attempt: AttemptId, message: &Message, timeout_at: Time, tick: Time) -> OutgoingMessage {
     let deadline = message.deadline;
     OutgoingMessage {
         attempt,
--- a/crates/edge/src/core/in_flight.rs
+++ b/crates/edge/src/core/in_flight.rs
@@ -8,9 +8,9 @@
 use linnetcart_kafka::Record;
 use std::collections::BTreeMap;
 
-/// A message of the table.
+/// An accepted message.
 #[derive(Debug)]
-pub(crate) struct InFlightMessage {
+pub(crate) struct Message {
     pub(crate) position: RecordPosition,
     pub(crate) class: u8,
     pub(crate) destination: u32,
@@ -18,6 +18,12 @@
     pub(crate) record: Record,
     pub(crate) accepted_at: Time,
     pub(crate) deadline: Time,
+}
+
+/// A message of the table and its progress.
+#[derive(Debug)]
+pub(crate) struct InFlightMessage {
+    pub(crate) message: Message,
     /// Whether a finished attempt was executed or may have been.
     pub(crate) possibly_executed: bool,
     /// Whether it has its final answer, or needs none because its client disconnected.
@@ -27,17 +33,6 @@
     attempts_out: u16,
 }
 
-/// A message to be added to the table.
-#[derive(Debug)]
-pub(crate) struct NewMessage {
-    pub(crate) position: RecordPosition,
-    pub(crate) class: u8,
-    pub(crate) destination: u32,
-    pub(crate) record: Record,
-    pub(crate) accepted_at: Time,
-    pub(crate) deadline: Time,
-}
-
 /// An attempt that was begun.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct BegunAttempt {
@@ -111,65 +106,60 @@
     }
 
     /// Adds a message. Returns the number that it gets.
-    pub(crate) fn insert(&mut self, new: NewMessage) -> u32 {
+    pub(crate) fn insert(&mut self, message: Message) -> u32 {
         let messages = &self.messages;
         let number = self.numbers.allocate(|candidate| messages.contains_key(&candidate));
-        let bytes = new.record.size();
+        let bytes = message.record.size();
         self.usage.messages += 1;
         self.usage.bytes += bytes;
-        let message = InFlightMessage {
-            position: new.position,
-            class: new.class,
-            destination: new.destination,
-            record: new.record,
-            accepted_at: new.accepted_at,
-            deadline: new.deadline,
+        let in_flight = InFlightMessage {
+            message,
             possibly_executed: false,
             completed: false,
             bytes,
             attempts: 0,
             attempts_out: 0,
         };
-        self.messages.insert(number, message);
+        self.messages.insert(number, in_flight);
         number
     }
 
     /// Completes a message that has its final answer or needs none. It stays in the table until its last
     /// attempt has finished.
     pub(crate) fn complete(&mut self, number: u32) {
-        let message = self.messages.get_mut(&number).filter(|message| !message.completed);
-        let Some(message) = message else { return };
-        message.completed = true;
-        message.record = Record::default();
+        let in_flight = self.messages.get_mut(&number).filter(|in_flight| !in_flight.completed);
+        let Some(in_flight) = in_flight else { return };
+        in_flight.completed = true;
+        in_flight.message.record = Record::default();
         self.usage.messages -= 1;
-        self.usage.bytes -= message.bytes;
-        if message.attempts_out == 0 {
+        self.usage.bytes -= in_flight.bytes;
+        if in_flight.attempts_out == 0 {
             self.messages.remove(&number);
         }
     }
 
     /// Begins an attempt. Returns `None` if the message is not in the table.
     pub(crate) fn begin_attempt(&mut self, number: u32) -> Option<BegunAttempt> {
-        let message = self.messages.get_mut(&number)?;
+        let in_flight = self.messages.get_mut(&number)?;
         let begun = BegunAttempt {
-            number: message.attempts,
-            hedge: message.attempts_out > 0,
-            message_completed: message.completed,
+            number: in_flight.attempts,
+            hedge: in_flight.attempts_out > 0,
+            message_completed: in_flight.completed,
         };
-        message.attempts += 1;
-        message.attempts_out += 1;
+        in_flight.attempts += 1;
+        in_flight.attempts_out += 1;
         Some(begun)
     }
 
     /// Records the outcome of an attempt. Returns the state of its message.
     pub(crate) fn finish_attempt(&mut self, number: u32, outcome: AttemptOutcome) -> MessageState {
-        let Some(message) = self.messages.get_mut(&number) else { return MessageState::Completed };
-        message.attempts_out = message.attempts_out.saturating_sub(1);
-        message.possibly_executed |= !outcome.not_executed();
-        if !message.completed {
+        let Some(in_flight) = self.messages.get_mut(&number) else { return MessageState::Completed };
+        in_flight.attempts_out = in_flight.attempts_out.saturating_sub(1);
+        in_flight.possibly_executed |= !outcome.not_executed();
+        if !in_flight.completed {
             return MessageState::Open;
         }
-        if message.attempts_out == 0 {
+        if in_flight.attempts_out == 0 {
             self.messages.remove(&number);
         }
         MessageState::Completed
--- a/crates/edge/src/core/in_flight/tests.rs
+++ b/crates/edge/src/core/in_flight/tests.rs
@@ -2,8 +2,8 @@
 
 use super::*;
 
-fn message(bytes: usize) -> NewMessage {
-    NewMessage {
+fn message(bytes: usize) -> Message {
+    Message {
         position: RecordPosition { client: 1, request: 0, partition: 0, record: 0 },
         class: 0,
         destination: 1,
--- a/crates/edge/src/core/requests.rs
+++ b/crates/edge/src/core/requests.rs
@@ -5,7 +5,7 @@
 };
 use super::clients::{PendingPartition, PendingProduce, PendingRecord, ReadState, RecordPosition};
 use super::error::ProtocolError;
-use super::in_flight::NewMessage;
+use super::in_flight::Message;
 use super::responses::RecordOutcome;
 use super::{ClientId, Core, Output};
 use crate::delivery_events::{DeliveryEvent, RejectionReason};
@@ -37,7 +37,7 @@
     pub fn client_disconnected(&mut self, id: ClientId) {
         for message in self.clients.remove(id) {
             let Some(in_flight) = self.in_flight.get(message) else { continue };
-            let (class, destination) = (in_flight.class, in_flight.destination);
+            let Message { class, destination, .. } = in_flight.message;
             self.counters.client_cancelled(class);
             self.delivery_events.push(DeliveryEvent::ClientCancelled { message, class, destination });
             self.decisions.push(Event::ClientCancelled { message });
@@ -179,8 +179,8 @@
         let Route { class, destination } = route;
         let AdmittedRecord { record, name, ordering_key, deadline, tenant } = admitted;
         let accepted_at = self.clock.now();
-        let new = NewMessage { position, class, destination, record, accepted_at, deadline };
-        let id = self.in_flight.insert(new);
+        let message = Message { position, class, destination, record, accepted_at, deadline };
+        let id = self.in_flight.insert(message);
         self.counters.accepted(class);
         self.delivery_events.push(DeliveryEvent::Accepted {
             message: id,
