--- a/crates/testbed/src/cli/common.rs
+++ b/crates/testbed/src/cli/common.rs
@@ -28,7 +28,7 @@
 impl Outcome {
     /// `Passed` if the run kept every invariant, otherwise `Failed`.
     pub(super) fn of_report(report: &Report) -> Outcome {
-        if report.kept() {
+        if report.is_conformant() {
             Outcome::Passed
         } else {
             Outcome::Failed
@@ -117,5 +117,5 @@
 
 /// Prints whether the run kept every invariant.
 pub(super) fn print_verdict(report: &Report) {
-    println!("{}", if report.kept() { "all rules kept" } else { "A RULE WAS BROKEN" });
+    println!("{}", if report.is_conformant() { "all rules kept" } else { "A RULE WAS BROKEN" });
 }
