--- a/crates/edge/src/settings/tests.rs
+++ b/crates/edge/src/settings/tests.rs
@@ -1,4 +1,4 @@
-//! Documents: what is read, what is rejected, and with which words.
+//! Documents: which are valid, and the errors of those that are not.
 
 use super::*;
 use linnetcart::Idempotency;
@@ -10,12 +10,18 @@
         "courier": {"me": 0, "of": 1, "zone": "a"},
         "zones": ["a", "b"],
         "classes": [
-            {"name": "status", "aim_ms": 1000, "deadline_ms": 4000, "worth": 1, "late_worth": 0.5, "repeat": "safe"},
+            {"name": "status", "aim_ms": 1000, "deadline_ms": 4000, "worth": 1, "late_worth": 0.5,
+             "repeat": "safe"},
             {"name": "proxy", "aim_ms": 1000, "deadline_ms": 4000, "worth": 1, "late_worth": 0.5,
              "repeat": {"keyed": {"window_ms": 8000}}, "ordered": true},
-            {"name": "order", "aim_ms": 1000, "deadline_ms": 3000, "worth": 4, "late_worth": 0.5, "repeat": "unsafe"}
+            {"name": "order", "aim_ms": 1000, "deadline_ms": 3000, "worth": 4, "late_worth": 0.5,
+             "repeat": "unsafe"}
+        ],
+        "kinds": [
+            {"name": "large"},
+            {"name": "small", "routes_apart": true},
+            {"name": "batch", "per_call": 3}
         ],
-        "kinds": [{"name": "large"}, {"name": "small", "routes_apart": true}, {"name": "batch", "per_call": 3}],
         "limits": {"slots": 8, "held": 100, "attempts": 6},
         "rules": {"answer_slack_ms": 50, "cold_share": 0.2, "warm_after_ms": 10000, "fall_multiple": 2.0,
                   "fall_span_ms": 2000, "key_rest_ms": 100}
@@ -64,7 +70,7 @@
 }
 
 #[test]
-fn endpoint_list_update_applies_as_a_whole_or_not_at_all() {
+fn endpoint_list_update_applies_completely_or_not_at_all() {
     let settings = parse(&sample()).unwrap();
     let entry = |id: u32, kind: &str, state| EndpointEntry {
         id,
@@ -98,3 +104,39 @@
     let twice = [entry(11, "large", EntryState::Ready), entry(11, "large", EntryState::Ready)];
     assert_eq!(field(&update(2, true, &twice)), "entries[1].id");
 }
+
+/// Operators know the error texts of the control interface, which include the names of the document types.
+#[test]
+fn document_of_wrong_type_is_rejected_with_the_type_names_of_earlier_versions() {
+    let cases = [
+        ("", "struct Settings", Some(15)),
+        ("/courier", "struct CourierNumber", Some(3)),
+        ("/classes/0", "struct ClassDoc", Some(7)),
+        ("/classes/1/repeat/keyed", "struct variant RepeatDoc::Keyed", Some(2)),
+        ("/kinds/0", "struct KindDoc", Some(3)),
+        ("/tenants", "a sequence", None),
+        ("/tenants/0", "struct TenantDoc", Some(2)),
+        ("/limits", "struct Limits", Some(8)),
+        ("/allow", "struct Allow", None),
+        ("/connections", "struct Connections", None),
+        ("/clocks", "struct ClocksDoc", None),
+        ("/rules", "struct Rules", Some(6)),
+        ("/worth", "struct Worth", None),
+        ("/prices", "struct Prices", None),
+    ];
+    for (at, expected, elements) in cases {
+        let mut doc = serde_json::to_value(parse(&sample()).unwrap()).unwrap();
+        doc["tenants"] = serde_json::json!([{"name": "t", "rate": 1.0}]);
+        *doc.pointer_mut(at).unwrap() = serde_json::json!(5);
+        let reason = parse(&doc).unwrap_err().reason;
+        assert!(
+            reason.starts_with(&format!("invalid type: integer `5`, expected {expected} at ")),
+            "{at}: {reason}"
+        );
+        let Some(elements) = elements else { continue };
+        *doc.pointer_mut(at).unwrap() = serde_json::json!([]);
+        let reason = parse(&doc).unwrap_err().reason;
+        let wanted = format!("invalid length 0, expected {expected} with {elements} elements at ");
+        assert!(reason.starts_with(&wanted), "{at}: {reason}");
+    }
+}
--- a/crates/emulator/src/host.rs
+++ b/crates/emulator/src/host.rs
@@ -76,7 +76,7 @@
         let clock = HostClock::new(now, deviation);
         options.now = clock.monotonic(now);
         let mut program = Program::new(options);
-        program.keeps = true;
+        program.has_state_dir = true;
         if let Some(snapshot) = disk.load() {
             program.restore(snapshot);
         }
--- a/crates/emulator/src/host/input.rs
+++ b/crates/emulator/src/host/input.rs
@@ -4,7 +4,7 @@
 use crate::disk::Disk;
 use crate::model::LoopCosts;
 use bytes::Bytes;
-use linnetcart_edge::control::Request;
+use linnetcart_edge::control::{ConnectionHeader, Request};
 use linnetcart_edge::core::{ClientId, UpstreamId};
 
 const STATUS_OK: u16 = 200;
@@ -87,7 +87,12 @@
         body: String,
         disk: &mut Disk,
     ) -> Result<(), String> {
-        let request = Request { method: "PUT".into(), path: path.into(), body: body.into(), last: true };
+        let request = Request {
+            method: "PUT".into(),
+            path: path.into(),
+            body: body.into(),
+            connection: ConnectionHeader::Close,
+        };
         disk.sync();
         let reply = self.program.handle(&request, &mut |snapshot| {
             disk.save(snapshot);
--- a/crates/telemetry/src/log_event.rs
+++ b/crates/telemetry/src/log_event.rs
@@ -1,12 +1,8 @@
-//! Events for the log: constant messages with fields.
+//! Events for the log. The wording of the log lines is up to the program.
 
 use crate::collectd::PacketError;
 use crate::host::{HostNotification, HostStatus};
 use crate::SyncError;
-use std::fmt;
-
-#[cfg(test)]
-mod tests;
 
 /// An event for the log.
 #[derive(Clone, Debug, PartialEq)]
@@ -33,28 +29,3 @@
     /// The current metrics of the host.
     HostMetrics(HostStatus),
 }
-
-impl fmt::Display for LogEvent {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            LogEvent::ClockSetBack { timestamps_ahead_s } => {
-                write!(f, "wall clock set back, timestamps slowed timestamps_ahead_s={timestamps_ahead_s}")
-            }
-            LogEvent::CountsWithheld { reason } => {
-                write!(f, "counter log not on disk, counts withheld from reports reason=\"{reason}\"")
-            }
-            LogEvent::CountsReportedAgain => write!(f, "counter log on disk again, counts reported"),
-            LogEvent::HostPacketRejected { error } => {
-                write!(f, "host metrics packet rejected error=\"{error}\"")
-            }
-            LogEvent::HostNotifications(notifications) => {
-                write!(f, "host notification")?;
-                for HostNotification { host, severity, text } in notifications {
-                    write!(f, " host={host:?} severity={severity} text={text:?}")?;
-                }
-                Ok(())
-            }
-            LogEvent::HostMetrics(status) => write!(f, "host metrics {status}"),
-        }
-    }
-}
