--- a/crates/edge/src/control/http.rs
+++ b/crates/edge/src/control/http.rs
@@ -1,6 +1,7 @@
 //! The HTTP/1.1 framing of the control interface. It parses requests from bytes and encodes replies, without
 //! I/O.
 
+use linnetcart_http::reason_phrase;
 use serde::Serialize;
 use serde_json::json;
 
@@ -92,22 +93,6 @@
     }
 }
 
-fn reason_phrase(status: u16) -> &'static str {
-    match status {
-        200 => "OK",
-        202 => "Accepted",
-        400 => "Bad Request",
-        404 => "Not Found",
-        405 => "Method Not Allowed",
-        409 => "Conflict",
-        411 => "Length Required",
-        413 => "Content Too Large",
-        422 => "Unprocessable Content",
-        431 => "Request Header Fields Too Large",
-        _ => "Internal Server Error",
-    }
-}
-
 /// The received bytes of one HTTP connection.
 #[derive(Debug, Default)]
 pub struct HttpConnection {
