--- a/crates/edge/tests/process/courier.rs
+++ b/crates/edge/tests/process/courier.rs
@@ -1,5 +1,6 @@
 //! The program in a directory of its own, its configuration, and requests to it.
 
+use linnetcart_fault_injection::FaultControl;
 use linnetcart_net::Reserved;
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::{json, Value};
@@ -17,6 +18,10 @@
 const MAX_CHECKS: usize = 1500;
 /// How long a request to the courier may take.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
+/// The unit in which the platform counts the size of a file.
+const BLOCK_BYTES: u64 = 512;
+/// Determines which calls fail where a fault is injected into some calls only.
+const FAULT_SEED: u64 = 1;
 const READY_REQUEST: &str = "GET /ready HTTP/1.1\r\n\r\n";
 
 /// The program in a directory of its own, which is removed at the end.
@@ -24,6 +29,8 @@
     pub dir: PathBuf,
     pub listen: SocketAddr,
     pub child: Child,
+    /// The faults of the process, which has none at first.
+    pub faults: FaultControl,
     _port: Reserved,
 }
 
@@ -42,8 +49,9 @@
         let port = Reserved::new(Ipv4Addr::LOCALHOST.into()).unwrap();
         let listen = port.addr();
         write_config_file(&dir, &config(listen));
-        let child = start_program(&dir);
-        let courier = CourierProcess { dir, listen, child, _port: port };
+        let faults = FaultControl::new(&dir.join("faults"), &dir.join("state"), FAULT_SEED).unwrap();
+        let child = start_program(&dir, &faults);
+        let courier = CourierProcess { dir, listen, child, faults, _port: port };
         courier.wait_until_ready();
         courier
     }
@@ -52,7 +60,7 @@
 
     /// Starts the program again without waiting for it.
     pub fn start(&mut self) {
-        self.child = start_program(&self.dir);
+        self.child = start_program(&self.dir, &self.faults);
     }
 
     /// Starts the program again and waits until it is ready.
@@ -128,6 +136,13 @@
         entries.map(|entry| entry.unwrap().file_name()).collect()
     }
 
+    /// Returns the size of all files in the state directory, each counted in whole blocks.
+    pub fn state_bytes(&self) -> u64 {
+        let entries = fs::read_dir(self.dir.join("state")).unwrap();
+        let sizes = entries.flatten().filter_map(|entry| entry.metadata().ok()).map(|file| file.len());
+        sizes.map(|bytes| bytes.div_ceil(BLOCK_BYTES) * BLOCK_BYTES).sum()
+    }
+
     pub fn read_config(&self) -> Value {
         serde_json::from_str(&fs::read_to_string(self.dir.join("config.json")).unwrap()).unwrap()
     }
@@ -147,8 +162,13 @@
     /// Sends a request on a connection of its own. Returns the status of the response, or `None` if there is
     /// none.
     pub fn request(&self, text: &str) -> Option<u16> {
+        self.request_within(text, REQUEST_TIMEOUT)
+    }
+
+    /// Sends a request as [`CourierProcess::request`] does, and waits this long for the response.
+    pub fn request_within(&self, text: &str, timeout: Duration) -> Option<u16> {
         let mut stream = TcpStream::connect(self.listen).ok()?;
-        stream.set_read_timeout(Some(REQUEST_TIMEOUT)).ok()?;
+        stream.set_read_timeout(Some(timeout)).ok()?;
         stream.write_all(text.as_bytes()).ok()?;
         let mut status_line = [0; 12];
         stream.read_exact(&mut status_line).ok()?;
@@ -172,11 +192,12 @@
     }
 }
 
-fn start_program(dir: &Path) -> Child {
+fn start_program(dir: &Path, faults: &FaultControl) -> Child {
     let log = File::options().create(true).append(true).open(dir.join("log")).unwrap();
     program()
         .env("RELAY_CONFIG", dir.join("config.json"))
         .env("RELAY_STATE", dir.join("state"))
+        .envs(faults.environment())
         .stdin(Stdio::null())
         .stdout(log.try_clone().unwrap())
         .stderr(log)
--- /dev/null
+++ b/crates/edge/tests/process/faults/journal.rs
@@ -0,0 +1,123 @@
+//! The journal cannot be written while the courier serves.
+
+use super::{make_journal_unwritable, submission_for, CLIENT_PATIENCE_MS};
+use crate::courier::{config_file, submission, wait_until, CourierProcess};
+use crate::peer::GatedListener;
+use crate::stubs::{discovery_stub, endpoint_stub, SERVED};
+use linnetcart_fault_injection::Fault;
+use std::time::Duration;
+
+/// Longer than the process once survived without a writable journal.
+const LONG_FAILURE: Duration = Duration::from_millis(6500);
+
+#[test]
+fn journal_unwritable_submission_is_rejected_while_client_waits() {
+    let endpoint = endpoint_stub();
+    let discovery = discovery_stub();
+    let courier = CourierProcess::new("unwritable", endpoint.address, discovery.address);
+    make_journal_unwritable(&courier);
+    let timeout = Duration::from_millis(CLIENT_PATIENCE_MS);
+    for n in 0..5 {
+        let answer = courier.request_within(&submission("order", &format!("m{n}"), ""), timeout);
+        assert_eq!(answer, Some(503), "submission {n}");
+    }
+    courier.faults.clear();
+    wait_until("messages are accepted again", || courier.submit("order", "after") == 202);
+    wait_until("it is delivered", || endpoint.count_matching("after") == 1);
+    assert_eq!(endpoint.count_matching("m"), 0, "a rejected message was sent");
+}
+
+#[test]
+fn journal_unwritable_notification_of_accepted_message_is_sent_in_time() {
+    let gate = GatedListener::new();
+    let discovery = discovery_stub();
+    let courier = CourierProcess::new("owed", gate.address, discovery.address);
+    assert_eq!(courier.request(&submission_for("order", "owed", 700)), Some(202));
+    let mut attempt = gate.accept();
+    assert_eq!(attempt.read_request(), "owed");
+    make_journal_unwritable(&courier);
+    wait_until("the platform is notified", || discovery.count_matching("owed") == 1);
+    assert!(courier.faults.injected(Fault::FileWrite) > 0, "the journal was writable");
+}
+
+#[test]
+fn journal_unwritable_for_long_process_goes_on_and_completes_what_it_accepted() {
+    let gate = GatedListener::new();
+    let discovery = discovery_stub();
+    let mut courier = CourierProcess::new("for-long", gate.address, discovery.address);
+    assert_eq!(courier.request(&submission_for("order", "owed", 8000)), Some(202));
+    let mut attempt = gate.accept();
+    assert_eq!(attempt.read_request(), "owed");
+    make_journal_unwritable(&courier);
+    std::thread::sleep(LONG_FAILURE);
+    assert!(courier.child.try_wait().unwrap().is_none(), "the process has exited");
+    wait_until("the platform is notified", || discovery.count_matching("owed") == 1);
+    let changes = courier.count_logged("journal unwritable", &[]);
+    assert_eq!(changes, 1, "one line for one change of the state");
+    courier.faults.clear();
+    wait_until("the journal is writable", || courier.count_logged("journal writable", &[]) == 1);
+    wait_until("messages are accepted again", || courier.submit("order", "after") == 202);
+}
+
+#[test]
+fn journal_unwritable_idempotent_message_is_delivered_and_unsafe_one_waits_for_its_record() {
+    let gate = GatedListener::new();
+    let discovery = discovery_stub();
+    let courier = CourierProcess::new("effects", gate.address, discovery.address);
+    // The first attempt of each message is rejected, so that it is retried while the journal fails.
+    assert_eq!(courier.request(&submission("order", "unsafe", "")), Some(202));
+    let mut unsafe_attempt = gate.accept();
+    assert_eq!(unsafe_attempt.read_request(), "unsafe");
+    assert_eq!(courier.request(&submission("status", "safe", "")), Some(202));
+    let mut safe_attempt = gate.accept();
+    assert_eq!(safe_attempt.read_request(), "safe");
+    make_journal_unwritable(&courier);
+    let rejected = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+    unsafe_attempt.send(rejected);
+    unsafe_attempt.read_to_end();
+    safe_attempt.send(rejected);
+    safe_attempt.read_to_end();
+    let mut retry = gate.accept();
+    assert_eq!(retry.read_request(), "safe");
+    retry.send(SERVED);
+    assert!(gate.is_silent_for(500) && retry.is_silent(), "a call without its record");
+    courier.faults.clear();
+    let served = crate::peer::serve_next_request(&gate, &mut vec![retry], SERVED);
+    assert_eq!(served.id, "unsafe");
+}
+
+#[test]
+fn journal_cannot_create_its_next_file_submissions_are_accepted_meanwhile() {
+    let endpoint = endpoint_stub();
+    let discovery = discovery_stub();
+    let courier = CourierProcess::new("no-create", endpoint.address, discovery.address);
+    courier.faults.always(Fault::FileCreate);
+    // More than the file may grow before it is replaced.
+    for n in 0..8 {
+        let id = format!("fill-{n}");
+        let head = submission("status", &id, "Content-Length: 60000\r\n");
+        let answer = courier.request(&format!("{head}{}", "x".repeat(60_000)));
+        assert_eq!(answer, Some(202), "submission {n}");
+        wait_until("it is delivered", || endpoint.count_matching(&id) == 1);
+    }
+    assert!(courier.faults.injected(Fault::FileCreate) > 0, "no new file was begun");
+}
+
+#[test]
+fn journal_cannot_remove_old_files_folder_stays_within_its_limit() {
+    let endpoint = endpoint_stub();
+    let discovery = discovery_stub();
+    let courier = CourierProcess::new("no-remove", endpoint.address, discovery.address);
+    courier.faults.always(Fault::FileRemove);
+    let capacity =
+        config_file(courier.listen, &[], discovery.address)["limits"]["disk_mb"].as_u64().unwrap() << 20;
+    for n in 0..40 {
+        let head = submission("status", &format!("fill-{n}"), "Content-Length: 60000\r\n");
+        let answer = courier.request(&format!("{head}{}", "x".repeat(60_000)));
+        assert!(matches!(answer, Some(202 | 503)), "submission {n}: {answer:?}");
+        assert!(courier.state_bytes() <= capacity, "the folder outgrew its limit");
+    }
+    courier.faults.clear();
+    wait_until("messages are accepted again", || courier.submit("order", "after") == 202);
+    wait_until("the old files are removed", || courier.state_files().len() == 1);
+}
--- /dev/null
+++ b/crates/edge/tests/process/faults/journal_restart.rs
@@ -0,0 +1,109 @@
+//! The journal fails at the start of a process, or at its end.
+
+use super::{make_journal_unwritable, JOURNAL_UNWRITABLE};
+use crate::courier::{submission, wait_until, CourierProcess};
+use crate::peer::GatedListener;
+use crate::stubs::{discovery_stub, endpoint_stub};
+use linnetcart_fault_injection::Fault;
+use std::time::Duration;
+
+/// How long a fault lasts at the start of the process in these tests.
+const FAILURE_AT_START: Duration = Duration::from_millis(800);
+/// Submissions of [`killed_in_journal_write_accepted_messages_are_completed_and_rejected_ones_never_sent`].
+const MAX_SUBMISSIONS: usize = 200;
+
+/// Restarts a courier that owes a message while this fault lasts, and waits until it serves.
+fn restart_under(name: &str, faults: &[Fault]) {
+    let endpoint = endpoint_stub();
+    let discovery = discovery_stub();
+    let mut courier = CourierProcess::new(name, endpoint.address, discovery.address);
+    assert_eq!(courier.submit("status", "slow-owed"), 202);
+    wait_until("its attempt is out", || endpoint.count_matching("slow-owed") == 1);
+    courier.kill();
+    faults.iter().for_each(|&fault| courier.faults.always(fault));
+    courier.start();
+    std::thread::sleep(FAILURE_AT_START);
+    assert!(courier.child.try_wait().unwrap().is_none(), "the process has exited");
+    let injected: u64 = faults.iter().map(|&fault| courier.faults.injected(fault)).sum();
+    assert!(injected > 0, "no call has failed");
+    courier.faults.clear();
+    courier.wait_until_ready();
+    wait_until("the owed message is attempted", || endpoint.count_matching("slow-owed") > 1);
+}
+
+#[test]
+fn journal_unwritable_at_start_process_waits_for_it() {
+    restart_under("start-write", &JOURNAL_UNWRITABLE);
+}
+
+#[test]
+fn journal_unreadable_at_start_is_no_empty_journal() {
+    restart_under("start-read", &[Fault::FileRead]);
+}
+
+#[test]
+fn journal_directory_unlistable_at_start_process_waits_for_it() {
+    restart_under("start-list", &[Fault::DirectoryList]);
+}
+
+#[test]
+fn listener_cannot_be_opened_at_start_process_waits_for_it() {
+    restart_under("start-socket", &[Fault::Socket]);
+}
+
+#[test]
+fn killed_in_journal_write_accepted_messages_are_completed_and_rejected_ones_never_sent() {
+    for seed in 0..12u8 {
+        let endpoint = endpoint_stub();
+        let discovery = discovery_stub();
+        let mut courier = CourierProcess::new(&format!("half-{seed}"), endpoint.address, discovery.address);
+        let submit = |n: usize| courier.request(&submission("order", &format!("m{n:03}-"), ""));
+        let mut answers = Vec::new();
+        // Some writes take a part only, and the torn part cannot be removed; one kills the process.
+        courier.faults.set(Fault::FileShortWrite, 60);
+        courier.faults.always(Fault::FileTruncate);
+        courier.faults.set(Fault::KillInFileWrite, 8 + seed);
+        for n in 0..MAX_SUBMISSIONS {
+            answers.push(submit(n));
+            if answers[n].is_none() {
+                break;
+            }
+        }
+        assert_eq!(answers.last(), Some(&None), "the process was not killed");
+        courier.faults.clear();
+        courier.child.wait().unwrap();
+        courier.restart();
+        for (n, answer) in answers.iter().enumerate() {
+            let id = format!("m{n:03}-");
+            let completed = || endpoint.count_matching(&id) + discovery.count_matching(&id);
+            match answer {
+                Some(202) => wait_until("an accepted message is completed", || completed() > 0),
+                Some(503) => assert_eq!(completed(), 0, "{id} was rejected and sent, seed {seed}"),
+                _ => {}
+            }
+            assert!(endpoint.count_matching(&id) <= 1, "{id} was sent twice, seed {seed}");
+        }
+    }
+}
+
+#[test]
+fn journal_unwritable_during_shutdown_requests_are_answered_and_owed_ones_kept() {
+    let gate = GatedListener::new();
+    let discovery = discovery_stub();
+    let mut courier = CourierProcess::new("shutdown", gate.address, discovery.address);
+    assert_eq!(courier.submit("status", "owed"), 202);
+    let mut attempt = gate.accept();
+    assert_eq!(attempt.read_request(), "owed");
+    courier.signal(rustix::process::Signal::TERM);
+    make_journal_unwritable(&courier);
+    for n in 0..5 {
+        let answer = courier.request(&submission("order", &format!("late{n}"), ""));
+        assert_eq!(answer, Some(503), "a request that was read is answered");
+    }
+    courier.child.wait().unwrap();
+    courier.faults.clear();
+    drop(attempt);
+    courier.restart();
+    let mut attempt = gate.accept();
+    assert_eq!(attempt.read_request(), "owed");
+}
--- /dev/null
+++ b/crates/edge/tests/process/faults/sockets.rs
@@ -0,0 +1,189 @@
+//! Calls on sockets fail for a moment.
+
+use crate::courier::{submission, wait_until, CourierProcess};
+use crate::peer::{GatedListener, Peer};
+use crate::stubs::{discovery_stub, endpoint_stub, Stub};
+use linnetcart_fault_injection::{Fault, Rate};
+use rustix::process::Signal;
+use std::time::Duration;
+
+/// Messages that are submitted in a test of one fault.
+const MESSAGES: usize = 40;
+/// How long a fault of every call lasts.
+const FAILURE: Duration = Duration::from_millis(600);
+
+struct Setup {
+    endpoint: Stub,
+    courier: CourierProcess,
+    _discovery: Stub,
+}
+
+fn setup(name: &str) -> Setup {
+    let endpoint = endpoint_stub();
+    let discovery = discovery_stub();
+    let courier = CourierProcess::new(name, endpoint.address, discovery.address);
+    Setup { endpoint, courier, _discovery: discovery }
+}
+
+/// Submits messages on one connection while a fault is injected, and checks that each of them is answered and
+/// delivered once.
+fn serve_under(name: &str, faults: &[(Fault, Rate)]) {
+    let Setup { endpoint, courier, _discovery } = setup(name);
+    let mut client = Peer::connect(courier.listen);
+    for &(fault, rate) in faults {
+        courier.faults.set(fault, rate);
+    }
+    for n in 0..MESSAGES {
+        client.send(&submission("order", &format!("m{n:03}"), ""));
+        assert_eq!(client.read_response().status, 202, "message {n}");
+    }
+    for n in 0..MESSAGES {
+        let id = format!("m{n:03}");
+        wait_until("the message is delivered", || endpoint.count_matching(&id) > 0);
+    }
+    for &(fault, _) in faults {
+        assert!(courier.faults.injected(fault) > 0, "{fault:?} was not injected");
+    }
+    courier.faults.clear();
+    courier.settle();
+    assert_eq!(endpoint.requests().len(), MESSAGES, "a message was sent twice");
+}
+
+#[test]
+fn send_interrupted_in_series_answers_and_calls_are_complete() {
+    serve_under("send-eintr", &[(Fault::SendInterrupted, 220), (Fault::SendShort, 200)]);
+}
+
+#[test]
+fn send_without_buffers_keeps_connection_and_answer() {
+    serve_under("send-enobufs", &[(Fault::SendNoBuffers, 128)]);
+}
+
+#[test]
+fn receive_interrupted_or_short_requests_are_complete() {
+    serve_under("recv-eintr", &[(Fault::ReceiveInterrupted, 200), (Fault::ReceiveShort, 200)]);
+}
+
+#[test]
+fn receive_without_buffers_keeps_connection_and_request() {
+    serve_under("recv-enobufs", &[(Fault::ReceiveNoBuffers, 128)]);
+}
+
+#[test]
+fn connect_interrupted_goes_on_in_the_kernel() {
+    serve_under("connect-eintr", &[(Fault::ConnectInterrupted, 255)]);
+}
+
+#[test]
+fn status_of_connect_unknown_for_a_moment_is_asked_again() {
+    serve_under("socket-status", &[(Fault::SocketStatus, 160)]);
+}
+
+/// Makes every connect fail on the courier's own machine, and checks that messages are delivered afterwards and
+/// that the endpoint is not blamed.
+fn fail_connects_with(name: &str, fault: Fault) {
+    let Setup { endpoint, courier, _discovery } = setup(name);
+    courier.faults.always(fault);
+    let mut client = Peer::connect(courier.listen);
+    for n in 0..MESSAGES / 2 {
+        client.send(&submission("order", &format!("m{n:03}"), ""));
+        assert_eq!(client.read_response().status, 202, "message {n}");
+    }
+    std::thread::sleep(FAILURE);
+    let attempts = courier.faults.injected(fault);
+    assert!((1..400).contains(&attempts), "retries are paced: {attempts}");
+    courier.faults.clear();
+    for n in 0..MESSAGES / 2 {
+        wait_until("the message is delivered", || endpoint.count_matching(&format!("m{n:03}")) == 1);
+    }
+    assert_eq!(courier.count_logged("limit state changed", &[]), 0, "the endpoint's health was changed");
+}
+
+#[test]
+fn socket_creation_fails_endpoint_is_not_blamed_and_message_is_delivered() {
+    fail_connects_with("no-socket", Fault::Socket);
+}
+
+#[test]
+fn connect_fails_locally_endpoint_is_not_blamed_and_message_is_delivered() {
+    fail_connects_with("no-connect", Fault::Connect);
+}
+
+#[test]
+fn registration_fails_endpoint_is_not_blamed_and_message_is_delivered() {
+    let Setup { endpoint, courier, _discovery } = setup("no-register");
+    let mut client = Peer::connect(courier.listen);
+    client.send(&submission("order", "before", ""));
+    assert_eq!(client.read_response().status, 202);
+    wait_until("it is delivered", || endpoint.count_matching("before") == 1);
+    courier.faults.always(Fault::Register);
+    client.send(&submission("order", "m", ""));
+    assert_eq!(client.read_response().status, 202);
+    assert!(
+        Peer::connect(courier.listen).read_until_closed(),
+        "a connection that cannot be registered is closed"
+    );
+    courier.faults.clear();
+    wait_until("the message is delivered", || endpoint.count_matching("m") == 1);
+    assert_eq!(courier.count_logged("limit state changed", &[]), 0, "the endpoint's health was changed");
+}
+
+#[test]
+fn accept_fails_in_every_way_queued_connections_are_served() {
+    let Setup { courier, .. } = setup("accept");
+    courier.faults.set(Fault::Accept, 200);
+    for n in 0..MESSAGES {
+        let mut client = Peer::connect(courier.listen);
+        client.send(&submission("status", &format!("m{n:03}"), ""));
+        assert_eq!(client.read_response().status, 202, "message {n}");
+    }
+    assert!(courier.faults.injected(Fault::Accept) > 0);
+}
+
+#[test]
+fn accept_fails_when_listener_is_closed_queued_requests_are_answered() {
+    let Setup { mut courier, .. } = setup("accept-term");
+    courier.faults.always(Fault::Accept);
+    let mut queued = Peer::connect(courier.listen);
+    queued.send(&submission("status", "queued", ""));
+    courier.signal(Signal::TERM);
+    // The listener is closed half a second after the signal.
+    std::thread::sleep(Duration::from_millis(800));
+    courier.faults.clear();
+    assert_eq!(queued.read_response().status, 202);
+    courier.child.wait().unwrap();
+}
+
+#[test]
+fn accept_fails_for_long_process_does_not_spin() {
+    let Setup { courier, .. } = setup("accept-spin");
+    courier.faults.always(Fault::Accept);
+    let mut queued = Peer::connect(courier.listen);
+    queued.send(&submission("status", "queued", ""));
+    std::thread::sleep(FAILURE);
+    let calls = courier.faults.injected(Fault::Accept);
+    assert!((1..2000).contains(&calls), "accept was called {calls} times");
+    courier.faults.clear();
+    assert_eq!(queued.read_response().status, 202);
+}
+
+#[test]
+fn sends_fail_for_a_moment_during_shutdown_answers_are_complete() {
+    let Setup { mut courier, .. } = setup("last-answer");
+    let mut clients: Vec<Peer> = (0..MESSAGES).map(|_| Peer::connect(courier.listen)).collect();
+    courier.settle();
+    for fault in [Fault::SendInterrupted, Fault::SendShort, Fault::SendNoBuffers] {
+        courier.faults.set(fault, 128);
+    }
+    // All requests have arrived when the process learns of the signal.
+    courier.stop();
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.send(&submission("status", &format!("m{n:03}"), ""));
+    }
+    courier.signal(Signal::TERM);
+    courier.resume();
+    for (n, client) in clients.iter_mut().enumerate() {
+        assert_eq!(client.read_response().status, 202, "client {n}");
+    }
+    courier.child.wait().unwrap();
+}
--- a/crates/edge/tests/process/main.rs
+++ b/crates/edge/tests/process/main.rs
@@ -15,6 +15,7 @@
 
 mod configuration;
 mod connections;
+mod faults;
 mod lifecycle;
 mod requests;
 mod restart;
--- a/crates/edge/tests/process/peer.rs
+++ b/crates/edge/tests/process/peer.rs
@@ -10,6 +10,8 @@
 
 /// A test that waits for bytes for longer has failed.
 const READ_TIMEOUT: Duration = Duration::from_secs(30);
+/// A test that waits for a connection for longer has failed.
+const ACCEPT_TIMEOUT_MS: u64 = 30_000;
 /// How long [`serve_next_request`] waits for a new connection before it checks the existing ones.
 const ACCEPT_WAIT_MS: u64 = 20;
 /// After so many checks [`serve_next_request`] has failed: half a minute.
@@ -54,11 +56,13 @@
     /// Returns whether no connection waits to be accepted for this time.
     pub fn is_silent_for(&self, milliseconds: u64) -> bool {
         let mut fds = [PollFd::new(&self.listener, PollFlags::IN)];
-        let span = rustix::time::Timespec { tv_sec: 0, tv_nsec: milliseconds as i64 * 1_000_000 };
+        let span = rustix::time::Timespec::try_from(Duration::from_millis(milliseconds)).unwrap();
         poll(&mut fds, Some(&span)).unwrap() == 0
     }
 
+    /// Accepts the next connection. Panics if there is none for half a minute.
     pub fn accept(&self) -> Peer {
+        assert!(!self.is_silent_for(ACCEPT_TIMEOUT_MS), "no connection within half a minute");
         Peer::new(self.listener.accept().unwrap().0)
     }
 }
@@ -153,6 +157,11 @@
         while self.read_more() {}
     }
 
+    /// Returns whether the other side closes or resets the connection without a byte.
+    pub fn read_until_closed(&mut self) -> bool {
+        matches!(self.stream.read(&mut [0]), Ok(0) | Err(_))
+    }
+
     pub fn half_close(&mut self) {
         self.stream.shutdown(Shutdown::Write).unwrap();
     }
--- /dev/null
+++ b/crates/fault-injection/src/lib.rs
@@ -0,0 +1,183 @@
+//! Fault injection for tests: system calls of a child process fail as Linux documents it, drawn from a seed.
+//!
+//! A shim is preloaded into the child (`LD_PRELOAD`). It fails calls of the C library according to a control
+//! file, which [`FaultControl`] changes while the child runs, or according to a schedule in the environment
+//! variable `FAULT_PLAN` (see `shim/fault_shim.c`). Nothing outside the child is affected.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+use std::ffi::OsString;
+use std::fs::File;
+use std::io;
+use std::os::unix::fs::FileExt;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+/// A fault that the shim can inject. The order is that of `enum fault` in the shim.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[repr(u8)]
+pub enum Fault {
+    /// A write to a file fails: `ENOSPC`, `EIO` or `EDQUOT`.
+    FileWrite,
+    /// A write to a file takes only a part of the bytes, and the next one fails.
+    FileShortWrite,
+    /// The process is killed after a part of a write to a file.
+    KillInFileWrite,
+    /// A file cannot be opened for writing.
+    FileCreate,
+    /// A file cannot be truncated.
+    FileTruncate,
+    /// A file cannot be removed.
+    FileRemove,
+    /// A file cannot be opened for reading, or not be read.
+    FileRead,
+    /// A directory cannot be listed.
+    DirectoryList,
+    /// `send` returns `EINTR`.
+    SendInterrupted,
+    /// `send` takes only a part of the bytes.
+    SendShort,
+    /// `send` returns `ENOBUFS` or `ENOMEM`.
+    SendNoBuffers,
+    /// `recv` returns `EINTR`.
+    ReceiveInterrupted,
+    /// `recv` returns a few bytes only.
+    ReceiveShort,
+    /// `recv` returns `ENOBUFS` or `ENOMEM`.
+    ReceiveNoBuffers,
+    /// `accept` fails.
+    Accept,
+    /// `socket` fails.
+    Socket,
+    /// `connect` fails at once for a reason of this machine.
+    Connect,
+    /// `connect` returns `EINTR` and goes on in the kernel.
+    ConnectInterrupted,
+    /// `getsockopt` and `getpeername` fail.
+    SocketStatus,
+    /// `setsockopt` and `ioctl` fail.
+    SocketOption,
+    /// The wait for events returns `EINTR`.
+    WaitInterrupted,
+    /// `epoll_ctl` fails for a new descriptor.
+    Register,
+    /// `epoll_ctl` fails for a registered descriptor.
+    RegisterAgain,
+    /// The process stands still for up to 150 ms after it has read the monotonic clock.
+    Standstill,
+}
+
+impl Fault {
+    /// All faults.
+    pub const ALL: [Fault; 24] = [
+        Fault::FileWrite,
+        Fault::FileShortWrite,
+        Fault::KillInFileWrite,
+        Fault::FileCreate,
+        Fault::FileTruncate,
+        Fault::FileRemove,
+        Fault::FileRead,
+        Fault::DirectoryList,
+        Fault::SendInterrupted,
+        Fault::SendShort,
+        Fault::SendNoBuffers,
+        Fault::ReceiveInterrupted,
+        Fault::ReceiveShort,
+        Fault::ReceiveNoBuffers,
+        Fault::Accept,
+        Fault::Socket,
+        Fault::Connect,
+        Fault::ConnectInterrupted,
+        Fault::SocketStatus,
+        Fault::SocketOption,
+        Fault::WaitInterrupted,
+        Fault::Register,
+        Fault::RegisterAgain,
+        Fault::Standstill,
+    ];
+}
+
+/// How often a fault is injected: in this many of 255 calls.
+pub type Rate = u8;
+
+/// Every call fails.
+pub const ALWAYS: Rate = 255;
+
+// The layout of `struct control` in the shim.
+const WALL_OFFSET_POSITION: u64 = 0;
+const SEED_POSITION: u64 = 8;
+const RATES_POSITION: u64 = 16;
+const COUNTS_POSITION: u64 = 80;
+const CONTROL_BYTES: u64 = COUNTS_POSITION + 8 * Fault::ALL.len() as u64;
+
+/// The faults of a child process, which can be changed while it runs.
+#[derive(Debug)]
+pub struct FaultControl {
+    path: PathBuf,
+    directory: PathBuf,
+    file: File,
+}
+
+impl FaultControl {
+    /// Creates the control file at `path`, without faults. `seed` determines which calls fail; faults of files
+    /// concern those below `directory`.
+    pub fn new(path: &Path, directory: &Path, seed: u64) -> io::Result<FaultControl> {
+        let file = File::options().read(true).write(true).create(true).truncate(true).open(path)?;
+        file.set_len(CONTROL_BYTES)?;
+        file.write_all_at(&seed.to_ne_bytes(), SEED_POSITION)?;
+        Ok(FaultControl { path: path.to_owned(), directory: directory.to_owned(), file })
+    }
+
+    /// Sets how often a fault is injected; 0 for never.
+    pub fn set(&self, fault: Fault, rate: Rate) {
+        let position = RATES_POSITION + fault as u64;
+        self.file.write_all_at(&[rate], position).expect("the control file is writable");
+    }
+
+    /// Injects a fault in every call from now on.
+    pub fn always(&self, fault: Fault) {
+        self.set(fault, ALWAYS);
+    }
+
+    /// Injects no fault from now on. The wall clock stays as it is.
+    pub fn clear(&self) {
+        Fault::ALL.into_iter().for_each(|fault| self.set(fault, 0));
+    }
+
+    /// Steps the wall clock forward by this time, relative to the real one.
+    pub fn step_wall_clock_forward(&self, step: Duration) {
+        self.set_wall_offset(step.as_millis() as i64);
+    }
+
+    /// Steps the wall clock back by this time, relative to the real one.
+    pub fn step_wall_clock_back(&self, step: Duration) {
+        self.set_wall_offset(-(step.as_millis() as i64));
+    }
+
+    fn set_wall_offset(&self, milliseconds: i64) {
+        let bytes = milliseconds.to_ne_bytes();
+        self.file.write_all_at(&bytes, WALL_OFFSET_POSITION).expect("the control file is writable");
+    }
+
+    /// Returns how often a fault was injected.
+    pub fn injected(&self, fault: Fault) -> u64 {
+        let mut bytes = [0; 8];
+        let position = COUNTS_POSITION + 8 * fault as u64;
+        self.file.read_exact_at(&mut bytes, position).expect("the control file is readable");
+        u64::from_ne_bytes(bytes)
+    }
+
+    /// Returns the environment variables with which the child process has to be started.
+    pub fn environment(&self) -> [(&'static str, OsString); 3] {
+        [
+            ("LD_PRELOAD", shim_path().as_os_str().to_owned()),
+            ("FAULT_CONTROL", self.path.as_os_str().to_owned()),
+            ("FAULT_DIRECTORY", self.directory.as_os_str().to_owned()),
+        ]
+    }
+}
+
+/// Returns the path of the shim.
+pub fn shim_path() -> &'static Path {
+    Path::new(env!("FAULT_SHIM"))
+}
