Net: momentary errors of calls lose no connection, and a failed wait no event

Cause: callers saw connections end without a whole answer. Any error of send or recv but EINTR and EAGAIN closed the connection (connection.rs, write_unsent and read), also ENOBUFS and ENOMEM, which end by themselves. An interrupted connect, which goes on in the kernel, and an unanswered getsockopt or getpeername counted as a failed connect. An epoll_ctl that failed while the loop re-armed its timer ended the process, and readiness reported before it was lost. Change: errors are typed by what they mean in one module, system_error.rs. A momentary one is tried again after 5 ms, since the system reports no end of it; interrupted writes in series yield to the other connections; after a failed wait all sockets are tried. ConnectFailed says whether this machine or the peer is at fault. Net::poll has no error any more.

--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -138,7 +138,7 @@
         settings = shell.program.core.is_some(),
         "ready"
     );
-    shell.serve()
+    Ok(shell.serve())
 }
 
 /// Prints the addresses on which the program listens as one line of JSON on standard output.
@@ -164,11 +164,11 @@
     }
 
     /// Runs the event loop until the program ends.
-    fn serve(&mut self) -> anyhow::Result<Exit> {
+    fn serve(&mut self) -> Exit {
         let mut events = Vec::new();
         let mut last_poll_began = self.now();
         loop {
-            let poll_began = self.poll(&mut events)?;
+            let poll_began = self.poll(&mut events);
             let now = self.now();
             if let Some(core) = &mut self.program.core {
                 core.clock(now);
@@ -177,7 +177,7 @@
                 core.arrived_since(std::mem::replace(&mut last_poll_began, poll_began));
             }
             if let Some(exit) = self.handle_events(&mut events, now) {
-                return Ok(exit);
+                return exit;
             }
             let now = self.now();
             if let Some(core) = &mut self.program.core {
@@ -189,7 +189,7 @@
             self.carry_out();
             if self.is_drained(now) {
                 tracing::info!("drained, every message has its final answer");
-                return Ok(Exit::Drained);
+                return Exit::Drained;
             }
         }
     }
@@ -211,32 +211,31 @@
 
     /// Waits for events until the next iteration is due. After a stall it reads all input. Returns when the
     /// poll began.
-    fn poll(&mut self, events: &mut Vec<Event>) -> anyhow::Result<Time> {
+    fn poll(&mut self, events: &mut Vec<Event>) -> Time {
         let report_at = self.reporting.as_ref().map_or(Time::MAX, Reporting::next_wakeup);
         let core_at = self.program.core.as_ref().map_or(Time::MAX, Core::next_wakeup);
         let wanted_at = core_at.min(report_at);
         let timeout = Duration::from_nanos(wanted_at.saturating_sub(self.now())).min(MAX_POLL_INTERVAL);
         let poll_began = self.now();
-        self.net.poll(timeout, events).context("the event loop failed")?;
+        self.net.poll(timeout, events);
         let stall = nanos(timeout + STALL);
         let polled_for = self.now().saturating_sub(poll_began);
         let late_by = self.now().saturating_sub(wanted_at);
         if polled_for > stall || late_by > stall {
-            self.read_all(events)?;
+            self.read_all(events);
         }
-        Ok(poll_began)
+        poll_began
     }
 
     /// Reads all input that arrived during a stall.
-    fn read_all(&mut self, events: &mut Vec<Event>) -> anyhow::Result<()> {
+    fn read_all(&mut self, events: &mut Vec<Event>) {
         for _ in 0..MAX_STALL_POLLS {
             let before = events.len();
-            self.net.poll(Duration::ZERO, events).context("the event loop failed")?;
+            self.net.poll(Duration::ZERO, events);
             if events.len() == before {
                 break;
             }
         }
-        Ok(())
     }
 
     // ---- Graceful shutdown
--- a/crates/edge/src/shell/events.rs
+++ b/crates/edge/src/shell/events.rs
@@ -13,7 +13,7 @@
         match event {
             Event::Accepted { listener, token, .. } => self.accepted(listener, token),
             Event::Connected(token) => self.connected(token),
-            Event::ConnectFailed(token) => self.connect_failed(token),
+            Event::ConnectFailed { token, .. } => self.connect_failed(token),
             Event::Data(token, bytes) => self.received(token, &bytes),
             Event::HalfClosed(token) => self.half_closed(token),
             Event::Closed { token, written } => self.closed(token, written),
--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -3,21 +3,27 @@
 //! [`Connection`] reads and writes only when asked to; it never registers with the event loop and never
 //! reports events itself.
 
-use crate::{Event, Token};
+use crate::system_error::{connect_failure, meaning, ErrorMeaning};
+use crate::{ConnectFailure, Event, Token};
 use bytes::{Buf, BytesMut};
 use calloop::RegistrationToken;
-use std::io::{ErrorKind, Read, Write};
+use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+/// After so many interrupted writes in a row the connection waits, so that it cannot starve the others.
+const MAX_INTERRUPTED_WRITES: usize = 64;
+
 /// Result of writing the send queue.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum WriteOutcome {
     /// The send queue is empty.
     Flushed,
-    /// The system accepts no more bytes at present.
+    /// The system accepts no more bytes at present, and reports when it does.
     Blocked,
+    /// The system accepts no more bytes at present; the write has to be made again after a pause.
+    Deferred,
     /// The connection is lost.
     Failed,
 }
@@ -33,6 +39,8 @@
     Blocked,
     /// A signal interrupted the read; it may be retried at once.
     Interrupted,
+    /// The system cannot read at present; the read has to be made again after a pause.
+    Deferred,
     /// The connection is lost.
     Failed,
 }
@@ -42,10 +50,12 @@
 pub(crate) enum ConnectOutcome {
     /// The connection is established.
     Established,
-    /// The system is still connecting.
+    /// The system is still connecting, and reports when that ends.
     Pending,
+    /// The system cannot tell at present; it has to be asked again after a pause.
+    Unknown,
     /// The connection could not be established.
-    Failed,
+    Failed(ConnectFailure),
 }
 
 /// Progress of establishing a connection.
@@ -137,12 +147,17 @@
     /// Asks the system for the result of the connection attempt.
     pub(crate) fn finish_connect(&mut self) -> ConnectOutcome {
         match self.stream.take_error() {
-            Ok(None) if self.stream.peer_addr().is_ok() => {
+            Ok(None) => {}
+            Ok(Some(error)) => return ConnectOutcome::Failed(connect_failure(&error)),
+            Err(_) => return ConnectOutcome::Unknown,
+        }
+        match self.stream.peer_addr() {
+            Ok(_) => {
                 self.state = ConnectionState::Established;
                 ConnectOutcome::Established
             }
-            Ok(None) => ConnectOutcome::Pending,
-            Ok(Some(_)) | Err(_) => ConnectOutcome::Failed,
+            Err(error) if error.kind() == ErrorKind::NotConnected => ConnectOutcome::Pending,
+            Err(_) => ConnectOutcome::Unknown,
         }
     }
 
@@ -151,16 +166,21 @@
         if self.is_connecting() {
             return WriteOutcome::Blocked;
         }
+        let mut interruptions = 0;
         while !self.unsent.is_empty() {
             match (&*self.stream).write(&self.unsent) {
                 Ok(0) => return WriteOutcome::Blocked,
                 Ok(count) => {
+                    interruptions = 0;
                     self.unsent.advance(count);
                     self.written_bytes += count as u64;
                 }
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return WriteOutcome::Blocked,
-                Err(_) => return WriteOutcome::Failed,
+                Err(error) => match meaning(&error) {
+                    ErrorMeaning::Interrupted if interruptions < MAX_INTERRUPTED_WRITES => interruptions += 1,
+                    ErrorMeaning::Interrupted | ErrorMeaning::Momentary => return WriteOutcome::Deferred,
+                    ErrorMeaning::WouldBlock => return WriteOutcome::Blocked,
+                    ErrorMeaning::Broken => return self.failed_write(&error),
+                },
             }
         }
         // Frees the buffer, so that an idle connection does not retain the memory of its largest message.
@@ -168,6 +188,12 @@
         WriteOutcome::Flushed
     }
 
+    fn failed_write(&self, error: &io::Error) -> WriteOutcome {
+        let unsent = self.unsent.len();
+        tracing::debug!(%error, written = self.written_bytes, unsent, "connection broke in a write");
+        WriteOutcome::Failed
+    }
+
     /// Performs one read into `buffer`.
     pub(crate) fn read(&mut self, buffer: &mut [u8]) -> ReadOutcome {
         match (&*self.stream).read(buffer) {
@@ -177,12 +203,19 @@
                 ReadOutcome::EndOfStream
             }
             Ok(count) => ReadOutcome::Received(count),
-            Err(error) if error.kind() == ErrorKind::WouldBlock => {
-                self.readable = false;
-                ReadOutcome::Blocked
-            }
-            Err(error) if error.kind() == ErrorKind::Interrupted => ReadOutcome::Interrupted,
-            Err(_) => ReadOutcome::Failed,
+            Err(error) => match meaning(&error) {
+                ErrorMeaning::WouldBlock => {
+                    self.readable = false;
+                    ReadOutcome::Blocked
+                }
+                ErrorMeaning::Interrupted => ReadOutcome::Interrupted,
+                ErrorMeaning::Momentary => ReadOutcome::Deferred,
+                ErrorMeaning::Broken => {
+                    let written = self.written_bytes;
+                    tracing::debug!(%error, written, "connection broke in a read");
+                    ReadOutcome::Failed
+                }
+            },
         }
     }
 
@@ -192,9 +225,6 @@
         if self.is_closing() {
             return None;
         }
-        if self.is_connecting() {
-            return Some(Event::ConnectFailed(token));
-        }
         Some(Event::Closed { token, written: self.written_bytes })
     }
 }
--- a/crates/net/src/connections.rs
+++ b/crates/net/src/connections.rs
@@ -7,11 +7,12 @@
 
 use crate::connection::{ConnectOutcome, Connection, ConnectionState, WriteOutcome};
 use crate::reactor::Reactor;
-use crate::{Event, Token};
+use crate::system_error::{connect_start, ConnectStart};
+use crate::{ConnectFailure, Event, Token};
 use calloop::Interest;
 use socket2::{Domain, Protocol, SockRef, Socket, Type};
 use std::collections::{BTreeMap, BTreeSet};
-use std::io::{self, ErrorKind};
+use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -21,14 +22,17 @@
 const DEFAULT_READS_PER_POLL: usize = 4;
 /// How long [`Connections::close_after_flush`] waits for the send queue to be written.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(5);
-/// `EINPROGRESS` of the system's headers; the same on every Linux that calloop runs on.
-const EINPROGRESS: i32 = 115;
+/// Pause before a call is made again that failed for a momentary reason, of which the system reports no end.
+pub(crate) const DEFERRED_CALL_PAUSE: Duration = Duration::from_millis(5);
 
 /// The open connections by token.
 pub(crate) struct Connections {
     open: BTreeMap<Token, Connection>,
     /// Connections that may have bytes to write.
     unflushed: BTreeSet<Token>,
+    /// Connections on which a call has to be made again after a pause.
+    deferred: BTreeSet<Token>,
+    deferred_until: Option<Instant>,
     max_connections: usize,
     reads_per_poll: usize,
 }
@@ -38,6 +42,8 @@
         Connections {
             open: BTreeMap::new(),
             unflushed: BTreeSet::new(),
+            deferred: BTreeSet::new(),
+            deferred_until: None,
             max_connections,
             reads_per_poll: DEFAULT_READS_PER_POLL,
         }
@@ -74,26 +80,34 @@
     /// Starts connecting; a later poll reports the outcome.
     pub(crate) fn connect(&mut self, addr: SocketAddr, reactor: &mut Reactor) -> Token {
         let token = reactor.next_token();
-        if self.begin_connect(token, addr, reactor).is_err() {
-            reactor.deferred_events.push(Event::ConnectFailed(token));
+        let started = self.begin_connect(token, addr, reactor).unwrap_or_else(|error| {
+            tracing::debug!(%addr, %error, "connect failed on this machine");
+            ConnectStart::Failed(ConnectFailure::Local)
+        });
+        if let ConnectStart::Failed(failure) = started {
+            reactor.deferred_events.push(Event::ConnectFailed { token, failure });
         }
         token
     }
 
-    fn begin_connect(&mut self, token: Token, addr: SocketAddr, reactor: &Reactor) -> io::Result<()> {
+    /// Begins to connect. An error concerns this machine, which could not prepare the connection.
+    fn begin_connect(
+        &mut self,
+        token: Token,
+        addr: SocketAddr,
+        reactor: &Reactor,
+    ) -> io::Result<ConnectStart> {
         if self.is_full() {
             return Err(io::Error::other("the maximum number of connections is reached"));
         }
         let socket = Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP))?;
         socket.set_nonblocking(true)?;
         socket.set_tcp_nodelay(true)?;
-        match socket.connect(&addr.into()) {
-            Ok(()) => {}
-            Err(error) if error.raw_os_error() == Some(EINPROGRESS) => {}
-            Err(error) if error.kind() == ErrorKind::WouldBlock => {}
-            Err(error) => return Err(error),
+        let started = connect_start(socket.connect(&addr.into()));
+        if started == ConnectStart::InProgress {
+            self.insert(token, socket.into(), ConnectionState::Connecting, reactor)?;
         }
-        self.insert(token, socket.into(), ConnectionState::Connecting, reactor)
+        Ok(started)
     }
 
     /// Adds a connection that a listener accepted.
@@ -152,6 +166,7 @@
         }
         reactor.pending_reads.remove(&token);
         self.unflushed.remove(&token);
+        self.deferred.remove(&token);
     }
 
     pub(crate) fn shutdown_write(&mut self, token: Token, reactor: &mut Reactor) {
@@ -192,10 +207,57 @@
         match connection.write_unsent() {
             WriteOutcome::Flushed if connection.is_closing() => self.close(token, reactor),
             WriteOutcome::Flushed | WriteOutcome::Blocked => {}
+            WriteOutcome::Deferred => self.defer(token),
             WriteOutcome::Failed => self.lose(token, reactor),
         }
     }
 
+    /// Remembers that a call on a connection has to be made again after a pause.
+    fn defer(&mut self, token: Token) {
+        self.deferred.insert(token);
+        self.deferred_until.get_or_insert_with(|| Instant::now() + DEFERRED_CALL_PAUSE);
+    }
+
+    /// Returns how long no call that was deferred is due; `None` if none is deferred.
+    pub(crate) fn deferred_for(&self, now: Instant) -> Option<Duration> {
+        self.deferred_until.map(|until| until.saturating_duration_since(now))
+    }
+
+    /// Makes the deferred calls again if their pause is over: writes now, and reads with the other input.
+    pub(crate) fn resume_deferred(&mut self, now: Instant, reactor: &mut Reactor) {
+        if self.deferred_until.is_none_or(|until| until > now) {
+            return;
+        }
+        self.deferred_until = None;
+        for token in std::mem::take(&mut self.deferred) {
+            self.retry_calls(token, reactor);
+        }
+    }
+
+    /// Makes all calls again that may have been due: the readiness of connections was lost.
+    pub(crate) fn retry_all_calls(&mut self, reactor: &mut Reactor) {
+        let all: Vec<Token> = self.open.keys().copied().collect();
+        for token in all {
+            self.mark_readable(token);
+            self.retry_calls(token, reactor);
+        }
+    }
+
+    /// The reading of a connection that is being established checks on that first.
+    fn retry_calls(&mut self, token: Token, reactor: &mut Reactor) {
+        reactor.pending_reads.insert(token);
+        self.write(token, reactor);
+    }
+
+    /// Closes a connection that could not be established; the next poll reports it.
+    fn fail_connect(&mut self, token: Token, failure: ConnectFailure, reactor: &mut Reactor) {
+        let was_wanted = self.open.get(&token).is_some_and(|connection| !connection.is_closing());
+        self.close(token, reactor);
+        if was_wanted {
+            reactor.deferred_events.push(Event::ConnectFailed { token, failure });
+        }
+    }
+
     /// Closes a failed connection; the next poll reports the loss.
     fn lose(&mut self, token: Token, reactor: &mut Reactor) {
         let Some(connection) = self.open.get(&token) else { return };
@@ -219,7 +281,8 @@
             match connection.finish_connect() {
                 ConnectOutcome::Established => out.push(Event::Connected(token)),
                 ConnectOutcome::Pending => return,
-                ConnectOutcome::Failed => return self.lose(token, reactor),
+                ConnectOutcome::Unknown => return self.defer(token),
+                ConnectOutcome::Failed(failure) => return self.fail_connect(token, failure, reactor),
             }
         }
         self.write(token, reactor);
--- a/crates/net/src/connections/reading.rs
+++ b/crates/net/src/connections/reading.rs
@@ -34,6 +34,10 @@
         match outcome {
             ReadOutcome::Received(_) | ReadOutcome::Interrupted => ControlFlow::Continue(()),
             ReadOutcome::EndOfStream | ReadOutcome::Blocked => ControlFlow::Break(()),
+            ReadOutcome::Deferred => {
+                self.defer(token);
+                ControlFlow::Break(())
+            }
             ReadOutcome::Failed => {
                 self.lose(token, reactor);
                 ControlFlow::Break(())
@@ -64,6 +68,6 @@
             Some(Event::Data(token, Bytes::copy_from_slice(&read_buffer[..count])))
         }
         ReadOutcome::EndOfStream => Some(Event::HalfClosed(token)),
-        ReadOutcome::Blocked | ReadOutcome::Interrupted | ReadOutcome::Failed => None,
+        ReadOutcome::Blocked | ReadOutcome::Interrupted | ReadOutcome::Deferred | ReadOutcome::Failed => None,
     }
 }
--- a/crates/net/src/datagrams.rs
+++ b/crates/net/src/datagrams.rs
@@ -41,6 +41,11 @@
         self.open.contains_key(&token)
     }
 
+    /// Returns the open sockets.
+    pub(crate) fn tokens(&self) -> impl Iterator<Item = Token> + '_ {
+        self.open.keys().copied()
+    }
+
     /// Sends one datagram; returns false if the socket is closed or the system did not accept the datagram.
     pub(crate) fn send_to(&self, token: Token, addr: SocketAddr, bytes: &[u8]) -> bool {
         let Some(open) = self.open.get(&token) else { return false };
--- a/crates/net/src/event.rs
+++ b/crates/net/src/event.rs
@@ -1,6 +1,6 @@
 //! Events that a poll reports to its caller.
 
-use crate::Token;
+use crate::{ConnectFailure, Token};
 use bytes::Bytes;
 use std::net::SocketAddr;
 
@@ -19,7 +19,12 @@
     /// A connection started with [`Net::connect`](crate::Net::connect) is established.
     Connected(Token),
     /// A connection started with [`Net::connect`](crate::Net::connect) could not be established.
-    ConnectFailed(Token),
+    ConnectFailed {
+        /// The connection.
+        token: Token,
+        /// Who is at fault.
+        failure: ConnectFailure,
+    },
     /// Bytes were received on a connection.
     Data(Token, Bytes),
     /// The peer closed its sending side; it may still read.
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -17,11 +17,13 @@
 mod reactor;
 mod reserved;
 mod socket;
+mod system_error;
 
 pub use event::Event;
 pub use net::{Net, ReadLimits};
 pub use reserved::Reserved;
 pub use socket::BoundSocket;
+pub use system_error::{is_momentary, ConnectFailure};
 
 /// Identifies a listener, connection or datagram socket of one [`Net`]; a value is never reused.
 pub type Token = u64;
--- a/crates/net/src/listeners.rs
+++ b/crates/net/src/listeners.rs
@@ -71,6 +71,11 @@
         reactor.pending_reads.remove(&token);
     }
 
+    /// Returns the open listeners.
+    pub(crate) fn tokens(&self) -> impl Iterator<Item = Token> + '_ {
+        self.open.keys().copied()
+    }
+
     pub(crate) fn contains(&self, token: Token) -> bool {
         self.open.contains_key(&token)
     }
--- a/crates/net/src/net.rs
+++ b/crates/net/src/net.rs
@@ -13,6 +13,9 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+/// Pause after a wait for events that failed, so that a lasting failure costs little processor time.
+const FAILED_WAIT_PAUSE: Duration = Duration::from_millis(1);
+
 /// Limits on reading, so that no connection can starve the others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ReadLimits {
@@ -152,17 +155,29 @@
 
     /// Writes queued bytes, waits until an event occurs or the timeout elapses, and appends the events to
     /// `out`.
-    pub fn poll(&mut self, timeout: Duration, out: &mut Vec<Event>) -> io::Result<()> {
+    pub fn poll(&mut self, timeout: Duration, out: &mut Vec<Event>) {
         self.flush();
         let timeout = self.dispatch_timeout(timeout, Instant::now());
-        self.reactor.dispatch(timeout)?;
+        if let Err(error) = self.reactor.dispatch(timeout) {
+            self.recover_from_failed_wait(&error);
+        }
         self.reactor.take_signals(out);
         self.handle_readiness(out);
         let now = Instant::now();
+        self.connections.resume_deferred(now, &mut self.reactor);
         self.handle_pending_reads(now, out);
         self.connections.close_flush_timeouts(now, &mut self.reactor);
         out.append(&mut self.reactor.deferred_events);
-        Ok(())
+    }
+
+    /// The wait may have failed after the system had reported readiness, which it does not report again. All
+    /// sockets are tried, so that nothing is lost.
+    fn recover_from_failed_wait(&mut self, error: &io::Error) {
+        tracing::debug!(%error, "wait for events failed, all sockets are tried");
+        std::thread::sleep(FAILED_WAIT_PAUSE);
+        self.connections.retry_all_calls(&mut self.reactor);
+        self.reactor.pending_reads.extend(self.listeners.tokens());
+        self.reactor.pending_reads.extend(self.datagrams.tokens());
     }
 
     /// Returns how long the event loop may wait: zero while the last poll left work behind.
@@ -171,10 +186,9 @@
         if self.has_remaining_work(accept_paused) {
             return Duration::ZERO;
         }
-        if accept_paused {
-            return timeout.min(ACCEPT_PAUSE);
-        }
-        timeout
+        let accept_pause = accept_paused.then_some(ACCEPT_PAUSE);
+        let pauses = [accept_pause, self.connections.deferred_for(now)];
+        pauses.into_iter().flatten().fold(timeout, Duration::min)
     }
 
     fn has_remaining_work(&self, accept_paused: bool) -> bool {
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -83,7 +83,7 @@
         while !self.core.is_ended() {
             let next_wake = self.core.next_wake().min(self.config_retry_at.unwrap_or(Time::MAX));
             let wait = Duration::from_nanos(next_wake.saturating_sub(self.now())).min(MAX_POLL_WAIT);
-            self.net.poll(wait, &mut events).context("the event loop failed")?;
+            self.net.poll(wait, &mut events);
             let now = self.now();
             self.core.advance_clock(now);
             for event in events.drain(..) {
@@ -98,20 +98,19 @@
             }
             self.log.update(&mut self.core, self.journal.size(), now);
         }
-        self.flush()?;
+        self.flush();
         tracing::info!("shutdown complete");
         Ok(())
     }
 
     /// Waits until the last answers are sent, so that clients get them before the process exits.
-    fn flush(&mut self) -> anyhow::Result<()> {
+    fn flush(&mut self) {
         let mut events = Vec::new();
         let until = self.now() + FLUSH_TIMEOUT;
         while self.net.has_unsent() && self.now() < until {
-            self.net.poll(FLUSH_POLL_WAIT, &mut events).context("the event loop failed")?;
+            self.net.poll(FLUSH_POLL_WAIT, &mut events);
             events.clear();
         }
-        Ok(())
     }
 
     fn handle(&mut self, event: Event) {
@@ -125,7 +124,7 @@
                     self.core.upstream_connected(id);
                 }
             }
-            Event::ConnectFailed(token) => {
+            Event::ConnectFailed { token, .. } => {
                 if let Some(id) = self.upstream.id(token) {
                     self.core.upstream_connect_failed(id);
                 }
--- a/crates/testbed/src/listen.rs
+++ b/crates/testbed/src/listen.rs
@@ -56,7 +56,7 @@
         let remaining =
             options.seconds.map(|seconds| Duration::from_secs_f64(seconds).saturating_sub(started.elapsed()));
         let wait = remaining.map_or(REFRESH_INTERVAL, |remaining| remaining.min(REFRESH_INTERVAL));
-        let signalled = wait_for_signal(&mut signals, wait)?;
+        let signalled = wait_for_signal(&mut signals, wait);
         let time_is_up = remaining.is_some_and(|remaining| remaining <= REFRESH_INTERVAL);
         let counter_check = show(&receiver)?;
         if signalled || time_is_up {
@@ -80,13 +80,13 @@
 }
 
 /// Waits until a signal arrives, at most for the timeout; returns whether one arrived.
-fn wait_for_signal(signals: &mut Net, timeout: Duration) -> anyhow::Result<bool> {
+fn wait_for_signal(signals: &mut Net, timeout: Duration) -> bool {
     let wait_until = Instant::now() + timeout;
     let mut events = Vec::new();
     while events.is_empty() && Instant::now() < wait_until {
-        signals.poll(wait_until.saturating_duration_since(Instant::now()), &mut events)?;
+        signals.poll(wait_until.saturating_duration_since(Instant::now()), &mut events);
     }
-    Ok(!events.is_empty())
+    !events.is_empty()
 }
 
 /// Prints the table of what has been received so far.
--- a/crates/testbed/src/message_receivers.rs
+++ b/crates/testbed/src/message_receivers.rs
@@ -117,9 +117,7 @@
     fn run(&mut self, stop: &AtomicBool) {
         let mut events = Vec::new();
         while !stop.load(Ordering::Relaxed) {
-            if self.net.poll(POLL_INTERVAL, &mut events).is_err() {
-                return;
-            }
+            self.net.poll(POLL_INTERVAL, &mut events);
             for event in events.drain(..) {
                 self.process(event);
             }
--- a/crates/testbed/src/relay.rs
+++ b/crates/testbed/src/relay.rs
@@ -63,7 +63,7 @@
     };
     let mut events = Vec::new();
     loop {
-        relay.net.poll(POLL_INTERVAL, &mut events)?;
+        relay.net.poll(POLL_INTERVAL, &mut events);
         for event in events.drain(..) {
             relay.process(event)?;
         }
@@ -82,7 +82,7 @@
                 self.net.close(token);
                 self.remove(token);
             }
-            Event::Closed { token, .. } | Event::ConnectFailed(token) => self.remove(token),
+            Event::Closed { token, .. } | Event::ConnectFailed { token, .. } => self.remove(token),
             _ => {}
         }
         Ok(())
--- a/crates/testbed/src/report_receiver/event_loop.rs
+++ b/crates/testbed/src/report_receiver/event_loop.rs
@@ -81,9 +81,7 @@
         let mut events = Vec::new();
         let mut current = Behaviour::Reads;
         while let Mode::Run(behaviour) = self.shared.mode() {
-            if self.net.poll(POLL_INTERVAL, &mut events).is_err() {
-                return;
-            }
+            self.net.poll(POLL_INTERVAL, &mut events);
             if behaviour != current {
                 self.change_behaviour(behaviour);
                 current = behaviour;
--- a/crates/testbed/src/socket_run.rs
+++ b/crates/testbed/src/socket_run.rs
@@ -207,7 +207,7 @@
         let wait_until = self.runner.now() + max_wait;
         let next = self.runner.next_wakeup().map_or(wait_until, |wakeup| wakeup.min(wait_until));
         let wait = next.saturating_sub(self.elapsed());
-        self.runner.transport.net.poll(Duration::from_nanos(wait), events)?;
+        self.runner.transport.net.poll(Duration::from_nanos(wait), events);
         let now = self.elapsed();
         self.runner.clock(now);
         for event in events.drain(..) {
@@ -230,7 +230,7 @@
                 self.runner.transport.close(token);
                 self.process_closed(token)?;
             }
-            Event::Closed { token, .. } | Event::ConnectFailed(token) => self.process_closed(token)?,
+            Event::Closed { token, .. } | Event::ConnectFailed { token, .. } => self.process_closed(token)?,
             Event::Signal(_) => self.is_signalled = true,
             Event::Datagram(..) => {}
         }
--- a/crates/testbed/src/throughput_baseline/cases.rs
+++ b/crates/testbed/src/throughput_baseline/cases.rs
@@ -116,11 +116,11 @@
     for number in 0..count {
         waiting.submit(number % WAITING_CLIENTS)?;
         if number % SUBMITTED_AT_ONCE == 0 {
-            waiting.poll_ignoring_answers(Duration::from_millis(1))?;
+            waiting.poll_ignoring_answers(Duration::from_millis(1));
         }
     }
     for _ in 0..40 {
-        waiting.poll_ignoring_answers(Duration::from_millis(20))?;
+        waiting.poll_ignoring_answers(Duration::from_millis(20));
     }
     Ok(waiting)
 }
--- a/crates/testbed/src/throughput_baseline/clients.rs
+++ b/crates/testbed/src/throughput_baseline/clients.rs
@@ -87,7 +87,7 @@
         let mut connected = 0;
         let mut events = Vec::new();
         while connected < count {
-            self.net.poll(CONNECT_POLL, &mut events)?;
+            self.net.poll(CONNECT_POLL, &mut events);
             connected += events.drain(..).filter(|event| matches!(event, Event::Connected(_))).count();
             if Instant::now() > connect_by {
                 bail!("only {connected} of {count} clients could connect");
@@ -113,9 +113,8 @@
     }
 
     /// Sends and receives for at most the timeout, and ignores the answers.
-    pub(super) fn poll_ignoring_answers(&mut self, timeout: Duration) -> anyhow::Result<()> {
-        self.net.poll(timeout, &mut Vec::new())?;
-        Ok(())
+    pub(super) fn poll_ignoring_answers(&mut self, timeout: Duration) {
+        self.net.poll(timeout, &mut Vec::new());
     }
 
     /// Submits messages for the duration and records the answers that arrive within it.
@@ -132,7 +131,7 @@
                 let due = started.elapsed().as_secs_f64() * rate;
                 self.submit_due(&mut submitted, due)?;
             }
-            self.net.poll(load.poll_interval(), &mut events)?;
+            self.net.poll(load.poll_interval(), &mut events);
             for event in events.drain(..) {
                 if let Event::Data(token, bytes) = event {
                     self.receive(token, &bytes, load, &mut results)?;
