Net: connections queued on a listener are accepted before it closes, whatever accept returns

Cause: callers whose connection was queued when the courier shut down got a reset. After EMFILE or ENFILE accepting paused for 100 ms, and stop_listening closed the listener in that pause, with its queue (listeners.rs, accept). ENOBUFS and ENOMEM counted as the error of one connection and were tried again without a pause. Change: a listener that is being closed stays until its queue was found empty, for a second at most. A lack of resources pauses accepting for 10 ms, and so does a series of failed connections; one log line tells of the state. A connection that cannot be prepared is logged with its reason and closed unread.

--- a/crates/net/src/listeners.rs
+++ b/crates/net/src/listeners.rs
@@ -1,15 +1,16 @@
 //! Listening TCP sockets.
 //!
-//! This module owns the listeners, and the pause in accepting after the process ran out of file descriptors.
+//! This module owns the listeners, and the pause in accepting while the system cannot create a connection.
 //! Accepted connections belong to [`Connections`].
 
 use crate::connections::Connections;
 use crate::reactor::Reactor;
+use crate::system_error::{accept_error, AcceptError};
 use crate::{BoundSocket, Event, Token};
 use calloop::{Interest, RegistrationToken};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::collections::BTreeMap;
-use std::io::{self, ErrorKind};
+use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -18,15 +19,29 @@
 const ACCEPTS_PER_POLL: usize = 256;
 /// Maximum number of established connections that the system queues until they are accepted.
 const LISTEN_BACKLOG: i32 = 4096;
-/// Pause in accepting connections after the process ran out of file descriptors.
-pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
-/// `EMFILE` and `ENFILE` of the system's headers; the same on every Linux that calloop runs on.
-const EMFILE: i32 = 24;
-const ENFILE: i32 = 23;
+/// After so many failed connections in a row, accepting pauses.
+const MAX_ACCEPT_FAILURES: usize = 32;
+/// Pause in accepting connections while the system cannot create one.
+pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// How long a listener that is being closed waits until its queue could be accepted.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
 struct Listener {
     socket: Rc<TcpListener>,
     registration: RegistrationToken,
+    state: ListenerState,
+}
+
+/// Whether a listener is to be closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ListenerState {
+    Open,
+    /// The listener is closed when its queue is empty, or at this time.
+    Closing {
+        until: Instant,
+    },
+    /// The queue of the listener was found empty.
+    Drained,
 }
 
 /// The listeners, by token.
@@ -34,6 +49,8 @@
 pub(crate) struct Listeners {
     open: BTreeMap<Token, Listener>,
     paused_until: Option<Instant>,
+    /// Accepting has failed since the last connection, which has been logged.
+    is_failing: bool,
 }
 
 impl Listeners {
@@ -50,25 +67,42 @@
         let address = socket.local_addr()?;
         let token = reactor.next_token();
         let registration = reactor.register(Rc::clone(&socket), token, Interest::READ)?;
-        self.open.insert(token, Listener { socket, registration });
+        self.open.insert(token, Listener { socket, registration, state: ListenerState::Open });
         Ok(BoundSocket { token, address })
     }
 
     /// Accepts the queued connections, then closes the listener: closing resets connections that were not
-    /// accepted.
+    /// accepted. If accepting fails at present, the listener is closed by a later poll.
     pub(crate) fn stop_listening(
         &mut self,
         token: Token,
         connections: &mut Connections,
         reactor: &mut Reactor,
     ) {
+        let now = Instant::now();
+        let Some(listener) = self.open.get_mut(&token) else { return };
+        listener.state = ListenerState::Closing { until: now + CLOSE_TIMEOUT };
         let mut last_events = Vec::new();
-        self.accept(token, Instant::now(), connections, reactor, &mut last_events);
+        self.accept(token, now, connections, reactor, &mut last_events);
         reactor.deferred_events.append(&mut last_events);
-        if let Some(listener) = self.open.remove(&token) {
-            reactor.unregister(listener.registration);
+        self.close_drained(now, reactor);
+    }
+
+    /// Closes the listeners that are to be closed and whose queue is empty, or whose time for that is over.
+    pub(crate) fn close_drained(&mut self, now: Instant, reactor: &mut Reactor) {
+        let is_due = |listener: &Listener| match listener.state {
+            ListenerState::Open => false,
+            ListenerState::Closing { until } => until <= now,
+            ListenerState::Drained => true,
+        };
+        let due: Vec<Token> =
+            self.open.iter().filter(|(_, listener)| is_due(listener)).map(|(&token, _)| token).collect();
+        for token in due {
+            if let Some(listener) = self.open.remove(&token) {
+                reactor.unregister(listener.registration);
+            }
+            reactor.pending_reads.remove(&token);
         }
-        reactor.pending_reads.remove(&token);
     }
 
     /// Returns the open listeners.
@@ -98,23 +132,44 @@
             return;
         }
         self.paused_until = None;
+        let mut failures = 0;
         for _ in 0..ACCEPTS_PER_POLL {
-            let Some(open) = self.open.get(&listener) else { return };
-            match open.socket.accept() {
-                Ok((stream, peer)) => admit(listener, stream, peer, connections, reactor, out),
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return,
-                Err(error) if is_out_of_file_descriptors(&error) => {
-                    tracing::warn!("out of file descriptors: connections wait; raise the limit (ulimit -n)");
-                    self.paused_until = Some(now + ACCEPT_PAUSE);
-                    reactor.pending_reads.insert(listener);
+            let Some(open) = self.open.get_mut(&listener) else { return };
+            let error = match open.socket.accept() {
+                Ok((stream, peer)) => {
+                    self.is_failing = false;
+                    admit(listener, stream, peer, connections, reactor, out);
+                    continue;
+                }
+                Err(error) => error,
+            };
+            match accept_error(&error) {
+                AcceptError::Empty => {
+                    if matches!(open.state, ListenerState::Closing { .. }) {
+                        open.state = ListenerState::Drained;
+                    }
                     return;
                 }
                 // This connection failed before it was accepted; the others are not affected.
-                Err(_) => {}
+                AcceptError::OneConnection if failures < MAX_ACCEPT_FAILURES => failures += 1,
+                AcceptError::OneConnection | AcceptError::Momentary => {
+                    self.pause(listener, &error, now, reactor);
+                    return;
+                }
             }
         }
         reactor.pending_reads.insert(listener);
     }
+
+    /// Pauses accepting; the connections stay queued.
+    fn pause(&mut self, listener: Token, error: &io::Error, now: Instant, reactor: &mut Reactor) {
+        if !self.is_failing {
+            tracing::warn!(%error, "accepting fails, connections wait; see the limits of this machine");
+        }
+        self.is_failing = true;
+        self.paused_until = Some(now + ACCEPT_PAUSE);
+        reactor.pending_reads.insert(listener);
+    }
 }
 
 /// Adds an accepted connection, or closes it if the maximum number of connections is reached.
@@ -127,18 +182,15 @@
     out: &mut Vec<Event>,
 ) {
     if connections.is_full() {
-        drop(stream);
+        tracing::debug!(%peer, "connection closed unread, the maximum number is reached");
         return;
     }
     let token = reactor.next_token();
-    if connections.insert_accepted(token, stream, reactor).is_err() {
+    if let Err(error) = connections.insert_accepted(token, stream, reactor) {
+        tracing::debug!(%peer, %error, "connection closed unread, it could not be prepared");
         return;
     }
     out.push(Event::Accepted { listener, token, peer });
     // The first request often arrives with the connection; reading it here reports it in the same poll.
     connections.read(token, reactor, out);
 }
-
-fn is_out_of_file_descriptors(error: &io::Error) -> bool {
-    matches!(error.raw_os_error(), Some(EMFILE | ENFILE))
-}
--- a/crates/net/src/net.rs
+++ b/crates/net/src/net.rs
@@ -61,7 +61,8 @@
         self.listeners.listen(addr, &mut self.reactor)
     }
 
-    /// Closes a listener, after accepting the connections that are already queued on it.
+    /// Closes a listener once the connections that are queued on it are accepted; while accepting fails, the
+    /// listener stays open for up to a second.
     pub fn stop_listening(&mut self, token: Token) {
         self.listeners.stop_listening(token, &mut self.connections, &mut self.reactor);
     }
@@ -166,6 +167,7 @@
         let now = Instant::now();
         self.connections.resume_deferred(now, &mut self.reactor);
         self.handle_pending_reads(now, out);
+        self.listeners.close_drained(now, &mut self.reactor);
         self.connections.close_flush_timeouts(now, &mut self.reactor);
         out.append(&mut self.reactor.deferred_events);
     }
--- a/crates/net/src/system_error.rs
+++ b/crates/net/src/system_error.rs
@@ -17,6 +17,17 @@
     Broken,
 }
 
+/// What an error of `accept` means.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AcceptError {
+    /// No connection is queued.
+    Empty,
+    /// The connection at the front of the queue failed, or a signal arrived; others may be queued.
+    OneConnection,
+    /// The system cannot create a connection at present. The queue stays as it is.
+    Momentary,
+}
+
 /// Why a connection could not be established.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectFailure {
@@ -45,6 +56,15 @@
     }
 }
 
+/// Returns what an error of `accept` means.
+pub(crate) fn accept_error(error: &io::Error) -> AcceptError {
+    match meaning(error) {
+        ErrorMeaning::WouldBlock => AcceptError::Empty,
+        ErrorMeaning::Momentary => AcceptError::Momentary,
+        ErrorMeaning::Interrupted | ErrorMeaning::Broken => AcceptError::OneConnection,
+    }
+}
+
 /// Returns what the result of `connect` on a non-blocking socket means.
 pub(crate) fn connect_start(result: io::Result<()>) -> ConnectStart {
     let Err(error) = result else { return ConnectStart::InProgress };
--- a/crates/net/src/system_error/tests.rs
+++ b/crates/net/src/system_error/tests.rs
@@ -24,8 +24,12 @@
 fn lack_of_resources_breaks_no_connection() {
     for errno in [Errno::NOBUFS, Errno::NOMEM, Errno::MFILE, Errno::NFILE] {
         assert_eq!(meaning(&error(errno)), ErrorMeaning::Momentary, "{errno:?}");
+        assert_eq!(accept_error(&error(errno)), AcceptError::Momentary, "{errno:?}");
     }
     for errno in [Errno::PIPE, Errno::CONNRESET, Errno::TIMEDOUT, Errno::HOSTUNREACH] {
         assert_eq!(meaning(&error(errno)), ErrorMeaning::Broken, "{errno:?}");
     }
+    for errno in [Errno::CONNABORTED, Errno::PROTO, Errno::INTR] {
+        assert_eq!(accept_error(&error(errno)), AcceptError::OneConnection, "{errno:?}");
+    }
 }
