Connects that this machine cannot begin blame no endpoint, are paced and use up no attempt

Cause: a failed socket, connect or registration on the courier's own machine reached the decision library as NoConnection, the endpoint's failure: limits were ejected, 'limit state changed' twice in 0.6 s of EMFILE, and messages used up their attempts in a busy loop (connection_pool.rs and delivery/upstream.rs, connect_failed). A pool without a free connection had the same effect. Change: new outcome LocalFault, which shows nothing of endpoint, limit or retry budget. policy/local_faults.rs pauses the destination for 20 ms, doubling to 320 ms, and does not count the attempt. Discovery is connected again after 20 ms without a longer backoff.

--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -44,6 +44,7 @@
 pub use decisions::{library, DecisionPolicy, PolicyFactory};
 pub use delivery::UpstreamId;
 pub use interface::{Output, StartOptions};
+pub use linnetcart_net::ConnectFailure;
 pub use status::{ClassCounters, Status};
 
 use crate::delivery_events::DeliveryEvent;
--- a/crates/edge/src/core/attempts.rs
+++ b/crates/edge/src/core/attempts.rs
@@ -7,6 +7,7 @@
 use super::{Core, UpstreamId};
 use crate::delivery_events::{DeliveryEvent, FinalAnswer, LoadReport};
 use linnetcart::{AttemptOutcome, AttemptResult, Event, Idempotency, Time};
+use linnetcart_net::ConnectFailure;
 
 /// How many ticks before a message's deadline the last attempt may be written. The library answers two ticks
 /// before the deadline and needs the outcome of an unwritten attempt before that.
@@ -21,8 +22,8 @@
     }
 
     /// Handles a connection to an endpoint that could not be established.
-    pub fn upstream_connect_failed(&mut self, id: UpstreamId) {
-        self.delivery.connect_failed(id);
+    pub fn upstream_connect_failed(&mut self, id: UpstreamId, failure: ConnectFailure) {
+        self.delivery.connect_failed(id, failure);
     }
 
     /// Handles a connection that the endpoint closed, or that failed, after the operating system accepted
--- a/crates/edge/src/core/delivery/upstream.rs
+++ b/crates/edge/src/core/delivery/upstream.rs
@@ -4,31 +4,47 @@
 use crate::core::Output;
 use linnetcart::{AttemptOutcome, Time};
 use linnetcart_kafka::client;
+use linnetcart_net::ConnectFailure;
+
+/// The outcomes of the calls of a connection that ends.
+#[derive(Clone, Copy, Debug)]
+struct CallOutcomes {
+    /// Of those that may have been sent.
+    written: AttemptOutcome,
+    /// Of those that were not.
+    unsent: AttemptOutcome,
+}
+
+impl CallOutcomes {
+    fn written(written: AttemptOutcome) -> CallOutcomes {
+        CallOutcomes { written, unsent: AttemptOutcome::NoConnection }
+    }
+}
 
 impl Delivery {
     /// Closes a connection. Calls that were written to it end with `written_outcome`.
     pub(super) fn close(&mut self, id: UpstreamId, written_outcome: AttemptOutcome) {
         if self.connections.get(id).is_some() {
             self.outputs.push(Output::CloseUpstream(id));
-            self.remove_connection(id, u64::MAX, written_outcome);
+            self.remove_connection(id, u64::MAX, CallOutcomes::written(written_outcome));
         }
     }
 
     /// Removes a connection that has closed after the operating system accepted `accepted_bytes` of what was
     /// queued there. Calls that begin after those bytes are known not to have been sent.
-    fn remove_connection(&mut self, id: UpstreamId, accepted_bytes: u64, written_outcome: AttemptOutcome) {
+    fn remove_connection(&mut self, id: UpstreamId, accepted_bytes: u64, outcomes: CallOutcomes) {
         let Some(connection) = self.connections.remove(id) else { return };
         for call_id in connection.written_calls.into_values() {
             let Some(call) = self.calls.get(call_id) else { continue };
-            if call.connection_idle_for > 0 && written_outcome == AttemptOutcome::Reset {
+            if call.connection_idle_for > 0 && outcomes.written == AttemptOutcome::Reset {
                 self.connection_reuse.record_loss(self.now, call.connection_idle_for);
             }
             let departed = call.stream_offset.unwrap_or(0) < accepted_bytes;
-            let outcome = if departed { written_outcome } else { AttemptOutcome::NoConnection };
+            let outcome = if departed { outcomes.written } else { outcomes.unsent };
             self.finish_call(call_id, outcome);
         }
         for call_id in connection.waiting_calls {
-            self.finish_call(call_id, AttemptOutcome::NoConnection);
+            self.finish_call(call_id, outcomes.unsent);
         }
     }
 
@@ -63,13 +79,17 @@
     }
 
     /// Handles a connection that could not be established.
-    pub(crate) fn connect_failed(&mut self, id: UpstreamId) {
-        self.remove_connection(id, 0, AttemptOutcome::NoConnection);
+    pub(crate) fn connect_failed(&mut self, id: UpstreamId, failure: ConnectFailure) {
+        let unsent = match failure {
+            ConnectFailure::Local => AttemptOutcome::LocalFault,
+            ConnectFailure::Remote => AttemptOutcome::NoConnection,
+        };
+        self.remove_connection(id, 0, CallOutcomes { written: unsent, unsent });
     }
 
     /// Handles a connection that the peer closed, or that failed, after the operating system accepted
     /// `accepted_bytes` for it.
     pub(crate) fn disconnected(&mut self, id: UpstreamId, accepted_bytes: u64) {
-        self.remove_connection(id, accepted_bytes, AttemptOutcome::Reset);
+        self.remove_connection(id, accepted_bytes, CallOutcomes::written(AttemptOutcome::Reset));
     }
 }
--- a/crates/edge/src/shell/events.rs
+++ b/crates/edge/src/shell/events.rs
@@ -4,7 +4,7 @@
 use crate::control::{ConnectionHeader, HttpConnection, HttpInput, Reply, Request, CONTINUE};
 use crate::core::{Core, UpstreamId};
 use crate::snapshot::{self, Snapshot};
-use linnetcart_net::{Event, Token};
+use linnetcart_net::{ConnectFailure, Event, Token};
 use serde_json::json;
 
 impl Shell {
@@ -13,7 +13,7 @@
         match event {
             Event::Accepted { listener, token, .. } => self.accepted(listener, token),
             Event::Connected(token) => self.connected(token),
-            Event::ConnectFailed { token, .. } => self.connect_failed(token),
+            Event::ConnectFailed { token, failure } => self.connect_failed(token, failure),
             Event::Data(token, bytes) => self.received(token, &bytes),
             Event::HalfClosed(token) => self.half_closed(token),
             Event::Closed { token, written } => self.closed(token, written),
@@ -49,9 +49,9 @@
         }
     }
 
-    fn connect_failed(&mut self, token: Token) {
+    fn connect_failed(&mut self, token: Token, failure: ConnectFailure) {
         self.graphite_disconnected(token);
-        self.with_upstream(token, |core, upstream| core.upstream_connect_failed(upstream));
+        self.with_upstream(token, |core, upstream| core.upstream_connect_failed(upstream, failure));
         self.forget(token);
     }
 
--- a/crates/emulator/src/host/input.rs
+++ b/crates/emulator/src/host/input.rs
@@ -5,7 +5,7 @@
 use crate::model::LoopCosts;
 use bytes::Bytes;
 use linnetcart_edge::control::{ConnectionHeader, Request};
-use linnetcart_edge::core::{ClientId, UpstreamId};
+use linnetcart_edge::core::{ClientId, ConnectFailure, UpstreamId};
 
 const STATUS_OK: u16 = 200;
 
@@ -70,7 +70,9 @@
             Input::ClientDisconnected(client) => core.client_disconnected(client),
             Input::ClientBacklog(client, bytes) => core.set_client_backlog(client, bytes),
             Input::UpstreamConnected(upstream) => core.upstream_connected(upstream),
-            Input::UpstreamConnectFailed(upstream) => core.upstream_connect_failed(upstream),
+            Input::UpstreamConnectFailed(upstream) => {
+                core.upstream_connect_failed(upstream, ConnectFailure::Remote)
+            }
             Input::UpstreamDisconnected { upstream, bytes_written } => {
                 core.upstream_disconnected(upstream, bytes_written);
             }
--- a/crates/platform/src/core/connection_pool.rs
+++ b/crates/platform/src/core/connection_pool.rs
@@ -20,6 +20,7 @@
 use linnetcart::{AttemptOutcome, Time};
 use linnetcart_courier_common::idle_reuse::{CallResult, LossRatePolicy};
 use linnetcart_deployment_settings::DeploymentSettings;
+use linnetcart_net::ConnectFailure;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -183,9 +184,13 @@
     }
 
     /// Handles a failed connect. Returns the attempt that failed with it.
-    pub fn connect_failed(&mut self, id: ConnectionId) -> Option<FinishedAttempt> {
+    pub fn connect_failed(&mut self, id: ConnectionId, failure: ConnectFailure) -> Option<FinishedAttempt> {
         let attempt = self.close(id)?;
-        Some(FinishedAttempt::new(attempt, AttemptOutcome::NoConnection))
+        let outcome = match failure {
+            ConnectFailure::Local => AttemptOutcome::LocalFault,
+            ConnectFailure::Remote => AttemptOutcome::NoConnection,
+        };
+        Some(FinishedAttempt::new(attempt, outcome))
     }
 
     /// Handles the end of a connection on which the operating system accepted `written` bytes. Returns the
--- a/crates/platform/src/core/counters.rs
+++ b/crates/platform/src/core/counters.rs
@@ -42,6 +42,8 @@
     pub cancelled: u64,
     /// Certainly not executed: not sent, or answered by 504, by 410 or by 503 with `x-egress-full`.
     pub not_sent: u64,
+    /// Not begun, because this machine could not.
+    pub local_fault: u64,
 }
 
 impl OutcomeCounts {
@@ -56,6 +58,7 @@
             AttemptOutcome::Reset => &mut self.reset,
             AttemptOutcome::Cancelled => &mut self.cancelled,
             AttemptOutcome::NotSent { .. } => &mut self.not_sent,
+            AttemptOutcome::LocalFault => &mut self.local_fault,
         };
         *counter += 1;
     }
--- a/crates/platform/src/core/delivery.rs
+++ b/crates/platform/src/core/delivery.rs
@@ -115,8 +115,7 @@
                 self.effects.output(Output::Connect(connection, address));
             }
             Acquired::Exhausted => {
-                let outcome = AttemptOutcome::NotSent { no_capacity: true };
-                self.finish_attempt(FinishedAttempt::new(id, outcome));
+                self.finish_attempt(FinishedAttempt::new(id, AttemptOutcome::LocalFault));
             }
         }
     }
--- a/crates/platform/src/core/discovery.rs
+++ b/crates/platform/src/core/discovery.rs
@@ -87,6 +87,12 @@
         self.watch.disconnected(now);
     }
 
+    /// Handles a connect that this machine could not begin.
+    pub fn connect_failed_locally(&mut self, now: Time) {
+        self.connection = None;
+        self.watch.connect_failed_locally(now);
+    }
+
     /// Handles received bytes. Returns the events in them, and an error after which the connection has to be
     /// closed.
     pub fn receive(&mut self, now: Time, bytes: &[u8]) -> WatchProgress {
--- a/crates/platform/src/core/discovery/watch.rs
+++ b/crates/platform/src/core/discovery/watch.rs
@@ -122,6 +122,11 @@
         self.connection.disconnected(now);
     }
 
+    /// Handles a connect that this machine could not begin.
+    pub fn connect_failed_locally(&mut self, now: Time) {
+        self.connection.failed_locally(now);
+    }
+
     /// Restarts the watch at once, for another address.
     pub fn restart(&mut self) {
         *self = EndpointWatch { synced: self.synced, ..EndpointWatch::new() };
--- a/crates/platform/src/core/discovery_traffic.rs
+++ b/crates/platform/src/core/discovery_traffic.rs
@@ -6,6 +6,7 @@
 use super::status_notifier::Verdict;
 use super::Core;
 use crate::config::WatchEvent;
+use linnetcart_net::ConnectFailure;
 use std::net::SocketAddr;
 
 impl Core {
@@ -80,6 +81,21 @@
         true
     }
 
+    /// Handles a failed connect to discovery. Returns `false` if the connection is not one of these.
+    pub(super) fn discovery_connect_failed(&mut self, id: ConnectionId, failure: ConnectFailure) -> bool {
+        if failure == ConnectFailure::Remote {
+            return self.discovery_disconnected(id);
+        }
+        if self.discovery.owns(id) {
+            self.discovery.connect_failed_locally(self.clock.now());
+        } else if self.notifier.owns(id) {
+            self.notifier.connect_failed_locally(self.clock.now());
+        } else {
+            return false;
+        }
+        true
+    }
+
     /// Opens the watch, or closes it if it is silent.
     pub(super) fn poll_discovery(&mut self) {
         match self.discovery.poll(self.clock.now()) {
--- a/crates/platform/src/core/inputs.rs
+++ b/crates/platform/src/core/inputs.rs
@@ -8,6 +8,7 @@
 use super::effects::Output;
 use super::{Core, JournalState};
 use linnetcart::Time;
+use linnetcart_net::ConnectFailure;
 
 impl Core {
     /// Advances the clock. Must be called before the inputs that arrived by `now`.
@@ -53,11 +54,11 @@
     }
 
     /// A connection to an endpoint or to discovery could not be established.
-    pub fn upstream_connect_failed(&mut self, id: ConnectionId) {
-        if self.discovery_disconnected(id) {
+    pub fn upstream_connect_failed(&mut self, id: ConnectionId, failure: ConnectFailure) {
+        if self.discovery_connect_failed(id, failure) {
             return;
         }
-        if let Some(finished) = self.pool.connect_failed(id) {
+        if let Some(finished) = self.pool.connect_failed(id, failure) {
             self.finish_attempt(finished);
         }
     }
--- a/crates/platform/src/core/reconnect.rs
+++ b/crates/platform/src/core/reconnect.rs
@@ -72,6 +72,11 @@
         self.backoff = (2 * self.backoff).min(MAX_BACKOFF);
     }
 
+    /// Records that this machine could not begin the connect: it is tried again soon, without a longer backoff.
+    pub fn failed_locally(&mut self, now: Time) {
+        self.schedule_retry(now + MIN_BACKOFF);
+    }
+
     /// Schedules a new connect at `time`, without a longer backoff, after a connection that ended as
     /// expected.
     pub fn schedule_retry(&mut self, time: Time) {
--- a/crates/platform/src/core/status_notifier.rs
+++ b/crates/platform/src/core/status_notifier.rs
@@ -208,6 +208,12 @@
         self.sent = 0;
     }
 
+    /// Handles a connect that this machine could not begin.
+    pub fn connect_failed_locally(&mut self, now: Time) {
+        self.connection = None;
+        self.reconnect.failed_locally(now);
+    }
+
     /// Reconnects at once, without backoff, after discovery's address changed. Returns the connection to be
     /// closed, if any.
     pub fn restart(&mut self) -> Option<ConnectionId> {
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -124,9 +124,9 @@
                     self.core.upstream_connected(id);
                 }
             }
-            Event::ConnectFailed { token, .. } => {
+            Event::ConnectFailed { token, failure } => {
                 if let Some(id) = self.upstream.id(token) {
-                    self.core.upstream_connect_failed(id);
+                    self.core.upstream_connect_failed(id, failure);
                 }
                 self.upstream.remove_token(token);
             }
--- a/crates/telemetry/src/recording.rs
+++ b/crates/telemetry/src/recording.rs
@@ -187,7 +187,9 @@
         AttemptOutcome::Error => Field::AttemptErrors,
         AttemptOutcome::Rejected { .. } => Field::AttemptsRejected,
         AttemptOutcome::TimedOut => Field::AttemptTimeouts,
-        AttemptOutcome::NoConnection | AttemptOutcome::NotSent { .. } => Field::AttemptsNotSent,
+        AttemptOutcome::NoConnection | AttemptOutcome::NotSent { .. } | AttemptOutcome::LocalFault => {
+            Field::AttemptsNotSent
+        }
         AttemptOutcome::Reset => Field::ConnectionResets,
         AttemptOutcome::Cancelled => Field::AttemptsCancelled,
     }
--- a/src/interface/events.rs
+++ b/src/interface/events.rs
@@ -98,6 +98,9 @@
         #[cfg_attr(feature = "serde", serde(rename = "no_slot"))]
         no_capacity: bool,
     },
+    /// The courier's own machine failed before anything was sent; the message was not executed, and nothing
+    /// is shown of the endpoint.
+    LocalFault,
 }
 
 impl AttemptOutcome {
@@ -105,14 +108,21 @@
     pub fn not_executed(self) -> bool {
         matches!(
             self,
-            AttemptOutcome::Rejected { .. } | AttemptOutcome::NoConnection | AttemptOutcome::NotSent { .. }
+            AttemptOutcome::Rejected { .. }
+                | AttemptOutcome::NoConnection
+                | AttemptOutcome::NotSent { .. }
+                | AttemptOutcome::LocalFault
         )
     }
 
     /// Whether the outcome is that of the attempt's call as well: a call with several messages is served,
-    /// rejected or lost as one, but the courier itself withholds or cancels single attempts.
+    /// rejected or lost as one, but the courier itself withholds or cancels single attempts, and its machine
+    /// fails them.
     pub fn applies_to_call(self) -> bool {
-        !matches!(self, AttemptOutcome::NotSent { .. } | AttemptOutcome::Cancelled)
+        !matches!(
+            self,
+            AttemptOutcome::NotSent { .. } | AttemptOutcome::Cancelled | AttemptOutcome::LocalFault
+        )
     }
 }
 
@@ -205,6 +215,12 @@
     /// answer brings a Retry-After; then only what it shows of the limit and the endpoint counts.
     #[cfg_attr(feature = "serde", serde(rename = "Ended"))]
     AttemptFinished(AttemptResult),
+    /// The courier can record attempts from now on, or cannot. While it cannot, nothing is sent that needs a
+    /// record ([`Class::attempt_needs_record`](super::Class::attempt_needs_record)).
+    RecordingChanged {
+        /// Whether attempts can be recorded.
+        available: bool,
+    },
     /// A health check ended.
     #[cfg_attr(feature = "serde", serde(rename = "Probed"))]
     HealthChecked(HealthCheckResult),
--- a/src/interface/settings.rs
+++ b/src/interface/settings.rs
@@ -144,6 +144,15 @@
 }
 
 impl Class {
+    /// Whether an attempt of a message may begin only once it is recorded where it outlasts the process.
+    ///
+    /// The next process repeats an attempt that it does not know of. That is harmless for an idempotent
+    /// message. A message that is not idempotent would take effect twice, a keyed one possibly after its
+    /// window, and the next message of an ordering key would be sent while the attempt may still run.
+    pub fn attempt_needs_record(&self) -> bool {
+        self.ordered || self.idempotency != Idempotency::Idempotent
+    }
+
     /// Returns the weight of a message that is served at this age: its full weight within the latency
     /// objective, and less after it.
     ///
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -7,6 +7,7 @@
 mod endpoint_list;
 mod health;
 mod hedging;
+mod local_faults;
 mod messages;
 mod outcomes;
 mod rate;
@@ -31,6 +32,8 @@
     /// Recent latencies of served calls, whatever the destination.
     latencies: LatencySamples,
     list_poll: ListPoll,
+    /// Attempts cannot be recorded at present.
+    records_unavailable: bool,
     actions: Vec<Action>,
 }
 
@@ -76,6 +79,7 @@
             }
             Event::ClientCancelled { message } => self.finish(message),
             Event::AttemptFinished(result) => self.finish_attempt(result),
+            Event::RecordingChanged { available } => self.change_recording(available),
             Event::HealthChecked(_) | Event::Gossip { .. } | Event::WokenUp => {}
         }
     }
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -25,6 +25,9 @@
         if !self.may_attempt(message, endpoint_state) {
             return Err(NEVER);
         }
+        if destination.local_backoff_until > self.now {
+            return Err(destination.local_backoff_until);
+        }
         self.check_key(message)?;
         // A send that joins a call of this cycle needs no token, no slot and no end of a Retry-After.
         let joins = self.state.has_joinable_call(endpoint, self.now);
@@ -50,8 +53,10 @@
 
     /// Rule 1: nothing for a message that is completed or about to be. Rule 2: no second effect, and two in
     /// flight only where hedging is allowed. Rule 3: nothing to an endpoint that is draining or removed.
+    /// Rules 2 and 5 across restarts: nothing that cannot be recorded.
     fn may_attempt(&self, message: &Message, endpoint: &EndpointState) -> bool {
         !message.completed
+            && !self.awaits_recording(message)
             && message.deadline > self.now + 2 * self.settings.tick
             && self.may_resend(message, Some(endpoint.zone))
             && (message.attempts_in_flight == 0 || self.settings.hedging_allowed)
--- a/src/policy/messages.rs
+++ b/src/policy/messages.rs
@@ -2,7 +2,7 @@
 
 use super::{Dispatcher, NEVER};
 use crate::interface::{AcceptedMessage, Action, Idempotency, Time};
-use crate::state::{AttemptId, Message, QueueEntry, RecoveredAttempts};
+use crate::state::{AttemptId, Message, QueueEntry, QueueState, RecoveredAttempts};
 
 impl Dispatcher {
     /// Takes over an accepted message; `recovered` is given for one that an earlier process accepted.
@@ -25,8 +25,13 @@
         self.state.leave_wait_queue(id);
         let Some(message) = self.state.messages.get(&id) else { return };
         let idempotency = self.settings.classes[message.class].idempotency;
+        let state = if self.awaits_recording(message) {
+            QueueState::AwaitsRecording
+        } else {
+            self.state.queue_state(message, idempotency, self.now)
+        };
         let entry = QueueEntry {
-            state: self.state.queue_state(message, idempotency, self.now),
+            state,
             retry_expiry: self.retry_expiry(message),
             sheddable: self.may_reject(message) && !message.awaits_first_call(),
         };
@@ -79,7 +84,7 @@
 
     /// Rule 2: whether another attempt is allowed at an endpoint in `zone`, or at some endpoint (`None`).
     pub(super) fn may_resend(&self, message: &Message, zone: Option<u8>) -> bool {
-        if u32::from(message.attempts) >= self.settings.max_attempts {
+        if u32::from(message.attempts.saturating_sub(message.local_faults)) >= self.settings.max_attempts {
             return false;
         }
         let Some(first) = message.first_possible_execution() else { return true };
--- a/src/policy/outcomes.rs
+++ b/src/policy/outcomes.rs
@@ -24,6 +24,7 @@
             self.record_call_outcome(&result, finished.sent_at);
         }
         self.state.record_result(&result);
+        self.record_attempt_destination(&result);
         self.update_hedge_index(result.message);
         let Some(message) = self.state.messages.get(&result.message) else { return };
         // Rule 5: the attempt may still run.
@@ -42,6 +43,14 @@
         }
     }
 
+    /// Records what a result shows of this machine's way to the destination.
+    fn record_attempt_destination(&mut self, result: &AttemptResult) {
+        let destination = self.state.messages.get(&result.message).map(|message| message.destination);
+        if let Some(destination) = destination {
+            self.record_local_fault(destination, result.outcome);
+        }
+    }
+
     /// Records what a result shows of its endpoint itself, whether or not the attempt was still in flight.
     fn record_endpoint_result(&mut self, result: &AttemptResult) {
         let now = self.now;
--- a/src/state/destination.rs
+++ b/src/state/destination.rs
@@ -23,6 +23,10 @@
     /// When a message was last sent to it.
     pub(crate) last_sent_at: Time,
     pub(crate) calls_in_flight: u32,
+    /// The present pause between attempts that this machine could not begin; 0 without one.
+    pub(crate) local_backoff: Time,
+    /// No attempt is made before this time.
+    pub(crate) local_backoff_until: Time,
     /// Tokens of the retry budget.
     pub(crate) retry_tokens: f64,
     pub(crate) latencies: LatencySamples,
@@ -44,6 +48,8 @@
             queue: DestinationQueue::default(),
             last_sent_at: 0,
             calls_in_flight: 0,
+            local_backoff: 0,
+            local_backoff_until: 0,
             retry_tokens,
             latencies: LatencySamples::default(),
             has_own_groups: false,
--- a/src/state/dispatch_state/messages.rs
+++ b/src/state/dispatch_state/messages.rs
@@ -53,6 +53,12 @@
         }
     }
 
+    /// Returns all messages that wait to be sent.
+    pub(crate) fn waiting_messages(&self) -> Vec<u32> {
+        let waiting = self.messages.values().filter(|message| message.queue_state.is_some());
+        waiting.map(|message| message.id).collect()
+    }
+
     /// Takes a message out of the queue of its destination, if it waits there.
     pub(crate) fn leave_wait_queue(&mut self, id: u32) {
         if let Some(message) = self.messages.get_mut(&id) {
--- a/src/state/message.rs
+++ b/src/state/message.rs
@@ -30,6 +30,8 @@
     pub(crate) accepted_at: Time,
     pub(crate) deadline: Time,
     pub(crate) attempts: u16,
+    /// Those of its attempts that this machine could not begin. They do not count against the maximum.
+    pub(crate) local_faults: u16,
     pub(crate) attempts_in_flight: u32,
     pub(crate) possibly_executed: Vec<PossibleExecution>,
     pub(crate) completed: bool,
@@ -105,6 +107,7 @@
     /// has not reached one.
     pub(crate) fn record_not_executed(&mut self, attempt: u16, outcome: AttemptOutcome) {
         self.possibly_executed.retain(|execution| execution.attempt != attempt);
+        self.local_faults += u16::from(outcome == AttemptOutcome::LocalFault);
         let reached_endpoint = matches!(outcome, AttemptOutcome::Rejected { .. });
         let awaited_before = self.uncalled_attempts.is_some_and(|attempts| attempts + 1 == self.attempts);
         if !reached_endpoint && awaited_before {
--- a/src/state/wait_queue.rs
+++ b/src/state/wait_queue.rs
@@ -24,6 +24,8 @@
     KeyCooldown,
     /// It is behind another message of its ordering key.
     BehindInKey,
+    /// Its attempt cannot be recorded at present.
+    AwaitsRecording,
 }
 
 /// All messages that wait.
@@ -120,7 +122,7 @@
         let mut heads: Vec<QueuePosition> = Vec::new();
         for (state, positions) in &self.by_state {
             match state {
-                QueueState::BehindInKey => {}
+                QueueState::BehindInKey | QueueState::AwaitsRecording => {}
                 QueueState::KeyCooldown => heads.extend(positions),
                 QueueState::NotExecuted | QueueState::Retry { .. } => heads.extend(positions.first()),
             }
--- a/tests/dispatcher/main.rs
+++ b/tests/dispatcher/main.rs
@@ -6,6 +6,7 @@
 mod health;
 mod hedging;
 mod invariants;
+mod local_faults;
 mod messages;
 mod policy_size;
 mod rate;
