--- a/crates/journal/src/error.rs
+++ b/crates/journal/src/error.rs
@@ -10,11 +10,35 @@
     /// [`JournalDirectory::replace`](crate::JournalDirectory::replace).
     #[error("the journal has no file yet")]
     NoFile,
+    /// The records do not fit into what may be written at once, or into the capacity of the directory.
+    #[error("{bytes} bytes of records do not fit into the {available} that are left")]
+    NoCapacity {
+        /// Number of bytes.
+        bytes: u64,
+        /// How many bytes may be written.
+        available: u64,
+    },
     /// The operating system reports an error.
     #[error(transparent)]
     Io(#[from] io::Error),
 }
 
+impl JournalError {
+    /// Whether the error may be over soon: anything but a directory that is not there or not accessible.
+    pub fn is_momentary(&self) -> bool {
+        match self {
+            JournalError::NoFile | JournalError::NoCapacity { .. } => true,
+            JournalError::Io(error) => !matches!(
+                error.kind(),
+                io::ErrorKind::NotFound
+                    | io::ErrorKind::PermissionDenied
+                    | io::ErrorKind::NotADirectory
+                    | io::ErrorKind::ReadOnlyFilesystem
+            ),
+        }
+    }
+}
+
 /// Bytes of a journal's file that are not a valid record.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum FileDamage {
--- a/crates/journal/src/file.rs
+++ b/crates/journal/src/file.rs
@@ -1,12 +1,12 @@
 //! Reading of the records in the bytes of a file, damaged or not.
 
-use crate::frame::{read_header, FIRST_FRAME_OFFSET};
+use crate::frame::{decode_control, read_header, BatchMode, ControlFrame, DecodedFrame, FIRST_FRAME_OFFSET};
 use crate::{Record, COMPLETE_KIND};
 
 /// The content of a file.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ReadFrames {
-    /// All valid records in their order.
+    /// All valid records in their order, from the last snapshot on.
     pub records: Vec<Record>,
     /// Whether the file includes all records of the previous file that are still needed.
     pub complete: bool,
@@ -34,13 +34,25 @@
         };
         found.damaged_bytes += skipped;
         skipped = 0;
-        if frame.kind == COMPLETE_KIND {
-            found.complete = true;
-        } else {
-            found.records.push(Record { kind: frame.kind, payload: frame.payload.to_vec() });
-        }
+        add_frame(&frame, &mut found);
         rest = &rest[frame.length..];
     }
     found.torn_bytes = skipped;
     found
 }
+
+fn add_frame(frame: &DecodedFrame<'_>, found: &mut ReadFrames) {
+    if frame.kind != COMPLETE_KIND {
+        found.records.push(Record { kind: frame.kind, payload: frame.payload.to_vec() });
+        return;
+    }
+    match decode_control(frame.payload) {
+        ControlFrame::Complete => found.complete = true,
+        ControlFrame::Batch(BatchMode::Append, records) => found.records.extend(records),
+        ControlFrame::Batch(BatchMode::Replace, records) => {
+            found.records = records;
+            found.complete = true;
+        }
+        ControlFrame::Unknown => found.damaged_bytes += frame.length,
+    }
+}
--- a/crates/journal/src/frame.rs
+++ b/crates/journal/src/frame.rs
@@ -8,8 +8,17 @@
 pub const FRAME_OVERHEAD_BYTES: usize = 10;
 /// Maximum number of bytes of a payload.
 pub const MAX_PAYLOAD_BYTES: usize = 1 << 20;
-/// Kind of the frame that marks a file as complete. Records must have another kind.
+/// Maximum number of bytes of the records that are appended together.
+pub const MAX_BATCH_BYTES: usize = 1 << 24;
+/// Kind of the frames that are no records. Without payload, such a frame marks a file as complete; otherwise it
+/// contains several records. Records must have another kind.
 pub const COMPLETE_KIND: u8 = 0;
+/// First byte of the payload of a frame whose records are valid together or not at all.
+const BATCH_TAG: u8 = 1;
+/// First byte of the payload of a batch that replaces all records before it and marks the file as complete.
+const SNAPSHOT_TAG: u8 = 2;
+/// Number of bytes of a record in a batch in addition to its payload: its kind and its length.
+const BATCH_ENTRY_BYTES: usize = 5;
 
 /// First byte of every frame.
 const FRAME_MARK: u8 = 0xA7;
@@ -66,9 +75,10 @@
     /// Appends a frame to `out`.
     ///
     /// # Panics
-    /// If the payload is longer than [`MAX_PAYLOAD_BYTES`]: callers have to bound what they accept.
+    /// If the payload is longer than [`MAX_PAYLOAD_BYTES`], or [`MAX_BATCH_BYTES`] for a batch: callers have to
+    /// bound what they accept.
     pub fn append_frame(self, kind: u8, payload: &[u8], out: &mut Vec<u8>) {
-        assert!(payload.len() <= MAX_PAYLOAD_BYTES, "a record of {} bytes", payload.len());
+        assert!(payload.len() <= max_payload_bytes(kind), "a record of {} bytes", payload.len());
         let length = (payload.len() as u32).to_le_bytes();
         let checksum = self.frame_checksum(length, kind, payload);
         out.push(FRAME_MARK);
@@ -91,7 +101,7 @@
         let &[mark, l0, l1, l2, l3, c0, c1, c2, c3, kind] = head;
         let length_bytes = [l0, l1, l2, l3];
         let payload_length = u32::from_le_bytes(length_bytes) as usize;
-        if mark != FRAME_MARK || payload_length > MAX_PAYLOAD_BYTES {
+        if mark != FRAME_MARK || payload_length > max_payload_bytes(kind) {
             return None;
         }
         let payload = rest.get(..payload_length)?;
@@ -103,6 +113,73 @@
     }
 }
 
+fn max_payload_bytes(kind: u8) -> usize {
+    match kind {
+        COMPLETE_KIND => MAX_BATCH_BYTES,
+        _ => MAX_PAYLOAD_BYTES,
+    }
+}
+
+/// What records that are appended together mean for those before them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum BatchMode {
+    /// They follow the records before them.
+    Append,
+    /// They replace all records before them.
+    Replace,
+}
+
+/// The content of a frame of [`COMPLETE_KIND`].
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) enum ControlFrame {
+    /// The file is complete.
+    Complete,
+    /// Records that were appended together.
+    Batch(BatchMode, Vec<Record>),
+    /// None that this version knows.
+    Unknown,
+}
+
+/// Returns the content of a frame of [`COMPLETE_KIND`].
+pub(crate) fn decode_control(payload: &[u8]) -> ControlFrame {
+    let (mode, batch) = match payload {
+        [] => return ControlFrame::Complete,
+        [BATCH_TAG, batch @ ..] => (BatchMode::Append, batch),
+        [SNAPSHOT_TAG, batch @ ..] => (BatchMode::Replace, batch),
+        _ => return ControlFrame::Unknown,
+    };
+    decode_batch(batch).map_or(ControlFrame::Unknown, |records| ControlFrame::Batch(mode, records))
+}
+
+/// Returns the payload of a frame that contains these records.
+pub(crate) fn encode_batch<'a>(mode: BatchMode, records: impl IntoIterator<Item = RecordRef<'a>>) -> Vec<u8> {
+    let tag = match mode {
+        BatchMode::Append => BATCH_TAG,
+        BatchMode::Replace => SNAPSHOT_TAG,
+    };
+    let mut payload = vec![tag];
+    for record in records {
+        payload.push(record.kind);
+        payload.extend((record.payload.len() as u32).to_le_bytes());
+        payload.extend(record.payload);
+    }
+    payload
+}
+
+/// Returns the records of a batch, or `None` if the bytes are not one.
+fn decode_batch(batch: &[u8]) -> Option<Vec<Record>> {
+    let mut records = Vec::new();
+    let mut rest = batch;
+    while !rest.is_empty() {
+        let (&[kind, l0, l1, l2, l3], after_head) = rest.split_first_chunk::<BATCH_ENTRY_BYTES>()?;
+        let length = u32::from_le_bytes([l0, l1, l2, l3]) as usize;
+        let (payload, after_record) = after_head.split_at_checked(length)?;
+        records.push(Record { kind, payload: payload.to_vec() });
+        rest = after_record;
+    }
+    Some(records)
+}
+
 /// Returns the salt of the first header copy that is not damaged, or `None` if both are.
 pub(crate) fn read_header(bytes: &[u8]) -> Option<Salt> {
     (0..HEADER_COPIES).find_map(|copy| read_header_copy(bytes.get(copy * HEADER_BYTES..)?))
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -5,6 +5,10 @@
 //! next file begins with the records that are still needed and a frame that marks it as complete; only then
 //! is the previous file removed. The newest complete file therefore holds all records.
 //!
+//! Records that are appended together are one frame and are valid together or not at all, wherever a write
+//! stopped. A file that was begun and is not complete is ignored: the file before it holds all records, also
+//! those that were written after the attempt to replace it.
+//!
 //! Writes are not synced: records survive the process, and not necessarily a failure of the machine.
 #![forbid(unsafe_code)]
 #![warn(clippy::unwrap_used, missing_docs)]
@@ -17,4 +21,6 @@
 pub use directory::{JournalDirectory, OpenedJournal};
 pub use error::{FileDamage, JournalError};
 pub use file::{read_frames, ReadFrames};
-pub use frame::{Record, RecordRef, Salt, COMPLETE_KIND, FRAME_OVERHEAD_BYTES, MAX_PAYLOAD_BYTES};
+pub use frame::{
+    Record, RecordRef, Salt, COMPLETE_KIND, FRAME_OVERHEAD_BYTES, MAX_BATCH_BYTES, MAX_PAYLOAD_BYTES,
+};
--- a/crates/platform/src/shell/startup.rs
+++ b/crates/platform/src/shell/startup.rs
@@ -74,7 +74,8 @@
 
 /// Opens the journal and replays the records that the previous process left.
 fn replay_journal(state: &Path, config: &Config) -> Result<ReplayedJournal, JournalError> {
-    let OpenedJournal { directory, records, damage } = JournalDirectory::open(state)?;
+    let OpenedJournal { directory, records, damage } =
+        JournalDirectory::open(state, config.limits.disk_bytes())?;
     for damage in &damage {
         tracing::error!(%damage, "journal damaged, all that can be read is answered for");
     }
