--- a/crates/edge/tests/process/courier.rs
+++ b/crates/edge/tests/process/courier.rs
@@ -130,6 +130,13 @@
         lines.filter(is_wanted).count()
     }
 
+    /// Returns the lines that were logged with this message id, in order.
+    pub fn logged_about(&self, id: &str) -> Vec<Value> {
+        let log = fs::read_to_string(self.dir.join("log")).unwrap();
+        let lines = log.lines().filter_map(|line| serde_json::from_str::<Value>(line).ok());
+        lines.filter(|line| line["id"] == id).collect()
+    }
+
     /// Returns the names of the files in the state directory.
     pub fn state_files(&self) -> Vec<OsString> {
         let entries = fs::read_dir(self.dir.join("state")).unwrap();
@@ -208,7 +215,7 @@
 /// Returns the command of the program with the platform front.
 pub fn program() -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_linnetcart-edge"));
-    command.arg("platform");
+    command.args(["platform", "--log-level", "debug"]);
     command
 }
 
--- a/crates/edge/tests/process/main.rs
+++ b/crates/edge/tests/process/main.rs
@@ -17,5 +17,6 @@
 mod connections;
 mod faults;
 mod lifecycle;
+mod message_log;
 mod requests;
 mod restart;
--- a/crates/fault-injection/shim/fault_shim.c
+++ b/crates/fault-injection/shim/fault_shim.c
@@ -67,6 +67,8 @@
 #define MAX_RATE 255
 #define MAX_FDS 65536
 #define MAX_STANDSTILL_MS 150
+/* Of the standstills that are drawn, one in this many happens: the clock is read several times in an iteration. */
+#define STANDSTILL_DIVISOR 16
 #define MS_PER_S 1000
 #define NS_PER_MS 1000000
 
@@ -194,7 +196,7 @@
         out->tv_sec = total / ((int64_t)MS_PER_S * NS_PER_MS);
         out->tv_nsec = total % ((int64_t)MS_PER_S * NS_PER_MS);
     }
-    if (id == CLOCK_MONOTONIC && is_due(STANDSTILL)) {
+    if (id == CLOCK_MONOTONIC && draw() % STANDSTILL_DIVISOR == 0 && is_due(STANDSTILL)) {
         struct timespec pause = {0, (long)(draw() % MAX_STANDSTILL_MS) * NS_PER_MS};
         nanosleep(&pause, NULL);
     }
--- a/crates/fault-injection/src/lib.rs
+++ b/crates/fault-injection/src/lib.rs
@@ -128,6 +128,12 @@
         Ok(FaultControl { path: path.to_owned(), directory: directory.to_owned(), file })
     }
 
+    /// Opens an existing control file.
+    pub fn open(path: &Path, directory: &Path) -> io::Result<FaultControl> {
+        let file = File::options().read(true).write(true).open(path)?;
+        Ok(FaultControl { path: path.to_owned(), directory: directory.to_owned(), file })
+    }
+
     /// Sets how often a fault is injected; 0 for never.
     pub fn set(&self, fault: Fault, rate: Rate) {
         let position = RATES_POSITION + fault as u64;
--- a/crates/net/src/net.rs
+++ b/crates/net/src/net.rs
@@ -31,6 +31,7 @@
     connections: Connections,
     listeners: Listeners,
     datagrams: DatagramSockets,
+    last_read_at: Instant,
 }
 
 impl Net {
@@ -42,6 +43,7 @@
             connections: Connections::new(max_connections),
             listeners: Listeners::default(),
             datagrams: DatagramSockets::default(),
+            last_read_at: Instant::now(),
         })
     }
 
@@ -112,6 +114,11 @@
         self.connections.written_bytes(token)
     }
 
+    /// When the last poll began to read: input that came later is not reported yet.
+    pub fn last_read_at(&self) -> Instant {
+        self.last_read_at
+    }
+
     /// Number of open connections.
     pub fn connections(&self) -> usize {
         self.connections.count()
@@ -165,6 +172,7 @@
         self.reactor.take_signals(out);
         self.handle_readiness(out);
         let now = Instant::now();
+        self.last_read_at = now;
         self.connections.resume_deferred(now, &mut self.reactor);
         self.handle_pending_reads(now, out);
         self.listeners.close_drained(now, &mut self.reactor);
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -2,7 +2,8 @@
 //!
 //! Any number of inputs may be given before [`Core::process`], which is one iteration of the event loop: it
 //! passes all events to the decision library at once and executes the actions that the library returns. The
-//! journal records of an iteration must be written before any of its outputs is carried out.
+//! shell then tries to write the records of the iteration and reports the result ([`Core::records_written`] or
+//! [`Core::records_not_written`]) before it takes the outputs.
 //!
 //! The core determines the order in which its parts are processed. Each part owns its state and every
 //! transition of that state:
@@ -23,7 +24,8 @@
 //!
 //! The flow between the parts is in `inputs` and `iteration` (what arrives, and the order of one iteration),
 //! `submission` (requests to decisions), `delivery` (decisions to ends of attempts), `completion` (final
-//! outcomes) and `discovery_traffic` (the watch and status notifications).
+//! outcomes), `discovery_traffic` (the watch and status notifications) and `unrecorded` (what is undone when the
+//! journal cannot be written).
 
 mod admission;
 mod attempts;
@@ -48,6 +50,7 @@
 mod shutdown;
 mod status_notifier;
 mod submission;
+mod unrecorded;
 mod upstream_request;
 
 pub use client_connections::ClientId;
@@ -82,7 +85,7 @@
 
 /// Whether records can be written to the journal.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum JournalState {
+enum JournalState {
     /// Records can be written.
     Writable,
     /// No record can be written: nothing may begin that depends on one.
@@ -158,8 +161,8 @@
         core
     }
 
-    /// Takes the records that were produced since the last call. They must be written before the outputs are
-    /// carried out.
+    /// Takes the records that were produced since the last call. [`Core::records_written`] or
+    /// [`Core::records_not_written`] must be called before the outputs are taken.
     pub fn take_records(&mut self) -> Vec<Record> {
         self.effects.take_records()
     }
--- a/crates/platform/src/core/admission.rs
+++ b/crates/platform/src/core/admission.rs
@@ -24,6 +24,8 @@
 pub enum Answer {
     /// The courier is ready.
     Ready,
+    /// The courier cannot accept messages at present.
+    NotReady,
     /// The message is accepted.
     Accepted,
     /// The message is rejected without an attempt.
@@ -42,7 +44,7 @@
         match self {
             Answer::Ready => 200,
             Answer::Accepted => 202,
-            Answer::Rejected { .. } => 503,
+            Answer::NotReady | Answer::Rejected { .. } => 503,
             Answer::Failed => 500,
             Answer::Invalid(error) => error.status(),
         }
--- a/crates/platform/src/core/attempts.rs
+++ b/crates/platform/src/core/attempts.rs
@@ -93,6 +93,13 @@
         self.attempts.keys().copied().collect()
     }
 
+    /// Returns the ids of a message's attempts in flight.
+    pub fn ids_of(&self, message: u32) -> Vec<AttemptId> {
+        let first = AttemptId { message, number: 0 };
+        let last = AttemptId { message, number: u16::MAX };
+        self.attempts.range(first..=last).map(|(&id, _)| id).collect()
+    }
+
     /// Returns the ids of the attempts that have not requested a connection.
     pub fn pending(&self) -> Vec<AttemptId> {
         self.ids_where(|attempt| attempt.stage == AttemptStage::Pending)
--- a/crates/platform/src/core/completion.rs
+++ b/crates/platform/src/core/completion.rs
@@ -33,6 +33,7 @@
             self.complete_undelivered(number, FinalOutcome::Failed);
             return ReportedDelivery::TooLate;
         }
+        tracing::debug!(id = %message.message().id_text(), outcome = ?FinalOutcome::Delivered, "message completed");
         self.in_flight.complete(number, FinalOutcome::Delivered);
         self.effects.record(Record::Completed { message: number, outcome: FinalOutcome::Delivered });
         ReportedDelivery::Delivered
@@ -48,7 +49,7 @@
         let message = completed.message();
         tracing::debug!(id = %message.id_text(), ?outcome, "message completed");
         self.effects.record(Record::Completed { message: number, outcome });
-        self.notifier.push(number, message, outcome);
+        self.notifier.push(number, message, outcome, completed.deadline);
         let recovery = self.recovery.given_up(number);
         self.report_recovery(recovery);
     }
--- a/crates/platform/src/core/connection_pool.rs
+++ b/crates/platform/src/core/connection_pool.rs
@@ -41,6 +41,33 @@
     Abandoned,
 }
 
+/// Why a connection is closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CloseReason {
+    /// It could not be established.
+    ConnectFailed,
+    /// The other side or the operating system ended it.
+    Disconnected,
+    /// It was in its state for too long.
+    Overdue,
+    /// Its attempt was cancelled before it was sent.
+    CancelledUnsent,
+    /// No connections to the endpoint are to be kept idle.
+    CloseIdle,
+    /// A new connection needs its place.
+    Evicted,
+    /// It has been idle for too long to be trusted.
+    Untrusted,
+    /// Bytes arrived that no request asked for.
+    UnexpectedBytes,
+    /// The answer is malformed.
+    MalformedResponse,
+    /// The answer does not permit another request.
+    ResponseEndsConnection,
+    /// The answer to an abandoned attempt arrived.
+    LateResponse,
+}
+
 /// The size of the pool.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PoolSize {
@@ -152,7 +179,7 @@
         let Some(&id) = self.by_attempt.get(&attempt) else { return Cancelled::Unsent };
         let Some(connection) = self.connections.get_mut(&id) else { return Cancelled::Unsent };
         if !connection.is_in_use() {
-            self.close(id);
+            self.close(id, CloseReason::CancelledUnsent);
             return Cancelled::Unsent;
         }
         connection.abandon(attempt, now);
@@ -179,13 +206,13 @@
             .map(|(&id, _)| id)
             .collect();
         for id in idle {
-            self.close(id);
+            self.close(id, CloseReason::CloseIdle);
         }
     }
 
     /// Handles a failed connect. Returns the attempt that failed with it.
     pub fn connect_failed(&mut self, id: ConnectionId, failure: ConnectFailure) -> Option<FinishedAttempt> {
-        let attempt = self.close(id)?;
+        let attempt = self.close(id, CloseReason::ConnectFailed)?;
         let outcome = match failure {
             ConnectFailure::Local => AttemptOutcome::LocalFault,
             ConnectFailure::Remote => AttemptOutcome::NoConnection,
@@ -193,6 +220,14 @@
         Some(FinishedAttempt::new(attempt, outcome))
     }
 
+    /// Releases the connection of an attempt whose request of `length` bytes is not sent after all.
+    pub fn release_unsent(&mut self, attempt: AttemptId, length: usize, now: Time) {
+        let Some(id) = self.by_attempt.remove(&attempt) else { return };
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.unsent(length, now);
+        }
+    }
+
     /// Handles the end of a connection on which the operating system accepted `written` bytes. Returns the
     /// attempt that ended with it.
     pub fn disconnected(&mut self, id: ConnectionId, written: u64, now: Time) -> Option<FinishedAttempt> {
@@ -209,7 +244,7 @@
         if connection.awaits_first_byte() {
             self.reuse_policy.record_call(now, connection.idle_before, CallResult::Lost);
         }
-        let attempt = self.close(id)?;
+        let attempt = self.close(id, CloseReason::Disconnected)?;
         Some(FinishedAttempt::new(attempt, outcome))
     }
 
@@ -223,7 +258,7 @@
         }
         let mut finished = Vec::new();
         for (id, outcome) in overdue {
-            if let Some(attempt) = self.close(id) {
+            if let Some(attempt) = self.close(id, CloseReason::Overdue) {
                 finished.push(FinishedAttempt::new(attempt, outcome));
             }
         }
@@ -237,8 +272,10 @@
     }
 
     /// Closes a connection. Returns the attempt that it was assigned to.
-    fn close(&mut self, id: ConnectionId) -> Option<AttemptId> {
+    fn close(&mut self, id: ConnectionId, reason: CloseReason) -> Option<AttemptId> {
         let connection = self.connections.remove(&id)?;
+        let endpoint = connection.endpoint;
+        tracing::debug!(connection = id, endpoint, ?reason, "upstream connection closed");
         self.closed.push(id);
         if let Some(attempt) = connection.attempt {
             self.by_attempt.remove(&attempt);
--- a/crates/platform/src/core/connection_pool/acquire.rs
+++ b/crates/platform/src/core/connection_pool/acquire.rs
@@ -1,7 +1,7 @@
 //! The choice of a connection for an attempt: an idle one that may be reused, or else a new one.
 
 use super::connection::{Connection, ConnectionState};
-use super::{ConnectionId, ConnectionPool};
+use super::{CloseReason, ConnectionId, ConnectionPool};
 use crate::core::attempts::AttemptId;
 use linnetcart::Time;
 use std::net::SocketAddr;
@@ -52,7 +52,7 @@
         }
         if self.connections.len() >= self.capacity {
             let Some(evicted) = self.eviction_candidate() else { return Acquired::Exhausted };
-            self.close(evicted);
+            self.close(evicted, CloseReason::Evicted);
         }
         self.connections.insert(new_id, Connection::new(endpoint, address, attempt, now));
         self.by_attempt.insert(attempt, new_id);
@@ -71,7 +71,7 @@
         let IdleConnection { idle_since, id } = self.last_used_idle(endpoint, address, now)?;
         let idle_time = now - idle_since;
         if !self.reuse_policy.may_reuse(now, idle_time) {
-            self.close(id);
+            self.close(id, CloseReason::Untrusted);
             return None;
         }
         let connection = self.connections.get_mut(&id)?;
--- a/crates/platform/src/core/connection_pool/connection.rs
+++ b/crates/platform/src/core/connection_pool/connection.rs
@@ -6,6 +6,7 @@
 //! | `Connecting` or `Idle` | the attempt is withheld | `Idle` |
 //! | `InUse` | the first byte of the answer arrives | `InUse` with that time |
 //! | `InUse` | the answer permits another attempt | `Idle` |
+//! | `InUse` | the request is not sent after all | `Idle` |
 //! | `InUse` | the attempt is cancelled | `Abandoned` |
 //!
 //! Any state ends when the pool closes the connection.
@@ -174,6 +175,14 @@
         self.body_remaining = 0;
     }
 
+    /// Records that the request of `length` bytes that was queued last is not sent after all.
+    pub fn unsent(&mut self, length: usize, now: Time) {
+        self.queued_bytes -= length as u64;
+        self.state = ConnectionState::Idle { since: now };
+        self.attempt = None;
+        self.idle_before = None;
+    }
+
     /// Makes the connection idle after its attempt was answered.
     pub fn make_idle(&mut self, now: Time, body_remaining: usize) {
         self.state = ConnectionState::Idle { since: now };
--- a/crates/platform/src/core/connection_pool/receive.rs
+++ b/crates/platform/src/core/connection_pool/receive.rs
@@ -1,7 +1,7 @@
 //! Bytes received from endpoints, and the outcomes of attempts that follow from them.
 
 use super::connection::ConnectionState;
-use super::{response, ConnectionId, ConnectionPool, FinishedAttempt, LoadReport};
+use super::{response, CloseReason, ConnectionId, ConnectionPool, FinishedAttempt, LoadReport};
 use crate::core::attempts::AttemptId;
 use linnetcart::{AttemptOutcome, Time};
 use linnetcart_courier_common::idle_reuse::CallResult;
@@ -26,7 +26,7 @@
             ConnectionState::Connecting { .. } | ConnectionState::Idle { .. } => {
                 // No request is outstanding: the bytes are either the rest of a body or noise.
                 if bytes.len() > connection.body_remaining {
-                    self.close(id);
+                    self.close(id, CloseReason::UnexpectedBytes);
                 } else {
                     connection.body_remaining -= bytes.len();
                 }
@@ -55,7 +55,7 @@
         match parse_response(&connection.response) {
             ParsedResponse::Incomplete { .. } => None,
             ParsedResponse::Malformed { status } => {
-                self.close(id);
+                self.close(id, CloseReason::MalformedResponse);
                 Some(FinishedAttempt::new(attempt, response::outcome_of_malformed(status)))
             }
             ParsedResponse::Head(head) => self.response_head(id, attempt, &head, now, settings),
@@ -86,7 +86,7 @@
                 self.by_attempt.remove(&attempt);
             }
             _ => {
-                self.close(id);
+                self.close(id, CloseReason::ResponseEndsConnection);
             }
         }
         Some(FinishedAttempt {
@@ -118,7 +118,7 @@
                 (response::outcome_of_malformed(status), LoadReport::default())
             }
         };
-        self.close(id);
+        self.close(id, CloseReason::LateResponse);
         if !matches!(outcome, AttemptOutcome::Rejected { .. } | AttemptOutcome::Served) {
             return None;
         }
--- a/crates/platform/src/core/counters.rs
+++ b/crates/platform/src/core/counters.rs
@@ -13,6 +13,8 @@
     pub invalid_requests: u64,
     /// Attempts whose request was queued.
     pub attempts_sent: u64,
+    /// Messages and attempts that were undone because they could not be recorded.
+    pub unrecorded: u64,
     /// Attempts by outcome.
     pub outcomes: OutcomeCounts,
     /// Connects begun to endpoints.
--- a/crates/platform/src/core/delivery.rs
+++ b/crates/platform/src/core/delivery.rs
@@ -14,6 +14,8 @@
 use linnetcart::{Action, AttemptOutcome, AttemptResult, Event, Time};
 use std::net::SocketAddr;
 
+const NOT_SENT: AttemptOutcome = AttemptOutcome::NotSent { no_capacity: false };
+
 /// The destination of a request, as listed at that moment.
 struct Target {
     address: SocketAddr,
@@ -27,8 +29,6 @@
     EndpointNotReady,
     /// The endpoint has another address since the connect.
     AddressChanged,
-    /// The attempt cannot be recorded.
-    JournalUnwritable,
 }
 
 impl Unsendable {
@@ -36,13 +36,20 @@
     /// decision library does not distinguish the reasons.
     fn outcome(self) -> AttemptOutcome {
         match self {
-            Unsendable::EndpointNotReady | Unsendable::AddressChanged | Unsendable::JournalUnwritable => {
-                AttemptOutcome::NoConnection
-            }
+            Unsendable::EndpointNotReady | Unsendable::AddressChanged => AttemptOutcome::NoConnection,
         }
     }
 }
 
+/// Why an attempt is not sent although its connection could carry it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum WithholdReason {
+    /// A Retry-After of the destination is in force.
+    RetryAfterPending,
+    /// The attempt needs a record and cannot be recorded.
+    JournalUnwritable,
+}
+
 /// Whether the message of an attempt has its final outcome.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum MessageState {
@@ -104,6 +111,9 @@
             return;
         }
         let endpoint = attempt.endpoint;
+        if self.is_unrecordable(id.message) {
+            return self.finish_attempt(FinishedAttempt::new(id, AttemptOutcome::LocalFault));
+        }
         self.attempts.start(id);
         let Some(address) = self.discovery.endpoints().ready(endpoint).map(|ready| ready.address) else {
             return self.finish_attempt(FinishedAttempt::new(id, Unsendable::EndpointNotReady.outcome()));
@@ -142,36 +152,56 @@
             }
         };
         if self.decisions.retry_after_pending(self.clock.now(), endpoint) {
-            let message = message.message().id_text().into_owned();
-            return self.withhold_attempt(id, CoreEvent::AttemptWithheld { endpoint, message });
+            return self.withhold_attempt(id, endpoint, WithholdReason::RetryAfterPending);
+        }
+        if self.is_unrecordable(id.message) {
+            return self.withhold_attempt(id, endpoint, WithholdReason::JournalUnwritable);
         }
-        tracing::debug!(id = %message.message().id_text(), attempt = id.number, endpoint, "attempt sent");
         let time_remaining = deadline.saturating_sub(self.clock.now());
+        tracing::debug!(
+            id = %message.message().id_text(),
+            attempt = id.number,
+            endpoint,
+            connection,
+            time_remaining,
+            "attempt sent"
+        );
         let bytes = upstream_request::encode(message.message(), target.address, time_remaining);
         let sent = SentAttempt { number: id.number, zone: target.zone, sent_at: self.clock.wall_now() };
         self.in_flight.attempt_sent(id.message, sent);
         self.effects.record(Record::AttemptSent { message: id.message, attempt: sent });
         self.counters.attempts_sent += 1;
         self.pool.sent(connection, bytes.len());
-        self.effects.output(Output::SendUpstream(connection, bytes.into()));
+        self.effects.attempt(id, connection, bytes.into());
         let recovery = self.recovery.attempted(id.message);
         self.report_recovery(recovery);
     }
 
+    /// Whether an attempt of a message cannot begin at present, because it could not be recorded.
+    fn is_unrecordable(&self, message: u32) -> bool {
+        self.journal == JournalState::Unwritable && self.attempt_needs_record(message)
+    }
+
     /// Ends an attempt unsent and leaves its connection to the next attempt.
-    fn withhold_attempt(&mut self, id: AttemptId, event: CoreEvent) {
-        self.effects.event(event);
+    fn withhold_attempt(&mut self, id: AttemptId, endpoint: u32, reason: WithholdReason) {
+        if let Some(message) = self.in_flight.get(id.message) {
+            let message = message.message().id_text().into_owned();
+            self.effects.event(match reason {
+                WithholdReason::RetryAfterPending => CoreEvent::AttemptWithheld { endpoint, message },
+                WithholdReason::JournalUnwritable => CoreEvent::AttemptUndone { message, attempt: id.number },
+            });
+        }
         self.pool.release_unused(id, self.clock.now());
-        let outcome = AttemptOutcome::NotSent { no_capacity: false };
+        let outcome = match reason {
+            WithholdReason::RetryAfterPending => NOT_SENT,
+            WithholdReason::JournalUnwritable => AttemptOutcome::LocalFault,
+        };
         self.finish_attempt(FinishedAttempt::new(id, outcome));
     }
 
     /// Returns where an attempt may be sent on its connection, or why it must not be sent.
     fn target_of(&self, endpoint: u32, connection: ConnectionId) -> Result<Target, Unsendable> {
         let ready = self.discovery.endpoints().ready(endpoint).ok_or(Unsendable::EndpointNotReady)?;
-        if self.journal == JournalState::Unwritable {
-            return Err(Unsendable::JournalUnwritable);
-        }
         if self.pool.address(connection) != Some(ready.address) {
             return Err(Unsendable::AddressChanged);
         }
@@ -185,7 +215,7 @@
         }
         let outcome = match self.pool.cancel(id, self.clock.now()) {
             Cancelled::Abandoned => outcome,
-            Cancelled::Unsent => AttemptOutcome::NotSent { no_capacity: false },
+            Cancelled::Unsent => NOT_SENT,
         };
         self.finish_attempt(FinishedAttempt::new(id, outcome));
     }
@@ -201,7 +231,8 @@
         let Some(message) = self.in_flight.get(id.message) else { return };
         let message_id = message.message().id_text();
         let outcome = finished.outcome;
-        tracing::debug!(id = %message_id, attempt = id.number, ?outcome, "attempt finished");
+        let endpoint = attempt.endpoint;
+        tracing::debug!(id = %message_id, attempt = id.number, endpoint, ?outcome, "attempt finished");
         let Some(effect) = self.in_flight.attempt_ended(id, outcome) else { return };
         if effect.retracts_sent {
             self.effects.record(Record::NotExecuted { message: id.message, attempt: id.number });
--- a/crates/platform/src/core/effects.rs
+++ b/crates/platform/src/core/effects.rs
@@ -1,5 +1,9 @@
 //! The effects of an iteration: records for the journal, outputs for the shell, events for the log.
+//!
+//! An output that depends on a record is known as such, so that it can be undone if the record is not written.
 
+use super::admission::Answer;
+use super::attempts::AttemptId;
 use super::client_connections::ClientId;
 use super::connection_pool::ConnectionId;
 use super::counters::RecoveryCounts;
@@ -8,6 +12,7 @@
 use crate::records::Record;
 use bytes::Bytes;
 use linnetcart::LimitChange;
+use linnetcart_http::Persistence;
 use std::net::SocketAddr;
 
 /// An action for the shell. Outputs are carried out in order.
@@ -55,6 +60,18 @@
         /// The message's id.
         message: String,
     },
+    /// A message was not accepted after all, because that could not be recorded.
+    AcceptanceUndone {
+        /// The message's id.
+        message: String,
+    },
+    /// An attempt was not sent, because it could not be recorded, or not in time.
+    AttemptUndone {
+        /// The message's id.
+        message: String,
+        /// The attempt's number.
+        attempt: u16,
+    },
     /// A recovered message has a class that the settings no longer name, and has failed.
     UnknownClass {
         /// The message's id.
@@ -64,11 +81,39 @@
     RecoveryFinished(RecoveryCounts),
 }
 
-/// The effects since the shell last took them. No output may be carried out before the records are written.
+/// An output, and the record without which it must not be carried out.
+///
+/// A refusal, a close and a status notification that has been released depend on none: repeating them is
+/// harmless.
+#[derive(Debug)]
+enum PendingOutput {
+    /// Depends on no record.
+    Independent(Output),
+    /// The answer that a message is accepted, which depends on the record of that. Without the record, the
+    /// message is rejected.
+    Acceptance { message: u32, client: ClientId, persistence: Persistence },
+    /// The request of an attempt, which depends on the record of that unless a repetition is harmless.
+    Attempt { attempt: AttemptId, connection: ConnectionId, request: Bytes },
+}
+
+impl PendingOutput {
+    fn into_output(self) -> Output {
+        match self {
+            PendingOutput::Independent(output) => output,
+            PendingOutput::Acceptance { client, persistence, .. } => {
+                Output::SendToClient(client, Answer::Accepted.encode(persistence).into())
+            }
+            PendingOutput::Attempt { connection, request, .. } => Output::SendUpstream(connection, request),
+        }
+    }
+}
+
+/// The effects since the shell last took them. No output may be taken before the records are written or the
+/// core was told that they are not.
 #[derive(Debug, Default)]
 pub struct Effects {
     records: Vec<Record>,
-    outputs: Vec<Output>,
+    outputs: Vec<PendingOutput>,
     events: Vec<CoreEvent>,
 }
 
@@ -78,9 +123,54 @@
         self.records.push(record);
     }
 
-    /// Adds an output for the shell.
+    /// Adds an output for the shell that depends on no record.
     pub fn output(&mut self, output: Output) {
-        self.outputs.push(output);
+        self.outputs.push(PendingOutput::Independent(output));
+    }
+
+    /// Adds the answer that a message is accepted.
+    pub fn acceptance(&mut self, message: u32, client: ClientId, persistence: Persistence) {
+        self.outputs.push(PendingOutput::Acceptance { message, client, persistence });
+    }
+
+    /// Adds the request of an attempt.
+    pub fn attempt(&mut self, attempt: AttemptId, connection: ConnectionId, request: Bytes) {
+        self.outputs.push(PendingOutput::Attempt { attempt, connection, request });
+    }
+
+    /// Turns the answers that a message is accepted into rejections. Returns their number.
+    pub fn reject_acceptance(&mut self, rejected: u32) -> u64 {
+        let mut count = 0;
+        for output in &mut self.outputs {
+            let PendingOutput::Acceptance { message, client, persistence } = *output else { continue };
+            if message == rejected {
+                let answer = Answer::Rejected { retry_after: 0 }.encode(persistence);
+                *output = PendingOutput::Independent(Output::SendToClient(client, answer.into()));
+                count += 1;
+            }
+        }
+        count
+    }
+
+    /// Drops the request of an attempt. Returns its length in bytes, or `None` if there is none.
+    pub fn drop_attempt(&mut self, dropped: AttemptId) -> Option<usize> {
+        let is_dropped = |output: &PendingOutput| matches!(output, PendingOutput::Attempt { attempt, .. } if *attempt == dropped);
+        let position = self.outputs.iter().position(is_dropped)?;
+        match self.outputs.remove(position) {
+            PendingOutput::Attempt { request, .. } => Some(request.len()),
+            PendingOutput::Independent(_) | PendingOutput::Acceptance { .. } => None,
+        }
+    }
+
+    /// Returns the attempts whose requests have not been taken yet.
+    pub fn attempts(&self) -> Vec<AttemptId> {
+        let mut attempts = Vec::new();
+        for output in &self.outputs {
+            if let PendingOutput::Attempt { attempt, .. } = output {
+                attempts.push(*attempt);
+            }
+        }
+        attempts
     }
 
     /// Adds an event for the log.
@@ -94,12 +184,10 @@
         if closed.is_empty() && abandoned.is_empty() {
             return;
         }
-        let is_closed_connect =
-            |output: &Output| matches!(output, Output::Connect(id, _) if closed.contains(id));
-        let mut ordered: Vec<Output> =
-            Vec::with_capacity(closed.len() + abandoned.len() + self.outputs.len());
-        ordered.extend(closed.iter().copied().map(Output::CloseUpstream));
-        ordered.extend(abandoned.iter().copied().map(Output::ShutdownWrite));
+        let is_closed_connect = |output: &PendingOutput| matches!(output, PendingOutput::Independent(Output::Connect(id, _)) if closed.contains(id));
+        let closes = closed.iter().copied().map(Output::CloseUpstream);
+        let ends = abandoned.iter().copied().map(Output::ShutdownWrite);
+        let mut ordered: Vec<PendingOutput> = closes.chain(ends).map(PendingOutput::Independent).collect();
         ordered.extend(self.outputs.drain(..).filter(|output| !is_closed_connect(output)));
         self.outputs = ordered;
     }
@@ -111,7 +199,7 @@
 
     /// Takes the outputs in the order in which they have to be carried out.
     pub fn take_outputs(&mut self) -> Vec<Output> {
-        std::mem::take(&mut self.outputs)
+        std::mem::take(&mut self.outputs).into_iter().map(PendingOutput::into_output).collect()
     }
 
     /// Takes the events in the order in which they were added.
--- a/crates/platform/src/core/inputs.rs
+++ b/crates/platform/src/core/inputs.rs
@@ -7,7 +7,7 @@
 use super::connection_pool::ConnectionId;
 use super::effects::Output;
 use super::{Core, JournalState};
-use linnetcart::Time;
+use linnetcart::{Event, Time};
 use linnetcart_net::ConnectFailure;
 
 impl Core {
@@ -20,6 +20,7 @@
     /// A client connected. If that exceeds the capacity, a connection is evicted.
     pub fn client_opened(&mut self, id: ClientId) {
         if let Some(evicted) = self.clients.opened(id, self.clock.now()) {
+            tracing::debug!(client = evicted, "client connection evicted for a new one");
             self.effects.output(Output::CloseClient(evicted));
         }
     }
@@ -91,7 +92,12 @@
     }
 
     /// Sets whether records can be written to the journal.
-    pub fn set_journal_state(&mut self, state: JournalState) {
+    pub(super) fn set_journal_state(&mut self, state: JournalState) {
+        if self.journal == state {
+            return;
+        }
         self.journal = state;
+        let available = state == JournalState::Writable;
+        self.decisions.push(Event::RecordingChanged { available });
     }
 }
--- a/crates/platform/src/core/iteration.rs
+++ b/crates/platform/src/core/iteration.rs
@@ -2,6 +2,7 @@
 
 use super::recovery;
 use super::shutdown::OutstandingWork;
+use super::submission::ClientCloseReason;
 use super::Core;
 use linnetcart::{AttemptOutcome, Time};
 
@@ -10,6 +11,7 @@
     /// everything that follows from it.
     pub fn process(&mut self, now: Time) {
         self.advance_clock(now);
+        self.recovery.begin_iteration();
         self.expire();
         // During the initial sync, requests wait: without a decision there is no answer for them.
         let in_initial_sync = self.in_initial_sync();
@@ -26,6 +28,7 @@
             self.close_half_closed();
         }
         self.poll_discovery();
+        self.notifier.release_due(self.clock.now());
         self.poll_notifier();
         self.sweep_clients();
         self.put_closes_first();
@@ -79,7 +82,7 @@
 
     fn close_half_closed(&mut self) {
         for id in self.clients.take_half_closed() {
-            self.close_client(id);
+            self.close_client(id, ClientCloseReason::HalfClosed);
         }
     }
 
--- a/crates/platform/src/core/recovery.rs
+++ b/crates/platform/src/core/recovery.rs
@@ -19,6 +19,8 @@
     undecided: Vec<u32>,
     /// Messages that were certainly never executed and are neither attempted nor completed by this process.
     untried: BTreeSet<u32>,
+    /// Messages whose first attempt was sent in the present iteration.
+    first_attempted: BTreeSet<u32>,
     counts: RecoveryCounts,
 }
 
@@ -36,6 +38,11 @@
         }
     }
 
+    /// Begins an iteration.
+    pub fn begin_iteration(&mut self) {
+        self.first_attempted.clear();
+    }
+
     /// Takes the messages that the decision library does not know yet.
     pub fn take_undecided(&mut self) -> Vec<u32> {
         std::mem::take(&mut self.undecided)
@@ -46,10 +53,19 @@
         if !self.untried.remove(&message) {
             return None;
         }
+        self.first_attempted.insert(message);
         self.counts.attempted += 1;
         self.untried.is_empty().then_some(self.counts)
     }
 
+    /// Records that the attempt of a message was not sent after all.
+    pub fn attempt_undone(&mut self, message: u32) {
+        if self.first_attempted.remove(&message) {
+            self.counts.attempted -= 1;
+            self.untried.insert(message);
+        }
+    }
+
     /// Records that a message was completed without delivery. Returns the counts if it was the last untried
     /// message.
     pub fn given_up(&mut self, message: u32) -> Option<RecoveryCounts> {
@@ -124,7 +140,7 @@
             self.start_key_cooldown(pending.message.ordering_key);
         }
         if let Some(outcome) = pending.completion.outcome() {
-            self.notifier.push(number, &pending.message, outcome);
+            self.notifier.push(number, &pending.message, outcome, deadline);
         }
         self.in_flight.insert(number, pending, deadline);
     }
--- a/crates/platform/src/core/status_notifier.rs
+++ b/crates/platform/src/core/status_notifier.rs
@@ -74,6 +74,14 @@
     line: Vec<u8>,
 }
 
+/// A notification whose completion is not recorded yet.
+#[derive(Debug)]
+struct UnrecordedNotification {
+    notification: Notification,
+    /// When the message's time is over, so that no process can attempt it any more.
+    release_at: Time,
+}
+
 /// The status notifier.
 #[derive(Debug)]
 pub struct StatusNotifier {
@@ -81,6 +89,8 @@
     connection: Option<ConnectionId>,
     /// Unacknowledged notifications in the order of their completion.
     queue: VecDeque<Notification>,
+    /// Notifications that are sent once their completion is recorded, or the message's time is over.
+    unrecorded: Vec<UnrecordedNotification>,
     /// Number of notifications at the front of the queue that are sent and not answered.
     sent: usize,
     /// Maximum size of the next batch. It is 1 after a batch was rejected, to find the notification at fault.
@@ -99,6 +109,7 @@
             reconnect: Reconnect::new(),
             connection: None,
             queue: VecDeque::new(),
+            unrecorded: vec![],
             sent: 0,
             batch_limit: MAX_BATCH,
             sent_at: 0,
@@ -108,8 +119,10 @@
         }
     }
 
-    /// Queues the notification of a message's outcome. A delivered message needs none.
-    pub fn push(&mut self, number: u32, message: &Message, outcome: FinalOutcome) {
+    /// Adds the notification of a message's outcome, which is queued by [`StatusNotifier::release_all`] once the
+    /// outcome is recorded, or by [`StatusNotifier::release_due`] after `deadline`. A delivered message needs
+    /// none.
+    pub fn push(&mut self, number: u32, message: &Message, outcome: FinalOutcome, deadline: Time) {
         let mut line = serde_json::json!({"id": message.id_text(), "state": "failed"});
         match outcome {
             FinalOutcome::Delivered => return,
@@ -125,12 +138,26 @@
         if message.ordering_key != 0 {
             self.unacknowledged_by_key.entry(message.ordering_key).or_default().insert(number);
         }
-        self.queue.push_back(Notification { message: number, line: format!("{line}\n").into_bytes() });
+        let notification = Notification { message: number, line: format!("{line}\n").into_bytes() };
+        self.unrecorded.push(UnrecordedNotification { notification, release_at: deadline });
+    }
+
+    /// Queues the notifications whose outcomes are recorded now. Returns whether there are any.
+    pub fn release_all(&mut self) -> bool {
+        let any = !self.unrecorded.is_empty();
+        self.queue.extend(self.unrecorded.drain(..).map(|unrecorded| unrecorded.notification));
+        any
+    }
+
+    /// Queues the notifications of messages whose time is over.
+    pub fn release_due(&mut self, now: Time) {
+        let due = self.unrecorded.extract_if(.., |unrecorded| unrecorded.release_at <= now);
+        self.queue.extend(due.map(|unrecorded| unrecorded.notification));
     }
 
     /// Returns the number of unacknowledged notifications.
     pub fn len(&self) -> usize {
-        self.queue.len()
+        self.queue.len() + self.unrecorded.len()
     }
 
     /// Returns the counts of notifications queued since the start.
@@ -176,11 +203,13 @@
 
     /// Returns when to poll again; [`Time::MAX`] without notifications.
     pub fn next_wake(&self) -> Time {
+        let release_at = self.unrecorded.iter().map(|unrecorded| unrecorded.release_at);
+        let next_release = release_at.min().unwrap_or(Time::MAX);
         if self.queue.is_empty() {
-            return Time::MAX;
+            return next_release;
         }
         let answer_due = if self.sent > 0 { self.sent_at + ANSWER_TIMEOUT } else { Time::MAX };
-        self.reconnect.next_wake(answer_due)
+        self.reconnect.next_wake(answer_due).min(next_release)
     }
 
     /// Records the id of the connection that is being established.
--- a/crates/platform/src/core/status_notifier/tests.rs
+++ b/crates/platform/src/core/status_notifier/tests.rs
@@ -20,9 +20,12 @@
 fn notifier_with(numbers: &[u32]) -> StatusNotifier {
     let mut notifier = StatusNotifier::new();
     for &number in numbers {
-        notifier.push(number, &message(&format!("m{number}"), 5), FinalOutcome::Failed);
+        notifier.push(number, &message(&format!("m{number}"), 5), FinalOutcome::Failed, Time::MAX);
+    }
+    notifier.release_all();
+    if !numbers.is_empty() {
+        assert_eq!(notifier.poll(NOW), ConnectionDemand::Connect);
     }
-    assert_eq!(notifier.poll(NOW), ConnectionDemand::Connect);
     notifier.connecting(CONNECTION);
     notifier.connected();
     notifier
@@ -36,9 +39,10 @@
 #[test]
 fn notification_bytes_unchanged() {
     let mut notifier = notifier_with(&[1]);
-    notifier.push(2, &message("m2", 0), FinalOutcome::Returned { retry_after_ms: 7 });
-    notifier.push(3, &message("m3", 0), FinalOutcome::Returned { retry_after_ms: 0 });
-    notifier.push(4, &message("m4", 0), FinalOutcome::Delivered);
+    notifier.push(2, &message("m2", 0), FinalOutcome::Returned { retry_after_ms: 7 }, Time::MAX);
+    notifier.push(3, &message("m3", 0), FinalOutcome::Returned { retry_after_ms: 0 }, Time::MAX);
+    notifier.push(4, &message("m4", 0), FinalOutcome::Delivered, Time::MAX);
+    notifier.release_all();
     let request = notifier.next_request(NOW, host()).expect("a request");
     assert_eq!(request.connection, CONNECTION);
     let expected = "POST /status HTTP/1.1\r\nHost: 127.0.0.1:8500\r\nContent-Type: application/x-ndjson\r\n\
@@ -99,3 +103,16 @@
     notifier.release(5, 1);
     assert!(!notifier.blocks(5, 2));
 }
+
+#[test]
+fn notification_of_unrecorded_outcome_waits_for_record_or_end_of_message() {
+    let mut notifier = notifier_with(&[]);
+    notifier.push(1, &message("m1", 0), FinalOutcome::Failed, NOW + 10);
+    notifier.push(2, &message("m2", 0), FinalOutcome::Failed, NOW + 20);
+    assert_eq!((notifier.len(), notifier.next_wake()), (2, NOW + 10));
+    notifier.release_due(NOW + 9);
+    assert!(notifier.next_request(NOW + 9, host()).is_none(), "the next process may attempt the message");
+    notifier.release_due(NOW + 10);
+    assert_eq!(batch_size(&mut notifier), 1);
+    assert!(notifier.release_all() && !notifier.release_all());
+}
--- a/crates/platform/src/core/submission.rs
+++ b/crates/platform/src/core/submission.rs
@@ -8,9 +8,35 @@
 use super::request::{parse_submission, RequestError, SubmittedMessage};
 use super::{Core, JournalState};
 use crate::records::{Message, PendingMessage, Record};
-use linnetcart::Event;
+use linnetcart::{Event, Time};
 use linnetcart_http::Persistence;
 
+/// Why a message is rejected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RejectReason {
+    /// Its time is over.
+    Expired,
+    /// As many messages are in flight as may be.
+    TooManyInFlight,
+    /// It does not fit into the journal.
+    JournalFull,
+    /// The journal cannot be written.
+    JournalUnwritable,
+    /// The decision library rejected it.
+    Decided,
+}
+
+/// Why a client's connection is closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ClientCloseReason {
+    /// The answer to its last request was written.
+    Answered,
+    /// The client sends no more.
+    HalfClosed,
+    /// No request is in progress.
+    Idle,
+}
+
 /// What is known of the id of a submitted message.
 enum KnownId {
     /// The same message is already accepted.
@@ -37,7 +63,8 @@
         };
         let requester = Requester { client, persistence: request.persistence };
         if request.path() == b"/ready" && request.method() == b"GET" {
-            return self.answer(requester, Answer::Ready);
+            let is_ready = self.journal == JournalState::Writable;
+            return self.answer(requester, if is_ready { Answer::Ready } else { Answer::NotReady });
         }
         let body = request.body().to_vec();
         match parse_submission(&request, &self.settings) {
@@ -56,7 +83,8 @@
         if let Some(known) = self.find_id(&message) {
             return self.answer_known(requester, known);
         }
-        if deadline <= self.clock.now() || !self.has_capacity_for(&message) {
+        if let Some(reason) = self.reject_reason(&message, deadline) {
+            log_rejection(&message, requester.client, reason);
             self.counters.rejected += 1;
             return self.answer(requester, Answer::Rejected { retry_after: 0 });
         }
@@ -94,12 +122,20 @@
         }
     }
 
-    /// Whether the table and the journal have capacity for one more message.
-    fn has_capacity_for(&self, message: &Message) -> bool {
+    /// Returns why a message cannot be accepted, whatever the decision library says.
+    fn reject_reason(&self, message: &Message, deadline: Time) -> Option<RejectReason> {
         let max_uncompleted = self.settings.settings.max_in_flight_messages as usize;
-        self.in_flight.uncompleted_len() < max_uncompleted
-            && self.in_flight.has_capacity_for(message)
-            && self.journal == JournalState::Writable
+        if deadline <= self.clock.now() {
+            Some(RejectReason::Expired)
+        } else if self.in_flight.uncompleted_len() >= max_uncompleted {
+            Some(RejectReason::TooManyInFlight)
+        } else if !self.in_flight.has_capacity_for(message) {
+            Some(RejectReason::JournalFull)
+        } else if self.journal == JournalState::Unwritable {
+            Some(RejectReason::JournalUnwritable)
+        } else {
+            None
+        }
     }
 
     fn await_decision(&mut self, number: u32, requester: Requester) {
@@ -118,14 +154,24 @@
                 if matches!(decision.answer, Answer::Rejected { .. }) {
                     self.counters.rejected += 1;
                 }
-                self.in_flight.remove(number);
+                self.remove_not_accepted(number, &decision.requesters);
             }
             for requester in decision.requesters {
-                self.answer(requester, decision.answer);
+                match decision.answer {
+                    Answer::Accepted => self.answer_accepted(requester, number),
+                    answer => self.answer(requester, answer),
+                }
             }
         }
     }
 
+    fn remove_not_accepted(&mut self, number: u32, requesters: &[Requester]) {
+        let Some(removed) = self.in_flight.remove(number) else { return };
+        for requester in requesters {
+            log_rejection(removed.message(), requester.client, RejectReason::Decided);
+        }
+    }
+
     fn accept(&mut self, number: u32) {
         self.counters.accepted += 1;
         let Some(accepted) = self.in_flight.get(number) else { return };
@@ -136,18 +182,36 @@
     }
 
     fn answer(&mut self, requester: Requester, answer: Answer) {
-        let closes = requester.persistence == Persistence::Close || self.shutdown.closes_after_answer();
-        let persistence = if closes { Persistence::Close } else { Persistence::KeepAlive };
+        let persistence = self.persistence_after_answer(requester);
         let bytes = answer.encode(persistence);
         self.effects.output(Output::SendToClient(requester.client, bytes.into()));
-        self.clients.answered(requester.client, self.clock.now());
-        if closes {
-            self.close_client(requester.client);
+        self.answered(requester.client, persistence);
+    }
+
+    /// Answers that a message is accepted, which depends on the record of that.
+    fn answer_accepted(&mut self, requester: Requester, message: u32) {
+        let persistence = self.persistence_after_answer(requester);
+        self.effects.acceptance(message, requester.client, persistence);
+        self.answered(requester.client, persistence);
+    }
+
+    fn persistence_after_answer(&self, requester: Requester) -> Persistence {
+        if self.shutdown.closes_after_answer() {
+            return Persistence::Close;
+        }
+        requester.persistence
+    }
+
+    fn answered(&mut self, client: ClientId, persistence: Persistence) {
+        self.clients.answered(client, self.clock.now());
+        if persistence == Persistence::Close {
+            self.close_client(client, ClientCloseReason::Answered);
         }
     }
 
     /// Answers a request that is not a valid submission, and closes its connection.
     fn reject_invalid(&mut self, client: ClientId, error: RequestError) {
+        tracing::debug!(client, %error, "request invalid");
         self.counters.invalid_requests += 1;
         self.answer(Requester { client, persistence: Persistence::Close }, Answer::Invalid(error));
     }
@@ -161,7 +225,7 @@
         let idle = if self.shutdown.closes_after_answer() { IdlePolicy::Close } else { IdlePolicy::Keep };
         for client in self.clients.overdue(self.clock.now(), idle) {
             match client {
-                OverdueClient::Idle(id) => self.close_client(id),
+                OverdueClient::Idle(id) => self.close_client(id, ClientCloseReason::Idle),
                 OverdueClient::InRequest(id) => self.reject_invalid(id, RequestError::TimedOut),
             }
         }
@@ -170,8 +234,13 @@
         }
     }
 
-    pub(super) fn close_client(&mut self, id: ClientId) {
+    pub(super) fn close_client(&mut self, id: ClientId, reason: ClientCloseReason) {
+        tracing::debug!(client = id, ?reason, "client connection closed");
         self.clients.closed(id);
         self.effects.output(Output::CloseClient(id));
     }
 }
+
+fn log_rejection(message: &Message, client: ClientId, reason: RejectReason) {
+    tracing::debug!(id = %message.id_text(), client, ?reason, "message rejected");
+}
--- a/crates/platform/src/core/tests.rs
+++ b/crates/platform/src/core/tests.rs
@@ -11,3 +11,4 @@
 mod observations;
 mod recovery;
 mod shutdown;
+mod unrecorded;
--- a/crates/platform/src/core/tests/harness.rs
+++ b/crates/platform/src/core/tests/harness.rs
@@ -26,6 +26,8 @@
     pub core: Core,
     pub now: Time,
     pub journal: Vec<Record>,
+    /// No record can be written.
+    pub journal_fails: bool,
     /// Connections that the core requested and has not closed.
     pub connections: BTreeMap<ConnectionId, SocketAddr>,
     pub connected: BTreeSet<ConnectionId>,
@@ -64,6 +66,7 @@
         let core = Core::new(config, replay, now, now);
         Harness {
             journal: core.snapshot(),
+            journal_fails: false,
             core,
             now,
             connections: BTreeMap::new(),
@@ -81,7 +84,7 @@
     pub fn process(&mut self) {
         for _ in 0..MAX_ITERATIONS {
             self.core.process(self.now);
-            self.journal.extend(self.core.take_records());
+            self.write_records();
             for output in self.core.take_outputs() {
                 self.carry_out(output);
             }
@@ -93,6 +96,16 @@
         panic!("the core does not become idle");
     }
 
+    fn write_records(&mut self) {
+        let records = self.core.take_records();
+        if self.journal_fails {
+            self.core.records_not_written(&records);
+        } else {
+            self.journal.extend(records);
+            self.core.records_written();
+        }
+    }
+
     fn carry_out(&mut self, output: Output) {
         match output {
             Output::SendToClient(client, bytes) => {
@@ -151,7 +164,7 @@
         let head = "POST /order HTTP/1.1\r\nX-Txn: m\r\nX-Remaining-Ms: 9000\r\nX-Route-To: dest=3\r\n\r\n";
         self.core.client_received(7, head.as_bytes());
         self.core.process(self.now);
-        self.journal.extend(self.core.take_records());
+        self.write_records();
         let begun = self.core.take_outputs().into_iter().find_map(|output| match output {
             Output::Connect(id, address) if address.port() != DISCOVERY_PORT => Some(id),
             _ => None,
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -1,5 +1,6 @@
 //! The shell: moves bytes between sockets, journal and core, and provides the clock. It decides nothing.
 
+mod clocks;
 mod environment;
 mod journal;
 mod log;
@@ -8,14 +9,14 @@
 
 pub use environment::Environment;
 
-use crate::core::{Core, JournalState, Output, MILLISECOND};
-use anyhow::Context;
+use crate::core::{Core, Output, MILLISECOND};
 use calloop::signals::Signal;
 use environment::read_config;
 use journal::{JournalWriter, WriteOutcome};
 use linnetcart::Time;
 use linnetcart_net::{Event, Net, Token};
 use log::CoreLog;
+use startup::Startup;
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 use upstream_tokens::UpstreamTokens;
@@ -24,8 +25,6 @@
 const CLOCK_START: Time = 3_600_000 * MILLISECOND;
 /// Maximum time that a poll waits for an event.
 const MAX_POLL_WAIT: Duration = Duration::from_millis(500);
-/// The program exits when the journal cannot be written for longer than this.
-const UNWRITABLE_TIMEOUT: Time = 5000 * MILLISECOND;
 /// Time limit for sending the last answers before the process exits.
 const FLUSH_TIMEOUT: Time = 100 * MILLISECOND;
 const FLUSH_POLL_WAIT: Duration = Duration::from_millis(10);
@@ -41,15 +40,6 @@
     Retry,
 }
 
-/// Whether the outputs of an iteration may be carried out.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Outputs {
-    /// The records that the outputs depend on are written.
-    Released,
-    /// The outputs have to wait until the records are written.
-    Withheld,
-}
-
 struct Shell {
     net: Net,
     core: Core,
@@ -67,10 +57,13 @@
 ///
 /// # Errors
 ///
-/// If the configuration or the journal cannot be used at startup, if the event loop fails, or if the journal cannot
-/// be written for too long.
+/// If the configuration is wrong, or names a directory or an address that cannot be used.
 pub fn run(environment: Environment) -> anyhow::Result<()> {
-    startup::start(environment)?.serve()
+    match startup::start(environment)? {
+        Startup::Ready(mut shell) => shell.serve(),
+        Startup::Terminated => tracing::info!("terminated during the startup"),
+    }
+    Ok(())
 }
 
 impl Shell {
@@ -78,10 +71,11 @@
         clock(self.started_at)
     }
 
-    fn serve(&mut self) -> anyhow::Result<()> {
+    fn serve(&mut self) {
         let mut events = Vec::new();
         while !self.core.is_ended() {
-            let next_wake = self.core.next_wake().min(self.config_retry_at.unwrap_or(Time::MAX));
+            let config_retry_at = self.config_retry_at.unwrap_or(Time::MAX);
+            let next_wake = self.core.next_wake().min(self.journal.next_wake()).min(config_retry_at);
             let wait = Duration::from_nanos(next_wake.saturating_sub(self.now())).min(MAX_POLL_WAIT);
             self.net.poll(wait, &mut events);
             let now = self.now();
@@ -93,18 +87,22 @@
                 self.reload_config(ReloadCause::Retry);
             }
             self.core.process(now);
-            if self.write_records()? == Outputs::Released {
-                self.carry_out();
-            }
+            write_records(&mut self.core, &mut self.journal, self.started_at);
+            let input_read_at = self.net.last_read_at().saturating_duration_since(self.started_at);
+            self.core.recheck_attempts(CLOCK_START + input_read_at.as_nanos() as Time, self.now());
+            self.carry_out();
             self.log.update(&mut self.core, self.journal.size(), now);
         }
         self.flush();
         tracing::info!("shutdown complete");
-        Ok(())
     }
 
     /// Waits until the last answers are sent, so that clients get them before the process exits.
     fn flush(&mut self) {
+        // A request that is read now would get no answer.
+        for &client in &self.clients {
+            self.net.pause_reads(client);
+        }
         let mut events = Vec::new();
         let until = self.now() + FLUSH_TIMEOUT;
         while self.net.has_unsent() && self.now() < until {
@@ -191,29 +189,6 @@
         }
     }
 
-    /// Writes the records that this iteration's outputs depend on.
-    fn write_records(&mut self) -> anyhow::Result<Outputs> {
-        let records = self.core.take_records();
-        let started_at = self.started_at;
-        match self.journal.write(&records, &self.core, || clock(started_at)) {
-            WriteOutcome::Written => Ok(Outputs::Released),
-            WriteOutcome::Replaced => {
-                self.core.set_journal_state(JournalState::Writable);
-                Ok(Outputs::Released)
-            }
-            WriteOutcome::Failed { error, failing_for } => {
-                if failing_for > UNWRITABLE_TIMEOUT {
-                    let state = self.environment.state.display();
-                    return Err(error)
-                        .with_context(|| format!("the journal in {state} cannot be written; make room"));
-                }
-                tracing::error!(%error, "journal unwritable, nothing is accepted or sent");
-                self.core.set_journal_state(JournalState::Unwritable);
-                Ok(Outputs::Withheld)
-            }
-        }
-    }
-
     fn carry_out(&mut self) {
         for output in self.core.take_outputs() {
             match output {
@@ -247,6 +222,15 @@
     }
 }
 
+/// Writes the records of an iteration. What depends on a record that is not written is undone.
+fn write_records(core: &mut Core, journal: &mut JournalWriter, started_at: Instant) {
+    let records = core.take_records();
+    match journal.write(&records, core, clock(started_at)) {
+        WriteOutcome::Written => core.records_written(),
+        WriteOutcome::Failed => core.records_not_written(&records),
+    }
+}
+
 /// Reads the courier's clock.
 fn clock(started_at: Instant) -> Time {
     CLOCK_START + started_at.elapsed().as_nanos() as Time
--- a/crates/platform/src/shell/environment.rs
+++ b/crates/platform/src/shell/environment.rs
@@ -2,6 +2,8 @@
 
 use crate::config::Config;
 use anyhow::Context;
+use linnetcart_net::is_momentary;
+use std::io;
 use std::path::{Path, PathBuf};
 
 /// The files that the environment names.
@@ -25,9 +27,40 @@
     value.map(PathBuf::from).with_context(|| format!("{name} is not set; the platform sets it at start"))
 }
 
+/// Why a configuration cannot be read.
+#[derive(Debug, thiserror::Error)]
+pub enum ConfigError {
+    /// The file cannot be read.
+    #[error("{} cannot be read; RELAY_CONFIG names it: {error}", path.display())]
+    Unreadable {
+        /// The file.
+        path: PathBuf,
+        /// Why.
+        error: io::Error,
+    },
+    /// The content of the file is wrong.
+    #[error("{} cannot be used: {error:#}", path.display())]
+    Invalid {
+        /// The file.
+        path: PathBuf,
+        /// What is wrong.
+        error: anyhow::Error,
+    },
+}
+
+impl ConfigError {
+    /// Whether the configuration can probably be read soon.
+    pub fn is_momentary(&self) -> bool {
+        matches!(self, ConfigError::Unreadable { error, .. } if is_momentary(error))
+    }
+}
+
 /// Reads the configuration file.
-pub fn read_config(path: &Path) -> anyhow::Result<Config> {
-    let bytes = std::fs::read(path)
-        .with_context(|| format!("{} cannot be read; RELAY_CONFIG names it", path.display()))?;
-    Config::read(&bytes).with_context(|| format!("{} cannot be used", path.display()))
+pub fn read_config(path: &Path) -> Result<Config, ConfigError> {
+    let path = path.to_owned();
+    let bytes = match std::fs::read(&path) {
+        Ok(bytes) => bytes,
+        Err(error) => return Err(ConfigError::Unreadable { path, error }),
+    };
+    Config::read(&bytes).map_err(|error| ConfigError::Invalid { path, error: error.into() })
 }
--- a/crates/platform/src/shell/journal.rs
+++ b/crates/platform/src/shell/journal.rs
@@ -1,67 +1,61 @@
-//! The journal writer: appends, replacement by a snapshot, and failed writes.
+//! The journal writer: appends, replacement by a snapshot, and the state of the journal while it cannot be
+//! written.
 
-use crate::core::Core;
+use super::clocks::wall_clock;
+use crate::core::{Core, MILLISECOND};
 use crate::records::Record;
 use linnetcart::Time;
 use linnetcart_journal::{JournalDirectory, JournalError, Record as RawRecord, RecordRef, Salt};
-use std::time::SystemTime;
 
 /// Fraction of the journal's capacity by which a file may grow before it is replaced by a snapshot.
 const GROWTH_DIVISOR: u64 = 4;
 /// A file's salt is the wall clock, rotated by this number of bits to spread its changing bits over the salt.
 const SALT_ROTATION_BITS: u32 = 17;
-
-/// Reads the wall clock: nanoseconds since the Unix epoch.
-pub fn wall_clock() -> Time {
-    SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default().as_nanos() as Time
-}
+/// Interval of the tries while the journal cannot be written. A try writes a whole file.
+const RETRY_INTERVAL: Time = 50 * MILLISECOND;
+/// Interval of the tries to replace a file that has outgrown its limit, or to remove old files.
+const MAINTENANCE_INTERVAL: Time = 200 * MILLISECOND;
 
 /// The outcome of a write.
-#[derive(Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WriteOutcome {
     /// All records are written.
     Written,
-    /// The file was replaced by a snapshot, which includes all records.
-    Replaced,
-    /// The file had to be replaced by a snapshot and could not be: the records may be missing.
-    Failed {
-        /// The error of this write.
-        error: JournalError,
-        /// How long writes have been failing, in nanoseconds.
-        failing_for: Time,
-    },
+    /// The records are not written, nor those of any later iteration until one is [`WriteOutcome::Written`].
+    Failed,
 }
 
-/// The size of the file after an append that succeeded.
+/// Whether records can be written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Growth {
-    /// The file is within its growth limit.
-    WithinLimit,
-    /// The file has outgrown its limit and has to be replaced.
-    Outgrown,
+enum WriterState {
+    /// This process has not begun a file yet.
+    NotBegun,
+    /// Records can be written.
+    Writable,
+    /// Records cannot be written.
+    Failing { since: Time, retry_at: Time },
 }
 
-/// The journal and its growth.
+/// The journal, its growth and its state.
 pub struct JournalWriter {
     directory: JournalDirectory,
+    state: WriterState,
     /// The file's size when it was begun.
     base_bytes: u64,
     max_growth_bytes: u64,
-    /// When writes began to fail; `None` while they succeed.
-    unwritable_since: Option<Time>,
+    maintenance_at: Time,
 }
 
 impl JournalWriter {
-    /// Begins a new file with a snapshot of the core's state.
-    pub fn begin(
-        mut directory: JournalDirectory,
-        capacity_bytes: u64,
-        core: &Core,
-    ) -> Result<JournalWriter, JournalError> {
-        replace(&mut directory, core)?;
-        let base_bytes = directory.size();
-        let max_growth_bytes = capacity_bytes / GROWTH_DIVISOR;
-        Ok(JournalWriter { directory, base_bytes, max_growth_bytes, unwritable_since: None })
+    /// Creates a writer that begins a new file with its first write.
+    pub fn new(directory: JournalDirectory, capacity_bytes: u64) -> JournalWriter {
+        JournalWriter {
+            directory,
+            state: WriterState::NotBegun,
+            base_bytes: 0,
+            max_growth_bytes: capacity_bytes / GROWTH_DIVISOR,
+            maintenance_at: 0,
+        }
     }
 
     /// Returns the size of the file in bytes.
@@ -69,46 +63,99 @@
         self.directory.size()
     }
 
-    /// Writes the records of an iteration: appends them, or replaces the file if that fails or the file has
-    /// outgrown its limit. After a failed write, also an iteration without records replaces the file.
-    pub fn write(&mut self, records: &[Record], core: &Core, now: impl FnOnce() -> Time) -> WriteOutcome {
-        if self.unwritable_since.is_none()
-            && (records.is_empty() || matches!(self.append(records), Ok(Growth::WithinLimit)))
-        {
-            return WriteOutcome::Written;
+    /// Returns when a write is due even without records; [`Time::MAX`] for never.
+    pub fn next_wake(&self) -> Time {
+        match self.state {
+            WriterState::NotBegun => 0,
+            WriterState::Writable => Time::MAX,
+            WriterState::Failing { retry_at, .. } => retry_at,
+        }
+    }
+
+    /// Writes the records of an iteration. While the journal fails, a paced try writes the core's whole state in
+    /// their place, which includes them.
+    pub fn write(&mut self, records: &[Record], core: &Core, now: Time) -> WriteOutcome {
+        let result = match self.state {
+            WriterState::Writable if records.is_empty() => Ok(()),
+            WriterState::Writable => self.append(records).or_else(|_| self.write_snapshot(core)),
+            WriterState::Failing { retry_at, .. } if now < retry_at => return WriteOutcome::Failed,
+            WriterState::NotBegun | WriterState::Failing { .. } => self.write_snapshot(core),
+        };
+        match result {
+            Ok(()) => self.succeeded(core, now),
+            Err(error) => self.failed(&error, now),
+        }
+    }
+
+    fn succeeded(&mut self, core: &Core, now: Time) -> WriteOutcome {
+        if let WriterState::Failing { since, .. } = self.state {
+            let failed_for_ms = (now - since) / MILLISECOND;
+            tracing::info!(failed_for_ms, "journal writable");
+        }
+        self.state = WriterState::Writable;
+        self.maintain(core, now);
+        WriteOutcome::Written
+    }
+
+    /// One log line tells of the change; further errors of the same failure are not logged.
+    fn failed(&mut self, error: &JournalError, now: Time) -> WriteOutcome {
+        let since = match self.state {
+            WriterState::Failing { since, .. } => since,
+            WriterState::NotBegun | WriterState::Writable => {
+                tracing::error!(%error, "journal unwritable");
+                now
+            }
+        };
+        self.state = WriterState::Failing { since, retry_at: now + RETRY_INTERVAL };
+        WriteOutcome::Failed
+    }
+
+    fn append(&mut self, records: &[Record]) -> Result<(), JournalError> {
+        let encoded: Vec<RawRecord> = records.iter().map(Record::encode).collect();
+        self.directory.append(encoded.iter().map(record_ref))
+    }
+
+    /// Writes the core's state: to a new file or, if none can be begun, to the present one.
+    fn write_snapshot(&mut self, core: &Core) -> Result<(), JournalError> {
+        let snapshot = Self::snapshot(core);
+        let replaced = self.directory.replace(new_salt(), snapshot.iter().map(record_ref));
+        if let Err(error) = replaced {
+            let appended = self.directory.append_snapshot(snapshot.iter().map(record_ref));
+            return appended.map_err(|_| error);
         }
-        // The core's state already includes these records, so a snapshot replaces a failed append.
-        let replaced = replace(&mut self.directory, core);
-        let now = now();
-        match replaced {
+        self.base_bytes = self.directory.size();
+        Ok(())
+    }
+
+    /// Replaces a file that has outgrown its limit, and removes old files. A failure leaves the present file in
+    /// use, and is tried again.
+    fn maintain(&mut self, core: &Core, now: Time) {
+        let has_outgrown = self.directory.size() > self.base_bytes + self.max_growth_bytes;
+        if now < self.maintenance_at || !(has_outgrown || self.directory.has_old_files()) {
+            return;
+        }
+        self.maintenance_at = now + MAINTENANCE_INTERVAL;
+        self.directory.remove_old_files();
+        if !has_outgrown {
+            return;
+        }
+        let snapshot = Self::snapshot(core);
+        match self.directory.replace(new_salt(), snapshot.iter().map(record_ref)) {
             Ok(()) => {
-                self.unwritable_since = None;
                 self.base_bytes = self.directory.size();
-                WriteOutcome::Replaced
-            }
-            Err(error) => {
-                let since = *self.unwritable_since.get_or_insert(now);
-                WriteOutcome::Failed { error, failing_for: now - since }
+                self.maintenance_at = now;
             }
+            Err(error) => tracing::debug!(%error, "journal file not replaced, the present one grows on"),
         }
     }
 
-    fn append(&mut self, records: &[Record]) -> Result<Growth, JournalError> {
-        let encoded: Vec<RawRecord> = records.iter().map(Record::encode).collect();
-        self.directory.append(encoded.iter().map(record_ref))?;
-        if self.directory.size() <= self.base_bytes + self.max_growth_bytes {
-            Ok(Growth::WithinLimit)
-        } else {
-            Ok(Growth::Outgrown)
-        }
+    fn snapshot(core: &Core) -> Vec<RawRecord> {
+        core.snapshot().iter().map(Record::encode).collect()
     }
 }
 
-/// Begins a new file with a snapshot of the core's state.
-fn replace(directory: &mut JournalDirectory, core: &Core) -> Result<(), JournalError> {
-    let snapshot: Vec<RawRecord> = core.snapshot().iter().map(Record::encode).collect();
-    let salt = Salt(wall_clock().rotate_left(SALT_ROTATION_BITS));
-    directory.replace(salt, snapshot.iter().map(record_ref))
+fn new_salt() -> Salt {
+    Salt(wall_clock().rotate_left(SALT_ROTATION_BITS))
 }
 
 fn record_ref(record: &RawRecord) -> RecordRef<'_> {
--- a/crates/platform/src/shell/log.rs
+++ b/crates/platform/src/shell/log.rs
@@ -54,6 +54,12 @@
         CoreEvent::AttemptWithheld { endpoint, message } => {
             tracing::info!(endpoint, id = message, "attempt withheld, Retry-After pending");
         }
+        CoreEvent::AcceptanceUndone { message } => {
+            tracing::info!(id = message, "message rejected, its acceptance was not recorded");
+        }
+        CoreEvent::AttemptUndone { message, attempt } => {
+            tracing::info!(id = message, attempt, "attempt not sent, it was not recorded in time");
+        }
         CoreEvent::UnknownClass { message } => {
             tracing::info!(id = message, "recovered message of unknown class failed");
         }
--- a/crates/platform/src/shell/startup.rs
+++ b/crates/platform/src/shell/startup.rs
@@ -1,20 +1,28 @@
 //! Startup: configuration, journal, core and listener, in the order in which they depend on each other.
+//!
+//! A step that fails for a reason that may be over soon is tried again. The program exits only where the
+//! configuration itself is wrong.
 
-use super::environment::{read_config, Environment};
-use super::journal::{wall_clock, JournalWriter};
+mod waiting;
+
+use super::clocks::StartClocks;
+use super::environment::{read_config, ConfigError, Environment};
+use super::journal::JournalWriter;
 use super::log::CoreLog;
 use super::upstream_tokens::UpstreamTokens;
-use super::{Shell, CLOCK_START};
+use super::{write_records, Shell, CLOCK_START};
 use crate::config::Config;
 use crate::core::Core;
 use crate::records::Replay;
 use anyhow::Context;
 use calloop::signals::Signal;
 use linnetcart_journal::{JournalDirectory, JournalError, OpenedJournal};
-use linnetcart_net::{Net, ReadLimits};
+use linnetcart_net::{is_momentary, Net, ReadLimits};
 use std::collections::BTreeSet;
+use std::io;
 use std::path::Path;
 use std::time::Instant;
+use waiting::{retry, Retries, Waited};
 
 /// Bytes that are read from a connection at once, and how often it is read in one poll. A client that floods
 /// one connection must not delay the others.
@@ -23,6 +31,14 @@
 /// File descriptors that the event loop does not use for connections.
 const RESERVED_FILE_DESCRIPTORS: usize = 16;
 
+/// The result of a startup.
+pub(super) enum Startup {
+    /// The courier listens for clients.
+    Ready(Box<Shell>),
+    /// A termination signal arrived before that.
+    Terminated,
+}
+
 /// The journal of the previous process.
 struct ReplayedJournal {
     /// The directory to which this process writes.
@@ -31,29 +47,34 @@
     replay: Replay,
 }
 
-/// Starts the courier: when this returns, it listens for clients.
-pub(super) fn start(environment: Environment) -> anyhow::Result<Shell> {
-    let mut net = Net::new(0).context("the event loop cannot be made")?;
-    // First of all: a signal that arrives during startup is queued and does not kill the process.
-    net.watch_signals(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP])
-        .context("signals cannot be caught")?;
-    let config = read_config(&environment.config)?;
+/// Starts the courier: when this returns a shell, it listens for clients.
+pub(super) fn start(environment: Environment) -> anyhow::Result<Startup> {
+    let mut net = create_event_loop()?;
+    let mut waited = Waited::default();
+    let path = &environment.config;
+    let read = |_: &mut Net| read_config(path);
+    let Retries::Done(config) = retry(&mut net, &mut waited, read, ConfigError::is_momentary)? else {
+        return Ok(Startup::Terminated);
+    };
+    let clocks = StartClocks::read();
     let state = environment.state.display();
-    let ReplayedJournal { directory, replay } = replay_journal(&environment.state, &config)
+    let replay = |_: &mut Net| replay_journal(&environment.state, &config);
+    let replayed = retry(&mut net, &mut waited, replay, JournalError::is_momentary)
         .with_context(|| format!("the journal in {state} cannot be read; RELAY_STATE names the folder"))?;
+    let Retries::Done(ReplayedJournal { directory, replay }) = replayed else {
+        return Ok(Startup::Terminated);
+    };
     configure_limits(&mut net, &config);
     let listen = config.listen;
-    let journal_capacity = config.limits.disk_bytes();
-    // Both clocks are read together: time spent between the readings would shift every recorded time.
-    let started_at = Instant::now();
-    let wall = wall_clock();
-    let core = Core::new(config, replay, CLOCK_START, wall);
-    let journal = JournalWriter::begin(directory, journal_capacity, &core)
-        .with_context(|| format!("the journal in {state} cannot be written; make room there"))?;
-    let listener =
-        net.listen(listen).with_context(|| format!("cannot listen on {listen}; RELAY_CONFIG names it"))?;
+    let mut journal = JournalWriter::new(directory, config.limits.disk_bytes());
+    let mut core = Core::new(config, replay, CLOCK_START, clocks.wall);
+    // A new file is begun before the first client connects.
+    write_records(&mut core, &mut journal, clocks.started_at);
+    let listened = retry(&mut net, &mut waited, |net| net.listen(listen), is_momentary)
+        .with_context(|| format!("cannot listen on {listen}; RELAY_CONFIG names it"))?;
+    let Retries::Done(listener) = listened else { return Ok(Startup::Terminated) };
     tracing::info!(%listen, "ready");
-    Ok(Shell {
+    Ok(Startup::Ready(Box::new(Shell {
         net,
         core,
         journal,
@@ -61,10 +82,21 @@
         listener: listener.token,
         clients: BTreeSet::new(),
         upstream: UpstreamTokens::default(),
-        started_at,
+        started_at: clocks.started_at,
         environment,
-        config_retry_at: None,
-    })
+        config_retry_at: waited.reload_requested.then_some(CLOCK_START),
+    })))
+}
+
+/// Creates the event loop. Signals that arrive from then on are queued and do not kill the process.
+fn create_event_loop() -> anyhow::Result<Net> {
+    let signals = [Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP];
+    let create = || -> io::Result<Net> {
+        let mut net = Net::new(0)?;
+        net.watch_signals(&signals)?;
+        Ok(net)
+    };
+    waiting::retry_without_loop(create, is_momentary).context("the event loop cannot be made")
 }
 
 fn configure_limits(net: &mut Net, config: &Config) {
@@ -74,6 +106,7 @@
 
 /// Opens the journal and replays the records that the previous process left.
 fn replay_journal(state: &Path, config: &Config) -> Result<ReplayedJournal, JournalError> {
+    let began = Instant::now();
     let OpenedJournal { directory, records, damage } =
         JournalDirectory::open(state, config.limits.disk_bytes())?;
     for damage in &damage {
@@ -84,6 +117,7 @@
     tracing::info!(
         pending = replay.pending.len(),
         unusable_records = replay.unusable_records,
+        took_ms = began.elapsed().as_millis() as u64,
         name = config.name,
         "journal replayed"
     );
