--- a/crates/platform/src/core/tests/harness.rs
+++ b/crates/platform/src/core/tests/harness.rs
@@ -8,7 +8,7 @@
 pub use crate::core::decisions::INITIAL_SYNC_TIMEOUT;
 pub use crate::core::shutdown::LAST_DECISION_TIMEOUT;
 pub use crate::core::{ClientId, ConnectionId, Core, CoreEvent, NotificationCounts, OutcomeCounts, Output};
-pub use crate::records::{FinalOutcome, Message, Record, Replay, SentAttempt};
+pub use crate::records::{ClockReference, FinalOutcome, Message, Record, Replay, SentAttempt};
 pub use linnetcart::{AttemptOutcome, EndpointStatus, Event, Time};
 pub use std::collections::{BTreeMap, BTreeSet};
 pub use std::net::SocketAddr;
@@ -62,7 +62,8 @@
     pub fn starting(config: Config, journal: &[Record], now: Time) -> Harness {
         let stored: Vec<_> = journal.iter().map(Record::encode).collect();
         let settings = &config.settings;
-        let replay = Replay::from_records(&stored, &settings.class_names, &settings.zone_names);
+        let clock = ClockReference::default();
+        let replay = Replay::from_records(&stored, &settings.class_names, &settings.zone_names, clock);
         let core = Core::new(config, replay, now, now);
         Harness {
             journal: core.snapshot(),
--- a/crates/platform/src/records.rs
+++ b/crates/platform/src/records.rs
@@ -10,15 +10,18 @@
 //! | names | all other records of a file: it defines the indexes of classes and zones |
 //! | completed id | nothing; a new file begins with the ids of the previous one |
 //! | key cooldown | the next message of the key is sent |
+//! | clock reference | all records with times: it relates their wall-clock times to the monotonic clock |
 //!
 //! An attempt that is recorded as sent and not recorded as not executed was possibly executed.
 //!
 //! This module owns the bytes of the records ([`Record::encode`], [`Record::decode`]) and their meaning
 //! ([`Replay`]). It never accesses a file: frames and files belong to `linnetcart-journal`.
 
+mod clock_reference;
 mod codec;
 mod replay;
 
+pub use clock_reference::ClockReference;
 pub use replay::{Completion, PendingMessage, Replay};
 
 use linnetcart::Time;
@@ -68,6 +71,8 @@
         /// Names of the zones.
         zones: Vec<String>,
     },
+    /// How the wall-clock times of the following records relate to the monotonic clock.
+    ClockReference(ClockReference),
     /// The id of a completed message, which may be submitted again.
     CompletedId(CompletedId),
     /// An attempt for an ordering key ended and may still be executing.
--- a/crates/platform/src/records/codec.rs
+++ b/crates/platform/src/records/codec.rs
@@ -2,7 +2,7 @@
 //!
 //! The bytes outlive the version that wrote them: kinds and field positions must never change.
 
-use super::{CompletedId, FinalOutcome, Message, Record, SentAttempt};
+use super::{ClockReference, CompletedId, FinalOutcome, Message, Record, SentAttempt};
 use linnetcart_journal::Record as RawRecord;
 
 const KIND_ACCEPTED: u8 = 1;
@@ -13,6 +13,7 @@
 const KIND_NAMES: u8 = 6;
 const KIND_COMPLETED_ID: u8 = 7;
 const KIND_KEY_COOLDOWN: u8 = 8;
+const KIND_CLOCK_REFERENCE: u8 = 9;
 
 const OUTCOME_DELIVERED: u8 = 0;
 const OUTCOME_FAILED: u8 = 1;
@@ -39,6 +40,7 @@
             Record::Names { .. } => KIND_NAMES,
             Record::CompletedId(_) => KIND_COMPLETED_ID,
             Record::KeyCooldown { .. } => KIND_KEY_COOLDOWN,
+            Record::ClockReference(_) => KIND_CLOCK_REFERENCE,
         }
     }
 
@@ -70,6 +72,10 @@
                 payload.extend(ordering_key.to_le_bytes());
                 payload.extend(until.to_le_bytes());
             }
+            Record::ClockReference(reference) => {
+                payload.extend(reference.boot_id.to_le_bytes());
+                payload.extend(reference.wall_ahead.to_le_bytes());
+            }
         }
     }
 
@@ -92,6 +98,10 @@
             }
             KIND_COMPLETED_ID => Record::CompletedId(decode_completed_id(&mut fields)?),
             KIND_KEY_COOLDOWN => Record::KeyCooldown { ordering_key: fields.u64()?, until: fields.u64()? },
+            KIND_CLOCK_REFERENCE => Record::ClockReference(ClockReference {
+                boot_id: fields.u64()?,
+                wall_ahead: fields.u64()?.cast_signed(),
+            }),
             _ => return None,
         };
         Some(record)
--- a/crates/platform/src/records/replay.rs
+++ b/crates/platform/src/records/replay.rs
@@ -1,7 +1,8 @@
 //! Replay: from a journal's records to the state that they add up to, and from a message's state back to its
 //! records.
 
-use super::{CompletedId, FinalOutcome, Message, Record, SentAttempt, UNKNOWN_INDEX};
+use super::clock_reference::shifted;
+use super::{ClockReference, CompletedId, FinalOutcome, Message, Record, SentAttempt, UNKNOWN_INDEX};
 use linnetcart::Time;
 use linnetcart_journal::Record as RawRecord;
 use std::collections::{BTreeMap, BTreeSet};
@@ -112,20 +113,30 @@
     pub unusable_records: usize,
     /// Ids of completed messages, as far as the journal has them.
     pub completed: Vec<CompletedId>,
+    /// By how many nanoseconds the recorded times were moved: the steps of the wall clock between the processes.
+    pub clock_shift: i64,
     /// The ends of the ordering keys' cooldowns; wall-clock times in nanoseconds.
     pub key_cooldowns: BTreeMap<u64, Time>,
 }
 
 impl Replay {
     /// Replays records. Classes and zones are matched by name, so their indexes may differ between the
-    /// records and the present settings. A repeated record counts once.
-    pub fn from_records(records: &[RawRecord], classes: &[String], zones: &[String]) -> Replay {
+    /// records and the present settings. Times become times of `clock`, the reference of this process. A
+    /// repeated record counts once.
+    pub fn from_records(
+        records: &[RawRecord],
+        classes: &[String],
+        zones: &[String],
+        clock: ClockReference,
+    ) -> Replay {
         let mut replayer = Replayer {
             replay: Replay { next_message: 1, ..Replay::default() },
             concluded: BTreeSet::new(),
             indexes: None,
             classes,
             zones,
+            clock,
+            shift: 0,
         };
         for raw in records {
             match Record::decode(raw) {
@@ -164,6 +175,10 @@
     indexes: Option<IndexMap>,
     classes: &'a [String],
     zones: &'a [String],
+    clock: ClockReference,
+    /// By how much recorded times are moved. Files without a reference date from versions that trusted the
+    /// wall clock.
+    shift: i64,
 }
 
 impl Replayer<'_> {
@@ -175,10 +190,17 @@
                     zones: indexes_of(&zones, self.zones),
                 });
             }
-            Record::CompletedId(completed) => self.replay.completed.push(completed),
+            Record::ClockReference(recorded) => {
+                self.shift = self.clock.shift_from(recorded);
+                self.replay.clock_shift = self.shift;
+            }
+            Record::CompletedId(mut completed) => {
+                completed.expires_at = shifted(completed.expires_at, self.shift);
+                self.replay.completed.push(completed);
+            }
             Record::KeyCooldown { ordering_key, until } => {
                 let latest = self.replay.key_cooldowns.entry(ordering_key).or_default();
-                *latest = (*latest).max(until);
+                *latest = (*latest).max(shifted(until, self.shift));
             }
             Record::Accepted { number, message } => self.accepted(number, message),
             Record::AttemptSent { message, attempt } => self.attempt_sent(message, attempt),
@@ -203,6 +225,7 @@
         if let Some(indexes) = &self.indexes {
             message.class = translate(&indexes.classes, message.class);
         }
+        message.wall_deadline = shifted(message.wall_deadline, self.shift);
         self.reserve_number(number);
         if !self.concluded.contains(&number) {
             self.replay.pending.entry(number).or_insert(PendingMessage::new(message));
@@ -213,6 +236,7 @@
         if let Some(indexes) = &self.indexes {
             attempt.zone = translate(&indexes.zones, attempt.zone);
         }
+        attempt.sent_at = shifted(attempt.sent_at, self.shift);
         if let Some(pending) = self.pending_mut(message) {
             pending.count_attempt(attempt.number);
             pending.possibly_executed.push(attempt);
--- a/crates/platform/src/records/tests.rs
+++ b/crates/platform/src/records/tests.rs
@@ -73,7 +73,8 @@
 
 #[test]
 fn unknown_or_short_record_not_decoded() {
-    assert_eq!(Record::decode(&raw(9, &[1, 0, 0, 0])), None, "an unknown kind");
+    assert_eq!(Record::decode(&raw(10, &[1, 0, 0, 0])), None, "an unknown kind");
+    assert_eq!(Record::decode(&raw(9, &[1, 0, 0, 0])), None, "too short");
     assert_eq!(Record::decode(&raw(4, &[1, 0, 0, 0, 3, 0, 0, 0, 0])), None, "an unknown outcome");
     assert_eq!(Record::decode(&raw(2, &[1, 0, 0, 0, 3, 0, 4, 5])), None, "too short");
 }
@@ -87,3 +88,50 @@
         (12_357_064_557_592_139_580, 3_708_870_094_396_395_126, message(None).wall_deadline)
     );
 }
+
+#[test]
+fn clock_reference_record_bytes_unchanged() {
+    let reference = ClockReference { boot_id: 1, wall_ahead: -2 };
+    let bytes = [1, 0, 0, 0, 0, 0, 0, 0, 0xfe, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff];
+    assert_stored(Record::ClockReference(reference), 9, &bytes);
+}
+
+/// Replays one message, an attempt, a completed id and a cooldown that were recorded under `recorded`.
+fn replay_under(recorded: Option<ClockReference>, clock: ClockReference) -> Replay {
+    let attempt = SentAttempt { number: 0, zone: 0, sent_at: 1_000 };
+    let completed = CompletedId { id_digest: 1, content_digest: 2, expires_at: 3_000 };
+    let mut records: Vec<Record> = recorded.map(Record::ClockReference).into_iter().collect();
+    records.extend([
+        Record::Accepted { number: 1, message: Message { wall_deadline: 5_000, ..message(None) } },
+        Record::AttemptSent { message: 1, attempt },
+        Record::CompletedId(completed),
+        Record::KeyCooldown { ordering_key: 7, until: 2_000 },
+    ]);
+    let stored: Vec<RawRecord> = records.iter().map(Record::encode).collect();
+    Replay::from_records(&stored, &[], &[], clock)
+}
+
+/// The times of [`replay_under`] in the order deadline, attempt, completed id, cooldown.
+fn replayed_times(replay: &Replay) -> [Time; 4] {
+    let pending = &replay.pending[&1];
+    let expires_at = replay.completed[0].expires_at;
+    [
+        pending.message.wall_deadline,
+        pending.possibly_executed[0].sent_at,
+        expires_at,
+        replay.key_cooldowns[&7],
+    ]
+}
+
+#[test]
+fn recorded_times_move_with_steps_of_the_wall_clock_while_the_machine_runs() {
+    let clock = |boot_id, wall_ahead| ClockReference { boot_id, wall_ahead };
+    let forward = replay_under(Some(clock(1, 100)), clock(1, 600));
+    assert_eq!(replayed_times(&forward), [5_500, 1_500, 3_500, 2_500]);
+    let back = replay_under(Some(clock(1, 100)), clock(1, -400));
+    assert_eq!(replayed_times(&back), [4_500, 500, 2_500, 1_500]);
+    let restarted = replay_under(Some(clock(1, 100)), clock(2, 600));
+    assert_eq!(replayed_times(&restarted), [5_000, 1_000, 3_000, 2_000], "the machine was started again");
+    let earlier_version = replay_under(None, clock(1, 600));
+    assert_eq!(replayed_times(&earlier_version), [5_000, 1_000, 3_000, 2_000]);
+}
--- a/crates/platform/src/shell/journal.rs
+++ b/crates/platform/src/shell/journal.rs
@@ -3,7 +3,7 @@
 
 use super::clocks::wall_clock;
 use crate::core::{Core, MILLISECOND};
-use crate::records::Record;
+use crate::records::{ClockReference, Record};
 use linnetcart::Time;
 use linnetcart_journal::{JournalDirectory, JournalError, Record as RawRecord, RecordRef, Salt};
 
@@ -39,6 +39,7 @@
 /// The journal, its growth and its state.
 pub struct JournalWriter {
     directory: JournalDirectory,
+    clock: ClockReference,
     state: WriterState,
     /// The file's size when it was begun.
     base_bytes: u64,
@@ -48,9 +49,10 @@
 
 impl JournalWriter {
     /// Creates a writer that begins a new file with its first write.
-    pub fn new(directory: JournalDirectory, capacity_bytes: u64) -> JournalWriter {
+    pub fn new(directory: JournalDirectory, capacity_bytes: u64, clock: ClockReference) -> JournalWriter {
         JournalWriter {
             directory,
+            clock,
             state: WriterState::NotBegun,
             base_bytes: 0,
             max_growth_bytes: capacity_bytes / GROWTH_DIVISOR,
@@ -117,7 +119,7 @@
 
     /// Writes the core's state: to a new file or, if none can be begun, to the present one.
     fn write_snapshot(&mut self, core: &Core) -> Result<(), JournalError> {
-        let snapshot = Self::snapshot(core);
+        let snapshot = self.snapshot(core);
         let replaced = self.directory.replace(new_salt(), snapshot.iter().map(record_ref));
         if let Err(error) = replaced {
             let appended = self.directory.append_snapshot(snapshot.iter().map(record_ref));
@@ -139,7 +141,7 @@
         if !has_outgrown {
             return;
         }
-        let snapshot = Self::snapshot(core);
+        let snapshot = self.snapshot(core);
         match self.directory.replace(new_salt(), snapshot.iter().map(record_ref)) {
             Ok(()) => {
                 self.base_bytes = self.directory.size();
@@ -149,8 +151,10 @@
         }
     }
 
-    fn snapshot(core: &Core) -> Vec<RawRecord> {
-        core.snapshot().iter().map(Record::encode).collect()
+    fn snapshot(&self, core: &Core) -> Vec<RawRecord> {
+        let mut records = vec![Record::ClockReference(self.clock).encode()];
+        records.extend(core.snapshot().iter().map(Record::encode));
+        records
     }
 }
 
--- a/crates/platform/src/shell/startup.rs
+++ b/crates/platform/src/shell/startup.rs
@@ -13,7 +13,7 @@
 use super::{write_records, Shell, CLOCK_START};
 use crate::config::Config;
 use crate::core::Core;
-use crate::records::Replay;
+use crate::records::{ClockReference, Replay};
 use anyhow::Context;
 use calloop::signals::Signal;
 use linnetcart_journal::{JournalDirectory, JournalError, OpenedJournal};
@@ -58,7 +58,7 @@
     };
     let clocks = StartClocks::read();
     let state = environment.state.display();
-    let replay = |_: &mut Net| replay_journal(&environment.state, &config);
+    let replay = |_: &mut Net| replay_journal(&environment.state, &config, clocks.reference);
     let replayed = retry(&mut net, &mut waited, replay, JournalError::is_momentary)
         .with_context(|| format!("the journal in {state} cannot be read; RELAY_STATE names the folder"))?;
     let Retries::Done(ReplayedJournal { directory, replay }) = replayed else {
@@ -66,7 +66,7 @@
     };
     configure_limits(&mut net, &config);
     let listen = config.listen;
-    let mut journal = JournalWriter::new(directory, config.limits.disk_bytes());
+    let mut journal = JournalWriter::new(directory, config.limits.disk_bytes(), clocks.reference);
     let mut core = Core::new(config, replay, CLOCK_START, clocks.wall);
     // A new file is begun before the first client connects.
     write_records(&mut core, &mut journal, clocks.started_at);
@@ -105,7 +105,11 @@
 }
 
 /// Opens the journal and replays the records that the previous process left.
-fn replay_journal(state: &Path, config: &Config) -> Result<ReplayedJournal, JournalError> {
+fn replay_journal(
+    state: &Path,
+    config: &Config,
+    clock: ClockReference,
+) -> Result<ReplayedJournal, JournalError> {
     let began = Instant::now();
     let OpenedJournal { directory, records, damage } =
         JournalDirectory::open(state, config.limits.disk_bytes())?;
@@ -113,10 +117,11 @@
         tracing::error!(%damage, "journal damaged, all that can be read is answered for");
     }
     let settings = &config.settings;
-    let replay = Replay::from_records(&records, &settings.class_names, &settings.zone_names);
+    let replay = Replay::from_records(&records, &settings.class_names, &settings.zone_names, clock);
     tracing::info!(
         pending = replay.pending.len(),
         unusable_records = replay.unusable_records,
+        clock_shift_ms = replay.clock_shift / 1_000_000,
         took_ms = began.elapsed().as_millis() as u64,
         name = config.name,
         "journal replayed"
