Net: errors of the event loop keep their meaning, so that a start waits for a lack of memory

The reactor wrapped calloop's error in another (reactor.rs, io::Error::other), where is_momentary finds no errno. Change: the system's error is taken out of calloop's. A failed test now leaves the courier's files.

--- a/crates/edge/tests/process/courier.rs
+++ b/crates/edge/tests/process/courier.rs
@@ -24,7 +24,7 @@
 const FAULT_SEED: u64 = 1;
 const READY_REQUEST: &str = "GET /ready HTTP/1.1\r\n\r\n";
 
-/// The program in a directory of its own, which is removed at the end.
+/// The program in a directory of its own, which is removed at the end unless the test fails.
 pub struct CourierProcess {
     pub dir: PathBuf,
     pub listen: SocketAddr,
@@ -195,7 +195,11 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
-        let _ = fs::remove_dir_all(&self.dir);
+        if std::thread::panicking() {
+            eprintln!("the files of the courier are left in {}", self.dir.display());
+        } else {
+            let _ = fs::remove_dir_all(&self.dir);
+        }
     }
 }
 
--- a/crates/edge/tests/process/faults/journal_restart.rs
+++ b/crates/edge/tests/process/faults/journal_restart.rs
@@ -51,6 +51,17 @@
     restart_under("start-socket", &[Fault::Socket]);
 }
 
+#[test]
+fn registration_with_event_loop_fails_at_start_process_waits_for_it() {
+    restart_under("start-register", &[Fault::Register]);
+}
+
+#[test]
+fn every_fault_at_start_process_waits_and_serves() {
+    let faults = Fault::ALL.into_iter().filter(|&fault| fault != Fault::KillInFileWrite);
+    restart_under("start-all", &faults.collect::<Vec<_>>());
+}
+
 #[test]
 fn killed_in_journal_write_accepted_messages_are_completed_and_rejected_ones_never_sent() {
     for seed in 0..12u8 {
--- a/crates/net/src/reactor.rs
+++ b/crates/net/src/reactor.rs
@@ -47,7 +47,7 @@
 
 impl Reactor {
     pub(crate) fn new() -> io::Result<Reactor> {
-        let event_loop = EventLoop::try_new().map_err(io::Error::other)?;
+        let event_loop = EventLoop::try_new().map_err(system_error)?;
         Ok(Reactor {
             handle: event_loop.handle(),
             event_loop,
@@ -76,7 +76,7 @@
             .insert_source(source, |event, _, wakeups: &mut Wakeups| {
                 wakeups.signals.push(event.signal() as i32);
             })
-            .map_err(|failed| io::Error::other(failed.error))?;
+            .map_err(|failed| system_error(failed.error))?;
         Ok(())
     }
 
@@ -97,7 +97,7 @@
                 });
                 Ok(PostAction::Continue)
             })
-            .map_err(|failed| io::Error::other(failed.error))
+            .map_err(|failed| system_error(failed.error))
     }
 
     /// Stops reporting the readiness of a socket, and drops the event loop's reference to it.
@@ -107,7 +107,7 @@
 
     /// Waits until a socket is ready, a signal is received or the timeout elapses.
     pub(crate) fn dispatch(&mut self, timeout: Duration) -> io::Result<()> {
-        self.event_loop.dispatch(timeout, &mut self.wakeups).map_err(io::Error::other)
+        self.event_loop.dispatch(timeout, &mut self.wakeups).map_err(system_error)
     }
 
     /// Appends the signals of the last dispatch to `out` and clears them.
@@ -121,3 +121,11 @@
         std::mem::take(&mut self.wakeups.readiness)
     }
 }
+
+/// Returns the error of the system inside an error of the event loop, so that its meaning is not lost.
+fn system_error(error: calloop::Error) -> io::Error {
+    match error {
+        calloop::Error::IoError(error) => error,
+        other => io::Error::other(other),
+    }
+}
