Soak: the real courier under seeded faults, signals and misbehaving endpoints

Cause: single faults are tested by name; what they do together, during kills, shutdowns and restarts, was not. Checks: nothing accepted is lost, nothing rejected is executed, no second effect, order by key, nothing after a message's end, no silence, no unasked exit.

--- /dev/null
+++ b/crates/edge/tests/soak/clients.rs
@@ -0,0 +1,113 @@
+//! Clients that hand in messages one after another, keep their connections until the courier ends them, and record
+//! every answer.
+
+use crate::random::Random;
+use linnetcart_http::{parse_response, ParsedResponse, Persistence};
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+/// A client waits far longer than those of the platform, so that a late answer can be told from none.
+const PATIENCE: Duration = Duration::from_secs(8);
+/// Pause before a client connects again.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(30);
+
+/// What became of a submission, as its client saw it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    Status(u16),
+    /// The connection was closed, or reset, without an answer.
+    Closed,
+    /// Nothing came.
+    Silence,
+}
+
+/// A message that was handed in.
+#[derive(Clone, Debug)]
+pub struct Submission {
+    pub id: String,
+    pub class: &'static str,
+    /// The ordering key, if any.
+    pub key: Option<String>,
+    pub sent_at: Instant,
+    pub answered_at: Instant,
+    pub time: Duration,
+    pub answer: Answer,
+    /// It was the first request of its connection.
+    pub on_new_connection: bool,
+}
+
+/// Hands in messages until `stop`, and returns them in order.
+pub fn run(seed: u64, client: u64, courier: SocketAddr, stop: &AtomicBool) -> Vec<Submission> {
+    let mut random = Random::new(seed, 100 + client);
+    let mut submissions = Vec::new();
+    let mut connection: Option<TcpStream> = None;
+    while !stop.load(Ordering::Relaxed) {
+        std::thread::sleep(Duration::from_millis(random.below(25)));
+        let on_new_connection = connection.is_none();
+        let Some(stream) = connection.take().or_else(|| connect(courier)) else {
+            std::thread::sleep(RECONNECT_PAUSE);
+            continue;
+        };
+        let class = ["status", "order", "change"][random.below(3) as usize];
+        let id = format!("{seed}-{client}-{}.", submissions.len());
+        let key = (class == "change").then(|| format!("key-{client}"));
+        let time = Duration::from_millis(random.between(400, 2500));
+        let sent_at = Instant::now();
+        let (answer, reusable) = submit(stream, &request(class, &id, key.as_deref(), time));
+        connection = reusable;
+        let answered_at = Instant::now();
+        submissions.push(Submission {
+            id,
+            class,
+            key,
+            sent_at,
+            answered_at,
+            time,
+            answer,
+            on_new_connection,
+        });
+    }
+    submissions
+}
+
+fn connect(courier: SocketAddr) -> Option<TcpStream> {
+    let stream = TcpStream::connect(courier).ok()?;
+    stream.set_read_timeout(Some(PATIENCE)).ok()?;
+    stream.set_nodelay(true).ok()?;
+    Some(stream)
+}
+
+fn request(class: &str, id: &str, key: Option<&str>, time: Duration) -> String {
+    let cookie = key.map(|key| format!("Cookie: subject={key}\r\n")).unwrap_or_default();
+    format!(
+        "POST /{class} HTTP/1.1\r\nX-Txn: {id}\r\nIdempotency-Key: t-{id}\r\nX-Remaining-Ms: {}\r\n\
+         X-Route-To: dest=3\r\n{cookie}Content-Length: 40\r\n\r\n{:x<40}",
+        time.as_millis(),
+        ""
+    )
+}
+
+/// Sends a request and waits for its answer. Returns the connection if it can be used again.
+fn submit(mut stream: TcpStream, request: &str) -> (Answer, Option<TcpStream>) {
+    if stream.write_all(request.as_bytes()).is_err() {
+        return (Answer::Closed, None);
+    }
+    let mut received = Vec::new();
+    let mut chunk = [0; 1024];
+    loop {
+        if let ParsedResponse::Head(head) = parse_response(&received) {
+            let keeps = head.persistence == Persistence::KeepAlive;
+            return (Answer::Status(head.status), keeps.then_some(stream));
+        }
+        match stream.read(&mut chunk) {
+            Ok(0) => return (Answer::Closed, None),
+            Ok(length) => received.extend_from_slice(&chunk[..length]),
+            Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
+                return (Answer::Silence, None);
+            }
+            Err(_) => return (Answer::Closed, None),
+        }
+    }
+}
