Kafka front: the start waits for what fails for a moment, and the front is tested under faults

The process tests of the Kafka front run it under the shim: calls on sockets failing in five ways while messages are answered, and files and sockets at the start.

--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -21,7 +21,7 @@
 use linnetcart_net::{Event, Net, Token};
 use log_limit::LogLimiter;
 use serde_json::json;
-use startup::{listen, load_snapshot, start_options};
+use startup::{listen, load_snapshot, retry_momentary, start_options};
 use std::collections::BTreeMap;
 use std::io::Write;
 use std::net::SocketAddr;
@@ -111,8 +111,8 @@
 
 /// Runs the program until it has drained after a signal, or until a second signal.
 pub fn run(options: Options) -> anyhow::Result<Exit> {
-    let mut net = Net::new(options.max_connections).context("the event loop cannot be made")?;
-    net.watch_signals(&[Signal::SIGTERM, Signal::SIGINT]).context("signals cannot be caught")?;
+    let mut net = retry_momentary(|| create_event_loop(options.max_connections))
+        .context("the event loop cannot be made")?;
     let kafka = listen(&mut net, options.kafka, "--kafka")?;
     let control = listen(&mut net, options.control, "--control")?;
     let mut program = Program::new(start_options(&options, kafka.address));
@@ -141,6 +141,13 @@
     Ok(shell.serve())
 }
 
+/// Creates the event loop. Signals that arrive from then on are queued and do not kill the process.
+fn create_event_loop(max_connections: usize) -> std::io::Result<Net> {
+    let mut net = Net::new(max_connections)?;
+    net.watch_signals(&[Signal::SIGTERM, Signal::SIGINT])?;
+    Ok(net)
+}
+
 /// Prints the addresses on which the program listens as one line of JSON on standard output.
 fn print_addresses(kafka: SocketAddr, control: SocketAddr) -> anyhow::Result<()> {
     let addresses = json!({"kafka": kafka.to_string(), "control": control.to_string()});
--- a/crates/testbed/tests/process.rs
+++ b/crates/testbed/tests/process.rs
@@ -10,6 +10,7 @@
 mod work_folder;
 
 use kafka::produce_request;
+use linnetcart_fault_injection::{Fault, FaultControl};
 use linnetcart_kafka::{client, codes, Frames};
 use serde_json::json;
 use started_courier::{
@@ -19,6 +20,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
 use std::process::{Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 use work_folder::work_folder;
 
@@ -188,3 +190,61 @@
     send_sigterm(&child);
     assert_eq!(exit_code(&mut child, Duration::from_secs(10)), Some(0));
 }
+
+/// The faults of a courier whose files are in `dir`, none at first.
+fn faults_of(dir: &Path) -> FaultControl {
+    std::fs::create_dir_all(dir).unwrap();
+    FaultControl::new(&dir.join("faults"), dir, 1).unwrap()
+}
+
+#[test]
+fn calls_on_sockets_fail_for_a_moment_each_message_gets_its_answer_on_its_connection() {
+    let dir = work_folder("socket-faults");
+    let faults = faults_of(&dir);
+    let endpoint = SilentEndpoint::listen();
+    let courier = Courier::start_under(&dir, &faults);
+    courier.configure(endpoint.address);
+    let moments = [
+        [(Fault::SendInterrupted, 200), (Fault::SendShort, 200)],
+        [(Fault::SendNoBuffers, 128), (Fault::ReceiveNoBuffers, 128)],
+        [(Fault::ReceiveInterrupted, 200), (Fault::ReceiveShort, 200)],
+        [(Fault::Socket, 255), (Fault::Connect, 255)],
+        [(Fault::ConnectInterrupted, 255), (Fault::SocketStatus, 160)],
+    ];
+    for moment in moments {
+        let mut client = courier.connect();
+        moment.iter().for_each(|&(fault, rate)| faults.set(fault, rate));
+        submit(&mut client, "order");
+        let code = answer_code(&mut client);
+        assert_ne!(code, codes::NONE, "{moment:?}: the endpoint answers nothing");
+        faults.clear();
+        submit(&mut client, "order");
+        assert_ne!(answer_code(&mut client), codes::NONE, "{moment:?}: the connection goes on");
+    }
+}
+
+#[test]
+fn calls_fail_at_the_start_courier_waits_and_keeps_its_snapshot() {
+    let dir = work_folder("start-faults");
+    let faults = faults_of(&dir);
+    let endpoint = SilentEndpoint::listen();
+    let mut courier = Courier::start_under(&dir, &faults);
+    courier.configure(endpoint.address);
+    courier.child.kill().unwrap();
+    courier.child.wait().unwrap();
+    let at_start = [Fault::FileRead, Fault::Socket];
+    at_start.iter().for_each(|&fault| faults.always(fault));
+    let is_cleared = AtomicBool::new(false);
+    let courier = std::thread::scope(|scope| {
+        scope.spawn(|| {
+            std::thread::sleep(Duration::from_millis(500));
+            is_cleared.store(true, Ordering::SeqCst);
+            faults.clear();
+        });
+        // By this thread: a courier ends with the thread that started it.
+        Courier::start_under(&dir, &faults)
+    });
+    assert!(is_cleared.load(Ordering::SeqCst), "ready while it could not read its snapshot");
+    assert!(at_start.iter().any(|&fault| faults.injected(fault) > 0), "no call has failed");
+    assert!(courier.get("/list").contains(&endpoint.address.to_string()), "the snapshot is in force");
+}
--- a/crates/testbed/tests/support/started_courier.rs
+++ b/crates/testbed/tests/support/started_courier.rs
@@ -1,6 +1,7 @@
 //! A courier that is started by hand, as an operator does, and an endpoint for it.
 
 use super::control;
+use linnetcart_fault_injection::FaultControl;
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -38,14 +39,19 @@
         Courier::start_by_shell(dir, &format!("ulimit -n {files}; "))
     }
 
+    /// Starts a courier into whose system calls faults are injected.
+    pub fn start_under(dir: &Path, faults: &FaultControl) -> Courier {
+        let mut command = courier_command(dir, "");
+        command.envs(faults.environment());
+        Courier::start_command(command)
+    }
+
     fn start_by_shell(dir: &Path, preparation: &str) -> Courier {
-        let mut child = Command::new("sh")
-            .arg("-c")
-            .arg(format!("{preparation}exec {PROGRAM} {COURIER_ARGUMENTS} {}", dir.display()))
-            .stdout(Stdio::piped())
-            .stderr(Stdio::null())
-            .spawn()
-            .unwrap();
+        Courier::start_command(courier_command(dir, preparation))
+    }
+
+    fn start_command(mut command: Command) -> Courier {
+        let mut child = command.stdout(Stdio::piped()).stderr(Stdio::null()).spawn().unwrap();
         let ready = ready_line(&mut child);
         let address = |name: &str| ready[name].as_str().unwrap().parse().unwrap();
         Courier { kafka: address("kafka"), control: address("control"), child }
@@ -70,6 +76,13 @@
     }
 }
 
+/// The command of a courier, which a shell starts after `preparation`.
+fn courier_command(dir: &Path, preparation: &str) -> Command {
+    let mut command = Command::new("sh");
+    command.arg("-c").arg(format!("{preparation}exec {PROGRAM} {COURIER_ARGUMENTS} {}", dir.display()));
+    command
+}
+
 /// The line of JSON that a program prints when it is ready.
 pub fn ready_line(child: &mut Child) -> Value {
     let mut line = String::new();
