A log that cannot be written ends no process

Cause: found by trying stderr on a full device: exit 101 at the first line. tracing-subscriber reports a line that it cannot write with eprintln, which panics when standard error fails (cli.rs, start_logs). Change: that report is switched off. The shim can fail writes to standard error; the soak draws it as well. Measured: the test, in service and over a restart, failed without the change and passes with it.

--- a/crates/edge/src/cli.rs
+++ b/crates/edge/src/cli.rs
@@ -92,8 +92,12 @@
 pub fn start_logs(form: Option<LogForm>, level: tracing::Level) {
     let is_terminal = std::io::stderr().is_terminal();
     let form = form.unwrap_or(if is_terminal { LogForm::Plain } else { LogForm::Json });
-    let logs =
-        tracing_subscriber::fmt().with_writer(std::io::stderr).with_max_level(level).with_target(false);
+    let logs = tracing_subscriber::fmt()
+        .with_writer(std::io::stderr)
+        .with_max_level(level)
+        .with_target(false)
+        // Otherwise a line that cannot be written is reported on standard error, which panics if that fails, too.
+        .log_internal_errors(false);
     let started = match form {
         LogForm::Json => logs.json().flatten_event(true).try_init(),
         LogForm::Plain => logs.with_ansi(is_terminal).try_init(),
--- a/crates/edge/tests/process/message_log.rs
+++ b/crates/edge/tests/process/message_log.rs
@@ -2,7 +2,7 @@
 
 use crate::courier::{submission, wait_until, CourierProcess};
 use crate::peer::{serve_next_request, GatedListener};
-use crate::stubs::{discovery_stub, SERVED};
+use crate::stubs::{discovery_stub, endpoint_stub, SERVED};
 use linnetcart_fault_injection::Fault;
 
 /// Returns what was logged of a message, in order.
@@ -78,3 +78,18 @@
     assert_eq!(second[0]["message"], "message rejected");
     assert_eq!(second[0]["reason"], "JournalUnwritable");
 }
+
+#[test]
+fn log_cannot_be_written_process_goes_on() {
+    let discovery = discovery_stub();
+    let endpoint = endpoint_stub();
+    let mut courier = CourierProcess::new("log-full", endpoint.address, discovery.address);
+    courier.faults.always(Fault::LogWrite);
+    assert_eq!(courier.submit("order", "first"), 202);
+    wait_until("it is delivered", || endpoint.count_matching("first") == 1);
+    courier.kill_and_restart();
+    assert_eq!(courier.submit("order", "second"), 202);
+    wait_until("it is delivered", || endpoint.count_matching("second") == 1);
+    assert!(courier.faults.injected(Fault::LogWrite) > 0, "nothing was logged");
+    assert!(courier.child.try_wait().unwrap().is_none(), "the process has exited");
+}
--- a/crates/edge/tests/soak/faults.rs
+++ b/crates/edge/tests/soak/faults.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 /// Faults that may be injected into any call for a while.
-const FAULTS: [(Fault, Rate); 22] = [
+const FAULTS: [(Fault, Rate); 23] = [
     (Fault::FileWrite, ALWAYS),
     (Fault::FileWrite, 100),
     (Fault::FileShortWrite, 120),
@@ -29,6 +29,7 @@
     (Fault::WaitInterrupted, 150),
     (Fault::RegisterAgain, 60),
     (Fault::Standstill, 1),
+    (Fault::LogWrite, 200),
 ];
 
 /// Faults after which a connection may be closed before its request is read.
--- a/crates/fault-injection/shim/fault_shim.c
+++ b/crates/fault-injection/shim/fault_shim.c
@@ -53,6 +53,7 @@
     REGISTER,            /* epoll_ctl of a new descriptor */
     REGISTER_AGAIN,      /* epoll_ctl of a registered descriptor */
     STANDSTILL,          /* the process stands still for up to 150 ms after it has read the clock */
+    LOG_WRITE,           /* write to standard error fails */
     FAULT_COUNT
 };
 
@@ -61,7 +62,7 @@
     "journal_remove", "journal_read", "journal_list", "send_interrupted", "send_short", "send_no_buffers",
     "receive_interrupted", "receive_short", "receive_no_buffers", "accept", "socket", "connect",
     "connect_interrupted", "socket_status", "socket_option", "wait_interrupted", "register",
-    "register_again", "standstill",
+    "register_again", "standstill", "log_write",
 };
 
 #define MAX_RATE 255
@@ -254,6 +255,7 @@
 
 ssize_t write(int fd, const void *bytes, size_t length) {
     ORIGINAL(write);
+    if (fd == STDERR_FILENO && is_due(LOG_WRITE)) return FAIL(ENOSPC, EIO, EAGAIN, EPIPE);
     if (!is_tracked(fd)) return original(fd, bytes, length);
     if (next_write_fails[fd]) {
         next_write_fails[fd] = 0;
--- a/crates/fault-injection/src/lib.rs
+++ b/crates/fault-injection/src/lib.rs
@@ -65,11 +65,13 @@
     RegisterAgain,
     /// The process stands still for up to 150 ms after it has read the monotonic clock.
     Standstill,
+    /// A write to standard error fails.
+    LogWrite,
 }
 
 impl Fault {
     /// All faults.
-    pub const ALL: [Fault; 24] = [
+    pub const ALL: [Fault; 25] = [
         Fault::FileWrite,
         Fault::FileShortWrite,
         Fault::KillInFileWrite,
@@ -94,6 +96,7 @@
         Fault::Register,
         Fault::RegisterAgain,
         Fault::Standstill,
+        Fault::LogWrite,
     ];
 }
 
