Platform: a request that the system does not take is taken back and decided anew

Cause: found by reading: bytes that send refuses for a moment (ENOBUFS) wait in the connection's queue and leave when it takes them, whatever was learned since. In the test, an order was sent to an endpoint that had been reported draining while the writes failed (shell.rs carry_out, net connection.rs unsent). Change: after the outputs are carried out they are written, and a request of which the system took no byte is taken back: its attempt ends as LocalFault, which is paced and uses up no attempt, and the library decides anew.

--- a/crates/edge/tests/process/faults/sockets.rs
+++ b/crates/edge/tests/process/faults/sockets.rs
@@ -1,10 +1,11 @@
 //! Calls on sockets fail for a moment.
 
-use crate::courier::{submission, wait_until, CourierProcess};
-use crate::peer::Peer;
-use crate::stubs::{discovery_stub, endpoint_stub, Stub};
+use crate::courier::{entry, submission, wait_until, CourierProcess};
+use crate::peer::{serve_next_request, GatedListener, Peer};
+use crate::stubs::{discovery_stub, endpoint_stub, Stub, SERVED};
 use linnetcart_fault_injection::{Fault, Rate};
 use rustix::process::Signal;
+use serde_json::json;
 use std::time::Duration;
 
 /// Messages that are submitted in a test of one fault: fewer than may be in flight before load is shed.
@@ -187,3 +188,37 @@
     }
     courier.child.wait().unwrap();
 }
+
+#[test]
+fn request_that_the_system_does_not_take_is_not_sent_to_an_endpoint_that_drains_meanwhile() {
+    let discovery = GatedListener::new();
+    let gate = GatedListener::new();
+    let courier = CourierProcess::new("unwritten", gate.address, discovery.address);
+    let mut watch = discovery.accept();
+    let mut client = Peer::connect(courier.listen);
+    client.send(&submission("order", "warm", ""));
+    let mut peers = vec![];
+    serve_next_request(&gate, &mut peers, SERVED);
+    assert_eq!(client.read_response().status, 202);
+    courier.settle();
+    courier.faults.always(Fault::SendNoBuffers);
+    client.send(&submission("order", "late", ""));
+    wait_until("writes fail", || courier.faults.injected(Fault::SendNoBuffers) > 2);
+    let line = format!(
+        "{}\n",
+        json!({"index": 2, "snapshot": false, "endpoints": [entry("s-1", gate.address, "leaving")]})
+    );
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    watch.send(&format!("{head}{:x}\r\n{line}\r\n", line.len()));
+    wait_until("the drain is known", || {
+        courier.count_logged("endpoint list event", &[("version", json!(2))]) == 1
+    });
+    courier.faults.clear();
+    assert_eq!(client.read_response().status, 202);
+    courier.settle();
+    // A connection may have been begun before the drain was known.
+    while !gate.is_silent_for(300) {
+        peers.push(gate.accept());
+    }
+    assert!(peers.iter_mut().all(Peer::is_silent), "sent to a draining endpoint");
+}
--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -77,6 +77,8 @@
     pub(crate) readable: bool,
     read_ended: bool,
     unsent: BytesMut,
+    /// Number of bytes that were queued last.
+    last_queued_bytes: usize,
     written_bytes: u64,
     /// When the connection began to close; since then it only writes its send queue.
     closing_since: Option<Instant>,
@@ -96,6 +98,7 @@
             readable: false,
             read_ended: false,
             unsent: BytesMut::new(),
+            last_queued_bytes: 0,
             written_bytes: 0,
             closing_since: None,
         }
@@ -132,6 +135,15 @@
 
     pub(crate) fn queue(&mut self, bytes: &[u8]) {
         self.unsent.extend_from_slice(bytes);
+        self.last_queued_bytes = bytes.len();
+    }
+
+    /// Takes back the bytes that were queued last if none of them is written. Returns their number, or `None`.
+    pub(crate) fn take_back_last(&mut self) -> Option<usize> {
+        let length = std::mem::take(&mut self.last_queued_bytes);
+        let remaining = self.unsent.len().checked_sub(length).filter(|_| length > 0)?;
+        self.unsent.truncate(remaining);
+        Some(length)
     }
 
     /// Closes the sending side and discards the send queue. Returns false if the connection is not
--- a/crates/net/src/connections.rs
+++ b/crates/net/src/connections.rs
@@ -145,6 +145,10 @@
         self.unflushed.insert(token);
     }
 
+    pub(crate) fn take_back_last(&mut self, token: Token) -> Option<usize> {
+        self.open.get_mut(&token).filter(|connection| !connection.is_closing())?.take_back_last()
+    }
+
     pub(crate) fn pause_reads(&mut self, token: Token) {
         if let Some(connection) = self.open.get_mut(&token) {
             connection.read_paused = true;
--- a/crates/net/src/net.rs
+++ b/crates/net/src/net.rs
@@ -99,6 +99,12 @@
         self.connections.send(token, bytes);
     }
 
+    /// Takes back the bytes of the last [`Net::send`] on a connection if the system has accepted none of them.
+    /// Returns their number, or `None` if they are written, in part or as a whole.
+    pub fn take_back_last(&mut self, token: Token) -> Option<usize> {
+        self.connections.take_back_last(token)
+    }
+
     /// Number of bytes that are queued and not yet accepted by the system.
     pub fn unsent_bytes(&self, token: Token) -> usize {
         self.connections.unsent_bytes(token)
--- a/crates/platform/src/core/unrecorded.rs
+++ b/crates/platform/src/core/unrecorded.rs
@@ -14,7 +14,7 @@
 
 use super::attempts::AttemptId;
 use super::clock::MILLISECOND;
-use super::connection_pool::FinishedAttempt;
+use super::connection_pool::{ConnectionId, FinishedAttempt};
 use super::effects::CoreEvent;
 use super::{Core, JournalState};
 use crate::records::Record;
@@ -73,9 +73,27 @@
         }
     }
 
+    /// Whether a connection carries the request of an attempt.
+    pub fn carries_attempt(&self, connection: ConnectionId) -> bool {
+        self.pool.attempt_of(connection).is_some()
+    }
+
+    /// The system accepts no byte at present on the connection of an attempt, whose request of `length` bytes was
+    /// taken back. It would leave at some later time, unjudged.
+    pub fn attempt_not_written(&mut self, connection: ConnectionId, length: usize) {
+        if let Some(id) = self.pool.attempt_of(connection) {
+            self.end_unsent(id, length);
+        }
+    }
+
     /// Ends an attempt of this iteration as not sent.
     fn undo_attempt(&mut self, id: AttemptId) {
-        let Some(length) = self.effects.drop_attempt(id) else { return };
+        if let Some(length) = self.effects.drop_attempt(id) {
+            self.end_unsent(id, length);
+        }
+    }
+
+    fn end_unsent(&mut self, id: AttemptId, length: usize) {
         if self.attempts.get(id).is_none() {
             return;
         }
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -9,7 +9,7 @@
 
 pub use environment::Environment;
 
-use crate::core::{Core, Output, MILLISECOND};
+use crate::core::{ConnectionId, Core, Output, MILLISECOND};
 use calloop::signals::Signal;
 use environment::read_config;
 use journal::{JournalWriter, WriteOutcome};
@@ -90,7 +90,8 @@
             write_records(&mut self.core, &mut self.journal, self.started_at);
             let input_read_at = self.net.last_read_at().saturating_duration_since(self.started_at);
             self.core.recheck_attempts(CLOCK_START + input_read_at.as_nanos() as Time, self.now());
-            self.carry_out();
+            let written_to = self.carry_out();
+            self.take_back_unwritten(&written_to);
             self.log.update(&mut self.core, self.journal.size(), now);
         }
         self.flush();
@@ -189,7 +190,26 @@
         }
     }
 
-    fn carry_out(&mut self) {
+    /// Writes what was queued. A request of which the system accepts no byte is taken back: by the time at which it
+    /// could leave, its endpoint may be draining or a Retry-After in force.
+    fn take_back_unwritten(&mut self, written_to: &[ConnectionId]) {
+        if written_to.is_empty() {
+            return;
+        }
+        self.net.flush();
+        for &id in written_to {
+            let Some(token) = self.upstream.token(id).filter(|_| self.core.carries_attempt(id)) else {
+                continue;
+            };
+            if let Some(length) = self.net.take_back_last(token) {
+                self.core.attempt_not_written(id, length);
+            }
+        }
+    }
+
+    /// Carries out the outputs. Returns the upstream connections that were written to.
+    fn carry_out(&mut self) -> Vec<ConnectionId> {
+        let mut written_to = Vec::new();
         for output in self.core.take_outputs() {
             match output {
                 Output::SendToClient(client, bytes) => self.net.send(client, &bytes),
@@ -204,6 +224,7 @@
                 Output::SendUpstream(id, bytes) => {
                     if let Some(token) = self.upstream.token(id) {
                         self.net.send(token, &bytes);
+                        written_to.push(id);
                     }
                 }
                 Output::CloseUpstream(id) => {
@@ -219,6 +240,7 @@
                 Output::StopListening => self.net.stop_listening(self.listener),
             }
         }
+        written_to
     }
 }
 
