--- a/crates/journal/src/directory.rs
+++ b/crates/journal/src/directory.rs
@@ -63,12 +63,11 @@
     /// A file that cannot be read is an error and never counts as empty.
     pub fn open(path: &Path, capacity_bytes: u64) -> Result<OpenedJournal, JournalError> {
         let numbers = file_numbers(path)?;
-        let mut contents = BTreeMap::new();
+        let ReadFiles { records, damage } = read_files(path, &numbers)?;
+        let mut other_files = BTreeMap::new();
         for &number in &numbers {
-            contents.insert(number, fs::read(file_path(path, number))?);
+            other_files.insert(number, fs::metadata(file_path(path, number))?.len());
         }
-        let ReadFiles { records, damage } = read_files(path, &contents);
-        let other_files = contents.iter().map(|(&number, bytes)| (number, bytes.len() as u64)).collect();
         let number = numbers.last().copied().unwrap_or(0);
         let path = path.to_owned();
         let directory = JournalDirectory { path, capacity_bytes, number, file: None, other_files };
@@ -209,11 +208,11 @@
 }
 
 /// Reads the newest complete file. Without one, all files together hold what there is.
-fn read_files(path: &Path, contents: &BTreeMap<u64, Vec<u8>>) -> ReadFiles {
+fn read_files(directory: &Path, numbers: &[u64]) -> io::Result<ReadFiles> {
     let mut files = ReadFiles::default();
-    for (&number, bytes) in contents.iter().rev() {
-        let found = read_frames(bytes);
-        let path = file_path(path, number);
+    for &number in numbers.iter().rev() {
+        let path = file_path(directory, number);
+        let found = read_frames(&fs::read(&path)?);
         if found.torn_bytes > 0 {
             files.damage.push(FileDamage::TornEnd { path: path.clone(), bytes: found.torn_bytes });
         }
@@ -226,7 +225,7 @@
         }
         files.records.splice(0..0, found.records);
     }
-    files
+    Ok(files)
 }
 
 /// Returns a frame, unless it would be longer than what may be written at once.
--- a/crates/journal/tests/directory.rs
+++ b/crates/journal/tests/directory.rs
@@ -181,3 +181,13 @@
     directory.replace(SALT, [record(4, &large)]).unwrap();
     assert_eq!(stored_kinds(&temp), [4]);
 }
+
+#[test]
+fn old_file_that_cannot_be_read_is_not_needed_beside_a_complete_one() {
+    let temp = TemporaryDirectory::new("old-unreadable");
+    let OpenedJournal { mut directory, .. } = JournalDirectory::open(&temp.0, CAPACITY).unwrap();
+    directory.replace(SALT, [record(1, b"a")]).unwrap();
+    // A directory in place of an older file cannot be read as a file.
+    std::fs::create_dir(temp.0.join("journal-0000000000")).unwrap();
+    assert_eq!(stored_kinds(&temp), [1]);
+}
