Both fronts retry a start by one function, long closures of effects are methods

Change: retry_momentary in crates/net beside is_momentary serves both. The platform's other loop stays: it heeds signals while it waits. No behaviour changes.

--- a/crates/edge/src/shell/startup.rs
+++ b/crates/edge/src/shell/startup.rs
@@ -6,31 +6,9 @@
 use crate::snapshot::{self, LoadedSnapshot};
 use anyhow::Context;
 use linnetcart_kafka::server::Broker;
-use linnetcart_net::{is_momentary, BoundSocket, Net};
-use std::io;
+use linnetcart_net::{retry_momentary, BoundSocket, Net};
 use std::net::SocketAddr;
 use std::path::Path;
-use std::time::Duration;
-
-/// Pause before a step of the start is tried again that failed for a momentary reason.
-const RETRY_PAUSE: Duration = Duration::from_millis(20);
-
-/// Tries a step of the start until it succeeds or fails for a reason that is not momentary.
-pub(super) fn retry_momentary<T>(mut step: impl FnMut() -> io::Result<T>) -> io::Result<T> {
-    let mut is_logged = false;
-    loop {
-        match step() {
-            Err(error) if is_momentary(&error) => {
-                if !is_logged {
-                    tracing::warn!(%error, "start fails for the moment, it is tried again");
-                }
-                is_logged = true;
-            }
-            result => return result,
-        }
-        std::thread::sleep(RETRY_PAUSE);
-    }
-}
 
 /// Listens on the address of a command-line option.
 pub(super) fn listen(net: &mut Net, address: SocketAddr, option: &str) -> anyhow::Result<BoundSocket> {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -16,12 +16,14 @@
 mod net;
 mod reactor;
 mod reserved;
+mod retry;
 mod socket;
 mod system_error;
 
 pub use event::Event;
 pub use net::{Net, ReadLimits};
 pub use reserved::Reserved;
+pub use retry::{retry_momentary, RETRY_PAUSE};
 pub use socket::BoundSocket;
 pub use system_error::{is_momentary, ConnectFailure};
 
--- a/crates/platform/src/core/effects.rs
+++ b/crates/platform/src/core/effects.rs
@@ -97,6 +97,20 @@
 }
 
 impl PendingOutput {
+    fn is_request_of(&self, id: AttemptId) -> bool {
+        match self {
+            PendingOutput::Attempt { attempt, .. } => *attempt == id,
+            PendingOutput::Independent(_) | PendingOutput::Acceptance { .. } => false,
+        }
+    }
+
+    fn connects_one_of(&self, connections: &[ConnectionId]) -> bool {
+        match self {
+            PendingOutput::Independent(Output::Connect(id, _)) => connections.contains(id),
+            _ => false,
+        }
+    }
+
     fn into_output(self) -> Output {
         match self {
             PendingOutput::Independent(output) => output,
@@ -154,8 +168,7 @@
 
     /// Drops the request of an attempt. Returns its length in bytes, or `None` if there is none.
     pub fn drop_attempt(&mut self, dropped: AttemptId) -> Option<usize> {
-        let is_dropped = |output: &PendingOutput| matches!(output, PendingOutput::Attempt { attempt, .. } if *attempt == dropped);
-        let position = self.outputs.iter().position(is_dropped)?;
+        let position = self.outputs.iter().position(|output| output.is_request_of(dropped))?;
         match self.outputs.remove(position) {
             PendingOutput::Attempt { request, .. } => Some(request.len()),
             PendingOutput::Independent(_) | PendingOutput::Acceptance { .. } => None,
@@ -184,11 +197,10 @@
         if closed.is_empty() && abandoned.is_empty() {
             return;
         }
-        let is_closed_connect = |output: &PendingOutput| matches!(output, PendingOutput::Independent(Output::Connect(id, _)) if closed.contains(id));
         let closes = closed.iter().copied().map(Output::CloseUpstream);
         let ends = abandoned.iter().copied().map(Output::ShutdownWrite);
         let mut ordered: Vec<PendingOutput> = closes.chain(ends).map(PendingOutput::Independent).collect();
-        ordered.extend(self.outputs.drain(..).filter(|output| !is_closed_connect(output)));
+        ordered.extend(self.outputs.drain(..).filter(|output| !output.connects_one_of(closed)));
         self.outputs = ordered;
     }
 
--- a/crates/platform/src/shell/startup.rs
+++ b/crates/platform/src/shell/startup.rs
@@ -17,7 +17,7 @@
 use anyhow::Context;
 use calloop::signals::Signal;
 use linnetcart_journal::{JournalDirectory, JournalError, OpenedJournal};
-use linnetcart_net::{is_momentary, Net, ReadLimits};
+use linnetcart_net::{is_momentary, retry_momentary, Net, ReadLimits};
 use std::collections::BTreeSet;
 use std::io;
 use std::path::Path;
@@ -96,7 +96,7 @@
         net.watch_signals(&signals)?;
         Ok(net)
     };
-    waiting::retry_without_loop(create, is_momentary).context("the event loop cannot be made")
+    retry_momentary(create).context("the event loop cannot be made")
 }
 
 fn configure_limits(net: &mut Net, config: &Config) {
--- a/crates/platform/src/shell/startup/waiting.rs
+++ b/crates/platform/src/shell/startup/waiting.rs
@@ -1,12 +1,8 @@
 //! Tries again what fails for a moment during the startup, and heeds signals meanwhile.
 
 use calloop::signals::Signal;
-use linnetcart_net::{Event, Net};
+use linnetcart_net::{Event, Net, RETRY_PAUSE};
 use std::error::Error;
-use std::time::Duration;
-
-/// Pause between two tries.
-const RETRY_PAUSE: Duration = Duration::from_millis(20);
 
 /// Signals that arrived while the startup waited.
 #[derive(Clone, Copy, Debug, Default)]
@@ -47,21 +43,6 @@
     }
 }
 
-/// Tries as [`retry`] does, before there is an event loop that could report signals.
-pub fn retry_without_loop<T, E: Error>(
-    mut attempt: impl FnMut() -> Result<T, E>,
-    is_momentary: impl Fn(&E) -> bool,
-) -> Result<T, E> {
-    let mut is_logged = false;
-    loop {
-        match attempt() {
-            Err(error) if is_momentary(&error) => log_once(&mut is_logged, &error),
-            result => return result,
-        }
-        std::thread::sleep(RETRY_PAUSE);
-    }
-}
-
 fn log_once(is_logged: &mut bool, error: &impl Error) {
     if !*is_logged {
         tracing::warn!(%error, "start fails for the moment, it is tried again");
