Reproduce responses that come twice, one behind or early on real processes

Change: process tests in which an endpoint sends a copy of its last response while the next request is out, stays one response behind, or responds before the request's last byte.

--- a/crates/edge/tests/process/main.rs
+++ b/crates/edge/tests/process/main.rs
@@ -19,5 +19,6 @@
 mod faults;
 mod lifecycle;
 mod message_log;
+mod repeated_responses;
 mod requests;
 mod restart;
--- /dev/null
+++ b/crates/edge/tests/process/repeated_responses.rs
@@ -0,0 +1,195 @@
+//! Responses that arrive twice, early or in place of the response to another request, from endpoints.
+//!
+//! HTTP/1.1 has nothing in a response that names its request. The tests send copies at the moment in which
+//! the next request is out.
+
+use crate::courier::{platform_config, submission, wait_until, CourierProcess};
+use crate::peer::{serve_next_request, GatedListener, Peer, ServedRequest};
+use crate::stubs::{discovery_stub, Stub, SERVED};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// Longer than any delay after which the courier takes a connection for free of late bytes.
+const AFTER_RESPONSE: Duration = Duration::from_millis(30);
+const WARM_UP_MESSAGES: usize = 4;
+const SERVED_AND_CLOSE: &str = "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+const REJECTED: &str = "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n";
+const RETRY_AFTER: &str = "HTTP/1.1 429 No\r\nX-Backoff-Ms: 40\r\nContent-Length: 0\r\n\r\n";
+/// How long a test waits for a call that must not come.
+const NO_CALL_MS: u64 = 300;
+
+/// A courier with one endpoint, whose connections the test controls.
+struct Scene {
+    courier: CourierProcess,
+    discovery: Stub,
+    gate: GatedListener,
+    peers: Vec<Peer>,
+}
+
+impl Scene {
+    /// Starts a courier that has delivered some messages: only then does it take connections for reliable.
+    fn new(name: &str) -> Scene {
+        let discovery = discovery_stub();
+        let gate = GatedListener::new();
+        let courier = CourierProcess::with_config(name, |listen| {
+            platform_config(listen, &[gate.address], discovery.address)
+        });
+        let mut scene = Scene { courier, discovery, gate, peers: vec![] };
+        for number in 0..WARM_UP_MESSAGES {
+            scene.submit("status", &format!("warm-up-{number}"));
+            scene.serve(SERVED);
+            std::thread::sleep(AFTER_RESPONSE);
+        }
+        scene
+    }
+
+    fn submit(&self, class: &str, id: &str) {
+        assert_eq!(self.courier.request(&submission(class, id, "")), Some(202));
+    }
+
+    /// Answers the next request with `response`, which may be empty, and waits until the courier has read it.
+    fn serve(&mut self, response: &str) -> ServedRequest {
+        let served = serve_next_request(&self.gate, &mut self.peers, response);
+        self.courier.wait_until_input_processed();
+        served
+    }
+
+    /// Sends a copy of an earlier response on every connection that still takes one.
+    fn send_copy(&mut self, connection: usize, response: &str) {
+        self.peers[connection].send_if_open(response);
+        self.courier.wait_until_input_processed();
+    }
+
+    /// Whether no further request arrives on any connection for [`NO_CALL_MS`].
+    fn is_quiet(&mut self) -> bool {
+        let no_connection = self.gate.is_silent_for(NO_CALL_MS);
+        no_connection && self.peers.iter_mut().all(Peer::is_silent)
+    }
+}
+
+/// The copy of a rejection must not permit another attempt of a message that is not idempotent.
+#[test]
+fn copied_retry_after_does_not_repeat_attempt() {
+    let mut scene = Scene::new("copied-retry");
+    scene.submit("order", "a");
+    let rejected = scene.serve(RETRY_AFTER);
+    let retried = scene.serve("");
+    assert_eq!((&rejected.id[..], &retried.id[..]), ("a", "a"));
+    scene.send_copy(rejected.connection, RETRY_AFTER);
+    assert!(scene.is_quiet(), "the attempt in flight may be executed, so the message is not sent again");
+    scene.peers[retried.connection].send(SERVED);
+    scene.courier.wait_until_input_processed();
+    assert!(scene.is_quiet(), "the message is delivered");
+    assert_eq!(scene.discovery.count_matching("\"a\""), 0, "no other outcome is notified");
+}
+
+/// The copy of a response to one message must not determine the outcome of the next.
+fn check_copied_response(name: &str, first_class: &str, response: &str) {
+    let mut scene = Scene::new(name);
+    scene.submit(first_class, "a");
+    let first = scene.serve(response);
+    if [REJECTED, RETRY_AFTER].contains(&response) {
+        assert_eq!(scene.serve(SERVED_AND_CLOSE).id, "a");
+    }
+    std::thread::sleep(AFTER_RESPONSE);
+    scene.submit("order", "b");
+    let second = scene.serve("");
+    assert_eq!((&first.id[..], &second.id[..]), ("a", "b"));
+    scene.send_copy(first.connection, response);
+    assert!(scene.is_quiet(), "the attempt in flight may be executed, so the message is not sent again");
+    assert_eq!(scene.discovery.count_matching("\"b\""), 0, "the outcome of b is open");
+    // The endpoint ends without an answer: b may have been executed, and is not delivered for certain.
+    scene.peers.remove(second.connection);
+    let discovery = &scene.discovery;
+    wait_until("b has failed", || discovery.count_matching(r#""b","state":"failed""#) == 1);
+}
+
+#[test]
+fn copied_success_does_not_complete_next_message() {
+    check_copied_response("copied-200", "status", SERVED);
+}
+
+#[test]
+fn copied_rejection_does_not_repeat_next_message() {
+    check_copied_response("copied-503", "status", REJECTED);
+}
+
+#[test]
+fn copied_retry_after_does_not_repeat_next_message() {
+    check_copied_response("copied-429", "status", RETRY_AFTER);
+}
+
+#[test]
+fn copied_error_does_not_fail_next_message() {
+    check_copied_response("copied-500", "order", "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n");
+}
+
+#[test]
+fn copied_completion_does_not_complete_next_message() {
+    check_copied_response("copied-410", "status", "HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n");
+}
+
+/// Only the attempt's own response may complete a message after the attempt was cancelled.
+#[test]
+fn copied_success_does_not_complete_cancelled_attempt() {
+    let mut scene = Scene::new("copied-cancelled");
+    scene.submit("status", "a");
+    let first = scene.serve(SERVED);
+    std::thread::sleep(AFTER_RESPONSE);
+    let text = submission("order", "b", "").replace("-Ms: 30000", "-Ms: 700");
+    assert_eq!(scene.courier.request(&text), Some(202));
+    let second = scene.serve("");
+    assert_eq!(second.id, "b");
+    scene.peers[second.connection].read_to_end();
+    scene.send_copy(first.connection, SERVED);
+    let discovery = &scene.discovery;
+    wait_until("b has failed", || discovery.count_matching(r#""b","state":"failed""#) == 1);
+}
+
+/// The first response on each connection comes twice, and each later one belongs to the request before.
+#[test]
+fn connection_one_response_behind_neither_loses_nor_repeats_messages() {
+    const MESSAGES: usize = 12;
+    let mut scene = Scene::new("one-behind");
+    let mut last_response: BTreeMap<usize, &str> = BTreeMap::new();
+    let mut rejected = BTreeSet::new();
+    for number in 0..MESSAGES {
+        let id = format!("m{number:02}");
+        scene.submit("order", &id);
+        let mut is_executed = false;
+        while !is_executed {
+            let served = scene.serve("");
+            assert_eq!(served.id, id, "a message is called again although it may have been executed");
+            // Each message is rejected once and executed at its second call.
+            is_executed = !rejected.insert(id.clone());
+            let own = if is_executed { SERVED } else { REJECTED };
+            let before = last_response.insert(served.connection, own);
+            scene.send_copy(served.connection, before.unwrap_or(own));
+            std::thread::sleep(AFTER_RESPONSE);
+        }
+    }
+    assert!(scene.is_quiet(), "no message is called again");
+    let notified = scene.discovery.requests().concat();
+    assert!(!notified.contains("returned"), "an executed message is not returned: {notified}");
+}
+
+/// A response that is complete before the last byte of the request was written is no answer to it.
+#[test]
+fn response_before_last_byte_of_request_is_no_answer() {
+    const BODY_BYTES: usize = 64_000;
+    let discovery = discovery_stub();
+    let gate = GatedListener::with_small_receive_buffer();
+    let courier = CourierProcess::with_config("early", |listen| {
+        platform_config(listen, &[gate.address], discovery.address)
+    });
+    let fields = format!("Content-Length: {BODY_BYTES}\r\n");
+    let text = submission("order", "a", &fields) + &"x".repeat(BODY_BYTES);
+    assert_eq!(courier.request(&text), Some(202));
+    let mut early = gate.accept();
+    early.send(SERVED);
+    let mut second = gate.accept();
+    assert_eq!(second.read_request(), "a", "the first request was never complete, so it is sent again");
+    second.send(SERVED);
+    courier.wait_until_input_processed();
+    assert_eq!(discovery.count_matching("\"a\""), 0, "the message is delivered");
+}
