Believe a response only if it is certainly the response to its request

Cause: HTTP/1.1 responses do not name their request. The platform front took the next response on a reused connection for the answer, guarded by a pause of 10 ms that moves the moment and does not close it: a copy of a 503 permitted a second call of a message that is not idempotent, a copy of a 200 completed another message, and the connection stayed one response behind. A response before the request was written was believed as well, or its attempt hung until the deadline. Change: crates/courier-common/src/attribution.rs says how surely a response belongs to its request. On a connection that has carried other requests it is certain only if it differs from every earlier response there; then, by induction, no connection is one behind. Otherwise the connection ends and the attempt counts as possibly executed, or as never sent if its last byte was not written. Connections are kept only after responses that differ from others of their endpoint. Input is read before a request is written, and the core learns how much had been written when bytes arrived. Each such response is one log line with message, connection and reason.

--- a/crates/courier-common/src/lib.rs
+++ b/crates/courier-common/src/lib.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 #![warn(clippy::unwrap_used, missing_docs)]
 
+pub mod attribution;
 pub mod idle_reuse;
 mod limit_log;
 mod message_numbers;
--- a/crates/edge/src/shell/events.rs
+++ b/crates/edge/src/shell/events.rs
@@ -14,7 +14,7 @@
             Event::Accepted { listener, token, .. } => self.accepted(listener, token),
             Event::Connected(token) => self.connected(token),
             Event::ConnectFailed { token, failure } => self.connect_failed(token, failure),
-            Event::Data(token, bytes) => self.received(token, &bytes),
+            Event::Data { token, bytes, .. } => self.received(token, &bytes),
             Event::HalfClosed(token) => self.half_closed(token),
             Event::Closed { token, written } => self.closed(token, written),
             Event::Datagram(token, packet) => {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -22,5 +22,5 @@
 pub use persistence::Persistence;
 pub use request::{parse_request, DuplicateField, Request, RequestError};
 pub use response::{
-    encode_response, parse_response, reason_phrase, EarlyStatus, ParsedResponse, ResponseHead,
+    encode_response, interim_length, parse_response, reason_phrase, EarlyStatus, ParsedResponse, ResponseHead,
 };
--- a/crates/http/src/response.rs
+++ b/crates/http/src/response.rs
@@ -96,6 +96,18 @@
     }
 }
 
+/// Returns the length in bytes of the complete interim (1xx) responses at the start of these bytes.
+pub fn interim_length(bytes: &[u8]) -> usize {
+    let mut length = 0;
+    while let ParsedResponse::Head(head) = parse_one_response(&bytes[length..]) {
+        if !head.is_interim() {
+            break;
+        }
+        length += head.length;
+    }
+    length
+}
+
 /// Parses the response at the start of these bytes, interim or not.
 fn parse_one_response(bytes: &[u8]) -> ParsedResponse {
     let Some(status_line) = parse_status_line(bytes) else {
--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -77,6 +77,8 @@
     /// The system reported input, and no read since then has ended with `EAGAIN` or the end of the stream.
     pub(crate) readable: bool,
     read_ended: bool,
+    /// Whether available input is read before bytes are written.
+    pub(crate) reads_before_writes: bool,
     unsent: BytesMut,
     /// Length of the last [`Connection::queue`], in bytes; 0 once it is taken back.
     last_queued_bytes: usize,
@@ -99,6 +101,7 @@
             read_paused: false,
             readable: false,
             read_ended: false,
+            reads_before_writes: false,
             unsent: BytesMut::new(),
             last_queued_bytes: 0,
             written_bytes: 0,
@@ -135,6 +138,15 @@
         !self.read_paused && !self.read_ended
     }
 
+    /// Whether input is available that has to be read before the send queue is written.
+    pub(crate) fn must_read_first(&self) -> bool {
+        let may_write = !self.unsent.is_empty() && !self.is_connecting() && !self.is_closing();
+        if !self.reads_before_writes || !may_write || !self.may_read() {
+            return false;
+        }
+        self.stream.peek(&mut [0]).is_ok()
+    }
+
     pub(crate) fn queue(&mut self, bytes: &[u8]) {
         self.unsent.extend_from_slice(bytes);
         self.last_queued_bytes = bytes.len();
--- a/crates/net/src/connections.rs
+++ b/crates/net/src/connections.rs
@@ -146,6 +146,12 @@
         self.unflushed.insert(token);
     }
 
+    pub(crate) fn read_before_write(&mut self, token: Token) {
+        if let Some(connection) = self.open.get_mut(&token) {
+            connection.reads_before_writes = true;
+        }
+    }
+
     pub(crate) fn take_back_last(&mut self, token: Token) -> Option<usize> {
         self.open.get_mut(&token).filter(|connection| !connection.is_closing())?.take_back_last()
     }
@@ -209,6 +215,12 @@
 
     fn write(&mut self, token: Token, reactor: &mut Reactor) {
         let Some(connection) = self.open.get_mut(&token) else { return };
+        if connection.must_read_first() {
+            connection.readable = true;
+            reactor.pending_reads.insert(token);
+            self.unflushed.insert(token);
+            return;
+        }
         match connection.write_unsent() {
             WriteOutcome::Flushed if connection.is_closing() => self.close(token, reactor),
             WriteOutcome::Flushed | WriteOutcome::Blocked => {}
--- a/crates/net/src/connections/reading.rs
+++ b/crates/net/src/connections/reading.rs
@@ -26,10 +26,11 @@
         if connection.is_connecting() {
             return self.finish_connect_before_read(token, reactor, out);
         }
+        let written = connection.written_bytes();
         let outcome = connection.read(&mut reactor.read_buffer);
         // The owner of a closing connection expects no more events from it.
         if !connection.is_closing() {
-            out.extend(read_event(token, outcome, &reactor.read_buffer));
+            out.extend(read_event(token, outcome, &reactor.read_buffer, written));
         }
         match outcome {
             ReadOutcome::Received(_) | ReadOutcome::Interrupted => ControlFlow::Continue(()),
@@ -62,10 +63,11 @@
 
 /// Returns the event that reports the result of a read, if there is one. The loss of a connection is reported
 /// by [`Connections::close_lost`].
-fn read_event(token: Token, outcome: ReadOutcome, read_buffer: &[u8]) -> Option<Event> {
+fn read_event(token: Token, outcome: ReadOutcome, read_buffer: &[u8], written: u64) -> Option<Event> {
     match outcome {
         ReadOutcome::Received(count) => {
-            Some(Event::Data(token, Bytes::copy_from_slice(&read_buffer[..count])))
+            let bytes = Bytes::copy_from_slice(&read_buffer[..count]);
+            Some(Event::Data { token, bytes, written })
         }
         ReadOutcome::EndOfStream => Some(Event::HalfClosed(token)),
         ReadOutcome::Blocked | ReadOutcome::Interrupted | ReadOutcome::Deferred | ReadOutcome::Failed => None,
--- a/crates/net/src/event.rs
+++ b/crates/net/src/event.rs
@@ -26,7 +26,15 @@
         failure: ConnectFailure,
     },
     /// Bytes were received on a connection.
-    Data(Token, Bytes),
+    Data {
+        /// The connection.
+        token: Token,
+        /// The received bytes.
+        bytes: Bytes,
+        /// Bytes accepted by the operating system since the connection was established, before these were
+        /// read.
+        written: u64,
+    },
     /// The peer closed its sending side; it may still read.
     HalfClosed(Token),
     /// An established connection was lost.
--- a/crates/net/src/net.rs
+++ b/crates/net/src/net.rs
@@ -112,6 +112,12 @@
         self.connections.send(token, bytes);
     }
 
+    /// Reads the available input of a connection before each write: while there is any, queued bytes stay
+    /// queued. On such a connection, [`Event::Data`] tells whether bytes arrived before a request was written.
+    pub fn read_before_write(&mut self, token: Token) {
+        self.connections.read_before_write(token);
+    }
+
     /// Removes the bytes of the last [`Net::send`] from the send queue if the system has accepted none of
     /// them. Returns their number, or `None` if they are written in part or as a whole, were already removed,
     /// or the connection is closing.
--- a/crates/platform/src/core/connection_pool.rs
+++ b/crates/platform/src/core/connection_pool.rs
@@ -1,5 +1,6 @@
 //! The pool of HTTP/1.1 connections to endpoints. A connection carries one attempt at a time and is reused
-//! after a complete response that permits it (keep-alive).
+//! after a complete response that permits it (keep-alive) and that differs from the responses of other
+//! requests.
 //!
 //! The pool owns each connection from connect to close and derives the outcome of an attempt from the events
 //! of its connection: bytes received, connect failure, disconnect or timeout. Attempts are known by id only.
@@ -13,11 +14,13 @@
 
 pub use acquire::Acquired;
 pub use outcome::{FinishedAttempt, LoadReport};
+pub use receive::UnattributedResponse;
 
 use connection::{Connection, Timeouts};
 
 use super::attempts::AttemptId;
 use linnetcart::{AttemptOutcome, Time};
+use linnetcart_courier_common::attribution::SeenResponses;
 use linnetcart_courier_common::idle_reuse::{CallResult, LossRatePolicy};
 use linnetcart_deployment_settings::DeploymentSettings;
 use linnetcart_net::ConnectFailure;
@@ -59,8 +62,8 @@
     Evicted,
     /// The reuse policy expects the connection, after its idle time, to lose more calls than a new one.
     Untrusted,
-    /// Bytes arrived that belong to no response.
-    UnexpectedBytes,
+    /// A response arrived that is not certainly the response to the connection's attempt.
+    Unattributed,
     /// The response is malformed.
     MalformedResponse,
     /// The response does not permit another request on the connection.
@@ -88,6 +91,9 @@
     connections: BTreeMap<ConnectionId, Connection>,
     by_attempt: BTreeMap<AttemptId, ConnectionId>,
     reuse_policy: LossRatePolicy,
+    seen_responses: SeenResponses,
+    /// Responses since [`ConnectionPool::take_unattributed`] was last called.
+    unattributed: Vec<UnattributedResponse>,
     /// Connections established since [`ConnectionPool::take_connected`] was last called.
     connected: Vec<ConnectionId>,
     /// Connections closed since [`ConnectionPool::take_closed`] was last called.
@@ -114,6 +120,8 @@
             connections: BTreeMap::new(),
             by_attempt: BTreeMap::new(),
             reuse_policy: LossRatePolicy::default(),
+            seen_responses: SeenResponses::default(),
+            unattributed: vec![],
             connected: vec![],
             closed: vec![],
             abandoned: vec![],
@@ -141,6 +149,11 @@
         std::mem::take(&mut self.abandoned)
     }
 
+    /// Takes the responses since the last call that were not certainly those of an attempt.
+    pub fn take_unattributed(&mut self) -> Vec<UnattributedResponse> {
+        std::mem::take(&mut self.unattributed)
+    }
+
     /// Takes the connections that were established since the last call.
     pub fn take_connected(&mut self) -> Vec<ConnectionId> {
         std::mem::take(&mut self.connected)
--- a/crates/platform/src/core/connection_pool/connection.rs
+++ b/crates/platform/src/core/connection_pool/connection.rs
@@ -14,15 +14,15 @@
 use crate::core::attempts::AttemptId;
 use crate::core::clock::MILLISECOND;
 use linnetcart::{AttemptOutcome, Time};
-use linnetcart_http::{parse_response, EarlyStatus, ParsedResponse};
+use linnetcart_courier_common::attribution::{Attribution, Execution, RequestProgress, ResponseHistory};
+use linnetcart_http::{interim_length, parse_response, EarlyStatus, ParsedResponse};
 use std::net::SocketAddr;
 
-/// Delay between a response and the reuse of its connection, so that unexpected bytes after the response
-/// close the connection instead of being read as the next response.
+/// Delay between a response and the reuse of its connection. Bytes that follow the response then close an idle
+/// connection, and no attempt is lost with it.
 const REUSE_DELAY: Time = 10 * MILLISECOND;
 /// Time limit for a response whose status line reads 200, from its first byte: the rest may contain a load
-/// report. At the limit, the attempt counts as served and the connection is closed. Also the time limit for
-/// the rest of a response body on a connection that is already idle.
+/// report. At the limit, the attempt counts as served and the connection is closed.
 const SUCCESS_COMPLETION_TIMEOUT: Time = 50 * MILLISECOND;
 /// Time limit for a response whose status line does not read 200, from its first byte. At the limit, the
 /// attempt counts as failed ([`AttemptOutcome::Error`]) and the connection is closed.
@@ -80,12 +80,18 @@
     state: ConnectionState,
     /// The attempt to which the connection is assigned; `None` if it is assigned to none.
     pub attempt: Option<AttemptId>,
-    /// The bytes that have arrived of the response to the present or abandoned attempt.
+    /// The bytes that have arrived of the response to the present or abandoned attempt, after those of interim
+    /// responses.
     pub response: Vec<u8>,
+    /// Number of bytes at the start of `response` that arrived before the last byte of the request was
+    /// written.
+    early_bytes: usize,
+    /// The responses to earlier requests.
+    history: ResponseHistory,
     /// Number of request bytes queued since the connect, including those of the present request.
     pub queued_bytes: u64,
-    /// Number of bytes of the response body that have not arrived.
-    pub body_remaining: usize,
+    /// Number of request bytes that the operating system had accepted when bytes last arrived.
+    written_bytes: u64,
     /// How long the connection was idle before the present attempt, in nanoseconds; `None` for a new one.
     pub idle_before: Option<Time>,
 }
@@ -99,8 +105,10 @@
             state: ConnectionState::Connecting { since: now },
             attempt: Some(attempt),
             response: vec![],
+            early_bytes: 0,
+            history: ResponseHistory::default(),
             queued_bytes: 0,
-            body_remaining: 0,
+            written_bytes: 0,
             idle_before: None,
         }
     }
@@ -130,17 +138,52 @@
         self.state == ConnectionState::InUse { first_byte_at: None }
     }
 
-    /// Whether the incomplete response begins with a complete status line that reads 200.
+    /// Whether the incomplete response certainly belongs to the request, and begins with a complete status
+    /// line that reads 200.
     pub fn has_success_line(&self) -> bool {
         matches!(parse_response(&self.response), ParsedResponse::Incomplete { status: EarlyStatus::Ok })
+            && self.attribution(self.response.len()).is_certain()
     }
 
-    /// Returns since when the connection is idle, or `None` if it must not be reused now. A connection with
-    /// an incomplete body is not reusable, because the rest would be read as the next response.
+    /// Appends received bytes. `written` is the number of request bytes that the operating system had
+    /// accepted since the connect when they were read.
+    pub fn received(&mut self, bytes: &[u8], written: u64) {
+        self.response.extend_from_slice(bytes);
+        self.written_bytes = written;
+        let has_request =
+            !matches!(self.state, ConnectionState::Connecting { .. } | ConnectionState::Idle { .. });
+        if !has_request || self.request_progress() == RequestProgress::Incomplete {
+            self.early_bytes = self.response.len();
+        }
+    }
+
+    /// Whether a byte has arrived that belongs to no complete interim (1xx) response.
+    pub fn final_response_began(&self) -> bool {
+        self.response.len() > interim_length(&self.response)
+    }
+
+    /// Attributes the response in the first `end` bytes that have arrived.
+    pub fn attribution(&self, end: usize) -> Attribution {
+        let start = interim_length(&self.response);
+        let began_early = start < self.early_bytes;
+        let progress = if began_early { RequestProgress::Incomplete } else { RequestProgress::Complete };
+        Attribution::of_unnamed(progress, &self.history, &self.response[start..end])
+    }
+
+    /// Returns what is known of the request's execution if the connection is closed now without a response
+    /// that is certainly its own.
+    pub fn execution_after_close(&self) -> Execution {
+        Execution::after_close(self.request_progress())
+    }
+
+    fn request_progress(&self) -> RequestProgress {
+        RequestProgress::new(self.queued_bytes, self.written_bytes)
+    }
+
+    /// Returns since when the connection is idle, or `None` if it must not be reused now.
     pub fn reusable_since(&self, now: Time, idle_timeout: Time) -> Option<Time> {
         let ConnectionState::Idle { since } = self.state else { return None };
-        let is_reusable = self.body_remaining == 0 && since + REUSE_DELAY <= now;
-        (is_reusable && since + idle_timeout > now).then_some(since)
+        (since + REUSE_DELAY <= now && since + idle_timeout > now).then_some(since)
     }
 
     /// Assigns an idle connection to an attempt; it stays idle until the request is queued. `idle_time` is
@@ -176,7 +219,7 @@
         self.queued_bytes += length as u64;
         self.state = ConnectionState::InUse { first_byte_at: None };
         self.response = Vec::new();
-        self.body_remaining = 0;
+        self.early_bytes = 0;
     }
 
     /// Records that the last queued request, `length` bytes, is taken back before any byte was written.
@@ -187,12 +230,14 @@
         self.idle_before = None;
     }
 
-    /// Makes the connection idle after a response, of whose body `body_remaining` bytes have not arrived.
-    pub fn make_idle(&mut self, now: Time, body_remaining: usize) {
+    /// Makes the connection idle after a complete response, behind which no byte has arrived. Returns `false` if the connection must not be reused.
+    pub fn make_idle(&mut self, now: Time) -> bool {
+        let start = interim_length(&self.response);
         self.state = ConnectionState::Idle { since: now };
         self.attempt = None;
-        self.response = Vec::new();
-        self.body_remaining = body_remaining;
+        let response = std::mem::take(&mut self.response);
+        self.early_bytes = 0;
+        self.history.push(&response[start..])
     }
 
     /// Returns when the time limit of the present state ends, in monotonic time; [`Time::MAX`] for no limit.
@@ -200,7 +245,6 @@
         match self.state {
             ConnectionState::Connecting { since } => since + timeouts.connect,
             ConnectionState::Abandoned { since, .. } => since + timeouts.abandoned,
-            ConnectionState::Idle { since } if self.body_remaining > 0 => since + SUCCESS_COMPLETION_TIMEOUT,
             ConnectionState::Idle { since } => since + timeouts.idle,
             ConnectionState::InUse { first_byte_at: None } => Time::MAX,
             ConnectionState::InUse { first_byte_at: Some(at) } if self.has_success_line() => {
--- a/crates/platform/src/core/connection_pool/receive.rs
+++ b/crates/platform/src/core/connection_pool/receive.rs
@@ -1,44 +1,58 @@
 //! Handles bytes received from endpoints, and derives the outcomes of attempts from them.
+//!
+//! Nothing is concluded from a response that is not certainly the attempt's own (see
+//! [`linnetcart_courier_common::attribution`]): its connection is closed, and the attempt counts as possibly
+//! executed if its last byte was written.
 
-use super::connection::ConnectionState;
+use super::connection::{Connection, ConnectionState};
 use super::{response, CloseReason, ConnectionId, ConnectionPool, FinishedAttempt, LoadReport};
 use crate::core::attempts::AttemptId;
 use linnetcart::{AttemptOutcome, Time};
+use linnetcart_courier_common::attribution::{Attribution, Execution};
 use linnetcart_courier_common::idle_reuse::CallResult;
 use linnetcart_deployment_settings::DeploymentSettings;
-use linnetcart_http::{parse_response, EarlyStatus, ParsedResponse, Persistence, ResponseHead};
+use linnetcart_http::{parse_response, ParsedResponse, Persistence, ResponseHead};
+
+/// A response from which nothing was concluded, because it is not certainly the response to an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UnattributedResponse {
+    /// The connection, which was closed.
+    pub connection: ConnectionId,
+    /// Number of the endpoint.
+    pub endpoint: u32,
+    /// The attempt that awaited a response, or was cancelled; `None` on an idle connection.
+    pub attempt: Option<AttemptId>,
+    /// Why the response is not certain.
+    pub attribution: Attribution,
+}
 
 impl ConnectionPool {
-    /// Handles bytes received on a connection. Returns the result of the connection's attempt once the bytes
-    /// determine it, otherwise `None`.
+    /// Handles bytes received on a connection, on which the operating system had accepted `written` bytes
+    /// since the connect. Returns the result of the connection's attempt once the bytes determine it,
+    /// otherwise `None`.
     pub fn receive(
         &mut self,
         id: ConnectionId,
         bytes: &[u8],
+        written: u64,
         now: Time,
         settings: &DeploymentSettings,
     ) -> Option<FinishedAttempt> {
         let connection = self.connections.get_mut(&id)?;
+        connection.received(bytes, written);
         match *connection.state() {
-            ConnectionState::Abandoned { attempt, .. } => {
-                connection.response.extend_from_slice(bytes);
-                self.evaluate_late_response(id, attempt, settings)
-            }
+            ConnectionState::Abandoned { attempt, .. } => self.evaluate_late_response(id, attempt, settings),
             ConnectionState::Connecting { .. } | ConnectionState::Idle { .. } => {
-                // No request is outstanding: the bytes are the rest of a response body, or unexpected.
-                if bytes.len() > connection.body_remaining {
-                    self.close(id, CloseReason::UnexpectedBytes);
-                } else {
-                    connection.body_remaining -= bytes.len();
+                if connection.final_response_began() {
+                    return self.disregard(id, Attribution::Unsolicited, now);
                 }
                 None
             }
             ConnectionState::InUse { first_byte_at } => {
-                if first_byte_at.is_none() {
+                if first_byte_at.is_none() && connection.final_response_began() {
                     connection.first_byte_received(now);
                     self.reuse_policy.record_call(now, connection.idle_before, CallResult::Answered);
                 }
-                connection.response.extend_from_slice(bytes);
                 self.evaluate_response(id, now, settings)
             }
         }
@@ -53,9 +67,16 @@
     ) -> Option<FinishedAttempt> {
         let connection = self.connections.get(&id)?;
         let attempt = connection.attempt?;
+        let attribution = connection.attribution(connection.response.len());
+        if attribution == Attribution::Unsolicited {
+            return self.disregard(id, attribution, now);
+        }
         match parse_response(&connection.response) {
             ParsedResponse::Incomplete { .. } => None,
             ParsedResponse::Malformed { status } => {
+                if !attribution.is_certain() {
+                    return self.disregard(id, attribution, now);
+                }
                 self.close(id, CloseReason::MalformedResponse);
                 Some(FinishedAttempt::new(attempt, response::outcome_of_malformed(status)))
             }
@@ -72,23 +93,25 @@
         now: Time,
         settings: &DeploymentSettings,
     ) -> Option<FinishedAttempt> {
-        let connection = self.connections.get_mut(&id)?;
-        let body_received = connection.response.len() - head.length;
+        let connection = self.connections.get(&id)?;
+        let received = ReceivedBody::new(connection, head);
         // A truncated response counts as possibly executed, whatever its status. A status other than 200 is
-        // therefore evaluated only once the response is complete.
-        if head.status != 200 && head.body.is_some_and(|length| length > body_received) {
+        // therefore evaluated only once the response is complete. One that may still differ from an earlier
+        // response in its body is awaited as well.
+        let attribution = connection.attribution(received.end);
+        let awaits_body = head.status != 200 || !attribution.is_certain();
+        if received.is_incomplete && awaits_body {
             return None;
         }
+        if !attribution.is_certain() {
+            return self.disregard(id, attribution, now);
+        }
         let interpretation = response::interpret(head);
         let load = response::load_report(head, settings);
-        match head.body {
-            Some(length) if head.persistence == Persistence::KeepAlive && length >= body_received => {
-                connection.make_idle(now, length - body_received);
-                self.by_attempt.remove(&attempt);
-            }
-            _ => {
-                self.close(id, CloseReason::ResponseEndsConnection);
-            }
+        if received.is_exact && head.persistence == Persistence::KeepAlive {
+            self.keep_for_reuse(id, attempt, head.status, now);
+        } else {
+            self.close(id, CloseReason::ResponseEndsConnection);
         }
         Some(FinishedAttempt {
             id: attempt,
@@ -99,6 +122,17 @@
         })
     }
 
+    /// Makes a connection idle after a complete response, or closes it if the response to another request on
+    /// it could not be told from a copy of this one.
+    fn keep_for_reuse(&mut self, id: ConnectionId, attempt: AttemptId, status: u16, now: Time) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        let responses_differ = self.seen_responses.insert(connection.endpoint, status, &connection.response);
+        self.by_attempt.remove(&attempt);
+        if !connection.make_idle(now) || !responses_differ {
+            self.close(id, CloseReason::ResponseEndsConnection);
+        }
+    }
+
     /// Evaluates the response to an abandoned attempt. A rejection affects the endpoint's limit; a status
     /// line that reads 200 means that the message was delivered, although the attempt was cancelled. Any
     /// other response is ignored.
@@ -110,15 +144,27 @@
     ) -> Option<FinishedAttempt> {
         let connection = self.connections.get(&id)?;
         let endpoint = connection.endpoint;
-        let (outcome, load) = match parse_response(&connection.response) {
-            ParsedResponse::Incomplete { status: EarlyStatus::Other } => return None,
+        let (attribution, outcome, load) = match parse_response(&connection.response) {
+            ParsedResponse::Incomplete { .. } if !connection.has_success_line() => return None,
             ParsedResponse::Head(head) => {
-                (response::outcome_of_status(&head).outcome, response::load_report(&head, settings))
+                let received = ReceivedBody::new(connection, &head);
+                let attribution = connection.attribution(received.end);
+                if !attribution.is_certain() && received.is_incomplete {
+                    return None;
+                }
+                let outcome = response::outcome_of_status(&head).outcome;
+                (attribution, outcome, response::load_report(&head, settings))
             }
             ParsedResponse::Incomplete { status } | ParsedResponse::Malformed { status } => {
-                (response::outcome_of_malformed(status), LoadReport::default())
+                let attribution = connection.attribution(connection.response.len());
+                (attribution, response::outcome_of_malformed(status), LoadReport::default())
             }
         };
+        if !attribution.is_certain() {
+            self.report_unattributed(id, Some(attempt), attribution);
+            self.close(id, CloseReason::Unattributed);
+            return None;
+        }
         self.close(id, CloseReason::LateResponse);
         if !matches!(outcome, AttemptOutcome::Rejected { .. } | AttemptOutcome::Served) {
             return None;
@@ -129,4 +175,59 @@
             ..FinishedAttempt::new(attempt, outcome)
         })
     }
+
+    /// Closes a connection on which a response arrived that is not certainly the response to its attempt.
+    /// Returns the result of the attempt that was in flight, if there is one. Connections that do so after an
+    /// idle time count as lost calls, so that the reuse policy avoids them.
+    fn disregard(
+        &mut self,
+        id: ConnectionId,
+        attribution: Attribution,
+        now: Time,
+    ) -> Option<FinishedAttempt> {
+        let connection = self.connections.get(&id)?;
+        let outcome = match connection.execution_after_close() {
+            _ if !connection.is_in_use() => AttemptOutcome::NoConnection,
+            Execution::Never => AttemptOutcome::NoConnection,
+            Execution::Possible => AttemptOutcome::Reset,
+        };
+        if connection.is_in_use() {
+            self.reuse_policy.record_call(now, connection.idle_before, CallResult::Lost);
+        }
+        self.report_unattributed(id, connection.attempt, attribution);
+        let attempt = self.close(id, CloseReason::Unattributed)?;
+        Some(FinishedAttempt::new(attempt, outcome))
+    }
+
+    fn report_unattributed(
+        &mut self,
+        id: ConnectionId,
+        attempt: Option<AttemptId>,
+        attribution: Attribution,
+    ) {
+        let Some(connection) = self.connections.get(&id) else { return };
+        let endpoint = connection.endpoint;
+        self.unattributed.push(UnattributedResponse { connection: id, endpoint, attempt, attribution });
+    }
+}
+
+/// How much of a response's body has arrived.
+struct ReceivedBody {
+    /// Number of the bytes that have arrived of the response, interim responses before it included.
+    end: usize,
+    /// Whether the body has a known length and more of it is to come.
+    is_incomplete: bool,
+    /// Whether the body is complete, and no byte follows it.
+    is_exact: bool,
+}
+
+impl ReceivedBody {
+    fn new(connection: &Connection, head: &ResponseHead) -> ReceivedBody {
+        let received = connection.response.len() - head.length;
+        ReceivedBody {
+            end: head.length + head.body.map_or(received, |length| length.min(received)),
+            is_incomplete: head.body.is_some_and(|length| length > received),
+            is_exact: head.body == Some(received),
+        }
+    }
 }
--- a/crates/platform/src/core/counters.rs
+++ b/crates/platform/src/core/counters.rs
@@ -17,6 +17,8 @@
     pub unrecorded: u64,
     /// Attempts by outcome.
     pub outcomes: OutcomeCounts,
+    /// Responses of endpoints that were not certainly those of an attempt.
+    pub unattributed: u64,
     /// Connects to endpoints that were started.
     pub connects: u64,
     /// Status notifications by the outcome that they report.
--- a/crates/platform/src/core/effects.rs
+++ b/crates/platform/src/core/effects.rs
@@ -13,6 +13,7 @@
 use crate::records::Record;
 use bytes::Bytes;
 use linnetcart::LimitChange;
+use linnetcart_courier_common::attribution::Attribution;
 use linnetcart_http::Persistence;
 use std::net::SocketAddr;
 
@@ -63,6 +64,20 @@
         /// The message's id.
         message: String,
     },
+    /// A response arrived that is not certainly the response to an attempt. Nothing was concluded from it,
+    /// and its connection was closed.
+    ResponseUnattributed {
+        /// The id of the message whose attempt awaited a response; `None` if there was none.
+        message: Option<String>,
+        /// The attempt's number, counted from 0 for each message.
+        attempt: Option<u16>,
+        /// The connection.
+        connection: ConnectionId,
+        /// Number of the endpoint.
+        endpoint: u32,
+        /// Why the response is not certain.
+        attribution: Attribution,
+    },
     /// A message was rejected after the decision to accept it, because its acceptance could not be recorded.
     AcceptanceUndone {
         /// The message's id.
--- a/crates/platform/src/core/inputs.rs
+++ b/crates/platform/src/core/inputs.rs
@@ -5,7 +5,7 @@
 
 use super::client_connections::{ClientId, Received};
 use super::connection_pool::ConnectionId;
-use super::effects::Output;
+use super::effects::{CoreEvent, Output};
 use super::{Core, JournalState};
 use linnetcart::{Event, Time};
 use linnetcart_net::ConnectFailure;
@@ -77,14 +77,35 @@
         }
     }
 
-    /// Bytes arrived on a connection to an endpoint or to discovery.
-    pub fn upstream_received(&mut self, id: ConnectionId, bytes: &[u8]) {
+    /// Bytes arrived on a connection to an endpoint or to discovery. `written` is the number of bytes that the
+    /// kernel had accepted on it since the connect when they were read.
+    pub fn upstream_received(&mut self, id: ConnectionId, bytes: &[u8], written: u64) {
         if self.discovery.owns(id) {
             self.watch_received(id, bytes);
         } else if self.notifier.owns(id) {
             self.notifier_received(id, bytes);
-        } else if let Some(finished) = self.pool.receive(id, bytes, self.clock.now(), &self.settings) {
-            self.finish_attempt(finished);
+        } else {
+            let finished = self.pool.receive(id, bytes, written, self.clock.now(), &self.settings);
+            self.report_unattributed();
+            if let Some(finished) = finished {
+                self.finish_attempt(finished);
+            }
+        }
+    }
+
+    /// Counts and logs the responses of endpoints that were not certainly those of an attempt.
+    fn report_unattributed(&mut self) {
+        for response in self.pool.take_unattributed() {
+            self.counters.unattributed += 1;
+            let attempt = response.attempt;
+            let message = attempt.and_then(|attempt| self.in_flight.get(attempt.message));
+            self.effects.event(CoreEvent::ResponseUnattributed {
+                message: message.map(|message| message.message().id_text().into_owned()),
+                attempt: attempt.map(|attempt| attempt.number),
+                connection: response.connection,
+                endpoint: response.endpoint,
+                attribution: response.attribution,
+            });
         }
     }
 
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -136,8 +136,8 @@
                 }
                 self.upstream.remove_token(token);
             }
-            Event::Data(token, bytes) => match self.upstream.id(token) {
-                Some(id) => self.core.upstream_received(id, &bytes),
+            Event::Data { token, bytes, written } => match self.upstream.id(token) {
+                Some(id) => self.core.upstream_received(id, &bytes, written),
                 None => self.core.client_received(token, &bytes),
             },
             Event::HalfClosed(token) => self.handle_half_closed(token),
@@ -226,6 +226,7 @@
                 }
                 Output::Connect(id, address) => {
                     let token = self.net.connect(address);
+                    self.net.read_before_write(token);
                     self.upstream.insert(id, token);
                 }
                 Output::SendUpstream(id, bytes) => {
--- a/crates/platform/src/shell/log.rs
+++ b/crates/platform/src/shell/log.rs
@@ -56,6 +56,16 @@
         CoreEvent::AttemptWithheld { endpoint, message } => {
             tracing::info!(endpoint, id = message, "attempt withheld, Retry-After pending");
         }
+        CoreEvent::ResponseUnattributed { message, attempt, connection, endpoint, attribution } => {
+            tracing::info!(
+                id = message,
+                attempt,
+                connection,
+                endpoint,
+                ?attribution,
+                "response not certainly of this attempt, connection closed"
+            );
+        }
         CoreEvent::AcceptanceUndone { message } => {
             tracing::info!(id = message, "message rejected, its acceptance was not recorded");
         }
--- a/crates/testbed/src/message_receivers.rs
+++ b/crates/testbed/src/message_receivers.rs
@@ -135,7 +135,7 @@
             Event::Accepted { listener, token, .. } => {
                 self.accept(listener, token);
             }
-            Event::Data(token, bytes) => self.receive(token, &bytes),
+            Event::Data { token, bytes, .. } => self.receive(token, &bytes),
             Event::HalfClosed(token) => {
                 self.net.close(token);
                 self.connections.remove(&token);
--- a/crates/testbed/src/relay.rs
+++ b/crates/testbed/src/relay.rs
@@ -83,7 +83,7 @@
                 let frames = Frames::new(MAX_FRAME_BYTES);
                 self.connections.insert(token, Connection::Client { frames });
             }
-            Event::Data(token, bytes) => self.receive(token, &bytes)?,
+            Event::Data { token, bytes, .. } => self.receive(token, &bytes)?,
             Event::HalfClosed(token) => {
                 self.net.close(token);
                 self.remove(token);
--- a/crates/testbed/src/report_receiver/event_loop.rs
+++ b/crates/testbed/src/report_receiver/event_loop.rs
@@ -120,11 +120,11 @@
                 self.connections.insert(token, Vec::new());
                 apply_read_behaviour(&mut self.net, token, behaviour);
             }
-            Event::Data(token, _) if behaviour == Behaviour::Resets => {
+            Event::Data { token, .. } if behaviour == Behaviour::Resets => {
                 self.connections.remove(&token);
                 self.net.reset(token);
             }
-            Event::Data(token, bytes) => self.receive(token, &bytes),
+            Event::Data { token, bytes, .. } => self.receive(token, &bytes),
             Event::Datagram(_, packet) => self.receive_packet(&packet),
             Event::HalfClosed(token) => {
                 self.connections.remove(&token);
--- a/crates/testbed/src/socket_run.rs
+++ b/crates/testbed/src/socket_run.rs
@@ -241,7 +241,7 @@
         match event {
             Event::Accepted { listener, token, .. } => self.process_accepted(listener, token),
             Event::Connected(token) => self.runner.connected(token),
-            Event::Data(token, bytes) => self.process_data(token, &bytes),
+            Event::Data { token, bytes, .. } => self.process_data(token, &bytes),
             Event::HalfClosed(token) => {
                 self.runner.transport.close(token);
                 self.process_closed(token)?;
--- a/crates/testbed/src/throughput_baseline/clients.rs
+++ b/crates/testbed/src/throughput_baseline/clients.rs
@@ -142,7 +142,7 @@
             }
             self.net.poll(load.poll_interval(), &mut events);
             for event in events.drain(..) {
-                if let Event::Data(token, bytes) = event {
+                if let Event::Data { token, bytes, .. } = event {
                     self.receive(token, &bytes, load, &mut results)?;
                 }
             }
