--- a/crates/edge/tests/process/main.rs
+++ b/crates/edge/tests/process/main.rs
@@ -19,6 +19,7 @@
 mod faults;
 mod lifecycle;
 mod message_log;
+mod repeated_discovery_responses;
 mod repeated_responses;
 mod requests;
 mod restart;
