Believe discovery's answers and list events only if they are certainly current

Cause: the status notifier took the next answer on its connection for the answer to its batch, so the copy of a 204 acknowledged notifications that discovery had never answered (the message is lost), and answers before the batch was written counted. The watch applied any event: the copy of an older one made a draining endpoint ready again. Change: each batch has a connection of its own, which is closed after its answer, since all answers are equal; an answer or a watch response that begins before the request is written ends the connection. An event older than the list is not applied; the watch is reopened and requests the complete list, whose answer alone may have an older version.

--- a/crates/platform/src/core/discovery.rs
+++ b/crates/platform/src/core/discovery.rs
@@ -25,6 +25,8 @@
     watch: EndpointWatch,
     connection: Option<ConnectionId>,
     endpoints: EndpointList,
+    /// Whether the present watch requested the complete list and has not received an event.
+    awaits_complete_list: bool,
 }
 
 impl DiscoveryClient {
@@ -35,6 +37,7 @@
             watch: EndpointWatch::new(),
             connection: None,
             endpoints: EndpointList::default(),
+            awaits_complete_list: false,
         }
     }
 
@@ -77,6 +80,7 @@
     /// Handles the established connection. Returns the request to be sent on it.
     pub fn connected(&mut self, now: Time) -> Vec<u8> {
         let since = self.endpoints.resume_version();
+        self.awaits_complete_list = since == 0;
         tracing::debug!(since, "watching endpoint list");
         self.watch.connected(now, self.address, since)
     }
@@ -94,8 +98,22 @@
     }
 
     /// Handles received bytes. Returns the complete events, and an error if the connection has to be closed.
-    pub fn receive(&mut self, now: Time, bytes: &[u8]) -> WatchProgress {
-        self.watch.receive(now, bytes)
+    /// `written` is the number of bytes that the operating system had accepted before.
+    pub fn receive(&mut self, now: Time, bytes: &[u8], written: u64) -> WatchProgress {
+        self.watch.receive(now, bytes, written)
+    }
+
+    /// Checks that an event is not older than the list. An older one must not be applied, and the connection
+    /// has to be closed; the next watch requests the complete list. An older version is accepted only as the
+    /// answer to that request: then discovery itself has begun anew.
+    pub fn check_version(&mut self, event: &WatchEvent) -> Result<(), WatchError> {
+        let list = self.endpoints.version();
+        let is_answer = std::mem::take(&mut self.awaits_complete_list) && event.complete;
+        if event.version >= list || is_answer {
+            return Ok(());
+        }
+        self.endpoints.require_complete_list();
+        Err(WatchError::OutdatedEvent { event: event.version, list })
     }
 
     /// Applies an event of the watch to the endpoint list.
--- a/crates/platform/src/core/discovery/endpoint_list.rs
+++ b/crates/platform/src/core/discovery/endpoint_list.rs
@@ -88,21 +88,31 @@
     /// Zones that the settings do not contain. Their indexes follow those of the settings, so that no two
     /// zones share an index below [`UNKNOWN_INDEX`].
     extra_zones: Vec<String>,
-    /// Whether an entry could not be read since the last complete list: the complete list has to be
-    /// requested.
-    has_unreadable_entry: bool,
+    /// Whether the complete list has to be requested: since the last one, an entry could not be read or an
+    /// event was outdated.
+    needs_complete_list: bool,
 }
 
 impl EndpointList {
     /// Returns the version after which the next watch requests changes; 0 requests the complete list.
     pub fn resume_version(&self) -> u64 {
-        if self.has_unreadable_entry {
+        if self.needs_complete_list {
             0
         } else {
             self.version
         }
     }
 
+    /// Returns the version after the last event; 0 before any event.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Requests the complete list with the next watch.
+    pub fn require_complete_list(&mut self) {
+        self.needs_complete_list = true;
+    }
+
     /// Returns the endpoint with this number, or `None` if no endpoint has it.
     pub fn get(&self, number: u32) -> Option<&ListedEndpoint> {
         self.endpoints.get(&number)
@@ -128,7 +138,7 @@
         self.version = event.version;
         let mut changes = Changes::default();
         if event.complete {
-            self.has_unreadable_entry = false;
+            self.needs_complete_list = false;
             self.remove_unlisted(event, now, &mut changes);
         }
         for entry in &event.entries {
@@ -178,7 +188,7 @@
     ) {
         let Ok(address) = entry.address.parse::<SocketAddr>() else {
             tracing::warn!(name = entry.name, address = entry.address, "unreadable endpoint address");
-            self.has_unreadable_entry = true;
+            self.needs_complete_list = true;
             return;
         };
         let listed = self.listed_endpoint(entry, address, settings, now);
--- a/crates/platform/src/core/discovery/watch.rs
+++ b/crates/platform/src/core/discovery/watch.rs
@@ -5,6 +5,7 @@
 use crate::core::clock::MILLISECOND;
 use crate::core::reconnect::{ConnectionAction, Reconnect};
 use linnetcart::Time;
+use linnetcart_courier_common::attribution::{Attribution, RequestProgress, ResponseHistory};
 use linnetcart_http::{parse_response, ChunkedDecoder, ParsedResponse};
 use std::net::SocketAddr;
 
@@ -31,6 +32,17 @@
     /// Discovery ended the response.
     #[error("discovery ended the response")]
     Ended,
+    /// The response began before the request was written.
+    #[error("a response began before the request was written")]
+    Unsolicited,
+    /// An event has a lower version than the list: it may be a copy, or the answer to an earlier request.
+    #[error("an event of version {event} is older than the list of version {list}")]
+    OutdatedEvent {
+        /// The version of the event.
+        event: u64,
+        /// The version of the list.
+        list: u64,
+    },
 }
 
 /// The result of bytes that were received on the watch.
@@ -58,6 +70,8 @@
 pub struct EndpointWatch {
     connection: Reconnect,
     last_byte_at: Time,
+    /// Length of the request, in bytes.
+    request_bytes: u64,
     head: Vec<u8>,
     /// The decoder of the body; `None` until the head is complete.
     chunks: Option<ChunkedDecoder>,
@@ -73,6 +87,7 @@
         EndpointWatch {
             connection: Reconnect::new(),
             last_byte_at: 0,
+            request_bytes: 0,
             head: vec![],
             chunks: None,
             body: vec![],
@@ -115,7 +130,9 @@
         self.chunks = None;
         self.head.clear();
         self.body.clear();
-        format!("GET /v1/endpoints?follow=1&since={since} HTTP/1.1\r\nHost: {host}\r\n\r\n").into_bytes()
+        let request = format!("GET /v1/endpoints?follow=1&since={since} HTTP/1.1\r\nHost: {host}\r\n\r\n");
+        self.request_bytes = request.len() as u64;
+        request.into_bytes()
     }
 
     /// Handles the loss of the connection, or its close after an error.
@@ -133,10 +150,15 @@
         *self = EndpointWatch { synced: self.synced, ..EndpointWatch::new() };
     }
 
-    /// Handles bytes received on the watch. Returns the events that they complete, and an error if the
-    /// connection has to be closed.
-    pub fn receive(&mut self, now: Time, bytes: &[u8]) -> WatchProgress {
+    /// Handles bytes received on the watch, before which the operating system had accepted `written` bytes of
+    /// the request. Returns the events that they complete, and an error if the connection has to be closed.
+    pub fn receive(&mut self, now: Time, bytes: &[u8], written: u64) -> WatchProgress {
         self.last_byte_at = now;
+        let progress = RequestProgress::new(self.request_bytes, written);
+        let attribution = Attribution::of_unnamed(progress, &ResponseHistory::default(), bytes);
+        if !attribution.is_certain() {
+            return WatchProgress { events: vec![], error: Some(WatchError::Unsolicited) };
+        }
         let state = self.decode(bytes);
         if state == Ok(ResponseState::AwaitingHead) {
             return WatchProgress::default();
--- a/crates/platform/src/core/discovery_traffic.rs
+++ b/crates/platform/src/core/discovery_traffic.rs
@@ -21,13 +21,19 @@
         self.close_discovery_connection(notifier_connection);
     }
 
-    /// Handles bytes that were received on the watch.
-    pub(super) fn watch_received(&mut self, id: ConnectionId, bytes: &[u8]) {
-        let progress = self.discovery.receive(self.clock.now(), bytes);
+    /// Handles bytes that were received on the watch, before which the operating system had accepted
+    /// `written` bytes.
+    pub(super) fn watch_received(&mut self, id: ConnectionId, bytes: &[u8], written: u64) {
+        let progress = self.discovery.receive(self.clock.now(), bytes, written);
+        let mut error = progress.error;
         for event in &progress.events {
+            if let Err(outdated) = self.discovery.check_version(event) {
+                error = Some(outdated);
+                break;
+            }
             self.apply_watch_event(event);
         }
-        if let Some(error) = progress.error {
+        if let Some(error) = error {
             self.effects.event(CoreEvent::WatchFailed(error));
             self.close_discovery_connection(Some(id));
             self.discovery.disconnected(self.clock.now());
@@ -44,10 +50,12 @@
         }
     }
 
-    /// Handles bytes that were received in answer to status notifications.
-    pub(super) fn notifier_received(&mut self, id: ConnectionId, bytes: &[u8]) {
-        let acknowledged = match self.notifier.receive(bytes) {
-            Ok(acknowledged) => acknowledged,
+    /// Handles bytes that were received in answer to status notifications, before which the operating system
+    /// had accepted `written` bytes.
+    pub(super) fn notifier_received(&mut self, id: ConnectionId, bytes: &[u8], written: u64) {
+        let acknowledged = match self.notifier.receive(bytes, written) {
+            Ok(Some(acknowledged)) => acknowledged,
+            Ok(None) => return,
             Err(error) => {
                 self.effects.event(CoreEvent::NotificationsFailed(error));
                 self.close_discovery_connection(Some(id));
@@ -55,6 +63,8 @@
                 return;
             }
         };
+        self.close_discovery_connection(Some(id));
+        self.notifier.answered(self.clock.now());
         for number in acknowledged.messages {
             if acknowledged.result == BatchResult::Rejected {
                 self.report_rejected_notification(number);
--- a/crates/platform/src/core/inputs.rs
+++ b/crates/platform/src/core/inputs.rs
@@ -81,9 +81,9 @@
     /// kernel had accepted on it since the connect when they were read.
     pub fn upstream_received(&mut self, id: ConnectionId, bytes: &[u8], written: u64) {
         if self.discovery.owns(id) {
-            self.watch_received(id, bytes);
+            self.watch_received(id, bytes, written);
         } else if self.notifier.owns(id) {
-            self.notifier_received(id, bytes);
+            self.notifier_received(id, bytes, written);
         } else {
             let finished = self.pool.receive(id, bytes, written, self.clock.now(), &self.settings);
             self.report_unattributed();
--- a/crates/platform/src/core/reconnect.rs
+++ b/crates/platform/src/core/reconnect.rs
@@ -80,7 +80,7 @@
     }
 
     /// Schedules a new connect at `time` and leaves the backoff as it is. Used after a connection that
-    /// discovery had accepted: it fell silent, or ended with `Connection: close`.
+    /// discovery had accepted: it fell silent, or its only request was answered.
     pub fn schedule_retry(&mut self, time: Time) {
         self.state = State::Disconnected { retry_at: time };
     }
--- a/crates/platform/src/core/status_notifier.rs
+++ b/crates/platform/src/core/status_notifier.rs
@@ -1,6 +1,9 @@
 //! Status notifications: reports each message that is completed without delivery to the platform, in batches
 //! of JSON lines (`POST /status` to discovery) that are sent again until they are acknowledged.
 //!
+//! Each batch has a connection of its own. The answers to two batches are equal, so on a shared connection the
+//! answer to one could not be told from a copy of the answer to another.
+//!
 //! The notifier owns the queue, its connection to discovery and the ordering keys that wait for an
 //! acknowledgement. A notification is dropped only if discovery rejects it in a batch of its own; the drop is
 //! logged.
@@ -11,7 +14,8 @@
 use super::reconnect::{ConnectionAction, Reconnect};
 use crate::records::{FinalOutcome, Message};
 use linnetcart::Time;
-use linnetcart_http::{parse_response, ParsedResponse, Persistence};
+use linnetcart_courier_common::attribution::{Attribution, RequestProgress, ResponseHistory};
+use linnetcart_http::{interim_length, parse_response, ParsedResponse};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
@@ -31,9 +35,12 @@
     /// The length of the answer's body is unknown or exceeds [`linnetcart_http::MAX_BODY_BYTES`].
     #[error("the answer with status {0} has a body of unknown or excessive length")]
     UnboundedBody(u16),
-    /// The status is neither 200, 204 nor 400, or no batch was outstanding.
+    /// The status is neither 200, 204 nor 400.
     #[error("unexpected status {0}")]
     Status(u16),
+    /// The answer began before the batch was written completely.
+    #[error("an answer began before the batch was written")]
+    Unsolicited,
 }
 
 /// The result of a batch, as answered by discovery.
@@ -54,12 +61,6 @@
     pub result: BatchResult,
 }
 
-impl Acknowledged {
-    fn nothing() -> Acknowledged {
-        Acknowledged { messages: vec![], result: BatchResult::Accepted }
-    }
-}
-
 /// A request with a batch of notifications.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct NotificationRequest {
@@ -102,6 +103,8 @@
     /// the invalid notification, and doubles with each accepted batch.
     batch_limit: usize,
     sent_at: Time,
+    /// Length of the request with the outstanding batch, in bytes.
+    request_bytes: u64,
     response: Vec<u8>,
     /// Numbers of the messages with an unacknowledged notification and an ordering key, by ordering key.
     unacknowledged_by_key: BTreeMap<u64, BTreeSet<u32>>,
@@ -119,6 +122,7 @@
             sent: 0,
             batch_limit: MAX_BATCH,
             sent_at: 0,
+            request_bytes: 0,
             response: vec![],
             unacknowledged_by_key: BTreeMap::new(),
             counts: NotificationCounts::default(),
@@ -235,7 +239,6 @@
     /// Handles the established connection.
     pub fn connected(&mut self) {
         self.reconnect.connected();
-        self.sent = 0;
         self.response.clear();
     }
 
@@ -279,39 +282,60 @@
             "POST /status HTTP/1.1\r\nHost: {host}\r\nContent-Type: application/x-ndjson\r\n\
              Content-Length: {length}\r\n\r\n"
         );
-        Some(NotificationRequest { connection, bytes: [head.as_bytes(), &body].concat() })
+        let bytes = [head.as_bytes(), &body].concat();
+        self.request_bytes = bytes.len() as u64;
+        Some(NotificationRequest { connection, bytes })
     }
 
-    /// Handles received bytes. Returns the messages whose notifications are answered and not sent again; none
-    /// while the response is incomplete. A notification that is rejected in a batch of its own counts as
-    /// acknowledged: sent again, it would be rejected again and block the queue. After an error, the
-    /// connection has to be closed.
-    pub fn receive(&mut self, bytes: &[u8]) -> Result<Acknowledged, NotificationError> {
+    /// Handles received bytes, before which the operating system had accepted `written` bytes of the request.
+    /// Returns the messages whose notifications are answered and not sent again, or `None` while the response
+    /// is incomplete. A notification that is rejected in a batch of its own counts as acknowledged: sent again,
+    /// it would be rejected again and block the queue. After an answer or an error, the connection has to be
+    /// closed.
+    pub fn receive(&mut self, bytes: &[u8], written: u64) -> Result<Option<Acknowledged>, NotificationError> {
         self.response.extend_from_slice(bytes);
+        let final_response = &self.response[interim_length(&self.response)..];
+        if final_response.is_empty() {
+            return Ok(None);
+        }
+        let attribution = Attribution::of_unnamed(
+            self.request_progress(written),
+            &ResponseHistory::default(),
+            final_response,
+        );
+        if !attribution.is_certain() {
+            return Err(NotificationError::Unsolicited);
+        }
         let head = match parse_response(&self.response) {
-            ParsedResponse::Incomplete { .. } => return Ok(Acknowledged::nothing()),
+            ParsedResponse::Incomplete { .. } => return Ok(None),
             ParsedResponse::Malformed { .. } => return Err(NotificationError::Malformed),
             ParsedResponse::Head(head) => head,
         };
         let body_length = head.body.ok_or(NotificationError::UnboundedBody(head.status))?;
-        let length = head.length + body_length;
-        if self.response.len() < length {
-            return Ok(Acknowledged::nothing());
+        if self.response.len() < head.length + body_length {
+            return Ok(None);
         }
-        self.response.drain(..length);
         let result = match head.status {
-            200 | 204 if self.sent > 0 => BatchResult::Accepted,
-            400 if self.sent > 0 => BatchResult::Rejected,
+            200 | 204 => BatchResult::Accepted,
+            400 => BatchResult::Rejected,
             status => return Err(NotificationError::Status(status)),
         };
         self.reconnect.reset_backoff();
-        let messages = self.finish_batch(result);
-        // After `Connection: close` the notifier forgets this connection without closing it: the next connect
-        // replaces its id, and discovery closes it.
-        if head.persistence == Persistence::Close {
-            self.reconnect.schedule_retry(0);
+        Ok(Some(Acknowledged { messages: self.finish_batch(result), result }))
+    }
+
+    fn request_progress(&self, written: u64) -> RequestProgress {
+        if self.sent == 0 {
+            return RequestProgress::Incomplete;
         }
-        Ok(Acknowledged { messages, result })
+        RequestProgress::new(self.request_bytes, written)
+    }
+
+    /// Handles the close of the connection after an answer: the next batch is sent on a new one, at once.
+    pub fn answered(&mut self, now: Time) {
+        self.connection = None;
+        self.sent = 0;
+        self.reconnect.schedule_retry(now);
     }
 
     /// Removes the answered batch from the queue and returns its messages. A rejected batch of several
