Kafka: a response out of order ends its connection, reasons name the true cause

Cause: a connection with several calls took a response for any of them, although Kafka responses come in the order of the requests, so a copy of a later correlation id or a shuffled response was believed. A version response with another correlation id was logged as a lack of Produce versions. Change: a response has to name the oldest request without a response (Attribution::of_correlated); otherwise the connection ends, its calls count as possibly executed, and the reason says which request was answered too early or that none has the id.

--- a/crates/edge/src/core/delivery/responses.rs
+++ b/crates/edge/src/core/delivery/responses.rs
@@ -10,6 +10,7 @@
 use crate::core::error::ProtocolError;
 use bytes::Bytes;
 use linnetcart::{AttemptOutcome, Time};
+use linnetcart_courier_common::attribution::Attribution;
 use linnetcart_kafka::client::{self, ProduceReply, ProduceVersions};
 use linnetcart_kafka::PRODUCE;
 
@@ -92,10 +93,9 @@
     fn receive_response(&mut self, id: UpstreamId, frame: &Bytes, version: i16) -> Result<(), ProtocolError> {
         let reply = client::read_produced(frame, version)?;
         let correlation = reply.correlation;
+        self.check_correlation(id, correlation)?;
         let Some(connection) = self.connections.get_mut(id) else { return Ok(()) };
-        let Some(call_id) = connection.written_calls.remove(&correlation) else {
-            return Err(ProtocolError::UnexpectedResponse { correlation });
-        };
+        let Some(call_id) = connection.written_calls.remove(&correlation) else { return Ok(()) };
         let Some(call) = self.calls.get(call_id) else { return Ok(()) };
         let (endpoint, started_at) = (call.endpoint, call.started_at);
         if call.is_abandoned() {
@@ -112,6 +112,27 @@
         Ok(())
     }
 
+    /// Checks that a response names the oldest request without a response: responses come in the order of the
+    /// requests. After any other response, nothing on the connection can be relied on.
+    fn check_correlation(&self, id: UpstreamId, correlation: i32) -> Result<(), ProtocolError> {
+        let Some(connection) = self.connections.get(id) else { return Ok(()) };
+        let offset = |call_id: CallId| self.calls.get(call_id).and_then(|call| call.stream_offset);
+        let mut outstanding: Vec<_> =
+            connection.written_calls.iter().map(|(&id, &call_id)| (offset(call_id), id)).collect();
+        outstanding.sort_unstable();
+        let mut correlations = outstanding.iter().map(|&(_, id)| id);
+        match Attribution::of_correlated(correlation, correlations.clone()) {
+            Attribution::Certain => Ok(()),
+            Attribution::OutOfOrder => {
+                let oldest = correlations.next().unwrap_or(correlation);
+                Err(ProtocolError::ResponseOutOfOrder { correlation, oldest })
+            }
+            Attribution::Unsolicited | Attribution::Ambiguous => {
+                Err(ProtocolError::UnexpectedResponse { correlation })
+            }
+        }
+    }
+
     /// Reports the Retry-After of a response to an abandoned call, under the attempt of the call that
     /// finished last. The Retry-After applies although no attempt of the call is left to report it.
     fn report_late_rejection(&mut self, call_id: CallId, reply: &ProduceReply) {
@@ -156,9 +177,12 @@
 /// by the endpoint's response to the version request.
 fn negotiate_produce_version(frame: &Bytes) -> Result<i16, ProtocolError> {
     let ProduceVersions { correlation, offered } = client::read_produce_versions(frame)?;
+    if correlation != VERSION_REQUEST {
+        return Err(ProtocolError::UnexpectedResponse { correlation });
+    }
     let offered = offered.ok_or(ProtocolError::ProduceNotOffered)?;
     let produce_version = offered.last.min(PRODUCE.last);
-    if correlation != VERSION_REQUEST || produce_version < offered.first.max(PRODUCE.first) {
+    if produce_version < offered.first.max(PRODUCE.first) {
         return Err(ProtocolError::ProduceVersions { least: offered.first, most: offered.last });
     }
     Ok(produce_version)
--- a/crates/edge/src/core/error.rs
+++ b/crates/edge/src/core/error.rs
@@ -22,4 +22,8 @@
     ProduceVersions { least: i16, most: i16 },
     #[error("it sent a response with correlation id {correlation}, which no request in flight has")]
     UnexpectedResponse { correlation: i32 },
+    #[error(
+        "it answered the request with correlation id {correlation} before the earlier one with {oldest}"
+    )]
+    ResponseOutOfOrder { correlation: i32, oldest: i32 },
 }
--- a/crates/edge/tests/core/attempts.rs
+++ b/crates/edge/tests/core/attempts.rs
@@ -86,6 +86,55 @@
     assert!(!harness.connections.contains_key(&call.connection), "the connection is closed");
 }
 
+/// Returns the reasons of the protocol violations that the core has reported since the last call.
+fn violations(harness: &mut CoreHarness) -> Vec<String> {
+    let events = harness.core.delivery_events();
+    let reason = |event: &DeliveryEvent| match event {
+        DeliveryEvent::ProtocolViolation { reason, .. } => Some(reason.clone()),
+        _ => None,
+    };
+    events.iter().filter_map(reason).collect()
+}
+
+/// Kafka responses come in the order of the requests. After one that does not, no response on the connection
+/// can be relied on.
+#[test]
+fn response_out_of_order_ends_connection_and_its_calls_may_have_run() {
+    let mut settings = settings();
+    settings["connections"]["calls"] = 4.into();
+    let mut harness = harness_with_client_and_settings(&settings);
+    for value in ["x", "y", "z", "w"] {
+        harness.send_one(CLIENT, "order", 2, value);
+    }
+    let shared = harness.calls[0].connection;
+    let on_shared = harness.calls.iter().filter(|call| call.connection == shared).count();
+    assert!(on_shared >= 2, "a connection carries several calls");
+    let last = harness.calls.iter().rposition(|call| call.connection == shared).unwrap();
+    let last = harness.calls.remove(last);
+    harness.reply_to(&last, codes::NONE, 0);
+    let reasons = violations(&mut harness);
+    assert!(reasons.len() == 1 && reasons[0].contains("before the earlier one"), "{reasons:?}");
+    assert!(!harness.connections.contains_key(&shared), "the connection is closed");
+    let failed = harness.results(CLIENT);
+    assert_eq!(failed.len(), on_shared, "all its calls may have run, and none is sent again");
+    assert!(failed.iter().all(|result| result.code == codes::UNKNOWN_SERVER_ERROR), "{failed:?}");
+}
+
+#[test]
+fn version_response_with_other_correlation_id_ends_connection_with_that_reason() {
+    let mut harness = harness_with_client();
+    harness.auto_connect = false;
+    harness.send_one(CLIENT, "order", 2, "x");
+    let connection = *harness.connections.keys().next().unwrap();
+    harness.connect(connection);
+    harness.core.upstream_received(connection, &server::api_versions(7, 0));
+    harness.process_after_tick();
+    let reasons = violations(&mut harness);
+    assert!(reasons.len() == 1 && reasons[0].contains("correlation id 7"), "{reasons:?}");
+    assert!(!harness.connections.contains_key(&connection), "the connection is closed");
+    assert!(harness.results(CLIENT).is_empty(), "the message was not sent, and is sent again");
+}
+
 #[test]
 fn response_in_the_iteration_of_its_timeout_counts_as_response() {
     let mut harness = harness_with_client();
