Soak: repeated, early and late responses, discovery's list and answers, bad clients

Cause: the soak played endpoints, discovery and clients that answer each request once and in order, and a list that never changed. Change: drawn from the seed, connections to endpoints repeat responses after 0 to 3 s or at the next request, stay one response behind, respond early, with interim responses in pieces or with noise behind; discovery repeats acknowledgements, answers early, changes the list and sends events of earlier versions; clients send bytes behind a request, two at once, or a request cut by a close; signals come in series during a shutdown. Half of the endpoints give each response a body of its own. Checked too: no call to an endpoint listed as draining for 1.5 s, no message with another's body, no message of a bad client twice.

--- a/crates/edge/tests/soak/checks.rs
+++ b/crates/edge/tests/soak/checks.rs
@@ -1,15 +1,20 @@
 //! Checks the rules against what clients, endpoints and discovery observed.
 
-use crate::agent::{Notification, NotificationLog};
+use crate::agent::{Discovery, ListedStatus, Notification};
 use crate::clients::{Answer, Submission};
 use crate::endpoint::{Behaviour, Call, CallLog};
+use crate::intruders;
 use crate::run::{Downtime, RunSettings};
 use std::collections::BTreeMap;
 use std::fmt;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// How long after the arrival of a call or a notification a thread of the test may record it.
 const RECORDING_TOLERANCE: Duration = Duration::from_secs(1);
+/// How long after an endpoint was listed as draining a call may still arrive there: a change counts as told once
+/// it is written to the courier, which may be stalled by a fault.
+const DRAIN_TOLERANCE: Duration = Duration::from_millis(1500);
 /// A notification that falls due in a downtime or within this time after it is not counted as delayed.
 const GRACE_AFTER_RESTART: Duration = Duration::from_millis(1500);
 
@@ -17,7 +22,7 @@
 pub struct Observations {
     pub submissions: Vec<Submission>,
     pub calls: CallLog,
-    pub notifications: NotificationLog,
+    pub discovery: Arc<Discovery>,
     pub downtimes: Vec<Downtime>,
     /// Whether the process exited although the run neither signalled nor killed it.
     pub exited_unexpectedly: bool,
@@ -84,7 +89,8 @@
             calls.entry(call.id.clone()).or_default().push(call.clone());
         }
         let mut notifications: BTreeMap<String, Vec<Notification>> = BTreeMap::new();
-        for notification in observations.notifications.lock().expect("no test thread panics").iter() {
+        for notification in observations.discovery.notifications.lock().expect("no test thread panics").iter()
+        {
             notifications.entry(notification.id.clone()).or_default().push(notification.clone());
         }
         ByMessage { calls, notifications }
@@ -149,6 +155,9 @@
         check_message(settings, submission, observations, &by_message, &mut violations);
     }
     check_order(observations, &by_message, &mut violations);
+    check_intruders(&by_message, &mut violations);
+    check_bodies(&by_message, &mut violations);
+    check_draining(observations, &mut violations);
     let seed = settings.seed;
     let count = |of: fn(&Submission) -> bool| observations.submissions.iter().filter(|s| of(s)).count();
     Report {
@@ -214,6 +223,44 @@
     downtime.from <= submission.answered_at && submission.sent_at <= downtime.until
 }
 
+/// Checks that no message of a client that violates the protocol is executed more than once.
+fn check_intruders(by_message: &ByMessage, violations: &mut Vec<String>) {
+    for (id, calls) in &by_message.calls {
+        let executions = calls.iter().filter(|call| call.behaviour.executes()).count();
+        if id.starts_with(intruders::ID_PREFIX) && executions > 1 {
+            violations.push(format!("executed more than once: {id}, {executions} times"));
+        }
+    }
+}
+
+fn check_bodies(by_message: &ByMessage, violations: &mut Vec<String>) {
+    for (id, calls) in &by_message.calls {
+        if calls.iter().any(|call| !call.has_own_body) {
+            violations.push(format!("sent with the body of another message: {id}"));
+        }
+    }
+}
+
+/// Checks that no call arrives at an endpoint that has been listed as draining for [`DRAIN_TOLERANCE`], by
+/// what was written to a watch of the same process.
+fn check_draining(observations: &Observations, violations: &mut Vec<String>) {
+    let listed = observations.discovery.listed.lock().expect("no test thread panics").clone();
+    for call in observations.calls.lock().expect("no test thread panics").iter() {
+        let of_endpoint = |status: &&ListedStatus| status.endpoint == call.endpoint;
+        let before_call = |status: &&ListedStatus| status.written_at <= call.arrived_at;
+        let last =
+            listed.iter().filter(of_endpoint).filter(before_call).max_by_key(|status| status.written_at);
+        let Some(status) = last.filter(|status| status.is_draining) else { continue };
+        let was_down = |downtime: &Downtime| {
+            downtime.from <= call.arrived_at && status.written_at <= downtime.until + GRACE_AFTER_RESTART
+        };
+        let is_late = call.arrived_at > status.written_at + DRAIN_TOLERANCE;
+        if is_late && !observations.downtimes.iter().any(was_down) {
+            violations.push(format!("sent to draining endpoint {}: {}", call.endpoint, call.id));
+        }
+    }
+}
+
 /// Checks the order of accepted messages with the same key, which one client submits one after another. A
 /// message may be sent only once the message before it is completed. After the first call of a message, the
 /// message before it may not be sent again.
--- a/crates/edge/tests/soak/clients.rs
+++ b/crates/edge/tests/soak/clients.rs
@@ -85,9 +85,8 @@
     let cookie = key.map(|key| format!("Cookie: subject={key}\r\n")).unwrap_or_default();
     format!(
         "POST /{class} HTTP/1.1\r\nX-Txn: {id}\r\nIdempotency-Key: t-{id}\r\nX-Remaining-Ms: {}\r\n\
-         X-Route-To: dest=3\r\n{cookie}Content-Length: 40\r\n\r\n{:x<40}",
-        time_to_deadline.as_millis(),
-        ""
+         X-Route-To: dest=3\r\n{cookie}Content-Length: 40\r\n\r\n{id:x<40}",
+        time_to_deadline.as_millis()
     )
 }
 
--- a/crates/edge/tests/soak/endpoint.rs
+++ b/crates/edge/tests/soak/endpoint.rs
@@ -2,8 +2,9 @@
 //! every call.
 
 use crate::random::Random;
+use crate::response_faults::ResponseStream;
 use linnetcart_http::parse_request;
-use std::io::{Read, Write};
+use std::io::Read;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -45,6 +46,10 @@
 #[derive(Clone, Debug)]
 pub struct Call {
     pub id: String,
+    /// Whether the body is that of the message with this id.
+    pub has_own_body: bool,
+    /// Number of the endpoint.
+    pub endpoint: u64,
     pub behaviour: Behaviour,
     pub arrived_at: Instant,
     /// When the endpoint wrote the answer that the message was served, or `None` if it did not.
@@ -54,23 +59,35 @@
 /// The calls that reached any endpoint of a run, in order of arrival.
 pub type CallLog = Arc<Mutex<Vec<Call>>>;
 
-/// Starts the endpoint with this number on a thread of its own and returns its address. `seed` and `number`
-/// determine the random behaviours. Each call is appended to `log`.
-pub fn start(seed: u64, number: u64, log: CallLog) -> SocketAddr {
+/// How an endpoint behaves.
+#[derive(Clone, Copy, Debug)]
+pub struct EndpointPlan {
+    pub seed: u64,
+    /// Number of the endpoint. The responses of even ones have a body of their own each.
+    pub number: u64,
+    /// Percentage of connections with a fault in the order of their responses.
+    pub response_faults: u64,
+}
+
+/// Starts an endpoint on a thread of its own and returns its address. Each call is appended to `log`.
+pub fn start(plan: EndpointPlan, log: CallLog) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let address = listener.local_addr().expect("its address");
     std::thread::spawn(move || {
         for (connection, stream) in listener.incoming().flatten().enumerate() {
             let log = Arc::clone(&log);
-            let random = Random::new(seed, 1_000 * (number + 1) + connection as u64);
-            std::thread::spawn(move || serve(stream, random, &log));
+            let part = 1_000 * (plan.number + 1) + connection as u64;
+            std::thread::spawn(move || serve(stream, plan, part, &log));
         }
     });
     address
 }
 
-fn serve(mut stream: TcpStream, mut random: Random, log: &CallLog) {
+fn serve(mut stream: TcpStream, plan: EndpointPlan, part: u64, log: &CallLog) {
     let _ = stream.set_nodelay(true);
+    let Ok(writer) = stream.try_clone() else { return };
+    let mut random = Random::new(plan.seed, part);
+    let mut responses = ResponseStream::new(writer, Random::new(plan.seed, part << 20), plan.response_faults);
     let mut received = Vec::new();
     let mut chunk = [0; 4096];
     while let Ok(length @ 1..) = stream.read(&mut chunk) {
@@ -78,16 +95,23 @@
         while let Ok(Some(request)) = parse_request(&received) {
             let id = request.field("x-txn").ok().flatten().unwrap_or_default();
             let id = String::from_utf8_lossy(id).into_owned();
+            let has_own_body = request.body().starts_with(id.as_bytes());
             let request_length = request.length();
             received.drain(..request_length);
             let behaviour = Behaviour::draw(&mut random);
-            let call = Call { id, behaviour, arrived_at: Instant::now(), served_at: None };
+            let arrived_at = Instant::now();
+            let endpoint = plan.number;
+            let served_at = std::mem::take(&mut responses.early_response_crossed).then_some(arrived_at);
+            let call = Call { id, has_own_body, endpoint, behaviour, arrived_at, served_at };
             let index = {
                 let mut log = log.lock().expect("no test thread panics");
                 log.push(call);
                 log.len() - 1
             };
-            if !answer(&mut stream, behaviour, &mut random, index, log) {
+            responses.request_arrived();
+            let token = (plan.number % 2 == 0).then(|| format!("{:016x}", random.next()));
+            let body = token.unwrap_or_default();
+            if !answer(&mut responses, behaviour, &mut random, &body, index, log) {
                 return;
             }
         }
@@ -97,32 +121,35 @@
 /// Answers the call at `index` of `log` according to `behaviour`, and records in the log when the call was
 /// served. Returns whether the connection stays open.
 fn answer(
-    stream: &mut TcpStream,
+    responses: &mut ResponseStream,
     behaviour: Behaviour,
     random: &mut Random,
+    body: &str,
     index: usize,
     log: &CallLog,
 ) -> bool {
-    let text = match behaviour {
+    let response = |status: &str| {
+        format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
+    };
+    let status = match behaviour {
         Behaviour::Serve | Behaviour::ServeLate => {
             let delay =
                 if behaviour == Behaviour::Serve { random.below(15) } else { random.between(200, 600) };
             std::thread::sleep(Duration::from_millis(delay));
             let mut log = log.lock().expect("no test thread panics");
-            let written = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").is_ok();
-            log[index].served_at = written.then(Instant::now);
-            return written;
+            let is_sent = responses.respond(&response("200 OK"));
+            log[index].served_at = is_sent.then(Instant::now);
+            return true;
         }
         Behaviour::Hang => {
             std::thread::sleep(Duration::from_secs(4));
             return false;
         }
         Behaviour::Close => return false,
-        Behaviour::Reject => "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n",
-        Behaviour::RejectWithRetryAfter => {
-            "HTTP/1.1 429 Wait\r\nX-Backoff-Ms: 150\r\nContent-Length: 0\r\n\r\n"
-        }
-        Behaviour::Fail => "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n",
+        Behaviour::Reject => "503 Full",
+        Behaviour::RejectWithRetryAfter => "429 Wait\r\nX-Backoff-Ms: 150",
+        Behaviour::Fail => "500 Error",
     };
-    stream.write_all(text.as_bytes()).is_ok()
+    responses.respond(&response(status));
+    true
 }
--- a/crates/edge/tests/soak/main.rs
+++ b/crates/edge/tests/soak/main.rs
@@ -1,10 +1,11 @@
 //! Soak test: the real courier on the loopback interface under random faults of its own machine, signals,
-//! kills, and endpoints that misbehave.
+//! kills, endpoints and discovery whose responses come twice, early or late, and clients that misbehave.
 //!
 //! Each seed determines the random choices of one run of a few seconds. After the run, every message is
 //! checked against the rules: an accepted message is completed, a rejected one is not executed, a
-//! non-idempotent one is executed at most once, messages of an ordering key are delivered in order, and
-//! nothing is sent after the platform was notified of a message's outcome.
+//! non-idempotent one is executed at most once, messages of an ordering key are delivered in order, nothing is
+//! sent after the platform was notified of a message's outcome or to a draining endpoint, and no message is
+//! sent under another's id.
 //!
 //! Other seeds: `SOAK_SEEDS=100..150 SOAK_SECONDS=12 cargo test --release -p linnetcart-edge --test soak`.
 //! Response times are not checked; the longest time to an answer and the longest delay of a notification
@@ -19,7 +20,9 @@
 mod clients;
 mod endpoint;
 mod faults;
+mod intruders;
 mod random;
+mod response_faults;
 mod run;
 
 use checks::Report;
--- /dev/null
+++ b/crates/edge/tests/soak/response_faults.rs
@@ -0,0 +1,152 @@
+//! Faults in the order of an endpoint's responses: copies, early and interim responses, noise, and connections
+//! that stay one response behind.
+
+use crate::random::Random;
+use std::io::Write;
+use std::net::TcpStream;
+use std::time::Duration;
+
+/// What an endpoint does with the responses on one connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ResponseFault {
+    None,
+    /// Each response comes again after a delay.
+    CopyAfterDelay,
+    /// Each response comes again once or more right after the next request has arrived.
+    CopyAtNextRequest,
+    /// The first response comes twice, and each later one belongs to the request before.
+    OneBehind,
+    /// A response is sent before the first request is read.
+    Early,
+    /// Interim responses come before and after each response, some in pieces.
+    Interim,
+    /// Bytes that are no response follow each response.
+    Noise,
+}
+
+const SERVED: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+const INTERIM: &[u8] = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+const PIECE_PAUSE: Duration = Duration::from_millis(2);
+
+/// Writes a response if no byte of a request has arrived. Returns whether a request arrived at the same moment,
+/// so that nobody can tell which of the two came first.
+pub fn write_early(stream: &mut TcpStream, response: &[u8]) -> bool {
+    let has_request = |stream: &TcpStream| {
+        let _ = stream.set_nonblocking(true);
+        let peeked = stream.peek(&mut [0]);
+        let _ = stream.set_nonblocking(false);
+        matches!(peeked, Ok(1..))
+    };
+    if has_request(stream) {
+        return false;
+    }
+    let _ = stream.write_all(response);
+    has_request(stream)
+}
+
+/// The responses on one connection of an endpoint.
+pub struct ResponseStream {
+    stream: TcpStream,
+    random: Random,
+    fault: ResponseFault,
+    last: Option<Vec<u8>>,
+    /// With [`ResponseFault::OneBehind`], the response that was not sent yet.
+    held: Option<Vec<u8>>,
+    /// Whether an early response and the first request crossed, so that the response counts as its answer.
+    pub early_response_crossed: bool,
+}
+
+impl ResponseStream {
+    /// Draws the fault of a connection, which has one with a probability of `percent`.
+    pub fn new(mut stream: TcpStream, mut random: Random, percent: u64) -> ResponseStream {
+        let fault = if random.chance(percent) {
+            match random.below(9) {
+                0..=2 => ResponseFault::CopyAfterDelay,
+                3 | 4 => ResponseFault::CopyAtNextRequest,
+                5 => ResponseFault::OneBehind,
+                6 => ResponseFault::Early,
+                7 => ResponseFault::Interim,
+                _ => ResponseFault::Noise,
+            }
+        } else {
+            ResponseFault::None
+        };
+        let early_response_crossed = fault == ResponseFault::Early && write_early(&mut stream, SERVED);
+        ResponseStream { stream, random, fault, last: None, held: None, early_response_crossed }
+    }
+
+    /// Sends copies that come at the arrival of a request.
+    pub fn request_arrived(&mut self) {
+        if self.fault != ResponseFault::CopyAtNextRequest {
+            return;
+        }
+        if let Some(last) = self.last.clone() {
+            for _ in 0..self.random.between(1, 3) {
+                self.write_in_pieces(&last);
+            }
+        }
+    }
+
+    /// Sends the response to a request. Returns whether this response itself was sent.
+    pub fn respond(&mut self, response: &[u8]) -> bool {
+        self.last = Some(response.to_vec());
+        match self.fault {
+            ResponseFault::None | ResponseFault::Early | ResponseFault::CopyAtNextRequest => {
+                self.write(response)
+            }
+            ResponseFault::CopyAfterDelay => {
+                let sent = self.write(response);
+                self.copy_later(response);
+                sent
+            }
+            ResponseFault::OneBehind => match self.held.replace(response.to_vec()) {
+                Some(before) => {
+                    self.write(&before);
+                    false
+                }
+                None => self.write(response),
+            },
+            ResponseFault::Interim => {
+                for _ in 0..self.random.below(4) {
+                    self.write_in_pieces(INTERIM);
+                }
+                let sent = self.write_in_pieces(response);
+                if self.random.chance(30) {
+                    self.write(INTERIM);
+                }
+                sent
+            }
+            ResponseFault::Noise => {
+                let sent = self.write(response);
+                self.write(b"\x07noise\r\n\r\n");
+                sent
+            }
+        }
+    }
+
+    fn copy_later(&mut self, response: &[u8]) {
+        let milliseconds =
+            if self.random.chance(10) { self.random.between(500, 3000) } else { self.random.below(100) };
+        let Ok(mut stream) = self.stream.try_clone() else { return };
+        let response = response.to_vec();
+        std::thread::spawn(move || {
+            std::thread::sleep(Duration::from_millis(milliseconds));
+            let _ = stream.write_all(&response);
+        });
+    }
+
+    fn write(&mut self, bytes: &[u8]) -> bool {
+        self.stream.write_all(bytes).is_ok()
+    }
+
+    /// Writes the bytes at once or in two pieces.
+    fn write_in_pieces(&mut self, bytes: &[u8]) -> bool {
+        let cut = self.random.below(bytes.len() as u64) as usize;
+        if self.random.chance(50) {
+            return self.write(bytes);
+        }
+        let first = self.write(&bytes[..cut]);
+        std::thread::sleep(PIECE_PAUSE);
+        first && self.write(&bytes[cut..])
+    }
+}
--- a/crates/edge/tests/soak/run.rs
+++ b/crates/edge/tests/soak/run.rs
@@ -1,12 +1,13 @@
 //! One run: a courier with its endpoints, discovery and clients, under faults and signals, and the checks
 //! afterwards.
 
-use crate::agent::{self, NotificationLog};
+use crate::agent::Discovery;
 use crate::checks::{self, Observations, Report};
 use crate::clients::{self, Submission};
 use crate::courier::{platform_config, CourierProcess};
-use crate::endpoint::{self, CallLog};
+use crate::endpoint::{self, CallLog, EndpointPlan};
 use crate::faults::{pause, FaultPlan};
+use crate::intruders;
 use crate::random::Random;
 use linnetcart_fault_injection::{Fault, FaultControl};
 use rustix::process::Signal;
@@ -32,6 +33,11 @@
     pub faults: FaultPlan,
     /// Whether idle connections use up the descriptors that the courier has for clients.
     pub exhausts_descriptors: bool,
+    /// Percentage of connections to endpoints with a fault in the order of their responses.
+    pub response_faults: u64,
+    pub has_discovery_faults: bool,
+    /// Whether some clients violate the protocol.
+    pub has_intruders: bool,
 }
 
 impl RunSettings {
@@ -43,6 +49,9 @@
             duration: Duration::from_secs(seconds),
             faults,
             exhausts_descriptors: random.chance(20),
+            response_faults: [0, 30, 100][random.below(3) as usize],
+            has_discovery_faults: random.chance(60),
+            has_intruders: random.chance(60),
         }
     }
 }
@@ -57,12 +66,16 @@
 pub fn run(settings: RunSettings) -> Report {
     let seed = settings.seed;
     let calls = CallLog::default();
-    let notifications = NotificationLog::default();
-    let discovery = agent::start(Arc::clone(&notifications));
-    let endpoints: Vec<_> =
-        (0..ENDPOINTS).map(|number| endpoint::start(seed, number, Arc::clone(&calls))).collect();
+    let discovery = Discovery::new(seed, settings.has_discovery_faults);
+    let discovery_address = discovery.start();
+    let start = |number| {
+        let response_faults = settings.response_faults;
+        endpoint::start(EndpointPlan { seed, number, response_faults }, Arc::clone(&calls))
+    };
+    let endpoints: Vec<_> = (0..ENDPOINTS).map(start).collect();
+    discovery.set_endpoints(&endpoints);
     let mut courier = CourierProcess::with_config(&format!("soak-{seed}"), |listen| {
-        let mut config = platform_config(listen, &endpoints, discovery);
+        let mut config = platform_config(listen, &endpoints, discovery_address);
         config["settings"]["contract"]["turn_gap_ns"] = 50_000_000u64.into();
         config
     });
@@ -85,12 +98,18 @@
                 })
             })
             .collect();
+        let list_changer = scope.spawn(|| change_list(&discovery, Random::new(seed, 4), &stop));
+        let intruder = settings.has_intruders.then(|| scope.spawn(|| intruders::run(seed, address, &stop)));
         let injector = scope.spawn(|| settings.faults.inject(Random::new(seed, 2), &control, &stop));
         // Also stops the clients if a restart panics; the scope would wait for them for ever.
         let stopper = StopOnDrop(&stop);
         signal_and_restart(&mut courier, &settings, &stop, &mut downtimes);
         drop(stopper);
         injector.join().expect("the injector ends");
+        list_changer.join().expect("the changes of the list end");
+        if let Some(intruder) = intruder {
+            intruder.join().expect("the intruder ends");
+        }
         for client in clients {
             submissions.extend(client.join().expect("a client ends"));
         }
@@ -100,11 +119,20 @@
     if exited_unexpectedly {
         courier.restart();
     }
-    let observations = Observations { submissions, calls, notifications, downtimes, exited_unexpectedly };
+    let observations = Observations { submissions, calls, discovery, downtimes, exited_unexpectedly };
     checks::wait_for_completion(&observations, COMPLETION_TIMEOUT);
     checks::check(&settings, &observations)
 }
 
+/// Lists one endpoint after another as draining, with pauses, until `stop` is set.
+fn change_list(discovery: &Discovery, mut random: Random, stop: &AtomicBool) {
+    while !stop.load(Ordering::Relaxed) {
+        pause(Duration::from_millis(random.between(200, 2500)), stop);
+        discovery.drain(random.chance(60).then(|| random.below(ENDPOINTS)));
+    }
+    discovery.drain(None);
+}
+
 /// Stops the clients and the fault injection of a run when it is dropped.
 struct StopOnDrop<'a>(&'a AtomicBool);
 
@@ -134,6 +162,7 @@
             1 => {
                 let from = Instant::now();
                 courier.signal(Signal::TERM);
+                send_series(courier, &mut random);
                 wait_for_exit(courier, from + KILL_DELAY);
                 restart(courier, from, downtimes);
             }
@@ -156,6 +185,17 @@
     }
 }
 
+/// Sends further signals to a process that is shutting down.
+fn send_series(courier: &mut CourierProcess, random: &mut Random) {
+    for _ in 0..random.below(4) {
+        std::thread::sleep(Duration::from_millis(random.below(150)));
+        if courier.child.try_wait().expect("a child").is_some() {
+            return;
+        }
+        courier.signal([Signal::TERM, Signal::HUP, Signal::INT][random.below(3) as usize]);
+    }
+}
+
 /// Waits until the process has exited, and kills it if it has not by `at`.
 fn wait_for_exit(courier: &mut CourierProcess, at: Instant) {
     while Instant::now() < at {
