Interim responses, bytes behind a response, invalid clients: process tests and two finds

Cause: rows of the fault model without a test on real processes. Two finds of these tests and of reading the change once more: a response behind interim ones counted as unlike the others, so a connection was kept whose next response had to be doubted; and a look at the socket that failed for a moment (EINTR, ENOBUFS) counted as no input. A piece of a copy that times out counted as Error, which does not start the cooldown of its ordering key. Change: the comparison begins behind interim responses; after a failed look the read decides; a timed out response that is not certain counts as a reset.

--- a/crates/edge/tests/process/main.rs
+++ b/crates/edge/tests/process/main.rs
@@ -17,6 +17,7 @@
 mod configuration;
 mod connections;
 mod faults;
+mod invalid_clients;
 mod lifecycle;
 mod message_log;
 mod repeated_discovery_responses;
--- a/crates/edge/tests/process/repeated_responses.rs
+++ b/crates/edge/tests/process/repeated_responses.rs
@@ -173,6 +173,64 @@
     assert!(!notified.contains("returned"), "an executed message is not returned: {notified}");
 }
 
+/// Interim responses may come in any number and in pieces, before a response and behind it.
+#[test]
+fn interim_responses_change_no_outcome() {
+    const INTERIM: &str = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+    let mut scene = Scene::new("interim");
+    for number in 0..4 {
+        let id = format!("m{number}");
+        scene.submit("order", &id);
+        let served = scene.serve(INTERIM);
+        assert_eq!(served.id, id);
+        for piece in [INTERIM, &INTERIM[..9], &INTERIM[9..], SERVED, INTERIM] {
+            scene.peers[served.connection].send_if_open(piece);
+            scene.courier.wait_until_input_processed();
+        }
+        std::thread::sleep(AFTER_RESPONSE);
+    }
+    assert!(scene.is_quiet(), "each message is called once");
+    assert_eq!(scene.discovery.requests().len(), 0, "each message is delivered");
+}
+
+/// Bytes behind a response that belong to nothing end the connection, and no other message fails with it.
+#[test]
+fn bytes_behind_response_end_connection() {
+    let mut scene = Scene::new("noise");
+    for (number, noise) in ["\u{7}noise\r\n\r\n", REJECTED, "HTTP/1.1 2"].into_iter().enumerate() {
+        let id = format!("m{number}");
+        scene.submit("order", &id);
+        let served = scene.serve(&served_with(&format!("{number:016x}{noise}"), 16));
+        assert_eq!(served.id, id);
+        assert!(scene.peers[served.connection].closes_without_data());
+    }
+    assert_eq!(scene.discovery.requests().len(), 0, "each message is delivered");
+}
+
+/// A connection is used for several requests while their responses differ.
+#[test]
+fn connection_reused_while_responses_differ() {
+    let mut scene = Scene::new("differ");
+    let mut connections = BTreeSet::new();
+    for number in 0..6 {
+        scene.submit("order", &format!("m{number}"));
+        connections.insert(scene.serve(&served_with(&format!("{number:016x}"), 16)).connection);
+        std::thread::sleep(AFTER_RESPONSE);
+    }
+    assert!(connections.len() <= 2, "{connections:?}");
+    // A copy of any of the earlier responses is still told apart.
+    scene.submit("order", "last");
+    let last = scene.serve(&served_with(&format!("{:016x}", 3), 16));
+    assert!(connections.contains(&last.connection));
+    let discovery = &scene.discovery;
+    wait_until("last has failed", || discovery.count_matching(r#""last","state":"failed""#) == 1);
+}
+
+/// Returns a success response whose body has this length, with these bytes behind its head.
+fn served_with(bytes: &str, length: usize) -> String {
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{bytes}")
+}
+
 /// A response that is complete before the request was written is no answer to it.
 #[test]
 fn response_before_request_is_no_answer() {
--- a/crates/edge/tests/process/restart.rs
+++ b/crates/edge/tests/process/restart.rs
@@ -165,6 +165,8 @@
     drop((hung, discovery.accept()));
     courier.start();
     let mut watch = discovery.accept();
+    // A response before the request would be no answer to it.
+    watch.read_request();
     courier.stop();
     let entry = entry("s-1", gate.address, "left");
     let line = format!("{}\n", json!({"index": 2, "snapshot": false, "endpoints": [entry]}));
--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -144,7 +144,9 @@
         if !self.reads_before_writes || !may_write || !self.may_read() {
             return false;
         }
-        self.stream.peek(&mut [0]).is_ok()
+        // After any other error it is not known whether there is input, and the read decides.
+        let no_input = |error: &io::Error| matches!(classify_call_error(error), CallError::WouldBlock);
+        !self.stream.peek(&mut [0]).is_err_and(|error| no_input(&error))
     }
 
     pub(crate) fn queue(&mut self, bytes: &[u8]) {
--- a/crates/net/tests/sockets.rs
+++ b/crates/net/tests/sockets.rs
@@ -1,6 +1,7 @@
 //! Sockets of one process connected to each other over the loopback device.
 
 use linnetcart_net::{Event, Net, Reserved, Token};
+use std::io::Write;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::time::Duration;
 
@@ -214,3 +215,30 @@
     let refused = net.connect(listener.address);
     poll_until_connect_failed(&mut net, refused);
 }
+
+/// Input that arrives before a request is written is reported before the request leaves.
+#[test]
+fn connection_that_reads_before_writes_reports_input_first() {
+    let listener = TcpListener::bind(ANY_PORT).unwrap();
+    let mut net = Net::new(10).unwrap();
+    let client = net.connect(listener.local_addr().unwrap());
+    net.read_before_write(client);
+    poll_until(&mut net, |event| matches!(event, Event::Connected(token) if *token == client));
+    let mut peer = listener.accept().unwrap().0;
+    peer.write_all(b"early").unwrap();
+    // Nothing of it is written while input is unread, so that it can be taken back.
+    net.send(client, b"first");
+    net.flush();
+    assert_eq!((net.written_bytes(client), net.take_back_last(client)), (0, Some(5)));
+    net.send(client, b"second");
+    let events = poll_until(&mut net, |event| matches!(event, Event::Data { .. }));
+    let early = events.iter().find_map(|event| match event {
+        Event::Data { bytes, written, .. } => Some((bytes.to_vec(), *written)),
+        _ => None,
+    });
+    assert_eq!(early, Some((b"early".to_vec(), 0)));
+    net.flush();
+    assert_eq!(net.written_bytes(client), 6);
+    peer.write_all(b"late").unwrap();
+    poll_until(&mut net, |event| matches!(event, Event::Data { written: 6, bytes, .. } if bytes == "late"));
+}
--- a/crates/platform/src/core/connection_pool/connection.rs
+++ b/crates/platform/src/core/connection_pool/connection.rs
@@ -157,9 +157,14 @@
         }
     }
 
+    /// Returns the bytes that have arrived behind complete interim (1xx) responses.
+    pub fn final_response(&self) -> &[u8] {
+        &self.response[interim_length(&self.response)..]
+    }
+
     /// Whether a byte has arrived that belongs to no complete interim (1xx) response.
     pub fn final_response_began(&self) -> bool {
-        self.response.len() > interim_length(&self.response)
+        !self.final_response().is_empty()
     }
 
     /// Attributes the response in the first `end` bytes that have arrived.
@@ -232,12 +237,13 @@
 
     /// Makes the connection idle after a complete response, behind which no byte has arrived. Returns `false` if the connection must not be reused.
     pub fn make_idle(&mut self, now: Time) -> bool {
-        let start = interim_length(&self.response);
         self.state = ConnectionState::Idle { since: now };
         self.attempt = None;
-        let response = std::mem::take(&mut self.response);
+        let start = interim_length(&self.response);
+        let may_reuse = self.history.push(&self.response[start..]);
+        self.response = Vec::new();
         self.early_bytes = 0;
-        self.history.push(&response[start..])
+        may_reuse
     }
 
     /// Returns when the time limit of the present state ends, in monotonic time; [`Time::MAX`] for no limit.
@@ -260,8 +266,11 @@
             AttemptOutcome::NoConnection
         } else if self.has_success_line() {
             AttemptOutcome::Served
-        } else {
+        } else if self.attribution(self.response.len()).is_certain() {
             AttemptOutcome::Error
+        } else {
+            // A piece of another response: the attempt may still be executing.
+            AttemptOutcome::Reset
         }
     }
 }
--- a/crates/platform/src/core/connection_pool/receive.rs
+++ b/crates/platform/src/core/connection_pool/receive.rs
@@ -126,7 +126,8 @@
     /// it could not be told from a copy of this one.
     fn keep_for_reuse(&mut self, id: ConnectionId, attempt: AttemptId, status: u16, now: Time) {
         let Some(connection) = self.connections.get_mut(&id) else { return };
-        let responses_differ = self.seen_responses.insert(connection.endpoint, status, &connection.response);
+        let response = connection.final_response();
+        let responses_differ = self.seen_responses.insert(connection.endpoint, status, response);
         self.by_attempt.remove(&attempt);
         if !connection.make_idle(now) || !responses_differ {
             self.close(id, CloseReason::ResponseEndsConnection);
