--- a/crates/edge/tests/soak/endpoint.rs
+++ b/crates/edge/tests/soak/endpoint.rs
@@ -109,7 +109,7 @@
                 log.len() - 1
             };
             responses.request_arrived();
-            let token = (plan.number % 2 == 0).then(|| format!("{:016x}", random.next()));
+            let token = plan.number.is_multiple_of(2).then(|| format!("{:016x}", random.next()));
             let body = token.unwrap_or_default();
             if !answer(&mut responses, behaviour, &mut random, &body, index, log) {
                 return;
--- a/crates/edge/tests/soak/intruders.rs
+++ b/crates/edge/tests/soak/intruders.rs
@@ -42,7 +42,7 @@
         if random.chance(70) {
             let _ = stream.read(&mut [0; 256]);
             // The rest comes after the answer, or crosses it.
-            let _ = stream.write_all(second[cut..].as_bytes());
+            let _ = stream.write_all(&second.as_bytes()[cut..]);
             let _ = stream.read(&mut [0; 256]);
         }
     }
--- a/crates/edge/tests/soak/main.rs
+++ b/crates/edge/tests/soak/main.rs
@@ -26,29 +26,22 @@
 mod run;
 
 use checks::Report;
+use linnetcart_fault_injection::soak;
 use run::RunSettings;
 use std::ops::Range;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 
 const DEFAULT_SEEDS: Range<u64> = 1..17;
 /// Duration of a run.
-const DEFAULT_SECONDS: u64 = 5;
+const DEFAULT_DURATION: Duration = Duration::from_secs(5);
 /// Number of runs at the same time.
 const PARALLEL_RUNS: usize = 4;
 
-fn seeds() -> Range<u64> {
-    let Ok(text) = std::env::var("SOAK_SEEDS") else { return DEFAULT_SEEDS };
-    let (first, end) = text.split_once("..").expect("SOAK_SEEDS has the form FIRST..END");
-    first.parse().expect("a number")..end.parse().expect("a number")
-}
-
-fn seconds() -> u64 {
-    std::env::var("SOAK_SECONDS").map_or(DEFAULT_SECONDS, |text| text.parse().expect("a number"))
-}
-
 #[test]
 fn every_accepted_message_is_completed_and_no_rule_is_violated_under_faults() {
-    let seeds = seeds();
+    let seeds = soak::seeds(DEFAULT_SEEDS);
+    let duration = soak::duration(DEFAULT_DURATION);
     let next = AtomicU64::new(seeds.start);
     let mut reports = Vec::new();
     std::thread::scope(|scope| {
@@ -61,7 +54,7 @@
                     if seed >= seeds.end {
                         return reports;
                     }
-                    let settings = RunSettings::draw(seed, seconds());
+                    let settings = RunSettings::draw(seed, duration);
                     let run = std::panic::catch_unwind(|| run::run(settings));
                     reports.push(run.unwrap_or_else(|_| Report::aborted(seed)));
                 }
--- a/crates/edge/tests/soak/run.rs
+++ b/crates/edge/tests/soak/run.rs
@@ -41,12 +41,12 @@
 }
 
 impl RunSettings {
-    pub fn draw(seed: u64, seconds: u64) -> RunSettings {
+    pub fn draw(seed: u64, duration: Duration) -> RunSettings {
         let mut random = Random::new(seed, 1);
         let faults = FaultPlan::draw(&mut random);
         RunSettings {
             seed,
-            duration: Duration::from_secs(seconds),
+            duration,
             faults,
             exhausts_descriptors: random.chance(20),
             response_faults: [0, 30, 100][random.below(3) as usize],
--- a/crates/fault-injection/src/lib.rs
+++ b/crates/fault-injection/src/lib.rs
@@ -7,6 +7,8 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod soak;
+
 use std::ffi::OsString;
 use std::fs::File;
 use std::io;
--- a/crates/platform/src/core/status_notifier/tests.rs
+++ b/crates/platform/src/core/status_notifier/tests.rs
@@ -1,5 +1,6 @@
 //! Encoding, batches and acknowledgement of notifications, and the ordering keys that they block.
 
+use super::answer::Acknowledged;
 use super::*;
 use crate::core::tests::fixtures;
 
--- a/crates/testbed/tests/kafka_soak.rs
+++ b/crates/testbed/tests/kafka_soak.rs
@@ -18,7 +18,7 @@
 mod work_folder;
 
 use endpoint::{CallLog, EndpointPlan};
-use linnetcart_fault_injection::{Fault, FaultControl, Rate};
+use linnetcart_fault_injection::{soak, Fault, FaultControl, Rate};
 use linnetcart_kafka::client::{self, ProduceTarget, RequiredAcks};
 use linnetcart_kafka::{codes, Frames, Record};
 use rand::{Rng, SeedableRng};
@@ -34,7 +34,7 @@
 use std::time::Duration;
 
 const DEFAULT_SEEDS: Range<u64> = 1..5;
-const DEFAULT_SECONDS: u64 = 4;
+const DEFAULT_DURATION: Duration = Duration::from_secs(4);
 const CLIENTS: u64 = 6;
 const ENDPOINTS: u64 = 3;
 const PRODUCE_VERSION: i16 = 9;
@@ -222,19 +222,9 @@
     violations
 }
 
-fn seeds() -> Range<u64> {
-    let Ok(text) = std::env::var("SOAK_SEEDS") else { return DEFAULT_SEEDS };
-    let (first, end) = text.split_once("..").expect("SOAK_SEEDS has the form FIRST..END");
-    first.parse().expect("a number")..end.parse().expect("a number")
-}
-
-fn seconds() -> u64 {
-    std::env::var("SOAK_SECONDS").map_or(DEFAULT_SECONDS, |text| text.parse().expect("a number"))
-}
-
 #[test]
 fn kafka_front_believes_only_its_own_responses_under_faults() {
-    let duration = Duration::from_secs(seconds());
-    let violations: Vec<String> = seeds().flat_map(|seed| run(seed, duration)).collect();
+    let duration = soak::duration(DEFAULT_DURATION);
+    let violations: Vec<String> = soak::seeds(DEFAULT_SEEDS).flat_map(|seed| run(seed, duration)).collect();
     assert!(violations.is_empty(), "{violations:#?}");
 }
