Bound interim responses on idle connections and to notifications

Measured: endless_interim_responses_end_connection and endless_interim_answers_are_an_error fail without the change and pass with it.

--- a/crates/platform/src/core/connection_pool/receive.rs
+++ b/crates/platform/src/core/connection_pool/receive.rs
@@ -11,7 +11,7 @@
 use linnetcart_courier_common::attribution::{Attribution, Execution};
 use linnetcart_courier_common::idle_reuse::CallResult;
 use linnetcart_deployment_settings::DeploymentSettings;
-use linnetcart_http::{parse_response, ParsedResponse, Persistence, ResponseHead};
+use linnetcart_http::{parse_response, ParsedResponse, Persistence, ResponseHead, MAX_HEAD_BYTES};
 
 /// A response from which nothing was concluded, because it is not certainly the response to an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -43,7 +43,7 @@
         match *connection.state() {
             ConnectionState::Abandoned { attempt, .. } => self.evaluate_late_response(id, attempt, settings),
             ConnectionState::Connecting { .. } | ConnectionState::Idle { .. } => {
-                if connection.final_response_began() {
+                if connection.final_response_began() || connection.response.len() > MAX_HEAD_BYTES {
                     return self.disregard(id, Attribution::Unsolicited, now);
                 }
                 None
--- a/crates/platform/src/core/connection_pool/tests.rs
+++ b/crates/platform/src/core/connection_pool/tests.rs
@@ -3,6 +3,7 @@
 use super::*;
 use crate::core::clock::MILLISECOND;
 use linnetcart_courier_common::attribution::Attribution;
+use linnetcart_http::MAX_HEAD_BYTES;
 
 const SECOND: Time = 1000 * MILLISECOND;
 const START: Time = 100 * SECOND;
@@ -150,6 +151,21 @@
     assert_eq!(idle.take_closed(), [id]);
 }
 
+#[test]
+fn endless_interim_responses_end_connection() {
+    let interim = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n".repeat(50);
+    let most_calls = MAX_HEAD_BYTES / interim.len() + 1;
+    let (mut idle, id) = pool_with_sent();
+    idle.receive(id, SERVED, WRITTEN, START, &settings());
+    let (in_use, sent) = pool_with_sent();
+    for (mut pool, id) in [(idle, id), (in_use, sent)] {
+        for _ in 0..most_calls {
+            pool.receive(id, &interim, WRITTEN, START, &settings());
+        }
+        assert_eq!(pool.take_closed(), [id]);
+    }
+}
+
 #[test]
 fn connection_kept_only_after_response_unlike_others_of_endpoint() {
     let mut pool = pool(8);
--- a/crates/platform/src/core/status_notifier/answer.rs
+++ b/crates/platform/src/core/status_notifier/answer.rs
@@ -3,7 +3,7 @@
 use super::{StatusNotifier, MAX_BATCH};
 use linnetcart::Time;
 use linnetcart_courier_common::attribution::{Attribution, RequestProgress, ResponseHistory};
-use linnetcart_http::{interim_length, parse_response, ParsedResponse};
+use linnetcart_http::{interim_length, parse_response, ParsedResponse, MAX_HEAD_BYTES};
 
 /// Why the answer to a batch is invalid.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -49,7 +49,7 @@
     pub fn receive(&mut self, bytes: &[u8], written: u64) -> Result<Option<Acknowledged>, NotificationError> {
         self.response.extend_from_slice(bytes);
         let final_response = &self.response[interim_length(&self.response)..];
-        if final_response.is_empty() {
+        if final_response.is_empty() && self.response.len() <= MAX_HEAD_BYTES {
             return Ok(None);
         }
         let attribution = Attribution::of_unnamed(
--- a/crates/platform/src/core/status_notifier/tests.rs
+++ b/crates/platform/src/core/status_notifier/tests.rs
@@ -124,6 +124,14 @@
     }
 }
 
+#[test]
+fn endless_interim_answers_are_an_error() {
+    let interim = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n".repeat(500);
+    let mut notifier = notifier_with(&[1]);
+    batch_size(&mut notifier);
+    assert_eq!(notifier.receive(&interim, WRITTEN), Err(NotificationError::Malformed));
+}
+
 #[test]
 fn ordering_key_blocked_until_other_messages_released() {
     let mut notifier = notifier_with(&[1]);
