Soak: SIGHUP moves discovery from one address to the other

Cause: answers of discovery were repeated in the soak on one address only, and SIGHUP changed nothing. Change: each SIGHUP of the soak comes with a configuration that names one of two addresses of the same discovery.

--- a/crates/edge/tests/soak/run.rs
+++ b/crates/edge/tests/soak/run.rs
@@ -11,7 +11,7 @@
 use crate::random::Random;
 use linnetcart_fault_injection::{Fault, FaultControl};
 use rustix::process::Signal;
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -67,7 +67,8 @@
     let seed = settings.seed;
     let calls = CallLog::default();
     let discovery = Discovery::new(seed, settings.has_discovery_faults);
-    let discovery_address = discovery.start();
+    // Two addresses of the same discovery: new configurations change from one to the other.
+    let discovery_addresses = [discovery.start(), discovery.start()];
     let start = |number| {
         let response_faults = settings.response_faults;
         endpoint::start(EndpointPlan { seed, number, response_faults }, Arc::clone(&calls))
@@ -75,7 +76,7 @@
     let endpoints: Vec<_> = (0..ENDPOINTS).map(start).collect();
     discovery.set_endpoints(&endpoints);
     let mut courier = CourierProcess::with_config(&format!("soak-{seed}"), |listen| {
-        let mut config = platform_config(listen, &endpoints, discovery_address);
+        let mut config = platform_config(listen, &endpoints, discovery_addresses[0]);
         config["settings"]["contract"]["turn_gap_ns"] = 50_000_000u64.into();
         config
     });
@@ -103,7 +104,7 @@
         let injector = scope.spawn(|| settings.faults.inject(Random::new(seed, 2), &control, &stop));
         // Also stops the clients if a restart panics; the scope would wait for them for ever.
         let stopper = StopOnDrop(&stop);
-        signal_and_restart(&mut courier, &settings, &stop, &mut downtimes);
+        signal_and_restart(&mut courier, &settings, discovery_addresses, &stop, &mut downtimes);
         drop(stopper);
         injector.join().expect("the injector ends");
         list_changer.join().expect("the changes of the list end");
@@ -146,6 +147,7 @@
 fn signal_and_restart(
     courier: &mut CourierProcess,
     settings: &RunSettings,
+    discovery_addresses: [SocketAddr; 2],
     stop: &AtomicBool,
     downtimes: &mut Vec<Downtime>,
 ) {
@@ -166,7 +168,14 @@
                 wait_for_exit(courier, from + KILL_DELAY);
                 restart(courier, from, downtimes);
             }
-            2 => (0..random.between(1, 5)).for_each(|_| courier.signal(Signal::HUP)),
+            2 => {
+                for _ in 0..random.between(1, 5) {
+                    let mut config = courier.read_config();
+                    config["discovery"] = discovery_addresses[random.below(2) as usize].to_string().into();
+                    courier.write_config(&config);
+                    courier.signal(Signal::HUP);
+                }
+            }
             3 => {
                 courier.signal(Signal::STOP);
                 std::thread::sleep(Duration::from_millis(random.below(120)));
