Review case 2: a half received request is closed first when idle clients fill the table

Cause: evict_clients runs after the iteration has emptied the set of unread connections, and a connection whose first request is incomplete counts as never answered, which is closed before connections that have been idle for seconds. Change: a script with clients that ask once and hold their connection, and clients whose request arrives in two parts.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,6 +1,7 @@
 //! The stand-ins of the review cases: `standin CASE FOLDER`. Run from the repository's root; writes
 //! `record.txt` in FOLDER. Exit status: 0 the rule held, 1 it was broken, 2 the case could not run.
 
+mod half_received;
 mod platform;
 mod slow_discovery;
 
@@ -37,6 +38,7 @@
 fn run(case: &str, folder: &Path, trouble: bool) -> io::Result<Verdict> {
     let recorder = platform::Recorder::new(&folder.join("record.txt"))?;
     match case {
+        "half-received" => half_received::run(&recorder, trouble),
         "slow-discovery" => slow_discovery::run(&recorder, trouble),
         _ => Err(io::Error::other("no such case")),
     }
