Review case 1: a keyed message is sent again after its key is forgotten

Cause: an attempt that the library has decided waits in the core for the notice of another message of its key, and is sent after the wait without a further check of the time for which its destination remembers the idempotency key.

--- a/review/standin/half_received.rs
+++ b/review/standin/half_received.rs
@@ -55,7 +55,7 @@
     }
     let list = list.join(",");
     let notices: Notices = Arc::default();
-    let agent = discovery(list.clone(), Duration::ZERO, notices, recorder.clone())?;
+    let agent = discovery(list.clone(), || Duration::ZERO, notices, recorder.clone())?;
     let mut courier = Courier::start(agent, &list)?;
     recorder.note(&format!("courier ready; trouble: {trouble}"));
 
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -2,6 +2,7 @@
 //! `record.txt` in FOLDER. Exit status: 0 the rule held, 1 it was broken, 2 the case could not run.
 
 mod half_received;
+mod late_repeat;
 mod platform;
 mod slow_discovery;
 
@@ -39,6 +40,7 @@
     let recorder = platform::Recorder::new(&folder.join("record.txt"))?;
     match case {
         "half-received" => half_received::run(&recorder, trouble),
+        "late-repeat" => late_repeat::run(&recorder, trouble),
         "slow-discovery" => slow_discovery::run(&recorder, trouble),
         _ => Err(io::Error::other("no such case")),
     }
--- a/review/standin/platform.rs
+++ b/review/standin/platform.rs
@@ -94,11 +94,11 @@
 /// When a notice on each message arrived first, and its state.
 pub type Notices = Arc<Mutex<HashMap<String, (Instant, String)>>>;
 
-/// Discovery's agent: the watch on the list, which never changes here, and notices. It answers a notice `delay`
+/// Discovery's agent: the watch on the list, which never changes here, and notices. It answers a notice `delay()`
 /// after it has read it.
 pub fn discovery(
     endpoints: String,
-    delay: Duration,
+    delay: impl Fn() -> Duration + Send + Sync + 'static,
     notices: Notices,
     recorder: Recorder,
 ) -> io::Result<SocketAddr> {
@@ -128,7 +128,7 @@
                 recorder.note(&format!("notice {id} {state}"));
                 notices.lock().unwrap().entry(id).or_insert((arrived, state));
             }
-            thread::sleep(delay);
+            thread::sleep(delay());
             if stream.write_all(b"HTTP/1.1 204 No Content\r\n\r\n").is_err() {
                 return;
             }
--- a/review/standin/slow_discovery.rs
+++ b/review/standin/slow_discovery.rs
@@ -37,7 +37,7 @@
     let list = list.join(",");
     let notices: Notices = Arc::default();
     let delay = if trouble { SLOW_ANSWER } else { Duration::ZERO };
-    let agent = discovery(list.clone(), delay, Arc::clone(&notices), recorder.clone())?;
+    let agent = discovery(list.clone(), move || delay, Arc::clone(&notices), recorder.clone())?;
     let mut courier = Courier::start(agent, &list)?;
     recorder.note(&format!("courier ready; trouble: {trouble}"));
 
