--- a/review/standin/half_received.rs
+++ b/review/standin/half_received.rs
@@ -1,4 +1,5 @@
-//! Idle clients fill the descriptors while ordinary clients hand in messages whose bytes arrive in two parts.
+//! Idle clients fill the descriptors while ordinary clients hand in messages over a link on which the bytes of a
+//! request arrive in two parts.
 
 use crate::platform::{discovery, entry, read_request, serve, submission, Courier, Notices, Recorder};
 use crate::Verdict;
@@ -17,7 +18,7 @@
 const FILLING: Duration = Duration::from_secs(5);
 const MESSAGES: usize = 80;
 const MESSAGE_INTERVAL: Duration = Duration::from_millis(100);
-/// Time between the two parts of a request: as long as a packet takes on the site's longer ways.
+/// Time between the two parts of a request on the link: a round trip between buildings at 15 ms one way.
 const PART_INTERVAL: Duration = Duration::from_millis(30);
 const FIRST_PART_BYTES: usize = 12_000;
 const BODY_BYTES: usize = 40_000;
@@ -64,20 +65,14 @@
     let idle_clients = trouble.then(|| idle_clients(courier.listen, Arc::clone(&held), Arc::clone(&stop)));
     thread::sleep(FILLING);
 
-    let ends: Arc<Mutex<HashMap<usize, Vec<Ended>>>> = Arc::default();
+    let ends = Ends::default();
+    let link = link(courier.listen, Arc::clone(&ends), Arc::clone(&held), recorder.clone())?;
     let mut clients = Vec::new();
     for number in 0..MESSAGES {
-        let (listen, recorder) = (courier.listen, recorder.clone());
-        let (held, ends) = (Arc::clone(&held), Arc::clone(&ends));
-        clients.push(thread::spawn(move || {
-            let all = hand_in(listen, &format!("{:016x}", 0xa000 + number), &held, &recorder);
-            ends.lock().unwrap().insert(number, all);
-        }));
+        clients.push(thread::spawn(move || hand_in(link, &format!("{:016x}", 0xa000 + number)).unwrap_or(false)));
         thread::sleep(MESSAGE_INTERVAL);
     }
-    for client in clients {
-        let _ = client.join();
-    }
+    let answered = clients.into_iter().filter_map(|client| client.join().ok()).filter(|answered| *answered).count();
     stop.store(true, Ordering::Relaxed);
     if let Some(idle_clients) = idle_clients {
         let _ = idle_clients.join();
@@ -85,11 +80,9 @@
     let crashed = courier.has_ended();
 
     let ends = ends.lock().unwrap();
-    let answered = |all: &Vec<Ended>| matches!(all.last(), Some(Ended::Answered(_)));
     let read_and_closed = |all: &Vec<Ended>| {
         all.len() == 2 && all.iter().all(|end| *end == Ended::ClosedAfterReading)
     };
-    let answered = ends.values().filter(|all| answered(all)).count();
     let closed_once = ends.values().filter(|all| all.contains(&Ended::ClosedAfterReading)).count();
     let lost = ends.values().filter(|all| read_and_closed(all)).count();
     recorder.note(&format!(
@@ -157,29 +150,48 @@
     (held.len(), closable)
 }
 
-/// Hands a message in. If the connection ends without an answer, the client sends the request once more on a new
-/// connection.
-fn hand_in(listen: SocketAddr, id: &str, held: &Held, recorder: &Recorder) -> Vec<Ended> {
-    let head = submission("transfer-order", id, 3, 12_000, BODY_BYTES);
-    let request = [head, vec![b'm'; BODY_BYTES]].concat();
-    let mut all = Vec::new();
-    while all.len() < 2 {
-        let end = send(listen, &request).unwrap_or(Ended::ClosedUnread);
-        let (open, closable) = count_open(held);
+/// What became of each request on the link, in the order of its connections, by id.
+type Ends = Arc<Mutex<HashMap<String, Vec<Ended>>>>;
+
+/// The link between the ordinary clients and the courier: takes a whole request, passes it on in two parts on a
+/// connection of its own, and returns the answer or the close.
+fn link(courier: SocketAddr, ends: Ends, held: Held, recorder: Recorder) -> io::Result<SocketAddr> {
+    serve(move |mut client| {
+        let mut received = Vec::new();
+        let Some(request) = read_request(&mut client, &mut received) else { return };
+        let id = request.field("x-txn").to_owned();
+        let bytes = [submission("transfer-order", &id, 3, 12_000, request.body.len()), request.body].concat();
+        let mut answer = Vec::new();
+        let end = send(courier, &bytes, &mut answer).unwrap_or(Ended::ClosedUnread);
+        let (open, closable) = count_open(&held);
         recorder.note(&format!(
-            "message {id}, connection {}: {end:?}; {open} idle connections open, {closable} of them for over 2 s",
-            all.len() + 1
+            "message {id}: {end:?}; {open} idle connections open, {closable} of them for over 2 s"
         ));
-        all.push(end);
-        if !matches!(end, Ended::ClosedAfterReading | Ended::ClosedUnread) {
-            break;
+        ends.lock().unwrap().entry(id).or_default().push(end);
+        let _ = client.write_all(&answer);
+    })
+}
+
+/// Hands a message in: writes the whole request and awaits the answer. If the connection ends without one, the client
+/// sends the request once more on a new connection. Returns whether an answer came.
+fn hand_in(link: SocketAddr, id: &str) -> io::Result<bool> {
+    let head = submission("transfer-order", id, 3, 12_000, BODY_BYTES);
+    let request = [head, vec![b'm'; BODY_BYTES]].concat();
+    for _ in 0..2 {
+        let mut stream = TcpStream::connect(link)?;
+        stream.set_read_timeout(Some(ANSWER_TIMEOUT))?;
+        stream.write_all(&request)?;
+        match stream.read(&mut [0; 512]) {
+            Ok(0) => {}
+            Ok(_) => return Ok(true),
+            Err(_) => return Ok(false),
         }
     }
-    all
+    Ok(false)
 }
 
 /// Sends a request in two parts on a new connection and awaits the answer.
-fn send(listen: SocketAddr, request: &[u8]) -> io::Result<Ended> {
+fn send(listen: SocketAddr, request: &[u8], answered: &mut Vec<u8>) -> io::Result<Ended> {
     let mut stream = TcpStream::connect(listen)?;
     stream.set_nodelay(true)?;
     let (first, rest) = request.split_at(FIRST_PART_BYTES);
@@ -204,7 +216,10 @@
     match stream.read(&mut answer) {
         Ok(0) if reached_open => Ok(Ended::ClosedAfterReading),
         Ok(0) => Ok(Ended::ClosedUnread),
-        Ok(count) => Ok(Ended::Answered(status(&answer[..count]))),
+        Ok(count) => {
+            answered.extend_from_slice(&answer[..count]);
+            Ok(Ended::Answered(status(answered)))
+        }
         Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => Ok(Ended::TimedOut),
         Err(_) => Ok(Ended::ClosedUnread),
     }
--- a/review/standin/platform.rs
+++ b/review/standin/platform.rs
@@ -94,8 +94,8 @@
 /// When a notice on each message arrived first, and its state.
 pub type Notices = Arc<Mutex<HashMap<String, (Instant, String)>>>;
 
-/// Discovery's agent: the watch on the list, which never changes here, and notices. It answers a notice `delay()`
-/// after it has read it.
+/// Discovery's agent: the watch on the list, which never changes here, and notices. It begins each answer `delay()`
+/// after it has read the request.
 pub fn discovery(
     endpoints: String,
     delay: impl Fn() -> Duration + Send + Sync + 'static,
@@ -106,6 +106,7 @@
         let mut buffer = Vec::new();
         while let Some(request) = read_request(&mut stream, &mut buffer) {
             if !request.line.starts_with("POST /status") {
+                thread::sleep(delay());
                 let list = format!("{{\"index\":1,\"snapshot\":true,\"endpoints\":[{endpoints}]}}\n");
                 let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
                 if write!(stream, "{head}{:x}\r\n{list}\r\n", list.len()).is_err() {
