--- a/crates/edge/tests/process/courier.rs
+++ b/crates/edge/tests/process/courier.rs
@@ -234,9 +234,13 @@
         .unwrap()
 }
 
+/// Environment variable with the path of another build of the program, to play a test to an earlier version.
+const PROGRAM_VARIABLE: &str = "COURIER_PROGRAM";
+
 /// Returns the command that runs the program with the platform's protocol, logging at the level in service.
 pub fn courier_command() -> Command {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_linnetcart-edge"));
+    let built = || env!("CARGO_BIN_EXE_linnetcart-edge").into();
+    let mut command = Command::new(std::env::var_os(PROGRAM_VARIABLE).unwrap_or_else(built));
     command.arg("platform");
     command
 }
--- a/crates/edge/tests/process/main.rs
+++ b/crates/edge/tests/process/main.rs
@@ -25,5 +25,6 @@
 mod message_log;
 mod repeated_discovery_responses;
 mod repeated_responses;
+mod reported_timeline;
 mod requests;
 mod restart;
--- a/crates/edge/tests/process/peer.rs
+++ b/crates/edge/tests/process/peer.rs
@@ -5,7 +5,7 @@
 use linnetcart_http::{parse_request, parse_response, ParsedResponse, Persistence};
 use rustix::event::{poll, PollFd, PollFlags};
 use socket2::{Domain, Socket, Type};
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
 
@@ -50,6 +50,11 @@
         self.filler = None;
     }
 
+    /// Returns whether connections are established.
+    pub fn is_open(&self) -> bool {
+        self.filler.is_none()
+    }
+
     /// Returns whether no connection is waiting to be accepted.
     pub fn is_silent(&self) -> bool {
         self.is_silent_for(0)
@@ -153,6 +158,14 @@
         self.peek().is_ok()
     }
 
+    /// Returns whether the other side has closed or reset the connection and nothing is left to read.
+    pub fn has_ended(&self) -> bool {
+        match self.peek() {
+            Ok(length) => length == 0,
+            Err(error) => error.kind() != ErrorKind::WouldBlock,
+        }
+    }
+
     fn peek(&self) -> std::io::Result<usize> {
         self.stream.set_nonblocking(true).unwrap();
         let peeked = self.stream.peek(&mut [0]);
