Answer incomplete and unreadable requests by what is known of the id that they name

Seen by callers: a second request with the id of an open message whose body or head does not end, or that cannot be read, was told 408, 400, 411, 413 or 431, which says that the message failed, and the message was sent on. An id that was refused so was accepted when it came again. Cause: only complete requests that parse were looked up by their id (refuse_invalid); malformed ones and those that timed out were answered without a look (reject_invalid). Change: refuse_invalid takes the received bytes as they are, reads every X-Txn that complete lines of the first head name (unframed_values) and answers by the registry of ids; read_id is gone. It works because no other path answers a request with an error.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -16,6 +16,7 @@
 mod persistence;
 mod request;
 mod response;
+mod unframed;
 
 pub use chunked::{ChunkedDecoder, InvalidChunk};
 pub use limits::{parse_decimal, MAX_BODY_BYTES, MAX_HEADER_FIELDS, MAX_HEAD_BYTES};
@@ -24,3 +25,4 @@
 pub use response::{
     encode_response, interim_length, parse_response, reason_phrase, EarlyStatus, ParsedResponse, ResponseHead,
 };
+pub use unframed::unframed_values;
--- a/crates/http/tests/framing.rs
+++ b/crates/http/tests/framing.rs
@@ -1,8 +1,8 @@
 //! Parsing of requests, responses and chunked bodies: cut at any byte, ambiguous, malformed, arbitrary.
 
 use linnetcart_http::{
-    parse_request, parse_response, ChunkedDecoder, EarlyStatus, ParsedResponse, Persistence, RequestError,
-    MAX_BODY_BYTES, MAX_HEADER_FIELDS, MAX_HEAD_BYTES,
+    parse_request, parse_response, unframed_values, ChunkedDecoder, EarlyStatus, ParsedResponse, Persistence,
+    RequestError, MAX_BODY_BYTES, MAX_HEADER_FIELDS, MAX_HEAD_BYTES,
 };
 use proptest::prelude::*;
 
@@ -123,3 +123,17 @@
         prop_assert!(!waits);
     }
 }
+
+#[test]
+fn unframed_values_are_those_of_complete_lines_of_first_head() {
+    let values = |bytes: &str| -> Vec<String> {
+        let values = unframed_values(bytes.as_bytes(), "x-txn");
+        values.map(|value| String::from_utf8_lossy(value).into_owned()).collect()
+    };
+    assert_eq!(values("POST / HTTP/1.1\r\nX-Txn: a\r\nX-Tx"), ["a"]);
+    assert_eq!(values("POST / HTTP/1.1\nx-txn : a\nno field\nX-TXN:b\n"), ["a", "b"]);
+    assert_eq!(values("POST / HTTP/1.1\r\nX-Txn: cut"), [""; 0]);
+    assert_eq!(values("X-Txn: request-line\r\nX-Txn2: other\r\n"), [""; 0]);
+    assert_eq!(values("POST / HTTP/1.1\r\n\r\nX-Txn: body\r\n"), [""; 0]);
+    assert_eq!(values(&format!("POST / HTTP/1.1\r\n{}", "X-Txn: a\r\n".repeat(100))).len(), 64);
+}
--- a/crates/platform/src/core/client_connections.rs
+++ b/crates/platform/src/core/client_connections.rs
@@ -28,8 +28,8 @@
     Complete(Request<'a>),
     /// The bytes are not a valid request.
     Malformed(RequestError),
-    /// The client sent further bytes after this request without waiting for its response (HTTP pipelining).
-    Pipelined(Request<'a>),
+    /// The client sent further bytes after a request without waiting for its response (HTTP pipelining).
+    Pipelined,
 }
 
 /// Whether received bytes can still become a valid request.
@@ -157,14 +157,17 @@
         let Some(client) = self.connections.get(&id) else { return BufferedRequest::Incomplete };
         match parse_request(&client.request) {
             Ok(None) => BufferedRequest::Incomplete,
-            Ok(Some(request)) if request.length() < client.request.len() => {
-                BufferedRequest::Pipelined(request)
-            }
+            Ok(Some(request)) if request.length() < client.request.len() => BufferedRequest::Pipelined,
             Ok(Some(request)) => BufferedRequest::Complete(request),
             Err(error) => BufferedRequest::Malformed(error),
         }
     }
 
+    /// Returns the received bytes of a connection's request, complete or not; none if the connection is closed.
+    pub fn received(&self, id: ClientId) -> &[u8] {
+        self.connections.get(&id).map_or(&[], |client| &client.request)
+    }
+
     /// Returns when the last byte of a connection's request arrived at the earliest, from which the message's time
     /// remaining counts; `None` if the connection is closed.
     pub fn last_byte_at(&self, id: ClientId) -> Option<Time> {
--- a/crates/platform/src/core/request.rs
+++ b/crates/platform/src/core/request.rs
@@ -5,6 +5,7 @@
 use linnetcart::{Class, Idempotency, Time};
 use linnetcart_deployment_settings::DeploymentSettings;
 use linnetcart_http::{parse_decimal, Request};
+use std::collections::BTreeSet;
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 /// Maximum length of a message id or idempotency key, in bytes.
@@ -136,9 +137,10 @@
     })
 }
 
-/// Returns the id that a request names, valid or not otherwise; `None` if it names none that can be used.
-pub fn read_id(request: &Request<'_>) -> Option<Vec<u8>> {
-    single_field(request, "x-txn").ok().flatten().and_then(parse_id_or_key)
+/// Returns the ids that the request at the start of these bytes names. It may be invalid, malformed or incomplete; ids
+/// that no message can have are left out.
+pub fn named_ids(bytes: &[u8]) -> BTreeSet<Vec<u8>> {
+    linnetcart_http::unframed_values(bytes, "x-txn").filter_map(parse_id_or_key).collect()
 }
 
 fn read_idempotency_key(request: &Request<'_>, class: &Class) -> Result<Option<Vec<u8>>, RequestError> {
--- a/crates/platform/src/core/submission.rs
+++ b/crates/platform/src/core/submission.rs
@@ -6,7 +6,7 @@
 use super::decisions::accepted_message;
 use super::effects::Output;
 use super::in_flight::InFlightMessage;
-use super::request::{parse_submission, read_id, RequestError, SubmittedMessage};
+use super::request::{named_ids, parse_submission, RequestError, SubmittedMessage};
 use super::{Core, JournalState};
 use crate::records::{CompletedId, IdEnd, Message, PendingMessage, Record};
 use linnetcart::{Event, Time};
@@ -63,12 +63,9 @@
         let request = match self.clients.request(client) {
             BufferedRequest::Incomplete => return,
             BufferedRequest::Malformed(error) => {
-                return self.reject_invalid(client, RequestError::Malformed(error));
-            }
-            BufferedRequest::Pipelined(request) => {
-                let id = read_id(&request);
-                return self.refuse_invalid(client, id, RequestError::Pipelined);
+                return self.refuse_invalid(client, RequestError::Malformed(error));
             }
+            BufferedRequest::Pipelined => return self.refuse_invalid(client, RequestError::Pipelined),
             BufferedRequest::Complete(request) => request,
         };
         let requester = Requester { client, persistence: request.persistence };
@@ -79,26 +76,25 @@
         let body = request.body().to_vec();
         match parse_submission(&request, &self.settings) {
             Ok(submitted) => self.submit(requester, submitted, body),
-            Err(error) => {
-                let id = read_id(&request);
-                self.refuse_invalid(client, id, error);
-            }
+            Err(error) => self.refuse_invalid(client, error),
         }
     }
 
-    /// Answers an invalid request, and closes its connection. What it is told is true of every request with its
-    /// id: if the id is known, the answer is that of its message; otherwise nothing is sent under the id from
-    /// now on.
-    fn refuse_invalid(&mut self, client: ClientId, id: Option<Vec<u8>>, error: RequestError) {
-        let Some(id) = id else { return self.reject_invalid(client, error) };
-        let id_text = String::from_utf8_lossy(&id);
-        let known = self.find_id(&id, None).filter(|known| *known != KnownId::Ended(IdEnd::Invalid));
-        if let Some(known) = known {
-            tracing::info!(id = %id_text, client, %error, ?known, "invalid request with known id");
+    /// Answers a request that is invalid, malformed or was not completed in time, and closes its connection. What its
+    /// client is told is true of every request with the id that it names: if the id is known, the answer is that of
+    /// its message; otherwise nothing is sent under the id from now on.
+    fn refuse_invalid(&mut self, client: ClientId, error: RequestError) {
+        let ids = named_ids(self.clients.received(client));
+        let known = ids.iter().find_map(|id| self.find_id(id, None));
+        for id in &ids {
+            tracing::info!(id = %String::from_utf8_lossy(id), client, %error, ?known, "request invalid");
+        }
+        if let Some(known) = known.filter(|known| *known != KnownId::Ended(IdEnd::Invalid)) {
             return self.answer_known(Requester { client, persistence: Persistence::Close }, known);
         }
-        tracing::info!(id = %id_text, client, %error, "request invalid");
-        self.ended_ids.insert_refused(&id, IdEnd::Invalid, self.clock.wall_now());
+        for id in &ids {
+            self.ended_ids.insert_refused(id, IdEnd::Invalid, self.clock.wall_now());
+        }
         self.reject_invalid(client, error);
     }
 
@@ -106,8 +102,7 @@
     /// remaining time counts from the arrival of the request's last byte.
     fn submit(&mut self, requester: Requester, submitted: SubmittedMessage, body: Vec<u8>) {
         if !self.discovery.endpoints().has_destination(submitted.destination) {
-            let error = RequestError::UnknownDestination;
-            return self.refuse_invalid(requester.client, Some(submitted.id), error);
+            return self.refuse_invalid(requester.client, RequestError::UnknownDestination);
         }
         let submitted_at = self.clients.last_byte_at(requester.client).unwrap_or(self.clock.now());
         let deadline = submitted_at + submitted.time_remaining;
@@ -283,7 +278,7 @@
         for client in self.clients.expired(self.clock.now(), idle) {
             match client {
                 ExpiredClient::Idle(id) => self.close_client(id, ClientCloseReason::Idle),
-                ExpiredClient::InRequest(id) => self.reject_invalid(id, RequestError::TimedOut),
+                ExpiredClient::InRequest(id) => self.refuse_invalid(id, RequestError::TimedOut),
             }
         }
         if self.shutdown.close_listener() {
