Judge an attempt again right before its bytes leave, by every condition of its decision

Its repetition was decided within the window of its key, waited for the notification of a later message of its key, and left after the window. Cause: start_attempt and send_attempt asked for end, deadline, endpoint and Retry-After, not for what else the decision rested on; and a later message's notification blocked an earlier message. The Kafka front asks the same before it writes a call that waited. A notification blocks only later messages of its key. New process test: on sent again 2.71 s after a window of 2.5 s, passes now. One core test used a later message as the blocking one; it uses an earlier one, and checks both directions.

--- a/crates/edge/src/core/attempts.rs
+++ b/crates/edge/src/core/attempts.rs
@@ -45,10 +45,13 @@
     pub fn upstream_received(&mut self, id: UpstreamId, bytes: &[u8]) {
         let now = self.clock.now();
         let (in_flight, endpoints, retry_after) = (&self.in_flight, &self.endpoints, &self.retry_after);
+        let decisions = &self.decisions;
         let may_write = |write: PendingWrite| {
-            in_flight.get_open(write.message).is_some_and(|open| open.message.deadline > now)
+            let open = in_flight.get_open(write.attempt.message);
+            open.is_some_and(|open| open.message.deadline > now)
                 && endpoints.is_ready(write.endpoint)
                 && !retry_after.is_blocked(write.endpoint, now)
+                && decisions.check_unsent(now, write.attempt).is_ok()
         };
         self.delivery.receive(id, bytes, &may_write);
         self.collect_attempt_outcomes();
--- a/crates/edge/src/core/decisions.rs
+++ b/crates/edge/src/core/decisions.rs
@@ -2,19 +2,34 @@
 //!
 //! Events are collected and passed to the policy at most once per tick.
 
-use linnetcart::{Action, Dispatcher, Event, Time};
+use super::delivery::AttemptId;
+use linnetcart::{Action, Dispatcher, Event, SendRefusal, Time};
 
 /// A decision policy. In production it is always [`Dispatcher`]; experiments compare other policies with it.
 pub trait DecisionPolicy: std::fmt::Debug {
     /// Runs one decision cycle at `now` by the monotonic clock: takes all events since the last cycle and
     /// returns the actions to carry out.
     fn decide(&mut self, now: Time, events: Vec<Event>) -> Vec<Action>;
+
+    /// Judges an attempt right before it is sent at `now` ([`Dispatcher::check_unsent`]). A policy that keeps no
+    /// state of attempts permits all of them.
+    ///
+    /// # Errors
+    ///
+    /// If the attempt must not be sent any more.
+    fn check_unsent(&self, _now: Time, _message: u32, _attempt: u16) -> Result<(), SendRefusal> {
+        Ok(())
+    }
 }
 
 impl DecisionPolicy for Dispatcher {
     fn decide(&mut self, now: Time, events: Vec<Event>) -> Vec<Action> {
         Dispatcher::decide(self, now, events)
     }
+
+    fn check_unsent(&self, now: Time, message: u32, attempt: u16) -> Result<(), SendRefusal> {
+        Dispatcher::check_unsent(self, now, message, attempt)
+    }
 }
 
 /// Creates a decision policy from the library's settings and a seed.
@@ -83,6 +98,11 @@
         requested && now >= self.last_cycle + self.tick
     }
 
+    /// Judges an attempt right before it is sent at `now`.
+    pub(crate) fn check_unsent(&self, now: Time, attempt: AttemptId) -> Result<(), SendRefusal> {
+        self.policy.check_unsent(now, attempt.message, attempt.number)
+    }
+
     /// Runs a cycle on all events since the last one, whether or not one is due. Returns the actions to carry
     /// out.
     pub(crate) fn decide(&mut self, now: Time) -> Vec<Action> {
--- a/crates/edge/src/core/delivery.rs
+++ b/crates/edge/src/core/delivery.rs
@@ -79,10 +79,10 @@
     pub(crate) load: Option<LoadReport>,
 }
 
-/// A message that is about to be written to an endpoint.
+/// An attempt that is about to be written to an endpoint.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PendingWrite {
-    pub(crate) message: u32,
+    pub(crate) attempt: AttemptId,
     pub(crate) endpoint: u32,
 }
 
--- a/crates/edge/src/core/delivery/responses.rs
+++ b/crates/edge/src/core/delivery/responses.rs
@@ -86,7 +86,7 @@
     ) -> Vec<AttemptId> {
         let Some(call) = self.calls.get(call_id) else { return Vec::new() };
         let attempts = call.messages.iter().map(|message| message.attempt);
-        attempts.filter(|attempt| !may_write(PendingWrite { message: attempt.message, endpoint })).collect()
+        attempts.filter(|&attempt| !may_write(PendingWrite { attempt, endpoint })).collect()
     }
 
     /// Handles the response to a call: finishes the call's attempts and removes it.
--- a/crates/edge/tests/process/main.rs
+++ b/crates/edge/tests/process/main.rs
@@ -28,3 +28,4 @@
 mod reported_timeline;
 mod requests;
 mod restart;
+mod waiting_attempts;
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -26,7 +26,7 @@
 //!
 //! These modules connect the parts: `inputs` (events from the shell), `iteration` (the order of steps in one
 //! iteration), `submission` (from a client's request to the response), `delivery` (from a decision to the
-//! outcome of an attempt), `completion` (final outcomes of messages), `discovery_traffic` (the watch and
+//! outcome of an attempt), `send_check` (the last check of an attempt before it is sent), `completion` (final outcomes of messages), `discovery_traffic` (the watch and
 //! status notifications) and `unrecorded` (undoing effects whose records could not be written).
 
 mod admission;
@@ -50,6 +50,7 @@
 mod reconnect;
 mod recovery;
 mod request;
+mod send_check;
 mod shutdown;
 mod status_notifier;
 mod submission;
--- a/crates/platform/src/core/decisions.rs
+++ b/crates/platform/src/core/decisions.rs
@@ -1,8 +1,9 @@
 //! The decision cycle: the decision library, the events queued for it and the time of its next wake-up.
 
+use super::attempts::AttemptId;
 use super::clock::MILLISECOND;
 use crate::records::Message;
-use linnetcart::{AcceptedMessage, Action, Dispatcher, Event, Time};
+use linnetcart::{AcceptedMessage, Action, Dispatcher, Event, SendRefusal, Time};
 
 /// Time limit of the initial sync: the first decision waits this long for the first event of discovery, so
 /// that it uses the current endpoint list. Discovery answers at once or not at all, and clients wait 400 ms
@@ -89,9 +90,9 @@
         self.events.clear();
     }
 
-    /// Whether a Retry-After of the endpoint's destination has not expired.
-    pub fn retry_after_pending(&mut self, now: Time, endpoint: u32) -> bool {
-        self.dispatcher.retry_after_pending(now, endpoint)
+    /// Judges an attempt right before it is sent ([`Dispatcher::check_unsent`]).
+    pub fn check_unsent(&self, now: Time, attempt: AttemptId) -> Result<(), SendRefusal> {
+        self.dispatcher.check_unsent(now, attempt.message, attempt.number)
     }
 }
 
--- a/crates/platform/src/core/delivery.rs
+++ b/crates/platform/src/core/delivery.rs
@@ -10,74 +10,18 @@
 use super::completion::{CompletionReason, ReportedDelivery};
 use super::connection_pool::{Acquired, Cancelled, ConnectionId, FinishedAttempt};
 use super::effects::{CoreEvent, Output};
-use super::in_flight::SendRefusal;
-use super::{upstream_request, Core, JournalState};
+use super::send_check::{UnsentReason, NOT_SENT};
+use super::{upstream_request, Core};
 use crate::records::{FinalOutcome, Record, SentAttempt};
 use linnetcart::{Action, AttemptOutcome, AttemptResult, Event, Time};
 use std::net::SocketAddr;
 
-const NOT_SENT: AttemptOutcome = AttemptOutcome::NotSent { no_capacity: false };
-
 /// The address and zone of an endpoint in the current endpoint list.
 struct Target {
     address: SocketAddr,
     zone: u8,
 }
 
-/// Why an attempt is not sent. Written to the log by variant name.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum UnsentReason {
-    /// The endpoint is draining or was removed from the list.
-    EndpointNotReady,
-    /// The endpoint's address has changed since the connect.
-    AddressChanged,
-    /// A Retry-After of the endpoint's destination has not expired.
-    RetryAfterPending,
-    /// The attempt needs a record in the journal, which is unwritable.
-    JournalUnwritable,
-    /// The pool is full, and every connection is in use or being established.
-    NoFreeConnection,
-    /// The message has its final outcome.
-    MessageEnded,
-    /// The message's deadline has passed.
-    DeadlinePassed,
-}
-
-impl From<SendRefusal> for UnsentReason {
-    fn from(refusal: SendRefusal) -> UnsentReason {
-        match refusal {
-            SendRefusal::Ended => UnsentReason::MessageEnded,
-            SendRefusal::DeadlinePassed => UnsentReason::DeadlinePassed,
-        }
-    }
-}
-
-impl UnsentReason {
-    /// Returns the outcome of the attempt. It was certainly not executed, because nothing was sent.
-    fn outcome(self) -> AttemptOutcome {
-        match self {
-            UnsentReason::EndpointNotReady | UnsentReason::AddressChanged => AttemptOutcome::NoConnection,
-            UnsentReason::RetryAfterPending | UnsentReason::MessageEnded | UnsentReason::DeadlinePassed => {
-                NOT_SENT
-            }
-            UnsentReason::JournalUnwritable | UnsentReason::NoFreeConnection => AttemptOutcome::LocalFault,
-        }
-    }
-
-    /// Whether another attempt may use the connection that was assigned to this one.
-    fn leaves_connection_usable(self) -> bool {
-        match self {
-            UnsentReason::RetryAfterPending
-            | UnsentReason::JournalUnwritable
-            | UnsentReason::MessageEnded
-            | UnsentReason::DeadlinePassed => true,
-            UnsentReason::EndpointNotReady
-            | UnsentReason::AddressChanged
-            | UnsentReason::NoFreeConnection => false,
-        }
-    }
-}
-
 /// Whether the message of an attempt has a final outcome.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum MessageState {
@@ -136,21 +80,14 @@
     }
 
     /// Acquires a connection for an attempt, and sends the attempt if the connection is an idle one. Ends it if
-    /// its message has ended, and does nothing while the ordering key blocks it.
+    /// it must not be sent any more, and does nothing while the ordering key blocks it.
     fn start_attempt(&mut self, id: AttemptId) {
-        let Some(attempt) = self.attempts.get(id) else { return };
-        let message = match self.in_flight.may_send(id.message, self.clock.now()) {
-            Ok(message) => message,
-            Err(refusal) => return self.finish_unsent(id, refusal.into()),
-        };
-        let ordering_key = message.message().ordering_key;
-        if self.is_blocked(id, ordering_key) {
-            return;
-        }
-        let endpoint = attempt.endpoint;
-        if self.is_unrecordable(id.message) {
-            return self.finish_unsent(id, UnsentReason::JournalUnwritable);
+        match self.check_send(id, self.clock.now()) {
+            Ok(()) => {}
+            Err(UnsentReason::KeyBlocked) => return,
+            Err(reason) => return self.finish_unsent(id, reason),
         }
+        let Some(endpoint) = self.attempts.get(id).map(|attempt| attempt.endpoint) else { return };
         self.attempts.start(id);
         let Some(address) = self.discovery.endpoints().ready(endpoint).map(|ready| ready.address) else {
             return self.finish_unsent(id, UnsentReason::EndpointNotReady);
@@ -165,40 +102,24 @@
         }
     }
 
-    /// Whether the ordering key blocks an attempt: the status notification of another message of the key is
-    /// unacknowledged, or the key is cooling down and this is the message's first attempt.
-    fn is_blocked(&self, id: AttemptId, ordering_key: u64) -> bool {
-        let cooldowns = &self.attempts.key_cooldowns;
-        let is_cooling_down = id.number == 0 && cooldowns.is_cooling_down(ordering_key, self.clock.now());
-        is_cooling_down || self.notifier.blocks(ordering_key, id.message)
-    }
-
-    /// Sends an attempt on its connection. Ends it unsent if its message has ended, its endpoint is no longer ready at the
-    /// connection's address, a Retry-After is pending, or the attempt needs a record and the journal is
-    /// unwritable.
+    /// Sends an attempt on its connection. Ends it unsent if it must not be sent any more, or if its endpoint is
+    /// no longer ready at the connection's address.
     fn send_attempt(&mut self, id: AttemptId, connection: ConnectionId) {
-        let Some(attempt) = self.attempts.get(id) else { return };
-        let endpoint = attempt.endpoint;
-        let deadline = attempt.deadline;
-        let message = match self.in_flight.may_send(id.message, self.clock.now()) {
-            Ok(message) => message,
-            Err(refusal) => return self.finish_unsent(id, refusal.into()),
+        if let Err(reason) = self.check_send(id, self.clock.now()) {
+            return self.finish_unsent(id, reason);
+        }
+        let (Some(attempt), Some(message)) = (self.attempts.get(id), self.in_flight.get(id.message)) else {
+            return;
         };
-        let target = match self.target_of(endpoint, connection) {
+        let target = match self.target_of(attempt.endpoint, connection) {
             Ok(target) => target,
             Err(reason) => return self.finish_unsent(id, reason),
         };
-        if self.decisions.retry_after_pending(self.clock.now(), endpoint) {
-            return self.finish_unsent(id, UnsentReason::RetryAfterPending);
-        }
-        if self.is_unrecordable(id.message) {
-            return self.finish_unsent(id, UnsentReason::JournalUnwritable);
-        }
-        let time_remaining = deadline.saturating_sub(self.clock.now());
+        let time_remaining = attempt.deadline.saturating_sub(self.clock.now());
         tracing::info!(
             id = %message.message().id_text(),
             attempt = id.number,
-            endpoint,
+            endpoint = attempt.endpoint,
             connection,
             time_remaining,
             "attempt sent"
@@ -214,11 +135,6 @@
         self.report_recovery(recovery);
     }
 
-    /// Whether an attempt of a message needs a record that cannot be written at present.
-    fn is_unrecordable(&self, message: u32) -> bool {
-        self.journal == JournalState::Unwritable && self.attempt_needs_record(message)
-    }
-
     /// Ends an attempt without sending it, and releases its connection if it has one.
     fn finish_unsent(&mut self, id: AttemptId, reason: UnsentReason) {
         if let (Some(message), Some(attempt)) = (self.in_flight.get(id.message), self.attempts.get(id)) {
--- a/crates/platform/src/core/in_flight.rs
+++ b/crates/platform/src/core/in_flight.rs
@@ -55,11 +55,11 @@
     }
 }
 
-/// Why nothing may be sent for a message any more.
+/// Why a message is not open any more.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum SendRefusal {
+pub enum MessageEnd {
     /// The message has its final outcome, or is no longer in the table.
-    Ended,
+    Completed,
     /// The message's deadline has passed.
     DeadlinePassed,
 }
@@ -133,14 +133,18 @@
         self.messages.get(&number)
     }
 
-    /// Returns the message with this number if it may be sent at `now`, in nanoseconds of monotonic time. Every path
-    /// that sends asks right before it does.
-    pub fn may_send(&self, number: u32, now: Time) -> Result<&InFlightMessage, SendRefusal> {
-        let message = self.messages.get(&number).ok_or(SendRefusal::Ended)?;
+    /// Returns the message with this number if it is open at `now`, in nanoseconds of monotonic time: it has no final
+    /// outcome, and its deadline has not passed.
+    ///
+    /// # Errors
+    ///
+    /// If the message has ended.
+    pub fn get_open(&self, number: u32, now: Time) -> Result<&InFlightMessage, MessageEnd> {
+        let message = self.messages.get(&number).ok_or(MessageEnd::Completed)?;
         if message.is_completed() {
-            Err(SendRefusal::Ended)
+            Err(MessageEnd::Completed)
         } else if message.deadline <= now {
-            Err(SendRefusal::DeadlinePassed)
+            Err(MessageEnd::DeadlinePassed)
         } else {
             Ok(message)
         }
--- a/crates/platform/src/core/in_flight/tests.rs
+++ b/crates/platform/src/core/in_flight/tests.rs
@@ -85,9 +85,9 @@
 #[test]
 fn in_flight_message_may_be_sent_until_its_end_or_deadline() {
     let mut table = table_with(&[1, 2]);
-    assert!(table.may_send(1, 99).is_ok());
-    assert_eq!(table.may_send(1, 100).err(), Some(SendRefusal::DeadlinePassed));
+    assert!(table.get_open(1, 99).is_ok());
+    assert_eq!(table.get_open(1, 100).err(), Some(MessageEnd::DeadlinePassed));
     table.complete(2, FinalOutcome::Delivered);
-    assert_eq!(table.may_send(2, 0).err(), Some(SendRefusal::Ended));
-    assert_eq!(table.may_send(3, 0).err(), Some(SendRefusal::Ended), "unknown");
+    assert_eq!(table.get_open(2, 0).err(), Some(MessageEnd::Completed));
+    assert_eq!(table.get_open(3, 0).err(), Some(MessageEnd::Completed), "unknown");
 }
--- a/crates/platform/src/core/status_notifier.rs
+++ b/crates/platform/src/core/status_notifier.rs
@@ -144,11 +144,12 @@
         self.counts
     }
 
-    /// Whether a message must not be attempted yet, because the notification of another message of its
-    /// ordering key is unacknowledged.
+    /// Whether a message must not be attempted yet, because the notification of an earlier message of its
+    /// ordering key is unacknowledged. Messages are numbered in the order of their acceptance; later ones of the
+    /// key wait for this message, whatever their end.
     pub fn blocks(&self, ordering_key: u64, message: u32) -> bool {
         let Some(messages) = self.unacknowledged_by_key.get(&ordering_key) else { return false };
-        messages.iter().any(|&other| other != message)
+        messages.iter().any(|&other| is_earlier(other, message))
     }
 
     /// Records that the notification of a message is acknowledged, so that the message no longer blocks the
@@ -258,6 +259,11 @@
     }
 }
 
+/// Whether a message number was allocated before another one. Numbers wrap around.
+fn is_earlier(number: u32, other: u32) -> bool {
+    number != other && other.wrapping_sub(number) <= u32::MAX / 2
+}
+
 /// Returns the line of a batch that reports the outcome of a message.
 fn encode_line(message: &Message, outcome: FinalOutcome) -> Vec<u8> {
     let mut line = serde_json::json!({"id": message.id_text(), "state": "failed"});
--- a/crates/platform/src/core/tests/notifications.rs
+++ b/crates/platform/src/core/tests/notifications.rs
@@ -65,15 +65,17 @@
                 Cookie: subject=k\r\nX-Route-To: dest=3\r\n\r\n";
     harness.core.client_received(client, head.as_bytes());
     harness.core.process(harness.now);
-    // Another message of its ordering key fails while the connection is being established.
+    // An earlier message of its ordering key fails while the connection is being established.
     let (first, message) = harness.core.in_flight.iter().next().unwrap();
     let ordering_key = message.message().ordering_key;
     let mut pending = message.pending.clone();
     pending.message.id = b"two".to_vec();
-    harness.core.in_flight.insert(77, pending, harness.now + SECOND);
-    harness.core.complete_undelivered(77, FinalOutcome::Failed, CompletionReason::GivenUp);
+    let earlier = first.wrapping_sub(1);
+    harness.core.in_flight.insert(earlier, pending, harness.now + SECOND);
+    harness.core.complete_undelivered(earlier, FinalOutcome::Failed, CompletionReason::GivenUp);
     assert!(harness.core.notifier.blocks(ordering_key, first));
-    harness.core.acknowledge(77);
+    assert!(!harness.core.notifier.blocks(ordering_key, earlier), "a later message waits for an earlier one");
+    harness.core.acknowledge(earlier);
     let connects = harness.core.take_outputs().into_iter().filter(is_endpoint_connect);
     assert_eq!(connects.count(), 1, "one connection for one attempt");
 }
--- a/crates/platform/src/core/unrecorded.rs
+++ b/crates/platform/src/core/unrecorded.rs
@@ -1,5 +1,4 @@
-//! Rollback of effects whose journal records could not be written, and the last check of attempts before they
-//! are sent.
+//! Rollback of effects whose journal records could not be written.
 //!
 //! The journal is a write-ahead log: an effect that depends on a record takes place only after the record is
 //! written.
@@ -17,19 +16,13 @@
 //! decision library decides on its message again.
 
 use super::attempts::AttemptId;
-use super::clock::MILLISECOND;
 use super::connection_pool::{ConnectionId, FinishedAttempt};
 use super::effects::CoreEvent;
 use super::{Core, JournalState};
 use crate::records::{FinalOutcome, IdEnd, Record};
-use linnetcart::{AttemptOutcome, Event, Time};
+use linnetcart::{AttemptOutcome, Event};
 use std::collections::BTreeSet;
 
-/// Maximum time between reading the input of a decision and sending the attempts decided on it. A call sent
-/// within 100 ms of the arrival of a Retry-After does not count as a violation of the Retry-After, so
-/// attempts that were decided before the arrival have to be sent well within that time.
-const MAX_INPUT_AGE: Time = 30 * MILLISECOND;
-
 impl Core {
     /// Handles the success of writing this iteration's records. Releases the status notifications that waited
     /// for their records.
@@ -83,20 +76,6 @@
         class.is_none_or(|class| class.attempt_needs_record())
     }
 
-    /// Checks the attempts of this iteration again right before they are sent: undoes those whose deadline
-    /// has passed or whose message has ended, and all if `now` is more than 30 ms after `input_read_at`, the time at which the input of
-    /// their decision was read. If the process was stalled for so long, unread input may contain an answer, a
-    /// Retry-After or an endpoint's drain, and the next decision takes it into account.
-    pub fn recheck_attempts(&mut self, input_read_at: Time, now: Time) {
-        let is_outdated = now > input_read_at + MAX_INPUT_AGE;
-        for id in self.effects.attempts() {
-            let is_overdue = self.attempts.get(id).is_some_and(|attempt| attempt.deadline <= now);
-            if is_outdated || is_overdue || self.in_flight.may_send(id.message, now).is_err() {
-                self.undo_attempt(id);
-            }
-        }
-    }
-
     /// Whether a connection is assigned to an attempt.
     pub fn carries_attempt(&self, connection: ConnectionId) -> bool {
         self.pool.attempt_of(connection).is_some()
@@ -112,7 +91,7 @@
     }
 
     /// Removes the request of an attempt from this iteration's outputs and ends the attempt as not sent.
-    fn undo_attempt(&mut self, id: AttemptId) {
+    pub(super) fn undo_attempt(&mut self, id: AttemptId) {
         if let Some(length) = self.effects.drop_attempt(id) {
             self.end_unsent(id, length);
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -7,7 +7,7 @@
 mod events;
 mod settings;
 
-pub use actions::{Action, LimitChange, LimitEvidence, LimitState};
+pub use actions::{Action, LimitChange, LimitEvidence, LimitState, SendRefusal};
 pub use events::{
     AcceptedMessage, AttemptOutcome, AttemptResult, Endpoint, EndpointStatus, Event, HealthCheckResult,
     UnresolvedAttempt,
--- a/src/interface/actions.rs
+++ b/src/interface/actions.rs
@@ -143,3 +143,23 @@
         serializer.collect_str(self)
     }
 }
+
+/// Why an attempt that was decided must not be sent any more
+/// ([`Dispatcher::check_unsent`](crate::Dispatcher::check_unsent)).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SendRefusal {
+    /// The attempt was cancelled or has its result.
+    Cancelled,
+    /// The message has its final answer.
+    MessageEnded,
+    /// The message's deadline has passed.
+    DeadlinePassed,
+    /// The endpoint is draining or was removed from the list.
+    EndpointNotReady,
+    /// An earlier attempt may have been executed, and no endpoint suppresses a second execution any more.
+    PossibleRepetition,
+    /// A Retry-After of the endpoint or its destination has not expired.
+    RetryAfterPending,
+    /// The endpoint or its destination has failed since the decision, and has not recovered.
+    OutageBegan,
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -68,7 +68,7 @@
 
 pub use interface::{
     AcceptedMessage, Action, AttemptOutcome, AttemptResult, Class, DestinationKind, Endpoint, EndpointStatus,
-    Event, HealthCheckResult, Idempotency, LimitChange, LimitEvidence, LimitState, RateAccuracy, Settings,
-    Time, UnresolvedAttempt,
+    Event, HealthCheckResult, Idempotency, LimitChange, LimitEvidence, LimitState, RateAccuracy, SendRefusal,
+    Settings, Time, UnresolvedAttempt,
 };
 pub use policy::Dispatcher;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -12,6 +12,7 @@
 mod messages;
 mod outcomes;
 mod rate;
+mod send_check;
 
 use crate::interface::{Action, Event, Settings, Time};
 use crate::state::{DispatchState, LatencySamples, ListPoll, Random, RecoveredAttempts, WakeUpTimer};
@@ -85,11 +86,4 @@
             Event::HealthChecked(_) | Event::Gossip { .. } | Event::WokenUp => {}
         }
     }
-
-    /// Whether a Retry-After forbids calls to this endpoint at clock time `now` (rule 6); false for an
-    /// unknown endpoint. The courier checks this again before it writes a call on a new connection: a
-    /// Retry-After may have arrived while the connection was made.
-    pub fn retry_after_pending(&self, now: Time, endpoint: u32) -> bool {
-        self.state.limiter(endpoint).is_some_and(|limiter| limiter.retry_after_until > now)
-    }
 }
--- a/tests/dispatcher/main.rs
+++ b/tests/dispatcher/main.rs
@@ -11,5 +11,6 @@
 mod policy_size;
 mod rate;
 mod route_sharing;
+mod send_check;
 mod support;
 mod world;
