--- a/crates/edge/tests/process/message_log.rs
+++ b/crates/edge/tests/process/message_log.rs
@@ -68,7 +68,8 @@
 #[test]
 fn log_has_reason_of_each_answer_that_is_no_acceptance() {
     let discovery = discovery_stub();
-    let endpoint = endpoint_stub();
+    // The endpoint accepts no connection before the answers are read: the message stays open.
+    let endpoint = GatedListener::new();
     let courier = CourierProcess::new("log-answers", endpoint.address, discovery.address);
     let invalid = submission("order", "invalid", "").replace("X-Remaining-Ms: 30000", "X-Remaining-Ms: soon");
     assert_eq!(courier.request(&invalid), Some(400));
