--- a/crates/edge/tests/process/faults/journal_restart.rs
+++ b/crates/edge/tests/process/faults/journal_restart.rs
@@ -12,6 +12,7 @@
 /// Upper bound of the submissions in
 /// [`killed_in_journal_write_accepted_messages_are_completed_and_rejected_ones_never_sent`].
 const MAX_SUBMISSIONS: usize = 5000;
+const PAUSE_AFTER_REJECTION: Duration = Duration::from_millis(1);
 
 /// Restarts a courier with a pending message under these faults. Checks that the process waits until they
 /// are over instead of exiting, and then attempts the message.
@@ -82,8 +83,11 @@
         courier.faults.set(Fault::KillInFileWrite, 16 + seed);
         for n in 0..MAX_SUBMISSIONS {
             answers.push(submit(n));
-            if answers[n].is_none() {
-                break;
+            match answers[n] {
+                None => break,
+                // The journal is unwritable; the courier tries again after a pause.
+                Some(503) => std::thread::sleep(PAUSE_AFTER_REJECTION),
+                Some(_) => {}
             }
         }
         assert_eq!(answers.last(), Some(&None), "the process was not killed");
