Read a response to its end although its status line has decided

Cause: evaluate_response closed the connection over unread bytes as soon as the status line decided.

--- a/crates/platform/src/core/connection_pool/acquire.rs
+++ b/crates/platform/src/core/connection_pool/acquire.rs
@@ -37,7 +37,9 @@
     /// Returns the sort key of a connection, or `None` if it must not be evicted.
     fn of(connection: &Connection) -> Option<EvictionOrder> {
         match *connection.state() {
-            ConnectionState::Abandoned { since, .. } => Some(EvictionOrder::Abandoned { since }),
+            ConnectionState::Abandoned { since, .. } | ConnectionState::ReadingRest { since } => {
+                Some(EvictionOrder::Abandoned { since })
+            }
             ConnectionState::Idle { since } => Some(EvictionOrder::Idle { since }),
             ConnectionState::Connecting { .. } | ConnectionState::InUse { .. } => None,
         }
--- a/crates/platform/src/core/connection_pool/connection.rs
+++ b/crates/platform/src/core/connection_pool/connection.rs
@@ -26,6 +26,8 @@
 /// Time limit for a response whose status line does not decide, from its first byte. At the limit, the
 /// attempt counts as failed ([`AttemptOutcome::Error`]) and the connection is closed.
 const RESPONSE_COMPLETION_TIMEOUT: Time = 1000 * MILLISECOND;
+/// Time limit for the rest of a response whose status line has ended its attempt.
+const REST_TIMEOUT: Time = 50 * MILLISECOND;
 
 /// Time limits of the states of a connection, in nanoseconds.
 #[derive(Clone, Copy, Debug)]
@@ -58,6 +60,11 @@
         /// When the connection became idle.
         since: Time,
     },
+    /// The status line of the response has ended the attempt; the rest of the response is read.
+    ReadingRest {
+        /// When the attempt ended.
+        since: Time,
+    },
     /// The attempt was cancelled after its request was queued: nothing more is sent, but a response is still
     /// read.
     Abandoned {
@@ -229,6 +236,12 @@
         self.state = ConnectionState::InUse { first_byte_at: Some(now) };
     }
 
+    /// Records that the status line of the response has ended the attempt.
+    pub fn read_rest(&mut self, now: Time) {
+        self.state = ConnectionState::ReadingRest { since: now };
+        self.attempt = None;
+    }
+
     /// Abandons the connection: its attempt was cancelled after the request was queued.
     pub fn abandon(&mut self, attempt: AttemptId, now: Time) {
         self.state = ConnectionState::Abandoned { attempt, since: now };
@@ -268,6 +281,7 @@
             ConnectionState::Connecting { since } => since + timeouts.connect,
             ConnectionState::Abandoned { since, .. } => since + timeouts.abandoned,
             ConnectionState::Idle { since } => since + timeouts.idle,
+            ConnectionState::ReadingRest { since } => since + REST_TIMEOUT,
             ConnectionState::InUse { first_byte_at: None } => Time::MAX,
             ConnectionState::InUse { first_byte_at: Some(at) } => at + RESPONSE_COMPLETION_TIMEOUT,
         }
--- a/crates/platform/src/core/connection_pool/receive.rs
+++ b/crates/platform/src/core/connection_pool/receive.rs
@@ -42,6 +42,10 @@
         connection.received(bytes, written);
         match *connection.state() {
             ConnectionState::Abandoned { attempt, .. } => self.evaluate_late_response(id, attempt, settings),
+            ConnectionState::ReadingRest { .. } => {
+                self.receive_rest(id, now);
+                None
+            }
             ConnectionState::Connecting { .. } | ConnectionState::Idle { .. } => {
                 if connection.final_response_began() || connection.response.len() > MAX_HEAD_BYTES {
                     return self.disregard(id, Attribution::Unsolicited, now);
@@ -74,8 +78,7 @@
         match parse_response(&connection.response) {
             ParsedResponse::Incomplete { status } => {
                 let decided = response::interpret_status_line(status).filter(|_| attribution.is_certain())?;
-                // The message ends with the status line. A second attempt must not wait for the rest.
-                self.close(id, CloseReason::ResponseEndsConnection);
+                self.read_rest(id, attempt, now);
                 Some(FinishedAttempt::interpreted(attempt, decided))
             }
             ParsedResponse::Malformed { status } => {
@@ -115,21 +118,55 @@
         let load = response::load_report(head, settings);
         // All responses 410 of an endpoint may be equal. After one, a later one would be ambiguous.
         let is_gone = interpretation.end == Some(ReportedEnd::Gone);
-        if received.is_exact && head.persistence == Persistence::KeepAlive && !is_gone {
-            self.keep_for_reuse(id, attempt, head.status, now);
+        if received.is_incomplete {
+            self.read_rest(id, attempt, now);
+        } else if received.is_exact && head.persistence == Persistence::KeepAlive && !is_gone {
+            self.by_attempt.remove(&attempt);
+            self.keep_for_reuse(id, head.status, now);
         } else {
             self.close(id, CloseReason::ResponseEndsConnection);
         }
         Some(FinishedAttempt { load, ..FinishedAttempt::interpreted(attempt, interpretation) })
     }
 
+    /// Reads the rest of a response whose status line has ended the attempt. The message does not wait for it, but a
+    /// close would reset the connection under an endpoint that is still writing.
+    fn read_rest(&mut self, id: ConnectionId, attempt: AttemptId, now: Time) {
+        self.by_attempt.remove(&attempt);
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.read_rest(now);
+        }
+    }
+
+    /// Ends the reading of the rest of a response once it is complete or cannot be read.
+    fn receive_rest(&mut self, id: ConnectionId, now: Time) {
+        let Some(connection) = self.connections.get(&id) else { return };
+        match parse_response(&connection.response) {
+            ParsedResponse::Incomplete { .. } => {}
+            ParsedResponse::Malformed { .. } => {
+                self.close(id, CloseReason::MalformedResponse);
+            }
+            ParsedResponse::Head(head) => {
+                let received = ReceivedBody::new(connection, &head);
+                let may_keep = received.is_exact
+                    && head.persistence == Persistence::KeepAlive
+                    && connection.attribution(received.end).is_certain()
+                    && response::interpret(&head).end != Some(ReportedEnd::Gone);
+                if may_keep {
+                    self.keep_for_reuse(id, head.status, now);
+                } else if !received.is_incomplete {
+                    self.close(id, CloseReason::ResponseEndsConnection);
+                }
+            }
+        }
+    }
+
     /// Makes a connection idle after a complete response, or closes it if the response to another request on
     /// it could not be told from a copy of this one.
-    fn keep_for_reuse(&mut self, id: ConnectionId, attempt: AttemptId, status: u16, now: Time) {
+    fn keep_for_reuse(&mut self, id: ConnectionId, status: u16, now: Time) {
         let Some(connection) = self.connections.get_mut(&id) else { return };
         let response = connection.final_response();
         let responses_differ = self.seen_responses.insert(connection.endpoint, status, response);
-        self.by_attempt.remove(&attempt);
         if !connection.make_idle(now) || !responses_differ {
             self.close(id, CloseReason::ResponseEndsConnection);
         }
--- a/crates/platform/src/core/tests/connections.rs
+++ b/crates/platform/src/core/tests/connections.rs
@@ -142,3 +142,21 @@
     harness.run_for(50 * MILLISECOND);
     assert!(harness.closed.contains(&connection), "closed after the time limit for the rest of its response");
 }
+
+/// An endpoint writes its response in pieces. A close behind the first one would reset the connection under it.
+#[test]
+fn response_in_pieces_is_read_to_its_end_and_connection_reused() {
+    let mut harness = Harness::new();
+    harness.serve_ten_messages(SERVED);
+    harness.submit("order", "a", "");
+    let connection = harness.attempts().last().unwrap().connection;
+    let delivered = harness.outcomes().served;
+    for piece in ["HTTP/1.1 200 OK\r\nContent-", "Length: 8\r\n\r\n", "pie", "ces.."] {
+        assert!(!harness.closed.contains(&connection), "before {piece:?}");
+        harness.respond(connection, piece.as_bytes());
+        assert_eq!(harness.outcomes().served, delivered + 1, "the status line decides");
+    }
+    harness.run_for(20 * MILLISECOND);
+    harness.submit("order", "b", "");
+    assert_eq!(harness.attempts().last().unwrap().connection, connection);
+}
