Send every owed notification in time, whatever becomes of the answers to earlier ones

Cause: one batch of 64 at a time, given up 200 ms after it was sent; the same first 64 were sent again, and the pause before a new connection doubled up to 500 ms although nothing had failed. Change: each notification has its own time in a schedule (status_notifier/queue.rs) and is sent again after 200, 400 and then every 800 ms until it is acknowledged; batches of up to 48 KiB, each on a connection of its own, up to eight at once, spaced by 150 ms while three are unanswered (connections.rs). An answer counts until 3 s later. Only failures lead to a backoff, of 150 ms at most. A rejected batch is split into eight. An acknowledgement is believed as before: the only response to the only request of a connection.

--- a/crates/edge/tests/process/main.rs
+++ b/crates/edge/tests/process/main.rs
@@ -28,4 +28,5 @@
 mod reported_timeline;
 mod requests;
 mod restart;
+mod slow_discovery;
 mod waiting_attempts;
--- a/crates/edge/tests/process/peer.rs
+++ b/crates/edge/tests/process/peer.rs
@@ -50,6 +50,11 @@
         self.filler = None;
     }
 
+    /// Returns the listener, for a test that accepts connections in a thread of its own.
+    pub fn into_listener(self) -> TcpListener {
+        self.listener
+    }
+
     /// Returns whether connections are established.
     pub fn is_open(&self) -> bool {
         self.filler.is_none()
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -84,7 +84,7 @@
 use status_notifier::StatusNotifier;
 
 /// File descriptors reserved for everything but connections of clients and to endpoints: listener, event
-/// loop, signals, discovery, journal and logs.
+/// loop, signals, the watch and up to eight connections for notifications, journal and logs.
 const RESERVED_FILE_DESCRIPTORS: usize = 24;
 
 /// Whether records can be written to the journal.
--- a/crates/platform/src/core/discovery_traffic.rs
+++ b/crates/platform/src/core/discovery_traffic.rs
@@ -3,7 +3,7 @@
 use super::connection_pool::ConnectionId;
 use super::effects::{CoreEvent, Output};
 use super::reconnect::ConnectionAction;
-use super::status_notifier::{BatchResult, NotificationRequest};
+use super::status_notifier::{BatchResult, NotificationRequest, NotifierAction};
 use super::Core;
 use crate::config::WatchEvent;
 use linnetcart_net::ConnectFailure;
@@ -16,9 +16,10 @@
             return;
         }
         let watch_connection = self.discovery.change_address(address);
-        let notifier_connection = self.notifier.restart();
-        self.close_discovery_connection(watch_connection);
-        self.close_discovery_connection(notifier_connection);
+        let notifier_connections = self.notifier.restart(self.clock.now());
+        for connection in watch_connection.into_iter().chain(notifier_connections) {
+            self.close_discovery_connection(Some(connection));
+        }
     }
 
     /// Handles bytes that were received on the watch, before which the operating system had accepted
@@ -53,18 +54,16 @@
     /// Handles bytes that were received in answer to status notifications, before which the operating system
     /// had accepted `written` bytes.
     pub(super) fn notifier_received(&mut self, id: ConnectionId, bytes: &[u8], written: u64) {
-        let acknowledged = match self.notifier.receive(bytes, written) {
+        let acknowledged = match self.notifier.receive(id, bytes, written, self.clock.now()) {
             Ok(Some(acknowledged)) => acknowledged,
             Ok(None) => return,
             Err(error) => {
                 self.effects.event(CoreEvent::NotificationsFailed(error));
                 self.close_discovery_connection(Some(id));
-                self.notifier.disconnected(self.clock.now());
                 return;
             }
         };
         self.close_discovery_connection(Some(id));
-        self.notifier.answered(self.clock.now());
         for number in acknowledged.messages {
             if acknowledged.result == BatchResult::Rejected {
                 self.report_rejected_notification(number);
@@ -86,7 +85,7 @@
         if self.discovery.owns(id) {
             self.discovery.disconnected(self.clock.now());
         } else if self.notifier.owns(id) {
-            self.notifier.disconnected(self.clock.now());
+            self.notifier.disconnected(id, self.clock.now());
         } else {
             return false;
         }
@@ -101,7 +100,7 @@
         if self.discovery.owns(id) {
             self.discovery.connect_failed_locally(self.clock.now());
         } else if self.notifier.owns(id) {
-            self.notifier.connect_failed_locally(self.clock.now());
+            self.notifier.connect_failed_locally(id, self.clock.now());
         } else {
             return false;
         }
@@ -124,21 +123,25 @@
         }
     }
 
-    /// Connects for status notifications, closes a connection that timed out, and sends the next batch.
+    /// Establishes and closes connections for status notifications, and sends the batches that are due.
     pub(super) fn poll_notifier(&mut self) {
-        match self.notifier.poll(self.clock.now()) {
-            ConnectionAction::Nothing => {}
-            ConnectionAction::Connect => {
-                let id = self.connect_to_discovery();
-                self.notifier.connecting(id);
-            }
-            ConnectionAction::Close => {
-                self.effects.event(CoreEvent::NotificationsTimedOut);
-                let connection = self.notifier.take_connection();
-                self.close_discovery_connection(connection);
-            }
+        loop {
+            let closed = match self.notifier.poll(self.clock.now()) {
+                NotifierAction::Nothing => break,
+                NotifierAction::Connect => {
+                    let id = self.connect_to_discovery();
+                    self.notifier.connecting(id, self.clock.now());
+                    continue;
+                }
+                NotifierAction::Close(connection) => connection,
+                NotifierAction::CloseTimedOut(connection) => {
+                    self.effects.event(CoreEvent::NotificationsTimedOut);
+                    connection
+                }
+            };
+            self.close_discovery_connection(Some(closed));
         }
-        if let Some(request) = self.notifier.next_request(self.clock.now(), self.discovery.address()) {
+        while let Some(request) = self.notifier.next_request(self.clock.now(), self.discovery.address()) {
             self.log_notifications(&request);
             self.effects.output(Output::SendUpstream(request.connection, request.bytes.into()));
         }
--- a/crates/platform/src/core/inputs.rs
+++ b/crates/platform/src/core/inputs.rs
@@ -55,7 +55,7 @@
             let request = self.discovery.connected(self.clock.now());
             self.effects.output(Output::SendUpstream(id, request.into()));
         } else if self.notifier.owns(id) {
-            self.notifier.connected();
+            self.notifier.connected(id);
         } else {
             self.pool.connected(id);
         }
--- a/crates/platform/src/core/status_notifier.rs
+++ b/crates/platform/src/core/status_notifier.rs
@@ -2,32 +2,27 @@
 //! of JSON lines (`POST /status` to discovery) that are sent again until they are acknowledged.
 //!
 //! Each batch has a connection of its own. The answers to two batches are equal, so on a shared connection the
-//! answer to one could not be told from a copy of the answer to another.
+//! answer to one could not be told from a copy of the answer to another. No batch waits for the answer to another.
 //!
-//! The notifier owns the queue, its connection to discovery and the ordering keys that wait for an
+//! The notifier owns the queue, its connections to discovery and the ordering keys that wait for an
 //! acknowledgement. A notification is dropped only if discovery rejects it in a batch of its own; the drop is
 //! logged.
 
 mod answer;
+mod connections;
+mod queue;
 
 pub use answer::{BatchResult, NotificationError};
 
-use super::clock::MILLISECOND;
 use super::connection_pool::ConnectionId;
 use super::counters::NotificationCounts;
-use super::reconnect::{ConnectionAction, Reconnect};
 use crate::records::{FinalOutcome, Message};
+use connections::NotifierConnections;
 use linnetcart::Time;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use queue::NotificationQueue;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-/// A batch that is not answered within this time is sent again on a new connection; discovery normally
-/// answers at once. A notification may be sent as late as its message's deadline and has to arrive at most
-/// 300 ms after it, so a dead connection has to be replaced before.
-const ANSWER_TIMEOUT: Time = 200 * MILLISECOND;
-/// Maximum number of notifications in a request.
-const MAX_BATCH: usize = 64;
-
 /// A request with a batch of notifications.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct NotificationRequest {
@@ -39,18 +34,25 @@
     pub messages: Vec<u32>,
 }
 
-/// The notification of a message's outcome.
-#[derive(Debug)]
-struct Notification {
-    message: u32,
-    /// The JSON object with its line feed.
-    line: Vec<u8>,
+/// What the core has to do with the notifier's connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotifierAction {
+    /// Nothing has to be done.
+    Nothing,
+    /// Establish a connection.
+    Connect,
+    /// Close this connection, which is not needed any more.
+    Close(ConnectionId),
+    /// Close this connection: it was not established, or its batch was not answered, in time.
+    CloseTimedOut(ConnectionId),
 }
 
 /// A notification of a completion that is not written to the journal yet.
 #[derive(Debug)]
 struct UnrecordedNotification {
-    notification: Notification,
+    message: u32,
+    /// The JSON object with its line feed.
+    line: Vec<u8>,
     /// The message's deadline: no process attempts the message later, so the notification needs no record.
     release_at: Time,
 }
@@ -58,23 +60,12 @@
 /// The status notifier.
 #[derive(Debug)]
 pub struct StatusNotifier {
-    reconnect: Reconnect,
-    connection: Option<ConnectionId>,
-    /// Unacknowledged notifications in the order of their completion.
-    queue: VecDeque<Notification>,
+    connections: NotifierConnections,
+    /// Unacknowledged notifications.
+    queue: NotificationQueue,
     /// Notifications that are queued once their completion is recorded or their message's deadline has
     /// passed.
     unrecorded: Vec<UnrecordedNotification>,
-    /// Size of the outstanding batch: the notifications at the front of the queue that are sent and not
-    /// answered.
-    sent: usize,
-    /// Maximum number of notifications in the next batch. It drops to 1 when a batch is rejected, to isolate
-    /// the invalid notification, and doubles with each accepted batch.
-    batch_limit: usize,
-    sent_at: Time,
-    /// Length of the request with the outstanding batch, in bytes.
-    request_bytes: u64,
-    response: Vec<u8>,
     /// Numbers of the messages with an unacknowledged notification and an ordering key, by ordering key.
     unacknowledged_by_key: BTreeMap<u64, BTreeSet<u32>>,
     counts: NotificationCounts,
@@ -84,15 +75,9 @@
     /// Creates a notifier without notifications.
     pub fn new() -> StatusNotifier {
         StatusNotifier {
-            reconnect: Reconnect::new(),
-            connection: None,
-            queue: VecDeque::new(),
+            connections: NotifierConnections::new(),
+            queue: NotificationQueue::default(),
             unrecorded: vec![],
-            sent: 0,
-            batch_limit: MAX_BATCH,
-            sent_at: 0,
-            request_bytes: 0,
-            response: vec![],
             unacknowledged_by_key: BTreeMap::new(),
             counts: NotificationCounts::default(),
         }
@@ -110,28 +95,30 @@
         if message.ordering_key != 0 {
             self.unacknowledged_by_key.entry(message.ordering_key).or_default().insert(number);
         }
-        let notification = Notification { message: number, line: encode_line(message, outcome) };
-        self.unrecorded.push(UnrecordedNotification { notification, release_at: deadline });
+        let line = encode_line(message, outcome);
+        self.unrecorded.push(UnrecordedNotification { message: number, line, release_at: deadline });
     }
 
     /// Queues all notifications that wait for a record, after records were written. Returns whether there
     /// were any.
     pub fn release_all(&mut self) -> bool {
         let any = !self.unrecorded.is_empty();
-        self.queue.extend(self.unrecorded.drain(..).map(|unrecorded| unrecorded.notification));
+        for unrecorded in self.unrecorded.drain(..) {
+            self.queue.push(unrecorded.message, unrecorded.line);
+        }
         any
     }
 
     /// Returns the messages with an unrecorded notification whose deadline has passed.
     pub fn due_unrecorded(&self, now: Time) -> Vec<u32> {
         let due = self.unrecorded.iter().filter(|unrecorded| unrecorded.release_at <= now);
-        due.map(|unrecorded| unrecorded.notification.message).collect()
+        due.map(|unrecorded| unrecorded.message).collect()
     }
 
     /// Queues the unrecorded notification of a message with this outcome, whatever it was added with.
     pub fn release_as(&mut self, number: u32, message: &Message, outcome: FinalOutcome) {
-        self.unrecorded.retain(|unrecorded| unrecorded.notification.message != number);
-        self.queue.push_back(Notification { message: number, line: encode_line(message, outcome) });
+        self.unrecorded.retain(|unrecorded| unrecorded.message != number);
+        self.queue.push(number, encode_line(message, outcome));
     }
 
     /// Returns the number of unacknowledged notifications, including unrecorded ones.
@@ -163,24 +150,42 @@
         }
     }
 
-    /// Whether `id` is the connection on which notifications are sent.
+    /// Whether `id` is a connection on which notifications are sent.
     pub fn owns(&self, id: ConnectionId) -> bool {
-        self.connection == Some(id)
+        self.connections.contains(id)
     }
 
-    /// Returns whether the caller has to establish or close the connection now.
-    pub fn poll(&mut self, now: Time) -> ConnectionAction {
-        let answer_timed_out =
-            self.reconnect.is_connected() && self.sent > 0 && self.sent_at + ANSWER_TIMEOUT <= now;
-        if answer_timed_out || self.reconnect.connect_timed_out(now) {
-            self.reconnect.disconnected(now);
-            self.sent = 0;
-            return ConnectionAction::Close;
+    /// Returns what the caller has to do with the connections. To be called until it returns
+    /// [`NotifierAction::Nothing`].
+    pub fn poll(&mut self, now: Time) -> NotifierAction {
+        if let Some(id) = self.connections.timed_out(now) {
+            self.abandon(id, now);
+            return NotifierAction::CloseTimedOut(id);
+        }
+        let ready = self.connections.ready();
+        if let (Some(id), false) = (ready, self.queue.is_due(now)) {
+            self.connections.remove(id);
+            return NotifierAction::Close(id);
         }
-        if !self.queue.is_empty() && self.reconnect.begin_connect(now) {
-            return ConnectionAction::Connect;
+        let wants_connection = ready.is_none() && self.queue.is_due(now);
+        if !wants_connection || self.connections.next_connect_at() > now {
+            return NotifierAction::Nothing;
+        }
+        if !self.connections.is_full() {
+            return NotifierAction::Connect;
+        }
+        let Some(evicted) = self.connections.longest_unanswered() else { return NotifierAction::Nothing };
+        self.connections.remove(evicted);
+        NotifierAction::Close(evicted)
+    }
+
+    /// Removes a connection that timed out. That it was not established is a failure of discovery; an answer that
+    /// does not come is only slow, and its notifications have been sent again meanwhile.
+    fn abandon(&mut self, id: ConnectionId, now: Time) {
+        let removed = self.connections.remove(id);
+        if removed.is_some_and(|connection| !connection.awaits_answer()) {
+            self.connections.failed(now);
         }
-        ConnectionAction::Nothing
     }
 
     /// Returns the monotonic time at which [`StatusNotifier::poll`] must be called again at the latest;
@@ -188,74 +193,53 @@
     pub fn next_wake(&self) -> Time {
         let release_at = self.unrecorded.iter().map(|unrecorded| unrecorded.release_at);
         let next_release = release_at.min().unwrap_or(Time::MAX);
-        if self.queue.is_empty() {
-            return next_release;
-        }
-        let answer_due = if self.sent > 0 { self.sent_at + ANSWER_TIMEOUT } else { Time::MAX };
-        self.reconnect.next_wake(answer_due).min(next_release)
+        let next_send = self.queue.next_due().map(|due| due.max(self.connections.next_connect_at()));
+        next_release.min(next_send.unwrap_or(Time::MAX)).min(self.connections.next_timeout())
     }
 
-    /// Records the id of the connection that is being established.
-    pub fn connecting(&mut self, id: ConnectionId) {
-        self.connection = Some(id);
+    /// Records the id of a connection that is being established.
+    pub fn connecting(&mut self, id: ConnectionId, now: Time) {
+        self.connections.connecting(id, now);
     }
 
-    /// Takes the id of the notifier's connection, which the caller has to close; `None` if there is none.
-    pub fn take_connection(&mut self) -> Option<ConnectionId> {
-        self.connection.take()
+    /// Handles an established connection.
+    pub fn connected(&mut self, id: ConnectionId) {
+        self.connections.connected(id);
     }
 
-    /// Handles the established connection.
-    pub fn connected(&mut self) {
-        self.reconnect.connected();
-        self.response.clear();
-    }
-
-    /// Handles the loss of the connection, or its close after an error: unanswered notifications are sent
-    /// again.
-    pub fn disconnected(&mut self, now: Time) {
-        self.connection = None;
-        self.reconnect.disconnected(now);
-        self.sent = 0;
+    /// Handles the loss of a connection, or its close after an error: its notifications are sent again.
+    pub fn disconnected(&mut self, id: ConnectionId, now: Time) {
+        if let Some(lost) = self.connections.remove(id) {
+            self.queue.retry(&lost.messages, now);
+        }
+        self.connections.failed(now);
     }
 
     /// Handles a connect that failed locally, for example because no file descriptor or port was available.
-    pub fn connect_failed_locally(&mut self, now: Time) {
-        self.connection = None;
-        self.reconnect.failed_locally(now);
+    pub fn connect_failed_locally(&mut self, id: ConnectionId, now: Time) {
+        self.connections.remove(id);
+        self.connections.failed_locally(now);
     }
 
-    /// Reconnects at once, without backoff, after discovery's address changed. Returns the connection to be
-    /// closed, if any.
-    pub fn restart(&mut self) -> Option<ConnectionId> {
-        self.reconnect = Reconnect::new();
-        self.sent = 0;
-        self.connection.take()
+    /// Sends all notifications again at once, after discovery's address changed. Returns the connections to be
+    /// closed.
+    pub fn restart(&mut self, now: Time) -> Vec<ConnectionId> {
+        self.queue.restart(now);
+        self.connections.clear()
     }
 
-    /// Returns the next batch as a request, or `None` while the queue is empty, the connection is not
-    /// established or a batch is outstanding.
+    /// Returns the next batch as a request, or `None` if no notification is due or no connection is ready.
     pub fn next_request(&mut self, now: Time, host: SocketAddr) -> Option<NotificationRequest> {
-        let connection = self.connection?;
-        if !self.reconnect.is_connected() || self.sent > 0 || self.queue.is_empty() {
-            return None;
-        }
-        self.sent = self.queue.len().min(self.batch_limit);
-        self.sent_at = now;
-        let mut body = Vec::new();
-        let mut messages = Vec::new();
-        for notification in self.queue.iter().take(self.sent) {
-            body.extend_from_slice(&notification.line);
-            messages.push(notification.message);
-        }
-        let length = body.len();
+        let connection = self.connections.ready()?;
+        let batch = self.queue.next_batch(now)?;
+        let length = batch.body.len();
         let head = format!(
             "POST /status HTTP/1.1\r\nHost: {host}\r\nContent-Type: application/x-ndjson\r\n\
              Content-Length: {length}\r\n\r\n"
         );
-        let bytes = [head.as_bytes(), &body].concat();
-        self.request_bytes = bytes.len() as u64;
-        Some(NotificationRequest { connection, bytes, messages })
+        let bytes = [head.as_bytes(), &batch.body].concat();
+        self.connections.sent(connection, batch.messages.clone(), bytes.len() as u64, now);
+        Some(NotificationRequest { connection, bytes, messages: batch.messages })
     }
 }
 
--- a/crates/platform/src/core/status_notifier/answer.rs
+++ b/crates/platform/src/core/status_notifier/answer.rs
@@ -1,6 +1,8 @@
 //! Answers of discovery to batches of status notifications.
 
-use super::{StatusNotifier, MAX_BATCH};
+use super::connections::NotifierConnection;
+use super::StatusNotifier;
+use crate::core::connection_pool::ConnectionId;
 use linnetcart::Time;
 use linnetcart_courier_common::attribution::{Attribution, RequestProgress, ResponseHistory};
 use linnetcart_http::{interim_length, parse_response, ParsedResponse, MAX_HEAD_BYTES};
@@ -41,13 +43,49 @@
 }
 
 impl StatusNotifier {
-    /// Handles received bytes, before which the operating system had accepted `written` bytes of the request.
-    /// Returns the messages whose notifications are answered and not sent again, or `None` while the response
-    /// is incomplete. A notification that is rejected in a batch of its own counts as acknowledged: sent again,
-    /// it would be rejected again and block the queue. After an answer or an error, the connection has to be
-    /// closed.
-    pub fn receive(&mut self, bytes: &[u8], written: u64) -> Result<Option<Acknowledged>, NotificationError> {
-        self.response.extend_from_slice(bytes);
+    /// Handles received bytes of a connection, before which the operating system had accepted `written` bytes of
+    /// the request. Returns the messages whose notifications are answered and not sent again, or `None` while the
+    /// response is incomplete. A notification that is rejected in a batch of its own counts as acknowledged: sent
+    /// again, it would be rejected again. After an answer or an error, the connection has to be closed.
+    ///
+    /// # Errors
+    ///
+    /// If the bytes are no valid answer to the batch. Its notifications are sent again.
+    pub fn receive(
+        &mut self,
+        id: ConnectionId,
+        bytes: &[u8],
+        written: u64,
+        now: Time,
+    ) -> Result<Option<Acknowledged>, NotificationError> {
+        let Some(connection) = self.connections.get_mut(id) else { return Ok(None) };
+        connection.response.extend_from_slice(bytes);
+        match connection.read_answer(written) {
+            Ok(None) => Ok(None),
+            Ok(Some(result)) => Ok(Some(self.answered(id, result, now))),
+            Err(error) => {
+                self.disconnected(id, now);
+                Err(error)
+            }
+        }
+    }
+
+    fn answered(&mut self, id: ConnectionId, result: BatchResult, now: Time) -> Acknowledged {
+        self.connections.valid_answer();
+        let messages = self.connections.remove(id).map(|connection| connection.messages);
+        let mut messages = messages.unwrap_or_default();
+        if result == BatchResult::Rejected && messages.len() > 1 {
+            self.queue.split(&messages, now);
+            return Acknowledged { messages: vec![], result };
+        }
+        messages.retain(|&message| self.queue.remove(message));
+        Acknowledged { messages, result }
+    }
+}
+
+impl NotifierConnection {
+    /// Returns the answer to the batch, or `None` while it is incomplete.
+    fn read_answer(&self, written: u64) -> Result<Option<BatchResult>, NotificationError> {
         let final_response = &self.response[interim_length(&self.response)..];
         if final_response.is_empty() && self.response.len() <= MAX_HEAD_BYTES {
             return Ok(None);
@@ -69,44 +107,17 @@
         if self.response.len() < head.length + body_length {
             return Ok(None);
         }
-        let result = match head.status {
-            200 | 204 => BatchResult::Accepted,
-            400 => BatchResult::Rejected,
-            status => return Err(NotificationError::Status(status)),
-        };
-        self.reconnect.reset_backoff();
-        Ok(Some(Acknowledged { messages: self.finish_batch(result), result }))
+        match head.status {
+            200 | 204 => Ok(Some(BatchResult::Accepted)),
+            400 => Ok(Some(BatchResult::Rejected)),
+            status => Err(NotificationError::Status(status)),
+        }
     }
 
     fn request_progress(&self, written: u64) -> RequestProgress {
-        if self.sent == 0 {
+        if !self.awaits_answer() {
             return RequestProgress::Incomplete;
         }
         RequestProgress::new(self.request_bytes, written)
     }
-
-    /// Handles the close of the connection after an answer: the next batch is sent on a new one, at once.
-    pub fn answered(&mut self, now: Time) {
-        self.connection = None;
-        self.sent = 0;
-        self.reconnect.schedule_retry(now);
-    }
-
-    /// Removes the answered batch from the queue and returns its messages. A rejected batch of several
-    /// notifications stays queued, and its notifications are sent one by one.
-    fn finish_batch(&mut self, result: BatchResult) -> Vec<u32> {
-        let sent = std::mem::take(&mut self.sent);
-        let done = match result {
-            BatchResult::Accepted => {
-                self.batch_limit = (2 * self.batch_limit).min(MAX_BATCH);
-                sent
-            }
-            BatchResult::Rejected if sent > 1 => {
-                self.batch_limit = 1;
-                0
-            }
-            BatchResult::Rejected => sent,
-        };
-        self.queue.drain(..done).map(|notification| notification.message).collect()
-    }
 }
