End no client connection without an answer from which a part of a request was read

Cause: eviction ran after the unread connections had been emptied, and a first request that was received in part counted as "never answered", which went first. Change: one order (EvictionOrder): rested connections, requests that have stalled for 1 s, silent new ones (shut unread), just answered ones, then other parts of requests. What was read in part is refused with 503 and its id with it, never closed in silence. Half requests still end after 2 s.

--- /dev/null
+++ b/crates/edge/tests/process/crowded_clients.rs
@@ -0,0 +1,79 @@
+//! More client connections than the courier has descriptors for: none ends without an answer from which a part of a
+//! request was read.
+
+use crate::courier::{submission, CourierProcess};
+use crate::peer::Peer;
+use crate::stubs::{discovery_stub, endpoint_stub};
+use std::time::Duration;
+
+/// Connections that the courier has for clients with the descriptors of the tests.
+const CAPACITY: usize = 116;
+/// Longer than the time after which an answered connection counts as rested.
+const RESTED: Duration = Duration::from_millis(2300);
+const READY_REQUEST: &str = "GET /ready HTTP/1.1\r\n\r\n";
+
+fn idle_clients(courier: &CourierProcess, count: usize) -> Vec<Peer> {
+    let connect = |_| {
+        let mut client = Peer::connect(courier.listen);
+        client.send(READY_REQUEST);
+        assert_eq!(client.read_response().status, 200);
+        client
+    };
+    (0..count).map(connect).collect()
+}
+
+/// Sends the start of a submission, up to the middle of its body. Returns the client and the rest.
+fn send_half(courier: &CourierProcess, id: &str) -> (Peer, String) {
+    let request = submission("order", id, "Content-Length: 40\r\n") + &"x".repeat(40);
+    let (start, rest) = request.split_at(request.len() - 20);
+    let mut client = Peer::connect(courier.listen);
+    client.send(start);
+    (client, rest.to_owned())
+}
+
+#[test]
+fn half_received_request_is_answered_while_idle_clients_fill_the_table() {
+    let discovery = discovery_stub();
+    let endpoint = endpoint_stub();
+    let courier = CourierProcess::new("half-rested", endpoint.address, discovery.address);
+    let _rested = idle_clients(&courier, CAPACITY - 10);
+    std::thread::sleep(RESTED);
+    let halves: Vec<_> = (0..5).map(|number| send_half(&courier, &format!("m{number}."))).collect();
+    courier.wait_until_input_processed();
+    let _crowd = idle_clients(&courier, 60);
+    for (mut client, rest) in halves {
+        client.send(&rest);
+        assert_eq!(client.read_response().status, 202, "a part of its request was read");
+    }
+}
+
+/// No idle connection has rested: new ones are shut, and half received requests are completed and answered.
+#[test]
+fn half_received_request_is_answered_while_new_clients_fill_the_table() {
+    let discovery = discovery_stub();
+    let endpoint = endpoint_stub();
+    let courier = CourierProcess::new("half-new", endpoint.address, discovery.address);
+    let _idle = idle_clients(&courier, CAPACITY - 10);
+    let halves: Vec<_> = (0..5).map(|number| send_half(&courier, &format!("m{number}."))).collect();
+    courier.wait_until_input_processed();
+    let _silent: Vec<Peer> = (0..60).map(|_| Peer::connect(courier.listen)).collect();
+    for (mut client, rest) in halves {
+        client.send(&rest);
+        assert_eq!(client.read_response().status, 202, "a part of its request was read");
+    }
+}
+
+/// Half requests alone fill the table: each gets an answer, and the table is free again afterwards.
+#[test]
+fn half_requests_that_fill_the_table_are_answered() {
+    let discovery = discovery_stub();
+    let endpoint = endpoint_stub();
+    let courier = CourierProcess::new("half-full", endpoint.address, discovery.address);
+    let mut halves: Vec<_> =
+        (0..CAPACITY + 20).map(|number| send_half(&courier, &format!("m{number}."))).collect();
+    for (client, _) in &mut halves {
+        let status = client.read_response().status;
+        assert!(matches!(status, 408 | 503), "{status}");
+    }
+    assert_eq!(courier.request(&submission("order", "fresh", "")), Some(202));
+}
--- a/crates/edge/tests/process/main.rs
+++ b/crates/edge/tests/process/main.rs
@@ -18,6 +18,7 @@
 
 mod configuration;
 mod connections;
+mod crowded_clients;
 mod faults;
 mod invalid_clients;
 mod lifecycle;
--- a/crates/platform/src/core/admission/tests.rs
+++ b/crates/platform/src/core/admission/tests.rs
@@ -92,6 +92,7 @@
             "send the body with a Content-Length and no Transfer-Encoding\n",
         ),
         (RequestError::Pipelined, 400, "one request at a time\n"),
+        (RequestError::TooManyConnections, 503, "too many connections, send it again\n"),
         (RequestError::TimedOut, 408, "the request did not come in time\n"),
         (RequestError::DuplicateField, 400, "a field stands there twice\n"),
         (RequestError::UnknownClass, 404, "there is no such class\n"),
--- a/crates/platform/src/core/client_connections.rs
+++ b/crates/platform/src/core/client_connections.rs
@@ -11,6 +11,7 @@
 use connection::ClientConnection;
 use linnetcart::Time;
 use linnetcart_http::{parse_request, Request, RequestError};
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Identifies a client's connection; assigned by the shell.
@@ -51,6 +52,15 @@
     InRequest(ClientId),
 }
 
+/// How a connection ends in favour of others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Eviction {
+    /// The connection has no request, was removed and has to be closed.
+    Close(ClientId),
+    /// A part of a request was read: it has to be refused with an answer.
+    Refuse(ClientId),
+}
+
 /// The open connections of clients, at most `capacity`, with their buffered requests. Times are monotonic, in
 /// nanoseconds.
 #[derive(Debug)]
@@ -86,38 +96,22 @@
         self.connections.insert(id, ClientConnection::new(now));
     }
 
-    /// If there are more connections than the capacity, evicts and returns one that must be closed: the first in
-    /// [`EvictionOrder`](connection::EvictionOrder), or the newest one if none may be evicted. Returns `None` within
-    /// the capacity, or if each connection has a request that is not answered. Must be called once the input of an
-    /// iteration is read: input that was read from a connection must not be dropped with it.
-    pub fn evict(&mut self, now: Time) -> Option<ClientId> {
+    /// If there are more connections than the capacity, returns the one that must end: the first in
+    /// [`EvictionOrder`]. Returns `None` within the capacity, or if each connection has a complete request that is not
+    /// answered. Must be called once the input of an iteration is read.
+    pub fn evict(&mut self, now: Time) -> Option<Eviction> {
         if self.connections.len() <= self.capacity {
             return None;
         }
-        let evicted = self.eviction_candidate(now).or_else(|| self.newest_without_request())?;
-        self.closed(evicted);
-        Some(evicted)
-    }
-
-    fn newest_without_request(&self) -> Option<ClientId> {
-        let mut newest_first = self.connections.iter().rev();
-        let newest =
-            newest_first.find(|(id, client)| !client.awaits_answer && !self.has_unread_bytes(id, client));
-        newest.map(|(&id, _)| id)
-    }
-
-    /// Whether bytes of a connection may be a complete request, which would be lost if it were closed.
-    fn has_unread_bytes(&self, id: &ClientId, client: &ClientConnection) -> bool {
-        self.unread.contains(id) && !client.request.is_empty()
-    }
-
-    fn eviction_candidate(&self, now: Time) -> Option<ClientId> {
-        let candidates = self
-            .connections
-            .iter()
-            .filter(|(id, client)| client.is_evictable(now) && !self.has_unread_bytes(id, client));
-        let first = candidates.min_by_key(|(&id, client)| (client.eviction_order(), id));
-        first.map(|(&id, _)| id)
+        let orders =
+            self.connections.iter().filter_map(|(&id, client)| Some((client.eviction_order(now)?, id)));
+        let (order, id) =
+            orders.min_by_key(|&(order, id)| (order, order.prefers_newest().then_some(Reverse(id)), id))?;
+        if order.has_part_of_request() {
+            return Some(Eviction::Refuse(id));
+        }
+        self.closed(id);
+        Some(Eviction::Close(id))
     }
 
     /// Removes a connection that is closed or is being closed.
--- a/crates/platform/src/core/client_connections/connection.rs
+++ b/crates/platform/src/core/client_connections/connection.rs
@@ -9,12 +9,14 @@
 pub const REQUEST_TIMEOUT: Time = 2000 * MILLISECOND;
 /// Time limit for an idle connection, from the last response on it.
 pub const IDLE_TIMEOUT: Time = 10_000 * MILLISECOND;
-/// Time from the accept during which a connection without a request is not closed by [`IdlePolicy::Close`].
+/// Time from the accept during which a connection without a request does not count as idle.
 pub const FIRST_REQUEST_GRACE: Time = 200 * MILLISECOND;
-/// Minimum time since the last response, or since the first byte of the next request, before a connection
-/// that was answered may be evicted for a new one.
+/// Minimum time since the last response before a connection that was answered counts as rested.
 pub const EVICTABLE_IDLE_TIME: Time = 2000 * MILLISECOND;
 
+/// A request whose rest has not come for this time is refused before new connections are, when there are too many.
+pub const STALLED_REQUEST_TIME: Time = 1000 * MILLISECOND;
+
 /// When idle connections are closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum IdlePolicy {
@@ -53,22 +55,46 @@
     },
 }
 
-/// Sort key for eviction; the connection with the least key is evicted. Connections that were never answered
-/// come before the others, and within each group the one that entered its stage first.
+/// Sort key for eviction: the connection with the least key ends first. One from which a part of a request was read
+/// comes after all that have rested, and is answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum EvictionOrder {
-    /// No request was answered yet.
-    NeverAnswered {
+    /// The connection was answered [`EVICTABLE_IDLE_TIME`] ago, or has sent no byte for [`FIRST_REQUEST_GRACE`].
+    Rested {
+        /// When the last request was answered, or the connection was accepted.
+        since: Time,
+    },
+    /// The rest of a request has not come for [`STALLED_REQUEST_TIME`].
+    StalledRequest {
+        /// When the request began.
+        since: Time,
+    },
+    /// No byte has arrived yet. Of several that were accepted together, the newest comes first.
+    Silent {
         /// When the connection was accepted.
         since: Time,
     },
-    /// At least one request was answered.
-    Answered {
-        /// When the last request was answered, or the first byte of the next one arrived.
+    /// The connection was answered just now. The newest comes first.
+    AnsweredRecently,
+    /// A part of a request was read.
+    PartialRequest {
+        /// When the request began.
         since: Time,
     },
 }
 
+impl EvictionOrder {
+    /// Whether of several connections with this key the newest comes first.
+    pub fn prefers_newest(self) -> bool {
+        matches!(self, EvictionOrder::Silent { .. } | EvictionOrder::AnsweredRecently)
+    }
+
+    /// Whether a part of a request was read.
+    pub fn has_part_of_request(self) -> bool {
+        matches!(self, EvictionOrder::StalledRequest { .. } | EvictionOrder::PartialRequest { .. })
+    }
+}
+
 /// A client's connection.
 #[derive(Debug)]
 pub struct ClientConnection {
@@ -110,22 +136,32 @@
         self.request = Vec::new();
     }
 
-    /// Returns the connection's sort key for eviction.
-    pub fn eviction_order(&self) -> EvictionOrder {
-        match self.stage {
-            ClientStage::FirstRequest { accepted_at } => EvictionOrder::NeverAnswered { since: accepted_at },
-            ClientStage::Idle { idle_since: since }
-            | ClientStage::NextRequest { request_began_at: since } => EvictionOrder::Answered { since },
+    /// Returns the connection's sort key for eviction; `None` if it has a complete request that is not answered.
+    pub fn eviction_order(&self, now: Time) -> Option<EvictionOrder> {
+        if self.awaits_answer {
+            return None;
         }
-    }
-
-    /// Whether the connection may be closed in favour of one that was accepted now.
-    pub fn is_evictable(&self, now: Time) -> bool {
-        let is_old_enough = match self.eviction_order() {
-            EvictionOrder::NeverAnswered { since } => since < now,
-            EvictionOrder::Answered { since } => since + EVICTABLE_IDLE_TIME <= now,
+        let (since, grace, otherwise) = match self.stage {
+            ClientStage::FirstRequest { accepted_at: since }
+            | ClientStage::NextRequest { request_began_at: since }
+                if !self.request.is_empty() =>
+            {
+                let is_stalled = since + STALLED_REQUEST_TIME <= now;
+                return Some(if is_stalled {
+                    EvictionOrder::StalledRequest { since }
+                } else {
+                    EvictionOrder::PartialRequest { since }
+                });
+            }
+            ClientStage::FirstRequest { accepted_at } => {
+                (accepted_at, FIRST_REQUEST_GRACE, EvictionOrder::Silent { since: accepted_at })
+            }
+            ClientStage::Idle { idle_since: since }
+            | ClientStage::NextRequest { request_began_at: since } => {
+                (since, EVICTABLE_IDLE_TIME, EvictionOrder::AnsweredRecently)
+            }
         };
-        is_old_enough && !self.awaits_answer
+        Some(if since + grace <= now { EvictionOrder::Rested { since } } else { otherwise })
     }
 
     /// Whether the connection is waiting for no response and has timed out or, with [`IdlePolicy::Close`], is
--- a/crates/platform/src/core/request.rs
+++ b/crates/platform/src/core/request.rs
@@ -57,6 +57,9 @@
     /// The request did not arrive completely in time.
     #[error("the request did not come in time")]
     TimedOut,
+    /// The request did not arrive completely while there were too many connections.
+    #[error("too many connections, send it again")]
+    TooManyConnections,
     /// A header field that may occur once is repeated.
     #[error("a field stands there twice")]
     DuplicateField,
@@ -93,6 +96,11 @@
 }
 
 impl RequestError {
+    /// Whether the answer says that the message may be submitted again, and not that it failed.
+    pub fn is_rejection(self) -> bool {
+        self == RequestError::TooManyConnections
+    }
+
     /// Returns the status code of the answer.
     pub fn status(self) -> u16 {
         match self {
@@ -100,6 +108,7 @@
             RequestError::UnknownClass | RequestError::UnknownDestination => 404,
             RequestError::MethodNotAllowed => 405,
             RequestError::TimedOut => 408,
+            RequestError::TooManyConnections => 503,
             RequestError::IdOfCompletedMessage | RequestError::IdOfInvalidRequest => 409,
             RequestError::Pipelined
             | RequestError::DuplicateField
--- a/crates/platform/src/core/submission.rs
+++ b/crates/platform/src/core/submission.rs
@@ -2,7 +2,7 @@
 //! request with its result. Also closes connections of clients.
 
 use super::admission::{AdmissionDecision, Answer, Requester};
-use super::client_connections::{BufferedRequest, ClientId, ExpiredClient, IdlePolicy};
+use super::client_connections::{BufferedRequest, ClientId, Eviction, ExpiredClient, IdlePolicy};
 use super::decisions::accepted_message;
 use super::effects::Output;
 use super::in_flight::InFlightMessage;
@@ -92,8 +92,9 @@
         if let Some(known) = known.filter(|known| *known != KnownId::Ended(IdEnd::Invalid)) {
             return self.answer_known(Requester { client, persistence: Persistence::Close }, known);
         }
+        let end = if error.is_rejection() { IdEnd::Rejected } else { IdEnd::Invalid };
         for id in &ids {
-            self.ended_ids.insert_refused(id, IdEnd::Invalid, self.clock.wall_now());
+            self.ended_ids.insert_refused(id, end, self.clock.wall_now());
         }
         self.reject_invalid(client, error);
     }
@@ -286,11 +287,16 @@
         }
     }
 
-    /// Closes connections beyond the maximum number, now that the requests on them are read.
+    /// Ends connections beyond the maximum number, now that the requests on them are read.
     pub(super) fn evict_clients(&mut self) {
-        while let Some(client) = self.clients.evict(self.clock.now()) {
-            tracing::debug!(client, reason = ?ClientCloseReason::Evicted, "client connection closed");
-            self.effects.output(Output::CloseClient(client));
+        while let Some(eviction) = self.clients.evict(self.clock.now()) {
+            match eviction {
+                Eviction::Close(client) => {
+                    tracing::debug!(client, reason = ?ClientCloseReason::Evicted, "client connection closed");
+                    self.effects.output(Output::CloseClient(client));
+                }
+                Eviction::Refuse(client) => self.refuse_invalid(client, RequestError::TooManyConnections),
+            }
         }
     }
 
