Move the ends of client connections to a file of their own

Cause: submission.rs held parsing, answers, time limits and eviction; iteration.rs closed clients too; the connection pool collected ids by a condition in two places. Change: client_closing.rs has every end of a client's connection; ConnectionPool::ids_where. No behaviour changes; the architecture page names the new file.

--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -25,12 +25,14 @@
 //! | `recovery` | restoring the state from the journal, and the snapshot for a new journal file |
 //!
 //! These modules connect the parts: `inputs` (events from the shell), `iteration` (the order of steps in one
-//! iteration), `submission` (from a client's request to the response), `delivery` (from a decision to the
+//! iteration), `submission` (from a client's request to the response),
+//! `client_closing` (the ends of client connections), `delivery` (from a decision to the
 //! outcome of an attempt), `send_check` (the last check of an attempt before it is sent), `completion` (final outcomes of messages), `discovery_traffic` (the watch and
 //! status notifications) and `unrecorded` (undoing effects whose records could not be written).
 
 mod admission;
 mod attempts;
+mod client_closing;
 mod client_connections;
 mod clock;
 mod completion;
--- a/crates/platform/src/core/connection_pool.rs
+++ b/crates/platform/src/core/connection_pool.rs
@@ -215,13 +215,7 @@
     /// Closes all idle connections to an endpoint.
     pub fn close_idle(&mut self, endpoint: u32) {
         let is_idle = |connection: &Connection| connection.endpoint == endpoint && connection.is_idle();
-        let idle: Vec<ConnectionId> = self
-            .connections
-            .iter()
-            .filter(|(_, connection)| is_idle(connection))
-            .map(|(&id, _)| id)
-            .collect();
-        for id in idle {
+        for id in self.ids_where(is_idle) {
             self.close(id, CloseReason::CloseIdle);
         }
     }
@@ -269,14 +263,8 @@
     /// were assigned.
     pub fn close_timed_out(&mut self, now: Time) -> Vec<FinishedAttempt> {
         let is_overdue = |connection: &Connection| connection.deadline(self.timeouts) <= now;
-        let overdue: Vec<ConnectionId> = self
-            .connections
-            .iter()
-            .filter(|(_, connection)| is_overdue(connection))
-            .map(|(&id, _)| id)
-            .collect();
         let mut finished = Vec::new();
-        for id in overdue {
+        for id in self.ids_where(is_overdue) {
             let Some(connection) = self.connections.get(&id) else { continue };
             let outcome = connection.outcome_on_timeout();
             let end = connection.doubtful_end();
@@ -287,6 +275,11 @@
         finished
     }
 
+    fn ids_where(&self, predicate: impl Fn(&Connection) -> bool) -> Vec<ConnectionId> {
+        let matching = self.connections.iter().filter(|(_, connection)| predicate(connection));
+        matching.map(|(&id, _)| id).collect()
+    }
+
     /// Returns the earliest deadline of all connections, in monotonic time; [`Time::MAX`] for none.
     pub fn next_deadline(&self) -> Time {
         let deadline = |connection: &Connection| connection.deadline(self.timeouts);
--- a/crates/platform/src/core/iteration.rs
+++ b/crates/platform/src/core/iteration.rs
@@ -3,7 +3,6 @@
 
 use super::recovery;
 use super::shutdown::OutstandingWork;
-use super::submission::ClientCloseReason;
 use super::{Core, JournalState};
 use linnetcart::{AttemptOutcome, Time};
 
@@ -90,14 +89,6 @@
         }
     }
 
-    /// Closes connections on which the client has shut down its sending side. Complete requests on them were
-    /// answered earlier in this iteration.
-    fn close_half_closed(&mut self) {
-        for id in self.clients.take_half_closed() {
-            self.close_client(id, ClientCloseReason::HalfClosed);
-        }
-    }
-
     /// Queues the closes and write shutdowns that the connection pool has collected, before all other
     /// outputs.
     pub(super) fn put_closes_first(&mut self) {
--- a/crates/platform/src/core/submission.rs
+++ b/crates/platform/src/core/submission.rs
@@ -1,8 +1,9 @@
 //! Submissions: handles the requests of clients, passes valid messages to the next decision and answers each
-//! request with its result. Also closes connections of clients.
+//! request with its result.
 
 use super::admission::{AdmissionDecision, Answer, Requester};
-use super::client_connections::{BufferedRequest, ClientId, Eviction, ExpiredClient, IdlePolicy};
+use super::client_closing::ClientCloseReason;
+use super::client_connections::{BufferedRequest, ClientId};
 use super::decisions::accepted_message;
 use super::effects::Output;
 use super::in_flight::InFlightMessage;
@@ -27,19 +28,6 @@
     Decided,
 }
 
-/// Why a client's connection is closed. Written to the log by variant name.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum ClientCloseReason {
-    /// The answer to the last request on the connection is queued.
-    Answered,
-    /// The client shut down its sending side, and its last complete request is answered.
-    HalfClosed,
-    /// No request is in progress, and the idle timeout or the shutdown requires the close.
-    Idle,
-    /// There are more connections than the maximum number.
-    Evicted,
-}
-
 /// What is known of the id that a request names. Written to the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum KnownId {
@@ -83,7 +71,7 @@
     /// Answers a request that is invalid, malformed or was not completed in time, and closes its connection. What its
     /// client is told is true of every request with the id that it names: if the id is known, the answer is that of
     /// its message; otherwise nothing is sent under the id from now on.
-    fn refuse_invalid(&mut self, client: ClientId, error: RequestError) {
+    pub(super) fn refuse_invalid(&mut self, client: ClientId, error: RequestError) {
         let ids = named_ids(self.clients.received(client));
         let known = ids.iter().find_map(|id| self.find_id(id, None));
         for id in &ids {
@@ -267,44 +255,6 @@
         self.counters.invalid_requests += 1;
         self.answer(Requester { client, persistence: Persistence::Close }, Answer::Invalid(error));
     }
-
-    /// Closes idle connections and answers incomplete requests with 408, once they have timed out. From
-    /// [`Phase::Draining`](super::shutdown::Phase::Draining) on, closes every idle connection and the
-    /// listener.
-    pub(super) fn sweep_clients(&mut self) {
-        if !self.clients.begin_sweep(self.clock.now()) {
-            return;
-        }
-        let idle = if self.shutdown.closes_after_answer() { IdlePolicy::Close } else { IdlePolicy::Keep };
-        for client in self.clients.expired(self.clock.now(), idle) {
-            match client {
-                ExpiredClient::Idle(id) => self.close_client(id, ClientCloseReason::Idle),
-                ExpiredClient::InRequest(id) => self.refuse_invalid(id, RequestError::TimedOut),
-            }
-        }
-        if self.shutdown.close_listener() {
-            self.effects.output(Output::StopListening);
-        }
-    }
-
-    /// Ends connections beyond the maximum number, now that the requests on them are read.
-    pub(super) fn evict_clients(&mut self) {
-        while let Some(eviction) = self.clients.evict(self.clock.now()) {
-            match eviction {
-                Eviction::Close(client) => {
-                    tracing::debug!(client, reason = ?ClientCloseReason::Evicted, "client connection closed");
-                    self.effects.output(Output::CloseClient(client));
-                }
-                Eviction::Refuse(client) => self.refuse_invalid(client, RequestError::TooManyConnections),
-            }
-        }
-    }
-
-    pub(super) fn close_client(&mut self, id: ClientId, reason: ClientCloseReason) {
-        tracing::debug!(client = id, ?reason, "client connection closed");
-        self.clients.closed(id);
-        self.effects.output(Output::CloseClient(id));
-    }
 }
 
 /// Whether a message has the content of an ended one. Deadlines and idempotency keys are not compared.
