--- a/crates/edge/tests/soak/faults.rs
+++ b/crates/edge/tests/soak/faults.rs
@@ -36,6 +36,10 @@
 /// Faults that may close a client's connection before its request is read.
 const CLOSING_FAULTS: [(Fault, Rate); 2] = [(Fault::SocketOption, 60), (Fault::Register, 60)];
 
+/// Faults under which records cannot be written.
+const JOURNAL_FAULTS: [Fault; 4] =
+    [Fault::FileWrite, Fault::FileShortWrite, Fault::FileCreate, Fault::FileTruncate];
+
 /// The faults that a run may inject.
 #[derive(Clone, Debug)]
 pub struct FaultPlan {
@@ -61,6 +65,12 @@
         FaultPlan { faults, closes_connections_unread, longest, steps_wall_clock: random.chance(40) }
     }
 
+    /// Whether the journal cannot be written for a while, so that ends of messages are not recorded.
+    pub fn makes_journal_unwritable(&self) -> bool {
+        let is_of_journal = |&(fault, _): &(Fault, Rate)| JOURNAL_FAULTS.contains(&fault);
+        self.faults.iter().any(is_of_journal)
+    }
+
     /// Turns one or two faults on for a random time and off again, repeatedly until `stop` is set.
     pub fn inject(&self, mut random: Random, control: &FaultControl, stop: &AtomicBool) {
         while !stop.load(Ordering::Relaxed) {
