Space notification batches from the last one sent, not from the last connect

Cause: a connect that failed counted as the last one, so that the next began 150 ms later. Change: the spacing counts from the last batch that was sent.

--- a/crates/platform/src/core/status_notifier/connections.rs
+++ b/crates/platform/src/core/status_notifier/connections.rs
@@ -18,9 +18,10 @@
 const CONNECT_PATIENCE: Time = 100 * MILLISECOND;
 /// A connection whose answer does not come within this time is closed.
 const ANSWER_TIMEOUT: Time = 3000 * MILLISECOND;
-/// While this many batches are unanswered, new connections are spaced by [`SPACING`].
+/// While this many batches are unanswered, a new connection begins [`SPACING`] after the last batch.
 const UNSPACED_BATCHES: usize = 3;
-/// Minimum time between two new connections while many batches are unanswered. A notification has 300 ms to arrive.
+/// Minimum time from a batch to the connect for the next one while many are unanswered. A notification has 300 ms to
+/// arrive.
 const SPACING: Time = 150 * MILLISECOND;
 /// Maximum number of connections: an answer has `MAX_CONNECTIONS * SPACING`, more than a second, before its
 /// connection makes room for another. They are among the file descriptors that the core reserves.
@@ -77,7 +78,7 @@
     /// No connect begins before this time, because of a failure.
     retry_at: Time,
     backoff: Time,
-    last_connect_at: Time,
+    last_sent_at: Time,
 }
 
 impl NotifierConnections {
@@ -87,7 +88,7 @@
             connections: BTreeMap::new(),
             retry_at: 0,
             backoff: MIN_BACKOFF,
-            last_connect_at: 0,
+            last_sent_at: 0,
         }
     }
 
@@ -106,7 +107,6 @@
         let stage = Stage::Connecting { since: now };
         let connection = NotifierConnection { stage, messages: vec![], request_bytes: 0, response: vec![] };
         self.connections.insert(id, connection);
-        self.last_connect_at = now;
     }
 
     /// Records that a connection was established.
@@ -124,6 +124,7 @@
 
     /// Records that a batch was sent on a connection.
     pub fn sent(&mut self, id: ConnectionId, messages: Vec<u32>, request_bytes: u64, now: Time) {
+        self.last_sent_at = now;
         if let Some(connection) = self.connections.get_mut(&id) {
             connection.stage = Stage::AwaitingAnswer { sent_at: now };
             connection.messages = messages;
@@ -175,7 +176,7 @@
             }
         }
         if unanswered >= UNSPACED_BATCHES {
-            at = at.max(self.last_connect_at + SPACING);
+            at = at.max(self.last_sent_at + SPACING);
         }
         at
     }
