Log the memory of the process and each refusal or eviction of a client

Cause: the statistics had no figure of memory, a refused request whose bytes name no id and an evicted connection left a line at debug only, so a log in service could not tell whether a process was near its limit, nor why a client met a closed connection.

Change: statistics with resident and peak memory and the bytes held of requests, messages in flight and responses, and the number of ended ids; an event and a counter for each refusal and eviction.

--- a/crates/courier-common/src/lib.rs
+++ b/crates/courier-common/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod idle_reuse;
 mod limit_log;
 mod message_numbers;
+mod process_memory;
 
 pub use limit_log::log_limit_change;
 pub use message_numbers::MessageNumbers;
+pub use process_memory::ProcessMemory;
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -199,6 +199,10 @@
             clients: self.clients.len(),
             upstream_connections: pool.connections,
             attempts: pool.attempts,
+            request_bytes: self.clients.request_bytes(),
+            in_flight_bytes: self.in_flight.size_bytes(),
+            response_bytes: self.pool.response_bytes(),
+            ended_ids: self.ended_ids.len(),
         }
     }
 
--- a/crates/platform/src/core/client_closing.rs
+++ b/crates/platform/src/core/client_closing.rs
@@ -2,7 +2,7 @@
 //! the shutdown. One from which a part of a request was read is answered, unless its client sends no more.
 
 use super::client_connections::{ClientId, Eviction, ExpiredClient, IdlePolicy};
-use super::effects::Output;
+use super::effects::{CoreEvent, Output};
 use super::request::RequestError;
 use super::Core;
 
@@ -15,8 +15,6 @@
     HalfClosed,
     /// No request is in progress, and the idle timeout or the shutdown requires the close.
     Idle,
-    /// There are more connections than the maximum number.
-    Evicted,
 }
 
 impl Core {
@@ -52,7 +50,8 @@
         while let Some(eviction) = self.clients.evict(self.clock.now()) {
             match eviction {
                 Eviction::Close(client) => {
-                    tracing::debug!(client, reason = ?ClientCloseReason::Evicted, "client connection closed");
+                    self.counters.evicted_clients += 1;
+                    self.effects.event(CoreEvent::ClientEvicted { client });
                     self.effects.output(Output::CloseClient(client));
                 }
                 Eviction::Refuse(client) => self.refuse_invalid(client, RequestError::TooManyConnections),
--- a/crates/platform/src/core/client_connections.rs
+++ b/crates/platform/src/core/client_connections.rs
@@ -91,6 +91,11 @@
         self.connections.len()
     }
 
+    /// Returns the number of bytes that are held of requests that are not answered.
+    pub fn request_bytes(&self) -> usize {
+        self.connections.values().map(|client| client.request.capacity()).sum()
+    }
+
     /// Adds a connection. [`ClientConnections::evict`] keeps the number within the capacity.
     pub fn opened(&mut self, id: ClientId, now: Time) {
         self.connections.insert(id, ClientConnection::new(now));
--- a/crates/platform/src/core/connection_pool.rs
+++ b/crates/platform/src/core/connection_pool.rs
@@ -133,6 +133,11 @@
         PoolSize { connections: self.connections.len(), attempts: self.by_attempt.len() }
     }
 
+    /// Returns the number of bytes that are held of responses that are not complete.
+    pub fn response_bytes(&self) -> usize {
+        self.connections.values().map(|connection| connection.response.capacity()).sum()
+    }
+
     /// Allocates an unused connection id, also for connections that the pool does not own.
     pub fn allocate_id(&mut self) -> ConnectionId {
         self.last_id += 1;
--- a/crates/platform/src/core/counters.rs
+++ b/crates/platform/src/core/counters.rs
@@ -11,6 +11,10 @@
     pub rejected: u64,
     /// Requests that are not valid submissions.
     pub invalid_requests: u64,
+    /// Connections of clients without a request that were closed because too many were open.
+    pub evicted_clients: u64,
+    /// Requests that were refused before they were complete, because too many connections were open.
+    pub refused_partial_requests: u64,
     /// Attempts whose request was queued and not taken back.
     pub attempts_sent: u64,
     /// Acceptances and attempts that were undone, mostly because their records could not be written.
@@ -107,4 +111,12 @@
     /// Attempts to which a connection is assigned; cancelled attempts are not counted, even while their
     /// abandoned connections are read.
     pub attempts: usize,
+    /// Bytes that are held of the requests of clients that are not answered.
+    pub request_bytes: usize,
+    /// Estimate of the bytes of the messages in flight.
+    pub in_flight_bytes: usize,
+    /// Bytes that are held of the responses of endpoints.
+    pub response_bytes: usize,
+    /// Ids of messages that have ended and requests that were refused.
+    pub ended_ids: usize,
 }
--- a/crates/platform/src/core/deduplication.rs
+++ b/crates/platform/src/core/deduplication.rs
@@ -61,6 +61,11 @@
         self.by_expiry.insert(Expiry::of(&completed));
     }
 
+    /// Returns the number of ids.
+    pub fn len(&self) -> usize {
+        self.by_id.len()
+    }
+
     /// Looks up an id. Returns `None` if no ended message has it.
     pub fn find(&self, id: &[u8]) -> Option<CompletedId> {
         self.by_id.get(&digest(&[id])).copied()
--- a/crates/platform/src/core/effects.rs
+++ b/crates/platform/src/core/effects.rs
@@ -9,6 +9,7 @@
 use super::connection_pool::ConnectionId;
 use super::counters::RecoveryCounts;
 use super::discovery::WatchError;
+use super::request::RequestError;
 use super::status_notifier::NotificationError;
 use crate::records::Record;
 use bytes::Bytes;
@@ -44,6 +45,20 @@
     /// No byte arrived on the watch within its silence timeout, or its connection was not established in
     /// time; the watch is reopened.
     WatchSilent,
+    /// A request was refused whose bytes name no message id.
+    ClientRefused {
+        /// The connection.
+        client: ClientId,
+        /// Number of bytes that were read of the request.
+        received_bytes: usize,
+        /// Why the request was refused.
+        error: RequestError,
+    },
+    /// A client's connection without a request was closed because too many were open.
+    ClientEvicted {
+        /// The connection.
+        client: ClientId,
+    },
     /// Discovery's answer to a batch of status notifications was invalid; the notifications are sent again.
     NotificationsFailed(NotificationError),
     /// Discovery did not answer a batch of status notifications in time, or the connection for them was not
--- a/crates/platform/src/core/ended_ids.rs
+++ b/crates/platform/src/core/ended_ids.rs
@@ -49,6 +49,11 @@
         self.refused.insert(ended, wall_now);
     }
 
+    /// Returns the number of ids.
+    pub fn len(&self) -> usize {
+        self.accepted.len() + self.refused.len()
+    }
+
     /// Looks up an id. Returns `None` if no ended message has it.
     pub fn find(&self, id: &[u8]) -> Option<CompletedId> {
         self.accepted.find(id).or_else(|| self.refused.find(id))
--- a/crates/platform/src/core/in_flight.rs
+++ b/crates/platform/src/core/in_flight.rs
@@ -123,6 +123,11 @@
         self.uncompleted
     }
 
+    /// Returns an estimate of the bytes of all messages.
+    pub fn size_bytes(&self) -> usize {
+        self.size_bytes as usize
+    }
+
     /// Whether a further message fits into the part of the journal that messages in flight may take.
     pub fn has_capacity_for(&self, message: &Message) -> bool {
         self.size_bytes + stored_size(message) <= self.max_size_bytes
--- a/crates/platform/src/core/submission.rs
+++ b/crates/platform/src/core/submission.rs
@@ -5,7 +5,7 @@
 use super::client_closing::ClientCloseReason;
 use super::client_connections::{BufferedRequest, ClientId};
 use super::decisions::accepted_message;
-use super::effects::Output;
+use super::effects::{CoreEvent, Output};
 use super::in_flight::InFlightMessage;
 use super::request::{named_ids, parse_submission, RequestError, SubmittedMessage};
 use super::{Core, JournalState};
@@ -73,6 +73,10 @@
     /// its message; otherwise nothing is sent under the id from now on.
     pub(super) fn refuse_invalid(&mut self, client: ClientId, error: RequestError) {
         let ids = named_ids(self.clients.received(client));
+        if ids.is_empty() {
+            let received_bytes = self.clients.received(client).len();
+            self.effects.event(CoreEvent::ClientRefused { client, received_bytes, error });
+        }
         let known = ids.iter().find_map(|id| self.find_id(id, None));
         for id in &ids {
             tracing::info!(id = %String::from_utf8_lossy(id), client, %error, ?known, "request invalid");
@@ -84,6 +88,7 @@
         for id in &ids {
             self.ended_ids.insert_refused(id, end, self.clock.wall_now());
         }
+        self.counters.refused_partial_requests += u64::from(error.is_rejection());
         self.reject_invalid(client, error);
     }
 
--- a/crates/platform/src/shell/log.rs
+++ b/crates/platform/src/shell/log.rs
@@ -2,7 +2,7 @@
 
 use crate::core::{Core, CoreEvent, MILLISECOND};
 use linnetcart::Time;
-use linnetcart_courier_common::log_limit_change;
+use linnetcart_courier_common::{log_limit_change, ProcessMemory};
 
 const SECOND: Time = 1000 * MILLISECOND;
 /// Maximum number of events about no message that are logged in a second; further ones are dropped.
@@ -55,6 +55,8 @@
         | CoreEvent::UnknownClass { .. } => true,
         CoreEvent::WatchFailed(_)
         | CoreEvent::WatchSilent
+        | CoreEvent::ClientRefused { .. }
+        | CoreEvent::ClientEvicted { .. }
         | CoreEvent::NotificationsFailed(_)
         | CoreEvent::NotificationsTimedOut
         | CoreEvent::LimitChanged(_)
@@ -67,6 +69,12 @@
     match event {
         CoreEvent::WatchFailed(error) => tracing::info!(%error, "endpoint watch failed, reconnecting"),
         CoreEvent::WatchSilent => tracing::info!("endpoint watch silent, reconnecting"),
+        CoreEvent::ClientRefused { client, received_bytes, error } => {
+            tracing::info!(client, received_bytes, %error, "request without an id refused");
+        }
+        CoreEvent::ClientEvicted { client } => {
+            tracing::info!(client, "client connection closed, too many are open");
+        }
         CoreEvent::NotificationsFailed(error) => {
             tracing::info!(%error, "status notifications not acknowledged, resending");
         }
@@ -106,7 +114,15 @@
 
 fn log_statistics(core: &Core, journal_bytes: u64) {
     let sizes = core.sizes();
+    let status = std::fs::read_to_string(ProcessMemory::STATUS_FILE).unwrap_or_default();
+    let memory = ProcessMemory::parse(&status);
     tracing::info!(
+        resident_bytes = memory.map(|memory| memory.resident_bytes),
+        peak_bytes = memory.map(|memory| memory.peak_bytes),
+        request_bytes = sizes.request_bytes,
+        in_flight_bytes = sizes.in_flight_bytes,
+        response_bytes = sizes.response_bytes,
+        ended_ids = sizes.ended_ids,
         in_flight = sizes.in_flight,
         unacknowledged = sizes.unacknowledged,
         endpoints = sizes.endpoints,
