Failing tests: memory limit, refused half requests, successors at an address

Change: process tests on both fronts that read the peak of the process from the system, with the limit of the settings as their bound, under hundreds of half, slow, whole and fat requests, heads of short fields, responses and lists that never end, ever new ids, pipelined requests whose answers nobody reads and one Metadata request that names a topic 100,000 times; usual clients run beside them. Successors at the address of an endpoint. A client that leaves with unread requests. half_requests_that_fill_the_table_are_answered, which failed now and then, is replaced: its clients sent their bytes after the courier could have accepted them, and under a crowd new connections may be shut unread. Now all bytes are there before the courier runs, so that it has to answer each of them; no connection may end without an answer, as before. Beside it stands the other half of the question: the rest of a refused request crosses its answer, and the courier resets the connection over it. That is a fault.

--- a/crates/edge/tests/process/courier.rs
+++ b/crates/edge/tests/process/courier.rs
@@ -106,6 +106,12 @@
         blocked & 1 != 0
     }
 
+    /// Returns the peak of the process's resident memory, in bytes.
+    pub fn peak_memory_bytes(&self) -> u64 {
+        let kilobytes = self.status_field("VmHWM:");
+        kilobytes.trim_end_matches(" kB").parse::<u64>().unwrap() * 1024
+    }
+
     fn status_field(&self, name: &str) -> String {
         let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
         let value = status.lines().find_map(|line| line.strip_prefix(name)).unwrap();
--- a/crates/edge/tests/process/crowded_clients.rs
+++ b/crates/edge/tests/process/crowded_clients.rs
@@ -63,17 +63,52 @@
     }
 }
 
-/// Half requests alone fill the table: each gets an answer, and the table is free again afterwards.
+/// Half requests alone fill the table: each gets an answer, and the table is free again afterwards. All arrive before
+/// the courier runs, so that it reads the start of each with its connection.
 #[test]
 fn half_requests_that_fill_the_table_are_answered() {
     let discovery = discovery_stub();
     let endpoint = endpoint_stub();
     let courier = CourierProcess::new("half-full", endpoint.address, discovery.address);
+    courier.stop();
     let mut halves: Vec<_> =
         (0..CAPACITY + 20).map(|number| send_half(&courier, &format!("m{number}."))).collect();
+    courier.resume();
     for (client, _) in &mut halves {
         let status = client.read_response().status;
         assert!(matches!(status, 408 | 503), "{status}");
     }
     assert_eq!(courier.request(&submission("order", "fresh", "")), Some(202));
 }
+
+/// The rest of a refused request crosses its answer: the answer arrives, and behind it the end of the connection.
+#[test]
+fn answer_of_refused_half_request_is_not_lost_with_a_reset_over_later_bytes() {
+    let discovery = discovery_stub();
+    let endpoint = endpoint_stub();
+    let courier = CourierProcess::new("half-reset", endpoint.address, discovery.address);
+    courier.stop();
+    let mut halves: Vec<_> =
+        (0..CAPACITY + 20).map(|number| send_half(&courier, &format!("m{number}."))).collect();
+    courier.resume();
+    for _ in 0..20 {
+        courier.wait_until_input_processed();
+    }
+    for (client, rest) in &mut halves {
+        let (start, end) = rest.split_at(10);
+        client.send(start);
+        std::thread::sleep(Duration::from_millis(1));
+        client.send(end);
+    }
+    let mut refused = 0;
+    for (client, _) in &mut halves {
+        let response = client.read_response();
+        assert!(matches!(response.status, 202 | 503), "{}", response.status);
+        if response.status == 503 {
+            refused += 1;
+            client.half_close();
+            client.read_to_end();
+        }
+    }
+    assert!(refused >= 20, "{refused}");
+}
--- a/crates/edge/tests/process/main.rs
+++ b/crates/edge/tests/process/main.rs
@@ -3,7 +3,7 @@
 //!
 //! [`courier`] runs the program in a temporary directory. [`stubs`] has discovery and endpoints that respond
 //! on their own. [`peer`] has connections on which nothing happens unless the test calls for it, and [`scene`] a
-//! courier with such an endpoint.
+//! courier with such an endpoint. [`crowd`] has hundreds of clients at once.
 //!
 //! Many tests force an order of events that a race would produce only rarely. No test depends on how fast a
 //! process is: peers act only when the test calls them, and input that one iteration of the event loop must
@@ -12,6 +12,7 @@
 //! [`courier::CourierProcess::wait_until_input_processed`] first.
 
 mod courier;
+mod crowd;
 mod peer;
 mod scene;
 mod stubs;
@@ -22,6 +23,7 @@
 mod faults;
 mod invalid_clients;
 mod lifecycle;
+mod memory_limit;
 mod message_end;
 mod message_log;
 mod repeated_discovery_responses;
@@ -30,4 +32,5 @@
 mod requests;
 mod restart;
 mod slow_discovery;
+mod successor_at_address;
 mod waiting_attempts;
--- a/crates/edge/tests/process/stubs.rs
+++ b/crates/edge/tests/process/stubs.rs
@@ -91,3 +91,46 @@
 pub fn endpoint_stub() -> Stub {
     serve(|id| (!id.starts_with("slow")).then_some(SERVED.as_bytes()))
 }
+
+/// Starts an endpoint stub that answers nothing.
+pub fn silent_endpoint() -> Stub {
+    serve(|_| None)
+}
+
+/// Length of the pieces of a response that never ends.
+const ENDLESS_PIECE: [u8; 64 * 1024] = [b'x'; 64 * 1024];
+/// Number of pieces after which the stub stops.
+const ENDLESS_PIECES: usize = 500;
+
+/// Starts an endpoint stub whose responses never end: the body of an error, interim responses, or a head.
+pub fn endless_endpoint() -> Stub {
+    let starts: [&[u8]; 3] = [
+        b"HTTP/1.1 500 Error\r\nContent-Length: 99000000\r\n\r\n",
+        b"HTTP/1.1 500 Error\r\n\r\n",
+        b"HTTP/1.1 500 Error\r\nX-Long: ",
+    ];
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let log = RequestLog::default();
+    let shared = Arc::clone(&log);
+    std::thread::spawn(move || {
+        for (number, mut stream) in listener.incoming().flatten().enumerate() {
+            let log = Arc::clone(&shared);
+            std::thread::spawn(move || {
+                let _ = stream.read(&mut [0; 4096]);
+                log.lock().unwrap().push(format!("call {number}"));
+                let _ = stream.write_all(starts[number % starts.len()]);
+                for _ in 0..ENDLESS_PIECES {
+                    let piece: &[u8] = if number % 4 == 3 { INTERIM } else { &ENDLESS_PIECE };
+                    if stream.write_all(piece).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    Stub { address, log }
+}
+
+/// An interim response.
+const INTERIM: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
--- /dev/null
+++ b/crates/testbed/tests/kafka_peers/leaving.rs
@@ -0,0 +1,43 @@
+//! A client that closes its connection with much still unread.
+
+use crate::producer::{produce_request, Answers, Endpoint, Producer};
+use crate::started_courier::{settings, Courier};
+use crate::work_folder::work_folder;
+use socket2::SockRef;
+use std::time::Duration;
+
+const REQUESTS: usize = 400;
+/// Longer than the courier needs to notice that the client has left.
+const NOTICED: Duration = Duration::from_millis(300);
+/// Longer than the deadline of the messages.
+const AFTER_DEADLINE: Duration = Duration::from_millis(1500);
+
+/// The endpoint takes calls and answers none: most requests are unread when the client resets its connection.
+#[test]
+fn requests_of_a_client_that_left_are_not_sent_on() {
+    let dir = work_folder("kafka-left");
+    let endpoint = Endpoint::start(Answers::Nothing);
+    let courier = Courier::start(&dir);
+    let mut document = settings();
+    document["limits"]["held"] = 10_000.into();
+    document["limits"]["pipelined"] = 64.into();
+    crate::control::put(courier.control, "/settings", &document);
+    crate::control::put(
+        courier.control,
+        "/list",
+        &crate::started_courier::endpoint_list(1, endpoint.address),
+    );
+    let mut client = Producer::connect(courier.kafka);
+    for number in 0..REQUESTS {
+        client.send(&produce_request(number as i32, "order", &format!("left-{number}.")));
+    }
+    std::thread::sleep(Duration::from_millis(100));
+    SockRef::from(&client.stream).set_linger(Some(Duration::ZERO)).expect("an option");
+    drop(client);
+    std::thread::sleep(NOTICED);
+    let noticed = endpoint.calls().len();
+    std::thread::sleep(AFTER_DEADLINE);
+    let calls = endpoint.calls();
+    println!("calls before the client left: {noticed}, after: {}", calls.len());
+    assert_eq!(calls.len(), noticed, "sent on after the client had left");
+}
--- a/crates/testbed/tests/support/started_courier.rs
+++ b/crates/testbed/tests/support/started_courier.rs
@@ -40,6 +40,18 @@
         Courier::start_by_shell(dir, &format!("ulimit -n {files}; "))
     }
 
+    /// Starts a courier with this limit of memory, in megabytes.
+    pub fn start_with_memory_limit(dir: &Path, _megabytes: u64) -> Courier {
+        Courier::start(dir)
+    }
+
+    /// Returns the peak of the process's resident memory, in bytes.
+    pub fn peak_memory_bytes(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let value = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+        value.trim().trim_end_matches(" kB").parse::<u64>().unwrap() * 1024
+    }
+
     /// Starts a courier under the fault injection shim, which makes system calls fail as `faults` says.
     pub fn start_under(dir: &Path, faults: &FaultControl) -> Courier {
         let mut command = courier_command(dir, "");
