Take an endpoint for gone once the list names another one at its address

Cause: EndpointList never asked whether two names claim one address; both stayed ready, and the calls of the old one went to its address.

Change: an address belongs to the endpoint to which the list gave it last: by event, then by start time, then by place in the event. An unchanged entry of the old one claims nothing, however often it is listed; one with a new start or address does. The loser counts as removed: its idle connections end, its waiting and connecting attempts are not sent. The Kafka front removes the earlier entry from its list in the same way. A test of the update of a list gave all its endpoints one address, as a placeholder; each has its own now, and the checks are as before.

--- a/crates/edge/src/settings/endpoint_list.rs
+++ b/crates/edge/src/settings/endpoint_list.rs
@@ -106,6 +106,8 @@
         if !update.complete {
             next.entries.clone_from(&self.entries);
         }
+        let mut addresses: BTreeMap<SocketAddr, u32> =
+            next.entries.iter().map(|(&id, entry)| (entry.address, id)).collect();
         let mut seen = BTreeSet::new();
         let mut library_entries = Vec::with_capacity(update.entries.len());
         for (index, entry) in update.entries.iter().enumerate() {
@@ -119,6 +121,10 @@
             library_entries.push(library_endpoint(entry, settings, path)?);
             self.check_destination_unchanged(entry, path)?;
             next.apply(entry);
+            if entry.state != EntryState::Removed {
+                let previous = addresses.insert(entry.address, entry.id).filter(|&id| id != entry.id);
+                library_entries.extend(previous.and_then(|id| next.remove_at(id, entry.address, settings)));
+            }
         }
         next.check_consistency()?;
         Ok(UpdatedList { list: next, library_entries })
@@ -133,6 +139,18 @@
         }
     }
 
+    /// Removes an endpoint whose address was given to another one, whether or not the list says that it is gone: an
+    /// address belongs to the endpoint that was listed with it last. Returns the removed endpoint for the decision
+    /// library, or `None` if it has another address.
+    fn remove_at(&mut self, id: u32, address: SocketAddr, settings: &Settings) -> Option<Endpoint> {
+        if self.entries.get(&id)?.address != address {
+            return None;
+        }
+        let gone = EndpointEntry { state: EntryState::Removed, ..self.entries.remove(&id)? };
+        tracing::info!(%address, gone = id, "another endpoint is listed at the address");
+        library_endpoint(&gone, settings, EntryPath { index: 0 }).ok()
+    }
+
     /// Returns all entries, converted for the decision library.
     ///
     /// # Errors
--- a/crates/edge/src/settings/tests.rs
+++ b/crates/edge/src/settings/tests.rs
@@ -79,7 +79,7 @@
         zone: "a".into(),
         rate: 0.0,
         state,
-        address: "127.0.0.1:9".parse().unwrap(),
+        address: format!("127.0.0.1:{id}").parse().unwrap(),
     };
     let update = |version, complete, entries: &[EndpointEntry]| EndpointListUpdate {
         version,
--- a/crates/edge/tests/process/memory_limit.rs
+++ b/crates/edge/tests/process/memory_limit.rs
@@ -105,7 +105,7 @@
     for number in 0..CLIENTS {
         let head = head_of_short_fields(&format!("fields-{number}."));
         // More fields than a head may have, or a head that stops.
-        let fields = if number % 2 == 0 { "b:2\r\n".repeat(2000) } else { String::new() };
+        let fields = if number.is_multiple_of(2) { "b:2\r\n".repeat(2000) } else { String::new() };
         crowd.send_part(&(head + &fields));
     }
     crowd.check_answers(&[400, 408, 431, 503]);
@@ -193,7 +193,7 @@
 fn stream_lists(mut stream: std::net::TcpStream, number: usize) {
     let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
     for version in 2..400u64 {
-        let piece = if number % 2 == 0 {
+        let piece = if number.is_multiple_of(2) {
             " ".repeat(20_000) + "{\"index\":"
         } else {
             let new = |n: u64| {
--- a/crates/edge/tests/process/stubs.rs
+++ b/crates/edge/tests/process/stubs.rs
@@ -98,7 +98,7 @@
 }
 
 /// Length of the pieces of a response that never ends.
-const ENDLESS_PIECE: [u8; 64 * 1024] = [b'x'; 64 * 1024];
+static ENDLESS_PIECE: [u8; 64 * 1024] = [b'x'; 64 * 1024];
 /// Number of pieces after which the stub stops.
 const ENDLESS_PIECES: usize = 500;
 
--- a/crates/platform/src/core/discovery/endpoint_list.rs
+++ b/crates/platform/src/core/discovery/endpoint_list.rs
@@ -1,9 +1,12 @@
 //! The endpoint list: maps the names by which discovery identifies endpoints to the numbers by which the
 //! decision library does, and holds each endpoint's address, zone and status.
 
+mod address_owners;
+
 use crate::config::{EndpointEntry, ListedStatus, WatchEvent};
 use crate::core::clock::MILLISECOND;
 use crate::records::UNKNOWN_INDEX;
+use address_owners::{AddressClaim, AddressOwners, ClaimResult};
 use linnetcart::{Endpoint, EndpointStatus, Event, Time};
 use linnetcart_deployment_settings::DeploymentSettings;
 use std::collections::{BTreeMap, BTreeSet};
@@ -22,6 +25,11 @@
     pub zone: u8,
     /// The endpoint's status.
     pub status: EndpointStatus,
+    /// When the list gave the address to the endpoint.
+    claim: AddressClaim,
+    /// Whether the address was given to another endpoint later. The endpoint is gone then, although the list has not
+    /// said so.
+    is_superseded: bool,
     name: String,
     destination: u32,
     kind: u8,
@@ -46,9 +54,20 @@
 
     fn remove(&mut self, now: Time) {
         self.status = EndpointStatus::Removed;
+        self.is_superseded = false;
         self.changed_at = now;
     }
 
+    /// Records that the endpoint's address was given to another one.
+    fn supersede(&mut self, now: Time) {
+        self.remove(now);
+        self.is_superseded = true;
+    }
+
+    fn has_same_process(&self, entry: &EndpointEntry, address: SocketAddr) -> bool {
+        self.address == address && self.started_at_ms == entry.started_at_ms
+    }
+
     /// Whether connections that were established to the `previous` listing of this endpoint must be closed,
     /// because the endpoint was removed, moved or restarted.
     fn makes_connections_stale(&self, previous: &ListedEndpoint) -> bool {
@@ -83,6 +102,9 @@
     numbers: BTreeMap<String, u32>,
     endpoints: BTreeMap<u32, ListedEndpoint>,
     last_number: u32,
+    addresses: AddressOwners,
+    /// Number of events that were applied.
+    event_count: u64,
     /// Destinations for which any endpoint was ever listed.
     destinations: BTreeSet<u32>,
     /// Zones that the settings do not contain. Their indexes follow those of the settings, so that no two
@@ -136,13 +158,14 @@
     /// Applies an event of the watch.
     pub fn apply(&mut self, event: &WatchEvent, settings: &DeploymentSettings, now: Time) -> ListUpdate {
         self.version = event.version;
+        self.event_count += 1;
         let mut changes = Changes::default();
         if event.complete {
             self.needs_complete_list = false;
             self.remove_unlisted(event, now, &mut changes);
         }
-        for entry in &event.entries {
-            self.apply_entry(entry, settings, now, &mut changes);
+        for (position, entry) in event.entries.iter().enumerate() {
+            self.apply_entry(entry, position, settings, now, &mut changes);
         }
         self.forget_expired(now);
         let event = Event::EndpointList { complete: event.complete, entries: changes.entries };
@@ -153,8 +176,10 @@
     fn remove_unlisted(&mut self, event: &WatchEvent, now: Time, changes: &mut Changes) {
         let names: BTreeSet<&str> = event.entries.iter().map(|entry| &entry.name[..]).collect();
         for (&number, endpoint) in &mut self.endpoints {
-            if endpoint.status != EndpointStatus::Removed && !names.contains(&endpoint.name[..]) {
+            let is_listed = endpoint.status != EndpointStatus::Removed || endpoint.is_superseded;
+            if is_listed && !names.contains(&endpoint.name[..]) {
                 endpoint.remove(now);
+                self.addresses.release(endpoint.address, number);
                 changes.stale.push(number);
             }
         }
@@ -163,7 +188,9 @@
     /// Deletes endpoints that were removed at least [`REMOVED_RETENTION`] ago.
     fn forget_expired(&mut self, now: Time) {
         let is_old = |endpoint: &ListedEndpoint| {
-            endpoint.status == EndpointStatus::Removed && endpoint.changed_at + REMOVED_RETENTION <= now
+            endpoint.status == EndpointStatus::Removed
+                && !endpoint.is_superseded
+                && endpoint.changed_at + REMOVED_RETENTION <= now
         };
         let old: Vec<u32> = self
             .endpoints
@@ -182,6 +209,7 @@
     fn apply_entry(
         &mut self,
         entry: &EndpointEntry,
+        position: usize,
         settings: &DeploymentSettings,
         now: Time,
         changes: &mut Changes,
@@ -191,21 +219,55 @@
             self.needs_complete_list = true;
             return;
         };
-        let listed = self.listed_endpoint(entry, address, settings, now);
+        let mut listed = self.listed_endpoint(entry, address, settings, now);
+        listed.claim.position = position;
         if let Some(removed) = self.remove_from_other_destination(entry, now) {
             changes.stale.push(removed.id);
             changes.entries.push(removed);
         }
         let Some(number) = self.number_of(entry) else { return };
         self.destinations.insert(entry.destination);
-        changes.entries.push(listed.event_entry(number, entry.rate));
         let previous = self.endpoints.get(&number);
-        if previous.is_some_and(|previous| listed.makes_connections_stale(previous)) {
+        if let Some(previous) = previous.filter(|previous| previous.has_same_process(entry, address)) {
+            listed.claim = previous.claim;
+        }
+        let is_stale = previous.is_some_and(|previous| listed.makes_connections_stale(previous));
+        if let Some(previous_address) = previous.map(|previous| previous.address) {
+            if previous_address != address || listed.status == EndpointStatus::Removed {
+                self.addresses.release(previous_address, number);
+            }
+        }
+        if listed.status != EndpointStatus::Removed {
+            self.claim_address(number, &mut listed, now, changes);
+        }
+        changes.entries.push(listed.event_entry(number, entry.rate));
+        if is_stale || listed.is_superseded {
             changes.stale.push(number);
         }
         self.endpoints.insert(number, listed);
     }
 
+    /// Decides whether a listed endpoint has its address. If so, the endpoint that had it before is removed; if
+    /// not, this one is.
+    fn claim_address(&mut self, number: u32, listed: &mut ListedEndpoint, now: Time, changes: &mut Changes) {
+        match self.addresses.claim(listed.address, number, listed.claim) {
+            ClaimResult::Owned => {}
+            ClaimResult::Superseded => listed.supersede(now),
+            ClaimResult::Supersedes(old) => {
+                let Some(endpoint) = self.endpoints.get_mut(&old) else { return };
+                endpoint.supersede(now);
+                tracing::info!(
+                    address = %listed.address,
+                    name = listed.name,
+                    gone = endpoint.name,
+                    "another endpoint is listed at the address"
+                );
+                changes.stale.push(old);
+                changes.entries.push(endpoint.event_entry(old, 0.0));
+            }
+        }
+    }
+
     fn listed_endpoint(
         &mut self,
         entry: &EndpointEntry,
@@ -217,6 +279,8 @@
             address,
             zone: self.zone_index(&entry.zone, settings),
             status: EndpointStatus::from(entry.status),
+            claim: AddressClaim { event: self.event_count, started_at_ms: entry.started_at_ms, position: 0 },
+            is_superseded: false,
             name: entry.name.clone(),
             destination: entry.destination,
             kind: kind_index(&entry.kind, settings),
@@ -236,6 +300,7 @@
             return None;
         }
         previous.remove(now);
+        self.addresses.release(previous.address, number);
         self.numbers.remove(&entry.name);
         Some(previous.event_entry(number, 0.0))
     }
--- a/crates/platform/src/core/discovery/endpoint_list/tests.rs
+++ b/crates/platform/src/core/discovery/endpoint_list/tests.rs
@@ -86,3 +86,62 @@
     }
     assert_eq!(endpoints.zone_index("one too many", &settings), UNKNOWN_INDEX);
 }
+
+fn at_shared_address(name: &str) -> EndpointEntry {
+    entry(name, "127.0.0.1:1", ListedStatus::Active)
+}
+
+/// Whether the endpoints 1 and 2 are ready.
+fn ready_ones(endpoints: &EndpointList) -> (bool, bool) {
+    (endpoints.ready(1).is_some(), endpoints.ready(2).is_some())
+}
+
+#[test]
+fn address_belongs_to_name_that_was_listed_with_it_last() {
+    let settings = DeploymentSettings::default();
+    let mut endpoints = list_with("old");
+    let update = endpoints.apply(&event(8, false, vec![at_shared_address("new")]), &settings, NOW);
+    assert_eq!(update.stale, [1]);
+    assert_eq!(ready_ones(&endpoints), (false, true));
+    // Unchanged entries give the address to nobody else, however often and however late they come.
+    for later in [NOW, NOW + 2 * REMOVED_RETENTION, NOW + 4 * REMOVED_RETENTION] {
+        let both = vec![at_shared_address("new"), at_shared_address("old")];
+        endpoints.apply(&event(9, false, vec![]), &settings, later);
+        endpoints.apply(&event(9, true, both), &settings, later);
+        assert_eq!(ready_ones(&endpoints), (false, true));
+    }
+    let left = entry("old", "127.0.0.1:1", ListedStatus::Left);
+    endpoints.apply(&event(10, false, vec![left]), &settings, NOW);
+    assert_eq!(ready_ones(&endpoints), (false, true));
+}
+
+#[test]
+fn restarted_endpoint_takes_its_address_back() {
+    let settings = DeploymentSettings::default();
+    let mut endpoints = list_with("old");
+    endpoints.apply(&event(8, false, vec![at_shared_address("new")]), &settings, NOW);
+    let restarted = EndpointEntry { started_at_ms: 5, ..at_shared_address("old") };
+    endpoints.apply(&event(9, false, vec![restarted]), &settings, NOW);
+    assert_eq!(ready_ones(&endpoints), (true, false));
+}
+
+#[test]
+fn endpoint_is_back_once_complete_list_names_it_alone() {
+    let settings = DeploymentSettings::default();
+    let mut endpoints = list_with("old");
+    endpoints.apply(&event(8, false, vec![at_shared_address("new")]), &settings, NOW);
+    endpoints.apply(&event(9, true, vec![at_shared_address("old")]), &settings, NOW);
+    assert_eq!(ready_ones(&endpoints), (true, false));
+}
+
+#[test]
+fn of_two_names_in_one_event_the_one_that_started_later_has_the_address() {
+    let settings = DeploymentSettings::default();
+    let started = EndpointEntry { started_at_ms: 5, ..at_shared_address("started") };
+    for entries in [vec![started.clone(), at_shared_address("b")], vec![at_shared_address("b"), started]] {
+        let mut endpoints = EndpointList::default();
+        endpoints.apply(&event(1, true, entries), &settings, NOW);
+        let ready = (1..=2).filter_map(|number| endpoints.ready(number));
+        assert_eq!(ready.map(|endpoint| &endpoint.name[..]).collect::<Vec<_>>(), ["started"]);
+    }
+}
--- a/crates/testbed/tests/process.rs
+++ b/crates/testbed/tests/process.rs
@@ -6,6 +6,7 @@
 #[path = "support/kafka.rs"]
 mod kafka;
 #[path = "support/started_courier.rs"]
+#[allow(dead_code)]
 mod started_courier;
 #[path = "support/work_folder.rs"]
 mod work_folder;
