Linger on a refused connection, and read in batches

Callers saw: a request that was refused half way (408, 431, 503 and others) lost its answer with a reset when its client was still sending: the client's next write failed.

Cause: close_after_flush closes the socket as soon as the answer is written; bytes that are unread then, or come later, make the system reset the connection.

Change: Net::close_lingering closes the sending side, reads and discards for a second at most, and makes room for new connections. A poll reports what it has read after a number of bytes, and goes on with Net::read_more, so that what is read of hundreds of connections is never held at once; connections of the program's own come first.

--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -12,6 +12,10 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+/// How long a closing connection waits for its send queue to be written.
+const FLUSH_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long a lingering connection waits for the peer to close its side.
+const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum number of writes in a row that a signal interrupts (`EINTR`). The next one is deferred, so that
 /// the connection cannot starve the others.
 const MAX_INTERRUPTED_WRITES: usize = 64;
@@ -83,9 +87,30 @@
     /// Length of the last [`Connection::queue`], in bytes; 0 once it is taken back.
     last_queued_bytes: usize,
     written_bytes: u64,
-    /// When the connection began to close; from then on, the connection only writes its send queue and
-    /// discards input. `None` if it is not closing.
-    closing_since: Option<Instant>,
+    /// How the connection is closing; from then on, it only writes its send queue and discards input. `None` if
+    /// it is not closing.
+    closing: Option<Closing>,
+    /// Whether the connection was accepted by a listener.
+    pub(crate) is_accepted: bool,
+}
+
+/// How a connection ends once its send queue is written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CloseMode {
+    /// The connection is closed. Input that is unread then, or arrives later, makes the system reset it.
+    AfterFlush,
+    /// The sending side is closed, and input is read and discarded until the peer has closed its side.
+    Linger,
+}
+
+/// The progress of closing a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Closing {
+    mode: CloseMode,
+    /// When the connection began to close or, once its sending side is closed, when that was.
+    since: Instant,
+    /// Whether the sending side is closed, and the connection waits for the peer.
+    is_lingering: bool,
 }
 
 impl Connection {
@@ -105,7 +130,8 @@
             unsent: BytesMut::new(),
             last_queued_bytes: 0,
             written_bytes: 0,
-            closing_since: None,
+            closing: None,
+            is_accepted: false,
         }
     }
 
@@ -122,16 +148,37 @@
     }
 
     pub(crate) fn is_closing(&self) -> bool {
-        self.closing_since.is_some()
+        self.closing.is_some()
     }
 
-    /// Whether the connection has been closing for longer than `limit`.
-    pub(crate) fn is_closing_longer_than(&self, limit: Duration, now: Instant) -> bool {
-        self.closing_since.is_some_and(|since| now.duration_since(since) > limit)
+    /// Whether the connection has been closing for longer than the limit of its state.
+    pub(crate) fn close_timed_out(&self, now: Instant) -> bool {
+        let limit = |closing: Closing| if closing.is_lingering { LINGER_TIMEOUT } else { FLUSH_TIMEOUT };
+        self.closing.is_some_and(|closing| now.duration_since(closing.since) > limit(closing))
+    }
+
+    /// Begins to close the connection. The first mode stays in force.
+    pub(crate) fn begin_close(&mut self, mode: CloseMode, now: Instant) {
+        self.closing.get_or_insert(Closing { mode, since: now, is_lingering: false });
+    }
+
+    /// Closes the sending side of a connection that lingers, now that its send queue is written. Returns false if
+    /// the connection has to be closed instead.
+    pub(crate) fn begin_linger(&mut self, now: Instant) -> bool {
+        let Some(closing) = &mut self.closing else { return false };
+        if closing.mode == CloseMode::AfterFlush || self.read_ended {
+            return false;
+        }
+        if closing.is_lingering {
+            return true;
+        }
+        *closing = Closing { is_lingering: true, since: now, ..*closing };
+        self.stream.shutdown(Shutdown::Write).is_ok()
     }
 
-    pub(crate) fn close_after_flush(&mut self, now: Instant) {
-        self.closing_since = Some(now);
+    /// Returns since when the connection waits for the peer to close its side; `None` if it does not.
+    pub(crate) fn lingers_since(&self) -> Option<Instant> {
+        self.closing.filter(|closing| closing.is_lingering).map(|closing| closing.since)
     }
 
     pub(crate) fn may_read(&self) -> bool {
--- a/crates/net/src/connections.rs
+++ b/crates/net/src/connections.rs
@@ -5,7 +5,7 @@
 
 mod reading;
 
-use crate::connection::{ConnectOutcome, Connection, ConnectionState, WriteOutcome};
+use crate::connection::{CloseMode, ConnectOutcome, Connection, ConnectionState, WriteOutcome};
 use crate::reactor::Reactor;
 use crate::system_error::{classify_connect_result, ConnectStart};
 use crate::{ConnectFailure, Event, Token};
@@ -20,8 +20,6 @@
 /// Maximum number of reads from one connection in one poll, unless [`Connections::set_reads_per_poll`] sets
 /// another. Remaining input waits for the next poll, so that no connection can starve the others.
 const DEFAULT_READS_PER_POLL: usize = 4;
-/// How long [`Connections::close_after_flush`] waits for the send queue to be written.
-const FLUSH_TIMEOUT: Duration = Duration::from_secs(5);
 /// Pause before a system call is repeated that failed for lack of resources: the event loop does not report
 /// when they are available again.
 pub(crate) const DEFERRED_CALL_PAUSE: Duration = Duration::from_millis(5);
@@ -58,10 +56,23 @@
         self.reads_per_poll = reads;
     }
 
-    pub(crate) fn is_full(&self) -> bool {
+    /// Whether there are as many connections as the maximum. A connection that only waits for its peer to close it
+    /// makes room for a new one.
+    pub(crate) fn is_full(&mut self, reactor: &mut Reactor) -> bool {
+        if self.open.len() < self.max_connections {
+            return false;
+        }
+        let lingering = self.open.iter().filter_map(|(&token, open)| Some((open.lingers_since()?, token)));
+        let Some((_, oldest)) = lingering.min() else { return true };
+        self.close(oldest, reactor);
         self.open.len() >= self.max_connections
     }
 
+    /// Whether a token belongs to a connection that a listener accepted.
+    pub(crate) fn is_accepted(&self, token: Token) -> bool {
+        self.open.get(&token).is_some_and(|connection| connection.is_accepted)
+    }
+
     pub(crate) fn count(&self) -> usize {
         self.open.len()
     }
@@ -96,9 +107,9 @@
         &mut self,
         token: Token,
         addr: SocketAddr,
-        reactor: &Reactor,
+        reactor: &mut Reactor,
     ) -> io::Result<ConnectStart> {
-        if self.is_full() {
+        if self.is_full(reactor) {
             return Err(io::Error::other("the maximum number of connections is reached"));
         }
         let socket = Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP))?;
@@ -120,7 +131,11 @@
     ) -> io::Result<()> {
         stream.set_nonblocking(true)?;
         stream.set_nodelay(true)?;
-        self.insert(token, stream, ConnectionState::Established, reactor)
+        self.insert(token, stream, ConnectionState::Established, reactor)?;
+        if let Some(connection) = self.open.get_mut(&token) {
+            connection.is_accepted = true;
+        }
+        Ok(())
     }
 
     fn insert(
@@ -202,13 +217,20 @@
         self.close(token, reactor);
     }
 
-    pub(crate) fn close_after_flush(&mut self, token: Token) {
+    pub(crate) fn begin_close(&mut self, token: Token, mode: CloseMode) {
         if let Some(connection) = self.open.get_mut(&token) {
-            connection.close_after_flush(Instant::now());
+            connection.begin_close(mode, Instant::now());
             self.unflushed.insert(token);
         }
     }
 
+    /// Closes a lingering connection whose peer has closed its side.
+    pub(crate) fn finish_linger(&mut self, token: Token, reactor: &mut Reactor) {
+        if self.open.get(&token).is_some_and(|connection| connection.lingers_since().is_some()) {
+            self.close(token, reactor);
+        }
+    }
+
     /// Writes the send queues of all connections. Returns the connections that it tried to write to.
     pub(crate) fn flush(&mut self, reactor: &mut Reactor) -> Vec<Token> {
         let unflushed = std::mem::take(&mut self.unflushed);
@@ -227,7 +249,14 @@
             return;
         }
         match connection.write_unsent() {
-            WriteOutcome::Flushed if connection.is_closing() => self.close(token, reactor),
+            WriteOutcome::Flushed if connection.is_closing() => {
+                if connection.begin_linger(Instant::now()) {
+                    connection.read_paused = false;
+                    reactor.pending_reads.insert(token);
+                } else {
+                    self.close(token, reactor);
+                }
+            }
             WriteOutcome::Flushed | WriteOutcome::Blocked => {}
             WriteOutcome::Deferred => self.defer(token),
             WriteOutcome::Failed => self.close_lost(token, reactor),
@@ -312,11 +341,12 @@
         self.write(token, reactor);
     }
 
-    /// Closes the closing connections whose send queue was not written within [`FLUSH_TIMEOUT`].
-    pub(crate) fn close_flush_timeouts(&mut self, now: Instant, reactor: &mut Reactor) {
+    /// Closes the closing connections whose send queue was not written in time, or whose peer did not close its side
+    /// in time.
+    pub(crate) fn close_timed_out(&mut self, now: Instant, reactor: &mut Reactor) {
         let mut timed_out = Vec::new();
         for (&token, connection) in &self.open {
-            if connection.is_closing_longer_than(FLUSH_TIMEOUT, now) {
+            if connection.close_timed_out(now) {
                 timed_out.push(token);
             }
         }
--- a/crates/net/src/connections/reading.rs
+++ b/crates/net/src/connections/reading.rs
@@ -11,6 +11,9 @@
     /// Reads the available input, in at most [`Connections::set_reads_per_poll`] reads.
     pub(crate) fn read(&mut self, token: Token, reactor: &mut Reactor, out: &mut Vec<Event>) {
         for _ in 0..self.reads_per_poll {
+            if reactor.is_batch_full() {
+                break;
+            }
             if self.read_once(token, reactor, out).is_break() {
                 return;
             }
@@ -29,12 +32,21 @@
         let written = connection.written_bytes();
         let outcome = connection.read(&mut reactor.read_buffer);
         // The owner of a closing connection expects no more events from it.
-        if !connection.is_closing() {
+        let is_closing = connection.is_closing();
+        if !is_closing {
             out.extend(read_event(token, outcome, &reactor.read_buffer, written));
         }
         match outcome {
-            ReadOutcome::Received(_) | ReadOutcome::Interrupted => ControlFlow::Continue(()),
-            ReadOutcome::EndOfStream | ReadOutcome::Blocked => ControlFlow::Break(()),
+            ReadOutcome::Received(count) => {
+                reactor.count_read(if is_closing { 0 } else { count });
+                ControlFlow::Continue(())
+            }
+            ReadOutcome::Interrupted => ControlFlow::Continue(()),
+            ReadOutcome::EndOfStream => {
+                self.finish_linger(token, reactor);
+                ControlFlow::Break(())
+            }
+            ReadOutcome::Blocked => ControlFlow::Break(()),
             ReadOutcome::Deferred => {
                 self.defer(token);
                 ControlFlow::Break(())
--- a/crates/net/src/listeners.rs
+++ b/crates/net/src/listeners.rs
@@ -182,7 +182,7 @@
     reactor: &mut Reactor,
     out: &mut Vec<Event>,
 ) {
-    if connections.is_full() {
+    if connections.is_full(reactor) {
         tracing::debug!(%peer, "connection closed unread, the maximum number is reached");
         return;
     }
--- a/crates/net/src/net.rs
+++ b/crates/net/src/net.rs
@@ -3,12 +3,14 @@
 //! [`Net`] owns all sockets of a program, defines the public operations on them and the order of the steps of
 //! one poll. It never interprets the bytes that it moves.
 
+use crate::connection::CloseMode;
 use crate::connections::Connections;
 use crate::datagrams::DatagramSockets;
 use crate::listeners::{Listeners, ACCEPT_PAUSE};
 use crate::reactor::Reactor;
 use crate::{BoundSocket, Event, Token};
 use calloop::signals::Signal;
+use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -23,6 +25,20 @@
     pub buffer_bytes: usize,
     /// Maximum number of reads from one connection in one poll.
     pub reads_per_poll: usize,
+    /// Number of bytes after which a poll stops reading and reports what it has read. [`Net::read_more`] reads from
+    /// the other connections.
+    pub batch_bytes: usize,
+}
+
+/// The kinds of sockets in the order in which a poll reads from them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum ReadOrder {
+    /// A connection that this program has established.
+    Connected,
+    /// A listener or a datagram socket.
+    Listener,
+    /// A connection that a listener has accepted.
+    Accepted,
 }
 
 /// Connections, listeners and datagram sockets on one event loop.
@@ -32,6 +48,8 @@
     listeners: Listeners,
     datagrams: DatagramSockets,
     last_read_at: Instant,
+    /// The sockets that the present poll has still to read, in order.
+    unread: VecDeque<Token>,
 }
 
 impl Net {
@@ -48,12 +66,14 @@
             listeners: Listeners::default(),
             datagrams: DatagramSockets::default(),
             last_read_at: Instant::now(),
+            unread: VecDeque::new(),
         })
     }
 
     /// Replaces the limits on reading.
     pub fn set_read_limits(&mut self, limits: ReadLimits) {
         self.reactor.set_read_buffer_size(limits.buffer_bytes);
+        self.reactor.set_batch_bytes(limits.batch_bytes);
         self.connections.set_reads_per_poll(limits.reads_per_poll);
     }
 
@@ -186,7 +206,14 @@
 
     /// Closes a connection once its queued bytes are written, or after 5 seconds. No event is reported.
     pub fn close_after_flush(&mut self, token: Token) {
-        self.connections.close_after_flush(token);
+        self.connections.begin_close(token, CloseMode::AfterFlush);
+    }
+
+    /// Closes the sending side of a connection once its queued bytes are written, and then reads and discards input
+    /// until the peer has closed its side, for a second at most. Unlike after [`Net::close_after_flush`], bytes that
+    /// the peer still sends do not make the system reset the connection. No event is reported.
+    pub fn close_lingering(&mut self, token: Token) {
+        self.connections.begin_close(token, CloseMode::Linger);
     }
 
     /// Writes the queued bytes that the system accepts. Returns the connections that it tried to write to.
@@ -207,9 +234,22 @@
         let now = Instant::now();
         self.last_read_at = now;
         self.connections.resume_deferred(now, &mut self.reactor);
+        self.order_pending_reads();
         self.handle_pending_reads(now, out);
         self.listeners.close_drained(now, &mut self.reactor);
-        self.connections.close_flush_timeouts(now, &mut self.reactor);
+        self.connections.close_timed_out(now, &mut self.reactor);
+        out.append(&mut self.reactor.deferred_events);
+    }
+
+    /// Whether the last poll has not read from all sockets with input, because of [`ReadLimits::batch_bytes`].
+    pub fn has_unread(&self) -> bool {
+        !self.unread.is_empty()
+    }
+
+    /// Continues the last poll: reads from sockets that it has not read, up to [`ReadLimits::batch_bytes`], and appends
+    /// the events to `out`. Without this, the next poll begins with them.
+    pub fn read_more(&mut self, out: &mut Vec<Event>) {
+        self.handle_pending_reads(Instant::now(), out);
         out.append(&mut self.reactor.deferred_events);
     }
 
@@ -236,7 +276,7 @@
     }
 
     fn has_remaining_work(&self, accept_paused: bool) -> bool {
-        if !self.reactor.deferred_events.is_empty() {
+        if !self.reactor.deferred_events.is_empty() || self.has_unread() {
             return true;
         }
         let waits_for_accept = |token: Token| accept_paused && self.listeners.contains(token);
@@ -255,8 +295,32 @@
         }
     }
 
+    /// Sets the order in which this poll reads: first what the last one has left, then connections that this program
+    /// has established, then listeners and datagram sockets, then accepted connections.
+    fn order_pending_reads(&mut self) {
+        let mut pending = std::mem::take(&mut self.reactor.pending_reads);
+        for token in &self.unread {
+            pending.remove(token);
+        }
+        let mut pending: Vec<Token> = pending.into_iter().collect();
+        pending.sort_by_key(|&token| self.read_order(token));
+        self.unread.extend(pending);
+    }
+
+    fn read_order(&self, token: Token) -> ReadOrder {
+        if self.connections.is_accepted(token) {
+            ReadOrder::Accepted
+        } else if self.listeners.contains(token) || self.datagrams.contains(token) {
+            ReadOrder::Listener
+        } else {
+            ReadOrder::Connected
+        }
+    }
+
     fn handle_pending_reads(&mut self, now: Instant, out: &mut Vec<Event>) {
-        for token in std::mem::take(&mut self.reactor.pending_reads) {
+        self.reactor.begin_batch();
+        while !self.reactor.is_batch_full() {
+            let Some(token) = self.unread.pop_front() else { return };
             if self.listeners.contains(token) {
                 self.listeners.accept(token, now, &mut self.connections, &mut self.reactor, out);
             } else if self.datagrams.contains(token) {
--- a/crates/net/src/reactor.rs
+++ b/crates/net/src/reactor.rs
@@ -41,6 +41,10 @@
     pub(crate) pending_reads: BTreeSet<Token>,
     /// Events that occurred outside of a poll; the next poll reports them.
     pub(crate) deferred_events: Vec<Event>,
+    /// How many bytes the present batch of reads may still bring. The last read may bring more.
+    batch_remaining: usize,
+    /// Maximum number of bytes of a batch of reads.
+    batch_bytes: usize,
     /// Shared by all sockets; received bytes are copied from here into the event that reports them.
     pub(crate) read_buffer: Vec<u8>,
 }
@@ -55,6 +59,8 @@
             last_token: 1,
             pending_reads: BTreeSet::new(),
             deferred_events: Vec::new(),
+            batch_remaining: usize::MAX,
+            batch_bytes: usize::MAX,
             read_buffer: vec![0; DEFAULT_READ_BUFFER_BYTES],
         })
     }
@@ -63,6 +69,25 @@
         self.read_buffer = vec![0; bytes];
     }
 
+    pub(crate) fn set_batch_bytes(&mut self, bytes: usize) {
+        self.batch_bytes = bytes;
+    }
+
+    /// Begins a batch of reads.
+    pub(crate) fn begin_batch(&mut self) {
+        self.batch_remaining = self.batch_bytes;
+    }
+
+    /// Counts bytes that were read.
+    pub(crate) fn count_read(&mut self, bytes: usize) {
+        self.batch_remaining = self.batch_remaining.saturating_sub(bytes);
+    }
+
+    /// Whether the present batch has brought its maximum number of bytes.
+    pub(crate) fn is_batch_full(&self) -> bool {
+        self.batch_remaining == 0
+    }
+
     /// Returns a token that has not been used before.
     pub(crate) fn next_token(&mut self) -> Token {
         self.last_token += 1;
--- a/crates/net/tests/sockets.rs
+++ b/crates/net/tests/sockets.rs
@@ -1,7 +1,7 @@
 //! Sockets of one process connected to each other over the loopback device.
 
-use linnetcart_net::{Event, Net, Reserved, Token};
-use std::io::Write;
+use linnetcart_net::{Event, Net, ReadLimits, Reserved, Token};
+use std::io::{Read, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::time::Duration;
 
@@ -242,3 +242,76 @@
     peer.write_all(b"late").unwrap();
     poll_until(&mut net, |event| matches!(event, Event::Data { written: 6, bytes, .. } if bytes == "late"));
 }
+
+/// What [`Net::close_lingering`] has to get across: the last bytes, although the peer sends more behind them.
+#[test]
+fn bytes_before_lingering_close_arrive_although_the_peer_still_sends() {
+    let mut net = Net::new(10).unwrap();
+    let address = net.listen(ANY_PORT).unwrap().address;
+    let mut peer = std::net::TcpStream::connect(address).unwrap();
+    let server = poll_until_accepted(&mut net);
+    peer.write_all(b"begin").unwrap();
+    poll_until_data(&mut net, server, b"begin");
+    net.send(server, b"refused");
+    net.close_lingering(server);
+    for _ in 0..5 {
+        net.poll(Duration::from_millis(1), &mut vec![]);
+        peer.write_all(b"the rest").unwrap();
+    }
+    assert_eq!(net.connections(), 1, "it waits for the peer");
+    let mut received = Vec::new();
+    peer.shutdown(std::net::Shutdown::Write).unwrap();
+    peer.read_to_end(&mut received).unwrap();
+    assert_eq!(received, b"refused");
+    for _ in 0..MAX_POLLS {
+        net.poll(Duration::from_millis(1), &mut vec![]);
+    }
+    assert_eq!(net.connections(), 0, "the peer has closed its side");
+}
+
+/// A connection that only waits for its peer takes no place from a new one.
+#[test]
+fn lingering_connection_makes_room_for_a_new_one() {
+    let mut net = Net::new(1).unwrap();
+    let address = net.listen(ANY_PORT).unwrap().address;
+    let _first = std::net::TcpStream::connect(address).unwrap();
+    let server = poll_until_accepted(&mut net);
+    net.close_lingering(server);
+    net.poll(Duration::ZERO, &mut vec![]);
+    let _second = std::net::TcpStream::connect(address).unwrap();
+    poll_until_accepted(&mut net);
+    assert_eq!(net.connections(), 1);
+}
+
+/// Input beyond a batch waits for [`Net::read_more`], or for the next poll.
+#[test]
+fn poll_reports_at_most_a_batch_at_a_time() {
+    const PEERS: usize = 6;
+    let mut net = Net::new(10).unwrap();
+    net.set_read_limits(ReadLimits { buffer_bytes: 1024, reads_per_poll: 2, batch_bytes: 2048 });
+    let address = net.listen(ANY_PORT).unwrap().address;
+    let mut peers: Vec<_> = (0..PEERS).map(|_| std::net::TcpStream::connect(address).unwrap()).collect();
+    for _ in 0..PEERS {
+        net.poll(Duration::from_millis(1), &mut vec![]);
+    }
+    for peer in &mut peers {
+        peer.write_all(&[b'x'; 1024]).unwrap();
+    }
+    let mut batches = Vec::new();
+    let mut total = 0;
+    for _ in 0..MAX_POLLS {
+        let mut events = Vec::new();
+        if net.has_unread() {
+            net.read_more(&mut events);
+        } else {
+            net.poll(Duration::from_millis(1), &mut events);
+        }
+        let lengths =
+            events.iter().map(|event| if let Event::Data { bytes, .. } = event { bytes.len() } else { 0 });
+        let batch: usize = lengths.sum();
+        total += batch;
+        batches.push(batch);
+    }
+    assert_eq!(total, PEERS * 1024);
+    assert!(batches.iter().all(|&batch| batch <= 2048), "{batches:?}");
+}
