--- a/crates/courier-common/src/attribution/response_history.rs
+++ b/crates/courier-common/src/attribution/response_history.rs
@@ -3,6 +3,8 @@
 /// Maximum size of the responses that are kept for a connection, in bytes. A connection that reaches it is
 /// not reused.
 const MAX_HISTORY_BYTES: usize = 16 << 10;
+/// Memory of a response in addition to its bytes: its place in the list, and what the allocator adds.
+const RESPONSE_OVERHEAD_BYTES: usize = 32;
 /// The start of every status line of HTTP/1.0 and HTTP/1.1.
 const STATUS_LINE_START: &[u8] = b"HTTP/1.";
 
@@ -22,6 +24,11 @@
         self.responses.iter().any(|earlier| may_be_copy_of(earlier))
     }
 
+    /// Returns the number of bytes that the history takes in memory.
+    pub fn held_bytes(&self) -> usize {
+        self.bytes.min(MAX_HISTORY_BYTES) + self.responses.capacity() * RESPONSE_OVERHEAD_BYTES
+    }
+
     /// Adds a complete response. Returns `false` if the history is full, in which case the connection must
     /// not be reused.
     pub fn push(&mut self, response: &[u8]) -> bool {
--- a/crates/courier-common/src/lib.rs
+++ b/crates/courier-common/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod attribution;
 pub mod idle_reuse;
 mod limit_log;
+pub mod memory_budget;
 mod message_numbers;
 mod process_memory;
 
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -21,7 +21,7 @@
 pub use chunked::{ChunkedDecoder, InvalidChunk};
 pub use limits::{parse_decimal, MAX_BODY_BYTES, MAX_HEADER_FIELDS, MAX_HEAD_BYTES};
 pub use persistence::Persistence;
-pub use request::{parse_request, DuplicateField, Request, RequestError};
+pub use request::{parse_request, request_length, DuplicateField, Request, RequestError, RequestLength};
 pub use response::{
     encode_response, interim_length, parse_response, reason_phrase, EarlyStatus, ParsedResponse, ResponseHead,
 };
--- a/crates/http/src/request.rs
+++ b/crates/http/src/request.rs
@@ -92,6 +92,28 @@
     }
 }
 
+/// The lengths of a request whose head is complete, in bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RequestLength {
+    /// Length of the head.
+    pub head: usize,
+    /// Length of the head and the body.
+    pub total: usize,
+}
+
+/// Returns the lengths of the request at the start of these bytes, or `None` while its head is incomplete.
+///
+/// # Errors
+///
+/// If the bytes cannot become a valid request or exceed a limit; see [`RequestError`].
+pub fn request_length(bytes: &[u8]) -> Result<Option<RequestLength>, RequestError> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADER_FIELDS];
+    let mut parsed = httparse::Request::new(&mut headers);
+    let Some(head) = parse_head(&mut parsed, bytes)? else { return Ok(None) };
+    let fields = Fields::new(bytes, parsed.headers);
+    Ok(Some(RequestLength { head, total: head + body_length(&fields, bytes)? }))
+}
+
 /// Parses the request at the start of these bytes. Returns `None` while more bytes are needed.
 ///
 /// # Errors
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -4,6 +4,7 @@
 //! serde.
 
 use linnetcart::EndpointStatus;
+use linnetcart_courier_common::memory_budget::{MemoryBudget, DEFAULT_LIMIT_BYTES};
 use linnetcart_deployment_settings::DeploymentSettings;
 use serde::Deserialize;
 use serde_json::Value;
@@ -24,8 +25,8 @@
     /// The settings name no class of messages.
     #[error("settings.services is empty; at least one class of messages is required")]
     NoClasses,
-    /// A limit is too low: fewer than 64 file descriptors, or a `disk_mb` that is not greater than 0.
-    #[error("limits: `sockets` must be at least 64 and `disk_mb` greater than 0")]
+    /// A limit is too low: fewer than 64 file descriptors, or a `disk_mb` or `memory_mb` that is not greater than 0.
+    #[error("limits: `sockets` must be at least 64, and `disk_mb` and `memory_mb` greater than 0")]
     LimitsTooLow,
 }
 
@@ -37,6 +38,13 @@
     pub file_descriptors: usize,
     /// Maximum size of the files in the state directory, in megabytes (10^6 bytes).
     pub disk_mb: f64,
+    /// Maximum size of the process's memory, in megabytes (10^6 bytes).
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: f64,
+}
+
+fn default_memory_mb() -> f64 {
+    DEFAULT_LIMIT_BYTES as f64 / 1e6
 }
 
 impl Limits {
@@ -44,6 +52,11 @@
     pub fn disk_bytes(&self) -> u64 {
         (self.disk_mb * 1e6) as u64
     }
+
+    /// Returns the bytes that each part of the process may hold.
+    pub fn memory_budget(&self) -> MemoryBudget {
+        MemoryBudget::new((self.memory_mb * 1e6) as u64, self.file_descriptors)
+    }
 }
 
 /// An entry of the endpoint list.
@@ -154,7 +167,9 @@
         if settings.class_names.is_empty() {
             return Err(ConfigError::NoClasses);
         }
-        if file.limits.file_descriptors < MIN_FILE_DESCRIPTORS || file.limits.disk_mb <= 0.0 {
+        let limits = file.limits;
+        let has_no_room = limits.disk_mb <= 0.0 || limits.memory_mb <= 0.0;
+        if limits.file_descriptors < MIN_FILE_DESCRIPTORS || has_no_room {
             return Err(ConfigError::LimitsTooLow);
         }
         // On this protocol, a call carries one message.
--- a/crates/platform/src/config/tests.rs
+++ b/crates/platform/src/config/tests.rs
@@ -29,7 +29,7 @@
 #[test]
 fn limits_outer_names_read() {
     let limits: Limits = serde_json::from_str(r#"{"sockets": 64, "disk_mb": 1.5}"#).expect("limits");
-    assert_eq!(limits, Limits { file_descriptors: 64, disk_mb: 1.5 });
+    assert_eq!(limits, Limits { file_descriptors: 64, disk_mb: 1.5, memory_mb: 32.0 });
     assert_eq!(limits.disk_bytes(), 1_500_000);
 }
 
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -122,6 +122,8 @@
     journal: JournalState,
     clients: ClientConnections,
     admission: Admission,
+    /// Maximum number of bytes of the requests that one iteration passes to the decision. The last one may exceed it.
+    max_submitted_bytes: usize,
     in_flight: InFlightTable,
     ended_ids: EndedIds,
     decisions: DecisionCycle,
@@ -140,6 +142,7 @@
     /// the wall-clock time of the same moment, both in nanoseconds.
     pub fn new(config: Config, replay: Replay, now: Time, wall: Time) -> Core {
         let journal_capacity = config.limits.disk_bytes();
+        let memory = config.limits.memory_budget();
         let max_connections = ConnectionLimits::new(config.limits.file_descriptors);
         // The library must not plan more concurrent calls than there are file descriptors for.
         let mut settings = config.settings.settings.clone();
@@ -148,14 +151,15 @@
         let mut core = Core {
             clock: Clock::new(now, wall),
             journal: JournalState::Writable,
-            clients: ClientConnections::new(max_connections.clients, now),
+            clients: ClientConnections::new(max_connections.clients, memory.requests, now),
             admission: Admission::default(),
-            in_flight: InFlightTable::new(journal_capacity, replay.next_message),
-            ended_ids: EndedIds::new(journal_capacity, longest_deadline),
+            max_submitted_bytes: memory.iteration / 2,
+            in_flight: InFlightTable::new(journal_capacity, memory.messages, replay.next_message),
+            ended_ids: EndedIds::new(journal_capacity, memory.ended_ids, longest_deadline),
             attempts: Attempts::new(settings.key_cooldown),
             decisions: DecisionCycle::new(Dispatcher::new(settings, config.seed), now),
-            pool: ConnectionPool::new(max_connections.upstream, &config.settings),
-            discovery: DiscoveryClient::new(config.discovery),
+            pool: ConnectionPool::new(max_connections.upstream, memory.responses, &config.settings),
+            discovery: DiscoveryClient::new(config.discovery, memory),
             notifier: StatusNotifier::new(),
             recovery: Recovery::default(),
             shutdown: Shutdown::new(),
@@ -200,12 +204,17 @@
             upstream_connections: pool.connections,
             attempts: pool.attempts,
             request_bytes: self.clients.request_bytes(),
-            in_flight_bytes: self.in_flight.size_bytes(),
+            in_flight_bytes: self.in_flight.held_bytes(),
             response_bytes: self.pool.response_bytes(),
             ended_ids: self.ended_ids.len(),
         }
     }
 
+    /// Whether received requests take so much memory that they have to be processed before more input is read.
+    pub fn must_process(&self) -> bool {
+        self.clients.is_memory_half_used()
+    }
+
     /// Whether the shutdown is complete and the program may exit.
     pub fn is_ended(&self) -> bool {
         self.shutdown.phase() == Phase::Ended
@@ -214,7 +223,7 @@
     /// Returns when the next iteration is due if no input arrives earlier, in nanoseconds of monotonic time.
     pub fn next_wake(&self) -> Time {
         let in_initial_sync = self.in_initial_sync();
-        if self.decisions.has_events() && !in_initial_sync {
+        if (self.decisions.has_events() || self.clients.has_unread()) && !in_initial_sync {
             return self.clock.now();
         }
         let next_decision = if in_initial_sync {
--- a/crates/platform/src/core/client_closing.rs
+++ b/crates/platform/src/core/client_closing.rs
@@ -61,7 +61,9 @@
 
     pub(super) fn close_client(&mut self, id: ClientId, reason: ClientCloseReason) {
         tracing::debug!(client = id, ?reason, "client connection closed");
+        let is_cut_off = self.clients.is_cut_off(id);
         self.clients.closed(id);
-        self.effects.output(Output::CloseClient(id));
+        let close = if is_cut_off { Output::CloseRefusedClient(id) } else { Output::CloseClient(id) };
+        self.effects.output(close);
     }
 }
--- a/crates/platform/src/core/client_connections.rs
+++ b/crates/platform/src/core/client_connections.rs
@@ -3,6 +3,7 @@
 //!
 //! The state of a single connection is in `connection`; the content of requests is interpreted by `request`.
 
+mod buffer;
 mod connection;
 
 pub use connection::{Arrival, IdlePolicy};
@@ -10,7 +11,8 @@
 use super::clock::MILLISECOND;
 use connection::ClientConnection;
 use linnetcart::Time;
-use linnetcart_http::{parse_request, Request, RequestError};
+use linnetcart_courier_common::memory_budget::MemoryAccount;
+use linnetcart_http::{Request, RequestError};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -72,17 +74,20 @@
     /// Connections that their client has half-closed; closed once an iteration has answered their requests.
     half_closed: Vec<ClientId>,
     next_sweep: Time,
+    /// The bytes of the buffered requests.
+    memory: MemoryAccount,
 }
 
 impl ClientConnections {
-    /// Creates an empty table for at most `capacity` connections.
-    pub fn new(capacity: usize, now: Time) -> ClientConnections {
+    /// Creates an empty table for at most `capacity` connections, whose requests may take `memory_bytes`.
+    pub fn new(capacity: usize, memory_bytes: usize, now: Time) -> ClientConnections {
         ClientConnections {
             capacity,
             connections: BTreeMap::new(),
             unread: BTreeSet::new(),
             half_closed: vec![],
             next_sweep: now,
+            memory: MemoryAccount::new(memory_bytes),
         }
     }
 
@@ -93,7 +98,32 @@
 
     /// Returns the number of bytes that are held of requests that are not answered.
     pub fn request_bytes(&self) -> usize {
-        self.connections.values().map(|client| client.request.capacity()).sum()
+        self.memory.held()
+    }
+
+    /// Whether the buffered requests take more than half of the memory that they may take.
+    pub fn is_memory_half_used(&self) -> bool {
+        self.memory.is_half_used()
+    }
+
+    /// If the buffered requests take more memory than they may, returns the one to be refused: the largest of those
+    /// that are not complete. Returns `None` if all are complete, which the next iteration reads.
+    pub fn over_memory(&self) -> Option<ClientId> {
+        if !self.memory.is_exceeded() {
+            return None;
+        }
+        let partial =
+            self.connections.iter().filter_map(|(&id, client)| Some((client.partial_request()?, id)));
+        partial.min().map(|(_, id)| id)
+    }
+
+    /// Changes a connection, and accounts for the memory of its request.
+    fn update<T>(&mut self, id: ClientId, change: impl FnOnce(&mut ClientConnection) -> T) -> Option<T> {
+        let client = self.connections.get_mut(&id)?;
+        let before = client.request.held_bytes();
+        let result = change(client);
+        self.memory.resize(before, client.request.held_bytes());
+        Some(result)
     }
 
     /// Adds a connection. [`ClientConnections::evict`] keeps the number within the capacity.
@@ -102,7 +132,7 @@
     }
 
     /// If there are more connections than the capacity, returns the one that must end: the first in
-    /// [`EvictionOrder`]. Returns `None` within the capacity, or if each connection has a complete request that is not
+    /// [`ClientEvictionOrder`](connection::ClientEvictionOrder). Returns `None` within the capacity, or if each connection has a complete request that is not
     /// answered. Must be called once the input of an iteration is read.
     pub fn evict(&mut self, now: Time) -> Option<Eviction> {
         if self.connections.len() <= self.capacity {
@@ -121,7 +151,9 @@
 
     /// Removes a connection that is closed or is being closed.
     pub fn closed(&mut self, id: ClientId) {
-        self.connections.remove(&id);
+        if let Some(client) = self.connections.remove(&id) {
+            self.memory.resize(client.request.held_bytes(), 0);
+        }
         self.unread.remove(&id);
     }
 
@@ -130,22 +162,43 @@
         self.half_closed.push(id);
     }
 
-    /// Takes the connections that their client has half-closed.
+    /// Takes the connections that their client has half-closed and whose bytes were all parsed.
     pub fn take_half_closed(&mut self) -> Vec<ClientId> {
-        std::mem::take(&mut self.half_closed)
+        let half_closed = std::mem::take(&mut self.half_closed);
+        let (unread, read) = half_closed.into_iter().partition(|id| self.unread.contains(id));
+        self.half_closed = unread;
+        read
     }
 
     /// Buffers received bytes, and checks whether they can become a valid request.
     pub fn receive(&mut self, id: ClientId, bytes: &[u8], arrival: Arrival) -> Received {
-        let Some(client) = self.connections.get_mut(&id) else { return Received::Buffered };
-        client.receive(bytes, arrival);
-        self.unread.insert(id);
-        match parse_request(&client.request) {
-            Ok(_) => Received::Buffered,
-            Err(_) => Received::Malformed,
+        let is_malformed = self.update(id, |client| {
+            client.receive(bytes, arrival);
+            client.request.is_malformed()
+        });
+        match is_malformed {
+            None => Received::Buffered,
+            Some(is_malformed) => {
+                self.unread.insert(id);
+                if is_malformed {
+                    Received::Malformed
+                } else {
+                    Received::Buffered
+                }
+            }
         }
     }
 
+    /// Whether connections have received bytes that no iteration has parsed.
+    pub fn has_unread(&self) -> bool {
+        !self.unread.is_empty()
+    }
+
+    /// Leaves connections that were taken by [`ClientConnections::take_unread`] to the next iteration.
+    pub fn postpone(&mut self, postponed: impl IntoIterator<Item = ClientId>) {
+        self.unread.extend(postponed);
+    }
+
     /// Takes the connections that received bytes since the last call.
     pub fn take_unread(&mut self) -> BTreeSet<ClientId> {
         std::mem::take(&mut self.unread)
@@ -154,9 +207,14 @@
     /// Parses the buffered bytes of a connection.
     pub fn request(&self, id: ClientId) -> BufferedRequest<'_> {
         let Some(client) = self.connections.get(&id) else { return BufferedRequest::Incomplete };
-        match parse_request(&client.request) {
+        if client.awaits_answer {
+            return BufferedRequest::Pipelined;
+        }
+        match client.request.request() {
             Ok(None) => BufferedRequest::Incomplete,
-            Ok(Some(request)) if request.length() < client.request.len() => BufferedRequest::Pipelined,
+            Ok(Some(request)) if request.length() < client.request.bytes().len() => {
+                BufferedRequest::Pipelined
+            }
             Ok(Some(request)) => BufferedRequest::Complete(request),
             Err(error) => BufferedRequest::Malformed(error),
         }
@@ -164,7 +222,7 @@
 
     /// Returns the received bytes of a connection's request, complete or not; none if the connection is closed.
     pub fn received(&self, id: ClientId) -> &[u8] {
-        self.connections.get(&id).map_or(&[], |client| &client.request)
+        self.connections.get(&id).map_or(&[], |client| client.request.bytes())
     }
 
     /// Returns when the last byte of a connection's request arrived at the earliest, from which the message's time
@@ -173,18 +231,29 @@
         self.connections.get(&id).map(|client| client.last_byte_at)
     }
 
-    /// Records that a connection's request is complete and will be answered later.
+    /// Records that a connection's request is complete and will be answered later. Its body is not needed any more.
     pub fn mark_awaiting_answer(&mut self, id: ClientId) {
-        if let Some(client) = self.connections.get_mut(&id) {
+        self.update(id, |client| {
             client.awaits_answer = true;
+            client.request.free_body();
+        });
+    }
+
+    /// Records that a connection's request is refused before all of it was read.
+    pub fn mark_cut_off(&mut self, id: ClientId) {
+        if let Some(client) = self.connections.get_mut(&id) {
+            client.is_cut_off = true;
         }
     }
 
+    /// Whether a connection's request was refused before all of it was read.
+    pub fn is_cut_off(&self, id: ClientId) -> bool {
+        self.connections.get(&id).is_some_and(|client| client.is_cut_off)
+    }
+
     /// Records that a connection's request was answered.
     pub fn answered(&mut self, id: ClientId, now: Time) {
-        if let Some(client) = self.connections.get_mut(&id) {
-            client.answered(now);
-        }
+        self.update(id, |client| client.answered(now));
     }
 
     /// Returns when the next sweep, the search for connections that have timed out, is due.
--- a/crates/platform/src/core/client_connections/connection.rs
+++ b/crates/platform/src/core/client_connections/connection.rs
@@ -1,8 +1,10 @@
 //! One connection of a client: its stage, its time limits and its eligibility for eviction. All times are
 //! monotonic, in nanoseconds.
 
+use super::buffer::RequestBuffer;
 use crate::core::clock::MILLISECOND;
 use linnetcart::Time;
+use std::cmp::Reverse;
 
 /// Time limit for receiving a complete request. It counts from the accept for the first request of a
 /// connection, and from the request's first byte for each later one.
@@ -56,9 +58,9 @@
 }
 
 /// Sort key for eviction: the connection with the least key ends first. One from which a part of a request was read
-/// comes after all that have rested, and is answered.
+/// comes after all that have rested, and is answered. One that was answered just now comes last.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum EvictionOrder {
+pub enum ClientEvictionOrder {
     /// The connection was answered [`EVICTABLE_IDLE_TIME`] ago, or has sent no byte for [`FIRST_REQUEST_GRACE`].
     Rested {
         /// When the last request was answered, or the connection was accepted.
@@ -74,24 +76,28 @@
         /// When the connection was accepted.
         since: Time,
     },
+    /// A part of a request was read.
+    PartialRequest(PartialRequest),
     /// The connection was answered just now. The newest comes first.
     AnsweredRecently,
-    /// A part of a request was read.
-    PartialRequest {
-        /// When the request began.
-        since: Time,
-    },
 }
 
-impl EvictionOrder {
+/// Sort key of requests that are not complete: the largest comes first, and of equal ones the one that began first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct PartialRequest {
+    held_bytes: Reverse<usize>,
+    since: Time,
+}
+
+impl ClientEvictionOrder {
     /// Whether of several connections with this key the newest comes first.
     pub fn prefers_newest(self) -> bool {
-        matches!(self, EvictionOrder::Silent { .. } | EvictionOrder::AnsweredRecently)
+        matches!(self, ClientEvictionOrder::Silent { .. } | ClientEvictionOrder::AnsweredRecently)
     }
 
     /// Whether a part of a request was read.
     pub fn has_part_of_request(self) -> bool {
-        matches!(self, EvictionOrder::StalledRequest { .. } | EvictionOrder::PartialRequest { .. })
+        matches!(self, ClientEvictionOrder::StalledRequest { .. } | ClientEvictionOrder::PartialRequest(_))
     }
 }
 
@@ -101,10 +107,12 @@
     stage: ClientStage,
     /// When the last byte arrived at the earliest; before any byte, when the connection was accepted.
     pub last_byte_at: Time,
-    /// The bytes of the request that is not answered yet.
-    pub request: Vec<u8>,
+    /// The request that is not answered yet.
+    pub request: RequestBuffer,
     /// Whether a complete request has arrived and is not answered yet.
     pub awaits_answer: bool,
+    /// Whether the last request was refused before all of it was read: the client may still send the rest.
+    pub is_cut_off: bool,
 }
 
 impl ClientConnection {
@@ -113,8 +121,9 @@
         ClientConnection {
             stage: ClientStage::FirstRequest { accepted_at: now },
             last_byte_at: now,
-            request: vec![],
+            request: RequestBuffer::default(),
             awaits_answer: false,
+            is_cut_off: false,
         }
     }
 
@@ -126,42 +135,63 @@
             // A client sends its next request after the answer.
             self.last_byte_at = arrival.earliest.max(idle_since);
         }
-        self.request.extend_from_slice(bytes);
+        self.request.push(bytes);
+    }
+
+    /// Returns the sort key of the connection's request if it is not complete, `None` otherwise.
+    pub fn partial_request(&self) -> Option<PartialRequest> {
+        let since = match self.stage {
+            ClientStage::FirstRequest { accepted_at } => accepted_at,
+            ClientStage::NextRequest { request_began_at } => request_began_at,
+            ClientStage::Idle { .. } => return None,
+        };
+        let is_partial = !self.awaits_answer && self.request.is_partial();
+        is_partial.then(|| PartialRequest { held_bytes: Reverse(self.request.held_bytes()), since })
     }
 
     /// Records that the request was answered.
     pub fn answered(&mut self, now: Time) {
         self.stage = ClientStage::Idle { idle_since: now };
         self.awaits_answer = false;
-        self.request = Vec::new();
+        self.request = RequestBuffer::default();
     }
 
-    /// Returns the connection's sort key for eviction; `None` if it has a complete request that is not answered.
-    pub fn eviction_order(&self, now: Time) -> Option<EvictionOrder> {
+    /// Returns the connection's sort key for eviction; `None` if it has a request that is complete and not answered.
+    pub fn eviction_order(&self, now: Time) -> Option<ClientEvictionOrder> {
         if self.awaits_answer {
             return None;
         }
-        let (since, grace, otherwise) = match self.stage {
-            ClientStage::FirstRequest { accepted_at: since }
+        if !self.request.is_empty() {
+            return self.request.is_partial().then(|| self.eviction_order_of_request(now));
+        }
+        Some(match self.stage {
+            ClientStage::FirstRequest { accepted_at: since } if since + FIRST_REQUEST_GRACE <= now => {
+                ClientEvictionOrder::Rested { since }
+            }
+            ClientStage::FirstRequest { accepted_at: since } => ClientEvictionOrder::Silent { since },
+            ClientStage::Idle { idle_since: since }
             | ClientStage::NextRequest { request_began_at: since }
-                if !self.request.is_empty() =>
+                if since + EVICTABLE_IDLE_TIME <= now =>
             {
-                let is_stalled = since + STALLED_REQUEST_TIME <= now;
-                return Some(if is_stalled {
-                    EvictionOrder::StalledRequest { since }
-                } else {
-                    EvictionOrder::PartialRequest { since }
-                });
+                ClientEvictionOrder::Rested { since }
             }
-            ClientStage::FirstRequest { accepted_at } => {
-                (accepted_at, FIRST_REQUEST_GRACE, EvictionOrder::Silent { since: accepted_at })
-            }
-            ClientStage::Idle { idle_since: since }
-            | ClientStage::NextRequest { request_began_at: since } => {
-                (since, EVICTABLE_IDLE_TIME, EvictionOrder::AnsweredRecently)
+            ClientStage::Idle { .. } | ClientStage::NextRequest { .. } => {
+                ClientEvictionOrder::AnsweredRecently
             }
+        })
+    }
+
+    fn eviction_order_of_request(&self, now: Time) -> ClientEvictionOrder {
+        let since = match self.stage {
+            ClientStage::FirstRequest { accepted_at: since }
+            | ClientStage::NextRequest { request_began_at: since }
+            | ClientStage::Idle { idle_since: since } => since,
         };
-        Some(if since + grace <= now { EvictionOrder::Rested { since } } else { otherwise })
+        if since + STALLED_REQUEST_TIME <= now {
+            return ClientEvictionOrder::StalledRequest { since };
+        }
+        let held_bytes = Reverse(self.request.held_bytes());
+        ClientEvictionOrder::PartialRequest(PartialRequest { held_bytes, since })
     }
 
     /// Whether the connection is waiting for no response and has timed out or, with [`IdlePolicy::Close`], is
--- a/crates/platform/src/core/client_connections/tests.rs
+++ b/crates/platform/src/core/client_connections/tests.rs
@@ -4,6 +4,7 @@
 use super::ExpiredClient::{Idle, InRequest};
 use super::*;
 
+const MEMORY_BYTES: usize = 100_000;
 const READY_REQUEST: &[u8] = b"GET /ready HTTP/1.1\r\n\r\n";
 
 fn at(time: Time) -> Arrival {
@@ -22,7 +23,7 @@
 
 #[test]
 fn client_beyond_capacity_evicts_idle_one_never_one_with_request() {
-    let mut clients = ClientConnections::new(3, 0);
+    let mut clients = ClientConnections::new(3, MEMORY_BYTES, 0);
     for (id, at) in [(1, 10), (2, 20), (3, 30)] {
         assert_eq!(open(&mut clients, id, at), None);
     }
@@ -56,7 +57,7 @@
 
 #[test]
 fn client_beyond_capacity_never_evicts_one_with_unread_request() {
-    let mut clients = ClientConnections::new(2, 0);
+    let mut clients = ClientConnections::new(2, MEMORY_BYTES, 0);
     assert_eq!(open(&mut clients, 1, 10), None);
     assert_eq!(open(&mut clients, 2, 20), None);
     // An iteration has parsed the first's incomplete request; the second's request is not parsed yet.
@@ -68,7 +69,7 @@
 
 #[test]
 fn client_with_part_of_request_ends_after_all_that_have_rested_and_is_answered() {
-    let mut clients = ClientConnections::new(3, 0);
+    let mut clients = ClientConnections::new(3, MEMORY_BYTES, 0);
     for id in 1..=3 {
         assert_eq!(open(&mut clients, id, 0), None);
         clients.receive(id, b"POST /a", at(0));
@@ -92,7 +93,7 @@
 
 #[test]
 fn client_idle_or_with_incomplete_request_expires() {
-    let mut clients = ClientConnections::new(9, 0);
+    let mut clients = ClientConnections::new(9, MEMORY_BYTES, 0);
     (1..=4).for_each(|id| assert_eq!(open(&mut clients, id, 0), None));
     clients.receive(2, b"POST /a", at(REQUEST_TIMEOUT - 1));
     clients.receive(3, READY_REQUEST, at(0));
@@ -109,3 +110,35 @@
         "all idle connections during the shutdown"
     );
 }
+
+#[test]
+fn client_with_largest_partial_request_is_refused_over_the_memory_and_those_with_whole_ones_never() {
+    let mut clients = ClientConnections::new(9, MEMORY_BYTES, 0);
+    (1..=4).for_each(|id| clients.opened(id, 0));
+    let whole = [&b"POST /a HTTP/1.1\r\nContent-Length: 60000\r\n\r\n"[..], &[b'x'; 60_000]].concat();
+    clients.receive(1, &whole, at(0));
+    clients.receive(2, b"POST /a", at(0));
+    clients.receive(3, &whole[..20_000], at(5));
+    assert_eq!(clients.over_memory(), None);
+    clients.receive(4, &whole[..40_000], at(0));
+    assert_eq!(clients.over_memory(), Some(4));
+    clients.closed(4);
+    assert_eq!(clients.over_memory(), None);
+    clients.mark_awaiting_answer(1);
+    assert!(clients.request_bytes() < 40_000, "the body is kept elsewhere");
+    clients.answered(1, 10);
+    clients.closed(2);
+    clients.closed(3);
+    assert_eq!(clients.request_bytes(), 0);
+}
+
+#[test]
+fn connection_answered_just_now_ends_after_one_with_a_part_of_a_request() {
+    let mut clients = ClientConnections::new(1, MEMORY_BYTES, 0);
+    clients.opened(1, 0);
+    clients.receive(1, READY_REQUEST, at(0));
+    clients.answered(1, 0);
+    clients.opened(2, 0);
+    clients.receive(2, b"POST /a", at(0));
+    assert_eq!(clients.evict(10), Some(Eviction::Refuse(2)));
+}
--- a/crates/platform/src/core/connection_pool.rs
+++ b/crates/platform/src/core/connection_pool.rs
@@ -8,6 +8,7 @@
 
 mod acquire;
 mod connection;
+mod memory;
 mod outcome;
 mod receive;
 mod response;
@@ -22,6 +23,7 @@
 use linnetcart::{AttemptOutcome, Time};
 use linnetcart_courier_common::attribution::SeenResponses;
 use linnetcart_courier_common::idle_reuse::{CallResult, LossRatePolicy};
+use linnetcart_courier_common::memory_budget::MemoryAccount;
 use linnetcart_deployment_settings::DeploymentSettings;
 use linnetcart_net::ConnectFailure;
 use std::collections::BTreeMap;
@@ -70,6 +72,8 @@
     ResponseEndsConnection,
     /// The response to an abandoned attempt arrived.
     LateResponse,
+    /// The responses of all connections took too much memory, and this one was the largest.
+    TooManyBytes,
 }
 
 /// The numbers of connections and attempts in the pool.
@@ -91,6 +95,8 @@
     connections: BTreeMap<ConnectionId, Connection>,
     by_attempt: BTreeMap<AttemptId, ConnectionId>,
     reuse_policy: LossRatePolicy,
+    /// The bytes of responses, present and earlier ones.
+    memory: MemoryAccount,
     seen_responses: SeenResponses,
     /// Responses since [`ConnectionPool::take_unattributed`] was last called.
     unattributed: Vec<UnattributedResponse>,
@@ -103,8 +109,8 @@
 }
 
 impl ConnectionPool {
-    /// Creates a pool of at most `capacity` connections.
-    pub fn new(capacity: usize, settings: &DeploymentSettings) -> ConnectionPool {
+    /// Creates a pool of at most `capacity` connections, whose responses may take `memory_bytes`.
+    pub fn new(capacity: usize, memory_bytes: usize, settings: &DeploymentSettings) -> ConnectionPool {
         let endpoint_idle_timeout = settings.settings.idle_timeout;
         let connect_timeout = settings.settings.connect_timeout;
         let timeouts = Timeouts {
@@ -120,6 +126,7 @@
             connections: BTreeMap::new(),
             by_attempt: BTreeMap::new(),
             reuse_policy: LossRatePolicy::default(),
+            memory: MemoryAccount::new(memory_bytes),
             seen_responses: SeenResponses::default(),
             unattributed: vec![],
             connected: vec![],
@@ -133,11 +140,6 @@
         PoolSize { connections: self.connections.len(), attempts: self.by_attempt.len() }
     }
 
-    /// Returns the number of bytes that are held of responses that are not complete.
-    pub fn response_bytes(&self) -> usize {
-        self.connections.values().map(|connection| connection.response.capacity()).sum()
-    }
-
     /// Allocates an unused connection id, also for connections that the pool does not own.
     pub fn allocate_id(&mut self) -> ConnectionId {
         self.last_id += 1;
@@ -183,9 +185,7 @@
 
     /// Records that the request of an attempt, `length` bytes, was queued on a connection.
     pub fn request_queued(&mut self, id: ConnectionId, length: usize) {
-        if let Some(connection) = self.connections.get_mut(&id) {
-            connection.request_queued(length);
-        }
+        self.update(id, |connection| connection.request_queued(length));
     }
 
     /// Whether the request of an attempt is queued on a connection.
@@ -294,6 +294,7 @@
     /// Closes a connection. Returns the attempt to which the connection was assigned, if there is one.
     fn close(&mut self, id: ConnectionId, reason: CloseReason) -> Option<AttemptId> {
         let connection = self.connections.remove(&id)?;
+        self.memory.resize(connection.held_bytes(), 0);
         let endpoint = connection.endpoint;
         if let Some(AttemptId { message, number }) = connection.attempt_or_abandoned() {
             tracing::info!(
--- a/crates/platform/src/core/connection_pool/acquire.rs
+++ b/crates/platform/src/core/connection_pool/acquire.rs
@@ -28,19 +28,19 @@
 /// Sort key for eviction; the connection with the least key is evicted. Abandoned connections come before
 /// idle ones, and within each group the one that entered its state first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum EvictionOrder {
+enum PoolEvictionOrder {
     Abandoned { since: Time },
     Idle { since: Time },
 }
 
-impl EvictionOrder {
+impl PoolEvictionOrder {
     /// Returns the sort key of a connection, or `None` if it must not be evicted.
-    fn of(connection: &Connection) -> Option<EvictionOrder> {
+    fn of(connection: &Connection) -> Option<PoolEvictionOrder> {
         match *connection.state() {
             ConnectionState::Abandoned { since, .. } | ConnectionState::ReadingRest { since } => {
-                Some(EvictionOrder::Abandoned { since })
+                Some(PoolEvictionOrder::Abandoned { since })
             }
-            ConnectionState::Idle { since } => Some(EvictionOrder::Idle { since }),
+            ConnectionState::Idle { since } => Some(PoolEvictionOrder::Idle { since }),
             ConnectionState::Connecting { .. } | ConnectionState::InUse { .. } => None,
         }
     }
@@ -97,7 +97,7 @@
     }
 
     fn eviction_candidate(&self) -> Option<ConnectionId> {
-        let evictable = |(&id, connection)| EvictionOrder::of(connection).map(|order| (order, id));
+        let evictable = |(&id, connection)| PoolEvictionOrder::of(connection).map(|order| (order, id));
         let candidates = self.connections.iter().filter_map(evictable);
         candidates.min().map(|(_, id)| id)
     }
--- a/crates/platform/src/core/connection_pool/connection.rs
+++ b/crates/platform/src/core/connection_pool/connection.rs
@@ -17,6 +17,7 @@
 use crate::core::clock::MILLISECOND;
 use linnetcart::{AttemptOutcome, Time};
 use linnetcart_courier_common::attribution::{Attribution, Execution, RequestProgress, ResponseHistory};
+use linnetcart_courier_common::memory_budget::reserve;
 use linnetcart_http::{interim_length, parse_response, ParsedResponse};
 use std::net::SocketAddr;
 
@@ -171,6 +172,7 @@
     /// Appends received bytes. `written` is the number of request bytes that the operating system had
     /// accepted since the connect when they were read.
     pub fn received(&mut self, bytes: &[u8], written: u64) {
+        reserve(&mut self.response, bytes.len());
         self.response.extend_from_slice(bytes);
         self.written_bytes = written;
         let has_request =
@@ -180,6 +182,11 @@
         }
     }
 
+    /// Returns the bytes that are held of the present response and of earlier ones.
+    pub fn held_bytes(&self) -> usize {
+        self.response.capacity() + self.history.held_bytes()
+    }
+
     /// Returns the bytes that have arrived behind complete interim (1xx) responses.
     pub fn final_response(&self) -> &[u8] {
         &self.response[interim_length(&self.response)..]
--- a/crates/platform/src/core/connection_pool/receive.rs
+++ b/crates/platform/src/core/connection_pool/receive.rs
@@ -38,8 +38,8 @@
         now: Time,
         settings: &DeploymentSettings,
     ) -> Option<FinishedAttempt> {
+        self.update(id, |connection| connection.received(bytes, written))?;
         let connection = self.connections.get_mut(&id)?;
-        connection.received(bytes, written);
         match *connection.state() {
             ConnectionState::Abandoned { attempt, .. } => self.evaluate_late_response(id, attempt, settings),
             ConnectionState::ReadingRest { .. } => {
@@ -167,7 +167,8 @@
         let Some(connection) = self.connections.get_mut(&id) else { return };
         let response = connection.final_response();
         let responses_differ = self.seen_responses.insert(connection.endpoint, status, response);
-        if !connection.make_idle(now) || !responses_differ {
+        let may_reuse = self.update(id, |connection| connection.make_idle(now)) == Some(true);
+        if !may_reuse || !responses_differ {
             self.close(id, CloseReason::ResponseEndsConnection);
         }
     }
--- a/crates/platform/src/core/connection_pool/tests.rs
+++ b/crates/platform/src/core/connection_pool/tests.rs
@@ -28,7 +28,7 @@
 }
 
 fn pool(capacity: usize) -> ConnectionPool {
-    ConnectionPool::new(capacity, &settings())
+    ConnectionPool::new(capacity, usize::MAX, &settings())
 }
 
 /// Returns a pool with one connection, on which the attempt of message 1 was sent. The endpoint has given
--- a/crates/platform/src/core/counters.rs
+++ b/crates/platform/src/core/counters.rs
@@ -13,7 +13,8 @@
     pub invalid_requests: u64,
     /// Connections of clients without a request that were closed because too many were open.
     pub evicted_clients: u64,
-    /// Requests that were refused before they were complete, because too many connections were open.
+    /// Requests that were refused before they were complete, because too many connections were open or too much
+    /// memory was taken.
     pub refused_partial_requests: u64,
     /// Attempts whose request was queued and not taken back.
     pub attempts_sent: u64,
--- a/crates/platform/src/core/deduplication.rs
+++ b/crates/platform/src/core/deduplication.rs
@@ -10,6 +10,8 @@
 const CAPACITY_DIVISOR: u64 = 20;
 /// Size of the record of one completed id in the journal, in bytes.
 const BYTES_PER_ID: u64 = 40;
+/// Most memory that one id takes, in bytes: its entries in the map, while that doubles its capacity, and in the index.
+const MEMORY_PER_ID: usize = 192;
 
 /// Key of the expiry index: ids ordered by the time at which they expire.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -33,10 +35,12 @@
 }
 
 impl DeduplicationCache {
-    /// Creates a cache of at most `journal_capacity_bytes` / ([`CAPACITY_DIVISOR`] * [`BYTES_PER_ID`]) ids.
-    pub fn new(journal_capacity_bytes: u64) -> DeduplicationCache {
+    /// Creates a cache of at most `journal_capacity_bytes` / ([`CAPACITY_DIVISOR`] * [`BYTES_PER_ID`]) ids, and
+    /// `memory_bytes` / [`MEMORY_PER_ID`].
+    pub fn new(journal_capacity_bytes: u64, memory_bytes: usize) -> DeduplicationCache {
+        let capacity = (journal_capacity_bytes / CAPACITY_DIVISOR / BYTES_PER_ID) as usize;
         DeduplicationCache {
-            capacity: (journal_capacity_bytes / CAPACITY_DIVISOR / BYTES_PER_ID) as usize,
+            capacity: capacity.min(memory_bytes / MEMORY_PER_ID),
             by_id: HashMap::new(),
             by_expiry: BTreeSet::new(),
         }
--- a/crates/platform/src/core/deduplication/tests.rs
+++ b/crates/platform/src/core/deduplication/tests.rs
@@ -14,7 +14,7 @@
 
 /// Returns a cache for `capacity` ids.
 fn cache_of(capacity: u64) -> DeduplicationCache {
-    DeduplicationCache::new(capacity * CAPACITY_DIVISOR * BYTES_PER_ID)
+    DeduplicationCache::new(capacity * CAPACITY_DIVISOR * BYTES_PER_ID, usize::MAX)
 }
 
 #[test]
@@ -26,6 +26,15 @@
     assert_eq!(ids(&cache), [1, 3]);
 }
 
+#[test]
+fn deduplication_bounded_by_memory() {
+    let mut cache = DeduplicationCache::new(u64::MAX, 2 * MEMORY_PER_ID);
+    for (id_digest, expires_at) in [(1, 30), (2, 20), (3, 40)] {
+        cache.insert(completed(id_digest, expires_at), 0);
+    }
+    assert_eq!(ids(&cache), [1, 3]);
+}
+
 #[test]
 fn deduplication_expired_id_dropped() {
     let mut cache = cache_of(9);
--- a/crates/platform/src/core/discovery.rs
+++ b/crates/platform/src/core/discovery.rs
@@ -9,12 +9,13 @@
 pub use endpoint_list::{EndpointList, ListUpdate};
 #[cfg(test)]
 pub use watch::WATCH_SILENCE_TIMEOUT;
-pub use watch::{EndpointWatch, WatchError, WatchProgress};
+pub use watch::{EndpointWatch, EventLimits, WatchError, WatchProgress};
 
 use super::connection_pool::ConnectionId;
 use super::reconnect::ConnectionAction;
 use crate::config::WatchEvent;
 use linnetcart::Time;
+use linnetcart_courier_common::memory_budget::MemoryBudget;
 use linnetcart_deployment_settings::DeploymentSettings;
 use std::net::SocketAddr;
 
@@ -31,12 +32,12 @@
 
 impl DiscoveryClient {
     /// Creates a client that is not connected and knows no endpoint.
-    pub fn new(address: SocketAddr) -> DiscoveryClient {
+    pub fn new(address: SocketAddr, memory: MemoryBudget) -> DiscoveryClient {
         DiscoveryClient {
             address,
-            watch: EndpointWatch::new(),
+            watch: EndpointWatch::new(EventLimits::within(memory.endpoint_update)),
             connection: None,
-            endpoints: EndpointList::default(),
+            endpoints: EndpointList::new(memory.endpoints),
             awaits_complete_list: false,
         }
     }
--- a/crates/platform/src/core/discovery/endpoint_list.rs
+++ b/crates/platform/src/core/discovery/endpoint_list.rs
@@ -8,6 +8,7 @@
 use crate::records::UNKNOWN_INDEX;
 use address_owners::{AddressClaim, AddressOwners, ClaimResult};
 use linnetcart::{Endpoint, EndpointStatus, Event, Time};
+use linnetcart_courier_common::memory_budget::MemoryAccount;
 use linnetcart_deployment_settings::DeploymentSettings;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -16,6 +17,11 @@
 /// that was received under the number is still in force.
 const REMOVED_RETENTION: Time = 60_000 * MILLISECOND;
 
+/// Memory of an endpoint apart from its name, in the list and in the decision library.
+const ENDPOINT_BYTES: usize = 600;
+/// Number of destinations without an endpoint that are remembered at least.
+const MAX_PAST_DESTINATIONS: usize = 16_384;
+
 /// An endpoint of the list.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ListedEndpoint {
@@ -94,7 +100,7 @@
 }
 
 /// The endpoint list.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct EndpointList {
     /// Version of the list after the last event; 0 before any event.
     version: u64,
@@ -113,9 +119,27 @@
     /// Whether the complete list has to be requested: since the last one, an entry could not be read or an
     /// event was outdated.
     needs_complete_list: bool,
+    /// Estimate of the memory that the endpoints take: sum of [`held_size`].
+    memory: MemoryAccount,
 }
 
 impl EndpointList {
+    /// Creates an empty list, whose endpoints may take `memory_bytes`.
+    pub fn new(memory_bytes: usize) -> EndpointList {
+        EndpointList {
+            version: 0,
+            numbers: BTreeMap::new(),
+            endpoints: BTreeMap::new(),
+            last_number: 0,
+            addresses: AddressOwners::default(),
+            event_count: 0,
+            destinations: BTreeSet::new(),
+            extra_zones: vec![],
+            needs_complete_list: false,
+            memory: MemoryAccount::new(memory_bytes),
+        }
+    }
+
     /// Returns the version after which the next watch requests changes; 0 requests the complete list.
     pub fn resume_version(&self) -> u64 {
         if self.needs_complete_list {
@@ -187,19 +211,28 @@
 
     /// Deletes endpoints that were removed at least [`REMOVED_RETENTION`] ago.
     fn forget_expired(&mut self, now: Time) {
-        let is_old = |endpoint: &ListedEndpoint| {
-            endpoint.status == EndpointStatus::Removed
-                && !endpoint.is_superseded
-                && endpoint.changed_at + REMOVED_RETENTION <= now
+        self.forget_where(|endpoint| endpoint.changed_at + REMOVED_RETENTION <= now);
+        // Names and destinations of the past must not make the list grow.
+        if self.destinations.len() > MAX_PAST_DESTINATIONS + self.endpoints.len() {
+            self.destinations = self.endpoints.values().map(|endpoint| endpoint.destination).collect();
+        }
+    }
+
+    /// Deletes the removed endpoints for which `predicate` holds. One whose address was given to another endpoint stays
+    /// as long as the list names it.
+    fn forget_where(&mut self, predicate: impl Fn(&ListedEndpoint) -> bool) {
+        let is_forgotten = |endpoint: &ListedEndpoint| {
+            endpoint.status == EndpointStatus::Removed && !endpoint.is_superseded && predicate(endpoint)
         };
-        let old: Vec<u32> = self
+        let forgotten: Vec<u32> = self
             .endpoints
             .iter()
-            .filter(|(_, endpoint)| is_old(endpoint))
+            .filter(|(_, endpoint)| is_forgotten(endpoint))
             .map(|(&number, _)| number)
             .collect();
-        for number in old {
+        for number in forgotten {
             let Some(endpoint) = self.endpoints.remove(&number) else { continue };
+            self.memory.resize(held_size(&endpoint.name), 0);
             if self.numbers.get(&endpoint.name) == Some(&number) {
                 self.numbers.remove(&endpoint.name);
             }
@@ -311,14 +344,29 @@
         if let Some(&number) = self.numbers.get(&entry.name) {
             return Some(number);
         }
-        if entry.status == ListedStatus::Left {
+        if entry.status == ListedStatus::Left || !self.make_room_for(&entry.name) {
             return None;
         }
+        self.memory.resize(0, held_size(&entry.name));
         self.last_number += 1;
         self.numbers.insert(entry.name.clone(), self.last_number);
         Some(self.last_number)
     }
 
+    /// Returns whether another endpoint fits into the memory. Endpoints that were removed make room for it.
+    fn make_room_for(&mut self, name: &str) -> bool {
+        let size = held_size(name);
+        if !self.memory.has_room_for(size) {
+            self.forget_where(|_| true);
+        }
+        let has_room = self.memory.has_room_for(size);
+        if !has_room {
+            let endpoints = self.endpoints.len();
+            tracing::warn!(endpoints, "endpoint not listed, the list takes all the memory that it may");
+        }
+        has_room
+    }
+
     /// Returns the index of a zone, and assigns the next one to a new name; [`UNKNOWN_INDEX`] if all are
     /// assigned.
     fn zone_index(&mut self, name: &str, settings: &DeploymentSettings) -> u8 {
@@ -335,6 +383,11 @@
     }
 }
 
+/// Returns an estimate of the memory that an endpoint takes, in bytes: its name is held twice.
+fn held_size(name: &str) -> usize {
+    ENDPOINT_BYTES + 2 * name.len()
+}
+
 /// Returns the index of a kind in the settings. All kinds that the settings do not contain share the index
 /// after the last one.
 fn kind_index(name: &str, settings: &DeploymentSettings) -> u8 {
--- a/crates/platform/src/core/discovery/endpoint_list/tests.rs
+++ b/crates/platform/src/core/discovery/endpoint_list/tests.rs
@@ -22,7 +22,7 @@
 }
 
 fn list_with(name: &str) -> EndpointList {
-    let mut endpoints = EndpointList::default();
+    let mut endpoints = EndpointList::new(usize::MAX);
     let first = event(7, true, vec![entry(name, "127.0.0.1:1", ListedStatus::Active)]);
     endpoints.apply(&first, &DeploymentSettings::default(), NOW);
     endpoints
@@ -77,7 +77,7 @@
 #[test]
 fn zone_unknown_to_settings_gets_index_after_theirs() {
     let settings = DeploymentSettings { zone_names: vec!["z".into()], ..DeploymentSettings::default() };
-    let mut endpoints = EndpointList::default();
+    let mut endpoints = EndpointList::new(usize::MAX);
     for (name, index) in [("z", 0), ("x", 1), ("y", 2), ("x", 1)] {
         assert_eq!(endpoints.zone_index(name, &settings), index);
     }
@@ -139,9 +139,24 @@
     let settings = DeploymentSettings::default();
     let started = EndpointEntry { started_at_ms: 5, ..at_shared_address("started") };
     for entries in [vec![started.clone(), at_shared_address("b")], vec![at_shared_address("b"), started]] {
-        let mut endpoints = EndpointList::default();
+        let mut endpoints = EndpointList::new(usize::MAX);
         endpoints.apply(&event(1, true, entries), &settings, NOW);
         let ready = (1..=2).filter_map(|number| endpoints.ready(number));
         assert_eq!(ready.map(|endpoint| &endpoint.name[..]).collect::<Vec<_>>(), ["started"]);
     }
 }
+
+#[test]
+fn list_is_bounded_by_memory_and_removed_endpoints_make_room() {
+    let settings = DeploymentSettings::default();
+    let mut endpoints = EndpointList::new(2 * held_size("a"));
+    let at = |name: &str, port: u16, status| entry(name, &format!("127.0.0.1:{port}"), status);
+    let active = ListedStatus::Active;
+    let three = vec![at("a", 1, active), at("b", 2, active), at("c", 3, active)];
+    endpoints.apply(&event(1, true, three), &settings, NOW);
+    assert_eq!(endpoints.len(), 2);
+    endpoints.apply(&event(2, false, vec![at("a", 1, ListedStatus::Left)]), &settings, NOW);
+    endpoints.apply(&event(3, false, vec![at("c", 3, active)]), &settings, NOW);
+    assert_eq!(ready_ones(&endpoints), (false, true));
+    assert!(endpoints.ready(3).is_some());
+}
--- a/crates/platform/src/core/discovery/watch.rs
+++ b/crates/platform/src/core/discovery/watch.rs
@@ -6,13 +6,20 @@
 use crate::core::reconnect::{ConnectionAction, Reconnect};
 use linnetcart::Time;
 use linnetcart_courier_common::attribution::{Attribution, RequestProgress, ResponseHistory};
+use linnetcart_courier_common::memory_budget::reserve;
 use linnetcart_http::{parse_response, ChunkedDecoder, ParsedResponse};
 use std::net::SocketAddr;
 
 /// A watch on which no byte arrives for this long is considered dead: discovery sends a line every 2 s.
 pub const WATCH_SILENCE_TIMEOUT: Time = 2700 * MILLISECOND;
-/// Maximum number of bytes in an event; enough for a list of thousands of endpoints.
+/// Maximum number of bytes in an event, however much memory there is; enough for a list of thousands of endpoints.
 const MAX_EVENT_BYTES: usize = 4 << 20;
+/// An event may take this part of the memory for it as text; the rest is for the entries that are read from it.
+const TEXT_DIVISOR: usize = 3;
+/// Memory of an entry that is read from an event, in addition to its text.
+const BYTES_PER_ENTRY: usize = 256;
+/// Every entry of an event begins with this byte.
+const ENTRY_START: u8 = b'{';
 
 /// Why a watch failed.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -27,8 +34,13 @@
     #[error("an event cannot be decoded: {0}")]
     InvalidEvent(String),
     /// An event exceeds the maximum size.
-    #[error("an event exceeds {MAX_EVENT_BYTES} bytes")]
-    EventTooLong,
+    #[error("an event exceeds {max_bytes} bytes or {max_entries} entries")]
+    EventTooLong {
+        /// The maximum number of bytes.
+        max_bytes: usize,
+        /// The maximum number of entries.
+        max_entries: usize,
+    },
     /// Discovery ended the response.
     #[error("discovery ended the response")]
     Ended,
@@ -65,9 +77,32 @@
     Ended,
 }
 
+/// The largest event that is read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EventLimits {
+    /// Maximum number of bytes.
+    pub bytes: usize,
+    /// Maximum number of entries.
+    pub entries: usize,
+}
+
+impl EventLimits {
+    /// Returns the limits of events that may take `memory_bytes` of memory.
+    pub fn within(memory_bytes: usize) -> EventLimits {
+        let bytes = (memory_bytes / TEXT_DIVISOR).min(MAX_EVENT_BYTES);
+        EventLimits { bytes, entries: (memory_bytes - bytes) / BYTES_PER_ENTRY }
+    }
+
+    fn permit(self, text: &[u8]) -> bool {
+        let entries = text.iter().filter(|&&byte| byte == ENTRY_START).count();
+        text.len() <= self.bytes && entries <= self.entries
+    }
+}
+
 /// The watch on the endpoint list.
 #[derive(Debug)]
 pub struct EndpointWatch {
+    limits: EventLimits,
     connection: Reconnect,
     last_byte_at: Time,
     /// Length of the request, in bytes.
@@ -83,8 +118,9 @@
 
 impl EndpointWatch {
     /// Creates a watch that is not connected.
-    pub fn new() -> EndpointWatch {
+    pub fn new(limits: EventLimits) -> EndpointWatch {
         EndpointWatch {
+            limits,
             connection: Reconnect::new(),
             last_byte_at: 0,
             request_bytes: 0,
@@ -147,7 +183,7 @@
 
     /// Resets the watch after discovery's address changed; the next poll connects without backoff.
     pub fn restart(&mut self) {
-        *self = EndpointWatch { synced: self.synced, ..EndpointWatch::new() };
+        *self = EndpointWatch { synced: self.synced, ..EndpointWatch::new(self.limits) };
     }
 
     /// Handles bytes received on the watch, before which the operating system had accepted `written` bytes of
@@ -163,6 +199,12 @@
         if state == Ok(ResponseState::AwaitingHead) {
             return WatchProgress::default();
         }
+        if !self.limits.permit(&self.body) {
+            let EventLimits { bytes, entries } = self.limits;
+            self.body = Vec::new();
+            let error = WatchError::EventTooLong { max_bytes: bytes, max_entries: entries };
+            return WatchProgress { events: vec![], error: Some(error) };
+        }
         // Events before the end of the response, or before an error, are still applied.
         let mut progress = self.read_events();
         if progress.error.is_none() {
@@ -172,9 +214,6 @@
                 Err(error) => Some(error),
             };
         }
-        if self.body.len() > MAX_EVENT_BYTES {
-            progress.error = Some(WatchError::EventTooLong);
-        }
         if progress.error.is_none() {
             self.connection.reset_backoff();
         }
@@ -193,6 +232,7 @@
 
     fn decode_chunks(&mut self, bytes: &[u8]) -> Result<ResponseState, WatchError> {
         let Some(chunks) = &mut self.chunks else { return Ok(ResponseState::AwaitingHead) };
+        reserve(&mut self.body, bytes.len());
         match chunks.push(bytes, &mut self.body) {
             Ok(true) => Ok(ResponseState::Ended),
             Ok(false) => Ok(ResponseState::InBody),
@@ -239,6 +279,10 @@
         }
         self.synced |= consumed > 0;
         self.body.drain(..consumed);
+        if self.body.is_empty() {
+            // A list is large and rare.
+            self.body = Vec::new();
+        }
         progress
     }
 }
--- a/crates/platform/src/core/discovery/watch/tests.rs
+++ b/crates/platform/src/core/discovery/watch/tests.rs
@@ -9,7 +9,7 @@
 const HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
 fn connected() -> EndpointWatch {
-    let mut watch = EndpointWatch::new();
+    let mut watch = EndpointWatch::new(EventLimits::within(12_000_000));
     assert_eq!(watch.poll(NOW), ConnectionAction::Connect);
     watch.connected(NOW, "127.0.0.1:8500".parse().unwrap(), 41);
     watch
@@ -69,8 +69,23 @@
 
 #[test]
 fn watch_response_before_request_was_written_is_an_error() {
-    let mut watch = EndpointWatch::new();
+    let mut watch = EndpointWatch::new(EventLimits::within(12_000_000));
     let request = watch.connected(NOW, "127.0.0.1:8500".parse().unwrap(), 41);
     let written = request.len() as u64 - 1;
     assert_eq!(watch.receive(NOW, HEAD, written).error, Some(WatchError::Unsolicited));
 }
+
+#[test]
+fn event_beyond_its_memory_is_refused_by_its_length_or_its_entries() {
+    let limits = EventLimits::within(3 * BYTES_PER_ENTRY * 10);
+    assert_eq!(limits, EventLimits { bytes: 10 * BYTES_PER_ENTRY, entries: 20 });
+    for line in ["x".repeat(10 * BYTES_PER_ENTRY + 1), "{".repeat(21)] {
+        let mut watch = EndpointWatch::new(limits);
+        watch.poll(NOW);
+        watch.connected(NOW, "127.0.0.1:8500".parse().unwrap(), 41);
+        let chunk = format!("{:x}\r\n{line}", line.len());
+        let progress = watch.receive(NOW, &[HEAD, chunk.as_bytes()].concat(), WRITTEN);
+        let too_long = WatchError::EventTooLong { max_bytes: limits.bytes, max_entries: limits.entries };
+        assert_eq!(progress.error, Some(too_long));
+    }
+}
--- a/crates/platform/src/core/effects.rs
+++ b/crates/platform/src/core/effects.rs
@@ -25,6 +25,9 @@
     SendToClient(ClientId, Bytes),
     /// Close a client's connection after all bytes queued for it are sent.
     CloseClient(ClientId),
+    /// Close a client's connection after all bytes queued for it are sent, and discard what the client still sends:
+    /// its request was refused before it was complete.
+    CloseRefusedClient(ClientId),
     /// Connect to an endpoint or to discovery.
     Connect(ConnectionId, SocketAddr),
     /// Queue bytes for an endpoint or for discovery.
--- a/crates/platform/src/core/ended_ids.rs
+++ b/crates/platform/src/core/ended_ids.rs
@@ -23,13 +23,13 @@
 }
 
 impl EndedIds {
-    /// Creates an empty registry whose size follows from the journal's capacity. Ids are kept for `retention`
+    /// Creates an empty registry whose size follows from the journal's capacity and `memory_bytes`. Ids are kept for `retention`
     /// nanoseconds after the message's deadline, because it may be submitted again later than that, or after the
     /// refusal.
-    pub fn new(journal_capacity_bytes: u64, retention: Time) -> EndedIds {
+    pub fn new(journal_capacity_bytes: u64, memory_bytes: usize, retention: Time) -> EndedIds {
         EndedIds {
-            accepted: DeduplicationCache::new(journal_capacity_bytes),
-            refused: DeduplicationCache::new(journal_capacity_bytes),
+            accepted: DeduplicationCache::new(journal_capacity_bytes, memory_bytes / 2),
+            refused: DeduplicationCache::new(journal_capacity_bytes, memory_bytes / 2),
             retention,
         }
     }
--- a/crates/platform/src/core/ended_ids/tests.rs
+++ b/crates/platform/src/core/ended_ids/tests.rs
@@ -4,7 +4,7 @@
 
 #[test]
 fn refused_ids_displace_no_id_of_accepted_message() {
-    let mut ids = EndedIds::new(2 * 800, 50);
+    let mut ids = EndedIds::new(2 * 800, usize::MAX, 50);
     let accepted =
         CompletedId { id_digest: digest(&[b"a"]), content_digest: 7, expires_at: 100, end: IdEnd::Returned };
     ids.insert_accepted(accepted, 0);
--- a/crates/platform/src/core/in_flight.rs
+++ b/crates/platform/src/core/in_flight.rs
@@ -7,6 +7,7 @@
 use super::attempts::AttemptId;
 use crate::records::{Completion, FinalOutcome, Message, PendingMessage, SentAttempt};
 use linnetcart::{AttemptOutcome, Time};
+use linnetcart_courier_common::memory_budget::MemoryAccount;
 use linnetcart_courier_common::MessageNumbers;
 use std::collections::{BTreeMap, HashMap};
 
@@ -17,6 +18,13 @@
 /// attempts and completion.
 const RECORD_OVERHEAD_BYTES: usize = 512;
 
+/// Memory reserved for a message in addition to [`COPIES`] times its id, idempotency key and body: its entries in the
+/// tables of the core and of the decision library, its attempts and its notification.
+const MEMORY_OVERHEAD_BYTES: usize = 1536;
+/// Copies of a message that may be held at a time: the message, and an encoded attempt that waits to be written, once
+/// in the outputs and once in a send queue.
+const COPIES: usize = 3;
+
 /// A message in flight: it has no final outcome, has attempts in flight, or has an outcome that the platform
 /// has not acknowledged.
 #[derive(Debug)]
@@ -96,19 +104,22 @@
     /// Estimate of the bytes that all messages of the table take in the journal: sum of [`stored_size`].
     size_bytes: u64,
     max_size_bytes: u64,
+    /// Estimate of the memory that all messages of the table take: sum of [`held_size`].
+    memory: MemoryAccount,
     numbers: MessageNumbers,
 }
 
 impl InFlightTable {
     /// Creates an empty table. Its messages may take `journal_capacity_bytes / CAPACITY_DIVISOR` bytes of the
-    /// journal. Message numbers start at `next_number`.
-    pub fn new(journal_capacity_bytes: u64, next_number: u32) -> InFlightTable {
+    /// journal, and `memory_bytes` of memory. Message numbers start at `next_number`.
+    pub fn new(journal_capacity_bytes: u64, memory_bytes: usize, next_number: u32) -> InFlightTable {
         InFlightTable {
             messages: BTreeMap::new(),
             by_id: HashMap::new(),
             uncompleted: 0,
             size_bytes: 0,
             max_size_bytes: journal_capacity_bytes / CAPACITY_DIVISOR,
+            memory: MemoryAccount::new(memory_bytes),
             numbers: MessageNumbers::starting_at(next_number),
         }
     }
@@ -123,9 +134,14 @@
         self.uncompleted
     }
 
-    /// Returns an estimate of the bytes of all messages.
-    pub fn size_bytes(&self) -> usize {
-        self.size_bytes as usize
+    /// Returns an estimate of the memory that all messages take, in bytes.
+    pub fn held_bytes(&self) -> usize {
+        self.memory.held()
+    }
+
+    /// Whether a further message fits into the memory that messages in flight may take.
+    pub fn has_memory_for(&self, message: &Message) -> bool {
+        self.memory.has_room_for(held_size(message))
     }
 
     /// Whether a further message fits into the part of the journal that messages in flight may take.
@@ -176,6 +192,7 @@
     pub fn insert(&mut self, number: u32, pending: PendingMessage, deadline: Time) {
         let size_bytes = stored_size(&pending.message);
         self.size_bytes += size_bytes;
+        self.memory.resize(0, held_size(&pending.message));
         let message = InFlightMessage { pending, deadline, size_bytes, attempts_in_flight: 0 };
         self.uncompleted += usize::from(!message.is_completed());
         self.by_id.insert(message.message().id.clone(), number);
@@ -260,6 +277,7 @@
     pub fn remove(&mut self, number: u32) -> Option<InFlightMessage> {
         let message = self.messages.remove(&number)?;
         self.size_bytes -= message.size_bytes;
+        self.memory.resize(held_size(message.message()), 0);
         self.uncompleted -= usize::from(!message.is_completed());
         if self.by_id.get(&message.pending.message.id) == Some(&number) {
             self.by_id.remove(&message.pending.message.id);
@@ -270,8 +288,17 @@
 
 /// Returns an estimate of the bytes that a message takes in the journal.
 fn stored_size(message: &Message) -> u64 {
+    (content_size(message) + RECORD_OVERHEAD_BYTES) as u64
+}
+
+/// Returns an estimate of the memory that a message takes, in bytes.
+fn held_size(message: &Message) -> usize {
+    COPIES * content_size(message) + MEMORY_OVERHEAD_BYTES
+}
+
+fn content_size(message: &Message) -> usize {
     let key_length = message.idempotency_key.as_ref().map_or(0, Vec::len);
-    (message.id.len() + key_length + message.body.len() + RECORD_OVERHEAD_BYTES) as u64
+    message.id.len() + key_length + message.body.len()
 }
 
 #[cfg(test)]
--- a/crates/platform/src/core/in_flight/tests.rs
+++ b/crates/platform/src/core/in_flight/tests.rs
@@ -8,7 +8,7 @@
 }
 
 fn table_with(numbers: &[u32]) -> InFlightTable {
-    let mut table = InFlightTable::new(1_000_000, 1);
+    let mut table = InFlightTable::new(1_000_000, usize::MAX, 1);
     for &number in numbers {
         table.insert(number, PendingMessage::new(message(&format!("m{number}"))), 100);
     }
@@ -73,7 +73,7 @@
 #[test]
 fn in_flight_bytes_bounded_by_part_of_journal() {
     let size = stored_size(&message("m1"));
-    let mut table = InFlightTable::new(2 * size * CAPACITY_DIVISOR, 1);
+    let mut table = InFlightTable::new(2 * size * CAPACITY_DIVISOR, usize::MAX, 1);
     table.insert(1, PendingMessage::new(message("m1")), 100);
     assert!(table.has_capacity_for(&message("m2")));
     table.insert(2, PendingMessage::new(message("m2")), 100);
@@ -82,6 +82,20 @@
     assert!(table.has_capacity_for(&message("m3")));
 }
 
+#[test]
+fn in_flight_memory_bounded_and_given_back() {
+    let held = held_size(&message("m1"));
+    let mut table = InFlightTable::new(u64::MAX, 2 * held, 1);
+    table.insert(1, PendingMessage::new(message("m1")), 100);
+    assert!(table.has_memory_for(&message("m2")));
+    table.insert(2, PendingMessage::new(message("m2")), 100);
+    assert!(!table.has_memory_for(&message("m3")));
+    table.remove(1);
+    assert!(table.has_memory_for(&message("m3")));
+    table.remove(2);
+    assert_eq!(table.held_bytes(), 0);
+}
+
 #[test]
 fn in_flight_message_may_be_sent_until_its_end_or_deadline() {
     let mut table = table_with(&[1, 2]);
--- a/crates/platform/src/core/inputs.rs
+++ b/crates/platform/src/core/inputs.rs
@@ -6,6 +6,7 @@
 use super::client_connections::{Arrival, ClientId, Received};
 use super::connection_pool::ConnectionId;
 use super::effects::{CoreEvent, Output};
+use super::request::RequestError;
 use super::{Core, JournalState};
 use linnetcart::{Event, Time};
 use linnetcart_net::ConnectFailure;
@@ -36,6 +37,9 @@
         if self.clients.receive(id, bytes, arrival) == Received::Malformed {
             self.read_request(id);
         }
+        while let Some(largest) = self.clients.over_memory() {
+            self.refuse_invalid(largest, RequestError::TooManyBytes);
+        }
     }
 
     /// A client shut down its sending side. A complete request that the client sent before is still
@@ -91,8 +95,9 @@
             self.notifier_received(id, bytes, written);
         } else {
             let finished = self.pool.receive(id, bytes, written, self.clock.now(), &self.settings);
+            let freed = self.pool.free_memory();
             self.report_unattributed();
-            if let Some(finished) = finished {
+            for finished in finished.into_iter().chain(freed) {
                 self.finish_attempt(finished);
             }
         }
--- a/crates/platform/src/core/iteration.rs
+++ b/crates/platform/src/core/iteration.rs
@@ -52,10 +52,18 @@
         }
     }
 
+    /// Handles the requests that have arrived, up to a number of bytes; the next iteration follows with the others.
     fn read_requests(&mut self) {
-        for id in self.clients.take_unread() {
+        let mut submitted_bytes = 0;
+        let mut unread = self.clients.take_unread().into_iter();
+        for id in unread.by_ref() {
+            submitted_bytes += self.clients.received(id).len();
             self.read_request(id);
+            if submitted_bytes >= self.max_submitted_bytes {
+                break;
+            }
         }
+        self.clients.postpone(unread);
     }
 
     /// Runs one decision on the queued events and on recovered messages that were not passed to the library
@@ -100,7 +108,7 @@
     /// Ends the shutdown if no attempt is in flight and no notification is unacknowledged, or if it timed
     /// out.
     fn finish_shutdown(&mut self) {
-        let idle = self.attempts.is_empty() && self.notifier.len() == 0;
+        let idle = self.attempts.is_empty() && self.notifier.len() == 0 && !self.clients.has_unread();
         let work = if idle { OutstandingWork::None } else { OutstandingWork::Some };
         self.shutdown.finish(self.clock.now(), work);
     }
--- a/crates/platform/src/core/request.rs
+++ b/crates/platform/src/core/request.rs
@@ -60,6 +60,9 @@
     /// The request did not arrive completely while there were too many connections.
     #[error("too many connections, send it again")]
     TooManyConnections,
+    /// The request did not arrive completely while the requests of all clients took too much memory.
+    #[error("too much is being received, send it again")]
+    TooManyBytes,
     /// A header field that may occur once is repeated.
     #[error("a field stands there twice")]
     DuplicateField,
@@ -98,7 +101,19 @@
 impl RequestError {
     /// Whether the answer says that the message may be submitted again, and not that it failed.
     pub fn is_rejection(self) -> bool {
-        self == RequestError::TooManyConnections
+        matches!(self, RequestError::TooManyConnections | RequestError::TooManyBytes)
+    }
+
+    /// Whether the client may still send a part of the request, or bytes behind it.
+    pub fn cuts_request_off(self) -> bool {
+        matches!(
+            self,
+            RequestError::Malformed(_)
+                | RequestError::Pipelined
+                | RequestError::TimedOut
+                | RequestError::TooManyConnections
+                | RequestError::TooManyBytes
+        )
     }
 
     /// Returns the status code of the answer.
@@ -108,7 +123,7 @@
             RequestError::UnknownClass | RequestError::UnknownDestination => 404,
             RequestError::MethodNotAllowed => 405,
             RequestError::TimedOut => 408,
-            RequestError::TooManyConnections => 503,
+            RequestError::TooManyConnections | RequestError::TooManyBytes => 503,
             RequestError::IdOfCompletedMessage | RequestError::IdOfInvalidRequest => 409,
             RequestError::Pipelined
             | RequestError::DuplicateField
--- a/crates/platform/src/core/submission.rs
+++ b/crates/platform/src/core/submission.rs
@@ -22,6 +22,8 @@
     TooManyInFlight,
     /// The message does not fit into the part of the journal that messages in flight may take.
     JournalFull,
+    /// The message does not fit into the memory that messages in flight may take.
+    MemoryFull,
     /// No record can be written to the journal.
     JournalUnwritable,
     /// The decision library rejected the message.
@@ -72,6 +74,9 @@
     /// client is told is true of every request with the id that it names: if the id is known, the answer is that of
     /// its message; otherwise nothing is sent under the id from now on.
     pub(super) fn refuse_invalid(&mut self, client: ClientId, error: RequestError) {
+        if error.cuts_request_off() {
+            self.clients.mark_cut_off(client);
+        }
         let ids = named_ids(self.clients.received(client));
         if ids.is_empty() {
             let received_bytes = self.clients.received(client).len();
@@ -173,6 +178,8 @@
             Some(RejectReason::TooManyInFlight)
         } else if !self.in_flight.has_capacity_for(message) {
             Some(RejectReason::JournalFull)
+        } else if !self.in_flight.has_memory_for(message) {
+            Some(RejectReason::MemoryFull)
         } else if self.journal == JournalState::Unwritable {
             Some(RejectReason::JournalUnwritable)
         } else {
--- a/crates/platform/src/core/tests/discovery.rs
+++ b/crates/platform/src/core/tests/discovery.rs
@@ -79,7 +79,7 @@
     let event = |text: &str| serde_json::from_str::<WatchEvent>(text).unwrap();
     let first = event(&list_event(1, "a", "bank", 3, "active", 1000));
     let second = event(&list_event(2, "b", "new", 4, "active", 1000));
-    let mut endpoints = EndpointList::default();
+    let mut endpoints = EndpointList::new(usize::MAX);
     endpoints.apply(&first, &config.settings, SECOND);
     let update = endpoints.apply(&second, &config.settings, SECOND);
     let Event::EndpointList { entries, .. } = update.event else { panic!("{:?}", update.event) };
--- a/crates/platform/src/core/tests/harness.rs
+++ b/crates/platform/src/core/tests/harness.rs
@@ -125,7 +125,7 @@
                 self.closed.push(id);
             }
             Output::ShutdownWrite(id) => self.write_shutdown.push(id),
-            Output::CloseClient(_) | Output::StopListening => {}
+            Output::CloseClient(_) | Output::CloseRefusedClient(_) | Output::StopListening => {}
         }
     }
 
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -55,6 +55,8 @@
     /// The instant at which the courier's clock reads [`CLOCK_START`].
     started_at: Instant,
     environment: Environment,
+    /// The earliest arrival of input that the last poll has left unread; `None` if it has read all.
+    unread_since: Option<Time>,
     /// When the configuration is read again after a failure, on the courier's clock.
     config_retry_at: Option<Time>,
 }
@@ -89,13 +91,13 @@
             let next_wake = self.core.next_wake().min(self.journal.next_wake()).min(config_retry_at);
             let wait = Duration::from_nanos(next_wake.saturating_sub(self.now())).min(MAX_POLL_WAIT);
             let previous_read_at = self.input_read_at();
+            let input_since = self.unread_since.unwrap_or(previous_read_at);
             self.net.poll(wait, &mut events);
             let now = self.now();
             self.core.advance_clock(now);
-            self.core.inputs_arrived_since(previous_read_at);
-            for event in events.drain(..) {
-                self.handle_event(event);
-            }
+            self.core.inputs_arrived_since(input_since);
+            self.handle_input(&mut events);
+            self.unread_since = self.net.has_unread().then_some(input_since);
             if self.config_retry_at.is_some_and(|retry_at| retry_at <= now) {
                 self.reload_config(ReloadCause::Retry);
             }
@@ -110,6 +112,20 @@
         tracing::info!("shutdown complete");
     }
 
+    /// Handles the events of a poll, and what that has left to be read, until requests have to be processed to free
+    /// their memory.
+    fn handle_input(&mut self, events: &mut Vec<Event>) {
+        loop {
+            for event in events.drain(..) {
+                self.handle_event(event);
+            }
+            if !self.net.has_unread() || self.core.must_process() {
+                return;
+            }
+            self.net.read_more(events);
+        }
+    }
+
     /// Waits until the last answers are sent, at most [`FLUSH_TIMEOUT`]. Bytes that are still queued when the
     /// process exits do not reach their clients.
     fn flush(&mut self) {
@@ -230,6 +246,10 @@
                     self.clients.remove(&client);
                     self.net.close_after_flush(client);
                 }
+                Output::CloseRefusedClient(client) => {
+                    self.clients.remove(&client);
+                    self.net.close_lingering(client);
+                }
                 Output::Connect(id, address) => {
                     let token = self.net.connect(address);
                     self.net.read_before_write(token);
--- a/crates/platform/src/shell/startup.rs
+++ b/crates/platform/src/shell/startup.rs
@@ -29,6 +29,8 @@
 const READ_BUFFER_BYTES: usize = 16 * 1024;
 /// Maximum number of reads from one connection in one poll.
 const READS_PER_POLL: usize = 2;
+/// Maximum number of bytes that are read from all connections before they are handled.
+const MAX_BATCH_BYTES: usize = 1024 * 1024;
 /// Number of file descriptors that are not available to connections: those of the event loop, the listener,
 /// the journal and the configuration.
 const RESERVED_FILE_DESCRIPTORS: usize = 16;
@@ -86,6 +88,7 @@
         upstream: UpstreamTokens::default(),
         started_at: clocks.started_at,
         environment,
+        unread_since: None,
         config_retry_at: signals.reload_requested.then_some(CLOCK_START),
     })))
 }
@@ -103,7 +106,12 @@
 
 fn configure_limits(net: &mut Net, config: &Config) {
     net.set_max_connections(config.limits.file_descriptors.saturating_sub(RESERVED_FILE_DESCRIPTORS));
-    net.set_read_limits(ReadLimits { buffer_bytes: READ_BUFFER_BYTES, reads_per_poll: READS_PER_POLL });
+    let batch_bytes = config.limits.memory_budget().iteration / 2;
+    net.set_read_limits(ReadLimits {
+        buffer_bytes: READ_BUFFER_BYTES,
+        reads_per_poll: READS_PER_POLL,
+        batch_bytes: batch_bytes.min(MAX_BATCH_BYTES),
+    });
 }
 
 /// Opens the journal and replays the records that the previous process left.
