Drop what a client has sent that reset its connection, on both fronts

Cause: the kernel keeps input that came before a reset, and reports the error only behind it. A connection that is paused at its limit of pipelined requests is not read at all, so the reset went unseen until an answer was written, which a slow first request holds back.

Change: when the system reports an accepted connection as readable and writable at once, as it does for an error, SO_ERROR is asked; a connection that was reset is closed and its unread input dropped, also while it is paused. A client that closes without a reset cannot be told from one that has shut down its sending side and waits for its answers; its requests are still processed.

--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -246,6 +246,11 @@
         }
     }
 
+    /// Whether the system has an error of the connection to report (`SO_ERROR`).
+    pub(crate) fn has_failed(&self) -> bool {
+        matches!(self.stream.take_error(), Ok(Some(_)))
+    }
+
     /// Writes bytes of the send queue until it is empty or the system accepts no more.
     pub(crate) fn write_unsent(&mut self) -> WriteOutcome {
         if self.is_connecting() {
--- a/crates/net/src/connections.rs
+++ b/crates/net/src/connections.rs
@@ -319,6 +319,17 @@
         reactor.deferred_events.extend(event);
     }
 
+    /// Closes an accepted connection that its peer has reset, and drops the input that is unread: whoever sent it is
+    /// gone. The next poll reports the loss. Returns whether the connection was reset.
+    pub(crate) fn close_if_reset(&mut self, token: Token, reactor: &mut Reactor) -> bool {
+        let Some(connection) = self.open.get(&token) else { return false };
+        if !connection.is_accepted || !connection.has_failed() {
+            return false;
+        }
+        self.close_lost(token, reactor);
+        true
+    }
+
     /// Records that the system reported input on a connection.
     pub(crate) fn mark_readable(&mut self, token: Token) {
         if let Some(connection) = self.open.get_mut(&token) {
--- a/crates/net/src/net.rs
+++ b/crates/net/src/net.rs
@@ -285,6 +285,11 @@
 
     fn handle_readiness(&mut self, out: &mut Vec<Event>) {
         for ready in self.reactor.take_readiness() {
+            // The system reports an error as both.
+            let may_have_failed = ready.readable && ready.writable;
+            if may_have_failed && self.connections.close_if_reset(ready.token, &mut self.reactor) {
+                continue;
+            }
             if ready.readable {
                 self.connections.mark_readable(ready.token);
                 self.reactor.pending_reads.insert(ready.token);
--- a/crates/net/tests/sockets.rs
+++ b/crates/net/tests/sockets.rs
@@ -315,3 +315,22 @@
     assert_eq!(total, PEERS * 1024);
     assert!(batches.iter().all(|&batch| batch <= 2048), "{batches:?}");
 }
+
+/// What a peer has sent and then reset is unread and stays so: its requests are not processed for nobody.
+#[test]
+fn input_of_a_peer_that_has_reset_its_connection_is_dropped() {
+    let mut net = Net::new(10).unwrap();
+    let address = net.listen(ANY_PORT).unwrap().address;
+    let mut peer = std::net::TcpStream::connect(address).unwrap();
+    let server = poll_until_accepted(&mut net);
+    net.pause_reads(server);
+    peer.write_all(b"unread").unwrap();
+    for _ in 0..5 {
+        net.poll(Duration::from_millis(1), &mut vec![]);
+    }
+    socket2::SockRef::from(&peer).set_linger(Some(Duration::ZERO)).unwrap();
+    drop(peer);
+    let events = poll_until(&mut net, |event| matches!(event, Event::Closed { .. }));
+    assert!(events.iter().all(|event| !matches!(event, Event::Data { .. })), "{events:?}");
+    assert_eq!(net.connections(), 0);
+}
