Never wait for the reader of the log

Callers saw: with a reader of the log that stalls, the process stopped answering for good once the pipe was full.

Cause: log lines are written to standard error with a blocking write, by the event loop itself.

Change: LogWriter asks a pipe how much is unread (FIONREAD) and drops lines while it is half full; the next line that fits follows one that says how many were dropped. Files, terminals and sockets are written as before.

Measured: messages_are_delivered_while_the_reader_of_the_log_stalls failed before (no answer within 5 s) and passes; that of a reader that has gone passed before and passes. Cost: one system call a line on pipes only.

--- a/crates/edge/src/cli.rs
+++ b/crates/edge/src/cli.rs
@@ -1,6 +1,7 @@
 //! The command line of `linnetcart-edge`.
 
 use crate::core::{MemoryBudget, PolicyFactory};
+use crate::log_writer::LogWriter;
 use crate::shell::{self, Exit, HostPort, Options};
 use clap::{Parser, Subcommand, ValueEnum};
 use std::io::IsTerminal;
@@ -93,13 +94,13 @@
     Ok(HostPort { host: host.trim_matches(['[', ']']).to_owned(), port })
 }
 
-/// Starts logging to standard error. Without `form`, logs are plain on a terminal and JSON elsewhere. Does
+/// Starts logging to standard error, which never waits for the reader of a pipe. Without `form`, logs are plain on a terminal and JSON elsewhere. Does
 /// nothing if the process has a subscriber already.
 pub fn start_logs(form: Option<LogForm>, level: tracing::Level) {
     let is_terminal = std::io::stderr().is_terminal();
     let form = form.unwrap_or(if is_terminal { LogForm::Plain } else { LogForm::Json });
     let logs = tracing_subscriber::fmt()
-        .with_writer(std::io::stderr)
+        .with_writer(LogWriter::new(form))
         .with_max_level(level)
         .with_target(false)
         // By default a line that cannot be written is reported with `eprintln!`, which panics if standard
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod core;
 pub mod counter_files;
 pub use linnetcart_delivery_events as delivery_events;
+mod log_writer;
 pub mod settings;
 pub mod shell;
 pub mod snapshot;
--- a/crates/edge/tests/process/main.rs
+++ b/crates/edge/tests/process/main.rs
@@ -32,5 +32,6 @@
 mod requests;
 mod restart;
 mod slow_discovery;
+mod stalled_log;
 mod successor_at_address;
 mod waiting_attempts;
