--- a/crates/edge/tests/process/memory_limit.rs
+++ b/crates/edge/tests/process/memory_limit.rs
@@ -16,6 +16,8 @@
 const FILE_DESCRIPTORS: u64 = 1024;
 const CLIENTS: usize = 600;
 const LARGE_BODY_BYTES: usize = 65_000;
+/// Messages whose records together take more than the memory.
+const JOURNAL_MESSAGES: usize = 800;
 
 fn config(listen: SocketAddr, endpoint: SocketAddr, discovery: SocketAddr, disk_mb: u64) -> Value {
     let mut config = platform_config(listen, &[endpoint], discovery);
@@ -23,6 +25,7 @@
     config["limits"]["sockets"] = FILE_DESCRIPTORS.into();
     config["limits"]["disk_mb"] = disk_mb.into();
     config["settings"]["bounds"]["max_open"] = 1000.into();
+    config["known"]["endpoints"][0]["weight"] = 100_000.0.into();
     config
 }
 
@@ -230,3 +233,31 @@
     });
     scene.check_memory();
 }
+
+/// Much disk: the journal of delivered messages may grow, but the next process has to read it.
+#[test]
+fn long_journal_passes_no_memory_limit_in_the_process_that_replays_it() {
+    let mut scene = Scene::new("long-journal", endpoint_stub(), 1000);
+    std::thread::scope(|scope| {
+        for thread in 0..4 {
+            let listen = scene.courier.listen;
+            scope.spawn(move || {
+                let mut client = Peer::connect(listen);
+                let mut accepted = 0;
+                for number in 0..40_000 {
+                    let id = format!("journal-{thread}-{number}.");
+                    client.send(&large_request(&id).replacen("order", "status", 1));
+                    accepted += usize::from(client.read_response().status == 202);
+                    if accepted == JOURNAL_MESSAGES / 4 {
+                        return;
+                    }
+                    std::thread::sleep(Duration::from_millis(1));
+                }
+                panic!("{accepted} were accepted");
+            });
+        }
+    });
+    scene.check_memory();
+    scene.courier.kill_and_restart();
+    scene.check_memory();
+}
--- a/crates/journal/src/directory.rs
+++ b/crates/journal/src/directory.rs
@@ -1,7 +1,10 @@
 //! The files of a journal in their directory: reading, appending, replacement and removal.
 
 use crate::frame::{encode_batch, BatchMode};
-use crate::{read_frames, FileDamage, JournalError, Record, RecordRef, Salt, CONTROL_KIND, MAX_BATCH_BYTES};
+use crate::{
+    read_frames, FileDamage, JournalError, Record, RecordRef, Salt, CONTROL_KIND, FRAME_OVERHEAD_BYTES,
+    MAX_BATCH_BYTES,
+};
 use std::collections::BTreeMap;
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write};
@@ -141,7 +144,10 @@
         salt: Salt,
         records: impl IntoIterator<Item = RecordRef<'a>>,
     ) -> Result<(), JournalError> {
+        let records: Vec<RecordRef<'a>> = records.into_iter().collect();
         let mut bytes = salt.header();
+        let payload_bytes: usize = records.iter().map(|record| record.payload.len()).sum();
+        bytes.reserve_exact(payload_bytes + (records.len() + 1) * FRAME_OVERHEAD_BYTES);
         for record in records {
             salt.append_frame(record.kind, record.payload, &mut bytes);
         }
--- a/crates/platform/src/core/recovery.rs
+++ b/crates/platform/src/core/recovery.rs
@@ -157,20 +157,19 @@
 
     /// Returns the records from which a replay restores the present state: the first records of a new journal
     /// file.
-    pub fn snapshot(&self) -> Vec<Record> {
-        let mut records = vec![Record::Names {
+    pub fn snapshot(&self) -> impl Iterator<Item = Record> + '_ {
+        let names = Record::Names {
             classes: self.settings.class_names.clone(),
             zones: self.settings.zone_names.clone(),
-        }];
-        records.extend(self.ended_ids.iter_accepted().map(Record::CompletedId));
-        for cooldown in self.attempts.key_cooldowns.active(self.clock.now()) {
+        };
+        let ended_ids = self.ended_ids.iter_accepted().map(Record::CompletedId);
+        let active_cooldowns = self.attempts.key_cooldowns.active(self.clock.now());
+        let cooldowns = active_cooldowns.map(|cooldown| {
             let until = self.clock.to_wall(cooldown.until);
-            records.push(Record::KeyCooldown { ordering_key: cooldown.ordering_key, until });
-        }
-        for (number, message) in self.in_flight.iter() {
-            records.extend(message.pending.records(number));
-        }
-        records
+            Record::KeyCooldown { ordering_key: cooldown.ordering_key, until }
+        });
+        let messages = self.in_flight.iter().flat_map(|(number, message)| message.pending.records(number));
+        std::iter::once(names).chain(ended_ids).chain(cooldowns).chain(messages)
     }
 }
 
--- a/crates/platform/src/core/tests/admission.rs
+++ b/crates/platform/src/core/tests/admission.rs
@@ -70,7 +70,7 @@
         accepted += usize::from(status == 202);
     }
     assert_eq!(accepted, 3, "messages in flight may take a fifth of one megabyte");
-    let snapshot_bytes: usize = harness.core.snapshot().iter().map(|r| r.encode().payload.len() + 10).sum();
+    let snapshot_bytes: usize = harness.core.snapshot().map(|r| r.encode().payload.len() + 10).sum();
     assert!(snapshot_bytes < 200_000);
 }
 
@@ -86,7 +86,7 @@
     }
     assert_eq!(harness.submit("order", "m", ""), 202, "its end is known");
     assert_eq!(harness.sent_ids(), ["m", "later"], "it was sent again");
-    let mut restarted = Harness::with_journal(harness.core.snapshot(), harness.now, 40);
+    let mut restarted = Harness::with_journal(harness.core.snapshot().collect(), harness.now, 40);
     assert_eq!(restarted.submit("order", "m", ""), 202, "the next process knows its end");
     assert!(restarted.attempts().is_empty(), "it was sent again");
 }
--- a/crates/platform/src/core/tests/harness.rs
+++ b/crates/platform/src/core/tests/harness.rs
@@ -68,7 +68,7 @@
         let replay = Replay::from_records(&stored, &settings.class_names, &settings.zone_names, clock);
         let core = Core::new(config, replay, now, now);
         Harness {
-            journal: core.snapshot(),
+            journal: core.snapshot().collect(),
             journal_fails: false,
             core,
             now,
--- a/crates/platform/src/core/tests/notifications.rs
+++ b/crates/platform/src/core/tests/notifications.rs
@@ -23,7 +23,7 @@
     assert_eq!(restarted.notifications().len(), 1);
     restarted.respond(connection, b"HTTP/1.1 204 No Content\r\n\r\n");
     assert!(restarted.has_record(|record| matches!(record, Record::Notified { .. })));
-    let snapshot = restarted.core.snapshot();
+    let snapshot: Vec<Record> = restarted.core.snapshot().collect();
     assert!(
         matches!(snapshot[..], [Record::Names { .. }, Record::CompletedId(_)]),
         "every outcome is acknowledged: {snapshot:?}"
--- a/crates/platform/src/shell/journal.rs
+++ b/crates/platform/src/shell/journal.rs
@@ -2,12 +2,14 @@
 //! retries while the journal cannot be written.
 
 use super::clocks::wall_clock;
+use crate::config::Limits;
 use crate::core::{Core, MILLISECOND};
 use crate::records::{ClockReference, Record};
 use linnetcart::Time;
 use linnetcart_journal::{JournalDirectory, JournalError, Record as RawRecord, RecordRef, Salt};
 
-/// A file is replaced by a snapshot once it has grown by more than capacity / `GROWTH_DIVISOR` bytes.
+/// A file is replaced by a snapshot once it has grown by more than capacity / `GROWTH_DIVISOR` bytes, or by the memory
+/// for requests: the next process reads the file before it takes any.
 const GROWTH_DIVISOR: u64 = 4;
 /// A file's salt is the wall clock in nanoseconds, rotated left by this number of bits to spread its changing
 /// bits over the salt.
@@ -55,13 +57,14 @@
 
 impl JournalWriter {
     /// Creates a writer whose first write creates a new file.
-    pub fn new(directory: JournalDirectory, capacity_bytes: u64, clock: ClockReference) -> JournalWriter {
+    pub fn new(directory: JournalDirectory, limits: &Limits, clock: ClockReference) -> JournalWriter {
+        let max_growth_bytes = limits.memory_budget().requests as u64;
         JournalWriter {
             directory,
             clock,
             state: WriterState::NotCreated,
             base_bytes: 0,
-            max_growth_bytes: capacity_bytes / GROWTH_DIVISOR,
+            max_growth_bytes: max_growth_bytes.min(limits.disk_bytes() / GROWTH_DIVISOR),
             maintenance_at: 0,
         }
     }
@@ -160,7 +163,7 @@
 
     fn snapshot(&self, core: &Core) -> Vec<RawRecord> {
         let mut records = vec![Record::ClockReference(self.clock).encode()];
-        records.extend(core.snapshot().iter().map(Record::encode));
+        records.extend(core.snapshot().map(|record| record.encode()));
         records
     }
 }
--- a/crates/platform/src/shell/startup.rs
+++ b/crates/platform/src/shell/startup.rs
@@ -70,7 +70,7 @@
     };
     configure_limits(&mut net, &config);
     let listen = config.listen;
-    let mut journal = JournalWriter::new(directory, config.limits.disk_bytes(), clocks.reference);
+    let mut journal = JournalWriter::new(directory, &config.limits, clocks.reference);
     let mut core = Core::new(config, replay, CLOCK_START, clocks.wall);
     // The first write creates a new file, before the first client connects.
     write_records(&mut core, &mut journal, clocks.started_at);
