Soak: large and stopped clients, successors at addresses, peak memory, early ends of a process

Cause: the soak played no client that makes the courier hold memory and no new endpoint at an old address, and saw a process that ended by itself only at the end of a run.

Change: half of the runs have 150 connections with large requests that come slowly, stop half way or are invalid, and heads without an end; in half, the endpoint that must get no calls stays listed with a successor of another destination at its address, and comes back as a new process. Every run has 32 MB, and the largest peak of its processes is checked; a process that has ended before a signal fails the run.

--- a/crates/edge/tests/process/memory_limit.rs
+++ b/crates/edge/tests/process/memory_limit.rs
@@ -48,7 +48,8 @@
     fn check_memory(&mut self) {
         assert!(self.courier.child.try_wait().unwrap().is_none(), "the process has ended by itself");
         let peak = self.courier.peak_memory_bytes();
-        println!("peak memory: {peak} bytes");
+        let evicted = self.courier.count_logged("client connection closed, too many are open", &[]);
+        println!("peak memory: {peak} bytes, evicted unread: {evicted}");
         assert!(peak < MEMORY_MB * 1_000_000, "peak memory: {peak} bytes");
     }
 }
--- a/crates/edge/tests/soak/agent.rs
+++ b/crates/edge/tests/soak/agent.rs
@@ -56,12 +56,20 @@
     pub answer_delay: Duration,
     /// Percentage of batches that are answered with 503 or by a close.
     pub busy: u64,
+    /// Whether the endpoint that must get no calls stays listed, with a successor of another destination at its address,
+    /// and comes back as a new process. Otherwise it is listed as draining.
+    pub has_successors: bool,
 }
 
 struct List {
     version: u64,
     addresses: Vec<SocketAddr>,
+    /// When each endpoint started last, in versions of the list.
+    started_at: Vec<u64>,
+    /// The endpoint that must get no calls.
     draining: Option<u64>,
+    /// The endpoint whose successor has left its address.
+    returned: Option<u64>,
 }
 
 impl Discovery {
@@ -72,19 +80,32 @@
             listed: Mutex::default(),
             seed,
             load,
-            list: Mutex::new(List { version: 2, addresses: vec![], draining: None }),
+            list: Mutex::new(List {
+                version: 2,
+                addresses: vec![],
+                started_at: vec![],
+                draining: None,
+                returned: None,
+            }),
         })
     }
 
     pub fn set_endpoints(&self, addresses: &[SocketAddr]) {
-        self.list.lock().expect("no test thread panics").addresses = addresses.to_vec();
+        let mut list = self.list.lock().expect("no test thread panics");
+        list.addresses = addresses.to_vec();
+        list.started_at = vec![0; addresses.len()];
     }
 
-    /// Lists this endpoint as draining, and the others as ready.
+    /// Lists this endpoint as draining or succeeded, and the others as ready.
     pub fn drain(&self, endpoint: Option<u64>) {
         let mut list = self.list.lock().expect("no test thread panics");
-        list.draining = endpoint;
         list.version += 1;
+        let version = list.version;
+        list.returned = list.draining.filter(|_| self.load.has_successors);
+        if let Some(returned) = list.returned {
+            list.started_at[returned as usize] = version;
+        }
+        list.draining = endpoint;
     }
 
     /// Starts a server on a thread of its own and returns its address.
@@ -181,11 +202,20 @@
     /// Returns an event with the present list, and the endpoint that it lists as draining.
     fn event(&self, complete: bool) -> (Value, Option<u64>) {
         let list = self.list.lock().expect("no test thread panics");
-        let entries = list.addresses.iter().zip(0..).map(|(&address, number)| {
-            let status = if list.draining == Some(number) { "leaving" } else { "active" };
-            crate::courier::entry(&format!("s-{}", number + 1), address, status)
-        });
-        let entries: Vec<Value> = entries.collect();
+        let mut entries: Vec<Value> = Vec::new();
+        for (&address, number) in list.addresses.iter().zip(0..) {
+            let is_draining = list.draining == Some(number);
+            let status = if is_draining && !self.load.has_successors { "leaving" } else { "active" };
+            let mut entry = crate::courier::entry(&format!("s-{}", number + 1), address, status);
+            entry["since_ms"] = list.started_at[number as usize].into();
+            entries.push(entry);
+            if is_draining && self.load.has_successors {
+                entries.push(successor(number, address, "active", list.version));
+            }
+            if list.returned == Some(number) && !is_draining {
+                entries.push(successor(number, address, "left", 0));
+            }
+        }
         (json!({"index": list.version, "snapshot": complete, "endpoints": entries}), list.draining)
     }
 
@@ -198,6 +228,14 @@
     }
 }
 
+/// Returns the entry of another destination's endpoint at this address.
+fn successor(number: u64, address: SocketAddr, status: &str, started_at: u64) -> Value {
+    let mut entry = crate::courier::entry(&format!("successor-{number}"), address, status);
+    entry["group"] = 4.into();
+    entry["since_ms"] = started_at.into();
+    entry
+}
+
 fn write_event(stream: &mut TcpStream, event: &Value) -> bool {
     let line = format!("{event}\n");
     stream.write_all(format!("{:x}\r\n{line}\r\n", line.len()).as_bytes()).is_ok()
--- a/crates/edge/tests/soak/checks.rs
+++ b/crates/edge/tests/soak/checks.rs
@@ -4,7 +4,7 @@
 use crate::clients::{Answer, Repetition, Submission};
 use crate::endpoint::{Behaviour, Call, CallLog};
 use crate::intruders;
-use crate::run::{Downtime, RunSettings};
+use crate::run::{Downtime, RunSettings, MEMORY_MB};
 use std::collections::BTreeMap;
 use std::fmt;
 use std::sync::Arc;
@@ -33,6 +33,8 @@
     pub downtimes: Vec<Downtime>,
     /// Whether the process exited although the run neither signalled nor killed it.
     pub exited_unexpectedly: bool,
+    /// The largest peak of the memory of the run's processes.
+    pub peak_memory_bytes: u64,
 }
 
 impl Observations {
@@ -62,6 +64,7 @@
     pub longest_answer_time: Duration,
     /// The longest time from a message's deadline to its notification.
     pub longest_notification_delay: Duration,
+    pub peak_memory_bytes: u64,
     pub violations: Vec<String>,
 }
 
@@ -70,7 +73,7 @@
         write!(
             f,
             "seed {}: {} accepted, {} rejected, {} unanswered, {} restarts, longest answer time {} ms, \
-             longest notification delay {} ms, {:?}, {} violations",
+             longest notification delay {} ms, peak memory {} KB, {:?}, {} violations",
             self.seed,
             self.accepted,
             self.rejected,
@@ -78,6 +81,7 @@
             self.restarts,
             self.longest_answer_time.as_millis(),
             self.longest_notification_delay.as_millis(),
+            self.peak_memory_bytes / 1000,
             self.discovery,
             self.violations.len()
         )
@@ -96,6 +100,7 @@
             restarts: 0,
             longest_answer_time: Duration::ZERO,
             longest_notification_delay: Duration::ZERO,
+            peak_memory_bytes: 0,
             violations: vec![format!("seed {seed}: the run panicked, see the output of its thread")],
         }
     }
@@ -177,6 +182,9 @@
     if observations.exited_unexpectedly {
         violations.push("the process exited unexpectedly".to_owned());
     }
+    if observations.peak_memory_bytes > MEMORY_MB * 1_000_000 {
+        violations.push(format!("peak memory of {} bytes", observations.peak_memory_bytes));
+    }
     for submission in &observations.submissions {
         check_message(settings, submission, observations, &by_message, &mut violations);
     }
@@ -196,6 +204,7 @@
         restarts: observations.downtimes.len(),
         longest_answer_time: longest_answer_time(observations),
         longest_notification_delay: longest_notification_delay(observations, &by_message),
+        peak_memory_bytes: observations.peak_memory_bytes,
         violations: violations.into_iter().map(|text| format!("seed {seed}: {text}")).collect(),
     }
 }
--- a/crates/edge/tests/soak/main.rs
+++ b/crates/edge/tests/soak/main.rs
@@ -1,11 +1,13 @@
 //! Soak test: the real courier on the loopback interface under random faults of its own machine, signals,
-//! kills, endpoints and discovery whose responses come twice, early or late, and clients that misbehave.
+//! kills, endpoints and discovery whose responses come twice, early or late, clients that misbehave, hundreds of clients
+//! whose requests take memory, and successors at the addresses of endpoints.
 //!
 //! Each seed determines the random choices of one run of a few seconds. After the run, every message is
 //! checked against the rules: an accepted message is completed, a rejected one is not executed, a
 //! non-idempotent one is executed at most once, messages of an ordering key are delivered in order, nothing is
 //! sent after a message's end (a response that ends it, a notification, a refusal of any request with its id) or to
-//! a draining endpoint, and no message is sent under another's id.
+//! a draining or succeeded endpoint, no message is sent under another's id, no process ends by itself, and the peak of
+//! its memory stays under its limit.
 //!
 //! Other seeds: `SOAK_SEEDS=100..150 SOAK_SECONDS=12 cargo test --release -p linnetcart-edge --test soak`.
 //! Response times are not checked; the longest time to an answer and the longest delay of a notification
@@ -19,6 +21,7 @@
 mod checks;
 mod clients;
 mod endpoint;
+mod fat_clients;
 mod faults;
 mod intruders;
 mod random;
--- a/crates/edge/tests/soak/run.rs
+++ b/crates/edge/tests/soak/run.rs
@@ -6,6 +6,7 @@
 use crate::clients::{self, ClientRecord};
 use crate::courier::{platform_config, CourierProcess};
 use crate::endpoint::{self, CallLog, EndpointPlan};
+use crate::fat_clients;
 use crate::faults::{pause, FaultPlan};
 use crate::intruders;
 use crate::random::Random;
@@ -25,6 +26,8 @@
 const IDLE_CONNECTIONS: usize = 140;
 /// Times until discovery's answer to a batch of notifications, in milliseconds.
 const ANSWER_DELAYS_MS: [u64; 4] = [150, 250, 400, 1000];
+/// The least memory that the pages name, in megabytes.
+pub const MEMORY_MB: u64 = 32;
 const LONG_KEY_WINDOW: Duration = Duration::from_secs(60);
 /// Shorter than the time that many messages have to their deadline.
 const SHORT_KEY_WINDOW: Duration = Duration::from_millis(1600);
@@ -50,6 +53,8 @@
     pub has_intruders: bool,
     /// Number of clients that submit messages.
     pub clients: u64,
+    /// Whether hundreds of clients send large requests slowly, stop half way or send heads without an end.
+    pub has_fat_clients: bool,
 }
 
 impl RunSettings {
@@ -62,12 +67,26 @@
             faults,
             exhausts_descriptors: random.chance(20),
             response_faults: [0, 30, 100][random.below(3) as usize],
-            discovery: DiscoveryLoad { has_faults: random.chance(60), answer_delay: Duration::ZERO, busy: 0 },
+            discovery: DiscoveryLoad {
+                has_faults: random.chance(60),
+                answer_delay: Duration::ZERO,
+                busy: 0,
+                has_successors: false,
+            },
             has_intruders: random.chance(60),
             clients: if random.chance(20) { CROWD } else { CLIENTS },
             key_window: LONG_KEY_WINDOW,
+            has_fat_clients: false,
         }
         .with_load(&mut Random::new(seed, 5))
+        .with_peers(&mut Random::new(seed, 6))
+    }
+
+    /// Draws clients that make the courier hold memory and successors at the addresses of endpoints for some runs.
+    fn with_peers(mut self, random: &mut Random) -> RunSettings {
+        self.has_fat_clients = random.chance(50);
+        self.discovery.has_successors = random.chance(50);
+        self
     }
 
     /// Draws a slow or crowded discovery and a short window of idempotency keys for some runs.
@@ -107,6 +126,7 @@
     discovery.set_endpoints(&endpoints);
     let mut courier = CourierProcess::with_config(&format!("soak-{seed}"), |listen| {
         let mut config = platform_config(listen, &endpoints, discovery_addresses[0]);
+        config["limits"]["memory_mb"] = MEMORY_MB.into();
         config["settings"]["contract"]["turn_gap_ns"] = 50_000_000u64.into();
         config["settings"]["bounds"]["parallel_tries"] = true.into();
         config["settings"]["services"][2]["key_ttl_ns"] = (settings.key_window.as_nanos() as u64).into();
@@ -122,6 +142,7 @@
         FaultControl::open(&courier.dir.join("faults"), &courier.dir.join("state")).expect("it exists");
     let mut clients_record = ClientRecord::default();
     let mut downtimes = Vec::new();
+    let mut peak_memory_bytes = 0;
     std::thread::scope(|scope| {
         let clients: Vec<_> = (0..settings.clients)
             .map(|client| {
@@ -133,13 +154,19 @@
             .collect();
         let list_changer = scope.spawn(|| change_list(&discovery, Random::new(seed, 4), &stop));
         let intruder = settings.has_intruders.then(|| scope.spawn(|| intruders::run(seed, address, &stop)));
+        let fat_clients =
+            settings.has_fat_clients.then(|| scope.spawn(|| fat_clients::run(seed, address, &stop)));
         let injector = scope.spawn(|| settings.faults.inject(Random::new(seed, 2), &control, &stop));
         // Also stops the clients if a restart panics; the scope would wait for them for ever.
         let stopper = StopOnDrop(&stop);
-        signal_and_restart(&mut courier, &settings, discovery_addresses, &stop, &mut downtimes);
+        peak_memory_bytes =
+            signal_and_restart(&mut courier, &settings, discovery_addresses, &stop, &mut downtimes);
         drop(stopper);
         injector.join().expect("the injector ends");
         list_changer.join().expect("the changes of the list end");
+        if let Some(fat_clients) = fat_clients {
+            fat_clients.join().expect("the large clients end");
+        }
         if let Some(intruder) = intruder {
             intruder.join().expect("the intruder ends");
         }
@@ -151,12 +178,22 @@
     });
     drop(idle_connections);
     let exited_unexpectedly = courier.child.try_wait().expect("a child").is_some();
+    if !exited_unexpectedly {
+        peak_memory_bytes = peak_memory_bytes.max(courier.peak_memory_bytes());
+    }
     if exited_unexpectedly {
         courier.restart();
     }
     let ClientRecord { submissions, repetitions } = clients_record;
-    let observations =
-        Observations { submissions, repetitions, calls, discovery, downtimes, exited_unexpectedly };
+    let observations = Observations {
+        submissions,
+        repetitions,
+        calls,
+        discovery,
+        downtimes,
+        exited_unexpectedly,
+        peak_memory_bytes,
+    };
     checks::wait_for_completion(&observations, COMPLETION_TIMEOUT);
     let report = checks::check(&settings, &observations);
     courier.keeps_files = !report.violations.is_empty();
@@ -190,18 +227,22 @@
     }
 }
 
-/// Sends signals to the courier, kills and restarts it until the run is over.
+/// Sends signals to the courier, kills and restarts it until the run is over. Returns the largest peak of the memory of
+/// its processes.
 fn signal_and_restart(
     courier: &mut CourierProcess,
     settings: &RunSettings,
     discovery_addresses: [SocketAddr; 2],
     stop: &AtomicBool,
     downtimes: &mut Vec<Downtime>,
-) {
+) -> u64 {
+    let mut peak_memory_bytes = 0;
     let mut random = Random::new(settings.seed, 3);
     let until = Instant::now() + settings.duration;
     while Instant::now() < until {
         pause(Duration::from_millis(random.between(200, 1500)), stop);
+        assert!(courier.child.try_wait().expect("a child").is_none(), "the process ended by itself");
+        peak_memory_bytes = peak_memory_bytes.max(courier.peak_memory_bytes());
         match random.below(6) {
             0 => {
                 let from = Instant::now();
@@ -239,6 +280,7 @@
             _ => {}
         }
     }
+    peak_memory_bytes
 }
 
 /// Sends further signals to a process that is shutting down.
