Bound a Retry-After, so that no time overflows when it is added

Callers saw: nothing yet. Found while looking for ways in which a process ends by itself.

Cause: a Retry-After of more than 1.8e13 ms saturated at the largest time, and the library adds it to the present time: a panic in a debug build; in a release build the sum wraps, and the wait is over at once, so that the endpoint is called although it asked not to be.

Change: a Retry-After is 365 days at most. Numbers and names at the ends of their ranges come from clients, endpoints and discovery in three process tests.

Measured: extreme_values_in_responses_end_no_process failed before (the debug process panicked in finish_attempt) and passes; the tests of requests and of lists passed before and pass.

--- a/crates/edge/tests/process/main.rs
+++ b/crates/edge/tests/process/main.rs
@@ -20,6 +20,7 @@
 mod configuration;
 mod connections;
 mod crowded_clients;
+mod extreme_values;
 mod faults;
 mod invalid_clients;
 mod lifecycle;
--- a/crates/platform/src/core/connection_pool/response.rs
+++ b/crates/platform/src/core/connection_pool/response.rs
@@ -91,10 +91,13 @@
     }
 }
 
+/// Longest Retry-After, in nanoseconds: 365 days. A longer one is treated as this one, so that times can be added to it.
+const MAX_RETRY_AFTER: Time = 365 * 24 * 3600 * 1000 * MILLISECOND;
+
 /// Returns the Retry-After of a response in nanoseconds; 0 if it is absent or unreadable.
 fn retry_after(head: &ResponseHead) -> Time {
     let milliseconds = head.field("x-backoff-ms").and_then(parse_decimal).unwrap_or(0);
-    milliseconds.saturating_mul(MILLISECOND)
+    milliseconds.saturating_mul(MILLISECOND).min(MAX_RETRY_AFTER)
 }
 
 /// Parses the load report of a response, such as `x0=0.25,x1=80`. An unreadable value is treated as absent.
