Test one client at full speed beside usual ones, on both fronts

Change: a client sends for three seconds as fast as it is answered (platform front) or without waiting (Kafka front), each time under a new id, class, destination, subject or topic; usual clients run beside it.

--- a/crates/edge/tests/process/memory_limit.rs
+++ b/crates/edge/tests/process/memory_limit.rs
@@ -5,11 +5,12 @@
 use crate::crowd::{Crowd, CrowdAnswers, UsualClients};
 use crate::peer::Peer;
 use crate::stubs::{discovery_stub, endless_endpoint, endpoint_stub, silent_endpoint, Stub};
+use linnetcart_http::Persistence;
 use rustix::process::Signal;
 use serde_json::Value;
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The least memory that the pages name, in megabytes.
 const MEMORY_MB: u64 = 32;
@@ -279,3 +280,31 @@
     scene.courier.kill_and_restart();
     scene.check_memory();
 }
+
+/// One client asks at full speed, each time under a new name: usual clients keep their connections and are answered.
+#[test]
+fn small_and_unsound_requests_at_full_speed_close_no_usual_client_and_pass_no_memory_limit() {
+    let mut scene = Scene::new("full-speed", endpoint_stub(), 1);
+    let usual = UsualClients::start(scene.courier.listen, "usual-b");
+    let until = Instant::now() + Duration::from_secs(3);
+    let mut number = 0;
+    let mut noisy = Peer::connect(scene.courier.listen);
+    while Instant::now() < until {
+        number += 1;
+        let id = format!("noise-{number}.");
+        let requests = [
+            submission("order", &id, "").replace("dest=3", &format!("dest={number}")),
+            submission(&format!("class-{number}"), &id, ""),
+            submission("change", &id, &format!("Cookie: subject={id}\r\n")).replace("30000", "1"),
+            "GET /ready HTTP/1.1\r\n\r\n".to_owned(),
+            "noise\r\n\r\n".to_owned(),
+        ];
+        noisy.send_if_open(&requests[number % requests.len()]);
+        if noisy.read_response().persistence == Persistence::Close {
+            noisy = Peer::connect(scene.courier.listen);
+        }
+    }
+    println!("requests of the noisy client: {number}");
+    usual.finish().check();
+    scene.check_memory();
+}
--- a/crates/testbed/tests/kafka_peers/memory.rs
+++ b/crates/testbed/tests/kafka_peers/memory.rs
@@ -5,9 +5,10 @@
 use crate::work_folder::work_folder;
 use linnetcart_kafka::codes;
 use std::io::Read;
+use std::net::Shutdown;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The limit that the couriers of these tests are started with, in megabytes.
 const MEMORY_MB: u64 = 64;
@@ -166,3 +167,36 @@
     check_memory(&mut courier);
     assert_eq!(Producer::connect(courier.kafka).submit(1, "later"), Some(codes::NONE));
 }
+
+/// One client pipelines small requests at full speed, each under new names, and reads the answers.
+#[test]
+fn small_requests_at_full_speed_close_no_usual_producer_and_pass_no_memory_limit() {
+    let dir = work_folder("kafka-full-speed");
+    let endpoint = Endpoint::start(Answers::Served);
+    let mut courier = start(&dir);
+    courier.configure(endpoint.address);
+    let stop = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        let usual = scope.spawn(|| run_usual(&courier, &stop));
+        let mut noisy = Producer::connect(courier.kafka);
+        let mut reading = noisy.stream.try_clone().expect("a second handle");
+        scope.spawn(move || while let Ok(1..) = reading.read(&mut [0; 65536]) {});
+        let until = Instant::now() + Duration::from_secs(3);
+        let mut number = 0;
+        while Instant::now() < until {
+            number += 1;
+            let names: Vec<String> = (0..3).map(|name| format!("noise-{number}-{name}")).collect();
+            let message = produce_request(number, &format!("topic-{number}"), "x");
+            if !noisy.send(&[metadata_request(&names), message].concat()) {
+                break;
+            }
+        }
+        println!("requests of the noisy client: {}", 2 * number);
+        let _ = noisy.stream.shutdown(Shutdown::Both);
+        stop.store(true, Ordering::Relaxed);
+        let (answered, closed) = usual.join().expect("a client");
+        println!("usual: {answered} answered, {closed} closed");
+        assert!(answered > 10 && closed == 0, "{answered} answered, {closed} closed");
+    });
+    check_memory(&mut courier);
+}
