Bound what an iteration reads, and play large producers and successors in the Kafka soak

Cause: after a stall the Kafka front polled up to 64 times, each time all that hundreds of connections had to say, before it decided anything; an iteration that is late counts as a stall, so a flood kept itself going. The platform front read a whole pass over all connections. The Kafka soak played neither large frames nor successors.

Change: an iteration reads 4 batches (16 after a stall) on the Kafka front and 8 on the platform front, in the order of the pass, connections to endpoints first; the next one goes on with the rest, whose arrival counts from the poll before. The Kafka soak has 60 connections with large frames, on even seeds successors at the addresses of its endpoints, 64 MB, and checks the peak and that the process is alive.

--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -38,8 +38,10 @@
 /// An iteration that is late by more than this follows a stall of the process. All input is then read before
 /// any decision, so that the decision library sees every answer that has arrived before it sends anything.
 const STALL_THRESHOLD: Duration = Duration::from_millis(20);
-/// Maximum number of polls that read the input after a stall.
-const MAX_STALL_POLLS: usize = 64;
+/// Maximum number of batches that are read before the core processes them. The next iteration reads the others.
+const MAX_BATCHES: usize = 4;
+/// Maximum number of batches that are read before a decision after a stall.
+const MAX_STALL_BATCHES: usize = 16;
 /// Maximum number of bytes of one read.
 const READ_BUFFER_BYTES: usize = 64 * 1024;
 /// Maximum number of reads from one connection in one poll.
@@ -199,18 +201,23 @@
     fn serve(&mut self) -> Exit {
         let mut events = Vec::new();
         let mut last_poll_began = self.now();
+        // The earliest arrival of input that the last poll has left unread.
+        let mut unread_since = None;
         loop {
             let poll = self.poll(&mut events);
             let now = self.now();
+            let input_since = unread_since.unwrap_or(last_poll_began);
+            last_poll_began = poll.began_at;
             if let Some(core) = &mut self.program.core {
                 core.clock(now);
                 core.wall_clock(wall_clock());
-                // Input that the last poll did not find arrived after it began.
-                core.arrived_since(std::mem::replace(&mut last_poll_began, poll.began_at));
+                // Input that a poll did not find arrived after it began.
+                core.arrived_since(input_since);
             }
             if let Some(exit) = self.handle_input(&mut events, poll.was_stalled, now) {
                 return exit;
             }
+            unread_since = self.net.has_unread().then_some(input_since);
             let now = self.now();
             if let Some(core) = &mut self.program.core {
                 core.process(now);
@@ -245,24 +252,21 @@
     /// Handles the events of a poll and reads what it has left; after a stall, all input that has arrived. Returns
     /// [`Exit::Interrupted`] if a second signal is among the events.
     fn handle_input(&mut self, events: &mut Vec<Event>, was_stalled: bool, now: Time) -> Option<Exit> {
-        let mut polls_left = if was_stalled { MAX_STALL_POLLS } else { 0 };
-        loop {
+        let batches = if was_stalled { MAX_STALL_BATCHES } else { MAX_BATCHES };
+        for _ in 0..batches {
             if let Some(exit) = self.handle_events(events, now) {
                 return Some(exit);
             }
             if self.net.has_unread() {
                 self.net.read_more(events);
-                continue;
-            }
-            if polls_left == 0 {
-                return None;
+            } else if was_stalled {
+                self.net.poll(Duration::ZERO, events);
             }
-            polls_left -= 1;
-            self.net.poll(Duration::ZERO, events);
             if events.is_empty() {
                 return None;
             }
         }
+        self.handle_events(events, now)
     }
 
     /// Waits for events until the next iteration is due.
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -27,6 +27,8 @@
 const CLOCK_START: Time = 3_600_000 * MILLISECOND;
 /// Maximum time that a poll waits for an event.
 const MAX_POLL_WAIT: Duration = Duration::from_millis(500);
+/// Maximum number of batches that one iteration reads after its poll. The next one reads the others.
+const MAX_BATCHES: usize = 8;
 /// Maximum time for sending the last answers before the process exits, in nanoseconds.
 const FLUSH_TIMEOUT: Time = 100 * MILLISECOND;
 /// Maximum time that a poll waits for an event while the last answers are sent.
@@ -114,9 +116,9 @@
     }
 
     /// Handles the events of a poll, and what that has left to be read, until requests have to be processed to free
-    /// their memory.
+    /// their memory or the iteration has read its share.
     fn handle_input(&mut self, events: &mut Vec<Event>) {
-        loop {
+        for _ in 0..MAX_BATCHES {
             for event in events.drain(..) {
                 self.handle_event(event);
             }
@@ -125,6 +127,9 @@
             }
             self.net.read_more(events);
         }
+        for event in events.drain(..) {
+            self.handle_event(event);
+        }
     }
 
     /// Waits until the last answers are sent, at most [`FLUSH_TIMEOUT`]. Bytes that are still queued when the
--- a/crates/testbed/tests/kafka_message_end.rs
+++ b/crates/testbed/tests/kafka_message_end.rs
@@ -18,6 +18,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+/// The limit of the courier's memory, in megabytes.
+const MEMORY_MB: u64 = 64;
 const PRODUCE_VERSION: i16 = 9;
 const MAX_FRAME_BYTES: usize = 1 << 20;
 /// Longer than the deadline of the class `order`, after which its messages have their final answer.
@@ -102,7 +104,7 @@
     let dir = work_folder::work_folder("kafka-unwritten");
     std::fs::create_dir_all(&dir).expect("a folder");
     let faults = FaultControl::new(&dir.join("faults"), &dir, 1).expect("a control file");
-    let courier = Courier::start_under(&dir, &faults);
+    let courier = Courier::start_under(&dir, &faults, MEMORY_MB);
     let (endpoint, calls) = serving_endpoint();
     courier.configure(endpoint);
     let mut stream = courier.connect();
--- a/crates/testbed/tests/kafka_soak.rs
+++ b/crates/testbed/tests/kafka_soak.rs
@@ -3,7 +3,8 @@
 //!
 //! Each seed determines the random choices of one run. Checked are: a message is answered as served only if it
 //! was executed; one that is not idempotent is answered as not persisted only if it was not executed, and is
-//! executed at most once; every request is answered once, in order; nothing is sent for a message after its answer.
+//! executed at most once; every request is answered once, in order; nothing is sent for a message after its answer; the
+//! process does not end by itself, and the peak of its memory stays under its limit beside producers of large frames.
 //!
 //! Other seeds: `SOAK_SEEDS=100..150 SOAK_SECONDS=6 cargo test --release -p linnetcart-testbed --test kafka_soak`.
 
@@ -39,6 +40,10 @@
 const ENDPOINTS: u64 = 3;
 const PRODUCE_VERSION: i16 = 9;
 const ALL_REPLICAS: i16 = -1;
+/// The limit of the couriers' memory, in megabytes.
+const MEMORY_MB: u64 = 64;
+const LARGE_PRODUCERS: usize = 60;
+const LARGE_VALUE_BYTES: usize = 900_000;
 const MAX_FRAME_BYTES: usize = 1 << 20;
 /// How long a client waits for an answer: longer than any deadline of the settings.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(12);
@@ -138,6 +143,44 @@
     }
 }
 
+/// Opens connections with large frames that stop half way or go on slowly, and closes some.
+fn run_large_producers(seed: u64, kafka: SocketAddr, stop: &AtomicBool) {
+    let mut random = ChaCha8Rng::seed_from_u64(seed * 1000 + 700);
+    let request = produce_request(9, "status", &"x".repeat(LARGE_VALUE_BYTES));
+    let mut connections: Vec<TcpStream> = Vec::new();
+    while !stop.load(Ordering::Relaxed) {
+        std::thread::sleep(Duration::from_millis(random.random_range(5..40)));
+        if connections.len() >= LARGE_PRODUCERS {
+            connections.drain(..random.random_range(0..LARGE_PRODUCERS / 4));
+        }
+        if let Ok(mut stream) = TcpStream::connect(kafka) {
+            let _ = stream.set_write_timeout(Some(Duration::from_millis(50)));
+            let _ = stream.write_all(&request[..random.random_range(0..request.len())]);
+            connections.push(stream);
+        }
+        for stream in connections.iter_mut().rev().take(5) {
+            let _ = stream.write_all(b"more of it");
+        }
+    }
+}
+
+/// Lists a successor of another destination at the address of one endpoint after another, and gives the addresses back
+/// to endpoints with new numbers.
+fn change_list(seed: u64, control: SocketAddr, endpoints: &[SocketAddr], stop: &AtomicBool) {
+    let mut random = ChaCha8Rng::seed_from_u64(seed * 1000 + 800);
+    for version in 2.. {
+        std::thread::sleep(Duration::from_millis(random.random_range(200..600)));
+        if stop.load(Ordering::Relaxed) {
+            return;
+        }
+        let address = endpoints[version as usize % endpoints.len()];
+        let destination = u64::from(random.random_bool(0.5));
+        let entry = json!({"id": 100 + version, "destination": destination, "kind": "k", "zone": "a",
+            "state": "ready", "address": address.to_string()});
+        control::put(control, "/list", &json!({"version": version, "whole": false, "entries": [entry]}));
+    }
+}
+
 fn inject_faults(seed: u64, faults: &FaultControl, stop: &AtomicBool) {
     let mut random = ChaCha8Rng::seed_from_u64(seed * 1000 + 600);
     while !stop.load(Ordering::Relaxed) {
@@ -163,7 +206,7 @@
     let dir = work_folder::work_folder(&format!("kafka-soak-{seed}"));
     std::fs::create_dir_all(&dir).expect("a folder");
     let faults = FaultControl::new(&dir.join("faults"), &dir, seed).expect("a control file");
-    let courier = Courier::start_under(&dir, &faults);
+    let mut courier = Courier::start_under(&dir, &faults, MEMORY_MB);
     let calls = CallLog::default();
     let endpoints: Vec<SocketAddr> = (0..ENDPOINTS)
         .map(|number| endpoint::start(EndpointPlan { seed, number }, Arc::clone(&calls)))
@@ -180,6 +223,12 @@
         let clients: Vec<_> =
             (0..CLIENTS).map(|client| scope.spawn(move || run_client(seed, client, kafka, stop))).collect();
         scope.spawn(move || run_intruder(seed, kafka, stop));
+        scope.spawn(move || run_large_producers(seed, kafka, stop));
+        if seed.is_multiple_of(2) {
+            let control = courier.control;
+            let endpoints = &endpoints;
+            scope.spawn(move || change_list(seed, control, endpoints, stop));
+        }
         scope.spawn(|| inject_faults(seed, &faults, stop));
         std::thread::sleep(duration);
         stop.store(true, Ordering::Relaxed);
@@ -187,11 +236,18 @@
             answers.extend(client.join().expect("a client ends"));
         }
     });
+    let mut violations = check(seed, &answers, &calls);
+    if courier.child.try_wait().expect("a child").is_some() {
+        violations.push(format!("seed {seed}: the process has ended by itself"));
+    } else if courier.peak_memory_bytes() > MEMORY_MB * 1_000_000 {
+        violations.push(format!("seed {seed}: peak memory of {} bytes", courier.peak_memory_bytes()));
+    }
+    let peak = courier.peak_memory_bytes() / 1000;
     drop(courier);
-    let violations = check(seed, &answers, &calls);
     let _ = std::fs::remove_dir_all(dir);
     let served = answers.iter().filter(|answer| answer.code == Some(codes::NONE)).count();
-    println!("seed {seed}: {} answers, {served} served, {} violations", answers.len(), violations.len());
+    let count = violations.len();
+    println!("seed {seed}: {} answers, {served} served, peak {peak} KB, {count} violations", answers.len());
     violations
 }
 
--- a/crates/testbed/tests/process.rs
+++ b/crates/testbed/tests/process.rs
@@ -26,6 +26,8 @@
 use std::time::{Duration, Instant};
 use work_folder::work_folder;
 
+/// The limit of the memory of couriers under faults, in megabytes.
+const MEMORY_MB: u64 = 64;
 /// Size of a record's value, in bytes.
 const RECORD_BYTES: usize = 100;
 /// Read timeout of a client that waits for an answer.
@@ -221,7 +223,7 @@
     let dir = work_folder("socket-faults");
     let faults = faults_of(&dir);
     let endpoint = SilentEndpoint::listen();
-    let courier = Courier::start_under(&dir, &faults);
+    let courier = Courier::start_under(&dir, &faults, MEMORY_MB);
     courier.configure(endpoint.address);
     // Each fault with its rate: the probability that a call fails is rate / 255.
     let fault_sets = [
@@ -254,7 +256,7 @@
     let dir = work_folder("start-faults");
     let faults = faults_of(&dir);
     let endpoint = SilentEndpoint::listen();
-    let mut courier = Courier::start_under(&dir, &faults);
+    let mut courier = Courier::start_under(&dir, &faults, MEMORY_MB);
     courier.configure(endpoint.address);
     courier.child.kill().unwrap();
     courier.child.wait().unwrap();
@@ -269,7 +271,7 @@
         });
         // Not in a scoped thread: the kernel kills a courier when the thread that started it ends
         // (`PR_SET_PDEATHSIG`).
-        Courier::start_under(&dir, &faults)
+        Courier::start_under(&dir, &faults, MEMORY_MB)
     });
     assert!(is_cleared.load(Ordering::SeqCst), "ready before it could read its snapshot");
     assert!(at_start.iter().any(|&fault| faults.injected(fault) > 0), "no fault was injected");
--- a/crates/testbed/tests/support/started_courier.rs
+++ b/crates/testbed/tests/support/started_courier.rs
@@ -42,10 +42,7 @@
 
     /// Starts a courier with this limit of memory, in megabytes.
     pub fn start_with_memory_limit(dir: &Path, megabytes: u64) -> Courier {
-        let mut command = Command::new(PROGRAM);
-        command.args(COURIER_ARGUMENTS.split(' ')).arg(dir);
-        command.args(["--connections", "2000", "--memory-mb", &megabytes.to_string()]);
-        Courier::start_command(command)
+        Courier::start_command(limited_command(dir, megabytes))
     }
 
     /// Returns the peak of the process's resident memory, in bytes.
@@ -55,9 +52,10 @@
         value.trim().trim_end_matches(" kB").parse::<u64>().unwrap() * 1024
     }
 
-    /// Starts a courier under the fault injection shim, which makes system calls fail as `faults` says.
-    pub fn start_under(dir: &Path, faults: &FaultControl) -> Courier {
-        let mut command = courier_command(dir, "");
+    /// Starts a courier with this limit of memory, in megabytes, under the fault injection shim, which makes system calls
+    /// fail as `faults` says.
+    pub fn start_under(dir: &Path, faults: &FaultControl, megabytes: u64) -> Courier {
+        let mut command = limited_command(dir, megabytes);
         command.envs(faults.environment());
         Courier::start_command(command)
     }
@@ -101,6 +99,14 @@
     command
 }
 
+/// The command of a courier with this limit of memory, in megabytes.
+fn limited_command(dir: &Path, megabytes: u64) -> Command {
+    let mut command = Command::new(PROGRAM);
+    command.args(COURIER_ARGUMENTS.split(' ')).arg(dir);
+    command.args(["--connections", "2000", "--memory-mb", &megabytes.to_string()]);
+    command
+}
+
 /// Reads the line of JSON that a program prints when it is ready.
 pub fn ready_line(child: &mut Child) -> Value {
     let mut line = String::new();
