One fixture for tests that control discovery; an attempt on an idle connection is checked once

Cause: three test files built the same courier with a discovery of the test's own, and an attempt that found an idle connection was checked twice in the same instant.

Change: WatchedScene serves all three. start_attempt sends on an idle connection without another check; the check right before the bytes leave stays.

--- a/crates/edge/tests/process/extreme_values.rs
+++ b/crates/edge/tests/process/extreme_values.rs
@@ -1,8 +1,9 @@
 //! Numbers and names at the ends of their ranges, from clients, endpoints and discovery: none ends the process.
 
-use crate::courier::{platform_config, submission, wait_until, CourierProcess};
-use crate::peer::{GatedListener, Peer};
+use crate::courier::{submission, wait_until};
+use crate::peer::GatedListener;
 use crate::scene::AFTER_RESPONSE;
+use crate::watched_scene::{WatchedScene, WATCH_HEAD};
 use serde_json::{json, Value};
 use std::time::Duration;
 
@@ -10,51 +11,32 @@
 const U64_MAX: &str = "18446744073709551615";
 const LARGEST_DECIMAL: &str = "999999999999999999";
 
-/// A courier whose discovery and endpoint are controlled by the test, and which reads load reports.
-struct Scene {
-    courier: CourierProcess,
-    discovery: GatedListener,
-    endpoint: GatedListener,
-    watch: Peer,
+/// A courier that reads load reports.
+fn start(name: &str) -> WatchedScene {
+    WatchedScene::with_endpoint(name, GatedListener::new(), |config| {
+        config["settings"]["stats"] = json!({"names": ["x0", "x1", "left", "limit"]});
+    })
 }
 
-impl Scene {
-    fn new(name: &str) -> Scene {
-        let discovery = GatedListener::new();
-        let endpoint = GatedListener::new();
-        let courier = CourierProcess::with_config(name, |listen| {
-            let mut config = platform_config(listen, &[endpoint.address], discovery.address);
-            config["settings"]["stats"] = json!({"names": ["x0", "x1", "left", "limit"]});
-            config
-        });
-        let mut watch = discovery.accept();
-        watch.read_request();
-        watch.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
-        Scene { courier, discovery, endpoint, watch }
-    }
-
-    fn check_alive(&mut self) {
-        std::thread::sleep(Duration::from_millis(200));
-        assert!(self.courier.child.try_wait().unwrap().is_none(), "the process has ended by itself");
-        assert_eq!(self.courier.request(READY_REQUEST), Some(200));
-    }
+fn check_alive(scene: &mut WatchedScene) {
+    std::thread::sleep(Duration::from_millis(200));
+    assert!(scene.courier.child.try_wait().unwrap().is_none(), "the process has ended by itself");
+    assert_eq!(scene.courier.request(READY_REQUEST), Some(200));
+}
 
-    /// Sends an event and opens the watch anew if the courier closes it.
-    fn send_event(&mut self, event: &Value) {
-        let line = format!("{event}\n");
-        self.watch.send_if_open(&format!("{:x}\r\n{line}\r\n", line.len()));
-        self.courier.wait_until_input_processed();
-        if !self.discovery.is_silent_for(150) {
-            self.watch = self.discovery.accept();
-            self.watch.read_request();
-            self.watch.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
-        }
+/// Sends an event and opens the watch anew if the courier closes it.
+fn send_event(scene: &mut WatchedScene, event: &Value) {
+    scene.send_event(event);
+    if !scene.discovery.is_silent_for(150) {
+        scene.watch = scene.discovery.accept();
+        scene.watch.read_request();
+        scene.watch.send(&format!("{WATCH_HEAD}1\r\n\n\r\n"));
     }
 }
 
 #[test]
 fn extreme_values_in_requests_end_no_process() {
-    let mut scene = Scene::new("extreme-requests");
+    let mut scene = start("extreme-requests");
     let long = "k".repeat(8000);
     let requests = [
         submission("order", "a", "").replace("30000", LARGEST_DECIMAL),
@@ -73,12 +55,12 @@
     for request in &requests {
         scene.courier.request_within(request, Duration::from_millis(500));
     }
-    scene.check_alive();
+    check_alive(&mut scene);
 }
 
 #[test]
 fn extreme_values_in_responses_end_no_process() {
-    let mut scene = Scene::new("extreme-responses");
+    let mut scene = start("extreme-responses");
     // Those with a wait come last: it holds back all that follows.
     let fields = [
         format!("503 No\r\nX-Backoff-Ms: {U64_MAX}\r\nX-Pressure: x0=-1,x1=-1e308,left=nan,limit=nan"),
@@ -105,7 +87,7 @@
         }
         std::thread::sleep(AFTER_RESPONSE);
     }
-    scene.check_alive();
+    check_alive(&mut scene);
     scene.courier.request(&submission("status", "later", ""));
     std::thread::sleep(Duration::from_millis(500));
     let sent = scene.courier.count_logged("attempt sent", &[("id", "later".into())]);
@@ -114,7 +96,7 @@
 
 #[test]
 fn extreme_values_in_endpoint_lists_end_no_process() {
-    let mut scene = Scene::new("extreme-lists");
+    let mut scene = start("extreme-lists");
     let address = scene.endpoint.address;
     let entry = |name: &str, change: &dyn Fn(&mut Value)| {
         let mut entry = crate::courier::entry(name, address, "active");
@@ -137,14 +119,14 @@
     ];
     for (number, entry) in entries.iter().enumerate() {
         for (version, complete) in [(100 + number as u64, false), (100 + number as u64, true)] {
-            scene.send_event(&json!({"index": version, "snapshot": complete, "endpoints": [entry]}));
+            send_event(&mut scene, &json!({"index": version, "snapshot": complete, "endpoints": [entry]}));
             scene
                 .courier
                 .request_within(&submission("status", &format!("m{number}."), ""), Duration::from_secs(1));
         }
     }
-    scene.send_event(&json!({"index": u64::MAX, "snapshot": true, "endpoints": []}));
-    scene.send_event(&json!({"index": 0, "snapshot": true, "endpoints": []}));
-    scene.check_alive();
+    send_event(&mut scene, &json!({"index": u64::MAX, "snapshot": true, "endpoints": []}));
+    send_event(&mut scene, &json!({"index": 0, "snapshot": true, "endpoints": []}));
+    check_alive(&mut scene);
     wait_until("the courier answers", || scene.courier.request(READY_REQUEST) == Some(200));
 }
--- a/crates/edge/tests/process/main.rs
+++ b/crates/edge/tests/process/main.rs
@@ -3,7 +3,7 @@
 //!
 //! [`courier`] runs the program in a temporary directory. [`stubs`] has discovery and endpoints that respond
 //! on their own. [`peer`] has connections on which nothing happens unless the test calls for it, and [`scene`] a
-//! courier with such an endpoint. [`crowd`] has hundreds of clients at once.
+//! courier with such an endpoint; [`watched_scene`] one whose discovery the test controls, too. [`crowd`] has hundreds of clients at once.
 //!
 //! Many tests force an order of events that a race would produce only rarely. No test depends on how fast a
 //! process is: peers act only when the test calls them, and input that one iteration of the event loop must
@@ -16,6 +16,7 @@
 mod peer;
 mod scene;
 mod stubs;
+mod watched_scene;
 
 mod configuration;
 mod connections;
--- a/crates/platform/src/core/delivery.rs
+++ b/crates/platform/src/core/delivery.rs
@@ -93,7 +93,7 @@
             return self.finish_unsent(id, UnsentReason::EndpointNotReady);
         };
         match self.pool.acquire(id, endpoint, address, self.clock.now()) {
-            Acquired::Idle(connection) => self.send_attempt(id, connection),
+            Acquired::Idle(connection) => self.send_checked(id, connection),
             Acquired::Connecting(connection) => {
                 self.counters.connects += 1;
                 self.effects.output(Output::Connect(connection, address));
@@ -102,12 +102,18 @@
         }
     }
 
-    /// Sends an attempt on its connection. Ends it unsent if it must not be sent any more, or if its endpoint is
-    /// no longer ready at the connection's address.
+    /// Sends an attempt on its connection, which has been established meanwhile. Ends it unsent if it must not be sent
+    /// any more.
     fn send_attempt(&mut self, id: AttemptId, connection: ConnectionId) {
-        if let Err(reason) = self.check_send(id, self.clock.now()) {
-            return self.finish_unsent(id, reason);
+        match self.check_send(id, self.clock.now()) {
+            Ok(()) => self.send_checked(id, connection),
+            Err(reason) => self.finish_unsent(id, reason),
         }
+    }
+
+    /// Sends an attempt that was checked in this instant. Ends it unsent if its endpoint is no longer ready at the
+    /// connection's address.
+    fn send_checked(&mut self, id: AttemptId, connection: ConnectionId) {
         let (Some(attempt), Some(message)) = (self.attempts.get(id), self.in_flight.get(id.message)) else {
             return;
         };
