--- a/crates/platform/src/core/discovery/endpoint_list/tests.rs
+++ b/crates/platform/src/core/discovery/endpoint_list/tests.rs
@@ -1,6 +1,8 @@
 //! Unreadable entries, removed endpoints, and zones that the settings do not name.
 
 use super::*;
+use crate::core::discovery::EventLimits;
+use linnetcart_courier_common::memory_budget::MemoryBudget;
 
 const NOW: Time = 100_000_000_000;
 
@@ -160,3 +162,18 @@
     assert_eq!(ready_ones(&endpoints), (false, true));
     assert!(endpoints.ready(3).is_some());
 }
+
+/// The largest list and the least memory that the platform's pages name.
+#[test]
+fn list_of_3200_endpoints_fits_into_the_least_memory() {
+    let memory = MemoryBudget::new(32_000_000, 1024);
+    let active = ListedStatus::Active;
+    let entries: Vec<EndpointEntry> = (0..3200u32)
+        .map(|n| entry(&format!("s-{n:08x}"), &format!("127.0.{}.{}:8443", n / 256, n % 256), active))
+        .collect();
+    let mut endpoints = EndpointList::new(memory.endpoints);
+    endpoints.apply(&event(1, true, entries), &DeploymentSettings::default(), NOW);
+    assert_eq!(endpoints.len(), 3200);
+    let limits = EventLimits::within(memory.endpoint_update);
+    assert!(limits.entries > 3200 && limits.bytes > 3200 * 250, "{limits:?}");
+}
