Process all requests of a Kafka client that sends no more before its connection is closed

Callers saw: nothing yet; the fault came with the share of an iteration and was found by reading it. Of 400 requests before a half-close, 64 were answered, and the connection was closed over the others.

Change: a client that sends no more is finished when no complete frame is left, and is asked again after its last one. Memory that is short drops no request that is complete.

--- a/crates/edge/src/core/clients.rs
+++ b/crates/edge/src/core/clients.rs
@@ -116,12 +116,16 @@
         Some(result)
     }
 
-    /// If incomplete requests take more memory than they may, returns the client with the largest one.
+    /// If incomplete requests take more memory than they may, returns the client with the largest one. Those that have a
+    /// complete one are left to the next iteration.
     pub(crate) fn over_request_memory(&self) -> Option<ClientId> {
         if !self.request_memory.is_exceeded() {
             return None;
         }
-        let holding = self.connections.iter().filter(|(_, connection)| connection.frames.held_bytes() > 0);
+        let holds_a_part = |connection: &ClientConnection| {
+            connection.frames.held_bytes() > 0 && !connection.frames.has_frame()
+        };
+        let holding = self.connections.iter().filter(|(_, connection)| holds_a_part(connection));
         holding.max_by_key(|(_, connection)| connection.frames.held_bytes()).map(|(&id, _)| id)
     }
 
--- a/crates/edge/src/core/clients/connection.rs
+++ b/crates/edge/src/core/clients/connection.rs
@@ -53,9 +53,10 @@
         2 * self.unsent_bytes + self.ready_bytes
     }
 
-    /// Returns whether the client has shut down its sending side and has all its responses.
+    /// Returns whether the client has shut down its sending side and has all its responses, and no request of it waits
+    /// to be processed.
     pub(super) fn is_finished(&self) -> bool {
-        self.half_closed && self.requests.is_empty()
+        self.half_closed && self.requests.is_empty() && !self.frames.has_frame()
     }
 
     /// Returns whether the limit on requests without a response or on unsent bytes is reached, at which
--- a/crates/edge/src/core/requests.rs
+++ b/crates/edge/src/core/requests.rs
@@ -104,7 +104,8 @@
                 return;
             }
             let processed = match self.clients.next_request(id) {
-                Ok(None) => return,
+                // A client that sends no more may be finished now.
+                Ok(None) => return self.send_responses(id),
                 Ok(Some(request)) => self.process_request(id, request),
                 Err(error) => Err(error),
             };
--- a/crates/kafka/src/frame.rs
+++ b/crates/kafka/src/frame.rs
@@ -64,6 +64,17 @@
         Ok(Some(frame))
     }
 
+    /// Whether [`Frames::next_frame`] would return a frame or an error.
+    pub fn has_frame(&self) -> bool {
+        let Some(prefix) = self.buffered.first_chunk::<LENGTH_PREFIX_BYTES>() else { return false };
+        match usize::try_from(i32::from_be_bytes(*prefix)) {
+            Ok(length) if length <= self.max_frame_bytes => {
+                self.buffered.len() >= LENGTH_PREFIX_BYTES + length
+            }
+            _ => true,
+        }
+    }
+
     /// Number of bytes that the buffer takes in memory.
     pub fn held_bytes(&self) -> usize {
         self.buffered.capacity()
--- a/crates/testbed/tests/kafka_peers/leaving.rs
+++ b/crates/testbed/tests/kafka_peers/leaving.rs
@@ -1,9 +1,10 @@
-//! A client that closes its connection with much still unread.
+//! A client that closes its connection with much still unread, and one that only sends no more.
 
 use crate::producer::{produce_request, Answers, Endpoint, Producer};
 use crate::started_courier::{settings, Courier};
 use crate::work_folder::work_folder;
 use socket2::SockRef;
+use std::net::Shutdown;
 use std::time::Duration;
 
 const REQUESTS: usize = 400;
@@ -42,3 +43,20 @@
     println!("calls before the client left: {noticed}, after: {}", calls.len());
     assert_eq!(calls.len(), noticed, "sent on after the client had left");
 }
+
+/// More requests than one iteration takes of a connection, and then the end of the sending side.
+#[test]
+fn requests_before_a_half_close_are_all_answered() {
+    let dir = work_folder("kafka-half-close");
+    let endpoint = Endpoint::start(Answers::Served);
+    let courier = Courier::start(&dir);
+    courier.configure(endpoint.address);
+    let mut client = Producer::connect(courier.kafka);
+    // An unknown topic is answered at once: no message keeps the connection open.
+    let requests: Vec<u8> =
+        (0..REQUESTS).flat_map(|number| produce_request(number as i32, "unknown", "x")).collect();
+    assert!(client.send(&requests));
+    client.stream.shutdown(Shutdown::Write).expect("it is open");
+    let answered = std::iter::from_fn(|| client.read_code()).count();
+    assert_eq!(answered, REQUESTS);
+}
