Bound the requests of Kafka clients that wait to be processed, incomplete ones first

Cause: spared every connection with a complete request when the memory for requests was short; a hundred clients that pipeline requests and read no answers then passed the limit.

Change: incomplete requests are dropped first, and only if there is none, those of the client with the most.

--- a/crates/edge/src/core/clients.rs
+++ b/crates/edge/src/core/clients.rs
@@ -116,17 +116,16 @@
         Some(result)
     }
 
-    /// If incomplete requests take more memory than they may, returns the client with the largest one. Those that have a
-    /// complete one are left to the next iteration.
+    /// If received requests take more memory than they may, returns the client with the largest incomplete one; only if
+    /// there is none, the one with the most bytes that wait to be processed.
     pub(crate) fn over_request_memory(&self) -> Option<ClientId> {
         if !self.request_memory.is_exceeded() {
             return None;
         }
-        let holds_a_part = |connection: &ClientConnection| {
-            connection.frames.held_bytes() > 0 && !connection.frames.has_frame()
-        };
-        let holding = self.connections.iter().filter(|(_, connection)| holds_a_part(connection));
-        holding.max_by_key(|(_, connection)| connection.frames.held_bytes()).map(|(&id, _)| id)
+        let holding = self.connections.iter().filter(|(_, connection)| connection.frames.held_bytes() > 0);
+        let order =
+            |connection: &ClientConnection| (!connection.frames.has_frame(), connection.frames.held_bytes());
+        holding.max_by_key(|(_, connection)| order(connection)).map(|(&id, _)| id)
     }
 
     /// Drops the incomplete request of a client, from which nothing more is read. The client counts as one that has
