--- a/review/standin-2/common.rs
+++ b/review/standin-2/common.rs
@@ -3,20 +3,18 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::io::{Read, Write};
-use std::net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicI32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicI32, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
 }
 
-pub const SIGHUP: i32 = 1;
-pub const SIGKILL: i32 = 9;
-pub const SIGTERM: i32 = 15;
+const SIGKILL: i32 = 9;
 
 /// Times in the record are milliseconds since this instant.
 pub struct Recorder {
@@ -55,10 +53,6 @@
         self.0.wrapping_mul(0x2545_F491_4F6C_DD1D)
     }
 
-    pub fn unit(&mut self) -> f64 {
-        (self.next() >> 11) as f64 / (1u64 << 53) as f64
-    }
-
     pub fn below(&mut self, n: u64) -> u64 {
         self.next() % n.max(1)
     }
@@ -143,166 +137,86 @@
     pub zone: String,
     pub kind: String,
     pub group: u32,
-    pub status: &'static str,
-    pub since_ms: u64,
 }
 
 impl Entry {
     pub fn json(&self) -> String {
         format!(
-            r#"{{"name":"{}","address":"{}","zone":"{}","type":"{}","group":{},"status":"{}","weight":500.0,"since_ms":{}}}"#,
-            self.name, self.address, self.zone, self.kind, self.group, self.status, self.since_ms
+            r#"{{"name":"{}","address":"{}","zone":"{}","type":"{}","group":{},"status":"active","weight":500.0,"since_ms":0}}"#,
+            self.name, self.address, self.zone, self.kind, self.group
         )
     }
 }
 
-pub fn list_json(index: u64, snapshot: bool, entries: &[Entry]) -> String {
+/// Returns the whole list in discovery's form.
+pub fn list_json(entries: &[Entry]) -> String {
     let entries: Vec<String> = entries.iter().map(Entry::json).collect();
-    format!(r#"{{"index":{index},"snapshot":{snapshot},"endpoints":[{}]}}"#, entries.join(","))
-}
-
-/// A notice that the platform has taken.
-#[derive(Clone, Debug)]
-pub struct Notice {
-    pub at_ms: f64,
-    pub state: String,
-}
-
-pub struct PlatformState {
-    pub index: u64,
-    /// The whole list at each version.
-    pub entries: Vec<Entry>,
-    /// Every change with its version.
-    pub changes: Vec<(u64, Entry)>,
-    pub notices: BTreeMap<String, Vec<Notice>>,
+    format!(r#"{{"index":{LIST_INDEX},"snapshot":true,"endpoints":[{}]}}"#, entries.join(","))
 }
 
-/// Discovery and its agent: the list, watches on it and the notices.
+/// Discovery and its agent: a list that does not change, watches on it, and the notices.
 pub struct Platform {
-    pub state: Mutex<PlatformState>,
-    pub is_silent: AtomicBool,
+    pub entries: Vec<Entry>,
+    /// When each notice was taken, in milliseconds of the record, by the message's id.
+    pub notices: Mutex<BTreeMap<String, Vec<f64>>>,
     recorder: Arc<Recorder>,
 }
 
-impl Platform {
-    pub fn new(entries: Vec<Entry>, recorder: Arc<Recorder>) -> Arc<Platform> {
-        Arc::new(Platform {
-            state: Mutex::new(PlatformState { index: 1, entries, changes: vec![], notices: BTreeMap::new() }),
-            is_silent: AtomicBool::new(false),
-            recorder,
-        })
-    }
+/// The version of the list.
+pub const LIST_INDEX: u64 = 41;
 
-    /// Opens an address. Returns it and a flag that ends it: it takes no new connection, and the open ones are closed.
-    pub fn open(self: &Arc<Self>, last_byte: u8) -> (SocketAddr, Arc<AtomicBool>) {
-        let (listener, address) = listen(last_byte);
-        let closed = Arc::new(AtomicBool::new(false));
-        let (platform, flag) = (Arc::clone(self), Arc::clone(&closed));
-        listener.set_nonblocking(true).unwrap();
+impl Platform {
+    /// Opens discovery on a free port and returns its address.
+    pub fn open(entries: Vec<Entry>, recorder: Arc<Recorder>) -> (Arc<Platform>, SocketAddr) {
+        let platform = Arc::new(Platform { entries, notices: Mutex::default(), recorder });
+        let (listener, address) = listen(10);
+        let serving = Arc::clone(&platform);
         std::thread::spawn(move || {
-            while !flag.load(Ordering::Relaxed) {
-                match listener.accept() {
-                    Ok((stream, _)) => {
-                        let (platform, flag) = (Arc::clone(&platform), Arc::clone(&flag));
-                        std::thread::spawn(move || platform.serve(stream, flag));
-                    }
-                    Err(_) => std::thread::sleep(Duration::from_millis(2)),
-                }
+            for stream in listener.incoming().flatten() {
+                let platform = Arc::clone(&serving);
+                std::thread::spawn(move || platform.serve(stream));
             }
         });
-        (address, closed)
-    }
-
-    pub fn change(&self, entry: Entry) {
-        let mut state = self.state.lock().unwrap();
-        state.index += 1;
-        let index = state.index;
-        self.recorder.note(format!("list {} {} {}", index, entry.name, entry.status));
-        state.entries.retain(|other| other.name != entry.name);
-        if entry.status != "left" {
-            state.entries.push(entry.clone());
-        }
-        state.changes.push((index, entry));
+        (platform, address)
     }
 
-    fn serve(&self, stream: TcpStream, closed: Arc<AtomicBool>) {
-        let _ = stream.set_nonblocking(false);
+    fn serve(&self, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let mut reader = HttpReader::new(stream.try_clone().unwrap());
         while let Some(request) = reader.next() {
-            if request.first_line.starts_with("POST /status") {
+            let written = if request.first_line.starts_with("POST /status") {
                 self.take_notices(&request.body);
-                if (&stream).write_all(b"HTTP/1.1 204 No Content\r\n\r\n").is_err() {
-                    return;
-                }
+                stream.write_all(b"HTTP/1.1 204 No Content\r\n\r\n")
             } else if request.first_line.contains("follow=1") {
-                return self.watch(stream, &request.first_line, closed);
+                return self.watch(stream, &request.first_line);
             } else {
-                let state = self.state.lock().unwrap();
-                let body = list_json(state.index, true, &state.entries);
-                drop(state);
-                let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
-                if (&stream).write_all(answer.as_bytes()).is_err() {
-                    return;
-                }
+                let body = list_json(&self.entries);
+                let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+                stream.write_all((head + &body).as_bytes())
+            };
+            if written.is_err() {
+                return;
             }
         }
     }
 
     fn take_notices(&self, body: &[u8]) {
         let at_ms = self.recorder.ms();
-        let mut state = self.state.lock().unwrap();
         for line in String::from_utf8_lossy(body).lines() {
-            let (id, notice) = (json_text(line, "id"), json_text(line, "state"));
-            self.recorder.note(format!("notice {id} {notice}"));
-            state.notices.entry(id).or_default().push(Notice { at_ms, state: notice });
+            let id = json_text(line, "id");
+            self.recorder.note(format!("notice {id} {}", json_text(line, "state")));
+            self.notices.lock().unwrap().entry(id).or_default().push(at_ms);
         }
     }
 
-    fn watch(&self, stream: TcpStream, first_line: &str, closed: Arc<AtomicBool>) {
-        let since = first_line.split("since=").nth(1).unwrap_or("0");
-        let since: u64 = since.split(|c: char| !c.is_ascii_digit()).next().unwrap_or("0").parse().unwrap_or(0);
-        let mut stream = stream;
-        if stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").is_err() {
-            return;
-        }
-        let mut told = since;
-        let mut last_line = Instant::now() - Duration::from_secs(5);
-        let mut closing: Option<Instant> = None;
-        loop {
-            if closed.load(Ordering::Relaxed) {
-                let at = *closing.get_or_insert(Instant::now() + Duration::from_millis(1500));
-                if at <= Instant::now() {
-                    let _ = stream.shutdown(Shutdown::Both);
-                    return;
-                }
-            }
-            if !self.is_silent.load(Ordering::Relaxed) {
-                let state = self.state.lock().unwrap();
-                let line = if told == 0 {
-                    Some(list_json(state.index, true, &state.entries))
-                } else if told < state.index {
-                    let changed: Vec<Entry> =
-                        state.changes.iter().filter(|(index, _)| *index > told).map(|(_, e)| e.clone()).collect();
-                    Some(list_json(state.index, false, &changed))
-                } else {
-                    None
-                };
-                told = state.index;
-                drop(state);
-                let text = match line {
-                    Some(line) => line + "\n",
-                    None if last_line.elapsed() >= Duration::from_secs(2) => "\n".to_string(),
-                    None => String::new(),
-                };
-                if !text.is_empty() {
-                    last_line = Instant::now();
-                    if stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).is_err() {
-                        return;
-                    }
-                }
-            }
-            std::thread::sleep(Duration::from_millis(3));
+    /// Sends the whole list, unless the courier has it, and then an empty line every 2 s.
+    fn watch(&self, mut stream: TcpStream, first_line: &str) {
+        let has_list = first_line.contains(&format!("since={LIST_INDEX} "));
+        let mut text = if has_list { "\n".to_string() } else { list_json(&self.entries) + "\n" };
+        let mut head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        while stream.write_all(format!("{head}{:x}\r\n{text}\r\n", text.len()).as_bytes()).is_ok() {
+            (head, text) = ("", "\n".to_string());
+            std::thread::sleep(Duration::from_secs(2));
         }
     }
 }
@@ -316,119 +230,58 @@
 
 // ---------------------------------------------------------------------------------------------------- the endpoints
 
-/// How an endpoint handles a call.
-#[derive(Clone, Debug)]
-pub enum Plan {
-    /// Answer after a time, with a status, further fields and whether the call has run.
-    Answer { after: Duration, status: u16, fields: String },
-    /// Never answer.
-    Silent,
-    /// Close the connection with a reset or an end after a time, without an answer.
-    Break { after: Duration },
-    /// These bytes, as they are.
-    Raw { after: Duration, bytes: Vec<u8> },
-}
-
 #[derive(Clone, Debug)]
 pub struct Call {
-    pub endpoint: String,
-    pub group: u32,
     pub id: String,
-    pub key: String,
     pub body: Vec<u8>,
-    pub received_ms: f64,
-    /// When the first line with 200 was written.
+    /// When the first line with 200 was written, in milliseconds of the record.
     pub served_ms: Option<f64>,
-    /// Whether the plan says that the call never ran.
-    pub never_ran: bool,
 }
 
-pub type Planner = dyn Fn(&str, &HttpMessage) -> Plan + Send + Sync;
-
-/// All calls that any endpoint has received.
+/// The endpoints: each answers every call with 200 after a time. Each answer differs from the others.
 pub struct Endpoints {
+    /// All calls that any endpoint has received.
     pub calls: Mutex<Vec<Call>>,
-    pub planner: Box<Planner>,
-    pub recorder: Arc<Recorder>,
-    answers: AtomicU64,
+    answer_after: Duration,
+    recorder: Arc<Recorder>,
 }
 
 impl Endpoints {
-    pub fn new(recorder: Arc<Recorder>, planner: Box<Planner>) -> Arc<Endpoints> {
-        Arc::new(Endpoints { calls: Mutex::new(vec![]), planner, recorder, answers: AtomicU64::new(0) })
+    pub fn new(answer_after: Duration, recorder: Arc<Recorder>) -> Arc<Endpoints> {
+        Arc::new(Endpoints { calls: Mutex::default(), answer_after, recorder })
     }
 
-    pub fn open(self: &Arc<Self>, name: &str, group: u32, last_byte: u8) -> SocketAddr {
+    /// Opens an endpoint on a free port and returns its address.
+    pub fn open(self: &Arc<Self>, name: &str, last_byte: u8) -> SocketAddr {
         let (listener, address) = listen(last_byte);
         let (endpoints, name) = (Arc::clone(self), name.to_string());
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let (endpoints, name) = (Arc::clone(&endpoints), name.clone());
-                std::thread::spawn(move || endpoints.serve(stream, &name, group));
+                std::thread::spawn(move || endpoints.serve(stream, &name));
             }
         });
         address
     }
 
-    fn serve(&self, stream: TcpStream, name: &str, group: u32) {
+    fn serve(&self, mut stream: TcpStream, name: &str) {
         let _ = stream.set_nodelay(true);
         let mut reader = HttpReader::new(stream.try_clone().unwrap());
         while let Some(request) = reader.next() {
-            let received_ms = self.recorder.ms();
-            let plan = (self.planner)(name, &request);
-            let never_ran = matches!(plan, Plan::Answer { status: 429 | 503 | 504 | 410, .. });
             let id = request.field("x-txn").to_string();
-            let call = Call {
-                endpoint: name.to_string(),
-                group,
-                id: id.clone(),
-                key: request.field("idempotency-key").to_string(),
-                body: request.body.clone(),
-                received_ms,
-                served_ms: None,
-                never_ran,
-            };
+            let begin = String::from_utf8_lossy(&request.body[..request.body.len().min(36)]).into_owned();
+            self.recorder.note(format!("call {id} at {name}, body {begin:?}"));
             let number = {
                 let mut calls = self.calls.lock().unwrap();
-                calls.push(call);
+                calls.push(Call { id: id.clone(), body: request.body, served_ms: None });
                 calls.len() - 1
             };
-            let begin = String::from_utf8_lossy(&request.body[..request.body.len().min(36)]).into_owned();
-            self.recorder.note(format!("call {id} at {name}, body {begin:?}, plan {plan:?}"));
-            match plan {
-                Plan::Answer { after, status, fields } => {
-                    std::thread::sleep(after);
-                    // Each answer differs from the one before, as one with a load report does.
-                    let serial = self.answers.fetch_add(1, Ordering::Relaxed);
-                    let answer =
-                        format!("HTTP/1.1 {status} Answer\r\nContent-Length: 0\r\nX-Serial: {serial}\r\n{fields}\r\n");
-                    if status == 200 {
-                        self.calls.lock().unwrap()[number].served_ms = Some(self.recorder.ms());
-                    }
-                    if (&stream).write_all(answer.as_bytes()).is_err() {
-                        self.calls.lock().unwrap()[number].served_ms = None;
-                        return;
-                    }
-                }
-                Plan::Silent => {
-                    let mut rest = [0; 64];
-                    while matches!((&stream).read(&mut rest), Ok(count) if count > 0) {}
-                    std::thread::sleep(Duration::from_secs(60));
-                    return;
-                }
-                Plan::Break { after } => {
-                    std::thread::sleep(after);
-                    let _ = stream.shutdown(Shutdown::Both);
-                    return;
-                }
-                Plan::Raw { after, bytes } => {
-                    std::thread::sleep(after);
-                    if find(&bytes, b"HTTP/1.1 200 ").is_some() {
-                        self.calls.lock().unwrap()[number].served_ms = Some(self.recorder.ms());
-                    }
-                    let _ = (&stream).write_all(&bytes);
-                }
+            std::thread::sleep(self.answer_after);
+            let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Serial: {number}\r\n\r\n");
+            if stream.write_all(answer.as_bytes()).is_err() {
+                return;
             }
+            self.calls.lock().unwrap()[number].served_ms = Some(self.recorder.ms());
         }
     }
 }
@@ -519,24 +372,10 @@
         true
     }
 
-    pub fn signal(&self, signal: i32) {
-        if let Some(child) = &self.child {
-            self.recorder.note(format!("signal {signal}"));
-            unsafe { kill(child.id() as i32, signal) };
-        }
-    }
-
     /// Returns whether the process has ended.
     pub fn has_ended(&mut self) -> bool {
         self.child.as_mut().is_none_or(|child| matches!(child.try_wait(), Ok(Some(_))))
     }
-
-    pub fn wait(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            COURIER_PROCESS.store(0, Ordering::SeqCst);
-            let _ = child.wait();
-        }
-    }
 }
 
 impl Drop for Courier {
@@ -591,23 +430,9 @@
     }
 }
 
-pub fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
-}
-
-/// Settings of a small deployment.
-pub struct SettingsOptions {
-    pub deadlines_ms: [u64; 3],
-    pub key_ttl_ms: u64,
-    pub group: &'static str,
-    pub max_open: u32,
-    pub max_calls: u32,
-}
-
-pub fn settings_json(options: &SettingsOptions) -> String {
-    let [status, change, order] = options.deadlines_ms.map(|ms| ms * 1_000_000);
-    let ttl = options.key_ttl_ms * 1_000_000;
-    let SettingsOptions { group, max_open, max_calls, .. } = options;
+/// Settings of a small deployment: names and figures of the transfer-hub's, with short deadlines.
+pub fn settings_json() -> String {
+    let (deadline, max_open, max_calls) = (4_000_000_000u64, 300, 120);
     format!(
         r#"{{"accounts":[],"balancers":3,"blend":{{"whole":0.5,"worst_class":0.2,"worst_tenant":0.0,"worst_window":0.3}},
 "bounds":{{"conn_idle_ns":10000000000,"connect_timeout_ns":1000000000,"cpu_us_per_request":0.0,"cpu_us_per_s":400000,"max_attempts":12,"max_open":{max_open},"max_retry_after_ns":3000000000,"may_cancel":true,"parallel_tries":true,"peers":false,"probing":false,"retry_after":true,"streams_per_conn":1}},
@@ -619,9 +444,9 @@
 "prices":{{"connection":0.0,"cross_zone":0.0,"handshake":0.02,"late_fail":0.03,"moves":0.0,"origin":0.0,"peer":0.0,"probe":0.0,"registry_mode":0.0,"waste":0.03}},
 "registry_mode":"push",
 "services":[
-{{"group":"all","hard_limit_ns":{status},"idempotency":"pure","key_ttl_ns":5000000000,"late_worth":0.5,"name":"status-update","slo_ns":1000000000,"stream":false,"worth":2.0}},
-{{"fifo_by_key":true,"group":"{group}","hard_limit_ns":{change},"idempotency":"token","key_ttl_ns":{ttl},"late_worth":0.3,"name":"proxy-change","slo_ns":1000000000,"stream":false,"worth":1.0}},
-{{"group":"all","hard_limit_ns":{order},"idempotency":"side_effect","key_ttl_ns":5000000000,"late_worth":0.5,"name":"transfer-order","slo_ns":1000000000,"stream":false,"worth":4.0}}],
+{{"group":"all","hard_limit_ns":{deadline},"idempotency":"pure","key_ttl_ns":5000000000,"late_worth":0.5,"name":"status-update","slo_ns":1000000000,"stream":false,"worth":2.0}},
+{{"fifo_by_key":true,"group":"all","hard_limit_ns":{deadline},"idempotency":"token","key_ttl_ns":2000000000,"late_worth":0.3,"name":"proxy-change","slo_ns":1000000000,"stream":false,"worth":1.0}},
+{{"group":"all","hard_limit_ns":{deadline},"idempotency":"side_effect","key_ttl_ns":5000000000,"late_worth":0.5,"name":"transfer-order","slo_ns":1000000000,"stream":false,"worth":4.0}}],
 "stats":{{"names":["x0","x1"],"source":"inline"}},"tick_ns":5000000,"tier":0,"tiers":["members"],"weight_source":"nominal","zones":["building-a","building-b","building-c"]}}"#
     )
 }
--- a/review/standin-2/stolen_id.rs
+++ b/review/standin-2/stolen_id.rs
@@ -22,32 +22,19 @@
 
 pub fn play(folder: &Path, record: &Path, trouble: bool) -> i32 {
     let recorder = Recorder::new();
-    let planner = |_: &str, _: &HttpMessage| Plan::Answer {
-        after: Duration::from_millis(30),
-        status: 200,
-        fields: String::new(),
-    };
-    let endpoints = Endpoints::new(recorder.clone(), Box::new(planner));
+    let endpoints = Endpoints::new(Duration::from_millis(30), recorder.clone());
     let mut entries = vec![];
-    for number in 0..6u32 {
+    for number in 0..6u8 {
         let name = format!("s-{number}");
-        let group = number % 3;
-        let address = endpoints.open(&name, group, 20 + number as u8);
-        let zone = ["building-a", "building-b", "building-c"][group as usize].to_string();
-        entries.push(Entry { name, address, zone, kind: "large-banks".into(), group, status: "active", since_ms: 0 });
+        let group = u32::from(number) % 3;
+        let address = endpoints.open(&name, 20 + number);
+        let zone = ["building-a", "building-b", "building-c"][usize::from(number) % 3].to_string();
+        entries.push(Entry { name, address, zone, kind: "large-banks".into(), group });
     }
-    let known = list_json(1, true, &entries);
-    let platform = Platform::new(entries, recorder.clone());
-    let (discovery, _) = platform.open(10);
+    let known = list_json(&entries);
+    let (platform, discovery) = Platform::open(entries, recorder.clone());
     let mut courier = Courier::new(folder, 2, recorder.clone());
-    let options = SettingsOptions {
-        deadlines_ms: [4000, 4000, 4000],
-        key_ttl_ms: 2000,
-        group: "all",
-        max_open: 300,
-        max_calls: 120,
-    };
-    courier.configure(discovery, LIMITS, &settings_json(&options), &known);
+    courier.configure(discovery, LIMITS, &settings_json(), &known);
     if !courier.start() {
         return 2;
     }
@@ -62,7 +49,7 @@
     std::thread::sleep(Duration::from_millis(4600));
     let crashed = courier.has_ended();
     let calls = endpoints.calls.lock().unwrap();
-    let state = platform.state.lock().unwrap();
+    let notices = platform.notices.lock().unwrap();
     let mut lost = BTreeMap::<&str, u32>::new();
     let taken = taken.into_inner().unwrap();
     for Taken { message, sent_ms, kind } in &taken {
@@ -70,7 +57,7 @@
         let delivered = calls.iter().any(|call| {
             call.id == message.id && call.body == message.body && call.served_ms.is_some_and(|at| at <= due_ms)
         });
-        let noticed = state.notices.get(&message.id).is_some_and(|all| all.iter().any(|n| n.at_ms <= due_ms));
+        let noticed = notices.get(&message.id).is_some_and(|all| all.iter().any(|at| *at <= due_ms));
         if !delivered && !noticed {
             *lost.entry(kind).or_default() += 1;
             let bodies: Vec<String> = calls
@@ -106,6 +93,9 @@
     for number in 0..MESSAGES {
         let id = random.hex(16);
         let dest = random.below(3) as u32;
+        // One request in six has a large body, which comes in two parts, with or without a bad client.
+        let is_large = number % 6 == 3;
+        let content = random.hex(if is_large { 40_000 } else { 150 });
         let message = Message {
             id: id.clone(),
             class: ["status-update", "transfer-order"][number % 2],
@@ -113,7 +103,7 @@
             remaining_ms: 3000,
             key: String::new(),
             subject: String::new(),
-            body: format!("the message of client {client}, {number}, {}", random.hex(150)).into_bytes(),
+            body: format!("the message of client {client}, {number}, {content}").into_bytes(),
         };
         let stolen =
             Message { body: format!("the bad client's bytes, {}", random.hex(150)).into_bytes(), ..message.clone() };
@@ -130,8 +120,7 @@
             std::thread::sleep(Duration::from_millis(20));
         }
         let mut sent_ms = recorder.ms();
-        // One request in six comes in two parts, with or without a bad client.
-        let (first, second) = if number % 6 == 3 { request.split_at(half) } else { (&request[..], &request[..0]) };
+        let (first, second) = if is_large { request.split_at(half) } else { (&request[..], &request[..0]) };
         if (&stream).write_all(first).is_err() {
             continue;
         }
