Read connections in the order in which their input arrived

`Net::order_pending_reads` took its sockets from a BTreeSet of tokens, read listeners before all accepted connections, and `ClientConnections` kept unread connections in a BTreeSet of ids: both are the order of the connections' age.

Change: `PendingReads` keeps the order in which the system reported readiness, and a poll reads listeners and accepted connections in that order; `ClientConnections` parses in the order in which bytes arrived. Connections to endpoints are still read first. A connection that is not accepted yet counts from its connect: the system does not tell when its bytes came.

--- a/crates/edge/tests/process/main.rs
+++ b/crates/edge/tests/process/main.rs
@@ -20,6 +20,7 @@
 
 mod configuration;
 mod connections;
+mod contested_ids;
 mod crowded_clients;
 mod extreme_values;
 mod faults;
--- a/crates/edge/tests/process/stubs.rs
+++ b/crates/edge/tests/process/stubs.rs
@@ -34,8 +34,16 @@
     }
 }
 
+/// Returns what the log keeps of a request.
+type Describe = fn(&Request<'_>) -> String;
+
 /// Starts a stub server that responds to each request with `reply`.
 fn serve(reply: Reply) -> Stub {
+    serve_described(id_or_body, reply)
+}
+
+/// Like [`serve`], and the log keeps of each request what `describe` returns.
+fn serve_described(describe: Describe, reply: Reply) -> Stub {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     let log = RequestLog::default();
@@ -43,26 +51,27 @@
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let log = Arc::clone(&shared);
-            std::thread::spawn(move || serve_connection(stream, reply, &log));
+            std::thread::spawn(move || serve_connection(stream, describe, reply, &log));
         }
     });
     Stub { address, log }
 }
 
-fn serve_connection(mut stream: TcpStream, reply: Reply, log: &RequestLog) {
+fn serve_connection(mut stream: TcpStream, describe: Describe, reply: Reply, log: &RequestLog) {
     let mut received = Vec::new();
     let mut chunk = [0; 4096];
     while let Ok(length @ 1..) = stream.read(&mut chunk) {
         received.extend_from_slice(&chunk[..length]);
         while let Ok(Some(request)) = parse_request(&received) {
             let id_or_body = id_or_body(&request);
+            let description = describe(&request);
             let is_watch = request.method() == b"GET";
             let request_length = request.length();
             let answer = reply(if is_watch { "watch" } else { &id_or_body });
             received.drain(..request_length);
             let mut log = log.lock().unwrap();
             if !is_watch {
-                log.push(id_or_body);
+                log.push(description);
             }
             if stream.write_all(answer.unwrap_or(b"")).is_err() {
                 return;
@@ -92,6 +101,18 @@
     serve(|id| (!id.starts_with("slow")).then_some(SERVED.as_bytes()))
 }
 
+/// Like [`endpoint_stub`], and its log keeps the id, the idempotency key and the body of each message, with a space
+/// between them.
+pub fn content_endpoint_stub() -> Stub {
+    serve_described(id_key_and_body, |id| (!id.starts_with("slow")).then_some(SERVED.as_bytes()))
+}
+
+fn id_key_and_body(request: &Request<'_>) -> String {
+    let key = request.field("idempotency-key").unwrap().unwrap_or(b"-");
+    let [key, body] = [key, request.body()].map(String::from_utf8_lossy);
+    format!("{} {key} {body}", id_or_body(request))
+}
+
 /// Starts an endpoint stub that answers nothing.
 pub fn silent_endpoint() -> Stub {
     serve(|_| None)
--- a/crates/net/src/connections.rs
+++ b/crates/net/src/connections.rs
@@ -195,7 +195,7 @@
         if let Some(connection) = self.open.remove(&token) {
             reactor.unregister(connection.registration);
         }
-        reactor.pending_reads.remove(&token);
+        reactor.pending_reads.remove(token);
         self.unflushed.remove(&token);
         self.deferred.remove(&token);
     }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -15,6 +15,7 @@
 mod event;
 mod listeners;
 mod net;
+mod pending_reads;
 mod reactor;
 mod reserved;
 mod retry;
--- a/crates/net/src/listeners.rs
+++ b/crates/net/src/listeners.rs
@@ -102,7 +102,7 @@
             if let Some(listener) = self.open.remove(&token) {
                 reactor.unregister(listener.registration);
             }
-            reactor.pending_reads.remove(&token);
+            reactor.pending_reads.remove(token);
         }
     }
 
--- a/crates/net/src/net.rs
+++ b/crates/net/src/net.rs
@@ -10,7 +10,7 @@
 use crate::reactor::Reactor;
 use crate::{BoundSocket, Event, Token};
 use calloop::signals::Signal;
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -35,10 +35,8 @@
 enum ReadOrder {
     /// A connection that this program has established.
     Connected,
-    /// A listener or a datagram socket.
-    Listener,
-    /// A connection that a listener has accepted.
-    Accepted,
+    /// A connection that a listener has accepted, a listener or a datagram socket.
+    Incoming,
 }
 
 /// Connections, listeners and datagram sockets on one event loop.
@@ -259,8 +257,9 @@
         tracing::debug!(%error, "wait for events failed, retrying reads and writes on all sockets");
         std::thread::sleep(FAILED_WAIT_PAUSE);
         self.connections.retry_all_calls(&mut self.reactor);
-        self.reactor.pending_reads.extend(self.listeners.tokens());
-        self.reactor.pending_reads.extend(self.datagrams.tokens());
+        for token in self.listeners.tokens().chain(self.datagrams.tokens()) {
+            self.reactor.pending_reads.insert(token);
+        }
     }
 
     /// Returns how long the event loop may wait: 0 if the last poll left work for this one, otherwise the
@@ -280,7 +279,7 @@
             return true;
         }
         let waits_for_accept = |token: Token| accept_paused && self.listeners.contains(token);
-        self.reactor.pending_reads.iter().any(|&token| !waits_for_accept(token))
+        self.reactor.pending_reads.iter().any(|token| !waits_for_accept(token))
     }
 
     fn handle_readiness(&mut self, out: &mut Vec<Event>) {
@@ -301,22 +300,21 @@
     }
 
     /// Sets the order in which this poll reads: first what the last one has left, then connections that this program
-    /// has established, then listeners and datagram sockets, then accepted connections.
+    /// has established, then all other sockets. Within each kind, the socket that became ready first comes first.
     fn order_pending_reads(&mut self) {
-        let mut pending = std::mem::take(&mut self.reactor.pending_reads);
-        for token in &self.unread {
-            pending.remove(token);
-        }
-        let mut pending: Vec<Token> = pending.into_iter().collect();
+        let left: BTreeSet<Token> = self.unread.iter().copied().collect();
+        let mut pending = self.reactor.pending_reads.take();
+        pending.retain(|token| !left.contains(token));
         pending.sort_by_key(|&token| self.read_order(token));
         self.unread.extend(pending);
     }
 
     fn read_order(&self, token: Token) -> ReadOrder {
-        if self.connections.is_accepted(token) {
-            ReadOrder::Accepted
-        } else if self.listeners.contains(token) || self.datagrams.contains(token) {
-            ReadOrder::Listener
+        let is_incoming = self.connections.is_accepted(token)
+            || self.listeners.contains(token)
+            || self.datagrams.contains(token);
+        if is_incoming {
+            ReadOrder::Incoming
         } else {
             ReadOrder::Connected
         }
--- a/crates/net/src/reactor.rs
+++ b/crates/net/src/reactor.rs
@@ -3,11 +3,11 @@
 //! This module owns the event loop, the tokens, the readiness that has not been handled yet, the read buffer
 //! and the events that occurred outside of a poll. It never reads, writes or accepts.
 
+use crate::pending_reads::PendingReads;
 use crate::{Event, Token};
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, RegistrationToken};
-use std::collections::BTreeSet;
 use std::io;
 use std::os::fd::AsFd;
 use std::time::Duration;
@@ -38,7 +38,7 @@
     last_token: Token,
     /// Sockets to read from or to accept on. Readiness is edge-triggered, so the system does not report again
     /// the input that was left unread.
-    pub(crate) pending_reads: BTreeSet<Token>,
+    pub(crate) pending_reads: PendingReads,
     /// Events that occurred outside of a poll; the next poll reports them.
     pub(crate) deferred_events: Vec<Event>,
     /// How many bytes the present batch of reads may still bring. The last read may bring more.
@@ -57,7 +57,7 @@
             event_loop,
             wakeups: Wakeups::default(),
             last_token: 1,
-            pending_reads: BTreeSet::new(),
+            pending_reads: PendingReads::default(),
             deferred_events: Vec::new(),
             batch_remaining: usize::MAX,
             batch_bytes: usize::MAX,
--- a/crates/net/tests/sockets.rs
+++ b/crates/net/tests/sockets.rs
@@ -2,7 +2,7 @@
 
 use linnetcart_net::{Event, Net, ReadLimits, Reserved, Token};
 use std::io::{Read, Write};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
 
 const MAX_POLLS: usize = 200;
@@ -199,7 +199,7 @@
 fn listener_stopped_reports_queued_connections() {
     let mut net = Net::new(10).unwrap();
     let listener = net.listen(ANY_PORT).unwrap();
-    let mut queued = std::net::TcpStream::connect(listener.address).unwrap();
+    let mut queued = TcpStream::connect(listener.address).unwrap();
     std::io::Write::write_all(&mut queued, b"first").unwrap();
     net.stop_listening(listener.token);
     let mut events = Vec::new();
@@ -248,7 +248,7 @@
 fn bytes_before_lingering_close_arrive_although_the_peer_still_sends() {
     let mut net = Net::new(10).unwrap();
     let address = net.listen(ANY_PORT).unwrap().address;
-    let mut peer = std::net::TcpStream::connect(address).unwrap();
+    let mut peer = TcpStream::connect(address).unwrap();
     let server = poll_until_accepted(&mut net);
     peer.write_all(b"begin").unwrap();
     poll_until_data(&mut net, server, b"begin");
@@ -274,11 +274,11 @@
 fn lingering_connection_makes_room_for_a_new_one() {
     let mut net = Net::new(1).unwrap();
     let address = net.listen(ANY_PORT).unwrap().address;
-    let _first = std::net::TcpStream::connect(address).unwrap();
+    let _first = TcpStream::connect(address).unwrap();
     let server = poll_until_accepted(&mut net);
     net.close_lingering(server);
     net.poll(Duration::ZERO, &mut vec![]);
-    let _second = std::net::TcpStream::connect(address).unwrap();
+    let _second = TcpStream::connect(address).unwrap();
     poll_until_accepted(&mut net);
     assert_eq!(net.connections(), 1);
 }
@@ -290,7 +290,7 @@
     let mut net = Net::new(10).unwrap();
     net.set_read_limits(ReadLimits { buffer_bytes: 1024, reads_per_poll: 2, batch_bytes: 2048 });
     let address = net.listen(ANY_PORT).unwrap().address;
-    let mut peers: Vec<_> = (0..PEERS).map(|_| std::net::TcpStream::connect(address).unwrap()).collect();
+    let mut peers: Vec<_> = (0..PEERS).map(|_| TcpStream::connect(address).unwrap()).collect();
     for _ in 0..PEERS {
         net.poll(Duration::from_millis(1), &mut vec![]);
     }
@@ -321,7 +321,7 @@
 fn input_of_a_peer_that_has_reset_its_connection_is_dropped() {
     let mut net = Net::new(10).unwrap();
     let address = net.listen(ANY_PORT).unwrap().address;
-    let mut peer = std::net::TcpStream::connect(address).unwrap();
+    let mut peer = TcpStream::connect(address).unwrap();
     let server = poll_until_accepted(&mut net);
     net.pause_reads(server);
     peer.write_all(b"unread").unwrap();
@@ -334,3 +334,64 @@
     assert!(events.iter().all(|event| !matches!(event, Event::Data { .. })), "{events:?}");
     assert_eq!(net.connections(), 0);
 }
+
+/// Connections to a listener, and the bytes that were read from them, in the order of the events.
+struct Arrivals {
+    net: Net,
+    address: SocketAddr,
+}
+
+impl Arrivals {
+    fn new() -> Arrivals {
+        let mut net = Net::new(10).unwrap();
+        let address = net.listen(ANY_PORT).unwrap().address;
+        Arrivals { net, address }
+    }
+
+    /// Connects, and waits until the connection is accepted.
+    fn connect(&mut self) -> TcpStream {
+        let stream = TcpStream::connect(self.address).unwrap();
+        poll_until_accepted(&mut self.net);
+        stream
+    }
+
+    /// Returns the next texts that are read.
+    fn read(&mut self, count: usize) -> Vec<String> {
+        let mut texts = Vec::new();
+        poll_until(&mut self.net, |event| {
+            if let Event::Data { bytes, .. } = event {
+                texts.push(String::from_utf8(bytes.to_vec()).unwrap());
+            }
+            texts.len() == count
+        });
+        texts
+    }
+}
+
+/// Guards against the older connection being read first, whatever arrived first: its client could take another's id.
+#[test]
+fn connections_that_are_ready_together_are_read_in_order_of_arrival() {
+    let mut arrivals = Arrivals::new();
+    let (mut older, mut newer) = (arrivals.connect(), arrivals.connect());
+    newer.write_all(b"newer").unwrap();
+    older.write_all(b"older").unwrap();
+    assert_eq!(arrivals.read(2), ["newer", "older"]);
+    older.write_all(b"older").unwrap();
+    newer.write_all(b"newer").unwrap();
+    assert_eq!(arrivals.read(2), ["older", "newer"]);
+}
+
+/// A connection that is not accepted yet arrived when it was established.
+#[test]
+fn connection_not_accepted_yet_is_read_in_order_of_arrival() {
+    let mut arrivals = Arrivals::new();
+    let mut open = arrivals.connect();
+    open.write_all(b"open").unwrap();
+    let mut new = TcpStream::connect(arrivals.address).unwrap();
+    new.write_all(b"new").unwrap();
+    assert_eq!(arrivals.read(2), ["open", "new"]);
+    let mut new = TcpStream::connect(arrivals.address).unwrap();
+    new.write_all(b"new").unwrap();
+    open.write_all(b"open").unwrap();
+    assert_eq!(arrivals.read(2), ["new", "open"]);
+}
--- a/crates/platform/src/core/client_connections.rs
+++ b/crates/platform/src/core/client_connections.rs
@@ -14,7 +14,7 @@
 use linnetcart_courier_common::memory_budget::MemoryAccount;
 use linnetcart_http::{Request, RequestError};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, VecDeque};
 
 /// Identifies a client's connection; assigned by the shell.
 pub type ClientId = u64;
@@ -69,8 +69,8 @@
 pub struct ClientConnections {
     capacity: usize,
     connections: BTreeMap<ClientId, ClientConnection>,
-    /// Connections with received bytes that no iteration has parsed yet.
-    unread: BTreeSet<ClientId>,
+    /// Connections with received bytes that no iteration has parsed yet, in the order in which those arrived.
+    unread: VecDeque<ClientId>,
     /// Connections that their client has half-closed; closed once an iteration has answered their requests.
     half_closed: Vec<ClientId>,
     next_sweep: Time,
@@ -84,7 +84,7 @@
         ClientConnections {
             capacity,
             connections: BTreeMap::new(),
-            unread: BTreeSet::new(),
+            unread: VecDeque::new(),
             half_closed: vec![],
             next_sweep: now,
             memory: MemoryAccount::new(memory_bytes),
@@ -151,10 +151,11 @@
 
     /// Removes a connection that is closed or is being closed.
     pub fn closed(&mut self, id: ClientId) {
-        if let Some(client) = self.connections.remove(&id) {
-            self.memory.resize(client.request.held_bytes(), 0);
+        let Some(client) = self.connections.remove(&id) else { return };
+        self.memory.resize(client.request.held_bytes(), 0);
+        if client.is_unread {
+            self.unread.retain(|unread| *unread != id);
         }
-        self.unread.remove(&id);
     }
 
     /// Records that the client has half-closed a connection: it sends no more bytes.
@@ -165,27 +166,35 @@
     /// Takes the connections that their client has half-closed and whose bytes were all parsed.
     pub fn take_half_closed(&mut self) -> Vec<ClientId> {
         let half_closed = std::mem::take(&mut self.half_closed);
-        let (unread, read) = half_closed.into_iter().partition(|id| self.unread.contains(id));
+        let (unread, read) = half_closed.into_iter().partition(|&id| self.is_unread(id));
         self.half_closed = unread;
         read
     }
 
+    fn is_unread(&self, id: ClientId) -> bool {
+        self.connections.get(&id).is_some_and(|client| client.is_unread)
+    }
+
     /// Buffers received bytes, and checks whether they can become a valid request.
     pub fn receive(&mut self, id: ClientId, bytes: &[u8], arrival: Arrival) -> Received {
         let is_malformed = self.update(id, |client| {
             client.receive(bytes, arrival);
             client.request.is_malformed()
         });
-        match is_malformed {
-            None => Received::Buffered,
-            Some(is_malformed) => {
-                self.unread.insert(id);
-                if is_malformed {
-                    Received::Malformed
-                } else {
-                    Received::Buffered
-                }
-            }
+        let Some(is_malformed) = is_malformed else { return Received::Buffered };
+        self.mark_unread(id);
+        if is_malformed {
+            Received::Malformed
+        } else {
+            Received::Buffered
+        }
+    }
+
+    fn mark_unread(&mut self, id: ClientId) {
+        let Some(client) = self.connections.get_mut(&id) else { return };
+        if !client.is_unread {
+            client.is_unread = true;
+            self.unread.push_back(id);
         }
     }
 
@@ -194,14 +203,13 @@
         !self.unread.is_empty()
     }
 
-    /// Leaves connections that were taken by [`ClientConnections::take_unread`] to the next iteration.
-    pub fn postpone(&mut self, postponed: impl IntoIterator<Item = ClientId>) {
-        self.unread.extend(postponed);
-    }
-
-    /// Takes the connections that received bytes since the last call.
-    pub fn take_unread(&mut self) -> BTreeSet<ClientId> {
-        std::mem::take(&mut self.unread)
+    /// Takes the next connection with bytes that no iteration has parsed, in the order in which those arrived.
+    pub fn take_unread(&mut self) -> Option<ClientId> {
+        let id = self.unread.pop_front()?;
+        if let Some(client) = self.connections.get_mut(&id) {
+            client.is_unread = false;
+        }
+        Some(id)
     }
 
     /// Parses the buffered bytes of a connection.
--- a/crates/platform/src/core/client_connections/connection.rs
+++ b/crates/platform/src/core/client_connections/connection.rs
@@ -109,6 +109,8 @@
     pub last_byte_at: Time,
     /// The request that is not answered yet.
     pub request: RequestBuffer,
+    /// Whether bytes have arrived that no iteration has parsed.
+    pub is_unread: bool,
     /// Whether a complete request has arrived and is not answered yet.
     pub awaits_answer: bool,
     /// Whether the last request was refused before all of it was read: the client may still send the rest.
@@ -122,6 +124,7 @@
             stage: ClientStage::FirstRequest { accepted_at: now },
             last_byte_at: now,
             request: RequestBuffer::default(),
+            is_unread: false,
             awaits_answer: false,
             is_cut_off: false,
         }
--- a/crates/platform/src/core/client_connections/tests.rs
+++ b/crates/platform/src/core/client_connections/tests.rs
@@ -142,3 +142,20 @@
     clients.receive(2, b"POST /a", at(0));
     assert_eq!(clients.evict(10), Some(Eviction::Refuse(2)));
 }
+
+#[test]
+fn connections_are_parsed_in_order_of_their_first_unparsed_bytes() {
+    let mut clients = ClientConnections::new(4, MEMORY_BYTES, 0);
+    for id in 1..=4 {
+        assert_eq!(open(&mut clients, id, 0), None);
+    }
+    for id in [3, 1, 4, 2, 3] {
+        clients.receive(id, b"POST /a", at(10));
+    }
+    clients.closed(4);
+    assert_eq!(clients.take_unread(), Some(3));
+    clients.receive(3, b"POST /a", at(20));
+    let rest: Vec<_> = std::iter::from_fn(|| clients.take_unread()).collect();
+    assert_eq!(rest, [1, 2, 3]);
+    assert!(!clients.has_unread());
+}
--- a/crates/platform/src/core/iteration.rs
+++ b/crates/platform/src/core/iteration.rs
@@ -52,18 +52,15 @@
         }
     }
 
-    /// Handles the requests that have arrived, up to a number of bytes; the next iteration follows with the others.
+    /// Handles the requests that have arrived, in the order of their arrival and up to a number of bytes; the next
+    /// iteration follows with the others.
     fn read_requests(&mut self) {
         let mut submitted_bytes = 0;
-        let mut unread = self.clients.take_unread().into_iter();
-        for id in unread.by_ref() {
+        while submitted_bytes < self.max_submitted_bytes {
+            let Some(id) = self.clients.take_unread() else { return };
             submitted_bytes += self.clients.received(id).len();
             self.read_request(id);
-            if submitted_bytes >= self.max_submitted_bytes {
-                break;
-            }
         }
-        self.clients.postpone(unread);
     }
 
     /// Runs one decision on the queued events and on recovered messages that were not passed to the library
