Answer a submission by its id and its content, not by its id alone

Cause: `find_id` compared the content only with messages that had been completed. A request with the id of a message that was open or awaited its decision was answered 202 whatever it contained; so were invalid and incomplete ones. The stored digest of ended messages left out the idempotency key. An id that an invalid request named was burnt, so that a stranger's invalid copy cost the usual client its message (409).

Change: `known_ids` compares class, destination, ordering key, idempotency key and body with messages in flight, ended and recovered; other content is answered 409, which promises nothing, because the id may run. Invalid, malformed and incomplete requests (`invalid_requests`) get their own 4xx and bind no id. A 503 promises that submitting again is harmless, so it binds its id whatever the content, and is not given where a message with the id may run (409). The digest covers the idempotency key; without one it is as before. After an update from an earlier version a keyed message that ended just before it and is submitted again is told 409 instead of 202. `counters.conflicting_submissions`, and `known=OtherMessage` in the log.

--- a/crates/edge/tests/process/crowded_clients.rs
+++ b/crates/edge/tests/process/crowded_clients.rs
@@ -81,6 +81,23 @@
     assert_eq!(courier.request(&submission("order", "fresh", "")), Some(202));
 }
 
+/// Guards against half requests with the id of an open message being told that it may be submitted again.
+#[test]
+fn half_request_with_id_of_open_message_is_not_rejected() {
+    let discovery = discovery_stub();
+    let endpoint = endpoint_stub();
+    let courier = CourierProcess::new("half-open-id", endpoint.address, discovery.address);
+    assert_eq!(courier.request(&submission("order", "slow", "")), Some(202));
+    courier.stop();
+    let mut halves: Vec<_> = (0..CAPACITY + 20).map(|_| send_half(&courier, "slow")).collect();
+    courier.resume();
+    let statuses: Vec<u16> = halves.iter_mut().map(|(client, _)| client.read_response().status).collect();
+    assert!(statuses.iter().all(|status| matches!(status, 408 | 409)), "{statuses:?}");
+    assert!(statuses.contains(&409), "some are refused before their time is up");
+    assert_eq!(courier.request(&submission("order", "slow", "")), Some(202), "the open message goes on");
+    assert_eq!(endpoint.requests(), ["slow"]);
+}
+
 /// The rest of a refused request crosses its answer: the answer arrives, and behind it the end of the connection.
 #[test]
 fn answer_of_refused_half_request_is_not_lost_with_a_reset_over_later_bytes() {
--- a/crates/edge/tests/soak/main.rs
+++ b/crates/edge/tests/soak/main.rs
@@ -5,7 +5,7 @@
 //! Each seed determines the random choices of one run of a few seconds. After the run, every message is
 //! checked against the rules: an accepted message is completed, a rejected one is not executed, a
 //! non-idempotent one is executed at most once, messages of an ordering key are delivered in order, nothing is
-//! sent after a message's end (a response that ends it, a notification, a refusal of any request with its id) or to
+//! sent after a message's end (a response that ends it, a notification, a refusal of its submission) or to
 //! a draining or succeeded endpoint, no message is sent under another's id, no process ends by itself, and the peak of
 //! its memory stays under its limit.
 //!
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -25,8 +25,8 @@
 //! | `recovery` | restoring the state from the journal, and the snapshot for a new journal file |
 //!
 //! These modules connect the parts: `inputs` (events from the shell), `iteration` (the order of steps in one
-//! iteration), `submission` (from a client's request to the response),
-//! `client_closing` (the ends of client connections), `delivery` (from a decision to the
+//! iteration), `submission` (from a client's request to the response), `known_ids` (submissions whose id is known),
+//! `invalid_requests` (requests that submit no message), `client_closing` (the ends of client connections), `delivery` (from a decision to the
 //! outcome of an attempt), `send_check` (the last check of an attempt before it is sent), `completion` (final outcomes of messages), `discovery_traffic` (the watch and
 //! status notifications) and `unrecorded` (undoing effects whose records could not be written).
 
@@ -47,8 +47,10 @@
 mod ended_ids;
 mod in_flight;
 mod inputs;
+mod invalid_requests;
 mod iteration;
 mod key_cooldowns;
+mod known_ids;
 mod reconnect;
 mod recovery;
 mod request;
--- a/crates/platform/src/core/admission.rs
+++ b/crates/platform/src/core/admission.rs
@@ -104,6 +104,12 @@
         self.undecided.entry(message).or_default().push(requester);
     }
 
+    /// Returns the message whose decision a client awaits.
+    pub fn awaited_by(&self, client: ClientId) -> Option<u32> {
+        let awaits = |requesters: &[Requester]| requesters.iter().any(|requester| requester.client == client);
+        self.undecided.iter().find(|(_, requesters)| awaits(requesters)).map(|(&message, _)| message)
+    }
+
     /// Whether a message was submitted and is not decided yet.
     pub fn awaits_decision(&self, message: u32) -> bool {
         self.undecided.contains_key(&message)
--- a/crates/platform/src/core/admission/tests.rs
+++ b/crates/platform/src/core/admission/tests.rs
@@ -103,7 +103,7 @@
         (RequestError::InvalidDestination, 400, "X-Route-To is `dest=` and a number\n"),
         (RequestError::InvalidTimeRemaining, 400, "X-Remaining-Ms is a whole number\n"),
         (RequestError::UnknownDestination, 404, "there is no such destination\n"),
-        (RequestError::IdOfCompletedMessage, 409, "this id was another message's\n"),
+        (RequestError::IdOfOtherMessage, 409, "this id was another message's\n"),
         (RequestError::IdOfInvalidRequest, 409, "this id was an invalid request's, use a new one\n"),
     ] {
         let bytes = Answer::Invalid(error).encode(Persistence::Close);
--- a/crates/platform/src/core/counters.rs
+++ b/crates/platform/src/core/counters.rs
@@ -11,6 +11,8 @@
     pub rejected: u64,
     /// Requests that are not valid submissions.
     pub invalid_requests: u64,
+    /// Valid submissions that were refused because their id is that of a message with different content.
+    pub conflicting_submissions: u64,
     /// Connections of clients without a request that were closed because too many were open.
     pub evicted_clients: u64,
     /// Requests that were refused before they were complete, because too many connections were open or too much
--- a/crates/platform/src/core/request.rs
+++ b/crates/platform/src/core/request.rs
@@ -90,10 +90,10 @@
     /// No endpoint was ever listed for the destination.
     #[error("there is no such destination")]
     UnknownDestination,
-    /// A different message with the same id is completed.
+    /// A message with the same id and different content was accepted, or may be.
     #[error("this id was another message's")]
-    IdOfCompletedMessage,
-    /// An invalid request with the same id was answered.
+    IdOfOtherMessage,
+    /// An invalid request with the same id was answered by an earlier version.
     #[error("this id was an invalid request's, use a new one")]
     IdOfInvalidRequest,
 }
@@ -124,7 +124,7 @@
             RequestError::MethodNotAllowed => 405,
             RequestError::TimedOut => 408,
             RequestError::TooManyConnections | RequestError::TooManyBytes => 503,
-            RequestError::IdOfCompletedMessage | RequestError::IdOfInvalidRequest => 409,
+            RequestError::IdOfOtherMessage | RequestError::IdOfInvalidRequest => 409,
             RequestError::Pipelined
             | RequestError::DuplicateField
             | RequestError::InvalidId
--- a/crates/platform/src/core/submission.rs
+++ b/crates/platform/src/core/submission.rs
@@ -5,11 +5,10 @@
 use super::client_closing::ClientCloseReason;
 use super::client_connections::{BufferedRequest, ClientId};
 use super::decisions::accepted_message;
-use super::effects::{CoreEvent, Output};
-use super::in_flight::InFlightMessage;
-use super::request::{named_ids, parse_submission, RequestError, SubmittedMessage};
+use super::effects::Output;
+use super::request::{parse_submission, RequestError, SubmittedMessage};
 use super::{Core, JournalState};
-use crate::records::{CompletedId, IdEnd, Message, PendingMessage, Record};
+use crate::records::{IdEnd, Message, PendingMessage, Record};
 use linnetcart::{Event, Time};
 use linnetcart_http::Persistence;
 
@@ -30,22 +29,6 @@
     Decided,
 }
 
-/// What is known of the id that a request names. Written to the log.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum KnownId {
-    /// Its message is accepted, and is open or has calls or a notification outstanding.
-    Accepted,
-    /// Its message is part of this iteration's decision, which answers all requests with the id.
-    AwaitingDecision {
-        /// The message's number.
-        number: u32,
-    },
-    /// Its message has ended so.
-    Ended(IdEnd),
-    /// The id belongs to a completed message with different content.
-    OtherMessage,
-}
-
 impl Core {
     /// Handles the buffered request of a client, if it is complete. A valid submission is answered after the
     /// decision on its message, any other request at once.
@@ -55,7 +38,7 @@
             BufferedRequest::Malformed(error) => {
                 return self.refuse_invalid(client, RequestError::Malformed(error));
             }
-            BufferedRequest::Pipelined => return self.refuse_invalid(client, RequestError::Pipelined),
+            BufferedRequest::Pipelined => return self.refuse_pipelined(client),
             BufferedRequest::Complete(request) => request,
         };
         let requester = Requester { client, persistence: request.persistence };
@@ -70,33 +53,6 @@
         }
     }
 
-    /// Answers a request that is invalid, malformed or was not completed in time, and closes its connection. What its
-    /// client is told is true of every request with the id that it names: if the id is known, the answer is that of
-    /// its message; otherwise nothing is sent under the id from now on.
-    pub(super) fn refuse_invalid(&mut self, client: ClientId, error: RequestError) {
-        if error.cuts_request_off() {
-            self.clients.mark_cut_off(client);
-        }
-        let ids = named_ids(self.clients.received(client));
-        if ids.is_empty() {
-            let received_bytes = self.clients.received(client).len();
-            self.effects.event(CoreEvent::ClientRefused { client, received_bytes, error });
-        }
-        let known = ids.iter().find_map(|id| self.find_id(id, None));
-        for id in &ids {
-            tracing::info!(id = %String::from_utf8_lossy(id), client, %error, ?known, "request invalid");
-        }
-        if let Some(known) = known.filter(|known| *known != KnownId::Ended(IdEnd::Invalid)) {
-            return self.answer_known(Requester { client, persistence: Persistence::Close }, known);
-        }
-        let end = if error.is_rejection() { IdEnd::Rejected } else { IdEnd::Invalid };
-        for id in &ids {
-            self.ended_ids.insert_refused(id, end, self.clock.wall_now());
-        }
-        self.counters.refused_partial_requests += u64::from(error.is_rejection());
-        self.reject_invalid(client, error);
-    }
-
     /// Queues a message for the decision, or answers at once if it is a duplicate or cannot be accepted. The
     /// remaining time counts from the arrival of the request's last byte.
     fn submit(&mut self, requester: Requester, submitted: SubmittedMessage, body: Vec<u8>) {
@@ -106,10 +62,8 @@
         let submitted_at = self.clients.last_byte_at(requester.client).unwrap_or(self.clock.now());
         let deadline = submitted_at + submitted.time_remaining;
         let message = submitted.into_message(self.clock.to_wall(deadline), body);
-        if let Some(known) = self.find_id(&message.id, Some(&message)) {
-            let client = requester.client;
-            tracing::info!(id = %message.id_text(), client, ?known, "repeated submission");
-            return self.answer_known(requester, known);
+        if let Some(known) = self.find_id(&message) {
+            return self.answer_known(requester, &message, known);
         }
         if let Some(reason) = self.reject_reason(&message, deadline) {
             log_rejection(&message, requester.client, reason);
@@ -124,50 +78,6 @@
         self.in_flight.insert(number, PendingMessage::new(message), deadline);
     }
 
-    /// Looks up an id among open and ended messages. `submitted` is the message of a valid request. Returns `None`
-    /// for a new id.
-    fn find_id(&self, id: &[u8], submitted: Option<&Message>) -> Option<KnownId> {
-        if let Some(number) = self.in_flight.find(id) {
-            return Some(self.known_in_flight(number));
-        }
-        let ended = self.ended_ids.find(id)?;
-        if ended.end == IdEnd::Completed && !submitted.is_some_and(|message| is_same_message(message, ended))
-        {
-            return Some(KnownId::OtherMessage);
-        }
-        Some(KnownId::Ended(ended.end))
-    }
-
-    fn known_in_flight(&self, number: u32) -> KnownId {
-        if self.admission.awaits_decision(number) {
-            return KnownId::AwaitingDecision { number };
-        }
-        let is_returned = self.in_flight.get(number).is_some_and(InFlightMessage::is_returned_whole);
-        if is_returned {
-            KnownId::Ended(IdEnd::Returned)
-        } else {
-            KnownId::Accepted
-        }
-    }
-
-    fn answer_known(&mut self, requester: Requester, known: KnownId) {
-        match known {
-            KnownId::AwaitingDecision { number } => self.await_decision(number, requester),
-            KnownId::Accepted | KnownId::Ended(IdEnd::Completed) => self.answer(requester, Answer::Accepted),
-            KnownId::Ended(IdEnd::Returned | IdEnd::Rejected) => {
-                self.counters.rejected += 1;
-                self.answer(requester, Answer::Rejected { retry_after: 0 });
-            }
-            KnownId::Ended(IdEnd::Failed) => self.answer(requester, Answer::Failed),
-            KnownId::Ended(IdEnd::Invalid) => {
-                self.reject_invalid(requester.client, RequestError::IdOfInvalidRequest);
-            }
-            KnownId::OtherMessage => {
-                self.reject_invalid(requester.client, RequestError::IdOfCompletedMessage);
-            }
-        }
-    }
-
     /// Returns why a message must be rejected without a decision of the library, or `None` if the library has
     /// to decide.
     fn reject_reason(&self, message: &Message, deadline: Time) -> Option<RejectReason> {
@@ -187,7 +97,7 @@
         }
     }
 
-    fn await_decision(&mut self, number: u32, requester: Requester) {
+    pub(super) fn await_decision(&mut self, number: u32, requester: Requester) {
         self.clients.mark_awaiting_answer(requester.client);
         self.admission.await_decision(number, requester);
     }
@@ -233,7 +143,7 @@
         self.effects.record(Record::Accepted { number, message });
     }
 
-    fn answer(&mut self, requester: Requester, answer: Answer) {
+    pub(super) fn answer(&mut self, requester: Requester, answer: Answer) {
         let persistence = self.persistence_after_answer(requester);
         let bytes = answer.encode(persistence);
         self.effects.output(Output::SendToClient(requester.client, bytes.into()));
@@ -260,18 +170,6 @@
             self.close_client(client, ClientCloseReason::Answered);
         }
     }
-
-    /// Answers an invalid request with an error status, and closes its connection.
-    fn reject_invalid(&mut self, client: ClientId, error: RequestError) {
-        tracing::debug!(client, %error, "invalid request answered");
-        self.counters.invalid_requests += 1;
-        self.answer(Requester { client, persistence: Persistence::Close }, Answer::Invalid(error));
-    }
-}
-
-/// Whether a message has the content of an ended one. Deadlines and idempotency keys are not compared.
-fn is_same_message(message: &Message, ended: CompletedId) -> bool {
-    message.completed_id(ended.end).content_digest == ended.content_digest
 }
 
 fn log_rejection(message: &Message, client: ClientId, reason: RejectReason) {
--- a/crates/platform/src/records.rs
+++ b/crates/platform/src/records.rs
@@ -97,7 +97,7 @@
     Rejected,
     /// The client was told that the message failed.
     Failed,
-    /// The client was told that its request is invalid.
+    /// The client was told that its request is invalid. Earlier versions kept the ids of such requests.
     Invalid,
 }
 
@@ -106,7 +106,7 @@
 pub struct CompletedId {
     /// Digest of the message's id.
     pub id_digest: u64,
-    /// Digest of the message's destination, ordering key, class and body.
+    /// Digest of the message's content: destination, ordering key, class, body and, if it has one, idempotency key.
     pub content_digest: u64,
     /// The message's deadline, some time after which the entry may be deleted; wall-clock time in nanoseconds.
     pub expires_at: Time,
@@ -186,12 +186,21 @@
         let destination = self.destination.to_le_bytes();
         let ordering_key = self.ordering_key.to_le_bytes();
         let address = [&destination[..], &ordering_key, &[self.class]].concat();
-        CompletedId {
-            id_digest: digest(&[&self.id]),
-            content_digest: digest(&[&address, &self.body]),
-            expires_at: self.wall_deadline,
-            end,
-        }
+        let content_digest = match &self.idempotency_key {
+            None => digest(&[&address, &self.body]),
+            Some(key) => digest(&[&address, &self.body, key]),
+        };
+        CompletedId { id_digest: digest(&[&self.id]), content_digest, expires_at: self.wall_deadline, end }
+    }
+
+    /// Whether two messages have the same content: all that is passed on or decides about them. Ids and deadlines are
+    /// not compared; the deadline of a message that is submitted again may differ.
+    pub fn has_content_of(&self, other: &Message) -> bool {
+        self.class == other.class
+            && self.destination == other.destination
+            && self.ordering_key == other.ordering_key
+            && self.idempotency_key == other.idempotency_key
+            && self.body == other.body
     }
 
     /// Returns the id as text for logs and notifications; invalid UTF-8 is replaced.
--- a/crates/platform/src/records/tests.rs
+++ b/crates/platform/src/records/tests.rs
@@ -95,6 +95,16 @@
     );
 }
 
+/// Guards against a message whose idempotency key alone differs being taken for the one that has ended.
+#[test]
+fn content_digest_covers_idempotency_key() {
+    let digest_of =
+        |key: Option<&[u8]>| message(key.map(<[u8]>::to_vec)).completed_id(IdEnd::Completed).content_digest;
+    assert_eq!(digest_of(Some(b"key")), 12_412_631_175_533_938_947);
+    assert_ne!(digest_of(Some(b"key")), digest_of(Some(b"other")));
+    assert_ne!(digest_of(Some(b"")), digest_of(None));
+}
+
 #[test]
 fn clock_reference_record_bytes_unchanged() {
     let reference = ClockReference { boot_id: 1, wall_offset: -2 };
