Reserve an id for the request that named it first, also while it is on its way

Cause: an id came to be known only with the last byte of its request, although its line had been read.

Change: `IdReservations` keeps the order in which requests named their ids, from the end of the line X-Txn on. A complete request with a new id that an incomplete one has named earlier waits until that one is answered or its connection ends, for 150 ms at most, a quarter of its message's time at most, and not at all while requests take half of their memory or in the last phase of the shutdown. So an id that is held costs others 150 ms of the 400 ms that a client waits, once. A request that stalls for longer loses its id, and is told 409 when it completes. A complete request no longer counts as timed out while it waits. `counters.deferred_submissions`; log: `submission deferred, its id is reserved`.

--- a/crates/edge/tests/process/contested_ids.rs
+++ b/crates/edge/tests/process/contested_ids.rs
@@ -206,3 +206,113 @@
         contest.check_only_sent(id, &first);
     }
 }
+
+/// Returns the lengths of the parts of a request that may have arrived when another one comes: its first line, the line
+/// of its id, its head, half of its body, and all but its last byte.
+fn cuts(request: &str) -> [usize; 5] {
+    let first_line = request.find("\r\n").unwrap() + 2;
+    let id_line = first_line + request[first_line..].find("\r\n").unwrap() + 2;
+    let head = request.find("\r\n\r\n").unwrap() + 4;
+    [first_line, id_line, head, (head + request.len()) / 2, request.len() - 1]
+}
+
+/// Guards against a whole request taking the id of one that is under way for a moment: its message was not sent.
+#[test]
+fn request_under_way_keeps_its_id_from_the_line_that_names_it() {
+    let contest = Contest::new("contested-moment");
+    for cut in 0..5 {
+        let id = format!("moment-{cut}");
+        let (usual, other) = (Content::new(&id, "the usual client's"), Content::new(&id, "the stranger's"));
+        let request = usual.request(&id);
+        let (start, rest) = request.split_at(cuts(&request)[cut]);
+        let (mut stranger, mut client) = (contest.connect(), contest.connect());
+        client.send(start);
+        contest.courier.wait_until_input_processed();
+        contest.courier.stop();
+        stranger.send(&other.request(&id));
+        client.send(rest);
+        contest.courier.resume();
+        let statuses = [client.read_response().status, stranger.read_response().status];
+        let is_named = cut > 0;
+        assert_eq!(statuses, if is_named { [202, 409] } else { [409, 202] }, "{start:?}");
+        contest.check_only_sent(&id, if is_named { &usual } else { &other });
+    }
+}
+
+/// Guards against an id that belongs to a request which does not go on, and against that request being told later that
+/// its message is accepted.
+#[test]
+fn request_under_way_for_long_loses_its_id() {
+    let contest = Contest::new("contested-long");
+    for cut in 0..5 {
+        let id = format!("long-{cut}");
+        let (usual, other) = (Content::new(&id, "the usual client's"), Content::new(&id, "the stranger's"));
+        let request = usual.request(&id);
+        let (start, rest) = request.split_at(cuts(&request)[cut]);
+        let (mut stranger, mut client) = (contest.connect(), contest.connect());
+        client.send(start);
+        contest.courier.wait_until_input_processed();
+        stranger.send(&other.request(&id));
+        assert_eq!(stranger.read_response().status, 202, "{start:?}");
+        client.send(rest);
+        assert_eq!(client.read_response().status, 409, "{start:?}");
+        contest.check_only_sent(&id, &other);
+    }
+}
+
+/// Guards against a part of a request being told that its message is accepted because its id is another message's.
+#[test]
+fn request_that_is_never_complete_is_not_accepted_with_the_id_of_an_open_message() {
+    let contest = Contest::new("contested-never");
+    let mut clients = Vec::new();
+    for cut in 1..5 {
+        let id = format!("slow-{cut}");
+        let request = Content::new(&id, "the usual client's").request(&id);
+        let mut client = contest.connect();
+        client.send(&request[..cuts(&request)[cut]]);
+        assert_eq!(contest.submit(&id, &Content::new(&id, "the stranger's")), Some(202));
+        clients.push(client);
+    }
+    for client in &mut clients {
+        assert_eq!(client.read_response().status, 408);
+    }
+}
+
+/// Guards against an invalid copy costing a client its message: its id was refused from then on.
+#[test]
+fn invalid_request_with_its_id_costs_a_client_nothing() {
+    let contest = Contest::new("contested-invalid");
+    let changes: [(&str, &str, &str); 7] = [
+        ("an unreadable time", "-Ms: 30000", "-Ms: soon"),
+        ("no destination", "X-Route-To", "X-Elsewhere"),
+        ("an unknown class", "POST /change", "POST /none"),
+        ("another method", "POST", "PUT"),
+        ("no idempotency key", "Idempotency-Key", "X-Key"),
+        ("two lengths", "Content-Length", "Content-Length: 3\r\nContent-Length"),
+        ("a body that never comes", "Content-Length: 18", "Content-Length: 180"),
+    ];
+    for (number, (what, from, to)) in changes.into_iter().enumerate() {
+        for order in ["before", "between", "within"] {
+            let id = format!("{order}-{number}");
+            let usual = Content::new(&id, "the usual client's");
+            let request = usual.request(&id);
+            let invalid = request.replace(from, to);
+            assert_ne!(invalid, request, "{what}");
+            let (start, rest) = request.split_at(cuts(&request)[if order == "within" { 2 } else { 0 }]);
+            let (mut stranger, mut client) = (contest.connect(), contest.connect());
+            if order == "before" {
+                stranger.send(&invalid);
+                contest.courier.wait_until_input_processed();
+            }
+            client.send(start);
+            contest.courier.wait_until_input_processed();
+            if order != "before" {
+                stranger.send(&invalid);
+                contest.courier.wait_until_input_processed();
+            }
+            client.send(rest);
+            assert_eq!(client.read_response().status, 202, "{what}, {order}");
+            contest.check_only_sent(&id, &usual);
+        }
+    }
+}
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -233,7 +233,9 @@
         } else {
             self.decisions.next_decision()
         };
+        let next_deferred = self.clients.next_deferred().filter(|_| !in_initial_sync).unwrap_or(Time::MAX);
         next_decision
+            .min(next_deferred.max(self.clock.now()))
             .min(self.clients.next_sweep())
             .min(self.pool.next_deadline())
             .min(self.discovery.next_wake())
--- a/crates/platform/src/core/client_connections.rs
+++ b/crates/platform/src/core/client_connections.rs
@@ -5,11 +5,14 @@
 
 mod buffer;
 mod connection;
+mod id_reservations;
 
 pub use connection::{Arrival, IdlePolicy};
 
 use super::clock::MILLISECOND;
+use super::request::first_named_id;
 use connection::ClientConnection;
+use id_reservations::IdReservations;
 use linnetcart::Time;
 use linnetcart_courier_common::memory_budget::MemoryAccount;
 use linnetcart_http::{Request, RequestError};
@@ -22,6 +25,12 @@
 /// Interval between two searches for connections that have timed out.
 const SWEEP_INTERVAL: Time = 100 * MILLISECOND;
 
+/// Maximum time that a complete request waits for an incomplete one that has named its id earlier. Together with a
+/// process that is held up it is less than the 400 ms that a client waits for its answer.
+pub const MAX_DEFERRAL: Time = 150 * MILLISECOND;
+/// A request waits at most 1 / `DEFERRAL_DIVISOR` of the time that its message has left.
+const DEFERRAL_DIVISOR: Time = 4;
+
 /// The result of parsing the buffered bytes of a connection.
 #[derive(Debug, PartialEq, Eq)]
 pub enum BufferedRequest<'a> {
@@ -71,6 +80,9 @@
     connections: BTreeMap<ClientId, ClientConnection>,
     /// Connections with received bytes that no iteration has parsed yet, in the order in which those arrived.
     unread: VecDeque<ClientId>,
+    /// Connections whose complete request waits for one that has named its id earlier, in the order of deferral.
+    deferred: Vec<ClientId>,
+    reservations: IdReservations,
     /// Connections that their client has half-closed; closed once an iteration has answered their requests.
     half_closed: Vec<ClientId>,
     next_sweep: Time,
@@ -85,6 +97,8 @@
             capacity,
             connections: BTreeMap::new(),
             unread: VecDeque::new(),
+            deferred: vec![],
+            reservations: IdReservations::default(),
             half_closed: vec![],
             next_sweep: now,
             memory: MemoryAccount::new(memory_bytes),
@@ -156,6 +170,10 @@
         if client.is_unread {
             self.unread.retain(|unread| *unread != id);
         }
+        self.deferred.retain(|deferred| *deferred != id);
+        if let Some(reservation) = client.reservation {
+            self.reservations.release(reservation);
+        }
     }
 
     /// Records that the client has half-closed a connection: it sends no more bytes.
@@ -166,7 +184,8 @@
     /// Takes the connections that their client has half-closed and whose bytes were all parsed.
     pub fn take_half_closed(&mut self) -> Vec<ClientId> {
         let half_closed = std::mem::take(&mut self.half_closed);
-        let (unread, read) = half_closed.into_iter().partition(|&id| self.is_unread(id));
+        let (unread, read) =
+            half_closed.into_iter().partition(|&id| self.is_unread(id) || self.deferred.contains(&id));
         self.half_closed = unread;
         read
     }
@@ -177,16 +196,80 @@
 
     /// Buffers received bytes, and checks whether they can become a valid request.
     pub fn receive(&mut self, id: ClientId, bytes: &[u8], arrival: Arrival) -> Received {
-        let is_malformed = self.update(id, |client| {
+        let progress = self.update(id, |client| {
+            let was_in_head = client.request.is_in_head();
             client.receive(bytes, arrival);
-            client.request.is_malformed()
+            (was_in_head, client.request.is_malformed())
         });
-        let Some(is_malformed) = is_malformed else { return Received::Buffered };
+        let Some((was_in_head, is_malformed)) = progress else { return Received::Buffered };
         self.mark_unread(id);
         if is_malformed {
-            Received::Malformed
-        } else {
-            Received::Buffered
+            return Received::Malformed;
+        }
+        // A field ends with its line.
+        if was_in_head && bytes.contains(&b'\n') {
+            self.reserve_named_id(id);
+        }
+        Received::Buffered
+    }
+
+    /// Reserves the id that a request names, once its line has arrived.
+    fn reserve_named_id(&mut self, id: ClientId) {
+        let Some(client) = self.connections.get_mut(&id) else { return };
+        if client.reservation.is_none() {
+            let named = first_named_id(client.request.bytes());
+            client.reservation = named.map(|named| self.reservations.reserve(&named));
+        }
+    }
+
+    fn release_id(&mut self, id: ClientId) {
+        let reservation = self.connections.get_mut(&id).and_then(|client| client.reservation.take());
+        if let Some(reservation) = reservation {
+            self.reservations.release(reservation);
+        }
+    }
+
+    /// Whether another connection's request has named the same id earlier and is not answered.
+    fn is_preceded(&self, id: ClientId) -> bool {
+        let reservation = self.connections.get(&id).and_then(|client| client.reservation);
+        reservation.is_some_and(|reservation| self.reservations.is_preceded(reservation))
+    }
+
+    /// Defers a connection's complete request while another one that has named its id earlier is incomplete: for
+    /// [`MAX_DEFERRAL`] at most, or a part of the time that its message has left, and only while there is memory for it.
+    /// Returns whether it is deferred.
+    pub fn defer(&mut self, id: ClientId, time_remaining: Time, now: Time) -> bool {
+        let is_preceded = self.is_preceded(id) && !self.is_memory_half_used();
+        let Some(client) = self.connections.get_mut(&id).filter(|_| is_preceded) else { return false };
+        let longest = MAX_DEFERRAL.min(time_remaining / DEFERRAL_DIVISOR);
+        if *client.deferred_until.get_or_insert(now + longest) <= now {
+            return false;
+        }
+        self.deferred.push(id);
+        true
+    }
+
+    /// Returns until when a connection's request is deferred: 0 if it need not wait any longer.
+    fn deferred_until(&self, id: ClientId) -> Time {
+        if !self.is_preceded(id) || self.is_memory_half_used() {
+            return 0;
+        }
+        self.connections.get(&id).and_then(|client| client.deferred_until).unwrap_or(0)
+    }
+
+    /// Returns when the first deferred request is due to be read again; `None` if none is deferred.
+    pub fn next_deferred(&self) -> Option<Time> {
+        self.deferred.iter().map(|&id| self.deferred_until(id)).min()
+    }
+
+    /// Passes the deferred requests that are due at `now` to the next parsing, behind those that have just arrived.
+    pub fn resume_deferred(&mut self, now: Time) {
+        let deferred = std::mem::take(&mut self.deferred);
+        let (due, waiting) = deferred.into_iter().partition(|&id| self.deferred_until(id) <= now);
+        self.deferred = waiting;
+        let due: Vec<ClientId> = due;
+        for id in due {
+            self.mark_unread(id);
         }
     }
 
@@ -203,6 +286,11 @@
         !self.unread.is_empty()
     }
 
+    /// Whether connections have received bytes that no iteration has parsed, or requests that are deferred.
+    pub fn has_unread_or_deferred(&self) -> bool {
+        self.has_unread() || !self.deferred.is_empty()
+    }
+
     /// Takes the next connection with bytes that no iteration has parsed, in the order in which those arrived.
     pub fn take_unread(&mut self) -> Option<ClientId> {
         let id = self.unread.pop_front()?;
@@ -245,6 +333,7 @@
             client.awaits_answer = true;
             client.request.free_body();
         });
+        self.release_id(id);
     }
 
     /// Records that a connection's request is refused before all of it was read.
@@ -262,6 +351,8 @@
     /// Records that a connection's request was answered.
     pub fn answered(&mut self, id: ClientId, now: Time) {
         self.update(id, |client| client.answered(now));
+        self.release_id(id);
+        self.deferred.retain(|deferred| *deferred != id);
     }
 
     /// Returns when the next sweep, the search for connections that have timed out, is due.
--- a/crates/platform/src/core/client_connections/buffer.rs
+++ b/crates/platform/src/core/client_connections/buffer.rs
@@ -72,6 +72,11 @@
         self.progress == Progress::Malformed
     }
 
+    /// Whether the head is incomplete.
+    pub fn is_in_head(&self) -> bool {
+        matches!(self.progress, Progress::Head { .. })
+    }
+
     /// Whether some bytes have arrived, and more are needed.
     pub fn is_partial(&self) -> bool {
         match self.progress {
--- a/crates/platform/src/core/client_connections/connection.rs
+++ b/crates/platform/src/core/client_connections/connection.rs
@@ -2,6 +2,7 @@
 //! monotonic, in nanoseconds.
 
 use super::buffer::RequestBuffer;
+use super::id_reservations::IdReservation;
 use crate::core::clock::MILLISECOND;
 use linnetcart::Time;
 use std::cmp::Reverse;
@@ -111,6 +112,10 @@
     pub request: RequestBuffer,
     /// Whether bytes have arrived that no iteration has parsed.
     pub is_unread: bool,
+    /// The place of the request among those with its id, once it has named one.
+    pub reservation: Option<IdReservation>,
+    /// Until when the request waits, at most, for another one with its id; `None` if it never had to.
+    pub deferred_until: Option<Time>,
     /// Whether a complete request has arrived and is not answered yet.
     pub awaits_answer: bool,
     /// Whether the last request was refused before all of it was read: the client may still send the rest.
@@ -125,6 +130,8 @@
             last_byte_at: now,
             request: RequestBuffer::default(),
             is_unread: false,
+            reservation: None,
+            deferred_until: None,
             awaits_answer: false,
             is_cut_off: false,
         }
@@ -156,6 +163,7 @@
     pub fn answered(&mut self, now: Time) {
         self.stage = ClientStage::Idle { idle_since: now };
         self.awaits_answer = false;
+        self.deferred_until = None;
         self.request = RequestBuffer::default();
     }
 
@@ -197,10 +205,11 @@
         ClientEvictionOrder::PartialRequest(PartialRequest { held_bytes, since })
     }
 
-    /// Whether the connection is waiting for no response and has timed out or, with [`IdlePolicy::Close`], is
+    /// Whether the connection has no complete request and has timed out or, with [`IdlePolicy::Close`], is
     /// idle.
     pub fn is_expired(&self, now: Time, idle: IdlePolicy) -> bool {
-        if self.awaits_answer {
+        let is_complete = !self.request.is_empty() && !self.request.is_partial();
+        if self.awaits_answer || is_complete {
             return false;
         }
         self.deadline() <= now || (idle == IdlePolicy::Close && self.is_idle(now))
--- a/crates/platform/src/core/counters.rs
+++ b/crates/platform/src/core/counters.rs
@@ -13,6 +13,8 @@
     pub invalid_requests: u64,
     /// Valid submissions that were refused because their id is that of a message with different content.
     pub conflicting_submissions: u64,
+    /// Valid submissions that had to wait because another request had named their id earlier.
+    pub deferred_submissions: u64,
     /// Connections of clients without a request that were closed because too many were open.
     pub evicted_clients: u64,
     /// Requests that were refused before they were complete, because too many connections were open or too much
--- a/crates/platform/src/core/iteration.rs
+++ b/crates/platform/src/core/iteration.rs
@@ -55,6 +55,7 @@
     /// Handles the requests that have arrived, in the order of their arrival and up to a number of bytes; the next
     /// iteration follows with the others.
     fn read_requests(&mut self) {
+        self.clients.resume_deferred(self.clock.now());
         let mut submitted_bytes = 0;
         while submitted_bytes < self.max_submitted_bytes {
             let Some(id) = self.clients.take_unread() else { return };
@@ -105,7 +106,8 @@
     /// Ends the shutdown if no attempt is in flight and no notification is unacknowledged, or if it timed
     /// out.
     fn finish_shutdown(&mut self) {
-        let idle = self.attempts.is_empty() && self.notifier.len() == 0 && !self.clients.has_unread();
+        let idle =
+            self.attempts.is_empty() && self.notifier.len() == 0 && !self.clients.has_unread_or_deferred();
         let work = if idle { OutstandingWork::None } else { OutstandingWork::Some };
         self.shutdown.finish(self.clock.now(), work);
     }
--- a/crates/platform/src/core/request.rs
+++ b/crates/platform/src/core/request.rs
@@ -167,6 +167,11 @@
     linnetcart_http::unframed_values(bytes, "x-txn").filter_map(parse_id_or_key).collect()
 }
 
+/// Returns the first id that the request at the start of these bytes names, as [`named_ids`] does.
+pub fn first_named_id(bytes: &[u8]) -> Option<Vec<u8>> {
+    linnetcart_http::unframed_values(bytes, "x-txn").find_map(parse_id_or_key)
+}
+
 fn read_idempotency_key(request: &Request<'_>, class: &Class) -> Result<Option<Vec<u8>>, RequestError> {
     let is_required = matches!(class.idempotency, Idempotency::Keyed { .. });
     match single_field(request, "idempotency-key")? {
--- a/crates/platform/src/core/submission.rs
+++ b/crates/platform/src/core/submission.rs
@@ -65,6 +65,10 @@
         if let Some(known) = self.find_id(&message) {
             return self.answer_known(requester, &message, known);
         }
+        if self.defer(requester.client, deadline) {
+            let client = requester.client;
+            return tracing::info!(id = %message.id_text(), client, "submission deferred, its id is reserved");
+        }
         if let Some(reason) = self.reject_reason(&message, deadline) {
             log_rejection(&message, requester.client, reason);
             self.counters.rejected += 1;
@@ -78,6 +82,16 @@
         self.in_flight.insert(number, PendingMessage::new(message), deadline);
     }
 
+    /// Leaves a new message whose id an incomplete request has named earlier to a later iteration, so that this request
+    /// can be completed. Returns whether it did: not in the last phase of the shutdown.
+    fn defer(&mut self, client: ClientId, deadline: Time) -> bool {
+        let now = self.clock.now();
+        let time_remaining = deadline.saturating_sub(now);
+        let is_deferred = self.shutdown.allows_decisions() && self.clients.defer(client, time_remaining, now);
+        self.counters.deferred_submissions += u64::from(is_deferred);
+        is_deferred
+    }
+
     /// Returns why a message must be rejected without a decision of the library, or `None` if the library has
     /// to decide.
     fn reject_reason(&self, message: &Message, deadline: Time) -> Option<RejectReason> {
--- a/crates/platform/src/core/tests.rs
+++ b/crates/platform/src/core/tests.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod attempts;
 mod connections;
+mod contested_ids;
 mod decisions;
 mod discovery;
 pub mod fixtures;
