Soak: rivals that use the ids of other clients' messages

Cause: the soak had no client that uses the id of another's message with content of its own before that is accepted, and its checks knew no content but the body's first bytes.

Checked: a message is sent with the content of one request only, the one that was accepted; not both are accepted; a rival's accepted message is completed; nothing is sent after a rival's was rejected. An answer that is neither a rejection nor a failure at once ends no message that somebody else submitted under the id.

--- a/crates/edge/tests/soak/checks.rs
+++ b/crates/edge/tests/soak/checks.rs
@@ -2,8 +2,9 @@
 
 use crate::agent::{Discovery, DiscoveryLoad, ListedStatus, Notification};
 use crate::clients::{Answer, Repetition, Submission};
-use crate::endpoint::{Behaviour, Call, CallLog};
+use crate::endpoint::{Author, Behaviour, Call, CallLog};
 use crate::intruders;
+use crate::rivals::RivalSubmission;
 use crate::run::{Downtime, RunSettings, MEMORY_MB};
 use std::collections::BTreeMap;
 use std::fmt;
@@ -28,6 +29,7 @@
 pub struct Observations {
     pub submissions: Vec<Submission>,
     pub repetitions: Vec<Repetition>,
+    pub rivals: Vec<RivalSubmission>,
     pub calls: CallLog,
     pub discovery: Arc<Discovery>,
     pub downtimes: Vec<Downtime>,
@@ -45,6 +47,11 @@
         self.repetitions.iter().any(is_accepted)
     }
 
+    /// Returns whether a rival's message was accepted under this id.
+    fn is_rival_accepted(&self, id: &str) -> bool {
+        self.rivals.iter().any(|rival| rival.id == id && rival.answer == Answer::Status(202))
+    }
+
     /// Returns whether a repetition of this id was accepted after a restart that followed `refused_at`.
     fn is_accepted_after_restart(&self, id: &str, refused_at: Instant) -> bool {
         let is_accepted =
@@ -199,7 +206,7 @@
     check_order(observations, &by_message, &mut violations);
     check_repetitions(observations, &mut violations);
     check_intruders(&by_message, &mut violations);
-    check_bodies(&by_message, &mut violations);
+    check_authors(observations, &by_message, &mut violations);
     check_draining(observations, &mut violations);
     let seed = settings.seed;
     let count = |of: fn(&Submission) -> bool| observations.submissions.iter().filter(|s| of(s)).count();
@@ -304,17 +311,26 @@
         }
     }
     for Submission { id, answered_at, answer, .. } in &observations.submissions {
-        if binds(answer) || (is_refusal(answer) && !observations.is_repetition_accepted(id)) {
+        let is_accepted_otherwise =
+            || observations.is_repetition_accepted(id) || observations.is_rival_accepted(id);
+        if binds(answer) || (is_refusal(answer) && !is_accepted_otherwise()) {
             let what = "it was refused";
             ends.push(KnownEnd { id, at: *answered_at, what, survives_restart: false });
         }
     }
     for Repetition { id, has_same_content, answered_at, answer } in &observations.repetitions {
-        if *has_same_content && is_refusal(answer) {
+        let is_own = *has_same_content && !observations.is_rival_accepted(id);
+        if binds(answer) || (is_own && is_refusal(answer)) {
             let what = "a repetition was refused";
             ends.push(KnownEnd { id, at: *answered_at, what, survives_restart: false });
         }
     }
+    for RivalSubmission { id, answered_at, answer } in &observations.rivals {
+        if binds(answer) {
+            let what = "a rival's message was refused";
+            ends.push(KnownEnd { id, at: *answered_at, what, survives_restart: false });
+        }
+    }
     ends
 }
 
@@ -370,10 +386,29 @@
     }
 }
 
-fn check_bodies(by_message: &ByMessage, violations: &mut Vec<String>) {
-    for (id, calls) in &by_message.calls {
-        if calls.iter().any(|call| !call.has_own_body) {
-            violations.push(format!("sent with the body of another message: {id}"));
+/// Checks that each message is sent with the content of the request that was accepted, and of one request only.
+fn check_authors(observations: &Observations, by_message: &ByMessage, violations: &mut Vec<String>) {
+    let is_sent = |id: &str, author: Author| {
+        by_message.calls.get(id).is_some_and(|calls| calls.iter().any(|call| call.author == author))
+    };
+    for id in by_message.calls.keys() {
+        if is_sent(id, Author::Other) || (is_sent(id, Author::Client) && is_sent(id, Author::Rival)) {
+            violations.push(format!("sent with the content of another message: {id}"));
+        }
+    }
+    for submission in observations.submissions.iter().filter(|submission| is_accepted(submission)) {
+        let Submission { id, .. } = submission;
+        if is_sent(id, Author::Rival) || observations.is_rival_accepted(id) {
+            violations.push(format!("accepted, and so was a rival's message: {id}"));
+        }
+    }
+    for RivalSubmission { id, answer, .. } in &observations.rivals {
+        let is_accepted = *answer == Answer::Status(202);
+        if is_accepted && is_sent(id, Author::Client) {
+            violations.push(format!("a rival's message was accepted, and another sent: {id}"));
+        }
+        if is_accepted && !is_sent(id, Author::Rival) && !by_message.notifications.contains_key(id) {
+            violations.push(format!("lost: a rival's message was accepted and not completed: {id}"));
         }
     }
 }
@@ -435,9 +470,10 @@
     let mut latest = Duration::ZERO;
     for submission in &observations.submissions {
         let Some(at) = by_message.notified_at(submission) else { continue };
-        // An id that was accepted from a repetition has the deadline of that one.
+        // An id that was accepted from a repetition or from a rival has the deadline of that one.
         let is_repeated = observations.repetitions.iter().any(|repetition| repetition.id == submission.id);
-        if is_repeated && !is_accepted(submission) {
+        let is_other = is_repeated || observations.is_rival_accepted(&submission.id);
+        if is_other && !is_accepted(submission) {
             continue;
         }
         let due = submission.sent_at + submission.time_to_deadline;
--- a/crates/edge/tests/soak/clients.rs
+++ b/crates/edge/tests/soak/clients.rs
@@ -2,6 +2,7 @@
 //! and record every answer.
 
 use crate::random::Random;
+use crate::rivals::{Moment, Rival, RivalSubmission};
 use linnetcart_http::{parse_response, ParsedResponse, Persistence};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -55,11 +56,25 @@
 pub struct ClientRecord {
     pub submissions: Vec<Submission>,
     pub repetitions: Vec<Repetition>,
+    pub rivals: Vec<RivalSubmission>,
+}
+
+/// What one client does.
+#[derive(Clone, Copy, Debug)]
+pub struct ClientPlan {
+    pub seed: u64,
+    /// Number of the client.
+    pub client: u64,
+    pub courier: SocketAddr,
+    /// Whether a rival uses the ids of some of its messages.
+    pub has_rival: bool,
 }
 
 /// Submits messages until `stop` is set. Some are submitted again, unchanged or not, on another connection.
-pub fn run(seed: u64, client: u64, courier: SocketAddr, stop: &AtomicBool) -> ClientRecord {
+pub fn run(plan: ClientPlan, stop: &AtomicBool) -> ClientRecord {
+    let ClientPlan { seed, client, courier, has_rival } = plan;
     let mut random = Random::new(seed, 100 + client);
+    let mut rival = Rival::new(Random::new(seed, 300 + client), courier);
     let mut submissions: Vec<Submission> = Vec::new();
     let mut repetitions = Vec::new();
     let mut connection: Option<TcpStream> = None;
@@ -70,6 +85,9 @@
                 repetitions.extend(repeat(last, courier, &mut random));
             }
         }
+        if has_rival {
+            rival.draw();
+        }
         let on_new_connection = connection.is_none();
         let Some(stream) = connection.take().or_else(|| connect(courier)) else {
             std::thread::sleep(RECONNECT_PAUSE);
@@ -84,9 +102,11 @@
         // Some requests arrive in two parts.
         let cut = if random.chance(15) { random.below(bytes.len() as u64) as usize } else { 0 };
         let pause = Duration::from_millis(random.between(10, 200));
-        let (answer, reusable) = submit_in_parts(stream, &bytes, cut, pause);
+        let mut reach = |moment| rival.reach(moment, &id, &bytes);
+        let (answer, reusable) = submit_in_parts(stream, &bytes, cut, pause, &mut reach);
         connection = reusable;
         let answered_at = Instant::now();
+        rival.finish();
         submissions.push(Submission {
             id,
             class,
@@ -98,7 +118,7 @@
             on_new_connection,
         });
     }
-    ClientRecord { submissions, repetitions }
+    ClientRecord { submissions, repetitions, rivals: rival.submissions }
 }
 
 /// Sends a request with the id of an earlier message on a new connection: the same message, another one, or an
@@ -117,7 +137,7 @@
     Some(Repetition { id: id.clone(), has_same_content, answered_at: Instant::now(), answer })
 }
 
-fn connect(courier: SocketAddr) -> Option<TcpStream> {
+pub fn connect(courier: SocketAddr) -> Option<TcpStream> {
     let stream = TcpStream::connect(courier).ok()?;
     stream.set_read_timeout(Some(ANSWER_TIMEOUT)).ok()?;
     stream.set_nodelay(true).ok()?;
@@ -133,22 +153,33 @@
     )
 }
 
-/// Sends a request with a pause after its first `cut` bytes, and waits for its answer. Returns the connection if it can
-/// be used again.
+/// Sends a request with a pause after its first `cut` bytes, and waits for its answer. `reach` is called at each moment.
+/// Returns the connection if it can be used again.
 fn submit_in_parts(
     mut stream: TcpStream,
     request: &str,
     cut: usize,
     pause: Duration,
+    reach: &mut dyn FnMut(Moment),
 ) -> (Answer, Option<TcpStream>) {
     let (start, rest) = request.split_at(cut);
+    reach(Moment::Before);
     if cut > 0 {
         if stream.write_all(start.as_bytes()).is_err() {
             return (Answer::Closed, None);
         }
-        std::thread::sleep(pause);
+        std::thread::sleep(pause / 2);
+        reach(Moment::Within);
+        std::thread::sleep(pause / 2);
+    }
+    if stream.write_all(rest.as_bytes()).is_err() {
+        return (Answer::Closed, None);
+    }
+    if cut == 0 {
+        reach(Moment::Within);
     }
-    submit(stream, rest)
+    reach(Moment::Behind);
+    read_answer(stream)
 }
 
 /// Sends a request and waits for its answer. Returns the connection if it can be used again.
@@ -156,6 +187,11 @@
     if stream.write_all(request.as_bytes()).is_err() {
         return (Answer::Closed, None);
     }
+    read_answer(stream)
+}
+
+/// Waits for the answer to a request. Returns the connection if it can be used again.
+pub fn read_answer(mut stream: TcpStream) -> (Answer, Option<TcpStream>) {
     let mut received = Vec::new();
     let mut chunk = [0; 1024];
     loop {
--- a/crates/edge/tests/soak/endpoint.rs
+++ b/crates/edge/tests/soak/endpoint.rs
@@ -3,7 +3,8 @@
 
 use crate::random::Random;
 use crate::response_faults::ResponseStream;
-use linnetcart_http::parse_request;
+use crate::rivals;
+use linnetcart_http::{parse_request, Request};
 use std::io::Read;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
@@ -49,12 +50,36 @@
     }
 }
 
+/// Whose content a call has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Author {
+    /// The client whose messages have such ids.
+    Client,
+    /// A rival that used the id.
+    Rival,
+    /// The content belongs to another id.
+    Other,
+}
+
+impl Author {
+    fn of(request: &Request<'_>, id: &str) -> Author {
+        let key = request.field("idempotency-key").ok().flatten().unwrap_or_default();
+        let rival_body = [rivals::BODY_PREFIX.as_bytes(), id.as_bytes()].concat();
+        if request.body() == rival_body || key.starts_with(rivals::KEY_PREFIX.as_bytes()) {
+            Author::Rival
+        } else if request.body().starts_with(id.as_bytes()) {
+            Author::Client
+        } else {
+            Author::Other
+        }
+    }
+}
+
 /// A call that reached an endpoint.
 #[derive(Clone, Debug)]
 pub struct Call {
     pub id: String,
-    /// Whether the body is that of the message with this id.
-    pub has_own_body: bool,
+    pub author: Author,
     /// Number of the endpoint.
     pub endpoint: u64,
     pub behaviour: Behaviour,
@@ -106,7 +131,7 @@
         while let Ok(Some(request)) = parse_request(&received) {
             let id = request.field("x-txn").ok().flatten().unwrap_or_default();
             let id = String::from_utf8_lossy(id).into_owned();
-            let has_own_body = request.body().starts_with(id.as_bytes());
+            let author = Author::of(&request, &id);
             let request_length = request.length();
             received.drain(..request_length);
             let behaviour = Behaviour::draw(&mut random);
@@ -115,7 +140,7 @@
             let served_at = responses.has_crossed().then_some(arrived_at);
             let call = Call {
                 id,
-                has_own_body,
+                author,
                 endpoint,
                 behaviour,
                 arrived_at,
--- a/crates/edge/tests/soak/main.rs
+++ b/crates/edge/tests/soak/main.rs
@@ -1,5 +1,5 @@
 //! Soak test: the real courier on the loopback interface under random faults of its own machine, signals,
-//! kills, endpoints and discovery whose responses come twice, early or late, clients that misbehave, hundreds of clients
+//! kills, endpoints and discovery whose responses come twice, early or late, clients that misbehave or use the ids of others, hundreds of clients
 //! whose requests take memory, and successors at the addresses of endpoints.
 //!
 //! Each seed determines the random choices of one run of a few seconds. After the run, every message is
@@ -26,6 +26,7 @@
 mod intruders;
 mod random;
 mod response_faults;
+mod rivals;
 mod run;
 
 use checks::Report;
--- a/crates/edge/tests/soak/run.rs
+++ b/crates/edge/tests/soak/run.rs
@@ -3,7 +3,7 @@
 
 use crate::agent::{Discovery, DiscoveryLoad};
 use crate::checks::{self, Observations, Report};
-use crate::clients::{self, ClientRecord};
+use crate::clients::{self, ClientPlan, ClientRecord};
 use crate::courier::{platform_config, CourierProcess};
 use crate::endpoint::{self, CallLog, EndpointPlan};
 use crate::fat_clients;
@@ -51,6 +51,8 @@
     pub key_window: Duration,
     /// Whether some clients violate the protocol.
     pub has_intruders: bool,
+    /// Whether each client has a rival that uses the ids of its messages.
+    pub has_rivals: bool,
     /// Number of clients that submit messages.
     pub clients: u64,
     /// Whether hundreds of clients send large requests slowly, stop half way or send heads without an end.
@@ -74,6 +76,7 @@
                 has_successors: false,
             },
             has_intruders: random.chance(60),
+            has_rivals: false,
             clients: if random.chance(20) { CROWD } else { CLIENTS },
             key_window: LONG_KEY_WINDOW,
             has_fat_clients: false,
@@ -82,10 +85,11 @@
         .with_peers(&mut Random::new(seed, 6))
     }
 
-    /// Draws clients that make the courier hold memory and successors at the addresses of endpoints for some runs.
+    /// Draws clients that make the courier hold memory, successors at the addresses of endpoints and rivals for some runs.
     fn with_peers(mut self, random: &mut Random) -> RunSettings {
         self.has_fat_clients = random.chance(50);
         self.discovery.has_successors = random.chance(50);
+        self.has_rivals = random.chance(50);
         self
     }
 
@@ -146,9 +150,10 @@
     std::thread::scope(|scope| {
         let clients: Vec<_> = (0..settings.clients)
             .map(|client| {
+                let plan = ClientPlan { seed, client, courier: address, has_rival: settings.has_rivals };
                 scope.spawn({
                     let stop = &stop;
-                    move || clients::run(seed, client, address, stop)
+                    move || clients::run(plan, stop)
                 })
             })
             .collect();
@@ -174,6 +179,7 @@
             let record = client.join().expect("a client ends");
             clients_record.submissions.extend(record.submissions);
             clients_record.repetitions.extend(record.repetitions);
+            clients_record.rivals.extend(record.rivals);
         }
     });
     drop(idle_connections);
@@ -184,10 +190,11 @@
     if exited_unexpectedly {
         courier.restart();
     }
-    let ClientRecord { submissions, repetitions } = clients_record;
+    let ClientRecord { submissions, repetitions, rivals } = clients_record;
     let observations = Observations {
         submissions,
         repetitions,
+        rivals,
         calls,
         discovery,
         downtimes,
