--- a/crates/edge/tests/core/requests.rs
+++ b/crates/edge/tests/core/requests.rs
@@ -14,6 +14,22 @@
     assert_eq!((status.in_flight, status.calls, status.classes["status"].served), (0, 0, 1));
 }
 
+/// Guards against a record being answered by another client's: nothing is kept by the id that a record names.
+#[test]
+fn records_of_two_clients_with_one_message_id_are_two_messages() {
+    const OTHER: u64 = 2;
+    let mut harness = harness_with_client();
+    harness.connect_client(OTHER);
+    let named = |value| [record_with_header(value, "message-id", "m")];
+    let first = harness.send(CLIENT, &[target("order", 1, &named("a"))]);
+    let second = harness.send(OTHER, &[target("order", 1, &named("b"))]);
+    harness.reply("b", codes::UNKNOWN_SERVER_ERROR, 0);
+    assert!(harness.results(CLIENT).is_empty(), "the other client's answer is not its own");
+    harness.reply("a", codes::NONE, 0);
+    assert_eq!(harness.results(CLIENT), [result(first, codes::NONE)]);
+    assert_eq!(harness.results(OTHER), [result(second, codes::UNKNOWN_SERVER_ERROR)]);
+}
+
 #[test]
 fn batch_with_different_outcomes_is_final_and_lists_each_record() {
     let mut harness = harness_with_client();
--- a/crates/edge/tests/process/contested_ids.rs
+++ b/crates/edge/tests/process/contested_ids.rs
@@ -128,12 +128,15 @@
         contest.check_only_sent(id, &usual(id));
     }
     between(&mut contest);
+    let mut statuses = Vec::new();
     for (id, field) in ids.iter().zip(0..) {
         let (what, other) = &one_field_apart(&usual(id))[field];
-        assert_eq!(contest.submit(id, other), Some(409), "{what}");
-        assert_eq!(contest.submit(id, &usual(id)), Some(202), "{what}: the same client again");
+        statuses.push((*what, [contest.submit(id, other), contest.submit(id, &usual(id))]));
         contest.check_only_sent(id, &usual(id));
     }
+    println!("{name}: {statuses:?}");
+    let is_true = |(_, statuses): &(&str, [Option<u16>; 2])| *statuses == [Some(409), Some(202)];
+    assert!(statuses.iter().all(is_true), "another one, the same client again: {statuses:?}");
 }
 
 /// Guards against a client being told that its message is accepted while that of another is open: it was never sent.
@@ -165,6 +168,7 @@
 fn submission_joins_decision_only_with_same_content() {
     let contest = Contest::new("contested-decision");
     let usual = |id: &str| Content::new(id, "the usual client's");
+    let mut all_statuses = Vec::new();
     for field in 0..one_field_apart(&usual("")).len() {
         let id = format!("fast-{field}");
         let (what, other) = &one_field_apart(&usual(&id))[field];
@@ -175,10 +179,11 @@
             client.send(&content.request(&id));
         }
         contest.courier.resume();
-        let statuses = clients.each_mut().map(|client| client.read_response().status);
-        assert_eq!(statuses, [202, 409, 202], "{what}");
+        all_statuses.push((*what, clients.each_mut().map(|client| client.read_response().status)));
         contest.check_only_sent(&id, &usual(&id));
     }
+    println!("{all_statuses:?}");
+    assert!(all_statuses.iter().all(|(_, statuses)| *statuses == [202, 409, 202]), "{all_statuses:?}");
 }
 
 /// Guards against the request on the older connection being read first, whatever arrived first: the message of the
@@ -216,26 +221,56 @@
     [first_line, id_line, head, (head + request.len()) / 2, request.len() - 1]
 }
 
+/// A request of which the courier has read the first part, and a stranger with the same id on an older connection.
+struct UnderWay {
+    id: String,
+    usual: Content,
+    other: Content,
+    client: Peer,
+    stranger: Peer,
+    rest: String,
+}
+
+impl UnderWay {
+    /// Sends the part of a request up to this one of its [`cuts`].
+    fn new(contest: &Contest, prefix: &str, cut: usize) -> UnderWay {
+        let id = format!("{prefix}-{cut}");
+        let (usual, other) = (Content::new(&id, "the usual client's"), Content::new(&id, "the stranger's"));
+        let (stranger, mut client) = (contest.connect(), contest.connect());
+        let mut start = usual.request(&id);
+        let rest = start.split_off(cuts(&start)[cut]);
+        client.send(&start);
+        contest.courier.wait_until_input_processed();
+        UnderWay { id, usual, other, client, stranger, rest }
+    }
+
+    fn send_stranger(&mut self) {
+        self.stranger.send(&self.other.request(&self.id));
+    }
+
+    fn send_rest(&mut self) {
+        self.client.send(&self.rest);
+    }
+
+    /// Reads the status of the usual client's response, and of the stranger's.
+    fn statuses(&mut self) -> [u16; 2] {
+        [self.client.read_response().status, self.stranger.read_response().status]
+    }
+}
+
 /// Guards against a whole request taking the id of one that is under way for a moment: its message was not sent.
 #[test]
 fn request_under_way_keeps_its_id_from_the_line_that_names_it() {
     let contest = Contest::new("contested-moment");
     for cut in 0..5 {
-        let id = format!("moment-{cut}");
-        let (usual, other) = (Content::new(&id, "the usual client's"), Content::new(&id, "the stranger's"));
-        let request = usual.request(&id);
-        let (start, rest) = request.split_at(cuts(&request)[cut]);
-        let (mut stranger, mut client) = (contest.connect(), contest.connect());
-        client.send(start);
-        contest.courier.wait_until_input_processed();
+        let mut request = UnderWay::new(&contest, "moment", cut);
         contest.courier.stop();
-        stranger.send(&other.request(&id));
-        client.send(rest);
+        request.send_stranger();
+        request.send_rest();
         contest.courier.resume();
-        let statuses = [client.read_response().status, stranger.read_response().status];
         let is_named = cut > 0;
-        assert_eq!(statuses, if is_named { [202, 409] } else { [409, 202] }, "{start:?}");
-        contest.check_only_sent(&id, if is_named { &usual } else { &other });
+        assert_eq!(request.statuses(), if is_named { [202, 409] } else { [409, 202] }, "{}", request.id);
+        contest.check_only_sent(&request.id, if is_named { &request.usual } else { &request.other });
     }
 }
 
@@ -245,18 +280,12 @@
 fn request_under_way_for_long_loses_its_id() {
     let contest = Contest::new("contested-long");
     for cut in 0..5 {
-        let id = format!("long-{cut}");
-        let (usual, other) = (Content::new(&id, "the usual client's"), Content::new(&id, "the stranger's"));
-        let request = usual.request(&id);
-        let (start, rest) = request.split_at(cuts(&request)[cut]);
-        let (mut stranger, mut client) = (contest.connect(), contest.connect());
-        client.send(start);
-        contest.courier.wait_until_input_processed();
-        stranger.send(&other.request(&id));
-        assert_eq!(stranger.read_response().status, 202, "{start:?}");
-        client.send(rest);
-        assert_eq!(client.read_response().status, 409, "{start:?}");
-        contest.check_only_sent(&id, &other);
+        let mut request = UnderWay::new(&contest, "long", cut);
+        request.send_stranger();
+        assert!(request.stranger.wait_for_input());
+        request.send_rest();
+        assert_eq!(request.statuses(), [409, 202], "{}", request.id);
+        contest.check_only_sent(&request.id, &request.other);
     }
 }
 
@@ -266,15 +295,12 @@
     let contest = Contest::new("contested-never");
     let mut clients = Vec::new();
     for cut in 1..5 {
-        let id = format!("slow-{cut}");
-        let request = Content::new(&id, "the usual client's").request(&id);
-        let mut client = contest.connect();
-        client.send(&request[..cuts(&request)[cut]]);
-        assert_eq!(contest.submit(&id, &Content::new(&id, "the stranger's")), Some(202));
-        clients.push(client);
+        let mut request = UnderWay::new(&contest, "slow", cut);
+        request.send_stranger();
+        clients.push(request);
     }
-    for client in &mut clients {
-        assert_eq!(client.read_response().status, 408);
+    for request in &mut clients {
+        assert_eq!(request.statuses(), [408, 202], "{}", request.id);
     }
 }
 
--- a/crates/edge/tests/process/peer.rs
+++ b/crates/edge/tests/process/peer.rs
@@ -178,6 +178,11 @@
         peeked
     }
 
+    /// Waits for the next byte, without reading it. Returns `false` if the other side closes the connection instead.
+    pub fn wait_for_input(&self) -> bool {
+        matches!(self.stream.peek(&mut [0]), Ok(1..))
+    }
+
     /// Waits for a complete request. Returns `false` if the connection is closed before that.
     pub fn wait_for_request(&mut self) -> bool {
         while parse_request(&self.received).unwrap().is_none() {
