Client connections: eviction and the order of reading in files of their own

Change: `eviction` has the sort keys and both ends in favour of others, `reading_order` has unread and deferred requests. `ClientStage::since` and `has_complete_request` replace the doubled matches. No behaviour changes.

--- a/crates/platform/src/core/client_connections/connection.rs
+++ b/crates/platform/src/core/client_connections/connection.rs
@@ -1,11 +1,9 @@
-//! One connection of a client: its stage, its time limits and its eligibility for eviction. All times are
-//! monotonic, in nanoseconds.
+//! One connection of a client: its stage and its time limits. All times are monotonic, in nanoseconds.
 
 use super::buffer::RequestBuffer;
 use super::id_reservations::IdReservation;
 use crate::core::clock::MILLISECOND;
 use linnetcart::Time;
-use std::cmp::Reverse;
 
 /// Time limit for receiving a complete request. It counts from the accept for the first request of a
 /// connection, and from the request's first byte for each later one.
@@ -14,12 +12,6 @@
 pub const IDLE_TIMEOUT: Time = 10_000 * MILLISECOND;
 /// Time from the accept during which a connection without a request does not count as idle.
 pub const FIRST_REQUEST_GRACE: Time = 200 * MILLISECOND;
-/// Minimum time since the last response before a connection that was answered counts as rested.
-pub const EVICTABLE_IDLE_TIME: Time = 2000 * MILLISECOND;
-
-/// A request whose rest has not come for this time is refused before new connections are, when there are too many.
-pub const STALLED_REQUEST_TIME: Time = 1000 * MILLISECOND;
-
 /// When idle connections are closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum IdlePolicy {
@@ -40,7 +32,7 @@
 
 /// The stage of a connection in the sequence of requests and responses.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ClientStage {
+pub(super) enum ClientStage {
     /// The first request is not answered yet; nothing, a part or all of it may have arrived.
     FirstRequest {
         /// When the connection was accepted.
@@ -58,54 +50,21 @@
     },
 }
 
-/// Sort key for eviction: the connection with the least key ends first. One from which a part of a request was read
-/// comes after all that have rested, and is answered. One that was answered just now comes last.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum ClientEvictionOrder {
-    /// The connection was answered [`EVICTABLE_IDLE_TIME`] ago, or has sent no byte for [`FIRST_REQUEST_GRACE`].
-    Rested {
-        /// When the last request was answered, or the connection was accepted.
-        since: Time,
-    },
-    /// The rest of a request has not come for [`STALLED_REQUEST_TIME`].
-    StalledRequest {
-        /// When the request began.
-        since: Time,
-    },
-    /// No byte has arrived yet. Of several that were accepted together, the newest comes first.
-    Silent {
-        /// When the connection was accepted.
-        since: Time,
-    },
-    /// A part of a request was read.
-    PartialRequest(PartialRequest),
-    /// The connection was answered just now. The newest comes first.
-    AnsweredRecently,
-}
-
-/// Sort key of requests that are not complete: the largest comes first, and of equal ones the one that began first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct PartialRequest {
-    held_bytes: Reverse<usize>,
-    since: Time,
-}
-
-impl ClientEvictionOrder {
-    /// Whether of several connections with this key the newest comes first.
-    pub fn prefers_newest(self) -> bool {
-        matches!(self, ClientEvictionOrder::Silent { .. } | ClientEvictionOrder::AnsweredRecently)
-    }
-
-    /// Whether a part of a request was read.
-    pub fn has_part_of_request(self) -> bool {
-        matches!(self, ClientEvictionOrder::StalledRequest { .. } | ClientEvictionOrder::PartialRequest(_))
+impl ClientStage {
+    /// Returns when the stage began.
+    pub(super) fn since(self) -> Time {
+        match self {
+            ClientStage::FirstRequest { accepted_at: since }
+            | ClientStage::Idle { idle_since: since }
+            | ClientStage::NextRequest { request_began_at: since } => since,
+        }
     }
 }
 
 /// A client's connection.
 #[derive(Debug)]
 pub struct ClientConnection {
-    stage: ClientStage,
+    pub(super) stage: ClientStage,
     /// When the last byte arrived at the earliest; before any byte, when the connection was accepted.
     pub last_byte_at: Time,
     /// The request that is not answered yet.
@@ -148,17 +107,6 @@
         self.request.push(bytes);
     }
 
-    /// Returns the sort key of the connection's request if it is not complete, `None` otherwise.
-    pub fn partial_request(&self) -> Option<PartialRequest> {
-        let since = match self.stage {
-            ClientStage::FirstRequest { accepted_at } => accepted_at,
-            ClientStage::NextRequest { request_began_at } => request_began_at,
-            ClientStage::Idle { .. } => return None,
-        };
-        let is_partial = !self.awaits_answer && self.request.is_partial();
-        is_partial.then(|| PartialRequest { held_bytes: Reverse(self.request.held_bytes()), since })
-    }
-
     /// Records that the request was answered.
     pub fn answered(&mut self, now: Time) {
         self.stage = ClientStage::Idle { idle_since: now };
@@ -167,49 +115,15 @@
         self.request = RequestBuffer::default();
     }
 
-    /// Returns the connection's sort key for eviction; `None` if it has a request that is complete and not answered.
-    pub fn eviction_order(&self, now: Time) -> Option<ClientEvictionOrder> {
-        if self.awaits_answer {
-            return None;
-        }
-        if !self.request.is_empty() {
-            return self.request.is_partial().then(|| self.eviction_order_of_request(now));
-        }
-        Some(match self.stage {
-            ClientStage::FirstRequest { accepted_at: since } if since + FIRST_REQUEST_GRACE <= now => {
-                ClientEvictionOrder::Rested { since }
-            }
-            ClientStage::FirstRequest { accepted_at: since } => ClientEvictionOrder::Silent { since },
-            ClientStage::Idle { idle_since: since }
-            | ClientStage::NextRequest { request_began_at: since }
-                if since + EVICTABLE_IDLE_TIME <= now =>
-            {
-                ClientEvictionOrder::Rested { since }
-            }
-            ClientStage::Idle { .. } | ClientStage::NextRequest { .. } => {
-                ClientEvictionOrder::AnsweredRecently
-            }
-        })
-    }
-
-    fn eviction_order_of_request(&self, now: Time) -> ClientEvictionOrder {
-        let since = match self.stage {
-            ClientStage::FirstRequest { accepted_at: since }
-            | ClientStage::NextRequest { request_began_at: since }
-            | ClientStage::Idle { idle_since: since } => since,
-        };
-        if since + STALLED_REQUEST_TIME <= now {
-            return ClientEvictionOrder::StalledRequest { since };
-        }
-        let held_bytes = Reverse(self.request.held_bytes());
-        ClientEvictionOrder::PartialRequest(PartialRequest { held_bytes, since })
+    /// Whether a complete request, or one that cannot become valid, is buffered.
+    pub(super) fn has_complete_request(&self) -> bool {
+        !self.request.is_empty() && !self.request.is_partial()
     }
 
     /// Whether the connection has no complete request and has timed out or, with [`IdlePolicy::Close`], is
     /// idle.
     pub fn is_expired(&self, now: Time, idle: IdlePolicy) -> bool {
-        let is_complete = !self.request.is_empty() && !self.request.is_partial();
-        if self.awaits_answer || is_complete {
+        if self.awaits_answer || self.has_complete_request() {
             return false;
         }
         self.deadline() <= now || (idle == IdlePolicy::Close && self.is_idle(now))
@@ -217,11 +131,11 @@
 
     /// Returns when the time limit of the present stage ends, in monotonic time.
     fn deadline(&self) -> Time {
-        match self.stage {
-            ClientStage::FirstRequest { accepted_at } => accepted_at + REQUEST_TIMEOUT,
-            ClientStage::Idle { idle_since } => idle_since + IDLE_TIMEOUT,
-            ClientStage::NextRequest { request_began_at } => request_began_at + REQUEST_TIMEOUT,
-        }
+        let limit = match self.stage {
+            ClientStage::FirstRequest { .. } | ClientStage::NextRequest { .. } => REQUEST_TIMEOUT,
+            ClientStage::Idle { .. } => IDLE_TIMEOUT,
+        };
+        self.stage.since() + limit
     }
 
     /// Whether no byte of a request has arrived. A new connection counts as idle only after
--- a/crates/platform/src/core/client_connections/tests.rs
+++ b/crates/platform/src/core/client_connections/tests.rs
@@ -1,6 +1,7 @@
 //! Eviction and timeouts of client connections.
 
-use super::connection::{EVICTABLE_IDLE_TIME, FIRST_REQUEST_GRACE, IDLE_TIMEOUT, REQUEST_TIMEOUT};
+use super::connection::{FIRST_REQUEST_GRACE, IDLE_TIMEOUT, REQUEST_TIMEOUT};
+use super::eviction::EVICTABLE_IDLE_TIME;
 use super::ExpiredClient::{Idle, InRequest};
 use super::*;
 
--- a/crates/platform/src/core/tests/admission.rs
+++ b/crates/platform/src/core/tests/admission.rs
@@ -1,7 +1,7 @@
 //! Requests of clients and the responses to them.
 
 use super::harness::*;
-use crate::core::client_connections::MAX_DEFERRAL;
+use crate::core::client_connections::reading_order::MAX_DEFERRAL;
 
 #[test]
 fn accepted_and_sent_message_recorded_in_same_iteration() {
--- a/crates/platform/src/core/tests/contested_ids.rs
+++ b/crates/platform/src/core/tests/contested_ids.rs
@@ -1,7 +1,7 @@
 //! Requests that name the same id, one of which is not complete when the other arrives.
 
 use super::harness::*;
-use crate::core::client_connections::MAX_DEFERRAL;
+use crate::core::client_connections::reading_order::MAX_DEFERRAL;
 
 const USUAL: ClientId = 1;
 const STRANGER: ClientId = 2;
