Close the connection that has rested for longest when a crowd fills the table

Callers saw: beside 600 clients with whole requests of 65,000 bytes some usual requests met a close. The log did not tell in which state a connection was closed; with the state in it, a play of 600 clients, three requests each, and five usual clients that come 0.3 s later closed 32 connections 0 ms after their answer and 28 unread. Among connections answered within two seconds the newest ended first: a client that comes to a full table was closed behind each of its answers, without being told, came again and was closed again, while clients that ask once held theirs.

Change: of those answered within two seconds the one that has rested for longest ends first. `client connection closed, too many are open` has `state`, `idle_ms`, `connections`.

--- a/crates/edge/tests/process/crowded_clients.rs
+++ b/crates/edge/tests/process/crowded_clients.rs
@@ -81,6 +81,28 @@
     assert_eq!(courier.request(&submission("order", "fresh", "")), Some(202));
 }
 
+/// Guards against a client that comes to a full table being closed right behind each of its answers, without being told,
+/// while clients that ask once hold their connections.
+#[test]
+fn client_that_goes_on_keeps_its_connection_beside_those_that_ask_once() {
+    let discovery = discovery_stub();
+    let endpoint = endpoint_stub();
+    let courier = CourierProcess::new("held-table", endpoint.address, discovery.address);
+    let mut idle = idle_clients(&courier, CAPACITY);
+    courier.stop();
+    let mut client = Peer::connect(courier.listen);
+    client.send(READY_REQUEST);
+    courier.resume();
+    assert_eq!(client.read_response().status, 200);
+    for number in 0..5 {
+        client.send(&submission("order", &format!("m{number}."), ""));
+        assert_eq!(client.read_response().status, 202, "{number}");
+    }
+    assert!(idle[0].closes_without_data(), "it was answered before all others");
+    let closed = [("state", "Answered".into()), ("connections", (CAPACITY + 1).into())];
+    assert_eq!(courier.count_logged("client connection closed, too many are open", &closed), 1);
+}
+
 /// Guards against half requests with the id of an open message being told that it may be submitted again.
 #[test]
 fn half_request_with_id_of_open_message_is_not_rejected() {
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -61,7 +61,7 @@
 mod unrecorded;
 mod upstream_request;
 
-pub use client_connections::ClientId;
+pub use client_connections::{ClientId, EvictedClient, EvictedState};
 pub use clock::MILLISECOND;
 pub use connection_pool::ConnectionId;
 pub use counters::{Counters, NotificationCounts, OutcomeCounts, RecoveryCounts, Sizes};
--- a/crates/platform/src/core/client_closing.rs
+++ b/crates/platform/src/core/client_closing.rs
@@ -49,10 +49,10 @@
     pub(super) fn evict_clients(&mut self) {
         while let Some(eviction) = self.clients.evict(self.clock.now()) {
             match eviction {
-                Eviction::Close(client) => {
+                Eviction::Close(evicted) => {
                     self.counters.evicted_clients += 1;
-                    self.effects.event(CoreEvent::ClientEvicted { client });
-                    self.effects.output(Output::CloseClient(client));
+                    self.effects.event(CoreEvent::ClientEvicted(evicted));
+                    self.effects.output(Output::CloseClient(evicted.client));
                 }
                 Eviction::Refuse(client) => self.refuse_invalid(client, RequestError::TooManyConnections),
             }
--- a/crates/platform/src/core/client_connections.rs
+++ b/crates/platform/src/core/client_connections.rs
@@ -11,7 +11,7 @@
 pub(super) mod reading_order;
 
 pub use connection::{Arrival, IdlePolicy};
-pub use eviction::Eviction;
+pub use eviction::{EvictedClient, EvictedState, Eviction};
 
 use super::clock::MILLISECOND;
 use connection::ClientConnection;
--- a/crates/platform/src/core/client_connections/eviction.rs
+++ b/crates/platform/src/core/client_connections/eviction.rs
@@ -16,11 +16,33 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Eviction {
     /// The connection has no request, was removed and has to be closed.
-    Close(ClientId),
+    Close(EvictedClient),
     /// A part of a request was read: it has to be refused with an answer.
     Refuse(ClientId),
 }
 
+/// A connection that has to be closed without an answer, and why this one. Written to the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EvictedClient {
+    /// The connection.
+    pub client: ClientId,
+    /// What it was doing.
+    pub state: EvictedState,
+    /// How long it had been in this state, in nanoseconds.
+    pub idle_for: Time,
+    /// The number of connections, which exceeds the maximum.
+    pub connections: usize,
+}
+
+/// What a connection was doing that has no request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EvictedState {
+    /// No byte had been read from it since it was accepted.
+    Unread,
+    /// Its last request was answered.
+    Answered,
+}
+
 /// Sort key for eviction: the connection with the least key ends first. One from which a part of a request was read
 /// comes after all that have rested, and is answered. One that was answered just now comes last.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -42,8 +64,12 @@
     },
     /// A part of a request was read.
     PartialRequest(PartialRequest),
-    /// The connection was answered just now. The newest comes first.
-    AnsweredRecently,
+    /// The connection was answered less than [`EVICTABLE_IDLE_TIME`] ago. The one that has rested for longest comes
+    /// first: a client that goes on submitting keeps its connection, one that asks once and holds it does not.
+    AnsweredRecently {
+        /// When the last request was answered.
+        since: Time,
+    },
 }
 
 /// Sort key of requests that are not complete: the largest comes first, and of equal ones the one that began first.
@@ -56,7 +82,7 @@
 impl ClientEvictionOrder {
     /// Whether of several connections with this key the newest comes first.
     pub fn prefers_newest(self) -> bool {
-        matches!(self, ClientEvictionOrder::Silent { .. } | ClientEvictionOrder::AnsweredRecently)
+        matches!(self, ClientEvictionOrder::Silent { .. })
     }
 
     /// Whether a part of a request was read.
@@ -93,7 +119,7 @@
             (None, ClientStage::Idle { .. } | ClientStage::NextRequest { .. })
                 if now < since + EVICTABLE_IDLE_TIME =>
             {
-                ClientEvictionOrder::AnsweredRecently
+                ClientEvictionOrder::AnsweredRecently { since }
             }
             (None, _) => ClientEvictionOrder::Rested { since },
         })
@@ -126,7 +152,18 @@
         if order.has_part_of_request() {
             return Some(Eviction::Refuse(id));
         }
+        let evicted = self.evicted(id, now)?;
         self.closed(id);
-        Some(Eviction::Close(id))
+        Some(Eviction::Close(evicted))
+    }
+
+    fn evicted(&self, client: ClientId, now: Time) -> Option<EvictedClient> {
+        let stage = self.connections.get(&client)?.stage;
+        let state = match stage {
+            ClientStage::FirstRequest { .. } => EvictedState::Unread,
+            ClientStage::Idle { .. } | ClientStage::NextRequest { .. } => EvictedState::Answered,
+        };
+        let idle_for = now.saturating_sub(stage.since());
+        Some(EvictedClient { client, state, idle_for, connections: self.connections.len() })
     }
 }
--- a/crates/platform/src/core/client_connections/tests.rs
+++ b/crates/platform/src/core/client_connections/tests.rs
@@ -16,7 +16,7 @@
 fn open(clients: &mut ClientConnections, id: ClientId, now: Time) -> Option<ClientId> {
     clients.opened(id, now);
     match clients.evict(now) {
-        Some(Eviction::Close(id)) => Some(id),
+        Some(Eviction::Close(evicted)) => Some(evicted.client),
         Some(Eviction::Refuse(id)) => panic!("{id} has a part of a request"),
         None => None,
     }
@@ -160,3 +160,26 @@
     assert_eq!(rest, [1, 2, 3]);
     assert!(!clients.has_unread());
 }
+
+/// Guards against a client that goes on submitting losing its connection to a crowd that asks once: the newest of those
+/// answered just now was closed, while the requests of others were complete and could not be.
+#[test]
+fn connection_answered_longest_ago_ends_first_of_those_answered_just_now() {
+    let mut clients = ClientConnections::new(3, MEMORY_BYTES, 0);
+    for (id, answered_at) in [(1, 30), (2, 10), (3, 20)] {
+        assert_eq!(open(&mut clients, id, 0), None);
+        clients.receive(id, READY_REQUEST, at(0));
+        clients.answered(id, answered_at);
+    }
+    for (id, ended) in [(4, 2), (5, 3), (6, 1)] {
+        clients.opened(id, 40);
+        clients.receive(id, READY_REQUEST, at(40));
+        let state = EvictedState::Answered;
+        let idle_for = [10, 30, 20][ended as usize - 1];
+        let evicted = EvictedClient { client: ended, state, idle_for, connections: 4 };
+        assert_eq!(clients.evict(40), Some(Eviction::Close(evicted)));
+    }
+    clients.opened(7, 40);
+    clients.receive(7, READY_REQUEST, at(40));
+    assert_eq!(clients.evict(40), None, "all have a complete request");
+}
--- a/crates/platform/src/core/effects.rs
+++ b/crates/platform/src/core/effects.rs
@@ -5,7 +5,7 @@
 
 use super::admission::Answer;
 use super::attempts::AttemptId;
-use super::client_connections::ClientId;
+use super::client_connections::{ClientId, EvictedClient};
 use super::connection_pool::ConnectionId;
 use super::counters::RecoveryCounts;
 use super::discovery::WatchError;
@@ -58,10 +58,7 @@
         error: RequestError,
     },
     /// A client's connection without a request was closed because too many were open.
-    ClientEvicted {
-        /// The connection.
-        client: ClientId,
-    },
+    ClientEvicted(EvictedClient),
     /// Discovery's answer to a batch of status notifications was invalid; the notifications are sent again.
     NotificationsFailed(NotificationError),
     /// Discovery did not answer a batch of status notifications in time, or the connection for them was not
--- a/crates/platform/src/shell/log.rs
+++ b/crates/platform/src/shell/log.rs
@@ -1,6 +1,6 @@
 //! The log of the core: its events, limited in their rate, and periodic statistics.
 
-use crate::core::{Core, CoreEvent, MILLISECOND};
+use crate::core::{Core, CoreEvent, EvictedClient, MILLISECOND};
 use linnetcart::Time;
 use linnetcart_courier_common::{log_limit_change, ProcessMemory};
 
@@ -56,7 +56,7 @@
         CoreEvent::WatchFailed(_)
         | CoreEvent::WatchSilent
         | CoreEvent::ClientRefused { .. }
-        | CoreEvent::ClientEvicted { .. }
+        | CoreEvent::ClientEvicted(_)
         | CoreEvent::NotificationsFailed(_)
         | CoreEvent::NotificationsTimedOut
         | CoreEvent::LimitChanged(_)
@@ -72,9 +72,13 @@
         CoreEvent::ClientRefused { client, received_bytes, error } => {
             tracing::info!(client, received_bytes, %error, "request without an id refused");
         }
-        CoreEvent::ClientEvicted { client } => {
-            tracing::info!(client, "client connection closed, too many are open");
-        }
+        CoreEvent::ClientEvicted(EvictedClient { client, state, idle_for, connections }) => tracing::info!(
+            client,
+            ?state,
+            idle_ms = idle_for / MILLISECOND,
+            connections,
+            "client connection closed, too many are open"
+        ),
         CoreEvent::NotificationsFailed(error) => {
             tracing::info!(%error, "status notifications not acknowledged, resending");
         }
