Give an endpoint that left and is listed again its address anew

Cause: an endpoint that had left and was listed again unchanged within 60 s kept its earlier claim to its address, and lost it to one that had the address in between, although the list gave it the address last.

Change: only an endpoint that has not left keeps its claim.

Result: endpoint_listed_again_after_it_left_takes_its_address_back fails before (the endpoint that came back is taken for gone) and passes.

--- a/crates/platform/src/core/discovery/endpoint_list.rs
+++ b/crates/platform/src/core/discovery/endpoint_list.rs
@@ -70,8 +70,10 @@
         self.is_superseded = true;
     }
 
-    fn has_same_process(&self, entry: &EndpointEntry, address: SocketAddr) -> bool {
-        self.address == address && self.started_at_ms == entry.started_at_ms
+    /// Whether an entry lists the same process again. One that had left and is listed again was given its address anew.
+    fn is_listed_again(&self, entry: &EndpointEntry, address: SocketAddr) -> bool {
+        let has_left = self.status == EndpointStatus::Removed && !self.is_superseded;
+        !has_left && self.address == address && self.started_at_ms == entry.started_at_ms
     }
 
     /// Whether connections that were established to the `previous` listing of this endpoint must be closed,
@@ -261,7 +263,7 @@
         let Some(number) = self.number_of(entry) else { return };
         self.destinations.insert(entry.destination);
         let previous = self.endpoints.get(&number);
-        if let Some(previous) = previous.filter(|previous| previous.has_same_process(entry, address)) {
+        if let Some(previous) = previous.filter(|previous| previous.is_listed_again(entry, address)) {
             listed.claim = previous.claim;
         }
         let is_stale = previous.is_some_and(|previous| listed.makes_connections_stale(previous));
--- a/crates/platform/src/core/discovery/endpoint_list/tests.rs
+++ b/crates/platform/src/core/discovery/endpoint_list/tests.rs
@@ -163,6 +163,20 @@
     assert!(endpoints.ready(3).is_some());
 }
 
+/// Guards against an endpoint that left and comes back losing its address to one that had it in between.
+#[test]
+fn endpoint_listed_again_after_it_left_takes_its_address_back() {
+    let settings = DeploymentSettings::default();
+    let mut endpoints = list_with("old");
+    let left = entry("old", "127.0.0.1:1", ListedStatus::Left);
+    endpoints.apply(&event(8, false, vec![left]), &settings, NOW);
+    endpoints.apply(&event(9, false, vec![at_shared_address("new")]), &settings, NOW);
+    assert_eq!(ready_ones(&endpoints), (false, true));
+    let update = endpoints.apply(&event(10, false, vec![at_shared_address("old")]), &settings, NOW);
+    assert_eq!(update.stale, [2]);
+    assert_eq!(ready_ones(&endpoints), (true, false));
+}
+
 /// The largest list and the least memory that the platform's pages name.
 #[test]
 fn list_of_3200_endpoints_fits_into_the_least_memory() {
