Forget succeeded endpoints when the list has no room for a new one

Cause: an endpoint whose address was given to another one is kept for as long as the list names it. One that incremental events never list as left was kept for ever, and thousands of successors would have filled the list's part of the memory, so that new endpoints were not listed.

Change: where nothing else makes room, succeeded endpoints are forgotten, too. The price, where memory is that short: a complete list that still names one gives it its address back.

Result: succeeded_endpoints_that_are_never_listed_as_left_make_room fails before (the fourth of nine successors is not listed) and passes.

--- a/crates/platform/src/core/discovery/endpoint_list.rs
+++ b/crates/platform/src/core/discovery/endpoint_list.rs
@@ -213,19 +213,19 @@
 
     /// Deletes endpoints that were removed at least [`REMOVED_RETENTION`] ago.
     fn forget_expired(&mut self, now: Time) {
-        self.forget_where(|endpoint| endpoint.changed_at + REMOVED_RETENTION <= now);
+        self.forget_where(|endpoint| {
+            !endpoint.is_superseded && endpoint.changed_at + REMOVED_RETENTION <= now
+        });
         // Names and destinations of the past must not make the list grow.
         if self.destinations.len() > MAX_PAST_DESTINATIONS + self.endpoints.len() {
             self.destinations = self.endpoints.values().map(|endpoint| endpoint.destination).collect();
         }
     }
 
-    /// Deletes the removed endpoints for which `predicate` holds. One whose address was given to another endpoint stays
-    /// as long as the list names it.
+    /// Deletes the removed endpoints for which `predicate` holds.
     fn forget_where(&mut self, predicate: impl Fn(&ListedEndpoint) -> bool) {
-        let is_forgotten = |endpoint: &ListedEndpoint| {
-            endpoint.status == EndpointStatus::Removed && !endpoint.is_superseded && predicate(endpoint)
-        };
+        let is_forgotten =
+            |endpoint: &ListedEndpoint| endpoint.status == EndpointStatus::Removed && predicate(endpoint);
         let forgotten: Vec<u32> = self
             .endpoints
             .iter()
@@ -355,9 +355,13 @@
         Some(self.last_number)
     }
 
-    /// Returns whether another endpoint fits into the memory. Endpoints that were removed make room for it.
+    /// Returns whether another endpoint fits into the memory. Endpoints that were removed make room for it; those whose
+    /// address was given to another one only if need be, because a list that still names them would give it back.
     fn make_room_for(&mut self, name: &str) -> bool {
         let size = held_size(name);
+        if !self.memory.has_room_for(size) {
+            self.forget_where(|endpoint| !endpoint.is_superseded);
+        }
         if !self.memory.has_room_for(size) {
             self.forget_where(|_| true);
         }
--- a/crates/platform/src/core/discovery/endpoint_list/tests.rs
+++ b/crates/platform/src/core/discovery/endpoint_list/tests.rs
@@ -163,6 +163,19 @@
     assert!(endpoints.ready(3).is_some());
 }
 
+/// Guards against a list that is full of endpoints which successors replaced and events never listed as left.
+#[test]
+fn succeeded_endpoints_that_are_never_listed_as_left_make_room() {
+    let settings = DeploymentSettings::default();
+    let mut endpoints = EndpointList::new(3 * held_size("0"));
+    for number in 0..9u64 {
+        let successor = at_shared_address(&number.to_string());
+        endpoints.apply(&event(number + 1, false, vec![successor]), &settings, NOW);
+        assert!(endpoints.ready(number as u32 + 1).is_some(), "{number}");
+        assert!(endpoints.len() <= 3);
+    }
+}
+
 /// Guards against an endpoint that left and comes back losing its address to one that had it in between.
 #[test]
 fn endpoint_listed_again_after_it_left_takes_its_address_back() {
