Wait for the first of two deliveries in the test of rejected ids

The courier owes them no order.

Change: the test waits until the first is delivered. What it checks is the same.

--- a/crates/edge/tests/process/message_end.rs
+++ b/crates/edge/tests/process/message_end.rs
@@ -200,6 +200,7 @@
     for (id, status) in [("undone", 503), ("unwritable", 503), ("invalid", 202)] {
         assert_eq!(courier.request(&submission("order", id, "")), Some(status), "{id}");
     }
+    wait_until("it is delivered", || endpoint.count_matching("invalid") == 1);
     assert_eq!(courier.request(&submission("order", "fresh", "")), Some(202));
     wait_until("it is delivered", || endpoint.count_matching("fresh") == 1);
     assert_eq!(endpoint.requests(), ["invalid", "fresh"]);
